Fix the typed interfaces between request path, scheduling and fleet

Cause: the parts are built side by side and must meet at fixed seams. No behaviour yet, so nothing is measured.

--- /dev/null
+++ b/connection/worker/worker.go
@@ -0,0 +1,167 @@
+// Package worker reaches the platform's agent on a worker VM. The agent is the
+// platform's, so the interface assumes the least of it: leases with an id and
+// a time to live, tasks started under a lease, a start refused once the lease
+// has lapsed or been revoked, inventory, stop, throttle and checkpoint.
+//
+// When a lease lapses or is revoked, the agent stops accepting starts under it
+// at once. Tasks already running under a lapsed lease go on until their own
+// task lease (TaskTTL, renewed by Sync) runs out; then the agent stops them.
+// Results are held until acknowledged.
+package worker
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"fennelshunt.example/fennelshunt/version/spec"
+)
+
+// ID names a worker VM.
+type ID string
+
+// LeaseID names a lease at one worker.
+type LeaseID string
+
+// Errors of an agent. Test with errors.Is.
+var (
+	ErrLeaseInvalid = errors.New("worker: lease lapsed or revoked")      // nothing was started
+	ErrStaleEpoch   = errors.New("worker: a higher epoch has been seen") // nothing was started
+	ErrUnreachable  = errors.New("worker: unreachable, nothing was sent")
+	ErrUnknown      = errors.New("worker: outcome unknown, the call may have taken effect")
+)
+
+// TaskState is the state of a task at a worker.
+type TaskState string
+
+// Task states.
+const (
+	Running   TaskState = "running"
+	Throttled TaskState = "throttled"
+	Succeeded TaskState = "succeeded"
+	Failed    TaskState = "failed"
+	Stopped   TaskState = "stopped"
+)
+
+// Ended reports whether a task in this state holds no resources any more.
+func (s TaskState) Ended() bool { return s == Succeeded || s == Failed || s == Stopped }
+
+// Start asks for one task to be started.
+type Start struct {
+	Task spec.TaskID `json:"task"`
+	// Attempt rises with every start of the task.
+	Attempt    int               `json:"attempt"`
+	Kind       spec.Kind         `json:"kind"`
+	Size       spec.Resources    `json:"size"`
+	RunTime    spec.Duration     `json:"run_time,omitempty"`
+	Service    string            `json:"service,omitempty"`
+	Slots      int               `json:"slots,omitempty"`
+	Conns      int               `json:"conns,omitempty"`
+	Parameters map[string]string `json:"parameters,omitempty"`
+	// Checkpoint is true when the task may go on from a checkpoint.
+	Checkpoint bool `json:"checkpoint,omitempty"`
+}
+
+// Task is what a worker reports of a task it runs or whose result it holds.
+type Task struct {
+	Task    spec.TaskID    `json:"task"`
+	Attempt int            `json:"attempt"`
+	Lease   LeaseID        `json:"lease"`
+	State   TaskState      `json:"state"`
+	Size    spec.Resources `json:"size"`
+	// Usage is what the task used lately; it lags.
+	Usage spec.Resources `json:"usage,omitzero"`
+	// Address is where a service instance listens, host:port.
+	Address string `json:"address,omitempty"`
+	Message string `json:"message,omitempty"`
+	// Work is the fraction of the run done, 0 to 1, at the last report.
+	Work float64 `json:"work,omitempty"`
+}
+
+// Inventory is all that a worker holds.
+type Inventory struct {
+	Worker   ID             `json:"worker"`
+	Zone     string         `json:"zone"`
+	Rack     string         `json:"rack"`
+	Capacity spec.Resources `json:"capacity"`
+	Leases   []LeaseID      `json:"leases"`
+	// Tasks lists running tasks and ended ones whose result is not yet
+	// acknowledged.
+	Tasks    []Task `json:"tasks"`
+	Draining bool   `json:"draining,omitempty"`
+	// Seq is the position of the last change contained, for SyncRequest.Since.
+	Seq uint64 `json:"seq"`
+}
+
+// Ref names one attempt of a task.
+type Ref struct {
+	Task    spec.TaskID `json:"task"`
+	Attempt int         `json:"attempt"`
+}
+
+// SyncRequest renews a lease and every task under it, acknowledges results and
+// asks for what changed.
+type SyncRequest struct {
+	Lease LeaseID `json:"lease"`
+	// Since is the Seq of the last reply.
+	Since uint64 `json:"since"`
+	Acks  []Ref  `json:"acks,omitempty"`
+	Stops []Ref  `json:"stops,omitempty"`
+}
+
+// SyncReply lists the tasks that changed after SyncRequest.Since.
+type SyncReply struct {
+	Seq      uint64 `json:"seq"`
+	Changed  []Task `json:"changed,omitempty"`
+	Draining bool   `json:"draining,omitempty"`
+}
+
+// OpenLease asks for a lease. Epoch is the owner's claim epoch; a worker that
+// can compare epochs refuses one lower than the highest it has seen.
+type OpenLease struct {
+	Owner string `json:"owner"`
+	Epoch uint64 `json:"epoch"`
+	// TTL is the time to live of the lease itself: without renewal no start
+	// is accepted after it.
+	TTL spec.Duration `json:"ttl"`
+	// TaskTTL is how long tasks go on after the last renewal of their lease.
+	TaskTTL spec.Duration `json:"task_ttl"`
+}
+
+// StartReply tells what became of one Start. An empty Refused means started.
+type StartReply struct {
+	Task    spec.TaskID `json:"task"`
+	Refused string      `json:"refused,omitempty"`
+}
+
+// Agent is the platform's agent on one worker.
+type Agent interface {
+	// Inventory lists leases, tasks and held results.
+	Inventory(ctx context.Context) (Inventory, error)
+	// OpenLease opens a lease for starts.
+	OpenLease(ctx context.Context, req OpenLease) (LeaseID, error)
+	// Adopt moves tasks that run under other leases to the given lease.
+	Adopt(ctx context.Context, lease LeaseID, tasks []Ref) error
+	// RevokeLease ends a lease: no start under it succeeds afterwards, not
+	// even one already on its way. Its tasks go on under their TaskTTL.
+	RevokeLease(ctx context.Context, lease LeaseID) error
+	// Sync renews the lease and exchanges changes.
+	Sync(ctx context.Context, req SyncRequest) (SyncReply, error)
+	// Start starts tasks under the lease; ErrUnknown means some may run.
+	Start(ctx context.Context, lease LeaseID, tasks []Start) ([]StartReply, error)
+	// Stop ends a task; the result Stopped is reported by Sync.
+	Stop(ctx context.Context, lease LeaseID, task Ref) error
+	// Throttle limits a task's processor use to milliCPU; 0 lifts the limit.
+	Throttle(ctx context.Context, lease LeaseID, task Ref, milliCPU int64) error
+	// Checkpoint saves a task's progress and stops it; a later start with
+	// Checkpoint set goes on from there.
+	Checkpoint(ctx context.Context, lease LeaseID, task Ref) error
+}
+
+// Dialer returns the agent at an address.
+type Dialer interface {
+	Dial(address string) Agent
+}
+
+// DefaultCallTimeout bounds one call to an agent.
+const DefaultCallTimeout = 2 * time.Second
--- /dev/null
+++ b/request/verdict/verdict.go
@@ -0,0 +1,59 @@
+// Package verdict says of a request whether it may have run. Every error on
+// the request path carries a verdict, and only NotRun permits sending a
+// non-idempotent request again.
+package verdict
+
+import "errors"
+
+// Verdict is what is known about a request's execution.
+type Verdict int
+
+// Verdicts. The zero value is MayHaveRun, so that an error that nobody
+// classified never claims too much.
+const (
+	MayHaveRun Verdict = iota // bytes may have reached an endpoint
+	NotRun                    // no byte reached an endpoint, or it refused before work
+	Ran                       // the endpoint answered
+)
+
+// Header is the response header that tells callers the verdict.
+const Header = "Fennel-Verdict"
+
+// String returns the value used in the header and in JSON bodies.
+func (v Verdict) String() string {
+	switch v {
+	case NotRun:
+		return "not-run"
+	case Ran:
+		return "ran"
+	default:
+		return "may-have-run"
+	}
+}
+
+// Error is an error with a verdict, an HTTP status for the caller and a
+// machine-readable code.
+type Error struct {
+	Verdict Verdict
+	Status  int
+	Code    string
+	// RetryAfterMillis tells the caller when to come back; 0 means unknown.
+	RetryAfterMillis int64
+	Err              error
+}
+
+// Error implements error.
+func (e *Error) Error() string { return e.Code + " (" + e.Verdict.String() + "): " + e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// Of returns the verdict of err: that of the outermost *Error in its chain,
+// MayHaveRun when there is none.
+func Of(err error) Verdict {
+	var e *Error
+	if errors.As(err, &e) {
+		return e.Verdict
+	}
+	return MayHaveRun
+}
