Number plans so that a fence can refuse delayed ones

Cause: a plan whose answer was lost may arrive after a fence listed the partition's tasks; its tasks would then run in two partitions. Change: Plan and Reserve carry a sequence number of the shard epoch, Fence carries the lowest one still accepted. Nothing measured. Conclusion: a lost plan answer is resolved by one Fence to that partition.

--- a/process/plan/plan.go
+++ b/process/plan/plan.go
@@ -56,6 +56,8 @@
 	Steps     []Step     `cbor:"3,keyasint"`
 	// Reservation, when set, starts steps on capacity reserved before.
 	Reservation string `cbor:"4,keyasint,omitempty"`
+	// Seq rises with every Plan and Reserve of one shard epoch; see Fence.MinSeq.
+	Seq uint64 `cbor:"5,keyasint,omitempty"`
 }
 
 // Outcome of one step.
@@ -95,6 +97,8 @@
 	Reservation string     `cbor:"3,keyasint"`
 	Steps       []Step     `cbor:"4,keyasint"`
 	TTLMillis   int64      `cbor:"5,keyasint"`
+	// Seq is as in Plan.
+	Seq uint64 `cbor:"6,keyasint,omitempty"`
 }
 
 // ReleaseReservation gives reserved capacity back.
@@ -139,6 +143,12 @@
 	Author    Authorship `cbor:"2,keyasint"`
 	// Jobs lists the names of the shard's jobs.
 	Jobs []string `cbor:"3,keyasint"`
+	// MinSeq makes the partition's owner refuse as Stale, from now on, every
+	// Plan and Reserve of this author epoch with a lower Seq. A plan whose
+	// answer was lost may still be on its way; without this bound it could be
+	// committed after the reply to this Fence said that its tasks do not run
+	// here and they were started elsewhere.
+	MinSeq uint64 `cbor:"4,keyasint,omitempty"`
 }
 
 // FenceReply lists the shard's tasks that the partition runs, is starting, or
