--- /dev/null
+++ b/process/settings/settings.go
@@ -0,0 +1,244 @@
+// Package settings reads a daemon's settings: a JSON file, checked as a whole,
+// in which a daemon learns its name, addresses and availability zone.
+package settings
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/url"
+	"os"
+	"regexp"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"fennelshunt.example/fennelshunt/version/spec"
+)
+
+// Addresses of a daemon, each host:port with an IP number.
+type Addresses struct {
+	// Caller is where callers' requests arrive (TCP).
+	Caller string `json:"caller"`
+	// Forward is where other daemons forward requests (TCP, mutual TLS).
+	Forward string `json:"forward"`
+	// Peer is where other daemons' calls arrive (UDP).
+	Peer string `json:"peer"`
+	// Admin is where the administration API, health and metrics are served (TCP).
+	Admin string `json:"admin"`
+}
+
+// KeyFiles names PEM files. They are read again when they change.
+type KeyFiles struct {
+	Cert string `json:"cert"`
+	Key  string `json:"key"`
+	// CA verifies the other side; required between daemons.
+	CA string `json:"ca,omitempty"`
+}
+
+// TLS names the key files of a daemon.
+type TLS struct {
+	// Callers is optional: without it callers are served over plain HTTP, for
+	// a balancer that ends TLS itself.
+	Callers *KeyFiles `json:"callers,omitempty"`
+	Peers   *KeyFiles `json:"peers,omitempty"`
+}
+
+// Platform tells where the platform's services are.
+type Platform struct {
+	// Store is the key-value service's base URL.
+	Store string `json:"store"`
+	// VMList is the base URL of the list of VMs.
+	VMList string `json:"vm_list"`
+}
+
+// Leases holds the bounds of ownership. See docs/OWNERSHIP.md for how they
+// relate.
+type Leases struct {
+	// Member is the time to live of the daemon's lease in the store.
+	Member spec.Duration `json:"member,omitempty"`
+	// Start bounds how long new work is started without a store renewal.
+	Start spec.Duration `json:"start,omitempty"`
+	// Renew bounds how long running work is renewed without one.
+	Renew spec.Duration `json:"renew,omitempty"`
+}
+
+// Limits of the request path.
+type Limits struct {
+	// MaxBodyBytes bounds a request's body; 0 means 1 GiB.
+	MaxBodyBytes int64 `json:"max_body_bytes,omitempty"`
+	// CallerRequestsPerSecond bounds one caller; 0 means no bound.
+	CallerRequestsPerSecond float64 `json:"caller_requests_per_second,omitempty"`
+	// MaxQueued bounds the requests that wait for a slot in this daemon.
+	MaxQueued int `json:"max_queued,omitempty"`
+}
+
+// Settings of one daemon.
+type Settings struct {
+	// Name stays the same over restarts of the daemon and is unique in the cell.
+	Name string `json:"name"`
+	// Zone is the availability zone.
+	Zone string `json:"zone"`
+	// Listen tells where to listen.
+	Listen Addresses `json:"listen"`
+	// Advertise tells the addresses under which others reach the daemon; an
+	// empty one defaults to the listening address.
+	Advertise Addresses `json:"advertise,omitzero"`
+	Platform  Platform  `json:"platform"`
+	TLS       TLS       `json:"tls,omitzero"`
+	// InsecurePeers permits peers without key files, for a trial on one
+	// machine: the daemons then use a key pair made from a shared seed.
+	InsecurePeers bool `json:"insecure_peers,omitempty"`
+	// Seeds are peer addresses for joining while the store is down.
+	Seeds []string `json:"seeds,omitempty"`
+	// Tokens names the file of administration tokens; without it the
+	// administration API accepts loopback callers only.
+	Tokens string `json:"tokens,omitempty"`
+	// Shards is the number of shards of teams; the same on every daemon.
+	Shards   int           `json:"shards,omitempty"`
+	Leases   Leases        `json:"leases,omitzero"`
+	Limits   Limits        `json:"limits,omitzero"`
+	Drain    spec.Duration `json:"drain,omitempty"` // bound of a planned stop
+	LogLevel string        `json:"log_level,omitempty"`
+}
+
+// Defaults of optional settings.
+const (
+	DefaultShards      = 16
+	DefaultMemberLease = 10 * time.Second
+	DefaultStartBound  = 2 * time.Hour
+	DefaultRenewBound  = 24 * time.Hour
+	DefaultDrain       = 60 * time.Second
+	DefaultMaxBody     = 1 << 30
+	DefaultMaxQueued   = 4096
+)
+
+// maxShards bounds the shards; each is a claim in the store.
+const maxShards = 1024
+
+// Problem is one fault of a settings file.
+type Problem struct {
+	File, Field, Message, Fix string
+}
+
+// Error implements error.
+func (p *Problem) Error() string {
+	return fmt.Sprintf("%s: field %s: %s; %s", p.File, p.Field, p.Message, p.Fix)
+}
+
+// Load reads, completes and checks a settings file. All problems are returned
+// joined.
+func Load(path string) (*Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	return Parse(path, data)
+}
+
+// Parse is Load for data already read; name is used in errors.
+func Parse(name string, data []byte) (*Settings, error) {
+	s := &Settings{}
+	dec := json.NewDecoder(bytes.NewReader(data))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(s); err != nil {
+		return nil, fmt.Errorf("%s: %w; see docs/OPERATIONS.md for the fields", name, err)
+	}
+	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
+		return nil, fmt.Errorf("%s: text after the settings object; remove it", name)
+	}
+	s.complete()
+	return s, s.check(name)
+}
+
+func (s *Settings) complete() {
+	defaultTo(&s.Shards, DefaultShards)
+	defaultTo(&s.Leases.Member, spec.Duration(DefaultMemberLease))
+	defaultTo(&s.Leases.Start, spec.Duration(DefaultStartBound))
+	defaultTo(&s.Leases.Renew, spec.Duration(DefaultRenewBound))
+	defaultTo(&s.Drain, spec.Duration(DefaultDrain))
+	defaultTo(&s.Limits.MaxBodyBytes, DefaultMaxBody)
+	defaultTo(&s.Limits.MaxQueued, DefaultMaxQueued)
+	defaultTo(&s.LogLevel, "info")
+	defaultTo(&s.Advertise.Caller, s.Listen.Caller)
+	defaultTo(&s.Advertise.Forward, s.Listen.Forward)
+	defaultTo(&s.Advertise.Peer, s.Listen.Peer)
+	defaultTo(&s.Advertise.Admin, s.Listen.Admin)
+}
+
+func defaultTo[T comparable](v *T, d T) {
+	var zero T
+	if *v == zero {
+		*v = d
+	}
+}
+
+var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$`)
+
+// checker gathers problems.
+type checker struct {
+	file string
+	errs []error
+}
+
+func (c *checker) want(ok bool, field, message, fix string) {
+	if !ok {
+		c.errs = append(c.errs, &Problem{File: c.file, Field: field, Message: message, Fix: fix})
+	}
+}
+
+func (s *Settings) check(file string) error {
+	c := &checker{file: file}
+	c.want(namePattern.MatchString(s.Name), "name", fmt.Sprintf("%q is no name", s.Name),
+		"use lower-case letters, digits and dashes, at most 63")
+	c.want(namePattern.MatchString(s.Zone), "zone", fmt.Sprintf("%q is no availability zone", s.Zone),
+		"use lower-case letters, digits and dashes, at most 63")
+	s.checkAddresses(c)
+	s.checkPlatform(c)
+	c.want(s.Shards > 0 && s.Shards <= maxShards, "shards", fmt.Sprintf("%d is out of range", s.Shards),
+		fmt.Sprintf("use 1 to %d, the same on every daemon", maxShards))
+	c.want(s.Leases.Member > 0 && s.Leases.Member < s.Leases.Start, "leases.member", "must be shorter than leases.start",
+		"use for example \"10s\"")
+	c.want(s.Leases.Start <= s.Leases.Renew, "leases.start", "is longer than leases.renew",
+		"the right to renew running work must last at least as long as the right to start new work")
+	_, err := zerolog.ParseLevel(s.LogLevel)
+	c.want(err == nil, "log_level", fmt.Sprintf("%q is no level", s.LogLevel), "use debug, info, warn or error")
+	c.want(s.Limits.MaxBodyBytes > 0, "limits.max_body_bytes", "is negative", "use a positive number or leave it out")
+	c.want(s.Limits.MaxQueued > 0, "limits.max_queued", "is negative", "use a positive number or leave it out")
+	return errors.Join(c.errs...)
+}
+
+func (s *Settings) checkAddresses(c *checker) {
+	for _, a := range []struct{ field, value string }{
+		{"listen.caller", s.Listen.Caller}, {"listen.forward", s.Listen.Forward},
+		{"listen.peer", s.Listen.Peer}, {"listen.admin", s.Listen.Admin},
+		{"advertise.caller", s.Advertise.Caller}, {"advertise.forward", s.Advertise.Forward},
+		{"advertise.peer", s.Advertise.Peer}, {"advertise.admin", s.Advertise.Admin},
+	} {
+		host, _, err := net.SplitHostPort(a.value)
+		c.want(err == nil && net.ParseIP(host) != nil, a.field, fmt.Sprintf("%q is no address", a.value),
+			"use an IP number and a port, such as 10.0.0.7:8443")
+	}
+	for i, seed := range s.Seeds {
+		_, _, err := net.SplitHostPort(seed)
+		c.want(err == nil, fmt.Sprintf("seeds[%d]", i), fmt.Sprintf("%q is no address", seed), "use host:port of a daemon's peer address")
+	}
+}
+
+func (s *Settings) checkPlatform(c *checker) {
+	for _, u := range []struct{ field, value string }{{"platform.store", s.Platform.Store}, {"platform.vm_list", s.Platform.VMList}} {
+		parsed, err := url.Parse(u.value)
+		c.want(err == nil && (parsed.Scheme == "http" || parsed.Scheme == "https") && parsed.Host != "", u.field,
+			fmt.Sprintf("%q is no base URL", u.value), "use for example http://10.0.0.2:7000")
+	}
+	c.want(s.TLS.Peers != nil || s.InsecurePeers, "tls.peers", "is missing", "name cert, key and ca, or set insecure_peers for a trial")
+	if p := s.TLS.Peers; p != nil {
+		c.want(p.Cert != "" && p.Key != "" && p.CA != "", "tls.peers", "is not complete", "name cert, key and ca")
+	}
+	if p := s.TLS.Callers; p != nil {
+		c.want(p.Cert != "" && p.Key != "", "tls.callers", "is not complete", "name cert and key")
+	}
+}
--- /dev/null
+++ b/standin/agent/agent.go
@@ -0,0 +1,430 @@
+// Package agent is a stand-in for the platform's agent on a worker VM. Tasks
+// are timers; a service instance is launched by a function that the user
+// passes. The stand-in can compare epochs or only know leases, fail every
+// task, and overrun declared sizes.
+package agent
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+
+	"fennelshunt.example/fennelshunt/connection/worker"
+	"fennelshunt.example/fennelshunt/standin/record"
+	"fennelshunt.example/fennelshunt/version/spec"
+)
+
+// Parameters of a task that the stand-in understands.
+const (
+	// ParamActualRunTime is the real run time, a duration; the default is the
+	// declared one.
+	ParamActualRunTime = "actual_run_time"
+	// ParamUsagePercent is the real usage in percent of the declared size.
+	ParamUsagePercent = "usage_percent"
+	// ParamFail makes every run fail when it is "always".
+	ParamFail = "fail"
+)
+
+// defaultRunTime is the run time of a batch task that declares none.
+const defaultRunTime = 100 * time.Millisecond
+
+// LaunchService starts a service instance and returns its address and a
+// function that stops it.
+type LaunchService func(s worker.Start) (address string, stop func(), err error)
+
+// Options of an Agent.
+type Options struct {
+	ID       worker.ID
+	Zone     string
+	Rack     string
+	Capacity spec.Resources
+	// ComparesEpochs makes the agent refuse a lease with an epoch lower than
+	// the highest it has seen.
+	ComparesEpochs bool
+	Launch         LaunchService
+	// Recorder may be nil.
+	Recorder *record.Recorder
+}
+
+type lease struct {
+	ttl, taskTTL time.Duration
+	renewed      time.Time
+	revoked      bool
+}
+
+func (l *lease) valid(now time.Time) bool { return !l.revoked && now.Sub(l.renewed) < l.ttl }
+
+type run struct {
+	task     worker.Task
+	start    worker.Start
+	began    time.Time
+	runTime  time.Duration
+	base     float64 // work done before this run, from a checkpoint
+	timer    *time.Timer
+	stop     func() // ends a service instance
+	seq      uint64
+	cpuLimit int64
+}
+
+// Agent implements worker.Agent. Its state has one mutex; calls are short.
+type Agent struct {
+	o Options
+
+	mu       sync.Mutex
+	leases   map[worker.LeaseID]*lease
+	runs     map[worker.Ref]*run
+	seq      uint64
+	maxEpoch uint64
+	draining bool
+	failAll  bool
+	closed   bool
+}
+
+// New returns an agent without tasks.
+func New(o Options) *Agent {
+	o.Recorder.SetCapacity(o.ID, o.Capacity)
+	return &Agent{o: o, leases: map[worker.LeaseID]*lease{}, runs: map[worker.Ref]*run{}}
+}
+
+// SetFailAll makes every task that starts from now on fail.
+func (a *Agent) SetFailAll(on bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.failAll = on
+}
+
+// SetDraining marks the VM as leaving.
+func (a *Agent) SetDraining(on bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.draining = on
+}
+
+// Serve stops the tasks whose task lease has run out, until ctx ends. Then it
+// ends everything, as the loss of the VM does.
+func (a *Agent) Serve(ctx context.Context) error {
+	tick := time.NewTicker(50 * time.Millisecond)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			a.Kill()
+			return ctx.Err()
+		case <-tick.C:
+			a.expireTasks()
+		}
+	}
+}
+
+// Kill ends every task without a result, as the loss of the VM does.
+func (a *Agent) Kill() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.closed = true
+	for ref, r := range a.runs {
+		if !r.task.State.Ended() {
+			a.end(r, worker.Stopped, "VM lost")
+		}
+		delete(a.runs, ref)
+	}
+}
+
+func (a *Agent) expireTasks() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := time.Now()
+	for _, r := range a.runs {
+		l := a.leases[r.task.Lease]
+		if !r.task.State.Ended() && l != nil && now.Sub(l.renewed) >= l.taskTTL {
+			a.end(r, worker.Stopped, "task lease ran out")
+		}
+	}
+}
+
+// Inventory implements worker.Agent.
+func (a *Agent) Inventory(context.Context) (worker.Inventory, error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.closed {
+		return worker.Inventory{}, worker.ErrUnreachable
+	}
+	inv := worker.Inventory{
+		Worker: a.o.ID, Zone: a.o.Zone, Rack: a.o.Rack, Capacity: a.o.Capacity,
+		Draining: a.draining, Seq: a.seq,
+	}
+	now := time.Now()
+	for id, l := range a.leases {
+		if l.valid(now) {
+			inv.Leases = append(inv.Leases, id)
+		}
+	}
+	for _, r := range a.runs {
+		inv.Tasks = append(inv.Tasks, r.report(now))
+	}
+	return inv, nil
+}
+
+// OpenLease implements worker.Agent.
+func (a *Agent) OpenLease(_ context.Context, req worker.OpenLease) (worker.LeaseID, error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.closed {
+		return "", worker.ErrUnreachable
+	}
+	if a.o.ComparesEpochs {
+		if req.Epoch < a.maxEpoch {
+			return "", worker.ErrStaleEpoch
+		}
+		a.maxEpoch = req.Epoch
+	}
+	id := worker.LeaseID(uuid.NewString())
+	a.leases[id] = &lease{ttl: req.TTL.Std(), taskTTL: req.TaskTTL.Std(), renewed: time.Now()}
+	return id, nil
+}
+
+// lease returns a valid lease. The caller holds mu.
+func (a *Agent) lease(id worker.LeaseID) (*lease, error) {
+	if a.closed {
+		return nil, worker.ErrUnreachable
+	}
+	l := a.leases[id]
+	if l == nil || !l.valid(time.Now()) {
+		return nil, worker.ErrLeaseInvalid
+	}
+	return l, nil
+}
+
+// Adopt implements worker.Agent.
+func (a *Agent) Adopt(_ context.Context, id worker.LeaseID, tasks []worker.Ref) error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if _, err := a.lease(id); err != nil {
+		return err
+	}
+	for _, ref := range tasks {
+		if r := a.runs[ref]; r != nil {
+			r.task.Lease = id
+			a.touch(r)
+		}
+	}
+	return nil
+}
+
+// RevokeLease implements worker.Agent.
+func (a *Agent) RevokeLease(_ context.Context, id worker.LeaseID) error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.closed {
+		return worker.ErrUnreachable
+	}
+	if l := a.leases[id]; l != nil {
+		l.revoked = true
+	}
+	return nil
+}
+
+// Sync implements worker.Agent.
+func (a *Agent) Sync(_ context.Context, req worker.SyncRequest) (worker.SyncReply, error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	l, err := a.lease(req.Lease)
+	if err != nil {
+		return worker.SyncReply{}, err
+	}
+	now := time.Now()
+	l.renewed = now
+	for _, ref := range req.Acks {
+		if r := a.runs[ref]; r != nil && r.task.State.Ended() {
+			delete(a.runs, ref)
+		}
+	}
+	for _, ref := range req.Stops {
+		a.stop(ref, "stopped")
+	}
+	reply := worker.SyncReply{Seq: a.seq, Draining: a.draining}
+	for _, r := range a.runs {
+		if r.seq > req.Since {
+			reply.Changed = append(reply.Changed, r.report(now))
+		}
+	}
+	return reply, nil
+}
+
+// Start implements worker.Agent.
+func (a *Agent) Start(_ context.Context, id worker.LeaseID, tasks []worker.Start) ([]worker.StartReply, error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if _, err := a.lease(id); err != nil {
+		return nil, err
+	}
+	replies := make([]worker.StartReply, len(tasks))
+	for i, s := range tasks {
+		replies[i] = worker.StartReply{Task: s.Task, Refused: a.startOne(id, s)}
+	}
+	return replies, nil
+}
+
+// startOne returns why the start was refused, or "".
+func (a *Agent) startOne(id worker.LeaseID, s worker.Start) string {
+	ref := worker.Ref{Task: s.Task, Attempt: s.Attempt}
+	if a.runs[ref] != nil {
+		return "already started"
+	}
+	if a.draining {
+		return "VM is leaving"
+	}
+	r := &run{
+		start: s, began: time.Now(), runTime: actualRunTime(s),
+		task: worker.Task{Task: s.Task, Attempt: s.Attempt, Lease: id, State: worker.Running, Size: s.Size, Usage: usage(s)},
+	}
+	if s.Kind == spec.Service && a.o.Launch != nil {
+		address, stop, err := a.o.Launch(s)
+		if err != nil {
+			return "launch: " + err.Error()
+		}
+		r.task.Address, r.stop = address, stop
+	}
+	if s.Checkpoint {
+		r.base = a.o.Recorder.SavedWork(s.Task)
+	}
+	a.runs[ref] = r
+	a.touch(r)
+	a.o.Recorder.Started(a.o.ID, s.Task, s.Size)
+	if s.Kind != spec.Service {
+		a.armTimer(r, time.Duration(float64(r.runTime)*(1-r.base)))
+	}
+	return ""
+}
+
+func (a *Agent) armTimer(r *run, left time.Duration) {
+	state := worker.Succeeded
+	if a.failAll || r.start.Parameters[ParamFail] == "always" {
+		state, left = worker.Failed, min(left, defaultRunTime)
+	}
+	r.timer = time.AfterFunc(left, func() {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		if !a.closed && !r.task.State.Ended() {
+			a.end(r, state, "")
+		}
+	})
+}
+
+// end moves a run to an ended state. The caller holds mu.
+func (a *Agent) end(r *run, state worker.TaskState, message string) {
+	if r.timer != nil {
+		r.timer.Stop()
+	}
+	if r.stop != nil {
+		go r.stop() // stopping an HTTP server waits; the agent does not
+	}
+	r.task.Work = r.work(time.Now())
+	if state == worker.Succeeded {
+		r.task.Work = 1
+	}
+	r.task.State, r.task.Message = state, message
+	a.touch(r)
+	a.o.Recorder.Ended(a.o.ID, r.task.Task, r.task.Size, state)
+}
+
+func (a *Agent) touch(r *run) {
+	a.seq++
+	r.seq = a.seq
+}
+
+// stop ends a run. The caller holds mu.
+func (a *Agent) stop(ref worker.Ref, message string) {
+	if r := a.runs[ref]; r != nil && !r.task.State.Ended() {
+		a.end(r, worker.Stopped, message)
+	}
+}
+
+// Stop implements worker.Agent.
+func (a *Agent) Stop(_ context.Context, id worker.LeaseID, ref worker.Ref) error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if _, err := a.lease(id); err != nil {
+		return err
+	}
+	a.stop(ref, "stopped")
+	return nil
+}
+
+// Throttle implements worker.Agent. The stand-in lowers the reported usage; it
+// does not slow the run down.
+func (a *Agent) Throttle(_ context.Context, id worker.LeaseID, ref worker.Ref, milliCPU int64) error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if _, err := a.lease(id); err != nil {
+		return err
+	}
+	r := a.runs[ref]
+	if r == nil || r.task.State.Ended() {
+		return nil
+	}
+	r.cpuLimit = milliCPU
+	r.task.State, r.task.Usage = worker.Running, usage(r.start)
+	if milliCPU > 0 {
+		r.task.State = worker.Throttled
+		r.task.Usage.MilliCPU = min(r.task.Usage.MilliCPU, milliCPU)
+	}
+	a.touch(r)
+	return nil
+}
+
+// Checkpoint implements worker.Agent.
+func (a *Agent) Checkpoint(_ context.Context, id worker.LeaseID, ref worker.Ref) error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if _, err := a.lease(id); err != nil {
+		return err
+	}
+	if r := a.runs[ref]; r != nil && !r.task.State.Ended() {
+		a.o.Recorder.SaveWork(r.task.Task, r.work(time.Now()))
+		a.end(r, worker.Stopped, "checkpointed")
+	}
+	return nil
+}
+
+// work returns the share of the task done so far.
+func (r *run) work(now time.Time) float64 {
+	if r.start.Kind == spec.Service || r.runTime <= 0 {
+		return 0
+	}
+	return min(1, r.base+float64(now.Sub(r.began))/float64(r.runTime))
+}
+
+func (r *run) report(now time.Time) worker.Task {
+	t := r.task
+	if !t.State.Ended() {
+		t.Work = r.work(now)
+	}
+	return t
+}
+
+func actualRunTime(s worker.Start) time.Duration {
+	if d, err := time.ParseDuration(s.Parameters[ParamActualRunTime]); err == nil {
+		return d
+	}
+	if s.RunTime > 0 {
+		return s.RunTime.Std()
+	}
+	return defaultRunTime
+}
+
+func usage(s worker.Start) spec.Resources {
+	percent, err := strconv.ParseInt(s.Parameters[ParamUsagePercent], 10, 64)
+	if err != nil {
+		return s.Size
+	}
+	return spec.Resources{
+		MilliCPU:     s.Size.MilliCPU * percent / 100,
+		MemoryMB:     s.Size.MemoryMB * percent / 100,
+		Accelerators: s.Size.Accelerators,
+	}
+}
+
+var _ worker.Agent = (*Agent)(nil)
