Add the key table: homes, joined answers and durable intents

Cause: the gateway needs the interface of idempotency keys. Change: request/idem with Table (Home, Begin), Attempt (Intend, Finish, Fail), kept answers bounded by size and age, and the key log, whose head key is compare-and-swapped by each group commit. Nothing measured.

--- /dev/null
+++ b/request/idem/api.go
@@ -0,0 +1,92 @@
+// Package idem gives every idempotency key one home daemon, where a second
+// arrival of a key joins the first and gets the same whole answer, and where a
+// non-idempotent key leaves a durable intent before its request is sent.
+//
+// Guarantees, each within the retention of the intents: a non-idempotent
+// request with a key is sent at most once through the death, pause or
+// replacement of any daemon; a request that this package refuses with verdict
+// NotRun was not sent under this arrival; an answer is handed to a joined
+// arrival only whole and only when scope, key and fingerprint are equal.
+// docs/IDEMPOTENCY.md says what each of them rests on.
+package idem
+
+import (
+	"context"
+	"encoding/binary"
+	"net/http"
+
+	"github.com/cespare/xxhash/v2"
+
+	"fennelshunt.example/fennelshunt/process/fleet"
+)
+
+// Key is an idempotency key in its scope: the same text from another team or
+// for another service is another key.
+type Key struct {
+	Team    string
+	Service string
+	Text    string
+}
+
+// Fingerprint is a hash of what a request asks for. A key that comes back with
+// another fingerprint is refused, because its answer would be a wrong one.
+type Fingerprint uint64
+
+// FingerprintOf hashes the parts of a request that decide what it does.
+func FingerprintOf(method, target, contentType string, body []byte) Fingerprint {
+	d := xxhash.New()
+	for _, part := range [][]byte{[]byte(method), []byte(target), []byte(contentType), body} {
+		var length [8]byte
+		binary.LittleEndian.PutUint64(length[:], uint64(len(part)))
+		_, _ = d.Write(length[:])
+		_, _ = d.Write(part)
+	}
+	return Fingerprint(d.Sum64())
+}
+
+// Request is one arrival of a key.
+type Request struct {
+	Key         Key
+	Fingerprint Fingerprint
+	// NonIdempotent requests need Attempt.Intend before they are sent.
+	NonIdempotent bool
+}
+
+// Answer is a whole answer of an endpoint. It is shared between arrivals and
+// must not be changed.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   []byte
+	// NotKept is set when the body was larger than Options.MaxAnswer: the
+	// arrival that ran streamed it, later ones are told that the request ran
+	// and its answer is no longer kept. Body is then ignored.
+	NotKept bool
+}
+
+// Codes of the *verdict.Error values that this package returns.
+const (
+	CodeNotHome        = "key_not_home"        // NotRun: this daemon is not the key's home
+	CodeNoHome         = "key_home_not_ready"  // NotRun: the home is still reading the key log
+	CodeMismatch       = "key_reused"          // NotRun: the key was used for another request
+	CodeIntentRefused  = "intent_not_durable"  // NotRun: the store is down or over its budget
+	CodeOutcomeUnknown = "outcome_unknown"     // MayHaveRun: sent by an earlier arrival, its end is not known
+	CodeAnswerNotKept  = "answer_not_kept"     // Ran: the answer is no longer kept
+	CodeJoinTimeout    = "key_still_running"   // MayHaveRun: the first arrival has not ended in time
+	CodeAbandoned      = "key_attempt_dropped" // MayHaveRun: the first arrival ended without a result
+	CodeTableFull      = "key_table_full"      // NotRun: bound on keys in memory reached
+)
+
+// Table is what the gateway needs of this package; *Manager implements it.
+type Table interface {
+	// Home returns the daemon that owns the key's shard. ok is false when no
+	// owner is known. When self is true the caller goes on with Begin, else it
+	// forwards the request to the member's ForwardAddr, once; a forwarded
+	// request is never forwarded again.
+	Home(k Key) (m fleet.Member, self bool, ok bool)
+	// Begin starts or joins the key's request. Exactly one result is not nil:
+	// an Attempt for the arrival that has to run the request, the Answer of the
+	// arrival that it joined (it waited for the end, bounded by ctx), or a
+	// *verdict.Error.
+	Begin(ctx context.Context, r Request) (*Attempt, *Answer, error)
+}
--- /dev/null
+++ b/request/idem/log.go
@@ -0,0 +1,335 @@
+package idem
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"sync"
+	"time"
+
+	"fennelshunt.example/fennelshunt/connection/store"
+	"fennelshunt.example/fennelshunt/request/verdict"
+)
+
+const (
+	// readyWait is how long an arrival waits for a new home to read its log.
+	readyWait = time.Second
+	// downPause is how long intents are refused at once after a write failed.
+	downPause = 500 * time.Millisecond
+	// upkeepInterval is how often expired archives are looked for.
+	upkeepInterval = time.Minute
+	// sweepRounds is the number of upkeep rounds between sweeps of the memory.
+	sweepRounds = 10
+)
+
+var (
+	errLogClosed  = errors.New("the key log belongs to another home now")
+	errStoreDown  = errors.New("the store does not take the intent")
+	errNotInTime  = errors.New("the intent was not durable in time")
+	errStillReads = errors.New("the key log is not read yet")
+)
+
+// keyLog is the durable log of one shard under one epoch. Its run goroutine
+// alone talks to the store; the fields below mu pass work to it.
+type keyLog struct {
+	s      *shard
+	ctx    context.Context
+	cancel context.CancelFunc
+	ready  chan struct{} // closed when this owner has fenced and read the log
+	wake   chan struct{} // capacity 1
+
+	mu        sync.Mutex
+	pending   []*intent
+	ends      []record
+	flushes   []chan error
+	down      bool      // the last write failed
+	downUntil time.Time // until then intents are refused at once
+	stopped   bool
+
+	w writer // used by run only
+}
+
+// intent is one waiting Attempt.Intend.
+type intent struct {
+	record record
+	result chan error // capacity 1
+	// decided and cancelled are guarded by the shard's mu; at most one is set.
+	decided, cancelled bool
+}
+
+func newKeyLog(ctx context.Context, s *shard) *keyLog {
+	l := &keyLog{s: s, ready: make(chan struct{}), wake: make(chan struct{}, 1)}
+	// The grant's context bounds the call, not the ownership.
+	l.ctx, l.cancel = context.WithCancel(context.WithoutCancel(ctx))
+	l.w = writer{s: s}
+	return l
+}
+
+// waitReady waits until this owner may decide about non-idempotent keys.
+func (l *keyLog) waitReady(ctx context.Context) error {
+	select {
+	case <-l.ready:
+		return nil
+	default:
+	}
+	t := time.NewTimer(readyWait)
+	defer t.Stop()
+	select {
+	case <-l.ready:
+		return nil
+	case <-l.ctx.Done():
+		return errLogClosed
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-t.C:
+		return errStillReads
+	}
+}
+
+func refused(err error) *verdict.Error {
+	return notRun(http.StatusServiceUnavailable, CodeIntentRefused, err)
+}
+
+// append makes the record durable. After an error the request must not be
+// sent; the record may be in the log all the same, and is then marked as not
+// run by the next write.
+func (l *keyLog) append(ctx context.Context, r record) error {
+	in := &intent{record: r, result: make(chan error, 1)}
+	if err := l.enqueue(in); err != nil {
+		l.s.m.counts.Refused.Add(1)
+		return refused(err)
+	}
+	select {
+	case err := <-in.result:
+		return err
+	case <-ctx.Done():
+		if l.cancelIntent(in) {
+			return refused(errNotInTime)
+		}
+		return <-in.result
+	}
+}
+
+func (l *keyLog) enqueue(in *intent) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.stopped {
+		return errLogClosed
+	}
+	// With the store down a caller is told at once instead of at the end of a
+	// write timeout; one intent after each pause probes the store.
+	if l.down {
+		now := time.Now()
+		if now.Before(l.downUntil) {
+			return errStoreDown
+		}
+		l.downUntil = now.Add(l.s.m.opts.WriteTimeout + downPause)
+	}
+	l.pending = append(l.pending, in)
+	l.signal()
+	return nil
+}
+
+// cancelIntent withdraws an intent whose caller stopped waiting; false when
+// its fate was decided before.
+func (l *keyLog) cancelIntent(in *intent) bool {
+	l.s.mu.Lock()
+	defer l.s.mu.Unlock()
+	if in.decided {
+		return false
+	}
+	in.cancelled = true
+	return true
+}
+
+// noteEnd queues the end of a request; a later write carries it.
+func (l *keyLog) noteEnd(r record) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.stopped {
+		l.ends = append(l.ends, r)
+	}
+}
+
+// flush writes queued ends and waits for it.
+func (l *keyLog) flush(ctx context.Context) error {
+	done := make(chan error, 1)
+	l.mu.Lock()
+	if l.stopped {
+		l.mu.Unlock()
+		return errLogClosed
+	}
+	l.flushes = append(l.flushes, done)
+	l.signal()
+	l.mu.Unlock()
+	select {
+	case err := <-done:
+		return err
+	case <-l.ctx.Done():
+		return errLogClosed
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (l *keyLog) signal() {
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
+
+// stop ends run and refuses what waits.
+func (l *keyLog) stop() {
+	l.cancel()
+	l.mu.Lock()
+	l.stopped = true
+	pending := l.pending
+	l.pending = nil
+	l.mu.Unlock()
+	l.decide(pending, refused(errLogClosed))
+}
+
+// run fences the previous owner, reads the log and then commits until the
+// log is stopped or fenced.
+func (l *keyLog) run() {
+	defer l.stop()
+	if !l.open() {
+		return
+	}
+	close(l.ready)
+	flush := time.NewTicker(l.s.m.opts.EndFlush)
+	defer flush.Stop()
+	upkeep := time.NewTicker(upkeepInterval)
+	defer upkeep.Stop()
+	for round := 0; ; {
+		var err error
+		select {
+		case <-l.ctx.Done():
+			return
+		case <-l.wake:
+			err = l.commit()
+		case <-flush.C:
+			err = l.commit()
+		case <-upkeep.C:
+			round++
+			l.w.deleteExpired(l.ctx)
+			if round%sweepRounds == 0 {
+				l.s.sweep()
+			}
+		}
+		if errors.Is(err, errFenced) {
+			l.s.m.counts.Fenced.Add(1)
+			l.s.m.opts.Log.Warn().Int("shard", l.s.n).Uint64("epoch", l.s.epoch).Msg("key log has a newer owner")
+			return
+		}
+	}
+}
+
+// open retries the takeover until it succeeds; false when it never will.
+func (l *keyLog) open() bool {
+	retry := newRetry()
+	for {
+		err := l.w.open(l.ctx)
+		if err == nil {
+			return true
+		}
+		if errors.Is(err, errFenced) || l.ctx.Err() != nil {
+			return false
+		}
+		l.s.m.opts.Log.Warn().Err(err).Int("shard", l.s.n).Msg("key log not read yet")
+		if !sleep(l.ctx, retry.NextBackOff()) {
+			return false
+		}
+	}
+}
+
+// commit writes one group: what gathered while the last write was in flight
+// or the limiter held this one back.
+func (l *keyLog) commit() error {
+	if err := l.s.m.limiter.Wait(l.ctx); err != nil {
+		return err
+	}
+	l.mu.Lock()
+	pending, ends, flushes := l.pending, l.ends, l.flushes
+	l.pending, l.ends, l.flushes = nil, nil, nil
+	l.mu.Unlock()
+	pending = l.withoutCancelled(pending)
+	l.w.noteEnds(ends)
+	if len(pending) == 0 && !l.w.dirty {
+		answerAll(flushes, nil)
+		return nil
+	}
+	err := l.w.write(l.ctx, pending)
+	answerAll(flushes, err)
+	if err != nil {
+		l.noteFailure(err)
+		l.decide(pending, refused(errors.Join(errStoreDown, err)))
+		return err
+	}
+	l.noteSuccess()
+	l.decide(pending, nil)
+	l.w.archiveIfLarge(l.ctx)
+	return nil
+}
+
+func (l *keyLog) noteFailure(err error) {
+	if errors.Is(err, store.ErrConflict) {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.down = true
+	l.downUntil = time.Now().Add(downPause)
+}
+
+func (l *keyLog) noteSuccess() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.down = false
+}
+
+func (l *keyLog) withoutCancelled(in []*intent) []*intent {
+	l.s.mu.Lock()
+	defer l.s.mu.Unlock()
+	out := in[:0]
+	for _, i := range in {
+		if !i.cancelled {
+			out = append(out, i)
+		}
+	}
+	return out
+}
+
+// decide tells the waiting attempts. An intent that was cancelled while its
+// write was in flight is in the log though nothing was sent: its end is noted.
+func (l *keyLog) decide(intents []*intent, err error) {
+	l.s.mu.Lock()
+	defer l.s.mu.Unlock()
+	for _, in := range intents {
+		switch {
+		case in.cancelled && err == nil:
+			r := in.record
+			r.End = endNotRun
+			l.s.remember(r)
+			l.noteEnd(r)
+		case in.cancelled:
+		case err == nil:
+			in.decided = true
+			l.s.assertFree(in.record)
+			l.s.remember(in.record)
+			l.s.m.counts.Intents.Add(1)
+			in.result <- nil
+		default:
+			in.decided = true
+			l.s.m.counts.Refused.Add(1)
+			in.result <- err
+		}
+	}
+}
+
+func answerAll(flushes []chan error, err error) {
+	for _, f := range flushes {
+		f <- err
+	}
+}
--- /dev/null
+++ b/request/idem/manager.go
@@ -0,0 +1,216 @@
+package idem
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"fennelshunt.example/fennelshunt/process/fleet"
+	"fennelshunt.example/fennelshunt/process/ownership"
+	"fennelshunt.example/fennelshunt/request/verdict"
+)
+
+// sweepInterval is how often answers past their retention are dropped.
+const sweepInterval = 5 * time.Second
+
+// retryAfterMillis is what refused callers are told when a home or the store
+// is not ready.
+const retryAfterMillis = 1000
+
+var (
+	errNotHome  = errors.New("this daemon is not the home of the key")
+	errNoHome   = errors.New("the home of the key is still reading the key log")
+	errMismatch = errors.New("the key was used before for another request")
+)
+
+// Manager is one daemon's part of the key table: home of the shards it owns.
+// It implements Table and ownership.User for ownership.KeysPrefix.
+type Manager struct {
+	opts    Options
+	limiter *rate.Limiter
+	shards  [Shards]atomic.Pointer[shard]
+	answers answerCache
+	keys    atomic.Int64
+	counts  Counters
+}
+
+var (
+	_ Table          = (*Manager)(nil)
+	_ ownership.User = (*Manager)(nil)
+)
+
+// New returns a manager; it is home of nothing until it is told of grants.
+func New(opts Options) *Manager {
+	opts.setDefaults()
+	m := &Manager{opts: opts}
+	m.limiter = rate.NewLimiter(rate.Limit(opts.WritesPerSecond), int(opts.WritesPerSecond)+1)
+	m.answers.init(opts.AnswerMemory)
+	return m
+}
+
+// Resources returns the names of all shards, for the ownership manager.
+func Resources() []ownership.Resource {
+	out := make([]ownership.Resource, Shards)
+	for n := range out {
+		out[n] = resource(n)
+	}
+	return out
+}
+
+func resource(n int) ownership.Resource {
+	return ownership.Resource(ownership.KeysPrefix + strconv.Itoa(n))
+}
+
+// shardOf returns the number of a keys resource.
+func shardOf(r ownership.Resource) (int, bool) {
+	n, err := strconv.Atoi(strings.TrimPrefix(string(r), ownership.KeysPrefix))
+	return n, err == nil && n >= 0 && n < Shards
+}
+
+// keyHash stands for a Key in memory and in the log. It is a cryptographic
+// hash because callers choose the text: with a weak one a caller could find
+// two keys that collide.
+type keyHash [16]byte
+
+func (k Key) hash() keyHash {
+	h := sha256.New()
+	for _, part := range []string{k.Team, k.Service, k.Text} {
+		var length [8]byte
+		binary.LittleEndian.PutUint64(length[:], uint64(len(part)))
+		h.Write(length[:])
+		h.Write([]byte(part))
+	}
+	return keyHash(h.Sum(nil)[:16])
+}
+
+func (h keyHash) shard() int { return int(h[0]) % Shards }
+
+// Home implements Table.
+func (m *Manager) Home(k Key) (fleet.Member, bool, bool) {
+	claim, ok := m.opts.Directory.Owner(resource(k.hash().shard()))
+	if !ok {
+		return fleet.Member{}, false, false
+	}
+	if claim.Owner == m.opts.Self {
+		return m.opts.Members.Self(), true, true
+	}
+	member, ok := m.opts.Members.Lookup(claim.Owner.ID)
+	if !ok || member.Ref != claim.Owner || member.State == fleet.Gone {
+		return fleet.Member{}, false, false
+	}
+	return member, false, true
+}
+
+// Begin implements Table.
+func (m *Manager) Begin(ctx context.Context, r Request) (*Attempt, *Answer, error) {
+	h := r.Key.hash()
+	s := m.shards[h.shard()].Load()
+	if s == nil {
+		return nil, nil, notRun(http.StatusServiceUnavailable, CodeNotHome, errNotHome)
+	}
+	e, attempt, err := s.begin(ctx, h, r)
+	if err != nil || attempt != nil {
+		return attempt, nil, err
+	}
+	return join(ctx, e)
+}
+
+// join waits for the end of another arrival's attempt.
+func join(ctx context.Context, e *entry) (*Attempt, *Answer, error) {
+	select {
+	case <-e.done:
+	case <-ctx.Done():
+		return nil, nil, &verdict.Error{Verdict: verdict.MayHaveRun, Status: http.StatusGatewayTimeout,
+			Code: CodeJoinTimeout, RetryAfterMillis: retryAfterMillis, Err: ctx.Err()}
+	}
+	if e.err != nil {
+		return nil, nil, e.err
+	}
+	return nil, e.answer, nil
+}
+
+// Acquired implements ownership.User.
+func (m *Manager) Acquired(ctx context.Context, g ownership.Grant) {
+	n, ok := shardOf(g.Resource)
+	if !ok {
+		return
+	}
+	s := newShard(ctx, m, n, g.Epoch)
+	if old := m.shards[n].Swap(s); old != nil {
+		old.close()
+	}
+	go s.log.run()
+}
+
+// Lost implements ownership.User.
+func (m *Manager) Lost(r ownership.Resource, epoch uint64) {
+	n, ok := shardOf(r)
+	if !ok {
+		return
+	}
+	s := m.shards[n].Load()
+	if s != nil && s.epoch <= epoch && m.shards[n].CompareAndSwap(s, nil) {
+		s.close()
+	}
+}
+
+// Releasing implements ownership.User: it begins nothing new, waits for the
+// requests that run under this home, and makes their ends durable.
+func (m *Manager) Releasing(ctx context.Context, r ownership.Resource) error {
+	n, ok := shardOf(r)
+	if !ok {
+		return nil
+	}
+	s := m.shards[n].Load()
+	if s == nil {
+		return nil
+	}
+	err := s.drain(ctx)
+	if m.shards[n].CompareAndSwap(s, nil) {
+		s.close()
+	}
+	if err != nil {
+		return fmt.Errorf("release %s: %w", r, err)
+	}
+	return nil
+}
+
+// Serve drops what is past its retention until ctx ends.
+func (m *Manager) Serve(ctx context.Context) error {
+	t := time.NewTicker(sweepInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			m.closeAll()
+			return ctx.Err()
+		case <-t.C:
+			m.answers.expire(time.Now())
+		}
+	}
+}
+
+func (m *Manager) closeAll() {
+	for n := range m.shards {
+		if s := m.shards[n].Swap(nil); s != nil {
+			s.close()
+		}
+	}
+}
+
+func notRun(status int, code string, err error) *verdict.Error {
+	e := &verdict.Error{Verdict: verdict.NotRun, Status: status, Code: code, Err: err}
+	if status == http.StatusServiceUnavailable {
+		e.RetryAfterMillis = retryAfterMillis
+	}
+	return e
+}
--- /dev/null
+++ b/request/idem/writer.go
@@ -0,0 +1,275 @@
+package idem
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/fxamacker/cbor/v2"
+
+	"fennelshunt.example/fennelshunt/connection/store"
+	"fennelshunt.example/fennelshunt/process/ownership"
+)
+
+var errFenced = errors.New("a newer owner wrote the key log")
+
+// writer holds the log's content that is not archived yet and writes it.
+// Memory is the truth: a write that failed or whose outcome is unknown leaves
+// no trace in records, so the next write that succeeds undoes it.
+type writer struct {
+	s        *shard
+	revision store.Revision
+	seq      uint64
+	records  []record
+	// frozen is the number of records in an archive whose write has begun; they
+	// do not change until the archive is known written, because its key may
+	// already hold them.
+	frozen   int
+	dirty    bool // records differ from the stored head
+	reread   bool // the stored revision is not known for sure
+	archives []archived
+}
+
+// archived is one archive in the store.
+type archived struct {
+	key      string
+	revision store.Revision
+	newest   int64
+}
+
+func newRetry() *backoff.ExponentialBackOff {
+	b := backoff.NewExponentialBackOff()
+	b.InitialInterval = 100 * time.Millisecond
+	b.MaxInterval = 5 * time.Second
+	return b
+}
+
+// sleep waits for d; false when ctx ended first.
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
+// open fences the previous owner by a compare-and-swap of the head and then
+// reads every record.
+//
+// What could go wrong: the previous owner, paused or cut off, makes an intent
+// durable after its successor has read the log; the key would be sent by both.
+// One would notice a key with two runs. It can't happen: an intent is durable
+// only by a compare-and-swap on the revision its owner saw, and this write
+// changes the revision before the records are read.
+func (w *writer) open(ctx context.Context) error {
+	old, err := w.readHead(ctx)
+	if err != nil {
+		return err
+	}
+	w.seq, w.records, w.frozen = old.Seq, old.Records, 0
+	if err := w.writeHead(ctx); err != nil {
+		w.reread = true
+		return fmt.Errorf("fence: %w", err)
+	}
+	return w.readAll(ctx)
+}
+
+// readHead reads the head and refuses one of a newer owner.
+func (w *writer) readHead(ctx context.Context) (head, error) {
+	ctx, cancel := context.WithTimeout(ctx, w.s.m.opts.WriteTimeout)
+	defer cancel()
+	item, err := w.s.m.opts.Store.Get(ctx, headKey(w.s.n))
+	if errors.Is(err, store.ErrNotFound) {
+		w.revision = 0
+		return head{}, nil
+	}
+	if err != nil {
+		return head{}, fmt.Errorf("read head: %w", err)
+	}
+	var h head
+	if err := cbor.Unmarshal(item.Data, &h); err != nil {
+		return head{}, fmt.Errorf("decode %s: %w", headKey(w.s.n), err)
+	}
+	newer := h.Epoch > w.s.epoch || h.Epoch == w.s.epoch && h.Owner != w.s.m.opts.Self
+	if newer {
+		w.s.m.opts.Directory.Observe(ownership.Claim{Resource: resource(w.s.n), Owner: h.Owner, Epoch: h.Epoch})
+		return head{}, errFenced
+	}
+	w.revision = item.Revision
+	return h, nil
+}
+
+// readAll takes every archive and the head into memory, oldest first.
+func (w *writer) readAll(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, 10*w.s.m.opts.WriteTimeout)
+	defer cancel()
+	items, _, err := w.s.m.opts.Store.List(ctx, archivePrefix(w.s.n))
+	if err != nil {
+		return fmt.Errorf("list archives: %w", err)
+	}
+	w.archives = w.archives[:0]
+	for _, it := range items {
+		var a archive
+		if err := cbor.Unmarshal(it.Data, &a); err != nil {
+			return fmt.Errorf("decode %s: %w", it.Key, err)
+		}
+		w.archives = append(w.archives, archived{key: it.Key, revision: it.Revision, newest: newest(a.Records)})
+		w.remember(a.Records)
+	}
+	w.remember(w.records)
+	return nil
+}
+
+func (w *writer) remember(records []record) {
+	w.s.mu.Lock()
+	defer w.s.mu.Unlock()
+	for _, r := range records {
+		w.s.remember(r)
+	}
+}
+
+// writeHead writes the records with a compare-and-swap.
+func (w *writer) writeHead(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, w.s.m.opts.WriteTimeout)
+	defer cancel()
+	data := encode(head{Epoch: w.s.epoch, Owner: w.s.m.opts.Self, Seq: w.seq, Records: w.records})
+	w.s.m.counts.Writes.Add(1)
+	w.s.m.counts.WrittenBytes.Add(int64(len(data)))
+	revision, err := w.s.m.opts.Store.Swap(ctx, headKey(w.s.n), data, w.revision, 0)
+	if err != nil {
+		return err
+	}
+	w.revision = revision
+	w.dirty = false
+	return nil
+}
+
+// noteEnds applies ends to the records in the head, or appends them when the
+// intent is archived.
+func (w *writer) noteEnds(ends []record) {
+	for _, r := range ends {
+		w.dirty = true
+		if i := w.find(r.Key); i >= 0 {
+			w.records[i].End = r.End
+			continue
+		}
+		w.records = append(w.records, r)
+	}
+}
+
+// find returns the index of the key's last record that may still change.
+func (w *writer) find(k keyHash) int {
+	for i := len(w.records) - 1; i >= w.frozen; i-- {
+		if w.records[i].Key == k {
+			return i
+		}
+	}
+	return -1
+}
+
+// write makes the intents durable together with everything noted before.
+func (w *writer) write(ctx context.Context, intents []*intent) error {
+	before := len(w.records)
+	for _, in := range intents {
+		w.records = append(w.records, in.record)
+	}
+	err := w.swap(ctx)
+	if err != nil {
+		w.records = w.records[:before]
+		w.dirty = true
+		w.reread = true
+	}
+	return err
+}
+
+// swap writes the head, and once more after a conflict with a write of this
+// same owner: one whose outcome was unknown and which took effect late.
+func (w *writer) swap(ctx context.Context) error {
+	if w.reread {
+		if err := w.relearn(ctx); err != nil {
+			return err
+		}
+	}
+	err := w.writeHead(ctx)
+	if !errors.Is(err, store.ErrConflict) {
+		return err
+	}
+	if err := w.relearn(ctx); err != nil {
+		return err
+	}
+	return w.writeHead(ctx)
+}
+
+// relearn reads the head's revision; errFenced when another owner wrote it.
+func (w *writer) relearn(ctx context.Context) error {
+	if _, err := w.readHead(ctx); err != nil {
+		return err
+	}
+	w.reread = false
+	return nil
+}
+
+// archiveIfLarge moves the head's records to an archive, so that a commit
+// never rewrites more than about HeadSize records. The records leave the
+// stored head with the next commit; until then they stand in both places.
+func (w *writer) archiveIfLarge(ctx context.Context) {
+	if w.frozen == 0 && len(w.records) < w.s.m.opts.HeadSize {
+		return
+	}
+	if w.frozen == 0 {
+		w.frozen = len(w.records)
+	}
+	a := archived{key: archiveKey(w.s.n, w.seq, w.s.epoch), newest: newest(w.records[:w.frozen])}
+	ctx, cancel := context.WithTimeout(ctx, w.s.m.opts.WriteTimeout)
+	defer cancel()
+	data := encode(archive{Records: w.records[:w.frozen]})
+	w.s.m.counts.Writes.Add(1)
+	w.s.m.counts.WrittenBytes.Add(int64(len(data)))
+	revision, err := w.s.m.opts.Store.Swap(ctx, a.key, data, 0, 0)
+	// A conflict means that an earlier try of this owner took effect: the key
+	// holds its epoch and the frozen records have not changed since.
+	if err != nil && !errors.Is(err, store.ErrConflict) {
+		return
+	}
+	a.revision = revision
+	w.archives = append(w.archives, a)
+	w.records = append([]record(nil), w.records[w.frozen:]...)
+	w.frozen = 0
+	w.seq++
+	w.dirty = true
+}
+
+// deleteExpired deletes archives whose records are all past their retention,
+// as far as the write budget allows now.
+func (w *writer) deleteExpired(ctx context.Context) {
+	o := &w.s.m.opts
+	cutoff := time.Now().Add(-o.IntentRetention - o.ClockSkew).Unix()
+	kept := w.archives[:0]
+	for _, a := range w.archives {
+		if a.newest >= cutoff || !w.s.m.limiter.Allow() || !w.delete(ctx, a) {
+			kept = append(kept, a)
+		}
+	}
+	w.archives = kept
+}
+
+// delete removes one archive; false when it may still be there.
+func (w *writer) delete(ctx context.Context, a archived) bool {
+	ctx, cancel := context.WithTimeout(ctx, w.s.m.opts.WriteTimeout)
+	defer cancel()
+	w.s.m.counts.Writes.Add(1)
+	if a.revision == 0 {
+		item, err := w.s.m.opts.Store.Get(ctx, a.key)
+		if err != nil {
+			return errors.Is(err, store.ErrNotFound)
+		}
+		a.revision = item.Revision
+	}
+	err := w.s.m.opts.Store.Delete(ctx, a.key, a.revision)
+	return err == nil || errors.Is(err, store.ErrNotFound)
+}
