Add the peer protocol over QUIC, key files and test doubles

Cause: the daemons need calls whose outcome is known exactly, and the other packages need a peer network and a member view to build on. Change: peer.Mux and peer.Node (one QUIC connection per peer, one stream per call, hello with protocol versions, incarnation checked at the receiver), peertest network in memory, keys with reload and ephemeral authority, fleettest.View. Nothing measured.

--- /dev/null
+++ b/connection/keys/reload.go
@@ -0,0 +1,60 @@
+package keys
+
+import (
+	"context"
+	"time"
+
+	"github.com/rs/zerolog"
+)
+
+// ReloadPeriod is how often the files are looked at; a change is in use within
+// about twice of it.
+const ReloadPeriod = 5 * time.Second
+
+// Reload reads the files again. It reports whether they changed; on an error
+// the earlier ones stay in use.
+func (k *Keys) Reload() (changed bool, err error) {
+	if k.files == (Files{}) {
+		return false, nil // ephemeral keys have no files
+	}
+	m, err := read(k.files)
+	if err != nil {
+		return false, err
+	}
+	if m.digests == k.current.Load().digests {
+		return false, nil
+	}
+	k.current.Store(m)
+	return true, nil
+}
+
+// Reloader watches the files of Keys; run it under the supervisor.
+type Reloader struct {
+	Keys *Keys
+	Log  zerolog.Logger
+}
+
+// Serve reloads the files when they change, until the context ends. A set of
+// files that is half replaced does not load and is tried again.
+func (r *Reloader) Serve(ctx context.Context) error {
+	ticker := time.NewTicker(ReloadPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+			r.once()
+		}
+	}
+}
+
+func (r *Reloader) once() {
+	changed, err := r.Keys.Reload()
+	switch {
+	case err != nil:
+		r.Log.Error().Err(err).Time("in_use_until", r.Keys.NotAfter()).Msg("key files not reloaded")
+	case changed:
+		r.Log.Info().Time("not_after", r.Keys.NotAfter()).Msg("key files reloaded")
+	}
+}
--- /dev/null
+++ b/connection/peer/call.go
@@ -0,0 +1,191 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"expvar"
+	"fmt"
+	"time"
+
+	"github.com/quic-go/quic-go"
+)
+
+// Stats counts what a node did; read it through Node.Stats.
+type Stats struct {
+	Calls     expvar.Int // calls made
+	NotSent   expvar.Int // calls that certainly did not run
+	Unknown   expvar.Int // calls that may have run, without a reply
+	Served    expvar.Int // calls run for others
+	BadFrames expvar.Int // requests that could not be read
+	BadPeers  expvar.Int // connections refused after the handshake
+}
+
+// Stats returns the node's live counters.
+func (n *Node) Stats() *Stats { return &n.stats }
+
+// Call implements Caller. A context that ends after the request was sent
+// gives an error that matches both ErrUnknown and the context's.
+func (n *Node) Call(ctx context.Context, to Ref, method Method, req, resp any) error {
+	addr, ok := n.resolve(to)
+	if !ok {
+		return n.count(fmt.Errorf("%w: %s/%d", ErrNoAddress, to.ID, to.Incarnation))
+	}
+	frame, err := requestFrame(ctx, request{To: to, Method: method}, req)
+	if err != nil {
+		return n.count(err)
+	}
+	l, err := n.linkTo(ctx, to, addr)
+	if err != nil {
+		return n.count(err)
+	}
+	answer, err := n.exchange(ctx, l, frame)
+	if err != nil {
+		return n.count(err)
+	}
+	return n.count(decodeReply(answer, to, resp))
+}
+
+// CallAddr calls whoever answers at the UDP address, for a daemon that knows
+// seed addresses only, and returns who did.
+func (n *Node) CallAddr(ctx context.Context, addr string, method Method, req, resp any) (Ref, error) {
+	frame, err := requestFrame(ctx, request{AnyLife: true, Method: method}, req)
+	if err != nil {
+		return Ref{}, n.count(err)
+	}
+	l, err := n.dialShared(ctx, addr)
+	if err != nil {
+		return Ref{}, n.count(err)
+	}
+	remote := l.remote.Self
+	answer, err := n.exchange(ctx, l, frame)
+	if err != nil {
+		return remote, n.count(err)
+	}
+	return remote, n.count(decodeReply(answer, remote, resp))
+}
+
+func (n *Node) resolve(to Ref) (string, bool) {
+	resolver := n.resolver.Load()
+	if resolver == nil {
+		return "", false
+	}
+	return (*resolver)(to)
+}
+
+func (n *Node) count(err error) error {
+	n.stats.Calls.Add(1)
+	switch {
+	case err == nil:
+	case NotRun(err):
+		n.stats.NotSent.Add(1)
+	case errors.Is(err, ErrUnknown):
+		n.stats.Unknown.Add(1)
+	}
+	return err
+}
+
+func requestFrame(ctx context.Context, r request, req any) ([]byte, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, notSent(err)
+	}
+	if req != nil {
+		payload, err := Marshal(req)
+		if err != nil {
+			return nil, notSent(err)
+		}
+		if len(payload) > MaxMessage {
+			return nil, fmt.Errorf("%w: %d bytes", ErrTooLarge, len(payload))
+		}
+		r.Payload = payload
+	}
+	if deadline, ok := ctx.Deadline(); ok {
+		r.Budget = budget(deadline)
+	}
+	return encodeFrame(r)
+}
+
+// decodeReply ends a call. A reply that does not decode is an unknown outcome:
+// the handler ran.
+func decodeReply(answer reply, to Ref, resp any) error {
+	if err := answer.err(to); err != nil {
+		return err
+	}
+	if resp == nil || len(answer.Payload) == 0 {
+		return nil
+	}
+	if err := Unmarshal(answer.Payload, resp); err != nil {
+		return unknown(err)
+	}
+	return nil
+}
+
+// exchange sends one frame over a stream of its own and reads the reply.
+func (n *Node) exchange(ctx context.Context, l *link, frame []byte) (reply, error) {
+	l.begin()
+	defer l.end()
+	start := time.Now()
+	stream, err := l.conn.OpenStreamSync(ctx)
+	if err != nil {
+		n.retireIfSilent(ctx, l, start)
+		return reply{}, notSent(err)
+	}
+	// Cancelling both directions tells the handler that the caller gave up.
+	stop := context.AfterFunc(ctx, func() {
+		stream.CancelRead(streamCancelled)
+		stream.CancelWrite(streamCancelled)
+	})
+	defer stop()
+	answer, err := roundTrip(stream, frame)
+	if err == nil {
+		l.lastReply.Store(time.Now().UnixNano())
+		return answer, nil
+	}
+	stream.CancelRead(streamCancelled)
+	n.retireIfSilent(ctx, l, start)
+	if ctx.Err() != nil {
+		err = fmt.Errorf("%w: %w", err, ctx.Err())
+	}
+	return reply{}, err
+}
+
+// roundTrip tells the two halves of a call apart. Until the last byte of the
+// frame was taken by the connection the receiver cannot have all of it, and it
+// acts on whole frames only: nothing ran. From then on it may have.
+func roundTrip(stream *quic.Stream, frame []byte) (reply, error) {
+	if n, err := stream.Write(frame); err != nil {
+		stream.CancelWrite(streamCancelled)
+		if n < len(frame) {
+			return reply{}, notSent(err)
+		}
+		return reply{}, unknown(err)
+	}
+	if err := stream.Close(); err != nil {
+		return reply{}, unknown(err)
+	}
+	var answer reply
+	if err := readFrame(stream, &answer); err != nil {
+		return reply{}, readError(err)
+	}
+	return answer, nil
+}
+
+// readError recognises the receiver's statement that nothing ran.
+func readError(err error) error {
+	var reset *quic.StreamError
+	if errors.As(err, &reset) && reset.Remote && reset.ErrorCode == streamNotRun {
+		return notSent(err)
+	}
+	return unknown(err)
+}
+
+// retireIfSilent takes a link out of use after a call failed, other than by
+// its caller's cancelling, while no other call got a reply. Without it every call to a daemon that restarted at
+// the same address would time out until the idle timeout ends the connection.
+func (n *Node) retireIfSilent(ctx context.Context, l *link, start time.Time) {
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return
+	}
+	if l.lastReply.Load() < start.UnixNano() {
+		n.retire(l)
+	}
+}
--- /dev/null
+++ b/connection/peer/node.go
@@ -0,0 +1,182 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/quic-go/quic-go"
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/singleflight"
+)
+
+// Settings of the QUIC connections between daemons.
+const (
+	alpn = "fennelshunt-peer"
+
+	handshakeTimeout = 3 * time.Second
+	// keepAlive holds a connection open under a long poll that is quiet.
+	keepAlive   = 15 * time.Second
+	idleTimeout = 45 * time.Second
+	// unusedTimeout closes connections that no call uses, so that keep-alives
+	// do not add up to a full mesh of the fleet.
+	unusedTimeout = 90 * time.Second
+	janitorPeriod = 30 * time.Second
+
+	streamWindow     = 64 << 10
+	maxStreamWindow  = 1 << 20
+	connWindow       = 256 << 10
+	maxConnWindow    = 4 << 20
+	maxCallsPerConn  = 1024
+	closeCodeNormal  = quic.ApplicationErrorCode(0)
+	closeCodeBadPeer = quic.ApplicationErrorCode(1)
+	streamCancelled  = quic.StreamErrorCode(1)
+	streamNotRun     = quic.StreamErrorCode(2) // nothing ran for this stream
+)
+
+// Resolver returns the UDP address of a member's life.
+type Resolver func(Ref) (addr string, ok bool)
+
+// Node is one daemon's end of the peer protocol: it serves the methods of a
+// Mux and calls other nodes, over one QUIC connection per peer and one stream
+// per call. It implements Caller; safe for concurrent use.
+type Node struct {
+	self      hello
+	tls       *tls.Config
+	mux       *Mux
+	log       zerolog.Logger
+	transport *quic.Transport
+	listener  *quic.Listener
+	resolver  atomic.Pointer[Resolver]
+	dials     singleflight.Group
+	stats     Stats
+	serving   atomic.Int64 // calls that run for others now
+
+	mu     sync.Mutex
+	links  map[MemberID]*link // the link that new calls use
+	all    map[*link]struct{} // every open link
+	closed bool
+}
+
+// Listen binds the UDP address addr and returns a node that answers calls once
+// Serve runs and can make calls at once. The TLS configuration serves both
+// directions; it must hold a certificate and verify the other side's.
+func Listen(addr string, self Ref, tlsConfig *tls.Config, mux *Mux, log zerolog.Logger) (*Node, error) {
+	udp, err := net.ResolveUDPAddr("udp", addr)
+	if err != nil {
+		return nil, fmt.Errorf("peer: address %q: %w", addr, err)
+	}
+	socket, err := net.ListenUDP("udp", udp)
+	if err != nil {
+		return nil, fmt.Errorf("peer: listen on %q: %w", addr, err)
+	}
+	return newNode(socket, hello{Self: self, Min: ProtocolMin, Max: ProtocolMax}, tlsConfig, mux, log)
+}
+
+func newNode(socket net.PacketConn, self hello, tlsConfig *tls.Config, mux *Mux, log zerolog.Logger) (*Node, error) {
+	config := tlsConfig.Clone()
+	config.NextProtos = []string{alpn}
+	n := &Node{
+		self:      self,
+		tls:       config,
+		mux:       mux,
+		log:       log,
+		transport: &quic.Transport{Conn: socket},
+		links:     make(map[MemberID]*link),
+		all:       make(map[*link]struct{}),
+	}
+	listener, err := n.transport.Listen(config, quicConfig())
+	if err != nil {
+		return nil, errors.Join(fmt.Errorf("peer: listen: %w", err), socket.Close())
+	}
+	n.listener = listener
+	return n, nil
+}
+
+func quicConfig() *quic.Config {
+	return &quic.Config{
+		HandshakeIdleTimeout:           handshakeTimeout,
+		MaxIdleTimeout:                 idleTimeout,
+		KeepAlivePeriod:                keepAlive,
+		InitialStreamReceiveWindow:     streamWindow,
+		MaxStreamReceiveWindow:         maxStreamWindow,
+		InitialConnectionReceiveWindow: connWindow,
+		MaxConnectionReceiveWindow:     maxConnWindow,
+		MaxIncomingStreams:             maxCallsPerConn,
+		MaxIncomingUniStreams:          -1,
+	}
+}
+
+// Addr returns the UDP address that the node listens on.
+func (n *Node) Addr() string { return n.transport.Conn.LocalAddr().String() }
+
+// Self returns the life that the node answers for.
+func (n *Node) Self() Ref { return n.self.Self }
+
+// SetResolver sets how calls find the address of a member.
+func (n *Node) SetResolver(r Resolver) { n.resolver.Store(&r) }
+
+// Serve accepts connections until the context ends or the node is closed.
+func (n *Node) Serve(ctx context.Context) error {
+	go n.janitor(ctx)
+	for {
+		conn, err := n.listener.Accept(ctx)
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		if err != nil {
+			return fmt.Errorf("peer: accept: %w", err)
+		}
+		go n.accept(ctx, conn)
+	}
+}
+
+// Close ends every connection and the socket. Calls in flight fail with
+// ErrUnknown.
+func (n *Node) Close() error {
+	n.mu.Lock()
+	n.closed = true
+	open := make([]*link, 0, len(n.all))
+	for l := range n.all {
+		open = append(open, l)
+	}
+	n.mu.Unlock()
+	for _, l := range open {
+		l.close(closeCodeNormal, "closing")
+	}
+	return errors.Join(n.listener.Close(), n.transport.Close(), n.transport.Conn.Close())
+}
+
+// janitor closes links that no call has used for a while.
+func (n *Node) janitor(ctx context.Context) {
+	ticker := time.NewTicker(janitorPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			n.closeUnused(now)
+		}
+	}
+}
+
+func (n *Node) closeUnused(now time.Time) {
+	n.mu.Lock()
+	var unused []*link
+	for l := range n.all {
+		if l.unusedSince(now) > unusedTimeout {
+			unused = append(unused, l)
+		}
+	}
+	n.mu.Unlock()
+	for _, l := range unused {
+		n.retire(l)
+		l.close(closeCodeNormal, "unused")
+	}
+}
