Add the store client, its HTTP adapter and the key-value stand-in

Cause: every part of the fleet keeps its lasting state in the platform's key-value service, whose answers get lost and which has outages. Change: store.Client with role handles: write ids with read-back, call budget by role, breaker, Follow with resume and poll floor; HTTP+JSON adapter that never replays a write; in-memory stand-in with faults.

--- /dev/null
+++ b/connection/store/client.go
@@ -0,0 +1,185 @@
+package store
+
+import (
+	"context"
+	"errors"
+	"expvar"
+	"fmt"
+	"time"
+
+	"github.com/rs/zerolog"
+)
+
+// Defaults of Options.
+const (
+	DefaultCallTimeout      = 2 * time.Second
+	DefaultOperationTimeout = 30 * time.Second
+	DefaultWatchWait        = 20 * time.Second
+	DefaultWatchFloor       = 250 * time.Millisecond
+	DefaultFleetSize        = 8
+)
+
+// Options configure a Client. The zero value of a field means its default.
+type Options struct {
+	// Budget is the call budget of the whole cell.
+	Budget Budget
+	// FleetSize is the number of daemons that share Budget at first.
+	FleetSize int
+	// CallTimeout bounds one call; a watch gets it beyond its wait.
+	CallTimeout time.Duration
+	// OperationTimeout bounds an operation of several calls, such as the
+	// resolution of a lost answer, whose context has no deadline.
+	OperationTimeout time.Duration
+	// WatchWait is how long one watch call waits for events.
+	WatchWait time.Duration
+	// WatchFloor is the least time between the starts of two watch calls of one
+	// Follow, so that a busy prefix does not cost a call per event.
+	WatchFloor time.Duration
+	// Log receives outages and their ends. The zero Logger discards.
+	Log zerolog.Logger
+}
+
+func (o Options) withDefaults() Options {
+	o.Budget = o.Budget.withDefaults()
+	setDefault(&o.FleetSize, DefaultFleetSize)
+	setDefault(&o.CallTimeout, DefaultCallTimeout)
+	setDefault(&o.OperationTimeout, DefaultOperationTimeout)
+	setDefault(&o.WatchWait, DefaultWatchWait)
+	setDefault(&o.WatchFloor, DefaultWatchFloor)
+	return o
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+// Client makes the calls of one daemon to the store: within the call budget,
+// with timeouts, and refused at once while the store is known to be down. It is
+// safe for concurrent use.
+type Client struct {
+	store   Store
+	options Options
+	breaker *breaker
+	budget  *limiter
+	metrics *metrics
+	seen    revisionMark
+	handles [roleCount]*Handle
+}
+
+// NewClient returns a Client of s.
+func NewClient(s Store, o Options) *Client {
+	o = o.withDefaults()
+	c := &Client{
+		store:   s,
+		options: o,
+		breaker: newBreaker(o.Log),
+		budget:  newLimiter(o.Budget, o.FleetSize),
+		metrics: newMetrics(),
+	}
+	for i := range c.handles {
+		c.handles[i] = &Handle{client: c, role: Role(i)}
+	}
+	return c
+}
+
+// Role returns the handle whose calls count for r.
+func (c *Client) Role(r Role) *Handle { return c.handles[r] }
+
+// SetFleetSize tells how many daemons share the cell's budget now.
+func (c *Client) SetFleetSize(daemons int) { c.budget.setFleetSize(daemons) }
+
+// Available reports whether the store answered lately: false means an outage.
+func (c *Client) Available() bool { return c.breaker.isClosed() }
+
+// Vars returns the client's metrics for publication.
+func (c *Client) Vars() *expvar.Map { return c.metrics.vars }
+
+// callClass tells the budget that a call counts against.
+type callClass int
+
+const (
+	readCall callClass = iota
+	writeCall
+	classCount int = iota
+)
+
+// call makes one call of the store in a role. The error is one of the
+// package's; ErrUnavailable and ErrOverBudget mean that nothing took effect.
+func (c *Client) call(ctx context.Context, role Role, class callClass, timeout time.Duration, f func(context.Context) error) error {
+	m := c.metrics.of(role)
+	if c.breaker.refuses() {
+		m.refused.Add(1)
+		return fmt.Errorf("outage: %w", ErrUnavailable)
+	}
+	if err := c.budget.wait(ctx, role, class); err != nil {
+		m.overBudget.Add(1)
+		return err
+	}
+	ticket, ok := c.breaker.enter()
+	if !ok {
+		m.refused.Add(1)
+		return fmt.Errorf("outage: %w", ErrUnavailable)
+	}
+	m.count(class)
+	callCtx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	begun := time.Now()
+	err := classify(f(callCtx), class)
+	c.breaker.leave(ticket, resultOf(ctx, err, time.Since(begun), c.options.CallTimeout))
+	if errors.Is(err, ErrUnknownOutcome) {
+		m.unknown.Add(1)
+	} else if errors.Is(err, ErrUnavailable) {
+		m.failed.Add(1)
+	}
+	return err
+}
+
+// knownErrors are those that tell what became of a call.
+var knownErrors = []error{
+	ErrNotFound, ErrConflict, ErrUnknownOutcome, ErrUnavailable, ErrTooLarge,
+	ErrLeaseLost, ErrOverBudget, ErrCompacted, errInvalid,
+}
+
+// classify gives an error that the adapter left unexplained the careful
+// meaning: a write may have taken effect.
+func classify(err error, class callClass) error {
+	if err == nil {
+		return nil
+	}
+	for _, known := range knownErrors {
+		if errors.Is(err, known) {
+			return err
+		}
+	}
+	if class == writeCall {
+		return fmt.Errorf("%w: %w", ErrUnknownOutcome, err)
+	}
+	return fmt.Errorf("%w: %w", ErrUnavailable, err)
+}
+
+// slowShare is the part of the call timeout after which an abandoned call
+// counts as the store's failure rather than as its caller's haste.
+const slowShare = 4
+
+// resultOf tells the breaker what a call says about the store.
+func resultOf(ctx context.Context, err error, took, timeout time.Duration) callResult {
+	if !errors.Is(err, ErrUnavailable) && !errors.Is(err, ErrUnknownOutcome) {
+		return callAnswered
+	}
+	abandoned := ctx.Err() != nil
+	if abandoned && (errors.Is(ctx.Err(), context.Canceled) || took < timeout/slowShare) {
+		return callAbandoned
+	}
+	return callFailed
+}
+
+// bound gives ctx the operation timeout if it has no deadline.
+func (c *Client) bound(ctx context.Context) (context.Context, context.CancelFunc) {
+	if _, ok := ctx.Deadline(); ok {
+		return ctx, func() {}
+	}
+	return context.WithTimeout(ctx, c.options.OperationTimeout)
+}
--- /dev/null
+++ b/connection/store/handle.go
@@ -0,0 +1,159 @@
+package store
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+)
+
+// Item is one key with its data, the envelope of the write id removed.
+type Item struct {
+	Key      string
+	Data     []byte
+	Revision Revision
+}
+
+// Handle makes calls in one role.
+type Handle struct {
+	client *Client
+	role   Role
+}
+
+const (
+	// quickAttempts is how often a call that certainly had no effect is made.
+	quickAttempts = 3
+	firstRetry    = 20 * time.Millisecond
+	lastRetry     = time.Second
+)
+
+func newRetryBackoff() *backoff.ExponentialBackOff {
+	b := backoff.NewExponentialBackOff()
+	b.InitialInterval = firstRetry
+	b.MaxInterval = lastRetry
+	return b
+}
+
+// sleep waits for d or until ctx ends.
+func sleep(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return nil
+	}
+}
+
+// Get returns the item of key. It fails with ErrNotFound, ErrUnavailable,
+// ErrOverBudget or ErrNotEnveloped.
+func (h *Handle) Get(ctx context.Context, key string) (Item, error) {
+	item, _, err := h.get(ctx, key)
+	return item, err
+}
+
+func (h *Handle) get(ctx context.Context, key string) (Item, writeID, error) {
+	var entry Entry
+	err := h.retry(ctx, func(ctx context.Context) error {
+		var err error
+		entry, err = h.client.store.Get(ctx, key)
+		return err
+	})
+	if err != nil {
+		return Item{}, writeID{}, fmt.Errorf("get %s: %w", key, err)
+	}
+	h.client.seen.raise(entry.Revision)
+	return itemOf(entry)
+}
+
+// List returns the items under prefix in key order with the revision at which
+// they were read. Values that are not enveloped are left out, counted and
+// logged.
+func (h *Handle) List(ctx context.Context, prefix string) ([]Item, Revision, error) {
+	var entries []Entry
+	var rev Revision
+	err := h.retry(ctx, func(ctx context.Context) error {
+		var err error
+		entries, rev, err = h.client.store.List(ctx, prefix)
+		return err
+	})
+	if err != nil {
+		return nil, 0, fmt.Errorf("list %s: %w", prefix, err)
+	}
+	h.client.seen.raise(rev)
+	items := make([]Item, 0, len(entries))
+	for _, e := range entries {
+		if item, ok := h.open(e); ok {
+			items = append(items, item)
+		}
+	}
+	return items, rev, nil
+}
+
+// open returns the item of an entry; one foreign value must not hide the rest.
+func (h *Handle) open(e Entry) (Item, bool) {
+	item, _, err := itemOf(e)
+	if err != nil {
+		h.client.metrics.of(h.role).undecodable.Add(1)
+		h.client.options.Log.Warn().Err(err).Str("key", e.Key).Msg("skip value in the store")
+		return Item{}, false
+	}
+	return item, true
+}
+
+// retry makes a read a few times if it fails without an answer.
+func (h *Handle) retry(ctx context.Context, f func(context.Context) error) error {
+	pause := newRetryBackoff()
+	for attempt := 1; ; attempt++ {
+		err := h.client.call(ctx, h.role, readCall, h.client.options.CallTimeout, f)
+		if !errors.Is(err, ErrUnavailable) || attempt == quickAttempts || !h.client.Available() {
+			return err
+		}
+		if sleep(ctx, pause.NextBackOff()) != nil {
+			return err
+		}
+	}
+}
+
+// GrantLease opens a lease that lapses ttl after its last renewal. A lease
+// whose grant was lost lapses by itself.
+func (h *Handle) GrantLease(ctx context.Context, ttl time.Duration) (LeaseID, error) {
+	var id LeaseID
+	err := h.write(ctx, func(ctx context.Context) error {
+		var err error
+		id, err = h.client.store.GrantLease(ctx, ttl)
+		return err
+	})
+	if err != nil {
+		return 0, fmt.Errorf("grant lease: %w", err)
+	}
+	return id, nil
+}
+
+// RenewLease starts the lease's time to live anew. The caller counts validity
+// from before the call. It fails with ErrLeaseLost, ErrUnavailable,
+// ErrOverBudget or ErrUnknownOutcome.
+func (h *Handle) RenewLease(ctx context.Context, id LeaseID) error {
+	err := h.write(ctx, func(ctx context.Context) error { return h.client.store.RenewLease(ctx, id) })
+	if err != nil {
+		return fmt.Errorf("renew lease %d: %w", id, err)
+	}
+	return nil
+}
+
+// RevokeLease ends the lease and removes every key bound to it.
+func (h *Handle) RevokeLease(ctx context.Context, id LeaseID) error {
+	err := h.write(ctx, func(ctx context.Context) error { return h.client.store.RevokeLease(ctx, id) })
+	if err != nil {
+		return fmt.Errorf("revoke lease %d: %w", id, err)
+	}
+	return nil
+}
+
+// write makes one call that writes.
+func (h *Handle) write(ctx context.Context, f func(context.Context) error) error {
+	return h.client.call(ctx, h.role, writeCall, h.client.options.CallTimeout, f)
+}
--- /dev/null
+++ b/standin/kv/memory_test.go
@@ -0,0 +1,79 @@
+package kv_test
+
+import (
+	"context"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"fennelshunt.example/fennelshunt/connection/store"
+	"fennelshunt.example/fennelshunt/standin/kv"
+)
+
+// engines returns the engine itself and the engine behind HTTP.
+func engines(t *testing.T) map[string]func() (*kv.Memory, store.Store) {
+	return map[string]func() (*kv.Memory, store.Store){
+		"memory": func() (*kv.Memory, store.Store) { m := kv.New(); return m, m },
+		"http": func() (*kv.Memory, store.Store) {
+			m := kv.New()
+			server := httptest.NewServer(kv.Handler(m))
+			t.Cleanup(server.Close)
+			return m, store.NewHTTP(server.URL, nil)
+		},
+	}
+}
+
+func TestEngineKeepsTheContract(t *testing.T) {
+	for name, open := range engines(t) {
+		t.Run(name, func(t *testing.T) {
+			m, s := open()
+			ctx := context.Background()
+			rev, err := s.Put(ctx, "a/1", []byte("x"), 0, 0)
+			require.NoError(t, err)
+			_, err = s.Put(ctx, "a/1", []byte("y"), 0, 0)
+			require.ErrorIs(t, err, store.ErrConflict)
+			_, err = s.Put(ctx, "a/2", make([]byte, store.MaxValueSize+1), 0, 0)
+			require.ErrorIs(t, err, store.ErrTooLarge)
+			_, err = s.Get(ctx, "b")
+			require.ErrorIs(t, err, store.ErrNotFound)
+			require.ErrorIs(t, s.Delete(ctx, "b", 1), store.ErrNotFound)
+			require.ErrorIs(t, s.Delete(ctx, "a/1", rev+1), store.ErrConflict)
+
+			id, err := s.GrantLease(ctx, time.Hour)
+			require.NoError(t, err)
+			_, err = s.Put(ctx, "a/2", []byte("z"), 0, id)
+			require.NoError(t, err)
+			require.NoError(t, s.RenewLease(ctx, id))
+			require.NoError(t, s.RevokeLease(ctx, id))
+			require.ErrorIs(t, s.RenewLease(ctx, id), store.ErrLeaseLost)
+			_, err = s.Put(ctx, "a/3", nil, 0, id)
+			require.ErrorIs(t, err, store.ErrLeaseLost)
+
+			entries, at, err := s.List(ctx, "a/")
+			require.NoError(t, err)
+			require.Equal(t, []store.Entry{{Key: "a/1", Value: []byte("x"), Revision: rev}}, entries)
+			events, next, err := s.Watch(ctx, "a/", rev, time.Second)
+			require.NoError(t, err)
+			require.Equal(t, at, next)
+			require.Len(t, events, 2)
+			require.Equal(t, "a/2", events[1].Key)
+			require.True(t, events[1].Deleted)
+
+			m.Compact()
+			_, _, err = s.Watch(ctx, "a/", rev, 0)
+			require.ErrorIs(t, err, store.ErrCompacted)
+			m.SetFaults(kv.Faults{Down: true})
+			_, err = s.Put(ctx, "a/1", nil, rev, 0)
+			require.ErrorIs(t, err, store.ErrUnavailable)
+			m.SetFaults(kv.Faults{LoseAnswers: 1})
+			_, err = s.Put(ctx, "a/1", []byte("w"), rev, 0)
+			require.ErrorIs(t, err, store.ErrUnknownOutcome)
+			m.SetFaults(kv.Faults{})
+			e, err := s.Get(ctx, "a/1")
+			require.NoError(t, err)
+			require.Equal(t, []byte("w"), e.Value)
+		})
+	}
+}
