--- /dev/null
+++ b/version/spec/flatten.go
@@ -0,0 +1,120 @@
+package spec
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"sort"
+)
+
+// Applied is one file in force, with the generation of each of its jobs. It is
+// immutable once published.
+type Applied struct {
+	File *File
+	// Version is the configuration version that last changed the file.
+	Version uint64
+	// Generations holds the generation of the jobs that Version did not
+	// change; a job that is absent has Version as its generation.
+	Generations map[string]uint64
+}
+
+// Generation returns the version that last changed the content of a job.
+func (a *Applied) Generation(job string) uint64 {
+	if g, ok := a.Generations[job]; ok {
+		return g
+	}
+	return a.Version
+}
+
+// Inherit returns the Generations of next as the successor of prev (nil: none):
+// a job whose content is the same in both keeps its generation.
+func Inherit(prev *Applied, next *File) map[string]uint64 {
+	if prev == nil {
+		return nil
+	}
+	earlier := make(map[string]*Job, len(prev.File.Jobs))
+	for i := range prev.File.Jobs {
+		earlier[prev.File.Jobs[i].Name] = &prev.File.Jobs[i]
+	}
+	generations := make(map[string]uint64)
+	for i := range next.Jobs {
+		job := &next.Jobs[i]
+		if before := earlier[job.Name]; before != nil && SameContent(before, job) {
+			generations[job.Name] = prev.Generation(job.Name)
+		}
+	}
+	return generations
+}
+
+// SameContent reports whether two values of this package have the same
+// canonical JSON form.
+func SameContent(a, b any) bool {
+	x, err := json.Marshal(a)
+	if err != nil {
+		return false
+	}
+	y, err := json.Marshal(b)
+	return err == nil && bytes.Equal(x, y)
+}
+
+// Flatten builds the configuration of one version from every file in force,
+// keyed by file name. The error is a *ValidationError that lists all clashes
+// between the files: a team or job that two files declare, a job whose team no
+// file declares, a job that can never run within its team's quota.
+func Flatten(version uint64, files map[string]*Applied) (*Config, error) {
+	config := &Config{Version: version, Teams: make(map[string]*Team), Jobs: make(map[string]*VersionedJob)}
+	clashes := &problemList{}
+	names := make([]string, 0, len(files))
+	for name := range files {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	teamFile := make(map[string]string)
+	for _, name := range names {
+		clashes.file = name
+		addTeams(clashes, config, teamFile, files[name].File)
+	}
+	for _, name := range names {
+		clashes.file = name
+		addJobs(clashes, config, files[name])
+	}
+	if err := clashes.err(); err != nil {
+		return nil, err
+	}
+	return config, nil
+}
+
+// addTeams adds the teams of one file; teamFile tells which file declared one.
+func addTeams(clashes *problemList, config *Config, teamFile map[string]string, file *File) {
+	for i := range file.Teams {
+		team := &file.Teams[i]
+		if other, ok := teamFile[team.Name]; ok {
+			clashes.add(fmt.Sprintf("teams[%d].name", i), "declare a team in one file only",
+				"team %q is already declared by file %q", team.Name, other)
+			continue
+		}
+		teamFile[team.Name] = file.Name
+		config.Teams[team.Name] = team
+	}
+}
+
+// addJobs adds the jobs of one file.
+func addJobs(clashes *problemList, config *Config, applied *Applied) {
+	for i := range applied.File.Jobs {
+		job := &applied.File.Jobs[i]
+		path := joinIndex("jobs", i)
+		if other := config.Jobs[job.Name]; other != nil {
+			clashes.add(path+".name", "rename the job; job names are unique in a cell",
+				"job %q is already declared by file %q", job.Name, other.File)
+			continue
+		}
+		team := config.Teams[job.Team]
+		if team == nil {
+			clashes.add(path+".team", "have an operator of the platform declare the team first, or correct the name",
+				"no file declares team %q", job.Team)
+			continue
+		}
+		checkQuota(clashes, path, job, team)
+		config.Jobs[job.Name] = &VersionedJob{Job: *job, Generation: applied.Generation(job.Name), File: applied.File.Name}
+	}
+}
