--- /dev/null
+++ b/process/sched/batch/batch.go
@@ -0,0 +1,81 @@
+// Package batch places independent tasks as tightly as it can: the worker on
+// which the least stays free, with what stays free in balance, so that large
+// tasks still find whole VMs.
+package batch
+
+import (
+	"math"
+
+	"fennelshunt.example/fennelshunt/process/sched/filter"
+	"fennelshunt.example/fennelshunt/process/sched/score"
+	"fennelshunt.example/fennelshunt/process/sched/snapshot"
+	"fennelshunt.example/fennelshunt/version/spec"
+)
+
+// SampleSize bounds how many workers of one cell are rated. Workers of a cell
+// differ by less than one step in each dimension, so beyond this number the
+// choice may be worse than the best by Tolerance and no more; below it is exact.
+const SampleSize = 512
+
+// Tolerance is how much worse than the best a score may be when a cell holds
+// more than SampleSize workers.
+const Tolerance = (2 + score.BalanceWeight) / snapshot.Levels
+
+// Place returns the best worker for the ask, or why there is none.
+func Place(v *snapshot.View, a *snapshot.Ask) snapshot.Decision {
+	best, found := Best(v, a)
+	if !found {
+		rejections, infeasible := filter.Explain(v, a)
+		return snapshot.Decision{Rejections: rejections, Infeasible: infeasible}
+	}
+	w := v.Worker(best)
+	return snapshot.Decision{Worker: w.ID, Partition: w.Partition}
+}
+
+// Best returns the position of the best worker.
+func Best(v *snapshot.View, a *snapshot.Ask) (snapshot.Index, bool) {
+	s := search{view: v, ask: a, filters: filter.ForRecord(v, a), best: -1, score: math.Inf(1)}
+	for _, c := range v.Classes() {
+		if filter.ZoneAllowed(a, c.Zone) {
+			s.class(c)
+		}
+	}
+	return s.best, s.best >= 0
+}
+
+// search is the state of one decision.
+type search struct {
+	view    *snapshot.View
+	ask     *snapshot.Ask
+	filters []filter.Filter
+	best    snapshot.Index
+	score   float64
+	ref     spec.Resources
+	sampled int
+}
+
+func (s *search) class(c *snapshot.Class) {
+	s.ref = c.Reference
+	c.Cells(&s.ask.Size, s.visit, s.scan)
+}
+
+// visit skips a cell that can not hold a better worker.
+func (s *search) visit(b snapshot.Bounds) bool {
+	s.sampled = 0
+	return score.PackingBound(&s.ask.Size, b, &s.ref) < s.score
+}
+
+func (s *search) scan(e *snapshot.Entry) bool {
+	if !e.Fits(&s.ask.Size) {
+		return true
+	}
+	rating := score.Packing(&s.ask.Size, e, &s.ref)
+	if rating < s.score {
+		if !filter.Pass(s.filters, s.view, s.ask, e.Worker) {
+			return true // not part of the sample: it says nothing of the others
+		}
+		s.best, s.score = e.Worker, rating
+	}
+	s.sampled++
+	return s.sampled < SampleSize
+}
--- /dev/null
+++ b/process/sched/ledger/check.go
@@ -0,0 +1,45 @@
+package ledger
+
+import (
+	"errors"
+	"fmt"
+
+	"fennelshunt.example/fennelshunt/connection/worker"
+	"fennelshunt.example/fennelshunt/version/spec"
+)
+
+// ErrInvariant is wrapped by each error of Check.
+var ErrInvariant = errors.New("ledger: invariant violated")
+
+// Check verifies every account: the sum of the holders is what is held, no
+// holder is negative, and no present worker carries more than its capacity.
+// All violations are joined.
+func (l *Ledger) Check() error {
+	var errs []error
+	for id := range l.accounts {
+		errs = append(errs, l.CheckWorker(id))
+	}
+	return errors.Join(errs...)
+}
+
+// CheckWorker verifies one account; its cost is that of the worker's holders.
+func (l *Ledger) CheckWorker(id worker.ID) error {
+	a := l.accounts[id]
+	if a == nil {
+		return nil
+	}
+	var sum spec.Resources
+	for holder, size := range a.holders {
+		if negative(size) {
+			return fmt.Errorf("%w: worker %s: %s holds %+v", ErrInvariant, id, holder, size)
+		}
+		sum = sum.Add(size)
+	}
+	if sum != a.held {
+		return fmt.Errorf("%w: worker %s: holders sum to %+v, held is %+v", ErrInvariant, id, sum, a.held)
+	}
+	if a.present && !a.held.Fits(a.capacity) {
+		return fmt.Errorf("%w: worker %s carries %+v of %+v", ErrInvariant, id, a.held, a.capacity)
+	}
+	return nil
+}
--- /dev/null
+++ b/process/sched/ledger/ledger.go
@@ -0,0 +1,161 @@
+// Package ledger counts what each worker VM carries. Capacity is reserved
+// before a task starts and freed only by an explicit call, which the owner of
+// the worker makes after a confirmed stop. A ledger belongs to one goroutine;
+// it is not safe for concurrent use.
+package ledger
+
+import (
+	"errors"
+	"fmt"
+
+	"fennelshunt.example/fennelshunt/connection/worker"
+	"fennelshunt.example/fennelshunt/version/spec"
+)
+
+// Errors of Reserve. Test with errors.Is.
+var (
+	ErrNoRoom   = errors.New("ledger: not enough free capacity")
+	ErrNoWorker = errors.New("ledger: worker not known")
+	ErrHeld     = errors.New("ledger: holder already holds a reservation")
+	ErrSize     = errors.New("ledger: size is zero or negative")
+)
+
+// account is the state of one worker.
+type account struct {
+	capacity spec.Resources
+	held     spec.Resources
+	holders  map[string]spec.Resources
+	// present is false for a worker that was removed while tasks still held
+	// capacity. The account stays until they are freed: if the worker comes
+	// back under the same id, its running tasks must still count.
+	present bool
+}
+
+// Ledger holds one account per worker.
+type Ledger struct {
+	accounts map[worker.ID]*account
+}
+
+// New returns an empty ledger.
+func New() *Ledger { return &Ledger{accounts: map[worker.ID]*account{}} }
+
+// SetWorker adds a worker or changes its capacity. A capacity below what is
+// held is taken as it is: nothing more fits until enough has been freed.
+func (l *Ledger) SetWorker(id worker.ID, capacity spec.Resources) {
+	a := l.accounts[id]
+	if a == nil {
+		a = &account{holders: map[string]spec.Resources{}}
+		l.accounts[id] = a
+	}
+	a.capacity, a.present = capacity, true
+}
+
+// RemoveWorker takes a worker out: Reserve refuses it with ErrNoWorker. What is
+// held there stays counted until it is freed.
+func (l *Ledger) RemoveWorker(id worker.ID) {
+	a := l.accounts[id]
+	if a == nil {
+		return
+	}
+	a.present = false
+	l.dropEmpty(id, a)
+}
+
+// Reserve takes size on a worker for a holder, for example a task's id. The
+// error is ErrNoRoom, ErrNoWorker, ErrHeld or ErrSize, and then nothing changed.
+func (l *Ledger) Reserve(id worker.ID, holder string, size spec.Resources) error {
+	if err := l.reservable(id, holder, size); err != nil {
+		return err
+	}
+	a := l.accounts[id]
+	if !size.Fits(a.capacity.Sub(a.held)) {
+		return fmt.Errorf("%w: worker %s, free %+v, wanted %+v", ErrNoRoom, id, a.capacity.Sub(a.held), size)
+	}
+	a.add(holder, size)
+	return nil
+}
+
+// Adopt counts a task that is known to run on a worker already, found in the
+// worker's own inventory after a takeover. It never answers ErrNoRoom: the
+// task runs, so hiding it would let more work start beside it. Check reports
+// a worker that carries more than its capacity.
+func (l *Ledger) Adopt(id worker.ID, holder string, size spec.Resources) error {
+	if err := l.reservable(id, holder, size); err != nil {
+		return err
+	}
+	l.accounts[id].add(holder, size)
+	return nil
+}
+
+func (l *Ledger) reservable(id worker.ID, holder string, size spec.Resources) error {
+	a := l.accounts[id]
+	if a == nil || !a.present {
+		return fmt.Errorf("%w: %s", ErrNoWorker, id)
+	}
+	if _, ok := a.holders[holder]; ok {
+		return fmt.Errorf("%w: %s on %s", ErrHeld, holder, id)
+	}
+	if size.IsZero() || negative(size) {
+		return fmt.Errorf("%w: %+v", ErrSize, size)
+	}
+	return nil
+}
+
+func (a *account) add(holder string, size spec.Resources) {
+	a.holders[holder] = size
+	a.held = a.held.Add(size)
+}
+
+// Free gives back what the holder holds on the worker and reports whether it
+// held anything. Call it only when the task is known not to run.
+func (l *Ledger) Free(id worker.ID, holder string) bool {
+	a := l.accounts[id]
+	if a == nil {
+		return false
+	}
+	size, ok := a.holders[holder]
+	if !ok {
+		return false
+	}
+	delete(a.holders, holder)
+	a.held = a.held.Sub(size)
+	l.dropEmpty(id, a)
+	return true
+}
+
+func (l *Ledger) dropEmpty(id worker.ID, a *account) {
+	if !a.present && len(a.holders) == 0 {
+		delete(l.accounts, id)
+	}
+}
+
+// Held returns what all holders hold on a worker together.
+func (l *Ledger) Held(id worker.ID) spec.Resources {
+	if a := l.accounts[id]; a != nil {
+		return a.held
+	}
+	return spec.Resources{}
+}
+
+// Capacity returns a worker's capacity; false when it is not known or removed.
+func (l *Ledger) Capacity(id worker.ID) (spec.Resources, bool) {
+	a := l.accounts[id]
+	if a == nil || !a.present {
+		return spec.Resources{}, false
+	}
+	return a.capacity, true
+}
+
+// Holds returns what one holder holds on a worker.
+func (l *Ledger) Holds(id worker.ID, holder string) (spec.Resources, bool) {
+	a := l.accounts[id]
+	if a == nil {
+		return spec.Resources{}, false
+	}
+	size, ok := a.holders[holder]
+	return size, ok
+}
+
+func negative(r spec.Resources) bool {
+	return r.MilliCPU < 0 || r.MemoryMB < 0 || r.Accelerators < 0
+}
--- /dev/null
+++ b/process/sched/snapshot/members.go
@@ -0,0 +1,117 @@
+package snapshot
+
+import (
+	"maps"
+	"slices"
+
+	"fennelshunt.example/fennelshunt/connection/worker"
+)
+
+func newDirectory() *directory {
+	return &directory{
+		byID:    map[worker.ID]Index{},
+		rackOf:  map[rackKey]int32{},
+		classOf: map[classKey]int32{},
+	}
+}
+
+// clone copies the directory for one change. Workers come and go seldom beside
+// tasks, so a whole copy is fine.
+func (d *directory) clone() *directory {
+	racks := slices.Clone(d.racks)
+	for i := range racks {
+		racks[i].Workers = slices.Clone(racks[i].Workers)
+	}
+	return &directory{
+		byID: maps.Clone(d.byID), racks: racks, rackOf: maps.Clone(d.rackOf),
+		classOf: maps.Clone(d.classOf), free: slices.Clone(d.free), size: d.size,
+	}
+}
+
+// writableDirectory returns the directory after copying it if it is shared.
+func (t *Table) writableDirectory() *directory {
+	if t.dir.owner != t.owner {
+		t.dir = t.dir.clone()
+		t.dir.owner = t.owner
+	}
+	return t.dir
+}
+
+// put adds a worker or replaces its record.
+func (t *Table) put(w *Worker) {
+	old := t.Lookup(w.ID)
+	if old != nil && !samePlace(old, w) {
+		t.remove(old)
+		old = nil
+	}
+	if old == nil {
+		t.join(w)
+	} else {
+		w.index, w.class, w.rack = old.index, old.class, old.rack
+		t.countTasks(old, -1)
+	}
+	t.replace(w)
+	t.countTasks(w, 1)
+}
+
+func samePlace(a, b *Worker) bool {
+	return a.Zone == b.Zone && a.Rack == b.Rack &&
+		classOf(a.Zone, a.Capacity) == classOf(b.Zone, b.Capacity)
+}
+
+// join gives a new worker its position, rack and class.
+func (t *Table) join(w *Worker) {
+	d := t.writableDirectory()
+	w.index = t.takeIndex(d)
+	w.rack = takeRack(d, rackKey{w.Zone, w.Rack})
+	w.class = t.takeClass(d, classOf(w.Zone, w.Capacity))
+	d.byID[w.ID] = w.index
+	d.racks[w.rack].Workers = append(d.racks[w.rack].Workers, w.index)
+}
+
+func (t *Table) takeIndex(d *directory) Index {
+	if n := len(d.free); n > 0 {
+		i := d.free[n-1]
+		d.free = d.free[:n-1]
+		return i
+	}
+	i := Index(d.size)
+	d.size++
+	if d.size > len(t.chunks)*chunkSize {
+		t.chunks = append(t.chunks, &chunk{owner: t.owner})
+	}
+	return i
+}
+
+func takeRack(d *directory, key rackKey) int32 {
+	if i, ok := d.rackOf[key]; ok {
+		return i
+	}
+	i := int32(len(d.racks))
+	d.racks = append(d.racks, Rack{Name: key.rack, Zone: key.zone})
+	d.rackOf[key] = i
+	return i
+}
+
+func (t *Table) takeClass(d *directory, key classKey) int32 {
+	if i, ok := d.classOf[key]; ok {
+		return i
+	}
+	i := int32(len(t.classes))
+	t.classes = append(t.classes, newClass(t.owner, key))
+	d.classOf[key] = i
+	return i
+}
+
+// remove takes a worker out.
+func (t *Table) remove(w *Worker) {
+	s := t.writableSlot(w.index)
+	t.unindex(s)
+	s.worker = nil
+	t.countTasks(w, -1)
+	d := t.writableDirectory()
+	delete(d.byID, w.ID)
+	d.free = append(d.free, w.index)
+	r := &d.racks[w.rack]
+	r.Workers = slices.DeleteFunc(r.Workers, func(i Index) bool { return i == w.index })
+}
