Carry requests to endpoints with exact verdicts

Cause: the request path had only its seams. net/http's Transport sends a request again by itself on a broken kept-alive connection, its write loop may write after RoundTrip has returned, and its errors say nothing of what was written, so that verdicts taken from them would be false. Change: package forward follows each attempt down to the bytes on its connection, seals it before the verdict, forbids the silent resend, and cuts connections on which bytes arrive before the request; package gateway finds the service, bounds the request, keeps keys at their home daemon and answers with verdicts; package retry bounds retries; a stand-in for endpoints checks its own limits and binds answers to requests.

--- /dev/null
+++ b/request/forward/answer.go
@@ -0,0 +1,195 @@
+package forward
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"fennelshunt.example/fennelshunt/request/verdict"
+)
+
+const (
+	// bufferSize is how much of an answer is held at once; an answer up to it
+	// is known to be whole before its first byte is passed on.
+	bufferSize = 32 << 10
+	// drainLimit bounds what is read of an answer that nobody waits for, to
+	// learn that the endpoint has ended.
+	drainLimit = 1 << 20
+)
+
+var buffers = sync.Pool{New: func() any { return new([bufferSize]byte) }}
+
+var errCallerGone = errors.New("the caller's connection is gone")
+
+// Answer is the answer of an endpoint, its body not read yet.
+type Answer struct {
+	Status     int
+	Header     http.Header
+	HeaderTime time.Duration // from the start of the attempt to the header
+
+	resp   *http.Response
+	target *target
+	cancel func(error)
+	ctx    context.Context
+	whole  bool
+	closed bool
+}
+
+// check refuses answers that must not be passed on.
+func (a *Answer) check(id string) error {
+	if a.Status == http.StatusServiceUnavailable && a.Header.Get(RefusedHeader) == RefusedBeforeWork {
+		a.drain(io.Discard)
+		return unsent(CodeRefused, errRefused)
+	}
+	if got := a.Header.Get(RequestIDHeader); got != "" && got != id {
+		return newError(verdict.MayHaveRun, http.StatusBadGateway, CodeForeign,
+			fmt.Errorf("answer of request %.64q", got))
+	}
+	if a.Status < http.StatusOK {
+		return newError(verdict.MayHaveRun, http.StatusBadGateway, CodeBadAnswer,
+			fmt.Errorf("unexpected status %d", a.Status))
+	}
+	return nil
+}
+
+// Whole reports whether the whole body was read: then the endpoint has ended
+// its work on the request.
+func (a *Answer) Whole() bool { return a.whole }
+
+// Close ends the use of the answer. Unless the answer is whole its connection
+// is closed.
+func (a *Answer) Close() {
+	if a.closed {
+		return
+	}
+	a.closed = true
+	_ = a.resp.Body.Close()
+	a.cancel(nil)
+	a.target.end()
+}
+
+// read reads up to a full buffer; known tells that it may wait to fill it.
+func (a *Answer) read(buf []byte, known bool) (int, error) {
+	n, err := 0, error(nil)
+	for n < len(buf) && err == nil {
+		var m int
+		m, err = a.resp.Body.Read(buf[n:])
+		n += m
+		if !known && n > 0 {
+			break
+		}
+	}
+	if err == io.EOF {
+		a.whole = true
+	}
+	return n, err
+}
+
+// truncated is the error of a body that ended early.
+func (a *Answer) truncated(err error) *verdict.Error {
+	if a.ctx.Err() != nil && errors.Is(context.Cause(a.ctx), context.DeadlineExceeded) {
+		return newError(verdict.MayHaveRun, http.StatusGatewayTimeout, CodeDeadline, errDeadline)
+	}
+	return newError(verdict.MayHaveRun, http.StatusBadGateway, CodeTruncated, err)
+}
+
+// drain reads the rest of the body into w, which takes everything, within
+// drainLimit.
+func (a *Answer) drain(w io.Writer) {
+	n, err := io.Copy(w, io.LimitReader(a.resp.Body, drainLimit))
+	if err == nil && n < drainLimit {
+		a.whole = true
+	}
+}
+
+// ReadWhole reads the body into memory. tooLarge is set, and the body so far
+// returned, when it is longer than limit; the rest can then be streamed with
+// Deliver. The error is a *verdict.Error.
+func (a *Answer) ReadWhole(limit int) (body []byte, tooLarge bool, err error) {
+	body, err = io.ReadAll(io.LimitReader(a.resp.Body, int64(limit)+1))
+	switch {
+	case err != nil:
+		return nil, false, a.truncated(err)
+	case len(body) > limit:
+		a.resp.Body = &prefixed{Reader: io.MultiReader(bytes.NewReader(body), a.resp.Body), Closer: a.resp.Body}
+		return nil, true, nil
+	}
+	a.whole = true
+	return body, false, nil
+}
+
+type prefixed struct {
+	io.Reader
+	io.Closer
+}
+
+// Trailer returns the answer's trailers; complete once the body was read.
+func (a *Answer) Trailer() http.Header { return a.resp.Trailer }
+
+// Deliver passes the answer on to the caller. sent tells whether anything was
+// given to w: if so and err is not nil the caller's connection must be cut,
+// because a body that ended early must not look complete. When the caller is
+// gone the rest of the answer is read and dropped, to learn that the endpoint
+// has ended.
+func (a *Answer) Deliver(w http.ResponseWriter) (sent bool, err error) {
+	buf := buffers.Get().(*[bufferSize]byte)
+	defer buffers.Put(buf)
+	known := a.resp.ContentLength >= 0
+	n, err := a.read(buf[:], known)
+	if err != nil && err != io.EOF {
+		return false, a.truncated(err)
+	}
+	a.writeHeader(w)
+	for {
+		if n > 0 {
+			if _, werr := w.Write(buf[:n]); werr != nil {
+				if err == nil {
+					a.drain(io.Discard)
+				}
+				return true, newError(verdict.Ran, http.StatusBadGateway, CodeCallerClosed, errCallerGone)
+			}
+		}
+		if err == io.EOF {
+			a.writeTrailer(w)
+			return true, nil
+		}
+		if err != nil {
+			return true, a.truncated(err)
+		}
+		if !known {
+			_ = http.NewResponseController(w).Flush()
+		}
+		n, err = a.read(buf[:], known)
+	}
+}
+
+func (a *Answer) writeHeader(w http.ResponseWriter) {
+	h := w.Header()
+	announced := a.resp.Trailer
+	RemoveHopHeaders(a.Header)
+	for name, values := range a.Header {
+		if _, set := h[name]; !set {
+			h[name] = values
+		}
+	}
+	for name := range announced {
+		h.Add("Trailer", name)
+	}
+	w.WriteHeader(a.Status)
+}
+
+func (a *Answer) writeTrailer(w http.ResponseWriter) {
+	if len(a.resp.Trailer) == 0 {
+		return
+	}
+	// A trailer is only sent with a chunked body.
+	_ = http.NewResponseController(w).Flush()
+	for name, values := range a.resp.Trailer {
+		w.Header()[name] = values
+	}
+}
--- /dev/null
+++ b/request/forward/conn.go
@@ -0,0 +1,137 @@
+package forward
+
+import (
+	"errors"
+	"net"
+	"sync"
+	"sync/atomic"
+)
+
+var (
+	errSealed      = errors.New("forward: the attempt has ended, nothing more is written")
+	errUnsolicited = errors.New("forward: bytes arrived before the request was written")
+	errResend      = errors.New("forward: the connection broke after the request was written; not sent again")
+)
+
+// exchange follows one attempt down to the bytes on its connection.
+//
+// What goes wrong without it: the Transport may resend a request, or its write
+// loop may write after RoundTrip has returned an error; a caller that was told
+// "not run" would find its request run. The exchange is asked before every
+// write, and sealed before an error is given a verdict.
+type exchange struct {
+	cancel func(error)
+
+	mu     sync.Mutex
+	conn   *conn
+	wrote  bool // a byte was, or is being, handed to the kernel
+	sealed bool
+}
+
+// permit is asked before bytes are written; first tells that none was before.
+func (x *exchange) permit(c *conn) (first, ok bool) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.sealed || x.conn != c {
+		return false, false
+	}
+	first = !x.wrote
+	x.wrote = true
+	return first, true
+}
+
+// unwrote takes back the mark of a first write that wrote nothing.
+func (x *exchange) unwrote() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.wrote = false
+}
+
+// seal forbids further writes and reports whether any byte was written.
+func (x *exchange) seal() (wrote bool) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.sealed = true
+	return x.wrote
+}
+
+// mayConnect is called when the Transport looks for a connection, a second
+// time when it is about to send the request again.
+func (x *exchange) mayConnect() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.wrote && !x.sealed {
+		x.sealed = true
+		x.cancel(errResend)
+	}
+}
+
+// use binds the exchange to the connection that the Transport chose.
+func (x *exchange) use(c *conn) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.conn = c
+	c.bind(x)
+}
+
+// conn is a connection to an endpoint.
+type conn struct {
+	net.Conn
+	target *target
+	closed atomic.Bool
+	// secure connections carry TLS records, which arrive at any time and whose
+	// order TLS itself guards; the handshake writes before any exchange.
+	secure bool
+	// armed is set from the first write of an exchange on; see Read.
+	armed    atomic.Bool
+	exchange atomic.Pointer[exchange]
+}
+
+// bind starts a new exchange; nil forbids writing.
+func (c *conn) bind(x *exchange) {
+	c.armed.Store(false)
+	c.exchange.Store(x)
+}
+
+// Write implements net.Conn. It writes only for an exchange in progress.
+func (c *conn) Write(p []byte) (int, error) {
+	x := c.exchange.Load()
+	if x == nil && c.secure {
+		return c.Conn.Write(p)
+	}
+	if x == nil {
+		return 0, errSealed
+	}
+	first, ok := x.permit(c)
+	if !ok {
+		return 0, errSealed
+	}
+	c.armed.Store(true)
+	n, err := c.Conn.Write(p)
+	if first && n == 0 && err != nil {
+		x.unwrote()
+	}
+	return n, err
+}
+
+// Read implements net.Conn. Bytes that arrive after the connection was given
+// to a request and before that request is written belong to an earlier
+// request, for example a late or doubled answer. Taken for this request's
+// answer they would reach the wrong caller, so the connection is cut.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 && !c.secure && !c.armed.Load() {
+		_ = c.Close()
+		return 0, errUnsolicited
+	}
+	return n, err
+}
+
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	err := c.Conn.Close()
+	if c.closed.CompareAndSwap(false, true) {
+		c.target.connClosed()
+	}
+	return err
+}
--- /dev/null
+++ b/request/forward/forward.go
@@ -0,0 +1,151 @@
+package forward
+
+import (
+	"context"
+	"crypto/tls"
+	"sync"
+	"time"
+
+	"fennelshunt.example/fennelshunt/process/plan"
+)
+
+// Defaults of Options.
+const (
+	DefaultDialTimeout     = time.Second
+	DefaultIdleTimeout     = 15 * time.Second
+	DefaultKeepAlive       = 15 * time.Second
+	DefaultMaxAnswerHeader = 64 << 10
+	DefaultMemberMargin    = 2
+
+	transportBuffer = 8 << 10
+	sweepInterval   = 30 * time.Second
+)
+
+// Options configure a Forwarder; zero values take the defaults.
+type Options struct {
+	// Members returns how many daemons share the endpoints' connections; nil
+	// means one.
+	Members func() int
+	// MemberMargin multiplies Members, for daemons that joined unseen and for
+	// connections of dead ones that an endpoint has not noticed yet.
+	MemberMargin int
+	// DialTimeout bounds opening a connection.
+	DialTimeout time.Duration
+	// IdleTimeout closes connections that are not used; it must be below the
+	// endpoints' own idle timeout.
+	IdleTimeout time.Duration
+	// KeepAlive is the interval of TCP keep-alive probes.
+	KeepAlive time.Duration
+	// TLS, when set, is used towards the endpoints; nil means plain TCP.
+	TLS *tls.Config
+	// MaxAnswerHeader bounds an answer's header in bytes.
+	MaxAnswerHeader int64
+}
+
+func (o *Options) setDefaults() {
+	if o.Members == nil {
+		o.Members = func() int { return 1 }
+	}
+	if o.MemberMargin == 0 {
+		o.MemberMargin = DefaultMemberMargin
+	}
+	if o.DialTimeout == 0 {
+		o.DialTimeout = DefaultDialTimeout
+	}
+	if o.IdleTimeout == 0 {
+		o.IdleTimeout = DefaultIdleTimeout
+	}
+	if o.KeepAlive == 0 {
+		o.KeepAlive = DefaultKeepAlive
+	}
+	if o.MaxAnswerHeader == 0 {
+		o.MaxAnswerHeader = DefaultMaxAnswerHeader
+	}
+}
+
+// Forwarder keeps connections to endpoints. It is safe for concurrent use.
+type Forwarder struct {
+	opts Options
+
+	mu      sync.RWMutex
+	targets map[targetKey]*target
+}
+
+// New returns a forwarder without connections.
+func New(o Options) *Forwarder {
+	o.setDefaults()
+	return &Forwarder{opts: o, targets: map[targetKey]*target{}}
+}
+
+// IdleShare returns how many idle connections one of members daemons may keep
+// to an endpoint: what its limit leaves beside one connection per slot, shared
+// evenly. The requests of all daemons together hold at most slots connections,
+// because each holds a slot, so that idle and used ones together stay within
+// the limit.
+func IdleShare(connections, slots, members int) int {
+	if members < 1 {
+		members = 1
+	}
+	return max(0, min(slots, (connections-slots)/members))
+}
+
+// target returns the endpoint's target with the current share.
+func (f *Forwarder) target(e plan.Endpoint) *target {
+	share := IdleShare(e.Conns, e.Slots, f.opts.Members()*f.opts.MemberMargin)
+	k := keyOf(e)
+	f.mu.RLock()
+	t := f.targets[k]
+	f.mu.RUnlock()
+	if t != nil && t.idleShare == share {
+		return t
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	t = f.targets[k]
+	if t != nil && t.idleShare == share {
+		return t
+	}
+	if t != nil {
+		// Connections of the old transport are closed as their requests end.
+		t.transport.CloseIdleConnections()
+	}
+	t = newTarget(&f.opts, share)
+	f.targets[k] = t
+	return t
+}
+
+// Serve forgets endpoints that are no longer used, until ctx ends; then it
+// closes the idle connections.
+func (f *Forwarder) Serve(ctx context.Context) error {
+	tick := time.NewTicker(sweepInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			f.CloseIdle()
+			return ctx.Err()
+		case now := <-tick.C:
+			f.sweep(now)
+		}
+	}
+}
+
+// CloseIdle closes the connections that no request uses.
+func (f *Forwarder) CloseIdle() {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	for _, t := range f.targets {
+		t.transport.CloseIdleConnections()
+	}
+}
+
+func (f *Forwarder) sweep(now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for k, t := range f.targets {
+		if used, idle := t.idleSince(); idle && now.Sub(used) > f.opts.IdleTimeout {
+			t.transport.CloseIdleConnections()
+			delete(f.targets, k)
+		}
+	}
+}
--- /dev/null
+++ b/request/forward/send.go
@@ -0,0 +1,134 @@
+package forward
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"sync/atomic"
+	"time"
+
+	"fennelshunt.example/fennelshunt/process/plan"
+	"fennelshunt.example/fennelshunt/request/verdict"
+)
+
+var (
+	errDeadline = errors.New("the request's deadline has passed")
+	errRefused  = errors.New("the endpoint refused the request before work")
+)
+
+// Outgoing is a request as it is sent to an endpoint. Header is shared by all
+// attempts and not changed by them.
+type Outgoing struct {
+	Method        string
+	URL           *url.URL // path and query only
+	Host          string
+	Header        http.Header
+	Trailer       http.Header
+	Body          io.Reader // nil for none
+	ContentLength int64     // -1 when not known
+	ID            string
+}
+
+// callerBody remembers an error of the caller's body, to tell it from the
+// endpoint's.
+type callerBody struct {
+	io.Reader
+	err atomic.Pointer[error]
+}
+
+func (b *callerBody) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p)
+	if err != nil && err != io.EOF {
+		b.err.Store(&err)
+	}
+	return n, err
+}
+
+func (*callerBody) Close() error { return nil }
+
+// request builds the Transport's request. GetBody stays nil, so that the
+// Transport can not rewind a body.
+func (o *Outgoing) request(scheme string, e plan.Endpoint) (*http.Request, *callerBody) {
+	u := *o.URL
+	u.Scheme, u.Host, u.User = scheme, e.Address, nil
+	r := &http.Request{
+		Method: o.Method, URL: &u, Host: o.Host, Header: o.Header, Trailer: o.Trailer,
+		ContentLength: o.ContentLength, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+	}
+	if o.Body == nil || o.ContentLength == 0 {
+		r.Body, r.ContentLength = http.NoBody, 0
+		return r, nil
+	}
+	body := &callerBody{Reader: o.Body}
+	r.Body = body
+	return r, body
+}
+
+// Send makes one attempt at the endpoint, for whose slot the caller has the
+// right. The Answer must be closed. The error is a *verdict.Error.
+func (f *Forwarder) Send(ctx context.Context, e plan.Endpoint, o *Outgoing) (*Answer, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	x := &exchange{cancel: cancel}
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GetConn: func(string) { x.mayConnect() },
+		GotConn: func(i httptrace.GotConnInfo) {
+			x.use(guarded(i.Conn))
+		},
+	})
+	t := f.target(e)
+	r, body := o.request(t.scheme, e)
+	t.begin()
+	start := time.Now()
+	resp, err := t.transport.RoundTrip(r.WithContext(ctx))
+	if err != nil {
+		wrote := x.seal()
+		failure := classify(ctx, err, wrote, body)
+		cancel(nil)
+		t.end()
+		return nil, failure
+	}
+	a := &Answer{Status: resp.StatusCode, Header: resp.Header, HeaderTime: time.Since(start),
+		resp: resp, target: t, cancel: cancel, ctx: ctx}
+	if err := a.check(o.ID); err != nil {
+		a.Close()
+		return nil, err
+	}
+	return a, nil
+}
+
+// guarded returns the connection beneath TLS.
+func guarded(c net.Conn) *conn {
+	if secure, ok := c.(*tls.Conn); ok {
+		c = secure.NetConn()
+	}
+	return c.(*conn)
+}
+
+// classify gives a failed attempt its verdict. wrote tells whether a byte of
+// the request can have reached the endpoint.
+func classify(ctx context.Context, err error, wrote bool, body *callerBody) *verdict.Error {
+	v := verdict.NotRun
+	if wrote {
+		v = verdict.MayHaveRun
+	}
+	switch {
+	case body != nil && body.err.Load() != nil:
+		return newError(v, http.StatusBadRequest, CodeCallerBody, fmt.Errorf("read the caller's body: %w", *body.err.Load()))
+	case ctx.Err() != nil && errors.Is(context.Cause(ctx), context.Canceled):
+		return newError(v, http.StatusBadGateway, CodeCallerClosed, err)
+	case ctx.Err() != nil && errors.Is(context.Cause(ctx), context.DeadlineExceeded):
+		return newError(v, http.StatusGatewayTimeout, CodeDeadline, errDeadline)
+	case wrote:
+		return newError(v, http.StatusBadGateway, CodeLost, err)
+	case errors.Is(err, errUnsolicited), errors.Is(err, errSealed):
+		return unsent(CodeNotSent, err)
+	default:
+		return unsent(CodeConnect, err)
+	}
+}
--- /dev/null
+++ b/request/gateway/attempt.go
@@ -0,0 +1,117 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+
+	"fennelshunt.example/fennelshunt/request/forward"
+	"fennelshunt.example/fennelshunt/request/slots"
+	"fennelshunt.example/fennelshunt/request/verdict"
+)
+
+// deliver consumes an endpoint's answer. final is set when the caller has been
+// given anything, so that no other attempt may follow.
+type deliver func(a *forward.Answer) (final bool, err error)
+
+// servePlain serves a request without idempotency key.
+func (g *Gateway) servePlain(c *call) {
+	wait, stop := context.WithDeadline(c.in.Context(), c.deadline)
+	defer stop()
+	final, err := g.attemptAll(c, wait, c.deliver)
+	c.finish(final, err)
+}
+
+// deliver passes the answer on as it comes.
+func (c *call) deliver(a *forward.Answer) (bool, error) {
+	c.answerHeader(verdict.Ran)
+	c.status = a.Status
+	sent, err := a.Deliver(c.w)
+	if !sent {
+		c.w.Header().Del(verdict.Header)
+	}
+	return sent, err
+}
+
+func (c *call) answerHeader(v verdict.Verdict) {
+	h := c.w.Header()
+	h[verdict.Header] = []string{v.String()}
+	h[verdict.RequestIDHeader] = []string{c.id}
+}
+
+// finish ends the call after its last attempt. When a part of an answer was
+// given to the caller and the rest is missing, the connection is cut: a body
+// that ended early must not look complete.
+func (c *call) finish(final bool, err error) {
+	if err == nil {
+		c.verdict = verdict.Ran
+		return
+	}
+	if !final {
+		c.fail(err)
+		return
+	}
+	e := verdict.As(err)
+	c.verdict, c.code = e.Verdict, e.Code
+	panic(http.ErrAbortHandler)
+}
+
+// attemptAll makes attempts until one is answered, the verdict or the budget
+// forbids another, or the deadline passes. wait bounds the wait for slots.
+func (g *Gateway) attemptAll(c *call, wait context.Context, deliver deliver) (final bool, err error) {
+	attempts := g.budget(c.service).Request(c.idempotent)
+	out := c.outgoing()
+	for {
+		reader, ok := c.body.attempt()
+		if !ok {
+			return false, err // the attempt before has used up the body
+		}
+		out.Body = reader
+		final, err = g.attempt(c, wait, out, deliver)
+		if err == nil || final || endedInBody(err) {
+			return final, err
+		}
+		delay, ok := attempts.Next(verdict.Of(err), c.left())
+		if !ok || !c.pause(delay) {
+			return false, err
+		}
+		g.counts.Retries.Add(1)
+	}
+}
+
+// attempt takes a slot and makes one attempt at its endpoint.
+func (g *Gateway) attempt(c *call, wait context.Context, out *forward.Outgoing, deliver deliver) (final bool, err error) {
+	slot, err := g.opts.Slots.Acquire(wait, c.service)
+	if err != nil {
+		return false, err
+	}
+	end := slots.Unknown
+	defer func() { slot.Release(end) }()
+	endpoint := slot.Endpoint()
+	c.endpoint = endpoint.Address
+	answer, err := g.opts.Forwarder.Send(c.run, endpoint, out)
+	if err != nil {
+		c.count(err)
+		if verdict.Of(err) == verdict.NotRun {
+			end = slots.Ended
+		}
+		return false, err
+	}
+	defer answer.Close()
+	final, err = deliver(answer)
+	if answer.Whole() {
+		end = slots.Ended
+	}
+	if err != nil {
+		c.count(err)
+	} else {
+		c.attempts++
+		c.tried = verdict.Ran
+	}
+	return final, err
+}
+
+// count adds a failed attempt to what is known of the request.
+func (c *call) count(err error) {
+	c.attempts++
+	c.tried = c.tried.Join(verdict.Of(err))
+}
--- /dev/null
+++ b/request/gateway/call.go
@@ -0,0 +1,143 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"fennelshunt.example/fennelshunt/request/forward"
+	"fennelshunt.example/fennelshunt/request/verdict"
+	"fennelshunt.example/fennelshunt/version/spec"
+)
+
+// call is one caller's request on its way through the gateway.
+type call struct {
+	w  http.ResponseWriter
+	in *http.Request
+
+	id         string
+	service    string
+	job        *spec.VersionedJob
+	identity   Identity
+	key        string
+	idempotent bool
+	forwarded  bool // from another daemon
+	start      time.Time
+	deadline   time.Time
+	body       *body
+
+	// run bounds the attempts. It does not end when the caller goes away: the
+	// answer is then read and dropped, because only its end tells that the
+	// endpoint's slot is free.
+	run    context.Context
+	cancel context.CancelFunc
+
+	// tried joins the verdicts of all attempts so far.
+	tried    verdict.Verdict
+	attempts int
+	endpoint string
+	status   int
+	verdict  verdict.Verdict
+	code     string
+}
+
+// newCall checks the request; nothing has run yet when it returns an error.
+func (g *Gateway) newCall(w http.ResponseWriter, r *http.Request, forwarded bool) (*call, *verdict.Error) {
+	c := &call{w: w, in: r, start: time.Now(), forwarded: forwarded, tried: verdict.NotRun}
+	c.id = g.requestID(r, forwarded)
+	if err := g.parse(c); err != nil {
+		return c, err
+	}
+	c.run, c.cancel = context.WithDeadline(context.WithoutCancel(r.Context()), c.deadline)
+	return c, nil
+}
+
+func (g *Gateway) parse(c *call) *verdict.Error {
+	h := c.in.Header
+	if c.in.Method == http.MethodConnect {
+		return refuse(http.StatusMethodNotAllowed, CodeBadRequest, errConnect)
+	}
+	c.service = ServiceName(h.Get(ServiceHeader), c.in.Host)
+	job, failure := findService(g.opts.Config.Current(), c.service)
+	if failure != nil {
+		c.service = "" // not a name to be kept in metrics
+		return failure
+	}
+	c.job = job
+	c.identity = g.identify(c)
+	if len(c.identity.Team) > maxName || len(c.identity.Caller) > maxName {
+		return badRequest(fmt.Errorf("team or caller name longer than %d bytes", maxName))
+	}
+	limit := g.opts.Timeout
+	if t := job.Service.RequestTimeout.Std(); t > 0 {
+		limit = t
+	}
+	timeout, err := ParseTimeout(h.Get(TimeoutHeader), limit)
+	if err != nil {
+		return badRequest(err)
+	}
+	c.deadline = c.start.Add(timeout)
+	if c.key, err = ParseKey(h[KeyHeader]); err != nil {
+		return badRequest(err)
+	}
+	if c.idempotent, err = ParseIdempotent(h.Get(IdempotentHeader), c.in.Method); err != nil {
+		return badRequest(err)
+	}
+	if c.in.ContentLength > g.opts.MaxBody {
+		return refuse(http.StatusRequestEntityTooLarge, CodeBodyTooLarge, fmt.Errorf("body of %d bytes, limit %d", c.in.ContentLength, g.opts.MaxBody))
+	}
+	return nil
+}
+
+// identify tells who sent the request; a daemon that forwards one says so.
+func (g *Gateway) identify(c *call) Identity {
+	if c.forwarded {
+		return Identity{Team: c.in.Header.Get(TeamHeader), Caller: c.in.Header.Get(CallerHeader)}
+	}
+	return g.opts.Identify(c.in)
+}
+
+// outgoing returns the request for endpoints, with the headers cleaned in
+// place.
+func (c *call) outgoing() *forward.Outgoing {
+	forward.PrepareRequest(c.in.Header, c.id)
+	delete(c.in.Header, ForwardedHeader)
+	return &forward.Outgoing{
+		Method: c.in.Method, URL: c.in.URL, Host: c.in.Host, Header: c.in.Header,
+		Trailer: c.in.Trailer, ContentLength: c.in.ContentLength, ID: c.id,
+	}
+}
+
+// left returns the time until the deadline.
+func (c *call) left() time.Duration { return time.Until(c.deadline) }
+
+// fail answers the caller with an error. The verdict counts all attempts: when
+// an earlier one may have run, "not run" would be false.
+func (c *call) fail(err error) {
+	e := *verdict.As(err)
+	if c.attempts > 0 {
+		e.Verdict = c.tried.Join(e.Verdict)
+	}
+	c.status, c.verdict, c.code = e.Status, e.Verdict, e.Code
+	e.WriteHTTP(c.w, c.id)
+}
+
+// pause waits before the next attempt; false when the deadline comes first.
+func (c *call) pause(d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-c.run.Done():
+		return false
+	}
+}
+
+// endedInBody reports whether err came from the caller's own body.
+func endedInBody(err error) bool {
+	var e *verdict.Error
+	return errors.As(err, &e) && e.Code == forward.CodeCallerBody
+}
--- /dev/null
+++ b/request/gateway/gateway.go
@@ -0,0 +1,149 @@
+// Package gateway carries callers' requests to the instances of services: it
+// finds the service, gives the request a deadline, keeps idempotency keys,
+// takes a slot, forwards, retries as the verdict allows, and answers with a
+// verdict.
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+
+	"fennelshunt.example/fennelshunt/request/retry"
+	"fennelshunt.example/fennelshunt/request/verdict"
+)
+
+var (
+	errDraining   = errors.New("this daemon is stopping")
+	errOverloaded = errors.New("this daemon has too many requests in progress")
+)
+
+// drainPoll is how often Drain looks whether the last request has ended.
+const drainPoll = 10 * time.Millisecond
+
+// Gateway serves callers' requests. Its methods are safe for concurrent use.
+type Gateway struct {
+	opts     Options
+	idPrefix string
+	idSeq    atomic.Uint64
+
+	inFlight atomic.Int64
+	state    atomic.Int32
+	counts   Counters
+
+	mu      sync.Mutex
+	budgets map[string]*retry.Budget
+}
+
+// States of a gateway.
+const (
+	serving int32 = iota
+	unready       // the balancer is told to go elsewhere; requests are served
+	refusing
+)
+
+// New returns a gateway that serves at once.
+func New(o Options) *Gateway {
+	o.setDefaults()
+	return &Gateway{
+		opts:     o,
+		idPrefix: uuid.NewString()[:8] + "-",
+		budgets:  map[string]*retry.Budget{},
+	}
+}
+
+// ServeHTTP serves callers.
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	g.serve(w, r, false)
+}
+
+func (g *Gateway) serve(w http.ResponseWriter, r *http.Request, forwarded bool) {
+	inFlight := g.inFlight.Add(1)
+	defer g.inFlight.Add(-1)
+	c, failure := g.newCall(w, r, forwarded)
+	defer g.ended(c)
+	if failure == nil {
+		defer c.cancel()
+		failure = g.gate(inFlight)
+	}
+	if g.state.Load() != serving {
+		w.Header().Set("Connection", "close")
+	}
+	if failure != nil {
+		c.fail(failure)
+		return
+	}
+	c.body = newBody(w, r, &g.opts)
+	if c.key != "" {
+		g.serveKeyed(c)
+		return
+	}
+	if err := c.body.preload(r.ContentLength); err != nil {
+		c.fail(bodyError(err))
+		return
+	}
+	g.servePlain(c)
+}
+
+// gate refuses work that this daemon must not take on.
+func (g *Gateway) gate(inFlight int64) *verdict.Error {
+	if g.state.Load() == refusing {
+		return refuse(http.StatusServiceUnavailable, CodeDraining, errDraining)
+	}
+	if inFlight > int64(g.opts.MaxConcurrent) {
+		return refuse(http.StatusServiceUnavailable, CodeOverloaded, errOverloaded)
+	}
+	return nil
+}
+
+// requestID returns a new id, or that which another daemon gave the request.
+func (g *Gateway) requestID(r *http.Request, forwarded bool) string {
+	if id := r.Header.Get(verdict.RequestIDHeader); forwarded && id != "" && len(id) <= maxName {
+		return id
+	}
+	return g.idPrefix + strconv.FormatUint(g.idSeq.Add(1), 36)
+}
+
+// budget returns the retry budget of a service.
+func (g *Gateway) budget(service string) *retry.Budget {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	b := g.budgets[service]
+	if b == nil {
+		b = retry.NewBudget(g.opts.Retry)
+		g.budgets[service] = b
+	}
+	return b
+}
+
+// Drain stops the gateway as planned: for grace it serves on while its
+// readiness check fails, so that the balancer goes elsewhere; then it refuses
+// new requests as not run and waits until those in progress have ended or ctx
+// ends.
+func (g *Gateway) Drain(ctx context.Context, grace time.Duration) error {
+	g.state.CompareAndSwap(serving, unready)
+	select {
+	case <-time.After(grace):
+	case <-ctx.Done():
+	}
+	g.state.Store(refusing)
+	tick := time.NewTicker(drainPoll)
+	defer tick.Stop()
+	for g.inFlight.Load() > 0 {
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
+// InFlight returns how many requests are in progress, waiting ones included.
+func (g *Gateway) InFlight() int64 { return g.inFlight.Load() }
--- /dev/null
+++ b/request/gateway/keyed.go
@@ -0,0 +1,200 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"fennelshunt.example/fennelshunt/process/fleet"
+	"fennelshunt.example/fennelshunt/request/forward"
+	"fennelshunt.example/fennelshunt/request/idem"
+	"fennelshunt.example/fennelshunt/request/verdict"
+)
+
+var (
+	errKeysOff = errors.New("idempotency keys are not served here")
+	errNoHome  = errors.New("no daemon is known as the key's home")
+)
+
+// Waits between two looks for a key's home.
+const (
+	homePause    = 20 * time.Millisecond
+	homePauseMax = 250 * time.Millisecond
+)
+
+// serveKeyed serves a request with an idempotency key: at the key's home, which
+// is this daemon or another.
+func (g *Gateway) serveKeyed(c *call) {
+	if g.opts.Keys == nil {
+		c.fail(refuse(http.StatusNotImplemented, CodeKeysOff, errKeysOff))
+		return
+	}
+	data, err := c.body.readWhole(g.opts.MaxKeyedBody)
+	if err != nil {
+		c.fail(bodyError(err))
+		return
+	}
+	c.body = newWholeBody(data)
+	c.in.ContentLength = int64(len(data))
+	c.in.Trailer = nil
+	req := idem.Request{
+		Key:           idem.Key{Team: c.identity.Team, Service: c.service, Text: c.key},
+		Fingerprint:   idem.FingerprintOf(c.in.Method, c.in.URL.RequestURI(), c.in.Header.Get("Content-Type"), data),
+		NonIdempotent: !c.idempotent,
+	}
+	g.findHome(c, req)
+}
+
+// findHome serves the request at the key's home, looking again while the home
+// is changing hands. Sending a keyed request to a home again is safe whatever
+// became of the first: the home joins both, or knows that it was sent.
+func (g *Gateway) findHome(c *call, req idem.Request) {
+	until := time.Now().Add(g.opts.HomeWait)
+	for pause := homePause; ; pause = min(2*pause, homePauseMax) {
+		done, err := g.tryHome(c, req)
+		if done {
+			return
+		}
+		if c.forwarded || time.Now().Add(pause).After(until) || !c.pause(pause) {
+			c.fail(err)
+			return
+		}
+	}
+}
+
+// tryHome makes one try; done is false when another may find the home.
+func (g *Gateway) tryHome(c *call, req idem.Request) (done bool, err error) {
+	home, self, ok := g.opts.Keys.Home(req.Key)
+	switch {
+	case !ok:
+		return false, refuse(http.StatusServiceUnavailable, idem.CodeNoHome, errNoHome)
+	case self:
+		return g.atHome(c, req)
+	case c.forwarded:
+		return false, refuse(http.StatusServiceUnavailable, idem.CodeNotHome, errNoHome)
+	default:
+		return g.toHome(c, home)
+	}
+}
+
+// atHome begins or joins the key's request on this daemon.
+func (g *Gateway) atHome(c *call, req idem.Request) (done bool, err error) {
+	attempt, answer, err := g.opts.Keys.Begin(c.run, req)
+	switch {
+	case err != nil && elsewhere(verdict.As(err).Code):
+		return false, err
+	case err != nil:
+		c.fail(err)
+	case answer != nil:
+		c.writeKept(answer)
+	default:
+		g.runKeyed(c, attempt)
+	}
+	return true, nil
+}
+
+// elsewhere reports whether an error says that the home changes hands.
+func elsewhere(code string) bool { return code == idem.CodeNotHome || code == idem.CodeNoHome }
+
+// runKeyed runs the key's request. It goes on when this caller goes away,
+// because others may have joined.
+func (g *Gateway) runKeyed(c *call, attempt *idem.Attempt) {
+	defer attempt.Close()
+	if err := attempt.Intend(c.run); err != nil {
+		attempt.Fail(err)
+		c.fail(err)
+		return
+	}
+	final, err := g.attemptAll(c, c.run, func(a *forward.Answer) (bool, error) {
+		return c.keep(a, attempt)
+	})
+	if err != nil {
+		e := *verdict.As(err)
+		e.Verdict = c.tried.Join(e.Verdict)
+		attempt.Fail(&e)
+	}
+	c.finish(final, err)
+}
+
+// keep hands a whole answer to the key's other arrivals and to this caller.
+func (c *call) keep(a *forward.Answer, attempt *idem.Attempt) (bool, error) {
+	body, tooLarge, err := a.ReadWhole(idem.DefaultMaxAnswer)
+	if err != nil {
+		return false, err
+	}
+	if tooLarge {
+		final, err := c.deliver(a)
+		if err == nil || a.Whole() {
+			attempt.Finish(&idem.Answer{Status: a.Status, NotKept: true})
+		}
+		return final, err
+	}
+	forward.RemoveHopHeaders(a.Header)
+	answer := &idem.Answer{Status: a.Status, Header: a.Header, Body: body}
+	attempt.Finish(answer)
+	c.writeKept(answer)
+	return true, nil
+}
+
+// writeKept answers the caller from memory.
+func (c *call) writeKept(answer *idem.Answer) {
+	h := c.w.Header()
+	for name, values := range answer.Header {
+		h[name] = values
+	}
+	if c.in.Method != http.MethodHead {
+		h["Content-Length"] = []string{strconv.Itoa(len(answer.Body))}
+	}
+	c.answerHeader(verdict.Ran)
+	c.status, c.verdict = answer.Status, verdict.Ran
+	c.w.WriteHeader(answer.Status)
+	_, _ = c.w.Write(answer.Body)
+}
+
+// toHome sends the request to its home daemon.
+func (g *Gateway) toHome(c *call, home fleet.Member) (done bool, err error) {
+	if g.opts.Peers == nil {
+		return false, refuse(http.StatusServiceUnavailable, idem.CodeNoHome, errNoHome)
+	}
+	out := c.outgoing()
+	out.Header = out.Header.Clone()
+	g.forwardHeader(c, out.Header)
+	out.Body = bytes.NewReader(c.body.kept)
+	ctx, cancel := context.WithDeadline(c.run, c.deadline)
+	defer cancel()
+	answer, err := g.opts.Peers.Send(ctx, peerEndpoint(home), out)
+	if err != nil {
+		c.count(err)
+		return false, err
+	}
+	defer answer.Close()
+	v, perr := verdict.Parse(answer.Header.Get(verdict.Header))
+	if perr == nil && v == verdict.NotRun && elsewhere(answer.Header.Get(verdict.CodeHeader)) {
+		return false, refuse(http.StatusServiceUnavailable, answer.Header.Get(verdict.CodeHeader), errNoHome)
+	}
+	c.deliverHome(answer, v)
+	return true, nil
+}
+
+// deliverHome passes the home's answer on. Its verdict speaks of this arrival
+// at the home only; an earlier try may have run.
+func (c *call) deliverHome(a *forward.Answer, v verdict.Verdict) {
+	if c.attempts > 0 {
+		v = c.tried.Join(v)
+	}
+	c.answerHeader(v)
+	c.code = a.Header.Get(verdict.CodeHeader)
+	c.status = a.Status
+	sent, err := a.Deliver(c.w)
+	if err == nil {
+		c.verdict = v
+		return
+	}
+	if !sent {
+		c.w.Header().Del(verdict.Header)
+	}
+	c.finish(sent, err)
+}
--- /dev/null
+++ b/request/gateway/metrics.go
@@ -0,0 +1,65 @@
+package gateway
+
+import (
+	"expvar"
+	"net/http"
+	"time"
+
+	"fennelshunt.example/fennelshunt/request/verdict"
+)
+
+// Counters are the gateway's metrics. The daemon publishes them.
+type Counters struct {
+	Requests   expvar.Int
+	Ran        expvar.Int
+	NotRun     expvar.Int
+	MayHaveRun expvar.Int
+	Retries    expvar.Int
+	Cut        expvar.Int // answers cut because they were not whole
+}
+
+// Publish adds the counters to m, with the requests in progress.
+func (g *Gateway) Publish(m *expvar.Map) {
+	m.Set("requests", &g.counts.Requests)
+	m.Set("ran", &g.counts.Ran)
+	m.Set("not_run", &g.counts.NotRun)
+	m.Set("may_have_run", &g.counts.MayHaveRun)
+	m.Set("retries", &g.counts.Retries)
+	m.Set("cut", &g.counts.Cut)
+	m.Set("in_flight", expvar.Func(func() any { return g.inFlight.Load() }))
+}
+
+// ended counts, observes and logs the end of a call; deferred, so that it also
+// runs when the caller's connection is cut.
+func (g *Gateway) ended(c *call) {
+	g.counts.Requests.Add(1)
+	switch c.verdict {
+	case verdict.Ran:
+		g.counts.Ran.Add(1)
+	case verdict.NotRun:
+		g.counts.NotRun.Add(1)
+	default:
+		g.counts.MayHaveRun.Add(1)
+	}
+	latency := time.Since(c.start)
+	if c.service != "" && !c.forwarded {
+		g.opts.Observe(c.service, c.identity.Team, c.identity.Caller, c.status, c.verdict, latency)
+	}
+	g.log(c, latency)
+}
+
+// log writes the access log's line: no query, header or body of the caller,
+// which may hold secrets.
+func (g *Gateway) log(c *call, latency time.Duration) {
+	e := g.opts.Log.Info()
+	if c.status >= http.StatusInternalServerError {
+		e = g.opts.Log.Warn()
+	}
+	if !e.Enabled() {
+		return
+	}
+	e.Str("request", c.id).Str("service", c.service).Str("team", c.identity.Team).Str("caller", c.identity.Caller).
+		Str("method", c.in.Method).Str("path", c.in.URL.Path).Int("status", c.status).
+		Stringer("verdict", c.verdict).Str("code", c.code).Str("endpoint", c.endpoint).
+		Int("attempts", c.attempts).Bool("forwarded", c.forwarded).Dur("latency", latency).Msg("request")
+}
--- /dev/null
+++ b/request/gateway/options.go
@@ -0,0 +1,117 @@
+package gateway
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"fennelshunt.example/fennelshunt/connection/peer"
+	"fennelshunt.example/fennelshunt/request/forward"
+	"fennelshunt.example/fennelshunt/request/idem"
+	"fennelshunt.example/fennelshunt/request/retry"
+	"fennelshunt.example/fennelshunt/request/slots"
+	"fennelshunt.example/fennelshunt/request/verdict"
+	"fennelshunt.example/fennelshunt/version/spec"
+)
+
+// Request headers that callers may set.
+const (
+	// ServiceHeader names the service; without it the first label of the host
+	// does.
+	ServiceHeader = "Fennel-Service"
+	// TimeoutHeader bounds the request, for example "1.5s".
+	TimeoutHeader = "Fennel-Timeout"
+	// IdempotentHeader with "true" or "false" overrides what the method says.
+	IdempotentHeader = "Fennel-Idempotent"
+	// KeyHeader carries the idempotency key.
+	KeyHeader = "Idempotency-Key"
+	// TeamHeader and CallerHeader name who asks, where no client certificate
+	// does.
+	TeamHeader   = "Fennel-Team"
+	CallerHeader = "Fennel-Caller"
+)
+
+// ForwardedHeader marks a request that another daemon forwarded; it holds the
+// daemon's name and is only believed on the daemons' own listener.
+const ForwardedHeader = "Fennel-Forwarded-By"
+
+// Defaults of Options.
+const (
+	DefaultTimeout       = 30 * time.Second
+	DefaultMaxBody       = 64 << 20
+	DefaultMaxKeyedBody  = 1 << 20
+	DefaultRewindBody    = 64 << 10
+	DefaultBodyTimeout   = 10 * time.Second
+	DefaultMaxConcurrent = 4096
+	DefaultHomeWait      = 2 * time.Second
+)
+
+// Observer learns of every request's end, for the report on service-level
+// burn. Calls come from the requests' goroutines and must be quick.
+type Observer func(service, team, caller string, status int, v verdict.Verdict, latency time.Duration)
+
+// Identity tells who sent a request.
+type Identity struct {
+	Team   string
+	Caller string
+}
+
+// Options configure a Gateway. Config, Slots and Forwarder are required; zero
+// values of the numbers take the defaults.
+type Options struct {
+	Self      peer.MemberID
+	Config    spec.Source
+	Slots     slots.Acquirer
+	Forwarder *forward.Forwarder
+	// Keys gives idempotency keys their homes; nil refuses keys.
+	Keys idem.Table
+	// Peers sends keyed requests to other daemons' ForwardAddr.
+	Peers *forward.Forwarder
+	// AllowPlainPeers accepts forwarded requests without mutual TLS, for tests
+	// and the demonstration on loopback.
+	AllowPlainPeers bool
+	// Identify tells who sent a request; nil uses DefaultIdentity.
+	Identify func(*http.Request) Identity
+	Observe  Observer
+	Log      zerolog.Logger
+	Retry    retry.Options
+
+	// Timeout bounds requests to services that declare no limit.
+	Timeout time.Duration
+	// MaxBody bounds a request's body, in bytes.
+	MaxBody int64
+	// MaxKeyedBody bounds the body of a request with an idempotency key, which
+	// is held in memory.
+	MaxKeyedBody int64
+	// RewindBody is how much of a body is kept for another attempt, in bytes.
+	RewindBody int
+	// BodyTimeout bounds the wait for the next part of a caller's body.
+	BodyTimeout time.Duration
+	// MaxConcurrent bounds the requests of this daemon, waiting ones included.
+	MaxConcurrent int
+	// HomeWait bounds the wait for a key's home to become known.
+	HomeWait time.Duration
+}
+
+func (o *Options) setDefaults() {
+	setDefault(&o.Timeout, DefaultTimeout)
+	setDefault(&o.MaxBody, DefaultMaxBody)
+	setDefault(&o.MaxKeyedBody, DefaultMaxKeyedBody)
+	setDefault(&o.RewindBody, DefaultRewindBody)
+	setDefault(&o.BodyTimeout, DefaultBodyTimeout)
+	setDefault(&o.MaxConcurrent, DefaultMaxConcurrent)
+	setDefault(&o.HomeWait, DefaultHomeWait)
+	if o.Identify == nil {
+		o.Identify = DefaultIdentity
+	}
+	if o.Observe == nil {
+		o.Observe = func(string, string, string, int, verdict.Verdict, time.Duration) {}
+	}
+}
+
+func setDefault[T int | int64 | time.Duration](v *T, d T) {
+	if *v == 0 {
+		*v = d
+	}
+}
--- /dev/null
+++ b/request/gateway/peer.go
@@ -0,0 +1,45 @@
+package gateway
+
+import (
+	"errors"
+	"net/http"
+	"time"
+
+	"fennelshunt.example/fennelshunt/process/fleet"
+	"fennelshunt.example/fennelshunt/process/plan"
+)
+
+// Connections that a daemon keeps to another for forwarded requests.
+const (
+	peerIdle  = 32
+	peerConns = 2 * peerIdle
+)
+
+var errPeer = errors.New("only daemons of the cell may forward requests, over mutual TLS")
+
+func peerEndpoint(m fleet.Member) plan.Endpoint {
+	return plan.Endpoint{Address: m.ForwardAddr, Slots: peerIdle, Conns: peerConns, Attempt: int(m.Incarnation)}
+}
+
+// forwardHeader sets what the home daemon needs to know of the caller.
+func (g *Gateway) forwardHeader(c *call, h http.Header) {
+	h.Set(ForwardedHeader, string(g.opts.Self))
+	h.Set(ServiceHeader, c.service)
+	h.Set(TeamHeader, c.identity.Team)
+	h.Set(CallerHeader, c.identity.Caller)
+	h.Set(TimeoutHeader, max(c.left(), time.Millisecond).String())
+}
+
+// PeerHandler serves requests that other daemons forward to this one as the
+// home of an idempotency key. It goes to a listener of its own; a forwarded
+// request is never forwarded again.
+func (g *Gateway) PeerHandler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		verified := r.TLS != nil && len(r.TLS.VerifiedChains) > 0
+		if (!verified && !g.opts.AllowPlainPeers) || r.Header.Get(ForwardedHeader) == "" || r.Header.Get(KeyHeader) == "" {
+			refuse(http.StatusForbidden, CodePeerNotAllowed, errPeer).WriteHTTP(w, "")
+			return
+		}
+		g.serve(w, r, true)
+	})
+}
--- /dev/null
+++ b/standin/endpoint/serve.go
@@ -0,0 +1,137 @@
+package endpoint
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// chunkSize is how much of a large answer is written at once.
+const chunkSize = 32 << 10
+
+// Answer returns the body that an endpoint answers to a request with this key
+// and body.
+func Answer(key string, body []byte) []byte {
+	return append(fmt.Appendf(nil, "%s %016x\n", key, xxhash.Sum64(body)), body...)
+}
+
+// Filler returns the byte at an offset of a large answer to the request with
+// this key: answers of different keys differ, and so do their parts.
+func Filler(key string, offset int64) byte {
+	return byte(xxhash.Sum64String(key) + uint64(offset)*0x9e37 + uint64(offset>>8))
+}
+
+// Key returns the name of the request in the bookkeeping.
+func Key(h http.Header) string {
+	for _, name := range []string{KeyHeader, "Idempotency-Key", RequestIDHeader} {
+		if v := h.Get(name); v != "" {
+			return v
+		}
+	}
+	return ""
+}
+
+// ServeHTTP serves one request. The query parameter size=N asks for N filler
+// bytes instead of the echo of the request's body; trailer=1 for a trailer.
+func (e *Endpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	key := Key(r.Header)
+	kind, delay := e.draw()
+	if kind == faultRefuse || !e.begin(key) {
+		if kind == faultRefuse {
+			e.countRefused()
+		}
+		w.Header().Set(RefusedHeader, RefusedBeforeWork)
+		http.Error(w, "refused before work", http.StatusServiceUnavailable)
+		return
+	}
+	completed := false
+	defer func() { e.end(completed) }()
+	e.serve(w, r, key, kind, delay)
+	completed = true
+}
+
+func (e *Endpoint) serve(w http.ResponseWriter, r *http.Request, key string, kind fault, delay time.Duration) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	if d := e.opts.Work + delay; d > 0 {
+		select {
+		case <-time.After(d):
+		case <-e.stop:
+		}
+	}
+	switch kind {
+	case faultReset:
+		reset(r)
+	case faultHang:
+		select {
+		case <-r.Context().Done():
+		case <-e.stop:
+		}
+		panic(http.ErrAbortHandler)
+	case faultError:
+		http.Error(w, "endpoint failed", http.StatusInternalServerError)
+		return
+	}
+	if id := r.Header.Get(RequestIDHeader); id != "" {
+		w.Header().Set(RequestIDHeader, id)
+	}
+	w.Header().Set(KeyHeader, key)
+	e.answer(w, r, key, body, kind)
+}
+
+func (e *Endpoint) answer(w http.ResponseWriter, r *http.Request, key string, body []byte, kind fault) {
+	if r.URL.Query().Get("trailer") == "1" {
+		w.Header().Set("Trailer", "Endpoint-Sum")
+		defer w.Header().Set("Endpoint-Sum", strconv.FormatUint(xxhash.Sum64(body), 16))
+	}
+	if size, err := strconv.ParseInt(r.URL.Query().Get("size"), 10, 64); err == nil && size >= 0 {
+		e.fill(w, r, key, size, kind)
+		return
+	}
+	out := Answer(key, body)
+	if r.URL.Query().Get("trailer") == "" {
+		w.Header().Set("Content-Length", strconv.Itoa(len(out)))
+	}
+	half := len(out)
+	if kind == faultTruncate || kind == faultResetMid {
+		half /= 2
+	}
+	_, _ = w.Write(out[:half])
+	cut(w, r, kind)
+}
+
+// fill streams size filler bytes in chunked encoding.
+func (e *Endpoint) fill(w http.ResponseWriter, r *http.Request, key string, size int64, kind fault) {
+	buf := make([]byte, chunkSize)
+	for at := int64(0); at < size; {
+		n := min(int64(chunkSize), size-at)
+		for i := range n {
+			buf[i] = Filler(key, at+i)
+		}
+		if _, err := w.Write(buf[:n]); err != nil {
+			panic(http.ErrAbortHandler)
+		}
+		at += n
+		if at >= size/2 {
+			cut(w, r, kind)
+		}
+	}
+}
+
+// cut ends the answer here when the fault says so.
+func cut(w http.ResponseWriter, r *http.Request, kind fault) {
+	if kind != faultTruncate && kind != faultResetMid {
+		return
+	}
+	_ = http.NewResponseController(w).Flush()
+	if kind == faultResetMid {
+		reset(r)
+	}
+	panic(http.ErrAbortHandler)
+}
