Keep configuration versions as one history in the store

Cause: operators apply files at the same time; each apply must take effect whole, once, and never over a change its author has not seen.

--- /dev/null
+++ b/version/history/history.go
@@ -0,0 +1,182 @@
+package history
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"fennelshunt.example/fennelshunt/connection/store"
+	"fennelshunt.example/fennelshunt/version/spec"
+)
+
+// DefaultKeep is how many versions the record keeps by default: a day of
+// 40,000 changes.
+const DefaultKeep = 40960
+
+// History applies files and tells what was applied. It is safe for concurrent
+// use, and any number of daemons may have one on the same store.
+type History struct {
+	handle *store.Handle
+	source Chunks
+	keep   uint64
+	log    zerolog.Logger
+	known  atomic.Pointer[Snapshot]
+	// turn lets one Apply at a time run here: several would only lose the
+	// compare-and-swap to each other.
+	turn chan struct{}
+	// rolled receives versions at which a segment was moved out of the head.
+	rolled chan uint64
+
+	mu    sync.Mutex
+	stats Stats
+}
+
+// Stats counts what a History did since it was made.
+type Stats struct {
+	Applied    uint64 `json:"applied"`
+	Unchanged  uint64 `json:"unchanged"`
+	Conflicts  uint64 `json:"conflicts"`
+	RacesLost  uint64 `json:"races_lost"` // compare-and-swaps repeated
+	Resolved   uint64 `json:"resolved"`   // lost answers resolved by reading back
+	Unresolved uint64 `json:"unresolved"`
+	Collected  uint64 `json:"collected"` // chunks deleted
+}
+
+// Option changes a History.
+type Option func(*History)
+
+// WithKeep sets how many versions the record keeps.
+func WithKeep(versions uint64) Option {
+	return func(h *History) { h.keep = max(versions, 2*SegmentLength) }
+}
+
+// WithLog sets the logger.
+func WithLog(log zerolog.Logger) Option { return func(h *History) { h.log = log } }
+
+// New returns a History over the store.
+func New(handle *store.Handle, options ...Option) *History {
+	h := &History{
+		handle: handle,
+		source: StoreChunks{handle},
+		keep:   DefaultKeep,
+		log:    zerolog.Nop(),
+		turn:   make(chan struct{}, 1),
+		rolled: make(chan uint64, 1),
+	}
+	for _, o := range options {
+		o(h)
+	}
+	h.known.Store(Empty())
+	return h
+}
+
+// Learn gives the History a snapshot that was fetched elsewhere, so that it
+// need not fetch the same content itself.
+func (h *History) Learn(s *Snapshot) {
+	for {
+		known := h.known.Load()
+		if s.Version <= known.Version || h.known.CompareAndSwap(known, s) {
+			return
+		}
+	}
+}
+
+// Stats returns the counters.
+func (h *History) Stats() Stats {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.stats
+}
+
+func (h *History) count(f func(*Stats)) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	f(&h.stats)
+}
+
+// state is the head as read, with the snapshot it stands for.
+type state struct {
+	head     *Head
+	revision store.Revision
+	snapshot *Snapshot
+}
+
+// maxReads bounds how often read starts again because the content it was after
+// has been replaced and collected meanwhile.
+const maxReads = 5
+
+// read returns the state in the store now.
+func (h *History) read(ctx context.Context) (*state, error) {
+	var err error
+	for range maxReads {
+		var s *state
+		if s, err = h.readOnce(ctx); !errors.Is(err, ErrNoChunk) {
+			return s, err
+		}
+	}
+	return nil, err
+}
+
+func (h *History) readOnce(ctx context.Context) (*state, error) {
+	head, revision, err := h.readHead(ctx)
+	if err != nil {
+		return nil, err
+	}
+	s := &state{head: head, revision: revision, snapshot: h.known.Load()}
+	if s.snapshot.Version > head.Version {
+		// The store was set back, or this daemon's knowledge is wrong. Going on
+		// would give a version number out twice, and daemons that have seen the
+		// higher one would never take the new one.
+		return nil, fmt.Errorf("history: the store is at version %d, but version %d is in force; restore the store", head.Version, s.snapshot.Version)
+	}
+	if s.snapshot.Version == head.Version {
+		return s, nil
+	}
+	update, err := s.snapshot.UpdateFrom(ctx, head, h.source)
+	if err != nil {
+		return nil, err
+	}
+	if s.snapshot, err = s.snapshot.Advance(ctx, update, h.source); err != nil {
+		return nil, err
+	}
+	h.Learn(s.snapshot)
+	return s, nil
+}
+
+// readHead returns the head, the empty one if there was no apply yet.
+func (h *History) readHead(ctx context.Context) (*Head, store.Revision, error) {
+	item, err := h.handle.Get(ctx, KeyHead)
+	if errors.Is(err, store.ErrNotFound) {
+		return new(Head), 0, nil
+	}
+	if err != nil {
+		return nil, 0, err
+	}
+	head, err := DecodeHead(item.Data)
+	return head, item.Revision, err
+}
+
+// Current returns the latest version, read from the store.
+func (h *History) Current(ctx context.Context) (*Snapshot, error) {
+	s, err := h.read(ctx)
+	if err != nil {
+		return nil, fmt.Errorf("read configuration: %w", err)
+	}
+	return s.snapshot, nil
+}
+
+// Check reports whether file could be applied on base now: the error is the one
+// that Apply would return.
+func (h *History) Check(ctx context.Context, file *spec.File, base uint64) error {
+	s, err := h.read(ctx)
+	if err != nil {
+		return fmt.Errorf("read configuration: %w", err)
+	}
+	_, err = plan(s, file, base, time.Now())
+	return err
+}
--- /dev/null
+++ b/version/history/record.go
@@ -0,0 +1,186 @@
+// Package history keeps the ordered versions of a cell's configuration in the
+// platform's store.
+//
+// One key, the head, is replaced by compare-and-swap with each apply; it holds
+// the version and the latest changes. The content of files lies in
+// content-addressed chunks that are written before the head names them, so an
+// apply takes effect whole or not at all. The index of all files and the record
+// of older changes are moved out of the head every SegmentLength versions, so
+// that the head stays small however many changes there have been.
+//
+// Guarantees: versions rise by one with each apply; each version is the effect
+// of exactly one Apply; no apply overwrites a change to the same file that its
+// author had not seen; a chunk that a head names is never collected.
+package history
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// Keys in the store. All begin with the same prefix.
+const (
+	KeyHead      = "config/head"
+	prefixChunk  = "config/chunk/"
+	prefixRecord = "config/log/"
+)
+
+// Limits of the records.
+const (
+	// SegmentLength is the number of versions after which the changes move
+	// from the head into a segment of the record.
+	SegmentLength = 16
+	// maxFiles bounds the index, so that it stays well below the store's limit
+	// even with tombstones.
+	maxFiles = 10000
+	// maxTombstones is how many removed files are remembered.
+	maxTombstones = 1000
+	// maxAuthor is the longest author kept, in bytes.
+	maxAuthor = 128
+)
+
+// ErrCorrupt means that a record or chunk can not be decoded or does not match
+// its hash.
+var ErrCorrupt = errors.New("history: corrupt record")
+
+// Hash names a chunk by its content before compression.
+type Hash [sha256.Size]byte
+
+// String returns the hash in hexadecimal.
+func (h Hash) String() string { return hex.EncodeToString(h[:]) }
+
+// Blob names content by the chunks it consists of; no chunks is no content.
+type Blob struct {
+	_      struct{} `cbor:",toarray"`
+	Size   int64
+	Chunks []Hash
+}
+
+func (b Blob) equal(o Blob) bool { return b.Size == o.Size && slices.Equal(b.Chunks, o.Chunks) }
+
+// ApplyID names one Apply. After a lost answer it tells whose change a version
+// is.
+type ApplyID [16]byte
+
+// Change is what one version did: it replaced one file.
+type Change struct {
+	_       struct{} `cbor:",toarray"`
+	Version uint64
+	File    string
+	// Content is the file's document; no chunks means that the file is gone.
+	Content Blob
+	Author  string
+	// AppliedMillis is the time of the apply by the clock of the daemon that
+	// served it, in milliseconds since 1970.
+	AppliedMillis int64
+	ID            ApplyID
+}
+
+// Removed reports whether the change took the file away.
+func (c Change) Removed() bool { return len(c.Content.Chunks) == 0 }
+
+// Applied returns the time of the apply.
+func (c Change) Applied() time.Time { return time.UnixMilli(c.AppliedMillis) }
+
+// Head is the value of the head key.
+type Head struct {
+	_       struct{} `cbor:",toarray"`
+	Version uint64
+	// Index holds the files as of IndexVersion, a multiple of SegmentLength.
+	Index        Blob
+	IndexVersion uint64
+	// Recent holds the latest changes in order: all since IndexVersion, and the
+	// segment before it if there was one.
+	Recent []Change
+	// Sweep counts collections of chunks; see Collector.
+	Sweep uint64
+}
+
+// oldest returns the first version that Recent holds.
+func (h *Head) oldest() uint64 { return h.Version + 1 - uint64(len(h.Recent)) }
+
+// change returns the change of one version if Recent holds it.
+func (h *Head) change(version uint64) (Change, bool) {
+	if version < h.oldest() || version > h.Version {
+		return Change{}, false
+	}
+	return h.Recent[version-h.oldest()], true
+}
+
+// index is the table of all files at one version.
+type index struct {
+	_     struct{} `cbor:",toarray"`
+	Files []Change
+	// Forgotten is the highest version of a removed file that is no longer
+	// listed.
+	Forgotten uint64
+}
+
+var (
+	encoder = must(cbor.CoreDetEncOptions().EncMode())
+	decoder = must(cbor.DecOptions{MaxArrayElements: 1 << 17, MaxMapPairs: 1 << 10, MaxNestedLevels: 8}.DecMode())
+)
+
+// must is for options that are constant.
+func must[T any](v T, err error) T {
+	if err != nil {
+		panic(err)
+	}
+	return v
+}
+
+// encodeHead returns the head as stored.
+func encodeHead(h *Head) ([]byte, error) {
+	data, err := encoder.Marshal(h)
+	if err != nil {
+		return nil, fmt.Errorf("encode head: %w", err)
+	}
+	return data, nil
+}
+
+// DecodeHead decodes and checks a head.
+func DecodeHead(data []byte) (*Head, error) {
+	h := new(Head)
+	if err := decoder.Unmarshal(data, h); err != nil {
+		return nil, fmt.Errorf("%w: head: %w", ErrCorrupt, err)
+	}
+	if err := h.check(); err != nil {
+		return nil, fmt.Errorf("%w: head: %w", ErrCorrupt, err)
+	}
+	return h, nil
+}
+
+// check asserts what every reader of a head relies on.
+func (h *Head) check() error {
+	if uint64(len(h.Recent)) > h.Version || h.IndexVersion > h.Version || h.Version-h.IndexVersion > uint64(len(h.Recent)) {
+		return fmt.Errorf("version %d, index %d, %d changes", h.Version, h.IndexVersion, len(h.Recent))
+	}
+	return checkRun(h.Recent, h.oldest())
+}
+
+// checkRun asserts that changes are numbered from first on without a gap.
+func checkRun(changes []Change, first uint64) error {
+	for i, c := range changes {
+		if c.Version != first+uint64(i) {
+			return fmt.Errorf("change %d has version %d, want %d", i, c.Version, first+uint64(i))
+		}
+		if c.File == "" {
+			return fmt.Errorf("change of version %d names no file", c.Version)
+		}
+	}
+	return nil
+}
+
+func decodeIndex(data []byte) (*index, error) {
+	x := new(index)
+	if err := decoder.Unmarshal(data, x); err != nil {
+		return nil, fmt.Errorf("%w: index: %w", ErrCorrupt, err)
+	}
+	return x, nil
+}
--- /dev/null
+++ b/version/history/snapshot.go
@@ -0,0 +1,175 @@
+package history
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+
+	"fennelshunt.example/fennelshunt/version/spec"
+)
+
+// Snapshot is every file of one version with its content, complete and checked.
+// It is immutable.
+type Snapshot struct {
+	Version uint64
+	Config  *spec.Config
+	// forgotten is the highest version of a removed file that is not listed.
+	forgotten uint64
+	documents map[string]*Document
+}
+
+// Empty returns the snapshot of version 0, before the first apply.
+func Empty() *Snapshot {
+	config, _ := spec.Flatten(0, nil) // no files can not clash
+	return &Snapshot{Config: config, documents: make(map[string]*Document)}
+}
+
+// Document returns the document of a file; removed files have one too, for some
+// time.
+func (s *Snapshot) Document(file string) (*Document, bool) {
+	d, ok := s.documents[file]
+	return d, ok
+}
+
+// Files returns the changes that brought the present files, sorted by name.
+func (s *Snapshot) Files() []Change {
+	var files []Change
+	for _, d := range s.documents {
+		if !d.Change.Removed() {
+			files = append(files, d.Change)
+		}
+	}
+	slices.SortFunc(files, func(a, b Change) int { return strings.Compare(a.File, b.File) })
+	return files
+}
+
+// Update is what turns a snapshot into a later one.
+type Update struct {
+	_       struct{} `cbor:",toarray"`
+	Version uint64
+	// Whole is set when Changes lists all files, not only the changed ones.
+	Whole     bool
+	Changes   []Change
+	Forgotten uint64
+}
+
+// Since returns the update from version have to s.
+func (s *Snapshot) Since(have uint64) Update {
+	u := Update{Version: s.Version, Whole: have < s.forgotten || have == 0, Forgotten: s.forgotten}
+	for _, d := range s.documents {
+		if u.Whole || d.Change.Version > have {
+			u.Changes = append(u.Changes, d.Change)
+		}
+	}
+	slices.SortFunc(u.Changes, func(a, b Change) int { return strings.Compare(a.File, b.File) })
+	return u
+}
+
+// UpdateFrom returns the update that leads from s to head. It reads the index
+// from source only if the changes that the head lists do not reach back to s.
+func (s *Snapshot) UpdateFrom(ctx context.Context, head *Head, source Chunks) (Update, error) {
+	u := Update{Version: head.Version, Forgotten: s.forgotten}
+	files := make(map[string]Change)
+	if s.Version+1 < head.oldest() {
+		x, err := readIndex(ctx, head, source)
+		if err != nil {
+			return Update{}, err
+		}
+		u.Whole, u.Forgotten = true, x.Forgotten
+		for _, c := range x.Files {
+			files[c.File] = c
+		}
+	}
+	for _, c := range head.Recent {
+		if c.Version > s.Version && (!u.Whole || c.Version > head.IndexVersion) {
+			files[c.File] = c
+		}
+	}
+	u.Changes = slices.SortedFunc(maps.Values(files), func(a, b Change) int { return strings.Compare(a.File, b.File) })
+	return u, nil
+}
+
+// readIndex returns the index that head names.
+func readIndex(ctx context.Context, head *Head, source Chunks) (*index, error) {
+	if len(head.Index.Chunks) == 0 {
+		return new(index), nil
+	}
+	data, _, err := fetch(ctx, source, head.Index)
+	if err != nil {
+		return nil, fmt.Errorf("index of version %d: %w", head.IndexVersion, err)
+	}
+	return decodeIndex(data)
+}
+
+// Advance returns the snapshot that u leads to, fetching what s does not hold.
+// The result is complete and checked: a caller that publishes nothing else can
+// not put half a version into force.
+func (s *Snapshot) Advance(ctx context.Context, u Update, source Chunks) (*Snapshot, error) {
+	if u.Version <= s.Version {
+		return nil, fmt.Errorf("history: version %d is not later than %d", u.Version, s.Version)
+	}
+	next := &Snapshot{Version: u.Version, forgotten: u.Forgotten}
+	if u.Whole {
+		next.documents = make(map[string]*Document, len(u.Changes))
+	} else {
+		next.documents = maps.Clone(s.documents)
+	}
+	for _, change := range u.Changes {
+		if change.Version > u.Version {
+			return nil, fmt.Errorf("%w: change %d in version %d", ErrCorrupt, change.Version, u.Version)
+		}
+		document := s.documents[change.File]
+		if document == nil || document.Change.Version != change.Version {
+			var err error
+			if document, err = load(ctx, source, change); err != nil {
+				return nil, err
+			}
+		}
+		next.documents[change.File] = document
+	}
+	return next, next.flatten()
+}
+
+// flatten fills in the configuration.
+func (s *Snapshot) flatten() error {
+	config, err := spec.Flatten(s.Version, s.applied())
+	if err != nil {
+		return fmt.Errorf("version %d: %w", s.Version, err)
+	}
+	s.Config = config
+	return nil
+}
+
+// applied returns the present files by name.
+func (s *Snapshot) applied() map[string]*spec.Applied {
+	files := make(map[string]*spec.Applied, len(s.documents))
+	for name, d := range s.documents {
+		if d.Applied != nil {
+			files[name] = d.Applied
+		}
+	}
+	return files
+}
+
+// index returns the table of s, without the oldest tombstones.
+func (s *Snapshot) index() *index {
+	x := &index{Forgotten: s.forgotten}
+	var removed []Change
+	for _, d := range s.documents {
+		if d.Change.Removed() {
+			removed = append(removed, d.Change)
+		} else {
+			x.Files = append(x.Files, d.Change)
+		}
+	}
+	slices.SortFunc(removed, func(a, b Change) int { return int(int64(b.Version) - int64(a.Version)) })
+	if len(removed) > maxTombstones {
+		x.Forgotten = removed[maxTombstones].Version
+		removed = removed[:maxTombstones]
+	}
+	x.Files = append(x.Files, removed...)
+	slices.SortFunc(x.Files, func(a, b Change) int { return strings.Compare(a.File, b.File) })
+	return x
+}
