Put the stand-ins together as a platform and serve it as a process

Cause: the daemons need workers, endpoints, a store and a VM list, embedded and as a separate process. Conclusion: the daemon can be wired against it.

--- /dev/null
+++ b/cmd/fennelstandin/main.go
@@ -0,0 +1,68 @@
+// Command fennelstandin serves the stand-ins of the platform as one process: a
+// key-value service, a list of VMs and 48 workers with their endpoints, with
+// faults that are switched on and off over HTTP and a count of what was seen.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/peterbourgon/ff/v3"
+
+	"fennelshunt.example/fennelshunt/standin/platform"
+)
+
+func main() {
+	if err := run(os.Args[1:]); err != nil {
+		fmt.Fprintln(os.Stderr, "fennelstandin:", err)
+		os.Exit(1)
+	}
+}
+
+func run(args []string) error {
+	fs := flag.NewFlagSet("fennelstandin", flag.ContinueOnError)
+	var (
+		cell    = fs.String("cell", "authority", "workers of which user: authority or guild")
+		kvAddr  = fs.String("store", "127.0.0.1:7000", "address of the key-value service")
+		vmsAddr = fs.String("vm-list", "127.0.0.1:7001", "address of the list of VMs")
+		control = fs.String("control", "127.0.0.1:7002", "address for reports and faults")
+		work    = fs.Duration("work", 20*time.Millisecond, "time that an endpoint takes for a request")
+		lag     = fs.Duration("lag", time.Second, "lag of the list of VMs")
+		seed    = fs.Uint64("seed", 1, "seed of the faults' random choices")
+	)
+	if err := ff.Parse(fs, args, ff.WithEnvVarPrefix("FENNELSTANDIN")); err != nil {
+		return err
+	}
+	shape := platform.Authority()
+	switch *cell {
+	case "authority":
+	case "guild":
+		shape = platform.Guild()
+	default:
+		return fmt.Errorf("flag -cell: %q is not known; use authority or guild", *cell)
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	p, err := platform.Start(ctx, platform.Options{
+		Shape: shape, Work: *work, Lag: *lag, Seed: *seed, Store: *kvAddr, VMList: *vmsAddr,
+	})
+	if err != nil {
+		return err
+	}
+	server := &http.Server{Addr: *control, Handler: p.Control(), ReadHeaderTimeout: 5 * time.Second}
+	go func() {
+		<-ctx.Done()
+		_ = server.Close() // the process ends
+	}()
+	fmt.Printf("store %s\nvm list %s\ncontrol http://%s\n", p.StoreURL, p.VMListURL, *control)
+	if err := server.ListenAndServe(); err != http.ErrServerClosed {
+		return err
+	}
+	return p.Close()
+}
