Add fleet membership: lives, probes, gossip, store registration

Cause: daemons must know each other through store outages, crashes, pauses and restarts, with traffic that does not grow with the fleet. Change: a life is claimed by compare-and-swap and the clock, registered under one store lease; six pseudo-random rings choose whom to probe; suspicion with refutation, indirect probes and member deltas on the pings; a life is over by lapse only when the store lease is gone, probes fail and a swap in the store records it; drain, leave, VM list, join through seeds in an outage.

--- /dev/null
+++ b/process/fleet/fleet_test.go
@@ -0,0 +1,189 @@
+package fleet
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/thejerf/suture/v4"
+
+	"fennelshunt.example/fennelshunt/connection/peer"
+	"fennelshunt.example/fennelshunt/connection/vmlist"
+	"fennelshunt.example/fennelshunt/standin/kv"
+)
+
+// inCell runs f in a bubble with n daemons that know each other.
+func inCell(t *testing.T, n int, f func(t *testing.T, c *cell)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		c := newCell(t, 7)
+		for _, id := range ids(n) {
+			c.start(id)
+		}
+		defer c.close()
+		c.within(20*time.Second, "start", c.agreed)
+		f(t, c)
+	})
+}
+
+// Symptom: a dead daemon keeps its partitions, or a live one loses them.
+// Sequence: one of eight daemons crashes.
+// Cause: neither probes nor the store lease alone tell a dead daemon.
+func TestCrashIsSuspectedThenGone(t *testing.T) {
+	inCell(t, 8, func(t *testing.T, c *cell) {
+		ref := c.crash("dac")
+		suspected := c.within(8*time.Second, "suspect", c.everyone(func(d *daemon) bool {
+			m, _ := d.Lookup("dac")
+			return m.State == Suspect
+		}))
+		gone := c.within(30*time.Second, "gone", c.everyone(func(d *daemon) bool { return d.Gone(ref) }))
+		t.Logf("suspected everywhere after %s, gone after %s more", suspected, gone)
+		require.True(t, c.agreed())
+	})
+}
+
+// Symptom: an outage of the store ends every daemon's membership.
+// Sequence: the store is down for an hour, its leases lapse; one daemon is
+// restarted and a new one joins by a seed meanwhile; the store returns.
+// Cause: a lapsed store lease was taken for a dead daemon.
+func TestStoreOutageRemovesNobody(t *testing.T) {
+	inCell(t, 6, func(t *testing.T, c *cell) {
+		c.mem.SetFaults(kv.Faults{Down: true})
+		time.Sleep(30 * time.Minute)
+		require.True(t, c.agreed())
+		c.seeds = []string{"daa", "dab"}
+		earlier := c.crash("dac")
+		later := c.start("dac")
+		require.Greater(t, later.self.Incarnation, earlier.Incarnation)
+		c.start("dzz")
+		c.within(20*time.Second, "join in the outage", c.agreed)
+		require.True(t, c.daemons["daa"].Gone(earlier))
+		time.Sleep(30 * time.Minute)
+		c.mem.SetFaults(kv.Faults{})
+		for range 60 {
+			time.Sleep(time.Second)
+			require.True(t, c.agreed())
+		}
+		require.Zero(t, c.restartEvicted())
+		for _, d := range c.daemons {
+			require.NotZero(t, d.StoreLease())
+			require.Less(t, time.Since(d.LeaseRenewed()), 10*time.Second)
+		}
+	})
+}
+
+// Symptom: a daemon cut off from the store alone is declared dead.
+// Sequence: one daemon cannot reach the store, its lease lapses, its peers
+// still hear it; then it is cut off from its peers too and later comes back.
+// Cause: the lapse alone was taken for an end; after both, it must not come
+// back in the same life.
+func TestLapseAloneIsNotGone(t *testing.T) {
+	inCell(t, 6, func(t *testing.T, c *cell) {
+		d := c.daemons["dab"]
+		d.gate.shut(true)
+		time.Sleep(2 * time.Minute)
+		require.True(t, c.agreed())
+		c.net.Pause(d.self)
+		c.within(time.Minute, "gone", func() bool { return c.daemons["daa"].Gone(d.self) })
+		cause, _ := c.daemons["daa"].Ended(d.self)
+		require.Equal(t, Lapsed, cause)
+		c.net.Resume(d.self)
+		d.gate.shut(false)
+		c.within(time.Minute, "evicted", func() bool { return c.restartEvicted() == 1 })
+		c.within(time.Minute, "back in a later life", c.agreed)
+	})
+}
+
+// Symptom: a daemon that its peers cannot reach is declared dead although it
+// works.
+// Sequence: one daemon is cut off from all peers, not from the store.
+// Cause: failed probes alone were taken for an end.
+func TestFailedProbesAloneAreNotGone(t *testing.T) {
+	inCell(t, 6, func(t *testing.T, c *cell) {
+		d := c.daemons["dab"]
+		c.net.Pause(d.self)
+		time.Sleep(5 * time.Minute)
+		m, ok := c.daemons["daa"].Lookup("dab")
+		require.True(t, ok)
+		require.Equal(t, Suspect, m.State)
+		require.False(t, c.daemons["daa"].Gone(d.self))
+		c.net.Resume(d.self)
+		c.within(20*time.Second, "refuted", c.agreed)
+	})
+}
+
+// Symptom: new work goes to a daemon whose VM is being taken away, or a planned
+// stop waits for a lease to lapse.
+// Sequence: the VM list marks one daemon leaving; another drains and leaves.
+// Cause: the news did not spread.
+func TestLeaving(t *testing.T) {
+	inCell(t, 8, func(t *testing.T, c *cell) {
+		ctx := context.Background()
+		vms := []vmlist.VM{{Name: "dab", Role: vmlist.RoleEntry, Leaving: true}}
+		require.NoError(t, c.daemons["daa"].ObserveVMs(ctx, vms))
+		took := c.within(3*time.Second, "leaving", c.everyone(func(d *daemon) bool {
+			m, _ := d.Lookup("dab")
+			return m.State == Leaving
+		}))
+		require.Equal(t, Leaving, c.daemons["dab"].Self().State)
+		d := c.daemons["dac"]
+		require.NoError(t, d.Drain(ctx))
+		require.Equal(t, Leaving, d.Self().State)
+		require.NoError(t, d.Leave(ctx))
+		require.ErrorIs(t, <-d.done, suture.ErrDoNotRestart)
+		delete(c.daemons, "dac")
+		gone := c.within(3*time.Second, "left", c.everyone(func(o *daemon) bool { return o.Gone(d.self) }))
+		cause, _ := c.daemons["daa"].Ended(d.self)
+		require.Equal(t, Left, cause)
+		t.Logf("leaving known everywhere after %s, left after %s", took, gone)
+		next := c.start("dac")
+		require.Greater(t, next.self.Incarnation, d.self.Incarnation)
+		c.within(20*time.Second, "back", c.everyone(func(o *daemon) bool {
+			m, ok := o.Lookup("dac")
+			return ok && m.Ref == next.self && m.State == Alive
+		}))
+	})
+}
+
+// Symptom: a daemon whose VM was taken away in an outage stays a member.
+// Sequence: the store is down, a VM leaves the list and its daemon is silent.
+// Cause: without the store nobody could record the end.
+func TestVMRemovedInOutage(t *testing.T) {
+	inCell(t, 6, func(t *testing.T, c *cell) {
+		ctx := context.Background()
+		all := []vmlist.VM{{Name: "dab", Role: vmlist.RoleEntry}}
+		require.NoError(t, c.daemons["daa"].ObserveVMs(ctx, all))
+		c.mem.SetFaults(kv.Faults{Down: true})
+		time.Sleep(time.Minute)
+		ref := c.crash("dab")
+		c.within(10*time.Second, "suspect", func() bool {
+			m, _ := c.daemons["daa"].Lookup("dab")
+			return m.State == Suspect
+		})
+		require.NoError(t, c.daemons["daa"].ObserveVMs(ctx, nil))
+		require.False(t, c.daemons["daa"].Gone(ref))
+		require.NoError(t, c.daemons["daa"].ObserveVMs(ctx, nil))
+		c.within(3*time.Second, "gone", c.everyone(func(d *daemon) bool { return d.Gone(ref) }))
+	})
+}
+
+// Symptom: a restarted daemon acts on what was meant for its earlier self.
+// Sequence: a daemon is restarted twice at once, with the store up.
+// Cause: the address stayed the same.
+func TestRestartIsAnotherLife(t *testing.T) {
+	inCell(t, 4, func(t *testing.T, c *cell) {
+		first := c.crash("dab")
+		second := c.start("dab").self
+		c.crash("dab")
+		third := c.start("dab").self
+		require.Greater(t, second.Incarnation, first.Incarnation)
+		require.Greater(t, third.Incarnation, second.Incarnation)
+		c.within(20*time.Second, "third life", c.agreed)
+		for _, ref := range []peer.Ref{first, second} {
+			require.True(t, c.daemons["daa"].Gone(ref))
+		}
+		require.False(t, c.daemons["daa"].Gone(third))
+	})
+}
--- /dev/null
+++ b/process/fleet/push.go
@@ -0,0 +1,36 @@
+package fleet
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// pushSoon sends the latest news out of turn, so that a member that leaves or
+// fails is known everywhere within a second or two and not only after as many
+// periods as the rumor takes steps.
+func (l *loop) pushSoon() {
+	if l.pushTimer == nil {
+		return // not running yet; begin pushes
+	}
+	wait := max(pushDelay, time.Until(l.lastPush.Add(pushInterval)))
+	l.pushTimer.Reset(wait)
+}
+
+func (l *loop) push() {
+	l.lastPush = time.Now()
+	for _, i := range rand.Perm(len(l.targets))[:min(pushTargets, len(l.targets))] {
+		e := l.table.entries[l.targets[i]]
+		if e == nil || !e.usable() {
+			continue
+		}
+		p := prober{
+			fleet:   l.fleet,
+			target:  e.ref(),
+			message: l.message(e.ID),
+			timeout: l.options.PingTimeout,
+			epoch:   l.epoch,
+			push:    true,
+		}
+		go p.run(l.ctx)
+	}
+}
--- /dev/null
+++ b/process/fleet/register.go
@@ -0,0 +1,183 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"fennelshunt.example/fennelshunt/connection/peer"
+	"fennelshunt.example/fennelshunt/connection/store"
+)
+
+const (
+	firstRegisterRetry = 250 * time.Millisecond
+	lastRegisterRetry  = 4 * time.Second
+)
+
+// grant is a lease held and when its last successful renewal began.
+type grant struct {
+	lease   store.LeaseID
+	ttl     time.Duration
+	renewed time.Time
+}
+
+// registrar keeps this daemon's alive key in the store under one lease.
+type registrar struct {
+	fleet   *Fleet
+	store   *store.Handle
+	current atomic.Pointer[grant]
+}
+
+func newRegistrar(f *Fleet) *registrar {
+	return &registrar{fleet: f, store: f.options.Store}
+}
+
+func (r *registrar) lastRenewal() time.Time {
+	if g := r.current.Load(); g != nil {
+		return g.renewed
+	}
+	return time.Time{}
+}
+
+func (r *registrar) leaseID() store.LeaseID {
+	if g := r.current.Load(); g != nil {
+		return g.lease
+	}
+	return 0
+}
+
+// run registers and renews until the context ends or this life is over. A lost
+// lease is replaced in the same life, unless the others have ended it.
+func (r *registrar) run(ctx context.Context) error {
+	retry := firstRegisterRetry
+	for {
+		g, err := r.register(ctx)
+		var evicted *EvictedError
+		if errors.As(err, &evicted) {
+			return evicted
+		}
+		if err == nil {
+			retry = firstRegisterRetry
+			r.keep(ctx, g)
+		} else {
+			r.failed(err, "registration failed")
+		}
+		if err := pause(ctx, jittered(retry)); err != nil {
+			return err
+		}
+		retry = min(2*retry, lastRegisterRetry)
+	}
+}
+
+// register opens a lease, puts the alive key under it, and confirms the life.
+// The confirmation comes last and raises the life record: a daemon that is
+// about to record this life as lapsed read that record before it looked for
+// the alive key, so one of the two swaps fails and it is known which.
+func (r *registrar) register(ctx context.Context) (grant, error) {
+	ttl := r.fleet.leaseTTL()
+	start := time.Now()
+	lease, err := r.store.GrantLease(ctx, ttl)
+	if err != nil {
+		return grant{}, err
+	}
+	if err := r.putAlive(ctx, lease); err != nil {
+		return grant{}, r.abandon(ctx, lease, err)
+	}
+	_, err = r.store.Update(ctx, lifeKey(r.fleet.self.ID), r.fleet.options.Life.confirm)
+	if err != nil {
+		return grant{}, r.abandon(ctx, lease, err)
+	}
+	g := grant{lease: lease, ttl: ttl, renewed: start}
+	r.current.Store(&g)
+	r.fleet.stats.Registrations.Add(1)
+	return g, nil
+}
+
+// abandon gives back a lease whose registration failed, so that the key under
+// it does not stand for a life that may be over.
+func (r *registrar) abandon(ctx context.Context, lease store.LeaseID, cause error) error {
+	if err := r.store.RevokeLease(ctx, lease); err != nil {
+		return fmt.Errorf("%w (lease %d lapses by itself: %v)", cause, lease, err)
+	}
+	return cause
+}
+
+// putAlive writes the alive key under the lease, over one left by an earlier
+// lease or life of this daemon.
+func (r *registrar) putAlive(ctx context.Context, lease store.LeaseID) error {
+	self := r.fleet.options.Self
+	data, err := peer.Marshal(self)
+	if err != nil {
+		return err
+	}
+	var prev store.Revision
+	item, err := r.store.Get(ctx, aliveKey(self.ID))
+	switch {
+	case err == nil:
+		if m, err := decodeMember(item.Data); err == nil && m.Incarnation > self.Incarnation {
+			return &EvictedError{Cause: Replaced, Floor: m.Incarnation}
+		}
+		prev = item.Revision
+	case !errors.Is(err, store.ErrNotFound):
+		return err
+	}
+	_, err = r.store.Swap(ctx, aliveKey(self.ID), data, prev, lease)
+	return err
+}
+
+// keep renews the lease until it is lost or the context ends. Other failures
+// leave it as it is: in an outage the lease may live on, and this daemon goes
+// on in its life.
+func (r *registrar) keep(ctx context.Context, g grant) {
+	for pause(ctx, jittered(g.ttl/renewsPerTTL)) == nil {
+		start := time.Now()
+		err := r.store.RenewLease(ctx, g.lease)
+		switch {
+		case err == nil:
+			g.renewed = start
+			renewed := g
+			r.current.Store(&renewed)
+			r.fleet.stats.Renewals.Add(1)
+		case errors.Is(err, store.ErrLeaseLost):
+			r.failed(err, "store lease lost")
+			return
+		default:
+			r.failed(err, "store lease not renewed")
+		}
+	}
+}
+
+func (r *registrar) failed(err error, what string) {
+	if errors.Is(err, context.Canceled) {
+		return
+	}
+	r.fleet.stats.StoreFailures.Add(1)
+	r.fleet.options.Log.Warn().Err(err).Msg(what)
+}
+
+// leaseTTL returns the time to live for a new lease, longer in a larger fleet.
+func (f *Fleet) leaseTTL() time.Duration {
+	base := f.options.LeaseTTL
+	size := len(f.Members())
+	return max(base, base*time.Duration(size)/fleetAtBaseTTL)
+}
+
+// jittered spreads the calls of daemons that would else come at one moment,
+// above all after an outage.
+func jittered(d time.Duration) time.Duration {
+	return d - time.Duration(rand.Int64N(int64(d)/4+1))
+}
+
+func pause(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return nil
+	}
+}
