Bring versions into force on every daemon, by the store and by peers

Cause: a version must be in force everywhere within seconds, also on a daemon that starts during a store outage, and must never revert. Change: Keeper follows the head, pulls later versions whole from peers or the store, announces them, and reports member by member what is in force. Nothing measured yet; tests run in virtual time.

--- /dev/null
+++ b/process/versions/applier.go
@@ -0,0 +1,53 @@
+package versions
+
+import (
+	"context"
+
+	"fennelshunt.example/fennelshunt/version/history"
+	"fennelshunt.example/fennelshunt/version/spec"
+)
+
+// Applier applies files and follows them to every daemon.
+type Applier struct {
+	History *history.History
+	Keeper  *Keeper
+}
+
+// Applied tells what became of an apply.
+type Applied struct {
+	history.Result
+	// Members tells what each daemon has in force.
+	Members []MemberVersion `json:"members,omitempty"`
+	// Lagging holds those that did not have the version in force in time. They
+	// take it as soon as they can.
+	Lagging []MemberVersion `json:"lagging,omitempty"`
+}
+
+// Apply applies file; see history.History.Apply for base and errors. It does
+// not wait for the other daemons.
+func (a *Applier) Apply(ctx context.Context, file *spec.File, base uint64, author string) (Applied, error) {
+	result, err := a.History.Apply(ctx, file, base, author)
+	if err != nil {
+		return Applied{}, err
+	}
+	a.Keeper.offer(ctx, result.Snapshot)
+	return Applied{Result: result}, nil
+}
+
+// Await waits until every member has the applied version in force, for
+// PropagationLimit at most, and fills in Members and Lagging.
+func (a *Applier) Await(ctx context.Context, applied *Applied) {
+	ctx, cancel := context.WithTimeout(ctx, PropagationLimit)
+	defer cancel()
+	applied.Members = a.Keeper.Await(ctx, applied.Version)
+	applied.Lagging = Lagging(applied.Members, applied.Version)
+}
+
+// offer gives the loop a snapshot that was just read from or written to the
+// store.
+func (k *Keeper) offer(ctx context.Context, s *history.Snapshot) {
+	select {
+	case k.offers <- s:
+	case <-ctx.Done(): // the watch brings it too
+	}
+}
--- /dev/null
+++ b/process/versions/await.go
@@ -0,0 +1,167 @@
+package versions
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"fennelshunt.example/fennelshunt/connection/peer"
+	"fennelshunt.example/fennelshunt/process/fleet"
+)
+
+const (
+	// PropagationLimit is the time within which an applied version is to be in
+	// force on every daemon.
+	PropagationLimit = 9 * time.Second
+	// awaitWait is how long one call waits at the other side.
+	awaitWait = 3 * time.Second
+	// awaitPause is the pause after a failed call.
+	awaitPause = 200 * time.Millisecond
+	// maxAwait bounds the wait that a peer may ask for.
+	maxAwait = 10 * time.Second
+)
+
+// MemberVersion tells which version a member has in force.
+type MemberVersion struct {
+	Member peer.MemberID `json:"member"`
+	Zone   string        `json:"zone"`
+	State  fleet.State   `json:"state"`
+	// Version is the latest version known to be in force there.
+	Version uint64 `json:"version"`
+	// Heard is false when the member has told nothing yet.
+	Heard bool `json:"heard"`
+}
+
+// InForce returns for each member the latest version known to be in force
+// there, 0 if nothing is known.
+func (k *Keeper) InForce() map[peer.MemberID]uint64 {
+	versions := make(map[peer.MemberID]uint64)
+	for _, m := range k.Members() {
+		versions[m.Member] = m.Version
+	}
+	return versions
+}
+
+// Members returns what is known of each member, sorted by ID.
+func (k *Keeper) Members() []MemberVersion {
+	members := k.options.Fleet.Members()
+	k.sighted.keep(members)
+	known := make([]MemberVersion, 0, len(members))
+	for _, m := range members {
+		known = append(known, k.memberVersion(m))
+	}
+	return known
+}
+
+func (k *Keeper) memberVersion(m fleet.Member) MemberVersion {
+	v := MemberVersion{Member: m.ID, Zone: m.Zone, State: m.State}
+	if m.ID == k.options.Fleet.Self().ID {
+		v.Version, v.Heard = k.current.Load().Version, k.isLoaded()
+		return v
+	}
+	s, ok := k.sighted.of(m.Ref)
+	v.Version, v.Heard = s.Version, ok
+	return v
+}
+
+// Await waits until every member has the version in force, or ctx ends, and
+// returns what is known of each then. Members below the version lag.
+func (k *Keeper) Await(ctx context.Context, version uint64) []MemberVersion {
+	var waiting sync.WaitGroup
+	for _, m := range k.options.Fleet.Members() {
+		waiting.Go(func() { k.awaitMember(ctx, m, version) })
+	}
+	waiting.Wait()
+	return k.Members()
+}
+
+// Lagging returns those of members that do not have the version in force.
+func Lagging(members []MemberVersion, version uint64) []MemberVersion {
+	return slices.DeleteFunc(slices.Clone(members), func(m MemberVersion) bool { return m.Version >= version })
+}
+
+// awaitMember waits for one member.
+func (k *Keeper) awaitMember(ctx context.Context, m fleet.Member, version uint64) {
+	if m.ID == k.options.Fleet.Self().ID {
+		k.awaitSelf(ctx, version)
+		return
+	}
+	for ctx.Err() == nil && !k.options.Fleet.Gone(m.Ref) {
+		if s, ok := k.sighted.of(m.Ref); ok && s.Version >= version {
+			return
+		}
+		callCtx, cancel := context.WithTimeout(ctx, awaitWait+gossipTimeout)
+		var reply Gossip
+		err := k.options.Caller.Call(callCtx, m.Ref, MethodAwait, Await{Version: version, WaitMillis: awaitWait.Milliseconds()}, &reply)
+		cancel()
+		if err != nil {
+			sleep(ctx, awaitPause)
+			continue
+		}
+		k.learn(m.Ref, reply)
+	}
+}
+
+// awaitSelf waits until the version is in force here.
+func (k *Keeper) awaitSelf(ctx context.Context, version uint64) {
+	for {
+		changed := k.Changed()
+		if k.current.Load().Version >= version {
+			return
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// serveAwait answers once the version is in force here.
+func (k *Keeper) serveAwait(ctx context.Context, _ peer.Ref, payload []byte) (any, error) {
+	var request Await
+	if err := peer.Unmarshal(payload, &request); err != nil {
+		return nil, err
+	}
+	wait := min(max(time.Duration(request.WaitMillis)*time.Millisecond, 0), maxAwait)
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	k.awaitSelf(ctx, request.Version)
+	return k.gossip(true), nil
+}
+
+// Survey asks every member what it has in force and returns the answers with
+// what was known before of those that did not answer.
+func (k *Keeper) Survey(ctx context.Context) []MemberVersion {
+	self := k.options.Fleet.Self().ID
+	limit := make(chan struct{}, surveyCalls)
+	var asking sync.WaitGroup
+	for _, m := range k.options.Fleet.Members() {
+		if m.ID == self {
+			continue
+		}
+		limit <- struct{}{}
+		asking.Go(func() {
+			defer func() { <-limit }()
+			k.exchange(ctx, m.Ref, true)
+		})
+	}
+	asking.Wait()
+	members := k.Members()
+	slices.SortFunc(members, func(a, b MemberVersion) int { return strings.Compare(string(a.Member), string(b.Member)) })
+	return members
+}
+
+// surveyCalls is the number of members asked at a time.
+const surveyCalls = 32
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/process/versions/cell_test.go
@@ -0,0 +1,212 @@
+package versions
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"fennelshunt.example/fennelshunt/connection/peer"
+	"fennelshunt.example/fennelshunt/connection/peer/peertest"
+	"fennelshunt.example/fennelshunt/connection/store"
+	"fennelshunt.example/fennelshunt/process/fleet"
+	"fennelshunt.example/fennelshunt/process/fleet/fleettest"
+	"fennelshunt.example/fennelshunt/standin/kv"
+	"fennelshunt.example/fennelshunt/version/history"
+	"fennelshunt.example/fennelshunt/version/spec"
+)
+
+// TestMain fixes the seed so that every run gives the same verdict.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
+// daemon is one daemon's versions part.
+type daemon struct {
+	id      peer.MemberID
+	applier *Applier
+	keeper  *Keeper
+	view    *fleettest.View
+	stop    context.CancelFunc
+	stopped chan struct{}
+	// highest is the highest version that was seen in force.
+	highest uint64
+}
+
+// cell is a fleet of daemons on one store.
+type cell struct {
+	t       require.TestingT
+	kv      *kv.Memory
+	net     *peertest.Network
+	daemons []*daemon
+	seed    uint64
+}
+
+func newCell(t require.TestingT, size int) *cell {
+	c := &cell{t: t, kv: kv.NewSeeded(1), net: peertest.NewNetwork(1)}
+	c.net.SetDelay(2 * time.Millisecond)
+	for range size {
+		c.add()
+	}
+	return c
+}
+
+func member(i int, incarnation uint64) fleet.Member {
+	return fleet.Member{Ref: peer.Ref{ID: peer.MemberID(fmt.Sprintf("d%03d", i)), Incarnation: incarnation}, Zone: "gulberg-hall"}
+}
+
+// add starts one more daemon, known to all.
+func (c *cell) add() *daemon {
+	d := &daemon{}
+	c.daemons = append(c.daemons, d)
+	c.start(len(c.daemons)-1, 1)
+	return d
+}
+
+// start starts a life of daemon i, which knows nothing.
+func (c *cell) start(i int, incarnation uint64) {
+	d := c.daemons[i]
+	self := member(i, incarnation)
+	var others []fleet.Member
+	for j, other := range c.daemons {
+		if j != i && other.view != nil {
+			others = append(others, other.view.Self())
+			other.view.Set(self)
+		}
+	}
+	caller, mux := c.net.Node(self.Ref)
+	client := store.NewClient(c.kv, store.Options{FleetSize: len(c.daemons)})
+	handle := client.Role(store.RoleVersions)
+	h := history.New(handle)
+	c.seed++
+	d.id, d.highest = self.ID, 0
+	d.view = fleettest.NewView(self, others...)
+	d.keeper = New(Options{Handle: handle, Caller: caller, Registrar: mux, Fleet: d.view, History: h, Seed: c.seed})
+	d.applier = &Applier{History: h, Keeper: d.keeper}
+	ctx, cancel := context.WithCancel(context.Background())
+	d.stop, d.stopped = cancel, make(chan struct{})
+	go func() {
+		defer close(d.stopped)
+		_ = d.keeper.Serve(ctx)
+	}()
+}
+
+// replace ends daemon i without a word and starts a new life of it.
+func (c *cell) replace(i int) {
+	d := c.daemons[i]
+	self := d.view.Self()
+	c.net.Stop(self.Ref)
+	d.stop()
+	<-d.stopped
+	c.start(i, self.Incarnation+1)
+}
+
+func (c *cell) close() {
+	for _, d := range c.daemons {
+		d.stop()
+		<-d.stopped
+	}
+}
+
+// check asserts that no daemon went back and none broke an invariant.
+func (c *cell) check() {
+	for _, d := range c.daemons {
+		version := d.keeper.Current().Version
+		require.GreaterOrEqual(c.t, version, d.highest, "%s reverted", d.id)
+		require.Zero(c.t, d.keeper.metrics.invariant.Value())
+		d.highest = version
+	}
+}
+
+// behind counts the daemons that do not have version in force.
+func (c *cell) behind(version uint64) int {
+	n := 0
+	for _, d := range c.daemons {
+		if d.keeper.Current().Version < version {
+			n++
+		}
+	}
+	return n
+}
+
+func fileOf(name string, count int) *spec.File {
+	return &spec.File{Name: name, Teams: []spec.Team{{Name: "team-" + name}}, Jobs: []spec.Job{{Name: name, Team: "team-" + name,
+		Kind: spec.Batch, Count: count, Size: spec.Resources{MilliCPU: 100, MemoryMB: 100}}}}
+}
+
+// inBubble runs f with virtual time and the store up.
+func inBubble(t *testing.T, size int, f func(c *cell)) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCell(t, size)
+		defer c.close()
+		time.Sleep(3 * time.Second)
+		f(c)
+	})
+}
+
+func TestApplyIsInForceEverywhere(t *testing.T) {
+	inBubble(t, 8, func(c *cell) {
+		applied, err := c.daemons[0].applier.Apply(context.Background(), fileOf("a", 1), 0, "x")
+		require.NoError(t, err)
+		begun := time.Now()
+		c.daemons[0].applier.Await(context.Background(), &applied)
+		assert.Less(t, time.Since(begun), time.Second)
+		assert.Empty(t, applied.Lagging)
+		assert.Len(t, applied.Members, 8)
+		assert.Zero(t, c.behind(1))
+		c.check()
+	})
+}
+
+// Symptom: a daemon started during a store outage serves no job at all.
+// Sequence: a version is in force, the store goes down, a daemon is replaced.
+// Cause: the new life knows only what the store tells.
+func TestFreshDaemonInAnOutageLearnsFromPeers(t *testing.T) {
+	inBubble(t, 8, func(c *cell) {
+		for i := range 20 {
+			_, err := c.daemons[0].applier.Apply(context.Background(), fileOf(fmt.Sprintf("f%d", i), i+1), uint64(i), "x")
+			require.NoError(t, err)
+		}
+		time.Sleep(3 * time.Second)
+		c.kv.SetFaults(kv.Faults{Down: true})
+		c.replace(3)
+		select {
+		case <-c.daemons[3].keeper.Loaded():
+			t.Fatal("loaded before anything was learnt")
+		default:
+		}
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, uint64(20), c.daemons[3].keeper.Current().Version)
+		assert.True(t, spec.SameContent(c.daemons[0].keeper.Current(), c.daemons[3].keeper.Current()))
+		c.check()
+	})
+}
+
+// Symptom: apply reports success everywhere although a daemon has the old file.
+// Sequence: a daemon is cut off from the store and the peers, a file is applied.
+// Cause: the report would count members that were never heard.
+func TestAwaitNamesTheLaggard(t *testing.T) {
+	inBubble(t, 4, func(c *cell) {
+		paused := c.daemons[2].view.Self().Ref
+		c.net.Pause(paused)
+		c.daemons[2].stop()
+		<-c.daemons[2].stopped
+		applied, err := c.daemons[0].applier.Apply(context.Background(), fileOf("a", 1), 0, "x")
+		require.NoError(t, err)
+		begun := time.Now()
+		c.daemons[0].applier.Await(context.Background(), &applied)
+		assert.Equal(t, PropagationLimit, time.Since(begun).Round(time.Second))
+		require.Len(t, applied.Lagging, 1)
+		assert.Equal(t, paused.ID, applied.Lagging[0].Member)
+		c.net.Resume(paused)
+	})
+}
--- /dev/null
+++ b/process/versions/gossip.go
@@ -0,0 +1,123 @@
+package versions
+
+import (
+	"context"
+	"time"
+
+	"fennelshunt.example/fennelshunt/connection/peer"
+	"fennelshunt.example/fennelshunt/process/fleet"
+)
+
+const (
+	// gossipTimeout bounds one exchange.
+	gossipTimeout = time.Second
+	// maxOthers is the number of sightings of third members in one exchange.
+	maxOthers = 8
+)
+
+// register registers the peer methods.
+func (k *Keeper) register(r peer.Registrar) {
+	r.Handle(MethodGossip, k.serveGossip)
+	r.Handle(MethodPull, k.servePull)
+	r.Handle(MethodChunk, k.serveChunk)
+	r.Handle(MethodAwait, k.serveAwait)
+}
+
+// gossipLoop exchanges versions with a random peer at jittered intervals, at
+// once at first: a fresh daemon has nothing to lose.
+func (k *Keeper) gossipLoop(ctx context.Context) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+		}
+		for _, to := range k.pick(k.partners()) {
+			k.exchange(ctx, to, false)
+		}
+		timer.Reset(k.jitter(k.options.GossipInterval))
+	}
+}
+
+// partners is the number of peers per round: more while nothing is known.
+func (k *Keeper) partners() int {
+	if k.isLoaded() {
+		return 1
+	}
+	return k.options.Fanout
+}
+
+// jitter returns a random duration around d.
+func (k *Keeper) jitter(d time.Duration) time.Duration {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return d/2 + time.Duration(k.random.Int64N(int64(d)))
+}
+
+// pick returns up to n random members other than this one.
+func (k *Keeper) pick(n int) []peer.Ref {
+	self := k.options.Fleet.Self().ID
+	members := k.options.Fleet.Members()
+	refs := make([]peer.Ref, 0, len(members))
+	for _, m := range members {
+		if m.ID != self && m.State != fleet.Gone {
+			refs = append(refs, m.Ref)
+		}
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	n = min(n, len(refs))
+	for i := range n {
+		j := i + k.random.IntN(len(refs)-i)
+		refs[i], refs[j] = refs[j], refs[i]
+	}
+	return refs[:n]
+}
+
+// exchange tells a peer what is in force here and learns what is there.
+func (k *Keeper) exchange(ctx context.Context, to peer.Ref, announce bool) {
+	ctx, cancel := context.WithTimeout(ctx, gossipTimeout)
+	defer cancel()
+	k.metrics.exchanges.Add(1)
+	var reply Gossip
+	if err := k.options.Caller.Call(ctx, to, MethodGossip, k.gossip(announce), &reply); err != nil {
+		return // the next exchange is with another peer
+	}
+	k.learn(to, reply)
+}
+
+// gossip returns what is known here.
+func (k *Keeper) gossip(announce bool) Gossip {
+	g := Gossip{Version: k.current.Load().Version, Loaded: k.isLoaded(), Announce: announce}
+	if !announce {
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		g.Others = k.sighted.sample(maxOthers, k.random)
+	}
+	return g
+}
+
+// serveGossip answers an exchange.
+func (k *Keeper) serveGossip(_ context.Context, from peer.Ref, payload []byte) (any, error) {
+	var g Gossip
+	if err := peer.Unmarshal(payload, &g); err != nil {
+		return nil, err
+	}
+	k.learn(from, g)
+	return k.gossip(g.Announce), nil
+}
+
+// learn notes what a peer told and wakes the loop if it matters.
+func (k *Keeper) learn(from peer.Ref, g Gossip) {
+	k.sighted.note(Sighting{Member: from, Version: g.Version}, g.Loaded, true)
+	for _, s := range g.Others {
+		if s.Member.ID != k.options.Fleet.Self().ID {
+			k.sighted.note(s, false, false)
+		}
+	}
+	if g.Version > k.current.Load().Version || g.Loaded && !k.isLoaded() {
+		k.poke()
+	}
+}
--- /dev/null
+++ b/process/versions/keeper.go
@@ -0,0 +1,224 @@
+// Package versions brings configuration versions into force on a daemon and
+// passes them on to the others.
+//
+// A version reaches a daemon in two ways: by a watch on the store, and from a
+// peer that has it. A daemon that puts a version into force announces it to a
+// few peers at once and exchanges version numbers with a random one at every
+// interval, so versions spread during a store outage too and a fresh daemon
+// gets the configuration from its peers.
+//
+// Guarantees: the version in force on a daemon only rises; a version is put
+// into force whole, after all its content was fetched and checked against the
+// hashes in its record.
+package versions
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"fennelshunt.example/fennelshunt/connection/peer"
+	"fennelshunt.example/fennelshunt/connection/store"
+	"fennelshunt.example/fennelshunt/process/fleet"
+	"fennelshunt.example/fennelshunt/version/history"
+	"fennelshunt.example/fennelshunt/version/spec"
+)
+
+// Defaults of Options.
+const (
+	DefaultGossipInterval = time.Second
+	DefaultFanout         = 3
+)
+
+// Options configure a Keeper.
+type Options struct {
+	// Handle reaches the store in the versions role.
+	Handle *store.Handle
+	// Caller, Registrar and Fleet reach the peers.
+	Caller    peer.Caller
+	Registrar peer.Registrar
+	Fleet     fleet.View
+	// History, if set, is told of each version so that it need not fetch it.
+	History *history.History
+	Log     zerolog.Logger
+	// GossipInterval is the mean time between two exchanges with a peer; 0
+	// means DefaultGossipInterval.
+	GossipInterval time.Duration
+	// Fanout is the number of peers to which a new version is announced; 0
+	// means DefaultFanout.
+	Fanout int
+	// Seed fixes the choice of peers; 0 means a random seed.
+	Seed uint64
+}
+
+// Keeper implements spec.Source. It is safe for concurrent use.
+type Keeper struct {
+	options  Options
+	current  atomic.Pointer[history.Snapshot]
+	chunks   chunkIndex
+	sighted  sightings
+	metrics  metrics
+	loaded   chan struct{}
+	heads    chan *history.Head
+	offers   chan *history.Snapshot
+	heard    chan struct{}
+	storeNow atomic.Uint64
+
+	mu      sync.Mutex
+	changed chan struct{}
+	random  *rand.Rand
+}
+
+var _ spec.Source = (*Keeper)(nil)
+
+// New returns a Keeper at version 0 and registers its peer methods. Serve must
+// run for it to learn anything.
+func New(o Options) *Keeper {
+	if o.GossipInterval == 0 {
+		o.GossipInterval = DefaultGossipInterval
+	}
+	if o.Fanout == 0 {
+		o.Fanout = DefaultFanout
+	}
+	if o.Seed == 0 {
+		o.Seed = rand.Uint64()
+	}
+	k := &Keeper{
+		options: o,
+		loaded:  make(chan struct{}),
+		changed: make(chan struct{}),
+		heads:   make(chan *history.Head),
+		offers:  make(chan *history.Snapshot),
+		heard:   make(chan struct{}, 1),
+		random:  rand.New(rand.NewPCG(o.Seed, 0)),
+	}
+	k.current.Store(history.Empty())
+	k.metrics.init()
+	k.register(o.Registrar)
+	return k
+}
+
+// Current implements spec.Source.
+func (k *Keeper) Current() *spec.Config { return k.current.Load().Config }
+
+// Snapshot returns the version in force with the content of its files.
+func (k *Keeper) Snapshot() *history.Snapshot { return k.current.Load() }
+
+// Changed implements spec.Source. A caller that takes the channel before it
+// calls Current misses no version.
+func (k *Keeper) Changed() <-chan struct{} {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.changed
+}
+
+// Loaded returns a channel that is closed once the configuration is known. Until
+// then Current is the empty configuration for want of a better one: a daemon
+// that acted on it would take every job for cancelled.
+func (k *Keeper) Loaded() <-chan struct{} { return k.loaded }
+
+func (k *Keeper) isLoaded() bool {
+	select {
+	case <-k.loaded:
+		return true
+	default:
+		return false
+	}
+}
+
+// StoreVersion returns the version that the store last showed. In force may be
+// a later one, heard from a peer, but only for moments: if it stays lower, the
+// store was set back and takes no applies until it is restored.
+func (k *Keeper) StoreVersion() uint64 { return k.storeNow.Load() }
+
+// Serve follows the store and the peers until ctx ends. It implements suture's
+// service.
+func (k *Keeper) Serve(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	var running sync.WaitGroup
+	defer running.Wait()
+	defer cancel()
+	running.Go(func() { k.follow(ctx) })
+	running.Go(func() { k.gossipLoop(ctx) })
+	l := &loop{keeper: k, ctx: ctx, running: &running, fetched: make(chan error, 1)}
+	return l.run()
+}
+
+// follow passes the head from the store to the loop.
+func (k *Keeper) follow(ctx context.Context) {
+	_ = k.options.Handle.Follow(ctx, history.KeyHead, func(items []store.Item, _ []string, reset bool) {
+		head, err := headOf(items)
+		if err != nil {
+			k.metrics.refused.Add(1)
+			k.options.Log.Error().Err(err).Msg("head in the store can not be read")
+			return
+		}
+		if head == nil && reset {
+			head = new(history.Head)
+		}
+		if head == nil {
+			return
+		}
+		select {
+		case k.heads <- head:
+		case <-ctx.Done():
+		}
+	})
+}
+
+// headOf returns the head among the items, nil if there is none.
+func headOf(items []store.Item) (*history.Head, error) {
+	for _, item := range items {
+		if item.Key == history.KeyHead {
+			return history.DecodeHead(item.Data)
+		}
+	}
+	return nil, nil
+}
+
+// errNothingNew means that a source had no later version.
+var errNothingNew = errors.New("versions: nothing new")
+
+// publish puts a version into force.
+func (k *Keeper) publish(s *history.Snapshot) {
+	before := k.current.Load()
+	if s.Version <= before.Version {
+		// Only the loop publishes, and Advance refuses what is not later.
+		k.metrics.invariant.Add(1)
+		k.options.Log.Error().Uint64("version", s.Version).Uint64("in_force", before.Version).
+			Msg("invariant broken: a version that is not later was to be put into force")
+		return
+	}
+	k.chunks.replace(before, s)
+	k.current.Store(s)
+	k.metrics.version.Set(int64(s.Version))
+	k.setLoaded()
+	if k.options.History != nil {
+		k.options.History.Learn(s)
+	}
+	k.mu.Lock()
+	close(k.changed)
+	k.changed = make(chan struct{})
+	k.mu.Unlock()
+	k.options.Log.Info().Uint64("version", s.Version).Int("jobs", len(s.Config.Jobs)).Msg("configuration in force")
+}
+
+// setLoaded is called by the loop only.
+func (k *Keeper) setLoaded() {
+	if !k.isLoaded() {
+		close(k.loaded)
+	}
+}
+
+// poke wakes the loop after something was heard from a peer.
+func (k *Keeper) poke() {
+	select {
+	case k.heard <- struct{}{}:
+	default:
+	}
+}
--- a/version/history/record.go
+++ b/version/history/record.go
@@ -18,7 +18,6 @@
 	"encoding/hex"
 	"errors"
 	"fmt"
-	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -62,8 +61,6 @@
 	Chunks []Hash
 }
 
-func (b Blob) equal(o Blob) bool { return b.Size == o.Size && slices.Equal(b.Chunks, o.Chunks) }
-
 // ApplyID names one Apply. After a lost answer it tells whose change a version
 // is.
 type ApplyID [16]byte
--- a/version/history/snapshot.go
+++ b/version/history/snapshot.go
@@ -1,6 +1,7 @@
 package history
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"maps"
@@ -45,6 +46,13 @@
 	return files
 }
 
+// Documents calls f with the document of every file, those removed included.
+func (s *Snapshot) Documents(f func(*Document)) {
+	for _, d := range s.documents {
+		f(d)
+	}
+}
+
 // Update is what turns a snapshot into a later one.
 type Update struct {
 	_       struct{} `cbor:",toarray"`
@@ -129,6 +137,7 @@
 		}
 		next.documents[change.File] = document
 	}
+	next.forget()
 	return next, next.flatten()
 }
 
@@ -153,23 +162,31 @@
 	return files
 }
 
-// index returns the table of s, without the oldest tombstones.
-func (s *Snapshot) index() *index {
-	x := &index{Forgotten: s.forgotten}
+// forget drops the oldest tombstones. What goes wrong without it: names that
+// are used once, such as a date in a file's name, would fill the index.
+func (s *Snapshot) forget() {
 	var removed []Change
 	for _, d := range s.documents {
 		if d.Change.Removed() {
 			removed = append(removed, d.Change)
-		} else {
-			x.Files = append(x.Files, d.Change)
 		}
 	}
-	slices.SortFunc(removed, func(a, b Change) int { return int(int64(b.Version) - int64(a.Version)) })
-	if len(removed) > maxTombstones {
-		x.Forgotten = removed[maxTombstones].Version
-		removed = removed[:maxTombstones]
+	if len(removed) <= maxTombstones {
+		return
+	}
+	slices.SortFunc(removed, func(a, b Change) int { return cmp.Compare(b.Version, a.Version) })
+	for _, c := range removed[maxTombstones:] {
+		delete(s.documents, c.File)
+		s.forgotten = max(s.forgotten, c.Version)
+	}
+}
+
+// index returns the table of s.
+func (s *Snapshot) index() *index {
+	x := &index{Forgotten: s.forgotten}
+	for _, d := range s.documents {
+		x.Files = append(x.Files, d.Change)
 	}
-	x.Files = append(x.Files, removed...)
 	slices.SortFunc(x.Files, func(a, b Change) int { return strings.Compare(a.File, b.File) })
 	return x
 }
