--- /dev/null
+++ b/process/jobs/check.go
@@ -0,0 +1,68 @@
+package jobs
+
+import (
+	"errors"
+	"fmt"
+
+	"fennelshunt.example/fennelshunt/version/spec"
+)
+
+// check verifies the whole state; its cost is that of all jobs and attempts.
+// All violations are joined.
+func (st *state) check() error {
+	var errs []error
+	held := map[string]spec.Resources{}
+	for _, j := range st.jobs {
+		errs = append(errs, checkJob(j))
+		for _, a := range j.live {
+			held[j.spec.Team] = held[j.spec.Team].Add(a.size)
+		}
+	}
+	for _, a := range st.strays {
+		held[a.job.spec.Team] = held[a.job.spec.Team].Add(a.size)
+	}
+	st.accounts.Each(func(team string, counted spec.Resources, _ int) {
+		if counted != held[team] {
+			errs = append(errs, fmt.Errorf("team %q: %+v counted, attempts hold %+v", team, counted, held[team]))
+		}
+	})
+	return errors.Join(errs...)
+}
+
+// checkJob verifies that each task of a job is in exactly one place.
+func checkJob(j *job) error {
+	if j.cancelled {
+		if !j.ready.IsEmpty() || !j.blocked.IsEmpty() || !j.delayed.IsEmpty() {
+			return fmt.Errorf("job %v: cancelled and still has waiting tasks", j.key)
+		}
+		return nil
+	}
+	sets := []struct {
+		name string
+		n    uint64
+	}{
+		{"ready", j.ready.GetCardinality()}, {"blocked", j.blocked.GetCardinality()},
+		{"delayed", j.delayed.GetCardinality()}, {"live", uint64(len(j.live))},
+		{"done", j.record.Done.GetCardinality()}, {"failed", j.record.Failed.GetCardinality()},
+		{"unknown", j.record.Unknown.GetCardinality()},
+	}
+	total := uint64(0)
+	for _, s := range sets {
+		total += s.n
+	}
+	if total != uint64(j.spec.Count) {
+		return fmt.Errorf("job %v: %d tasks counted, %d declared: %v", j.key, total, j.spec.Count, sets)
+	}
+	for index, a := range j.live {
+		if a.index != index || a.job != j {
+			return fmt.Errorf("job %v: live task %d is listed as %d", j.key, a.index, index)
+		}
+		if j.ready.Contains(index) || j.blocked.Contains(index) || j.delayed.Contains(index) || j.record.Finished(index) {
+			return fmt.Errorf("job %v: task %d is live and also waiting or finished", j.key, index)
+		}
+	}
+	if j.ready.Intersects(j.blocked) || j.ready.Intersects(j.delayed) || j.blocked.Intersects(j.delayed) {
+		return fmt.Errorf("job %v: a task waits in two places", j.key)
+	}
+	return nil
+}
--- /dev/null
+++ b/process/jobs/commit.go
@@ -0,0 +1,214 @@
+package jobs
+
+import (
+	"errors"
+	"maps"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"golang.org/x/time/rate"
+
+	"fennelshunt.example/fennelshunt/connection/worker"
+	"fennelshunt.example/fennelshunt/process/jobs/progress"
+)
+
+// commitState groups changes of the progress into writes. One write is under
+// way at a time, in its own goroutine, which owns file meanwhile.
+type commitState struct {
+	file    *progress.File
+	limiter *rate.Limiter
+	gather  time.Duration
+	writing bool
+	// err is set when the shard was superseded; the loop ends.
+	err error
+
+	dirty map[*job]struct{}
+	// removed holds jobs whose progress is dropped.
+	removed map[progress.Key]struct{}
+	// version is the configuration acted on.
+	version, takenVersion uint64
+	// partitions holds the owners' epochs that plans may be sent to; durable
+	// are those that are written.
+	partitions      map[string]uint64
+	durable         map[string]uint64
+	partitionsDirty bool
+	since           time.Time
+	// waiting holds the attempts that may be sent after the next write, acks
+	// the results to be acknowledged after it.
+	waiting []*attempt
+	acks    []ackRef
+}
+
+// ackRef is a result to acknowledge.
+type ackRef struct {
+	partition string
+	ref       worker.Ref
+}
+
+func newCommitState(file *progress.File, head progress.Head, t *Tuning) commitState {
+	c := commitState{
+		file: file, gather: t.CommitGather,
+		limiter: rate.NewLimiter(rate.Every(t.CommitInterval), t.CommitBurst),
+		dirty:   map[*job]struct{}{}, removed: map[progress.Key]struct{}{},
+		version: head.ConfigVersion, takenVersion: head.ConfigVersion,
+		partitions: map[string]uint64{}, durable: map[string]uint64{},
+	}
+	maps.Copy(c.partitions, head.Partitions)
+	maps.Copy(c.durable, head.Partitions)
+	return c
+}
+
+// pending reports whether anything is not durable yet.
+func (c *commitState) pending() bool {
+	return len(c.dirty) > 0 || len(c.removed) > 0 || c.partitionsDirty ||
+		len(c.waiting) > 0 || len(c.acks) > 0 || c.version > c.takenVersion
+}
+
+// touch notes that a job's record changed.
+func (st *state) touch(j *job) {
+	st.mark()
+	st.commit.dirty[j] = struct{}{}
+}
+
+// mark notes since when there is something to write.
+func (st *state) mark() {
+	if !st.commit.pending() {
+		st.commit.since = time.Now()
+	}
+}
+
+// commitDue returns when the next write may start.
+func (st *state) commitDue(now time.Time) (time.Time, bool) {
+	c := &st.commit
+	if c.writing || !c.pending() {
+		return time.Time{}, false
+	}
+	at := c.since.Add(c.gather)
+	if tokens := c.limiter.TokensAt(now); tokens < 1 {
+		refill := time.Duration((1 - tokens) / float64(c.limiter.Limit()) * float64(time.Second))
+		if refilled := now.Add(refill); refilled.After(at) {
+			at = refilled
+		}
+	}
+	return at, true
+}
+
+// group is what one write makes durable.
+type group struct {
+	update  progress.Update
+	limits  []limitMark
+	waiting []*attempt
+	acks    []ackRef
+}
+
+// limitMark is a job's record as it was when it was encoded.
+type limitMark struct {
+	job   *job
+	limit uint32
+}
+
+func (st *state) startCommit(now time.Time) {
+	at, due := st.commitDue(now)
+	if !due || at.After(now) {
+		return
+	}
+	st.commit.limiter.AllowN(now, 1)
+	g, err := st.commit.take()
+	if err != nil {
+		st.violated("progress can not be encoded: %v", err)
+		return
+	}
+	st.commit.writing = true
+	go st.write(g)
+}
+
+// take moves what is pending into a group.
+func (c *commitState) take() (*group, error) {
+	g := &group{waiting: c.waiting, acks: c.acks}
+	g.update.Jobs = make(map[progress.Key][]byte, len(c.dirty)+len(c.removed))
+	for key := range c.removed {
+		g.update.Jobs[key] = nil
+	}
+	for j := range c.dirty {
+		if j.cancelled {
+			continue
+		}
+		data, err := j.record.Encode()
+		if err != nil {
+			return nil, err
+		}
+		g.update.Jobs[j.key] = data
+		g.limits = append(g.limits, limitMark{j, j.record.StartLimit})
+	}
+	g.update.ConfigVersion = c.version
+	g.update.Partitions = maps.Clone(c.partitions)
+	c.dirty, c.removed = map[*job]struct{}{}, map[progress.Key]struct{}{}
+	c.waiting, c.acks, c.partitionsDirty = nil, nil, false
+	c.takenVersion = c.version
+	return g, nil
+}
+
+// write runs in its own goroutine until the group is durable, the shard is
+// superseded or lost. While the store is down the shard goes on with what
+// needs no write.
+func (st *state) write(g *group) {
+	file := st.commit.file
+	file.Apply(g.update)
+	policy := backoff.NewExponentialBackOff()
+	policy.InitialInterval, policy.MaxInterval = 50*time.Millisecond, 5*time.Second
+	flush := func() (struct{}, error) {
+		err := file.Flush(st.ctx)
+		if errors.Is(err, progress.ErrSuperseded) {
+			err = backoff.Permanent(err)
+		}
+		return struct{}{}, err
+	}
+	_, err := backoff.Retry(st.ctx, flush, backoff.WithBackOff(policy), backoff.WithMaxElapsedTime(0))
+	st.shard.post(st.ctx, func(st *state) { st.written(g, err) })
+}
+
+// written takes the result of a write.
+func (st *state) written(g *group, err error) {
+	st.commit.writing = false
+	if err != nil {
+		st.commit.err = err
+		return
+	}
+	st.o.Metrics.Writes.Add(1)
+	st.commit.durable = g.update.Partitions
+	for _, mark := range g.limits {
+		if mark.limit > mark.job.durableLimit {
+			mark.job.durableLimit = mark.limit
+			st.enqueue(mark.job)
+		}
+	}
+	for _, a := range g.waiting {
+		st.intentDurable(a)
+	}
+	for _, ack := range g.acks {
+		st.queueAck(ack.partition, ack.ref)
+	}
+}
+
+// intentDurable sends an attempt on whose write has become durable.
+func (st *state) intentDurable(a *attempt) {
+	if a.job.live[a.index] != a || a.phase != intending {
+		return
+	}
+	if a.job.spec.NonIdempotent {
+		a.job.durableIntent.Add(a.index)
+	}
+	st.queueStart(a)
+}
+
+// raiseLimit asks for a higher durable limit of starts when a job comes close
+// to it.
+func (st *state) raiseLimit(j *job) {
+	if j.cancelled {
+		return
+	}
+	if limit, wanted := j.wantsLimit(st.o.Tuning.StartAhead); wanted {
+		j.record.StartLimit = limit
+		st.touch(j)
+	}
+}
--- /dev/null
+++ b/process/jobs/events.go
@@ -0,0 +1,328 @@
+package jobs
+
+import (
+	"time"
+
+	"fennelshunt.example/fennelshunt/connection/worker"
+	"fennelshunt.example/fennelshunt/process/jobs/progress"
+	"fennelshunt.example/fennelshunt/process/plan"
+	"fennelshunt.example/fennelshunt/version/spec"
+)
+
+// takeEvents takes what a partition reports. Events of an owner older than the
+// newest known are dropped: its word that a worker is gone is worth nothing
+// once another daemon owns the worker. What it reported truly, the new owner
+// reports again.
+func (st *state) takeEvents(events *plan.Events) {
+	p := st.partition(events.Partition)
+	if events.Epoch < p.owner.Epoch || events.Epoch < p.fencedEpoch {
+		return
+	}
+	for i := range events.Events {
+		st.takeEvent(p, &events.Events[i])
+	}
+	st.round.dirty = true
+}
+
+// takeEvent takes one event. It may come twice, before the answer to its plan,
+// or from an attempt that this owner has not made.
+func (st *state) takeEvent(p *partition, ev *plan.Event) {
+	ref := worker.Ref{Task: ev.Task, Attempt: ev.Attempt}
+	if a := st.strays[ref]; a != nil {
+		st.strayEvent(p, a, ev)
+		return
+	}
+	key := progress.Key{Job: ev.Task.Job, Generation: ev.Task.Generation}
+	if key.Generation > st.config.Version {
+		// A later configuration started it; this daemon will know it soon
+		// and then asks for the list again.
+		p.doubt = true
+		return
+	}
+	j := st.jobs[key]
+	if j == nil {
+		j = st.adoptJob(key, ev)
+	}
+	if j == nil {
+		st.unwanted(p, nil, ev)
+		return
+	}
+	a := j.live[uint32(ev.Task.Index)]
+	switch {
+	case a != nil && a.number == ev.Attempt:
+		st.liveEvent(p, a, ev)
+	case ended(ev):
+		st.oldResult(p, j, a, ev)
+	case a == nil && !j.record.Finished(uint32(ev.Task.Index)) && ev.Task.Index < j.spec.Count:
+		st.adopt(p, j, ev)
+	default:
+		st.unwanted(p, j, ev)
+	}
+}
+
+// ended reports whether the attempt certainly does not run any more.
+func ended(ev *plan.Event) bool { return ev.Lost || ev.NotStarted || ev.State.Ended() }
+
+// liveEvent takes news of the attempt that this owner counts as live.
+func (st *state) liveEvent(p *partition, a *attempt, ev *plan.Event) {
+	if ended(ev) {
+		st.endAttempt(a, ev)
+		return
+	}
+	if a.partition != p.name {
+		st.violated("task %s attempt %d runs in %s and was sent to %s", a.task(), a.number, p.name, a.partition)
+		a.partition = p.name
+	}
+	if a.phase < running {
+		a.phase = running
+		st.o.Metrics.observeWait(a.job.class, time.Since(a.waitingSince))
+		a.decided = time.Now()
+	}
+	if a.stopping && a.stopSent.IsZero() {
+		st.sendStop(a, plan.StopNow)
+	}
+}
+
+// adopt counts an attempt of a previous owner as live.
+func (st *state) adopt(p *partition, j *job, ev *plan.Event) {
+	a := st.attemptOf(p, j, ev)
+	st.accounts.Adopt(j.spec.Team, a.size)
+	st.makeLive(a)
+	if j.record.StartLimit <= a.index {
+		st.violated("task %s runs above the durable limit %d", a.task(), j.record.StartLimit)
+	}
+	st.o.Metrics.Adopted.Add(1)
+	if j.cancelled {
+		st.stopCancelled(a)
+	}
+}
+
+func (st *state) attemptOf(p *partition, j *job, ev *plan.Event) *attempt {
+	return &attempt{
+		job: j, index: uint32(ev.Task.Index), number: ev.Attempt, phase: running,
+		partition: p.name, worker: ev.Worker, size: st.sizeOf(j, ev),
+		decided: time.Now(), waitingSince: time.Now(),
+	}
+}
+
+// sizeOf returns what an adopted attempt holds: what the snapshot shows, or
+// the declared size.
+func (st *state) sizeOf(j *job, ev *plan.Event) spec.Resources {
+	if snap := st.o.Snapshots(); snap != nil {
+		if w := snap.Lookup(ev.Worker); w != nil {
+			if at := w.Find(worker.Ref{Task: ev.Task, Attempt: ev.Attempt}); at >= 0 {
+				return w.Tasks[at].Size()
+			}
+		}
+	}
+	return j.spec.Size
+}
+
+// unwanted deals with an attempt that must not run: its task is finished, lives
+// elsewhere, or belongs to no job.
+func (st *state) unwanted(p *partition, j *job, ev *plan.Event) {
+	ref := worker.Ref{Task: ev.Task, Attempt: ev.Attempt}
+	if ended(ev) {
+		st.queueAck(p.name, ref)
+		return
+	}
+	if j != nil && j.live[uint32(ev.Task.Index)] != nil {
+		st.violated("task %s runs twice: attempt %d beside %d", ev.Task, ev.Attempt, j.live[uint32(ev.Task.Index)].number)
+	}
+	if j == nil {
+		j = newJob(&spec.VersionedJob{Job: spec.Job{Name: ev.Task.Job}, Generation: ev.Task.Generation},
+			progress.NewJob(ev.Task.Job, ev.Task.Generation), time.Now(), 0)
+		j.cancelled = true
+	}
+	a := st.attemptOf(p, j, ev)
+	a.stopping = true
+	st.accounts.Adopt(j.spec.Team, a.size)
+	st.strays[ref] = a
+	st.stopping[a] = struct{}{}
+	st.sendStop(a, plan.StopNow)
+}
+
+func (st *state) strayEvent(p *partition, a *attempt, ev *plan.Event) {
+	if !ended(ev) {
+		return
+	}
+	st.dropStray(a)
+	st.queueAck(p.name, a.ref())
+}
+
+// makeStray stops a live attempt whose task needs it no more.
+func (st *state) makeStray(a *attempt) {
+	delete(a.job.live, a.index)
+	if !a.phase.mayRun() {
+		a.job.live[a.index] = a
+		st.removeLive(a)
+		return
+	}
+	st.strays[a.ref()] = a
+	a.stopping = true
+	st.stopping[a] = struct{}{}
+	st.sendStop(a, plan.StopNow)
+}
+
+func (st *state) dropStray(a *attempt) {
+	delete(st.strays, a.ref())
+	delete(st.stopping, a)
+	st.accounts.Refund(a.job.spec.Team, a.size)
+}
+
+// oldResult takes the end of an attempt that is not live here: reported again,
+// or of a previous owner. A task that has succeeded is done whoever started it.
+func (st *state) oldResult(p *partition, j *job, live *attempt, ev *plan.Event) {
+	index := uint32(ev.Task.Index)
+	if ev.Task.Index >= j.spec.Count || j.record.Finished(index) || j.cancelled || j.service() {
+		st.ackDurable(j, p.name, worker.Ref{Task: ev.Task, Attempt: ev.Attempt})
+		return
+	}
+	succeeded := ev.State == worker.Succeeded && !ev.Lost && !ev.NotStarted
+	if !succeeded && !j.blocked.Contains(index) {
+		// Known here as ended already; the sender has not seen the answer.
+		st.queueAck(p.name, worker.Ref{Task: ev.Task, Attempt: ev.Attempt})
+		return
+	}
+	if live != nil {
+		// The worker was given up for lost and came back with the result.
+		st.makeStray(live)
+	}
+	a := st.attemptOf(p, j, ev)
+	st.accounts.Adopt(j.spec.Team, a.size)
+	st.makeLive(a)
+	st.endAttempt(a, ev)
+}
+
+// endAttempt takes the confirmed end of a live attempt.
+func (st *state) endAttempt(a *attempt, ev *plan.Event) {
+	if st.strays[a.ref()] == a {
+		st.dropStray(a)
+		return
+	}
+	j := a.job
+	st.removeLive(a)
+	switch {
+	case j.cancelled || j.service():
+		st.queueAck(a.partition, a.ref())
+		st.instanceEnded(a, ev)
+	case ev.NotStarted:
+		st.makeReadyAgain(a)
+		st.failGang(j, "start refused: "+ev.Message)
+	case ev.State == worker.Succeeded && !ev.Lost:
+		j.durations.add(time.Since(a.decided))
+		j.failuresInRow = 0
+		st.finish(j, a, j.record.Done.Add)
+	default:
+		st.unfinished(a, ev)
+	}
+	st.dropEmpty(j)
+}
+
+// removeLive takes an attempt out of the live ones and gives its charge back.
+func (st *state) removeLive(a *attempt) {
+	delete(a.job.live, a.index)
+	delete(st.stopping, a)
+	st.accounts.Refund(a.job.spec.Team, a.size)
+	if st.round.planner != nil {
+		st.round.planner.Forget(a.ref())
+	}
+	st.round.dirty = true
+}
+
+// finish makes a task's fate final and has it acknowledged once durable.
+func (st *state) finish(j *job, a *attempt, mark func(uint32)) {
+	mark(a.index)
+	j.record.ClearFailures(a.index)
+	st.o.Metrics.Finished.Add(1)
+	st.touch(j)
+	st.ackDurable(j, a.partition, a.ref())
+}
+
+// ackDurable acknowledges a result with the next write, which contains it. An
+// earlier acknowledgement would let the worker forget a result that a new
+// owner of this shard still needs.
+func (st *state) ackDurable(j *job, partition string, ref worker.Ref) {
+	if j.cancelled || j.service() {
+		st.queueAck(partition, ref)
+		return
+	}
+	st.mark()
+	st.commit.acks = append(st.commit.acks, ackRef{partition, ref})
+}
+
+// unfinished takes the end of a task that did not succeed.
+func (st *state) unfinished(a *attempt, ev *plan.Event) {
+	j := a.job
+	switch {
+	case j.spec.NonIdempotent:
+		st.endNonIdempotent(a, ev)
+	case ev.Lost:
+		st.o.Metrics.Lost.Add(1)
+		st.requeueLost(a)
+	case ev.State == worker.Failed:
+		st.failed(a)
+	default: // stopped: preempted, or its worker is leaving
+		st.ackDurable(j, a.partition, a.ref())
+		st.makeReady(j, a.index, time.Now())
+	}
+	st.failGang(j, "a task of the gang ended early")
+}
+
+// endNonIdempotent makes the fate of a task final that must not start again: a
+// failure reported by the worker is known; all else may have run.
+func (st *state) endNonIdempotent(a *attempt, ev *plan.Event) {
+	if ev.State == worker.Failed && !ev.Lost {
+		st.finish(a.job, a, a.job.record.Failed.Add)
+		return
+	}
+	st.finish(a.job, a, a.job.record.Unknown.Add)
+}
+
+// failed counts a failure and starts the task again later, until its retries
+// are used up.
+func (st *state) failed(a *attempt) {
+	j := a.job
+	st.o.Metrics.Failed.Add(1)
+	failures := j.record.AddFailure(a.index)
+	j.failuresInRow++
+	if failures > j.spec.Retries {
+		st.finish(j, a, j.record.Failed.Add)
+		return
+	}
+	st.touch(j)
+	st.ackDurable(j, a.partition, a.ref())
+	st.delay(j, a.index, st.o.Tuning.retryDelay(max(failures, j.failuresInRow/failuresPerStep)))
+}
+
+// failuresPerStep is how many failures in a row, without a success of any task
+// of the job, lengthen the backoff of its tasks by one step.
+const failuresPerStep = 16
+
+// requeueLost starts a task again whose worker is gone. After the loss of a
+// rack the batch work comes back spread over a few seconds, so that services
+// and urgent work, which come back at once, find the workers' owners idle.
+func (st *state) requeueLost(a *attempt) {
+	if a.job.class.Rank() >= spec.High.Rank() || a.job.spec.Kind == spec.Gang {
+		st.makeReady(a.job, a.index, time.Now())
+		return
+	}
+	st.delay(a.job, a.index, spread(st.o.Tuning.LossSpread))
+}
+
+// instanceEnded starts an instance of a service again: at once after a loss or
+// preemption, with a growing pause when it fails.
+func (st *state) instanceEnded(a *attempt, ev *plan.Event) {
+	j := a.job
+	if j.cancelled {
+		return
+	}
+	if ev.State != worker.Failed || ev.Lost || ev.NotStarted {
+		st.makeReady(j, a.index, time.Now())
+		return
+	}
+	if time.Since(a.decided) > st.o.Tuning.RetryLast {
+		j.record.ClearFailures(a.index)
+	}
+	st.delay(j, a.index, st.o.Tuning.retryDelay(j.record.AddFailure(a.index)))
+}
--- /dev/null
+++ b/process/jobs/gangs.go
@@ -0,0 +1,222 @@
+package jobs
+
+import (
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"fennelshunt.example/fennelshunt/process/jobs/queue"
+	"fennelshunt.example/fennelshunt/process/plan"
+	"fennelshunt.example/fennelshunt/process/sched"
+	"fennelshunt.example/fennelshunt/version/spec"
+)
+
+// gangTry is one try to reserve room for all tasks of a gang. It holds nothing
+// while it waits: a reservation that one partition refuses releases the others.
+type gangTry struct {
+	job         *job
+	reservation string
+	attempts    []*attempt
+	// unready counts attempts whose intent is not durable yet, unanswered the
+	// reservations without an answer.
+	unready, unanswered int
+	failed              bool
+	reason              string
+	// asked are the partitions that may hold a reservation.
+	asked []*partition
+}
+
+// serveGang tries to place all unfinished tasks of a gang at once.
+func (st *state) serveGang(e *queue.Entry[*job], now time.Time) {
+	j := e.Value
+	remaining := j.spec.Count - j.record.FinishedCount()
+	if len(j.live) > 0 || int(j.ready.GetCardinality()) < remaining || int(j.durableLimit) < j.spec.Count {
+		st.queue.Remove(e) // queued again when the last task is ready
+		return
+	}
+	if now.Before(j.nextTry) {
+		st.round.active.SkipShape(e)
+		return
+	}
+	if !st.fitsQuota(e, j.spec.Size.Times(int64(remaining))) {
+		return
+	}
+	asks := st.gangAsks(j)
+	d := st.round.planner.PlaceGang(asks)
+	if !d.Placed {
+		st.refuseJob(e, d.Rejections, d.Infeasible)
+		return
+	}
+	st.reserveGang(j, asks, &d, now)
+	st.round.active.Served(j.spec.Team)
+}
+
+func (st *state) gangAsks(j *job) []sched.Ask {
+	asks := make([]sched.Ask, 0, j.ready.GetCardinality())
+	for _, index := range j.ready.ToArray() {
+		asks = append(asks, j.ask(index, st.nextAttempt()))
+	}
+	return asks
+}
+
+func (st *state) reserveGang(j *job, asks []sched.Ask, d *sched.GangDecision, now time.Time) {
+	try := &gangTry{job: j, unready: len(asks)}
+	try.reservation = j.key.Job + "/" + strconv.Itoa(asks[0].Attempt)
+	j.gang = try
+	for i := range asks {
+		try.attempts = append(try.attempts, &attempt{
+			job: j, index: uint32(asks[i].Task.Index), number: asks[i].Attempt, phase: reserving,
+			partition: d.Decisions[i].Partition, worker: d.Decisions[i].Worker, victims: d.Decisions[i].Victims,
+			size: j.spec.Size, decided: now, waitingSince: j.readySince(uint32(asks[i].Task.Index)),
+			reservation: try.reservation,
+		})
+	}
+	for i, a := range try.attempts {
+		st.round.planner.Assume(asks[i], d.Decisions[i])
+		if err := st.accounts.Charge(j.spec.Team, a.size); err != nil {
+			st.violated("quota checked and then exceeded: %v", err)
+		}
+		st.makeLive(a)
+	}
+	for _, a := range try.attempts {
+		st.queueStart(a)
+	}
+}
+
+// gangReady notes that an attempt of a try waits for no write; with the last
+// one the reservations are asked for.
+func (st *state) gangReady(a *attempt) {
+	a.phase = reserving
+	try := a.job.gang
+	if try == nil || try.failed {
+		return
+	}
+	if try.unready--; try.unready == 0 {
+		st.askReservations(try)
+	}
+}
+
+func (st *state) askReservations(try *gangTry) {
+	groups := map[*partition][]*attempt{}
+	for _, a := range try.attempts {
+		p := st.partition(a.partition)
+		if !st.usable(p) {
+			st.endTry(try, "owner of the workers not reachable")
+			return
+		}
+		groups[p] = append(groups[p], a)
+	}
+	try.unanswered = len(groups)
+	for p, attempts := range groups {
+		try.asked = append(try.asked, p)
+		st.askReservation(try, p, attempts)
+	}
+}
+
+func (st *state) askReservation(try *gangTry, p *partition, attempts []*attempt) {
+	request := plan.Reserve{
+		Partition: p.name, Author: st.author(), Reservation: try.reservation, Seq: st.shard.seq.Add(1),
+		TTLMillis: st.o.Tuning.GangHold.Milliseconds(), Steps: make([]plan.Step, len(attempts)),
+	}
+	for i, a := range attempts {
+		request.Steps[i] = step(a)
+	}
+	result := new(plan.Result)
+	st.callOwner(p.owner, plan.MethodReserve, &request, result, func(st *state, err error) {
+		try.unanswered--
+		if err != nil {
+			try.fail("owner of the workers not reachable")
+		}
+		for i := range result.Steps {
+			if result.Steps[i].Outcome != plan.Accepted {
+				try.fail(reasonOf(&result.Steps[i]))
+			}
+		}
+		if try.unanswered == 0 {
+			st.reservationsAnswered(try)
+		}
+	})
+}
+
+func (t *gangTry) fail(reason string) {
+	if !t.failed {
+		t.failed, t.reason = true, reason
+	}
+}
+
+// reservationsAnswered starts the whole gang or gives every reservation back.
+func (st *state) reservationsAnswered(try *gangTry) {
+	if try.job.gang != try {
+		return
+	}
+	if try.failed {
+		st.endTry(try, try.reason)
+		return
+	}
+	try.job.gang, try.job.tries = nil, 0
+	for _, a := range try.attempts {
+		if try.job.live[a.index] == a {
+			st.queueStep(a)
+		}
+	}
+}
+
+// endTry gives all reservations back and tries again after a random pause. The
+// pause shrinks with the age of the gang, so that of two gangs which keep
+// refusing each other the older one soon comes first.
+func (st *state) endTry(try *gangTry, reason string) {
+	j := try.job
+	try.fail(reason)
+	j.gang = nil
+	for _, p := range try.asked {
+		release := plan.ReleaseReservation{Partition: p.name, Author: st.author(), Reservation: try.reservation}
+		// A release that is lost costs room until the reservation expires.
+		st.callOwner(p.owner, plan.MethodRelease, &release, nil, func(*state, error) {})
+	}
+	j.tries++
+	j.nextTry = time.Now().Add(st.gangPause(j))
+	for _, a := range try.attempts {
+		if j.live[a.index] == a {
+			st.notStarted(a, reason)
+		}
+	}
+	st.o.Metrics.GangRetries.Add(1)
+}
+
+// oldGang is the age at which a gang's pauses are halved.
+const oldGang = 10 * time.Second
+
+func (st *state) gangPause(j *job) time.Duration {
+	age := float64(time.Since(j.arrived)) / float64(oldGang)
+	mean := float64(st.o.Tuning.GangRetry) * float64(min(j.tries, 8)) / (1 + age)
+	return time.Duration(mean * (0.5 + rand.Float64()))
+}
+
+// failGang stops the rest of a gang after one of its tasks has ended without
+// success: the others make no progress and only hold room.
+func (st *state) failGang(j *job, reason string) {
+	if j.spec.Kind != spec.Gang || j.failing {
+		return
+	}
+	j.failing = true
+	defer func() { j.failing = false }()
+	if j.gang != nil {
+		st.endTry(j.gang, reason)
+	}
+	for _, a := range j.live {
+		st.stop(a)
+	}
+	if !j.record.Failed.IsEmpty() && !j.cancelled {
+		st.failRest(j)
+	}
+}
+
+// failRest ends a gang of which a task has used up its retries.
+func (st *state) failRest(j *job) {
+	j.record.Failed.Or(j.ready)
+	j.record.Failed.Or(j.delayed)
+	j.ready.Clear()
+	j.delayed.Clear()
+	st.queue.Remove(j.entry)
+	st.touch(j)
+}
--- /dev/null
+++ b/process/jobs/job.go
@@ -0,0 +1,207 @@
+package jobs
+
+import (
+	"time"
+
+	"github.com/RoaringBitmap/roaring/v2"
+
+	"fennelshunt.example/fennelshunt/connection/worker"
+	"fennelshunt.example/fennelshunt/process/jobs/progress"
+	"fennelshunt.example/fennelshunt/process/jobs/queue"
+	"fennelshunt.example/fennelshunt/process/sched"
+	"fennelshunt.example/fennelshunt/version/spec"
+)
+
+// phase is how far an attempt has come.
+type phase uint8
+
+const (
+	intending phase = iota // waits for a durable write before it may be sent
+	reserving              // waits for all reservations of its gang
+	unsent                 // in the outbox of its partition
+	sent                   // in a plan without an answer yet
+	uncertain              // the answer of its plan was lost
+	starting               // accepted by the partition
+	running                // reported by the worker
+)
+
+// mayRun reports whether a worker may run the attempt.
+func (p phase) mayRun() bool { return p >= sent }
+
+// attempt is one start of a task, from the decision to its confirmed end.
+type attempt struct {
+	job       *job
+	index     uint32
+	number    int
+	phase     phase
+	stopping  bool
+	partition string
+	worker    worker.ID
+	size      spec.Resources
+	victims   []worker.Ref
+	// sentEpoch is the epoch of the partition's owner that got the plan.
+	sentEpoch uint64
+	// reservation is set for tasks of a gang.
+	reservation string
+	// waitingSince is when the task became ready, decided when its worker was
+	// chosen.
+	waitingSince, decided, stopSent time.Time
+}
+
+func (a *attempt) task() spec.TaskID {
+	return spec.TaskID{Job: a.job.key.Job, Generation: a.job.key.Generation, Index: int(a.index)}
+}
+
+func (a *attempt) ref() worker.Ref { return worker.Ref{Task: a.task(), Attempt: a.number} }
+
+// job is one generation of a job. Each task index is in exactly one of: ready,
+// blocked, delayed, live, or finished in the record.
+type job struct {
+	key   progress.Key
+	spec  *spec.VersionedJob
+	class spec.Class
+	// record is what is or will be made durable; durableLimit and
+	// durableIntent are the parts of it that are.
+	record        *progress.Job
+	durableLimit  uint32
+	durableIntent *roaring.Bitmap
+
+	ready   *roaring.Bitmap
+	blocked *roaring.Bitmap // unaccounted for after a takeover
+	delayed *roaring.Bitmap // waiting for a retry
+	live    map[uint32]*attempt
+
+	entry   *queue.Entry[*job]
+	arrived time.Time
+	// requeued holds since when a task is ready that was ready before.
+	requeued map[uint32]time.Time
+	// cancelled jobs are only kept until their last attempt has ended.
+	cancelled bool
+	// adopted is set for a generation that was only met in a partition's list.
+	adopted bool
+	// wait is why the job's next task is not started; infeasible why it can
+	// never be.
+	wait       string
+	rejections []sched.Rejection
+	infeasible string
+	// gang is the try under way; nextTry the time of the next one.
+	gang    *gangTry
+	nextTry time.Time
+	tries   int
+	failing bool // guards failGang against itself
+	// pacing of a job that fails everywhere.
+	failuresInRow int
+	durations     runTimes
+}
+
+func newJob(vj *spec.VersionedJob, record *progress.Job, now time.Time, arrival uint64) *job {
+	j := &job{
+		key: progress.Key{Job: vj.Name, Generation: vj.Generation}, spec: vj, class: vj.EffectiveClass(),
+		record: record, durableIntent: record.Intent.Clone(), durableLimit: record.StartLimit,
+		ready: roaring.New(), blocked: roaring.New(), delayed: roaring.New(),
+		live: map[uint32]*attempt{}, requeued: map[uint32]time.Time{}, arrived: now,
+	}
+	j.entry = &queue.Entry[*job]{Value: j, Team: vj.Team, Class: j.class, Shape: j.shape(), Arrival: arrival}
+	return j
+}
+
+// shape tells the queue which jobs look alike to the scheduler. Services and
+// gangs are never alike: where their tasks may go depends on their own tasks.
+func (j *job) shape() queue.Shape {
+	s := queue.Shape{Size: j.spec.Size, Kind: j.spec.Kind, Constraints: constraintsKey(&j.spec.Constraints)}
+	if j.spec.Kind != spec.Batch || j.spec.Constraints.MaxPerWorker > 0 || j.spec.Constraints.Spread != "" {
+		s.Job = j.key.Job
+	}
+	return s
+}
+
+func constraintsKey(c *spec.Constraints) string {
+	if len(c.Zones) == 0 && len(c.Racks) == 0 {
+		return ""
+	}
+	key := ""
+	for _, zone := range c.Zones {
+		key += "z" + zone + "\x00"
+	}
+	for _, rack := range c.Racks {
+		key += "r" + rack + "\x00"
+	}
+	return key
+}
+
+// next returns the lowest ready task that may be started under the durable
+// limit.
+func (j *job) next() (uint32, bool) {
+	if j.ready.IsEmpty() {
+		return 0, false
+	}
+	index := j.ready.Minimum()
+	return index, index < j.durableLimit
+}
+
+// wantsLimit reports whether the durable limit should be raised, and to what.
+func (j *job) wantsLimit(ahead int) (uint32, bool) {
+	count := uint32(j.spec.Count)
+	if j.record.StartLimit >= count {
+		return 0, false
+	}
+	started := uint32(0)
+	if !j.ready.IsEmpty() {
+		started = j.ready.Minimum()
+	}
+	step := uint32(max(ahead, 4*len(j.live)))
+	if j.spec.Kind != spec.Batch {
+		return count, true
+	}
+	if started+step/2 < j.record.StartLimit {
+		return 0, false
+	}
+	return min(count, started+step), true
+}
+
+func (j *job) service() bool { return j.spec.Kind == spec.Service }
+
+// finished reports whether nothing of a batch job or gang is left to do.
+func (j *job) finished() bool {
+	return !j.service() && j.record.FinishedCount() == j.spec.Count && len(j.live) == 0
+}
+
+// waitingSets returns the sets of tasks that wait, the next to start first.
+func (j *job) waitingSets() []*roaring.Bitmap {
+	return []*roaring.Bitmap{j.ready, j.delayed, j.blocked}
+}
+
+// ask describes a task to the scheduler.
+func (j *job) ask(index uint32, number int) sched.Ask {
+	return sched.Ask{
+		Task: spec.TaskID{Job: j.key.Job, Generation: j.key.Generation, Index: int(index)}, Attempt: number,
+		Team: j.spec.Team, Kind: j.spec.Kind, Class: j.class, Size: j.spec.Size,
+		Constraints: j.spec.Constraints, NonIdempotent: j.spec.NonIdempotent,
+		RunTime: j.durations.expected(j.spec.RunTime.Std()),
+		Preempt: j.class.Rank() >= spec.High.Rank(),
+	}
+}
+
+// runTimes learns how long the tasks of a job run.
+type runTimes struct {
+	mean  time.Duration
+	count int
+}
+
+// learnWeight is the weight of a new run time in the moving mean.
+const learnWeight = 0.1
+
+func (r *runTimes) add(d time.Duration) {
+	r.count++
+	weight := max(learnWeight, 1/float64(r.count))
+	r.mean += time.Duration(weight * float64(d-r.mean))
+}
+
+// expected returns the learned run time, or the declared one before a task has
+// ended.
+func (r *runTimes) expected(declared time.Duration) time.Duration {
+	if r.count == 0 {
+		return declared
+	}
+	return r.mean
+}
--- /dev/null
+++ b/process/jobs/jobs.go
@@ -0,0 +1,296 @@
+// Package jobs owns shards of the teams: for each shard that this daemon
+// claims it compares the declared jobs with what is known of their tasks,
+// queues what should start, proposes plans to the owners of the partitions,
+// takes their events, and keeps the progress durable.
+//
+// Guarantees, each asserted inside the program: a task has at most one live
+// attempt; a task known to be done is not started again; a task of a
+// non-idempotent job starts at most once; the tasks of a team never hold more
+// than its quota. docs/JOBS.md states what each of them rests on.
+package jobs
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rs/zerolog"
+	"github.com/thejerf/suture/v4"
+
+	"fennelshunt.example/fennelshunt/connection/peer"
+	"fennelshunt.example/fennelshunt/process/jobs/progress"
+	"fennelshunt.example/fennelshunt/process/ownership"
+	"fennelshunt.example/fennelshunt/process/plan"
+	"fennelshunt.example/fennelshunt/process/sched"
+	"fennelshunt.example/fennelshunt/version/spec"
+)
+
+// CodeNotOwner is the code of the remote error with which events for a shard
+// that this daemon does not own are refused; they are to be sent again to the
+// owner.
+const CodeNotOwner = "not_owner"
+
+// Options of a Manager. All fields but those with a default are required.
+type Options struct {
+	Self      peer.Ref
+	Caller    peer.Caller
+	Registrar peer.Registrar
+	Directory ownership.Directory
+	Config    spec.Source
+	// Snapshots returns the newest snapshot of the workers; it must be cheap.
+	Snapshots func() *sched.Snapshot
+	// Store holds the progress, for example a *store.Handle of RoleProgress.
+	Store progress.Store
+	// Partitions lists the partitions known now, by name without prefix.
+	Partitions func() []string
+	// Shards is the number of shards of the cell; all daemons use the same.
+	Shards int
+	Log    zerolog.Logger
+	// Metrics may be nil.
+	Metrics *Metrics
+	// Peers lists the daemons that team usage is exchanged with; nil turns the
+	// exchange off.
+	Peers func() []peer.Ref
+	// Tuning holds intervals and limits; zero fields take their defaults.
+	Tuning Tuning
+	// Violation, when set, is called with each violated invariant, for tests;
+	// violations are logged and counted in any case.
+	Violation func(error)
+}
+
+// Manager runs the shards that this daemon owns. It implements ownership.User
+// for ownership.ShardPrefix.
+type Manager struct {
+	options    Options
+	supervisor *suture.Supervisor
+
+	mu     sync.Mutex // guards shards
+	shards map[plan.Shard]*ownedShard
+}
+
+// ownedShard is a shard under supervision.
+type ownedShard struct {
+	shard *shard
+	token suture.ServiceToken
+}
+
+// New returns a manager and registers its peer methods.
+func New(o Options) *Manager {
+	o.Tuning = o.Tuning.withDefaults()
+	if o.Metrics == nil {
+		o.Metrics = &Metrics{}
+	}
+	m := &Manager{options: o, shards: map[plan.Shard]*ownedShard{}}
+	m.supervisor = suture.New("jobs", suture.Spec{EventHook: m.logEvent})
+	o.Registrar.Handle(plan.MethodEvents, m.handleEvents)
+	m.registerReports()
+	return m
+}
+
+func (m *Manager) logEvent(e suture.Event) {
+	m.options.Log.Warn().Str("event", e.String()).Msg("supervision of the shards")
+}
+
+// Serve runs the shards until ctx ends.
+func (m *Manager) Serve(ctx context.Context) error { return m.supervisor.Serve(ctx) }
+
+// ShardOfTeam returns the shard of a team among n shards.
+func ShardOfTeam(team string, n int) plan.Shard {
+	return plan.Shard(xxhash.Sum64String(team) % uint64(n))
+}
+
+// ShardOf returns the shard of a team in this cell.
+func (m *Manager) ShardOf(team string) plan.Shard { return ShardOfTeam(team, m.options.Shards) }
+
+// Resource returns the resource name of a shard.
+func Resource(n plan.Shard) ownership.Resource {
+	return ownership.Resource(ownership.ShardPrefix + strconv.Itoa(int(n)))
+}
+
+// Resources lists the resources of all shards of the cell.
+func (m *Manager) Resources() []ownership.Resource {
+	all := make([]ownership.Resource, m.options.Shards)
+	for i := range all {
+		all[i] = Resource(plan.Shard(i))
+	}
+	return all
+}
+
+func shardOf(r ownership.Resource) (plan.Shard, error) {
+	name, ok := strings.CutPrefix(string(r), ownership.ShardPrefix)
+	n, err := strconv.Atoi(name)
+	if !ok || err != nil {
+		return 0, fmt.Errorf("jobs: %q is not a shard", r)
+	}
+	return plan.Shard(n), nil
+}
+
+// Acquired implements ownership.User.
+func (m *Manager) Acquired(_ context.Context, g ownership.Grant) {
+	n, err := shardOf(g.Resource)
+	if err != nil {
+		m.options.Log.Error().Err(err).Msg("claim ignored")
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.drop(n)
+	s := newShard(&m.options, n, g.Claim)
+	m.shards[n] = &ownedShard{shard: s, token: m.supervisor.Add(s)}
+}
+
+// Lost implements ownership.User.
+func (m *Manager) Lost(r ownership.Resource, epoch uint64) {
+	n, err := shardOf(r)
+	if err != nil {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if run := m.shards[n]; run != nil && run.shard.claim.Epoch <= epoch {
+		m.drop(n)
+	}
+}
+
+// drop stops a shard without waiting for it. The caller holds mu.
+func (m *Manager) drop(n plan.Shard) {
+	run := m.shards[n]
+	if run == nil {
+		return
+	}
+	delete(m.shards, n)
+	run.shard.abandon()
+	_ = m.supervisor.Remove(run.token)
+}
+
+// Releasing implements ownership.User: it stops new starts, waits until the
+// progress is durable and ends the shard.
+func (m *Manager) Releasing(ctx context.Context, r ownership.Resource) error {
+	n, err := shardOf(r)
+	if err != nil {
+		return err
+	}
+	s := m.shard(n)
+	if s == nil {
+		return nil
+	}
+	err = s.release(ctx)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if run := m.shards[n]; run != nil && run.shard == s {
+		m.drop(n)
+	}
+	return err
+}
+
+func (m *Manager) shard(n plan.Shard) *shard {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if run := m.shards[n]; run != nil {
+		return run.shard
+	}
+	return nil
+}
+
+func (m *Manager) handleEvents(ctx context.Context, _ peer.Ref, payload []byte) (any, error) {
+	var events plan.Events
+	if err := cbor.Unmarshal(payload, &events); err != nil {
+		return nil, fmt.Errorf("events: %w", err)
+	}
+	s := m.shard(events.Shard)
+	if s == nil {
+		return nil, &peer.RemoteError{Code: CodeNotOwner, Message: "shard not owned here"}
+	}
+	if err := s.call(ctx, func(st *state) { st.takeEvents(&events) }); err != nil {
+		return nil, err
+	}
+	return nil, nil
+}
+
+// Tuning holds the intervals and limits of a shard.
+type Tuning struct {
+	// CommitInterval is the least time between two writes of progress outside
+	// bursts, and CommitBurst how many writes may be made ahead of it.
+	CommitInterval time.Duration
+	CommitBurst    int
+	// CommitGather is how long changes are gathered before a write.
+	CommitGather time.Duration
+	// RoundInterval is the time between two passes over the queue when nothing
+	// happens, RoundGap the least time between two.
+	RoundInterval, RoundGap time.Duration
+	// SliceLimit bounds the decisions made before waiting commands are served.
+	SliceLimit int
+	// StartAhead is how many tasks of a job may be started without another
+	// write of progress; it bounds what a takeover with an unreachable worker
+	// has to hold back.
+	StartAhead int
+	// PlanSteps bounds the steps of one plan.
+	PlanSteps int
+	// StartsPerSecond and StartBurst pace the starts of a shard.
+	StartsPerSecond float64
+	StartBurst      int
+	// CallTimeout bounds one call to a partition's owner.
+	CallTimeout time.Duration
+	// RetryFirst and RetryLast bound the backoff of a failed task.
+	RetryFirst, RetryLast time.Duration
+	// LossSpread is the time over which batch tasks lost with their workers
+	// are put back into the queue.
+	LossSpread time.Duration
+	// StopRepeat is how often an unanswered stop is sent again.
+	StopRepeat time.Duration
+	// FenceRepeat is the time between two tries to fence a partition.
+	FenceRepeat time.Duration
+	// ForgetPartition is after how long without an owner a partition that is
+	// no longer listed counts as gone with all its tasks. It must exceed the
+	// renew authority of an owner plus the task lease at the workers.
+	ForgetPartition time.Duration
+	// GangHold is the time to live of a gang's reservations.
+	GangHold time.Duration
+	// GangRetry is the mean time between two tries to reserve for a gang.
+	GangRetry time.Duration
+	// Drain bounds the time an instance gets to finish its requests.
+	Drain time.Duration
+}
+
+func (t Tuning) withDefaults() Tuning {
+	setDuration(&t.CommitInterval, time.Second)
+	setInt(&t.CommitBurst, 4)
+	setDuration(&t.CommitGather, 10*time.Millisecond)
+	setDuration(&t.RoundInterval, 500*time.Millisecond)
+	setDuration(&t.RoundGap, 5*time.Millisecond)
+	setInt(&t.SliceLimit, 256)
+	setInt(&t.StartAhead, 1024)
+	setInt(&t.PlanSteps, 256)
+	if t.StartsPerSecond == 0 {
+		t.StartsPerSecond = 2000
+	}
+	setInt(&t.StartBurst, 1000)
+	setDuration(&t.CallTimeout, 2*time.Second)
+	setDuration(&t.RetryFirst, time.Second)
+	setDuration(&t.RetryLast, time.Minute)
+	setDuration(&t.LossSpread, 5*time.Second)
+	setDuration(&t.StopRepeat, 5*time.Second)
+	setDuration(&t.FenceRepeat, time.Second)
+	setDuration(&t.ForgetPartition, 2*time.Hour)
+	setDuration(&t.GangHold, 10*time.Second)
+	setDuration(&t.GangRetry, 500*time.Millisecond)
+	setDuration(&t.Drain, 30*time.Second)
+	return t
+}
+
+func setDuration(d *time.Duration, fallback time.Duration) {
+	if *d == 0 {
+		*d = fallback
+	}
+}
+
+func setInt(n *int, fallback int) {
+	if *n == 0 {
+		*n = fallback
+	}
+}
--- /dev/null
+++ b/process/jobs/partition.go
@@ -0,0 +1,232 @@
+package jobs
+
+import (
+	"time"
+
+	"fennelshunt.example/fennelshunt/connection/peer"
+	"fennelshunt.example/fennelshunt/connection/worker"
+	"fennelshunt.example/fennelshunt/process/ownership"
+	"fennelshunt.example/fennelshunt/process/plan"
+)
+
+// partition is what the shard knows of the owner of some workers, and what is
+// to be sent to it. One call of each kind is under way at a time, so that what
+// gathers meanwhile goes out as one group.
+type partition struct {
+	name  string
+	owner ownership.Claim
+	known bool // the directory names an owner
+	// fencedEpoch is the claim epoch of the owner that last listed what it
+	// holds; fencing is set while a list is asked for, doubt when an answer
+	// was lost and a new list is needed.
+	fencedEpoch uint64
+	fencing     bool
+	doubt       bool
+	nextFence   time.Time
+	// unaccounted are workers on which any task may still run.
+	unaccounted map[worker.ID]struct{}
+	// orphaned is since when the partition has no owner.
+	orphaned time.Time
+
+	planning, stopping, acking bool
+	starts                     []*attempt
+	stops                      map[plan.StopMode][]worker.Ref
+	acks                       []worker.Ref
+	ackAfter                   time.Time
+}
+
+// usable reports whether plans may be sent: the present owner has listed what
+// it holds, no answer is missing, and the owner's epoch is durable.
+func (st *state) usable(p *partition) bool {
+	return p.known && !p.fencing && !p.doubt &&
+		p.fencedEpoch == p.owner.Epoch && st.commit.durable[p.name] == p.owner.Epoch
+}
+
+func (st *state) partition(name string) *partition {
+	p := st.partitions[name]
+	if p == nil {
+		p = &partition{name: name, stops: map[plan.StopMode][]worker.Ref{}, orphaned: time.Now()}
+		st.partitions[name] = p
+		st.lookUpOwner(p)
+	}
+	return p
+}
+
+func (st *state) lookUpOwner(p *partition) {
+	claim, ok := st.o.Directory.Owner(ownership.Resource(ownership.PartitionPrefix + p.name))
+	if p.known && !ok {
+		p.orphaned = time.Now()
+	}
+	if ok && claim.Epoch < p.owner.Epoch {
+		return
+	}
+	p.known = ok
+	if ok && claim != p.owner {
+		p.owner = claim
+		p.nextFence = time.Time{}
+		st.round.dirty = true
+	}
+}
+
+// checkPartitions takes note of new partitions and owners and fences where
+// needed.
+func (st *state) checkPartitions() {
+	for _, name := range st.o.Partitions() {
+		st.partition(name)
+	}
+	for _, p := range st.partitions {
+		st.lookUpOwner(p)
+	}
+	st.forgetPartitions(time.Now())
+	st.fenceAll(time.Now())
+}
+
+// fenceAll asks each partition that needs it for what it holds.
+func (st *state) fenceAll(now time.Time) {
+	for _, p := range st.partitions {
+		wanted := p.doubt || p.fencedEpoch != p.owner.Epoch || len(p.unaccounted) > 0
+		if wanted && p.known && !p.fencing && !p.planning && !now.Before(p.nextFence) {
+			st.fence(p, now)
+		}
+	}
+}
+
+// fence asks a partition's owner to refuse all earlier plans and to list what
+// it holds. No plan is on its way to the partition meanwhile: its answer and
+// the list could not be put in order.
+func (st *state) fence(p *partition, now time.Time) {
+	p.fencing = true
+	p.nextFence = now.Add(st.o.Tuning.FenceRepeat)
+	request := plan.Fence{
+		Partition: p.name, Author: st.author(), MinSeq: st.shard.seq.Add(1), Jobs: st.jobNames(),
+	}
+	owner := p.owner
+	reply := new(plan.FenceReply)
+	st.callOwner(owner, plan.MethodFence, &request, reply, func(st *state, err error) {
+		p.fencing = false
+		if err == nil && owner == p.owner {
+			st.fenced(p, owner, reply)
+		}
+	})
+}
+
+func (st *state) jobNames() []string {
+	names := make([]string, 0, len(st.current))
+	for name := range st.current {
+		names = append(names, name)
+	}
+	return sorted(names)
+}
+
+// callOwner makes a call in its own goroutine and hands the answer back to the
+// shard's goroutine.
+func (st *state) callOwner(to ownership.Claim, method peer.Method, request, reply any, done func(*state, error)) {
+	st.calls++
+	s, ctx := st.shard, st.ctx
+	go func() {
+		callCtx, cancel := contextWithTimeout(ctx, s.o.Tuning.CallTimeout)
+		defer cancel()
+		err := s.o.Caller.Call(callCtx, to.Owner, method, request, reply)
+		s.post(ctx, func(st *state) {
+			st.calls--
+			done(st, err)
+		})
+	}()
+}
+
+// fenced takes the list of what a partition holds.
+func (st *state) fenced(p *partition, owner ownership.Claim, reply *plan.FenceReply) {
+	if owner.Epoch < st.commit.partitions[p.name] {
+		return // a previous owner of the shard sent plans to a later one
+	}
+	p.fencedEpoch, p.doubt = owner.Epoch, false
+	st.usePartition(p)
+	p.unaccounted = make(map[worker.ID]struct{}, len(reply.Unaccounted))
+	for _, id := range reply.Unaccounted {
+		p.unaccounted[id] = struct{}{}
+	}
+	listed := make(map[worker.Ref]struct{}, len(reply.Tasks))
+	for i := range reply.Tasks {
+		ev := &reply.Tasks[i]
+		listed[worker.Ref{Task: ev.Task, Attempt: ev.Attempt}] = struct{}{}
+		st.takeEvent(p, ev)
+	}
+	st.dropMissing(p, listed)
+	if len(p.unaccounted) == 0 {
+		st.accountedFor(p.name)
+	}
+	st.round.dirty = true
+}
+
+// usePartition has the epoch of a partition's owner written before plans are
+// sent to it.
+func (st *state) usePartition(p *partition) {
+	if st.commit.partitions[p.name] == p.owner.Epoch {
+		return
+	}
+	st.mark()
+	st.commit.partitions[p.name] = p.owner.Epoch
+	st.commit.partitionsDirty = true
+}
+
+// dropMissing ends the attempts that the partition should hold and does not
+// list. Its owner lists every task that runs, starts or has a result not yet
+// acknowledged; one that is missing does not run and, since the plan numbers
+// were raised before, never will.
+func (st *state) dropMissing(p *partition, listed map[worker.Ref]struct{}) {
+	var missing []*attempt
+	st.eachAttempt(func(a *attempt) {
+		if a.partition != p.name || !a.phase.mayRun() {
+			return
+		}
+		if _, ok := p.unaccounted[a.worker]; ok {
+			return
+		}
+		if _, ok := listed[a.ref()]; !ok {
+			missing = append(missing, a)
+		}
+	})
+	for _, a := range missing {
+		// An owner other than the one asked to start the task can not tell
+		// that it never ran: its worker may have started it and died.
+		notStarted := a.phase < starting && a.sentEpoch == p.owner.Epoch
+		st.endAttempt(a, &plan.Event{Task: a.task(), Attempt: a.number, Worker: a.worker,
+			Lost: !notStarted, NotStarted: notStarted, Message: "not held by the owner of the workers"})
+	}
+}
+
+// eachAttempt calls f for every attempt that has not ended.
+func (st *state) eachAttempt(f func(*attempt)) {
+	for _, j := range st.jobs {
+		for _, a := range j.live {
+			f(a)
+		}
+	}
+	for _, a := range st.strays {
+		f(a)
+	}
+}
+
+// forgetPartitions gives up partitions that are no longer listed and have had
+// no owner for so long that every task lease has run out.
+func (st *state) forgetPartitions(now time.Time) {
+	listed := map[string]struct{}{}
+	for _, name := range st.o.Partitions() {
+		listed[name] = struct{}{}
+	}
+	for name, p := range st.partitions {
+		if _, ok := listed[name]; ok || p.known || now.Sub(p.orphaned) < st.o.Tuning.ForgetPartition {
+			continue
+		}
+		p.unaccounted = nil
+		st.dropMissing(p, nil)
+		st.returnStarts(p)
+		st.accountedFor(name)
+		delete(st.partitions, name)
+		if _, used := st.commit.partitions[name]; used {
+			st.mark()
+			delete(st.commit.partitions, name)
+			st.commit.partitionsDirty = true
+		}
+	}
+}
--- /dev/null
+++ b/process/jobs/progress/record.go
@@ -0,0 +1,213 @@
+// Package progress keeps what must outlast the owner of a shard: which tasks
+// of each job are done, failed for good, intended or of unknown outcome. It is
+// kept as compact bitmaps in a few values of the store, written in groups.
+//
+// Guarantees: a write is durable once Writer reports its sequence number; a
+// writer whose shard was taken over by a higher epoch can not write any more,
+// because the takeover rewrites every page and so changes the revisions that
+// the old writer compares against.
+package progress
+
+import (
+	"fmt"
+
+	"github.com/RoaringBitmap/roaring/v2"
+	"github.com/fxamacker/cbor/v2"
+
+	"fennelshunt.example/fennelshunt/connection/peer"
+)
+
+// maxFailureBits bounds the failures counted per task to 2^maxFailureBits - 1.
+const maxFailureBits = 8
+
+// Job is the progress of one generation of a job, by task index. Done, Failed
+// and Unknown are final and disjoint. A Job is used by one goroutine.
+type Job struct {
+	Name       string
+	Generation uint64
+	// Done holds the tasks that succeeded.
+	Done *roaring.Bitmap
+	// Failed holds the tasks that used up their retries.
+	Failed *roaring.Bitmap
+	// Intent holds the tasks of a non-idempotent job that a plan may have been
+	// sent for; it is made durable before the plan is sent.
+	Intent *roaring.Bitmap
+	// Unknown holds the tasks that may have run and are not started again.
+	Unknown *roaring.Bitmap
+	// StartLimit is the lowest index that certainly was never started.
+	StartLimit uint32
+	// failures counts failed attempts per task as bit slices, lowest first.
+	failures []*roaring.Bitmap
+}
+
+// NewJob returns the empty progress of a job.
+func NewJob(name string, generation uint64) *Job {
+	return &Job{
+		Name: name, Generation: generation,
+		Done: roaring.New(), Failed: roaring.New(),
+		Intent: roaring.New(), Unknown: roaring.New(),
+	}
+}
+
+// Finished reports whether the task's fate is final.
+func (j *Job) Finished(index uint32) bool {
+	return j.Done.Contains(index) || j.Failed.Contains(index) || j.Unknown.Contains(index)
+}
+
+// FinishedCount returns how many tasks have a final fate.
+func (j *Job) FinishedCount() int {
+	return int(j.Done.GetCardinality() + j.Failed.GetCardinality() + j.Unknown.GetCardinality())
+}
+
+// Failures returns how many attempts of the task failed, at most 255.
+func (j *Job) Failures(index uint32) int {
+	n := 0
+	for bit, slice := range j.failures {
+		if slice.Contains(index) {
+			n |= 1 << bit
+		}
+	}
+	return n
+}
+
+// AddFailure counts one more failed attempt and returns the new count, which
+// stays at 255 once reached.
+func (j *Job) AddFailure(index uint32) int {
+	n := j.Failures(index)
+	if n < 1<<maxFailureBits-1 {
+		n++
+	}
+	j.setFailures(index, n)
+	return n
+}
+
+// ClearFailures forgets the failed attempts of a task whose fate is final.
+func (j *Job) ClearFailures(index uint32) { j.setFailures(index, 0) }
+
+func (j *Job) setFailures(index uint32, n int) {
+	for bit := 0; bit < maxFailureBits; bit++ {
+		set := n&(1<<bit) != 0
+		if bit < len(j.failures) {
+			if set {
+				j.failures[bit].Add(index)
+			} else {
+				j.failures[bit].Remove(index)
+			}
+			continue
+		}
+		if n>>bit == 0 {
+			return
+		}
+		slice := roaring.New()
+		if set {
+			slice.Add(index)
+		}
+		j.failures = append(j.failures, slice)
+	}
+}
+
+// wireJob is the stored form of a Job; empty bitmaps are left out.
+type wireJob struct {
+	Name       string   `cbor:"1,keyasint"`
+	Generation uint64   `cbor:"2,keyasint"`
+	Done       []byte   `cbor:"3,keyasint,omitempty"`
+	Failed     []byte   `cbor:"4,keyasint,omitempty"`
+	Intent     []byte   `cbor:"5,keyasint,omitempty"`
+	Unknown    []byte   `cbor:"6,keyasint,omitempty"`
+	StartLimit uint32   `cbor:"7,keyasint,omitempty"`
+	Failures   [][]byte `cbor:"8,keyasint,omitempty"`
+}
+
+// Encode returns the stored form of the job.
+func (j *Job) Encode() ([]byte, error) {
+	w := wireJob{Name: j.Name, Generation: j.Generation, StartLimit: j.StartLimit}
+	fields := []struct {
+		from *roaring.Bitmap
+		to   *[]byte
+	}{{j.Done, &w.Done}, {j.Failed, &w.Failed}, {j.Intent, &w.Intent}, {j.Unknown, &w.Unknown}}
+	for _, f := range fields {
+		data, err := encodeBitmap(f.from)
+		if err != nil {
+			return nil, err
+		}
+		*f.to = data
+	}
+	for _, slice := range j.failures {
+		data, err := encodeBitmap(slice)
+		if err != nil {
+			return nil, err
+		}
+		w.Failures = append(w.Failures, data)
+	}
+	return cbor.Marshal(w)
+}
+
+func encodeBitmap(b *roaring.Bitmap) ([]byte, error) {
+	if b.IsEmpty() {
+		return nil, nil
+	}
+	b.RunOptimize()
+	return b.ToBytes()
+}
+
+// DecodeJob reads what Encode wrote.
+func DecodeJob(data []byte) (*Job, error) {
+	var w wireJob
+	if err := cbor.Unmarshal(data, &w); err != nil {
+		return nil, fmt.Errorf("progress of a job: %w", err)
+	}
+	j := NewJob(w.Name, w.Generation)
+	j.StartLimit = w.StartLimit
+	fields := []struct {
+		from []byte
+		to   *roaring.Bitmap
+	}{{w.Done, j.Done}, {w.Failed, j.Failed}, {w.Intent, j.Intent}, {w.Unknown, j.Unknown}}
+	for _, f := range fields {
+		if err := decodeBitmap(f.from, f.to); err != nil {
+			return nil, fmt.Errorf("progress of job %q: %w", w.Name, err)
+		}
+	}
+	for _, data := range w.Failures {
+		slice := roaring.New()
+		if err := decodeBitmap(data, slice); err != nil {
+			return nil, fmt.Errorf("progress of job %q: %w", w.Name, err)
+		}
+		j.failures = append(j.failures, slice)
+	}
+	return j, nil
+}
+
+func decodeBitmap(data []byte, into *roaring.Bitmap) error {
+	if len(data) == 0 {
+		return nil
+	}
+	if _, err := into.FromUnsafeBytes(append([]byte(nil), data...)); err != nil {
+		return fmt.Errorf("bitmap: %w", err)
+	}
+	return nil
+}
+
+// Head is the first value of a shard: who wrote it and how the jobs are split
+// over pages.
+type Head struct {
+	Shard int      `cbor:"1,keyasint"`
+	Epoch uint64   `cbor:"2,keyasint"`
+	Owner peer.Ref `cbor:"3,keyasint"`
+	// Seq rises with every write of the owner.
+	Seq uint64 `cbor:"4,keyasint"`
+	// ConfigVersion is the newest configuration the owner had acted on.
+	ConfigVersion uint64 `cbor:"5,keyasint"`
+	// Partitions holds every partition that may hold tasks of the shard, with
+	// the highest epoch of its owner that plans may have been sent to. A
+	// takeover that asked an owner of a lower epoch would miss tasks.
+	Partitions map[string]uint64 `cbor:"6,keyasint,omitempty"`
+	// Pages is the number of values that hold the jobs.
+	Pages int `cbor:"7,keyasint"`
+}
+
+// page is one value with the jobs whose name hashes to it. Page 0 carries the
+// head.
+type page struct {
+	Head Head              `cbor:"1,keyasint"`
+	Jobs []cbor.RawMessage `cbor:"2,keyasint,omitempty"`
+}
--- /dev/null
+++ b/process/jobs/queue/queue.go
@@ -0,0 +1,260 @@
+// Package queue orders the jobs that have tasks ready to start: by class, then
+// between teams by their share, then within a team by arrival. Jobs whose
+// tasks look alike to the scheduler share a shape: once one task of a shape
+// finds no worker, the others of that shape are skipped for the round, so a
+// round costs what it places plus one decision for each shape.
+package queue
+
+import (
+	"container/heap"
+
+	"github.com/google/btree"
+
+	"fennelshunt.example/fennelshunt/version/spec"
+)
+
+// classes is the number of classes, see spec.Class.Rank.
+const classes = 4
+
+// degree of the trees.
+const degree = 8
+
+// Shape names tasks that fit on the same workers.
+type Shape struct {
+	Size        spec.Resources
+	Kind        spec.Kind
+	Constraints string
+	// Job is set when tasks of this job do not look like those of any other,
+	// for example because instances are spread.
+	Job string
+}
+
+// Entry is a job with ready tasks. V identifies the job to the caller.
+type Entry[V any] struct {
+	Value   V
+	Team    string
+	Class   spec.Class
+	Shape   Shape
+	Arrival uint64
+
+	line *line[V]
+}
+
+// Queued reports whether the entry is in a queue.
+func (e *Entry[V]) Queued() bool { return e.line != nil }
+
+// line holds the entries of one shape of one team, by arrival.
+type line[V any] struct {
+	shape   Shape
+	entries *btree.BTreeG[*Entry[V]]
+	team    *teamQueue[V]
+}
+
+func (l *line[V]) head() *Entry[V] {
+	e, _ := l.entries.Min()
+	return e
+}
+
+// teamQueue holds the lines of one team in one class, by their head's arrival.
+type teamQueue[V any] struct {
+	name  string
+	class int
+	lines map[Shape]*line[V]
+	order *btree.BTreeG[*line[V]]
+}
+
+// Queue holds entries. It belongs to one goroutine.
+type Queue[V any] struct {
+	teams [classes]map[string]*teamQueue[V]
+	size  [classes]int
+}
+
+// New returns an empty queue.
+func New[V any]() *Queue[V] {
+	q := &Queue[V]{}
+	for i := range q.teams {
+		q.teams[i] = map[string]*teamQueue[V]{}
+	}
+	return q
+}
+
+// Len returns the number of entries in a class.
+func (q *Queue[V]) Len(c spec.Class) int { return q.size[c.Rank()] }
+
+// Add puts an entry in; an entry already queued stays where it is.
+func (q *Queue[V]) Add(e *Entry[V]) {
+	if e.Queued() {
+		return
+	}
+	rank := e.Class.Rank()
+	team := q.teams[rank][e.Team]
+	if team == nil {
+		team = newTeamQueue[V](e.Team, rank)
+		q.teams[rank][e.Team] = team
+	}
+	team.add(e)
+	q.size[rank]++
+}
+
+// Remove takes an entry out.
+func (q *Queue[V]) Remove(e *Entry[V]) {
+	if !e.Queued() {
+		return
+	}
+	team := e.line.team
+	team.remove(e)
+	q.size[team.class]--
+	if len(team.lines) == 0 {
+		delete(q.teams[team.class], team.name)
+	}
+}
+
+func newTeamQueue[V any](name string, class int) *teamQueue[V] {
+	return &teamQueue[V]{
+		name: name, class: class,
+		lines: map[Shape]*line[V]{},
+		order: btree.NewG(degree, func(a, b *line[V]) bool { return a.head().Arrival < b.head().Arrival }),
+	}
+}
+
+func (t *teamQueue[V]) add(e *Entry[V]) {
+	l := t.lines[e.Shape]
+	if l == nil {
+		l = &line[V]{shape: e.Shape, team: t, entries: btree.NewG(degree, earlier[V])}
+		t.lines[e.Shape] = l
+	} else {
+		t.order.Delete(l)
+	}
+	l.entries.ReplaceOrInsert(e)
+	e.line = l
+	t.order.ReplaceOrInsert(l)
+}
+
+func (t *teamQueue[V]) remove(e *Entry[V]) {
+	l := e.line
+	t.order.Delete(l)
+	l.entries.Delete(e)
+	e.line = nil
+	if l.entries.Len() == 0 {
+		delete(t.lines, l.shape)
+		return
+	}
+	t.order.ReplaceOrInsert(l)
+}
+
+func earlier[V any](a, b *Entry[V]) bool { return a.Arrival < b.Arrival }
+
+// Round is one pass over the queue. Entries may be added and removed while it
+// runs.
+type Round[V any] struct {
+	queue   *Queue[V]
+	share   func(team string) float64
+	class   int
+	lowest  int
+	teams   teamHeap[V]
+	skipped map[*line[V]]bool
+	shapes  map[Shape]bool
+}
+
+// NewRound starts a pass from the highest class down to lowest; share says
+// which team is served first within a class, the lowest share before others.
+func (q *Queue[V]) NewRound(lowest spec.Class, share func(team string) float64) *Round[V] {
+	r := &Round[V]{queue: q, share: share, class: classes, lowest: lowest.Rank()}
+	r.nextClass()
+	return r
+}
+
+func (r *Round[V]) nextClass() {
+	r.class--
+	r.teams = r.teams[:0]
+	r.skipped = map[*line[V]]bool{}
+	r.shapes = map[Shape]bool{}
+	if r.class < r.lowest {
+		return
+	}
+	for _, team := range r.queue.teams[r.class] {
+		r.teams = append(r.teams, rankedTeam[V]{team, r.share(team.name)})
+	}
+	heap.Init(&r.teams)
+}
+
+// Next returns the entry to serve now, or false when the round has ended. The
+// caller then calls Served, SkipShape, SkipEntry or SkipTeam, or removes the
+// entry.
+func (r *Round[V]) Next() (*Entry[V], bool) {
+	for r.class >= r.lowest {
+		if len(r.teams) == 0 {
+			r.nextClass()
+			continue
+		}
+		if e := r.first(r.teams[0].team); e != nil {
+			return e, true
+		}
+		heap.Pop(&r.teams)
+	}
+	return nil, false
+}
+
+// first returns the earliest entry of the team that is not skipped.
+func (r *Round[V]) first(t *teamQueue[V]) *Entry[V] {
+	var found *Entry[V]
+	t.order.Ascend(func(l *line[V]) bool {
+		if r.skipped[l] || r.shapes[l.shape] {
+			return true
+		}
+		found = l.head()
+		return false
+	})
+	return found
+}
+
+// Served tells that a task of the team was placed, so that its share changed.
+func (r *Round[V]) Served(team string) {
+	if len(r.teams) == 0 || r.teams[0].team.name != team {
+		return
+	}
+	r.teams[0].share = r.share(team)
+	heap.Fix(&r.teams, 0)
+}
+
+// SkipShape tells that no worker takes the shape in this round, in this class.
+func (r *Round[V]) SkipShape(e *Entry[V]) { r.shapes[e.Shape] = true }
+
+// SkipLine tells that entries of this shape of this team are not served in
+// this round, for example because the team's quota is used up.
+func (r *Round[V]) SkipLine(e *Entry[V]) {
+	if e.line != nil {
+		r.skipped[e.line] = true
+	}
+}
+
+// SkipTeam ends the turn of the team for this class.
+func (r *Round[V]) SkipTeam(team string) {
+	if len(r.teams) > 0 && r.teams[0].team.name == team {
+		heap.Pop(&r.teams)
+	}
+}
+
+// rankedTeam is a team with its share at the time it was ranked.
+type rankedTeam[V any] struct {
+	team  *teamQueue[V]
+	share float64
+}
+
+type teamHeap[V any] []rankedTeam[V]
+
+func (h teamHeap[V]) Len() int { return len(h) }
+func (h teamHeap[V]) Less(i, j int) bool {
+	if h[i].share != h[j].share {
+		return h[i].share < h[j].share
+	}
+	return h[i].team.name < h[j].team.name
+}
+func (h teamHeap[V]) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *teamHeap[V]) Push(x any)   { *h = append(*h, x.(rankedTeam[V])) }
+func (h *teamHeap[V]) Pop() any {
+	old := *h
+	last := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return last
+}
--- /dev/null
+++ b/process/jobs/reconcile.go
@@ -0,0 +1,212 @@
+package jobs
+
+import (
+	"slices"
+	"time"
+
+	"fennelshunt.example/fennelshunt/process/jobs/progress"
+	"fennelshunt.example/fennelshunt/version/spec"
+)
+
+// applyConfig compares the declared jobs with the known ones: it adds what is
+// new and cancels what is gone or changed. A configuration older than the one
+// acted on is ignored.
+func (st *state) applyConfig(config *spec.Config) {
+	if config.Version < st.config.Version {
+		return
+	}
+	st.config = config
+	if config.Version > st.commit.version {
+		st.mark()
+		st.commit.version = config.Version
+	}
+	st.applyTeams()
+	for name, j := range st.current {
+		declared := config.Jobs[name]
+		if declared == nil || declared.Generation != j.key.Generation || !st.mine(declared.Team) {
+			st.cancel(j)
+		}
+	}
+	for _, declared := range st.newJobs() {
+		st.addJob(declared)
+	}
+	st.dropRecords()
+	st.countPending()
+	st.rollServices()
+	st.recheckAll()
+	st.round.dirty = true
+}
+
+func (st *state) mine(team string) bool {
+	return ShardOfTeam(team, st.o.Shards) == st.shard.number
+}
+
+func (st *state) applyTeams() {
+	for name, team := range st.config.Teams {
+		if st.mine(name) {
+			st.accounts.SetTeam(name, team.Weight, team.Quota)
+		}
+	}
+}
+
+// newJobs returns the declared jobs that are not known, oldest first, so that
+// arrivals are numbered alike by every owner.
+func (st *state) newJobs() []*spec.VersionedJob {
+	var added []*spec.VersionedJob
+	for name, declared := range st.config.Jobs {
+		if st.current[name] == nil && st.mine(declared.Team) {
+			added = append(added, declared)
+		}
+	}
+	slices.SortFunc(added, func(a, b *spec.VersionedJob) int {
+		if a.Generation != b.Generation {
+			return int(int64(a.Generation) - int64(b.Generation))
+		}
+		if a.Name < b.Name {
+			return -1
+		}
+		return 1
+	})
+	return added
+}
+
+func (st *state) addJob(declared *spec.VersionedJob) {
+	key := progress.Key{Job: declared.Name, Generation: declared.Generation}
+	record, unsure := st.takeover.record(key)
+	st.arrivals++
+	j := newJob(declared, record, time.Now(), st.arrivals)
+	st.jobs[key], st.current[declared.Name] = j, j
+	st.sortTasks(j, unsure)
+	st.raiseLimit(j)
+	st.enqueue(j)
+	if st.takeover.done && unsure {
+		st.unblock(j)
+	}
+}
+
+// dropRecords removes the progress of jobs that are no longer declared.
+func (st *state) dropRecords() {
+	for key := range st.takeover.records {
+		st.mark()
+		st.commit.removed[key] = struct{}{}
+	}
+	clear(st.takeover.records)
+}
+
+// cancel ends a job. Its waiting tasks cost nothing; each live one is stopped.
+// The instances of a service that is replaced by a new generation are stopped
+// step by step by rollServices.
+func (st *state) cancel(j *job) {
+	st.mark()
+	st.commit.removed[j.key] = struct{}{}
+	delete(st.commit.dirty, j)
+	delete(st.current, j.key.Job)
+	st.queue.Remove(j.entry)
+	j.cancelled = true
+	j.ready.Clear()
+	j.blocked.Clear()
+	j.delayed.Clear()
+	clear(j.requeued)
+	if st.replaced(j) {
+		st.rolling[j.key.Job] = append(st.rolling[j.key.Job], j)
+	} else {
+		for _, a := range j.live {
+			st.stop(a)
+		}
+	}
+	st.o.Metrics.Cancelled.Add(1)
+	st.dropEmpty(j)
+}
+
+// replaced reports whether a service goes on in a newer generation.
+func (st *state) replaced(j *job) bool {
+	declared := st.config.Jobs[j.key.Job]
+	return j.service() && declared != nil && declared.Kind == spec.Service && st.mine(declared.Team)
+}
+
+// stopCancelled stops an adopted attempt of a cancelled job.
+func (st *state) stopCancelled(a *attempt) {
+	if slices.Contains(st.rolling[a.job.key.Job], a.job) {
+		st.rollServices()
+		return
+	}
+	st.stop(a)
+}
+
+// dropEmpty forgets a cancelled job without attempts.
+func (st *state) dropEmpty(j *job) {
+	if !j.cancelled || len(j.live) > 0 || st.jobs[j.key] != j {
+		return
+	}
+	delete(st.jobs, j.key)
+	olds := slices.DeleteFunc(st.rolling[j.key.Job], func(o *job) bool { return o == j })
+	if len(olds) == 0 {
+		delete(st.rolling, j.key.Job)
+	} else {
+		st.rolling[j.key.Job] = olds
+	}
+	st.round.dirty = true
+}
+
+// rollServices goes on with the replacement of services: an old instance is
+// stopped as long as at least Count - MaxUnavailable instances run, and a new
+// one starts when an old one has ended, so that there are never more than
+// Count.
+func (st *state) rollServices() {
+	for name, olds := range st.rolling {
+		st.roll(st.current[name], slices.Clone(olds))
+	}
+}
+
+func (st *state) roll(current *job, olds []*job) {
+	if current == nil || !current.service() {
+		for _, old := range olds {
+			for _, a := range old.live {
+				st.stop(a)
+			}
+		}
+		return
+	}
+	spare := st.runningInstances(current, olds) - (current.spec.Count - maxUnavailable(current))
+	for _, old := range olds {
+		for _, a := range old.live {
+			switch {
+			case a.stopping:
+			case a.phase < running:
+				st.stop(a)
+			case spare > 0:
+				st.stop(a)
+				spare--
+			}
+		}
+	}
+}
+
+func maxUnavailable(j *job) int {
+	if j.spec.Service == nil {
+		return 1
+	}
+	return max(j.spec.Service.MaxUnavailable, 1)
+}
+
+// runningInstances counts the instances that run and were not asked to stop.
+func (st *state) runningInstances(current *job, olds []*job) int {
+	n := 0
+	for _, j := range append(olds, current) {
+		for _, a := range j.live {
+			if a.phase == running && !a.stopping {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// rollingHold reports whether a new instance has to wait for an old one's end.
+func (st *state) rollingHold(j *job) bool {
+	live := len(j.live)
+	for _, old := range st.rolling[j.key.Job] {
+		live += len(old.live)
+	}
+	return live >= j.spec.Count
+}
--- /dev/null
+++ b/process/jobs/round.go
@@ -0,0 +1,306 @@
+package jobs
+
+import (
+	"time"
+
+	"fennelshunt.example/fennelshunt/connection/worker"
+	"fennelshunt.example/fennelshunt/process/jobs/queue"
+	"fennelshunt.example/fennelshunt/process/sched"
+	"fennelshunt.example/fennelshunt/process/sched/snapshot"
+	"fennelshunt.example/fennelshunt/version/spec"
+)
+
+// roundState is the pass over the queue that is under way, and when to start
+// the next one.
+type roundState struct {
+	planner *sched.Planner
+	snap    *sched.Snapshot
+	active  *queue.Round[*job]
+	// class is the class that the active round has come to.
+	class spec.Class
+	// dirty is set when something may have changed an answer.
+	dirty                       bool
+	last, lastTick, lastRecheck time.Time
+	// refused holds workers whose owner refused a step lately, until when.
+	refused map[worker.ID]time.Time
+}
+
+// refusedFor is how long a worker is left alone after a refusal that the
+// snapshot did not foresee.
+const refusedFor = 250 * time.Millisecond
+
+// decide makes at most SliceLimit decisions.
+func (st *state) decide(now time.Time) {
+	if !st.mayStart() {
+		st.round.active = nil
+		return
+	}
+	if st.round.active == nil && !st.beginRound(now) {
+		return
+	}
+	for range st.o.Tuning.SliceLimit {
+		e, ok := st.round.active.Next()
+		if !ok {
+			st.round.active = nil
+			return
+		}
+		st.serve(e, now)
+		if st.round.active == nil {
+			return
+		}
+	}
+}
+
+// mayStart reports whether this daemon may start new work now.
+func (st *state) mayStart() bool {
+	if st.releasing {
+		return false
+	}
+	start, _ := st.o.Directory.Authority()
+	return start > 0
+}
+
+func (st *state) beginRound(now time.Time) bool {
+	if !st.round.dirty || now.Before(st.round.last.Add(st.o.Tuning.RoundGap)) {
+		return false
+	}
+	snap := st.o.Snapshots()
+	if snap.Len() == 0 {
+		return false
+	}
+	if st.round.planner == nil {
+		st.round.planner = sched.NewPlanner(snap)
+	} else {
+		st.round.planner.Rebase(snap)
+	}
+	if snap != st.round.snap {
+		st.round.snap = snap
+		st.countCapacity(snap)
+	}
+	st.blockUnusable(now)
+	st.round.dirty, st.round.last = false, now
+	st.round.active = st.queue.NewRound(spec.Low, st.accounts.Share)
+	return true
+}
+
+// restartRound makes the next slice begin again with the highest class.
+func (st *state) restartRound() {
+	st.round.active = nil
+	st.round.dirty = true
+}
+
+func (st *state) countCapacity(snap *sched.Snapshot) {
+	var total spec.Resources
+	snap.All(func(w *snapshot.Worker) bool {
+		if w.Unusable == "" {
+			total = total.Add(w.Capacity)
+		}
+		return true
+	})
+	st.accounts.SetCapacity(total)
+}
+
+// blockUnusable fills workers in the planner's view whose owner takes no plans
+// now, so that the decisions of this round go elsewhere.
+func (st *state) blockUnusable(now time.Time) {
+	for id, until := range st.round.refused {
+		if now.After(until) {
+			delete(st.round.refused, id)
+		} else {
+			st.fill(id)
+		}
+	}
+	if st.allUsable() {
+		return
+	}
+	st.round.snap.All(func(w *snapshot.Worker) bool {
+		if p := st.partitions[w.Partition]; p == nil || !st.usable(p) {
+			st.fill(w.ID)
+		}
+		return true
+	})
+}
+
+func (st *state) allUsable() bool {
+	for _, p := range st.partitions {
+		if !st.usable(p) {
+			return false
+		}
+	}
+	return len(st.partitions) > 0
+}
+
+// fillerJob is the job name of the placeholder that fills a worker; it can not
+// be the name of a declared job.
+const fillerJob = "/unusable"
+
+func (st *state) fill(id worker.ID) {
+	view := st.round.planner.View()
+	w := view.Lookup(id)
+	if w == nil || w.Free().IsZero() {
+		return
+	}
+	free := w.Free()
+	filler := sched.Ask{Task: spec.TaskID{Job: fillerJob}, Class: spec.Urgent, Size: free}
+	view.Start(&filler, id)
+}
+
+// serve tries to start the next task of a job, or a whole gang.
+func (st *state) serve(e *queue.Entry[*job], now time.Time) {
+	j := e.Value
+	if j.spec.Kind == spec.Gang {
+		st.serveGang(e, now)
+		return
+	}
+	index, ok := j.next()
+	if !ok {
+		st.queue.Remove(e)
+		return
+	}
+	if j.service() && st.rollingHold(j) {
+		j.wait = "rolling replacement: waits for an old instance to end"
+		st.round.active.SkipShape(e)
+		return
+	}
+	if !st.fitsQuota(e, j.spec.Size) || !st.paced(j, now) {
+		return
+	}
+	ask := j.ask(index, st.nextAttempt())
+	d := st.round.planner.Place(ask)
+	if !d.Placed() {
+		st.refuseJob(e, d.Rejections, d.Infeasible)
+		return
+	}
+	st.assign(j, index, &ask, &d, now)
+	st.round.active.Served(j.spec.Team)
+}
+
+// fitsQuota reports whether the team may hold size more. A size over the whole
+// quota can never start.
+func (st *state) fitsQuota(e *queue.Entry[*job], size spec.Resources) bool {
+	j := e.Value
+	if !st.accounts.CanEverFit(j.spec.Team, size) {
+		st.refuseJob(e, nil, "larger than the quota of the team")
+		return false
+	}
+	if !st.accounts.Fits(j.spec.Team, size) {
+		j.wait = "quota of the team is used up"
+		j.rejections = nil
+		st.round.active.SkipLine(e)
+		return false
+	}
+	return true
+}
+
+// paced takes a token for a start. Urgent work and services are never held
+// back: after the loss of a rack they go first and the rest follows at a rate
+// that the workers' owners can take.
+func (st *state) paced(j *job, now time.Time) bool {
+	if st.limiter.AllowN(now, 1) || j.class.Rank() >= spec.High.Rank() {
+		return true
+	}
+	j.wait = "starts are paced"
+	st.restartRound()
+	return false
+}
+
+// refuseJob notes why a job's next task finds no place and skips its shape.
+func (st *state) refuseJob(e *queue.Entry[*job], rejections []sched.Rejection, infeasible string) {
+	j := e.Value
+	j.wait, j.rejections = "", rejections
+	if infeasible == "" {
+		st.round.active.SkipShape(e)
+		return
+	}
+	if j.infeasible == "" {
+		st.o.Log.Warn().Str("job", j.key.Job).Str("reason", infeasible).Msg("job can never run on the workers known now")
+	}
+	j.infeasible = infeasible
+	st.queue.Remove(e)
+}
+
+// recheckInfeasible queues jobs again that could not run when they were last
+// tried: workers may have come or the quota may have been raised.
+func (st *state) recheckInfeasible(now time.Time) {
+	if now.Sub(st.round.lastRecheck) < recheckInterval {
+		return
+	}
+	st.round.lastRecheck = now
+	st.recheckAll()
+}
+
+func (st *state) recheckAll() {
+	for _, j := range st.current {
+		if j.infeasible != "" {
+			st.enqueue(j)
+		}
+	}
+}
+
+// recheckInterval is the time between two tries of a job that can never run.
+const recheckInterval = 5 * time.Second
+
+// assign makes an attempt of a decision and queues its step.
+func (st *state) assign(j *job, index uint32, ask *sched.Ask, d *sched.Decision, now time.Time) *attempt {
+	a := &attempt{
+		job: j, index: index, number: ask.Attempt, partition: d.Partition, worker: d.Worker,
+		size: j.spec.Size, victims: d.Victims, decided: now, waitingSince: j.readySince(index),
+	}
+	st.round.planner.Assume(*ask, *d)
+	if err := st.accounts.Charge(j.spec.Team, a.size); err != nil {
+		st.violated("quota checked and then exceeded: %v", err)
+	}
+	st.makeLive(a)
+	j.wait, j.rejections, j.infeasible = "", nil, ""
+	st.queueStart(a)
+	return a
+}
+
+// makeLive moves a ready task to the live ones.
+func (st *state) makeLive(a *attempt) {
+	j := a.job
+	if j.live[a.index] != nil || j.record.Finished(a.index) {
+		st.violated("task %s starts although it is live or finished", a.task())
+	}
+	j.ready.Remove(a.index)
+	j.blocked.Remove(a.index)
+	j.delayed.Remove(a.index)
+	delete(j.requeued, a.index)
+	j.live[a.index] = a
+	if j.ready.IsEmpty() {
+		st.queue.Remove(j.entry)
+	}
+	st.raiseLimit(j)
+}
+
+// readySince returns since when a task could have started.
+func (j *job) readySince(index uint32) time.Time {
+	if at, ok := j.requeued[index]; ok {
+		return at
+	}
+	return j.arrived
+}
+
+// makeReady puts a task that is not live back into the queue.
+func (st *state) makeReady(j *job, index uint32, now time.Time) {
+	j.blocked.Remove(index)
+	j.delayed.Remove(index)
+	if j.cancelled || j.record.Finished(index) {
+		return
+	}
+	j.ready.Add(index)
+	j.requeued[index] = now
+	st.enqueue(j)
+}
+
+// enqueue queues a job that has a task to start.
+func (st *state) enqueue(j *job) {
+	if j.cancelled || j.ready.IsEmpty() || j.entry.Queued() {
+		return
+	}
+	st.queue.Add(j.entry)
+	st.round.dirty = true
+	if j.class == spec.Urgent && st.round.active != nil {
+		st.restartRound()
+	}
+}
--- /dev/null
+++ b/process/jobs/send.go
@@ -0,0 +1,324 @@
+package jobs
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"fennelshunt.example/fennelshunt/connection/peer"
+	"fennelshunt.example/fennelshunt/connection/worker"
+	"fennelshunt.example/fennelshunt/process/plan"
+	"fennelshunt.example/fennelshunt/version/spec"
+)
+
+// unsentLimit is how long an attempt waits for its partition to become usable
+// before its task is decided on again.
+const unsentLimit = time.Second
+
+// groupLimit bounds the tasks of one Stop or Ack.
+const groupLimit = 1024
+
+func contextWithTimeout(ctx context.Context, d time.Duration) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(ctx, d)
+}
+
+func sorted(names []string) []string {
+	slices.Sort(names)
+	return names
+}
+
+// queueStart puts an attempt into the outbox of its partition, or has it wait
+// until the intent of its non-idempotent task is durable. Without that, a new
+// owner could not know that the task may have run, and would start it again.
+func (st *state) queueStart(a *attempt) {
+	if st.needsWrite(a) {
+		a.phase = intending
+		st.mark()
+		st.commit.waiting = append(st.commit.waiting, a)
+		return
+	}
+	if a.reservation != "" {
+		st.gangReady(a)
+		return
+	}
+	st.queueStep(a)
+}
+
+func (st *state) queueStep(a *attempt) {
+	a.phase = unsent
+	p := st.partition(a.partition)
+	p.starts = append(p.starts, a)
+}
+
+func (st *state) needsWrite(a *attempt) bool {
+	if !a.job.spec.NonIdempotent || a.job.durableIntent.Contains(a.index) {
+		return false
+	}
+	a.job.record.Intent.Add(a.index)
+	st.touch(a.job)
+	return true
+}
+
+// send empties the outboxes as far as calls are free.
+func (st *state) send(now time.Time) {
+	st.fenceAll(now)
+	for _, p := range st.partitions {
+		if len(p.starts) > 0 {
+			st.sendPlan(p, now)
+		}
+		if len(p.stops) > 0 && !p.stopping && p.known {
+			st.sendStops(p)
+		}
+		if len(p.acks) > 0 && !p.acking && p.known && !now.Before(p.ackAfter) {
+			st.sendAcks(p)
+		}
+	}
+}
+
+func (st *state) sendPlan(p *partition, now time.Time) {
+	if p.planning {
+		return
+	}
+	if !st.usable(p) || !st.mayStart() {
+		if now.Sub(p.starts[0].decided) > unsentLimit || st.releasing {
+			st.returnStarts(p)
+		}
+		return
+	}
+	attempts := st.takeStarts(p)
+	if len(attempts) == 0 {
+		return
+	}
+	p.planning = true
+	request := plan.Plan{
+		Partition: p.name, Author: st.author(), Seq: st.shard.seq.Add(1),
+		Reservation: attempts[0].reservation, Steps: make([]plan.Step, len(attempts)),
+	}
+	for i, a := range attempts {
+		request.Steps[i] = step(a)
+		a.phase, a.sentEpoch = sent, p.owner.Epoch
+	}
+	st.o.Metrics.Plans.Add(1)
+	st.o.Metrics.Steps.Add(int64(len(attempts)))
+	result := new(plan.Result)
+	st.callOwner(p.owner, plan.MethodCommit, &request, result, func(st *state, err error) {
+		p.planning = false
+		st.planAnswered(p, attempts, result, err)
+	})
+}
+
+// takeStarts takes the next group out of the outbox, the highest class first.
+// Steps on a reservation go alone.
+func (st *state) takeStarts(p *partition) []*attempt {
+	p.starts = slices.DeleteFunc(p.starts, func(a *attempt) bool { return a.job.live[a.index] != a })
+	slices.SortStableFunc(p.starts, func(a, b *attempt) int { return b.job.class.Rank() - a.job.class.Rank() })
+	if len(p.starts) == 0 {
+		return nil
+	}
+	reservation := p.starts[0].reservation
+	var group, rest []*attempt
+	for _, a := range p.starts {
+		if a.reservation == reservation && len(group) < st.o.Tuning.PlanSteps {
+			group = append(group, a)
+		} else {
+			rest = append(rest, a)
+		}
+	}
+	p.starts = rest
+	return group
+}
+
+// returnStarts gives up attempts that were never sent.
+func (st *state) returnStarts(p *partition) {
+	starts := p.starts
+	p.starts = nil
+	for _, a := range starts {
+		if a.job.live[a.index] == a {
+			st.notStarted(a, "owner of the workers not reachable")
+		}
+	}
+}
+
+func step(a *attempt) plan.Step {
+	j := a.job
+	s := plan.Step{
+		Worker: a.worker, Class: j.class, Team: j.spec.Team, Victims: a.victims,
+		Constraints: j.spec.Constraints, NonIdempotent: j.spec.NonIdempotent,
+		Start: worker.Start{
+			Task: a.task(), Attempt: a.number, Kind: j.spec.Kind, Size: a.size,
+			RunTime: j.spec.RunTime, Parameters: j.spec.Parameters, Checkpoint: !j.spec.NonIdempotent,
+		},
+	}
+	if j.spec.Service != nil {
+		s.Start.Service = j.key.Job
+		s.Start.Slots, s.Start.Conns = j.spec.Service.Slots, j.spec.Service.Connections
+	}
+	return s
+}
+
+// planAnswered takes the answer of a plan. When the call certainly did not run
+// its tasks are free again. When that is not known they stay live until the
+// partition has listed what it holds under a higher plan number.
+func (st *state) planAnswered(p *partition, attempts []*attempt, result *plan.Result, err error) {
+	switch {
+	case err == nil && len(result.Steps) == len(attempts):
+		for i, a := range attempts {
+			st.stepAnswered(p, a, &result.Steps[i])
+		}
+	case notRun(err):
+		for _, a := range attempts {
+			if a.job.live[a.index] == a && a.phase == sent {
+				st.notStarted(a, "owner of the workers not reachable")
+			}
+		}
+		p.fencedEpoch = 0
+	default:
+		p.doubt, p.nextFence = true, time.Time{}
+		st.o.Metrics.LostAnswers.Add(1)
+		for _, a := range attempts {
+			if a.phase == sent {
+				a.phase = uncertain
+			}
+		}
+	}
+	st.round.dirty = true
+}
+
+// notRun reports whether a call certainly did not run at the other side.
+func notRun(err error) bool {
+	return errors.Is(err, peer.ErrNotSent) || errors.Is(err, peer.ErrWrongLife) || errors.Is(err, peer.ErrNoMethod)
+}
+
+func (st *state) stepAnswered(p *partition, a *attempt, r *plan.StepResult) {
+	if a.job.live[a.index] != a {
+		return // an event has ended it already
+	}
+	switch r.Outcome {
+	case plan.Accepted:
+		st.accepted(a)
+	case plan.Duplicate:
+		// Another attempt of the task is there that this owner does not know.
+		a.phase = uncertain
+		p.doubt, p.nextFence = true, time.Time{}
+	case plan.NoWorker, plan.NoRoom:
+		st.round.refused[a.worker] = time.Now().Add(refusedFor)
+		st.notStarted(a, reasonOf(r))
+	default: // Stale, NotOwner, NotFenced
+		p.fencedEpoch = 0
+		st.notStarted(a, reasonOf(r))
+	}
+}
+
+func reasonOf(r *plan.StepResult) string {
+	if r.Reason != "" {
+		return r.Reason
+	}
+	return string(r.Outcome)
+}
+
+func (st *state) accepted(a *attempt) {
+	if a.phase < starting {
+		a.phase = starting
+	}
+	st.o.Metrics.Started.Add(1)
+	if a.stopping {
+		st.sendStop(a, plan.StopNow)
+	}
+}
+
+// notStarted frees a task whose start certainly did not happen.
+func (st *state) notStarted(a *attempt, reason string) {
+	st.o.Metrics.Refused.Add(1)
+	st.removeLive(a)
+	st.failGang(a.job, reason)
+	if !a.stopping {
+		a.job.wait = reason
+	}
+	st.makeReadyAgain(a)
+	st.dropEmpty(a.job)
+}
+
+// makeReadyAgain requeues a task under the time since which it waits.
+func (st *state) makeReadyAgain(a *attempt) {
+	st.makeReady(a.job, a.index, time.Now())
+	if _, ok := a.job.requeued[a.index]; ok {
+		a.job.requeued[a.index] = a.waitingSince
+	}
+}
+
+// stop asks for the end of an attempt.
+func (st *state) stop(a *attempt) {
+	if a.stopping {
+		return
+	}
+	a.stopping = true
+	if !a.phase.mayRun() {
+		st.notStarted(a, "cancelled")
+		return
+	}
+	st.stopping[a] = struct{}{}
+	if a.phase >= starting {
+		st.sendStop(a, plan.StopNow)
+	}
+}
+
+func (st *state) sendStop(a *attempt, mode plan.StopMode) {
+	a.stopSent = time.Now()
+	p := st.partition(a.partition)
+	p.stops[mode] = append(p.stops[mode], a.ref())
+}
+
+// repeatStops sends stops again whose effect has not been seen.
+func (st *state) repeatStops(now time.Time) {
+	for a := range st.stopping {
+		if a.phase >= starting && now.Sub(a.stopSent) > st.o.Tuning.StopRepeat+st.o.Tuning.drainOf(a.job) {
+			st.sendStop(a, plan.StopNow)
+		}
+	}
+}
+
+// drainOf is how long an instance may take to finish its requests.
+func (t *Tuning) drainOf(j *job) time.Duration {
+	if j.spec.Kind == spec.Service {
+		return t.Drain
+	}
+	return 0
+}
+
+func (st *state) sendStops(p *partition) {
+	for mode, refs := range p.stops {
+		n := min(len(refs), groupLimit)
+		request := plan.Stop{
+			Partition: p.name, Author: st.author(), Tasks: refs[:n:n], Mode: mode,
+			DrainMillis: st.o.Tuning.Drain.Milliseconds(),
+		}
+		if p.stops[mode] = refs[n:]; len(p.stops[mode]) == 0 {
+			delete(p.stops, mode)
+		}
+		p.stopping = true
+		// A stop that is lost is repeated until its effect is seen.
+		st.callOwner(p.owner, plan.MethodStop, &request, nil, func(_ *state, _ error) { p.stopping = false })
+		return
+	}
+}
+
+func (st *state) queueAck(partition string, ref worker.Ref) {
+	p := st.partition(partition)
+	p.acks = append(p.acks, ref)
+}
+
+func (st *state) sendAcks(p *partition) {
+	n := min(len(p.acks), groupLimit)
+	refs := p.acks[:n:n]
+	p.acks = p.acks[n:]
+	p.acking = true
+	request := plan.Ack{Partition: p.name, Author: st.author(), Tasks: refs}
+	st.callOwner(p.owner, plan.MethodAck, &request, nil, func(st *state, err error) {
+		p.acking = false
+		if err != nil && p.known {
+			p.acks = append(p.acks, refs...)
+			p.ackAfter = time.Now().Add(st.o.Tuning.FenceRepeat)
+		}
+	})
+}
--- /dev/null
+++ b/process/jobs/shard.go
@@ -0,0 +1,181 @@
+package jobs
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/thejerf/suture/v4"
+
+	"fennelshunt.example/fennelshunt/process/jobs/progress"
+	"fennelshunt.example/fennelshunt/process/ownership"
+	"fennelshunt.example/fennelshunt/process/plan"
+)
+
+// errShardEnded is returned to callers of a shard that was lost or released.
+var errShardEnded = errors.New("jobs: the shard is no longer owned here")
+
+// commandBuffer is the number of commands that may wait for the shard.
+const commandBuffer = 64
+
+// attemptEpochBits places the claim's epoch above the count of starts in an
+// attempt number, so that numbers rise over takeovers without being stored.
+const attemptEpochBits = 32
+
+// shard is one claimed shard. Its state lives in the goroutine of Serve; other
+// goroutines reach it through call.
+type shard struct {
+	o      *Options
+	number plan.Shard
+	claim  ownership.Claim
+
+	commands chan command
+	quit     chan struct{}
+	quitOnce sync.Once
+
+	// attempts and seq outlive a restart of Serve after a panic: neither a
+	// number of an attempt nor one of a plan is used twice in an epoch.
+	attempts atomic.Uint64
+	seq      atomic.Uint64
+}
+
+// command is work for the goroutine of the shard.
+type command struct {
+	run  func(st *state)
+	done chan struct{}
+}
+
+func newShard(o *Options, number plan.Shard, claim ownership.Claim) *shard {
+	return &shard{
+		o: o, number: number, claim: claim,
+		commands: make(chan command, commandBuffer),
+		quit:     make(chan struct{}),
+	}
+}
+
+// abandon ends the shard without waiting.
+func (s *shard) abandon() { s.quitOnce.Do(func() { close(s.quit) }) }
+
+// call runs f in the goroutine of the shard and waits for it.
+func (s *shard) call(ctx context.Context, f func(st *state)) error {
+	c := command{run: f, done: make(chan struct{})}
+	select {
+	case s.commands <- c:
+	case <-s.quit:
+		return errShardEnded
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	select {
+	case <-c.done:
+		return nil
+	case <-s.quit:
+		return errShardEnded
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// post runs f in the goroutine of the shard without waiting for it. It must
+// not be called from that goroutine.
+func (s *shard) post(ctx context.Context, f func(st *state)) {
+	select {
+	case s.commands <- command{run: f}:
+	case <-s.quit:
+	case <-ctx.Done():
+	}
+}
+
+// Serve takes the shard over and runs it until it is lost.
+func (s *shard) Serve(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		select {
+		case <-s.quit:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	st, err := s.takeOver(ctx)
+	if err == nil {
+		err = st.loop(ctx)
+	}
+	select {
+	case <-s.quit:
+		return suture.ErrDoNotRestart
+	default:
+	}
+	if errors.Is(err, progress.ErrSuperseded) {
+		s.o.Log.Info().Int("shard", int(s.number)).Msg("a higher epoch owns the shard")
+		s.abandon()
+		return suture.ErrDoNotRestart
+	}
+	return err
+}
+
+// takeOver opens the progress under this epoch and waits for a configuration
+// that is not older than the one the previous owner acted on. With an older
+// one this owner would stop tasks of jobs that it does not know yet.
+func (s *shard) takeOver(ctx context.Context) (*state, error) {
+	type opened struct {
+		file *progress.File
+		jobs []*progress.Job
+		head progress.Head
+	}
+	open := func() (opened, error) {
+		file, jobs, head, err := progress.Open(ctx, s.o.Store, int(s.number), s.claim.Epoch, s.claim.Owner)
+		if errors.Is(err, progress.ErrSuperseded) {
+			err = backoff.Permanent(err)
+		}
+		return opened{file, jobs, head}, err
+	}
+	policy := backoff.NewExponentialBackOff()
+	policy.InitialInterval, policy.MaxInterval = 50*time.Millisecond, 2*time.Second
+	got, err := backoff.Retry(ctx, open, backoff.WithBackOff(policy), backoff.WithMaxElapsedTime(0))
+	if err != nil {
+		return nil, err
+	}
+	if err := s.awaitConfig(ctx, got.head.ConfigVersion); err != nil {
+		return nil, err
+	}
+	return newState(s, got.file, got.jobs, got.head), nil
+}
+
+func (s *shard) awaitConfig(ctx context.Context, version uint64) error {
+	for {
+		changed := s.o.Config.Changed()
+		if s.o.Config.Current().Version >= version {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// release stops new starts and waits until all answers are in and durable.
+func (s *shard) release(ctx context.Context) error {
+	if err := s.call(ctx, func(st *state) { st.releasing = true }); err != nil {
+		return err
+	}
+	for {
+		settled := false
+		if err := s.call(ctx, func(st *state) { settled = st.settled() }); err != nil {
+			return err
+		}
+		if settled {
+			return nil
+		}
+		select {
+		case <-time.After(s.o.Tuning.CommitGather):
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
--- /dev/null
+++ b/process/jobs/state.go
@@ -0,0 +1,169 @@
+package jobs
+
+import (
+	"context"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"fennelshunt.example/fennelshunt/connection/worker"
+	"fennelshunt.example/fennelshunt/process/jobs/fairshare"
+	"fennelshunt.example/fennelshunt/process/jobs/progress"
+	"fennelshunt.example/fennelshunt/process/jobs/queue"
+	"fennelshunt.example/fennelshunt/process/plan"
+	"fennelshunt.example/fennelshunt/version/spec"
+)
+
+// state is all that the owner of a shard knows. It belongs to the goroutine of
+// the shard.
+type state struct {
+	shard *shard
+	o     *Options
+	ctx   context.Context
+
+	config  *spec.Config
+	jobs    map[progress.Key]*job
+	current map[string]*job
+	// strays are attempts that must end: of jobs that are gone, or beside a
+	// live attempt.
+	strays   map[worker.Ref]*attempt
+	arrivals uint64
+	// rolling holds the older generations of services that are replaced.
+	rolling map[string][]*job
+
+	queue    *queue.Queue[*job]
+	accounts *fairshare.Accounts
+	delayed  delayHeap
+	limiter  *rate.Limiter
+
+	partitions map[string]*partition
+	takeover   takeover
+	commit     commitState
+
+	round     roundState
+	releasing bool
+	// calls counts calls to partitions without an answer yet.
+	calls int
+	// stopping holds the attempts whose end was asked for.
+	stopping map[*attempt]struct{}
+}
+
+func newState(s *shard, file *progress.File, records []*progress.Job, head progress.Head) *state {
+	t := &s.o.Tuning
+	st := &state{
+		shard: s, o: s.o,
+		config: &spec.Config{}, jobs: map[progress.Key]*job{}, current: map[string]*job{},
+		strays: map[worker.Ref]*attempt{}, rolling: map[string][]*job{}, queue: queue.New[*job](), accounts: fairshare.New(),
+		limiter:    rate.NewLimiter(rate.Limit(t.StartsPerSecond), t.StartBurst),
+		partitions: map[string]*partition{}, stopping: map[*attempt]struct{}{},
+	}
+	st.round.refused = map[worker.ID]time.Time{}
+	st.commit = newCommitState(file, head, t)
+	st.takeover = newTakeover(records, head)
+	return st
+}
+
+func (st *state) author() plan.Authorship {
+	return plan.Authorship{Shard: st.shard.number, Epoch: st.shard.claim.Epoch, Owner: st.shard.claim.Owner}
+}
+
+func (st *state) nextAttempt() int {
+	return int(st.shard.claim.Epoch<<attemptEpochBits | st.shard.attempts.Add(1))
+}
+
+// loop serves commands, changes and timers until ctx ends or the shard is
+// superseded.
+func (st *state) loop(ctx context.Context) error {
+	st.ctx = ctx
+	configChanged := st.o.Config.Changed()
+	st.applyConfig(st.o.Config.Current())
+	directoryChanged := st.o.Directory.Changed()
+	st.checkPartitions()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for st.commit.err == nil {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case c := <-st.shard.commands:
+			st.runCommands(c)
+		case <-configChanged:
+			configChanged = st.o.Config.Changed()
+			st.applyConfig(st.o.Config.Current())
+		case <-directoryChanged:
+			directoryChanged = st.o.Directory.Changed()
+			st.checkPartitions()
+		case <-timer.C:
+		}
+		timer.Reset(st.step())
+	}
+	return st.commit.err
+}
+
+// runCommands runs a command and those that wait behind it, so that many
+// answers cost one pass.
+func (st *state) runCommands(c command) {
+	for range commandBuffer {
+		c.run(st)
+		if c.done != nil {
+			close(c.done)
+		}
+		select {
+		case c = <-st.shard.commands:
+		default:
+			return
+		}
+	}
+}
+
+// step does what is due and returns how long the loop may wait.
+func (st *state) step() time.Duration {
+	now := time.Now()
+	st.releaseDelayed(now)
+	st.tick(now)
+	st.decide(now)
+	st.send(now)
+	st.startCommit(now)
+	return st.nextWake(now)
+}
+
+// tick does the slow periodic work.
+func (st *state) tick(now time.Time) {
+	if now.Sub(st.round.lastTick) < st.o.Tuning.RoundInterval {
+		return
+	}
+	st.round.lastTick = now
+	st.round.dirty = true
+	st.checkPartitions()
+	st.repeatStops(now)
+	st.rollServices()
+	st.recheckInfeasible(now)
+}
+
+func (st *state) nextWake(now time.Time) time.Duration {
+	wake := st.round.lastTick.Add(st.o.Tuning.RoundInterval)
+	if st.round.active != nil {
+		wake = now
+	} else if st.round.dirty {
+		wake = earlier(wake, st.round.last.Add(st.o.Tuning.RoundGap))
+	}
+	if len(st.delayed) > 0 {
+		wake = earlier(wake, st.delayed[0].at)
+	}
+	if at, due := st.commitDue(now); due {
+		wake = earlier(wake, at)
+	}
+	return max(wake.Sub(now), 0)
+}
+
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
+// settled reports whether nothing is on its way and everything is durable.
+func (st *state) settled() bool {
+	return st.calls == 0 && !st.commit.writing && !st.commit.pending()
+}
--- /dev/null
+++ b/process/jobs/takeover.go
@@ -0,0 +1,164 @@
+package jobs
+
+import (
+	"time"
+
+	"fennelshunt.example/fennelshunt/process/jobs/progress"
+	"fennelshunt.example/fennelshunt/process/plan"
+	"fennelshunt.example/fennelshunt/process/sched/snapshot"
+	"fennelshunt.example/fennelshunt/version/spec"
+)
+
+// takeover is what a new owner does not know yet: the tasks that a previous
+// owner may have started, as long as a partition that it used has not listed
+// what it holds.
+type takeover struct {
+	records map[progress.Key]*progress.Job
+	// waiting holds the partitions that have not accounted for all their
+	// workers, with the least epoch of the owner that can.
+	waiting map[string]uint64
+	done    bool
+}
+
+func newTakeover(records []*progress.Job, head progress.Head) takeover {
+	t := takeover{
+		records: make(map[progress.Key]*progress.Job, len(records)),
+		waiting: make(map[string]uint64, len(head.Partitions)),
+		done:    len(head.Partitions) == 0,
+	}
+	for _, j := range records {
+		t.records[progress.Key{Job: j.Name, Generation: j.Generation}] = j
+	}
+	for name, epoch := range head.Partitions {
+		t.waiting[name] = epoch
+	}
+	return t
+}
+
+// record returns the progress of a job and whether tasks may be running that
+// this owner has not seen.
+func (t *takeover) record(key progress.Key) (record *progress.Job, unsure bool) {
+	if r := t.records[key]; r != nil {
+		delete(t.records, key)
+		return r, !t.done
+	}
+	return progress.NewJob(key.Job, key.Generation), false
+}
+
+// sortTasks puts each unfinished task of a new job into ready or blocked. Only
+// indexes below the stored limit may have been started by a previous owner.
+func (st *state) sortTasks(j *job, unsure bool) {
+	j.ready.AddRange(0, uint64(j.spec.Count))
+	j.ready.AndNot(j.record.Done)
+	j.ready.AndNot(j.record.Failed)
+	j.ready.AndNot(j.record.Unknown)
+	if unsure {
+		j.blocked.Or(j.ready)
+		j.blocked.RemoveRange(uint64(j.record.StartLimit), maxTasks)
+		j.ready.AndNot(j.blocked)
+	}
+}
+
+// maxTasks is above every task index.
+const maxTasks = 1 << 32
+
+// accountedFor notes that a partition holds no task that this owner does not
+// know of.
+func (st *state) accountedFor(partition string) {
+	if st.takeover.done {
+		return
+	}
+	delete(st.takeover.waiting, partition)
+	if len(st.takeover.waiting) > 0 {
+		st.countPending()
+		return
+	}
+	st.takeover.done = true
+	st.o.Log.Info().Int("shard", int(st.shard.number)).Msg("takeover complete")
+	for _, j := range st.jobs {
+		st.unblock(j)
+	}
+	st.countPending()
+}
+
+// unblock frees the tasks of a job that no partition holds. A non-idempotent
+// task with an intent may have run and lost its worker since; it is not
+// started again.
+func (st *state) unblock(j *job) {
+	if j.cancelled || j.blocked.IsEmpty() {
+		return
+	}
+	if j.spec.NonIdempotent {
+		unknown := j.blocked.Clone()
+		unknown.And(j.durableIntent)
+		j.record.Unknown.Or(unknown)
+		j.blocked.AndNot(unknown)
+		st.o.Metrics.Unknown.Add(int64(unknown.GetCardinality()))
+		st.touch(j)
+	}
+	j.ready.Or(j.blocked)
+	j.blocked.Clear()
+	st.enqueue(j)
+}
+
+// countPending counts against the quotas what blocked tasks may hold: at most
+// what they are declared with, and at most what the workers that are not
+// accounted for can carry.
+func (st *state) countPending() {
+	blocked := map[string]spec.Resources{}
+	for _, j := range st.current {
+		blocked[j.spec.Team] = blocked[j.spec.Team].Add(j.spec.Size.Times(int64(j.blocked.GetCardinality())))
+	}
+	limit, known := st.unaccountedCapacity()
+	for team, size := range blocked {
+		if known {
+			size = atMost(size, limit)
+		}
+		st.accounts.SetPending(team, size)
+	}
+}
+
+func atMost(a, b spec.Resources) spec.Resources {
+	return spec.Resources{
+		MilliCPU: min(a.MilliCPU, b.MilliCPU), MemoryMB: min(a.MemoryMB, b.MemoryMB),
+		Accelerators: min(a.Accelerators, b.Accelerators),
+	}
+}
+
+// unaccountedCapacity sums the capacity of the workers that may run unknown
+// tasks; known is false when the snapshot lacks a partition of theirs.
+func (st *state) unaccountedCapacity() (total spec.Resources, known bool) {
+	seen := map[string]bool{}
+	st.o.Snapshots().All(func(w *snapshot.Worker) bool {
+		if _, waits := st.takeover.waiting[w.Partition]; !waits {
+			return true
+		}
+		seen[w.Partition] = true
+		p := st.partitions[w.Partition]
+		if p == nil || p.fencedEpoch == 0 {
+			total = total.Add(w.Capacity)
+		} else if _, ok := p.unaccounted[w.ID]; ok {
+			total = total.Add(w.Capacity)
+		}
+		return true
+	})
+	return total, len(seen) == len(st.takeover.waiting)
+}
+
+// adoptJob returns a job for an attempt of an older generation of a service,
+// which is replaced step by step; nil when the attempt belongs to nothing.
+func (st *state) adoptJob(key progress.Key, ev *plan.Event) *job {
+	current := st.current[key.Job]
+	if current == nil || !current.service() || key.Generation >= current.key.Generation || ended(ev) {
+		return nil
+	}
+	old := *current.spec
+	old.Generation = key.Generation
+	old.Count = max(old.Count, ev.Task.Index+1)
+	j := newJob(&old, progress.NewJob(key.Job, key.Generation), time.Now(), 0)
+	j.record.StartLimit = maxTasks - 1
+	j.cancelled, j.adopted = true, true
+	st.jobs[key] = j
+	st.rolling[key.Job] = append(st.rolling[key.Job], j)
+	return j
+}
