Share instance slots among daemons by credits from one pool per service

Change: the owner of service/<name> keeps the pool; daemons hold credits with a time to live, keep a reserve near their demand, and queue at the pool when slots are short. A new owner counts every slot as taken until it is accounted for. Leaving endpoints are told to every daemon. Nothing measured yet.

--- /dev/null
+++ b/request/slots/manager.go
@@ -0,0 +1,364 @@
+package slots
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"fennelshunt.example/fennelshunt/connection/peer"
+	"fennelshunt.example/fennelshunt/process/ownership"
+	"fennelshunt.example/fennelshunt/process/plan"
+	"fennelshunt.example/fennelshunt/request/verdict"
+)
+
+// holderTick is how often holders look whether a renewal or a retry is due.
+const holderTick = 100 * time.Millisecond
+
+// recentMembers is how long a member that is no longer listed still counts in
+// the majority that a new owner needs; longer than a store lease and a
+// takeover take together.
+const recentMembers = 5 * time.Minute
+
+// Manager is one daemon's part in sharing the slots of all services: a holder
+// for every service and the pool of each that it owns. It implements Acquirer
+// and ownership.User for ownership.ServicePrefix, and takes plan.State.
+type Manager struct {
+	opts      Options
+	ctx       context.Context
+	cancel    context.CancelFunc
+	endpoints *endpoints
+	signs     *signs
+	counts    Counters
+
+	mu      sync.Mutex
+	holders map[string]*holder
+	pools   map[string]*pool
+	handed  map[string]*handover        // books of pools that this daemon no longer owns
+	roster  map[peer.MemberID]bool      // members when the lease was last fresh
+	recent  map[peer.MemberID]time.Time // when each member was last listed
+}
+
+var (
+	_ Acquirer       = (*Manager)(nil)
+	_ ownership.User = (*Manager)(nil)
+)
+
+// New returns a manager and registers its peer methods.
+func New(opts Options) *Manager {
+	opts.setDefaults()
+	m := &Manager{
+		opts: opts, endpoints: newEndpoints(),
+		holders: map[string]*holder{}, pools: map[string]*pool{}, handed: map[string]*handover{},
+		roster: map[peer.MemberID]bool{}, recent: map[peer.MemberID]time.Time{},
+	}
+	m.ctx, m.cancel = context.WithCancel(context.Background())
+	m.signs = newSigns(m)
+	opts.Registrar.Handle(methodReport, m.handleReport)
+	opts.Registrar.Handle(methodPush, m.handlePush)
+	opts.Registrar.Handle(methodLeaving, m.handleLeaving)
+	return m
+}
+
+// Serve renews and repeats until ctx ends; then every pool stops.
+func (m *Manager) Serve(ctx context.Context) error {
+	defer m.cancel()
+	t := time.NewTicker(holderTick)
+	defer t.Stop()
+	for {
+		changed := m.opts.Directory.Changed()
+		m.followOwners()
+		m.noteRoster()
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-changed:
+		case <-t.C:
+			now := time.Now()
+			for _, h := range m.allHolders() {
+				h.tick(now)
+			}
+		}
+	}
+}
+
+// Acquire implements Acquirer.
+func (m *Manager) Acquire(ctx context.Context, service string) (Slot, error) {
+	h := m.holder(service)
+	if h == nil {
+		return nil, &verdict.Error{Verdict: verdict.NotRun, Status: http.StatusNotFound, Code: CodeUnknownService, Err: errUnknownService}
+	}
+	return h.acquire(ctx)
+}
+
+// Apply takes a partition's state; it is a sink of the cell's view.
+func (m *Manager) Apply(s plan.State) {
+	m.refresh(m.endpoints.apply(s))
+}
+
+// MarkLeaving notes the first sign that the endpoint at the address is leaving
+// and tells every daemon. It gets nothing new from here from now on.
+func (m *Manager) MarkLeaving(address string) {
+	if m.leaving(address) {
+		m.signs.spread(address)
+	}
+}
+
+// leaving applies a sign; false when it was known.
+func (m *Manager) leaving(address string) bool {
+	changed := m.endpoints.markLeaving(address)
+	m.refresh(changed)
+	return len(changed) > 0
+}
+
+// refresh hands changed endpoint lists to the holders and pools.
+func (m *Manager) refresh(services map[string]bool) {
+	for service := range services {
+		list := m.endpoints.of(service)
+		if h := m.holder(service); h != nil {
+			h.setEndpoints(list)
+		}
+		if p := m.pool(service); p != nil {
+			p.post(func() { p.setEndpoints(m.endpoints.of(service), false) })
+		}
+	}
+}
+
+// holder returns the holder of a service, nil for an unknown service.
+func (m *Manager) holder(service string) *holder {
+	m.mu.Lock()
+	h, ok := m.holders[service]
+	m.mu.Unlock()
+	if ok {
+		return h
+	}
+	limit, ok := m.opts.RequestLimit(service)
+	if !ok {
+		return nil
+	}
+	list := m.endpoints.of(service)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if h, ok := m.holders[service]; ok {
+		return h
+	}
+	h = newHolder(m, service, limit)
+	h.endpoints = list
+	m.holders[service] = h
+	if claim, ok := m.opts.Directory.Owner(serviceResource(service)); ok {
+		h.setOwner(claim)
+	}
+	return h
+}
+
+func (m *Manager) allHolders() []*holder {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out := make([]*holder, 0, len(m.holders))
+	for _, h := range m.holders {
+		out = append(out, h)
+	}
+	return out
+}
+
+func (m *Manager) pool(service string) *pool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.pools[service]
+}
+
+// followOwners tells the holders of new owners.
+func (m *Manager) followOwners() {
+	for _, h := range m.allHolders() {
+		if claim, ok := m.opts.Directory.Owner(serviceResource(h.service)); ok {
+			h.setOwner(claim)
+		}
+	}
+}
+
+// leaseFresh reports whether nobody can have taken this daemon's claims over.
+func (m *Manager) leaseFresh() bool {
+	return m.opts.LeaseRenewed == nil || time.Since(m.opts.LeaseRenewed()) < m.opts.LeaseFresh
+}
+
+// noteRoster remembers the members as they were when the lease was fresh.
+func (m *Manager) noteRoster() {
+	if !m.leaseFresh() {
+		return
+	}
+	now := time.Now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	clear(m.roster)
+	m.roster[m.opts.Self.ID] = true
+	for _, member := range m.opts.Members.Members() {
+		m.roster[member.ID] = true
+		m.recent[member.ID] = now
+	}
+	for id, at := range m.recent {
+		if now.Sub(at) > recentMembers {
+			delete(m.recent, id)
+		}
+	}
+}
+
+// Acquired implements ownership.User.
+func (m *Manager) Acquired(_ context.Context, g ownership.Grant) {
+	service := strings.TrimPrefix(string(g.Resource), ownership.ServicePrefix)
+	p := newPool(m, service, g.Claim)
+	p.beginTakeover(g)
+	p.setEndpoints(m.endpoints.of(service), true)
+	m.mu.Lock()
+	old := m.pools[service]
+	m.pools[service] = p
+	m.mu.Unlock()
+	if old != nil {
+		old.cancel()
+	}
+	go p.run()
+	if p.takeover != nil {
+		go p.collect()
+	}
+	if h := m.holder(service); h != nil {
+		h.setOwner(g.Claim)
+	}
+}
+
+// Lost implements ownership.User. The books are kept for the next owner.
+func (m *Manager) Lost(r ownership.Resource, epoch uint64) {
+	service := strings.TrimPrefix(string(r), ownership.ServicePrefix)
+	if p := m.pool(service); p != nil && p.epoch <= epoch {
+		m.handOver(context.Background(), p)
+	}
+}
+
+// Releasing implements ownership.User.
+func (m *Manager) Releasing(ctx context.Context, r ownership.Resource) error {
+	service := strings.TrimPrefix(string(r), ownership.ServicePrefix)
+	if p := m.pool(service); p != nil {
+		m.handOver(ctx, p)
+	}
+	return nil
+}
+
+// handOver freezes a pool and keeps its books.
+func (m *Manager) handOver(ctx context.Context, p *pool) {
+	var books *handover
+	if !p.do(ctx, func() { books = p.freeze() }) {
+		books = nil
+	}
+	p.cancel()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.pools[p.service] == p {
+		delete(m.pools, p.service)
+	}
+	if books != nil {
+		m.handed[p.service] = books
+	}
+}
+
+// settled tells the ownership manager that earlier owners are accounted for.
+func (m *Manager) settled(c ownership.Claim) {
+	if m.opts.Settle == nil {
+		return
+	}
+	go func() {
+		if err := m.opts.Settle(m.ctx, c); err != nil {
+			m.opts.Log.Warn().Err(err).Str("resource", string(c.Resource)).Msg("earlier owners not settled")
+		}
+	}()
+}
+
+// majority reports whether the set holds more than half of the members that
+// this daemon knew when its store lease was last fresh.
+func (m *Manager) majority(set map[peer.MemberID]bool) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return moreThanHalf(m.roster, set)
+}
+
+// recentMajority is majority over the members of the last recentMembers, so
+// that it overlaps with a majority of an owner that was cut off meanwhile.
+func (m *Manager) recentMajority(set map[peer.MemberID]bool) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return moreThanHalf(m.recent, set)
+}
+
+func moreThanHalf[V any](of map[peer.MemberID]V, set map[peer.MemberID]bool) bool {
+	n := 0
+	for id := range of {
+		if set[id] {
+			n++
+		}
+	}
+	return n*2 > len(of)
+}
+
+func (m *Manager) handleReport(ctx context.Context, from peer.Ref, payload []byte) (any, error) {
+	var r report
+	if err := peer.Unmarshal(payload, &r); err != nil {
+		return nil, fmt.Errorf("slots.report: %w", err)
+	}
+	return m.takeReport(ctx, from, r), nil
+}
+
+func (m *Manager) takeReport(ctx context.Context, from peer.Ref, r report) reply {
+	p := m.pool(r.Service)
+	claim, _ := m.opts.Directory.Owner(serviceResource(r.Service))
+	if p == nil || p.epoch != r.Epoch {
+		return reply{Status: statusNotOwner, Claim: claim}
+	}
+	var out reply
+	if !p.do(ctx, func() { out = p.report(from, r) }) {
+		return reply{Status: statusNotOwner, Claim: claim}
+	}
+	return out
+}
+
+func (m *Manager) handlePush(_ context.Context, _ peer.Ref, payload []byte) (any, error) {
+	var msg push
+	if err := peer.Unmarshal(payload, &msg); err != nil {
+		return nil, fmt.Errorf("slots.push: %w", err)
+	}
+	return m.takePush(msg), nil
+}
+
+func (m *Manager) takePush(msg push) pushReply {
+	h := m.holder(msg.Service)
+	if h == nil {
+		return pushReply{Status: statusNotOwner}
+	}
+	if p := m.pool(msg.Service); p != nil && p.epoch < msg.Terms.Epoch {
+		m.handOver(m.ctx, p)
+	}
+	out := h.pushed(msg)
+	if msg.Collect && out.Status == statusOK {
+		m.mu.Lock()
+		out.Pool = m.handed[msg.Service]
+		m.mu.Unlock()
+	}
+	return out
+}
+
+// callReport sends a report; the pool on this daemon is reached directly.
+func (m *Manager) callReport(ctx context.Context, to peer.Ref, r report) (reply, error) {
+	if to == m.opts.Self {
+		return m.takeReport(ctx, to, r), nil
+	}
+	var out reply
+	err := m.opts.Caller.Call(ctx, to, methodReport, r, &out)
+	return out, err
+}
+
+func (m *Manager) callPush(ctx context.Context, to peer.Ref, msg push) (pushReply, error) {
+	if to == m.opts.Self {
+		return m.takePush(msg), nil
+	}
+	var out pushReply
+	err := m.opts.Caller.Call(ctx, to, methodPush, msg, &out)
+	return out, err
+}
--- /dev/null
+++ b/request/slots/pool.go
@@ -0,0 +1,377 @@
+package slots
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"sort"
+	"time"
+
+	"fennelshunt.example/fennelshunt/connection/peer"
+	"fennelshunt.example/fennelshunt/process/ownership"
+	"fennelshunt.example/fennelshunt/process/plan"
+)
+
+// poolTick is how often a pool looks at its deadlines.
+const poolTick = 200 * time.Millisecond
+
+// pool is the state of a service's slots at their owner. Its run goroutine
+// alone touches the fields; others go through do.
+type pool struct {
+	m       *Manager
+	service string
+	claim   ownership.Claim
+	epoch   uint64
+	limit   time.Duration
+	ctx     context.Context
+	cancel  context.CancelFunc
+	work    chan func()
+
+	instances map[instanceID]*instance
+	credits   map[creditID]*grant
+	holders   map[peer.Ref]*holderState
+	serial    uint64
+	frozen    bool // handed over or fenced: nothing is granted any more
+	contended bool
+	takeover  *takeover // nil when every slot is accounted for
+}
+
+// instance counts the slots of one service instance. At all times
+// free + granted + blocked == slots, where free may be negative after the
+// endpoint went away or was made smaller.
+type instance struct {
+	endpoint plan.Endpoint
+	known    bool // in the endpoint list now
+	slots    int
+	granted  int
+	blocked  int // perhaps held by someone who is not accounted for
+	since    time.Time
+}
+
+// grant is one credit in somebody's hands.
+type grant struct {
+	instance instanceID
+	holder   peer.Ref
+	batch    uint64
+}
+
+// holderState is what the pool knows of one daemon.
+type holderState struct {
+	ref     peer.Ref
+	zone    string
+	credits map[creditID]struct{}
+	told    map[instanceID]struct{} // instances it was told of
+	avoid   map[instanceID]struct{}
+	// expires is when the holder's credits lapse at the latest, by this
+	// daemon's clock; requests begun before may still run for the limit.
+	expires  time.Time
+	heard    time.Time // of the newest message
+	seq      uint64    // of the newest report
+	batch    uint64    // of the newest grants
+	inFlight []batchSize
+	idle     int
+	inUse    int
+	waiting  int
+	oldest   time.Time // arrival of the first waiter
+	newest   time.Time
+	low      bool
+	recalled bool // a recall is under way
+	queue    []granted
+	pushing  bool
+}
+
+// batchSize counts grants that the holder has not confirmed.
+type batchSize struct {
+	batch uint64
+	size  int
+}
+
+func newPool(m *Manager, service string, claim ownership.Claim) *pool {
+	limit, ok := m.opts.RequestLimit(service)
+	if !ok {
+		limit = DefaultRequestLimit
+	}
+	p := &pool{
+		m: m, service: service, claim: claim, epoch: claim.Epoch, limit: limit, work: make(chan func(), 64),
+		instances: map[instanceID]*instance{}, credits: map[creditID]*grant{}, holders: map[peer.Ref]*holderState{},
+	}
+	p.ctx, p.cancel = context.WithCancel(m.ctx)
+	return p
+}
+
+// do runs f on the pool's goroutine and waits for it; false when the pool has
+// stopped or ctx ended first.
+func (p *pool) do(ctx context.Context, f func()) bool {
+	done := make(chan struct{})
+	select {
+	case p.work <- func() { f(); close(done) }:
+	case <-p.ctx.Done():
+		return false
+	case <-ctx.Done():
+		return false
+	}
+	select {
+	case <-done:
+		return true
+	case <-p.ctx.Done():
+		return false
+	}
+}
+
+// post runs f on the pool's goroutine some time.
+func (p *pool) post(f func()) {
+	select {
+	case p.work <- f:
+	case <-p.ctx.Done():
+	}
+}
+
+func (p *pool) run() {
+	t := time.NewTicker(poolTick)
+	defer t.Stop()
+	for {
+		select {
+		case <-p.ctx.Done():
+			return
+		case f := <-p.work:
+			f()
+		case <-t.C:
+			p.tick(time.Now())
+		}
+		p.check()
+	}
+}
+
+// authorized reports whether this owner may still grant and renew. Slots
+// follow the longer bound: what circulates among the daemons keeps running
+// through an outage of the store.
+func (p *pool) authorized() bool {
+	if p.frozen {
+		return false
+	}
+	claim, ok := p.m.opts.Directory.Owner(serviceResource(p.service))
+	if ok && claim.Epoch > p.epoch {
+		return false
+	}
+	_, renew := p.m.opts.Directory.Authority()
+	return renew > 0 && (p.m.leaseFresh() || p.m.majority(p.heard(time.Now())))
+}
+
+// heard lists the members that this pool heard from within a TTL.
+func (p *pool) heard(now time.Time) map[peer.MemberID]bool {
+	out := map[peer.MemberID]bool{p.m.opts.Self.ID: true}
+	for ref, h := range p.holders {
+		if now.Sub(h.heard) < p.m.opts.TTL {
+			out[ref.ID] = true
+		}
+	}
+	return out
+}
+
+// setEndpoints takes the service's instances. A new instance is free, but for
+// the time in which an earlier owner may have granted its slots.
+func (p *pool) setEndpoints(list map[instanceID]plan.Endpoint, first bool) {
+	now := time.Now()
+	for id, in := range p.instances {
+		if _, ok := list[id]; !ok {
+			in.known = false
+			p.forgetIfEmpty(id, in)
+		}
+	}
+	for id, e := range list {
+		in := p.instance(id)
+		if !in.known && !first && in.since.IsZero() {
+			in.since = now
+		}
+		in.endpoint, in.known = e, true
+		p.resize(in, e.Slots)
+	}
+	p.settle(now)
+}
+
+func (p *pool) instance(id instanceID) *instance {
+	in, ok := p.instances[id]
+	if !ok {
+		in = &instance{}
+		p.instances[id] = in
+	}
+	return in
+}
+
+// resize sets the number of slots; while a takeover is open, slots that are
+// new to this owner count as held by someone.
+func (p *pool) resize(in *instance, slots int) {
+	if in.slots == slots {
+		return
+	}
+	if p.takeover != nil {
+		in.blocked = max(in.blocked+slots-in.slots, 0)
+	}
+	in.slots = slots
+	if p.takeover != nil {
+		in.blocked = min(in.blocked, max(slots-in.granted, 0))
+	}
+}
+
+func (p *pool) forgetIfEmpty(id instanceID, in *instance) {
+	if !in.known && in.granted == 0 && p.takeover == nil {
+		delete(p.instances, id)
+	}
+}
+
+// allowance is how many slots of the instance may be granted now.
+func (p *pool) allowance(in *instance, now time.Time) int {
+	if !in.known || in.endpoint.Leaving {
+		return 0
+	}
+	age := now.Sub(in.since)
+	if in.since.IsZero() || age >= p.m.opts.SlowStart {
+		return in.slots
+	}
+	ramp := float64(in.slots) * float64(age) / float64(p.m.opts.SlowStart)
+	return min(in.slots, 1+int(ramp))
+}
+
+// free is how many slots of the instance can be granted now.
+func (p *pool) free(in *instance, now time.Time) int {
+	return min(in.slots-in.granted-in.blocked, p.allowance(in, now)-in.granted)
+}
+
+func (p *pool) holder(ref peer.Ref) *holderState {
+	h, ok := p.holders[ref]
+	if !ok {
+		h = &holderState{ref: ref, credits: map[creditID]struct{}{}, told: map[instanceID]struct{}{}}
+		p.holders[ref] = h
+	}
+	return h
+}
+
+// give records a credit as the holder's.
+func (p *pool) give(id creditID, to *holderState, at instanceID, batch uint64) {
+	p.credits[id] = &grant{instance: at, holder: to.ref, batch: batch}
+	to.credits[id] = struct{}{}
+	p.instances[at].granted++
+}
+
+// take ends a credit; its slot is free.
+func (p *pool) take(id creditID) {
+	g, ok := p.credits[id]
+	if !ok {
+		return
+	}
+	delete(p.credits, id)
+	if h, ok := p.holders[g.holder]; ok {
+		delete(h.credits, id)
+	}
+	in := p.instances[g.instance]
+	in.granted--
+	p.forgetIfEmpty(g.instance, in)
+}
+
+// tick ends what is past its deadline and repeats what got lost.
+func (p *pool) tick(now time.Time) {
+	p.endTakeover(now)
+	for _, h := range p.holders {
+		// A member that is gone may only be cut off from here: it too may start
+		// requests until its credits lapse.
+		if now.After(h.expires.Add(p.limit + p.m.opts.Margin)) {
+			p.dropHolder(h)
+		}
+	}
+	p.settle(now)
+}
+
+// dropHolder frees the slots of a holder that did not renew for so long that
+// every request begun under its credits has reached its time limit.
+func (p *pool) dropHolder(h *holderState) {
+	for id := range h.credits {
+		p.take(id)
+	}
+	delete(p.holders, h.ref)
+	p.m.counts.HoldersExpired.Add(1)
+}
+
+// live reports whether the holder's credits are valid.
+func (h *holderState) live(now time.Time) bool { return now.Before(h.expires) }
+
+// expected corrects a reported number by grants that were on their way.
+func (h *holderState) unconfirmed() int {
+	n := 0
+	for _, b := range h.inFlight {
+		n += b.size
+	}
+	return n
+}
+
+// confirm forgets batches up to seen.
+func (h *holderState) confirm(seen uint64) {
+	kept := h.inFlight[:0]
+	for _, b := range h.inFlight {
+		if b.batch > seen {
+			kept = append(kept, b)
+		}
+	}
+	h.inFlight = kept
+}
+
+// needs is how many waiters are not served by grants on their way.
+func (h *holderState) needs() int { return max(h.waiting-h.unconfirmed(), 0) }
+
+// idleExpected counts the grants on their way as idle.
+func (h *holderState) idleExpected() int { return max(h.idle+h.unconfirmed()-h.waiting, 0) }
+
+// headArrival estimates the arrival of the next unserved waiter.
+func (h *holderState) headArrival() time.Time {
+	if h.waiting < 2 {
+		return h.oldest
+	}
+	served := h.waiting - h.needs()
+	span := h.newest.Sub(h.oldest)
+	return h.oldest.Add(span * time.Duration(served) / time.Duration(h.waiting-1))
+}
+
+// weight is a holder's part of the idle credits: the demand of a daemon
+// swings by about the square root of its load.
+func (h *holderState) weight() float64 { return math.Sqrt(float64(h.inUse + h.waiting + 1)) }
+
+// check is the pool's invariant; it panics, because a pool that granted a slot
+// twice must not go on. The goroutine above restarts with an empty pool, which
+// counts every slot as taken until it is accounted for.
+func (p *pool) check() {
+	if !p.m.opts.CheckInvariants {
+		return
+	}
+	counted := map[instanceID]int{}
+	for id, g := range p.credits {
+		counted[g.instance]++
+		h, ok := p.holders[g.holder]
+		if !ok {
+			panic(fmt.Sprintf("slots: %s: credit %v has no holder", p.service, id))
+		}
+		if _, ok := h.credits[id]; !ok {
+			panic(fmt.Sprintf("slots: %s: credit %v is not listed at %v", p.service, id, h.ref))
+		}
+	}
+	for id, in := range p.instances {
+		if counted[id] != in.granted || in.blocked < 0 {
+			panic(fmt.Sprintf("slots: %s: instance %x: %d credits, %d counted, %d blocked", p.service, id, counted[id], in.granted, in.blocked))
+		}
+		if in.known && in.blocked > 0 && in.granted+in.blocked > in.slots {
+			panic(fmt.Sprintf("slots: %s: instance %x: %d granted and %d blocked of %d", p.service, id, in.granted, in.blocked, in.slots))
+		}
+	}
+}
+
+// sortedHolders returns the holders in a fixed order.
+func (p *pool) sortedHolders() []*holderState {
+	out := make([]*holderState, 0, len(p.holders))
+	for _, h := range p.holders {
+		out = append(out, h)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].ref.ID < out[j].ref.ID })
+	return out
+}
+
+func serviceResource(service string) ownership.Resource {
+	return ownership.Resource(ownership.ServicePrefix + service)
+}
--- /dev/null
+++ b/request/slots/poolgrant.go
@@ -0,0 +1,392 @@
+package slots
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"fennelshunt.example/fennelshunt/connection/peer"
+	"fennelshunt.example/fennelshunt/process/ownership"
+)
+
+// minSurplus is by how many idle credits two holders must differ before one
+// is asked to give some to the other.
+const minSurplus = 3
+
+// report takes a holder's report and returns the answer with what is granted.
+func (p *pool) report(from peer.Ref, r report) reply {
+	now := time.Now()
+	if !p.authorized() {
+		return p.refuse()
+	}
+	unknown, ok := p.takeReport(from, r, now)
+	if !ok {
+		return reply{Status: statusNeedFull, Terms: terms{Epoch: p.epoch}}
+	}
+	h := p.holders[from]
+	h.pushing = true // what is granted to h now goes with the answer
+	p.settle(now)
+	h.pushing = false
+	return reply{Terms: p.terms(h, now), Unknown: unknown}
+}
+
+func (p *pool) refuse() reply {
+	claim, _ := p.m.opts.Directory.Owner(serviceResource(p.service))
+	if claim.Epoch > p.epoch {
+		return reply{Status: statusStale, Claim: claim}
+	}
+	return reply{Status: statusNotOwner, Claim: claim}
+}
+
+// takeReport updates the books; false when a full report is needed first.
+// Everything in it is monotone: a report that comes late or twice can only
+// make the pool count too much as taken.
+func (p *pool) takeReport(from peer.Ref, r report, now time.Time) ([]creditID, bool) {
+	h, ok := p.holders[from]
+	if !r.Full && (!ok || !h.live(now)) {
+		return nil, false
+	}
+	if p.m.opts.Members.Gone(from) {
+		return nil, false
+	}
+	h = p.holder(from)
+	h.heard = now
+	for _, id := range r.Returned {
+		if g, ok := p.credits[id]; ok && g.holder == from {
+			p.take(id)
+		}
+	}
+	var unknown []creditID
+	if r.Full {
+		unknown = p.reconcile(h, r)
+		h.expires = now.Add(p.m.opts.TTL + p.m.opts.Margin)
+		h.zone = r.Zone
+	}
+	if r.Seq > h.seq {
+		p.takeNeeds(h, r, now)
+	}
+	return unknown, true
+}
+
+// reconcile makes the books of h equal to its full report.
+func (p *pool) reconcile(h *holderState, r report) []creditID {
+	var unknown []creditID
+	listed := map[creditID]struct{}{}
+	for _, at := range r.Held {
+		for _, id := range at.Credits {
+			listed[id] = struct{}{}
+			if !p.recognize(h, id, at.Instance) {
+				unknown = append(unknown, id)
+			}
+		}
+	}
+	for id := range h.credits {
+		if _, ok := listed[id]; !ok && p.credits[id].batch <= r.Fence {
+			p.take(id)
+		}
+	}
+	return unknown
+}
+
+// recognize reports whether the credit is h's, and adopts one of an earlier
+// owner whose slot is not accounted for yet.
+func (p *pool) recognize(h *holderState, id creditID, at instanceID) bool {
+	if g, ok := p.credits[id]; ok {
+		return g.holder == h.ref
+	}
+	if p.takeover == nil || uint64(id)>>serialBits >= p.epoch {
+		return false
+	}
+	in := p.instance(at)
+	if in.known && in.blocked == 0 {
+		return false
+	}
+	in.blocked = max(in.blocked-1, 0)
+	p.give(id, h, at, 0)
+	return true
+}
+
+func (p *pool) takeNeeds(h *holderState, r report, now time.Time) {
+	h.seq = r.Seq
+	h.confirm(r.Seen)
+	h.idle, h.inUse, h.waiting, h.low = r.Idle, r.InUse, r.Waiting, r.Low
+	h.oldest = now.Add(-fromMicros(r.OldestMicros))
+	h.newest = now.Add(-fromMicros(r.NewestMicros))
+	h.avoid = nil
+	if len(r.Avoid) > 0 {
+		h.avoid = map[instanceID]struct{}{}
+		for _, id := range r.Avoid {
+			h.avoid[id] = struct{}{}
+		}
+	}
+}
+
+// settle grants free slots to whoever waits, in order of arrival over all
+// daemons, then to low reserves, and recalls idle credits when slots are
+// short.
+func (p *pool) settle(now time.Time) {
+	if !p.authorized() {
+		return
+	}
+	holders := p.sortedHolders()
+	p.grantWaiting(holders, now)
+	p.grantReserves(holders, now)
+	p.recall(holders, now)
+	for _, h := range holders {
+		if len(h.queue) > 0 {
+			p.startPush(h, 0)
+		}
+	}
+	p.announce(holders, now)
+}
+
+func (p *pool) grantWaiting(holders []*holderState, now time.Time) {
+	blocked := map[*holderState]bool{}
+	for {
+		var next *holderState
+		for _, h := range holders {
+			if blocked[h] || h.needs() == 0 || !h.live(now) {
+				continue
+			}
+			if next == nil || h.headArrival().Before(next.headArrival()) {
+				next = h
+			}
+		}
+		if next == nil {
+			return
+		}
+		if !p.grantOne(next, now) {
+			blocked[next] = true
+		}
+	}
+}
+
+// grantOne grants the best free slot to h: one in its zone on the least
+// loaded instance.
+func (p *pool) grantOne(h *holderState, now time.Time) bool {
+	var best instanceID
+	bestScore := 0.0
+	for id, in := range p.instances {
+		free := p.free(in, now)
+		if free <= 0 {
+			continue
+		}
+		if _, avoid := h.avoid[id]; avoid {
+			continue
+		}
+		score := float64(free) / float64(in.slots)
+		if in.endpoint.Zone == h.zone {
+			score++
+		}
+		if score > bestScore || score == bestScore && id < best {
+			best, bestScore = id, score
+		}
+	}
+	if bestScore == 0 {
+		return false
+	}
+	p.serial++
+	id := newCreditID(p.epoch, p.serial)
+	if len(h.queue) == 0 {
+		h.batch++
+		h.inFlight = append(h.inFlight, batchSize{batch: h.batch})
+	}
+	h.inFlight[len(h.inFlight)-1].size++
+	h.queue = append(h.queue, granted{ID: id, Instance: best})
+	p.give(id, h, best, h.batch)
+	p.m.counts.Granted.Add(1)
+	return true
+}
+
+// grantReserves fills low reserves from what is free.
+func (p *pool) grantReserves(holders []*holderState, now time.Time) {
+	if p.unmet(holders, now) > 0 {
+		return
+	}
+	targets := p.targets(holders, now)
+	for _, h := range holders {
+		if !h.low || !h.live(now) {
+			continue
+		}
+		for h.idleExpected() < targets[h] && p.grantOne(h, now) {
+		}
+		if h.idleExpected()*2 >= targets[h] {
+			h.low = false
+		}
+	}
+}
+
+// targets shares the idle credits out by weight.
+func (p *pool) targets(holders []*holderState, now time.Time) map[*holderState]int {
+	idle, weights := 0, 0.0
+	for _, in := range p.instances {
+		idle += max(p.free(in, now), 0)
+	}
+	for _, h := range holders {
+		if h.live(now) {
+			idle += h.idleExpected()
+			weights += h.weight()
+		}
+	}
+	out := make(map[*holderState]int, len(holders))
+	for _, h := range holders {
+		if h.live(now) {
+			out[h] = int(float64(idle) * h.weight() / weights)
+		}
+	}
+	return out
+}
+
+// unmet is the number of waiters for whom no slot is on its way.
+func (p *pool) unmet(holders []*holderState, now time.Time) int {
+	n := 0
+	for _, h := range holders {
+		if h.live(now) {
+			n += h.needs()
+		}
+	}
+	return n
+}
+
+// recall asks holders for idle credits that others need more.
+func (p *pool) recall(holders []*holderState, now time.Time) {
+	if need := p.unmet(holders, now); need > 0 {
+		for _, h := range holders {
+			if n := min(h.idleExpected(), need); n > 0 && !h.recalled && h.live(now) {
+				need -= n
+				p.startPush(h, n)
+			}
+		}
+		return
+	}
+	targets := p.targets(holders, now)
+	for _, h := range holders {
+		if !h.low || !h.live(now) {
+			continue
+		}
+		donor := p.donor(holders, targets, now)
+		if donor == nil || donor == h || donor.idleExpected() < h.idleExpected()+minSurplus {
+			return
+		}
+		p.startPush(donor, (donor.idleExpected()-h.idleExpected())/2)
+	}
+}
+
+// donor is the holder with most idle credits above its target.
+func (p *pool) donor(holders []*holderState, targets map[*holderState]int, now time.Time) *holderState {
+	var best *holderState
+	for _, h := range holders {
+		if h.recalled || !h.live(now) || h.idleExpected() <= targets[h] {
+			continue
+		}
+		if best == nil || h.idleExpected()-targets[h] > best.idleExpected()-targets[best] {
+			best = h
+		}
+	}
+	return best
+}
+
+// announce tells the holders when contention begins or ends.
+func (p *pool) announce(holders []*holderState, now time.Time) {
+	contended := p.unmet(holders, now) > 0
+	if contended == p.contended {
+		return
+	}
+	p.contended = contended
+	for _, h := range holders {
+		if contended && h.live(now) {
+			p.startPush(h, 0)
+		}
+	}
+}
+
+// terms takes what is queued for h.
+func (p *pool) terms(h *holderState, now time.Time) terms {
+	holders := p.sortedHolders()
+	t := terms{Epoch: p.epoch, Grants: h.queue, Contended: p.contended, Target: p.targets(holders, now)[h]}
+	if len(h.queue) > 0 {
+		t.Batch = h.batch
+	}
+	h.queue = nil
+	for _, g := range t.Grants {
+		if _, ok := h.told[g.Instance]; !ok {
+			h.told[g.Instance] = struct{}{}
+			t.Endpoints = append(t.Endpoints, p.instances[g.Instance].endpoint)
+		}
+	}
+	for _, o := range holders {
+		if p.contended && o.live(now) && o.needs() > 0 {
+			t.OldestMicros = max(t.OldestMicros, micros(now.Sub(o.headArrival())))
+		}
+	}
+	return t
+}
+
+// startPush sends what is queued for h, with a recall of n idle credits.
+func (p *pool) startPush(h *holderState, n int) {
+	if h.pushing && n == 0 {
+		return
+	}
+	msg := push{Service: p.service, Terms: p.terms(h, time.Now()), Recall: n, Owner: p.m.opts.Self}
+	h.recalled = h.recalled || n > 0
+	p.m.counts.Pushes.Add(1)
+	go p.push(h.ref, msg)
+}
+
+// push runs beside the loop and posts its result.
+func (p *pool) push(to peer.Ref, msg push) {
+	ctx, cancel := context.WithTimeout(p.ctx, p.m.opts.CallTimeout)
+	defer cancel()
+	answer, err := p.m.callPush(ctx, to, msg)
+	p.post(func() { p.pushed(to, msg, answer, err) })
+}
+
+func (p *pool) pushed(to peer.Ref, msg push, answer pushReply, err error) {
+	h, ok := p.holders[to]
+	if !ok {
+		return
+	}
+	if msg.Recall > 0 {
+		h.recalled = false
+	}
+	now := time.Now()
+	switch {
+	case errors.Is(err, peer.ErrNotSent) || errors.Is(err, peer.ErrWrongLife):
+		p.takeBack(h, msg.Terms)
+	case err != nil:
+		// Perhaps it arrived: the next full report tells.
+	case answer.Status == statusStale:
+		p.stale(answer.Claim)
+		return
+	case answer.Status != statusOK:
+		p.takeBack(h, msg.Terms)
+	default:
+		p.takeReport(to, answer.Report, now)
+	}
+	p.settle(now)
+}
+
+// takeBack ends grants that certainly did not arrive.
+func (p *pool) takeBack(h *holderState, t terms) {
+	for _, g := range t.Grants {
+		p.take(g.ID)
+	}
+	kept := h.inFlight[:0]
+	for _, b := range h.inFlight {
+		if b.batch != t.Batch || t.Batch == 0 {
+			kept = append(kept, b)
+		}
+	}
+	h.inFlight = kept
+	for _, e := range t.Endpoints {
+		delete(h.told, instanceOf(&e))
+	}
+}
+
+// stale stops the pool at once: a daemon has met a newer owner.
+func (p *pool) stale(c ownership.Claim) {
+	p.frozen = true
+	if c.Epoch > p.epoch {
+		p.m.opts.Directory.Observe(c)
+	}
+}
--- /dev/null
+++ b/request/slots/takeover.go
@@ -0,0 +1,233 @@
+package slots
+
+import (
+	"context"
+	"time"
+
+	"fennelshunt.example/fennelshunt/connection/peer"
+	"fennelshunt.example/fennelshunt/process/fleet"
+	"fennelshunt.example/fennelshunt/process/ownership"
+)
+
+// collectRetry is the pause between two tries to reach a member.
+const collectRetry = 500 * time.Millisecond
+
+// takeover is open while slots may be held under an earlier owner by someone
+// who is not accounted for.
+//
+// What could go wrong: the earlier owner is paused or cut off from here, but
+// not from some daemon, and goes on granting slots that this owner grants too;
+// or a dead daemon's requests still run. One would notice an instance with
+// more requests than slots. This prevents it: every slot that nobody reported
+// stays blocked until all earlier owners are known to grant nothing any more
+// and the credits they granted have lapsed and the requests begun under these
+// have reached their time limit.
+type takeover struct {
+	began time.Time
+	// previous is the claim that ours replaced.
+	previous ownership.Claim
+	// answered lists the members that refuse lower epochs from now on.
+	answered map[peer.MemberID]bool
+	// complete is set when the previous owner handed over complete books.
+	complete bool
+	// unresolved lists earlier owners that may still grant.
+	unresolved map[peer.Ref]bool
+	// horizon is when the last grant of a resolved owner has run out.
+	horizon time.Time
+}
+
+// beginTakeover blocks every slot unless nobody owned the pool before.
+func (p *pool) beginTakeover(g ownership.Grant) {
+	if g.Previous.Epoch == 0 && len(g.Earlier) == 0 {
+		return
+	}
+	now := time.Now()
+	t := &takeover{
+		began: now, horizon: now, previous: g.Previous,
+		answered: map[peer.MemberID]bool{}, unresolved: map[peer.Ref]bool{},
+	}
+	p.takeover = t
+	for _, owner := range g.Earlier {
+		t.unresolved[owner] = true
+	}
+	if g.Previous.Epoch == 0 {
+		return
+	}
+	if g.Previous.Released {
+		p.extendHorizon(now)
+	} else {
+		t.unresolved[g.Previous.Owner] = true
+	}
+}
+
+// extendHorizon keeps the unaccounted slots blocked for credits granted up to
+// now.
+func (p *pool) extendHorizon(now time.Time) {
+	h := now.Add(p.m.opts.TTL + p.limit + 2*p.m.opts.Margin)
+	if h.After(p.takeover.horizon) {
+		p.takeover.horizon = h
+	}
+}
+
+// resolve notes that an earlier owner grants nothing from now on.
+func (p *pool) resolve(owner peer.Ref, now time.Time) {
+	if p.takeover == nil {
+		return
+	}
+	if _, ok := p.takeover.unresolved[owner]; ok {
+		delete(p.takeover.unresolved, owner)
+		p.extendHorizon(now)
+	}
+}
+
+// endTakeover frees what is still blocked once nobody can hold it.
+func (p *pool) endTakeover(now time.Time) {
+	t := p.takeover
+	if t == nil {
+		return
+	}
+	for owner := range t.unresolved {
+		switch {
+		case p.replaced(owner) || now.Sub(t.began) > p.m.opts.AuthorityBound:
+			p.resolve(owner, now)
+		case p.m.opts.Members.Gone(owner) && p.m.recentMajority(t.answered):
+			// Gone may mean cut off. An owner that is cut off from the store
+			// stops once it has not heard from a majority for a TTL, and the
+			// majority that answered here refuses it from now on.
+			p.resolve(owner, now.Add(p.m.opts.TTL))
+		}
+	}
+	if len(t.unresolved) > 0 || now.Before(t.horizon) {
+		return
+	}
+	p.takeover = nil
+	p.m.settled(p.claim)
+	for id, in := range p.instances {
+		in.blocked = 0
+		p.forgetIfEmpty(id, in)
+	}
+}
+
+// replaced reports whether a later life of the owner has registered.
+func (p *pool) replaced(owner peer.Ref) bool {
+	m, ok := p.m.opts.Members.Lookup(owner.ID)
+	return ok && m.Incarnation > owner.Incarnation
+}
+
+// collect asks every member for its holdings until each has answered, is gone,
+// or the takeover is over. Each that answers refuses lower epochs from then on.
+func (p *pool) collect() {
+	answered := map[peer.Ref]bool{}
+	for p.ctx.Err() == nil {
+		for _, ref := range p.toAsk() {
+			if !answered[ref] && p.collectFrom(ref) {
+				answered[ref] = true
+			}
+		}
+		open := false
+		if !p.do(p.ctx, func() { open = p.takeover != nil }) || !open {
+			return
+		}
+		t := time.NewTimer(collectRetry)
+		select {
+		case <-p.ctx.Done():
+		case <-t.C:
+		}
+		t.Stop()
+	}
+}
+
+// toAsk lists the members and the earlier owners.
+func (p *pool) toAsk() []peer.Ref {
+	var out []peer.Ref
+	for _, m := range p.m.opts.Members.Members() {
+		if m.State != fleet.Gone {
+			out = append(out, m.Ref)
+		}
+	}
+	p.do(p.ctx, func() {
+		if p.takeover == nil {
+			return
+		}
+		if p.takeover.previous.Epoch > 0 {
+			out = append(out, p.takeover.previous.Owner)
+		}
+		for ref := range p.takeover.unresolved {
+			out = append(out, ref)
+		}
+	})
+	return out
+}
+
+// collectFrom asks one member; true when it answered.
+func (p *pool) collectFrom(ref peer.Ref) bool {
+	ctx, cancel := context.WithTimeout(p.ctx, p.m.opts.CallTimeout)
+	defer cancel()
+	msg := push{Service: p.service, Terms: terms{Epoch: p.epoch}, Collect: true, Owner: p.m.opts.Self}
+	answer, err := p.m.callPush(ctx, ref, msg)
+	if err != nil || answer.Status != statusOK {
+		return false
+	}
+	return p.do(p.ctx, func() { p.collected(ref, answer) })
+}
+
+func (p *pool) collected(ref peer.Ref, answer pushReply) {
+	now := time.Now()
+	if answer.Pool != nil {
+		p.takeHandover(answer.Pool, now)
+	}
+	p.takeReport(ref, answer.Report, now)
+	if p.takeover != nil {
+		p.takeover.answered[ref.ID] = true
+	}
+	p.resolve(ref, now)
+	p.endTakeover(now)
+	p.settle(now)
+}
+
+// takeHandover takes the books of an earlier owner. When they are those of the
+// previous epoch and complete, what they do not list is free.
+func (p *pool) takeHandover(h *handover, now time.Time) {
+	if p.takeover == nil || p.takeover.complete {
+		return
+	}
+	for _, part := range h.Holders {
+		to := p.holder(part.Holder)
+		if to.expires.IsZero() {
+			to.expires = now.Add(p.m.opts.TTL + p.m.opts.Margin)
+		}
+		for _, at := range part.Held {
+			for _, id := range at.Credits {
+				p.recognize(to, id, at.Instance)
+			}
+		}
+	}
+	if h.Complete && h.Epoch == p.takeover.previous.Epoch {
+		p.takeover.complete = true
+		p.takeover.horizon = now
+		clear(p.takeover.unresolved)
+	}
+}
+
+// freeze stops granting and returns the books for a successor.
+func (p *pool) freeze() *handover {
+	p.frozen = true
+	out := &handover{Epoch: p.epoch, Complete: p.takeover == nil}
+	for _, h := range p.sortedHolders() {
+		out.Holders = append(out.Holders, holderPart{Holder: h.ref, Held: p.heldBy(h)})
+	}
+	return out
+}
+
+func (p *pool) heldBy(h *holderState) []heldAt {
+	byInstance := map[instanceID][]creditID{}
+	for id := range h.credits {
+		at := p.credits[id].instance
+		byInstance[at] = append(byInstance[at], id)
+	}
+	out := make([]heldAt, 0, len(byInstance))
+	for at, ids := range byInstance {
+		out = append(out, heldAt{Instance: at, Credits: ids})
+	}
+	return out
+}
