--- /dev/null
+++ b/process/cellview/cellview.go
@@ -0,0 +1,195 @@
+// Package cellview keeps this daemon's picture of the whole cell: it follows
+// the state of every partition by long polls to its owner and hands each
+// change to the sinks.
+//
+// Guarantees: within one epoch of a partition the sinks see its changes in
+// order, each once; a lower epoch is never shown after a higher one; after a
+// change of the owner the sinks get a full state before any change. While a
+// partition has no reachable owner the last state stays.
+package cellview
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/rs/zerolog"
+
+	"fennelshunt.example/fennelshunt/connection/peer"
+	"fennelshunt.example/fennelshunt/process/ownership"
+	"fennelshunt.example/fennelshunt/process/plan"
+)
+
+// Sink takes the states of partitions. Apply is called from one goroutine and
+// must not keep it waiting.
+type Sink interface {
+	Apply(plan.State)
+}
+
+// Options of a View. Zero durations take the defaults.
+type Options struct {
+	Directory ownership.Directory
+	Caller    peer.Caller
+	// Partitions lists the partitions that exist now.
+	Partitions func() []string
+	// Listed returns a channel closed when Partitions may have changed.
+	Listed func() <-chan struct{}
+	Sinks  []Sink
+	// Wait is how long one long poll may wait for a change.
+	Wait time.Duration
+	Log  zerolog.Logger
+}
+
+const (
+	// DefaultWait keeps idle partitions at one small call in that time.
+	DefaultWait = 20 * time.Second
+	// waitMargin is how much longer than Wait an answer may take.
+	waitMargin = 3 * time.Second
+	minRetry   = 50 * time.Millisecond
+	maxRetry   = 2 * time.Second
+	// queueLength is how many states may wait for the sinks.
+	queueLength = 64
+)
+
+// View follows every partition.
+type View struct {
+	o       Options
+	applied chan plan.State
+}
+
+// New returns a View; run Serve.
+func New(o Options) *View {
+	if o.Wait == 0 {
+		o.Wait = DefaultWait
+	}
+	return &View{o: o, applied: make(chan plan.State, queueLength)}
+}
+
+// Serve follows the partitions until ctx ends.
+func (v *View) Serve(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	following := make(map[string]context.CancelFunc)
+	for {
+		listed := v.o.Listed()
+		v.adjust(ctx, following)
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-listed:
+		case s := <-v.applied:
+			for _, sink := range v.o.Sinks {
+				sink.Apply(s)
+			}
+		}
+	}
+}
+
+// adjust follows new partitions and stops following those that are no longer
+// listed. What the sinks know of the latter is cleared.
+func (v *View) adjust(ctx context.Context, following map[string]context.CancelFunc) {
+	names := v.o.Partitions()
+	for _, name := range names {
+		if following[name] != nil {
+			continue
+		}
+		followCtx, cancel := context.WithCancel(ctx)
+		following[name] = cancel
+		f := &follower{v: v, name: name}
+		go f.run(followCtx)
+	}
+	for name, cancel := range following {
+		if len(names) > 0 && !slices.Contains(names, name) {
+			cancel()
+			delete(following, name)
+		}
+	}
+}
+
+// follower follows one partition.
+type follower struct {
+	v     *View
+	name  string
+	epoch uint64
+	seq   uint64
+}
+
+func (f *follower) run(ctx context.Context) {
+	pause := backoff.NewExponentialBackOff()
+	pause.InitialInterval, pause.MaxInterval = minRetry, maxRetry
+	resource := ownership.Resource(ownership.PartitionPrefix + f.name)
+	for ctx.Err() == nil {
+		changed := f.v.o.Directory.Changed()
+		claim, ok := f.v.o.Directory.Owner(resource)
+		err := errNoOwner
+		if ok {
+			err = f.pollUntilMoved(ctx, claim, changed)
+		}
+		if err == nil {
+			pause.Reset()
+			continue
+		}
+		select {
+		case <-ctx.Done():
+		case <-changed:
+		case <-time.After(pause.NextBackOff()):
+		}
+	}
+}
+
+var errNoOwner = errors.New("cellview: partition has no owner")
+
+// pollUntilMoved makes one long poll and gives it up when another daemon
+// becomes the owner: the old one may hold the poll until its wait ends.
+func (f *follower) pollUntilMoved(ctx context.Context, claim ownership.Claim, changed <-chan struct{}) error {
+	ctx, cancel := context.WithTimeout(ctx, f.v.o.Wait+waitMargin)
+	defer cancel()
+	stop := make(chan struct{})
+	defer close(stop)
+	go func() {
+		for {
+			select {
+			case <-stop:
+				return
+			case <-changed:
+			}
+			changed = f.v.o.Directory.Changed()
+			if now, ok := f.v.o.Directory.Owner(claim.Resource); ok && !now.Same(claim) {
+				cancel()
+				return
+			}
+		}
+	}()
+	return f.poll(ctx, claim)
+}
+
+func (f *follower) poll(ctx context.Context, claim ownership.Claim) error {
+	req := plan.StateRequest{
+		Partition: f.name, Epoch: f.epoch, Since: f.seq, WaitMillis: f.v.o.Wait.Milliseconds(),
+	}
+	var s plan.State
+	if err := f.v.o.Caller.Call(ctx, claim.Owner, plan.MethodState, req, &s); err != nil {
+		return err
+	}
+	if s.Epoch < f.epoch {
+		return errNoOwner // an owner that does not know yet that it was replaced
+	}
+	if s.Epoch != f.epoch && !s.Full {
+		f.epoch, f.seq = s.Epoch, 0
+		return nil // ask again for everything
+	}
+	changed := s.Full || s.Seq != f.seq
+	f.epoch, f.seq = s.Epoch, s.Seq
+	if !changed {
+		return nil
+	}
+	select {
+	case f.v.applied <- s:
+		return nil
+	case <-ctx.Done():
+		f.seq = 0 // not handed on, so everything is asked for again
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/process/ownership/manager.go
@@ -0,0 +1,290 @@
+package ownership
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"fennelshunt.example/fennelshunt/connection/peer"
+	"fennelshunt.example/fennelshunt/connection/store"
+)
+
+// Manager claims, keeps and hands over resources for this daemon. It
+// implements Directory. Its state belongs to the goroutine of Serve; readers
+// use published snapshots.
+type Manager struct {
+	o     Options
+	log   zerolog.Logger
+	users []registration
+
+	commands  chan func(*state)
+	done      chan struct{}
+	published atomic.Pointer[snapshot]
+}
+
+// registration is one prefix with its user.
+type registration struct {
+	prefix    string
+	user      User
+	resources func() []Resource
+}
+
+// snapshot is what Directory answers from; immutable.
+type snapshot struct {
+	claims  map[Resource]Claim
+	owned   map[Resource]Claim
+	changed chan struct{}
+}
+
+// New returns a manager; Register the users, then run Serve.
+func New(o Options) *Manager {
+	m := &Manager{
+		o:        o.withDefaults(),
+		log:      o.Log,
+		commands: make(chan func(*state), 64),
+		done:     make(chan struct{}),
+	}
+	m.published.Store(&snapshot{changed: make(chan struct{})})
+	return m
+}
+
+// Register adds a user for the resources of a prefix; resources lists those
+// that exist now and is called from the manager's goroutine. It must be called
+// before Serve.
+func (m *Manager) Register(prefix string, u User, resources func() []Resource) {
+	m.users = append(m.users, registration{prefix, u, resources})
+}
+
+// Serve runs the manager until ctx ends. On return every user has been told
+// Lost for what it still held. It may be run once.
+func (m *Manager) Serve(ctx context.Context) error {
+	defer close(m.done)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	s := newState(ctx, m)
+	go m.follow(ctx)
+	ticker := time.NewTicker(m.o.Tick)
+	defer ticker.Stop()
+	for {
+		changed := m.o.View.Changed()
+		s.tick()
+		s.publish()
+		select {
+		case <-ctx.Done():
+			s.loseAll("shutting down")
+			s.publish()
+			return ctx.Err()
+		case f := <-m.commands:
+			f(s)
+		case <-changed:
+		case <-ticker.C:
+		}
+	}
+}
+
+// follow keeps the claims up to date from the store.
+func (m *Manager) follow(ctx context.Context) {
+	delay := time.Second
+	for ctx.Err() == nil {
+		err := m.o.Store.Follow(ctx, keyPrefix, func(items []store.Item, deleted []string, reset bool) {
+			m.send(func(s *state) { s.seen(items, deleted, reset) })
+		})
+		if err != nil && ctx.Err() == nil {
+			m.log.Warn().Err(err).Msg("following claims failed")
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(delay):
+		}
+	}
+}
+
+// send hands f to the manager's goroutine; false when it no longer runs.
+func (m *Manager) send(f func(*state)) bool {
+	select {
+	case m.commands <- f:
+		return true
+	case <-m.done:
+		return false
+	}
+}
+
+// Owner implements Directory.
+func (m *Manager) Owner(r Resource) (Claim, bool) {
+	c, ok := m.published.Load().claims[r]
+	return c, ok && !c.Released
+}
+
+// Owned implements Directory.
+func (m *Manager) Owned(prefix string) []Claim {
+	var owned []Claim
+	for r, c := range m.published.Load().owned {
+		if strings.HasPrefix(string(r), prefix) {
+			owned = append(owned, c)
+		}
+	}
+	slices.SortFunc(owned, func(a, b Claim) int { return strings.Compare(string(a.Resource), string(b.Resource)) })
+	return owned
+}
+
+// Changed implements Directory.
+func (m *Manager) Changed() <-chan struct{} { return m.published.Load().changed }
+
+// Authority implements Directory.
+func (m *Manager) Authority() (start, renew time.Duration) {
+	since := time.Since(m.o.Renewed())
+	return m.o.StartBound - since, m.o.RenewBound - since
+}
+
+// Observe implements Directory.
+func (m *Manager) Observe(c Claim) {
+	known, ok := m.published.Load().claims[c.Resource]
+	if ok && known.Epoch >= c.Epoch {
+		return
+	}
+	m.send(func(s *state) { s.observe(c) })
+}
+
+// Confirm reads the claim from the store, with a read that begins after the
+// call, and returns nil when it is still c. ErrNotOwner means that it was
+// taken over or released; any other error leaves it open.
+//
+// A check before an action is no guard by itself: the process may be paused
+// between the two. Callers use Confirm after an action that a later owner
+// undoes, such as opening a lease: see package partition.
+func (m *Manager) Confirm(ctx context.Context, c Claim) error {
+	item, err := m.o.Store.Get(ctx, keyPrefix+string(c.Resource))
+	if errors.Is(err, store.ErrNotFound) {
+		return fmt.Errorf("claim of %s is gone: %w", c.Resource, ErrNotOwner)
+	}
+	if err != nil {
+		return fmt.Errorf("confirm claim of %s: %w", c.Resource, err)
+	}
+	held, err := decodeClaim(item)
+	if err != nil {
+		return err
+	}
+	if held.Same(c) && !held.Released {
+		return nil
+	}
+	m.Observe(held.Claim)
+	return fmt.Errorf("claim of %s is held by %s in epoch %d: %w", c.Resource, held.Owner.ID, held.Epoch, ErrNotOwner)
+}
+
+// Settle records in the store that every owner before c is fenced or known to
+// have let go, see Grant.Earlier.
+func (m *Manager) Settle(ctx context.Context, c Claim) error {
+	e, err := m.amend(ctx, c, func(c *record) { c.Earlier = nil })
+	if err == nil {
+		m.send(func(s *state) { s.apply(e) })
+	}
+	return err
+}
+
+// amend changes the claim c in the store as long as it is still c.
+func (m *Manager) amend(ctx context.Context, c Claim, change func(*record)) (entry, error) {
+	for {
+		e, err := m.read(ctx, c.Resource, nil)
+		if err != nil {
+			return entry{}, err
+		}
+		if !e.Same(c) {
+			return e, fmt.Errorf("amend claim of %s: %w", c.Resource, ErrNotOwner)
+		}
+		change(&e.record)
+		data, err := json.Marshal(e.record)
+		if err != nil {
+			return entry{}, fmt.Errorf("encode claim: %w", err)
+		}
+		e.revision, err = m.o.Store.Swap(ctx, keyPrefix+string(c.Resource), data, e.revision, 0)
+		if err == nil {
+			return e, nil
+		}
+		if !errors.Is(err, store.ErrConflict) {
+			return entry{}, fmt.Errorf("amend claim of %s: %w", c.Resource, err)
+		}
+	}
+}
+
+// Epochs reads the epochs of the claims of a prefix from the store, with a
+// read that begins after the call.
+func (m *Manager) Epochs(ctx context.Context, prefix string) (map[Resource]uint64, error) {
+	items, _, err := m.o.Store.List(ctx, keyPrefix+prefix)
+	if err != nil {
+		return nil, fmt.Errorf("list claims of %s: %w", prefix, err)
+	}
+	epochs := make(map[Resource]uint64, len(items))
+	for _, item := range items {
+		c, err := decodeClaim(item)
+		if err != nil {
+			return nil, err
+		}
+		epochs[c.Resource] = c.Epoch
+	}
+	return epochs, nil
+}
+
+// Leave hands every resource over and claims nothing more. It returns when
+// nothing is owned or ctx ends.
+func (m *Manager) Leave(ctx context.Context) error {
+	if !m.send(func(s *state) { s.leaving = true }) {
+		return ErrStopped
+	}
+	for {
+		snap := m.published.Load()
+		idle := make(chan bool, 1)
+		if !m.send(func(s *state) { idle <- s.leaving && len(s.held) == 0 && len(s.busy) == 0 }) {
+			return ErrStopped
+		}
+		select {
+		case ok := <-idle:
+			if ok {
+				return nil
+			}
+		case <-m.done:
+			return ErrStopped
+		}
+		select {
+		case <-snap.changed:
+		case <-time.After(m.o.Tick):
+		case <-ctx.Done():
+			return fmt.Errorf("leave: %w", ctx.Err())
+		}
+	}
+}
+
+func decodeClaim(item store.Item) (record, error) {
+	var c record
+	if err := json.Unmarshal(item.Data, &c); err != nil {
+		return record{}, fmt.Errorf("claim %s: %w", item.Key, err)
+	}
+	if want := keyPrefix + string(c.Resource); want != item.Key {
+		return record{}, fmt.Errorf("claim %s names resource %q", item.Key, c.Resource)
+	}
+	return c, nil
+}
+
+// publish makes the state visible to readers when it changed.
+func (s *state) publish() {
+	if !s.dirty {
+		return
+	}
+	s.dirty = false
+	claims := make(map[Resource]Claim, len(s.claims))
+	for r, e := range s.claims {
+		claims[r] = e.Claim
+	}
+	old := s.m.published.Swap(&snapshot{claims: claims, owned: maps.Clone(s.held), changed: make(chan struct{})})
+	close(old.changed)
+}
+
+// self is this life of the daemon.
+func (s *state) self() peer.Ref { return s.m.o.View.Self().Ref }
--- /dev/null
+++ b/process/ownership/options.go
@@ -0,0 +1,100 @@
+package ownership
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"fennelshunt.example/fennelshunt/connection/store"
+	"fennelshunt.example/fennelshunt/process/fleet"
+)
+
+// keyPrefix is where claims live in the store; the resource's name follows.
+const keyPrefix = "claims/"
+
+// Errors of this package. Test with errors.Is.
+var (
+	// ErrNotOwner means that the store names another owner or a higher epoch.
+	ErrNotOwner = errors.New("ownership: the claim was taken over")
+	// ErrStopped means that the manager no longer runs.
+	ErrStopped = errors.New("ownership: manager stopped")
+)
+
+// Store is what the manager needs of the store's claims role.
+type Store interface {
+	Get(ctx context.Context, key string) (store.Item, error)
+	List(ctx context.Context, prefix string) ([]store.Item, store.Revision, error)
+	Swap(ctx context.Context, key string, data []byte, prev store.Revision, lease store.LeaseID) (store.Revision, error)
+	Follow(ctx context.Context, prefix string, f func(items []store.Item, deleted []string, reset bool)) error
+}
+
+// Options of a Manager. Zero durations take the defaults.
+type Options struct {
+	View  fleet.View
+	Store Store
+	// Renewed returns when the last successful renewal of this daemon's store
+	// lease began, on the monotonic clock.
+	Renewed func() time.Time
+	// StartBound is how long after Renewed this daemon starts new work. It
+	// must cover an outage of the store.
+	StartBound time.Duration
+	// RenewBound is how long after Renewed it keeps alive what runs; not less
+	// than StartBound.
+	RenewBound time.Duration
+	// HoldDown is how long another member must be the assigned owner without
+	// a break before a resource is handed over to it.
+	HoldDown time.Duration
+	// Fallback is how long each member further down in a resource's ranking
+	// waits before it claims what the members above it left unclaimed.
+	Fallback time.Duration
+	// ReleaseTimeout bounds User.Releasing.
+	ReleaseTimeout time.Duration
+	// Tick is the interval at which assignment and authority are checked.
+	Tick time.Duration
+	Log  zerolog.Logger
+}
+
+// Defaults of Options.
+const (
+	// DefaultStartBound covers an outage of an hour twice over.
+	DefaultStartBound = 2 * time.Hour
+	// DefaultRenewBound is a day: an outage that outlasts StartBound must not
+	// stop running services, and renewing starts nothing.
+	DefaultRenewBound = 24 * time.Hour
+	// DefaultHoldDown is longer than the leases of a worker take to run out: a
+	// daemon that just started does not know the workers that left the VM list
+	// before, and gets no partition in a planned move until that is harmless.
+	DefaultHoldDown       = 3 * time.Minute
+	DefaultFallback       = 3 * time.Second
+	DefaultReleaseTimeout = 10 * time.Second
+	DefaultTick           = 500 * time.Millisecond
+
+	// claimTimeout bounds one write of a claim.
+	claimTimeout = 5 * time.Second
+	// maxRetryDelay bounds the pause after a failed claim.
+	maxRetryDelay = 8 * time.Second
+	// maxHandovers is how many resources are handed over at once while the
+	// daemon stays; a leaving daemon hands over all at once.
+	maxHandovers = 2
+	// retryAfterRefusal is the pause after a user could not hand over.
+	retryAfterRefusal = 5 * time.Second
+)
+
+func (o Options) withDefaults() Options {
+	setDefault(&o.StartBound, DefaultStartBound)
+	setDefault(&o.RenewBound, DefaultRenewBound)
+	setDefault(&o.HoldDown, DefaultHoldDown)
+	setDefault(&o.Fallback, DefaultFallback)
+	setDefault(&o.ReleaseTimeout, DefaultReleaseTimeout)
+	setDefault(&o.Tick, DefaultTick)
+	o.RenewBound = max(o.RenewBound, o.StartBound)
+	return o
+}
+
+func setDefault(d *time.Duration, v time.Duration) {
+	if *d == 0 {
+		*d = v
+	}
+}
--- a/process/ownership/ownership.go
+++ b/process/ownership/ownership.go
@@ -37,21 +37,31 @@
 	Released bool `json:"released,omitempty" cbor:"4,keyasint,omitempty"`
 }
 
+// Same reports whether c and o are the same claim: one owner, one epoch.
+func (c Claim) Same(o Claim) bool {
+	return c.Resource == o.Resource && c.Owner == o.Owner && c.Epoch == o.Epoch
+}
+
 // Grant tells a user that this daemon owns a resource from now on.
 type Grant struct {
 	Claim
 	// Previous is the claim that this one replaced; a zero Epoch means none.
 	Previous Claim
+	// Earlier lists owners of lower epochs that are not known to have let go,
+	// since the last owner that fenced all of its own, see Manager.Settle.
+	Earlier []peer.Ref
 }
 
-// User is told about the resources of one prefix. Calls come from one
-// goroutine, in order, and must return quickly.
+// User is told about the resources of one prefix. Acquired and Lost come from
+// one goroutine, in order, and must return quickly; Releasing comes from
+// another, and Lost may come while it runs.
 type User interface {
 	// Acquired starts the user's work on the resource. The user fences the
 	// previous owner before it acts.
 	Acquired(ctx context.Context, g Grant)
-	// Lost is called when a higher epoch was seen or the authority ran out;
-	// the user stops at once and drops its state.
+	// Lost is called when a higher epoch was seen, the authority ran out, or
+	// after Releasing, before the claim is released; the user stops at once
+	// and drops its state.
 	Lost(r Resource, epoch uint64)
 	// Releasing asks the user to hand the resource over: to take nothing new,
 	// make state durable, and return when the claim may be released. The
--- /dev/null
+++ b/process/partition/agenttest/agenttest.go
@@ -0,0 +1,315 @@
+// Package agenttest has worker agents in memory for tests of the owners of
+// workers, with leases, task leases and run times by the (virtual) clock. A
+// Rack watches all its agents at once and records every task that runs in two
+// places and every VM that carries more than its capacity.
+package agenttest
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"fennelshunt.example/fennelshunt/connection/worker"
+	"fennelshunt.example/fennelshunt/version/spec"
+)
+
+// Rack is a set of agents that tests share. Safe for concurrent use.
+type Rack struct {
+	mu         sync.Mutex
+	agents     map[worker.ID]*agent
+	saved      map[spec.TaskID]float64
+	starts     map[spec.TaskID]int
+	finished   map[spec.TaskID]int
+	violations []string
+	faults     Faults
+	cuts       map[cut]bool
+	paused     map[string]chan struct{}
+	calls      map[string]int
+	leases     int
+	nonce      uint64
+	failJobs   map[string]bool
+}
+
+// cut separates a daemon from a worker.
+type cut struct {
+	daemon string
+	worker worker.ID
+}
+
+// Faults of the network between daemons and agents. Shares are 0 to 1.
+type Faults struct {
+	LoseCalls   float64 // the call never arrives; the caller sees ErrUnknown
+	LoseAnswers float64 // the call takes effect; the caller sees ErrUnknown
+	// MaxDelay delays each call and each answer by up to this much.
+	MaxDelay time.Duration
+	// Seed makes the faults repeatable.
+	Seed uint64
+}
+
+// agent is the state of one worker.
+type agent struct {
+	id             worker.ID
+	capacity       spec.Resources
+	comparesEpochs bool
+	failAll        bool
+	down           bool
+	draining       bool
+	maxEpoch       uint64
+	seq            uint64
+	leases         map[worker.LeaseID]*lease
+	runs           map[worker.Ref]*run
+	usage          map[spec.TaskID]spec.Resources
+}
+
+type lease struct {
+	ttl, taskTTL time.Duration
+	renewed      time.Time
+	revoked      bool
+}
+
+func (l *lease) valid(now time.Time) bool { return !l.revoked && now.Sub(l.renewed) < l.ttl }
+
+type run struct {
+	task  worker.Task
+	start worker.Start
+	began time.Time
+	base  float64
+	seq   uint64
+}
+
+// NewRack returns a rack without workers.
+func NewRack() *Rack {
+	return &Rack{
+		agents:   make(map[worker.ID]*agent),
+		saved:    make(map[spec.TaskID]float64),
+		starts:   make(map[spec.TaskID]int),
+		finished: make(map[spec.TaskID]int),
+		cuts:     make(map[cut]bool),
+		paused:   make(map[string]chan struct{}),
+		calls:    make(map[string]int),
+		failJobs: make(map[string]bool),
+	}
+}
+
+// Add adds a worker whose address is its id.
+func (r *Rack) Add(id worker.ID, capacity spec.Resources, comparesEpochs bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.agents[id] = &agent{
+		id: id, capacity: capacity, comparesEpochs: comparesEpochs,
+		leases: make(map[worker.LeaseID]*lease),
+		runs:   make(map[worker.Ref]*run),
+		usage:  make(map[spec.TaskID]spec.Resources),
+	}
+}
+
+// SetFaults replaces the faults.
+func (r *Rack) SetFaults(f Faults) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.faults = f
+}
+
+// Cut separates a daemon from a worker, or joins them again.
+func (r *Rack) Cut(daemon string, id worker.ID, on bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.cuts[cut{daemon, id}] = on
+}
+
+// Pause holds every call of a daemon that is about to be sent, as when its
+// process is stopped between a check and the send. The caller's deadline runs
+// on; the call is sent after Resume all the same.
+func (r *Rack) Pause(daemon string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.paused[daemon] == nil {
+		r.paused[daemon] = make(chan struct{})
+	}
+}
+
+// Resume undoes Pause.
+func (r *Rack) Resume(daemon string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if held := r.paused[daemon]; held != nil {
+		close(held)
+		delete(r.paused, daemon)
+	}
+}
+
+// Calls returns how many calls a daemon has made.
+func (r *Rack) Calls(daemon string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.calls[daemon]
+}
+
+// change runs f on an agent, with everything up to now applied.
+func (r *Rack) change(id worker.ID, f func(a *agent)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.advance()
+	f(r.agents[id])
+}
+
+// SetDown makes a worker unreachable for everybody; its tasks go on.
+func (r *Rack) SetDown(id worker.ID, down bool) { r.change(id, func(a *agent) { a.down = down }) }
+
+// SetDraining marks a VM as leaving.
+func (r *Rack) SetDraining(id worker.ID) { r.change(id, func(a *agent) { a.draining = true }) }
+
+// SetFailAll makes every task fail at a worker.
+func (r *Rack) SetFailAll(id worker.ID, on bool) { r.change(id, func(a *agent) { a.failAll = on }) }
+
+// SetFailJob makes the tasks of a job fail everywhere.
+func (r *Rack) SetFailJob(job string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.failJobs[job] = true
+}
+
+// SetUsage fixes what a task reports to use.
+func (r *Rack) SetUsage(id worker.ID, task spec.TaskID, usage spec.Resources) {
+	r.change(id, func(a *agent) {
+		a.usage[task] = usage
+		for _, run := range a.runs {
+			if run.task.Task == task {
+				run.task.Usage = usage
+				a.touch(run)
+			}
+		}
+	})
+}
+
+// Restart makes a worker forget everything, as a reboot does.
+func (r *Rack) Restart(id worker.ID) {
+	r.change(id, func(a *agent) {
+		clear(a.leases)
+		clear(a.runs)
+	})
+}
+
+// Kill ends a worker for good.
+func (r *Rack) Kill(id worker.ID) {
+	r.Restart(id)
+	r.SetDown(id, true)
+}
+
+// Violations lists what must never happen and did.
+func (r *Rack) Violations() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.violations)
+}
+
+// Starts returns how often each task was started.
+func (r *Rack) Starts() map[spec.TaskID]int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return maps.Clone(r.starts)
+}
+
+// Running returns the tasks that run at a worker now.
+func (r *Rack) Running(id worker.ID) []spec.TaskID {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.advance()
+	var tasks []spec.TaskID
+	for _, run := range r.agents[id].runs {
+		if !run.task.State.Ended() {
+			tasks = append(tasks, run.task.Task)
+		}
+	}
+	return tasks
+}
+
+// Throttled reports whether a task of a worker is limited now.
+func (r *Rack) Throttled(id worker.ID, task spec.TaskID) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, run := range r.agents[id].runs {
+		if run.task.Task == task && run.task.State == worker.Throttled {
+			return true
+		}
+	}
+	return false
+}
+
+// advance ends runs whose time or task lease is over. The caller holds mu.
+func (r *Rack) advance() {
+	now := time.Now()
+	for _, a := range r.agents {
+		for _, run := range a.runs {
+			if run.task.State.Ended() {
+				continue
+			}
+			l := a.leases[run.task.Lease]
+			switch {
+			case l != nil && now.Sub(l.renewed) >= l.taskTTL:
+				a.end(run, worker.Stopped, "task lease ran out")
+			case run.start.Kind != spec.Service && now.Sub(run.began) >= run.left():
+				if a.failAll || r.failJobs[run.task.Task.Job] {
+					a.end(run, worker.Failed, "failed")
+					continue
+				}
+				r.finished[run.task.Task]++
+				a.end(run, worker.Succeeded, "")
+			}
+		}
+	}
+}
+
+func (run *run) left() time.Duration {
+	return time.Duration(float64(run.start.RunTime) * (1 - run.base))
+}
+
+func (a *agent) touch(run *run) {
+	a.seq++
+	run.seq = a.seq
+}
+
+func (a *agent) end(run *run, state worker.TaskState, message string) {
+	run.task.State, run.task.Message = state, message
+	a.touch(run)
+}
+
+// begin starts a run and checks what must always hold. The caller holds mu.
+func (r *Rack) begin(a *agent, id worker.LeaseID, s worker.Start) {
+	ref := worker.Ref{Task: s.Task, Attempt: s.Attempt}
+	for _, other := range r.agents {
+		for _, run := range other.runs {
+			if run.task.Task == s.Task && !run.task.State.Ended() {
+				r.violations = append(r.violations, fmt.Sprintf(
+					"task %s attempt %d starts at %s while attempt %d runs at %s",
+					s.Task, s.Attempt, a.id, run.task.Attempt, other.id))
+			}
+		}
+	}
+	if r.finished[s.Task] > 0 {
+		r.violations = append(r.violations, fmt.Sprintf("finished task %s starts again", s.Task))
+	}
+	n := &run{start: s, began: time.Now(), task: worker.Task{
+		Task: s.Task, Attempt: s.Attempt, Lease: id, State: worker.Running, Size: s.Size, Usage: a.usage[s.Task],
+	}}
+	if s.Kind == spec.Service {
+		n.task.Address = string(a.id) + "/" + s.Task.String()
+	}
+	if s.Checkpoint {
+		n.base = r.saved[s.Task]
+	}
+	a.runs[ref] = n
+	a.touch(n)
+	r.starts[s.Task]++
+	var sum spec.Resources
+	for _, run := range a.runs {
+		if !run.task.State.Ended() {
+			sum = sum.Add(run.task.Size)
+		}
+	}
+	if !sum.Fits(a.capacity) {
+		r.violations = append(r.violations, fmt.Sprintf("%s carries %+v of %+v", a.id, sum, a.capacity))
+	}
+}
--- /dev/null
+++ b/process/partition/calls.go
@@ -0,0 +1,318 @@
+package partition
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"fennelshunt.example/fennelshunt/connection/worker"
+	"fennelshunt.example/fennelshunt/process/plan"
+)
+
+const (
+	// maxStartsPerCall bounds one Start call.
+	maxStartsPerCall = 64
+	// maxBackoff bounds the pause between heartbeats to a failing worker.
+	maxBackoff = 5 * time.Second
+)
+
+// pump starts the most urgent call to the worker. A worker has at most one
+// call under way, so replies arrive in the order of the calls.
+func (o *owner) pump(n *node, now time.Time) {
+	if n.gone {
+		return // nothing may renew its tasks, so that their lease runs out
+	}
+	switch {
+	case !n.fenced && !now.Before(n.nextTry) && !o.releasing:
+		o.startFence(n)
+	case n.lease == "" || (!n.fenced && !n.provision):
+	case !now.Before(n.nextSync):
+		o.startSync(n)
+	case n.fenced && n.failures == 0 && o.startQueued(n):
+	case n.fenced && o.startLimit(n):
+	case stopsWaiting(n) && n.failures == 0:
+		o.startSync(n)
+	}
+}
+
+func stopsWaiting(n *node) bool {
+	for _, t := range n.tasks {
+		if t.stopWanted && t.phase == running {
+			return true
+		}
+	}
+	return false
+}
+
+// startSync sends a heartbeat with the waiting stops and acknowledgements.
+func (o *owner) startSync(n *node) {
+	req := worker.SyncRequest{Lease: n.lease, Since: n.seq, Acks: slices.Clone(n.acks)}
+	for ref, t := range n.tasks {
+		if t.stopWanted && t.phase == running {
+			req.Stops = append(req.Stops, ref)
+		}
+	}
+	n.busy = true
+	agent := n.agent
+	o.h.o.Metrics.Syncs.Add(1)
+	go func() {
+		ctx, cancel := context.WithTimeout(o.ctx, o.t.CallTimeout)
+		defer cancel()
+		reply, err := agent.Sync(ctx, req)
+		o.post(func() { o.syncDone(n, req, reply, err) })
+	}()
+}
+
+func (o *owner) syncDone(n *node, req worker.SyncRequest, reply worker.SyncReply, err error) {
+	now := time.Now()
+	o.returned(n)
+	if !errors.Is(err, worker.ErrUnreachable) && !errors.Is(err, worker.ErrLeaseInvalid) {
+		n.renewed = now // also after a lost answer
+	}
+	if err != nil {
+		o.h.o.Metrics.SyncFailures.Add(1)
+		o.callFailed(n, err)
+		return
+	}
+	if n.failures > 0 {
+		n.failures = 0
+		o.touch(n)
+	}
+	n.nextSync = now.Add(o.t.syncInterval(len(o.nodes)))
+	n.seq = reply.Seq
+	o.forget(n, req.Acks)
+	for _, ref := range req.Stops {
+		if t := n.tasks[ref]; t != nil {
+			t.stopWanted = false // the worker reports Stopped when it is done
+		}
+	}
+	if reply.Draining && !n.draining {
+		o.startDraining(n)
+	}
+	for _, report := range reply.Changed {
+		o.takeReport(n, report)
+	}
+	o.checkOvershoot(n, now)
+}
+
+// forget drops results that the worker has dropped.
+func (o *owner) forget(n *node, acks []worker.Ref) {
+	if len(acks) == 0 {
+		return
+	}
+	n.acks = slices.DeleteFunc(n.acks, func(ref worker.Ref) bool { return slices.Contains(acks, ref) })
+	for _, ref := range acks {
+		if t := n.tasks[ref]; t != nil {
+			o.dropResult(n, t)
+		}
+	}
+}
+
+// callFailed handles an error of any call to a worker.
+func (o *owner) callFailed(n *node, err error) {
+	now := time.Now()
+	switch {
+	case errors.Is(err, worker.ErrStaleEpoch):
+		o.metStaleEpoch(n, err)
+		return
+	case errors.Is(err, worker.ErrLeaseInvalid):
+		// The worker restarted, was out of reach for longer than the lease, or
+		// another owner revoked it: fence again, which asks the store.
+		n.fenced, n.provision = false, false
+		n.nextTry = now
+		o.touch(n)
+		return
+	case errors.Is(err, context.Canceled) && o.ctx.Err() != nil:
+		return
+	}
+	if n.failures == 0 {
+		o.log.Warn().Err(err).Str("worker", string(n.id)).Msg("worker does not answer")
+		o.touch(n)
+	}
+	n.failures++
+	wait := min(time.Duration(n.failures)*o.t.syncInterval(len(o.nodes)), maxBackoff)
+	n.nextSync = now.Add(wait)
+	n.nextTry = now.Add(wait)
+	o.refuseQueued(n)
+}
+
+// refuseQueued gives starts that were not sent back to their shard, so that
+// they do not wait for a worker that is out of reach.
+func (o *owner) refuseQueued(n *node) {
+	for _, t := range n.tasks {
+		if t.phase == queued || t.phase == waiting {
+			o.notStarted(n, t, "worker out of reach before the start was sent")
+		}
+	}
+}
+
+// startQueued sends the reserved starts; false when there is nothing to send.
+func (o *owner) startQueued(n *node) bool {
+	if start, _ := o.h.o.Directory.Authority(); start <= 0 || o.releasing {
+		return false
+	}
+	var batch []*task
+	for _, t := range n.tasks {
+		if t.phase == queued {
+			batch = append(batch, t)
+		}
+	}
+	if len(batch) == 0 {
+		return false
+	}
+	slices.SortFunc(batch, func(a, b *task) int {
+		if c := b.class.Rank() - a.class.Rank(); c != 0 {
+			return c
+		}
+		return a.since.Compare(b.since)
+	})
+	batch = batch[:min(len(batch), maxStartsPerCall)]
+	starts := make([]worker.Start, len(batch))
+	for i, t := range batch {
+		starts[i] = t.start
+		t.enter(sent)
+	}
+	n.busy = true
+	agent, lease := n.agent, n.lease
+	o.h.o.Metrics.Starts.Add(int64(len(starts)))
+	go func() {
+		ctx, cancel := context.WithTimeout(o.ctx, o.t.CallTimeout)
+		defer cancel()
+		replies, err := agent.Start(ctx, lease, starts)
+		o.post(func() { o.startDone(n, batch, replies, err) })
+	}()
+	return true
+}
+
+func (o *owner) startDone(n *node, batch []*task, replies []worker.StartReply, err error) {
+	o.returned(n)
+	certain := err == nil || isAny(err, worker.ErrLeaseInvalid, worker.ErrStaleEpoch, worker.ErrUnreachable)
+	for i, t := range batch {
+		if t.phase != sent {
+			continue // settled by an inventory meanwhile
+		}
+		switch {
+		case err != nil && certain:
+			o.notStarted(n, t, err.Error())
+		case err != nil || i >= len(replies) || replies[i].Task != t.ref.Task:
+			// Some may run: only the worker knows. Heartbeats tell when it
+			// does; if they do not, the lease is revoked and the inventory
+			// read, which ends all doubt.
+			t.enter(unknown)
+			o.h.o.Metrics.Unknown.Add(1)
+		case replies[i].Refused != "":
+			o.notStarted(n, t, replies[i].Refused)
+		default:
+			o.markRunning(n, t)
+		}
+	}
+	if err != nil {
+		o.callFailed(n, err)
+	}
+	o.touch(n)
+}
+
+// startLimit sends one throttle or checkpoint; false when none is wanted.
+func (o *owner) startLimit(n *node) bool {
+	for _, t := range n.tasks {
+		if t.phase != running {
+			continue
+		}
+		if t.saveWanted {
+			o.startCheckpoint(n, t)
+			return true
+		}
+		if t.throttle != t.throttled {
+			o.startThrottle(n, t)
+			return true
+		}
+	}
+	return false
+}
+
+func (o *owner) startCheckpoint(n *node, t *task) {
+	n.busy = true
+	agent, lease := n.agent, n.lease
+	go func() {
+		ctx, cancel := context.WithTimeout(o.ctx, o.t.CallTimeout)
+		defer cancel()
+		err := agent.Checkpoint(ctx, lease, t.ref)
+		o.post(func() {
+			o.returned(n)
+			t.saveWanted = false
+			t.checkpointed = err == nil
+			if err != nil {
+				t.stopWanted = true // the progress is lost, the place is needed
+				o.callFailed(n, err)
+			}
+			n.nextSync = time.Time{} // learn of the stop at once
+		})
+	}()
+}
+
+func (o *owner) startThrottle(n *node, t *task) {
+	n.busy = true
+	agent, lease, limit := n.agent, n.lease, t.throttle
+	go func() {
+		ctx, cancel := context.WithTimeout(o.ctx, o.t.CallTimeout)
+		defer cancel()
+		err := agent.Throttle(ctx, lease, t.ref, limit)
+		o.post(func() {
+			o.returned(n)
+			if err != nil {
+				o.callFailed(n, err)
+				return
+			}
+			t.throttled = limit
+		})
+	}()
+}
+
+// deadlines handles drains that ended and starts that stay unknown.
+func (o *owner) deadlines(n *node, now time.Time) {
+	for _, t := range n.tasks {
+		if !t.stopAt.IsZero() && !now.Before(t.stopAt) && t.phase == running {
+			t.stopAt = time.Time{}
+			t.stopWanted = true
+		}
+		if t.phase == unknown && n.fenced && now.Sub(t.since) >= o.t.UnknownGrace {
+			n.fenced = false
+			n.nextTry = now
+			o.touch(n)
+		}
+	}
+}
+
+// settleGone gives up the tasks of a worker that left the VM list, once the
+// last lease that may have renewed them has run out.
+func (o *owner) settleGone(n *node, now time.Time) {
+	if !n.gone || n.busy || now.Sub(n.renewed) < o.t.runOut() {
+		return
+	}
+	if !n.everKnown && !n.accounted {
+		return // an earlier owner may still renew tasks there
+	}
+	for _, t := range n.tasks {
+		if t.live() {
+			o.lost(n, t, "worker is gone and its task lease has run out")
+		} else {
+			o.dropResult(n, t)
+		}
+	}
+	o.ledger.RemoveWorker(n.id)
+	delete(o.nodes, n.id)
+	o.state.gone(n.id)
+}
+
+// reject counts and builds a refusal.
+func (o *owner) reject(outcome plan.Outcome, reason string) plan.StepResult {
+	o.h.o.Metrics.Refused.Add(1)
+	return plan.StepResult{Outcome: outcome, Reason: reason}
+}
+
+// returned marks the call to a worker as ended.
+func (o *owner) returned(n *node) {
+	n.busy = false
+	o.wake(n)
+}
--- /dev/null
+++ b/process/partition/commit.go
@@ -0,0 +1,288 @@
+package partition
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"fennelshunt.example/fennelshunt/connection/worker"
+	"fennelshunt.example/fennelshunt/process/plan"
+	"fennelshunt.example/fennelshunt/process/sched/ledger"
+	"fennelshunt.example/fennelshunt/version/spec"
+)
+
+// reservation holds capacity for the tasks of a gang.
+type reservation struct {
+	author  plan.Authorship
+	expires time.Time
+	steps   map[spec.TaskID]plan.Step
+}
+
+const (
+	defaultReservationTTL = 5 * time.Second
+	maxReservationTTL     = time.Minute
+)
+
+// key is the ledger's holder of one reserved step.
+func (r *reservation) key(id string, task spec.TaskID) string {
+	return "reserved/" + id + "/" + task.String()
+}
+
+// held returns what the reservation holds at one worker.
+func (r *reservation) held(o *owner, id worker.ID) spec.Resources {
+	var sum spec.Resources
+	for name, other := range o.holds {
+		if other != r {
+			continue
+		}
+		for task, step := range r.steps {
+			if step.Worker == id {
+				size, _ := o.ledger.Holds(id, r.key(name, task))
+				sum = sum.Add(size)
+			}
+		}
+	}
+	return sum
+}
+
+func refuseAll(n int, outcome plan.Outcome, reason string) []plan.StepResult {
+	steps := make([]plan.StepResult, n)
+	for i := range steps {
+		steps[i] = plan.StepResult{Outcome: outcome, Reason: reason}
+	}
+	return steps
+}
+
+// admit checks the author; a non-empty outcome refuses.
+func (o *owner) admit(a plan.Authorship, seq uint64) (plan.Outcome, string) {
+	if !o.shardsRead {
+		return plan.NotFenced, "epochs of the shards are not read yet"
+	}
+	if !o.h.fences.admits(a.Shard, a.Epoch, seq) {
+		o.h.o.Metrics.Stale.Add(1)
+		return plan.Stale, fmt.Sprintf("shard %d: epoch %d is fenced by %d", a.Shard, a.Epoch, o.h.fences.epoch(a.Shard))
+	}
+	if o.releasing {
+		return plan.NotOwner, "the partition is being handed over"
+	}
+	if start, _ := o.h.o.Directory.Authority(); start <= 0 {
+		return plan.NotFenced, "the authority to start work has run out, the store is out of reach"
+	}
+	return "", ""
+}
+
+// commit checks a plan on the fresh ledger, step by step.
+func (o *owner) commit(p plan.Plan) plan.Result {
+	result := plan.Result{Epoch: o.claim.Epoch}
+	if outcome, reason := o.admit(p.Author, p.Seq); outcome != "" {
+		result.Steps = refuseAll(len(p.Steps), outcome, reason)
+		return result
+	}
+	for _, step := range p.Steps {
+		result.Steps = append(result.Steps, o.commitStep(p, step))
+	}
+	return result
+}
+
+func (o *owner) commitStep(p plan.Plan, step plan.Step) plan.StepResult {
+	n, refused := o.usableNode(step)
+	if refused.Outcome != "" {
+		return refused
+	}
+	t := newTask(p.Author.Shard, step)
+	if o.known(t.ref) {
+		return o.reject(plan.Duplicate, "the task runs, starts or has a result here")
+	}
+	if r := o.holds[p.Reservation]; r != nil && p.Reservation != "" {
+		o.useReserved(p.Reservation, r, step)
+	}
+	if refused := o.fit(n, t, step); refused.Outcome != "" {
+		return refused
+	}
+	n.tasks[t.ref] = t
+	t.at = n.id
+	o.live[t.ref.Task] = t
+	if t.phase == queued {
+		o.mustBalance(n)
+	}
+	o.touch(n)
+	return plan.StepResult{Outcome: plan.Accepted}
+}
+
+func newTask(shard plan.Shard, step plan.Step) *task {
+	t := &task{
+		ref:           worker.Ref{Task: step.Start.Task, Attempt: step.Start.Attempt},
+		start:         step.Start,
+		class:         step.Class,
+		team:          step.Team,
+		nonIdempotent: step.NonIdempotent,
+		shard:         shard,
+	}
+	t.enter(queued)
+	return t
+}
+
+// known reports whether starting ref could run the task a second time.
+func (o *owner) known(ref worker.Ref) bool {
+	if o.live[ref.Task] != nil {
+		return true
+	}
+	held := o.results[ref.Task]
+	return held != nil && held.ref.Attempt >= ref.Attempt
+}
+
+// usableNode returns the step's worker or a refusal.
+func (o *owner) usableNode(step plan.Step) (*node, plan.StepResult) {
+	n := o.nodes[step.Worker]
+	if n == nil {
+		return nil, o.reject(plan.NoWorker, "worker is not in this partition")
+	}
+	if !n.everKnown {
+		return nil, o.reject(plan.NotFenced, n.unusable())
+	}
+	if reason := n.unusable(); reason != "" {
+		return nil, o.reject(plan.NoWorker, reason)
+	}
+	if reason := o.violates(n, step); reason != "" {
+		return nil, o.reject(plan.NoRoom, reason)
+	}
+	return n, plan.StepResult{}
+}
+
+// violates checks the constraints that depend on what else runs here.
+func (o *owner) violates(n *node, step plan.Step) string {
+	limit := step.Constraints.MaxPerWorker
+	if limit <= 0 {
+		return ""
+	}
+	same := 0
+	for _, t := range n.tasks {
+		if t.live() && t.ref.Task.Job == step.Start.Task.Job {
+			same++
+		}
+	}
+	if same >= limit {
+		return fmt.Sprintf("%d tasks of the job run on the worker, at most %d may", same, limit)
+	}
+	return ""
+}
+
+// fit reserves the task's capacity, or what of it is free while its victims
+// stop.
+func (o *owner) fit(n *node, t *task, step plan.Step) plan.StepResult {
+	size := t.start.Size
+	if reason := n.use.refuses(n, size); reason != "" {
+		return o.reject(plan.NoRoom, reason)
+	}
+	err := o.ledger.Reserve(n.id, t.holder(), size)
+	if err == nil {
+		return plan.StepResult{}
+	}
+	if !errors.Is(err, ledger.ErrNoRoom) || len(step.Victims) == 0 {
+		return o.reject(plan.NoRoom, err.Error())
+	}
+	return o.preempt(n, t, step.Victims)
+}
+
+// useReserved turns reserved capacity back into free capacity, for the step
+// that it was reserved for; the same turn of the loop takes it.
+func (o *owner) useReserved(id string, r *reservation, step plan.Step) {
+	reserved, ok := r.steps[step.Start.Task]
+	if !ok || reserved.Worker != step.Worker {
+		return
+	}
+	o.ledger.Free(step.Worker, r.key(id, step.Start.Task))
+	delete(r.steps, step.Start.Task)
+	if len(r.steps) == 0 {
+		delete(o.holds, id)
+	}
+}
+
+// reserve holds capacity for all steps or for none. It never waits, so two
+// gangs can not wait for each other.
+func (o *owner) reserve(req plan.Reserve) plan.Result {
+	result := plan.Result{Epoch: o.claim.Epoch}
+	if outcome, reason := o.admit(req.Author, req.Seq); outcome != "" {
+		result.Steps = refuseAll(len(req.Steps), outcome, reason)
+		return result
+	}
+	o.dropReservation(req.Reservation)
+	ttl := min(time.Duration(req.TTLMillis)*time.Millisecond, maxReservationTTL)
+	if ttl <= 0 {
+		ttl = defaultReservationTTL
+	}
+	r := &reservation{author: req.Author, expires: time.Now().Add(ttl), steps: make(map[spec.TaskID]plan.Step)}
+	o.holds[req.Reservation] = r
+	failed := false
+	for _, step := range req.Steps {
+		s := o.reserveStep(req.Reservation, r, step)
+		failed = failed || s.Outcome != plan.Accepted
+		result.Steps = append(result.Steps, s)
+	}
+	if !failed {
+		return result
+	}
+	o.dropReservation(req.Reservation)
+	for i := range result.Steps {
+		if result.Steps[i].Outcome == plan.Accepted {
+			result.Steps[i] = o.reject(plan.NoRoom, "another task of the reservation does not fit")
+		}
+	}
+	return result
+}
+
+func (o *owner) reserveStep(id string, r *reservation, step plan.Step) plan.StepResult {
+	n, refused := o.usableNode(step)
+	if refused.Outcome != "" {
+		return refused
+	}
+	if o.known(worker.Ref{Task: step.Start.Task, Attempt: step.Start.Attempt}) {
+		return o.reject(plan.Duplicate, "the task runs, starts or has a result here")
+	}
+	if err := o.ledger.Reserve(n.id, r.key(id, step.Start.Task), step.Start.Size); err != nil {
+		return o.reject(plan.NoRoom, err.Error())
+	}
+	r.steps[step.Start.Task] = step
+	o.touch(n)
+	return plan.StepResult{Outcome: plan.Accepted}
+}
+
+// release gives reserved capacity back.
+func (o *owner) release(req plan.ReleaseReservation) error {
+	r := o.holds[req.Reservation]
+	if r != nil && r.author.Shard == req.Author.Shard && r.author.Epoch <= req.Author.Epoch {
+		o.dropReservation(req.Reservation)
+	}
+	return nil
+}
+
+// dropReservation frees whatever the reservation still holds.
+func (o *owner) dropReservation(id string) {
+	r := o.holds[id]
+	if r == nil {
+		return
+	}
+	for task, step := range r.steps {
+		o.ledger.Free(step.Worker, r.key(id, task))
+		if n := o.nodes[step.Worker]; n != nil {
+			o.touch(n)
+		}
+	}
+	delete(o.holds, id)
+}
+
+func (o *owner) expireReservations(now time.Time) {
+	for id, r := range o.holds {
+		if now.After(r.expires) {
+			o.dropReservation(id)
+		}
+	}
+}
+
+// mustBalance panics when the books of a worker are wrong: going on could put
+// more on a VM than it carries.
+func (o *owner) mustBalance(n *node) {
+	if err := o.checkBooks(n); err != nil {
+		panic(err)
+	}
+}
--- /dev/null
+++ b/process/partition/fence.go
@@ -0,0 +1,321 @@
+package partition
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"fennelshunt.example/fennelshunt/connection/peer"
+	"fennelshunt.example/fennelshunt/connection/worker"
+	"fennelshunt.example/fennelshunt/process/ownership"
+	"fennelshunt.example/fennelshunt/version/spec"
+)
+
+const (
+	storeTimeout = 3 * time.Second
+	storeRetry   = time.Second
+	fenceRetry   = time.Second
+	settleRetry  = 10 * time.Second
+	// maxRevokeRounds bounds how often leases are listed and revoked in one
+	// attempt; more means that somebody keeps opening new ones.
+	maxRevokeRounds = 3
+)
+
+// errForeignLease means that the claim could not be confirmed and another
+// daemon holds a lease at the worker.
+var errForeignLease = errors.New("partition: another lease is open and the claim is not confirmed")
+
+// confirmer reads the claim from the store for several callers at once. A
+// caller gets the result of a read that began after its call, never of one
+// under way, because the read must be later than the lease it confirms.
+type confirmer struct {
+	confirm func(ctx context.Context) error
+
+	mu   sync.Mutex
+	next *confirmation
+	busy bool
+}
+
+type confirmation struct {
+	done chan struct{}
+	err  error
+}
+
+// do waits for a read that begins after the call.
+func (c *confirmer) do(ctx context.Context) error {
+	c.mu.Lock()
+	if c.next == nil {
+		c.next = &confirmation{done: make(chan struct{})}
+	}
+	mine := c.next
+	if !c.busy {
+		c.busy = true
+		go c.work(ctx)
+	}
+	c.mu.Unlock()
+	select {
+	case <-mine.done:
+		return mine.err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (c *confirmer) work(ctx context.Context) {
+	for {
+		c.mu.Lock()
+		current := c.next
+		c.next = nil
+		c.busy = current != nil
+		c.mu.Unlock()
+		if current == nil {
+			return
+		}
+		readCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), storeTimeout)
+		current.err = c.confirm(readCtx)
+		cancel()
+		close(current.done)
+	}
+}
+
+// fenceResult is what an attempt to fence a worker learned.
+type fenceResult struct {
+	lease     worker.LeaseID
+	inventory worker.Inventory
+	revoked   int
+	confirmed bool
+	adopted   bool // tasks may have been moved to our lease
+}
+
+// fence makes this owner the only one that can start tasks at a worker. The
+// order is the guard:
+//
+//  1. open our lease;
+//  2. read the claim from the store. If it is still ours, every later owner
+//     claims after this moment, so the inventory it takes lists our lease and
+//     it revokes it. Were the claim read before the lease is opened, a pause
+//     between the two would leave us with a lease that nobody revokes;
+//  3. list the leases and revoke all but ours: any lease that an earlier owner
+//     may use was opened before our claim, by the same rule, so it is listed;
+//  4. list the tasks, which no earlier owner can add to any more;
+//  5. move the running tasks to our lease.
+//
+// With the store out of reach step 2 fails: then the lease only renews what
+// runs, and only when no other lease is open.
+func (o *owner) fence(ctx context.Context, agent worker.Agent, knownLease worker.LeaseID) (fenceResult, error) {
+	var r fenceResult
+	lease, err := agent.OpenLease(ctx, worker.OpenLease{
+		Owner:   fmt.Sprintf("%s/%d", o.claim.Owner.ID, o.claim.Owner.Incarnation),
+		Epoch:   o.claim.Epoch,
+		TTL:     spec.Duration(o.t.LeaseTTL),
+		TaskTTL: spec.Duration(o.t.TaskTTL),
+	})
+	if err != nil {
+		return r, fmt.Errorf("open lease: %w", err)
+	}
+	r.lease = lease
+	confirmErr := o.confirms.do(ctx)
+	if errors.Is(confirmErr, ownership.ErrNotOwner) {
+		return r, confirmErr
+	}
+	r.confirmed = confirmErr == nil
+	if r.inventory, err = agent.Inventory(ctx); err != nil {
+		return r, fmt.Errorf("inventory: %w", err)
+	}
+	if r.confirmed {
+		err = r.revokeOthers(ctx, agent)
+	} else if foreign(r.inventory.Leases, lease, knownLease) {
+		err = fmt.Errorf("%w: %w", errForeignLease, confirmErr)
+	}
+	if err != nil {
+		return r, err
+	}
+	return r, r.adopt(ctx, agent)
+}
+
+func foreign(leases []worker.LeaseID, ours ...worker.LeaseID) bool {
+	for _, id := range leases {
+		if id != ours[0] && id != ours[1] {
+			return true
+		}
+	}
+	return false
+}
+
+// revokeOthers revokes every lease but ours and reads the inventory again.
+func (r *fenceResult) revokeOthers(ctx context.Context, agent worker.Agent) error {
+	for range maxRevokeRounds {
+		others := 0
+		for _, id := range r.inventory.Leases {
+			if id == r.lease {
+				continue
+			}
+			others++
+			if err := agent.RevokeLease(ctx, id); err != nil {
+				return fmt.Errorf("revoke lease %s: %w", id, err)
+			}
+		}
+		if others == 0 {
+			return nil
+		}
+		r.revoked += others
+		inventory, err := agent.Inventory(ctx)
+		if err != nil {
+			return fmt.Errorf("inventory after revoking: %w", err)
+		}
+		r.inventory = inventory
+	}
+	// Leases opened meanwhile are not confirmed by their owner's claim, which
+	// ended before ours began, so nothing is started under them.
+	return nil
+}
+
+func (r *fenceResult) adopt(ctx context.Context, agent worker.Agent) error {
+	var refs []worker.Ref
+	for _, t := range r.inventory.Tasks {
+		if !t.State.Ended() && t.Lease != r.lease {
+			refs = append(refs, worker.Ref{Task: t.Task, Attempt: t.Attempt})
+		}
+	}
+	if len(refs) == 0 {
+		return nil
+	}
+	r.adopted = true
+	if err := agent.Adopt(ctx, r.lease, refs); err != nil {
+		return fmt.Errorf("adopt tasks: %w", err)
+	}
+	return nil
+}
+
+// startFence runs fence in the background.
+func (o *owner) startFence(n *node) {
+	n.busy = true
+	agent, known := n.agent, n.lease
+	go func() {
+		ctx, cancel := context.WithTimeout(o.ctx, 3*o.t.CallTimeout)
+		defer cancel()
+		r, err := o.fence(ctx, agent, known)
+		o.post(func() { o.fenceDone(n, r, err) })
+	}()
+}
+
+func (o *owner) fenceDone(n *node, r fenceResult, err error) {
+	now := time.Now()
+	o.returned(n)
+	n.nextTry = now.Add(fenceRetry)
+	if r.adopted {
+		n.renewed = now
+	}
+	switch {
+	case errors.Is(err, ownership.ErrNotOwner):
+		o.stopSelf(err)
+		return
+	case errors.Is(err, worker.ErrStaleEpoch):
+		o.metStaleEpoch(n, err)
+		return
+	case err != nil:
+		o.callFailed(n, err)
+		return
+	}
+	n.failures = 0
+	n.lease, n.seq = r.lease, r.inventory.Seq
+	n.renewed = now
+	n.nextSync = now.Add(o.t.syncInterval(len(o.nodes)))
+	n.provision = !r.confirmed
+	n.nextTry = now.Add(storeRetry)
+	if !r.confirmed {
+		o.touch(n)
+		return
+	}
+	o.h.o.Metrics.Fenced.Add(1)
+	o.h.o.Metrics.Revoked.Add(int64(r.revoked))
+	n.fenced, n.everKnown, n.accounted = true, true, false
+	o.takeInventory(n, r.inventory)
+}
+
+// metStaleEpoch handles a worker that has seen a higher epoch: somebody took
+// the partition over. Nothing is started anywhere until the store has said
+// whether the claim is still ours.
+func (o *owner) metStaleEpoch(n *node, err error) {
+	n.failures++
+	for _, other := range o.nodes {
+		other.fenced = false
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(o.ctx, storeTimeout)
+		defer cancel()
+		confirmErr := o.confirms.do(ctx)
+		if errors.Is(confirmErr, ownership.ErrNotOwner) {
+			o.post(func() { o.stopSelf(confirmErr) })
+		}
+	}()
+	o.log.Error().Err(err).Str("worker", string(n.id)).Msg("worker has seen a higher epoch")
+}
+
+// earlierOwners tracks the owners before this one until each is known to have
+// let go: it released the claim, its VM left the VM list, or it came back as a
+// newer incarnation. That a member is merely not heard of proves nothing.
+type earlierOwners struct {
+	open  map[peer.Ref]bool
+	since time.Time // when the last one was known to have let go
+	// taken is when this owner acquired the claim; the authority of every
+	// earlier owner has run out renewBound later.
+	taken time.Time
+}
+
+func newEarlierOwners(g ownership.Grant) earlierOwners {
+	e := earlierOwners{open: make(map[peer.Ref]bool), since: time.Now(), taken: time.Now()}
+	for _, ref := range g.Earlier {
+		e.open[ref] = true
+	}
+	return e
+}
+
+func (e *earlierOwners) check(h *Host, now time.Time) {
+	for ref := range e.open {
+		member, known := h.o.View.Lookup(ref.ID)
+		restarted := known && member.Incarnation > ref.Incarnation
+		if restarted || ref == h.o.View.Self().Ref || h.o.Racks.VMGone(string(ref.ID)) {
+			delete(e.open, ref)
+			e.since = now
+		}
+	}
+}
+
+// settleUnfenced gives up on waiting for a worker that can not be fenced once
+// nothing that an earlier owner started can run there any more.
+func (o *owner) settleUnfenced(n *node, now time.Time) {
+	if n.everKnown || n.accounted {
+		return
+	}
+	if len(o.earlier.open) > 0 && now.Sub(o.earlier.taken) < o.h.o.RenewBound {
+		return
+	}
+	if now.Sub(o.earlier.since) < o.t.runOut() || now.Sub(n.renewed) < o.t.runOut() {
+		return
+	}
+	n.accounted = true
+	o.touch(n)
+}
+
+// settleClaim tells the store when no earlier owner can start anything any
+// more, so that the next owner need not wait for them.
+func (o *owner) settleClaim(now time.Time) {
+	if o.settled || len(o.nodes) == 0 || now.Before(o.settleAt) {
+		return
+	}
+	for _, n := range o.nodes {
+		if !n.everKnown && !n.accounted {
+			return
+		}
+	}
+	o.settleAt = now.Add(settleRetry)
+	go func() {
+		ctx, cancel := context.WithTimeout(o.ctx, storeTimeout)
+		defer cancel()
+		err := o.h.o.Claims.Settle(ctx, o.claim)
+		o.post(func() { o.settled = err == nil })
+	}()
+}
--- /dev/null
+++ b/process/partition/harness_test.go
@@ -0,0 +1,355 @@
+package partition
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+	_ "pgregory.net/rapid"
+
+	"fennelshunt.example/fennelshunt/connection/peer"
+	"fennelshunt.example/fennelshunt/connection/peer/peertest"
+	"fennelshunt.example/fennelshunt/connection/store"
+	"fennelshunt.example/fennelshunt/connection/vmlist"
+	"fennelshunt.example/fennelshunt/connection/worker"
+	"fennelshunt.example/fennelshunt/process/fleet"
+	"fennelshunt.example/fennelshunt/process/fleet/fleettest"
+	"fennelshunt.example/fennelshunt/process/ownership"
+	"fennelshunt.example/fennelshunt/process/partition/agenttest"
+	"fennelshunt.example/fennelshunt/process/plan"
+	"fennelshunt.example/fennelshunt/standin/kv"
+	"fennelshunt.example/fennelshunt/version/spec"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+const (
+	testZone      = "zone-a"
+	testRack      = "rack-1"
+	testPartition = testZone + "-" + testRack
+	testShard     = plan.Shard(1)
+)
+
+var small = spec.Resources{MilliCPU: 1000, MemoryMB: 1000}
+
+// cell is a rack of workers with the daemons that may own it.
+type cell struct {
+	t       testing.TB
+	rack    *agenttest.Rack
+	kv      *kv.Memory
+	net     *peertest.Network
+	vms     *vmList
+	daemons []*daemon
+	author  *author
+	ctx     context.Context
+	cancel  context.CancelFunc
+	jobs    spec.Config
+}
+
+// daemon is one life of a daemon with everything that owns partitions.
+type daemon struct {
+	c       *cell
+	ref     peer.Ref
+	view    *fleettest.View
+	manager *ownership.Manager
+	host    *Host
+	racks   *Racks
+	metrics *Metrics
+	stop    context.CancelFunc
+
+	mu      sync.Mutex
+	renewed time.Time
+	frozen  bool
+}
+
+// vmList is a settable VM list.
+type vmList struct {
+	mu  sync.Mutex
+	vms []vmlist.VM
+}
+
+func (l *vmList) List(context.Context) ([]vmlist.VM, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Clone(l.vms), nil
+}
+
+func (l *vmList) remove(name string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.vms = slices.DeleteFunc(l.vms, func(vm vmlist.VM) bool { return vm.Name == name })
+}
+
+type configSource struct{ c *spec.Config }
+
+func (s configSource) Current() *spec.Config    { return s.c }
+func (s configSource) Changed() <-chan struct{} { return nil }
+
+func workerID(i int) worker.ID { return worker.ID(fmt.Sprintf("worker-%d", i)) }
+
+// newCell starts daemons and workers; odd workers compare epochs, even ones
+// only know leases.
+func newCell(t testing.TB, daemons, workers int, capacity spec.Resources) *cell {
+	ctx, cancel := context.WithCancel(t.Context())
+	c := &cell{t: t, rack: agenttest.NewRack(), kv: kv.New(), net: peertest.NewNetwork(1), vms: &vmList{}, ctx: ctx, cancel: cancel}
+	for i := range workers {
+		id := workerID(i)
+		c.rack.Add(id, capacity, i%2 == 1)
+		c.vms.vms = append(c.vms.vms, vmlist.VM{
+			Name: string(id), Role: vmlist.RoleWorker, Zone: testZone, Rack: testRack, Address: string(id), Capacity: capacity,
+		})
+	}
+	for i := range daemons {
+		name := peer.MemberID(fmt.Sprintf("daemon-%d", i))
+		c.vms.vms = append(c.vms.vms, vmlist.VM{Name: string(name), Role: vmlist.RoleEntry, Zone: testZone})
+	}
+	for i := range daemons {
+		c.daemons = append(c.daemons, c.startDaemon(peer.Ref{ID: peer.MemberID(fmt.Sprintf("daemon-%d", i)), Incarnation: 1}))
+	}
+	c.author = newAuthor(c)
+	return c
+}
+
+func (c *cell) startDaemon(ref peer.Ref) *daemon {
+	d := &daemon{c: c, ref: ref, renewed: time.Now(), metrics: &Metrics{}}
+	member := func(r peer.Ref) fleet.Member { return fleet.Member{Ref: r, Zone: testZone} }
+	d.view = fleettest.NewView(member(ref))
+	for _, other := range c.daemons {
+		if other.ref.ID != ref.ID {
+			d.view.Set(member(other.ref))
+		}
+		other.view.Set(member(ref))
+	}
+	caller, mux := c.net.Node(ref)
+	d.racks = NewRacks(c.vms, time.Second, zerolog.Nop())
+	d.manager = ownership.New(ownership.Options{
+		View: d.view, Store: store.NewClient(c.kv, store.Options{}).Role(store.RoleClaims),
+		Renewed: d.lastRenewal, Log: zerolog.Nop(),
+	})
+	d.host = New(Options{
+		Racks: d.racks, Dialer: c.rack.Dialer(string(ref.ID)), Directory: d.manager, Claims: d.manager,
+		Caller: caller, Registrar: mux, View: d.view, Config: configSource{&c.jobs},
+		ShardOf: func(string) plan.Shard { return testShard }, Log: zerolog.Nop(), Metrics: d.metrics,
+	})
+	d.manager.Register(ownership.PartitionPrefix, d.host, d.host.Resources)
+	ctx, stop := context.WithCancel(c.ctx)
+	d.stop = stop
+	go func() { _ = d.racks.Serve(ctx) }()
+	go func() { _ = d.manager.Serve(ctx) }()
+	return d
+}
+
+// lastRenewal stands for the fleet: the store lease is renewed all the time
+// unless the daemon is frozen or the store is down.
+func (d *daemon) lastRenewal() time.Time {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.frozen {
+		d.renewed = time.Now()
+	}
+	return d.renewed
+}
+
+func (d *daemon) freezeRenewal(on bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.frozen = on
+	if on {
+		d.renewed = time.Now()
+	}
+}
+
+// kill ends a daemon without a word.
+func (d *daemon) kill() {
+	d.c.net.Stop(d.ref)
+	d.c.rack.Pause(string(d.ref.ID)) // nothing more is sent, ever
+	d.stop()
+}
+
+// sayGone tells everybody else that the daemon's life ended.
+func (c *cell) sayGone(d *daemon) {
+	for _, other := range c.daemons {
+		if other != d {
+			other.view.SetGone(d.ref)
+		}
+	}
+}
+
+// pause stops a daemon between a check and its next send.
+func (c *cell) pause(d *daemon) {
+	c.net.Pause(d.ref)
+	c.rack.Pause(string(d.ref.ID))
+}
+
+func (c *cell) resume(d *daemon) {
+	c.net.Resume(d.ref)
+	c.rack.Resume(string(d.ref.ID))
+}
+
+// owner returns the daemon that the store names, or nil.
+func (c *cell) owner() *daemon {
+	for _, d := range c.daemons {
+		if _, err := d.host.owner(testPartition); err == nil {
+			if claim, ok := d.manager.Owner(resourceOf(testPartition)); ok && claim.Owner == d.ref {
+				return d
+			}
+		}
+	}
+	return nil
+}
+
+// eventually waits in virtual time.
+func (c *cell) eventually(within time.Duration, what string, ok func() bool) time.Duration {
+	c.t.Helper()
+	began := time.Now()
+	for !ok() {
+		if time.Since(began) > within {
+			require.FailNow(c.t, "not within "+within.String(), what)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	return time.Since(began)
+}
+
+// author plays the owner of a shard: it proposes plans and takes events.
+type author struct {
+	c      *cell
+	ref    peer.Ref
+	caller peer.Caller
+	epoch  uint64
+	seq    uint64
+
+	mu     sync.Mutex
+	events []plan.Event
+}
+
+func newAuthor(c *cell) *author {
+	a := &author{c: c, ref: peer.Ref{ID: "author", Incarnation: 1}, epoch: 1}
+	caller, mux := c.net.Node(a.ref)
+	a.caller = caller
+	mux.Handle(plan.MethodEvents, func(_ context.Context, _ peer.Ref, payload []byte) (any, error) {
+		var msg plan.Events
+		if err := peer.Unmarshal(payload, &msg); err != nil {
+			return nil, err
+		}
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		a.events = append(a.events, msg.Events...)
+		return nil, nil
+	})
+	for _, d := range c.daemons {
+		d.manager.Observe(ownership.Claim{Resource: shardResource(testShard), Owner: a.ref, Epoch: 1})
+	}
+	return a
+}
+
+func (a *author) as() plan.Authorship {
+	return plan.Authorship{Shard: testShard, Epoch: a.epoch, Owner: a.ref}
+}
+
+func taskID(i int) spec.TaskID { return spec.TaskID{Job: "survey", Generation: 1, Index: i} }
+
+func ref(i int) worker.Ref { return worker.Ref{Task: taskID(i), Attempt: 1} }
+
+// step builds a step that starts task i at a worker.
+func step(i int, id worker.ID) plan.Step {
+	return plan.Step{Worker: id, Class: spec.Normal, Start: worker.Start{
+		Task: taskID(i), Attempt: 1, Kind: spec.Batch, Size: small, RunTime: spec.Duration(time.Hour),
+	}}
+}
+
+func (a *author) call(d *daemon, m peer.Method, req, resp any) error {
+	ctx, cancel := context.WithTimeout(a.c.ctx, 3*time.Second)
+	defer cancel()
+	return a.caller.Call(ctx, d.ref, m, req, resp)
+}
+
+func (a *author) commit(d *daemon, steps ...plan.Step) []plan.StepResult {
+	a.seq++
+	var result plan.Result
+	err := a.call(d, plan.MethodCommit, plan.Plan{Partition: testPartition, Author: a.as(), Seq: a.seq, Steps: steps}, &result)
+	if err != nil {
+		return refuseAll(len(steps), plan.Outcome("error"), err.Error())
+	}
+	return result.Steps
+}
+
+// mustStart commits a step and waits until the task runs.
+func (a *author) mustStart(d *daemon, steps ...plan.Step) {
+	a.c.t.Helper()
+	for i, r := range a.commit(d, steps...) {
+		require.Equal(a.c.t, plan.Accepted, r.Outcome, "step %d: %s", i, r.Reason)
+	}
+	for _, s := range steps {
+		a.c.eventually(5*time.Second, "task runs", func() bool {
+			return slices.Contains(a.c.rack.Running(s.Worker), s.Start.Task)
+		})
+	}
+}
+
+func (a *author) fence(d *daemon) (plan.FenceReply, error) {
+	a.seq++
+	var reply plan.FenceReply
+	err := a.call(d, plan.MethodFence, plan.Fence{Partition: testPartition, Author: a.as(), MinSeq: a.seq, Jobs: []string{"survey"}}, &reply)
+	return reply, err
+}
+
+// last returns the newest event of a task that f accepts.
+func (a *author) saw(f func(plan.Event) bool) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return slices.ContainsFunc(a.events, f)
+}
+
+// ready waits until every worker of the partition is fenced and returns the
+// owner.
+func (c *cell) ready() *daemon {
+	c.t.Helper()
+	var d *daemon
+	c.eventually(time.Minute, "partition ready", func() bool {
+		if d = c.owner(); d == nil {
+			return false
+		}
+		reply, err := c.author.fence(d)
+		return err == nil && len(reply.Unaccounted) == 0
+	})
+	return d
+}
+
+// inBubble runs a test on virtual time and ends with the checks that always
+// hold.
+func inBubble(t *testing.T, daemons, workers int, capacity spec.Resources, f func(c *cell)) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCell(t, daemons, workers, capacity)
+		f(c)
+		require.Empty(t, c.rack.Violations())
+		c.shutDown()
+	})
+}
+
+// shutDown ends every goroutine, so that the bubble can end.
+func (c *cell) shutDown() {
+	c.cancel()
+	for _, d := range c.daemons {
+		c.net.Stop(d.ref)
+		c.rack.Resume(string(d.ref.ID))
+	}
+	c.net.Stop(c.author.ref)
+	time.Sleep(time.Minute)
+}
--- /dev/null
+++ b/process/partition/health.go
@@ -0,0 +1,278 @@
+package partition
+
+import (
+	"fmt"
+	"time"
+
+	"fennelshunt.example/fennelshunt/connection/worker"
+	"fennelshunt.example/fennelshunt/version/spec"
+)
+
+const (
+	// failureWindow is how long a failure counts as evidence.
+	failureWindow = 2 * time.Minute
+	// asideAfter is how many different jobs must have failed at a worker, with
+	// no success between, before it is set aside.
+	asideAfter = 3
+	// jobFailsEverywhere is at how many workers a job must have failed before
+	// its failures say nothing about a worker any more.
+	jobFailsEverywhere = 3
+	minAside           = 30 * time.Second
+	maxAside           = 10 * time.Minute
+	// maxAsideShare bounds the workers of a partition that are set aside: a
+	// bad signal must not empty the partition.
+	maxAsideShare = 0.5
+)
+
+// health is the evidence against a worker.
+type health struct {
+	failures map[string]time.Time // job -> last failure since the last success
+	aside    bool
+	until    time.Time // of being set aside; then single probe tasks
+	length   time.Duration
+}
+
+// reason returns why the worker takes no new tasks, or "". After its time
+// aside a worker takes one task at a time until one succeeds.
+func (h *health) reason(n *node) string {
+	if !h.aside {
+		return ""
+	}
+	if time.Now().Before(h.until) {
+		return fmt.Sprintf("set aside: tasks of %d different jobs failed in a row", asideAfter)
+	}
+	if n.live() > 0 {
+		return "set aside: a probe task runs"
+	}
+	return ""
+}
+
+// jobFailures remembers at which workers a job failed lately.
+type jobFailures map[string]map[worker.ID]time.Time
+
+func (j jobFailures) record(job string, id worker.ID, now time.Time) {
+	at := j[job]
+	if at == nil {
+		at = make(map[worker.ID]time.Time)
+		j[job] = at
+	}
+	at[id] = now
+	for other, when := range at {
+		if now.Sub(when) > failureWindow {
+			delete(at, other)
+		}
+	}
+}
+
+// everywhere reports whether the job fails wherever it runs.
+func (j jobFailures) everywhere(job string) bool { return len(j[job]) >= jobFailsEverywhere }
+
+func (j jobFailures) expire(now time.Time) {
+	for job, at := range j {
+		for id, when := range at {
+			if now.Sub(when) > failureWindow {
+				delete(at, id)
+			}
+		}
+		if len(at) == 0 {
+			delete(j, job)
+		}
+	}
+}
+
+func (o *owner) recordFailure(n *node, job string) {
+	now := time.Now()
+	o.jobs.record(job, n.id, now)
+	if n.health.aside && !now.Before(n.health.until) {
+		o.setAside(n, now) // the probe failed
+		return
+	}
+	if n.health.failures == nil {
+		n.health.failures = make(map[string]time.Time)
+	}
+	n.health.failures[job] = now
+	evidence := 0
+	for name, at := range n.health.failures {
+		switch {
+		case now.Sub(at) > failureWindow:
+			delete(n.health.failures, name)
+		case !o.jobs.everywhere(name):
+			evidence++
+		}
+	}
+	if evidence >= asideAfter && !n.health.aside && o.mayAside() {
+		o.setAside(n, now)
+	}
+}
+
+func (o *owner) mayAside() bool {
+	aside := 0
+	for _, n := range o.nodes {
+		if n.health.aside {
+			aside++
+		}
+	}
+	return float64(aside+1) <= maxAsideShare*float64(len(o.nodes))
+}
+
+func (o *owner) setAside(n *node, now time.Time) {
+	h := &n.health
+	h.aside = true
+	h.length = min(max(2*h.length, minAside), maxAside)
+	h.until = now.Add(h.length)
+	clear(h.failures)
+	o.h.o.Metrics.SetAside.Add(1)
+	o.log.Warn().Str("worker", string(n.id)).Dur("for", h.length).Msg("worker set aside")
+	o.touch(n)
+}
+
+func (o *owner) recordSuccess(n *node) {
+	clear(n.health.failures)
+	if n.health.aside {
+		n.health.aside = false
+		n.health.length = 0
+		o.touch(n)
+	}
+}
+
+// overshoot handles workers whose tasks really use more than there is.
+type overshoot struct {
+	usage spec.Resources // sum over the running tasks, as last reported
+	next  time.Time      // of the next measure
+	calm  time.Time      // since when usage is well below the capacity
+}
+
+const (
+	// overshootPause lets a measure show in the lagging usage before the next.
+	overshootPause = 5 * time.Second
+	// calmBefore is how long usage must stay below calmShare of the capacity
+	// before limits are lifted.
+	calmBefore = 30 * time.Second
+	calmShare  = 0.8
+)
+
+// refuses returns why a task of that size is not taken although the ledger has
+// room: the running tasks use more than they declared.
+func (u *overshoot) refuses(n *node, size spec.Resources) string {
+	if u.usage.IsZero() {
+		return ""
+	}
+	after := u.usage.Add(size)
+	if u.usage.MilliCPU > n.capacity.MilliCPU || after.MemoryMB > n.capacity.MemoryMB {
+		return fmt.Sprintf("real usage is %+v of %+v", u.usage, n.capacity)
+	}
+	return ""
+}
+
+// checkOvershoot measures and acts: throttle first, then checkpoint, then
+// stop, the lowest class first and only tasks beyond their declared size.
+func (o *owner) checkOvershoot(n *node, now time.Time) {
+	var usage spec.Resources
+	for _, t := range n.tasks {
+		if t.phase == running {
+			usage = usage.Add(t.report.Usage)
+		}
+	}
+	n.use.usage = usage
+	over := usage.Sub(n.capacity)
+	if over.MilliCPU <= 0 && over.MemoryMB <= 0 {
+		o.relax(n, now)
+		return
+	}
+	n.use.calm = time.Time{}
+	if now.Before(n.use.next) {
+		return
+	}
+	n.use.next = now.Add(overshootPause)
+	o.h.o.Metrics.Overshoots.Add(1)
+	o.wake(n)
+	if over.MemoryMB <= 0 && o.throttleWorst(n, over.MilliCPU) {
+		return
+	}
+	o.evictWorst(n, over)
+}
+
+// throttleWorst limits tasks to their declared processors until the overshoot
+// is gone; false when nothing is left to limit.
+func (o *owner) throttleWorst(n *node, over int64) bool {
+	acted := false
+	for over > 0 {
+		t := worst(n, func(t *task) int64 {
+			if t.throttle != 0 || t.start.Size.MilliCPU == 0 {
+				return 0
+			}
+			return t.report.Usage.MilliCPU - t.start.Size.MilliCPU
+		})
+		if t == nil {
+			return acted
+		}
+		t.throttle = t.start.Size.MilliCPU
+		over -= t.report.Usage.MilliCPU - t.start.Size.MilliCPU
+		acted = true
+	}
+	return acted
+}
+
+// evictWorst moves one task away.
+func (o *owner) evictWorst(n *node, over spec.Resources) {
+	t := worst(n, func(t *task) int64 {
+		if t.saveWanted || t.stopWanted || !t.stopAt.IsZero() {
+			return 0
+		}
+		if over.MemoryMB > 0 {
+			return t.report.Usage.MemoryMB - t.start.Size.MemoryMB
+		}
+		return t.report.Usage.MilliCPU - t.start.Size.MilliCPU
+	})
+	switch {
+	case t == nil:
+	case t.start.Kind == spec.Service:
+		o.drainEndpoint(t, o.t.PreemptDrain)
+	case t.nonIdempotent:
+		t.stopWanted = true
+	default:
+		t.saveWanted = true // a failed checkpoint becomes a stop
+	}
+}
+
+// worst returns the running task of the lowest class with the largest excess,
+// or nil when no task has any.
+func worst(n *node, excess func(*task) int64) *task {
+	var found *task
+	var most int64
+	for _, t := range n.tasks {
+		if t.phase != running {
+			continue
+		}
+		e := excess(t)
+		if e <= 0 {
+			continue
+		}
+		if found == nil || t.class.Rank() < found.class.Rank() || (t.class.Rank() == found.class.Rank() && e > most) {
+			found, most = t, e
+		}
+	}
+	return found
+}
+
+// relax lifts limits after usage has been low for long enough.
+func (o *owner) relax(n *node, now time.Time) {
+	if float64(n.use.usage.MilliCPU) > calmShare*float64(n.capacity.MilliCPU) {
+		n.use.calm = time.Time{}
+		return
+	}
+	if n.use.calm.IsZero() {
+		n.use.calm = now
+	}
+	if now.Sub(n.use.calm) < calmBefore {
+		return
+	}
+	n.use.calm = now
+	for _, t := range n.tasks {
+		if t.throttle != 0 {
+			t.throttle = 0 // one at a time: together they may overshoot again
+			o.wake(n)
+			return
+		}
+	}
+}
--- /dev/null
+++ b/process/partition/host.go
@@ -0,0 +1,204 @@
+package partition
+
+import (
+	"context"
+	"fmt"
+	"sync"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"fennelshunt.example/fennelshunt/connection/peer"
+	"fennelshunt.example/fennelshunt/process/ownership"
+	"fennelshunt.example/fennelshunt/process/plan"
+)
+
+// Host runs an owner for each partition that this daemon owns and serves the
+// methods of package plan. It implements ownership.User.
+type Host struct {
+	o      Options
+	fences fences
+
+	mu     sync.Mutex
+	owners map[string]*owner
+}
+
+// New returns a Host and registers its peer methods.
+func New(o Options) *Host {
+	o.Timing = o.Timing.withDefaults()
+	if o.RenewBound == 0 {
+		o.RenewBound = ownership.DefaultRenewBound
+	}
+	if o.Metrics == nil {
+		o.Metrics = &Metrics{}
+	}
+	h := &Host{o: o, owners: make(map[string]*owner), fences: newFences()}
+	handle(h, plan.MethodCommit, func(ctx context.Context, req plan.Plan) (any, error) {
+		o, err := h.owner(req.Partition)
+		if err != nil {
+			return plan.Result{Steps: refuseAll(len(req.Steps), plan.NotOwner, err.Error())}, nil
+		}
+		return call(ctx, o, func() plan.Result { return o.commit(req) })
+	})
+	handle(h, plan.MethodReserve, func(ctx context.Context, req plan.Reserve) (any, error) {
+		o, err := h.owner(req.Partition)
+		if err != nil {
+			return plan.Result{Steps: refuseAll(len(req.Steps), plan.NotOwner, err.Error())}, nil
+		}
+		return call(ctx, o, func() plan.Result { return o.reserve(req) })
+	})
+	handle(h, plan.MethodRelease, func(ctx context.Context, req plan.ReleaseReservation) (any, error) {
+		return h.order(ctx, req.Partition, func(o *owner) error { return o.release(req) })
+	})
+	handle(h, plan.MethodStop, func(ctx context.Context, req plan.Stop) (any, error) {
+		return h.order(ctx, req.Partition, func(o *owner) error { return o.stopTasks(req) })
+	})
+	handle(h, plan.MethodAck, func(ctx context.Context, req plan.Ack) (any, error) {
+		return h.order(ctx, req.Partition, func(o *owner) error { return o.ack(req) })
+	})
+	handle(h, plan.MethodFence, h.serveFence)
+	handle(h, plan.MethodState, h.serveState)
+	return h
+}
+
+// handle registers a typed handler.
+func handle[Req any](h *Host, m peer.Method, f func(ctx context.Context, req Req) (any, error)) {
+	h.o.Registrar.Handle(m, func(ctx context.Context, _ peer.Ref, payload []byte) (any, error) {
+		var req Req
+		if err := cbor.Unmarshal(payload, &req); err != nil {
+			return nil, &peer.RemoteError{Code: CodeBadRequest, Message: err.Error()}
+		}
+		return f(ctx, req)
+	})
+}
+
+// Codes of remote errors.
+const (
+	CodeBadRequest = "bad_request"
+	CodeNotOwner   = string(plan.NotOwner)
+	CodeStale      = string(plan.Stale)
+	CodeNotFenced  = string(plan.NotFenced)
+)
+
+func (h *Host) owner(partition string) (*owner, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	o := h.owners[partition]
+	if o == nil {
+		return nil, &peer.RemoteError{Code: CodeNotOwner, Message: "partition " + partition + " is not owned here"}
+	}
+	return o, nil
+}
+
+// order runs f in the owner's goroutine and returns its error.
+func (h *Host) order(ctx context.Context, partition string, f func(*owner) error) (any, error) {
+	o, err := h.owner(partition)
+	if err != nil {
+		return nil, err
+	}
+	failed, err := call(ctx, o, func() error { return f(o) })
+	if err != nil {
+		return nil, err
+	}
+	return nil, failed
+}
+
+// Resources lists the partitions, for ownership.Manager.Register.
+func (h *Host) Resources() []ownership.Resource { return h.o.Racks.Resources() }
+
+// Acquired implements ownership.User.
+func (h *Host) Acquired(ctx context.Context, g ownership.Grant) {
+	name := partitionOf(g.Resource)
+	o := newOwner(ctx, h, name, g)
+	h.mu.Lock()
+	old := h.owners[name]
+	h.owners[name] = o
+	h.mu.Unlock()
+	if old != nil {
+		old.cancel()
+	}
+	h.o.Metrics.Takeovers.Add(1)
+	go o.run()
+}
+
+// Lost implements ownership.User.
+func (h *Host) Lost(r ownership.Resource, epoch uint64) {
+	name := partitionOf(r)
+	h.mu.Lock()
+	o := h.owners[name]
+	if o != nil && o.claim.Epoch <= epoch {
+		delete(h.owners, name)
+	}
+	h.mu.Unlock()
+	if o != nil && o.claim.Epoch <= epoch {
+		o.cancel()
+	}
+}
+
+// Releasing implements ownership.User: it takes no new plans, waits for calls
+// to workers under way, so that no start is sent after the claim is released,
+// and sends the events that are still queued.
+func (h *Host) Releasing(ctx context.Context, r ownership.Resource) error {
+	o, err := h.owner(partitionOf(r))
+	if err != nil {
+		return nil // already lost, nothing to hand over
+	}
+	idle, err := call(ctx, o, o.prepareRelease)
+	if err != nil {
+		return fmt.Errorf("release %s: %w", r, err)
+	}
+	select {
+	case <-idle:
+		return nil
+	case <-ctx.Done():
+		return fmt.Errorf("release %s: %w", r, ctx.Err())
+	}
+}
+
+// fences remembers the newest authorship of each shard that this process has
+// seen. It outlives the ownership of a partition: a delayed plan addressed to
+// this life of the daemon may arrive after it lost a partition and got it back.
+type fences struct {
+	mu   *sync.Mutex
+	seen map[plan.Shard]shardFence
+}
+
+type shardFence struct {
+	epoch  uint64
+	minSeq uint64
+}
+
+func newFences() fences { return fences{mu: &sync.Mutex{}, seen: make(map[plan.Shard]shardFence)} }
+
+// raise refuses lower epochs, and lower sequence numbers of this epoch, from
+// now on; false when epoch itself is stale.
+func (f fences) raise(shard plan.Shard, epoch, minSeq uint64) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	known := f.seen[shard]
+	switch {
+	case epoch < known.epoch:
+		return false
+	case epoch > known.epoch:
+		known = shardFence{epoch: epoch}
+	}
+	known.minSeq = max(known.minSeq, minSeq)
+	f.seen[shard] = known
+	return true
+}
+
+// admits reports whether a proposal of that epoch and sequence is not fenced.
+func (f fences) admits(shard plan.Shard, epoch, seq uint64) bool {
+	if !f.raise(shard, epoch, 0) {
+		return false
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return seq >= f.seen[shard].minSeq
+}
+
+// epoch returns the newest epoch seen of the shard.
+func (f fences) epoch(shard plan.Shard) uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.seen[shard].epoch
+}
--- /dev/null
+++ b/process/partition/owner.go
@@ -0,0 +1,325 @@
+package partition
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"fennelshunt.example/fennelshunt/connection/peer"
+	"fennelshunt.example/fennelshunt/connection/vmlist"
+	"fennelshunt.example/fennelshunt/connection/worker"
+	"fennelshunt.example/fennelshunt/process/ownership"
+	"fennelshunt.example/fennelshunt/process/plan"
+	"fennelshunt.example/fennelshunt/process/sched/ledger"
+	"fennelshunt.example/fennelshunt/version/spec"
+)
+
+// errOwnerStopped means that the partition was lost while a call waited.
+var errOwnerStopped = fmt.Errorf("partition: no longer owned")
+
+// owner is the state of one owned partition. Everything below is touched by
+// the goroutine of run only, except claim, name and the channels.
+type owner struct {
+	h      *Host
+	t      Timing
+	name   string
+	claim  ownership.Claim
+	log    zerolog.Logger
+	ctx    context.Context
+	cancel context.CancelFunc
+
+	commands chan func()
+	done     chan struct{}
+
+	nodes map[worker.ID]*node
+	live  map[spec.TaskID]*task // tasks that may run, by id
+	// results holds the newest attempt whose result a worker still keeps.
+	results map[spec.TaskID]*task
+	awake   map[*node]struct{} // workers to look at before the next tick
+	ledger  *ledger.Ledger
+	holds   map[string]*reservation
+	out     map[plan.Shard]*outbox
+	state   publisher
+	jobs    jobFailures
+
+	shardsRead bool // epochs of the shards were read from the store
+	reading    bool
+	readAt     time.Time // of the next reading
+	confirms   confirmer
+	earlier    earlierOwners
+	releasing  bool
+	settled    bool // no earlier owner can start anything any more
+	settleAt   time.Time
+	idle       chan struct{} // closed when releasing and no call is under way
+}
+
+func newOwner(ctx context.Context, h *Host, name string, g ownership.Grant) *owner {
+	ctx, cancel := context.WithCancel(ctx)
+	o := &owner{
+		h:        h,
+		t:        h.o.Timing,
+		name:     name,
+		claim:    g.Claim,
+		log:      h.o.Log.With().Str("partition", name).Uint64("epoch", g.Epoch).Logger(),
+		ctx:      ctx,
+		cancel:   cancel,
+		commands: make(chan func(), 256),
+		done:     make(chan struct{}),
+		nodes:    make(map[worker.ID]*node),
+		live:     make(map[spec.TaskID]*task),
+		results:  make(map[spec.TaskID]*task),
+		awake:    make(map[*node]struct{}),
+		ledger:   ledger.New(),
+		holds:    make(map[string]*reservation),
+		out:      make(map[plan.Shard]*outbox),
+		jobs:     make(jobFailures),
+		earlier:  newEarlierOwners(g),
+		settled:  len(g.Earlier) == 0,
+	}
+	o.state.init(name, g.Epoch)
+	o.confirms = confirmer{confirm: func(ctx context.Context) error { return h.o.Claims.Confirm(ctx, g.Claim) }}
+	return o
+}
+
+// run is the control loop of the partition.
+func (o *owner) run() {
+	defer close(o.done)
+	ticker := time.NewTicker(o.t.Tick)
+	defer ticker.Stop()
+	o.addDeparted()
+	o.step()
+	for {
+		listed := o.h.o.Racks.Changed()
+		select {
+		case <-o.ctx.Done():
+			o.state.close()
+			return
+		case f := <-o.commands:
+			f()
+			o.drainCommands()
+			o.follow()
+		case <-listed:
+			o.step()
+		case <-ticker.C:
+			o.step()
+		}
+	}
+}
+
+// drainCommands runs what else is waiting, so that a burst of plans causes one
+// call per worker and not one per plan.
+func (o *owner) drainCommands() {
+	for range cap(o.commands) {
+		select {
+		case f := <-o.commands:
+			f()
+		default:
+			return
+		}
+	}
+}
+
+// post hands f to the control loop, also from calls that outlive the owner.
+func (o *owner) post(f func()) {
+	select {
+	case o.commands <- f:
+	case <-o.done:
+	case <-o.ctx.Done():
+	}
+}
+
+// call runs f in the control loop and returns its result.
+func call[T any](ctx context.Context, o *owner, f func() T) (T, error) {
+	var zero T
+	result := make(chan T, 1)
+	select {
+	case o.commands <- func() { result <- f() }:
+	case <-ctx.Done():
+		return zero, ctx.Err()
+	case <-o.ctx.Done():
+		return zero, &peer.RemoteError{Code: CodeNotOwner, Message: errOwnerStopped.Error()}
+	}
+	select {
+	case v := <-result:
+		return v, nil
+	case <-ctx.Done():
+		return zero, ctx.Err()
+	case <-o.ctx.Done():
+		return zero, &peer.RemoteError{Code: CodeNotOwner, Message: errOwnerStopped.Error()}
+	}
+}
+
+// step does whatever is due at any worker.
+func (o *owner) step() {
+	if o.ctx.Err() != nil {
+		return
+	}
+	now := time.Now()
+	o.readShards(now)
+	o.refreshNodes()
+	o.earlier.check(o.h, now)
+	o.expireReservations(now)
+	o.jobs.expire(now)
+	for _, n := range o.nodes {
+		o.deadlines(n, now)
+		o.settleUnfenced(n, now)
+		o.settleGone(n, now)
+		o.wake(n)
+	}
+	o.settleClaim(now)
+	o.follow()
+}
+
+// wake has the worker looked at before the next tick.
+func (o *owner) wake(n *node) { o.awake[n] = struct{}{} }
+
+// follow acts on what the last commands changed. Only the workers they touched
+// are looked at: a burst of plans must not cost a scan of the partition each.
+func (o *owner) follow() {
+	now := time.Now()
+	_, renew := o.h.o.Directory.Authority()
+	for n := range o.awake {
+		if renew > 0 && !n.busy && o.nodes[n.id] == n && o.ctx.Err() == nil {
+			o.pump(n, now)
+		}
+	}
+	clear(o.awake)
+	o.sendEvents(now)
+	o.checkRelease()
+	o.state.flush(now)
+}
+
+// readShards learns the epochs of the shards from the store, once per
+// takeover. Without it a plan of an old shard owner could be taken that the
+// partition's earlier owner had been told to refuse.
+func (o *owner) readShards(now time.Time) {
+	if o.shardsRead || o.reading || now.Before(o.readAt) {
+		return
+	}
+	o.reading = true
+	go func() {
+		ctx, cancel := context.WithTimeout(o.ctx, storeTimeout)
+		defer cancel()
+		epochs, err := o.h.o.Claims.Epochs(ctx, ownership.ShardPrefix)
+		o.post(func() {
+			o.reading = false
+			if err != nil {
+				o.log.Warn().Err(err).Msg("epochs of the shards not read")
+				o.readAt = time.Now().Add(storeRetry)
+				return
+			}
+			for r, epoch := range epochs {
+				if shard, ok := shardOf(r); ok {
+					o.h.fences.raise(shard, epoch, 0)
+				}
+			}
+			o.shardsRead = true
+		})
+	}()
+}
+
+// addDeparted enters workers that left the VM list before this takeover. Their
+// tasks may still run, under the leases of the earlier owner; unknown to us
+// they would be missing from the answer to a Fence and be started elsewhere.
+func (o *owner) addDeparted() {
+	for _, vm := range o.h.o.Racks.Departed(o.name) {
+		if n := o.addNode(worker.ID(vm.Name), vm); o.h.o.Racks.VMGone(vm.Name) {
+			n.gone = true
+		}
+	}
+}
+
+// refreshNodes takes over changes of the VM list.
+func (o *owner) refreshNodes() {
+	listed := make(map[worker.ID]bool)
+	for _, vm := range o.h.o.Racks.Workers(o.name) {
+		id := worker.ID(vm.Name)
+		listed[id] = true
+		n := o.nodes[id]
+		if n == nil {
+			n = o.addNode(id, vm)
+		}
+		if n.vm.Address != vm.Address {
+			n.agent = o.h.o.Dialer.Dial(vm.Address)
+			n.fenced = false
+		}
+		n.vm = vm
+		if n.gone {
+			n.gone = false // it was back before its tasks were given up
+			n.fenced = false
+			o.touch(n)
+		}
+		if vm.Leaving && !n.draining {
+			o.startDraining(n)
+		}
+	}
+	for id, n := range o.nodes {
+		if !listed[id] && !n.gone && o.h.o.Racks.VMGone(string(id)) {
+			n.gone = true
+			n.fenced = false
+			o.log.Warn().Str("worker", string(id)).Msg("worker left the VM list")
+			o.touch(n)
+		}
+	}
+}
+
+func (o *owner) addNode(id worker.ID, vm vmlist.VM) *node {
+	n := &node{
+		id:       id,
+		vm:       vm,
+		agent:    o.h.o.Dialer.Dial(vm.Address),
+		tasks:    make(map[worker.Ref]*task),
+		capacity: vm.Capacity,
+	}
+	o.nodes[id] = n
+	o.ledger.SetWorker(id, vm.Capacity)
+	o.touch(n)
+	return n
+}
+
+// touch marks the worker as changed in the published state.
+func (o *owner) touch(n *node) {
+	n.changed = o.state.next()
+	o.wake(n)
+}
+
+// stopSelf ends this ownership at once: a higher epoch was met.
+func (o *owner) stopSelf(err error) {
+	o.log.Warn().Err(err).Msg("partition was taken over")
+	o.h.Lost(o.claim.Resource, o.claim.Epoch)
+}
+
+// prepareRelease takes no new work and returns a channel closed when no call
+// to a worker is under way and no event waits.
+func (o *owner) prepareRelease() <-chan struct{} {
+	o.releasing = true
+	if o.idle == nil {
+		o.idle = make(chan struct{})
+	}
+	return o.idle
+}
+
+func (o *owner) checkRelease() {
+	if !o.releasing || o.idle == nil || o.eventsWaiting() {
+		return
+	}
+	for _, n := range o.nodes {
+		if n.busy {
+			return
+		}
+	}
+	select {
+	case <-o.idle:
+	default:
+		close(o.idle)
+	}
+}
+
+// isAny reports whether err is one of targets.
+func isAny(err error, targets ...error) bool {
+	return slices.ContainsFunc(targets, func(t error) bool { return errors.Is(err, t) })
+}
--- /dev/null
+++ b/process/partition/reports.go
@@ -0,0 +1,240 @@
+package partition
+
+import (
+	"fmt"
+	"time"
+
+	"fennelshunt.example/fennelshunt/connection/worker"
+	"fennelshunt.example/fennelshunt/process/plan"
+	"fennelshunt.example/fennelshunt/version/spec"
+)
+
+// workStep is the progress of a task that is worth telling the readers of the
+// state; smaller steps would send a delta with every heartbeat.
+const workStep = 0.1
+
+// takeInventory reconciles the books with everything a worker holds. It is
+// called with all foreign leases revoked, so what is not listed does not run.
+func (o *owner) takeInventory(n *node, inv worker.Inventory) {
+	if !inv.Capacity.IsZero() {
+		n.capacity = inv.Capacity
+		o.ledger.SetWorker(n.id, inv.Capacity)
+	}
+	if inv.Draining && !n.draining {
+		o.startDraining(n)
+	}
+	listed := make(map[worker.Ref]bool, len(inv.Tasks))
+	for _, report := range inv.Tasks {
+		report.Lease = n.lease
+		listed[worker.Ref{Task: report.Task, Attempt: report.Attempt}] = true
+		o.takeReport(n, report)
+	}
+	for ref, t := range n.tasks {
+		switch {
+		case listed[ref]:
+		case t.mayRun():
+			// The worker restarted, or the start never arrived and can not
+			// any more. It may have run, so the result is unknown.
+			o.lost(n, t, "worker does not know the task after its lease was revoked")
+		case t.phase == ended:
+			o.dropResult(n, t)
+		}
+	}
+	o.touch(n)
+}
+
+// takeReport takes what a worker says of one task.
+func (o *owner) takeReport(n *node, report worker.Task) {
+	ref := worker.Ref{Task: report.Task, Attempt: report.Attempt}
+	t := n.tasks[ref]
+	if t == nil {
+		t = o.adopt(n, ref, report)
+	}
+	if t.phase == ended {
+		return
+	}
+	if report.Lease != "" && report.Lease != n.lease && !report.State.Ended() {
+		n.fenced = false // somebody moved it to another lease
+	}
+	old := t.report
+	t.report = report
+	if report.State.Ended() {
+		o.finish(n, t)
+		return
+	}
+	if t.phase != running {
+		o.markRunning(n, t)
+		return
+	}
+	if old.Address != report.Address || old.State != report.State {
+		o.emit(t, o.event(n, t))
+		o.endpointsChanged(t)
+	}
+	if report.Work-old.Work >= workStep {
+		o.touch(n)
+	} else {
+		t.report.Work = old.Work + min(0, report.Work-old.Work)
+	}
+}
+
+// adopt enters a task that this owner did not start.
+func (o *owner) adopt(n *node, ref worker.Ref, report worker.Task) *task {
+	t := &task{
+		ref:     ref,
+		at:      n.id,
+		shard:   o.h.o.ShardOf(ref.Task.Job),
+		started: time.Now(),
+		report:  report,
+		class:   spec.Normal,
+	}
+	t.start = worker.Start{Task: ref.Task, Attempt: ref.Attempt, Size: report.Size, Kind: spec.Batch}
+	if report.Address != "" {
+		t.start.Kind = spec.Service
+	}
+	if job := o.h.o.Config.Current().Jobs[ref.Task.Job]; job != nil {
+		t.class, t.team, t.nonIdempotent = job.EffectiveClass(), job.Team, job.NonIdempotent
+		t.start.Kind, t.start.RunTime = job.Kind, job.RunTime
+		if job.Service != nil {
+			t.start.Service, t.start.Slots, t.start.Conns = job.Name, job.Service.Slots, job.Service.Connections
+		}
+	}
+	n.tasks[ref] = t
+	t.enter(unknown)
+	if report.State.Ended() {
+		return t
+	}
+	if other := o.live[ref.Task]; other != nil {
+		o.h.o.Metrics.DoubleRuns.Add(1)
+		o.log.Error().Stringer("task", ref.Task).Str("worker", string(n.id)).Msg("task runs twice")
+		t.stopWanted = true
+	} else {
+		o.live[ref.Task] = t
+	}
+	if err := o.ledger.Adopt(n.id, t.holder(), report.Size); err != nil {
+		o.log.Error().Err(err).Stringer("task", ref.Task).Msg("adopted task not counted")
+	}
+	return t
+}
+
+func (o *owner) markRunning(n *node, t *task) {
+	if t.report.State == "" {
+		t.report = worker.Task{Task: t.ref.Task, Attempt: t.ref.Attempt, State: worker.Running, Size: t.start.Size}
+	}
+	if t.started.IsZero() {
+		t.started = time.Now()
+	}
+	t.enter(running)
+	o.emit(t, o.event(n, t))
+	o.endpointsChanged(t)
+	o.touch(n)
+	if n.draining {
+		o.drainTask(t)
+	}
+}
+
+// finish takes a result: the worker confirms that the task does not run.
+func (o *owner) finish(n *node, t *task) {
+	o.free(n, t)
+	t.enter(ended)
+	if held := o.results[t.ref.Task]; held == nil || held.ref.Attempt < t.ref.Attempt {
+		o.results[t.ref.Task] = t
+	}
+	o.emit(t, o.event(n, t))
+	o.endpointsChanged(t)
+	o.touch(n)
+	switch t.report.State {
+	case worker.Failed:
+		o.recordFailure(n, t.ref.Task.Job)
+	case worker.Succeeded:
+		o.recordSuccess(n)
+	}
+	if t.preempted {
+		o.h.o.Metrics.Preempted.Add(1)
+	}
+	o.victimStopped(n, t)
+}
+
+// free gives the task's capacity back; the task is known not to run.
+func (o *owner) free(n *node, t *task) {
+	if o.live[t.ref.Task] == t {
+		delete(o.live, t.ref.Task)
+		o.ledger.Free(n.id, t.holder())
+	}
+}
+
+// dropResult forgets a result that the worker does not hold any more.
+func (o *owner) dropResult(n *node, t *task) {
+	delete(n.tasks, t.ref)
+	if o.results[t.ref.Task] == t {
+		delete(o.results, t.ref.Task)
+	}
+}
+
+// notStarted ends a task whose start was refused or never sent.
+func (o *owner) notStarted(n *node, t *task, reason string) {
+	o.h.o.Metrics.NotStarted.Add(1)
+	o.drop(n, t, plan.Event{NotStarted: true, Message: reason})
+}
+
+// lost ends a task that certainly does not run and whose result is unknown.
+func (o *owner) lost(n *node, t *task, reason string) {
+	o.h.o.Metrics.Lost.Add(1)
+	o.drop(n, t, plan.Event{Lost: true, Message: reason})
+}
+
+// drop ends a task that has no result at its worker.
+func (o *owner) drop(n *node, t *task, e plan.Event) {
+	o.free(n, t)
+	t.enter(ended)
+	delete(n.tasks, t.ref)
+	e.Task, e.Attempt, e.Worker, e.State = t.ref.Task, t.ref.Attempt, n.id, worker.Stopped
+	o.emit(t, e)
+	o.endpointsChanged(t)
+	o.touch(n)
+	o.victimStopped(n, t)
+}
+
+// event tells the shard the task's state.
+func (o *owner) event(n *node, t *task) plan.Event {
+	r := t.report
+	return plan.Event{
+		Task:         t.ref.Task,
+		Attempt:      t.ref.Attempt,
+		Worker:       n.id,
+		State:        r.State,
+		Usage:        r.Usage,
+		Address:      r.Address,
+		Message:      r.Message,
+		Work:         r.Work,
+		Checkpointed: r.State == worker.Stopped && t.checkpointed,
+		Preempted:    r.State == worker.Stopped && t.preempted,
+	}
+}
+
+func (o *owner) endpointsChanged(t *task) {
+	if t.start.Kind == spec.Service {
+		o.state.endpointsDirty = true
+	}
+}
+
+// checkBooks verifies the ledger of a worker against the tasks; an error means
+// that this program is wrong, not that the world is.
+func (o *owner) checkBooks(n *node) error {
+	if err := o.ledger.CheckWorker(n.id); err != nil {
+		return err
+	}
+	var sum spec.Resources
+	for _, t := range n.tasks {
+		if t.live() && o.live[t.ref.Task] == t {
+			size, _ := o.ledger.Holds(n.id, t.holder())
+			sum = sum.Add(size)
+		}
+	}
+	for _, r := range o.holds {
+		sum = sum.Add(r.held(o, n.id))
+	}
+	if held := o.ledger.Held(n.id); sum != held {
+		return fmt.Errorf("partition: worker %s: tasks and reservations hold %+v, ledger says %+v", n.id, sum, held)
+	}
+	return nil
+}
--- /dev/null
+++ b/process/partition/state.go
@@ -0,0 +1,226 @@
+package partition
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"strings"
+	"time"
+
+	"fennelshunt.example/fennelshunt/connection/peer"
+	"fennelshunt.example/fennelshunt/connection/worker"
+	"fennelshunt.example/fennelshunt/process/plan"
+	"fennelshunt.example/fennelshunt/version/spec"
+)
+
+const (
+	// flushInterval gathers changes of workers; changes of endpoints are sent
+	// at once, because callers' requests go there.
+	flushInterval = 200 * time.Millisecond
+	// maxStateWait bounds one long poll.
+	maxStateWait = 30 * time.Second
+)
+
+// publisher numbers the changes of a partition and wakes those who wait.
+type publisher struct {
+	name    string
+	epoch   uint64
+	seq     uint64 // of the last change
+	flushed uint64 // seq that readers were told of
+	at      time.Time
+	changed chan struct{}
+
+	endpointsDirty bool
+	endpointsSeq   uint64
+	departed       map[worker.ID]uint64 // workers removed in this epoch
+}
+
+func (p *publisher) init(name string, epoch uint64) {
+	p.name, p.epoch = name, epoch
+	p.seq = 1 // 0 asks for everything
+	p.endpointsSeq = 1
+	p.changed = make(chan struct{})
+	p.departed = make(map[worker.ID]uint64)
+}
+
+func (p *publisher) next() uint64 {
+	p.seq++
+	return p.seq
+}
+
+func (p *publisher) gone(id worker.ID) { p.departed[id] = p.next() }
+
+// flush wakes the readers when something changed.
+func (p *publisher) flush(now time.Time) {
+	if p.endpointsDirty {
+		p.endpointsDirty = false
+		p.endpointsSeq = p.next()
+		p.at = time.Time{}
+	}
+	if p.seq == p.flushed || now.Sub(p.at) < flushInterval {
+		return
+	}
+	p.at = now
+	p.flushed = p.seq
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
+func (p *publisher) close() { close(p.changed) }
+
+// poll is the answer to one look at the state.
+type poll struct {
+	state   plan.State
+	ready   bool
+	changed <-chan struct{}
+}
+
+// look returns what changed after the request's position.
+func (o *owner) look(req plan.StateRequest) poll {
+	p := &o.state
+	since := req.Since
+	if req.Epoch != p.epoch {
+		since = 0
+	}
+	if since != 0 && since >= p.flushed {
+		return poll{changed: p.changed}
+	}
+	return poll{ready: true, state: o.stateSince(since)}
+}
+
+func (o *owner) stateSince(since uint64) plan.State {
+	p := &o.state
+	s := plan.State{Partition: p.name, Epoch: p.epoch, Seq: p.seq, Full: since == 0}
+	for _, n := range o.nodes {
+		if n.changed > since {
+			s.Workers = append(s.Workers, o.workerState(n))
+		}
+	}
+	for id, at := range p.departed {
+		if since != 0 && at > since && o.nodes[id] == nil {
+			s.Workers = append(s.Workers, plan.WorkerState{ID: id, Gone: true})
+		}
+	}
+	slices.SortFunc(s.Workers, func(a, b plan.WorkerState) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	if s.Full || p.endpointsSeq > since {
+		s.Endpoints, s.EndpointsChanged = o.endpoints(), true
+	}
+	return s
+}
+
+func (o *owner) workerState(n *node) plan.WorkerState {
+	w := plan.WorkerState{
+		ID:       n.id,
+		Zone:     n.vm.Zone,
+		Rack:     n.vm.Rack,
+		Capacity: n.capacity,
+		Reserved: o.ledger.Held(n.id),
+		Unusable: n.unusable(),
+	}
+	for _, t := range n.tasks {
+		if t.live() {
+			w.Tasks = append(w.Tasks, t.inState())
+		}
+	}
+	slices.SortFunc(w.Tasks, func(a, b plan.RunningTask) int { return compareTasks(a.Ref.Task, b.Ref.Task) })
+	return w
+}
+
+func compareTasks(a, b spec.TaskID) int {
+	return cmp.Or(strings.Compare(a.Job, b.Job), cmp.Compare(a.Generation, b.Generation), cmp.Compare(a.Index, b.Index))
+}
+
+func (t *task) inState() plan.RunningTask {
+	r := plan.RunningTask{
+		Ref: t.ref, Size: t.start.Size, Class: t.class, Team: t.team, Kind: t.start.Kind,
+		NonIdempotent: t.nonIdempotent, Work: t.report.Work,
+	}
+	if !t.started.IsZero() {
+		r.StartedMillis = time.Since(t.started).Milliseconds()
+	}
+	return r
+}
+
+// endpoints lists the service instances that listen.
+func (o *owner) endpoints() []plan.Endpoint {
+	var list []plan.Endpoint
+	for _, n := range o.nodes {
+		for _, t := range n.tasks {
+			if t.start.Kind != spec.Service || t.phase != running || t.report.Address == "" {
+				continue
+			}
+			list = append(list, plan.Endpoint{
+				Service: t.start.Service, Task: t.ref.Task, Attempt: t.ref.Attempt,
+				Worker: n.id, Zone: n.vm.Zone, Address: t.report.Address,
+				Slots: t.start.Slots, Conns: t.start.Conns,
+				Leaving: t.leaving || t.stopWanted || n.draining,
+			})
+		}
+	}
+	slices.SortFunc(list, func(a, b plan.Endpoint) int { return compareTasks(a.Task, b.Task) })
+	return list
+}
+
+// serveState answers a long poll.
+func (h *Host) serveState(ctx context.Context, req plan.StateRequest) (any, error) {
+	o, err := h.owner(req.Partition)
+	if err != nil {
+		return nil, err
+	}
+	wait := min(time.Duration(req.WaitMillis)*time.Millisecond, maxStateWait)
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		p, err := call(ctx, o, func() poll { return o.look(req) })
+		if err != nil {
+			return nil, err
+		}
+		if p.ready {
+			return p.state, nil
+		}
+		select {
+		case <-p.changed:
+		case <-timer.C:
+			return plan.State{Partition: req.Partition, Epoch: req.Epoch, Seq: req.Since}, nil
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+// serveFence refuses older authors from now on and lists what the partition
+// holds of the shard. The claim is read from the store after the fence is set:
+// a daemon that lost the partition without knowing would otherwise answer for
+// an owner that never heard of the fence.
+func (h *Host) serveFence(ctx context.Context, req plan.Fence) (any, error) {
+	o, err := h.owner(req.Partition)
+	if err != nil {
+		return nil, err
+	}
+	if !h.fences.raise(req.Author.Shard, req.Author.Epoch, req.MinSeq) {
+		h.o.Metrics.Stale.Add(1)
+		return nil, &peer.RemoteError{Code: CodeStale, Message: "the shard was taken over"}
+	}
+	if err := o.confirms.do(ctx); err != nil {
+		return nil, &peer.RemoteError{Code: CodeNotFenced, Message: "claim not confirmed: " + err.Error()}
+	}
+	return call(ctx, o, func() plan.FenceReply { return o.fenceReply(req) })
+}
+
+func (o *owner) fenceReply(req plan.Fence) plan.FenceReply {
+	var r plan.FenceReply
+	shard := req.Author.Shard
+	for _, n := range o.nodes {
+		if !n.everKnown && !n.accounted {
+			r.Unaccounted = append(r.Unaccounted, n.id)
+		}
+		for _, t := range n.tasks {
+			if t.shard != shard && !slices.Contains(req.Jobs, t.ref.Task.Job) {
+				continue
+			}
+			t.shard = shard
+			r.Tasks = append(r.Tasks, o.event(n, t))
+		}
+	}
+	return r
+}
--- /dev/null
+++ b/process/partition/stop.go
@@ -0,0 +1,233 @@
+package partition
+
+import (
+	"time"
+
+	"fennelshunt.example/fennelshunt/connection/peer"
+	"fennelshunt.example/fennelshunt/connection/worker"
+	"fennelshunt.example/fennelshunt/process/plan"
+	"fennelshunt.example/fennelshunt/version/spec"
+)
+
+// authorize refuses an author whose epoch is fenced.
+func (o *owner) authorize(a plan.Authorship) error {
+	if o.h.fences.raise(a.Shard, a.Epoch, 0) {
+		return nil
+	}
+	o.h.o.Metrics.Stale.Add(1)
+	return &peer.RemoteError{Code: CodeStale, Message: "the shard was taken over"}
+}
+
+// find returns the task and its worker, or nil.
+func (o *owner) find(ref worker.Ref) (*node, *task) {
+	for _, t := range []*task{o.live[ref.Task], o.results[ref.Task]} {
+		if t != nil && t.ref == ref && o.nodes[t.at] != nil {
+			return o.nodes[t.at], t
+		}
+	}
+	return nil, nil
+}
+
+// stopTasks ends tasks on behalf of their shard.
+func (o *owner) stopTasks(req plan.Stop) error {
+	if err := o.authorize(req.Author); err != nil {
+		return err
+	}
+	drain := time.Duration(req.DrainMillis) * time.Millisecond
+	for _, ref := range req.Tasks {
+		n, t := o.find(ref)
+		if t == nil {
+			o.stopUnknown(req.Author.Shard, ref)
+			continue
+		}
+		o.stopTask(n, t, req.Mode, drain)
+	}
+	return nil
+}
+
+// stopUnknown answers the stop of a task that is not in the books. While a
+// worker is not fenced the task may still be found there.
+func (o *owner) stopUnknown(shard plan.Shard, ref worker.Ref) {
+	for _, n := range o.nodes {
+		if !n.everKnown && !n.accounted {
+			return
+		}
+	}
+	o.emitTo(shard, plan.Event{
+		Task: ref.Task, Attempt: ref.Attempt, State: worker.Stopped, Lost: true,
+		Message: "the task is not at any worker of the partition",
+	})
+}
+
+func (o *owner) stopTask(n *node, t *task, mode plan.StopMode, drain time.Duration) {
+	switch {
+	case t.phase == ended:
+	case t.phase == waiting || t.phase == queued:
+		o.notStarted(n, t, "stopped before the start was sent")
+	case t.start.Kind == spec.Service && drain > 0:
+		o.drainEndpoint(t, drain)
+	case mode == plan.StopCheckpoint && t.phase == running:
+		t.saveWanted = true
+	default:
+		t.stopWanted = true
+	}
+	o.wake(n)
+}
+
+// drainEndpoint marks a service instance as leaving at once and stops it after
+// its requests had time to end. An earlier end of the drain is kept.
+func (o *owner) drainEndpoint(t *task, drain time.Duration) {
+	at := time.Now().Add(drain)
+	if t.stopAt.IsZero() || at.Before(t.stopAt) {
+		t.stopAt = at
+	}
+	if !t.leaving {
+		t.leaving = true
+		o.endpointsChanged(t)
+	}
+}
+
+// startDraining moves the work off a VM that is leaving.
+func (o *owner) startDraining(n *node) {
+	n.draining = true
+	o.log.Info().Str("worker", string(n.id)).Msg("VM is leaving")
+	o.touch(n)
+	for _, t := range n.tasks {
+		if t.phase == queued || t.phase == waiting {
+			o.notStarted(n, t, "VM is leaving")
+		} else if t.live() {
+			o.drainTask(t)
+		}
+	}
+}
+
+// drainTask ends a task on a leaving VM with the least work lost. A task that
+// must not start twice is left to finish.
+func (o *owner) drainTask(t *task) {
+	switch {
+	case t.start.Kind == spec.Service:
+		o.drainEndpoint(t, o.t.VMDrain)
+	case !t.nonIdempotent && t.phase == running:
+		t.saveWanted = true
+	}
+}
+
+// ack lets workers forget results that are durable in the shard's progress.
+func (o *owner) ack(req plan.Ack) error {
+	if err := o.authorize(req.Author); err != nil {
+		return err
+	}
+	for _, ref := range req.Tasks {
+		held := o.results[ref.Task]
+		if held == nil || held.ref != ref || held.acked {
+			continue
+		}
+		held.acked = true
+		if n := o.nodes[held.at]; n != nil {
+			n.acks = append(n.acks, ref)
+		}
+	}
+	return nil
+}
+
+// preempt takes the place of victims at the worker: it stops them, and the
+// task starts when the last one has confirmed its stop.
+func (o *owner) preempt(n *node, t *task, victims []worker.Ref) plan.StepResult {
+	capacity, _ := o.ledger.Capacity(n.id)
+	free := capacity.Sub(o.ledger.Held(n.id))
+	t.victims = make(map[worker.Ref]bool, len(victims))
+	for _, ref := range victims {
+		v := n.tasks[ref]
+		if v == nil || !v.live() {
+			continue // its place is free already
+		}
+		if reason := mayPreempt(n, t, v); reason != "" {
+			return o.reject(plan.NoRoom, reason)
+		}
+		t.victims[ref] = true
+		size, _ := o.ledger.Holds(n.id, v.holder())
+		free = free.Add(size)
+	}
+	if len(t.victims) == 0 || !t.start.Size.Fits(free) {
+		return o.reject(plan.NoRoom, "the victims do not make enough room")
+	}
+	t.enter(waiting)
+	t.at = n.id
+	n.tasks[t.ref] = t // before the victims stop: some do at once
+	o.live[t.ref.Task] = t
+	o.reserveFree(n, t)
+	for ref := range t.victims {
+		o.preemptTask(n, n.tasks[ref])
+	}
+	return plan.StepResult{}
+}
+
+// mayPreempt returns why v can not be a victim of t, or "".
+func mayPreempt(n *node, t, v *task) string {
+	if v.class.Rank() >= t.class.Rank() {
+		return "a victim is not of a lower class"
+	}
+	if v.nonIdempotent && v.mayRun() {
+		return "a victim must not start twice"
+	}
+	for _, other := range n.tasks {
+		if other.phase == waiting && other.victims[v.ref] {
+			return "a victim makes room for another task"
+		}
+	}
+	return ""
+}
+
+// reserveFree holds what is free now of the task's size, so that nobody else
+// takes it while the victims stop.
+func (o *owner) reserveFree(n *node, t *task) {
+	o.ledger.Free(n.id, t.holder())
+	capacity, _ := o.ledger.Capacity(n.id)
+	free := capacity.Sub(o.ledger.Held(n.id))
+	part := spec.Resources{
+		MilliCPU:     max(0, min(free.MilliCPU, t.start.Size.MilliCPU)),
+		MemoryMB:     max(0, min(free.MemoryMB, t.start.Size.MemoryMB)),
+		Accelerators: max(0, min(free.Accelerators, t.start.Size.Accelerators)),
+	}
+	if part.IsZero() {
+		return
+	}
+	if err := o.ledger.Reserve(n.id, t.holder(), part); err != nil {
+		o.log.Error().Err(err).Stringer("task", t.ref.Task).Msg("free part not reserved")
+	}
+}
+
+func (o *owner) preemptTask(n *node, v *task) {
+	v.preempted = true
+	switch {
+	case v.phase == queued || v.phase == waiting:
+		o.notStarted(n, v, "preempted before the start was sent")
+	case v.start.Kind == spec.Service:
+		o.drainEndpoint(v, o.t.PreemptDrain)
+	case v.phase == running:
+		v.saveWanted = true
+	default:
+		v.stopWanted = true
+	}
+}
+
+// victimStopped moves the tasks on that wait for v's place.
+func (o *owner) victimStopped(n *node, v *task) {
+	for _, t := range n.tasks {
+		if t.phase != waiting || !t.victims[v.ref] {
+			continue
+		}
+		delete(t.victims, v.ref)
+		o.reserveFree(n, t)
+		if len(t.victims) > 0 {
+			continue
+		}
+		if held, _ := o.ledger.Holds(n.id, t.holder()); held != t.start.Size {
+			o.notStarted(n, t, "the victims' place was not enough")
+			continue
+		}
+		t.victims = nil
+		t.enter(queued)
+		o.touch(n)
+	}
+}
