Test takeovers of a partition on virtual time

Cause: the guards against a double run are only worth what tests show. Change: paused owner, asymmetric reach, a predecessor that never fenced, a late lease of a stale owner, old shard epochs, a fence at an owner that lost the partition, a store outage of an hour and one beyond the start bound; the real owner, claims and store client run against in-memory agents. Conclusion: the order lease, claim, revoke, inventory holds in these cases.

--- /dev/null
+++ b/process/partition/gate_test.go
@@ -0,0 +1,105 @@
+package partition
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"fennelshunt.example/fennelshunt/connection/store"
+	"fennelshunt.example/fennelshunt/process/ownership"
+)
+
+// gate is one daemon's way to the store. Held, every call waits before it is
+// sent, as in a paused process; cut, every call fails as in an outage.
+type gate struct {
+	store.Store
+
+	mu   sync.Mutex
+	held chan struct{}
+	cut  bool
+}
+
+func (g *gate) hold() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.held == nil {
+		g.held = make(chan struct{})
+	}
+}
+
+func (g *gate) open() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.held != nil {
+		close(g.held)
+		g.held = nil
+	}
+}
+
+func (g *gate) setCut(on bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.cut = on
+}
+
+func (g *gate) pass(ctx context.Context) error {
+	g.mu.Lock()
+	held, cut := g.held, g.cut
+	g.mu.Unlock()
+	if cut {
+		return store.ErrUnavailable
+	}
+	if held == nil {
+		return nil
+	}
+	select {
+	case <-held:
+		return nil
+	case <-ctx.Done():
+		return store.ErrUnavailable
+	}
+}
+
+func (g *gate) Get(ctx context.Context, key string) (store.Entry, error) {
+	if err := g.pass(ctx); err != nil {
+		return store.Entry{}, err
+	}
+	return g.Store.Get(ctx, key)
+}
+
+func (g *gate) List(ctx context.Context, prefix string) ([]store.Entry, store.Revision, error) {
+	if err := g.pass(ctx); err != nil {
+		return nil, 0, err
+	}
+	return g.Store.List(ctx, prefix)
+}
+
+func (g *gate) Put(ctx context.Context, key string, value []byte, prev store.Revision, lease store.LeaseID) (store.Revision, error) {
+	if err := g.pass(ctx); err != nil {
+		return 0, err
+	}
+	return g.Store.Put(ctx, key, value, prev, lease)
+}
+
+func (g *gate) Watch(ctx context.Context, prefix string, after store.Revision, wait time.Duration) ([]store.Event, store.Revision, error) {
+	if err := g.pass(ctx); err != nil {
+		return nil, 0, err
+	}
+	events, rev, err := g.Store.Watch(ctx, prefix, after, wait)
+	if err == nil {
+		err = g.pass(ctx) // news do not reach a daemon that was held meanwhile
+	}
+	return events, rev, err
+}
+
+// putClaim writes a claim as another daemon would.
+func putClaim(c *cell, claim ownership.Claim) {
+	data, err := json.Marshal(claim)
+	require.NoError(c.t, err)
+	_, err = store.NewClient(c.kv, store.Options{}).Role(store.RoleClaims).
+		Swap(c.ctx, "claims/"+string(claim.Resource), data, 0, 0)
+	require.NoError(c.t, err)
+}
--- a/process/partition/harness_test.go
+++ b/process/partition/harness_test.go
@@ -44,6 +44,8 @@
 	testRack      = "rack-1"
 	testPartition = testZone + "-" + testRack
 	testShard     = plan.Shard(1)
+	// testRenewBound is shorter than the default, to save virtual time.
+	testRenewBound = ownership.DefaultStartBound + 20*time.Minute
 )
 
 var small = spec.Resources{MilliCPU: 1000, MemoryMB: 1000}
@@ -71,6 +73,7 @@
 	host    *Host
 	racks   *Racks
 	metrics *Metrics
+	gate    *gate
 	stop    context.CancelFunc
 
 	mu      sync.Mutex
@@ -138,13 +141,14 @@
 	}
 	caller, mux := c.net.Node(ref)
 	d.racks = NewRacks(c.vms, time.Second, zerolog.Nop())
+	d.gate = &gate{Store: c.kv}
 	d.manager = ownership.New(ownership.Options{
-		View: d.view, Store: store.NewClient(c.kv, store.Options{}).Role(store.RoleClaims),
-		Renewed: d.lastRenewal, Log: zerolog.Nop(),
+		View: d.view, Store: store.NewClient(d.gate, store.Options{}).Role(store.RoleClaims),
+		Renewed: d.lastRenewal, RenewBound: testRenewBound, Log: zerolog.Nop(),
 	})
 	d.host = New(Options{
 		Racks: d.racks, Dialer: c.rack.Dialer(string(ref.ID)), Directory: d.manager, Claims: d.manager,
-		Caller: caller, Registrar: mux, View: d.view, Config: configSource{&c.jobs},
+		Caller: caller, Registrar: mux, View: d.view, Config: configSource{&c.jobs}, RenewBound: testRenewBound,
 		ShardOf: func(string) plan.Shard { return testShard }, Log: zerolog.Nop(), Metrics: d.metrics,
 	})
 	d.manager.Register(ownership.PartitionPrefix, d.host, d.host.Resources)
@@ -195,9 +199,11 @@
 func (c *cell) pause(d *daemon) {
 	c.net.Pause(d.ref)
 	c.rack.Pause(string(d.ref.ID))
+	d.gate.hold()
 }
 
 func (c *cell) resume(d *daemon) {
+	d.gate.open()
 	c.net.Resume(d.ref)
 	c.rack.Resume(string(d.ref.ID))
 }
@@ -337,9 +343,12 @@
 func inBubble(t *testing.T, daemons, workers int, capacity spec.Resources, f func(c *cell)) {
 	synctest.Test(t, func(t *testing.T) {
 		c := newCell(t, daemons, workers, capacity)
+		defer c.shutDown()
 		f(c)
 		require.Empty(t, c.rack.Violations())
-		c.shutDown()
+		for _, d := range c.daemons {
+			require.Zero(t, d.metrics.DoubleRuns.Value())
+		}
 	})
 }
 
@@ -348,6 +357,7 @@
 	c.cancel()
 	for _, d := range c.daemons {
 		c.net.Stop(d.ref)
+		d.gate.open()
 		c.rack.Resume(string(d.ref.ID))
 	}
 	c.net.Stop(c.author.ref)
--- /dev/null
+++ b/process/partition/takeover_test.go
@@ -0,0 +1,281 @@
+package partition
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"fennelshunt.example/fennelshunt/connection/worker"
+	"fennelshunt.example/fennelshunt/process/ownership"
+	"fennelshunt.example/fennelshunt/process/plan"
+	"fennelshunt.example/fennelshunt/standin/kv"
+)
+
+// takeOver makes another daemon the owner and returns it.
+func (c *cell) takeOver(old *daemon) *daemon {
+	c.t.Helper()
+	c.sayGone(old)
+	var d *daemon
+	c.eventually(time.Minute, "another owner", func() bool {
+		for _, other := range c.daemons {
+			if _, err := other.host.owner(testPartition); err == nil && other != old {
+				d = other
+				return true
+			}
+		}
+		return false
+	})
+	return d
+}
+
+// restartElsewhere starts attempt 2 of a task if the reply allows it, as the
+// owner of the shard does.
+func (c *cell) restartElsewhere(d *daemon, i int, was, to worker.ID) bool {
+	reply, err := c.author.fence(d)
+	if err != nil || slices.Contains(reply.Unaccounted, was) {
+		return false
+	}
+	if slices.ContainsFunc(reply.Tasks, func(e plan.Event) bool { return e.Task == taskID(i) && !e.Lost }) {
+		return false
+	}
+	s := step(i, to)
+	s.Start.Attempt = 2
+	return c.author.commit(d, s)[0].Outcome == plan.Accepted
+}
+
+func TestPausedOwnerCanNotStartAfterItsClaimWasTaken(t *testing.T) {
+	// Symptom:  a task runs at two workers.
+	// Sequence: the owner checks its claim and is paused before it sends the
+	//           start; another daemon takes the partition, learns that the task
+	//           does not run and starts it elsewhere; the first one resumes.
+	// Cause:    no check before a send can see what happens after the check.
+	inBubble(t, 2, 2, large, func(c *cell) {
+		old := c.ready()
+		c.rack.Pause(string(old.ref.ID))
+		require.Equal(t, plan.Accepted, c.author.commit(old, step(1, workerID(0)))[0].Outcome)
+		time.Sleep(100 * time.Millisecond)
+		c.pause(old)
+		d := c.takeOver(old)
+		c.eventually(time.Minute, "restarted", func() bool { return c.restartElsewhere(d, 1, workerID(0), workerID(1)) })
+		c.resume(old)
+		time.Sleep(time.Minute)
+		require.Equal(t, 1, c.rack.Starts()[taskID(1)])
+		_, err := old.host.owner(testPartition)
+		require.Error(t, err, "the old owner must have dropped the partition")
+	})
+}
+
+func TestOldOwnerReachesWorkerThatTheNewOneCanNot(t *testing.T) {
+	// Symptom:  a task runs at two workers.
+	// Sequence: the new owner can not reach worker 0 and so can not revoke the
+	//           old owner's lease there; the old owner, paused with a start in
+	//           hand, resumes and its start succeeds at worker 0.
+	// Cause:    a task that is unaccounted for at an unfenced worker was taken
+	//           for one that does not run.
+	inBubble(t, 2, 3, large, func(c *cell) {
+		old := c.ready()
+		c.rack.Pause(string(old.ref.ID))
+		require.Equal(t, plan.Accepted, c.author.commit(old, step(1, workerID(0)))[0].Outcome)
+		time.Sleep(100 * time.Millisecond)
+		c.pause(old)
+		for _, d := range c.daemons {
+			c.rack.Cut(string(d.ref.ID), workerID(0), d != old)
+		}
+		d := c.takeOver(old)
+		c.eventually(time.Minute, "others fenced", func() bool {
+			reply, err := c.author.fence(d)
+			return err == nil && slices.Equal(reply.Unaccounted, []worker.ID{workerID(0)})
+		})
+		c.author.mustStart(d, step(2, workerID(1))) // other work goes on
+		require.False(t, c.restartElsewhere(d, 1, workerID(0), workerID(1)))
+		c.resume(old)
+		c.eventually(time.Minute, "old start arrived", func() bool { return len(c.rack.Running(workerID(0))) == 1 })
+		for range 600 { // ten minutes: nothing proves that the old owner is gone
+			require.False(t, c.restartElsewhere(d, 1, workerID(0), workerID(1)))
+			time.Sleep(time.Second)
+		}
+		c.vms.remove(string(old.ref.ID))
+		waited := c.eventually(10*time.Minute, "restarted", func() bool {
+			return c.restartElsewhere(d, 1, workerID(0), workerID(1))
+		})
+		require.Greater(t, waited, DefaultTaskTTL)
+	})
+}
+
+func TestPredecessorOfAnOwnerThatNeverFencedIsRemembered(t *testing.T) {
+	// Symptom:  a task runs at two workers.
+	// Sequence: owner A is paused with a start in hand for worker 0; owner B
+	//           claims and dies before it fenced anything; owner C can not
+	//           reach worker 0 and learns that B is gone; A resumes.
+	// Cause:    C waited for its direct predecessor only.
+	inBubble(t, 3, 2, large, func(c *cell) {
+		a := c.ready()
+		c.rack.Pause(string(a.ref.ID))
+		require.Equal(t, plan.Accepted, c.author.commit(a, step(1, workerID(0)))[0].Outcome)
+		time.Sleep(100 * time.Millisecond)
+		c.pause(a)
+		for _, d := range c.daemons {
+			if d != a {
+				c.rack.Pause(string(d.ref.ID)) // B reaches no worker
+			}
+		}
+		b := c.takeOver(a)
+		b.kill()
+		var third *daemon
+		for _, d := range c.daemons {
+			if d != a && d != b {
+				third = d
+				c.rack.Resume(string(d.ref.ID))
+				c.rack.Cut(string(d.ref.ID), workerID(0), true)
+			}
+		}
+		c.sayGone(b)
+		c.vms.remove(string(b.ref.ID))
+		c.eventually(time.Minute, "third owner", func() bool {
+			_, err := third.host.owner(testPartition)
+			return err == nil
+		})
+		c.resume(a)
+		for range 400 {
+			require.False(t, c.restartElsewhere(third, 1, workerID(0), workerID(1)))
+			time.Sleep(time.Second)
+		}
+		require.Equal(t, 1, c.rack.Starts()[taskID(1)])
+	})
+}
+
+func TestLateLeaseOfAStaleOwnerIsNotUsed(t *testing.T) {
+	// Symptom:  a task runs at two workers.
+	// Sequence: a daemon claims the partition and is paused before it opens
+	//           its leases; another one takes over and fences; the first one
+	//           resumes and opens a lease that nobody will revoke.
+	// Cause:    the claim was checked before the lease was opened, not after.
+	inBubble(t, 3, 2, large, func(c *cell) {
+		first := c.ready()
+		for _, d := range c.daemons {
+			if d != first {
+				c.rack.Pause(string(d.ref.ID))
+			}
+		}
+		first.kill()
+		stale := c.takeOver(first)
+		time.Sleep(100 * time.Millisecond)
+		c.pause(stale)
+		for _, d := range c.daemons {
+			if d != stale && d != first {
+				c.rack.Resume(string(d.ref.ID))
+			}
+		}
+		d := c.takeOver(stale)
+		require.NotEqual(t, first, d)
+		c.eventually(time.Minute, "fenced", func() bool {
+			reply, err := c.author.fence(d)
+			return err == nil && len(reply.Unaccounted) == 0
+		})
+		c.rack.Resume(string(stale.ref.ID)) // the store is still out of its reach
+		time.Sleep(10 * time.Second)
+		for _, r := range c.author.commit(stale, step(1, workerID(0))) {
+			require.NotEqual(t, plan.Accepted, r.Outcome)
+		}
+		c.author.mustStart(d, step(1, workerID(1)))
+		c.resume(stale)
+		time.Sleep(time.Minute)
+		require.Len(t, c.rack.Running(workerID(1)), 1, "the owner must have kept the task alive")
+		require.Zero(t, stale.metrics.Starts.Value())
+	})
+}
+
+func TestOldShardOwnerIsRefusedAfterTakeoverOfThePartition(t *testing.T) {
+	// Symptom:  a task runs at two workers.
+	// Sequence: the shard is taken over, its new owner fences the partition;
+	//           then the partition's owner dies. The shard's old owner, which
+	//           was paused, sends a plan to the partition's new owner.
+	// Cause:    the fence was known only to the dead owner.
+	inBubble(t, 2, 2, large, func(c *cell) {
+		old := c.ready()
+		putClaim(c, ownership.Claim{Resource: shardResource(testShard), Owner: c.author.ref, Epoch: 7})
+		old.kill()
+		d := c.takeOver(old)
+		c.eventually(time.Minute, "ready", func() bool {
+			o, err := d.host.owner(testPartition)
+			if err != nil {
+				return false
+			}
+			read, err := call(c.ctx, o, func() bool { return o.shardsRead })
+			return err == nil && read
+		})
+		require.Equal(t, plan.Stale, c.author.commit(d, step(1, workerID(0)))[0].Outcome)
+		_, err := c.author.fence(d)
+		require.ErrorContains(t, err, "taken over")
+		c.author.epoch = 7
+		c.eventually(time.Minute, "newest epoch accepted", func() bool {
+			return c.author.commit(d, step(1, workerID(0)))[0].Outcome == plan.Accepted
+		})
+	})
+}
+
+func TestFenceIsNotAnsweredByAnOwnerThatLostThePartition(t *testing.T) {
+	// Symptom:  a task runs at two workers.
+	// Sequence: a partition moves to another owner, the old one does not know
+	//           yet; a shard's new owner fences the old one and concludes from
+	//           its answer that a task does not run, which the new one started.
+	// Cause:    the answer came from an owner that no longer was.
+	inBubble(t, 2, 2, large, func(c *cell) {
+		old := c.ready()
+		old.gate.hold() // the old owner hears nothing of the claims
+		d := c.takeOver(old)
+		c.eventually(time.Minute, "fenced", func() bool {
+			reply, err := c.author.fence(d)
+			return err == nil && len(reply.Unaccounted) == 0
+		})
+		c.author.mustStart(d, step(1, workerID(0)))
+		_, err := c.author.fence(old)
+		require.Error(t, err)
+		old.gate.open()
+		time.Sleep(time.Second)
+		_, err = c.author.fence(old)
+		require.ErrorContains(t, err, "not owned")
+	})
+}
+
+func TestStoreOutageOfAnHourStopsNothing(t *testing.T) {
+	// Symptom:  services end, or no task starts, while the store is down.
+	// Sequence: the store is down for an hour.
+	// Cause:    authority bound to the store's lease without a long bound.
+	inBubble(t, 2, 2, large, func(c *cell) {
+		d := c.ready()
+		c.author.mustStart(d, step(1, workerID(0)))
+		c.kv.SetFaults(kv.Faults{Down: true})
+		for _, other := range c.daemons {
+			other.freezeRenewal(true)
+		}
+		for i := range 6 {
+			time.Sleep(10 * time.Minute)
+			c.author.mustStart(d, step(10+i, workerID(i%2)))
+		}
+		require.Zero(t, d.metrics.Lost.Value())
+		c.kv.SetFaults(kv.Faults{})
+	})
+}
+
+func TestOutageBeyondTheStartBoundKeepsWhatRuns(t *testing.T) {
+	// Symptom:  running services end in a long outage.
+	// Sequence: the outage outlasts the bound for new starts.
+	// Cause:    one bound for starting and for renewing.
+	inBubble(t, 1, 2, large, func(c *cell) {
+		d := c.ready()
+		s := step(1, workerID(0))
+		s.Start.Kind = "service"
+		c.author.mustStart(d, s)
+		c.kv.SetFaults(kv.Faults{Down: true})
+		d.freezeRenewal(true)
+		time.Sleep(ownership.DefaultStartBound + time.Minute)
+		require.Equal(t, plan.NotFenced, c.author.commit(d, step(2, workerID(0)))[0].Outcome)
+		require.Len(t, c.rack.Running(workerID(0)), 1)
+		time.Sleep(testRenewBound - ownership.DefaultStartBound + DefaultTaskTTL)
+		require.Empty(t, c.rack.Running(workerID(0)), "nobody may renew beyond the longer bound")
+		c.kv.SetFaults(kv.Faults{})
+	})
+}
