Wire the daemon and run the whole path on loopback

Cause: the parts existed apart; nothing showed that a file becomes tasks and a caller's request an answer.

--- /dev/null
+++ b/process/daemon/listener.go
@@ -0,0 +1,36 @@
+package daemon
+
+import (
+	"context"
+	"net"
+	"time"
+)
+
+// keptListener accepts for one life on a listener that later lives use too:
+// closing it ends Accept but leaves the socket open, so that a daemon that
+// starts a new life never loses its port to another process.
+type keptListener struct {
+	net.Listener
+	ctx context.Context
+}
+
+type deadliner interface{ SetDeadline(time.Time) error }
+
+// Accept implements net.Listener.
+func (k *keptListener) Accept() (net.Conn, error) {
+	if d, ok := k.Listener.(deadliner); ok {
+		stop := context.AfterFunc(k.ctx, func() { _ = d.SetDeadline(time.Unix(1, 0)) })
+		defer stop()
+		if k.ctx.Err() == nil {
+			_ = d.SetDeadline(time.Time{}) // an earlier life may have set it
+		}
+	}
+	c, err := k.Listener.Accept()
+	if err != nil && k.ctx.Err() != nil {
+		return nil, net.ErrClosed
+	}
+	return c, err
+}
+
+// Close implements net.Listener; the socket stays open for the next life.
+func (k *keptListener) Close() error { return nil }
--- /dev/null
+++ b/process/daemon/path.go
@@ -0,0 +1,102 @@
+package daemon
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"net"
+	"net/http"
+
+	"github.com/thejerf/suture/v4"
+
+	"fennelshunt.example/fennelshunt/connection/store"
+	"fennelshunt.example/fennelshunt/process/ownership"
+	"fennelshunt.example/fennelshunt/request/forward"
+	"fennelshunt.example/fennelshunt/request/gateway"
+	"fennelshunt.example/fennelshunt/request/idem"
+	"fennelshunt.example/fennelshunt/request/slots"
+	"fennelshunt.example/fennelshunt/version/spec"
+)
+
+// pathSide carries callers' requests.
+type pathSide struct {
+	l         *life
+	slots     *slots.Manager
+	keys      *idem.Manager
+	forwarder *forward.Forwarder
+	peers     *forward.Forwarder
+	gateway   *gateway.Gateway
+}
+
+func newPathSide(l *life) *pathSide {
+	s := l.d.o.Settings
+	p := &pathSide{l: l}
+	p.slots = slots.New(slots.Options{
+		Self: l.self, Zone: s.Zone, Caller: l.node, Registrar: l.mux, Directory: l.owners, Members: l.fleet,
+		Log: l.log, RequestLimit: slots.LimitsOf(l.versions), AuthorityBound: s.Leases.Renew.Std(),
+	})
+	p.keys = idem.New(idem.Options{
+		Self: l.self, Directory: l.owners, Members: l.fleet, Store: l.store.Role(store.RoleIntents), Log: l.log,
+	})
+	p.forwarder = forward.New(forward.Options{Members: func() int { return len(l.fleet.Members()) }})
+	p.peers = forward.New(forward.Options{TLS: l.d.peers.PeerConfig()})
+	p.gateway = gateway.New(gateway.Options{
+		Self: l.self.ID, Config: l.versions, Slots: p.slots, Forwarder: p.forwarder, Keys: p.keys, Peers: p.peers,
+		Observe: l.d.metrics.observe, Log: l.log, MaxBody: s.Limits.MaxBodyBytes,
+	})
+	l.owners.Register(ownership.ServicePrefix, p.slots, p.services)
+	l.owners.Register(ownership.KeysPrefix, p.keys, idem.Resources)
+	l.work.sinks = append(l.work.sinks, p.slots)
+	return p
+}
+
+// services lists the slot pools: one per declared service.
+func (p *pathSide) services() []ownership.Resource {
+	var out []ownership.Resource
+	for name, j := range p.l.versions.Current().Jobs {
+		if j.Kind == spec.Service {
+			out = append(out, ownership.Resource(ownership.ServicePrefix+name))
+		}
+	}
+	return out
+}
+
+func (p *pathSide) supervise(sup *suture.Supervisor) {
+	sup.Add(p.slots)
+	sup.Add(p.keys)
+	sup.Add(p.forwarder)
+	sup.Add(p.peers)
+	var callerTLS *tls.Config
+	if k := p.l.d.callers; k != nil {
+		callerTLS = k.ServerConfig()
+	}
+	sup.Add(&httpService{"callers", gateway.NewServer(p.gateway.CallerHandler()), p.l.d.listen.caller, callerTLS})
+	sup.Add(&httpService{"forwarded requests", gateway.NewServer(p.gateway.PeerHandler()), p.l.d.listen.forward, p.l.d.peers.PeerHTTPConfig()})
+}
+
+// httpService serves a listener that outlives the service.
+type httpService struct {
+	name     string
+	server   *http.Server
+	listener net.Listener
+	tls      *tls.Config
+}
+
+// String implements fmt.Stringer for the supervisor's events.
+func (h *httpService) String() string { return h.name }
+
+// Serve implements suture.Service. When ctx ends, connections are cut: a
+// planned stop has drained them before.
+func (h *httpService) Serve(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() { _ = h.server.Close() })
+	defer stop()
+	var l net.Listener = &keptListener{Listener: h.listener, ctx: ctx}
+	if h.tls != nil {
+		l = tls.NewListener(l, h.tls)
+	}
+	err := h.server.Serve(l)
+	if errors.Is(err, http.ErrServerClosed) {
+		return ctx.Err()
+	}
+	return err
+}
--- a/process/settings/settings.go
+++ b/process/settings/settings.go
@@ -89,9 +89,6 @@
 	Advertise Addresses `json:"advertise,omitzero"`
 	Platform  Platform  `json:"platform"`
 	TLS       TLS       `json:"tls,omitzero"`
-	// InsecurePeers permits peers without key files, for a trial on one
-	// machine: the daemons then use a key pair made from a shared seed.
-	InsecurePeers bool `json:"insecure_peers,omitempty"`
 	// Seeds are peer addresses for joining while the store is down.
 	Seeds []string `json:"seeds,omitempty"`
 	// Tokens names the file of administration tokens; without it the
@@ -234,7 +231,7 @@
 		c.want(err == nil && (parsed.Scheme == "http" || parsed.Scheme == "https") && parsed.Host != "", u.field,
 			fmt.Sprintf("%q is no base URL", u.value), "use for example http://10.0.0.2:7000")
 	}
-	c.want(s.TLS.Peers != nil || s.InsecurePeers, "tls.peers", "is missing", "name cert, key and ca, or set insecure_peers for a trial")
+	c.want(s.TLS.Peers != nil, "tls.peers", "is missing", "name cert, key and ca; 'fennelctl keys' makes a set for a trial")
 	if p := s.TLS.Peers; p != nil {
 		c.want(p.Cert != "" && p.Key != "" && p.CA != "", "tls.peers", "is not complete", "name cert, key and ca")
 	}
--- a/process/settings/settings_test.go
+++ b/process/settings/settings_test.go
@@ -11,7 +11,7 @@
   "name": "entry-1", "zone": "gulberg-hall",
   "listen": {"caller": "127.0.0.1:8080", "forward": "127.0.0.1:8081", "peer": "127.0.0.1:8082", "admin": "127.0.0.1:8083"},
   "platform": {"store": "http://127.0.0.1:7000", "vm_list": "http://127.0.0.1:7001"},
-  "insecure_peers": true
+  "tls": {"peers": {"cert": "peer.pem", "key": "peer-key.pem", "ca": "ca.pem"}}
 }`
 
 func TestParseFillsDefaults(t *testing.T) {
