Serve the administration API and the commands over it

Cause: a platform shared by many teams needs each to see and change only its own work, and operators steer by applying files only.

--- /dev/null
+++ b/command/ctl/look.go
@@ -0,0 +1,195 @@
+package ctl
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/url"
+	"strconv"
+	"text/tabwriter"
+	"time"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"fennelshunt.example/fennelshunt/process/admin/api"
+)
+
+// print writes an answer as JSON if that was asked for, else as text.
+func (a *app) print(answer any, text func(io.Writer)) error {
+	if a.settings.json {
+		return writeJSON(a.out, answer)
+	}
+	w := tabwriter.NewWriter(a.out, 0, 0, 2, ' ', 0)
+	text(w)
+	return w.Flush()
+}
+
+func writeJSON(w io.Writer, v any) error {
+	encoder := json.NewEncoder(w)
+	encoder.SetIndent("", "  ")
+	return encoder.Encode(v)
+}
+
+// get calls a path that reads.
+func (a *app) get(ctx context.Context, path string, query url.Values, answer any) error {
+	client, err := a.client()
+	if err != nil {
+		return err
+	}
+	return client.Get(ctx, path, query, answer)
+}
+
+func (a *app) filesCommand() *ffcli.Command {
+	return &ffcli.Command{
+		Name: "files", ShortUsage: "fennelctl files [NAME]", FlagSet: a.flags("fennelctl files"),
+		ShortHelp: "List the files in force, or print one.",
+		Exec: func(ctx context.Context, args []string) error {
+			if len(args) > 0 {
+				return a.file(ctx, args[0])
+			}
+			var answer api.Files
+			if err := a.get(ctx, api.PathFiles, nil, &answer); err != nil {
+				return err
+			}
+			return a.print(answer, func(w io.Writer) {
+				fmt.Fprintln(w, "FILE\tVERSION\tTEAM\tAUTHOR\tTIME")
+				for _, f := range answer.Files {
+					fmt.Fprintf(w, "%s\t%d\t%s\t%s\t%s\n", f.Name, f.Version, f.Team, f.Author, stamp(f.Time))
+				}
+			})
+		},
+	}
+}
+
+// file prints a file in the form in which it can be applied again.
+func (a *app) file(ctx context.Context, name string) error {
+	var answer api.File
+	if err := a.get(ctx, api.PathFiles+"/"+url.PathEscape(name), nil, &answer); err != nil {
+		return err
+	}
+	return writeJSON(a.out, answer.Content)
+}
+
+func stamp(t time.Time) string { return t.UTC().Format(time.RFC3339) }
+
+func (a *app) historyCommand() *ffcli.Command {
+	flags := a.flags("fennelctl history")
+	limit := flags.Int("n", 20, "`number` of versions to look at")
+	before := flags.Uint64("before", 0, "look at versions below this one")
+	return &ffcli.Command{
+		Name: "history", ShortUsage: "fennelctl history [-n NUMBER] [-before VERSION]", FlagSet: flags,
+		ShortHelp: "List what was applied, the latest first.",
+		Exec: func(ctx context.Context, _ []string) error {
+			query := url.Values{api.ParamLimit: {strconv.Itoa(*limit)}, api.ParamBefore: {base(*before)}}
+			var answer api.History
+			if err := a.get(ctx, api.PathHistory, query, &answer); err != nil {
+				return err
+			}
+			return a.print(answer, func(w io.Writer) { printHistory(w, answer) })
+		},
+	}
+}
+
+func printHistory(w io.Writer, answer api.History) {
+	fmt.Fprintln(w, "VERSION\tFILE\tCHANGE\tAUTHOR\tTIME")
+	for _, c := range answer.Changes {
+		change := "applied"
+		if c.Removed {
+			change = "removed"
+		}
+		fmt.Fprintf(w, "%d\t%s\t%s\t%s\t%s\n", c.Version, c.File, change, c.Author, stamp(c.Time))
+	}
+	if answer.Before > 0 {
+		fmt.Fprintf(w, "earlier: fennelctl history -before %d\n", answer.Before)
+	}
+}
+
+func (a *app) statusCommand() *ffcli.Command {
+	return &ffcli.Command{
+		Name: "status", ShortUsage: "fennelctl status", FlagSet: a.flags("fennelctl status"),
+		ShortHelp: "Show the daemons, what they have in force, and the jobs.",
+		Exec: func(ctx context.Context, _ []string) error {
+			var answer api.Status
+			if err := a.get(ctx, api.PathStatus, nil, &answer); err != nil {
+				return err
+			}
+			return a.print(answer, func(w io.Writer) { printStatus(w, answer) })
+		},
+	}
+}
+
+func printStatus(w io.Writer, s api.Status) {
+	up := "up"
+	if !s.StoreUp {
+		up = "DOWN"
+	}
+	fmt.Fprintf(w, "version %d in force, %d in the store, store %s\n", s.Version, s.StoreVersion, up)
+	printMembers(w, s.Members, s.Version)
+	if len(s.Jobs) == 0 {
+		return
+	}
+	fmt.Fprintln(w, "JOB\tTEAM\tKIND\tDESIRED\tRUNNING\tWAITING\tDONE\tFAILED\tUNKNOWN\tMESSAGE")
+	for _, j := range s.Jobs {
+		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%s\n",
+			j.Name, j.Team, j.Kind, j.Desired, j.Running, j.Waiting, j.Done, j.Failed, j.Unknown, j.Message)
+	}
+}
+
+// printMembers lists the daemons with what each has in force.
+func printMembers(w io.Writer, members []api.Member, version uint64) {
+	if len(members) == 0 {
+		return
+	}
+	fmt.Fprintln(w, "DAEMON\tZONE\tSTATE\tVERSION\t")
+	for _, m := range members {
+		note := "in force"
+		switch {
+		case !m.Heard:
+			note = "NOT HEARD OF"
+		case m.Version < version:
+			note = "LAGS"
+		}
+		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%s\n", m.ID, m.Zone, m.State, m.Version, note)
+	}
+}
+
+func (a *app) explainCommand() *ffcli.Command {
+	return &ffcli.Command{
+		Name: "explain", ShortUsage: "fennelctl explain JOB/GENERATION/INDEX", FlagSet: a.flags("fennelctl explain"),
+		ShortHelp: "Tell why a task waits, or where it is.",
+		Exec: func(ctx context.Context, args []string) error {
+			if len(args) != 1 {
+				return usageError("want one task, written job/generation/index")
+			}
+			var answer api.Explanation
+			if err := a.get(ctx, api.PathExplain, url.Values{api.ParamTask: args}, &answer); err != nil {
+				return err
+			}
+			return a.print(answer, func(w io.Writer) {
+				fmt.Fprintf(w, "task %s: %s\n", answer.Task, answer.State)
+				for _, reason := range answer.Reasons {
+					fmt.Fprintln(w, " ", reason)
+				}
+			})
+		},
+	}
+}
+
+func (a *app) reportCommand() *ffcli.Command {
+	flags := a.flags("fennelctl report")
+	format := formatValue("text")
+	flags.Var(&format, "format", "`format`: text, json or html")
+	return &ffcli.Command{
+		Name: "report", ShortUsage: "fennelctl report [-format FORMAT]", FlagSet: flags,
+		ShortHelp: "Report the service-level burn per service and team.",
+		Exec: func(ctx context.Context, _ []string) error {
+			var body []byte
+			if err := a.get(ctx, api.PathReport, url.Values{api.ParamFormat: {string(format)}}, &body); err != nil {
+				return err
+			}
+			_, err := a.out.Write(body)
+			return err
+		},
+	}
+}
--- a/process/versions/applier.go
+++ b/process/versions/applier.go
@@ -23,10 +23,10 @@
 	Lagging []MemberVersion `json:"lagging,omitempty"`
 }
 
-// Apply applies file; see history.History.Apply for base and errors. It does
+// Apply applies file; see history.History.ApplyAs for base and errors. It does
 // not wait for the other daemons.
-func (a *Applier) Apply(ctx context.Context, file *spec.File, base uint64, author string) (Applied, error) {
-	result, err := a.History.Apply(ctx, file, base, author)
+func (a *Applier) Apply(ctx context.Context, file *spec.File, base uint64, by history.By) (Applied, error) {
+	result, err := a.History.ApplyAs(ctx, file, base, by)
 	if err != nil {
 		return Applied{}, err
 	}
@@ -34,6 +34,21 @@
 	return Applied{Result: result}, nil
 }
 
+// Check reports whether file could be applied on base now.
+func (a *Applier) Check(ctx context.Context, file *spec.File, base uint64, by history.By) error {
+	return a.History.Check(ctx, file, base, by)
+}
+
+// Latest returns the latest version, read from the store.
+func (a *Applier) Latest(ctx context.Context) (*history.Snapshot, error) {
+	return a.History.Current(ctx)
+}
+
+// List returns changes below version before, the latest first.
+func (a *Applier) List(ctx context.Context, before uint64, limit int) ([]history.Change, error) {
+	return a.History.List(ctx, before, limit)
+}
+
 // Await waits until every member has the applied version in force, for
 // PropagationLimit at most, and fills in Members and Lagging.
 func (a *Applier) Await(ctx context.Context, applied *Applied) {
@@ -51,3 +66,6 @@
 	case <-ctx.Done(): // the watch brings it too
 	}
 }
+
+// InForce returns the version in force on this daemon.
+func (a *Applier) InForce() *history.Snapshot { return a.Keeper.Snapshot() }
--- a/process/versions/cell_test.go
+++ b/process/versions/cell_test.go
@@ -155,7 +155,7 @@
 
 func TestApplyIsInForceEverywhere(t *testing.T) {
 	inBubble(t, 8, func(c *cell) {
-		applied, err := c.daemons[0].applier.Apply(context.Background(), fileOf("a", 1), 0, "x")
+		applied, err := c.daemons[0].applier.Apply(context.Background(), fileOf("a", 1), 0, history.By{Author: "x"})
 		require.NoError(t, err)
 		begun := time.Now()
 		c.daemons[0].applier.Await(context.Background(), &applied)
@@ -173,7 +173,7 @@
 func TestFreshDaemonInAnOutageLearnsFromPeers(t *testing.T) {
 	inBubble(t, 8, func(c *cell) {
 		for i := range 20 {
-			_, err := c.daemons[0].applier.Apply(context.Background(), fileOf(fmt.Sprintf("f%d", i), i+1), uint64(i), "x")
+			_, err := c.daemons[0].applier.Apply(context.Background(), fileOf(fmt.Sprintf("f%d", i), i+1), uint64(i), history.By{Author: "x"})
 			require.NoError(t, err)
 		}
 		time.Sleep(3 * time.Second)
@@ -200,7 +200,7 @@
 		c.net.Pause(paused)
 		c.daemons[2].stop()
 		<-c.daemons[2].stopped
-		applied, err := c.daemons[0].applier.Apply(context.Background(), fileOf("a", 1), 0, "x")
+		applied, err := c.daemons[0].applier.Apply(context.Background(), fileOf("a", 1), 0, history.By{Author: "x"})
 		require.NoError(t, err)
 		begun := time.Now()
 		c.daemons[0].applier.Await(context.Background(), &applied)
--- a/version/history/apply.go
+++ b/version/history/apply.go
@@ -35,16 +35,20 @@
 // *spec.ValidationError, or an error of the store after which nothing was
 // applied, or an *UnknownOutcomeError.
 func (h *History) Apply(ctx context.Context, file *spec.File, base uint64, author string) (Result, error) {
-	if len(author) > maxAuthor {
-		author = author[:maxAuthor]
-	}
+	return h.ApplyAs(ctx, file, base, By{Author: author})
+}
+
+// ApplyAs is Apply for an author who may be bound to a team; it also fails with
+// ErrNotPermitted.
+func (h *History) ApplyAs(ctx context.Context, file *spec.File, base uint64, by By) (Result, error) {
+	by.Author = by.Author[:min(len(by.Author), maxAuthor)]
 	select {
 	case h.turn <- struct{}{}:
 		defer func() { <-h.turn }()
 	case <-ctx.Done():
 		return Result{}, fmt.Errorf("wait for other applies; nothing was applied: %w", ctx.Err())
 	}
-	a := &apply{history: h, file: file, base: base, author: author, id: ApplyID(uuid.New())}
+	a := &apply{history: h, file: file, base: base, by: by, id: ApplyID(uuid.New())}
 	result, err := a.run(ctx)
 	h.count(func(s *Stats) {
 		var conflict *ConflictError
@@ -65,7 +69,7 @@
 	history *History
 	file    *spec.File
 	base    uint64
-	author  string
+	by      By
 	id      ApplyID
 
 	// written is the sweep count at which the chunks were written, to see
@@ -97,7 +101,7 @@
 	if err != nil {
 		return Result{}, fmt.Errorf("read configuration; nothing was applied: %w", err)
 	}
-	planned, err := plan(s, a.file, a.base, time.Now())
+	planned, err := plan(s, a.file, a.base, a.by)
 	if err != nil {
 		return Result{}, err
 	}
@@ -105,7 +109,7 @@
 		d, _ := s.snapshot.Document(a.file.Name)
 		return Result{Version: versionOf(d, s.head), Unchanged: true, Snapshot: s.snapshot}, nil
 	}
-	planned.change.Author, planned.change.ID = a.author, a.id
+	planned.change.ID = a.id
 	next, err := a.prepare(ctx, s, planned)
 	if err != nil {
 		return Result{}, fmt.Errorf("nothing was applied: %w", err)
@@ -244,11 +248,14 @@
 
 // plan checks that file may be applied on base to s and returns the change; nil
 // if the file is in force as it is.
-func plan(s *state, file *spec.File, base uint64, now time.Time) (*planned, error) {
+func plan(s *state, file *spec.File, base uint64, by By) (*planned, error) {
 	if base > s.head.Version {
 		return nil, &BaseError{Base: base, Latest: s.head.Version}
 	}
 	previous, known := s.snapshot.Document(file.Name)
+	if err := by.permit(file, previous); err != nil {
+		return nil, err
+	}
 	present := known && previous.Applied != nil
 	removal := len(file.Teams) == 0 && len(file.Jobs) == 0
 	if removal && !present || present && !removal && spec.SameContent(previous.Applied.File, file) {
@@ -257,9 +264,12 @@
 	if err := checkBase(s, file.Name, base); err != nil {
 		return nil, err
 	}
-	p := &planned{forgotten: s.snapshot.forgotten, change: Change{Version: s.head.Version + 1, File: file.Name, AppliedMillis: now.UnixMilli()}}
+	p := &planned{forgotten: s.snapshot.forgotten, change: Change{
+		Version: s.head.Version + 1, File: file.Name, Author: by.Author, Team: TeamOf(file), AppliedMillis: time.Now().UnixMilli(),
+	}}
 	files := s.snapshot.applied()
 	if removal {
+		p.change.Team = previous.Change.Team
 		delete(files, file.Name)
 	} else if err := p.fill(files, file); err != nil {
 		return nil, err
--- a/version/history/history.go
+++ b/version/history/history.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"github.com/rs/zerolog"
 
@@ -171,12 +170,12 @@
 }
 
 // Check reports whether file could be applied on base now: the error is the one
-// that Apply would return.
-func (h *History) Check(ctx context.Context, file *spec.File, base uint64) error {
+// that ApplyAs would return.
+func (h *History) Check(ctx context.Context, file *spec.File, base uint64, by By) error {
 	s, err := h.read(ctx)
 	if err != nil {
 		return fmt.Errorf("read configuration: %w", err)
 	}
-	_, err = plan(s, file, base, time.Now())
+	_, err = plan(s, file, base, by)
 	return err
 }
--- a/version/history/record.go
+++ b/version/history/record.go
@@ -73,6 +73,9 @@
 	// Content is the file's document; no chunks means that the file is gone.
 	Content Blob
 	Author  string
+	// Team is the team whose work the file is, "" for one of the platform's
+	// operators; see TeamOf.
+	Team string
 	// AppliedMillis is the time of the apply by the clock of the daemon that
 	// served it, in milliseconds since 1970.
 	AppliedMillis int64
