Admit requests fairly by deadline and eject failing instances

Cause: a team's flood would starve the others, a request that cannot start in time would learn it only at its deadline, and failing instances kept getting requests. Change: admission with token buckets per caller and team, a fair queue between teams ordered by deadline within a team, refusal at once from the measured pace of starts, and a review that gives up on requests that became hopeless; outlier ejection by failures in a row and by comparison, with a floor.

--- /dev/null
+++ b/request/admission/admission.go
@@ -0,0 +1,208 @@
+// Package admission decides which requests may wait for an instance, in which
+// order, and for how long. It limits the rate per caller and per team, shares
+// a service's starts fairly between teams, orders a team's requests by
+// deadline, and refuses a request at once when it would wait past its
+// deadline.
+//
+// Guarantees: every refusal has verdict NotRun and tells when to come back; a
+// request that is given up on is answered at once; waiting requests per service
+// are bounded; a team's flood lengthens only its own queue.
+package admission
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"fennelshunt.example/fennelshunt/request/verdict"
+)
+
+// Codes of refusals; all have verdict NotRun.
+const (
+	CodeCallerRate = "caller_rate"   // the caller's limit
+	CodeTeamRate   = "team_rate"     // the team's limit
+	CodeWait       = "wait_too_long" // it would wait past its deadline
+	CodeQueueFull  = "queue_full"
+	CodeDeadline   = "deadline_exceeded" // the deadline passed while it waited
+	CodeCallerGone = "caller_gone"
+)
+
+// Defaults of Options.
+const (
+	DefaultWindow     = 64
+	DefaultMaxQueue   = 1024
+	DefaultMaxCallers = 4096
+
+	// review is how often waiting requests are looked at for hopeless ones.
+	review = 25 * time.Millisecond
+	// minRetryAfter is the least that a refused caller is told to wait.
+	minRetryAfter = 50 * time.Millisecond
+	// retryJitter spreads the return of refused callers.
+	retryJitter = 0.25
+)
+
+var (
+	errRate     = errors.New("more requests than the limit allows")
+	errWait     = errors.New("the request would wait for an instance past its deadline")
+	errFull     = errors.New("too many requests wait for the service")
+	errDeadline = errors.New("the deadline passed before an instance was free")
+	errGone     = errors.New("the caller went away before the request was sent")
+)
+
+// Options configure a Controller; zero values take the defaults.
+type Options struct {
+	// CallerRate bounds the requests per second of one caller at this daemon;
+	// 0 means no limit. CallerBurst is how many may come at once.
+	CallerRate  float64
+	CallerBurst int
+	// MaxCallers bounds the callers whose rate is followed.
+	MaxCallers int
+	// Members returns how many daemons share a team's rate; nil means one.
+	Members func() int
+	// Window is how many requests of a service wait in the slots' own order.
+	Window int
+	// MaxQueue bounds the requests of a service that wait before the window.
+	MaxQueue int
+}
+
+func (o *Options) setDefaults() {
+	if o.CallerBurst == 0 {
+		o.CallerBurst = max(1, int(o.CallerRate))
+	}
+	if o.MaxCallers == 0 {
+		o.MaxCallers = DefaultMaxCallers
+	}
+	if o.Members == nil {
+		o.Members = func() int { return 1 }
+	}
+	if o.Window == 0 {
+		o.Window = DefaultWindow
+	}
+	if o.MaxQueue == 0 {
+		o.MaxQueue = DefaultMaxQueue
+	}
+}
+
+// Request asks for admission.
+type Request struct {
+	Service  string
+	Team     string
+	Deadline time.Time
+	// Weight is the team's share relative to others; below 1 means 1.
+	Weight int
+}
+
+// Controller admits requests. It is safe for concurrent use.
+type Controller struct {
+	opts   Options
+	limits limits
+
+	mu     sync.RWMutex
+	queues map[string]*queue
+}
+
+// New returns a controller.
+func New(o Options) *Controller {
+	o.setDefaults()
+	c := &Controller{opts: o, queues: map[string]*queue{}}
+	c.limits.init(&c.opts)
+	return c
+}
+
+// Enter waits until the request may take a slot, or refuses it. The error is a
+// *verdict.Error. ctx ends at the deadline or when the caller goes away.
+func (c *Controller) Enter(ctx context.Context, r Request) (*Pass, error) {
+	q := c.queue(r.Service)
+	w, err := q.enter(r, time.Now())
+	if err != nil {
+		return nil, err
+	}
+	pass := &Pass{queue: q}
+	if w == nil {
+		return pass, nil
+	}
+	select {
+	case err := <-w.granted:
+		if err != nil {
+			return nil, err
+		}
+		return pass, nil
+	case <-ctx.Done():
+		return q.leave(ctx, w, pass)
+	}
+}
+
+func (c *Controller) queue(service string) *queue {
+	c.mu.RLock()
+	q := c.queues[service]
+	c.mu.RUnlock()
+	if q != nil {
+		return q
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if q = c.queues[service]; q == nil {
+		q = newQueue(&c.opts)
+		c.queues[service] = q
+	}
+	return q
+}
+
+// Waiting returns how many requests of the service wait before the window.
+func (c *Controller) Waiting(service string) int {
+	q := c.queue(service)
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.waiting
+}
+
+// Pass is an admitted request; not for concurrent use.
+type Pass struct {
+	queue   *queue
+	state   passState
+	started time.Time
+}
+
+type passState int
+
+const (
+	passWaiting passState = iota
+	passStarted
+	passDone
+)
+
+// Started tells that the request has its slot.
+func (p *Pass) Started() {
+	if p.state == passWaiting {
+		p.state = passStarted
+		p.started = p.queue.started()
+	}
+}
+
+// Done tells that the request has ended; whole when it was answered.
+func (p *Pass) Done(whole bool) {
+	switch p.state {
+	case passWaiting:
+		p.queue.dropped()
+	case passStarted:
+		if whole {
+			p.queue.served(time.Since(p.started))
+		}
+	}
+	p.state = passDone
+}
+
+// refuse returns a refusal that tells the caller to come back after about d.
+func refuse(status int, code string, err error, d time.Duration) *verdict.Error {
+	d = max(d, minRetryAfter)
+	d += time.Duration(retryJitter * rand.Float64() * float64(d))
+	return &verdict.Error{Verdict: verdict.NotRun, Status: status, Code: code,
+		RetryAfterMillis: d.Milliseconds(), Err: err}
+}
+
+func overloaded(code string, err error, d time.Duration) *verdict.Error {
+	return refuse(http.StatusServiceUnavailable, code, err, d)
+}
--- a/request/gateway/attempt.go
+++ b/request/gateway/attempt.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
+	"fennelshunt.example/fennelshunt/request/admission"
 	"fennelshunt.example/fennelshunt/request/forward"
+	"fennelshunt.example/fennelshunt/request/outlier"
 	"fennelshunt.example/fennelshunt/request/slots"
 	"fennelshunt.example/fennelshunt/request/verdict"
 )
@@ -17,7 +20,13 @@
 func (g *Gateway) servePlain(c *call) {
 	wait, stop := context.WithDeadline(c.in.Context(), c.deadline)
 	defer stop()
-	final, err := g.attemptAll(c, wait, c.deliver)
+	pass, err := g.admit(c, wait)
+	if err != nil {
+		c.fail(err)
+		return
+	}
+	final, err := g.attemptAll(c, wait, pass, c.deliver)
+	pass.Done(err == nil)
 	c.finish(final, err)
 }
 
@@ -57,7 +66,7 @@
 
 // attemptAll makes attempts until one is answered, the verdict or the budget
 // forbids another, or the deadline passes. wait bounds the wait for slots.
-func (g *Gateway) attemptAll(c *call, wait context.Context, deliver deliver) (final bool, err error) {
+func (g *Gateway) attemptAll(c *call, wait context.Context, pass *admission.Pass, deliver deliver) (final bool, err error) {
 	attempts := g.budget(c.service).Request(c.idempotent)
 	out := c.outgoing()
 	for {
@@ -66,7 +75,7 @@
 			return false, err // the attempt before has used up the body
 		}
 		out.Body = reader
-		final, err = g.attempt(c, wait, out, deliver)
+		final, err = g.attempt(c, wait, out, pass, deliver)
 		if err == nil || final || endedInBody(err) {
 			return final, err
 		}
@@ -79,17 +88,20 @@
 }
 
 // attempt takes a slot and makes one attempt at its endpoint.
-func (g *Gateway) attempt(c *call, wait context.Context, out *forward.Outgoing, deliver deliver) (final bool, err error) {
+func (g *Gateway) attempt(c *call, wait context.Context, out *forward.Outgoing, pass *admission.Pass, deliver deliver) (final bool, err error) {
 	slot, err := g.opts.Slots.Acquire(wait, c.service)
 	if err != nil {
 		return false, err
 	}
+	pass.Started()
 	end := slots.Unknown
 	defer func() { slot.Release(end) }()
 	endpoint := slot.Endpoint()
 	c.endpoint = endpoint.Address
+	sent := time.Now()
 	answer, err := g.opts.Forwarder.Send(c.run, endpoint, out)
 	if err != nil {
+		g.report(c, endpoint.Address, err, 0, time.Since(sent))
 		c.count(err)
 		if verdict.Of(err) == verdict.NotRun {
 			end = slots.Ended
@@ -97,7 +109,12 @@
 		return false, err
 	}
 	defer answer.Close()
+	if answer.Header[LeavingHeader] != nil {
+		g.opts.OnLeaving(endpoint.Address)
+	}
+	status, headerTime := answer.Status, answer.HeaderTime
 	final, err = deliver(answer)
+	g.report(c, endpoint.Address, err, status, headerTime)
 	if answer.Whole() {
 		end = slots.Ended
 	}
@@ -110,6 +127,28 @@
 	return final, err
 }
 
+// report tells the outlier tracker what an attempt says of the instance.
+func (g *Gateway) report(c *call, address string, err error, status int, d time.Duration) {
+	if g.opts.Outliers == nil {
+		return
+	}
+	outcome := outlier.OK
+	if status >= http.StatusInternalServerError {
+		outcome = outlier.Errored
+	}
+	if err != nil {
+		switch verdict.As(err).Code {
+		case forward.CodeCallerBody, forward.CodeCallerClosed:
+			return // says nothing of the instance
+		case forward.CodeDeadline:
+			// The caller chose the time; a slow instance shows in d.
+		default:
+			outcome = outlier.Failed
+		}
+	}
+	g.opts.Outliers.Report(c.service, address, outcome, d)
+}
+
 // count adds a failed attempt to what is known of the request.
 func (c *call) count(err error) {
 	c.attempts++
--- /dev/null
+++ b/request/gateway/bench_test.go
@@ -0,0 +1,281 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"fennelshunt.example/fennelshunt/process/plan"
+	"fennelshunt.example/fennelshunt/standin/endpoint"
+)
+
+// The benchmarks compare the gateway with a bare forwarder in the same run:
+//
+//	GOMAXPROCS=2 go test -run '^$' -bench . -benchtime 5s ./request/gateway
+//
+// Callers, forwarder and endpoint share the cores.
+
+// bareForwarder is the baseline: a forwarder of a few lines.
+func bareForwarder(address string) http.Handler {
+	transport := &http.Transport{MaxIdleConnsPerHost: 1024}
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		out := r.Clone(r.Context())
+		out.URL.Scheme, out.URL.Host, out.RequestURI = "http", address, ""
+		resp, err := transport.RoundTrip(out)
+		if err != nil {
+			w.WriteHeader(http.StatusBadGateway)
+			return
+		}
+		defer func() { _ = resp.Body.Close() }()
+		for k, v := range resp.Header {
+			w.Header()[k] = v
+		}
+		w.WriteHeader(resp.StatusCode)
+		_, _ = io.Copy(w, resp.Body)
+	})
+}
+
+const benchBody = "a quick defect lookup for plot 7"
+
+// benchService answers like an endpoint without any bookkeeping.
+var benchService = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	data, _ := io.ReadAll(r.Body)
+	_, _ = w.Write(data)
+})
+
+func listen(b testing.TB, h http.Handler) string {
+	b.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(b, err)
+	s := NewServer(h)
+	go func() { _ = s.Serve(ln) }()
+	b.Cleanup(func() { _ = s.Close() })
+	return ln.Addr().String()
+}
+
+// benchTargets returns the addresses of the service itself, of the bare
+// forwarder and of the gateway.
+func benchTargets(b testing.TB) []struct{ name, address string } {
+	direct := listen(b, benchService)
+	bare := listen(b, bareForwarder(direct))
+	p := newPool()
+	p.add(plan.Endpoint{Service: testService, Address: direct, Slots: 256, Conns: 2048})
+	_, url := startGateway(b, Options{Slots: p, Log: zerolog.New(io.Discard)})
+	return []struct{ name, address string }{
+		{"direct", direct}, {"bare", bare}, {"gateway", url[len("http://"):]},
+	}
+}
+
+func benchClient(b testing.TB) *http.Client {
+	t := &http.Transport{MaxIdleConnsPerHost: 1024}
+	b.Cleanup(t.CloseIdleConnections)
+	return &http.Client{Transport: t}
+}
+
+func post(c *http.Client, address string) (int, error) {
+	req, err := http.NewRequest(http.MethodPost, "http://"+address+"/lookup", bytes.NewReader([]byte(benchBody)))
+	if err != nil {
+		return 0, err
+	}
+	req.Header.Set(ServiceHeader, testService)
+	resp, err := c.Do(req)
+	if err != nil {
+		return 0, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	_, err = io.Copy(io.Discard, resp.Body)
+	return resp.StatusCode, err
+}
+
+const (
+	benchCallers = 32
+	benchRound   = 1000 // requests to one target before the next has its turn
+)
+
+// BenchmarkThroughput gives each target rounds of requests in turn, so that
+// changes of the machine's speed meet all of them. One operation is a round of
+// each. The processor time counts callers and endpoint too.
+func BenchmarkThroughput(b *testing.B) {
+	targets, c := benchTargets(b), benchClient(b)
+	wall, cpu := make([]time.Duration, len(targets)), make([]time.Duration, len(targets))
+	rounds := 0
+	for b.Loop() {
+		rounds++
+		for i, t := range targets {
+			start, used := time.Now(), processorTime(b)
+			round(b, c, t.address)
+			wall[i] += time.Since(start)
+			cpu[i] += processorTime(b) - used
+		}
+	}
+	n := float64(rounds * benchRound)
+	for i, t := range targets {
+		b.ReportMetric(n/wall[i].Seconds(), t.name+"-req/s")
+		b.ReportMetric(float64(cpu[i].Microseconds())/n, t.name+"-cpu-µs")
+	}
+	b.ReportMetric(wall[1].Seconds()/wall[2].Seconds(), "throughput-ratio")
+	b.ReportMetric(cpu[1].Seconds()/cpu[2].Seconds(), "cpu-ratio")
+}
+
+// processorTime returns what this process has used so far.
+func processorTime(b testing.TB) time.Duration {
+	var u syscall.Rusage
+	require.NoError(b, syscall.Getrusage(syscall.RUSAGE_SELF, &u))
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+func round(b testing.TB, c *http.Client, address string) {
+	var next atomic.Int64
+	var wg sync.WaitGroup
+	for range benchCallers {
+		wg.Go(func() {
+			for next.Add(1) <= benchRound {
+				if status, err := post(c, address); err != nil || status != http.StatusOK {
+					b.Errorf("status %d, %v", status, err)
+				}
+			}
+		})
+	}
+	wg.Wait()
+}
+
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3)
+}
+
+// BenchmarkLatency sends one request at a time, to the three in turn, so that
+// changes of the machine's speed meet all of them.
+func BenchmarkLatency(b *testing.B) {
+	targets, c := benchTargets(b), benchClient(b)
+	hist := []*hdrhistogram.Histogram{newHistogram(), newHistogram(), newHistogram()}
+	for b.Loop() {
+		for i, t := range targets {
+			start := time.Now()
+			_, err := post(c, t.address)
+			require.NoError(b, err)
+			_ = hist[i].RecordValue(time.Since(start).Microseconds())
+		}
+	}
+	direct := hist[0].ValueAtQuantile(50)
+	for i, t := range targets {
+		b.ReportMetric(float64(hist[i].ValueAtQuantile(50)), t.name+"-p50-µs")
+	}
+	bare, gateway := hist[1].ValueAtQuantile(50)-direct, hist[2].ValueAtQuantile(50)-direct
+	b.ReportMetric(float64(gateway)/float64(bare), "overhead-ratio")
+}
+
+// offer sends requests at a rate whatever becomes of them (an open loop), and
+// measures each from the time at which it was due.
+func offer(n int, rate float64, send func(i int, due time.Time)) {
+	var wg sync.WaitGroup
+	start := time.Now()
+	for i := range n {
+		due := start.Add(time.Duration(float64(i) / rate * float64(time.Second)))
+		time.Sleep(time.Until(due))
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			send(i, due)
+		}()
+	}
+	wg.Wait()
+}
+
+// BenchmarkHalfLoad offers half of what the bare forwarder carries here and
+// now, in an open loop, to each target in turn.
+func BenchmarkHalfLoad(b *testing.B) {
+	const slice = 500 // requests to one target before the next has its turn
+	targets, c := benchTargets(b), benchClient(b)
+	c.Transport.(*http.Transport).MaxConnsPerHost = 256
+	start := time.Now()
+	for range 5 {
+		round(b, c, targets[1].address)
+	}
+	rate := 5 * benchRound / time.Since(start).Seconds() / 2
+	hist := []*hdrhistogram.Histogram{newHistogram(), newHistogram(), newHistogram()}
+	for b.Loop() {
+		for i, t := range targets {
+			var mu sync.Mutex
+			offer(slice, rate, func(_ int, due time.Time) {
+				if _, err := post(c, t.address); err != nil {
+					b.Error(err)
+				}
+				mu.Lock()
+				defer mu.Unlock()
+				_ = hist[i].RecordValue(time.Since(due).Microseconds())
+			})
+		}
+	}
+	for i, t := range targets {
+		b.ReportMetric(float64(hist[i].ValueAtQuantile(50)), t.name+"-p50-µs")
+		b.ReportMetric(float64(hist[i].ValueAtQuantile(99)), t.name+"-p99-µs")
+	}
+	b.ReportMetric(rate, "req/s")
+	b.ReportMetric(float64(hist[2].ValueAtQuantile(99))/float64(hist[1].ValueAtQuantile(99)), "p99-ratio")
+}
+
+func BenchmarkOverload(b *testing.B) {
+	const (
+		instances = 4
+		slots     = 8
+		work      = 50 * time.Millisecond
+		timeout   = 300 * time.Millisecond
+		capacity  = float64(instances*slots) / 0.05
+	)
+	for _, times := range []float64{1, 2, 5} {
+		b.Run(map[float64]string{1: "1x", 2: "2x", 5: "5x"}[times], func(b *testing.B) {
+			p := newPool()
+			for range instances {
+				startEndpoint(b, p, endpoint.Options{Slots: slots, Connections: 64, Work: work})
+			}
+			_, url := startGateway(b, Options{Slots: p, Config: testConfig(timeout), Log: zerolog.Nop()})
+			c := benchClient(b)
+			var good, refused, quick, other atomic.Int64
+			offer(b.N, times*capacity, func(_ int, due time.Time) {
+				ctx, cancel := context.WithTimeout(context.Background(), 2*timeout)
+				defer cancel()
+				status, v, err := lookup(ctx, c, url)
+				switch {
+				case err == nil && status == http.StatusOK:
+					good.Add(1)
+				case err == nil && v == "not-run":
+					refused.Add(1)
+					if time.Since(due) <= work {
+						quick.Add(1)
+					}
+				default:
+					other.Add(1)
+				}
+			})
+			b.ReportMetric(100*float64(good.Load())/b.Elapsed().Seconds()/capacity, "goodput-%")
+			b.ReportMetric(100*float64(quick.Load())/float64(max(1, refused.Load())), "refused-in-50ms-%")
+			b.ReportMetric(float64(other.Load()), "other")
+		})
+	}
+}
+
+func lookup(ctx context.Context, c *http.Client, url string) (int, string, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader([]byte(benchBody)))
+	if err != nil {
+		return 0, "", err
+	}
+	req.Header.Set(ServiceHeader, testService)
+	resp, err := c.Do(req)
+	if err != nil {
+		return 0, "", err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	_, err = io.Copy(io.Discard, resp.Body)
+	return resp.StatusCode, resp.Header.Get("Fennel-Verdict"), err
+}
--- a/request/gateway/call.go
+++ b/request/gateway/call.go
@@ -21,6 +21,7 @@
 	service    string
 	job        *spec.VersionedJob
 	identity   Identity
+	team       *spec.Team // nil when the configuration does not know it
 	key        string
 	idempotent bool
 	forwarded  bool // from another daemon
@@ -67,6 +68,7 @@
 	}
 	c.job = job
 	c.identity = g.identify(c)
+	c.team = g.opts.Config.Current().Teams[c.identity.Team]
 	if len(c.identity.Team) > maxName || len(c.identity.Caller) > maxName {
 		return badRequest(fmt.Errorf("team or caller name longer than %d bytes", maxName))
 	}
@@ -110,6 +112,16 @@
 	}
 }
 
+// teamName returns the team for limits and fair shares. Teams that the
+// configuration does not know share one name, so that callers can not multiply
+// their share by inventing teams.
+func (c *call) teamName() string {
+	if c.team == nil {
+		return ""
+	}
+	return c.team.Name
+}
+
 // left returns the time until the deadline.
 func (c *call) left() time.Duration { return time.Until(c.deadline) }
 
--- a/request/gateway/gateway.go
+++ b/request/gateway/gateway.go
@@ -15,6 +15,7 @@
 
 	"github.com/google/uuid"
 
+	"fennelshunt.example/fennelshunt/request/admission"
 	"fennelshunt.example/fennelshunt/request/retry"
 	"fennelshunt.example/fennelshunt/request/verdict"
 )
@@ -70,7 +71,7 @@
 	defer g.ended(c)
 	if failure == nil {
 		defer c.cancel()
-		failure = g.gate(inFlight)
+		failure = g.gate(c, inFlight)
 	}
 	if g.state.Load() != serving {
 		w.Header().Set("Connection", "close")
@@ -92,16 +93,35 @@
 }
 
 // gate refuses work that this daemon must not take on.
-func (g *Gateway) gate(inFlight int64) *verdict.Error {
+func (g *Gateway) gate(c *call, inFlight int64) *verdict.Error {
 	if g.state.Load() == refusing {
 		return refuse(http.StatusServiceUnavailable, CodeDraining, errDraining)
 	}
 	if inFlight > int64(g.opts.MaxConcurrent) {
 		return refuse(http.StatusServiceUnavailable, CodeOverloaded, errOverloaded)
 	}
+	if c.forwarded {
+		return nil // counted where it arrived
+	}
+	teamRate := 0.0
+	if c.team != nil {
+		teamRate = c.team.RequestsPerSecond
+	}
+	if err := g.opts.Admission.Limit(c.teamName(), c.identity.Caller, teamRate); err != nil {
+		return verdict.As(err)
+	}
 	return nil
 }
 
+// admit waits until the request may take a slot.
+func (g *Gateway) admit(c *call, wait context.Context) (*admission.Pass, error) {
+	r := admission.Request{Service: c.service, Team: c.teamName(), Deadline: c.deadline}
+	if c.team != nil {
+		r.Weight = c.team.Weight
+	}
+	return g.opts.Admission.Enter(wait, r)
+}
+
 // requestID returns a new id, or that which another daemon gave the request.
 func (g *Gateway) requestID(r *http.Request, forwarded bool) string {
 	if id := r.Header.Get(verdict.RequestIDHeader); forwarded && id != "" && len(id) <= maxName {
--- a/request/gateway/keyed.go
+++ b/request/gateway/keyed.go
@@ -103,12 +103,20 @@
 // because others may have joined.
 func (g *Gateway) runKeyed(c *call, attempt *idem.Attempt) {
 	defer attempt.Close()
-	if err := attempt.Intend(c.run); err != nil {
+	pass, err := g.admit(c, c.run)
+	if err != nil {
+		attempt.Fail(err)
+		c.fail(err)
+		return
+	}
+	defer func() { pass.Done(err == nil) }()
+	if err = attempt.Intend(c.run); err != nil {
 		attempt.Fail(err)
 		c.fail(err)
 		return
 	}
-	final, err := g.attemptAll(c, c.run, func(a *forward.Answer) (bool, error) {
+	var final bool
+	final, err = g.attemptAll(c, c.run, pass, func(a *forward.Answer) (bool, error) {
 		return c.keep(a, attempt)
 	})
 	if err != nil {
--- a/request/gateway/options.go
+++ b/request/gateway/options.go
@@ -7,8 +7,10 @@
 	"github.com/rs/zerolog"
 
 	"fennelshunt.example/fennelshunt/connection/peer"
+	"fennelshunt.example/fennelshunt/request/admission"
 	"fennelshunt.example/fennelshunt/request/forward"
 	"fennelshunt.example/fennelshunt/request/idem"
+	"fennelshunt.example/fennelshunt/request/outlier"
 	"fennelshunt.example/fennelshunt/request/retry"
 	"fennelshunt.example/fennelshunt/request/slots"
 	"fennelshunt.example/fennelshunt/request/verdict"
@@ -32,6 +34,10 @@
 	CallerHeader = "Fennel-Caller"
 )
 
+// LeavingHeader on an endpoint's answer, with any value, tells that it takes no
+// new requests soon.
+const LeavingHeader = "Fennel-Leaving"
+
 // ForwardedHeader marks a request that another daemon forwarded; it holds the
 // daemon's name and is only believed on the daemons' own listener.
 const ForwardedHeader = "Fennel-Forwarded-By"
@@ -64,6 +70,13 @@
 	Config    spec.Source
 	Slots     slots.Acquirer
 	Forwarder *forward.Forwarder
+	// Admission may be shared with nobody; nil takes one with its defaults.
+	Admission *admission.Controller
+	// Outliers learns of every attempt; nil for none.
+	Outliers *outlier.Tracker
+	// OnLeaving is told of an endpoint that announces in an answer that it is
+	// leaving; nil for none. It must be quick.
+	OnLeaving func(address string)
 	// Keys gives idempotency keys their homes; nil refuses keys.
 	Keys idem.Table
 	// Peers sends keyed requests to other daemons' ForwardAddr.
@@ -102,6 +115,12 @@
 	setDefault(&o.BodyTimeout, DefaultBodyTimeout)
 	setDefault(&o.MaxConcurrent, DefaultMaxConcurrent)
 	setDefault(&o.HomeWait, DefaultHomeWait)
+	if o.Admission == nil {
+		o.Admission = admission.New(admission.Options{})
+	}
+	if o.OnLeaving == nil {
+		o.OnLeaving = func(string) {}
+	}
 	if o.Identify == nil {
 		o.Identify = DefaultIdentity
 	}
--- /dev/null
+++ b/request/outlier/outlier.go
@@ -0,0 +1,203 @@
+// Package outlier keeps requests away from instances that fail or are slow
+// beside the others of their service.
+//
+// Guarantee: at most Options.MaxEjected of a service's known instances are
+// ejected at once, and never the last one, so that a bad signal can not empty
+// the set.
+package outlier
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"fennelshunt.example/fennelshunt/process/plan"
+)
+
+// Defaults of Options.
+const (
+	DefaultFailures    = 5
+	DefaultMaxEjected  = 0.34
+	DefaultEjection    = 5 * time.Second
+	DefaultMaxEjection = 60 * time.Second
+	DefaultMinSamples  = 20
+	DefaultErrorMargin = 0.3
+	DefaultSlowFactor  = 4
+	DefaultSlowMinimum = 100 * time.Millisecond
+	DefaultForgetAfter = 10 * time.Minute
+	smoothing          = 0.1
+	maxDoublings       = 6
+	reviewEverySamples = 16
+)
+
+// Options configure a Tracker; zero values take the defaults.
+type Options struct {
+	// Failures in a row that eject an instance.
+	Failures int
+	// MaxEjected is the largest share of a service's instances to eject.
+	MaxEjected float64
+	// Ejection is how long the first ejection lasts; it doubles up to
+	// MaxEjection with each that follows soon.
+	Ejection, MaxEjection time.Duration
+	// MinSamples is how many answers an instance must have given before it is
+	// compared with others.
+	MinSamples int
+	// ErrorMargin ejects an instance whose share of error answers exceeds the
+	// median of its service by this much.
+	ErrorMargin float64
+	// SlowFactor ejects an instance whose mean time exceeds the median of its
+	// service that many times, and by at least SlowMinimum.
+	SlowFactor  float64
+	SlowMinimum time.Duration
+}
+
+func (o *Options) setDefaults() {
+	setDefault(&o.Failures, DefaultFailures)
+	setDefault(&o.MaxEjected, DefaultMaxEjected)
+	setDefault(&o.Ejection, DefaultEjection)
+	setDefault(&o.MaxEjection, DefaultMaxEjection)
+	setDefault(&o.MinSamples, DefaultMinSamples)
+	setDefault(&o.ErrorMargin, DefaultErrorMargin)
+	setDefault(&o.SlowFactor, DefaultSlowFactor)
+	setDefault(&o.SlowMinimum, DefaultSlowMinimum)
+}
+
+func setDefault[T int | float64 | time.Duration](v *T, d T) {
+	if *v == 0 {
+		*v = d
+	}
+}
+
+// Outcome of an attempt, as it speaks of the instance.
+type Outcome int
+
+// Outcomes. Failed means that the instance could not be reached, broke the
+// connection, sent no whole answer, or refused. Errored means that it answered
+// with an error status: that may be the request's own fault, so it counts only
+// in comparison with the other instances.
+const (
+	OK Outcome = iota
+	Failed
+	Errored
+)
+
+// instance is what is known of one instance.
+type instance struct {
+	service   string
+	failures  int // in a row
+	samples   int
+	errors    float64 // smoothed share of error answers
+	seconds   float64 // smoothed time to the answer's header
+	until     time.Time
+	ejections int
+	seen      time.Time
+}
+
+// Tracker follows instances. It is safe for concurrent use; it implements the
+// Health of package slots and the sink of the cell's view.
+type Tracker struct {
+	opts Options
+	// ejected holds the end of each ejection by address, for readers.
+	ejected atomic.Pointer[map[string]time.Time]
+
+	mu         sync.Mutex
+	instances  map[string]*instance
+	partitions map[string][]plan.Endpoint
+}
+
+// New returns a tracker that knows no instance.
+func New(o Options) *Tracker {
+	o.setDefaults()
+	t := &Tracker{opts: o, instances: map[string]*instance{}, partitions: map[string][]plan.Endpoint{}}
+	t.ejected.Store(&map[string]time.Time{})
+	return t
+}
+
+// Usable reports whether the instance may get new requests.
+func (t *Tracker) Usable(address string) bool {
+	until, ok := (*t.ejected.Load())[address]
+	return !ok || !time.Now().Before(until)
+}
+
+// Ejected returns how many instances are ejected now.
+func (t *Tracker) Ejected() int {
+	n, now := 0, time.Now()
+	for _, until := range *t.ejected.Load() {
+		if now.Before(until) {
+			n++
+		}
+	}
+	return n
+}
+
+// Apply takes a partition's state: instances that are no longer listed are
+// forgotten.
+func (t *Tracker) Apply(s plan.State) {
+	if !s.EndpointsChanged {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	listed := map[string]bool{}
+	for _, e := range s.Endpoints {
+		listed[e.Address] = true
+		t.instance(e.Service, e.Address)
+	}
+	for _, e := range t.partitions[s.Partition] {
+		if !listed[e.Address] {
+			delete(t.instances, e.Address)
+		}
+	}
+	t.partitions[s.Partition] = s.Endpoints
+	t.publish()
+}
+
+func (t *Tracker) instance(service, address string) *instance {
+	i := t.instances[address]
+	if i == nil || i.service != service {
+		i = &instance{service: service}
+		t.instances[address] = i
+	}
+	i.seen = time.Now()
+	return i
+}
+
+// Report notes the outcome of an attempt; d is the time to the answer's
+// header, or to the failure.
+func (t *Tracker) Report(service, address string, o Outcome, d time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	i := t.instance(service, address)
+	if o == Failed {
+		i.failures++
+		if i.failures >= t.limit(i) {
+			t.eject(i)
+		}
+		return
+	}
+	i.failures = 0
+	i.sample(o == Errored, d.Seconds())
+	if i.samples >= t.opts.MinSamples && i.samples%reviewEverySamples == 0 && t.stands(i) {
+		t.eject(i)
+	}
+}
+
+// limit returns the failures in a row that eject; an instance back from an
+// ejection is ejected again at its first failure.
+func (t *Tracker) limit(i *instance) int {
+	if i.ejections > 0 && i.samples == 0 {
+		return 1
+	}
+	return t.opts.Failures
+}
+
+func (i *instance) sample(failed bool, seconds float64) {
+	i.samples++
+	weight := max(smoothing, 1/float64(i.samples))
+	share := 0.0
+	if failed {
+		share = 1
+	}
+	i.errors += weight * (share - i.errors)
+	i.seconds += weight * (seconds - i.seconds)
+}
