--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -81,6 +81,12 @@
 	return d, nil
 }
 
+// Check loads the key files that the settings name, without opening anything.
+func Check(o Options) error {
+	d := &Daemon{o: o}
+	return d.loadKeys()
+}
+
 func (d *Daemon) loadKeys() error {
 	var err error
 	if d.peers = d.o.Peers; d.peers == nil {
--- /dev/null
+++ b/standin/callers/callers.go
@@ -0,0 +1,237 @@
+// Package callers stands in for callers: it sends requests at given times, not
+// when earlier ones have returned, checks each answer against its own request,
+// and keeps per request what it was told, to be compared with what the
+// endpoints saw.
+package callers
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"fennelshunt.example/fennelshunt/request/gateway"
+	"fennelshunt.example/fennelshunt/request/verdict"
+	"fennelshunt.example/fennelshunt/standin/endpoint"
+)
+
+// Kind of a request.
+type Kind int
+
+// Kinds. An Idempotent one may run again; a NonIdempotent one has no key and is
+// tried again only when it did not run; a Keyed one is non-idempotent and
+// carries an idempotency key, so that it is tried again on any daemon.
+const (
+	Idempotent Kind = iota
+	NonIdempotent
+	Keyed
+)
+
+// Options of a Run.
+type Options struct {
+	Client  *http.Client
+	BaseURL string // default http://cell
+	Service string
+	// Rate is the arrivals per second, in a Poisson process.
+	Rate float64
+	// Count is the number of requests.
+	Count int
+	// NonIdempotent and Keyed are the shares of these kinds, 0 to 1.
+	NonIdempotent, Keyed float64
+	// BodySize is the size of each request's body, in bytes.
+	BodySize int
+	// Tries bounds how often one request is sent, 0 means 5.
+	Tries int
+	Seed  uint64
+	// Progress, when set, is called after each request has ended.
+	Progress func()
+}
+
+// Outcome is what one request came to.
+type Outcome struct {
+	Key   string
+	Kind  Kind
+	Whole bool // the whole answer to this very request arrived
+	// Foreign is set when an answer was not the one to this request.
+	Foreign bool
+	// Last is the verdict of the last try, valid when Answered.
+	Last verdict.Verdict
+	// AllNotRun is set when every try was answered with NotRun.
+	AllNotRun bool
+	Answered  bool // the last try got a whole answer of some kind
+	Tries     int
+	// Latency counts from the time at which the request was due.
+	Latency time.Duration
+	Status  int
+	Code    string
+}
+
+// Result of a Run.
+type Result struct {
+	Outcomes []Outcome
+	// Latency of whole answers, in microseconds.
+	Latency *hdrhistogram.Histogram
+	Elapsed time.Duration
+}
+
+const (
+	defaultTries = 5
+	// retryPause is the pause before a try without advice from the answer.
+	retryPause = 50 * time.Millisecond
+	maxPause   = time.Second
+	// latencyMax and latencyDigits size the histogram, in microseconds.
+	latencyMax    = 10 * 60 * 1_000_000
+	latencyDigits = 3
+)
+
+// Run sends the requests and returns when all have ended.
+func Run(ctx context.Context, o Options) *Result {
+	if o.BaseURL == "" {
+		o.BaseURL = "http://cell"
+	}
+	if o.Tries == 0 {
+		o.Tries = defaultTries
+	}
+	rng := rand.New(rand.NewPCG(o.Seed, 1))
+	res := &Result{Outcomes: make([]Outcome, o.Count), Latency: hdrhistogram.New(1, latencyMax, latencyDigits)}
+	begin := time.Now()
+	due := begin
+	var wg sync.WaitGroup
+	for i := range o.Count {
+		due = due.Add(time.Duration(rng.ExpFloat64() / o.Rate * float64(time.Second)))
+		kind := o.kind(rng.Float64())
+		if !sleepUntil(ctx, due) {
+			res.Outcomes = res.Outcomes[:i]
+			break
+		}
+		wg.Go(func() {
+			c := call{o: &o, kind: kind, key: fmt.Sprintf("request-%d-%d", o.Seed, i)}
+			res.Outcomes[i] = c.run(ctx, due)
+			if o.Progress != nil {
+				o.Progress()
+			}
+		})
+	}
+	wg.Wait()
+	res.Elapsed = time.Since(begin)
+	for _, out := range res.Outcomes {
+		if out.Whole {
+			_ = res.Latency.RecordValue(min(latencyMax, max(1, out.Latency.Microseconds()))) // within the range
+		}
+	}
+	return res
+}
+
+func (o *Options) kind(x float64) Kind {
+	switch {
+	case x < o.Keyed:
+		return Keyed
+	case x < o.Keyed+o.NonIdempotent:
+		return NonIdempotent
+	default:
+		return Idempotent
+	}
+}
+
+func sleepUntil(ctx context.Context, t time.Time) bool {
+	timer := time.NewTimer(time.Until(t))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// call is one request with its tries.
+type call struct {
+	o    *Options
+	kind Kind
+	key  string
+}
+
+func (c *call) body() []byte {
+	return bytes.Repeat([]byte(c.key+"\n"), 1+c.o.BodySize/(len(c.key)+1))
+}
+
+func (c *call) run(ctx context.Context, due time.Time) Outcome {
+	out := Outcome{Key: c.key, Kind: c.kind, AllNotRun: true}
+	for out.Tries < c.o.Tries {
+		out.Tries++
+		pause, again := c.try(ctx, &out)
+		out.Latency = time.Since(due)
+		if !again || !sleepUntil(ctx, time.Now().Add(pause)) {
+			break
+		}
+	}
+	return out
+}
+
+// try sends the request once and reports whether and when to try again.
+func (c *call) try(ctx context.Context, out *Outcome) (pause time.Duration, again bool) {
+	body := c.body()
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, c.o.BaseURL+"/desk", bytes.NewReader(body))
+	if err != nil {
+		out.Answered, out.AllNotRun = false, false
+		return 0, false
+	}
+	r.GetBody = nil // the stand-in, not the transport, decides about tries
+	r.Header.Set(gateway.ServiceHeader, c.o.Service)
+	r.Header.Set(endpoint.KeyHeader, c.key)
+	switch c.kind {
+	case Idempotent:
+		r.Header.Set(gateway.IdempotentHeader, "true")
+	case Keyed:
+		r.Header.Set(gateway.KeyHeader, c.key)
+	}
+	res, err := c.o.Client.Do(r)
+	if err != nil {
+		// The answer is lost: the request may have run.
+		out.Answered, out.AllNotRun = false, false
+		return retryPause, c.kind != NonIdempotent
+	}
+	defer res.Body.Close()
+	got, err := io.ReadAll(res.Body)
+	if err != nil {
+		out.Answered, out.AllNotRun = false, false
+		return retryPause, c.kind != NonIdempotent
+	}
+	return c.judge(out, res, got, body)
+}
+
+func (c *call) judge(out *Outcome, res *http.Response, got, body []byte) (pause time.Duration, again bool) {
+	out.Answered, out.Status = true, res.StatusCode
+	out.Last, out.Code = parseVerdict(res.Header.Get(verdict.Header)), res.Header.Get(verdict.CodeHeader)
+	if out.Last != verdict.NotRun {
+		out.AllNotRun = false
+	}
+	if res.StatusCode == http.StatusOK {
+		out.Whole = bytes.Equal(got, endpoint.Answer(c.key, body))
+		out.Foreign = !out.Whole
+		return 0, false
+	}
+	pause = retryPause
+	if s := res.Header.Get("Retry-After"); s != "" {
+		if d, err := time.ParseDuration(s + "s"); err == nil {
+			pause = min(d, maxPause)
+		}
+	}
+	again = out.Last == verdict.NotRun || (out.Last == verdict.MayHaveRun && c.kind == Idempotent)
+	return pause, again
+}
+
+func parseVerdict(s string) verdict.Verdict {
+	for _, v := range []verdict.Verdict{verdict.NotRun, verdict.Ran} {
+		if s == v.String() {
+			return v
+		}
+	}
+	return verdict.MayHaveRun
+}
