--- a/process/partition/agenttest/agenttest.go
+++ b/process/partition/agenttest/agenttest.go
@@ -17,10 +17,12 @@
 
 // Rack is a set of agents that tests share. Safe for concurrent use.
 type Rack struct {
-	mu         sync.Mutex
-	agents     map[worker.ID]*agent
-	saved      map[spec.TaskID]float64
-	starts     map[spec.TaskID]int
+	mu     sync.Mutex
+	agents map[worker.ID]*agent
+	saved  map[spec.TaskID]float64
+	starts map[spec.TaskID]int
+	// finished counts acknowledged successes. A result that nobody has
+	// acknowledged can be lost with its worker; the task may start again.
 	finished   map[spec.TaskID]int
 	violations []string
 	faults     Faults
@@ -255,7 +257,6 @@
 					a.end(run, worker.Failed, "failed")
 					continue
 				}
-				r.finished[run.task.Task]++
 				a.end(run, worker.Succeeded, "")
 			}
 		}
@@ -289,7 +290,7 @@
 		}
 	}
 	if r.finished[s.Task] > 0 {
-		r.violations = append(r.violations, fmt.Sprintf("finished task %s starts again", s.Task))
+		r.violations = append(r.violations, fmt.Sprintf("task %s starts again after its success was acknowledged", s.Task))
 	}
 	n := &run{start: s, began: time.Now(), task: worker.Task{
 		Task: s.Task, Attempt: s.Attempt, Lease: id, State: worker.Running, Size: s.Size, Usage: a.usage[s.Task],
--- a/process/partition/agenttest/client.go
+++ b/process/partition/agenttest/client.go
@@ -186,6 +186,9 @@
 		l.renewed = time.Now()
 		for _, ref := range req.Acks {
 			if run := a.runs[ref]; run != nil && run.task.State.Ended() {
+				if run.task.State == worker.Succeeded {
+					c.rack.finished[ref.Task]++
+				}
 				delete(a.runs, ref)
 			}
 		}
--- /dev/null
+++ b/process/partition/random_test.go
@@ -0,0 +1,258 @@
+package partition
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"fennelshunt.example/fennelshunt/connection/peer"
+	"fennelshunt.example/fennelshunt/process/ownership"
+	"fennelshunt.example/fennelshunt/process/partition/agenttest"
+	"fennelshunt.example/fennelshunt/standin/kv"
+)
+
+// action is one fault or repair of a random run.
+type action struct {
+	Kind string
+	A, B int
+	Wait time.Duration
+}
+
+func (a action) String() string { return fmt.Sprintf("%s(%d,%d)+%s", a.Kind, a.A, a.B, a.Wait) }
+
+var actionKinds = []string{
+	"pause", "resume", "kill", "restart", "gone", "cutStore", "healStore", "cutWorker", "healWorker",
+	"rebootWorker", "downWorker", "upWorker", "loss", "calm", "storeDown", "storeUp", "cutPeer", "healPeer",
+	"shardTakeover", "leave", "nothing",
+}
+
+func drawActions(t *rapid.T) []action {
+	return rapid.SliceOfN(rapid.Custom(func(t *rapid.T) action {
+		return action{
+			Kind: rapid.SampledFrom(actionKinds).Draw(t, "kind"),
+			A:    rapid.IntRange(0, 9).Draw(t, "a"),
+			B:    rapid.IntRange(0, 9).Draw(t, "b"),
+			Wait: time.Duration(rapid.SampledFrom([]int{0, 50, 700, 3000, 10000, 40000, 150000}).Draw(t, "wait")) * time.Millisecond,
+		}
+	}), 5, 40).Draw(t, "actions")
+}
+
+// randomRun is a cell under random faults.
+type randomRun struct {
+	*cell
+	dead    map[peer.Ref]bool
+	gone    map[peer.Ref]bool
+	shards  []*modelShard
+	durable *progress
+	seed    uint64
+}
+
+const modelTasks = 8
+
+func (r *randomRun) newShard() {
+	epoch := uint64(len(r.shards) + 1)
+	s := newModelShard(r.cell, epoch, modelTasks, r.durable, r.seed)
+	claim := ownership.Claim{Resource: shardResource(testShard), Owner: s.ref, Epoch: epoch}
+	if err := replaceClaim(r.cell, claim); err != nil && epoch > 1 {
+		r.net.Stop(s.ref)
+		return // the store is down: nobody can take the shard over
+	}
+	r.shards = append(r.shards, s)
+	go s.run()
+}
+
+// apply does one action; what makes no sense now is left out.
+func (r *randomRun) apply(a action) {
+	d := r.daemons[a.A%len(r.daemons)]
+	id := workerID(a.B % r.workers)
+	other := r.daemons[a.B%len(r.daemons)]
+	switch a.Kind {
+	case "pause":
+		r.pause(d)
+	case "resume":
+		if !r.dead[d.ref] {
+			r.resume(d)
+		}
+	case "kill":
+		r.kill(d)
+	case "restart":
+		r.kill(d)
+		r.rack.Resume(d.key()) // what was on the wire arrives
+		r.reborn(d)
+	case "gone":
+		if r.dead[d.ref] || a.B%2 == 0 {
+			r.declareGone(d)
+		}
+	case "cutStore":
+		d.gate.setCut(true)
+	case "healStore":
+		d.gate.setCut(false)
+	case "cutWorker":
+		r.rack.Cut(d.key(), id, true)
+	case "healWorker":
+		r.rack.Cut(d.key(), id, false)
+	case "rebootWorker":
+		r.rack.Restart(id)
+	case "downWorker":
+		r.rack.SetDown(id, true)
+	case "upWorker":
+		r.rack.SetDown(id, false)
+	case "loss":
+		r.rack.SetFaults(agenttest.Faults{LoseCalls: 0.1, LoseAnswers: 0.2, MaxDelay: 3 * time.Second, Seed: r.seed})
+		r.net.SetLoss(0.1)
+		r.net.SetDelay(20 * time.Millisecond)
+	case "calm":
+		r.calm()
+	case "storeDown":
+		r.kv.SetFaults(kv.Faults{Down: true})
+	case "storeUp":
+		r.kv.SetFaults(kv.Faults{})
+	case "cutPeer":
+		r.net.Cut(d.ref.ID, other.ref.ID)
+		r.net.Cut(d.ref.ID, r.shards[len(r.shards)-1].ref.ID)
+	case "healPeer":
+		r.net.Heal(d.ref.ID, other.ref.ID)
+		r.net.Heal(d.ref.ID, r.shards[len(r.shards)-1].ref.ID)
+	case "shardTakeover":
+		if len(r.shards) < 4 {
+			r.shards[len(r.shards)-1].deaf = a.A%2 == 0
+			r.newShard()
+		}
+	case "leave":
+		go func() { _ = d.manager.Leave(r.ctx) }()
+	}
+}
+
+func (r *randomRun) calm() {
+	r.rack.SetFaults(agenttest.Faults{})
+	r.net.SetLoss(0)
+	r.net.SetDelay(0)
+}
+
+func (r *randomRun) kill(d *daemon) {
+	if !r.dead[d.ref] {
+		r.dead[d.ref] = true
+		d.kill()
+	}
+}
+
+func (r *randomRun) declareGone(d *daemon) {
+	d.freezeRenewal(true) // gone means that its store lease has lapsed
+	r.gone[d.ref] = true
+	r.sayGone(d)
+}
+
+// reborn starts the next life of a dead daemon.
+func (r *randomRun) reborn(d *daemon) {
+	d.gate.open()
+	for i, other := range r.daemons {
+		if other != d {
+			continue
+		}
+		next := r.startDaemon(peer.Ref{ID: d.ref.ID, Incarnation: d.ref.Incarnation + 1})
+		r.daemons[i] = next
+		r.buried = append(r.buried, d)
+		for _, o := range r.daemons {
+			for ref := range r.gone {
+				if o.ref != ref {
+					o.view.SetGone(ref)
+				}
+			}
+		}
+	}
+}
+
+// repair ends every fault and gives every daemon a fresh life.
+func (r *randomRun) repair() {
+	r.calm()
+	r.kv.SetFaults(kv.Faults{})
+	for i := range r.workers {
+		r.rack.SetDown(workerID(i), false)
+	}
+	for _, d := range r.daemons {
+		r.kill(d)
+		r.rack.Resume(d.key())
+		r.reborn(d)
+	}
+	for _, d := range r.daemons {
+		for _, s := range r.shards {
+			r.net.Heal(d.ref.ID, s.ref.ID)
+		}
+		for _, o := range r.daemons {
+			r.net.Heal(d.ref.ID, o.ref.ID)
+		}
+	}
+}
+
+// runActions returns what went wrong, or "".
+func runActions(t *testing.T, actions []action, seed uint64) (fault string) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCell(t, 3, 4, 2, large)
+		r := &randomRun{cell: c, dead: make(map[peer.Ref]bool), gone: make(map[peer.Ref]bool), durable: &progress{done: make(map[int]bool)}, seed: seed}
+		defer c.shutDown()
+		r.newShard()
+		time.Sleep(5 * time.Second)
+		for _, a := range actions {
+			r.apply(a)
+			time.Sleep(a.Wait)
+		}
+		r.repair()
+		deadline := time.Now().Add(time.Hour)
+		for time.Now().Before(deadline) && r.unfinished() > 0 {
+			time.Sleep(time.Second)
+		}
+		if v := c.rack.Violations(); len(v) > 0 {
+			fault = strings.Join(v, "\n")
+		} else if n := r.unfinished(); n > 0 {
+			fault = fmt.Sprintf("%d tasks not finished an hour after the repair", n)
+		}
+		for _, s := range r.shards {
+			s.cancel()
+		}
+	})
+	return fault
+}
+
+func (r *randomRun) unfinished() int {
+	n := 0
+	for i := range modelTasks {
+		if !r.durable.finished(i) {
+			n++
+		}
+	}
+	return n
+}
+
+// TestRandomFaultsNeverRunATaskTwice drives the real owners, claims and store
+// client through random faults, alone and together. With FENNEL_LONG=1 it runs
+// a hundred times as long.
+func TestRandomFaultsNeverRunATaskTwice(t *testing.T) {
+	rounds := 1
+	if os.Getenv("FENNEL_LONG") != "" {
+		rounds = 100
+	}
+	for range rounds {
+		rapid.Check(t, func(rt *rapid.T) {
+			actions := drawActions(rt)
+			seed := rapid.Uint64().Draw(rt, "seed")
+			if fault := runActions(t, actions, seed); fault != "" {
+				rt.Fatalf("%v\n%s", actions, fault)
+			}
+		})
+	}
+}
+
+func replaceClaim(c *cell, claim ownership.Claim) error {
+	ctx, cancel := context.WithTimeout(c.ctx, time.Second)
+	defer cancel()
+	_, err := claimsOf(c).Update(ctx, "claims/"+string(claim.Resource), func([]byte, bool) ([]byte, error) {
+		return encodeClaim(claim)
+	})
+	return err
+}
--- /dev/null
+++ b/process/partition/shardmodel_test.go
@@ -0,0 +1,306 @@
+package partition
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"fennelshunt.example/fennelshunt/connection/peer"
+	"fennelshunt.example/fennelshunt/connection/worker"
+	"fennelshunt.example/fennelshunt/process/ownership"
+	"fennelshunt.example/fennelshunt/process/plan"
+	"fennelshunt.example/fennelshunt/version/spec"
+)
+
+// progress is what all owners of the shard share: what the store would hold.
+type progress struct {
+	mu   sync.Mutex
+	done map[int]bool
+}
+
+func (p *progress) finish(i int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.done[i] = true
+}
+
+func (p *progress) finished(i int) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.done[i]
+}
+
+type modelState int
+
+const (
+	doubtful modelState = iota // a new owner has not heard of all partitions yet
+	idle
+	held // may run in a partition
+)
+
+type modelTask struct {
+	state     modelState
+	partition string
+	worker    worker.ID
+	number    int
+}
+
+// modelPartition is what a shard knows of a partition.
+type modelPartition struct {
+	claim       ownership.Claim
+	fenced      uint64 // epoch of the owner that answered a fence
+	doubt       bool
+	unaccounted []worker.ID
+}
+
+// modelShard is a small owner of a shard that keeps the rules of package plan:
+// a task is started again only after it is known not to run. It reads claims
+// from the store until it is deaf; then it goes on with what it believes.
+type modelShard struct {
+	c          *cell
+	ref        peer.Ref
+	epoch      uint64
+	caller     peer.Caller
+	rng        *rand.Rand
+	tasks      int
+	durable    *progress
+	cancel     context.CancelFunc
+	deaf       bool
+	seq        uint64
+	attempts   int
+	partitions map[string]*modelPartition
+
+	mu      sync.Mutex
+	known   map[int]*modelTask
+	acks    map[string][]worker.Ref
+	running map[spec.TaskID]bool
+}
+
+func newModelShard(c *cell, epoch uint64, tasks int, durable *progress, seed uint64) *modelShard {
+	s := &modelShard{
+		c: c, epoch: epoch, tasks: tasks, durable: durable,
+		ref:        peer.Ref{ID: peer.MemberID(fmt.Sprintf("shard-%d", epoch)), Incarnation: 1},
+		rng:        rand.New(rand.NewPCG(seed, epoch)),
+		partitions: make(map[string]*modelPartition),
+		known:      make(map[int]*modelTask),
+		acks:       make(map[string][]worker.Ref),
+	}
+	caller, mux := c.net.Node(s.ref)
+	s.caller = caller
+	for i := range tasks {
+		s.known[i] = &modelTask{}
+	}
+	mux.Handle(plan.MethodEvents, func(_ context.Context, _ peer.Ref, payload []byte) (any, error) {
+		var msg plan.Events
+		if err := peer.Unmarshal(payload, &msg); err != nil {
+			return nil, err
+		}
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		for _, e := range msg.Events {
+			s.take(msg.Partition, e)
+		}
+		return nil, nil
+	})
+	return s
+}
+
+func (s *modelShard) run() {
+	ctx, cancel := context.WithCancel(s.c.ctx)
+	s.cancel = cancel
+	for ctx.Err() == nil {
+		for _, name := range s.c.partitionNames() {
+			if s.partitions[name] == nil {
+				s.partitions[name] = &modelPartition{doubt: true}
+			}
+			s.lookUp(name)
+			s.fenceIfNeeded(ctx, name)
+			s.sendAcks(ctx, name)
+		}
+		s.settleDoubt()
+		s.place(ctx)
+		time.Sleep(500 * time.Millisecond)
+	}
+}
+
+func (s *modelShard) lookUp(name string) {
+	if s.deaf {
+		return
+	}
+	p := s.partitions[name]
+	if claim, ok := s.c.storedClaim(resourceOf(name)); ok && claim.Epoch > p.claim.Epoch {
+		p.claim = claim
+		p.doubt = true
+	}
+}
+
+func (s *modelShard) as() plan.Authorship {
+	return plan.Authorship{Shard: testShard, Epoch: s.epoch, Owner: s.ref}
+}
+
+func (s *modelShard) call(ctx context.Context, p *modelPartition, m peer.Method, req, resp any) error {
+	ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
+	defer cancel()
+	return s.caller.Call(ctx, p.claim.Owner, m, req, resp)
+}
+
+func (s *modelShard) fenceIfNeeded(ctx context.Context, name string) {
+	p := s.partitions[name]
+	if p.claim.Epoch == 0 || (!p.doubt && len(p.unaccounted) == 0) {
+		return
+	}
+	s.seq++
+	var reply plan.FenceReply
+	err := s.call(ctx, p, plan.MethodFence, plan.Fence{
+		Partition: name, Author: s.as(), MinSeq: s.seq, Jobs: []string{"survey"},
+	}, &reply)
+	if err != nil {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p.fenced, p.doubt, p.unaccounted = p.claim.Epoch, false, reply.Unaccounted
+	listed := make(map[worker.Ref]bool)
+	for _, e := range reply.Tasks {
+		listed[worker.Ref{Task: e.Task, Attempt: e.Attempt}] = true
+		s.take(name, e)
+	}
+	for i, t := range s.known {
+		ref := worker.Ref{Task: taskID(i), Attempt: t.number}
+		if t.state == held && t.partition == name && !listed[ref] && !slices.Contains(p.unaccounted, t.worker) {
+			t.state = idle
+		}
+	}
+}
+
+// settleDoubt ends the doubt of a new owner once every partition has answered
+// and every worker is accounted for.
+func (s *modelShard) settleDoubt() {
+	for _, p := range s.partitions {
+		if p.fenced == 0 || p.doubt || len(p.unaccounted) > 0 {
+			return
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, t := range s.known {
+		if t.state == doubtful {
+			t.state = idle
+		}
+	}
+}
+
+// take takes one event; the caller holds mu.
+func (s *modelShard) take(partition string, e plan.Event) {
+	t := s.known[e.Task.Index]
+	ended := e.Lost || e.NotStarted || e.State.Ended()
+	if ended && !e.Lost && !e.NotStarted {
+		if e.State == worker.Succeeded {
+			s.durable.finish(e.Task.Index)
+		}
+		s.acks[partition] = append(s.acks[partition], worker.Ref{Task: e.Task, Attempt: e.Attempt})
+	}
+	switch {
+	case !ended && (t.state == doubtful || t.number < e.Attempt):
+		*t = modelTask{state: held, partition: partition, worker: e.Worker, number: e.Attempt}
+	case ended && t.state == held && t.number == e.Attempt:
+		t.state = idle
+	}
+}
+
+func (s *modelShard) sendAcks(ctx context.Context, name string) {
+	s.mu.Lock()
+	refs := s.acks[name]
+	delete(s.acks, name)
+	s.mu.Unlock()
+	if len(refs) == 0 {
+		return
+	}
+	err := s.call(ctx, s.partitions[name], plan.MethodAck, plan.Ack{Partition: name, Author: s.as(), Tasks: refs}, nil)
+	if err != nil {
+		s.mu.Lock()
+		s.acks[name] = append(s.acks[name], refs...)
+		s.mu.Unlock()
+	}
+}
+
+// place proposes one start for each idle task.
+func (s *modelShard) place(ctx context.Context) {
+	names := s.c.partitionNames()
+	for i := range s.tasks {
+		name := names[s.rng.IntN(len(names))]
+		p := s.partitions[name]
+		s.mu.Lock()
+		t := s.known[i]
+		ok := t.state == idle && !s.durable.finished(i) && p.fenced == p.claim.Epoch && !p.doubt
+		if !ok {
+			s.mu.Unlock()
+			continue
+		}
+		workers := s.c.workersOf(name)
+		s.attempts++
+		number := int(s.epoch)*100000 + s.attempts
+		*t = modelTask{state: held, partition: name, worker: workers[s.rng.IntN(len(workers))], number: number}
+		step := step(i, t.worker)
+		s.mu.Unlock()
+		step.Start.Attempt = number
+		step.Start.RunTime = spec.Duration(time.Duration(1+s.rng.IntN(120)) * time.Second)
+		s.commit(ctx, name, t, step)
+	}
+}
+
+func (s *modelShard) commit(ctx context.Context, name string, t *modelTask, step plan.Step) {
+	p := s.partitions[name]
+	s.seq++
+	var r plan.Result
+	err := s.call(ctx, p, plan.MethodCommit, plan.Plan{
+		Partition: name, Author: s.as(), Seq: s.seq, Steps: []plan.Step{step},
+	}, &r)
+	if err != nil {
+		p.doubt = true // a fence tells whether it was committed
+		return
+	}
+	if r.Steps[0].Outcome == plan.Accepted {
+		return
+	}
+	if r.Steps[0].Outcome == plan.NotOwner || r.Steps[0].Outcome == plan.Duplicate {
+		p.doubt = true
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if t.state == held && t.number == step.Start.Attempt {
+		t.state = idle
+	}
+}
+
+// storedClaim reads a claim as the store holds it.
+func (c *cell) storedClaim(r ownership.Resource) (ownership.Claim, bool) {
+	var newest ownership.Claim
+	for _, d := range c.daemons {
+		if claim, ok := d.manager.Owner(r); ok && claim.Epoch > newest.Epoch {
+			newest = claim
+		}
+	}
+	return newest, newest.Epoch > 0
+}
+
+func (c *cell) partitionNames() []string {
+	var names []string
+	for i := range c.racks {
+		names = append(names, PartitionOf(testZone, rackName(i)))
+	}
+	return names
+}
+
+func (c *cell) workersOf(partition string) []worker.ID {
+	var ids []worker.ID
+	for i := range c.workers {
+		if PartitionOf(testZone, rackName(i%c.racks)) == partition {
+			ids = append(ids, workerID(i))
+		}
+	}
+	return ids
+}
