Pack by what stays free in balance; count jobs per rack in one shared tree

Change: rate the imbalance relative to what stays free and keep off idle VMs; one persistent tree of (job, generation, rack).

--- a/process/sched/batch/batch.go
+++ b/process/sched/batch/batch.go
@@ -12,15 +12,11 @@
 	"fennelshunt.example/fennelshunt/version/spec"
 )
 
-// SampleSize bounds how many workers of one cell are rated. Workers of a cell
-// differ by less than one step in each dimension, so beyond this number the
-// choice may be worse than the best by Tolerance and no more; below it is exact.
+// SampleSize bounds how many workers of one cell are rated. Up to this number
+// the choice is the best; in a cell with more it is the best of so many whose
+// free capacity is alike to 1/snapshot.Levels in each dimension.
 const SampleSize = 512
 
-// Tolerance is how much worse than the best a score may be when a cell holds
-// more than SampleSize workers.
-const Tolerance = (2 + score.BalanceWeight) / snapshot.Levels
-
 // Place returns the best worker for the ask, or why there is none.
 func Place(v *snapshot.View, a *snapshot.Ask) snapshot.Decision {
 	best, found := Best(v, a)
--- /dev/null
+++ b/process/sched/differential_test.go
@@ -0,0 +1,141 @@
+package sched
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"fennelshunt.example/fennelshunt/connection/worker"
+	"fennelshunt.example/fennelshunt/process/sched/naive"
+	"fennelshunt.example/fennelshunt/version/spec"
+)
+
+// pair drives the planner and the naive scheduler side by side.
+type pair struct {
+	t       *rapid.T
+	planner *Planner
+	naive   *naive.Scheduler
+	running map[worker.Ref]worker.ID
+	order   []worker.Ref
+}
+
+func newPair(t *rapid.T) *pair {
+	s := shape{
+		workers: rapid.IntRange(1, 40).Draw(t, "workers"), capacity: res(64, 64),
+		rackSize: rapid.IntRange(1, 6).Draw(t, "rack size"), zones: rapid.IntRange(1, 3).Draw(t, "zones"),
+		accelEvery: rapid.IntRange(0, 3).Draw(t, "accelerators every"), accelerators: 2,
+	}
+	r := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
+	states := s.states(r, rapid.Bool().Draw(t, "varied"))
+	for i := range states {
+		if r.IntN(10) == 0 {
+			states[i].Unusable = "draining"
+		}
+	}
+	return &pair{t, NewPlanner(cacheOf(states).Snapshot()), naive.New(states), map[worker.Ref]worker.ID{}, nil}
+}
+
+func (p *pair) drawAsk(index int) Ask {
+	t := p.t
+	a := batchAsk(fmt.Sprint("job-", rapid.IntRange(0, 3).Draw(t, "job")), index, spec.Resources{
+		MilliCPU: rapid.Int64Range(0, 30).Draw(t, "cpu"), MemoryMB: rapid.Int64Range(1, 30).Draw(t, "memory"),
+		Accelerators: max(0, rapid.Int64Range(-4, 2).Draw(t, "accelerators")),
+	})
+	a.Task.Generation = rapid.Uint64Range(1, 2).Draw(t, "generation")
+	a.Kind = rapid.SampledFrom([]spec.Kind{spec.Batch, spec.Service}).Draw(t, "kind")
+	if rapid.IntRange(0, 3).Draw(t, "constrained") == 0 {
+		a.Constraints = spec.Constraints{
+			MaxPerWorker: rapid.IntRange(0, 2).Draw(t, "max per worker"),
+			Zones:        rapid.SampledFrom([][]string{nil, {"zone-0"}, {"zone-1", "zone-2"}}).Draw(t, "zones"),
+			Racks:        rapid.SampledFrom([][]string{nil, {"rack-0"}, {"rack-1", "rack-2"}}).Draw(t, "racks"),
+		}
+		a.Avoid = rapid.SampledFrom([][]worker.ID{nil, {"w00000", "w00001"}}).Draw(t, "avoid")
+	}
+	return a
+}
+
+// decide asks both and compares feasibility and rating.
+func (p *pair) decide(a Ask) (Decision, bool) {
+	d := p.planner.Place(a)
+	place := p.naive.PlaceBatch
+	if a.Kind == spec.Service {
+		place = p.naive.PlaceService
+	}
+	want, ok := place(&a)
+	require.Equal(p.t, ok, d.Placed(), "feasibility of %+v: %+v", a, d)
+	if !ok {
+		p.compareRejections(&a, d)
+		return d, false
+	}
+	got, best := p.naive.Worker(d.Worker), p.naive.Worker(want)
+	require.True(p.t, p.naive.Fits(&a, got))
+	if a.Kind == spec.Service {
+		require.Equal(p.t, want, d.Worker)
+	} else {
+		require.Equal(p.t, naive.Packing(&a, best), naive.Packing(&a, got))
+	}
+	return d, true
+}
+
+// compareRejections wants each worker counted once, and "infeasible" only when
+// an empty cell would not take the task either.
+func (p *pair) compareRejections(a *Ask, d Decision) {
+	n := 0
+	for _, r := range d.Rejections {
+		n += r.Workers
+	}
+	require.Equal(p.t, len(p.naive.Workers), n)
+	empty := naive.New(p.naive.Workers)
+	for i := range empty.Workers {
+		empty.Workers[i].Unusable, empty.Workers[i].Tasks = "", nil
+		empty.Workers[i].Reserved = spec.Resources{}
+	}
+	bare := *a
+	bare.Avoid = nil
+	_, ok := empty.PlaceBatch(&bare)
+	require.Equal(p.t, ok, d.Infeasible == "", "%+v: %+v", a, d)
+}
+
+func (p *pair) start(a Ask, d Decision) {
+	require.True(p.t, p.planner.Assume(a, d))
+	p.naive.Start(&a, d.Worker)
+	p.running[a.Ref()] = d.Worker
+	p.order = append(p.order, a.Ref())
+}
+
+func (p *pair) end(i int) {
+	ref := p.order[i]
+	p.order = append(p.order[:i], p.order[i+1:]...)
+	p.planner.Forget(ref)
+	p.naive.End(ref, p.running[ref])
+}
+
+func (p *pair) compareWorkers() {
+	for i := range p.naive.Workers {
+		w := &p.naive.Workers[i]
+		got := p.planner.View().Lookup(w.ID)
+		require.Equal(p.t, w.Reserved, got.Reserved)
+		require.True(p.t, got.Reserved.Fits(got.Capacity))
+	}
+	require.NoError(p.t, p.planner.View().Check())
+}
+
+func TestDecisionsAgainstNaive(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := newPair(t)
+		for i := range rapid.IntRange(1, 120).Draw(t, "steps") {
+			if len(p.order) > 0 && rapid.IntRange(0, 3).Draw(t, "action") == 0 {
+				p.end(rapid.IntRange(0, len(p.order)-1).Draw(t, "ended"))
+				continue
+			}
+			a := p.drawAsk(i)
+			if d, ok := p.decide(a); ok {
+				p.start(a, d)
+			}
+		}
+		p.compareWorkers()
+	})
+}
--- /dev/null
+++ b/process/sched/naive/naive.go
@@ -0,0 +1,191 @@
+// Package naive is the plain scheduler that the real one is tested and measured
+// against: it looks at every worker for every decision, recounts everything
+// each time, and keeps no index and no cache. It states the policy in the
+// simplest form; what it calls the best is the best.
+package naive
+
+import (
+	"math"
+	"slices"
+	"strings"
+
+	"fennelshunt.example/fennelshunt/connection/worker"
+	"fennelshunt.example/fennelshunt/process/plan"
+	"fennelshunt.example/fennelshunt/process/sched/score"
+	"fennelshunt.example/fennelshunt/process/sched/snapshot"
+	"fennelshunt.example/fennelshunt/version/spec"
+)
+
+// Scheduler holds the workers as they were last reported.
+type Scheduler struct {
+	Workers []plan.WorkerState
+}
+
+// New returns a scheduler on a copy of the workers.
+func New(workers []plan.WorkerState) *Scheduler {
+	s := &Scheduler{Workers: slices.Clone(workers)}
+	for i := range s.Workers {
+		s.Workers[i].Tasks = slices.Clone(workers[i].Tasks)
+	}
+	return s
+}
+
+// Fits reports whether the ask may run on a worker now.
+func (s *Scheduler) Fits(a *snapshot.Ask, w *plan.WorkerState) bool {
+	c := &a.Constraints
+	switch {
+	case w.Unusable != "", w.Gone:
+		return false
+	case len(c.Zones) > 0 && !slices.Contains(c.Zones, w.Zone):
+		return false
+	case len(c.Racks) > 0 && !slices.Contains(c.Racks, w.Rack):
+		return false
+	case slices.Contains(a.Avoid, w.ID):
+		return false
+	case c.MaxPerWorker > 0 && countJob(w, a.Task.Job) >= c.MaxPerWorker:
+		return false
+	}
+	return a.Size.Fits(w.Capacity.Sub(w.Reserved))
+}
+
+func countJob(w *plan.WorkerState, job string) int {
+	n := 0
+	for i := range w.Tasks {
+		if w.Tasks[i].Ref.Task.Job == job {
+			n++
+		}
+	}
+	return n
+}
+
+// Packing rates a worker as the batch policy does; less is better.
+func Packing(a *snapshot.Ask, w *plan.WorkerState) float64 {
+	free := w.Capacity.Sub(w.Reserved)
+	ref := snapshot.Reference(w.Capacity)
+	e := snapshot.Entry{
+		CPU: free.MilliCPU, Memory: free.MemoryMB, Accel: int16(free.Accelerators), Idle: w.Reserved.IsZero(),
+	}
+	return score.Packing(&a.Size, &e, &ref)
+}
+
+// PlaceBatch returns the feasible worker with the least packing score.
+func (s *Scheduler) PlaceBatch(a *snapshot.Ask) (worker.ID, bool) {
+	best, rating := -1, math.Inf(1)
+	for i := range s.Workers {
+		if !s.Fits(a, &s.Workers[i]) {
+			continue
+		}
+		if r := Packing(a, &s.Workers[i]); r < rating {
+			best, rating = i, r
+		}
+	}
+	if best < 0 {
+		return "", false
+	}
+	return s.Workers[best].ID, true
+}
+
+// Spread rates a worker as the service policy does: instances of the ask's
+// generation and then of others in its zone, the same in its rack, then tasks
+// of the job on the worker. It is compared field by field, less is better.
+func (s *Scheduler) Spread(a *snapshot.Ask, w *plan.WorkerState) [5]int {
+	var counts [5]int
+	for i := range s.Workers {
+		other := &s.Workers[i]
+		if other.Zone != w.Zone {
+			continue
+		}
+		for j := range other.Tasks {
+			task := other.Tasks[j].Ref.Task
+			if task.Job != a.Task.Job {
+				continue
+			}
+			old := 0
+			if task.Generation != a.Task.Generation {
+				old = 1
+			}
+			if a.Constraints.Spread != spec.SpreadRack {
+				counts[old]++
+			}
+			if other.Rack == w.Rack {
+				counts[2+old]++
+			}
+		}
+	}
+	counts[4] = countJob(w, a.Task.Job)
+	return counts
+}
+
+// PlaceService returns the feasible worker with the least spread, the least
+// packing score among equals, and the lowest id among those.
+func (s *Scheduler) PlaceService(a *snapshot.Ask) (worker.ID, bool) {
+	best := -1
+	for i := range s.Workers {
+		if s.Fits(a, &s.Workers[i]) && (best < 0 || s.better(a, i, best)) {
+			best = i
+		}
+	}
+	if best < 0 {
+		return "", false
+	}
+	return s.Workers[best].ID, true
+}
+
+func (s *Scheduler) better(a *snapshot.Ask, i, best int) bool {
+	w, b := &s.Workers[i], &s.Workers[best]
+	x, y := s.Spread(a, w), s.Spread(a, b)
+	if c := slices.Compare(x[:], y[:]); c != 0 {
+		return c < 0
+	}
+	if p, q := Packing(a, w), Packing(a, b); p != q {
+		return p < q
+	}
+	return strings.Compare(string(w.ID), string(b.ID)) < 0
+}
+
+// PlaceGang puts task after task on the best worker, taking all back when one
+// does not fit.
+func (s *Scheduler) PlaceGang(asks []snapshot.Ask) ([]worker.ID, bool) {
+	trial := New(s.Workers)
+	var ids []worker.ID
+	for i := range asks {
+		id, ok := trial.PlaceBatch(&asks[i])
+		if !ok {
+			return nil, false
+		}
+		trial.Start(&asks[i], id)
+		ids = append(ids, id)
+	}
+	return ids, true
+}
+
+// Worker returns a worker by its id.
+func (s *Scheduler) Worker(id worker.ID) *plan.WorkerState {
+	for i := range s.Workers {
+		if s.Workers[i].ID == id {
+			return &s.Workers[i]
+		}
+	}
+	return nil
+}
+
+// Start counts a task as started.
+func (s *Scheduler) Start(a *snapshot.Ask, id worker.ID) {
+	w := s.Worker(id)
+	w.Reserved = w.Reserved.Add(a.Size)
+	w.Tasks = append(w.Tasks, plan.RunningTask{
+		Ref: a.Ref(), Size: a.Size, Class: a.Class, Team: a.Team, Kind: a.Kind, NonIdempotent: a.NonIdempotent,
+	})
+}
+
+// End counts a task as ended.
+func (s *Scheduler) End(ref worker.Ref, id worker.ID) {
+	w := s.Worker(id)
+	w.Tasks = slices.DeleteFunc(w.Tasks, func(t plan.RunningTask) bool {
+		if t.Ref != ref {
+			return false
+		}
+		w.Reserved = w.Reserved.Sub(t.Size)
+		return true
+	})
+}
--- a/process/sched/score/packing.go
+++ b/process/sched/score/packing.go
@@ -9,33 +9,55 @@
 	"fennelshunt.example/fennelshunt/version/spec"
 )
 
-// Weights of the packing score.
+// Weights of the packing score, chosen by measurement: docs/PLACEMENT.md.
 const (
 	// BalanceWeight rates how unlike the free shares of processors and memory
-	// are after the placement: a VM with memory and no processors left is lost.
-	BalanceWeight = 0.5
+	// are after the placement, relative to their sum: a VM with memory and no
+	// processors left is lost to everybody.
+	BalanceWeight = 4
+	// balanceFloor keeps the relation defined, and calm, on a VM nearly full.
+	balanceFloor = 0.02
+	// IdlePenalty keeps work off an idle VM while another will do, so that at
+	// low load whole VMs stay free for large tasks.
+	IdlePenalty = 0.75
 	// AcceleratorPenalty keeps work without accelerators off VMs that have
 	// them while any other VM has room.
 	AcceleratorPenalty = 10
 )
 
-// Packing rates a worker by the share of it that would stay free: the sum over
-// both dimensions, and their difference. ref is the class's reference capacity.
+// Packing rates a worker by what would stay free on it: the sum of the shares
+// of processors and memory, and their imbalance. ref is the reference capacity
+// of the worker's class.
 func Packing(size *spec.Resources, e *snapshot.Entry, ref *spec.Resources) float64 {
 	cpu := float64(e.CPU-size.MilliCPU) / float64(ref.MilliCPU)
 	mem := float64(e.Memory-size.MemoryMB) / float64(ref.MemoryMB)
-	s := cpu + mem + BalanceWeight*math.Abs(cpu-mem)
-	return s + accelerators(size, int64(e.Accel), ref)
+	s := cpu + mem + imbalance(cpu, mem) + accelerators(size, int64(e.Accel), ref)
+	if e.Idle {
+		s += IdlePenalty
+	}
+	return s
 }
 
-// PackingBound returns a lower bound of Packing over a cell.
+// PackingBound returns a lower bound of Packing over a cell. The imbalance
+// grows with the larger share and falls with the smaller one, so it is least
+// at a corner, or nothing where the shares can be equal.
 func PackingBound(size *spec.Resources, b snapshot.Bounds, ref *spec.Resources) float64 {
 	loCPU := float64(max(0, b.MinCPU-size.MilliCPU)) / float64(ref.MilliCPU)
 	hiCPU := float64(b.MaxCPU-size.MilliCPU) / float64(ref.MilliCPU)
 	loMem := float64(max(0, b.MinMemory-size.MemoryMB)) / float64(ref.MemoryMB)
 	hiMem := float64(b.MaxMemory-size.MemoryMB) / float64(ref.MemoryMB)
-	s := loCPU + loMem + BalanceWeight*max(0, loCPU-hiMem, loMem-hiCPU)
-	return s + accelerators(size, size.Accelerators, ref)
+	s := loCPU + loMem + accelerators(size, size.Accelerators, ref)
+	switch {
+	case loCPU > hiMem:
+		s += imbalance(loCPU, hiMem)
+	case loMem > hiCPU:
+		s += imbalance(hiCPU, loMem)
+	}
+	return s
+}
+
+func imbalance(cpu, mem float64) float64 {
+	return BalanceWeight * math.Abs(cpu-mem) / (cpu + mem + balanceFloor)
 }
 
 // accelerators rates what stays free of them, as a share.
@@ -51,7 +73,6 @@
 
 // PackingWorker rates a worker by its record.
 func PackingWorker(v *snapshot.View, a *snapshot.Ask, w *snapshot.Worker) float64 {
-	free := w.Free()
-	e := snapshot.Entry{CPU: free.MilliCPU, Memory: free.MemoryMB, Accel: int32(free.Accelerators)}
+	e := snapshot.EntryOf(w)
 	return Packing(&a.Size, &e, v.Reference(w))
 }
--- a/process/sched/service/count.go
+++ b/process/sched/service/count.go
@@ -29,10 +29,8 @@
 // Count reads a job's counts; its cost is that of the racks that have any.
 func Count(v *snapshot.View, task spec.TaskID) Counts {
 	c := Counts{racks: map[int32]Load{}, zones: map[string]Load{}}
-	v.JobRacks(task.Job, func(generation uint64, racks map[int32]int32) {
-		for rack, n := range racks {
-			c.add(v, rack, n, generation == task.Generation)
-		}
+	v.JobRacks(task.Job, func(generation uint64, rack, n int32) {
+		c.add(v, rack, n, generation == task.Generation)
 	})
 	return c
 }
--- a/process/sched/snapshot/cell.go
+++ b/process/sched/snapshot/cell.go
@@ -1,16 +1,30 @@
 package snapshot
 
-import "fennelshunt.example/fennelshunt/version/spec"
+import (
+	"math"
+
+	"fennelshunt.example/fennelshunt/version/spec"
+)
 
 // Entry is what a cell holds of a worker: enough to filter and score it
 // without a look at its record.
 type Entry struct {
 	CPU    int64 // free milli processors
 	Memory int64 // free MB
-	Accel  int32 // free accelerators
+	Accel  int16 // free accelerators
+	Idle   bool  // nothing is reserved
 	Worker Index
 }
 
+// EntryOf returns the entry of a worker.
+func EntryOf(w *Worker) Entry {
+	free := w.Free()
+	return Entry{
+		CPU: free.MilliCPU, Memory: free.MemoryMB, Accel: int16(min(free.Accelerators, math.MaxInt16)),
+		Idle: w.Reserved.IsZero(), Worker: w.index,
+	}
+}
+
 // Fits reports whether a task of this size fits.
 func (e *Entry) Fits(size *spec.Resources) bool {
 	return size.MilliCPU <= e.CPU && size.MemoryMB <= e.Memory && size.Accelerators <= int64(e.Accel)
--- a/process/sched/snapshot/class.go
+++ b/process/sched/snapshot/class.go
@@ -154,3 +154,9 @@
 }
 
 func ceilDiv(a, b int64) int64 { return (a + b - 1) / b }
+
+// Reference returns the reference capacity of the class of a capacity.
+func Reference(capacity spec.Resources) spec.Resources {
+	key := classOf("", capacity)
+	return spec.Resources{MilliCPU: key.cpu, MemoryMB: key.mem, Accelerators: key.accel}
+}
--- a/process/sched/snapshot/jobs.go
+++ b/process/sched/snapshot/jobs.go
@@ -6,29 +6,29 @@
 	"github.com/google/btree"
 )
 
-// jobKey names one generation of a job.
-type jobKey struct {
+// jobCount is how many tasks of one generation of a job a rack has.
+type jobCount struct {
 	job        string
 	generation uint64
+	rack       int32
+	tasks      int32
 }
 
-// jobCount counts the tasks of one generation of a job per rack.
-type jobCount struct {
-	key   jobKey
-	owner *owner
-	racks map[int32]int32
-}
-
-func jobLess(a, b *jobCount) bool {
-	if c := strings.Compare(a.key.job, b.key.job); c != 0 {
+func jobLess(a, b jobCount) bool {
+	if c := strings.Compare(a.job, b.job); c != 0 {
 		return c < 0
 	}
-	return a.key.generation < b.key.generation
+	if a.generation != b.generation {
+		return a.generation < b.generation
+	}
+	return a.rack < b.rack
 }
 
-// jobIndex counts tasks per job and rack. Its clones share what is not written.
+// jobIndex counts tasks per job and rack. It is one tree over all, in place of
+// a map per job: a fork that touches a job copies a path of the tree and not
+// the job's whole map, which has an entry per rack of the cell.
 type jobIndex struct {
-	tree *btree.BTreeG[*jobCount]
+	tree *btree.BTreeG[jobCount]
 }
 
 // jobTreeDegree is the fan-out of the tree of jobs.
@@ -39,37 +39,26 @@
 func (x *jobIndex) clone() *jobIndex { return &jobIndex{x.tree.Clone()} }
 
 // add changes the count of a job's tasks in a rack.
-func (x *jobIndex) add(o *owner, key jobKey, rack, delta int32) {
-	c, ok := x.tree.Get(&jobCount{key: key})
-	if !ok || c.owner != o {
-		n := &jobCount{key: key, owner: o, racks: map[int32]int32{}}
-		if ok {
-			for r, count := range c.racks {
-				n.racks[r] = count
-			}
-		}
-		c = n
-		x.tree.ReplaceOrInsert(c)
+func (x *jobIndex) add(key jobCount, delta int32) {
+	if old, ok := x.tree.Get(key); ok {
+		key.tasks = old.tasks
 	}
-	c.racks[rack] += delta
-	if c.racks[rack] != 0 {
+	key.tasks += delta
+	if key.tasks == 0 {
+		x.tree.Delete(key)
 		return
 	}
-	delete(c.racks, rack)
-	if len(c.racks) == 0 {
-		x.tree.Delete(c)
-	}
+	x.tree.ReplaceOrInsert(key)
 }
 
-// JobRacks calls f with the number of tasks per rack for each generation of a
-// job that has any. f must not keep or change the map.
-func (t *Table) JobRacks(job string, f func(generation uint64, racks map[int32]int32)) {
-	from := &jobCount{key: jobKey{job: job}}
-	t.jobs.tree.AscendGreaterOrEqual(from, func(c *jobCount) bool {
-		if c.key.job != job {
+// JobRacks calls f with the number of tasks in each rack, for each generation
+// of a job that has any there.
+func (t *Table) JobRacks(job string, f func(generation uint64, rack, tasks int32)) {
+	t.jobs.tree.AscendGreaterOrEqual(jobCount{job: job}, func(c jobCount) bool {
+		if c.job != job {
 			return false
 		}
-		f(c.key.generation, c.racks)
+		f(c.generation, c.rack, c.tasks)
 		return true
 	})
 }
@@ -77,11 +66,7 @@
 // JobTasks returns how many tasks of any generation of a job are known.
 func (t *Table) JobTasks(job string) int {
 	n := 0
-	t.JobRacks(job, func(_ uint64, racks map[int32]int32) {
-		for _, count := range racks {
-			n += int(count)
-		}
-	})
+	t.JobRacks(job, func(_ uint64, _, tasks int32) { n += int(tasks) })
 	return n
 }
 
@@ -93,5 +78,5 @@
 
 func (t *Table) countTask(w *Worker, task *Task, delta int32) {
 	g := task.group.Value()
-	t.jobs.add(t.owner, jobKey{g.Job, g.Generation}, w.rack, delta)
+	t.jobs.add(jobCount{job: g.Job, generation: g.Generation, rack: w.rack}, delta)
 }
--- a/process/sched/snapshot/table.go
+++ b/process/sched/snapshot/table.go
@@ -135,10 +135,9 @@
 	if s.worker.Unusable != "" {
 		return
 	}
-	free := s.worker.Free()
 	c := t.writableClass(s.worker.class)
-	s.cell = c.cellOf(free)
-	s.position = c.insert(t.owner, s.cell, entryOf(s.worker.index, free))
+	s.cell = c.cellOf(s.worker.Free())
+	s.position = c.insert(t.owner, s.cell, EntryOf(s.worker))
 }
 
 func (t *Table) unindex(s *slot) {
@@ -152,9 +151,5 @@
 	s.position = -1
 }
 
-func entryOf(i Index, free spec.Resources) Entry {
-	return Entry{CPU: free.MilliCPU, Memory: free.MemoryMB, Accel: int32(free.Accelerators), Worker: i}
-}
-
 // Reference returns the reference capacity of a worker's class.
 func (t *Table) Reference(w *Worker) *spec.Resources { return &t.classes[w.class].Reference }
