Answer at the deadline while the attempt learns its end; measure the pace by counts

Timers per request woke the network thread. The pace of starts, an average of intervals, was far too fast after each burst. Change: one timer serves all deadlines; at a deadline the caller is answered at once with what is known, and the attempt goes on to learn the endpoint's end; the pace is starts counted over fading time spent waiting; the share of the deadline that may be waited adapts to the requests that came too late.

--- a/request/admission/admission.go
+++ b/request/admission/admission.go
@@ -120,7 +120,7 @@
 	if err != nil {
 		return nil, err
 	}
-	pass := &Pass{queue: q}
+	pass := &Pass{queue: q, waited: w != nil}
 	if w == nil {
 		return pass, nil
 	}
@@ -164,6 +164,7 @@
 	queue   *queue
 	state   passState
 	started time.Time
+	waited  bool
 }
 
 type passState int
@@ -182,15 +183,23 @@
 	}
 }
 
-// Done tells that the request has ended; whole when it was answered.
-func (p *Pass) Done(whole bool) {
+// End tells how a request ended.
+type End int
+
+// Ends. Late means that its deadline passed while it ran.
+const (
+	Other End = iota
+	Whole
+	Late
+)
+
+// Done tells that the request has ended.
+func (p *Pass) Done(end End) {
 	switch p.state {
 	case passWaiting:
 		p.queue.dropped()
 	case passStarted:
-		if whole {
-			p.queue.served(time.Since(p.started))
-		}
+		p.queue.served(p, end)
 	}
 	p.state = passDone
 }
--- a/request/admission/pace.go
+++ b/request/admission/pace.go
@@ -1,20 +1,31 @@
 package admission
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
-	// paceWeight is how much one start moves the estimate of the interval
-	// between starts.
-	paceWeight = 0.05
-	// paceSamples is how many starts are needed for an estimate.
-	paceSamples = 8
-	// waitShare is the part of the time to the deadline that may be spent
-	// waiting by the estimate; the rest covers its error.
-	waitShare = 0.9
-	// staleAfter is how long an interval is believed; load and instances
-	// change.
+	// memory is the time constant, in seconds of waiting, over which starts are
+	// counted. It spans several bursts: slots that were taken together come
+	// free together.
+	memory = 1.0
+	// fewStarts is how many starts are needed for an estimate.
+	fewStarts = 4
+	// firstShare is the part of the time to the deadline that may be spent
+	// waiting by the estimate, to begin with; the rest covers its error. It
+	// falls by missStep with each request that waited and came too late, and
+	// rises by meetStep with each that came in time, so that about 1 in 70
+	// that waited comes too late.
+	firstShare = 0.8
+	leastShare = 0.2
+	missStep   = 0.95
+	meetStep   = 0.0005
+	// staleAfter is how long an estimate is believed when nobody has waited
+	// since; load and instances change.
 	staleAfter = 2 * time.Second
-	// windowTime is how long a request should wait inside the window.
+	// windowTime is how long a request should wait inside the window, in
+	// seconds.
 	windowTime = 0.05
 	minWindow  = 4
 	// forgetting moves the least service time up, so that an old one is
@@ -25,41 +36,38 @@
 // pace estimates how fast a service's requests start while some wait, and how
 // long the shortest take.
 type pace struct {
-	interval  float64 // seconds between starts while others wait
-	samples   int
-	last      time.Time // of the last start with others waiting; zero: none
-	sampled   time.Time // when interval was last measured
-	shortest  float64   // seconds from slot to end
-	estimated bool
+	busy     float64   // seconds during which some waited, fading
+	starts   float64   // in busy, fading
+	last     time.Time // of the last start or the wait's beginning; zero: nobody waits
+	idle     time.Time // when the last wait ended
+	shortest float64   // seconds from slot to end
+	share    float64   // of the time to the deadline that may be waited
 }
 
-// backlog notes that a request has begun to wait.
+// backlog notes that a request has begun to wait; waiting includes it.
 func (p *pace) backlog(waiting int, now time.Time) {
-	if waiting == 1 {
-		p.last = now
+	if waiting != 1 {
+		return
+	}
+	if now.Sub(p.idle) > staleAfter {
+		p.busy, p.starts = 0, 0
 	}
+	p.last = now
 }
 
 // start notes a start; waiting tells how many wait behind it.
 func (p *pace) start(waiting int, now time.Time) {
-	if !p.last.IsZero() && waiting > 0 {
-		p.sample(now.Sub(p.last).Seconds(), now)
-	}
-	p.last = now
 	if waiting == 0 {
-		p.last = time.Time{}
+		p.last, p.idle = time.Time{}, now
+		return
 	}
-}
-
-func (p *pace) sample(seconds float64, now time.Time) {
-	if p.stale(now) {
-		p.samples = 0
+	if !p.last.IsZero() {
+		passed := now.Sub(p.last).Seconds()
+		fade := math.Exp(-passed / memory)
+		p.busy = p.busy*fade + passed
+		p.starts = p.starts*fade + 1
 	}
-	p.sampled = now
-	p.samples++
-	weight := max(paceWeight, 1/float64(p.samples))
-	p.interval += weight * (seconds - p.interval)
-	p.estimated = p.samples >= paceSamples
+	p.last = now
 }
 
 // served notes the time from a slot to the end of the request.
@@ -72,41 +80,46 @@
 	p.shortest = min(s, p.shortest*forgetting)
 }
 
-// stale reports whether the interval is too old to be believed.
-func (p *pace) stale(now time.Time) bool {
-	return now.Sub(p.sampled).Seconds() > staleAfter.Seconds()+4*p.interval
+// met and missed tell how a request ended that had waited.
+func (p *pace) met()    { p.share = min(1, p.share+meetStep) }
+func (p *pace) missed() { p.share = max(leastShare, p.share*missStep) }
+
+// interval returns the seconds between two starts; 0 when not known. The time
+// since the last start counts, so that a stall shows at once.
+func (p *pace) interval(now time.Time) float64 {
+	if p.starts < fewStarts {
+		return 0
+	}
+	stalled := 0.0
+	if !p.last.IsZero() {
+		stalled = now.Sub(p.last).Seconds()
+	}
+	return (p.busy + stalled) / p.starts
 }
 
 // window returns how many requests may wait in the slots' own order, so that
 // they wait there about windowTime: what waits there is beyond the fair order
 // between teams.
-func (p *pace) window(limit int) int {
-	if !p.estimated || p.interval <= 0 {
+func (p *pace) window(limit int, now time.Time) int {
+	interval := p.interval(now)
+	if interval <= 0 {
 		return limit
 	}
-	return min(limit, max(minWindow, int(windowTime/p.interval)))
+	return min(limit, max(minWindow, int(windowTime/interval)))
 }
 
-// wait estimates the wait of a request with that many ahead of it. A stall
-// counts: when nothing has started for longer than the estimate, the interval
-// is at least that long.
+// wait estimates the wait of a request with that many ahead of it.
 func (p *pace) wait(ahead int, now time.Time) time.Duration {
 	if ahead == 0 {
 		return 0
 	}
-	interval := 0.0
-	if p.estimated && !p.stale(now) {
-		interval = p.interval
-	}
-	if !p.last.IsZero() {
-		interval = max(interval, now.Sub(p.last).Seconds()/float64(max(1, ahead)))
-	}
-	return time.Duration(float64(ahead) * interval * float64(time.Second))
+	wait := float64(ahead) * p.interval(now)
+	return time.Duration(wait * float64(time.Second))
 }
 
 // fits reports whether a request that waits that long from now can end by the
 // deadline.
 func (p *pace) fits(wait time.Duration, now, deadline time.Time) bool {
-	needed := wait.Seconds()/waitShare + p.shortest
+	needed := wait.Seconds()/p.share + p.shortest
 	return needed <= deadline.Sub(now).Seconds()
 }
--- a/request/admission/queue.go
+++ b/request/admission/queue.go
@@ -54,7 +54,7 @@
 }
 
 func newQueue(o *Options) *queue {
-	return &queue{opts: o, teams: map[string]*team{}}
+	return &queue{opts: o, teams: map[string]*team{}, pace: pace{share: firstShare}}
 }
 
 // enter admits the request at once (nil, nil), queues it, or refuses it.
@@ -64,7 +64,7 @@
 	if !now.Before(r.Deadline) {
 		return nil, overloaded(CodeDeadline, errDeadline, 0)
 	}
-	if q.waiting == 0 && q.inside < q.pace.window(q.opts.Window) {
+	if q.waiting == 0 && q.inside < q.pace.window(q.opts.Window, now) {
 		// Requests inside wait too, in the slots' own order.
 		if wait := q.pace.wait(q.inside, now); !q.pace.fits(wait, now, r.Deadline) {
 			return nil, overloaded(CodeWait, errWait, wait)
@@ -166,8 +166,8 @@
 
 // next admits waiting requests while the window has room: of the team that is
 // furthest behind its share the one with the earliest deadline.
-func (q *queue) next() {
-	for q.inside < q.pace.window(q.opts.Window) && q.waiting > 0 {
+func (q *queue) next(now time.Time) {
+	for q.inside < q.pace.window(q.opts.Window, now) && q.waiting > 0 {
 		var t *team
 		for _, other := range q.teams {
 			if t == nil || other.finish < t.finish || other.finish == t.finish && other.name < t.name {
@@ -189,7 +189,7 @@
 	defer q.mu.Unlock()
 	q.inside--
 	q.pace.start(q.inside+q.waiting, now)
-	q.next()
+	q.next(now)
 	return now
 }
 
@@ -198,13 +198,21 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.inside--
-	q.next()
+	q.next(time.Now())
 }
 
-func (q *queue) served(d time.Duration) {
+func (q *queue) served(p *Pass, end End) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.pace.served(d)
+	switch {
+	case end == Whole:
+		q.pace.served(time.Since(p.started))
+		if p.waited {
+			q.pace.met()
+		}
+	case end == Late && p.waited:
+		q.pace.missed()
+	}
 }
 
 // leave takes a waiter out whose caller or deadline has gone; when it was
@@ -217,7 +225,7 @@
 			return nil, err
 		}
 		q.inside--
-		q.next()
+		q.next(time.Now())
 		pass.state = passDone
 	} else {
 		q.give(w, nil)
@@ -260,6 +268,7 @@
 	for _, w := range hopeless {
 		var refusal *verdict.Error = overloaded(CodeWait, errWait, q.pace.wait(q.waiting, now))
 		q.give(w, refusal)
+		q.pace.missed()
 	}
 	q.schedule()
 }
--- a/request/forward/answer.go
+++ b/request/forward/answer.go
@@ -41,9 +41,9 @@
 }
 
 // check refuses answers that must not be passed on.
-func (a *Answer) check(id string) error {
+func (a *Answer) check(id string) *verdict.Error {
 	if a.Status == http.StatusServiceUnavailable && a.Header.Get(RefusedHeader) == RefusedBeforeWork {
-		a.drain(io.Discard)
+		a.Discard()
 		return unsent(CodeRefused, errRefused)
 	}
 	if got := a.Header.Get(RequestIDHeader); got != "" && got != id {
@@ -98,10 +98,10 @@
 	return newError(verdict.MayHaveRun, http.StatusBadGateway, CodeTruncated, err)
 }
 
-// drain reads the rest of the body into w, which takes everything, within
-// drainLimit.
-func (a *Answer) drain(w io.Writer) {
-	n, err := io.Copy(w, io.LimitReader(a.resp.Body, drainLimit))
+// Discard reads the rest of the body and drops it, within a limit, to learn
+// that the endpoint has ended.
+func (a *Answer) Discard() {
+	n, err := io.Copy(io.Discard, io.LimitReader(a.resp.Body, drainLimit))
 	if err == nil && n < drainLimit {
 		a.whole = true
 	}
@@ -149,7 +149,7 @@
 		if n > 0 {
 			if _, werr := w.Write(buf[:n]); werr != nil {
 				if err == nil {
-					a.drain(io.Discard)
+					a.Discard()
 				}
 				return true, newError(verdict.Ran, http.StatusBadGateway, CodeCallerClosed, errCallerGone)
 			}
--- a/request/forward/conn.go
+++ b/request/forward/conn.go
@@ -55,6 +55,15 @@
 	return x.wrote
 }
 
+// sealUnwritten forbids writing unless a byte was written, and reports whether
+// one was.
+func (x *exchange) sealUnwritten() (wrote bool) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.sealed = x.sealed || !x.wrote
+	return x.wrote
+}
+
 // mayConnect is called when the Transport looks for a connection, a second
 // time when it is about to send the request again.
 func (x *exchange) mayConnect() {
--- a/request/forward/send.go
+++ b/request/forward/send.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -33,6 +34,38 @@
 	Body          io.Reader // nil for none
 	ContentLength int64     // -1 when not known
 	ID            string
+
+	mu      sync.Mutex
+	current *exchange // of the attempt in progress
+	sent    bool      // by an attempt that may have run
+	givenUp bool
+}
+
+// GiveUp forbids what has not been sent yet: an attempt in progress that has
+// written nothing will write nothing, and no other begins. It reports whether
+// the request may have run; an attempt that has been sent goes on.
+func (o *Outgoing) GiveUp() (sent bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.givenUp = true
+	return o.sent || o.current != nil && o.current.sealUnwritten()
+}
+
+// begin makes x the attempt in progress; false after GiveUp.
+func (o *Outgoing) begin(x *exchange) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.current = x
+	return !o.givenUp
+}
+
+// end notes how the attempt in progress failed.
+func (o *Outgoing) end(err *verdict.Error) error {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.current = nil
+	o.sent = o.sent || err.Verdict != verdict.NotRun
+	return err
 }
 
 // callerBody remembers an error of the caller's body, to tell it from the
@@ -81,6 +114,10 @@
 			x.use(guarded(i.Conn))
 		},
 	})
+	if !o.begin(x) {
+		cancel(nil)
+		return nil, newError(verdict.NotRun, http.StatusGatewayTimeout, CodeDeadline, errDeadline)
+	}
 	t := f.target(e)
 	r, body := o.request(t.scheme, e)
 	t.begin()
@@ -91,13 +128,13 @@
 		failure := classify(ctx, err, wrote, body)
 		cancel(nil)
 		t.end()
-		return nil, failure
+		return nil, o.end(failure)
 	}
 	a := &Answer{Status: resp.StatusCode, Header: resp.Header, HeaderTime: time.Since(start),
 		resp: resp, target: t, cancel: cancel, ctx: ctx}
 	if err := a.check(o.ID); err != nil {
 		a.Close()
-		return nil, err
+		return nil, o.end(err)
 	}
 	return a, nil
 }
--- a/request/gateway/attempt.go
+++ b/request/gateway/attempt.go
@@ -1,7 +1,7 @@
 package gateway
 
 import (
-	"context"
+	"errors"
 	"net/http"
 	"time"
 
@@ -18,25 +18,40 @@
 
 // servePlain serves a request without idempotency key.
 func (g *Gateway) servePlain(c *call) {
-	wait, stop := context.WithDeadline(c.in.Context(), c.deadline)
-	defer stop()
-	pass, err := g.admit(c, wait)
+	pass, err := g.admit(c)
 	if err != nil {
 		c.fail(err)
 		return
 	}
-	final, err := g.attemptAll(c, wait, pass, c.deliver)
-	pass.Done(err == nil)
+	final, err := g.attemptAll(c, pass, c.deliver)
+	pass.Done(endOf(err))
 	c.finish(final, err)
 }
 
+// endOf tells admission how the attempts ended.
+func endOf(err error) admission.End {
+	switch {
+	case err == nil:
+		return admission.Whole
+	case errors.Is(err, errAnswered), verdict.As(err).Code == forward.CodeDeadline:
+		return admission.Late
+	default:
+		return admission.Other
+	}
+}
+
 // deliver passes the answer on as it comes.
 func (c *call) deliver(a *forward.Answer) (bool, error) {
+	if !c.reply.claim() {
+		a.Discard()
+		return true, errAnswered
+	}
 	c.answerHeader(verdict.Ran)
-	c.status = a.Status
+	c.reply.note(a.Status, verdict.Ran, "")
 	sent, err := a.Deliver(c.w)
 	if !sent {
 		c.w.Header().Del(verdict.Header)
+		c.reply.unclaim()
 	}
 	return sent, err
 }
@@ -51,31 +66,31 @@
 // given to the caller and the rest is missing, the connection is cut: a body
 // that ended early must not look complete.
 func (c *call) finish(final bool, err error) {
-	if err == nil {
-		c.verdict = verdict.Ran
-		return
-	}
-	if !final {
+	switch {
+	case err == nil, errors.Is(err, errAnswered):
+	case !final:
 		c.fail(err)
-		return
+	default:
+		e := verdict.As(err)
+		c.reply.note(0, e.Verdict, e.Code)
+		panic(http.ErrAbortHandler)
 	}
-	e := verdict.As(err)
-	c.verdict, c.code = e.Verdict, e.Code
-	panic(http.ErrAbortHandler)
 }
 
 // attemptAll makes attempts until one is answered, the verdict or the budget
-// forbids another, or the deadline passes. wait bounds the wait for slots.
-func (g *Gateway) attemptAll(c *call, wait context.Context, pass *admission.Pass, deliver deliver) (final bool, err error) {
+// forbids another, or the deadline passes.
+func (g *Gateway) attemptAll(c *call, pass *admission.Pass, deliver deliver) (final bool, err error) {
 	attempts := g.budget(c.service).Request(c.idempotent)
 	out := c.outgoing()
+	watch := g.watch(c, out)
+	defer watch.stop()
 	for {
 		reader, ok := c.body.attempt()
 		if !ok {
 			return false, err // the attempt before has used up the body
 		}
 		out.Body = reader
-		final, err = g.attempt(c, wait, out, pass, deliver)
+		final, err = g.attempt(c, out, pass, deliver)
 		if err == nil || final || endedInBody(err) {
 			return final, err
 		}
@@ -88,8 +103,8 @@
 }
 
 // attempt takes a slot and makes one attempt at its endpoint.
-func (g *Gateway) attempt(c *call, wait context.Context, out *forward.Outgoing, pass *admission.Pass, deliver deliver) (final bool, err error) {
-	slot, err := g.opts.Slots.Acquire(wait, c.service)
+func (g *Gateway) attempt(c *call, out *forward.Outgoing, pass *admission.Pass, deliver deliver) (final bool, err error) {
+	slot, err := g.opts.Slots.Acquire(c.wait, c.service)
 	if err != nil {
 		return false, err
 	}
@@ -118,12 +133,12 @@
 	if answer.Whole() {
 		end = slots.Ended
 	}
-	if err != nil {
+	if err != nil && !errors.Is(err, errAnswered) {
 		c.count(err)
-	} else {
-		c.attempts++
-		c.tried = verdict.Ran
+		return final, err
 	}
+	c.attempts++
+	c.tried = verdict.Ran
 	return final, err
 }
 
@@ -136,12 +151,14 @@
 	if status >= http.StatusInternalServerError {
 		outcome = outlier.Errored
 	}
-	if err != nil {
+	if err != nil && !errors.Is(err, errAnswered) {
 		switch verdict.As(err).Code {
 		case forward.CodeCallerBody, forward.CodeCallerClosed:
 			return // says nothing of the instance
 		case forward.CodeDeadline:
-			// The caller chose the time; a slow instance shows in d.
+			if d >= c.limit {
+				outcome = outlier.Failed
+			} // else the caller chose the time; a slow instance shows in d
 		default:
 			outcome = outlier.Failed
 		}
--- a/request/gateway/bench_test.go
+++ b/request/gateway/bench_test.go
@@ -204,7 +204,7 @@
 	}
 	rate := 5 * benchRound / time.Since(start).Seconds() / 2
 	hist := []*hdrhistogram.Histogram{newHistogram(), newHistogram(), newHistogram()}
-	for b.Loop() {
+	turn := func() {
 		for i, t := range targets {
 			var mu sync.Mutex
 			offer(slice, rate, func(_ int, due time.Time) {
@@ -217,6 +217,13 @@
 			})
 		}
 	}
+	turn() // opens the connections
+	for _, h := range hist {
+		h.Reset()
+	}
+	for b.Loop() {
+		turn()
+	}
 	for i, t := range targets {
 		b.ReportMetric(float64(hist[i].ValueAtQuantile(50)), t.name+"-p50-µs")
 		b.ReportMetric(float64(hist[i].ValueAtQuantile(99)), t.name+"-p99-µs")
--- a/request/gateway/body.go
+++ b/request/gateway/body.go
@@ -48,19 +48,13 @@
 	return &body{kept: data, read: int64(len(data)), keep: len(data), err: io.EOF}
 }
 
-// preload reads a body of known, small size before a slot is taken, so that a
-// slow caller holds no slot.
+// preload reads a body of known, small size into memory.
 func (b *body) preload(size int64) error {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if size <= 0 || size > int64(b.keep) {
-		return nil
-	}
-	b.arm()
 	b.kept = make([]byte, size)
 	n, err := io.ReadFull(b.src, b.kept)
 	b.kept, b.read = b.kept[:n], int64(n)
-	b.disarm()
 	if err != nil {
 		b.err = err
 		return err
@@ -69,6 +63,9 @@
 	return nil
 }
 
+// interrupt ends a read in progress with os.ErrDeadlineExceeded.
+func (b *body) interrupt() { _ = b.ctl.SetReadDeadline(time.Unix(1, 0)) }
+
 // arm gives the caller BodyTimeout for the next part of its body. Without it a
 // caller that stops sending would hold a slot until the request's deadline.
 func (b *body) arm() {
--- a/request/gateway/call.go
+++ b/request/gateway/call.go
@@ -27,21 +27,25 @@
 	forwarded  bool // from another daemon
 	start      time.Time
 	deadline   time.Time
+	limit      time.Duration // of the service's requests
 	body       *body
 
-	// run bounds the attempts. It does not end when the caller goes away: the
-	// answer is then read and dropped, because only its end tells that the
-	// endpoint's slot is free.
+	// run bounds the attempts. It ends neither when the caller goes away nor at
+	// once at the deadline: the answer is then read and dropped, because only
+	// its end tells that the endpoint's slot is free.
 	run    context.Context
-	cancel context.CancelFunc
+	cancel context.CancelCauseFunc
+	// wait ends when the caller goes away or at the deadline.
+	wait *waitContext
 
 	// tried joins the verdicts of all attempts so far.
 	tried    verdict.Verdict
 	attempts int
 	endpoint string
-	status   int
-	verdict  verdict.Verdict
-	code     string
+
+	reply reply
+	// leave counts the request as no longer in progress, once.
+	leave func()
 }
 
 // newCall checks the request; nothing has run yet when it returns an error.
@@ -51,7 +55,8 @@
 	if err := g.parse(c); err != nil {
 		return c, err
 	}
-	c.run, c.cancel = context.WithDeadline(context.WithoutCancel(r.Context()), c.deadline)
+	c.run, c.cancel = context.WithCancelCause(context.Background())
+	c.wait = &waitContext{Context: r.Context(), deadline: c.deadline}
 	return c, nil
 }
 
@@ -72,11 +77,11 @@
 	if len(c.identity.Team) > maxName || len(c.identity.Caller) > maxName {
 		return badRequest(fmt.Errorf("team or caller name longer than %d bytes", maxName))
 	}
-	limit := g.opts.Timeout
+	c.limit = g.opts.Timeout
 	if t := job.Service.RequestTimeout.Std(); t > 0 {
-		limit = t
+		c.limit = t
 	}
-	timeout, err := ParseTimeout(h.Get(TimeoutHeader), limit)
+	timeout, err := ParseTimeout(h.Get(TimeoutHeader), c.limit)
 	if err != nil {
 		return badRequest(err)
 	}
@@ -132,8 +137,10 @@
 	if c.attempts > 0 {
 		e.Verdict = c.tried.Join(e.Verdict)
 	}
-	c.status, c.verdict, c.code = e.Status, e.Verdict, e.Code
-	e.WriteHTTP(c.w, c.id)
+	if c.reply.claim() {
+		c.reply.note(e.Status, e.Verdict, e.Code)
+		e.WriteHTTP(c.w, c.id)
+	}
 }
 
 // pause waits before the next attempt; false when the deadline comes first.
--- a/request/gateway/gateway.go
+++ b/request/gateway/gateway.go
@@ -38,6 +38,8 @@
 	state    atomic.Int32
 	counts   Counters
 
+	deadlines deadlines
+
 	mu      sync.Mutex
 	budgets map[string]*retry.Budget
 }
@@ -66,11 +68,13 @@
 
 func (g *Gateway) serve(w http.ResponseWriter, r *http.Request, forwarded bool) {
 	inFlight := g.inFlight.Add(1)
-	defer g.inFlight.Add(-1)
 	c, failure := g.newCall(w, r, forwarded)
+	c.leave = sync.OnceFunc(func() { g.inFlight.Add(-1) })
+	defer c.leave()
 	defer g.ended(c)
 	if failure == nil {
-		defer c.cancel()
+		defer c.cancel(nil)
+		defer c.wait.stop()
 		failure = g.gate(c, inFlight)
 	}
 	if g.state.Load() != serving {
@@ -85,13 +89,25 @@
 		g.serveKeyed(c)
 		return
 	}
-	if err := c.body.preload(r.ContentLength); err != nil {
+	if err := g.preload(c); err != nil {
 		c.fail(bodyError(err))
 		return
 	}
 	g.servePlain(c)
 }
 
+// preload reads a small body before a slot is taken, so that a slow caller
+// holds no slot.
+func (g *Gateway) preload(c *call) error {
+	size := c.in.ContentLength
+	if size <= 0 || size > int64(g.opts.RewindBody) {
+		return nil
+	}
+	limit := g.deadlines.set(time.Now().Add(g.opts.BodyTimeout), c.body.interrupt)
+	defer g.deadlines.stop(limit)
+	return c.body.preload(size)
+}
+
 // gate refuses work that this daemon must not take on.
 func (g *Gateway) gate(c *call, inFlight int64) *verdict.Error {
 	if g.state.Load() == refusing {
@@ -114,12 +130,12 @@
 }
 
 // admit waits until the request may take a slot.
-func (g *Gateway) admit(c *call, wait context.Context) (*admission.Pass, error) {
+func (g *Gateway) admit(c *call) (*admission.Pass, error) {
 	r := admission.Request{Service: c.service, Team: c.teamName(), Deadline: c.deadline}
 	if c.team != nil {
 		r.Weight = c.team.Weight
 	}
-	return g.opts.Admission.Enter(wait, r)
+	return g.opts.Admission.Enter(c.wait, r)
 }
 
 // requestID returns a new id, or that which another daemon gave the request.
--- a/request/gateway/keyed.go
+++ b/request/gateway/keyed.go
@@ -38,6 +38,10 @@
 		return
 	}
 	c.body = newWholeBody(data)
+	// Others may join this arrival, so it does not end with its caller.
+	c.wait.stop()
+	c.wait = &waitContext{Context: context.WithoutCancel(c.in.Context()), deadline: c.deadline}
+	defer c.wait.stop()
 	c.in.ContentLength = int64(len(data))
 	c.in.Trailer = nil
 	req := idem.Request{
@@ -82,7 +86,7 @@
 
 // atHome begins or joins the key's request on this daemon.
 func (g *Gateway) atHome(c *call, req idem.Request) (done bool, err error) {
-	attempt, answer, err := g.opts.Keys.Begin(c.run, req)
+	attempt, answer, err := g.opts.Keys.Begin(c.wait, req)
 	switch {
 	case err != nil && elsewhere(verdict.As(err).Code):
 		return false, err
@@ -103,23 +107,23 @@
 // because others may have joined.
 func (g *Gateway) runKeyed(c *call, attempt *idem.Attempt) {
 	defer attempt.Close()
-	pass, err := g.admit(c, c.run)
+	pass, err := g.admit(c)
 	if err != nil {
 		attempt.Fail(err)
 		c.fail(err)
 		return
 	}
-	defer func() { pass.Done(err == nil) }()
-	if err = attempt.Intend(c.run); err != nil {
+	defer func() { pass.Done(endOf(err)) }()
+	if err = attempt.Intend(c.wait); err != nil {
 		attempt.Fail(err)
 		c.fail(err)
 		return
 	}
 	var final bool
-	final, err = g.attemptAll(c, c.run, pass, func(a *forward.Answer) (bool, error) {
+	final, err = g.attemptAll(c, pass, func(a *forward.Answer) (bool, error) {
 		return c.keep(a, attempt)
 	})
-	if err != nil {
+	if err != nil && !errors.Is(err, errAnswered) {
 		e := *verdict.As(err)
 		e.Verdict = c.tried.Join(e.Verdict)
 		attempt.Fail(&e)
@@ -135,7 +139,7 @@
 	}
 	if tooLarge {
 		final, err := c.deliver(a)
-		if err == nil || a.Whole() {
+		if a.Whole() {
 			attempt.Finish(&idem.Answer{Status: a.Status, NotKept: true})
 		}
 		return final, err
@@ -144,11 +148,14 @@
 	answer := &idem.Answer{Status: a.Status, Header: a.Header, Body: body}
 	attempt.Finish(answer)
 	c.writeKept(answer)
-	return true, nil
+	return true, nil // when the deadline's answer came first, this one is dropped
 }
 
 // writeKept answers the caller from memory.
 func (c *call) writeKept(answer *idem.Answer) {
+	if !c.reply.claim() {
+		return
+	}
 	h := c.w.Header()
 	for name, values := range answer.Header {
 		h[name] = values
@@ -157,7 +164,7 @@
 		h["Content-Length"] = []string{strconv.Itoa(len(answer.Body))}
 	}
 	c.answerHeader(verdict.Ran)
-	c.status, c.verdict = answer.Status, verdict.Ran
+	c.reply.note(answer.Status, verdict.Ran, "")
 	c.w.WriteHeader(answer.Status)
 	_, _ = c.w.Write(answer.Body)
 }
@@ -171,9 +178,7 @@
 	out.Header = out.Header.Clone()
 	g.forwardHeader(c, out.Header)
 	out.Body = bytes.NewReader(c.body.kept)
-	ctx, cancel := context.WithDeadline(c.run, c.deadline)
-	defer cancel()
-	answer, err := g.opts.Peers.Send(ctx, peerEndpoint(home), out)
+	answer, err := g.opts.Peers.Send(c.wait, peerEndpoint(home), out)
 	if err != nil {
 		c.count(err)
 		return false, err
@@ -194,15 +199,12 @@
 		v = c.tried.Join(v)
 	}
 	c.answerHeader(v)
-	c.code = a.Header.Get(verdict.CodeHeader)
-	c.status = a.Status
+	c.reply.claim()
+	c.reply.note(a.Status, v, a.Header.Get(verdict.CodeHeader))
 	sent, err := a.Deliver(c.w)
-	if err == nil {
-		c.verdict = v
-		return
-	}
 	if !sent {
 		c.w.Header().Del(verdict.Header)
+		c.reply.unclaim()
 	}
 	c.finish(sent, err)
 }
--- a/request/gateway/metrics.go
+++ b/request/gateway/metrics.go
@@ -32,8 +32,9 @@
 // ended counts, observes and logs the end of a call; deferred, so that it also
 // runs when the caller's connection is cut.
 func (g *Gateway) ended(c *call) {
+	status, v, code, latency := c.reply.outcome(c.start)
 	g.counts.Requests.Add(1)
-	switch c.verdict {
+	switch v {
 	case verdict.Ran:
 		g.counts.Ran.Add(1)
 	case verdict.NotRun:
@@ -41,25 +42,24 @@
 	default:
 		g.counts.MayHaveRun.Add(1)
 	}
-	latency := time.Since(c.start)
 	if c.service != "" && !c.forwarded {
-		g.opts.Observe(c.service, c.identity.Team, c.identity.Caller, c.status, c.verdict, latency)
+		g.opts.Observe(c.service, c.identity.Team, c.identity.Caller, status, v, latency)
 	}
-	g.log(c, latency)
+	g.log(c, status, v, code, latency)
 }
 
 // log writes the access log's line: no query, header or body of the caller,
 // which may hold secrets.
-func (g *Gateway) log(c *call, latency time.Duration) {
+func (g *Gateway) log(c *call, status int, v verdict.Verdict, code string, latency time.Duration) {
 	e := g.opts.Log.Info()
-	if c.status >= http.StatusInternalServerError {
+	if status >= http.StatusInternalServerError {
 		e = g.opts.Log.Warn()
 	}
 	if !e.Enabled() {
 		return
 	}
 	e.Str("request", c.id).Str("service", c.service).Str("team", c.identity.Team).Str("caller", c.identity.Caller).
-		Str("method", c.in.Method).Str("path", c.in.URL.Path).Int("status", c.status).
-		Stringer("verdict", c.verdict).Str("code", c.code).Str("endpoint", c.endpoint).
+		Str("method", c.in.Method).Str("path", c.in.URL.Path).Int("status", status).
+		Str("verdict", v.String()).Str("code", code).Str("endpoint", c.endpoint).
 		Int("attempts", c.attempts).Bool("forwarded", c.forwarded).Dur("latency", latency).Msg("request")
 }
--- a/request/gateway/peer.go
+++ b/request/gateway/peer.go
@@ -15,6 +15,10 @@
 	peerConns = 2 * peerIdle
 )
 
+// homeMargin lets the home's own answer at the deadline, which has the better
+// verdict, come back in time.
+const homeMargin = 10 * time.Millisecond
+
 var errPeer = errors.New("only daemons of the cell may forward requests, over mutual TLS")
 
 func peerEndpoint(m fleet.Member) plan.Endpoint {
@@ -27,7 +31,7 @@
 	h.Set(ServiceHeader, c.service)
 	h.Set(TeamHeader, c.identity.Team)
 	h.Set(CallerHeader, c.identity.Caller)
-	h.Set(TimeoutHeader, max(c.left(), time.Millisecond).String())
+	h.Set(TimeoutHeader, max(c.left()-homeMargin, time.Millisecond).String())
 }
 
 // PeerHandler serves requests that other daemons forward to this one as the
