Fade the measured pace during a stall; test admission, ejection and retries

A stall was averaged away by the starts before it. Change: the review gives up only what cannot be in time by the estimate itself; busy time and starts fade during a stall as they do at a start. Conclusion: fair and early; the tests run in virtual time with random steps.

--- /dev/null
+++ b/request/admission/admission_test.go
@@ -0,0 +1,233 @@
+package admission
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"fennelshunt.example/fennelshunt/request/verdict"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
+// station is a service with a fixed number of slots and time per request, in
+// virtual time.
+type station struct {
+	c     *Controller
+	slots chan struct{}
+	work  time.Duration
+
+	mu     sync.Mutex
+	served map[string]int
+	late   map[string]int // refused after they had waited
+	early  map[string]int // refused on arrival
+}
+
+func newStation(slots int, work time.Duration, o Options) *station {
+	return &station{c: New(o), slots: make(chan struct{}, slots), work: work,
+		served: map[string]int{}, late: map[string]int{}, early: map[string]int{}}
+}
+
+// request takes one request through admission, slot and work.
+func (s *station) request(team string, timeout time.Duration) error {
+	start := time.Now()
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	pass, err := s.c.Enter(ctx, Request{Service: "s", Team: team, Deadline: start.Add(timeout)})
+	s.mu.Lock()
+	switch {
+	case err == nil:
+	case time.Since(start) == 0:
+		s.early[team]++
+	default:
+		s.late[team]++
+	}
+	s.mu.Unlock()
+	if err != nil {
+		return err
+	}
+	end := Other
+	defer func() { pass.Done(end) }()
+	select {
+	case s.slots <- struct{}{}:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	pass.Started()
+	time.Sleep(s.work)
+	<-s.slots
+	end = Late
+	if time.Since(start) <= timeout {
+		end = Whole
+		s.mu.Lock()
+		s.served[team]++
+		s.mu.Unlock()
+	}
+	return nil
+}
+
+// load sends n requests of a team at a fixed interval.
+func (s *station) load(wg *sync.WaitGroup, team string, n int, every, timeout time.Duration) {
+	wg.Go(func() {
+		for range n {
+			wg.Go(func() { _ = s.request(team, timeout) })
+			time.Sleep(every)
+		}
+	})
+}
+
+func TestFloodOfOneTeamDoesNotStarveAnother(t *testing.T) {
+	// Symptom: bank officers' lookups time out while one firm floods renders.
+	// Sequence: one team offers ten times what the service carries; another
+	//   offers a tenth of it.
+	// Cause: one queue in order of arrival.
+	synctest.Test(t, func(t *testing.T) {
+		s := newStation(8, 40*time.Millisecond, Options{}) // 200 requests/s
+		var wg sync.WaitGroup
+		s.load(&wg, "flood", 20000, 500*time.Microsecond, time.Second)
+		s.load(&wg, "quiet", 200, 50*time.Millisecond, time.Second)
+		wg.Wait()
+		require.GreaterOrEqual(t, s.served["quiet"], 198, "late %v, early %v", s.late, s.early)
+		total := s.served["flood"] + s.served["quiet"]
+		require.GreaterOrEqual(t, total, 1900, "of 2000 that the service carries in 10 s")
+		require.Less(t, s.late["flood"], s.early["flood"]/20, "refusals come late")
+	})
+}
+
+func TestHopelessRequestsAreToldAtOnce(t *testing.T) {
+	// Symptom: callers wait their whole deadline to learn that nothing ran.
+	// Sequence: requests wait; then every instance hangs.
+	// Cause: the wait was estimated on arrival only.
+	synctest.Test(t, func(t *testing.T) {
+		s := newStation(1, 10*time.Millisecond, Options{Window: 1})
+		var wg sync.WaitGroup
+		s.load(&wg, "a", 50, 8*time.Millisecond, 500*time.Millisecond)
+		wg.Wait()
+		s.slots <- struct{}{} // nothing is free again
+		for range 40 {
+			wg.Go(func() { _ = s.request("a", 2*time.Second) })
+		}
+		synctest.Wait()
+		require.Positive(t, s.c.Waiting("s"))
+		time.Sleep(1500 * time.Millisecond)
+		synctest.Wait()
+		waiting := s.c.Waiting("s")
+		wg.Wait()
+		require.Less(t, waiting, 5, "after three quarters of the time")
+	})
+}
+
+func TestRefusalsTellWhenToComeBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := New(Options{CallerRate: 10, CallerBurst: 2, Members: func() int { return 4 }})
+		require.NoError(t, c.Limit("t", "a", 0))
+		require.NoError(t, c.Limit("t", "a", 0))
+		err := c.Limit("t", "a", 0)
+		e := verdict.As(err)
+		require.Equal(t, CodeCallerRate, e.Code)
+		require.Equal(t, verdict.NotRun, e.Verdict)
+		require.InDelta(t, 112, e.RetryAfterMillis, 13, "100 ms and a quarter of jitter")
+		require.NoError(t, c.Limit("t", "b", 0), "another caller")
+		time.Sleep(100 * time.Millisecond)
+		require.NoError(t, c.Limit("t", "a", 0))
+
+		passed := 0
+		for i := range 100 {
+			if c.Limit("u", fmt.Sprint(i), 80) == nil {
+				passed++
+			}
+		}
+		require.Equal(t, 20, passed, "a quarter of the team's rate on each of four daemons")
+	})
+}
+
+func TestQueueInvariants(t *testing.T) {
+	// Random teams, deadlines, cancellations and ends: every request gets one
+	// answer, the bounds hold, and nothing stays behind.
+	rapid.Check(t, func(rt *rapid.T) {
+		steps := rapid.SliceOfN(rapid.Custom(drawStep), 1, 60).Draw(rt, "steps")
+		window := rapid.IntRange(1, 5).Draw(rt, "window")
+		limit := rapid.IntRange(1, 10).Draw(rt, "queue")
+		synctest.Test(t, func(t *testing.T) {
+			c := New(Options{Window: window, MaxQueue: limit})
+			var wg sync.WaitGroup
+			answers := 0
+			var mu sync.Mutex
+			for _, s := range steps {
+				wg.Go(func() {
+					ctx, cancel := context.WithTimeout(context.Background(), s.patience)
+					defer cancel()
+					pass, err := c.Enter(ctx, Request{Service: "s", Team: s.team, Deadline: time.Now().Add(s.deadline)})
+					mu.Lock()
+					answers++
+					mu.Unlock()
+					if err != nil {
+						require.Equal(t, verdict.NotRun, verdict.Of(err))
+						require.Positive(t, verdict.As(err).RetryAfterMillis)
+						return
+					}
+					time.Sleep(s.work)
+					if s.starts {
+						pass.Started()
+					}
+					pass.Done(s.end)
+				})
+				time.Sleep(s.gap)
+				synctest.Wait()
+				checkQueue(t, c.queue("s"), window, limit)
+			}
+			wg.Wait()
+			require.Equal(t, len(steps), answers)
+			q := c.queue("s")
+			require.Zero(t, q.inside)
+			require.Zero(t, q.waiting)
+			require.Empty(t, q.teams)
+		})
+	})
+}
+
+type step struct {
+	team                          string
+	deadline, patience, work, gap time.Duration
+	starts                        bool
+	end                           End
+}
+
+func drawStep(t *rapid.T) step {
+	ms := func(name string, most int) time.Duration {
+		return time.Duration(rapid.IntRange(0, most).Draw(t, name)) * time.Millisecond
+	}
+	return step{
+		team: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "team"), deadline: ms("deadline", 300),
+		patience: ms("patience", 300), work: ms("work", 60), gap: ms("gap", 5),
+		starts: rapid.Bool().Draw(t, "starts"), end: End(rapid.IntRange(0, 2).Draw(t, "end")),
+	}
+}
+
+func checkQueue(t *testing.T, q *queue, window, limit int) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	require.GreaterOrEqual(t, q.inside, 0)
+	require.LessOrEqual(t, q.inside, window)
+	require.LessOrEqual(t, q.waiting, limit)
+	sum := 0
+	for name, team := range q.teams {
+		require.Equal(t, name, team.name)
+		require.Positive(t, team.tree.Len(), "an empty team is kept")
+		sum += team.tree.Len()
+	}
+	require.Equal(t, q.waiting, sum)
+}
--- a/request/admission/pace.go
+++ b/request/admission/pace.go
@@ -62,10 +62,8 @@
 		return
 	}
 	if !p.last.IsZero() {
-		passed := now.Sub(p.last).Seconds()
-		fade := math.Exp(-passed / memory)
-		p.busy = p.busy*fade + passed
-		p.starts = p.starts*fade + 1
+		p.busy, p.starts = p.faded(now)
+		p.starts++
 	}
 	p.last = now
 }
@@ -90,11 +88,18 @@
 	if p.starts < fewStarts {
 		return 0
 	}
-	stalled := 0.0
-	if !p.last.IsZero() {
-		stalled = now.Sub(p.last).Seconds()
+	if p.last.IsZero() {
+		return p.busy / p.starts
 	}
-	return (p.busy + stalled) / p.starts
+	busy, starts := p.faded(now)
+	return busy / starts
+}
+
+// faded returns busy and starts as of now, while some wait.
+func (p *pace) faded(now time.Time) (busy, starts float64) {
+	passed := now.Sub(p.last).Seconds()
+	fade := math.Exp(-passed / memory)
+	return p.busy*fade + passed, p.starts * fade
 }
 
 // window returns how many requests may wait in the slots' own order, so that
@@ -120,6 +125,11 @@
 // fits reports whether a request that waits that long from now can end by the
 // deadline.
 func (p *pace) fits(wait time.Duration, now, deadline time.Time) bool {
-	needed := wait.Seconds()/p.share + p.shortest
-	return needed <= deadline.Sub(now).Seconds()
+	return p.possible(time.Duration(float64(wait)/p.share), now, deadline)
+}
+
+// possible is fits without the part kept for the estimate's error: what was
+// let in by fits is not given up on because the error has grown.
+func (p *pace) possible(wait time.Duration, now, deadline time.Time) bool {
+	return wait.Seconds()+p.shortest <= deadline.Sub(now).Seconds()
 }
--- a/request/admission/queue.go
+++ b/request/admission/queue.go
@@ -257,7 +257,7 @@
 	for _, t := range q.teams {
 		ahead := 0
 		t.tree.Ascend(func(w *waiter) bool {
-			if q.pace.fits(q.expected(t, ahead, now), now, w.deadline) {
+			if q.pace.possible(q.expected(t, ahead, now), now, w.deadline) {
 				ahead++
 			} else {
 				hopeless = append(hopeless, w)
--- /dev/null
+++ b/request/retry/retry_test.go
@@ -0,0 +1,63 @@
+package retry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"fennelshunt.example/fennelshunt/request/verdict"
+)
+
+func TestOnlyTheVerdictPermitsARetry(t *testing.T) {
+	for _, tc := range []struct {
+		v          verdict.Verdict
+		idempotent bool
+		want       bool
+	}{
+		{verdict.NotRun, false, true}, {verdict.NotRun, true, true},
+		{verdict.MayHaveRun, false, false}, {verdict.MayHaveRun, true, true},
+		{verdict.Ran, false, false}, {verdict.Ran, true, false},
+	} {
+		require.Equal(t, tc.want, Permitted(tc.v, tc.idempotent), "%v %v", tc.v, tc.idempotent)
+		_, ok := NewBudget(Options{}).Request(tc.idempotent).Next(tc.v, time.Minute)
+		require.Equal(t, tc.want, ok, "%v %v", tc.v, tc.idempotent)
+	}
+}
+
+func TestBudgetBoundsRetriesWhenEverythingFails(t *testing.T) {
+	// Symptom: an overload grew threefold by the daemons' own retries.
+	// Sequence: every attempt of every request fails.
+	// Cause: retries bounded per request only.
+	b := NewBudget(Options{})
+	const requests = 10000
+	retries := 0
+	for range requests {
+		a := b.Request(true)
+		for {
+			if _, ok := a.Next(verdict.NotRun, time.Minute); !ok {
+				break
+			}
+			retries++
+		}
+	}
+	require.LessOrEqual(t, float64(retries), requests*DefaultRatio+DefaultBurst)
+	require.Greater(t, float64(retries), requests*DefaultRatio*0.9)
+}
+
+func TestBackoffGrowsWithJitterAndKeepsTheDeadline(t *testing.T) {
+	b := NewBudget(Options{MaxAttempts: 10})
+	a := b.Request(true)
+	first, ok := a.Next(verdict.NotRun, time.Minute)
+	require.True(t, ok)
+	require.InDelta(t, float64(DefaultFirstDelay), float64(first), jitter*float64(DefaultFirstDelay))
+	for range 8 {
+		d, ok := a.Next(verdict.NotRun, time.Minute)
+		require.True(t, ok)
+		require.LessOrEqual(t, float64(d), (1+jitter)*float64(DefaultMaxDelay))
+	}
+	_, ok = a.Next(verdict.NotRun, time.Minute)
+	require.False(t, ok, "the eleventh attempt")
+	_, ok = b.Request(true).Next(verdict.NotRun, time.Nanosecond)
+	require.False(t, ok, "the deadline comes before the retry")
+}
