--- a/process/sched/decision_test.go
+++ b/process/sched/decision_test.go
@@ -16,6 +16,8 @@
 
 var cellSizes = []int{48, 500, 2500, 25000}
 
+func size(workers int) string { return fmt.Sprint("workers=", workers) }
+
 // target is the share of the processors or memory at which a loaded cell is
 // measured.
 const target = 0.8
@@ -114,7 +116,7 @@
 	for _, n := range cellSizes {
 		s := authority(n)
 		states := loaded(s)
-		b.Run(fmt.Sprintf("planner/workers=%d", n), func(b *testing.B) {
+		b.Run("planner/"+size(n), func(b *testing.B) {
 			p, c := NewPlanner(cacheOf(states).Snapshot()), newChurner(s)
 			var times []time.Duration
 			for b.Loop() {
@@ -122,7 +124,7 @@
 			}
 			reportTimes(b, times)
 		})
-		b.Run(fmt.Sprintf("naive/workers=%d", n), func(b *testing.B) {
+		b.Run("naive/"+size(n), func(b *testing.B) {
 			p, c := naive.New(states), newChurner(s)
 			var times []time.Duration
 			for b.Loop() {
@@ -143,7 +145,7 @@
 // snapshot and a planner's fork cost.
 func BenchmarkSnapshotMemory(b *testing.B) {
 	for _, n := range cellSizes {
-		b.Run(fmt.Sprintf("workers=%d", n), func(b *testing.B) {
+		b.Run(size(n), func(b *testing.B) {
 			states := loaded(authority(n))
 			tasks := 0
 			for i := range states {
--- a/process/sched/filter/capacity.go
+++ b/process/sched/filter/capacity.go
@@ -47,7 +47,7 @@
 	if v.Kept == nil {
 		return ""
 	}
-	if a.Size.Fits(w.Free().Sub(v.Kept(w.ID, a.RunTime))) {
+	if a.Size.Fits(w.Free().Sub(v.Kept(a, w.ID))) {
 		return ""
 	}
 	return snapshot.ReasonReserved
--- a/process/sched/planner.go
+++ b/process/sched/planner.go
@@ -1,6 +1,8 @@
 package sched
 
 import (
+	"time"
+
 	"fennelshunt.example/fennelshunt/connection/worker"
 	"fennelshunt.example/fennelshunt/process/sched/batch"
 	"fennelshunt.example/fennelshunt/process/sched/gang"
@@ -17,6 +19,7 @@
 	view    *snapshot.View
 	assumed map[worker.Ref]assumption
 	failed  map[failure]Decision
+	shadow  *gang.Shadow
 }
 
 // assumption is a placement that no snapshot has shown yet.
@@ -40,6 +43,7 @@
 func (p *Planner) Rebase(snap *Snapshot) {
 	p.view = snap.View()
 	p.failed = map[failure]Decision{}
+	p.keep()
 	for ref, as := range p.assumed {
 		if w := snap.Lookup(as.worker); w == nil || w.Find(ref) >= 0 {
 			delete(p.assumed, ref)
@@ -103,6 +107,29 @@
 // PlaceGang decides on all tasks of a gang, or none. It changes nothing.
 func (p *Planner) PlaceGang(asks []Ask) GangDecision { return gang.Place(p.view, asks) }
 
+// PlanGang looks for the earliest time at which a gang that has no room now is
+// expected to fit; remaining tells when running tasks end. False when no end is
+// known that would make room. It changes nothing: see Protect.
+func (p *Planner) PlanGang(asks []Ask, remaining gang.Remaining) (gang.Shadow, bool) {
+	return gang.Plan(p.view, asks, time.Now(), remaining)
+}
+
+// Protect keeps a waiting gang's capacity from all other asks but those of
+// preemption, over Rebase, until it is called again. Only one gang is
+// protected; nil protects none.
+func (p *Planner) Protect(s *gang.Shadow) {
+	p.shadow = s
+	clear(p.failed)
+	p.keep()
+}
+
+func (p *Planner) keep() {
+	p.view.Kept = nil
+	if p.shadow != nil {
+		p.view.Kept = p.shadow.Kept
+	}
+}
+
 // Assume takes a decision as made: its task holds capacity, and its victims do
 // not, for all later decisions. It reports false when the worker is gone or
 // the attempt is there already.
--- a/process/sched/sched.go
+++ b/process/sched/sched.go
@@ -25,15 +25,20 @@
 // A decision is a proposal: the partition's owner checks it on its own ledger.
 package sched
 
-import "fennelshunt.example/fennelshunt/process/sched/snapshot"
+import (
+	"fennelshunt.example/fennelshunt/process/sched/gang"
+	"fennelshunt.example/fennelshunt/process/sched/snapshot"
+)
 
-// The types of package snapshot that callers need.
+// The types of the packages below that callers need.
 type (
 	Cache        = snapshot.Cache
 	Snapshot     = snapshot.Snapshot
 	Ask          = snapshot.Ask
 	Decision     = snapshot.Decision
 	GangDecision = snapshot.GangDecision
+	Shadow       = gang.Shadow
+	Remaining    = gang.Remaining
 	Rejection    = snapshot.Rejection
 	Reason       = snapshot.Reason
 )
--- a/process/sched/snapshot/view.go
+++ b/process/sched/snapshot/view.go
@@ -11,9 +11,9 @@
 // later decisions and by nobody else. It is not safe for concurrent use.
 type View struct {
 	*Table
-	// Kept, when set, returns what a waiting gang keeps from a task of the
-	// given expected run time on a worker; see package gang.
-	Kept func(id worker.ID, runTime time.Duration) spec.Resources
+	// Kept, when set, returns what a worker keeps from an ask for a waiting
+	// gang; see package gang.
+	Kept func(a *Ask, id worker.ID) spec.Resources
 }
 
 // Start assumes that the ask's task starts on the worker. It reports false
