--- a/cmd/fennelctl/main.go
+++ b/cmd/fennelctl/main.go
@@ -7,10 +7,13 @@
 	"os/signal"
 
 	"fennelshunt.example/fennelshunt/command/ctl"
+	"fennelshunt.example/fennelshunt/command/demo"
+	"fennelshunt.example/fennelshunt/command/keyset"
 )
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
 	defer stop()
-	os.Exit(ctl.Run(ctx, os.Args[1:], os.Stdin, os.Stdout, os.Stderr))
+	os.Exit(ctl.Run(ctx, os.Args[1:], os.Stdin, os.Stdout, os.Stderr,
+		demo.Command(os.Stdout, os.Stderr), keyset.Command(os.Stdout)))
 }
--- a/cmd/fennelstandin/main.go
+++ b/cmd/fennelstandin/main.go
@@ -5,8 +5,10 @@
 
 import (
 	"context"
+	"errors"
 	"flag"
 	"fmt"
+	"net"
 	"net/http"
 	"os"
 	"os/signal"
@@ -55,13 +57,17 @@
 	if err != nil {
 		return err
 	}
-	server := &http.Server{Addr: *control, Handler: p.Control(), ReadHeaderTimeout: 5 * time.Second}
+	l, err := net.Listen("tcp", *control)
+	if err != nil {
+		return errors.Join(err, p.Close())
+	}
+	server := &http.Server{Handler: p.Control(), ReadHeaderTimeout: 5 * time.Second}
 	go func() {
 		<-ctx.Done()
 		_ = server.Close() // the process ends
 	}()
-	fmt.Printf("store %s\nvm list %s\ncontrol http://%s\n", p.StoreURL, p.VMListURL, *control)
-	if err := server.ListenAndServe(); err != http.ErrServerClosed {
+	fmt.Printf("store %s\nvm list %s\ncontrol http://%s\n", p.StoreURL, p.VMListURL, l.Addr())
+	if err := server.Serve(l); err != http.ErrServerClosed {
 		return err
 	}
 	return p.Close()
--- a/process/daemon/admin.go
+++ b/process/daemon/admin.go
@@ -1,7 +1,10 @@
 package daemon
 
 import (
+	"context"
+	"crypto/tls"
 	"encoding/json"
+	"errors"
 	"expvar"
 	"fmt"
 	"net/http"
@@ -9,20 +12,20 @@
 
 	"github.com/thejerf/suture/v4"
 
+	"fennelshunt.example/fennelshunt/process/admin"
+	"fennelshunt.example/fennelshunt/process/admin/api"
 	"fennelshunt.example/fennelshunt/process/jobs"
-	"fennelshunt.example/fennelshunt/process/partition"
-	"fennelshunt.example/fennelshunt/request/verdict"
+	"fennelshunt.example/fennelshunt/process/ownership"
+	"fennelshunt.example/fennelshunt/process/plan"
+	"fennelshunt.example/fennelshunt/process/versions"
+	"fennelshunt.example/fennelshunt/version/spec"
 )
 
-// metrics lives as long as the daemon.
-type metrics struct {
-	jobs      jobs.Metrics
-	partition partition.Metrics
-}
+// statusTimeout bounds the questions to the owners of the shards.
+const statusTimeout = 3 * time.Second
 
-// observe takes the end of each request.
-func (m *metrics) observe(service, team, caller string, status int, v verdict.Verdict, latency time.Duration) {
-}
+// varsPath is where the metrics are served, as expvar does by default.
+const varsPath = "GET /debug/vars"
 
 // adminSide serves health, metrics and the administration API.
 type adminSide struct {
@@ -31,23 +34,107 @@
 }
 
 func newAdminSide(l *life) *adminSide {
+	a := &adminSide{l: l}
 	mux := http.NewServeMux()
-	a := &adminSide{l: l, server: &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second}}
 	mux.HandleFunc("GET /readyz", l.path.gateway.ServeReady)
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { fmt.Fprintln(w, "ok") })
-	mux.HandleFunc("GET /debug/vars", a.serveVars)
+	mux.HandleFunc(varsPath, a.serveVars)
+	if l.d.tokens != nil {
+		server := admin.New(admin.Options{
+			Authenticator: l.d.tokens, Applier: &versions.Applier{History: l.history, Keeper: l.versions},
+			Explainer: a, Status: a, Reporter: l.d.reporter(l), Log: l.log,
+		})
+		a.server = server.HTTPServer()
+		mux.Handle("/", a.server.Handler)
+	} else {
+		a.server = &http.Server{ReadHeaderTimeout: 5 * time.Second}
+	}
+	a.server.Handler = mux
 	return a
 }
 
+func (a *adminSide) supervise(sup *suture.Supervisor) {
+	var c *tls.Config
+	if k := a.l.d.callers; k != nil {
+		c = k.ServerConfig()
+	}
+	if t, ok := a.l.d.tokens.(suture.Service); ok {
+		sup.Add(t)
+	}
+	sup.Add(&httpService{"administration", a.server, a.l.d.listen.admin, c})
+}
+
 // serveVars serves the metrics in expvar's format.
 func (a *adminSide) serveVars(w http.ResponseWriter, _ *http.Request) {
 	var m expvar.Map
 	a.l.path.gateway.Publish(&m)
 	m.Set("store", a.l.store.Vars())
+	m.Set("versions", a.l.versions.Vars())
+	m.Set("owned", expvar.Func(a.owned))
+	if v := expvar.Get("memstats"); v != nil {
+		m.Set("memstats", v)
+	}
 	w.Header().Set("Content-Type", "application/json; charset=utf-8")
 	_ = json.NewEncoder(w).Encode(json.RawMessage(m.String())) // a cut answer fails to decode
 }
 
-func (a *adminSide) supervise(sup *suture.Supervisor) {
-	sup.Add(&httpService{"administration", a.server, a.l.d.listen.admin, nil})
+// owned counts the resources of each kind that this daemon owns.
+func (a *adminSide) owned() any {
+	counts := map[string]int{}
+	for _, prefix := range []string{ownership.PartitionPrefix, ownership.ShardPrefix, ownership.ServicePrefix, ownership.KeysPrefix} {
+		counts[prefix] = len(a.l.owners.Owned(prefix))
+	}
+	return counts
+}
+
+// Explain implements admin.Explainer.
+func (a *adminSide) Explain(ctx context.Context, task spec.TaskID) (api.Explanation, error) {
+	e, err := a.l.work.jobs.Explain(ctx, task)
+	if errors.Is(err, jobs.ErrUnknownJob) {
+		return api.Explanation{}, admin.ErrUnknownTask
+	}
+	if err != nil {
+		return api.Explanation{}, err
+	}
+	out := api.Explanation{Task: e.Task, State: string(e.State)}
+	if e.Reason != "" {
+		out.Reasons = append(out.Reasons, e.Reason)
+	}
+	for _, r := range e.Rejections {
+		out.Reasons = append(out.Reasons, fmt.Sprintf("%d workers: %s", r.Workers, r.Reason))
+	}
+	if e.Worker != "" {
+		out.Reasons = append(out.Reasons, fmt.Sprintf("on %s, attempt %d, waited %s", e.Worker, e.Attempt, e.Waited.Round(time.Millisecond)))
+	}
+	return out, nil
+}
+
+// Status implements admin.StatusSource. A shard whose owner does not answer is
+// left out; its jobs are then missing rather than shown as idle.
+func (a *adminSide) Status(ctx context.Context) (api.Status, error) {
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	s := api.Status{
+		Version: a.l.versions.Current().Version, StoreVersion: a.l.versions.StoreVersion(), StoreUp: a.l.store.Available(),
+		Members: admin.Members(a.l.versions.Survey(ctx)),
+	}
+	for n := range a.l.d.o.Settings.Shards {
+		shard, err := a.l.work.jobs.Status(ctx, plan.Shard(n))
+		if err != nil {
+			a.l.log.Info().Err(err).Int("shard", n).Msg("status of a shard is missing")
+			continue
+		}
+		for _, j := range shard.Jobs {
+			s.Jobs = append(s.Jobs, jobOf(j))
+		}
+	}
+	return s, nil
+}
+
+func jobOf(j jobs.JobStatus) api.Job {
+	return api.Job{
+		Name: j.Job, Team: j.Team, Kind: j.Kind, Generation: j.Generation, Desired: j.Count,
+		Running: j.Tasks[jobs.TaskRunning] + j.Tasks[jobs.TaskStarting] + j.Tasks[jobs.TaskStopping], Waiting: j.Tasks[jobs.TaskWaiting] + j.Tasks[jobs.TaskDelayed] + j.Tasks[jobs.TaskBlocked],
+		Done: j.Tasks[jobs.TaskDone], Failed: j.Tasks[jobs.TaskFailed], Unknown: j.Tasks[jobs.TaskUnknown], Message: j.Reason,
+	}
 }
--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -20,6 +20,7 @@
 	"fennelshunt.example/fennelshunt/connection/store"
 	"fennelshunt.example/fennelshunt/connection/vmlist"
 	"fennelshunt.example/fennelshunt/connection/worker"
+	"fennelshunt.example/fennelshunt/process/admin"
 	"fennelshunt.example/fennelshunt/process/fleet"
 	"fennelshunt.example/fennelshunt/process/settings"
 )
@@ -43,6 +44,9 @@
 	Store   store.Store
 	VMs     vmlist.Lister
 	Workers worker.Dialer
+	// Tokens knows the administration tokens; nil loads Settings.Tokens, and
+	// without those the administration API is not served.
+	Tokens admin.Authenticator
 	// Violation is called with each broken invariant; by default it is logged
 	// and counted.
 	Violation func(error)
@@ -54,6 +58,7 @@
 	log     zerolog.Logger
 	peers   *keys.Keys
 	callers *keys.Keys
+	tokens  admin.Authenticator
 	listen  listeners
 	metrics metrics
 	life    atomic.Pointer[life]
@@ -104,6 +109,11 @@
 			return fmt.Errorf("daemon: tls.callers: %w", err)
 		}
 	}
+	if d.tokens = d.o.Tokens; d.tokens == nil && d.o.Settings.Tokens != "" {
+		if d.tokens, err = admin.LoadTokens(d.o.Settings.Tokens, d.log); err != nil {
+			return fmt.Errorf("daemon: tokens: %w", err)
+		}
+	}
 	return nil
 }
 
--- a/process/daemon/life.go
+++ b/process/daemon/life.go
@@ -74,6 +74,9 @@
 	l.path = newPathSide(l)
 	l.admin = newAdminSide(l)
 	l.supervise()
+	self := l.fleet.Self()
+	l.log.Info().Str("caller", self.CallerAddr).Str("forward", self.ForwardAddr).Str("peer", self.PeerAddr).
+		Str("admin", self.AdminAddr).Str("zone", self.Zone).Msg("listening")
 	return l, nil
 }
 
--- a/process/daemon/path.go
+++ b/process/daemon/path.go
@@ -11,9 +11,11 @@
 
 	"fennelshunt.example/fennelshunt/connection/store"
 	"fennelshunt.example/fennelshunt/process/ownership"
+	"fennelshunt.example/fennelshunt/request/admission"
 	"fennelshunt.example/fennelshunt/request/forward"
 	"fennelshunt.example/fennelshunt/request/gateway"
 	"fennelshunt.example/fennelshunt/request/idem"
+	"fennelshunt.example/fennelshunt/request/outlier"
 	"fennelshunt.example/fennelshunt/request/slots"
 	"fennelshunt.example/fennelshunt/version/spec"
 )
@@ -31,9 +33,10 @@
 func newPathSide(l *life) *pathSide {
 	s := l.d.o.Settings
 	p := &pathSide{l: l}
+	outliers := outlier.New(outlier.Options{})
 	p.slots = slots.New(slots.Options{
 		Self: l.self, Zone: s.Zone, Caller: l.node, Registrar: l.mux, Directory: l.owners, Members: l.fleet,
-		Log: l.log, RequestLimit: slots.LimitsOf(l.versions), AuthorityBound: s.Leases.Renew.Std(),
+		Log: l.log, RequestLimit: slots.LimitsOf(l.versions), AuthorityBound: s.Leases.Renew.Std(), Health: outliers,
 	})
 	p.keys = idem.New(idem.Options{
 		Self: l.self, Directory: l.owners, Members: l.fleet, Store: l.store.Role(store.RoleIntents), Log: l.log,
@@ -42,11 +45,16 @@
 	p.peers = forward.New(forward.Options{TLS: l.d.peers.PeerConfig()})
 	p.gateway = gateway.New(gateway.Options{
 		Self: l.self.ID, Config: l.versions, Slots: p.slots, Forwarder: p.forwarder, Keys: p.keys, Peers: p.peers,
+		Admission: admission.New(admission.Options{
+			CallerRate: s.Limits.CallerRequestsPerSecond, MaxQueue: s.Limits.MaxQueued,
+			Members: func() int { return len(l.fleet.Members()) },
+		}),
+		Outliers: outliers, OnLeaving: p.slots.MarkLeaving,
 		Observe: l.d.metrics.observe, Log: l.log, MaxBody: s.Limits.MaxBodyBytes,
 	})
 	l.owners.Register(ownership.ServicePrefix, p.slots, p.services)
 	l.owners.Register(ownership.KeysPrefix, p.keys, idem.Resources)
-	l.work.sinks = append(l.work.sinks, p.slots)
+	l.work.sinks = append(l.work.sinks, p.slots, outliers)
 	return p
 }
 
--- a/process/settings/settings.go
+++ b/process/settings/settings.go
@@ -91,8 +91,7 @@
 	TLS       TLS       `json:"tls,omitzero"`
 	// Seeds are peer addresses for joining while the store is down.
 	Seeds []string `json:"seeds,omitempty"`
-	// Tokens names the file of administration tokens; without it the
-	// administration API accepts loopback callers only.
+	// Tokens names the file of administration tokens; see docs/ADMIN.md.
 	Tokens string `json:"tokens,omitempty"`
 	// Shards is the number of shards of teams; the same on every daemon.
 	Shards   int           `json:"shards,omitempty"`
@@ -201,6 +200,10 @@
 		"use for example \"10s\"")
 	c.want(s.Leases.Start <= s.Leases.Renew, "leases.start", "is longer than leases.renew",
 		"the right to renew running work must last at least as long as the right to start new work")
+	c.want(s.Tokens != "", "tokens", "is missing", "name the file of administration tokens; 'fennelctl token' makes an entry")
+	host, _, _ := net.SplitHostPort(s.Listen.Admin)
+	c.want(s.TLS.Callers != nil || net.ParseIP(host).IsLoopback(), "tls.callers", "is missing while listen.admin is not a loopback address",
+		"name cert and key: tokens must not cross the network in the clear")
 	_, err := zerolog.ParseLevel(s.LogLevel)
 	c.want(err == nil, "log_level", fmt.Sprintf("%q is no level", s.LogLevel), "use debug, info, warn or error")
 	c.want(s.Limits.MaxBodyBytes > 0, "limits.max_body_bytes", "is negative", "use a positive number or leave it out")
--- a/process/settings/settings_test.go
+++ b/process/settings/settings_test.go
@@ -11,7 +11,8 @@
   "name": "entry-1", "zone": "gulberg-hall",
   "listen": {"caller": "127.0.0.1:8080", "forward": "127.0.0.1:8081", "peer": "127.0.0.1:8082", "admin": "127.0.0.1:8083"},
   "platform": {"store": "http://127.0.0.1:7000", "vm_list": "http://127.0.0.1:7001"},
-  "tls": {"peers": {"cert": "peer.pem", "key": "peer-key.pem", "ca": "ca.pem"}}
+  "tls": {"peers": {"cert": "peer.pem", "key": "peer-key.pem", "ca": "ca.pem"}},
+  "tokens": "tokens.json"
 }`
 
 func TestParseFillsDefaults(t *testing.T) {
@@ -36,7 +37,7 @@
 		"leases": {"start": "48h"}}`))
 	require.Error(t, err)
 	for _, field := range []string{"field name:", "shards", "listen.caller", "listen.peer", "platform.store", "platform.vm_list",
-		"tls.peers", "log_level", "leases.start"} {
+		"tls.peers", "tokens", "tls.callers", "log_level", "leases.start"} {
 		require.ErrorContains(t, err, field)
 	}
 	require.NotContains(t, err.Error(), "field zone")
--- a/standin/callers/callers.go
+++ b/standin/callers/callers.go
@@ -49,6 +49,8 @@
 	// Tries bounds how often one request is sent, 0 means 5.
 	Tries int
 	Seed  uint64
+	// Until, when set, ends the arrivals early when it is closed.
+	Until <-chan struct{}
 	// Progress, when set, is called after each request has ended.
 	Progress func()
 }
@@ -99,20 +101,22 @@
 		o.Tries = defaultTries
 	}
 	rng := rand.New(rand.NewPCG(o.Seed, 1))
-	res := &Result{Outcomes: make([]Outcome, o.Count), Latency: hdrhistogram.New(1, latencyMax, latencyDigits)}
+	res := &Result{Latency: hdrhistogram.New(1, latencyMax, latencyDigits)}
 	begin := time.Now()
 	due := begin
 	var wg sync.WaitGroup
+	var outcomes []*Outcome
 	for i := range o.Count {
 		due = due.Add(time.Duration(rng.ExpFloat64() / o.Rate * float64(time.Second)))
 		kind := o.kind(rng.Float64())
-		if !sleepUntil(ctx, due) {
-			res.Outcomes = res.Outcomes[:i]
+		if !sleepUntil(ctx, due) || isClosed(o.Until) {
 			break
 		}
+		out := &Outcome{}
+		outcomes = append(outcomes, out)
 		wg.Go(func() {
 			c := call{o: &o, kind: kind, key: fmt.Sprintf("request-%d-%d", o.Seed, i)}
-			res.Outcomes[i] = c.run(ctx, due)
+			*out = c.run(ctx, due)
 			if o.Progress != nil {
 				o.Progress()
 			}
@@ -120,7 +124,8 @@
 	}
 	wg.Wait()
 	res.Elapsed = time.Since(begin)
-	for _, out := range res.Outcomes {
+	for _, out := range outcomes {
+		res.Outcomes = append(res.Outcomes, *out)
 		if out.Whole {
 			_ = res.Latency.RecordValue(min(latencyMax, max(1, out.Latency.Microseconds()))) // within the range
 		}
@@ -139,6 +144,15 @@
 	}
 }
 
+func isClosed(c <-chan struct{}) bool {
+	select {
+	case <-c:
+		return true // a nil channel is never ready
+	default:
+		return false
+	}
+}
+
 func sleepUntil(ctx context.Context, t time.Time) bool {
 	timer := time.NewTimer(time.Until(t))
 	defer timer.Stop()
