Write the workers of a partition down for its next owner

Cause: the random run found a task running twice: a worker left the VM list, its owner died, and a daemon that had just started took the partition over. It had never seen the worker, so its answer to a fence did not list the tasks that still ran there under the old lease. Change: the claim carries a memo with the workers. A worker takes tasks only once it is in the memo and leaves it when nothing can run there. Claims that are no longer listed stay owned until their owner retires them. The random run gained messages that arrive after their sender gave up, owners of a shard that hear nothing, held stores and workers off the list. Conclusion: one more conditional write when the workers of a rack change; a worker that joins in a store outage takes tasks only after it.

--- a/process/cellview/cellview.go
+++ b/process/cellview/cellview.go
@@ -87,8 +87,8 @@
 	}
 }
 
-// adjust follows new partitions and stops following those that are no longer
-// listed. What the sinks know of the latter is cleared.
+// adjust follows new partitions. One that is no longer listed is followed as
+// long as it has an owner, which then tells that its workers are gone.
 func (v *View) adjust(ctx context.Context, following map[string]context.CancelFunc) {
 	names := v.o.Partitions()
 	for _, name := range names {
@@ -101,7 +101,8 @@
 		go f.run(followCtx)
 	}
 	for name, cancel := range following {
-		if len(names) > 0 && !slices.Contains(names, name) {
+		_, owned := v.o.Directory.Owner(ownership.Resource(ownership.PartitionPrefix + name))
+		if len(names) > 0 && !slices.Contains(names, name) && !owned {
 			cancel()
 			delete(following, name)
 		}
--- a/process/ownership/manager.go
+++ b/process/ownership/manager.go
@@ -179,10 +179,15 @@
 	return fmt.Errorf("claim of %s is held by %s in epoch %d: %w", c.Resource, held.Owner.ID, held.Epoch, ErrNotOwner)
 }
 
-// Settle records in the store that every owner before c is fenced or known to
-// have let go, see Grant.Earlier.
-func (m *Manager) Settle(ctx context.Context, c Claim) error {
-	e, err := m.amend(ctx, c, func(c *record) { c.Earlier = nil })
+// Remember writes a memo for the owners after c. A nil error means that every
+// later owner is granted it.
+func (m *Manager) Remember(ctx context.Context, c Claim, memo Memo) error {
+	e, err := m.amend(ctx, c, func(c *record) {
+		c.Notes = memo.Notes
+		if memo.Settled {
+			c.Earlier = nil
+		}
+	})
 	if err == nil {
 		m.send(func(s *state) { s.apply(e) })
 	}
--- a/process/ownership/ownership.go
+++ b/process/ownership/ownership.go
@@ -48,8 +48,18 @@
 	// Previous is the claim that this one replaced; a zero Epoch means none.
 	Previous Claim
 	// Earlier lists owners of lower epochs that are not known to have let go,
-	// since the last owner that fenced all of its own, see Manager.Settle.
+	// since the last owner that fenced all of its own, see Memo.Settled.
 	Earlier []peer.Ref
+	// Notes are the newest Memo.Notes of an earlier owner.
+	Notes []string
+}
+
+// Memo is what an owner leaves in the store for its successors.
+type Memo struct {
+	// Settled says that every earlier owner is fenced or known to have let go.
+	Settled bool
+	// Notes are words of the user's own; they replace those of before.
+	Notes []string
 }
 
 // User is told about the resources of one prefix. Acquired and Lost come from
--- a/process/ownership/ownershiptest/directory.go
+++ b/process/ownership/ownershiptest/directory.go
@@ -20,6 +20,7 @@
 	mu      sync.Mutex
 	claims  map[ownership.Resource]ownership.Claim
 	earlier map[ownership.Resource][]peer.Ref
+	notes   map[ownership.Resource][]string
 	changed chan struct{}
 }
 
@@ -28,6 +29,7 @@
 	return &Cell{
 		claims:  make(map[ownership.Resource]ownership.Claim),
 		earlier: make(map[ownership.Resource][]peer.Ref),
+		notes:   make(map[ownership.Resource][]string),
 		changed: make(chan struct{}),
 	}
 }
@@ -43,7 +45,9 @@
 	}
 	c.claims[r] = claim
 	c.notify()
-	return ownership.Grant{Claim: claim, Previous: previous, Earlier: slices.Clone(c.earlier[r])}
+	return ownership.Grant{
+		Claim: claim, Previous: previous, Earlier: slices.Clone(c.earlier[r]), Notes: slices.Clone(c.notes[r]),
+	}
 }
 
 // Release marks the claim of r as released.
@@ -188,14 +192,17 @@
 	return nil
 }
 
-// Settle clears the earlier owners of claim c.
-func (d *Directory) Settle(ctx context.Context, c ownership.Claim) error {
+// Remember keeps a memo as the Manager does.
+func (d *Directory) Remember(ctx context.Context, c ownership.Claim, memo ownership.Memo) error {
 	if err := d.Confirm(ctx, c); err != nil {
 		return err
 	}
 	d.cell.mu.Lock()
 	defer d.cell.mu.Unlock()
-	delete(d.cell.earlier, c.Resource)
+	d.cell.notes[c.Resource] = memo.Notes
+	if memo.Settled {
+		delete(d.cell.earlier, c.Resource)
+	}
 	return nil
 }
 
--- a/process/ownership/state.go
+++ b/process/ownership/state.go
@@ -30,6 +30,7 @@
 	// that died before it had fenced its predecessor would forget the
 	// predecessor, which may be paused and still start work.
 	Earlier []peer.Ref `json:"earlier,omitempty"`
+	Notes   []string   `json:"notes,omitempty"`
 }
 
 // state belongs to the manager's goroutine.
@@ -159,7 +160,7 @@
 	s.held[e.Resource] = e.Claim
 	s.dropped[e.Resource] = e.Epoch // not to be acquired a second time
 	s.m.log.Info().Str("resource", string(e.Resource)).Uint64("epoch", e.Epoch).Msg("acquired")
-	u.Acquired(s.ctx, Grant{Claim: e.Claim, Previous: previous, Earlier: e.Earlier})
+	u.Acquired(s.ctx, Grant{Claim: e.Claim, Previous: previous, Earlier: e.Earlier, Notes: e.Notes})
 }
 
 // observe takes a claim learned from a peer or a worker.
@@ -207,10 +208,15 @@
 	}
 	candidates := s.candidates()
 	for _, reg := range s.m.users {
-		resources := reg.resources()
+		listed := reg.resources()
+		resources := s.withClaimed(reg.prefix, listed)
 		targets := Assign(resources, candidates)
+		s.retire(reg.prefix, listed)
 		for _, r := range resources {
-			s.check(r, targets[r], candidates, start > 0 && self.State == fleet.Alive)
+			// A user that knows of no resources yet, because it could not read
+			// their list, could not look after one.
+			mayClaim := start > 0 && self.State == fleet.Alive && len(listed) > 0
+			s.check(r, targets[r], candidates, mayClaim)
 		}
 	}
 	if s.leaving {
@@ -220,6 +226,31 @@
 	}
 }
 
+// withClaimed adds the resources that are claimed but no longer listed:
+// somebody must own them until the user has no more use for them.
+func (s *state) withClaimed(prefix string, listed []Resource) []Resource {
+	all := slices.Clone(listed)
+	for r, e := range s.claims {
+		if strings.HasPrefix(string(r), prefix) && !e.Released && !slices.Contains(listed, r) {
+			all = append(all, r)
+		}
+	}
+	return all
+}
+
+// retire releases what is no longer listed, once the user agrees.
+func (s *state) retire(prefix string, listed []Resource) {
+	if len(listed) == 0 {
+		return // nothing has been read yet
+	}
+	now := time.Now()
+	for r := range s.held {
+		if strings.HasPrefix(string(r), prefix) && !slices.Contains(listed, r) && now.After(s.delays[r].after) {
+			s.handOver(r)
+		}
+	}
+}
+
 // candidates are the members that may get resources: suspects keep what they
 // own and get nothing new.
 func (s *state) candidates() []peer.MemberID {
@@ -307,6 +338,7 @@
 	c := record{
 		Claim:   Claim{Resource: r, Owner: s.self(), Epoch: previous.Epoch + 1},
 		Earlier: previous.Earlier,
+		Notes:   previous.Notes,
 	}
 	if previous.Epoch > 0 && !previous.Released && !slices.Contains(c.Earlier, previous.Owner) {
 		c.Earlier = append(slices.Clone(c.Earlier), previous.Owner)
--- a/process/partition/commit.go
+++ b/process/partition/commit.go
@@ -140,6 +140,9 @@
 	if !n.everKnown {
 		return nil, o.reject(plan.NotFenced, n.unusable())
 	}
+	if !o.noted[n.id] {
+		return nil, o.reject(plan.NotFenced, notNoted)
+	}
 	if reason := n.unusable(); reason != "" {
 		return nil, o.reject(plan.NoWorker, reason)
 	}
@@ -149,6 +152,9 @@
 	return n, plan.StepResult{}
 }
 
+// notNoted refuses a worker that the memo does not name yet.
+const notNoted = "worker is not written down in the store yet"
+
 // violates checks the constraints that depend on what else runs here.
 func (o *owner) violates(n *node, step plan.Step) string {
 	limit := step.Constraints.MaxPerWorker
--- a/process/partition/fence.go
+++ b/process/partition/fence.go
@@ -17,7 +17,6 @@
 	storeTimeout = 3 * time.Second
 	storeRetry   = time.Second
 	fenceRetry   = time.Second
-	settleRetry  = 10 * time.Second
 	// maxRevokeRounds bounds how often leases are listed and revoked in one
 	// attempt; more means that somebody keeps opening new ones.
 	maxRevokeRounds = 3
@@ -299,23 +298,3 @@
 	n.accounted = true
 	o.touch(n)
 }
-
-// settleClaim tells the store when no earlier owner can start anything any
-// more, so that the next owner need not wait for them.
-func (o *owner) settleClaim(now time.Time) {
-	if o.settled || len(o.nodes) == 0 || now.Before(o.settleAt) {
-		return
-	}
-	for _, n := range o.nodes {
-		if !n.everKnown && !n.accounted {
-			return
-		}
-	}
-	o.settleAt = now.Add(settleRetry)
-	go func() {
-		ctx, cancel := context.WithTimeout(o.ctx, storeTimeout)
-		defer cancel()
-		err := o.h.o.Claims.Settle(ctx, o.claim)
-		o.post(func() { o.settled = err == nil })
-	}()
-}
--- a/process/partition/harness_test.go
+++ b/process/partition/harness_test.go
@@ -94,6 +94,12 @@
 	return slices.Clone(l.vms), nil
 }
 
+func (l *vmList) add(vm vmlist.VM) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.vms = append(l.vms, vm)
+}
+
 func (l *vmList) remove(name string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/process/partition/host.go
+++ b/process/partition/host.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync"
 
@@ -146,6 +147,9 @@
 	if err != nil {
 		return fmt.Errorf("release %s: %w", r, err)
 	}
+	if idle == nil {
+		return fmt.Errorf("release %s: %w", r, errTasksLeft)
+	}
 	select {
 	case <-idle:
 		return nil
@@ -154,6 +158,9 @@
 	}
 }
 
+// errTasksLeft refuses to release a partition that no successor would list.
+var errTasksLeft = errors.New("partition: tasks of departed workers are not given up yet")
+
 // fences remembers the newest authorship of each shard that this process has
 // seen. It outlives the ownership of a partition: a delayed plan addressed to
 // this life of the daemon may arrive after it lost a partition and got it back.
--- /dev/null
+++ b/process/partition/memo.go
@@ -0,0 +1,94 @@
+package partition
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"fennelshunt.example/fennelshunt/connection/vmlist"
+	"fennelshunt.example/fennelshunt/connection/worker"
+	"fennelshunt.example/fennelshunt/process/ownership"
+)
+
+// The memo of a partition lists its workers. A worker that leaves the VM list
+// just before its owner dies is unknown to a daemon that reads the list for the
+// first time afterwards; its tasks, which may go on until their lease runs out,
+// would be missing from the answer to a Fence and be started elsewhere. So a
+// worker takes tasks only once it is in the memo, and leaves the memo only once
+// nothing can run there.
+
+// recall enters the workers that the memo names and the VM list does not.
+func (o *owner) recall(notes []string) {
+	o.noted = make(map[worker.ID]bool, len(notes))
+	listed := o.h.o.Racks.Workers(o.name)
+	for _, note := range notes {
+		id := worker.ID(note)
+		o.noted[id] = true
+		if !slices.ContainsFunc(listed, func(vm vmlist.VM) bool { return vm.Name == note }) {
+			n := o.addNode(id, vmlist.VM{Name: note})
+			n.gone = true
+		}
+	}
+}
+
+// remember brings the memo up to date.
+func (o *owner) remember(now time.Time) {
+	if o.noting || now.Before(o.noteAt) || o.releasing || (o.memoIsCurrent() && !o.canSettle()) {
+		return
+	}
+	memo := ownership.Memo{Settled: o.settled || o.canSettle()}
+	for id := range o.nodes {
+		memo.Notes = append(memo.Notes, string(id))
+	}
+	slices.Sort(memo.Notes)
+	o.noting = true
+	go func() {
+		ctx, cancel := context.WithTimeout(o.ctx, storeTimeout)
+		defer cancel()
+		err := o.h.o.Claims.Remember(ctx, o.claim, memo)
+		o.post(func() { o.remembered(memo, err) })
+	}()
+}
+
+func (o *owner) remembered(memo ownership.Memo, err error) {
+	o.noting = false
+	if err != nil {
+		o.noteAt = time.Now().Add(storeRetry)
+		o.log.Warn().Err(err).Msg("workers not written down")
+		return
+	}
+	o.settled = memo.Settled
+	o.noted = make(map[worker.ID]bool, len(memo.Notes))
+	for _, note := range memo.Notes {
+		o.noted[worker.ID(note)] = true
+	}
+	for _, n := range o.nodes {
+		o.touch(n)
+	}
+}
+
+func (o *owner) memoIsCurrent() bool {
+	if len(o.noted) != len(o.nodes) {
+		return false
+	}
+	for id := range o.nodes {
+		if !o.noted[id] {
+			return false
+		}
+	}
+	return true
+}
+
+// canSettle reports whether the store does not know yet that no earlier owner
+// can start anything any more.
+func (o *owner) canSettle() bool {
+	if o.settled || len(o.nodes) == 0 {
+		return false
+	}
+	for _, n := range o.nodes {
+		if !n.everKnown && !n.accounted {
+			return false
+		}
+	}
+	return true
+}
--- a/process/partition/options.go
+++ b/process/partition/options.go
@@ -31,8 +31,8 @@
 	Confirm(ctx context.Context, c ownership.Claim) error
 	// Epochs reads the epochs of a prefix from the store, after the call began.
 	Epochs(ctx context.Context, prefix string) (map[ownership.Resource]uint64, error)
-	// Settle records that every earlier owner is fenced or has let go.
-	Settle(ctx context.Context, c ownership.Claim) error
+	// Remember leaves a memo for later owners.
+	Remember(ctx context.Context, c ownership.Claim, memo ownership.Memo) error
 }
 
 // Options of a Host. Zero durations take the defaults.
--- a/process/partition/owner.go
+++ b/process/partition/owner.go
@@ -52,8 +52,10 @@
 	confirms   confirmer
 	earlier    earlierOwners
 	releasing  bool
-	settled    bool // no earlier owner can start anything any more
-	settleAt   time.Time
+	settled    bool               // no earlier owner can start anything any more
+	noted      map[worker.ID]bool // workers in the memo
+	noting     bool
+	noteAt     time.Time     // of the next try
 	idle       chan struct{} // closed when releasing and no call is under way
 }
 
@@ -81,6 +83,7 @@
 		settled:  len(g.Earlier) == 0,
 	}
 	o.state.init(name, g.Epoch)
+	o.recall(g.Notes)
 	o.confirms = confirmer{confirm: func(ctx context.Context) error { return h.o.Claims.Confirm(ctx, g.Claim) }}
 	return o
 }
@@ -90,7 +93,6 @@
 	defer close(o.done)
 	ticker := time.NewTicker(o.t.Tick)
 	defer ticker.Stop()
-	o.addDeparted()
 	o.step()
 	for {
 		listed := o.h.o.Racks.Changed()
@@ -170,7 +172,7 @@
 		o.settleGone(n, now)
 		o.wake(n)
 	}
-	o.settleClaim(now)
+	o.remember(now)
 	o.follow()
 }
 
@@ -222,17 +224,6 @@
 	}()
 }
 
-// addDeparted enters workers that left the VM list before this takeover. Their
-// tasks may still run, under the leases of the earlier owner; unknown to us
-// they would be missing from the answer to a Fence and be started elsewhere.
-func (o *owner) addDeparted() {
-	for _, vm := range o.h.o.Racks.Departed(o.name) {
-		if n := o.addNode(worker.ID(vm.Name), vm); o.h.o.Racks.VMGone(vm.Name) {
-			n.gone = true
-		}
-	}
-}
-
 // refreshNodes takes over changes of the VM list.
 func (o *owner) refreshNodes() {
 	listed := make(map[worker.ID]bool)
@@ -296,6 +287,9 @@
 // prepareRelease takes no new work and returns a channel closed when no call
 // to a worker is under way and no event waits.
 func (o *owner) prepareRelease() <-chan struct{} {
+	if len(o.nodes) > 0 && !slices.Contains(o.h.o.Racks.Partitions(), o.name) {
+		return nil // the rack is gone, its tasks are not given up yet
+	}
 	o.releasing = true
 	if o.idle == nil {
 		o.idle = make(chan struct{})
--- a/process/partition/racks.go
+++ b/process/partition/racks.go
@@ -25,11 +25,8 @@
 	// absentReadings is how many successful readings in a row must lack a VM
 	// before it counts as gone: one reading may have been cut short.
 	absentReadings = 2
-	// absentMemory is how long a departed VM is remembered, departedMemory how
-	// long the partition of a departed worker is still listed: somebody must
-	// own it until the tasks of its workers are given up.
-	absentMemory   = 48 * time.Hour
-	departedMemory = 15 * time.Minute
+	// absentMemory is how long a departed VM is remembered.
+	absentMemory = 48 * time.Hour
 )
 
 // Racks follows the platform's VM list and groups workers into partitions, one
@@ -44,7 +41,6 @@
 
 // listing is one reading with what is remembered of earlier ones; immutable.
 type listing struct {
-	workers    map[string]vmlist.VM
 	partitions map[string][]vmlist.VM
 	names      []string
 	present    map[string]bool
@@ -57,7 +53,6 @@
 type absence struct {
 	readings int // in a row without it
 	since    time.Time
-	vm       vmlist.VM // zero unless it was a worker
 }
 
 // NewRacks returns a Racks that has read nothing yet; interval 0 means
@@ -111,21 +106,19 @@
 		partitions: make(map[string][]vmlist.VM),
 		present:    make(map[string]bool, len(vms)),
 		absent:     make(map[string]absence),
-		workers:    make(map[string]vmlist.VM),
 		changed:    make(chan struct{}),
 		vms:        len(vms),
 	}
 	for _, vm := range vms {
 		l.present[vm.Name] = true
 		if vm.Role == vmlist.RoleWorker {
-			l.workers[vm.Name] = vm
 			name := PartitionOf(vm.Zone, vm.Rack)
 			l.partitions[name] = append(l.partitions[name], vm)
 		}
 	}
 	for name := range old.present {
 		if !l.present[name] {
-			l.absent[name] = absence{readings: 1, since: now, vm: old.workers[name]}
+			l.absent[name] = absence{readings: 1, since: now}
 		}
 	}
 	for name, a := range old.absent {
@@ -134,13 +127,7 @@
 			l.absent[name] = a
 		}
 	}
-	names := maps.Clone(l.partitions)
-	for _, a := range l.absent {
-		if a.vm.Name != "" && now.Sub(a.since) < departedMemory {
-			names[PartitionOf(a.vm.Zone, a.vm.Rack)] = nil
-		}
-	}
-	l.names = slices.Sorted(maps.Keys(names))
+	l.names = slices.Sorted(maps.Keys(l.partitions))
 	return l
 }
 
@@ -171,17 +158,6 @@
 	return r.current.Load().absent[name].readings >= absentReadings
 }
 
-// Departed returns the workers of a partition that left the list lately.
-func (r *Racks) Departed(partition string) []vmlist.VM {
-	var vms []vmlist.VM
-	for _, a := range r.current.Load().absent {
-		if a.vm.Name != "" && PartitionOf(a.vm.Zone, a.vm.Rack) == partition && time.Since(a.since) < departedMemory {
-			vms = append(vms, a.vm)
-		}
-	}
-	return vms
-}
-
 // Changed returns a channel closed at the next reading.
 func (r *Racks) Changed() <-chan struct{} { return r.current.Load().changed }
 
--- a/process/partition/random_test.go
+++ b/process/partition/random_test.go
@@ -12,6 +12,7 @@
 	"pgregory.net/rapid"
 
 	"fennelshunt.example/fennelshunt/connection/peer"
+	"fennelshunt.example/fennelshunt/connection/vmlist"
 	"fennelshunt.example/fennelshunt/process/ownership"
 	"fennelshunt.example/fennelshunt/process/partition/agenttest"
 	"fennelshunt.example/fennelshunt/standin/kv"
@@ -29,7 +30,7 @@
 var actionKinds = []string{
 	"pause", "resume", "kill", "restart", "gone", "cutStore", "healStore", "cutWorker", "healWorker",
 	"rebootWorker", "downWorker", "upWorker", "loss", "calm", "storeDown", "storeUp", "cutPeer", "healPeer",
-	"shardTakeover", "leave", "nothing",
+	"shardTakeover", "shardDeaf", "leave", "nothing", "holdStore", "holdWorkers", "unlistWorker", "listWorker",
 }
 
 func drawActions(t *rapid.T) []action {
@@ -53,11 +54,9 @@
 	seed    uint64
 }
 
-const modelTasks = 8
-
 func (r *randomRun) newShard() {
 	epoch := uint64(len(r.shards) + 1)
-	s := newModelShard(r.cell, epoch, modelTasks, r.durable, r.seed)
+	s := newModelShard(r.cell, epoch, r.durable, r.seed)
 	claim := ownership.Claim{Resource: shardResource(testShard), Owner: s.ref, Epoch: epoch}
 	if err := replaceClaim(r.cell, claim); err != nil && epoch > 1 {
 		r.net.Stop(s.ref)
@@ -124,6 +123,16 @@
 			r.shards[len(r.shards)-1].deaf = a.A%2 == 0
 			r.newShard()
 		}
+	case "shardDeaf":
+		r.shards[len(r.shards)-1].deaf = a.A%2 == 0
+	case "holdStore":
+		d.gate.hold()
+	case "holdWorkers":
+		r.rack.Pause(d.key())
+	case "unlistWorker":
+		r.vms.remove(string(id))
+	case "listWorker":
+		r.listWorkers()
 	case "leave":
 		go func() { _ = d.manager.Leave(r.ctx) }()
 	}
@@ -172,9 +181,11 @@
 func (r *randomRun) repair() {
 	r.calm()
 	r.kv.SetFaults(kv.Faults{})
+	r.listWorkers()
 	for i := range r.workers {
 		r.rack.SetDown(workerID(i), false)
 	}
+	r.shards[len(r.shards)-1].deaf = false
 	for _, d := range r.daemons {
 		r.kill(d)
 		r.rack.Resume(d.key())
@@ -204,12 +215,12 @@
 		}
 		r.repair()
 		deadline := time.Now().Add(time.Hour)
-		for time.Now().Before(deadline) && r.unfinished() > 0 {
+		for time.Now().Before(deadline) && r.durable.close() > 0 {
 			time.Sleep(time.Second)
 		}
 		if v := c.rack.Violations(); len(v) > 0 {
 			fault = strings.Join(v, "\n")
-		} else if n := r.unfinished(); n > 0 {
+		} else if n := r.durable.close(); n > 0 {
 			fault = fmt.Sprintf("%d tasks not finished an hour after the repair", n)
 		}
 		for _, s := range r.shards {
@@ -219,14 +230,15 @@
 	return fault
 }
 
-func (r *randomRun) unfinished() int {
-	n := 0
-	for i := range modelTasks {
-		if !r.durable.finished(i) {
-			n++
-		}
+// listWorkers puts workers that left the VM list back on it.
+func (r *randomRun) listWorkers() {
+	for i := range r.workers {
+		id := string(workerID(i))
+		r.vms.remove(id)
+		r.vms.add(vmlist.VM{
+			Name: id, Role: vmlist.RoleWorker, Zone: testZone, Rack: rackName(i % r.racks), Address: id, Capacity: large,
+		})
 	}
-	return n
 }
 
 // TestRandomFaultsNeverRunATaskTwice drives the real owners, claims and store
--- a/process/partition/shardmodel_test.go
+++ b/process/partition/shardmodel_test.go
@@ -17,8 +17,32 @@
 
 // progress is what all owners of the shard share: what the store would hold.
 type progress struct {
-	mu   sync.Mutex
-	done map[int]bool
+	mu     sync.Mutex
+	done   map[int]bool
+	issued int
+	closed bool // no more tasks are issued
+}
+
+// openTasks is how many tasks are not finished at a time.
+const openTasks = 8
+
+// issue returns the numbers of new tasks, so that there is always work.
+func (p *progress) issue() (from, to int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	from = p.issued
+	for !p.closed && p.issued-len(p.done) < openTasks {
+		p.issued++
+	}
+	return from, p.issued
+}
+
+// open returns how many tasks are not finished; no more are issued after it.
+func (p *progress) close() (open int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	return p.issued - len(p.done)
 }
 
 func (p *progress) finish(i int) {
@@ -65,7 +89,6 @@
 	epoch      uint64
 	caller     peer.Caller
 	rng        *rand.Rand
-	tasks      int
 	durable    *progress
 	cancel     context.CancelFunc
 	deaf       bool
@@ -73,15 +96,14 @@
 	attempts   int
 	partitions map[string]*modelPartition
 
-	mu      sync.Mutex
-	known   map[int]*modelTask
-	acks    map[string][]worker.Ref
-	running map[spec.TaskID]bool
+	mu    sync.Mutex
+	known map[int]*modelTask
+	acks  map[string][]worker.Ref
 }
 
-func newModelShard(c *cell, epoch uint64, tasks int, durable *progress, seed uint64) *modelShard {
+func newModelShard(c *cell, epoch uint64, durable *progress, seed uint64) *modelShard {
 	s := &modelShard{
-		c: c, epoch: epoch, tasks: tasks, durable: durable,
+		c: c, epoch: epoch, durable: durable,
 		ref:        peer.Ref{ID: peer.MemberID(fmt.Sprintf("shard-%d", epoch)), Incarnation: 1},
 		rng:        rand.New(rand.NewPCG(seed, epoch)),
 		partitions: make(map[string]*modelPartition),
@@ -90,9 +112,6 @@
 	}
 	caller, mux := c.net.Node(s.ref)
 	s.caller = caller
-	for i := range tasks {
-		s.known[i] = &modelTask{}
-	}
 	mux.Handle(plan.MethodEvents, func(_ context.Context, _ peer.Ref, payload []byte) (any, error) {
 		var msg plan.Events
 		if err := peer.Unmarshal(payload, &msg); err != nil {
@@ -112,6 +131,7 @@
 	ctx, cancel := context.WithCancel(s.c.ctx)
 	s.cancel = cancel
 	for ctx.Err() == nil {
+		s.issue()
 		for _, name := range s.c.partitionNames() {
 			if s.partitions[name] == nil {
 				s.partitions[name] = &modelPartition{doubt: true}
@@ -126,12 +146,37 @@
 	}
 }
 
+// issue takes up new tasks. Those that another owner of the shard issued may
+// run anywhere until every partition has been asked.
+func (s *modelShard) issue() {
+	from, to := s.durable.issue()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i := range to {
+		if s.known[i] != nil {
+			continue
+		}
+		s.known[i] = &modelTask{}
+		if i >= from {
+			s.known[i].state = idle
+			continue
+		}
+		for _, p := range s.partitions {
+			p.doubt = true
+		}
+	}
+}
+
 func (s *modelShard) lookUp(name string) {
+	p := s.partitions[name]
+	if s.rng.IntN(40) == 0 {
+		p.doubt = true // as after a lost answer
+	}
 	if s.deaf {
 		return
 	}
-	p := s.partitions[name]
-	if claim, ok := s.c.storedClaim(resourceOf(name)); ok && claim.Epoch > p.claim.Epoch {
+	d := s.c.daemons[s.rng.IntN(len(s.c.daemons))]
+	if claim, ok := d.manager.Owner(resourceOf(name)); ok && claim.Epoch > p.claim.Epoch {
 		p.claim = claim
 		p.doubt = true
 	}
@@ -141,10 +186,27 @@
 	return plan.Authorship{Shard: testShard, Epoch: s.epoch, Owner: s.ref}
 }
 
-func (s *modelShard) call(ctx context.Context, p *modelPartition, m peer.Method, req, resp any) error {
-	ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
-	defer cancel()
-	return s.caller.Call(ctx, p.claim.Owner, m, req, resp)
+// callLate gives up after two seconds; the message may arrive later all the same.
+func callLate[Resp any](ctx context.Context, s *modelShard, p *modelPartition, m peer.Method, req any) (Resp, error) {
+	type answer struct {
+		value Resp
+		err   error
+	}
+	done := make(chan answer, 1)
+	to := p.claim.Owner
+	go func() {
+		ctx, cancel := context.WithTimeout(ctx, time.Minute)
+		defer cancel()
+		var a answer
+		a.err = s.caller.Call(ctx, to, m, req, &a.value)
+		done <- a
+	}()
+	select {
+	case a := <-done:
+		return a.value, a.err
+	case <-time.After(2 * time.Second):
+		return *new(Resp), peer.ErrUnknown
+	}
 }
 
 func (s *modelShard) fenceIfNeeded(ctx context.Context, name string) {
@@ -153,10 +215,9 @@
 		return
 	}
 	s.seq++
-	var reply plan.FenceReply
-	err := s.call(ctx, p, plan.MethodFence, plan.Fence{
+	reply, err := callLate[plan.FenceReply](ctx, s, p, plan.MethodFence, plan.Fence{
 		Partition: name, Author: s.as(), MinSeq: s.seq, Jobs: []string{"survey"},
-	}, &reply)
+	})
 	if err != nil {
 		return
 	}
@@ -196,6 +257,10 @@
 // take takes one event; the caller holds mu.
 func (s *modelShard) take(partition string, e plan.Event) {
 	t := s.known[e.Task.Index]
+	if t == nil {
+		t = &modelTask{}
+		s.known[e.Task.Index] = t
+	}
 	ended := e.Lost || e.NotStarted || e.State.Ended()
 	if ended && !e.Lost && !e.NotStarted {
 		if e.State == worker.Succeeded {
@@ -219,7 +284,7 @@
 	if len(refs) == 0 {
 		return
 	}
-	err := s.call(ctx, s.partitions[name], plan.MethodAck, plan.Ack{Partition: name, Author: s.as(), Tasks: refs}, nil)
+	_, err := callLate[struct{}](ctx, s, s.partitions[name], plan.MethodAck, plan.Ack{Partition: name, Author: s.as(), Tasks: refs})
 	if err != nil {
 		s.mu.Lock()
 		s.acks[name] = append(s.acks[name], refs...)
@@ -230,12 +295,12 @@
 // place proposes one start for each idle task.
 func (s *modelShard) place(ctx context.Context) {
 	names := s.c.partitionNames()
-	for i := range s.tasks {
+	for i := range len(s.known) {
 		name := names[s.rng.IntN(len(names))]
 		p := s.partitions[name]
 		s.mu.Lock()
 		t := s.known[i]
-		ok := t.state == idle && !s.durable.finished(i) && p.fenced == p.claim.Epoch && !p.doubt
+		ok := t != nil && t.state == idle && !s.durable.finished(i) && p.fenced == p.claim.Epoch && !p.doubt
 		if !ok {
 			s.mu.Unlock()
 			continue
@@ -255,10 +320,9 @@
 func (s *modelShard) commit(ctx context.Context, name string, t *modelTask, step plan.Step) {
 	p := s.partitions[name]
 	s.seq++
-	var r plan.Result
-	err := s.call(ctx, p, plan.MethodCommit, plan.Plan{
+	r, err := callLate[plan.Result](ctx, s, p, plan.MethodCommit, plan.Plan{
 		Partition: name, Author: s.as(), Seq: s.seq, Steps: []plan.Step{step},
-	}, &r)
+	})
 	if err != nil {
 		p.doubt = true // a fence tells whether it was committed
 		return
@@ -276,17 +340,6 @@
 	}
 }
 
-// storedClaim reads a claim as the store holds it.
-func (c *cell) storedClaim(r ownership.Resource) (ownership.Claim, bool) {
-	var newest ownership.Claim
-	for _, d := range c.daemons {
-		if claim, ok := d.manager.Owner(r); ok && claim.Epoch > newest.Epoch {
-			newest = claim
-		}
-	}
-	return newest, newest.Epoch > 0
-}
-
 func (c *cell) partitionNames() []string {
 	var names []string
 	for i := range c.racks {
--- a/process/partition/state.go
+++ b/process/partition/state.go
@@ -117,6 +117,9 @@
 		Reserved: o.ledger.Held(n.id),
 		Unusable: n.unusable(),
 	}
+	if w.Unusable == "" && !o.noted[n.id] {
+		w.Unusable = notNoted
+	}
 	for _, t := range n.tasks {
 		if t.live() {
 			w.Tasks = append(w.Tasks, t.inState())
--- a/process/partition/takeover_test.go
+++ b/process/partition/takeover_test.go
@@ -174,7 +174,8 @@
 			reply, err := c.author.fence(d)
 			return err == nil && len(reply.Unaccounted) == 0
 		})
-		c.rack.Resume(stale.key()) // the store is still out of its reach
+		c.rack.Resume(stale.key())
+		c.net.Resume(stale.ref) // only the store is still out of its reach
 		time.Sleep(10 * time.Second)
 		for _, r := range c.author.commit(stale, step(1, workerID(0))) {
 			require.NotEqual(t, plan.Accepted, r.Outcome)
