--- a/process/jobs/cell_test.go
+++ b/process/jobs/cell_test.go
@@ -252,6 +252,15 @@
 // invariant inside a shard.
 func (c *cell) check() {
 	c.t.Helper()
+	c.checkShards()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.problems) > 0 {
+		c.t.Fatalf("%d problems, first: %v", len(c.problems), c.problems)
+	}
+}
+
+func (c *cell) checkShards() {
 	c.mu.Lock()
 	daemons := slices.Clone(c.daemons)
 	c.mu.Unlock()
@@ -273,11 +282,6 @@
 			cancel()
 		}
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if len(c.problems) > 0 {
-		c.t.Fatalf("%d problems, first: %v", len(c.problems), c.problems)
-	}
 }
 
 // succeeded counts the tasks of a job that truly succeeded.
@@ -313,5 +317,5 @@
 			return
 		}
 	}
-	c.t.Fatalf("not within %v: %s", limit, what)
+	c.problem("not within %v: %s", limit, what)
 }
--- a/process/jobs/events.go
+++ b/process/jobs/events.go
@@ -216,7 +216,7 @@
 	default:
 		st.unfinished(a, ev)
 	}
-	st.dropEmpty(j)
+	st.afterEnd(j)
 }
 
 // removeLive takes an attempt out of the live ones and gives its charge back.
--- a/process/jobs/reconcile.go
+++ b/process/jobs/reconcile.go
@@ -115,7 +115,7 @@
 		}
 	}
 	st.o.Metrics.Cancelled.Add(1)
-	st.dropEmpty(j)
+	st.afterEnd(j)
 }
 
 // replaced reports whether a service goes on in a newer generation.
@@ -133,8 +133,12 @@
 	st.stop(a)
 }
 
-// dropEmpty forgets a cancelled job without attempts.
-func (st *state) dropEmpty(j *job) {
+// afterEnd follows the end of an attempt: a cancelled job without attempts is
+// forgotten, and a gang whose last attempt has ended is tried again as a whole.
+func (st *state) afterEnd(j *job) {
+	if j.spec.Kind == spec.Gang && len(j.live) == 0 {
+		st.enqueue(j)
+	}
 	if !j.cancelled || len(j.live) > 0 || st.jobs[j.key] != j {
 		return
 	}
--- a/process/jobs/round.go
+++ b/process/jobs/round.go
@@ -16,8 +16,6 @@
 	planner *sched.Planner
 	snap    *sched.Snapshot
 	active  *queue.Round[*job]
-	// class is the class that the active round has come to.
-	class spec.Class
 	// dirty is set when something may have changed an answer.
 	dirty                       bool
 	last, lastTick, lastRecheck time.Time
@@ -64,6 +62,7 @@
 	if !st.round.dirty || now.Before(st.round.last.Add(st.o.Tuning.RoundGap)) {
 		return false
 	}
+	st.round.last = now
 	snap := st.o.Snapshots()
 	if snap.Len() == 0 {
 		return false
@@ -78,7 +77,7 @@
 		st.countCapacity(snap)
 	}
 	st.blockUnusable(now)
-	st.round.dirty, st.round.last = false, now
+	st.round.dirty = false
 	st.round.active = st.queue.NewRound(spec.Low, st.accounts.Share)
 	return true
 }
--- a/process/jobs/send.go
+++ b/process/jobs/send.go
@@ -236,7 +236,7 @@
 		a.job.wait = reason
 	}
 	st.makeReadyAgain(a)
-	st.dropEmpty(a.job)
+	st.afterEnd(a.job)
 }
 
 // makeReadyAgain requeues a task under the time since which it waits.
--- a/process/jobs/state.go
+++ b/process/jobs/state.go
@@ -144,7 +144,7 @@
 	wake := st.round.lastTick.Add(st.o.Tuning.RoundInterval)
 	if st.round.active != nil {
 		wake = now
-	} else if st.round.dirty {
+	} else if st.round.dirty && st.mayStart() {
 		wake = earlier(wake, st.round.last.Add(st.o.Tuning.RoundGap))
 	}
 	if len(st.delayed) > 0 {
