--- a/request/gateway/body.go
+++ b/request/gateway/body.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"fennelshunt.example/fennelshunt/request/forward"
 	"fennelshunt.example/fennelshunt/request/verdict"
 )
 
@@ -141,7 +142,7 @@
 		b.kept = append(b.kept, p[:n]...)
 	}
 	b.read += int64(n)
-	if err == nil && b.read > b.max {
+	if b.read > b.max && (err == nil || err == io.EOF) {
 		err = errBodyTooLarge
 	}
 	b.err = err
@@ -168,6 +169,17 @@
 	return data, err
 }
 
+// describeBody names the cause when the caller's body broke off an attempt.
+func describeBody(e *verdict.Error) {
+	switch {
+	case e.Code != forward.CodeCallerBody:
+	case errors.Is(e, errBodyTooLarge):
+		e.Status, e.Code = http.StatusRequestEntityTooLarge, CodeBodyTooLarge
+	case errors.Is(e, os.ErrDeadlineExceeded):
+		e.Status, e.Code = http.StatusRequestTimeout, CodeBodyTimeout
+	}
+}
+
 // bodyError gives an error of the caller's body, met before any attempt, its
 // answer.
 func bodyError(err error) *verdict.Error {
--- a/request/gateway/call.go
+++ b/request/gateway/call.go
@@ -62,8 +62,8 @@
 
 func (g *Gateway) parse(c *call) *verdict.Error {
 	h := c.in.Header
-	if c.in.Method == http.MethodConnect {
-		return refuse(http.StatusMethodNotAllowed, CodeBadRequest, errConnect)
+	if c.in.Method == http.MethodConnect || c.in.RequestURI == "*" {
+		return refuse(http.StatusMethodNotAllowed, CodeBadRequest, errNoPath)
 	}
 	c.service = ServiceName(h.Get(ServiceHeader), c.in.Host)
 	job, failure := findService(g.opts.Config.Current(), c.service)
@@ -134,6 +134,7 @@
 // an earlier one may have run, "not run" would be false.
 func (c *call) fail(err error) {
 	e := *verdict.As(err)
+	describeBody(&e)
 	if c.attempts > 0 {
 		e.Verdict = c.tried.Join(e.Verdict)
 	}
--- a/request/gateway/gateway_test.go
+++ b/request/gateway/gateway_test.go
@@ -5,8 +5,10 @@
 	"context"
 	"encoding/json"
 	"io"
+	"log"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"sync"
 	"testing"
@@ -30,9 +32,10 @@
 	mu      sync.Mutex
 	free    []plan.Endpoint
 	changed chan struct{}
-	// unknown counts slots that were not known free at their release; they
-	// come back when returnUnknown is called.
-	unknown []plan.Endpoint
+	// unknown holds slots that were not known free at their release; they come
+	// back after returnUnknown, if that is set.
+	unknown       []plan.Endpoint
+	returnUnknown time.Duration
 }
 
 func newPool() *pool { return &pool{changed: make(chan struct{})} }
@@ -85,6 +88,9 @@
 		defer s.pool.mu.Unlock()
 		if end == slots.Unknown {
 			s.pool.unknown = append(s.pool.unknown, s.endpoint)
+			if s.pool.returnUnknown > 0 {
+				time.AfterFunc(s.pool.returnUnknown, s.giveBack)
+			}
 			return
 		}
 		s.pool.free = append(s.pool.free, s.endpoint)
@@ -92,6 +98,13 @@
 	})
 }
 
+func (s *poolSlot) giveBack() {
+	s.pool.mu.Lock()
+	defer s.pool.mu.Unlock()
+	s.pool.free = append(s.pool.free, s.endpoint)
+	s.pool.wakeLocked()
+}
+
 type source struct{ config *spec.Config }
 
 func (s source) Current() *spec.Config    { return s.config }
@@ -130,6 +143,11 @@
 	return g, server.URL
 }
 
+func TestMain(m *testing.M) {
+	log.SetOutput(io.Discard) // net/http reports answers that nobody asked for
+	os.Exit(m.Run())
+}
+
 type result struct {
 	status int
 	header http.Header
--- a/request/gateway/parse.go
+++ b/request/gateway/parse.go
@@ -38,7 +38,7 @@
 
 var (
 	errNoService = errors.New("no such service")
-	errConnect   = errors.New("method CONNECT is not served")
+	errNoPath    = errors.New("requests without a path are not served")
 )
 
 func refuse(status int, code string, err error) *verdict.Error {
--- /dev/null
+++ b/request/gateway/random_test.go
@@ -0,0 +1,172 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"fennelshunt.example/fennelshunt/standin/endpoint"
+)
+
+// order is one request of a caller, with what became of its arrivals.
+type order struct {
+	key, body  string
+	method     string
+	keyed      bool
+	arrivals   int
+	patience   time.Duration
+	idempotent bool
+
+	mu       sync.Mutex
+	verdicts map[string]int
+	whole    int
+	cut      int // no answer, or a part of one: the connection was cut
+}
+
+func drawOrder(rng *rand.Rand, i int) *order {
+	o := &order{key: fmt.Sprintf("order-%d", i), body: strings.Repeat("b", rng.IntN(3000)), method: "POST",
+		arrivals: 1, patience: time.Minute, verdicts: map[string]int{}}
+	if rng.IntN(3) == 0 {
+		o.method, o.body, o.idempotent = "GET", "", true
+	}
+	if o.keyed = rng.IntN(2) == 0; o.keyed {
+		o.arrivals += rng.IntN(3)
+	}
+	if rng.IntN(8) == 0 {
+		o.patience = time.Duration(rng.IntN(20)) * time.Millisecond
+	}
+	return o
+}
+
+// send makes one arrival and checks the answer.
+func (o *order) send(t *testing.T, url string) {
+	ctx, cancel := context.WithTimeout(t.Context(), o.patience)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, o.method, url, strings.NewReader(o.body))
+	if err != nil {
+		t.Error(err)
+		return
+	}
+	req.Header.Set(ServiceHeader, testService)
+	req.Header.Set(endpoint.KeyHeader, o.key)
+	if o.keyed {
+		req.Header.Set(KeyHeader, o.key)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		o.note("", false, true)
+		return
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	v := resp.Header.Get("Fennel-Verdict")
+	whole := err == nil && resp.StatusCode == http.StatusOK
+	if whole && (v != "ran" || string(data) != string(endpoint.Answer(o.key, []byte(o.body)))) {
+		t.Errorf("%s got a foreign or partial answer: %s, %.80q", o.key, v, data)
+	}
+	if err == nil && v == "" {
+		t.Errorf("%s got no verdict: status %d, %.80q", o.key, resp.StatusCode, data)
+	}
+	o.note(v, whole, err != nil)
+}
+
+func (o *order) note(v string, whole, cut bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if cut {
+		o.cut++
+		return
+	}
+	o.verdicts[v]++
+	if whole {
+		o.whole++
+	}
+}
+
+// check holds the order's fate against what the endpoints saw.
+func (o *order) check(t *testing.T, runs int) {
+	answered := o.cut
+	for _, n := range o.verdicts {
+		answered += n
+	}
+	require.Equal(t, o.arrivals, answered, "%s: arrivals lost", o.key)
+	if !o.idempotent {
+		require.LessOrEqual(t, runs, 1, "%s doubled", o.key)
+	}
+	if o.verdicts["not-run"] == o.arrivals {
+		require.Zero(t, runs, "%s was told not run by all its arrivals", o.key)
+	}
+	if o.verdicts["ran"] > 0 {
+		require.Positive(t, runs, "%s was told that it ran", o.key)
+	}
+}
+
+func drawFaults(rng *rand.Rand) endpoint.Faults {
+	share := func() float64 {
+		if rng.IntN(3) > 0 {
+			return 0
+		}
+		return rng.Float64() / 3
+	}
+	return endpoint.Faults{Delay: time.Duration(rng.IntN(5)) * time.Millisecond, Refuse: share(), Reset: share(),
+		ResetMidAnswer: share(), Truncate: share(), Hang: share() / 10, Error: share(), CloseIdle: share(), Unsolicited: share()}
+}
+
+// TestRandomFaults sends orders through several daemons while endpoints fail in
+// every way they can. With FENNEL_LONG=1 it runs many more seeds.
+func TestRandomFaults(t *testing.T) {
+	seeds, orders := 2, 300
+	if os.Getenv("FENNEL_LONG") == "1" {
+		seeds, orders = 40, 2000
+	}
+	for seed := range seeds {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { randomRun(t, uint64(seed), orders) })
+	}
+}
+
+func randomRun(t *testing.T, seed uint64, n int) {
+	const limit = 300 * time.Millisecond
+	rng := rand.New(rand.NewPCG(seed, 2))
+	c := newCell(t, 3, 5, Options{Config: testConfig(limit)})
+	c.pool.returnUnknown = 2 * limit
+	var wg sync.WaitGroup
+	all := make([]*order, n)
+	for i := range all {
+		if i%50 == 0 {
+			for _, e := range c.endpoints {
+				e.SetFaults(drawFaults(rng))
+			}
+		}
+		o := drawOrder(rng, i)
+		all[i] = o
+		for range o.arrivals {
+			url := c.urls[rng.IntN(len(c.urls))]
+			wg.Go(func() { o.send(t, url) })
+		}
+		time.Sleep(time.Duration(rng.IntN(2000)) * time.Microsecond)
+	}
+	wg.Wait()
+	c.setFaults(endpoint.Faults{})
+	for _, g := range c.gateways {
+		require.Eventually(t, func() bool { return g.InFlight() == 0 }, 10*time.Second, time.Millisecond)
+	}
+	var whole, ran, notRun, unknown, cut int
+	for _, o := range all {
+		o.check(t, c.runs(o.key))
+		whole += o.whole
+		cut += o.cut
+		ran, notRun, unknown = ran+o.verdicts["ran"], notRun+o.verdicts["not-run"], unknown+o.verdicts["may-have-run"]
+	}
+	c.checkLimits(t)
+	require.Positive(t, whole)
+	t.Logf("whole %d, ran %d, not run %d, may have run %d, cut %d", whole, ran, notRun, unknown, cut)
+}
--- /dev/null
+++ b/request/gateway/scenario_test.go
@@ -0,0 +1,178 @@
+package gateway
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"fennelshunt.example/fennelshunt/request/forward"
+	"fennelshunt.example/fennelshunt/standin/endpoint"
+)
+
+func TestTruncatedAnswerNeverLooksComplete(t *testing.T) {
+	// Symptom: a tile takeoff lacked its last rows, and nobody noticed.
+	// Sequence: the endpoint's connection ends in the middle of the body.
+	// Cause: what had arrived was passed on and the answer ended in good order.
+	for _, fault := range []endpoint.Faults{{Truncate: 1}, {ResetMidAnswer: 1}} {
+		p := newPool()
+		e := startEndpoint(t, p, endpoint.Options{Slots: 8, Connections: 64})
+		_, url := startGateway(t, Options{Slots: p})
+		e.SetFaults(fault)
+		small := do(t, "POST", url, "small", "tiles")
+		require.NoError(t, small.err)
+		require.Equal(t, http.StatusBadGateway, small.status)
+		require.Equal(t, "may-have-run", small.verdict())
+		require.Equal(t, 1, e.Runs("small"), "a non-idempotent request was sent again")
+		large := do(t, "POST", url+"?size=1000000", "large", "")
+		require.Error(t, large.err, "%d of 1000000 bytes looked whole", len(large.body))
+		do(t, "GET", url, "again", "")
+		require.Equal(t, 3, e.Runs("again"), "attempts of an idempotent request")
+	}
+}
+
+func TestDeadlineIsAnsweredAtOnceAndTheSlotIsLearnt(t *testing.T) {
+	// Symptom: after a slow minute the service's slots were used up by requests
+	//   that had long ended.
+	// Sequence: an instance answers after the caller's deadline.
+	// Cause: the attempt was cut at the deadline, so nobody learnt its end.
+	p := newPool()
+	e := startEndpoint(t, p, endpoint.Options{Slots: 1, Connections: 64})
+	release := make(chan struct{})
+	e.SetFaults(endpoint.Faults{Delay: 300 * time.Millisecond})
+	_, url := startGateway(t, Options{Slots: p})
+	go func() {
+		defer close(release)
+		r := do(t, "POST", url, "late", "", TimeoutHeader, "50ms")
+		if r.status != http.StatusGatewayTimeout || r.verdict() != "may-have-run" {
+			t.Errorf("status %d, verdict %s, %v", r.status, r.verdict(), r.err)
+		}
+		if got := e.Report().Completed; got != 0 {
+			t.Error("the answer was held back until the endpoint had ended")
+		}
+	}()
+	<-release
+	r := do(t, "POST", url, "next", "")
+	require.Equal(t, http.StatusOK, r.status)
+	require.Equal(t, string(endpoint.Answer("next", nil)), string(r.body))
+	require.Empty(t, p.unknown)
+	require.Equal(t, 1, e.Report().PeakRunning)
+}
+
+func TestRefusalBeforeWorkIsRetriedElsewhere(t *testing.T) {
+	p := newPool()
+	bad := startEndpoint(t, p, endpoint.Options{Slots: 1, Connections: 64})
+	bad.SetFaults(endpoint.Faults{Refuse: 1})
+	good := startEndpoint(t, p, endpoint.Options{Slots: 1, Connections: 64})
+	_, url := startGateway(t, Options{Slots: p})
+	r := do(t, "POST", url, "k", "order")
+	require.Equal(t, http.StatusOK, r.status)
+	require.Equal(t, 1, good.Runs("k"))
+	require.Zero(t, bad.Runs("k"))
+}
+
+func TestDrainCutsNothing(t *testing.T) {
+	// Symptom: the nightly upgrade cut reports in flight.
+	// Sequence: a daemon is told to stop while it carries requests.
+	// Cause: it closed its connections before their answers.
+	p := newPool()
+	e := startEndpoint(t, p, endpoint.Options{Slots: 8, Connections: 64})
+	e.SetFaults(endpoint.Faults{Delay: 100 * time.Millisecond})
+	g, url := startGateway(t, Options{Slots: p})
+	var wg sync.WaitGroup
+	for i := range 8 {
+		wg.Go(func() {
+			r := do(t, "POST", url, fmt.Sprint(i), "plot")
+			if r.err != nil || r.status != http.StatusOK {
+				t.Errorf("cut: status %d, %v", r.status, r.err)
+			}
+		})
+	}
+	require.Eventually(t, func() bool { return e.Report().Running == 8 }, 10*time.Second, time.Millisecond)
+	require.NoError(t, g.Drain(t.Context(), 0))
+	require.Zero(t, g.InFlight())
+	wg.Wait()
+	late := do(t, "POST", url, "late", "")
+	require.Equal(t, "not-run", late.verdict())
+	require.Equal(t, CodeDraining, late.header.Get("Fennel-Code"))
+	ready, err := http.Get(url + ReadyPath)
+	require.NoError(t, err)
+	require.NoError(t, ready.Body.Close())
+	require.Equal(t, http.StatusServiceUnavailable, ready.StatusCode)
+}
+
+func TestSlowCallerHoldsNoSlot(t *testing.T) {
+	// Symptom: a few stalled mobile callers blocked a service.
+	// Sequence: a caller sends a header and half of a body, then nothing.
+	// Cause: the slot was taken before the body had arrived.
+	p := newPool()
+	e := startEndpoint(t, p, endpoint.Options{Slots: 1, Connections: 64})
+	_, url := startGateway(t, Options{Slots: p, BodyTimeout: 50 * time.Millisecond})
+	c, err := net.Dial("tcp", strings.TrimPrefix(url, "http://"))
+	require.NoError(t, err)
+	defer func() { _ = c.Close() }()
+	_, err = fmt.Fprintf(c, "POST / HTTP/1.1\r\nHost: %s\r\nContent-Length: 10\r\n\r\nhalf", testService)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, do(t, "POST", url, "k", "").status)
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	require.NoError(t, err)
+	defer func() { _ = resp.Body.Close() }()
+	require.Equal(t, http.StatusRequestTimeout, resp.StatusCode)
+	require.Equal(t, "not-run", resp.Header.Get("Fennel-Verdict"))
+	require.Equal(t, 1, e.Report().Requests)
+}
+
+func TestConnectionsStayWithinTheInstancesLimit(t *testing.T) {
+	// Symptom: an instance refused connections while its slots were free.
+	// Sequence: eight daemons and two that join unseen send in bursts.
+	// Cause: each daemon kept as many idle connections as it had ever used.
+	p := newPool()
+	e := startEndpoint(t, p, endpoint.Options{Slots: 8, Connections: 64})
+	const daemons = 10
+	var wg sync.WaitGroup
+	for range daemons {
+		_, url := startGateway(t, Options{Slots: p,
+			Forwarder: forward.New(forward.Options{Members: func() int { return 8 }})})
+		for range 8 {
+			wg.Go(func() {
+				for range 30 {
+					if r := do(t, "POST", url, "k", "x"); r.status != http.StatusOK {
+						t.Errorf("status %d, %v", r.status, r.err)
+					}
+				}
+			})
+		}
+	}
+	wg.Wait()
+	report := e.Report()
+	require.Empty(t, report.Violations)
+	require.LessOrEqual(t, report.PeakRunning, 8)
+}
+
+func TestLargeBodiesAreStreamed(t *testing.T) {
+	p := newPool()
+	e := startEndpoint(t, p, endpoint.Options{Slots: 1, Connections: 64})
+	_, url := startGateway(t, Options{Slots: p, MaxBody: 1 << 20})
+	big := strings.Repeat("x", 1<<20)
+	r := do(t, "POST", url, "big", big)
+	require.Equal(t, http.StatusOK, r.status)
+	require.Equal(t, string(endpoint.Answer("big", []byte(big))), string(r.body))
+	// A body of unknown length that grows past the limit ends in an error.
+	req, err := http.NewRequestWithContext(t.Context(), "POST", url, io.MultiReader(strings.NewReader(big), strings.NewReader("x")))
+	require.NoError(t, err)
+	req.Header.Set(ServiceHeader, testService)
+	req.Header.Set(endpoint.KeyHeader, "huge")
+	resp, err := http.DefaultClient.Do(req)
+	require.NoError(t, err)
+	defer func() { _ = resp.Body.Close() }()
+	require.Equal(t, http.StatusRequestEntityTooLarge, resp.StatusCode)
+	require.Equal(t, "may-have-run", resp.Header.Get("Fennel-Verdict"))
+	require.Equal(t, 1, e.Report().Completed, "a cut body was taken for a whole one")
+}
--- a/request/gateway/server.go
+++ b/request/gateway/server.go
@@ -28,6 +28,8 @@
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
+		// net/http would answer "OPTIONS *" by itself, without a verdict.
+		DisableGeneralOptionsHandler: true,
 	}
 }
 
