--- a/standin/kv/faults.go
+++ b/standin/kv/faults.go
@@ -29,6 +29,8 @@
 	// Delay is how long a call waits before it takes effect. A write whose
 	// context ends during the wait still takes effect when the wait is over.
 	Delay time.Duration
+	// DelayChance is the probability that a call is delayed; 0 means all are.
+	DelayChance float64
 	// CallsPerSecond limits all calls together; more are refused with
 	// ErrOverBudget. 0 is no limit.
 	CallsPerSecond float64
@@ -116,12 +118,15 @@
 	if f.Down || m.chance(f.Refuse) {
 		return fate{refused: store.ErrUnavailable}
 	}
-	return fate{
+	decided := fate{
 		hang:        f.Hang,
 		loseRequest: m.chance(f.LoseRequests),
 		loseAnswer:  m.chance(f.LoseAnswers),
-		delay:       f.Delay,
 	}
+	if f.DelayChance == 0 || m.chance(f.DelayChance) {
+		decided.delay = f.Delay
+	}
+	return decided
 }
 
 func (m *Memory) chance(p float64) bool { return p > 0 && m.rng.Float64() < p }
--- a/standin/record/record.go
+++ b/standin/record/record.go
@@ -24,7 +24,7 @@
 	peak       map[worker.ID]spec.Resources
 	capacity   map[worker.ID]spec.Resources
 	violations []string
-	count      int
+	violated   int
 	saved      map[spec.TaskID]float64 // checkpointed work
 }
 
@@ -128,7 +128,7 @@
 }
 
 func (r *Recorder) violate(format string, args ...any) {
-	r.count++
+	r.violated++
 	if len(r.violations) < maxViolations {
 		r.violations = append(r.violations, fmt.Sprintf(format, args...))
 	}
@@ -162,7 +162,7 @@
 	rep := Report{
 		Tasks:          len(r.tasks),
 		Violations:     append([]string{}, r.violations...),
-		ViolationCount: r.count,
+		ViolationCount: r.violated,
 		Peak:           make(map[worker.ID]spec.Resources, len(r.peak)),
 	}
 	for _, t := range r.tasks {
@@ -199,3 +199,25 @@
 	sort.Slice(ids, func(i, j int) bool { return ids[i].String() < ids[j].String() })
 	return ids
 }
+
+// Succeeded returns how many tasks of the job, of any generation, succeeded.
+func (r *Recorder) Succeeded(job string) int {
+	return r.count(job, func(t *taskRecord) bool { return t.succeeded > 0 })
+}
+
+// RunningOf returns how many tasks of the job run now.
+func (r *Recorder) RunningOf(job string) int {
+	return r.count(job, func(t *taskRecord) bool { return len(t.running) > 0 })
+}
+
+func (r *Recorder) count(job string, match func(*taskRecord) bool) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := 0
+	for id, t := range r.tasks {
+		if id.Job == job && match(t) {
+			n++
+		}
+	}
+	return n
+}
