Make attempts live only from a partition's list

Change: only a list asked for by the fence adopts attempts; events wait while a list is on its way. Conclusion: the order of lists and events is fixed by the partition's owner.

--- a/process/jobs/events.go
+++ b/process/jobs/events.go
@@ -13,20 +13,30 @@
 // newest known are dropped: its word that a worker is gone is worth nothing
 // once another daemon owns the worker. What it reported truly, the new owner
 // reports again.
-func (st *state) takeEvents(events *plan.Events) {
+//
+// It reports false when the events are to be sent again later: while a list of
+// what the partition holds is on its way, an end that overtook the list would
+// be undone by it, and a task that has ended would count as live for ever.
+func (st *state) takeEvents(events *plan.Events) bool {
 	p := st.partition(events.Partition)
 	if events.Epoch < p.owner.Epoch || events.Epoch < p.fencedEpoch {
-		return
+		return true
+	}
+	if p.fencing || p.fencedEpoch != events.Epoch {
+		return false
 	}
 	for i := range events.Events {
-		st.takeEvent(p, &events.Events[i])
+		st.takeEvent(p, &events.Events[i], false)
 	}
 	st.round.dirty = true
+	return true
 }
 
 // takeEvent takes one event. It may come twice, before the answer to its plan,
-// or from an attempt that this owner has not made.
-func (st *state) takeEvent(p *partition, ev *plan.Event) {
+// after a later one, or from an attempt that this owner has not made. Only a
+// list of what the partition holds (listed) can make an attempt live: a report
+// of a running task that was delayed may be about one that has ended since.
+func (st *state) takeEvent(p *partition, ev *plan.Event, listed bool) {
 	ref := worker.Ref{Task: ev.Task, Attempt: ev.Attempt}
 	if a := st.strays[ref]; a != nil {
 		st.strayEvent(p, a, ev)
@@ -40,11 +50,13 @@
 		return
 	}
 	j := st.jobs[key]
-	if j == nil {
+	if j == nil && listed {
 		j = st.adoptJob(key, ev)
 	}
-	if j == nil {
+	if j == nil && (listed || ended(ev)) {
 		st.unwanted(p, nil, ev)
+	}
+	if j == nil {
 		return
 	}
 	a := j.live[uint32(ev.Task.Index)]
@@ -53,6 +65,8 @@
 		st.liveEvent(p, a, ev)
 	case ended(ev):
 		st.oldResult(p, j, a, ev)
+	case !listed:
+		// Ended here already, or listed soon.
 	case a == nil && !j.record.Finished(uint32(ev.Task.Index)) && ev.Task.Index < j.spec.Count:
 		st.adopt(p, j, ev)
 	default:
@@ -73,7 +87,7 @@
 		st.violated("task %s attempt %d runs in %s and was sent to %s", a.task(), a.number, p.name, a.partition)
 		a.partition = p.name
 	}
-	if a.phase < running {
+	if a.phase < running && (ev.State == worker.Running || ev.State == worker.Throttled) {
 		a.phase = running
 		st.o.Metrics.observeWait(a.job.class, time.Since(a.waitingSince))
 		a.decided = time.Now()
@@ -98,8 +112,12 @@
 }
 
 func (st *state) attemptOf(p *partition, j *job, ev *plan.Event) *attempt {
+	reached := starting
+	if ev.State == worker.Running || ev.State == worker.Throttled {
+		reached = running
+	}
 	return &attempt{
-		job: j, index: uint32(ev.Task.Index), number: ev.Attempt, phase: running,
+		job: j, index: uint32(ev.Task.Index), number: ev.Attempt, phase: reached,
 		partition: p.name, worker: ev.Worker, size: st.sizeOf(j, ev),
 		decided: time.Now(), waitingSince: time.Now(),
 	}
--- a/process/jobs/jobs.go
+++ b/process/jobs/jobs.go
@@ -35,6 +35,10 @@
 // owner.
 const CodeNotOwner = "not_owner"
 
+// CodeBusy is the code with which events are refused that are to be sent again
+// a little later.
+const CodeBusy = "busy"
+
 // Options of a Manager. All fields but those with a default are required.
 type Options struct {
 	Self      peer.Ref
@@ -206,9 +210,13 @@
 	if s == nil {
 		return nil, &peer.RemoteError{Code: CodeNotOwner, Message: "shard not owned here"}
 	}
-	if err := s.call(ctx, func(st *state) { st.takeEvents(&events) }); err != nil {
+	taken := false
+	if err := s.call(ctx, func(st *state) { taken = st.takeEvents(&events) }); err != nil {
 		return nil, err
 	}
+	if !taken {
+		return nil, &peer.RemoteError{Code: CodeBusy, Message: "a list of the partition's tasks is on its way"}
+	}
 	return nil, nil
 }
 
--- a/process/jobs/partition.go
+++ b/process/jobs/partition.go
@@ -149,7 +149,7 @@
 	for i := range reply.Tasks {
 		ev := &reply.Tasks[i]
 		listed[worker.Ref{Task: ev.Task, Attempt: ev.Attempt}] = struct{}{}
-		st.takeEvent(p, ev)
+		st.takeEvent(p, ev, true)
 	}
 	st.dropMissing(p, listed)
 	if len(p.unaccounted) == 0 {
