Learn sizes and run times, protect the oldest gang, share between shards

Cause: declared sizes and run times are off; small work could starve a gang; teams of different shards competed without a common measure. Change: a learner per shard sizes the next tasks; the gang that waits longest in the cell has capacity kept for it; owners of shards tell each other what their waiting teams hold and a team with a higher share leaves room.

--- a/process/jobs/events.go
+++ b/process/jobs/events.go
@@ -83,6 +83,7 @@
 		st.endAttempt(a, ev)
 		return
 	}
+	st.learner.Observe(a.ref(), ev.Usage)
 	if a.partition != p.name {
 		st.violated("task %s attempt %d runs in %s and was sent to %s", a.task(), a.number, p.name, a.partition)
 		a.partition = p.name
@@ -219,6 +220,7 @@
 		return
 	}
 	j := a.job
+	st.learner.Ended(a.ref(), time.Since(a.decided), ev.State == worker.Succeeded && !ev.Lost)
 	st.removeLive(a)
 	switch {
 	case j.cancelled || j.service():
@@ -228,7 +230,6 @@
 		st.makeReadyAgain(a)
 		st.failGang(j, "start refused: "+ev.Message)
 	case ev.State == worker.Succeeded && !ev.Lost:
-		j.durations.add(time.Since(a.decided))
 		j.failuresInRow = 0
 		st.finish(j, a, j.record.Done.Add)
 	default:
@@ -252,6 +253,7 @@
 func (st *state) finish(j *job, a *attempt, mark func(uint32)) {
 	mark(a.index)
 	j.record.ClearFailures(a.index)
+	delete(j.avoid, a.index)
 	st.o.Metrics.Finished.Add(1)
 	st.touch(j)
 	st.ackDurable(j, a.partition, a.ref())
@@ -308,11 +310,25 @@
 		st.finish(j, a, j.record.Failed.Add)
 		return
 	}
+	st.avoid(a)
 	st.touch(j)
 	st.ackDurable(j, a.partition, a.ref())
 	st.delay(j, a.index, st.o.Tuning.retryDelay(max(failures, j.failuresInRow/failuresPerStep)))
 }
 
+// avoidLimit is how many workers a task keeps away from.
+const avoidLimit = 3
+
+// avoid keeps the next attempt of a failed task away from the worker it failed
+// on: the worker may be what fails.
+func (st *state) avoid(a *attempt) {
+	avoided := append(a.job.avoid[a.index], a.worker)
+	if len(avoided) > avoidLimit {
+		avoided = avoided[1:]
+	}
+	a.job.avoid[a.index] = avoided
+}
+
 // failuresPerStep is how many failures in a row, without a success of any task
 // of the job, lengthen the backoff of its tasks by one step.
 const failuresPerStep = 16
--- a/process/jobs/fairshare/fairshare.go
+++ b/process/jobs/fairshare/fairshare.go
@@ -146,3 +146,8 @@
 		delete(a.teams, team)
 	}
 }
+
+// ShareOf returns the weighted dominant share of holdings outside the accounts.
+func (a *Accounts) ShareOf(held spec.Resources, weight int) float64 {
+	return Dominant(held, a.capacity) / float64(max(weight, 1))
+}
--- a/process/jobs/gangs.go
+++ b/process/jobs/gangs.go
@@ -38,12 +38,15 @@
 		st.round.active.SkipShape(e)
 		return
 	}
-	if !st.fitsQuota(e, j.spec.Size.Times(int64(remaining))) {
+	if st.resized(e, now) || !st.fitsQuota(e, j.size.Times(int64(remaining))) {
 		return
 	}
 	asks := st.gangAsks(j)
 	d := st.round.planner.PlaceGang(asks)
 	if !d.Placed {
+		if d.Infeasible == "" {
+			st.wantProtection(j, asks, now)
+		}
 		st.refuseJob(e, d.Rejections, d.Infeasible)
 		return
 	}
@@ -54,7 +57,7 @@
 func (st *state) gangAsks(j *job) []sched.Ask {
 	asks := make([]sched.Ask, 0, j.ready.GetCardinality())
 	for _, index := range j.ready.ToArray() {
-		asks = append(asks, j.ask(index, st.nextAttempt()))
+		asks = append(asks, st.ask(j, index, st.nextAttempt()))
 	}
 	return asks
 }
@@ -67,7 +70,7 @@
 		try.attempts = append(try.attempts, &attempt{
 			job: j, index: uint32(asks[i].Task.Index), number: asks[i].Attempt, phase: reserving,
 			partition: d.Decisions[i].Partition, worker: d.Decisions[i].Worker, victims: d.Decisions[i].Victims,
-			size: j.spec.Size, decided: now, waitingSince: j.readySince(uint32(asks[i].Task.Index)),
+			size: asks[i].Size, decided: now, waitingSince: j.readySince(uint32(asks[i].Task.Index)),
 			reservation: try.reservation,
 		})
 	}
--- a/process/jobs/job.go
+++ b/process/jobs/job.go
@@ -75,6 +75,8 @@
 	arrived time.Time
 	// requeued holds since when a task is ready that was ready before.
 	requeued map[uint32]time.Time
+	// avoid holds the workers on which a task failed before.
+	avoid map[uint32][]worker.ID
 	// cancelled jobs are only kept until their last attempt has ended.
 	cancelled bool
 	// adopted is set for a generation that was only met in a partition's list.
@@ -91,7 +93,9 @@
 	failing bool // guards failGang against itself
 	// pacing of a job that fails everywhere.
 	failuresInRow int
-	durations     runTimes
+	// size is what the next task reserves, learned at sizedAt.
+	size    spec.Resources
+	sizedAt time.Time
 }
 
 func newJob(vj *spec.VersionedJob, record *progress.Job, now time.Time, arrival uint64) *job {
@@ -99,8 +103,9 @@
 		key: progress.Key{Job: vj.Name, Generation: vj.Generation}, spec: vj, class: vj.EffectiveClass(),
 		record: record, durableIntent: record.Intent.Clone(), durableLimit: record.StartLimit,
 		ready: roaring.New(), blocked: roaring.New(), delayed: roaring.New(),
-		live: map[uint32]*attempt{}, requeued: map[uint32]time.Time{}, arrived: now,
+		live: map[uint32]*attempt{}, requeued: map[uint32]time.Time{}, avoid: map[uint32][]worker.ID{}, arrived: now,
 	}
+	j.size = vj.Size
 	j.entry = &queue.Entry[*job]{Value: j, Team: vj.Team, Class: j.class, Shape: j.shape(), Arrival: arrival}
 	return j
 }
@@ -108,7 +113,7 @@
 // shape tells the queue which jobs look alike to the scheduler. Services and
 // gangs are never alike: where their tasks may go depends on their own tasks.
 func (j *job) shape() queue.Shape {
-	s := queue.Shape{Size: j.spec.Size, Kind: j.spec.Kind, Constraints: constraintsKey(&j.spec.Constraints)}
+	s := queue.Shape{Size: j.size, Kind: j.spec.Kind, Constraints: constraintsKey(&j.spec.Constraints)}
 	if j.spec.Kind != spec.Batch || j.spec.Constraints.MaxPerWorker > 0 || j.spec.Constraints.Spread != "" {
 		s.Job = j.key.Job
 	}
@@ -172,36 +177,18 @@
 }
 
 // ask describes a task to the scheduler.
+func (st *state) ask(j *job, index uint32, number int) sched.Ask {
+	a := j.ask(index, number)
+	a.RunTime = st.learner.RunTime(j.key.Job)
+	a.Avoid = j.avoid[index]
+	return a
+}
+
 func (j *job) ask(index uint32, number int) sched.Ask {
 	return sched.Ask{
 		Task: spec.TaskID{Job: j.key.Job, Generation: j.key.Generation, Index: int(index)}, Attempt: number,
-		Team: j.spec.Team, Kind: j.spec.Kind, Class: j.class, Size: j.spec.Size,
+		Team: j.spec.Team, Kind: j.spec.Kind, Class: j.class, Size: j.size,
 		Constraints: j.spec.Constraints, NonIdempotent: j.spec.NonIdempotent,
-		RunTime: j.durations.expected(j.spec.RunTime.Std()),
 		Preempt: j.class.Rank() >= spec.High.Rank(),
 	}
 }
-
-// runTimes learns how long the tasks of a job run.
-type runTimes struct {
-	mean  time.Duration
-	count int
-}
-
-// learnWeight is the weight of a new run time in the moving mean.
-const learnWeight = 0.1
-
-func (r *runTimes) add(d time.Duration) {
-	r.count++
-	weight := max(learnWeight, 1/float64(r.count))
-	r.mean += time.Duration(weight * float64(d-r.mean))
-}
-
-// expected returns the learned run time, or the declared one before a task has
-// ended.
-func (r *runTimes) expected(declared time.Duration) time.Duration {
-	if r.count == 0 {
-		return declared
-	}
-	return r.mean
-}
--- a/process/jobs/jobs.go
+++ b/process/jobs/jobs.go
@@ -57,9 +57,6 @@
 	Log    zerolog.Logger
 	// Metrics may be nil.
 	Metrics *Metrics
-	// Peers lists the daemons that team usage is exchanged with; nil turns the
-	// exchange off.
-	Peers func() []peer.Ref
 	// Tuning holds intervals and limits; zero fields take their defaults.
 	Tuning Tuning
 	// Violation, when set, is called with each violated invariant, for tests;
@@ -91,7 +88,9 @@
 	}
 	m := &Manager{options: o, shards: map[plan.Shard]*ownedShard{}}
 	m.supervisor = suture.New("jobs", suture.Spec{EventHook: m.logEvent})
+	m.supervisor.Add(&exchange{manager: m})
 	o.Registrar.Handle(plan.MethodEvents, m.handleEvents)
+	o.Registrar.Handle(MethodTotals, m.handleTotals)
 	m.registerReports()
 	return m
 }
@@ -101,7 +100,9 @@
 }
 
 // Serve runs the shards until ctx ends.
-func (m *Manager) Serve(ctx context.Context) error { return m.supervisor.Serve(ctx) }
+func (m *Manager) Serve(ctx context.Context) error {
+	return m.supervisor.Serve(ctx)
+}
 
 // ShardOfTeam returns the shard of a team among n shards.
 func ShardOfTeam(team string, n int) plan.Shard {
@@ -261,6 +262,9 @@
 	GangHold time.Duration
 	// GangRetry is the mean time between two tries to reserve for a gang.
 	GangRetry time.Duration
+	// ShareInterval is the time between two messages with the totals of the
+	// teams to the owners of the other shards.
+	ShareInterval time.Duration
 	// Drain bounds the time an instance gets to finish its requests.
 	Drain time.Duration
 }
@@ -287,6 +291,7 @@
 	setDuration(&t.ForgetPartition, 2*time.Hour)
 	setDuration(&t.GangHold, 10*time.Second)
 	setDuration(&t.GangRetry, 500*time.Millisecond)
+	setDuration(&t.ShareInterval, 2*time.Second)
 	setDuration(&t.Drain, 30*time.Second)
 	return t
 }
--- /dev/null
+++ b/process/jobs/protect.go
@@ -0,0 +1,119 @@
+package jobs
+
+import (
+	"time"
+
+	"fennelshunt.example/fennelshunt/process/sched"
+	"fennelshunt.example/fennelshunt/process/sched/snapshot"
+	"fennelshunt.example/fennelshunt/version/spec"
+)
+
+// GangNeed describes a gang that waits for room, for the shards of other
+// teams: they keep capacity for the one that waits longest in the cell.
+type GangNeed struct {
+	Job           string           `cbor:"1,keyasint"`
+	Generation    uint64           `cbor:"2,keyasint"`
+	Size          spec.Resources   `cbor:"3,keyasint"`
+	Constraints   spec.Constraints `cbor:"4,keyasint,omitempty"`
+	Class         spec.Class       `cbor:"5,keyasint"`
+	Team          string           `cbor:"6,keyasint"`
+	Count         int              `cbor:"7,keyasint"`
+	WaitingMillis int64            `cbor:"8,keyasint"`
+}
+
+// gangShadow is the gang that capacity is kept for.
+type gangShadow struct {
+	need GangNeed
+	own  *job // nil for a gang of another shard
+	// since orders gangs: the one that waits longest is protected.
+	since    time.Time
+	planned  time.Time
+	lastSeen time.Time
+}
+
+const (
+	// replanInterval is the time between two plans for the protected gang.
+	replanInterval = time.Second
+	// needExpiry is after how long a need that is not repeated is dropped.
+	needExpiry = 10 * time.Second
+)
+
+// wantProtection notes a gang of this shard that found no room. The gang that
+// waits longest has capacity kept for it: without that, small tasks would take
+// each piece of room as it comes free and a large gang would never start. One
+// gang at a time is enough for each to get its turn, and costs the small work
+// no more than that gang's room.
+func (st *state) wantProtection(j *job, asks []sched.Ask, now time.Time) {
+	need := GangNeed{
+		Job: j.key.Job, Generation: j.key.Generation, Size: asks[0].Size, Constraints: j.spec.Constraints,
+		Class: j.class, Team: j.spec.Team, Count: len(asks), WaitingMillis: now.Sub(j.arrived).Milliseconds(),
+	}
+	st.offerShadow(&gangShadow{need: need, own: j, since: j.arrived, lastSeen: now}, now)
+}
+
+// offerShadow takes a waiting gang when it is the protected one or should be.
+func (st *state) offerShadow(s *gangShadow, now time.Time) {
+	old := st.round.protected
+	if old != nil && old.need.Job == s.need.Job && old.need.Generation == s.need.Generation {
+		old.lastSeen, old.need = now, s.need
+		return
+	}
+	if old != nil && !s.before(old) {
+		return
+	}
+	st.round.protected = s
+	if st.round.planner != nil {
+		st.planShadow(now)
+	}
+}
+
+// before reports whether a gang is to be protected rather than another one.
+func (s *gangShadow) before(o *gangShadow) bool {
+	if s.need.Class.Rank() != o.need.Class.Rank() {
+		return s.need.Class.Rank() > o.need.Class.Rank()
+	}
+	return s.since.Before(o.since)
+}
+
+// protectGang keeps the protection up to date at the begin of a round.
+func (st *state) protectGang(now time.Time) {
+	s := st.round.protected
+	if s == nil {
+		return
+	}
+	started := s.own != nil && (s.own.cancelled || len(s.own.live) > 0 || s.own.infeasible != "")
+	if started || now.Sub(s.lastSeen) > needExpiry {
+		st.round.protected = nil
+		st.round.planner.Protect(nil)
+		return
+	}
+	if now.Sub(s.planned) >= replanInterval {
+		st.planShadow(now)
+	}
+}
+
+// planShadow looks for the earliest time at which the protected gang fits.
+func (st *state) planShadow(now time.Time) {
+	s := st.round.protected
+	s.planned = now
+	asks := s.need.asks()
+	shadow, ok := st.round.planner.PlanGang(asks, func(t *snapshot.Task) (time.Duration, bool) {
+		return st.learner.Remaining(t, now)
+	})
+	if !ok {
+		st.round.planner.Protect(nil)
+		return
+	}
+	st.round.planner.Protect(&shadow)
+}
+
+func (n *GangNeed) asks() []sched.Ask {
+	asks := make([]sched.Ask, n.Count)
+	for i := range asks {
+		asks[i] = sched.Ask{
+			Task: spec.TaskID{Job: n.Job, Generation: n.Generation, Index: i}, Team: n.Team,
+			Kind: spec.Gang, Class: n.Class, Size: n.Size, Constraints: n.Constraints,
+		}
+	}
+	return asks
+}
--- a/process/jobs/reconcile.go
+++ b/process/jobs/reconcile.go
@@ -76,6 +76,7 @@
 	st.arrivals++
 	j := newJob(declared, record, time.Now(), st.arrivals)
 	st.jobs[key], st.current[declared.Name] = j, j
+	st.learner.Declare(j.key.Job, declared.Size, declared.RunTime.Std())
 	st.sortTasks(j, unsure)
 	st.raiseLimit(j)
 	st.enqueue(j)
@@ -114,6 +115,9 @@
 			st.stop(a)
 		}
 	}
+	if st.config.Jobs[j.key.Job] == nil {
+		st.learner.Forget(j.key.Job)
+	}
 	st.o.Metrics.Cancelled.Add(1)
 	st.afterEnd(j)
 }
--- a/process/jobs/round.go
+++ b/process/jobs/round.go
@@ -16,6 +16,10 @@
 	planner *sched.Planner
 	snap    *sched.Snapshot
 	active  *queue.Round[*job]
+	// largest is the largest VM in each dimension.
+	largest spec.Resources
+	// protected is the waiting gang that capacity is kept for.
+	protected *gangShadow
 	// dirty is set when something may have changed an answer.
 	dirty                       bool
 	last, lastTick, lastRecheck time.Time
@@ -77,6 +81,8 @@
 		st.countCapacity(snap)
 	}
 	st.blockUnusable(now)
+	st.protectGang(now)
+	st.others.rank(now, st.accounts)
 	st.round.dirty = false
 	st.round.active = st.queue.NewRound(spec.Low, st.accounts.Share)
 	return true
@@ -89,14 +95,45 @@
 }
 
 func (st *state) countCapacity(snap *sched.Snapshot) {
-	var total spec.Resources
+	var total, largest spec.Resources
 	snap.All(func(w *snapshot.Worker) bool {
 		if w.Unusable == "" {
 			total = total.Add(w.Capacity)
+			largest = atLeast(largest, w.Capacity)
 		}
 		return true
 	})
 	st.accounts.SetCapacity(total)
+	st.round.largest = largest
+}
+
+func atLeast(a, b spec.Resources) spec.Resources {
+	return spec.Resources{
+		MilliCPU: max(a.MilliCPU, b.MilliCPU), MemoryMB: max(a.MemoryMB, b.MemoryMB),
+		Accelerators: max(a.Accelerators, b.Accelerators),
+	}
+}
+
+// resizeInterval is the time between two looks at the learned size of a job.
+const resizeInterval = time.Second
+
+// resized takes a newly learned size and reports whether the job moved to
+// another place in the queue.
+func (st *state) resized(e *queue.Entry[*job], now time.Time) bool {
+	j := e.Value
+	if now.Sub(j.sizedAt) < resizeInterval {
+		return false
+	}
+	j.sizedAt = now
+	size := st.learner.Size(j.key.Job, st.round.largest)
+	if size == j.size || size.IsZero() {
+		return false
+	}
+	j.size = size
+	st.queue.Remove(e)
+	e.Shape = j.shape()
+	st.queue.Add(e)
+	return true
 }
 
 // blockUnusable fills workers in the planner's view whose owner takes no plans
@@ -161,11 +198,16 @@
 		st.round.active.SkipShape(e)
 		return
 	}
-	if !st.fitsQuota(e, j.spec.Size) || !st.paced(j, now) {
+	if st.resized(e, now) || !st.fitsQuota(e, j.size) || st.yields(e) || !st.paced(j, now) {
 		return
 	}
-	ask := j.ask(index, st.nextAttempt())
+	ask := st.ask(j, index, st.nextAttempt())
 	d := st.round.planner.Place(ask)
+	if !d.Placed() && len(ask.Avoid) > 0 {
+		delete(j.avoid, index) // better there than nowhere
+		ask.Avoid = nil
+		d = st.round.planner.Place(ask)
+	}
 	if !d.Placed() {
 		st.refuseJob(e, d.Rejections, d.Infeasible)
 		return
@@ -207,6 +249,7 @@
 func (st *state) refuseJob(e *queue.Entry[*job], rejections []sched.Rejection, infeasible string) {
 	j := e.Value
 	j.wait, j.rejections = "", rejections
+	st.others.unserved[j.spec.Team] = st.round.last
 	if infeasible == "" {
 		st.round.active.SkipShape(e)
 		return
@@ -243,7 +286,7 @@
 func (st *state) assign(j *job, index uint32, ask *sched.Ask, d *sched.Decision, now time.Time) *attempt {
 	a := &attempt{
 		job: j, index: index, number: ask.Attempt, partition: d.Partition, worker: d.Worker,
-		size: j.spec.Size, victims: d.Victims, decided: now, waitingSince: j.readySince(index),
+		size: ask.Size, victims: d.Victims, decided: now, waitingSince: j.readySince(index),
 	}
 	st.round.planner.Assume(*ask, *d)
 	if err := st.accounts.Charge(j.spec.Team, a.size); err != nil {
--- a/process/jobs/state.go
+++ b/process/jobs/state.go
@@ -11,6 +11,7 @@
 	"fennelshunt.example/fennelshunt/process/jobs/progress"
 	"fennelshunt.example/fennelshunt/process/jobs/queue"
 	"fennelshunt.example/fennelshunt/process/plan"
+	"fennelshunt.example/fennelshunt/process/sched/usage"
 	"fennelshunt.example/fennelshunt/version/spec"
 )
 
@@ -35,10 +36,12 @@
 	accounts *fairshare.Accounts
 	delayed  delayHeap
 	limiter  *rate.Limiter
+	learner  *usage.Learner
 
 	partitions map[string]*partition
 	takeover   takeover
 	commit     commitState
+	others     otherShards
 
 	round     roundState
 	releasing bool
@@ -55,11 +58,12 @@
 		config: &spec.Config{}, jobs: map[progress.Key]*job{}, current: map[string]*job{},
 		strays: map[worker.Ref]*attempt{}, rolling: map[string][]*job{}, queue: queue.New[*job](), accounts: fairshare.New(),
 		limiter:    rate.NewLimiter(rate.Limit(t.StartsPerSecond), t.StartBurst),
-		partitions: map[string]*partition{}, stopping: map[*attempt]struct{}{},
+		partitions: map[string]*partition{}, learner: usage.New(), stopping: map[*attempt]struct{}{},
 	}
 	st.round.refused = map[worker.ID]time.Time{}
 	st.commit = newCommitState(file, head, t)
 	st.takeover = newTakeover(records, head)
+	st.others = newOtherShards(t.ShareInterval)
 	return st
 }
 
--- a/process/jobs/takeover.go
+++ b/process/jobs/takeover.go
@@ -101,29 +101,27 @@
 	st.enqueue(j)
 }
 
-// countPending counts against the quotas what blocked tasks may hold: at most
-// what they are declared with, and at most what the workers that are not
-// accounted for can carry.
+// countPending counts against the quotas what blocked tasks may hold: what the
+// workers that are not accounted for can carry. A previous owner may have
+// learned larger sizes than the declared ones, so these are no bound.
 func (st *state) countPending() {
 	blocked := map[string]spec.Resources{}
 	for _, j := range st.current {
-		blocked[j.spec.Team] = blocked[j.spec.Team].Add(j.spec.Size.Times(int64(j.blocked.GetCardinality())))
+		declared := j.spec.Size.Times(learnedFactor * int64(j.blocked.GetCardinality()))
+		blocked[j.spec.Team] = blocked[j.spec.Team].Add(declared)
 	}
 	limit, known := st.unaccountedCapacity()
 	for team, size := range blocked {
-		if known {
-			size = atMost(size, limit)
+		if known && !size.IsZero() {
+			size = limit
 		}
 		st.accounts.SetPending(team, size)
 	}
 }
 
-func atMost(a, b spec.Resources) spec.Resources {
-	return spec.Resources{
-		MilliCPU: min(a.MilliCPU, b.MilliCPU), MemoryMB: min(a.MemoryMB, b.MemoryMB),
-		Accelerators: min(a.Accelerators, b.Accelerators),
-	}
-}
+// learnedFactor bounds a size by the declared one where the capacity of the
+// workers is not known; declared sizes are off by a factor of three.
+const learnedFactor = 3
 
 // unaccountedCapacity sums the capacity of the workers that may run unknown
 // tasks; known is false when the snapshot lacks a partition of theirs.
