Add the load tool, example settings and the operators' page

Cause: waiting times, packing and store calls need one command that measures them under both users' loads; operators need a page. Change: fennelbench run drives an embedded cell, requests and waves of skewed tasks at given times, with repetitions, progress, JSON and a plot; fennelbench compare calls a change only where the spans of repetitions do not overlap. docs/OPERATIONS.md and example settings, which a test loads.

--- /dev/null
+++ b/command/bench/compare_test.go
@@ -0,0 +1,59 @@
+package bench
+
+import (
+	"path/filepath"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func results(values ...float64) *Result {
+	r := &Result{Setting: Setting{User: "authority"}}
+	for _, v := range values {
+		r.Repetitions = append(r.Repetitions, Metrics{RequestP99: v})
+	}
+	return r
+}
+
+// Symptom: a change is praised for what was chance.
+// Sequence: two runs of the same program are compared by one value each.
+// Cause: noise taken for an effect.
+func TestCompareNeedsSpansThatDoNotOverlap(t *testing.T) {
+	for _, c := range []struct {
+		name          string
+		before, after *Result
+		want          Verdict
+	}{
+		{"overlap", results(10, 12, 14), results(13, 15, 16), Same},
+		{"higher", results(10, 12, 14), results(15, 16, 17), Higher},
+		{"lower", results(10, 12, 14), results(7, 8, 9), Lower},
+		{"too few", results(10), results(100), Same},
+	} {
+		changes, err := Compare(c.before, c.after)
+		require.NoError(t, err, c.name)
+		require.Len(t, changes, 1, c.name)
+		require.Equal(t, c.want, changes[0].Verdict, c.name)
+	}
+	other := results(1, 2, 3)
+	other.Setting.Daemons = 8
+	_, err := Compare(results(1, 2, 3), other)
+	require.ErrorIs(t, err, ErrUnlike)
+}
+
+func TestResultSurvivesItsFile(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "r.json")
+	r := results(1, 2, 3)
+	require.NoError(t, r.Write(path))
+	read, err := Read(path)
+	require.NoError(t, err)
+	require.Equal(t, r, read)
+}
+
+// Symptom: the plot panics where a waiting time is 0.
+// Sequence: a run without gangs is plotted on a logarithmic axis.
+// Cause: a logarithmic axis that begins at 0.
+func TestPlotTakesZeros(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "r.png")
+	require.NoError(t, results(0, 0, 10).Plot(path))
+	require.FileExists(t, path)
+}
--- /dev/null
+++ b/command/bench/plot.go
@@ -0,0 +1,64 @@
+package bench
+
+import (
+	"fmt"
+	"slices"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+)
+
+// plotted are the waiting times that the plot shows, in milliseconds.
+var plotted = []struct {
+	name, label string
+	scale       float64
+}{
+	{RequestP50, "request p50", 1e-3}, {RequestP99, "request p99", 1e-3},
+	{UrgentP50, "urgent p50", 1}, {UrgentP99, "urgent p99", 1},
+	{BatchP50, "batch p50", 1}, {BatchP99, "batch p99", 1}, {GangP50, "gang p50", 1},
+}
+
+const (
+	plotWidth  = 20 * vg.Centimeter
+	plotHeight = 10 * vg.Centimeter
+	barWidth   = 24
+	// least keeps a value of zero on the logarithmic axis.
+	least = 0.1
+)
+
+// Plot writes a bar for the median of each waiting time to a PNG file.
+func (r *Result) Plot(path string) error {
+	p := plot.New()
+	p.Title.Text = fmt.Sprintf("Waiting times, %s, %d daemons, %.0f requests/s, task load %.2f",
+		r.Setting.User, r.Setting.Daemons, r.Setting.Rate, r.Setting.TaskLoad)
+	p.Y.Label.Text = "ms (logarithmic)"
+	p.Y.Scale, p.Y.Tick.Marker = plot.LogScale{}, plot.LogTicks{Prec: -1}
+	var values plotter.Values
+	var labels []string
+	for _, m := range plotted {
+		values = append(values, max(least, r.median(m.name)*m.scale))
+		labels = append(labels, m.label)
+	}
+	bars, err := plotter.NewBarChart(values, vg.Points(barWidth))
+	if err != nil {
+		return fmt.Errorf("bench: plot: %w", err)
+	}
+	bars.LineStyle.Width = 0
+	p.Add(bars)
+	p.NominalX(labels...)
+	p.Y.Min = least // after Add, which makes room for bars from 0
+	if err := p.Save(plotWidth, plotHeight, path); err != nil {
+		return fmt.Errorf("bench: plot: %w", err)
+	}
+	return nil
+}
+
+func (r *Result) median(name string) float64 {
+	var values []float64
+	for _, m := range r.Repetitions {
+		values = append(values, m[name])
+	}
+	slices.Sort(values)
+	return values[len(values)/2]
+}
--- a/process/daemon/work.go
+++ b/process/daemon/work.go
@@ -5,7 +5,6 @@
 
 	"github.com/thejerf/suture/v4"
 
-	"fennelshunt.example/fennelshunt/connection/peer"
 	"fennelshunt.example/fennelshunt/connection/store"
 	"fennelshunt.example/fennelshunt/process/cellview"
 	"fennelshunt.example/fennelshunt/process/jobs"
@@ -31,7 +30,7 @@
 	w.jobs = jobs.New(jobs.Options{
 		Self: l.self, Caller: l.node, Registrar: l.mux, Directory: l.owners, Config: l.versions,
 		Snapshots: w.cache.Snapshot, Store: l.store.Role(store.RoleProgress), Partitions: l.racks.Partitions,
-		Shards: s.Shards, Log: l.log, Metrics: &l.d.metrics.jobs, Peers: l.peerRefs, Violation: l.violation("jobs"),
+		Shards: s.Shards, Log: l.log, Metrics: &l.d.metrics.jobs, Violation: l.violation("jobs"),
 	})
 	w.host = partition.New(partition.Options{
 		Racks: l.racks, Dialer: l.d.o.Workers, Directory: l.owners, Claims: l.owners, Caller: l.node, Registrar: l.mux,
@@ -53,18 +52,6 @@
 	return 0
 }
 
-// peerRefs lists the other daemons.
-func (l *life) peerRefs() []peer.Ref {
-	members := l.fleet.Members()
-	refs := make([]peer.Ref, 0, len(members))
-	for _, m := range members {
-		if m.Ref != l.self {
-			refs = append(refs, m.Ref)
-		}
-	}
-	return refs
-}
-
 func (w *workSide) supervise(sup *suture.Supervisor) {
 	sup.Add(w.jobs)
 	sup.Add(&viewService{w})
--- a/process/settings/settings_test.go
+++ b/process/settings/settings_test.go
@@ -57,3 +57,11 @@
 		}
 	})
 }
+
+func TestExampleSettingsAreValid(t *testing.T) {
+	for _, name := range []string{"entry-1", "entry-2"} {
+		s, err := Load("../../examples/settings/" + name + ".json")
+		require.NoError(t, err)
+		require.Equal(t, name, s.Name)
+	}
+}
--- a/standin/record/record.go
+++ b/standin/record/record.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"sort"
 	"sync"
+	"time"
 
 	"fennelshunt.example/fennelshunt/connection/worker"
 	"fennelshunt.example/fennelshunt/version/spec"
@@ -32,6 +33,7 @@
 	running   map[worker.ID]int
 	starts    int
 	succeeded int
+	first     time.Time // of the first start
 }
 
 // New returns an empty recorder.
@@ -65,7 +67,7 @@
 	defer r.mu.Unlock()
 	t := r.tasks[task]
 	if t == nil {
-		t = &taskRecord{running: map[worker.ID]int{}}
+		t = &taskRecord{running: map[worker.ID]int{}, first: time.Now()}
 		r.tasks[task] = t
 	}
 	t.starts++
@@ -221,3 +223,26 @@
 	}
 	return n
 }
+
+// FirstStarts returns when each task of the job first started.
+func (r *Recorder) FirstStarts(job string) map[spec.TaskID]time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := map[spec.TaskID]time.Time{}
+	for id, t := range r.tasks {
+		if id.Job == job {
+			out[id] = t.first
+		}
+	}
+	return out
+}
+
+// Held returns what all VMs hold now and what they have, by declared sizes.
+func (r *Recorder) Held() (held, capacity spec.Resources) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for id, c := range r.capacity {
+		held, capacity = held.Add(r.held[id]), capacity.Add(c)
+	}
+	return held, capacity
+}
