--- a/process/sched/differential_test.go
+++ b/process/sched/differential_test.go
@@ -52,6 +52,7 @@
 			Zones:        rapid.SampledFrom([][]string{nil, {"zone-0"}, {"zone-1", "zone-2"}}).Draw(t, "zones"),
 			Racks:        rapid.SampledFrom([][]string{nil, {"rack-0"}, {"rack-1", "rack-2"}}).Draw(t, "racks"),
 		}
+		a.Constraints.Spread = rapid.SampledFrom([]spec.Spread{"", spec.SpreadNone, spec.SpreadRack, spec.SpreadZone}).Draw(t, "spread")
 		a.Avoid = rapid.SampledFrom([][]worker.ID{nil, {"w00000", "w00001"}}).Draw(t, "avoid")
 	}
 	return a
@@ -61,7 +62,7 @@
 func (p *pair) decide(a Ask) (Decision, bool) {
 	d := p.planner.Place(a)
 	place := p.naive.PlaceBatch
-	if a.Kind == spec.Service {
+	if spread(&a) {
 		place = p.naive.PlaceService
 	}
 	want, ok := place(&a)
@@ -72,7 +73,7 @@
 	}
 	got, best := p.naive.Worker(d.Worker), p.naive.Worker(want)
 	require.True(p.t, p.naive.Fits(&a, got))
-	if a.Kind == spec.Service {
+	if spread(&a) {
 		require.Equal(p.t, want, d.Worker)
 	} else {
 		require.Equal(p.t, naive.Packing(&a, best), naive.Packing(&a, got))
@@ -80,6 +81,17 @@
 	return d, true
 }
 
+// spread tells which policy the documents promise for an ask.
+func spread(a *Ask) bool {
+	switch a.Constraints.Spread {
+	case spec.SpreadNone:
+		return false
+	case "":
+		return a.Kind == spec.Service
+	}
+	return true
+}
+
 // compareRejections wants each worker counted once, and "infeasible" only when
 // an empty cell would not take the task either.
 func (p *pair) compareRejections(a *Ask, d Decision) {
--- a/process/sched/planner.go
+++ b/process/sched/planner.go
@@ -17,53 +17,32 @@
 // reserved over Rebase until a snapshot shows the task or Forget is called. It
 // is not safe for concurrent use.
 type Planner struct {
-	view    *snapshot.View
-	assumed map[worker.Ref]assumption
-	failed  map[failure]Decision
-	shadow  *gang.Shadow
-}
-
-// assumption is a placement that no snapshot has shown yet.
-type assumption struct {
-	ask     Ask
-	worker  worker.ID
-	victims []worker.Ref
-	ended   []snapshot.Task // the victims taken out of the view
-	started bool            // the task is in the view by our doing
+	base     *Snapshot
+	view     *snapshot.View
+	inFlight inFlight
+	failed   map[failure]Decision
+	shadow   *gang.Shadow
 }
 
 // NewPlanner returns a planner on a snapshot.
 func NewPlanner(snap *Snapshot) *Planner {
-	p := &Planner{assumed: map[worker.Ref]assumption{}}
+	p := &Planner{inFlight: newInFlight()}
 	p.Rebase(snap)
 	return p
 }
 
 // Rebase moves the planner to a newer snapshot. Assumptions that the snapshot
-// shows are dropped; the others are applied to it.
+// shows, or whose worker it no longer has, are dropped; the others are applied
+// to it. Its cost is that of what is in flight, and nothing when the snapshot
+// is the same.
 func (p *Planner) Rebase(snap *Snapshot) {
-	p.view = snap.View()
+	if snap == p.base {
+		return
+	}
+	p.base, p.view = snap, snap.View()
 	p.failed = map[failure]Decision{}
 	p.keep()
-	for ref, as := range p.assumed {
-		if w := snap.Lookup(as.worker); w == nil || w.Find(ref) >= 0 {
-			delete(p.assumed, ref)
-			continue
-		}
-		p.apply(ref, as)
-	}
-}
-
-// apply puts an assumption into the view.
-func (p *Planner) apply(ref worker.Ref, as assumption) {
-	as.ended = nil
-	for _, victim := range as.victims {
-		if t, ok := p.view.End(victim, as.worker); ok {
-			as.ended = append(as.ended, t)
-		}
-	}
-	as.started = p.view.Start(&as.ask, as.worker)
-	p.assumed[ref] = as
+	p.inFlight.apply(p.view)
 }
 
 // Place decides on one task. It changes nothing: see Assume.
@@ -110,6 +89,53 @@
 // PlaceGang decides on all tasks of a gang, or none. It changes nothing.
 func (p *Planner) PlaceGang(asks []Ask) GangDecision { return gang.Place(p.view, asks) }
 
+// Assume takes a decision as made: its task holds capacity, and its victims do
+// not, for all later decisions. It reports false when the decision has no
+// worker, the worker is gone, or the attempt is there already.
+func (p *Planner) Assume(ask Ask, d Decision) bool {
+	ref := ask.Ref()
+	w := p.view.Lookup(d.Worker)
+	if w == nil || w.Find(ref) >= 0 || p.inFlight.has(ref) {
+		return false
+	}
+	task := snapshot.TaskFor(&ask, time.Now())
+	p.inFlight.add(ref, assumption{task, d.Worker, d.Victims})
+	p.view.Apply(d.Worker, snapshot.Change{Start: []snapshot.Task{task}, End: d.Victims})
+	if len(d.Victims) > 0 {
+		clear(p.failed) // more may have been freed than was asked for
+	}
+	return true
+}
+
+// Forget drops an assumption: the start was refused, or the task has ended.
+func (p *Planner) Forget(ref worker.Ref) {
+	as, ok := p.inFlight.remove(ref)
+	if !ok {
+		return
+	}
+	clear(p.failed)
+	change := snapshot.Change{End: []worker.Ref{ref}}
+	for _, victim := range as.victims {
+		if t, ok := p.task(victim, as.worker); ok {
+			change.Start = append(change.Start, t)
+		}
+	}
+	p.view.Apply(as.worker, change)
+}
+
+// task returns a task that the snapshot shows or that is in flight.
+func (p *Planner) task(ref worker.Ref, id worker.ID) (snapshot.Task, bool) {
+	if as, ok := p.inFlight.assumed[ref]; ok {
+		return as.task, true
+	}
+	if w := p.base.Lookup(id); w != nil {
+		if at := w.Find(ref); at >= 0 {
+			return w.Tasks[at], true
+		}
+	}
+	return snapshot.Task{}, false
+}
+
 // PlanGang looks for the earliest time at which a gang that has no room now is
 // expected to fit; remaining tells when running tasks end. False when no end is
 // known that would make room. It changes nothing: see Protect.
@@ -133,43 +159,8 @@
 	}
 }
 
-// Assume takes a decision as made: its task holds capacity, and its victims do
-// not, for all later decisions. It reports false when the worker is gone or
-// the attempt is there already.
-func (p *Planner) Assume(ask Ask, d Decision) bool {
-	ref := ask.Ref()
-	if _, ok := p.assumed[ref]; ok || p.view.Lookup(d.Worker) == nil {
-		return false
-	}
-	p.apply(ref, assumption{ask: ask, worker: d.Worker, victims: d.Victims})
-	if !p.assumed[ref].started {
-		p.Forget(ref)
-		return false
-	}
-	if len(d.Victims) > 0 {
-		clear(p.failed) // more may have been freed than was asked for
-	}
-	return true
-}
-
-// Forget drops an assumption: the start was refused, or the task has ended.
-func (p *Planner) Forget(ref worker.Ref) {
-	as, ok := p.assumed[ref]
-	if !ok {
-		return
-	}
-	delete(p.assumed, ref)
-	clear(p.failed)
-	if as.started {
-		p.view.End(ref, as.worker)
-	}
-	for _, t := range as.ended {
-		p.view.Restore(t, as.worker)
-	}
-}
-
 // InFlight returns how many assumptions no snapshot has shown yet.
-func (p *Planner) InFlight() int { return len(p.assumed) }
+func (p *Planner) InFlight() int { return len(p.inFlight.assumed) }
 
 // View returns the state on which the planner decides, for reading.
 func (p *Planner) View() *snapshot.View { return p.view }
--- a/process/sched/service/count.go
+++ b/process/sched/service/count.go
@@ -8,7 +8,7 @@
 )
 
 // Load is how many instances of a job a rack and its zone have: those of the
-// wanted generation, and of earlier ones. The fields are in order of weight.
+// wanted generation, and of others. The fields are in order of weight.
 type Load struct {
 	ZoneTasks, ZoneOld int32
 	RackTasks, RackOld int32
@@ -20,36 +20,34 @@
 		cmp.Compare(l.RackTasks, o.RackTasks), cmp.Compare(l.RackOld, o.RackOld))
 }
 
-// Counts is how a job's instances lie over zones and racks.
-type Counts struct {
-	racks map[int32]Load
-	zones map[string]Load
+// count is how a job's instances lie over zones and racks.
+type count struct {
+	racks map[int32]Load  // only racks that have any
+	zones map[string]Load // only the zone's fields are set
 }
 
-// Count reads a job's counts; its cost is that of the racks that have any.
-func Count(v *snapshot.View, task spec.TaskID) Counts {
-	c := Counts{racks: map[int32]Load{}, zones: map[string]Load{}}
-	v.JobRacks(task.Job, func(generation uint64, rack, n int32) {
-		c.add(v, rack, n, generation == task.Generation)
+// countOf reads a job's counts; its cost is that of the racks that have any.
+func countOf(v *snapshot.View, a *snapshot.Ask) count {
+	c := count{racks: map[int32]Load{}, zones: map[string]Load{}}
+	v.JobRacks(a.Task.Job, func(generation uint64, rack, n int32) {
+		r, z := c.racks[rack], c.zones[v.Racks()[rack].Zone]
+		if generation == a.Task.Generation {
+			r.RackTasks += n
+			z.ZoneTasks += n
+		} else {
+			r.RackOld += n
+			z.ZoneOld += n
+		}
+		c.racks[rack], c.zones[v.Racks()[rack].Zone] = r, z
 	})
-	return c
-}
-
-func (c Counts) add(v *snapshot.View, rack, n int32, current bool) {
-	zone := v.Racks()[rack].Zone
-	r, z := c.racks[rack], c.zones[zone]
-	if current {
-		r.RackTasks += n
-		z.ZoneTasks += n
-	} else {
-		r.RackOld += n
-		z.ZoneOld += n
+	if a.Constraints.Spread == spec.SpreadRack {
+		clear(c.zones)
 	}
-	c.racks[rack], c.zones[zone] = r, z
+	return c
 }
 
-// Rack returns the load of a rack in its zone.
-func (c Counts) Rack(rack int32, zone string) Load {
+// rack returns the load of a rack in its zone.
+func (c *count) rack(rack int32, zone string) Load {
 	l, z := c.racks[rack], c.zones[zone]
 	l.ZoneTasks, l.ZoneOld = z.ZoneTasks, z.ZoneOld
 	return l
--- a/process/sched/snapshot/members.go
+++ b/process/sched/snapshot/members.go
@@ -11,6 +11,7 @@
 	return &directory{
 		byID:    map[worker.ID]Index{},
 		rackOf:  map[rackKey]int32{},
+		zones:   map[string][]int32{},
 		classOf: map[classKey]int32{},
 	}
 }
@@ -22,8 +23,12 @@
 	for i := range racks {
 		racks[i].Workers = slices.Clone(racks[i].Workers)
 	}
+	zones := make(map[string][]int32, len(d.zones))
+	for zone, in := range d.zones {
+		zones[zone] = slices.Clone(in)
+	}
 	return &directory{
-		byID: maps.Clone(d.byID), racks: racks, rackOf: maps.Clone(d.rackOf),
+		byID: maps.Clone(d.byID), racks: racks, rackOf: maps.Clone(d.rackOf), zones: zones,
 		classOf: maps.Clone(d.classOf), free: slices.Clone(d.free), size: d.size,
 	}
 }
@@ -90,6 +95,7 @@
 	i := int32(len(d.racks))
 	d.racks = append(d.racks, Rack{Name: key.rack, Zone: key.zone})
 	d.rackOf[key] = i
+	d.zones[key.zone] = append(d.zones[key.zone], i)
 	return i
 }
 
--- a/process/sched/snapshot/table.go
+++ b/process/sched/snapshot/table.go
@@ -39,6 +39,7 @@
 	byID    map[worker.ID]Index
 	racks   []Rack
 	rackOf  map[rackKey]int32
+	zones   map[string][]int32 // racks by zone
 	classOf map[classKey]int32
 	free    []Index // positions to use again
 	size    int     // positions handed out
@@ -92,6 +93,9 @@
 // Racks lists the racks by position; the caller must not change it.
 func (t *Table) Racks() []Rack { return t.dir.racks }
 
+// Zones lists the racks of each zone by position; the caller must not change it.
+func (t *Table) Zones() map[string][]int32 { return t.dir.zones }
+
 // All calls f for each worker until it returns false.
 func (t *Table) All(f func(*Worker) bool) {
 	for i := 0; i < t.dir.size; i++ {
--- a/process/sched/snapshot/view.go
+++ b/process/sched/snapshot/view.go
@@ -1,6 +1,7 @@
 package snapshot
 
 import (
+	"slices"
 	"time"
 
 	"fennelshunt.example/fennelshunt/connection/worker"
@@ -16,49 +17,59 @@
 	Kept func(a *Ask, id worker.ID) spec.Resources
 }
 
-// Start assumes that the ask's task starts on the worker. It reports false
-// when the worker is not known or already holds the attempt.
-func (v *View) Start(a *Ask, id worker.ID) bool {
-	old := v.Lookup(id)
-	if old == nil || old.Find(a.Ref()) >= 0 {
-		return false
-	}
-	return v.Restore(taskFor(a, time.Now()), id)
+// Change is what a view assumes of one worker: tasks that start, and then
+// attempts that end.
+type Change struct {
+	Start []Task
+	End   []worker.Ref
 }
 
-// End assumes that an attempt on the worker has ended and returns its task. It
-// reports false when the attempt is not there.
-func (v *View) End(ref worker.Ref, id worker.ID) (Task, bool) {
+// Apply assumes a change. Ends that are not on the worker are passed over. It
+// reports false when the worker is not known.
+func (v *View) Apply(id worker.ID, c Change) bool {
 	old := v.Lookup(id)
 	if old == nil {
-		return Task{}, false
-	}
-	at := old.Find(ref)
-	if at < 0 {
-		return Task{}, false
+		return false
 	}
-	ended := old.Tasks[at]
 	w := *old
-	w.Reserved = old.Reserved.Sub(ended.Size())
-	w.Tasks = make([]Task, 0, len(old.Tasks)-1)
-	w.Tasks = append(append(w.Tasks, old.Tasks[:at]...), old.Tasks[at+1:]...)
-	w.addPreemptible(&ended, -1)
+	w.Tasks = make([]Task, 0, len(old.Tasks)+len(c.Start))
+	w.Tasks = append(append(w.Tasks, old.Tasks...), c.Start...)
+	for i := range c.Start {
+		v.count(&w, &c.Start[i], 1)
+	}
+	for _, ref := range c.End {
+		if at := w.Find(ref); at >= 0 {
+			v.count(&w, &w.Tasks[at], -1)
+			w.Tasks = slices.Delete(w.Tasks, at, at+1)
+		}
+	}
 	v.replace(&w)
-	v.countTask(&w, &ended, -1)
-	return ended, true
+	return true
 }
 
-// Restore takes back an End.
-func (v *View) Restore(t Task, id worker.ID) bool {
-	old := v.Lookup(id)
-	if old == nil || old.Find(t.Ref()) >= 0 {
+// count adds a task to the sums of its worker and job, or takes it out.
+func (v *View) count(w *Worker, t *Task, times int32) {
+	w.Reserved = w.Reserved.Add(t.Size().Times(int64(times)))
+	w.addPreemptible(t, int64(times))
+	v.countTask(w, t, times)
+}
+
+// Start assumes that the ask's task starts on the worker. It reports false
+// when the worker is not known or already holds the attempt.
+func (v *View) Start(a *Ask, id worker.ID) bool {
+	w := v.Lookup(id)
+	if w == nil || w.Find(a.Ref()) >= 0 {
 		return false
 	}
-	w := *old
-	w.Reserved = old.Reserved.Add(t.Size())
-	w.Tasks = append(old.Tasks[:len(old.Tasks):len(old.Tasks)], t)
-	w.addPreemptible(&t, 1)
-	v.replace(&w)
-	v.countTask(&w, &t, 1)
-	return true
+	return v.Apply(id, Change{Start: []Task{TaskFor(a, time.Now())}})
+}
+
+// End assumes that an attempt on the worker has ended. It reports false when
+// the attempt is not there.
+func (v *View) End(ref worker.Ref, id worker.ID) bool {
+	w := v.Lookup(id)
+	if w == nil || w.Find(ref) < 0 {
+		return false
+	}
+	return v.Apply(id, Change{End: []worker.Ref{ref}})
 }
--- a/process/sched/snapshot/worker.go
+++ b/process/sched/snapshot/worker.go
@@ -158,8 +158,8 @@
 	}
 }
 
-// taskFor makes the task that an ask would start.
-func taskFor(a *Ask, now time.Time) Task {
+// TaskFor makes the task that an ask would start.
+func TaskFor(a *Ask, now time.Time) Task {
 	g := Group{
 		Job: a.Task.Job, Generation: a.Task.Generation, Class: a.Class, Team: a.Team,
 		Kind: a.Kind, NonIdempotent: a.NonIdempotent, Size: a.Size,
