--- a/process/jobs/events.go
+++ b/process/jobs/events.go
@@ -222,6 +222,7 @@
 	j := a.job
 	st.learner.Ended(a.ref(), time.Since(a.decided), ev.State == worker.Succeeded && !ev.Lost)
 	st.removeLive(a)
+	st.consume(a)
 	switch {
 	case j.cancelled || j.service():
 		st.queueAck(a.partition, a.ref())
@@ -254,6 +255,7 @@
 	mark(a.index)
 	j.record.ClearFailures(a.index)
 	delete(j.avoid, a.index)
+	delete(j.restarts, a.index)
 	st.o.Metrics.Finished.Add(1)
 	st.touch(j)
 	st.ackDurable(j, a.partition, a.ref())
--- a/process/jobs/gangs.go
+++ b/process/jobs/gangs.go
@@ -1,8 +1,8 @@
 package jobs
 
 import (
+	"fmt"
 	"math/rand/v2"
-	"strconv"
 	"time"
 
 	"fennelshunt.example/fennelshunt/process/jobs/queue"
@@ -50,6 +50,7 @@
 		st.refuseJob(e, d.Rejections, d.Infeasible)
 		return
 	}
+	st.gotRoom(j)
 	st.reserveGang(j, asks, &d, now)
 	st.round.active.Served(j.spec.Team)
 }
@@ -57,14 +58,14 @@
 func (st *state) gangAsks(j *job) []sched.Ask {
 	asks := make([]sched.Ask, 0, j.ready.GetCardinality())
 	for _, index := range j.ready.ToArray() {
-		asks = append(asks, st.ask(j, index, st.nextAttempt()))
+		asks = append(asks, st.ask(j, index, st.attemptNumber(j, index)))
 	}
 	return asks
 }
 
 func (st *state) reserveGang(j *job, asks []sched.Ask, d *sched.GangDecision, now time.Time) {
 	try := &gangTry{job: j, unready: len(asks)}
-	try.reservation = j.key.Job + "/" + strconv.Itoa(asks[0].Attempt)
+	try.reservation = fmt.Sprintf("%s/%d/%d", j.key.Job, st.shard.claim.Epoch, st.shard.seq.Add(1))
 	j.gang = try
 	for i := range asks {
 		try.attempts = append(try.attempts, &attempt{
--- a/process/jobs/job.go
+++ b/process/jobs/job.go
@@ -75,6 +75,8 @@
 	arrived time.Time
 	// requeued holds since when a task is ready that was ready before.
 	requeued map[uint32]time.Time
+	// restarts counts the attempts of a task that ended in this epoch.
+	restarts map[uint32]int
 	// avoid holds the workers on which a task failed before.
 	avoid map[uint32][]worker.ID
 	// cancelled jobs are only kept until their last attempt has ended.
@@ -98,12 +100,20 @@
 	sizedAt time.Time
 }
 
+// freeStarts is how many tasks of a job may be started before its record is
+// written, so that small and urgent jobs start without a write. A takeover
+// counts them as possibly started. It must not be lowered between two releases
+// that run side by side: a new owner would take started tasks for never
+// started ones.
+const freeStarts = 64
+
 func newJob(vj *spec.VersionedJob, record *progress.Job, now time.Time, arrival uint64) *job {
+	record.StartLimit = max(record.StartLimit, freeStarts)
 	j := &job{
 		key: progress.Key{Job: vj.Name, Generation: vj.Generation}, spec: vj, class: vj.EffectiveClass(),
 		record: record, durableIntent: record.Intent.Clone(), durableLimit: record.StartLimit,
 		ready: roaring.New(), blocked: roaring.New(), delayed: roaring.New(),
-		live: map[uint32]*attempt{}, requeued: map[uint32]time.Time{}, avoid: map[uint32][]worker.ID{}, arrived: now,
+		live: map[uint32]*attempt{}, requeued: map[uint32]time.Time{}, avoid: map[uint32][]worker.ID{}, restarts: map[uint32]int{}, arrived: now,
 	}
 	j.size = vj.Size
 	j.entry = &queue.Entry[*job]{Value: j, Team: vj.Team, Class: j.class, Shape: j.shape(), Arrival: arrival}
--- a/process/jobs/protect.go
+++ b/process/jobs/protect.go
@@ -51,6 +51,36 @@
 	st.offerShadow(&gangShadow{need: need, own: j, since: j.arrived, lastSeen: now}, now)
 }
 
+// protectAfter is how long a single task waits before capacity is kept for it.
+const protectAfter = 5 * time.Second
+
+// wantRoom notes a batch job of which a task has waited long. A task larger
+// than what most others leave free would otherwise see each piece of room
+// taken by smaller ones. Gangs come first: they need it more.
+func (st *state) wantRoom(j *job, now time.Time) {
+	index, ok := j.next()
+	if !ok {
+		return
+	}
+	since := j.readySince(index)
+	if j.spec.Kind != spec.Batch || now.Sub(since) < protectAfter {
+		return
+	}
+	need := GangNeed{
+		Job: j.key.Job, Generation: j.key.Generation, Size: j.size, Constraints: j.spec.Constraints,
+		Class: j.class, Team: j.spec.Team, Count: 1,
+	}
+	st.offerShadow(&gangShadow{need: need, own: j, since: since, lastSeen: now}, now)
+}
+
+// gotRoom ends the protection of a task that has started.
+func (st *state) gotRoom(j *job) {
+	if s := st.round.protected; s != nil && s.own == j {
+		st.round.protected = nil
+		st.round.planner.Protect(nil)
+	}
+}
+
 // offerShadow takes a waiting gang when it is the protected one or should be.
 func (st *state) offerShadow(s *gangShadow, now time.Time) {
 	old := st.round.protected
@@ -72,6 +102,9 @@
 	if s.need.Class.Rank() != o.need.Class.Rank() {
 		return s.need.Class.Rank() > o.need.Class.Rank()
 	}
+	if single := s.need.Count == 1; single != (o.need.Count == 1) {
+		return !single
+	}
 	return s.since.Before(o.since)
 }
 
@@ -81,8 +114,8 @@
 	if s == nil {
 		return
 	}
-	started := s.own != nil && (s.own.cancelled || len(s.own.live) > 0 || s.own.infeasible != "")
-	if started || now.Sub(s.lastSeen) > needExpiry {
+	ended := s.own != nil && (s.own.cancelled || s.own.infeasible != "")
+	if ended || now.Sub(s.lastSeen) > needExpiry {
 		st.round.protected = nil
 		st.round.planner.Protect(nil)
 		return
@@ -97,14 +130,13 @@
 	s := st.round.protected
 	s.planned = now
 	asks := s.need.asks()
+	st.round.planner.Protect(nil)
 	shadow, ok := st.round.planner.PlanGang(asks, func(t *snapshot.Task) (time.Duration, bool) {
 		return st.learner.Remaining(t, now)
 	})
-	if !ok {
-		st.round.planner.Protect(nil)
-		return
+	if ok {
+		st.round.planner.Protect(&shadow)
 	}
-	st.round.planner.Protect(&shadow)
 }
 
 func (n *GangNeed) asks() []sched.Ask {
--- a/process/jobs/round.go
+++ b/process/jobs/round.go
@@ -25,6 +25,8 @@
 	last, lastTick, lastRecheck time.Time
 	// refused holds workers whose owner refused a step lately, until when.
 	refused map[worker.ID]time.Time
+	// fillers are the placeholders in the planner's view.
+	fillers []worker.Ref
 }
 
 // refusedFor is how long a worker is left alone after a refusal that the
@@ -74,6 +76,7 @@
 	if st.round.planner == nil {
 		st.round.planner = sched.NewPlanner(snap)
 	} else {
+		st.unfill()
 		st.round.planner.Rebase(snap)
 	}
 	if snap != st.round.snap {
@@ -171,14 +174,25 @@
 const fillerJob = "/unusable"
 
 func (st *state) fill(id worker.ID) {
-	view := st.round.planner.View()
-	w := view.Lookup(id)
+	w := st.round.planner.View().Lookup(id)
 	if w == nil || w.Free().IsZero() {
 		return
 	}
-	free := w.Free()
-	filler := sched.Ask{Task: spec.TaskID{Job: fillerJob}, Class: spec.Urgent, Size: free}
-	view.Start(&filler, id)
+	filler := sched.Ask{
+		Task:  spec.TaskID{Job: fillerJob, Index: len(st.round.fillers)},
+		Class: spec.Urgent, Size: w.Free(), NonIdempotent: true,
+	}
+	if st.round.planner.Assume(filler, sched.Decision{Worker: id, Partition: w.Partition}) {
+		st.round.fillers = append(st.round.fillers, filler.Ref())
+	}
+}
+
+// unfill takes the placeholders of the last round away.
+func (st *state) unfill() {
+	for _, ref := range st.round.fillers {
+		st.round.planner.Forget(ref)
+	}
+	st.round.fillers = nil
 }
 
 // serve tries to start the next task of a job, or a whole gang.
@@ -201,7 +215,7 @@
 	if st.resized(e, now) || !st.fitsQuota(e, j.size) || st.yields(e) || !st.paced(j, now) {
 		return
 	}
-	ask := st.ask(j, index, st.nextAttempt())
+	ask := st.ask(j, index, st.attemptNumber(j, index))
 	d := st.round.planner.Place(ask)
 	if !d.Placed() && len(ask.Avoid) > 0 {
 		delete(j.avoid, index) // better there than nowhere
@@ -209,9 +223,13 @@
 		d = st.round.planner.Place(ask)
 	}
 	if !d.Placed() {
+		if d.Infeasible == "" {
+			st.wantRoom(j, now)
+		}
 		st.refuseJob(e, d.Rejections, d.Infeasible)
 		return
 	}
+	st.gotRoom(j)
 	st.assign(j, index, &ask, &d, now)
 	st.round.active.Served(j.spec.Team)
 }
--- a/process/jobs/shard.go
+++ b/process/jobs/shard.go
@@ -21,9 +21,12 @@
 // commandBuffer is the number of commands that may wait for the shard.
 const commandBuffer = 64
 
-// attemptEpochBits places the claim's epoch above the count of starts in an
-// attempt number, so that numbers rise over takeovers without being stored.
-const attemptEpochBits = 32
+// attemptEpochBits places the claim's epoch above the count of a task's starts
+// in this epoch, so that the numbers of its attempts rise over takeovers without
+// being stored. Snapshots keep them in 32 bits, which leaves room for 500,000
+// epochs; a task started more than 4,000 times in one epoch runs into the
+// numbers of the next, where only an event delayed over a takeover could tell.
+const attemptEpochBits = 12
 
 // shard is one claimed shard. Its state lives in the goroutine of Serve; other
 // goroutines reach it through call.
@@ -36,10 +39,9 @@
 	quit     chan struct{}
 	quitOnce sync.Once
 
-	// attempts and seq outlive a restart of Serve after a panic: neither a
-	// number of an attempt nor one of a plan is used twice in an epoch.
-	attempts atomic.Uint64
-	seq      atomic.Uint64
+	// seq outlives a restart of Serve after a panic: no number of a plan is
+	// used twice in an epoch.
+	seq atomic.Uint64
 }
 
 // command is work for the goroutine of the shard.
--- a/process/jobs/takeover.go
+++ b/process/jobs/takeover.go
@@ -36,13 +36,14 @@
 }
 
 // record returns the progress of a job and whether tasks may be running that
-// this owner has not seen.
+// this owner has not seen. That may be so for a job without a record, too: see
+// freeStarts.
 func (t *takeover) record(key progress.Key) (record *progress.Job, unsure bool) {
 	if r := t.records[key]; r != nil {
 		delete(t.records, key)
 		return r, !t.done
 	}
-	return progress.NewJob(key.Job, key.Generation), false
+	return progress.NewJob(key.Job, key.Generation), !t.done
 }
 
 // sortTasks puts each unfinished task of a new job into ready or blocked. Only
