Refuse late and doubled answers by the request's id and by what was acknowledged

Change: an endpoint that sends the request's id back is held to it on each connection, so that an answer without it is refused; bytes that wait before the write, and bytes that were sent before the endpoint's side had received any of the request, cut the connection. Conclusion: mixed-up answers are excluded for endpoints that send the id back; docs will say so.

--- a/request/forward/conn.go
+++ b/request/forward/conn.go
@@ -64,6 +64,20 @@
 	return x.wrote
 }
 
+// belongs reports whether an answer with this id, which may be empty, is that
+// of the request with id want. An endpoint that sends the id back does so in
+// every answer, so that on a connection where it has done so an answer without
+// it is a late or doubled one of an earlier request.
+func (x *exchange) belongs(got, want string) bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if got == want {
+		x.conn.echoes.Store(true)
+		return true
+	}
+	return got == "" && !x.conn.echoes.Load()
+}
+
 // mayConnect is called when the Transport looks for a connection, a second
 // time when it is about to send the request again.
 func (x *exchange) mayConnect() {
@@ -91,14 +105,24 @@
 	// secure connections carry TLS records, which arrive at any time and whose
 	// order TLS itself guards; the handshake writes before any exchange.
 	secure bool
-	// armed is set from the first write of an exchange on; see Read.
+	socket socket
+	// echoes is set once an answer on this connection has carried its
+	// request's id; used by one exchange at a time.
+	echoes atomic.Bool
+
+	// armed is set from the first write of an exchange on, answered once bytes
+	// have come back, written counts what was given to the kernel; see Read.
 	armed    atomic.Bool
+	answered atomic.Bool
+	written  atomic.Int64
 	exchange atomic.Pointer[exchange]
 }
 
 // bind starts a new exchange; nil forbids writing.
 func (c *conn) bind(x *exchange) {
 	c.armed.Store(false)
+	c.answered.Store(false)
+	c.written.Store(0)
 	c.exchange.Store(x)
 }
 
@@ -115,7 +139,13 @@
 	if !ok {
 		return 0, errSealed
 	}
+	if first && !c.secure && c.socket.readable() {
+		x.unwrote()
+		_ = c.Close()
+		return 0, errUnsolicited
+	}
 	c.armed.Store(true)
+	c.written.Add(int64(len(p)))
 	n, err := c.Conn.Write(p)
 	if first && n == 0 && err != nil {
 		x.unwrote()
@@ -123,16 +153,21 @@
 	return n, err
 }
 
-// Read implements net.Conn. Bytes that arrive after the connection was given
-// to a request and before that request is written belong to an earlier
-// request, for example a late or doubled answer. Taken for this request's
-// answer they would reach the wrong caller, so the connection is cut.
+// Read implements net.Conn. It cuts the connection when bytes arrive that
+// cannot belong to the request in progress: those that arrive before it is
+// written, and those that were sent before the other side had received a byte
+// of it, which then has none acknowledged. They are a late or doubled answer to
+// an earlier request, and would reach the wrong caller.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if n > 0 && !c.secure && !c.armed.Load() {
+	if n == 0 || c.secure || c.answered.Load() {
+		return n, err
+	}
+	if !c.armed.Load() || c.socket.unacknowledged() >= c.written.Load() {
 		_ = c.Close()
 		return 0, errUnsolicited
 	}
+	c.answered.Store(true)
 	return n, err
 }
 
--- a/request/forward/doc.go
+++ b/request/forward/doc.go
@@ -8,8 +8,11 @@
 //   - verdict NotRun is given only when no byte of the request was accepted by
 //     the kernel for the endpoint and none can be later, or when the endpoint
 //     refused the request before work;
-//   - an answer that arrives on a connection before the request was written to
-//     it is never taken for the request's answer;
+//   - an answer that belongs to another request is never taken for this one's
+//     when the endpoint sends RequestIDHeader back in its answers. Without it,
+//     HTTP/1.1 binds answers to requests by their order only; then an answer is
+//     still refused when it arrives before the request is written, or when the
+//     endpoint's side had not received a byte of the request when it sent it;
 //   - a body that ends early gives an error, never an end;
 //   - this daemon keeps at most Options.IdleShare idle connections per endpoint
 //     beside those that requests in progress use.
--- a/request/forward/send.go
+++ b/request/forward/send.go
@@ -51,7 +51,18 @@
 	return o.sent || o.current != nil && o.current.sealUnwritten()
 }
 
-// begin makes x the attempt in progress; false after GiveUp.
+// Cut ends an attempt in progress, its answer included, with that cause, and
+// lets no other begin.
+func (o *Outgoing) Cut(cause error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.givenUp = true
+	if o.current != nil {
+		o.current.cancel(cause)
+	}
+}
+
+// begin makes x the attempt in progress; false after GiveUp or Cut.
 func (o *Outgoing) begin(x *exchange) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -87,13 +98,13 @@
 
 // request builds the Transport's request. GetBody stays nil, so that the
 // Transport can not rewind a body.
-func (o *Outgoing) request(scheme string, e plan.Endpoint) (*http.Request, *callerBody) {
+func (o *Outgoing) request(ctx context.Context, scheme string, e plan.Endpoint) (*http.Request, *callerBody) {
 	u := *o.URL
 	u.Scheme, u.Host, u.User = scheme, e.Address, nil
-	r := &http.Request{
+	r := (&http.Request{
 		Method: o.Method, URL: &u, Host: o.Host, Header: o.Header, Trailer: o.Trailer,
 		ContentLength: o.ContentLength, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
-	}
+	}).WithContext(ctx)
 	if o.Body == nil || o.ContentLength == 0 {
 		r.Body, r.ContentLength = http.NoBody, 0
 		return r, nil
@@ -119,10 +130,10 @@
 		return nil, newError(verdict.NotRun, http.StatusGatewayTimeout, CodeDeadline, errDeadline)
 	}
 	t := f.target(e)
-	r, body := o.request(t.scheme, e)
+	r, body := o.request(ctx, t.scheme, e)
 	t.begin()
 	start := time.Now()
-	resp, err := t.transport.RoundTrip(r.WithContext(ctx))
+	resp, err := t.transport.RoundTrip(r)
 	if err != nil {
 		wrote := x.seal()
 		failure := classify(ctx, err, wrote, body)
@@ -132,7 +143,7 @@
 	}
 	a := &Answer{Status: resp.StatusCode, Header: resp.Header, HeaderTime: time.Since(start),
 		resp: resp, target: t, cancel: cancel, ctx: ctx}
-	if err := a.check(o.ID); err != nil {
+	if err := a.check(x, o.ID); err != nil {
 		a.Close()
 		return nil, o.end(err)
 	}
--- a/request/forward/target.go
+++ b/request/forward/target.go
@@ -30,12 +30,11 @@
 	dialer    *net.Dialer
 	transport *http.Transport
 	idleShare int
-
-	mu      sync.Mutex
-	open    int // connections being dialed or open
-	sending int // attempts in progress
-	changed chan struct{}
-	used    time.Time
+	mu        sync.Mutex
+	open      int // connections being dialed or open
+	sending   int // attempts in progress
+	changed   chan struct{}
+	used      time.Time
 }
 
 func newTarget(o *Options, share int) *target {
@@ -77,8 +76,7 @@
 		t.connClosed()
 		return nil, fmt.Errorf("forward: %w", err)
 	}
-	guarded := &conn{Conn: c, target: t, secure: t.scheme == "https"}
-	return guarded, nil
+	return &conn{Conn: c, target: t, secure: t.scheme == "https", socket: newSocket(c)}, nil
 }
 
 func (t *target) reserve(ctx context.Context) error {
--- a/request/gateway/attempt.go
+++ b/request/gateway/attempt.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"errors"
 	"net/http"
 	"time"
@@ -82,8 +83,9 @@
 func (g *Gateway) attemptAll(c *call, pass *admission.Pass, deliver deliver) (final bool, err error) {
 	attempts := g.budget(c.service).Request(c.idempotent)
 	out := c.outgoing()
-	watch := g.watch(c, out)
-	defer watch.stop()
+	var w watch
+	w.start(g, c, out)
+	defer w.stop()
 	for {
 		reader, ok := c.body.attempt()
 		if !ok {
@@ -114,7 +116,7 @@
 	endpoint := slot.Endpoint()
 	c.endpoint = endpoint.Address
 	sent := time.Now()
-	answer, err := g.opts.Forwarder.Send(c.run, endpoint, out)
+	answer, err := g.opts.Forwarder.Send(context.Background(), endpoint, out)
 	if err != nil {
 		g.report(c, endpoint.Address, err, 0, time.Since(sent))
 		c.count(err)
--- a/request/gateway/call.go
+++ b/request/gateway/call.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"context"
 	"errors"
 	"fmt"
 	"net/http"
@@ -30,12 +29,9 @@
 	limit      time.Duration // of the service's requests
 	body       *body
 
-	// run bounds the attempts. It ends neither when the caller goes away nor at
-	// once at the deadline: the answer is then read and dropped, because only
-	// its end tells that the endpoint's slot is free.
-	run    context.Context
-	cancel context.CancelCauseFunc
-	// wait ends when the caller goes away or at the deadline.
+	// wait ends when the caller goes away or at the deadline. Attempts do not
+	// run under it: when the caller is gone the answer is read and dropped,
+	// because only its end tells that the endpoint's slot is free.
 	wait *waitContext
 
 	// tried joins the verdicts of all attempts so far.
@@ -55,7 +51,6 @@
 	if err := g.parse(c); err != nil {
 		return c, err
 	}
-	c.run, c.cancel = context.WithCancelCause(context.Background())
 	c.wait = &waitContext{Context: r.Context(), deadline: c.deadline}
 	return c, nil
 }
@@ -151,7 +146,7 @@
 	select {
 	case <-t.C:
 		return true
-	case <-c.run.Done():
+	case <-c.wait.Done():
 		return false
 	}
 }
--- a/request/gateway/deadline.go
+++ b/request/gateway/deadline.go
@@ -26,14 +26,13 @@
 	index int // in the heap; -1 when not in it
 }
 
-// set arranges that call is called at that time.
-func (d *deadlines) set(at time.Time, call func()) *alarm {
-	a := &alarm{at: at, call: call}
+// set arranges that call is called at that time; a must not be set.
+func (d *deadlines) set(a *alarm, at time.Time, call func()) {
+	a.at, a.call = at, call
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	heap.Push(&d.heap, a)
 	d.scheduleLocked()
-	return a
 }
 
 // stop takes the alarm back; false when it has gone off.
--- a/request/gateway/gateway.go
+++ b/request/gateway/gateway.go
@@ -73,7 +73,6 @@
 	defer c.leave()
 	defer g.ended(c)
 	if failure == nil {
-		defer c.cancel(nil)
 		defer c.wait.stop()
 		failure = g.gate(c, inFlight)
 	}
@@ -103,8 +102,10 @@
 	if size <= 0 || size > int64(g.opts.RewindBody) {
 		return nil
 	}
-	limit := g.deadlines.set(time.Now().Add(g.opts.BodyTimeout), c.body.interrupt)
-	defer g.deadlines.stop(limit)
+	limit := time.Now().Add(g.opts.BodyTimeout)
+	var a alarm
+	g.deadlines.set(&a, limit, c.body.interrupt)
+	defer g.deadlines.stop(&a)
 	return c.body.preload(size)
 }
 
--- a/request/gateway/reply.go
+++ b/request/gateway/reply.go
@@ -77,49 +77,49 @@
 	gateway *Gateway
 	call    *call
 	out     *forward.Outgoing
-	alarm   *alarm
-	expired chan struct{} // closed when the alarm's work is done
+	alarm   alarm
+	expired sync.WaitGroup // done when the alarm's work is done
 
-	mu     sync.Mutex
-	linger *alarm
+	// lingering is set by expire, linger then ends the attempt.
+	lingering bool
+	linger    alarm
 }
 
-func (g *Gateway) watch(c *call, out *forward.Outgoing) *watch {
-	w := &watch{gateway: g, call: c, out: out, expired: make(chan struct{})}
-	w.alarm = g.deadlines.set(c.deadline, w.expire)
-	return w
+func (w *watch) start(g *Gateway, c *call, out *forward.Outgoing) {
+	w.gateway, w.call, w.out = g, c, out
+	w.expired.Add(1)
+	g.deadlines.set(&w.alarm, c.deadline, w.expire)
 }
 
 // stop ends the watch; afterwards the alarm does not touch the caller.
 func (w *watch) stop() {
-	if w.gateway.deadlines.stop(w.alarm) {
+	if w.gateway.deadlines.stop(&w.alarm) {
 		return
 	}
-	<-w.expired
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.linger != nil {
-		w.gateway.deadlines.stop(w.linger)
+	w.expired.Wait()
+	if w.lingering {
+		w.gateway.deadlines.stop(&w.linger)
 	}
 }
 
+func (w *watch) cut() { w.out.Cut(context.DeadlineExceeded) }
+
 // expire answers the caller at its deadline.
 func (w *watch) expire() {
-	defer close(w.expired)
+	defer w.expired.Done()
 	c := w.call
 	if !c.reply.claim() {
 		// The answer is on its way and not whole in time.
-		c.cancel(context.DeadlineExceeded)
+		w.cut()
 		return
 	}
 	v := verdict.NotRun
 	if w.out.GiveUp() {
 		v = verdict.MayHaveRun
-		w.mu.Lock()
-		w.linger = w.gateway.deadlines.set(time.Now().Add(c.limit), func() { c.cancel(context.DeadlineExceeded) })
-		w.mu.Unlock()
+		w.lingering = true
+		w.gateway.deadlines.set(&w.linger, time.Now().Add(c.limit), w.cut)
 	} else {
-		c.cancel(context.DeadlineExceeded)
+		w.cut()
 	}
 	w.answer(v)
 	c.leave()
--- a/standin/endpoint/endpoint.go
+++ b/standin/endpoint/endpoint.go
@@ -39,6 +39,8 @@
 	// RefuseWhenFull refuses a request beyond Slots before work; it is counted
 	// as a violation all the same.
 	RefuseWhenFull bool
+	// NoEcho leaves RequestIDHeader out of the answers.
+	NoEcho bool
 }
 
 // Endpoint is one instance. Its methods are safe for concurrent use.
