--- a/process/partition/agenttest/agenttest.go
+++ b/process/partition/agenttest/agenttest.go
@@ -163,6 +163,11 @@
 // SetDraining marks a VM as leaving.
 func (r *Rack) SetDraining(id worker.ID) { r.change(id, func(a *agent) { a.draining = true }) }
 
+// ForgetEpochs makes a worker one that only knows leases.
+func (r *Rack) ForgetEpochs(id worker.ID) {
+	r.change(id, func(a *agent) { a.comparesEpochs = false })
+}
+
 // SetFailAll makes every task fail at a worker.
 func (r *Rack) SetFailAll(id worker.ID, on bool) { r.change(id, func(a *agent) { a.failAll = on }) }
 
