Warm a measured cell up and report keyed requests apart

Cause: request p99 of 0.9 s came from the first second of the service, before slots were granted, and hid what requests wait in the steady state. Change: requests are sent for 3 s before the measurement; latencies of requests with and without a key are reported apart; the plot draws on a linear axis of logarithms, because the library's logarithmic one panics on bars.

--- a/command/bench/command.go
+++ b/command/bench/command.go
@@ -67,7 +67,7 @@
 		return err
 	}
 	for _, c := range same {
-		fmt.Fprintf(out, "%-24s %12.4g (%.4g..%.4g)\n", c.Name, r.median(c.Name), c.Before[0], c.Before[1])
+		fmt.Fprintf(out, "%-28s %12.4g (%.4g..%.4g)\n", c.Name, r.median(c.Name), c.Before[0], c.Before[1])
 	}
 	if file != "" {
 		if err := r.Write(file); err != nil {
--- a/command/bench/compare_test.go
+++ b/command/bench/compare_test.go
@@ -1,6 +1,9 @@
 package bench
 
 import (
+	"bytes"
+	"image/png"
+	"os"
 	"path/filepath"
 	"testing"
 
@@ -55,5 +58,8 @@
 func TestPlotTakesZeros(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "r.png")
 	require.NoError(t, results(0, 0, 10).Plot(path))
-	require.FileExists(t, path)
+	data, err := os.ReadFile(path)
+	require.NoError(t, err)
+	_, err = png.Decode(bytes.NewReader(data))
+	require.NoError(t, err)
 }
--- a/command/bench/plot.go
+++ b/command/bench/plot.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
+	"strconv"
 
 	"gonum.org/v1/plot"
 	"gonum.org/v1/plot/plotter"
@@ -23,21 +25,33 @@
 	plotWidth  = 20 * vg.Centimeter
 	plotHeight = 10 * vg.Centimeter
 	barWidth   = 24
-	// least keeps a value of zero on the logarithmic axis.
+	// least is where the axis begins, in ms; a bar of less has no height.
 	least = 0.1
+	// decadesShown covers waits of up to a day.
+	decadesShown = 9
 )
 
+// decades labels the axis. The values are logarithms on a linear axis, since
+// the library's logarithmic one can not draw a bar from its foot.
+func decades() plot.ConstantTicks {
+	var ticks plot.ConstantTicks
+	for i := range decadesShown {
+		ticks = append(ticks, plot.Tick{Value: float64(i), Label: strconv.FormatFloat(least*math.Pow10(i), 'f', -1, 64)})
+	}
+	return ticks
+}
+
 // Plot writes a bar for the median of each waiting time to a PNG file.
 func (r *Result) Plot(path string) error {
 	p := plot.New()
 	p.Title.Text = fmt.Sprintf("Waiting times, %s, %d daemons, %.0f requests/s, task load %.2f",
 		r.Setting.User, r.Setting.Daemons, r.Setting.Rate, r.Setting.TaskLoad)
 	p.Y.Label.Text = "ms (logarithmic)"
-	p.Y.Scale, p.Y.Tick.Marker = plot.LogScale{}, plot.LogTicks{Prec: -1}
+	p.Y.Tick.Marker = decades()
 	var values plotter.Values
 	var labels []string
 	for _, m := range plotted {
-		values = append(values, max(least, r.median(m.name)*m.scale))
+		values = append(values, math.Log10(max(least, r.median(m.name)*m.scale)/least))
 		labels = append(labels, m.label)
 	}
 	bars, err := plotter.NewBarChart(values, vg.Points(barWidth))
@@ -47,7 +61,6 @@
 	bars.LineStyle.Width = 0
 	p.Add(bars)
 	p.NominalX(labels...)
-	p.Y.Min = least // after Add, which makes room for bars from 0
 	if err := p.Save(plotWidth, plotHeight, path); err != nil {
 		return fmt.Errorf("bench: plot: %w", err)
 	}
--- a/command/bench/run.go
+++ b/command/bench/run.go
@@ -30,6 +30,13 @@
 // instanceShare is the part of a VM that a service instance takes.
 const instanceShare = 8
 
+// warmUp is how long requests are sent before the measurement, with a seed of
+// their own.
+const (
+	warmUp     = 3 * time.Second
+	warmUpSeed = 1_000_000
+)
+
 // settleTimeout bounds the start of the service and the end of the tasks.
 const settleTimeout = 2 * time.Minute
 
@@ -100,7 +107,21 @@
 	if _, err := b.c.Apply(ctx, baseFile(b.service, size)); err != nil {
 		return err
 	}
-	return b.c.WaitPlaced(ctx, 48, 0)
+	if err := b.c.WaitPlaced(ctx, 48, 0); err != nil {
+		return err
+	}
+	// Requests before the measurement open connections and spread the slots;
+	// the start of a service is measured by the demonstration.
+	callers.Run(ctx, b.requests(b.o.Setting.Seed+warmUpSeed, int(b.o.Setting.Rate*warmUp.Seconds())))
+	return nil
+}
+
+// requests returns the request load.
+func (b *bench) requests(seed uint64, count int) callers.Options {
+	return callers.Options{
+		Client: &http.Client{Transport: b.c.Balancer().Transport(), Timeout: 30 * time.Second}, Service: b.service,
+		Rate: b.o.Setting.Rate, Count: count, NonIdempotent: 0.1, Keyed: 0.1, BodySize: 512, Seed: seed, Tries: 10,
+	}
 }
 
 // measure sends requests and waves of tasks for the set time.
@@ -115,11 +136,9 @@
 	wg.Go(func() { waveErr = b.waves(runCtx, ctx) })
 	wg.Go(func() { b.sample(runCtx) })
 	wg.Go(func() { b.progress(runCtx, n, duration) })
-	result := callers.Run(ctx, callers.Options{
-		Client: &http.Client{Transport: b.c.Balancer().Transport(), Timeout: 30 * time.Second}, Service: b.service,
-		Rate: b.o.Setting.Rate, Count: int(b.o.Setting.Rate * b.o.Setting.Seconds), Until: runCtx.Done(),
-		NonIdempotent: 0.1, Keyed: 0.1, BodySize: 512, Seed: b.o.Setting.Seed, Tries: 10,
-	})
+	load := b.requests(b.o.Setting.Seed, int(b.o.Setting.Rate*b.o.Setting.Seconds))
+	load.Until = runCtx.Done()
+	result := callers.Run(ctx, load)
 	wg.Wait()
 	if waveErr != nil {
 		return nil, waveErr
@@ -207,6 +226,9 @@
 	m[RequestP50] = float64(result.Latency.ValueAtQuantile(50))
 	m[RequestP99] = float64(result.Latency.ValueAtQuantile(99))
 	m[RequestMax] = float64(result.Latency.Max())
+	plain, keyed := result.ByKind[callers.Idempotent], result.ByKind[callers.Keyed]
+	m[PlainP50], m[PlainP99] = float64(plain.ValueAtQuantile(50)), float64(plain.ValueAtQuantile(99))
+	m[KeyedP50], m[KeyedP99] = float64(keyed.ValueAtQuantile(50)), float64(keyed.ValueAtQuantile(99))
 	m[RequestWhole] = float64(s.Whole) / float64(max(1, s.Requests))
 	m[RequestPerS] = float64(s.Whole) / result.Elapsed.Seconds()
 	full := b.c.Platform.FullReport()
--- a/standin/callers/callers.go
+++ b/standin/callers/callers.go
@@ -31,6 +31,7 @@
 	Idempotent Kind = iota
 	NonIdempotent
 	Keyed
+	kinds
 )
 
 // Options of a Run.
@@ -77,8 +78,9 @@
 // Result of a Run.
 type Result struct {
 	Outcomes []Outcome
-	// Latency of whole answers, in microseconds.
+	// Latency of whole answers, in microseconds; ByKind holds it per Kind.
 	Latency *hdrhistogram.Histogram
+	ByKind  [kinds]*hdrhistogram.Histogram
 	Elapsed time.Duration
 }
 
@@ -102,6 +104,9 @@
 	}
 	rng := rand.New(rand.NewPCG(o.Seed, 1))
 	res := &Result{Latency: hdrhistogram.New(1, latencyMax, latencyDigits)}
+	for k := range res.ByKind {
+		res.ByKind[k] = hdrhistogram.New(1, latencyMax, latencyDigits)
+	}
 	begin := time.Now()
 	due := begin
 	var wg sync.WaitGroup
@@ -127,7 +132,9 @@
 	for _, out := range outcomes {
 		res.Outcomes = append(res.Outcomes, *out)
 		if out.Whole {
-			_ = res.Latency.RecordValue(min(latencyMax, max(1, out.Latency.Microseconds()))) // within the range
+			micros := min(latencyMax, max(1, out.Latency.Microseconds()))
+			_ = res.Latency.RecordValue(micros)          // within the range
+			_ = res.ByKind[out.Kind].RecordValue(micros) // within the range
 		}
 	}
 	return res
