Prove the verdicts of peer calls and the loading of key files

Cause: a caller acts on 'did not run', so no failure may be told wrongly; a stream closed by a fast reply made a call that had run end as unknown, and calls that raced for the first connection opened two. Conclusion: not-run is said only where the receiver cannot have the request.

--- /dev/null
+++ b/connection/keys/keys_test.go
@@ -0,0 +1,194 @@
+package keys
+
+import (
+	"crypto/tls"
+	"errors"
+	"net"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// write puts a certificate for the names into the files.
+func write(t *testing.T, files Files, a *Authority, names ...string) {
+	certPEM, keyPEM, err := a.Issue(names...)
+	require.NoError(t, err)
+	require.NoError(t, os.WriteFile(files.Cert, certPEM, 0o600))
+	require.NoError(t, os.WriteFile(files.Key, keyPEM, 0o600))
+	require.NoError(t, os.WriteFile(files.CA, a.PEM(), 0o600))
+}
+
+func filesIn(dir string) Files {
+	return Files{
+		Cert: filepath.Join(dir, "cert.pem"),
+		Key:  filepath.Join(dir, "key.pem"),
+		CA:   filepath.Join(dir, "ca.pem"),
+	}
+}
+
+func authority(t *testing.T) *Authority {
+	a, err := NewAuthority()
+	require.NoError(t, err)
+	return a
+}
+
+// handshake connects a client to a server and returns what each says.
+func handshake(t *testing.T, client, server *tls.Config) (clientErr, serverErr error) {
+	const limit = 10 * time.Second
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer listener.Close()
+	done := make(chan error, 1)
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			done <- err
+			return
+		}
+		defer conn.Close()
+		err = errors.Join(conn.SetDeadline(time.Now().Add(limit)), tls.Server(conn, server).Handshake())
+		done <- err
+	}()
+	conn, err := net.Dial("tcp", listener.Addr().String())
+	require.NoError(t, err)
+	defer conn.Close()
+	require.NoError(t, conn.SetDeadline(time.Now().Add(limit)))
+	clientErr = tls.Client(conn, client).Handshake()
+	if clientErr != nil {
+		conn.Close()
+	}
+	return clientErr, <-done
+}
+
+func TestLoadNamesTheFile(t *testing.T) {
+	a := authority(t)
+	for _, c := range []struct {
+		name  string
+		spoil func(Files) string
+		want  error
+	}{
+		{"no certificate file", func(f Files) string { _ = os.Remove(f.Cert); return f.Cert }, os.ErrNotExist},
+		{"no key file", func(f Files) string { _ = os.Remove(f.Key); return f.Key }, os.ErrNotExist},
+		{"no authority file", func(f Files) string { _ = os.Remove(f.CA); return f.CA }, os.ErrNotExist},
+		{"certificate file without one", func(f Files) string { _ = os.WriteFile(f.Cert, []byte("x"), 0o600); return f.Cert }, ErrNoCertificate},
+		{"authority file without one", func(f Files) string { _ = os.WriteFile(f.CA, nil, 0o600); return f.CA }, ErrNoCertificate},
+		{"key of another certificate", func(f Files) string {
+			_, key, _ := a.Issue(PeerName)
+			_ = os.WriteFile(f.Key, key, 0o600)
+			return f.Key
+		}, ErrMismatch},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			files := filesIn(t.TempDir())
+			write(t, files, a, PeerName)
+			_, err := Load(files)
+			require.NoError(t, err)
+			path := c.spoil(files)
+			_, err = Load(files)
+			var fileErr *FileError
+			require.ErrorAs(t, err, &fileErr)
+			require.Equal(t, path, fileErr.Path)
+			require.ErrorIs(t, err, c.want)
+		})
+	}
+}
+
+func TestPeersVerifyEachOther(t *testing.T) {
+	a, b := authority(t), authority(t)
+	load := func(a *Authority, names ...string) *tls.Config {
+		files := filesIn(t.TempDir())
+		write(t, files, a, names...)
+		k, err := Load(files)
+		require.NoError(t, err)
+		return k.PeerConfig()
+	}
+	daemon, other := load(a, PeerName), load(a, PeerName)
+	clientErr, serverErr := handshake(t, daemon, other)
+	require.NoError(t, clientErr)
+	require.NoError(t, serverErr)
+	for name, stranger := range map[string]*tls.Config{
+		"another authority": load(b, PeerName),
+		"another name":      load(a, "survey-desk"),
+		"no certificate":    {InsecureSkipVerify: true},
+	} {
+		_, serverErr := handshake(t, stranger, daemon)
+		require.Error(t, serverErr, "%s as the client", name)
+	}
+	clientErr, _ = handshake(t, daemon, load(a, "survey-desk"))
+	require.Error(t, clientErr, "another name as the server")
+}
+
+func TestServerAndClient(t *testing.T) {
+	k, err := Ephemeral("entry.example")
+	require.NoError(t, err)
+	client := k.ClientConfig()
+	client.ServerName = "entry.example"
+	clientErr, serverErr := handshake(t, client, k.ServerConfig())
+	require.NoError(t, clientErr)
+	require.NoError(t, serverErr)
+	client.ServerName = "else.example"
+	clientErr, _ = handshake(t, client, k.ServerConfig())
+	require.Error(t, clientErr)
+}
+
+// Symptom: daemons stop trusting each other when an authority is replaced, or
+// lose their keys in the midst of a replacement.
+// Sequence: the files change one after the other, then a peer uses the new
+// authority.
+// Cause: half of the new files were taken, or configurations kept the old pool.
+func TestReload(t *testing.T) {
+	dir, a, b := t.TempDir(), authority(t), authority(t)
+	files := filesIn(dir)
+	write(t, files, a, PeerName)
+	k, err := Load(files)
+	require.NoError(t, err)
+	config := k.PeerConfig()
+	before := k.NotAfter()
+	changed, err := k.Reload()
+	require.NoError(t, err)
+	require.False(t, changed)
+
+	certPEM, keyPEM, err := b.Issue(PeerName)
+	require.NoError(t, err)
+	require.NoError(t, os.WriteFile(files.Cert, certPEM, 0o600))
+	_, err = k.Reload()
+	require.ErrorIs(t, err, ErrMismatch)
+	require.Equal(t, before, k.NotAfter())
+
+	require.NoError(t, os.WriteFile(files.Key, keyPEM, 0o600))
+	require.NoError(t, os.WriteFile(files.CA, b.PEM(), 0o600))
+	changed, err = k.Reload()
+	require.NoError(t, err)
+	require.True(t, changed)
+	peerFiles := filesIn(t.TempDir())
+	write(t, peerFiles, b, PeerName)
+	peerKeys, err := Load(peerFiles)
+	require.NoError(t, err)
+	clientErr, serverErr := handshake(t, peerKeys.PeerConfig(), config)
+	require.NoError(t, clientErr)
+	require.NoError(t, serverErr)
+}
+
+// FuzzParse feeds broken PEM: it must be refused or fit together.
+func FuzzParse(f *testing.F) {
+	a, err := NewAuthority()
+	require.NoError(f, err)
+	certPEM, keyPEM, err := a.Issue(PeerName)
+	require.NoError(f, err)
+	f.Add(certPEM, keyPEM, a.PEM())
+	f.Add(certPEM[:len(certPEM)/2], keyPEM, a.PEM())
+	f.Add([]byte("-----BEGIN CERTIFICATE-----\n-----END CERTIFICATE-----\n"), keyPEM, a.PEM())
+	f.Fuzz(func(t *testing.T, certPEM, keyPEM, caPEM []byte) {
+		m, err := parse(Files{}, certPEM, keyPEM, caPEM)
+		if err != nil {
+			var fileErr *FileError
+			require.ErrorAs(t, err, &fileErr)
+			return
+		}
+		require.NotNil(t, m.leaf)
+		require.NotNil(t, m.roots)
+	})
+}
--- a/connection/peer/call.go
+++ b/connection/peer/call.go
@@ -52,7 +52,7 @@
 	if err != nil {
 		return Ref{}, n.count(err)
 	}
-	l, err := n.dialShared(ctx, addr)
+	l, err := n.dialShared(ctx, addr, func(l *link) bool { return l.addr == addr })
 	if err != nil {
 		return Ref{}, n.count(err)
 	}
@@ -159,12 +159,12 @@
 		}
 		return reply{}, unknown(err)
 	}
-	if err := stream.Close(); err != nil {
-		return reply{}, unknown(err)
-	}
+	// Close fails when the receiver, which has the whole frame, stopped reading
+	// before it saw the end of the stream. Its reply is on the way all the same.
+	closeErr := stream.Close()
 	var answer reply
 	if err := readFrame(stream, &answer); err != nil {
-		return reply{}, readError(err)
+		return reply{}, readError(errors.Join(err, closeErr))
 	}
 	return answer, nil
 }
--- a/connection/peer/link.go
+++ b/connection/peer/link.go
@@ -64,7 +64,7 @@
 	if l != nil || err != nil {
 		return l, err
 	}
-	l, err = n.dialShared(ctx, addr)
+	l, err = n.dialShared(ctx, addr, func(l *link) bool { return l.remote.Self == to })
 	if err != nil {
 		return nil, err
 	}
@@ -93,10 +93,27 @@
 	}
 }
 
-// dialShared lets the calls that wait for one address share one handshake. A
-// caller whose context ends stops waiting; the handshake goes on for others.
-func (n *Node) dialShared(ctx context.Context, addr string) (*link, error) {
+// find returns an open link in use that satisfies the condition, or nil.
+func (n *Node) find(ok func(*link) bool) *link {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, l := range n.links {
+		if l.alive() && ok(l) {
+			return l
+		}
+	}
+	return nil
+}
+
+// dialShared lets the calls that wait for one address share one handshake, and
+// takes an open link that will do, which another call may have made since the
+// caller looked. A caller whose context ends stops waiting; the handshake goes
+// on for others.
+func (n *Node) dialShared(ctx context.Context, addr string, willDo func(*link) bool) (*link, error) {
 	result := n.dials.DoChan(addr, func() (any, error) {
+		if l := n.find(willDo); l != nil {
+			return l, nil
+		}
 		dialCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), handshakeTimeout)
 		defer cancel()
 		return n.dial(dialCtx, addr)
--- a/connection/peer/node.go
+++ b/connection/peer/node.go
@@ -75,6 +75,11 @@
 	if err != nil {
 		return nil, fmt.Errorf("peer: listen on %q: %w", addr, err)
 	}
+	return NewNode(socket, self, tlsConfig, mux, log)
+}
+
+// NewNode is Listen on a socket that is bound already; the node closes it.
+func NewNode(socket net.PacketConn, self Ref, tlsConfig *tls.Config, mux *Mux, log zerolog.Logger) (*Node, error) {
 	return newNode(socket, hello{Self: self, Min: ProtocolMin, Max: ProtocolMax}, tlsConfig, mux, log)
 }
 
--- /dev/null
+++ b/connection/peer/random_test.go
@@ -0,0 +1,136 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+)
+
+// lossy is a socket that loses a share of what it sends.
+type lossy struct {
+	net.PacketConn
+	loss atomic.Uint32 // percent
+	mu   sync.Mutex
+	rand *rand.Rand
+}
+
+func newLossy(t *testing.T, seed uint64) *lossy {
+	socket, err := net.ListenPacket("udp", "127.0.0.1:0")
+	require.NoError(t, err)
+	return &lossy{PacketConn: socket, rand: rand.New(rand.NewPCG(seed, 0))}
+}
+
+func (l *lossy) WriteTo(p []byte, to net.Addr) (int, error) {
+	l.mu.Lock()
+	lost := l.rand.Uint32N(100) < l.loss.Load()
+	l.mu.Unlock()
+	if lost {
+		return len(p), nil
+	}
+	return l.PacketConn.WriteTo(p, to)
+}
+
+// runs counts how often each numbered call ran, in whichever life.
+type runs struct {
+	mu    sync.Mutex
+	count map[int]int
+}
+
+func (r *runs) handle(_ context.Context, _ Ref, payload []byte) (any, error) {
+	var number int
+	if err := Unmarshal(payload, &number); err != nil {
+		return nil, err
+	}
+	r.mu.Lock()
+	if number >= 0 { // negative numbers only open the connection
+		r.count[number]++
+	}
+	r.mu.Unlock()
+	time.Sleep(time.Duration(number%8) * time.Millisecond)
+	return number, nil
+}
+
+// Symptom: a call that "did not run" has run, or ran twice.
+// Sequence: calls with short deadlines over a connection that loses packets,
+// while the server ends and other lives of it take over its name.
+// Cause: a failure after the last byte was handed over counted as not sent, or
+// a call was repeated on a new connection.
+func TestVerdictsUnderLossAndRestarts(t *testing.T) {
+	const lives, callsPerLife = 6, 60
+	executed := &runs{count: make(map[int]int)}
+	mux := NewMux()
+	mux.Handle("run", executed.handle)
+	clientSocket := newLossy(t, 1)
+	client, err := newNode(clientSocket, life("client", 1), peerTLS(t), NewMux(), zerolog.Nop())
+	require.NoError(t, err)
+	defer client.Close()
+	var verdicts sync.Map
+	for n := range lives {
+		socket := newLossy(t, uint64(n))
+		server, err := newNode(socket, life("server", uint64(n+1)), peerTLS(t), mux, zerolog.Nop())
+		require.NoError(t, err)
+		ctx, cancel := context.WithCancel(context.Background())
+		served := make(chan error, 1)
+		go func() { served <- server.Serve(ctx) }()
+		client.SetResolver(func(Ref) (string, bool) { return server.Addr(), true })
+		clientSocket.loss.Store(0)
+		require.Eventually(t, func() bool { return callOnce(client, server.Self(), -1).err == nil }, patience, time.Millisecond)
+		percent := uint32(n * 6)
+		clientSocket.loss.Store(percent)
+		socket.loss.Store(percent)
+		var wg sync.WaitGroup
+		for i := range callsPerLife {
+			number := n*callsPerLife + i
+			wg.Go(func() { verdicts.Store(number, callOnce(client, server.Self(), number)) })
+			if i == callsPerLife*3/4 {
+				wg.Go(func() { _ = server.Close() }) // in the midst of the calls
+			}
+			time.Sleep(time.Millisecond)
+		}
+		wg.Wait()
+		cancel()
+		<-served
+	}
+	var ok, notRun, maybe int
+	verdicts.Range(func(key, value any) bool {
+		count, err := executed.count[key.(int)], value.(outcomeOf).err
+		require.LessOrEqual(t, count, 1, "call %d", key)
+		switch {
+		case err == nil:
+			ok++
+			require.Equal(t, 1, count, "call %d", key)
+		case NotRun(err):
+			notRun++
+			require.Zero(t, count, "call %d: %v", key, err)
+		default:
+			maybe++
+			require.True(t, errors.Is(err, ErrUnknown), "call %d: %v", key, err)
+		}
+		return true
+	})
+	t.Logf("of %d calls %d ran, %d did not, %d unknown", ok+notRun+maybe, ok, notRun, maybe)
+	require.Positive(t, ok)
+	require.Positive(t, notRun)
+	require.Positive(t, maybe)
+}
+
+type outcomeOf struct{ err error }
+
+func callOnce(client *Node, to Ref, number int) outcomeOf {
+	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+	defer cancel()
+	var answer int
+	err := client.Call(ctx, to, "run", number, &answer)
+	if err == nil && answer != number {
+		err = errors.New("the answer to another call")
+	}
+	return outcomeOf{err: err}
+}
