Give each scheduler home partitions to avoid choosing the same worker

Change: an optional set of home partitions per planner, tried first; beyond them each planner has an order of its own. The naive scheduler rates it too.

--- a/process/sched/batch/batch.go
+++ b/process/sched/batch/batch.go
@@ -64,7 +64,7 @@
 	if !e.Fits(&s.ask.Size) {
 		return true
 	}
-	rating := score.Packing(&s.ask.Size, e, &s.ref)
+	rating := score.Packing(&s.ask.Size, e, &s.ref) + score.Away(s.view.Home, e.Lane)
 	if rating < s.score {
 		if !filter.Pass(s.filters, s.view, s.ask, e.Worker) {
 			return true // not part of the sample: it says nothing of the others
--- /dev/null
+++ b/process/sched/conflict_test.go
@@ -0,0 +1,129 @@
+package sched
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"fennelshunt.example/fennelshunt/connection/worker"
+	"fennelshunt.example/fennelshunt/process/plan"
+	"fennelshunt.example/fennelshunt/process/sched/naive"
+	"fennelshunt.example/fennelshunt/version/spec"
+)
+
+// contest is a cell on which several schedulers decide at the same time, each
+// on the last snapshot and without knowing of the others.
+type contest struct {
+	r          *rand.Rand
+	truth      *naive.Scheduler
+	cache      *Cache
+	schedulers int
+	homes      bool
+	seq        uint64
+	index      int
+	running    []worker.Ref
+	at         map[worker.Ref]worker.ID
+	used       spec.Resources
+	refused    int
+	placed     int
+	waiting    int // found no room in the snapshot
+}
+
+func newContest(seed uint64, schedulers int, homes bool) *contest {
+	states := guild.states(nil, false)
+	return &contest{
+		r: rand.New(rand.NewPCG(seed, 5)), truth: naive.New(states), cache: cacheOf(states),
+		schedulers: schedulers, homes: homes, seq: 1, at: map[worker.Ref]worker.ID{},
+	}
+}
+
+// round lets each scheduler place tasks on one snapshot, ends tasks down to the
+// load, and publishes the outcome.
+func (c *contest) round(each int, load float64) {
+	snap := c.cache.Snapshot()
+	for i := range c.schedulers {
+		p := NewPlanner(snap)
+		if c.homes {
+			p.Prefer(fmt.Sprint("scheduler-", i), home(i, c.schedulers))
+		}
+		for range each {
+			c.place(p)
+		}
+	}
+	for guild.share(c.used) > load {
+		c.end(c.r.IntN(len(c.running)))
+	}
+	c.seq++
+	for i := range c.truth.Workers {
+		w := c.truth.Workers[i]
+		c.cache.Apply(plan.State{
+			Partition: w.Rack, Epoch: 1, Seq: c.seq*uint64(guild.workers) + uint64(i), Workers: []plan.WorkerState{w},
+		})
+	}
+}
+
+func (c *contest) place(p *Planner) {
+	a := mixedTask(c.r, c.index, guild.capacity)
+	c.index++
+	d := p.Place(a)
+	switch {
+	case !p.Assume(a, d):
+		c.waiting++
+	case !c.truth.Fits(&a, c.truth.Worker(d.Worker)):
+		c.refused++
+	default:
+		c.truth.Start(&a, d.Worker)
+		c.running, c.at[a.Ref()] = append(c.running, a.Ref()), d.Worker
+		c.used = c.used.Add(a.Size)
+		c.placed++
+	}
+}
+
+func (c *contest) end(i int) {
+	ref := c.running[i]
+	c.running[i] = c.running[len(c.running)-1]
+	c.running = c.running[:len(c.running)-1]
+	w := c.truth.Worker(c.at[ref])
+	before := w.Reserved
+	c.truth.End(ref, w.ID)
+	c.used = c.used.Sub(before.Sub(w.Reserved))
+}
+
+// home deals the racks out to the schedulers.
+func home(scheduler, schedulers int) []string {
+	var racks []string
+	for rack := scheduler; rack < guild.workers/guild.rackSize; rack += schedulers {
+		racks = append(racks, fmt.Sprint("rack-", rack))
+	}
+	return racks
+}
+
+// BenchmarkConflicts reports how many placements the workers' owners refuse,
+// with and without home partitions, in the Guild's cell kept at a load. At 1,600
+// starts a second and a snapshot every 50 ms, 6 schedulers place 13 tasks each
+// on one snapshot.
+func BenchmarkConflicts(b *testing.B) {
+	const rounds = 100
+	for _, load := range []float64{0.6, 0.8} {
+		for _, each := range []int{1, 4, 13} {
+			for _, homes := range []bool{false, true} {
+				b.Run(fmt.Sprintf("load=%v/each=%d/homes=%v", load, each, homes), func(b *testing.B) {
+					var c *contest
+					for b.Loop() {
+						c = newContest(1, 6, homes)
+						for guild.share(c.used) < load*0.95 {
+							c.round(1, load)
+						}
+						c.refused, c.placed, c.waiting = 0, 0, 0
+						for range rounds {
+							c.round(each, load)
+						}
+					}
+					tried := float64(c.refused + c.placed + c.waiting)
+					b.ReportMetric(100*float64(c.refused)/tried, "%refused")
+					b.ReportMetric(100*float64(c.waiting)/tried, "%no-room")
+				})
+			}
+		}
+	}
+}
--- a/process/sched/differential_test.go
+++ b/process/sched/differential_test.go
@@ -9,7 +9,10 @@
 	"pgregory.net/rapid"
 
 	"fennelshunt.example/fennelshunt/connection/worker"
+	"fennelshunt.example/fennelshunt/process/plan"
 	"fennelshunt.example/fennelshunt/process/sched/naive"
+	"fennelshunt.example/fennelshunt/process/sched/score"
+	"fennelshunt.example/fennelshunt/process/sched/snapshot"
 	"fennelshunt.example/fennelshunt/version/spec"
 )
 
@@ -58,6 +61,13 @@
 	return a
 }
 
+// prefer gives both a home; each rack is a partition.
+func (p *pair) prefer(scheduler string, partitions []string) {
+	p.planner.Prefer(scheduler, partitions)
+	home := snapshot.NewHome(scheduler, partitions)
+	p.naive.Away = func(w *plan.WorkerState) float64 { return score.Away(home, snapshot.LaneOf(w.Rack)) }
+}
+
 // decide asks both and compares feasibility and rating.
 func (p *pair) decide(a Ask) (Decision, bool) {
 	d := p.planner.Place(a)
@@ -76,7 +86,7 @@
 	if spread(&a) {
 		require.Equal(p.t, want, d.Worker)
 	} else {
-		require.Equal(p.t, naive.Packing(&a, best), naive.Packing(&a, got))
+		require.Equal(p.t, p.naive.Rate(&a, best), p.naive.Rate(&a, got))
 	}
 	return d, true
 }
@@ -138,6 +148,9 @@
 func TestDecisionsAgainstNaive(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		p := newPair(t)
+		if rapid.Bool().Draw(t, "home") {
+			p.prefer("scheduler", []string{"rack-1", "rack-2"})
+		}
 		for i := range rapid.IntRange(1, 120).Draw(t, "steps") {
 			if len(p.order) > 0 && rapid.IntRange(0, 3).Draw(t, "action") == 0 {
 				p.end(rapid.IntRange(0, len(p.order)-1).Draw(t, "ended"))
--- a/process/sched/naive/naive.go
+++ b/process/sched/naive/naive.go
@@ -19,6 +19,8 @@
 // Scheduler holds the workers as they were last reported.
 type Scheduler struct {
 	Workers []plan.WorkerState
+	// Away, when set, is added to the packing score of a worker.
+	Away func(w *plan.WorkerState) float64
 }
 
 // New returns a scheduler on a copy of the workers.
@@ -68,6 +70,15 @@
 	return score.Packing(&a.Size, &e, &ref)
 }
 
+// Rate is the packing score of a worker with what Away adds.
+func (s *Scheduler) Rate(a *snapshot.Ask, w *plan.WorkerState) float64 {
+	rating := Packing(a, w)
+	if s.Away != nil {
+		rating += s.Away(w)
+	}
+	return rating
+}
+
 // PlaceBatch returns the feasible worker with the least packing score.
 func (s *Scheduler) PlaceBatch(a *snapshot.Ask) (worker.ID, bool) {
 	best, rating := -1, math.Inf(1)
@@ -75,7 +86,7 @@
 		if !s.Fits(a, &s.Workers[i]) {
 			continue
 		}
-		if r := Packing(a, &s.Workers[i]); r < rating {
+		if r := s.Rate(a, &s.Workers[i]); r < rating {
 			best, rating = i, r
 		}
 	}
--- a/process/sched/planner.go
+++ b/process/sched/planner.go
@@ -22,6 +22,7 @@
 	inFlight inFlight
 	failed   map[failure]Decision
 	shadow   *gang.Shadow
+	home     *snapshot.Home
 }
 
 // NewPlanner returns a planner on a snapshot.
@@ -42,6 +43,7 @@
 	p.base, p.view = snap, snap.View()
 	p.failed = map[failure]Decision{}
 	p.keep()
+	p.view.Home = p.home
 	p.inFlight.apply(p.view)
 }
 
@@ -159,6 +161,18 @@
 	}
 }
 
+// Prefer names the scheduler and the partitions where its independent tasks go
+// first, over Rebase. Give each scheduler others, best those that its own daemon
+// owns: schedulers that decide at the same time then seldom choose the same
+// worker. An empty name prefers none.
+func (p *Planner) Prefer(scheduler string, partitions []string) {
+	p.home = nil
+	if scheduler != "" {
+		p.home = snapshot.NewHome(scheduler, partitions)
+	}
+	p.view.Home = p.home
+}
+
 // InFlight returns how many assumptions no snapshot has shown yet.
 func (p *Planner) InFlight() int { return len(p.inFlight.assumed) }
 
--- a/process/sched/score/packing.go
+++ b/process/sched/score/packing.go
@@ -23,8 +23,21 @@
 	// AcceleratorPenalty keeps work without accelerators off VMs that have
 	// them while any other VM has room.
 	AcceleratorPenalty = 10
+	// AwayPenalty keeps work in the scheduler's home partitions: schedulers
+	// that decide at the same time on the same snapshot would else all choose
+	// the same best worker, and all but one be refused there. More of it means
+	// fewer refusals and looser packing.
+	AwayPenalty = 3
 )
 
+// Away rates a worker by how far its partition is from the scheduler.
+func Away(home *snapshot.Home, lane snapshot.Lane) float64 {
+	if home == nil {
+		return 0
+	}
+	return AwayPenalty * home[lane]
+}
+
 // Packing rates a worker by what would stay free on it: the sum of the shares
 // of processors and memory, and their imbalance. ref is the reference capacity
 // of the worker's class.
--- a/process/sched/snapshot/cache.go
+++ b/process/sched/snapshot/cache.go
@@ -138,6 +138,7 @@
 	record := &Worker{
 		ID: w.ID, Zone: w.Zone, Rack: w.Rack, Partition: partition,
 		Capacity: w.Capacity, Reserved: w.Reserved, Unusable: w.Unusable,
+		lane: LaneOf(partition),
 	}
 	if len(w.Tasks) > 0 {
 		record.Tasks = make([]Task, len(w.Tasks))
--- a/process/sched/snapshot/cell.go
+++ b/process/sched/snapshot/cell.go
@@ -13,6 +13,7 @@
 	Memory int64 // free MB
 	Accel  int16 // free accelerators
 	Idle   bool  // nothing is reserved
+	Lane   Lane  // of the worker's partition
 	Worker Index
 }
 
@@ -21,7 +22,7 @@
 	free := w.Free()
 	return Entry{
 		CPU: free.MilliCPU, Memory: free.MemoryMB, Accel: int16(min(free.Accelerators, math.MaxInt16)),
-		Idle: w.Reserved.IsZero(), Worker: w.index,
+		Idle: w.Reserved.IsZero(), Lane: w.lane, Worker: w.index,
 	}
 }
 
--- a/process/sched/snapshot/view.go
+++ b/process/sched/snapshot/view.go
@@ -15,6 +15,8 @@
 	// Kept, when set, returns what a worker keeps from an ask for a waiting
 	// gang; see package gang.
 	Kept func(a *Ask, id worker.ID) spec.Resources
+	// Home, when set, is where independent tasks go first.
+	Home *Home
 }
 
 // Change is what a view assumes of one worker: tasks that start, and then
--- a/process/sched/snapshot/worker.go
+++ b/process/sched/snapshot/worker.go
@@ -29,6 +29,7 @@
 	index Index
 	class int32
 	rack  int32
+	lane  Lane
 	// below is what the tasks hold that each rank of class may end.
 	below [ranks]spec.Resources
 }
