--- a/process/jobs/exchange.go
+++ b/process/jobs/exchange.go
@@ -58,12 +58,12 @@
 	var all []Totals
 	for _, s := range x.manager.ownShards() {
 		callCtx, cancel := context.WithTimeout(ctx, x.manager.options.Tuning.CallTimeout)
-		_ = s.call(callCtx, func(st *state) {
-			if t := st.totals(time.Now()); len(t.Teams) > 0 || t.Gang != nil {
-				all = append(all, t)
-			}
-		})
+		t := new(Totals)
+		err := s.call(callCtx, func(st *state) { *t = st.totals(time.Now()) })
 		cancel()
+		if err == nil && (len(t.Teams) > 0 || t.Gang != nil) {
+			all = append(all, *t)
+		}
 	}
 	if len(all) == 0 {
 		return
--- a/process/jobs/gangs.go
+++ b/process/jobs/gangs.go
@@ -26,20 +26,21 @@
 	asked []*partition
 }
 
-// serveGang tries to place all unfinished tasks of a gang at once.
-func (st *state) serveGang(e *queue.Entry[*job], now time.Time) {
+// serveGang tries to place all unfinished tasks of a gang at once and reports
+// whether reservations are asked for.
+func (st *state) serveGang(e *queue.Entry[*job], now time.Time) bool {
 	j := e.Value
 	remaining := j.spec.Count - j.record.FinishedCount()
 	if len(j.live) > 0 || int(j.ready.GetCardinality()) < remaining || int(j.durableLimit) < j.spec.Count {
 		st.queue.Remove(e) // queued again when the last task is ready
-		return
+		return false
 	}
 	if now.Before(j.nextTry) {
 		st.round.active.SkipShape(e)
-		return
+		return false
 	}
 	if st.resized(e, now) || !st.fitsQuota(e, j.size.Times(int64(remaining))) {
-		return
+		return false
 	}
 	asks := st.gangAsks(j)
 	d := st.round.planner.PlaceGang(asks)
@@ -48,11 +49,12 @@
 			st.wantProtection(j, asks, now)
 		}
 		st.refuseJob(e, d.Rejections, d.Infeasible)
-		return
+		return false
 	}
 	st.gotRoom(j)
 	st.reserveGang(j, asks, &d, now)
 	st.round.active.Served(j.spec.Team)
+	return true
 }
 
 func (st *state) gangAsks(j *job) []sched.Ask {
--- a/process/jobs/queue/queue.go
+++ b/process/jobs/queue/queue.go
@@ -81,6 +81,9 @@
 // Len returns the number of entries in a class.
 func (q *Queue[V]) Len(c spec.Class) int { return q.size[c.Rank()] }
 
+// Empty reports whether no entry is queued.
+func (q *Queue[V]) Empty() bool { return q.size == [classes]int{} }
+
 // Add puts an entry in; an entry already queued stays where it is.
 func (q *Queue[V]) Add(e *Entry[V]) {
 	if e.Queued() {
--- a/process/jobs/round.go
+++ b/process/jobs/round.go
@@ -16,10 +16,12 @@
 	planner *sched.Planner
 	snap    *sched.Snapshot
 	active  *queue.Round[*job]
-	// largest is the largest VM in each dimension.
-	largest spec.Resources
+	// largest is the largest VM in each dimension, used what all tasks hold.
+	largest, used spec.Resources
 	// protected is the waiting gang that capacity is kept for.
 	protected *gangShadow
+	// wasted is the time spent in the last round on tasks that found no place.
+	wasted time.Duration
 	// dirty is set when something may have changed an answer.
 	dirty                       bool
 	last, lastTick, lastRecheck time.Time
@@ -48,7 +50,10 @@
 			st.round.active = nil
 			return
 		}
-		st.serve(e, now)
+		started := time.Now()
+		if !st.serve(e, now) {
+			st.round.wasted += time.Since(started)
+		}
 		if st.round.active == nil {
 			return
 		}
@@ -65,11 +70,11 @@
 }
 
 func (st *state) beginRound(now time.Time) bool {
-	if !st.round.dirty || now.Before(st.round.last.Add(st.o.Tuning.RoundGap)) {
+	snap := st.o.Snapshots()
+	if !st.round.dirty && (st.queue.Empty() || snap == st.round.snap) || now.Before(st.nextRound()) {
 		return false
 	}
-	st.round.last = now
-	snap := st.o.Snapshots()
+	st.round.last, st.round.wasted = now, 0
 	if snap.Len() == 0 {
 		return false
 	}
@@ -85,12 +90,26 @@
 	}
 	st.blockUnusable(now)
 	st.protectGang(now)
-	st.others.rank(now, st.accounts)
+	st.others.rank(now, st.accounts, st.round.used)
 	st.round.dirty = false
 	st.round.active = st.queue.NewRound(spec.Low, st.accounts.Share)
 	return true
 }
 
+// wastedShare bounds the part of a core that is spent on decisions that find no
+// place to one in wastedShare: when much waits and nothing comes free, rounds
+// become rarer.
+const wastedShare = 50
+
+// nextRound returns when the next round may begin. Urgent work is not held up.
+func (st *state) nextRound() time.Time {
+	gap := st.o.Tuning.RoundGap
+	if st.queue.Len(spec.Urgent) == 0 {
+		gap = min(max(gap, wastedShare*st.round.wasted), st.o.Tuning.RoundInterval)
+	}
+	return st.round.last.Add(gap)
+}
+
 // restartRound makes the next slice begin again with the highest class.
 func (st *state) restartRound() {
 	st.round.active = nil
@@ -98,16 +117,17 @@
 }
 
 func (st *state) countCapacity(snap *sched.Snapshot) {
-	var total, largest spec.Resources
+	var total, largest, used spec.Resources
 	snap.All(func(w *snapshot.Worker) bool {
 		if w.Unusable == "" {
 			total = total.Add(w.Capacity)
 			largest = atLeast(largest, w.Capacity)
+			used = used.Add(w.Reserved)
 		}
 		return true
 	})
 	st.accounts.SetCapacity(total)
-	st.round.largest = largest
+	st.round.largest, st.round.used = largest, used
 }
 
 func atLeast(a, b spec.Resources) spec.Resources {
@@ -195,25 +215,25 @@
 	st.round.fillers = nil
 }
 
-// serve tries to start the next task of a job, or a whole gang.
-func (st *state) serve(e *queue.Entry[*job], now time.Time) {
+// serve tries to start the next task of a job, or a whole gang, and reports
+// whether it did.
+func (st *state) serve(e *queue.Entry[*job], now time.Time) bool {
 	j := e.Value
 	if j.spec.Kind == spec.Gang {
-		st.serveGang(e, now)
-		return
+		return st.serveGang(e, now)
 	}
 	index, ok := j.next()
 	if !ok {
 		st.queue.Remove(e)
-		return
+		return false
 	}
 	if j.service() && st.rollingHold(j) {
 		j.wait = "rolling replacement: waits for an old instance to end"
 		st.round.active.SkipShape(e)
-		return
+		return false
 	}
-	if st.resized(e, now) || !st.fitsQuota(e, j.size) || st.yields(e) || !st.paced(j, now) {
-		return
+	if st.resized(e, now) || !st.fitsQuota(e, j.size) || !st.paced(j, now) {
+		return false
 	}
 	ask := st.ask(j, index, st.attemptNumber(j, index))
 	d := st.round.planner.Place(ask)
@@ -226,12 +246,17 @@
 		if d.Infeasible == "" {
 			st.wantRoom(j, now)
 		}
+		delete(st.others.yielding, j.spec.Team)
 		st.refuseJob(e, d.Rejections, d.Infeasible)
-		return
+		return false
+	}
+	if st.yields(e, now) {
+		return false
 	}
 	st.gotRoom(j)
 	st.assign(j, index, &ask, &d, now)
 	st.round.active.Served(j.spec.Team)
+	return true
 }
 
 // fitsQuota reports whether the team may hold size more. A size over the whole
--- a/process/jobs/shares.go
+++ b/process/jobs/shares.go
@@ -17,55 +17,41 @@
 	// unserved holds the teams of this shard of which a task found no room,
 	// and when that was last so.
 	unserved map[string]time.Time
-	// lowest is the lowest weighted share of a waiting team elsewhere;
-	// waiting is false when there is none.
-	lowest  float64
+	// level is the weighted share up to which every waiting team of the cell
+	// can get; waiting is false when no team waits elsewhere.
+	level   float64
 	waiting bool
+	// yielding holds since when a team leaves room to others.
+	yielding map[string]time.Time
 }
 
 type otherShard struct {
 	epoch uint64
 	seen  time.Time
-	teams map[string]otherTeam
-}
-
-type otherTeam struct {
-	TeamTotal
-	// moved is when what the team holds last changed.
-	moved time.Time
+	teams []TeamTotal
 }
 
 func newOtherShards(interval time.Duration) otherShards {
 	return otherShards{
-		interval: interval, shards: map[plan.Shard]otherShard{}, unserved: map[string]time.Time{},
+		interval: interval, shards: map[plan.Shard]otherShard{}, unserved: map[string]time.Time{}, yielding: map[string]time.Time{},
 	}
 }
 
-// Intervals of the exchange after which information counts no more: totals that
-// were not repeated, and a team whose holdings did not move although others
-// made way for it. The second keeps room from standing empty for a team that
-// can not use it.
-const (
-	totalsExpiry = 3
-	stalledAfter = 4
-)
+// totalsExpiry is after how many intervals totals that are not repeated count
+// no more.
+const totalsExpiry = 3
+
+// yieldLimit is how long a team leaves room to the teams of other shards; what
+// is still free then is of no use to them and is taken.
+const yieldLimit = time.Second
 
 // takeTotal takes the message of another shard.
 func (st *state) takeTotal(t *Totals, now time.Time) {
 	o := &st.others
-	old := o.shards[t.Shard]
-	if t.Epoch < old.epoch {
+	if t.Epoch < o.shards[t.Shard].epoch {
 		return
 	}
-	next := otherShard{epoch: t.Epoch, seen: now, teams: make(map[string]otherTeam, len(t.Teams))}
-	for _, team := range t.Teams {
-		moved := now
-		if was, ok := old.teams[team.Team]; ok && was.Held == team.Held {
-			moved = was.moved
-		}
-		next.teams[team.Team] = otherTeam{team, moved}
-	}
-	o.shards[t.Shard] = next
+	o.shards[t.Shard] = otherShard{epoch: t.Epoch, seen: now, teams: t.Teams}
 	if t.Gang != nil {
 		since := now.Add(-time.Duration(t.Gang.WaitingMillis) * time.Millisecond)
 		st.offerShadow(&gangShadow{need: *t.Gang, since: since, lastSeen: now}, now)
@@ -73,23 +59,33 @@
 	st.round.dirty = true
 }
 
-// rank finds the lowest share among the waiting teams elsewhere.
-func (o *otherShards) rank(now time.Time, accounts *fairshare.Accounts) {
-	o.waiting = false
+// rank works out the level: what is not held by teams without waiting work is
+// divided among the waiting ones by weight. The level depends on weights more
+// than on what others hold, so it bears information of some seconds ago; teams
+// that compared their shares directly all held back on old news at once.
+func (o *otherShards) rank(now time.Time, accounts *fairshare.Accounts, used spec.Resources) {
+	weights, held := 0, 0.0
+	count := func(team spec.Resources, weight int) {
+		weights += max(weight, 1)
+		held += accounts.ShareOf(team, 1)
+	}
 	for _, shard := range o.shards {
-		if now.Sub(shard.seen) > totalsExpiry*o.interval {
-			continue
-		}
-		for _, team := range shard.teams {
-			if now.Sub(team.moved) > stalledAfter*o.interval {
-				continue
-			}
-			share := accounts.ShareOf(team.Held, team.Weight)
-			if !o.waiting || share < o.lowest {
-				o.lowest, o.waiting = share, true
+		if now.Sub(shard.seen) <= totalsExpiry*o.interval {
+			for _, team := range shard.teams {
+				count(team.Held, team.Weight)
 			}
 		}
 	}
+	o.waiting = weights > 0
+	for team, at := range o.unserved {
+		if now.Sub(at) <= o.interval {
+			count(accounts.Held(team), accounts.Weight(team))
+		}
+	}
+	if o.waiting {
+		others := max(0, accounts.ShareOf(used, 1)-held)
+		o.level = max(0, 1-others) / float64(weights)
+	}
 }
 
 // totals returns what the other shards should know: the teams that have found
@@ -111,18 +107,23 @@
 	return t
 }
 
-// yields reports whether a team has to leave room that comes free to a team of
-// another shard with a lower share. Urgent work and services do not yield.
-func (st *state) yields(e *queue.Entry[*job]) bool {
-	j := e.Value
-	if !st.others.waiting || j.class.Rank() >= spec.High.Rank() {
+// yields reports whether a team leaves room that it could use to teams of other
+// shards, because it holds more than its part. Urgent work and services do not
+// yield.
+func (st *state) yields(e *queue.Entry[*job], now time.Time) bool {
+	j, o := e.Value, &st.others
+	if !o.waiting || j.class.Rank() >= spec.High.Rank() || st.accounts.Share(j.spec.Team) <= o.level {
+		delete(o.yielding, j.spec.Team)
 		return false
 	}
-	if st.accounts.Share(j.spec.Team) <= st.others.lowest {
+	since, ok := o.yielding[j.spec.Team]
+	if !ok {
+		o.yielding[j.spec.Team] = now
+	} else if now.Sub(since) > yieldLimit {
 		return false
 	}
-	j.wait, j.rejections = "a team with a lower share of the cell waits for room", nil
-	st.others.unserved[j.spec.Team] = st.round.last
+	j.wait, j.rejections = "the team holds more than its part while others wait for room", nil
+	o.unserved[j.spec.Team] = now
 	st.round.active.SkipTeam(j.spec.Team)
 	return true
 }
--- a/process/jobs/state.go
+++ b/process/jobs/state.go
@@ -158,8 +158,11 @@
 	wake := st.round.lastTick.Add(st.o.Tuning.RoundInterval)
 	if st.round.active != nil {
 		wake = now
-	} else if st.round.dirty && st.mayStart() {
-		wake = earlier(wake, st.round.last.Add(st.o.Tuning.RoundGap))
+	} else if st.mayStart() && (st.round.dirty || !st.queue.Empty()) {
+		wake = earlier(wake, st.nextRound())
+		if !st.round.dirty { // waits for a new snapshot
+			wake = later(wake, now.Add(snapshotPoll))
+		}
 	}
 	if len(st.delayed) > 0 {
 		wake = earlier(wake, st.delayed[0].at)
@@ -170,6 +173,17 @@
 	return max(wake.Sub(now), 0)
 }
 
+// snapshotPoll is the time between two looks for a new snapshot while work
+// waits.
+const snapshotPoll = 10 * time.Millisecond
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
 func earlier(a, b time.Time) time.Time {
 	if b.Before(a) {
 		return b
