Test a key through the death of its home

Cause: at most once for a non-idempotent key was tested in the key table, not through the whole path. Change: a cell of three gateways loses a daemon that goes on unaware; callers retry at others.

--- a/request/gateway/cell_test.go
+++ b/request/gateway/cell_test.go
@@ -4,6 +4,8 @@
 	"net/http"
 	"net/http/httptest"
 	"strconv"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -32,6 +34,7 @@
 	urls      []string
 	keys      []*idem.Manager
 	members   []fleet.Member
+	servers   [][]*httptest.Server // for callers and for other daemons
 }
 
 func newCell(t testing.TB, daemons, instances int, o Options) *cell {
@@ -41,7 +44,7 @@
 		c.endpoints = append(c.endpoints, startEndpoint(t, c.pool,
 			endpoint.Options{Slots: 4, Connections: 64, Seed: uint64(i), Work: time.Millisecond}))
 	}
-	shared := store.NewClient(kv.New(), store.Options{})
+	memory := kv.New()
 	peers := make([]*httptest.Server, daemons)
 	for i := range daemons {
 		peers[i] = httptest.NewUnstartedServer(nil)
@@ -53,16 +56,17 @@
 	for i, m := range c.members {
 		view := fleettest.NewView(m, c.members...)
 		keys := idem.New(idem.Options{Self: m.Ref, Directory: c.claims.Directory(m.Ref), Members: view,
-			Store: shared.Role(store.RoleIntents), Log: zerolog.Nop(), WritesPerSecond: 1000})
+			Store: store.NewClient(memory, store.Options{FleetSize: 1}).Role(store.RoleIntents), Log: zerolog.Nop(), WritesPerSecond: 1000})
 		o.Self, o.Slots, o.Keys = m.ID, c.pool, keys
 		o.Forwarder = forward.New(forward.Options{Members: func() int { return daemons }})
 		o.Peers, o.AllowPlainPeers = forward.New(forward.Options{}), true
 		o.Outliers = outlier.New(outlier.Options{})
-		g, url := startGateway(t, o)
+		g, callers := startServer(t, o)
 		peers[i].Config = NewServer(g.PeerHandler())
 		peers[i].Start()
 		t.Cleanup(peers[i].Close)
-		c.gateways, c.urls, c.keys = append(c.gateways, g), append(c.urls, url), append(c.keys, keys)
+		c.gateways, c.urls, c.keys = append(c.gateways, g), append(c.urls, callers.URL), append(c.keys, keys)
+		c.servers = append(c.servers, []*httptest.Server{callers, peers[i]})
 	}
 	for i := range idem.Shards {
 		owner := i % daemons
@@ -72,6 +76,22 @@
 	return c
 }
 
+// kill cuts the daemon's connections for good and gives its keys to another. It
+// is not told, as one that is paused: what it had begun goes on.
+func (c *cell) kill(t testing.TB, i, heir int) {
+	t.Helper()
+	for _, s := range c.servers[i] {
+		require.NoError(t, s.Listener.Close())
+		s.CloseClientConnections()
+	}
+	for n := range idem.Shards {
+		r := ownership.Resource(ownership.KeysPrefix + strconv.Itoa(n))
+		if c.claims.Claim(r).Owner == c.members[i].Ref {
+			c.keys[heir].Acquired(t.Context(), c.claims.Set(r, c.members[heir].Ref))
+		}
+	}
+}
+
 // runs counts how often the request of that key ran at any endpoint.
 func (c *cell) runs(key string) int {
 	n := 0
@@ -122,6 +142,51 @@
 	require.Equal(t, idem.CodeMismatch, other.header.Get("Fennel-Code"))
 }
 
+func TestKeyRunsAtMostOnceThroughTheDeathOfItsHome(t *testing.T) {
+	// Symptom: two pallets of tiles arrived for one order.
+	// Sequence: the key's home dies, or is cut off, after it has sent the
+	//   request; the caller's retry reaches the new home.
+	// Cause: only the old home knew that the request had been sent.
+	c := newCell(t, 3, 4, Options{})
+	c.setFaults(endpoint.Faults{Delay: 2 * time.Millisecond})
+	var wg sync.WaitGroup
+	var whole, unknown atomic.Int32
+	const orders, killAt = 240, 80
+	for i := range orders {
+		if i == killAt {
+			c.kill(t, 0, 1)
+		}
+		wg.Go(func() {
+			key := "pallet-" + strconv.Itoa(i)
+			var last []string
+			for try := range 6 {
+				r := do(t, "POST", c.urls[(i+try)%3], key, key, KeyHeader, key)
+				last = append(last, r.header.Get("Fennel-Code")+r.verdict())
+				switch {
+				case r.err != nil || r.verdict() == "not-run":
+					time.Sleep(10 * time.Millisecond) // the caller's retry, at another daemon
+					continue
+				case r.status == http.StatusOK && string(r.body) == string(endpoint.Answer(key, []byte(key))):
+					whole.Add(1)
+				case r.verdict() == "may-have-run":
+					unknown.Add(1)
+				default:
+					t.Errorf("%s: status %d, %s, %.80q", key, r.status, r.verdict(), r.body)
+				}
+				return
+			}
+			t.Errorf("%s was never answered: %s", key, last)
+		})
+		time.Sleep(time.Millisecond)
+	}
+	wg.Wait()
+	for i := range orders {
+		require.LessOrEqual(t, c.runs("pallet-"+strconv.Itoa(i)), 1, "order %d", i)
+	}
+	require.Greater(t, whole.Load(), int32(orders*9/10), "%d may have run", unknown.Load())
+	t.Logf("whole %d, may have run %d", whole.Load(), unknown.Load())
+}
+
 func TestForwardedRequestsNeedMutualTLS(t *testing.T) {
 	g := New(Options{Config: testConfig(time.Second), Slots: newPool(), Forwarder: forward.New(forward.Options{})})
 	server := httptest.NewServer(g.PeerHandler())
--- a/request/gateway/gateway_test.go
+++ b/request/gateway/gateway_test.go
@@ -127,6 +127,12 @@
 
 // startGateway serves a gateway on loopback and returns its base URL.
 func startGateway(t testing.TB, o Options) (*Gateway, string) {
+	t.Helper()
+	g, server := startServer(t, o)
+	return g, server.URL
+}
+
+func startServer(t testing.TB, o Options) (*Gateway, *httptest.Server) {
 	t.Helper()
 	if o.Config == nil {
 		o.Config = testConfig(5 * time.Second)
@@ -140,7 +146,7 @@
 	server.Start()
 	t.Cleanup(server.Close)
 	t.Cleanup(o.Forwarder.CloseIdle)
-	return g, server.URL
+	return g, server
 }
 
 func TestMain(m *testing.M) {
