Weigh imbalance by what the whole cell is short of

Change: the imbalance counts fully only for the scarcer dimension; sums per class give the demand of the cell, and the naive scheduler recounts it.

--- a/process/sched/batch/batch.go
+++ b/process/sched/batch/batch.go
@@ -29,7 +29,10 @@
 
 // Best returns the position of the best worker.
 func Best(v *snapshot.View, a *snapshot.Ask) (snapshot.Index, bool) {
-	s := search{view: v, ask: a, filters: filter.ForRecord(v, a), best: -1, score: math.Inf(1)}
+	s := search{
+		view: v, ask: a, filters: filter.ForRecord(v, a), rater: score.NewRater(v, a),
+		best: -1, score: math.Inf(1),
+	}
 	for _, c := range v.Classes() {
 		if filter.ZoneAllowed(a, c.Zone) {
 			s.class(c)
@@ -43,6 +46,7 @@
 	view    *snapshot.View
 	ask     *snapshot.Ask
 	filters []filter.Filter
+	rater   score.Rater
 	best    snapshot.Index
 	score   float64
 	ref     spec.Resources
@@ -57,14 +61,14 @@
 // visit skips a cell that can not hold a better worker.
 func (s *search) visit(b snapshot.Bounds) bool {
 	s.sampled = 0
-	return score.PackingBound(&s.ask.Size, b, &s.ref) < s.score
+	return s.rater.Bound(b, &s.ref) < s.score
 }
 
 func (s *search) scan(e *snapshot.Entry) bool {
 	if !e.Fits(&s.ask.Size) {
 		return true
 	}
-	rating := score.Packing(&s.ask.Size, e, &s.ref) + score.Away(s.view.Home, e.Lane)
+	rating := s.rater.Packing(e, &s.ref) + score.Away(s.view.Home, e.Lane)
 	if rating < s.score {
 		if !filter.Pass(s.filters, s.view, s.ask, e.Worker) {
 			return true // not part of the sample: it says nothing of the others
--- a/process/sched/differential_test.go
+++ b/process/sched/differential_test.go
@@ -86,7 +86,8 @@
 	if spread(&a) {
 		require.Equal(p.t, want, d.Worker)
 	} else {
-		require.Equal(p.t, p.naive.Rate(&a, best), p.naive.Rate(&a, got))
+		rate := p.naive.Rater(&a)
+		require.Equal(p.t, rate(best), rate(got))
 	}
 	return d, true
 }
--- a/process/sched/naive/naive.go
+++ b/process/sched/naive/naive.go
@@ -19,7 +19,8 @@
 // Scheduler holds the workers as they were last reported.
 type Scheduler struct {
 	Workers []plan.WorkerState
-	// Away, when set, is added to the packing score of a worker.
+	// Away, when set, is added to the packing score of a worker. Services
+	// are spread regardless of it.
 	Away func(w *plan.WorkerState) float64
 }
 
@@ -60,33 +61,50 @@
 	return n
 }
 
-// Packing rates a worker as the batch policy does; less is better.
-func Packing(a *snapshot.Ask, w *plan.WorkerState) float64 {
-	free := w.Capacity.Sub(w.Reserved)
-	ref := snapshot.Reference(w.Capacity)
-	e := snapshot.Entry{
-		CPU: free.MilliCPU, Memory: free.MemoryMB, Accel: int16(free.Accelerators), Idle: w.Reserved.IsZero(),
+// Rater rates workers for an ask as the batch policy does; less is better.
+func (s *Scheduler) Rater(a *snapshot.Ask) func(w *plan.WorkerState) float64 {
+	packing := s.packing(a)
+	return func(w *plan.WorkerState) float64 {
+		rating := packing(w)
+		if s.Away != nil {
+			rating += s.Away(w)
+		}
+		return rating
 	}
-	return score.Packing(&a.Size, &e, &ref)
 }
 
-// Rate is the packing score of a worker with what Away adds.
-func (s *Scheduler) Rate(a *snapshot.Ask, w *plan.WorkerState) float64 {
-	rating := Packing(a, w)
-	if s.Away != nil {
-		rating += s.Away(w)
+func (s *Scheduler) packing(a *snapshot.Ask) func(w *plan.WorkerState) float64 {
+	rater := score.RaterOf(a, s.demand())
+	return func(w *plan.WorkerState) float64 {
+		free := w.Capacity.Sub(w.Reserved)
+		ref := snapshot.Reference(w.Capacity)
+		e := snapshot.Entry{
+			CPU: free.MilliCPU, Memory: free.MemoryMB, Accel: int16(free.Accelerators), Idle: w.Reserved.IsZero(),
+		}
+		return rater.Packing(&e, &ref)
+	}
+}
+
+// demand sums up all usable workers.
+func (s *Scheduler) demand() score.Demand {
+	var free, reference spec.Resources
+	for i := range s.Workers {
+		if w := &s.Workers[i]; w.Unusable == "" {
+			free = free.Add(w.Capacity.Sub(w.Reserved))
+			reference = reference.Add(snapshot.Reference(w.Capacity))
+		}
 	}
-	return rating
+	return score.DemandOf(free, reference)
 }
 
 // PlaceBatch returns the feasible worker with the least packing score.
 func (s *Scheduler) PlaceBatch(a *snapshot.Ask) (worker.ID, bool) {
-	best, rating := -1, math.Inf(1)
+	best, rating, rate := -1, math.Inf(1), s.Rater(a)
 	for i := range s.Workers {
 		if !s.Fits(a, &s.Workers[i]) {
 			continue
 		}
-		if r := s.Rate(a, &s.Workers[i]); r < rating {
+		if r := rate(&s.Workers[i]); r < rating {
 			best, rating = i, r
 		}
 	}
@@ -130,9 +148,9 @@
 // PlaceService returns the feasible worker with the least spread, the least
 // packing score among equals, and the lowest id among those.
 func (s *Scheduler) PlaceService(a *snapshot.Ask) (worker.ID, bool) {
-	best := -1
+	best, rate := -1, s.packing(a)
 	for i := range s.Workers {
-		if s.Fits(a, &s.Workers[i]) && (best < 0 || s.better(a, i, best)) {
+		if s.Fits(a, &s.Workers[i]) && (best < 0 || s.better(a, rate, i, best)) {
 			best = i
 		}
 	}
@@ -142,13 +160,13 @@
 	return s.Workers[best].ID, true
 }
 
-func (s *Scheduler) better(a *snapshot.Ask, i, best int) bool {
+func (s *Scheduler) better(a *snapshot.Ask, rate func(*plan.WorkerState) float64, i, best int) bool {
 	w, b := &s.Workers[i], &s.Workers[best]
 	x, y := s.Spread(a, w), s.Spread(a, b)
 	if c := slices.Compare(x[:], y[:]); c != 0 {
 		return c < 0
 	}
-	if p, q := Packing(a, w), Packing(a, b); p != q {
+	if p, q := rate(w), rate(b); p != q {
 		return p < q
 	}
 	return strings.Compare(string(w.ID), string(b.ID)) < 0
--- a/process/sched/packing_test.go
+++ b/process/sched/packing_test.go
@@ -72,6 +72,17 @@
 	return n
 }
 
+// naivePacker asks the naive scheduler.
+type naivePacker struct{ scanPacker }
+
+func (p naivePacker) put(a Ask) bool {
+	id, ok := p.PlaceBatch(&a)
+	if ok {
+		p.Start(&a, id)
+	}
+	return ok
+}
+
 func firstFit(*Ask, *plan.WorkerState) float64 { return 0 }
 
 // keeping adds to a rate that work without accelerators avoids VMs with them.
@@ -130,7 +141,7 @@
 	make func(workers []plan.WorkerState) packer
 }{
 	{"fennelshunt", func(w []plan.WorkerState) packer { return plannerPacker{NewPlanner(cacheOf(w).Snapshot())} }},
-	{"naive", func(w []plan.WorkerState) packer { return scanPacker{naive.New(w), naive.Packing} }},
+	{"naive", func(w []plan.WorkerState) packer { return naivePacker{scanPacker{naive.New(w), nil}} }},
 	{"first-fit", func(w []plan.WorkerState) packer { return scanPacker{naive.New(w), firstFit} }},
 	{"best-fit", func(w []plan.WorkerState) packer { return scanPacker{naive.New(w), bestFit} }},
 	{"first-fit-keeping", func(w []plan.WorkerState) packer { return scanPacker{naive.New(w), keeping(firstFit)} }},
--- a/process/sched/score/packing.go
+++ b/process/sched/score/packing.go
@@ -3,8 +3,6 @@
 package score
 
 import (
-	"math"
-
 	"fennelshunt.example/fennelshunt/process/sched/snapshot"
 	"fennelshunt.example/fennelshunt/version/spec"
 )
@@ -38,41 +36,52 @@
 	return AwayPenalty * home[lane]
 }
 
+// Rater rates workers for one ask.
+type Rater struct {
+	size   spec.Resources
+	demand Demand
+}
+
+// NewRater returns a rater for an ask in the present state of the cell.
+func NewRater(v *snapshot.View, a *snapshot.Ask) Rater {
+	free, reference := v.Totals()
+	return RaterOf(a, DemandOf(free, reference))
+}
+
+// RaterOf returns a rater for an ask and a demand.
+func RaterOf(a *snapshot.Ask, d Demand) Rater { return Rater{a.Size, d} }
+
 // Packing rates a worker by what would stay free on it: the sum of the shares
 // of processors and memory, and their imbalance. ref is the reference capacity
 // of the worker's class.
-func Packing(size *spec.Resources, e *snapshot.Entry, ref *spec.Resources) float64 {
-	cpu := float64(e.CPU-size.MilliCPU) / float64(ref.MilliCPU)
-	mem := float64(e.Memory-size.MemoryMB) / float64(ref.MemoryMB)
-	s := cpu + mem + imbalance(cpu, mem) + accelerators(size, int64(e.Accel), ref)
+func (r *Rater) Packing(e *snapshot.Entry, ref *spec.Resources) float64 {
+	cpu := float64(e.CPU-r.size.MilliCPU) / float64(ref.MilliCPU)
+	mem := float64(e.Memory-r.size.MemoryMB) / float64(ref.MemoryMB)
+	s := cpu + mem + r.demand.imbalance(cpu, mem) + accelerators(&r.size, int64(e.Accel), ref)
 	if e.Idle {
 		s += IdlePenalty
 	}
 	return s
 }
 
-// PackingBound returns a lower bound of Packing over a cell. The imbalance
-// grows with the larger share and falls with the smaller one, so it is least
-// at a corner, or nothing where the shares can be equal.
-func PackingBound(size *spec.Resources, b snapshot.Bounds, ref *spec.Resources) float64 {
-	loCPU := float64(max(0, b.MinCPU-size.MilliCPU)) / float64(ref.MilliCPU)
-	hiCPU := float64(b.MaxCPU-size.MilliCPU) / float64(ref.MilliCPU)
-	loMem := float64(max(0, b.MinMemory-size.MemoryMB)) / float64(ref.MemoryMB)
-	hiMem := float64(b.MaxMemory-size.MemoryMB) / float64(ref.MemoryMB)
-	s := loCPU + loMem + accelerators(size, size.Accelerators, ref)
+// Bound returns a lower bound of Packing over a cell. The imbalance grows with
+// the larger share and falls with the smaller one, so it is least at a corner,
+// or nothing where the shares can be equal.
+func (r *Rater) Bound(b snapshot.Bounds, ref *spec.Resources) float64 {
+	loCPU := float64(max(0, b.MinCPU-r.size.MilliCPU)) / float64(ref.MilliCPU)
+	hiCPU := float64(b.MaxCPU-r.size.MilliCPU) / float64(ref.MilliCPU)
+	loMem := float64(max(0, b.MinMemory-r.size.MemoryMB)) / float64(ref.MemoryMB)
+	hiMem := float64(b.MaxMemory-r.size.MemoryMB) / float64(ref.MemoryMB)
+	s := loCPU + loMem + accelerators(&r.size, r.size.Accelerators, ref)
 	switch {
 	case loCPU > hiMem:
-		s += imbalance(loCPU, hiMem)
+		s += r.demand.imbalance(loCPU, hiMem)
 	case loMem > hiCPU:
-		s += imbalance(hiCPU, loMem)
+		s += r.demand.imbalance(hiCPU, loMem)
 	}
 	return s
 }
 
-func imbalance(cpu, mem float64) float64 {
-	return BalanceWeight * math.Abs(cpu-mem) / (cpu + mem + balanceFloor)
-}
-
 // accelerators rates what stays free of them, as a share.
 func accelerators(size *spec.Resources, free int64, ref *spec.Resources) float64 {
 	if ref.Accelerators == 0 {
@@ -84,8 +93,8 @@
 	return float64(free-size.Accelerators) / float64(ref.Accelerators)
 }
 
-// PackingWorker rates a worker by its record.
-func PackingWorker(v *snapshot.View, a *snapshot.Ask, w *snapshot.Worker) float64 {
+// Worker rates a worker by its record.
+func (r *Rater) Worker(v *snapshot.View, w *snapshot.Worker) float64 {
 	e := snapshot.EntryOf(w)
-	return Packing(&a.Size, &e, v.Reference(w))
+	return r.Packing(&e, v.Reference(w))
 }
--- a/process/sched/service/service.go
+++ b/process/sched/service/service.go
@@ -21,7 +21,7 @@
 
 // Place returns the best worker for the ask; false when none has room.
 func Place(v *snapshot.View, a *snapshot.Ask) (snapshot.Decision, bool) {
-	s := search{view: v, ask: a, count: countOf(v, a)}
+	s := search{view: v, ask: a, count: countOf(v, a), rater: score.NewRater(v, a)}
 	for _, g := range s.groups() {
 		if w := s.best(g); w != nil {
 			return snapshot.Decision{Worker: w.ID, Partition: w.Partition}, true
@@ -35,6 +35,7 @@
 	view *snapshot.View
 	ask  *snapshot.Ask
 	count
+	rater score.Rater
 }
 
 // candidate is a feasible worker with what decides between them.
@@ -75,5 +76,5 @@
 }
 
 func (s *search) rate(w *snapshot.Worker) candidate {
-	return candidate{w, w.CountJob(s.ask.Task.Job), score.PackingWorker(s.view, s.ask, w)}
+	return candidate{w, w.CountJob(s.ask.Task.Job), s.rater.Worker(s.view, w)}
 }
--- a/process/sched/snapshot/cell.go
+++ b/process/sched/snapshot/cell.go
@@ -26,6 +26,11 @@
 	}
 }
 
+// free returns the free processors and memory.
+func (e *Entry) free() spec.Resources {
+	return spec.Resources{MilliCPU: e.CPU, MemoryMB: e.Memory}
+}
+
 // Fits reports whether a task of this size fits.
 func (e *Entry) Fits(size *spec.Resources) bool {
 	return size.MilliCPU <= e.CPU && size.MemoryMB <= e.Memory && size.Accelerators <= int64(e.Accel)
--- a/process/sched/snapshot/check.go
+++ b/process/sched/snapshot/check.go
@@ -3,6 +3,8 @@
 import (
 	"errors"
 	"fmt"
+
+	"fennelshunt.example/fennelshunt/version/spec"
 )
 
 // ErrInvariant is wrapped by each error of Check.
@@ -54,11 +56,15 @@
 func (t *Table) checkCells(want int) error {
 	n := 0
 	for _, c := range t.classes {
+		var free spec.Resources
 		for at, cell := range c.cells {
 			size := 0
 			if cell != nil {
 				for _, p := range cell.pages {
 					size += len(p.entries)
+					for i := range p.entries {
+						free = free.Add(p.entries[i].free())
+					}
 				}
 			}
 			if used := c.rows[at/Levels]&(1<<(at%Levels)) != 0; used != (size > 0) {
@@ -66,6 +72,9 @@
 			}
 			n += size
 		}
+		if free != c.free {
+			return fmt.Errorf("%w: class has %+v free, sum says %+v", ErrInvariant, free, c.free)
+		}
 	}
 	if n != want {
 		return fmt.Errorf("%w: %d entries, %d usable workers", ErrInvariant, n, want)
--- a/process/sched/snapshot/class.go
+++ b/process/sched/snapshot/class.go
@@ -51,8 +51,10 @@
 	cells [Levels * Levels]*cell
 	// rows has one bitmap of processor levels per memory level.
 	rows [Levels]uint32
-	// workers counts the usable workers, which are those in cells.
-	workers int
+	// workers counts the usable workers, which are those in cells, and free
+	// is the sum of what they have free.
+	workers int64
+	free    spec.Resources
 }
 
 func newClass(o *owner, key classKey) *Class {
@@ -77,6 +79,7 @@
 // insert adds a worker and returns its position in its cell.
 func (c *Class) insert(o *owner, at int32, e Entry) int32 {
 	c.workers++
+	c.free = c.free.Add(e.free())
 	c.rows[at/Levels] |= 1 << (at % Levels)
 	return c.writable(o, at).add(o, e)
 }
@@ -85,6 +88,7 @@
 func (c *Class) remove(o *owner, at, position int32) Index {
 	c.workers--
 	cell := c.writable(o, at)
+	c.free = c.free.Sub(cell.pages[position/pageSize].entries[position%pageSize].free())
 	moved := cell.remove(o, position)
 	if len(cell.pages) == 0 {
 		c.rows[at/Levels] &^= 1 << (at % Levels)
--- a/process/sched/snapshot/table.go
+++ b/process/sched/snapshot/table.go
@@ -90,6 +90,16 @@
 // Classes lists the classes of the index; the caller must not change it.
 func (t *Table) Classes() []*Class { return t.classes }
 
+// Totals returns the free processors and memory of all usable workers, and the
+// sum of their reference capacities.
+func (t *Table) Totals() (free, reference spec.Resources) {
+	for _, c := range t.classes {
+		free = free.Add(c.free)
+		reference = reference.Add(c.Reference.Times(c.workers))
+	}
+	return free, reference
+}
+
 // Racks lists the racks by position; the caller must not change it.
 func (t *Table) Racks() []Rack { return t.dir.racks }
 
