--- /dev/null
+++ b/version/history/readback_test.go
@@ -0,0 +1,91 @@
+package history
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"fennelshunt.example/fennelshunt/connection/store"
+	"fennelshunt.example/fennelshunt/standin/kv"
+)
+
+// cutStore loses the connection at the first write of the head, for a time.
+type cutStore struct {
+	store.Store
+	effect bool // the write arrived
+	cut    time.Duration
+	since  atomic.Pointer[time.Time]
+}
+
+func (c *cutStore) down() bool {
+	since := c.since.Load()
+	return since != nil && time.Since(*since) < c.cut
+}
+
+func (c *cutStore) Put(ctx context.Context, key string, value []byte, prev store.Revision, lease store.LeaseID) (store.Revision, error) {
+	if key == KeyHead && c.since.Load() == nil {
+		now := time.Now()
+		c.since.Store(&now)
+		if c.effect {
+			_, _ = c.Store.Put(ctx, key, value, prev, lease) // its answer is lost
+		}
+	}
+	if c.down() {
+		return 0, store.ErrUnknownOutcome
+	}
+	return c.Store.Put(ctx, key, value, prev, lease)
+}
+
+func (c *cutStore) Get(ctx context.Context, key string) (store.Entry, error) {
+	if c.down() {
+		return store.Entry{}, store.ErrUnavailable
+	}
+	return c.Store.Get(ctx, key)
+}
+
+// Symptom: an operator is told "applied" of somebody else's version, or "not
+// applied" of a version that is in force.
+// Sequence: the answer to the swap of the head is lost and the store can not be
+// reached until the caller's time is over; another daemon applies meanwhile.
+// Cause: the version's number alone does not tell whose it is.
+func TestLostSwapIsResolvedByItsID(t *testing.T) {
+	cases := map[string]struct {
+		effect, other bool
+		cut           time.Duration
+		check         func(t *testing.T, r Result, err error)
+	}{
+		"took effect": {true, true, time.Second, func(t *testing.T, r Result, err error) {
+			require.NoError(t, err)
+			assert.Equal(t, uint64(1), r.Version)
+		}},
+		"another's version": {false, true, time.Second, func(t *testing.T, _ Result, err error) {
+			assert.ErrorContains(t, err, "nothing was applied")
+		}},
+		"not learnt in time": {false, false, time.Minute, func(t *testing.T, _ Result, err error) {
+			var unknown *UnknownOutcomeError
+			require.ErrorAs(t, err, &unknown)
+			assert.Equal(t, uint64(1), unknown.Version)
+		}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				m := kv.New()
+				h := newHistory(&cutStore{Store: m, effect: c.effect, cut: c.cut})
+				if c.other {
+					time.AfterFunc(700*time.Millisecond, func() { mustApply(t, newHistory(m), fileOf("other", 1), 0) })
+				}
+				ctx, cancel := context.WithTimeout(context.Background(), 500*time.Millisecond)
+				defer cancel()
+				r, err := h.Apply(ctx, fileOf("a", 1), 0, "x")
+				c.check(t, r, err)
+				time.Sleep(5 * time.Second)
+			})
+		})
+	}
+}
