Heed the store's refusals and spread lease renewals

Cause: the call budget is a guess about the service; one that takes less refused most calls, claims among them. Daemons that started together renewed their leases in the same second for ever.

--- a/connection/store/budget.go
+++ b/connection/store/budget.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"time"
 
 	"golang.org/x/time/rate"
 )
@@ -60,18 +61,26 @@
 )
 
 // limiter holds a daemon to its part of the cell's budget.
+//
+// The part is a guess about the service, which may take less than was
+// configured. What goes wrong then: every daemon goes on at its rate, the
+// service refuses the excess blindly, claims among it. So each refusal makes
+// the limiter slower, but for the own share of claims, until refusals end.
 type limiter struct {
 	budget Budget
 
 	mu    sync.Mutex // orders the test and the take of the spare bucket
+	fleet int
+	pace  [classCount]pace
 	own   [classCount][roleCount]*rate.Limiter
 	spare [classCount]*rate.Limiter
 }
 
 func newLimiter(b Budget, fleet int) *limiter {
-	l := &limiter{budget: b}
+	l := &limiter{budget: b, fleet: max(1, fleet)}
 	for class := range classCount {
-		total := l.share(callClass(class), fleet)
+		l.pace[class].factor = 1
+		total := l.share(callClass(class))
 		l.spare[class] = rate.NewLimiter(rate.Limit(total*spareShare), burst(total*spareShare))
 		for role, part := range roleShares {
 			l.own[class][role] = rate.NewLimiter(rate.Limit(total*part), burst(total*part))
@@ -80,21 +89,30 @@
 	return l
 }
 
-// share is one daemon's part of the cell's budget, in calls per second.
-func (l *limiter) share(class callClass, daemons int) float64 {
-	return l.budget.of(class) / float64(max(1, daemons))
-}
+// share is this daemon's part of the cell's budget, in calls per second.
+func (l *limiter) share(class callClass) float64 { return l.budget.of(class) / float64(l.fleet) }
 
 // setFleetSize divides the cell's budget by the number of daemons.
 func (l *limiter) setFleetSize(daemons int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.fleet = max(1, daemons)
 	for class := range classCount {
-		total := l.share(callClass(class), daemons)
-		adjust(l.spare[class], total*spareShare)
-		for role := range roleCount {
+		l.apply(callClass(class))
+	}
+}
+
+// apply sets the rates of a class's buckets.
+func (l *limiter) apply(class callClass) {
+	total := l.share(class)
+	slowed := total * l.pace[class].factor
+	adjust(l.spare[class], slowed*spareShare)
+	for role := range roleCount {
+		if Role(role) == RoleClaims {
 			adjust(l.own[class][role], total*roleShares[role])
+			continue
 		}
+		adjust(l.own[class][role], slowed*roleShares[role])
 	}
 }
 
@@ -105,9 +123,28 @@
 
 func burst(perSecond float64) int { return max(minBurst, int(perSecond*burstSeconds)) }
 
+// slowDown is told that the service refused a call as one too many.
+func (l *limiter) slowDown(class callClass) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.pace[class].refused(time.Now()) {
+		l.apply(class)
+	}
+}
+
+// recover brings back some of the rate that refusals took.
+func (l *limiter) recover(class callClass) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.pace[class].recovered(time.Now()) {
+		l.apply(class)
+	}
+}
+
 // wait takes a call of the role's own share, else of the spare, else waits for
 // its own. It fails with ErrOverBudget when the deadline of ctx comes first.
 func (l *limiter) wait(ctx context.Context, role Role, class callClass) error {
+	l.recover(class)
 	own := l.own[class][role]
 	if own.Allow() || l.takeSpare(role, class) {
 		return nil
--- a/connection/store/budget_test.go
+++ b/connection/store/budget_test.go
@@ -17,9 +17,9 @@
 func flood(ctx context.Context, h *store.Handle, done *int) {
 	for ctx.Err() == nil {
 		err := h.RenewLease(ctx, 1)
-		if errors.Is(err, store.ErrOverBudget) { // none left before the end
-			<-ctx.Done()
-			return
+		if errors.Is(err, store.ErrOverBudget) { // refused, or none left before the end
+			time.Sleep(20 * time.Millisecond)
+			continue
 		}
 		*done++
 	}
@@ -44,7 +44,7 @@
 			go flood(ctx, c.Role(r), &done[r])
 		}
 		<-ctx.Done()
-		synctest.Wait()
+		time.Sleep(time.Second) // the floods end
 		t.Log(done)
 		const burst = 2 * perSecond
 		require.LessOrEqual(t, m.Counts().Writes(), perSecond*seconds+burst)
@@ -73,3 +73,32 @@
 		require.Greater(t, done, share/10)
 	})
 }
+
+// Symptom: a service that takes less than configured refuses most calls, claims
+// among them.
+// Sequence: ten daemons, budgeted for 800 writes a second together, flood a
+// service that takes 50.
+// Cause: a budget that does not heed the service's refusals.
+func TestBudgetHeedsTheServicesRefusals(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := kv.New()
+		m.SetFaults(kv.Faults{CallsPerSecond: 50})
+		const daemons = 10
+		ctx, cancel := context.WithTimeout(t.Context(), 3*time.Minute)
+		defer cancel()
+		done := make([]int, daemons)
+		for i := range daemons {
+			c := store.NewClient(m, store.Options{Budget: store.Budget{Writes: 800}, FleetSize: daemons})
+			go flood(ctx, c.Role(store.RoleProgress), &done[i])
+		}
+		time.Sleep(time.Minute)
+		before := m.Counts()
+		<-ctx.Done()
+		time.Sleep(time.Second) // the floods end
+		made := m.Counts().Total() - before.Total()
+		refused := m.Counts().Refused - before.Refused
+		t.Logf("%d calls, %d refused", made, refused)
+		require.Greater(t, made-refused, 120*50/2, "most of what the service takes is used")
+		require.Less(t, refused, made/3, "without heed six of seven are refused")
+	})
+}
--- a/connection/store/client.go
+++ b/connection/store/client.go
@@ -129,12 +129,21 @@
 	begun := time.Now()
 	err := classify(f(callCtx), class)
 	c.breaker.leave(ticket, resultOf(ctx, err, time.Since(begun), c.options.CallTimeout))
-	if errors.Is(err, ErrUnknownOutcome) {
+	c.note(m, class, err)
+	return err
+}
+
+// note counts the error of a call that was made.
+func (c *Client) note(m *roleMetrics, class callClass, err error) {
+	switch {
+	case errors.Is(err, ErrUnknownOutcome):
 		m.unknown.Add(1)
-	} else if errors.Is(err, ErrUnavailable) {
+	case errors.Is(err, ErrUnavailable):
 		m.failed.Add(1)
+	case errors.Is(err, ErrOverBudget):
+		m.throttled.Add(1)
+		c.budget.slowDown(class)
 	}
-	return err
 }
 
 // knownErrors are those that tell what became of a call.
--- a/connection/store/handle.go
+++ b/connection/store/handle.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"time"
 
@@ -109,7 +108,7 @@
 	pause := newRetryBackoff()
 	for attempt := 1; ; attempt++ {
 		err := h.client.call(ctx, h.role, readCall, h.client.options.CallTimeout, f)
-		if !errors.Is(err, ErrUnavailable) || attempt == quickAttempts || !h.client.Available() {
+		if !transient(err) || attempt == quickAttempts || !h.client.Available() {
 			return err
 		}
 		if sleep(ctx, pause.NextBackOff()) != nil {
--- a/connection/store/lease.go
+++ b/connection/store/lease.go
@@ -4,12 +4,18 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"sync"
 	"time"
 )
 
-// renewalsPerTTL is how many renewals are tried in one time to live.
-const renewalsPerTTL = 3
+const (
+	// renewalsPerTTL is how many renewals are tried in one time to live.
+	renewalsPerTTL = 3
+	// renewalJitter is the part of the interval that is drawn: daemons that
+	// started together would otherwise renew together for ever.
+	renewalJitter = 0.2
+)
 
 // Lease is a lease of the store that stays safe while its holder is paused.
 //
@@ -95,7 +101,7 @@
 // the lease.
 func (l *Lease) Serve(ctx context.Context) error {
 	pause := newRetryBackoff()
-	next := l.ttl / renewalsPerTTL
+	next := l.interval()
 	for {
 		if err := sleep(ctx, next); err != nil {
 			return err
@@ -105,14 +111,20 @@
 			return fmt.Errorf("lease %d: %w", l.id, err)
 		}
 		if err != nil {
-			next = min(pause.NextBackOff(), l.ttl/renewalsPerTTL)
+			next = min(pause.NextBackOff(), l.interval())
 			continue
 		}
 		pause.Reset()
-		next = l.ttl / renewalsPerTTL
+		next = l.interval()
 	}
 }
 
+// interval draws the time to the next renewal.
+func (l *Lease) interval() time.Duration {
+	longest := l.ttl / renewalsPerTTL
+	return longest - time.Duration(rand.Float64()*renewalJitter*float64(longest))
+}
+
 // Revoke ends the lease and removes every key bound to it.
 func (l *Lease) Revoke(ctx context.Context) error {
 	l.mu.Lock()
--- a/connection/store/metrics.go
+++ b/connection/store/metrics.go
@@ -20,6 +20,7 @@
 	unresolved    expvar.Int // lost answers reported as ErrUnknownOutcome
 	conflicts     expvar.Int // compare-and-swap lost
 	overBudget    expvar.Int // refused by the own budget
+	throttled     expvar.Int // refused by the service as one too many
 	refused       expvar.Int // refused by the breaker
 	undecodable   expvar.Int // values without envelope
 }
@@ -44,6 +45,7 @@
 	vars.Set("unresolved", &r.unresolved)
 	vars.Set("conflicts", &r.conflicts)
 	vars.Set("over_budget", &r.overBudget)
+	vars.Set("throttled", &r.throttled)
 	vars.Set("refused", &r.refused)
 	vars.Set("undecodable", &r.undecodable)
 	return vars
--- a/connection/store/swap.go
+++ b/connection/store/swap.go
@@ -95,7 +95,9 @@
 }
 
 // transient tells errors after which the same call may succeed.
-func transient(err error) bool { return errors.Is(err, ErrUnavailable) }
+func transient(err error) bool {
+	return errors.Is(err, ErrUnavailable) || errors.Is(err, ErrOverBudget)
+}
 
 func (h *Handle) put(ctx context.Context, w pendingWrite) (Revision, error) {
 	var rev Revision
