Record requests to configured services only

Cause: each user of the recorder would judge requests anew, and names that callers invent would take the series of real services. Measured: nothing.

--- a/process/burn/collect_test.go
+++ b/process/burn/collect_test.go
@@ -14,6 +14,7 @@
 	"fennelshunt.example/fennelshunt/process/burn"
 	"fennelshunt.example/fennelshunt/process/fleet"
 	"fennelshunt.example/fennelshunt/process/fleet/fleettest"
+	"fennelshunt.example/fennelshunt/request/verdict"
 	"fennelshunt.example/fennelshunt/version/spec"
 )
 
@@ -69,3 +70,21 @@
 		require.InDelta(t, 10, part.Rows[0].Windows[0].Burn, 1e-9)
 	})
 }
+
+// Symptom: real services vanish into (other).
+// Sequence: a caller asks for services of invented names, and for a real one
+// with a request that is its own mistake.
+// Cause: names that callers choose are recorded.
+func TestObserverRecordsConfiguredServicesOnly(t *testing.T) {
+	r := burn.New(burn.Options{})
+	observe := r.Observer(surveyDesk(0.99))
+	observe("invented", "loans", "c", 503, verdict.NotRun, 0)
+	observe("survey-desk", "loans", "c", 400, verdict.NotRun, 0)
+	require.Empty(t, r.Snapshot(time.Now()).Series)
+	observe("survey-desk", "loans", "c", 200, verdict.Ran, time.Millisecond)
+	observe("survey-desk", "loans", "c", 503, verdict.NotRun, time.Millisecond)
+	s := r.Snapshot(time.Now()).Series
+	require.Len(t, s, 1)
+	require.Equal(t, burn.Counts{Good: 1, Bad: 1}, s[0].Windows[0])
+	require.Equal(t, burn.Verdicts{NotRun: 1, Ran: 1}, s[0].Verdicts)
+}
