--- /dev/null
+++ b/request/idem/cell_test.go
@@ -0,0 +1,114 @@
+package idem
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"fennelshunt.example/fennelshunt/connection/peer"
+	"fennelshunt.example/fennelshunt/connection/store"
+	"fennelshunt.example/fennelshunt/process/fleet"
+	"fennelshunt.example/fennelshunt/process/fleet/fleettest"
+	"fennelshunt.example/fennelshunt/process/ownership/ownershiptest"
+	"fennelshunt.example/fennelshunt/request/verdict"
+	"fennelshunt.example/fennelshunt/standin/kv"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
+// home is one daemon under test.
+type home struct {
+	*Manager
+	ref       peer.Ref
+	directory *ownershiptest.Directory
+	stop      context.CancelFunc
+}
+
+// cell is several homes over one store.
+type cell struct {
+	t      testing.TB
+	kv     *kv.Memory
+	claims *ownershiptest.Cell
+	homes  []*home
+}
+
+func newCell(t testing.TB, homes int, change func(*Options)) *cell {
+	c := &cell{t: t, kv: kv.New(), claims: ownershiptest.NewCell()}
+	for i := range homes {
+		c.add(i, 1, change)
+	}
+	return c
+}
+
+// add starts a life of a daemon.
+func (c *cell) add(i int, life uint64, change func(*Options)) *home {
+	ref := peer.Ref{ID: peer.MemberID(fmt.Sprintf("d%d", i)), Incarnation: life}
+	h := &home{ref: ref, directory: c.claims.Directory(ref)}
+	client := store.NewClient(c.kv, store.Options{OperationTimeout: 2 * time.Second})
+	opts := Options{
+		Self: ref, Directory: h.directory, Members: fleettest.NewView(fleet.Member{Ref: ref}),
+		Store: client.Role(store.RoleIntents), Log: zerolog.Nop(),
+	}
+	if change != nil {
+		change(&opts)
+	}
+	h.Manager = New(opts)
+	var ctx context.Context
+	ctx, h.stop = context.WithCancel(context.Background())
+	go func() { _ = h.Serve(ctx) }()
+	if i < len(c.homes) {
+		c.homes[i] = h
+	} else {
+		c.homes = append(c.homes, h)
+	}
+	return h
+}
+
+func (c *cell) close() {
+	for _, h := range c.homes {
+		h.stop()
+	}
+}
+
+// own gives the shard to h; the earlier owner is not told, as when it is paused.
+func (c *cell) own(n int, h *home) {
+	h.Acquired(c.t.Context(), c.claims.Set(resource(n), h.ref))
+}
+
+// order is a request for a non-idempotent tile order.
+func order(text string) Request {
+	return Request{Key: Key{Team: "guild", Service: "remodel-desk", Text: text}, Fingerprint: 7, NonIdempotent: true}
+}
+
+func (r Request) shard() int { return r.Key.hash().shard() }
+
+// begun begins r at h and requires the attempt.
+func begun(t testing.TB, h *home, r Request) *Attempt {
+	t.Helper()
+	a, _, err := h.Begin(t.Context(), r)
+	require.NoError(t, err)
+	require.NotNil(t, a)
+	return a
+}
+
+// requireCode requires that beginning r at h fails so.
+func requireCode(t testing.TB, h *home, r Request, code string, v verdict.Verdict) {
+	t.Helper()
+	_, _, err := h.Begin(t.Context(), r)
+	var e *verdict.Error
+	require.True(t, errors.As(err, &e), "%v", err)
+	require.Equal(t, code, e.Code)
+	require.Equal(t, v, e.Verdict)
+}
--- /dev/null
+++ b/request/idem/churn_test.go
@@ -0,0 +1,207 @@
+package idem
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"fennelshunt.example/fennelshunt/request/verdict"
+	"fennelshunt.example/fennelshunt/standin/kv"
+)
+
+const (
+	churnHomes = 3
+	churnKeys  = 400
+	churnTime  = 2 * time.Minute
+)
+
+var errRefused = errors.New("connection refused")
+
+// churn sends keys with retries through faults and counts the sends.
+type churn struct {
+	*cell
+	r     *rand.Rand
+	lives uint64
+
+	mu      sync.Mutex
+	ran     map[string]int  // sends that ran at the endpoint
+	answers map[string]bool // keys with an answer
+	dead    map[*home]bool
+}
+
+// TestChurnSendsAtMostOnce retries non-idempotent keys at random homes through
+// kills, takeovers from owners that are not told, and every fault of the store.
+//
+// Symptom: a key runs twice, or a request that ran is told "not run".
+// Sequence: random; see churn.fault.
+// Cause: an intent that was not durable, not read, or written after the fence.
+func TestChurnSendsAtMostOnce(t *testing.T) {
+	seeds := 6
+	if os.Getenv("FENNEL_LONG") != "" {
+		seeds = 200
+	}
+	for seed := range seeds {
+		synctest.Test(t, func(t *testing.T) { runChurn(t, uint64(seed)) })
+	}
+}
+
+func runChurn(t *testing.T, seed uint64) {
+	c := &churn{
+		cell: newCell(t, churnHomes, churnOptions), r: rand.New(rand.NewPCG(seed, 3)), lives: 1,
+		ran: map[string]int{}, answers: map[string]bool{}, dead: map[*home]bool{},
+	}
+	defer c.close()
+	for n := range Shards {
+		c.own(n, c.homes[n%churnHomes])
+	}
+	var running sync.WaitGroup
+	end := time.Now().Add(churnTime)
+	for time.Now().Before(end) {
+		if c.r.IntN(20) == 0 {
+			c.fault()
+		}
+		k, h := c.r.IntN(churnKeys), c.homes[c.r.IntN(churnHomes)]
+		fate := c.r.Float64()
+		running.Go(func() { c.arrive(h, order(fmt.Sprint(k)), fate) })
+		time.Sleep(time.Duration(c.r.IntN(60)) * time.Millisecond)
+	}
+	running.Wait()
+	c.kv.SetFaults(kv.Faults{})
+	for key, n := range c.ran {
+		require.LessOrEqual(t, n, 1, "seed %d: key %s ran %d times", seed, key, n)
+	}
+	require.Greater(t, len(c.answers), churnKeys/20, "seed %d: too little ran", seed)
+	c.requireAlive()
+}
+
+func churnOptions(o *Options) {
+	o.HeadSize = 8
+	o.WritesPerSecond = 50
+}
+
+// arrive is one arrival at h, which may not be the key's home any more.
+func (c *churn) arrive(h *home, r Request, fate float64) {
+	ctx, cancel := context.WithTimeout(c.t.Context(), 3*time.Second)
+	defer cancel()
+	a, answer, err := h.Begin(ctx, r)
+	switch {
+	case answer != nil:
+		if string(answer.Body) != r.Key.Text {
+			c.t.Errorf("key %s got the answer of %s", r.Key.Text, answer.Body)
+		}
+	case err != nil:
+	case fate < 0.05:
+		time.Sleep(time.Second) // paused before its intent
+		c.run(ctx, h, r, a, fate)
+	default:
+		c.run(ctx, h, r, a, fate)
+	}
+}
+
+func (c *churn) run(ctx context.Context, h *home, r Request, a *Attempt, fate float64) {
+	defer a.Close()
+	if err := a.Intend(ctx); err != nil {
+		if verdict.Of(err) != verdict.NotRun {
+			c.t.Errorf("a refused intent must be not run: %v", err)
+		}
+		a.Fail(err)
+		return
+	}
+	time.Sleep(time.Duration(fate * float64(200*time.Millisecond)))
+	if c.isDead(h) {
+		return // the process died after its intent, before or after it sent
+	}
+	switch {
+	case fate < 0.2:
+		a.Fail(&verdict.Error{Verdict: verdict.NotRun, Err: errRefused})
+	case fate < 0.3:
+		c.count(r)
+		a.Fail(&verdict.Error{Verdict: verdict.MayHaveRun, Err: errRefused})
+	default:
+		c.count(r)
+		c.mu.Lock()
+		c.answers[r.Key.Text] = true
+		c.mu.Unlock()
+		a.Finish(&Answer{Status: 200, Body: []byte(r.Key.Text)})
+	}
+}
+
+func (c *churn) count(r Request) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ran[r.Key.Text]++
+}
+
+func (c *churn) isDead(h *home) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.dead[h]
+}
+
+func (c *churn) fault() {
+	i := c.r.IntN(churnHomes)
+	switch c.r.IntN(8) {
+	case 0:
+		c.kill(i)
+	case 1, 2:
+		// The old owner is not told: it is paused or cut off.
+		c.own(c.r.IntN(Shards), c.homes[i])
+	case 3:
+		n := c.r.IntN(Shards)
+		old := c.homes[c.r.IntN(churnHomes)]
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			defer cancel()
+			_ = old.Releasing(ctx, resource(n))
+		}()
+	case 4:
+		c.kv.SetFaults(kv.Faults{LoseAnswers: 0.3, LoseRequests: 0.2, Delay: 30 * time.Millisecond})
+	case 5:
+		c.kv.SetFaults(kv.Faults{Delay: 1500 * time.Millisecond, DelayChance: 0.3, LoseAnswers: 0.2})
+	case 6:
+		c.kv.SetFaults([]kv.Faults{{Down: true}, {Hang: true}}[c.r.IntN(2)])
+	case 7:
+		c.kv.SetFaults(kv.Faults{})
+	}
+}
+
+// kill ends a home and starts its next life; its shards go to whoever claims.
+func (c *churn) kill(i int) {
+	old := c.homes[i]
+	c.mu.Lock()
+	c.dead[old] = true
+	c.mu.Unlock()
+	old.stop()
+	c.lives++
+	c.add(i, c.lives, churnOptions)
+	for n := range Shards {
+		if c.claims.Claim(resource(n)).Owner == old.ref {
+			c.own(n, c.homes[c.r.IntN(churnHomes)])
+		}
+	}
+}
+
+// requireAlive asserts that a new key can be run at every shard again.
+func (c *churn) requireAlive() {
+	time.Sleep(time.Minute)
+	for n := range Shards {
+		h := c.homes[n%churnHomes]
+		c.own(n, h)
+		time.Sleep(10 * time.Second)
+		r := order("new")
+		for r.shard() != n {
+			r.Key.Text += "x"
+		}
+		a := begun(c.t, h, r)
+		require.NoError(c.t, a.Intend(c.t.Context()))
+		a.Finish(&Answer{Status: 200})
+	}
+}
--- /dev/null
+++ b/request/idem/idem_test.go
@@ -0,0 +1,218 @@
+package idem
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"fennelshunt.example/fennelshunt/request/verdict"
+	"fennelshunt.example/fennelshunt/standin/kv"
+)
+
+func TestSecondArrivalGetsTheSameAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCell(t, 1, nil)
+		defer c.close()
+		h, r := c.homes[0], order("a")
+		c.own(r.shard(), h)
+		a := begun(t, h, r)
+		joined := make(chan *Answer)
+		go func() {
+			_, answer, _ := h.Begin(context.Background(), r)
+			joined <- answer
+		}()
+		synctest.Wait()
+		require.NoError(t, a.Intend(t.Context()))
+		answer := &Answer{Status: 200, Body: []byte("two pallets")}
+		a.Finish(answer)
+		require.Same(t, answer, <-joined)
+		_, again, err := h.Begin(t.Context(), r)
+		require.NoError(t, err)
+		require.Same(t, answer, again)
+
+		other := r
+		other.Fingerprint++
+		requireCode(t, h, other, CodeMismatch, verdict.NotRun)
+		elsewhere := r
+		elsewhere.Key.Team = "authority"
+		c.own(elsewhere.shard(), h)
+		if elsewhere.shard() != r.shard() {
+			begun(t, h, elsewhere).Fail(&verdict.Error{Verdict: verdict.NotRun, Err: errors.New("refused")})
+		}
+		time.Sleep(DefaultAnswerRetention + 2*sweepInterval)
+		requireCode(t, h, r, CodeAnswerNotKept, verdict.Ran)
+	})
+}
+
+func TestLargeAnswerIsNotKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCell(t, 1, func(o *Options) { o.MaxAnswer = 10 })
+		defer c.close()
+		h, r := c.homes[0], order("a")
+		c.own(r.shard(), h)
+		a := begun(t, h, r)
+		require.NoError(t, a.Intend(t.Context()))
+		a.Finish(&Answer{Status: 200, Body: make([]byte, 11)})
+		requireCode(t, h, r, CodeAnswerNotKept, verdict.Ran)
+	})
+}
+
+func TestNewHomeKnowsTheEnds(t *testing.T) {
+	// Symptom: a tile order is sent again after its home died.
+	// Sequence: intent, send, death of the home; the caller retries.
+	// Cause: the new home would not know of the intent.
+	synctest.Test(t, func(t *testing.T) {
+		c := newCell(t, 2, nil)
+		defer c.close()
+		first, second := c.homes[0], c.homes[1]
+		unknown, ran, refused := order("u"), order("r"), order("n")
+		for _, r := range []Request{unknown, ran, refused} {
+			c.own(r.shard(), first)
+		}
+		attempts := map[string]*Attempt{}
+		for _, r := range []Request{unknown, ran, refused} {
+			a := begun(t, first, r)
+			require.NoError(t, a.Intend(t.Context()))
+			attempts[r.Key.Text] = a
+		}
+		attempts["r"].Finish(&Answer{Status: 200})
+		attempts["n"].Fail(&verdict.Error{Verdict: verdict.NotRun, Err: errors.New("connection refused")})
+		time.Sleep(2 * DefaultEndFlush)
+		first.stop()
+		for _, r := range []Request{unknown, ran, refused} {
+			c.own(r.shard(), second)
+		}
+		requireCode(t, second, unknown, CodeOutcomeUnknown, verdict.MayHaveRun)
+		requireCode(t, second, ran, CodeAnswerNotKept, verdict.Ran)
+		a := begun(t, second, refused)
+		require.NoError(t, a.Intend(t.Context()))
+	})
+}
+
+func TestPausedHomeIsFenced(t *testing.T) {
+	// Symptom: one key is sent by two daemons.
+	// Sequence: the old home begins a key and pauses before its intent; a new
+	// home takes over and runs the key; the old home resumes.
+	// Cause: the old home still believes that it owns the shard.
+	synctest.Test(t, func(t *testing.T) {
+		c := newCell(t, 2, nil)
+		defer c.close()
+		first, second, r := c.homes[0], c.homes[1], order("a")
+		c.own(r.shard(), first)
+		old := begun(t, first, r)
+		synctest.Wait()
+		c.own(r.shard(), second)
+		a := begun(t, second, r)
+		require.NoError(t, a.Intend(t.Context()))
+		err := old.Intend(t.Context())
+		require.Error(t, err)
+		require.Equal(t, verdict.NotRun, verdict.Of(err))
+	})
+}
+
+func TestStoreDownRefusesAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCell(t, 1, nil)
+		defer c.close()
+		h, r := c.homes[0], order("a")
+		c.own(r.shard(), h)
+		require.NoError(t, begun(t, h, r).Intend(t.Context()))
+		for _, f := range []kv.Faults{{Down: true}, {Hang: true}} {
+			c.kv.SetFaults(f)
+			for range 10 {
+				r := order2(r)
+				a := begun(t, h, r)
+				began := time.Now()
+				err := a.Intend(t.Context())
+				var e *verdict.Error
+				require.ErrorAs(t, err, &e)
+				require.Equal(t, verdict.NotRun, e.Verdict)
+				require.Positive(t, e.RetryAfterMillis)
+				require.LessOrEqual(t, time.Since(began), 2*DefaultWriteTimeout)
+				a.Fail(err)
+			}
+			c.kv.SetFaults(kv.Faults{})
+			time.Sleep(5 * time.Second)
+		}
+		r = order2(r)
+		require.Eventually(t, func() bool {
+			a := begun(t, h, r)
+			err := a.Intend(t.Context())
+			if err != nil {
+				a.Fail(err)
+			}
+			return err == nil
+		}, time.Minute, time.Second)
+	})
+}
+
+func TestLostAnswerOfAnIntent(t *testing.T) {
+	// Symptom: a request told "not run" is sent, or its key can never be used.
+	// Sequence: the store takes an intent and its answer is lost, so is the
+	// read-back; the caller retries, at the same home and after its death.
+	// Cause: nobody knows whether the intent is in the log.
+	synctest.Test(t, func(t *testing.T) {
+		c := newCell(t, 2, nil)
+		defer c.close()
+		first, second, r := c.homes[0], c.homes[1], order("a")
+		c.own(r.shard(), first)
+		require.NoError(t, begun(t, first, order2(r)).Intend(t.Context()))
+		c.kv.SetFaults(kv.Faults{LoseAnswers: 1})
+		a := begun(t, first, r)
+		err := a.Intend(t.Context())
+		require.Equal(t, verdict.NotRun, verdict.Of(err))
+		a.Fail(err)
+		c.kv.SetFaults(kv.Faults{})
+		// The new home finds the intent and can't know that nothing was sent.
+		c.own(r.shard(), second)
+		requireCode(t, second, r, CodeOutcomeUnknown, verdict.MayHaveRun)
+	})
+	synctest.Test(t, func(t *testing.T) {
+		c := newCell(t, 2, nil)
+		defer c.close()
+		first, second, r := c.homes[0], c.homes[1], order("a")
+		c.own(r.shard(), first)
+		require.NoError(t, begun(t, first, order2(r)).Intend(t.Context()))
+		c.kv.SetFaults(kv.Faults{LoseAnswers: 1})
+		a := begun(t, first, r)
+		a.Fail(a.Intend(t.Context()))
+		c.kv.SetFaults(kv.Faults{})
+		// The same home knows that nothing was sent and takes the intent out of
+		// the log with its next write; then a new home may run the key too.
+		time.Sleep(4 * DefaultEndFlush)
+		c.own(r.shard(), second)
+		begun(t, second, r).Close()
+	})
+}
+
+// order2 returns another key of the same shard.
+func order2(r Request) Request {
+	o := r
+	for o.Key == r.Key || o.shard() != r.shard() {
+		o.Key.Text += "x"
+	}
+	return o
+}
+
+func TestReleaseHandsOverDurableEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCell(t, 2, nil)
+		defer c.close()
+		first, second, r := c.homes[0], c.homes[1], order("a")
+		c.own(r.shard(), first)
+		a := begun(t, first, r)
+		require.NoError(t, a.Intend(t.Context()))
+		released := make(chan error, 1)
+		go func() { released <- first.Releasing(context.Background(), resource(r.shard())) }()
+		synctest.Wait()
+		requireCode(t, first, order2(r), CodeNoHome, verdict.NotRun)
+		a.Finish(&Answer{Status: 200})
+		require.NoError(t, <-released)
+		c.own(r.shard(), second)
+		requireCode(t, second, r, CodeAnswerNotKept, verdict.Ran)
+	})
+}
--- a/request/idem/log.go
+++ b/request/idem/log.go
@@ -16,6 +16,8 @@
 	readyWait = time.Second
 	// downPause is how long intents are refused at once after a write failed.
 	downPause = 500 * time.Millisecond
+	// budgetPause is the pause after a write that the budget did not admit.
+	budgetPause = 50 * time.Millisecond
 	// upkeepInterval is how often expired archives are looked for.
 	upkeepInterval = time.Minute
 	// sweepRounds is the number of upkeep rounds between sweeps of the memory.
@@ -52,6 +54,7 @@
 // intent is one waiting Attempt.Intend.
 type intent struct {
 	record record
+	queued time.Time
 	result chan error // capacity 1
 	// decided and cancelled are guarded by the shard's mu; at most one is set.
 	decided, cancelled bool
@@ -94,7 +97,7 @@
 // sent; the record may be in the log all the same, and is then marked as not
 // run by the next write.
 func (l *keyLog) append(ctx context.Context, r record) error {
-	in := &intent{record: r, result: make(chan error, 1)}
+	in := &intent{record: r, queued: time.Now(), result: make(chan error, 1)}
 	if err := l.enqueue(in); err != nil {
 		l.s.m.counts.Refused.Add(1)
 		return refused(err)
@@ -261,6 +264,10 @@
 		return nil
 	}
 	err := l.w.write(l.ctx, pending)
+	if errors.Is(err, store.ErrOverBudget) {
+		l.requeue(pending, flushes)
+		return nil
+	}
 	answerAll(flushes, err)
 	if err != nil {
 		l.noteFailure(err)
@@ -273,6 +280,31 @@
 	return nil
 }
 
+// requeue keeps a group that the store's budget did not admit: it certainly was
+// not written. Intents that have waited too long are refused.
+func (l *keyLog) requeue(pending []*intent, flushes []chan error) {
+	var late, kept []*intent
+	for _, in := range pending {
+		if time.Since(in.queued) > l.s.m.opts.WriteTimeout {
+			late = append(late, in)
+		} else {
+			kept = append(kept, in)
+		}
+	}
+	l.decide(late, refused(store.ErrOverBudget))
+	l.mu.Lock()
+	stopped := l.stopped
+	if !stopped {
+		l.pending = append(kept, l.pending...)
+		l.flushes = append(flushes, l.flushes...)
+	}
+	l.mu.Unlock()
+	if stopped {
+		l.decide(kept, refused(errLogClosed))
+	}
+	time.AfterFunc(budgetPause, l.signal)
+}
+
 func (l *keyLog) noteFailure(err error) {
 	if errors.Is(err, store.ErrConflict) {
 		return
--- a/request/idem/options.go
+++ b/request/idem/options.go
@@ -23,7 +23,7 @@
 	DefaultIntentRetention = 24 * time.Hour
 	DefaultClockSkew       = 5 * time.Minute
 	DefaultMaxKeys         = 400_000
-	DefaultWritesPerSecond = 20
+	DefaultWritesPerSecond = 10
 	DefaultWriteTimeout    = time.Second
 	DefaultEndFlush        = 5 * time.Second
 	DefaultHeadSize        = 40
