Bound the writes to callers that do not read

Cause: a caller that asked for a large answer and never read it blocked the write beyond the deadline, and with it the handler and the slot, for good. An attempt whose caller never sent its whole body lingered as if it had an end. Change: the deadline also ends a blocked write; such an attempt is cut. Conclusion: every request's hold on a slot is bounded.

--- a/request/gateway/body.go
+++ b/request/gateway/body.go
@@ -152,6 +152,15 @@
 	return n, err
 }
 
+// complete reports whether the whole body has arrived.
+func (b *body) complete() bool {
+	if !b.mu.TryLock() {
+		return false // an attempt waits for the caller
+	}
+	defer b.mu.Unlock()
+	return b.err == io.EOF
+}
+
 // readWhole reads the whole body into memory, up to limit.
 func (b *body) readWhole(limit int64) ([]byte, error) {
 	b.mu.Lock()
--- a/request/gateway/gateway_test.go
+++ b/request/gateway/gateway_test.go
@@ -185,13 +185,15 @@
 	p := newPool()
 	e := startEndpoint(t, p, endpoint.Options{Slots: 8, Connections: 64})
 	var logged bytes.Buffer
-	_, url := startGateway(t, Options{Slots: p, Log: zerolog.New(&logged)})
+	g, url := startGateway(t, Options{Slots: p, Log: zerolog.New(&logged)})
 	r := do(t, "POST", url+"/report?token=secret", "k1", "plot 7")
 	require.NoError(t, r.err)
 	require.Equal(t, http.StatusOK, r.status)
 	require.Equal(t, "ran", r.verdict())
 	require.Equal(t, string(endpoint.Answer("k1", []byte("plot 7"))), string(r.body))
 	require.Equal(t, 1, e.Runs("k1"))
+	require.Eventually(t, func() bool { return g.InFlight() == 0 }, 10*time.Second, time.Millisecond)
+	require.Contains(t, logged.String(), r.header.Get(verdict.RequestIDHeader))
 	require.NotContains(t, logged.String(), "secret")
 
 	large := do(t, "GET", url+"/report?size=3000000", "k2", "")
--- a/request/gateway/keyed.go
+++ b/request/gateway/keyed.go
@@ -25,6 +25,10 @@
 	homePauseMax = 250 * time.Millisecond
 )
 
+// writeGrace is how long after the deadline an answer in memory may still be
+// written.
+const writeGrace = time.Second
+
 // serveKeyed serves a request with an idempotency key: at the key's home, which
 // is this daemon or another.
 func (g *Gateway) serveKeyed(c *call) {
@@ -165,10 +169,19 @@
 	}
 	c.answerHeader(verdict.Ran)
 	c.reply.note(answer.Status, verdict.Ran, "")
+	defer c.boundWrites()()
 	c.w.WriteHeader(answer.Status)
 	_, _ = c.w.Write(answer.Body)
 }
 
+// boundWrites lets a caller that does not read its answer block the write until
+// the deadline only; the returned function lifts the bound.
+func (c *call) boundWrites() func() {
+	ctl := http.NewResponseController(c.w)
+	_ = ctl.SetWriteDeadline(c.deadline.Add(writeGrace))
+	return func() { _ = ctl.SetWriteDeadline(time.Time{}) }
+}
+
 // toHome sends the request to its home daemon.
 func (g *Gateway) toHome(c *call, home fleet.Member) (done bool, err error) {
 	if g.opts.Peers == nil {
@@ -201,6 +214,7 @@
 	c.answerHeader(v)
 	c.reply.claim()
 	c.reply.note(a.Status, v, a.Header.Get(verdict.CodeHeader))
+	defer c.boundWrites()()
 	sent, err := a.Deliver(c.w)
 	if !sent {
 		c.w.Header().Del(verdict.Header)
--- a/request/gateway/reply.go
+++ b/request/gateway/reply.go
@@ -109,20 +109,24 @@
 	defer w.expired.Done()
 	c := w.call
 	if !c.reply.claim() {
-		// The answer is on its way and not whole in time.
+		// The answer is on its way and not whole in time. A caller that does
+		// not read it would block the write, and with it the slot, for good.
 		w.cut()
+		_ = http.NewResponseController(c.w).SetWriteDeadline(time.Now())
 		return
 	}
 	v := verdict.NotRun
 	if w.out.GiveUp() {
 		v = verdict.MayHaveRun
-		w.lingering = true
-		w.gateway.deadlines.set(&w.linger, time.Now().Add(c.limit), w.cut)
-	} else {
-		w.cut()
 	}
 	w.answer(v)
 	c.leave()
+	if v == verdict.NotRun || !c.body.complete() {
+		w.cut() // there is no end to be learnt
+		return
+	}
+	w.lingering = true
+	w.gateway.deadlines.set(&w.linger, time.Now().Add(c.limit), w.cut)
 }
 
 // answer tells the caller that the deadline has passed. The connection is not
--- a/request/gateway/scenario_test.go
+++ b/request/gateway/scenario_test.go
@@ -129,6 +129,24 @@
 	require.Equal(t, 1, e.Report().Requests)
 }
 
+func TestCallerThatDoesNotReadHoldsNoSlotForGood(t *testing.T) {
+	// Symptom: a service's slots were taken while its instances were idle.
+	// Sequence: a caller asks for a large layout and never reads it.
+	// Cause: the write to the caller blocked beyond the request's deadline.
+	p := newPool()
+	startEndpoint(t, p, endpoint.Options{Slots: 1, Connections: 64})
+	g, url := startGateway(t, Options{Slots: p})
+	p.returnUnknown = time.Millisecond
+	c, err := net.Dial("tcp", strings.TrimPrefix(url, "http://"))
+	require.NoError(t, err)
+	defer func() { _ = c.Close() }()
+	_, err = fmt.Fprintf(c, "GET /?size=100000000 HTTP/1.1\r\nHost: %s\r\nFennel-Timeout: 100ms\r\n\r\n", testService)
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return g.InFlight() == 1 }, 10*time.Second, time.Millisecond)
+	require.Eventually(t, func() bool { return g.InFlight() == 0 }, 10*time.Second, time.Millisecond)
+	require.Equal(t, http.StatusOK, do(t, "POST", url, "k", "").status)
+}
+
 func TestConnectionsStayWithinTheInstancesLimit(t *testing.T) {
 	// Symptom: an instance refused connections while its slots were free.
 	// Sequence: eight daemons and two that join unseen send in bursts.
