--- a/connection/peer/random_test.go
+++ b/connection/peer/random_test.go
@@ -134,3 +134,40 @@
 	}
 	return outcomeOf{err: err}
 }
+
+// Symptom: every call to a daemon that died without a word waits for its whole
+// deadline until the connection's idle timeout.
+// Sequence: the connection is open, the other side falls silent, a call times
+// out.
+// Cause: the dead connection stayed the one that new calls use.
+func TestSilentLinkIsRetired(t *testing.T) {
+	mux := NewMux()
+	mux.Handle("echo", echo)
+	socket := newLossy(t, 1)
+	server, err := newNode(socket, life("server", 1), peerTLS(t), mux, zerolog.Nop())
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(ctx) }()
+	defer func() {
+		cancel()
+		<-served
+		_ = server.Close() // its sockets are of no use any more
+	}()
+	client := startNode(t, "127.0.0.1:0", life("client", 1), peerTLS(t), NewMux())
+	client.SetResolver(func(Ref) (string, bool) { return server.Addr(), true })
+	call := func(limit time.Duration) error {
+		callCtx, cancel := context.WithTimeout(ctx, limit)
+		defer cancel()
+		return client.Call(callCtx, server.Self(), "echo", message{}, nil)
+	}
+	require.NoError(t, call(patience))
+	socket.loss.Store(100)
+	require.ErrorIs(t, call(100*time.Millisecond), ErrUnknown)
+	l, err := client.current(server.Self())
+	require.NoError(t, err)
+	require.Nil(t, l)
+	require.ErrorIs(t, call(100*time.Millisecond), ErrNotSent)
+	socket.loss.Store(0)
+	require.Eventually(t, func() bool { return call(time.Second) == nil }, patience, time.Millisecond)
+}
--- a/process/fleet/fleet_test.go
+++ b/process/fleet/fleet_test.go
@@ -92,6 +92,8 @@
 		c.net.Resume(d.self)
 		d.gate.shut(false)
 		c.within(time.Minute, "evicted", func() bool { return c.restartEvicted() == 1 })
+		require.Equal(t, Gone, d.Self().State)
+		require.ErrorIs(t, d.Drain(context.Background()), ErrStopped)
 		c.within(time.Minute, "back in a later life", c.agreed)
 	})
 }
@@ -133,6 +135,9 @@
 		require.Equal(t, Leaving, d.Self().State)
 		require.NoError(t, d.Leave(ctx))
 		require.ErrorIs(t, <-d.done, suture.ErrDoNotRestart)
+		require.Equal(t, Gone, d.Self().State)
+		require.ErrorIs(t, d.Drain(ctx), ErrStopped)
+		require.NoError(t, d.Leave(ctx))
 		delete(c.daemons, "dac")
 		gone := c.within(3*time.Second, "left", c.everyone(func(o *daemon) bool { return o.Gone(d.self) }))
 		cause, _ := c.daemons["daa"].Ended(d.self)
@@ -187,3 +192,41 @@
 		require.False(t, c.daemons["daa"].Gone(third))
 	})
 }
+
+// Symptom: the renewals of a large fleet use up the store's budget.
+// Sequence: 130 daemons start at once; each saw a small fleet when it opened
+// its lease.
+// Cause: the lease kept the time to live that suited the small fleet.
+func TestLeaseGrowsWithTheFleet(t *testing.T) {
+	inCell(t, 130, func(t *testing.T, c *cell) {
+		fits := c.everyone(func(d *daemon) bool {
+			return d.leaseTTL().Seconds() <= outgrownBy*d.register.current.Load().ttl.Seconds()
+		})
+		c.within(time.Minute, "leases replaced", fits)
+		before := c.mem.Counts().Renew
+		time.Sleep(time.Minute)
+		require.Less(t, (c.mem.Counts().Renew-before)/60, 60)
+		require.True(t, c.agreed())
+		for _, d := range c.daemons {
+			require.EqualValues(t, 0, d.Stats().Evictions.Value())
+		}
+	})
+}
+
+// Symptom: two processes act as one life.
+// Sequence: in an outage a daemon takes an incarnation from the clock that
+// another process of the same name has claimed in the store.
+// Cause: the number alone does not tell the two apart.
+func TestSameIncarnationOfAnotherProcess(t *testing.T) {
+	mine := Life{Ref: peer.Ref{ID: "a", Incarnation: 5}, owner: "me"}
+	theirs := Life{Ref: mine.Ref, owner: "they"}
+	record, err := theirs.confirm(nil, false)
+	require.NoError(t, err)
+	_, err = mine.confirm(record, true)
+	var evicted *EvictedError
+	require.ErrorAs(t, err, &evicted)
+	require.EqualValues(t, 5, evicted.Floor)
+	again, err := theirs.confirm(record, true)
+	require.NoError(t, err)
+	require.NotEqual(t, record, again, "a registration must make a concurrent swap fail")
+}
--- a/process/fleet/leave.go
+++ b/process/fleet/leave.go
@@ -56,7 +56,7 @@
 func (f *Fleet) Leave(ctx context.Context) error {
 	farewells := make(chan []farewell, 1)
 	if err := f.post(ctx, leave{farewell: farewells}); err != nil {
-		if errors.Is(err, errLeft) {
+		if errors.Is(err, ErrStopped) {
 			return nil
 		}
 		return err
--- a/process/fleet/loop.go
+++ b/process/fleet/loop.go
@@ -200,7 +200,7 @@
 	l.dirty = false
 	l.retarget()
 	before := l.fleet.view.Load()
-	after := newSnapshot(l.table, l.fleet.self)
+	after := newSnapshot(l.table, l.options.Self)
 	if err := before.checkSuccession(after); err != nil {
 		l.violated(err)
 	}
--- a/process/fleet/service.go
+++ b/process/fleet/service.go
@@ -26,7 +26,8 @@
 	view     atomic.Pointer[snapshot]
 	joined   chan struct{}
 	joinOnce sync.Once
-	stopped  chan struct{} // closed when Serve ended for good
+	stopped  chan struct{} // closed when this life is over and Serve has ended
+	stopOnce sync.Once
 	stats    Stats
 }
 
@@ -44,14 +45,17 @@
 	}
 	f.loop = newLoop(f)
 	f.register = newRegistrar(f)
-	f.view.Store(newSnapshot(f.loop.table, f.self))
+	f.view.Store(newSnapshot(f.loop.table, o.Self))
 	o.Registrar.Handle(methodPing, f.handlePing)
 	o.Registrar.Handle(methodPingVia, f.handlePingVia)
 	o.Registrar.Handle(methodSync, f.handleSync)
 	return f
 }
 
-// errLeft ends Serve after Leave.
+// ErrStopped is returned by methods of a fleet whose life is over.
+var ErrStopped = errors.New("fleet: not taking part any more")
+
+// errLeft ends the loop after Leave.
 var errLeft = errors.New("fleet: left")
 
 // Serve takes part in the fleet until the context ends. It returns an
@@ -68,8 +72,10 @@
 		group.Go(func() error { return f.pollVMs(ctx) })
 	}
 	err := group.Wait()
+	if errors.Is(err, errLeft) || errors.Is(err, ErrEvicted) {
+		f.stopOnce.Do(func() { close(f.stopped) })
+	}
 	if errors.Is(err, errLeft) {
-		close(f.stopped)
 		return suture.ErrDoNotRestart
 	}
 	return err
@@ -96,7 +102,9 @@
 }
 
 // Drain tells the others that this daemon is leaving: it gets no new work and
-// hands over. It returns when the view says so; the news spreads meanwhile.
+// hands over. It returns when the view says so; the news spreads meanwhile. It
+// fails with ErrStopped when this life is over already, or with the context's
+// error.
 func (f *Fleet) Drain(ctx context.Context) error {
 	done := make(chan struct{})
 	if err := f.post(ctx, drain{done: done}); err != nil {
@@ -116,7 +124,7 @@
 	case f.events <- e:
 		return nil
 	case <-f.stopped:
-		return errLeft
+		return ErrStopped
 	case <-ctx.Done():
 		return ctx.Err()
 	}
--- a/process/fleet/table_test.go
+++ b/process/fleet/table_test.go
@@ -57,7 +57,7 @@
 func TestMergeKeepsInvariants(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		table := newTable()
-		before := newSnapshot(table, peer.Ref{})
+		before := newSnapshot(table, Member{})
 		for range 20 {
 			table.merge(drawDelta(t), time.Time{})
 			var digest uint64
@@ -65,7 +65,7 @@
 				digest ^= e.digest()
 			}
 			require.Equal(t, digest, table.digest)
-			after := newSnapshot(table, peer.Ref{})
+			after := newSnapshot(table, Member{})
 			require.NoError(t, before.checkSuccession(after))
 			before = after
 		}
@@ -73,7 +73,7 @@
 }
 
 func TestInvariantsAreNoticed(t *testing.T) {
-	build := func(d delta) *snapshot { return newSnapshot(merged([]delta{d}), peer.Ref{}) }
+	build := func(d delta) *snapshot { return newSnapshot(merged([]delta{d}), Member{}) }
 	ended := build(delta{ID: "a", Incarnation: 2, Ended: Lapsed})
 	require.ErrorContains(t, ended.checkSuccession(build(delta{ID: "a", Incarnation: 2})), "is back")
 	require.ErrorContains(t, ended.checkSuccession(build(delta{ID: "a", Incarnation: 1})), "fell")
--- a/process/fleet/view.go
+++ b/process/fleet/view.go
@@ -70,9 +70,12 @@
 	return life.PeerAddr, true
 }
 
-// newSnapshot copies what the table says into a view.
-func newSnapshot(t *table, self peer.Ref) *snapshot {
+// newSnapshot copies what the table says into a view. Once the table knows a
+// later life of this daemon, its own life is shown as gone.
+func newSnapshot(t *table, self Member) *snapshot {
+	self.State = Gone
 	s := &snapshot{
+		self:    self,
 		newest:  make(map[peer.MemberID]lastLife, len(t.entries)),
 		changed: make(chan struct{}),
 	}
@@ -82,7 +85,7 @@
 		if e.usable() {
 			s.members = append(s.members, m)
 		}
-		if m.Ref == self {
+		if m.Ref == self.Ref {
 			s.self = m
 		}
 	}
