Measure what a durable intent costs

Cause: the price of at-most-once has to be known within the store's budget. Change: a run in virtual time over rates of intents, and memory per key.

--- /dev/null
+++ b/request/idem/cost_test.go
@@ -0,0 +1,122 @@
+package idem
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"runtime"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/stretchr/testify/require"
+
+	"fennelshunt.example/fennelshunt/standin/kv"
+)
+
+// maxWritesPerIntent bounds the store writes per intent when nothing gathers.
+const maxWritesPerIntent = 1.5
+
+// TestCostOfIntents measures, in virtual time with 3 ms for each store write,
+// what a durable intent adds to a request and what it costs the store.
+func TestCostOfIntents(t *testing.T) {
+	rates := []int{20}
+	if os.Getenv("FENNEL_LONG") != "" {
+		rates = []int{1, 5, 20, 50, 100, 400}
+	}
+	t.Log("intents/s | added mean p50 p99 (ms) | store writes/s, per intent | bytes/s per daemon")
+	for _, perSecond := range rates {
+		synctest.Test(t, func(t *testing.T) { costOf(t, perSecond) })
+	}
+}
+
+func costOf(t *testing.T, perSecond int) {
+	const homes, seconds = 6, 60
+	c := newCell(t, homes, nil)
+	defer c.close()
+	for n := range Shards {
+		c.own(n, c.homes[n%homes])
+	}
+	time.Sleep(time.Second)
+	c.kv.SetFaults(kv.Faults{Delay: 3 * time.Millisecond})
+	before := c.kv.Counts().Writes()
+	h := hdrhistogram.New(0, int64(time.Minute/time.Microsecond), 3)
+	r := rand.New(rand.NewPCG(1, 1))
+	var mu sync.Mutex
+	var running sync.WaitGroup
+	n := perSecond * seconds
+	for i := range n {
+		time.Sleep(time.Duration(r.ExpFloat64() / float64(perSecond) * float64(time.Second)))
+		running.Go(func() {
+			o := order(fmt.Sprint(i))
+			a := begun(t, c.homes[o.shard()%homes], o)
+			began := time.Now()
+			if err := a.Intend(t.Context()); err != nil {
+				t.Errorf("intent refused: %v", err)
+			}
+			mu.Lock()
+			_ = h.RecordValue(int64(time.Since(began) / time.Microsecond))
+			mu.Unlock()
+			time.Sleep(300 * time.Millisecond)
+			a.Finish(&Answer{Status: 200})
+		})
+	}
+	running.Wait()
+	writes := c.kv.Counts().Writes() - before
+	var bytes int64
+	for _, m := range c.homes {
+		bytes += m.counts.WrittenBytes.Value()
+	}
+	t.Logf("%9d | %.2f %.2f %.2f | %.1f %.2f | %d", perSecond, h.Mean()/1000,
+		float64(h.ValueAtQuantile(50))/1000, float64(h.ValueAtQuantile(99))/1000,
+		float64(writes)/seconds, float64(writes)/float64(n), bytes/seconds/homes)
+	require.LessOrEqual(t, float64(writes), maxWritesPerIntent*float64(n)+seconds*Shards/DefaultEndFlush.Seconds())
+}
+
+// BenchmarkKeyMemory reports what one known key of the log holds, beside a
+// plain map of the same keys.
+func BenchmarkKeyMemory(b *testing.B) {
+	const keys = 200_000
+	measure := func(fill func() any) float64 {
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		kept := fill()
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		runtime.KeepAlive(kept)
+		return float64(after.HeapAlloc-before.HeapAlloc) / keys
+	}
+	for b.Loop() {
+		b.ReportMetric(measure(func() any {
+			s := &shard{m: New(Options{}), known: map[keyHash]knownKey{}}
+			for i := range keys {
+				s.remember(record{Key: order(fmt.Sprint(i)).Key.hash(), At: time.Now().Unix()})
+			}
+			return s
+		}), "B/key")
+		b.ReportMetric(measure(func() any {
+			m := map[string]Request{}
+			for i := range keys {
+				o := order(fmt.Sprintf("%036d", i))
+				m[o.Key.Text] = o
+			}
+			return m
+		}), "B/key-plain-map")
+	}
+}
+
+// BenchmarkJoin measures an arrival that finds a kept answer.
+func BenchmarkJoin(b *testing.B) {
+	c := newCell(b, 1, nil)
+	defer c.close()
+	r := order("a")
+	r.NonIdempotent = false
+	c.own(r.shard(), c.homes[0])
+	begun(b, c.homes[0], r).Finish(&Answer{Status: 200, Body: []byte("ok")})
+	for b.Loop() {
+		_, _, _ = c.homes[0].Begin(b.Context(), r)
+	}
+}
