--- a/process/ownership/options.go
+++ b/process/ownership/options.go
@@ -46,6 +46,9 @@
 	// HoldDown is how long another member must be the assigned owner without
 	// a break before a resource is handed over to it.
 	HoldDown time.Duration
+	// StartDelay is how long after its start the manager claims nothing: a
+	// daemon that does not see the others yet would claim everything.
+	StartDelay time.Duration
 	// Fallback is how long each member further down in a resource's ranking
 	// waits before it claims what the members above it left unclaimed.
 	Fallback time.Duration
@@ -68,6 +71,7 @@
 	// before, and gets no partition in a planned move until that is harmless.
 	DefaultHoldDown       = 3 * time.Minute
 	DefaultFallback       = 3 * time.Second
+	DefaultStartDelay     = 2 * time.Second
 	DefaultReleaseTimeout = 10 * time.Second
 	DefaultTick           = 500 * time.Millisecond
 
@@ -87,6 +91,7 @@
 	setDefault(&o.RenewBound, DefaultRenewBound)
 	setDefault(&o.HoldDown, DefaultHoldDown)
 	setDefault(&o.Fallback, DefaultFallback)
+	setDefault(&o.StartDelay, DefaultStartDelay)
 	setDefault(&o.ReleaseTimeout, DefaultReleaseTimeout)
 	setDefault(&o.Tick, DefaultTick)
 	o.RenewBound = max(o.RenewBound, o.StartBound)
--- a/process/ownership/protocol_model_test.go
+++ b/process/ownership/protocol_model_test.go
@@ -80,8 +80,8 @@
 	earlier []life
 }
 
-// assignment is what the owner of the jobs believes of a task.
-type assignment struct {
+// modelTask is what the owner of the jobs believes of a task.
+type modelTask struct {
 	held    bool
 	worker  int
 	attempt int // also the number of the plan
@@ -92,7 +92,7 @@
 	claim    modelClaim
 	workers  [modelWorkers]*modelWorker
 	owners   [modelOwners]*modelOwner
-	tasks    [modelTasks]assignment
+	tasks    [modelTasks]modelTask
 	fencedBy int // newest partition epoch that answered a fence
 	seq      int
 	ids      int
--- a/process/ownership/protocol_test.go
+++ b/process/ownership/protocol_test.go
@@ -101,7 +101,7 @@
 	}
 	m.seq++
 	attempt := m.seq
-	m.tasks[task] = assignment{held: true, worker: w, attempt: attempt}
+	m.tasks[task] = modelTask{held: true, worker: w, attempt: attempt}
 	m.send(func() {
 		owner := m.owners[o]
 		stale := m.g.planNumbers && attempt < owner.minSeq
--- a/process/ownership/state.go
+++ b/process/ownership/state.go
@@ -33,6 +33,16 @@
 	Notes   []string   `json:"notes,omitempty"`
 }
 
+// addEarlier adds an owner unless a newer life of the daemon shows that it has
+// let go, so that the list stays as short as the list of members.
+func (r *record) addEarlier(s *state, ref peer.Ref) {
+	member, ok := s.m.o.View.Lookup(ref.ID)
+	restarted := ok && member.Incarnation > ref.Incarnation
+	if !restarted && !slices.Contains(r.Earlier, ref) {
+		r.Earlier = append(r.Earlier, ref)
+	}
+}
+
 // state belongs to the manager's goroutine.
 type state struct {
 	ctx     context.Context
@@ -44,6 +54,8 @@
 	delays  map[Resource]retry     // pauses after failures
 	astray  map[Resource]time.Time // since when another member is assigned
 	vacant  map[Resource]time.Time // since when a resource has no live owner
+	plans   map[string]assignment  // by prefix
+	began   time.Time
 	leaving bool
 	dirty   bool
 }
@@ -57,6 +69,8 @@
 	return &state{
 		ctx:     ctx,
 		m:       m,
+		plans:   make(map[string]assignment),
+		began:   time.Now(),
 		claims:  make(map[Resource]entry),
 		held:    make(map[Resource]Claim),
 		busy:    make(map[Resource]bool),
@@ -210,12 +224,13 @@
 	for _, reg := range s.m.users {
 		listed := reg.resources()
 		resources := s.withClaimed(reg.prefix, listed)
-		targets := Assign(resources, candidates)
+		targets := s.assign(reg.prefix, resources, candidates)
 		s.retire(reg.prefix, listed)
 		for _, r := range resources {
 			// A user that knows of no resources yet, because it could not read
 			// their list, could not look after one.
-			mayClaim := start > 0 && self.State == fleet.Alive && len(listed) > 0
+			mayClaim := start > 0 && self.State == fleet.Alive && len(listed) > 0 &&
+				time.Since(s.began) >= s.m.o.StartDelay
 			s.check(r, targets[r], candidates, mayClaim)
 		}
 	}
@@ -226,6 +241,25 @@
 	}
 }
 
+// assignment is the last result of Assign with what it was made from.
+type assignment struct {
+	resources []Resource
+	members   []peer.MemberID
+	targets   map[Resource]peer.MemberID
+}
+
+// assign returns Assign's result and computes it only when its input changed:
+// at hundreds of resources and members it is too dear for every tick.
+func (s *state) assign(prefix string, resources []Resource, members []peer.MemberID) map[Resource]peer.MemberID {
+	slices.Sort(resources)
+	a := s.plans[prefix]
+	if a.targets == nil || !slices.Equal(a.resources, resources) || !slices.Equal(a.members, members) {
+		a = assignment{resources, members, Assign(resources, members)}
+		s.plans[prefix] = a
+	}
+	return a.targets
+}
+
 // withClaimed adds the resources that are claimed but no longer listed:
 // somebody must own them until the user has no more use for them.
 func (s *state) withClaimed(prefix string, listed []Resource) []Resource {
@@ -336,12 +370,14 @@
 func (s *state) claim(r Resource) {
 	previous := s.claims[r]
 	c := record{
-		Claim:   Claim{Resource: r, Owner: s.self(), Epoch: previous.Epoch + 1},
-		Earlier: previous.Earlier,
-		Notes:   previous.Notes,
+		Claim: Claim{Resource: r, Owner: s.self(), Epoch: previous.Epoch + 1},
+		Notes: previous.Notes,
+	}
+	for _, ref := range previous.Earlier {
+		c.addEarlier(s, ref)
 	}
-	if previous.Epoch > 0 && !previous.Released && !slices.Contains(c.Earlier, previous.Owner) {
-		c.Earlier = append(slices.Clone(c.Earlier), previous.Owner)
+	if previous.Epoch > 0 && !previous.Released {
+		c.addEarlier(s, previous.Owner)
 	}
 	s.busy[r] = true
 	go func() {
