--- a/request/admission/admission.go
+++ b/request/admission/admission.go
@@ -159,6 +159,20 @@
 	return q.waiting
 }
 
+// TotalWaiting returns how many requests of all services wait before their
+// windows.
+func (c *Controller) TotalWaiting() int {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	n := 0
+	for _, q := range c.queues {
+		q.mu.Lock()
+		n += q.waiting
+		q.mu.Unlock()
+	}
+	return n
+}
+
 // Pass is an admitted request; not for concurrent use.
 type Pass struct {
 	queue   *queue
--- a/request/gateway/attempt.go
+++ b/request/gateway/attempt.go
@@ -13,6 +13,10 @@
 	"fennelshunt.example/fennelshunt/request/verdict"
 )
 
+// elsewhereWait is how long a retry waits for a slot of another instance than
+// the one that has just failed.
+const elsewhereWait = 2 * time.Millisecond
+
 // deliver consumes an endpoint's answer. final is set when the caller has been
 // given anything, so that no other attempt may follow.
 type deliver func(a *forward.Answer) (final bool, err error)
@@ -74,6 +78,7 @@
 	default:
 		e := verdict.As(err)
 		c.reply.note(0, e.Verdict, e.Code)
+		c.cut = true
 		panic(http.ErrAbortHandler)
 	}
 }
@@ -96,7 +101,7 @@
 		if err == nil || final || endedInBody(err) {
 			return final, err
 		}
-		delay, ok := attempts.Next(verdict.Of(err), c.left())
+		delay, ok := attempts.Next(verdict.Of(err), reached(err), c.left())
 		if !ok || !c.pause(delay) {
 			return false, err
 		}
@@ -104,9 +109,32 @@
 	}
 }
 
+// reached reports whether a failed attempt came as far as an endpoint.
+func reached(err error) bool {
+	code := verdict.As(err).Code
+	return code != forward.CodeConnect && code != forward.CodeNotSent
+}
+
+// acquire takes a slot. After a failed attempt it prefers another instance: a
+// slot that has just been given back is often the first to be handed out.
+func (g *Gateway) acquire(c *call) (slots.Slot, error) {
+	slot, err := g.opts.Slots.Acquire(c.wait, c.service)
+	if err != nil || c.endpoint == "" || slot.Endpoint().Address != c.endpoint {
+		return slot, err
+	}
+	ctx, cancel := context.WithTimeout(c.wait, elsewhereWait)
+	defer cancel()
+	other, err := g.opts.Slots.Acquire(ctx, c.service)
+	if err != nil {
+		return slot, nil
+	}
+	slot.Release(slots.Ended)
+	return other, nil
+}
+
 // attempt takes a slot and makes one attempt at its endpoint.
 func (g *Gateway) attempt(c *call, out *forward.Outgoing, pass *admission.Pass, deliver deliver) (final bool, err error) {
-	slot, err := g.opts.Slots.Acquire(c.wait, c.service)
+	slot, err := g.acquire(c)
 	if err != nil {
 		return false, err
 	}
--- a/request/gateway/call.go
+++ b/request/gateway/call.go
@@ -39,6 +39,9 @@
 	attempts int
 	endpoint string
 
+	passedOn bool // the answer is that of the key's home
+	cut      bool // the caller got a part of an answer
+
 	reply reply
 	// leave counts the request as no longer in progress, once.
 	leave func()
--- a/request/gateway/keyed.go
+++ b/request/gateway/keyed.go
@@ -213,6 +213,7 @@
 	}
 	c.answerHeader(v)
 	c.reply.claim()
+	c.passedOn = true
 	c.reply.note(a.Status, v, a.Header.Get(verdict.CodeHeader))
 	defer c.boundWrites()()
 	sent, err := a.Deliver(c.w)
--- a/request/gateway/metrics.go
+++ b/request/gateway/metrics.go
@@ -18,6 +18,7 @@
 	MayHaveRun expvar.Int
 	Retries    expvar.Int
 	Cut        expvar.Int // answers cut because they were not whole
+	Codes      expvar.Map // errors given to callers, by code
 }
 
 // Publish adds the counters to m, with the requests in progress.
@@ -28,6 +29,11 @@
 	m.Set("may_have_run", &g.counts.MayHaveRun)
 	m.Set("retries", &g.counts.Retries)
 	m.Set("cut", &g.counts.Cut)
+	m.Set("errors", &g.counts.Codes)
+	m.Set("waiting", expvar.Func(func() any { return g.opts.Admission.TotalWaiting() }))
+	if g.opts.Outliers != nil {
+		m.Set("ejected", expvar.Func(func() any { return g.opts.Outliers.Ejected() }))
+	}
 	m.Set("in_flight", expvar.Func(func() any { return g.inFlight.Load() }))
 }
 
@@ -36,6 +42,12 @@
 func (g *Gateway) ended(c *call) {
 	status, v, code, latency := c.reply.outcome(c.start)
 	g.counts.Requests.Add(1)
+	if c.cut {
+		g.counts.Cut.Add(1)
+	}
+	if code != "" && !c.passedOn {
+		g.counts.Codes.Add(code, 1)
+	}
 	switch v {
 	case verdict.Ran:
 		g.counts.Ran.Add(1)
--- a/request/gateway/scenario_test.go
+++ b/request/gateway/scenario_test.go
@@ -24,7 +24,7 @@
 	for _, fault := range []endpoint.Faults{{Truncate: 1}, {ResetMidAnswer: 1}} {
 		p := newPool()
 		e := startEndpoint(t, p, endpoint.Options{Slots: 8, Connections: 64})
-		_, url := startGateway(t, Options{Slots: p})
+		g, url := startGateway(t, Options{Slots: p})
 		e.SetFaults(fault)
 		small := do(t, "POST", url, "small", "tiles")
 		require.NoError(t, small.err)
@@ -33,6 +33,7 @@
 		require.Equal(t, 1, e.Runs("small"), "a non-idempotent request was sent again")
 		large := do(t, "POST", url+"?size=1000000", "large", "")
 		require.Error(t, large.err, "%d of 1000000 bytes looked whole", len(large.body))
+		require.Eventually(t, func() bool { return g.counts.Cut.Value() == 1 }, 10*time.Second, time.Millisecond)
 		do(t, "GET", url, "again", "")
 		require.Equal(t, 3, e.Runs("again"), "attempts of an idempotent request")
 	}
@@ -78,6 +79,24 @@
 	require.Zero(t, bad.Runs("k"))
 }
 
+func TestLossOfAZoneFailsNoRequestThatAnotherInstanceCanServe(t *testing.T) {
+	// Symptom: a third of the requests failed for a minute after a zone's loss.
+	// Sequence: a third of the instances refuse connections.
+	// Cause: the retries used up the budget, or met the same instance again.
+	p := newPool()
+	for i := range 6 {
+		e := startEndpoint(t, p, endpoint.Options{Slots: 2, Connections: 64})
+		if i%3 == 0 {
+			require.NoError(t, e.Close())
+		}
+	}
+	_, url := startGateway(t, Options{Slots: p})
+	for i := range 300 {
+		r := do(t, "POST", url, fmt.Sprint(i), "order")
+		require.Equal(t, http.StatusOK, r.status, "request %d: %s", i, r.body)
+	}
+}
+
 func TestDrainCutsNothing(t *testing.T) {
 	// Symptom: the nightly upgrade cut reports in flight.
 	// Sequence: a daemon is told to stop while it carries requests.
--- a/request/retry/retry.go
+++ b/request/retry/retry.go
@@ -118,7 +118,11 @@
 // Next reports whether a request whose attempt failed with this verdict may be
 // tried again, after delay. left is the time until its deadline: a retry that
 // could not begin before it is refused, so that the caller is told at once.
-func (a *Attempts) Next(v verdict.Verdict, left time.Duration) (delay time.Duration, ok bool) {
+// reached tells whether the attempt came as far as an endpoint: one that did
+// not has cost no endpoint anything, and is not charged to the budget; else the
+// loss of a zone, where a third of the first attempts find no connection, would
+// use up the budget and fail requests that other instances could serve.
+func (a *Attempts) Next(v verdict.Verdict, reached bool, left time.Duration) (delay time.Duration, ok bool) {
 	if a.made >= a.budget.opts.MaxAttempts || !Permitted(v, a.idempotent) {
 		return 0, false
 	}
@@ -132,7 +136,7 @@
 		a.backoff.Reset()
 	}
 	delay = a.backoff.NextBackOff()
-	if delay >= left || !a.budget.spend() {
+	if delay >= left || reached && !a.budget.spend() {
 		return 0, false
 	}
 	a.made++
--- a/request/retry/retry_test.go
+++ b/request/retry/retry_test.go
@@ -20,7 +20,7 @@
 		{verdict.Ran, false, false}, {verdict.Ran, true, false},
 	} {
 		require.Equal(t, tc.want, Permitted(tc.v, tc.idempotent), "%v %v", tc.v, tc.idempotent)
-		_, ok := NewBudget(Options{}).Request(tc.idempotent).Next(tc.v, time.Minute)
+		_, ok := NewBudget(Options{}).Request(tc.idempotent).Next(tc.v, true, time.Minute)
 		require.Equal(t, tc.want, ok, "%v %v", tc.v, tc.idempotent)
 	}
 }
@@ -35,7 +35,7 @@
 	for range requests {
 		a := b.Request(true)
 		for {
-			if _, ok := a.Next(verdict.NotRun, time.Minute); !ok {
+			if _, ok := a.Next(verdict.NotRun, true, time.Minute); !ok {
 				break
 			}
 			retries++
@@ -43,21 +43,23 @@
 	}
 	require.LessOrEqual(t, float64(retries), requests*DefaultRatio+DefaultBurst)
 	require.Greater(t, float64(retries), requests*DefaultRatio*0.9)
+	_, ok := b.Request(false).Next(verdict.NotRun, false, time.Minute)
+	require.True(t, ok, "an attempt that reached no endpoint is not charged")
 }
 
 func TestBackoffGrowsWithJitterAndKeepsTheDeadline(t *testing.T) {
 	b := NewBudget(Options{MaxAttempts: 10})
 	a := b.Request(true)
-	first, ok := a.Next(verdict.NotRun, time.Minute)
+	first, ok := a.Next(verdict.NotRun, true, time.Minute)
 	require.True(t, ok)
 	require.InDelta(t, float64(DefaultFirstDelay), float64(first), jitter*float64(DefaultFirstDelay))
 	for range 8 {
-		d, ok := a.Next(verdict.NotRun, time.Minute)
+		d, ok := a.Next(verdict.NotRun, true, time.Minute)
 		require.True(t, ok)
 		require.LessOrEqual(t, float64(d), (1+jitter)*float64(DefaultMaxDelay))
 	}
-	_, ok = a.Next(verdict.NotRun, time.Minute)
+	_, ok = a.Next(verdict.NotRun, true, time.Minute)
 	require.False(t, ok, "the eleventh attempt")
-	_, ok = b.Request(true).Next(verdict.NotRun, time.Nanosecond)
+	_, ok = b.Request(true).Next(verdict.NotRun, true, time.Nanosecond)
 	require.False(t, ok, "the deadline comes before the retry")
 }
