Send only the changed tasks of a worker in a partition's state

Cause: at the peak a worker changes in every interval, and its whole task list each time is most of the control traffic. Change: a delta names the tasks that changed and those that ended; cellview completes it before a sink sees it. A worker whose address answers with another name is refused. Conclusion: sinks are unchanged.

--- a/process/cellview/cellview.go
+++ b/process/cellview/cellview.go
@@ -97,7 +97,7 @@
 		}
 		followCtx, cancel := context.WithCancel(ctx)
 		following[name] = cancel
-		f := &follower{v: v, name: name}
+		f := &follower{v: v, name: name, known: newMerger()}
 		go f.run(followCtx)
 	}
 	for name, cancel := range following {
@@ -115,6 +115,7 @@
 	name  string
 	epoch uint64
 	seq   uint64
+	known *merger
 }
 
 func (f *follower) run(ctx context.Context) {
@@ -186,6 +187,10 @@
 	if !changed {
 		return nil
 	}
+	if !f.known.complete(&s, time.Now()) {
+		f.seq = 0
+		return nil // ask again for everything
+	}
 	select {
 	case f.v.applied <- s:
 		return nil
--- /dev/null
+++ b/process/cellview/merge.go
@@ -0,0 +1,73 @@
+package cellview
+
+import (
+	"time"
+
+	"fennelshunt.example/fennelshunt/connection/worker"
+	"fennelshunt.example/fennelshunt/process/plan"
+)
+
+// tasks are the running tasks of one worker, as far as received.
+type tasks map[worker.Ref]received
+
+// received is a task with the time of its arrival, which its age counts from.
+type received struct {
+	task plan.RunningTask
+	at   time.Time
+}
+
+// merger completes partial states.
+type merger struct {
+	workers map[worker.ID]tasks
+}
+
+func newMerger() *merger { return &merger{workers: make(map[worker.ID]tasks)} }
+
+// complete fills in the tasks that a partial state left out. It reports false
+// when the worker's earlier tasks are not known; then everything must be asked
+// for again.
+func (m *merger) complete(s *plan.State, now time.Time) bool {
+	if s.Full {
+		clear(m.workers)
+	}
+	for i := range s.Workers {
+		if !m.completeWorker(&s.Workers[i], now) {
+			return false
+		}
+	}
+	return true
+}
+
+func (m *merger) completeWorker(w *plan.WorkerState, now time.Time) bool {
+	if w.Gone {
+		delete(m.workers, w.ID)
+		return true
+	}
+	held := m.workers[w.ID]
+	switch {
+	case !w.Partial:
+		held = make(tasks, len(w.Tasks))
+		m.workers[w.ID] = held
+	case held == nil:
+		return false
+	}
+	for _, ref := range w.Ended {
+		delete(held, ref)
+	}
+	for _, t := range w.Tasks {
+		held[t.Ref] = received{t, now}
+	}
+	if !w.Partial {
+		return true
+	}
+	w.Partial, w.Ended = false, nil
+	w.Tasks = make([]plan.RunningTask, 0, len(held))
+	for _, r := range held {
+		t := r.task
+		if t.StartedMillis > 0 {
+			t.StartedMillis += now.Sub(r.at).Milliseconds()
+		}
+		w.Tasks = append(w.Tasks, t)
+	}
+	return true
+}
--- a/process/partition/commit.go
+++ b/process/partition/commit.go
@@ -105,7 +105,7 @@
 	if t.phase == queued {
 		o.mustBalance(n)
 	}
-	o.touch(n)
+	o.touchTask(n, t)
 	return plan.StepResult{Outcome: plan.Accepted}
 }
 
--- a/process/partition/fence.go
+++ b/process/partition/fence.go
@@ -26,6 +26,10 @@
 // daemon holds a lease at the worker.
 var errForeignLease = errors.New("partition: another lease is open and the claim is not confirmed")
 
+// errOtherWorker means that the address of the VM list leads to another VM, as
+// when an address is used again before the list says so.
+var errOtherWorker = errors.New("partition: the address belongs to another worker")
+
 // confirmer reads the claim from the store for several callers at once. A
 // caller gets the result of a read that began after its call, never of one
 // under way, because the read must be later than the lease it confirms.
@@ -103,7 +107,7 @@
 //
 // With the store out of reach step 2 fails: then the lease only renews what
 // runs, and only when no other lease is open.
-func (o *owner) fence(ctx context.Context, agent worker.Agent, knownLease worker.LeaseID) (fenceResult, error) {
+func (o *owner) fence(ctx context.Context, id worker.ID, agent worker.Agent, knownLease worker.LeaseID) (fenceResult, error) {
 	var r fenceResult
 	lease, err := agent.OpenLease(ctx, worker.OpenLease{
 		Owner:   fmt.Sprintf("%s/%d", o.claim.Owner.ID, o.claim.Owner.Incarnation),
@@ -123,6 +127,9 @@
 	if r.inventory, err = agent.Inventory(ctx); err != nil {
 		return r, fmt.Errorf("inventory: %w", err)
 	}
+	if r.inventory.Worker != "" && r.inventory.Worker != id {
+		return r, fmt.Errorf("%w: %s", errOtherWorker, r.inventory.Worker)
+	}
 	if r.confirmed {
 		err = r.revokeOthers(ctx, agent)
 	} else if foreign(r.inventory.Leases, lease, knownLease) {
@@ -195,7 +202,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(o.ctx, 3*o.t.CallTimeout)
 		defer cancel()
-		r, err := o.fence(ctx, agent, known)
+		r, err := o.fence(ctx, n.id, agent, known)
 		o.post(func() { o.fenceDone(n, r, err) })
 	}()
 }
--- a/process/partition/model.go
+++ b/process/partition/model.go
@@ -51,6 +51,7 @@
 	throttle     int64 // wanted limit; 0: none
 	throttled    int64 // limit in force
 	acked        bool
+	changed      uint64 // position of the last change, for State
 	at           worker.ID
 }
 
@@ -98,7 +99,33 @@
 	health health
 	use    overshoot
 
-	changed uint64 // position of the last change, for State
+	changed  uint64 // position of the last change, for State
+	added    uint64 // position at which the worker was entered
+	departed departures
+}
+
+// departures remembers the tasks that left a worker lately.
+type departures struct {
+	list []departure
+	// since is the position from which on the list is complete.
+	since uint64
+}
+
+type departure struct {
+	ref worker.Ref
+	at  uint64
+}
+
+// maxDepartures bounds the list; a reader further behind gets all tasks.
+const maxDepartures = 512
+
+func (d *departures) add(ref worker.Ref, at uint64) {
+	d.list = append(d.list, departure{ref, at})
+	if len(d.list) > maxDepartures {
+		half := len(d.list) / 2
+		d.since = d.list[half-1].at
+		d.list = append(d.list[:0], d.list[half:]...)
+	}
 }
 
 // unusable returns why the worker takes no new tasks now, or "".
--- a/process/partition/owner.go
+++ b/process/partition/owner.go
@@ -269,6 +269,7 @@
 	o.nodes[id] = n
 	o.ledger.SetWorker(id, vm.Capacity)
 	o.touch(n)
+	n.added = n.changed
 	return n
 }
 
@@ -278,6 +279,12 @@
 	o.wake(n)
 }
 
+// touchTask marks a task of the worker as changed in the published state.
+func (o *owner) touchTask(n *node, t *task) {
+	o.touch(n)
+	t.changed = n.changed
+}
+
 // stopSelf ends this ownership at once: a higher epoch was met.
 func (o *owner) stopSelf(err error) {
 	o.log.Warn().Err(err).Msg("partition was taken over")
--- a/process/partition/reports.go
+++ b/process/partition/reports.go
@@ -71,7 +71,7 @@
 		o.endpointsChanged(t)
 	}
 	if report.Work-old.Work >= workStep {
-		o.touch(n)
+		o.touchTask(n, t)
 	} else {
 		t.report.Work = old.Work + min(0, report.Work-old.Work)
 	}
@@ -126,7 +126,7 @@
 	t.enter(running)
 	o.emit(t, o.event(n, t))
 	o.endpointsChanged(t)
-	o.touch(n)
+	o.touchTask(n, t)
 	if n.draining {
 		o.drainTask(t)
 	}
@@ -142,6 +142,7 @@
 	o.emit(t, o.event(n, t))
 	o.endpointsChanged(t)
 	o.touch(n)
+	n.departed.add(t.ref, n.changed)
 	switch t.report.State {
 	case worker.Failed:
 		o.recordFailure(n, t.ref.Task.Job)
@@ -191,6 +192,7 @@
 	o.emit(t, e)
 	o.endpointsChanged(t)
 	o.touch(n)
+	n.departed.add(t.ref, n.changed)
 	o.victimStopped(n, t)
 }
 
--- a/process/partition/state.go
+++ b/process/partition/state.go
@@ -93,7 +93,7 @@
 	s := plan.State{Partition: p.name, Epoch: p.epoch, Seq: p.seq, Full: since == 0}
 	for _, n := range o.nodes {
 		if n.changed > since {
-			s.Workers = append(s.Workers, o.workerState(n))
+			s.Workers = append(s.Workers, o.workerState(n, since))
 		}
 	}
 	for id, at := range p.departed {
@@ -108,7 +108,9 @@
 	return s
 }
 
-func (o *owner) workerState(n *node) plan.WorkerState {
+// workerState returns what changed at a worker after a position, or everything
+// when that is not remembered.
+func (o *owner) workerState(n *node, since uint64) plan.WorkerState {
 	w := plan.WorkerState{
 		ID:       n.id,
 		Zone:     n.vm.Zone,
@@ -120,11 +122,19 @@
 	if w.Unusable == "" && !o.noted[n.id] {
 		w.Unusable = notNoted
 	}
+	w.Partial = since != 0 && since >= n.departed.since && since >= n.added
 	for _, t := range n.tasks {
-		if t.live() {
+		if t.live() && (!w.Partial || t.changed > since) {
 			w.Tasks = append(w.Tasks, t.inState())
 		}
 	}
+	if w.Partial {
+		for _, d := range n.departed.list {
+			if d.at > since {
+				w.Ended = append(w.Ended, d.ref)
+			}
+		}
+	}
 	slices.SortFunc(w.Tasks, func(a, b plan.RunningTask) int { return compareTasks(a.Ref.Task, b.Ref.Task) })
 	return w
 }
--- a/process/plan/plan.go
+++ b/process/plan/plan.go
@@ -212,6 +212,12 @@
 	// Tasks that run or start here; in a delta only for changed workers.
 	Tasks []RunningTask `cbor:"7,keyasint,omitempty"`
 	Gone  bool          `cbor:"8,keyasint,omitempty"`
+	// Partial is set on the wire when Tasks lists only the tasks that changed
+	// and Ended those that left. Package cellview completes such a state before
+	// a sink sees it: at the peak a worker changes with every report, and its
+	// whole list each time would be most of the control traffic.
+	Partial bool         `cbor:"9,keyasint,omitempty"`
+	Ended   []worker.Ref `cbor:"10,keyasint,omitempty"`
 }
 
 // RunningTask is one task of a worker in a snapshot.
