Make the store tests free of races and of expired timers

Cause: three tests read what another goroutine wrote after a mere sleep in virtual time; and under the race detector the Go runtime crashed (SIGSEGV in timer.maybeRunChan) on a timer made already expired inside a synctest bubble. Change: the tests wait with synctest.Wait; no timer is made for a wait that is over before it begins. Conclusion: nothing but waits changed.

--- a/connection/store/budget_test.go
+++ b/connection/store/budget_test.go
@@ -45,6 +45,7 @@
 		}
 		<-ctx.Done()
 		time.Sleep(time.Second) // the floods end
+		synctest.Wait()
 		t.Log(done)
 		const burst = 2 * perSecond
 		require.LessOrEqual(t, m.Counts().Writes(), perSecond*seconds+burst)
@@ -95,6 +96,7 @@
 		before := m.Counts()
 		<-ctx.Done()
 		time.Sleep(time.Second) // the floods end
+		synctest.Wait()
 		made := m.Counts().Total() - before.Total()
 		refused := m.Counts().Refused - before.Refused
 		t.Logf("%d calls, %d refused", made, refused)
--- a/connection/store/handle.go
+++ b/connection/store/handle.go
@@ -37,6 +37,9 @@
 
 // sleep waits for d or until ctx ends.
 func sleep(ctx context.Context, d time.Duration) error {
+	if d <= 0 {
+		return ctx.Err()
+	}
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
--- a/connection/store/outage_test.go
+++ b/connection/store/outage_test.go
@@ -86,10 +86,12 @@
 		put("q/1", "other prefix")
 		put("p/2", "b")
 		time.Sleep(time.Second)
+		synctest.Wait()
 		require.Equal(t, map[string]string{"p/1": "a", "p/2": "b"}, view)
 
 		m.SetFaults(kv.Faults{Down: true})
 		time.Sleep(time.Minute)
+		synctest.Wait()
 		require.Equal(t, map[string]string{"p/1": "a", "p/2": "b"}, view)
 		m.SetFaults(kv.Faults{})
 		item, err := writer.Get(t.Context(), "p/1")
@@ -101,6 +103,7 @@
 		require.NoError(t, writer.Delete(t.Context(), "p/1", item.Revision))
 		put("p/2", "c")
 		time.Sleep(5 * time.Second)
+		synctest.Wait()
 		require.Equal(t, map[string]string{"p/2": "c"}, view)
 
 		before := resets
@@ -111,6 +114,7 @@
 		require.NoError(t, err)
 		m.Compact()
 		time.Sleep(5 * time.Second)
+		synctest.Wait()
 		require.Equal(t, map[string]string{"p/2": "c"}, view)
 		require.Equal(t, before+1, resets)
 		cancel()
@@ -137,6 +141,7 @@
 			rev, err = m.Put(t.Context(), "p", value, rev, 0)
 			require.NoError(t, err)
 		}
+		synctest.Wait()
 		most := int(duration/store.DefaultWatchFloor) + 2
 		require.LessOrEqual(t, m.Counts().Watch, most)
 		require.Greater(t, changes, most/2)
--- a/standin/kv/memory.go
+++ b/standin/kv/memory.go
@@ -209,9 +209,13 @@
 
 // Watch implements store.Store.
 func (m *Memory) Watch(ctx context.Context, prefix string, after store.Revision, wait time.Duration) ([]store.Event, store.Revision, error) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
 	expired := wait <= 0
+	var timeout <-chan time.Time
+	if !expired {
+		timer := time.NewTimer(wait)
+		defer timer.Stop()
+		timeout = timer.C
+	}
 	// The first look is the call that counts; later looks continue it.
 	look := func() error { return m.call(ctx, callWatch, func() error { return nil }) }
 	for {
@@ -228,7 +232,7 @@
 		select {
 		case <-ctx.Done():
 			return nil, 0, fmt.Errorf("watch %s: %w: %w", prefix, store.ErrUnavailable, ctx.Err())
-		case <-timer.C:
+		case <-timeout:
 			expired = true
 		case <-changed.events:
 		case <-changed.faults:
