Measure propagation and run versions through random outages

Cause: a version must be in force everywhere within 9 s and never revert, at any size of the fleet and with the store down.

--- a/process/versions/cell_test.go
+++ b/process/versions/cell_test.go
@@ -36,6 +36,7 @@
 	applier *Applier
 	keeper  *Keeper
 	view    *fleettest.View
+	store   *meteredStore
 	stop    context.CancelFunc
 	stopped chan struct{}
 	// highest is the highest version that was seen in force.
@@ -84,7 +85,8 @@
 		}
 	}
 	caller, mux := c.net.Node(self.Ref)
-	client := store.NewClient(c.kv, store.Options{FleetSize: len(c.daemons)})
+	c.daemons[i].store = &meteredStore{Store: c.kv}
+	client := store.NewClient(c.daemons[i].store, store.Options{FleetSize: len(c.daemons)})
 	handle := client.Role(store.RoleVersions)
 	h := history.New(handle)
 	c.seed++
