--- a/request/slots/endpoints.go
+++ b/request/slots/endpoints.go
@@ -11,11 +11,17 @@
 // last seen; by then the partition's owner lists the endpoint as leaving.
 const leavingKept = 10 * time.Minute
 
+// earlySignKept is how long a sign is kept for an address that no partition
+// lists yet: the sign may overtake the list. It is short, because a later
+// instance may get the same address.
+const earlySignKept = 10 * time.Second
+
 // endpoints merges the partitions' lists and the signs of leaving.
 type endpoints struct {
 	mu         sync.Mutex
 	partitions map[string]partitionList
 	leaving    map[instanceID]time.Time
+	early      map[string]time.Time // signs for addresses not listed yet
 }
 
 type partitionList struct {
@@ -24,7 +30,7 @@
 }
 
 func newEndpoints() *endpoints {
-	return &endpoints{partitions: map[string]partitionList{}, leaving: map[instanceID]time.Time{}}
+	return &endpoints{partitions: map[string]partitionList{}, leaving: map[instanceID]time.Time{}, early: map[string]time.Time{}}
 }
 
 // apply takes a partition's state and returns the services whose list changed.
@@ -46,15 +52,22 @@
 		}
 	}
 	t.expire(time.Now())
+	for i := range s.Endpoints {
+		e := &s.Endpoints[i]
+		if _, ok := t.early[e.Address]; ok {
+			t.leaving[instanceOf(e)] = time.Now()
+		}
+	}
 	return changed
 }
 
 // markLeaving notes the sign for every instance at the address and returns the
-// services concerned.
-func (t *endpoints) markLeaving(address string) map[string]bool {
+// services concerned, and whether the sign is news.
+func (t *endpoints) markLeaving(address string) (map[string]bool, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	changed := map[string]bool{}
+	listed := false
 	for _, p := range t.partitions {
 		for i := range p.list {
 			e := &p.list[i]
@@ -66,9 +79,15 @@
 				changed[e.Service] = true
 			}
 			t.leaving[id] = time.Now()
+			listed = true
 		}
 	}
-	return changed
+	if listed {
+		return changed, len(changed) > 0
+	}
+	_, known := t.early[address]
+	t.early[address] = time.Now()
+	return nil, !known
 }
 
 func (t *endpoints) expire(now time.Time) {
@@ -77,6 +96,11 @@
 			delete(t.leaving, id)
 		}
 	}
+	for address, at := range t.early {
+		if now.Sub(at) > earlySignKept {
+			delete(t.early, address)
+		}
+	}
 }
 
 // of returns the service's instances by id, signs of leaving applied.
--- a/request/slots/manager.go
+++ b/request/slots/manager.go
@@ -108,9 +108,9 @@
 
 // leaving applies a sign; false when it was known.
 func (m *Manager) leaving(address string) bool {
-	changed := m.endpoints.markLeaving(address)
+	changed, news := m.endpoints.markLeaving(address)
 	m.refresh(changed)
-	return len(changed) > 0
+	return news
 }
 
 // refresh hands changed endpoint lists to the holders and pools.
