--- a/process/partition/commit.go
+++ b/process/partition/commit.go
@@ -28,23 +28,6 @@
 	return "reserved/" + id + "/" + task.String()
 }
 
-// held returns what the reservation holds at one worker.
-func (r *reservation) held(o *owner, id worker.ID) spec.Resources {
-	var sum spec.Resources
-	for name, other := range o.holds {
-		if other != r {
-			continue
-		}
-		for task, step := range r.steps {
-			if step.Worker == id {
-				size, _ := o.ledger.Holds(id, r.key(name, task))
-				sum = sum.Add(size)
-			}
-		}
-	}
-	return sum
-}
-
 func refuseAll(n int, outcome plan.Outcome, reason string) []plan.StepResult {
 	steps := make([]plan.StepResult, n)
 	for i := range steps {
@@ -102,9 +85,6 @@
 	n.tasks[t.ref] = t
 	t.at = n.id
 	o.live[t.ref.Task] = t
-	if t.phase == queued {
-		o.mustBalance(n)
-	}
 	o.touchTask(n, t)
 	return plan.StepResult{Outcome: plan.Accepted}
 }
@@ -284,11 +264,3 @@
 		}
 	}
 }
-
-// mustBalance panics when the books of a worker are wrong: going on could put
-// more on a VM than it carries.
-func (o *owner) mustBalance(n *node) {
-	if err := o.checkBooks(n); err != nil {
-		panic(err)
-	}
-}
--- a/process/partition/host.go
+++ b/process/partition/host.go
@@ -114,6 +114,9 @@
 	old := h.owners[name]
 	h.owners[name] = o
 	h.mu.Unlock()
+	if err := checkGrant(old, g); err != nil {
+		panic(err)
+	}
 	if old != nil {
 		old.cancel()
 	}
--- a/process/partition/model.go
+++ b/process/partition/model.go
@@ -1,6 +1,7 @@
 package partition
 
 import (
+	"strconv"
 	"time"
 
 	"fennelshunt.example/fennelshunt/connection/vmlist"
@@ -30,6 +31,7 @@
 // task is one attempt of a task at one worker of the partition.
 type task struct {
 	ref           worker.Ref
+	name          string       // see holder
 	start         worker.Start // also set for adopted tasks, as far as known
 	class         spec.Class
 	team          string
@@ -55,7 +57,14 @@
 	at           worker.ID
 }
 
-func (t *task) holder() string { return t.ref.Task.String() }
+// holder names the attempt in the ledger. Two attempts of a task at one worker,
+// which must not be and which the ledger must still count, are two holders.
+func (t *task) holder() string {
+	if t.name == "" {
+		t.name = t.ref.Task.String() + "#" + strconv.Itoa(t.ref.Attempt)
+	}
+	return t.name
+}
 
 // live reports whether the task may run now or later.
 func (t *task) live() bool { return t.phase != ended }
--- a/process/partition/owner.go
+++ b/process/partition/owner.go
@@ -55,6 +55,7 @@
 	settled    bool               // no earlier owner can start anything any more
 	noted      map[worker.ID]bool // workers in the memo
 	noting     bool
+	checkNext  []worker.ID   // see checkInvariants
 	noteAt     time.Time     // of the next try
 	idle       chan struct{} // closed when releasing and no call is under way
 }
@@ -173,6 +174,7 @@
 		o.wake(n)
 	}
 	o.remember(now)
+	o.checkInvariants()
 	o.follow()
 }
 
