--- /dev/null
+++ b/process/jobs/cputime_test.go
@@ -0,0 +1,10 @@
+package jobs
+
+import "syscall"
+
+// cpuTime returns the processor time of this process in nanoseconds.
+func cpuTime() int64 {
+	var usage syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &usage)
+	return usage.Utime.Nano() + usage.Stime.Nano()
+}
--- a/process/jobs/job.go
+++ b/process/jobs/job.go
@@ -95,8 +95,10 @@
 	failing bool // guards failGang against itself
 	// pacing of a job that fails everywhere.
 	failuresInRow int
-	// size is what the next task reserves, learned at sizedAt.
+	// size is what the next task reserves and runTime how long it is expected
+	// to run, learned at sizedAt.
 	size    spec.Resources
+	runTime time.Duration
 	sizedAt time.Time
 }
 
@@ -189,7 +191,7 @@
 // ask describes a task to the scheduler.
 func (st *state) ask(j *job, index uint32, number int) sched.Ask {
 	a := j.ask(index, number)
-	a.RunTime = st.learner.RunTime(j.key.Job)
+	a.RunTime = j.runTime
 	a.Avoid = j.avoid[index]
 	return a
 }
--- a/process/jobs/round.go
+++ b/process/jobs/round.go
@@ -148,6 +148,7 @@
 		return false
 	}
 	j.sizedAt = now
+	j.runTime = st.learner.RunTime(j.key.Job)
 	size := st.learner.Size(j.key.Job, st.round.largest)
 	if size == j.size || size.IsZero() {
 		return false
