Let an unconfirmed owner renew only tasks under its own leases

Cause: an owner cut off from the store could open a lease at a worker that its successor had fenced and then let run out, move the tasks to it and renew them, while the successor gave them up for lost and had them started elsewhere. Change: without a confirmed claim a lease is used only when every running task is still under a lease of this ownership; a release that times out takes plans again; the heartbeat interval counts all workers of the daemon.

--- a/process/partition/calls.go
+++ b/process/partition/calls.go
@@ -79,7 +79,7 @@
 		n.failures = 0
 		o.touch(n)
 	}
-	n.nextSync = now.Add(o.t.syncInterval(len(o.nodes)))
+	n.nextSync = now.Add(o.syncInterval())
 	n.seq = reply.Seq
 	o.forget(n, req.Acks)
 	for _, ref := range req.Stops {
@@ -131,7 +131,7 @@
 		o.touch(n)
 	}
 	n.failures++
-	wait := min(time.Duration(n.failures)*o.t.syncInterval(len(o.nodes)), maxBackoff)
+	wait := min(time.Duration(n.failures)*o.syncInterval(), maxBackoff)
 	n.nextSync = now.Add(wait)
 	n.nextTry = now.Add(wait)
 	o.refuseQueued(n)
@@ -316,3 +316,8 @@
 	n.busy = false
 	o.wake(n)
 }
+
+// syncInterval is the heartbeat interval for all workers of the daemon.
+func (o *owner) syncInterval() time.Duration {
+	return o.t.syncInterval(int(o.h.workers.Load()))
+}
--- a/process/partition/fence.go
+++ b/process/partition/fence.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"sync"
 	"time"
 
@@ -106,8 +107,11 @@
 //  5. move the running tasks to our lease.
 //
 // With the store out of reach step 2 fails: then the lease only renews what
-// runs, and only when no other lease is open.
-func (o *owner) fence(ctx context.Context, id worker.ID, agent worker.Agent, knownLease worker.LeaseID) (fenceResult, error) {
+// runs, and only when nobody else has opened a lease or taken a task over. A
+// later owner that has fenced this worker moved every task to its own lease; if
+// it then gives the worker up for gone, it starts them elsewhere as soon as that
+// lease has run out, so nobody may renew them.
+func (o *owner) fence(ctx context.Context, id worker.ID, agent worker.Agent, ours map[worker.LeaseID]bool) (fenceResult, error) {
 	var r fenceResult
 	lease, err := agent.OpenLease(ctx, worker.OpenLease{
 		Owner:   fmt.Sprintf("%s/%d", o.claim.Owner.ID, o.claim.Owner.Incarnation),
@@ -132,7 +136,7 @@
 	}
 	if r.confirmed {
 		err = r.revokeOthers(ctx, agent)
-	} else if foreign(r.inventory.Leases, lease, knownLease) {
+	} else if foreign(r.inventory, lease, ours) {
 		err = fmt.Errorf("%w: %w", errForeignLease, confirmErr)
 	}
 	if err != nil {
@@ -141,9 +145,15 @@
 	return r, r.adopt(ctx, agent)
 }
 
-func foreign(leases []worker.LeaseID, ours ...worker.LeaseID) bool {
-	for _, id := range leases {
-		if id != ours[0] && id != ours[1] {
+// foreign reports whether somebody else holds a lease or a running task.
+func foreign(inv worker.Inventory, lease worker.LeaseID, ours map[worker.LeaseID]bool) bool {
+	for _, id := range inv.Leases {
+		if id != lease && !ours[id] {
+			return true
+		}
+	}
+	for _, t := range inv.Tasks {
+		if !t.State.Ended() && t.Lease != lease && !ours[t.Lease] {
 			return true
 		}
 	}
@@ -198,11 +208,11 @@
 // startFence runs fence in the background.
 func (o *owner) startFence(n *node) {
 	n.busy = true
-	agent, known := n.agent, n.lease
+	agent, ours := n.agent, maps.Clone(n.leases)
 	go func() {
 		ctx, cancel := context.WithTimeout(o.ctx, 3*o.t.CallTimeout)
 		defer cancel()
-		r, err := o.fence(ctx, n.id, agent, known)
+		r, err := o.fence(ctx, n.id, agent, ours)
 		o.post(func() { o.fenceDone(n, r, err) })
 	}()
 }
@@ -211,6 +221,9 @@
 	now := time.Now()
 	o.returned(n)
 	n.nextTry = now.Add(fenceRetry)
+	if r.lease != "" {
+		n.leases[r.lease] = true
+	}
 	if r.adopted {
 		n.renewed = now
 	}
@@ -228,7 +241,7 @@
 	n.failures = 0
 	n.lease, n.seq = r.lease, r.inventory.Seq
 	n.renewed = now
-	n.nextSync = now.Add(o.t.syncInterval(len(o.nodes)))
+	n.nextSync = now.Add(o.syncInterval())
 	n.provision = !r.confirmed
 	n.nextTry = now.Add(storeRetry)
 	if !r.confirmed {
--- a/process/partition/harness_test.go
+++ b/process/partition/harness_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"flag"
 	"fmt"
 	"os"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -83,6 +85,7 @@
 	racks   *Racks
 	metrics *Metrics
 	gate    *gate
+	vms     *vmView
 	stop    context.CancelFunc
 
 	mu      sync.Mutex
@@ -102,6 +105,19 @@
 	return slices.Clone(l.vms), nil
 }
 
+// vmView is one daemon's view of the list; frozen, it fails.
+type vmView struct {
+	list   *vmList
+	frozen atomic.Bool
+}
+
+func (v *vmView) List(ctx context.Context) ([]vmlist.VM, error) {
+	if v.frozen.Load() {
+		return nil, errors.New("VM list out of reach")
+	}
+	return v.list.List(ctx)
+}
+
 func (l *vmList) add(vm vmlist.VM) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -157,7 +173,8 @@
 		other.view.Set(member(ref))
 	}
 	caller, mux := c.net.Node(ref)
-	d.racks = NewRacks(c.vms, time.Second, zerolog.Nop())
+	d.vms = &vmView{list: c.vms}
+	d.racks = NewRacks(d.vms, time.Second, zerolog.Nop())
 	d.gate = &gate{Store: c.kv}
 	d.manager = ownership.New(ownership.Options{
 		View: d.view, Store: store.NewClient(d.gate, store.Options{}).Role(store.RoleClaims),
--- a/process/partition/host.go
+++ b/process/partition/host.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -19,6 +20,8 @@
 	o      Options
 	fences fences
 
+	workers atomic.Int64 // of all partitions, see Timing.syncInterval
+
 	mu     sync.Mutex
 	owners map[string]*owner
 }
@@ -157,6 +160,7 @@
 	case <-idle:
 		return nil
 	case <-ctx.Done():
+		_, _ = call(context.WithoutCancel(ctx), o, o.cancelRelease)
 		return fmt.Errorf("release %s: %w", r, ctx.Err())
 	}
 }
--- a/process/partition/model.go
+++ b/process/partition/model.go
@@ -86,8 +86,9 @@
 
 	capacity  spec.Resources
 	lease     worker.LeaseID
-	fenced    bool // leases of others revoked, tasks known, lease confirmed
-	everKnown bool // fenced at least once in this epoch
+	leases    map[worker.LeaseID]bool // every lease opened here in this epoch
+	fenced    bool                    // leases of others revoked, tasks known, lease confirmed
+	everKnown bool                    // fenced at least once in this epoch
 	// accounted is set when the worker could not be fenced but nothing that an
 	// earlier owner started can run there any more.
 	accounted bool
--- a/process/partition/owner.go
+++ b/process/partition/owner.go
@@ -56,6 +56,7 @@
 	noted      map[worker.ID]bool // workers in the memo
 	noting     bool
 	checkNext  []worker.ID   // see checkInvariants
+	counted    int           // workers counted in the host's sum
 	noteAt     time.Time     // of the next try
 	idle       chan struct{} // closed when releasing and no call is under way
 }
@@ -100,6 +101,7 @@
 		select {
 		case <-o.ctx.Done():
 			o.state.close()
+			o.h.workers.Add(-int64(o.counted))
 			return
 		case f := <-o.commands:
 			f()
@@ -250,6 +252,7 @@
 			o.startDraining(n)
 		}
 	}
+	o.countNodes()
 	for id, n := range o.nodes {
 		if !listed[id] && !n.gone && o.h.o.Racks.VMGone(string(id)) {
 			n.gone = true
@@ -260,12 +263,19 @@
 	}
 }
 
+// countNodes tells the host how many workers this owner keeps alive.
+func (o *owner) countNodes() {
+	o.h.workers.Add(int64(len(o.nodes) - o.counted))
+	o.counted = len(o.nodes)
+}
+
 func (o *owner) addNode(id worker.ID, vm vmlist.VM) *node {
 	n := &node{
 		id:       id,
 		vm:       vm,
 		agent:    o.h.o.Dialer.Dial(vm.Address),
 		tasks:    make(map[worker.Ref]*task),
+		leases:   make(map[worker.LeaseID]bool),
 		capacity: vm.Capacity,
 	}
 	o.nodes[id] = n
@@ -293,6 +303,12 @@
 	o.h.Lost(o.claim.Resource, o.claim.Epoch)
 }
 
+// cancelRelease takes plans again after a release that did not come to pass.
+func (o *owner) cancelRelease() bool {
+	o.releasing, o.idle = false, nil
+	return true
+}
+
 // prepareRelease takes no new work and returns a channel closed when no call
 // to a worker is under way and no event waits.
 func (o *owner) prepareRelease() <-chan struct{} {
--- a/process/partition/random_test.go
+++ b/process/partition/random_test.go
@@ -30,7 +30,7 @@
 var actionKinds = []string{
 	"pause", "resume", "kill", "restart", "gone", "cutStore", "healStore", "cutWorker", "healWorker",
 	"rebootWorker", "downWorker", "upWorker", "loss", "calm", "storeDown", "storeUp", "cutPeer", "healPeer",
-	"shardTakeover", "shardDeaf", "leave", "nothing", "holdStore", "holdWorkers", "unlistWorker", "listWorker",
+	"shardTakeover", "shardDeaf", "leave", "nothing", "holdStore", "holdWorkers", "unlistWorker", "listWorker", "hideList", "showList",
 }
 
 func drawActions(t *rapid.T) []action {
@@ -133,6 +133,10 @@
 		r.vms.remove(string(id))
 	case "listWorker":
 		r.listWorkers()
+	case "hideList":
+		d.vms.frozen.Store(true)
+	case "showList":
+		d.vms.frozen.Store(false)
 	case "leave":
 		go func() { _ = d.manager.Leave(r.ctx) }()
 	}
--- a/process/partition/stop.go
+++ b/process/partition/stop.go
@@ -40,6 +40,7 @@
 			o.stopUnknown(req.Author.Shard, ref)
 			continue
 		}
+		t.shard = req.Author.Shard
 		o.stopTask(n, t, req.Mode, drain)
 	}
 	return nil
--- a/process/partition/takeover_test.go
+++ b/process/partition/takeover_test.go
@@ -236,6 +236,33 @@
 	})
 }
 
+func TestCutOffOwnerDoesNotTakeTasksBack(t *testing.T) {
+	// Symptom:  a task runs at two workers.
+	// Sequence: the owner is cut off from everything but the workers; another
+	//           one takes over and fences; a worker leaves the VM list although
+	//           it is alive, so the new owner lets its leases run out; the old
+	//           owner opens a lease there, moves the tasks to it and renews
+	//           them; the new owner gives them up for lost.
+	// Cause:    renewing without a confirmed claim was allowed for tasks that
+	//           another owner had taken over.
+	inBubble(t, 2, 2, large, func(c *cell) {
+		c.rack.ForgetEpochs(workerID(1))
+		old := c.ready()
+		c.author.mustStart(old, step(1, workerID(1)))
+		old.gate.setCut(true)
+		old.vms.frozen.Store(true)
+		d := c.takeOver(old)
+		c.eventually(time.Minute, "fenced", func() bool {
+			reply, err := c.author.fence(d)
+			return err == nil && len(reply.Unaccounted) == 0 && len(reply.Tasks) == 1
+		})
+		c.vms.remove(string(workerID(1)))
+		c.eventually(10*time.Minute, "given up", func() bool { return c.restartElsewhere(d, 1, workerID(1), workerID(0)) })
+		_, err := old.host.owner(testPartition)
+		require.NoError(t, err, "the old owner still believes in its claim")
+	})
+}
+
 func TestPlanThatArrivesAfterAFenceIsRefused(t *testing.T) {
 	// Symptom:  a task runs at two workers.
 	// Sequence: a plan is delayed on its way, its sender gives up waiting and
