--- a/process/partition/cost_test.go
+++ b/process/partition/cost_test.go
@@ -183,25 +183,15 @@
 // the answer, with the start and its event behind it; and, as the baseline, the
 // same call with a plan that is refused as stale.
 func BenchmarkCommit(b *testing.B) {
-	c := newCell(b, 1, 8, 1, spec.Resources{MilliCPU: 1 << 40, MemoryMB: 1 << 40})
-	defer c.cancel()
-	d := c.daemons[0]
-	d.host.o.Dialer = nopDialer{}
-	d.host.o.Racks = NewRacks(c.vms, time.Hour, zerolog.Nop())
-	require.NoError(b, d.host.o.Racks.Refresh(b.Context()))
-	require.Eventually(b, func() bool { return c.owner() != nil && c.takesPlans(d) }, 20*time.Second, time.Millisecond)
-	o, err := d.host.owner(testPartition)
-	require.NoError(b, err)
-	time.Sleep(time.Second)
+	o := benchOwner(b, 8)
 	for _, epoch := range []uint64{0, 1} {
 		name := "accepted"
 		if epoch == 0 {
 			name = "refused"
-			d.host.fences.raise(testShard, 1, 0)
+			o.h.fences.raise(testShard, 1, 0)
 		}
 		b.Run(name, func(b *testing.B) {
-			author := c.author.as()
-			author.Epoch = epoch
+			author := plan.Authorship{Shard: testShard, Epoch: epoch}
 			i := int(epoch) << 40
 			for b.Loop() {
 				i++
@@ -228,3 +218,39 @@
 		}
 	}
 }
+
+// BenchmarkTick measures one look at 16 workers with 32 running tasks each,
+// which happens ten times a second.
+func BenchmarkTick(b *testing.B) {
+	o := benchOwner(b, 16)
+	_, err := call(b.Context(), o, func() bool {
+		for i := range 16 * 32 {
+			n := o.nodes[workerID(i%16)]
+			t := newTask(testShard, step(i, n.id))
+			t.enter(running)
+			n.tasks[t.ref] = t
+			o.live[t.ref.Task] = t
+			require.NoError(b, o.ledger.Reserve(n.id, t.holder(), small))
+		}
+		return true
+	})
+	require.NoError(b, err)
+	b.ResetTimer()
+	for b.Loop() {
+		_, err := call(b.Context(), o, func() bool { o.step(); return true })
+		require.NoError(b, err)
+	}
+}
+
+// benchOwner starts an owner whose workers answer at once.
+func benchOwner(b *testing.B, workers int) *owner {
+	c := newCell(b, 1, workers, 1, spec.Resources{MilliCPU: 1 << 40, MemoryMB: 1 << 40})
+	b.Cleanup(c.cancel)
+	d := c.daemons[0]
+	d.host.o.Dialer = nopDialer{}
+	require.Eventually(b, func() bool { return c.owner() != nil && c.takesPlans(d) }, 20*time.Second, time.Millisecond)
+	o, err := d.host.owner(testPartition)
+	require.NoError(b, err)
+	time.Sleep(time.Second)
+	return o
+}
