Count a daemon's processor time, memory and control bytes by kind

Change: process/capacity meters the connections to peers, workers, store and VM list and reads the process's counters; a daemon serves them below 'process' of its metrics. The sockets keep the methods by which the QUIC library uses batches and offload.

--- a/process/daemon/admin.go
+++ b/process/daemon/admin.go
@@ -14,6 +14,7 @@
 
 	"fennelshunt.example/fennelshunt/process/admin"
 	"fennelshunt.example/fennelshunt/process/admin/api"
+	"fennelshunt.example/fennelshunt/process/capacity"
 	"fennelshunt.example/fennelshunt/process/jobs"
 	"fennelshunt.example/fennelshunt/process/ownership"
 	"fennelshunt.example/fennelshunt/process/plan"
@@ -71,6 +72,7 @@
 	m.Set("store", a.l.store.Vars())
 	m.Set("versions", a.l.versions.Vars())
 	m.Set("owned", expvar.Func(a.owned))
+	m.Set(capacity.VarsKey, expvar.Func(func() any { return a.l.d.meter.Usage() }))
 	if v := expvar.Get("memstats"); v != nil {
 		m.Set("memstats", v)
 	}
--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -10,9 +10,7 @@
 	"errors"
 	"fmt"
 	"net"
-	"net/http"
 	"sync/atomic"
-	"time"
 
 	"github.com/rs/zerolog"
 
@@ -21,13 +19,11 @@
 	"fennelshunt.example/fennelshunt/connection/vmlist"
 	"fennelshunt.example/fennelshunt/connection/worker"
 	"fennelshunt.example/fennelshunt/process/admin"
+	"fennelshunt.example/fennelshunt/process/capacity"
 	"fennelshunt.example/fennelshunt/process/fleet"
 	"fennelshunt.example/fennelshunt/process/settings"
 )
 
-// platformTimeout bounds one HTTP call to the platform beside its own limits.
-const platformTimeout = 30 * time.Second
-
 // ErrStopped is returned by Stop when no life is running.
 var ErrStopped = errors.New("daemon: not running")
 
@@ -61,6 +57,7 @@
 	tokens  admin.Authenticator
 	listen  listeners
 	metrics metrics
+	meter   *capacity.Meter
 	life    atomic.Pointer[life]
 	ready   chan struct{} // closed when the first life serves
 }
@@ -74,7 +71,7 @@
 // New loads the keys and opens the TCP listeners; Close releases them if Serve
 // is never called.
 func New(o Options) (*Daemon, error) {
-	d := &Daemon{o: o, log: o.Log.With().Str("daemon", o.Settings.Name).Logger(), ready: make(chan struct{})}
+	d := &Daemon{o: o, log: o.Log.With().Str("daemon", o.Settings.Name).Logger(), ready: make(chan struct{}), meter: capacity.NewMeter()}
 	if err := d.loadKeys(); err != nil {
 		return nil, err
 	}
@@ -117,19 +114,6 @@
 	return nil
 }
 
-func (d *Daemon) completePlatform() {
-	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2, IdleConnTimeout: time.Minute}, Timeout: platformTimeout}
-	if d.o.Store == nil {
-		d.o.Store = store.NewHTTP(d.o.Settings.Platform.Store, nil)
-	}
-	if d.o.VMs == nil {
-		d.o.VMs = vmlist.NewHTTP(d.o.Settings.Platform.VMList, client)
-	}
-	if d.o.Workers == nil {
-		d.o.Workers = worker.NewHTTPDialer(client)
-	}
-}
-
 func (d *Daemon) open() error {
 	a := d.o.Settings.Listen
 	for _, l := range []struct {
--- a/process/daemon/life.go
+++ b/process/daemon/life.go
@@ -62,7 +62,11 @@
 	claimed := fleet.ClaimLife(ctx, l.store.Role(store.RoleMembers), peer.MemberID(d.o.Settings.Name), floor)
 	l.self = claimed.Ref
 	l.log = d.log.With().Uint64("incarnation", l.self.Incarnation).Logger()
-	node, err := peer.Listen(d.listen.peerAddr, l.self, d.peers.PeerConfig(), l.mux, l.log)
+	socket, err := d.listenPeers()
+	if err != nil {
+		return nil, err
+	}
+	node, err := peer.NewNode(socket, l.self, d.peers.PeerConfig(), l.mux, l.log)
 	if err != nil {
 		return nil, fmt.Errorf("daemon: listen.peer: %w", err)
 	}
