Keep workers usable through an outage after a lost answer

Cause: settling an unknown start fenced the worker anew; with the store out of reach the new lease can not be confirmed and the worker took no tasks for the rest of the outage. A worker whose lease was lost tried to confirm each second, with an inventory each time; a lease that never holds was opened in a loop. Change: the store is asked before the worker is fenced anew; tries are spaced out up to 30 s; starts that were not sent go back to their shard.

--- a/process/ownership/state.go
+++ b/process/ownership/state.go
@@ -248,12 +248,21 @@
 	return a.targets
 }
 
+func setOf(resources []Resource) map[Resource]bool {
+	set := make(map[Resource]bool, len(resources))
+	for _, r := range resources {
+		set[r] = true
+	}
+	return set
+}
+
 // withClaimed adds the resources that are claimed but no longer listed:
 // somebody must own them until the user has no more use for them.
 func (s *state) withClaimed(prefix string, listed []Resource) []Resource {
 	all := slices.Clone(listed)
+	known := setOf(listed)
 	for r, e := range s.claims {
-		if strings.HasPrefix(string(r), prefix) && !e.Released && !slices.Contains(listed, r) {
+		if strings.HasPrefix(string(r), prefix) && !e.Released && !known[r] {
 			all = append(all, r)
 		}
 	}
@@ -266,8 +275,9 @@
 		return // nothing has been read yet
 	}
 	now := time.Now()
+	known := setOf(listed)
 	for r := range s.held {
-		if strings.HasPrefix(string(r), prefix) && !slices.Contains(listed, r) && now.After(s.delays[r].after) {
+		if strings.HasPrefix(string(r), prefix) && !known[r] && now.After(s.delays[r].after) {
 			s.handOver(r)
 		}
 	}
--- a/process/partition/calls.go
+++ b/process/partition/calls.go
@@ -120,7 +120,8 @@
 		// The worker restarted, was out of reach for longer than the lease, or
 		// another owner revoked it: fence again, which asks the store.
 		n.fenced, n.provision = false, false
-		n.nextTry = now
+		// At once, but not in a tight loop when a lease never holds.
+		n.nextTry = n.lastFence.Add(fenceRetry)
 		o.touch(n)
 		return
 	case errors.Is(err, context.Canceled) && o.ctx.Err() != nil:
@@ -277,13 +278,30 @@
 			t.stopWanted = true
 		}
 		if t.phase == unknown && n.fenced && now.Sub(t.since) >= o.t.UnknownGrace {
-			n.fenced = false
-			n.nextTry = now
-			o.touch(n)
+			t.since = now
+			o.settleUnknown(n)
 		}
 	}
 }
 
+// settleUnknown fences the worker anew, which ends every start on its way. It
+// asks the store first: in an outage the new lease could not be confirmed, and
+// one lost answer would close the worker to new tasks for the whole of it.
+func (o *owner) settleUnknown(n *node) {
+	go func() {
+		ctx, cancel := context.WithTimeout(o.ctx, storeTimeout)
+		defer cancel()
+		if o.confirms.do(ctx) != nil {
+			return // tried again after another grace period
+		}
+		o.post(func() {
+			n.fenced = false
+			n.nextTry = time.Time{}
+			o.touch(n)
+		})
+	}()
+}
+
 // settleGone gives up the tasks of a worker that left the VM list, once the
 // last lease that may have renewed them has run out.
 func (o *owner) settleGone(n *node, now time.Time) {
--- a/process/partition/fence.go
+++ b/process/partition/fence.go
@@ -18,6 +18,10 @@
 	storeTimeout = 3 * time.Second
 	storeRetry   = time.Second
 	fenceRetry   = time.Second
+	// maxStoreRetry bounds the pause between tries to confirm the claim of a
+	// worker whose lease was lost in an outage.
+	maxStoreRetry     = 30 * time.Second
+	maxStoreDoublings = 5
 	// maxRevokeRounds bounds how often leases are listed and revoked in one
 	// attempt; more means that somebody keeps opening new ones.
 	maxRevokeRounds = 3
@@ -208,6 +212,7 @@
 // startFence runs fence in the background.
 func (o *owner) startFence(n *node) {
 	n.busy = true
+	n.lastFence = time.Now()
 	agent, ours := n.agent, maps.Clone(n.leases)
 	go func() {
 		ctx, cancel := context.WithTimeout(o.ctx, 3*o.t.CallTimeout)
@@ -243,14 +248,19 @@
 	n.renewed = now
 	n.nextSync = now.Add(o.syncInterval())
 	n.provision = !r.confirmed
-	n.nextTry = now.Add(storeRetry)
 	if !r.confirmed {
+		// Each try costs an inventory, and an outage lasts long.
+		n.nextTry = now.Add(min(storeRetry<<n.unconfirmed, maxStoreRetry))
+		n.unconfirmed = min(n.unconfirmed+1, maxStoreDoublings)
+		o.refuseQueued(n)
 		o.touch(n)
 		return
 	}
 	o.h.o.Metrics.Fenced.Add(1)
 	o.h.o.Metrics.Revoked.Add(int64(r.revoked))
 	n.fenced, n.everKnown, n.accounted = true, true, false
+	n.unconfirmed = 0
+	n.leases = map[worker.LeaseID]bool{r.lease: true} // the others are revoked
 	o.takeInventory(n, r.inventory)
 }
 
--- a/process/partition/model.go
+++ b/process/partition/model.go
@@ -98,7 +98,10 @@
 	busy     bool // a call is under way; there is never more than one
 	nextSync time.Time
 	nextTry  time.Time // of a fence
-	failures int       // calls that failed in a row
+	// lastFence and unconfirmed space out tries to fence.
+	lastFence   time.Time
+	unconfirmed int
+	failures    int // calls that failed in a row
 	// renewed is the latest time at which a call of ours may have renewed
 	// tasks, whether or not its answer came.
 	renewed  time.Time
--- /dev/null
+++ b/process/partition/outage_test.go
@@ -0,0 +1,102 @@
+package partition
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"fennelshunt.example/fennelshunt/process/ownership"
+	"fennelshunt.example/fennelshunt/process/partition/agenttest"
+	"fennelshunt.example/fennelshunt/process/plan"
+	"fennelshunt.example/fennelshunt/standin/kv"
+)
+
+// storeDown begins or ends an outage of the store for every daemon.
+func (c *cell) storeDown(down bool) {
+	c.kv.SetFaults(kv.Faults{Down: down})
+	for _, d := range c.daemons {
+		d.freezeRenewal(down)
+	}
+}
+
+func TestStoreOutageOfAnHourStopsNothing(t *testing.T) {
+	// Symptom:  services end, or no task starts, while the store is down.
+	// Sequence: the store is down for an hour.
+	// Cause:    authority bound to the store's lease without a long bound.
+	inBubble(t, 2, 2, large, func(c *cell) {
+		d := c.ready()
+		c.author.mustStart(d, step(1, workerID(0)))
+		c.storeDown(true)
+		for i := range 6 {
+			time.Sleep(10 * time.Minute)
+			c.author.mustStart(d, step(10+i, workerID(i%2)))
+		}
+		require.Zero(t, d.metrics.Lost.Value())
+		c.storeDown(false)
+	})
+}
+
+func TestOutageBeyondTheStartBoundKeepsWhatRuns(t *testing.T) {
+	// Symptom:  running services end in a long outage.
+	// Sequence: the outage outlasts the bound for new starts.
+	// Cause:    one bound for starting and for renewing.
+	inBubble(t, 1, 2, large, func(c *cell) {
+		d := c.ready()
+		s := step(1, workerID(0))
+		s.Start.Kind = "service"
+		c.author.mustStart(d, s)
+		c.storeDown(true)
+		time.Sleep(ownership.DefaultStartBound + time.Minute)
+		require.Equal(t, plan.NotFenced, c.author.commit(d, step(2, workerID(0)))[0].Outcome)
+		require.Len(t, c.rack.Running(workerID(0)), 1)
+		time.Sleep(testRenewBound - ownership.DefaultStartBound + DefaultTaskTTL)
+		require.Empty(t, c.rack.Running(workerID(0)), "nobody may renew beyond the longer bound")
+		c.storeDown(false)
+	})
+}
+
+func TestWorkerCutOffInAnOutageKeepsItsTasks(t *testing.T) {
+	// Symptom:  services end in an outage after a short network fault.
+	// Sequence: during an outage a worker is out of reach for longer than its
+	//           lease; the new lease can not be confirmed.
+	// Cause:    renewing what runs was refused together with starting.
+	inBubble(t, 1, 2, large, func(c *cell) {
+		d := c.ready()
+		c.author.mustStart(d, service(1, workerID(0)))
+		c.storeDown(true)
+		c.rack.Cut(d.key(), workerID(0), true)
+		time.Sleep(2 * DefaultLeaseTTL)
+		c.rack.Cut(d.key(), workerID(0), false)
+		time.Sleep(30 * time.Minute)
+		require.Len(t, c.rack.Running(workerID(0)), 1)
+		require.Equal(t, plan.NoWorker, c.author.commit(d, step(2, workerID(0)))[0].Outcome)
+		c.author.mustStart(d, step(3, workerID(1)))
+		require.Less(t, c.rack.Calls(d.key()), 2*60*60, "tries to confirm are spaced out")
+		c.storeDown(false)
+		c.eventually(time.Minute, "usable again", func() bool {
+			return c.author.commit(d, step(2, workerID(0)))[0].Outcome == plan.Accepted
+		})
+	})
+}
+
+func TestLostAnswerInAnOutageDoesNotCloseTheWorker(t *testing.T) {
+	// Symptom:  in an outage workers stop taking tasks one after the other.
+	// Sequence: a start never arrives while the store is down.
+	// Cause:    its outcome was settled by a new lease, which can not be
+	//           confirmed in an outage.
+	inBubble(t, 1, 1, large, func(c *cell) {
+		d := c.ready()
+		c.storeDown(true)
+		c.rack.SetFaults(agenttest.Faults{LoseCalls: 1})
+		require.Equal(t, plan.Accepted, c.author.commit(d, step(1, workerID(0)))[0].Outcome)
+		time.Sleep(200 * time.Millisecond)
+		c.rack.SetFaults(agenttest.Faults{})
+		time.Sleep(time.Minute)
+		c.author.mustStart(d, step(2, workerID(0)))
+		c.storeDown(false)
+		c.eventually(time.Minute, "settled", func() bool {
+			return c.author.saw(func(e plan.Event) bool { return e.Task == taskID(1) && e.Lost })
+		})
+	})
+}
--- a/process/partition/takeover_test.go
+++ b/process/partition/takeover_test.go
@@ -10,7 +10,6 @@
 	"fennelshunt.example/fennelshunt/connection/worker"
 	"fennelshunt.example/fennelshunt/process/ownership"
 	"fennelshunt.example/fennelshunt/process/plan"
-	"fennelshunt.example/fennelshunt/standin/kv"
 )
 
 // takeOver makes another daemon the owner and returns it.
@@ -282,43 +281,3 @@
 		require.Equal(t, 1, c.rack.Starts()[taskID(1)])
 	})
 }
-
-func TestStoreOutageOfAnHourStopsNothing(t *testing.T) {
-	// Symptom:  services end, or no task starts, while the store is down.
-	// Sequence: the store is down for an hour.
-	// Cause:    authority bound to the store's lease without a long bound.
-	inBubble(t, 2, 2, large, func(c *cell) {
-		d := c.ready()
-		c.author.mustStart(d, step(1, workerID(0)))
-		c.kv.SetFaults(kv.Faults{Down: true})
-		for _, other := range c.daemons {
-			other.freezeRenewal(true)
-		}
-		for i := range 6 {
-			time.Sleep(10 * time.Minute)
-			c.author.mustStart(d, step(10+i, workerID(i%2)))
-		}
-		require.Zero(t, d.metrics.Lost.Value())
-		c.kv.SetFaults(kv.Faults{})
-	})
-}
-
-func TestOutageBeyondTheStartBoundKeepsWhatRuns(t *testing.T) {
-	// Symptom:  running services end in a long outage.
-	// Sequence: the outage outlasts the bound for new starts.
-	// Cause:    one bound for starting and for renewing.
-	inBubble(t, 1, 2, large, func(c *cell) {
-		d := c.ready()
-		s := step(1, workerID(0))
-		s.Start.Kind = "service"
-		c.author.mustStart(d, s)
-		c.kv.SetFaults(kv.Faults{Down: true})
-		d.freezeRenewal(true)
-		time.Sleep(ownership.DefaultStartBound + time.Minute)
-		require.Equal(t, plan.NotFenced, c.author.commit(d, step(2, workerID(0)))[0].Outcome)
-		require.Len(t, c.rack.Running(workerID(0)), 1)
-		time.Sleep(testRenewBound - ownership.DefaultStartBound + DefaultTaskTTL)
-		require.Empty(t, c.rack.Running(workerID(0)), "nobody may renew beyond the longer bound")
-		c.kv.SetFaults(kv.Faults{})
-	})
-}
