Check the state of a shard while it runs; name ended jobs in fences

Cause: invariants of the counts were checked in tests only; a partition's new owner did not list tasks of cancelled jobs that had not ended. Change: a check every 10 s; the fence names cancelled jobs with attempts; tests read their books under the lock. Conclusion: a wrong count shows in the daemon's violations.

--- a/process/jobs/cell_test.go
+++ b/process/jobs/cell_test.go
@@ -297,6 +297,25 @@
 	return n
 }
 
+// startedTasks counts the tasks that truly started at least once.
+func (c *cell) startedTasks() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.runs)
+}
+
+// startedOf reports whether any task of a generation truly started.
+func (c *cell) startedOf(generation uint64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for id := range c.runs {
+		if id.Generation == generation {
+			return true
+		}
+	}
+	return false
+}
+
 func (c *cell) runningTasks(job string) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/process/jobs/check.go
+++ b/process/jobs/check.go
@@ -3,10 +3,29 @@
 import (
 	"errors"
 	"fmt"
+	"time"
 
 	"fennelshunt.example/fennelshunt/version/spec"
 )
 
+const (
+	// checkInterval is the time between two checks of the whole state.
+	checkInterval = 10 * time.Second
+	// checkLimit bounds the jobs that one check may visit.
+	checkLimit = 20_000
+)
+
+// checkNow checks the whole state from time to time while the daemon runs.
+func (st *state) checkNow(now time.Time) {
+	if now.Sub(st.lastCheck) < checkInterval || len(st.jobs) > checkLimit {
+		return
+	}
+	st.lastCheck = now
+	if err := st.check(); err != nil {
+		st.violated("%w", err)
+	}
+}
+
 // check verifies the whole state; its cost is that of all jobs and attempts.
 // All violations are joined.
 func (st *state) check() error {
--- a/process/jobs/partition.go
+++ b/process/jobs/partition.go
@@ -1,6 +1,8 @@
 package jobs
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"fennelshunt.example/fennelshunt/connection/peer"
@@ -110,12 +112,20 @@
 	})
 }
 
+// jobNames lists the jobs of which a partition may hold tasks, those included
+// that are cancelled and have not ended.
 func (st *state) jobNames() []string {
-	names := make([]string, 0, len(st.current))
+	names := make(map[string]struct{}, len(st.current))
 	for name := range st.current {
-		names = append(names, name)
+		names[name] = struct{}{}
 	}
-	return sorted(names)
+	for key := range st.jobs {
+		names[key.Job] = struct{}{}
+	}
+	for ref := range st.strays {
+		names[ref.Task.Job] = struct{}{}
+	}
+	return slices.Sorted(maps.Keys(names))
 }
 
 // callOwner makes a call in its own goroutine and hands the answer back to the
--- a/process/jobs/scenario_test.go
+++ b/process/jobs/scenario_test.go
@@ -47,9 +47,9 @@
 		c.setUnreachable("r2-w1", true)
 		c.startPartition(ctx, "r2")
 		next := c.startDaemon(ctx, "d2")
-		before, at := len(c.runs), time.Now()
+		before, at := c.startedTasks(), time.Now()
 		next.own(0)
-		c.await(5*time.Second, "new tasks start", func() bool { return len(c.runs) > before })
+		c.await(5*time.Second, "new tasks start", func() bool { return c.startedTasks() > before })
 		t.Logf("first new start %v after the claim", time.Since(at))
 		require.Positive(t, next.tasks(ctx, "b")[TaskBlocked])
 		c.setUnreachable("r2-w1", false)
@@ -288,7 +288,7 @@
 		}
 		killed := false
 		c.await(time.Minute, "all replaced", func() bool {
-			if !killed && c.runs[spec.TaskID{Job: "desk", Generation: generation}] != nil {
+			if !killed && c.startedOf(generation) {
 				killed = true
 				d.kill()
 				c.startDaemon(ctx, "d2").own(0)
--- a/process/jobs/send.go
+++ b/process/jobs/send.go
@@ -23,11 +23,6 @@
 	return context.WithTimeout(ctx, d)
 }
 
-func sorted(names []string) []string {
-	slices.Sort(names)
-	return names
-}
-
 // queueStart puts an attempt into the outbox of its partition, or has it wait
 // until the intent of its non-idempotent task is durable. Without that, a new
 // owner could not know that the task may have run, and would start it again.
--- a/process/jobs/state.go
+++ b/process/jobs/state.go
@@ -45,6 +45,7 @@
 
 	round     roundState
 	releasing bool
+	lastCheck time.Time
 	// calls counts calls to partitions without an answer yet.
 	calls int
 	// stopping holds the attempts whose end was asked for.
@@ -152,6 +153,7 @@
 	st.repeatStops(now)
 	st.rollServices()
 	st.recheckInfeasible(now)
+	st.checkNow(now)
 }
 
 func (st *state) nextWake(now time.Time) time.Duration {
