Spread the reads of the store after a change of the head

Cause: after each change every watch ended at once and every daemon read the same chunk: reads that grow with the fleet, while the store's rates do not. Change: a daemon waits up to 1 ms per member before it reads the store; peers usually bring the version first.

--- a/process/versions/gossip.go
+++ b/process/versions/gossip.go
@@ -50,10 +50,13 @@
 }
 
 // jitter returns a random duration around d.
-func (k *Keeper) jitter(d time.Duration) time.Duration {
+func (k *Keeper) jitter(d time.Duration) time.Duration { return d/2 + k.upTo(d) }
+
+// upTo returns a random duration from 0 to d.
+func (k *Keeper) upTo(d time.Duration) time.Duration {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return d/2 + time.Duration(k.random.Int64N(int64(d)))
+	return time.Duration(k.random.Int64N(int64(d) + 1))
 }
 
 // pick returns up to n random members other than this one.
--- a/process/versions/loop.go
+++ b/process/versions/loop.go
@@ -13,6 +13,12 @@
 const (
 	firstFetchRetry = 50 * time.Millisecond
 	lastFetchRetry  = 2 * time.Second
+	// turnPerMember spreads the reads of the store after a change of the head:
+	// each daemon waits a random time up to this times the fleet's size. What
+	// goes wrong without it: all watches end at once and the whole fleet reads
+	// the same chunk, a load on the store that grows with the fleet, while a
+	// peer would have brought the version moments later.
+	turnPerMember = time.Millisecond
 )
 
 // loop is the control state of a Keeper; one goroutine runs it. At most one
@@ -27,6 +33,9 @@
 	fetched  chan error
 	retry    *time.Timer
 	waiting  bool // the retry timer runs
+	// turn fires when this daemon may read from the store; held until then.
+	turn *time.Timer
+	held bool
 }
 
 func (l *loop) run() error {
@@ -35,6 +44,8 @@
 	pause.MaxInterval = lastFetchRetry
 	l.retry = time.NewTimer(time.Hour)
 	defer l.retry.Stop()
+	l.turn = time.NewTimer(time.Hour)
+	defer l.turn.Stop()
 	for {
 		select {
 		case <-l.ctx.Done():
@@ -47,6 +58,8 @@
 			l.heardPeers()
 		case <-l.retry.C:
 			l.waiting = false
+		case <-l.turn.C:
+			l.held = false
 		case err := <-l.fetched:
 			l.ended(err, pause)
 		}
@@ -61,6 +74,12 @@
 	if head.Version == 0 {
 		l.keeper.setLoaded()
 	}
+	// A daemon that knows nothing does not wait, and a wait is not prolonged
+	// when the head changes again.
+	if l.keeper.isLoaded() && !l.held {
+		l.held = true
+		l.turn.Reset(l.keeper.upTo(turnPerMember * time.Duration(len(l.keeper.options.Fleet.Members()))))
+	}
 	l.hurry()
 }
 
@@ -106,7 +125,7 @@
 	for _, s := range best {
 		sources = append(sources, peerSource{keeper: l.keeper, from: s.Member})
 	}
-	if l.head == nil || l.head.Version <= have {
+	if l.held || l.head == nil || l.head.Version <= have {
 		return sources
 	}
 	fromStore := storeSource{keeper: l.keeper, head: l.head}
