Tell a restarted shard from its earlier life

Cause: after a panic the shard starts again in the same epoch; a write of the life before could be taken for its own and attempt numbers came twice. Change: each opening of the progress is another writer; attempt numbers leave room for a life; the random fault run panics shards.

--- a/process/jobs/events.go
+++ b/process/jobs/events.go
@@ -187,6 +187,9 @@
 	delete(st.strays, a.ref())
 	delete(st.stopping, a)
 	st.accounts.Refund(a.job.spec.Team, a.size)
+	if st.round.planner != nil {
+		st.round.planner.Forget(a.ref())
+	}
 }
 
 // oldResult takes the end of an attempt that is not live here: reported again,
--- a/process/jobs/faults_test.go
+++ b/process/jobs/faults_test.go
@@ -75,6 +75,11 @@
 		w.owner.kill()
 		w.newOwner()
 	},
+	"shard panics": func(w *world, _ int) {
+		if s := w.owner.manager.shard(0); s != nil {
+			s.post(w.ctx, func(*state) { panic("injected by the test") })
+		}
+	},
 	"partition owner dies": func(w *world, arg int) {
 		names := w.partitionNames()
 		w.startPartition(w.ctx, names[arg%len(names)])
--- a/process/jobs/progress/file.go
+++ b/process/jobs/progress/file.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"strconv"
 
@@ -101,7 +102,7 @@
 	old.Head.Pages = max(old.Head.Pages, 1)
 	taken := old
 	taken.Head.Shard, taken.Head.Epoch, taken.Head.Owner = shard, epoch, owner
-	taken.Head.Seq++
+	taken.Head.Writer = rand.Uint64()
 	if f.headRev, err = f.write(ctx, key, taken, rev); err != nil {
 		return page{}, err
 	}
@@ -233,7 +234,6 @@
 	if !f.dirty[0] && !f.headDirty {
 		return nil
 	}
-	f.head.Seq++
 	if err := f.swap(ctx, HeadKey(f.head.Shard), f.page(0), &f.headRev); err != nil {
 		return err
 	}
@@ -245,7 +245,6 @@
 	if !f.headDirty {
 		return nil
 	}
-	f.head.Seq++
 	if err := f.swap(ctx, HeadKey(f.head.Shard), page{Head: f.head}, &f.headRev); err != nil {
 		return err
 	}
@@ -280,7 +279,7 @@
 // older than this one.
 func (f *File) superseded(stored Head) bool {
 	if stored.Epoch == f.head.Epoch {
-		return stored.Owner != f.head.Owner
+		return stored.Owner != f.head.Owner || stored.Writer != f.head.Writer
 	}
 	return stored.Epoch > f.head.Epoch
 }
@@ -365,7 +364,7 @@
 		if err != nil {
 			return err
 		}
-		if f.superseded(left.Head) {
+		if left.Head.Epoch > f.head.Epoch {
 			return ErrSuperseded
 		}
 		f.revs[i] = rev
@@ -373,7 +372,6 @@
 			return err
 		}
 	}
-	f.head.Seq++
 	if err := f.swap(ctx, HeadKey(f.head.Shard), page{Head: f.head}, &f.headRev); err != nil {
 		return fmt.Errorf("split from %d pages: %w", before, err)
 	}
--- a/process/jobs/progress/record.go
+++ b/process/jobs/progress/record.go
@@ -193,8 +193,9 @@
 	Shard int      `cbor:"1,keyasint"`
 	Epoch uint64   `cbor:"2,keyasint"`
 	Owner peer.Ref `cbor:"3,keyasint"`
-	// Seq rises with every write of the owner.
-	Seq uint64 `cbor:"4,keyasint"`
+	// Writer is a random number for each Open: a shard that was restarted in
+	// the same daemon and epoch is another writer.
+	Writer uint64 `cbor:"4,keyasint"`
 	// ConfigVersion is the newest configuration the owner had acted on.
 	ConfigVersion uint64 `cbor:"5,keyasint"`
 	// Partitions holds every partition that may hold tasks of the shard, with
--- a/process/jobs/shard.go
+++ b/process/jobs/shard.go
@@ -28,6 +28,9 @@
 // numbers of the next, where only an event delayed over a takeover could tell.
 const attemptEpochBits = 12
 
+// startsPerLife is what a restart within an epoch adds to the attempt numbers.
+const startsPerLife = 256
+
 // shard is one claimed shard. Its state lives in the goroutine of Serve; other
 // goroutines reach it through call.
 type shard struct {
@@ -39,9 +42,9 @@
 	quit     chan struct{}
 	quitOnce sync.Once
 
-	// seq outlives a restart of Serve after a panic: no number of a plan is
-	// used twice in an epoch.
-	seq atomic.Uint64
+	// seq and lives outlive a restart of Serve after a panic: no number of a
+	// plan or an attempt is used twice in an epoch.
+	seq, lives atomic.Uint64
 }
 
 // command is work for the goroutine of the shard.
@@ -93,6 +96,7 @@
 
 // Serve takes the shard over and runs it until it is lost.
 func (s *shard) Serve(ctx context.Context) error {
+	s.lives.Add(1)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go func() {
--- a/process/jobs/state.go
+++ b/process/jobs/state.go
@@ -72,16 +72,18 @@
 	return plan.Authorship{Shard: st.shard.number, Epoch: st.shard.claim.Epoch, Owner: st.shard.claim.Owner}
 }
 
-// attemptNumber returns the number of the next attempt of a task.
-func (st *state) attemptNumber(j *job, index uint32) int {
-	return int(st.shard.claim.Epoch<<attemptEpochBits) + j.restarts[index]
+// attemptBase returns the lowest number of an attempt in this life of the shard.
+func (st *state) attemptBase() int {
+	return int(st.shard.claim.Epoch<<attemptEpochBits + (st.shard.lives.Load()-1)*startsPerLife)
 }
 
+// attemptNumber returns the number of the next attempt of a task.
+func (st *state) attemptNumber(j *job, index uint32) int { return st.attemptBase() + j.restarts[index] }
+
 // consume makes the number of an attempt unusable for the next one. Numbers of
 // attempts that were certainly refused are used again.
 func (st *state) consume(a *attempt) {
-	base := int(st.shard.claim.Epoch << attemptEpochBits)
-	if a.number >= base {
+	if base := st.attemptBase(); a.number >= base {
 		a.job.restarts[a.index] = a.number - base + 1
 	}
 }
