Drive a running deployment and report each daemon's control cost

Cause: the load tool drove an embedded cell only, where processor time, memory and bytes are those of all daemons and stand-ins together. Change: 'fennelbench drive' reads the daemons' own counters before and after an idle phase and a load of requests and task files, and names the limits that a daemon is over.

--- a/cmd/fennelstandin/main.go
+++ b/cmd/fennelstandin/main.go
@@ -1,5 +1,5 @@
 // Command fennelstandin serves the stand-ins of the platform as one process: a
-// key-value service, a list of VMs and 48 workers with their endpoints, with
+// key-value service, a list of VMs and the workers with their endpoints, with
 // faults that are switched on and off over HTTP and a count of what was seen.
 package main
 
@@ -36,6 +36,7 @@
 		control = fs.String("control", "127.0.0.1:7002", "address for reports and faults")
 		work    = fs.Duration("work", 20*time.Millisecond, "time that an endpoint takes for a request")
 		lag     = fs.Duration("lag", time.Second, "lag of the list of VMs")
+		workers = fs.Int("workers", 0, "number of workers, 0 for the user's own")
 		seed    = fs.Uint64("seed", 1, "seed of the faults' random choices")
 	)
 	if err := ff.Parse(fs, args, ff.WithEnvVarPrefix("FENNELSTANDIN")); err != nil {
@@ -49,6 +50,9 @@
 	default:
 		return fmt.Errorf("flag -cell: %q is not known; use authority or guild", *cell)
 	}
+	if *workers > 0 {
+		shape.Workers = *workers
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	p, err := platform.Start(ctx, platform.Options{
--- /dev/null
+++ b/command/bench/drive.go
@@ -0,0 +1,211 @@
+package bench
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"math"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/peterbourgon/ff/v3"
+	"github.com/peterbourgon/ff/v3/ffcli"
+	"golang.org/x/sync/errgroup"
+
+	"fennelshunt.example/fennelshunt/command/ctl"
+	"fennelshunt.example/fennelshunt/process/admin/api"
+	"fennelshunt.example/fennelshunt/standin/callers"
+	"fennelshunt.example/fennelshunt/standin/platform"
+	"fennelshunt.example/fennelshunt/version/spec"
+)
+
+// adminTimeout bounds one call to a daemon's administration address.
+const adminTimeout = 15 * time.Second
+
+// DriveOptions describe a running deployment and the load on it.
+type DriveOptions struct {
+	// Callers and Admins are the daemons' addresses, in the same order.
+	Callers, Admins []string
+	Token, CAFile   string
+	// Control is the base URL of the platform's stand-in; empty means that
+	// task starts and store calls are not reported.
+	Control string
+	// Idle is how long the deployment is measured before the load.
+	Idle     time.Duration
+	Setting  Setting
+	Progress io.Writer
+}
+
+func driveCommand(out, errOut io.Writer) *ffcli.Command {
+	fs := flag.NewFlagSet("fennelbench drive", flag.ContinueOnError)
+	o := DriveOptions{Progress: errOut}
+	s := &o.Setting
+	callerAddrs := fs.String("callers", "", "caller addresses of the daemons, host:port, separated by commas")
+	admins := fs.String("admins", "", "their administration addresses, URLs, in the same order")
+	fs.StringVar(&o.Token, "token", "", "administration token; better in FENNELBENCH_TOKEN")
+	fs.StringVar(&o.CAFile, "ca", "", "certificates to trust, PEM")
+	fs.StringVar(&o.Control, "control", "", "control URL of the platform's stand-in")
+	fs.DurationVar(&o.Idle, "idle", 30*time.Second, "measurement before the load")
+	fs.StringVar(&s.User, "user", "authority", "whose workers and service: authority or guild")
+	fs.Float64Var(&s.Seconds, "seconds", 60, "duration of the load")
+	fs.Float64Var(&s.Rate, "rate", 100, "requests per second, 0 for none")
+	fs.Float64Var(&s.TaskLoad, "task-load", 0.3, "work that arrives, as a share of the workers; 0 for none")
+	fs.Uint64Var(&s.Seed, "seed", 1, "seed of the load")
+	file := fs.String("out", "", "JSON file for the result")
+	return &ffcli.Command{
+		Name: "drive", ShortUsage: "fennelbench drive -callers A,B -admins URL,URL [flags]", FlagSet: fs,
+		Options:   []ff.Option{ff.WithEnvVarPrefix("FENNELBENCH")},
+		ShortHelp: "Drive a running deployment; report each daemon's control cost, idle and under load.",
+		Exec: func(ctx context.Context, _ []string) error {
+			o.Callers, o.Admins = splitList(*callerAddrs), splitList(*admins)
+			s.Daemons = len(o.Admins)
+			report, err := Drive(ctx, o)
+			if err != nil {
+				return err
+			}
+			report.Print(out)
+			if *file == "" {
+				return nil
+			}
+			return report.Result(s).Write(*file)
+		},
+	}
+}
+
+func splitList(s string) []string {
+	if s == "" {
+		return nil
+	}
+	return strings.Split(s, ",")
+}
+
+// driver is one run against a deployment.
+type driver struct {
+	o       DriveOptions
+	shape   platform.Shape
+	service string
+	admins  []*ctl.Client
+}
+
+// Drive measures a deployment idle and then under load. The service's file and
+// the waves of tasks are applied to it and stay.
+func Drive(ctx context.Context, o DriveOptions) (*DriveReport, error) {
+	if len(o.Admins) == 0 || len(o.Callers) != len(o.Admins) {
+		return nil, errors.New("flags -callers and -admins must name the same daemons")
+	}
+	if o.Idle <= 0 || o.Setting.Seconds <= 0 {
+		return nil, errors.New("flags -idle and -seconds must be above 0")
+	}
+	d := &driver{o: o}
+	var err error
+	if d.shape, d.service, err = shapeOf(o.Setting.User); err != nil {
+		return nil, err
+	}
+	for _, a := range o.Admins {
+		client, err := ctl.NewClient(a, o.Token, o.CAFile, adminTimeout)
+		if err != nil {
+			return nil, fmt.Errorf("flag -admins: %w", err)
+		}
+		d.admins = append(d.admins, client)
+	}
+	return d.run(ctx)
+}
+
+func (d *driver) run(ctx context.Context) (*DriveReport, error) {
+	r := &DriveReport{}
+	var err error
+	if r.Idle, err = d.phase(ctx, "idle", d.o.Idle, func(ctx context.Context) error { <-ctx.Done(); return nil }); err != nil {
+		return nil, err
+	}
+	if err := d.startService(ctx); err != nil {
+		return nil, err
+	}
+	length := time.Duration(d.o.Setting.Seconds * float64(time.Second))
+	r.Load, err = d.phase(ctx, "load", length, func(run context.Context) error { return d.load(run, ctx, r) })
+	return r, err
+}
+
+// load sends requests and waves of tasks until run ends.
+func (d *driver) load(run, ctx context.Context, r *DriveReport) error {
+	var g errgroup.Group
+	g.Go(func() error { return d.waves(run, ctx) })
+	if s := d.o.Setting; s.Rate > 0 {
+		result := callers.Run(ctx, callers.Options{
+			Client: &http.Client{Transport: d.balancer(), Timeout: 30 * time.Second}, Service: d.service,
+			Rate: s.Rate, Count: math.MaxInt32, NonIdempotent: 0.1, Keyed: 0.1, BodySize: 512, Seed: s.Seed, Tries: 10, Until: run.Done(),
+		})
+		r.Requests = result.Check(nil)
+		r.P50, r.P99 = result.Latency.ValueAtQuantile(50), result.Latency.ValueAtQuantile(99)
+	}
+	return g.Wait()
+}
+
+func (d *driver) waves(run, ctx context.Context) error {
+	if d.o.Setting.TaskLoad <= 0 {
+		return nil
+	}
+	w := newWaveMaker(d.o.Setting, d.shape)
+	tick := time.NewTicker(waveEvery)
+	defer tick.Stop()
+	for i := 0; ; i++ {
+		if err := d.apply(ctx, d.admins[i%len(d.admins)], w.next()); err != nil {
+			return err
+		}
+		select {
+		case <-run.Done():
+			return nil
+		case <-tick.C:
+		}
+	}
+}
+
+func (d *driver) startService(ctx context.Context) error {
+	size := instanceSize(d.shape)
+	if err := d.apply(ctx, d.admins[0], baseFile(d.service, size)); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, settleTimeout)
+	defer cancel()
+	for {
+		var s api.Status
+		if err := d.admins[0].Get(ctx, api.PathStatus, nil, &s); err != nil {
+			return fmt.Errorf("status: %w", err)
+		}
+		for _, j := range s.Jobs {
+			if j.Name == d.service && j.Running >= instances {
+				return nil
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("service %s does not run: %w", d.service, ctx.Err())
+		case <-time.After(time.Second):
+		}
+	}
+}
+
+// apply applies a file on the version that it is based on now.
+func (d *driver) apply(ctx context.Context, client *ctl.Client, f *spec.File) error {
+	data, err := json.Marshal(f)
+	if err != nil {
+		return fmt.Errorf("file %s: %w", f.Name, err)
+	}
+	name := url.Values{api.ParamName: {f.Name}}
+	var diffed api.Diffed
+	if err := client.Post(ctx, api.PathDiff, name, bytes.Clone(data), &diffed); err != nil {
+		return fmt.Errorf("file %s: %w", f.Name, err)
+	}
+	name.Set(api.ParamBase, strconv.FormatUint(diffed.Base, 10))
+	name.Set(api.ParamWait, "false")
+	if err := client.Post(ctx, api.PathApply, name, data, &api.Applied{}); err != nil {
+		return fmt.Errorf("file %s: %w", f.Name, err)
+	}
+	return nil
+}
--- /dev/null
+++ b/command/bench/drivereport.go
@@ -0,0 +1,131 @@
+package bench
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"text/tabwriter"
+
+	"fennelshunt.example/fennelshunt/process/capacity"
+	"fennelshunt.example/fennelshunt/standin/callers"
+)
+
+// The letter's limits of what a node spends on control.
+const (
+	limitCore  = 0.036
+	limitRSS   = 128 << 20
+	limitBytes = 13_000 // per second, both ways together
+)
+
+// Cost is what one daemon spent in a phase.
+type Cost struct {
+	Address string         `json:"address"`
+	Owned   map[string]int `json:"owned"`
+	capacity.Rate
+}
+
+// bytes returns the control bytes a second both ways. What is received from
+// peers is taken as equal to what is sent to them, which holds over a fleet.
+func (c Cost) bytes() float64 {
+	sum := c.Sent[capacity.Peers]
+	for _, k := range capacity.Kinds() {
+		sum += c.Sent[k] + c.Received[k]
+	}
+	return sum
+}
+
+// Phase is a measurement of all daemons over the same time.
+type Phase struct {
+	Seconds float64 `json:"seconds"`
+	Daemons []Cost  `json:"daemons"`
+	// Starts, StoreReads and StoreWrites are per second, over all daemons.
+	Starts, StoreReads, StoreWrites float64
+}
+
+// DriveReport is the result of Drive. Under load the processor time and memory
+// contain the callers' requests.
+type DriveReport struct {
+	Idle, Load Phase
+	Requests   callers.Summary
+	// P50 and P99 of whole answers, in microseconds.
+	P50, P99 int64
+}
+
+// Print writes a table for people.
+func (r *DriveReport) Print(w io.Writer) {
+	r.Idle.print(w, "idle")
+	r.Load.print(w, "under load (with the callers' requests)")
+	fmt.Fprintf(w, "requests: %d, whole %d, not run %d, may have run %d; p50 %d us, p99 %d us\n",
+		r.Requests.Requests, r.Requests.Whole, r.Requests.NotRun, r.Requests.MayHaveRun, r.P50, r.P99)
+}
+
+func (p Phase) print(w io.Writer, name string) {
+	fmt.Fprintf(w, "%s, %.0f s: %.1f task starts/s, store %.1f reads/s %.1f writes/s\n", name, p.Seconds, p.Starts, p.StoreReads, p.StoreWrites)
+	t := tabwriter.NewWriter(w, 0, 4, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprint(t, "daemon\towned\t% of a core\tRSS MB\t")
+	for _, k := range capacity.Kinds() {
+		fmt.Fprintf(t, "%s B/s\t", k)
+	}
+	fmt.Fprint(t, "all B/s\tover\t\n")
+	for _, c := range p.Daemons {
+		fmt.Fprintf(t, "%s\t%s\t%.2f\t%.1f\t", c.Address, owned(c.Owned), 100*c.Core, float64(c.RSSBytes)/1e6)
+		for _, k := range capacity.Kinds() {
+			fmt.Fprintf(t, "%.0f+%.0f\t", c.Sent[k], c.Received[k])
+		}
+		fmt.Fprintf(t, "%.0f\t%s\t\n", c.bytes(), c.over())
+	}
+	_ = t.Flush() // to the terminal
+}
+
+func owned(counts map[string]int) string {
+	var parts []string
+	for prefix, n := range counts {
+		parts = append(parts, fmt.Sprintf("%.2s%d", prefix, n))
+	}
+	slices.Sort(parts)
+	return strings.Join(parts, " ")
+}
+
+// over names the limits that the daemon is over.
+func (c Cost) over() string {
+	var names []string
+	if c.Core > limitCore {
+		names = append(names, "core")
+	}
+	if c.RSSBytes > limitRSS {
+		names = append(names, "memory")
+	}
+	if c.bytes() > limitBytes {
+		names = append(names, "bytes")
+	}
+	if len(names) == 0 {
+		return "-"
+	}
+	return strings.Join(names, ",")
+}
+
+// Names of the metrics of a driven deployment: the greatest of any daemon.
+const (
+	idleCore, idleRSS, idleBytes = "idle_core_share_max", "idle_rss_bytes_max", "idle_control_bytes_per_s_max"
+	loadCore, loadRSS, loadBytes = "load_core_share_max", "load_rss_bytes_max", "load_control_bytes_per_s_max"
+	startsPerS                   = "task_starts_per_s"
+)
+
+// Result makes a result that can be stored and compared.
+func (r *DriveReport) Result(s *Setting) *Result {
+	m := Metrics{
+		RequestP50: float64(r.P50), RequestP99: float64(r.P99),
+		RequestWhole: float64(r.Requests.Whole) / float64(max(1, r.Requests.Requests)),
+		startsPerS:   r.Load.Starts, StoreWrites: r.Load.StoreWrites, StoreCallsPer: r.Load.StoreReads + r.Load.StoreWrites,
+	}
+	r.Idle.greatest(m, idleCore, idleRSS, idleBytes)
+	r.Load.greatest(m, loadCore, loadRSS, loadBytes)
+	return &Result{Setting: *s, Repetitions: []Metrics{m}}
+}
+
+func (p Phase) greatest(m Metrics, core, rss, bytes string) {
+	for _, c := range p.Daemons {
+		m[core], m[rss], m[bytes] = max(m[core], c.Core), max(m[rss], float64(c.RSSBytes)), max(m[bytes], c.bytes())
+	}
+}
--- a/command/bench/run.go
+++ b/command/bench/run.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net/http"
 	"sync"
 	"time"
@@ -27,8 +26,12 @@
 	Log         zerolog.Logger
 }
 
-// instanceShare is the part of a VM that a service instance takes.
-const instanceShare = 8
+const (
+	// instances is the number of the service's instances.
+	instances = 48
+	// instanceShare is the part of a VM that a service instance takes.
+	instanceShare = 8
+)
 
 // warmUp is how long requests are sent before the measurement, with a seed of
 // their own.
@@ -102,12 +105,10 @@
 func (b *bench) startService(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, settleTimeout)
 	defer cancel()
-	c := b.shape.Capacity
-	size := spec.Resources{MilliCPU: c.MilliCPU / instanceShare, MemoryMB: c.MemoryMB / instanceShare}
-	if _, err := b.c.Apply(ctx, baseFile(b.service, size)); err != nil {
+	if _, err := b.c.Apply(ctx, baseFile(b.service, instanceSize(b.shape))); err != nil {
 		return err
 	}
-	if err := b.c.WaitPlaced(ctx, 48, 0); err != nil {
+	if err := b.c.WaitPlaced(ctx, instances, 0); err != nil {
 		return err
 	}
 	// Requests before the measurement open connections and spread the slots;
@@ -158,7 +159,7 @@
 	if b.o.Setting.TaskLoad <= 0 {
 		return nil
 	}
-	w := &waveMaker{rng: rand.New(rand.NewPCG(b.o.Setting.Seed, 2)), shape: b.shape, load: b.o.Setting.TaskLoad}
+	w := newWaveMaker(b.o.Setting, b.shape)
 	tick := time.NewTicker(waveEvery)
 	defer tick.Stop()
 	for {
@@ -208,6 +209,11 @@
 func (b *bench) progress(ctx context.Context, n int, d time.Duration) {
 	bar := progressbar.NewOptions(int(d.Seconds()), progressbar.OptionSetWriter(b.o.Progress),
 		progressbar.OptionSetDescription(fmt.Sprintf("repetition %d of %d", n+1, b.o.Repetitions)), progressbar.OptionClearOnFinish())
+	showSeconds(ctx, bar)
+}
+
+// showSeconds moves the bar by one each second until ctx ends.
+func showSeconds(ctx context.Context, bar *progressbar.ProgressBar) {
 	tick := time.NewTicker(time.Second)
 	defer tick.Stop()
 	for {
--- a/command/bench/workload.go
+++ b/command/bench/workload.go
@@ -42,6 +42,10 @@
 	n     int
 }
 
+func newWaveMaker(s Setting, shape platform.Shape) *waveMaker {
+	return &waveMaker{rng: rand.New(rand.NewPCG(s.Seed, 2)), shape: shape, load: s.TaskLoad}
+}
+
 // next returns the file of the next wave. The service stays in its own file.
 func (w *waveMaker) next() *spec.File {
 	w.n++
@@ -98,10 +102,16 @@
 // teams is the number of teams that share the cell.
 const teams = 12
 
+// instanceSize is the size of a service instance.
+func instanceSize(shape platform.Shape) spec.Resources {
+	c := shape.Capacity
+	return spec.Resources{MilliCPU: c.MilliCPU / instanceShare, MemoryMB: c.MemoryMB / instanceShare}
+}
+
 // baseFile declares the teams and the user's service.
 func baseFile(service string, instance spec.Resources) *spec.File {
 	f := &spec.File{Name: "base", Jobs: []spec.Job{{
-		Name: service, Team: "team-0", Kind: spec.Service, Count: 48, Size: instance,
+		Name: service, Team: "team-0", Kind: spec.Service, Count: instances, Size: instance,
 		Service: &spec.ServiceSettings{Slots: 8, Connections: 64, RequestTimeout: spec.Duration(10 * time.Second)},
 	}}}
 	for i := range teams {
