Collect the content that a change replaced, not only its own

Change: a roll tells the collector the index that it replaced; candidates are that index, the content it had of changed files, and the changes since.

--- a/version/history/apply.go
+++ b/version/history/apply.go
@@ -151,7 +151,7 @@
 	}
 	a.history.Learn(snapshot)
 	if next.IndexVersion > s.head.IndexVersion {
-		a.history.announceRoll(next.IndexVersion)
+		a.history.announceRoll(s.head)
 	}
 	return Result{Version: next.Version, Snapshot: snapshot}, nil
 }
@@ -202,7 +202,7 @@
 	next := &Head{Version: s.head.Version + 1, Index: s.head.Index, IndexVersion: s.head.IndexVersion, Sweep: s.head.Sweep}
 	recent := s.head.Recent
 	if s.head.Version-s.head.IndexVersion >= SegmentLength {
-		blob, err := a.history.roll(ctx, s)
+		blob, err := a.history.rollOut(ctx, s)
 		if err != nil {
 			return nil, err
 		}
--- a/version/history/collect.go
+++ b/version/history/collect.go
@@ -16,16 +16,22 @@
 	// sweepPrefixes is the number of parts in which all chunks are swept for
 	// those that no segment tells of, such as an apply's that lost its race.
 	sweepPrefixes = 256
-	// collectLag is how many segments back replaced content is collected, so
-	// that a reader with a head of a moment ago still finds what it names.
-	collectLag = 1
 )
 
-// announceRoll tells Serve that a segment was moved out of the head. A roll
-// that finds Serve busy is skipped: the sweep finds its chunks later.
-func (h *History) announceRoll(version uint64) {
+// roll is the move of a segment out of the head.
+type roll struct {
+	number uint64 // of the segment
+	// before is the index that the roll replaced, changes those since.
+	before  Blob
+	changes []Change
+}
+
+// announceRoll tells Serve that the segment at the end of head was moved out of
+// it. A roll that finds Serve busy is skipped: the sweep finds its chunks later.
+func (h *History) announceRoll(head *Head) {
+	r := roll{number: segmentOf(head.Version), before: head.Index, changes: head.Recent[len(head.Recent)-SegmentLength:]}
 	select {
-	case h.rolled <- version:
+	case h.rolled <- r:
 	default:
 	}
 }
@@ -34,27 +40,30 @@
 // segments beyond those kept and chunks that no file in force has any more. It
 // implements suture's service.
 func (h *History) Serve(ctx context.Context) error {
+	// Content is collected one roll late, so that a reader with a head of a
+	// moment ago still finds what it names.
+	var earlier roll
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case version := <-h.rolled:
-			if err := h.collect(ctx, version); err != nil && ctx.Err() == nil {
-				h.log.Warn().Err(err).Uint64("version", version).Msg("collection put off")
+		case r := <-h.rolled:
+			if err := h.collect(ctx, earlier, r.number); err != nil && ctx.Err() == nil {
+				h.log.Warn().Err(err).Uint64("segment", r.number).Msg("collection put off")
 			}
+			earlier = r
 		}
 	}
 }
 
-// collect cleans up after the roll at version.
-func (h *History) collect(ctx context.Context, version uint64) error {
+// collect cleans up after a roll, when segment number has been rolled since.
+func (h *History) collect(ctx context.Context, r roll, number uint64) error {
 	ctx, cancel := context.WithTimeout(ctx, collectTimeout)
 	defer cancel()
-	number := segmentOf(version)
 	if err := h.dropSegments(ctx, number); err != nil {
 		return err
 	}
-	found, err := h.candidates(ctx, number)
+	found, err := h.candidates(ctx, r, number)
 	if err != nil {
 		return err
 	}
@@ -87,18 +96,15 @@
 }
 
 // candidates returns the chunks that may be unreferenced, with the revisions
-// that were seen: those of the segment before the one just rolled, and one part
-// of all.
-func (h *History) candidates(ctx context.Context, number uint64) (map[Hash]store.Revision, error) {
+// that were seen: what the roll replaced, and one part of all.
+func (h *History) candidates(ctx context.Context, r roll, number uint64) (map[Hash]store.Revision, error) {
 	found := make(map[Hash]store.Revision)
-	if number > collectLag {
-		changes, err := h.readSegment(ctx, number-collectLag)
-		if err != nil {
-			return nil, fmt.Errorf("read segment: %w", err)
-		}
-		if err := h.findChunks(ctx, changes, found); err != nil {
-			return nil, err
-		}
+	replaced, err := h.replaced(ctx, r)
+	if err != nil {
+		return nil, err
+	}
+	if err := h.findChunks(ctx, replaced, found); err != nil {
+		return nil, err
 	}
 	items, _, err := h.handle.List(ctx, fmt.Sprintf("%s%02x", prefixChunk, number%sweepPrefixes))
 	if err != nil {
@@ -112,12 +118,40 @@
 	return found, nil
 }
 
-// findChunks adds the chunks of changes that are still in the store and that
-// the snapshot known here does not have.
-func (h *History) findChunks(ctx context.Context, changes []Change, found map[Hash]store.Revision) error {
+// replaced returns what a roll may have left unreferenced: the index before it,
+// the content that the files changed since had in that index, and the content
+// that came since.
+func (h *History) replaced(ctx context.Context, r roll) ([]Blob, error) {
+	if len(r.before.Chunks) == 0 {
+		return nil, nil
+	}
+	x, err := readIndex(ctx, &Head{Index: r.before}, h.source)
+	if errors.Is(err, ErrNoChunk) {
+		return nil, nil // another collector was here
+	}
+	if err != nil {
+		return nil, err
+	}
+	blobs := []Blob{r.before}
+	changed := make(map[string]bool, len(r.changes))
+	for _, c := range r.changes {
+		changed[c.File] = true
+		blobs = append(blobs, c.Content)
+	}
+	for _, c := range x.Files {
+		if changed[c.File] {
+			blobs = append(blobs, c.Content)
+		}
+	}
+	return blobs, nil
+}
+
+// findChunks adds the chunks of blobs that are still in the store and that the
+// snapshot known here does not have.
+func (h *History) findChunks(ctx context.Context, blobs []Blob, found map[Hash]store.Revision) error {
 	referenced := h.known.Load().referenced()
-	for _, change := range changes {
-		for _, hash := range change.Content.Chunks {
+	for _, blob := range blobs {
+		for _, hash := range blob.Chunks {
 			if referenced[hash] {
 				continue
 			}
--- a/version/history/history.go
+++ b/version/history/history.go
@@ -28,8 +28,8 @@
 	// turn lets one Apply at a time run here: several would only lose the
 	// compare-and-swap to each other.
 	turn chan struct{}
-	// rolled receives versions at which a segment was moved out of the head.
-	rolled chan uint64
+	// rolled receives the segments that were moved out of the head.
+	rolled chan roll
 
 	mu    sync.Mutex
 	stats Stats
@@ -65,7 +65,7 @@
 		keep:   DefaultKeep,
 		log:    zerolog.Nop(),
 		turn:   make(chan struct{}, 1),
-		rolled: make(chan uint64, 1),
+		rolled: make(chan roll, 1),
 	}
 	for _, o := range options {
 		o(h)
--- a/version/history/segment.go
+++ b/version/history/segment.go
@@ -20,11 +20,11 @@
 
 func segmentKey(number uint64) string { return fmt.Sprintf("%s%016x", prefixRecord, number) }
 
-// roll writes the changes since the index into a segment of the record and the
+// rollOut writes the changes since the index into a segment of the record and the
 // index as of now into chunks. It changes nothing that is in force: both count
 // only once a head names the index. A segment's content is determined by the
 // head it is taken from, so that whoever writes it first writes the same.
-func (h *History) roll(ctx context.Context, s *state) (Blob, error) {
+func (h *History) rollOut(ctx context.Context, s *state) (Blob, error) {
 	if s.head.Version%SegmentLength != 0 {
 		return Blob{}, fmt.Errorf("history: roll at version %d, which ends no segment", s.head.Version)
 	}
