--- a/process/ownership/options.go
+++ b/process/ownership/options.go
@@ -66,9 +66,8 @@
 	// DefaultRenewBound is a day: an outage that outlasts StartBound must not
 	// stop running services, and renewing starts nothing.
 	DefaultRenewBound = 24 * time.Hour
-	// DefaultHoldDown is longer than the leases of a worker take to run out: a
-	// daemon that just started does not know the workers that left the VM list
-	// before, and gets no partition in a planned move until that is harmless.
+	// DefaultHoldDown outlasts a restart, so that a daemon that is upgraded
+	// causes one move away and one back.
 	DefaultHoldDown       = 3 * time.Minute
 	DefaultFallback       = 3 * time.Second
 	DefaultStartDelay     = 2 * time.Second
--- a/process/partition/options.go
+++ b/process/partition/options.go
@@ -84,8 +84,11 @@
 // Defaults of Timing.
 const (
 	DefaultSyncInterval = time.Second
-	DefaultLeaseTTL     = 15 * time.Second
-	DefaultTaskTTL      = 2 * time.Minute
+	DefaultLeaseTTL     = 10 * time.Second
+	// DefaultTaskTTL is several times what it takes to find an owner dead and to
+	// take its workers over. Longer would let tasks survive more, and have the
+	// tasks of a lost VM wait as much longer before they start elsewhere.
+	DefaultTaskTTL      = time.Minute
 	DefaultUnknownGrace = 5 * time.Second
 	DefaultVMDrain      = 10 * time.Second
 	DefaultPreemptDrain = time.Second
