--- a/request/forward/conn.go
+++ b/request/forward/conn.go
@@ -1,8 +1,10 @@
 package forward
 
 import (
+	"context"
 	"errors"
 	"net"
+	"net/http/httptrace"
 	"sync"
 	"sync/atomic"
 )
@@ -20,7 +22,7 @@
 // "not run" would find its request run. The exchange is asked before every
 // write, and sealed before an error is given a verdict.
 type exchange struct {
-	cancel func(error)
+	cancel context.CancelCauseFunc
 
 	mu     sync.Mutex
 	conn   *conn
@@ -80,7 +82,7 @@
 
 // mayConnect is called when the Transport looks for a connection, a second
 // time when it is about to send the request again.
-func (x *exchange) mayConnect() {
+func (x *exchange) mayConnect(string) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	if x.wrote && !x.sealed {
@@ -90,7 +92,8 @@
 }
 
 // use binds the exchange to the connection that the Transport chose.
-func (x *exchange) use(c *conn) {
+func (x *exchange) use(info httptrace.GotConnInfo) {
+	c := guarded(info.Conn)
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.conn = c
--- a/request/forward/send.go
+++ b/request/forward/send.go
@@ -93,61 +93,69 @@
 func (b *callerBody) Read(p []byte) (int, error) {
 	n, err := b.Reader.Read(p)
 	if err != nil && err != io.EOF {
-		b.err.Store(&err)
+		kept := err // err itself stays off the heap
+		b.err.Store(&kept)
 	}
 	return n, err
 }
 
 func (*callerBody) Close() error { return nil }
 
+// sending is what one attempt needs, allocated at once.
+type sending struct {
+	exchange exchange
+	trace    httptrace.ClientTrace
+	url      url.URL
+	body     callerBody
+	answer   Answer
+}
+
 // request builds the Transport's request. GetBody stays nil, so that the
 // Transport can not rewind a body.
-func (o *Outgoing) request(ctx context.Context, scheme string, e plan.Endpoint) (*http.Request, *callerBody) {
-	u := *o.URL
-	u.Scheme, u.Host, u.User = scheme, e.Address, nil
+func (s *sending) request(ctx context.Context, o *Outgoing, scheme, address string) *http.Request {
+	s.url = *o.URL
+	s.url.Scheme, s.url.Host, s.url.User = scheme, address, nil
 	r := (&http.Request{
-		Method: o.Method, URL: &u, Host: o.Host, Header: o.Header, Trailer: o.Trailer,
+		Method: o.Method, URL: &s.url, Host: o.Host, Header: o.Header, Trailer: o.Trailer,
 		ContentLength: o.ContentLength, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 	}).WithContext(ctx)
 	if o.Body == nil || o.ContentLength == 0 {
 		r.Body, r.ContentLength = http.NoBody, 0
-		return r, nil
+		return r
 	}
-	body := &callerBody{Reader: o.Body}
-	r.Body = body
-	return r, body
+	s.body.Reader = o.Body
+	r.Body = &s.body
+	return r
 }
 
 // Send makes one attempt at the endpoint, for whose slot the caller has the
 // right. The Answer must be closed. The error is a *verdict.Error.
 func (f *Forwarder) Send(ctx context.Context, e plan.Endpoint, o *Outgoing) (*Answer, error) {
-	ctx, cancel := context.WithCancelCause(ctx)
-	x := &exchange{cancel: cancel}
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GetConn: func(string) { x.mayConnect() },
-		GotConn: func(i httptrace.GotConnInfo) {
-			x.use(guarded(i.Conn))
-		},
-	})
+	s := &sending{}
+	x := &s.exchange
+	ctx, x.cancel = context.WithCancelCause(ctx)
+	s.trace.GetConn = x.mayConnect
+	s.trace.GotConn = x.use
+	ctx = httptrace.WithClientTrace(ctx, &s.trace)
 	if !o.begin(x) {
-		cancel(nil)
+		x.cancel(nil)
 		return nil, newError(verdict.NotRun, http.StatusGatewayTimeout, CodeDeadline, errDeadline)
 	}
 	t := f.target(e)
-	r, body := o.request(ctx, t.scheme, e)
+	r := s.request(ctx, o, t.scheme, e.Address)
 	t.begin()
 	start := time.Now()
 	resp, err := t.transport.RoundTrip(r)
 	if err != nil {
 		o.took = time.Since(start)
-		wrote := x.seal()
-		failure := classify(ctx, err, wrote, body)
-		cancel(nil)
+		failure := classify(ctx, err, x.seal(), &s.body)
+		x.cancel(nil)
 		t.end()
 		return nil, o.end(failure)
 	}
-	a := &Answer{Status: resp.StatusCode, Header: resp.Header, HeaderTime: time.Since(start),
-		resp: resp, target: t, cancel: cancel, ctx: ctx}
+	a := &s.answer
+	*a = Answer{Status: resp.StatusCode, Header: resp.Header, HeaderTime: time.Since(start),
+		resp: resp, target: t, cancel: x.cancel, ctx: ctx}
 	if err := a.check(x, o.ID); err != nil {
 		a.Close()
 		return nil, o.end(err)
@@ -171,7 +179,7 @@
 		v = verdict.MayHaveRun
 	}
 	switch {
-	case body != nil && body.err.Load() != nil:
+	case body.err.Load() != nil:
 		return newError(v, http.StatusBadRequest, CodeCallerBody, fmt.Errorf("read the caller's body: %w", *body.err.Load()))
 	case ctx.Err() != nil && errors.Is(context.Cause(ctx), context.Canceled):
 		return newError(v, http.StatusBadGateway, CodeCallerClosed, err)
--- a/request/forward/wire_test.go
+++ b/request/forward/wire_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"net/http/httptrace"
 	"net/url"
 	"os"
 	"strings"
@@ -245,7 +246,7 @@
 	target := &target{changed: make(chan struct{}), open: 1}
 	c := &conn{Conn: near, target: target}
 	x := &exchange{cancel: func(error) {}}
-	x.use(c)
+	x.use(httptrace.GotConnInfo{Conn: c})
 	go func() { _, _ = io.WriteString(far, ok) }()
 	n, err := c.Read(make([]byte, 10))
 	require.Zero(t, n)
@@ -265,7 +266,7 @@
 	defer func() { _ = far.Close() }()
 	c := &conn{Conn: near, target: &target{changed: make(chan struct{})}}
 	x := &exchange{cancel: func(error) {}}
-	x.use(c)
+	x.use(httptrace.GotConnInfo{Conn: c})
 	require.False(t, x.seal())
 	_, err := c.Write([]byte("GET"))
 	require.ErrorIs(t, err, errSealed)
--- a/request/gateway/attempt.go
+++ b/request/gateway/attempt.go
@@ -63,8 +63,9 @@
 
 func (c *call) answerHeader(v verdict.Verdict) {
 	h := c.w.Header()
-	h[verdict.Header] = []string{v.String()}
-	h[verdict.RequestIDHeader] = []string{c.id}
+	c.values = [2]string{v.String(), c.id}
+	h[verdict.Header] = c.values[:1:1]
+	h[verdict.RequestIDHeader] = c.values[1:]
 }
 
 // finish ends the call after its last attempt. When a part of an answer was
@@ -88,9 +89,8 @@
 func (g *Gateway) attemptAll(c *call, pass *admission.Pass, deliver deliver) (final bool, err error) {
 	attempts := g.budget(c.service).Request(c.idempotent)
 	out := c.outgoing()
-	var w watch
-	w.start(g, c, out)
-	defer w.stop()
+	c.watch.start(g, c, out)
+	defer c.watch.stop()
 	for {
 		reader, ok := c.body.attempt()
 		if !ok {
@@ -101,7 +101,7 @@
 		if err == nil || final || endedInBody(err) {
 			return final, err
 		}
-		delay, ok := attempts.Next(verdict.Of(err), reached(err), c.left())
+		delay, ok := attempts.Next(verdict.Of(err), reached(err), c.remaining())
 		if !ok || !c.pause(delay) {
 			return false, err
 		}
--- a/request/gateway/body.go
+++ b/request/gateway/body.go
@@ -35,13 +35,12 @@
 	reader *bodyReader
 }
 
-func newBody(w http.ResponseWriter, r *http.Request, o *Options) *body {
-	b := &body{ctl: http.NewResponseController(w), timeout: o.BodyTimeout, max: o.MaxBody,
-		src: r.Body, keep: o.RewindBody}
+func (b *body) init(w http.ResponseWriter, r *http.Request, o *Options) {
+	b.ctl, b.timeout, b.max = http.NewResponseController(w), o.BodyTimeout, o.MaxBody
+	b.src, b.keep = r.Body, o.RewindBody
 	if r.ContentLength == 0 {
 		b.err = io.EOF
 	}
-	return b
 }
 
 // newWholeBody returns a body that is in memory.
@@ -98,12 +97,13 @@
 	if b.err != nil && b.err != io.EOF {
 		return nil, false
 	}
-	b.reader = &bodyReader{body: b}
+	b.reader = nil
 	if b.err == io.EOF {
 		// All in memory: a plain reader needs no lock, and an attempt that has
 		// ended may still read it.
 		return bytes.NewReader(b.kept), true
 	}
+	b.reader = &bodyReader{body: b}
 	return b.reader, true
 }
 
--- a/request/gateway/call.go
+++ b/request/gateway/call.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"fennelshunt.example/fennelshunt/request/forward"
@@ -43,8 +44,22 @@
 	cut      bool // the caller got a part of an answer
 
 	reply reply
-	// leave counts the request as no longer in progress, once.
-	leave func()
+	left  atomic.Bool // no longer counted as in progress
+
+	// What most requests need, allocated with the call.
+	firstBody body
+	firstWait waitContext
+	bodyAlarm alarm
+	watch     watch
+	out       forward.Outgoing
+	values    [2]string // of the answer's headers
+}
+
+// leave counts the request as no longer in progress, once.
+func (g *Gateway) leave(c *call) {
+	if c.left.CompareAndSwap(false, true) {
+		g.inFlight.Add(-1)
+	}
 }
 
 // newCall checks the request; nothing has run yet when it returns an error.
@@ -54,7 +69,8 @@
 	if err := g.parse(c); err != nil {
 		return c, err
 	}
-	c.wait = &waitContext{Context: r.Context(), deadline: c.deadline}
+	c.firstWait.Context, c.firstWait.deadline = r.Context(), c.deadline
+	c.wait = &c.firstWait
 	return c, nil
 }
 
@@ -109,10 +125,10 @@
 func (c *call) outgoing() *forward.Outgoing {
 	forward.PrepareRequest(c.in.Header, c.id)
 	delete(c.in.Header, ForwardedHeader)
-	return &forward.Outgoing{
-		Method: c.in.Method, URL: c.in.URL, Host: c.in.Host, Header: c.in.Header,
-		Trailer: c.in.Trailer, ContentLength: c.in.ContentLength, ID: c.id,
-	}
+	o := &c.out
+	o.Method, o.URL, o.Host, o.Header, o.Trailer = c.in.Method, c.in.URL, c.in.Host, c.in.Header, c.in.Trailer
+	o.ContentLength, o.ID = c.in.ContentLength, c.id
+	return o
 }
 
 // teamName returns the team for limits and fair shares. Teams that the
@@ -125,8 +141,8 @@
 	return c.team.Name
 }
 
-// left returns the time until the deadline.
-func (c *call) left() time.Duration { return time.Until(c.deadline) }
+// remaining returns the time until the deadline.
+func (c *call) remaining() time.Duration { return time.Until(c.deadline) }
 
 // fail answers the caller with an error. The verdict counts all attempts: when
 // an earlier one may have run, "not run" would be false.
--- a/request/gateway/gateway.go
+++ b/request/gateway/gateway.go
@@ -69,8 +69,7 @@
 func (g *Gateway) serve(w http.ResponseWriter, r *http.Request, forwarded bool) {
 	inFlight := g.inFlight.Add(1)
 	c, failure := g.newCall(w, r, forwarded)
-	c.leave = sync.OnceFunc(func() { g.inFlight.Add(-1) })
-	defer c.leave()
+	defer g.leave(c)
 	defer g.ended(c)
 	if failure == nil {
 		defer c.wait.stop()
@@ -83,7 +82,8 @@
 		c.fail(failure)
 		return
 	}
-	c.body = newBody(w, r, &g.opts)
+	c.body = &c.firstBody
+	c.body.init(w, r, &g.opts)
 	if c.key != "" {
 		g.serveKeyed(c)
 		return
@@ -103,9 +103,8 @@
 		return nil
 	}
 	limit := time.Now().Add(g.opts.BodyTimeout)
-	var a alarm
-	g.deadlines.set(&a, limit, c.body.interrupt)
-	defer g.deadlines.stop(&a)
+	g.deadlines.set(&c.bodyAlarm, limit, c.body.interrupt)
+	defer g.deadlines.stop(&c.bodyAlarm)
 	return c.body.preload(size)
 }
 
@@ -144,7 +143,9 @@
 	if id := r.Header.Get(verdict.RequestIDHeader); forwarded && id != "" && len(id) <= maxName {
 		return id
 	}
-	return g.idPrefix + strconv.FormatUint(g.idSeq.Add(1), 36)
+	const digits = 24
+	id := append(make([]byte, 0, digits), g.idPrefix...)
+	return string(strconv.AppendUint(id, g.idSeq.Add(1), 36))
 }
 
 // budget returns the retry budget of a service.
--- a/request/gateway/peer.go
+++ b/request/gateway/peer.go
@@ -31,7 +31,7 @@
 	h.Set(ServiceHeader, c.service)
 	h.Set(TeamHeader, c.identity.Team)
 	h.Set(CallerHeader, c.identity.Caller)
-	h.Set(TimeoutHeader, max(c.left()-homeMargin, time.Millisecond).String())
+	h.Set(TimeoutHeader, max(c.remaining()-homeMargin, time.Millisecond).String())
 }
 
 // PeerHandler serves requests that other daemons forward to this one as the
--- a/request/gateway/reply.go
+++ b/request/gateway/reply.go
@@ -120,7 +120,7 @@
 		v = verdict.MayHaveRun
 	}
 	w.answer(v)
-	c.leave()
+	w.gateway.leave(c)
 	if v == verdict.NotRun || !c.body.complete() {
 		w.cut() // there is no end to be learnt
 		return
--- a/request/retry/retry.go
+++ b/request/retry/retry.go
@@ -102,9 +102,9 @@
 }
 
 // Request counts a new request and returns its attempts.
-func (b *Budget) Request(idempotent bool) *Attempts {
+func (b *Budget) Request(idempotent bool) Attempts {
 	b.earn()
-	return &Attempts{budget: b, idempotent: idempotent, made: 1}
+	return Attempts{budget: b, idempotent: idempotent, made: 1}
 }
 
 // Attempts follows the attempts of one request; not for concurrent use.
--- a/request/retry/retry_test.go
+++ b/request/retry/retry_test.go
@@ -20,7 +20,8 @@
 		{verdict.Ran, false, false}, {verdict.Ran, true, false},
 	} {
 		require.Equal(t, tc.want, Permitted(tc.v, tc.idempotent), "%v %v", tc.v, tc.idempotent)
-		_, ok := NewBudget(Options{}).Request(tc.idempotent).Next(tc.v, true, time.Minute)
+		a := NewBudget(Options{}).Request(tc.idempotent)
+		_, ok := a.Next(tc.v, true, time.Minute)
 		require.Equal(t, tc.want, ok, "%v %v", tc.v, tc.idempotent)
 	}
 }
@@ -43,7 +44,8 @@
 	}
 	require.LessOrEqual(t, float64(retries), requests*DefaultRatio+DefaultBurst)
 	require.Greater(t, float64(retries), requests*DefaultRatio*0.9)
-	_, ok := b.Request(false).Next(verdict.NotRun, false, time.Minute)
+	unreached := b.Request(false)
+	_, ok := unreached.Next(verdict.NotRun, false, time.Minute)
 	require.True(t, ok, "an attempt that reached no endpoint is not charged")
 }
 
@@ -60,6 +62,7 @@
 	}
 	_, ok = a.Next(verdict.NotRun, true, time.Minute)
 	require.False(t, ok, "the eleventh attempt")
-	_, ok = b.Request(true).Next(verdict.NotRun, true, time.Nanosecond)
+	late := b.Request(true)
+	_, ok = late.Next(verdict.NotRun, true, time.Nanosecond)
 	require.False(t, ok, "the deadline comes before the retry")
 }
