--- a/process/partition/agenttest/agenttest.go
+++ b/process/partition/agenttest/agenttest.go
@@ -219,6 +219,20 @@
 	return maps.Clone(r.starts)
 }
 
+// Finished returns how many tasks of a job have succeeded and were
+// acknowledged.
+func (r *Rack) Finished(job string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := 0
+	for id, times := range r.finished {
+		if id.Job == job && times > 0 {
+			n++
+		}
+	}
+	return n
+}
+
 // Running returns the tasks that run at a worker now.
 func (r *Rack) Running(id worker.ID) []spec.TaskID {
 	r.mu.Lock()
--- a/process/partition/harness_test.go
+++ b/process/partition/harness_test.go
@@ -73,6 +73,10 @@
 	ctx     context.Context
 	cancel  context.CancelFunc
 	jobs    spec.Config
+	whole   bool // daemons also own the jobs
+
+	mu     sync.Mutex
+	broken []string // invariants that a part reported
 }
 
 // daemon is one life of a daemon with everything that owns partitions.
@@ -142,8 +146,17 @@
 // newCell starts daemons and workers; odd workers compare epochs, even ones
 // only know leases.
 func newCell(t testing.TB, daemons, workers, racks int, capacity spec.Resources) *cell {
+	c := newWholeCell(t, daemons, workers, racks, capacity, spec.Config{})
+	c.author = newAuthor(c)
+	return c
+}
+
+// newWholeCell is newCell with jobs that the daemons own themselves, when the
+// configuration has any.
+func newWholeCell(t testing.TB, daemons, workers, racks int, capacity spec.Resources, config spec.Config) *cell {
 	ctx, cancel := context.WithCancel(t.Context())
-	c := &cell{t: t, rack: agenttest.NewRack(), kv: kv.New(), net: peertest.NewNetwork(1), vms: &vmList{}, ctx: ctx, cancel: cancel, workers: workers, racks: racks}
+	c := &cell{t: t, rack: agenttest.NewRack(), kv: kv.New(), net: peertest.NewNetwork(1), vms: &vmList{}, ctx: ctx, cancel: cancel, workers: workers, racks: racks,
+		jobs: config, whole: len(config.Jobs) > 0}
 	for i := range workers {
 		id := workerID(i)
 		c.rack.Add(id, capacity, i%2 == 1)
@@ -158,7 +171,6 @@
 	for i := range daemons {
 		c.daemons = append(c.daemons, c.startDaemon(peer.Ref{ID: peer.MemberID(fmt.Sprintf("daemon-%d", i)), Incarnation: 1}))
 	}
-	c.author = newAuthor(c)
 	return c
 }
 
@@ -188,6 +200,9 @@
 	d.manager.Register(ownership.PartitionPrefix, d.host, d.host.Resources)
 	ctx, stop := context.WithCancel(c.ctx)
 	d.stop = stop
+	if c.whole {
+		d.addJobs(ctx, caller, mux)
+	}
 	go func() { _ = d.racks.Serve(ctx) }()
 	go func() { _ = d.manager.Serve(ctx) }()
 	return d
@@ -408,6 +423,8 @@
 		d.gate.open()
 		c.rack.Resume(d.key())
 	}
-	c.net.Stop(c.author.ref)
+	if c.author != nil {
+		c.net.Stop(c.author.ref)
+	}
 	time.Sleep(time.Minute)
 }
--- a/process/partition/random_test.go
+++ b/process/partition/random_test.go
@@ -114,17 +114,23 @@
 		r.kv.SetFaults(kv.Faults{})
 	case "cutPeer":
 		r.net.Cut(d.ref.ID, other.ref.ID)
-		r.net.Cut(d.ref.ID, r.shards[len(r.shards)-1].ref.ID)
+		if !r.whole {
+			r.net.Cut(d.ref.ID, r.shards[len(r.shards)-1].ref.ID)
+		}
 	case "healPeer":
 		r.net.Heal(d.ref.ID, other.ref.ID)
-		r.net.Heal(d.ref.ID, r.shards[len(r.shards)-1].ref.ID)
+		if !r.whole {
+			r.net.Heal(d.ref.ID, r.shards[len(r.shards)-1].ref.ID)
+		}
 	case "shardTakeover":
-		if len(r.shards) < 4 {
+		if !r.whole && len(r.shards) < 4 {
 			r.shards[len(r.shards)-1].deaf = a.A%2 == 0
 			r.newShard()
 		}
 	case "shardDeaf":
-		r.shards[len(r.shards)-1].deaf = a.A%2 == 0
+		if !r.whole {
+			r.shards[len(r.shards)-1].deaf = a.A%2 == 0
+		}
 	case "holdStore":
 		d.gate.hold()
 	case "holdWorkers":
@@ -189,7 +195,9 @@
 	for i := range r.workers {
 		r.rack.SetDown(workerID(i), false)
 	}
-	r.shards[len(r.shards)-1].deaf = false
+	if !r.whole {
+		r.shards[len(r.shards)-1].deaf = false
+	}
 	for _, d := range r.daemons {
 		r.kill(d)
 		r.rack.Resume(d.key())
