--- a/process/versions/message.go
+++ b/process/versions/message.go
@@ -27,9 +27,8 @@
 
 // Sighting is the version that one life of a member had in force.
 type Sighting struct {
-	_       struct{} `cbor:",toarray"`
-	Member  peer.Ref
-	Version uint64
+	Member  peer.Ref `cbor:"1,keyasint,omitempty"`
+	Version uint64   `cbor:"2,keyasint,omitempty"`
 }
 
 // Pull asks for what changed since version Have.
--- a/version/history/apply_test.go
+++ b/version/history/apply_test.go
@@ -104,3 +104,25 @@
 	assert.Equal(t, uint64(versions), late.Version)
 	assert.Equal(t, versions, late.Config.Jobs["a-0"].Count)
 }
+
+// Symptom: during an upgrade, daemons of the earlier release take no version.
+// Sequence: a daemon of a later release applies a file; its records have a field
+// that the earlier release does not know.
+// Cause: a decoder that refuses what it does not know.
+func TestLaterReleaseMayAddFields(t *testing.T) {
+	type laterChange struct {
+		Change
+		Extra string `cbor:"99,keyasint"`
+	}
+	data, err := encoder.Marshal(struct {
+		Version uint64        `cbor:"1,keyasint"`
+		Recent  []laterChange `cbor:"4,keyasint"`
+		Extra   string        `cbor:"99,keyasint"`
+	}{1, []laterChange{{Change{Version: 1, File: "a"}, "x"}}, "y"})
+	require.NoError(t, err)
+	head, err := DecodeHead(data)
+	require.NoError(t, err)
+	assert.Equal(t, []Change{{Version: 1, File: "a"}}, head.Recent)
+	_, err = decodeContent([]byte(`{"file":{"name":"a","later":1},"later":2}`), head.Recent[0])
+	require.NoError(t, err)
+}
--- a/version/history/record.go
+++ b/version/history/record.go
@@ -56,9 +56,8 @@
 
 // Blob names content by the chunks it consists of; no chunks is no content.
 type Blob struct {
-	_      struct{} `cbor:",toarray"`
-	Size   int64
-	Chunks []Hash
+	Size   int64  `cbor:"1,keyasint,omitempty"`
+	Chunks []Hash `cbor:"2,keyasint,omitempty"`
 }
 
 // ApplyID names one Apply. After a lost answer it tells whose change a version
@@ -67,19 +66,18 @@
 
 // Change is what one version did: it replaced one file.
 type Change struct {
-	_       struct{} `cbor:",toarray"`
-	Version uint64
-	File    string
+	Version uint64 `cbor:"1,keyasint,omitempty"`
+	File    string `cbor:"2,keyasint,omitempty"`
 	// Content is the file's document; no chunks means that the file is gone.
-	Content Blob
-	Author  string
+	Content Blob   `cbor:"3,keyasint,omitempty"`
+	Author  string `cbor:"4,keyasint,omitempty"`
 	// Team is the team whose work the file is, "" for one of the platform's
 	// operators; see TeamOf.
-	Team string
+	Team string `cbor:"5,keyasint,omitempty"`
 	// AppliedMillis is the time of the apply by the clock of the daemon that
 	// served it, in milliseconds since 1970.
-	AppliedMillis int64
-	ID            ApplyID
+	AppliedMillis int64   `cbor:"6,keyasint,omitempty"`
+	ID            ApplyID `cbor:"7,keyasint,omitempty"`
 }
 
 // Removed reports whether the change took the file away.
@@ -90,16 +88,15 @@
 
 // Head is the value of the head key.
 type Head struct {
-	_       struct{} `cbor:",toarray"`
-	Version uint64
+	Version uint64 `cbor:"1,keyasint,omitempty"`
 	// Index holds the files as of IndexVersion, a multiple of SegmentLength.
-	Index        Blob
-	IndexVersion uint64
+	Index        Blob   `cbor:"2,keyasint,omitempty"`
+	IndexVersion uint64 `cbor:"3,keyasint,omitempty"`
 	// Recent holds the latest changes in order: all since IndexVersion, and the
 	// segment before it if there was one.
-	Recent []Change
+	Recent []Change `cbor:"4,keyasint,omitempty"`
 	// Sweep counts collections of chunks; see Collector.
-	Sweep uint64
+	Sweep uint64 `cbor:"5,keyasint,omitempty"`
 }
 
 // oldest returns the first version that Recent holds.
@@ -115,11 +112,10 @@
 
 // index is the table of all files at one version.
 type index struct {
-	_     struct{} `cbor:",toarray"`
-	Files []Change
+	Files []Change `cbor:"1,keyasint,omitempty"`
 	// Forgotten is the highest version of a removed file that is no longer
 	// listed.
-	Forgotten uint64
+	Forgotten uint64 `cbor:"2,keyasint,omitempty"`
 }
 
 var (
--- a/version/history/segment.go
+++ b/version/history/segment.go
@@ -11,8 +11,7 @@
 
 // segment is SegmentLength changes that left the head.
 type segment struct {
-	_       struct{} `cbor:",toarray"`
-	Changes []Change
+	Changes []Change `cbor:"1,keyasint,omitempty"`
 }
 
 // segmentOf returns the number of the segment that holds a version, from 1.
--- a/version/history/snapshot.go
+++ b/version/history/snapshot.go
@@ -55,12 +55,11 @@
 
 // Update is what turns a snapshot into a later one.
 type Update struct {
-	_       struct{} `cbor:",toarray"`
-	Version uint64
+	Version uint64 `cbor:"1,keyasint,omitempty"`
 	// Whole is set when Changes lists all files, not only the changed ones.
-	Whole     bool
-	Changes   []Change
-	Forgotten uint64
+	Whole     bool     `cbor:"2,keyasint,omitempty"`
+	Changes   []Change `cbor:"3,keyasint,omitempty"`
+	Forgotten uint64   `cbor:"4,keyasint,omitempty"`
 }
 
 // Since returns the update from version have to s.
