Let a fetch of many files go on where it ended

Cause: a fresh daemon of a cell with thousands of files fetched one chunk per call and started anew when its attempt timed out; it might never have had a version whole. Change: chunks of an unfinished fetch are kept, checked against their hash; a peer is asked for up to 256 chunks in one call.

--- a/process/versions/chunk.go
+++ b/process/versions/chunk.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 
 	"fennelshunt.example/fennelshunt/connection/peer"
@@ -68,27 +69,74 @@
 	return nil, history.ErrNoChunk
 }
 
-// inlineChunks are chunks that came with a reply.
-type inlineChunks map[history.Hash][]byte
+// maxPartial bounds the chunks kept of an unfinished fetch, in bytes.
+const maxPartial = 32 << 20
+
+// partial keeps the chunks of a fetch that did not finish. What goes wrong
+// without it: a fresh daemon of a cell with thousands of files starts over with
+// each attempt, and never has a version whole.
+type partial struct {
+	mu     sync.Mutex
+	size   int
+	chunks map[history.Hash][]byte
+}
+
+// put keeps a chunk that matches its hash.
+func (p *partial) put(hash history.Hash, data []byte) error {
+	if err := history.CheckChunk(hash, data); err != nil {
+		return err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.chunks == nil {
+		p.chunks = make(map[history.Hash][]byte)
+	}
+	if p.chunks[hash] == nil && p.size+len(data) <= maxPartial {
+		p.chunks[hash] = data
+		p.size += len(data)
+	}
+	return nil
+}
+
+// clear forgets all after a fetch has finished.
+func (p *partial) clear() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.chunks, p.size = nil, 0
+}
 
 // Chunk implements history.Chunks.
-func (c inlineChunks) Chunk(_ context.Context, hash history.Hash) ([]byte, error) {
-	if data := c[hash]; data != nil {
+func (p *partial) Chunk(_ context.Context, hash history.Hash) ([]byte, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if data := p.chunks[hash]; data != nil {
 		return data, nil
 	}
 	return nil, history.ErrNoChunk
 }
 
-// chunkSources tries one source after the other.
-type chunkSources []history.Chunks
+// chunkSources looks at what is here already and then tries one source after
+// the other; what it gets it keeps until the fetch is finished.
+type chunkSources struct {
+	keeper *Keeper
+	remote []history.Chunks
+}
 
 // Chunk implements history.Chunks.
 func (c chunkSources) Chunk(ctx context.Context, hash history.Hash) ([]byte, error) {
+	if data, err := c.keeper.chunks.Chunk(ctx, hash); err == nil {
+		return data, nil
+	}
+	if data, err := c.keeper.partial.Chunk(ctx, hash); err == nil {
+		return data, nil
+	}
 	err := history.ErrNoChunk
-	for _, s := range c {
+	for _, s := range c.remote {
 		var data []byte
 		if data, err = s.Chunk(ctx, hash); err == nil {
-			return data, nil
+			if err = c.keeper.partial.put(hash, data); err == nil {
+				return data, nil
+			}
 		}
 	}
 	return nil, err
@@ -108,24 +156,72 @@
 	}
 	err := history.ErrNoChunk
 	for _, ref := range append(from, c.keeper.pick(maxPeerSources)...) {
-		var reply ChunkReply
-		if callErr := c.keeper.options.Caller.Call(ctx, ref, MethodChunk, ChunkRequest{Hash: hash}, &reply); callErr != nil {
+		chunks, callErr := c.keeper.askChunks(ctx, ref, []history.Hash{hash})
+		if callErr != nil {
 			err = callErr
 			continue
 		}
-		if len(reply.Data) > 0 {
-			return reply.Data, nil
+		if len(chunks) == 1 && chunks[0].Hash == hash {
+			return chunks[0].Data, nil
 		}
 	}
 	return nil, err
 }
 
+// maxHashes is the number of chunks asked for in one call.
+const maxHashes = 256
+
+// askChunks asks a peer for some chunks; it may send fewer.
+func (k *Keeper) askChunks(ctx context.Context, from peer.Ref, hashes []history.Hash) ([]Chunk, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var reply ChunkReply
+	err := k.options.Caller.Call(ctx, from, MethodChunk, ChunkRequest{Hashes: hashes[:min(len(hashes), maxHashes)]}, &reply)
+	return reply.Chunks, err
+}
+
+// prefetch gets the chunks that are missing for an update from the peer that
+// has it, many per call, as far as it can.
+func (k *Keeper) prefetch(ctx context.Context, from peer.Ref, missing []history.Hash) {
+	for {
+		missing = slices.DeleteFunc(missing, func(hash history.Hash) bool {
+			_, inForce := k.chunks.Chunk(ctx, hash)
+			_, fetched := k.partial.Chunk(ctx, hash)
+			return inForce == nil || fetched == nil
+		})
+		if len(missing) == 0 {
+			return
+		}
+		chunks, err := k.askChunks(ctx, from, missing)
+		if err != nil || len(chunks) == 0 {
+			return // the rest is fetched one by one, from others too
+		}
+		for _, c := range chunks {
+			if k.partial.put(c.Hash, c.Data) != nil {
+				return
+			}
+		}
+	}
+}
+
 // serveChunk answers a peer that fetches content.
 func (k *Keeper) serveChunk(ctx context.Context, _ peer.Ref, payload []byte) (any, error) {
 	var request ChunkRequest
 	if err := peer.Unmarshal(payload, &request); err != nil {
 		return nil, err
 	}
-	data, _ := k.chunks.Chunk(ctx, request.Hash) // without it the reply is empty
-	return ChunkReply{Hash: request.Hash, Data: data}, nil
+	var reply ChunkReply
+	room := maxInline
+	for _, hash := range request.Hashes {
+		data, err := k.chunks.Chunk(ctx, hash)
+		if err != nil {
+			continue
+		}
+		if len(reply.Chunks) > 0 && len(data) > room {
+			break
+		}
+		reply.Chunks = append(reply.Chunks, Chunk{Hash: hash, Data: data})
+		room -= len(data)
+	}
+	return reply, nil
 }
--- a/process/versions/fetch.go
+++ b/process/versions/fetch.go
@@ -11,8 +11,11 @@
 )
 
 const (
-	// pullTimeout bounds one attempt to get a version from one source.
-	pullTimeout = 2 * time.Second
+	// fetchTimeout bounds one attempt to get a version from one source. The
+	// next attempt goes on where this one ended.
+	fetchTimeout = 5 * time.Second
+	// callTimeout bounds one call to a peer.
+	callTimeout = 2 * time.Second
 	// maxPeerSources is the number of peers asked before the store.
 	maxPeerSources = 2
 	// maxInline is the content that a reply to a Pull carries, in bytes.
@@ -41,7 +44,7 @@
 }
 
 func (k *Keeper) fetchFrom(ctx context.Context, have *history.Snapshot, s source) (*history.Snapshot, error) {
-	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
 	update, chunks, err := s.update(ctx, have)
 	if err != nil {
@@ -63,7 +66,8 @@
 
 func (s storeSource) update(ctx context.Context, have *history.Snapshot) (history.Update, history.Chunks, error) {
 	s.keeper.metrics.fromStore.Add(1)
-	chunks := chunkSources{&s.keeper.chunks, history.StoreChunks{Handle: s.keeper.options.Handle}, peerChunks{keeper: s.keeper}}
+	chunks := chunkSources{keeper: s.keeper, remote: []history.Chunks{
+		history.StoreChunks{Handle: s.keeper.options.Handle}, peerChunks{keeper: s.keeper}}}
 	u, err := have.UpdateFrom(ctx, s.head, chunks)
 	return u, chunks, err
 }
@@ -78,20 +82,31 @@
 
 func (s peerSource) update(ctx context.Context, have *history.Snapshot) (history.Update, history.Chunks, error) {
 	s.keeper.metrics.fromPeers.Add(1)
-	var pulled Pulled
-	if err := s.keeper.options.Caller.Call(ctx, s.from, MethodPull, Pull{Have: have.Version}, &pulled); err != nil {
+	pulled, err := s.pull(ctx, have.Version)
+	if err != nil {
 		s.keeper.sighted.forget(s.from)
 		return history.Update{}, nil, err
 	}
-	inline := make(inlineChunks, len(pulled.Chunks))
 	for _, c := range pulled.Chunks {
-		inline[c.Hash] = c.Data
+		if err := s.keeper.partial.put(c.Hash, c.Data); err != nil {
+			return history.Update{}, nil, err
+		}
 	}
-	chunks := chunkSources{inline, &s.keeper.chunks, peerChunks{keeper: s.keeper, first: s.from},
-		history.StoreChunks{Handle: s.keeper.options.Handle}}
+	s.keeper.prefetch(ctx, s.from, have.Missing(pulled.Update))
+	chunks := chunkSources{keeper: s.keeper, remote: []history.Chunks{
+		peerChunks{keeper: s.keeper, first: s.from}, history.StoreChunks{Handle: s.keeper.options.Handle}}}
 	return pulled.Update, chunks, nil
 }
 
+// pull asks the peer for what changed since version have.
+func (s peerSource) pull(ctx context.Context, have uint64) (Pulled, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var pulled Pulled
+	err := s.keeper.options.Caller.Call(ctx, s.from, MethodPull, Pull{Have: have}, &pulled)
+	return pulled, err
+}
+
 // servePull answers a peer that is behind.
 func (k *Keeper) servePull(_ context.Context, _ peer.Ref, payload []byte) (any, error) {
 	var request Pull
@@ -109,7 +124,7 @@
 		for _, hash := range change.Content.Chunks {
 			data := d.Chunks[hash]
 			if len(data) <= room {
-				reply.Chunks = append(reply.Chunks, ChunkReply{Hash: hash, Data: data})
+				reply.Chunks = append(reply.Chunks, Chunk{Hash: hash, Data: data})
 				room -= len(data)
 			}
 		}
--- a/process/versions/keeper.go
+++ b/process/versions/keeper.go
@@ -61,6 +61,7 @@
 	options  Options
 	current  atomic.Pointer[history.Snapshot]
 	chunks   chunkIndex
+	partial  partial
 	sighted  sightings
 	metrics  metrics
 	loaded   chan struct{}
@@ -195,6 +196,7 @@
 		return
 	}
 	k.chunks.replace(before, s)
+	k.partial.clear()
 	k.current.Store(s)
 	k.metrics.version.Set(int64(s.Version))
 	k.setLoaded()
--- a/process/versions/message.go
+++ b/process/versions/message.go
@@ -37,21 +37,27 @@
 }
 
 // Pulled answers a Pull. Chunks holds content of the changes as far as it fits;
-// the rest is asked for one by one.
+// the rest is asked for.
 type Pulled struct {
 	Update history.Update `cbor:"1,keyasint"`
-	Chunks []ChunkReply   `cbor:"2,keyasint,omitempty"`
+	Chunks []Chunk        `cbor:"2,keyasint,omitempty"`
 }
 
-// ChunkRequest asks for one chunk.
-type ChunkRequest struct {
+// Chunk is one chunk of content, compressed.
+type Chunk struct {
 	Hash history.Hash `cbor:"1,keyasint"`
+	Data []byte       `cbor:"2,keyasint"`
 }
 
-// ChunkReply carries one chunk, compressed; without Data the sender lacks it.
+// ChunkRequest asks for chunks.
+type ChunkRequest struct {
+	Hashes []history.Hash `cbor:"1,keyasint"`
+}
+
+// ChunkReply carries those of the chunks that the sender has, as far as they
+// fit.
 type ChunkReply struct {
-	Hash history.Hash `cbor:"1,keyasint"`
-	Data []byte       `cbor:"2,keyasint,omitempty"`
+	Chunks []Chunk `cbor:"1,keyasint,omitempty"`
 }
 
 // Await asks for an answer once Version is in force, or after WaitMillis.
--- a/version/history/chunk.go
+++ b/version/history/chunk.go
@@ -82,6 +82,13 @@
 	return content, nil
 }
 
+// CheckChunk reports whether compressed data is the chunk that hash names; the
+// error is ErrCorrupt.
+func CheckChunk(hash Hash, data []byte) error {
+	_, err := expand(hash, data)
+	return err
+}
+
 // fetch assembles the content of a blob. It also returns the chunks as the
 // source gave them.
 func fetch(ctx context.Context, source Chunks, blob Blob) ([]byte, map[Hash][]byte, error) {
--- a/version/history/snapshot.go
+++ b/version/history/snapshot.go
@@ -140,6 +140,17 @@
 	return next, next.flatten()
 }
 
+// Missing returns the chunks of u that s does not hold.
+func (s *Snapshot) Missing(u Update) []Hash {
+	var missing []Hash
+	for _, change := range u.Changes {
+		if d := s.documents[change.File]; d == nil || d.Change.Version != change.Version {
+			missing = append(missing, change.Content.Chunks...)
+		}
+	}
+	return missing
+}
+
 // flatten fills in the configuration.
 func (s *Snapshot) flatten() error {
 	config, err := spec.Flatten(s.Version, s.applied())
