Read the sign of leaving from refusals too

Cause: an instance that refuses before work because it is leaving announced it in an answer that the gateway never saw. Change: the sign is taken from every answer; the stand-in can give it. Measured: nothing; the test failed for refusals before. Conclusion: the first answer of a leaving instance is enough.

--- a/request/forward/doc.go
+++ b/request/forward/doc.go
@@ -33,6 +33,9 @@
 	// RequestIDHeader carries the request's id; an endpoint that echoes it lets
 	// the daemon find answers that belong to another request.
 	RequestIDHeader = "Fennel-Request-Id"
+	// LeavingHeader on an endpoint's answer, with any value, tells that it
+	// takes no new requests soon.
+	LeavingHeader = "Fennel-Leaving"
 )
 
 // Codes of the errors of an attempt.
--- a/request/forward/send.go
+++ b/request/forward/send.go
@@ -40,8 +40,13 @@
 	sent    bool      // by an attempt that may have run
 	givenUp bool
 	took    time.Duration
+	leaving bool
 }
 
+// Leaving reports whether the endpoint announced in the last attempt, in a
+// refusal too, that it takes no new requests soon.
+func (o *Outgoing) Leaving() bool { return o.leaving }
+
 // Took returns how long the last attempt took that failed in Send.
 func (o *Outgoing) Took() time.Duration { return o.took }
 
@@ -141,6 +146,7 @@
 		x.cancel(nil)
 		return nil, newError(verdict.NotRun, http.StatusGatewayTimeout, CodeDeadline, errDeadline)
 	}
+	o.leaving = false
 	t := f.target(e)
 	r := s.request(ctx, o, t.scheme, e.Address)
 	t.begin()
@@ -153,6 +159,7 @@
 		t.end()
 		return nil, o.end(failure)
 	}
+	o.leaving = resp.Header[LeavingHeader] != nil
 	a := &s.answer
 	*a = Answer{Status: resp.StatusCode, Header: resp.Header, HeaderTime: time.Since(start),
 		resp: resp, target: t, cancel: x.cancel, ctx: ctx}
--- a/request/gateway/attempt.go
+++ b/request/gateway/attempt.go
@@ -144,6 +144,9 @@
 	endpoint := slot.Endpoint()
 	c.endpoint = endpoint.Address
 	answer, err := g.opts.Forwarder.Send(context.Background(), endpoint, out)
+	if out.Leaving() {
+		g.opts.OnLeaving(endpoint.Address)
+	}
 	if err != nil {
 		g.report(c, endpoint.Address, err, 0, out.Took())
 		c.count(err)
@@ -153,9 +156,6 @@
 		return false, err
 	}
 	defer answer.Close()
-	if answer.Header[LeavingHeader] != nil {
-		g.opts.OnLeaving(endpoint.Address)
-	}
 	status, headerTime := answer.Status, answer.HeaderTime
 	final, err = deliver(answer)
 	g.report(c, endpoint.Address, err, status, headerTime)
--- a/request/gateway/options.go
+++ b/request/gateway/options.go
@@ -34,10 +34,6 @@
 	CallerHeader = "Fennel-Caller"
 )
 
-// LeavingHeader on an endpoint's answer, with any value, tells that it takes no
-// new requests soon.
-const LeavingHeader = "Fennel-Leaving"
-
 // ForwardedHeader marks a request that another daemon forwarded; it holds the
 // daemon's name and is only believed on the daemons' own listener.
 const ForwardedHeader = "Fennel-Forwarded-By"
--- a/request/gateway/scenario_test.go
+++ b/request/gateway/scenario_test.go
@@ -79,6 +79,22 @@
 	require.Zero(t, bad.Runs("k"))
 }
 
+func TestSignOfLeavingIsPassedOnFromAnyAnswer(t *testing.T) {
+	// Symptom: an instance got new requests until its VM was gone.
+	// Sequence: it announces its leaving in a refusal, or in an answer.
+	// Cause: the sign was read from whole answers only.
+	for _, refuse := range []float64{0, 1} {
+		p := newPool()
+		e := startEndpoint(t, p, endpoint.Options{Slots: 4, Connections: 64})
+		e.SetFaults(endpoint.Faults{Leaving: true, Refuse: refuse})
+		var seen sync.Map
+		_, url := startGateway(t, Options{Slots: p, OnLeaving: func(address string) { seen.Store(address, true) }})
+		do(t, "POST", url, "k", "")
+		_, ok := seen.Load(e.Address())
+		require.True(t, ok, "refused: %v", refuse)
+	}
+}
+
 func TestLossOfAZoneFailsNoRequestThatAnotherInstanceCanServe(t *testing.T) {
 	// Symptom: a third of the requests failed for a minute after a zone's loss.
 	// Sequence: a third of the instances refuse connections.
--- a/standin/endpoint/faults.go
+++ b/standin/endpoint/faults.go
@@ -29,8 +29,14 @@
 	// Unsolicited sends a second answer that nobody asked for, right after an
 	// answer.
 	Unsolicited float64 `json:"unsolicited,omitempty"`
+	// Leaving announces with LeavingHeader on every answer that the endpoint
+	// takes no new requests soon.
+	Leaving bool `json:"leaving,omitempty"`
 }
 
+// LeavingHeader announces that an endpoint is leaving.
+const LeavingHeader = "Fennel-Leaving"
+
 type connKey struct{}
 
 type fault int
@@ -57,18 +63,19 @@
 	e.faults = f
 }
 
-// draw picks the fault of one request and the added delay.
-func (e *Endpoint) draw() (fault, time.Duration) {
+// draw picks the fault of one request and the added delay, and tells whether
+// the endpoint is leaving.
+func (e *Endpoint) draw() (kind fault, delay time.Duration, leaving bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	f := e.faults
 	shares := []float64{f.Refuse, f.Reset, f.ResetMidAnswer, f.Truncate, f.Hang, f.Error}
 	for i, share := range shares {
 		if share > 0 && e.rng.Float64() < share {
-			return fault(i + 1), f.Delay
+			return fault(i + 1), f.Delay, f.Leaving
 		}
 	}
-	return faultNone, f.Delay
+	return faultNone, f.Delay, f.Leaving
 }
 
 // idleFaultLocked applies the faults of a connection that has become idle.
--- a/standin/endpoint/serve.go
+++ b/standin/endpoint/serve.go
@@ -39,7 +39,10 @@
 // bytes instead of the echo of the request's body; trailer=1 for a trailer.
 func (e *Endpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	key := Key(r.Header)
-	kind, delay := e.draw()
+	kind, delay, leaving := e.draw()
+	if leaving {
+		w.Header().Set(LeavingHeader, "true")
+	}
 	if id := r.Header.Get(RequestIDHeader); id != "" && !e.opts.NoEcho {
 		w.Header().Set(RequestIDHeader, id)
 	}
