Number the fields of starts and task references in CBOR

Cause: messages between daemons carried the JSON names of each field; the steps of a plan were mostly names. Change: cbor tags on worker.Start and worker.Ref; JSON towards workers stays.

--- a/connection/worker/worker.go
+++ b/connection/worker/worker.go
@@ -48,18 +48,18 @@
 
 // Start asks for one task to be started.
 type Start struct {
-	Task spec.TaskID `json:"task"`
+	Task spec.TaskID `json:"task" cbor:"1,keyasint"`
 	// Attempt rises with every start of the task.
-	Attempt    int               `json:"attempt"`
-	Kind       spec.Kind         `json:"kind"`
-	Size       spec.Resources    `json:"size"`
-	RunTime    spec.Duration     `json:"run_time,omitempty"`
-	Service    string            `json:"service,omitempty"`
-	Slots      int               `json:"slots,omitempty"`
-	Conns      int               `json:"conns,omitempty"`
-	Parameters map[string]string `json:"parameters,omitempty"`
+	Attempt    int               `json:"attempt" cbor:"2,keyasint"`
+	Kind       spec.Kind         `json:"kind" cbor:"3,keyasint"`
+	Size       spec.Resources    `json:"size" cbor:"4,keyasint"`
+	RunTime    spec.Duration     `json:"run_time,omitempty" cbor:"5,keyasint,omitempty"`
+	Service    string            `json:"service,omitempty" cbor:"6,keyasint,omitempty"`
+	Slots      int               `json:"slots,omitempty" cbor:"7,keyasint,omitempty"`
+	Conns      int               `json:"conns,omitempty" cbor:"8,keyasint,omitempty"`
+	Parameters map[string]string `json:"parameters,omitempty" cbor:"9,keyasint,omitempty"`
 	// Checkpoint is true when the task may go on from a checkpoint.
-	Checkpoint bool `json:"checkpoint,omitempty"`
+	Checkpoint bool `json:"checkpoint,omitempty" cbor:"10,keyasint,omitempty"`
 }
 
 // Task is what a worker reports of a task it runs or whose result it holds.
@@ -95,8 +95,8 @@
 
 // Ref names one attempt of a task.
 type Ref struct {
-	Task    spec.TaskID `json:"task"`
-	Attempt int         `json:"attempt"`
+	Task    spec.TaskID `json:"task" cbor:"1,keyasint"`
+	Attempt int         `json:"attempt" cbor:"2,keyasint"`
 }
 
 // SyncRequest renews a lease and every task under it, acknowledges results and
