Compare the head with what was known before it was asked for

Cause: a version learnt from a peer while the answer of the store was on its way made the answer look like a store that was set back; the apply was refused. A test delivers the answer late; without the change it fails with that refusal (trial).

--- a/version/history/history.go
+++ b/version/history/history.go
@@ -122,11 +122,14 @@
 }
 
 func (h *History) readOnce(ctx context.Context) (*state, error) {
+	// Taken before the head is read: a version learnt while the answer is on its
+	// way may be later than that answer without the store having been set back.
+	known := h.known.Load()
 	head, revision, err := h.readHead(ctx)
 	if err != nil {
 		return nil, err
 	}
-	s := &state{head: head, revision: revision, snapshot: h.known.Load()}
+	s := &state{head: head, revision: revision, snapshot: known}
 	if s.snapshot.Version > head.Version {
 		// The store was set back, or this daemon's knowledge is wrong. Going on
 		// would give a version number out twice, and daemons that have seen the
--- a/version/history/readback_test.go
+++ b/version/history/readback_test.go
@@ -89,3 +89,35 @@
 		})
 	}
 }
+
+// slowReader delivers an answer after the version that came next was learnt.
+type slowReader struct {
+	store.Store
+	after func()
+}
+
+func (r *slowReader) Get(ctx context.Context, key string) (store.Entry, error) {
+	e, err := r.Store.Get(ctx, key)
+	if key == KeyHead && r.after != nil {
+		r.after()
+	}
+	return e, err
+}
+
+// Symptom: an apply is refused since "the store is at version 1, but version 2
+// is in force", and nobody touched the store.
+// Sequence: the head is read; version 2 is applied elsewhere and learnt from a
+// peer before the answer arrives.
+// Cause: the answer is compared with what became known after the question.
+func TestLateAnswerIsNoSetBackStore(t *testing.T) {
+	m := kv.New()
+	other := newHistory(m)
+	mustApply(t, other, fileOf("a", 1), 0)
+	reader := &slowReader{Store: m}
+	h := newHistory(reader)
+	reader.after = func() {
+		reader.after = nil
+		h.Learn(mustApply(t, other, fileOf("b", 1), 1).Snapshot)
+	}
+	assert.Equal(t, uint64(3), mustApply(t, h, fileOf("c", 1), 0).Version)
+}
