Drop answers that belong to an earlier life of a shard

Change: answers carry the life that asked; others are dropped. Conclusion: a restarted shard starts from the store and the partitions only.

--- a/process/jobs/commit.go
+++ b/process/jobs/commit.go
@@ -164,7 +164,7 @@
 		return struct{}{}, err
 	}
 	_, err := backoff.Retry(st.ctx, flush, backoff.WithBackOff(policy), backoff.WithMaxElapsedTime(0))
-	st.shard.post(st.ctx, func(st *state) { st.written(g, err) })
+	st.shard.post(st.ctx, st.life, func(st *state) { st.written(g, err) })
 }
 
 // written takes the result of a write.
--- a/process/jobs/exchange.go
+++ b/process/jobs/exchange.go
@@ -112,7 +112,7 @@
 
 func (m *Manager) takeTotals(ctx context.Context, all []Totals) {
 	for _, s := range m.ownShards() {
-		s.post(ctx, func(st *state) {
+		s.post(ctx, 0, func(st *state) {
 			now := time.Now()
 			for i := range all {
 				if all[i].Shard != st.shard.number {
--- a/process/jobs/faults_test.go
+++ b/process/jobs/faults_test.go
@@ -77,7 +77,7 @@
 	},
 	"shard panics": func(w *world, _ int) {
 		if s := w.owner.manager.shard(0); s != nil {
-			s.post(w.ctx, func(*state) { panic("injected by the test") })
+			s.post(w.ctx, 0, func(*state) { panic("injected by the test") })
 		}
 	},
 	"partition owner dies": func(w *world, arg int) {
--- a/process/jobs/partition.go
+++ b/process/jobs/partition.go
@@ -132,12 +132,12 @@
 // shard's goroutine.
 func (st *state) callOwner(to ownership.Claim, method peer.Method, request, reply any, done func(*state, error)) {
 	st.calls++
-	s, ctx := st.shard, st.ctx
+	s, ctx, life := st.shard, st.ctx, st.life
 	go func() {
 		callCtx, cancel := contextWithTimeout(ctx, s.o.Tuning.CallTimeout)
 		defer cancel()
 		err := s.o.Caller.Call(callCtx, to.Owner, method, request, reply)
-		s.post(ctx, func(st *state) {
+		s.post(ctx, life, func(st *state) {
 			st.calls--
 			done(st, err)
 		})
--- a/process/jobs/shard.go
+++ b/process/jobs/shard.go
@@ -51,6 +51,8 @@
 type command struct {
 	run  func(st *state)
 	done chan struct{}
+	// life is that of the state which the command belongs to; 0 means any.
+	life uint64
 }
 
 func newShard(o *Options, number plan.Shard, claim ownership.Claim) *shard {
@@ -84,11 +86,14 @@
 	}
 }
 
-// post runs f in the goroutine of the shard without waiting for it. It must
-// not be called from that goroutine.
-func (s *shard) post(ctx context.Context, f func(st *state)) {
+// post runs f in the goroutine of the shard without waiting for it, unless the
+// shard was restarted since the given life (0: in any). An answer to a call of
+// an earlier life means nothing to the state of this one: it would take the
+// end of the other's write for its own. post must not be called from the
+// goroutine of the shard.
+func (s *shard) post(ctx context.Context, life uint64, f func(st *state)) {
 	select {
-	case s.commands <- command{run: f}:
+	case s.commands <- command{run: f, life: life}:
 	case <-s.quit:
 	case <-ctx.Done():
 	}
--- a/process/jobs/state.go
+++ b/process/jobs/state.go
@@ -21,6 +21,8 @@
 	shard *shard
 	o     *Options
 	ctx   context.Context
+	// life counts the starts of the shard in this daemon.
+	life uint64
 
 	config  *spec.Config
 	jobs    map[progress.Key]*job
@@ -55,7 +57,7 @@
 func newState(s *shard, file *progress.File, records []*progress.Job, head progress.Head) *state {
 	t := &s.o.Tuning
 	st := &state{
-		shard: s, o: s.o,
+		shard: s, o: s.o, life: s.lives.Load(),
 		config: &spec.Config{}, jobs: map[progress.Key]*job{}, current: map[string]*job{},
 		strays: map[worker.Ref]*attempt{}, rolling: map[string][]*job{}, queue: queue.New[*job](), accounts: fairshare.New(),
 		limiter:    rate.NewLimiter(rate.Limit(t.StartsPerSecond), t.StartBurst),
@@ -74,7 +76,7 @@
 
 // attemptBase returns the lowest number of an attempt in this life of the shard.
 func (st *state) attemptBase() int {
-	return int(st.shard.claim.Epoch<<attemptEpochBits + (st.shard.lives.Load()-1)*startsPerLife)
+	return int(st.shard.claim.Epoch<<attemptEpochBits + (st.life-1)*startsPerLife)
 }
 
 // attemptNumber returns the number of the next attempt of a task.
@@ -121,7 +123,9 @@
 // answers cost one pass.
 func (st *state) runCommands(c command) {
 	for range commandBuffer {
-		c.run(st)
+		if c.life == 0 || c.life == st.life {
+			c.run(st)
+		}
 		if c.done != nil {
 			close(c.done)
 		}
