--- a/connection/peer/link.go
+++ b/connection/peer/link.go
@@ -114,9 +114,14 @@
 		if l := n.find(willDo); l != nil {
 			return l, nil
 		}
+		if err := n.backoff.check(addr); err != nil {
+			return nil, err
+		}
 		dialCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), handshakeTimeout)
 		defer cancel()
-		return n.dial(dialCtx, addr)
+		l, err := n.dial(dialCtx, addr)
+		n.backoff.note(addr, err)
+		return l, err
 	})
 	select {
 	case <-ctx.Done():
@@ -199,6 +204,8 @@
 		l.close(closeCodeNormal, "closing")
 		return
 	}
+	// It listens where it dials from.
+	n.backoff.note(conn.RemoteAddr().String(), nil)
 	n.serveLink(ctx, l)
 }
 
--- a/connection/peer/node.go
+++ b/connection/peer/node.go
@@ -19,7 +19,8 @@
 const (
 	alpn = "fennelshunt-peer"
 
-	handshakeTimeout = 3 * time.Second
+	// handshakeTimeout allows for three lost packets on the way.
+	handshakeTimeout = 2 * time.Second
 	// keepAlive holds a connection open under a long poll that is quiet.
 	keepAlive   = 15 * time.Second
 	idleTimeout = 45 * time.Second
@@ -54,6 +55,7 @@
 	listener  *quic.Listener
 	resolver  atomic.Pointer[Resolver]
 	dials     singleflight.Group
+	backoff   dialBackoff
 	stats     Stats
 	serving   atomic.Int64 // calls that run for others now
 
@@ -86,6 +88,12 @@
 func newNode(socket net.PacketConn, self hello, tlsConfig *tls.Config, mux *Mux, log zerolog.Logger) (*Node, error) {
 	config := tlsConfig.Clone()
 	config.NextProtos = []string{alpn}
+	if config.CurvePreferences == nil {
+		// The default's post-quantum key share does not fit one packet and
+		// doubles the bytes of each handshake, also of those in vain. Control
+		// messages are worth nothing to who reads them years later.
+		config.CurvePreferences = []tls.CurveID{tls.X25519, tls.CurveP256}
+	}
 	n := &Node{
 		self:      self,
 		tls:       config,
@@ -167,6 +175,7 @@
 			return
 		case now := <-ticker.C:
 			n.closeUnused(now)
+			n.backoff.forget(now)
 		}
 	}
 }
--- a/process/fleet/evict.go
+++ b/process/fleet/evict.go
@@ -52,10 +52,9 @@
 
 // evicted is the outcome of the question whether a life has lapsed.
 type evicted struct {
-	ref        peer.Ref
-	lapsed     bool
-	registered bool
-	newer      *Member
+	ref    peer.Ref
+	lapsed bool
+	newer  *Member
 }
 
 // evict records in the store that the life has lapsed, if its alive key is
@@ -105,13 +104,14 @@
 	return nil
 }
 
-// sawAlive notes that the member is registered after all.
+// sawAlive notes a later life that is registered. That this one is registered
+// after all is left to the watch to say: its news of a deletion may have
+// overtaken this answer, and the member would count as registered for ever.
 func (r *evicted) sawAlive(item store.Item) error {
 	m, err := decodeMember(item.Data)
 	if err != nil {
 		return err
 	}
-	r.registered = m.Ref == r.ref
 	if m.Incarnation > r.ref.Incarnation {
 		r.newer = &m
 	}
@@ -127,9 +127,6 @@
 		l.options.Log.Warn().Str("member", string(r.ref.ID)).Uint64("incarnation", r.ref.Incarnation).Msg("member gone, its lease lapsed")
 		l.merge(delta{ID: r.ref.ID, Incarnation: r.ref.Incarnation, Ended: Lapsed}, true)
 	}
-	if e := l.table.entries[r.ref.ID]; r.registered && e != nil && e.ref() == r.ref {
-		e.registered = true
-	}
 	if e := l.table.entries[r.ref.ID]; e == nil || e.Ended != NotEnded {
 		delete(l.evictions, r.ref.ID)
 	}
--- a/process/fleet/handler.go
+++ b/process/fleet/handler.go
@@ -53,6 +53,9 @@
 	if err := peer.Unmarshal(payload, &request); err != nil {
 		return nil, err
 	}
+	if m, ok := f.Lookup(request.Target.ID); !ok || m.Ref != request.Target || m.State == Suspect {
+		return pingViaAck{}, nil // nothing to learn for the price of a handshake
+	}
 	limit := min(time.Duration(request.Budget)*time.Millisecond, maxViaBudget)
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
--- a/process/fleet/loop.go
+++ b/process/fleet/loop.go
@@ -177,18 +177,23 @@
 
 // retarget chooses the members to probe after a change of the members.
 func (l *loop) retarget() {
+	l.targets = successors(l.fleet.self.ID, l.usable())
+	for id := range l.probes {
+		if e := l.table.entries[id]; e == nil || !e.usable() {
+			delete(l.probes, id)
+		}
+	}
+}
+
+// usable returns the members that count, in no order.
+func (l *loop) usable() []peer.MemberID {
 	ids := make([]peer.MemberID, 0, len(l.table.entries))
 	for id, e := range l.table.entries {
 		if e.usable() {
 			ids = append(ids, id)
 		}
 	}
-	l.targets = successors(l.fleet.self.ID, ids)
-	for id := range l.probes {
-		if e := l.table.entries[id]; e == nil || !e.usable() {
-			delete(l.probes, id)
-		}
-	}
+	return ids
 }
 
 // publish makes a new view when something changed, and checks that it follows
--- a/process/fleet/probe.go
+++ b/process/fleet/probe.go
@@ -49,9 +49,21 @@
 		!l.fleet.LeaseRenewed().After(l.lastHeard)
 }
 
+// suspectTurns is how many turns of the probing order make one probe of a
+// member that is suspected already. Its probes only carry the suspicion to it,
+// and a handshake in vain costs more than any other message.
+const suspectTurns = 3
+
 type probeState struct {
 	fails    int
 	inFlight bool
+	skipped  int // turns, while suspected
+}
+
+// skip says that it is not the suspected member's turn yet.
+func (s *probeState) skip() bool {
+	s.skipped = (s.skipped + 1) % suspectTurns
+	return s.skipped != 0
 }
 
 // probeResult reports the end of a probe.
@@ -86,7 +98,7 @@
 		state = &probeState{}
 		l.probes[id] = state
 	}
-	if state.inFlight {
+	if state.inFlight || e.suspect() && state.skip() {
 		return false
 	}
 	state.inFlight = true
@@ -98,6 +110,7 @@
 		helpers: l.chooseHelpers(id),
 		timeout: l.health.stretch(l.options.PingTimeout),
 		epoch:   l.epoch,
+		once:    e.suspect(),
 	}
 	go p.run(l.ctx)
 	return true
@@ -108,17 +121,17 @@
 	return ping{Deltas: l.gossip.take(l.table, to, len(l.fleet.Members())), Digest: l.table.digest}
 }
 
-// chooseHelpers picks members to probe the target in this daemon's stead.
+// chooseHelpers picks members to probe the target in this daemon's stead, among
+// those that probe it anyway: they have a connection to it, while others would
+// each pay for a handshake, in vain when the target is dead.
 func (l *loop) chooseHelpers(target peer.MemberID) []peer.Ref {
-	members := l.fleet.Members()
+	probers := predecessors(target, l.usable())
+	rand.Shuffle(len(probers), func(i, j int) { probers[i], probers[j] = probers[j], probers[i] })
 	var chosen []peer.Ref
-	for _, i := range rand.Perm(len(members)) {
-		m := members[i]
-		if len(chosen) == helpers {
-			break
-		}
-		if m.ID != target && m.ID != l.fleet.self.ID && m.State != Suspect {
-			chosen = append(chosen, m.Ref)
+	for _, id := range probers {
+		e := l.table.entries[id]
+		if id != l.fleet.self.ID && !e.suspect() && len(chosen) < helpers {
+			chosen = append(chosen, e.ref())
 		}
 	}
 	return chosen
@@ -164,11 +177,14 @@
 		l.health.bad()
 	}
 	state.fails++
+	if e.suspect() {
+		return
+	}
 	if state.fails < l.health.rounds() {
 		l.probe(target.ID)
 		return
 	}
-	if e.suspect() || l.isolated() {
+	if l.isolated() {
 		return
 	}
 	l.fleet.stats.Suspicions.Add(1)
@@ -187,6 +203,7 @@
 	timeout time.Duration
 	epoch   uint64
 	push    bool
+	once    bool // no second try and no helpers
 }
 
 func (p prober) run(ctx context.Context) {
@@ -200,7 +217,7 @@
 	if errors.As(err, &wrong) {
 		result.actual = wrong.Actual
 	}
-	if err != nil && !p.push && ctx.Err() == nil {
+	if err != nil && !p.push && !p.once && ctx.Err() == nil {
 		p.again(ctx, &result)
 	}
 	// An error means that the loop has ended and nobody waits for the result.
--- a/process/fleet/push.go
+++ b/process/fleet/push.go
@@ -20,7 +20,7 @@
 	l.lastPush = time.Now()
 	for _, i := range rand.Perm(len(l.targets))[:min(pushTargets, len(l.targets))] {
 		e := l.table.entries[l.targets[i]]
-		if e == nil || !e.usable() {
+		if e == nil || !e.usable() || e.suspect() {
 			continue
 		}
 		p := prober{
--- a/process/fleet/ring.go
+++ b/process/fleet/ring.go
@@ -1,6 +1,8 @@
 package fleet
 
 import (
+	"slices"
+
 	"github.com/cespare/xxhash/v2"
 
 	"fennelshunt.example/fennelshunt/connection/peer"
@@ -22,32 +24,38 @@
 
 // successors returns the distinct members that self probes.
 func successors(self peer.MemberID, ids []peer.MemberID) []peer.MemberID {
-	var targets []peer.MemberID
-	chosen := make(map[peer.MemberID]bool, rings)
+	return neighbours(self, ids, func(own, other uint64) uint64 { return other - own })
+}
+
+// predecessors returns the distinct members that probe self.
+func predecessors(self peer.MemberID, ids []peer.MemberID) []peer.MemberID {
+	return neighbours(self, ids, func(own, other uint64) uint64 { return own - other })
+}
+
+// neighbours returns the nearest member in each ring, by the distance given,
+// which wraps around.
+func neighbours(self peer.MemberID, ids []peer.MemberID, distance func(own, other uint64) uint64) []peer.MemberID {
+	var found []peer.MemberID
 	for ring := range byte(rings) {
-		next, ok := successor(ring, self, ids)
-		if ok && !chosen[next] {
-			chosen[next] = true
-			targets = append(targets, next)
+		if id, ok := nearest(ring, self, ids, distance); ok && !slices.Contains(found, id) {
+			found = append(found, id)
 		}
 	}
-	return targets
+	return found
 }
 
-// successor returns the member that follows self in one ring: the smallest
-// distance in hash space, wrapping around.
-func successor(ring byte, self peer.MemberID, ids []peer.MemberID) (peer.MemberID, bool) {
-	origin := position(ring, self)
+func nearest(ring byte, self peer.MemberID, ids []peer.MemberID, distance func(own, other uint64) uint64) (peer.MemberID, bool) {
+	own := position(ring, self)
 	var best peer.MemberID
-	var distance uint64
+	var shortest uint64
 	found := false
 	for _, id := range ids {
 		if id == self {
 			continue
 		}
-		d := position(ring, id) - origin
-		if !found || d < distance || d == distance && id < best {
-			best, distance, found = id, d, true
+		d := distance(own, position(ring, id))
+		if !found || d < shortest || d == shortest && id < best {
+			best, shortest, found = id, d, true
 		}
 	}
 	return best, found
