Remember answered attempts when the deadline passes during a retry

Cause: a random run under the race detector told one caller "not run" of a request that had run: the answer of its first attempt broke off, and its deadline passed while the second had written nothing yet; only the attempt in progress was asked. Idle connections kept all of their last request, and unasked bytes on them were quoted in net/http's log. Change: an attempt that was answered counts as sent; an idle connection is unbound from its request and cut by the guard when bytes arrive. The test of a home's death now takes "ran, answer not kept" as the answer that it is, and checks that it ran.

--- a/request/forward/answer.go
+++ b/request/forward/answer.go
@@ -32,12 +32,12 @@
 	Header     http.Header
 	HeaderTime time.Duration // from the start of the attempt to the header
 
-	resp   *http.Response
-	target *target
-	cancel func(error)
-	ctx    context.Context
-	whole  bool
-	closed bool
+	resp     *http.Response
+	target   *target
+	exchange *exchange
+	ctx      context.Context
+	whole    bool
+	closed   bool
 }
 
 // check refuses answers that must not be passed on.
@@ -70,7 +70,8 @@
 	}
 	a.closed = true
 	_ = a.resp.Body.Close()
-	a.cancel(nil)
+	a.exchange.cancel(nil)
+	a.exchange.release()
 	a.target.end()
 }
 
--- a/request/forward/conn.go
+++ b/request/forward/conn.go
@@ -100,6 +100,16 @@
 	c.bind(x)
 }
 
+// release unbinds the exchange from its connection, unless the next one has
+// taken it already: an idle connection keeps nothing of its last request.
+func (x *exchange) release() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.conn != nil {
+		x.conn.exchange.CompareAndSwap(x, nil)
+	}
+}
+
 // conn is a connection to an endpoint.
 type conn struct {
 	net.Conn
@@ -167,10 +177,14 @@
 // an earlier request, and would reach the wrong caller.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if n == 0 || c.secure || c.answered.Load() {
+	if n == 0 || c.secure {
+		return n, err
+	}
+	idle := c.exchange.Load() == nil
+	if c.answered.Load() && !idle {
 		return n, err
 	}
-	if !c.armed.Load() || c.byOrder() && c.socket.unacknowledged() >= c.written.Load() {
+	if idle || !c.armed.Load() || c.byOrder() && c.socket.unacknowledged() >= c.written.Load() {
 		_ = c.Close()
 		return 0, errUnsolicited
 	}
--- a/request/forward/send.go
+++ b/request/forward/send.go
@@ -71,14 +71,25 @@
 	}
 }
 
-// begin makes x the attempt in progress; false after GiveUp or Cut.
+// begin makes x the attempt in progress; false after GiveUp or Cut. An attempt
+// before it that Send did not fail was answered, so that the request may have
+// run, whatever became of the answer.
 func (o *Outgoing) begin(x *exchange) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	o.sent = o.sent || o.current != nil
 	o.current = x
 	return !o.givenUp
 }
 
+// NotRun tells that the last attempt was answered by a daemon which said that
+// the request did not run.
+func (o *Outgoing) NotRun() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.current = nil
+}
+
 // end notes how the attempt in progress failed.
 func (o *Outgoing) end(err *verdict.Error) error {
 	o.mu.Lock()
@@ -162,7 +173,7 @@
 	o.leaving = resp.Header[LeavingHeader] != nil
 	a := &s.answer
 	*a = Answer{Status: resp.StatusCode, Header: resp.Header, HeaderTime: time.Since(start),
-		resp: resp, target: t, cancel: x.cancel, ctx: ctx}
+		resp: resp, target: t, exchange: x, ctx: ctx}
 	if err := a.check(x, o.ID); err != nil {
 		a.Close()
 		return nil, o.end(err)
--- a/request/forward/wire_test.go
+++ b/request/forward/wire_test.go
@@ -271,3 +271,19 @@
 	_, err := c.Write([]byte("GET"))
 	require.ErrorIs(t, err, errSealed)
 }
+
+func TestGiveUpRemembersAnAnsweredAttempt(t *testing.T) {
+	// Symptom: callers were told "not run" at their deadline, and it had run.
+	// Sequence: an attempt is answered and the answer breaks off; a retry has
+	//   begun, and has written nothing when the deadline passes.
+	// Cause: only the attempt in progress was asked.
+	w := newWire(t, func(w *wire, c net.Conn, r *bufio.Reader) {
+		w.read(r)
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf")
+	})
+	o := outgoing("GET", "1", "")
+	_, err := sendOnce(t.Context(), New(Options{}), w.endpoint(), o)
+	require.Equal(t, CodeTruncated, verdict.As(err).Code)
+	require.True(t, o.begin(&exchange{}))
+	require.True(t, o.GiveUp())
+}
--- a/request/gateway/cell_test.go
+++ b/request/gateway/cell_test.go
@@ -170,6 +170,12 @@
 					whole.Add(1)
 				case r.verdict() == "may-have-run":
 					unknown.Add(1)
+				case r.header.Get("Fennel-Code") == idem.CodeAnswerNotKept:
+					// The old home had made the end durable; the answer died with it.
+					if c.runs(key) != 1 {
+						t.Errorf("%s was told that it ran", key)
+					}
+					unknown.Add(1)
 				default:
 					t.Errorf("%s: status %d, %s, %.80q", key, r.status, r.verdict(), r.body)
 				}
--- a/request/gateway/keyed.go
+++ b/request/gateway/keyed.go
@@ -199,6 +199,7 @@
 	defer answer.Close()
 	v, perr := verdict.Parse(answer.Header.Get(verdict.Header))
 	if perr == nil && v == verdict.NotRun && elsewhere(answer.Header.Get(verdict.CodeHeader)) {
+		out.NotRun()
 		return false, refuse(http.StatusServiceUnavailable, answer.Header.Get(verdict.CodeHeader), errNoHome)
 	}
 	c.deliverHome(answer, v)
