--- a/process/sched/cell_test.go
+++ b/process/sched/cell_test.go
@@ -12,9 +12,14 @@
 	"fennelshunt.example/fennelshunt/version/spec"
 )
 
+// TestMain fixes the seed. FENNEL_LONG=1 makes each randomised test longer.
 func TestMain(m *testing.M) {
 	flag.Parse()
-	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "100", "rapid.nofailfile": "true"} {
+	checks := "100"
+	if os.Getenv("FENNEL_LONG") == "1" {
+		checks = "3000"
+	}
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": checks, "rapid.nofailfile": "true"} {
 		if err := flag.Set(name, value); err != nil {
 			panic(err)
 		}
--- a/process/sched/snapshot/snapshot_test.go
+++ b/process/sched/snapshot/snapshot_test.go
@@ -15,9 +15,14 @@
 	"fennelshunt.example/fennelshunt/version/spec"
 )
 
+// TestMain fixes the seed. FENNEL_LONG=1 makes each randomised test longer.
 func TestMain(m *testing.M) {
 	flag.Parse()
-	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "50", "rapid.nofailfile": "true"} {
+	checks := "50"
+	if os.Getenv("FENNEL_LONG") == "1" {
+		checks = "3000"
+	}
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": checks, "rapid.nofailfile": "true"} {
 		if err := flag.Set(name, value); err != nil {
 			panic(err)
 		}
