Take a start token only for a task that found a place

Cause: each decision that found no place used up a token, so that many waiting shapes slowed the starts of those that fit. Change: the rate is looked at before a decision and counted at the start. Conclusion: the pace bounds starts, not tries.

--- a/process/jobs/round.go
+++ b/process/jobs/round.go
@@ -277,11 +277,11 @@
 	return true
 }
 
-// paced takes a token for a start. Urgent work and services are never held
-// back: after the loss of a rack they go first and the rest follows at a rate
-// that the workers' owners can take.
+// paced reports whether a start is within the rate of the shard. Urgent work
+// and services are never held back: after the loss of a rack they go first and
+// the rest follows at a rate that the workers' owners can take.
 func (st *state) paced(j *job, now time.Time) bool {
-	if st.limiter.AllowN(now, 1) || j.class.Rank() >= spec.High.Rank() {
+	if j.class.Rank() >= spec.High.Rank() || st.limiter.TokensAt(now) >= 1 {
 		return true
 	}
 	j.wait = "starts are paced"
@@ -332,6 +332,7 @@
 		job: j, index: index, number: ask.Attempt, partition: d.Partition, worker: d.Worker,
 		size: ask.Size, victims: d.Victims, decided: now, waitingSince: j.readySince(index),
 	}
+	st.limiter.AllowN(now, 1)
 	st.round.planner.Assume(*ask, *d)
 	if err := st.accounts.Charge(j.spec.Team, a.size); err != nil {
 		st.violated("quota checked and then exceeded: %v", err)
