Answer suspicions that rest on an old counter

Cause: a daemon that had missed a refutation suspected the member later with the old counter; all who knew the newer one ignored that, and the member's crash was known to them only with its end. Change: what is older than the table is answered with the newer entry.

--- a/process/fleet/fleet_test.go
+++ b/process/fleet/fleet_test.go
@@ -230,3 +230,24 @@
 	require.NoError(t, err)
 	require.NotEqual(t, record, again, "a registration must make a concurrent swap fail")
 }
+
+// Symptom: a crashed daemon is suspected by some only once it is gone.
+// Sequence: a member refuted a suspicion and one daemon missed it; it suspects
+// the member later, with the old counter.
+// Cause: those who know the newer counter ignored the suspicion in silence.
+func TestOldSuspicionIsAnswered(t *testing.T) {
+	f := New(Options{Self: Member{Ref: peer.Ref{ID: "me", Incarnation: 1}}, Registrar: peer.NewMux()})
+	l := f.loop
+	l.merge(delta{ID: "b", Incarnation: 1, Counter: 2, Info: &info{}}, true)
+	l.gossip = newGossip()
+	reply := make(chan ack, 1)
+	old := delta{ID: "b", Incarnation: 1, Counter: 1, Flags: flagSuspect}
+	pingReceived{from: peer.Ref{ID: "a", Incarnation: 1}, ping: ping{Deltas: []delta{old}}, ack: reply}.apply(l)
+	var told []uint32
+	for _, d := range (<-reply).Deltas {
+		if d.ID == "b" {
+			told = append(told, d.Counter)
+		}
+	}
+	require.Equal(t, []uint32{2}, told)
+}
--- a/process/fleet/loop.go
+++ b/process/fleet/loop.go
@@ -141,6 +141,11 @@
 func (l *loop) merge(d delta, spread bool) {
 	c := l.table.merge(d, time.Now())
 	if c == changeNone {
+		if spread && l.table.outdates(d) {
+			// The sender suspects, or knows, something older: without an answer
+			// its suspicion would be ignored by all who know the newer counter.
+			l.gossip.add(d.ID, true)
+		}
 		return
 	}
 	if spread {
--- a/process/fleet/table.go
+++ b/process/fleet/table.go
@@ -95,6 +95,16 @@
 	return result
 }
 
+// outdates says that the table holds something newer than d, of a member that
+// is not over.
+func (t *table) outdates(d delta) bool {
+	e := t.entries[d.ID]
+	if e == nil || !e.usable() {
+		return false
+	}
+	return d.Incarnation < e.Incarnation || d.Incarnation == e.Incarnation && d.Counter < e.Counter
+}
+
 func (t *table) begin(d delta, now time.Time) change {
 	if old := t.entries[d.ID]; old != nil {
 		t.digest ^= old.digest()
