--- a/process/sched/planner.go
+++ b/process/sched/planner.go
@@ -23,11 +23,12 @@
 	failed   map[failure]Decision
 	shadow   *gang.Shadow
 	home     *snapshot.Home
+	blocked  map[worker.ID]string
 }
 
 // NewPlanner returns a planner on a snapshot.
 func NewPlanner(snap *Snapshot) *Planner {
-	p := &Planner{inFlight: newInFlight()}
+	p := &Planner{inFlight: newInFlight(), blocked: map[worker.ID]string{}}
 	p.Rebase(snap)
 	return p
 }
@@ -44,6 +45,7 @@
 	p.failed = map[failure]Decision{}
 	p.keep()
 	p.view.Home = p.home
+	p.block()
 	p.inFlight.apply(p.view)
 }
 
--- a/process/sched/planner_test.go
+++ b/process/sched/planner_test.go
@@ -116,3 +116,21 @@
 		})
 	}
 }
+
+func TestBlockedWorkersTakeNothing(t *testing.T) {
+	c := NewCache()
+	free := workerState("w", "z", "r", res(100, 100), spec.Resources{})
+	c.Apply(state("p", 1, 1, true, free))
+	p := NewPlanner(c.Snapshot())
+	p.Block("w", "owner is taking over")
+	for seq := range uint64(2) {
+		d := p.Place(batchAsk("j", 0, res(1, 1)))
+		require.Equal(t, []Rejection{{Reason: "owner is taking over", Workers: 1}}, d.Rejections)
+		require.Empty(t, d.Infeasible)
+		c.Apply(state("p", 1, seq+2, false, free))
+		p.Rebase(c.Snapshot())
+	}
+	p.Unblock("w")
+	require.True(t, p.Place(batchAsk("j", 0, res(1, 1))).Placed())
+	require.NoError(t, p.View().Check())
+}
--- a/process/sched/snapshot/view.go
+++ b/process/sched/snapshot/view.go
@@ -49,6 +49,19 @@
 	return true
 }
 
+// SetUnusable changes why a worker takes no new tasks; "" lets it take them. It
+// reports false when the worker is not known.
+func (v *View) SetUnusable(id worker.ID, reason string) bool {
+	old := v.Lookup(id)
+	if old == nil {
+		return false
+	}
+	w := *old
+	w.Unusable = reason
+	v.replace(&w)
+	return true
+}
+
 // count adds a task to the sums of its worker and job, or takes it out.
 func (v *View) count(w *Worker, t *Task, times int32) {
 	w.Reserved = w.Reserved.Add(t.Size().Times(int64(times)))
