--- a/process/sched/planner_bench_test.go
+++ b/process/sched/planner_bench_test.go
@@ -1,10 +1,12 @@
 package sched
 
 import (
+	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/require"
 
+	"fennelshunt.example/fennelshunt/process/plan"
 	"fennelshunt.example/fennelshunt/process/sched/naive"
 	"fennelshunt.example/fennelshunt/version/spec"
 )
@@ -87,3 +89,19 @@
 		})
 	}
 }
+
+// BenchmarkApply measures a worker's new state, with one of its tasks replaced
+// by another, in a cache that is read in between.
+func BenchmarkApply(b *testing.B) {
+	states := loaded(authority(48))
+	cache := cacheOf(states)
+	w := slices.MaxFunc(states, func(a, b plan.WorkerState) int { return len(a.Tasks) - len(b.Tasks) })
+	tasks := w.Tasks
+	for seq := uint64(2); b.Loop(); seq++ {
+		w.Tasks = append([]plan.RunningTask(nil), tasks...)
+		w.Tasks[int(seq)%len(tasks)].Ref.Task.Job = "another"
+		cache.Apply(plan.State{Partition: w.Rack, Epoch: 1, Seq: seq, Workers: []plan.WorkerState{w}})
+		cache.Snapshot()
+	}
+	b.ReportMetric(float64(len(tasks)), "tasks")
+}
--- a/process/sched/snapshot/check.go
+++ b/process/sched/snapshot/check.go
@@ -46,7 +46,7 @@
 	if want := c.cellOf(w.Free()); want != s.cell {
 		return fmt.Errorf("%w: worker %s in cell %d, want %d", ErrInvariant, w.ID, s.cell, want)
 	}
-	e := c.cells[s.cell].pages[s.position/pageSize].entries[s.position%pageSize]
+	e := c.cell(s.cell).pages[s.position/pageSize].entries[s.position%pageSize]
 	if e != EntryOf(w) {
 		return fmt.Errorf("%w: worker %s: entry %+v, free %+v", ErrInvariant, w.ID, e, w.Free())
 	}
@@ -57,9 +57,9 @@
 	n := 0
 	for _, c := range t.classes {
 		var free spec.Resources
-		for at, cell := range c.cells {
+		for at := range int32(Levels * Levels) {
 			size := 0
-			if cell != nil {
+			if cell := c.cell(at); cell != nil {
 				for _, p := range cell.pages {
 					size += len(p.entries)
 					for i := range p.entries {
--- a/process/sched/snapshot/class.go
+++ b/process/sched/snapshot/class.go
@@ -48,7 +48,7 @@
 	Reference spec.Resources
 
 	owner *owner
-	cells [Levels * Levels]*cell
+	cells [Levels]*cellRow
 	// rows has one bitmap of processor levels per memory level.
 	rows [Levels]uint32
 	// workers counts the usable workers, which are those in cells, and free
@@ -57,6 +57,13 @@
 	free    spec.Resources
 }
 
+// cellRow is the cells of one memory level. It is copied before the first write
+// by another owner, and the class with it: 32 pointers each, in place of 1,024.
+type cellRow struct {
+	owner *owner
+	cells [Levels]*cell
+}
+
 func newClass(o *owner, key classKey) *Class {
 	ref := spec.Resources{MilliCPU: key.cpu, MemoryMB: key.mem, Accelerators: key.accel}
 	return &Class{Zone: key.zone, Reference: ref, owner: o}
@@ -97,14 +104,34 @@
 }
 
 func (c *Class) writable(o *owner, at int32) *cell {
-	old := c.cells[at]
+	row := c.writableRow(o, at/Levels)
+	old := row.cells[at%Levels]
+	switch {
+	case old == nil:
+		row.cells[at%Levels] = &cell{owner: o}
+	case old.owner != o:
+		row.cells[at%Levels] = &cell{owner: o, pages: append([]*page(nil), old.pages...)}
+	}
+	return row.cells[at%Levels]
+}
+
+func (c *Class) writableRow(o *owner, n int32) *cellRow {
+	old := c.cells[n]
 	switch {
 	case old == nil:
-		c.cells[at] = &cell{owner: o}
+		c.cells[n] = &cellRow{owner: o}
 	case old.owner != o:
-		c.cells[at] = &cell{owner: o, pages: append([]*page(nil), old.pages...)}
+		c.cells[n] = &cellRow{owner: o, cells: old.cells}
+	}
+	return c.cells[n]
+}
+
+// cell returns a cell; nil when no worker was ever in it.
+func (c *Class) cell(at int32) *cell {
+	if row := c.cells[at/Levels]; row != nil {
+		return row.cells[at%Levels]
 	}
-	return c.cells[at]
+	return nil
 }
 
 // clone copies the class; its cells stay shared until written.
@@ -140,7 +167,7 @@
 }
 
 func (c *Class) scanCell(row, column int, scan func(*Entry) bool) {
-	for _, p := range c.cells[row*Levels+column].pages {
+	for _, p := range c.cells[row].cells[column].pages {
 		for i := range p.entries {
 			if !scan(&p.entries[i]) {
 				return
--- a/process/sched/snapshot/members.go
+++ b/process/sched/snapshot/members.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"unique"
 
 	"fennelshunt.example/fennelshunt/connection/worker"
 )
@@ -53,10 +54,30 @@
 		t.join(w)
 	} else {
 		w.index, w.class, w.rack = old.index, old.class, old.rack
-		t.countTasks(old, -1)
 	}
 	t.replace(w)
-	t.countTasks(w, 1)
+	t.countDifference(old, w)
+}
+
+// countDifference counts the tasks of a worker's new record in place of those
+// of the old one, which may be nil. Most tasks are in both, and to count them
+// out and in again would be most of the cost of a new state.
+func (t *Table) countDifference(old, w *Worker) {
+	delta := map[unique.Handle[Group]]int32{}
+	if old != nil {
+		for i := range old.Tasks {
+			delta[old.Tasks[i].group]--
+		}
+	}
+	for i := range w.Tasks {
+		delta[w.Tasks[i].group]++
+	}
+	for group, n := range delta {
+		if n != 0 {
+			g := group.Value()
+			t.jobs.add(jobCount{job: g.Job, generation: g.Generation, rack: w.rack}, n)
+		}
+	}
 }
 
 func samePlace(a, b *Worker) bool {
