Grant only to holders that renewed with the owner; count calls per owner

Cause: a pool granted to a holder on its own daemon that could not use the credits and gave them back at once, for ever, while its reports to the earlier owner used up its calls. Change: grants need an answered renewal under this owner; a change of owner starts the count of calls anew; a report that came too early is repeated.

--- a/request/slots/cell_test.go
+++ b/request/slots/cell_test.go
@@ -42,7 +42,7 @@
 	view      *fleettest.View
 	directory *ownershiptest.Directory
 	stop      context.CancelFunc
-	dead      bool
+	dead      atomic.Bool
 	paused    atomic.Bool
 
 	mu    sync.Mutex
--- a/request/slots/churn_test.go
+++ b/request/slots/churn_test.go
@@ -83,7 +83,7 @@
 // load starts one request at a random daemon that runs.
 func (c *churn) load() {
 	d := c.daemons[memberID(c.r.IntN(churnDaemons))]
-	if d.dead || d.paused.Load() {
+	if d.dead.Load() || d.paused.Load() {
 		return
 	}
 	service := time.Duration(c.r.ExpFloat64() * float64(600*time.Millisecond))
@@ -143,10 +143,10 @@
 }
 
 func (c *churn) kill(d *daemon) {
-	if d.dead {
+	if d.dead.Load() {
 		return
 	}
-	d.dead = true
+	d.dead.Store(true)
 	d.stop()
 	c.net.Stop(d.ref)
 	for _, o := range c.daemons {
@@ -155,7 +155,7 @@
 }
 
 func (c *churn) revive(d *daemon) {
-	if !d.dead {
+	if !d.dead.Load() {
 		return
 	}
 	c.lives++
@@ -183,7 +183,7 @@
 
 // pause holds a daemon for longer than its credits last.
 func (c *churn) pause(d *daemon) {
-	if d.dead || d.paused.Load() {
+	if d.dead.Load() || d.paused.Load() {
 		return
 	}
 	d.paused.Store(true)
@@ -212,11 +212,11 @@
 // from an owner that is dead or has been cut off for longer than its lease.
 func (c *churn) move(d *daemon) {
 	claim := c.claims.Claim(serviceResource(testService))
-	if d.dead || d.paused.Load() || !d.cut().IsZero() || claim.Owner == d.ref {
+	if d.dead.Load() || d.paused.Load() || !d.cut().IsZero() || claim.Owner == d.ref {
 		return
 	}
 	old := c.daemons[claim.Owner.ID]
-	lapsed := old.ref != claim.Owner || old.dead || !old.cut().IsZero() && time.Since(old.cut()) > 9*time.Second
+	lapsed := old.ref != claim.Owner || old.dead.Load() || !old.cut().IsZero() && time.Since(old.cut()) > 9*time.Second
 	switch {
 	case lapsed:
 		if old.ref == claim.Owner {
@@ -234,7 +234,7 @@
 func (c *churn) replaceLostOwner() {
 	owner := c.claims.Claim(serviceResource(testService)).Owner
 	d := c.daemons[owner.ID]
-	if (d.ref != owner || d.dead) && c.r.IntN(3) > 0 {
+	if (d.ref != owner || d.dead.Load()) && c.r.IntN(3) > 0 {
 		c.move(c.daemons[memberID(c.r.IntN(churnDaemons))])
 	}
 }
@@ -262,7 +262,7 @@
 	for i := range churnDaemons {
 		d := c.daemons[memberID(i)]
 		c.healStore(d)
-		if d.dead || c.goneSomewhere(d) {
+		if d.dead.Load() || c.goneSomewhere(d) {
 			c.kill(d)
 			c.revive(d)
 		}
--- a/request/slots/fault_test.go
+++ b/request/slots/fault_test.go
@@ -71,7 +71,6 @@
 // crash ends a daemon without a word.
 func (c *cell) crash(id peer.MemberID) {
 	d := c.daemons[id]
-	d.dead = true
 	d.stop()
 	c.net.Stop(d.ref)
 	for _, o := range c.daemons {
--- a/request/slots/holder.go
+++ b/request/slots/holder.go
@@ -54,6 +54,7 @@
 	contended  bool
 	oldest     time.Time // arrival of the first waiter over all daemons
 	calls      int       // reports under way
+	renewed    bool      // with this owner
 	again      bool      // something changed that no report has told
 	lastReport time.Time
 	lastAsked  time.Time // of a reserve
--- a/request/slots/pool.go
+++ b/request/slots/pool.go
@@ -66,6 +66,7 @@
 	// daemon's clock; requests begun before may still run for the limit.
 	expires  time.Time
 	heard    time.Time // of the newest message
+	renewed  time.Time // of the newest full report that was answered
 	seq      uint64    // of the newest report
 	batch    uint64    // of the newest grants
 	inFlight []batchSize
@@ -295,9 +296,11 @@
 	p.m.counts.HoldersExpired.Add(1)
 }
 
-// live reports whether the holder's credits are valid and it can be reached.
-func (h *holderState) live(now time.Time) bool {
-	return now.Before(h.expires) && !now.Before(h.unreachable)
+// live reports whether the holder can use credits and can be reached. One that
+// has not renewed here may hold credits of an earlier owner, but would have to
+// give new ones back, at once and for ever.
+func (p *pool) live(h *holderState, now time.Time) bool {
+	return now.Before(h.renewed.Add(p.m.opts.TTL)) && !now.Before(h.unreachable)
 }
 
 // unconfirmed is the number of grants that may still be on their way.
--- a/request/slots/poolgrant.go
+++ b/request/slots/poolgrant.go
@@ -33,6 +33,9 @@
 		return reply{Status: statusNeedFull, Terms: terms{Epoch: p.epoch}}
 	}
 	h := p.holders[from]
+	if r.Full {
+		h.renewed = now
+	}
 	h.pushing = true // what is granted to h now goes with the answer
 	p.settle(now)
 	h.pushing = false
@@ -149,7 +152,7 @@
 	for {
 		var next *holderState
 		for _, h := range holders {
-			if blocked[h] || h.needs() == 0 || !h.live(now) {
+			if blocked[h] || h.needs() == 0 || !p.live(h, now) {
 				continue
 			}
 			if next == nil || h.headArrival().Before(next.headArrival()) {
@@ -209,7 +212,7 @@
 	}
 	targets := p.targets(holders, now)
 	for _, h := range holders {
-		if !h.low || !h.live(now) {
+		if !h.low || !p.live(h, now) {
 			continue
 		}
 		for h.idleExpected() < targets[h] && p.grantOne(h, now) {
@@ -227,14 +230,14 @@
 		idle += max(p.free(in, now), 0)
 	}
 	for _, h := range holders {
-		if h.live(now) {
+		if p.live(h, now) {
 			idle += h.idleExpected()
 			weights += h.weight()
 		}
 	}
 	out := make(map[*holderState]int, len(holders))
 	for _, h := range holders {
-		if h.live(now) {
+		if p.live(h, now) {
 			out[h] = int(float64(idle) * h.weight() / weights)
 		}
 	}
@@ -245,7 +248,7 @@
 func (p *pool) unmet(holders []*holderState, now time.Time) int {
 	n := 0
 	for _, h := range holders {
-		if h.live(now) {
+		if p.live(h, now) {
 			n += h.needs()
 		}
 	}
@@ -256,7 +259,7 @@
 func (p *pool) recall(holders []*holderState, now time.Time) {
 	if need := p.unmet(holders, now); need > 0 {
 		for _, h := range holders {
-			if n := min(h.idleExpected(), need); n > 0 && h.recallable(now) {
+			if n := min(h.idleExpected(), need); n > 0 && p.recallable(h, now) {
 				need -= n
 				p.startPush(h, n)
 			}
@@ -265,7 +268,7 @@
 	}
 	targets := p.targets(holders, now)
 	for _, h := range holders {
-		if !h.low || !h.live(now) {
+		if !h.low || !p.live(h, now) {
 			continue
 		}
 		donor := p.donor(holders, targets, now)
@@ -277,15 +280,15 @@
 }
 
 // recallable reports whether h may be asked for idle credits now.
-func (h *holderState) recallable(now time.Time) bool {
-	return !h.recalled && h.live(now) && !now.Before(h.noRecall)
+func (p *pool) recallable(h *holderState, now time.Time) bool {
+	return !h.recalled && p.live(h, now) && !now.Before(h.noRecall)
 }
 
 // donor is the holder with most idle credits above its target.
 func (p *pool) donor(holders []*holderState, targets map[*holderState]int, now time.Time) *holderState {
 	var best *holderState
 	for _, h := range holders {
-		if !h.recallable(now) || h.idleExpected() <= targets[h] {
+		if !p.recallable(h, now) || h.idleExpected() <= targets[h] {
 			continue
 		}
 		if best == nil || h.idleExpected()-targets[h] > best.idleExpected()-targets[best] {
@@ -303,7 +306,7 @@
 	}
 	p.contended = contended
 	for _, h := range holders {
-		if contended && h.live(now) {
+		if contended && p.live(h, now) {
 			p.startPush(h, 0)
 		}
 	}
@@ -324,7 +327,7 @@
 		}
 	}
 	for _, o := range holders {
-		if p.contended && o.live(now) && o.needs() > 0 {
+		if p.contended && p.live(o, now) && o.needs() > 0 {
 			t.OldestMicros = max(t.OldestMicros, micros(now.Sub(o.headArrival())))
 		}
 	}
--- a/request/slots/report.go
+++ b/request/slots/report.go
@@ -13,6 +13,9 @@
 	// reserveInterval is the least time between two reports that only ask for
 	// a reserve.
 	reserveInterval = 2 * time.Millisecond
+	// notReadyPause is the pause before a report that came too early for a new
+	// owner is repeated.
+	notReadyPause = 20 * time.Millisecond
 	// retryInterval is how often a holder with waiters repeats a report.
 	retryInterval = 250 * time.Millisecond
 )
@@ -61,7 +64,7 @@
 		r.NewestMicros = micros(now.Sub(h.waiters.Back().Value.(*waiter).arrived))
 		r.Avoid = h.avoid()
 	}
-	if full || h.validUntil.Sub(now) < h.m.opts.TTL*2/3 {
+	if full || !h.renewed || h.validUntil.Sub(now) < h.m.opts.TTL*2/3 {
 		h.fill(&r)
 	}
 	return r
@@ -128,11 +131,13 @@
 func (h *holder) answered(owner ownership.Claim, began time.Time, r report, answer reply, err error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if owner != h.owner {
+		// Another owner meanwhile: what this one says no longer counts, and its
+		// grants were never ours.
+		return
+	}
 	h.calls--
 	switch {
-	case owner != h.owner:
-		// Another owner meanwhile: what this one says no longer counts. Its
-		// grants were never ours.
 	case err != nil:
 		h.returned = append(h.returned, r.Returned...)
 		h.m.counts.ReportsFailed.Add(1)
@@ -143,6 +148,10 @@
 			h.send(h.build(time.Now(), true))
 		}
 		return
+	case answer.Status == statusNotReady:
+		h.returned = append(h.returned, r.Returned...)
+		time.AfterFunc(notReadyPause, func() { h.retryRenewal(owner) })
+		return
 	case answer.Status != statusOK:
 		h.returned = append(h.returned, r.Returned...)
 		if answer.Claim.Epoch > h.owner.Epoch {
@@ -157,8 +166,18 @@
 	}
 }
 
+// retryRenewal renews with a new owner that had not collected from here yet.
+func (h *holder) retryRenewal(owner ownership.Claim) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.owner == owner && !h.renewed && h.m.ctx.Err() == nil {
+		h.kick()
+	}
+}
+
 func (h *holder) accept(began time.Time, r report, answer reply) {
 	if r.Full {
+		h.renewed = true
 		h.forget(answer.Unknown)
 		if until := began.Add(h.m.opts.TTL); until.After(h.validUntil) {
 			h.validUntil = until
@@ -176,7 +195,7 @@
 	}
 	h.serve(now)
 	renew := h.validUntil.Sub(now) < h.m.opts.TTL*2/3
-	waiting := h.waiters.Len() > 0 || len(h.returned) > 0 || h.low()
+	waiting := !h.renewed || h.waiters.Len() > 0 || len(h.returned) > 0 || h.low()
 	if renew || waiting && now.Sub(h.lastReport) >= retryInterval {
 		h.kick()
 	}
@@ -197,7 +216,7 @@
 	}
 	h.owner = c
 	h.seen, h.fence, h.returned = 0, 0, nil
-	h.target, h.contended = 0, false
+	h.target, h.contended, h.calls, h.renewed = 0, false, 0, false
 	h.send(h.build(time.Now(), true))
 }
 
