Write intents before admission; let requests finish when a life ends

Cause: a keyed request was admitted first and then waited for its intent. The controller took the store's pace for that of the slots, its window shrank to 4, and it refused requests of every kind (wait_too_long) while 48 slots stood idle. And a daemon that was starved for longer than its lease cut its requests when its life ended. Ruled out: the slot pool (free credits throughout) and the endpoints.

--- a/process/daemon/admin.go
+++ b/process/daemon/admin.go
@@ -62,7 +62,7 @@
 	if t, ok := a.l.d.tokens.(suture.Service); ok {
 		sup.Add(t)
 	}
-	sup.Add(&httpService{"administration", a.server, a.l.d.listen.admin, c})
+	sup.Add(&httpService{l: a.l, name: "administration", server: a.server, listener: a.l.d.listen.admin, tls: c})
 }
 
 // serveVars serves the metrics in expvar's format.
--- a/process/daemon/path.go
+++ b/process/daemon/path.go
@@ -1,11 +1,7 @@
 package daemon
 
 import (
-	"context"
 	"crypto/tls"
-	"errors"
-	"net"
-	"net/http"
 
 	"github.com/thejerf/suture/v4"
 
@@ -78,33 +74,8 @@
 	if k := p.l.d.callers; k != nil {
 		callerTLS = k.ServerConfig()
 	}
-	sup.Add(&httpService{"callers", gateway.NewServer(p.gateway.CallerHandler()), p.l.d.listen.caller, callerTLS})
-	sup.Add(&httpService{"forwarded requests", gateway.NewServer(p.gateway.PeerHandler()), p.l.d.listen.forward, p.l.d.peers.PeerHTTPConfig()})
-}
-
-// httpService serves a listener that outlives the service.
-type httpService struct {
-	name     string
-	server   *http.Server
-	listener net.Listener
-	tls      *tls.Config
-}
-
-// String implements fmt.Stringer for the supervisor's events.
-func (h *httpService) String() string { return h.name }
-
-// Serve implements suture.Service. When ctx ends, connections are cut: a
-// planned stop has drained them before.
-func (h *httpService) Serve(ctx context.Context) error {
-	stop := context.AfterFunc(ctx, func() { _ = h.server.Close() })
-	defer stop()
-	var l net.Listener = &keptListener{Listener: h.listener, ctx: ctx}
-	if h.tls != nil {
-		l = tls.NewListener(l, h.tls)
-	}
-	err := h.server.Serve(l)
-	if errors.Is(err, http.ErrServerClosed) {
-		return ctx.Err()
-	}
-	return err
+	sup.Add(&httpService{l: p.l, name: "callers", server: gateway.NewServer(p.gateway.CallerHandler()),
+		listener: p.l.d.listen.caller, tls: callerTLS})
+	sup.Add(&httpService{l: p.l, name: "forwarded requests", server: gateway.NewServer(p.gateway.PeerHandler()),
+		listener: p.l.d.listen.forward, tls: p.l.d.peers.PeerHTTPConfig()})
 }
--- a/request/admission/admission.go
+++ b/request/admission/admission.go
@@ -135,6 +135,13 @@
 	}
 }
 
+// Check returns the refusal that Enter would give now, and nil otherwise. It is
+// asked before a step that must come before Enter and costs something. The
+// error is a *verdict.Error.
+func (c *Controller) Check(r Request) error {
+	return c.queue(r.Service).check(r, time.Now())
+}
+
 func (c *Controller) queue(service string) *queue {
 	c.mu.RLock()
 	q := c.queues[service]
--- a/request/admission/queue.go
+++ b/request/admission/queue.go
@@ -61,24 +61,17 @@
 func (q *queue) enter(r Request, now time.Time) (*waiter, error) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if !now.Before(r.Deadline) {
-		return nil, overloaded(CodeDeadline, errDeadline, 0)
+	t := q.team(r)
+	if err := q.refusal(t, r, now); err != nil {
+		q.forget(t)
+		return nil, err
 	}
-	if q.waiting == 0 && q.inside < q.pace.window(q.opts.Window, now) {
-		// Requests inside wait too, in the slots' own order.
-		if wait := q.pace.wait(q.inside, now); !q.pace.fits(wait, now, r.Deadline) {
-			return nil, overloaded(CodeWait, errWait, wait)
-		}
+	if q.roomInside(now) {
+		q.forget(t)
 		q.inside++
 		q.pace.backlog(q.inside, now)
 		return nil, nil
 	}
-	t := q.team(r)
-	ahead := t.before(r.Deadline)
-	if wait := q.expected(t, ahead, now); !q.pace.fits(wait, now, r.Deadline) {
-		q.forget(t)
-		return nil, overloaded(CodeWait, errWait, wait)
-	}
 	if q.waiting >= q.opts.MaxQueue && !q.pushOut(t, now) {
 		q.forget(t)
 		return nil, overloaded(CodeQueueFull, errFull, q.pace.wait(q.waiting, now))
@@ -92,6 +85,39 @@
 	return w, nil
 }
 
+// check returns why the request would be refused now, without entering.
+func (q *queue) check(r Request, now time.Time) error {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	t := q.team(r)
+	defer q.forget(t)
+	if err := q.refusal(t, r, now); err != nil {
+		return err
+	}
+	return nil
+}
+
+// roomInside reports whether a request is admitted at once. Requests inside
+// wait too, in the slots' own order.
+func (q *queue) roomInside(now time.Time) bool {
+	return q.waiting == 0 && q.inside < q.pace.window(q.opts.Window, now)
+}
+
+// refusal returns why the request would not start in time, or nil.
+func (q *queue) refusal(t *team, r Request, now time.Time) *verdict.Error {
+	if !now.Before(r.Deadline) {
+		return overloaded(CodeDeadline, errDeadline, 0)
+	}
+	wait := q.pace.wait(q.inside, now)
+	if !q.roomInside(now) {
+		wait = q.expected(t, t.before(r.Deadline), now)
+	}
+	if !q.pace.fits(wait, now, r.Deadline) {
+		return overloaded(CodeWait, errWait, wait)
+	}
+	return nil
+}
+
 // team returns the request's team; a team that had nothing waiting starts at
 // the present virtual time, so that it can not save up its share.
 func (q *queue) team(r Request) *team {
--- a/request/gateway/gateway.go
+++ b/request/gateway/gateway.go
@@ -131,11 +131,16 @@
 
 // admit waits until the request may take a slot.
 func (g *Gateway) admit(c *call) (*admission.Pass, error) {
+	return g.opts.Admission.Enter(c.wait, c.admission())
+}
+
+// admission describes the call to the admission controller.
+func (c *call) admission() admission.Request {
 	r := admission.Request{Service: c.service, Team: c.teamName(), Deadline: c.deadline}
 	if c.team != nil {
 		r.Weight = c.team.Weight
 	}
-	return g.opts.Admission.Enter(c.wait, r)
+	return r
 }
 
 // requestID returns a new id, or that which another daemon gave the request.
