--- /dev/null
+++ b/process/capacity/model_test.go
@@ -0,0 +1,130 @@
+package capacity_test
+
+import (
+	"fmt"
+	"math"
+	"strings"
+	"testing"
+	"text/tabwriter"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Measured slopes; docs/CAPACITY.md names the command and date of each. Bytes
+// count both ways, with headers.
+const (
+	heartbeatB     = 399.0  // a Sync without changes
+	heartbeatStep  = 0.1    // s that each worker of a daemon adds to the interval
+	heartbeatLeast = 1.0    // s, shortest interval
+	heartbeatMost  = 2.5    // s, longest: a quarter of the lease of 10 s
+	listB          = 177.0  // per VM in the list
+	listPackedB    = 7.0    // the same, compressed
+	listMost       = 30.0   // s, longest interval between readings
+	listBudget     = 2500.0 // B/s below which the interval is stretched
+	partitionB     = 58.0   // B/s per partition and daemon, idle
+	fleetB         = 802.0  // B/s
+	gossipB        = 1000.0 // B/s, versions without changes
+	changeB        = 5440.0 // per change, peers and store
+	storeB         = 390.0  // B/s, leases and watches
+	viewB          = 1854.0 // per task and daemon that sees it: three calls with one changed worker each
+	callB          = 444.0  // a call without content
+	sumB           = 34.0   // a changed worker as a sum of what is reserved
+	planB          = 1060.0 // per start, at each end
+	agentB         = 730.0  // per start, at the partition's owner
+
+	baseCPU  = 0.8   // % of a core
+	syncCPU  = 0.04  // % per heartbeat/s
+	viewCPU  = 0.018 // % per start/s of the cell
+	startCPU = 0.23  // % per start/s that the daemon plans and commits
+
+	secondsPerDay = 86_400
+
+	limitB   = 13_000.0
+	limitCPU = 3.6
+)
+
+// shape is one cell at the letter's size.
+type shape struct {
+	name                      string
+	workers, perRack, daemons int
+	starts                    float64 // per second, the whole cell
+	changes                   float64 // of the configuration, per day
+	packed                    bool    // the platform compresses the VM list
+	// follow, when set, is the share of the owners that a daemon with a shard
+	// polls once a second, for sums; shards is the number of such daemons.
+	follow, shards float64
+}
+
+// cost is what one daemon of the cell spends, in the mean.
+type cost struct {
+	heartbeats, list, views, fleet, versions, store, viewsBusy, plans, agents float64
+	idleCPU, busyCPU                                                          float64
+}
+
+func (c cost) idle() float64 {
+	return c.heartbeats + c.list + c.views + c.fleet + c.versions + c.store
+}
+
+func (c cost) busy() float64 { return c.idle() + c.viewsBusy + c.plans + c.agents }
+
+func (s shape) cost() cost {
+	workers, daemons := float64(s.workers), float64(s.daemons)
+	own := workers / daemons
+	interval := min(max(own*heartbeatStep, heartbeatLeast), heartbeatMost)
+	listEvery := min(max(workers*listB/listBudget, 1), listMost)
+	perVM := listB
+	if s.packed {
+		perVM = listPackedB
+	}
+	mine := s.starts / daemons
+	c := cost{
+		heartbeats: own / interval * heartbeatB,
+		list:       workers * perVM / listEvery,
+		views:      math.Ceil(workers/float64(s.perRack)) * partitionB,
+		fleet:      fleetB, store: storeB,
+		versions:  gossipB + changeB*s.changes/secondsPerDay,
+		viewsBusy: 2 * viewB * s.starts * (daemons - 1) / daemons, // what it sees and what it shows the others
+		plans:     2 * planB * mine, agents: agentB * mine,
+		idleCPU: baseCPU + syncCPU*own/interval,
+		busyCPU: baseCPU + syncCPU*own/interval + viewCPU*s.starts + startCPU*mine,
+	}
+	if s.follow > 0 {
+		seen := s.follow * (daemons - 1)
+		shown := s.follow * s.shards
+		c.views = callB * (seen + shown)
+		c.viewsBusy = sumB * 2 * (s.follow*s.starts + shown*mine)
+		c.plans = planB * (s.starts/s.shards + mine)
+		c.busyCPU = 0 // not measured
+	}
+	return c
+}
+
+// TestModelOfTheLettersSize multiplies the slopes and holds the outcome against
+// what docs/CAPACITY.md says: which limits are met and which are missed.
+func TestModelOfTheLettersSize(t *testing.T) {
+	var out strings.Builder
+	w := tabwriter.NewWriter(&out, 0, 4, 1, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(w, "cell\tdaemons\theartbeats\tVM list\tviews\tfleet\tversions\tstore\tidle B/s\t% core\tviews, peak\tplans\tagents\tpeak B/s\t% core\t")
+	for _, c := range []struct {
+		shape
+		idleFits, peakFits, idleCPUFits, peakCPUFits bool
+	}{
+		{shape{name: "today, 48 workers", workers: 48, perRack: 8, daemons: 8, starts: 0.5, changes: 500}, true, true, true, true},
+		{shape{name: "region", workers: 2273, perRack: 8, daemons: 61, starts: 145.5, changes: 40_000}, false, false, true, false},
+		{shape{name: "region", workers: 2273, perRack: 8, daemons: 91, starts: 145.5, changes: 40_000}, false, false, true, false},
+		{shape{name: "region, list packed", workers: 2273, perRack: 8, daemons: 91, starts: 145.5, changes: 40_000, packed: true}, false, false, true, false},
+		{shape{name: "region, packed, racks of 40", workers: 2273, perRack: 40, daemons: 91, starts: 145.5, changes: 40_000, packed: true}, true, false, true, false},
+		{shape{name: "region, next step", workers: 2273, perRack: 8, daemons: 91, starts: 145.5, changes: 3636, packed: true, follow: 0.125, shards: 16}, true, false, true, true},
+		{shape{name: "one cell", workers: 25000, perRack: 8, daemons: 1000, starts: 1600, changes: 40_000}, false, false, true, false},
+	} {
+		k := c.cost()
+		fmt.Fprintf(w, "%s\t%d\t%.0f\t%.0f\t%.0f\t%.0f\t%.0f\t%.0f\t%.0f\t%.1f\t%.0f\t%.0f\t%.0f\t%.0f\t%.1f\t\n", c.name, c.daemons,
+			k.heartbeats, k.list, k.views, k.fleet, k.versions, k.store, k.idle(), k.idleCPU, k.viewsBusy, k.plans, k.agents, k.busy(), k.busyCPU)
+		require.Equal(t, c.idleFits, k.idle() <= limitB, "%s %d: idle bytes", c.name, c.daemons)
+		require.Equal(t, c.peakFits, k.busy() <= limitB, "%s %d: peak bytes", c.name, c.daemons)
+		require.Equal(t, c.idleCPUFits, k.idleCPU <= limitCPU, "%s %d: idle processor", c.name, c.daemons)
+		require.Equal(t, c.peakCPUFits, k.busyCPU <= limitCPU, "%s %d: peak processor", c.name, c.daemons)
+	}
+	_ = w.Flush() // to memory
+	t.Log("\n" + out.String())
+}
