--- a/request/slots/manager.go
+++ b/request/slots/manager.go
@@ -245,9 +245,10 @@
 
 // handOver freezes a pool and keeps its books.
 func (m *Manager) handOver(ctx context.Context, p *pool) {
+	frozen := make(chan *handover, 1)
 	var books *handover
-	if !p.do(ctx, func() { books = p.freeze() }) {
-		books = nil
+	if p.do(ctx, func() { frozen <- p.freeze() }) {
+		books = <-frozen
 	}
 	p.cancel()
 	m.mu.Lock()
--- a/request/slots/takeover.go
+++ b/request/slots/takeover.go
@@ -158,16 +158,17 @@
 // toAsk lists the members, holders and earlier owners that have not answered;
 // false when the takeover is over.
 func (p *pool) toAsk() ([]peer.Ref, bool) {
-	ask := map[peer.Ref]bool{}
-	for _, m := range p.m.opts.Members.Members() {
-		ask[m.Ref] = true
-	}
-	open := false
-	p.do(p.ctx, func() {
+	asked := make(chan []peer.Ref, 1)
+	done := p.do(p.ctx, func() {
+		ask := map[peer.Ref]bool{}
 		t := p.takeover
-		if open = t != nil; !open {
+		if t == nil {
+			asked <- nil
 			return
 		}
+		for _, m := range p.m.opts.Members.Members() {
+			ask[m.Ref] = true
+		}
 		if t.previous.Epoch > 0 {
 			ask[t.previous.Owner] = true
 		}
@@ -183,8 +184,13 @@
 		for ref := range t.answered {
 			delete(ask, ref)
 		}
+		asked <- append([]peer.Ref{}, slices.Collect(maps.Keys(ask))...)
 	})
-	return slices.Collect(maps.Keys(ask)), open
+	if !done {
+		return nil, false
+	}
+	ask := <-asked
+	return ask, ask != nil
 }
 
 // collectFrom asks one member.
