Report benchmark ratios as medians of short blocks

Cause: on a shared machine the totals of a run moved by a third between runs, so that no ratio gave a verdict. Change: each target has its turn in short blocks, another one first in each; the ratio is the median of the blocks, with quartiles.

--- a/request/gateway/bench_test.go
+++ b/request/gateway/bench_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -25,7 +26,8 @@
 //
 //	GOMAXPROCS=2 go test -run '^$' -bench . -benchtime 5s ./request/gateway
 //
-// Callers, forwarder and endpoint share the cores.
+// Callers, forwarder and endpoint share the cores. A ratio is the median over
+// short blocks of the run, with its quartiles.
 
 // bareForwarder is the baseline: a forwarder of a few lines.
 func bareForwarder(address string) http.Handler {
@@ -105,31 +107,55 @@
 const (
 	benchCallers = 32
 	benchRound   = 1000 // requests to one target before the next has its turn
+	benchBlock   = 100  // requests to each target of one block, one at a time
 )
 
-// BenchmarkThroughput gives each target rounds of requests in turn, so that
-// changes of the machine's speed meet all of them. One operation is a round of
-// each. The processor time counts callers and endpoint too.
+// spread holds one figure per block. A block is short and meets each target, so
+// that what disturbs the machine meets all of them; the median of the blocks
+// leaves the disturbed ones out, and the quartiles tell how much to believe it.
+type spread []float64
+
+func (s spread) at(q float64) float64 {
+	slices.Sort(s)
+	return s[min(len(s)-1, int(q*float64(len(s))))]
+}
+
+func (s spread) report(b *testing.B, name string) {
+	b.ReportMetric(s.at(0.5), name)
+	b.ReportMetric(s.at(0.25), name+"-q1")
+	b.ReportMetric(s.at(0.75), name+"-q3")
+}
+
+// turns calls f with each target's index, another one first in each block, so
+// that none always follows the same.
+func turns(block, targets int, f func(i int)) {
+	for k := range targets {
+		f((block + k) % targets)
+	}
+}
+
+// BenchmarkThroughput gives each target a round of requests per block, which is
+// one operation. The processor time counts callers and endpoint too.
 func BenchmarkThroughput(b *testing.B) {
 	targets, c := benchTargets(b), benchClient(b)
-	wall, cpu := make([]time.Duration, len(targets)), make([]time.Duration, len(targets))
-	rounds := 0
-	for b.Loop() {
-		rounds++
-		for i, t := range targets {
-			start, used := time.Now(), processorTime(b)
-			round(b, c, t.address)
-			wall[i] += time.Since(start)
-			cpu[i] += processorTime(b) - used
-		}
+	rates, used := make([]spread, len(targets)), make([]spread, len(targets))
+	var throughput, cpu spread
+	for block := 0; b.Loop(); block++ {
+		turns(block, len(targets), func(i int) {
+			start, before := time.Now(), processorTime(b)
+			round(b, c, targets[i].address)
+			rates[i] = append(rates[i], benchRound/time.Since(start).Seconds())
+			used[i] = append(used[i], float64((processorTime(b)-before).Nanoseconds())/1000/benchRound)
+		})
+		throughput = append(throughput, rates[2][block]/rates[1][block])
+		cpu = append(cpu, used[1][block]/used[2][block])
 	}
-	n := float64(rounds * benchRound)
+	throughput.report(b, "throughput-ratio")
+	cpu.report(b, "cpu-ratio")
 	for i, t := range targets {
-		b.ReportMetric(n/wall[i].Seconds(), t.name+"-req/s")
-		b.ReportMetric(float64(cpu[i].Microseconds())/n, t.name+"-cpu-µs")
+		b.ReportMetric(rates[i].at(0.5), t.name+"-req/s")
+		b.ReportMetric(used[i].at(0.5), t.name+"-cpu-µs")
 	}
-	b.ReportMetric(wall[1].Seconds()/wall[2].Seconds(), "throughput-ratio")
-	b.ReportMetric(cpu[1].Seconds()/cpu[2].Seconds(), "cpu-ratio")
 }
 
 // processorTime returns what this process has used so far.
@@ -158,25 +184,32 @@
 	return hdrhistogram.New(1, int64(time.Minute), 3)
 }
 
-// BenchmarkLatency sends one request at a time, to the three in turn, so that
-// changes of the machine's speed meet all of them.
+// BenchmarkLatency sends one request at a time, to the targets in turn; a block
+// is benchBlock requests to each.
 func BenchmarkLatency(b *testing.B) {
 	targets, c := benchTargets(b), benchClient(b)
-	hist := []*hdrhistogram.Histogram{newHistogram(), newHistogram(), newHistogram()}
-	for b.Loop() {
-		for i, t := range targets {
-			start := time.Now()
-			_, err := post(c, t.address)
-			require.NoError(b, err)
-			_ = hist[i].RecordValue(time.Since(start).Nanoseconds())
+	medians := make([]spread, len(targets))
+	var overhead spread
+	for block := 0; b.Loop(); block++ {
+		times := make([]spread, len(targets))
+		for range benchBlock {
+			turns(block, len(targets), func(i int) {
+				start := time.Now()
+				_, err := post(c, targets[i].address)
+				require.NoError(b, err)
+				times[i] = append(times[i], float64(time.Since(start).Nanoseconds())/1000)
+			})
+		}
+		for i := range targets {
+			medians[i] = append(medians[i], times[i].at(0.5))
 		}
+		direct := medians[0][block]
+		overhead = append(overhead, (medians[2][block]-direct)/(medians[1][block]-direct))
 	}
-	direct := hist[0].ValueAtQuantile(50)
+	overhead.report(b, "overhead-ratio")
 	for i, t := range targets {
-		b.ReportMetric(float64(hist[i].ValueAtQuantile(50))/1000, t.name+"-p50-µs")
+		b.ReportMetric(medians[i].at(0.5), t.name+"-p50-µs")
 	}
-	bare, gateway := hist[1].ValueAtQuantile(50)-direct, hist[2].ValueAtQuantile(50)-direct
-	b.ReportMetric(float64(gateway)/float64(bare), "overhead-ratio")
 }
 
 // offer sends requests at a rate whatever becomes of them (an open loop), and
