--- /dev/null
+++ b/request/slots/terms.go
@@ -0,0 +1,81 @@
+package slots
+
+import (
+	"time"
+
+	"fennelshunt.example/fennelshunt/process/plan"
+)
+
+// takeTerms takes what the pool sent. The caller holds mu.
+func (h *holder) takeTerms(t terms, now time.Time) {
+	h.target, h.contended = t.Target, t.Contended
+	h.oldest = time.Time{}
+	if t.OldestMicros > 0 {
+		h.oldest = now.Add(-fromMicros(t.OldestMicros))
+	}
+	for _, e := range t.Endpoints {
+		if id := instanceOf(&e); !h.has(id) {
+			h.endpoints = withEndpoint(h.endpoints, id, e)
+		}
+	}
+	h.takeGrants(t)
+	h.serve(now)
+	h.returnIdle(h.surplus())
+	if len(h.returned) > 0 || h.waiters.Len() > 0 && len(h.idle) > 0 {
+		h.kick()
+	}
+}
+
+func (h *holder) has(id instanceID) bool {
+	_, ok := h.endpoints[id]
+	return ok
+}
+
+// withEndpoint copies the list, which is shared with the endpoint table.
+func withEndpoint(list map[instanceID]plan.Endpoint, id instanceID, e plan.Endpoint) map[instanceID]plan.Endpoint {
+	out := make(map[instanceID]plan.Endpoint, len(list)+1)
+	for k, v := range list {
+		out[k] = v
+	}
+	out[id] = e
+	return out
+}
+
+// takeGrants adds new credits. A batch at or below the fence comes too late:
+// the pool may have freed its slots.
+func (h *holder) takeGrants(t terms) {
+	if t.Batch == 0 {
+		return
+	}
+	late := t.Batch <= h.fence
+	h.seen = max(h.seen, t.Batch)
+	for _, g := range t.Grants {
+		e, known := h.endpoints[g.Instance]
+		if late || !known || e.Leaving {
+			h.returned = append(h.returned, g.ID)
+			continue
+		}
+		c := &credit{id: g.ID, instance: g.Instance, endpoint: e}
+		h.credits[g.ID] = c
+		h.idle = append(h.idle, c)
+	}
+}
+
+// forget drops credits that the pool does not count as ours.
+func (h *holder) forget(ids []creditID) {
+	for _, id := range ids {
+		c, ok := h.credits[id]
+		if !ok {
+			continue
+		}
+		delete(h.credits, id)
+		c.orphaned = true
+		h.m.counts.Orphaned.Add(1)
+		for i := range h.idle {
+			if h.idle[i] == c {
+				h.removeIdle(i)
+				break
+			}
+		}
+	}
+}
