Say what a broken invariant of a pool does

Cause: the comment promised a restart of the pool; the process ends. Change: the comment. Conclusion: the next owner's takeover covers it.

--- a/request/slots/pool.go
+++ b/request/slots/pool.go
@@ -347,9 +347,9 @@
 // swings by about the square root of its load.
 func (h *holderState) weight() float64 { return math.Sqrt(float64(h.inUse + h.waiting + 1)) }
 
-// check is the pool's invariant; it panics, because a pool that granted a slot
-// twice must not go on. The goroutine above restarts with an empty pool, which
-// counts every slot as taken until it is accounted for.
+// check is the pool's invariant. It panics and so ends the process: a pool that
+// granted a slot twice must not go on, and the next owner counts every slot as
+// taken until it is accounted for.
 func (p *pool) check() {
 	if !p.m.opts.CheckInvariants {
 		return
