Let a partition's owner rebind a step within its rack

Change: a plan may allow that a step without victims starts on another worker of the partition that the ledger and the step's constraints allow, chosen by the score of the batch policy, or by the fewest tasks of the job for one that is spread. The answer names the worker. Plans on a reservation are never rebound, neither are workers taken that the plan lists as kept. Nobody sets the leave yet. A task that is known here already is now refused as a duplicate before its worker is looked at; refusals are counted once per step.

--- a/process/partition/calls.go
+++ b/process/partition/calls.go
@@ -323,9 +323,8 @@
 	o.state.gone(n.id)
 }
 
-// reject counts and builds a refusal.
-func (o *owner) reject(outcome plan.Outcome, reason string) plan.StepResult {
-	o.h.o.Metrics.Refused.Add(1)
+// reject builds a refusal.
+func reject(outcome plan.Outcome, reason string) plan.StepResult {
 	return plan.StepResult{Outcome: outcome, Reason: reason}
 }
 
--- a/process/partition/commit.go
+++ b/process/partition/commit.go
@@ -61,35 +61,48 @@
 		result.Steps = refuseAll(len(p.Steps), outcome, reason)
 		return result
 	}
-	for _, step := range p.Steps {
-		result.Steps = append(result.Steps, o.commitStep(p, step))
+	for i := range p.Steps {
+		result.Steps = append(result.Steps, o.commitStep(&p, &p.Steps[i]))
 	}
+	o.countRefused(&result)
 	return result
 }
 
-func (o *owner) commitStep(p plan.Plan, step plan.Step) plan.StepResult {
-	n, refused := o.usableNode(step)
-	if refused.Outcome != "" {
-		return refused
+func (o *owner) countRefused(result *plan.Result) {
+	for i := range result.Steps {
+		if result.Steps[i].Outcome != plan.Accepted {
+			o.h.o.Metrics.Refused.Add(1)
+		}
 	}
+}
+
+func (o *owner) commitStep(p *plan.Plan, step *plan.Step) plan.StepResult {
 	t := newTask(p.Author.Shard, step)
 	if o.known(t.ref) {
-		return o.reject(plan.Duplicate, "the task runs, starts or has a result here")
+		return reject(plan.Duplicate, "the task runs, starts or has a result here")
 	}
-	if r := o.holds[p.Reservation]; r != nil && p.Reservation != "" {
-		o.useReserved(p.Reservation, r, step)
+	n, refused := o.usableNode(step)
+	if n != nil {
+		if r := o.holds[p.Reservation]; r != nil && p.Reservation != "" {
+			o.useReserved(p.Reservation, r, step)
+		}
+		refused = o.fit(n, t, step)
 	}
-	if refused := o.fit(n, t, step); refused.Outcome != "" {
-		return refused
+	accepted := plan.StepResult{Outcome: plan.Accepted}
+	if refused.Outcome != "" {
+		if n = o.rebind(p, t, step); n == nil {
+			return refused
+		}
+		accepted.Worker = n.id
 	}
 	n.tasks[t.ref] = t
 	t.at = n.id
 	o.live[t.ref.Task] = t
 	o.touchTask(n, t)
-	return plan.StepResult{Outcome: plan.Accepted}
+	return accepted
 }
 
-func newTask(shard plan.Shard, step plan.Step) *task {
+func newTask(shard plan.Shard, step *plan.Step) *task {
 	t := &task{
 		ref:           worker.Ref{Task: step.Start.Task, Attempt: step.Start.Attempt},
 		start:         step.Start,
@@ -112,67 +125,81 @@
 }
 
 // usableNode returns the step's worker or a refusal.
-func (o *owner) usableNode(step plan.Step) (*node, plan.StepResult) {
+func (o *owner) usableNode(step *plan.Step) (*node, plan.StepResult) {
 	n := o.nodes[step.Worker]
 	if n == nil {
-		return nil, o.reject(plan.NoWorker, "worker is not in this partition")
+		return nil, reject(plan.NoWorker, "worker is not in this partition")
 	}
+	if refused := o.closed(n, step); refused.Outcome != "" {
+		return nil, refused
+	}
+	return n, plan.StepResult{}
+}
+
+// closed refuses a step at a worker for any reason but its room.
+func (o *owner) closed(n *node, step *plan.Step) plan.StepResult {
 	if !n.everKnown {
-		return nil, o.reject(plan.NotFenced, n.unusable())
+		return reject(plan.NotFenced, n.unusable())
 	}
 	if !o.noted[n.id] {
-		return nil, o.reject(plan.NotFenced, notNoted)
+		return reject(plan.NotFenced, notNoted)
 	}
 	if reason := n.unusable(); reason != "" {
-		return nil, o.reject(plan.NoWorker, reason)
+		return reject(plan.NoWorker, reason)
 	}
 	if reason := o.violates(n, step); reason != "" {
-		return nil, o.reject(plan.NoRoom, reason)
+		return reject(plan.NoRoom, reason)
 	}
-	return n, plan.StepResult{}
+	return plan.StepResult{}
 }
 
 // notNoted refuses a worker that the memo does not name yet.
 const notNoted = "worker is not written down in the store yet"
 
 // violates checks the constraints that depend on what else runs here.
-func (o *owner) violates(n *node, step plan.Step) string {
+func (o *owner) violates(n *node, step *plan.Step) string {
 	limit := step.Constraints.MaxPerWorker
 	if limit <= 0 {
 		return ""
 	}
+	if same := n.tasksOf(step.Start.Task.Job); same >= limit {
+		return fmt.Sprintf("%d tasks of the job run on the worker, at most %d may", same, limit)
+	}
+	return ""
+}
+
+// tasksOf counts the tasks of a job, of any generation, that may run now or
+// later.
+func (n *node) tasksOf(job string) int {
 	same := 0
 	for _, t := range n.tasks {
-		if t.live() && t.ref.Task.Job == step.Start.Task.Job {
+		if t.live() && t.ref.Task.Job == job {
 			same++
 		}
 	}
-	if same >= limit {
-		return fmt.Sprintf("%d tasks of the job run on the worker, at most %d may", same, limit)
-	}
-	return ""
+	return same
 }
 
 // fit reserves the task's capacity, or what of it is free while its victims
 // stop.
-func (o *owner) fit(n *node, t *task, step plan.Step) plan.StepResult {
+func (o *owner) fit(n *node, t *task, step *plan.Step) plan.StepResult {
 	size := t.start.Size
 	if reason := n.use.refuses(n, size); reason != "" {
-		return o.reject(plan.NoRoom, reason)
+		return reject(plan.NoRoom, reason)
 	}
 	err := o.ledger.Reserve(n.id, t.holder(), size)
 	if err == nil {
 		return plan.StepResult{}
 	}
 	if !errors.Is(err, ledger.ErrNoRoom) || len(step.Victims) == 0 {
-		return o.reject(plan.NoRoom, err.Error())
+		return reject(plan.NoRoom, err.Error())
 	}
 	return o.preempt(n, t, step.Victims)
 }
 
 // useReserved turns reserved capacity back into free capacity, for the step
 // that it was reserved for; the same turn of the loop takes it.
-func (o *owner) useReserved(id string, r *reservation, step plan.Step) {
+func (o *owner) useReserved(id string, r *reservation, step *plan.Step) {
 	reserved, ok := r.steps[step.Start.Task]
 	if !ok || reserved.Worker != step.Worker {
 		return
@@ -200,8 +227,8 @@
 	r := &reservation{author: req.Author, expires: time.Now().Add(ttl), steps: make(map[spec.TaskID]plan.Step)}
 	o.holds[req.Reservation] = r
 	failed := false
-	for _, step := range req.Steps {
-		s := o.reserveStep(req.Reservation, r, step)
+	for i := range req.Steps {
+		s := o.reserveStep(req.Reservation, r, &req.Steps[i])
 		failed = failed || s.Outcome != plan.Accepted
 		result.Steps = append(result.Steps, s)
 	}
@@ -211,24 +238,25 @@
 	o.dropReservation(req.Reservation)
 	for i := range result.Steps {
 		if result.Steps[i].Outcome == plan.Accepted {
-			result.Steps[i] = o.reject(plan.NoRoom, "another task of the reservation does not fit")
+			result.Steps[i] = reject(plan.NoRoom, "another task of the reservation does not fit")
 		}
 	}
+	o.countRefused(&result)
 	return result
 }
 
-func (o *owner) reserveStep(id string, r *reservation, step plan.Step) plan.StepResult {
+func (o *owner) reserveStep(id string, r *reservation, step *plan.Step) plan.StepResult {
 	n, refused := o.usableNode(step)
 	if refused.Outcome != "" {
 		return refused
 	}
 	if o.known(worker.Ref{Task: step.Start.Task, Attempt: step.Start.Attempt}) {
-		return o.reject(plan.Duplicate, "the task runs, starts or has a result here")
+		return reject(plan.Duplicate, "the task runs, starts or has a result here")
 	}
 	if err := o.ledger.Reserve(n.id, r.key(id, step.Start.Task), step.Start.Size); err != nil {
-		return o.reject(plan.NoRoom, err.Error())
+		return reject(plan.NoRoom, err.Error())
 	}
-	r.steps[step.Start.Task] = step
+	r.steps[step.Start.Task] = *step
 	o.touch(n)
 	return plan.StepResult{Outcome: plan.Accepted}
 }
--- a/process/partition/metrics.go
+++ b/process/partition/metrics.go
@@ -11,6 +11,7 @@
 	Unknown      expvar.Int // starts whose outcome was unknown for a time
 	NotStarted   expvar.Int // starts refused by a worker or not sent
 	Refused      expvar.Int // plan steps refused
+	Rebound      expvar.Int // plan steps started on another worker than named
 	Stale        expvar.Int // plans and fences of an old shard epoch
 	Lost         expvar.Int // tasks lost with their worker
 	Preempted    expvar.Int // tasks stopped for a higher class
--- /dev/null
+++ b/process/partition/rebind_test.go
@@ -0,0 +1,129 @@
+package partition
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"fennelshunt.example/fennelshunt/connection/worker"
+	"fennelshunt.example/fennelshunt/process/plan"
+	"fennelshunt.example/fennelshunt/process/sched/naive"
+	"fennelshunt.example/fennelshunt/process/sched/snapshot"
+	"fennelshunt.example/fennelshunt/version/spec"
+)
+
+// commitMoving commits steps that may be rebound.
+func (a *author) commitMoving(d *daemon, kept []worker.ID, steps ...plan.Step) []plan.StepResult {
+	a.seq++
+	var result plan.Result
+	require.NoError(a.c.t, a.call(d, plan.MethodCommit, plan.Plan{
+		Partition: testPartition, Author: a.as(), Seq: a.seq, Steps: steps, MayRebind: true, Kept: kept,
+	}, &result))
+	return result.Steps
+}
+
+func TestStepMovesToAnotherWorkerOfTheRack(t *testing.T) {
+	// Symptom:  a third of the starts is refused while the cell has room.
+	// Sequence: several shards decide on one snapshot and choose one worker; or
+	//           the worker fails between the snapshot and the plan.
+	// Cause:    a step that did not fit where it was decided was refused.
+	whole := func(i int, id worker.ID) plan.Step {
+		s := step(i, id)
+		s.Start.Size = small.Times(4)
+		return s
+	}
+	inBubble(t, 1, 3, large, func(c *cell) {
+		d := c.ready()
+		c.author.mustStart(d, whole(0, workerID(0)))
+		require.Equal(t, plan.NoRoom, c.author.commit(d, whole(1, workerID(0)))[0].Outcome, "not without leave")
+		r := c.author.commitMoving(d, []worker.ID{workerID(1)}, whole(1, workerID(0)))
+		require.Equal(t, plan.StepResult{Outcome: plan.Accepted, Worker: workerID(2)}, r[0], "kept room is left alone")
+		c.eventually(5*time.Second, "runs there", func() bool {
+			return c.author.saw(func(e plan.Event) bool { return e.Task == taskID(1) && e.Worker == workerID(2) })
+		})
+		avoiding := whole(2, workerID(0))
+		avoiding.Avoid = []worker.ID{workerID(1)}
+		require.Equal(t, plan.NoRoom, c.author.commitMoving(d, nil, avoiding)[0].Outcome, "not where it failed")
+		c.rack.SetDown(workerID(0), true)
+		c.eventually(10*time.Second, "unusable", func() bool { return c.workerState(d, workerID(0)).Unusable != "" })
+		require.Equal(t, plan.StepResult{Outcome: plan.Accepted, Worker: workerID(1)}, c.author.commitMoving(d, nil, step(3, workerID(0)))[0])
+		require.Equal(t, plan.Duplicate, c.author.commitMoving(d, nil, step(3, workerID(2)))[0].Outcome)
+		c.rack.SetDown(workerID(0), false)
+	})
+}
+
+// TestRebindAgainstNaive commits random steps and ends tasks, and compares each
+// answer with the plain scheduler on the owner's own state.
+func TestRebindAgainstNaive(t *testing.T) {
+	for seed := range uint64(4) {
+		t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) {
+			inBubble(t, 1, 5, spec.Resources{MilliCPU: 8000, MemoryMB: 8000}, func(c *cell) {
+				d := c.ready()
+				o, err := d.host.owner(testPartition)
+				require.NoError(t, err)
+				r := rand.New(rand.NewPCG(seed, 2))
+				moved := 0
+				for i := range 300 {
+					s := randomStep(r, i)
+					failed, err := call(c.ctx, o, func() error { return o.compareRebind(&s, c.author.as(), &moved) })
+					require.NoError(t, err)
+					require.NoError(t, failed, "step %d", i)
+					if r.IntN(8) == 0 {
+						time.Sleep(time.Duration(r.IntN(4)) * time.Second)
+					}
+				}
+				require.Greater(t, moved, 30)
+			})
+		})
+	}
+}
+
+func randomStep(r *rand.Rand, i int) plan.Step {
+	s := step(i, workerID(r.IntN(5)))
+	s.Start.Task.Job = fmt.Sprint("job-", r.IntN(3))
+	s.Start.Size = spec.Resources{MilliCPU: 500 * (1 + r.Int64N(6)), MemoryMB: 500 * (1 + r.Int64N(6))}
+	s.Start.RunTime = spec.Duration(time.Duration(1+r.IntN(5)) * time.Second)
+	s.Constraints.MaxPerWorker = []int{0, 0, 2, 3}[r.IntN(4)]
+	s.Constraints.Spread = []spec.Spread{"", spec.SpreadZone}[r.IntN(2)]
+	return s
+}
+
+// compareRebind commits a step and returns how the answer differs from what the
+// plain scheduler does on the state before.
+func (o *owner) compareRebind(s *plan.Step, author plan.Authorship, moved *int) error {
+	states := o.stateSince(0).Workers
+	plain, ask := naive.New(states), askOf(s)
+	want := plan.StepResult{Outcome: plan.Accepted}
+	if !plain.Fits(&ask, plain.Worker(s.Worker)) {
+		want = searchRack(plain, ask, s.Worker)
+	}
+	got := o.commit(plan.Plan{Partition: testPartition, Author: author, Seq: 1 << 40, Steps: []plan.Step{*s}, MayRebind: true}).Steps[0]
+	got.Reason = ""
+	if got != want {
+		return fmt.Errorf("step %+v on %+v: got %+v, want %+v", *s, states, got, want)
+	}
+	if got.Worker != "" {
+		*moved++
+	}
+	for _, n := range o.nodes {
+		if err := o.checkNode(n); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func searchRack(plain *naive.Scheduler, ask snapshot.Ask, first worker.ID) plan.StepResult {
+	ask.Avoid = []worker.ID{first}
+	place := plain.PlaceBatch
+	if ask.Spreads() {
+		place = plain.PlaceService
+	}
+	if id, ok := place(&ask); ok {
+		return plan.StepResult{Outcome: plan.Accepted, Worker: id}
+	}
+	return plan.StepResult{Outcome: plan.NoRoom}
+}
--- a/process/plan/plan.go
+++ b/process/plan/plan.go
@@ -47,6 +47,9 @@
 	// Constraints that the partition checks again on its fresh ledger.
 	Constraints   spec.Constraints `cbor:"6,keyasint,omitempty"`
 	NonIdempotent bool             `cbor:"7,keyasint,omitempty"`
+	// Avoid lists workers on which the task is not to start when it is rebound,
+	// for example those where it failed.
+	Avoid []worker.ID `cbor:"8,keyasint,omitempty"`
 }
 
 // Plan proposes starts in one partition.
@@ -58,6 +61,15 @@
 	Reservation string `cbor:"4,keyasint,omitempty"`
 	// Seq rises with every Plan and Reserve of one shard epoch; see Fence.MinSeq.
 	Seq uint64 `cbor:"5,keyasint,omitempty"`
+	// MayRebind lets the partition's owner start a step without victims on
+	// another worker of the partition when the named one can not take it; the
+	// result names it. Until that answer has come, the author does not know at
+	// which worker of the partition the task may run. A plan on a reservation is
+	// never rebound.
+	MayRebind bool `cbor:"6,keyasint,omitempty"`
+	// Kept lists workers on which nothing is rebound, because the author keeps
+	// their room for other work.
+	Kept []worker.ID `cbor:"7,keyasint,omitempty"`
 }
 
 // Outcome of one step.
@@ -79,6 +91,9 @@
 type StepResult struct {
 	Outcome Outcome `cbor:"1,keyasint"`
 	Reason  string  `cbor:"2,keyasint,omitempty"`
+	// Worker is set on an accepted step that was rebound: the worker that the
+	// task starts on in place of Step.Worker.
+	Worker worker.ID `cbor:"3,keyasint,omitempty"`
 }
 
 // Result answers a Plan or Reserve, step by step.
--- a/process/sched/planner.go
+++ b/process/sched/planner.go
@@ -10,7 +10,6 @@
 	"fennelshunt.example/fennelshunt/process/sched/preempt"
 	"fennelshunt.example/fennelshunt/process/sched/service"
 	"fennelshunt.example/fennelshunt/process/sched/snapshot"
-	"fennelshunt.example/fennelshunt/version/spec"
 )
 
 // Planner makes many decisions in a row on one snapshot. What it assumes stays
@@ -75,16 +74,9 @@
 	return Decision{Rejections: rejections, Infeasible: infeasible}
 }
 
-// policy chooses by kind; a batch task that wants to be spread is placed like
-// an instance, and a service that does not is packed.
+// policy chooses how an ask is placed.
 func policy(ask *Ask) func(*snapshot.View, *Ask) (Decision, bool) {
-	switch ask.Constraints.Spread {
-	case spec.SpreadNone:
-		return batch.Place
-	case spec.SpreadRack, spec.SpreadZone:
-		return service.Place
-	}
-	if ask.Kind == spec.Service {
+	if ask.Spreads() {
 		return service.Place
 	}
 	return batch.Place
--- a/process/sched/snapshot/ask.go
+++ b/process/sched/snapshot/ask.go
@@ -31,6 +31,19 @@
 // Ref returns the attempt that the ask would start.
 func (a *Ask) Ref() worker.Ref { return worker.Ref{Task: a.Task, Attempt: a.Attempt} }
 
+// Spreads reports whether the ask is spread over zones, racks and workers like
+// an instance of a service, rather than packed: a batch task that wants it is
+// spread, and a service that does not is packed.
+func (a *Ask) Spreads() bool {
+	switch a.Constraints.Spread {
+	case spec.SpreadNone:
+		return false
+	case spec.SpreadRack, spec.SpreadZone:
+		return true
+	}
+	return a.Kind == spec.Service
+}
+
 // Reason is a readable reason why a worker does not take a task.
 type Reason string
 
