--- a/process/sched/conflict_test.go
+++ b/process/sched/conflict_test.go
@@ -8,6 +8,7 @@
 	"fennelshunt.example/fennelshunt/connection/worker"
 	"fennelshunt.example/fennelshunt/process/plan"
 	"fennelshunt.example/fennelshunt/process/sched/naive"
+	"fennelshunt.example/fennelshunt/process/sched/rebind"
 	"fennelshunt.example/fennelshunt/version/spec"
 )
 
@@ -19,6 +20,7 @@
 	cache      *Cache
 	schedulers int
 	homes      bool
+	rebinds    bool // owners may put a task on another worker of the rack
 	seq        uint64
 	index      int
 	running    []worker.Ref
@@ -26,14 +28,15 @@
 	used       spec.Resources
 	refused    int
 	placed     int
+	rebound    int // of the placed
 	waiting    int // found no room in the snapshot
 }
 
-func newContest(seed uint64, schedulers int, homes bool) *contest {
+func newContest(seed uint64, schedulers int, homes, rebinds bool) *contest {
 	states := guild.states(nil, false)
 	return &contest{
 		r: rand.New(rand.NewPCG(seed, 5)), truth: naive.New(states), cache: cacheOf(states),
-		schedulers: schedulers, homes: homes, seq: 1, at: map[worker.Ref]worker.ID{},
+		schedulers: schedulers, homes: homes, rebinds: rebinds, seq: 1, at: map[worker.Ref]worker.ID{},
 	}
 }
 
@@ -66,19 +69,49 @@
 	a := mixedTask(c.r, c.index, guild.capacity)
 	c.index++
 	d := p.Place(a)
-	switch {
-	case !p.Assume(a, d):
+	if !p.Assume(a, d) {
 		c.waiting++
-	case !c.truth.Fits(&a, c.truth.Worker(d.Worker)):
+		return
+	}
+	if id, ok := c.settle(&a, d.Worker); ok {
+		c.start(&a, id)
+	} else {
 		c.refused++
-	default:
-		c.truth.Start(&a, d.Worker)
-		c.running, c.at[a.Ref()] = append(c.running, a.Ref()), d.Worker
-		c.used = c.used.Add(a.Size)
-		c.placed++
 	}
 }
 
+// settle is what the owner of the workers does with a proposal.
+func (c *contest) settle(a *Ask, id worker.ID) (worker.ID, bool) {
+	first := c.truth.Worker(id)
+	if c.truth.Fits(a, first) {
+		return id, true
+	}
+	if !c.rebinds {
+		return "", false
+	}
+	var candidates []rebind.Candidate
+	for i := range c.truth.Workers {
+		if w := &c.truth.Workers[i]; w.Rack == first.Rack {
+			candidates = append(candidates, rebind.Candidate{
+				ID: w.ID, Capacity: w.Capacity, Free: w.Capacity.Sub(w.Reserved), Closed: !c.truth.Fits(a, w),
+			})
+		}
+	}
+	best := rebind.Choose(a, first.Capacity.Accelerators > 0, candidates)
+	if best == rebind.None {
+		return "", false
+	}
+	c.rebound++
+	return candidates[best].ID, true
+}
+
+func (c *contest) start(a *Ask, id worker.ID) {
+	c.truth.Start(a, id)
+	c.running, c.at[a.Ref()] = append(c.running, a.Ref()), id
+	c.used = c.used.Add(a.Size)
+	c.placed++
+}
+
 func (c *contest) end(i int) {
 	ref := c.running[i]
 	c.running[i] = c.running[len(c.running)-1]
@@ -99,31 +132,36 @@
 }
 
 // BenchmarkConflicts reports how many placements the workers' owners refuse,
-// with and without home partitions, in the Guild's cell kept at a load. At 1,600
-// starts a second and a snapshot every 50 ms, 6 schedulers place 13 tasks each
-// on one snapshot.
+// with and without home partitions, and with and without rebinding, in the
+// Guild's cell kept at a load. At 1,600 starts a second and a snapshot every 50
+// ms, 6 schedulers place 13 tasks each on one snapshot.
 func BenchmarkConflicts(b *testing.B) {
-	const rounds = 100
 	for _, load := range []float64{0.6, 0.8} {
 		for _, each := range []int{1, 4, 13} {
-			for _, homes := range []bool{false, true} {
-				b.Run(fmt.Sprintf("load=%v/each=%d/homes=%v", load, each, homes), func(b *testing.B) {
-					var c *contest
-					for b.Loop() {
-						c = newContest(1, 6, homes)
-						for guild.share(c.used) < load*0.95 {
-							c.round(1, load)
-						}
-						c.refused, c.placed, c.waiting = 0, 0, 0
-						for range rounds {
-							c.round(each, load)
-						}
-					}
-					tried := float64(c.refused + c.placed + c.waiting)
-					b.ReportMetric(100*float64(c.refused)/tried, "%refused")
-					b.ReportMetric(100*float64(c.waiting)/tried, "%no-room")
+			for _, way := range []struct{ homes, rebinds bool }{{false, false}, {true, false}, {false, true}, {true, true}} {
+				b.Run(fmt.Sprintf("load=%v/each=%d/homes=%v/rebinds=%v", load, each, way.homes, way.rebinds), func(b *testing.B) {
+					benchmarkConflicts(b, load, each, way.homes, way.rebinds)
 				})
 			}
 		}
 	}
 }
+
+func benchmarkConflicts(b *testing.B, load float64, each int, homes, rebinds bool) {
+	const rounds = 100
+	var c *contest
+	for b.Loop() {
+		c = newContest(1, 6, homes, rebinds)
+		for guild.share(c.used) < load*0.95 {
+			c.round(1, load)
+		}
+		c.refused, c.placed, c.rebound, c.waiting = 0, 0, 0, 0
+		for range rounds {
+			c.round(each, load)
+		}
+	}
+	tried := float64(c.refused + c.placed + c.waiting)
+	b.ReportMetric(100*float64(c.refused)/tried, "%refused")
+	b.ReportMetric(100*float64(c.rebound)/tried, "%rebound")
+	b.ReportMetric(100*float64(c.waiting)/tried, "%no-room")
+}
