--- a/connection/peer/backoff.go
+++ b/connection/peer/backoff.go
@@ -8,7 +8,7 @@
 
 // Pause between two handshakes with an address that does not answer.
 const (
-	firstDialPause = time.Second
+	firstDialPause = 2 * time.Second
 	lastDialPause  = 8 * time.Second
 )
 
--- a/connection/peer/call.go
+++ b/connection/peer/call.go
@@ -20,6 +20,16 @@
 	BadPeers  expvar.Int // connections refused after the handshake
 }
 
+// Each calls f with the name and value of every counter.
+func (s *Stats) Each(f func(name string, v *expvar.Int)) {
+	f("calls", &s.Calls)
+	f("not_sent", &s.NotSent)
+	f("unknown", &s.Unknown)
+	f("served", &s.Served)
+	f("bad_frames", &s.BadFrames)
+	f("bad_peers", &s.BadPeers)
+}
+
 // Stats returns the node's live counters.
 func (n *Node) Stats() *Stats { return &n.stats }
 
--- a/process/fleet/loop.go
+++ b/process/fleet/loop.go
@@ -20,6 +20,7 @@
 	pushInterval = 500 * time.Millisecond
 	pushTargets  = 3
 	pruneEvery   = time.Minute
+	remindEvery  = 10 * time.Second
 )
 
 // loop is the control state of the fleet; one goroutine owns it.
@@ -36,14 +37,15 @@
 	health  health
 	epoch   uint64 // raised after a pause; results of earlier probes are void
 
-	lastTick  time.Time
-	lastPush  time.Time
-	pushTimer *time.Timer
-	lastHeard time.Time // any peer was heard
-	lastAgree time.Time // a peer had the same members
-	lastSync  time.Time
-	lastPrune time.Time
-	syncing   bool
+	lastTick   time.Time
+	lastPush   time.Time
+	pushTimer  *time.Timer
+	lastHeard  time.Time // any peer was heard
+	lastAgree  time.Time // a peer had the same members
+	lastSync   time.Time
+	lastPrune  time.Time
+	lastRemind time.Time
+	syncing    bool
 
 	vms   map[peer.MemberID]*vmSight
 	lives map[peer.MemberID]lifeSight
@@ -110,6 +112,10 @@
 	l.probeNext()
 	l.considerEvictions(now)
 	l.considerSync(now)
+	if now.Sub(l.lastRemind) > remindEvery {
+		l.lastRemind = now
+		l.remind()
+	}
 	if now.Sub(l.lastPrune) > pruneEvery {
 		l.lastPrune = now
 		l.prune(now)
@@ -117,6 +123,17 @@
 	}
 }
 
+// remind passes on again whom this daemon suspects. The member, or whoever
+// knows of its refutation, answers: without it a daemon that alone missed the
+// refutation would suspect the member for good, once the rumor is spent.
+func (l *loop) remind() {
+	for id, e := range l.table.entries {
+		if e.usable() && e.suspect() {
+			l.gossip.add(id, false)
+		}
+	}
+}
+
 // noticePause voids the probes in flight when the tick is late: this process
 // was paused, and every timeout that fired meanwhile says nothing of the
 // others. Without it a daemon that wakes up suspects all its targets.
