Correct the capacity page by deployments of 24 and 8 daemons

Cause: the cost of a task in a view was a product of calls; a deployment with few starts in each rack shows what calls share. Change: slopes from 24 daemons with 600 workers and 8 with 768; processor per rack and per start in a view; messages of the slot pool; the sums are held against the measured deployment.

--- a/process/capacity/model_test.go
+++ b/process/capacity/model_test.go
@@ -26,16 +26,17 @@
 	gossipB        = 1000.0 // B/s, versions without changes
 	changeB        = 5440.0 // per change, peers and store
 	storeB         = 390.0  // B/s, leases and watches
-	viewB          = 1854.0 // per task and daemon that sees it: three calls with one changed worker each
+	viewB          = 500.0  // per task and daemon that sees it, at 0.2 to 0.4 starts/s in a rack
 	callB          = 444.0  // a call without content
 	sumB           = 34.0   // a changed worker as a sum of what is reserved
 	planB          = 1060.0 // per start, at each end
 	agentB         = 730.0  // per start, at the partition's owner
 
-	baseCPU  = 0.8   // % of a core
-	syncCPU  = 0.04  // % per heartbeat/s
-	viewCPU  = 0.018 // % per start/s of the cell
-	startCPU = 0.23  // % per start/s that the daemon plans and commits
+	baseCPU  = 0.8    // % of a core
+	syncCPU  = 0.04   // % per heartbeat/s
+	rackCPU  = 0.0083 // % per rack in the view
+	viewCPU  = 0.085  // % per start/s of the cell
+	startCPU = 0.23   // % per start/s that the daemon plans and commits
 
 	secondsPerDay = 86_400
 
@@ -77,16 +78,18 @@
 		perVM = listPackedB
 	}
 	mine := s.starts / daemons
+	racks := math.Ceil(workers / float64(s.perRack))
+	idleCPU := baseCPU + syncCPU*own/interval + rackCPU*racks
 	c := cost{
 		heartbeats: own / interval * heartbeatB,
 		list:       workers * perVM / listEvery,
-		views:      math.Ceil(workers/float64(s.perRack)) * partitionB,
+		views:      racks * partitionB,
 		fleet:      fleetB, store: storeB,
 		versions:  gossipB + changeB*s.changes/secondsPerDay,
 		viewsBusy: 2 * viewB * s.starts * (daemons - 1) / daemons, // what it sees and what it shows the others
 		plans:     2 * planB * mine, agents: agentB * mine,
-		idleCPU: baseCPU + syncCPU*own/interval,
-		busyCPU: baseCPU + syncCPU*own/interval + viewCPU*s.starts + startCPU*mine,
+		idleCPU: idleCPU,
+		busyCPU: idleCPU + viewCPU*s.starts + startCPU*mine,
 	}
 	if s.follow > 0 {
 		seen := s.follow * (daemons - 1)
@@ -94,7 +97,7 @@
 		c.views = callB * (seen + shown)
 		c.viewsBusy = sumB * 2 * (s.follow*s.starts + shown*mine)
 		c.plans = planB * (s.starts/s.shards + mine)
-		c.busyCPU = 0 // not measured
+		c.idleCPU, c.busyCPU = 0, 0 // not measured
 	}
 	return c
 }
@@ -110,12 +113,13 @@
 		idleFits, peakFits, idleCPUFits, peakCPUFits bool
 	}{
 		{shape{name: "today, 48 workers", workers: 48, perRack: 8, daemons: 8, starts: 0.5, changes: 500}, true, true, true, true},
-		{shape{name: "region", workers: 2273, perRack: 8, daemons: 61, starts: 145.5, changes: 40_000}, false, false, true, false},
+		{shape{name: "as measured", workers: 600, perRack: 8, daemons: 24, starts: 27.7, changes: secondsPerDay}, false, false, true, false},
+		{shape{name: "region", workers: 2273, perRack: 8, daemons: 61, starts: 145.5, changes: 40_000}, false, false, false, false},
 		{shape{name: "region", workers: 2273, perRack: 8, daemons: 91, starts: 145.5, changes: 40_000}, false, false, true, false},
 		{shape{name: "region, list packed", workers: 2273, perRack: 8, daemons: 91, starts: 145.5, changes: 40_000, packed: true}, false, false, true, false},
 		{shape{name: "region, packed, racks of 40", workers: 2273, perRack: 40, daemons: 91, starts: 145.5, changes: 40_000, packed: true}, true, false, true, false},
 		{shape{name: "region, next step", workers: 2273, perRack: 8, daemons: 91, starts: 145.5, changes: 3636, packed: true, follow: 0.125, shards: 16}, true, false, true, true},
-		{shape{name: "one cell", workers: 25000, perRack: 8, daemons: 1000, starts: 1600, changes: 40_000}, false, false, true, false},
+		{shape{name: "one cell", workers: 25000, perRack: 8, daemons: 1000, starts: 1600, changes: 40_000}, false, false, false, false},
 	} {
 		k := c.cost()
 		fmt.Fprintf(w, "%s\t%d\t%.0f\t%.0f\t%.0f\t%.0f\t%.0f\t%.0f\t%.0f\t%.1f\t%.0f\t%.0f\t%.0f\t%.0f\t%.1f\t\n", c.name, c.daemons,
