Halve the key logs, share their writes, wire the pool's guards

Cause: requests with a key waited 100 to 500 ms at 60 a second: 16 logs shared 10 writes/s per daemon. The slot pool ran without the daemon's lease renewals, so an owner cut off with an island would not have stopped. Change: 8 key logs, 100 writes/s shared by the daemons; the pool knows the lease (fresh for 80 % of it), settles earlier owners, and checks its books in tests and the demonstration; readiness waits for the configuration to be loaded.

--- a/process/daemon/life.go
+++ b/process/daemon/life.go
@@ -113,7 +113,7 @@
 
 func (l *life) buildVersions() {
 	handle := l.store.Role(store.RoleVersions)
-	l.history = history.New(handle)
+	l.history = history.New(handle, history.WithLog(l.log))
 	l.versions = versions.New(versions.Options{
 		Handle: handle, Caller: l.node, Registrar: l.mux, Fleet: l.fleet, History: l.history, Log: l.log,
 	})
@@ -180,6 +180,11 @@
 		return
 	}
 	select {
+	case <-l.versions.Loaded():
+	case <-ctx.Done():
+		return
+	}
+	select {
 	case <-l.d.ready:
 	default:
 		close(l.d.ready)
--- a/process/daemon/path.go
+++ b/process/daemon/path.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"context"
 	"crypto/tls"
 
 	"github.com/thejerf/suture/v4"
@@ -33,6 +34,8 @@
 	p.slots = slots.New(slots.Options{
 		Self: l.self, Zone: s.Zone, Caller: l.node, Registrar: l.mux, Directory: l.owners, Members: l.fleet,
 		Log: l.log, RequestLimit: slots.LimitsOf(l.versions), AuthorityBound: s.Leases.Renew.Std(), Health: outliers,
+		LeaseRenewed: l.fleet.LeaseRenewed, LeaseFresh: s.Leases.Member.Std() * freshShare / 100,
+		Settle: p.settle, CheckInvariants: l.d.o.Violation != nil,
 	})
 	p.keys = idem.New(idem.Options{
 		Self: l.self, Directory: l.owners, Members: l.fleet, Store: l.store.Role(store.RoleIntents), Log: l.log,
@@ -54,6 +57,16 @@
 	return p
 }
 
+// freshShare is the share of the member lease, in percent, during which nobody
+// can have taken a claim over: a renewal counts from its beginning.
+const freshShare = 80
+
+// settle tells the later owners of a slot pool that every earlier one is
+// accounted for.
+func (p *pathSide) settle(ctx context.Context, c ownership.Claim) error {
+	return p.l.owners.Remember(ctx, c, ownership.Memo{Settled: true})
+}
+
 // services lists the slot pools: one per declared service.
 func (p *pathSide) services() []ownership.Resource {
 	var out []ownership.Resource
--- a/request/idem/manager.go
+++ b/request/idem/manager.go
@@ -51,11 +51,17 @@
 func New(opts Options) *Manager {
 	opts.setDefaults()
 	m := &Manager{opts: opts}
-	m.limiter = rate.NewLimiter(rate.Limit(opts.WritesPerSecond), int(opts.WritesPerSecond)+1)
+	m.limiter = rate.NewLimiter(m.writeShare())
 	m.answers.init(opts.AnswerMemory)
 	return m
 }
 
+// writeShare returns this daemon's share of the cell's writes and the burst.
+func (m *Manager) writeShare() (rate.Limit, int) {
+	share := m.opts.WritesPerSecond / float64(max(1, len(m.opts.Members.Members())))
+	return rate.Limit(share), int(share) + 1
+}
+
 // Resources returns the names of all shards, for the ownership manager.
 func Resources() []ownership.Resource {
 	out := make([]ownership.Resource, Shards)
@@ -194,6 +200,9 @@
 			return ctx.Err()
 		case <-t.C:
 			m.answers.expire(time.Now())
+			share, burst := m.writeShare()
+			m.limiter.SetLimit(share)
+			m.limiter.SetBurst(burst)
 		}
 	}
 }
--- a/request/idem/options.go
+++ b/request/idem/options.go
@@ -12,8 +12,11 @@
 	"fennelshunt.example/fennelshunt/process/ownership"
 )
 
-// Shards is the number of ownership resources that the keys are hashed to.
-const Shards = 16
+// Shards is the number of ownership resources that the keys are hashed to. Each
+// is a log of its own with its own store writes, so there are about as many as
+// a cell has daemons: with twice as many, intents waited twice as long for the
+// same number of writes.
+const Shards = 8
 
 // Defaults of Options.
 const (
@@ -23,7 +26,7 @@
 	DefaultIntentRetention = 24 * time.Hour
 	DefaultClockSkew       = 5 * time.Minute
 	DefaultMaxKeys         = 400_000
-	DefaultWritesPerSecond = 10
+	DefaultWritesPerSecond = 100
 	DefaultWriteTimeout    = time.Second
 	DefaultEndFlush        = 5 * time.Second
 	DefaultHeadSize        = 40
@@ -60,7 +63,8 @@
 	ClockSkew time.Duration
 	// MaxKeys bounds the keys in memory over all shards of this daemon.
 	MaxKeys int
-	// WritesPerSecond bounds the store writes of this daemon's key logs.
+	// WritesPerSecond bounds the store writes of all daemons' key logs; each
+	// daemon takes an equal share.
 	WritesPerSecond float64
 	// WriteTimeout bounds one write of the key log.
 	WriteTimeout time.Duration
