Order the benchmark's targets at random and add a control

Cause: a target that always followed the same other in the cycle gained or lost about 5 % by it (a second bare forwarder showed 0.95 of the first), and the gateway's server alone went through httptest's connection hooks. Change: a new order for each turn, the same kind of server for all, a second bare forwarder as control; half load in blocks with a ratio each.

--- a/request/gateway/bench_test.go
+++ b/request/gateway/bench_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"slices"
@@ -71,15 +72,20 @@
 }
 
 // benchTargets returns the addresses of the service itself, of the bare
-// forwarder and of the gateway.
+// forwarder, of the gateway, and of a second bare forwarder as a control: a run
+// in which the two bare ones differ shows the machine or the method.
 func benchTargets(b testing.TB) []struct{ name, address string } {
 	direct := listen(b, benchService)
 	bare := listen(b, bareForwarder(direct))
 	p := newPool()
 	p.add(plan.Endpoint{Service: testService, Address: direct, Slots: 256, Conns: 2048})
-	_, url := startGateway(b, Options{Slots: p, Log: zerolog.New(io.Discard).Level(zerolog.InfoLevel)})
+	f := forward.New(forward.Options{})
+	b.Cleanup(f.CloseIdle)
+	g := New(Options{Slots: p, Config: testConfig(5 * time.Second), Forwarder: f,
+		Log: zerolog.New(io.Discard).Level(zerolog.InfoLevel)})
 	return []struct{ name, address string }{
-		{"direct", direct}, {"bare", bare}, {"gateway", url[len("http://"):]},
+		{"direct", direct}, {"bare", bare}, {"gateway", listen(b, g.CallerHandler())},
+		{"control", listen(b, bareForwarder(direct))},
 	}
 }
 
@@ -126,22 +132,25 @@
 	b.ReportMetric(s.at(0.75), name+"-q3")
 }
 
-// turns calls f with each target's index, another one first in each block, so
-// that none always follows the same.
-func turns(block, targets int, f func(i int)) {
-	for k := range targets {
-		f((block + k) % targets)
+// turns calls f with each target's index, in a new order each time: one that
+// always came after the same other gained or lost a twentieth by it.
+func turns(rng *rand.Rand, targets int, f func(i int)) {
+	for _, i := range rng.Perm(targets) {
+		f(i)
 	}
 }
 
+func newOrder() *rand.Rand { return rand.New(rand.NewPCG(1, 1)) }
+
 // BenchmarkThroughput gives each target a round of requests per block, which is
 // one operation. The processor time counts callers and endpoint too.
 func BenchmarkThroughput(b *testing.B) {
 	targets, c := benchTargets(b), benchClient(b)
 	rates, used := make([]spread, len(targets)), make([]spread, len(targets))
-	var throughput, cpu spread
+	var throughput, cpu, control spread
+	rng := newOrder()
 	for block := 0; b.Loop(); block++ {
-		turns(block, len(targets), func(i int) {
+		turns(rng, len(targets), func(i int) {
 			start, before := time.Now(), processorTime(b)
 			round(b, c, targets[i].address)
 			rates[i] = append(rates[i], benchRound/time.Since(start).Seconds())
@@ -149,9 +158,11 @@
 		})
 		throughput = append(throughput, rates[2][block]/rates[1][block])
 		cpu = append(cpu, used[1][block]/used[2][block])
+		control = append(control, rates[3][block]/rates[1][block])
 	}
 	throughput.report(b, "throughput-ratio")
 	cpu.report(b, "cpu-ratio")
+	b.ReportMetric(control.at(0.5), "control-ratio")
 	for i, t := range targets {
 		b.ReportMetric(rates[i].at(0.5), t.name+"-req/s")
 		b.ReportMetric(used[i].at(0.5), t.name+"-cpu-µs")
@@ -188,12 +199,12 @@
 // is benchBlock requests to each.
 func BenchmarkLatency(b *testing.B) {
 	targets, c := benchTargets(b), benchClient(b)
-	medians := make([]spread, len(targets))
-	var overhead spread
+	medians, rng := make([]spread, len(targets)), newOrder()
+	var overhead, control spread
 	for block := 0; b.Loop(); block++ {
 		times := make([]spread, len(targets))
 		for range benchBlock {
-			turns(block, len(targets), func(i int) {
+			turns(rng, len(targets), func(i int) {
 				start := time.Now()
 				_, err := post(c, targets[i].address)
 				require.NoError(b, err)
@@ -203,10 +214,12 @@
 		for i := range targets {
 			medians[i] = append(medians[i], times[i].at(0.5))
 		}
-		direct := medians[0][block]
-		overhead = append(overhead, (medians[2][block]-direct)/(medians[1][block]-direct))
+		over := func(i int) float64 { return medians[i][block] - medians[0][block] }
+		overhead = append(overhead, over(2)/over(1))
+		control = append(control, over(3)/over(1))
 	}
 	overhead.report(b, "overhead-ratio")
+	b.ReportMetric(control.at(0.5), "control-ratio")
 	for i, t := range targets {
 		b.ReportMetric(medians[i].at(0.5), t.name+"-p50-µs")
 	}
@@ -230,43 +243,50 @@
 }
 
 // BenchmarkHalfLoad offers half of what the bare forwarder carries here and
-// now, in an open loop, to each target in turn.
+// now, in an open loop, to each target in turn; a block is a slice for each.
 func BenchmarkHalfLoad(b *testing.B) {
-	const slice = 500 // requests to one target before the next has its turn
+	const slice = 500
 	targets, c := benchTargets(b), benchClient(b)
 	c.Transport.(*http.Transport).MaxConnsPerHost = 256
-	start := time.Now()
-	for range 5 {
-		round(b, c, targets[1].address)
-	}
-	rate := 5 * benchRound / time.Since(start).Seconds() / 2
-	hist := []*hdrhistogram.Histogram{newHistogram(), newHistogram(), newHistogram()}
-	turn := func() {
-		for i, t := range targets {
-			var mu sync.Mutex
+	rng, rate := newOrder(), 0.0
+	block := func(p50, p99 []spread) {
+		rate = capacityOf(b, c, targets[1].address) / 2
+		turns(rng, len(targets), func(i int) {
+			hist, mu := newHistogram(), sync.Mutex{}
 			offer(slice, rate, func(_ int, due time.Time) {
-				if _, err := post(c, t.address); err != nil {
+				if _, err := post(c, targets[i].address); err != nil {
 					b.Error(err)
 				}
 				mu.Lock()
 				defer mu.Unlock()
-				_ = hist[i].RecordValue(time.Since(due).Microseconds())
+				_ = hist.RecordValue(time.Since(due).Microseconds())
 			})
-		}
-	}
-	turn() // opens the connections
-	for _, h := range hist {
-		h.Reset()
+			p50[i] = append(p50[i], float64(hist.ValueAtQuantile(50)))
+			p99[i] = append(p99[i], float64(hist.ValueAtQuantile(99)))
+		})
 	}
-	for b.Loop() {
-		turn()
+	block(make([]spread, len(targets)), make([]spread, len(targets))) // opens the connections
+	p50, p99 := make([]spread, len(targets)), make([]spread, len(targets))
+	var ratio, control spread
+	for n := 0; b.Loop(); n++ {
+		block(p50, p99)
+		ratio = append(ratio, p99[2][n]/p99[1][n])
+		control = append(control, p99[3][n]/p99[1][n])
 	}
+	ratio.report(b, "p99-ratio")
+	b.ReportMetric(control.at(0.5), "control-ratio")
 	for i, t := range targets {
-		b.ReportMetric(float64(hist[i].ValueAtQuantile(50)), t.name+"-p50-µs")
-		b.ReportMetric(float64(hist[i].ValueAtQuantile(99)), t.name+"-p99-µs")
+		b.ReportMetric(p50[i].at(0.5), t.name+"-p50-µs")
+		b.ReportMetric(p99[i].at(0.5), t.name+"-p99-µs")
 	}
 	b.ReportMetric(rate, "req/s")
-	b.ReportMetric(float64(hist[2].ValueAtQuantile(99))/float64(hist[1].ValueAtQuantile(99)), "p99-ratio")
+}
+
+// capacityOf measures what a target carries now, in requests per second.
+func capacityOf(b testing.TB, c *http.Client, address string) float64 {
+	start := time.Now()
+	round(b, c, address)
+	return benchRound / time.Since(start).Seconds()
 }
 
 func BenchmarkOverload(b *testing.B) {
