Keep room for a gang until its reservations are granted

Cause: the protection ended when the reservations were asked for; a refused one left the room to small work and the gang began again. Change: it ends when the gang starts.

--- a/process/jobs/gangs.go
+++ b/process/jobs/gangs.go
@@ -51,7 +51,6 @@
 		st.refuseJob(e, d.Rejections, d.Infeasible)
 		return false
 	}
-	st.gotRoom(j)
 	st.reserveGang(j, asks, &d, now)
 	st.round.active.Served(j.spec.Team)
 	return true
@@ -159,6 +158,7 @@
 		st.endTry(try, try.reason)
 		return
 	}
+	st.gotRoom(try.job)
 	try.job.gang, try.job.tries = nil, 0
 	for _, a := range try.attempts {
 		if try.job.live[a.index] == a {
