--- a/docs/links_test.go
+++ b/docs/links_test.go
@@ -31,3 +31,35 @@
 		}
 	}
 }
+
+var (
+	namedTest = regexp.MustCompile("`((?:Test|Fuzz|Benchmark)[A-Za-z0-9_]+)`")
+	testFunc  = regexp.MustCompile(`(?m)^func ((?:Test|Fuzz|Benchmark)[A-Za-z0-9_]+)\(`)
+)
+
+// Symptom: a page promises a proof that does not exist.
+// Sequence: a test is renamed or removed, the page that names it is not changed.
+// Cause: nothing but a reader compares pages with tests.
+func TestPagesNameTestsThatExist(t *testing.T) {
+	exists := map[string]bool{}
+	err := filepath.WalkDir("..", func(path string, d os.DirEntry, err error) error {
+		if err != nil || !strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+		data, err := os.ReadFile(path)
+		for _, m := range testFunc.FindAllStringSubmatch(string(data), -1) {
+			exists[m[1]] = true
+		}
+		return err
+	})
+	require.NoError(t, err)
+	pages, err := filepath.Glob("*.md")
+	require.NoError(t, err)
+	for _, page := range pages {
+		data, err := os.ReadFile(page)
+		require.NoError(t, err)
+		for _, m := range namedTest.FindAllStringSubmatch(string(data), -1) {
+			require.True(t, exists[m[1]], "%s names %s", page, m[1])
+		}
+	}
+}
