--- a/request/admission/queue.go
+++ b/request/admission/queue.go
@@ -61,17 +61,19 @@
 func (q *queue) enter(r Request, now time.Time) (*waiter, error) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	t := q.team(r)
-	if err := q.refusal(t, r, now); err != nil {
-		q.forget(t)
-		return nil, err
-	}
 	if q.roomInside(now) {
-		q.forget(t)
+		if err := q.tooLate(q.pace.wait(q.inside, now), r, now); err != nil {
+			return nil, err
+		}
 		q.inside++
 		q.pace.backlog(q.inside, now)
 		return nil, nil
 	}
+	t := q.team(r)
+	if err := q.refusal(t, r, now); err != nil {
+		q.forget(t)
+		return nil, err
+	}
 	if q.waiting >= q.opts.MaxQueue && !q.pushOut(t, now) {
 		q.forget(t)
 		return nil, overloaded(CodeQueueFull, errFull, q.pace.wait(q.waiting, now))
@@ -89,10 +91,16 @@
 func (q *queue) check(r Request, now time.Time) error {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	t := q.team(r)
-	defer q.forget(t)
-	if err := q.refusal(t, r, now); err != nil {
-		return err
+	var refusal *verdict.Error
+	if q.roomInside(now) {
+		refusal = q.tooLate(q.pace.wait(q.inside, now), r, now)
+	} else {
+		t := q.team(r)
+		defer q.forget(t)
+		refusal = q.refusal(t, r, now)
+	}
+	if refusal != nil {
+		return refusal
 	}
 	return nil
 }
@@ -103,15 +111,17 @@
 	return q.waiting == 0 && q.inside < q.pace.window(q.opts.Window, now)
 }
 
-// refusal returns why the request would not start in time, or nil.
+// refusal returns why a request that has to queue would not start in time, or
+// nil.
 func (q *queue) refusal(t *team, r Request, now time.Time) *verdict.Error {
+	return q.tooLate(q.expected(t, t.before(r.Deadline), now), r, now)
+}
+
+// tooLate returns the refusal of a request that would wait that long, or nil.
+func (q *queue) tooLate(wait time.Duration, r Request, now time.Time) *verdict.Error {
 	if !now.Before(r.Deadline) {
 		return overloaded(CodeDeadline, errDeadline, 0)
 	}
-	wait := q.pace.wait(q.inside, now)
-	if !q.roomInside(now) {
-		wait = q.expected(t, t.before(r.Deadline), now)
-	}
 	if !q.pace.fits(wait, now, r.Deadline) {
 		return overloaded(CodeWait, errWait, wait)
 	}
