Measure a driven deployment in repetitions with the service running

Cause: one measurement idle and one under load give no noise, so comparing two files of 'fennelbench drive' could not tell a change from chance; idle was measured without the service. Change: each repetition is an idle phase with the service and a load phase with a seed of its own.

--- a/cmd/fennelbench/deployment_test.go
+++ b/cmd/fennelbench/deployment_test.go
@@ -64,7 +64,7 @@
 	// Not for a verdict: the figures are of the steady state.
 	time.Sleep(time.Duration(setting(t, "FENNEL_SETTLE", settled) * float64(time.Second)))
 	report, err := bench.Drive(t.Context(), bench.DriveOptions{
-		Callers: d.callers, Admins: d.admins, Token: token, Control: d.control, Progress: os.Stderr,
+		Callers: d.callers, Admins: d.admins, Token: token, Control: d.control, Progress: os.Stderr, Repetitions: 1,
 		Idle: time.Duration(setting(t, "FENNEL_IDLE", 30) * float64(time.Second)),
 		Setting: bench.Setting{User: "authority", Daemons: len(d.admins), Seed: 1,
 			Seconds: setting(t, "FENNEL_SECONDS", 30), Rate: setting(t, "FENNEL_RATE", 100), TaskLoad: setting(t, "FENNEL_TASK_LOAD", 0.3)},
@@ -73,7 +73,7 @@
 	var text strings.Builder
 	report.Print(&text)
 	t.Log("\n" + text.String())
-	require.Len(t, report.Load.Daemons, len(d.admins))
+	require.Len(t, report.Repetitions[0].Load.Daemons, len(d.admins))
 }
 
 // deployment is the processes of one cell.
--- a/command/bench/drive.go
+++ b/command/bench/drive.go
@@ -37,10 +37,12 @@
 	// Control is the base URL of the platform's stand-in; empty means that
 	// task starts and store calls are not reported.
 	Control string
-	// Idle is how long the deployment is measured before the load.
-	Idle     time.Duration
-	Setting  Setting
-	Progress io.Writer
+	// Idle is how long the deployment is measured before each load.
+	Idle time.Duration
+	// Repetitions of both, whose span is the noise.
+	Repetitions int
+	Setting     Setting
+	Progress    io.Writer
 }
 
 func driveCommand(out, errOut io.Writer) *ffcli.Command {
@@ -52,12 +54,13 @@
 	fs.StringVar(&o.Token, "token", "", "administration token; better in FENNELBENCH_TOKEN")
 	fs.StringVar(&o.CAFile, "ca", "", "certificates to trust, PEM")
 	fs.StringVar(&o.Control, "control", "", "control URL of the platform's stand-in")
-	fs.DurationVar(&o.Idle, "idle", 30*time.Second, "measurement before the load")
+	fs.DurationVar(&o.Idle, "idle", 30*time.Second, "measurement before each load")
 	fs.StringVar(&s.User, "user", "authority", "whose workers and service: authority or guild")
 	fs.Float64Var(&s.Seconds, "seconds", 60, "duration of the load")
 	fs.Float64Var(&s.Rate, "rate", 100, "requests per second, 0 for none")
 	fs.Float64Var(&s.TaskLoad, "task-load", 0.3, "work that arrives, as a share of the workers; 0 for none")
 	fs.Uint64Var(&s.Seed, "seed", 1, "seed of the load")
+	fs.IntVar(&o.Repetitions, "repetitions", 3, "repetitions of both, whose span is the noise")
 	file := fs.String("out", "", "JSON file for the result")
 	return &ffcli.Command{
 		Name: "drive", ShortUsage: "fennelbench drive -callers A,B -admins URL,URL [flags]", FlagSet: fs,
@@ -92,22 +95,33 @@
 	shape   platform.Shape
 	service string
 	admins  []*ctl.Client
+	// waveMaker goes on over the repetitions: a file applied twice is no load.
+	waveMaker *waveMaker
 }
 
 // Drive measures a deployment idle and then under load. The service's file and
 // the waves of tasks are applied to it and stay.
 func Drive(ctx context.Context, o DriveOptions) (*DriveReport, error) {
+	d, err := newDriver(o)
+	if err != nil {
+		return nil, err
+	}
+	return d.run(ctx)
+}
+
+func newDriver(o DriveOptions) (*driver, error) {
 	if len(o.Admins) == 0 || len(o.Callers) != len(o.Admins) {
 		return nil, errors.New("flags -callers and -admins must name the same daemons")
 	}
-	if o.Idle <= 0 || o.Setting.Seconds <= 0 {
-		return nil, errors.New("flags -idle and -seconds must be above 0")
+	if o.Idle <= 0 || o.Setting.Seconds <= 0 || o.Repetitions < 1 {
+		return nil, errors.New("flags -idle, -seconds and -repetitions must be above 0")
 	}
 	d := &driver{o: o}
 	var err error
 	if d.shape, d.service, err = shapeOf(o.Setting.User); err != nil {
 		return nil, err
 	}
+	d.waveMaker = newWaveMaker(o.Setting, d.shape)
 	for _, a := range o.Admins {
 		client, err := ctl.NewClient(a, o.Token, o.CAFile, adminTimeout)
 		if err != nil {
@@ -115,28 +129,61 @@
 		}
 		d.admins = append(d.admins, client)
 	}
-	return d.run(ctx)
+	return d, nil
 }
 
 func (d *driver) run(ctx context.Context) (*DriveReport, error) {
-	r := &DriveReport{}
-	var err error
-	if r.Idle, err = d.phase(ctx, "idle", d.o.Idle, func(ctx context.Context) error { <-ctx.Done(); return nil }); err != nil {
-		return nil, err
-	}
 	if err := d.startService(ctx); err != nil {
 		return nil, err
 	}
+	r := &DriveReport{}
+	for i := range d.o.Repetitions {
+		rep, err := d.repeat(ctx, i)
+		if err != nil {
+			return nil, fmt.Errorf("repetition %d: %w", i+1, err)
+		}
+		r.Repetitions = append(r.Repetitions, rep)
+	}
+	return r, nil
+}
+
+// quiet is the pause before an idle phase, in which the tasks of the load
+// before it end.
+const quiet = 15 * time.Second
+
+// repeat measures the deployment idle and under the load of a seed of its own.
+func (d *driver) repeat(ctx context.Context, n int) (Repetition, error) {
+	var r Repetition
+	if n > 0 {
+		if err := wait(ctx, quiet); err != nil {
+			return r, err
+		}
+	}
+	part := fmt.Sprintf("%d of %d", n+1, d.o.Repetitions)
+	var err error
+	if r.Idle, err = d.phase(ctx, "idle "+part, d.o.Idle, func(run context.Context) error { <-run.Done(); return nil }); err != nil {
+		return r, err
+	}
 	length := time.Duration(d.o.Setting.Seconds * float64(time.Second))
-	r.Load, err = d.phase(ctx, "load", length, func(run context.Context) error { return d.load(run, ctx, r) })
+	r.Load, err = d.phase(ctx, "load "+part, length, func(run context.Context) error { return d.load(run, ctx, n, &r) })
 	return r, err
 }
 
+func wait(ctx context.Context, t time.Duration) error {
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(t):
+		return nil
+	}
+}
+
 // load sends requests and waves of tasks until run ends.
-func (d *driver) load(run, ctx context.Context, r *DriveReport) error {
+func (d *driver) load(run, ctx context.Context, n int, r *Repetition) error {
 	var g errgroup.Group
 	g.Go(func() error { return d.waves(run, ctx) })
 	if s := d.o.Setting; s.Rate > 0 {
+		s.Seed += uint64(n)
 		result := callers.Run(ctx, callers.Options{
 			Client: &http.Client{Transport: d.balancer(), Timeout: 30 * time.Second}, Service: d.service,
 			Rate: s.Rate, Count: math.MaxInt32, NonIdempotent: 0.1, Keyed: 0.1, BodySize: 512, Seed: s.Seed, Tries: 10, Until: run.Done(),
@@ -151,11 +198,10 @@
 	if d.o.Setting.TaskLoad <= 0 {
 		return nil
 	}
-	w := newWaveMaker(d.o.Setting, d.shape)
 	tick := time.NewTicker(waveEvery)
 	defer tick.Stop()
 	for i := 0; ; i++ {
-		if err := d.apply(ctx, d.admins[i%len(d.admins)], w.next()); err != nil {
+		if err := d.apply(ctx, d.admins[i%len(d.admins)], d.waveMaker.next()); err != nil {
 			return err
 		}
 		select {
@@ -183,10 +229,8 @@
 				return nil
 			}
 		}
-		select {
-		case <-ctx.Done():
-			return fmt.Errorf("service %s does not run: %w", d.service, ctx.Err())
-		case <-time.After(time.Second):
+		if err := wait(ctx, time.Second); err != nil {
+			return fmt.Errorf("service %s does not run: %w", d.service, err)
 		}
 	}
 }
--- a/command/bench/drive_test.go
+++ b/command/bench/drive_test.go
@@ -40,10 +40,12 @@
 		_, _ = w.Write([]byte(`{"process": {"cpu_seconds": 1}}`)) // as above
 	}))
 	defer s.Close()
-	_, err := Drive(t.Context(), DriveOptions{
-		Callers: []string{"127.0.0.1:1"}, Admins: []string{s.URL}, Idle: time.Millisecond,
+	d, err := newDriver(DriveOptions{
+		Callers: []string{"127.0.0.1:1"}, Admins: []string{s.URL}, Idle: time.Millisecond, Repetitions: 1,
 		Setting: Setting{User: "authority", Seconds: 1}, Progress: t.Output(),
 	})
+	require.NoError(t, err)
+	_, err = d.repeat(t.Context(), 0)
 	require.ErrorContains(t, err, "started anew")
 }
 
@@ -52,11 +54,30 @@
 		_, _ = w.Write([]byte(`{}`)) // a lost answer fails the test
 	}))
 	defer s.Close()
-	_, err := Drive(context.Background(), DriveOptions{
-		Callers: []string{"127.0.0.1:1"}, Admins: []string{s.URL}, Idle: time.Second,
+	d, err := newDriver(DriveOptions{
+		Callers: []string{"127.0.0.1:1"}, Admins: []string{s.URL}, Idle: time.Second, Repetitions: 1,
 		Setting: Setting{User: "guild", Seconds: 1}, Progress: t.Output(),
 	})
+	require.NoError(t, err)
+	_, err = d.repeat(t.Context(), 0)
 	require.ErrorIs(t, err, errNoUsage)
 	_, err = Drive(context.Background(), DriveOptions{Admins: []string{s.URL}})
 	require.ErrorContains(t, err, "same daemons")
 }
+
+func TestDriveResultHoldsTheGreatestOfEachRepetition(t *testing.T) {
+	phase := func(cores ...float64) Phase {
+		p := Phase{Seconds: 1}
+		for _, c := range cores {
+			p.Daemons = append(p.Daemons, Cost{Rate: capacity.Rate{Core: c, RSSBytes: 1, Sent: map[capacity.Kind]float64{}}})
+		}
+		return p
+	}
+	r := &DriveReport{Repetitions: []Repetition{{Idle: phase(0.01, 0.03), Load: phase(0.3, 0.1)}, {Idle: phase(0.01, 0.02), Load: phase(0.2, 0.4)}}}
+	result := r.Result(&Setting{User: "guild"})
+	require.Len(t, result.Repetitions, 2)
+	require.InDelta(t, 0.02, result.Repetitions[1][idleCore], 1e-9)
+	least, greatest, ok := result.span(loadCore)
+	require.True(t, ok)
+	require.InDeltaSlice(t, []float64{0.3, 0.4}, []float64{least, greatest}, 1e-9)
+}
--- a/command/bench/drivereport.go
+++ b/command/bench/drivereport.go
@@ -43,21 +43,27 @@
 	Starts, StoreReads, StoreWrites float64
 }
 
-// DriveReport is the result of Drive. Under load the processor time and memory
-// contain the callers' requests.
-type DriveReport struct {
+// Repetition is a measurement idle, with the service but without requests and
+// new tasks, and under load. The processor time and memory under load contain
+// the callers' requests.
+type Repetition struct {
 	Idle, Load Phase
 	Requests   callers.Summary
 	// P50 and P99 of whole answers, in microseconds.
 	P50, P99 int64
 }
 
+// DriveReport is the result of Drive.
+type DriveReport struct{ Repetitions []Repetition }
+
 // Print writes a table for people.
 func (r *DriveReport) Print(w io.Writer) {
-	r.Idle.print(w, "idle")
-	r.Load.print(w, "under load (with the callers' requests)")
-	fmt.Fprintf(w, "requests: %d, whole %d, not run %d, may have run %d; p50 %d us, p99 %d us\n",
-		r.Requests.Requests, r.Requests.Whole, r.Requests.NotRun, r.Requests.MayHaveRun, r.P50, r.P99)
+	for _, n := range r.Repetitions {
+		n.Idle.print(w, "idle")
+		n.Load.print(w, "under load (with the callers' requests)")
+		fmt.Fprintf(w, "requests: %d, whole %d, not run %d, may have run %d; p50 %d us, p99 %d us\n",
+			n.Requests.Requests, n.Requests.Whole, n.Requests.NotRun, n.Requests.MayHaveRun, n.P50, n.P99)
+	}
 }
 
 func (p Phase) print(w io.Writer, name string) {
@@ -114,14 +120,18 @@
 
 // Result makes a result that can be stored and compared.
 func (r *DriveReport) Result(s *Setting) *Result {
-	m := Metrics{
-		RequestP50: float64(r.P50), RequestP99: float64(r.P99),
-		RequestWhole: float64(r.Requests.Whole) / float64(max(1, r.Requests.Requests)),
-		startsPerS:   r.Load.Starts, StoreWrites: r.Load.StoreWrites, StoreCallsPer: r.Load.StoreReads + r.Load.StoreWrites,
+	result := &Result{Setting: *s}
+	for _, n := range r.Repetitions {
+		m := Metrics{
+			RequestP50: float64(n.P50), RequestP99: float64(n.P99),
+			RequestWhole: float64(n.Requests.Whole) / float64(max(1, n.Requests.Requests)),
+			startsPerS:   n.Load.Starts, StoreWrites: n.Load.StoreWrites, StoreCallsPer: n.Load.StoreReads + n.Load.StoreWrites,
+		}
+		n.Idle.greatest(m, idleCore, idleRSS, idleBytes)
+		n.Load.greatest(m, loadCore, loadRSS, loadBytes)
+		result.Repetitions = append(result.Repetitions, m)
 	}
-	r.Idle.greatest(m, idleCore, idleRSS, idleBytes)
-	r.Load.greatest(m, loadCore, loadRSS, loadBytes)
-	return &Result{Setting: *s, Repetitions: []Metrics{m}}
+	return result
 }
 
 func (p Phase) greatest(m Metrics, core, rss, bytes string) {
