--- a/command/bench/drive.go
+++ b/command/bench/drive.go
@@ -191,6 +191,7 @@
 		r.Requests = result.Check(nil)
 		r.P50, r.P99 = result.Latency.ValueAtQuantile(50), result.Latency.ValueAtQuantile(99)
 	}
+	<-run.Done() // also when there is no load of either kind
 	return g.Wait()
 }
 
