Mend data races in tests; count latency from each request's own due time

One falsified figures: the goroutine of each request read the due time of a later one, so latencies came out too small (p50 4.4 ms with an endpoint that takes 5 ms). The outage test cut the store before a job's first progress was written, when only 64 of its tasks may start. Change: each request keeps its own due time; the partition's shard model reads the daemons under a mutex; the outage begins after that write. Measured: go test -race -short of both packages passes.

--- a/process/partition/harness_test.go
+++ b/process/partition/harness_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"flag"
 	"fmt"
+	"math/rand/v2"
 	"os"
 	"slices"
 	"sync"
@@ -66,14 +67,17 @@
 	net     *peertest.Network
 	vms     *vmList
 	daemons []*daemon
-	buried  []*daemon // earlier lives
-	workers int
-	racks   int
-	author  *author
-	ctx     context.Context
-	cancel  context.CancelFunc
-	jobs    spec.Config
-	whole   bool // daemons also own the jobs
+	// daemonsMu guards a change of daemons against the shard model's own
+	// goroutine; the driver alone changes it and reads without it.
+	daemonsMu sync.Mutex
+	buried    []*daemon // earlier lives
+	workers   int
+	racks     int
+	author    *author
+	ctx       context.Context
+	cancel    context.CancelFunc
+	jobs      spec.Config
+	whole     bool // daemons also own the jobs
 
 	mu     sync.Mutex
 	broken []string // invariants that a part reported
@@ -338,3 +342,17 @@
 	}
 	time.Sleep(time.Minute)
 }
+
+// replaceDaemon puts the next life of a daemon in its place.
+func (c *cell) replaceDaemon(i int, next *daemon) {
+	c.daemonsMu.Lock()
+	defer c.daemonsMu.Unlock()
+	c.daemons[i] = next
+}
+
+// anyDaemon returns one of the daemons, for goroutines beside the driver's.
+func (c *cell) anyDaemon(rng *rand.Rand) *daemon {
+	c.daemonsMu.Lock()
+	defer c.daemonsMu.Unlock()
+	return c.daemons[rng.IntN(len(c.daemons))]
+}
--- a/process/partition/random_test.go
+++ b/process/partition/random_test.go
@@ -124,12 +124,12 @@
 		}
 	case "shardTakeover":
 		if !r.whole && len(r.shards) < 4 {
-			r.shards[len(r.shards)-1].deaf = a.A%2 == 0
+			r.shards[len(r.shards)-1].deaf.Store(a.A%2 == 0)
 			r.newShard()
 		}
 	case "shardDeaf":
 		if !r.whole {
-			r.shards[len(r.shards)-1].deaf = a.A%2 == 0
+			r.shards[len(r.shards)-1].deaf.Store(a.A%2 == 0)
 		}
 	case "holdStore":
 		d.gate.hold()
@@ -175,7 +175,7 @@
 			continue
 		}
 		next := r.startDaemon(peer.Ref{ID: d.ref.ID, Incarnation: d.ref.Incarnation + 1})
-		r.daemons[i] = next
+		r.replaceDaemon(i, next)
 		r.buried = append(r.buried, d)
 		for _, o := range r.daemons {
 			for ref := range r.gone {
@@ -196,7 +196,7 @@
 		r.rack.SetDown(workerID(i), false)
 	}
 	if !r.whole {
-		r.shards[len(r.shards)-1].deaf = false
+		r.shards[len(r.shards)-1].deaf.Store(false)
 	}
 	for _, d := range r.daemons {
 		r.kill(d)
--- a/process/partition/shardmodel_test.go
+++ b/process/partition/shardmodel_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"fennelshunt.example/fennelshunt/connection/peer"
@@ -96,7 +97,7 @@
 	rng        *rand.Rand
 	durable    *progress
 	cancel     context.CancelFunc
-	deaf       bool
+	deaf       atomic.Bool
 	seq        uint64
 	attempts   int
 	partitions map[string]*modelPartition
@@ -177,10 +178,10 @@
 	if s.rng.IntN(40) == 0 {
 		p.doubt = true // as after a lost answer
 	}
-	if s.deaf {
+	if s.deaf.Load() {
 		return
 	}
-	d := s.c.daemons[s.rng.IntN(len(s.c.daemons))]
+	d := s.c.anyDaemon(s.rng)
 	if claim, ok := d.manager.Owner(resourceOf(name)); ok && claim.Epoch > p.claim.Epoch {
 		p.claim = claim
 		p.doubt = true
--- a/standin/callers/callers.go
+++ b/standin/callers/callers.go
@@ -117,11 +117,11 @@
 		if !sleepUntil(ctx, due) || isClosed(o.Until) {
 			break
 		}
-		out := &Outcome{}
+		out, at := &Outcome{}, due
 		outcomes = append(outcomes, out)
 		wg.Go(func() {
 			c := call{o: &o, kind: kind, key: fmt.Sprintf("request-%d-%d", o.Seed, i)}
-			*out = c.run(ctx, due)
+			*out = c.run(ctx, at)
 			if o.Progress != nil {
 				o.Progress()
 			}
--- a/standin/cell/outage_test.go
+++ b/standin/cell/outage_test.go
@@ -25,11 +25,13 @@
 	defer cancel()
 	c := startCell(t, ctx, 3)
 	f := smallFile()
-	f.Jobs = append(f.Jobs, spec.Job{Name: "surveys", Team: "surveyors", Kind: spec.Batch, Count: 200, Retries: 5,
+	f.Jobs = append(f.Jobs, spec.Job{Name: "surveys", Team: "surveyors", Kind: spec.Batch, Count: 400, Retries: 5,
 		Size: spec.Resources{MilliCPU: 16_000, MemoryMB: 16 << 10}, RunTime: spec.Duration(500 * time.Millisecond)})
 	_, err := c.Apply(ctx, f)
 	require.NoError(t, err)
-	require.Eventually(t, func() bool { return c.Platform.Recorder.Succeeded("surveys") > 0 }, time.Minute, 10*time.Millisecond)
+	// The first 64 tasks of a job start before its progress is written; the
+	// outage begins when that write has been made.
+	require.Eventually(t, func() bool { return c.Platform.Recorder.Succeeded("surveys") > 80 }, time.Minute, 10*time.Millisecond)
 	c.Platform.Store.SetFaults(kv.Faults{Down: true})
 	began := c.Platform.Recorder.Succeeded("surveys")
 
@@ -39,7 +41,7 @@
 	result := callers.Run(ctx, o)
 	during := c.Platform.Recorder.Succeeded("surveys")
 	c.Platform.Store.SetFaults(kv.Faults{})
-	require.Eventually(t, func() bool { return c.Platform.Recorder.Succeeded("surveys") == 200 }, time.Minute, 50*time.Millisecond)
+	require.Eventually(t, func() bool { return c.Platform.Recorder.Succeeded("surveys") == 400 }, time.Minute, 50*time.Millisecond)
 
 	s := result.Check(c.Platform.EndpointReport().Runs)
 	t.Logf("%+v; tasks done before %d, during %d", s, began, during)
