--- a/request/slots/holder.go
+++ b/request/slots/holder.go
@@ -27,6 +27,7 @@
 var (
 	errQueueFull      = errors.New("too many requests wait for a slot of the service")
 	errUnknownService = errors.New("no such service")
+	errEnded          = errors.New("this life of the daemon is over")
 )
 
 // holder is this daemon's part of one service: the credits it holds and the
@@ -122,6 +123,10 @@
 		return &slot{h: h, c: c}, nil
 	case <-ctx.Done():
 		return nil, h.giveUp(el, w, ctx.Err())
+	case <-h.m.ctx.Done():
+		// This life of the daemon is over: nobody will grant a credit any more,
+		// and the caller had better ask another daemon at once.
+		return nil, h.giveUp(el, w, errEnded)
 	}
 }
 
