--- a/process/daemon/admin.go
+++ b/process/daemon/admin.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
-	"encoding/json"
 	"errors"
-	"expvar"
 	"fmt"
 	"net/http"
 	"time"
@@ -14,9 +12,7 @@
 
 	"fennelshunt.example/fennelshunt/process/admin"
 	"fennelshunt.example/fennelshunt/process/admin/api"
-	"fennelshunt.example/fennelshunt/process/capacity"
 	"fennelshunt.example/fennelshunt/process/jobs"
-	"fennelshunt.example/fennelshunt/process/ownership"
 	"fennelshunt.example/fennelshunt/process/plan"
 	"fennelshunt.example/fennelshunt/process/versions"
 	"fennelshunt.example/fennelshunt/version/spec"
@@ -65,31 +61,6 @@
 	sup.Add(&httpService{l: a.l, name: "administration", server: a.server, listener: a.l.d.listen.admin, tls: c})
 }
 
-// serveVars serves the metrics in expvar's format.
-func (a *adminSide) serveVars(w http.ResponseWriter, _ *http.Request) {
-	var m expvar.Map
-	a.l.path.gateway.Publish(&m)
-	m.Set("store", a.l.store.Vars())
-	m.Set("versions", a.l.versions.Vars())
-	a.l.d.metrics.burn.Publish(&m)
-	m.Set("owned", expvar.Func(a.owned))
-	m.Set(capacity.VarsKey, expvar.Func(func() any { return a.l.d.meter.Usage() }))
-	if v := expvar.Get("memstats"); v != nil {
-		m.Set("memstats", v)
-	}
-	w.Header().Set("Content-Type", "application/json; charset=utf-8")
-	_ = json.NewEncoder(w).Encode(json.RawMessage(m.String())) // a cut answer fails to decode
-}
-
-// owned counts the resources of each kind that this daemon owns.
-func (a *adminSide) owned() any {
-	counts := map[string]int{}
-	for _, prefix := range []string{ownership.PartitionPrefix, ownership.ShardPrefix, ownership.ServicePrefix, ownership.KeysPrefix} {
-		counts[prefix] = len(a.l.owners.Owned(prefix))
-	}
-	return counts
-}
-
 // Explain implements admin.Explainer.
 func (a *adminSide) Explain(ctx context.Context, task spec.TaskID) (api.Explanation, error) {
 	e, err := a.l.work.jobs.Explain(ctx, task)
