--- a/process/daemon/vars.go
+++ b/process/daemon/vars.go
@@ -56,6 +56,9 @@
 	m := new(expvar.Map)
 	v := reflect.ValueOf(counters).Elem()
 	for i := range v.NumField() {
+		if !v.Type().Field(i).IsExported() {
+			continue
+		}
 		if c, ok := v.Field(i).Addr().Interface().(*expvar.Int); ok {
 			m.Set(snakeCase(v.Type().Field(i).Name), c)
 		}
