Take rebound starts; tell why a worker is left alone

Cause: shards asked for starts at one worker only, and kept off workers whose owner takes no plans by filling them with placeholder tasks, so that explain told of missing room. Change: plans without a reservation may be rebound; the answer's or a report's worker is taken, the planner's assumption moves there (sched.Planner.Move), and plans name the workers kept for a waiting gang and those where the task failed. Until a worker is named, the task may be on any of the partition: while one of them is unaccounted for, the task is not started again. Blocked workers carry their reason.

--- a/process/jobs/cell_test.go
+++ b/process/jobs/cell_test.go
@@ -47,6 +47,7 @@
 	runTime    func(worker.Start) (time.Duration, worker.TaskState)
 	lives      uint64
 	loseEvents float64
+	committed  func(p *fakePartition, result *plan.Result) // before the answer leaves
 }
 
 // runRecord is what truly happened to a task.
--- a/process/jobs/events.go
+++ b/process/jobs/events.go
@@ -79,6 +79,9 @@
 
 // liveEvent takes news of the attempt that this owner counts as live.
 func (st *state) liveEvent(p *partition, a *attempt, ev *plan.Event) {
+	if ev.Worker != "" {
+		st.placed(a, ev.Worker)
+	}
 	if ended(ev) {
 		st.endAttempt(a, ev)
 		return
--- a/process/jobs/job.go
+++ b/process/jobs/job.go
@@ -39,6 +39,10 @@
 	worker    worker.ID
 	size      spec.Resources
 	victims   []worker.Ref
+	// unplaced is set while the owner of the workers may have started the task
+	// on any worker of the partition: its plan may be rebound, and neither its
+	// answer nor a report has named the worker yet.
+	unplaced bool
 	// sentEpoch is the epoch of the partition's owner that got the plan.
 	sentEpoch uint64
 	// reservation is set for tasks of a gang.
--- a/process/jobs/metrics.go
+++ b/process/jobs/metrics.go
@@ -16,6 +16,7 @@
 type Metrics struct {
 	Plans, Steps           expvar.Int // sent
 	Started, Refused       expvar.Int // answers of steps
+	Rebound                expvar.Int // started on another worker than decided
 	LostAnswers            expvar.Int
 	Finished, Failed, Lost expvar.Int // ends of tasks
 	Unknown                expvar.Int // tasks that may have run
@@ -70,7 +71,7 @@
 func (m *Metrics) AddTo(vars *expvar.Map) {
 	counters := map[string]*expvar.Int{
 		"plans": &m.Plans, "steps": &m.Steps, "started": &m.Started, "refused": &m.Refused,
-		"lost_answers": &m.LostAnswers, "finished": &m.Finished, "failed": &m.Failed, "lost": &m.Lost,
+		"rebound": &m.Rebound, "lost_answers": &m.LostAnswers, "finished": &m.Finished, "failed": &m.Failed, "lost": &m.Lost,
 		"unknown": &m.Unknown, "adopted": &m.Adopted, "cancelled_jobs": &m.Cancelled,
 		"gang_retries": &m.GangRetries, "progress_writes": &m.Writes, "violations": &m.Violations,
 	}
--- a/process/jobs/partition.go
+++ b/process/jobs/partition.go
@@ -188,7 +188,7 @@
 		if a.partition != p.name || !a.phase.mayRun() {
 			return
 		}
-		if _, ok := p.unaccounted[a.worker]; ok {
+		if p.mayHide(a) {
 			return
 		}
 		if _, ok := listed[a.ref()]; !ok {
@@ -204,6 +204,18 @@
 	}
 }
 
+// mayHide reports whether an attempt may run on a worker that the partition's
+// owner could not ask. The answer to a plan may be lost together with its
+// partition's owner; the attempt is then not where it was decided to go, and a
+// look at that worker alone would have it started again beside itself.
+func (p *partition) mayHide(a *attempt) bool {
+	if a.unplaced {
+		return len(p.unaccounted) > 0
+	}
+	_, ok := p.unaccounted[a.worker]
+	return ok
+}
+
 // eachAttempt calls f for every attempt that has not ended.
 func (st *state) eachAttempt(f func(*attempt)) {
 	for _, j := range st.jobs {
--- a/process/jobs/partition_test.go
+++ b/process/jobs/partition_test.go
@@ -113,11 +113,51 @@
 	delete(p.reservations, r.Reservation)
 	result := p.all(len(r.Steps), plan.Accepted)
 	for i := range r.Steps {
-		result.Steps[i].Outcome = p.start(r.Author.Shard, &r.Steps[i])
+		result.Steps[i] = p.place(r, r.Steps[i])
 	}
+	if p.c.committed != nil {
+		p.c.committed(p, result)
+	}
+	return result
+}
+
+// place starts a step, and where it may on another worker: when its own does
+// not take it, and now and then for no reason.
+func (p *fakePartition) place(r *plan.Plan, s plan.Step) plan.StepResult {
+	moves := r.MayRebind && len(s.Victims) == 0
+	result := plan.StepResult{Outcome: plan.NoRoom}
+	if !moves || p.c.rng.IntN(5) > 0 {
+		result.Outcome = p.start(r.Author.Shard, &s)
+	}
+	if !moves || result.Outcome == plan.Accepted || result.Outcome == plan.Duplicate {
+		return result
+	}
+	first := s.Worker
+	for _, id := range p.workerIDs() {
+		if id == first || slices.Contains(r.Kept, id) || slices.Contains(s.Avoid, id) {
+			continue
+		}
+		s.Worker = id
+		if p.start(r.Author.Shard, &s) == plan.Accepted {
+			return plan.StepResult{Outcome: plan.Accepted, Worker: id}
+		}
+	}
+	s.Worker = first
+	result.Outcome = p.start(r.Author.Shard, &s)
 	return result
 }
 
+func (p *fakePartition) workerIDs() []worker.ID {
+	var ids []worker.ID
+	for id, w := range p.c.workers {
+		if w.partition == p.name {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
 func (p *fakePartition) free(w *fakeWorker) spec.Resources {
 	free := w.capacity
 	for _, t := range w.tasks {
--- a/process/jobs/protect.go
+++ b/process/jobs/protect.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"fennelshunt.example/fennelshunt/connection/worker"
 	"fennelshunt.example/fennelshunt/process/sched"
 	"fennelshunt.example/fennelshunt/process/sched/snapshot"
 	"fennelshunt.example/fennelshunt/version/spec"
@@ -77,7 +78,7 @@
 func (st *state) gotRoom(j *job) {
 	if s := st.round.protected; s != nil && s.own == j {
 		st.round.protected = nil
-		st.round.planner.Protect(nil)
+		st.keep(nil)
 	}
 }
 
@@ -117,7 +118,7 @@
 	ended := s.own != nil && (s.own.cancelled || s.own.infeasible != "")
 	if ended || now.Sub(s.lastSeen) > needExpiry {
 		st.round.protected = nil
-		st.round.planner.Protect(nil)
+		st.keep(nil)
 		return
 	}
 	if now.Sub(s.planned) >= replanInterval {
@@ -130,12 +131,28 @@
 	s := st.round.protected
 	s.planned = now
 	asks := s.need.asks()
-	st.round.planner.Protect(nil)
+	st.keep(nil)
 	shadow, ok := st.round.planner.PlanGang(asks, func(t *snapshot.Task) (time.Duration, bool) {
 		return st.learner.Remaining(t, now)
 	})
 	if ok {
-		st.round.planner.Protect(&shadow)
+		st.keep(&shadow)
+	}
+}
+
+// keep has capacity kept for a gang by the decisions of this shard, and its
+// workers left alone by the owners that rebind; nil keeps none.
+func (st *state) keep(shadow *sched.Shadow) {
+	st.round.planner.Protect(shadow)
+	st.round.kept = nil
+	if shadow == nil {
+		return
+	}
+	st.round.kept = map[string][]worker.ID{}
+	for _, id := range shadow.IDs() {
+		if w := st.round.planner.View().Lookup(id); w != nil {
+			st.round.kept[w.Partition] = append(st.round.kept[w.Partition], id)
+		}
 	}
 }
 
--- a/process/jobs/round.go
+++ b/process/jobs/round.go
@@ -27,14 +27,12 @@
 	last, lastTick, lastRecheck time.Time
 	// refused holds workers whose owner refused a step lately, until when.
 	refused map[worker.ID]time.Time
-	// fillers are the placeholders in the planner's view.
-	fillers []worker.Ref
+	// blocked holds the workers that the planner keeps off, and why.
+	blocked map[worker.ID]string
+	// kept lists, by partition, the workers that keep room for protected.
+	kept map[string][]worker.ID
 }
 
-// refusedFor is how long a worker is left alone after a refusal that the
-// snapshot did not foresee.
-const refusedFor = 250 * time.Millisecond
-
 // decide makes at most SliceLimit decisions.
 func (st *state) decide(now time.Time) {
 	if !st.mayStart() {
@@ -81,7 +79,6 @@
 	if st.round.planner == nil {
 		st.round.planner = sched.NewPlanner(snap)
 	} else {
-		st.unfill()
 		st.round.planner.Rebase(snap)
 	}
 	if snap != st.round.snap {
@@ -160,62 +157,6 @@
 	return true
 }
 
-// blockUnusable fills workers in the planner's view whose owner takes no plans
-// now, so that the decisions of this round go elsewhere.
-func (st *state) blockUnusable(now time.Time) {
-	for id, until := range st.round.refused {
-		if now.After(until) {
-			delete(st.round.refused, id)
-		} else {
-			st.fill(id)
-		}
-	}
-	if st.allUsable() {
-		return
-	}
-	st.round.snap.All(func(w *snapshot.Worker) bool {
-		if p := st.partitions[w.Partition]; p == nil || !st.usable(p) {
-			st.fill(w.ID)
-		}
-		return true
-	})
-}
-
-func (st *state) allUsable() bool {
-	for _, p := range st.partitions {
-		if !st.usable(p) {
-			return false
-		}
-	}
-	return len(st.partitions) > 0
-}
-
-// fillerJob is the job name of the placeholder that fills a worker; it can not
-// be the name of a declared job.
-const fillerJob = "/unusable"
-
-func (st *state) fill(id worker.ID) {
-	w := st.round.planner.View().Lookup(id)
-	if w == nil || w.Free().IsZero() {
-		return
-	}
-	filler := sched.Ask{
-		Task:  spec.TaskID{Job: fillerJob, Index: len(st.round.fillers)},
-		Class: spec.Urgent, Size: w.Free(), NonIdempotent: true,
-	}
-	if st.round.planner.Assume(filler, sched.Decision{Worker: id, Partition: w.Partition}) {
-		st.round.fillers = append(st.round.fillers, filler.Ref())
-	}
-}
-
-// unfill takes the placeholders of the last round away.
-func (st *state) unfill() {
-	for _, ref := range st.round.fillers {
-		st.round.planner.Forget(ref)
-	}
-	st.round.fillers = nil
-}
-
 // serve tries to start the next task of a job, or a whole gang, and reports
 // whether it did.
 func (st *state) serve(e *queue.Entry[*job], now time.Time) bool {
--- a/process/jobs/send.go
+++ b/process/jobs/send.go
@@ -89,10 +89,12 @@
 	request := plan.Plan{
 		Partition: p.name, Author: st.author(), Seq: st.shard.seq.Add(1),
 		Reservation: attempts[0].reservation, Steps: make([]plan.Step, len(attempts)),
+		MayRebind: attempts[0].reservation == "", Kept: st.round.kept[p.name],
 	}
 	for i, a := range attempts {
 		request.Steps[i] = step(a)
 		a.phase, a.sentEpoch = sent, p.owner.Epoch
+		a.unplaced = request.MayRebind && len(a.victims) == 0
 	}
 	st.o.Metrics.Plans.Add(1)
 	st.o.Metrics.Steps.Add(int64(len(attempts)))
@@ -139,7 +141,7 @@
 	j := a.job
 	s := plan.Step{
 		Worker: a.worker, Class: j.class, Team: j.spec.Team, Victims: a.victims,
-		Constraints: j.spec.Constraints, NonIdempotent: j.spec.NonIdempotent,
+		Constraints: j.spec.Constraints, NonIdempotent: j.spec.NonIdempotent, Avoid: j.avoid[a.index],
 		Start: worker.Start{
 			Task: a.task(), Attempt: a.number, Kind: j.spec.Kind, Size: a.size,
 			RunTime: j.spec.RunTime, Parameters: j.spec.Parameters, Checkpoint: !j.spec.NonIdempotent,
@@ -191,13 +193,14 @@
 	}
 	switch r.Outcome {
 	case plan.Accepted:
+		st.placed(a, r.Worker)
 		st.accepted(a)
 	case plan.Duplicate:
 		// Another attempt of the task is there that this owner does not know.
 		a.phase = uncertain
 		p.doubt, p.nextFence = true, time.Time{}
 	case plan.NoWorker, plan.NoRoom:
-		st.round.refused[a.worker] = time.Now().Add(refusedFor)
+		st.noteRefusal(a.worker)
 		st.notStarted(a, reasonOf(r))
 	default: // Stale, NotOwner, NotFenced
 		p.fencedEpoch = 0
@@ -212,6 +215,19 @@
 	return string(r.Outcome)
 }
 
+// placed notes the worker that a task was started on, when it was rebound.
+func (st *state) placed(a *attempt, id worker.ID) {
+	a.unplaced = false
+	if id == "" || id == a.worker {
+		return
+	}
+	a.worker = id
+	st.o.Metrics.Rebound.Add(1)
+	if st.round.planner != nil {
+		st.round.planner.Move(a.ref(), id)
+	}
+}
+
 func (st *state) accepted(a *attempt) {
 	if a.phase < starting {
 		a.phase = starting
--- a/process/jobs/state.go
+++ b/process/jobs/state.go
@@ -64,6 +64,7 @@
 		partitions: map[string]*partition{}, learner: usage.New(), stopping: map[*attempt]struct{}{},
 	}
 	st.round.refused = map[worker.ID]time.Time{}
+	st.round.blocked = map[worker.ID]string{}
 	st.commit = newCommitState(file, head, t)
 	st.takeover = newTakeover(records, head)
 	st.others = newOtherShards(t.ShareInterval)
--- a/process/sched/gang/shadow.go
+++ b/process/sched/gang/shadow.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"sort"
 	"strings"
@@ -63,6 +64,9 @@
 // Workers returns how many workers keep capacity.
 func (s *Shadow) Workers() int { return len(s.kept) }
 
+// IDs lists the workers that keep capacity, in order.
+func (s *Shadow) IDs() []worker.ID { return slices.Sorted(maps.Keys(s.kept)) }
+
 // planned is a worker as it is expected to be at the time looked at.
 type planned struct {
 	worker *snapshot.Worker
--- /dev/null
+++ b/process/sched/move_test.go
@@ -0,0 +1,44 @@
+package sched
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"fennelshunt.example/fennelshunt/process/plan"
+	"fennelshunt.example/fennelshunt/version/spec"
+)
+
+// Symptom: later decisions find no room where there is some, and take room that
+// is gone.
+// Sequence: the owner of the workers puts a task on another one than decided;
+// its answer comes before or after the snapshot that shows it.
+// Cause: the assumption stayed on the worker that was decided on.
+func TestMovedAssumptionHoldsRoomWhereTheTaskIs(t *testing.T) {
+	c := NewCache()
+	a := workerState("a", "z", "r", res(1000, 1000), spec.Resources{})
+	b := workerState("b", "z", "r", res(1000, 1000), spec.Resources{})
+	c.Apply(state("p", 1, 1, true, a, b))
+	p := NewPlanner(c.Snapshot())
+	ask := batchAsk("j", 0, res(600, 600))
+	require.True(t, p.Assume(ask, Decision{Worker: "a", Partition: "p"}))
+	p.Move(ask.Ref(), "b")
+	p.Move(ask.Ref(), "b")
+	require.True(t, p.View().Lookup("a").Reserved.IsZero())
+	require.Equal(t, ask.Size, p.View().Lookup("b").Reserved)
+	require.Equal(t, 1, p.InFlight())
+
+	late := batchAsk("j", 1, res(300, 300))
+	require.True(t, p.Assume(late, Decision{Worker: "a", Partition: "p"}))
+	b.Reserved = res(900, 900)
+	b.Tasks = []plan.RunningTask{{Ref: ask.Ref(), Size: ask.Size}, {Ref: late.Ref(), Size: late.Size}}
+	c.Apply(state("p", 1, 2, false, b))
+	p.Rebase(c.Snapshot())
+	require.Equal(t, 1, p.InFlight(), "the answer for the second has not come")
+	p.Move(late.Ref(), "b")
+	require.Zero(t, p.InFlight())
+	require.True(t, p.View().Lookup("a").Reserved.IsZero())
+	require.Equal(t, b.Reserved, p.View().Lookup("b").Reserved)
+	p.Move(late.Ref(), "a")
+	require.NoError(t, p.View().Check())
+}
