--- a/process/fleet/options.go
+++ b/process/fleet/options.go
@@ -27,7 +27,8 @@
 	renewsPerTTL = 3
 	// fleetAtBaseTTL is the size up to which the lease has its shortest time to
 	// live. In a larger fleet it grows in proportion, so that the renewals of
-	// the whole fleet stay at about 30 calls a second.
+	// the whole fleet stay at what they are at this size: about 30 calls a
+	// second with DefaultLeaseTTL, 55 with 5 s.
 	fleetAtBaseTTL = 80
 	// helpers is how many others are asked to probe a member that does not
 	// answer.
