--- a/connection/peer/peertest/node.go
+++ b/connection/peer/peertest/node.go
@@ -4,9 +4,9 @@
 	"context"
 	"errors"
 	"fmt"
-	"time"
 
 	"fennelshunt.example/fennelshunt/connection/peer"
+	"fennelshunt.example/fennelshunt/internal/sleep"
 )
 
 // Node is one life of a member on the network. It implements peer.Caller.
@@ -122,7 +122,7 @@
 		return false
 	}
 	delay, lost := x.net.leave(from.self.ID, to.self.ID, size)
-	if lost || !sleep(ctx, delay) {
+	if lost || sleep.For(ctx, delay) != nil {
 		return false
 	}
 	if x.net.cut(from.self.ID, to.self.ID) || x.net.await(ctx, to) != nil {
@@ -148,17 +148,3 @@
 	}
 	return err
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return true
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/connection/store/follow.go
+++ b/connection/store/follow.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
+
+	"fennelshunt.example/fennelshunt/internal/sleep"
 )
 
 const (
@@ -37,7 +39,7 @@
 	fo := &follower{handle: h, prefix: prefix, notify: f, pause: pause}
 	for ctx.Err() == nil {
 		if err := fo.step(ctx); err != nil {
-			_ = sleep(ctx, fo.pause.NextBackOff())
+			_ = sleep.For(ctx, fo.pause.NextBackOff())
 			continue
 		}
 		fo.pause.Reset()
@@ -70,7 +72,7 @@
 
 func (f *follower) watch(ctx context.Context) error {
 	o := f.handle.client.options
-	if err := sleep(ctx, time.Until(f.begun.Add(o.WatchFloor))); err != nil {
+	if err := sleep.For(ctx, time.Until(f.begun.Add(o.WatchFloor))); err != nil {
 		return err
 	}
 	f.begun = time.Now()
--- a/connection/store/handle.go
+++ b/connection/store/handle.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
+
+	"fennelshunt.example/fennelshunt/internal/sleep"
 )
 
 // Item is one key with its data, the envelope of the write id removed.
@@ -35,21 +37,6 @@
 	return b
 }
 
-// sleep waits for d or until ctx ends.
-func sleep(ctx context.Context, d time.Duration) error {
-	if d <= 0 {
-		return ctx.Err()
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
-
 // Get returns the item of key. It fails with ErrNotFound, ErrUnavailable,
 // ErrOverBudget or ErrNotEnveloped.
 func (h *Handle) Get(ctx context.Context, key string) (Item, error) {
@@ -114,7 +101,7 @@
 		if !transient(err) || attempt == quickAttempts || !h.client.Available() {
 			return err
 		}
-		if sleep(ctx, pause.NextBackOff()) != nil {
+		if sleep.For(ctx, pause.NextBackOff()) != nil {
 			return err
 		}
 	}
--- a/connection/store/lease.go
+++ b/connection/store/lease.go
@@ -7,6 +7,8 @@
 	"math/rand/v2"
 	"sync"
 	"time"
+
+	"fennelshunt.example/fennelshunt/internal/sleep"
 )
 
 const (
@@ -103,7 +105,7 @@
 	pause := newRetryBackoff()
 	next := l.interval()
 	for {
-		if err := sleep(ctx, next); err != nil {
+		if err := sleep.For(ctx, next); err != nil {
 			return err
 		}
 		err := l.Renew(ctx)
--- a/connection/store/swap.go
+++ b/connection/store/swap.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+
+	"fennelshunt.example/fennelshunt/internal/sleep"
 )
 
 // pendingWrite is a compare-and-swap that may be sent several times. All
@@ -88,7 +90,7 @@
 		if !transient(err) || attempt == quickAttempts || !h.client.Available() {
 			return 0, err
 		}
-		if sleep(ctx, pause.NextBackOff()) != nil {
+		if sleep.For(ctx, pause.NextBackOff()) != nil {
 			return 0, err
 		}
 	}
@@ -126,7 +128,7 @@
 		if errors.Is(err, errUnknowable) {
 			return 0, err
 		}
-		if ctxErr := sleep(ctx, pause.NextBackOff()); ctxErr != nil {
+		if ctxErr := sleep.For(ctx, pause.NextBackOff()); ctxErr != nil {
 			return 0, fmt.Errorf("%w (last: %w)", ErrUnknownOutcome, cause)
 		}
 	}
--- a/connection/store/update.go
+++ b/connection/store/update.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+
+	"fennelshunt.example/fennelshunt/internal/sleep"
 )
 
 // ErrNoChange is returned by an Update function that wants nothing written.
@@ -23,7 +25,7 @@
 		if !errors.Is(err, ErrConflict) {
 			return rev, err
 		}
-		if sleep(ctx, pause.NextBackOff()) != nil {
+		if sleep.For(ctx, pause.NextBackOff()) != nil {
 			return 0, fmt.Errorf("update %s: %w", key, err)
 		}
 	}
@@ -84,7 +86,7 @@
 		if errors.Is(err, errUnknowable) {
 			return err
 		}
-		if sleep(ctx, pause.NextBackOff()) != nil {
+		if sleep.For(ctx, pause.NextBackOff()) != nil {
 			return cause
 		}
 	}
--- a/process/fleet/life.go
+++ b/process/fleet/life.go
@@ -11,6 +11,7 @@
 
 	"fennelshunt.example/fennelshunt/connection/peer"
 	"fennelshunt.example/fennelshunt/connection/store"
+	"fennelshunt.example/fennelshunt/internal/sleep"
 )
 
 // ErrEvicted says that this life of the daemon is over: the others took it for
@@ -59,10 +60,7 @@
 		if err == nil {
 			return life
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(claimRetry):
-		}
+		_ = sleep.For(ctx, claimRetry) // the loop looks at ctx
 	}
 	life.Provisional = true
 	return life
--- a/process/fleet/register.go
+++ b/process/fleet/register.go
@@ -10,6 +10,7 @@
 
 	"fennelshunt.example/fennelshunt/connection/peer"
 	"fennelshunt.example/fennelshunt/connection/store"
+	"fennelshunt.example/fennelshunt/internal/sleep"
 )
 
 const (
@@ -71,7 +72,7 @@
 		} else {
 			r.failed(err, "registration failed")
 		}
-		if err := pause(ctx, jittered(retry)); err != nil {
+		if err := sleep.For(ctx, jittered(retry)); err != nil {
 			return err
 		}
 		retry = min(2*retry, lastRegisterRetry)
@@ -148,7 +149,7 @@
 // outgrown it, when it returns the lease. Other failures leave it as it is: in
 // an outage the lease may live on, and this daemon goes on in its life.
 func (r *registrar) keep(ctx context.Context, g grant) (outgrown store.LeaseID) {
-	for pause(ctx, jittered(g.ttl/renewsPerTTL)) == nil {
+	for sleep.For(ctx, jittered(g.ttl/renewsPerTTL)) == nil {
 		start := time.Now()
 		err := r.store.RenewLease(ctx, g.lease)
 		switch {
@@ -190,14 +191,3 @@
 func jittered(d time.Duration) time.Duration {
 	return d - time.Duration(rand.Int64N(int64(d)/4+1))
 }
-
-func pause(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
--- a/process/fleet/vms.go
+++ b/process/fleet/vms.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"fennelshunt.example/fennelshunt/connection/vmlist"
+	"fennelshunt.example/fennelshunt/internal/sleep"
 )
 
 const (
@@ -35,7 +36,7 @@
 	for {
 		f.readVMs(ctx)
 		size := max(len(f.Members()), vmFleet)
-		if err := pause(ctx, jittered(vmPeriod*time.Duration(size)/vmFleet)); err != nil {
+		if err := sleep.For(ctx, jittered(vmPeriod*time.Duration(size)/vmFleet)); err != nil {
 			return err
 		}
 	}
--- a/process/ownership/manager.go
+++ b/process/ownership/manager.go
@@ -15,6 +15,7 @@
 
 	"fennelshunt.example/fennelshunt/connection/peer"
 	"fennelshunt.example/fennelshunt/connection/store"
+	"fennelshunt.example/fennelshunt/internal/sleep"
 )
 
 // Manager claims, keeps and hands over resources for this daemon. It
@@ -100,10 +101,7 @@
 		if err != nil && ctx.Err() == nil {
 			m.log.Warn().Err(err).Msg("following claims failed")
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(delay):
-		}
+		_ = sleep.For(ctx, delay) // the loop looks at ctx
 	}
 }
 
--- a/process/versions/await.go
+++ b/process/versions/await.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"fennelshunt.example/fennelshunt/connection/peer"
+	"fennelshunt.example/fennelshunt/internal/sleep"
 	"fennelshunt.example/fennelshunt/process/fleet"
 )
 
@@ -97,7 +98,7 @@
 		err := k.options.Caller.Call(callCtx, m.Ref, MethodAwait, Await{Version: version, WaitMillis: awaitWait.Milliseconds()}, &reply)
 		cancel()
 		if err != nil {
-			sleep(ctx, awaitPause)
+			_ = sleep.For(ctx, awaitPause) // the loop looks at ctx
 			continue
 		}
 		k.learn(m.Ref, reply)
@@ -156,12 +157,3 @@
 
 // surveyCalls is the number of members asked at a time.
 const surveyCalls = 32
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/request/idem/log.go
+++ b/request/idem/log.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"fennelshunt.example/fennelshunt/connection/store"
+	"fennelshunt.example/fennelshunt/internal/sleep"
 	"fennelshunt.example/fennelshunt/request/verdict"
 )
 
@@ -241,7 +242,7 @@
 			return false
 		}
 		l.s.m.opts.Log.Warn().Err(err).Int("shard", l.s.n).Msg("key log not read yet")
-		if !sleep(l.ctx, retry.NextBackOff()) {
+		if sleep.For(l.ctx, retry.NextBackOff()) != nil {
 			return false
 		}
 	}
--- a/request/idem/writer.go
+++ b/request/idem/writer.go
@@ -46,18 +46,6 @@
 	return b
 }
 
-// sleep waits for d; false when ctx ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
-
 // open fences the previous owner by a compare-and-swap of the head and then
 // reads every record.
 //
--- a/request/slots/signs.go
+++ b/request/slots/signs.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"fennelshunt.example/fennelshunt/connection/peer"
+	"fennelshunt.example/fennelshunt/internal/sleep"
 )
 
 const (
@@ -37,12 +38,7 @@
 		if s.tryTell(ctx, to, address) == nil {
 			return
 		}
-		t := time.NewTimer(signRetry)
-		select {
-		case <-ctx.Done():
-		case <-t.C:
-		}
-		t.Stop()
+		_ = sleep.For(ctx, signRetry) // the loop looks at ctx
 	}
 }
 
--- a/request/slots/takeover.go
+++ b/request/slots/takeover.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"fennelshunt.example/fennelshunt/connection/peer"
+	"fennelshunt.example/fennelshunt/internal/sleep"
 	"fennelshunt.example/fennelshunt/process/ownership"
 )
 
@@ -131,12 +132,7 @@
 			wg.Go(func() { p.collectFrom(ref) })
 		}
 		wg.Wait()
-		t := time.NewTimer(collectRetry)
-		select {
-		case <-p.ctx.Done():
-		case <-t.C:
-		}
-		t.Stop()
+		_ = sleep.For(p.ctx, collectRetry) // toAsk tells when it is over
 	}
 }
 
--- a/version/history/apply.go
+++ b/version/history/apply.go
@@ -10,6 +10,7 @@
 	"github.com/google/uuid"
 
 	"fennelshunt.example/fennelshunt/connection/store"
+	"fennelshunt.example/fennelshunt/internal/sleep"
 	"fennelshunt.example/fennelshunt/version/spec"
 )
 
@@ -88,7 +89,7 @@
 			return result, err
 		}
 		a.history.count(func(s *Stats) { s.RacesLost++ })
-		if err := sleep(ctx, pause.NextBackOff()); err != nil {
+		if err := sleep.For(ctx, pause.NextBackOff()); err != nil {
 			return Result{}, fmt.Errorf("other applies were faster; nothing was applied: %w", err)
 		}
 	}
@@ -190,7 +191,7 @@
 		}
 		// Not found: the swap may still be on its way to the store, so only the
 		// next change of the head decides it.
-		if sleep(ctx, pause.NextBackOff()) != nil {
+		if sleep.For(ctx, pause.NextBackOff()) != nil {
 			a.history.count(func(s *Stats) { s.Unresolved++ })
 			return &UnknownOutcomeError{File: a.file.Name, Version: version, cause: cause}
 		}
@@ -325,14 +326,3 @@
 	}
 	return nil, ErrNoChunk
 }
-
-func sleep(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
