Fix the seed of property tests in one place

A seed or a number of cases given on the command line now counts; until now it was overwritten without a word.

Outside of this change: connection/store, process/ownership, partition, jobs, cellview, request/admission and outlier still have the block.

--- a/connection/peer/node_test.go
+++ b/connection/peer/node_test.go
@@ -4,9 +4,7 @@
 	"context"
 	"crypto/tls"
 	"errors"
-	"flag"
 	"net"
-	"os"
 	"strings"
 	"sync"
 	"testing"
@@ -18,15 +16,10 @@
 	"pgregory.net/rapid"
 
 	"fennelshunt.example/fennelshunt/connection/keys"
+	"fennelshunt.example/fennelshunt/internal/rapidtest"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if err := errors.Join(flag.Set("rapid.seed", "1"), flag.Set("rapid.nofailfile", "true")); err != nil {
-		panic(err)
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { rapidtest.Main(m) }
 
 const patience = 20 * time.Second
 
--- a/process/burn/recorder_test.go
+++ b/process/burn/recorder_test.go
@@ -1,25 +1,19 @@
 package burn_test
 
 import (
-	"flag"
 	"fmt"
-	"os"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	"fennelshunt.example/fennelshunt/internal/rapidtest"
 	"fennelshunt.example/fennelshunt/process/burn"
 	"fennelshunt.example/fennelshunt/version/spec"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	flag.Set("rapid.seed", "1")
-	flag.Set("rapid.nofailfile", "true")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { rapidtest.Main(m) }
 
 var start = time.Date(2026, 1, 10, 12, 0, 0, 0, time.UTC)
 
--- a/process/fleet/cell_test.go
+++ b/process/fleet/cell_test.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"errors"
-	"flag"
-	"os"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -16,20 +14,11 @@
 	"fennelshunt.example/fennelshunt/connection/peer"
 	"fennelshunt.example/fennelshunt/connection/peer/peertest"
 	"fennelshunt.example/fennelshunt/connection/store"
+	"fennelshunt.example/fennelshunt/internal/rapidtest"
 	"fennelshunt.example/fennelshunt/standin/kv"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	must := func(err error) {
-		if err != nil {
-			panic(err)
-		}
-	}
-	must(flag.Set("rapid.seed", "1"))
-	must(flag.Set("rapid.nofailfile", "true"))
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { rapidtest.Main(m) }
 
 // gate is one daemon's way to the store; closed, calls wait as in a paused
 // process or a network cut.
--- a/process/sched/ledger/ledger_test.go
+++ b/process/sched/ledger/ledger_test.go
@@ -1,27 +1,18 @@
 package ledger
 
 import (
-	"flag"
 	"fmt"
-	"os"
 	"testing"
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
 	"fennelshunt.example/fennelshunt/connection/worker"
+	"fennelshunt.example/fennelshunt/internal/rapidtest"
 	"fennelshunt.example/fennelshunt/version/spec"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "200", "rapid.nofailfile": "true"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { rapidtest.MainChecks(m, 200) }
 
 func cpu(n int64) spec.Resources { return spec.Resources{MilliCPU: n, MemoryMB: 1} }
 
--- a/process/sched/snapshot/snapshot_test.go
+++ b/process/sched/snapshot/snapshot_test.go
@@ -1,7 +1,6 @@
 package snapshot
 
 import (
-	"flag"
 	"fmt"
 	"math/rand/v2"
 	"os"
@@ -11,23 +10,18 @@
 	"pgregory.net/rapid"
 
 	"fennelshunt.example/fennelshunt/connection/worker"
+	"fennelshunt.example/fennelshunt/internal/rapidtest"
 	"fennelshunt.example/fennelshunt/process/plan"
 	"fennelshunt.example/fennelshunt/version/spec"
 )
 
 // TestMain fixes the seed. FENNEL_LONG=1 makes each randomised test longer.
 func TestMain(m *testing.M) {
-	flag.Parse()
-	checks := "50"
+	checks := 50
 	if os.Getenv("FENNEL_LONG") == "1" {
-		checks = "3000"
+		checks = 3000
 	}
-	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": checks, "rapid.nofailfile": "true"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
+	rapidtest.MainChecks(m, checks)
 }
 
 // dump is what a table says of each worker.
--- a/process/sched/usage/usage_test.go
+++ b/process/sched/usage/usage_test.go
@@ -1,8 +1,6 @@
 package usage
 
 import (
-	"flag"
-	"os"
 	"slices"
 	"testing"
 	"time"
@@ -11,18 +9,11 @@
 	"pgregory.net/rapid"
 
 	"fennelshunt.example/fennelshunt/connection/worker"
+	"fennelshunt.example/fennelshunt/internal/rapidtest"
 	"fennelshunt.example/fennelshunt/version/spec"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "200", "rapid.nofailfile": "true"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { rapidtest.MainChecks(m, 200) }
 
 var vm = spec.Resources{MilliCPU: 16000, MemoryMB: 32768, Accelerators: 4}
 
--- a/process/versions/cell_test.go
+++ b/process/versions/cell_test.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"flag"
 	"fmt"
-	"os"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -22,14 +20,6 @@
 	"fennelshunt.example/fennelshunt/version/spec"
 )
 
-// TestMain fixes the seed so that every run gives the same verdict.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	_ = flag.Set("rapid.seed", "1")
-	_ = flag.Set("rapid.nofailfile", "true")
-	os.Exit(m.Run())
-}
-
 // daemon is one daemon's versions part.
 type daemon struct {
 	id      peer.MemberID
--- a/request/idem/cell_test.go
+++ b/request/idem/cell_test.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"errors"
-	"flag"
 	"fmt"
-	"os"
 	"testing"
 	"time"
 
@@ -21,13 +19,6 @@
 	"fennelshunt.example/fennelshunt/standin/kv"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	_ = flag.Set("rapid.seed", "1")
-	_ = flag.Set("rapid.nofailfile", "true")
-	os.Exit(m.Run())
-}
-
 // home is one daemon under test.
 type home struct {
 	*Manager
--- a/request/slots/cell_test.go
+++ b/request/slots/cell_test.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"flag"
 	"fmt"
 	"math/rand/v2"
-	"os"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -16,6 +14,7 @@
 
 	"fennelshunt.example/fennelshunt/connection/peer"
 	"fennelshunt.example/fennelshunt/connection/peer/peertest"
+	"fennelshunt.example/fennelshunt/internal/rapidtest"
 	"fennelshunt.example/fennelshunt/process/fleet"
 	"fennelshunt.example/fennelshunt/process/fleet/fleettest"
 	"fennelshunt.example/fennelshunt/process/ownership/ownershiptest"
@@ -28,12 +27,7 @@
 	testLimit   = 5 * time.Second
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	_ = flag.Set("rapid.seed", "1")
-	_ = flag.Set("rapid.nofailfile", "true")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { rapidtest.Main(m) }
 
 // daemon is one life of a daemon under test.
 type daemon struct {
--- a/standin/kv/model_test.go
+++ b/standin/kv/model_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"flag"
-	"os"
 	"sort"
 	"strings"
 	"testing"
@@ -13,15 +11,11 @@
 	"pgregory.net/rapid"
 
 	"fennelshunt.example/fennelshunt/connection/store"
+	"fennelshunt.example/fennelshunt/internal/rapidtest"
 	"fennelshunt.example/fennelshunt/standin/kv"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	flag.Set("rapid.seed", "1")
-	flag.Set("rapid.nofailfile", "true")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { rapidtest.Main(m) }
 
 // naive is the oracle: a log of events, replayed for every question.
 type naive struct {
--- a/version/history/main_test.go
+++ b/version/history/main_test.go
@@ -2,10 +2,7 @@
 
 import (
 	"context"
-	"flag"
 	"fmt"
-	"os"
-	"testing"
 
 	"github.com/stretchr/testify/require"
 
@@ -14,14 +11,6 @@
 	"fennelshunt.example/fennelshunt/version/spec"
 )
 
-// TestMain fixes the seed so that every run gives the same verdict.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	_ = flag.Set("rapid.seed", "1")
-	_ = flag.Set("rapid.nofailfile", "true")
-	os.Exit(m.Run())
-}
-
 // newHistory returns a History of its own client on the store.
 func newHistory(s store.Store, options ...Option) *History {
 	budget := store.Budget{Writes: 1e6, Reads: 1e6}
