Remove functions that nobody calls

No code and no test called peer.Listen (NewNode takes the bound socket),

and ownershiptest's NewDirectory, Cell and SetStoreDown, whose errors went with it. Found by a search for exported names without a use in the module.

Nothing measured: no behaviour changes. The tests of connection, standin/kv, process/sched, ownership, fleet, partition and versions, version/history, request/slots and request/idem pass unchanged.

--- a/connection/peer/node.go
+++ b/connection/peer/node.go
@@ -65,22 +65,10 @@
 	closed bool
 }
 
-// Listen binds the UDP address addr and returns a node that answers calls once
-// Serve runs and can make calls at once. The TLS configuration serves both
-// directions; it must hold a certificate and verify the other side's.
-func Listen(addr string, self Ref, tlsConfig *tls.Config, mux *Mux, log zerolog.Logger) (*Node, error) {
-	udp, err := net.ResolveUDPAddr("udp", addr)
-	if err != nil {
-		return nil, fmt.Errorf("peer: address %q: %w", addr, err)
-	}
-	socket, err := net.ListenUDP("udp", udp)
-	if err != nil {
-		return nil, fmt.Errorf("peer: listen on %q: %w", addr, err)
-	}
-	return NewNode(socket, self, tlsConfig, mux, log)
-}
-
-// NewNode is Listen on a socket that is bound already; the node closes it.
+// NewNode returns a node on a bound UDP socket, which it closes. It answers
+// calls once Serve runs and can make calls at once. The TLS configuration
+// serves both directions; it must hold a certificate and verify the other
+// side's.
 func NewNode(socket net.PacketConn, self Ref, tlsConfig *tls.Config, mux *Mux, log zerolog.Logger) (*Node, error) {
 	return newNode(socket, hello{Self: self, Min: ProtocolMin, Max: ProtocolMax}, tlsConfig, mux, log)
 }
--- a/process/ownership/ownershiptest/directory.go
+++ b/process/ownership/ownershiptest/directory.go
@@ -80,7 +80,6 @@
 
 	mu     sync.Mutex
 	frozen map[ownership.Resource]ownership.Claim
-	down   bool
 	start  time.Duration
 	renew  time.Duration
 }
@@ -90,12 +89,6 @@
 	return &Directory{cell: c, self: self, start: 24 * time.Hour, renew: 24 * time.Hour}
 }
 
-// NewDirectory returns the view of the daemon self onto a cell of its own.
-func NewDirectory(self peer.Ref) *Directory { return NewCell().Directory(self) }
-
-// Cell returns the cell that d looks at.
-func (d *Directory) Cell() *Cell { return d.cell }
-
 // SetAuthority fixes what Authority returns.
 func (d *Directory) SetAuthority(start, renew time.Duration) {
 	d.mu.Lock()
@@ -118,13 +111,6 @@
 	d.frozen = nil
 }
 
-// SetStoreDown makes Confirm and Epochs fail.
-func (d *Directory) SetStoreDown(down bool) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.down = down
-}
-
 func (d *Directory) claims() map[ownership.Resource]ownership.Claim {
 	d.mu.Lock()
 	frozen := d.frozen
@@ -183,7 +169,7 @@
 
 // Confirm returns nil when the cell still holds claim c.
 func (d *Directory) Confirm(ctx context.Context, c ownership.Claim) error {
-	if err := d.storeErr(ctx); err != nil {
+	if err := ctx.Err(); err != nil {
 		return err
 	}
 	if held := d.cell.Claim(c.Resource); !held.Same(c) || held.Released {
@@ -208,7 +194,7 @@
 
 // Epochs returns the epochs of the cell's claims of a prefix.
 func (d *Directory) Epochs(ctx context.Context, prefix string) (map[ownership.Resource]uint64, error) {
-	if err := d.storeErr(ctx); err != nil {
+	if err := ctx.Err(); err != nil {
 		return nil, err
 	}
 	d.cell.mu.Lock()
@@ -221,12 +207,3 @@
 	}
 	return epochs, nil
 }
-
-func (d *Directory) storeErr(ctx context.Context) error {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.down {
-		return errDown
-	}
-	return ctx.Err()
-}
--- a/process/sched/snapshot/worker.go
+++ b/process/sched/snapshot/worker.go
@@ -61,12 +61,6 @@
 	}
 }
 
-// Index returns the worker's position in its table.
-func (w *Worker) Index() Index { return w.index }
-
-// RackIndex returns the position of the worker's rack in its table.
-func (w *Worker) RackIndex() int32 { return w.rack }
-
 // CountJob returns how many tasks of the job, of any generation, are here.
 func (w *Worker) CountJob(job string) int {
 	n := 0
--- a/standin/kv/lease.go
+++ b/standin/kv/lease.go
@@ -64,15 +64,6 @@
 	})
 }
 
-// ExpireLease ends a lease at once, as if its time to live had run out.
-func (m *Memory) ExpireLease(id store.LeaseID) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.leases[id] != nil {
-		m.end(id)
-	}
-}
-
 // lapse runs when a lease's timer fires; a renewal that came in between has
 // moved the end.
 func (m *Memory) lapse(id store.LeaseID) {
--- a/standin/kv/memory.go
+++ b/standin/kv/memory.go
@@ -20,10 +20,10 @@
 )
 
 const (
-	// DefaultHistory is how many events are kept for watches.
-	DefaultHistory = 4096
-	treeDegree     = 32
-	defaultSeed    = 1
+	// historySize is how many events are kept for watches.
+	historySize = 4096
+	treeDegree  = 32
+	defaultSeed = 1
 )
 
 // Memory is the engine. It is safe for concurrent use.
@@ -33,8 +33,7 @@
 	entries   *btree.BTreeG[store.Entry]
 	history   []store.Event  // by rising revision
 	compacted store.Revision // events up to here are no longer kept
-	keep      int
-	changed   chan struct{} // closed at the next event
+	changed   chan struct{}  // closed at the next event
 	leases    map[store.LeaseID]*lease
 	lastLease store.LeaseID
 
@@ -54,7 +53,6 @@
 func NewSeeded(seed uint64) *Memory {
 	return &Memory{
 		entries:  btree.NewG(treeDegree, func(a, b store.Entry) bool { return a.Key < b.Key }),
-		keep:     DefaultHistory,
 		changed:  make(chan struct{}),
 		leases:   make(map[store.LeaseID]*lease),
 		released: make(chan struct{}),
@@ -169,7 +167,7 @@
 // watches.
 func (m *Memory) record(e store.Event) {
 	m.history = append(m.history, e)
-	if excess := len(m.history) - m.keep; excess > 0 {
+	if excess := len(m.history) - historySize; excess > 0 {
 		m.compactTo(m.history[excess-1].Revision)
 	}
 	close(m.changed)
@@ -193,13 +191,6 @@
 	m.compactTo(m.rev)
 }
 
-// SetHistory sets how many events are kept for watches.
-func (m *Memory) SetHistory(events int) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.keep = events
-}
-
 // Revision returns the revision of the last write.
 func (m *Memory) Revision() store.Revision {
 	m.mu.Lock()
