Read and check a file in one place for validate and diff

Both calls of the administration API read the file, the latest version and checked the one against the other in the same ten lines.

Nothing measured: no behaviour changes. The tests of process/admin and command/ctl pass unchanged.

--- a/process/admin/files.go
+++ b/process/admin/files.go
@@ -36,17 +36,27 @@
 	return n, nil
 }
 
-// validate checks a file against the configuration as it is now.
-func (s *Server) validate(c *call) (any, error) {
+// checked reads the file of the call and checks it against the latest
+// configuration, which it returns too.
+func (s *Server) checked(c *call) (*spec.File, *history.Snapshot, error) {
 	file, err := c.readFile()
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	latest, err := s.options.Applier.Latest(c.ctx())
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	if err := s.options.Applier.Check(c.ctx(), file, latest.Version, c.by()); err != nil {
+		return nil, nil, err
+	}
+	return file, latest, nil
+}
+
+// validate checks a file against the configuration as it is now.
+func (s *Server) validate(c *call) (any, error) {
+	file, _, err := s.checked(c)
+	if err != nil {
 		return nil, err
 	}
 	return api.Validated{File: file.Name, Jobs: len(file.Jobs)}, nil
@@ -54,17 +64,10 @@
 
 // diff tells what applying a file would change.
 func (s *Server) diff(c *call) (any, error) {
-	file, err := c.readFile()
+	file, latest, err := s.checked(c)
 	if err != nil {
 		return nil, err
 	}
-	latest, err := s.options.Applier.Latest(c.ctx())
-	if err != nil {
-		return nil, err
-	}
-	if err := s.options.Applier.Check(c.ctx(), file, latest.Version, c.by()); err != nil {
-		return nil, err
-	}
 	var before *spec.File
 	if d, ok := latest.Document(file.Name); ok && d.Applied != nil {
 		before = d.Applied.File
