--- a/process/capacity/model_test.go
+++ b/process/capacity/model_test.go
@@ -29,7 +29,7 @@
 	viewB          = 500.0  // per task and daemon that sees it, at 0.2 to 0.4 starts/s in a rack
 	callB          = 444.0  // a call without content
 	sumB           = 34.0   // a changed worker as a sum of what is reserved
-	planB          = 1060.0 // per start, at each end
+	planB          = 860.0  // per start, at each end
 	agentB         = 730.0  // per start, at the partition's owner
 
 	baseCPU  = 0.8    // % of a core
