Use plain terms in place of some metaphors

Nothing measured: no behaviour changes. The tests of request/slots, request/gateway, process/burn, process/daemon and docs pass; their assertions are unchanged.

--- a/process/burn/report_test.go
+++ b/process/burn/report_test.go
@@ -33,7 +33,7 @@
 
 // Symptom: an operator is woken for nothing, late, or not at all.
 // Sequence: each case below, with an objective of 99 %.
-// Cause: one window alone, which is either deaf or never falls silent.
+// Cause: one window alone, which either misses slow losses or never resolves.
 func TestLevels(t *testing.T) {
 	cases := map[string]struct {
 		phases []phase
--- a/process/daemon/life.go
+++ b/process/daemon/life.go
@@ -216,7 +216,7 @@
 //
 // What goes wrong otherwise: a supervisor that restarts the fleet alone would
 // leave the other parts acting under an incarnation that the members have
-// buried, beside the owners that took over from it.
+// recorded as ended, beside the owners that took over from it.
 type fleetService struct{ l *life }
 
 // Serve implements suture.Service.
--- a/request/slots/fault_test.go
+++ b/request/slots/fault_test.go
@@ -109,12 +109,12 @@
 		c.setEndpoints(4, 8)
 		c.own(c.daemons["d0"])
 		time.Sleep(time.Second)
-		for _, island := range []peer.MemberID{"d0", "d1"} {
-			c.daemons[island].setCut(time.Now())
-			c.daemons[island].directory.Freeze()
+		for _, cut := range []peer.MemberID{"d0", "d1"} {
+			c.daemons[cut].setCut(time.Now())
+			c.daemons[cut].directory.Freeze()
 			for _, o := range []peer.MemberID{"d2", "d3", "d4"} {
-				c.net.Cut(island, o)
-				c.daemons[o].view.SetGone(c.daemons[island].ref)
+				c.net.Cut(cut, o)
+				c.daemons[o].view.SetGone(c.daemons[cut].ref)
 			}
 		}
 		time.Sleep(10 * time.Second)
--- a/request/slots/manager.go
+++ b/request/slots/manager.go
@@ -36,7 +36,7 @@
 	mu      sync.Mutex
 	holders map[string]*holder
 	pools   map[string]*pool
-	handed  map[string]*handover        // books of pools that this daemon no longer owns
+	handed  map[string]*handover        // accounts of pools that this daemon no longer owns
 	roster  map[peer.MemberID]bool      // members when the lease was last fresh
 	recent  map[peer.MemberID]time.Time // when each member was last listed
 }
@@ -226,7 +226,7 @@
 	}
 }
 
-// Lost implements ownership.User. The books are kept for the next owner.
+// Lost implements ownership.User. The accounts are kept for the next owner.
 func (m *Manager) Lost(r ownership.Resource, epoch uint64) {
 	service := strings.TrimPrefix(string(r), ownership.ServicePrefix)
 	if p := m.pool(service); p != nil && p.epoch <= epoch {
@@ -243,12 +243,12 @@
 	return nil
 }
 
-// handOver freezes a pool and keeps its books.
+// handOver freezes a pool and keeps its accounts.
 func (m *Manager) handOver(ctx context.Context, p *pool) {
 	frozen := make(chan *handover, 1)
-	var books *handover
+	var accounts *handover
 	if p.do(ctx, func() { frozen <- p.freeze() }) {
-		books = <-frozen
+		accounts = <-frozen
 	}
 	p.cancel()
 	m.mu.Lock()
@@ -256,8 +256,8 @@
 	if m.pools[p.service] == p {
 		delete(m.pools, p.service)
 	}
-	if books != nil {
-		m.handed[p.service] = books
+	if accounts != nil {
+		m.handed[p.service] = accounts
 	}
 }
 
--- a/request/slots/options.go
+++ b/request/slots/options.go
@@ -55,7 +55,7 @@
 	// Settle tells the ownership manager that every earlier owner of a pool is
 	// accounted for; nil when nobody keeps account of them.
 	Settle func(context.Context, ownership.Claim) error
-	// CheckInvariants makes pools and holders check their books after every
+	// CheckInvariants makes pools and holders check their accounts after every
 	// change and panic when they are broken.
 	CheckInvariants bool
 
--- a/request/slots/poolgrant.go
+++ b/request/slots/poolgrant.go
@@ -47,7 +47,7 @@
 	return reply{Status: statusNotOwner, Claim: claim}
 }
 
-// takeReport updates the books; false when a full report is needed first.
+// takeReport updates the accounts; false when a full report is needed first.
 // Everything in it is monotone: a report that comes late or twice can only
 // make the pool count too much as taken.
 func (p *pool) takeReport(from peer.Ref, r report, now time.Time) ([]creditID, bool) {
@@ -78,7 +78,7 @@
 	return unknown, true
 }
 
-// reconcile makes the books of h equal to its full report.
+// reconcile makes the accounts of h equal to its full report.
 func (p *pool) reconcile(h *holderState, r report) []creditID {
 	var unknown []creditID
 	listed := map[creditID]struct{}{}
--- a/request/slots/takeover.go
+++ b/request/slots/takeover.go
@@ -33,7 +33,7 @@
 	answered map[peer.Ref]bool
 	// met lists holders that reported before they were collected from.
 	met map[peer.Ref]bool
-	// complete is set when the previous owner handed over complete books.
+	// complete is set when the previous owner handed over complete accounts.
 	complete bool
 	// unresolved lists earlier owners that may still grant.
 	unresolved map[peer.Ref]bool
@@ -263,7 +263,7 @@
 	p.give(id, h, at, 0)
 }
 
-// takeHandover takes the books of the previous owner; when they are complete,
+// takeHandover takes the accounts of the previous owner; when they are complete,
 // what they do not list is free. Books of an earlier epoch are out of date:
 // their credits may have been given back, and their slots granted again.
 func (p *pool) takeHandover(h *handover, now time.Time) {
@@ -272,7 +272,7 @@
 	}
 	for _, part := range h.Holders {
 		if p.takeover.answered[part.Holder] {
-			continue // its own list is newer than the books
+			continue // its own list is newer than the accounts
 		}
 		to := p.holder(part.Holder)
 		if to.expires.IsZero() {
@@ -291,7 +291,7 @@
 	}
 }
 
-// freeze stops granting and returns the books for a successor.
+// freeze stops granting and returns the accounts for a successor.
 func (p *pool) freeze() *handover {
 	p.frozen = true
 	out := &handover{Epoch: p.epoch, Complete: p.takeover == nil}
