Refuse answers whose end can not be told from a cut

Cause: a body with neither Content-Length nor chunks ends with its connection, so half an answer of a dying instance was passed on, and kept for its key, as a whole one. Change: such an answer is bad_answer (may have run); documented for owners of endpoints. Answers without a body are not concerned.

--- a/request/forward/answer.go
+++ b/request/forward/answer.go
@@ -24,6 +24,11 @@
 
 var buffers = sync.Pool{New: func() any { return new([bufferSize]byte) }}
 
+// errEndUnknown refuses a body that ends with the connection: an instance's
+// death in the middle of it would look like its end, and half an answer would be
+// passed on, or kept for a key, as a whole one.
+var errEndUnknown = errors.New("the answer's body has neither a length nor chunks")
+
 var errCallerGone = errors.New("the caller's connection is gone")
 
 // Answer is the answer of an endpoint, its body not read yet.
@@ -55,9 +60,17 @@
 		return newError(verdict.MayHaveRun, http.StatusBadGateway, CodeBadAnswer,
 			fmt.Errorf("unexpected status %d", a.Status))
 	}
+	if !a.delimited() {
+		return newError(verdict.MayHaveRun, http.StatusBadGateway, CodeBadAnswer, errEndUnknown)
+	}
 	return nil
 }
 
+// delimited reports whether the body's end can be told from a broken connection.
+func (a *Answer) delimited() bool {
+	return a.resp.ContentLength >= 0 || len(a.resp.TransferEncoding) > 0 || a.resp.Body == http.NoBody
+}
+
 // Whole reports whether the whole body was read: then the endpoint has ended
 // its work on the request.
 func (a *Answer) Whole() bool { return a.whole }
--- a/request/forward/doc.go
+++ b/request/forward/doc.go
@@ -13,7 +13,8 @@
 //     HTTP/1.1 binds answers to requests by their order only; then an answer is
 //     still refused when it arrives before the request is written, or when the
 //     endpoint's side had not received a byte of the request when it sent it;
-//   - a body that ends early gives an error, never an end;
+//   - a body that ends early gives an error, never an end; so does one with
+//     neither Content-Length nor chunks, whose end can not be told from a cut;
 //   - this daemon keeps at most Options.IdleShare idle connections per endpoint
 //     beside those that requests in progress use.
 package forward
@@ -44,7 +45,7 @@
 	CodeNotSent      = "not_sent"           // NotRun: the connection broke before the first byte
 	CodeRefused      = "endpoint_refused"   // NotRun: the endpoint refused before work
 	CodeLost         = "connection_lost"    // MayHaveRun: broke after the first byte
-	CodeBadAnswer    = "bad_answer"         // MayHaveRun: not an HTTP answer
+	CodeBadAnswer    = "bad_answer"         // MayHaveRun: not an HTTP answer, or its end is not marked
 	CodeForeign      = "foreign_answer"     // MayHaveRun: the answer names another request
 	CodeTruncated    = "answer_truncated"   // MayHaveRun: the answer's body ended early
 	CodeDeadline     = "deadline_exceeded"  // by the verdict
