--- a/process/sched/snapshot/lane.go
+++ b/process/sched/snapshot/lane.go
@@ -17,13 +17,16 @@
 // home is full do not all turn to the same partition.
 type Home [Lanes]float64
 
+// nearest is the least distance of a lane that is not a home.
+const nearest = 0.5
+
 // NewHome returns the distances for a scheduler of a name.
 func NewHome(scheduler string, partitions []string) *Home {
 	h := new(Home)
 	name := xxhash.Sum64String(scheduler)
 	for lane := range h {
 		mixed := (name ^ uint64(lane)) * mixFactor
-		h[lane] = 0.5 + 0.5*float64(mixed>>40)/float64(1<<24)
+		h[lane] = nearest + (1-nearest)*fraction(mixed)
 	}
 	for _, p := range partitions {
 		h[LaneOf(p)] = 0
@@ -34,3 +37,9 @@
 // mixFactor spreads neighbouring lanes over the whole range: 2^64 divided by
 // the golden ratio.
 const mixFactor = 0x9e3779b97f4a7c15
+
+// fraction maps the upper bits of x, as many as a float32 holds, to [0, 1).
+func fraction(x uint64) float64 {
+	const bits = 24
+	return float64(x>>(64-bits)) / (1 << bits)
+}
