Keep caller data out of what net/http logs

Cause: net/http's Transport prints the start of an unsolicited answer, and its Server refused header values, by the standard library's log. Change: the daemon's program sends that log to its own, each line up to its first quotation mark; the HTTP servers' ErrorLog likewise. Conclusion: no answer's bytes reach the log.

--- a/cmd/fennelshuntd/main.go
+++ b/cmd/fennelshuntd/main.go
@@ -62,6 +62,7 @@
 // serve runs the daemon until a signal asks for a planned stop; a second
 // signal ends it at once.
 func serve(o daemon.Options) error {
+	daemon.RedirectStandardLog(o.Log)
 	d, err := daemon.New(o)
 	if err != nil {
 		return err
--- a/process/daemon/http.go
+++ b/process/daemon/http.go
@@ -24,6 +24,7 @@
 func (h *httpService) Serve(ctx context.Context) error {
 	stop := context.AfterFunc(ctx, h.end)
 	defer stop()
+	h.server.ErrorLog = errorLog(h.l.log)
 	var l net.Listener = &keptListener{Listener: h.listener, ctx: ctx}
 	if h.tls != nil {
 		l = tls.NewListener(l, h.tls)
