Follow changes of a service's time limit in the slot accounts

Cause: holders and pools read request_timeout once, when they began. After it was raised (5 s to 100 s in the test) a dead daemon's slots, and a slot whose request's end is unknown, were granted again after the old limit. After it was lowered a new owner freed slots of requests begun under the longer one.

Change: the limit is read at each use; a longer one counts on for itself and a minute after it was lowered; full reports carry the holder's limit, so that an owner whose daemon began after the change learns it; the horizon of a takeover is computed at each use.

--- a/request/slots/holder.go
+++ b/request/slots/holder.go
@@ -36,7 +36,6 @@
 type holder struct {
 	m       *Manager
 	service string
-	limit   time.Duration
 
 	mu        sync.Mutex
 	endpoints map[instanceID]plan.Endpoint
@@ -92,9 +91,9 @@
 	got     chan *credit // capacity 1
 }
 
-func newHolder(m *Manager, service string, limit time.Duration) *holder {
+func newHolder(m *Manager, service string) *holder {
 	return &holder{
-		m: m, service: service, limit: limit,
+		m: m, service: service,
 		endpoints: map[instanceID]plan.Endpoint{}, load: map[instanceID]*instanceLoad{}, credits: map[creditID]*credit{},
 	}
 }
@@ -217,6 +216,9 @@
 	l.lastUsed = now
 }
 
+// limit is the longest time that a request of the service may run.
+func (h *holder) limit() time.Duration { return h.m.limits.of(h.service) }
+
 // release ends a request's use of c.
 func (h *holder) release(c *credit, end End) {
 	h.mu.Lock()
@@ -226,7 +228,7 @@
 		return
 	}
 	c.state = creditLimbo
-	wait := time.Until(c.began.Add(h.limit + h.m.opts.Margin))
+	wait := time.Until(c.began.Add(h.limit() + h.m.opts.Margin))
 	time.AfterFunc(max(wait, 0), func() {
 		h.mu.Lock()
 		defer h.mu.Unlock()
--- /dev/null
+++ b/request/slots/limits_test.go
@@ -0,0 +1,96 @@
+package slots
+
+import (
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"fennelshunt.example/fennelshunt/connection/peer"
+)
+
+// limitCell is a cell whose request limit the test changes.
+func limitCell(t *testing.T, daemons, slots int) (*cell, *atomic.Int64) {
+	limit := &atomic.Int64{}
+	limit.Store(int64(testLimit))
+	c := newCell(t, 1, 0)
+	c.change = func(o *Options) {
+		o.RequestLimit = func(string) (time.Duration, bool) { return time.Duration(limit.Load()), true }
+	}
+	for i := range daemons {
+		c.start(peer.Ref{ID: memberID(i), Incarnation: 1})
+	}
+	c.setEndpoints(1, slots)
+	c.own(c.daemons["d0"])
+	time.Sleep(time.Second)
+	return c, limit
+}
+
+// Symptom: an instance runs more requests than it has slots.
+// Sequence: the operators raise a service's request_timeout; a request's
+// connection breaks and its end is unknown.
+// Cause: the daemon counts the slot as taken for the old, shorter time.
+func TestRaisedLimitHoldsSlotOfUnknownEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c, limit := limitCell(t, 1, 1)
+		defer c.close()
+		limit.Store(int64(10 * testLimit))
+		time.Sleep(time.Second)
+		d := c.daemons["d0"]
+		c.hold(d, 1)[0].Release(Unknown)
+		time.Sleep(2*testLimit + DefaultMargin)
+		require.Zero(t, c.takeable(d), "the request may still run")
+		time.Sleep(8 * testLimit)
+		require.Equal(t, 1, c.takeable(d))
+	})
+}
+
+// Symptom: an instance runs more requests than it has slots.
+// Sequence: the operators change a service's request_timeout; a daemon with
+// requests under way dies; perhaps the pool gets a new owner.
+// Cause: the pool frees the daemon's slots after a limit read at its own begin,
+// or after the lowered one while requests begun under the longer one still run.
+func TestChangedLimitHoldsSlotsOfDeadDaemon(t *testing.T) {
+	const long = 20 * testLimit
+	for _, c := range []struct {
+		name    string
+		lowered bool // again, after the requests began
+		owner   bool // a new one
+		fresh   bool // and its daemon has begun after the change
+	}{
+		{"raised", false, false, false},
+		{"raised, new owner", false, true, false},
+		{"lowered", true, false, false},
+		{"lowered, new owner", true, true, false},
+		{"lowered, fresh owner", true, true, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				cell, limit := limitCell(t, 3, 8)
+				defer cell.close()
+				limit.Store(int64(long))
+				time.Sleep(time.Second)
+				cell.hold(cell.daemons["d1"], 8)
+				if c.lowered {
+					limit.Store(int64(testLimit))
+				}
+				cell.crash("d1")
+				owner := cell.daemons["d0"]
+				if c.owner {
+					owner = cell.daemons["d2"]
+					if c.fresh {
+						owner = cell.start(peer.Ref{ID: memberID(3), Incarnation: 1})
+						time.Sleep(time.Second)
+					}
+					cell.own(owner)
+				}
+				time.Sleep(DefaultTTL + testLimit + 8*DefaultMargin)
+				require.Zero(t, cell.takeable(owner), "its requests may still run")
+				time.Sleep(long + DefaultTTL)
+				require.Equal(t, 8, cell.takeable(owner))
+			})
+		})
+	}
+}
--- a/request/slots/manager.go
+++ b/request/slots/manager.go
@@ -32,6 +32,7 @@
 	endpoints *endpoints
 	signs     *signs
 	counts    Counters
+	limits    *limits
 
 	mu      sync.Mutex
 	holders map[string]*holder
@@ -50,7 +51,7 @@
 func New(opts Options) *Manager {
 	opts.setDefaults()
 	m := &Manager{
-		opts: opts, endpoints: newEndpoints(),
+		opts: opts, endpoints: newEndpoints(), limits: newLimits(opts.RequestLimit),
 		holders: map[string]*holder{}, pools: map[string]*pool{}, handed: map[string]*handover{},
 		roster: map[peer.MemberID]bool{}, recent: map[peer.MemberID]time.Time{},
 	}
@@ -134,8 +135,7 @@
 	if ok {
 		return h
 	}
-	limit, ok := m.opts.RequestLimit(service)
-	if !ok {
+	if _, ok := m.opts.RequestLimit(service); !ok {
 		return nil
 	}
 	list := m.endpoints.of(service)
@@ -144,7 +144,7 @@
 	if h, ok := m.holders[service]; ok {
 		return h
 	}
-	h = newHolder(m, service, limit)
+	h = newHolder(m, service)
 	h.endpoints = list
 	m.holders[service] = h
 	if claim, ok := m.opts.Directory.Owner(serviceResource(service)); ok {
--- a/request/slots/message.go
+++ b/request/slots/message.go
@@ -72,6 +72,9 @@
 	Held  []heldAt `cbor:"14,keyasint,omitempty"`
 	Fence uint64   `cbor:"15,keyasint,omitempty"`
 	Zone  string   `cbor:"16,keyasint,omitempty"`
+	// LimitMicros, in full reports, is the holder's limits.of the service: the
+	// holder may run requests under a configuration that the pool does not have.
+	LimitMicros int64 `cbor:"17,keyasint,omitempty"`
 }
 
 // status tells how the other side took a message.
--- a/request/slots/options.go
+++ b/request/slots/options.go
@@ -10,7 +10,6 @@
 	"fennelshunt.example/fennelshunt/connection/peer"
 	"fennelshunt.example/fennelshunt/process/fleet"
 	"fennelshunt.example/fennelshunt/process/ownership"
-	"fennelshunt.example/fennelshunt/version/spec"
 )
 
 // Defaults of Options.
@@ -103,18 +102,3 @@
 type allUsable struct{}
 
 func (allUsable) Usable(string) bool { return true }
-
-// LimitsOf returns a RequestLimit that reads the services' request timeouts
-// from the configuration in force.
-func LimitsOf(source spec.Source) func(service string) (time.Duration, bool) {
-	return func(service string) (time.Duration, bool) {
-		job, ok := source.Current().Jobs[service]
-		if !ok || job.Service == nil {
-			return 0, false
-		}
-		if d := job.Service.RequestTimeout.Std(); d > 0 {
-			return d, true
-		}
-		return DefaultRequestLimit, true
-	}
-}
--- a/request/slots/pool.go
+++ b/request/slots/pool.go
@@ -22,7 +22,6 @@
 	service string
 	claim   ownership.Claim
 	epoch   uint64
-	limit   time.Duration
 	ctx     context.Context
 	cancel  context.CancelFunc
 	work    chan func()
@@ -59,6 +58,7 @@
 type holderState struct {
 	ref     peer.Ref
 	zone    string
+	limit   time.Duration // of requests, by its newest full report
 	credits map[creditID]struct{}
 	told    map[instanceID]struct{} // instances it was told of
 	avoid   map[instanceID]struct{}
@@ -92,12 +92,8 @@
 }
 
 func newPool(m *Manager, service string, claim ownership.Claim) *pool {
-	limit, ok := m.opts.RequestLimit(service)
-	if !ok {
-		limit = DefaultRequestLimit
-	}
 	p := &pool{
-		m: m, service: service, claim: claim, epoch: claim.Epoch, limit: limit, work: make(chan func(), 64),
+		m: m, service: service, claim: claim, epoch: claim.Epoch, work: make(chan func(), 64),
 		instances: map[instanceID]*instance{}, credits: map[creditID]*grant{}, holders: map[peer.Ref]*holderState{},
 	}
 	p.ctx, p.cancel = context.WithCancel(m.ctx)
@@ -276,16 +272,27 @@
 // tick ends what is past its deadline and repeats what got lost.
 func (p *pool) tick(now time.Time) {
 	p.endTakeover(now)
+	limit := p.limit()
 	for _, h := range p.holders {
 		// A member that is gone may only be cut off from here: it too may start
 		// requests until its credits lapse.
-		if now.After(h.expires.Add(p.limit + p.m.opts.Margin)) {
+		if now.After(h.expires.Add(limit + p.m.opts.Margin)) {
 			p.dropHolder(h)
 		}
 	}
 	p.settle(now)
 }
 
+// limit is the longest time that a request of the service may run, on this
+// daemon or at a holder.
+func (p *pool) limit() time.Duration {
+	limit := p.m.limits.of(p.service)
+	for _, h := range p.holders {
+		limit = max(limit, h.limit)
+	}
+	return limit
+}
+
 // dropHolder frees the slots of a holder that did not renew for so long that
 // every request begun under its credits has reached its time limit.
 func (p *pool) dropHolder(h *holderState) {
--- a/request/slots/poolgrant.go
+++ b/request/slots/poolgrant.go
@@ -71,6 +71,7 @@
 		unknown = p.reconcile(h, r)
 		h.expires = now.Add(p.m.opts.TTL + p.m.opts.Margin)
 		h.zone = r.Zone
+		h.limit = fromMicros(r.LimitMicros)
 	}
 	if r.Seq > h.seq {
 		p.takeNeeds(h, r, now)
--- a/request/slots/report.go
+++ b/request/slots/report.go
@@ -85,6 +85,7 @@
 func (h *holder) fill(r *report) {
 	h.dropLapsed(time.Now())
 	r.Full = true
+	r.LimitMicros = micros(h.limit())
 	r.Fence, h.fence = h.seen, h.seen
 	byInstance := map[instanceID][]creditID{}
 	for id, c := range h.credits {
@@ -103,7 +104,7 @@
 // One would notice a slot that is accounted for twice. The pool waits for a
 // margin longer than this.
 func (h *holder) dropLapsed(now time.Time) {
-	if now.Before(h.validUntil.Add(h.limit)) {
+	if now.Before(h.validUntil.Add(h.limit())) {
 		return
 	}
 	ids := make([]creditID, 0, len(h.credits))
@@ -188,6 +189,7 @@
 
 // tick renews in time and repeats what got lost.
 func (h *holder) tick(now time.Time) {
+	h.limit() // notes a raised one before it is lowered again
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.owner.Epoch == 0 || h.calls > 0 {
--- a/request/slots/takeover.go
+++ b/request/slots/takeover.go
@@ -37,8 +37,8 @@
 	complete bool
 	// unresolved lists earlier owners that may still grant.
 	unresolved map[peer.Ref]bool
-	// horizon is when the last grant of a resolved owner has run out.
-	horizon time.Time
+	// granted is until when a resolved owner may have granted credits.
+	granted time.Time
 }
 
 // beginTakeover blocks every slot unless nobody owned the pool before.
@@ -48,7 +48,7 @@
 	}
 	now := time.Now()
 	t := &takeover{
-		began: now, horizon: now, previous: g.Previous,
+		began: now, previous: g.Previous,
 		answered: map[peer.Ref]bool{}, met: map[peer.Ref]bool{}, unresolved: map[peer.Ref]bool{},
 	}
 	p.takeover = t
@@ -59,21 +59,31 @@
 		return
 	}
 	if g.Previous.Released {
-		p.extendHorizon(now)
+		t.grantedUntil(now)
 	} else {
 		t.unresolved[g.Previous.Owner] = true
 	}
 }
 
-// extendHorizon keeps the unaccounted slots blocked for credits granted up to
-// now.
-func (p *pool) extendHorizon(now time.Time) {
-	h := now.Add(p.m.opts.TTL + p.limit + 2*p.m.opts.Margin)
-	if h.After(p.takeover.horizon) {
-		p.takeover.horizon = h
+// grantedUntil keeps the unaccounted slots blocked for credits granted up to
+// the time.
+func (t *takeover) grantedUntil(at time.Time) {
+	if at.After(t.granted) {
+		t.granted = at
 	}
 }
 
+// horizon is when the last credit of earlier owners has lapsed and the last
+// request begun under one has ended. It is computed at each use, because the
+// service's limit may be raised meanwhile.
+func (p *pool) horizon() time.Time {
+	t := p.takeover
+	if t.complete || t.granted.IsZero() {
+		return t.began
+	}
+	return t.granted.Add(p.m.opts.TTL + p.limit() + 2*p.m.opts.Margin)
+}
+
 // resolve notes that an earlier owner grants nothing from now on.
 func (p *pool) resolve(owner peer.Ref, now time.Time) {
 	if p.takeover == nil {
@@ -81,7 +91,7 @@
 	}
 	if _, ok := p.takeover.unresolved[owner]; ok {
 		delete(p.takeover.unresolved, owner)
-		p.extendHorizon(now)
+		p.takeover.grantedUntil(now)
 	}
 }
 
@@ -102,7 +112,7 @@
 			p.resolve(owner, now.Add(p.m.opts.TTL))
 		}
 	}
-	if len(t.unresolved) > 0 || now.Before(t.horizon) {
+	if len(t.unresolved) > 0 || now.Before(p.horizon()) {
 		return
 	}
 	p.takeover = nil
@@ -286,7 +296,6 @@
 	}
 	if h.Complete {
 		p.takeover.complete = true
-		p.takeover.horizon = now
 		clear(p.takeover.unresolved)
 	}
 }
