Test forwarded requests over mutual TLS

Cause: only the refusal of plain requests was tested, and the handler's check of verified chains depends on how the TLS configuration verifies. Change: a test with the daemons' own configurations, one caller without a certificate and one of another authority. Measured: nothing; the test fails when the server's configuration leaves the verification to its own callback. Conclusion: accepted with the cell's certificate only.

--- a/request/gateway/cell_test.go
+++ b/request/gateway/cell_test.go
@@ -1,8 +1,13 @@
 package gateway
 
 import (
+	"context"
+	"crypto/tls"
+	"io"
+	"log"
 	"net/http"
 	"net/http/httptest"
+	"net/url"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -12,12 +17,14 @@
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
+	"fennelshunt.example/fennelshunt/connection/keys"
 	"fennelshunt.example/fennelshunt/connection/peer"
 	"fennelshunt.example/fennelshunt/connection/store"
 	"fennelshunt.example/fennelshunt/process/fleet"
 	"fennelshunt.example/fennelshunt/process/fleet/fleettest"
 	"fennelshunt.example/fennelshunt/process/ownership"
 	"fennelshunt.example/fennelshunt/process/ownership/ownershiptest"
+	"fennelshunt.example/fennelshunt/process/plan"
 	"fennelshunt.example/fennelshunt/request/forward"
 	"fennelshunt.example/fennelshunt/request/idem"
 	"fennelshunt.example/fennelshunt/request/outlier"
@@ -201,3 +208,52 @@
 	require.Equal(t, http.StatusForbidden, r.status)
 	require.Equal(t, "not-run", r.verdict())
 }
+
+func TestForwardedRequestsOverMutualTLS(t *testing.T) {
+	// Symptom: every keyed request whose home was another daemon was refused.
+	// Sequence: a daemon forwards one over mutual TLS; so does somebody without
+	//   a certificate, or with one of another authority.
+	// Cause: a TLS configuration that checks the other side by itself leaves
+	//   the verified chains empty, by which the handler tells daemons.
+	home, err := keys.Ephemeral("127.0.0.1")
+	require.NoError(t, err)
+	stranger, err := keys.Ephemeral("127.0.0.1")
+	require.NoError(t, err)
+	table := &homeOfAll{}
+	g := New(Options{Config: testConfig(5 * time.Second), Slots: newPool(), Forwarder: forward.New(forward.Options{}), Keys: table})
+	server := httptest.NewUnstartedServer(nil)
+	server.Config = NewServer(g.PeerHandler())
+	server.Config.ErrorLog = log.New(io.Discard, "", 0) // refused handshakes
+	server.Listener = tls.NewListener(server.Listener, home.PeerHTTPConfig())
+	server.Start()
+	defer server.Close()
+
+	send := func(c *tls.Config) (*forward.Answer, error) {
+		h := http.Header{ServiceHeader: {testService}, ForwardedHeader: {"d1"}, KeyHeader: {"k"}}
+		forward.PrepareRequest(h, "id")
+		return forward.New(forward.Options{TLS: c}).Send(t.Context(), plan.Endpoint{Address: server.Listener.Addr().String(), Slots: 1, Conns: 2},
+			&forward.Outgoing{Method: "POST", URL: &url.URL{Path: "/"}, Host: testService, Header: h, ID: "id"})
+	}
+	a, err := send(home.PeerConfig())
+	require.NoError(t, err)
+	defer a.Close()
+	require.Equal(t, http.StatusOK, a.Status)
+	require.EqualValues(t, 1, table.begun.Load())
+	without := home.PeerConfig()
+	without.GetCertificate, without.GetClientCertificate = nil, nil
+	for name, c := range map[string]*tls.Config{"without a certificate": without, "stranger": stranger.PeerConfig()} {
+		_, err := send(c)
+		require.Error(t, err, name)
+	}
+	require.EqualValues(t, 1, table.begun.Load(), "a refused request was served")
+}
+
+// homeOfAll is the home of every key, and has an answer for each.
+type homeOfAll struct{ begun atomic.Int32 }
+
+func (*homeOfAll) Home(idem.Key) (fleet.Member, bool, bool) { return fleet.Member{}, true, true }
+
+func (h *homeOfAll) Begin(context.Context, idem.Request) (*idem.Attempt, *idem.Answer, error) {
+	h.begun.Add(1)
+	return nil, &idem.Answer{Status: http.StatusOK}, nil
+}
