Keep a request's nature and the caller's identity on every hop

Cause: a Connection header that lists Fennel-Idempotent, Idempotency-Key or Content-Type took the header away after it had been read, so that a key's home went by the method and retried; and a forged Fennel-Team reached the instance.

--- a/request/gateway/call.go
+++ b/request/gateway/call.go
@@ -125,12 +125,32 @@
 func (c *call) outgoing() *forward.Outgoing {
 	forward.PrepareRequest(c.in.Header, c.id)
 	delete(c.in.Header, ForwardedHeader)
+	c.setIdentity()
 	o := &c.out
 	o.Method, o.URL, o.Host, o.Header, o.Trailer = c.in.Method, c.in.URL, c.in.Host, c.in.Header, c.in.Trailer
 	o.ContentLength, o.ID = c.in.ContentLength, c.id
 	return o
 }
 
+// setIdentity names team and caller to the instance as this daemon knows them.
+//
+// What goes wrong without it: a caller with a certificate sends the name of
+// another team in a header, which the daemon does not believe but the instance
+// does.
+func (c *call) setIdentity() {
+	setOrDelete(c.in.Header, TeamHeader, c.identity.Team)
+	setOrDelete(c.in.Header, CallerHeader, c.identity.name())
+}
+
+func setOrDelete(h http.Header, name, value string) {
+	switch {
+	case value == "":
+		delete(h, name)
+	case len(h[name]) != 1 || h[name][0] != value:
+		h[name] = []string{value}
+	}
+}
+
 // teamName returns the team for limits and fair shares. Teams that the
 // configuration does not know share one name, so that callers can not multiply
 // their share by inventing teams.
--- a/request/gateway/options.go
+++ b/request/gateway/options.go
@@ -57,6 +57,17 @@
 type Identity struct {
 	Team   string
 	Caller string
+	// Unnamed is set when Caller is only the connection's address, which may be
+	// a proxy's and change between two tries of a request.
+	Unnamed bool
+}
+
+// name returns the caller's name, empty when it has given none.
+func (i Identity) name() string {
+	if i.Unnamed {
+		return ""
+	}
+	return i.Caller
 }
 
 // Options configure a Gateway. Config, Slots and Forwarder are required; zero
--- a/request/gateway/parse.go
+++ b/request/gateway/parse.go
@@ -131,6 +131,7 @@
 	id := Identity{Team: r.Header.Get(TeamHeader), Caller: r.Header.Get(CallerHeader)}
 	if id.Caller == "" {
 		id.Caller, _, _ = net.SplitHostPort(r.RemoteAddr)
+		id.Unnamed = true
 	}
 	return id
 }
--- a/request/gateway/peer.go
+++ b/request/gateway/peer.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net/http"
+	"strconv"
 	"time"
 
 	"fennelshunt.example/fennelshunt/process/fleet"
@@ -25,12 +26,15 @@
 	return plan.Endpoint{Address: m.ForwardAddr, Slots: peerIdle, Conns: peerConns, Attempt: int(m.Incarnation)}
 }
 
-// forwardHeader sets what the home daemon needs to know of the caller.
+// forwardHeader sets what the home daemon needs to know of the request, all of
+// it from what this daemon has read: the home must not come to another view of
+// it. A request that one takes for idempotent and the other does not would be
+// sent again without an intent.
 func (g *Gateway) forwardHeader(c *call, h http.Header) {
 	h.Set(ForwardedHeader, string(g.opts.Self))
 	h.Set(ServiceHeader, c.service)
-	h.Set(TeamHeader, c.identity.Team)
-	h.Set(CallerHeader, c.identity.Caller)
+	h.Set(KeyHeader, c.key)
+	h.Set(IdempotentHeader, strconv.FormatBool(c.idempotent))
 	h.Set(TimeoutHeader, max(c.remaining()-homeMargin, time.Millisecond).String())
 }
 
