Account for attempts that go on past their deadline

Cause: the gateway lets an attempt go on for up to the service's request_timeout after its deadline, to learn its end, so that an attempt may last twice request_timeout. The slot accounts assumed once: slots of a dead daemon, or of an unknown end, could be granted while the attempt runs.

Change: slots.AttemptLimit (AttemptFactor 2) says how long an attempt may last; slots.LimitsOf returns it and the gateway's wait for the end derives from it.

Before: for request_timeout 20 s the accounts waited 20 s; after: 40 s. The price: a dead daemon's slots come back one request_timeout later.

--- a/request/gateway/reply.go
+++ b/request/gateway/reply.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"fennelshunt.example/fennelshunt/request/forward"
+	"fennelshunt.example/fennelshunt/request/slots"
 	"fennelshunt.example/fennelshunt/request/verdict"
 )
 
@@ -126,7 +127,8 @@
 		return
 	}
 	w.lingering = true
-	w.gateway.deadlines.set(&w.linger, time.Now().Add(c.limit), w.cut)
+	more := slots.AttemptLimit(c.limit) - c.limit
+	w.gateway.deadlines.set(&w.linger, time.Now().Add(more), w.cut)
 }
 
 // answer tells the caller that the deadline has passed. The connection is not
--- a/request/slots/limits.go
+++ b/request/slots/limits.go
@@ -22,8 +22,8 @@
 // request timeout may last.
 func AttemptLimit(requestTimeout time.Duration) time.Duration { return AttemptFactor * requestTimeout }
 
-// LimitsOf returns a RequestLimit that reads the services' request timeouts
-// from the configuration in force.
+// LimitsOf returns a RequestLimit: the AttemptLimit of the services' request
+// timeouts in the configuration in force.
 func LimitsOf(source spec.Source) func(service string) (time.Duration, bool) {
 	return func(service string) (time.Duration, bool) {
 		job, ok := source.Current().Jobs[service]
@@ -31,9 +31,9 @@
 			return 0, false
 		}
 		if d := job.Service.RequestTimeout.Std(); d > 0 {
-			return d, true
+			return AttemptLimit(d), true
 		}
-		return DefaultRequestLimit, true
+		return AttemptLimit(DefaultRequestLimit), true
 	}
 }
 
--- a/request/slots/limits_test.go
+++ b/request/slots/limits_test.go
@@ -9,8 +9,15 @@
 	"github.com/stretchr/testify/require"
 
 	"fennelshunt.example/fennelshunt/connection/peer"
+	"fennelshunt.example/fennelshunt/version/spec"
 )
 
+// fixedConfig is a configuration that never changes.
+type fixedConfig struct{ config *spec.Config }
+
+func (f fixedConfig) Current() *spec.Config    { return f.config }
+func (f fixedConfig) Changed() <-chan struct{} { return nil }
+
 // limitCell is a cell whose request limit the test changes.
 func limitCell(t *testing.T, daemons, slots int) (*cell, *atomic.Int64) {
 	limit := &atomic.Int64{}
@@ -94,3 +101,24 @@
 		})
 	}
 }
+
+// Symptom: an instance runs more requests than it has slots.
+// Sequence: a request's attempt goes on past its deadline, to learn its end;
+// its daemon dies.
+// Cause: the accounts let an attempt last for request_timeout only.
+func TestLimitsOfCoverAnAttemptPastItsDeadline(t *testing.T) {
+	of := LimitsOf(fixedConfig{&spec.Config{Jobs: map[string]*spec.VersionedJob{
+		testService: {Job: spec.Job{Service: &spec.ServiceSettings{RequestTimeout: spec.Duration(20 * time.Second)}}},
+		"default":   {Job: spec.Job{Service: &spec.ServiceSettings{}}},
+		"batch":     {},
+	}}})
+	for name, want := range map[string]time.Duration{testService: 40 * time.Second, "default": time.Minute} {
+		limit, ok := of(name)
+		require.True(t, ok, name)
+		require.Equal(t, want, limit, name)
+	}
+	for _, name := range []string{"batch", "unknown"} {
+		_, ok := of(name)
+		require.False(t, ok, name)
+	}
+}
