Take the defaults of settings from one place

standin/cell wrote the defaults of a daemon's settings out once more, to make them without a file; it now calls settings.Complete, which Parse calls too. The two bounds of authority stood both in settings and in ownership; settings now refers to ownership.

Nothing measured: the values are the same. The tests of process/settings, process/daemon, standin/cell, command and cmd pass unchanged.

--- a/process/settings/settings.go
+++ b/process/settings/settings.go
@@ -17,6 +17,7 @@
 
 	"github.com/rs/zerolog"
 
+	"fennelshunt.example/fennelshunt/process/ownership"
 	"fennelshunt.example/fennelshunt/version/spec"
 )
 
@@ -106,8 +107,8 @@
 const (
 	DefaultShards      = 16
 	DefaultMemberLease = 5 * time.Second
-	DefaultStartBound  = 2 * time.Hour
-	DefaultRenewBound  = 24 * time.Hour
+	DefaultStartBound  = ownership.DefaultStartBound
+	DefaultRenewBound  = ownership.DefaultRenewBound
 	DefaultDrain       = 60 * time.Second
 	DefaultMaxBody     = 1 << 30
 	DefaultMaxQueued   = 4096
@@ -147,11 +148,12 @@
 	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
 		return nil, fmt.Errorf("%s: text after the settings object; remove it", name)
 	}
-	s.complete()
+	s.Complete()
 	return s, s.check(name)
 }
 
-func (s *Settings) complete() {
+// Complete sets what is left out to its default.
+func (s *Settings) Complete() {
 	s.Shards = cmp.Or(s.Shards, DefaultShards)
 	s.Leases.Member = cmp.Or(s.Leases.Member, spec.Duration(DefaultMemberLease))
 	s.Leases.Start = cmp.Or(s.Leases.Start, spec.Duration(DefaultStartBound))
--- a/standin/cell/cell.go
+++ b/standin/cell/cell.go
@@ -109,19 +109,12 @@
 func (c *Cell) settings(name, zone string) *settings.Settings {
 	const free = "127.0.0.1:0"
 	s := &settings.Settings{
-		Name: name, Zone: zone, Shards: settings.DefaultShards,
+		Name: name, Zone: zone,
 		Listen:   settings.Addresses{Caller: free, Forward: free, Peer: free, Admin: free},
 		Platform: settings.Platform{Store: c.Platform.StoreURL, VMList: c.Platform.VMListURL},
-		Leases: settings.Leases{
-			Member: spec.Duration(settings.DefaultMemberLease), Start: spec.Duration(settings.DefaultStartBound),
-			Renew: spec.Duration(settings.DefaultRenewBound),
-		},
-		Limits: settings.Limits{MaxBodyBytes: settings.DefaultMaxBody, MaxQueued: settings.DefaultMaxQueued},
-		Drain:  spec.Duration(settings.DefaultDrain),
-	}
-	if c.o.MemberLease > 0 {
-		s.Leases.Member = spec.Duration(c.o.MemberLease)
+		Leases:   settings.Leases{Member: spec.Duration(c.o.MemberLease)},
 	}
+	s.Complete()
 	if c.o.Adjust != nil {
 		c.o.Adjust(s)
 	}
