Split the main function of fennelstandin

It read flags, chose the workers and served in 49 lines; these are three functions now. The end of the server is recognised by errors.Is.

Nothing measured: no behaviour changes. No test covers the command; it was started by hand with free ports, prints its addresses and ends on a signal, and refuses an unknown cell as before.

--- a/cmd/fennelstandin/main.go
+++ b/cmd/fennelstandin/main.go
@@ -42,26 +42,42 @@
 	if err := ff.Parse(fs, args, ff.WithEnvVarPrefix("FENNELSTANDIN")); err != nil {
 		return err
 	}
-	shape := platform.Authority()
-	switch *cell {
+	shape, err := shapeOf(*cell, *workers)
+	if err != nil {
+		return err
+	}
+	return serve(platform.Options{
+		Shape: shape, Work: *work, Lag: *lag, Seed: *seed, Store: *kvAddr, VMList: *vmsAddr,
+	}, *control)
+}
+
+// shapeOf returns the cell of a user; a positive number of workers replaces the
+// user's own.
+func shapeOf(cell string, workers int) (platform.Shape, error) {
+	var shape platform.Shape
+	switch cell {
 	case "authority":
+		shape = platform.Authority()
 	case "guild":
 		shape = platform.Guild()
 	default:
-		return fmt.Errorf("flag -cell: %q is not known; use authority or guild", *cell)
+		return shape, fmt.Errorf("flag -cell: %q is not known; use authority or guild", cell)
 	}
-	if *workers > 0 {
-		shape.Workers = *workers
+	if workers > 0 {
+		shape.Workers = workers
 	}
+	return shape, nil
+}
+
+// serve runs the stand-ins, and their control on the address, until a signal.
+func serve(o platform.Options, control string) error {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	p, err := platform.Start(ctx, platform.Options{
-		Shape: shape, Work: *work, Lag: *lag, Seed: *seed, Store: *kvAddr, VMList: *vmsAddr,
-	})
+	p, err := platform.Start(ctx, o)
 	if err != nil {
 		return err
 	}
-	l, err := net.Listen("tcp", *control)
+	l, err := net.Listen("tcp", control)
 	if err != nil {
 		return errors.Join(err, p.Close())
 	}
@@ -71,7 +87,7 @@
 		_ = server.Close() // the process ends
 	}()
 	fmt.Printf("store %s\nvm list %s\ncontrol http://%s\n", p.StoreURL, p.VMListURL, l.Addr())
-	if err := server.Serve(l); err != http.ErrServerClosed {
+	if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 		return err
 	}
 	return p.Close()
