Ask callers for certificates and verify those given

Cause: the callers' listener never asked for a client certificate, so that the gateway always believed the headers that name team and caller. And a callers' identity without an authority file, which the settings allow, did not load.

Change: with an authority file ServerConfig asks, verifies what is given and fills in the verified chains; each handshake uses the authorities as last loaded. Without one nobody is asked; the pool is then empty, never the machine's own.

After: 1 chain, a stranger's certificate is refused, a reload swaps the two.

--- a/connection/keys/config.go
+++ b/connection/keys/config.go
@@ -29,9 +29,26 @@
 }
 
 // ServerConfig returns the configuration of a server for callers or operators,
-// who need no certificate.
+// who need no certificate. With an authority file they may present one, which
+// must then verify; the configuration is made anew for each handshake, so that
+// a reload replaces the authorities too.
+//
+// What goes wrong otherwise: nobody's certificate is ever asked for, and a
+// handler believes whatever name a caller writes in a header. One would notice
+// requests counted for the wrong team. The verified chains tell the handler.
 func (k *Keys) ServerConfig() *tls.Config {
-	return &tls.Config{MinVersion: tls.VersionTLS12, GetCertificate: k.serverCertificate}
+	base := &tls.Config{MinVersion: tls.VersionTLS12, GetCertificate: k.serverCertificate}
+	if !k.current.Load().authorities {
+		return base
+	}
+	base.GetConfigForClient = func(*tls.ClientHelloInfo) (*tls.Config, error) {
+		c := base.Clone()
+		c.GetConfigForClient = nil
+		c.ClientAuth = tls.VerifyClientCertIfGiven
+		c.ClientCAs = k.current.Load().roots
+		return c, nil
+	}
+	return base
 }
 
 // ClientConfig returns the configuration of a client that presents this
--- a/connection/keys/keys.go
+++ b/connection/keys/keys.go
@@ -45,15 +45,19 @@
 type Files struct {
 	Cert string `json:"cert"` // certificate chain, leaf first
 	Key  string `json:"key"`  // private key
-	CA   string `json:"ca"`   // authorities that the other side's chain must end in
+	// CA holds the authorities that the other side's chain must end in; without
+	// it nobody's certificate verifies, and callers are asked for none.
+	CA string `json:"ca"`
 }
 
 // material is one consistent set of what the files held.
 type material struct {
 	cert    tls.Certificate
 	leaf    *x509.Certificate
-	roots   *x509.CertPool
-	digests [3][32]byte // of the files, to notice a change
+	roots   *x509.CertPool // never nil: a nil pool means the machine's own
+	digests [3][32]byte    // of the files, to notice a change
+	// authorities is set when an authority file is named.
+	authorities bool
 }
 
 // Keys is an identity in use; safe for concurrent use.
@@ -85,9 +89,11 @@
 	if err != nil {
 		return nil, err
 	}
-	caPEM, err := readFile(files.CA)
-	if err != nil {
-		return nil, err
+	var caPEM []byte
+	if files.CA != "" {
+		if caPEM, err = readFile(files.CA); err != nil {
+			return nil, err
+		}
 	}
 	return parse(files, certPEM, keyPEM, caPEM)
 }
--- a/connection/keys/keys_test.go
+++ b/connection/keys/keys_test.go
@@ -134,6 +134,89 @@
 	require.Error(t, clientErr)
 }
 
+// chains connects a client, which presents the certificate if there is one, to
+// a server and returns how many chains the server verified.
+func chains(t *testing.T, cert *tls.Certificate, server *tls.Config) (int, error) {
+	verified := 0
+	server = server.Clone()
+	inner := server.GetConfigForClient
+	server.GetConfigForClient = func(hello *tls.ClientHelloInfo) (*tls.Config, error) {
+		c := server.Clone()
+		if inner != nil {
+			var err error
+			if c, err = inner(hello); err != nil {
+				return nil, err
+			}
+		}
+		c.VerifyConnection = func(state tls.ConnectionState) error {
+			verified = len(state.VerifiedChains)
+			return nil
+		}
+		return c, nil
+	}
+	client := &tls.Config{InsecureSkipVerify: true}
+	if cert != nil {
+		// Presented whatever authorities the server names.
+		client.GetClientCertificate = func(*tls.CertificateRequestInfo) (*tls.Certificate, error) { return cert, nil }
+	}
+	_, err := handshake(t, client, server)
+	return verified, err
+}
+
+// Symptom: a caller with a certificate of one team is taken for another, or is
+// refused after the authorities were replaced.
+// Sequence: a caller connects with a certificate and names another team in a
+// header; the authority is replaced.
+// Cause: the listener never asks for a certificate, so that the headers are
+// believed; or it keeps the authorities that it began with.
+func TestServerVerifiesCertificatesOfCallers(t *testing.T) {
+	files, a, b := filesIn(t.TempDir()), authority(t), authority(t)
+	write(t, files, a, "entry.example")
+	k, err := Load(files)
+	require.NoError(t, err)
+	issue := func(a *Authority) *tls.Certificate {
+		certPEM, keyPEM, err := a.Issue("registrar")
+		require.NoError(t, err)
+		cert, err := tls.X509KeyPair(certPEM, keyPEM)
+		require.NoError(t, err)
+		return &cert
+	}
+	ofA, ofB, server := issue(a), issue(b), k.ServerConfig()
+	check := func(cert *tls.Certificate, verified int, refused bool) {
+		t.Helper()
+		n, err := chains(t, cert, server)
+		require.Equal(t, refused, err != nil, "%v", err)
+		require.Equal(t, verified, n)
+	}
+	check(nil, 0, false)
+	check(ofA, 1, false)
+	check(ofB, 0, true)
+
+	write(t, files, b, "entry.example")
+	changed, err := k.Reload()
+	require.NoError(t, err)
+	require.True(t, changed)
+	check(ofB, 1, false)
+	check(ofA, 0, true)
+}
+
+// Symptom: the daemon does not start though tls.callers.ca may be left out; or
+// strangers pass for daemons because the machine's authorities are trusted.
+// Sequence: keys are loaded without an authority file.
+// Cause: the empty name was read; an absent pool means the machine's own.
+func TestKeysWithoutAuthority(t *testing.T) {
+	files, a := filesIn(t.TempDir()), authority(t)
+	write(t, files, a, PeerName)
+	files.CA = ""
+	k, err := Load(files)
+	require.NoError(t, err)
+	n, err := chains(t, &k.current.Load().cert, k.ServerConfig())
+	require.NoError(t, err)
+	require.Zero(t, n, "no certificate is asked for")
+	_, serverErr := handshake(t, k.PeerConfig(), k.PeerConfig())
+	require.Error(t, serverErr, "no peer is trusted")
+}
+
 // Symptom: daemons stop trusting each other when an authority is replaced, or
 // lose their keys in the midst of a replacement.
 // Sequence: the files change one after the other, then a peer uses the new
--- a/connection/keys/parse.go
+++ b/connection/keys/parse.go
@@ -24,15 +24,19 @@
 		return nil, &FileError{Path: files.Cert, Err: fmt.Errorf("%w: valid from %s to %s",
 			ErrExpired, cert.Leaf.NotBefore, cert.Leaf.NotAfter)}
 	}
-	roots, err := parseRoots(caPEM)
-	if err != nil {
-		return nil, &FileError{Path: files.CA, Err: err}
+	roots, authorities := x509.NewCertPool(), files.CA != "" || len(caPEM) > 0
+	if authorities {
+		if roots, err = parseRoots(caPEM); err != nil {
+			return nil, &FileError{Path: files.CA, Err: err}
+		}
 	}
 	return &material{
 		cert:    cert,
 		leaf:    cert.Leaf,
 		roots:   roots,
 		digests: [3][32]byte{sha256.Sum256(certPEM), sha256.Sum256(keyPEM), sha256.Sum256(caPEM)},
+
+		authorities: authorities,
 	}, nil
 }
 
