Write to the key log in one place; list ended lives in one place

The head and the archives of a key log were encoded, counted and swapped by the same five lines, and the table of members collected its ended entries twice in two orders. The factor of the time limit for reading a whole key log has a name.

Nothing measured: no behaviour changes. The tests of request/idem, request/gateway, process/fleet, ownership and versions pass unchanged.

--- a/process/fleet/table.go
+++ b/process/fleet/table.go
@@ -173,9 +173,8 @@
 	return h.Sum64()
 }
 
-// expired returns the ended entries to forget: those that are too old, and the
-// earliest beyond the bound.
-func (t *table) expired(now time.Time) []peer.MemberID {
+// ended returns the entries of lives that are over, the earliest end first.
+func (t *table) ended() []*entry {
 	var ended []*entry
 	for _, e := range t.entries {
 		if e.Ended != NotEnded {
@@ -183,6 +182,13 @@
 		}
 	}
 	slices.SortFunc(ended, func(a, b *entry) int { return a.endedAt.Compare(b.endedAt) })
+	return ended
+}
+
+// expired returns the ended entries to forget: those that are too old, and the
+// earliest beyond the bound.
+func (t *table) expired(now time.Time) []peer.MemberID {
+	ended := t.ended()
 	var ids []peer.MemberID
 	for i, e := range ended {
 		if now.Sub(e.endedAt) > endedFor || len(ended)-i > endedHistory {
@@ -194,12 +200,7 @@
 
 // newestEnded returns up to n ended entries, the latest first.
 func (t *table) newestEnded(n int) []*entry {
-	var ended []*entry
-	for _, e := range t.entries {
-		if e.Ended != NotEnded {
-			ended = append(ended, e)
-		}
-	}
-	slices.SortFunc(ended, func(a, b *entry) int { return b.endedAt.Compare(a.endedAt) })
+	ended := t.ended()
+	slices.Reverse(ended)
 	return ended[:min(n, len(ended))]
 }
--- a/request/idem/writer.go
+++ b/request/idem/writer.go
@@ -13,6 +13,10 @@
 	"fennelshunt.example/fennelshunt/process/ownership"
 )
 
+// readTimeouts is how many times the timeout of a write the reading of a whole
+// log may take.
+const readTimeouts = 10
+
 var errFenced = errors.New("a newer owner wrote the key log")
 
 // writer holds the log's content that is not archived yet and writes it.
@@ -94,7 +98,7 @@
 
 // readAll takes every archive and the head into memory, oldest first.
 func (w *writer) readAll(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, 10*w.s.m.opts.WriteTimeout)
+	ctx, cancel := context.WithTimeout(ctx, readTimeouts*w.s.m.opts.WriteTimeout)
 	defer cancel()
 	items, _, err := w.s.m.opts.Store.List(ctx, archivePrefix(w.s.n))
 	if err != nil {
@@ -121,14 +125,20 @@
 	}
 }
 
-// writeHead writes the records with a compare-and-swap.
-func (w *writer) writeHead(ctx context.Context) error {
+// put writes a value with a compare-and-swap on the revision prev.
+func (w *writer) put(ctx context.Context, key string, value any, prev store.Revision) (store.Revision, error) {
 	ctx, cancel := context.WithTimeout(ctx, w.s.m.opts.WriteTimeout)
 	defer cancel()
-	data := encode(head{Epoch: w.s.epoch, Owner: w.s.m.opts.Self, Seq: w.seq, Records: w.records})
+	data := encode(value)
 	w.s.m.counts.Writes.Add(1)
 	w.s.m.counts.WrittenBytes.Add(int64(len(data)))
-	revision, err := w.s.m.opts.Store.Swap(ctx, headKey(w.s.n), data, w.revision, 0)
+	return w.s.m.opts.Store.Swap(ctx, key, data, prev, 0)
+}
+
+// writeHead writes the records that are not archived.
+func (w *writer) writeHead(ctx context.Context) error {
+	h := head{Epoch: w.s.epoch, Owner: w.s.m.opts.Self, Seq: w.seq, Records: w.records}
+	revision, err := w.put(ctx, headKey(w.s.n), h, w.revision)
 	if err != nil {
 		return err
 	}
@@ -213,12 +223,7 @@
 		w.frozen = len(w.records)
 	}
 	a := archived{key: archiveKey(w.s.n, w.seq, w.s.epoch), newest: newest(w.records[:w.frozen])}
-	ctx, cancel := context.WithTimeout(ctx, w.s.m.opts.WriteTimeout)
-	defer cancel()
-	data := encode(archive{Records: w.records[:w.frozen]})
-	w.s.m.counts.Writes.Add(1)
-	w.s.m.counts.WrittenBytes.Add(int64(len(data)))
-	revision, err := w.s.m.opts.Store.Swap(ctx, a.key, data, 0, 0)
+	revision, err := w.put(ctx, a.key, archive{Records: w.records[:w.frozen]}, 0)
 	// A conflict means that an earlier try of this owner took effect: the key
 	// holds its epoch and the frozen records have not changed since.
 	if err != nil && !errors.Is(err, store.ErrConflict) {
