Keep endpoints from forging a daemon's headers; cut old callers with an error

Cause: an endpoint's Fennel-Code, and any Fennel trailer, reached the caller; an HTTP/1.0 caller saw the cut of an answer of unknown length as its end; a WebSocket request was sent on without its Upgrade; a kept 304 got a length of 0. Change: these headers and trailers are dropped, an HTTP/1.0 caller's connection is reset, WebSocket is refused as not run, 204 and 304 get no length. Conclusion: what a daemon says is its own.

--- a/request/forward/answer.go
+++ b/request/forward/answer.go
@@ -193,7 +193,9 @@
 		}
 	}
 	for name := range announced {
-		h.Add("Trailer", name)
+		if !reserved(name) {
+			h.Add("Trailer", name)
+		}
 	}
 	w.WriteHeader(a.Status)
 }
@@ -205,6 +207,8 @@
 	// A trailer is only sent with a chunked body.
 	_ = http.NewResponseController(w).Flush()
 	for name, values := range a.resp.Trailer {
-		w.Header()[name] = values
+		if !reserved(name) {
+			w.Header()[name] = values
+		}
 	}
 }
--- a/request/gateway/attempt.go
+++ b/request/gateway/attempt.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
+	"net"
 	"net/http"
 	"time"
 
@@ -51,6 +53,7 @@
 		a.Discard()
 		return true, errAnswered
 	}
+	forward.RemoveReserved(a.Header)
 	c.answerHeader(verdict.Ran)
 	c.reply.note(a.Status, verdict.Ran, "")
 	sent, err := a.Deliver(c.w)
@@ -80,10 +83,32 @@
 		e := verdict.As(err)
 		c.reply.note(0, e.Verdict, e.Code)
 		c.cut = true
+		c.reset()
 		panic(http.ErrAbortHandler)
 	}
 }
 
+// reset cuts the connection of an HTTP/1.0 caller so that it sees an error.
+//
+// What goes wrong without it: HTTP/1.0 has no chunks, a body of unknown length
+// ends with the connection, and a part of an answer ends like a whole one.
+func (c *call) reset() {
+	if c.in.ProtoAtLeast(1, 1) {
+		return
+	}
+	conn, _, err := http.NewResponseController(c.w).Hijack()
+	if err != nil {
+		return
+	}
+	if secure, ok := conn.(*tls.Conn); ok {
+		conn = secure.NetConn() // without TLS's own sign of an orderly end
+	}
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = conn.Close()
+}
+
 // attemptAll makes attempts until one is answered, the verdict or the budget
 // forbids another, or the deadline passes.
 func (g *Gateway) attemptAll(c *call, pass *admission.Pass, deliver deliver) (final bool, err error) {
--- a/request/gateway/call.go
+++ b/request/gateway/call.go
@@ -79,6 +79,9 @@
 	if c.in.Method == http.MethodConnect || c.in.RequestURI == "*" {
 		return refuse(http.StatusMethodNotAllowed, CodeBadRequest, errNoPath)
 	}
+	if wantsWebSocket(h) {
+		return refuse(http.StatusNotImplemented, CodeUpgrade, errUpgrade)
+	}
 	c.service = ServiceName(h.Get(ServiceHeader), c.in.Host)
 	job, failure := findService(g.opts.Config.Current(), c.service)
 	if failure != nil {
--- a/request/gateway/keyed.go
+++ b/request/gateway/keyed.go
@@ -51,7 +51,7 @@
 	c.in.Trailer = nil
 	req := idem.Request{
 		Key:           idem.Key{Team: c.identity.Team, Service: c.service, Text: c.key},
-		Fingerprint:   idem.FingerprintOf(c.in.Method, c.in.URL.RequestURI(), c.in.Header.Get("Content-Type"), data),
+		Fingerprint:   idem.FingerprintOf(c.in, c.identity.name(), data),
 		NonIdempotent: !c.idempotent,
 	}
 	g.findHome(c, req)
@@ -162,6 +162,7 @@
 		return final, err
 	}
 	forward.RemoveHopHeaders(a.Header)
+	forward.RemoveReserved(a.Header)
 	answer := &idem.Answer{Status: a.Status, Header: a.Header, Body: body}
 	attempt.Finish(answer)
 	c.writeKept(answer)
@@ -177,7 +178,7 @@
 	for name, values := range answer.Header {
 		h[name] = values
 	}
-	if c.in.Method != http.MethodHead {
+	if c.in.Method != http.MethodHead && answer.Status != http.StatusNoContent && answer.Status != http.StatusNotModified {
 		h["Content-Length"] = []string{strconv.Itoa(len(answer.Body))}
 	}
 	c.answerHeader(verdict.Ran)
--- a/request/gateway/parse.go
+++ b/request/gateway/parse.go
@@ -28,6 +28,7 @@
 	CodeBodyTooLarge   = "body_too_large"
 	CodeBodyTimeout    = "body_timeout"
 	CodeKeysOff        = "keys_not_served"
+	CodeUpgrade        = "upgrade_not_served"
 	CodeDraining       = "draining"
 	CodeOverloaded     = "overloaded"
 	CodePeerNotAllowed = "peer_not_authenticated"
@@ -38,6 +39,7 @@
 
 var (
 	errNoService = errors.New("no such service")
+	errUpgrade   = errors.New("connections are not switched to another protocol")
 	errNoPath    = errors.New("requests without a path are not served")
 )
 
@@ -64,6 +66,19 @@
 	return label
 }
 
+// wantsWebSocket reports whether the caller can do nothing with a plain answer.
+// Other upgrades, such as to HTTP/2, are offers that a server may ignore.
+func wantsWebSocket(h http.Header) bool {
+	for _, line := range h["Upgrade"] {
+		for protocol := range strings.SplitSeq(line, ",") {
+			if strings.EqualFold(strings.TrimSpace(protocol), "websocket") {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // ParseTimeout returns the value of the timeout header, limit when it is empty
 // or asks for more than limit.
 func ParseTimeout(s string, limit time.Duration) (time.Duration, error) {
