Never give a kept answer to another caller

Cause: the fingerprint of a key held method, target, content type and body, but neither the caller nor its credentials, so two callers with the same key text and body got one answer. Keys logged by an earlier release are told key_reused when they come back.

--- a/request/idem/api.go
+++ b/request/idem/api.go
@@ -12,10 +12,11 @@
 
 import (
 	"context"
+	"crypto/sha256"
 	"encoding/binary"
+	"hash"
 	"net/http"
-
-	"github.com/cespare/xxhash/v2"
+	"strconv"
 
 	"fennelshunt.example/fennelshunt/process/fleet"
 )
@@ -28,20 +29,40 @@
 	Text    string
 }
 
-// Fingerprint is a hash of what a request asks for. A key that comes back with
-// another fingerprint is refused, because its answer would be a wrong one.
+// Fingerprint is a hash of what a request asks for and for whom. A key that
+// comes back with another fingerprint is refused, because its answer would be a
+// wrong one.
 type Fingerprint uint64
 
-// FingerprintOf hashes the parts of a request that decide what it does.
-func FingerprintOf(method, target, contentType string, body []byte) Fingerprint {
-	d := xxhash.New()
-	for _, part := range [][]byte{[]byte(method), []byte(target), []byte(contentType), body} {
-		var length [8]byte
-		binary.LittleEndian.PutUint64(length[:], uint64(len(part)))
-		_, _ = d.Write(length[:])
-		_, _ = d.Write(part)
+// FingerprintOf hashes what decides what a request does and who may see its
+// answer: method, target, content type, credentials, body, and the name that
+// the caller goes by, empty for none.
+//
+// What goes wrong without credentials and name: two callers that take the same
+// text for a key and ask the same get one answer, made for the first of them.
+// The hash is a cryptographic one, because callers choose what is hashed.
+func FingerprintOf(r *http.Request, caller string, body []byte) Fingerprint {
+	h := sha256.New()
+	for _, part := range []string{r.Method, r.URL.RequestURI(), r.Header.Get("Content-Type"), caller} {
+		writePart(h, []byte(part))
+	}
+	for _, name := range []string{"Authorization", "Cookie"} {
+		writePart(h, []byte(strconv.Itoa(len(r.Header[name]))))
+		for _, value := range r.Header[name] {
+			writePart(h, []byte(value))
+		}
 	}
-	return Fingerprint(d.Sum64())
+	writePart(h, body)
+	return Fingerprint(binary.LittleEndian.Uint64(h.Sum(nil)))
+}
+
+// writePart hashes a part with its length, so that no two lists of parts look
+// the same.
+func writePart(h hash.Hash, part []byte) {
+	var length [8]byte
+	binary.LittleEndian.PutUint64(length[:], uint64(len(part)))
+	_, _ = h.Write(length[:])
+	_, _ = h.Write(part)
 }
 
 // Request is one arrival of a key.
--- a/request/idem/manager.go
+++ b/request/idem/manager.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"crypto/sha256"
-	"encoding/binary"
 	"errors"
 	"fmt"
 	"net/http"
@@ -89,10 +88,7 @@
 func (k Key) hash() keyHash {
 	h := sha256.New()
 	for _, part := range []string{k.Team, k.Service, k.Text} {
-		var length [8]byte
-		binary.LittleEndian.PutUint64(length[:], uint64(len(part)))
-		h.Write(length[:])
-		h.Write([]byte(part))
+		writePart(h, []byte(part))
 	}
 	return keyHash(h.Sum(nil)[:16])
 }
