Let the balancer's stand-in close idle connections to a daemon that is not ready

Ruled out: the drain, which waits for requests; the daemon can not announce the end of an idle HTTP/1.1 connection.

--- a/standin/cell/balancer.go
+++ b/standin/cell/balancer.go
@@ -61,10 +61,38 @@
 	return res.StatusCode == http.StatusOK
 }
 
+// checkInterval is the time between two readiness checks of a daemon.
+const checkInterval = 200 * time.Millisecond
+
 // Transport returns a transport whose connections go through the balancer. The
-// host of a request's URL is not used.
+// host of a request's URL is not used. When a daemon's readiness fails the idle
+// connections are closed, as a balancer does: a request on a connection that
+// its daemon closes in the same moment gets no answer, and nobody could tell
+// whether it ran.
 func (b *Balancer) Transport() *http.Transport {
-	return &http.Transport{DialContext: b.dial, MaxIdleConnsPerHost: 256, IdleConnTimeout: 10 * time.Second}
+	t := &http.Transport{DialContext: b.dial, MaxIdleConnsPerHost: 256, IdleConnTimeout: 10 * time.Second}
+	go b.watch(b.c.ctx, t)
+	return t
+}
+
+// watch closes the idle connections when a daemon stops being ready.
+func (b *Balancer) watch(ctx context.Context, t *http.Transport) {
+	was := map[*Entry]bool{}
+	tick := time.NewTicker(checkInterval)
+	defer tick.Stop()
+	for ctx.Err() == nil {
+		for _, e := range b.c.Entries() {
+			is := ready(ctx, e.CallerAddr())
+			if was[e] && !is {
+				t.CloseIdleConnections()
+			}
+			was[e] = is
+		}
+		select {
+		case <-ctx.Done():
+		case <-tick.C:
+		}
+	}
 }
 
 // Apply applies a configuration file through the store, as an operator's tool
