Keep serving a key shard that could not be handed over

Cause: Releasing dropped the shard also when it failed, while the ownership manager keeps the claim; its keys were refused, and a request that ended whole afterwards was told outcome_unknown.

--- a/request/idem/manager.go
+++ b/request/idem/manager.go
@@ -165,7 +165,10 @@
 }
 
 // Releasing implements ownership.User: it begins nothing new, waits for the
-// requests that run under this home, and makes their ends durable.
+// requests that run under this home, and makes their ends durable. When that
+// does not succeed the claim stays this daemon's, and so does the shard: it
+// begins requests again. If it dropped the shard nobody would serve its keys,
+// and a request that still runs would be told outcome_unknown.
 func (m *Manager) Releasing(ctx context.Context, r ownership.Resource) error {
 	n, ok := shardOf(r)
 	if !ok {
@@ -175,13 +178,13 @@
 	if s == nil {
 		return nil
 	}
-	err := s.drain(ctx)
+	if err := s.drain(ctx); err != nil {
+		s.resume()
+		return fmt.Errorf("release %s: %w", r, err)
+	}
 	if m.shards[n].CompareAndSwap(s, nil) {
 		s.close()
 	}
-	if err != nil {
-		return fmt.Errorf("release %s: %w", r, err)
-	}
 	return nil
 }
 
--- a/request/idem/shard.go
+++ b/request/idem/shard.go
@@ -261,15 +261,24 @@
 	s.mu.Lock()
 	s.draining = true
 	s.signalIdle()
+	idle := s.idle
 	s.mu.Unlock()
 	select {
-	case <-s.idle:
+	case <-idle:
 	case <-ctx.Done():
 		return fmt.Errorf("requests with keys still run: %w", ctx.Err())
 	}
 	return s.log.flush(ctx)
 }
 
+// resume begins requests again after a drain that did not succeed.
+func (s *shard) resume() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.draining = false
+	s.idle = make(chan struct{})
+}
+
 // close stops the log and drops the keys. Requests that run go on and end by
 // their entries; nothing new begins.
 func (s *shard) close() {
