Give idle slot credits back on a planned stop

Change: slots.Manager.ReturnIdle gives them back, waits until the pools have answered and keeps none from then on; a planned stop calls it when the gateway has drained, before the membership ends, bounded by 3 s.

--- a/process/daemon/life.go
+++ b/process/daemon/life.go
@@ -27,6 +27,8 @@
 	// confirmPart is the part of the member lease for which a suspected member
 	// may still answer before the store is asked whether its lease lapsed.
 	confirmPart = 2
+	// returnTimeout bounds the return of idle slot credits on a planned stop.
+	returnTimeout = 3 * time.Second
 	// leaveTimeout bounds the last messages of a planned stop.
 	leaveTimeout = 5 * time.Second
 	// drainGrace is how long the daemon serves on after its readiness check
@@ -193,16 +195,19 @@
 
 // stop is the planned end of a life. Readiness fails first, so that the
 // balancer goes elsewhere; then requests finish while resources are handed
-// over; the membership ends last, because handing over needs it.
+// over and idle slot credits go back; the membership ends last, because both
+// need it.
 func (l *life) stop(ctx context.Context) error {
 	l.log.Info().Msg("planned stop: draining")
 	var g errgroup.Group
 	g.Go(func() error { return l.path.gateway.Drain(ctx, drainGrace) })
 	g.Go(func() error {
-		err := l.fleet.Drain(ctx)
-		return errors.Join(err, l.owners.Leave(ctx))
+		handed := l.ownedNow()
+		err := errors.Join(l.fleet.Drain(ctx), l.owners.Leave(ctx))
+		l.awaitSuccessors(ctx, handed)
+		return err
 	})
-	err := g.Wait()
+	err := errors.Join(g.Wait(), l.returnIdle(context.WithoutCancel(ctx)))
 	leaveCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), leaveTimeout)
 	defer cancel()
 	err = errors.Join(err, l.fleet.Leave(leaveCtx))
@@ -212,6 +217,12 @@
 	return err
 }
 
+func (l *life) returnIdle(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, returnTimeout)
+	defer cancel()
+	return l.path.slots.ReturnIdle(ctx)
+}
+
 // fleetService ends the whole life when the fleet says that it is over.
 //
 // What goes wrong otherwise: a supervisor that restarts the fleet alone would
--- a/request/slots/holder.go
+++ b/request/slots/holder.go
@@ -56,6 +56,7 @@
 	calls      int       // reports under way
 	renewed    bool      // with this owner
 	again      bool      // something changed that no report has told
+	leaving    bool      // keeps no idle credit any more
 	lastReport time.Time
 	lastAsked  time.Time // of a reserve
 }
@@ -264,10 +265,11 @@
 	}
 }
 
-// keepable reports whether the credit's instance still takes new requests.
+// keepable reports whether an idle credit may stay here: its instance still
+// takes new requests and this daemon is not leaving.
 func (h *holder) keepable(c *credit) bool {
 	e, ok := h.endpoints[c.instance]
-	return ok && !e.Leaving
+	return ok && !e.Leaving && !h.leaving
 }
 
 // othersFirst reports whether a request elsewhere has waited so much longer
--- /dev/null
+++ b/request/slots/leave_test.go
@@ -0,0 +1,77 @@
+package slots
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// reserveAt makes the daemon keep idle credits and a used one.
+func (c *cell) reserveAt(d *daemon) (used Slot) {
+	held := c.hold(d, 20)
+	time.Sleep(time.Second)
+	for _, s := range held[1:] {
+		s.Release(Ended)
+	}
+	time.Sleep(2 * time.Second)
+	return held[0]
+}
+
+// Symptom: during a rolling upgrade callers wait though slots stand idle.
+// Sequence: a daemon that keeps a reserve of idle credits leaves as planned;
+// perhaps a call is lost, or the pool has just got a new owner.
+// Cause: nobody gave the credits back; they count as taken until they lapse.
+func TestPlannedStopGivesIdleCreditsBack(t *testing.T) {
+	for name, disturb := range map[string]func(*cell){
+		"same owner": func(*cell) {},
+		"loss":       func(c *cell) { c.net.SetLoss(0.2) },
+		"new owner": func(c *cell) {
+			if err := c.daemons["d0"].Releasing(c.t.Context(), serviceResource(testService)); err != nil {
+				c.t.Error(err)
+			}
+			c.claims.Release(serviceResource(testService))
+			c.own(c.daemons["d2"])
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCell(t, 1, 3)
+				defer c.close()
+				c.setEndpoints(4, 8)
+				c.own(c.daemons["d0"])
+				time.Sleep(time.Second)
+				c.reserveAt(c.daemons["d1"])
+				disturb(c)
+				ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+				defer cancel()
+				require.NoError(t, c.daemons["d1"].ReturnIdle(ctx))
+				c.net.SetLoss(0)
+				c.crash("d1")
+				time.Sleep(2 * time.Second)
+				// The used one's request may still run.
+				require.Equal(t, 31, c.takeable(c.daemons["d2"]))
+			})
+		})
+	}
+}
+
+// Symptom: a planned stop does not end while the owner of a pool is away.
+// Sequence: a daemon leaves when the owner of its credits can not be reached.
+// Cause: it waits for an answer without a bound.
+func TestReturnOfIdleCreditsIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCell(t, 1, 2)
+		defer c.close()
+		c.setEndpoints(4, 8)
+		c.own(c.daemons["d0"])
+		time.Sleep(time.Second)
+		c.reserveAt(c.daemons["d1"])
+		c.crash("d0")
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		defer cancel()
+		require.ErrorIs(t, c.daemons["d1"].ReturnIdle(ctx), context.DeadlineExceeded)
+	})
+}
--- a/request/slots/terms.go
+++ b/request/slots/terms.go
@@ -9,6 +9,9 @@
 // takeTerms takes what the pool sent. The caller holds mu.
 func (h *holder) takeTerms(t terms, now time.Time) {
 	h.target, h.contended = t.Target, t.Contended
+	if h.leaving {
+		h.target = 0
+	}
 	h.oldest = time.Time{}
 	if t.OldestMicros > 0 {
 		h.oldest = now.Add(-fromMicros(t.OldestMicros))
@@ -51,7 +54,7 @@
 	h.seen = max(h.seen, t.Batch)
 	for _, g := range t.Grants {
 		e, known := h.endpoints[g.Instance]
-		if late || !known || e.Leaving {
+		if late || !known || e.Leaving || h.leaving {
 			h.returned = append(h.returned, g.ID)
 			continue
 		}
