Wait for the next home of a key when its home is stopping

Change: 'draining' of the home is looked at like a home that is not ready; the wait is the ownership manager's release timeout and 2 s, within the deadline.

--- /dev/null
+++ b/request/gateway/home_test.go
@@ -0,0 +1,50 @@
+package gateway
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"fennelshunt.example/fennelshunt/process/ownership"
+	"fennelshunt.example/fennelshunt/request/idem"
+)
+
+// keyElsewhere returns a key whose home, seen from the first daemon, is another one.
+func (c *cell) keyElsewhere(t *testing.T) string {
+	t.Helper()
+	for i := range 1000 {
+		key := fmt.Sprintf("order-%d", i)
+		if _, self, ok := c.keys[0].Home(idem.Key{Service: testService, Text: key}); ok && !self {
+			return key
+		}
+	}
+	t.Fatal("every key's home is the first daemon")
+	return ""
+}
+
+func TestKeyedRequestsAreServedWhileTheirHomeDrains(t *testing.T) {
+	// Symptom: callers are refused during a planned upgrade though other
+	//   daemons serve.
+	// Sequence: the home of a key has begun to refuse; its claim moves later.
+	// Cause: the home's refusal "draining" is passed on to the caller instead of
+	//   looking for the home again.
+	c := newCell(t, 2, 1, Options{})
+	key := c.keyElsewhere(t)
+	c.gateways[1].state.Store(refusing)
+	answer := make(chan result, 1)
+	go func() { answer <- do(t, "POST", c.urls[0], key, "x", KeyHeader, key) }()
+	refused := func() bool { return c.gateways[1].counts.Codes.Get(CodeDraining) != nil }
+	require.Eventually(t, refused, 10*time.Second, time.Millisecond)
+	c.kill(t, 1, 0)
+	r := <-answer
+	require.NoError(t, r.err)
+	require.Equal(t, http.StatusOK, r.status, "%s", r.body)
+	require.Equal(t, 1, c.runs(key))
+}
+
+func TestHomeIsAwaitedForAsLongAsItMayTakeToMove(t *testing.T) {
+	require.Greater(t, DefaultHomeWait, ownership.DefaultReleaseTimeout)
+}
--- a/request/gateway/keyed.go
+++ b/request/gateway/keyed.go
@@ -105,8 +105,11 @@
 	return true, nil
 }
 
-// elsewhere reports whether an error says that the home changes hands.
-func elsewhere(code string) bool { return code == idem.CodeNotHome || code == idem.CodeNoHome }
+// elsewhere reports whether an error says that the home changes hands: the
+// claim of a home that is stopping is another daemon's soon.
+func elsewhere(code string) bool {
+	return code == idem.CodeNotHome || code == idem.CodeNoHome || code == CodeDraining
+}
 
 // runKeyed runs the key's request. It goes on when this caller goes away,
 // because others may have joined.
--- a/request/gateway/options.go
+++ b/request/gateway/options.go
@@ -7,6 +7,7 @@
 	"github.com/rs/zerolog"
 
 	"fennelshunt.example/fennelshunt/connection/peer"
+	"fennelshunt.example/fennelshunt/process/ownership"
 	"fennelshunt.example/fennelshunt/request/admission"
 	"fennelshunt.example/fennelshunt/request/forward"
 	"fennelshunt.example/fennelshunt/request/idem"
@@ -46,7 +47,9 @@
 	DefaultRewindBody    = 64 << 10
 	DefaultBodyTimeout   = 10 * time.Second
 	DefaultMaxConcurrent = 4096
-	DefaultHomeWait      = 2 * time.Second
+	// DefaultHomeWait covers a home that is stopping, which may hold its keys
+	// until its requests have ended, and the new owner's claim.
+	DefaultHomeWait = ownership.DefaultReleaseTimeout + 2*time.Second
 )
 
 // Observer learns of every request's end, for the report on service-level
@@ -110,7 +113,8 @@
 	BodyTimeout time.Duration
 	// MaxConcurrent bounds the requests of this daemon, waiting ones included.
 	MaxConcurrent int
-	// HomeWait bounds the wait for a key's home to become known.
+	// HomeWait bounds the wait for a key's home that changes hands; the
+	// request's deadline does too.
 	HomeWait time.Duration
 }
 
