Bound each caller's and team's share of the requests in progress

Cause: requests count as in progress before their body has arrived, and one caller could have all of them, so that every other was refused as overloaded. Change: one caller gets at most half, one team at most three quarters; more is refused 'overloaded', not run. Requests forwarded by a daemon count where they arrived. Before: 64 connections that send no body filled MaxConcurrent 64 (the test's condition is never met); after: 32 (48 with invented names) and others are served.

--- a/request/gateway/call.go
+++ b/request/gateway/call.go
@@ -46,6 +46,8 @@
 	reply reply
 	left  atomic.Bool // no longer counted as in progress
 
+	counted bool // in its caller's and its team's share
+
 	// What most requests need, allocated with the call.
 	firstBody body
 	firstWait waitContext
@@ -59,6 +61,9 @@
 func (g *Gateway) leave(c *call) {
 	if c.left.CompareAndSwap(false, true) {
 		g.inFlight.Add(-1)
+		if c.counted {
+			g.shares.leave(c.share())
+		}
 	}
 }
 
@@ -164,6 +169,8 @@
 	return c.team.Name
 }
 
+func (c *call) share() share { return share{c.teamName(), c.identity.Caller} }
+
 // remaining returns the time until the deadline.
 func (c *call) remaining() time.Duration { return time.Until(c.deadline) }
 
--- a/request/gateway/gateway.go
+++ b/request/gateway/gateway.go
@@ -35,6 +35,7 @@
 	idSeq    atomic.Uint64
 
 	inFlight atomic.Int64
+	shares   shares
 	state    atomic.Int32
 	counts   Counters
 
@@ -54,11 +55,13 @@
 // New returns a gateway that serves at once.
 func New(o Options) *Gateway {
 	o.setDefaults()
-	return &Gateway{
+	g := &Gateway{
 		opts:     o,
 		idPrefix: uuid.NewString()[:8] + "-",
 		budgets:  map[string]*retry.Budget{},
 	}
+	g.shares.init(o.MaxConcurrent)
+	return g
 }
 
 // ServeHTTP serves callers.
@@ -119,6 +122,10 @@
 	if c.forwarded {
 		return nil // counted where it arrived
 	}
+	if err := g.shares.enter(c.share()); err != nil {
+		return refuse(http.StatusServiceUnavailable, CodeOverloaded, err)
+	}
+	c.counted = true
 	teamRate := 0.0
 	if c.team != nil {
 		teamRate = c.team.RequestsPerSecond
