Bound a planned stop by the longest request, and write answers whole

Cause: a planned stop was cut after the drain setting (60 s), though a service may allow its requests more; and the servers closed their connections as soon as the gateway's count of requests was 0, which falls before net/http has written the last bytes.

Change: the daemon itself bounds the stop by the larger of drain and the longest attempt that may be under way (slots.Manager.LongestAttempt, which follows a lowered limit late) with the grace and 10 s for handing over. On a planned stop servers shut down in good order within 3 s, then close; the process waits for that. After an eviction the same bound holds.

--- a/cmd/fennelshuntd/main.go
+++ b/cmd/fennelshuntd/main.go
@@ -73,13 +73,11 @@
 	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
 	go func() {
 		<-signals
-		stopCtx, stopped := context.WithTimeout(ctx, o.Settings.Drain.Std())
-		defer stopped()
 		go func() {
 			<-signals
 			cancel()
 		}()
-		if err := d.Stop(stopCtx); err != nil {
+		if err := d.Stop(ctx); err != nil {
 			o.Log.Warn().Err(err).Msg("planned stop was cut short")
 			cancel()
 		}
--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -184,12 +184,15 @@
 
 // Stop ends the daemon as planned: it tells the balancer and the peers, takes
 // no new work, finishes the requests in flight, hands its resources over and
-// leaves. ctx bounds it; what is not finished then is cut.
+// leaves. What is not finished when ctx ends, or after the drain setting, is
+// cut; requests may always take as long as their service allows.
 func (d *Daemon) Stop(ctx context.Context) error {
 	l := d.life.Load()
 	if l == nil {
 		return ErrStopped
 	}
+	ctx, cancel := context.WithTimeout(ctx, l.stopBound())
+	defer cancel()
 	return l.stop(ctx)
 }
 
--- a/process/daemon/http.go
+++ b/process/daemon/http.go
@@ -3,11 +3,15 @@
 import (
 	"context"
 	"crypto/tls"
-	"errors"
 	"net"
 	"net/http"
+	"time"
 )
 
+// flushTimeout bounds the writing of answers that a planned stop has drained;
+// the supervisor waits longer, for leaveTimeout.
+const flushTimeout = 3 * time.Second
+
 // httpService serves a listener that outlives the service.
 type httpService struct {
 	l        *life
@@ -22,36 +26,57 @@
 
 // Serve implements suture.Service.
 func (h *httpService) Serve(ctx context.Context) error {
-	stop := context.AfterFunc(ctx, h.end)
-	defer stop()
+	ended := make(chan struct{})
+	stop := context.AfterFunc(ctx, func() {
+		defer close(ended)
+		h.end()
+	})
+	defer func() {
+		if !stop() {
+			<-ended // the process ends when every service has
+		}
+	}()
 	h.server.ErrorLog = errorLog(h.l.log)
 	var l net.Listener = &keptListener{Listener: h.listener, ctx: ctx}
 	if h.tls != nil {
 		l = tls.NewListener(l, h.tls)
 	}
 	err := h.server.Serve(l)
-	if errors.Is(err, http.ErrServerClosed) {
-		return ctx.Err()
+	if ctx.Err() != nil {
+		return ctx.Err() // the listener may have closed before the server
 	}
 	return err
 }
 
-// end cuts the connections when the daemon ends: a planned stop has drained
-// them before. When only this life is over, because the others took it for
-// gone, the requests at endpoints finish beside the next life. What goes wrong
-// otherwise: a daemon that was starved of its processor for a few seconds cuts
-// every request in flight, and non-idempotent ones end as "may have run". Their
-// slots count as taken at the pool until the requests' own time limit, so
-// finishing them exceeds nothing.
+// end ends the connections.
+//
+// A planned stop has drained them before, but the last bytes of an answer may
+// not have left yet: the gateway's count of requests falls before net/http has
+// written them. One would notice a truncated answer at an upgrade.
+//
+// When only this life is over, because the others took it for gone, the
+// requests at endpoints finish beside the next life. What goes wrong otherwise:
+// a daemon that was starved of its processor for a few seconds cuts every
+// request in flight, and non-idempotent ones end as "may have run". Their slots
+// count as taken at the pool until slots.AttemptLimit is over, by when every
+// attempt has ended, so finishing them exceeds nothing.
+//
+// When the process ends unplanned nothing is left to report to.
 func (h *httpService) end() {
-	if h.l.fatal.Load() == nil {
-		_ = h.server.Close() // nothing is left to report to
-		return
-	}
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), h.l.d.o.Settings.Drain.Std())
-		defer cancel()
-		_ = h.server.Shutdown(ctx) // what has not ended by then is cut
+	switch {
+	case h.l.fatal.Load() != nil:
+		go h.shutdown(h.l.stopBound())
+	case h.l.left.Load():
+		h.shutdown(flushTimeout)
+	default:
 		_ = h.server.Close()
-	}()
+	}
+}
+
+// shutdown lets connections finish within the limit and cuts the others.
+func (h *httpService) shutdown(limit time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	_ = h.server.Shutdown(ctx) // what has not ended by then is cut
+	_ = h.server.Close()
 }
--- /dev/null
+++ b/process/daemon/stop_test.go
@@ -0,0 +1,77 @@
+package daemon
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// testTimeout is far longer than anything here takes.
+const testTimeout = 20 * time.Second
+
+func receive[T any](t *testing.T, c <-chan T, what string) (v T) {
+	t.Helper()
+	select {
+	case v = <-c:
+	case <-time.After(testTimeout):
+		require.Fail(t, "nothing came", what)
+	}
+	return v
+}
+
+// Symptom: at an upgrade a caller gets a truncated answer.
+// Sequence: the gateway has counted the last request as ended, net/http still
+// writes the answer; the planned stop ends the servers.
+// Cause: the connections are closed at once, and the process ends.
+func TestPlannedStopWritesLastBytes(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer listener.Close()
+	begun, finish, shutdown := make(chan struct{}), make(chan struct{}), make(chan struct{})
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		close(begun)
+		<-finish
+		_, _ = io.WriteString(w, "whole")
+	})}
+	server.RegisterOnShutdown(func() { close(shutdown) })
+	l := &life{}
+	l.left.Store(true)
+	ctx, cancel := context.WithCancel(t.Context())
+	served := make(chan error, 1)
+	go func() { served <- (&httpService{l: l, server: server, listener: listener}).Serve(ctx) }()
+	body := make(chan string, 1)
+	go func() {
+		var data []byte
+		resp, err := http.Get("http://" + listener.Addr().String())
+		if err == nil {
+			data, _ = io.ReadAll(resp.Body)
+			_ = resp.Body.Close()
+		}
+		body <- string(data)
+	}()
+	receive(t, begun, "request")
+	cancel()
+	receive(t, shutdown, "shutdown in good order")
+	require.Empty(t, served, "the service ends after its answers")
+	close(finish)
+	require.Equal(t, "whole", receive(t, body, "answer"))
+	require.ErrorIs(t, receive(t, served, "end of the service"), context.Canceled)
+}
+
+// Symptom: a planned stop cuts slow requests.
+// Sequence: a service allows requests more time than the drain setting.
+// Cause: the stop is bounded by the setting alone.
+func TestStopBoundCoversLongestRequest(t *testing.T) {
+	for _, c := range []struct{ drain, attempt, want time.Duration }{
+		{time.Minute, 0, time.Minute},
+		{time.Minute, 20 * time.Second, time.Minute},
+		{time.Minute, 10 * time.Minute, 10*time.Minute + drainGrace + handOverMargin},
+	} {
+		require.Equal(t, c.want, stopBound(c.drain, c.attempt))
+	}
+}
--- a/request/slots/limits.go
+++ b/request/slots/limits.go
@@ -1,6 +1,8 @@
 package slots
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -37,6 +39,10 @@
 	}
 }
 
+// LongestAttempt returns how long an attempt that is under way on this daemon
+// may last at most, over all services; 0 when it has served none.
+func (m *Manager) LongestAttempt() time.Duration { return m.limits.longest() }
+
 // limits remembers the time limits of services.
 //
 // What could go wrong: the operators lower a service's limit, or remove the
@@ -59,21 +65,45 @@
 	return &limits{now: now, kept: map[string]keptLimit{}}
 }
 
+// longest returns the longest limit, over all services that this daemon served,
+// under which requests may still run.
+func (l *limits) longest() time.Duration {
+	l.mu.Lock()
+	services := slices.Collect(maps.Keys(l.kept))
+	l.mu.Unlock()
+	var longest time.Duration
+	for _, service := range services {
+		if limit, ok := l.lookup(service); ok {
+			longest = max(longest, limit)
+		}
+	}
+	return longest
+}
+
 // of returns the longest limit of the service under which requests may still
-// run; DefaultRequestLimit for a service that was never known.
+// run; that of a service without a limit of its own when it is not known.
 func (l *limits) of(service string) time.Duration {
+	if limit, ok := l.lookup(service); ok {
+		return limit
+	}
+	return AttemptLimit(DefaultRequestLimit)
+}
+
+// lookup is of; false when the service is not known, or was removed so long ago
+// that every request has ended.
+func (l *limits) lookup(service string) (time.Duration, bool) {
 	current, known := l.now(service)
 	now := time.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	kept, ok := l.kept[service]
 	if ok && (!known || kept.limit > current) && now.Before(kept.until) {
-		return kept.limit
+		return kept.limit, true
 	}
 	if !known {
 		delete(l.kept, service)
-		return DefaultRequestLimit
+		return 0, false
 	}
 	l.kept[service] = keptLimit{limit: current, until: now.Add(current + configurationLag)}
-	return current
+	return current, true
 }
--- a/request/slots/limits_test.go
+++ b/request/slots/limits_test.go
@@ -122,3 +122,27 @@
 		require.False(t, ok, name)
 	}
 }
+
+// Symptom: a planned stop cuts a request that is allowed to run longer.
+// Sequence: request_timeout is lowered, or the service removed, while requests
+// run; then the daemon stops.
+// Cause: the bound of the stop follows the new limit at once.
+func TestLongestAttemptFollowsChangesLate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		inForce := map[string]time.Duration{"a": 10 * time.Second, "b": time.Minute}
+		l := newLimits(func(service string) (time.Duration, bool) {
+			d, ok := inForce[service]
+			return d, ok
+		})
+		require.Zero(t, l.longest())
+		l.of("a")
+		l.of("b")
+		require.Equal(t, time.Minute, l.longest())
+		inForce["b"] = time.Second
+		time.Sleep(time.Minute)
+		require.Equal(t, time.Minute, l.longest())
+		delete(inForce, "a")
+		time.Sleep(2 * time.Minute)
+		require.Equal(t, time.Second, l.longest(), "removed or lowered long ago")
+	})
+}
