Bound the bodies of requests with keys that are in memory together

Cause: these bodies are read before admission and were bounded only by the number of requests: 4096 of 1 MB. Change: a weighted semaphore of 64 MB (option KeyedBodyMemory), half of it for one caller; memory is taken as the body arrives, so that announcing one holds 4 KB at most; beyond it a request is refused 'overloaded', not run.

--- a/request/gateway/body.go
+++ b/request/gateway/body.go
@@ -161,20 +161,18 @@
 	return b.err == io.EOF
 }
 
-// readWhole reads the whole body into memory, up to limit.
-func (b *body) readWhole(limit int64) ([]byte, error) {
+// readWhole reads the whole body, of size bytes or -1 when that is not known,
+// into memory taken from r, up to limit.
+func (b *body) readWhole(size, limit int64, r *reservation) ([]byte, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.err == io.EOF {
 		return b.kept, nil
 	}
 	b.arm()
-	data, err := io.ReadAll(io.LimitReader(b.src, limit+1))
+	defer b.disarm()
+	data, err := readAll(b.src, size, limit, r)
 	b.read = int64(len(data))
-	b.disarm()
-	if err == nil && int64(len(data)) > limit {
-		err = errBodyTooLarge
-	}
 	return data, err
 }
 
@@ -195,6 +193,8 @@
 	switch {
 	case errors.Is(err, errBodyTooLarge):
 		return refuse(http.StatusRequestEntityTooLarge, CodeBodyTooLarge, err)
+	case errors.Is(err, errBodyMemory):
+		return refuse(http.StatusServiceUnavailable, CodeOverloaded, err)
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return refuse(http.StatusRequestTimeout, CodeBodyTimeout, errors.New("the body did not arrive in time"))
 	default:
--- a/request/gateway/gateway.go
+++ b/request/gateway/gateway.go
@@ -36,6 +36,7 @@
 
 	inFlight atomic.Int64
 	shares   shares
+	bodies   bodyMemory
 	state    atomic.Int32
 	counts   Counters
 
@@ -61,6 +62,7 @@
 		budgets:  map[string]*retry.Budget{},
 	}
 	g.shares.init(o.MaxConcurrent)
+	g.bodies.init(o.KeyedBodyMemory)
 	return g
 }
 
--- a/request/gateway/gateway_test.go
+++ b/request/gateway/gateway_test.go
@@ -8,7 +8,6 @@
 	"log"
 	"net/http"
 	"net/http/httptest"
-	"os"
 	"strings"
 	"sync"
 	"testing"
@@ -17,6 +16,7 @@
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
+	"fennelshunt.example/fennelshunt/internal/rapidtest"
 	"fennelshunt.example/fennelshunt/process/plan"
 	"fennelshunt.example/fennelshunt/request/forward"
 	"fennelshunt.example/fennelshunt/request/slots"
@@ -151,7 +151,7 @@
 
 func TestMain(m *testing.M) {
 	log.SetOutput(io.Discard) // net/http reports answers that nobody asked for
-	os.Exit(m.Run())
+	rapidtest.MainChecks(m, 200)
 }
 
 type result struct {
--- a/request/gateway/keyed.go
+++ b/request/gateway/keyed.go
@@ -37,7 +37,9 @@
 		c.fail(refuse(http.StatusNotImplemented, CodeKeysOff, errKeysOff))
 		return
 	}
-	data, err := c.body.readWhole(g.opts.MaxKeyedBody)
+	held := &reservation{memory: &g.bodies, holder: c.share()}
+	defer held.free()
+	data, err := c.body.readWhole(c.in.ContentLength, g.opts.MaxKeyedBody, held)
 	if err != nil {
 		c.fail(bodyError(err))
 		return
--- /dev/null
+++ b/request/gateway/memory_test.go
@@ -0,0 +1,96 @@
+package gateway
+
+import (
+	"bytes"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"testing/iotest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+func TestReadAllIsThatOfIO(t *testing.T) {
+	const limit = 40 << 10
+	rapid.Check(t, func(t *rapid.T) {
+		data := bytes.Repeat([]byte("x"), rapid.IntRange(0, limit+100).Draw(t, "size"))
+		size := rapid.SampledFrom([]int64{-1, int64(len(data)), int64(len(data)) + 1}).Draw(t, "announced")
+		source := io.Reader(bytes.NewReader(data))
+		if rapid.Bool().Draw(t, "early end") {
+			source = iotest.DataErrReader(source)
+		}
+		var m bodyMemory
+		m.init(4 * limit)
+		r := &reservation{memory: &m}
+		got, err := readAll(source, size, limit, r)
+		switch {
+		case size > limit || len(data) > limit:
+			require.ErrorIs(t, err, errBodyTooLarge)
+		case size > int64(len(data)):
+			require.ErrorIs(t, err, io.ErrUnexpectedEOF)
+		default:
+			require.NoError(t, err)
+			require.True(t, bytes.Equal(data, got))
+		}
+		require.Equal(t, int64(cap(got)), r.size, "what is held is what was taken")
+		r.free()
+		require.Empty(t, m.callers)
+		require.True(t, m.total.TryAcquire(4*limit), "all of it is free again")
+	})
+}
+
+func TestKeyedBodiesAreBoundedTogether(t *testing.T) {
+	// Symptom: a daemon was killed for its memory.
+	// Sequence: an instance hangs; many callers send keyed requests with large
+	//   bodies.
+	// Cause: the bodies are held from before admission on, bounded only by the
+	//   number of requests: 4 GB.
+	const body = 64 << 10
+	c := newCell(t, 1, 0, Options{KeyedBodyMemory: 4 * body})
+	g, gate := c.gateways[0], make(chan struct{})
+	scripted(t, c.pool, func(conn net.Conn, _ *http.Request) {
+		<-gate
+		_, _ = io.WriteString(conn, emptyAnswer)
+	})
+	answers := make(chan result, 20)
+	send := func(caller string, i int) {
+		key := caller + strconv.Itoa(i)
+		answers <- do(t, "POST", c.urls[0], key, strings.Repeat("b", body), KeyHeader, key, CallerHeader, caller)
+	}
+	for _, caller := range []string{"flood", "officer", "late"} {
+		for i := range 4 {
+			go send(caller, i)
+		}
+	}
+	for range 8 {
+		r := <-answers
+		require.Equal(t, "not-run", r.verdict())
+		require.Equal(t, CodeOverloaded, r.header.Get("Fennel-Code"))
+	}
+	close(gate)
+	for range 4 {
+		require.Equal(t, http.StatusOK, (<-answers).status)
+	}
+	require.Eventually(t, func() bool { return g.InFlight() == 0 }, 10*time.Second, time.Millisecond)
+	require.Empty(t, g.bodies.callers)
+}
+
+func TestAnnouncedBodyHoldsNoMemory(t *testing.T) {
+	// Symptom: requests with keys are refused as overloaded on an idle daemon.
+	// Sequence: a caller announces large bodies and sends nothing.
+	// Cause: the memory of a body is taken when it is announced.
+	c := newCell(t, 1, 1, Options{KeyedBodyMemory: 2 << 20, MaxConcurrent: 100})
+	for i := range 16 {
+		raw(t, c.urls[0], "POST / HTTP/1.1\r\nHost: "+testService+"\r\nFennel-Caller: flood\r\nIdempotency-Key: "+
+			strconv.Itoa(i)+"\r\nContent-Length: 1000000\r\n\r\n")
+	}
+	g := c.gateways[0]
+	require.Eventually(t, func() bool { return g.InFlight() == 16 }, 10*time.Second, time.Millisecond)
+	r := do(t, "POST", c.urls[0], "k", strings.Repeat("b", 1<<20), KeyHeader, "k", CallerHeader, "officer")
+	require.Equal(t, http.StatusOK, r.status, "%s", r.body)
+}
--- a/request/gateway/options.go
+++ b/request/gateway/options.go
@@ -41,12 +41,13 @@
 
 // Defaults of Options.
 const (
-	DefaultTimeout       = 30 * time.Second
-	DefaultMaxBody       = 64 << 20
-	DefaultMaxKeyedBody  = 1 << 20
-	DefaultRewindBody    = 64 << 10
-	DefaultBodyTimeout   = 10 * time.Second
-	DefaultMaxConcurrent = 4096
+	DefaultTimeout         = 30 * time.Second
+	DefaultMaxBody         = 64 << 20
+	DefaultMaxKeyedBody    = 1 << 20
+	DefaultKeyedBodyMemory = 64 << 20
+	DefaultRewindBody      = 64 << 10
+	DefaultBodyTimeout     = 10 * time.Second
+	DefaultMaxConcurrent   = 4096
 	// DefaultHomeWait covers a home that is stopping, which may hold its keys
 	// until its requests have ended, and the new owner's claim.
 	DefaultHomeWait = ownership.DefaultReleaseTimeout + 2*time.Second
@@ -107,6 +108,9 @@
 	// MaxKeyedBody bounds the body of a request with an idempotency key, which
 	// is held in memory.
 	MaxKeyedBody int64
+	// KeyedBodyMemory bounds these bodies together, in bytes; one caller has at
+	// most half of it, so it should be at least twice MaxKeyedBody.
+	KeyedBodyMemory int64
 	// RewindBody is how much of a body is kept for another attempt, in bytes.
 	RewindBody int
 	// BodyTimeout bounds the wait for the next part of a caller's body.
@@ -122,6 +126,7 @@
 	setDefault(&o.Timeout, DefaultTimeout)
 	setDefault(&o.MaxBody, DefaultMaxBody)
 	setDefault(&o.MaxKeyedBody, DefaultMaxKeyedBody)
+	setDefault(&o.KeyedBodyMemory, DefaultKeyedBodyMemory)
 	setDefault(&o.RewindBody, DefaultRewindBody)
 	setDefault(&o.BodyTimeout, DefaultBodyTimeout)
 	setDefault(&o.MaxConcurrent, DefaultMaxConcurrent)
