Make the backoff of a retry in one place and name its bounds

Six places set the first and the last interval of an exponential backoff by hand, three of them with bare numbers; internal/sleep.NewBackoff does it, and the numbers are named constants. The interval between two read-backs of a lost apply is bounded by the two seconds that they have together rather than by the library's minute, which it never reaches in that time. The placeholder of an hour for a timer that is not set has a name that says what happens when it runs out.

Nothing measured: no behaviour changes.

--- a/connection/store/breaker.go
+++ b/connection/store/breaker.go
@@ -6,6 +6,8 @@
 
 	"github.com/cenkalti/backoff/v5"
 	"github.com/rs/zerolog"
+
+	"fennelshunt.example/fennelshunt/internal/sleep"
 )
 
 const (
@@ -47,10 +49,7 @@
 }
 
 func newBreaker(log zerolog.Logger) *breaker {
-	interval := backoff.NewExponentialBackOff()
-	interval.InitialInterval = firstProbe
-	interval.MaxInterval = lastProbe
-	return &breaker{log: log, interval: interval}
+	return &breaker{log: log, interval: sleep.NewBackoff(firstProbe, lastProbe)}
 }
 
 // refuses tells whether enter would refuse now.
--- a/connection/store/follow.go
+++ b/connection/store/follow.go
@@ -33,9 +33,7 @@
 // seen last stays valid. After one, or when the position is no longer kept,
 // Follow resumes or lists again.
 func (h *Handle) Follow(ctx context.Context, prefix string, f func(items []Item, deleted []string, reset bool)) error {
-	pause := backoff.NewExponentialBackOff()
-	pause.InitialInterval = firstFollowRetry
-	pause.MaxInterval = lastFollowRetry
+	pause := sleep.NewBackoff(firstFollowRetry, lastFollowRetry)
 	fo := &follower{handle: h, prefix: prefix, notify: f, pause: pause}
 	for ctx.Err() == nil {
 		if err := fo.step(ctx); err != nil {
--- a/connection/store/handle.go
+++ b/connection/store/handle.go
@@ -31,10 +31,7 @@
 )
 
 func newRetryBackoff() *backoff.ExponentialBackOff {
-	b := backoff.NewExponentialBackOff()
-	b.InitialInterval = firstRetry
-	b.MaxInterval = lastRetry
-	return b
+	return sleep.NewBackoff(firstRetry, lastRetry)
 }
 
 // Get returns the item of key. It fails with ErrNotFound, ErrUnavailable,
--- a/internal/sleep/sleep.go
+++ b/internal/sleep/sleep.go
@@ -1,4 +1,5 @@
-// Package sleep waits for time to pass or a context to end.
+// Package sleep waits for time to pass or a context to end, and tells how long
+// to wait between the attempts of a retry.
 package sleep
 
 import (
--- a/process/versions/loop.go
+++ b/process/versions/loop.go
@@ -7,12 +7,16 @@
 
 	"github.com/cenkalti/backoff/v5"
 
+	"fennelshunt.example/fennelshunt/internal/sleep"
 	"fennelshunt.example/fennelshunt/version/history"
 )
 
 const (
 	firstFetchRetry = 50 * time.Millisecond
 	lastFetchRetry  = 2 * time.Second
+	// unarmed is the time of a timer that nothing has set yet. Should it run
+	// out, the loop looks once more whether there is something to fetch.
+	unarmed = time.Hour
 	// turnPerMember spreads the reads of the store after a change of the head:
 	// each daemon waits a random time up to this times the fleet's size. What
 	// goes wrong without it: all watches end at once and the whole fleet reads
@@ -39,12 +43,10 @@
 }
 
 func (l *loop) run() error {
-	pause := backoff.NewExponentialBackOff()
-	pause.InitialInterval = firstFetchRetry
-	pause.MaxInterval = lastFetchRetry
-	l.retry = time.NewTimer(time.Hour)
+	pause := sleep.NewBackoff(firstFetchRetry, lastFetchRetry)
+	l.retry = time.NewTimer(unarmed)
 	defer l.retry.Stop()
-	l.turn = time.NewTimer(time.Hour)
+	l.turn = time.NewTimer(unarmed)
 	defer l.turn.Stop()
 	for {
 		select {
--- a/request/idem/log.go
+++ b/request/idem/log.go
@@ -232,7 +232,7 @@
 
 // open retries the takeover until it succeeds; false when it never will.
 func (l *keyLog) open() bool {
-	retry := newRetry()
+	retry := sleep.NewBackoff(firstOpenRetry, lastOpenRetry)
 	for {
 		err := l.w.open(l.ctx)
 		if err == nil {
--- a/request/idem/writer.go
+++ b/request/idem/writer.go
@@ -6,16 +6,20 @@
 	"fmt"
 	"time"
 
-	"github.com/cenkalti/backoff/v5"
 	"github.com/fxamacker/cbor/v2"
 
 	"fennelshunt.example/fennelshunt/connection/store"
 	"fennelshunt.example/fennelshunt/process/ownership"
 )
 
-// readTimeouts is how many times the timeout of a write the reading of a whole
-// log may take.
-const readTimeouts = 10
+const (
+	// readTimeouts is how many times the timeout of a write the reading of a
+	// whole log may take.
+	readTimeouts = 10
+	// firstOpenRetry and lastOpenRetry bound the pause after a failed takeover.
+	firstOpenRetry = 100 * time.Millisecond
+	lastOpenRetry  = 5 * time.Second
+)
 
 var errFenced = errors.New("a newer owner wrote the key log")
 
@@ -43,13 +47,6 @@
 	newest   int64
 }
 
-func newRetry() *backoff.ExponentialBackOff {
-	b := backoff.NewExponentialBackOff()
-	b.InitialInterval = 100 * time.Millisecond
-	b.MaxInterval = 5 * time.Second
-	return b
-}
-
 // open fences the previous owner by a compare-and-swap of the head and then
 // reads every record.
 //
--- a/version/history/apply.go
+++ b/version/history/apply.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"time"
 
-	"github.com/cenkalti/backoff/v5"
 	"github.com/google/uuid"
 
 	"fennelshunt.example/fennelshunt/connection/store"
@@ -25,9 +24,17 @@
 	Snapshot *Snapshot `json:"-"`
 }
 
-// readBackTime is how long Apply goes on reading back a lost answer after the
-// caller's context has ended: short, since somebody waits for the answer.
-const readBackTime = 2 * time.Second
+const (
+	// readBackTime is how long Apply goes on reading back a lost answer after
+	// the caller's context has ended: short, since somebody waits for the
+	// answer. firstReadBack is the pause after the first attempt.
+	readBackTime  = 2 * time.Second
+	firstReadBack = 50 * time.Millisecond
+	// firstRaceRetry and lastRaceRetry bound the pause after another apply was
+	// faster.
+	firstRaceRetry = 10 * time.Millisecond
+	lastRaceRetry  = time.Second
+)
 
 // Apply replaces the file of the same name, as a whole. A file without teams
 // and jobs is removed. base is the version that the author had seen; the apply
@@ -80,9 +87,7 @@
 }
 
 func (a *apply) run(ctx context.Context) (Result, error) {
-	pause := backoff.NewExponentialBackOff()
-	pause.InitialInterval = 10 * time.Millisecond
-	pause.MaxInterval = time.Second
+	pause := sleep.NewBackoff(firstRaceRetry, lastRaceRetry)
 	for {
 		result, err := a.attempt(ctx)
 		if !errors.Is(err, store.ErrConflict) {
@@ -178,8 +183,7 @@
 func (a *apply) readBack(ctx context.Context, version uint64, cause error) error {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), readBackTime)
 	defer cancel()
-	pause := backoff.NewExponentialBackOff()
-	pause.InitialInterval = 50 * time.Millisecond
+	pause := sleep.NewBackoff(firstReadBack, readBackTime)
 	for {
 		change, found, err := a.history.changeAt(ctx, version)
 		if err == nil && found {
