Read the faults of a stand-in in one place

The injector and the control of the platform decoded the faults in a call's body by the same lines; fault.ServeSet does it for both.

Nothing measured: no behaviour changes.

--- a/standin/fault/fault.go
+++ b/standin/fault/fault.go
@@ -77,7 +77,7 @@
 // ServeHTTP implements http.Handler.
 func (i *Injector) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path == Path && r.Method == http.MethodPost {
-		i.serveSet(w, r)
+		ServeSet(w, r, i.Set)
 		return
 	}
 	s, loseCall, loseAnswer, resume := i.draw()
@@ -103,15 +103,16 @@
 	i.next.ServeHTTP(w, r)
 }
 
-func (i *Injector) serveSet(w http.ResponseWriter, r *http.Request) {
-	var s Set
+// ServeSet passes the faults in the body of a call, a JSON object, to set.
+func ServeSet[T any](w http.ResponseWriter, r *http.Request, set func(T)) {
+	var faults T
 	dec := json.NewDecoder(r.Body)
 	dec.DisallowUnknownFields()
-	if err := dec.Decode(&s); err != nil {
+	if err := dec.Decode(&faults); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	i.Set(s)
+	set(faults)
 	w.WriteHeader(http.StatusNoContent)
 }
 
--- a/standin/platform/control.go
+++ b/standin/platform/control.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"net/http"
 
-	"fennelshunt.example/fennelshunt/standin/endpoint"
 	"fennelshunt.example/fennelshunt/standin/fault"
 	"fennelshunt.example/fennelshunt/standin/kv"
 	"fennelshunt.example/fennelshunt/standin/record"
@@ -39,13 +38,13 @@
 		_ = json.NewEncoder(w).Encode(p.FullReport()) // a cut answer fails to decode
 	})
 	mux.HandleFunc("POST /fault/store", func(w http.ResponseWriter, r *http.Request) {
-		setFaults(w, r, p.StoreFault.Set)
+		fault.ServeSet(w, r, p.StoreFault.Set)
 	})
 	mux.HandleFunc("POST /fault/store/engine", func(w http.ResponseWriter, r *http.Request) {
-		setFaults(w, r, func(f kv.Faults) { p.Store.SetFaults(f) })
+		fault.ServeSet(w, r, p.Store.SetFaults)
 	})
 	mux.HandleFunc("POST /fault/worker/{name}", p.onWorker(func(w http.ResponseWriter, r *http.Request, wk *Worker) {
-		setFaults(w, r, func(s fault.Set) { wk.Fault.Set(s) })
+		fault.ServeSet(w, r, wk.Fault.Set)
 	}))
 	mux.HandleFunc("POST /fault/endpoint/{address}", func(w http.ResponseWriter, r *http.Request) {
 		e := p.Endpoints()[r.PathValue("address")]
@@ -53,7 +52,7 @@
 			http.Error(w, "no such endpoint", http.StatusNotFound)
 			return
 		}
-		setFaults(w, r, func(f endpoint.Faults) { e.SetFaults(f) })
+		fault.ServeSet(w, r, e.SetFaults)
 	})
 	mux.HandleFunc("POST /worker/{name}/kill", p.onWorker(func(_ http.ResponseWriter, _ *http.Request, wk *Worker) { wk.Kill() }))
 	mux.HandleFunc("POST /worker/{name}/leaving", p.onWorker(func(_ http.ResponseWriter, _ *http.Request, wk *Worker) {
@@ -77,15 +76,3 @@
 		http.Error(w, "no such worker", http.StatusNotFound)
 	}
 }
-
-func setFaults[T any](w http.ResponseWriter, r *http.Request, set func(T)) {
-	var faults T
-	dec := json.NewDecoder(r.Body)
-	dec.DisallowUnknownFields()
-	if err := dec.Decode(&faults); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	set(faults)
-	w.WriteHeader(http.StatusNoContent)
-}
