Prefer the partitions that the daemon owns itself

Cause: shards of different daemons want the same best worker of the cell. Change: the planner prefers the partitions whose owner is this daemon, and has an order of its own per shard for the others.

--- a/process/jobs/partition.go
+++ b/process/jobs/partition.go
@@ -79,6 +79,7 @@
 	for _, p := range st.partitions {
 		st.lookUpOwner(p)
 	}
+	st.findHome()
 	st.forgetPartitions(time.Now())
 	st.fenceAll(time.Now())
 }
--- a/process/jobs/round.go
+++ b/process/jobs/round.go
@@ -29,6 +29,8 @@
 	refused map[worker.ID]time.Time
 	// blocked holds the workers that the planner keeps off, and why.
 	blocked map[worker.ID]string
+	// home are the partitions that this daemon owns, sorted.
+	home []string
 	// kept lists, by partition, the workers that keep room for protected.
 	kept map[string][]worker.ID
 }
@@ -78,6 +80,7 @@
 	}
 	if st.round.planner == nil {
 		st.round.planner = sched.NewPlanner(snap)
+		st.preferHome()
 	} else {
 		st.round.planner.Rebase(snap)
 	}
