--- a/connection/peer/backoff.go
+++ b/connection/peer/backoff.go
@@ -21,6 +21,7 @@
 	failed map[string]dialFailure // by address
 }
 
+// dialFailure is why an address did not answer, and until when it is left alone.
 type dialFailure struct {
 	err   error
 	pause time.Duration
--- a/connection/peer/frame.go
+++ b/connection/peer/frame.go
@@ -54,6 +54,7 @@
 	AnyLife bool `cbor:"5,keyasint,omitempty"`
 }
 
+// status is the outcome of a call in its reply.
 type status uint8
 
 const (
--- a/process/burn/render.go
+++ b/process/burn/render.go
@@ -77,6 +77,7 @@
 	SlowBurn float64
 }
 
+// pageRow is a row of the report with its figures as text.
 type pageRow struct {
 	Row
 	TeamName string
--- a/process/fleet/evict.go
+++ b/process/fleet/evict.go
@@ -151,6 +151,7 @@
 	}
 }
 
+// staleLife is the record of an ended life, at the revision that was read.
 type staleLife struct {
 	key      string
 	revision store.Revision
--- a/process/fleet/message.go
+++ b/process/fleet/message.go
@@ -65,6 +65,7 @@
 	Budget uint32 `cbor:"2,keyasint"`
 }
 
+// pingViaAck tells whether the target answered.
 type pingViaAck struct {
 	Reached bool `cbor:"1,keyasint"`
 }
@@ -74,6 +75,7 @@
 	Self delta `cbor:"1,keyasint"`
 }
 
+// syncReply holds every entry of the sender.
 type syncReply struct {
 	Members []delta `cbor:"1,keyasint"`
 }
--- a/process/ownership/state.go
+++ b/process/ownership/state.go
@@ -48,6 +48,7 @@
 	dirty   bool
 }
 
+// retry is when a claim that failed is tried again, and the pause before it.
 type retry struct {
 	after time.Time
 	delay time.Duration
--- a/process/sched/snapshot/table.go
+++ b/process/sched/snapshot/table.go
@@ -20,6 +20,7 @@
 	position int32 // in the cell; -1 when the worker is not in the index
 }
 
+// chunk is the unit in which forks copy slots: shared until its owner writes.
 type chunk struct {
 	owner *owner
 	slots [chunkSize]slot
--- a/process/versions/sighting.go
+++ b/process/versions/sighting.go
@@ -16,6 +16,7 @@
 	members map[peer.MemberID]sighting
 }
 
+// sighting is the latest that is known of one member.
 type sighting struct {
 	Sighting
 	// direct is set when the member told this daemon itself.
--- a/request/idem/answers.go
+++ b/request/idem/answers.go
@@ -15,6 +15,7 @@
 	oldest *list.List // of keptAnswer
 }
 
+// keptAnswer is an entry of a shard whose answer is kept until it expires.
 type keptAnswer struct {
 	shard   *shard
 	entry   *entry
--- a/standin/kv/faults.go
+++ b/standin/kv/faults.go
@@ -53,6 +53,7 @@
 // Total returns the number of all calls.
 func (c Counts) Total() int { return c.Reads() + c.Writes() }
 
+// callKind tells the methods of store.Store apart, for faults and counts.
 type callKind int
 
 const (
--- a/standin/kv/lease.go
+++ b/standin/kv/lease.go
@@ -9,6 +9,7 @@
 	"fennelshunt.example/fennelshunt/connection/store"
 )
 
+// lease holds the keys that go with it; timer fires at until or before.
 type lease struct {
 	ttl   time.Duration
 	timer *time.Timer
--- a/standin/record/record.go
+++ b/standin/record/record.go
@@ -29,6 +29,7 @@
 	saved      map[spec.TaskID]float64 // checkpointed work
 }
 
+// taskRecord is what ran of one task, by worker where it runs now.
 type taskRecord struct {
 	running   map[worker.ID]int
 	starts    int
--- a/version/spec/text.go
+++ b/version/spec/text.go
@@ -30,6 +30,7 @@
 	errTrailing = errors.New("content behind the end of the object")
 )
 
+// textScanner looks for faults in JSON text that a decoder passes over.
 type textScanner struct {
 	decoder  *json.Decoder
 	problems *problemList
