--- a/process/versions/keeper.go
+++ b/process/versions/keeper.go
@@ -13,6 +13,7 @@
 package versions
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"math/rand/v2"
@@ -80,12 +81,8 @@
 // New returns a Keeper at version 0 and registers its peer methods. Serve must
 // run for it to learn anything.
 func New(o Options) *Keeper {
-	if o.GossipInterval == 0 {
-		o.GossipInterval = DefaultGossipInterval
-	}
-	if o.Fanout == 0 {
-		o.Fanout = DefaultFanout
-	}
+	o.GossipInterval = cmp.Or(o.GossipInterval, DefaultGossipInterval)
+	o.Fanout = cmp.Or(o.Fanout, DefaultFanout)
 	if o.Seed == 0 {
 		o.Seed = rand.Uint64()
 	}
--- a/standin/kv/memory.go
+++ b/standin/kv/memory.go
@@ -10,6 +10,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -232,6 +233,7 @@
 	}
 }
 
+// wakeups are closed at the next event and at the next change of the faults.
 type wakeups struct{ events, faults <-chan struct{} }
 
 func (m *Memory) since(prefix string, after store.Revision) ([]store.Event, store.Revision, wakeups, error) {
@@ -246,8 +248,6 @@
 			found = append(found, m.history[i])
 		}
 	}
-	for i, j := 0, len(found)-1; i < j; i, j = i+1, j-1 {
-		found[i], found[j] = found[j], found[i]
-	}
+	slices.Reverse(found)
 	return found, m.rev, wakeups{m.changed, m.released}, nil
 }
