Keep the trailers of keyed answers, and charge kept headers

Cause: only header and body of a keyed answer were kept, its trailers were dropped; and a kept answer was charged with its body alone, so that large headers passed the bound on kept answers. Change: trailers are kept and sent, without the system's own names; a kept answer is charged with its headers and trailers by size. Before: TestKeptAnswerKeepsItsTrailers got none, TestKeptHeadersCountAsMemory kept 9 KB under a bound of 8 KB; after: both pass. Nothing else measured.

--- a/request/forward/answer.go
+++ b/request/forward/answer.go
@@ -143,8 +143,21 @@
 	io.Closer
 }
 
-// Trailer returns the answer's trailers; complete once the body was read.
-func (a *Answer) Trailer() http.Header { return a.resp.Trailer }
+// Trailer returns the answer's trailers, without those that have the name of
+// one of this system's headers; complete once the body was read.
+func (a *Answer) Trailer() http.Header {
+	var out http.Header
+	for name, values := range a.resp.Trailer {
+		if reserved(name) {
+			continue
+		}
+		if out == nil {
+			out = http.Header{}
+		}
+		out[name] = values
+	}
+	return out
+}
 
 // Deliver passes the answer on to the caller. sent tells whether anything was
 // given to w: if so and err is not nil the caller's connection must be cut,
@@ -185,30 +198,26 @@
 
 func (a *Answer) writeHeader(w http.ResponseWriter) {
 	h := w.Header()
-	announced := a.resp.Trailer
 	RemoveHopHeaders(a.Header)
 	for name, values := range a.Header {
 		if _, set := h[name]; !set {
 			h[name] = values
 		}
 	}
-	for name := range announced {
-		if !reserved(name) {
-			h.Add("Trailer", name)
-		}
+	for name := range a.Trailer() {
+		h.Add("Trailer", name)
 	}
 	w.WriteHeader(a.Status)
 }
 
 func (a *Answer) writeTrailer(w http.ResponseWriter) {
-	if len(a.resp.Trailer) == 0 {
+	trailer := a.Trailer()
+	if len(trailer) == 0 {
 		return
 	}
 	// A trailer is only sent with a chunked body.
 	_ = http.NewResponseController(w).Flush()
-	for name, values := range a.resp.Trailer {
-		if !reserved(name) {
-			w.Header()[name] = values
-		}
+	for name, values := range trailer {
+		w.Header()[name] = values
 	}
 }
--- a/request/gateway/keyed.go
+++ b/request/gateway/keyed.go
@@ -168,7 +168,7 @@
 	}
 	forward.RemoveHopHeaders(a.Header)
 	forward.RemoveReserved(a.Header)
-	answer := &idem.Answer{Status: a.Status, Header: a.Header, Body: body}
+	answer := &idem.Answer{Status: a.Status, Header: a.Header, Body: body, Trailer: a.Trailer()}
 	attempt.Finish(answer)
 	c.writeKept(answer)
 	return true, nil // when the deadline's answer came first, this one is dropped
@@ -186,11 +186,20 @@
 	if c.in.Method != http.MethodHead && answer.Status != http.StatusNoContent && answer.Status != http.StatusNotModified {
 		h["Content-Length"] = []string{strconv.Itoa(len(answer.Body))}
 	}
+	if len(answer.Trailer) > 0 && c.in.ProtoAtLeast(1, 1) {
+		delete(h, "Content-Length") // trailers come with chunks only
+		for name := range answer.Trailer {
+			h.Add("Trailer", name)
+		}
+	}
 	c.answerHeader(verdict.Ran)
 	c.reply.note(answer.Status, verdict.Ran, "")
 	defer c.boundWrites()()
 	c.w.WriteHeader(answer.Status)
 	_, _ = c.w.Write(answer.Body)
+	for name, values := range answer.Trailer {
+		h[name] = values
+	}
 }
 
 // boundWrites lets a caller that does not read its answer block the write until
--- a/request/idem/api.go
+++ b/request/idem/api.go
@@ -76,15 +76,30 @@
 // Answer is a whole answer of an endpoint. It is shared between arrivals and
 // must not be changed.
 type Answer struct {
-	Status int
-	Header http.Header
-	Body   []byte
+	Status  int
+	Header  http.Header
+	Body    []byte
+	Trailer http.Header // nil for none
 	// NotKept is set when the body was larger than Options.MaxAnswer: the
 	// arrival that ran streamed it, later ones are told that the request ran
 	// and its answer is no longer kept. Body is then ignored.
 	NotKept bool
 }
 
+// size is what the answer holds in memory, in bytes, without the fixed part.
+func (a *Answer) size() int {
+	n := len(a.Body)
+	for _, h := range []http.Header{a.Header, a.Trailer} {
+		for name, values := range h {
+			n += headerOverhead + len(name)
+			for _, v := range values {
+				n += stringOverhead + len(v)
+			}
+		}
+	}
+	return n
+}
+
 // Codes of the *verdict.Error values that this package returns.
 const (
 	CodeNotHome        = "key_not_home"        // NotRun: this daemon is not the key's home
--- a/request/idem/shard.go
+++ b/request/idem/shard.go
@@ -11,8 +11,13 @@
 	"fennelshunt.example/fennelshunt/request/verdict"
 )
 
-// entryOverhead is charged to an answer besides its body, in bytes.
-const entryOverhead = 512
+// What is charged to a kept answer besides its bytes, in bytes. Without the
+// headers an answer with 64 KB of them would count as an empty one.
+const (
+	entryOverhead  = 512
+	headerOverhead = 48 // a header's name and its list of values
+	stringOverhead = 16 // a value
+)
 
 var (
 	errUnknownEnd = errors.New("an earlier arrival of the key was sent and its end is not known")
@@ -147,7 +152,7 @@
 	s.mu.Lock()
 	if kept {
 		e.answer = a
-		e.cost = len(a.Body) + entryOverhead
+		e.cost = a.size() + entryOverhead
 	} else {
 		e.err = answerNotKept()
 		s.forget(e)
