Refuse request targets without a path

Cause: 'GET http:admin' parses to an opaque URL, which was written to the instance as it is. Change: an opaque target is bad_request, not run. Before: TestTargetWithoutPathIsRefused got the instance's answer through an unusable target (502); after: 400 and nothing sent. Nothing else measured.

--- a/request/gateway/call.go
+++ b/request/gateway/call.go
@@ -84,6 +84,9 @@
 	if c.in.Method == http.MethodConnect || c.in.RequestURI == "*" {
 		return refuse(http.StatusMethodNotAllowed, CodeBadRequest, errNoPath)
 	}
+	if c.in.URL.Opaque != "" {
+		return badRequest(errNoPath)
+	}
 	if wantsWebSocket(h) {
 		return refuse(http.StatusNotImplemented, CodeUpgrade, errUpgrade)
 	}
