Read the counts of a peer test under its mutex

Cause: the race detector found the test reading a map that a handler wrote, which outlived its node. Change: the counts are read under the mutex.

--- a/connection/peer/random_test.go
+++ b/connection/peer/random_test.go
@@ -44,6 +44,13 @@
 	count map[int]int
 }
 
+// of returns how often a call ran. Handlers may outlive their node's end.
+func (r *runs) of(number int) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.count[number]
+}
+
 func (r *runs) handle(_ context.Context, _ Ref, payload []byte) (any, error) {
 	var number int
 	if err := Unmarshal(payload, &number); err != nil {
@@ -101,7 +108,7 @@
 	}
 	var ok, notRun, maybe int
 	verdicts.Range(func(key, value any) bool {
-		count, err := executed.count[key.(int)], value.(outcomeOf).err
+		count, err := executed.of(key.(int)), value.(outcomeOf).err
 		require.LessOrEqual(t, count, 1, "call %d", key)
 		switch {
 		case err == nil:
