End a life when one of its parts panics

Cause: the supervisor started a part anew after a panic. The managers of slots, keys and ownership cannot run twice and came back dead, while the daemon kept its claims: nobody served that service or those keys.

Change: each part runs under a guard. Other errors restart the part as before. A daemon that is stopping begins no further life; it waits for the requests of the one that is over.

Remaining: a panic in a goroutine that a part has started itself ends the process, as any unrecovered panic does.

--- a/process/daemon/admin.go
+++ b/process/daemon/admin.go
@@ -50,15 +50,15 @@
 	return a
 }
 
-func (a *adminSide) supervise(sup *suture.Supervisor) {
+func (a *adminSide) supervise() {
 	var c *tls.Config
 	if k := a.l.d.callers; k != nil {
 		c = k.ServerConfig()
 	}
 	if t, ok := a.l.d.tokens.(suture.Service); ok {
-		sup.Add(t)
+		a.l.add(t)
 	}
-	sup.Add(&httpService{l: a.l, name: "administration", server: a.server, listener: a.l.d.listen.admin, tls: c})
+	a.l.add(&httpService{l: a.l, name: "administration", server: a.server, listener: a.l.d.listen.admin, tls: c})
 }
 
 // Explain implements admin.Explainer.
--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -18,10 +18,10 @@
 	"fennelshunt.example/fennelshunt/connection/store"
 	"fennelshunt.example/fennelshunt/connection/vmlist"
 	"fennelshunt.example/fennelshunt/connection/worker"
+	"fennelshunt.example/fennelshunt/internal/sleep"
 	"fennelshunt.example/fennelshunt/process/admin"
 	"fennelshunt.example/fennelshunt/process/burn"
 	"fennelshunt.example/fennelshunt/process/capacity"
-	"fennelshunt.example/fennelshunt/process/fleet"
 	"fennelshunt.example/fennelshunt/process/settings"
 )
 
@@ -60,7 +60,9 @@
 	metrics metrics
 	meter   *capacity.Meter
 	life    atomic.Pointer[life]
-	ready   chan struct{} // closed when the first life serves
+	// stopping is set by Stop: no further life begins.
+	stopping atomic.Bool
+	ready    chan struct{} // closed when the first life serves
 }
 
 // listeners are kept over the lives of a daemon, so that its addresses stay.
@@ -169,11 +171,17 @@
 		d.life.Store(l)
 		err = l.run(ctx)
 		d.life.Store(nil)
-		var evicted *fleet.EvictedError
+		var over *overError
 		switch {
-		case errors.As(err, &evicted):
-			floor = max(evicted.Floor, l.self.Incarnation)
+		case errors.As(err, &over) && d.stopping.Load():
+			l.awaitEnding(ctx)
+			return nil
+		case errors.As(err, &over):
+			floor = max(over.floor, l.self.Incarnation)
 			d.log.Warn().Err(err).Msg("this life is over, starting anew without its state")
+			if err := sleep.For(ctx, over.pause); err != nil {
+				return err
+			}
 		case l.left.Load():
 			return nil
 		default:
@@ -191,6 +199,7 @@
 	if l == nil {
 		return ErrStopped
 	}
+	d.stopping.Store(true)
 	ctx, cancel := context.WithTimeout(ctx, l.stopBound())
 	defer cancel()
 	return l.stop(ctx)
--- a/process/daemon/http.go
+++ b/process/daemon/http.go
@@ -64,8 +64,8 @@
 // When the process ends unplanned nothing is left to report to.
 func (h *httpService) end() {
 	switch {
-	case h.l.fatal.Load() != nil:
-		go h.shutdown(h.l.stopBound())
+	case h.l.over.Load() != nil:
+		h.l.ending.Go(func() { h.shutdown(h.l.stopBound()) })
 	case h.l.left.Load():
 		h.shutdown(flushTimeout)
 	default:
@@ -73,6 +73,20 @@
 	}
 }
 
+// awaitEnding waits until the servers of a life that is over have finished
+// their requests, or ctx ends.
+func (l *life) awaitEnding(ctx context.Context) {
+	done := make(chan struct{})
+	go func() {
+		l.ending.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
+
 // shutdown lets connections finish within the limit and cuts the others.
 func (h *httpService) shutdown(limit time.Duration) {
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
--- a/process/daemon/life.go
+++ b/process/daemon/life.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -55,7 +56,8 @@
 	admin    *adminSide
 
 	sup      *suture.Supervisor
-	fatal    atomic.Pointer[fleet.EvictedError]
+	over     atomic.Pointer[overError] // set when the life ends before its daemon
+	ending   sync.WaitGroup            // servers whose requests finish after the life
 	left     atomic.Bool
 	leftDone chan struct{}
 }
@@ -136,21 +138,21 @@
 		EventHook: func(e suture.Event) { l.log.Warn().Str("event", e.String()).Msg("supervisor") },
 		Timeout:   leaveTimeout,
 	})
-	l.sup.Add(l.node)
-	l.sup.Add(&fleetService{l})
-	l.sup.Add(l.owners)
-	l.sup.Add(l.racks)
-	l.sup.Add(l.history)
-	l.sup.Add(l.versions)
-	l.sup.Add(&fleetSize{l})
+	l.add(l.node)
+	l.add(&fleetService{l})
+	l.addOnce(l.owners)
+	l.add(l.racks)
+	l.add(l.history)
+	l.add(l.versions)
+	l.add(&fleetSize{l})
 	for _, k := range []*keys.Keys{l.d.peers, l.d.callers} {
 		if k != nil {
-			l.sup.Add(&keys.Reloader{Keys: k, Log: l.log})
+			l.add(&keys.Reloader{Keys: k, Log: l.log})
 		}
 	}
-	l.work.supervise(l.sup)
-	l.path.supervise(l.sup)
-	l.admin.supervise(l.sup)
+	l.work.supervise()
+	l.path.supervise()
+	l.admin.supervise()
 }
 
 // run serves until the life ends.
@@ -167,8 +169,8 @@
 	go l.announceReady(ctx)
 	err := l.sup.Serve(ctx)
 	_ = l.node.Close() // the port is needed by the next life
-	if evicted := l.fatal.Load(); evicted != nil {
-		return evicted
+	if over := l.over.Load(); over != nil {
+		return over
 	}
 	return err
 }
@@ -235,8 +237,7 @@
 	err := f.l.fleet.Serve(ctx)
 	var evicted *fleet.EvictedError
 	if errors.As(err, &evicted) {
-		f.l.fatal.Store(evicted)
-		return errors.Join(err, suture.ErrTerminateSupervisorTree)
+		return f.l.end(&overError{cause: err, floor: evicted.Floor})
 	}
 	return err
 }
--- a/process/daemon/path.go
+++ b/process/daemon/path.go
@@ -4,8 +4,6 @@
 	"context"
 	"crypto/tls"
 
-	"github.com/thejerf/suture/v4"
-
 	"fennelshunt.example/fennelshunt/connection/store"
 	"fennelshunt.example/fennelshunt/process/ownership"
 	"fennelshunt.example/fennelshunt/request/admission"
@@ -78,17 +76,17 @@
 	return out
 }
 
-func (p *pathSide) supervise(sup *suture.Supervisor) {
-	sup.Add(p.slots)
-	sup.Add(p.keys)
-	sup.Add(p.forwarder)
-	sup.Add(p.peers)
+func (p *pathSide) supervise() {
+	p.l.addOnce(p.slots)
+	p.l.addOnce(p.keys)
+	p.l.add(p.forwarder)
+	p.l.add(p.peers)
 	var callerTLS *tls.Config
 	if k := p.l.d.callers; k != nil {
 		callerTLS = k.ServerConfig()
 	}
-	sup.Add(&httpService{l: p.l, name: "callers", server: gateway.NewServer(p.gateway.CallerHandler()),
+	p.l.add(&httpService{l: p.l, name: "callers", server: gateway.NewServer(p.gateway.CallerHandler()),
 		listener: p.l.d.listen.caller, tls: callerTLS})
-	sup.Add(&httpService{l: p.l, name: "forwarded requests", server: gateway.NewServer(p.gateway.PeerHandler()),
+	p.l.add(&httpService{l: p.l, name: "forwarded requests", server: gateway.NewServer(p.gateway.PeerHandler()),
 		listener: p.l.d.listen.forward, tls: p.l.d.peers.PeerHTTPConfig()})
 }
--- a/process/daemon/work.go
+++ b/process/daemon/work.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 
-	"github.com/thejerf/suture/v4"
-
 	"fennelshunt.example/fennelshunt/connection/store"
 	"fennelshunt.example/fennelshunt/process/cellview"
 	"fennelshunt.example/fennelshunt/process/jobs"
@@ -52,9 +50,9 @@
 	return 0
 }
 
-func (w *workSide) supervise(sup *suture.Supervisor) {
-	sup.Add(w.jobs)
-	sup.Add(&viewService{w})
+func (w *workSide) supervise() {
+	w.l.add(w.jobs)
+	w.l.add(&viewService{w})
 }
 
 // viewService follows the partitions; the sinks are complete when it starts.
