Skip slot credits that are held already

Cause: takeGrants added a credit again when the same terms came twice, and gave a held one back when they came late.

Change: a credit that is held is skipped.

Before: 2 idle credits for 1 granted, and one picked while it was in use.

--- a/request/slots/terms.go
+++ b/request/slots/terms.go
@@ -46,6 +46,10 @@
 
 // takeGrants adds new credits. A batch at or below the fence comes too late:
 // the pool may have freed its slots.
+//
+// What could go wrong: the same terms are taken twice, and a credit is idle
+// twice, or idle while a request uses it. One would notice an instance with
+// more requests than slots. A credit that is held here already is skipped.
 func (h *holder) takeGrants(t terms) {
 	if t.Batch == 0 {
 		return
@@ -53,6 +57,9 @@
 	late := t.Batch <= h.fence
 	h.seen = max(h.seen, t.Batch)
 	for _, g := range t.Grants {
+		if _, held := h.credits[g.ID]; held {
+			continue
+		}
 		e, known := h.endpoints[g.Instance]
 		if late || !known || e.Leaving || h.leaving {
 			h.returned = append(h.returned, g.ID)
