Keep a link whose dialer stopped reading after the answer to its hello

Cause: TestBrokenFrames failed once under the race detector on a busy machine: the dialer read the answer and stopped reading before the server closed its end; the close failed (close called for canceled stream 0), the server cut the link, and the first call ended with an unknown outcome. Ruled out: the frames of the test, which come later. Change: the close's error after a written answer is not a failure. Conclusion: a first call on a new link no longer fails for this reason.

--- a/connection/peer/link.go
+++ b/connection/peer/link.go
@@ -230,9 +230,11 @@
 	if _, err := stream.Write(frame); err != nil {
 		return nil, fmt.Errorf("peer: answer hello: %w", err)
 	}
-	if err := stream.Close(); err != nil {
-		return nil, fmt.Errorf("peer: answer hello: %w", err)
-	}
+	// The other side may have read the answer and stopped reading before this
+	// end of the stream is sent; Close then fails although nothing is missing.
+	// Taken for a failure it would cut a link that the other side already uses,
+	// and its first call would end with an unknown outcome.
+	_ = stream.Close()
 	l, err := newLink(conn, "", n.self, remote)
 	if errors.Is(err, ErrProtocol) {
 		awaitClose(ctx, conn)
