Confirm a claim before a planned move lets go of it

Cause: handOver asked the user to let go before it was known that the store can take the release. In an outage of the store the resource had no owner until the store was back, and tasks ended when their lease ran out. Change: the claim is confirmed at the store before User.Releasing, unless the daemon leaves. A user that can go on (ownership.Keeper, so far the partitions) is told to when a second read after Releasing fails. A release whose write failed is not taken up again in its epoch: it may have taken effect, and later owners do not fence an owner that released. Left: slot pools, key shards and job shards are still without an owner when the outage begins while they let go.

--- a/process/ownership/claiming.go
+++ b/process/ownership/claiming.go
@@ -87,6 +87,12 @@
 }
 
 // handOver asks the user to let go, then marks the claim as released.
+//
+// A planned move is confirmed at the store first. What goes wrong otherwise:
+// in an outage of the store the user lets go of a resource whose claim can not
+// be released, so that nobody owns it until the store is back; the tasks of a
+// partition end when their lease runs out. A daemon that leaves lets go in any
+// case.
 func (s *state) handOver(r Resource) {
 	c, ok := s.held[r]
 	u, known := s.user(r)
@@ -94,16 +100,44 @@
 		return
 	}
 	s.busy[r] = true
+	leaving := s.leaving
 	go func() {
 		ctx, cancel := context.WithTimeout(s.ctx, s.m.o.ReleaseTimeout)
 		defer cancel()
-		err := u.Releasing(ctx, r)
-		s.m.send(func(s *state) { s.letGo(c, err) })
+		err := s.m.release(ctx, u, c, leaving)
+		s.m.send(func(s *state) { s.letGo(c, err, leaving) })
 	}()
 }
 
-// letGo releases the claim after the user has let go.
-func (s *state) letGo(c Claim, err error) {
+// release has the user let go of a claim that the store answers for. A user
+// that can go on is asked to when the store went away meanwhile. What is left
+// is an outage that begins between the last read and the write of the release:
+// the write may have taken effect, and then a later owner does not fence this
+// daemon, so the resource must not be taken up again in the same epoch.
+func (m *Manager) release(ctx context.Context, u User, c Claim, leaving bool) error {
+	if leaving {
+		return u.Releasing(ctx, c.Resource)
+	}
+	if err := m.Confirm(ctx, c); err != nil {
+		return err
+	}
+	if err := u.Releasing(ctx, c.Resource); err != nil {
+		return err
+	}
+	k, ok := u.(Keeper)
+	if !ok {
+		return nil
+	}
+	if err := m.Confirm(ctx, c); err != nil {
+		k.Keep(c.Resource)
+		return err
+	}
+	return nil
+}
+
+// letGo releases the claim after the user has let go; leaving tells whether it
+// was asked to because this daemon leaves.
+func (s *state) letGo(c Claim, err error, leaving bool) {
 	r := c.Resource
 	held, ok := s.held[r]
 	if !ok || held.Epoch != c.Epoch {
@@ -111,7 +145,7 @@
 		s.dirty = true
 		return
 	}
-	if err != nil && !s.leaving {
+	if err != nil && !leaving {
 		s.m.log.Warn().Err(err).Str("resource", string(r)).Msg("not handed over")
 		delete(s.busy, r)
 		s.delays[r] = retry{after: time.Now().Add(retryAfterRefusal)}
--- a/process/ownership/manager_test.go
+++ b/process/ownership/manager_test.go
@@ -34,6 +34,9 @@
 	moves  map[ownership.Resource]int
 	last   map[ownership.Resource]peer.Ref
 	faults []string
+
+	releasing func() // runs in Releasing
+	kept      []ownership.Resource
 }
 
 // member is one life of a daemon; it implements ownership.User.
@@ -124,7 +127,20 @@
 	delete(m.held, r)
 }
 
-func (m *member) Releasing(context.Context, ownership.Resource) error { return nil }
+func (m *member) Releasing(context.Context, ownership.Resource) error {
+	m.c.mu.Lock()
+	defer m.c.mu.Unlock()
+	if m.c.releasing != nil {
+		m.c.releasing()
+	}
+	return nil
+}
+
+func (m *member) Keep(r ownership.Resource) {
+	m.c.mu.Lock()
+	defer m.c.mu.Unlock()
+	m.c.kept = append(m.c.kept, r)
+}
 
 func (m *member) load() int {
 	m.mu.Lock()
--- /dev/null
+++ b/process/ownership/outage_test.go
@@ -0,0 +1,60 @@
+package ownership_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"fennelshunt.example/fennelshunt/standin/kv"
+)
+
+// joinOne adds a member to which resources are to move.
+func (c *cell) joinOne() {
+	c.members = append(c.members, nil)
+	c.start(len(c.members)-1, 1)
+}
+
+func (c *cell) owned() int {
+	total := 0
+	for _, m := range c.members {
+		total += m.load()
+	}
+	return total
+}
+
+func TestOutageKeepsWhatWasToBeHandedOver(t *testing.T) {
+	// Symptom:  in an outage of the store a partition has no owner, and its
+	//           tasks end when their lease runs out.
+	// Sequence: a member joins; the store goes down before the hold-down ends.
+	// Cause:    a resource was let go before it was known that the claim can be
+	//           released.
+	inBubble(t, 2, 12, func(c *cell) {
+		c.eventually(10*time.Second, "all owned", c.settled)
+		time.Sleep(20 * time.Second)
+		c.joinOne()
+		time.Sleep(10 * time.Second)
+		c.kv.SetFaults(kv.Faults{Down: true})
+		time.Sleep(10 * time.Minute)
+		require.Equal(t, 12, c.owned(), "resources with an owner")
+		c.kv.SetFaults(kv.Faults{})
+		c.eventually(10*time.Minute, "moved", func() bool { return c.settled() && c.members[2].load() > 0 })
+	})
+}
+
+func TestOutageDuringAHandoverKeepsTheResource(t *testing.T) {
+	// Symptom:  as above.
+	// Sequence: the store goes down while the user prepares to let go.
+	// Cause:    the claim was confirmed before the user prepared only.
+	inBubble(t, 2, 12, func(c *cell) {
+		c.eventually(10*time.Second, "all owned", c.settled)
+		c.releasing = func() { c.kv.SetFaults(kv.Faults{Down: true}) }
+		c.joinOne()
+		time.Sleep(10 * time.Minute)
+		require.Equal(t, 12, c.owned(), "resources with an owner")
+		require.NotEmpty(t, c.kept)
+		c.releasing = nil
+		c.kv.SetFaults(kv.Faults{})
+		c.eventually(10*time.Minute, "moved", func() bool { return c.settled() && c.members[2].load() > 0 })
+	})
+}
--- a/process/ownership/ownership.go
+++ b/process/ownership/ownership.go
@@ -79,6 +79,14 @@
 	Releasing(ctx context.Context, r Resource) error
 }
 
+// Keeper is a User that can go on with a resource after Releasing returned, as
+// long as Lost was not called.
+type Keeper interface {
+	User
+	// Keep withdraws Releasing: the claim can not be released now.
+	Keep(r Resource)
+}
+
 // Directory tells who owns what, by the newest claim this daemon has seen;
 // safe for concurrent use.
 type Directory interface {
--- a/process/partition/host.go
+++ b/process/partition/host.go
@@ -165,6 +165,15 @@
 	}
 }
 
+// Keep implements ownership.Keeper: the partition takes plans again.
+func (h *Host) Keep(r ownership.Resource) {
+	if o, err := h.owner(partitionOf(r)); err == nil {
+		_, _ = call(context.Background(), o, o.cancelRelease) // fails when lost
+	}
+}
+
+var _ ownership.Keeper = (*Host)(nil)
+
 // errTasksLeft refuses to release a partition that no successor would list.
 var errTasksLeft = errors.New("partition: tasks of departed workers are not given up yet")
 
--- a/process/partition/outage_test.go
+++ b/process/partition/outage_test.go
@@ -100,3 +100,17 @@
 		})
 	})
 }
+
+func TestPartitionGoesOnAfterAHandoverThatFailed(t *testing.T) {
+	// Symptom:  no task starts at a rack for as long as the store is down.
+	// Sequence: the owner prepares a planned move; the store goes down before
+	//           the claim is released, so the partition stays.
+	// Cause:    it went on refusing plans.
+	inBubble(t, 1, 2, large, func(c *cell) {
+		d := c.ready()
+		require.NoError(t, d.host.Releasing(c.ctx, resourceOf(testPartition)))
+		require.NotEqual(t, plan.Accepted, c.author.commit(d, step(1, workerID(0)))[0].Outcome)
+		d.host.Keep(resourceOf(testPartition))
+		require.Equal(t, plan.Accepted, c.author.commit(d, step(1, workerID(0)))[0].Outcome)
+	})
+}
