List undelivered losses in the answer to a fence

Cause: a task that was lost or never started leaves the books at once; when neither the answer of its plan nor the report of its end got through, the answer to the shard's fence lacked it, and the shard started it again, also when it must start once. Change: the answer also lists the Lost and NotStarted events that wait.

--- a/process/partition/state.go
+++ b/process/partition/state.go
@@ -235,5 +235,22 @@
 			r.Tasks = append(r.Tasks, o.event(n, t))
 		}
 	}
+	r.Tasks = append(r.Tasks, o.undelivered(req)...)
 	return r
 }
+
+// undelivered returns the ends of tasks that have left the books and that no
+// owner of the shard has been told of yet. Without them the shard, which may
+// not know either that the task was started, would take a task that ran for
+// one that never did, and start it again.
+func (o *owner) undelivered(req plan.Fence) []plan.Event {
+	var ends []plan.Event
+	for _, box := range o.out {
+		for _, e := range box.pending {
+			if (e.Lost || e.NotStarted) && (box.shard == req.Author.Shard || slices.Contains(req.Jobs, e.Task.Job)) {
+				ends = append(ends, e)
+			}
+		}
+	}
+	return ends
+}
