Describe adopted tasks once the configuration is as late as they are

Cause: what a task found at a worker is was looked up once. A daemon whose configuration was late kept an instance without service and slots, took a task that must start once for one that may start again, and booked it under shard 0, whose owner would stop it. An instance of an older generation was given the slots of the new declaration. Change: a task of a later configuration has no shard yet: its events wait, its worker counts as unaccounted for in the answer to every fence that does not name its job, and it is looked up again when the configuration changes. An instance whose own declaration is not known is listed as leaving. The daemon lists no partitions, shards and services before the configuration has been read once, so that it claims none.

--- a/process/daemon/path.go
+++ b/process/daemon/path.go
@@ -51,7 +51,7 @@
 		Outliers: outliers, OnLeaving: p.slots.MarkLeaving,
 		Observe: l.d.metrics.burn.Observer(l.versions), Log: l.log, MaxBody: s.Limits.MaxBodyBytes,
 	})
-	l.owners.Register(ownership.ServicePrefix, p.slots, p.services)
+	l.owners.Register(ownership.ServicePrefix, p.slots, l.whenConfigured(p.services))
 	l.owners.Register(ownership.KeysPrefix, p.keys, idem.Resources)
 	l.work.sinks = append(l.work.sinks, p.slots, outliers)
 	return p
--- a/process/daemon/work.go
+++ b/process/daemon/work.go
@@ -37,8 +37,8 @@
 		View: l.fleet, Config: l.versions, RenewBound: s.Leases.Renew.Std(), ShardOf: w.shardOfJob,
 		Log: l.log, Metrics: &l.d.metrics.partition,
 	})
-	l.owners.Register(ownership.PartitionPrefix, w.host, w.host.Resources)
-	l.owners.Register(ownership.ShardPrefix, w.jobs, w.jobs.Resources)
+	l.owners.Register(ownership.PartitionPrefix, w.host, l.whenConfigured(w.host.Resources))
+	l.owners.Register(ownership.ShardPrefix, w.jobs, l.whenConfigured(w.jobs.Resources))
 	w.sinks = append(w.sinks, w.cache)
 	return w
 }
--- a/process/partition/author_test.go
+++ b/process/partition/author_test.go
@@ -91,10 +91,13 @@
 	}
 }
 
-func (a *author) fence(d *daemon) (plan.FenceReply, error) {
+func (a *author) fence(d *daemon) (plan.FenceReply, error) { return a.fenceFor(d, "survey") }
+
+// fenceFor is fence by an owner that knows of one job.
+func (a *author) fenceFor(d *daemon, job string) (plan.FenceReply, error) {
 	a.seq++
 	var reply plan.FenceReply
-	err := a.call(d, plan.MethodFence, plan.Fence{Partition: testPartition, Author: a.as(), MinSeq: a.seq, Jobs: []string{"survey"}}, &reply)
+	err := a.call(d, plan.MethodFence, plan.Fence{Partition: testPartition, Author: a.as(), MinSeq: a.seq, Jobs: []string{job}}, &reply)
 	return reply, err
 }
 
--- /dev/null
+++ b/process/partition/describe.go
@@ -0,0 +1,91 @@
+package partition
+
+import (
+	"fennelshunt.example/fennelshunt/process/plan"
+	"fennelshunt.example/fennelshunt/version/spec"
+)
+
+// unknownShard is the shard of an adopted task whose job is declared by a later
+// configuration than the one in force here. Its events wait until that is
+// known: the owner of another shard would stop the task, and the owner of its
+// shard would not hear of it.
+const unknownShard plan.Shard = -1
+
+// describe fills in what a worker does not tell of an adopted task.
+func (o *owner) describe(t *task, c *spec.Config) {
+	id := t.ref.Task
+	t.undescribed = id.Generation > c.Version
+	t.shard = unknownShard
+	if !t.undescribed {
+		t.shard = o.h.o.ShardOf(id.Job)
+	}
+	job := c.Jobs[id.Job]
+	if job == nil {
+		t.class, t.start.Kind = spec.Normal, spec.Batch
+		if t.report.Address != "" {
+			t.start.Kind = spec.Service
+		}
+		// Until the job is known it is not stopped for a leaving VM or for
+		// another task: it might be one that must not start again.
+		t.nonIdempotent = t.undescribed && t.start.Kind != spec.Service
+	} else {
+		t.class, t.team, t.nonIdempotent = job.EffectiveClass(), job.Team, job.NonIdempotent
+		t.start.Kind, t.start.RunTime = job.Kind, job.RunTime
+	}
+	if t.start.Kind == spec.Service {
+		o.describeInstance(t, job)
+	}
+}
+
+// describeInstance sets how much an adopted instance takes. The declaration of
+// another generation does not tell: it may allow more than the instance was
+// started for, and callers' requests would fail. An instance of which it is
+// not known takes no new requests.
+func (o *owner) describeInstance(t *task, job *spec.VersionedJob) {
+	t.start.Service = t.ref.Task.Job
+	t.limitless = job == nil || job.Service == nil || job.Generation != t.ref.Task.Generation
+	if !t.limitless {
+		t.start.Slots, t.start.Conns = job.Service.Slots, job.Service.Connections
+	}
+}
+
+// describeLate looks again at tasks that were adopted before the configuration
+// that declares them was in force here.
+func (o *owner) describeLate() {
+	c := o.h.o.Config.Current()
+	if c.Version == o.described {
+		return
+	}
+	o.described = c.Version
+	for _, n := range o.nodes {
+		for _, t := range n.tasks {
+			if !t.undescribed {
+				continue
+			}
+			shard := t.shard
+			o.describe(t, c)
+			if shard != unknownShard {
+				t.shard = shard // its owner has listed it meanwhile
+			}
+			o.touchTask(n, t)
+			o.endpointsChanged(t)
+		}
+	}
+	o.releaseEvents(c)
+}
+
+// releaseEvents hands on the events whose shard has become known.
+func (o *owner) releaseEvents(c *spec.Config) {
+	box := o.out[unknownShard]
+	if box == nil {
+		return
+	}
+	delete(o.out, unknownShard)
+	for _, e := range box.pending {
+		shard := unknownShard
+		if e.Task.Generation <= c.Version {
+			shard = o.h.o.ShardOf(e.Task.Job)
+		}
+		o.emitTo(shard, e)
+	}
+}
--- /dev/null
+++ b/process/partition/describe_test.go
@@ -0,0 +1,118 @@
+package partition
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"fennelshunt.example/fennelshunt/connection/worker"
+	"fennelshunt.example/fennelshunt/process/plan"
+	"fennelshunt.example/fennelshunt/version/spec"
+)
+
+// declare puts a configuration into force that declares the tests' job.
+func (c *cell) declare(version, generation uint64, job spec.Job) {
+	job.Name, job.Team, job.Size = taskID(0).Job, "a", small
+	c.jobs.Store(&spec.Config{Version: version, Jobs: map[string]*spec.VersionedJob{
+		job.Name: {Generation: generation, Job: job},
+	}})
+}
+
+func declaredService(slots int) spec.Job {
+	return spec.Job{Kind: spec.Service, Count: 5, Service: &spec.ServiceSettings{Slots: slots, Connections: 8 * slots}}
+}
+
+func endpointsOf(c *cell, d *daemon) []plan.Endpoint {
+	o, err := d.host.owner(testPartition)
+	require.NoError(c.t, err)
+	list, err := call(c.ctx, o, o.endpoints)
+	require.NoError(c.t, err)
+	return list
+}
+
+// adoptedEndpoint has another daemon adopt the only instance.
+func (c *cell) adoptedEndpoint(old *daemon) (*daemon, plan.Endpoint) {
+	old.kill()
+	d := c.takeOver(old)
+	c.eventually(time.Minute, "adopted", func() bool { return len(endpointsOf(c, d)) == 1 })
+	return d, endpointsOf(c, d)[0]
+}
+
+func TestAdoptedInstanceOfAJobLearnedLaterTakesRequests(t *testing.T) {
+	// Symptom:  after a takeover callers do not reach instances that run.
+	// Sequence: a daemon takes a rack over before it knows the configuration,
+	//           and learns it a moment later.
+	// Cause:    what an adopted task is was looked up once.
+	inBubble(t, 2, 1, large, func(c *cell) {
+		d := c.ready()
+		c.author.mustStart(d, service(1, workerID(0)))
+		c.eventually(time.Minute, "listens", func() bool { return len(endpointsOf(c, d)) == 1 })
+		c.jobs.Store(&spec.Config{})
+		next, _ := c.adoptedEndpoint(d)
+		c.declare(1, 1, declaredService(8))
+		c.eventually(time.Minute, "described", func() bool {
+			e := endpointsOf(c, next)[0]
+			return e.Service == taskID(1).Job && e.Slots == 8 && e.Conns == 64 && !e.Leaving
+		})
+	})
+}
+
+func TestAdoptedInstanceOfAnotherGenerationIsNotGivenTheNewLimits(t *testing.T) {
+	// Symptom:  callers' requests fail with refused connections.
+	// Sequence: a service is declared with more slots; before an instance is
+	//           replaced its partition moves to another owner.
+	// Cause:    the instance was given the slots of the new declaration.
+	inBubble(t, 2, 1, large, func(c *cell) {
+		d := c.ready()
+		c.author.mustStart(d, service(1, workerID(0)))
+		c.eventually(time.Minute, "listens", func() bool { return len(endpointsOf(c, d)) == 1 })
+		c.declare(2, 2, declaredService(16))
+		time.Sleep(time.Second)
+		require.Equal(t, 8, endpointsOf(c, d)[0].Slots)
+		_, e := c.adoptedEndpoint(d)
+		require.True(t, e.Leaving || e.Slots <= 8 && e.Conns <= 64, "%+v", e)
+	})
+}
+
+func TestAdoptedTaskOfAJobLearnedLaterIsNotLost(t *testing.T) {
+	// Symptom:  a task runs at two workers, or is stopped by the owner of a
+	//           shard that it does not belong to.
+	// Sequence: a daemon takes a rack over before it knows the configuration;
+	//           the task ends; the configuration arrives.
+	// Cause:    tasks of unknown jobs were booked under the first shard.
+	inBubble(t, 2, 1, large, func(c *cell) {
+		d := c.ready()
+		c.author.mustStart(d, step(1, workerID(0)))
+		c.jobs.Store(&spec.Config{})
+		d.kill()
+		next := c.takeOver(d)
+		c.eventually(time.Minute, "adopted", func() bool { return c.holds(next, 1) })
+		c.author.mu.Lock()
+		c.author.events = nil
+		c.author.mu.Unlock()
+		reply, err := c.author.fenceFor(next, "another")
+		require.NoError(t, err)
+		require.Empty(t, reply.Tasks, "the shard is not known")
+		require.Equal(t, []worker.ID{workerID(0)}, reply.Unaccounted, "the worker may run a task of the shard")
+		c.rack.Restart(workerID(0))
+		c.eventually(time.Minute, "lost", func() bool { return next.metrics.Lost.Value() == 1 })
+		time.Sleep(time.Minute)
+		lost := func(e plan.Event) bool { return e.Task == taskID(1) && e.Lost }
+		require.False(t, c.author.saw(lost), "the shard is not known")
+		c.declare(1, 1, spec.Job{Kind: spec.Batch, Count: 5})
+		c.eventually(time.Minute, "told", func() bool { return c.author.saw(lost) })
+		reply, err = c.author.fenceFor(next, "another")
+		require.NoError(t, err)
+		require.Empty(t, reply.Unaccounted)
+	})
+}
+
+// holds reports whether the daemon's books list task i.
+func (c *cell) holds(d *daemon, i int) bool {
+	o, err := d.host.owner(testPartition)
+	require.NoError(c.t, err)
+	held, err := call(c.ctx, o, func() bool { return o.live[taskID(i)] != nil })
+	require.NoError(c.t, err)
+	return held
+}
--- a/process/partition/events.go
+++ b/process/partition/events.go
@@ -59,7 +59,7 @@
 // sendEvents sends one message to each shard that has events waiting.
 func (o *owner) sendEvents(now time.Time) {
 	for _, box := range o.out {
-		if len(box.pending) == 0 || box.busy || now.Before(box.after) {
+		if len(box.pending) == 0 || box.busy || now.Before(box.after) || box.shard == unknownShard {
 			continue
 		}
 		c, ok := o.h.o.Directory.Owner(shardResource(box.shard))
--- a/process/partition/harness_test.go
+++ b/process/partition/harness_test.go
@@ -76,7 +76,7 @@
 	author    *author
 	ctx       context.Context
 	cancel    context.CancelFunc
-	jobs      spec.Config
+	jobs      atomic.Pointer[spec.Config]
 	whole     bool // daemons also own the jobs
 
 	mu     sync.Mutex
@@ -138,9 +138,9 @@
 	l.vms = slices.DeleteFunc(l.vms, func(vm vmlist.VM) bool { return vm.Name == name })
 }
 
-type configSource struct{ c *spec.Config }
+type configSource struct{ c *atomic.Pointer[spec.Config] }
 
-func (s configSource) Current() *spec.Config    { return s.c }
+func (s configSource) Current() *spec.Config    { return s.c.Load() }
 func (s configSource) Changed() <-chan struct{} { return nil }
 
 func rackName(i int) string { return fmt.Sprintf("rack-%d", i) }
@@ -150,7 +150,7 @@
 // newCell starts daemons and workers; odd workers compare epochs, even ones
 // only know leases.
 func newCell(t testing.TB, daemons, workers, racks int, capacity spec.Resources) *cell {
-	c := newWholeCell(t, daemons, workers, racks, capacity, spec.Config{})
+	c := newWholeCell(t, daemons, workers, racks, capacity, spec.Config{Version: 1})
 	c.author = newAuthor(c)
 	return c
 }
@@ -160,7 +160,8 @@
 func newWholeCell(t testing.TB, daemons, workers, racks int, capacity spec.Resources, config spec.Config) *cell {
 	ctx, cancel := context.WithCancel(t.Context())
 	c := &cell{t: t, rack: agenttest.NewRack(), kv: kv.New(), net: peertest.NewNetwork(1), vms: &vmList{}, ctx: ctx, cancel: cancel, workers: workers, racks: racks,
-		jobs: config, whole: len(config.Jobs) > 0}
+		whole: len(config.Jobs) > 0}
+	c.jobs.Store(&config)
 	for i := range workers {
 		id := workerID(i)
 		c.rack.Add(id, capacity, i%2 == 1)
--- a/process/partition/model.go
+++ b/process/partition/model.go
@@ -37,6 +37,10 @@
 	team          string
 	nonIdempotent bool
 	shard         plan.Shard
+	// undescribed is set while the configuration here is older than the task,
+	// limitless while nobody knows how much an adopted instance takes; see
+	// describe.
+	undescribed, limitless bool
 
 	phase   phase
 	since   time.Time // of the phase
--- a/process/partition/options.go
+++ b/process/partition/options.go
@@ -49,7 +49,8 @@
 	// RenewBound is ownership.Options.RenewBound of the cell: how long an
 	// earlier owner that is not known to have let go may renew tasks.
 	RenewBound time.Duration
-	// ShardOf tells the shard of a job found at a worker after a takeover.
+	// ShardOf tells the shard of a job found at a worker after a takeover, by
+	// the configuration in force. It is asked once that is as late as the task.
 	ShardOf func(job string) plan.Shard
 	Log     zerolog.Logger
 	Metrics *Metrics
--- a/process/partition/owner.go
+++ b/process/partition/owner.go
@@ -46,7 +46,8 @@
 	state   publisher
 	jobs    jobFailures
 
-	shardsRead bool // epochs of the shards were read from the store
+	described  uint64 // version of the configuration that describeLate used
+	shardsRead bool   // epochs of the shards were read from the store
 	reading    bool
 	readAt     time.Time // of the next reading
 	confirms   confirmer
@@ -166,6 +167,7 @@
 	now := time.Now()
 	o.readShards(now)
 	o.refreshNodes()
+	o.describeLate()
 	o.earlier.check(o.h, now)
 	o.expireReservations(now)
 	o.jobs.expire(now)
--- a/process/partition/reports.go
+++ b/process/partition/reports.go
@@ -81,22 +81,11 @@
 	t := &task{
 		ref:     ref,
 		at:      n.id,
-		shard:   o.h.o.ShardOf(ref.Task.Job),
 		started: time.Now(),
 		report:  report,
-		class:   spec.Normal,
-	}
-	t.start = worker.Start{Task: ref.Task, Attempt: ref.Attempt, Size: report.Size, Kind: spec.Batch}
-	if report.Address != "" {
-		t.start.Kind = spec.Service
-	}
-	if job := o.h.o.Config.Current().Jobs[ref.Task.Job]; job != nil {
-		t.class, t.team, t.nonIdempotent = job.EffectiveClass(), job.Team, job.NonIdempotent
-		t.start.Kind, t.start.RunTime = job.Kind, job.RunTime
-		if job.Service != nil {
-			t.start.Service, t.start.Slots, t.start.Conns = job.Name, job.Service.Slots, job.Service.Connections
-		}
 	}
+	t.start = worker.Start{Task: ref.Task, Attempt: ref.Attempt, Size: report.Size}
+	o.describe(t, o.h.o.Config.Current())
 	n.tasks[ref] = t
 	t.enter(unknown)
 	if report.State.Ended() {
--- a/process/partition/state.go
+++ b/process/partition/state.go
@@ -166,7 +166,7 @@
 				Service: t.start.Service, Task: t.ref.Task, Attempt: t.ref.Attempt,
 				Worker: n.id, Zone: n.vm.Zone, Address: t.report.Address,
 				Slots: t.start.Slots, Conns: t.start.Conns,
-				Leaving: t.leaving || t.stopWanted || n.draining,
+				Leaving: t.leaving || t.stopWanted || n.draining || t.limitless,
 			})
 		}
 	}
@@ -229,6 +229,9 @@
 		}
 		for _, t := range n.tasks {
 			if t.shard != shard && !slices.Contains(req.Jobs, t.ref.Task.Job) {
+				if t.shard == unknownShard && !slices.Contains(r.Unaccounted, n.id) {
+					r.Unaccounted = append(r.Unaccounted, n.id) // it may be of this shard
+				}
 				continue
 			}
 			t.shard = shard
--- a/process/partition/whole_test.go
+++ b/process/partition/whole_test.go
@@ -60,7 +60,7 @@
 		Violation: func(err error) { d.c.violated(fmt.Errorf("%s: %w", d.key(), err)) },
 	})
 	d.host.o.ShardOf = func(name string) plan.Shard {
-		if j := d.c.jobs.Jobs[name]; j != nil {
+		if j := d.c.jobs.Load().Jobs[name]; j != nil {
 			return m.ShardOf(j.Team)
 		}
 		return 0
