Keep the limits of a partition's services in its memo

Cause: an adopted instance of an earlier generation is listed as leaving, because the configuration in force does not tell what it was started for. A takeover in the middle of a rolling replacement took most instances of the service away from callers at once. Only an instance without a note is listed as leaving.

--- a/process/partition/commit.go
+++ b/process/partition/commit.go
@@ -98,6 +98,7 @@
 	n.tasks[t.ref] = t
 	t.at = n.id
 	o.live[t.ref.Task] = t
+	o.limits.learn(t)
 	o.touchTask(n, t)
 	return accepted
 }
--- a/process/partition/describe.go
+++ b/process/partition/describe.go
@@ -39,14 +39,18 @@
 
 // describeInstance sets how much an adopted instance takes. The declaration of
 // another generation does not tell: it may allow more than the instance was
-// started for, and callers' requests would fail. An instance of which it is
-// not known takes no new requests.
+// started for, and callers' requests would fail. An earlier owner's memo tells;
+// an instance of which nothing is known takes no new requests.
 func (o *owner) describeInstance(t *task, job *spec.VersionedJob) {
 	t.start.Service = t.ref.Task.Job
-	t.limitless = job == nil || job.Service == nil || job.Generation != t.ref.Task.Generation
-	if !t.limitless {
+	if job != nil && job.Service != nil && job.Generation == t.ref.Task.Generation {
 		t.start.Slots, t.start.Conns = job.Service.Slots, job.Service.Connections
+		t.limitless = false
+		o.limits.learn(t)
+		return
 	}
+	l, known := o.limits.known[generationOf(t)]
+	t.start.Slots, t.start.Conns, t.limitless = l.slots, l.conns, !known
 }
 
 // describeLate looks again at tasks that were adopted before the configuration
--- a/process/partition/describe_test.go
+++ b/process/partition/describe_test.go
@@ -71,10 +71,35 @@
 		time.Sleep(time.Second)
 		require.Equal(t, 8, endpointsOf(c, d)[0].Slots)
 		_, e := c.adoptedEndpoint(d)
-		require.True(t, e.Leaving || e.Slots <= 8 && e.Conns <= 64, "%+v", e)
+		require.Equal(t, []any{8, 64, false}, []any{e.Slots, e.Conns, e.Leaving})
 	})
 }
 
+func TestAdoptedInstanceOfUnknownLimitsTakesNoNewRequests(t *testing.T) {
+	// Symptom:  as above.
+	// Sequence: as above, and the owner ends before its memo is written.
+	// Cause:    as above.
+	inBubble(t, 2, 1, large, func(c *cell) {
+		d := c.ready()
+		d.gate.setCut(true)
+		c.author.mustStart(d, service(1, workerID(0)))
+		c.eventually(time.Minute, "listens", func() bool { return len(endpointsOf(c, d)) == 1 })
+		c.declare(2, 2, declaredService(16))
+		_, e := c.adoptedEndpoint(d)
+		require.True(t, e.Leaving, "%+v", e)
+	})
+}
+
+func TestLimitsOfServicesThatAreGoneAreForgotten(t *testing.T) {
+	var l serviceLimits
+	require.Equal(t, []string{"vm-1"}, l.recall([]string{"limits desk 7 8 64", "limits of a later release", "vm-1"}))
+	require.Equal(t, map[generation]instanceLimits{{"desk", 7}: {8, 64}}, l.known)
+	require.Equal(t, []string{"limits desk 7 8 64"}, l.notes())
+	o := &owner{limits: l}
+	o.forgetLimits()
+	require.Empty(t, o.limits.known)
+}
+
 func TestAdoptedTaskOfAJobLearnedLaterIsNotLost(t *testing.T) {
 	// Symptom:  a task runs at two workers, or is stopped by the owner of a
 	//           shard that it does not belong to.
--- a/process/partition/memo.go
+++ b/process/partition/memo.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -15,11 +16,13 @@
 // first time afterwards; its tasks, which may go on until their lease runs out,
 // would be missing from the answer to a Fence and be started elsewhere. So a
 // worker takes tasks only once it is in the memo, and leaves the memo only once
-// nothing can run there.
+// nothing can run there. The memo also holds the limits of services, see
+// serviceLimits.
 
 // recall enters the workers that the memo names and the VM list does not.
 func (o *owner) recall(notes []string) {
 	o.noted = make(map[worker.ID]bool, len(notes))
+	notes = o.limits.recall(notes)
 	listed := o.h.o.Racks.Workers(o.name)
 	for _, note := range notes {
 		id := worker.ID(note)
@@ -33,34 +36,45 @@
 
 // remember brings the memo up to date.
 func (o *owner) remember(now time.Time) {
-	if o.noting || now.Before(o.noteAt) || o.releasing || (o.memoIsCurrent() && !o.canSettle()) {
+	if o.noting || now.Before(o.noteAt) || o.releasing || (o.memoIsCurrent() && !o.canSettle() && !o.limits.due(now)) {
 		return
 	}
 	memo := ownership.Memo{Settled: o.settled || o.canSettle()}
 	for id := range o.nodes {
 		memo.Notes = append(memo.Notes, string(id))
 	}
+	workers := slices.Clone(memo.Notes)
+	o.forgetLimits()
+	memo.Notes = append(memo.Notes, o.limits.notes()...)
 	slices.Sort(memo.Notes)
+	limits := o.limits.seq
 	o.noting = true
 	go func() {
 		ctx, cancel := context.WithTimeout(o.ctx, storeTimeout)
 		defer cancel()
 		err := o.h.o.Claims.Remember(ctx, o.claim, memo)
-		o.post(func() { o.remembered(memo, err) })
+		o.post(func() { o.remembered(memo.Settled, workers, limits, err) })
 	}()
 }
 
-func (o *owner) remembered(memo ownership.Memo, err error) {
+// remembered notes what the store holds now: workers, and limits up to a
+// position.
+func (o *owner) remembered(settled bool, workers []string, limits uint64, err error) {
 	o.noting = false
 	if err != nil {
 		o.noteAt = time.Now().Add(storeRetry)
 		o.log.Warn().Err(err).Msg("workers not written down")
 		return
 	}
-	o.settled = memo.Settled
-	o.noted = make(map[worker.ID]bool, len(memo.Notes))
-	for _, note := range memo.Notes {
-		o.noted[worker.ID(note)] = true
+	o.settled = settled
+	o.limits.written(limits)
+	before := o.noted
+	o.noted = make(map[worker.ID]bool, len(workers))
+	for _, id := range workers {
+		o.noted[worker.ID(id)] = true
+	}
+	if maps.Equal(before, o.noted) {
+		return
 	}
 	for _, n := range o.nodes {
 		o.touch(n)
--- a/process/partition/owner.go
+++ b/process/partition/owner.go
@@ -55,6 +55,7 @@
 	releasing  bool
 	settled    bool               // no earlier owner can start anything any more
 	noted      map[worker.ID]bool // workers in the memo
+	limits     serviceLimits
 	noting     bool
 	checkNext  []worker.ID   // see checkInvariants
 	counted    int           // workers counted in the host's sum
