Take a smaller capacity from the VM list at once

Cause: a worker's capacity was read when it was entered or fenced. A VM that was made smaller in the list was filled up to its old capacity for as long as its agent kept the lease. Change: a worker is booked with the smaller of what the list and its inventory say; a change in the list takes effect with that reading, refuses starts that are not sent and may not fit, and has the inventory read anew.

--- a/process/partition/model.go
+++ b/process/partition/model.go
@@ -88,7 +88,8 @@
 	agent worker.Agent
 	tasks map[worker.Ref]*task
 
-	capacity  spec.Resources
+	capacity  spec.Resources // see setCapacity
+	reported  spec.Resources // what the worker tells; zero: nothing yet
 	lease     worker.LeaseID
 	leases    map[worker.LeaseID]bool // every lease opened here in this epoch
 	fenced    bool                    // leases of others revoked, tasks known, lease confirmed
--- a/process/partition/owner.go
+++ b/process/partition/owner.go
@@ -245,7 +245,11 @@
 			n.agent = o.h.o.Dialer.Dial(vm.Address)
 			n.fenced = false
 		}
+		resized := n.vm.Capacity != vm.Capacity
 		n.vm = vm
+		if resized {
+			o.resized(n)
+		}
 		if n.gone {
 			n.gone = false // it was back before its tasks were given up
 			n.fenced = false
@@ -274,15 +278,14 @@
 
 func (o *owner) addNode(id worker.ID, vm vmlist.VM) *node {
 	n := &node{
-		id:       id,
-		vm:       vm,
-		agent:    o.h.o.Dialer.Dial(vm.Address),
-		tasks:    make(map[worker.Ref]*task),
-		leases:   make(map[worker.LeaseID]bool),
-		capacity: vm.Capacity,
+		id:     id,
+		vm:     vm,
+		agent:  o.h.o.Dialer.Dial(vm.Address),
+		tasks:  make(map[worker.Ref]*task),
+		leases: make(map[worker.LeaseID]bool),
 	}
 	o.nodes[id] = n
-	o.ledger.SetWorker(id, vm.Capacity)
+	o.setCapacity(n)
 	o.touch(n)
 	n.added = n.changed
 	return n
--- a/process/partition/reports.go
+++ b/process/partition/reports.go
@@ -16,8 +16,8 @@
 // called with all foreign leases revoked, so what is not listed does not run.
 func (o *owner) takeInventory(n *node, inv worker.Inventory) {
 	if !inv.Capacity.IsZero() {
-		n.capacity = inv.Capacity
-		o.ledger.SetWorker(n.id, inv.Capacity)
+		n.reported = inv.Capacity
+		o.setCapacity(n)
 	}
 	if inv.Draining && !n.draining {
 		o.startDraining(n)
