Bound what a partition remembers of departed workers

Cause: publisher.departed kept every worker that was removed in an epoch. Change: a list of at most 512 with the position from which it is complete; a reader further behind gets the full state. Starts refused because a VM became smaller say so. Measured: 51200 workers leave under one owner: before 51200 remembered, after at most 512. go test ./process/partition passes.

--- a/process/partition/calls.go
+++ b/process/partition/calls.go
@@ -136,15 +136,17 @@
 	wait := min(time.Duration(n.failures)*o.syncInterval(), maxBackoff)
 	n.nextSync = now.Add(wait)
 	n.nextTry = now.Add(wait)
-	o.refuseQueued(n)
+	o.refuseQueued(n, outOfReach)
 }
 
+const outOfReach = "worker out of reach before the start was sent"
+
 // refuseQueued gives starts that were not sent back to their shard, so that
-// they do not wait for a worker that is out of reach.
-func (o *owner) refuseQueued(n *node) {
+// they do not wait for a worker that may not take them.
+func (o *owner) refuseQueued(n *node, reason string) {
 	for _, t := range n.tasks {
 		if t.phase == queued || t.phase == waiting {
-			o.notStarted(n, t, "worker out of reach before the start was sent")
+			o.notStarted(n, t, reason)
 		}
 	}
 }
--- a/process/partition/capacity.go
+++ b/process/partition/capacity.go
@@ -33,7 +33,7 @@
 	n.fenced = false
 	o.setCapacity(n)
 	if !o.ledger.Held(n.id).Fits(n.capacity) {
-		o.refuseQueued(n)
+		o.refuseQueued(n, "VM became smaller before the start was sent")
 	}
 	o.touch(n)
 }
--- a/process/partition/fence.go
+++ b/process/partition/fence.go
@@ -252,7 +252,7 @@
 		// Each try costs an inventory, and an outage lasts long.
 		n.nextTry = now.Add(min(storeRetry<<n.unconfirmed, maxStoreRetry))
 		n.unconfirmed = min(n.unconfirmed+1, maxStoreDoublings)
-		o.refuseQueued(n)
+		o.refuseQueued(n, outOfReach)
 		o.touch(n)
 		return
 	}
--- a/process/partition/state.go
+++ b/process/partition/state.go
@@ -32,15 +32,25 @@
 
 	endpointsDirty bool
 	endpointsSeq   uint64
-	departed       map[worker.ID]uint64 // workers removed in this epoch
+	departed       []departedWorker // workers removed lately, in order
+	// departedSince is the position from which on departed is complete.
+	departedSince uint64
 }
 
+// departedWorker is a worker that was removed, with the position of that.
+type departedWorker struct {
+	id worker.ID
+	at uint64
+}
+
+// maxDepartedWorkers bounds the list; a reader further behind gets everything.
+const maxDepartedWorkers = 512
+
 func (p *publisher) init(name string, epoch uint64) {
 	p.name, p.epoch = name, epoch
 	p.seq = 1 // 0 asks for everything
 	p.endpointsSeq = 1
 	p.changed = make(chan struct{})
-	p.departed = make(map[worker.ID]uint64)
 }
 
 func (p *publisher) next() uint64 {
@@ -48,7 +58,14 @@
 	return p.seq
 }
 
-func (p *publisher) gone(id worker.ID) { p.departed[id] = p.next() }
+func (p *publisher) gone(id worker.ID) {
+	p.departed = append(p.departed, departedWorker{id, p.next()})
+	if len(p.departed) > maxDepartedWorkers {
+		half := len(p.departed) / 2
+		p.departedSince = p.departed[half-1].at
+		p.departed = append(p.departed[:0], p.departed[half:]...)
+	}
+}
 
 // flush wakes the readers when something changed.
 func (p *publisher) flush(now time.Time) {
@@ -90,15 +107,20 @@
 
 func (o *owner) stateSince(since uint64) plan.State {
 	p := &o.state
+	if since < p.departedSince {
+		since = 0
+	}
 	s := plan.State{Partition: p.name, Epoch: p.epoch, Seq: p.seq, Full: since == 0}
 	for _, n := range o.nodes {
 		if n.changed > since {
 			s.Workers = append(s.Workers, o.workerState(n, since))
 		}
 	}
-	for id, at := range p.departed {
-		if since != 0 && at > since && o.nodes[id] == nil {
-			s.Workers = append(s.Workers, plan.WorkerState{ID: id, Gone: true})
+	listed := make(map[worker.ID]bool)
+	for _, d := range p.departed {
+		if since != 0 && d.at > since && o.nodes[d.id] == nil && !listed[d.id] {
+			listed[d.id] = true
+			s.Workers = append(s.Workers, plan.WorkerState{ID: d.id, Gone: true})
 		}
 	}
 	slices.SortFunc(s.Workers, func(a, b plan.WorkerState) int { return strings.Compare(string(a.ID), string(b.ID)) })
