--- a/process/partition/model.go
+++ b/process/partition/model.go
@@ -37,6 +37,10 @@
 	team          string
 	nonIdempotent bool
 	shard         plan.Shard
+	// undescribed is set while the configuration here is older than the task,
+	// limitless while nobody knows how much an adopted instance takes; see
+	// describe.
+	undescribed, limitless bool
 
 	phase   phase
 	since   time.Time // of the phase
@@ -84,7 +88,8 @@
 	agent worker.Agent
 	tasks map[worker.Ref]*task
 
-	capacity  spec.Resources
+	capacity  spec.Resources // see setCapacity
+	reported  spec.Resources // what the worker tells; zero: nothing yet
 	lease     worker.LeaseID
 	leases    map[worker.LeaseID]bool // every lease opened here in this epoch
 	fenced    bool                    // leases of others revoked, tasks known, lease confirmed
--- a/process/partition/owner.go
+++ b/process/partition/owner.go
@@ -46,7 +46,8 @@
 	state   publisher
 	jobs    jobFailures
 
-	shardsRead bool // epochs of the shards were read from the store
+	described  uint64 // version of the configuration that describeLate used
+	shardsRead bool   // epochs of the shards were read from the store
 	reading    bool
 	readAt     time.Time // of the next reading
 	confirms   confirmer
@@ -54,6 +55,7 @@
 	releasing  bool
 	settled    bool               // no earlier owner can start anything any more
 	noted      map[worker.ID]bool // workers in the memo
+	limits     serviceLimits
 	noting     bool
 	checkNext  []worker.ID   // see checkInvariants
 	counted    int           // workers counted in the host's sum
@@ -166,6 +168,7 @@
 	now := time.Now()
 	o.readShards(now)
 	o.refreshNodes()
+	o.describeLate()
 	o.earlier.check(o.h, now)
 	o.expireReservations(now)
 	o.jobs.expire(now)
@@ -242,7 +245,11 @@
 			n.agent = o.h.o.Dialer.Dial(vm.Address)
 			n.fenced = false
 		}
+		resized := n.vm.Capacity != vm.Capacity
 		n.vm = vm
+		if resized {
+			o.resized(n)
+		}
 		if n.gone {
 			n.gone = false // it was back before its tasks were given up
 			n.fenced = false
@@ -271,15 +278,14 @@
 
 func (o *owner) addNode(id worker.ID, vm vmlist.VM) *node {
 	n := &node{
-		id:       id,
-		vm:       vm,
-		agent:    o.h.o.Dialer.Dial(vm.Address),
-		tasks:    make(map[worker.Ref]*task),
-		leases:   make(map[worker.LeaseID]bool),
-		capacity: vm.Capacity,
+		id:     id,
+		vm:     vm,
+		agent:  o.h.o.Dialer.Dial(vm.Address),
+		tasks:  make(map[worker.Ref]*task),
+		leases: make(map[worker.LeaseID]bool),
 	}
 	o.nodes[id] = n
-	o.ledger.SetWorker(id, vm.Capacity)
+	o.setCapacity(n)
 	o.touch(n)
 	n.added = n.changed
 	return n
