Take a shard over with the latest configuration only

Cause: an owner starts the first tasks of a new job without a write. A successor whose configuration lags waited only for the version in the last written progress, and took a list with tasks of a later version as complete, so that it started these tasks again once it learned of the job.

Change: a list that names tasks of a later version does not account for its partition; a takeover reads the version in the store after the claim and waits for it, and for the store. history.Version reads it from the head alone. The stand-in of a partition lists by job names, as the real one does.

Conclusion: while the store is down no shard is taken over; that was so before, as the progress is read and fenced there, too.

--- a/process/daemon/work.go
+++ b/process/daemon/work.go
@@ -29,7 +29,8 @@
 	w := &workSide{l: l, cache: sched.NewCache()}
 	w.jobs = jobs.New(jobs.Options{
 		Self: l.self, Caller: l.node, Registrar: l.mux, Directory: l.owners, Config: l.versions,
-		Snapshots: w.cache.Snapshot, Store: l.store.Role(store.RoleProgress), Partitions: l.racks.Partitions,
+		LatestVersion: l.history.Version,
+		Snapshots:     w.cache.Snapshot, Store: l.store.Role(store.RoleProgress), Partitions: l.racks.Partitions,
 		Shards: s.Shards, Log: l.log, Metrics: &l.d.metrics.jobs, Violation: l.violation("jobs"),
 	})
 	w.host = partition.New(partition.Options{
--- a/process/jobs/cell_test.go
+++ b/process/jobs/cell_test.go
@@ -32,6 +32,7 @@
 	store   *kv.Memory
 	config  *fakeConfig
 	shards  int
+	latest  func(context.Context) (uint64, error) // LatestVersion of the daemons
 	tuning  Tuning
 	metrics *Metrics
 
@@ -134,7 +135,8 @@
 		Self: ref, Caller: caller, Registrar: mux, Directory: d.dir, Config: c.config,
 		Snapshots: d.cache.Snapshot, Store: client.Role(store.RoleProgress),
 		Partitions: c.partitionNames, Shards: c.shards, Log: zerolog.Nop(), Metrics: c.metrics, Tuning: c.tuning,
-		Violation: func(err error) { c.problem("%v", err) },
+		LatestVersion: c.latest,
+		Violation:     func(err error) { c.problem("%v", err) },
 	})
 	go func() { _ = d.manager.Serve(ctx) }()
 	c.mu.Lock()
--- a/process/jobs/jobs.go
+++ b/process/jobs/jobs.go
@@ -46,6 +46,12 @@
 	Registrar peer.Registrar
 	Directory ownership.Directory
 	Config    spec.Source
+	// LatestVersion reads the version of the configuration from the store. A
+	// shard that is taken over waits until Config is at least there: the
+	// previous owner may have acted on it without a write. While it fails, the
+	// shard waits and tries again. Nil leaves the version in the progress as
+	// the only bound.
+	LatestVersion func(ctx context.Context) (uint64, error)
 	// Snapshots returns the newest snapshot of the workers; it must be cheap.
 	Snapshots func() *sched.Snapshot
 	// Store holds the progress, for example a *store.Handle of RoleProgress.
--- a/process/jobs/partition.go
+++ b/process/jobs/partition.go
@@ -162,7 +162,9 @@
 		st.takeEvent(p, ev, true)
 	}
 	st.dropMissing(p, listed)
-	if len(p.unaccounted) == 0 {
+	if len(p.unaccounted) == 0 && !p.doubt {
+		// A list with tasks of a configuration that is not known here puts the
+		// partition in doubt: they are not taken in, and would start again.
 		st.accountedFor(p.name)
 	}
 	st.round.dirty = true
--- a/process/jobs/partition_test.go
+++ b/process/jobs/partition_test.go
@@ -289,7 +289,8 @@
 		}
 	}
 	p.eachTask(func(t *fakeTask) {
-		if t.shard == r.Author.Shard && !t.worker.unreachable {
+		if (t.shard == r.Author.Shard || slices.Contains(r.Jobs, t.event.Task.Job)) && !t.worker.unreachable {
+			t.shard = r.Author.Shard
 			reply.Tasks = append(reply.Tasks, t.event)
 		}
 	})
--- a/process/jobs/shard.go
+++ b/process/jobs/shard.go
@@ -129,8 +129,12 @@
 }
 
 // takeOver opens the progress under this epoch and waits for a configuration
-// that is not older than the one the previous owner acted on. With an older
-// one this owner would stop tasks of jobs that it does not know yet.
+// that is not older than the one the previous owner acted on: the version in
+// its last write, and the one in the store, as it may have started tasks of a
+// new job without a write. With an older one this owner would stop tasks of
+// jobs that it does not know yet, and start tasks of a new job beside those
+// that run. The version is read after the claim and after the old owner's
+// writes are fenced; while the store is down nothing is taken over.
 func (s *shard) takeOver(ctx context.Context) (*state, error) {
 	type opened struct {
 		file *progress.File
@@ -144,18 +148,35 @@
 		}
 		return opened{file, jobs, head}, err
 	}
-	policy := backoff.NewExponentialBackOff()
-	policy.InitialInterval, policy.MaxInterval = 50*time.Millisecond, 2*time.Second
-	got, err := backoff.Retry(ctx, open, backoff.WithBackOff(policy), backoff.WithMaxElapsedTime(0))
+	got, err := untilDone(ctx, open)
+	if err != nil {
+		return nil, err
+	}
+	latest, err := s.latestVersion(ctx)
 	if err != nil {
 		return nil, err
 	}
-	if err := s.awaitConfig(ctx, got.head.ConfigVersion); err != nil {
+	if err := s.awaitConfig(ctx, max(got.head.ConfigVersion, latest)); err != nil {
 		return nil, err
 	}
 	return newState(s, got.file, got.jobs, got.head), nil
 }
 
+// latestVersion reads the version of the configuration in the store.
+func (s *shard) latestVersion(ctx context.Context) (uint64, error) {
+	if s.o.LatestVersion == nil {
+		return 0, nil
+	}
+	return untilDone(ctx, func() (uint64, error) { return s.o.LatestVersion(ctx) })
+}
+
+// untilDone calls f until it succeeds, fails for good or ctx ends.
+func untilDone[T any](ctx context.Context, f func() (T, error)) (T, error) {
+	policy := backoff.NewExponentialBackOff()
+	policy.InitialInterval, policy.MaxInterval = 50*time.Millisecond, 2*time.Second
+	return backoff.Retry(ctx, f, backoff.WithBackOff(policy), backoff.WithMaxElapsedTime(0))
+}
+
 func (s *shard) awaitConfig(ctx context.Context, version uint64) error {
 	for {
 		changed := s.o.Config.Changed()
--- a/version/history/history.go
+++ b/version/history/history.go
@@ -172,6 +172,16 @@
 	return s.snapshot, nil
 }
 
+// Version returns the number of the latest version, read from the store; 0 if
+// there was no apply yet.
+func (h *History) Version(ctx context.Context) (uint64, error) {
+	head, _, err := h.readHead(ctx)
+	if err != nil {
+		return 0, fmt.Errorf("read configuration: %w", err)
+	}
+	return head.Version, nil
+}
+
 // Check reports whether file could be applied on base now: the error is the one
 // that ApplyAs would return.
 func (h *History) Check(ctx context.Context, file *spec.File, base uint64, by By) error {
