Keep a task blocked through the end of an older attempt

Cause: during a takeover the failure of an older attempt, reported again, counted as the end of the task and freed it while a later attempt might run in a partition that could not be asked yet. And a gang of which a dead owner had started only a part was left alone, waiting for the rest.

Change: the end of a blocked task's attempt without success is counted once and acknowledged; the task stays blocked until the takeover is complete, and is given up then if its retries are used up. When a takeover is complete, a gang with both live and ready tasks is stopped and tried again as a whole.

Conclusion: a blocked task is freed by a complete takeover or its success only.

--- a/process/jobs/events.go
+++ b/process/jobs/events.go
@@ -209,6 +209,10 @@
 		st.queueAck(p.name, worker.Ref{Task: ev.Task, Attempt: ev.Attempt})
 		return
 	}
+	if j.blocked.Contains(index) && (!succeeded && !j.spec.NonIdempotent || ev.NotStarted) {
+		st.endWhileBlocked(p, j, ev)
+		return
+	}
 	if live != nil {
 		// The worker was given up for lost and came back with the result.
 		st.makeStray(live)
--- /dev/null
+++ b/process/jobs/gang_takeover_test.go
@@ -0,0 +1,42 @@
+package jobs
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"fennelshunt.example/fennelshunt/version/spec"
+)
+
+func TestHalfStartedGangOfADeadOwnerIsMadeWhole(t *testing.T) {
+	// Symptom: some tasks of a gang run and wait for the others for ever.
+	// Sequence: the owner of a shard has all reservations of a gang, starts it
+	// in two racks and dies; the start in the third rack was lost.
+	// Cause: a gang with live tasks was left alone until they end.
+	inCell(t, 1, func(ctx context.Context, c *cell) {
+		gang := batch("gang", "a", 60, time.Hour)
+		gang.Kind = spec.Gang
+		c.apply(nil, batch("warm", "a", 1, time.Second))
+		d := c.startDaemon(ctx, "d1")
+		d.own(0)
+		c.await(10*time.Second, "the partitions are in use", func() bool { return c.succeeded("warm") == 1 })
+		time.Sleep(2 * time.Second)
+		c.apply(nil, gang)
+		for sending := false; !sending; time.Sleep(100 * time.Microsecond) {
+			_ = d.manager.shard(0).call(ctx, func(st *state) {
+				j := st.current["gang"]
+				sending = j != nil && j.gang == nil && len(j.live) == 60
+			})
+		}
+		c.net.Cut("d1", "p-r1")
+		time.Sleep(4 * time.Millisecond)
+		d.kill()
+		half := c.runningTasks("gang")
+		require.Positive(t, half)
+		require.Less(t, half, 60)
+		c.startDaemon(ctx, "d2").own(0)
+		c.await(time.Minute, "all run", func() bool { return c.runningTasks("gang") == 60 })
+	})
+}
--- a/process/jobs/takeover.go
+++ b/process/jobs/takeover.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"fennelshunt.example/fennelshunt/connection/worker"
 	"fennelshunt.example/fennelshunt/process/jobs/progress"
 	"fennelshunt.example/fennelshunt/process/plan"
 	"fennelshunt.example/fennelshunt/process/sched/snapshot"
@@ -17,13 +18,16 @@
 	// waiting holds the partitions that have not accounted for all their
 	// workers, with the least epoch of the owner that can.
 	waiting map[string]uint64
-	done    bool
+	// failed are the failures of blocked tasks that are counted already.
+	failed map[worker.Ref]struct{}
+	done   bool
 }
 
 func newTakeover(records []*progress.Job, head progress.Head) takeover {
 	t := takeover{
 		records: make(map[progress.Key]*progress.Job, len(records)),
 		waiting: make(map[string]uint64, len(head.Partitions)),
+		failed:  map[worker.Ref]struct{}{},
 		done:    len(head.Partitions) == 0,
 	}
 	for _, j := range records {
@@ -78,10 +82,42 @@
 	st.o.Log.Info().Int("shard", int(st.shard.number)).Msg("takeover complete")
 	for _, j := range st.jobs {
 		st.unblock(j)
+		st.wholeGang(j)
 	}
+	clear(st.takeover.failed)
 	st.countPending()
 }
 
+// endWhileBlocked takes the end, without a success, of an attempt of a blocked
+// task. A later attempt may run where nobody could be asked yet: if this end
+// freed the task, it would run in two places. So the task stays blocked until
+// the takeover is complete, and a failure is only counted, once: the partition
+// lists it until the answer has come.
+func (st *state) endWhileBlocked(p *partition, j *job, ev *plan.Event) {
+	ref := worker.Ref{Task: ev.Task, Attempt: ev.Attempt}
+	if _, counted := st.takeover.failed[ref]; !counted && ev.State == worker.Failed && !ev.Lost && !ev.NotStarted {
+		st.takeover.failed[ref] = struct{}{}
+		j.record.AddFailure(uint32(ev.Task.Index))
+		st.touch(j)
+	}
+	st.ackDurable(j, p.name, ref)
+}
+
+// failBlocked ends the blocked tasks whose retries are used up.
+func (st *state) failBlocked(j *job) {
+	for it := j.blocked.Clone().Iterator(); it.HasNext(); {
+		index := it.Next()
+		if j.service() || j.record.Failures(index) <= j.spec.Retries {
+			continue
+		}
+		j.blocked.Remove(index)
+		j.record.Failed.Add(index)
+		j.record.ClearFailures(index)
+		st.o.Metrics.Finished.Add(1)
+		st.touch(j)
+	}
+}
+
 // unblock frees the tasks of a job that no partition holds. A non-idempotent
 // task with an intent may have run and lost its worker since; it is not
 // started again.
@@ -97,11 +133,26 @@
 		st.o.Metrics.Unknown.Add(int64(unknown.GetCardinality()))
 		st.touch(j)
 	}
+	st.failBlocked(j)
 	j.ready.Or(j.blocked)
 	j.blocked.Clear()
 	st.enqueue(j)
 }
 
+// wholeGang stops a gang of which only a part runs: the previous owner died
+// between the starts in two partitions, or a task has ended meanwhile. The
+// part would hold its room and wait for the rest, which starts only when all
+// tasks are ready. It is also the place to end a gang of which a blocked task
+// has used up its retries.
+func (st *state) wholeGang(j *job) {
+	if j.spec.Kind != spec.Gang || j.cancelled || j.gang != nil || j.ready.IsEmpty() {
+		return
+	}
+	if len(j.live) > 0 || !j.record.Failed.IsEmpty() {
+		st.failGang(j, "only a part of the gang was running at a takeover")
+	}
+}
+
 // countPending counts against the quotas what blocked tasks may hold: what the
 // workers that are not accounted for can carry. A previous owner may have
 // learned larger sizes than the declared ones, so these are no bound.
