Keep a shard at work when its hand-over fails

Cause: Releasing ended the shard also when its progress could not be made durable. The claim is kept in that case, so nobody ran the shard.

Change: on an error the shard takes up starts again and Releasing returns the error; only a shard that has ended already counts as released.

Conclusion: an outage of the store during a hand-over costs the time of the refused hand-over, in which nothing new starts.

--- a/process/jobs/jobs.go
+++ b/process/jobs/jobs.go
@@ -11,6 +11,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"strconv"
 	"strings"
@@ -180,7 +181,7 @@
 }
 
 // Releasing implements ownership.User: it stops new starts, waits until the
-// progress is durable and ends the shard.
+// progress is durable and ends the shard. On an error the shard stays at work.
 func (m *Manager) Releasing(ctx context.Context, r ownership.Resource) error {
 	n, err := shardOf(r)
 	if err != nil {
@@ -190,13 +191,15 @@
 	if s == nil {
 		return nil
 	}
-	err = s.release(ctx)
+	if err := s.release(ctx); err != nil && !errors.Is(err, errShardEnded) {
+		return fmt.Errorf("release %s: %w", r, err)
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if run := m.shards[n]; run != nil && run.shard == s {
 		m.drop(n)
 	}
-	return err
+	return nil
 }
 
 func (m *Manager) shard(n plan.Shard) *shard {
--- a/process/jobs/shard.go
+++ b/process/jobs/shard.go
@@ -191,8 +191,19 @@
 	}
 }
 
-// release stops new starts and waits until all answers are in and durable.
+// release stops new starts and waits until all answers are in and durable. On
+// an error, for example when the store is down until ctx ends, the shard goes
+// on as before: the claim is kept, and nobody else would do its work.
 func (s *shard) release(ctx context.Context) error {
+	err := s.settle(ctx)
+	if err != nil {
+		// Not bounded by ctx, which has ended, but by the life of the shard.
+		go s.post(context.Background(), 0, func(st *state) { st.releasing = false })
+	}
+	return err
+}
+
+func (s *shard) settle(ctx context.Context) error {
 	if err := s.call(ctx, func(st *state) { st.releasing = true }); err != nil {
 		return err
 	}
