Leave tasks of other shards alone

Cause: the new owner of a partition that does not know a job yet takes its tasks for those of shard 0, which stopped them and acknowledged their results.

Change: a shard ignores what is reported of a job that is declared, in the same generation, for another shard; the list of the partition gives it to its own shard, which asks for it by name.

Measured, in virtual time: TestShardLeavesTasksOfOtherShardsAlone: before, 0 of 4 tasks of the other shard ran on; after, 4, and 4 results that ended meanwhile reached their shard.

Conclusion: a finished job's late result that is taken for shard 0's is not acknowledged before the partition has its next owner; it costs a little memory at the worker.

--- a/process/jobs/events.go
+++ b/process/jobs/events.go
@@ -49,6 +49,9 @@
 		p.doubt = true
 		return
 	}
+	if st.ofAnotherShard(key) {
+		return
+	}
 	j := st.jobs[key]
 	if j == nil && listed {
 		j = st.adoptJob(key, ev)
@@ -74,6 +77,15 @@
 	}
 }
 
+// ofAnotherShard reports whether a job is declared for another shard. An owner
+// of workers that did not know the job yet takes its tasks for those of shard
+// 0, which must neither stop them nor acknowledge their results: their own
+// shard asks for them by the name of the job.
+func (st *state) ofAnotherShard(key progress.Key) bool {
+	declared := st.config.Jobs[key.Job]
+	return declared != nil && declared.Generation == key.Generation && !st.mine(declared.Team)
+}
+
 // ended reports whether the attempt certainly does not run any more.
 func ended(ev *plan.Event) bool { return ev.Lost || ev.NotStarted || ev.State.Ended() }
 
