Let a shard without workers sleep, and forget teams and strays

Cause: a round without workers left its answers due and the next one began after the least gap. Accounts of teams were never forgotten, and the usage reported of a live attempt that is stopped beside a finished task was kept.

Change: without workers the next look comes after RoundInterval; accounts of teams that are not declared and hold nothing are dropped; the end of a stray is told to the learner, and the check of the whole state compares its reports with the attempts.

--- a/process/jobs/cell_test.go
+++ b/process/jobs/cell_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -120,6 +121,12 @@
 	cache   *sched.Cache
 	cancel  context.CancelFunc
 	dir     *ownershiptest.Directory
+	looks   atomic.Int64 // for a snapshot of the workers
+}
+
+func (d *daemon) snapshot() *sched.Snapshot {
+	d.looks.Add(1)
+	return d.cache.Snapshot()
 }
 
 func (c *cell) startDaemon(ctx context.Context, id peer.MemberID) *daemon {
@@ -133,7 +140,7 @@
 	client := store.NewClient(c.store, store.Options{})
 	d.manager = New(Options{
 		Self: ref, Caller: caller, Registrar: mux, Directory: d.dir, Config: c.config,
-		Snapshots: d.cache.Snapshot, Store: client.Role(store.RoleProgress),
+		Snapshots: d.snapshot, Store: client.Role(store.RoleProgress),
 		Partitions: c.partitionNames, Shards: c.shards, Log: zerolog.Nop(), Metrics: c.metrics, Tuning: c.tuning,
 		LatestVersion: c.latest,
 		Violation:     func(err error) { c.problem("%v", err) },
--- a/process/jobs/check.go
+++ b/process/jobs/check.go
@@ -31,8 +31,10 @@
 func (st *state) check() error {
 	var errs []error
 	held := map[string]spec.Resources{}
+	attempts := len(st.strays)
 	for _, j := range st.jobs {
 		errs = append(errs, checkJob(j))
+		attempts += len(j.live)
 		for _, a := range j.live {
 			held[j.spec.Team] = held[j.spec.Team].Add(a.size)
 		}
@@ -45,6 +47,9 @@
 			errs = append(errs, fmt.Errorf("team %q: %+v counted, attempts hold %+v", team, counted, held[team]))
 		}
 	})
+	if n := st.learner.Reported(); n > attempts {
+		errs = append(errs, fmt.Errorf("reports of %d attempts are kept, %d have not ended", n, attempts))
+	}
 	return errors.Join(errs...)
 }
 
--- a/process/jobs/events.go
+++ b/process/jobs/events.go
@@ -201,6 +201,7 @@
 func (st *state) dropStray(a *attempt) {
 	delete(st.strays, a.ref())
 	delete(st.stopping, a)
+	st.learner.Ended(a.ref(), 0, false) // it may have been reported while live
 	st.accounts.Refund(a.job.spec.Team, a.size)
 	if st.round.planner != nil {
 		st.round.planner.Forget(a.ref())
--- /dev/null
+++ b/process/jobs/idle_test.go
@@ -0,0 +1,74 @@
+package jobs
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"fennelshunt.example/fennelshunt/connection/worker"
+	"fennelshunt.example/fennelshunt/process/plan"
+	"fennelshunt.example/fennelshunt/version/spec"
+)
+
+func TestShardWithoutWorkersSeldomWakes(t *testing.T) {
+	// Symptom: an idle daemon of a cell without workers uses processor time.
+	// Sequence: a job waits, and no worker is known yet.
+	// Cause: a round without workers ended with its answers still due, and the
+	// next one began after the least gap.
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer func() { cancel(); synctest.Wait() }()
+		c := newCell(t, 1)
+		c.apply(nil, batch("b", "a", 4, time.Second))
+		d := c.startDaemon(ctx, "d1")
+		d.own(0)
+		time.Sleep(5 * time.Second)
+		before := d.looks.Load()
+		time.Sleep(10 * time.Second)
+		require.LessOrEqual(t, d.looks.Load()-before, int64(40))
+		go c.publish(ctx, 20*time.Millisecond)
+		c.addRack(ctx, "r1", "z", 1, core.Times(8))
+		c.await(2*time.Second, "the job starts with the first workers", func() bool { return c.runningTasks("b") == 4 })
+		c.check()
+	})
+}
+
+func TestNothingIsKeptOfTeamsAndStraysThatAreGone(t *testing.T) {
+	// Symptom: a daemon's memory grows with the jobs and teams of the past.
+	// Sequence: teams and their jobs come and go; attempts run beside a result
+	// that came back from a worker given up for lost.
+	// Cause: accounts were never forgotten, and the reports of attempts that
+	// are stopped beside a finished task were kept.
+	inCell(t, 1, func(ctx context.Context, c *cell) {
+		d := c.startDaemon(ctx, "d1")
+		d.own(0)
+		for _, team := range []string{"t1", "t2", "t3"} {
+			c.apply([]spec.Team{{Name: team}}, batch("of-"+team, team, 8, time.Hour))
+			c.await(5*time.Second, "runs", func() bool { return c.runningTasks("of-"+team) == 8 })
+			c.apply(nil)
+			c.await(5*time.Second, "stopped", func() bool { return c.runningTasks("of-"+team) == 0 })
+		}
+		c.apply(nil, batch("b", "a", 1, time.Hour))
+		c.await(5*time.Second, "runs", func() bool { return c.runningTasks("b") == 1 })
+		time.Sleep(time.Second)
+		require.NoError(t, d.manager.shard(0).call(ctx, func(st *state) {
+			a := st.current["b"].live[0]
+			p := st.partitions[a.partition]
+			st.takeEvent(p, &plan.Event{Task: a.task(), Attempt: a.number, Worker: a.worker, State: worker.Running, Usage: core}, false)
+			st.takeEvent(p, &plan.Event{Task: a.task(), Attempt: a.number - 1, Worker: a.worker, State: worker.Succeeded}, false)
+		}))
+		c.await(5*time.Second, "the other attempt is stopped", func() bool { return c.runningTasks("b") == 0 })
+		c.check()
+		c.apply(nil)
+		time.Sleep(10 * time.Second)
+		teams := 0
+		require.NoError(t, d.manager.shard(0).call(ctx, func(st *state) {
+			st.accounts.Each(func(string, spec.Resources, int) { teams++ })
+			require.Zero(t, st.learner.Reported())
+		}))
+		require.Zero(t, teams)
+	})
+}
--- a/process/jobs/reconcile.go
+++ b/process/jobs/reconcile.go
@@ -49,6 +49,16 @@
 	}
 }
 
+// forgetTeams drops the accounts of teams that are no longer declared and hold
+// nothing.
+func (st *state) forgetTeams() {
+	st.accounts.Each(func(name string, _ spec.Resources, _ int) {
+		if st.config.Teams[name] == nil {
+			st.accounts.Forget(name)
+		}
+	})
+}
+
 // newJobs returns the declared jobs that are not known, oldest first, so that
 // arrivals are numbered alike by every owner.
 func (st *state) newJobs() []*spec.VersionedJob {
--- a/process/jobs/round.go
+++ b/process/jobs/round.go
@@ -22,6 +22,8 @@
 	protected *gangShadow
 	// wasted is the time spent in the last round on tasks that found no place.
 	wasted time.Duration
+	// noWorkers is set when the last look found no workers.
+	noWorkers bool
 	// dirty is set when something may have changed an answer.
 	dirty                       bool
 	last, lastTick, lastRecheck time.Time
@@ -75,7 +77,9 @@
 		return false
 	}
 	st.round.last, st.round.wasted = now, 0
-	if snap.Len() == 0 {
+	// Without workers nothing can be answered, and the answers stay due:
+	// looking again after the least gap would keep a core busy.
+	if st.round.noWorkers = snap.Len() == 0; st.round.noWorkers {
 		return false
 	}
 	if st.round.planner == nil {
@@ -104,7 +108,9 @@
 // nextRound returns when the next round may begin. Urgent work is not held up.
 func (st *state) nextRound() time.Time {
 	gap := st.o.Tuning.RoundGap
-	if st.queue.Len(spec.Urgent) == 0 {
+	if st.round.noWorkers {
+		gap = st.o.Tuning.RoundInterval
+	} else if st.queue.Len(spec.Urgent) == 0 {
 		gap = min(max(gap, wastedShare*st.round.wasted), st.o.Tuning.RoundInterval)
 	}
 	return st.round.last.Add(gap)
--- a/process/jobs/state.go
+++ b/process/jobs/state.go
@@ -160,6 +160,7 @@
 	st.repeatStops(now)
 	st.rollServices()
 	st.recheckInfeasible(now)
+	st.forgetTeams()
 	st.checkNow(now)
 }
 
--- a/process/sched/usage/usage.go
+++ b/process/sched/usage/usage.go
@@ -92,6 +92,9 @@
 	h.live = largest(h.live, used)
 }
 
+// Reported returns the number of tasks with a report whose end was not told.
+func (l *Learner) Reported() int { return len(l.running) }
+
 // Ended takes the end of a task. Only a task that succeeded tells anything of
 // run times, and one that never had a report nothing of sizes.
 func (l *Learner) Ended(ref worker.Ref, ran time.Duration, succeeded bool) {
