--- a/process/jobs/cell_test.go
+++ b/process/jobs/cell_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -32,6 +33,7 @@
 	store   *kv.Memory
 	config  *fakeConfig
 	shards  int
+	latest  func(context.Context) (uint64, error) // LatestVersion of the daemons
 	tuning  Tuning
 	metrics *Metrics
 
@@ -119,6 +121,12 @@
 	cache   *sched.Cache
 	cancel  context.CancelFunc
 	dir     *ownershiptest.Directory
+	looks   atomic.Int64 // for a snapshot of the workers
+}
+
+func (d *daemon) snapshot() *sched.Snapshot {
+	d.looks.Add(1)
+	return d.cache.Snapshot()
 }
 
 func (c *cell) startDaemon(ctx context.Context, id peer.MemberID) *daemon {
@@ -132,9 +140,10 @@
 	client := store.NewClient(c.store, store.Options{})
 	d.manager = New(Options{
 		Self: ref, Caller: caller, Registrar: mux, Directory: d.dir, Config: c.config,
-		Snapshots: d.cache.Snapshot, Store: client.Role(store.RoleProgress),
+		Snapshots: d.snapshot, Store: client.Role(store.RoleProgress),
 		Partitions: c.partitionNames, Shards: c.shards, Log: zerolog.Nop(), Metrics: c.metrics, Tuning: c.tuning,
-		Violation: func(err error) { c.problem("%v", err) },
+		LatestVersion: c.latest,
+		Violation:     func(err error) { c.problem("%v", err) },
 	})
 	go func() { _ = d.manager.Serve(ctx) }()
 	c.mu.Lock()
--- a/process/jobs/events.go
+++ b/process/jobs/events.go
@@ -49,6 +49,9 @@
 		p.doubt = true
 		return
 	}
+	if st.ofAnotherShard(key) {
+		return
+	}
 	j := st.jobs[key]
 	if j == nil && listed {
 		j = st.adoptJob(key, ev)
@@ -74,6 +77,15 @@
 	}
 }
 
+// ofAnotherShard reports whether a job is declared for another shard. An owner
+// of workers that did not know the job yet takes its tasks for those of shard
+// 0, which must neither stop them nor acknowledge their results: their own
+// shard asks for them by the name of the job.
+func (st *state) ofAnotherShard(key progress.Key) bool {
+	declared := st.config.Jobs[key.Job]
+	return declared != nil && declared.Generation == key.Generation && !st.mine(declared.Team)
+}
+
 // ended reports whether the attempt certainly does not run any more.
 func ended(ev *plan.Event) bool { return ev.Lost || ev.NotStarted || ev.State.Ended() }
 
@@ -189,6 +201,7 @@
 func (st *state) dropStray(a *attempt) {
 	delete(st.strays, a.ref())
 	delete(st.stopping, a)
+	st.learner.Ended(a.ref(), 0, false) // it may have been reported while live
 	st.accounts.Refund(a.job.spec.Team, a.size)
 	if st.round.planner != nil {
 		st.round.planner.Forget(a.ref())
@@ -209,6 +222,10 @@
 		st.queueAck(p.name, worker.Ref{Task: ev.Task, Attempt: ev.Attempt})
 		return
 	}
+	if j.blocked.Contains(index) && (!succeeded && !j.spec.NonIdempotent || ev.NotStarted) {
+		st.endWhileBlocked(p, j, ev)
+		return
+	}
 	if live != nil {
 		// The worker was given up for lost and came back with the result.
 		st.makeStray(live)
--- a/process/jobs/jobs.go
+++ b/process/jobs/jobs.go
@@ -11,6 +11,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"strconv"
 	"strings"
@@ -46,13 +47,20 @@
 	Registrar peer.Registrar
 	Directory ownership.Directory
 	Config    spec.Source
+	// LatestVersion reads the version of the configuration from the store. A
+	// shard that is taken over waits until Config is at least there: the
+	// previous owner may have acted on it without a write. While it fails, the
+	// shard waits and tries again. Nil leaves the version in the progress as
+	// the only bound.
+	LatestVersion func(ctx context.Context) (uint64, error)
 	// Snapshots returns the newest snapshot of the workers; it must be cheap.
 	Snapshots func() *sched.Snapshot
 	// Store holds the progress, for example a *store.Handle of RoleProgress.
 	Store progress.Store
 	// Partitions lists the partitions known now, by name without prefix.
 	Partitions func() []string
-	// Shards is the number of shards of the cell; all daemons use the same.
+	// Shards is the number of shards of the cell; all daemons use the same. It
+	// is stored by the first daemon, and one with another number serves none.
 	Shards int
 	Log    zerolog.Logger
 	// Metrics may be nil.
@@ -62,6 +70,9 @@
 	// Violation, when set, is called with each violated invariant, for tests;
 	// violations are logged and counted in any case.
 	Violation func(error)
+
+	// agreed is closed when the number of shards is known to be the cell's.
+	agreed chan struct{}
 }
 
 // Manager runs the shards that this daemon owns. It implements ownership.User
@@ -69,6 +80,7 @@
 type Manager struct {
 	options    Options
 	supervisor *suture.Supervisor
+	agreeOnce  sync.Once
 
 	mu     sync.Mutex // guards shards
 	shards map[plan.Shard]*ownedShard
@@ -86,9 +98,11 @@
 	if o.Metrics == nil {
 		o.Metrics = &Metrics{}
 	}
+	o.agreed = make(chan struct{})
 	m := &Manager{options: o, shards: map[plan.Shard]*ownedShard{}}
 	m.supervisor = suture.New("jobs", suture.Spec{EventHook: m.logEvent})
 	m.supervisor.Add(&exchange{manager: m})
+	m.supervisor.Add(&layout{manager: m})
 	o.Registrar.Handle(plan.MethodEvents, m.handleEvents)
 	o.Registrar.Handle(MethodTotals, m.handleTotals)
 	m.registerReports()
@@ -117,8 +131,13 @@
 	return ownership.Resource(ownership.ShardPrefix + strconv.Itoa(int(n)))
 }
 
-// Resources lists the resources of all shards of the cell.
+// Resources lists the resources of all shards of the cell; none until it is
+// known that this daemon's number of shards is the cell's, so that it claims
+// none before.
 func (m *Manager) Resources() []ownership.Resource {
+	if !m.agrees() {
+		return nil
+	}
 	all := make([]ownership.Resource, m.options.Shards)
 	for i := range all {
 		all[i] = Resource(plan.Shard(i))
@@ -174,7 +193,7 @@
 }
 
 // Releasing implements ownership.User: it stops new starts, waits until the
-// progress is durable and ends the shard.
+// progress is durable and ends the shard. On an error the shard stays at work.
 func (m *Manager) Releasing(ctx context.Context, r ownership.Resource) error {
 	n, err := shardOf(r)
 	if err != nil {
@@ -184,13 +203,15 @@
 	if s == nil {
 		return nil
 	}
-	err = s.release(ctx)
+	if err := s.release(ctx); err != nil && !errors.Is(err, errShardEnded) {
+		return fmt.Errorf("release %s: %w", r, err)
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if run := m.shards[n]; run != nil && run.shard == s {
 		m.drop(n)
 	}
-	return err
+	return nil
 }
 
 func (m *Manager) shard(n plan.Shard) *shard {
--- a/process/jobs/shard.go
+++ b/process/jobs/shard.go
@@ -129,8 +129,12 @@
 }
 
 // takeOver opens the progress under this epoch and waits for a configuration
-// that is not older than the one the previous owner acted on. With an older
-// one this owner would stop tasks of jobs that it does not know yet.
+// that is not older than the one the previous owner acted on: the version in
+// its last write, and the one in the store, as it may have started tasks of a
+// new job without a write. With an older one this owner would stop tasks of
+// jobs that it does not know yet, and start tasks of a new job beside those
+// that run. The version is read after the claim and after the old owner's
+// writes are fenced; while the store is down nothing is taken over.
 func (s *shard) takeOver(ctx context.Context) (*state, error) {
 	type opened struct {
 		file *progress.File
@@ -144,18 +148,40 @@
 		}
 		return opened{file, jobs, head}, err
 	}
-	policy := backoff.NewExponentialBackOff()
-	policy.InitialInterval, policy.MaxInterval = 50*time.Millisecond, 2*time.Second
-	got, err := backoff.Retry(ctx, open, backoff.WithBackOff(policy), backoff.WithMaxElapsedTime(0))
+	select {
+	case <-s.o.agreed:
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	got, err := untilDone(ctx, open)
 	if err != nil {
 		return nil, err
 	}
-	if err := s.awaitConfig(ctx, got.head.ConfigVersion); err != nil {
+	latest, err := s.latestVersion(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if err := s.awaitConfig(ctx, max(got.head.ConfigVersion, latest)); err != nil {
 		return nil, err
 	}
 	return newState(s, got.file, got.jobs, got.head), nil
 }
 
+// latestVersion reads the version of the configuration in the store.
+func (s *shard) latestVersion(ctx context.Context) (uint64, error) {
+	if s.o.LatestVersion == nil {
+		return 0, nil
+	}
+	return untilDone(ctx, func() (uint64, error) { return s.o.LatestVersion(ctx) })
+}
+
+// untilDone calls f until it succeeds, fails for good or ctx ends.
+func untilDone[T any](ctx context.Context, f func() (T, error)) (T, error) {
+	policy := backoff.NewExponentialBackOff()
+	policy.InitialInterval, policy.MaxInterval = 50*time.Millisecond, 2*time.Second
+	return backoff.Retry(ctx, f, backoff.WithBackOff(policy), backoff.WithMaxElapsedTime(0))
+}
+
 func (s *shard) awaitConfig(ctx context.Context, version uint64) error {
 	for {
 		changed := s.o.Config.Changed()
@@ -170,8 +196,19 @@
 	}
 }
 
-// release stops new starts and waits until all answers are in and durable.
+// release stops new starts and waits until all answers are in and durable. On
+// an error, for example when the store is down until ctx ends, the shard goes
+// on as before: the claim is kept, and nobody else would do its work.
 func (s *shard) release(ctx context.Context) error {
+	err := s.settle(ctx)
+	if err != nil {
+		// Not bounded by ctx, which has ended, but by the life of the shard.
+		go s.post(context.Background(), 0, func(st *state) { st.releasing = false })
+	}
+	return err
+}
+
+func (s *shard) settle(ctx context.Context) error {
 	if err := s.call(ctx, func(st *state) { st.releasing = true }); err != nil {
 		return err
 	}
