--- a/process/cellview/merge_test.go
+++ b/process/cellview/merge_test.go
@@ -1,9 +1,7 @@
 package cellview
 
 import (
-	"flag"
 	"fmt"
-	"os"
 	"testing"
 	"time"
 
@@ -11,19 +9,12 @@
 	"pgregory.net/rapid"
 
 	"fennelshunt.example/fennelshunt/connection/worker"
+	"fennelshunt.example/fennelshunt/internal/rapidtest"
 	"fennelshunt.example/fennelshunt/process/plan"
 	"fennelshunt.example/fennelshunt/version/spec"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	for name, value := range map[string]string{"rapid.seed": "1", "rapid.nofailfile": "true"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { rapidtest.Main(m) }
 
 // TestMergedStatesEqualWholeOnes compares deltas, some of them skipped, with
 // the naive way: the whole list each time.
--- a/process/jobs/jobs.go
+++ b/process/jobs/jobs.go
@@ -10,6 +10,7 @@
 package jobs
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -291,40 +292,28 @@
 }
 
 func (t Tuning) withDefaults() Tuning {
-	setDuration(&t.CommitInterval, time.Second)
-	setInt(&t.CommitBurst, 4)
-	setDuration(&t.CommitGather, 10*time.Millisecond)
-	setDuration(&t.RoundInterval, 500*time.Millisecond)
-	setDuration(&t.RoundGap, 5*time.Millisecond)
-	setInt(&t.SliceLimit, 256)
-	setInt(&t.StartAhead, 1024)
-	setInt(&t.PlanSteps, 256)
+	t.CommitInterval = cmp.Or(t.CommitInterval, time.Second)
+	t.CommitBurst = cmp.Or(t.CommitBurst, 4)
+	t.CommitGather = cmp.Or(t.CommitGather, 10*time.Millisecond)
+	t.RoundInterval = cmp.Or(t.RoundInterval, 500*time.Millisecond)
+	t.RoundGap = cmp.Or(t.RoundGap, 5*time.Millisecond)
+	t.SliceLimit = cmp.Or(t.SliceLimit, 256)
+	t.StartAhead = cmp.Or(t.StartAhead, 1024)
+	t.PlanSteps = cmp.Or(t.PlanSteps, 256)
 	if t.StartsPerSecond == 0 {
 		t.StartsPerSecond = 2000
 	}
-	setInt(&t.StartBurst, 1000)
-	setDuration(&t.CallTimeout, 2*time.Second)
-	setDuration(&t.RetryFirst, time.Second)
-	setDuration(&t.RetryLast, time.Minute)
-	setDuration(&t.LossSpread, 5*time.Second)
-	setDuration(&t.StopRepeat, 5*time.Second)
-	setDuration(&t.FenceRepeat, time.Second)
-	setDuration(&t.ForgetPartition, 2*time.Hour)
-	setDuration(&t.GangHold, 10*time.Second)
-	setDuration(&t.GangRetry, 500*time.Millisecond)
-	setDuration(&t.ShareInterval, 2*time.Second)
-	setDuration(&t.Drain, 30*time.Second)
+	t.StartBurst = cmp.Or(t.StartBurst, 1000)
+	t.CallTimeout = cmp.Or(t.CallTimeout, 2*time.Second)
+	t.RetryFirst = cmp.Or(t.RetryFirst, time.Second)
+	t.RetryLast = cmp.Or(t.RetryLast, time.Minute)
+	t.LossSpread = cmp.Or(t.LossSpread, 5*time.Second)
+	t.StopRepeat = cmp.Or(t.StopRepeat, 5*time.Second)
+	t.FenceRepeat = cmp.Or(t.FenceRepeat, time.Second)
+	t.ForgetPartition = cmp.Or(t.ForgetPartition, 2*time.Hour)
+	t.GangHold = cmp.Or(t.GangHold, 10*time.Second)
+	t.GangRetry = cmp.Or(t.GangRetry, 500*time.Millisecond)
+	t.ShareInterval = cmp.Or(t.ShareInterval, 2*time.Second)
+	t.Drain = cmp.Or(t.Drain, 30*time.Second)
 	return t
 }
-
-func setDuration(d *time.Duration, fallback time.Duration) {
-	if *d == 0 {
-		*d = fallback
-	}
-}
-
-func setInt(n *int, fallback int) {
-	if *n == 0 {
-		*n = fallback
-	}
-}
--- a/process/jobs/progress/progress_test.go
+++ b/process/jobs/progress/progress_test.go
@@ -3,10 +3,8 @@
 import (
 	"context"
 	"errors"
-	"flag"
 	"fmt"
 	"math/rand/v2"
-	"os"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -14,14 +12,10 @@
 
 	"fennelshunt.example/fennelshunt/connection/peer"
 	"fennelshunt.example/fennelshunt/connection/store"
+	"fennelshunt.example/fennelshunt/internal/rapidtest"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	_ = flag.Set("rapid.seed", "1")
-	_ = flag.Set("rapid.nofailfile", "true")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { rapidtest.Main(m) }
 
 // mapStore is a store whose answers get lost at random.
 type mapStore struct {
--- a/process/jobs/queue/queue_test.go
+++ b/process/jobs/queue/queue_test.go
@@ -1,22 +1,16 @@
 package queue
 
 import (
-	"flag"
-	"os"
 	"testing"
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	"fennelshunt.example/fennelshunt/internal/rapidtest"
 	"fennelshunt.example/fennelshunt/version/spec"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	_ = flag.Set("rapid.seed", "1")
-	_ = flag.Set("rapid.nofailfile", "true")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { rapidtest.Main(m) }
 
 var classList = []spec.Class{spec.Low, spec.Normal, spec.High, spec.Urgent}
 
--- a/process/ownership/protocol_test.go
+++ b/process/ownership/protocol_test.go
@@ -1,7 +1,6 @@
 package ownership
 
 import (
-	"flag"
 	"maps"
 	"math/rand/v2"
 	"os"
@@ -10,17 +9,11 @@
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
+
+	"fennelshunt.example/fennelshunt/internal/rapidtest"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	for name, value := range map[string]string{"rapid.seed": "1", "rapid.nofailfile": "true"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { rapidtest.Main(m) }
 
 // sendOrders sends the starts that an owner has accepted for a worker.
 func (m *model) sendOrders(o, w int) {
--- a/request/admission/admission_test.go
+++ b/request/admission/admission_test.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"flag"
 	"fmt"
-	"os"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -13,15 +11,11 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	"fennelshunt.example/fennelshunt/internal/rapidtest"
 	"fennelshunt.example/fennelshunt/request/verdict"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	_ = flag.Set("rapid.seed", "1")
-	_ = flag.Set("rapid.nofailfile", "true")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { rapidtest.Main(m) }
 
 // station is a service with a fixed number of slots and time per request, in
 // virtual time.
--- a/request/gateway/options.go
+++ b/request/gateway/options.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"net/http"
 	"time"
 
@@ -123,14 +124,14 @@
 }
 
 func (o *Options) setDefaults() {
-	setDefault(&o.Timeout, DefaultTimeout)
-	setDefault(&o.MaxBody, DefaultMaxBody)
-	setDefault(&o.MaxKeyedBody, DefaultMaxKeyedBody)
-	setDefault(&o.KeyedBodyMemory, DefaultKeyedBodyMemory)
-	setDefault(&o.RewindBody, DefaultRewindBody)
-	setDefault(&o.BodyTimeout, DefaultBodyTimeout)
-	setDefault(&o.MaxConcurrent, DefaultMaxConcurrent)
-	setDefault(&o.HomeWait, DefaultHomeWait)
+	o.Timeout = cmp.Or(o.Timeout, DefaultTimeout)
+	o.MaxBody = cmp.Or(o.MaxBody, DefaultMaxBody)
+	o.MaxKeyedBody = cmp.Or(o.MaxKeyedBody, DefaultMaxKeyedBody)
+	o.KeyedBodyMemory = cmp.Or(o.KeyedBodyMemory, DefaultKeyedBodyMemory)
+	o.RewindBody = cmp.Or(o.RewindBody, DefaultRewindBody)
+	o.BodyTimeout = cmp.Or(o.BodyTimeout, DefaultBodyTimeout)
+	o.MaxConcurrent = cmp.Or(o.MaxConcurrent, DefaultMaxConcurrent)
+	o.HomeWait = cmp.Or(o.HomeWait, DefaultHomeWait)
 	if o.Admission == nil {
 		o.Admission = admission.New(admission.Options{})
 	}
@@ -144,9 +145,3 @@
 		o.Observe = func(string, string, string, int, verdict.Verdict, time.Duration) {}
 	}
 }
-
-func setDefault[T int | int64 | time.Duration](v *T, d T) {
-	if *v == 0 {
-		*v = d
-	}
-}
--- a/request/outlier/outlier.go
+++ b/request/outlier/outlier.go
@@ -7,6 +7,7 @@
 package outlier
 
 import (
+	"cmp"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -52,20 +53,14 @@
 }
 
 func (o *Options) setDefaults() {
-	setDefault(&o.Failures, DefaultFailures)
-	setDefault(&o.MaxEjected, DefaultMaxEjected)
-	setDefault(&o.Ejection, DefaultEjection)
-	setDefault(&o.MaxEjection, DefaultMaxEjection)
-	setDefault(&o.MinSamples, DefaultMinSamples)
-	setDefault(&o.ErrorMargin, DefaultErrorMargin)
-	setDefault(&o.SlowFactor, DefaultSlowFactor)
-	setDefault(&o.SlowMinimum, DefaultSlowMinimum)
-}
-
-func setDefault[T int | float64 | time.Duration](v *T, d T) {
-	if *v == 0 {
-		*v = d
-	}
+	o.Failures = cmp.Or(o.Failures, DefaultFailures)
+	o.MaxEjected = cmp.Or(o.MaxEjected, DefaultMaxEjected)
+	o.Ejection = cmp.Or(o.Ejection, DefaultEjection)
+	o.MaxEjection = cmp.Or(o.MaxEjection, DefaultMaxEjection)
+	o.MinSamples = cmp.Or(o.MinSamples, DefaultMinSamples)
+	o.ErrorMargin = cmp.Or(o.ErrorMargin, DefaultErrorMargin)
+	o.SlowFactor = cmp.Or(o.SlowFactor, DefaultSlowFactor)
+	o.SlowMinimum = cmp.Or(o.SlowMinimum, DefaultSlowMinimum)
 }
 
 // Outcome of an attempt, as it speaks of the instance.
--- a/request/outlier/outlier_test.go
+++ b/request/outlier/outlier_test.go
@@ -1,9 +1,7 @@
 package outlier
 
 import (
-	"flag"
 	"fmt"
-	"os"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -11,15 +9,11 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	"fennelshunt.example/fennelshunt/internal/rapidtest"
 	"fennelshunt.example/fennelshunt/process/plan"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	_ = flag.Set("rapid.seed", "1")
-	_ = flag.Set("rapid.nofailfile", "true")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { rapidtest.Main(m) }
 
 func address(i int) string { return fmt.Sprintf("10.0.0.%d:80", i) }
 
--- a/standin/callers/callers.go
+++ b/standin/callers/callers.go
@@ -16,6 +16,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
+	"fennelshunt.example/fennelshunt/internal/sleep"
 	"fennelshunt.example/fennelshunt/request/gateway"
 	"fennelshunt.example/fennelshunt/request/verdict"
 	"fennelshunt.example/fennelshunt/standin/endpoint"
@@ -160,15 +161,9 @@
 	}
 }
 
+// sleepUntil reports whether t came before ctx ended.
 func sleepUntil(ctx context.Context, t time.Time) bool {
-	timer := time.NewTimer(time.Until(t))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return sleep.For(ctx, time.Until(t)) == nil
 }
 
 // call is one request with its tries.
