--- /dev/null
+++ b/command/jobd/jobd.go
@@ -0,0 +1,152 @@
+// Package jobd is the command of the daemon that takes jobs from callers.
+package jobd
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"sync/atomic"
+	"syscall"
+
+	"github.com/peterbourgon/ff/v3"
+	"github.com/rs/zerolog"
+	"github.com/rs/zerolog/diode"
+
+	"fennelshunt.example/fennelshunt/platform"
+	"fennelshunt.example/fennelshunt/process/cellnode"
+	"fennelshunt.example/fennelshunt/process/settings"
+)
+
+// logBuffer is how many lines may wait for a slow reader of the log; further
+// ones are dropped and counted.
+const logBuffer = 8192
+
+// memoryShare is the share of the machine's memory at which the collector
+// works harder rather than let the process be killed.
+const memoryShare = 0.6
+
+// Run reads the flags and serves.
+func Run(args []string) error {
+	fs := flag.NewFlagSet("fenneljobd", flag.ContinueOnError)
+	var (
+		path  = fs.String("settings", "", "settings file (JSON); see docs/OPERATIONS.md for the fields")
+		check = fs.Bool("check", false, "check the settings file and exit")
+		level = fs.String("log-level", "", "overrides the settings' log_level: debug, info, warn or error")
+	)
+	if err := ff.Parse(fs, args, ff.WithEnvVarPrefix("FENNELJOBD")); err != nil {
+		return err
+	}
+	if *path == "" {
+		return errors.New("flag -settings: name the settings file")
+	}
+	s, err := settings.LoadJobCell(*path)
+	if err != nil {
+		return err
+	}
+	if *level != "" {
+		s.LogLevel = *level
+	}
+	parsed, err := zerolog.ParseLevel(s.LogLevel)
+	if err != nil {
+		return fmt.Errorf("flag -log-level: %w", err)
+	}
+	if *check {
+		fmt.Println(*path + ": ok")
+		return nil
+	}
+	return serve(s, parsed, *path)
+}
+
+func serve(s *settings.JobCell, level zerolog.Level, path string) error {
+	var dropped atomic.Int64
+	out := diode.NewWriter(io.Writer(os.Stdout), logBuffer, 0, func(n int) { dropped.Add(int64(n)) })
+	defer func() { _ = out.Close() }() // nothing is left to log it to
+	log := zerolog.New(out).Level(level).With().Timestamp().Logger()
+	if s.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(float64(s.MemoryMB<<20) * memoryShare))
+	}
+	node, err := cellnode.New(options(s, log, dropped.Load))
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go watchSignals(ctx, cancel, node, log, path)
+	if err := node.Run(ctx); err != nil && !errors.Is(err, context.Canceled) {
+		return err
+	}
+	return nil
+}
+
+func options(s *settings.JobCell, log zerolog.Logger, dropped func() int64) cellnode.Options {
+	client := platform.NewHTTPClient()
+	kv := platform.NewStore(client, s.Store)
+	return cellnode.Options{
+		Settings: s, Store: kv, Runner: platform.NewWorkers(client), Directory: platform.Directory{Store: kv},
+		Catalogs: platform.Catalogs{Store: kv}, Adviser: &platform.Adviser{HTTP: client, Address: s.Advice},
+		Log: log, Dropped: dropped,
+		Handler: func(p cellnode.Parts) http.Handler {
+			return &platform.Ingress{Jobs: p.Jobs, Catalog: p.Catalog, Closing: p.Closing, Observe: observe(log)}
+		},
+	}
+}
+
+// observe writes a line for each request that changes something or failed.
+func observe(log zerolog.Logger) func(platform.Observed) {
+	return func(o platform.Observed) {
+		if o.Method == http.MethodGet && o.Status == http.StatusOK {
+			return
+		}
+		log.Info().Str("job", string(o.ID)).Str("queue", o.Queue).Str("method", o.Method).Int("status", o.Status).
+			Int64("took_ms", o.Took.Milliseconds()).AnErr("error", o.Err).Msg("request")
+	}
+}
+
+// watchSignals stops the daemon on SIGTERM, and checks the settings on SIGHUP.
+func watchSignals(ctx context.Context, cancel context.CancelFunc, node *cellnode.Node, log zerolog.Logger, path string) {
+	signals := make(chan os.Signal, 8)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
+	stopping := false
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case s := <-signals:
+			switch {
+			case s == syscall.SIGHUP:
+				reload(log, path)
+			case stopping:
+				cancel()
+			default:
+				stopping = true
+				go func() {
+					node.Stop(ctx)
+					cancel()
+				}()
+			}
+		}
+	}
+}
+
+// reload reads the settings again. What a running daemon can take over is the
+// level of its log; addresses and bounds are those of the process's start.
+func reload(log zerolog.Logger, path string) {
+	s, err := settings.LoadJobCell(path)
+	if err != nil {
+		log.Error().Err(err).Msg("settings can not be read, the earlier ones stay in use")
+		return
+	}
+	level, err := zerolog.ParseLevel(s.LogLevel)
+	if err != nil {
+		log.Error().Err(err).Msg("settings can not be used, the earlier ones stay in use")
+		return
+	}
+	zerolog.SetGlobalLevel(level)
+	log.Info().Str("log_level", s.LogLevel).Msg("settings read again")
+}
--- a/connection/keys/ephemeral.go
+++ b/connection/keys/ephemeral.go
@@ -93,18 +93,7 @@
 	if err != nil {
 		return nil, err
 	}
-	names = append([]string{PeerName, "localhost", "127.0.0.1", "::1"}, names...)
-	certPEM, keyPEM, err := authority.Issue(names...)
-	if err != nil {
-		return nil, err
-	}
-	m, err := parse(Files{}, certPEM, keyPEM, authority.PEM())
-	if err != nil {
-		return nil, err
-	}
-	k := &Keys{}
-	k.current.Store(m)
-	return k, nil
+	return authority.Identity(append([]string{"localhost", "127.0.0.1", "::1"}, names...)...)
 }
 
 func newTemplate(name string) (*x509.Certificate, error) {
--- /dev/null
+++ b/connection/store/patience.go
@@ -0,0 +1,63 @@
+package store
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+// Patience bounds how long one call may go without an answer, from how long
+// recent calls took.
+//
+// What goes wrong without it: an answer that was lost, or a connection that
+// went silent, is noticed only by its timeout. A fixed timeout long enough for
+// a slow store makes every lost answer cost that long; one fit for a quick
+// store never succeeds with a slow one.
+type Patience struct {
+	// Min and Max bound the timeout.
+	Min, Max time.Duration
+
+	mu      sync.Mutex
+	average time.Duration // of answered calls, decaying
+	misses  int           // calls in a row without an answer
+}
+
+// Weights of Patience: the timeout is patienceFactor times the decaying average
+// of the answers' times, which a new answer enters with 1/patienceDecay.
+const (
+	patienceFactor  = 8
+	patienceDecay   = 4
+	maxPatienceMiss = 6 // doublings, so that the shift stays small
+)
+
+// Timeout returns the bound for the next call.
+func (p *Patience) Timeout() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	d := max(p.average*patienceFactor, p.Min) << min(p.misses, maxPatienceMiss)
+	return min(d, p.Max)
+}
+
+// Context returns a context bounded by Timeout.
+func (p *Patience) Context(ctx context.Context) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(ctx, p.Timeout())
+}
+
+// Answered notes a call that was answered after d.
+func (p *Patience) Answered(d time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.misses = 0
+	if p.average == 0 {
+		p.average = d
+		return
+	}
+	p.average += (d - p.average) / patienceDecay
+}
+
+// Missed notes a call without an answer.
+func (p *Patience) Missed() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.misses++
+}
--- /dev/null
+++ b/process/cellnode/advise.go
@@ -0,0 +1,49 @@
+package cellnode
+
+import (
+	"context"
+	"errors"
+
+	"fennelshunt.example/fennelshunt/connection/peer"
+	"fennelshunt.example/fennelshunt/connection/runner"
+)
+
+// methodAdvise asks a daemon to ask the advice service: calls of one daemon
+// are answered one after the other, those of several side by side.
+const methodAdvise peer.Method = "advice.ask"
+
+type adviseRequest struct {
+	Step    string            `cbor:"1,keyasint"`
+	Workers []runner.WorkerID `cbor:"2,keyasint"`
+}
+
+type adviseReply struct {
+	Good []runner.Ticket `cbor:"1,keyasint"`
+}
+
+var errNoMember = errors.New("cellnode: the member is not known")
+
+// advise asks a member's adviser, which may be this daemon's own.
+func (n *Node) advise(ctx context.Context, member, step string, workers []runner.WorkerID) ([]runner.Ticket, error) {
+	if member == n.o.Settings.Name {
+		return n.o.Adviser.Advise(ctx, step, workers)
+	}
+	for _, m := range n.elector.View().Members() {
+		if m.Name != member {
+			continue
+		}
+		var r adviseReply
+		_, err := n.peers.CallAddr(ctx, m.Peer, methodAdvise, adviseRequest{step, workers}, &r)
+		return r.Good, err
+	}
+	return nil, errNoMember
+}
+
+func (n *Node) serveAdvise(ctx context.Context, _ peer.Ref, payload []byte) (any, error) {
+	var r adviseRequest
+	if err := peer.Unmarshal(payload, &r); err != nil {
+		return nil, err
+	}
+	good, err := n.o.Adviser.Advise(ctx, r.Step, r.Workers)
+	return adviseReply{Good: good}, err
+}
--- /dev/null
+++ b/process/cellnode/catalog.go
@@ -0,0 +1,106 @@
+package cellnode
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"fennelshunt.example/fennelshunt/connection/store"
+	"fennelshunt.example/fennelshunt/internal/sleep"
+	"fennelshunt.example/fennelshunt/version/work"
+)
+
+// Times of following the configuration.
+const (
+	catalogWait  = 1500 * time.Millisecond
+	catalogGrace = 500 * time.Millisecond
+	catalogPause = 50 * time.Millisecond
+	// checkPeriod is between plain reads beside the watch: a watch may hear
+	// nothing for a while and not show it.
+	checkPeriod = 1500 * time.Millisecond
+)
+
+// catalogs keeps the newest queues. A version is never replaced by a lower one.
+type catalogs struct {
+	source work.Source
+	log    zerolog.Logger
+	now    atomic.Pointer[work.Catalog]
+	first  chan struct{} // closed with the first version
+}
+
+func newCatalogs(source work.Source, log zerolog.Logger) *catalogs {
+	return &catalogs{source: source, log: log, first: make(chan struct{})}
+}
+
+// Current returns the queues in force, nil while none are known.
+func (c *catalogs) Current() *work.Catalog { return c.now.Load() }
+
+func (c *catalogs) take(next *work.Catalog) {
+	for {
+		before := c.now.Load()
+		if next == nil || (before != nil && next.Version <= before.Version) {
+			return
+		}
+		if !c.now.CompareAndSwap(before, next) {
+			continue
+		}
+		c.log.Info().Int64("version", next.Version).Int("queues", len(next.Queues)).Msg("configuration in force")
+		if before == nil {
+			close(c.first)
+		}
+		return
+	}
+}
+
+// Serve follows the source until ctx ends.
+func (c *catalogs) Serve(ctx context.Context) error {
+	go c.check(ctx)
+	var rev store.Revision
+	for ctx.Err() == nil {
+		next, err := c.once(ctx, rev)
+		rev = next
+		if err != nil {
+			_ = sleep.For(ctx, catalogPause) // ends with the context, which the loop sees
+		}
+	}
+	return ctx.Err()
+}
+
+func (c *catalogs) once(ctx context.Context, rev store.Revision) (store.Revision, error) {
+	bounded, cancel := context.WithTimeout(ctx, catalogWait+catalogGrace)
+	defer cancel()
+	if rev == 0 {
+		next, read, err := c.source.Current(bounded)
+		if err != nil {
+			return 0, err
+		}
+		c.take(next)
+		return read, nil
+	}
+	next, read, err := c.source.Watch(bounded, rev, catalogWait)
+	if err != nil {
+		if errors.Is(err, store.ErrCompacted) {
+			c.log.Warn().Msg("history of the configuration is gone, reading it")
+		}
+		return 0, err
+	}
+	c.take(next)
+	return read, nil
+}
+
+// check reads the configuration now and then.
+func (c *catalogs) check(ctx context.Context) {
+	for sleep.For(ctx, checkPeriod) == nil {
+		bounded, cancel := context.WithTimeout(ctx, catalogGrace)
+		next, _, err := c.source.Current(bounded)
+		cancel()
+		if err != nil {
+			c.log.Debug().Err(err).Msg("configuration not read")
+			continue
+		}
+		c.take(next)
+	}
+}
--- /dev/null
+++ b/process/cellnode/node.go
@@ -0,0 +1,265 @@
+// Package cellnode wires one daemon of a cell that takes jobs from callers.
+// Every daemon accepts jobs and answers for them; the one that leads schedules
+// them all. A daemon keeps nothing: what must last is in the platform's store.
+package cellnode
+
+import (
+	"context"
+	"errors"
+	"expvar"
+	"fmt"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/thejerf/suture/v4"
+
+	"fennelshunt.example/fennelshunt/connection/peer"
+	"fennelshunt.example/fennelshunt/connection/runner"
+	"fennelshunt.example/fennelshunt/connection/store"
+	"fennelshunt.example/fennelshunt/internal/sleep"
+	"fennelshunt.example/fennelshunt/process/dispatch"
+	"fennelshunt.example/fennelshunt/process/lead"
+	"fennelshunt.example/fennelshunt/process/settings"
+	"fennelshunt.example/fennelshunt/request/submit"
+	"fennelshunt.example/fennelshunt/version/work"
+)
+
+// Bounds of calls to the store. The least is far above an answer's usual few
+// milliseconds; the most lets a store sixty times slower still be used.
+const (
+	minPatience = 200 * time.Millisecond
+	maxPatience = 1500 * time.Millisecond
+)
+
+// Times of a planned stop, before the bound at which the platform kills.
+const (
+	// drainPause lets the balancer see that the daemon is not ready, while
+	// requests on open connections are served and their connections closed.
+	drainPause = 2300 * time.Millisecond
+	// stopReserve is kept of the bound for the last answers.
+	stopReserve = 700 * time.Millisecond
+)
+
+// HTTP bounds of callers' connections.
+const (
+	headerTimeout = 3 * time.Second
+	idleTimeout   = 60 * time.Second
+	maxHeader     = 16 << 10
+)
+
+// Options of a Node.
+type Options struct {
+	Settings  *settings.JobCell
+	Store     store.Transactor
+	Runner    runner.Runner
+	Directory runner.Directory
+	Catalogs  work.Source
+	Adviser   runner.Adviser
+	// Handler builds the callers' interface.
+	Handler func(p Parts) http.Handler
+	Log     zerolog.Logger
+	// Dropped returns the log lines that were dropped, for the metrics.
+	Dropped func() int64
+}
+
+// Parts is what the callers' interface is built from.
+type Parts struct {
+	Jobs    *submit.Service
+	Catalog func() *work.Catalog
+	Closing func() bool
+}
+
+// Node is one daemon.
+type Node struct {
+	o        Options
+	log      zerolog.Logger
+	patience *store.Patience
+	elector  *lead.Elector
+	jobs     *submit.Service
+	catalogs *catalogs
+	peers    *peer.Node
+	host     atomic.Pointer[dispatch.Host]
+	stopping atomic.Bool
+	metrics  *expvar.Map
+	callers  *http.Server
+	listen   struct{ callers, ready, metrics net.Listener }
+}
+
+// New opens the listeners.
+func New(o Options) (*Node, error) {
+	n := &Node{o: o, log: o.Log.With().Str("daemon", o.Settings.Name).Logger(),
+		patience: &store.Patience{Min: minPatience, Max: maxPatience}, metrics: new(expvar.Map).Init()}
+	n.catalogs = newCatalogs(o.Catalogs, n.log)
+	s := o.Settings
+	for _, l := range []struct {
+		field, addr string
+		into        *net.Listener
+	}{
+		{"callers", s.Callers, &n.listen.callers}, {"ready", s.Ready, &n.listen.ready},
+		{"metrics_port", metricsAddr(s), &n.listen.metrics},
+	} {
+		if l.addr == "" {
+			continue
+		}
+		var err error
+		if *l.into, err = net.Listen("tcp", l.addr); err != nil {
+			return nil, fmt.Errorf("cellnode: %s: %w", l.field, err)
+		}
+	}
+	return n, nil
+}
+
+func metricsAddr(s *settings.JobCell) string {
+	if s.MetricsPort == 0 {
+		return ""
+	}
+	return fmt.Sprintf("%s:%d", s.IP, s.MetricsPort)
+}
+
+// Run serves until ctx ends. Stop ends it as planned.
+func (n *Node) Run(ctx context.Context) error {
+	n.log.Info().Str("zone", n.o.Settings.Zone).Str("callers", n.o.Settings.Callers).Msg("daemon starts")
+	ready := &http.Server{Handler: http.HandlerFunc(n.serveReady), ReadHeaderTimeout: headerTimeout}
+	go n.serveHTTP(ready, n.listen.ready)
+	if err := n.join(ctx); err != nil {
+		return err
+	}
+	n.callers = &http.Server{
+		Handler:           n.o.Handler(Parts{Jobs: n.jobs, Catalog: n.catalogs.Current, Closing: n.stopping.Load}),
+		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
+	}
+	go n.serveHTTP(n.callers, n.listen.callers)
+	if n.listen.metrics != nil {
+		go n.serveHTTP(&http.Server{Handler: n.metricsHandler(), ReadHeaderTimeout: headerTimeout}, n.listen.metrics)
+	}
+	tree := suture.New("fenneljobd", suture.Spec{EventHook: func(e suture.Event) {
+		n.log.Error().Str("event", e.String()).Msg("service restarted")
+	}})
+	tree.Add(n.catalogs)
+	tree.Add(service{n.elector.Run})
+	tree.Add(service{n.peers.Serve})
+	err := tree.Serve(ctx)
+	n.log.Info().AnErr("cause", err).Msg("daemon stops")
+	return errors.Join(n.callers.Close(), ready.Close(), n.peers.Close())
+}
+
+// service adapts a function to suture.
+type service struct {
+	run func(ctx context.Context) error
+}
+
+// Serve implements suture.Service.
+func (s service) Serve(ctx context.Context) error { return s.run(ctx) }
+
+func (n *Node) serveHTTP(s *http.Server, l net.Listener) {
+	if err := s.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		n.log.Error().Err(err).Str("address", l.Addr().String()).Msg("listener ended")
+	}
+}
+
+// join waits for the store, from which the daemon has its keys for calls to
+// others, and builds what depends on them.
+func (n *Node) join(ctx context.Context) error {
+	s := n.o.Settings
+	addr := &net.UDPAddr{IP: net.ParseIP(s.IP), Port: s.PeerPort}
+	socket, err := net.ListenUDP("udp", addr)
+	if err != nil {
+		return fmt.Errorf("cellnode: peer_port: %w", err)
+	}
+	for pause := joinPause; ; pause = min(2*pause, joinPauseMax) {
+		bounded, cancel := context.WithTimeout(ctx, maxPatience)
+		identity, err := lead.Identity(bounded, n.o.Store, s.IP)
+		cancel()
+		if err == nil {
+			mux := peer.NewMux()
+			self := peer.Ref{ID: peer.MemberID(s.Name), Incarnation: uint64(time.Now().UnixNano())}
+			if n.peers, err = peer.NewNode(socket, self, identity.PeerConfig(), mux, n.log); err != nil {
+				return err
+			}
+			n.build(lead.Member{Name: s.Name, Peer: addr.String(), Zone: s.Zone}, mux)
+			return nil
+		}
+		n.log.Warn().Err(err).Msg("waiting for the store to join the cell")
+		if err := sleep.For(ctx, pause); err != nil {
+			return errors.Join(err, socket.Close())
+		}
+	}
+}
+
+// Pauses between tries to join.
+const (
+	joinPause    = 20 * time.Millisecond
+	joinPauseMax = 500 * time.Millisecond
+)
+
+func (n *Node) build(self lead.Member, mux *peer.Mux) {
+	n.elector = lead.New(lead.Options{Self: self, Store: n.o.Store, Log: n.log, Patience: n.patience, Lead: n.lead,
+		Lease: n.memberLease()})
+	n.jobs = submit.New(submit.Options{Self: self.Name, Store: n.o.Store, Patience: n.patience, View: n.elector.View(),
+		Peers: n.peers, Leading: n.host.Load, Log: n.log})
+	n.jobs.Register(mux)
+	mux.Handle(methodAdvise, n.serveAdvise)
+}
+
+func (n *Node) memberLease() time.Duration {
+	if t := n.o.Settings.Tuning; t != nil {
+		return t.MemberLeaseMS.Std()
+	}
+	return 0
+}
+
+// lead runs one term.
+func (n *Node) lead(t *lead.Term) {
+	h := dispatch.NewHost(dispatch.HostOptions{
+		Store: n.o.Store, Patience: n.patience, Runner: n.o.Runner, Directory: n.o.Directory, View: n.elector.View(),
+		Advise: n.advise, Bounds: n.bounds(), Log: n.log, Count: n.count,
+		Violation: func(string) { n.metrics.Add("violations", 1) },
+	}, t)
+	n.host.Store(h)
+	h.Run()
+	n.host.CompareAndSwap(h, nil)
+}
+
+func (n *Node) bounds() dispatch.Bounds {
+	b := n.o.Settings.Bounds
+	lease := b.WorkerLeaseMS.Std()
+	if t := n.o.Settings.Tuning; t != nil && t.TaskLeaseMS > 0 {
+		lease = t.TaskLeaseMS.Std()
+	}
+	return dispatch.Bounds{Lease: lease, MaxLease: b.WorkerLeaseMS.Std(), Gang: b.GangMS.Std(),
+		Keep: time.Duration(b.KeepS * float64(time.Second)), FarFactor: max(b.FarFactor, 1)}
+}
+
+// Ready reports whether the daemon can serve callers.
+func (n *Node) Ready() bool {
+	return !n.stopping.Load() && n.catalogs.Current() != nil
+}
+
+func (n *Node) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if !n.Ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// Stop ends the daemon as planned: the balancer is told, leadership handed
+// over, and requests are served until their connections have been closed.
+func (n *Node) Stop(ctx context.Context) {
+	n.stopping.Store(true)
+	n.log.Info().Msg("planned stop begins")
+	bound := time.Duration(n.o.Settings.Bounds.StopS*float64(time.Second)) - stopReserve
+	ctx, cancel := context.WithTimeout(ctx, bound)
+	defer cancel()
+	if n.elector != nil {
+		n.elector.Resign(ctx)
+	}
+	if n.callers == nil {
+		return
+	}
+	_ = sleep.For(ctx, min(drainPause, bound/2)) // ends with the context, which Shutdown sees
+	if err := n.callers.Shutdown(ctx); err != nil {
+		n.log.Warn().Err(err).Msg("requests were cut at the end of the stop")
+	}
+}
--- /dev/null
+++ b/process/dispatch/advice.go
@@ -0,0 +1,289 @@
+package dispatch
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"fennelshunt.example/fennelshunt/connection/runner"
+	"fennelshunt.example/fennelshunt/version/work"
+)
+
+// Asking for advice.
+const (
+	// maxNamed is how many workers one call may name.
+	maxNamed = 100
+	// firstShare is the share of workers taken to be good for a step of a queue
+	// of which nothing has been learnt.
+	firstShare = 0.4
+	// shareDecay is the weight of the newest answer in the learnt share.
+	shareDecay = 0.1
+	// namedReserve is how many times the workers are named that would do if the
+	// share held exactly.
+	namedReserve = 1.6
+	// ticketMargin is kept between a start and the end of its ticket: the way
+	// to the worker, and a second try.
+	ticketMargin = 60 * time.Millisecond
+	// adviceGrace is added to a call's cost for its timeout. Calls of one
+	// daemon wait for each other, and the engine sends one at a time to each.
+	adviceGrace = 700 * time.Millisecond
+	// slowCall is the cost from which a call counts as slow. Slow calls never
+	// take every lane, so that a quick queue's step does not wait behind one.
+	slowCall  = 150 * time.Millisecond
+	slowLanes = 0.7
+	// retryPause is between calls for a step after one failed.
+	advicePause = 100 * time.Millisecond
+)
+
+// lane is a daemon through which advice is asked. Its calls are answered one
+// after the other, so it has one at a time.
+type lane struct {
+	member string
+	busy   *step // nil: idle
+	named  []runner.WorkerID
+	sent   time.Duration
+	until  time.Duration
+	failed time.Duration // when its last call failed
+}
+
+// advice is what a step knows of the workers that may run it.
+type advice struct {
+	// good holds a known worker's verdict; which workers are good for a step
+	// never changes, only tickets age.
+	good    map[runner.WorkerID]bool
+	tickets map[runner.WorkerID]ticket
+	asking  bool
+	wanted  []runner.WorkerID // to be named by the next call
+	next    time.Duration     // no call before
+}
+
+type ticket struct {
+	text    string
+	expires time.Duration
+}
+
+func (a *advice) expire(id runner.WorkerID) { delete(a.tickets, id) }
+
+// ticketFor returns a ticket that holds long enough for a start.
+func (a *advice) ticketFor(id runner.WorkerID, now time.Duration) (string, bool) {
+	t, ok := a.tickets[id]
+	return t.text, ok && t.expires > now+ticketMargin
+}
+
+// Members tells the engine through which daemons advice can be asked.
+func (e *Engine) Members(now time.Duration, names []string) {
+	e.now = now
+	e.members = names
+	for _, name := range names {
+		if e.lanes[name] == nil {
+			e.lanes[name] = &lane{member: name}
+		}
+	}
+	for name, l := range e.lanes {
+		if !slices.Contains(names, name) && l.busy == nil {
+			delete(e.lanes, name)
+		}
+	}
+}
+
+// want asks for advice on workers for a step, through the next idle lane.
+func (e *Engine) want(s *step, ids []runner.WorkerID) {
+	a := s.advice
+	if len(ids) == 0 || a.asking || e.now < a.next {
+		return
+	}
+	if len(ids) > maxNamed {
+		ids = ids[:maxNamed]
+	}
+	a.wanted = ids
+}
+
+// adviceOf returns the step's advice, nil if its queue needs none.
+func (e *Engine) adviceOf(s *step) *advice {
+	if s.job.spec.Queue.Advice == nil {
+		return nil
+	}
+	if s.advice == nil {
+		s.advice = &advice{good: map[runner.WorkerID]bool{}, tickets: map[runner.WorkerID]ticket{}}
+	}
+	return s.advice
+}
+
+// askFor names workers for a step that needs slots more runs placed: known good
+// ones whose ticket is missing, and unknown ones as many as are likely to do.
+// Both come with the most room first.
+func (e *Engine) askFor(s *step, slots int) {
+	a := s.advice
+	if a.asking || slots <= 0 || e.now < a.next {
+		return
+	}
+	need := s.spec.Need()
+	type candidate struct {
+		id    runner.WorkerID
+		fits  int
+		known bool
+	}
+	var all []candidate
+	for _, w := range e.order {
+		good, known := a.good[w.ID]
+		if (known && !good) || !e.eligible(s, w) {
+			continue
+		}
+		if _, ok := a.ticketFor(w.ID, e.now); ok {
+			continue
+		}
+		fits := need.Times(e.freeFor(s, w), s.perWorker(slots))
+		if fits == 0 && (known || !s.spec.Gang) {
+			continue
+		}
+		all = append(all, candidate{w.ID, fits, known})
+	}
+	slices.SortStableFunc(all, func(x, y candidate) int {
+		if x.known != y.known {
+			if x.known {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Compare(y.fits, x.fits)
+	})
+	share := e.share(s.job.spec.Queue.Name)
+	var ids []runner.WorkerID
+	expected := 0.0
+	for _, c := range all {
+		if expected >= float64(slots)*namedReserve || len(ids) == maxNamed {
+			break
+		}
+		ids = append(ids, c.id)
+		if c.known {
+			expected += float64(c.fits)
+		} else {
+			expected += float64(max(c.fits, 1)) * share
+		}
+	}
+	e.want(s, ids)
+}
+
+func (e *Engine) share(queue string) float64 {
+	if v, ok := e.shares[queue]; ok {
+		return v
+	}
+	return firstShare
+}
+
+// retryAdvice gives up calls that were not answered.
+func (e *Engine) retryAdvice() {
+	for _, l := range e.lanes {
+		if l.busy != nil && e.now > l.until {
+			e.adviceFailed(l)
+		}
+	}
+}
+
+func (e *Engine) adviceFailed(l *lane) {
+	s := l.busy
+	l.busy, l.failed = nil, e.now
+	if s.advice != nil {
+		s.advice.asking = false
+		s.advice.next = e.now + advicePause
+	}
+	e.scheduled = false
+}
+
+// Advised takes the outcome of an AskAdvice.
+func (e *Engine) Advised(now time.Duration, member string, id work.TaskID, good []runner.Ticket, err error) {
+	e.now = now
+	l := e.lanes[member]
+	if l == nil || l.busy == nil || l.busy.job.id != id.Job || l.busy.number != id.Step {
+		return // given up before
+	}
+	if err != nil {
+		e.decide(Decision{What: "advice failed", Task: id, Why: member + ": " + err.Error(), Age: now - l.sent})
+		e.adviceFailed(l)
+		return
+	}
+	s := l.busy
+	l.busy = nil
+	e.stats.Advised++
+	e.scheduled = false
+	a := s.advice
+	if a == nil {
+		return
+	}
+	a.asking = false
+	queue := &s.job.spec.Queue
+	fresh, freshGood := 0, 0
+	for _, w := range l.named {
+		if _, known := a.good[w]; !known {
+			fresh++
+			a.good[w] = false
+		}
+	}
+	for _, t := range good {
+		if known := a.good[t.Worker]; !known {
+			freshGood++
+		}
+		a.good[t.Worker] = true
+		// The ticket holds from when the service gave it, which is when it
+		// answered; the answer has taken some milliseconds since.
+		a.tickets[t.Worker] = ticket{t.Ticket, now + queue.Advice.Valid - ticketMargin}
+	}
+	if fresh > 0 {
+		share := float64(freshGood) / float64(fresh)
+		e.shares[queue.Name] = e.share(queue.Name)*(1-shareDecay) + share*shareDecay
+	}
+}
+
+// askAll hands what is wanted to idle lanes, in the order of the steps.
+func (e *Engine) askAll(steps []*step) {
+	if len(e.members) == 0 {
+		return
+	}
+	slow, maxSlow := 0, max(1, int(math.Floor(float64(len(e.members))*slowLanes)))
+	for _, l := range e.lanes {
+		if l.busy != nil && l.cost() >= slowCall {
+			slow++
+		}
+	}
+	for _, s := range steps {
+		a := s.advice
+		if a == nil || len(a.wanted) == 0 || a.asking || !s.job.active() {
+			continue
+		}
+		cost := s.job.spec.Queue.Advice.Cost(len(a.wanted))
+		if cost >= slowCall && slow >= maxSlow {
+			continue
+		}
+		l := e.idleLane(cost >= slowCall)
+		if l == nil {
+			return
+		}
+		if cost >= slowCall {
+			slow++
+		}
+		a.asking = true
+		l.busy, l.named, l.sent, l.until = s, a.wanted, e.now, e.now+cost+adviceGrace
+		a.wanted = nil
+		e.out = append(e.out, AskAdvice{Member: l.member, Step: work.TaskID{Job: s.job.id, Step: s.number},
+			Workers: l.named, Timeout: cost + adviceGrace})
+	}
+}
+
+func (l *lane) cost() time.Duration { return l.busy.job.spec.Queue.Advice.Cost(len(l.named)) }
+
+// idleLane picks the lane for a call. Quick and slow calls start from opposite
+// ends of the members, so that slow ones rarely hold every lane.
+func (e *Engine) idleLane(slow bool) *lane {
+	var found *lane
+	for _, name := range e.members {
+		l := e.lanes[name]
+		if l.busy != nil || (l.failed > 0 && e.now-l.failed < adviceGrace) {
+			continue
+		}
+		if found = l; !slow {
+			return l
+		}
+	}
+	return found
+}
--- /dev/null
+++ b/process/dispatch/engine.go
@@ -0,0 +1,334 @@
+package dispatch
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"fennelshunt.example/fennelshunt/connection/peer"
+	"fennelshunt.example/fennelshunt/connection/runner"
+	"fennelshunt.example/fennelshunt/connection/store"
+	"fennelshunt.example/fennelshunt/version/work"
+)
+
+// noticeTime is how long after a takeover an earlier leader may still renew a
+// worker that the new one does not reach: it renews every worker at least this
+// often, and the first one that the new leader has called tells it to stop.
+const noticeTime = 2 * time.Second
+
+// Engine schedules for one epoch. It is not safe for concurrent use.
+type Engine struct {
+	o   Options
+	now time.Duration
+	out []Effect
+
+	jobs map[work.JobID]*job
+	// cancels of jobs whose hand-in has not been seen yet, and when they came.
+	cancels map[work.JobID]time.Duration
+	workers map[runner.WorkerID]*worker
+	order   []*worker // the workers, in a fixed order
+	// unresolved counts workers that an earlier epoch used and that have
+	// neither answered this one nor certainly ended.
+	unresolved int
+
+	ready []*step // steps with tasks to start
+
+	members []string
+	lanes   map[string]*lane
+	shares  map[string]float64 // of workers that are good, by queue
+	paces   map[string]float64 // run time against estimate, by queue
+
+	dirty     []*job
+	dirtyAt   time.Duration // since when something waits for a commit
+	urgent    bool
+	removals  []string
+	writing   *batch
+	fleetNew  bool
+	forgetAt  time.Duration
+	scheduled bool // nothing has changed since the last placement
+
+	deposed bool
+	stats   Stats
+}
+
+// Stats counts what an engine did.
+type Stats struct {
+	Starts, Resent, Stops, Done, Failed, Back, Lost, Adopted, Orphans uint64
+	Commits, Violations, Advised, Aside, Moved                        uint64
+}
+
+// NewEngine returns an engine without jobs.
+func NewEngine(o Options) *Engine {
+	return &Engine{o: o, jobs: map[work.JobID]*job{}, cancels: map[work.JobID]time.Duration{},
+		workers: map[runner.WorkerID]*worker{}, lanes: map[string]*lane{},
+		shares: map[string]float64{}, paces: map[string]float64{}}
+}
+
+// Deposed reports whether a worker was called with a higher epoch.
+func (e *Engine) Deposed() bool { return e.deposed }
+
+// Stats returns the counters.
+func (e *Engine) Stats() Stats { return e.stats }
+
+// Load takes over what earlier epochs left in the store. Entries that can not
+// be read are returned as an error; the others are taken.
+func (e *Engine) Load(now time.Duration, accepted, states []store.Entry, fleet *store.Entry) error {
+	e.now = now
+	var errs []error
+	for _, entry := range accepted {
+		errs = append(errs, e.Accepted(now, entry))
+	}
+	for _, entry := range states {
+		errs = append(errs, e.loadState(entry))
+	}
+	if fleet != nil {
+		errs = append(errs, e.loadFleet(fleet.Value))
+	}
+	for _, j := range e.jobs {
+		for _, s := range j.steps {
+			e.open(s)
+		}
+		e.settle(j)
+	}
+	return errors.Join(errs...)
+}
+
+func (e *Engine) loadState(entry store.Entry) error {
+	id := work.JobID(strings.TrimPrefix(entry.Key, PrefixState))
+	p, err := work.DecodeProgress(entry.Value)
+	if err != nil {
+		return fmt.Errorf("%s: %w", entry.Key, err)
+	}
+	j := e.jobs[id]
+	if j == nil {
+		// Its hand-in was removed when it ended.
+		if p.State.Final() {
+			e.jobs[id] = &job{id: id, state: p.State, visible: p.State, endedAt: e.now}
+		}
+		return nil
+	}
+	if j.state == work.Cancelled && !p.State.Final() {
+		return nil // cancelled, and not yet written as such
+	}
+	j.restore(p)
+	return nil
+}
+
+// fleetRecord lists the workers that the leader may have started tasks on.
+type fleetRecord struct {
+	Workers []runner.Ref `cbor:"1,keyasint"`
+}
+
+func (e *Engine) loadFleet(data []byte) error {
+	var f fleetRecord
+	if err := peer.Unmarshal(data, &f); err != nil {
+		return fmt.Errorf("%s: %w", keyFleet, err)
+	}
+	for _, ref := range f.Workers {
+		w := e.addWorker(runner.Worker{Ref: ref})
+		w.kept, w.inherited = true, true
+		w.lapse = e.now + noticeTime + scale(e.o.Bounds.MaxLease, clockDrift) + driftMargin
+		e.unresolved++
+	}
+	return nil
+}
+
+// Accepted takes what an accepting daemon wrote: a job or a cancellation.
+func (e *Engine) Accepted(now time.Duration, entry store.Entry) error {
+	e.now = now
+	if id, ok := strings.CutPrefix(entry.Key, prefixCancel); ok {
+		e.cancel(work.JobID(id))
+		return nil
+	}
+	id, ok := strings.CutPrefix(entry.Key, prefixIn)
+	if !ok || e.jobs[work.JobID(id)] != nil {
+		return nil
+	}
+	spec, err := work.DecodeJob(entry.Value)
+	if err != nil {
+		return fmt.Errorf("%s: %w", entry.Key, err)
+	}
+	if spec.Epoch > e.o.Epoch {
+		// An accepting daemon has seen a later leader.
+		e.deposed = true
+		return nil
+	}
+	e.add(work.JobID(id), spec)
+	return nil
+}
+
+func (e *Engine) add(id work.JobID, spec *work.Job) {
+	j := newJob(id, spec)
+	j.since = e.now
+	j.inherited = spec.Epoch < e.o.Epoch
+	j.due = time.Duration(spec.Accepted-e.o.Today)*time.Millisecond + spec.Objective()
+	e.jobs[id] = j
+	if _, ok := e.cancels[id]; ok {
+		delete(e.cancels, id)
+		e.end(j, work.Cancelled, "cancelled before the hand-in was seen")
+		return
+	}
+	for _, s := range j.steps {
+		e.open(s)
+	}
+}
+
+// open lists a step whose tasks may start.
+func (e *Engine) open(s *step) {
+	if s.opened || !s.job.active() || !s.ready() || s.left == 0 {
+		return
+	}
+	s.opened = true
+	e.ready = append(e.ready, s)
+	e.scheduled = false
+}
+
+// cancel ends a job on its caller's request.
+func (e *Engine) cancel(id work.JobID) {
+	j := e.jobs[id]
+	if j == nil {
+		e.cancels[id] = e.now
+		return
+	}
+	if j.active() {
+		e.end(j, work.Cancelled, "the caller cancelled it")
+	}
+}
+
+// end gives a job its final state and stops what runs of it.
+func (e *Engine) end(j *job, state work.State, why string) {
+	j.state, j.endedAt = state, e.now
+	e.decide(Decision{What: state.String(), Task: work.TaskID{Job: j.id}, Why: why, Age: e.now - j.since})
+	for _, s := range j.steps {
+		s.advice = nil
+		e.unreserve(s)
+		for i := range s.tasks {
+			if p := s.tasks[i].place; p != nil && state != work.Completed {
+				e.stop(p, why)
+			}
+		}
+	}
+	e.mark(j, true)
+}
+
+// settle ends a job whose steps are all done.
+func (e *Engine) settle(j *job) {
+	if !j.active() || len(j.steps) == 0 {
+		return
+	}
+	for _, s := range j.steps {
+		if s.left > 0 || s.spec.Lasting {
+			return
+		}
+	}
+	e.end(j, work.Completed, "every task is done")
+}
+
+// State returns what callers may be shown of a job; false for a job that the
+// engine does not know.
+func (e *Engine) State(id work.JobID) (work.State, bool) {
+	j := e.jobs[id]
+	if j == nil || j.visible == work.Refused {
+		return 0, false
+	}
+	if !j.visible.Final() && j.begun {
+		return work.Running, true
+	}
+	return j.visible, true
+}
+
+// Pending returns the number of a queue's jobs of which nothing has started.
+func (e *Engine) Pending(queue string) int {
+	n := 0
+	for _, j := range e.jobs {
+		if j.active() && !j.begun && j.spec.Queue.Name == queue {
+			n++
+		}
+	}
+	return n
+}
+
+// Flush places what can be placed, prepares the next write, and returns what
+// is to be done.
+func (e *Engine) Flush(now time.Duration) []Effect {
+	e.now = now
+	if e.deposed {
+		return nil
+	}
+	if !e.scheduled {
+		e.scheduled = true
+		e.schedule()
+	}
+	e.persist()
+	out := e.out
+	e.out = nil
+	return out
+}
+
+// Tick does what is due by time.
+func (e *Engine) Tick(now time.Duration) {
+	e.now = now
+	for _, w := range slices.Clone(e.order) {
+		e.tickWorker(w)
+	}
+	e.retryAdvice()
+	e.forget()
+	e.scheduled = false
+}
+
+func (e *Engine) tickWorker(w *worker) {
+	if w.gone {
+		return
+	}
+	if now := e.now; w.lapse > 0 && now > w.lapse && (len(w.places) > 0 || !w.fenced) {
+		e.lapsed(w)
+	}
+	if w.misses == 0 {
+		for _, p := range w.places {
+			e.tickPlace(p)
+		}
+	}
+	if w.gone {
+		return
+	}
+	e.renew(w)
+}
+
+// forget drops jobs that ended long ago, and lets the store drop them.
+func (e *Engine) forget() {
+	if e.now < e.forgetAt {
+		return
+	}
+	e.forgetAt = e.now + forgetPause
+	for id, at := range e.cancels {
+		if e.now-at > e.o.Bounds.Keep {
+			delete(e.cancels, id)
+			e.removals = append(e.removals, KeyCancel(id))
+		}
+	}
+	for id, j := range e.jobs {
+		if !j.visible.Final() || e.now-j.endedAt < e.o.Bounds.Keep || slices.ContainsFunc(j.steps, func(s *step) bool { return s.live() > 0 }) {
+			continue
+		}
+		delete(e.jobs, id)
+		e.removals = append(e.removals, KeyState(id))
+	}
+}
+
+// forgetPause is between looks for jobs to forget.
+const forgetPause = 2 * time.Second
+
+func (e *Engine) decide(d Decision) {
+	if e.o.Decide != nil {
+		e.o.Decide(d)
+	}
+}
+
+func (e *Engine) violate(what string, task work.TaskID, w runner.WorkerID) {
+	e.stats.Violations++
+	if e.o.Violation != nil {
+		e.o.Violation(what, task, w)
+	}
+}
--- /dev/null
+++ b/process/dispatch/gang.go
@@ -0,0 +1,331 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"fennelshunt.example/fennelshunt/connection/runner"
+	"fennelshunt.example/fennelshunt/version/work"
+)
+
+// Reserving for gangs.
+const (
+	// maxReserved is how many gangs that wait have room reserved at a time.
+	maxReserved = 3
+	// refreshAhead is how long before the last ticket of a waiting gang ends it
+	// is asked for again, beside the call's own cost.
+	refreshAhead = 300 * time.Millisecond
+	// reserveSpare is how many more workers than needed a waiting gang keeps
+	// tickets for, as a share.
+	reserveSpare = 1.5
+)
+
+// reservation keeps room on a worker for a gang from a time on.
+type reservation struct {
+	s    *step
+	need work.Resources
+	from time.Duration // when the gang is likely to start
+}
+
+// seat is room for some of a gang's tasks on a worker.
+type seat struct {
+	w    *worker
+	n    int
+	text string // the ticket
+}
+
+// placeGang starts all of a gang's tasks if there is room for all now.
+func (e *Engine) placeGang(s *step) bool {
+	a := e.adviceOf(s)
+	seats, ok := e.seats(s, func(w *worker) (int, string) {
+		text := ""
+		if a != nil {
+			var valid bool
+			if text, valid = a.ticketFor(w.ID, e.now); !valid {
+				return 0, ""
+			}
+		}
+		return s.spec.Need().Times(e.freeFor(s, w), s.perWorker(s.spec.Count)), text
+	})
+	if !ok {
+		if a != nil {
+			e.askForGang(s, a)
+		}
+		return false
+	}
+	s.gang.runs++
+	s.gang.run = e.nextRun(s.gang.runs)
+	e.unreserve(s)
+	i := 0
+	for _, seat := range seats {
+		for range seat.n {
+			e.start(seat.w, s, i, s.gang.run, seat.text)
+			i++
+		}
+	}
+	return true
+}
+
+// seats finds room for every task of a gang, on one rack if it asks for that
+// and any could hold it. fits tells how many tasks a worker takes.
+func (e *Engine) seats(s *step, fits func(w *worker) (int, string)) ([]seat, bool) {
+	var all []seat
+	total := 0
+	for _, w := range e.order {
+		if !e.eligible(s, w) {
+			continue
+		}
+		if n, text := fits(w); n > 0 {
+			all = append(all, seat{w, n, text})
+			total += n
+		}
+	}
+	if total < s.spec.Count {
+		return nil, false
+	}
+	if s.spec.SameRack {
+		if picked, ok := oneRack(all, s.spec.Count); ok {
+			return picked, true
+		}
+		if e.rackCouldHold(s) {
+			return nil, false
+		}
+	}
+	return pick(s, all, s.spec.Count), true
+}
+
+// pick takes seats for n tasks: near the data, on fast workers, with the least
+// workers used.
+func pick(s *step, all []seat, n int) []seat {
+	score := func(x seat) float64 {
+		v := float64(x.n)/float64(n) - x.w.pace
+		if s.spec.DataRack != "" && s.spec.DataRack == x.w.rack {
+			v += scoreNear
+		}
+		for i := range s.tasks {
+			if slices.Contains(s.tasks[i].avoid, x.w.ID) {
+				return v + scoreAvoid
+			}
+		}
+		return v
+	}
+	slices.SortStableFunc(all, func(x, y seat) int { return cmp.Compare(score(y), score(x)) })
+	var picked []seat
+	for _, x := range all {
+		x.n = min(x.n, n)
+		n -= x.n
+		picked = append(picked, x)
+		if n == 0 {
+			break
+		}
+	}
+	return picked
+}
+
+func oneRack(all []seat, n int) ([]seat, bool) {
+	byRack := map[string]int{}
+	for _, x := range all {
+		byRack[x.w.rack] += x.n
+	}
+	best := ""
+	for rack, room := range byRack {
+		if room >= n && (best == "" || room < byRack[best] || (room == byRack[best] && rack < best)) {
+			best = rack
+		}
+	}
+	if best == "" {
+		return nil, false
+	}
+	var picked []seat
+	for _, x := range all {
+		if x.w.rack != best || n == 0 {
+			continue
+		}
+		x.n = min(x.n, n)
+		n -= x.n
+		picked = append(picked, x)
+	}
+	return picked, true
+}
+
+// rackCouldHold reports whether an empty rack would hold the whole gang.
+func (e *Engine) rackCouldHold(s *step) bool {
+	room := map[string]int{}
+	for _, w := range e.order {
+		if w.Service != s.job.spec.Queue.Service || !w.has(s.spec.Labels) || w.gone || !w.goodFor(s) {
+			continue
+		}
+		room[w.rack] += s.spec.Need().Times(w.Capacity, s.perWorker(s.spec.Count))
+	}
+	for _, n := range room {
+		if n >= s.spec.Count {
+			return true
+		}
+	}
+	return false
+}
+
+// goodFor reports whether the worker is not known to be bad for the step.
+func (w *worker) goodFor(s *step) bool {
+	if s.advice == nil {
+		return true
+	}
+	good, known := s.advice.good[w.ID]
+	return good || !known
+}
+
+// askForGang asks for the workers a gang needs: all that are unknown at first;
+// later the good ones again, shortly before their tickets end.
+func (e *Engine) askForGang(s *step, a *advice) {
+	if a.asking || e.now < a.next {
+		return
+	}
+	if e.seatsKnown(s, a) < s.spec.Count {
+		e.askFor(s, s.spec.Count)
+		return
+	}
+	ids := e.refreshable(s, a)
+	ahead := s.job.spec.Queue.Advice.Cost(len(ids)) + refreshAhead
+	for _, id := range ids {
+		if t, ok := a.tickets[id]; ok && t.expires > e.now+ahead {
+			return // some still hold for long enough
+		}
+	}
+	e.want(s, ids)
+}
+
+// seatsKnown counts the tasks that the known good workers would hold if the
+// step's queue had them for itself.
+func (e *Engine) seatsKnown(s *step, a *advice) int {
+	n := 0
+	for _, w := range e.order {
+		if a.good[w.ID] && e.eligible(s, w) {
+			n += s.spec.Need().Times(w.Capacity, s.perWorker(s.spec.Count))
+		}
+	}
+	return n
+}
+
+// refreshable returns the good workers that are likely to be used, those with
+// room first.
+func (e *Engine) refreshable(s *step, a *advice) []runner.WorkerID {
+	type candidate struct {
+		id   runner.WorkerID
+		fits int
+		all  int
+	}
+	var good []candidate
+	need := s.spec.Need()
+	for _, w := range e.order {
+		if a.good[w.ID] && e.eligible(s, w) {
+			good = append(good, candidate{w.ID, need.Times(e.freeFor(s, w), s.spec.Count), need.Times(w.Capacity, s.perWorker(s.spec.Count))})
+		}
+	}
+	slices.SortStableFunc(good, func(x, y candidate) int { return cmp.Compare(y.fits, x.fits) })
+	want, have := int(float64(s.spec.Count)*reserveSpare), 0
+	var ids []runner.WorkerID
+	for _, c := range good {
+		if have >= want || len(ids) == maxNamed {
+			break
+		}
+		ids = append(ids, c.id)
+		have += max(c.fits, c.all/2)
+	}
+	return ids
+}
+
+// reserveFor keeps room for a gang that waits: on the workers where it can
+// start the soonest, work of lower standing starts only if it ends before that
+// or leaves room.
+//
+// What goes wrong without it: small tasks fill every gap as it opens, and a
+// gang, which needs many gaps at once, waits until the small work runs out.
+func (e *Engine) reserveFor(s *step) bool {
+	a := e.adviceOf(s)
+	need := s.spec.Need()
+	type opening struct {
+		at time.Duration
+		w  *worker
+	}
+	var openings []opening
+	for _, w := range e.order {
+		if !e.eligible(s, w) || (a != nil && !a.good[w.ID]) {
+			continue
+		}
+		free, had := e.freeFor(s, w), 0
+		limit := s.perWorker(s.spec.Count)
+		for range need.Times(free, limit) {
+			openings = append(openings, opening{e.now, w})
+			had++
+		}
+		for _, p := range e.byEnd(w) {
+			free = free.Add(p.need)
+			at := e.now + e.remaining(p)
+			for n := need.Times(free, limit); had < n; had++ {
+				openings = append(openings, opening{at, w})
+			}
+		}
+	}
+	if len(openings) < s.spec.Count {
+		return false
+	}
+	slices.SortStableFunc(openings, func(x, y opening) int { return cmp.Compare(x.at, y.at) })
+	openings = openings[:s.spec.Count]
+	from := openings[len(openings)-1].at
+	for _, o := range openings {
+		o.w.reserved = append(o.w.reserved, reservation{s, need, from})
+	}
+	return true
+}
+
+// byEnd returns a worker's runs, the one that is likely to end first at first.
+func (e *Engine) byEnd(w *worker) []*place {
+	all := places(w)
+	slices.SortStableFunc(all, func(x, y *place) int { return cmp.Compare(e.remaining(x), e.remaining(y)) })
+	return all
+}
+
+// freeFor returns the room on a worker that a step may take now: what is free
+// less what is reserved for others that stand before it and start before its
+// task would end.
+func (e *Engine) freeFor(s *step, w *worker) work.Resources {
+	free := w.free()
+	if len(w.reserved) == 0 {
+		return free
+	}
+	ends := e.now + e.estimate(s)
+	var held work.Resources
+	for _, r := range w.reserved {
+		if r.s != s && ends > r.from {
+			held = held.Add(r.need)
+		}
+	}
+	if held == (work.Resources{}) {
+		return free
+	}
+	// What is to end before the reservation begins serves it as well.
+	later := free
+	from := w.reserved[0].from
+	for _, p := range w.places {
+		if e.now+e.remaining(p) <= from {
+			later = later.Add(p.need)
+		}
+	}
+	rest := later.Sub(held)
+	return work.Resources{CPU: min(free.CPU, rest.CPU), Memory: min(free.Memory, rest.Memory), GPU: min(free.GPU, rest.GPU)}
+}
+
+// clearReservations forgets the reservations of the last placement; each
+// placement makes its own.
+func (e *Engine) clearReservations() {
+	for _, w := range e.order {
+		w.reserved = w.reserved[:0]
+	}
+}
+
+func (e *Engine) unreserve(s *step) {
+	for _, w := range e.order {
+		w.reserved = slices.DeleteFunc(w.reserved, func(r reservation) bool { return r.s == s })
+	}
+}
--- /dev/null
+++ b/process/dispatch/host.go
@@ -0,0 +1,420 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"fennelshunt.example/fennelshunt/connection/runner"
+	"fennelshunt.example/fennelshunt/connection/store"
+	"fennelshunt.example/fennelshunt/internal/sleep"
+	"fennelshunt.example/fennelshunt/process/lead"
+	"fennelshunt.example/fennelshunt/version/work"
+)
+
+// Times of a host.
+const (
+	tickPeriod = 25 * time.Millisecond
+	// eventBuffer holds what came in while the engine was busy.
+	eventBuffer = 1024
+	// maxDrain bounds the events handled before effects go out.
+	maxDrain = 64
+	// jobsPause and workersPause are between watches: accepted jobs reach the
+	// leader by a direct call, the watch only catches what was lost; workers
+	// write every second or two, and each watch costs one call however many
+	// events it returns.
+	jobsPause    = 250 * time.Millisecond
+	workersPause = 200 * time.Millisecond
+	watchWait    = 2 * time.Second
+	watchGrace   = 700 * time.Millisecond
+	errorPause   = 100 * time.Millisecond
+	// stopTimeout is how long a stop may go without an answer.
+	stopTimeout = 300 * time.Millisecond
+)
+
+// HostOptions of a Host.
+type HostOptions struct {
+	Store     store.Transactor
+	Patience  *store.Patience
+	Runner    runner.Runner
+	Directory runner.Directory
+	View      *lead.View
+	// Advise asks a member's adviser.
+	Advise func(ctx context.Context, member, step string, workers []runner.WorkerID) ([]runner.Ticket, error)
+	Bounds Bounds
+	Log    zerolog.Logger
+	// Count is told the counters at the end of a term and now and then.
+	Count func(Stats)
+	// Violation is told each broken invariant.
+	Violation func(what string)
+}
+
+// Host runs an engine for one term of leadership: one goroutine owns the
+// engine, others make its calls.
+type Host struct {
+	o      HostOptions
+	term   *lead.Term
+	engine *Engine
+	start  time.Time
+	events chan func(*Engine, time.Duration)
+	calls  sync.WaitGroup
+	loaded chan struct{}
+}
+
+// NewHost returns a host for a term.
+func NewHost(o HostOptions, term *lead.Term) *Host {
+	return &Host{o: o, term: term, start: time.Now(), events: make(chan func(*Engine, time.Duration), eventBuffer), loaded: make(chan struct{})}
+}
+
+func (h *Host) now() time.Duration { return time.Since(h.start) }
+
+// Run leads until the term ends.
+func (h *Host) Run() {
+	ctx := h.term.Context()
+	h.engine = NewEngine(Options{
+		Epoch: h.term.Epoch, Bounds: h.o.Bounds, Today: h.start.UnixMilli(),
+		Decide: h.logDecision, Violation: h.logViolation,
+	})
+	var tasks sync.WaitGroup
+	defer tasks.Wait()
+	rev, err := h.load(ctx)
+	if err != nil {
+		return
+	}
+	close(h.loaded)
+	tasks.Go(func() { h.watchJobs(ctx, rev) })
+	tasks.Go(func() { h.watchWorkers(ctx) })
+	tasks.Go(func() { h.watchMembers(ctx) })
+	h.loop(ctx)
+	h.calls.Wait()
+	if h.o.Count != nil {
+		h.o.Count(h.engine.Stats())
+	}
+}
+
+// load reads what earlier epochs left. It must be complete before the first
+// worker is called: a run whose job is not known would be stopped.
+func (h *Host) load(ctx context.Context) (store.Revision, error) {
+	began := time.Now()
+	for {
+		rev, jobs, states, fleet, err := h.readAll(ctx)
+		if err == nil {
+			if bad := h.engine.Load(h.now(), jobs, states, fleet); bad != nil {
+				h.o.Log.Error().Err(bad).Msg("entries of the store can not be read and are left alone")
+			}
+			h.o.Log.Info().Int("accepted", len(jobs)).Int("states", len(states)).Dur("took_ms", time.Since(began)).Msg("state loaded")
+			return rev, nil
+		}
+		h.o.Log.Warn().Err(err).Msg("state not loaded yet")
+		if err := sleep.For(ctx, errorPause); err != nil {
+			return 0, err
+		}
+	}
+}
+
+func (h *Host) readAll(ctx context.Context) (rev store.Revision, jobs, states []store.Entry, fleet *store.Entry, err error) {
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+	defer cancel()
+	var wg sync.WaitGroup
+	var jobsErr, statesErr, fleetErr error
+	wg.Go(func() { jobs, rev, jobsErr = h.o.Store.List(ctx, PrefixJobs) })
+	wg.Go(func() { states, _, statesErr = h.o.Store.List(ctx, PrefixState) })
+	wg.Go(func() {
+		entry, err := h.o.Store.Get(ctx, keyFleet)
+		switch {
+		case err == nil:
+			fleet = &entry
+		case !errors.Is(err, store.ErrNotFound):
+			fleetErr = err
+		}
+	})
+	wg.Wait()
+	return rev, jobs, states, fleet, errors.Join(jobsErr, statesErr, fleetErr)
+}
+
+// loadTimeout bounds one reading of the whole state.
+const loadTimeout = 3 * time.Second
+
+// loop owns the engine.
+func (h *Host) loop(ctx context.Context) {
+	ticker := time.NewTicker(tickPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case f := <-h.events:
+			f(h.engine, h.now())
+			h.drain()
+		case <-ticker.C:
+			h.engine.Tick(h.now())
+		}
+		effects := h.engine.Flush(h.now())
+		if h.engine.Deposed() {
+			h.term.End(lead.ErrDeposed)
+			return
+		}
+		for _, e := range effects {
+			h.carryOut(ctx, e)
+		}
+	}
+}
+
+func (h *Host) drain() {
+	for range maxDrain {
+		select {
+		case f := <-h.events:
+			f(h.engine, h.now())
+		default:
+			return
+		}
+	}
+}
+
+// post hands an event to the engine's goroutine, unless the term is over.
+func (h *Host) post(ctx context.Context, f func(*Engine, time.Duration)) {
+	select {
+	case h.events <- f:
+	case <-ctx.Done():
+	}
+}
+
+// ask runs f on the engine's goroutine and waits for it.
+func (h *Host) ask(ctx context.Context, f func(*Engine, time.Duration)) error {
+	select {
+	case <-h.loaded:
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-h.term.Context().Done():
+		return lead.ErrDeposed
+	}
+	done := make(chan struct{})
+	h.post(h.term.Context(), func(e *Engine, now time.Duration) {
+		f(e, now)
+		close(done)
+	})
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-h.term.Context().Done():
+		return lead.ErrDeposed
+	}
+}
+
+// State returns what callers may be shown of a job.
+func (h *Host) State(ctx context.Context, id work.JobID) (state work.State, known bool, err error) {
+	err = h.ask(ctx, func(e *Engine, _ time.Duration) { state, known = e.State(id) })
+	return state, known, err
+}
+
+// Pending returns the number of a queue's jobs that have not begun.
+func (h *Host) Pending(ctx context.Context, queue string) (n int, err error) {
+	err = h.ask(ctx, func(e *Engine, _ time.Duration) { n = e.Pending(queue) })
+	return n, err
+}
+
+// Offer hands over an entry that an accepting daemon has just written. What is
+// lost on the way comes with the next watch.
+func (h *Host) Offer(entry store.Entry) {
+	h.post(h.term.Context(), func(e *Engine, now time.Duration) { h.accept(e, now, entry) })
+}
+
+func (h *Host) accept(e *Engine, now time.Duration, entry store.Entry) {
+	if err := e.Accepted(now, entry); err != nil {
+		h.o.Log.Error().Err(err).Msg("accepted entry can not be read and is left alone")
+	}
+}
+
+// carryOut makes the call of an effect.
+func (h *Host) carryOut(ctx context.Context, effect Effect) {
+	switch x := effect.(type) {
+	case SendStart:
+		h.calls.Go(func() { h.sendStart(ctx, x) })
+	case SendStop:
+		h.calls.Go(func() { h.sendStop(ctx, x) })
+	case SendRenew:
+		h.calls.Go(func() { h.sendRenew(ctx, x) })
+	case SendCommit:
+		h.calls.Go(func() { h.commit(ctx, x) })
+	case AskAdvice:
+		h.calls.Go(func() { h.askAdvice(ctx, x) })
+	}
+}
+
+func (h *Host) sendStart(ctx context.Context, x SendStart) {
+	bounded, cancel := context.WithTimeout(ctx, StartTimeout)
+	defer cancel()
+	_, err := h.o.Runner.Start(bounded, x.To, x.Start)
+	h.post(ctx, func(e *Engine, now time.Duration) { e.Started(now, x.To.ID, x.Start.Task, x.Start.Run, err) })
+}
+
+func (h *Host) sendStop(ctx context.Context, x SendStop) {
+	bounded, cancel := context.WithTimeout(ctx, stopTimeout)
+	defer cancel()
+	err := h.o.Runner.Stop(bounded, x.To, x.Task, x.Run, h.term.Epoch)
+	h.post(ctx, func(e *Engine, now time.Duration) { e.StopAnswered(now, x.To.ID, x.Task, x.Run, err) })
+}
+
+func (h *Host) sendRenew(ctx context.Context, x SendRenew) {
+	bounded, cancel := context.WithTimeout(ctx, x.Timeout)
+	defer cancel()
+	report, err := h.o.Runner.Renew(bounded, x.To, x.Renewal)
+	h.post(ctx, func(e *Engine, now time.Duration) { e.Renewed(now, x.To.ID, report, err) })
+}
+
+func (h *Host) commit(ctx context.Context, x SendCommit) {
+	err := h.term.Commit(ctx, x.Writes, x.Deletes)
+	if err != nil {
+		if ctx.Err() == nil {
+			h.o.Log.Error().Err(err).Msg("progress not written, the term ends")
+			h.term.End(err)
+		}
+		return
+	}
+	h.post(ctx, func(e *Engine, now time.Duration) { e.Committed(now) })
+}
+
+func (h *Host) askAdvice(ctx context.Context, x AskAdvice) {
+	bounded, cancel := context.WithTimeout(ctx, x.Timeout)
+	defer cancel()
+	good, err := h.o.Advise(bounded, x.Member, x.Step.StepName(), x.Workers)
+	h.post(ctx, func(e *Engine, now time.Duration) { e.Advised(now, x.Member, x.Step, good, err) })
+}
+
+// watchJobs follows what accepting daemons write.
+func (h *Host) watchJobs(ctx context.Context, rev store.Revision) {
+	for ctx.Err() == nil {
+		next, err := h.watchJobsOnce(ctx, rev)
+		rev = next
+		pause := jobsPause
+		if err != nil {
+			pause = errorPause
+		}
+		_ = sleep.For(ctx, pause) // ends with the context, which the loop sees
+	}
+}
+
+func (h *Host) watchJobsOnce(ctx context.Context, rev store.Revision) (store.Revision, error) {
+	if rev == 0 {
+		entries, listed, err := h.o.Store.List(ctx, PrefixJobs)
+		if err != nil {
+			return 0, err
+		}
+		for _, entry := range entries {
+			h.Offer(entry)
+		}
+		return listed, nil
+	}
+	bounded, cancel := context.WithTimeout(ctx, watchWait+watchGrace)
+	defer cancel()
+	events, next, err := h.o.Store.Watch(bounded, PrefixJobs, rev, watchWait)
+	if errors.Is(err, store.ErrCompacted) {
+		h.o.Log.Warn().Msg("history of accepted jobs is gone, listing them")
+		return 0, nil
+	}
+	if err != nil {
+		return rev, err
+	}
+	for _, event := range events {
+		if !event.Deleted {
+			h.Offer(event.Entry)
+		}
+	}
+	return next, nil
+}
+
+// watchWorkers follows the directory.
+func (h *Host) watchWorkers(ctx context.Context) {
+	var rev store.Revision
+	for ctx.Err() == nil {
+		next, err := h.watchWorkersOnce(ctx, rev)
+		if err != nil && ctx.Err() == nil {
+			h.o.Log.Debug().Err(err).Msg("workers' entries not read")
+		}
+		rev = next
+		pause := workersPause
+		if err != nil {
+			pause = errorPause
+		}
+		_ = sleep.For(ctx, pause) // ends with the context, which the loop sees
+	}
+}
+
+func (h *Host) watchWorkersOnce(ctx context.Context, rev store.Revision) (store.Revision, error) {
+	bounded, cancel := context.WithTimeout(ctx, watchWait+watchGrace)
+	defer cancel()
+	if rev == 0 {
+		workers, listed, err := h.o.Directory.List(bounded)
+		if listed == 0 {
+			return 0, err
+		}
+		h.post(ctx, func(e *Engine, now time.Duration) { e.WorkersListed(now, workers) })
+		return listed, err
+	}
+	changes, next, err := h.o.Directory.Watch(bounded, rev, watchWait)
+	if errors.Is(err, store.ErrCompacted) {
+		return 0, nil
+	}
+	if err != nil && len(changes) == 0 {
+		return rev, err
+	}
+	h.post(ctx, func(e *Engine, now time.Duration) {
+		for _, c := range changes {
+			if c.Gone {
+				e.WorkerUnlisted(now, c.Worker.ID)
+				continue
+			}
+			e.WorkerSeen(now, c.Worker)
+		}
+	})
+	return next, err
+}
+
+// watchMembers tells the engine which daemons there are.
+func (h *Host) watchMembers(ctx context.Context) {
+	for {
+		changed := h.o.View.Changed()
+		var names []string
+		for _, m := range h.o.View.Members() {
+			names = append(names, m.Name)
+		}
+		h.post(ctx, func(e *Engine, now time.Duration) { e.Members(now, names) })
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+	}
+}
+
+func (h *Host) logDecision(d Decision) {
+	l := h.o.Log.Info()
+	if d.Task.Job != "" {
+		l = l.Str("job", string(d.Task.Job)).Stringer("task", d.Task)
+	}
+	if d.Run > 0 {
+		l = l.Uint64("run", d.Run)
+	}
+	if d.Worker != "" {
+		l = l.Str("worker", string(d.Worker))
+	}
+	if d.Why != "" {
+		l = l.Str("why", d.Why)
+	}
+	if d.Age > 0 {
+		l = l.Int64("age_ms", d.Age.Milliseconds())
+	}
+	l.Uint64("epoch", h.term.Epoch).Msg(d.What)
+}
+
+func (h *Host) logViolation(what string, task work.TaskID, worker runner.WorkerID) {
+	h.o.Log.Error().Stringer("task", task).Str("worker", string(worker)).Str("violation", what).Msg("invariant broken")
+	if h.o.Violation != nil {
+		h.o.Violation(what)
+	}
+}
--- /dev/null
+++ b/process/dispatch/job.go
@@ -0,0 +1,249 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"fennelshunt.example/fennelshunt/connection/runner"
+	"fennelshunt.example/fennelshunt/version/work"
+)
+
+// job is an accepted job as the engine knows it.
+type job struct {
+	id   work.JobID
+	spec *work.Job
+	// order: when the objective ends, in engine time.
+	due time.Duration
+	// state as decided; callers see it once it is in the store.
+	state   work.State
+	visible work.State
+	begun   bool // a task has started
+	// since: when the engine took the job over.
+	since time.Duration
+	// inherited: an earlier epoch may have started tasks of it.
+	inherited bool
+	steps     []*step
+
+	version   uint64 // of the progress, raised by each change that must last
+	saved     uint64 // the highest version in the store
+	dirty     bool   // queued for writing
+	endedAt   time.Duration
+	forgotten bool // the engine has queued its removal
+}
+
+// step is one step of a job.
+type step struct {
+	job     *job
+	number  int
+	spec    *work.Step
+	after   []*step // steps that this one follows
+	next    []*step // steps that follow this one
+	tasks   []task
+	pending []int // indexes that wait for a start, in order
+	left    int   // tasks that are not done
+	opened  bool  // listed as ready
+
+	advice *advice
+	gang   gangState
+}
+
+// task is one task of a step. Its place is nil while nothing of it can be
+// running.
+type task struct {
+	place *place
+	done  bool
+	fails int
+	// failRun is the highest run whose failure was counted.
+	failRun    uint64
+	runs       uint64 // started in this epoch
+	checkpoint string
+	avoid      []runner.WorkerID // where it failed
+	// accounted: no run of an earlier epoch can be running.
+	accounted bool
+}
+
+// gangState is what a gang's tasks share.
+type gangState struct {
+	run      uint64 // the highest run used
+	runs     uint64 // started in this epoch
+	fails    int
+	failRun  uint64
+	breaking bool // its members are being stopped
+}
+
+// placeState says what is known of a run on a worker.
+type placeState uint8
+
+const (
+	starting placeState = iota // sent, no answer yet
+	doubtful                   // no answer; may start yet
+	running                    // the worker confirmed it
+	stopping                   // a stop is wanted
+)
+
+// place is one run on one worker. It holds its resources until the worker
+// lists the end, the run can no longer start, or the worker's life is over.
+type place struct {
+	w     *worker
+	s     *step
+	index int
+	run   uint64
+	need  work.Resources
+	state placeState
+
+	ticket string
+	sent   time.Duration // the first start
+	tries  int           // starts sent
+	begun  time.Duration // confirmed
+
+	stopSent time.Duration // the last stop
+	stopped  time.Duration // when a stop was answered, 0 if none was
+	missing  time.Duration // when a report first lacked it
+
+	percent   float64
+	percentAt time.Duration // when percent last rose
+	firstPct  float64
+	firstAt   time.Duration
+}
+
+func (p *place) id() work.TaskID {
+	return work.TaskID{Job: p.s.job.id, Step: p.s.number, Index: p.index}
+}
+
+func (p *place) task() *task { return &p.s.tasks[p.index] }
+
+func newJob(id work.JobID, spec *work.Job) *job {
+	j := &job{id: id, spec: spec}
+	j.steps = make([]*step, len(spec.Steps))
+	for i := range spec.Steps {
+		s := &step{job: j, number: i, spec: &spec.Steps[i], left: spec.Steps[i].Count}
+		s.tasks = make([]task, s.left)
+		s.pending = make([]int, s.left)
+		for k := range s.pending {
+			s.pending[k] = k
+		}
+		for _, a := range s.spec.After {
+			s.after = append(s.after, j.steps[a])
+			j.steps[a].next = append(j.steps[a].next, s)
+		}
+		j.steps[i] = s
+	}
+	return j
+}
+
+// active reports whether tasks of the job may start.
+func (j *job) active() bool { return !j.state.Final() }
+
+// ready reports whether the steps that s follows are done.
+func (s *step) ready() bool {
+	return !slices.ContainsFunc(s.after, func(a *step) bool { return a.left > 0 })
+}
+
+// live returns how many tasks have a place.
+func (s *step) live() int {
+	n := 0
+	for i := range s.tasks {
+		if s.tasks[i].place != nil {
+			n++
+		}
+	}
+	return n
+}
+
+// progress returns what must last of the job.
+func (j *job) progress() *work.Progress {
+	p := &work.Progress{State: j.state}
+	if j.state == work.Queued && j.begun {
+		p.State = work.Running
+	}
+	if j.state.Final() {
+		return p
+	}
+	for _, s := range j.steps {
+		if e, any := s.ends(); any {
+			p.Ends = append(p.Ends, e)
+		}
+	}
+	return p
+}
+
+func (s *step) ends() (work.StepEnds, bool) {
+	e := work.StepEnds{Step: s.number, All: s.left == 0}
+	if e.All {
+		return e, true
+	}
+	for i := range s.tasks {
+		t := &s.tasks[i]
+		if t.done {
+			e.Done = append(e.Done, i)
+		}
+		if t.fails > 0 {
+			e.Failed = append(e.Failed, work.Fail{Index: i, Count: t.fails, Run: t.failRun})
+		}
+	}
+	if s.gang.fails > 0 {
+		e.Failed = append(e.Failed, work.Fail{Count: s.gang.fails, Run: s.gang.failRun})
+	}
+	return e, len(e.Done)+len(e.Failed) > 0
+}
+
+// restore applies what the store holds of the job's progress.
+func (j *job) restore(p *work.Progress) {
+	j.state, j.visible = p.State, p.State
+	if p.State == work.Running {
+		j.state, j.begun = work.Queued, true
+	}
+	for _, e := range p.Ends {
+		if e.Step < 0 || e.Step >= len(j.steps) {
+			continue
+		}
+		s := j.steps[e.Step]
+		for i := range s.tasks {
+			if e.All {
+				s.finish(i)
+			}
+		}
+		for _, i := range e.Done {
+			if i >= 0 && i < len(s.tasks) {
+				s.finish(i)
+			}
+		}
+		for _, f := range e.Failed {
+			s.restoreFail(f)
+		}
+	}
+}
+
+func (s *step) restoreFail(f work.Fail) {
+	if s.spec.Gang {
+		s.gang.fails, s.gang.failRun = f.Count, f.Run
+		return
+	}
+	if f.Index >= 0 && f.Index < len(s.tasks) {
+		s.tasks[f.Index].fails, s.tasks[f.Index].failRun = f.Count, f.Run
+	}
+}
+
+// finish marks a task done.
+func (s *step) finish(i int) {
+	t := &s.tasks[i]
+	if t.done {
+		return
+	}
+	t.done = true
+	s.left--
+	s.unqueue(i)
+}
+
+func (s *step) unqueue(i int) {
+	if k := slices.Index(s.pending, i); k >= 0 {
+		s.pending = slices.Delete(s.pending, k, k+1)
+	}
+}
+
+// requeue lets a task start again, before the tasks that never ran.
+func (s *step) requeue(i int) {
+	if !s.tasks[i].done && !slices.Contains(s.pending, i) {
+		s.pending = slices.Insert(s.pending, 0, i)
+	}
+}
--- /dev/null
+++ b/process/dispatch/place.go
@@ -0,0 +1,278 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"fennelshunt.example/fennelshunt/connection/runner"
+	"fennelshunt.example/fennelshunt/version/work"
+)
+
+// Judging how work goes.
+const (
+	// paceDecay is the weight of the newest run in a learnt pace.
+	paceDecay = 0.15
+	// maxEarlyPercent: below this share of its work a run's own progress says
+	// less of its remaining time than its estimate.
+	minPercent = 8
+)
+
+// schedule places what can be placed.
+func (e *Engine) schedule() {
+	steps := e.waiting()
+	e.clearReservations()
+	blocked := 0
+	for _, s := range steps {
+		if !e.mayStart(s) {
+			continue
+		}
+		if s.spec.Gang {
+			if !e.placeGang(s) && blocked < maxReserved {
+				if e.reserveFor(s) {
+					blocked++
+				}
+			}
+			continue
+		}
+		e.placeTasks(s)
+	}
+	e.askAll(steps)
+}
+
+// waiting returns the steps with tasks to start, in the order in which they
+// are served: those that can still end within their objective first, and among
+// these the queue's priority and the end of the objective.
+func (e *Engine) waiting() []*step {
+	kept := e.ready[:0]
+	for _, s := range e.ready {
+		if s.job.active() && len(s.pending) > 0 {
+			kept = append(kept, s)
+			continue
+		}
+		s.opened = false
+	}
+	clear(e.ready[len(kept):])
+	e.ready = kept
+	steps := slices.Clone(kept)
+	slices.SortStableFunc(steps, e.compare)
+	return steps
+}
+
+func (e *Engine) compare(a, b *step) int {
+	x, y := a.job, b.job
+	if late := cmp.Compare(e.lateRank(a), e.lateRank(b)); late != 0 {
+		return late
+	}
+	return cmp.Or(cmp.Compare(x.spec.Queue.Priority, y.spec.Queue.Priority), cmp.Compare(x.due, y.due), cmp.Compare(x.id, y.id))
+}
+
+// lateRank puts jobs that will miss their objective behind those that will
+// not: a late job keeps a fifth of its worth for long, one in time loses four
+// fifths at once.
+func (e *Engine) lateRank(s *step) int {
+	if e.now+e.estimate(s) > s.job.due {
+		return 1
+	}
+	return 0
+}
+
+// estimate returns how long a task of the step is likely to take.
+func (e *Engine) estimate(s *step) time.Duration {
+	pace, ok := e.paces[s.job.spec.Queue.Name]
+	if !ok {
+		pace = 1
+	}
+	return scale(s.spec.Estimate, pace)
+}
+
+// mayStart reports whether tasks of the step may start now at all.
+func (e *Engine) mayStart(s *step) bool {
+	if s.gang.breaking || (s.spec.Gang && s.live() > 0) {
+		return false
+	}
+	return !s.job.inherited || e.unresolved == 0
+}
+
+// eligible reports whether a step may run on a worker, room and advice apart.
+func (e *Engine) eligible(s *step, w *worker) bool {
+	return w.usable(e.now) && w.Service == s.job.spec.Queue.Service && w.has(s.spec.Labels)
+}
+
+// perWorker bounds how many of n tasks may go to one worker.
+func (s *step) perWorker(n int) int {
+	if s.spec.MaxPerWorker > 0 {
+		return min(n, s.spec.MaxPerWorker)
+	}
+	return n
+}
+
+// liveOn returns the step's runs on a worker.
+func (s *step) liveOn(w *worker) int {
+	if s.spec.MaxPerWorker == 0 {
+		return 0 // nobody asks
+	}
+	n := 0
+	for _, p := range w.places {
+		if p.s == s {
+			n++
+		}
+	}
+	return n
+}
+
+// placeTasks places the tasks of a step one by one.
+func (e *Engine) placeTasks(s *step) {
+	a := e.adviceOf(s)
+	for _, i := range slices.Clone(s.pending) {
+		if !s.tasks[i].accounted && s.job.inherited && e.unresolved > 0 {
+			continue
+		}
+		w, ticket := e.bestWorker(s, i, a)
+		if w == nil {
+			if a != nil {
+				e.askFor(s, len(s.pending))
+			}
+			return
+		}
+		s.tasks[i].runs++
+		e.start(w, s, i, e.nextRun(s.tasks[i].runs), ticket)
+	}
+}
+
+// bestWorker filters the workers and takes the one with the best score.
+func (e *Engine) bestWorker(s *step, i int, a *advice) (best *worker, ticket string) {
+	need := s.spec.Need()
+	bestScore := 0.0
+	for _, w := range e.order {
+		if !need.Fits(w.free()) || !e.eligible(s, w) {
+			continue
+		}
+		text := ""
+		if a != nil {
+			var ok bool
+			if text, ok = a.ticketFor(w.ID, e.now); !ok {
+				continue
+			}
+		}
+		if s.spec.MaxPerWorker > 0 && s.liveOn(w) >= s.spec.MaxPerWorker {
+			continue
+		}
+		if !need.Fits(e.freeFor(s, w)) {
+			continue
+		}
+		if score := e.score(s, i, w); best == nil || score > bestScore {
+			best, bestScore, ticket = w, score, text
+		}
+	}
+	return best, ticket
+}
+
+// Weights of a worker's score for a task.
+const (
+	// scoreAvoid: a task that failed on a worker goes to any other first.
+	scoreAvoid = -100
+	// scoreNear: near its data a task takes a third of the time.
+	scoreNear = 20
+	// scorePace: a faster worker ends sooner; worth as much as perfect packing.
+	scorePace = 1.0
+	// scoreFull: workers that are nearly full first, so that large tasks find
+	// workers with much room.
+	scoreFull = 1.0
+)
+
+func (e *Engine) score(s *step, i int, w *worker) float64 {
+	score := scorePace / w.pace
+	if slices.Contains(s.tasks[i].avoid, w.ID) {
+		score += scoreAvoid
+	}
+	if s.spec.DataRack != "" && s.spec.DataRack == w.rack {
+		score += scoreNear
+	}
+	return score + scoreFull*fullness(w, s.spec.Need())
+}
+
+// fullness is the share of the worker's scarcest resource that is taken once
+// need is placed there.
+func fullness(w *worker, need work.Resources) float64 {
+	used := w.used.Add(need)
+	return max(ratio(used.CPU, w.Capacity.CPU), ratio(used.Memory, w.Capacity.Memory))
+}
+
+func ratio(a, b int) float64 {
+	if b <= 0 {
+		return 0
+	}
+	return float64(a) / float64(b)
+}
+
+// learnPace learns from a run that was done how long runs of the queue, and on
+// the worker, take against their estimates.
+func (e *Engine) learnPace(w *worker, s *step, p *place) {
+	if s.spec.Estimate <= 0 || p.state != running || s.spec.Lasting {
+		return
+	}
+	queue := s.job.spec.Queue.Name
+	took := float64(e.now-p.begun) / float64(s.spec.Estimate)
+	mean, ok := e.paces[queue]
+	if !ok {
+		mean = 1
+	}
+	w.pace += (min(max(took/mean, 0.2), 5) - w.pace) * paceDecay
+	e.paces[queue] = mean + (min(took, 5)-mean)*paceDecay/4
+}
+
+// remaining estimates how long a run goes on.
+func (e *Engine) remaining(p *place) time.Duration {
+	if p.state == stopping {
+		return stopRetry
+	}
+	elapsed := e.now - p.sent
+	whole := e.estimate(p.s)
+	if p.percent >= minPercent && p.percentAt > p.begun {
+		whole = scale(p.percentAt-p.begun, 100/p.percent) + p.begun - p.sent
+	}
+	return max(whole-elapsed, minRemaining)
+}
+
+// minRemaining: a run past its estimate may end any time.
+const minRemaining = 100 * time.Millisecond
+
+// watchStandstill stops a run that makes no progress while its worker answers,
+// so that it goes on elsewhere.
+func (e *Engine) watchStandstill(p *place) {
+	if p.state != running || p.s.spec.Lasting {
+		return
+	}
+	still := e.now - max(p.percentAt, p.begun)
+	bound := max(standstillMin, e.estimate(p.s)/2)
+	if still < bound || p.w.answered < p.percentAt+standstillMin {
+		return
+	}
+	e.stats.Moved++
+	w := p.w
+	if !slices.Contains(p.task().avoid, w.ID) {
+		p.task().avoid = append(p.task().avoid, w.ID)
+	}
+	if w.noteFail(e.now, p.s.job.id) {
+		e.decide(Decision{What: "worker set aside", Worker: w.ID, Why: "runs of different jobs stand still there", Age: w.asideFor})
+	}
+	if p.s.spec.Gang {
+		e.breakGang(p.s, "a member makes no progress")
+		return
+	}
+	e.stop(p, "no progress")
+}
+
+// standstillMin is how long a run's progress may stay the same: reports come
+// at least every renewWait, and a run of ten seconds gains ten percent a second.
+const standstillMin = 2500 * time.Millisecond
+
+// refOf finds a worker by id.
+func (e *Engine) refOf(id runner.WorkerID) (runner.Ref, bool) {
+	w := e.workers[id]
+	if w == nil {
+		return runner.Ref{}, false
+	}
+	return w.Ref, true
+}
--- /dev/null
+++ b/process/dispatch/reports.go
@@ -0,0 +1,475 @@
+package dispatch
+
+import (
+	"errors"
+	"slices"
+	"time"
+
+	"fennelshunt.example/fennelshunt/connection/runner"
+	"fennelshunt.example/fennelshunt/version/work"
+)
+
+// WorkerSeen takes a worker's entry in the directory.
+func (e *Engine) WorkerSeen(now time.Duration, seen runner.Worker) {
+	e.now = now
+	w := e.workers[seen.ID]
+	if w == nil {
+		w = e.addWorker(seen)
+	}
+	if w.gone {
+		return
+	}
+	w.Worker, w.listed = seen, true
+	w.rack = rackOf(seen.Labels)
+	if !w.kept {
+		e.fleetNew = true
+	}
+	e.scheduled = false
+}
+
+// WorkersListed takes the directory as a whole.
+func (e *Engine) WorkersListed(now time.Duration, workers []runner.Worker) {
+	listed := make(map[runner.WorkerID]bool, len(workers))
+	for i := range workers {
+		listed[workers[i].ID] = true
+		e.WorkerSeen(now, workers[i])
+	}
+	for _, w := range slices.Clone(e.order) {
+		if w.listed && !listed[w.ID] {
+			e.WorkerUnlisted(now, w.ID)
+		}
+	}
+}
+
+// rackOf returns the rack among a worker's labels: the last one, the first
+// being its kind.
+func rackOf(labels []string) string {
+	if len(labels) == 0 {
+		return ""
+	}
+	return labels[len(labels)-1]
+}
+
+func (e *Engine) addWorker(seen runner.Worker) *worker {
+	w := &worker{Worker: seen, places: map[work.TaskID]*place{}, pace: 1, nextRenew: e.now}
+	e.workers[seen.ID] = w
+	e.order = append(e.order, w)
+	return w
+}
+
+// WorkerUnlisted takes the end of a worker's entry. The worker may still run
+// what it has.
+func (e *Engine) WorkerUnlisted(now time.Duration, id runner.WorkerID) {
+	e.now = now
+	w := e.workers[id]
+	if w == nil {
+		return
+	}
+	w.listed = false
+	w.nextRenew = now
+	if w.misses > 0 && len(w.places) == 0 && w.fenced {
+		e.workerGone(w, "not listed and not answering")
+	}
+}
+
+// workerGone ends a worker's life: nothing of it runs any more.
+func (e *Engine) workerGone(w *worker, why string) {
+	if w.gone {
+		return
+	}
+	e.decide(Decision{What: "worker gone", Worker: w.ID, Why: why, Age: e.now - w.answered})
+	e.resolve(w)
+	w.gone = true
+	e.clearPlaces(w)
+	delete(e.workers, w.ID)
+	e.order = slices.DeleteFunc(e.order, func(x *worker) bool { return x == w })
+	e.fleetNew = e.fleetNew || w.kept
+	w.waiting = nil
+}
+
+// clearPlaces frees every run on a worker on which nothing runs any more.
+func (e *Engine) clearPlaces(w *worker) {
+	for _, p := range places(w) {
+		e.stats.Lost++
+		s := p.s
+		e.release(p)
+		if s.spec.Gang && s.job.active() {
+			e.breakGang(s, "a member was lost with its worker")
+		}
+	}
+}
+
+// places returns the runs on a worker in a fixed order.
+func places(w *worker) []*place {
+	all := make([]*place, 0, len(w.places))
+	for _, p := range w.places {
+		all = append(all, p)
+	}
+	slices.SortFunc(all, func(a, b *place) int {
+		if a.sent != b.sent {
+			return int(a.sent - b.sent)
+		}
+		return a.index - b.index
+	})
+	return all
+}
+
+// resolve notes that nothing of an earlier epoch can start or run unseen on a
+// worker.
+func (e *Engine) resolve(w *worker) {
+	if w.inherited {
+		w.inherited = false
+		e.unresolved--
+		e.scheduled = false
+	}
+}
+
+// lapsed is called when everything on a worker must have ended with its lease.
+func (e *Engine) lapsed(w *worker) {
+	e.decide(Decision{What: "lease lapsed", Worker: w.ID, Why: "no answer until the lease had run out", Age: e.now - w.answered})
+	if !w.listed || !w.fenced {
+		e.workerGone(w, "its lease has run out and it does not answer")
+		return
+	}
+	e.clearPlaces(w)
+}
+
+// renew sends the next renewal when it is due.
+func (e *Engine) renew(w *worker) {
+	if w.renewing || e.now < w.nextRenew || !w.kept {
+		return
+	}
+	r := runner.Renewal{Epoch: e.o.Epoch, Until: w.renewUntil(e.now, e.o.Bounds.Lease), Acknowledge: w.ack}
+	if w.fenced && w.misses == 0 && !w.unacknowledged() && !w.stopsAnswered() {
+		r.Wait = renewWait
+	}
+	w.renewing, w.renewSent = true, e.now
+	e.out = append(e.out, SendRenew{To: w.Ref, Renewal: r, Timeout: r.Wait + renewGrace})
+}
+
+// unacknowledged reports whether the worker holds ends that the store does not
+// yet: a renewal that waits would be answered at once.
+func (w *worker) unacknowledged() bool { return w.seen > w.ack }
+
+// stopsAnswered reports whether a report is awaited to free a stopped run.
+func (w *worker) stopsAnswered() bool {
+	for _, p := range w.places {
+		if p.state == stopping && p.stopped > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// Renewed takes the outcome of a SendRenew.
+func (e *Engine) Renewed(now time.Duration, id runner.WorkerID, report runner.Report, err error) {
+	e.now = now
+	w := e.workers[id]
+	if w == nil {
+		return
+	}
+	w.renewing = false
+	if err != nil {
+		e.notRenewed(w, err)
+		return
+	}
+	if w.misses > 0 {
+		e.decide(Decision{What: "worker answers again", Worker: w.ID, Age: now - w.answered})
+		e.scheduled = false
+	}
+	w.misses, w.answered = 0, now
+	w.clock, w.clockAt = report.Clock, now
+	if !w.fenced {
+		e.resolve(w)
+		w.fenced = true
+		e.scheduled = false
+	}
+	ends := e.takeEnds(w, report.Ended)
+	e.takeRunning(w, report.Running, len(report.Ended) < runner.MaxEnds)
+	w.nextRenew = now
+	if w.unacknowledged() || (len(report.Running) == 0 && ends == 0 && w.stopsAnswered()) {
+		w.nextRenew = now + renewPause
+	}
+}
+
+func (e *Engine) notRenewed(w *worker, err error) {
+	switch {
+	case errors.Is(err, runner.ErrFenced):
+		e.deposed = true
+		return
+	case errors.Is(err, runner.ErrGone):
+		e.workerGone(w, "another life answers at its address")
+		return
+	}
+	if w.misses == 0 {
+		e.decide(Decision{What: "worker does not answer", Worker: w.ID, Why: err.Error(), Age: e.now - w.answered})
+	}
+	w.misses++
+	w.nextRenew = e.now + probePause
+	if !w.listed && len(w.places) == 0 && w.fenced {
+		e.workerGone(w, "not listed and not answering")
+	}
+}
+
+// takeEnds processes the ends that are new and returns their number.
+func (e *Engine) takeEnds(w *worker, ends []runner.End) int {
+	n := 0
+	slices.SortFunc(ends, func(a, b runner.End) int { return int(a.Number - b.Number) })
+	for i := range ends {
+		if ends[i].Number <= w.seen {
+			continue
+		}
+		w.seen = ends[i].Number
+		j := e.takeEnd(w, &ends[i])
+		wait := ackWait{number: ends[i].Number, job: j}
+		if j != nil {
+			wait.version = j.version
+		}
+		w.waiting = append(w.waiting, wait)
+		n++
+	}
+	e.acknowledge(w)
+	return n
+}
+
+// takeEnd processes one end and returns the job whose progress has to be in
+// the store before the end is acknowledged, if any.
+func (e *Engine) takeEnd(w *worker, end *runner.End) *job {
+	p := w.places[end.Task]
+	if p != nil && p.run != end.Run {
+		p = nil
+	}
+	j := e.jobs[end.Task.Job]
+	s := j.step(end.Task)
+	if s == nil {
+		return nil
+	}
+	if p != nil {
+		w.drop(p)
+		e.scheduled = false
+	}
+	t := &s.tasks[end.Task.Index]
+	if end.Checkpoint != "" && s.spec.Checkpoints {
+		s.keepCheckpoint(end.Task.Index, end.Checkpoint)
+	}
+	switch end.How {
+	case runner.Done:
+		e.taskDone(w, s, end, p)
+	case runner.Failed:
+		e.taskFailed(w, s, end, p)
+	default:
+		e.stats.Back++
+	}
+	if p != nil && t.place == p {
+		t.place = nil
+		t.accounted = true
+		e.back(s, end.Task.Index)
+	}
+	if p == nil && t.place == nil {
+		t.accounted = true
+	}
+	return j
+}
+
+// step finds a task's step; nil for a job, step or task that is not known.
+func (j *job) step(task work.TaskID) *step {
+	if j == nil || task.Occurrence != 0 || task.Step >= len(j.steps) || task.Index >= len(j.steps[task.Step].tasks) {
+		return nil
+	}
+	return j.steps[task.Step]
+}
+
+func (s *step) keepCheckpoint(i int, value string) {
+	if !s.spec.Gang {
+		s.tasks[i].checkpoint = value
+		return
+	}
+	for k := range s.tasks {
+		s.tasks[k].checkpoint = value // any member's is valid for all, and all carry the same
+	}
+}
+
+// back lets a task whose run ended start again, unless it is done.
+func (e *Engine) back(s *step, i int) {
+	if s.spec.Gang && s.live() == 0 {
+		s.gang.breaking = false
+	}
+	if s.tasks[i].done || !s.job.active() {
+		return
+	}
+	s.requeue(i)
+	s.opened = false
+	e.open(s)
+}
+
+func (e *Engine) taskDone(w *worker, s *step, end *runner.End, p *place) {
+	j := s.job
+	if p != nil {
+		w.noteDone()
+		e.learnPace(w, s, p)
+	}
+	if s.tasks[end.Task.Index].done || !j.active() {
+		return
+	}
+	e.stats.Done++
+	if s.spec.Lasting {
+		return // it is to start again, however it ended
+	}
+	e.finish(s, end.Task.Index)
+	if s.spec.Gang {
+		for i := range s.tasks {
+			e.finish(s, i)
+		}
+	}
+	e.mark(j, false)
+	if s.left > 0 {
+		return
+	}
+	e.unreserve(s)
+	for _, n := range s.next {
+		e.open(n)
+	}
+	e.settle(j)
+}
+
+// finish marks a task done, and stops another run of it.
+func (e *Engine) finish(s *step, i int) {
+	s.finish(i)
+	if p := s.tasks[i].place; p != nil && !s.spec.Gang && p.state != running {
+		e.stop(p, "the task is done by another run")
+	}
+}
+
+func (e *Engine) taskFailed(w *worker, s *step, end *runner.End, p *place) {
+	j, t := s.job, &s.tasks[end.Task.Index]
+	e.decide(Decision{What: "failed", Task: end.Task, Run: end.Run, Worker: w.ID})
+	e.stats.Failed++
+	if p != nil && w.noteFail(e.now, j.id) {
+		e.stats.Aside++
+		e.decide(Decision{What: "worker set aside", Worker: w.ID, Why: "runs of different jobs failed there", Age: w.asideFor})
+	}
+	if !slices.Contains(t.avoid, w.ID) {
+		t.avoid = append(t.avoid, w.ID)
+	}
+	if t.done || !j.active() || s.spec.Lasting {
+		return
+	}
+	fails, counted := &t.fails, &t.failRun
+	if s.spec.Gang {
+		fails, counted = &s.gang.fails, &s.gang.failRun
+	}
+	if end.Run <= *counted {
+		return // counted before, by this epoch or an earlier one
+	}
+	*counted = end.Run
+	*fails++
+	e.mark(j, false)
+	if *fails >= j.spec.Queue.Attempts {
+		e.end(j, work.Failed, "a task failed as often as its queue allows")
+	}
+}
+
+// takeRunning compares what a worker says it runs with what it should run.
+// complete tells that the report left no end out.
+func (e *Engine) takeRunning(w *worker, rows []runner.Live, complete bool) {
+	present := make(map[work.TaskID]uint64, len(rows))
+	for i := range rows {
+		r := &rows[i]
+		present[r.Task] = r.Run
+		if p := w.places[r.Task]; p != nil && p.run == r.Run {
+			e.confirm(p)
+			e.takeRow(p, r)
+			continue
+		}
+		e.unexpected(w, r)
+	}
+	for _, p := range places(w) {
+		if run, ok := present[p.id()]; !ok || run != p.run {
+			e.absent(w, p, complete)
+		}
+	}
+}
+
+func (e *Engine) takeRow(p *place, r *runner.Live) {
+	p.missing = 0
+	if r.Checkpoint != "" && p.s.spec.Checkpoints {
+		p.s.keepCheckpoint(p.index, r.Checkpoint)
+	}
+	if r.Percent > p.percent {
+		if p.firstAt == 0 {
+			p.firstAt, p.firstPct = e.now, r.Percent
+		}
+		p.percent, p.percentAt = r.Percent, e.now
+	}
+}
+
+// unexpected deals with a run that this engine has not started, or has given
+// up: one of an earlier epoch is taken over if its task needs it, any other is
+// stopped.
+func (e *Engine) unexpected(w *worker, r *runner.Live) {
+	j := e.jobs[r.Task.Job]
+	s := j.step(r.Task)
+	if s != nil && j.active() && r.Run <= e.nextRun(0) && e.adopt(w, s, r) {
+		return
+	}
+	e.stats.Orphans++
+	e.decide(Decision{What: "stop unexpected run", Task: r.Task, Run: r.Run, Worker: w.ID})
+	w.asideUntil = max(w.asideUntil, e.now+stopRetry) // it takes room that is not booked
+	e.out = append(e.out, SendStop{To: w.Ref, Task: r.Task, Run: r.Run})
+	w.nextRenew = min(w.nextRenew, e.now)
+}
+
+// adopt takes over a run of an earlier epoch.
+func (e *Engine) adopt(w *worker, s *step, r *runner.Live) bool {
+	t := &s.tasks[r.Task.Index]
+	if t.done || t.place != nil || s.gang.breaking || (s.spec.Gang && s.gang.run > r.Run) {
+		return false
+	}
+	if s.spec.Gang && s.gang.run < r.Run {
+		if s.live() > 0 {
+			return false // members of two runs: let the first end, then start anew
+		}
+		s.gang.run = r.Run
+	}
+	e.stats.Adopted++
+	p := &place{w: w, s: s, index: r.Task.Index, run: r.Run, need: s.spec.Need(), sent: e.now, tries: 1, state: running, begun: e.now, percentAt: e.now}
+	t.place = p
+	s.unqueue(p.index)
+	w.take(p)
+	s.job.begun = true
+	e.takeRow(p, r)
+	e.decide(Decision{What: "adopted", Task: r.Task, Run: r.Run, Worker: w.ID})
+	return true
+}
+
+// absent deals with a run that a report does not list.
+func (e *Engine) absent(w *worker, p *place, complete bool) {
+	switch {
+	case p.state == stopping && p.stopped > 0 && p.stopped < w.renewSent && complete:
+		// Neither running nor ended, and the worker refuses it from now on.
+		e.release(p)
+	case p.state == running && p.begun < w.renewSent && complete:
+		if p.missing == 0 {
+			p.missing = e.now
+			return
+		}
+		e.decide(Decision{What: "run lost", Task: p.id(), Run: p.run, Worker: w.ID, Why: "neither running nor ended"})
+		e.stats.Lost++
+		e.release(p)
+	}
+}
+
+// acknowledge raises the number of ends that the worker may forget.
+func (e *Engine) acknowledge(w *worker) {
+	for len(w.waiting) > 0 {
+		a := w.waiting[0]
+		if a.job != nil && a.job.saved < a.version {
+			return
+		}
+		w.ack = a.number
+		w.waiting = w.waiting[1:]
+	}
+	if w.nextRenew > e.now && w.seen == w.ack {
+		w.nextRenew = e.now
+	}
+}
--- /dev/null
+++ b/process/dispatch/runs.go
@@ -0,0 +1,233 @@
+package dispatch
+
+import (
+	"errors"
+	"time"
+
+	"fennelshunt.example/fennelshunt/connection/runner"
+	"fennelshunt.example/fennelshunt/version/work"
+)
+
+// Bounds of orders to workers.
+const (
+	// StartTimeout is how long a start may go without an answer. A worker
+	// answers in a few milliseconds; three tries stay below a gang's bound.
+	StartTimeout = 350 * time.Millisecond
+	maxStarts    = 3
+	// stopRetry is between stops that were not answered.
+	stopRetry = 300 * time.Millisecond
+	// runBits is how many runs of a task one epoch can number. Runs of a later
+	// epoch are higher than all of an earlier one.
+	runBits = 16
+)
+
+// nextRun numbers a run; n counts the epoch's runs of the task, from 1 on.
+func (e *Engine) nextRun(n uint64) uint64 { return (e.o.Epoch-1)<<runBits + n }
+
+// start starts a task on a worker. The caller has checked that it fits.
+func (e *Engine) start(w *worker, s *step, i int, run uint64, ticket string) *place {
+	t := &s.tasks[i]
+	p := &place{w: w, s: s, index: i, run: run, need: s.spec.Need(), ticket: ticket, sent: e.now}
+	if t.place != nil || t.done || !s.job.active() || !s.ready() {
+		e.violate("start of a task that must not start", p.id(), w.ID)
+		return nil
+	}
+	if !p.need.Fits(w.free()) {
+		e.violate("start over the worker's capacity", p.id(), w.ID)
+		return nil
+	}
+	t.place = p
+	s.unqueue(i)
+	w.take(p)
+	e.stats.Starts++
+	e.sendStart(p)
+	return p
+}
+
+func (e *Engine) sendStart(p *place) {
+	p.tries++
+	j := p.s.job
+	e.out = append(e.out, SendStart{To: p.w.Ref, Start: runner.Start{
+		Task: p.id(), Run: p.run, Spec: j.spec.Spec, Checkpoint: p.task().checkpoint, Ticket: p.ticket,
+		Epoch: e.o.Epoch, Until: p.w.renewUntil(e.now, e.o.Bounds.Lease),
+	}})
+}
+
+// placeOf finds a run on a worker.
+func (e *Engine) placeOf(id runner.WorkerID, task work.TaskID, run uint64) *place {
+	w := e.workers[id]
+	if w == nil {
+		return nil
+	}
+	if p := w.places[task]; p != nil && p.run == run {
+		return p
+	}
+	return nil
+}
+
+// Started takes the outcome of a SendStart.
+func (e *Engine) Started(now time.Duration, id runner.WorkerID, task work.TaskID, run uint64, err error) {
+	e.now = now
+	if errors.Is(err, runner.ErrFenced) {
+		e.deposed = true
+		return
+	}
+	w := e.workers[id]
+	if w != nil && errors.Is(err, runner.ErrGone) {
+		e.workerGone(w, "another life answers at its address")
+		return
+	}
+	p := e.placeOf(id, task, run)
+	if p == nil {
+		return
+	}
+	switch {
+	case err == nil:
+		e.confirm(p)
+	case errors.Is(err, runner.ErrOld):
+		// It was stopped or has ended; a report will tell.
+		p.state, p.stopped = stopping, now
+		e.brokenStart(p, err)
+	case errors.Is(err, runner.ErrNotRun) && p.tries == 1:
+		e.refused(p, err)
+	case errors.Is(err, runner.ErrNotRun):
+		// An earlier try had no answer and may start yet.
+		e.refusedBy(p, err)
+		e.stop(p, "refused after a try without an answer")
+		e.brokenStart(p, err)
+	case p.state == stopping:
+	case p.tries < maxStarts && w.misses == 0:
+		p.state = doubtful
+		e.stats.Resent++
+		e.sendStart(p)
+	default:
+		e.stop(p, "no answer to the start")
+		e.brokenStart(p, err)
+	}
+}
+
+// confirm notes that a run is there.
+func (e *Engine) confirm(p *place) {
+	if p.state == stopping {
+		return
+	}
+	if p.state != running {
+		p.state, p.begun = running, e.now
+		p.percentAt = e.now
+	}
+	if j := p.s.job; !j.begun {
+		j.begun = true
+	}
+}
+
+// refused frees a run that certainly did not start.
+func (e *Engine) refused(p *place, err error) {
+	e.decide(Decision{What: "start refused", Task: p.id(), Run: p.run, Worker: p.w.ID, Why: err.Error(), Age: e.now - p.sent})
+	e.refusedBy(p, err)
+	e.release(p)
+	e.brokenStart(p, err)
+}
+
+// refusedBy draws the conclusion on the worker.
+func (e *Engine) refusedBy(p *place, err error) {
+	w := p.w
+	switch {
+	case errors.Is(err, runner.ErrTicket):
+		if a := p.s.advice; a != nil {
+			a.expire(w.ID)
+		}
+	case errors.Is(err, runner.ErrUnhealthy), errors.Is(err, runner.ErrNoRoom):
+		w.asideUntil = max(w.asideUntil, e.now+refusalAside)
+	case errors.Is(err, runner.ErrNoConnection):
+		w.misses++
+		w.nextRenew = e.now
+	case errors.Is(err, runner.ErrBadOrder):
+		p.task().avoid = append(p.task().avoid, w.ID)
+	}
+}
+
+// brokenStart stops a gang of which a member did not start.
+func (e *Engine) brokenStart(p *place, err error) {
+	if p.s.spec.Gang {
+		e.breakGang(p.s, err.Error())
+	}
+}
+
+// release frees a run that is known not to run, and lets its task start again.
+func (e *Engine) release(p *place) {
+	p.w.drop(p)
+	e.scheduled = false
+	t := p.task()
+	if t.place != p {
+		return
+	}
+	t.place = nil
+	t.accounted = true
+	s := p.s
+	if !t.done && s.job.active() {
+		s.requeue(p.index)
+		s.opened = false
+		e.open(s)
+	}
+	if s.spec.Gang && s.live() == 0 {
+		s.gang.breaking = false
+	}
+}
+
+// stop ends a run. Its resources stay taken until it is known to have ended.
+func (e *Engine) stop(p *place, why string) {
+	if p.state == stopping {
+		return
+	}
+	p.state = stopping
+	e.decide(Decision{What: "stop", Task: p.id(), Run: p.run, Worker: p.w.ID, Why: why, Age: e.now - p.sent})
+	e.sendStop(p)
+}
+
+func (e *Engine) sendStop(p *place) {
+	p.stopSent = e.now
+	e.stats.Stops++
+	e.out = append(e.out, SendStop{To: p.w.Ref, Task: p.id(), Run: p.run})
+}
+
+// breakGang stops every member of a gang.
+func (e *Engine) breakGang(s *step, why string) {
+	if s.live() == 0 {
+		s.gang.breaking = false
+		return
+	}
+	s.gang.breaking = true
+	for i := range s.tasks {
+		if p := s.tasks[i].place; p != nil {
+			e.stop(p, why)
+		}
+	}
+}
+
+// StopAnswered takes the outcome of a SendStop.
+func (e *Engine) StopAnswered(now time.Duration, id runner.WorkerID, task work.TaskID, run uint64, err error) {
+	e.now = now
+	w := e.workers[id]
+	switch {
+	case errors.Is(err, runner.ErrFenced):
+		e.deposed = true
+		return
+	case w != nil && errors.Is(err, runner.ErrGone):
+		e.workerGone(w, "another life answers at its address")
+		return
+	}
+	p := e.placeOf(id, task, run)
+	if p == nil || p.state != stopping || err != nil {
+		return // an unanswered stop is sent again by time
+	}
+	p.stopped = now
+	w.nextRenew = min(w.nextRenew, now)
+}
+
+// tickPlace does what is due for one run.
+func (e *Engine) tickPlace(p *place) {
+	if p.state == stopping && p.stopped == 0 && e.now-p.stopSent >= stopRetry {
+		e.sendStop(p)
+	}
+	e.watchStandstill(p)
+}
--- /dev/null
+++ b/process/dispatch/worker.go
@@ -0,0 +1,168 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"fennelshunt.example/fennelshunt/connection/runner"
+	"fennelshunt.example/fennelshunt/version/work"
+)
+
+// Times of calls to workers.
+const (
+	// renewWait is how long a renewal's answer may wait for an end.
+	renewWait = time.Second
+	// renewGrace is how long after its wait a renewal may be answered: a worker
+	// answers in a few milliseconds, over a slow link in some tens.
+	renewGrace = 500 * time.Millisecond
+	// probePause is between renewals to a worker that did not answer.
+	probePause = 150 * time.Millisecond
+	// renewPause is between a report with ends and the next renewal when these
+	// can not be acknowledged yet, since the worker would answer at once.
+	renewPause = 300 * time.Millisecond
+	// clockDrift is how much slower a worker's clock may be, with a reserve.
+	clockDrift = 1.03
+	// driftMargin is added to bounds that were converted between clocks.
+	driftMargin = 200 * time.Millisecond
+)
+
+// Times and counts of judging workers.
+const (
+	// asideFails is how many runs of different jobs in a row must fail before a
+	// worker is set aside: with one failure in fifty as the normal share, two in
+	// a row are one in 2,500.
+	asideFails = 2
+	asideFirst = 2 * time.Second
+	asideMax   = 12 * time.Second
+	// refusalAside is the pause after a worker refused as not healthy.
+	refusalAside = 500 * time.Millisecond
+)
+
+// ackWait is an end that may be acknowledged once its job's progress is in the
+// store.
+type ackWait struct {
+	number  int64
+	job     *job // nil: nothing to wait for
+	version uint64
+}
+
+// worker is one life of a worker.
+type worker struct {
+	runner.Worker
+	listed bool // its entry is in the directory
+	kept   bool // the store knows that it is used
+	fenced bool // it has answered this epoch
+	gone   bool // its life is over
+	// inherited: an earlier epoch used it, and it has not answered this one.
+	inherited bool
+	rack      string
+
+	used   work.Resources
+	places map[work.TaskID]*place
+
+	clock   time.Duration // its own, at the time clockAt
+	clockAt time.Duration
+	until   time.Duration // the latest lease end sent, on its clock
+	// lapse is when everything on it has ended for sure unless it was renewed
+	// since, in engine time.
+	lapse time.Duration
+
+	renewing  bool
+	renewSent time.Duration
+	nextRenew time.Duration
+	answered  time.Duration // when the last report came
+	misses    int           // renewals in a row without an answer
+
+	seen    int64 // the highest end processed
+	ack     int64 // the highest end that may be acknowledged
+	acked   int64 // the highest acknowledged in a renewal that was answered
+	waiting []ackWait
+
+	failJobs   []work.JobID // jobs whose runs failed here, none done since
+	asideUntil time.Duration
+	asideFor   time.Duration
+	trial      bool // set aside before; one run at a time until one is done
+	// pace is how fast it works against estimates, decaying; 1 is as estimated.
+	pace     float64
+	reserved []reservation
+}
+
+// free returns what is not taken.
+func (w *worker) free() work.Resources { return w.Capacity.Sub(w.used) }
+
+// usable reports whether new runs may be started on the worker.
+func (w *worker) usable(now time.Duration) bool {
+	switch {
+	case w.gone || !w.listed || !w.kept || !w.fenced || w.Draining:
+		return false
+	case w.misses > 0 || now < w.asideUntil:
+		return false
+	case w.trial && len(w.places) > 0:
+		return false
+	}
+	return true
+}
+
+// has reports whether the worker has every label.
+func (w *worker) has(labels []string) bool {
+	for _, l := range labels {
+		if !slices.Contains(w.Labels, l) {
+			return false
+		}
+	}
+	return true
+}
+
+// clockNow estimates the worker's clock.
+func (w *worker) clockNow(now time.Duration) time.Duration { return w.clock + now - w.clockAt }
+
+// renewUntil returns the lease end to send now, on the worker's clock.
+func (w *worker) renewUntil(now time.Duration, lease time.Duration) time.Duration {
+	if !w.fenced {
+		return 0 // its clock is not known; the first renewal only asks
+	}
+	until := w.clockNow(now) + lease
+	if until > w.until {
+		w.until = until
+		w.lapse = max(w.lapse, now+scale(lease, clockDrift)+driftMargin)
+	}
+	return until
+}
+
+func scale(d time.Duration, f float64) time.Duration { return time.Duration(float64(d) * f) }
+
+// take books a run's resources.
+func (w *worker) take(p *place) {
+	w.used = w.used.Add(p.need)
+	w.places[p.id()] = p
+}
+
+// drop frees a run's resources.
+func (w *worker) drop(p *place) {
+	if w.places[p.id()] == p {
+		w.used = w.used.Sub(p.need)
+		delete(w.places, p.id())
+	}
+}
+
+// noteFail judges the worker by a failed run.
+func (w *worker) noteFail(now time.Duration, id work.JobID) (aside bool) {
+	if !slices.Contains(w.failJobs, id) {
+		w.failJobs = append(w.failJobs, id)
+	}
+	if len(w.failJobs) < asideFails && !w.trial {
+		return false
+	}
+	w.asideFor = min(max(2*w.asideFor, asideFirst), asideMax)
+	w.asideUntil = now + w.asideFor
+	w.trial = true
+	w.failJobs = nil
+	return true
+}
+
+// noteDone judges the worker by a run that was done.
+func (w *worker) noteDone() {
+	w.failJobs = nil
+	w.trial = false
+	w.asideFor = 0
+}
--- /dev/null
+++ b/process/lead/elector.go
@@ -0,0 +1,395 @@
+package lead
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/rs/zerolog"
+
+	"fennelshunt.example/fennelshunt/connection/store"
+	"fennelshunt.example/fennelshunt/internal/sleep"
+)
+
+// Times of an elector. They follow from the workers' lease: a successor has to
+// renew it before it lapses, so that nothing that runs is lost with a leader.
+const (
+	// DefaultLease is the time to live of a member's lease in the store.
+	DefaultLease = 1600 * time.Millisecond
+	// renewals of the lease in its time to live.
+	renewals = 4
+	// watchWait bounds one watch, so that a silent connection is noticed.
+	watchWait = 2 * time.Second
+	// watchGrace is how long after its wait a watch may be answered.
+	watchGrace = 700 * time.Millisecond
+	// claimJitter spreads the claims of the daemons that see a vacancy.
+	claimJitter = 30 * time.Millisecond
+	// outageHold is how long after store trouble a vacancy is left to the
+	// leader before: leases may have lapsed in the outage while all lived.
+	outageHold = 1200 * time.Millisecond
+	// outageMemory is how long store trouble counts as recent.
+	outageMemory = 2 * time.Second
+	errorPause   = 100 * time.Millisecond
+)
+
+// Options of an Elector.
+type Options struct {
+	Self  Member
+	Store store.Transactor
+	Lease time.Duration // of membership; 0 for DefaultLease
+	Log   zerolog.Logger
+	// Lead runs one term. It returns when the term's context ends.
+	Lead func(t *Term)
+	// Patience bounds the calls of the store; shared with other users of it.
+	Patience *store.Patience
+}
+
+// Elector keeps a daemon registered and lets it lead when nobody does.
+type Elector struct {
+	o    Options
+	view *View
+
+	lease    atomic.Uint64
+	trouble  atomic.Int64 // when the store last failed us, in unix nanoseconds
+	stopping atomic.Bool
+
+	mu   sync.Mutex
+	term *Term
+	done chan struct{} // of the term's Lead
+}
+
+// New returns an elector; Run starts it.
+func New(o Options) *Elector {
+	if o.Lease == 0 {
+		o.Lease = DefaultLease
+	}
+	return &Elector{o: o, view: newView()}
+}
+
+// View returns the live view of the cell.
+func (e *Elector) View() *View { return e.view }
+
+// Run registers, watches and claims until ctx ends.
+func (e *Elector) Run(ctx context.Context) error {
+	var wg sync.WaitGroup
+	wg.Go(func() { e.keepRegistered(ctx) })
+	wg.Go(func() { e.follow(ctx) })
+	wg.Go(func() { e.claimVacancies(ctx) })
+	wg.Wait()
+	e.mu.Lock()
+	term, done := e.term, e.done
+	e.mu.Unlock()
+	if term != nil {
+		term.End(context.Canceled)
+		<-done
+	}
+	return ctx.Err()
+}
+
+// Resign gives leadership up for a planned stop; the daemon does not claim it
+// again.
+func (e *Elector) Resign(ctx context.Context) {
+	e.stopping.Store(true)
+	e.mu.Lock()
+	term := e.term
+	e.mu.Unlock()
+	if term != nil {
+		if err := term.release(ctx); err != nil {
+			e.o.Log.Warn().Err(err).Msg("leadership not released, it lapses")
+		}
+	}
+	if id := store.LeaseID(e.lease.Load()); id != 0 {
+		if err := e.o.Store.RevokeLease(ctx, id); err != nil {
+			e.o.Log.Warn().Err(err).Msg("membership not ended, it lapses")
+		}
+	}
+}
+
+// noteTrouble remembers that the store failed a call.
+func (e *Elector) noteTrouble(what string, err error) {
+	before := e.trouble.Swap(time.Now().UnixNano())
+	if time.Since(time.Unix(0, before)) > outageMemory {
+		e.o.Log.Warn().Err(err).Str("call", what).Msg("store lost")
+	}
+}
+
+// StoreTrouble reports whether the store failed a call within d.
+func (e *Elector) StoreTrouble(d time.Duration) bool {
+	return time.Since(time.Unix(0, e.trouble.Load())) < d
+}
+
+// call bounds one call of the store and notes how it went.
+func (e *Elector) call(ctx context.Context, what string, f func(ctx context.Context) error) error {
+	bounded, cancel := e.o.Patience.Context(ctx)
+	defer cancel()
+	start := time.Now()
+	err := f(bounded)
+	switch {
+	case ctx.Err() != nil:
+	case errors.Is(err, store.ErrUnknownOutcome), errors.Is(err, store.ErrUnavailable) && bounded.Err() != nil:
+		e.o.Patience.Missed()
+		e.noteTrouble(what, err)
+	case errors.Is(err, store.ErrUnavailable):
+		e.noteTrouble(what, err)
+	default:
+		e.o.Patience.Answered(time.Since(start))
+	}
+	return err
+}
+
+// keepRegistered holds the member's lease and its record.
+func (e *Elector) keepRegistered(ctx context.Context) {
+	for ctx.Err() == nil && !e.stopping.Load() {
+		if err := e.renew(ctx); err != nil && ctx.Err() == nil {
+			e.o.Log.Debug().Err(err).Msg("membership not renewed")
+			_ = sleep.For(ctx, errorPause) // ends with the context, which the loop sees
+			continue
+		}
+		_ = sleep.For(ctx, e.o.Lease/renewals)
+	}
+}
+
+func (e *Elector) renew(ctx context.Context) error {
+	id := store.LeaseID(e.lease.Load())
+	if id == 0 {
+		return e.register(ctx)
+	}
+	err := e.call(ctx, "renew", func(ctx context.Context) error { return e.o.Store.RenewLease(ctx, id) })
+	if errors.Is(err, store.ErrLeaseLost) {
+		e.o.Log.Warn().Msg("membership lapsed, registering again")
+		e.lease.Store(0)
+		return e.register(ctx)
+	}
+	if err != nil {
+		return err
+	}
+	return e.checkRecords(ctx, id)
+}
+
+// checkRecords puts records back that were taken away while the lease lives.
+func (e *Elector) checkRecords(ctx context.Context, id store.LeaseID) error {
+	e.view.mu.Lock()
+	_, listed := e.view.members[e.o.Self.Name]
+	led := e.view.leader != nil
+	e.view.mu.Unlock()
+	if !listed {
+		if err := e.writeMember(ctx, id); err != nil {
+			return err
+		}
+	}
+	if term := e.current(); term != nil && !led {
+		return e.reassert(ctx, term, id)
+	}
+	return nil
+}
+
+func (e *Elector) current() *Term {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.term == nil || e.term.ctx.Err() != nil {
+		return nil
+	}
+	return e.term
+}
+
+func (e *Elector) register(ctx context.Context) error {
+	var id store.LeaseID
+	err := e.call(ctx, "grant", func(ctx context.Context) error {
+		var err error
+		id, err = e.o.Store.GrantLease(ctx, e.o.Lease)
+		return err
+	})
+	if err != nil {
+		return err
+	}
+	e.lease.Store(uint64(id))
+	if err := e.writeMember(ctx, id); err != nil {
+		return err
+	}
+	if term := e.current(); term != nil {
+		return e.reassert(ctx, term, id)
+	}
+	return nil
+}
+
+func (e *Elector) reassert(ctx context.Context, term *Term, id store.LeaseID) error {
+	bounded, cancel := context.WithTimeout(ctx, e.o.Lease)
+	defer cancel()
+	err := term.reassert(bounded, id)
+	if errors.Is(err, errHeld) {
+		return nil
+	}
+	e.o.Log.Info().Err(err).Uint64("epoch", term.Epoch).Msg("leader's record put back")
+	return err
+}
+
+func (e *Elector) writeMember(ctx context.Context, id store.LeaseID) error {
+	txn := store.Txn{Writes: []store.Write{{Key: prefixMember + e.o.Self.Name, Value: encode(e.o.Self), Lease: id}}}
+	return e.call(ctx, "register", func(ctx context.Context) error {
+		_, err := e.o.Store.Commit(ctx, txn)
+		return err
+	})
+}
+
+// follow keeps the view up to date.
+func (e *Elector) follow(ctx context.Context) {
+	var rev store.Revision
+	for ctx.Err() == nil {
+		next, err := e.followOnce(ctx, rev)
+		rev = next
+		if err != nil && ctx.Err() == nil {
+			_ = sleep.For(ctx, errorPause) // ends with the context, which the loop sees
+		}
+	}
+}
+
+// followOnce lists when rev is 0 and watches otherwise.
+func (e *Elector) followOnce(ctx context.Context, rev store.Revision) (store.Revision, error) {
+	if rev == 0 {
+		err := e.call(ctx, "list", func(ctx context.Context) error {
+			entries, listed, err := e.o.Store.List(ctx, prefixCell)
+			if err == nil {
+				e.view.replace(entries)
+				rev = listed
+			}
+			return err
+		})
+		return rev, err
+	}
+	bounded, cancel := context.WithTimeout(ctx, watchWait+watchGrace)
+	defer cancel()
+	events, next, err := e.o.Store.Watch(bounded, prefixCell, rev, watchWait)
+	if err != nil {
+		if ctx.Err() == nil {
+			e.noteTrouble("watch", err)
+		}
+		return 0, err
+	}
+	e.view.apply(events)
+	return next, nil
+}
+
+// claimVacancies claims leadership whenever the view shows no leader.
+func (e *Elector) claimVacancies(ctx context.Context) {
+	for ctx.Err() == nil {
+		changed := e.view.Changed()
+		if t := e.current(); t != nil && e.view.Epoch() > t.Epoch {
+			t.End(ErrDeposed)
+		}
+		if _, led := e.view.Leader(); !led && !e.stopping.Load() && e.current() == nil && e.lease.Load() != 0 {
+			e.claimSoon(ctx)
+		}
+		select {
+		case <-ctx.Done():
+		case <-changed:
+		case <-time.After(e.o.Lease / renewals):
+		}
+	}
+}
+
+func (e *Elector) claimSoon(ctx context.Context) {
+	delay := rand.N(claimJitter)
+	if e.StoreTrouble(outageMemory) && e.view.Epoch() > 0 {
+		delay += outageHold
+	}
+	if sleep.For(ctx, delay) != nil {
+		return
+	}
+	if _, led := e.view.Leader(); led || e.stopping.Load() {
+		return
+	}
+	term, err := e.claim(ctx)
+	if err != nil {
+		e.o.Log.Debug().Err(err).Msg("leadership not claimed")
+		return
+	}
+	e.begin(ctx, term)
+}
+
+// claim raises the epoch if nobody holds it.
+func (e *Elector) claim(ctx context.Context) (*Term, error) {
+	var chain store.Entry
+	err := e.call(ctx, "read chain", func(ctx context.Context) error {
+		var err error
+		chain, err = e.o.Store.Get(ctx, keyChain)
+		return err
+	})
+	var before link
+	switch {
+	case errors.Is(err, store.ErrNotFound):
+	case err != nil:
+		return nil, err
+	default:
+		if before, err = decodeLink(chain); err != nil {
+			return nil, err
+		}
+	}
+	t := &Term{Epoch: before.Epoch + 1, id: uuid.NewString(), holder: e.o.Self, store: e.o.Store,
+		patience: e.o.Patience, revision: chain.Revision}
+	t.ctx, t.over = context.WithCancelCause(context.WithoutCancel(ctx))
+	first := link{Epoch: t.Epoch, Term: t.id, Holder: t.holder.Name}
+	err = e.call(ctx, "claim", func(ctx context.Context) error {
+		var err error
+		t.revision, err = e.o.Store.Commit(ctx, store.Txn{
+			Checks: []store.Check{{Key: keyHolder}, {Key: keyChain, Revision: chain.Revision}},
+			Writes: []store.Write{t.holderWrite(store.LeaseID(e.lease.Load())), {Key: keyChain, Value: encode(first)}},
+		})
+		return err
+	})
+	if errors.Is(err, store.ErrUnknownOutcome) {
+		err = e.learnClaim(ctx, t, first)
+	}
+	if errors.Is(err, store.ErrLeaseLost) {
+		e.lease.Store(0)
+	}
+	if err != nil {
+		return nil, fmt.Errorf("claim: %w", err)
+	}
+	return t, nil
+}
+
+// learnClaim reads back whether a claim without an answer took effect. One that
+// arrives later leads to a record whose holder does not lead; it is put down by
+// the lease, which this daemon gives up.
+func (e *Elector) learnClaim(ctx context.Context, t *Term, first link) error {
+	return e.call(ctx, "read claim", func(ctx context.Context) error {
+		entry, err := e.o.Store.Get(ctx, keyChain)
+		if err != nil {
+			e.lease.Store(0)
+			return err
+		}
+		now, err := decodeLink(entry)
+		if err == nil && now == first {
+			t.revision = entry.Revision
+			return nil
+		}
+		e.lease.Store(0)
+		return fmt.Errorf("%w: the claim did not take effect", store.ErrConflict)
+	})
+}
+
+func (e *Elector) begin(ctx context.Context, t *Term) {
+	done := make(chan struct{})
+	e.mu.Lock()
+	e.term, e.done = t, done
+	e.mu.Unlock()
+	stop := context.AfterFunc(ctx, func() { t.over(context.Cause(ctx)) })
+	e.o.Log.Info().Uint64("epoch", t.Epoch).Msg("leading")
+	go func() {
+		defer close(done)
+		defer stop()
+		e.o.Lead(t)
+		e.o.Log.Info().Uint64("epoch", t.Epoch).AnErr("cause", context.Cause(t.ctx)).Msg("no longer leading")
+		t.End(context.Canceled)
+		e.mu.Lock()
+		if e.term == t {
+			e.term = nil
+		}
+		e.mu.Unlock()
+	}()
+}
--- /dev/null
+++ b/process/lead/record.go
@@ -0,0 +1,71 @@
+// Package lead chooses the one daemon of a cell that schedules, and keeps the
+// list of the cell's daemons, all in the platform's store.
+//
+// Guarantees: epochs only rise; every write of a term is one link of a chain
+// in the store, so that a write of an earlier term, or an earlier write of the
+// same term that arrives late, can not take effect. Two daemons may both take
+// themselves for the leader for a while, when one is cut off or paused: what
+// stops the older one is the chain in the store and the epoch at the workers,
+// never a clock.
+package lead
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+
+	"fennelshunt.example/fennelshunt/connection/peer"
+	"fennelshunt.example/fennelshunt/connection/store"
+)
+
+// Keys in the store.
+const (
+	prefixCell   = "cell/"
+	keyHolder    = "cell/lead"
+	prefixMember = "cell/member/"
+	keyChain     = "chain"
+)
+
+// ErrDeposed ends a term: another daemon has claimed a higher epoch.
+var ErrDeposed = errors.New("lead: another daemon leads with a higher epoch")
+
+// Member is a daemon of the cell.
+type Member struct {
+	Name string `cbor:"1,keyasint"`
+	// Peer is the UDP address for calls of other daemons.
+	Peer string `cbor:"2,keyasint"`
+	Zone string `cbor:"3,keyasint"`
+}
+
+// Leader is the daemon that leads, and its epoch.
+type Leader struct {
+	Member Member `cbor:"1,keyasint"`
+	Epoch  uint64 `cbor:"2,keyasint"`
+}
+
+// link is the value of the chain. The term's id and the sequence number tell,
+// after a lost answer, whether a write took effect.
+type link struct {
+	Epoch    uint64 `cbor:"1,keyasint"`
+	Term     string `cbor:"2,keyasint"`
+	Sequence uint64 `cbor:"3,keyasint"`
+	Holder   string `cbor:"4,keyasint"`
+}
+
+func encode(v any) []byte {
+	data, err := peer.Marshal(v)
+	if err != nil {
+		panic(fmt.Sprintf("lead: a record of plain fields does not encode: %v", err))
+	}
+	return data
+}
+
+func decodeLink(e store.Entry) (link, error) {
+	var l link
+	if err := peer.Unmarshal(e.Value, &l); err != nil {
+		return l, fmt.Errorf("lead: chain: %w", err)
+	}
+	return l, nil
+}
+
+func memberName(key string) (string, bool) { return strings.CutPrefix(key, prefixMember) }
--- /dev/null
+++ b/process/lead/term.go
@@ -0,0 +1,142 @@
+package lead
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"fennelshunt.example/fennelshunt/connection/store"
+	"fennelshunt.example/fennelshunt/internal/sleep"
+)
+
+// Pauses between tries of a write that the store did not take.
+const (
+	retryPause    = 20 * time.Millisecond
+	retryPauseMax = 300 * time.Millisecond
+)
+
+// MaxCommit is how many writes and deletes one Commit may hold: the rest of a
+// transaction is the chain's.
+const MaxCommit = store.MaxTxnEntries - 4
+
+// Term is one daemon's time as the leader.
+type Term struct {
+	Epoch uint64
+
+	id       string
+	holder   Member
+	store    store.Transactor
+	patience *store.Patience
+
+	mu       sync.Mutex // one write at a time
+	revision store.Revision
+	sequence uint64
+	over     context.CancelCauseFunc
+	ctx      context.Context
+}
+
+// Context ends when the term does; its cause tells why.
+func (t *Term) Context() context.Context { return t.ctx }
+
+// End ends the term, for example when a worker was called with a higher epoch.
+func (t *Term) End(cause error) { t.over(cause) }
+
+// Commit writes and deletes keys as the leader. It tries until the outcome is
+// known: nil means that all is in the store. The error is ErrDeposed, when
+// nothing was written and the term is over, or the context's, when it may
+// still be written.
+func (t *Term) Commit(ctx context.Context, writes []store.Write, deletes []string) error {
+	return t.commit(ctx, store.Txn{Writes: writes, Deletes: deletes})
+}
+
+// reassert puts the leader's record back after its lease lapsed or was
+// revoked, under the same epoch: the chain shows that nobody else has led.
+func (t *Term) reassert(ctx context.Context, lease store.LeaseID) error {
+	return t.commit(ctx, store.Txn{
+		Checks: []store.Check{{Key: keyHolder}},
+		Writes: []store.Write{t.holderWrite(lease)},
+	})
+}
+
+func (t *Term) holderWrite(lease store.LeaseID) store.Write {
+	return store.Write{Key: keyHolder, Value: encode(Leader{Member: t.holder, Epoch: t.Epoch}), Lease: lease}
+}
+
+// release lets another daemon lead at once.
+func (t *Term) release(ctx context.Context) error {
+	err := t.commit(ctx, store.Txn{Deletes: []string{keyHolder}})
+	t.End(errReleased)
+	return err
+}
+
+var errReleased = errors.New("lead: released")
+
+func (t *Term) commit(ctx context.Context, txn store.Txn) error {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	next := link{Epoch: t.Epoch, Term: t.id, Sequence: t.sequence + 1, Holder: t.holder.Name}
+	txn.Checks = append(txn.Checks, store.Check{Key: keyChain, Revision: t.revision})
+	txn.Writes = append(txn.Writes, store.Write{Key: keyChain, Value: encode(next)})
+	for pause := retryPause; ; pause = min(2*pause, retryPauseMax) {
+		rev, err := t.try(ctx, txn, next)
+		switch {
+		case err == nil:
+			t.revision, t.sequence = rev, next.Sequence
+			return nil
+		case errors.Is(err, ErrDeposed):
+			t.over(err)
+			return err
+		case errors.Is(err, errHeld), errors.Is(err, store.ErrLeaseLost), errors.Is(err, store.ErrTooLarge):
+			return err
+		case ctx.Err() != nil:
+			return ctx.Err()
+		}
+		// The answer of a lost write comes at once with the next try; a store
+		// that refuses is not pressed.
+		if !errors.Is(err, store.ErrUnknownOutcome) {
+			if sleep.For(ctx, pause) != nil {
+				return ctx.Err()
+			}
+		}
+	}
+}
+
+// errHeld: the leader's record is there already.
+var errHeld = errors.New("lead: the leader's record exists")
+
+// try sends the transaction once. All tries of one write carry the same checks,
+// so that at most one takes effect.
+func (t *Term) try(ctx context.Context, txn store.Txn, next link) (store.Revision, error) {
+	bounded, cancel := t.patience.Context(ctx)
+	defer cancel()
+	start := time.Now()
+	rev, err := t.store.Commit(bounded, txn)
+	if errors.Is(err, store.ErrUnknownOutcome) {
+		t.patience.Missed()
+		return 0, err
+	}
+	t.patience.Answered(time.Since(start))
+	var conflict *store.ConflictError
+	if !errors.As(err, &conflict) {
+		return rev, err
+	}
+	entry, found := conflict.Find(keyChain)
+	if !found {
+		return 0, fmt.Errorf("%w: the chain is gone", ErrDeposed)
+	}
+	now, err := decodeLink(entry)
+	switch {
+	case err != nil:
+		return 0, err
+	case now == next:
+		return entry.Revision, nil // an earlier try, whose answer was lost
+	case now.Term != t.id:
+		return 0, fmt.Errorf("%w: %s with epoch %d", ErrDeposed, now.Holder, now.Epoch)
+	case entry.Revision == t.revision:
+		return 0, errHeld
+	default:
+		return 0, fmt.Errorf("%w: the chain is at %d of this term, not %d", ErrDeposed, now.Sequence, t.sequence)
+	}
+}
--- /dev/null
+++ b/process/lead/view.go
@@ -0,0 +1,110 @@
+package lead
+
+import (
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+
+	"fennelshunt.example/fennelshunt/connection/peer"
+	"fennelshunt.example/fennelshunt/connection/store"
+)
+
+// View is what a daemon knows of the cell's daemons. Safe for concurrent use.
+type View struct {
+	mu      sync.Mutex
+	members map[string]Member
+	leader  *Leader
+	epoch   uint64 // the highest seen
+	changed chan struct{}
+}
+
+func newView() *View { return &View{members: map[string]Member{}, changed: make(chan struct{})} }
+
+// Leader returns the leader, if one is known.
+func (v *View) Leader() (Leader, bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.leader == nil {
+		return Leader{}, false
+	}
+	return *v.leader, true
+}
+
+// Epoch returns the highest epoch of a leader seen.
+func (v *View) Epoch() uint64 {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.epoch
+}
+
+// Members returns the members, sorted by name.
+func (v *View) Members() []Member {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	all := slices.Collect(maps.Values(v.members))
+	slices.SortFunc(all, func(a, b Member) int { return strings.Compare(a.Name, b.Name) })
+	return all
+}
+
+// Changed returns a channel that is closed at the next change.
+func (v *View) Changed() <-chan struct{} {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.changed
+}
+
+func (v *View) notify() {
+	close(v.changed)
+	v.changed = make(chan struct{})
+}
+
+// replace takes a whole listing.
+func (v *View) replace(entries []store.Entry) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	clear(v.members)
+	v.leader = nil
+	for _, e := range entries {
+		v.set(e)
+	}
+	v.notify()
+}
+
+func (v *View) apply(events []store.Event) {
+	if len(events) == 0 {
+		return
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, e := range events {
+		if !e.Deleted {
+			v.set(e.Entry)
+			continue
+		}
+		if e.Key == keyHolder {
+			v.leader = nil
+		}
+		if name, ok := memberName(e.Key); ok {
+			delete(v.members, name)
+		}
+	}
+	v.notify()
+}
+
+func (v *View) set(e store.Entry) {
+	if e.Key == keyHolder {
+		var l Leader
+		if peer.Unmarshal(e.Value, &l) == nil {
+			v.leader = &l
+			v.epoch = max(v.epoch, l.Epoch)
+		}
+		return
+	}
+	if name, ok := memberName(e.Key); ok {
+		var m Member
+		if peer.Unmarshal(e.Value, &m) == nil {
+			v.members[name] = m
+		}
+	}
+}
--- /dev/null
+++ b/process/settings/cell.go
@@ -0,0 +1,132 @@
+package settings
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"time"
+
+	"github.com/rs/zerolog"
+)
+
+// Millis is a duration written in milliseconds.
+type Millis float64
+
+// Std returns the duration.
+func (m Millis) Std() time.Duration { return time.Duration(float64(m) * float64(time.Millisecond)) }
+
+// JobCell holds the settings of a daemon of a cell that takes jobs from
+// callers. Fields that are not known are ignored: the file is filled in by the
+// platform, which may know more.
+type JobCell struct {
+	// Name stays the same over restarts and is unique in the cell.
+	Name string `json:"name"`
+	Zone string `json:"zone"`
+	// Callers is where callers hand jobs in (TCP).
+	Callers string `json:"callers"`
+	// Ready is where the balancer asks whether the daemon is ready (TCP).
+	Ready string `json:"ready"`
+	// IP and PeerPort are where calls of other daemons arrive (UDP).
+	IP       string `json:"ip"`
+	PeerPort int    `json:"peer_port"`
+	// MetricsPort serves counters (TCP); 0 serves none.
+	MetricsPort int `json:"metrics_port"`
+	// Store and Advice are addresses of the platform's services.
+	Store  string `json:"store"`
+	Advice string `json:"advice"`
+	// MemoryMB is what the process may use; 0 for no bound.
+	MemoryMB int            `json:"memory_mb"`
+	Bounds   JobCellBounds  `json:"bounds"`
+	LogLevel string         `json:"log_level"`
+	Tuning   *JobCellTuning `json:"tuning,omitempty"`
+}
+
+// JobCellBounds are the platform's bounds from which timeouts follow.
+type JobCellBounds struct {
+	// WorkerLeaseMS is the longest lease that a worker grants.
+	WorkerLeaseMS Millis `json:"worker_lease_ms"`
+	// GangMS is how long members of a gang wait for each other.
+	GangMS Millis `json:"gang_ms"`
+	// KeepS is how long the state of an ended job stays known, in seconds.
+	KeepS float64 `json:"keep_s"`
+	// StopS is how long a planned stop may take, in seconds.
+	StopS float64 `json:"stop_s"`
+	// FarFactor is how much longer a task takes far from its data.
+	FarFactor float64 `json:"far_factor"`
+}
+
+// JobCellTuning overrides defaults.
+type JobCellTuning struct {
+	MemberLeaseMS Millis `json:"member_lease_ms"`
+	TaskLeaseMS   Millis `json:"task_lease_ms"`
+}
+
+// Defaults of optional settings.
+const (
+	DefaultWorkerLease = 6000 // milliseconds
+	DefaultGang        = 3000 // milliseconds
+	DefaultKeep        = 120  // seconds
+	DefaultStop        = 6    // seconds
+)
+
+// LoadJobCell reads, completes and checks a settings file. All problems are
+// returned joined.
+func LoadJobCell(path string) (*JobCell, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	return ParseJobCell(path, data)
+}
+
+// ParseJobCell is LoadJobCell for data already read; name is used in errors.
+func ParseJobCell(name string, data []byte) (*JobCell, error) {
+	s := &JobCell{}
+	if err := json.NewDecoder(bytes.NewReader(data)).Decode(s); err != nil {
+		return nil, fmt.Errorf("%s: %w; see docs/OPERATIONS.md for the fields", name, err)
+	}
+	s.complete()
+	return s, s.check(name)
+}
+
+func (s *JobCell) complete() {
+	b := &s.Bounds
+	if b.WorkerLeaseMS == 0 {
+		b.WorkerLeaseMS = DefaultWorkerLease
+	}
+	if b.GangMS == 0 {
+		b.GangMS = DefaultGang
+	}
+	if b.KeepS == 0 {
+		b.KeepS = DefaultKeep
+	}
+	if b.StopS == 0 {
+		b.StopS = DefaultStop
+	}
+	if s.LogLevel == "" {
+		s.LogLevel = "info"
+	}
+}
+
+func (s *JobCell) check(file string) error {
+	c := &checker{file: file}
+	c.want(namePattern.MatchString(s.Name), "name", fmt.Sprintf("%q is no name", s.Name),
+		"use lower-case letters, digits and dashes, at most 63")
+	for _, a := range []struct{ field, value string }{
+		{"callers", s.Callers}, {"ready", s.Ready}, {"store", s.Store},
+	} {
+		host, _, err := net.SplitHostPort(a.value)
+		c.want(err == nil && net.ParseIP(host) != nil, a.field, fmt.Sprintf("%q is no address", a.value),
+			"use an IP number and a port, such as 10.0.0.7:8443")
+	}
+	c.want(net.ParseIP(s.IP) != nil, "ip", fmt.Sprintf("%q is no IP number", s.IP), "use for example 10.0.0.7")
+	c.want(s.PeerPort > 0 && s.PeerPort < 1<<16, "peer_port", fmt.Sprintf("%d is no port", s.PeerPort), "use 1 to 65535")
+	c.want(s.Bounds.WorkerLeaseMS > 0, "bounds.worker_lease_ms", "is negative", "use the longest lease that workers grant")
+	c.want(s.Bounds.StopS > 0, "bounds.stop_s", "is negative", "use the time that a planned stop may take")
+	_, err := zerolog.ParseLevel(s.LogLevel)
+	c.want(err == nil, "log_level", fmt.Sprintf("%q is no level", s.LogLevel), "use debug, info, warn or error")
+	return errors.Join(c.errs...)
+}
--- /dev/null
+++ b/request/submit/peer.go
@@ -0,0 +1,130 @@
+package submit
+
+import (
+	"context"
+	"errors"
+	"expvar"
+
+	"fennelshunt.example/fennelshunt/connection/peer"
+	"fennelshunt.example/fennelshunt/connection/store"
+	"fennelshunt.example/fennelshunt/process/dispatch"
+	"fennelshunt.example/fennelshunt/version/work"
+)
+
+// Methods between daemons.
+const (
+	// MethodOffer tells the leader of an entry that is in the store.
+	MethodOffer peer.Method = "jobs.offer"
+	// MethodHandOver asks a daemon to write a job to the store.
+	MethodHandOver peer.Method = "jobs.hand_over"
+	MethodCancel   peer.Method = "jobs.cancel"
+	MethodState    peer.Method = "jobs.state"
+	MethodPending  peer.Method = "jobs.pending"
+)
+
+type offer struct {
+	Key   string `cbor:"1,keyasint"`
+	Value []byte `cbor:"2,keyasint"`
+}
+
+type handedOver struct {
+	Accepted bool `cbor:"1,keyasint"`
+	Maybe    bool `cbor:"2,keyasint"` // a write without an answer may take effect
+}
+
+type stateRequest struct {
+	ID work.JobID `cbor:"1,keyasint"`
+}
+
+type stateReply struct {
+	State work.State `cbor:"1,keyasint"`
+	Known bool       `cbor:"2,keyasint"`
+}
+
+type pendingRequest struct {
+	Queue string `cbor:"1,keyasint"`
+}
+
+type pendingReply struct {
+	N int `cbor:"1,keyasint"`
+}
+
+// Stats counts requests.
+type Stats struct {
+	Accepted, NotAccepted, HandedOver, Cancelled expvar.Int
+}
+
+// Stats returns the live counters.
+func (s *Service) Stats() *Stats { return &s.stats }
+
+// Register serves the methods for other daemons.
+func (s *Service) Register(r peer.Registrar) {
+	r.Handle(MethodOffer, s.serveOffer)
+	r.Handle(MethodHandOver, s.serveHandOver)
+	r.Handle(MethodCancel, s.serveCancel)
+	r.Handle(MethodState, s.serveState)
+	r.Handle(MethodPending, s.servePending)
+}
+
+func (s *Service) serveOffer(_ context.Context, _ peer.Ref, payload []byte) (any, error) {
+	var o offer
+	if err := peer.Unmarshal(payload, &o); err != nil {
+		return nil, err
+	}
+	if h := s.o.Leading(); h != nil {
+		h.Offer(store.Entry{Key: o.Key, Value: o.Value})
+	}
+	return nil, nil
+}
+
+// serveHandOver makes one try only: the daemon that asks has others to ask.
+func (s *Service) serveHandOver(ctx context.Context, _ peer.Ref, payload []byte) (any, error) {
+	var o offer
+	if err := peer.Unmarshal(payload, &o); err != nil {
+		return nil, err
+	}
+	id := work.JobID(o.Key)
+	err := s.create(ctx, id, o.Value)
+	if err != nil {
+		return handedOver{Maybe: errors.Is(err, store.ErrUnknownOutcome)}, nil
+	}
+	s.push(store.Entry{Key: dispatch.KeyIn(id), Value: o.Value})
+	return handedOver{Accepted: true}, nil
+}
+
+func (s *Service) serveCancel(ctx context.Context, _ peer.Ref, payload []byte) (any, error) {
+	var r stateRequest
+	if err := peer.Unmarshal(payload, &r); err != nil {
+		return nil, err
+	}
+	done, err := s.cancelOnce(ctx, r.ID)
+	return handedOver{Accepted: done && err == nil}, nil
+}
+
+// serveState answers for the leader only. A daemon that does not lead knows
+// nothing, and says so by an error.
+func (s *Service) serveState(ctx context.Context, _ peer.Ref, payload []byte) (any, error) {
+	var r stateRequest
+	if err := peer.Unmarshal(payload, &r); err != nil {
+		return nil, err
+	}
+	h := s.o.Leading()
+	if h == nil {
+		return nil, errNoLeader
+	}
+	state, known, err := h.State(ctx, r.ID)
+	return stateReply{State: state, Known: known}, err
+}
+
+func (s *Service) servePending(ctx context.Context, _ peer.Ref, payload []byte) (any, error) {
+	var r pendingRequest
+	if err := peer.Unmarshal(payload, &r); err != nil {
+		return nil, err
+	}
+	h := s.o.Leading()
+	if h == nil {
+		return nil, errNoLeader
+	}
+	n, err := h.Pending(ctx, r.Queue)
+	return pendingReply{N: n}, err
+}
--- /dev/null
+++ b/request/submit/submit.go
@@ -0,0 +1,424 @@
+// Package submit serves callers who hand in jobs, ask for their state and
+// cancel them, on any daemon of the cell.
+//
+// Guarantees: a job is acknowledged only once it is in the store, and is one
+// job however often it is handed in; an error whose verdict is NotRun is
+// returned only when the job is not in the store and no write of this daemon
+// can still put it there; a cancellation is acknowledged only once it is in the
+// store.
+package submit
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"fennelshunt.example/fennelshunt/connection/peer"
+	"fennelshunt.example/fennelshunt/connection/store"
+	"fennelshunt.example/fennelshunt/internal/sleep"
+	"fennelshunt.example/fennelshunt/process/dispatch"
+	"fennelshunt.example/fennelshunt/process/lead"
+	"fennelshunt.example/fennelshunt/request/verdict"
+	"fennelshunt.example/fennelshunt/version/work"
+)
+
+// Times of a request.
+const (
+	// submitBudget bounds how long a hand-in is tried: a caller whose hand-in
+	// is not answered asks again with the same id, at another daemon.
+	submitBudget = 1200 * time.Millisecond
+	// handOverTimeout bounds a hand-in through another daemon.
+	handOverTimeout = 600 * time.Millisecond
+	maxHandOvers    = 3
+	// leaderTimeout bounds a call to the leader; the store is asked after it.
+	leaderTimeout = 400 * time.Millisecond
+	// pushTimeout bounds telling the leader of a new entry.
+	pushTimeout = 500 * time.Millisecond
+	// pendingAge is how old a count of waiting jobs may be.
+	pendingAge = 1500 * time.Millisecond
+	retryPause = 25 * time.Millisecond
+	// retryAfter is told to callers whose job was not accepted.
+	retryAfter = 400 * time.Millisecond
+)
+
+// Codes of errors.
+const (
+	CodeStore   = "store_unavailable"
+	CodeUnknown = "outcome_unknown"
+	CodeGivenUp = "given_up"
+	CodeLeader  = "no_leader"
+)
+
+// ErrNoJob is returned for an id under which no job exists.
+var ErrNoJob = errors.New("submit: no such job")
+
+// Caller calls other daemons.
+type Caller interface {
+	CallAddr(ctx context.Context, addr string, method peer.Method, req, resp any) (peer.Ref, error)
+}
+
+// Options of a Service.
+type Options struct {
+	Self     string // the daemon's member name
+	Store    store.Transactor
+	Patience *store.Patience
+	View     *lead.View
+	Peers    Caller
+	// Leading returns the host of this daemon's term, nil when it does not lead.
+	Leading func() *dispatch.Host
+	Log     zerolog.Logger
+}
+
+// Service is one daemon's end of the jobs' interface.
+type Service struct {
+	o     Options
+	stats Stats
+
+	mu      sync.Mutex
+	pending map[string]count
+}
+
+type count struct {
+	n  int
+	at time.Time
+}
+
+// New returns a service.
+func New(o Options) *Service { return &Service{o: o, pending: map[string]count{}} }
+
+// unavailable is a refusal that is certain: nothing was accepted.
+func unavailable(code string, err error) error {
+	return &verdict.Error{Verdict: verdict.NotRun, Status: http.StatusServiceUnavailable, Code: code,
+		RetryAfterMillis: retryAfter.Milliseconds(), Err: err}
+}
+
+// unknown is an error after which the job may have been accepted.
+func unknown(err error) error {
+	return &verdict.Error{Verdict: verdict.MayHaveRun, Status: http.StatusGatewayTimeout, Code: CodeUnknown, Err: err}
+}
+
+// Submit accepts a job. The error is a *verdict.Error.
+func (s *Service) Submit(ctx context.Context, id work.JobID, j *work.Job) error {
+	j.Epoch = s.o.View.Epoch()
+	value, err := work.EncodeJob(j)
+	if err != nil {
+		return unavailable(CodeStore, err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, submitBudget)
+	defer cancel()
+	err = s.put(ctx, id, value)
+	if err == nil {
+		s.stats.Accepted.Add(1)
+		return nil
+	}
+	s.stats.NotAccepted.Add(1)
+	return err
+}
+
+// put writes the job here or, when the store turns this daemon away, through
+// another daemon.
+func (s *Service) put(ctx context.Context, id work.JobID, value []byte) error {
+	open := false // a write without an answer may still take effect
+	var last error
+	for ctx.Err() == nil {
+		err := s.create(ctx, id, value)
+		switch {
+		case err == nil:
+			s.push(store.Entry{Key: dispatch.KeyIn(id), Value: value})
+			return nil
+		case errors.Is(err, errGivenUp):
+			return unavailable(CodeGivenUp, err)
+		case errors.Is(err, store.ErrUnknownOutcome):
+			open, last = true, err
+			continue
+		}
+		last = err
+		took, maybe := s.handOver(ctx, id, value)
+		if took {
+			return nil
+		}
+		if open = open || maybe; !open {
+			return unavailable(CodeStore, last)
+		}
+		_ = sleep.For(ctx, retryPause) // ends with the context, which the loop sees
+	}
+	if !open {
+		return unavailable(CodeStore, last)
+	}
+	return unknown(last)
+}
+
+// errGivenUp: a cancellation marked the id as one that will never be.
+var errGivenUp = errors.New("submit: the id was given up before it was handed in")
+
+// create makes one try to write the job. All tries are alike, and at most one
+// takes effect.
+func (s *Service) create(ctx context.Context, id work.JobID, value []byte) error {
+	err := s.commit(ctx, store.Txn{
+		Checks: []store.Check{{Key: dispatch.KeyIn(id)}, {Key: dispatch.KeyState(id)}},
+		Writes: []store.Write{{Key: dispatch.KeyIn(id), Value: value}},
+	})
+	var conflict *store.ConflictError
+	if !errors.As(err, &conflict) {
+		return err
+	}
+	if _, exists := conflict.Find(dispatch.KeyIn(id)); exists {
+		return nil // handed in before; the first stands
+	}
+	if entry, ended := conflict.Find(dispatch.KeyState(id)); ended {
+		p, err := work.DecodeProgress(entry.Value)
+		if err == nil && p.State == work.Refused {
+			return errGivenUp
+		}
+		return nil // handed in before, and ended
+	}
+	return fmt.Errorf("%w: neither key exists now", store.ErrUnknownOutcome)
+}
+
+// commit makes one bounded transaction.
+func (s *Service) commit(ctx context.Context, t store.Txn) error {
+	bounded, cancel := s.o.Patience.Context(ctx)
+	defer cancel()
+	start := time.Now()
+	_, err := s.o.Store.Commit(bounded, t)
+	if errors.Is(err, store.ErrUnknownOutcome) {
+		s.o.Patience.Missed()
+	} else {
+		s.o.Patience.Answered(time.Since(start))
+	}
+	return err
+}
+
+// get makes one bounded read; a missing key is no error.
+func (s *Service) get(ctx context.Context, key string) (store.Entry, bool, error) {
+	bounded, cancel := s.o.Patience.Context(ctx)
+	defer cancel()
+	entry, err := s.o.Store.Get(bounded, key)
+	if errors.Is(err, store.ErrNotFound) {
+		return entry, false, nil
+	}
+	return entry, err == nil, err
+}
+
+// push tells the leader of a new entry; a watch brings it otherwise.
+func (s *Service) push(entry store.Entry) {
+	if h := s.o.Leading(); h != nil {
+		h.Offer(entry)
+		return
+	}
+	leader, ok := s.o.View.Leader()
+	if !ok || leader.Member.Name == s.o.Self {
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), pushTimeout)
+		defer cancel()
+		if _, err := s.o.Peers.CallAddr(ctx, leader.Member.Peer, MethodOffer, offer{Key: entry.Key, Value: entry.Value}, nil); err != nil {
+			s.o.Log.Debug().Err(err).Str("key", entry.Key).Msg("leader not told, its watch will")
+		}
+	}()
+}
+
+// handOver lets other daemons write a job. maybe tells that one may have done
+// so without an answer.
+func (s *Service) handOver(ctx context.Context, id work.JobID, value []byte) (took, maybe bool) {
+	tried := 0
+	for _, m := range s.o.View.Members() {
+		if m.Name == s.o.Self || tried == maxHandOvers || ctx.Err() != nil {
+			continue
+		}
+		tried++
+		bounded, cancel := context.WithTimeout(ctx, handOverTimeout)
+		var r handedOver
+		_, err := s.o.Peers.CallAddr(bounded, m.Peer, MethodHandOver, offer{Key: string(id), Value: value}, &r)
+		cancel()
+		switch {
+		case err != nil && peer.NotRun(err):
+		case err != nil:
+			maybe = true
+		case r.Accepted:
+			s.stats.HandedOver.Add(1)
+			return true, false
+		default:
+			maybe = maybe || r.Maybe
+		}
+	}
+	return false, maybe
+}
+
+// State returns what callers are shown of a job. The error is ErrNoJob, when
+// the store has nothing under the id, or a *verdict.Error.
+func (s *Service) State(ctx context.Context, id work.JobID) (work.State, error) {
+	if state, known, err := s.askLeader(ctx, id); err == nil && known {
+		return state, nil
+	}
+	return s.stored(ctx, id)
+}
+
+func (s *Service) askLeader(ctx context.Context, id work.JobID) (work.State, bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, leaderTimeout)
+	defer cancel()
+	if h := s.o.Leading(); h != nil {
+		return h.State(ctx, id)
+	}
+	leader, ok := s.o.View.Leader()
+	if !ok || leader.Member.Name == s.o.Self {
+		return 0, false, errNoLeader
+	}
+	var r stateReply
+	_, err := s.o.Peers.CallAddr(ctx, leader.Member.Peer, MethodState, stateRequest{ID: id}, &r)
+	return r.State, r.Known, err
+}
+
+var errNoLeader = errors.New("submit: no leader is known")
+
+// stored reads a job's state from the store. The hand-in is read first: it is
+// removed in the same transaction that writes the final state.
+func (s *Service) stored(ctx context.Context, id work.JobID) (work.State, error) {
+	_, accepted, err := s.get(ctx, dispatch.KeyIn(id))
+	if err != nil {
+		return 0, unavailable(CodeStore, err)
+	}
+	entry, found, err := s.get(ctx, dispatch.KeyState(id))
+	if err != nil {
+		return 0, unavailable(CodeStore, err)
+	}
+	if !found {
+		if accepted {
+			return work.Queued, nil
+		}
+		return 0, ErrNoJob
+	}
+	p, err := work.DecodeProgress(entry.Value)
+	if err != nil {
+		return 0, unavailable(CodeStore, err)
+	}
+	if p.State == work.Refused {
+		return 0, ErrNoJob
+	}
+	return p.State, nil
+}
+
+// Cancel ends a job. The error is ErrNoJob, when no such job exists and none
+// will, or a *verdict.Error.
+func (s *Service) Cancel(ctx context.Context, id work.JobID) error {
+	ctx, cancel := context.WithTimeout(ctx, submitBudget)
+	defer cancel()
+	var last error
+	for ctx.Err() == nil {
+		done, err := s.cancelOnce(ctx, id)
+		if done {
+			return err
+		}
+		last = err
+		if !errors.Is(err, store.ErrUnknownOutcome) && !errors.Is(err, store.ErrConflict) {
+			if s.handOverCancel(ctx, id) {
+				return nil
+			}
+		}
+		_ = sleep.For(ctx, retryPause) // ends with the context, which the loop sees
+	}
+	return unavailable(CodeStore, last)
+}
+
+// cancelOnce makes one try; done tells that err is the outcome.
+func (s *Service) cancelOnce(ctx context.Context, id work.JobID) (done bool, err error) {
+	accepted, found, err := s.get(ctx, dispatch.KeyIn(id))
+	if err != nil {
+		return false, err
+	}
+	if !found {
+		return s.cancelAbsent(ctx, id)
+	}
+	key := dispatch.KeyCancel(id)
+	err = s.commit(ctx, store.Txn{
+		Checks: []store.Check{{Key: dispatch.KeyIn(id), Revision: accepted.Revision}},
+		Writes: []store.Write{{Key: key}},
+	})
+	if err != nil {
+		return false, err
+	}
+	s.stats.Cancelled.Add(1)
+	s.push(store.Entry{Key: key})
+	return true, nil
+}
+
+// cancelAbsent answers for a job that has ended, or marks an id so that a
+// hand-in still on its way can not take effect after the caller was told that
+// no such job exists.
+func (s *Service) cancelAbsent(ctx context.Context, id work.JobID) (done bool, err error) {
+	entry, found, err := s.get(ctx, dispatch.KeyState(id))
+	if err != nil {
+		return false, err
+	}
+	if found {
+		if p, err := work.DecodeProgress(entry.Value); err == nil && p.State == work.Refused {
+			return true, ErrNoJob
+		}
+		return true, nil
+	}
+	mark, err := work.EncodeProgress(&work.Progress{State: work.Refused})
+	if err != nil {
+		return true, unavailable(CodeStore, err)
+	}
+	err = s.commit(ctx, store.Txn{
+		Checks: []store.Check{{Key: dispatch.KeyIn(id)}, {Key: dispatch.KeyState(id)}},
+		Writes: []store.Write{{Key: dispatch.KeyState(id), Value: mark}},
+	})
+	if err != nil {
+		return false, err
+	}
+	return true, ErrNoJob
+}
+
+func (s *Service) handOverCancel(ctx context.Context, id work.JobID) bool {
+	for _, m := range s.o.View.Members() {
+		if m.Name == s.o.Self || ctx.Err() != nil {
+			continue
+		}
+		bounded, cancel := context.WithTimeout(ctx, handOverTimeout)
+		var r handedOver
+		_, err := s.o.Peers.CallAddr(bounded, m.Peer, MethodCancel, stateRequest{ID: id}, &r)
+		cancel()
+		if err == nil && r.Accepted {
+			return true
+		}
+	}
+	return false
+}
+
+// Pending returns the number of a queue's jobs that have not begun; it may be
+// pendingAge old.
+func (s *Service) Pending(ctx context.Context, queue string) (int, error) {
+	n, err := s.askPending(ctx, queue)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err == nil {
+		s.pending[queue] = count{n, time.Now()}
+		return n, nil
+	}
+	if c, ok := s.pending[queue]; ok && time.Since(c.at) < pendingAge {
+		return c.n, nil
+	}
+	return 0, unavailable(CodeLeader, err)
+}
+
+func (s *Service) askPending(ctx context.Context, queue string) (int, error) {
+	ctx, cancel := context.WithTimeout(ctx, leaderTimeout)
+	defer cancel()
+	if h := s.o.Leading(); h != nil {
+		return h.Pending(ctx, queue)
+	}
+	leader, ok := s.o.View.Leader()
+	if !ok || leader.Member.Name == s.o.Self {
+		return 0, errNoLeader
+	}
+	var r pendingReply
+	_, err := s.o.Peers.CallAddr(ctx, leader.Member.Peer, MethodPending, pendingRequest{Queue: queue}, &r)
+	return r.N, err
+}
--- /dev/null
+++ b/version/work/source.go
@@ -0,0 +1,16 @@
+package work
+
+import (
+	"context"
+	"time"
+
+	"fennelshunt.example/fennelshunt/connection/store"
+)
+
+// Source is where the operator's queues come from.
+type Source interface {
+	// Current returns the newest catalog, or store.ErrNotFound.
+	Current(ctx context.Context) (*Catalog, store.Revision, error)
+	// Watch waits up to wait for a catalog later than after; nil if none came.
+	Watch(ctx context.Context, after store.Revision, wait time.Duration) (*Catalog, store.Revision, error)
+}
--- /dev/null
+++ b/version/work/work.go
@@ -0,0 +1,342 @@
+// Package work holds what callers hand in: jobs of steps of tasks, and the
+// queues that the configuration opens for them. The types are the product's
+// own; an adapter decodes the platform's form into them once.
+package work
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"fennelshunt.example/fennelshunt/connection/peer"
+)
+
+// JobID is the caller's id of a job: 16 hexadecimal digits.
+type JobID string
+
+// Resources of a task or a worker.
+type Resources struct {
+	CPU    int `cbor:"1,keyasint,omitempty"` // thousandths of a core
+	Memory int `cbor:"2,keyasint,omitempty"` // MB
+	GPU    int `cbor:"3,keyasint,omitempty"`
+}
+
+// Add returns r and s together.
+func (r Resources) Add(s Resources) Resources {
+	return Resources{CPU: r.CPU + s.CPU, Memory: r.Memory + s.Memory, GPU: r.GPU + s.GPU}
+}
+
+// Sub returns r without s.
+func (r Resources) Sub(s Resources) Resources {
+	return Resources{CPU: r.CPU - s.CPU, Memory: r.Memory - s.Memory, GPU: r.GPU - s.GPU}
+}
+
+// Fits reports whether r is available in free.
+func (r Resources) Fits(free Resources) bool {
+	return r.CPU <= free.CPU && r.Memory <= free.Memory && r.GPU <= free.GPU
+}
+
+// Times returns how often r fits into free, at most limit times.
+func (r Resources) Times(free Resources, limit int) int {
+	n := limit
+	for _, p := range [...][2]int{{r.CPU, free.CPU}, {r.Memory, free.Memory}, {r.GPU, free.GPU}} {
+		if p[0] > 0 {
+			n = min(n, max(p[1], 0)/p[0])
+		}
+	}
+	return n
+}
+
+// Step is a number of equal tasks of a job.
+type Step struct {
+	Count    int           `cbor:"1,keyasint"`
+	Size     Resources     `cbor:"2,keyasint"` // of each task
+	Estimate time.Duration `cbor:"3,keyasint,omitempty"`
+	After    []int         `cbor:"4,keyasint,omitempty"` // earlier steps that must be done first
+	// Gang: the tasks work only together.
+	Gang bool `cbor:"5,keyasint,omitempty"`
+	// SameRack: the tasks run slower on more than one rack.
+	SameRack bool `cbor:"6,keyasint,omitempty"`
+	// Labels that the worker must have.
+	Labels []string `cbor:"7,keyasint,omitempty"`
+	// DataRack is the rack on which the tasks run at full speed; "" for any.
+	DataRack string `cbor:"8,keyasint,omitempty"`
+	// MaxPerWorker bounds the step's tasks on one worker; 0 for no bound.
+	MaxPerWorker int `cbor:"9,keyasint,omitempty"`
+	// Speculative: copies of a task may run at the same time.
+	Speculative bool `cbor:"10,keyasint,omitempty"`
+	// Checkpoints: a task stopped early goes on from its last checkpoint.
+	Checkpoints bool `cbor:"11,keyasint,omitempty"`
+	// Lasting tasks run until the job is cancelled and restart however they end.
+	Lasting bool `cbor:"12,keyasint,omitempty"`
+	// MayMiss is how many lasting tasks may be away by the system's doing.
+	MayMiss int `cbor:"13,keyasint,omitempty"`
+	// Fills: the processors that the tasks ask for are not counted.
+	Fills bool `cbor:"14,keyasint,omitempty"`
+	// Image names what the tasks run; tasks of an image behave alike.
+	Image string `cbor:"15,keyasint,omitempty"`
+	// Target is the bound on the response time of lasting tasks.
+	Target time.Duration `cbor:"16,keyasint,omitempty"`
+}
+
+// Need returns what a task counts for on its worker.
+func (s *Step) Need() Resources {
+	need := s.Size
+	if s.Fills {
+		need.CPU = 0
+	}
+	return need
+}
+
+// Advice tells what a queue's advice on workers costs and how long it holds.
+type Advice struct {
+	Base      time.Duration `cbor:"1,keyasint"` // of a call
+	PerWorker time.Duration `cbor:"2,keyasint"` // of each worker named
+	Valid     time.Duration `cbor:"3,keyasint"`
+}
+
+// Cost returns how long a call takes that names n workers.
+func (a *Advice) Cost(n int) time.Duration { return a.Base + time.Duration(n)*a.PerWorker }
+
+// Queue takes jobs of one kind for the workers of one service.
+type Queue struct {
+	Name     string  `cbor:"1,keyasint"`
+	Host     string  `cbor:"2,keyasint"`
+	Prefix   string  `cbor:"3,keyasint"`
+	Service  string  `cbor:"4,keyasint"`
+	Priority int     `cbor:"5,keyasint"` // 0 comes first
+	Attempts int     `cbor:"6,keyasint"` // failures of a task that end the job
+	Slack    float64 `cbor:"7,keyasint"` // objective as a multiple of the longest chain
+	// Allowance is added to the objective.
+	Allowance time.Duration `cbor:"8,keyasint"`
+	Advice    *Advice       `cbor:"9,keyasint,omitempty"`
+}
+
+// Catalog is one version of the queues. It is not changed once in use.
+type Catalog struct {
+	Version int64
+	Queues  []Queue
+	MaxBody int64
+}
+
+// Find returns the queue with the longest prefix of the path.
+func (c *Catalog) Find(host, path string) (*Queue, bool) {
+	var best *Queue
+	for i := range c.Queues {
+		q := &c.Queues[i]
+		if q.Host == host && strings.HasPrefix(path, q.Prefix) && (best == nil || len(q.Prefix) > len(best.Prefix)) {
+			best = q
+		}
+	}
+	return best, best != nil
+}
+
+// Job is a job as it was accepted; it does not change afterwards.
+type Job struct {
+	Queue Queue  `cbor:"1,keyasint"`
+	Spec  string `cbor:"2,keyasint"`
+	Steps []Step `cbor:"3,keyasint"`
+	// Accepted is the time of day at which a daemon took the job, in
+	// milliseconds since 1970.
+	Accepted int64 `cbor:"4,keyasint"`
+	// Epoch is the highest epoch of the scheduler that the accepting daemon
+	// knew. A scheduler with a lower one must not start the job, so that one
+	// with this epoch or a higher one knows that no earlier one has.
+	Epoch uint64 `cbor:"5,keyasint"`
+	// Repeat is how often the steps run, due Interval apart from StartAt on;
+	// 0 for a job that runs once, at once.
+	Repeat   int           `cbor:"6,keyasint,omitempty"`
+	StartAt  int64         `cbor:"7,keyasint,omitempty"` // milliseconds since 1970
+	Interval time.Duration `cbor:"8,keyasint,omitempty"`
+}
+
+// State of a job as callers see it.
+type State uint8
+
+// States of a job.
+const (
+	Queued State = iota
+	Running
+	Completed
+	Failed
+	Cancelled
+	// Refused marks an id whose hand-in was given up: no such job exists and
+	// none will.
+	Refused
+)
+
+// Final reports whether the state does not change any more.
+func (s State) Final() bool { return s >= Completed }
+
+// String returns the state's name.
+func (s State) String() string {
+	switch s {
+	case Queued:
+		return "queued"
+	case Running:
+		return "running"
+	case Completed:
+		return "completed"
+	case Failed:
+		return "failed"
+	case Cancelled:
+		return "cancelled"
+	default:
+		return "refused"
+	}
+}
+
+// TaskID names a task.
+type TaskID struct {
+	Job        JobID
+	Occurrence int
+	Step       int
+	Index      int
+}
+
+// String returns the task's name: JOB.OCCURRENCE.STEP.INDEX.
+func (t TaskID) String() string {
+	b := make([]byte, 0, len(t.Job)+12)
+	b = append(b, t.Job...)
+	for _, n := range [...]int{t.Occurrence, t.Step, t.Index} {
+		b = append(b, '.')
+		b = strconv.AppendInt(b, int64(n), 10)
+	}
+	return string(b)
+}
+
+// StepName returns JOB.OCCURRENCE.STEP.
+func (t TaskID) StepName() string {
+	return fmt.Sprintf("%s.%d.%d", t.Job, t.Occurrence, t.Step)
+}
+
+// ParseTask reads a task's name.
+func ParseTask(s string) (TaskID, error) {
+	parts := strings.Split(s, ".")
+	if len(parts) != 4 {
+		return TaskID{}, fmt.Errorf("work: task %q: want JOB.OCCURRENCE.STEP.INDEX", s)
+	}
+	t := TaskID{Job: JobID(parts[0])}
+	for i, into := range [...]*int{&t.Occurrence, &t.Step, &t.Index} {
+		n, err := strconv.Atoi(parts[i+1])
+		if err != nil || n < 0 {
+			return TaskID{}, fmt.Errorf("work: task %q: part %d is no number", s, i+2)
+		}
+		*into = n
+	}
+	return t, nil
+}
+
+// maxTasks bounds the tasks of one job, so that a job can not exhaust the
+// scheduler's memory.
+const maxTasks = 20_000
+
+// FieldError says which field of a job can not be used, and what to do.
+type FieldError struct{ Field, Problem string }
+
+// Error implements error.
+func (e *FieldError) Error() string { return "job: field " + e.Field + ": " + e.Problem }
+
+// Check reports the first field that can not be used.
+func (j *Job) Check() error {
+	total := 0
+	if len(j.Steps) == 0 {
+		return &FieldError{"steps", "is empty; name at least one step"}
+	}
+	for i := range j.Steps {
+		s := &j.Steps[i]
+		if s.Count < 1 || s.Count > maxTasks {
+			return &FieldError{fmt.Sprintf("steps[%d].count", i), fmt.Sprintf("is %d; use 1 to %d", s.Count, maxTasks)}
+		}
+		if s.Size.CPU < 0 || s.Size.Memory < 0 || s.Size.GPU < 0 {
+			return &FieldError{fmt.Sprintf("steps[%d].size", i), "is negative"}
+		}
+		for _, a := range s.After {
+			if a < 0 || a >= i {
+				return &FieldError{fmt.Sprintf("steps[%d].after", i), fmt.Sprintf("names step %d; name earlier steps", a)}
+			}
+		}
+		total += s.Count
+	}
+	if total > maxTasks {
+		return &FieldError{"steps", fmt.Sprintf("have %d tasks; use at most %d", total, maxTasks)}
+	}
+	return nil
+}
+
+// Chain returns the longest chain of estimated run times of steps that follow
+// each other, the advice for each included.
+func (j *Job) Chain() time.Duration {
+	ends := make([]time.Duration, len(j.Steps))
+	var longest time.Duration
+	for i := range j.Steps {
+		s := &j.Steps[i]
+		for _, a := range s.After {
+			ends[i] = max(ends[i], ends[a])
+		}
+		ends[i] += s.Estimate
+		if a := j.Queue.Advice; a != nil {
+			ends[i] += a.Cost(chainAdvised)
+		}
+		longest = max(longest, ends[i])
+	}
+	return longest
+}
+
+// chainAdvised is the number of workers that the objective allows to ask
+// advice for.
+const chainAdvised = 30
+
+// Objective returns how long after its acceptance a job should be completed.
+func (j *Job) Objective() time.Duration {
+	return time.Duration(float64(j.Chain())*j.Queue.Slack) + j.Queue.Allowance
+}
+
+// EncodeJob returns the stored form of a job.
+func EncodeJob(j *Job) ([]byte, error) { return peer.Marshal(j) }
+
+// DecodeJob reads the stored form of a job.
+func DecodeJob(data []byte) (*Job, error) {
+	j := &Job{}
+	if err := peer.Unmarshal(data, j); err != nil {
+		return nil, fmt.Errorf("work: stored job: %w", err)
+	}
+	return j, j.Check()
+}
+
+// Progress is what must last of a job: its state and how its tasks ended.
+type Progress struct {
+	State State `cbor:"1,keyasint"`
+	// Ends has one entry for each step of each occurrence with any end.
+	Ends []StepEnds `cbor:"2,keyasint,omitempty"`
+}
+
+// StepEnds holds the ends of one step's tasks.
+type StepEnds struct {
+	Occurrence int    `cbor:"1,keyasint,omitempty"`
+	Step       int    `cbor:"2,keyasint,omitempty"`
+	All        bool   `cbor:"3,keyasint,omitempty"` // every task is done
+	Done       []int  `cbor:"4,keyasint,omitempty"` // indexes, rising
+	Failed     []Fail `cbor:"5,keyasint,omitempty"`
+}
+
+// Fail counts a task's failures. Run is the highest run counted, so that an end
+// that is reported again is not counted twice.
+type Fail struct {
+	Index int    `cbor:"1,keyasint"`
+	Count int    `cbor:"2,keyasint"`
+	Run   uint64 `cbor:"3,keyasint"`
+}
+
+// EncodeProgress returns the stored form.
+func EncodeProgress(p *Progress) ([]byte, error) { return peer.Marshal(p) }
+
+// DecodeProgress reads the stored form.
+func DecodeProgress(data []byte) (*Progress, error) {
+	p := &Progress{}
+	if err := peer.Unmarshal(data, p); err != nil {
+		return nil, fmt.Errorf("work: stored progress: %w", err)
+	}
+	return p, nil
+}
