Make placement rounds cheap under a backlog, with a cell in virtual time to measure them

Cause: each round asked for advice and scanned all workers for every waiting step; with 500 waiting steps the leader spent 0.34 of its 0.4 core. Steps without a usable ticket are now skipped while nobody can be asked, tickets are a short list, sizes without room are remembered in a round, and reservations stand for 25 ms.

--- a/process/dispatch/advice.go
+++ b/process/dispatch/advice.go
@@ -52,23 +52,62 @@
 	// good holds a known worker's verdict; which workers are good for a step
 	// never changes, only tickets age.
 	good    map[runner.WorkerID]bool
-	tickets map[runner.WorkerID]ticket
+	tickets []ticket // few: those of the last calls
 	asking  bool
 	wanted  []runner.WorkerID // to be named by the next call
 	next    time.Duration     // no call before
 }
 
 type ticket struct {
+	id      runner.WorkerID
+	w       *worker
 	text    string
 	expires time.Duration
 }
 
-func (a *advice) expire(id runner.WorkerID) { delete(a.tickets, id) }
+func (a *advice) find(id runner.WorkerID) *ticket {
+	for i := range a.tickets {
+		if a.tickets[i].id == id {
+			return &a.tickets[i]
+		}
+	}
+	return nil
+}
+
+func (a *advice) expire(id runner.WorkerID) {
+	if t := a.find(id); t != nil {
+		t.expires = 0
+	}
+}
+
+// valid reports whether the ticket holds long enough for a start.
+func (t *ticket) valid(now time.Duration) bool { return t.expires > now+ticketMargin }
 
-// ticketFor returns a ticket that holds long enough for a start.
+// ticketFor returns a worker's ticket if it holds long enough for a start.
 func (a *advice) ticketFor(id runner.WorkerID, now time.Duration) (string, bool) {
-	t, ok := a.tickets[id]
-	return t.text, ok && t.expires > now+ticketMargin
+	if t := a.find(id); t != nil && t.valid(now) {
+		return t.text, true
+	}
+	return "", false
+}
+
+// usable reports whether any ticket holds.
+func (a *advice) usable(now time.Duration) bool {
+	for i := range a.tickets {
+		if a.tickets[i].valid(now) {
+			return true
+		}
+	}
+	return false
+}
+
+// add takes a ticket in place of the worker's earlier one.
+func (a *advice) add(t ticket) {
+	if old := a.find(t.id); old != nil {
+		*old = t
+		return
+	}
+	a.tickets = append(a.tickets, t)
 }
 
 // Members tells the engine through which daemons advice can be asked.
@@ -90,13 +129,28 @@
 // want asks for advice on workers for a step, through the next idle lane.
 func (e *Engine) want(s *step, ids []runner.WorkerID) {
 	a := s.advice
-	if len(ids) == 0 || a.asking || e.now < a.next {
+	if len(ids) == 0 {
 		return
 	}
 	if len(ids) > maxNamed {
 		ids = ids[:maxNamed]
 	}
 	a.wanted = ids
+	e.lanesIdle--
+}
+
+func (e *Engine) countIdleLanes() int {
+	n := 0
+	for _, name := range e.members {
+		if e.usableLane(e.lanes[name]) {
+			n++
+		}
+	}
+	return n
+}
+
+func (e *Engine) usableLane(l *lane) bool {
+	return l.busy == nil && (l.failed == 0 || e.now-l.failed >= adviceGrace)
 }
 
 // adviceOf returns the step's advice, nil if its queue needs none.
@@ -105,7 +159,7 @@
 		return nil
 	}
 	if s.advice == nil {
-		s.advice = &advice{good: map[runner.WorkerID]bool{}, tickets: map[runner.WorkerID]ticket{}}
+		s.advice = &advice{good: map[runner.WorkerID]bool{}}
 	}
 	return s.advice
 }
@@ -115,7 +169,7 @@
 // Both come with the most room first.
 func (e *Engine) askFor(s *step, slots int) {
 	a := s.advice
-	if a.asking || slots <= 0 || e.now < a.next {
+	if slots <= 0 || !e.mayAsk(a) {
 		return
 	}
 	need := s.spec.Need()
@@ -165,6 +219,9 @@
 	e.want(s, ids)
 }
 
+// mayAsk reports whether a call for the step could go out in this round.
+func (e *Engine) mayAsk(a *advice) bool { return !a.asking && e.now >= a.next && e.lanesIdle > 0 }
+
 func (e *Engine) share(queue string) float64 {
 	if v, ok := e.shares[queue]; ok {
 		return v
@@ -227,7 +284,9 @@
 		a.good[t.Worker] = true
 		// The ticket holds from when the service gave it, which is when it
 		// answered; the answer has taken some milliseconds since.
-		a.tickets[t.Worker] = ticket{t.Ticket, now + queue.Advice.Valid - ticketMargin}
+		if w := e.workers[t.Worker]; w != nil {
+			a.add(ticket{t.Worker, w, t.Ticket, now + queue.Advice.Valid - ticketMargin})
+		}
 	}
 	if fresh > 0 {
 		share := float64(freshGood) / float64(fresh)
@@ -278,7 +337,7 @@
 	var found *lane
 	for _, name := range e.members {
 		l := e.lanes[name]
-		if l.busy != nil || (l.failed > 0 && e.now-l.failed < adviceGrace) {
+		if !e.usableLane(l) {
 			continue
 		}
 		if found = l; !slow {
--- /dev/null
+++ b/process/dispatch/bench_test.go
@@ -0,0 +1,41 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"fennelshunt.example/fennelshunt/connection/runner"
+	"fennelshunt.example/fennelshunt/version/work"
+)
+
+// BenchmarkRound measures one round of placement over a backlog, with every
+// worker full: the usual state under overload.
+func BenchmarkRound(b *testing.B) {
+	for _, backlog := range []int{50, 500, 2000} {
+		b.Run(fmt.Sprint(backlog), func(b *testing.B) {
+			e := NewEngine(Options{Epoch: 1, Bounds: Bounds{Lease: 6 * time.Second, MaxLease: 6 * time.Second, Keep: time.Minute}})
+			for i := range 48 {
+				id := runner.WorkerID(fmt.Sprintf("w-%d", i))
+				e.WorkerSeen(0, runner.Worker{Ref: runner.Ref{ID: id, Address: string(id)}, Service: "s", Capacity: work.Resources{CPU: 64000, Memory: 131072}, Labels: []string{"a", fmt.Sprint("r", i/8)}})
+				w := e.workers[id]
+				w.kept, w.fenced = true, true
+			}
+			e.Members(0, []string{"a", "b", "c"})
+			for i := range backlog {
+				spec := &work.Job{Queue: work.Queue{Name: "q", Service: "s", Attempts: 3, Priority: i % 3, Slack: 2, Advice: &work.Advice{Base: 50 * time.Millisecond, PerWorker: time.Millisecond, Valid: 2 * time.Second}},
+					Steps: []work.Step{{Count: 10, Size: work.Resources{CPU: 9000, Memory: 20000}, Estimate: time.Second, Gang: i%10 == 0}}, Epoch: 1}
+				e.add(work.JobID(fmt.Sprintf("%016x", i)), spec)
+			}
+			for _, w := range e.order {
+				w.used = work.Resources{CPU: 60000, Memory: 120000}
+			}
+			b.ResetTimer()
+			for i := range b.N {
+				e.now = time.Duration(i) * 5 * time.Millisecond
+				e.schedule()
+				e.out = nil
+			}
+		})
+	}
+}
--- /dev/null
+++ b/process/dispatch/cell_test.go
@@ -0,0 +1,268 @@
+package dispatch
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"runtime/pprof"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"fennelshunt.example/fennelshunt/connection/runner"
+	"fennelshunt.example/fennelshunt/connection/store"
+	"fennelshunt.example/fennelshunt/internal/sleep"
+	"fennelshunt.example/fennelshunt/process/lead"
+	"fennelshunt.example/fennelshunt/standin/epochworker"
+	"fennelshunt.example/fennelshunt/standin/kv"
+	"fennelshunt.example/fennelshunt/version/work"
+)
+
+// cell is a store, workers and daemons in virtual time.
+type cell struct {
+	t      *testing.T
+	kv     *kv.Memory
+	fleet  *epochworker.Fleet
+	advice *adviser
+	nodes  []*node
+	jobs   map[work.JobID]*work.Job
+	order  []work.JobID
+	broken []string
+	mu     sync.Mutex
+	rng    *rand.Rand
+}
+
+// node is a daemon that can lead.
+type node struct {
+	name    string
+	elector *lead.Elector
+	host    atomic.Pointer[Host]
+	cancel  context.CancelFunc
+	done    chan struct{}
+}
+
+// adviser is the advice service: each member's calls are served in turn.
+type adviser struct {
+	mu    sync.Mutex
+	lanes map[string]*sync.Mutex
+	share float64
+}
+
+func (a *adviser) ask(ctx context.Context, member, step string, workers []runner.WorkerID) ([]runner.Ticket, error) {
+	a.mu.Lock()
+	lane := a.lanes[member]
+	if lane == nil {
+		lane = &sync.Mutex{}
+		a.lanes[member] = lane
+	}
+	a.mu.Unlock()
+	if err := sleep.For(ctx, 5*time.Millisecond+time.Duration(len(workers))*200*time.Microsecond); err != nil {
+		return nil, err
+	}
+	var good []runner.Ticket
+	for _, w := range workers {
+		if float64(xxhash.Sum64String(step+string(w))>>11)/(1<<53) < a.share {
+			good = append(good, runner.Ticket{Worker: w, Ticket: "t"})
+		}
+	}
+	return good, nil
+}
+
+const testLease = 6 * time.Second
+
+func newTestCell(t *testing.T, seed uint64, workers, daemons int, behave func(*rand.Rand, work.TaskID) epochworker.Behaviour) *cell {
+	rng := rand.New(rand.NewPCG(seed, 3))
+	c := &cell{t: t, kv: kv.NewSeeded(seed), jobs: map[work.JobID]*work.Job{}, rng: rng, advice: &adviser{lanes: map[string]*sync.Mutex{}, share: 0.5}}
+	draw := rand.New(rand.NewPCG(seed, 5))
+	c.fleet = epochworker.New(epochworker.Options{Seed: seed, Lease: testLease, Gang: 3 * time.Second, Stop: 200 * time.Millisecond,
+		Delay: time.Millisecond, Attempts: 4,
+		Work: func(task work.TaskID, _ uint64, _ runner.WorkerID) epochworker.Behaviour { return behave(draw, task) }})
+	for i := range workers {
+		id := runner.WorkerID(fmt.Sprintf("w-%02d", i))
+		c.fleet.Add(runner.Worker{Ref: runner.Ref{ID: id, Address: string(id)}, Service: "s",
+			Capacity: work.Resources{CPU: 64000, Memory: 131072}, Labels: []string{"a", fmt.Sprint("r", i/8)}})
+	}
+	for i := range daemons {
+		c.nodes = append(c.nodes, c.startNode(fmt.Sprintf("d-%d", i)))
+	}
+	return c
+}
+
+func (c *cell) startNode(name string) *node {
+	n := &node{name: name, done: make(chan struct{})}
+	patience := &store.Patience{Min: 200 * time.Millisecond, Max: 1500 * time.Millisecond}
+	log := zerolog.Nop()
+	if os.Getenv("FENNEL_LOG") == "1" {
+		log = zerolog.New(os.Stdout).With().Str("daemon", name).Timestamp().Logger()
+	}
+	n.elector = lead.New(lead.Options{Self: lead.Member{Name: name, Peer: name}, Store: c.kv, Patience: patience, Log: log,
+		Lead: func(t *lead.Term) {
+			h := NewHost(HostOptions{Store: c.kv, Patience: patience, Runner: c.fleet, Directory: c.fleet, View: n.elector.View(),
+				Advise: c.advice.ask, Log: log,
+				Bounds: Bounds{Lease: testLease, MaxLease: testLease, Gang: 3 * time.Second, Keep: 2 * time.Minute, FarFactor: 3},
+				Violation: func(what string) {
+					c.mu.Lock()
+					defer c.mu.Unlock()
+					c.broken = append(c.broken, what)
+				}}, t)
+			n.host.Store(h)
+			h.Run()
+			n.host.CompareAndSwap(h, nil)
+		}})
+	ctx, cancel := context.WithCancel(context.Background())
+	n.cancel = cancel
+	go func() {
+		defer close(n.done)
+		_ = n.elector.Run(ctx)
+	}()
+	return n
+}
+
+// kill ends a daemon and its calls at once; another takes its place.
+func (c *cell) kill(i int) {
+	c.nodes[i].cancel()
+	<-c.nodes[i].done
+	c.nodes[i] = c.startNode(c.nodes[i].name)
+}
+
+func (c *cell) leader() *Host {
+	for _, n := range c.nodes {
+		if h := n.host.Load(); h != nil {
+			return h
+		}
+	}
+	return nil
+}
+
+// submit writes a job as an accepting daemon does.
+func (c *cell) submit(j *work.Job) work.JobID {
+	id := work.JobID(fmt.Sprintf("%016x", len(c.order)+1))
+	j.Accepted = time.Now().UnixMilli()
+	for _, n := range c.nodes {
+		j.Epoch = max(j.Epoch, n.elector.View().Epoch())
+	}
+	c.fleet.Know(id, j)
+	value, err := work.EncodeJob(j)
+	require.NoError(c.t, err)
+	c.write(store.Txn{Checks: []store.Check{{Key: KeyIn(id)}, {Key: KeyState(id)}}, Writes: []store.Write{{Key: KeyIn(id), Value: value}}})
+	c.jobs[id] = j
+	c.order = append(c.order, id)
+	if h := c.leader(); h != nil && c.rng.IntN(4) > 0 {
+		h.Offer(store.Entry{Key: KeyIn(id), Value: value})
+	}
+	return id
+}
+
+// write retries until the store has it; a conflict means that it has.
+func (c *cell) write(t store.Txn) {
+	for {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		_, err := c.kv.Commit(ctx, t)
+		cancel()
+		var conflict *store.ConflictError
+		if err == nil || asConflict(err, &conflict) {
+			return
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+func (c *cell) cancelJob(id work.JobID) {
+	c.write(store.Txn{Writes: []store.Write{{Key: KeyCancel(id)}}})
+	c.fleet.Cancelled(id)
+}
+
+// state reads a job's state from the store.
+func (c *cell) state(id work.JobID) work.State {
+	entry, err := c.kv.Get(context.Background(), KeyState(id))
+	if err != nil {
+		return work.Queued
+	}
+	p, err := work.DecodeProgress(entry.Value)
+	require.NoError(c.t, err)
+	return p.State
+}
+
+func (c *cell) stop() {
+	for _, n := range c.nodes {
+		n.cancel()
+	}
+	for _, n := range c.nodes {
+		<-n.done
+	}
+}
+
+func drawJob(rng *rand.Rand, advised bool) *work.Job {
+	j := &work.Job{Queue: work.Queue{Name: "q", Service: "s", Priority: rng.IntN(3), Attempts: 4, Slack: 2, Allowance: time.Second}, Spec: "x"}
+	if advised {
+		j.Queue.Advice = &work.Advice{Base: 5 * time.Millisecond, PerWorker: 200 * time.Microsecond, Valid: 2 * time.Second}
+	}
+	for i := range 1 + rng.IntN(2) {
+		s := work.Step{Count: 1 + rng.IntN(6), Size: work.Resources{CPU: 1000 + rng.IntN(16000), Memory: 1000 + rng.IntN(30000)},
+			Estimate: time.Duration(300+rng.IntN(2500)) * time.Millisecond, Gang: rng.IntN(4) == 0, Checkpoints: rng.IntN(2) == 0}
+		if i > 0 {
+			s.After = []int{0}
+		}
+		j.Steps = append(j.Steps, s)
+	}
+	return j
+}
+
+func usual(failShare float64) func(*rand.Rand, work.TaskID) epochworker.Behaviour {
+	return func(rng *rand.Rand, _ work.TaskID) epochworker.Behaviour {
+		return epochworker.Behaviour{Takes: time.Duration(200+rng.IntN(3000)) * time.Millisecond, Fails: rng.Float64() < failShare}
+	}
+}
+
+// TestCalmCellServesEveryJob is the main job: everything that is handed in is
+// completed, each task once.
+func TestCalmCellServesEveryJob(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newTestCell(t, 1, 16, 3, usual(0))
+		time.Sleep(3 * time.Second)
+		for range 100 {
+			c.submit(drawJob(c.rng, true))
+			time.Sleep(time.Duration(c.rng.IntN(80)) * time.Millisecond)
+		}
+		time.Sleep(40 * time.Second)
+		if os.Getenv("FENNEL_DUMP") == "1" {
+			c.leader().dump()
+		}
+		for _, id := range c.order {
+			require.Equal(t, work.Completed, c.state(id), "%s", id)
+		}
+		c.stop()
+		require.Empty(t, c.fleet.Broken())
+		require.Empty(t, c.broken)
+	})
+}
+
+// TestProfile writes a profile of a busy cell's processor time.
+func TestProfile(t *testing.T) {
+	path := os.Getenv("FENNEL_PROFILE")
+	if path == "" {
+		t.Skip("FENNEL_PROFILE names no file")
+	}
+	f, err := os.Create(path)
+	require.NoError(t, err)
+	require.NoError(t, pprof.StartCPUProfile(f))
+	synctest.Test(t, func(t *testing.T) {
+		c := newTestCell(t, 1, 48, 3, usual(0.02))
+		time.Sleep(3 * time.Second)
+		for range 2000 {
+			c.submit(drawJob(c.rng, true))
+			time.Sleep(time.Duration(c.rng.IntN(34)) * time.Millisecond)
+		}
+		time.Sleep(10 * time.Second)
+		c.stop()
+	})
+	pprof.StopCPUProfile()
+	require.NoError(t, f.Close())
+}
--- a/process/dispatch/engine.go
+++ b/process/dispatch/engine.go
@@ -48,6 +48,10 @@
 	fleetNew  bool
 	forgetAt  time.Duration
 	scheduled bool // nothing has changed since the last placement
+	// scheduledAt and planAt are when the last round was, and when room for
+	// waiting gangs is to be planned anew.
+	scheduledAt, planAt time.Duration
+	lanesIdle           int // left in this round
 
 	deposed bool
 	stats   Stats
@@ -257,7 +261,7 @@
 	if e.deposed {
 		return nil
 	}
-	if !e.scheduled {
+	if !e.scheduled && (len(e.ready) < crowded || e.now-e.scheduledAt >= crowdedPause) {
 		e.scheduled = true
 		e.schedule()
 	}
--- a/process/dispatch/gang.go
+++ b/process/dispatch/gang.go
@@ -178,7 +178,7 @@
 // askForGang asks for the workers a gang needs: all that are unknown at first;
 // later the good ones again, shortly before their tickets end.
 func (e *Engine) askForGang(s *step, a *advice) {
-	if a.asking || e.now < a.next {
+	if !e.mayAsk(a) {
 		return
 	}
 	if e.seatsKnown(s, a) < s.spec.Count {
@@ -188,7 +188,7 @@
 	ids := e.refreshable(s, a)
 	ahead := s.job.spec.Queue.Advice.Cost(len(ids)) + refreshAhead
 	for _, id := range ids {
-		if t, ok := a.tickets[id]; ok && t.expires > e.now+ahead {
+		if t := a.find(id); t != nil && t.expires > e.now+ahead {
 			return // some still hold for long enough
 		}
 	}
@@ -242,6 +242,7 @@
 // What goes wrong without it: small tasks fill every gap as it opens, and a
 // gang, which needs many gaps at once, waits until the small work runs out.
 func (e *Engine) reserveFor(s *step) bool {
+	s.reservedAt = e.now
 	a := e.adviceOf(s)
 	need := s.spec.Need()
 	type opening struct {
--- a/process/dispatch/job.go
+++ b/process/dispatch/job.go
@@ -42,6 +42,9 @@
 	pending []int // indexes that wait for a start, in order
 	left    int   // tasks that are not done
 	opened  bool  // listed as ready
+	rank    int   // lateness, as of the round of placement
+	// reservedAt is when room was last reserved for the step.
+	reservedAt time.Duration
 
 	advice *advice
 	gang   gangState
--- a/process/dispatch/place.go
+++ b/process/dispatch/place.go
@@ -18,28 +18,82 @@
 	minPercent = 8
 )
 
+// Rounds of placement.
+const (
+	// crowded is how many waiting steps make a round costly; from then on
+	// rounds are crowdedPause apart. A round over 500 steps takes some 100 µs.
+	crowded      = 50
+	crowdedPause = 4 * time.Millisecond
+	// planPeriod is how long the reservations of waiting gangs are kept before
+	// they are planned anew.
+	planPeriod = 25 * time.Millisecond
+	// maxTried bounds how many waiting gangs are tried in one round.
+	maxTried = 12
+)
+
 // schedule places what can be placed.
 func (e *Engine) schedule() {
+	e.scheduledAt = e.now
 	steps := e.waiting()
-	e.clearReservations()
-	blocked := 0
+	if replan := e.now >= e.planAt; replan {
+		e.planAt = e.now + planPeriod
+		e.clearReservations()
+	}
+	e.lanesIdle = e.countIdleLanes()
+	var tight []work.Resources // sizes for which no worker had room in this round
+	reserved, tried := 0, 0
 	for _, s := range steps {
 		if !e.mayStart(s) {
 			continue
 		}
 		if s.spec.Gang {
-			if !e.placeGang(s) && blocked < maxReserved {
-				if e.reserveFor(s) {
-					blocked++
+			if tried++; tried > maxTried {
+				continue
+			}
+			if !e.placeGang(s) && reserved < maxReserved {
+				reserved++
+				if !e.hasReserved(s) {
+					e.reserveFor(s)
 				}
 			}
 			continue
 		}
+		if a := e.adviceOf(s); a != nil && !e.mayAsk(a) && !a.usable(e.now) {
+			continue // nothing to go by, and nobody to ask now
+		}
+		need := s.spec.Need()
+		if slices.ContainsFunc(tight, func(t work.Resources) bool { return t.Fits(need) }) {
+			continue
+		}
+		if !e.roomFor(s, need) {
+			if len(s.spec.Labels) == 0 && len(tight) < maxTight {
+				tight = append(tight, need)
+			}
+			continue
+		}
 		e.placeTasks(s)
 	}
 	e.askAll(steps)
 }
 
+// maxTight bounds the sizes remembered in a round.
+const maxTight = 8
+
+// hasReserved reports whether a step's reservation of an earlier round stands.
+func (e *Engine) hasReserved(s *step) bool {
+	return s.reservedAt > 0 && s.reservedAt+planPeriod > e.now
+}
+
+// roomFor reports whether any worker has room for one task.
+func (e *Engine) roomFor(s *step, need work.Resources) bool {
+	for _, w := range e.order {
+		if need.Fits(w.free()) && e.eligible(s, w) {
+			return true
+		}
+	}
+	return false
+}
+
 // waiting returns the steps with tasks to start, in the order in which they
 // are served: those that can still end within their objective first, and among
 // these the queue's priority and the end of the objective.
@@ -54,17 +108,17 @@
 	}
 	clear(e.ready[len(kept):])
 	e.ready = kept
-	steps := slices.Clone(kept)
-	slices.SortStableFunc(steps, e.compare)
-	return steps
+	for _, st := range kept {
+		st.rank = e.lateRank(st)
+	}
+	slices.SortStableFunc(e.ready, compareSteps) // nearly sorted from the round before
+	return slices.Clone(e.ready)
 }
 
-func (e *Engine) compare(a, b *step) int {
+func compareSteps(a, b *step) int {
 	x, y := a.job, b.job
-	if late := cmp.Compare(e.lateRank(a), e.lateRank(b)); late != 0 {
-		return late
-	}
-	return cmp.Or(cmp.Compare(x.spec.Queue.Priority, y.spec.Queue.Priority), cmp.Compare(x.due, y.due), cmp.Compare(x.id, y.id))
+	return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(x.spec.Queue.Priority, y.spec.Queue.Priority),
+		cmp.Compare(x.due, y.due), cmp.Compare(x.id, y.id))
 }
 
 // lateRank puts jobs that will miss their objective behind those that will
@@ -141,31 +195,32 @@
 }
 
 // bestWorker filters the workers and takes the one with the best score.
-func (e *Engine) bestWorker(s *step, i int, a *advice) (best *worker, ticket string) {
+func (e *Engine) bestWorker(s *step, i int, a *advice) (best *worker, text string) {
 	need := s.spec.Need()
 	bestScore := 0.0
-	for _, w := range e.order {
-		if !need.Fits(w.free()) || !e.eligible(s, w) {
-			continue
-		}
-		text := ""
-		if a != nil {
-			var ok bool
-			if text, ok = a.ticketFor(w.ID, e.now); !ok {
-				continue
-			}
+	consider := func(w *worker, ticket string) {
+		if !need.Fits(w.free()) || !e.eligible(s, w) || !need.Fits(e.freeFor(s, w)) {
+			return
 		}
 		if s.spec.MaxPerWorker > 0 && s.liveOn(w) >= s.spec.MaxPerWorker {
-			continue
-		}
-		if !need.Fits(e.freeFor(s, w)) {
-			continue
+			return
 		}
 		if score := e.score(s, i, w); best == nil || score > bestScore {
-			best, bestScore, ticket = w, score, text
+			best, bestScore, text = w, score, ticket
 		}
 	}
-	return best, ticket
+	if a != nil {
+		for k := range a.tickets {
+			if t := &a.tickets[k]; t.valid(e.now) {
+				consider(t.w, t.text)
+			}
+		}
+		return best, text
+	}
+	for _, w := range e.order {
+		consider(w, "")
+	}
+	return best, text
 }
 
 // Weights of a worker's score for a task.
