Find an accepted connection by its address, so that calls by address do not dial anew

Cause: the leader had 10,900 goroutines after 50 s, all of QUIC connections: CallAddr looked for a link that was dialled at the address, and an accepted one had none.

--- a/connection/peer/link.go
+++ b/connection/peer/link.go
@@ -15,7 +15,7 @@
 // link is one QUIC connection after its hello. Both sides may call over it.
 type link struct {
 	conn    *quic.Conn
-	addr    string // address it was dialled at; "" when accepted
+	addr    string // the other side's; it listens where it dials from
 	remote  hello
 	version int
 
@@ -235,7 +235,7 @@
 	// Taken for a failure it would cut a link that the other side already uses,
 	// and its first call would end with an unknown outcome.
 	_ = stream.Close()
-	l, err := newLink(conn, "", n.self, remote)
+	l, err := newLink(conn, conn.RemoteAddr().String(), n.self, remote)
 	if errors.Is(err, ErrProtocol) {
 		awaitClose(ctx, conn)
 	}
