--- a/process/dispatch/persist.go
+++ b/process/dispatch/persist.go
@@ -16,7 +16,7 @@
 	// to be written with.
 	groupDelay = 25 * time.Millisecond
 	// urgentDelay groups the ends of jobs, for which callers wait.
-	urgentDelay = 2 * time.Millisecond
+	urgentDelay = 10 * time.Millisecond
 )
 
 // batch is one write on its way to the store.
--- a/request/submit/submit.go
+++ b/request/submit/submit.go
@@ -326,6 +326,9 @@
 	return unavailable(CodeStore, last)
 }
 
+// cancelMark is the value of a cancellation; the key alone says it all.
+var cancelMark = []byte{1}
+
 // cancelOnce makes one try; done tells that err is the outcome.
 func (s *Service) cancelOnce(ctx context.Context, id work.JobID) (done bool, err error) {
 	accepted, found, err := s.get(ctx, dispatch.KeyIn(id))
@@ -338,13 +341,13 @@
 	key := dispatch.KeyCancel(id)
 	err = s.commit(ctx, store.Txn{
 		Checks: []store.Check{{Key: dispatch.KeyIn(id), Revision: accepted.Revision}},
-		Writes: []store.Write{{Key: key}},
+		Writes: []store.Write{{Key: key, Value: cancelMark}},
 	})
 	if err != nil {
 		return false, err
 	}
 	s.stats.Cancelled.Add(1)
-	s.push(store.Entry{Key: key})
+	s.push(store.Entry{Key: key, Value: cancelMark})
 	return true, nil
 }
 
