Keep failed runs by number, so that ends out of order all count

A leader that the store turned away could not write failures; its successor heard of them from the workers in any order, and a lower run than the highest counted was ignored. Ruled out: an acknowledged end (the store held none of them), a lost state (read whole). Two tests at the engine, the first of which fails on the earlier count.

--- /dev/null
+++ b/process/dispatch/engine_test.go
@@ -0,0 +1,113 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"fennelshunt.example/fennelshunt/connection/runner"
+	"fennelshunt.example/fennelshunt/connection/store"
+	"fennelshunt.example/fennelshunt/version/work"
+)
+
+const testJob = work.JobID("00000000000000aa")
+
+// bench is an engine whose calls a test answers by hand.
+type bench struct {
+	t   *testing.T
+	e   *Engine
+	now time.Duration
+	out []Effect
+}
+
+func newBench(t *testing.T, epoch uint64, workers ...runner.WorkerID) *bench {
+	b := &bench{t: t, e: NewEngine(Options{Epoch: epoch, Bounds: Bounds{Lease: testLease, MaxLease: testLease, Gang: 3 * time.Second, Keep: time.Minute},
+		Violation: func(what string, _ work.TaskID, _ runner.WorkerID) { t.Errorf("invariant: %s", what) }})}
+	for _, id := range workers {
+		b.e.WorkerSeen(b.now, runner.Worker{Ref: runner.Ref{ID: id}, Service: "s", Capacity: work.Resources{CPU: 4000, Memory: 4000}, Labels: []string{"a", "r"}})
+	}
+	return b
+}
+
+// step moves time on and carries commits out at once; other effects are kept.
+func (b *bench) step(d time.Duration) {
+	for until := b.now + d; b.now < until; {
+		b.now += tickPeriod
+		b.e.Tick(b.now)
+		for _, x := range b.e.Flush(b.now) {
+			if _, ok := x.(SendCommit); ok {
+				b.e.Committed(b.now)
+				continue
+			}
+			b.out = append(b.out, x)
+		}
+	}
+}
+
+// report answers a worker's renewal.
+func (b *bench) report(id runner.WorkerID, r runner.Report) {
+	b.now += time.Millisecond
+	b.e.Renewed(b.now, id, r, nil)
+	b.step(tickPeriod)
+}
+
+// starts returns and forgets the starts that were sent.
+func (b *bench) starts() []SendStart {
+	var all []SendStart
+	for _, x := range b.out {
+		if s, ok := x.(SendStart); ok {
+			all = append(all, s)
+		}
+	}
+	b.out = nil
+	return all
+}
+
+func jobEntry(t *testing.T, epoch uint64, attempts int, steps ...work.Step) store.Entry {
+	j := &work.Job{Queue: work.Queue{Name: "q", Service: "s", Attempts: attempts, Slack: 2}, Spec: "x", Steps: steps, Epoch: epoch}
+	value, err := work.EncodeJob(j)
+	require.NoError(t, err)
+	return store.Entry{Key: KeyIn(testJob), Value: value}
+}
+
+func oneTask() work.Step {
+	return work.Step{Count: 1, Size: work.Resources{CPU: 1000, Memory: 100}, Estimate: time.Second}
+}
+
+func TestFailuresReportedOutOfOrderAllCount(t *testing.T) {
+	// Symptom: a task is started again after it failed as often as its queue
+	//   allows.
+	// Sequence: a leader that the store turns away can not write two failures
+	//   down; its successor hears of the second run's end first, since that
+	//   worker answers first, and then of the first run's.
+	// Cause: only the highest counted run was kept, and the lower one taken for
+	//   one that had been counted.
+	b := newBench(t, 2, "w-a", "w-b")
+	require.NoError(t, b.e.Load(0, []store.Entry{jobEntry(t, 1, 2, oneTask())}, nil, nil))
+	b.step(50 * time.Millisecond)
+	task := work.TaskID{Job: testJob}
+	b.report("w-b", runner.Report{Clock: time.Second, Ended: []runner.End{{Number: 1, Task: task, Run: 2, How: runner.Failed}}})
+	b.report("w-a", runner.Report{Clock: time.Second, Ended: []runner.End{{Number: 1, Task: task, Run: 1, How: runner.Failed}}})
+	b.step(50 * time.Millisecond)
+	state, known := b.e.State(testJob)
+	require.True(t, known)
+	require.Equal(t, work.Failed, state)
+}
+
+func TestFailureReportedAgainCountsOnce(t *testing.T) {
+	// Symptom: a job is shown as failed though its task may still be tried.
+	// Sequence: a failure is in the store and not yet acknowledged when the
+	//   leader is lost; the successor reads it and hears of it again.
+	// Cause: an end is told apart from another one only by its run's number.
+	b := newBench(t, 2, "w-a")
+	progress, err := work.EncodeProgress(&work.Progress{State: work.Running, Ends: []work.StepEnds{{Failed: []work.Fail{{Runs: []uint64{1}}}}}})
+	require.NoError(t, err)
+	require.NoError(t, b.e.Load(0, []store.Entry{jobEntry(t, 1, 2, oneTask())}, []store.Entry{{Key: KeyState(testJob), Value: progress}}, nil))
+	b.step(50 * time.Millisecond)
+	b.report("w-a", runner.Report{Clock: time.Second, Ended: []runner.End{{Number: 1, Task: work.TaskID{Job: testJob}, Run: 1, How: runner.Failed}}})
+	b.step(50 * time.Millisecond)
+	state, _ := b.e.State(testJob)
+	require.Equal(t, work.Running, state)
+	require.Len(t, b.starts(), 1)
+}
--- a/process/dispatch/job.go
+++ b/process/dispatch/job.go
@@ -53,12 +53,10 @@
 // task is one task of a step. Its place is nil while nothing of it can be
 // running.
 type task struct {
-	place *place
-	done  bool
-	fails int
-	// failRun is the highest run whose failure was counted.
-	failRun    uint64
-	runs       uint64 // started in this epoch
+	place      *place
+	done       bool
+	failed     []uint64 // runs that failed
+	runs       uint64   // started in this epoch
 	checkpoint string
 	avoid      []runner.WorkerID // where it failed
 	// accounted: no run of an earlier epoch can be running.
@@ -69,8 +67,7 @@
 type gangState struct {
 	run      uint64 // the highest run used
 	runs     uint64 // started in this epoch
-	fails    int
-	failRun  uint64
+	failed   []uint64
 	breaking bool // its members are being stopped
 }
 
@@ -180,12 +177,12 @@
 		if t.done {
 			e.Done = append(e.Done, i)
 		}
-		if t.fails > 0 {
-			e.Failed = append(e.Failed, work.Fail{Index: i, Count: t.fails, Run: t.failRun})
+		if len(t.failed) > 0 {
+			e.Failed = append(e.Failed, work.Fail{Index: i, Runs: t.failed})
 		}
 	}
-	if s.gang.fails > 0 {
-		e.Failed = append(e.Failed, work.Fail{Count: s.gang.fails, Run: s.gang.failRun})
+	if len(s.gang.failed) > 0 {
+		e.Failed = append(e.Failed, work.Fail{Runs: s.gang.failed})
 	}
 	return e, len(e.Done)+len(e.Failed) > 0
 }
@@ -219,11 +216,11 @@
 
 func (s *step) restoreFail(f work.Fail) {
 	if s.spec.Gang {
-		s.gang.fails, s.gang.failRun = f.Count, f.Run
+		s.gang.failed = f.Runs
 		return
 	}
 	if f.Index >= 0 && f.Index < len(s.tasks) {
-		s.tasks[f.Index].fails, s.tasks[f.Index].failRun = f.Count, f.Run
+		s.tasks[f.Index].failed = f.Runs
 	}
 }
 
--- a/process/dispatch/reports.go
+++ b/process/dispatch/reports.go
@@ -354,17 +354,16 @@
 	if t.done || !j.active() || s.spec.Lasting {
 		return
 	}
-	fails, counted := &t.fails, &t.failRun
+	failed := &t.failed
 	if s.spec.Gang {
-		fails, counted = &s.gang.fails, &s.gang.failRun
+		failed = &s.gang.failed
 	}
-	if end.Run <= *counted {
+	if slices.Contains(*failed, end.Run) {
 		return // counted before, by this epoch or an earlier one
 	}
-	*counted = end.Run
-	*fails++
+	*failed = append(*failed, end.Run)
 	e.mark(j, false)
-	if *fails >= j.spec.Queue.Attempts {
+	if len(*failed) >= j.spec.Queue.Attempts {
 		e.end(j, work.Failed, "a task failed as often as its queue allows")
 	}
 }
--- a/version/work/work.go
+++ b/version/work/work.go
@@ -321,12 +321,11 @@
 	Failed     []Fail `cbor:"5,keyasint,omitempty"`
 }
 
-// Fail counts a task's failures. Run is the highest run counted, so that an end
-// that is reported again is not counted twice.
+// Fail holds a task's failed runs. Each is kept by its number, since the ends of
+// several runs may be reported in any order, and more than once.
 type Fail struct {
-	Index int    `cbor:"1,keyasint"`
-	Count int    `cbor:"2,keyasint"`
-	Run   uint64 `cbor:"3,keyasint"`
+	Index int      `cbor:"1,keyasint"`
+	Runs  []uint64 `cbor:"2,keyasint"`
 }
 
 // EncodeProgress returns the stored form.
