Ask a silent worker without renewing it, so that its tasks start elsewhere

Found in the log: no 'lease lapsed' for any crashed worker with tasks. The test at the engine fails before.

--- a/process/dispatch/engine_test.go
+++ b/process/dispatch/engine_test.go
@@ -111,3 +111,34 @@
 	require.Equal(t, work.Running, state)
 	require.Len(t, b.starts(), 1)
 }
+
+func TestTasksOfASilentWorkerStartElsewhere(t *testing.T) {
+	// Symptom: tasks that ran on a worker that lost its power never start again.
+	// Sequence: the worker stops answering; the leader goes on asking it.
+	// Cause: each renewal without an answer put off the time at which everything
+	//   there has ended for sure.
+	b := newBench(t, 1, "w-a")
+	require.NoError(t, b.e.Load(0, []store.Entry{jobEntry(t, 1, 2, oneTask())}, nil, nil))
+	b.step(50 * time.Millisecond)
+	b.report("w-a", runner.Report{Clock: time.Second})
+	first := b.starts()
+	require.Len(t, first, 1)
+	b.e.Started(b.now, "w-a", first[0].Start.Task, first[0].Start.Run, nil)
+	b.e.WorkerSeen(b.now, runner.Worker{Ref: runner.Ref{ID: "w-b"}, Service: "s", Capacity: work.Resources{CPU: 4000, Memory: 4000}, Labels: []string{"a", "r"}})
+	b.step(50 * time.Millisecond)
+	b.report("w-b", runner.Report{Clock: time.Second})
+	for range 60 {
+		b.e.Renewed(b.now, "w-a", runner.Report{}, runner.ErrUnknown)
+		b.e.Renewed(b.now, "w-b", runner.Report{Clock: time.Second + b.now}, nil)
+		for _, x := range b.out {
+			if s, ok := x.(SendStart); ok {
+				require.Equal(t, runner.WorkerID("w-b"), s.To.ID)
+				require.Greater(t, b.now, testLease, "before the lease has run out")
+				return
+			}
+		}
+		b.out = nil
+		b.step(200 * time.Millisecond)
+	}
+	t.Fatal("the task never started again")
+}
--- a/process/dispatch/reports.go
+++ b/process/dispatch/reports.go
@@ -298,7 +298,6 @@
 		return
 	}
 	s.requeue(i)
-	s.opened = false
 	e.open(s)
 }
 
--- a/process/dispatch/runs.go
+++ b/process/dispatch/runs.go
@@ -166,7 +166,6 @@
 	s := p.s
 	if !t.done && s.job.active() {
 		s.requeue(p.index)
-		s.opened = false
 		e.open(s)
 	}
 	if s.spec.Gang && s.live() == 0 {
--- a/process/dispatch/worker.go
+++ b/process/dispatch/worker.go
@@ -116,10 +116,16 @@
 // clockNow estimates the worker's clock.
 func (w *worker) clockNow(now time.Duration) time.Duration { return w.clock + now - w.clockAt }
 
-// renewUntil returns the lease end to send now, on the worker's clock.
+// renewUntil returns the lease end to send now, on the worker's clock; 0 renews
+// nothing.
+//
+// A worker that does not answer is only asked, not renewed. What goes wrong
+// otherwise: each call without an answer may still arrive, so the time at which
+// everything there has ended for sure moves on with each, and the tasks of a
+// worker that has crashed never start elsewhere.
 func (w *worker) renewUntil(now time.Duration, lease time.Duration) time.Duration {
-	if !w.fenced {
-		return 0 // its clock is not known; the first renewal only asks
+	if !w.fenced || w.misses > 0 {
+		return 0
 	}
 	until := w.clockNow(now) + lease
 	if until > w.until {
--- a/standin/epochworker/fleet.go
+++ b/standin/epochworker/fleet.go
@@ -147,6 +147,19 @@
 	f.changed = make(chan struct{})
 }
 
+// IDs returns the workers that live.
+func (f *Fleet) IDs() []runner.WorkerID {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var all []runner.WorkerID
+	for _, id := range f.order {
+		if !f.workers[id].dead {
+			all = append(all, id)
+		}
+	}
+	return all
+}
+
 // Crash ends a worker's life.
 func (f *Fleet) Crash(id runner.WorkerID) {
 	f.mu.Lock()
@@ -254,14 +267,14 @@
 
 // reach takes a call to a worker; nil when no answer will come, which the
 // context's end shows. late runs the call's effect without an answer.
-func (f *Fleet) reach(ctx context.Context, to runner.Ref, late func(w *worker)) (w *worker, answer bool, err error) {
+func (f *Fleet) reach(ctx context.Context, to runner.Ref, late func(w *worker)) (_ *worker, answer bool, err error) {
 	select {
 	case <-ctx.Done():
 		return nil, false, fmt.Errorf("%w: %w", runner.ErrUnknown, ctx.Err())
 	case <-time.After(f.o.Delay):
 	}
 	f.mu.Lock()
-	w = f.workers[to.ID]
+	w := f.workers[to.ID]
 	silent := w == nil || w.cut || w.dead
 	isLate := !silent && late != nil && f.rng.Float64() < f.faults.Late
 	lost := !silent && f.rng.Float64() < f.faults.LoseAnswers
