--- a/process/lead/elector.go
+++ b/process/lead/elector.go
@@ -11,6 +11,7 @@
 
 	"github.com/google/uuid"
 	"github.com/rs/zerolog"
+	"golang.org/x/sync/semaphore"
 
 	"fennelshunt.example/fennelshunt/connection/store"
 	"fennelshunt.example/fennelshunt/internal/sleep"
@@ -330,7 +331,7 @@
 		}
 	}
 	t := &Term{Epoch: before.Epoch + 1, id: uuid.NewString(), holder: e.o.Self, store: e.o.Store,
-		patience: e.o.Patience, revision: chain.Revision}
+		patience: e.o.Patience, revision: chain.Revision, turn: semaphore.NewWeighted(1)}
 	t.ctx, t.over = context.WithCancelCause(context.WithoutCancel(ctx))
 	first := link{Epoch: t.Epoch, Term: t.id, Holder: t.holder.Name}
 	err = e.call(ctx, "claim", func(ctx context.Context) error {
--- a/process/lead/term.go
+++ b/process/lead/term.go
@@ -4,9 +4,10 @@
 	"context"
 	"errors"
 	"fmt"
-	"sync"
 	"time"
 
+	"golang.org/x/sync/semaphore"
+
 	"fennelshunt.example/fennelshunt/connection/store"
 	"fennelshunt.example/fennelshunt/internal/sleep"
 )
@@ -30,7 +31,10 @@
 	store    store.Transactor
 	patience *store.Patience
 
-	mu       sync.Mutex // one write at a time
+	// turn is held by the write on its way: one at a time. Waiting for it ends
+	// with the caller's context, so that a stuck write does not hold up the
+	// renewal of the member's lease, which may put the leader's record back.
+	turn     *semaphore.Weighted
 	revision store.Revision
 	sequence uint64
 	over     context.CancelCauseFunc
@@ -74,8 +78,10 @@
 var errReleased = errors.New("lead: released")
 
 func (t *Term) commit(ctx context.Context, txn store.Txn) error {
-	t.mu.Lock()
-	defer t.mu.Unlock()
+	if err := t.turn.Acquire(ctx, 1); err != nil {
+		return err
+	}
+	defer t.turn.Release(1)
 	next := link{Epoch: t.Epoch, Term: t.id, Sequence: t.sequence + 1, Holder: t.holder.Name}
 	txn.Checks = append(txn.Checks, store.Check{Key: keyChain, Revision: t.revision})
 	txn.Writes = append(txn.Writes, store.Write{Key: keyChain, Value: encode(next)})
--- a/standin/epochworker/fleet.go
+++ b/standin/epochworker/fleet.go
@@ -166,11 +166,15 @@
 	defer f.mu.Unlock()
 	w := f.workers[id]
 	w.dead = true
-	for _, r := range w.running {
+	lost := w.running
+	w.running = nil
+	for _, r := range lost {
 		f.history(r.task).live--
 		r.timer.Stop()
+		if j := f.jobs[r.task.Job]; j.Steps[r.task.Step].Gang {
+			f.endGang(r, runner.Lapsed)
+		}
 	}
-	w.running = nil
 	time.AfterFunc(4500*time.Millisecond, func() {
 		f.mu.Lock()
 		defer f.mu.Unlock()
@@ -501,7 +505,9 @@
 		}
 		for _, r := range w.running {
 			f.end(w, r, runner.Lapsed)
-			f.endGang(r, runner.Lapsed)
+			if f.jobs[r.task.Job].Steps[r.task.Step].Gang {
+				f.endGang(r, runner.Lapsed)
+			}
 		}
 	})
 }
