--- a/connection/store/patience.go
+++ b/connection/store/patience.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 )
@@ -20,6 +21,7 @@
 	mu      sync.Mutex
 	average time.Duration // of answered calls, decaying
 	misses  int           // calls in a row without an answer
+	failing bool          // the last call failed
 }
 
 // Weights of Patience: the timeout is patienceFactor times the decaying average
@@ -48,6 +50,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.misses = 0
+	p.failing = false
 	if p.average == 0 {
 		p.average = d
 		return
@@ -60,4 +63,33 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.misses++
+	p.failing = true
+}
+
+// Refused notes a call that the store turned away or that did not reach it.
+func (p *Patience) Refused() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.failing = true
+}
+
+// Suspect reports whether the last call failed. A write that is sent then may
+// leave its outcome open; a read is the safe way to learn whether the store is
+// there.
+func (p *Patience) Suspect() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.failing
+}
+
+// Note notes how a call went that took d, by its error.
+func (p *Patience) Note(err error, d time.Duration) {
+	switch {
+	case errors.Is(err, ErrUnknownOutcome), errors.Is(err, ErrUnavailable) && errors.Is(err, context.DeadlineExceeded):
+		p.Missed()
+	case errors.Is(err, ErrUnavailable), errors.Is(err, ErrOverBudget):
+		p.Refused()
+	default:
+		p.Answered(d)
+	}
 }
--- a/process/cellnode/catalog.go
+++ b/process/cellnode/catalog.go
@@ -17,10 +17,10 @@
 const (
 	catalogWait  = 1500 * time.Millisecond
 	catalogGrace = 500 * time.Millisecond
-	catalogPause = 50 * time.Millisecond
-	// checkPeriod is between plain reads beside the watch: a watch may hear
+	catalogPause = 100 * time.Millisecond
+	// checkPeriod is between cheap reads beside the watch: a watch may hear
 	// nothing for a while and not show it.
-	checkPeriod = 1500 * time.Millisecond
+	checkPeriod = time.Second
 )
 
 // catalogs keeps the newest queues. A version is never replaced by a lower one.
@@ -95,7 +95,7 @@
 func (c *catalogs) check(ctx context.Context) {
 	for sleep.For(ctx, checkPeriod) == nil {
 		bounded, cancel := context.WithTimeout(ctx, catalogGrace)
-		next, _, err := c.source.Current(bounded)
+		next, err := c.source.Glance(bounded)
 		cancel()
 		if err != nil {
 			c.log.Debug().Err(err).Msg("configuration not read")
--- a/process/cellnode/node.go
+++ b/process/cellnode/node.go
@@ -119,6 +119,9 @@
 	return fmt.Sprintf("%s:%d", s.IP, s.MetricsPort)
 }
 
+// CallersAddr returns the address where callers are served.
+func (n *Node) CallersAddr() string { return n.listen.callers.Addr().String() }
+
 // Run serves until ctx ends. Stop ends it as planned.
 func (n *Node) Run(ctx context.Context) error {
 	n.log.Info().Str("zone", n.o.Settings.Zone).Str("callers", n.o.Settings.Callers).Msg("daemon starts")
@@ -179,7 +182,7 @@
 			if n.peers, err = peer.NewNode(socket, self, identity.PeerConfig(), mux, n.log); err != nil {
 				return err
 			}
-			n.build(lead.Member{Name: s.Name, Peer: addr.String(), Zone: s.Zone}, mux)
+			n.build(lead.Member{Name: s.Name, Peer: socket.LocalAddr().String(), Zone: s.Zone}, mux)
 			return nil
 		}
 		n.log.Warn().Err(err).Msg("waiting for the store to join the cell")
--- a/process/lead/elector.go
+++ b/process/lead/elector.go
@@ -21,7 +21,7 @@
 // renew it before it lapses, so that nothing that runs is lost with a leader.
 const (
 	// DefaultLease is the time to live of a member's lease in the store.
-	DefaultLease = 1600 * time.Millisecond
+	DefaultLease = 1100 * time.Millisecond
 	// renewals of the lease in its time to live.
 	renewals = 4
 	// watchWait bounds one watch, so that a silent connection is noticed.
@@ -130,15 +130,12 @@
 	defer cancel()
 	start := time.Now()
 	err := f(bounded)
-	switch {
-	case ctx.Err() != nil:
-	case errors.Is(err, store.ErrUnknownOutcome), errors.Is(err, store.ErrUnavailable) && bounded.Err() != nil:
-		e.o.Patience.Missed()
-		e.noteTrouble(what, err)
-	case errors.Is(err, store.ErrUnavailable):
+	if ctx.Err() != nil {
+		return err
+	}
+	e.o.Patience.Note(err, time.Since(start))
+	if e.o.Patience.Suspect() {
 		e.noteTrouble(what, err)
-	default:
-		e.o.Patience.Answered(time.Since(start))
 	}
 	return err
 }
@@ -282,7 +279,7 @@
 		if t := e.current(); t != nil && e.view.Epoch() > t.Epoch {
 			t.End(ErrDeposed)
 		}
-		if _, led := e.view.Leader(); !led && !e.stopping.Load() && e.current() == nil && e.lease.Load() != 0 {
+		if _, vacant := e.view.vacant(e.o.Self); vacant && !e.stopping.Load() && e.current() == nil && e.lease.Load() != 0 {
 			e.claimSoon(ctx)
 		}
 		select {
@@ -301,10 +298,11 @@
 	if sleep.For(ctx, delay) != nil {
 		return
 	}
-	if _, led := e.view.Leader(); led || e.stopping.Load() {
+	held, vacant := e.view.vacant(e.o.Self)
+	if !vacant || e.stopping.Load() {
 		return
 	}
-	term, err := e.claim(ctx)
+	term, err := e.claim(ctx, held)
 	if err != nil {
 		e.o.Log.Debug().Err(err).Msg("leadership not claimed")
 		return
@@ -312,8 +310,8 @@
 	e.begin(ctx, term)
 }
 
-// claim raises the epoch if nobody holds it.
-func (e *Elector) claim(ctx context.Context) (*Term, error) {
+// claim raises the epoch if the leader's record still has the revision held.
+func (e *Elector) claim(ctx context.Context, held store.Revision) (*Term, error) {
 	var chain store.Entry
 	err := e.call(ctx, "read chain", func(ctx context.Context) error {
 		var err error
@@ -337,7 +335,7 @@
 	err = e.call(ctx, "claim", func(ctx context.Context) error {
 		var err error
 		t.revision, err = e.o.Store.Commit(ctx, store.Txn{
-			Checks: []store.Check{{Key: keyHolder}, {Key: keyChain, Revision: chain.Revision}},
+			Checks: []store.Check{{Key: keyHolder, Revision: held}, {Key: keyChain, Revision: chain.Revision}},
 			Writes: []store.Write{t.holderWrite(store.LeaseID(e.lease.Load())), {Key: keyChain, Value: encode(first)}},
 		})
 		return err
--- a/process/lead/term.go
+++ b/process/lead/term.go
@@ -119,11 +119,10 @@
 	defer cancel()
 	start := time.Now()
 	rev, err := t.store.Commit(bounded, txn)
+	t.patience.Note(err, time.Since(start))
 	if errors.Is(err, store.ErrUnknownOutcome) {
-		t.patience.Missed()
 		return 0, err
 	}
-	t.patience.Answered(time.Since(start))
 	var conflict *store.ConflictError
 	if !errors.As(err, &conflict) {
 		return rev, err
--- a/process/lead/view.go
+++ b/process/lead/view.go
@@ -15,6 +15,7 @@
 	mu      sync.Mutex
 	members map[string]Member
 	leader  *Leader
+	held    store.Revision // of the leader's record, 0 for none
 	epoch   uint64 // the highest seen
 	changed chan struct{}
 }
@@ -31,6 +32,18 @@
 	return *v.leader, true
 }
 
+// vacant reports whether nobody leads, as far as is known, and the revision
+// that the leader's record must have for a claim: 0 for no record. A record of
+// the daemon's own earlier life is as good as none, and need not be waited out.
+func (v *View) vacant(self Member) (held store.Revision, vacant bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.leader == nil {
+		return 0, true
+	}
+	return v.held, v.leader.Member == self
+}
+
 // Epoch returns the highest epoch of a leader seen.
 func (v *View) Epoch() uint64 {
 	v.mu.Lock()
@@ -64,7 +77,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	clear(v.members)
-	v.leader = nil
+	v.leader, v.held = nil, 0
 	for _, e := range entries {
 		v.set(e)
 	}
@@ -83,7 +96,7 @@
 			continue
 		}
 		if e.Key == keyHolder {
-			v.leader = nil
+			v.leader, v.held = nil, 0
 		}
 		if name, ok := memberName(e.Key); ok {
 			delete(v.members, name)
@@ -96,7 +109,7 @@
 	if e.Key == keyHolder {
 		var l Leader
 		if peer.Unmarshal(e.Value, &l) == nil {
-			v.leader = &l
+			v.leader, v.held = &l, e.Revision
 			v.epoch = max(v.epoch, l.Epoch)
 		}
 		return
--- a/process/settings/cell.go
+++ b/process/settings/cell.go
@@ -123,7 +123,7 @@
 			"use an IP number and a port, such as 10.0.0.7:8443")
 	}
 	c.want(net.ParseIP(s.IP) != nil, "ip", fmt.Sprintf("%q is no IP number", s.IP), "use for example 10.0.0.7")
-	c.want(s.PeerPort > 0 && s.PeerPort < 1<<16, "peer_port", fmt.Sprintf("%d is no port", s.PeerPort), "use 1 to 65535")
+	c.want(s.PeerPort >= 0 && s.PeerPort < 1<<16, "peer_port", fmt.Sprintf("%d is no port", s.PeerPort), "use 1 to 65535, or 0 for any free one")
 	c.want(s.Bounds.WorkerLeaseMS > 0, "bounds.worker_lease_ms", "is negative", "use the longest lease that workers grant")
 	c.want(s.Bounds.StopS > 0, "bounds.stop_s", "is negative", "use the time that a planned stop may take")
 	_, err := zerolog.ParseLevel(s.LogLevel)
--- a/request/submit/peer.go
+++ b/request/submit/peer.go
@@ -84,6 +84,9 @@
 		return nil, err
 	}
 	id := work.JobID(o.Key)
+	if s.o.Patience.Suspect() {
+		return handedOver{}, nil // no better off than the daemon that asks
+	}
 	err := s.create(ctx, id, o.Value)
 	if err != nil {
 		return handedOver{Maybe: errors.Is(err, store.ErrUnknownOutcome)}, nil
--- a/request/submit/submit.go
+++ b/request/submit/submit.go
@@ -9,14 +9,18 @@
 package submit
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
+	"golang.org/x/sync/singleflight"
 
 	"fennelshunt.example/fennelshunt/connection/peer"
 	"fennelshunt.example/fennelshunt/connection/store"
@@ -33,14 +37,18 @@
 	// is not answered asks again with the same id, at another daemon.
 	submitBudget = 1200 * time.Millisecond
 	// handOverTimeout bounds a hand-in through another daemon.
-	handOverTimeout = 600 * time.Millisecond
-	maxHandOvers    = 3
+	handOverTimeout = 400 * time.Millisecond
+	maxHandOvers    = 2
 	// leaderTimeout bounds a call to the leader; the store is asked after it.
 	leaderTimeout = 400 * time.Millisecond
 	// pushTimeout bounds telling the leader of a new entry.
 	pushTimeout = 500 * time.Millisecond
 	// pendingAge is how old a count of waiting jobs may be.
 	pendingAge = 1500 * time.Millisecond
+	// probeTimeout bounds a read that only tells whether the store is there.
+	probeTimeout = 300 * time.Millisecond
+	// probeKey does not exist.
+	probeKey   = "probe"
 	retryPause = 25 * time.Millisecond
 	// retryAfter is told to callers whose job was not accepted.
 	retryAfter = 400 * time.Millisecond
@@ -76,8 +84,9 @@
 
 // Service is one daemon's end of the jobs' interface.
 type Service struct {
-	o     Options
-	stats Stats
+	o      Options
+	stats  Stats
+	probes singleflight.Group
 
 	mu      sync.Mutex
 	pending map[string]count
@@ -126,18 +135,20 @@
 	open := false // a write without an answer may still take effect
 	var last error
 	for ctx.Err() == nil {
-		err := s.create(ctx, id, value)
-		switch {
-		case err == nil:
-			s.push(store.Entry{Key: dispatch.KeyIn(id), Value: value})
-			return nil
-		case errors.Is(err, errGivenUp):
-			return unavailable(CodeGivenUp, err)
-		case errors.Is(err, store.ErrUnknownOutcome):
-			open, last = true, err
-			continue
+		last = s.reachable(ctx)
+		if last == nil {
+			err := s.create(ctx, id, value)
+			switch {
+			case err == nil:
+				s.push(store.Entry{Key: dispatch.KeyIn(id), Value: value})
+				return nil
+			case errors.Is(err, errGivenUp):
+				return unavailable(CodeGivenUp, err)
+			case errors.Is(err, store.ErrUnknownOutcome):
+				open = true
+			}
+			last = err
 		}
-		last = err
 		took, maybe := s.handOver(ctx, id, value)
 		if took {
 			return nil
@@ -153,6 +164,33 @@
 	return unknown(last)
 }
 
+// reachable reads from the store before a write that would otherwise go out
+// right after a failure. A read that fails leaves nothing open, so that the
+// caller can be told at once, and truly, that its job was not accepted. Those
+// that wait share one read.
+func (s *Service) reachable(ctx context.Context) error {
+	if !s.o.Patience.Suspect() {
+		return nil
+	}
+	result := s.probes.DoChan("", func() (any, error) {
+		bounded, cancel := context.WithTimeout(context.WithoutCancel(ctx), probeTimeout)
+		defer cancel()
+		start := time.Now()
+		_, err := s.o.Store.Get(bounded, probeKey)
+		if errors.Is(err, store.ErrNotFound) {
+			err = nil
+		}
+		s.o.Patience.Note(err, time.Since(start))
+		return nil, err
+	})
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case r := <-result:
+		return r.Err
+	}
+}
+
 // errGivenUp: a cancellation marked the id as one that will never be.
 var errGivenUp = errors.New("submit: the id was given up before it was handed in")
 
@@ -186,11 +224,7 @@
 	defer cancel()
 	start := time.Now()
 	_, err := s.o.Store.Commit(bounded, t)
-	if errors.Is(err, store.ErrUnknownOutcome) {
-		s.o.Patience.Missed()
-	} else {
-		s.o.Patience.Answered(time.Since(start))
-	}
+	s.o.Patience.Note(err, time.Since(start))
 	return err
 }
 
@@ -198,7 +232,9 @@
 func (s *Service) get(ctx context.Context, key string) (store.Entry, bool, error) {
 	bounded, cancel := s.o.Patience.Context(ctx)
 	defer cancel()
+	start := time.Now()
 	entry, err := s.o.Store.Get(bounded, key)
+	s.o.Patience.Note(err, time.Since(start))
 	if errors.Is(err, store.ErrNotFound) {
 		return entry, false, nil
 	}
@@ -224,15 +260,33 @@
 	}()
 }
 
+// helpers returns the members to hand over to: the leader, which has reached
+// the store of late, and others by chance.
+func (s *Service) helpers() []lead.Member {
+	members := slices.DeleteFunc(s.o.View.Members(), func(m lead.Member) bool { return m.Name == s.o.Self })
+	rand.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
+	if leader, ok := s.o.View.Leader(); ok {
+		slices.SortStableFunc(members, func(a, b lead.Member) int {
+			return cmp.Compare(boolInt(b.Name == leader.Member.Name), boolInt(a.Name == leader.Member.Name))
+		})
+	}
+	return members[:min(len(members), maxHandOvers)]
+}
+
+func boolInt(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
 // handOver lets other daemons write a job. maybe tells that one may have done
 // so without an answer.
 func (s *Service) handOver(ctx context.Context, id work.JobID, value []byte) (took, maybe bool) {
-	tried := 0
-	for _, m := range s.o.View.Members() {
-		if m.Name == s.o.Self || tried == maxHandOvers || ctx.Err() != nil {
-			continue
+	for _, m := range s.helpers() {
+		if ctx.Err() != nil {
+			break
 		}
-		tried++
 		bounded, cancel := context.WithTimeout(ctx, handOverTimeout)
 		var r handedOver
 		_, err := s.o.Peers.CallAddr(bounded, m.Peer, MethodHandOver, offer{Key: string(id), Value: value}, &r)
@@ -380,9 +434,9 @@
 }
 
 func (s *Service) handOverCancel(ctx context.Context, id work.JobID) bool {
-	for _, m := range s.o.View.Members() {
-		if m.Name == s.o.Self || ctx.Err() != nil {
-			continue
+	for _, m := range s.helpers() {
+		if ctx.Err() != nil {
+			break
 		}
 		bounded, cancel := context.WithTimeout(ctx, handOverTimeout)
 		var r handedOver
--- a/version/work/source.go
+++ b/version/work/source.go
@@ -9,8 +9,11 @@
 
 // Source is where the operator's queues come from.
 type Source interface {
-	// Current returns the newest catalog, or store.ErrNotFound.
+	// Current returns the newest catalog and the revision to watch from, or
+	// store.ErrNotFound.
 	Current(ctx context.Context) (*Catalog, store.Revision, error)
+	// Glance is a cheap Current that may be seconds old.
+	Glance(ctx context.Context) (*Catalog, error)
 	// Watch waits up to wait for a catalog later than after; nil if none came.
 	Watch(ctx context.Context, after store.Revision, wait time.Duration) (*Catalog, store.Revision, error)
 }
