--- a/process/dispatch/reports.go
+++ b/process/dispatch/reports.go
@@ -140,7 +140,7 @@
 		return
 	}
 	r := runner.Renewal{Epoch: e.o.Epoch, Until: w.renewUntil(e.now, e.o.Bounds.Lease), Acknowledge: w.ack}
-	if w.fenced && w.misses == 0 && !w.unacknowledged() && !w.stopsAnswered() {
+	if w.fenced && w.misses == 0 && !w.unacknowledged() && !w.stopsAnswered() && w.strays == 0 {
 		r.Wait = renewWait
 	}
 	w.renewing, w.renewSent = true, e.now
@@ -187,7 +187,10 @@
 	ends := e.takeEnds(w, report.Ended)
 	e.takeRunning(w, report.Running, len(report.Ended) < runner.MaxEnds)
 	w.nextRenew = now
-	if w.unacknowledged() || (len(report.Running) == 0 && ends == 0 && w.stopsAnswered()) {
+	switch {
+	case w.strays > 0, ends == 0 && w.stopsAnswered():
+		w.nextRenew = now + strayPause // a stop takes a while; look again soon
+	case w.unacknowledged():
 		w.nextRenew = now + renewPause
 	}
 }
@@ -370,6 +373,7 @@
 // takeRunning compares what a worker says it runs with what it should run.
 // complete tells that the report left no end out.
 func (e *Engine) takeRunning(w *worker, rows []runner.Live, complete bool) {
+	w.strays = 0
 	present := make(map[work.TaskID]uint64, len(rows))
 	for i := range rows {
 		r := &rows[i]
@@ -412,9 +416,8 @@
 	}
 	e.stats.Orphans++
 	e.decide(Decision{What: "stop unexpected run", Task: r.Task, Run: r.Run, Worker: w.ID})
-	w.asideUntil = max(w.asideUntil, e.now+stopRetry) // it takes room that is not booked
+	w.strays++
 	e.out = append(e.out, SendStop{To: w.Ref, Task: r.Task, Run: r.Run})
-	w.nextRenew = min(w.nextRenew, e.now)
 }
 
 // adopt takes over a run of an earlier epoch.
--- a/process/dispatch/worker.go
+++ b/process/dispatch/worker.go
@@ -20,6 +20,8 @@
 	// renewPause is between a report with ends and the next renewal when these
 	// can not be acknowledged yet, since the worker would answer at once.
 	renewPause = 300 * time.Millisecond
+	// strayPause is between reports while runs are being stopped.
+	strayPause = 100 * time.Millisecond
 	// clockDrift is how much slower a worker's clock may be, with a reserve.
 	clockDrift = 1.03
 	// driftMargin is added to bounds that were converted between clocks.
@@ -73,6 +75,10 @@
 	answered  time.Duration // when the last report came
 	misses    int           // renewals in a row without an answer
 
+	// strays counts the runs of the last report that are being stopped without
+	// a place: the room they take is not booked, so nothing starts beside them.
+	strays int
+
 	seen    int64 // the highest end processed
 	ack     int64 // the highest end that may be acknowledged
 	acked   int64 // the highest acknowledged in a renewal that was answered
@@ -97,7 +103,7 @@
 		return false
 	case w.misses > 0 || now < w.asideUntil:
 		return false
-	case w.trial && len(w.places) > 0:
+	case w.strays > 0, w.trial && len(w.places) > 0:
 		return false
 	}
 	return true
