Let a gang ask for the tickets that complete its seats

Ruled out: lost hand-ins (known to the leader), failing advice (one call). A waiting gang asks in time for the workers on which room is reserved.

--- a/process/dispatch/engine_test.go
+++ b/process/dispatch/engine_test.go
@@ -142,3 +142,45 @@
 	}
 	t.Fatal("the task never started again")
 }
+
+func TestGangAsksForTheTicketsThatAreMissing(t *testing.T) {
+	// Symptom: gangs wait for tens of seconds beside free workers once several
+	//   of them wait.
+	// Sequence: part of the workers that are good for a gang have tickets that
+	//   hold for another second, the others' have run out.
+	// Cause: nothing was asked for while some tickets held, and then the same
+	//   part was asked for again.
+	gang := work.Step{Count: 3, Size: work.Resources{CPU: 3000, Memory: 100}, Estimate: time.Second, Gang: true}
+	b := newBench(t, 1, "w-a", "w-b", "w-c")
+	entry := jobEntry(t, 1, 2, gang)
+	j, err := work.DecodeJob(entry.Value)
+	require.NoError(t, err)
+	j.Queue.Advice = &work.Advice{Base: 400 * time.Millisecond, Valid: 2 * time.Second}
+	entry.Value, err = work.EncodeJob(j)
+	require.NoError(t, err)
+	require.NoError(t, b.e.Load(0, []store.Entry{entry}, nil, nil))
+	b.step(50 * time.Millisecond)
+	for _, id := range []runner.WorkerID{"w-a", "w-b", "w-c"} {
+		b.report(id, runner.Report{Clock: time.Second})
+	}
+	s := b.e.jobs[testJob].steps[0]
+	s.advice = &advice{good: map[runner.WorkerID]bool{"w-a": true, "w-b": true, "w-c": true}}
+	for _, id := range []runner.WorkerID{"w-a", "w-b"} {
+		s.advice.add(ticket{id, b.e.workers[id], "t", b.now + 1500*time.Millisecond})
+	}
+	b.out = nil
+	b.e.Members(b.now, []string{"d"})
+	b.step(50 * time.Millisecond)
+	var asked []AskAdvice
+	for _, x := range b.out {
+		if a, ok := x.(AskAdvice); ok {
+			asked = append(asked, a)
+		}
+	}
+	require.Len(t, asked, 1)
+	require.Equal(t, []runner.WorkerID{"w-c"}, asked[0].Workers)
+	b.e.Advised(b.now, "d", asked[0].Step, []runner.Ticket{{Worker: "w-c", Ticket: "t"}}, nil)
+	b.out = nil
+	b.step(50 * time.Millisecond)
+	require.Len(t, b.starts(), 3)
+}
--- a/process/dispatch/gang.go
+++ b/process/dispatch/gang.go
@@ -13,12 +13,12 @@
 const (
 	// maxReserved is how many gangs that wait have room reserved at a time.
 	maxReserved = 3
-	// refreshAhead is how long before the last ticket of a waiting gang ends it
-	// is asked for again, beside the call's own cost.
-	refreshAhead = 300 * time.Millisecond
-	// reserveSpare is how many more workers than needed a waiting gang keeps
-	// tickets for, as a share.
-	reserveSpare = 1.5
+	// refreshAhead is kept between the end of a call for tickets and the end of
+	// those that are to hold as well.
+	refreshAhead = 200 * time.Millisecond
+	// reserveSpare is how many more seats than needed a gang asks tickets for,
+	// as a factor: others may take some during the call.
+	reserveSpare = 1.4
 )
 
 // reservation keeps room on a worker for a gang from a time on.
@@ -175,64 +175,93 @@
 	return good || !known
 }
 
-// askForGang asks for the workers a gang needs: all that are unknown at first;
-// later the good ones again, shortly before their tickets end.
+// askForGang asks for the workers on which a gang can start: known good ones
+// with room now, unknown ones if these do not do, and, while there is no room,
+// those on which room is reserved, in time for when it is there.
+//
+// What goes wrong if part of the tickets holds and the rest is not asked for
+// until they have run out: there is never a moment at which enough of them
+// hold, and the gang waits beside free workers.
 func (e *Engine) askForGang(s *step, a *advice) {
 	if !e.mayAsk(a) {
 		return
 	}
-	if e.seatsKnown(s, a) < s.spec.Count {
-		e.askFor(s, s.spec.Count)
-		return
-	}
-	ids := e.refreshable(s, a)
-	ahead := s.job.spec.Queue.Advice.Cost(len(ids)) + refreshAhead
-	for _, id := range ids {
-		if t := a.find(id); t != nil && t.expires > e.now+ahead {
-			return // some still hold for long enough
+	have, rest := e.gangCandidates(s, a)
+	missing := int(float64(s.spec.Count)*reserveSpare) - have
+	var ids []runner.WorkerID
+	for _, c := range rest {
+		if missing <= 0 || c.fits == 0 || len(ids) == maxNamed {
+			break
 		}
+		ids = append(ids, c.w.ID)
+		have += c.fits
+		missing -= c.fits
+	}
+	switch {
+	case have >= s.spec.Count:
+		e.want(s, ids)
+	case e.anyUnknown(s, a):
+		e.askFor(s, s.spec.Count)
+	default:
+		e.askForReserved(s, a)
 	}
-	e.want(s, ids)
 }
 
-// seatsKnown counts the tasks that the known good workers would hold if the
-// step's queue had them for itself.
-func (e *Engine) seatsKnown(s *step, a *advice) int {
-	n := 0
+// candidate is a worker that is good for a gang, with the number of its tasks
+// that fit there now.
+type candidate struct {
+	w    *worker
+	fits int
+}
+
+// gangCandidates counts the seats on workers whose tickets outlast a call, and
+// returns the other good workers, those with most room first.
+func (e *Engine) gangCandidates(s *step, a *advice) (have int, rest []candidate) {
+	need, limit := s.spec.Need(), s.perWorker(s.spec.Count)
+	until := e.now + s.job.spec.Queue.Advice.Cost(0) + refreshAhead
 	for _, w := range e.order {
-		if a.good[w.ID] && e.eligible(s, w) {
-			n += s.spec.Need().Times(w.Capacity, s.perWorker(s.spec.Count))
+		if !a.good[w.ID] || !e.eligible(s, w) {
+			continue
 		}
+		fits := need.Times(e.freeFor(s, w), limit)
+		if t := a.find(w.ID); t != nil && t.valid(until) {
+			have += fits
+			continue
+		}
+		rest = append(rest, candidate{w, fits})
 	}
-	return n
+	slices.SortStableFunc(rest, func(x, y candidate) int { return cmp.Compare(y.fits, x.fits) })
+	return have, rest
 }
 
-// refreshable returns the good workers that are likely to be used, those with
-// room first.
-func (e *Engine) refreshable(s *step, a *advice) []runner.WorkerID {
-	type candidate struct {
-		id   runner.WorkerID
-		fits int
-		all  int
-	}
-	var good []candidate
-	need := s.spec.Need()
+// anyUnknown reports whether a worker that could run the step has not been
+// asked about.
+func (e *Engine) anyUnknown(s *step, a *advice) bool {
+	return slices.ContainsFunc(e.order, func(w *worker) bool {
+		_, known := a.good[w.ID]
+		return !known && e.eligible(s, w)
+	})
+}
+
+// askForReserved asks for the workers on which room is reserved, when the time
+// until the room is there is what a call takes.
+func (e *Engine) askForReserved(s *step, a *advice) {
+	var ids []runner.WorkerID
+	from := time.Duration(0)
 	for _, w := range e.order {
-		if a.good[w.ID] && e.eligible(s, w) {
-			good = append(good, candidate{w.ID, need.Times(e.freeFor(s, w), s.spec.Count), need.Times(w.Capacity, s.perWorker(s.spec.Count))})
+		for _, r := range w.reserved {
+			if r.s != s {
+				continue
+			}
+			from = max(from, r.from)
+			if t := a.find(w.ID); (t == nil || !t.valid(r.from)) && !slices.Contains(ids, w.ID) && len(ids) < maxNamed {
+				ids = append(ids, w.ID)
+			}
 		}
 	}
-	slices.SortStableFunc(good, func(x, y candidate) int { return cmp.Compare(y.fits, x.fits) })
-	want, have := int(float64(s.spec.Count)*reserveSpare), 0
-	var ids []runner.WorkerID
-	for _, c := range good {
-		if have >= want || len(ids) == maxNamed {
-			break
-		}
-		ids = append(ids, c.id)
-		have += max(c.fits, c.all/2)
+	if from-e.now <= s.job.spec.Queue.Advice.Cost(len(ids))+refreshAhead {
+		e.want(s, ids)
 	}
-	return ids
 }
 
 // reserveFor keeps room for a gang that waits: on the workers where it can
@@ -271,7 +300,12 @@
 	if len(openings) < s.spec.Count {
 		return false
 	}
-	slices.SortStableFunc(openings, func(x, y opening) int { return cmp.Compare(x.at, y.at) })
+	slices.SortStableFunc(openings, func(x, y opening) int {
+		if x.at != y.at || a == nil {
+			return cmp.Compare(x.at, y.at)
+		}
+		return cmp.Compare(ticketEnd(a, y.w), ticketEnd(a, x.w)) // those with tickets first
+	})
 	openings = openings[:s.spec.Count]
 	from := openings[len(openings)-1].at
 	for _, o := range openings {
@@ -280,6 +314,14 @@
 	return true
 }
 
+// ticketEnd returns when the step's ticket for a worker ends, 0 for none.
+func ticketEnd(a *advice, w *worker) time.Duration {
+	if t := a.find(w.ID); t != nil {
+		return t.expires
+	}
+	return 0
+}
+
 // byEnd returns a worker's runs, the one that is likely to end first at first.
 func (e *Engine) byEnd(w *worker) []*place {
 	all := places(w)
--- a/process/lead/view.go
+++ b/process/lead/view.go
@@ -16,7 +16,7 @@
 	members map[string]Member
 	leader  *Leader
 	held    store.Revision // of the leader's record, 0 for none
-	epoch   uint64 // the highest seen
+	epoch   uint64         // the highest seen
 	changed chan struct{}
 }
 
--- a/standin/epochworker/fleet.go
+++ b/standin/epochworker/fleet.go
@@ -477,6 +477,7 @@
 	switch how {
 	case runner.Done:
 		h.done = true
+		f.representGang(r)
 	case runner.Failed:
 		h.fails++
 	}
@@ -487,6 +488,18 @@
 	w.wake = make(chan struct{})
 }
 
+// representGang counts a gang as done by one member's end, which represents
+// all, also one that was being stopped at the time.
+func (f *Fleet) representGang(r *run) {
+	step := &f.jobs[r.task.Job].Steps[r.task.Step]
+	if !step.Gang {
+		return
+	}
+	for i := range step.Count {
+		f.history(work.TaskID{Job: r.task.Job, Step: r.task.Step, Index: i}).done = true
+	}
+}
+
 // extend renews the lease; it never shortens.
 func (f *Fleet) extend(w *worker, until time.Duration) {
 	until = min(until, w.clock()+f.o.Lease)
