--- a/process/lead/record.go
+++ b/process/lead/record.go
@@ -35,6 +35,8 @@
 	// Peer is the UDP address for calls of other daemons.
 	Peer string `cbor:"2,keyasint"`
 	Zone string `cbor:"3,keyasint"`
+	// Cores is the processor time that the daemon may use, in cores.
+	Cores float64 `cbor:"4,keyasint,omitempty"`
 }
 
 // Leader is the daemon that leads, and its epoch.
--- a/process/lead/view.go
+++ b/process/lead/view.go
@@ -44,6 +44,18 @@
 	return v.held, v.leader.Member == self
 }
 
+// anyLarger reports whether a member has more processor time than self.
+func (v *View) anyLarger(self Member) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, m := range v.members {
+		if m.Cores > self.Cores {
+			return true
+		}
+	}
+	return false
+}
+
 // Epoch returns the highest epoch of a leader seen.
 func (v *View) Epoch() uint64 {
 	v.mu.Lock()
--- a/process/settings/cell.go
+++ b/process/settings/cell.go
@@ -38,7 +38,11 @@
 	Store  string `json:"store"`
 	Advice string `json:"advice"`
 	// MemoryMB is what the process may use; 0 for no bound.
-	MemoryMB int            `json:"memory_mb"`
+	MemoryMB int `json:"memory_mb"`
+	// CPUShare of Cores is the processor time that the process may use. Daemons
+	// with more of it lead first.
+	CPUShare float64        `json:"cpu_share"`
+	Cores    float64        `json:"cores"`
 	Bounds   JobCellBounds  `json:"bounds"`
 	LogLevel string         `json:"log_level"`
 	Tuning   *JobCellTuning `json:"tuning,omitempty"`
