--- a/process/dispatch/engine_test.go
+++ b/process/dispatch/engine_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -184,3 +185,26 @@
 	b.step(50 * time.Millisecond)
 	require.Len(t, b.starts(), 3)
 }
+
+func TestGangsThatNothingHoldsDoNotHoldUpOthers(t *testing.T) {
+	// Symptom: late in the day gangs wait beside free workers.
+	// Sequence: one after the other gangs are handed in that are wider than the
+	//   workers can hold; then one comes that is not.
+	// Cause: a round tries a number of gangs, the oldest first, and those that
+	//   can never start were counted.
+	b := newBench(t, 1, "w-a")
+	wide := work.Step{Count: 5, Size: work.Resources{CPU: 1000, Memory: 100}, Estimate: time.Second, Gang: true}
+	entries := make([]store.Entry, 0, maxTried+1)
+	for i := range maxTried {
+		entry := jobEntry(t, 1, 2, wide)
+		entry.Key = KeyIn(work.JobID(fmt.Sprintf("%016x", i+1)))
+		entries = append(entries, entry)
+	}
+	wide.Count = 4
+	entries = append(entries, jobEntry(t, 1, 2, wide)) // id ...aa sorts last
+	require.NoError(t, b.e.Load(0, entries, nil, nil))
+	b.step(50 * time.Millisecond)
+	b.report("w-a", runner.Report{Clock: time.Second})
+	b.step(50 * time.Millisecond)
+	require.Len(t, b.starts(), 4)
+}
--- a/process/dispatch/gang.go
+++ b/process/dispatch/gang.go
@@ -13,6 +13,9 @@
 const (
 	// maxReserved is how many gangs that wait have room reserved at a time.
 	maxReserved = 3
+	// holdPeriod is how long it is remembered whether a gang could be held:
+	// workers come and go slowly, and verdicts come a few a second.
+	holdPeriod = 250 * time.Millisecond
 	// refreshAhead is kept between the end of a call for tickets and the end of
 	// those that are to hold as well.
 	refreshAhead = 200 * time.Millisecond
@@ -214,6 +217,27 @@
 	fits int
 }
 
+// couldHold reports whether the workers that may be good for a gang would hold
+// it if they were empty.
+//
+// What goes wrong without it: gangs too wide for the workers that their advice
+// allows wait for good, come first since they are the oldest, and take the
+// places of those that a round tries and reserves room for.
+func (e *Engine) couldHold(s *step) bool {
+	if e.now < s.heldUntil {
+		return s.held
+	}
+	s.heldUntil = e.now + holdPeriod
+	seats := 0
+	for _, w := range e.order {
+		if !w.gone && w.listed && w.Service == s.job.spec.Queue.Service && w.has(s.spec.Labels) && w.goodFor(s) {
+			seats += s.spec.Need().Times(w.Capacity, s.perWorker(s.spec.Count))
+		}
+	}
+	s.held = seats >= s.spec.Count
+	return s.held
+}
+
 // gangCandidates counts the seats on workers whose tickets outlast a call, and
 // returns the other good workers, those with most room first.
 func (e *Engine) gangCandidates(s *step, a *advice) (have int, rest []candidate) {
--- a/process/dispatch/job.go
+++ b/process/dispatch/job.go
@@ -46,6 +46,11 @@
 	// reservedAt is when room was last reserved for the step.
 	reservedAt time.Duration
 
+	// held tells whether the workers could hold a gang at all, as of some time
+	// before heldUntil.
+	held      bool
+	heldUntil time.Duration
+
 	advice *advice
 	gang   gangState
 }
--- a/process/dispatch/place.go
+++ b/process/dispatch/place.go
@@ -47,14 +47,12 @@
 			continue
 		}
 		if s.spec.Gang {
-			if tried++; tried > maxTried {
+			if tried == maxTried || !e.couldHold(s) {
 				continue
 			}
-			if !e.placeGang(s) && reserved < maxReserved {
+			tried++
+			if !e.placeGang(s) && reserved < maxReserved && (e.hasReserved(s) || e.reserveFor(s)) {
 				reserved++
-				if !e.hasReserved(s) {
-					e.reserveFor(s)
-				}
 			}
 			continue
 		}
