Number every write of a term, so that one that was given up is not taken for the next

Progress of jobs could have been lost in memory of the store's lost answers. Now each write has its own number, and a given-up one that took effect only moves the chain.

--- a/process/lead/term.go
+++ b/process/lead/term.go
@@ -35,8 +35,8 @@
 	// with the caller's context, so that a stuck write does not hold up the
 	// renewal of the member's lease, which may put the leader's record back.
 	turn     *semaphore.Weighted
-	revision store.Revision
-	sequence uint64
+	revision store.Revision // of the chain, as last known
+	issued   uint64         // numbers the writes, given up ones included
 	over     context.CancelCauseFunc
 	ctx      context.Context
 }
@@ -82,15 +82,23 @@
 		return err
 	}
 	defer t.turn.Release(1)
-	next := link{Epoch: t.Epoch, Term: t.id, Sequence: t.sequence + 1, Holder: t.holder.Name}
+	// A write that was given up may still take effect; with a number of its own
+	// it is not taken for a later one.
+	t.issued++
+	next := link{Epoch: t.Epoch, Term: t.id, Sequence: t.issued, Holder: t.holder.Name}
+	base := len(txn.Checks)
 	txn.Checks = append(txn.Checks, store.Check{Key: keyChain, Revision: t.revision})
 	txn.Writes = append(txn.Writes, store.Write{Key: keyChain, Value: encode(next)})
 	for pause := retryPause; ; pause = min(2*pause, retryPauseMax) {
 		rev, err := t.try(ctx, txn, next)
 		switch {
 		case err == nil:
-			t.revision, t.sequence = rev, next.Sequence
+			t.revision = rev
 			return nil
+		case errors.Is(err, errMoved):
+			t.revision = rev
+			txn.Checks[base].Revision = rev
+			continue
 		case errors.Is(err, ErrDeposed):
 			t.over(err)
 			return err
@@ -109,6 +117,9 @@
 	}
 }
 
+// errMoved: a write of this term that had been given up took effect.
+var errMoved = errors.New("lead: the chain has moved on by an own write")
+
 // errHeld: the leader's record is there already.
 var errHeld = errors.New("lead: the leader's record exists")
 
@@ -142,6 +153,6 @@
 	case entry.Revision == t.revision:
 		return 0, errHeld
 	default:
-		return 0, fmt.Errorf("%w: the chain is at %d of this term, not %d", ErrDeposed, now.Sequence, t.sequence)
+		return entry.Revision, errMoved
 	}
 }
--- /dev/null
+++ b/request/submit/submit_test.go
@@ -0,0 +1,165 @@
+package submit
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"fennelshunt.example/fennelshunt/connection/peer"
+	"fennelshunt.example/fennelshunt/connection/store"
+	"fennelshunt.example/fennelshunt/process/dispatch"
+	"fennelshunt.example/fennelshunt/process/lead"
+	"fennelshunt.example/fennelshunt/request/verdict"
+	"fennelshunt.example/fennelshunt/standin/kv"
+	"fennelshunt.example/fennelshunt/version/work"
+)
+
+const id = work.JobID("00000000000000aa")
+
+// nobody is a cell without other daemons.
+type nobody struct{}
+
+func (nobody) CallAddr(context.Context, string, peer.Method, any, any) (peer.Ref, error) {
+	return peer.Ref{}, peer.ErrNotSent
+}
+
+func newService(s store.Transactor) *Service {
+	patience := &store.Patience{Min: 200 * time.Millisecond, Max: 1500 * time.Millisecond}
+	view := lead.New(lead.Options{Store: s, Patience: patience}).View()
+	return New(Options{Self: "a", Store: s, Patience: patience, View: view, Peers: nobody{}, Log: zerolog.Nop(),
+		Leading: func() *dispatch.Host { return nil }})
+}
+
+func aJob() *work.Job {
+	return &work.Job{Queue: work.Queue{Name: "q"}, Spec: "x", Steps: []work.Step{{Count: 1}}}
+}
+
+func stored(t *testing.T, m *kv.Memory, key string) bool {
+	_, err := m.Get(t.Context(), key)
+	if errors.Is(err, store.ErrNotFound) {
+		return false
+	}
+	require.NoError(t, err)
+	return true
+}
+
+func TestHandInIsOneJob(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := kv.New()
+		s := newService(m)
+		require.NoError(t, s.Submit(t.Context(), id, aJob()))
+		require.NoError(t, s.Submit(t.Context(), id, aJob()), "the same again")
+		state, err := s.State(t.Context(), id)
+		require.NoError(t, err)
+		require.Equal(t, work.Queued, state)
+		_, err = s.State(t.Context(), "00000000000000bb")
+		require.ErrorIs(t, err, ErrNoJob)
+	})
+}
+
+func TestRefusalIsTrueAndQuick(t *testing.T) {
+	// Symptom looked for: a caller is told that its job was not accepted, and it
+	//   is, now or later; or the refusal comes late.
+	// Sequence: the store refuses every call.
+	synctest.Test(t, func(t *testing.T) {
+		m := kv.New()
+		s := newService(m)
+		m.SetFaults(kv.Faults{Down: true})
+		start := time.Now()
+		err := s.Submit(t.Context(), id, aJob())
+		require.Equal(t, verdict.NotRun, verdict.Of(err))
+		require.Positive(t, verdict.As(err).RetryAfterMillis)
+		require.Less(t, time.Since(start), 100*time.Millisecond)
+		m.SetFaults(kv.Faults{})
+		time.Sleep(time.Minute)
+		require.False(t, stored(t, m, dispatch.KeyIn(id)))
+	})
+}
+
+func TestSilentStoreIsNotWrittenToTwice(t *testing.T) {
+	// Symptom: with the store gone, callers wait for more than a second each and
+	//   are told that their job may have been accepted.
+	// Sequence: one hand-in finds that the store does not answer; others follow.
+	// Cause: each sent a write of its own, whose outcome then was open. A read
+	//   tells as much and leaves nothing open.
+	synctest.Test(t, func(t *testing.T) {
+		m := kv.New()
+		s := newService(m)
+		m.SetFaults(kv.Faults{Hang: true})
+		err := s.Submit(t.Context(), id, aJob())
+		require.Equal(t, verdict.MayHaveRun, verdict.Of(err), "the first has sent a write")
+		for i := range 3 {
+			start := time.Now()
+			err = s.Submit(t.Context(), work.JobID(fmt.Sprintf("%016x", i)), aJob())
+			require.Equal(t, verdict.NotRun, verdict.Of(err))
+			require.LessOrEqual(t, time.Since(start), probeTimeout)
+		}
+		m.SetFaults(kv.Faults{})
+		require.NoError(t, s.Submit(t.Context(), "00000000000000bb", aJob()))
+	})
+}
+
+func TestLostAnswersNeverMakeAFalseRefusal(t *testing.T) {
+	// Symptom looked for: "not accepted" for a job that is in the store.
+	// Sequence: the store loses answers, requests and delays writes past their
+	//   timeout, so that they take effect later.
+	for seed := range uint64(60) {
+		synctest.Test(t, func(t *testing.T) {
+			m := kv.NewSeeded(seed)
+			s := newService(m)
+			m.SetFaults(kv.Faults{LoseAnswers: 0.4, LoseRequests: 0.2, Delay: 2 * time.Second, DelayChance: 0.3, Refuse: 0.2})
+			verdicts := map[work.JobID]error{}
+			for i := range 20 {
+				key := work.JobID(fmt.Sprintf("%016x", i))
+				verdicts[key] = s.Submit(t.Context(), key, aJob())
+			}
+			m.SetFaults(kv.Faults{})
+			time.Sleep(time.Minute)
+			for key, err := range verdicts {
+				switch {
+				case err == nil:
+					require.True(t, stored(t, m, dispatch.KeyIn(key)), "seed %d: %s was acknowledged", seed, key)
+				case verdict.Of(err) == verdict.NotRun:
+					require.False(t, stored(t, m, dispatch.KeyIn(key)), "seed %d: %s was refused: %v", seed, key, err)
+				}
+			}
+		})
+	}
+}
+
+func TestCancelBeforeALateHandIn(t *testing.T) {
+	// Symptom: a job runs whose caller was told that it does not exist.
+	// Sequence: the write of a hand-in is delayed on its way; the caller cancels
+	//   and is told that there is no such job; the write arrives.
+	// Cause: without a mark under the id the write finds it free.
+	synctest.Test(t, func(t *testing.T) {
+		m := kv.New()
+		s := newService(m)
+		m.SetFaults(kv.Faults{Delay: 5 * time.Second})
+		require.Equal(t, verdict.MayHaveRun, verdict.Of(s.Submit(t.Context(), id, aJob())))
+		m.SetFaults(kv.Faults{})
+		require.ErrorIs(t, s.Cancel(t.Context(), id), ErrNoJob)
+		time.Sleep(time.Minute)
+		require.False(t, stored(t, m, dispatch.KeyIn(id)))
+		require.Equal(t, verdict.NotRun, verdict.Of(s.Submit(t.Context(), id, aJob())), "the id stays given up")
+		_, err := s.State(t.Context(), id)
+		require.ErrorIs(t, err, ErrNoJob)
+	})
+}
+
+func TestCancelOfAJob(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := kv.New()
+		s := newService(m)
+		require.NoError(t, s.Submit(t.Context(), id, aJob()))
+		require.NoError(t, s.Cancel(t.Context(), id))
+		require.NoError(t, s.Cancel(t.Context(), id), "again")
+		require.True(t, stored(t, m, dispatch.KeyCancel(id)))
+	})
+}
