--- a/command/jobd/jobd.go
+++ b/command/jobd/jobd.go
@@ -13,6 +13,7 @@
 	"runtime/debug"
 	"sync/atomic"
 	"syscall"
+	"time"
 
 	"github.com/peterbourgon/ff/v3"
 	"github.com/rs/zerolog"
@@ -65,7 +66,7 @@
 
 func serve(s *settings.JobCell, level zerolog.Level, path string) error {
 	var dropped atomic.Int64
-	out := diode.NewWriter(io.Writer(os.Stdout), logBuffer, 0, func(n int) { dropped.Add(int64(n)) })
+	out := newLogWriter(os.Stdout, &dropped)
 	defer func() { _ = out.Close() }() // nothing is left to log it to
 	log := zerolog.New(out).Level(level).With().Timestamp().Logger()
 	if s.MemoryMB > 0 {
@@ -84,6 +85,12 @@
 	return nil
 }
 
+// newLogWriter returns a writer that never blocks: lines that the reader does
+// not take in time are dropped and counted.
+func newLogWriter(to io.Writer, dropped *atomic.Int64) diode.Writer {
+	return diode.NewWriter(to, logBuffer, 0, func(n int) { dropped.Add(int64(n)) })
+}
+
 func options(s *settings.JobCell, log zerolog.Logger, dropped func() int64) cellnode.Options {
 	client := platform.NewHTTPClient()
 	kv := platform.NewStore(client, s.Store)
@@ -92,14 +99,15 @@
 		Catalogs: platform.Catalogs{Store: kv}, Adviser: &platform.Adviser{HTTP: client, Address: s.Advice},
 		Log: log, Dropped: dropped,
 		Handler: func(p cellnode.Parts) http.Handler {
-			return &platform.Ingress{Jobs: p.Jobs, Catalog: p.Catalog, Closing: p.Closing, Observe: observe(log)}
+			return &platform.Ingress{Jobs: p.Jobs, Catalog: p.Catalog, Closing: p.Closing, Observe: observe(log, p.Answered)}
 		},
 	}
 }
 
 // observe writes a line for each request that changes something or failed.
-func observe(log zerolog.Logger) func(platform.Observed) {
+func observe(log zerolog.Logger, answered func(string, int, time.Duration)) func(platform.Observed) {
 	return func(o platform.Observed) {
+		answered(o.Method, o.Status, o.Took)
 		if o.Method == http.MethodGet && o.Status == http.StatusOK {
 			return
 		}
--- a/process/cellnode/metrics.go
+++ b/process/cellnode/metrics.go
@@ -1,8 +1,13 @@
 package cellnode
 
 import (
+	"encoding/json"
 	"expvar"
 	"net/http"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"fennelshunt.example/fennelshunt/process/dispatch"
 )
@@ -23,6 +28,82 @@
 	}
 }
 
+// Bounds of the histograms: from a tenth of a millisecond, in units of which
+// they count, to ten minutes, with two digits.
+const (
+	histogramUnit   = 100 * time.Microsecond
+	histogramMax    = int64(10 * time.Minute / histogramUnit)
+	histogramDigits = 2
+	// maxHistograms bounds the names, which come from the configuration.
+	maxHistograms = 64
+)
+
+// latencies holds histograms by name.
+type latencies struct {
+	mu     sync.Mutex
+	byName map[string]*hdrhistogram.Histogram
+}
+
+func (l *latencies) note(name string, d time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	h := l.byName[name]
+	if h == nil {
+		if len(l.byName) == maxHistograms {
+			return
+		}
+		if l.byName == nil {
+			l.byName = map[string]*hdrhistogram.Histogram{}
+		}
+		h = hdrhistogram.New(1, histogramMax, histogramDigits)
+		l.byName[name] = h
+	}
+	// A value out of range is counted at the range's end.
+	_ = h.RecordValue(min(max(int64(d/histogramUnit), 1), histogramMax))
+}
+
+// quantiles is one histogram as it is served, in milliseconds.
+type quantiles struct {
+	Count int64   `json:"count"`
+	P50   float64 `json:"p50_ms"`
+	P95   float64 `json:"p95_ms"`
+	P99   float64 `json:"p99_ms"`
+	Max   float64 `json:"max_ms"`
+}
+
+// String implements expvar.Var.
+func (l *latencies) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	all := make(map[string]quantiles, len(l.byName))
+	ms := func(units int64) float64 {
+		return float64(time.Duration(units)*histogramUnit) / float64(time.Millisecond)
+	}
+	for name, h := range l.byName {
+		all[name] = quantiles{Count: h.TotalCount(), P50: ms(h.ValueAtQuantile(50)), P95: ms(h.ValueAtQuantile(95)),
+			P99: ms(h.ValueAtQuantile(99)), Max: ms(h.Max())}
+	}
+	data, err := json.Marshal(all)
+	if err != nil {
+		return "{}"
+	}
+	return string(data)
+}
+
+// took notes a part of a job's life.
+func (n *Node) took(what dispatch.Span, queue string, d time.Duration) {
+	n.latencies.note(string(what)+" "+queue, d)
+}
+
+// Answered notes how long a caller's request took.
+func (n *Node) Answered(method string, status int, d time.Duration) {
+	n.latencies.note("request "+method, d)
+	if status >= http.StatusInternalServerError {
+		n.metrics.Add("requests_failed", 1)
+	}
+	n.metrics.Add("requests", 1)
+}
+
 // metricsHandler serves the counters as JSON.
 func (n *Node) metricsHandler() http.Handler {
 	s := n.jobs.Stats()
@@ -30,6 +111,7 @@
 	n.metrics.Set("not_accepted", &s.NotAccepted)
 	n.metrics.Set("handed_over", &s.HandedOver)
 	n.metrics.Set("cancelled", &s.Cancelled)
+	n.metrics.Set("latency", &n.latencies)
 	if n.o.Dropped != nil {
 		n.metrics.Set("log_lines_dropped", expvar.Func(func() any { return n.o.Dropped() }))
 	}
--- a/process/cellnode/node.go
+++ b/process/cellnode/node.go
@@ -70,22 +70,25 @@
 	Jobs    *submit.Service
 	Catalog func() *work.Catalog
 	Closing func() bool
+	// Answered is to be told each answer.
+	Answered func(method string, status int, d time.Duration)
 }
 
 // Node is one daemon.
 type Node struct {
-	o        Options
-	log      zerolog.Logger
-	patience *store.Patience
-	elector  *lead.Elector
-	jobs     *submit.Service
-	catalogs *catalogs
-	peers    *peer.Node
-	host     atomic.Pointer[dispatch.Host]
-	stopping atomic.Bool
-	metrics  *expvar.Map
-	callers  *http.Server
-	listen   struct{ callers, ready, metrics net.Listener }
+	o         Options
+	log       zerolog.Logger
+	patience  *store.Patience
+	elector   *lead.Elector
+	jobs      *submit.Service
+	catalogs  *catalogs
+	peers     *peer.Node
+	host      atomic.Pointer[dispatch.Host]
+	stopping  atomic.Bool
+	metrics   *expvar.Map
+	latencies latencies
+	callers   *http.Server
+	listen    struct{ callers, ready, metrics net.Listener }
 }
 
 // New opens the listeners.
@@ -131,7 +134,7 @@
 		return err
 	}
 	n.callers = &http.Server{
-		Handler:           n.o.Handler(Parts{Jobs: n.jobs, Catalog: n.catalogs.Current, Closing: n.stopping.Load}),
+		Handler:           n.o.Handler(Parts{Jobs: n.jobs, Catalog: n.catalogs.Current, Closing: n.stopping.Load, Answered: n.Answered}),
 		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
 	}
 	go n.serveHTTP(n.callers, n.listen.callers)
@@ -218,7 +221,7 @@
 func (n *Node) lead(t *lead.Term) {
 	h := dispatch.NewHost(dispatch.HostOptions{
 		Store: n.o.Store, Patience: n.patience, Runner: n.o.Runner, Directory: n.o.Directory, View: n.elector.View(),
-		Advise: n.advise, Bounds: n.bounds(), Log: n.log, Count: n.count,
+		Advise: n.advise, Bounds: n.bounds(), Log: n.log, Count: n.count, Took: n.took,
 		Violation: func(string) { n.metrics.Add("violations", 1) },
 	}, t)
 	n.host.Store(h)
--- a/process/dispatch/engine.go
+++ b/process/dispatch/engine.go
@@ -167,7 +167,8 @@
 	j := newJob(id, spec)
 	j.since = e.now
 	j.inherited = spec.Epoch < e.o.Epoch
-	j.due = time.Duration(spec.Accepted-e.o.Today)*time.Millisecond + spec.Objective()
+	j.accepted = time.Duration(spec.Accepted-e.o.Today) * time.Millisecond
+	j.due = j.accepted + spec.Objective()
 	e.jobs[id] = j
 	if _, ok := e.cancels[id]; ok {
 		delete(e.cancels, id)
@@ -227,6 +228,7 @@
 			return
 		}
 	}
+	e.took(SpanComplete, j)
 	e.end(j, work.Completed, "every task is done")
 }
 
@@ -324,6 +326,13 @@
 // forgetPause is between looks for jobs to forget.
 const forgetPause = 2 * time.Second
 
+// took measures a span of a job that this engine has seen from its acceptance.
+func (e *Engine) took(what Span, j *job) {
+	if e.o.Took != nil && !j.inherited {
+		e.o.Took(what, j.spec.Queue.Name, max(e.now-j.accepted, 0))
+	}
+}
+
 func (e *Engine) decide(d Decision) {
 	if e.o.Decide != nil {
 		e.o.Decide(d)
--- a/process/dispatch/gang.go
+++ b/process/dispatch/gang.go
@@ -102,7 +102,7 @@
 // workers used.
 func pick(s *step, all []seat, n int) []seat {
 	score := func(x seat) float64 {
-		v := float64(x.n)/float64(n) - x.w.pace
+		v := float64(x.n)/float64(n) - x.w.pace + scoreSuspect*float64(len(x.w.failJobs))
 		if s.spec.DataRack != "" && s.spec.DataRack == x.w.rack {
 			v += scoreNear
 		}
--- a/process/dispatch/host.go
+++ b/process/dispatch/host.go
@@ -18,6 +18,8 @@
 // Times of a host.
 const (
 	tickPeriod = 25 * time.Millisecond
+	// publishPeriod is between publications of the counters.
+	publishPeriod = time.Second
 	// eventBuffer holds what came in while the engine was busy.
 	eventBuffer = 1024
 	// maxDrain bounds the events handled before effects go out.
@@ -50,6 +52,8 @@
 	Count func(Stats)
 	// Violation is told each broken invariant.
 	Violation func(what string)
+	// Took is told how long parts of jobs' lives took; may be nil.
+	Took func(what Span, queue string, d time.Duration)
 }
 
 // Host runs an engine for one term of leadership: one goroutine owns the
@@ -62,6 +66,8 @@
 	events chan func(*Engine, time.Duration)
 	calls  sync.WaitGroup
 	loaded chan struct{}
+
+	published time.Duration
 }
 
 // NewHost returns a host for a term.
@@ -76,7 +82,7 @@
 	ctx := h.term.Context()
 	h.engine = NewEngine(Options{
 		Epoch: h.term.Epoch, Bounds: h.o.Bounds, Today: h.start.UnixMilli(),
-		Decide: h.logDecision, Violation: h.logViolation,
+		Decide: h.logDecision, Violation: h.logViolation, Took: h.o.Took,
 	})
 	var tasks sync.WaitGroup
 	defer tasks.Wait()
@@ -151,6 +157,7 @@
 			h.drain()
 		case <-ticker.C:
 			h.engine.Tick(h.now())
+			h.publish()
 		}
 		effects := h.engine.Flush(h.now())
 		if h.engine.Deposed() {
@@ -163,6 +170,14 @@
 	}
 }
 
+// publish hands out the counters now and then.
+func (h *Host) publish() {
+	if now := h.now(); h.o.Count != nil && now-h.published >= publishPeriod {
+		h.published = now
+		h.o.Count(h.engine.Stats())
+	}
+}
+
 func (h *Host) drain() {
 	for range maxDrain {
 		select {
--- a/process/dispatch/job.go
+++ b/process/dispatch/job.go
@@ -12,8 +12,9 @@
 type job struct {
 	id   work.JobID
 	spec *work.Job
-	// order: when the objective ends, in engine time.
-	due time.Duration
+	// accepted is when a daemon took the job, and due when its objective ends,
+	// both in engine time.
+	accepted, due time.Duration
 	// state as decided; callers see it once it is in the store.
 	state   work.State
 	visible work.State
--- a/process/dispatch/place.go
+++ b/process/dispatch/place.go
@@ -148,6 +148,9 @@
 
 // eligible reports whether a step may run on a worker, room and advice apart.
 func (e *Engine) eligible(s *step, w *worker) bool {
+	if s.spec.Gang && w.trial {
+		return false // one member that fails there takes the whole gang with it
+	}
 	return w.usable(e.now) && w.Service == s.job.spec.Queue.Service && w.has(s.spec.Labels)
 }
 
@@ -225,6 +228,9 @@
 const (
 	// scoreAvoid: a task that failed on a worker goes to any other first.
 	scoreAvoid = -100
+	// scoreSuspect: a worker on which the last runs failed comes after those on
+	// which they did not; it counts for each job that failed there.
+	scoreSuspect = -5
 	// scoreNear: near its data a task takes a third of the time.
 	scoreNear = 20
 	// scorePace: a faster worker ends sooner; worth as much as perfect packing.
@@ -235,7 +241,7 @@
 )
 
 func (e *Engine) score(s *step, i int, w *worker) float64 {
-	score := scorePace / w.pace
+	score := scorePace/w.pace + scoreSuspect*float64(len(w.failJobs))
 	if slices.Contains(s.tasks[i].avoid, w.ID) {
 		score += scoreAvoid
 	}
--- a/process/dispatch/runs.go
+++ b/process/dispatch/runs.go
@@ -117,6 +117,7 @@
 	}
 	if j := p.s.job; !j.begun {
 		j.begun = true
+		e.took(SpanStart, j)
 	}
 }
 
--- a/process/dispatch/types.go
+++ b/process/dispatch/types.go
@@ -48,8 +48,19 @@
 	Decide func(Decision)
 	// Violation is told each broken invariant.
 	Violation func(what string, task work.TaskID, worker runner.WorkerID)
+	// Took is told how long jobs of a queue took from their acceptance.
+	Took func(what Span, queue string, d time.Duration)
 }
 
+// Span is a part of a job's life that is measured.
+type Span string
+
+// Spans, from the acceptance of a job on.
+const (
+	SpanStart    Span = "first_start"
+	SpanComplete Span = "completed"
+)
+
 // Decision is one line for the log.
 type Decision struct {
 	What   string
