--- a/process/cellnode/node.go
+++ b/process/cellnode/node.go
@@ -185,7 +185,7 @@
 			if n.peers, err = peer.NewNode(socket, self, identity.PeerConfig(), mux, n.log); err != nil {
 				return err
 			}
-			n.build(lead.Member{Name: s.Name, Peer: socket.LocalAddr().String(), Zone: s.Zone, Cores: s.CPUShare * s.Cores}, mux)
+			n.build(lead.Member{Name: s.Name, Peer: socket.LocalAddr().String(), Zone: s.Zone, Cores: s.CPUShare * s.Cores, Started: time.Now().UnixMilli()}, mux)
 			return nil
 		}
 		n.log.Warn().Err(err).Msg("waiting for the store to join the cell")
--- a/process/dispatch/place.go
+++ b/process/dispatch/place.go
@@ -119,14 +119,23 @@
 		cmp.Compare(x.due, y.due), cmp.Compare(x.id, y.id))
 }
 
+// lateFactor is how many objectives after its acceptance a job has lost all of
+// its worth.
+const lateFactor = 3
+
 // lateRank puts jobs that will miss their objective behind those that will
-// not: a late job keeps a fifth of its worth for long, one in time loses four
-// fifths at once.
+// not, and those that are too late for any worth behind both: a late job keeps
+// a fifth of its worth until lateFactor objectives have passed, one in time
+// loses four fifths at once.
 func (e *Engine) lateRank(s *step) int {
-	if e.now+e.estimate(s) > s.job.due {
+	ends := e.now + e.estimate(s)
+	switch j := s.job; {
+	case ends <= j.due:
+		return 0
+	case ends <= j.accepted+lateFactor*(j.due-j.accepted):
 		return 1
 	}
-	return 0
+	return 2
 }
 
 // estimate returns how long a task of the step is likely to take.
--- a/process/lead/elector.go
+++ b/process/lead/elector.go
@@ -30,9 +30,9 @@
 	watchGrace = 700 * time.Millisecond
 	// claimJitter spreads the claims of the daemons that see a vacancy.
 	claimJitter = 30 * time.Millisecond
-	// smallDelay is how much longer a daemon with less processor time than
-	// another member leaves a vacancy: the leader makes most calls of a cell.
-	smallDelay = 250 * time.Millisecond
+	// deferDelay is how much longer a daemon leaves a vacancy when another
+	// member fits better: that one sees it in one round trip to the store.
+	deferDelay = 200 * time.Millisecond
 	// outageHold is how long after store trouble a vacancy is left to the
 	// leader before: leases may have lapsed in the outage while all lived.
 	outageHold = 1200 * time.Millisecond
@@ -295,8 +295,8 @@
 
 func (e *Elector) claimSoon(ctx context.Context) {
 	delay := rand.N(claimJitter)
-	if e.view.anyLarger(e.o.Self) {
-		delay += smallDelay
+	if e.view.betterFits(e.o.Self) {
+		delay += deferDelay
 	}
 	if e.StoreTrouble(outageMemory) && e.view.Epoch() > 0 {
 		delay += outageHold
--- a/process/lead/record.go
+++ b/process/lead/record.go
@@ -37,8 +37,13 @@
 	Zone string `cbor:"3,keyasint"`
 	// Cores is the processor time that the daemon may use, in cores.
 	Cores float64 `cbor:"4,keyasint,omitempty"`
+	// Started is when the daemon's process started, in milliseconds since 1970.
+	Started int64 `cbor:"5,keyasint,omitempty"`
 }
 
+// same reports whether two records are of one daemon, be it of different lives.
+func (m Member) same(n Member) bool { return m.Name == n.Name && m.Peer == n.Peer }
+
 // Leader is the daemon that leads, and its epoch.
 type Leader struct {
 	Member Member `cbor:"1,keyasint"`
--- a/process/lead/view.go
+++ b/process/lead/view.go
@@ -5,6 +5,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"time"
 
 	"fennelshunt.example/fennelshunt/connection/peer"
 	"fennelshunt.example/fennelshunt/connection/store"
@@ -41,21 +42,28 @@
 	if v.leader == nil {
 		return 0, true
 	}
-	return v.held, v.leader.Member == self
+	return v.held, v.leader.Member.same(self)
 }
 
-// anyLarger reports whether a member has more processor time than self.
-func (v *View) anyLarger(self Member) bool {
+// betterFits reports whether a member should lead rather than self: one with
+// more processor time, or one that started a good while later. In a rolling
+// upgrade a daemon that has not been restarted yet soon will be, and would hand
+// the leadership over once more.
+func (v *View) betterFits(self Member) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	for _, m := range v.members {
-		if m.Cores > self.Cores {
+		if m.Cores > self.Cores || (m.Cores == self.Cores && m.Started > self.Started+freshMargin.Milliseconds()) {
 			return true
 		}
 	}
 	return false
 }
 
+// freshMargin is how much later a daemon must have started to count as fresher;
+// daemons that start together differ by less.
+const freshMargin = 2 * time.Second
+
 // Epoch returns the highest epoch of a leader seen.
 func (v *View) Epoch() uint64 {
 	v.mu.Lock()
