--- a/command/jobd/jobd.go
+++ b/command/jobd/jobd.go
@@ -28,6 +28,10 @@
 // ones are dropped and counted.
 const logBuffer = 8192
 
+// logTime is the form of times in the log: with milliseconds, so that the lines
+// of several daemons can be put in order.
+const logTime = "2006-01-02T15:04:05.000Z07:00"
+
 // memoryShare is the share of the machine's memory at which the collector
 // works harder rather than let the process be killed.
 const memoryShare = 0.6
@@ -68,7 +72,8 @@
 	var dropped atomic.Int64
 	out := newLogWriter(os.Stdout, &dropped)
 	defer func() { _ = out.Close() }() // nothing is left to log it to
-	log := zerolog.New(out).Level(level).With().Timestamp().Logger()
+	zerolog.TimeFieldFormat = logTime
+	log := zerolog.New(out).Level(level).With().Timestamp().Str("daemon", s.Name).Logger()
 	if s.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(float64(s.MemoryMB<<20) * memoryShare))
 	}
--- /dev/null
+++ b/command/trace/trace.go
@@ -0,0 +1,162 @@
+// Package trace shows what the collected logs of a cell's daemons say of one
+// job, as a timeline.
+package trace
+
+import (
+	"bufio"
+	"bytes"
+	"cmp"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+)
+
+// maxLine bounds a line of a log, in bytes.
+const maxLine = 1 << 20
+
+// line is what a daemon logs. Fields that a line lacks stay empty.
+type line struct {
+	Time    time.Time `json:"time"`
+	Daemon  string    `json:"daemon"`
+	Level   string    `json:"level"`
+	Message string    `json:"message"`
+	Job     string    `json:"job"`
+	Task    string    `json:"task"`
+	Run     uint64    `json:"run"`
+	Worker  string    `json:"worker"`
+	Why     string    `json:"why"`
+	AgeMS   int64     `json:"age_ms"`
+	Epoch   uint64    `json:"epoch"`
+	Method  string    `json:"method"`
+	Status  int       `json:"status"`
+	TookMS  int64     `json:"took_ms"`
+	Error   string    `json:"error"`
+	Queue   string    `json:"queue"`
+}
+
+// about reports whether the line concerns a job: it names the job, or it tells
+// of a change of leadership or of the store, which concern every job.
+func (l *line) about(id string) bool {
+	switch l.Message {
+	case "leading", "no longer leading", "state loaded", "store lost", "daemon starts", "planned stop begins":
+		return true
+	}
+	return l.Job == id || strings.HasPrefix(l.Task, id+".")
+}
+
+// concerns reports whether the line is of the job itself.
+func (l *line) concerns(id string) bool { return l.Job == id || strings.HasPrefix(l.Task, id+".") }
+
+// text is the line's part behind time and daemon.
+func (l *line) text() string {
+	var b strings.Builder
+	b.WriteString(l.Message)
+	field := func(format string, v any, ok bool) {
+		if ok {
+			fmt.Fprintf(&b, format, v)
+		}
+	}
+	field(" %s", l.Method, l.Method != "")
+	field(" -> %d", l.Status, l.Status != 0)
+	field(" in %d ms", l.TookMS, l.Method != "")
+	field("  %s", l.Task, l.Task != "")
+	field(" run %d", l.Run, l.Run != 0)
+	field(" on %s", l.Worker, l.Worker != "")
+	field(" (epoch %d)", l.Epoch, l.Epoch != 0)
+	field(": %s", l.Why, l.Why != "")
+	field(": %s", l.Error, l.Error != "")
+	field(" [after %d ms]", l.AgeMS, l.AgeMS != 0)
+	return b.String()
+}
+
+// read takes the lines of one log. A line may have something before its JSON
+// object, such as the collector's own time; a line without one is passed over.
+func read(r io.Reader, id string) ([]line, error) {
+	var found []line
+	scanner := bufio.NewScanner(r)
+	scanner.Buffer(nil, maxLine)
+	for scanner.Scan() {
+		text := scanner.Bytes()
+		start := bytes.IndexByte(text, '{')
+		if start < 0 {
+			continue
+		}
+		var l line
+		if json.Unmarshal(text[start:], &l) != nil || !l.about(id) {
+			continue
+		}
+		found = append(found, l)
+	}
+	return found, scanner.Err()
+}
+
+// ErrNothing means that no line concerns the job.
+var ErrNothing = errors.New("no line of these logs names the job; were all daemons' logs given?")
+
+// lead is how long before the job's first line lines of the cell are shown.
+const lead = 2 * time.Second
+
+// Write writes the timeline of a job from several logs.
+func Write(out io.Writer, id string, logs ...io.Reader) error {
+	var all []line
+	for _, log := range logs {
+		lines, err := read(log, id)
+		if err != nil {
+			return err
+		}
+		all = append(all, lines...)
+	}
+	slices.SortStableFunc(all, func(a, b line) int { return cmp.Compare(a.Time.UnixNano(), b.Time.UnixNano()) })
+	first := slices.IndexFunc(all, func(l line) bool { return l.concerns(id) })
+	if first < 0 {
+		return ErrNothing
+	}
+	began := all[first].Time
+	last := began
+	for _, l := range all {
+		if l.concerns(id) {
+			last = l.Time
+		}
+	}
+	for _, l := range all {
+		if l.Time.Before(began.Add(-lead)) || l.Time.After(last.Add(lead)) {
+			continue
+		}
+		if _, err := fmt.Fprintf(out, "%+9.3f s  %-28s %s\n", l.Time.Sub(began).Seconds(), l.Daemon, l.text()); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Command returns the command 'trace ID FILES...'.
+func Command(out io.Writer) *ffcli.Command {
+	return &ffcli.Command{
+		Name:       "trace",
+		ShortUsage: "fennelctl trace ID FILE...",
+		ShortHelp:  "show what the daemons' collected logs say of one job, as a timeline",
+		Exec: func(_ context.Context, args []string) error {
+			if len(args) < 2 {
+				return errors.New("trace: name the job's id and the files of logs")
+			}
+			readers := make([]io.Reader, 0, len(args)-1)
+			for _, path := range args[1:] {
+				f, err := os.Open(path)
+				if err != nil {
+					return fmt.Errorf("trace: %w", err)
+				}
+				defer func() { _ = f.Close() }() // only read
+				readers = append(readers, f)
+			}
+			return Write(out, args[0], readers...)
+		},
+	}
+}
--- a/process/cellnode/node.go
+++ b/process/cellnode/node.go
@@ -93,7 +93,7 @@
 
 // New opens the listeners.
 func New(o Options) (*Node, error) {
-	n := &Node{o: o, log: o.Log.With().Str("daemon", o.Settings.Name).Logger(),
+	n := &Node{o: o, log: o.Log,
 		patience: &store.Patience{Min: minPatience, Max: maxPatience}, metrics: new(expvar.Map).Init()}
 	n.catalogs = newCatalogs(o.Catalogs, n.log)
 	s := o.Settings
--- a/process/dispatch/cell_test.go
+++ b/process/dispatch/cell_test.go
@@ -233,9 +233,6 @@
 			time.Sleep(time.Duration(c.rng.IntN(80)) * time.Millisecond)
 		}
 		time.Sleep(40 * time.Second)
-		if os.Getenv("FENNEL_DUMP") == "1" {
-			c.leader().dump()
-		}
 		for _, id := range c.order {
 			require.Equal(t, work.Completed, c.state(id), "%s", id)
 		}
@@ -343,9 +340,6 @@
 	c.kv.SetFaults(kv.Faults{})
 	c.fleet.SetFaults(epochworker.Faults{})
 	time.Sleep(3 * time.Minute)
-	if os.Getenv("FENNEL_DUMP") == "1" {
-		c.leader().dump()
-	}
 	for _, id := range c.order {
 		assert.True(t, c.state(id).Final(), "%s is %s", id, c.state(id))
 	}
--- a/process/dispatch/engine_test.go
+++ b/process/dispatch/engine_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"fennelshunt.example/fennelshunt/connection/peer"
 	"fennelshunt.example/fennelshunt/connection/runner"
 	"fennelshunt.example/fennelshunt/connection/store"
 	"fennelshunt.example/fennelshunt/version/work"
@@ -208,3 +209,125 @@
 	b.step(50 * time.Millisecond)
 	require.Len(t, b.starts(), 4)
 }
+
+func TestInvariantsAreNoticed(t *testing.T) {
+	var seen []string
+	b := newBench(t, 1, "w-a")
+	b.e.o.Violation = func(what string, _ work.TaskID, _ runner.WorkerID) { seen = append(seen, what) }
+	second := oneTask()
+	second.After = []int{0}
+	second.Size.CPU = 5000 // more than the worker has
+	require.NoError(t, b.e.Load(0, []store.Entry{jobEntry(t, 1, 2, oneTask(), second)}, nil, nil))
+	b.step(50 * time.Millisecond)
+	b.report("w-a", runner.Report{Clock: time.Second})
+	j, w := b.e.jobs[testJob], b.e.workers["w-a"]
+	require.Nil(t, b.e.start(w, j.steps[0], 0, 9, ""), "a task that has a run")
+	require.Nil(t, b.e.start(w, j.steps[1], 0, 9, ""), "before the step it follows")
+	b.e.finish(j.steps[0], 0)
+	require.Nil(t, b.e.start(w, j.steps[0], 0, 9, ""), "a task that is done")
+	require.Nil(t, b.e.start(w, j.steps[1], 0, 9, ""), "over the capacity")
+	b.e.end(j, work.Cancelled, "test")
+	require.Nil(t, b.e.start(w, j.steps[1], 0, 9, ""), "after the cancellation")
+	require.Len(t, seen, 5)
+	require.Contains(t, seen, "start over the worker's capacity")
+	require.EqualValues(t, 5, b.e.Stats().Violations)
+}
+
+func TestUnansweredStartKeepsItsRoomUntilItIsResolved(t *testing.T) {
+	// Symptom looked for: a start that was carried out late finds its room given
+	//   to another task, or its task running elsewhere.
+	// Sequence: three tries of a start are not answered, nor is the first stop;
+	//   then the stop is answered, and a report lists neither run nor end.
+	b := newBench(t, 1, "w-a", "w-b")
+	require.NoError(t, b.e.Load(0, []store.Entry{jobEntry(t, 1, 2, oneTask())}, nil, nil))
+	b.step(50 * time.Millisecond)
+	b.report("w-a", runner.Report{Clock: time.Second})
+	b.report("w-b", runner.Report{Clock: time.Second})
+	first := b.starts()
+	require.Len(t, first, 1)
+	to, task, run := first[0].To.ID, first[0].Start.Task, first[0].Start.Run
+	for range maxStarts {
+		b.e.Started(b.now, to, task, run, runner.ErrUnknown)
+	}
+	w := b.e.workers[to]
+	b.step(2 * time.Second)
+	require.Empty(t, b.otherStarts(to, run))
+	b.out = nil // the tries
+	require.Equal(t, 1000, w.used.CPU)
+	b.e.StopAnswered(b.now, to, task, run, nil)
+	b.step(time.Second)
+	require.Equal(t, 1000, w.used.CPU, "the report was not asked for after the stop yet")
+	b.e.Renewed(b.now, to, runner.Report{}, runner.ErrUnknown) // the one on its way
+	b.step(time.Second)
+	b.report(to, runner.Report{Clock: 4 * time.Second})
+	b.step(time.Second)
+	again := b.starts()
+	require.NotEmpty(t, again)
+	require.Greater(t, again[0].Start.Run, run)
+}
+
+// otherStarts returns the starts sent but for one run.
+func (b *bench) otherStarts(to runner.WorkerID, run uint64) []SendStart {
+	var all []SendStart
+	for _, x := range b.out {
+		if s, ok := x.(SendStart); ok && (s.To.ID != to || s.Start.Run != run) {
+			all = append(all, s)
+		}
+	}
+	return all
+}
+
+func TestTakeoverWaitsForWorkersOutOfReach(t *testing.T) {
+	// Symptom looked for: a task runs twice after the loss of all memory.
+	// Sequence: an earlier epoch has started a task on a worker that the new
+	//   leader does not reach; the store does not say which tasks have started.
+	ref := runner.Ref{ID: "w-far"}
+	fleet, err := peer.Marshal(fleetRecord{Workers: []runner.Ref{ref}})
+	require.NoError(t, err)
+	b := newBench(t, 2, "w-near")
+	require.NoError(t, b.e.Load(0, []store.Entry{jobEntry(t, 1, 2, oneTask())}, nil, &store.Entry{Value: fleet}))
+	b.step(50 * time.Millisecond)
+	b.report("w-near", runner.Report{Clock: time.Second})
+	for b.now < noticeTime+testLease {
+		b.e.Renewed(b.now, "w-far", runner.Report{}, runner.ErrUnknown)
+		b.step(100 * time.Millisecond)
+		require.Empty(t, b.starts(), "after %v", b.now)
+		b.report("w-near", runner.Report{Clock: time.Second + b.now})
+	}
+	for range 40 {
+		b.e.Renewed(b.now, "w-far", runner.Report{}, runner.ErrUnknown)
+		b.report("w-near", runner.Report{Clock: time.Second + b.now})
+		if len(b.starts()) == 1 {
+			return
+		}
+		b.step(100 * time.Millisecond)
+	}
+	t.Fatal("the task never starts")
+}
+
+func TestEndIsAcknowledgedOnlyOnceItIsInTheStore(t *testing.T) {
+	b := newBench(t, 1, "w-a")
+	require.NoError(t, b.e.Load(0, []store.Entry{jobEntry(t, 1, 2, oneTask())}, nil, nil))
+	b.step(50 * time.Millisecond)
+	b.report("w-a", runner.Report{Clock: time.Second})
+	s := b.starts()[0]
+	b.e.Started(b.now, "w-a", s.Start.Task, s.Start.Run, nil)
+	b.e.Flush(b.now)
+	b.e.Renewed(b.now, "w-a", runner.Report{Clock: time.Second, Ended: []runner.End{{Number: 1, Task: s.Start.Task, Run: s.Start.Run, How: runner.Done}}}, nil)
+	for range 40 { // the store does not take the write
+		b.now += tickPeriod
+		b.e.Tick(b.now)
+		for _, x := range b.e.Flush(b.now) {
+			if r, ok := x.(SendRenew); ok {
+				require.Zero(t, r.Renewal.Acknowledge)
+				b.e.Renewed(b.now, "w-a", runner.Report{Clock: time.Second + b.now}, nil)
+			}
+		}
+		state, _ := b.e.State(testJob)
+		require.Equal(t, work.Running, state)
+	}
+	b.e.Committed(b.now)
+	state, _ := b.e.State(testJob)
+	require.Equal(t, work.Completed, state)
+	require.EqualValues(t, 1, b.e.workers["w-a"].ack)
+}
--- a/process/dispatch/runs.go
+++ b/process/dispatch/runs.go
@@ -118,6 +118,7 @@
 	if j := p.s.job; !j.begun {
 		j.begun = true
 		e.took(SpanStart, j)
+		e.decide(Decision{What: "begun", Task: p.id(), Run: p.run, Worker: p.w.ID, Why: "the first of its tasks is there", Age: max(e.now-j.accepted, 0)})
 	}
 }
 
