Let a failed task wait a second for another worker

The task now asks for advice on others first. The test fails before. One older test has a single worker and waits the second out.

--- a/process/dispatch/engine_test.go
+++ b/process/dispatch/engine_test.go
@@ -108,7 +108,7 @@
 	require.NoError(t, b.e.Load(0, []store.Entry{jobEntry(t, 1, 2, oneTask())}, []store.Entry{{Key: KeyState(testJob), Value: progress}}, nil))
 	b.step(50 * time.Millisecond)
 	b.report("w-a", runner.Report{Clock: time.Second, Ended: []runner.End{{Number: 1, Task: work.TaskID{Job: testJob}, Run: 1, How: runner.Failed}}})
-	b.step(50 * time.Millisecond)
+	b.step(avoidPatience + 100*time.Millisecond) // there is no other worker
 	state, _ := b.e.State(testJob)
 	require.Equal(t, work.Running, state)
 	require.Len(t, b.starts(), 1)
@@ -331,3 +331,38 @@
 	require.Equal(t, work.Completed, state)
 	require.EqualValues(t, 1, b.e.workers["w-a"].ack)
 }
+
+func TestFailedTaskGoesToAnotherWorker(t *testing.T) {
+	// Symptom: a job fails though only one worker fails what it starts.
+	// Sequence: the task fails there; its ticket for that worker is the only one
+	//   at hand, and it is tried there again at once.
+	b := newBench(t, 1, "w-a", "w-b")
+	entry := jobEntry(t, 1, 2, oneTask())
+	j, err := work.DecodeJob(entry.Value)
+	require.NoError(t, err)
+	j.Queue.Advice = &work.Advice{Base: 5 * time.Millisecond, Valid: 2 * time.Second}
+	entry.Value, err = work.EncodeJob(j)
+	require.NoError(t, err)
+	require.NoError(t, b.e.Load(0, []store.Entry{entry}, nil, nil))
+	b.step(50 * time.Millisecond)
+	b.report("w-a", runner.Report{Clock: time.Second})
+	b.report("w-b", runner.Report{Clock: time.Second})
+	s := b.e.jobs[testJob].steps[0]
+	s.advice = &advice{good: map[runner.WorkerID]bool{"w-a": true}}
+	s.advice.add(ticket{"w-a", b.e.workers["w-a"], "t", b.now + 2*time.Second})
+	b.step(50 * time.Millisecond)
+	first := b.starts()
+	require.Len(t, first, 1)
+	b.e.Started(b.now, "w-a", first[0].Start.Task, first[0].Start.Run, nil)
+	b.e.Members(b.now, []string{"d"})
+	b.report("w-a", runner.Report{Clock: 2 * time.Second, Ended: []runner.End{{Number: 1, Task: first[0].Start.Task, Run: first[0].Start.Run, How: runner.Failed}}})
+	b.step(50 * time.Millisecond)
+	var asked []runner.WorkerID
+	for _, x := range b.out {
+		if a, ok := x.(AskAdvice); ok {
+			asked = append(asked, a.Workers...)
+		}
+	}
+	require.Empty(t, b.starts())
+	require.Equal(t, []runner.WorkerID{"w-b"}, asked)
+}
--- a/process/dispatch/job.go
+++ b/process/dispatch/job.go
@@ -65,6 +65,7 @@
 	runs       uint64   // started in this epoch
 	checkpoint string
 	avoid      []runner.WorkerID // where it failed
+	avoidUntil time.Duration     // no start there before
 	// accounted: no run of an earlier epoch can be running.
 	accounted bool
 }
--- a/process/dispatch/place.go
+++ b/process/dispatch/place.go
@@ -215,6 +215,9 @@
 		if s.spec.MaxPerWorker > 0 && s.liveOn(w) >= s.spec.MaxPerWorker {
 			return
 		}
+		if t := &s.tasks[i]; e.now < t.avoidUntil && slices.Contains(t.avoid, w.ID) {
+			return
+		}
 		if score := e.score(s, i, w); best == nil || score > bestScore {
 			best, bestScore, text = w, score, ticket
 		}
@@ -233,6 +236,21 @@
 	return best, text
 }
 
+// avoidPatience is how long a task that failed on a worker waits for another
+// one: long enough to ask for advice on others, short against an objective.
+//
+// What goes wrong without it: the only ticket at hand is for the worker where
+// it has just failed, and a second try there ends a job whose queue allows two.
+const avoidPatience = time.Second
+
+// shun keeps a task away from a worker where it failed or stood still.
+func (t *task) shun(id runner.WorkerID, now time.Duration) {
+	t.avoidUntil = now + avoidPatience
+	if !slices.Contains(t.avoid, id) {
+		t.avoid = append(t.avoid, id)
+	}
+}
+
 // Weights of a worker's score for a task.
 const (
 	// scoreAvoid: a task that failed on a worker goes to any other first.
@@ -319,9 +337,7 @@
 	}
 	e.stats.Moved++
 	w := p.w
-	if !slices.Contains(p.task().avoid, w.ID) {
-		p.task().avoid = append(p.task().avoid, w.ID)
-	}
+	p.task().shun(w.ID, e.now)
 	if w.noteFail(e.now, p.s.job.id) {
 		e.decide(Decision{What: "worker set aside", Worker: w.ID, Why: "runs of different jobs stand still there", Age: w.asideFor})
 	}
--- a/process/dispatch/reports.go
+++ b/process/dispatch/reports.go
@@ -350,9 +350,7 @@
 		e.stats.Aside++
 		e.decide(Decision{What: "worker set aside", Worker: w.ID, Why: "runs of different jobs failed there", Age: w.asideFor})
 	}
-	if !slices.Contains(t.avoid, w.ID) {
-		t.avoid = append(t.avoid, w.ID)
-	}
+	t.shun(w.ID, e.now)
 	if t.done || !j.active() || s.spec.Lasting {
 		return
 	}
