--- a/standin/epochworker/fleet.go
+++ b/standin/epochworker/fleet.go
@@ -59,6 +59,7 @@
 	order   []runner.WorkerID
 	jobs    map[work.JobID]*work.Job
 	seen    map[work.TaskID]*history
+	begun   map[work.JobID]bool // a task of the job has started
 	rev     store.Revision
 	log     []runner.Change
 	changed chan struct{}
@@ -109,7 +110,7 @@
 // New returns a fleet without workers.
 func New(o Options) *Fleet {
 	return &Fleet{o: o, rng: rand.New(rand.NewPCG(o.Seed, 11)), workers: map[runner.WorkerID]*worker{}, jobs: map[work.JobID]*work.Job{},
-		seen: map[work.TaskID]*history{}, rev: 1, changed: make(chan struct{}), epoch: time.Now()}
+		seen: map[work.TaskID]*history{}, begun: map[work.JobID]bool{}, rev: 1, changed: make(chan struct{}), epoch: time.Now()}
 }
 
 // Know tells the fleet a job, whose gangs and sizes it has to know.
@@ -210,6 +211,13 @@
 	return f.starts, f.renews
 }
 
+// Begun reports whether a task of a job has ever started.
+func (f *Fleet) Begun(id work.JobID) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.begun[id]
+}
+
 // Running returns how many runs there are.
 func (f *Fleet) Running() int {
 	f.mu.Lock()
@@ -354,6 +362,7 @@
 		f.breaks("%s started, which nobody handed in", s.Task)
 		return
 	}
+	f.begun[s.Task.Job] = true
 	f.checkStart(w, s, j)
 	step := &j.Steps[s.Task.Step]
 	b := f.o.Work(s.Task, s.Run, w.ID)
