--- a/cmd/fennelshuntd/main.go
+++ b/cmd/fennelshuntd/main.go
@@ -10,9 +10,9 @@
 	"os/signal"
 	"syscall"
 
-	"github.com/peterbourgon/ff/v3"
 	"github.com/rs/zerolog"
 
+	"fennelshunt.example/fennelshunt/command/startflags"
 	"fennelshunt.example/fennelshunt/process/daemon"
 	"fennelshunt.example/fennelshunt/process/settings"
 )
@@ -25,35 +25,24 @@
 }
 
 func run(args []string) error {
-	fs := flag.NewFlagSet("fennelshuntd", flag.ContinueOnError)
-	var (
-		path  = fs.String("settings", "", "settings file (JSON); see docs/OPERATIONS.md for the fields")
-		check = fs.Bool("check", false, "check the settings and key files and exit")
-		level = fs.String("log-level", "", "overrides the settings' log_level: debug, info, warn or error")
-	)
-	if err := ff.Parse(fs, args, ff.WithEnvVarPrefix("FENNELSHUNTD")); err != nil {
+	f, err := startflags.Parse("fennelshuntd", "FENNELSHUNTD", args)
+	if err != nil {
 		return err
 	}
-	if *path == "" {
-		return errors.New("flag -settings: name the settings file")
-	}
-	s, err := settings.Load(*path)
+	s, err := settings.Load(f.Settings)
 	if err != nil {
 		return err
 	}
-	if *level != "" {
-		s.LogLevel = *level
-	}
-	parsed, err := zerolog.ParseLevel(s.LogLevel)
+	level, err := f.Level(s.LogLevel)
 	if err != nil {
-		return fmt.Errorf("flag -log-level: %w", err)
+		return err
 	}
-	o := daemon.Options{Settings: s, Log: zerolog.New(os.Stderr).Level(parsed).With().Timestamp().Logger()}
-	if *check {
+	o := daemon.Options{Settings: s, Log: zerolog.New(os.Stderr).Level(level).With().Timestamp().Logger()}
+	if f.Check {
 		if err := daemon.Check(o); err != nil {
 			return err
 		}
-		fmt.Println(*path + ": ok")
+		fmt.Println(f.Settings + ": ok")
 		return nil
 	}
 	return serve(o)
--- a/command/jobd/jobd.go
+++ b/command/jobd/jobd.go
@@ -4,7 +4,6 @@
 import (
 	"context"
 	"errors"
-	"flag"
 	"fmt"
 	"io"
 	"net/http"
@@ -15,10 +14,10 @@
 	"syscall"
 	"time"
 
-	"github.com/peterbourgon/ff/v3"
 	"github.com/rs/zerolog"
 	"github.com/rs/zerolog/diode"
 
+	"fennelshunt.example/fennelshunt/command/startflags"
 	"fennelshunt.example/fennelshunt/platform"
 	"fennelshunt.example/fennelshunt/process/cellnode"
 	"fennelshunt.example/fennelshunt/process/settings"
@@ -38,34 +37,23 @@
 
 // Run reads the flags and serves.
 func Run(args []string) error {
-	fs := flag.NewFlagSet("fenneljobd", flag.ContinueOnError)
-	var (
-		path  = fs.String("settings", "", "settings file (JSON); see docs/OPERATIONS.md for the fields")
-		check = fs.Bool("check", false, "check the settings file and exit")
-		level = fs.String("log-level", "", "overrides the settings' log_level: debug, info, warn or error")
-	)
-	if err := ff.Parse(fs, args, ff.WithEnvVarPrefix("FENNELJOBD")); err != nil {
+	f, err := startflags.Parse("fenneljobd", "FENNELJOBD", args)
+	if err != nil {
 		return err
 	}
-	if *path == "" {
-		return errors.New("flag -settings: name the settings file")
-	}
-	s, err := settings.LoadJobCell(*path)
+	s, err := settings.LoadJobCell(f.Settings)
 	if err != nil {
 		return err
 	}
-	if *level != "" {
-		s.LogLevel = *level
-	}
-	parsed, err := zerolog.ParseLevel(s.LogLevel)
+	level, err := f.Level(s.LogLevel)
 	if err != nil {
-		return fmt.Errorf("flag -log-level: %w", err)
+		return err
 	}
-	if *check {
-		fmt.Println(*path + ": ok")
+	if f.Check {
+		fmt.Println(f.Settings + ": ok")
 		return nil
 	}
-	return serve(s, parsed, *path)
+	return serve(s, level, f.Settings)
 }
 
 func serve(s *settings.JobCell, level zerolog.Level, path string) error {
--- a/process/cellnode/node.go
+++ b/process/cellnode/node.go
@@ -236,7 +236,7 @@
 		lease = t.TaskLeaseMS.Std()
 	}
 	return dispatch.Bounds{Lease: lease, MaxLease: b.WorkerLeaseMS.Std(), Gang: b.GangMS.Std(),
-		Keep: time.Duration(b.KeepS * float64(time.Second)), FarFactor: max(b.FarFactor, 1)}
+		Keep: time.Duration(b.KeepS * float64(time.Second))}
 }
 
 // Ready reports whether the daemon can serve callers.
--- a/process/dispatch/host.go
+++ b/process/dispatch/host.go
@@ -262,7 +262,7 @@
 }
 
 func (h *Host) sendStart(ctx context.Context, x SendStart) {
-	bounded, cancel := context.WithTimeout(ctx, StartTimeout)
+	bounded, cancel := context.WithTimeout(ctx, h.o.Bounds.startTimeout())
 	defer cancel()
 	_, err := h.o.Runner.Start(bounded, x.To, x.Start)
 	h.post(ctx, func(e *Engine, now time.Duration) { e.Started(now, x.To.ID, x.Start.Task, x.Start.Run, err) })
--- a/process/dispatch/job.go
+++ b/process/dispatch/job.go
@@ -25,11 +25,10 @@
 	inherited bool
 	steps     []*step
 
-	version   uint64 // of the progress, raised by each change that must last
-	saved     uint64 // the highest version in the store
-	dirty     bool   // queued for writing
-	endedAt   time.Duration
-	forgotten bool // the engine has queued its removal
+	version uint64 // of the progress, raised by each change that must last
+	saved   uint64 // the highest version in the store
+	dirty   bool   // queued for writing
+	endedAt time.Duration
 }
 
 // step is one step of a job.
--- a/process/dispatch/place.go
+++ b/process/dispatch/place.go
@@ -351,12 +351,3 @@
 // standstillMin is how long a run's progress may stay the same: reports come
 // at least every renewWait, and a run of ten seconds gains ten percent a second.
 const standstillMin = 2500 * time.Millisecond
-
-// refOf finds a worker by id.
-func (e *Engine) refOf(id runner.WorkerID) (runner.Ref, bool) {
-	w := e.workers[id]
-	if w == nil {
-		return runner.Ref{}, false
-	}
-	return w.Ref, true
-}
--- a/process/dispatch/runs.go
+++ b/process/dispatch/runs.go
@@ -10,8 +10,8 @@
 
 // Bounds of orders to workers.
 const (
-	// StartTimeout is how long a start may go without an answer. A worker
-	// answers in a few milliseconds; three tries stay below a gang's bound.
+	// StartTimeout is the longest that a start goes without an answer; a worker
+	// answers in a few milliseconds.
 	StartTimeout = 350 * time.Millisecond
 	maxStarts    = 3
 	// stopRetry is between stops that were not answered.
--- a/process/dispatch/types.go
+++ b/process/dispatch/types.go
@@ -33,8 +33,12 @@
 	Gang time.Duration
 	// Keep is how long the state of an ended job stays known.
 	Keep time.Duration
-	// FarFactor is how much longer a task takes far from its data or its gang.
-	FarFactor float64
+}
+
+// startTimeout is how long a start may go without an answer: all its tries
+// stay within half of the time for which members of a gang wait.
+func (b Bounds) startTimeout() time.Duration {
+	return min(StartTimeout, b.Gang/(2*maxStarts))
 }
 
 // Options of an Engine.
--- a/process/dispatch/worker.go
+++ b/process/dispatch/worker.go
@@ -81,7 +81,6 @@
 
 	seen    int64 // the highest end processed
 	ack     int64 // the highest end that may be acknowledged
-	acked   int64 // the highest acknowledged in a renewal that was answered
 	waiting []ackWait
 
 	failJobs   []work.JobID // jobs whose runs failed here, none done since
--- a/process/settings/cell.go
+++ b/process/settings/cell.go
@@ -58,8 +58,6 @@
 	KeepS float64 `json:"keep_s"`
 	// StopS is how long a planned stop may take, in seconds.
 	StopS float64 `json:"stop_s"`
-	// FarFactor is how much longer a task takes far from its data.
-	FarFactor float64 `json:"far_factor"`
 }
 
 // JobCellTuning overrides defaults.
--- /dev/null
+++ b/standin/epochworker/calls.go
@@ -0,0 +1,369 @@
+package epochworker
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"time"
+
+	"fennelshunt.example/fennelshunt/connection/runner"
+	"fennelshunt.example/fennelshunt/version/work"
+)
+
+// reach takes a call to a worker; nil when no answer will come, which the
+// context's end shows. late runs the call's effect without an answer.
+func (f *Fleet) reach(ctx context.Context, to runner.Ref, late func(w *worker)) (_ *worker, answer bool, err error) {
+	select {
+	case <-ctx.Done():
+		return nil, false, fmt.Errorf("%w: %w", runner.ErrUnknown, ctx.Err())
+	case <-time.After(f.o.Delay):
+	}
+	f.mu.Lock()
+	w := f.workers[to.ID]
+	silent := w == nil || w.cut || w.dead
+	isLate := !silent && late != nil && f.rng.Float64() < f.faults.Late
+	lost := !silent && f.rng.Float64() < f.faults.LoseAnswers
+	if isLate {
+		delay := 2*time.Second + time.Duration(f.rng.Int64N(int64(10*time.Second)))
+		time.AfterFunc(delay, func() {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			if !w.dead {
+				late(w)
+			}
+		})
+	}
+	f.mu.Unlock()
+	if silent || isLate {
+		<-ctx.Done()
+		return nil, false, fmt.Errorf("%w: %w", runner.ErrUnknown, ctx.Err())
+	}
+	return w, !lost, nil
+}
+
+func noAnswer(ctx context.Context) error {
+	<-ctx.Done()
+	return fmt.Errorf("%w: %w", runner.ErrUnknown, ctx.Err())
+}
+
+// clock is a worker's own steady clock.
+func (w *worker) clock() time.Duration { return time.Since(w.started) }
+
+// Start implements runner.Runner.
+func (f *Fleet) Start(ctx context.Context, to runner.Ref, s runner.Start) (time.Duration, error) {
+	w, answer, err := f.reach(ctx, to, func(w *worker) { _ = f.start(w, s) })
+	if err != nil {
+		return 0, err
+	}
+	f.mu.Lock()
+	err = f.start(w, s)
+	clock := w.clock()
+	f.mu.Unlock()
+	if !answer {
+		return 0, noAnswer(ctx)
+	}
+	return clock, err
+}
+
+func (f *Fleet) start(w *worker, s runner.Start) error {
+	if w.dead {
+		return runner.ErrUnknown
+	}
+	if s.Epoch < w.epoch {
+		return runner.ErrFenced
+	}
+	w.epoch = s.Epoch
+	if r := w.running[s.Task]; r != nil && r.number == s.Run {
+		return nil
+	}
+	if s.Run <= w.highest[s.Task] {
+		f.extend(w, s.Until)
+		return runner.ErrOld
+	}
+	if s.Until <= w.clock() {
+		return runner.ErrLate
+	}
+	f.extend(w, s.Until)
+	f.begin(w, s)
+	return nil
+}
+
+func (f *Fleet) begin(w *worker, s runner.Start) {
+	f.starts++
+	j := f.jobs[s.Task.Job]
+	if j == nil {
+		f.breaks("%s started, which nobody handed in", s.Task)
+		return
+	}
+	f.begun[s.Task.Job] = true
+	f.checkStart(w, s, j)
+	step := &j.Steps[s.Task.Step]
+	b := f.o.Work(s.Task, s.Run, w.ID)
+	r := &run{task: s.Task, number: s.Run, need: step.Need(), takes: b.Takes, fails: b.Fails, still: b.Still}
+	r.timer = time.AfterFunc(time.Hour, func() {})
+	w.running[s.Task] = r
+	w.used = w.used.Add(r.need)
+	if !w.used.Fits(w.Capacity) {
+		f.breaks("%s on %s goes over its capacity: %+v", s.Task, w.ID, w.used)
+	}
+	f.history(s.Task).live++
+	if !step.Gang {
+		f.toWork(w, r)
+		return
+	}
+	f.joinGang(w, r, step)
+}
+
+// checkStart holds a start against what the workers have seen.
+func (f *Fleet) checkStart(w *worker, s runner.Start, j *work.Job) {
+	h := f.history(s.Task)
+	switch {
+	case h.live > 0:
+		f.breaks("%s run %d on %s runs twice", s.Task, s.Run, w.ID)
+	case h.noted:
+		f.breaks("%s run %d on %s starts after its end was noted", s.Task, s.Run, w.ID)
+	case f.o.Attempts > 0 && h.fails >= f.o.Attempts && !j.Steps[s.Task.Step].Gang:
+		f.breaks("%s run %d starts after %d failures", s.Task, s.Run, h.fails)
+	case !h.cancelled.IsZero() && time.Since(h.cancelled) > 3*time.Second+12*time.Second:
+		f.breaks("%s run %d starts %v after its cancellation", s.Task, s.Run, time.Since(h.cancelled))
+	}
+	for _, a := range j.Steps[s.Task.Step].After {
+		for i := range j.Steps[a].Count {
+			if !f.history(work.TaskID{Job: s.Task.Job, Step: a, Index: i}).done {
+				f.breaks("%s starts before step %d is done", s.Task, a)
+				return
+			}
+		}
+	}
+}
+
+func (f *Fleet) toWork(w *worker, r *run) {
+	r.began = time.Now()
+	if r.still {
+		return
+	}
+	how := runner.Done
+	if r.fails {
+		how = runner.Failed
+	}
+	r.timer.Stop()
+	r.timer = time.AfterFunc(r.takes, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.end(w, r, how)
+		if f.jobs[r.task.Job].Steps[r.task.Step].Gang {
+			f.endGang(r, how)
+		}
+	})
+}
+
+// joinGang starts a gang's work once all of its members are there.
+func (f *Fleet) joinGang(w *worker, r *run, step *work.Step) {
+	members := f.members(r)
+	if len(members) < step.Count {
+		r.alone = time.AfterFunc(f.o.Gang, func() {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			if r.began.IsZero() {
+				f.end(w, r, runner.Alone)
+			}
+		})
+		return
+	}
+	for _, m := range members {
+		f.toWork(m.w, m.r)
+	}
+}
+
+type member struct {
+	w *worker
+	r *run
+}
+
+// members finds the live members of a run's gang.
+func (f *Fleet) members(r *run) []member {
+	var all []member
+	for _, id := range f.order {
+		w := f.workers[id]
+		for _, x := range w.running {
+			if x.task.Job == r.task.Job && x.task.Step == r.task.Step && x.number == r.number && !x.stopping {
+				all = append(all, member{w, x})
+			}
+		}
+	}
+	return all
+}
+
+func (f *Fleet) endGang(r *run, how runner.How) {
+	if how != runner.Done {
+		how = runner.Broken
+	}
+	for _, m := range f.members(r) {
+		f.end(m.w, m.r, how)
+	}
+}
+
+// end ends a run that is there.
+func (f *Fleet) end(w *worker, r *run, how runner.How) {
+	if w.dead || w.running[r.task] != r {
+		return
+	}
+	r.timer.Stop()
+	if r.alone != nil {
+		r.alone.Stop()
+	}
+	delete(w.running, r.task)
+	w.used = w.used.Sub(r.need)
+	h := f.history(r.task)
+	h.live--
+	switch how {
+	case runner.Done:
+		h.done = true
+		f.representGang(r)
+	case runner.Failed:
+		h.fails++
+	}
+	w.highest[r.task] = max(w.highest[r.task], r.number)
+	w.number++
+	w.ends = append(w.ends, runner.End{Number: w.number, Task: r.task, Run: r.number, How: how})
+	close(w.wake)
+	w.wake = make(chan struct{})
+}
+
+// representGang counts a gang as done by one member's end, which represents
+// all, also one that was being stopped at the time.
+func (f *Fleet) representGang(r *run) {
+	step := &f.jobs[r.task.Job].Steps[r.task.Step]
+	if !step.Gang {
+		return
+	}
+	for i := range step.Count {
+		f.history(work.TaskID{Job: r.task.Job, Step: r.task.Step, Index: i}).done = true
+	}
+}
+
+// extend renews the lease; it never shortens.
+func (f *Fleet) extend(w *worker, until time.Duration) {
+	until = min(until, w.clock()+f.o.Lease)
+	if until <= w.until {
+		return
+	}
+	w.until = until
+	if w.lapse != nil {
+		w.lapse.Stop()
+	}
+	w.lapse = time.AfterFunc(until-w.clock(), func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if w.clock() < w.until {
+			return
+		}
+		for _, r := range w.running {
+			f.end(w, r, runner.Lapsed)
+			if f.jobs[r.task.Job].Steps[r.task.Step].Gang {
+				f.endGang(r, runner.Lapsed)
+			}
+		}
+	})
+}
+
+// Stop implements runner.Runner.
+func (f *Fleet) Stop(ctx context.Context, to runner.Ref, task work.TaskID, number, epoch uint64) error {
+	w, answer, err := f.reach(ctx, to, func(w *worker) { _ = f.stop(w, task, number, epoch) })
+	if err != nil {
+		return err
+	}
+	f.mu.Lock()
+	err = f.stop(w, task, number, epoch)
+	f.mu.Unlock()
+	if !answer {
+		return noAnswer(ctx)
+	}
+	return err
+}
+
+func (f *Fleet) stop(w *worker, task work.TaskID, number, epoch uint64) error {
+	if w.dead {
+		return runner.ErrUnknown
+	}
+	if epoch < w.epoch {
+		return runner.ErrFenced
+	}
+	w.epoch = epoch
+	w.highest[task] = max(w.highest[task], number)
+	r := w.running[task]
+	if r == nil || r.number != number || r.stopping {
+		return nil
+	}
+	r.stopping = true
+	r.timer.Stop()
+	r.timer = time.AfterFunc(f.o.Stop, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.end(w, r, runner.Stopped)
+		if f.jobs[task.Job].Steps[task.Step].Gang {
+			f.endGang(r, runner.Stopped)
+		}
+	})
+	return nil
+}
+
+// Renew implements runner.Runner.
+func (f *Fleet) Renew(ctx context.Context, to runner.Ref, x runner.Renewal) (runner.Report, error) {
+	w, answer, err := f.reach(ctx, to, nil)
+	if err != nil {
+		return runner.Report{}, err
+	}
+	f.mu.Lock()
+	err = f.renew(w, x)
+	wake, pending := w.wake, len(w.ends) > 0
+	f.mu.Unlock()
+	if err != nil {
+		return runner.Report{}, err
+	}
+	if !pending && x.Wait > 0 {
+		select {
+		case <-ctx.Done():
+			return runner.Report{}, fmt.Errorf("%w: %w", runner.ErrUnknown, ctx.Err())
+		case <-time.After(x.Wait):
+		case <-wake:
+		}
+	}
+	if !answer {
+		return runner.Report{}, noAnswer(ctx)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if w.cut || w.dead {
+		return runner.Report{}, runner.ErrUnknown
+	}
+	return w.report(), nil
+}
+
+func (f *Fleet) renew(w *worker, x runner.Renewal) error {
+	if x.Epoch < w.epoch {
+		return runner.ErrFenced
+	}
+	w.epoch = x.Epoch
+	f.extend(w, x.Until)
+	for len(w.ends) > 0 && w.ends[0].Number <= x.Acknowledge {
+		if e := w.ends[0]; e.How == runner.Done {
+			f.history(e.Task).noted = true
+		}
+		w.ends = w.ends[1:]
+	}
+	f.renews++
+	return nil
+}
+
+func (w *worker) report() runner.Report {
+	r := runner.Report{Clock: w.clock(), Ended: slices.Clone(w.ends[:min(len(w.ends), runner.MaxEnds)])}
+	for _, x := range w.running {
+		percent := 0.0
+		if !x.began.IsZero() && !x.still {
+			percent = min(99, 100*float64(time.Since(x.began))/float64(x.takes))
+		}
+		r.Running = append(r.Running, runner.Live{Task: x.task, Run: x.number, Percent: percent})
+	}
+	return r
+}
