--- a/process/dispatch/engine_test.go
+++ b/process/dispatch/engine_test.go
@@ -366,3 +366,43 @@
 	require.Empty(t, b.starts())
 	require.Equal(t, []runner.WorkerID{"w-b"}, asked)
 }
+
+func TestMembersThatWaitForTheirGangAreLeftAlone(t *testing.T) {
+	// Symptom: gangs are stopped shortly before their end, and their work is
+	//   thrown away.
+	// Sequence: a member on a fast worker has all of its work done and waits for
+	//   one on a slow worker.
+	// Cause: its progress does not rise any more, which was taken for standing
+	//   still.
+	gang := work.Step{Count: 2, Size: work.Resources{CPU: 3000, Memory: 100}, Estimate: time.Second, Gang: true}
+	for _, percent := range []float64{100, 50} {
+		b := newBench(t, 1, "w-a", "w-b")
+		require.NoError(t, b.e.Load(0, []store.Entry{jobEntry(t, 1, 2, gang)}, nil, nil))
+		b.step(50 * time.Millisecond)
+		b.report("w-a", runner.Report{Clock: time.Second})
+		b.report("w-b", runner.Report{Clock: time.Second})
+		starts := b.starts()
+		require.Len(t, starts, 2)
+		for _, s := range starts {
+			b.e.Started(b.now, s.To.ID, s.Start.Task, s.Start.Run, nil)
+		}
+		stops := 0
+		for i := range 12 {
+			for k, s := range starts {
+				row := runner.Live{Task: s.Start.Task, Run: s.Start.Run, Percent: percent}
+				if k == 1 {
+					row.Percent = float64(i) // it makes progress
+				}
+				b.report(s.To.ID, runner.Report{Clock: time.Second + b.now, Running: []runner.Live{row}})
+			}
+			b.step(500 * time.Millisecond)
+			for _, x := range b.out {
+				if _, ok := x.(SendStop); ok {
+					stops++
+				}
+			}
+			b.out = nil
+		}
+		require.Equal(t, percent < nearlyDone, stops > 0, "at %v percent", percent)
+	}
+}
--- a/process/dispatch/place.go
+++ b/process/dispatch/place.go
@@ -327,7 +327,7 @@
 // watchStandstill stops a run that makes no progress while its worker answers,
 // so that it goes on elsewhere.
 func (e *Engine) watchStandstill(p *place) {
-	if p.state != running || p.s.spec.Lasting {
+	if p.state != running || p.s.spec.Lasting || p.percent >= nearlyDone {
 		return
 	}
 	still := e.now - max(p.percentAt, p.begun)
@@ -348,6 +348,10 @@
 	e.stop(p, "no progress")
 }
 
+// nearlyDone is the progress from which a run is left alone: members of a gang
+// end together, and those on faster workers wait with all of their work done.
+const nearlyDone = 97
+
 // standstillMin is how long a run's progress may stay the same: reports come
 // at least every renewWait, and a run of ten seconds gains ten percent a second.
 const standstillMin = 2500 * time.Millisecond
