Try gangs over their tickets and not in every round; reserve for more of them with more workers

A try now looks at the tickets only, at most each 10 ms; reservations stand for 100 ms; work of higher standing passes over them.

--- a/process/dispatch/gang.go
+++ b/process/dispatch/gang.go
@@ -11,8 +11,10 @@
 
 // Reserving for gangs.
 const (
-	// maxReserved is how many gangs that wait have room reserved at a time.
-	maxReserved = 3
+	// maxReserved and one in reservedShare workers bound how many gangs that
+	// wait have room reserved at a time.
+	maxReserved   = 3
+	reservedShare = 30
 	// holdPeriod is how long it is remembered whether a gang could be held:
 	// workers come and go slowly, and verdicts come a few a second.
 	holdPeriod = 250 * time.Millisecond
@@ -41,16 +43,7 @@
 // placeGang starts all of a gang's tasks if there is room for all now.
 func (e *Engine) placeGang(s *step) bool {
 	a := e.adviceOf(s)
-	seats, ok := e.seats(s, func(w *worker) (int, string) {
-		text := ""
-		if a != nil {
-			var valid bool
-			if text, valid = a.ticketFor(w.ID, e.now); !valid {
-				return 0, ""
-			}
-		}
-		return s.spec.Need().Times(e.freeFor(s, w), s.perWorker(s.spec.Count)), text
-	})
+	seats, ok := e.seats(s, e.openSeats(s, a))
 	if !ok {
 		if a != nil {
 			e.askForGang(s, a)
@@ -70,20 +63,39 @@
 	return true
 }
 
-// seats finds room for every task of a gang, on one rack if it asks for that
-// and any could hold it. fits tells how many tasks a worker takes.
-func (e *Engine) seats(s *step, fits func(w *worker) (int, string)) ([]seat, bool) {
+// openSeats returns the room for a gang's tasks now, on workers with a ticket
+// where the queue needs one.
+func (e *Engine) openSeats(s *step, a *advice) []seat {
+	need, limit := s.spec.Need(), s.perWorker(s.spec.Count)
 	var all []seat
-	total := 0
-	for _, w := range e.order {
-		if !e.eligible(s, w) {
-			continue
+	consider := func(w *worker, text string) {
+		if need.Fits(w.free()) && e.eligible(s, w) {
+			if n := need.Times(e.freeFor(s, w), limit); n > 0 {
+				all = append(all, seat{w, n, text})
+			}
 		}
-		if n, text := fits(w); n > 0 {
-			all = append(all, seat{w, n, text})
-			total += n
+	}
+	if a == nil {
+		for _, w := range e.order {
+			consider(w, "")
+		}
+		return all
+	}
+	for i := range a.tickets {
+		if t := &a.tickets[i]; t.valid(e.now) {
+			consider(t.w, t.text)
 		}
 	}
+	return all
+}
+
+// seats picks room for every task of a gang, on one rack if it asks for that
+// and any could hold it.
+func (e *Engine) seats(s *step, all []seat) ([]seat, bool) {
+	total := 0
+	for _, x := range all {
+		total += x.n
+	}
 	if total < s.spec.Count {
 		return nil, false
 	}
@@ -364,7 +376,7 @@
 	ends := e.now + e.estimate(s)
 	var held work.Resources
 	for _, r := range w.reserved {
-		if r.s != s && ends > r.from {
+		if r.s != s && ends > r.from && compareSteps(s, r.s) > 0 {
 			held = held.Add(r.need)
 		}
 	}
--- a/process/dispatch/job.go
+++ b/process/dispatch/job.go
@@ -46,6 +46,7 @@
 	// reservedAt is when room was last reserved for the step.
 	reservedAt time.Duration
 
+	retryAt time.Duration // a gang is not tried before
 	// held tells whether the workers could hold a gang at all, as of some time
 	// before heldUntil.
 	held      bool
--- a/process/dispatch/place.go
+++ b/process/dispatch/place.go
@@ -26,11 +26,21 @@
 	crowdedPause = 4 * time.Millisecond
 	// planPeriod is how long the reservations of waiting gangs are kept before
 	// they are planned anew.
-	planPeriod = 25 * time.Millisecond
-	// maxTried bounds how many waiting gangs are tried in one round.
-	maxTried = 12
+	planPeriod = 100 * time.Millisecond
+	// gangPause is between tries of one waiting gang, unless it has new advice:
+	// a try over the tickets for a hundred workers takes some 10 µs, and rounds
+	// come several hundred times a second.
+	gangPause = 10 * time.Millisecond
+	// maxTried and one in triedShare workers bound how many waiting gangs are
+	// tried in one round.
+	maxTried   = 12
+	triedShare = 10
 )
 
+// perWorkers returns a bound that grows with the workers: one for each share
+// of them, and at least a minimum.
+func (e *Engine) perWorkers(least, share int) int { return max(least, len(e.order)/share) }
+
 // schedule places what can be placed.
 func (e *Engine) schedule() {
 	e.scheduledAt = e.now
@@ -47,11 +57,18 @@
 			continue
 		}
 		if s.spec.Gang {
-			if tried == maxTried || !e.couldHold(s) {
+			if tried >= e.perWorkers(maxTried, triedShare) || !e.couldHold(s) {
 				continue
 			}
 			tried++
-			if !e.placeGang(s) && reserved < maxReserved && (e.hasReserved(s) || e.reserveFor(s)) {
+			if e.now < s.retryAt {
+				if e.hasReserved(s) {
+					reserved++
+				}
+				continue
+			}
+			s.retryAt = e.now + gangPause
+			if !e.placeGang(s) && reserved < e.perWorkers(maxReserved, reservedShare) && (e.hasReserved(s) || e.reserveFor(s)) {
 				reserved++
 			}
 			continue
