--- a/process/dispatch/advice.go
+++ b/process/dispatch/advice.go
@@ -32,7 +32,7 @@
 	// take every lane, so that a quick queue's step does not wait behind one.
 	slowCall  = 150 * time.Millisecond
 	slowLanes = 0.7
-	// retryPause is between calls for a step after one failed.
+	// advicePause is between calls for a step after one failed.
 	advicePause = 100 * time.Millisecond
 )
 
--- a/process/dispatch/place.go
+++ b/process/dispatch/place.go
@@ -13,7 +13,7 @@
 const (
 	// paceDecay is the weight of the newest run in a learnt pace.
 	paceDecay = 0.15
-	// maxEarlyPercent: below this share of its work a run's own progress says
+	// minPercent: below this share of its work a run's own progress says
 	// less of its remaining time than its estimate.
 	minPercent = 8
 )
@@ -41,54 +41,69 @@
 // of them, and at least a minimum.
 func (e *Engine) perWorkers(least, share int) int { return max(least, len(e.order)/share) }
 
+// round is what one round of placement has come to know.
+type round struct {
+	tight    []work.Resources // sizes for which no worker had room
+	tried    int              // gangs
+	reserved int              // gangs with room reserved
+}
+
 // schedule places what can be placed.
 func (e *Engine) schedule() {
 	e.scheduledAt = e.now
 	steps := e.waiting()
-	if replan := e.now >= e.planAt; replan {
+	if e.now >= e.planAt {
 		e.planAt = e.now + planPeriod
 		e.clearReservations()
 	}
 	e.lanesIdle = e.countIdleLanes()
-	var tight []work.Resources // sizes for which no worker had room in this round
-	reserved, tried := 0, 0
+	var r round
 	for _, s := range steps {
-		if !e.mayStart(s) {
-			continue
-		}
-		if s.spec.Gang {
-			if tried >= e.perWorkers(maxTried, triedShare) || !e.couldHold(s) {
-				continue
-			}
-			tried++
-			if e.now < s.retryAt {
-				if e.hasReserved(s) {
-					reserved++
-				}
-				continue
-			}
-			s.retryAt = e.now + gangPause
-			if !e.placeGang(s) && reserved < e.perWorkers(maxReserved, reservedShare) && (e.hasReserved(s) || e.reserveFor(s)) {
-				reserved++
-			}
-			continue
+		switch {
+		case !e.mayStart(s):
+		case s.spec.Gang:
+			e.tryGang(s, &r)
+		default:
+			e.tryTasks(s, &r)
 		}
-		if a := e.adviceOf(s); a != nil && !e.mayAsk(a) && !a.usable(e.now) {
-			continue // nothing to go by, and nobody to ask now
-		}
-		need := s.spec.Need()
-		if slices.ContainsFunc(tight, func(t work.Resources) bool { return t.Fits(need) }) {
-			continue
-		}
-		if !e.roomFor(s, need) {
-			if len(s.spec.Labels) == 0 && len(tight) < maxTight {
-				tight = append(tight, need)
-			}
-			continue
+	}
+	e.askAll(steps)
+}
+
+// tryGang places a gang, or keeps room for it.
+func (e *Engine) tryGang(s *step, r *round) {
+	if r.tried >= e.perWorkers(maxTried, triedShare) || !e.couldHold(s) {
+		return
+	}
+	r.tried++
+	if e.now >= s.retryAt {
+		s.retryAt = e.now + gangPause
+		if e.placeGang(s) {
+			return
 		}
+	}
+	if r.reserved < e.perWorkers(maxReserved, reservedShare) && (e.hasReserved(s) || e.reserveFor(s)) {
+		r.reserved++
+	}
+}
+
+// tryTasks places tasks of a step one by one, unless that is known to be in
+// vain.
+func (e *Engine) tryTasks(s *step, r *round) {
+	if a := e.adviceOf(s); a != nil && !e.mayAsk(a) && !a.usable(e.now) {
+		return // nothing to go by, and nobody to ask now
+	}
+	need := s.spec.Need()
+	if slices.ContainsFunc(r.tight, func(t work.Resources) bool { return t.Fits(need) }) {
+		return
+	}
+	if e.roomFor(s, need) {
 		e.placeTasks(s)
+		return
+	}
+	if len(s.spec.Labels) == 0 && len(r.tight) < maxTight {
+		r.tight = append(r.tight, need)
 	}
-	e.askAll(steps)
 }
 
 // maxTight bounds the sizes remembered in a round.
--- /dev/null
+++ b/request/submit/cancel.go
@@ -0,0 +1,102 @@
+package submit
+
+import (
+	"context"
+	"errors"
+
+	"fennelshunt.example/fennelshunt/connection/store"
+	"fennelshunt.example/fennelshunt/internal/sleep"
+	"fennelshunt.example/fennelshunt/process/dispatch"
+	"fennelshunt.example/fennelshunt/version/work"
+)
+
+// Cancel ends a job. The error is ErrNoJob, when no such job exists and none
+// will, or a *verdict.Error.
+func (s *Service) Cancel(ctx context.Context, id work.JobID) error {
+	ctx, cancel := context.WithTimeout(ctx, submitBudget)
+	defer cancel()
+	var last error
+	for ctx.Err() == nil {
+		done, err := s.cancelOnce(ctx, id)
+		if done {
+			return err
+		}
+		last = err
+		if !errors.Is(err, store.ErrUnknownOutcome) && !errors.Is(err, store.ErrConflict) {
+			if s.handOverCancel(ctx, id) {
+				return nil
+			}
+		}
+		_ = sleep.For(ctx, retryPause) // ends with the context, which the loop sees
+	}
+	return unavailable(CodeStore, last)
+}
+
+// cancelMark is the value of a cancellation; the key alone says it all.
+var cancelMark = []byte{1}
+
+// cancelOnce makes one try; done tells that err is the outcome.
+func (s *Service) cancelOnce(ctx context.Context, id work.JobID) (done bool, err error) {
+	accepted, found, err := s.get(ctx, dispatch.KeyIn(id))
+	if err != nil {
+		return false, err
+	}
+	if !found {
+		return s.cancelAbsent(ctx, id)
+	}
+	key := dispatch.KeyCancel(id)
+	err = s.commit(ctx, store.Txn{
+		Checks: []store.Check{{Key: dispatch.KeyIn(id), Revision: accepted.Revision}},
+		Writes: []store.Write{{Key: key, Value: cancelMark}},
+	})
+	if err != nil {
+		return false, err
+	}
+	s.stats.Cancelled.Add(1)
+	s.push(store.Entry{Key: key, Value: cancelMark})
+	return true, nil
+}
+
+// cancelAbsent answers for a job that has ended, or marks an id so that a
+// hand-in still on its way can not take effect after the caller was told that
+// no such job exists.
+func (s *Service) cancelAbsent(ctx context.Context, id work.JobID) (done bool, err error) {
+	entry, found, err := s.get(ctx, dispatch.KeyState(id))
+	if err != nil {
+		return false, err
+	}
+	if found {
+		if p, err := work.DecodeProgress(entry.Value); err == nil && p.State == work.Refused {
+			return true, ErrNoJob
+		}
+		return true, nil
+	}
+	mark, err := work.EncodeProgress(&work.Progress{State: work.Refused})
+	if err != nil {
+		return true, unavailable(CodeStore, err)
+	}
+	err = s.commit(ctx, store.Txn{
+		Checks: []store.Check{{Key: dispatch.KeyIn(id)}, {Key: dispatch.KeyState(id)}},
+		Writes: []store.Write{{Key: dispatch.KeyState(id), Value: mark}},
+	})
+	if err != nil {
+		return false, err
+	}
+	return true, ErrNoJob
+}
+
+func (s *Service) handOverCancel(ctx context.Context, id work.JobID) bool {
+	for _, m := range s.helpers() {
+		if ctx.Err() != nil {
+			break
+		}
+		bounded, cancel := context.WithTimeout(ctx, handOverTimeout)
+		var r handedOver
+		_, err := s.o.Peers.CallAddr(bounded, m.Peer, MethodCancel, stateRequest{ID: id}, &r)
+		cancel()
+		if err == nil && r.Accepted {
+			return true
+		}
+	}
+	return false
+}
