Keep the order of an order's events in the random run, and print it when a check fails

Runs in real time do not repeat by seed; a single failure now shows each connection, whether it was reused, what was written and what came back, with times. Shown by breaking a check on purpose.

--- a/request/gateway/random_test.go
+++ b/request/gateway/random_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"fennelshunt.example/fennelshunt/request/verdict"
 	"fennelshunt.example/fennelshunt/standin/endpoint"
 )
 
@@ -32,6 +33,15 @@
 	verdicts map[string]int
 	whole    int
 	cut      int // no answer, or a part of one: the connection was cut
+	events   []string
+}
+
+// event keeps what happened to the order and when, so that a single failure
+// can be traced: runs in real time do not repeat by seed.
+func (o *order) event(format string, args ...any) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.events = append(o.events, time.Now().Format("05.000000 ")+fmt.Sprintf(format, args...))
 }
 
 // testPatience is how long a caller waits that does not give up.
@@ -58,7 +68,10 @@
 	ctx, cancel := context.WithTimeout(t.Context(), o.patience)
 	defer cancel()
 	conns := 0
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { conns++ }})
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		conns++
+		o.event("%s: connection %s, reused %t", url, info.Conn.LocalAddr(), info.Reused)
+	}, WroteRequest: func(info httptrace.WroteRequestInfo) { o.event("%s: written, error %v", url, info.Err) }})
 	defer func() { o.noteResent(conns - 1) }()
 	req, err := http.NewRequestWithContext(ctx, o.method, url, strings.NewReader(o.body))
 	if err != nil {
@@ -72,6 +85,7 @@
 	}
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
+		o.event("%s: %v", url, err)
 		o.note("", false, true)
 		return
 	}
@@ -79,6 +93,7 @@
 	data, err := io.ReadAll(resp.Body)
 	v := resp.Header.Get("Fennel-Verdict")
 	whole := err == nil && resp.StatusCode == http.StatusOK
+	o.event("%s: status %d, verdict %q, code %q, error %v", url, resp.StatusCode, v, resp.Header.Get(verdict.CodeHeader), err)
 	if whole && (v != "ran" || string(data) != string(endpoint.Answer(o.key, []byte(o.body)))) {
 		t.Errorf("%s got a foreign or partial answer: %s, %.80q", o.key, v, data)
 	}
@@ -103,6 +118,11 @@
 
 // check holds the order's fate against what the endpoints saw.
 func (o *order) check(t *testing.T, runs int) {
+	defer func() {
+		if t.Failed() {
+			t.Logf("%s ran %d times; its arrivals: %s", o.key, runs, strings.Join(o.events, "; "))
+		}
+	}()
 	answered := o.cut
 	for _, n := range o.verdicts {
 		answered += n
