Give each test process its own loopback address, so that others' requests do not reach its endpoints

Symptom: TestRandomFaults of request/gateway, beside load, reported an endpoint with more requests than slots, with empty request keys. Cause: every process listens on free ports of 127.0.0.1. When a server of another test process closes, the endpoint may be given its port, and that process's clients go on sending there. Shown by logging what broke the limit: GET kv-range and kv-watch, POST hold and POST of a hand-in, all of the soak's and the platform tests' clients; one was the order of the same name of another copy of the same test. Conclusion: the stand-in counted foreign requests; the limits of the endpoints are checked as strictly as before.

--- a/standin/endpoint/endpoint.go
+++ b/standin/endpoint/endpoint.go
@@ -13,6 +13,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"fennelshunt.example/fennelshunt/internal/loopback"
 )
 
 // Headers understood and sent by the stand-in.
@@ -79,9 +81,10 @@
 	return e
 }
 
-// Start listens on a free loopback port and serves until Close or Drain.
+// Start listens on a free port of the process's own loopback address and serves
+// until Close or Drain.
 func (e *Endpoint) Start() error {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	ln, err := loopback.Listen()
 	if err != nil {
 		return fmt.Errorf("endpoint: listen: %w", err)
 	}
--- a/standin/endpoint/report.go
+++ b/standin/endpoint/report.go
@@ -51,13 +51,15 @@
 	}
 }
 
-// begin counts a request that starts work; false when it is to be refused.
-func (e *Endpoint) begin(key string) bool {
+// begin counts a request that starts work; false when it is to be refused. A
+// violation names where the request came from.
+func (e *Endpoint) begin(key string, r *http.Request) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	full := e.opts.Slots > 0 && e.running >= e.opts.Slots
 	if full {
-		e.violate("request %q: %d run already, %d slots", key, e.running, e.opts.Slots)
+		e.violate("request %q (%s %s from %s, header %v): %d run already, %d slots",
+			key, r.Method, r.URL, r.RemoteAddr, r.Header, e.running, e.opts.Slots)
 	}
 	if full && e.opts.RefuseWhenFull {
 		e.report.Refused++
--- a/standin/endpoint/serve.go
+++ b/standin/endpoint/serve.go
@@ -46,7 +46,7 @@
 	if id := r.Header.Get(RequestIDHeader); id != "" && !e.opts.NoEcho {
 		w.Header().Set(RequestIDHeader, id)
 	}
-	if kind == faultRefuse || !e.begin(key) {
+	if kind == faultRefuse || !e.begin(key, r) {
 		if kind == faultRefuse {
 			e.countRefused()
 		}
