Keep reservations of gangs without gaps

Symptom: none seen by callers alone; found by a test of room for lasting tasks. Cause: reservations are cleared and planned anew every 100 ms, but one counted as standing for 100 ms from its own making. A gang that began to wait between two plannings was left without its room for the rest of its own period, in each. Ruled out: the freeing of reservations by room that ends in time (freeFor), which takes what is kept into account. TestReservationsHaveNoGaps fails on the earlier state.

--- a/process/dispatch/engine_test.go
+++ b/process/dispatch/engine_test.go
@@ -114,6 +114,33 @@
 	require.Len(t, b.starts(), 1)
 }
 
+func TestReservationsHaveNoGaps(t *testing.T) {
+	// Symptom: gangs wait longer than the room kept for them would need.
+	// Sequence: a gang begins to wait between two plannings; all reservations
+	//   are cleared, and for as long as its own was young it is not renewed.
+	// Cause: a reservation counted as standing for a whole period from when it
+	//   was made, also after it had been cleared.
+	for phase := range planPeriod / tickPeriod {
+		b := newBench(t, 1, "w-a")
+		small := oneTask()
+		small.Count = 4
+		require.NoError(t, b.e.Load(0, []store.Entry{jobEntry(t, 1, 2, small)}, nil, nil))
+		b.step(50 * time.Millisecond)
+		b.report("w-a", runner.Report{})
+		require.Len(t, b.starts(), 4, "the worker is full")
+		b.step(planPeriod + phase*tickPeriod)
+		gang := oneTask()
+		gang.Gang, gang.Count = true, 4
+		waits := jobEntry(t, 1, 2, gang)
+		waits.Key = KeyIn("00000000000000bb")
+		require.NoError(t, b.e.Accepted(b.now, waits))
+		for range 12 {
+			b.step(tickPeriod)
+			require.NotEmpty(t, b.e.workers["w-a"].reserved, "phase %d, at %v", phase, b.now)
+		}
+	}
+}
+
 func TestTasksOfASilentWorkerStartElsewhere(t *testing.T) {
 	// Symptom: tasks that ran on a worker that lost its power never start again.
 	// Sequence: the worker stops answering; the leader goes on asking it.
--- a/process/dispatch/place.go
+++ b/process/dispatch/place.go
@@ -109,9 +109,10 @@
 // maxTight bounds the sizes remembered in a round.
 const maxTight = 8
 
-// hasReserved reports whether a step's reservation of an earlier round stands.
+// hasReserved reports whether a step's reservation of an earlier round stands:
+// it was made since all were last cleared.
 func (e *Engine) hasReserved(s *step) bool {
-	return s.reservedAt > 0 && s.reservedAt+planPeriod > e.now
+	return s.reservedAt > 0 && s.reservedAt >= e.planAt-planPeriod
 }
 
 // roomFor reports whether any worker has room for one task.
