Start tasks that last before other work, keep room for them, and never judge a worker by one that served

Causes: a lasting task came in the order of its objective, behind all batch work once late; room was kept for gangs only; two of them failing after long service set their worker aside and, never ending as done, left it on trial; an epoch's run numbers could run into the next one's after 65,535 starts of one task; work that fills was placed beside tasks with a bound on their response time; a size that found no room on one service's workers stopped that size for all services. Ruled out: a budget for may_miss, since nothing in the engine stops a lasting task at work; preemption, since room is kept as it comes free.

--- a/process/dispatch/cell_test.go
+++ b/process/dispatch/cell_test.go
@@ -267,12 +267,15 @@
 }
 
 // trouble is one random disturbance of a cell.
-func (c *cell) trouble() {
+func (c *cell) trouble() { c.troubleOf(0, 1, 2, 3, 4, 5, 6, 7, 8) }
+
+// troubleOf is one of these disturbances.
+func (c *cell) troubleOf(kinds ...int) {
 	workers := c.fleet.IDs()
 	id := workers[c.rng.IntN(len(workers))]
 	span := time.Duration(500+c.rng.IntN(5000)) * time.Millisecond
 	later := func(f func()) { time.AfterFunc(span, f) }
-	switch c.rng.IntN(9) {
+	switch kinds[c.rng.IntN(len(kinds))] {
 	case 0:
 		c.kill(c.rng.IntN(len(c.nodes)))
 	case 1:
--- a/process/dispatch/gang.go
+++ b/process/dispatch/gang.go
@@ -50,8 +50,11 @@
 		}
 		return false
 	}
-	s.gang.runs++
-	s.gang.run = e.nextRun(s.gang.runs)
+	run, ok := e.newRun(&s.gang.runs, s.id(), "")
+	if !ok {
+		return false
+	}
+	s.gang.run = run
 	e.unreserve(s)
 	i := 0
 	for _, seat := range seats {
@@ -300,7 +303,15 @@
 	}
 }
 
-// reserveFor keeps room for a gang that waits: on the workers where it can
+// wanted is the number of tasks that a step needs room for: a gang's together.
+func (s *step) wanted() int {
+	if s.spec.Gang {
+		return s.spec.Count
+	}
+	return len(s.pending)
+}
+
+// reserveFor keeps room for a gang that waits, or for tasks that last: on the workers where it can
 // start the soonest, work of lower standing starts only if it ends before that
 // or leaves room.
 //
@@ -320,7 +331,7 @@
 			continue
 		}
 		free, had := e.freeFor(s, w), 0
-		limit := s.perWorker(s.spec.Count)
+		limit := s.perWorker(s.wanted()) - s.liveOn(w)
 		for range need.Times(free, limit) {
 			openings = append(openings, opening{e.now, w})
 			had++
@@ -333,7 +344,8 @@
 			}
 		}
 	}
-	if len(openings) < s.spec.Count {
+	wanted := s.wanted()
+	if len(openings) < wanted {
 		return false
 	}
 	slices.SortStableFunc(openings, func(x, y opening) int {
@@ -342,7 +354,7 @@
 		}
 		return cmp.Compare(ticketEnd(a, y.w), ticketEnd(a, x.w)) // those with tickets first
 	})
-	openings = openings[:s.spec.Count]
+	openings = openings[:wanted]
 	from := openings[len(openings)-1].at
 	for _, o := range openings {
 		o.w.reserved = append(o.w.reserved, reservation{s, need, from})
--- /dev/null
+++ b/process/dispatch/lasting_test.go
@@ -0,0 +1,218 @@
+package dispatch
+
+import (
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"fennelshunt.example/fennelshunt/connection/runner"
+	"fennelshunt.example/fennelshunt/connection/store"
+	"fennelshunt.example/fennelshunt/standin/epochworker"
+	"fennelshunt.example/fennelshunt/standin/kv"
+	"fennelshunt.example/fennelshunt/version/work"
+)
+
+func lastingTask() work.Step {
+	s := oneTask()
+	s.Lasting, s.Target = true, 50*time.Millisecond
+	return s
+}
+
+// live reports runs as they were started.
+func live(percent float64, starts ...SendStart) []runner.Live {
+	var all []runner.Live
+	for _, s := range starts {
+		all = append(all, runner.Live{Task: s.Start.Task, Run: s.Start.Run, Percent: percent})
+	}
+	return all
+}
+
+func TestLastingTaskIsRestartedHoweverItEnds(t *testing.T) {
+	b := newBench(t, 1, "w-a", "w-b")
+	require.NoError(t, b.e.Load(0, []store.Entry{jobEntry(t, 1, 1, lastingTask())}, nil, nil))
+	b.step(50 * time.Millisecond)
+	b.report("w-a", runner.Report{})
+	b.report("w-b", runner.Report{})
+	number := int64(0)
+	for _, how := range []runner.How{runner.Done, runner.Failed, runner.Failed, runner.Stopped, runner.Lapsed, runner.Broken} {
+		starts := b.starts()
+		require.Len(t, starts, 1, "before it ends as %s", how)
+		s := starts[0]
+		number++
+		b.report(s.To.ID, runner.Report{Running: live(100, s)})
+		b.report(s.To.ID, runner.Report{Ended: []runner.End{{Number: number, Task: s.Start.Task, Run: s.Start.Run, How: how}}})
+		b.step(50 * time.Millisecond)
+	}
+	require.Len(t, b.starts(), 1)
+	state, _ := b.e.State(testJob)
+	require.Equal(t, work.Running, state)
+}
+
+func TestFailureOfATaskThatServedSaysNothingOfItsWorker(t *testing.T) {
+	// Symptom: services leave good workers unused for seconds.
+	// Sequence: tasks of two jobs that last fail on one worker after hours at
+	//   work; the worker is set aside, and then tried with one run at a time.
+	// Cause: such an end was taken for a sign against the worker, and only an
+	//   end as done for a sign for it, which these tasks never give.
+	w := &worker{}
+	b := newBench(t, 1, "w-a")
+	require.NoError(t, b.e.Load(0, []store.Entry{jobEntry(t, 1, 1, lastingTask())}, nil, nil))
+	b.step(50 * time.Millisecond)
+	b.report("w-a", runner.Report{})
+	s := b.starts()[0]
+	w = b.e.workers["w-a"]
+	w.trial, w.failJobs = true, []work.JobID{"another"}
+	b.report("w-a", runner.Report{Running: live(100, s)})
+	require.False(t, w.trial, "a task at work there")
+	require.Empty(t, w.failJobs)
+	b.report("w-a", runner.Report{Ended: []runner.End{{Number: 1, Task: s.Start.Task, Run: s.Start.Run, How: runner.Failed}}})
+	require.Empty(t, w.failJobs)
+	require.Len(t, b.starts(), 1, "at once, at the same place")
+}
+
+func TestRoomIsKeptForATaskThatLasts(t *testing.T) {
+	// Symptom: a service's task is not started for as long as small work comes.
+	// Sequence: it needs most of a worker; each small task that ends there is
+	//   followed by another, which fits the gap.
+	// Cause: room was kept for gangs only, and work that is late for its
+	//   objective came before it.
+	b := newBench(t, 1, "w-a")
+	small := oneTask()
+	small.Count = 40
+	require.NoError(t, b.e.Load(0, []store.Entry{jobEntry(t, 1, 1, small)}, nil, nil))
+	b.step(50 * time.Millisecond)
+	b.report("w-a", runner.Report{})
+	running := b.starts()
+	require.Len(t, running, 4, "the worker is full")
+	large := lastingTask()
+	large.Size.CPU = 3500
+	service := jobEntry(t, 1, 1, large)
+	service.Key = KeyIn("00000000000000bb")
+	require.NoError(t, b.e.Accepted(b.now, service))
+	number := int64(0)
+	for range 4 {
+		number++
+		first := running[0]
+		running = running[1:]
+		b.report("w-a", runner.Report{Running: live(10, running...), Ended: []runner.End{{Number: number, Task: first.Start.Task, Run: first.Start.Run, How: runner.Done}}})
+		b.step(150 * time.Millisecond)
+		for _, s := range b.starts() {
+			if s.Start.Task.Job == "00000000000000bb" {
+				require.EqualValues(t, 4, number, "as soon as there is room")
+				return
+			}
+			require.Failf(t, "small work took the room", "%s", s.Start.Task)
+		}
+	}
+	require.Fail(t, "never started")
+}
+
+func TestEpochEndsWhenItsRunNumbersDo(t *testing.T) {
+	// Symptom: after weeks a service's task is refused by every worker.
+	// Sequence: it fails at once wherever it starts, tens of thousands of times
+	//   in one epoch; then there is another leader.
+	// Cause: the numbers of an epoch's runs had run into those of the next.
+	b := newBench(t, 1, "w-a")
+	require.NoError(t, b.e.Load(0, []store.Entry{jobEntry(t, 1, 1, lastingTask())}, nil, nil))
+	b.e.jobs[testJob].occurrences[0].steps[0].tasks[0].runs = 1<<runBits - 1
+	b.step(50 * time.Millisecond)
+	b.report("w-a", runner.Report{})
+	require.True(t, b.e.Deposed())
+	require.Empty(t, b.starts())
+}
+
+func TestWorkThatFillsKeepsAwayFromWhatServes(t *testing.T) {
+	// Symptom: a service answers too late while work that fills runs beside it.
+	// Sequence: a worker has a task that serves; work that fills counts for no
+	//   processors, so that it fits there; or the other way round.
+	// Cause: neither was looked at when the other was placed.
+	fill := oneTask()
+	fill.Fills, fill.Count, fill.Size.CPU = true, 3, 4000
+	t.Run("fills come second", func(t *testing.T) {
+		b := newBench(t, 1, "w-a", "w-b")
+		require.NoError(t, b.e.Load(0, []store.Entry{jobEntry(t, 1, 1, lastingTask())}, nil, nil))
+		b.step(50 * time.Millisecond)
+		b.report("w-a", runner.Report{})
+		serves := b.starts()[0].To.ID
+		b.report("w-b", runner.Report{})
+		other := jobEntry(t, 1, 1, fill)
+		other.Key = KeyIn("00000000000000bb")
+		require.NoError(t, b.e.Accepted(b.now, other))
+		b.step(50 * time.Millisecond)
+		starts := b.starts()
+		require.Len(t, starts, 3)
+		for _, s := range starts {
+			require.NotEqual(t, serves, s.To.ID)
+		}
+	})
+	t.Run("what serves comes second", func(t *testing.T) {
+		b := newBench(t, 1, "w-a")
+		require.NoError(t, b.e.Load(0, []store.Entry{jobEntry(t, 1, 1, fill)}, nil, nil))
+		b.step(50 * time.Millisecond)
+		b.report("w-a", runner.Report{})
+		require.Len(t, b.starts(), 3)
+		service := jobEntry(t, 1, 1, lastingTask())
+		service.Key = KeyIn("00000000000000bb")
+		require.NoError(t, b.e.Accepted(b.now, service))
+		b.step(50 * time.Millisecond)
+		stops := 0
+		for _, x := range b.out {
+			if _, ok := x.(SendStop); ok {
+				stops++
+			}
+		}
+		require.Equal(t, 3, stops, "what fills there gives way")
+		require.Len(t, b.starts(), 1)
+	})
+}
+
+// TestLastingJobsUnderRandomTroubles keeps services running while daemons are
+// killed and the store fails; nobody troubles the workers, so that the system
+// itself must not take a task away.
+func TestLastingJobsUnderRandomTroubles(t *testing.T) {
+	first, seeds := seedsOfRun(t, 3)
+	for seed := first; seed < first+seeds; seed++ {
+		t.Run(seedName(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { lastingTroubles(t, seed) })
+		})
+	}
+}
+
+func lastingTroubles(t *testing.T, seed uint64) {
+	c := newTestCell(t, seed, 16, 3, func(rng *rand.Rand, task work.TaskID) epochworker.Behaviour {
+		if task.Index == 0 && rng.IntN(3) == 0 {
+			return epochworker.Behaviour{Takes: time.Duration(rng.IntN(20_000)) * time.Millisecond, Fails: true}
+		}
+		return epochworker.Behaviour{Takes: 24 * time.Hour}
+	})
+	time.Sleep(2 * time.Second)
+	var services []work.JobID
+	for range 8 {
+		j := drawJob(c.rng, c.rng.IntN(2) == 0)
+		j.Steps = j.Steps[:1]
+		s := &j.Steps[0]
+		s.Gang, s.Lasting, s.MayMiss = false, true, 1
+		services = append(services, c.submit(j))
+		time.Sleep(200 * time.Millisecond)
+	}
+	for range 10 {
+		c.troubleOf(0, 1, 2, 3, 4, 8)
+		time.Sleep(time.Duration(2000+c.rng.IntN(6000)) * time.Millisecond)
+	}
+	c.kv.SetFaults(kv.Faults{})
+	time.Sleep(time.Minute)
+	for _, id := range services {
+		require.GreaterOrEqual(t, c.fleet.AtWork(id), c.jobs[id].Steps[0].Count-1, "%s", id) // the first task may fail just now
+		require.False(t, c.state(id).Final(), "%s", id)
+		c.cancelJob(id)
+	}
+	time.Sleep(20 * time.Second)
+	require.Zero(t, c.fleet.Running())
+	c.stop()
+	require.Empty(t, c.fleet.Broken())
+	require.Zero(t, c.fleet.AwayEnds())
+	require.Empty(t, c.broken)
+}
--- a/process/dispatch/place.go
+++ b/process/dispatch/place.go
@@ -43,9 +43,15 @@
 
 // round is what one round of placement has come to know.
 type round struct {
-	tight    []work.Resources // sizes for which no worker had room
-	tried    int              // gangs
-	reserved int              // gangs with room reserved
+	tight    []tightSize
+	tried    int // gangs
+	reserved int // gangs with room reserved
+}
+
+// tightSize is a size for which no worker of a service had room.
+type tightSize struct {
+	service string
+	size    work.Resources
 }
 
 // schedule places what can be placed.
@@ -94,16 +100,16 @@
 		return // nothing to go by, and nobody to ask now
 	}
 	need := s.spec.Need()
-	if slices.ContainsFunc(r.tight, func(t work.Resources) bool { return t.Fits(need) }) {
+	service := s.job.spec.Queue.Service
+	if slices.ContainsFunc(r.tight, func(t tightSize) bool { return t.service == service && t.size.Fits(need) }) {
 		return
 	}
 	if e.roomFor(s, need) {
 		e.placeTasks(s)
-		return
-	}
-	if len(s.spec.Labels) == 0 && len(r.tight) < maxTight {
-		r.tight = append(r.tight, need)
+	} else if len(s.spec.Labels) == 0 && !s.spec.Fills && len(r.tight) < maxTight {
+		r.tight = append(r.tight, tightSize{service, need})
 	}
+	e.reserveLasting(s, r)
 }
 
 // maxTight bounds the sizes remembered in a round.
@@ -161,6 +167,9 @@
 // a fifth of its worth until lateFactor objectives have passed, one in time
 // loses four fifths at once.
 func (e *Engine) lateRank(s *step) int {
+	if s.spec.Lasting {
+		return rankLasting
+	}
 	ends := e.now + e.estimate(s)
 	switch o := s.occurrence; {
 	case ends <= o.due:
@@ -193,6 +202,9 @@
 	if s.spec.Gang && w.trial {
 		return false // one member that fails there takes the whole gang with it
 	}
+	if s.spec.Fills && w.hostsTarget() {
+		return false
+	}
 	return w.usable(e.now) && w.Service == s.job.spec.Queue.Service && w.has(s.spec.Labels)
 }
 
@@ -232,8 +244,11 @@
 			}
 			return
 		}
-		s.tasks[i].runs++
-		e.start(w, s, i, e.nextRun(s.tasks[i].runs), ticket)
+		run, ok := e.newRun(&s.tasks[i].runs, s.id(), w.ID)
+		if !ok {
+			return
+		}
+		e.start(w, s, i, run, ticket)
 	}
 }
 
@@ -343,8 +358,11 @@
 
 // remaining estimates how long a run goes on.
 func (e *Engine) remaining(p *place) time.Duration {
-	if p.state == stopping {
+	switch {
+	case p.state == stopping:
 		return stopRetry
+	case p.s.spec.Lasting:
+		return forever
 	}
 	elapsed := e.now - p.sent
 	whole := e.estimate(p.s)
@@ -360,11 +378,14 @@
 // watchStandstill stops a run that makes no progress while its worker answers,
 // so that it goes on elsewhere.
 func (e *Engine) watchStandstill(p *place) {
-	if p.state != running || p.s.spec.Lasting || p.percent >= nearlyDone {
+	if p.state != running || p.percent >= nearlyDone {
 		return
 	}
 	still := e.now - max(p.percentAt, p.begun)
 	bound := max(standstillMin, e.estimate(p.s)/2)
+	if p.s.spec.Lasting {
+		bound = standstillMin // its estimate says nothing of how soon it is at work
+	}
 	if still < bound || p.w.answered < p.percentAt+standstillMin {
 		return
 	}
--- a/process/dispatch/reports.go
+++ b/process/dispatch/reports.go
@@ -339,6 +339,9 @@
 	j, t := s.job, &s.tasks[end.Task.Index]
 	e.decide(Decision{What: "failed", Task: end.Task, Run: end.Run, Worker: w.ID})
 	e.stats.Failed++
+	if p != nil && p.serves() {
+		return // a task that had come to work fails by its own doing
+	}
 	if p != nil && w.noteFail(e.now, j.id) {
 		e.stats.Aside++
 		e.decide(Decision{What: "worker set aside", Worker: w.ID, Why: "runs of different jobs failed there", Age: w.asideFor})
@@ -392,7 +395,9 @@
 		if p.firstAt == 0 {
 			p.firstAt, p.firstPct = e.now, r.Percent
 		}
+		before := p.percent
 		p.percent, p.percentAt = r.Percent, e.now
+		p.noteServing(before)
 	}
 }
 
--- a/process/dispatch/runs.go
+++ b/process/dispatch/runs.go
@@ -36,6 +36,7 @@
 		e.violate("start over the worker's capacity", p.id(), w.ID)
 		return nil
 	}
+	e.giveWay(w, s)
 	t.place = p
 	s.unqueue(i)
 	w.take(p)
--- a/standin/epochworker/calls.go
+++ b/standin/epochworker/calls.go
@@ -99,7 +99,7 @@
 	f.checkStart(w, s, j)
 	step := &j.Steps[s.Task.Step]
 	b := f.o.Work(s.Task, s.Run, w.ID)
-	r := &run{task: s.Task, number: s.Run, need: step.Need(), takes: b.Takes, fails: b.Fails, still: b.Still}
+	r := &run{task: s.Task, number: s.Run, need: step.Need(), takes: b.Takes, fails: b.Fails, still: b.Still, lasting: step.Lasting}
 	r.timer = time.AfterFunc(time.Hour, func() {})
 	w.running[s.Task] = r
 	w.used = w.used.Add(r.need)
@@ -124,9 +124,9 @@
 	switch {
 	case h.live > 0:
 		f.breaks("%s run %d on %s runs twice", s.Task, s.Run, w.ID)
-	case h.noted:
+	case h.noted && !j.Steps[s.Task.Step].Lasting:
 		f.breaks("%s run %d on %s starts after its end was noted", s.Task, s.Run, w.ID)
-	case f.o.Attempts > 0 && h.fails >= f.o.Attempts && !j.Steps[s.Task.Step].Gang:
+	case f.o.Attempts > 0 && h.fails >= f.o.Attempts && !j.Steps[s.Task.Step].Gang && !j.Steps[s.Task.Step].Lasting:
 		f.breaks("%s run %d starts after %d failures", s.Task, s.Run, h.fails)
 	case s.Task.Occurrence >= max(1, j.Repeat):
 		f.breaks("%s starts, and the job has %d occurrences", s.Task, max(1, j.Repeat))
@@ -308,6 +308,7 @@
 	if r == nil || r.number != number || r.stopping {
 		return nil
 	}
+	f.checkAway(r)
 	r.stopping = true
 	r.timer.Stop()
 	r.timer = time.AfterFunc(f.o.Stop, func() {
@@ -321,6 +322,18 @@
 	return nil
 }
 
+// checkAway counts the stop of a task that serves while too many others of its
+// step do not.
+func (f *Fleet) checkAway(r *run) {
+	if _, cancelled := f.cancelled[r.task.Job]; cancelled || !r.atWork() {
+		return
+	}
+	step := &f.jobs[r.task.Job].Steps[r.task.Step]
+	if away := step.Count - f.atWork(r.task.Job, r.task.Step); away >= step.MayMiss {
+		f.awayEnds++
+	}
+}
+
 // Renew implements runner.Runner.
 func (f *Fleet) Renew(ctx context.Context, to runner.Ref, x runner.Renewal) (runner.Report, error) {
 	w, answer, err := f.reach(ctx, to, nil)
@@ -372,11 +385,7 @@
 func (w *worker) report() runner.Report {
 	r := runner.Report{Clock: w.clock(), Ended: slices.Clone(w.ends[:min(len(w.ends), runner.MaxEnds)])}
 	for _, x := range w.running {
-		percent := 0.0
-		if !x.began.IsZero() && !x.still {
-			percent = min(99, 100*float64(time.Since(x.began))/float64(x.takes))
-		}
-		r.Running = append(r.Running, runner.Live{Task: x.task, Run: x.number, Percent: percent})
+		r.Running = append(r.Running, runner.Live{Task: x.task, Run: x.number, Percent: x.percent()})
 	}
 	return r
 }
--- a/standin/epochworker/fleet.go
+++ b/standin/epochworker/fleet.go
@@ -22,7 +22,7 @@
 
 // Behaviour of a run, drawn by the test.
 type Behaviour struct {
-	Takes time.Duration
+	Takes time.Duration // a task that lasts is at work until then
 	Fails bool
 	// Still runs make no progress and never end.
 	Still bool
@@ -69,6 +69,9 @@
 	starts    int
 	renews    int
 	epoch     time.Time
+	// awayEnds counts lasting tasks at work that an order ended while as many
+	// others of their step as may be were away.
+	awayEnds int
 }
 
 // history is what all workers have seen of a task.
@@ -104,10 +107,30 @@
 	fails    bool
 	still    bool
 	stopping bool
+	lasting  bool
 	timer    *time.Timer
 	alone    *time.Timer
 }
 
+// startup is how long a lasting task runs before it is at work.
+const startup = 500 * time.Millisecond
+
+// atWork reports whether a lasting task serves.
+func (r *run) atWork() bool {
+	return r.lasting && !r.stopping && !r.began.IsZero() && time.Since(r.began) >= startup
+}
+
+// percent is how far a run has come.
+func (r *run) percent() float64 {
+	switch {
+	case r.began.IsZero() || r.still:
+		return 0
+	case r.lasting:
+		return min(100, 100*float64(time.Since(r.began))/float64(startup))
+	}
+	return min(99, 100*float64(time.Since(r.began))/float64(r.takes))
+}
+
 // New returns a fleet without workers.
 func New(o Options) *Fleet {
 	return &Fleet{o: o, rng: rand.New(rand.NewPCG(o.Seed, 11)), workers: map[runner.WorkerID]*worker{}, jobs: map[work.JobID]*work.Job{},
@@ -234,6 +257,37 @@
 	return f.begun[id]
 }
 
+// AwayEnds returns how often an order ended a lasting task at work, beyond what
+// its step may miss.
+func (f *Fleet) AwayEnds() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.awayEnds
+}
+
+// AtWork returns how many tasks of a job are at work.
+func (f *Fleet) AtWork(id work.JobID) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for s := range f.jobs[id].Steps {
+		n += f.atWork(id, s)
+	}
+	return n
+}
+
+func (f *Fleet) atWork(id work.JobID, step int) int {
+	n := 0
+	for _, w := range f.workers {
+		for _, r := range w.running {
+			if r.task.Job == id && r.task.Step == step && r.atWork() {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 // Running returns how many runs there are.
 func (f *Fleet) Running() int {
 	f.mu.Lock()
