One bounded call of the store, one loop that follows it, one way to ask the leader

What earlier work left: the bounded, timed and noted call stood in five places, the loop that reads and then watches in four, the look-up of the leader in four; task.accounted decided nothing, since no step of an inherited job starts before every worker is accounted for. Now: store.Patience.Call, store.Tracker, submit.askLeader.

--- a/connection/store/patience.go
+++ b/connection/store/patience.go
@@ -32,21 +32,33 @@
 	maxPatienceMiss = 6 // doublings, so that the shift stays small
 )
 
-// Timeout returns the bound for the next call.
-func (p *Patience) Timeout() time.Duration {
+// timeout returns the bound for the next call.
+func (p *Patience) timeout() time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	d := max(p.average*patienceFactor, p.Min) << min(p.misses, maxPatienceMiss)
 	return min(d, p.Max)
 }
 
-// Context returns a context bounded by Timeout.
-func (p *Patience) Context(ctx context.Context) (context.Context, context.CancelFunc) {
-	return context.WithTimeout(ctx, p.Timeout())
+// Call makes one call bounded by the timeout and notes how it went, unless it was
+// taken back.
+//
+// What goes wrong if a call that was taken back counts: callers that leave early
+// make the store look as if it had failed, and every hand-in after one of them
+// costs a read more.
+func (p *Patience) Call(ctx context.Context, f func(ctx context.Context) error) error {
+	bounded, cancel := context.WithTimeout(ctx, p.timeout())
+	defer cancel()
+	start := time.Now()
+	err := f(bounded)
+	if !errors.Is(ctx.Err(), context.Canceled) {
+		p.note(err, time.Since(start))
+	}
+	return err
 }
 
-// Answered notes a call that was answered after d.
-func (p *Patience) Answered(d time.Duration) {
+// answered notes a call that was answered after d.
+func (p *Patience) answered(d time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.misses = 0
@@ -58,16 +70,16 @@
 	p.average += (d - p.average) / patienceDecay
 }
 
-// Missed notes a call without an answer.
-func (p *Patience) Missed() {
+// missed notes a call without an answer.
+func (p *Patience) missed() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.misses++
 	p.failing = true
 }
 
-// Refused notes a call that the store turned away or that did not reach it.
-func (p *Patience) Refused() {
+// refused notes a call that the store turned away or that did not reach it.
+func (p *Patience) refused() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.failing = true
@@ -82,14 +94,14 @@
 	return p.failing
 }
 
-// Note notes how a call went that took d, by its error.
-func (p *Patience) Note(err error, d time.Duration) {
+// note notes how a call went that took d, by its error.
+func (p *Patience) note(err error, d time.Duration) {
 	switch {
 	case errors.Is(err, ErrUnknownOutcome), errors.Is(err, ErrUnavailable) && errors.Is(err, context.DeadlineExceeded):
-		p.Missed()
+		p.missed()
 	case errors.Is(err, ErrUnavailable), errors.Is(err, ErrOverBudget):
-		p.Refused()
+		p.refused()
 	default:
-		p.Answered(d)
+		p.answered(d)
 	}
 }
--- /dev/null
+++ b/connection/store/track.go
@@ -0,0 +1,65 @@
+package store
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"fennelshunt.example/fennelshunt/internal/sleep"
+)
+
+// Tracker reads a part of the store as a whole and then watches it. It calls the
+// store as it is asked to, without budget or breaker; Follow is for clients that
+// have these.
+type Tracker struct {
+	What string // is followed, for the log
+	// Read takes the whole and returns the revision to watch from.
+	Read func(ctx context.Context) (Revision, error)
+	// Watch takes the changes after a revision and returns the one to go on from,
+	// also beside an error; 0 to read again.
+	Watch func(ctx context.Context, after Revision, wait time.Duration) (Revision, error)
+	// From is the revision to watch from, 0 to read first.
+	From Revision
+	// ReadLimit bounds a read. Wait bounds a watch, and Grace how long after that
+	// it may be answered, so that a silent connection is noticed.
+	ReadLimit, Wait, Grace time.Duration
+	// Pause is kept after each call, ErrorPause after one that failed.
+	Pause, ErrorPause time.Duration
+	Log               zerolog.Logger
+}
+
+// Run follows until ctx ends.
+func (t *Tracker) Run(ctx context.Context) {
+	rev := t.From
+	for ctx.Err() == nil {
+		next, err := t.step(ctx, rev)
+		rev = next
+		pause := t.Pause
+		if err != nil {
+			t.Log.Debug().Err(err).Str("what", t.What).Msg("not followed, trying again")
+			pause = t.ErrorPause
+		}
+		_ = sleep.For(ctx, pause) // ends with the context, which the loop sees
+	}
+}
+
+// step makes one call.
+func (t *Tracker) step(ctx context.Context, rev Revision) (Revision, error) {
+	limit := t.Wait + t.Grace
+	if rev == 0 {
+		limit = t.ReadLimit
+	}
+	bounded, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	if rev == 0 {
+		return t.Read(bounded)
+	}
+	next, err := t.Watch(bounded, rev, t.Wait)
+	if errors.Is(err, ErrCompacted) {
+		t.Log.Warn().Str("what", t.What).Msg("its history is gone, reading it as a whole")
+		return 0, nil
+	}
+	return next, err
+}
--- a/process/cellnode/catalog.go
+++ b/process/cellnode/catalog.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"sync/atomic"
 	"time"
 
@@ -58,37 +57,28 @@
 // Serve follows the source until ctx ends.
 func (c *catalogs) Serve(ctx context.Context) error {
 	go c.check(ctx)
-	var rev store.Revision
-	for ctx.Err() == nil {
-		next, err := c.once(ctx, rev)
-		rev = next
-		if err != nil {
-			_ = sleep.For(ctx, catalogPause) // ends with the context, which the loop sees
-		}
-	}
+	t := store.Tracker{What: "the configuration", Read: c.read, Watch: c.watch, ReadLimit: catalogWait + catalogGrace,
+		Wait: catalogWait, Grace: catalogGrace, ErrorPause: catalogPause, Log: c.log}
+	t.Run(ctx)
 	return ctx.Err()
 }
 
-func (c *catalogs) once(ctx context.Context, rev store.Revision) (store.Revision, error) {
-	bounded, cancel := context.WithTimeout(ctx, catalogWait+catalogGrace)
-	defer cancel()
-	if rev == 0 {
-		next, read, err := c.source.Current(bounded)
-		if err != nil {
-			return 0, err
-		}
-		c.take(next)
-		return read, nil
+func (c *catalogs) read(ctx context.Context) (store.Revision, error) {
+	next, rev, err := c.source.Current(ctx)
+	if err != nil {
+		return 0, err
 	}
-	next, read, err := c.source.Watch(bounded, rev, catalogWait)
+	c.take(next)
+	return rev, nil
+}
+
+func (c *catalogs) watch(ctx context.Context, after store.Revision, wait time.Duration) (store.Revision, error) {
+	next, rev, err := c.source.Watch(ctx, after, wait)
 	if err != nil {
-		if errors.Is(err, store.ErrCompacted) {
-			c.log.Warn().Msg("history of the configuration is gone, reading it")
-		}
 		return 0, err
 	}
 	c.take(next)
-	return read, nil
+	return rev, nil
 }
 
 // check reads the configuration now and then.
--- a/process/dispatch/engine.go
+++ b/process/dispatch/engine.go
@@ -25,7 +25,8 @@
 	out []Effect
 
 	jobs map[work.JobID]*job
-	// cancels of jobs whose hand-in has not been seen yet, and when they came.
+	// cancels that ended no job, since its hand-in has not been seen yet or it
+	// had ended, and when they came.
 	cancels map[work.JobID]time.Duration
 	workers map[runner.WorkerID]*worker
 	order   []*worker // the workers, in a fixed order
@@ -198,13 +199,11 @@
 // cancel ends a job on its caller's request.
 func (e *Engine) cancel(id work.JobID) {
 	j := e.jobs[id]
-	if j == nil {
-		e.cancels[id] = e.now
+	if j == nil || !j.active() {
+		e.cancels[id] = e.now // its key is removed by time
 		return
 	}
-	if j.active() {
-		e.end(j, work.Cancelled, "the caller cancelled it")
-	}
+	e.end(j, work.Cancelled, "the caller cancelled it")
 }
 
 // end gives a job its final state and stops what runs of it.
--- a/process/dispatch/engine_test.go
+++ b/process/dispatch/engine_test.go
@@ -433,3 +433,30 @@
 		require.Equal(t, percent < nearlyDone, stops > 0, "at %v percent", percent)
 	}
 }
+
+func TestLateCancellationIsRemovedFromTheStore(t *testing.T) {
+	// Symptom looked for: keys of cancellations stay in the store for good.
+	// Sequence: a cancellation is written just before the leader writes its
+	//   job's end, and reaches the leader after it.
+	b := newBench(t, 1, "w-a")
+	require.NoError(t, b.e.Load(0, []store.Entry{jobEntry(t, 1, 2, oneTask())}, nil, nil))
+	b.step(50 * time.Millisecond)
+	b.report("w-a", runner.Report{})
+	b.report("w-a", done(1, b.starts()...))
+	b.step(50 * time.Millisecond)
+	state, _ := b.e.State(testJob)
+	require.Equal(t, work.Completed, state)
+	require.NoError(t, b.e.Accepted(b.now, store.Entry{Key: KeyCancel(testJob)}))
+	var deleted []string
+	for until := b.now + 2*b.e.o.Bounds.Keep; b.now < until; {
+		b.now += time.Second
+		b.e.Tick(b.now)
+		for _, x := range b.e.Flush(b.now) {
+			if c, ok := x.(SendCommit); ok {
+				deleted = append(deleted, c.Deletes...)
+				b.e.Committed(b.now)
+			}
+		}
+	}
+	require.Contains(t, deleted, KeyCancel(testJob))
+}
--- a/process/dispatch/host.go
+++ b/process/dispatch/host.go
@@ -190,10 +190,10 @@
 }
 
 // post hands an event to the engine's goroutine, unless the term is over.
-func (h *Host) post(ctx context.Context, f func(*Engine, time.Duration)) {
+func (h *Host) post(f func(*Engine, time.Duration)) {
 	select {
 	case h.events <- f:
-	case <-ctx.Done():
+	case <-h.term.Context().Done():
 	}
 }
 
@@ -207,7 +207,7 @@
 		return lead.ErrDeposed
 	}
 	done := make(chan struct{})
-	h.post(h.term.Context(), func(e *Engine, now time.Duration) {
+	h.post(func(e *Engine, now time.Duration) {
 		f(e, now)
 		close(done)
 	})
@@ -236,7 +236,7 @@
 // Offer hands over an entry that an accepting daemon has just written. What is
 // lost on the way comes with the next watch.
 func (h *Host) Offer(entry store.Entry) {
-	h.post(h.term.Context(), func(e *Engine, now time.Duration) { h.accept(e, now, entry) })
+	h.post(func(e *Engine, now time.Duration) { h.accept(e, now, entry) })
 }
 
 func (h *Host) accept(e *Engine, now time.Duration, entry store.Entry) {
@@ -265,21 +265,21 @@
 	bounded, cancel := context.WithTimeout(ctx, h.o.Bounds.startTimeout())
 	defer cancel()
 	_, err := h.o.Runner.Start(bounded, x.To, x.Start)
-	h.post(ctx, func(e *Engine, now time.Duration) { e.Started(now, x.To.ID, x.Start.Task, x.Start.Run, err) })
+	h.post(func(e *Engine, now time.Duration) { e.Started(now, x.To.ID, x.Start.Task, x.Start.Run, err) })
 }
 
 func (h *Host) sendStop(ctx context.Context, x SendStop) {
 	bounded, cancel := context.WithTimeout(ctx, stopTimeout)
 	defer cancel()
 	err := h.o.Runner.Stop(bounded, x.To, x.Task, x.Run, h.term.Epoch)
-	h.post(ctx, func(e *Engine, now time.Duration) { e.StopAnswered(now, x.To.ID, x.Task, x.Run, err) })
+	h.post(func(e *Engine, now time.Duration) { e.StopAnswered(now, x.To.ID, x.Task, x.Run, err) })
 }
 
 func (h *Host) sendRenew(ctx context.Context, x SendRenew) {
 	bounded, cancel := context.WithTimeout(ctx, x.Timeout)
 	defer cancel()
 	report, err := h.o.Runner.Renew(bounded, x.To, x.Renewal)
-	h.post(ctx, func(e *Engine, now time.Duration) { e.Renewed(now, x.To.ID, report, err) })
+	h.post(func(e *Engine, now time.Duration) { e.Renewed(now, x.To.ID, report, err) })
 }
 
 func (h *Host) commit(ctx context.Context, x SendCommit) {
@@ -291,49 +291,38 @@
 		}
 		return
 	}
-	h.post(ctx, func(e *Engine, now time.Duration) { e.Committed(now) })
+	h.post(func(e *Engine, now time.Duration) { e.Committed(now) })
 }
 
 func (h *Host) askAdvice(ctx context.Context, x AskAdvice) {
 	bounded, cancel := context.WithTimeout(ctx, x.Timeout)
 	defer cancel()
 	good, err := h.o.Advise(bounded, x.Member, x.Step.StepName(), x.Workers)
-	h.post(ctx, func(e *Engine, now time.Duration) { e.Advised(now, x.Member, x.Step, good, err) })
+	h.post(func(e *Engine, now time.Duration) { e.Advised(now, x.Member, x.Step, good, err) })
 }
 
 // watchJobs follows what accepting daemons write.
 func (h *Host) watchJobs(ctx context.Context, rev store.Revision) {
-	for ctx.Err() == nil {
-		next, err := h.watchJobsOnce(ctx, rev)
-		rev = next
-		pause := jobsPause
-		if err != nil {
-			pause = errorPause
-		}
-		_ = sleep.For(ctx, pause) // ends with the context, which the loop sees
-	}
+	t := store.Tracker{What: "accepted jobs", Read: h.listJobs, Watch: h.watchJobsOnce, From: rev, ReadLimit: loadTimeout,
+		Wait: watchWait, Grace: watchGrace, Pause: jobsPause, ErrorPause: errorPause, Log: h.o.Log}
+	t.Run(ctx)
 }
 
-func (h *Host) watchJobsOnce(ctx context.Context, rev store.Revision) (store.Revision, error) {
-	if rev == 0 {
-		entries, listed, err := h.o.Store.List(ctx, PrefixJobs)
-		if err != nil {
-			return 0, err
-		}
-		for _, entry := range entries {
-			h.Offer(entry)
-		}
-		return listed, nil
+func (h *Host) listJobs(ctx context.Context) (store.Revision, error) {
+	entries, rev, err := h.o.Store.List(ctx, PrefixJobs)
+	if err != nil {
+		return 0, err
 	}
-	bounded, cancel := context.WithTimeout(ctx, watchWait+watchGrace)
-	defer cancel()
-	events, next, err := h.o.Store.Watch(bounded, PrefixJobs, rev, watchWait)
-	if errors.Is(err, store.ErrCompacted) {
-		h.o.Log.Warn().Msg("history of accepted jobs is gone, listing them")
-		return 0, nil
+	for _, entry := range entries {
+		h.Offer(entry)
 	}
+	return rev, nil
+}
+
+func (h *Host) watchJobsOnce(ctx context.Context, after store.Revision, wait time.Duration) (store.Revision, error) {
+	events, next, err := h.o.Store.Watch(ctx, PrefixJobs, after, wait)
 	if err != nil {
-		return rev, err
+		return after, err
 	}
 	for _, event := range events {
 		if !event.Deleted {
@@ -345,40 +334,27 @@
 
 // watchWorkers follows the directory.
 func (h *Host) watchWorkers(ctx context.Context) {
-	var rev store.Revision
-	for ctx.Err() == nil {
-		next, err := h.watchWorkersOnce(ctx, rev)
-		if err != nil && ctx.Err() == nil {
-			h.o.Log.Debug().Err(err).Msg("workers' entries not read")
-		}
-		rev = next
-		pause := workersPause
-		if err != nil {
-			pause = errorPause
-		}
-		_ = sleep.For(ctx, pause) // ends with the context, which the loop sees
-	}
+	t := store.Tracker{What: "the workers' entries", Read: h.listWorkers, Watch: h.watchWorkersOnce, ReadLimit: watchWait + watchGrace,
+		Wait: watchWait, Grace: watchGrace, Pause: workersPause, ErrorPause: errorPause, Log: h.o.Log}
+	t.Run(ctx)
 }
 
-func (h *Host) watchWorkersOnce(ctx context.Context, rev store.Revision) (store.Revision, error) {
-	bounded, cancel := context.WithTimeout(ctx, watchWait+watchGrace)
-	defer cancel()
+// listWorkers takes what could be read, also beside an error on some entries.
+func (h *Host) listWorkers(ctx context.Context) (store.Revision, error) {
+	workers, rev, err := h.o.Directory.List(ctx)
 	if rev == 0 {
-		workers, listed, err := h.o.Directory.List(bounded)
-		if listed == 0 {
-			return 0, err
-		}
-		h.post(ctx, func(e *Engine, now time.Duration) { e.WorkersListed(now, workers) })
-		return listed, err
-	}
-	changes, next, err := h.o.Directory.Watch(bounded, rev, watchWait)
-	if errors.Is(err, store.ErrCompacted) {
-		return 0, nil
+		return 0, err
 	}
+	h.post(func(e *Engine, now time.Duration) { e.WorkersListed(now, workers) })
+	return rev, err
+}
+
+func (h *Host) watchWorkersOnce(ctx context.Context, after store.Revision, wait time.Duration) (store.Revision, error) {
+	changes, next, err := h.o.Directory.Watch(ctx, after, wait)
 	if err != nil && len(changes) == 0 {
-		return rev, err
+		return after, err
 	}
-	h.post(ctx, func(e *Engine, now time.Duration) {
+	h.post(func(e *Engine, now time.Duration) {
 		for _, c := range changes {
 			if c.Gone {
 				e.WorkerUnlisted(now, c.Worker.ID)
@@ -398,7 +374,7 @@
 		for _, m := range h.o.View.Members() {
 			names = append(names, m.Name)
 		}
-		h.post(ctx, func(e *Engine, now time.Duration) { e.Members(now, names) })
+		h.post(func(e *Engine, now time.Duration) { e.Members(now, names) })
 		select {
 		case <-ctx.Done():
 			return
--- a/process/dispatch/job.go
+++ b/process/dispatch/job.go
@@ -70,8 +70,6 @@
 	checkpoint string
 	avoid      []runner.WorkerID // where it failed
 	avoidUntil time.Duration     // no start there before
-	// accounted: no run of an earlier epoch can be running.
-	accounted bool
 }
 
 // gangState is what a gang's tasks share.
--- a/process/dispatch/place.go
+++ b/process/dispatch/place.go
@@ -234,9 +234,6 @@
 func (e *Engine) placeTasks(s *step) {
 	a := e.adviceOf(s)
 	for _, i := range slices.Clone(s.pending) {
-		if !s.tasks[i].accounted && s.job.inherited && e.unresolved > 0 {
-			continue
-		}
 		w, ticket := e.bestWorker(s, i, a)
 		if w == nil {
 			if a != nil {
--- a/process/dispatch/reports.go
+++ b/process/dispatch/reports.go
@@ -266,12 +266,8 @@
 	}
 	if p != nil && t.place == p {
 		t.place = nil
-		t.accounted = true
 		e.back(s, end.Task.Index)
 	}
-	if p == nil && t.place == nil {
-		t.accounted = true
-	}
 	return j
 }
 
--- a/process/dispatch/runs.go
+++ b/process/dispatch/runs.go
@@ -172,7 +172,6 @@
 		return
 	}
 	t.place = nil
-	t.accounted = true
 	s := p.s
 	if !t.done && s.job.active() {
 		s.requeue(p.index)
--- a/process/lead/elector.go
+++ b/process/lead/elector.go
@@ -129,15 +129,8 @@
 
 // call bounds one call of the store and notes how it went.
 func (e *Elector) call(ctx context.Context, what string, f func(ctx context.Context) error) error {
-	bounded, cancel := e.o.Patience.Context(ctx)
-	defer cancel()
-	start := time.Now()
-	err := f(bounded)
-	if ctx.Err() != nil {
-		return err
-	}
-	e.o.Patience.Note(err, time.Since(start))
-	if e.o.Patience.Suspect() {
+	err := e.o.Patience.Call(ctx, f)
+	if ctx.Err() == nil && e.o.Patience.Suspect() {
 		e.noteTrouble(what, err)
 	}
 	return err
@@ -239,34 +232,27 @@
 
 // follow keeps the view up to date.
 func (e *Elector) follow(ctx context.Context) {
-	var rev store.Revision
-	for ctx.Err() == nil {
-		next, err := e.followOnce(ctx, rev)
-		rev = next
-		if err != nil && ctx.Err() == nil {
-			_ = sleep.For(ctx, errorPause) // ends with the context, which the loop sees
+	t := store.Tracker{What: "the cell", Read: e.readCell, Watch: e.watchCell, ReadLimit: watchWait + watchGrace,
+		Wait: watchWait, Grace: watchGrace, ErrorPause: errorPause, Log: e.o.Log}
+	t.Run(ctx)
+}
+
+func (e *Elector) readCell(ctx context.Context) (rev store.Revision, err error) {
+	err = e.call(ctx, "list", func(ctx context.Context) error {
+		entries, listed, err := e.o.Store.List(ctx, prefixCell)
+		if err == nil {
+			e.view.replace(entries)
+			rev = listed
 		}
-	}
+		return err
+	})
+	return rev, err
 }
 
-// followOnce lists when rev is 0 and watches otherwise.
-func (e *Elector) followOnce(ctx context.Context, rev store.Revision) (store.Revision, error) {
-	if rev == 0 {
-		err := e.call(ctx, "list", func(ctx context.Context) error {
-			entries, listed, err := e.o.Store.List(ctx, prefixCell)
-			if err == nil {
-				e.view.replace(entries)
-				rev = listed
-			}
-			return err
-		})
-		return rev, err
-	}
-	bounded, cancel := context.WithTimeout(ctx, watchWait+watchGrace)
-	defer cancel()
-	events, next, err := e.o.Store.Watch(bounded, prefixCell, rev, watchWait)
+func (e *Elector) watchCell(ctx context.Context, after store.Revision, wait time.Duration) (store.Revision, error) {
+	events, next, err := e.o.Store.Watch(ctx, prefixCell, after, wait)
 	if err != nil {
-		if ctx.Err() == nil {
+		if !errors.Is(ctx.Err(), context.Canceled) {
 			e.noteTrouble("watch", err)
 		}
 		return 0, err
--- a/process/lead/term.go
+++ b/process/lead/term.go
@@ -126,11 +126,11 @@
 // try sends the transaction once. All tries of one write carry the same checks,
 // so that at most one takes effect.
 func (t *Term) try(ctx context.Context, txn store.Txn, next link) (store.Revision, error) {
-	bounded, cancel := t.patience.Context(ctx)
-	defer cancel()
-	start := time.Now()
-	rev, err := t.store.Commit(bounded, txn)
-	t.patience.Note(err, time.Since(start))
+	var rev store.Revision
+	err := t.patience.Call(ctx, func(ctx context.Context) (err error) {
+		rev, err = t.store.Commit(ctx, txn)
+		return err
+	})
 	if errors.Is(err, store.ErrUnknownOutcome) {
 		return 0, err
 	}
--- a/request/submit/submit.go
+++ b/request/submit/submit.go
@@ -9,7 +9,6 @@
 package submit
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -175,12 +174,7 @@
 	result := s.probes.DoChan("", func() (any, error) {
 		bounded, cancel := context.WithTimeout(context.WithoutCancel(ctx), probeTimeout)
 		defer cancel()
-		start := time.Now()
-		_, err := s.o.Store.Get(bounded, probeKey)
-		if errors.Is(err, store.ErrNotFound) {
-			err = nil
-		}
-		s.o.Patience.Note(err, time.Since(start))
+		_, _, err := s.get(bounded, probeKey)
 		return nil, err
 	})
 	select {
@@ -220,21 +214,19 @@
 
 // commit makes one bounded transaction.
 func (s *Service) commit(ctx context.Context, t store.Txn) error {
-	bounded, cancel := s.o.Patience.Context(ctx)
-	defer cancel()
-	start := time.Now()
-	_, err := s.o.Store.Commit(bounded, t)
-	s.o.Patience.Note(err, time.Since(start))
-	return err
+	return s.o.Patience.Call(ctx, func(ctx context.Context) error {
+		_, err := s.o.Store.Commit(ctx, t)
+		return err
+	})
 }
 
 // get makes one bounded read; a missing key is no error.
 func (s *Service) get(ctx context.Context, key string) (store.Entry, bool, error) {
-	bounded, cancel := s.o.Patience.Context(ctx)
-	defer cancel()
-	start := time.Now()
-	entry, err := s.o.Store.Get(bounded, key)
-	s.o.Patience.Note(err, time.Since(start))
+	var entry store.Entry
+	err := s.o.Patience.Call(ctx, func(ctx context.Context) (err error) {
+		entry, err = s.o.Store.Get(ctx, key)
+		return err
+	})
 	if errors.Is(err, store.ErrNotFound) {
 		return entry, false, nil
 	}
@@ -247,37 +239,51 @@
 		h.Offer(entry)
 		return
 	}
-	leader, ok := s.o.View.Leader()
-	if !ok || leader.Member.Name == s.o.Self {
+	leader, ok := s.otherLeader()
+	if !ok {
 		return
 	}
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), pushTimeout)
 		defer cancel()
-		if _, err := s.o.Peers.CallAddr(ctx, leader.Member.Peer, MethodOffer, offer{Key: entry.Key, Value: entry.Value}, nil); err != nil {
+		if _, err := s.o.Peers.CallAddr(ctx, leader.Peer, MethodOffer, offer{Key: entry.Key, Value: entry.Value}, nil); err != nil {
 			s.o.Log.Debug().Err(err).Str("key", entry.Key).Msg("leader not told, its watch will")
 		}
 	}()
 }
 
+// otherLeader returns the daemon that leads, unless it is this one.
+func (s *Service) otherLeader() (lead.Member, bool) {
+	leader, ok := s.o.View.Leader()
+	return leader.Member, ok && leader.Member.Name != s.o.Self
+}
+
 // helpers returns the members to hand over to: the leader, which has reached
 // the store of late, and others by chance.
 func (s *Service) helpers() []lead.Member {
 	members := slices.DeleteFunc(s.o.View.Members(), func(m lead.Member) bool { return m.Name == s.o.Self })
 	rand.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
-	if leader, ok := s.o.View.Leader(); ok {
-		slices.SortStableFunc(members, func(a, b lead.Member) int {
-			return cmp.Compare(boolInt(b.Name == leader.Member.Name), boolInt(a.Name == leader.Member.Name))
-		})
+	if leader, ok := s.otherLeader(); ok {
+		if i := slices.IndexFunc(members, func(m lead.Member) bool { return m.Name == leader.Name }); i > 0 {
+			members[0], members[i] = members[i], members[0]
+		}
 	}
 	return members[:min(len(members), maxHandOvers)]
 }
 
-func boolInt(b bool) int {
-	if b {
-		return 1
+// askLeader asks the leader: this daemon's own host, or another daemon.
+func (s *Service) askLeader(ctx context.Context, own func(context.Context, *dispatch.Host) error, method peer.Method, req, resp any) error {
+	ctx, cancel := context.WithTimeout(ctx, leaderTimeout)
+	defer cancel()
+	if h := s.o.Leading(); h != nil {
+		return own(ctx, h)
+	}
+	leader, ok := s.otherLeader()
+	if !ok {
+		return errNoLeader
 	}
-	return 0
+	_, err := s.o.Peers.CallAddr(ctx, leader.Peer, method, req, resp)
+	return err
 }
 
 // handOver lets other daemons write a job. maybe tells that one may have done
@@ -308,27 +314,17 @@
 // State returns what callers are shown of a job. The error is ErrNoJob, when
 // the store has nothing under the id, or a *verdict.Error.
 func (s *Service) State(ctx context.Context, id work.JobID) (work.State, error) {
-	if state, known, err := s.askLeader(ctx, id); err == nil && known {
-		return state, nil
+	var r stateReply
+	err := s.askLeader(ctx, func(ctx context.Context, h *dispatch.Host) (err error) {
+		r.State, r.Known, err = h.State(ctx, id)
+		return err
+	}, MethodState, stateRequest{ID: id}, &r)
+	if err == nil && r.Known {
+		return r.State, nil
 	}
 	return s.stored(ctx, id)
 }
 
-func (s *Service) askLeader(ctx context.Context, id work.JobID) (work.State, bool, error) {
-	ctx, cancel := context.WithTimeout(ctx, leaderTimeout)
-	defer cancel()
-	if h := s.o.Leading(); h != nil {
-		return h.State(ctx, id)
-	}
-	leader, ok := s.o.View.Leader()
-	if !ok || leader.Member.Name == s.o.Self {
-		return 0, false, errNoLeader
-	}
-	var r stateReply
-	_, err := s.o.Peers.CallAddr(ctx, leader.Member.Peer, MethodState, stateRequest{ID: id}, &r)
-	return r.State, r.Known, err
-}
-
 var errNoLeader = errors.New("submit: no leader is known")
 
 // stored reads a job's state from the store. The hand-in is read first: it is
@@ -361,30 +357,19 @@
 // Pending returns the number of a queue's jobs that have not begun; it may be
 // pendingAge old.
 func (s *Service) Pending(ctx context.Context, queue string) (int, error) {
-	n, err := s.askPending(ctx, queue)
+	var r pendingReply
+	err := s.askLeader(ctx, func(ctx context.Context, h *dispatch.Host) (err error) {
+		r.N, err = h.Pending(ctx, queue)
+		return err
+	}, MethodPending, pendingRequest{Queue: queue}, &r)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err == nil {
-		s.pending[queue] = count{n, time.Now()}
-		return n, nil
+		s.pending[queue] = count{r.N, time.Now()}
+		return r.N, nil
 	}
 	if c, ok := s.pending[queue]; ok && time.Since(c.at) < pendingAge {
 		return c.n, nil
 	}
 	return 0, unavailable(CodeLeader, err)
 }
-
-func (s *Service) askPending(ctx context.Context, queue string) (int, error) {
-	ctx, cancel := context.WithTimeout(ctx, leaderTimeout)
-	defer cancel()
-	if h := s.o.Leading(); h != nil {
-		return h.Pending(ctx, queue)
-	}
-	leader, ok := s.o.View.Leader()
-	if !ok || leader.Member.Name == s.o.Self {
-		return 0, errNoLeader
-	}
-	var r pendingReply
-	_, err := s.o.Peers.CallAddr(ctx, leader.Member.Peer, MethodPending, pendingRequest{Queue: queue}, &r)
-	return r.N, err
-}
