--- a/process/dispatch/lasting.go
+++ b/process/dispatch/lasting.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"fennelshunt.example/fennelshunt/connection/runner"
 	"fennelshunt.example/fennelshunt/version/work"
 )
 
@@ -60,29 +59,5 @@
 	}
 }
 
-// reserveLasting keeps room for tasks that last and that found none: without
-// it, small work takes each gap as it opens, and a large task never starts.
-func (e *Engine) reserveLasting(s *step, r *round) {
-	if !s.spec.Lasting || len(s.pending) == 0 || r.reserved >= e.perWorkers(maxReserved, reservedShare) {
-		return
-	}
-	if e.hasReserved(s) || e.reserveFor(s) {
-		r.reserved++
-	}
-}
-
 // forever is how long a lasting task is taken to go on.
 const forever = 365 * 24 * time.Hour
-
-// newRun gives the next run of the epoch its number; count is how many there
-// were. An epoch that has used up its numbers ends: its next run's number would
-// be one of the next epoch's, which could then not start the task again.
-func (e *Engine) newRun(count *uint64, id work.TaskID, on runner.WorkerID) (run uint64, ok bool) {
-	if *count+1 >= 1<<runBits {
-		e.decide(Decision{What: "epoch ends", Task: id, Worker: on, Why: "it has no more numbers for runs of this task"})
-		e.deposed = true
-		return 0, false
-	}
-	*count++
-	return e.nextRun(*count), true
-}
--- a/process/dispatch/place.go
+++ b/process/dispatch/place.go
@@ -24,9 +24,6 @@
 	// rounds are crowdedPause apart. A round over 500 steps takes some 100 µs.
 	crowded      = 50
 	crowdedPause = 4 * time.Millisecond
-	// planPeriod is how long the reservations of waiting gangs are kept before
-	// they are planned anew.
-	planPeriod = 100 * time.Millisecond
 	// gangPause is between tries of one waiting gang, unless it has new advice:
 	// a try over the tickets for a hundred workers takes some 10 µs, and rounds
 	// come several hundred times a second.
@@ -115,12 +112,6 @@
 // maxTight bounds the sizes remembered in a round.
 const maxTight = 8
 
-// hasReserved reports whether a step's reservation of an earlier round stands:
-// it was made since all were last cleared.
-func (e *Engine) hasReserved(s *step) bool {
-	return s.reservedAt > 0 && s.reservedAt >= e.planAt-planPeriod
-}
-
 // roomFor reports whether any worker has room for one task.
 func (e *Engine) roomFor(s *step, need work.Resources) bool {
 	for _, w := range e.order {
--- /dev/null
+++ b/process/dispatch/reserve.go
@@ -0,0 +1,161 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"fennelshunt.example/fennelshunt/version/work"
+)
+
+// Keeping room for steps that wait: gangs, and tasks that last.
+const (
+	// planPeriod is how long reservations are kept before they are planned anew.
+	planPeriod = 100 * time.Millisecond
+	// maxReserved and one in reservedShare workers bound how many steps that
+	// wait have room reserved at a time.
+	maxReserved   = 3
+	reservedShare = 30
+)
+
+// reservation keeps room on a worker for a task of a step from a time on.
+type reservation struct {
+	s    *step
+	need work.Resources
+	from time.Duration // when the step's tasks are likely to start
+}
+
+// hasReserved reports whether a step's reservation of an earlier round stands:
+// it was made since all were last cleared.
+func (e *Engine) hasReserved(s *step) bool {
+	return s.reservedAt > 0 && s.reservedAt >= e.planAt-planPeriod
+}
+
+// reserveLasting keeps room for tasks that last and that found none: without
+// it, small work takes each gap as it opens, and a large task never starts.
+func (e *Engine) reserveLasting(s *step, r *round) {
+	if !s.spec.Lasting || len(s.pending) == 0 || r.reserved >= e.perWorkers(maxReserved, reservedShare) {
+		return
+	}
+	if e.hasReserved(s) || e.reserveFor(s) {
+		r.reserved++
+	}
+}
+
+// wanted is the number of tasks that a step needs room for: a gang's together.
+func (s *step) wanted() int {
+	if s.spec.Gang {
+		return s.spec.Count
+	}
+	return len(s.pending)
+}
+
+// reserveFor keeps room for a gang that waits, or for tasks that last: on the
+// workers where it can start the soonest, work of lower standing starts only if
+// it ends before that or leaves room.
+//
+// What goes wrong without it: small tasks fill every gap as it opens, and a
+// gang, which needs many gaps at once, waits until the small work runs out.
+func (e *Engine) reserveFor(s *step) bool {
+	s.reservedAt = e.now
+	a := e.adviceOf(s)
+	need := s.spec.Need()
+	type opening struct {
+		at time.Duration
+		w  *worker
+	}
+	var openings []opening
+	for _, w := range e.order {
+		if !e.eligible(s, w) || (a != nil && !a.good[w.ID]) {
+			continue
+		}
+		free, had := e.freeFor(s, w), 0
+		limit := s.perWorker(s.wanted()) - s.liveOn(w)
+		for range need.Times(free, limit) {
+			openings = append(openings, opening{e.now, w})
+			had++
+		}
+		for _, p := range e.byEnd(w) {
+			free = free.Add(p.need)
+			at := e.now + e.remaining(p)
+			for n := need.Times(free, limit); had < n; had++ {
+				openings = append(openings, opening{at, w})
+			}
+		}
+	}
+	wanted := s.wanted()
+	if len(openings) < wanted {
+		return false
+	}
+	slices.SortStableFunc(openings, func(x, y opening) int {
+		if x.at != y.at || a == nil {
+			return cmp.Compare(x.at, y.at)
+		}
+		return cmp.Compare(ticketEnd(a, y.w), ticketEnd(a, x.w)) // those with tickets first
+	})
+	openings = openings[:wanted]
+	from := openings[len(openings)-1].at
+	for _, o := range openings {
+		o.w.reserved = append(o.w.reserved, reservation{s, need, from})
+	}
+	return true
+}
+
+// ticketEnd returns when the step's ticket for a worker ends, 0 for none.
+func ticketEnd(a *advice, w *worker) time.Duration {
+	if t := a.find(w.ID); t != nil {
+		return t.expires
+	}
+	return 0
+}
+
+// byEnd returns a worker's runs, the one that is likely to end first at first.
+func (e *Engine) byEnd(w *worker) []*place {
+	all := places(w)
+	slices.SortStableFunc(all, func(x, y *place) int { return cmp.Compare(e.remaining(x), e.remaining(y)) })
+	return all
+}
+
+// freeFor returns the room on a worker that a step may take now: what is free
+// less what is reserved for others that stand before it and start before its
+// task would end.
+func (e *Engine) freeFor(s *step, w *worker) work.Resources {
+	free := w.free()
+	if len(w.reserved) == 0 {
+		return free
+	}
+	ends := e.now + e.estimate(s)
+	var held work.Resources
+	for _, r := range w.reserved {
+		if r.s != s && ends > r.from && compareSteps(s, r.s) > 0 {
+			held = held.Add(r.need)
+		}
+	}
+	if held == (work.Resources{}) {
+		return free
+	}
+	// What is to end before the reservation begins serves it as well.
+	later := free
+	from := w.reserved[0].from
+	for _, p := range w.places {
+		if e.now+e.remaining(p) <= from {
+			later = later.Add(p.need)
+		}
+	}
+	rest := later.Sub(held)
+	return work.Resources{CPU: min(free.CPU, rest.CPU), Memory: min(free.Memory, rest.Memory), GPU: min(free.GPU, rest.GPU)}
+}
+
+// clearReservations forgets the reservations of the last placement; each
+// placement makes its own.
+func (e *Engine) clearReservations() {
+	for _, w := range e.order {
+		w.reserved = w.reserved[:0]
+	}
+}
+
+func (e *Engine) unreserve(s *step) {
+	for _, w := range e.order {
+		w.reserved = slices.DeleteFunc(w.reserved, func(r reservation) bool { return r.s == s })
+	}
+}
--- a/process/dispatch/runs.go
+++ b/process/dispatch/runs.go
@@ -24,6 +24,19 @@
 // nextRun numbers a run; n counts the epoch's runs of the task, from 1 on.
 func (e *Engine) nextRun(n uint64) uint64 { return (e.o.Epoch-1)<<runBits + n }
 
+// newRun gives the next run of the epoch its number; count is how many there
+// were. An epoch that has used up its numbers ends: its next run's number would
+// be one of the next epoch's, which could then not start the task again.
+func (e *Engine) newRun(count *uint64, id work.TaskID, on runner.WorkerID) (run uint64, ok bool) {
+	if *count+1 >= 1<<runBits {
+		e.decide(Decision{What: "epoch ends", Task: id, Worker: on, Why: "it has no more numbers for runs of this task"})
+		e.deposed = true
+		return 0, false
+	}
+	*count++
+	return e.nextRun(*count), true
+}
+
 // start starts a task on a worker. The caller has checked that it fits.
 func (e *Engine) start(w *worker, s *step, i int, run uint64, ticket string) *place {
 	t := &s.tasks[i]
