Try gangs behind those that are blocked

Cause: a round tries a bounded number of gangs, and counted each one it came by, also within its pause. Change: only a try counts, and a gang that finds no room, and for which none is kept, is tried later each time (10 to 160 ms), at once after new advice. Ruled out: reservations on the rare worker (the waiting gangs fitted beside them), lanes, workers set aside. Tried and left: the same only while the workers are mostly idle, in case late gangs take room from others when they are not. Figures: TestGangsBehindBlockedOnesAreTried fails on the earlier state.

--- a/process/dispatch/advice.go
+++ b/process/dispatch/advice.go
@@ -269,7 +269,7 @@
 		return
 	}
 	a.asking = false
-	s.heldUntil, s.retryAt = 0, 0
+	s.heldUntil, s.retryAt, s.misses = 0, 0, 0
 	queue := &s.job.spec.Queue
 	fresh, freshGood := 0, 0
 	for _, w := range l.named {
--- a/process/dispatch/engine_test.go
+++ b/process/dispatch/engine_test.go
@@ -460,3 +460,33 @@
 	}
 	require.Contains(t, deleted, KeyCancel(testJob))
 }
+
+func TestGangsBehindBlockedOnesAreTried(t *testing.T) {
+	// Symptom: gangs wait for minutes beside empty workers.
+	// Sequence: a dozen gangs that need a rare kind of worker wait for the one
+	//   there is; others, which any worker could hold, wait behind them.
+	// Cause: a round tries a bounded number of gangs, and those that wait for
+	//   what is taken used it up in every round.
+	b := newBench(t, 1, "w-a", "w-b")
+	rare := oneTask()
+	rare.Gang, rare.Count, rare.Size.CPU, rare.Labels = true, 1, 4000, []string{"rare"}
+	var entries []store.Entry
+	for i := range 3 * maxTried {
+		entry := jobEntry(t, 1, 2, rare)
+		entry.Key = KeyIn(work.JobID(fmt.Sprintf("%016x", i)))
+		entries = append(entries, entry)
+	}
+	any := rare
+	any.Labels = nil
+	entries = append(entries, jobEntry(t, 1, 2, any)) // id ...aa sorts last
+	b.e.WorkerSeen(b.now, runner.Worker{Ref: runner.Ref{ID: "w-a"}, Service: "s", Capacity: work.Resources{CPU: 4000, Memory: 4000}, Labels: []string{"rare", "r"}})
+	require.NoError(t, b.e.Load(0, entries, nil, nil))
+	b.step(50 * time.Millisecond)
+	b.report("w-a", runner.Report{})
+	require.Len(t, b.starts(), 1, "one on the rare worker")
+	b.report("w-b", runner.Report{})
+	b.step(2 * time.Second)
+	starts := b.starts()
+	require.Len(t, starts, 1)
+	require.Equal(t, testJob, starts[0].Start.Task.Job)
+}
--- a/process/dispatch/job.go
+++ b/process/dispatch/job.go
@@ -51,6 +51,7 @@
 	reservedAt time.Duration
 
 	retryAt time.Duration // a gang is not tried before
+	misses  int           // tries in a row that found no room for a gang
 	// held tells whether the workers could hold a gang at all, as of some time
 	// before heldUntil.
 	held      bool
--- a/process/dispatch/place.go
+++ b/process/dispatch/place.go
@@ -28,6 +28,9 @@
 	// a try over the tickets for a hundred workers takes some 10 µs, and rounds
 	// come several hundred times a second.
 	gangPause = 10 * time.Millisecond
+	// maxPutOff doublings bound the pause of a gang for which no room is kept at
+	// 160 ms: 480 waiting gangs are then tried in turn, a dozen each 4 ms.
+	maxPutOff = 4
 	// maxTried and one in triedShare workers bound how many waiting gangs are
 	// tried in one round.
 	maxTried   = 12
@@ -75,21 +78,33 @@
 
 // tryGang places a gang, or keeps room for it.
 func (e *Engine) tryGang(s *step, r *round) {
-	if r.tried >= e.perWorkers(maxTried, triedShare) || !e.couldHold(s) {
-		return
-	}
-	r.tried++
-	if e.now >= s.retryAt {
-		s.retryAt = e.now + gangPause
+	if e.now >= s.retryAt && r.tried < e.perWorkers(maxTried, triedShare) && e.couldHold(s) {
+		r.tried++
 		if e.placeGang(s) {
 			return
 		}
+		e.putOff(s)
 	}
-	if r.reserved < e.perWorkers(maxReserved, reservedShare) && (e.hasReserved(s) || e.reserveFor(s)) {
+	if r.reserved < e.perWorkers(maxReserved, reservedShare) && e.couldHold(s) && (e.hasReserved(s) || e.reserveFor(s)) {
 		r.reserved++
 	}
 }
 
+// putOff sets when a gang that found no room is tried again: soon if room is
+// kept for it, else later each time.
+//
+// What goes wrong without it: a round tries a bounded number of gangs, and the
+// first ones, which wait for workers that are taken, use it up in every round;
+// those behind them are never tried beside empty workers.
+func (e *Engine) putOff(s *step) {
+	pause := gangPause
+	if !e.hasReserved(s) {
+		pause <<= min(s.misses, maxPutOff)
+		s.misses++
+	}
+	s.retryAt = e.now + pause
+}
+
 // tryTasks places tasks of a step one by one, unless that is known to be in
 // vain.
 func (e *Engine) tryTasks(s *step, r *round) {
