Keep only the state of jobs that have ended

Symptom: the leader of the first grown site peaks at 164 to 176 MB; the smallest VMs there have 184 MB. Cause: each ended job was kept for two minutes with its text, steps and tasks, to answer for its state. Change: once its end is in the store and none of its runs holds a worker's resources, a job is its id, state and queue. Found beside it: a run that was done before its start was answered was sent a stop; its place is now given up before the end is judged. Ruled out: dropping the state itself earlier, since callers may ask for it. TestEndedJobsKeepTheirStateOnly fails on the earlier state for both.

--- a/process/dispatch/engine.go
+++ b/process/dispatch/engine.go
@@ -112,7 +112,7 @@
 	if j == nil {
 		// Its hand-in was removed when it ended.
 		if p.State.Final() {
-			e.jobs[id] = &job{id: id, state: p.State, visible: p.State, endedAt: e.now}
+			e.jobs[id] = &job{id: id, state: p.State, visible: p.State, endedAt: e.now, isShed: true}
 		}
 		return nil
 	}
@@ -320,6 +320,9 @@
 		}
 	}
 	for id, j := range e.jobs {
+		if j.visible.Final() {
+			j.shed()
+		}
 		if !j.visible.Final() || e.now-j.endedAt < e.o.Bounds.Keep || slices.ContainsFunc(j.occurrences, func(o *occurrence) bool { return !o.idle() }) {
 			continue
 		}
--- a/process/dispatch/engine_test.go
+++ b/process/dispatch/engine_test.go
@@ -490,3 +490,35 @@
 	require.Len(t, starts, 1)
 	require.Equal(t, testJob, starts[0].Start.Task.Job)
 }
+
+func TestEndedJobsKeepTheirStateOnly(t *testing.T) {
+	// Symptom: the leader's memory grows to half of a small VM's in a minute.
+	// Sequence: thousands of jobs end; each is kept for two minutes, to answer
+	//   for its state.
+	// Cause: it was kept with its text, its steps and tasks.
+	b := newBench(t, 1, "w-a")
+	require.NoError(t, b.e.Load(0, []store.Entry{jobEntry(t, 1, 2, oneTask())}, nil, nil))
+	b.step(50 * time.Millisecond)
+	b.report("w-a", runner.Report{})
+	starts := b.starts()
+	b.report("w-a", done(1, starts...))
+	b.step(50 * time.Millisecond)
+	j := b.e.jobs[testJob]
+	require.Empty(t, j.occurrences)
+	require.Empty(t, j.spec.Spec)
+	require.Empty(t, j.spec.Steps)
+	state, known := b.e.State(testJob)
+	require.True(t, known)
+	require.Equal(t, work.Completed, state)
+	task := starts[0].Start.Task
+	b.report("w-a", runner.Report{Running: []runner.Live{{Task: task, Run: 9}}})
+	var stopped []SendStop
+	for _, x := range b.out {
+		if s, ok := x.(SendStop); ok {
+			stopped = append(stopped, s)
+		}
+	}
+	require.Len(t, stopped, 1, "a late run of it")
+	b.report("w-a", runner.Report{Ended: []runner.End{{Number: 2, Task: task, Run: 9, How: runner.Stopped}}})
+	require.EqualValues(t, 2, b.e.workers["w-a"].ack)
+}
--- a/process/dispatch/job.go
+++ b/process/dispatch/job.go
@@ -23,6 +23,7 @@
 	since time.Duration
 	// inherited: an earlier epoch may have started tasks of it.
 	inherited bool
+	isShed    bool // it has ended, and only its state is kept
 
 	occurrences []*occurrence // held, by number
 	next        int           // the lowest occurrence that has not come due
--- a/process/dispatch/occurrence.go
+++ b/process/dispatch/occurrence.go
@@ -60,7 +60,7 @@
 // otherwise: its end is taken for a stray's and acknowledged, and the task runs
 // a second time when it comes due here.
 func (j *job) occurrence(number int) *occurrence {
-	if j.spec == nil || number < j.before || number >= j.repeat() {
+	if j.isShed || number < j.before || number >= j.repeat() {
 		return nil
 	}
 	i, found := slices.BinarySearchFunc(j.occurrences, number, func(o *occurrence, n int) int { return o.number - n })
@@ -116,6 +116,18 @@
 	j.next = max(j.next, j.before)
 }
 
+// shed drops all of a job whose end is in the store but what is needed to answer
+// for its state, once none of its runs holds a worker's resources: the text and
+// the tasks of a job are some kilobytes.
+func (j *job) shed() {
+	if j.isShed || slices.ContainsFunc(j.occurrences, func(o *occurrence) bool { return !o.idle() }) {
+		return
+	}
+	j.isShed = true
+	j.occurrences = nil
+	j.spec = &work.Job{Queue: j.spec.Queue}
+}
+
 // mayOpen reports whether the job may hold one more occurrence. Each is held
 // with all of its tasks; the bound is that of the tasks of one occurrence.
 func (j *job) mayOpen() bool {
--- a/process/dispatch/persist.go
+++ b/process/dispatch/persist.go
@@ -148,6 +148,7 @@
 		j.saved = b.versions[i]
 		if b.states[i].Final() {
 			j.visible = b.states[i]
+			j.shed()
 		}
 	}
 	for _, w := range b.fleet {
--- a/process/dispatch/reports.go
+++ b/process/dispatch/reports.go
@@ -122,12 +122,16 @@
 	if s == nil {
 		return j // an occurrence that is done waits for the store as well
 	}
+	t := &s.tasks[end.Task.Index]
+	ours := p != nil && t.place == p
 	if p != nil {
 		e.begin(p)
 		w.drop(p)
 		e.scheduled = false
 	}
-	t := &s.tasks[end.Task.Index]
+	if ours {
+		t.place = nil // before the end is judged, which stops what the task still runs
+	}
 	if end.Checkpoint != "" && s.spec.Checkpoints {
 		s.keepCheckpoint(end.Task.Index, end.Checkpoint)
 	}
@@ -139,8 +143,7 @@
 	default:
 		e.stats.Back++
 	}
-	if p != nil && t.place == p {
-		t.place = nil
+	if ours {
 		e.back(s, end.Task.Index)
 	}
 	return j
