Look for a larger daemon after the delay of a claim; take the pauses between watches back

Cause: a daemon asked whether a larger one is known before the delay of its claim; one of which it heard during the delay did not count. Change: it asks after the delay.

--- a/process/lead/elector.go
+++ b/process/lead/elector.go
@@ -39,11 +39,6 @@
 	// outageMemory is how long store trouble counts as recent.
 	outageMemory = 2 * time.Second
 	errorPause   = 100 * time.Millisecond
-	// memberPause is how long a daemon leaves between two watches, for each
-	// member of the cell, and maxWatchPause the bound on that: together all
-	// daemons then watch at most 500 times a second while members come and go.
-	memberPause   = 2 * time.Millisecond
-	maxWatchPause = 600 * time.Millisecond
 )
 
 // Options of an Elector.
@@ -254,17 +249,8 @@
 	return rev, err
 }
 
-// watchCell waits for changes, after a pause that grows with the cell.
-//
-// What goes wrong without it: each of n daemons that join wakes all n watches.
-// Three hundred that start together make 90,000 calls; the store turns calls
-// away, renewals among them; leases lapse, which wakes all again, for good.
 func (e *Elector) watchCell(ctx context.Context, after store.Revision, wait time.Duration) (store.Revision, error) {
-	pause := min(memberPause*time.Duration(e.view.size()), maxWatchPause)
-	if err := sleep.For(ctx, pause); err != nil {
-		return 0, err
-	}
-	events, next, err := e.o.Store.Watch(ctx, prefixCell, after, wait-pause)
+	events, next, err := e.o.Store.Watch(ctx, prefixCell, after, wait)
 	if err != nil {
 		if !errors.Is(ctx.Err(), context.Canceled) {
 			e.noteTrouble("watch", err)
@@ -295,15 +281,17 @@
 
 func (e *Elector) claimSoon(ctx context.Context) {
 	delay := rand.N(claimJitter)
-	if e.view.betterFits(e.o.Self) {
-		delay += deferDelay
-	}
 	if e.StoreTrouble(outageMemory) && e.view.Epoch() > 0 {
 		delay += outageHold
 	}
 	if sleep.For(ctx, delay) != nil {
 		return
 	}
+	// Asked after the delay: daemons that start together hear of each other
+	// during it.
+	if e.view.betterFits(e.o.Self) && sleep.For(ctx, deferDelay) != nil {
+		return
+	}
 	held, vacant := e.view.vacant(e.o.Self)
 	if !vacant || e.stopping.Load() {
 		return
--- a/process/lead/view.go
+++ b/process/lead/view.go
@@ -80,13 +80,6 @@
 	return all
 }
 
-// size returns the number of daemons known.
-func (v *View) size() int {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	return len(v.members)
-}
-
 // Changed returns a channel that is closed at the next change.
 func (v *View) Changed() <-chan struct{} {
 	v.mu.Lock()
