--- a/connection/peer/peer.go
+++ b/connection/peer/peer.go
@@ -41,6 +41,18 @@
 // is encoded as the reply.
 type Handler func(ctx context.Context, from Ref, payload []byte) (any, error)
 
+// Typed returns a handler that decodes its request; one that does not decode is
+// answered with the error.
+func Typed[Req any](f func(ctx context.Context, req Req) (any, error)) Handler {
+	return func(ctx context.Context, _ Ref, payload []byte) (any, error) {
+		var req Req
+		if err := Unmarshal(payload, &req); err != nil {
+			return nil, err
+		}
+		return f(ctx, req)
+	}
+}
+
 // Registrar registers handlers; each method once, before serving starts.
 type Registrar interface {
 	Handle(method Method, h Handler)
--- a/process/cellnode/advise.go
+++ b/process/cellnode/advise.go
@@ -39,11 +39,7 @@
 	return nil, errNoMember
 }
 
-func (n *Node) serveAdvise(ctx context.Context, _ peer.Ref, payload []byte) (any, error) {
-	var r adviseRequest
-	if err := peer.Unmarshal(payload, &r); err != nil {
-		return nil, err
-	}
+func (n *Node) serveAdvise(ctx context.Context, r adviseRequest) (any, error) {
 	good, err := n.o.Adviser.Advise(ctx, r.Step, r.Workers)
 	return adviseReply{Good: good}, err
 }
--- a/process/cellnode/node.go
+++ b/process/cellnode/node.go
@@ -207,7 +207,7 @@
 	n.jobs = submit.New(submit.Options{Self: self.Name, Store: n.o.Store, Patience: n.patience, View: n.elector.View(),
 		Peers: n.peers, Leading: n.host.Load, Log: n.log})
 	n.jobs.Register(mux)
-	mux.Handle(methodAdvise, n.serveAdvise)
+	mux.Handle(methodAdvise, peer.Typed(n.serveAdvise))
 }
 
 func (n *Node) memberLease() time.Duration {
--- a/process/dispatch/engine.go
+++ b/process/dispatch/engine.go
@@ -320,10 +320,11 @@
 		}
 	}
 	for id, j := range e.jobs {
-		if j.visible.Final() {
-			j.shed()
+		if !j.visible.Final() {
+			continue
 		}
-		if !j.visible.Final() || e.now-j.endedAt < e.o.Bounds.Keep || slices.ContainsFunc(j.occurrences, func(o *occurrence) bool { return !o.idle() }) {
+		j.shed()
+		if !j.isShed || e.now-j.endedAt < e.o.Bounds.Keep {
 			continue
 		}
 		delete(e.jobs, id)
--- a/process/dispatch/occurrence.go
+++ b/process/dispatch/occurrence.go
@@ -24,10 +24,9 @@
 
 // newOccurrence returns the occurrence with that number, with nothing done.
 func (j *job) newOccurrence(number int) *occurrence {
-	o := &occurrence{job: j, number: number, from: j.accepted}
+	o := &occurrence{job: j, number: number, from: j.accepted, opens: j.opensAt(number)}
 	if j.spec.Repeat > 0 {
-		o.from = j.start + time.Duration(number)*j.spec.Interval
-		o.opens = o.from
+		o.from = o.opens
 	}
 	o.due = o.from + j.spec.Objective()
 	o.steps = make([]*step, len(j.spec.Steps))
--- a/process/dispatch/place.go
+++ b/process/dispatch/place.go
@@ -85,9 +85,7 @@
 		}
 		e.putOff(s)
 	}
-	if r.reserved < e.perWorkers(maxReserved, reservedShare) && e.couldHold(s) && (e.hasReserved(s) || e.reserveFor(s)) {
-		r.reserved++
-	}
+	e.keepRoom(s, r)
 }
 
 // putOff sets when a gang that found no room is tried again: soon if room is
@@ -121,7 +119,9 @@
 	} else if len(s.spec.Labels) == 0 && !s.spec.Fills && len(r.tight) < maxTight {
 		r.tight = append(r.tight, tightSize{service, need})
 	}
-	e.reserveLasting(s, r)
+	if s.spec.Lasting && len(s.pending) > 0 {
+		e.keepRoom(s, r)
+	}
 }
 
 // maxTight bounds the sizes remembered in a round.
--- a/process/dispatch/reserve.go
+++ b/process/dispatch/reserve.go
@@ -31,10 +31,10 @@
 	return s.reservedAt > 0 && s.reservedAt >= e.planAt-planPeriod
 }
 
-// reserveLasting keeps room for tasks that last and that found none: without
-// it, small work takes each gap as it opens, and a large task never starts.
-func (e *Engine) reserveLasting(s *step, r *round) {
-	if !s.spec.Lasting || len(s.pending) == 0 || r.reserved >= e.perWorkers(maxReserved, reservedShare) {
+// keepRoom reserves room for a step that found none, as long as the round may
+// reserve for another one and the workers could hold it.
+func (e *Engine) keepRoom(s *step, r *round) {
+	if r.reserved >= e.perWorkers(maxReserved, reservedShare) || (s.spec.Gang && !e.couldHold(s)) {
 		return
 	}
 	if e.hasReserved(s) || e.reserveFor(s) {
@@ -55,11 +55,12 @@
 // it ends before that or leaves room.
 //
 // What goes wrong without it: small tasks fill every gap as it opens, and a
-// gang, which needs many gaps at once, waits until the small work runs out.
+// gang, which needs many gaps at once, or a large task that lasts waits until
+// the small work runs out.
 func (e *Engine) reserveFor(s *step) bool {
 	s.reservedAt = e.now
 	a := e.adviceOf(s)
-	need := s.spec.Need()
+	need, wanted := s.spec.Need(), s.wanted()
 	type opening struct {
 		at time.Duration
 		w  *worker
@@ -70,7 +71,7 @@
 			continue
 		}
 		free, had := e.freeFor(s, w), 0
-		limit := s.perWorker(s.wanted()) - s.liveOn(w)
+		limit := s.perWorker(wanted) - s.liveOn(w)
 		for range need.Times(free, limit) {
 			openings = append(openings, opening{e.now, w})
 			had++
@@ -83,7 +84,6 @@
 			}
 		}
 	}
-	wanted := s.wanted()
 	if len(openings) < wanted {
 		return false
 	}
--- a/process/settings/cell.go
+++ b/process/settings/cell.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -96,21 +97,11 @@
 
 func (s *JobCell) complete() {
 	b := &s.Bounds
-	if b.WorkerLeaseMS == 0 {
-		b.WorkerLeaseMS = DefaultWorkerLease
-	}
-	if b.GangMS == 0 {
-		b.GangMS = DefaultGang
-	}
-	if b.KeepS == 0 {
-		b.KeepS = DefaultKeep
-	}
-	if b.StopS == 0 {
-		b.StopS = DefaultStop
-	}
-	if s.LogLevel == "" {
-		s.LogLevel = "info"
-	}
+	b.WorkerLeaseMS = cmp.Or(b.WorkerLeaseMS, DefaultWorkerLease)
+	b.GangMS = cmp.Or(b.GangMS, DefaultGang)
+	b.KeepS = cmp.Or(b.KeepS, DefaultKeep)
+	b.StopS = cmp.Or(b.StopS, DefaultStop)
+	s.LogLevel = cmp.Or(s.LogLevel, "info")
 }
 
 func (s *JobCell) check(file string) error {
--- a/request/submit/cancel.go
+++ b/request/submit/cancel.go
@@ -86,17 +86,7 @@
 }
 
 func (s *Service) handOverCancel(ctx context.Context, id work.JobID) bool {
-	for _, m := range s.helpers() {
-		if ctx.Err() != nil {
-			break
-		}
-		bounded, cancel := context.WithTimeout(ctx, handOverTimeout)
-		var r handedOver
-		_, err := s.o.Peers.CallAddr(bounded, m.Peer, MethodCancel, stateRequest{ID: id}, &r)
-		cancel()
-		if err == nil && r.Accepted {
-			return true
-		}
-	}
-	return false
+	return s.askHelpers(ctx, MethodCancel, stateRequest{ID: id}, func(_ handedOver, err error) {
+		s.o.Log.Debug().Err(err).Str("job", string(id)).Msg("cancellation not taken over")
+	})
 }
--- a/request/submit/peer.go
+++ b/request/submit/peer.go
@@ -59,18 +59,14 @@
 
 // Register serves the methods for other daemons.
 func (s *Service) Register(r peer.Registrar) {
-	r.Handle(MethodOffer, s.serveOffer)
-	r.Handle(MethodHandOver, s.serveHandOver)
-	r.Handle(MethodCancel, s.serveCancel)
-	r.Handle(MethodState, s.serveState)
-	r.Handle(MethodPending, s.servePending)
+	r.Handle(MethodOffer, peer.Typed(s.serveOffer))
+	r.Handle(MethodHandOver, peer.Typed(s.serveHandOver))
+	r.Handle(MethodCancel, peer.Typed(s.serveCancel))
+	r.Handle(MethodState, peer.Typed(s.serveState))
+	r.Handle(MethodPending, peer.Typed(s.servePending))
 }
 
-func (s *Service) serveOffer(_ context.Context, _ peer.Ref, payload []byte) (any, error) {
-	var o offer
-	if err := peer.Unmarshal(payload, &o); err != nil {
-		return nil, err
-	}
+func (s *Service) serveOffer(_ context.Context, o offer) (any, error) {
 	if h := s.o.Leading(); h != nil {
 		h.Offer(store.Entry{Key: o.Key, Value: o.Value})
 	}
@@ -78,11 +74,7 @@
 }
 
 // serveHandOver makes one try only: the daemon that asks has others to ask.
-func (s *Service) serveHandOver(ctx context.Context, _ peer.Ref, payload []byte) (any, error) {
-	var o offer
-	if err := peer.Unmarshal(payload, &o); err != nil {
-		return nil, err
-	}
+func (s *Service) serveHandOver(ctx context.Context, o offer) (any, error) {
 	id := work.JobID(o.Key)
 	if s.o.Patience.Suspect() {
 		return handedOver{}, nil // no better off than the daemon that asks
@@ -95,22 +87,14 @@
 	return handedOver{Accepted: true}, nil
 }
 
-func (s *Service) serveCancel(ctx context.Context, _ peer.Ref, payload []byte) (any, error) {
-	var r stateRequest
-	if err := peer.Unmarshal(payload, &r); err != nil {
-		return nil, err
-	}
+func (s *Service) serveCancel(ctx context.Context, r stateRequest) (any, error) {
 	done, err := s.cancelOnce(ctx, r.ID)
 	return handedOver{Accepted: done && err == nil}, nil
 }
 
 // serveState answers for the leader only. A daemon that does not lead knows
 // nothing, and says so by an error.
-func (s *Service) serveState(ctx context.Context, _ peer.Ref, payload []byte) (any, error) {
-	var r stateRequest
-	if err := peer.Unmarshal(payload, &r); err != nil {
-		return nil, err
-	}
+func (s *Service) serveState(ctx context.Context, r stateRequest) (any, error) {
 	h := s.o.Leading()
 	if h == nil {
 		return nil, errNoLeader
@@ -119,11 +103,7 @@
 	return stateReply{State: state, Known: known}, err
 }
 
-func (s *Service) servePending(ctx context.Context, _ peer.Ref, payload []byte) (any, error) {
-	var r pendingRequest
-	if err := peer.Unmarshal(payload, &r); err != nil {
-		return nil, err
-	}
+func (s *Service) servePending(ctx context.Context, r pendingRequest) (any, error) {
 	h := s.o.Leading()
 	if h == nil {
 		return nil, errNoLeader
--- a/request/submit/submit.go
+++ b/request/submit/submit.go
@@ -289,26 +289,33 @@
 // handOver lets other daemons write a job. maybe tells that one may have done
 // so without an answer.
 func (s *Service) handOver(ctx context.Context, id work.JobID, value []byte) (took, maybe bool) {
+	took = s.askHelpers(ctx, MethodHandOver, offer{Key: string(id), Value: value}, func(r handedOver, err error) {
+		maybe = maybe || r.Maybe || (err != nil && !peer.NotRun(err))
+	})
+	if !took {
+		return false, maybe
+	}
+	s.stats.HandedOver.Add(1)
+	return true, false
+}
+
+// askHelpers asks other daemons in turn until one has accepted; each that has
+// not is told to the caller.
+func (s *Service) askHelpers(ctx context.Context, method peer.Method, req any, refused func(r handedOver, err error)) bool {
 	for _, m := range s.helpers() {
 		if ctx.Err() != nil {
 			break
 		}
 		bounded, cancel := context.WithTimeout(ctx, handOverTimeout)
 		var r handedOver
-		_, err := s.o.Peers.CallAddr(bounded, m.Peer, MethodHandOver, offer{Key: string(id), Value: value}, &r)
+		_, err := s.o.Peers.CallAddr(bounded, m.Peer, method, req, &r)
 		cancel()
-		switch {
-		case err != nil && peer.NotRun(err):
-		case err != nil:
-			maybe = true
-		case r.Accepted:
-			s.stats.HandedOver.Add(1)
-			return true, false
-		default:
-			maybe = maybe || r.Maybe
+		if err == nil && r.Accepted {
+			return true
 		}
+		refused(r, err)
 	}
-	return false, maybe
+	return false
 }
 
 // State returns what callers are shown of a job. The error is ErrNoJob, when
--- a/version/work/work.go
+++ b/version/work/work.go
@@ -257,7 +257,6 @@
 
 // Check reports the first field that can not be used.
 func (j *Job) Check() error {
-	total := 0
 	if len(j.Steps) == 0 {
 		return &FieldError{"steps", "is empty; name at least one step"}
 	}
@@ -274,9 +273,8 @@
 				return &FieldError{fmt.Sprintf("steps[%d].after", i), fmt.Sprintf("names step %d; name earlier steps", a)}
 			}
 		}
-		total += s.Count
 	}
-	if total > MaxTasks {
+	if total := j.Tasks(); total > MaxTasks {
 		return &FieldError{"steps", fmt.Sprintf("have %d tasks; use at most %d", total, MaxTasks)}
 	}
 	return j.checkTimes()
