--- a/process/cellnode/node.go
+++ b/process/cellnode/node.go
@@ -221,7 +221,7 @@
 func (n *Node) lead(t *lead.Term) {
 	h := dispatch.NewHost(dispatch.HostOptions{
 		Store: n.o.Store, Patience: n.patience, Runner: n.o.Runner, Directory: n.o.Directory, View: n.elector.View(),
-		Advise: n.advise, Bounds: n.bounds(), Log: n.log, Count: n.count, Took: n.took,
+		Advise: n.advise, Bounds: n.bounds(), Policy: n.o.Settings.Policy, Log: n.log, Count: n.count, Took: n.took,
 		Violation: func(string) { n.metrics.Add("violations", 1) },
 	}, t)
 	n.host.Store(h)
--- a/process/dispatch/cell_test.go
+++ b/process/dispatch/cell_test.go
@@ -39,6 +39,9 @@
 	broken []string
 	mu     sync.Mutex
 	rng    *rand.Rand
+	policy Policy
+	// bundles is the number of bundles that one term wrote, at the most.
+	bundles atomic.Uint64
 }
 
 // node is a daemon that can lead.
@@ -80,8 +83,12 @@
 const testLease = 6 * time.Second
 
 func newTestCell(t *testing.T, seed uint64, workers, daemons int, behave func(*rand.Rand, work.TaskID) epochworker.Behaviour) *cell {
+	return newCellOf(t, seed, workers, daemons, Policy{}, behave)
+}
+
+func newCellOf(t *testing.T, seed uint64, workers, daemons int, policy Policy, behave func(*rand.Rand, work.TaskID) epochworker.Behaviour) *cell {
 	rng := rand.New(rand.NewPCG(seed, 3))
-	c := &cell{t: t, kv: kv.NewSeeded(seed), jobs: map[work.JobID]*work.Job{}, rng: rng, advice: &adviser{lanes: map[string]*sync.Mutex{}, share: 0.5}}
+	c := &cell{t: t, policy: policy, kv: kv.NewSeeded(seed), jobs: map[work.JobID]*work.Job{}, rng: rng, advice: &adviser{lanes: map[string]*sync.Mutex{}, share: 0.5}}
 	draw := rand.New(rand.NewPCG(seed, 5))
 	c.fleet = epochworker.New(epochworker.Options{Seed: seed, Lease: testLease, Gang: 3 * time.Second, Stop: 200 * time.Millisecond,
 		Delay: time.Millisecond, Attempts: 4,
@@ -107,7 +114,8 @@
 	n.elector = lead.New(lead.Options{Self: lead.Member{Name: name, Peer: name}, Store: c.kv, Patience: patience, Log: log,
 		Lead: func(t *lead.Term) {
 			h := NewHost(HostOptions{Store: c.kv, Patience: patience, Runner: c.fleet, Directory: c.fleet, View: n.elector.View(),
-				Advise: c.advice.ask, Log: log,
+				Advise: c.advice.ask, Log: log, Policy: c.policy,
+				Count: func(s Stats) { c.bundles.Store(max(c.bundles.Load(), s.Bundles)) },
 				Bounds: Bounds{Lease: testLease, MaxLease: testLease, Gang: 3 * time.Second, Keep: 10 * time.Minute},
 				Violation: func(what string) {
 					c.mu.Lock()
@@ -301,6 +309,9 @@
 		c.fleet.Crash(id)
 	case 8:
 		c.kv.Compact()
+	case 9:
+		c.kv.SetFaults(kv.Faults{Delay: 300 * time.Millisecond})
+		later(func() { c.kv.SetFaults(kv.Faults{}) })
 	}
 }
 
@@ -335,7 +346,10 @@
 func seedName(seed uint64) string { return strconv.FormatUint(seed, 10) }
 
 func randomTroubles(t *testing.T, seed uint64, draw func(*rand.Rand) *work.Job) {
-	c := newTestCell(t, seed, 16, 3, usual(0.05))
+	randomTroublesOf(t, newTestCell(t, seed, 16, 3, usual(0.05)), draw, (*cell).trouble)
+}
+
+func randomTroublesOf(t *testing.T, c *cell, draw func(*rand.Rand) *work.Job, trouble func(*cell)) {
 	time.Sleep(2 * time.Second)
 	next := time.Now().Add(2 * time.Second)
 	for i := range 120 {
@@ -345,7 +359,7 @@
 		}
 		time.Sleep(time.Duration(c.rng.IntN(300)) * time.Millisecond)
 		if i < 100 && time.Now().After(next) {
-			c.trouble()
+			trouble(c)
 			next = time.Now().Add(time.Duration(500+c.rng.IntN(3000)) * time.Millisecond)
 		}
 	}
--- a/process/dispatch/engine.go
+++ b/process/dispatch/engine.go
@@ -10,6 +10,7 @@
 	"fennelshunt.example/fennelshunt/connection/peer"
 	"fennelshunt.example/fennelshunt/connection/runner"
 	"fennelshunt.example/fennelshunt/connection/store"
+	"fennelshunt.example/fennelshunt/process/lead"
 	"fennelshunt.example/fennelshunt/version/work"
 )
 
@@ -46,7 +47,10 @@
 	dirtyAt   time.Duration // since when something waits for a commit
 	urgent    bool
 	removals  []string
-	writing   *batch
+	writes    [lead.Chains]*batch // on their way, by chain
+	writtenAt time.Duration       // when the last one went out
+	unbundle  []*job              // whose newest progress is in a bundle
+	bundleSeq uint64
 	fleetNew  bool
 	forgetAt  time.Duration
 	scheduled bool // nothing has changed since the last placement
@@ -62,11 +66,12 @@
 // Stats counts what an engine did.
 type Stats struct {
 	Starts, Resent, Stops, Done, Failed, Back, Lost, Adopted, Orphans uint64
-	Commits, Violations, Advised, Aside, Moved                        uint64
+	Commits, Bundles, Violations, Advised, Aside, Moved               uint64
 }
 
 // NewEngine returns an engine without jobs.
 func NewEngine(o Options) *Engine {
+	o.Policy = o.Policy.complete()
 	return &Engine{o: o, jobs: map[work.JobID]*job{}, cancels: map[work.JobID]time.Duration{},
 		workers: map[runner.WorkerID]*worker{}, lanes: map[string]*lane{},
 		shares: map[string]float64{}, paces: map[string]float64{}}
@@ -78,19 +83,29 @@
 // Stats returns the counters.
 func (e *Engine) Stats() Stats { return e.stats }
 
+// Saved is what earlier epochs left in the store.
+type Saved struct {
+	Accepted []store.Entry // under PrefixJobs
+	States   []store.Entry // under PrefixState
+	Bundles  []store.Entry // under PrefixBundle
+	Fleet    *store.Entry  // nil for none
+}
+
 // Load takes over what earlier epochs left in the store. Entries that can not
 // be read are returned as an error; the others are taken.
-func (e *Engine) Load(now time.Duration, accepted, states []store.Entry, fleet *store.Entry) error {
+func (e *Engine) Load(now time.Duration, saved Saved) error {
 	e.now = now
 	var errs []error
-	for _, entry := range accepted {
+	for _, entry := range saved.Accepted {
 		errs = append(errs, e.Accepted(now, entry))
 	}
-	for _, entry := range states {
-		errs = append(errs, e.loadState(entry))
+	states, bad := e.newest(saved.States, saved.Bundles)
+	errs = append(errs, bad...)
+	for _, s := range states {
+		e.loadState(s)
 	}
-	if fleet != nil {
-		errs = append(errs, e.loadFleet(fleet.Value))
+	if saved.Fleet != nil {
+		errs = append(errs, e.loadFleet(saved.Fleet.Value))
 	}
 	for _, j := range e.jobs {
 		e.openDue(j)
@@ -102,25 +117,22 @@
 	return errors.Join(errs...)
 }
 
-func (e *Engine) loadState(entry store.Entry) error {
-	id := work.JobID(strings.TrimPrefix(entry.Key, PrefixState))
-	p, err := work.DecodeProgress(entry.Value)
-	if err != nil {
-		return fmt.Errorf("%s: %w", entry.Key, err)
+// loadState takes over the newest progress of a job.
+func (e *Engine) loadState(s stored) {
+	j := e.jobs[s.job]
+	if j == nil && s.progress.State.Final() {
+		// Its hand-in was removed when it ended.
+		j = &job{id: s.job, state: s.progress.State, visible: s.progress.State, endedAt: e.now, isShed: true}
+		e.jobs[s.job] = j
 	}
-	j := e.jobs[id]
 	if j == nil {
-		// Its hand-in was removed when it ended.
-		if p.State.Final() {
-			e.jobs[id] = &job{id: id, state: p.State, visible: p.State, endedAt: e.now, isShed: true}
-		}
-		return nil
+		return // its hand-in could not be read: its progress is left alone
 	}
-	if j.state == work.Cancelled && !p.State.Final() {
-		return nil // cancelled, and not yet written as such
+	e.moveTo(j, s.bundle)
+	if j.isShed || (j.state == work.Cancelled && !s.progress.State.Final()) {
+		return // a cancellation that is not yet written as such stands
 	}
-	j.restore(p)
-	return nil
+	j.restore(s.progress)
 }
 
 // fleetRecord lists the workers that the leader may have started tasks on.
@@ -167,7 +179,7 @@
 }
 
 func (e *Engine) add(id work.JobID, spec *work.Job) {
-	j := &job{id: id, spec: spec, since: e.now, inherited: spec.Epoch < e.o.Epoch,
+	j := &job{id: id, spec: spec, handedIn: true, since: e.now, inherited: spec.Epoch < e.o.Epoch,
 		accepted: e.atTime(spec.Accepted), start: e.atTime(spec.StartAt)}
 	e.jobs[id] = j
 	if _, ok := e.cancels[id]; ok {
@@ -324,7 +336,7 @@
 			continue
 		}
 		j.shed()
-		if !j.isShed || e.now-j.endedAt < e.o.Bounds.Keep {
+		if !j.isShed || j.writing || j.dirty || j.bundle != nil || e.now-j.endedAt < e.o.Bounds.Keep {
 			continue
 		}
 		delete(e.jobs, id)
--- a/process/dispatch/engine_test.go
+++ b/process/dispatch/engine_test.go
@@ -37,8 +37,8 @@
 		b.now += tickPeriod
 		b.e.Tick(b.now)
 		for _, x := range b.e.Flush(b.now) {
-			if _, ok := x.(SendCommit); ok {
-				b.e.Committed(b.now)
+			if c, ok := x.(SendCommit); ok {
+				b.e.Committed(b.now, c.Chain)
 				continue
 			}
 			b.out = append(b.out, x)
@@ -85,7 +85,7 @@
 	// Cause: only the highest counted run was kept, and the lower one taken for
 	//   one that had been counted.
 	b := newBench(t, 2, "w-a", "w-b")
-	require.NoError(t, b.e.Load(0, []store.Entry{jobEntry(t, 1, 2, oneTask())}, nil, nil))
+	require.NoError(t, b.e.Load(0, Saved{Accepted: []store.Entry{jobEntry(t, 1, 2, oneTask())}}))
 	b.step(50 * time.Millisecond)
 	task := work.TaskID{Job: testJob}
 	b.report("w-b", runner.Report{Clock: time.Second, Ended: []runner.End{{Number: 1, Task: task, Run: 2, How: runner.Failed}}})
@@ -104,7 +104,7 @@
 	b := newBench(t, 2, "w-a")
 	progress, err := work.EncodeProgress(&work.Progress{State: work.Running, Ends: []work.StepEnds{{Failed: []work.Fail{{Runs: []uint64{1}}}}}})
 	require.NoError(t, err)
-	require.NoError(t, b.e.Load(0, []store.Entry{jobEntry(t, 1, 2, oneTask())}, []store.Entry{{Key: KeyState(testJob), Value: progress}}, nil))
+	require.NoError(t, b.e.Load(0, Saved{Accepted: []store.Entry{jobEntry(t, 1, 2, oneTask())}, States: []store.Entry{{Key: KeyState(testJob), Value: progress}}}))
 	b.step(50 * time.Millisecond)
 	b.report("w-a", runner.Report{Clock: time.Second, Ended: []runner.End{{Number: 1, Task: work.TaskID{Job: testJob}, Run: 1, How: runner.Failed}}})
 	b.step(avoidPatience + 100*time.Millisecond) // there is no other worker
@@ -119,7 +119,7 @@
 	// Cause: each renewal without an answer put off the time at which everything
 	//   there has ended for sure.
 	b := newBench(t, 1, "w-a")
-	require.NoError(t, b.e.Load(0, []store.Entry{jobEntry(t, 1, 2, oneTask())}, nil, nil))
+	require.NoError(t, b.e.Load(0, Saved{Accepted: []store.Entry{jobEntry(t, 1, 2, oneTask())}}))
 	b.step(50 * time.Millisecond)
 	b.report("w-a", runner.Report{Clock: time.Second})
 	first := b.starts()
@@ -151,7 +151,7 @@
 	second := oneTask()
 	second.After = []int{0}
 	second.Size.CPU = 5000 // more than the worker has
-	require.NoError(t, b.e.Load(0, []store.Entry{jobEntry(t, 1, 2, oneTask(), second)}, nil, nil))
+	require.NoError(t, b.e.Load(0, Saved{Accepted: []store.Entry{jobEntry(t, 1, 2, oneTask(), second)}}))
 	b.step(50 * time.Millisecond)
 	b.report("w-a", runner.Report{Clock: time.Second})
 	j, w := b.e.jobs[testJob], b.e.workers["w-a"]
@@ -173,7 +173,7 @@
 	// Sequence: three tries of a start are not answered, nor is the first stop;
 	//   then the stop is answered, and a report lists neither run nor end.
 	b := newBench(t, 1, "w-a", "w-b")
-	require.NoError(t, b.e.Load(0, []store.Entry{jobEntry(t, 1, 2, oneTask())}, nil, nil))
+	require.NoError(t, b.e.Load(0, Saved{Accepted: []store.Entry{jobEntry(t, 1, 2, oneTask())}}))
 	b.step(50 * time.Millisecond)
 	b.report("w-a", runner.Report{Clock: time.Second})
 	b.report("w-b", runner.Report{Clock: time.Second})
@@ -219,7 +219,7 @@
 	fleet, err := peer.Marshal(fleetRecord{Workers: []runner.Ref{ref}})
 	require.NoError(t, err)
 	b := newBench(t, 2, "w-near")
-	require.NoError(t, b.e.Load(0, []store.Entry{jobEntry(t, 1, 2, oneTask())}, nil, &store.Entry{Value: fleet}))
+	require.NoError(t, b.e.Load(0, Saved{Accepted: []store.Entry{jobEntry(t, 1, 2, oneTask())}, Fleet: &store.Entry{Value: fleet}}))
 	b.step(50 * time.Millisecond)
 	b.report("w-near", runner.Report{Clock: time.Second})
 	for b.now < noticeTime+testLease {
@@ -241,7 +241,7 @@
 
 func TestEndIsAcknowledgedOnlyOnceItIsInTheStore(t *testing.T) {
 	b := newBench(t, 1, "w-a")
-	require.NoError(t, b.e.Load(0, []store.Entry{jobEntry(t, 1, 2, oneTask())}, nil, nil))
+	require.NoError(t, b.e.Load(0, Saved{Accepted: []store.Entry{jobEntry(t, 1, 2, oneTask())}}))
 	b.step(50 * time.Millisecond)
 	b.report("w-a", runner.Report{Clock: time.Second})
 	s := b.starts()[0]
@@ -260,7 +260,7 @@
 		state, _ := b.e.State(testJob)
 		require.Equal(t, work.Running, state)
 	}
-	b.e.Committed(b.now)
+	b.e.Committed(b.now, 0)
 	state, _ := b.e.State(testJob)
 	require.Equal(t, work.Completed, state)
 	require.EqualValues(t, 1, b.e.workers["w-a"].ack)
@@ -277,7 +277,7 @@
 	j.Queue.Advice = &work.Advice{Base: 5 * time.Millisecond, Valid: 2 * time.Second}
 	entry.Value, err = work.EncodeJob(j)
 	require.NoError(t, err)
-	require.NoError(t, b.e.Load(0, []store.Entry{entry}, nil, nil))
+	require.NoError(t, b.e.Load(0, Saved{Accepted: []store.Entry{entry}}))
 	b.step(50 * time.Millisecond)
 	b.report("w-a", runner.Report{Clock: time.Second})
 	b.report("w-b", runner.Report{Clock: time.Second})
@@ -306,7 +306,7 @@
 	// Sequence: a cancellation is written just before the leader writes its
 	//   job's end, and reaches the leader after it.
 	b := newBench(t, 1, "w-a")
-	require.NoError(t, b.e.Load(0, []store.Entry{jobEntry(t, 1, 2, oneTask())}, nil, nil))
+	require.NoError(t, b.e.Load(0, Saved{Accepted: []store.Entry{jobEntry(t, 1, 2, oneTask())}}))
 	b.step(50 * time.Millisecond)
 	b.report("w-a", runner.Report{})
 	b.report("w-a", done(1, b.starts()...))
@@ -321,7 +321,7 @@
 		for _, x := range b.e.Flush(b.now) {
 			if c, ok := x.(SendCommit); ok {
 				deleted = append(deleted, c.Deletes...)
-				b.e.Committed(b.now)
+				b.e.Committed(b.now, c.Chain)
 			}
 		}
 	}
@@ -334,7 +334,7 @@
 	//   for its state.
 	// Cause: it was kept with its text, its steps and tasks.
 	b := newBench(t, 1, "w-a")
-	require.NoError(t, b.e.Load(0, []store.Entry{jobEntry(t, 1, 2, oneTask())}, nil, nil))
+	require.NoError(t, b.e.Load(0, Saved{Accepted: []store.Entry{jobEntry(t, 1, 2, oneTask())}}))
 	b.step(50 * time.Millisecond)
 	b.report("w-a", runner.Report{})
 	starts := b.starts()
--- a/process/dispatch/gang_test.go
+++ b/process/dispatch/gang_test.go
@@ -22,7 +22,7 @@
 		b := newBench(t, 1, "w-a")
 		small := oneTask()
 		small.Count = 4
-		require.NoError(t, b.e.Load(0, []store.Entry{jobEntry(t, 1, 2, small)}, nil, nil))
+		require.NoError(t, b.e.Load(0, Saved{Accepted: []store.Entry{jobEntry(t, 1, 2, small)}}))
 		b.step(50 * time.Millisecond)
 		b.report("w-a", runner.Report{})
 		require.Len(t, b.starts(), 4, "the worker is full")
@@ -54,7 +54,7 @@
 	j.Queue.Advice = &work.Advice{Base: 400 * time.Millisecond, Valid: 2 * time.Second}
 	entry.Value, err = work.EncodeJob(j)
 	require.NoError(t, err)
-	require.NoError(t, b.e.Load(0, []store.Entry{entry}, nil, nil))
+	require.NoError(t, b.e.Load(0, Saved{Accepted: []store.Entry{entry}}))
 	b.step(50 * time.Millisecond)
 	for _, id := range []runner.WorkerID{"w-a", "w-b", "w-c"} {
 		b.report(id, runner.Report{Clock: time.Second})
@@ -97,7 +97,7 @@
 	}
 	wide.Count = 4
 	entries = append(entries, jobEntry(t, 1, 2, wide)) // id ...aa sorts last
-	require.NoError(t, b.e.Load(0, entries, nil, nil))
+	require.NoError(t, b.e.Load(0, Saved{Accepted: entries}))
 	b.step(50 * time.Millisecond)
 	b.report("w-a", runner.Report{Clock: time.Second})
 	b.step(50 * time.Millisecond)
@@ -114,7 +114,7 @@
 	gang := work.Step{Count: 2, Size: work.Resources{CPU: 3000, Memory: 100}, Estimate: time.Second, Gang: true}
 	for _, percent := range []float64{100, 50} {
 		b := newBench(t, 1, "w-a", "w-b")
-		require.NoError(t, b.e.Load(0, []store.Entry{jobEntry(t, 1, 2, gang)}, nil, nil))
+		require.NoError(t, b.e.Load(0, Saved{Accepted: []store.Entry{jobEntry(t, 1, 2, gang)}}))
 		b.step(50 * time.Millisecond)
 		b.report("w-a", runner.Report{Clock: time.Second})
 		b.report("w-b", runner.Report{Clock: time.Second})
@@ -163,7 +163,7 @@
 	any.Labels = nil
 	entries = append(entries, jobEntry(t, 1, 2, any)) // id ...aa sorts last
 	b.e.WorkerSeen(b.now, runner.Worker{Ref: runner.Ref{ID: "w-a"}, Service: "s", Capacity: work.Resources{CPU: 4000, Memory: 4000}, Labels: []string{"rare", "r"}})
-	require.NoError(t, b.e.Load(0, entries, nil, nil))
+	require.NoError(t, b.e.Load(0, Saved{Accepted: entries}))
 	b.step(50 * time.Millisecond)
 	b.report("w-a", runner.Report{})
 	require.Len(t, b.starts(), 1, "one on the rare worker")
--- a/process/dispatch/host.go
+++ b/process/dispatch/host.go
@@ -47,6 +47,7 @@
 	// Advise asks a member's adviser.
 	Advise func(ctx context.Context, member, step string, workers []runner.WorkerID) ([]runner.Ticket, error)
 	Bounds Bounds
+	Policy Policy
 	Log    zerolog.Logger
 	// Count is told the counters at the end of a term and now and then.
 	Count func(Stats)
@@ -81,7 +82,7 @@
 func (h *Host) Run() {
 	ctx := h.term.Context()
 	h.engine = NewEngine(Options{
-		Epoch: h.term.Epoch, Bounds: h.o.Bounds, Today: h.start.UnixMilli(),
+		Epoch: h.term.Epoch, Bounds: h.o.Bounds, Policy: h.o.Policy, Today: h.start.UnixMilli(),
 		Decide: h.logDecision, Violation: h.logViolation, Took: h.o.Took,
 	})
 	var tasks sync.WaitGroup
@@ -106,12 +107,12 @@
 func (h *Host) load(ctx context.Context) (store.Revision, error) {
 	began := time.Now()
 	for {
-		rev, jobs, states, fleet, err := h.readAll(ctx)
+		rev, saved, err := h.readAll(ctx)
 		if err == nil {
-			if bad := h.engine.Load(h.now(), jobs, states, fleet); bad != nil {
+			if bad := h.engine.Load(h.now(), saved); bad != nil {
 				h.o.Log.Error().Err(bad).Msg("entries of the store can not be read and are left alone")
 			}
-			h.o.Log.Info().Int("accepted", len(jobs)).Int("states", len(states)).Dur("took_ms", time.Since(began)).Msg("state loaded")
+			h.o.Log.Info().Int("accepted", len(saved.Accepted)).Int("states", len(saved.States)).Int("bundles", len(saved.Bundles)).Dur("took_ms", time.Since(began)).Msg("state loaded")
 			return rev, nil
 		}
 		h.o.Log.Warn().Err(err).Msg("state not loaded yet")
@@ -121,24 +122,25 @@
 	}
 }
 
-func (h *Host) readAll(ctx context.Context) (rev store.Revision, jobs, states []store.Entry, fleet *store.Entry, err error) {
+func (h *Host) readAll(ctx context.Context) (rev store.Revision, saved Saved, err error) {
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
 	var wg sync.WaitGroup
-	var jobsErr, statesErr, fleetErr error
-	wg.Go(func() { jobs, rev, jobsErr = h.o.Store.List(ctx, PrefixJobs) })
-	wg.Go(func() { states, _, statesErr = h.o.Store.List(ctx, PrefixState) })
+	var jobsErr, statesErr, bundlesErr, fleetErr error
+	wg.Go(func() { saved.Accepted, rev, jobsErr = h.o.Store.List(ctx, PrefixJobs) })
+	wg.Go(func() { saved.States, _, statesErr = h.o.Store.List(ctx, PrefixState) })
+	wg.Go(func() { saved.Bundles, _, bundlesErr = h.o.Store.List(ctx, PrefixBundle) })
 	wg.Go(func() {
 		entry, err := h.o.Store.Get(ctx, keyFleet)
 		switch {
 		case err == nil:
-			fleet = &entry
+			saved.Fleet = &entry
 		case !errors.Is(err, store.ErrNotFound):
 			fleetErr = err
 		}
 	})
 	wg.Wait()
-	return rev, jobs, states, fleet, errors.Join(jobsErr, statesErr, fleetErr)
+	return rev, saved, errors.Join(jobsErr, statesErr, bundlesErr, fleetErr)
 }
 
 // loadTimeout bounds one reading of the whole state.
@@ -283,7 +285,7 @@
 }
 
 func (h *Host) commit(ctx context.Context, x SendCommit) {
-	err := h.term.Commit(ctx, x.Writes, x.Deletes)
+	err := h.term.Commit(ctx, x.Chain, x.Writes, x.Deletes)
 	if err != nil {
 		if ctx.Err() == nil {
 			h.o.Log.Error().Err(err).Msg("progress not written, the term ends")
@@ -291,7 +293,7 @@
 		}
 		return
 	}
-	h.post(func(e *Engine, now time.Duration) { e.Committed(now) })
+	h.post(func(e *Engine, now time.Duration) { e.Committed(now, x.Chain) })
 }
 
 func (h *Host) askAdvice(ctx context.Context, x AskAdvice) {
--- a/process/dispatch/job.go
+++ b/process/dispatch/job.go
@@ -32,7 +32,12 @@
 	version uint64 // of the progress, raised by each change that must last
 	saved   uint64 // the highest version in the store
 	dirty   bool   // queued for writing
-	endedAt time.Duration
+	writing bool   // a write of it is on its way
+	// handedIn: its hand-in is in the store; removed with the write of its end.
+	handedIn   bool
+	bundle     *bundle // that holds its newest progress; nil: its own key does
+	unbundling bool    // queued to be moved out of its bundle
+	endedAt    time.Duration
 }
 
 // step is one step of a job.
--- a/process/dispatch/lasting_test.go
+++ b/process/dispatch/lasting_test.go
@@ -32,7 +32,7 @@
 
 func TestLastingTaskIsRestartedHoweverItEnds(t *testing.T) {
 	b := newBench(t, 1, "w-a", "w-b")
-	require.NoError(t, b.e.Load(0, []store.Entry{jobEntry(t, 1, 1, lastingTask())}, nil, nil))
+	require.NoError(t, b.e.Load(0, Saved{Accepted: []store.Entry{jobEntry(t, 1, 1, lastingTask())}}))
 	b.step(50 * time.Millisecond)
 	b.report("w-a", runner.Report{})
 	b.report("w-b", runner.Report{})
@@ -59,7 +59,7 @@
 	//   end as done for a sign for it, which these tasks never give.
 	w := &worker{}
 	b := newBench(t, 1, "w-a")
-	require.NoError(t, b.e.Load(0, []store.Entry{jobEntry(t, 1, 1, lastingTask())}, nil, nil))
+	require.NoError(t, b.e.Load(0, Saved{Accepted: []store.Entry{jobEntry(t, 1, 1, lastingTask())}}))
 	b.step(50 * time.Millisecond)
 	b.report("w-a", runner.Report{})
 	s := b.starts()[0]
@@ -82,7 +82,7 @@
 	b := newBench(t, 1, "w-a")
 	small := oneTask()
 	small.Count = 40
-	require.NoError(t, b.e.Load(0, []store.Entry{jobEntry(t, 1, 1, small)}, nil, nil))
+	require.NoError(t, b.e.Load(0, Saved{Accepted: []store.Entry{jobEntry(t, 1, 1, small)}}))
 	b.step(50 * time.Millisecond)
 	b.report("w-a", runner.Report{})
 	running := b.starts()
@@ -116,7 +116,7 @@
 	//   in one epoch; then there is another leader.
 	// Cause: the numbers of an epoch's runs had run into those of the next.
 	b := newBench(t, 1, "w-a")
-	require.NoError(t, b.e.Load(0, []store.Entry{jobEntry(t, 1, 1, lastingTask())}, nil, nil))
+	require.NoError(t, b.e.Load(0, Saved{Accepted: []store.Entry{jobEntry(t, 1, 1, lastingTask())}}))
 	b.e.jobs[testJob].occurrences[0].steps[0].tasks[0].runs = 1<<runBits - 1
 	b.step(50 * time.Millisecond)
 	b.report("w-a", runner.Report{})
@@ -133,7 +133,7 @@
 	fill.Fills, fill.Count, fill.Size.CPU = true, 3, 4000
 	t.Run("fills come second", func(t *testing.T) {
 		b := newBench(t, 1, "w-a", "w-b")
-		require.NoError(t, b.e.Load(0, []store.Entry{jobEntry(t, 1, 1, lastingTask())}, nil, nil))
+		require.NoError(t, b.e.Load(0, Saved{Accepted: []store.Entry{jobEntry(t, 1, 1, lastingTask())}}))
 		b.step(50 * time.Millisecond)
 		b.report("w-a", runner.Report{})
 		serves := b.starts()[0].To.ID
@@ -150,7 +150,7 @@
 	})
 	t.Run("what serves comes second", func(t *testing.T) {
 		b := newBench(t, 1, "w-a")
-		require.NoError(t, b.e.Load(0, []store.Entry{jobEntry(t, 1, 1, fill)}, nil, nil))
+		require.NoError(t, b.e.Load(0, Saved{Accepted: []store.Entry{jobEntry(t, 1, 1, fill)}}))
 		b.step(50 * time.Millisecond)
 		b.report("w-a", runner.Report{})
 		require.Len(t, b.starts(), 3)
--- a/process/dispatch/occurrence_test.go
+++ b/process/dispatch/occurrence_test.go
@@ -38,7 +38,7 @@
 	// Sequence: it is handed in ahead of its first time.
 	// Cause: its times were kept and not looked at.
 	b := newBench(t, 1, "w-a")
-	require.NoError(t, b.e.Load(0, []store.Entry{timedEntry(t, 2, time.Second, 500*time.Millisecond, oneTask())}, nil, nil))
+	require.NoError(t, b.e.Load(0, Saved{Accepted: []store.Entry{timedEntry(t, 2, time.Second, 500*time.Millisecond, oneTask())}}))
 	b.step(50 * time.Millisecond)
 	b.report("w-a", runner.Report{})
 	b.step(900 * time.Millisecond)
@@ -65,7 +65,7 @@
 	b := newBench(t, 1, "w-a")
 	second := oneTask()
 	second.After = []int{0}
-	require.NoError(t, b.e.Load(0, []store.Entry{timedEntry(t, 3, 0, 100*time.Millisecond, oneTask(), second)}, nil, nil))
+	require.NoError(t, b.e.Load(0, Saved{Accepted: []store.Entry{timedEntry(t, 3, 0, 100*time.Millisecond, oneTask(), second)}}))
 	b.step(50 * time.Millisecond)
 	b.report("w-a", runner.Report{})
 	b.step(300 * time.Millisecond)
@@ -86,7 +86,7 @@
 	for name, ended := range map[string]bool{"runs": false, "ended": true} {
 		t.Run(name, func(t *testing.T) {
 			b := newBench(t, 2, "w-a")
-			require.NoError(t, b.e.Load(0, []store.Entry{timedEntry(t, 2, time.Second, time.Second, oneTask())}, nil, nil))
+			require.NoError(t, b.e.Load(0, Saved{Accepted: []store.Entry{timedEntry(t, 2, time.Second, time.Second, oneTask())}}))
 			b.step(50 * time.Millisecond)
 			task := work.TaskID{Job: testJob, Occurrence: 1}
 			r := runner.Report{Running: []runner.Live{{Task: task, Run: 1}}}
@@ -113,7 +113,7 @@
 	progress, err := work.EncodeProgress(&work.Progress{State: work.Running, Before: 2, Ends: []work.StepEnds{
 		{Occurrence: 2, Done: []int{1}}, {Occurrence: 3, All: true}}})
 	require.NoError(t, err)
-	require.NoError(t, b.e.Load(0, []store.Entry{timedEntry(t, 5, 0, 0, two)}, []store.Entry{{Key: KeyState(testJob), Value: progress}}, nil))
+	require.NoError(t, b.e.Load(0, Saved{Accepted: []store.Entry{timedEntry(t, 5, 0, 0, two)}, States: []store.Entry{{Key: KeyState(testJob), Value: progress}}}))
 	b.step(50 * time.Millisecond)
 	b.report("w-a", runner.Report{})
 	b.step(50 * time.Millisecond)
@@ -131,14 +131,14 @@
 	b := newBench(t, 1, "w-a")
 	wide := oneTask()
 	wide.Count = 1000
-	require.NoError(t, b.e.Load(0, []store.Entry{timedEntry(t, 1_000_000, 0, 0, wide)}, nil, nil))
+	require.NoError(t, b.e.Load(0, Saved{Accepted: []store.Entry{timedEntry(t, 1_000_000, 0, 0, wide)}}))
 	b.step(50 * time.Millisecond)
 	require.Len(t, b.e.jobs[testJob].occurrences, work.MaxTasks/wide.Count)
 }
 
 func TestProgressOfManyOccurrencesStaysSmall(t *testing.T) {
 	b := newBench(t, 1, "w-a")
-	require.NoError(t, b.e.Load(0, []store.Entry{timedEntry(t, 300, 0, 20*time.Millisecond, oneTask())}, nil, nil))
+	require.NoError(t, b.e.Load(0, Saved{Accepted: []store.Entry{timedEntry(t, 300, 0, 20*time.Millisecond, oneTask())}}))
 	b.step(50 * time.Millisecond)
 	b.report("w-a", runner.Report{})
 	number := int64(1)
--- a/process/dispatch/persist.go
+++ b/process/dispatch/persist.go
@@ -6,7 +6,6 @@
 	"fennelshunt.example/fennelshunt/connection/peer"
 	"fennelshunt.example/fennelshunt/connection/runner"
 	"fennelshunt.example/fennelshunt/connection/store"
-	"fennelshunt.example/fennelshunt/process/lead"
 	"fennelshunt.example/fennelshunt/version/work"
 )
 
@@ -17,19 +16,42 @@
 	groupDelay = 25 * time.Millisecond
 	// urgentDelay groups the ends of jobs, for which callers wait.
 	urgentDelay = 10 * time.Millisecond
+	// overlapDelay is kept between the beginnings of two writes of which the first
+	// has not been answered yet: a store that answers in a few milliseconds then
+	// has one write at a time, one that takes 300 ms has all chains in use.
+	overlapDelay = 50 * time.Millisecond
+	// fleetChain is the chain for the list of workers: two lists on their way on
+	// different chains could take effect in either order.
+	fleetChain = 0
 )
 
 // batch is one write on its way to the store.
 type batch struct {
-	jobs     []*job
-	versions []uint64
-	states   []work.State
-	fleet    []*worker
+	saves  []save
+	bundle *bundle // nil: every job is under a key of its own
+	fleet  []*worker
 }
 
-// mark queues a job's progress for writing.
+// save is the progress of one job in a batch.
+type save struct {
+	job     *job
+	version uint64
+	state   work.State
+	bundled bool
+}
+
+// mark notes a change of a job that must last. While a write of the job is on its
+// way the change waits for the answer: two writes on different chains take effect
+// in any order, and the older progress would stand for the newer one.
 func (e *Engine) mark(j *job, urgent bool) {
 	j.version++
+	if !j.writing {
+		e.queueWrite(j, urgent)
+	}
+}
+
+// queueWrite queues a job's progress for writing.
+func (e *Engine) queueWrite(j *job, urgent bool) {
 	if len(e.dirty) == 0 {
 		e.dirtyAt = e.now
 	}
@@ -40,40 +62,99 @@
 	}
 }
 
-// persist prepares the next write if one is due and none is on its way.
+// persist prepares the writes that are due, each on a free chain.
 func (e *Engine) persist() {
-	if e.writing != nil || !e.writeDue() {
-		return
+	for {
+		chain, ok := e.freeChain()
+		if !ok || !e.writeDue(chain) {
+			return
+		}
+		e.write(chain)
 	}
+}
+
+// freeChain returns a chain for the next write.
+func (e *Engine) freeChain() (chain int, ok bool) {
+	busy, first := 0, -1
+	for i := range e.writes[:e.o.Policy.WriteChains] {
+		switch {
+		case e.writes[i] != nil:
+			busy++
+		case first < 0:
+			first = i
+		}
+	}
+	if first < 0 || (busy > 0 && e.now-e.writtenAt < overlapDelay) {
+		return 0, false
+	}
+	return first, true
+}
+
+func (e *Engine) writeDue(chain int) bool {
+	switch {
+	case e.fleetNew && chain == fleetChain:
+		return true
+	case len(e.dirty) > 0 && e.urgent:
+		return e.now-e.dirtyAt >= urgentDelay
+	case len(e.dirty) > 0:
+		return e.now-e.dirtyAt >= groupDelay
+	}
+	return (len(e.removals) > 0 || len(e.unbundle) > 0) && e.now-e.writtenAt >= tidyPause
+}
+
+// tidyPause is kept before a write that nobody waits for: of keys that are no
+// longer needed, and of jobs that are moved out of bundles.
+const tidyPause = 100 * time.Millisecond
+
+// write prepares one write. What does not fit under keys of its own goes into a
+// bundle, so that one write takes all that waits, however slow the store is.
+func (e *Engine) write(chain int) {
 	b := &batch{}
-	var c SendCommit
-	room := lead.MaxCommit
-	if e.fleetNew {
+	c := SendCommit{Chain: chain}
+	room := e.o.Policy.WriteKeys
+	if e.fleetNew && chain == fleetChain {
 		e.addFleet(b, &c)
 		room--
 	}
+	bundled := !e.o.Policy.NoBundles && e.dirtySize() > room
+	if bundled {
+		room--
+	}
 	room = e.addJobs(b, &c, room, true)
 	room = e.addJobs(b, &c, room, false)
+	if bundled {
+		e.addBundle(b, &c)
+	}
+	room = e.addUnbundled(b, &c, room)
 	n := min(room, len(e.removals))
 	c.Deletes = append(c.Deletes, e.removals[:n]...)
 	e.removals = e.removals[n:]
-	e.writing = b
+	e.writes[chain] = b
 	e.stats.Commits++
 	e.urgent = false
-	e.dirtyAt = e.now
+	e.dirtyAt, e.writtenAt = e.now, e.now
 	e.out = append(e.out, c)
 }
 
-func (e *Engine) writeDue() bool {
-	switch {
-	case e.fleetNew:
-		return true
-	case len(e.dirty) > 0 && e.urgent:
-		return e.now-e.dirtyAt >= urgentDelay
-	case len(e.dirty) > 0:
-		return e.now-e.dirtyAt >= groupDelay
+// keys is the number of keys that a write of the job under its own key changes.
+func (j *job) keys() int {
+	n := 1
+	if j.state.Final() && j.handedIn {
+		n++
+	}
+	if j.state == work.Cancelled {
+		n++
+	}
+	return n
+}
+
+// dirtySize is the number of keys that all that waits would change.
+func (e *Engine) dirtySize() int {
+	n := 0
+	for _, j := range e.dirty {
+		n += j.keys()
 	}
-	return len(e.removals) > 0
+	return n
 }
 
 // addJobs moves queued jobs into the batch, either those that have ended or the
@@ -81,15 +162,11 @@
 func (e *Engine) addJobs(b *batch, c *SendCommit, room int, final bool) int {
 	kept := e.dirty[:0]
 	for _, j := range e.dirty {
-		size := 1
-		if j.state.Final() {
-			size = 3
-		}
-		if j.state.Final() != final || room < size {
+		if j.state.Final() != final || room < j.keys() {
 			kept = append(kept, j)
 			continue
 		}
-		room -= size
+		room -= j.keys()
 		e.addJob(b, c, j)
 	}
 	clear(e.dirty[len(kept):])
@@ -97,6 +174,7 @@
 	return room
 }
 
+// addJob writes a job under its own key.
 func (e *Engine) addJob(b *batch, c *SendCommit, j *job) {
 	data, err := work.EncodeProgress(j.progress())
 	if err != nil {
@@ -104,16 +182,22 @@
 		return
 	}
 	c.Writes = append(c.Writes, store.Write{Key: KeyState(j.id), Value: data})
-	if j.state.Final() {
+	if j.state.Final() && j.handedIn {
 		c.Deletes = append(c.Deletes, KeyIn(j.id))
-		if j.state == work.Cancelled {
-			c.Deletes = append(c.Deletes, KeyCancel(j.id))
-		}
 	}
-	j.dirty = false
-	b.jobs = append(b.jobs, j)
-	b.versions = append(b.versions, j.version)
-	b.states = append(b.states, j.state)
+	if j.state == work.Cancelled {
+		c.Deletes = append(c.Deletes, KeyCancel(j.id))
+	}
+	e.include(b, j, false)
+}
+
+// include notes that a batch holds a job's progress.
+func (e *Engine) include(b *batch, j *job, bundled bool) {
+	if j.writing {
+		e.violate("two writes of a job on their way", work.TaskID{Job: j.id}, "")
+	}
+	j.dirty, j.writing = false, true
+	b.saves = append(b.saves, save{job: j, version: j.version, state: j.state, bundled: bundled})
 }
 
 // addFleet writes the list of workers that may be used. A worker is used only
@@ -136,20 +220,16 @@
 	e.fleetNew = false
 }
 
-// Committed tells that the last SendCommit is in the store.
-func (e *Engine) Committed(now time.Duration) {
+// Committed tells that the SendCommit on a chain is in the store.
+func (e *Engine) Committed(now time.Duration, chain int) {
 	e.now = now
-	b := e.writing
+	b := e.writes[chain]
 	if b == nil {
 		return
 	}
-	e.writing = nil
-	for i, j := range b.jobs {
-		j.saved = b.versions[i]
-		if b.states[i].Final() {
-			j.visible = b.states[i]
-			j.shed()
-		}
+	e.writes[chain] = nil
+	for i := range b.saves {
+		e.saved(b, &b.saves[i])
 	}
 	for _, w := range b.fleet {
 		w.kept = true
@@ -160,3 +240,23 @@
 		e.renew(w)
 	}
 }
+
+// saved notes that a job's progress is in the store.
+func (e *Engine) saved(b *batch, s *save) {
+	j := s.job
+	j.writing = false
+	j.saved = s.version
+	if s.bundled {
+		e.moveTo(j, b.bundle)
+	} else {
+		e.moveTo(j, nil)
+		j.handedIn = j.handedIn && !s.state.Final()
+	}
+	if s.state.Final() {
+		j.visible = s.state
+		j.shed()
+	}
+	if j.version > j.saved {
+		e.queueWrite(j, j.state.Final())
+	}
+}
--- /dev/null
+++ b/process/dispatch/persist_test.go
@@ -0,0 +1,283 @@
+package dispatch
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"fennelshunt.example/fennelshunt/connection/runner"
+	"fennelshunt.example/fennelshunt/connection/store"
+	"fennelshunt.example/fennelshunt/version/work"
+)
+
+// slowStore applies an engine's writes, each answered some time after it went out.
+type slowStore struct {
+	b       *bench
+	answer  time.Duration
+	rev     store.Revision
+	entries map[string]store.Entry
+	onWay   []onWay
+	writes  int
+}
+
+type onWay struct {
+	due time.Duration
+	c   SendCommit
+}
+
+func newSlowStore(b *bench, answer time.Duration) *slowStore {
+	return &slowStore{b: b, answer: answer, entries: map[string]store.Entry{}}
+}
+
+func (s *slowStore) put(key string, value []byte) {
+	s.rev++
+	s.entries[key] = store.Entry{Key: key, Value: value, Revision: s.rev}
+}
+
+// step moves the engine on by a tick and carries out what is due.
+func (s *slowStore) step() {
+	b := s.b
+	b.now += tickPeriod
+	kept := s.onWay[:0]
+	for _, w := range s.onWay {
+		if w.due > b.now {
+			kept = append(kept, w)
+			continue
+		}
+		s.rev++
+		for _, x := range w.c.Writes {
+			s.entries[x.Key] = store.Entry{Key: x.Key, Value: x.Value, Revision: s.rev}
+		}
+		for _, key := range w.c.Deletes {
+			delete(s.entries, key)
+		}
+		b.e.Committed(b.now, w.c.Chain)
+	}
+	s.onWay = kept
+	b.e.Tick(b.now)
+	for _, x := range b.e.Flush(b.now) {
+		switch x := x.(type) {
+		case SendCommit:
+			s.writes++
+			s.onWay = append(s.onWay, onWay{b.now + s.answer, x})
+		case SendStart:
+			b.e.Started(b.now, x.To.ID, x.Start.Task, x.Start.Run, nil)
+			b.out = append(b.out, x)
+		}
+	}
+}
+
+func (s *slowStore) run(d time.Duration) {
+	for until := s.b.now + d; s.b.now < until; {
+		s.step()
+	}
+}
+
+func (s *slowStore) under(prefix string) []store.Entry {
+	var found []store.Entry
+	for key, e := range s.entries {
+		if strings.HasPrefix(key, prefix) {
+			found = append(found, e)
+		}
+	}
+	return found
+}
+
+// runningJobs returns a bench with a slow store on which jobs of one task each run.
+func runningJobs(t *testing.T, jobs int, policy Policy, answer time.Duration) (*bench, *slowStore, []SendStart) {
+	b := newBench(t, 1)
+	b.e.o.Policy = policy.complete()
+	b.e.WorkerSeen(b.now, runner.Worker{Ref: runner.Ref{ID: "w-a"}, Service: "s", Capacity: work.Resources{CPU: jobs * 1000, Memory: jobs * 100}})
+	s := newSlowStore(b, answer)
+	for i := range jobs {
+		entry := jobEntry(t, 1, 2, oneTask())
+		s.put(KeyIn(work.JobID(fmt.Sprintf("%016x", i))), entry.Value)
+	}
+	require.NoError(t, b.e.Load(0, Saved{Accepted: s.under(PrefixJobs)}))
+	s.run(2*answer + 100*time.Millisecond)
+	b.e.Renewed(b.now, "w-a", runner.Report{Clock: b.now}, nil)
+	s.run(time.Second)
+	starts := b.starts()
+	require.Len(t, starts, jobs)
+	return b, s, starts
+}
+
+// endsOf lists ends of starts, numbered from the first's place among all.
+func endsOf(first int, how runner.How, starts ...SendStart) runner.Report {
+	var r runner.Report
+	for i, x := range starts {
+		r.Ended = append(r.Ended, runner.End{Number: int64(first + i + 1), Task: x.Start.Task, Run: x.Start.Run, How: how})
+	}
+	return r
+}
+
+func TestEndsAreShownSoonWhileTheStoreIsSlow(t *testing.T) {
+	// Symptom: jobs are not shown as completed until long after a slow store is
+	//   quick again.
+	// Sequence: the store answers in 300 ms; for five seconds 200 jobs a second
+	//   end.
+	// Cause: one write at a time, with two keys for each ended job, carries 48 jobs
+	//   a second.
+	const perTick, ticks = 5, 200
+	slowest := func(policy Policy) (slowest time.Duration, writes int) {
+		b, s, starts := runningJobs(t, perTick*ticks, policy, 300*time.Millisecond)
+		ended := map[work.JobID]time.Duration{}
+		before := s.writes
+		for i := 0; len(ended) > 0 || i < ticks; i++ {
+			if i < ticks {
+				some := starts[i*perTick : (i+1)*perTick]
+				b.e.Renewed(b.now, "w-a", endsOf(i*perTick, runner.Done, some...), nil)
+				for _, x := range some {
+					ended[x.Start.Task.Job] = b.now
+				}
+			}
+			s.step()
+			for id, at := range ended {
+				if state, _ := b.e.State(id); state == work.Completed {
+					slowest = max(slowest, b.now-at)
+					delete(ended, id)
+				}
+			}
+			require.Less(t, i, 100*ticks, "some are never shown")
+		}
+		return slowest, s.writes - before
+	}
+	one, _ := slowest(Policy{WriteChains: 1, NoBundles: true})
+	bundles, _ := slowest(Policy{WriteChains: 1})
+	all, writes := slowest(Policy{})
+	t.Logf("slowest end shown after %v with one write at a time, %v with bundles, %v with chains as well", one, bundles, all)
+	require.Greater(t, one, 5*time.Second)
+	require.LessOrEqual(t, bundles, 700*time.Millisecond, "an answer for the write before, and one for its own")
+	require.LessOrEqual(t, all, 450*time.Millisecond)
+	require.Less(t, writes, 120, "no more than one each overlapDelay")
+}
+
+func TestQuickStoreHasOneWriteAtATime(t *testing.T) {
+	// Symptom looked for: chains cost calls when they gain nothing.
+	const jobs = 400
+	counts := map[int]int{}
+	for _, chains := range []int{1, 4} {
+		b, s, starts := runningJobs(t, jobs, Policy{WriteChains: chains}, 0)
+		before := s.writes
+		for i := range jobs {
+			b.e.Renewed(b.now, "w-a", endsOf(i, runner.Done, starts[i]), nil)
+			s.step()
+			require.LessOrEqual(t, len(s.onWay), 1)
+		}
+		counts[chains] = s.writes - before
+	}
+	require.Equal(t, counts[1], counts[4])
+}
+
+func TestJobsMoveOutOfBundles(t *testing.T) {
+	// Symptom looked for: bundles pile up in the store, or hand-ins of ended jobs
+	//   stay.
+	const jobs = 150
+	b, s, starts := runningJobs(t, jobs, Policy{}, 300*time.Millisecond)
+	b.e.Renewed(b.now, "w-a", endsOf(0, runner.Done, starts...), nil)
+	s.run(400 * time.Millisecond)
+	require.NotEmpty(t, s.under(PrefixBundle), "a bundle took what had no room")
+	for _, x := range starts {
+		state, _ := b.e.State(x.Start.Task.Job)
+		require.Equal(t, work.Completed, state)
+	}
+	s.run(15 * time.Second)
+	require.Empty(t, s.under(PrefixBundle))
+	require.Empty(t, s.under(PrefixJobs))
+	require.Len(t, s.under(PrefixState), jobs)
+}
+
+func TestSuccessorReadsBundles(t *testing.T) {
+	// Symptom looked for: ends that the store has only in a bundle are lost with
+	//   the leader, and their tasks run again after the end was acknowledged.
+	// Sequence: half of many jobs end as done, the others fail once; the leader is
+	//   lost right after the write, or after some jobs have moved to their own keys
+	//   and failed a second time.
+	const jobs = 100
+	for _, later := range []time.Duration{400 * time.Millisecond, 800 * time.Millisecond} {
+		b, s, starts := runningJobs(t, jobs, Policy{}, 300*time.Millisecond)
+		done, failed := starts[:jobs/2], starts[jobs/2:]
+		b.e.Renewed(b.now, "w-a", endsOf(0, runner.Done, done...), nil)
+		b.e.Renewed(b.now, "w-a", endsOf(jobs/2, runner.Failed, failed...), nil)
+		s.run(later)
+		require.NotEmpty(t, s.under(PrefixBundle))
+		next := newBench(t, 2)
+		require.NoError(t, next.e.Load(0, Saved{Accepted: s.under(PrefixJobs), States: s.under(PrefixState), Bundles: s.under(PrefixBundle)}))
+		for _, x := range done {
+			state, known := next.e.State(x.Start.Task.Job)
+			require.True(t, known)
+			require.Equal(t, work.Completed, state)
+		}
+		for _, x := range failed {
+			j := next.e.jobs[x.Start.Task.Job]
+			require.False(t, j.state.Final())
+			require.Len(t, j.occurrences[0].steps[0].tasks[0].failed, 1)
+		}
+		took := newSlowStore(next, 0)
+		took.entries, took.rev = s.entries, s.rev
+		took.run(5 * time.Second)
+		require.Empty(t, took.under(PrefixBundle), "the successor moves jobs out of bundles as well")
+		require.Len(t, took.under(PrefixJobs), jobs/2)
+	}
+}
+
+func TestNewestProgressStands(t *testing.T) {
+	// Symptom looked for: a job that failed twice is tried as if it had failed
+	//   once, since its own key holds older progress than a bundle, or a bundle
+	//   older progress than its own key.
+	failedRuns := func(runs ...uint64) work.Progress {
+		return work.Progress{State: work.Running, Ends: []work.StepEnds{{Failed: []work.Fail{{Runs: runs}}}}}
+	}
+	once, twice := failedRuns(1), failedRuns(1, 2)
+	for _, inBundle := range []bool{true, false} {
+		own, bundled := once, twice
+		if !inBundle {
+			own, bundled = twice, once
+		}
+		state, err := work.EncodeProgress(&own)
+		require.NoError(t, err)
+		value, err := work.EncodeBundle([]work.JobProgress{{Job: testJob, Progress: bundled}})
+		require.NoError(t, err)
+		revs := map[bool]store.Revision{true: 9, false: 8}
+		b := newBench(t, 2)
+		require.NoError(t, b.e.Load(0, Saved{Accepted: []store.Entry{jobEntry(t, 1, 3, oneTask())},
+			States:  []store.Entry{{Key: KeyState(testJob), Value: state, Revision: revs[!inBundle]}},
+			Bundles: []store.Entry{{Key: PrefixBundle + "x", Value: value, Revision: revs[inBundle]}}}))
+		require.Equal(t, []uint64{1, 2}, b.e.jobs[testJob].occurrences[0].steps[0].tasks[0].failed)
+	}
+}
+
+func TestBundleThatCanNotBeReadIsLeftAlone(t *testing.T) {
+	b := newBench(t, 2)
+	err := b.e.Load(0, Saved{Accepted: []store.Entry{jobEntry(t, 1, 2, oneTask())}, Bundles: []store.Entry{{Key: PrefixBundle + "x", Value: []byte("?"), Revision: 1}}})
+	require.ErrorContains(t, err, PrefixBundle+"x")
+	require.NotNil(t, b.e.jobs[testJob], "the others are taken")
+	s := newSlowStore(b, 0)
+	s.put(PrefixBundle+"x", nil)
+	s.run(time.Second)
+	require.Len(t, s.under(PrefixBundle), 1)
+}
+
+// TestRandomTroublesOfASlowStore is TestRandomTroubles with a store that is slow
+// now and then and writes of a few keys, so that bundles are in use throughout.
+func TestRandomTroublesOfASlowStore(t *testing.T) {
+	first, seeds := seedsOfRun(t, 4)
+	bundles := uint64(0)
+	for seed := first; seed < first+seeds; seed++ {
+		t.Run(seedName(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCellOf(t, seed, 16, 3, Policy{WriteKeys: minWriteKeys, WriteChains: 2}, usual(0.05))
+				randomTroublesOf(t, c, func(rng *rand.Rand) *work.Job { return drawJob(rng, rng.IntN(2) == 0) }, func(c *cell) {
+					c.troubleOf(0, 1, 2, 3, 4, 5, 6, 7, 9, 9, 9)
+				})
+				bundles += c.bundles.Load()
+			})
+		})
+	}
+	require.Positive(t, bundles, "no bundle was written")
+}
--- /dev/null
+++ b/process/dispatch/policy.go
@@ -0,0 +1,53 @@
+package dispatch
+
+import (
+	"errors"
+	"fmt"
+
+	"fennelshunt.example/fennelshunt/process/lead"
+)
+
+// Policy holds a switch or a figure for each mechanism that a cell can do
+// without, so that what one is worth can be measured by a settings file alone.
+// The zero value of a field stands for its default.
+type Policy struct {
+	// WriteChains is how many writes to the store may be under way at once, 1 to
+	// lead.Chains. Load pattern: a store that answers slowly.
+	WriteChains int `json:"write_chains,omitempty"`
+	// NoBundles keeps each job's progress under its own key, however many jobs
+	// wait to be written. Load pattern: as above, with a burst.
+	NoBundles bool `json:"no_bundles,omitempty"`
+	// WriteKeys is how many keys one write may change, minWriteKeys to
+	// lead.MaxCommit.
+	WriteKeys int `json:"write_keys,omitempty"`
+}
+
+// minWriteKeys: the list of workers, a bundle and the keys of one cancelled job.
+const minWriteKeys = 5
+
+// Check returns an error for each field that is out of its bounds.
+func (p Policy) Check() error {
+	return errors.Join(
+		inBounds("policy.write_chains", p.WriteChains, 1, lead.Chains),
+		inBounds("policy.write_keys", p.WriteKeys, minWriteKeys, lead.MaxCommit),
+	)
+}
+
+// inBounds checks a figure of which 0 stands for the default.
+func inBounds(field string, v, least, most int) error {
+	if v == 0 || (v >= least && v <= most) {
+		return nil
+	}
+	return fmt.Errorf("%s: is %d; use %d to %d, or leave it out", field, v, least, most)
+}
+
+// complete fills in defaults.
+func (p Policy) complete() Policy {
+	if p.WriteChains == 0 {
+		p.WriteChains = lead.Chains
+	}
+	if p.WriteKeys == 0 {
+		p.WriteKeys = lead.MaxCommit
+	}
+	return p
+}
--- a/process/dispatch/types.go
+++ b/process/dispatch/types.go
@@ -16,6 +16,7 @@
 package dispatch
 
 import (
+	"strings"
 	"time"
 
 	"fennelshunt.example/fennelshunt/connection/runner"
@@ -45,6 +46,7 @@
 type Options struct {
 	Epoch  uint64
 	Bounds Bounds
+	Policy Policy
 	// Today is the time of day, in milliseconds since 1970, at the engine's
 	// time 0.
 	Today int64
@@ -99,8 +101,10 @@
 	Timeout time.Duration
 }
 
-// SendCommit asks to write to the store; Committed is called once it is in.
+// SendCommit asks to write to the store on a chain of the term; Committed is
+// called once it is in.
 type SendCommit struct {
+	Chain   int
 	Writes  []store.Write
 	Deletes []string
 }
@@ -127,7 +131,9 @@
 	prefixCancel = "job/cancel/"
 	// PrefixState holds what the leader writes.
 	PrefixState = "state/"
-	keyFleet    = "fleet"
+	// PrefixBundle holds values with the progress of many jobs.
+	PrefixBundle = "bundle/"
+	keyFleet     = "fleet"
 )
 
 // KeyIn returns the key of an accepted job.
@@ -138,3 +144,5 @@
 
 // KeyState returns the key of a job's progress.
 func KeyState(id work.JobID) string { return PrefixState + string(id) }
+
+func jobOfState(key string) work.JobID { return work.JobID(strings.TrimPrefix(key, PrefixState)) }
--- a/process/lead/elector.go
+++ b/process/lead/elector.go
@@ -5,13 +5,12 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/google/uuid"
 	"github.com/rs/zerolog"
-	"golang.org/x/sync/semaphore"
 
 	"fennelshunt.example/fennelshunt/connection/store"
 	"fennelshunt.example/fennelshunt/internal/sleep"
@@ -306,36 +305,34 @@
 
 // claim raises the epoch if the leader's record still has the revision held.
 func (e *Elector) claim(ctx context.Context, held store.Revision) (*Term, error) {
-	var chain store.Entry
-	err := e.call(ctx, "read chain", func(ctx context.Context) error {
-		var err error
-		chain, err = e.o.Store.Get(ctx, keyChain)
+	var found []store.Entry
+	err := e.call(ctx, "read claim and chains", func(ctx context.Context) (err error) {
+		found, _, err = e.o.Store.List(ctx, keyClaim)
 		return err
 	})
-	var before link
-	switch {
-	case errors.Is(err, store.ErrNotFound):
-	case err != nil:
+	if err != nil {
 		return nil, err
-	default:
-		if before, err = decodeLink(chain); err != nil {
+	}
+	var before link
+	var revision store.Revision // of the claim before, 0 for none
+	if i := slices.IndexFunc(found, func(e store.Entry) bool { return e.Key == keyClaim }); i >= 0 {
+		revision = found[i].Revision
+		if before, err = decodeLink(found[i]); err != nil {
 			return nil, err
 		}
 	}
-	t := &Term{Epoch: before.Epoch + 1, id: uuid.NewString(), holder: e.o.Self, store: e.o.Store,
-		patience: e.o.Patience, revision: chain.Revision, turn: semaphore.NewWeighted(1)}
+	t := newTerm(before.Epoch+1, e.o.Self, e.o.Store, e.o.Patience, found)
 	t.ctx, t.over = context.WithCancelCause(context.WithoutCancel(ctx))
-	first := link{Epoch: t.Epoch, Term: t.id, Holder: t.holder.Name}
-	err = e.call(ctx, "claim", func(ctx context.Context) error {
-		var err error
-		t.revision, err = e.o.Store.Commit(ctx, store.Txn{
-			Checks: []store.Check{{Key: keyHolder, Revision: held}, {Key: keyChain, Revision: chain.Revision}},
-			Writes: []store.Write{t.holderWrite(store.LeaseID(e.lease.Load())), {Key: keyChain, Value: encode(first)}},
+	claim := link{Epoch: t.Epoch, Term: t.id, Holder: t.holder.Name}
+	err = e.call(ctx, "claim", func(ctx context.Context) (err error) {
+		t.claimed, err = e.o.Store.Commit(ctx, store.Txn{
+			Checks: []store.Check{{Key: keyHolder, Revision: held}, {Key: keyClaim, Revision: revision}},
+			Writes: []store.Write{t.holderWrite(store.LeaseID(e.lease.Load())), {Key: keyClaim, Value: encode(claim)}},
 		})
 		return err
 	})
 	if errors.Is(err, store.ErrUnknownOutcome) {
-		err = e.learnClaim(ctx, t, first)
+		err = e.learnClaim(ctx, t, claim)
 	}
 	if errors.Is(err, store.ErrLeaseLost) {
 		e.lease.Store(0)
@@ -349,16 +346,16 @@
 // learnClaim reads back whether a claim without an answer took effect. One that
 // arrives later leads to a record whose holder does not lead; it is put down by
 // the lease, which this daemon gives up.
-func (e *Elector) learnClaim(ctx context.Context, t *Term, first link) error {
+func (e *Elector) learnClaim(ctx context.Context, t *Term, claim link) error {
 	return e.call(ctx, "read claim", func(ctx context.Context) error {
-		entry, err := e.o.Store.Get(ctx, keyChain)
+		entry, err := e.o.Store.Get(ctx, keyClaim)
 		if err != nil {
 			e.lease.Store(0)
 			return err
 		}
 		now, err := decodeLink(entry)
-		if err == nil && now == first {
-			t.revision = entry.Revision
+		if err == nil && now == claim {
+			t.claimed = entry.Revision
 			return nil
 		}
 		e.lease.Store(0)
--- a/process/lead/lead_test.go
+++ b/process/lead/lead_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"fennelshunt.example/fennelshunt/connection/store"
@@ -139,7 +140,7 @@
 		b := start(m, "b", 1)
 		time.Sleep(4 * time.Second)
 		require.NotNil(t, b.term())
-		err := old.Commit(context.Background(), []store.Write{{Key: "x", Value: []byte("old")}}, nil)
+		err := old.Commit(context.Background(), 0, []store.Write{{Key: "x", Value: []byte("old")}}, nil)
 		require.ErrorIs(t, err, ErrDeposed)
 		_, err = m.Get(t.Context(), "x")
 		require.ErrorIs(t, err, store.ErrNotFound)
@@ -179,7 +180,7 @@
 			m.SetFaults(kv.Faults{LoseAnswers: 0.3, LoseRequests: 0.2, Delay: 3 * time.Second, DelayChance: 0.2, Refuse: 0.1})
 			last := 0
 			for i := range 30 {
-				err := term.Commit(term.Context(), []store.Write{{Key: "x", Value: fmt.Append(nil, i)}}, nil)
+				err := term.Commit(term.Context(), 0, []store.Write{{Key: "x", Value: fmt.Append(nil, i)}}, nil)
 				if errors.Is(err, ErrDeposed) || term.Context().Err() != nil {
 					break
 				}
@@ -200,3 +201,53 @@
 		})
 	}
 }
+
+func TestEveryChainIsFencedByTheNextClaim(t *testing.T) {
+	// Symptom looked for: a write of an earlier term, on a chain that its successor
+	//   has not used yet, takes effect after the successor has read the state.
+	synctest.Test(t, func(t *testing.T) {
+		m := kv.New()
+		d := start(m, "a", 1)
+		time.Sleep(2 * time.Second)
+		old := d.term()
+		for chain := range Chains {
+			require.NoError(t, old.Commit(t.Context(), chain, []store.Write{{Key: fmt.Sprint("x", chain), Value: []byte("old")}}, nil))
+		}
+		d.stop()
+		b := start(m, "b", 1)
+		time.Sleep(4 * time.Second)
+		require.NotNil(t, b.term())
+		for chain := range Chains {
+			err := old.Commit(context.Background(), chain, []store.Write{{Key: fmt.Sprint("y", chain), Value: []byte("late")}}, nil)
+			require.ErrorIs(t, err, ErrDeposed)
+			_, err = m.Get(t.Context(), fmt.Sprint("y", chain))
+			require.ErrorIs(t, err, store.ErrNotFound)
+		}
+		for chain := range Chains {
+			require.NoError(t, b.term().Commit(t.Context(), chain, []store.Write{{Key: fmt.Sprint("x", chain), Value: []byte("new")}}, nil), "links of the earlier term are taken over")
+		}
+		b.stop()
+	})
+}
+
+func TestChainsDoNotWaitForEachOther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := kv.New()
+		d := start(m, "a", 1)
+		time.Sleep(2 * time.Second)
+		term := d.term()
+		m.SetFaults(kv.Faults{Delay: 150 * time.Millisecond})
+		began := time.Now()
+		var wg sync.WaitGroup
+		for chain := range Chains {
+			wg.Go(func() {
+				for i := range 3 {
+					assert.NoError(t, term.Commit(t.Context(), chain, []store.Write{{Key: fmt.Sprint("x", chain), Value: fmt.Append(nil, i)}}, nil))
+				}
+			})
+		}
+		wg.Wait()
+		require.Less(t, time.Since(began), 4*150*time.Millisecond)
+		d.stop()
+	})
+}
--- a/process/lead/record.go
+++ b/process/lead/record.go
@@ -1,9 +1,10 @@
 // Package lead chooses the one daemon of a cell that schedules, and keeps the
 // list of the cell's daemons, all in the platform's store.
 //
-// Guarantees: epochs only rise; every write of a term is one link of a chain
-// in the store, so that a write of an earlier term, or an earlier write of the
-// same term that arrives late, can not take effect. Two daemons may both take
+// Guarantees: epochs only rise; every write of a term demands the record of the
+// term's claim and is one link of a chain in the store, so that a write of an
+// earlier term, or an earlier write of the same chain that arrives late, can not
+// take effect. Two daemons may both take
 // themselves for the leader for a while, when one is cut off or paused: what
 // stops the older one is the chain in the store and the epoch at the workers,
 // never a clock.
@@ -12,6 +13,7 @@
 import (
 	"errors"
 	"fmt"
+	"strconv"
 	"strings"
 
 	"fennelshunt.example/fennelshunt/connection/peer"
@@ -23,9 +25,15 @@
 	prefixCell   = "cell/"
 	keyHolder    = "cell/lead"
 	prefixMember = "cell/member/"
-	keyChain     = "chain"
+	// keyClaim is written by each claim, and by nothing else. Every write of a term
+	// demands the revision of its claim.
+	keyClaim = "chain"
+	// prefixChain and a number name the last links of the chains.
+	prefixChain = "chain/"
 )
 
+func chainKey(i int) string { return prefixChain + strconv.Itoa(i) }
+
 // ErrDeposed ends a term: another daemon has claimed a higher epoch.
 var ErrDeposed = errors.New("lead: another daemon leads with a higher epoch")
 
@@ -50,7 +58,7 @@
 	Epoch  uint64 `cbor:"2,keyasint"`
 }
 
-// link is the value of the chain. The term's id and the sequence number tell,
+// link is the value of a claim and of a chain. The term's id and the sequence number tell,
 // after a lost answer, whether a write took effect.
 type link struct {
 	Epoch    uint64 `cbor:"1,keyasint"`
--- a/process/settings/cell.go
+++ b/process/settings/cell.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/rs/zerolog"
+
+	"fennelshunt.example/fennelshunt/process/dispatch"
 )
 
 // Millis is a duration written in milliseconds.
@@ -47,6 +49,8 @@
 	Bounds   JobCellBounds  `json:"bounds"`
 	LogLevel string         `json:"log_level"`
 	Tuning   *JobCellTuning `json:"tuning,omitempty"`
+	// Policy switches mechanisms of scheduling off, or sets their figures.
+	Policy dispatch.Policy `json:"policy"`
 }
 
 // JobCellBounds are the platform's bounds from which timeouts follow.
@@ -121,5 +125,8 @@
 	c.want(s.Bounds.StopS > 0, "bounds.stop_s", "is negative", "use the time that a planned stop may take")
 	_, err := zerolog.ParseLevel(s.LogLevel)
 	c.want(err == nil, "log_level", fmt.Sprintf("%q is no level", s.LogLevel), "use debug, info, warn or error")
+	if err := s.Policy.Check(); err != nil {
+		c.errs = append(c.errs, fmt.Errorf("%s: %w", file, err))
+	}
 	return errors.Join(c.errs...)
 }
--- a/request/submit/submit.go
+++ b/request/submit/submit.go
@@ -335,30 +335,58 @@
 var errNoLeader = errors.New("submit: no leader is known")
 
 // stored reads a job's state from the store. The hand-in is read first: it is
-// removed in the same transaction that writes the final state.
+// removed in the same transaction that writes the final state under the job's
+// own key.
 func (s *Service) stored(ctx context.Context, id work.JobID) (work.State, error) {
 	_, accepted, err := s.get(ctx, dispatch.KeyIn(id))
 	if err != nil {
 		return 0, unavailable(CodeStore, err)
 	}
-	entry, found, err := s.get(ctx, dispatch.KeyState(id))
+	p, err := s.progress(ctx, id)
 	if err != nil {
 		return 0, unavailable(CodeStore, err)
 	}
-	if !found {
-		if accepted {
-			return work.Queued, nil
+	if accepted && (p == nil || !p.State.Final()) {
+		if p, err = s.bundled(ctx, id, p); err != nil {
+			return 0, unavailable(CodeStore, err)
 		}
+	}
+	switch {
+	case p == nil && accepted:
+		return work.Queued, nil
+	case p == nil, p.State == work.Refused:
 		return 0, ErrNoJob
 	}
-	p, err := work.DecodeProgress(entry.Value)
+	return p.State, nil
+}
+
+// progress reads what is under a job's own key, nil for nothing.
+func (s *Service) progress(ctx context.Context, id work.JobID) (*work.Progress, error) {
+	entry, found, err := s.get(ctx, dispatch.KeyState(id))
+	if err != nil || !found {
+		return nil, err
+	}
+	return work.DecodeProgress(entry.Value)
+}
+
+// bundled looks for a job's end in bundles; without one, own stands.
+//
+// What goes wrong without it: a job that ended while the store was slow is shown
+// as completed, and, when its leader is lost before it is moved to its own key,
+// as running again.
+func (s *Service) bundled(ctx context.Context, id work.JobID, own *work.Progress) (*work.Progress, error) {
+	var entries []store.Entry
+	err := s.o.Patience.Call(ctx, func(ctx context.Context) (err error) {
+		entries, _, err = s.o.Store.List(ctx, dispatch.PrefixBundle)
+		return err
+	})
 	if err != nil {
-		return 0, unavailable(CodeStore, err)
+		return nil, err
 	}
-	if p.State == work.Refused {
-		return 0, ErrNoJob
+	if p, found := dispatch.NewestProgress(entries, id); found && p.State.Final() {
+		return p, nil
 	}
-	return p.State, nil
+	return own, nil
 }
 
 // Pending returns the number of a queue's jobs that have not begun; it may be
--- a/version/work/work.go
+++ b/version/work/work.go
@@ -357,6 +357,37 @@
 	Runs  []uint64 `cbor:"2,keyasint"`
 }
 
+// Size estimates the stored form's size in bytes.
+func (p *Progress) Size() int {
+	const record, end, failure = 32, 8, 8
+	n := record
+	for i := range p.Ends {
+		n += end + 3*len(p.Ends[i].Done)
+		for _, f := range p.Ends[i].Failed {
+			n += failure + 9*len(f.Runs)
+		}
+	}
+	return n
+}
+
+// JobProgress is the progress of one job among others.
+type JobProgress struct {
+	Job      JobID    `cbor:"1,keyasint"`
+	Progress Progress `cbor:"2,keyasint"`
+}
+
+// EncodeBundle returns the stored form of the progress of many jobs.
+func EncodeBundle(all []JobProgress) ([]byte, error) { return peer.Marshal(all) }
+
+// DecodeBundle reads the stored form of the progress of many jobs.
+func DecodeBundle(data []byte) ([]JobProgress, error) {
+	var all []JobProgress
+	if err := peer.Unmarshal(data, &all); err != nil {
+		return nil, fmt.Errorf("work: stored bundle: %w", err)
+	}
+	return all, nil
+}
+
 // EncodeProgress returns the stored form.
 func EncodeProgress(p *Progress) ([]byte, error) { return peer.Marshal(p) }
 
