Replace a leader that does not serve before its lease runs out; spare a store that is away

The three daemons that fit best call the leader ten times a second; two calls without an answer, confirmed by others, are enough to claim.

Ruled out: a longer Retry-After (tries at 0, 1.05, 1.8, 2.35, 2.85 s cover the caller's 3 s), and the return after a loss of all daemons (0.1 s from start to the first end).

--- a/connection/store/patience.go
+++ b/connection/store/patience.go
@@ -22,6 +22,12 @@
 	average time.Duration // of answered calls, decaying
 	misses  int           // calls in a row without an answer
 	failing bool          // the last call failed
+	// refusals counts calls in a row that were turned away, and last is when one
+	// was answered.
+	refusals  int
+	last      time.Time
+	refusedAt time.Time     // when a call was last turned away
+	back      chan struct{} // closed by the next answer; nil if nobody waits
 }
 
 // Weights of Patience: the timeout is patienceFactor times the decaying average
@@ -32,8 +38,8 @@
 	maxPatienceMiss = 6 // doublings, so that the shift stays small
 )
 
-// timeout returns the bound for the next call.
-func (p *Patience) timeout() time.Duration {
+// Timeout returns the bound for the next call.
+func (p *Patience) Timeout() time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	d := max(p.average*patienceFactor, p.Min) << min(p.misses, maxPatienceMiss)
@@ -47,7 +53,13 @@
 // make the store look as if it had failed, and every hand-in after one of them
 // costs a read more.
 func (p *Patience) Call(ctx context.Context, f func(ctx context.Context) error) error {
-	bounded, cancel := context.WithTimeout(ctx, p.timeout())
+	return p.CallWithin(ctx, 0, f)
+}
+
+// CallWithin is Call with at least a limit: for a caller that does not wait for
+// the answer alone, and learns from one that comes late.
+func (p *Patience) CallWithin(ctx context.Context, limit time.Duration, f func(ctx context.Context) error) error {
+	bounded, cancel := context.WithTimeout(ctx, max(p.Timeout(), limit))
 	defer cancel()
 	start := time.Now()
 	err := f(bounded)
@@ -61,8 +73,13 @@
 func (p *Patience) answered(d time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.misses = 0
+	p.misses, p.refusals = 0, 0
 	p.failing = false
+	p.last = time.Now()
+	if p.back != nil {
+		close(p.back)
+		p.back = nil
+	}
 	if p.average == 0 {
 		p.average = d
 		return
@@ -82,7 +99,18 @@
 func (p *Patience) refused() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.failing = true
+	p.refusals++
+	p.failing, p.refusedAt = true, time.Now()
+}
+
+// manyRefusals in a row are more than a store sheds that is over its rates.
+const manyRefusals = 3
+
+// TurnedAway reports whether the store has refused every call for at least d.
+func (p *Patience) TurnedAway(d time.Duration) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.refusals >= manyRefusals && time.Since(p.last) >= d
 }
 
 // Suspect reports whether the last call failed. A write that is sent then may
@@ -94,6 +122,40 @@
 	return p.failing
 }
 
+// RefusedWithin reports whether the last call failed, and one was turned away no
+// longer than d ago. Calls without an answer do not count: they take their time,
+// so that waiting for them already spaces the next ones.
+func (p *Patience) RefusedWithin(d time.Duration) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.failing && time.Since(p.refusedAt) < d
+}
+
+// Await returns once a call has been answered since the last one that failed, and
+// after most at the latest.
+//
+// What goes wrong without it: in an outage each of a daemon's followers calls the
+// store ten times a second, and all calls are paid for.
+func (p *Patience) Await(ctx context.Context, most time.Duration) {
+	p.mu.Lock()
+	if !p.failing {
+		p.mu.Unlock()
+		return
+	}
+	if p.back == nil {
+		p.back = make(chan struct{})
+	}
+	back := p.back
+	p.mu.Unlock()
+	timer := time.NewTimer(most)
+	defer timer.Stop()
+	select {
+	case <-back:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // note notes how a call went that took d, by its error.
 func (p *Patience) note(err error, d time.Duration) {
 	switch {
--- a/connection/store/track.go
+++ b/connection/store/track.go
@@ -28,8 +28,14 @@
 	// Pause is kept after each call, ErrorPause after one that failed.
 	Pause, ErrorPause time.Duration
 	Log               zerolog.Logger
+	// Patience, if set, tells when a store that failed is back.
+	Patience *Patience
 }
 
+// trackerAwait bounds how long a tracker whose call failed leaves a store alone
+// that fails others as well.
+const trackerAwait = time.Second
+
 // Run follows until ctx ends.
 func (t *Tracker) Run(ctx context.Context) {
 	rev := t.From
@@ -42,6 +48,9 @@
 			pause = t.ErrorPause
 		}
 		_ = sleep.For(ctx, pause) // ends with the context, which the loop sees
+		if err != nil && t.Patience != nil {
+			t.Patience.Await(ctx, trackerAwait)
+		}
 	}
 }
 
--- a/process/cellnode/catalog.go
+++ b/process/cellnode/catalog.go
@@ -25,13 +25,15 @@
 // catalogs keeps the newest queues. A version is never replaced by a lower one.
 type catalogs struct {
 	source work.Source
-	log    zerolog.Logger
-	now    atomic.Pointer[work.Catalog]
-	first  chan struct{} // closed with the first version
+	// patience tells when a store that failed is back.
+	patience *store.Patience
+	log      zerolog.Logger
+	now      atomic.Pointer[work.Catalog]
+	first    chan struct{} // closed with the first version
 }
 
-func newCatalogs(source work.Source, log zerolog.Logger) *catalogs {
-	return &catalogs{source: source, log: log, first: make(chan struct{})}
+func newCatalogs(source work.Source, patience *store.Patience, log zerolog.Logger) *catalogs {
+	return &catalogs{source: source, patience: patience, log: log, first: make(chan struct{})}
 }
 
 // Current returns the queues in force, nil while none are known.
@@ -58,7 +60,7 @@
 func (c *catalogs) Serve(ctx context.Context) error {
 	go c.check(ctx)
 	t := store.Tracker{What: "the configuration", Read: c.read, Watch: c.watch, ReadLimit: catalogWait + catalogGrace,
-		Wait: catalogWait, Grace: catalogGrace, ErrorPause: catalogPause, Log: c.log}
+		Wait: catalogWait, Grace: catalogGrace, ErrorPause: catalogPause, Log: c.log, Patience: c.patience}
 	t.Run(ctx)
 	return ctx.Err()
 }
--- a/process/cellnode/node.go
+++ b/process/cellnode/node.go
@@ -95,7 +95,7 @@
 func New(o Options) (*Node, error) {
 	n := &Node{o: o, log: o.Log,
 		patience: &store.Patience{Min: minPatience, Max: maxPatience}, metrics: new(expvar.Map).Init()}
-	n.catalogs = newCatalogs(o.Catalogs, n.log)
+	n.catalogs = newCatalogs(o.Catalogs, n.patience, n.log)
 	s := o.Settings
 	for _, l := range []struct {
 		field, addr string
@@ -203,7 +203,8 @@
 
 func (n *Node) build(self lead.Member, mux *peer.Mux) {
 	n.elector = lead.New(lead.Options{Self: self, Store: n.o.Store, Log: n.log, Patience: n.patience, Lead: n.lead,
-		Lease: n.memberLease()})
+		Lease: n.memberLease(), Peers: n.peers})
+	n.elector.Register(mux)
 	n.jobs = submit.New(submit.Options{Self: self.Name, Store: n.o.Store, Patience: n.patience, View: n.elector.View(),
 		Peers: n.peers, Leading: n.host.Load, Log: n.log})
 	n.jobs.Register(mux)
--- a/process/dispatch/cell_test.go
+++ b/process/dispatch/cell_test.go
@@ -115,7 +115,7 @@
 		Lead: func(t *lead.Term) {
 			h := NewHost(HostOptions{Store: c.kv, Patience: patience, Runner: c.fleet, Directory: c.fleet, View: n.elector.View(),
 				Advise: c.advice.ask, Log: log, Policy: c.policy,
-				Count: func(s Stats) { c.bundles.Store(max(c.bundles.Load(), s.Bundles)) },
+				Count:  func(s Stats) { c.bundles.Store(max(c.bundles.Load(), s.Bundles)) },
 				Bounds: Bounds{Lease: testLease, MaxLease: testLease, Gang: 3 * time.Second, Keep: 10 * time.Minute},
 				Violation: func(what string) {
 					c.mu.Lock()
--- a/process/dispatch/host.go
+++ b/process/dispatch/host.go
@@ -306,7 +306,7 @@
 // watchJobs follows what accepting daemons write.
 func (h *Host) watchJobs(ctx context.Context, rev store.Revision) {
 	t := store.Tracker{What: "accepted jobs", Read: h.listJobs, Watch: h.watchJobsOnce, From: rev, ReadLimit: loadTimeout,
-		Wait: watchWait, Grace: watchGrace, Pause: jobsPause, ErrorPause: errorPause, Log: h.o.Log}
+		Wait: watchWait, Grace: watchGrace, Pause: jobsPause, ErrorPause: errorPause, Log: h.o.Log, Patience: h.o.Patience}
 	t.Run(ctx)
 }
 
@@ -337,7 +337,7 @@
 // watchWorkers follows the directory.
 func (h *Host) watchWorkers(ctx context.Context) {
 	t := store.Tracker{What: "the workers' entries", Read: h.listWorkers, Watch: h.watchWorkersOnce, ReadLimit: watchWait + watchGrace,
-		Wait: watchWait, Grace: watchGrace, Pause: workersPause, ErrorPause: errorPause, Log: h.o.Log}
+		Wait: watchWait, Grace: watchGrace, Pause: workersPause, ErrorPause: errorPause, Log: h.o.Log, Patience: h.o.Patience}
 	t.Run(ctx)
 }
 
--- a/process/dispatch/persist.go
+++ b/process/dispatch/persist.go
@@ -13,9 +13,9 @@
 const (
 	// groupDelay is how long a change that nobody waits for may wait for others
 	// to be written with.
-	groupDelay = 25 * time.Millisecond
+	groupDelay = 40 * time.Millisecond
 	// urgentDelay groups the ends of jobs, for which callers wait.
-	urgentDelay = 10 * time.Millisecond
+	urgentDelay = 25 * time.Millisecond
 	// overlapDelay is kept between the beginnings of two writes of which the first
 	// has not been answered yet: a store that answers in a few milliseconds then
 	// has one write at a time, one that takes 300 ms has all chains in use.
--- a/process/lead/elector.go
+++ b/process/lead/elector.go
@@ -50,6 +50,9 @@
 	Lead func(t *Term)
 	// Patience bounds the calls of the store; shared with other users of it.
 	Patience *store.Patience
+	// Peers calls other daemons; nil: a leader that is gone is replaced when its
+	// lease has run out.
+	Peers Caller
 }
 
 // Elector keeps a daemon registered and lets it lead when nobody does.
@@ -60,6 +63,7 @@
 	lease    atomic.Uint64
 	trouble  atomic.Int64 // when the store last failed us, in unix nanoseconds
 	stopping atomic.Bool
+	claiming atomic.Bool // one claim at a time
 
 	mu   sync.Mutex
 	term *Term
@@ -83,6 +87,10 @@
 	wg.Go(func() { e.keepRegistered(ctx) })
 	wg.Go(func() { e.follow(ctx) })
 	wg.Go(func() { e.claimVacancies(ctx) })
+	if e.o.Peers != nil {
+		wg.Go(func() { e.watchLeader(ctx) })
+		wg.Go(func() { e.learn(ctx) })
+	}
 	wg.Wait()
 	e.mu.Lock()
 	term, done := e.term, e.done
@@ -232,7 +240,7 @@
 // follow keeps the view up to date.
 func (e *Elector) follow(ctx context.Context) {
 	t := store.Tracker{What: "the cell", Read: e.readCell, Watch: e.watchCell, ReadLimit: watchWait + watchGrace,
-		Wait: watchWait, Grace: watchGrace, ErrorPause: errorPause, Log: e.o.Log}
+		Wait: watchWait, Grace: watchGrace, ErrorPause: errorPause, Log: e.o.Log, Patience: e.o.Patience}
 	t.Run(ctx)
 }
 
@@ -280,7 +288,7 @@
 
 func (e *Elector) claimSoon(ctx context.Context) {
 	delay := rand.N(claimJitter)
-	if e.StoreTrouble(outageMemory) && e.view.Epoch() > 0 {
+	if e.StoreTrouble(outageMemory) && e.view.Epoch() > 0 && e.leaderLives(ctx) {
 		delay += outageHold
 	}
 	if sleep.For(ctx, delay) != nil {
@@ -295,6 +303,18 @@
 	if !vacant || e.stopping.Load() {
 		return
 	}
+	e.take(ctx, held)
+}
+
+// take claims and leads if the claim takes effect.
+func (e *Elector) take(ctx context.Context, held store.Revision) {
+	if !e.claiming.CompareAndSwap(false, true) {
+		return
+	}
+	defer e.claiming.Store(false)
+	if e.current() != nil {
+		return
+	}
 	term, err := e.claim(ctx, held)
 	if err != nil {
 		e.o.Log.Debug().Err(err).Msg("leadership not claimed")
--- a/process/lead/lead_test.go
+++ b/process/lead/lead_test.go
@@ -28,15 +28,20 @@
 }
 
 func start(m *kv.Memory, name string, cores float64) *daemon {
+	return startWith(Options{Self: Member{Name: name, Peer: name, Cores: cores}, Store: m, Log: zerolog.Nop()})
+}
+
+// startWith completes the options and starts a daemon.
+func startWith(o Options) *daemon {
 	d := &daemon{done: make(chan struct{})}
-	d.e = New(Options{Self: Member{Name: name, Peer: name, Cores: cores}, Store: m, Log: zerolog.Nop(),
-		Patience: &store.Patience{Min: 200 * time.Millisecond, Max: 1500 * time.Millisecond},
-		Lead: func(t *Term) {
-			d.mu.Lock()
-			d.terms = append(d.terms, t)
-			d.mu.Unlock()
-			<-t.Context().Done()
-		}})
+	o.Patience = &store.Patience{Min: 200 * time.Millisecond, Max: 1500 * time.Millisecond}
+	o.Lead = func(t *Term) {
+		d.mu.Lock()
+		d.terms = append(d.terms, t)
+		d.mu.Unlock()
+		<-t.Context().Done()
+	}
+	d.e = New(o)
 	ctx, cancel := context.WithCancel(context.Background())
 	d.cancel = cancel
 	go func() {
--- a/process/lead/term.go
+++ b/process/lead/term.go
@@ -120,6 +120,7 @@
 	txn.Checks = append(txn.Checks, store.Check{Key: c.key, Revision: c.revision}, store.Check{Key: keyClaim, Revision: t.claimed})
 	txn.Writes = append(txn.Writes, store.Write{Key: c.key, Value: encode(next)})
 	for pause := retryPause; ; pause = min(2*pause, retryPauseMax) {
+		began := time.Now()
 		rev, err := t.try(ctx, c, txn, next)
 		switch {
 		case err == nil:
@@ -137,12 +138,11 @@
 		case ctx.Err() != nil:
 			return ctx.Err()
 		}
-		// The answer of a lost write comes at once with the next try; a store
-		// that refuses is not pressed.
-		if !errors.Is(err, store.ErrUnknownOutcome) {
-			if sleep.For(ctx, pause) != nil {
-				return ctx.Err()
-			}
+		// The answer of a lost write, for which the try has waited, comes at once
+		// with the next one; a store that refuses, or resets the connection, is
+		// not pressed.
+		if sleep.For(ctx, pause-time.Since(began)) != nil {
+			return ctx.Err()
 		}
 	}
 }
--- a/process/lead/view.go
+++ b/process/lead/view.go
@@ -17,20 +17,57 @@
 	members map[string]Member
 	leader  *Leader
 	held    store.Revision // of the leader's record, 0 for none
-	epoch   uint64         // the highest seen
+	latest  *Leader        // with the highest epoch seen, in the store or told of
+	told    bool           // latest is known from another daemon only
 	changed chan struct{}
 }
 
 func newView() *View { return &View{members: map[string]Member{}, changed: make(chan struct{})} }
 
-// Leader returns the leader, if one is known.
+// Leader returns the leader, if one is known: the one with a record in the store,
+// or one with a higher epoch of which other daemons have told.
 func (v *View) Leader() (Leader, bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	switch {
+	case v.latest != nil && v.told && (v.leader == nil || v.latest.Epoch > v.leader.Epoch):
+		return *v.latest, true
+	case v.leader != nil:
+		return *v.leader, true
+	}
+	return Leader{}, false
+}
+
+// holder returns the leader of the record in the store, and its revision.
+func (v *View) holder() (l Leader, held store.Revision, ok bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if v.leader == nil {
-		return Leader{}, false
+		return Leader{}, 0, false
+	}
+	return *v.leader, v.held, true
+}
+
+// last returns the daemon that led with the highest epoch seen.
+func (v *View) last() (Member, bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.latest == nil {
+		return Member{}, false
 	}
-	return *v.leader, true
+	return v.latest.Member, true
+}
+
+// learn takes what another daemon tells of the leader. A leader that has lost its
+// record keeps its epoch, so an epoch that is known already says nothing new.
+func (v *View) learn(l Leader) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.latest != nil && l.Epoch <= v.latest.Epoch {
+		return
+	}
+	v.latest, v.told = &l, true
+	v.notify()
 }
 
 // vacant reports whether nobody leads, as far as is known, and the revision
@@ -68,7 +105,10 @@
 func (v *View) Epoch() uint64 {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.epoch
+	if v.latest == nil {
+		return 0
+	}
+	return v.latest.Epoch
 }
 
 // Members returns the members, sorted by name.
@@ -130,7 +170,9 @@
 		var l Leader
 		if peer.Unmarshal(e.Value, &l) == nil {
 			v.leader, v.held = &l, e.Revision
-			v.epoch = max(v.epoch, l.Epoch)
+			if v.latest == nil || l.Epoch >= v.latest.Epoch {
+				v.latest, v.told = &l, false
+			}
 		}
 		return
 	}
--- a/request/submit/cancel.go
+++ b/request/submit/cancel.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"fennelshunt.example/fennelshunt/connection/store"
 	"fennelshunt.example/fennelshunt/internal/sleep"
@@ -10,6 +11,9 @@
 	"fennelshunt.example/fennelshunt/version/work"
 )
 
+// cancelPause is how long a cancellation leaves a store alone that fails calls.
+const cancelPause = 300 * time.Millisecond
+
 // Cancel ends a job. The error is ErrNoJob, when no such job exists and none
 // will, or a *verdict.Error.
 func (s *Service) Cancel(ctx context.Context, id work.JobID) error {
@@ -28,6 +32,7 @@
 			}
 		}
 		_ = sleep.For(ctx, retryPause) // ends with the context, which the loop sees
+		s.o.Patience.Await(ctx, cancelPause)
 	}
 	return unavailable(CodeStore, last)
 }
--- a/request/submit/peer.go
+++ b/request/submit/peer.go
@@ -79,7 +79,7 @@
 	if s.o.Patience.Suspect() {
 		return handedOver{}, nil // no better off than the daemon that asks
 	}
-	err := s.create(ctx, id, o.Value)
+	err := s.o.Patience.Call(ctx, func(ctx context.Context) error { return s.create(ctx, id, o.Value) })
 	if err != nil {
 		return handedOver{Maybe: errors.Is(err, store.ErrUnknownOutcome)}, nil
 	}
--- a/request/submit/submit.go
+++ b/request/submit/submit.go
@@ -46,6 +46,12 @@
 	pendingAge = 1500 * time.Millisecond
 	// probeTimeout bounds a read that only tells whether the store is there.
 	probeTimeout = 300 * time.Millisecond
+	// refusalAge is how long a call that was turned away speaks for the next one:
+	// the daemon's lease is renewed as often, and shows when the store is back.
+	refusalAge = 150 * time.Millisecond
+	// writeTimeout bounds one try of a write, of which hedgedTries may be under way.
+	writeTimeout = 600 * time.Millisecond
+	hedgedTries  = 2
 	// probeKey does not exist.
 	probeKey   = "probe"
 	retryPause = 25 * time.Millisecond
@@ -129,30 +135,39 @@
 }
 
 // put writes the job here or, when the store turns this daemon away, through
-// another daemon.
+// another daemon. After a failed call others are asked first: they answer in
+// milliseconds, while a read of a store that is silent takes probeTimeout.
 func (s *Service) put(ctx context.Context, id work.JobID, value []byte) error {
 	open := false // a write without an answer may still take effect
 	var last error
 	for ctx.Err() == nil {
-		last = s.reachable(ctx)
-		if last == nil {
-			err := s.create(ctx, id, value)
-			switch {
-			case err == nil:
+		asked := s.o.Patience.Suspect()
+		if asked {
+			took, maybe := s.handOver(ctx, id, value)
+			if took {
+				return nil
+			}
+			open = open || maybe
+		}
+		if last = s.reachable(ctx); last == nil {
+			switch last = s.createHedged(ctx, id, value); {
+			case last == nil:
 				s.push(store.Entry{Key: dispatch.KeyIn(id), Value: value})
 				return nil
-			case errors.Is(err, errGivenUp):
-				return unavailable(CodeGivenUp, err)
-			case errors.Is(err, store.ErrUnknownOutcome):
+			case errors.Is(last, errGivenUp):
+				return unavailable(CodeGivenUp, last)
+			case errors.Is(last, store.ErrUnknownOutcome):
 				open = true
 			}
-			last = err
 		}
-		took, maybe := s.handOver(ctx, id, value)
-		if took {
-			return nil
+		if !asked {
+			took, maybe := s.handOver(ctx, id, value)
+			if took {
+				return nil
+			}
+			open = open || maybe
 		}
-		if open = open || maybe; !open {
+		if !open {
 			return unavailable(CodeStore, last)
 		}
 		_ = sleep.For(ctx, retryPause) // ends with the context, which the loop sees
@@ -168,8 +183,11 @@
 // caller can be told at once, and truly, that its job was not accepted. Those
 // that wait share one read.
 func (s *Service) reachable(ctx context.Context) error {
-	if !s.o.Patience.Suspect() {
+	switch {
+	case !s.o.Patience.Suspect():
 		return nil
+	case s.o.Patience.RefusedWithin(refusalAge):
+		return errJustRefused
 	}
 	result := s.probes.DoChan("", func() (any, error) {
 		bounded, cancel := context.WithTimeout(context.WithoutCancel(ctx), probeTimeout)
@@ -185,13 +203,56 @@
 	}
 }
 
+// errJustRefused: the store has turned another call of this daemon away.
+var errJustRefused = errors.New("submit: the store has just turned a call away")
+
 // errGivenUp: a cancellation marked the id as one that will never be.
 var errGivenUp = errors.New("submit: the id was given up before it was handed in")
 
+// createHedged tries to write the job, and once more when there is no answer in
+// the usual time, while the first try may still be answered.
+//
+// What goes wrong otherwise: when a store becomes slow, the first writes of each
+// daemon are given up just before their answers, and their callers wait for two
+// more answers.
+func (s *Service) createHedged(ctx context.Context, id work.JobID, value []byte) error {
+	results := make(chan error, hedgedTries)
+	try := func() {
+		results <- s.o.Patience.CallWithin(ctx, writeTimeout, func(ctx context.Context) error { return s.create(ctx, id, value) })
+	}
+	go try()
+	sent, answered := 1, 0
+	timer := time.NewTimer(s.o.Patience.Timeout())
+	defer timer.Stop()
+	var open error
+	for {
+		select {
+		case <-timer.C:
+			sent++
+			go try()
+		case err := <-results:
+			answered++
+			switch {
+			case err == nil, errors.Is(err, errGivenUp):
+				return err
+			case errors.Is(err, store.ErrUnknownOutcome):
+				open = err
+			}
+			if answered < sent {
+				continue
+			}
+			if open != nil {
+				return open
+			}
+			return err
+		}
+	}
+}
+
 // create makes one try to write the job. All tries are alike, and at most one
 // takes effect.
 func (s *Service) create(ctx context.Context, id work.JobID, value []byte) error {
-	err := s.commit(ctx, store.Txn{
+	_, err := s.o.Store.Commit(ctx, store.Txn{
 		Checks: []store.Check{{Key: dispatch.KeyIn(id)}, {Key: dispatch.KeyState(id)}},
 		Writes: []store.Write{{Key: dispatch.KeyIn(id), Value: value}},
 	})
