Claim without reading first; close silent workers in the store

The claim's record is watched with the cell; a claim that finds the lease over goes on with what the conflict tells. A silent worker is closed in the list of workers; what is handed in later need not wait for it. Entries of workers are read beside the state.

--- a/process/dispatch/bench_test.go
+++ b/process/dispatch/bench_test.go
@@ -25,7 +25,7 @@
 			for i := range backlog {
 				spec := &work.Job{Queue: work.Queue{Name: "q", Service: "s", Attempts: 3, Priority: i % 3, Slack: 2, Advice: &work.Advice{Base: 50 * time.Millisecond, PerWorker: time.Millisecond, Valid: 2 * time.Second}},
 					Steps: []work.Step{{Count: 10, Size: work.Resources{CPU: 9000, Memory: 20000}, Estimate: time.Second, Gang: i%10 == 0}}, Epoch: 1}
-				e.add(work.JobID(fmt.Sprintf("%016x", i)), spec)
+				e.add(work.JobID(fmt.Sprintf("%016x", i)), spec, 0)
 			}
 			for _, w := range e.order {
 				w.used = work.Resources{CPU: 60000, Memory: 120000}
--- a/process/dispatch/engine.go
+++ b/process/dispatch/engine.go
@@ -32,8 +32,11 @@
 	workers map[runner.WorkerID]*worker
 	order   []*worker // the workers, in a fixed order
 	// unresolved counts workers that an earlier epoch used and that have
-	// neither answered this one nor certainly ended.
-	unresolved int
+	// neither answered this one nor certainly ended; unresolvedOpen those of them
+	// that were not closed.
+	unresolved, unresolvedOpen int
+	// closedAt: what was handed in later has never started on a closed worker.
+	closedAt store.Revision
 
 	ready []*step // steps with tasks to start
 	timed []*job  // with occurrences that have not come due
@@ -105,7 +108,7 @@
 		e.loadState(s)
 	}
 	if saved.Fleet != nil {
-		errs = append(errs, e.loadFleet(saved.Fleet.Value))
+		errs = append(errs, e.loadFleet(*saved.Fleet))
 	}
 	for _, j := range e.jobs {
 		e.openDue(j)
@@ -138,18 +141,26 @@
 // fleetRecord lists the workers that the leader may have started tasks on.
 type fleetRecord struct {
 	Workers []runner.Ref `cbor:"1,keyasint"`
+	// Closed names those on which nothing is started until the list is written
+	// again without them.
+	Closed []runner.WorkerID `cbor:"2,keyasint,omitempty"`
 }
 
-func (e *Engine) loadFleet(data []byte) error {
+func (e *Engine) loadFleet(entry store.Entry) error {
 	var f fleetRecord
-	if err := peer.Unmarshal(data, &f); err != nil {
+	if err := peer.Unmarshal(entry.Value, &f); err != nil {
 		return fmt.Errorf("%s: %w", keyFleet, err)
 	}
+	e.closedAt = entry.Revision
 	for _, ref := range f.Workers {
 		w := e.addWorker(runner.Worker{Ref: ref})
 		w.kept, w.inherited = true, true
 		w.lapse = e.now + noticeTime + scale(e.o.Bounds.MaxLease, clockDrift) + driftMargin
+		w.closed = slices.Contains(f.Closed, w.ID)
 		e.unresolved++
+		if !w.closed {
+			e.unresolvedOpen++
+		}
 	}
 	return nil
 }
@@ -174,12 +185,12 @@
 		e.deposed = true
 		return nil
 	}
-	e.add(work.JobID(id), spec)
+	e.add(work.JobID(id), spec, entry.Revision)
 	return nil
 }
 
-func (e *Engine) add(id work.JobID, spec *work.Job) {
-	j := &job{id: id, spec: spec, handedIn: true, since: e.now, inherited: spec.Epoch < e.o.Epoch,
+func (e *Engine) add(id work.JobID, spec *work.Job, revision store.Revision) {
+	j := &job{id: id, spec: spec, handedIn: true, revision: revision, since: e.now, inherited: spec.Epoch < e.o.Epoch,
 		accepted: e.atTime(spec.Accepted), start: e.atTime(spec.StartAt)}
 	e.jobs[id] = j
 	if _, ok := e.cancels[id]; ok {
@@ -316,6 +327,7 @@
 	if w.gone {
 		return
 	}
+	e.closeSilent(w)
 	e.renew(w)
 }
 
--- a/process/dispatch/host.go
+++ b/process/dispatch/host.go
@@ -87,13 +87,15 @@
 	})
 	var tasks sync.WaitGroup
 	defer tasks.Wait()
+	// The workers' entries are read beside the state: with a slow store that is one
+	// answer less until the first start.
+	tasks.Go(func() { h.watchWorkers(ctx) })
 	rev, err := h.load(ctx)
 	if err != nil {
 		return
 	}
 	close(h.loaded)
 	tasks.Go(func() { h.watchJobs(ctx, rev) })
-	tasks.Go(func() { h.watchWorkers(ctx) })
 	tasks.Go(func() { h.watchMembers(ctx) })
 	h.loop(ctx)
 	h.calls.Wait()
--- a/process/dispatch/job.go
+++ b/process/dispatch/job.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"fennelshunt.example/fennelshunt/connection/runner"
+	"fennelshunt.example/fennelshunt/connection/store"
 	"fennelshunt.example/fennelshunt/version/work"
 )
 
@@ -33,6 +34,8 @@
 	saved   uint64 // the highest version in the store
 	dirty   bool   // queued for writing
 	writing bool   // a write of it is on its way
+	// revision of its hand-in; 0 if it was taken from an accepting daemon.
+	revision store.Revision
 	// handedIn: its hand-in is in the store; removed with the write of its end.
 	handedIn   bool
 	bundle     *bundle // that holds its newest progress; nil: its own key does
--- a/process/dispatch/persist.go
+++ b/process/dispatch/persist.go
@@ -207,6 +207,10 @@
 	var f fleetRecord
 	for _, w := range e.order {
 		f.Workers = append(f.Workers, runner.Ref{ID: w.ID, Address: w.Address})
+		if w.closed {
+			f.Closed = append(f.Closed, w.ID)
+			continue
+		}
 		if !w.kept {
 			b.fleet = append(b.fleet, w)
 		}
--- a/process/dispatch/place.go
+++ b/process/dispatch/place.go
@@ -200,7 +200,14 @@
 	if s.gang.breaking || (s.spec.Gang && s.live() > 0) {
 		return false
 	}
-	return !s.job.inherited || e.unresolved == 0
+	return !s.job.inherited || e.accountedFor(s.job)
+}
+
+// accountedFor reports whether nothing of an inherited job can run unseen: every
+// worker that an earlier epoch used has answered or has certainly ended, or was
+// closed before the job was handed in.
+func (e *Engine) accountedFor(j *job) bool {
+	return e.unresolved == 0 || (e.unresolvedOpen == 0 && j.revision > e.closedAt)
 }
 
 // eligible reports whether a step may run on a worker, room and advice apart.
--- a/process/dispatch/reports.go
+++ b/process/dispatch/reports.go
@@ -59,6 +59,7 @@
 		w.fenced = true
 		e.scheduled = false
 	}
+	e.reopen(w)
 	ends := e.takeEnds(w, report.Ended)
 	e.takeRunning(w, report.Running, len(report.Ended) < runner.MaxEnds)
 	w.nextRenew = now
--- a/process/dispatch/worker.go
+++ b/process/dispatch/worker.go
@@ -55,6 +55,9 @@
 	kept   bool // the store knows that it is used
 	fenced bool // it has answered this epoch
 	gone   bool // its life is over
+	// closed: the list of workers in the store says, or is about to say, that
+	// nothing is started here.
+	closed bool
 	// inherited: an earlier epoch used it, and it has not answered this one.
 	inherited bool
 	rack      string
@@ -98,7 +101,7 @@
 // usable reports whether new runs may be started on the worker.
 func (w *worker) usable(now time.Duration) bool {
 	switch {
-	case w.gone || !w.listed || !w.kept || !w.fenced || w.Draining:
+	case w.gone || !w.listed || !w.kept || !w.fenced || w.Draining || w.closed:
 		return false
 	case w.misses > 0 || now < w.asideUntil:
 		return false
--- a/process/lead/elector.go
+++ b/process/lead/elector.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -323,36 +322,35 @@
 	e.begin(ctx, term)
 }
 
-// claim raises the epoch if the leader's record still has the revision held.
+// claim raises the epoch if the leader's record still has the revision held, or is
+// gone.
 func (e *Elector) claim(ctx context.Context, held store.Revision) (*Term, error) {
-	var found []store.Entry
-	err := e.call(ctx, "read claim and chains", func(ctx context.Context) (err error) {
-		found, _, err = e.o.Store.List(ctx, keyClaim)
-		return err
-	})
+	before, revision, err := e.lastClaim(ctx)
 	if err != nil {
 		return nil, err
 	}
-	var before link
-	var revision store.Revision // of the claim before, 0 for none
-	if i := slices.IndexFunc(found, func(e store.Entry) bool { return e.Key == keyClaim }); i >= 0 {
-		revision = found[i].Revision
-		if before, err = decodeLink(found[i]); err != nil {
-			return nil, err
+	t := newTerm(ctx, e.o.Self, e.o.Store, e.o.Patience)
+	for range maxClaims {
+		t.Epoch = before.Epoch + 1
+		err = e.tryClaim(ctx, t, held, revision)
+		var conflict *store.ConflictError
+		if !errors.As(err, &conflict) {
+			break
+		}
+		// The leader's lease may have run out meanwhile, and the revision of the
+		// claim be another than that of the copy.
+		holder, exists := conflict.Find(keyHolder)
+		if exists && holder.Revision != held {
+			break
+		}
+		held = holder.Revision
+		if entry, found := conflict.Find(keyClaim); !found {
+			before, revision = link{}, 0
+		} else if before, err = decodeLink(entry); err != nil {
+			break
+		} else {
+			revision = entry.Revision
 		}
-	}
-	t := newTerm(before.Epoch+1, e.o.Self, e.o.Store, e.o.Patience, found)
-	t.ctx, t.over = context.WithCancelCause(context.WithoutCancel(ctx))
-	claim := link{Epoch: t.Epoch, Term: t.id, Holder: t.holder.Name}
-	err = e.call(ctx, "claim", func(ctx context.Context) (err error) {
-		t.claimed, err = e.o.Store.Commit(ctx, store.Txn{
-			Checks: []store.Check{{Key: keyHolder, Revision: held}, {Key: keyClaim, Revision: revision}},
-			Writes: []store.Write{t.holderWrite(store.LeaseID(e.lease.Load())), {Key: keyClaim, Value: encode(claim)}},
-		})
-		return err
-	})
-	if errors.Is(err, store.ErrUnknownOutcome) {
-		err = e.learnClaim(ctx, t, claim)
 	}
 	if errors.Is(err, store.ErrLeaseLost) {
 		e.lease.Store(0)
@@ -363,6 +361,52 @@
 	return t, nil
 }
 
+// maxClaims bounds the tries of one claim: the second knows the store's state.
+const maxClaims = 3
+
+// lastClaim returns the claim before and its revision as far as they are known
+// without a call; they are read when nothing is known.
+func (e *Elector) lastClaim(ctx context.Context) (link, store.Revision, error) {
+	if claim, revision := e.view.claimed(); revision != 0 {
+		return claim, revision, nil
+	}
+	var entry store.Entry
+	err := e.call(ctx, "read claim", func(ctx context.Context) (err error) {
+		entry, err = e.o.Store.Get(ctx, keyClaim)
+		return err
+	})
+	if errors.Is(err, store.ErrNotFound) {
+		return link{}, 0, nil
+	}
+	if err != nil {
+		return link{}, 0, err
+	}
+	before, err := decodeLink(entry)
+	return before, entry.Revision, err
+}
+
+// tryClaim writes the records of a claim and the first link of each chain. The
+// chains need no check: only a term whose claim stands writes them.
+func (e *Elector) tryClaim(ctx context.Context, t *Term, held, revision store.Revision) error {
+	claim := link{Epoch: t.Epoch, Term: t.id, Holder: t.holder.Name}
+	txn := store.Txn{
+		Checks: []store.Check{{Key: keyHolder, Revision: held}, {Key: keyClaim, Revision: revision}},
+		Writes: []store.Write{t.holderWrite(store.LeaseID(e.lease.Load())), {Key: keyClaim, Value: encode(claim)}, {Key: keyClaimSeen, Value: encode(claim)}},
+	}
+	for i := range t.chains {
+		txn.Writes = append(txn.Writes, store.Write{Key: t.chains[i].key, Value: encode(claim)})
+	}
+	err := e.call(ctx, "claim", func(ctx context.Context) error {
+		rev, err := e.o.Store.Commit(ctx, txn)
+		t.begun(rev)
+		return err
+	})
+	if errors.Is(err, store.ErrUnknownOutcome) {
+		return e.learnClaim(ctx, t, claim)
+	}
+	return err
+}
+
 // learnClaim reads back whether a claim without an answer took effect. One that
 // arrives later leads to a record whose holder does not lead; it is put down by
 // the lease, which this daemon gives up.
@@ -375,7 +419,7 @@
 		}
 		now, err := decodeLink(entry)
 		if err == nil && now == claim {
-			t.claimed = entry.Revision
+			t.begun(entry.Revision)
 			return nil
 		}
 		e.lease.Store(0)
--- a/process/lead/record.go
+++ b/process/lead/record.go
@@ -28,6 +28,10 @@
 	// keyClaim is written by each claim, and by nothing else. Every write of a term
 	// demands the revision of its claim.
 	keyClaim = "chain"
+	// keyClaimSeen is written with keyClaim, where daemons watch it: so the next
+	// claim needs no reading first, and keyClaim stays where daemons of earlier
+	// versions look for it.
+	keyClaimSeen = "cell/claim"
 	// prefixChain and a number name the last links of the chains.
 	prefixChain = "chain/"
 )
--- a/process/lead/term.go
+++ b/process/lead/term.go
@@ -56,21 +56,26 @@
 	revision store.Revision // of the last link, as last known; 0 for none
 }
 
-// newTerm returns a term with the chains as they were found in the store.
-func newTerm(epoch uint64, holder Member, s store.Transactor, patience *store.Patience, found []store.Entry) *Term {
-	t := &Term{Epoch: epoch, id: uuid.NewString(), holder: holder, store: s, patience: patience}
+// newTerm returns a term that has not been claimed yet.
+func newTerm(ctx context.Context, holder Member, s store.Transactor, patience *store.Patience) *Term {
+	t := &Term{id: uuid.NewString(), holder: holder, store: s, patience: patience}
 	for i := range t.chains {
-		c := &t.chains[i]
-		c.key, c.turn = chainKey(i), semaphore.NewWeighted(1)
-		for _, e := range found {
-			if e.Key == c.key {
-				c.revision = e.Revision
-			}
-		}
+		t.chains[i] = chain{key: chainKey(i), turn: semaphore.NewWeighted(1)}
 	}
+	t.ctx, t.over = context.WithCancelCause(context.WithoutCancel(ctx))
 	return t
 }
 
+// begun notes the revision of the term's claim, which is that of the first link of
+// each chain as well. A store that numbers the writes of one transaction apart
+// shows the right one with the first write of a chain.
+func (t *Term) begun(claim store.Revision) {
+	t.claimed = claim
+	for i := range t.chains {
+		t.chains[i].revision = claim
+	}
+}
+
 // Context ends when the term does; its cause tells why.
 func (t *Term) Context() context.Context { return t.ctx }
 
--- a/process/lead/view.go
+++ b/process/lead/view.go
@@ -19,6 +19,8 @@
 	held    store.Revision // of the leader's record, 0 for none
 	latest  *Leader        // with the highest epoch seen, in the store or told of
 	told    bool           // latest is known from another daemon only
+	claim   link           // the last one
+	claimAt store.Revision // its revision, 0 for not known
 	changed chan struct{}
 }
 
@@ -48,6 +50,13 @@
 	return *v.leader, v.held, true
 }
 
+// claimed returns the last claim and its revision, 0 if it is not known.
+func (v *View) claimed() (link, store.Revision) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.claim, v.claimAt
+}
+
 // last returns the daemon that led with the highest epoch seen.
 func (v *View) last() (Member, bool) {
 	v.mu.Lock()
@@ -137,7 +146,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	clear(v.members)
-	v.leader, v.held = nil, 0
+	v.leader, v.held, v.claimAt = nil, 0, 0
 	for _, e := range entries {
 		v.set(e)
 	}
@@ -166,6 +175,12 @@
 }
 
 func (v *View) set(e store.Entry) {
+	if e.Key == keyClaimSeen {
+		if l, err := decodeLink(e); err == nil {
+			v.claim, v.claimAt = l, e.Revision
+		}
+		return
+	}
 	if e.Key == keyHolder {
 		var l Leader
 		if peer.Unmarshal(e.Value, &l) == nil {
