--- a/process/dispatch/advice.go
+++ b/process/dispatch/advice.go
@@ -55,7 +55,10 @@
 	tickets []ticket // few: those of the last calls
 	asking  bool
 	wanted  []runner.WorkerID // to be named by the next call
-	next    time.Duration     // no call before
+	// toStart: with the tickets wanted there are enough for a start, and their
+	// room is to be held.
+	toStart bool
+	next    time.Duration // no call before
 }
 
 type ticket struct {
@@ -135,7 +138,7 @@
 	if len(ids) > maxNamed {
 		ids = ids[:maxNamed]
 	}
-	a.wanted = ids
+	a.wanted, a.toStart = ids, false
 	e.lanesIdle--
 }
 
@@ -319,6 +322,10 @@
 		if l == nil {
 			return
 		}
+		if a.toStart && !e.holdSeats(s, a, cost) {
+			a.wanted = nil // others have taken the room in this round
+			continue
+		}
 		if cost >= slowCall {
 			slow++
 		}
--- a/process/dispatch/engine.go
+++ b/process/dispatch/engine.go
@@ -69,7 +69,7 @@
 // Stats counts what an engine did.
 type Stats struct {
 	Starts, Resent, Stops, Done, Failed, Back, Lost, Adopted, Orphans uint64
-	Commits, Bundles, Violations, Advised, Aside, Moved               uint64
+	Commits, Bundles, Violations, Advised, Aside, Moved, Holds        uint64
 }
 
 // NewEngine returns an engine without jobs.
@@ -308,6 +308,7 @@
 	}
 	e.openTimed()
 	e.retryAdvice()
+	e.expireHolds()
 	e.forget()
 	e.scheduled = false
 }
--- a/process/dispatch/gang.go
+++ b/process/dispatch/gang.go
@@ -206,6 +206,7 @@
 	switch {
 	case have >= s.spec.Count:
 		e.want(s, ids)
+		a.toStart = !e.o.Policy.NoHolds
 	case e.anyUnknown(s, a):
 		e.askFor(s, s.spec.Count)
 	default:
--- a/process/dispatch/job.go
+++ b/process/dispatch/job.go
@@ -66,6 +66,10 @@
 	held      bool
 	heldUntil time.Duration
 
+	// heldSeats: room is held for the step until holdUntil.
+	heldSeats bool
+	holdUntil time.Duration
+
 	advice *advice
 	gang   gangState
 }
--- a/process/dispatch/policy.go
+++ b/process/dispatch/policy.go
@@ -20,6 +20,12 @@
 	// WriteKeys is how many keys one write may change, minWriteKeys to
 	// lead.MaxCommit.
 	WriteKeys int `json:"write_keys,omitempty"`
+	// NoHolds lets others take the room of a gang while its tickets are asked for.
+	// Load pattern: many wide gangs, and slow advice.
+	NoHolds bool `json:"no_holds,omitempty"`
+	// ReservedShare: room is reserved for one waiting step in so many workers at a
+	// time, at least for maxReserved. Load pattern: more gangs than fit.
+	ReservedShare int `json:"reserved_share,omitempty"`
 }
 
 // minWriteKeys: the list of workers, a bundle and the keys of one cancelled job.
@@ -30,6 +36,7 @@
 	return errors.Join(
 		inBounds("policy.write_chains", p.WriteChains, 1, lead.Chains),
 		inBounds("policy.write_keys", p.WriteKeys, minWriteKeys, lead.MaxCommit),
+		inBounds("policy.reserved_share", p.ReservedShare, 1, 1_000_000),
 	)
 }
 
@@ -49,5 +56,8 @@
 	if p.WriteKeys == 0 {
 		p.WriteKeys = lead.MaxCommit
 	}
+	if p.ReservedShare == 0 {
+		p.ReservedShare = defaultReservedShare
+	}
 	return p
 }
--- a/process/dispatch/reserve.go
+++ b/process/dispatch/reserve.go
@@ -12,10 +12,10 @@
 const (
 	// planPeriod is how long reservations are kept before they are planned anew.
 	planPeriod = 100 * time.Millisecond
-	// maxReserved and one in reservedShare workers bound how many steps that
+	// maxReserved and one in defaultReservedShare workers bound how many steps that
 	// wait have room reserved at a time.
-	maxReserved   = 3
-	reservedShare = 30
+	maxReserved          = 3
+	defaultReservedShare = 30
 )
 
 // reservation keeps room on a worker for a task of a step from a time on.
@@ -34,7 +34,7 @@
 // keepRoom reserves room for a step that found none, as long as the round may
 // reserve for another one and the workers could hold it.
 func (e *Engine) keepRoom(s *step, r *round) {
-	if r.reserved >= e.perWorkers(maxReserved, reservedShare) || (s.spec.Gang && !e.couldHold(s)) {
+	if r.reserved >= e.perWorkers(maxReserved, e.o.Policy.ReservedShare) || (s.spec.Gang && !e.couldHold(s)) {
 		return
 	}
 	if e.hasReserved(s) || e.reserveFor(s) {
@@ -117,10 +117,15 @@
 }
 
 // freeFor returns the room on a worker that a step may take now: what is free
-// less what is reserved for others that stand before it and start before its
-// task would end.
+// less what is held for others, and what is reserved for others that stand before
+// it and start before its task would end.
 func (e *Engine) freeFor(s *step, w *worker) work.Resources {
 	free := w.free()
+	for i := range w.holds {
+		if w.holds[i].s != s {
+			free = free.Sub(w.holds[i].room)
+		}
+	}
 	if len(w.reserved) == 0 {
 		return free
 	}
@@ -155,6 +160,7 @@
 }
 
 func (e *Engine) unreserve(s *step) {
+	e.dropHold(s)
 	for _, w := range e.order {
 		w.reserved = slices.DeleteFunc(w.reserved, func(r reservation) bool { return r.s == s })
 	}
--- a/process/dispatch/worker.go
+++ b/process/dispatch/worker.go
@@ -100,6 +100,7 @@
 	// pace is how fast it works against estimates, decaying; 1 is as estimated.
 	pace     float64
 	reserved []reservation
+	holds    []hold
 }
 
 // free returns what is not taken.
--- a/version/work/work.go
+++ b/version/work/work.go
@@ -32,6 +32,11 @@
 	return Resources{CPU: r.CPU - s.CPU, Memory: r.Memory - s.Memory, GPU: r.GPU - s.GPU}
 }
 
+// Scale returns n times r.
+func (r Resources) Scale(n int) Resources {
+	return Resources{CPU: r.CPU * n, Memory: r.Memory * n, GPU: r.GPU * n}
+}
+
 // Fits reports whether r is available in free.
 func (r Resources) Fits(free Resources) bool {
 	return r.CPU <= free.CPU && r.Memory <= free.Memory && r.GPU <= free.GPU
