--- a/process/dispatch/advice.go
+++ b/process/dispatch/advice.go
@@ -138,10 +138,43 @@
 	if len(ids) > maxNamed {
 		ids = ids[:maxNamed]
 	}
+	if s.job.spec.Queue.Advice.Cost(len(ids)) >= slowCall {
+		if e.lanesSlow <= 0 {
+			return
+		}
+		e.lanesSlow--
+	}
 	a.wanted, a.toStart = ids, false
 	e.lanesIdle--
 }
 
+// countLanes counts the lanes that are idle, and those of them that may take slow
+// calls.
+//
+// What goes wrong if both are one number: steps whose slow calls can not go out now
+// use it up in every round, and quick ones behind them are not asked for beside
+// idle lanes.
+func (e *Engine) countLanes() {
+	e.lanesIdle = e.countIdleLanes()
+	e.lanesSlow = e.maxSlowLanes() - e.slowLanes()
+}
+
+// maxSlowLanes bounds the lanes with a slow call.
+func (e *Engine) maxSlowLanes() int {
+	return max(1, int(math.Floor(float64(len(e.members))*slowLanes)))
+}
+
+// slowLanes counts the lanes with a slow call.
+func (e *Engine) slowLanes() int {
+	n := 0
+	for _, l := range e.lanes {
+		if l.busy != nil && l.cost() >= slowCall {
+			n++
+		}
+	}
+	return n
+}
+
 func (e *Engine) countIdleLanes() int {
 	n := 0
 	for _, name := range e.members {
@@ -169,10 +202,14 @@
 
 // askFor names workers for a step that needs slots more runs placed: known good
 // ones whose ticket is missing, and unknown ones as many as are likely to do.
-// Both come with the most room first.
+//
+// Gangs name those with the most room first, other steps those with the least.
+// Load pattern: gangs of large tasks among many small ones. What goes wrong if small
+// tasks go where most is free: of all processors a quarter is free, and no worker
+// has room for a large task.
 func (e *Engine) askFor(s *step, slots int) {
 	a := s.advice
-	if slots <= 0 || !e.mayAsk(a) {
+	if slots <= 0 || !e.mayAsk(s) {
 		return
 	}
 	need := s.spec.Need()
@@ -203,6 +240,9 @@
 			}
 			return 1
 		}
+		if !s.spec.Gang && !e.o.Policy.NoPacking {
+			return cmp.Compare(x.fits, y.fits)
+		}
 		return cmp.Compare(y.fits, x.fits)
 	})
 	share := e.share(s.job.spec.Queue.Name)
@@ -223,7 +263,13 @@
 }
 
 // mayAsk reports whether a call for the step could go out in this round.
-func (e *Engine) mayAsk(a *advice) bool { return !a.asking && e.now >= a.next && e.lanesIdle > 0 }
+func (e *Engine) mayAsk(s *step) bool {
+	a := s.advice
+	if s.job.spec.Queue.Advice.Base >= slowCall && e.lanesSlow <= 0 {
+		return false
+	}
+	return !a.asking && e.now >= a.next && e.lanesIdle > 0
+}
 
 func (e *Engine) share(queue string) float64 {
 	if v, ok := e.shares[queue]; ok {
@@ -303,12 +349,7 @@
 	if len(e.members) == 0 {
 		return
 	}
-	slow, maxSlow := 0, max(1, int(math.Floor(float64(len(e.members))*slowLanes)))
-	for _, l := range e.lanes {
-		if l.busy != nil && l.cost() >= slowCall {
-			slow++
-		}
-	}
+	slow, maxSlow := e.slowLanes(), e.maxSlowLanes()
 	for _, s := range steps {
 		a := s.advice
 		if a == nil || len(a.wanted) == 0 || a.asking || !s.job.active() {
--- a/process/dispatch/engine.go
+++ b/process/dispatch/engine.go
@@ -61,6 +61,7 @@
 	// waiting gangs is to be planned anew.
 	scheduledAt, planAt time.Duration
 	lanesIdle           int // left in this round
+	lanesSlow           int // of them for slow calls
 
 	deposed bool
 	stats   Stats
--- a/process/dispatch/gang.go
+++ b/process/dispatch/gang.go
@@ -189,7 +189,7 @@
 // until they have run out: there is never a moment at which enough of them
 // hold, and the gang waits beside free workers.
 func (e *Engine) askForGang(s *step, a *advice) {
-	if !e.mayAsk(a) {
+	if !e.mayAsk(s) {
 		return
 	}
 	have, rest := e.gangCandidates(s, a)
@@ -209,7 +209,7 @@
 		a.toStart = !e.o.Policy.NoHolds
 	case e.anyUnknown(s, a):
 		e.askFor(s, s.spec.Count)
-	default:
+	case e.o.Policy.NoHolds:
 		e.askForReserved(s, a)
 	}
 }
--- a/process/dispatch/place.go
+++ b/process/dispatch/place.go
@@ -62,7 +62,7 @@
 		e.planAt = e.now + planPeriod
 		e.clearReservations()
 	}
-	e.lanesIdle = e.countIdleLanes()
+	e.countLanes()
 	var r round
 	for _, s := range steps {
 		switch {
@@ -106,7 +106,7 @@
 // tryTasks places tasks of a step one by one, unless that is known to be in
 // vain.
 func (e *Engine) tryTasks(s *step, r *round) {
-	if a := e.adviceOf(s); a != nil && !e.mayAsk(a) && !a.usable(e.now) {
+	if a := e.adviceOf(s); a != nil && !e.mayAsk(s) && !a.usable(e.now) {
 		return // nothing to go by, and nobody to ask now
 	}
 	need := s.spec.Need()
--- a/process/dispatch/policy.go
+++ b/process/dispatch/policy.go
@@ -23,6 +23,8 @@
 	// NoHolds lets others take the room of a gang while its tickets are asked for.
 	// Load pattern: many wide gangs, and slow advice.
 	NoHolds bool `json:"no_holds,omitempty"`
+	// NoPacking lets small tasks go where most room is. Load pattern: as above.
+	NoPacking bool `json:"no_packing,omitempty"`
 	// ReservedShare: room is reserved for one waiting step in so many workers at a
 	// time, at least for maxReserved. Load pattern: more gangs than fit.
 	ReservedShare int `json:"reserved_share,omitempty"`
--- /dev/null
+++ b/standin/cellsim/result.go
@@ -0,0 +1,178 @@
+package cellsim
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"fennelshunt.example/fennelshunt/process/dispatch"
+	"fennelshunt.example/fennelshunt/version/work"
+)
+
+// windowLength is that of the windows of which the worst count.
+const windowLength = 2 * time.Second
+
+// Result is what became of a run's jobs.
+type Result struct {
+	// Credit is earned against owed worth, of all jobs and in the two worst
+	// windows by hand-in.
+	Credit, WorstWindows float64
+	Classes              []ClassResult
+	// Busy is the share of the processors that worked while load came in, Spent and
+	// Wasted the core-seconds of all work and of work thrown away.
+	Busy          float64
+	Spent, Wasted float64
+	Stats         dispatch.Stats
+	// Waiting holds the number of jobs that had not begun, by class, at each
+	// sampled time.
+	Waiting []Sample
+
+	busySum   float64
+	busyCount int
+}
+
+// Sample is what a run looked like at a time.
+type Sample struct {
+	At      time.Duration
+	Busy    float64
+	Waiting []int
+}
+
+// ClassResult is what became of one kind of jobs.
+type ClassResult struct {
+	Name                        string
+	Jobs, InTime, Late, Refused int
+	Credit                      float64
+	// Largest is the credit of the largest tenth.
+	Largest float64
+	// Start holds the waits from the first hand-in to the first start, Done the
+	// times until the end was shown; both sorted, unfinished jobs left out.
+	Start, Done []time.Duration
+}
+
+// Quantile returns a quantile of sorted times, 0 for none.
+func Quantile(times []time.Duration, q float64) time.Duration {
+	if len(times) == 0 {
+		return 0
+	}
+	return times[min(int(q*float64(len(times))), len(times)-1)]
+}
+
+// sampleEvery is the time between samples.
+const sampleEvery = 250 * time.Millisecond
+
+// account notes how busy the workers are and how much waits.
+func (s *sim) account() {
+	t := s.loadTime()
+	if t < 0 || t > s.o.Length {
+		return
+	}
+	used, all := 0, 0
+	for _, w := range s.order {
+		if !w.gone {
+			used += w.used.CPU
+			all += w.seen.Capacity.CPU
+		}
+	}
+	busy := float64(used) / float64(max(all, 1))
+	s.result.busySum += busy
+	s.result.busyCount++
+	if t%sampleEvery < tick {
+		waiting := make([]int, len(s.o.Classes))
+		for _, j := range s.open {
+			if j.begun == 0 {
+				waiting[j.class]++
+			}
+		}
+		s.result.Waiting = append(s.result.Waiting, Sample{At: t, Busy: busy, Waiting: waiting})
+	}
+}
+
+// earned is what a job has earned.
+func (j *job) earned() float64 {
+	took := j.shown - settle - j.sent
+	switch {
+	case j.shown == 0 || j.ended != work.Completed:
+		return 0
+	case took <= j.due:
+		return j.worth
+	case took <= lateFactor*j.due:
+		return lateShare * j.worth
+	}
+	return 0
+}
+
+func (s *sim) report() *Result {
+	s.addStats()
+	r := &s.result
+	r.Stats = s.stats
+	if r.busyCount > 0 {
+		r.Busy = r.busySum / float64(r.busyCount)
+	}
+	windows := map[time.Duration][2]float64{}
+	var owed, earned float64
+	for _, j := range s.all {
+		owed += j.worth
+		earned += j.earned()
+		w := windows[j.sent/windowLength]
+		windows[j.sent/windowLength] = [2]float64{w[0] + j.earned(), w[1] + j.worth}
+	}
+	r.Credit = share(earned, owed)
+	shares := make([]float64, 0, len(windows))
+	for _, w := range windows {
+		shares = append(shares, share(w[0], w[1]))
+	}
+	slices.Sort(shares)
+	if len(shares) > 1 {
+		r.WorstWindows = (shares[0] + shares[1]) / 2
+	}
+	for c := range s.o.Classes {
+		r.Classes = append(r.Classes, s.reportClass(c))
+	}
+	return r
+}
+
+func share(a, b float64) float64 {
+	if b == 0 {
+		return 0
+	}
+	return a / b
+}
+
+func (s *sim) reportClass(c int) ClassResult {
+	r := ClassResult{Name: s.o.Classes[c].Queue.Name}
+	var jobs []*job
+	for _, j := range s.all {
+		if j.class == c {
+			jobs = append(jobs, j)
+		}
+	}
+	r.Jobs = len(jobs)
+	slices.SortStableFunc(jobs, func(a, b *job) int { return cmp.Compare(b.worth, a.worth) })
+	var owed, earned float64
+	for i, j := range jobs {
+		owed += j.worth
+		earned += j.earned()
+		if i == len(jobs)/10 {
+			r.Largest = share(earned, owed)
+		}
+		switch {
+		case j.accepted == 0:
+			r.Refused++
+		case j.earned() == j.worth:
+			r.InTime++
+		case j.earned() > 0:
+			r.Late++
+		}
+		if j.begun > 0 {
+			r.Start = append(r.Start, j.begun-settle-j.sent)
+		}
+		if j.shown > 0 {
+			r.Done = append(r.Done, j.shown-settle-j.sent)
+		}
+	}
+	r.Credit = share(earned, owed)
+	slices.Sort(r.Start)
+	slices.Sort(r.Done)
+	return r
+}
--- /dev/null
+++ b/standin/cellsim/worker.go
@@ -0,0 +1,363 @@
+package cellsim
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"fennelshunt.example/fennelshunt/connection/runner"
+	"fennelshunt.example/fennelshunt/connection/store"
+	"fennelshunt.example/fennelshunt/process/dispatch"
+	"fennelshunt.example/fennelshunt/version/work"
+)
+
+// worker is a model of a worker.
+type worker struct {
+	seen runner.Worker
+	pace float64 // how long work takes here against the usual
+	gone bool    // lost for good
+
+	used    work.Resources
+	runs    map[work.TaskID]*run
+	ends    []runner.End // not acknowledged
+	number  int64
+	waiting func() // answers the renewal that waits, nil for none
+	troubled,
+	failing bool
+}
+
+// run is one run of a task on a worker.
+type run struct {
+	w          *worker
+	task       work.TaskID
+	number     uint64
+	job        *job
+	spec       *work.Step
+	takes      time.Duration // of the whole task, on this worker
+	saved      float64       // share done before
+	began      time.Duration // -1: it waits for its gang
+	generation int           // raised when its end is set anew
+	over       bool
+}
+
+type gangKey struct {
+	task work.TaskID // with index 0
+	run  uint64
+}
+
+// gangRun is one run of a gang.
+type gangRun struct {
+	members []*run
+	began   bool
+}
+
+func (s *sim) addWorkers() {
+	for i := range s.o.Workers {
+		id := runner.WorkerID(fmt.Sprintf("w-%04d", i))
+		w := &worker{pace: 0.9 + 0.2*s.rng.Float64(), runs: map[work.TaskID]*run{}, seen: runner.Worker{
+			Ref: runner.Ref{ID: id, Address: string(id)}, Service: service, Labels: []string{"a", fmt.Sprint("r", i/12)},
+			Capacity: work.Resources{CPU: workerCores * 1000, Memory: 128 << 10}}}
+		s.workers[id] = w
+		s.order = append(s.order, w)
+	}
+	p := &s.o.Pattern
+	if p.Troubled.Until > 0 {
+		s.at(settle+p.Troubled.From, s.trouble)
+		s.at(settle+p.Troubled.Until, s.untrouble)
+	}
+}
+
+// trouble makes shares of the workers crash, fail or slow down.
+func (s *sim) trouble() {
+	order := slices.Clone(s.order)
+	s.rng.Shuffle(len(order), func(i, j int) { order[i], order[j] = order[j], order[i] })
+	p := &s.o.Pattern
+	n := float64(len(order))
+	crashed, failing, slow := int(p.Crashed*n), int(p.Failing*n), int(p.Slow*n)
+	for i, w := range order[:min(crashed+failing+slow, len(order))] {
+		switch {
+		case i < crashed:
+			s.crash(w)
+		case i < crashed+failing:
+			w.failing = true
+		default:
+			w.troubled = true
+		}
+	}
+}
+
+func (s *sim) untrouble() {
+	for _, w := range s.order {
+		w.failing, w.troubled = false, false
+	}
+}
+
+func (s *sim) crash(w *worker) {
+	w.gone = true
+	for _, r := range sorted(w.runs) {
+		s.lost(r)
+	}
+	w.waiting = nil
+	s.after(4500*time.Millisecond, func() {
+		if s.engine != nil {
+			s.engine.WorkerUnlisted(s.now, w.seen.ID)
+		}
+	})
+}
+
+// sorted lists runs in a fixed order, so that a seed repeats.
+func sorted(runs map[work.TaskID]*run) []*run {
+	all := make([]*run, 0, len(runs))
+	for _, r := range runs {
+		all = append(all, r)
+	}
+	slices.SortFunc(all, func(a, b *run) int {
+		return cmp.Or(cmp.Compare(a.task.Job, b.task.Job), a.task.Step-b.task.Step, a.task.Index-b.task.Index)
+	})
+	return all
+}
+
+func sortEntries(all []store.Entry) {
+	slices.SortFunc(all, func(a, b store.Entry) int { return cmp.Compare(a.Key, b.Key) })
+}
+
+// chance is a fixed number from 0 to 1 for a step and a worker.
+func chance(step work.TaskID, w runner.WorkerID) float64 {
+	step.Index = 0
+	return float64(xxhash.Sum64String(step.String()+string(w))>>11) / (1 << 53)
+}
+
+// silent is how long a call to a worker that is lost goes without an answer.
+const silent = 500 * time.Millisecond
+
+func (s *sim) sendStart(x dispatch.SendStart, back func(time.Duration, func())) {
+	w := s.workers[x.To.ID]
+	if w.gone {
+		back(silent, func() { s.engine.Started(s.now, x.To.ID, x.Start.Task, x.Start.Run, runner.ErrUnknown) })
+		return
+	}
+	s.after(hop, func() {
+		if !w.gone {
+			s.start(w, &x.Start)
+		}
+	})
+	back(2*hop, func() { s.engine.Started(s.now, x.To.ID, x.Start.Task, x.Start.Run, nil) })
+}
+
+func (s *sim) start(w *worker, x *runner.Start) {
+	if w.runs[x.Task] != nil {
+		return
+	}
+	j := s.jobs[x.Task.Job]
+	spec := &j.spec.Steps[x.Task.Step]
+	r := &run{w: w, task: x.Task, number: x.Run, job: j, spec: spec, began: -1}
+	pace := w.pace
+	if w.troubled {
+		pace *= slowFactor
+	}
+	r.takes = time.Duration(float64(j.takes[x.Task.Step][x.Task.Index]) * pace)
+	if x.Checkpoint != "" {
+		r.saved, _ = strconv.ParseFloat(x.Checkpoint, 64) // one that is not ours counts for nothing
+	}
+	w.runs[x.Task] = r
+	w.used = w.used.Add(spec.Need())
+	if !spec.Gang {
+		s.begin(r, r.left())
+		return
+	}
+	key := gangOf(r)
+	g := s.gangs[key]
+	if g == nil {
+		g = &gangRun{}
+		s.gangs[key] = g
+		s.after(gangWait, func() { s.breakAlone(key) })
+	}
+	g.members = append(g.members, r)
+	if len(g.members) < spec.Count {
+		return
+	}
+	g.began = true
+	longest := time.Duration(0)
+	for _, m := range g.members {
+		longest = max(longest, m.left())
+	}
+	for _, m := range g.members {
+		s.begin(m, longest)
+	}
+}
+
+func gangOf(r *run) gangKey {
+	task := r.task
+	task.Index = 0
+	return gangKey{task, r.number}
+}
+
+// left is how long a run goes on from its start.
+func (r *run) left() time.Duration {
+	d := time.Duration(float64(r.takes) * (1 - r.saved))
+	if r.saved > 0 {
+		d += restore
+	}
+	return d
+}
+
+// begin sets when a run ends, and how.
+func (s *sim) begin(r *run, d time.Duration) {
+	r.began = s.now
+	fails := r.w.failing || s.rng.Float64() < s.o.Classes[r.job.class].Fails
+	how := runner.Done
+	if fails {
+		how = runner.Failed
+		d = time.Duration(float64(d) * s.rng.Float64())
+	}
+	s.after(d, func() {
+		if !r.over {
+			s.end(r, how)
+		}
+	})
+}
+
+// end ends a run; a gang ends together.
+func (s *sim) end(r *run, how runner.How) {
+	s.endOne(r, how)
+	if !r.spec.Gang {
+		return
+	}
+	key := gangOf(r)
+	g := s.gangs[key]
+	delete(s.gangs, key)
+	if g == nil {
+		return
+	}
+	others := runner.Broken
+	if how == runner.Done {
+		others = runner.Done
+	}
+	for _, m := range g.members {
+		if !m.over {
+			s.endOne(m, others)
+		}
+	}
+}
+
+func (s *sim) breakAlone(key gangKey) {
+	g := s.gangs[key]
+	if g == nil || g.began {
+		return
+	}
+	delete(s.gangs, key)
+	for _, m := range g.members {
+		if !m.over {
+			s.endOne(m, runner.Alone)
+		}
+	}
+}
+
+func (s *sim) endOne(r *run, how runner.How) {
+	w := r.w
+	s.free(r, how == runner.Done || r.spec.Checkpoints)
+	w.number++
+	e := runner.End{Number: w.number, Task: r.task, Run: r.number, How: how}
+	if r.spec.Checkpoints && how != runner.Done {
+		e.Checkpoint = strconv.FormatFloat(r.progress(s.now), 'f', 4, 64)
+	}
+	w.ends = append(w.ends, e)
+	if w.waiting != nil {
+		answer := w.waiting
+		w.waiting = nil
+		answer()
+	}
+}
+
+// free ends what a run holds; kept tells that its work counts.
+func (s *sim) free(r *run, kept bool) {
+	r.over = true
+	r.w.used = r.w.used.Sub(r.spec.Need())
+	delete(r.w.runs, r.task)
+	cores := float64(r.spec.Size.CPU) / 1000
+	if r.began < 0 {
+		return
+	}
+	spent := cores * (s.now - r.began).Seconds()
+	s.result.Spent += spent
+	if !kept {
+		s.result.Wasted += spent
+	}
+}
+
+// lost ends a run with its worker, and the rest of its gang.
+func (s *sim) lost(r *run) {
+	s.free(r, false)
+	if !r.spec.Gang {
+		return
+	}
+	key := gangOf(r)
+	if g := s.gangs[key]; g != nil {
+		delete(s.gangs, key)
+		for _, m := range g.members {
+			if !m.over && !m.w.gone {
+				s.endOne(m, runner.Broken)
+			}
+		}
+	}
+}
+
+// progress is the share of a run's task that is done.
+func (r *run) progress(now time.Duration) float64 {
+	if r.began < 0 || r.takes <= 0 {
+		return r.saved
+	}
+	return min(r.saved+float64(now-r.began)/float64(r.takes), 1)
+}
+
+func (s *sim) sendStop(x dispatch.SendStop, back func(time.Duration, func())) {
+	w := s.workers[x.To.ID]
+	if w.gone {
+		back(silent, func() { s.engine.StopAnswered(s.now, x.To.ID, x.Task, x.Run, runner.ErrUnknown) })
+		return
+	}
+	if r := w.runs[x.Task]; r != nil && r.number == x.Run {
+		s.after(hop+time.Duration(s.rng.Int64N(int64(stopTakes))), func() {
+			if !r.over {
+				s.end(r, runner.Stopped)
+			}
+		})
+	}
+	back(2*hop, func() { s.engine.StopAnswered(s.now, x.To.ID, x.Task, x.Run, nil) })
+}
+
+func (s *sim) sendRenew(x dispatch.SendRenew, back func(time.Duration, func())) {
+	w := s.workers[x.To.ID]
+	if w.gone {
+		back(silent, func() { s.engine.Renewed(s.now, x.To.ID, runner.Report{}, runner.ErrUnknown) })
+		return
+	}
+	w.ends = slices.DeleteFunc(w.ends, func(e runner.End) bool { return e.Number <= x.Renewal.Acknowledge })
+	answered := false
+	answer := func() {
+		if answered {
+			return
+		}
+		answered = true
+		report := w.report(s.now)
+		back(hop, func() { s.engine.Renewed(s.now, x.To.ID, report, nil) })
+	}
+	if x.Renewal.Wait == 0 || len(w.ends) > 0 {
+		s.after(hop, answer)
+		return
+	}
+	w.waiting = answer
+	s.after(x.Renewal.Wait, answer)
+}
+
+func (w *worker) report(now time.Duration) runner.Report {
+	r := runner.Report{Clock: now, Ended: slices.Clone(w.ends)}
+	for _, x := range sorted(w.runs) {
+		r.Running = append(r.Running, runner.Live{Task: x.task, Run: x.number, Percent: 100 * x.progress(now)})
+	}
+	return r
+}
