--- a/process/dispatch/advice.go
+++ b/process/dispatch/advice.go
@@ -59,10 +59,8 @@
 	tickets []ticket          // few: those of the last calls
 	asking  int               // calls on their way
 	wanted  []runner.WorkerID // to be named by the next calls, maxNamed in each
-	// toStart: with the tickets wanted there are enough for a start, and their
-	// room is to be held.
-	toStart bool
-	next    time.Duration // no call before
+	hold    holdKind          // what is to be held during the call
+	next    time.Duration     // no call before
 }
 
 type ticket struct {
@@ -133,11 +131,12 @@
 	}
 }
 
-// want asks for advice on workers for a step, through the next idle lane.
-func (e *Engine) want(s *step, ids []runner.WorkerID) {
+// want asks for advice on workers for a step, through the next idle lanes, and
+// reports whether there are any.
+func (e *Engine) want(s *step, ids []runner.WorkerID) bool {
 	a := s.advice
 	if len(ids) == 0 {
-		return
+		return false
 	}
 	calls := (len(ids) + maxNamed - 1) / maxNamed
 	calls = min(calls, e.lanesIdle)
@@ -146,10 +145,11 @@
 		e.lanesSlow -= max(calls, 0)
 	}
 	if calls <= 0 {
-		return
+		return false
 	}
-	a.wanted, a.toStart = ids[:min(len(ids), calls*maxNamed)], false
+	a.wanted, a.hold = ids[:min(len(ids), calls*maxNamed)], holdNothing
 	e.lanesIdle -= calls
+	return true
 }
 
 // countLanes counts the lanes that are idle, and those of them that may take slow
@@ -364,7 +364,7 @@
 			continue
 		}
 		cost := s.job.spec.Queue.Advice.Cost(min(len(a.wanted), maxNamed))
-		if a.toStart && !e.holdSeats(s, a, cost) {
+		if a.hold != holdNothing && !e.holdSeats(s, a, cost) {
 			a.wanted = nil // others have taken the room in this round
 			continue
 		}
--- a/process/dispatch/gang.go
+++ b/process/dispatch/gang.go
@@ -205,15 +205,64 @@
 	}
 	switch {
 	case have >= s.spec.Count:
-		e.want(s, ids)
-		a.toStart = !e.o.Policy.NoHolds
+		if e.want(s, ids) && !e.o.Policy.NoHolds {
+			a.hold = holdAll
+		}
 	case e.anyUnknown(s, a):
 		e.askFor(s, s.spec.Count)
 	case e.o.Policy.NoHolds:
 		e.askForReserved(s, a)
+	default:
+		e.askAhead(s, a)
+	}
+}
+
+// askAhead asks for tickets for reserved seats of which most are open, so that the
+// tickets come with the last seat; the open ones are held meanwhile.
+//
+// Load pattern: as for holds, with gangs that need half of the workers they are
+// allowed. A gang that asks only when its last seat is open keeps all of them empty
+// for the length of a call.
+func (e *Engine) askAhead(s *step, a *advice) {
+	if s.heldSeats {
+		return
+	}
+	need := s.spec.Need()
+	var ids []runner.WorkerID
+	from := time.Duration(0)
+	reserved, open := 0, 0
+	for _, w := range e.order {
+		n := 0
+		for _, r := range w.reserved {
+			if r.s == s {
+				n++
+				from = max(from, r.from)
+			}
+		}
+		if n == 0 {
+			continue
+		}
+		reserved += n
+		open += need.Times(e.freeFor(s, w), n)
+		if t := a.find(w.ID); (t == nil || !t.valid(e.now+aheadTicket)) && len(ids) < maxNamed {
+			ids = append(ids, w.ID)
+		}
+	}
+	if reserved < s.spec.Count || float64(open) < aheadShare*float64(reserved) || from-e.now > s.job.spec.Queue.Advice.Cost(len(ids)) {
+		return
+	}
+	if e.want(s, ids) {
+		a.hold = holdAhead
 	}
 }
 
+const (
+	// aheadShare of a gang's seats must be open for its tickets to be asked for.
+	aheadShare = 0.7
+	// aheadTicket is how long a ticket at hand must hold to be left as it is.
+	aheadTicket = 700 * time.Millisecond
+)
+
 // candidate is a worker that is good for a gang, with the number of its tasks
 // that fit there now.
 type candidate struct {
--- a/process/dispatch/hold.go
+++ b/process/dispatch/hold.go
@@ -22,6 +22,18 @@
 	// holdGrace is kept after the end of a call: the way to the daemon that makes
 	// it and back, and a round of placement.
 	holdGrace = 150 * time.Millisecond
+	// aheadGrace is kept as well where seats were not all open when the call began:
+	// less than a ticket is valid for.
+	aheadGrace = 500 * time.Millisecond
+)
+
+// holdKind tells what is held during a call for a gang's tickets.
+type holdKind uint8
+
+const (
+	holdNothing holdKind = iota
+	holdAll              // there must be room for every task
+	holdAhead            // what is open; the rest is about to open
 )
 
 // hold is room on a worker that only one step may take.
@@ -30,13 +42,16 @@
 	room work.Resources
 }
 
-// holdSeats holds room for all tasks of a gang on workers with a ticket that
-// outlasts the call, and on those that are to be named in it. It holds nothing and
-// returns false if there is not enough.
+// holdSeats holds room for a gang on workers with a ticket that outlasts the call,
+// and on those that are to be named in it. It returns false, and holds nothing, if
+// there has to be room for all tasks and is not.
 func (e *Engine) holdSeats(s *step, a *advice, cost time.Duration) bool {
 	need, limit := s.spec.Need(), s.perWorker(s.spec.Count)
 	want := int(float64(s.spec.Count) * holdSpare)
 	until := e.now + cost + holdGrace
+	if a.hold == holdAhead {
+		until += aheadGrace
+	}
 	total := 0
 	var seats []seat
 	for _, w := range e.order {
@@ -51,7 +66,7 @@
 			total += n
 		}
 	}
-	if total < s.spec.Count {
+	if a.hold == holdAll && total < s.spec.Count {
 		return false
 	}
 	e.dropHold(s)
