--- a/command/bench/command.go
+++ b/command/bench/command.go
@@ -21,7 +21,7 @@
 		Name: "fennelbench", ShortUsage: "fennelbench <command> [flags]",
 		ShortHelp:   "Measure waiting times, packing and store calls of a cell.",
 		FlagSet:     flag.NewFlagSet("fennelbench", flag.ContinueOnError),
-		Subcommands: []*ffcli.Command{runCommand(out, errOut), driveCommand(out, errOut), compareCommand(out)},
+		Subcommands: []*ffcli.Command{runCommand(out, errOut), driveCommand(out, errOut), compareCommand(out), experimentCommand(out, errOut)},
 		Exec:        func(context.Context, []string) error { return flag.ErrHelp },
 	}
 }
--- a/command/bench/plot.go
+++ b/command/bench/plot.go
@@ -8,6 +8,7 @@
 
 	"gonum.org/v1/plot"
 	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
 	"gonum.org/v1/plot/vg"
 )
 
@@ -75,3 +76,33 @@
 	slices.Sort(values)
 	return values[len(values)/2]
 }
+
+// curve is one line of a plot over time in seconds.
+type curve struct {
+	name   string
+	points [][2]float64
+}
+
+// plotCurves writes lines over time to a PNG file.
+func plotCurves(path, title, label string, curves []curve) error {
+	p := plot.New()
+	p.Title.Text, p.X.Label.Text, p.Y.Label.Text = title, "s", label
+	p.Legend.Top = true
+	for i, c := range curves {
+		points := make(plotter.XYs, len(c.points))
+		for k, at := range c.points {
+			points[k].X, points[k].Y = at[0], at[1]
+		}
+		line, err := plotter.NewLine(points)
+		if err != nil {
+			return fmt.Errorf("bench: plot: %w", err)
+		}
+		line.Color, line.Dashes = plotutil.Color(i), plotutil.Dashes(i)
+		p.Add(line)
+		p.Legend.Add(c.name, line)
+	}
+	if err := p.Save(plotWidth, plotHeight, path); err != nil {
+		return fmt.Errorf("bench: plot: %w", err)
+	}
+	return nil
+}
--- a/process/dispatch/engine.go
+++ b/process/dispatch/engine.go
@@ -84,6 +84,9 @@
 // Deposed reports whether a worker was called with a higher epoch.
 func (e *Engine) Deposed() bool { return e.deposed }
 
+// Unwritten returns the number of jobs whose progress waits for a write.
+func (e *Engine) Unwritten() int { return len(e.dirty) }
+
 // Stats returns the counters.
 func (e *Engine) Stats() Stats { return e.stats }
 
--- a/process/dispatch/place.go
+++ b/process/dispatch/place.go
@@ -152,7 +152,7 @@
 	clear(e.ready[len(kept):])
 	e.ready = kept
 	for _, st := range kept {
-		st.rank = e.lateRank(st)
+		st.rank = e.rankOf(st)
 	}
 	slices.SortStableFunc(e.ready, compareSteps) // nearly sorted from the round before
 	return slices.Clone(e.ready)
@@ -164,6 +164,14 @@
 		cmp.Compare(a.occurrence.due, b.occurrence.due), cmp.Compare(x.id, y.id))
 }
 
+// rankOf returns the first thing by which steps are ordered.
+func (e *Engine) rankOf(s *step) int {
+	if e.o.Policy.FirstCome {
+		return int(s.occurrence.from / time.Millisecond)
+	}
+	return e.lateRank(s)
+}
+
 // lateFactor is how many objectives after its acceptance a job has lost all of
 // its worth.
 const lateFactor = 3
--- a/process/dispatch/policy.go
+++ b/process/dispatch/policy.go
@@ -28,6 +28,8 @@
 	// NoParallelAdvice asks for a gang by one call after the other. Load pattern:
 	// gangs that need advice on more workers than one call may name.
 	NoParallelAdvice bool `json:"no_parallel_advice,omitempty"`
+	// FirstCome starts what was handed in first, and keeps no room: a baseline.
+	FirstCome bool `json:"first_come,omitempty"`
 	// ReservedShare: room is reserved for one waiting step in so many workers at a
 	// time, at least for maxReserved. Load pattern: more gangs than fit.
 	ReservedShare int `json:"reserved_share,omitempty"`
--- a/process/dispatch/reserve.go
+++ b/process/dispatch/reserve.go
@@ -34,6 +34,9 @@
 // keepRoom reserves room for a step that found none, as long as the round may
 // reserve for another one and the workers could hold it.
 func (e *Engine) keepRoom(s *step, r *round) {
+	if e.o.Policy.FirstCome {
+		return
+	}
 	if r.reserved >= e.perWorkers(maxReserved, e.o.Policy.ReservedShare) || (s.spec.Gang && !e.couldHold(s)) {
 		return
 	}
--- /dev/null
+++ b/standin/cellsim/patterns.go
@@ -0,0 +1,61 @@
+package cellsim
+
+import (
+	"time"
+
+	"fennelshunt.example/fennelshunt/process/dispatch"
+)
+
+// Places of the kinds that Classes returns.
+const (
+	Wide = iota
+	Many
+	Quick
+)
+
+// Patterns returns load patterns for a load of that length, each with one thing
+// that goes wrong, and one with all of them.
+func Patterns(length time.Duration) []Pattern {
+	at := func(share float64, d time.Duration) Span {
+		from := time.Duration(share * float64(length))
+		return Span{from, from + d}
+	}
+	wide := []Burst{{Class: Wide, Span: at(0.4, 4*time.Second), Times: 1.7}}
+	quick := []Burst{{Class: Quick, Span: at(0.2, 4*time.Second), Times: 2}}
+	slow, away := at(0.25, 5*time.Second), at(0.55, 4*time.Second)
+	lost := time.Duration(0.4 * float64(length))
+	const takeover = 600 * time.Millisecond
+	return []Pattern{
+		{Name: "calm"},
+		{Name: "burst-wide", Bursts: wide},
+		{Name: "burst-quick", Bursts: quick},
+		{Name: "slow-store", Bursts: quick, SlowStore: slow, SlowAnswer: slowAnswer},
+		{Name: "outage", Outage: away},
+		{Name: "leader-lost", LeaderLost: lost, Takeover: takeover},
+		{Name: "workers", Crashed: 0.08, Failing: 0.06, Slow: 0.1, Troubled: at(0.3, 6*time.Second)},
+		{Name: "all", Bursts: append(wide, quick...), SlowStore: slow, SlowAnswer: slowAnswer, Outage: away, LeaderLost: lost,
+			Takeover: takeover, Crashed: 0.08, Failing: 0.06, Slow: 0.1, Troubled: at(0.3, 6*time.Second)},
+	}
+}
+
+// slowAnswer of a store that is seventy times slower than usual.
+const slowAnswer = 300 * time.Millisecond
+
+// Policies returns the policies that are compared: the product's own, each of its
+// mechanisms switched off, all of them, and first come, first served.
+func Policies() map[string]dispatch.Policy {
+	landed := dispatch.Policy{WriteChains: 1, NoBundles: true, NoHolds: true, NoPacking: true, NoParallelAdvice: true}
+	first := landed
+	first.FirstCome = true
+	return map[string]dispatch.Policy{
+		"now":         {},
+		"one-chain":   {WriteChains: 1},
+		"no-bundles":  {NoBundles: true},
+		"slow-writes": {WriteChains: 1, NoBundles: true},
+		"no-holds":    {NoHolds: true},
+		"no-packing":  {NoPacking: true},
+		"no-parallel": {NoParallelAdvice: true},
+		"without-all": landed,
+		"first-come":  first,
+	}
+}
--- a/standin/cellsim/result.go
+++ b/standin/cellsim/result.go
@@ -23,19 +23,21 @@
 	Busy          float64
 	Spent, Wasted float64
 	Stats         dispatch.Stats
-	// Waiting holds the number of jobs that had not begun, by class, at each
-	// sampled time.
-	Waiting []Sample
+	// Samples show the run over time.
+	Samples []Sample
 
 	busySum   float64
 	busyCount int
 }
 
-// Sample is what a run looked like at a time.
+// Sample is what a run looked like at a time: the share of the processors that
+// worked, and the jobs that had not begun, by class.
 type Sample struct {
 	At      time.Duration
 	Busy    float64
 	Waiting []int
+	// Unwritten is the number of jobs whose progress waits for a write.
+	Unwritten int
 }
 
 // ClassResult is what became of one kind of jobs.
@@ -84,7 +86,11 @@
 				waiting[j.class]++
 			}
 		}
-		s.result.Waiting = append(s.result.Waiting, Sample{At: t, Busy: busy, Waiting: waiting})
+		sample := Sample{At: t, Busy: busy, Waiting: waiting}
+		if s.engine != nil {
+			sample.Unwritten = s.engine.Unwritten()
+		}
+		s.result.Samples = append(s.result.Samples, sample)
 	}
 }
 
