Keep lanes free for calls of under 60 ms, not 150

Cause, on the model: all 38 lanes taken, 26 by calls of a second for gangs and 12 by calls of 130 to 148 ms for steps of many tasks; a hundred quick jobs waited with room for them.

--- a/process/dispatch/advice.go
+++ b/process/dispatch/advice.go
@@ -34,7 +34,7 @@
 	adviceGrace = 700 * time.Millisecond
 	// slowCall is the cost from which a call counts as slow. Slow calls never
 	// take every lane, so that a quick queue's step does not wait behind one.
-	slowCall  = 150 * time.Millisecond
+	slowCall  = 60 * time.Millisecond
 	slowLanes = 0.7
 	// advicePause is between calls for a step after one failed.
 	advicePause = 100 * time.Millisecond
