--- a/process/dispatch/gang.go
+++ b/process/dispatch/gang.go
@@ -210,8 +210,6 @@
 		}
 	case e.anyUnknown(s, a):
 		e.askFor(s, s.spec.Count)
-	case e.o.Policy.NoHolds:
-		e.askForReserved(s, a)
 	default:
 		e.askAhead(s, a)
 	}
@@ -251,7 +249,7 @@
 	if reserved < s.spec.Count || float64(open) < aheadShare*float64(reserved) || from-e.now > s.job.spec.Queue.Advice.Cost(len(ids)) {
 		return
 	}
-	if e.want(s, ids) {
+	if e.want(s, ids) && !e.o.Policy.NoHolds {
 		a.hold = holdAhead
 	}
 }
@@ -319,24 +317,3 @@
 		return !known && e.eligible(s, w)
 	})
 }
-
-// askForReserved asks for the workers on which room is reserved, when the time
-// until the room is there is what a call takes.
-func (e *Engine) askForReserved(s *step, a *advice) {
-	var ids []runner.WorkerID
-	from := time.Duration(0)
-	for _, w := range e.order {
-		for _, r := range w.reserved {
-			if r.s != s {
-				continue
-			}
-			from = max(from, r.from)
-			if t := a.find(w.ID); (t == nil || !t.valid(r.from)) && !slices.Contains(ids, w.ID) && len(ids) < maxNamed {
-				ids = append(ids, w.ID)
-			}
-		}
-	}
-	if from-e.now <= s.job.spec.Queue.Advice.Cost(len(ids))+refreshAhead {
-		e.want(s, ids)
-	}
-}
--- a/standin/cellsim/worker.go
+++ b/standin/cellsim/worker.go
@@ -32,16 +32,15 @@
 
 // run is one run of a task on a worker.
 type run struct {
-	w          *worker
-	task       work.TaskID
-	number     uint64
-	job        *job
-	spec       *work.Step
-	takes      time.Duration // of the whole task, on this worker
-	saved      float64       // share done before
-	began      time.Duration // -1: it waits for its gang
-	generation int           // raised when its end is set anew
-	over       bool
+	w      *worker
+	task   work.TaskID
+	number uint64
+	job    *job
+	spec   *work.Step
+	takes  time.Duration // of the whole task, on this worker
+	saved  float64       // share done before
+	began  time.Duration // -1: it waits for its gang
+	over   bool
 }
 
 type gangKey struct {
