--- a/process/dispatch/bundle.go
+++ b/process/dispatch/bundle.go
@@ -11,10 +11,10 @@
 // Bundles: the progress of many jobs in one value.
 //
 // Load pattern: the store answers in 300 ms, and jobs end at 40 to 200 a second.
-// One write holds 29 keys, two for each ended job under a key of its own; four
-// writes under way at once carry 190 ended jobs a second then, one at a time 48.
-// A bundle takes whatever waits in one key, so what a write carries grows with
-// what has come together while the store was answering.
+// One write holds 29 keys, two for each ended job under a key of its own: one write
+// at a time carries 48 ended jobs a second then. A bundle takes whatever waits in
+// one key, so what a write carries grows with what has come together while the
+// store was answering.
 //
 // Of the records of a job, the one with the highest revision stands: a job has
 // one write on its way at a time. Jobs are moved from bundles to their own keys
