--- /dev/null
+++ b/version/work/fuzz_test.go
@@ -0,0 +1,33 @@
+package work
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// FuzzDecodeBundle reads what another writer, or a torn write, may have left where
+// a bundle should be: an error, or records that survive another round.
+func FuzzDecodeBundle(f *testing.F) {
+	good, err := EncodeBundle([]JobProgress{
+		{Job: "00000000000000aa", Progress: Progress{State: Completed}},
+		{Job: "00000000000000bb", Progress: Progress{State: Running, Ends: []StepEnds{{Done: []int{1}, Failed: []Fail{{Index: 2, Runs: []uint64{3}}}}}}},
+	})
+	require.NoError(f, err)
+	f.Add(good)
+	f.Add(good[:len(good)/2])
+	f.Add([]byte{})
+	f.Add([]byte{0x80})
+	f.Add([]byte(`[{"job":1}]`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		records, err := DecodeBundle(data)
+		if err != nil {
+			return
+		}
+		again, err := EncodeBundle(records)
+		require.NoError(t, err)
+		back, err := DecodeBundle(again)
+		require.NoError(t, err)
+		require.Len(t, back, len(records))
+	})
+}
