--- a/process/lead/witness_test.go
+++ b/process/lead/witness_test.go
@@ -31,6 +31,13 @@
 	return &network{nodes: map[string]*peer.Mux{}, cut: map[[2]string]bool{}, late: map[string]time.Duration{}}
 }
 
+// join lets a daemon answer.
+func (n *network) join(name string, mux *peer.Mux) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.nodes[name] = mux
+}
+
 // cutOff cuts both ways between two daemons.
 func (n *network) cutOff(a, b string) {
 	n.mu.Lock()
@@ -148,7 +155,7 @@
 		mux := peer.NewMux()
 		d := startWith(Options{Self: Member{Name: name, Peer: name, Cores: 1}, Store: w.gates[name], Log: zerolog.Nop(), Peers: port{w.net, name}})
 		d.e.Register(mux)
-		w.net.nodes[name] = mux
+		w.net.join(name, mux)
 		w.daemons[name] = d
 	}
 	time.Sleep(5 * time.Second)
