--- a/process/dispatch/advice.go
+++ b/process/dispatch/advice.go
@@ -140,7 +140,7 @@
 	}
 	calls := (len(ids) + maxNamed - 1) / maxNamed
 	calls = min(calls, e.lanesIdle)
-	if s.job.spec.Queue.Advice.Cost(min(len(ids), maxNamed)) >= slowCall {
+	if s.callCost(len(ids)) >= slowCall {
 		calls = min(calls, e.lanesSlow)
 		e.lanesSlow -= max(calls, 0)
 	}
@@ -152,6 +152,11 @@
 	return true
 }
 
+// callCost returns how long a call takes that names the first of n workers.
+func (s *step) callCost(n int) time.Duration {
+	return s.job.spec.Queue.Advice.Cost(min(n, maxNamed))
+}
+
 // countLanes counts the lanes that are idle, and those of them that may take slow
 // calls.
 //
@@ -365,13 +370,13 @@
 		if a == nil || len(a.wanted) == 0 || a.asking > 0 || !s.job.active() {
 			continue
 		}
-		cost := s.job.spec.Queue.Advice.Cost(min(len(a.wanted), maxNamed))
+		cost := s.callCost(len(a.wanted))
 		if a.hold != holdNothing && !e.holdSeats(s, a, cost) {
 			a.wanted = nil // others have taken the room in this round
 			continue
 		}
 		for len(a.wanted) > 0 {
-			isSlow := s.job.spec.Queue.Advice.Cost(min(len(a.wanted), maxNamed)) >= slowCall
+			isSlow := s.callCost(len(a.wanted)) >= slowCall
 			if isSlow && slow >= maxSlow {
 				break
 			}
@@ -391,7 +396,7 @@
 func (e *Engine) ask(s *step, l *lane) {
 	a := s.advice
 	n := min(len(a.wanted), maxNamed)
-	cost := s.job.spec.Queue.Advice.Cost(n)
+	cost := s.callCost(n)
 	a.asking++
 	l.busy, l.named, l.sent, l.until = s, a.wanted[:n:n], e.now, e.now+cost+adviceGrace
 	a.wanted = a.wanted[n:]
--- a/process/dispatch/engine_test.go
+++ b/process/dispatch/engine_test.go
@@ -73,6 +73,16 @@
 	return store.Entry{Key: KeyIn(testJob), Value: value}
 }
 
+// changed returns an entry with its job changed.
+func changed(t *testing.T, entry store.Entry, change func(j *work.Job)) store.Entry {
+	j, err := work.DecodeJob(entry.Value)
+	require.NoError(t, err)
+	change(j)
+	entry.Value, err = work.EncodeJob(j)
+	require.NoError(t, err)
+	return entry
+}
+
 func oneTask() work.Step {
 	return work.Step{Count: 1, Size: work.Resources{CPU: 1000, Memory: 100}, Estimate: time.Second}
 }
@@ -272,12 +282,9 @@
 	// Sequence: the task fails there; its ticket for that worker is the only one
 	//   at hand, and it is tried there again at once.
 	b := newBench(t, 1, "w-a", "w-b")
-	entry := jobEntry(t, 1, 2, oneTask())
-	j, err := work.DecodeJob(entry.Value)
-	require.NoError(t, err)
-	j.Queue.Advice = &work.Advice{Base: 5 * time.Millisecond, Valid: 2 * time.Second}
-	entry.Value, err = work.EncodeJob(j)
-	require.NoError(t, err)
+	entry := changed(t, jobEntry(t, 1, 2, oneTask()), func(j *work.Job) {
+		j.Queue.Advice = &work.Advice{Base: 5 * time.Millisecond, Valid: 2 * time.Second}
+	})
 	require.NoError(t, b.e.Load(0, Saved{Accepted: []store.Entry{entry}}))
 	b.step(50 * time.Millisecond)
 	b.report("w-a", runner.Report{Clock: time.Second})
@@ -448,14 +455,12 @@
 	b.e.Members(b.now, []string{"d-1", "d-2", "d-3", "d-4"})
 	var entries []store.Entry
 	add := func(id string, base time.Duration, priority int) {
-		entry := jobEntry(t, 1, 2, oneTask())
-		j, err := work.DecodeJob(entry.Value)
-		require.NoError(t, err)
-		j.Queue.Name, j.Queue.Priority = id, priority
-		j.Queue.Advice = &work.Advice{Base: base, Valid: 2 * time.Second}
-		value, err := work.EncodeJob(j)
-		require.NoError(t, err)
-		entries = append(entries, store.Entry{Key: KeyIn(work.JobID(id)), Value: value})
+		entry := changed(t, jobEntry(t, 1, 2, oneTask()), func(j *work.Job) {
+			j.Queue.Name, j.Queue.Priority = id, priority
+			j.Queue.Advice = &work.Advice{Base: base, Valid: 2 * time.Second}
+		})
+		entry.Key = KeyIn(work.JobID(id))
+		entries = append(entries, entry)
 	}
 	for i := range 9 {
 		add(fmt.Sprintf("%016x", i), time.Second, 0)
--- a/process/dispatch/gang_test.go
+++ b/process/dispatch/gang_test.go
@@ -48,12 +48,9 @@
 	//   part was asked for again.
 	gang := work.Step{Count: 3, Size: work.Resources{CPU: 3000, Memory: 100}, Estimate: time.Second, Gang: true}
 	b := newBench(t, 1, "w-a", "w-b", "w-c")
-	entry := jobEntry(t, 1, 2, gang)
-	j, err := work.DecodeJob(entry.Value)
-	require.NoError(t, err)
-	j.Queue.Advice = &work.Advice{Base: 400 * time.Millisecond, Valid: 2 * time.Second}
-	entry.Value, err = work.EncodeJob(j)
-	require.NoError(t, err)
+	entry := changed(t, jobEntry(t, 1, 2, gang), func(j *work.Job) {
+		j.Queue.Advice = &work.Advice{Base: 400 * time.Millisecond, Valid: 2 * time.Second}
+	})
 	require.NoError(t, b.e.Load(0, Saved{Accepted: []store.Entry{entry}}))
 	b.step(50 * time.Millisecond)
 	for _, id := range []runner.WorkerID{"w-a", "w-b", "w-c"} {
@@ -180,13 +177,10 @@
 	b := newBench(t, 1, "w-a", "w-b", "w-c")
 	b.e.o.Policy = policy.complete()
 	gang := work.Step{Count: tasks, Size: work.Resources{CPU: 4000, Memory: 100}, Estimate: time.Second, Gang: true}
-	entry := jobEntry(t, 1, 2, gang)
-	j, err := work.DecodeJob(entry.Value)
-	require.NoError(t, err)
-	j.Queue.Advice = &work.Advice{Base: 600 * time.Millisecond, Valid: 1500 * time.Millisecond}
-	j.Queue.Priority = 1
-	entry.Value, err = work.EncodeJob(j)
-	require.NoError(t, err)
+	entry := changed(t, jobEntry(t, 1, 2, gang), func(j *work.Job) {
+		j.Queue.Advice = &work.Advice{Base: 600 * time.Millisecond, Valid: 1500 * time.Millisecond}
+		j.Queue.Priority = 1
+	})
 	require.NoError(t, b.e.Load(0, Saved{Accepted: []store.Entry{entry}}))
 	b.step(50 * time.Millisecond)
 	for _, id := range []runner.WorkerID{"w-a", "w-b", "w-c"} {
--- a/request/submit/submit.go
+++ b/request/submit/submit.go
@@ -140,14 +140,15 @@
 func (s *Service) put(ctx context.Context, id work.JobID, value []byte) error {
 	open := false // a write without an answer may still take effect
 	var last error
+	othersTook := func() bool {
+		took, maybe := s.handOver(ctx, id, value)
+		open = open || maybe
+		return took
+	}
 	for ctx.Err() == nil {
 		asked := s.o.Patience.Suspect()
-		if asked {
-			took, maybe := s.handOver(ctx, id, value)
-			if took {
-				return nil
-			}
-			open = open || maybe
+		if asked && othersTook() {
+			return nil
 		}
 		if last = s.reachable(ctx); last == nil {
 			switch last = s.createHedged(ctx, id, value); {
@@ -160,12 +161,8 @@
 				open = true
 			}
 		}
-		if !asked {
-			took, maybe := s.handOver(ctx, id, value)
-			if took {
-				return nil
-			}
-			open = open || maybe
+		if !asked && othersTook() {
+			return nil
 		}
 		if !open {
 			return unavailable(CodeStore, last)
