Leader that answers late is not taken for dead again and again

Cause: two pings without an answer in 150 ms, confirmed by others, replace a leader. One whose link or processor is full answers late; its successor has the same to carry, reads the whole state and calls every worker anew, and looks dead sooner.

Change (process/lead/judge.go): the bound of a ping follows observed answers, 150 to 600 ms; each takeover from a leader whose record stood doubles the pings that the next one may miss, for 20 s; a daemon with much less processor time or link leaves a slow leader longer; claims that fail are spaced, doubling, and a daemon that the store turns away does not claim (it did so six times a second, with a line of log each). Records that do not decode are logged (lead.View).

Ruled out: the lease alone (0.9 to 1.2 s more for each dead leader).

--- a/process/lead/elector.go
+++ b/process/lead/elector.go
@@ -62,7 +62,8 @@
 	lease    atomic.Uint64
 	trouble  atomic.Int64 // when the store last failed us, in unix nanoseconds
 	stopping atomic.Bool
-	claiming atomic.Bool // one claim at a time
+	claiming atomic.Bool  // one claim at a time
+	pinged   atomic.Int64 // how long other daemons take to answer, decaying, in nanoseconds
 
 	mu   sync.Mutex
 	term *Term
@@ -74,7 +75,7 @@
 	if o.Lease == 0 {
 		o.Lease = DefaultLease
 	}
-	return &Elector{o: o, view: newView()}
+	return &Elector{o: o, view: newView(o.Log)}
 }
 
 // View returns the live view of the cell.
@@ -330,6 +331,7 @@
 		return nil, err
 	}
 	t := newTerm(ctx, e.o.Self, e.o.Store, e.o.Patience)
+	t.taken = held != 0
 	for range maxClaims {
 		t.Epoch = before.Epoch + 1
 		err = e.tryClaim(ctx, t, held, revision)
--- a/process/lead/record.go
+++ b/process/lead/record.go
@@ -51,6 +51,11 @@
 	Cores float64 `cbor:"4,keyasint,omitempty"`
 	// Started is when the daemon's process started, in milliseconds since 1970.
 	Started int64 `cbor:"5,keyasint,omitempty"`
+	// LinkMbps is what the VM's link carries, in Mbit/s; 0 for not known.
+	LinkMbps float64 `cbor:"6,keyasint,omitempty"`
+	// Orders is the TCP address where the daemon takes a leader's orders for workers;
+	// "" for none.
+	Orders string `cbor:"7,keyasint,omitempty"`
 }
 
 // same reports whether two records are of one daemon, be it of different lives.
@@ -60,6 +65,8 @@
 type Leader struct {
 	Member Member `cbor:"1,keyasint"`
 	Epoch  uint64 `cbor:"2,keyasint"`
+	// Taken: it took over from a leader whose record still stood.
+	Taken bool `cbor:"3,keyasint,omitempty"`
 }
 
 // link is the value of a claim and of a chain. The term's id and the sequence number tell,
--- a/process/lead/term.go
+++ b/process/lead/term.go
@@ -36,6 +36,7 @@
 
 	id       string
 	holder   Member
+	taken    bool // from a leader whose record still stood
 	store    store.Transactor
 	patience *store.Patience
 
@@ -101,7 +102,7 @@
 }
 
 func (t *Term) holderWrite(lease store.LeaseID) store.Write {
-	return store.Write{Key: keyHolder, Value: encode(Leader{Member: t.holder, Epoch: t.Epoch}), Lease: lease}
+	return store.Write{Key: keyHolder, Value: encode(Leader{Member: t.holder, Epoch: t.Epoch, Taken: t.taken}), Lease: lease}
 }
 
 // release lets another daemon lead at once.
--- a/process/lead/view.go
+++ b/process/lead/view.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"fennelshunt.example/fennelshunt/connection/peer"
 	"fennelshunt.example/fennelshunt/connection/store"
 )
@@ -22,9 +24,18 @@
 	claim   link           // the last one
 	claimAt store.Revision // its revision, 0 for not known
 	changed chan struct{}
+	log     zerolog.Logger
 }
 
-func newView() *View { return &View{members: map[string]Member{}, changed: make(chan struct{})} }
+// unreadable notes a record of another writer that does not decode: it names no
+// daemon to use, the others hold.
+func (v *View) unreadable(key string, err error) {
+	v.log.Warn().Err(err).Str("key", key).Msg("record of the cell can not be read and is left out")
+}
+
+func newView(log zerolog.Logger) *View {
+	return &View{log: log, members: map[string]Member{}, changed: make(chan struct{})}
+}
 
 // Leader returns the leader, if one is known: the one with a record in the store,
 // or one with a higher epoch of which other daemons have told.
@@ -176,25 +187,32 @@
 
 func (v *View) set(e store.Entry) {
 	if e.Key == keyClaimSeen {
-		if l, err := decodeLink(e); err == nil {
-			v.claim, v.claimAt = l, e.Revision
+		l, err := decodeLink(e)
+		if err != nil {
+			v.unreadable(e.Key, err)
+			return
 		}
+		v.claim, v.claimAt = l, e.Revision
 		return
 	}
 	if e.Key == keyHolder {
 		var l Leader
-		if peer.Unmarshal(e.Value, &l) == nil {
-			v.leader, v.held = &l, e.Revision
-			if v.latest == nil || l.Epoch >= v.latest.Epoch {
-				v.latest, v.told = &l, false
-			}
+		if err := peer.Unmarshal(e.Value, &l); err != nil {
+			v.unreadable(e.Key, err)
+			return
+		}
+		v.leader, v.held = &l, e.Revision
+		if v.latest == nil || l.Epoch >= v.latest.Epoch {
+			v.latest, v.told = &l, false
 		}
 		return
 	}
 	if name, ok := memberName(e.Key); ok {
 		var m Member
-		if peer.Unmarshal(e.Value, &m) == nil {
-			v.members[name] = m
+		if err := peer.Unmarshal(e.Value, &m); err != nil {
+			v.unreadable(e.Key, err)
+			return
 		}
+		v.members[name] = m
 	}
 }
--- a/process/lead/witness.go
+++ b/process/lead/witness.go
@@ -24,9 +24,14 @@
 // its term and nothing else.
 const (
 	// pingPause is between calls to the leader, and pingTimeout bounds one: a daemon
-	// on a quota of processor time may stand still for a tenth of a second.
-	pingPause   = 100 * time.Millisecond
-	pingTimeout = 150 * time.Millisecond
+	// on a quota of processor time may stand still for a tenth of a second. Where
+	// answers are slow it grows to pingFactor times their decaying average, up to
+	// maxPingTimeout.
+	pingPause      = 100 * time.Millisecond
+	pingTimeout    = 150 * time.Millisecond
+	maxPingTimeout = 600 * time.Millisecond
+	pingFactor     = 4
+	pingDecay      = 4
 	// pingsMissed in a row let a daemon ask others about the leader.
 	pingsMissed = 2
 	// pingers is how many daemons call the leader, those that fit best: each costs
@@ -34,8 +39,8 @@
 	pingers = 3
 	// witnesses is how many others are asked, and witnessTimeout bounds that: each
 	// calls the leader itself.
-	witnesses      = 3
-	witnessTimeout = pingTimeout + 100*time.Millisecond
+	witnesses    = 3
+	witnessExtra = 100 * time.Millisecond // over the bound of the call that it makes
 	// rankDelay keeps the claims of several daemons apart: the second sees the
 	// first one's claim in a round trip to the store.
 	rankDelay = 40 * time.Millisecond
@@ -104,37 +109,55 @@
 	if e.o.Peers == nil {
 		return nil, errNoPeers
 	}
-	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
+	ctx, cancel := context.WithTimeout(ctx, e.pingBound())
 	defer cancel()
-	reply := &aliveReply{}
+	reply, began := &aliveReply{}, time.Now()
 	_, err := e.o.Peers.CallAddr(ctx, m.Peer, methodAlive, aliveRequest{}, reply)
+	if err == nil {
+		e.notePing(time.Since(began))
+	}
 	return reply, err
 }
 
+// notePing learns from a call that took d.
+func (e *Elector) notePing(d time.Duration) {
+	average := time.Duration(e.pinged.Load())
+	e.pinged.Store(int64(average + (d-average)/pingDecay))
+}
+
+// pingBound is how long a call to another daemon may take.
+func (e *Elector) pingBound() time.Duration {
+	return min(max(pingTimeout, pingFactor*time.Duration(e.pinged.Load())), maxPingTimeout)
+}
+
 var errNoPeers = errors.New("lead: no way to call other daemons")
 
 // watchLeader claims when the leader is gone though its record stands.
 func (e *Elector) watchLeader(ctx context.Context) {
-	missed, of := 0, uint64(0)
+	var j judgement
 	for sleep.For(ctx, pingPause) == nil {
 		leader, held, ok := e.view.holder()
 		rank, fits := e.rank(leader.Member)
-		if !ok || !fits || leader.Member.same(e.o.Self) || e.stopping.Load() {
-			missed = 0
+		if !ok || !fits || leader.Member.same(e.o.Self) || e.stopping.Load() || e.view.Epoch() > leader.Epoch {
+			j.missed = 0
 			continue
 		}
-		if leader.Epoch != of {
-			missed, of = 0, leader.Epoch
-		}
+		j.follow(leader, time.Now())
 		if reply, err := e.ping(ctx, leader.Member); err == nil && (reply.serves() || (reply.Leads && e.StoreTrouble(ownTroubleMemory))) {
-			missed = 0
+			j.missed = 0
 			continue
 		}
-		if missed++; missed < pingsMissed || !e.othersMiss(ctx, leader.Member) || sleep.For(ctx, time.Duration(rank)*rankDelay) != nil {
+		if j.missed++; j.missed > pingsMissed {
+			e.notePing(e.pingBound()) // a slow one has taken that long at least
+		}
+		if !j.mayClaim(e.o.Self, leader.Member, time.Now()) || e.o.Patience.TurnedAway(turnedAwayFor) ||
+			!e.othersMiss(ctx, leader.Member) || sleep.For(ctx, time.Duration(rank)*rankDelay) != nil {
 			continue
 		}
 		if _, now, _ := e.view.holder(); now == held && e.lease.Load() != 0 {
-			e.o.Log.Info().Str("leader", leader.Member.Name).Uint64("epoch", leader.Epoch).Int("pings_missed", missed).Msg("leader does not serve, claiming")
+			e.o.Log.Info().Str("leader", leader.Member.Name).Uint64("epoch", leader.Epoch).Int("pings_missed", j.missed).
+				Int("taken_of_late", len(j.taken)).Msg("leader does not serve, claiming")
+			j.tried(time.Now())
 			e.take(ctx, held)
 		}
 	}
@@ -166,7 +189,7 @@
 		return true
 	}
 	rand.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
-	ctx, cancel := context.WithTimeout(ctx, witnessTimeout)
+	ctx, cancel := context.WithTimeout(ctx, e.pingBound()+witnessExtra)
 	defer cancel()
 	var wg sync.WaitGroup
 	var mu sync.Mutex
