--- a/connection/runner/runner.go
+++ b/connection/runner/runner.go
@@ -74,7 +74,8 @@
 type Start struct {
 	Task       work.TaskID
 	Run        uint64
-	Spec       string
+	Spec       string // "" may stand for one that is to be asked for at Home
+	Home       string // the daemon that keeps the job's spec; "" for none
 	Checkpoint string // "" for none
 	Ticket     string // "" for none
 	Epoch      uint64
--- a/process/dispatch/advice.go
+++ b/process/dispatch/advice.go
@@ -53,34 +53,65 @@
 
 // advice is what a step knows of the workers that may run it.
 type advice struct {
-	// good holds a known worker's verdict; which workers are good for a step
-	// never changes, only tickets age.
-	good    map[runner.WorkerID]bool
-	tickets []ticket          // few: those of the last calls
-	asking  int               // calls on their way
-	wanted  []runner.WorkerID // to be named by the next calls, maxNamed in each
-	hold    holdKind          // what is to be held during the call
-	next    time.Duration     // no call before
+	// verdicts holds what is known of each worker, by its slot; which workers are
+	// good for a step never changes, only tickets age.
+	verdicts []verdict
+	tickets  []ticket // those of the last calls
+	// ticketAt is one more than the place of a worker's ticket, by its slot; 0 for
+	// none.
+	ticketAt []int32
+	asking   int               // calls on their way
+	wanted   []runner.WorkerID // to be named by the next calls, maxNamed in each
+	hold     holdKind          // what is to be held during the call
+	next     time.Duration     // no call before
 }
 
+// verdict tells whether a worker may run a step.
+type verdict uint8
+
+const (
+	unknown verdict = iota
+	good
+	bad
+)
+
+// at returns an element of a list that is as long as the highest slot needs.
+func at[T any](list []T, slot int) (v T) {
+	if slot < len(list) {
+		return list[slot]
+	}
+	return v
+}
+
+// set changes an element of such a list.
+func set[T any](list *[]T, slot int, v T) {
+	if missing := slot + 1 - len(*list); missing > 0 {
+		*list = append(*list, make([]T, missing)...)
+	}
+	(*list)[slot] = v
+}
+
+// of returns what is known of a worker. Rounds of placement ask for every pair of a
+// waiting step and a worker, so it is one look into a list.
+func (a *advice) of(w *worker) verdict { return at(a.verdicts, w.slot) }
+
+func (a *advice) learn(w *worker, v verdict) { set(&a.verdicts, w.slot, v) }
+
 type ticket struct {
-	id      runner.WorkerID
 	w       *worker
 	text    string
 	expires time.Duration
 }
 
-func (a *advice) find(id runner.WorkerID) *ticket {
-	for i := range a.tickets {
-		if a.tickets[i].id == id {
-			return &a.tickets[i]
-		}
+func (a *advice) find(w *worker) *ticket {
+	if i := at(a.ticketAt, w.slot); i > 0 {
+		return &a.tickets[i-1]
 	}
 	return nil
 }
 
-func (a *advice) expire(id runner.WorkerID) {
-	if t := a.find(id); t != nil {
+func (a *advice) expire(w *worker) {
+	if t := a.find(w); t != nil {
 		t.expires = 0
 	}
 }
@@ -88,12 +119,10 @@
 // valid reports whether the ticket holds long enough for a start.
 func (t *ticket) valid(now time.Duration) bool { return t.expires > now+ticketMargin }
 
-// ticketFor returns a worker's ticket if it holds long enough for a start.
-func (a *advice) ticketFor(id runner.WorkerID, now time.Duration) (string, bool) {
-	if t := a.find(id); t != nil && t.valid(now) {
-		return t.text, true
-	}
-	return "", false
+// holds reports whether a worker's ticket holds long enough for a start.
+func (a *advice) holds(w *worker, now time.Duration) bool {
+	t := a.find(w)
+	return t != nil && t.valid(now)
 }
 
 // usable reports whether any ticket holds.
@@ -108,11 +137,12 @@
 
 // add takes a ticket in place of the worker's earlier one.
 func (a *advice) add(t ticket) {
-	if old := a.find(t.id); old != nil {
+	if old := a.find(t.w); old != nil {
 		*old = t
 		return
 	}
 	a.tickets = append(a.tickets, t)
+	set(&a.ticketAt, t.w.slot, int32(len(a.tickets)))
 }
 
 // Members tells the engine through which daemons advice can be asked.
@@ -204,7 +234,7 @@
 		return nil
 	}
 	if s.advice == nil {
-		s.advice = &advice{good: map[runner.WorkerID]bool{}}
+		s.advice = &advice{}
 	}
 	return s.advice
 }
@@ -231,14 +261,11 @@
 	}
 	var all []candidate
 	for _, w := range e.order {
-		good, known := a.good[w.ID]
-		if (known && !good) || !e.eligible(s, w) {
+		known := a.of(w) == good
+		if a.of(w) == bad || !e.eligible(s, w) || a.holds(w, e.now) {
 			continue
 		}
-		if _, ok := a.ticketFor(w.ID, e.now); ok {
-			continue
-		}
-		fits := need.Times(e.freeFor(s, w), s.perWorker(slots))
+		fits := e.room(s, w, need, s.perWorker(slots))
 		if fits == 0 && (known || !s.spec.Gang) {
 			continue
 		}
@@ -313,7 +340,7 @@
 }
 
 // Advised takes the outcome of an AskAdvice.
-func (e *Engine) Advised(now time.Duration, member string, id work.TaskID, good []runner.Ticket, err error) {
+func (e *Engine) Advised(now time.Duration, member string, id work.TaskID, allowed []runner.Ticket, err error) {
 	e.now = now
 	l := e.lanes[member]
 	if l == nil || l.busy == nil || l.busy.id() != id {
@@ -336,22 +363,24 @@
 	s.heldUntil, s.retryAt, s.misses = 0, 0, 0
 	queue := &s.job.spec.Queue
 	fresh, freshGood := 0, 0
-	for _, w := range l.named {
-		if _, known := a.good[w]; !known {
+	for _, id := range l.named {
+		if w := e.workers[id]; w != nil && a.of(w) == unknown {
 			fresh++
-			a.good[w] = false
+			a.learn(w, bad)
 		}
 	}
-	for _, t := range good {
-		if known := a.good[t.Worker]; !known {
+	for _, t := range allowed {
+		w := e.workers[t.Worker]
+		if w == nil {
+			continue // its life is over
+		}
+		if a.of(w) != good {
 			freshGood++
+			a.learn(w, good)
 		}
-		a.good[t.Worker] = true
 		// The ticket holds from when the service gave it, which is when it
 		// answered; the answer has taken some milliseconds since.
-		if w := e.workers[t.Worker]; w != nil {
-			a.add(ticket{t.Worker, w, t.Ticket, now + queue.Advice.Valid - ticketMargin})
-		}
+		a.add(ticket{w, t.Ticket, now + queue.Advice.Valid - ticketMargin})
 	}
 	if fresh > 0 {
 		share := float64(freshGood) / float64(fresh)
--- a/process/dispatch/directory.go
+++ b/process/dispatch/directory.go
@@ -50,7 +50,8 @@
 }
 
 func (e *Engine) addWorker(seen runner.Worker) *worker {
-	w := &worker{Worker: seen, places: map[work.TaskID]*place{}, pace: 1, nextRenew: e.now}
+	w := &worker{Worker: seen, places: map[work.TaskID]*place{}, pace: 1, nextRenew: e.now, slot: e.slots}
+	e.slots++
 	e.workers[seen.ID] = w
 	e.order = append(e.order, w)
 	return w
--- a/process/dispatch/engine.go
+++ b/process/dispatch/engine.go
@@ -31,6 +31,7 @@
 	cancels map[work.JobID]time.Duration
 	workers map[runner.WorkerID]*worker
 	order   []*worker // the workers, in a fixed order
+	slots   int       // used up by workers of this epoch, those that are gone included
 	// unresolved counts workers that an earlier epoch used and that have
 	// neither answered this one nor certainly ended; unresolvedOpen those of them
 	// that were not closed.
@@ -43,8 +44,8 @@
 
 	members []string
 	lanes   map[string]*lane
-	shares  map[string]float64 // of workers that are good, by queue
-	paces   map[string]float64 // run time against estimate, by queue
+	shares  map[string]float64  // of workers that are good, by queue
+	paces   map[string]*float64 // run time against estimate, by queue
 
 	dirty     []*job
 	dirtyAt   time.Duration // since when something waits for a commit
@@ -60,8 +61,9 @@
 	// scheduledAt and planAt are when the last round was, and when room for
 	// waiting gangs is to be planned anew.
 	scheduledAt, planAt time.Duration
-	lanesIdle           int // left in this round
-	lanesSlow           int // of them for slow calls
+	roundCost           time.Duration // of a round of placement, decaying
+	lanesIdle           int           // left in this round
+	lanesSlow           int           // of them for slow calls
 
 	deposed bool
 	stats   Stats
@@ -78,7 +80,7 @@
 	o.Policy = o.Policy.complete()
 	return &Engine{o: o, jobs: map[work.JobID]*job{}, cancels: map[work.JobID]time.Duration{},
 		workers: map[runner.WorkerID]*worker{}, lanes: map[string]*lane{},
-		shares: map[string]float64{}, paces: map[string]float64{}}
+		shares: map[string]float64{}, paces: map[string]*float64{}}
 }
 
 // Deposed reports whether a worker was called with a higher epoch.
@@ -195,7 +197,7 @@
 
 func (e *Engine) add(id work.JobID, spec *work.Job, revision store.Revision) {
 	j := &job{id: id, spec: spec, handedIn: true, revision: revision, since: e.now, inherited: spec.Epoch < e.o.Epoch,
-		accepted: e.atTime(spec.Accepted), start: e.atTime(spec.StartAt)}
+		accepted: e.atTime(spec.Accepted), start: e.atTime(spec.StartAt), pace: e.paceOf(spec.Queue.Name)}
 	e.jobs[id] = j
 	if _, ok := e.cancels[id]; ok {
 		delete(e.cancels, id)
@@ -294,7 +296,7 @@
 	if e.deposed {
 		return nil
 	}
-	if !e.scheduled && (len(e.ready) < crowded || e.now-e.scheduledAt >= crowdedPause) {
+	if !e.scheduled && e.now-e.scheduledAt >= e.roundPause() {
 		e.scheduled = true
 		e.schedule()
 	}
--- a/process/dispatch/engine_test.go
+++ b/process/dispatch/engine_test.go
@@ -290,8 +290,11 @@
 	b.report("w-a", runner.Report{Clock: time.Second})
 	b.report("w-b", runner.Report{Clock: time.Second})
 	s := b.e.jobs[testJob].occurrences[0].steps[0]
-	s.advice = &advice{good: map[runner.WorkerID]bool{"w-a": true}}
-	s.advice.add(ticket{"w-a", b.e.workers["w-a"], "t", b.now + 2*time.Second})
+	s.advice = &advice{}
+	for _, id := range []runner.WorkerID{"w-a"} {
+		s.advice.learn(b.e.workers[id], good)
+	}
+	s.advice.add(ticket{b.e.workers["w-a"], "t", b.now + 2*time.Second})
 	b.step(50 * time.Millisecond)
 	first := b.starts()
 	require.Len(t, first, 1)
--- a/process/dispatch/gang.go
+++ b/process/dispatch/gang.go
@@ -61,7 +61,7 @@
 	var all []seat
 	consider := func(w *worker, text string) {
 		if need.Fits(w.free()) && e.eligible(s, w) {
-			if n := need.Times(e.freeFor(s, w), limit); n > 0 {
+			if n := e.room(s, w, need, limit); n > 0 {
 				all = append(all, seat{w, n, text})
 			}
 		}
@@ -177,8 +177,7 @@
 	if s.advice == nil {
 		return true
 	}
-	good, known := s.advice.good[w.ID]
-	return good || !known
+	return s.advice.of(w) != bad
 }
 
 // askForGang asks for the workers on which a gang can start: known good ones
@@ -241,8 +240,8 @@
 			continue
 		}
 		reserved += n
-		open += need.Times(e.freeFor(s, w), n)
-		if t := a.find(w.ID); (t == nil || !t.valid(e.now+aheadTicket)) && len(ids) < maxNamed {
+		open += e.room(s, w, need, n)
+		if t := a.find(w); (t == nil || !t.valid(e.now+aheadTicket)) && len(ids) < maxNamed {
 			ids = append(ids, w.ID)
 		}
 	}
@@ -295,11 +294,11 @@
 	need, limit := s.spec.Need(), s.perWorker(s.spec.Count)
 	until := e.now + s.job.spec.Queue.Advice.Cost(0) + refreshAhead
 	for _, w := range e.order {
-		if !a.good[w.ID] || !e.eligible(s, w) {
+		if a.of(w) != good || !e.eligible(s, w) {
 			continue
 		}
-		fits := need.Times(e.freeFor(s, w), limit)
-		if t := a.find(w.ID); t != nil && t.valid(until) {
+		fits := e.room(s, w, need, limit)
+		if t := a.find(w); t != nil && t.valid(until) {
 			have += fits
 			continue
 		}
@@ -313,7 +312,6 @@
 // asked about.
 func (e *Engine) anyUnknown(s *step, a *advice) bool {
 	return slices.ContainsFunc(e.order, func(w *worker) bool {
-		_, known := a.good[w.ID]
-		return !known && e.eligible(s, w)
+		return a.of(w) == unknown && e.eligible(s, w)
 	})
 }
--- a/process/dispatch/gang_test.go
+++ b/process/dispatch/gang_test.go
@@ -57,9 +57,12 @@
 		b.report(id, runner.Report{Clock: time.Second})
 	}
 	s := b.e.jobs[testJob].occurrences[0].steps[0]
-	s.advice = &advice{good: map[runner.WorkerID]bool{"w-a": true, "w-b": true, "w-c": true}}
+	s.advice = &advice{}
+	for _, id := range []runner.WorkerID{"w-a", "w-b", "w-c"} {
+		s.advice.learn(b.e.workers[id], good)
+	}
 	for _, id := range []runner.WorkerID{"w-a", "w-b"} {
-		s.advice.add(ticket{id, b.e.workers[id], "t", b.now + 1500*time.Millisecond})
+		s.advice.add(ticket{b.e.workers[id], "t", b.now + 1500*time.Millisecond})
 	}
 	b.out = nil
 	b.e.Members(b.now, []string{"d"})
@@ -187,7 +190,10 @@
 		b.report(id, runner.Report{Clock: time.Second})
 	}
 	s := b.e.jobs[testJob].occurrences[0].steps[0]
-	s.advice = &advice{good: map[runner.WorkerID]bool{"w-a": true, "w-b": true, "w-c": true}}
+	s.advice = &advice{}
+	for _, id := range []runner.WorkerID{"w-a", "w-b", "w-c"} {
+		s.advice.learn(b.e.workers[id], good)
+	}
 	b.e.Members(b.now, []string{"d-1", "d-2", "d-3"})
 	b.step(50 * time.Millisecond)
 	return b, s
--- a/process/dispatch/hold.go
+++ b/process/dispatch/hold.go
@@ -55,13 +55,13 @@
 	total := 0
 	var seats []seat
 	for _, w := range e.order {
-		if t := a.find(w.ID); !slices.Contains(a.wanted, w.ID) && (t == nil || !t.valid(until)) {
+		if t := a.find(w); !slices.Contains(a.wanted, w.ID) && (t == nil || !t.valid(until)) {
 			continue
 		}
 		if !e.eligible(s, w) {
 			continue
 		}
-		if n := need.Times(e.freeFor(s, w), limit); n > 0 {
+		if n := e.room(s, w, need, limit); n > 0 {
 			seats = append(seats, seat{w: w, n: n})
 			total += n
 		}
--- a/process/dispatch/host.go
+++ b/process/dispatch/host.go
@@ -34,7 +34,11 @@
 	watchGrace   = 700 * time.Millisecond
 	errorPause   = 100 * time.Millisecond
 	// stopTimeout is how long a stop may go without an answer.
-	stopTimeout = 300 * time.Millisecond
+	stopTimeout    = 300 * time.Millisecond
+	maxStopTimeout = time.Second
+	// maxRenewGrace bounds renewGrace where answers are slow: four tries fit into a
+	// worker's lease of 6 s.
+	maxRenewGrace = 1500 * time.Millisecond
 )
 
 // HostOptions of a Host.
@@ -69,6 +73,7 @@
 	loaded chan struct{}
 
 	published time.Duration
+	answers   answers
 }
 
 // NewHost returns a host for a term.
@@ -163,7 +168,9 @@
 			h.engine.Tick(h.now())
 			h.publish()
 		}
-		effects := h.engine.Flush(h.now())
+		at := h.now()
+		effects := h.engine.Flush(at)
+		h.engine.RoundTook(at, h.now()-at)
 		if h.engine.Deposed() {
 			h.term.End(lead.ErrDeposed)
 			return
@@ -266,21 +273,25 @@
 }
 
 func (h *Host) sendStart(ctx context.Context, x SendStart) {
-	bounded, cancel := context.WithTimeout(ctx, h.o.Bounds.startTimeout())
+	bounded, cancel := context.WithTimeout(ctx, h.answers.timeout(h.o.Bounds.startTimeout(), h.o.Bounds.maxStartTimeout()))
 	defer cancel()
+	began := time.Now()
 	_, err := h.o.Runner.Start(bounded, x.To, x.Start)
+	if !errors.Is(err, runner.ErrUnknown) {
+		h.answers.note(time.Since(began))
+	}
 	h.post(func(e *Engine, now time.Duration) { e.Started(now, x.To.ID, x.Start.Task, x.Start.Run, err) })
 }
 
 func (h *Host) sendStop(ctx context.Context, x SendStop) {
-	bounded, cancel := context.WithTimeout(ctx, stopTimeout)
+	bounded, cancel := context.WithTimeout(ctx, h.answers.timeout(stopTimeout, maxStopTimeout))
 	defer cancel()
 	err := h.o.Runner.Stop(bounded, x.To, x.Task, x.Run, h.term.Epoch)
 	h.post(func(e *Engine, now time.Duration) { e.StopAnswered(now, x.To.ID, x.Task, x.Run, err) })
 }
 
 func (h *Host) sendRenew(ctx context.Context, x SendRenew) {
-	bounded, cancel := context.WithTimeout(ctx, x.Timeout)
+	bounded, cancel := context.WithTimeout(ctx, x.Timeout-renewGrace+h.answers.timeout(renewGrace, maxRenewGrace))
 	defer cancel()
 	report, err := h.o.Runner.Renew(bounded, x.To, x.Renewal)
 	h.post(func(e *Engine, now time.Duration) { e.Renewed(now, x.To.ID, report, err) })
--- a/process/dispatch/job.go
+++ b/process/dispatch/job.go
@@ -16,6 +16,7 @@
 	// accepted is when a daemon took the job, and start when its first occurrence
 	// is due, both in engine time.
 	accepted, start time.Duration
+	pace            *float64 // learnt, of its queue
 	// state as decided; callers see it once it is in the store.
 	state   work.State
 	visible work.State
--- a/process/dispatch/place.go
+++ b/process/dispatch/place.go
@@ -24,6 +24,16 @@
 	// rounds are crowdedPause apart. A round over 500 steps takes some 100 µs.
 	crowded      = 50
 	crowdedPause = 4 * time.Millisecond
+	// restFactor: after a round the engine takes events only for that many times as
+	// long as a round takes, and maxRest at the most.
+	//
+	// Load pattern: more waits than the leader's processor can place. What goes wrong
+	// without it: each event is followed by a round, rounds take all processor time,
+	// and reports and pings wait behind them until the leader looks dead.
+	restFactor = 2
+	maxRest    = 60 * time.Millisecond
+	// costDecay: a round's time enters the average with 1/costDecay.
+	costDecay = 4
 	// gangPause is between tries of one waiting gang, unless it has new advice:
 	// a try over the tickets for a hundred workers takes some 10 µs, and rounds
 	// come several hundred times a second.
@@ -41,6 +51,23 @@
 // of them, and at least a minimum.
 func (e *Engine) perWorkers(least, share int) int { return max(least, len(e.order)/share) }
 
+// RoundTook tells how long the last Flush took, if it placed: the engine has no clock
+// of its own.
+func (e *Engine) RoundTook(at, d time.Duration) {
+	if e.scheduledAt == at {
+		e.roundCost += (d - e.roundCost) / costDecay
+	}
+}
+
+// roundPause is kept between the beginnings of two rounds.
+func (e *Engine) roundPause() time.Duration {
+	pause := min((restFactor+1)*e.roundCost, maxRest)
+	if len(e.ready) >= crowded {
+		pause = max(pause, crowdedPause)
+	}
+	return pause
+}
+
 // round is what one round of placement has come to know.
 type round struct {
 	tight    []tightSize
@@ -196,11 +223,28 @@
 
 // estimate returns how long a task of the step is likely to take.
 func (e *Engine) estimate(s *step) time.Duration {
-	pace, ok := e.paces[s.job.spec.Queue.Name]
-	if !ok {
-		pace = 1
+	return scale(s.spec.Estimate, *s.job.pace)
+}
+
+// paceOf returns the learnt pace of a queue, which its jobs share: rounds of
+// placement ask for it once for each run of each worker.
+func (e *Engine) paceOf(queue string) *float64 {
+	p := e.paces[queue]
+	if p == nil {
+		p = new(float64)
+		*p = 1
+		e.paces[queue] = p
+	}
+	return p
+}
+
+// room returns how many of a step's tasks, at most limit, the step may place on a
+// worker now. Most workers of a busy cell are full, which the first look tells.
+func (e *Engine) room(s *step, w *worker, need work.Resources, limit int) int {
+	if !need.Fits(w.free()) {
+		return 0
 	}
-	return scale(s.spec.Estimate, pace)
+	return need.Times(e.freeFor(s, w), limit)
 }
 
 // mayStart reports whether tasks of the step may start now at all.
@@ -364,14 +408,10 @@
 	if s.spec.Estimate <= 0 || p.state != running || s.spec.Lasting {
 		return
 	}
-	queue := s.job.spec.Queue.Name
 	took := float64(e.now-p.begun) / float64(s.spec.Estimate)
-	mean, ok := e.paces[queue]
-	if !ok {
-		mean = 1
-	}
+	mean := *s.job.pace
 	w.pace += (min(max(took/mean, 0.2), 5) - w.pace) * paceDecay
-	e.paces[queue] = mean + (min(took, 5)-mean)*paceDecay/4
+	*s.job.pace = mean + (min(took, 5)-mean)*paceDecay/4
 }
 
 // remaining estimates how long a run goes on.
--- a/process/dispatch/reserve.go
+++ b/process/dispatch/reserve.go
@@ -70,7 +70,7 @@
 	}
 	var openings []opening
 	for _, w := range e.order {
-		if !e.eligible(s, w) || (a != nil && !a.good[w.ID]) {
+		if !e.eligible(s, w) || (a != nil && a.of(w) != good) {
 			continue
 		}
 		free, had := e.freeFor(s, w), 0
@@ -106,7 +106,7 @@
 
 // ticketEnd returns when the step's ticket for a worker ends, 0 for none.
 func ticketEnd(a *advice, w *worker) time.Duration {
-	if t := a.find(w.ID); t != nil {
+	if t := a.find(w); t != nil {
 		return t.expires
 	}
 	return 0
--- a/process/dispatch/runs.go
+++ b/process/dispatch/runs.go
@@ -62,7 +62,7 @@
 	p.tries++
 	j := p.s.job
 	e.out = append(e.out, SendStart{To: p.w.Ref, Start: runner.Start{
-		Task: p.id(), Run: p.run, Spec: j.spec.Spec, Checkpoint: p.task().checkpoint, Ticket: p.ticket,
+		Task: p.id(), Run: p.run, Spec: j.spec.Spec, Home: j.spec.Home, Checkpoint: p.task().checkpoint, Ticket: p.ticket,
 		Epoch: e.o.Epoch, Until: p.w.renewUntil(e.now, e.o.Bounds.Lease),
 	}})
 }
@@ -157,7 +157,7 @@
 	switch {
 	case errors.Is(err, runner.ErrTicket):
 		if a := p.s.advice; a != nil {
-			a.expire(w.ID)
+			a.expire(w)
 		}
 	case errors.Is(err, runner.ErrUnhealthy), errors.Is(err, runner.ErrNoRoom):
 		w.asideUntil = max(w.asideUntil, e.now+refusalAside)
--- a/process/dispatch/types.go
+++ b/process/dispatch/types.go
@@ -42,6 +42,9 @@
 	return min(StartTimeout, b.Gang/(2*maxStarts))
 }
 
+// maxStartTimeout is the same where answers are slow.
+func (b Bounds) maxStartTimeout() time.Duration { return max(b.startTimeout(), b.Gang/(2*maxStarts)) }
+
 // Options of an Engine.
 type Options struct {
 	Epoch  uint64
--- a/process/dispatch/worker.go
+++ b/process/dispatch/worker.go
@@ -56,6 +56,7 @@
 // worker is one life of a worker.
 type worker struct {
 	runner.Worker
+	slot   int  // its place in what steps know of workers
 	listed bool // its entry is in the directory
 	kept   bool // the store knows that it is used
 	fenced bool // it has answered this epoch
--- a/version/work/work.go
+++ b/version/work/work.go
@@ -154,6 +154,17 @@
 	Repeat   int           `cbor:"6,keyasint,omitempty"`
 	StartAt  int64         `cbor:"7,keyasint,omitempty"` // milliseconds since 1970
 	Interval time.Duration `cbor:"8,keyasint,omitempty"`
+	// Home is the address, for calls of other daemons, of the one that accepted the
+	// job and keeps its spec in memory.
+	Home string `cbor:"9,keyasint,omitempty"`
+}
+
+// WithoutSpec returns the job as a scheduler needs it that does not carry the spec to
+// the workers itself.
+func (j *Job) WithoutSpec() *Job {
+	short := *j
+	short.Spec = ""
+	return &short
 }
 
 // State of a job as callers see it.
