Divide a cell that begins with more workers than one leader carries

Cause: one leader makes every decision, takes every report and hand-in.

Change: a layout in the store says into how many parts the cell's workers and jobs are divided, by hash. Each part has a leader, epochs, chains and records of its own under a prefix (store.Prefixed); part 0 has the names of a cell that is not divided, so small cells have no layout and pay one check in a transaction. The first leader of a cell that has just begun counts workers until their number stays the same, and writes the layout before it calls any worker; a cell at work is never divided. Each hand-in demands the layout by which it was sent to its part, and that part 0 does not hold the job from before, so a job stays one job. State and cancel fall back to part 0; a daemon that does not know the layout answers neither, and is not ready. Daemons for advice and relays are divided as well.

--- a/process/cellnode/advise.go
+++ b/process/cellnode/advise.go
@@ -28,7 +28,7 @@
 	if member == n.o.Settings.Name {
 		return n.o.Adviser.Advise(ctx, step, workers)
 	}
-	for _, m := range n.elector.View().Members() {
+	for _, m := range n.view().Members() {
 		if m.Name != member {
 			continue
 		}
--- a/process/cellnode/metrics.go
+++ b/process/cellnode/metrics.go
@@ -106,7 +106,7 @@
 
 // metricsHandler serves the counters as JSON.
 func (n *Node) metricsHandler() http.Handler {
-	s := n.jobs.Stats()
+	s := &n.submitted
 	n.metrics.Set("accepted", &s.Accepted)
 	n.metrics.Set("not_accepted", &s.NotAccepted)
 	n.metrics.Set("handed_over", &s.HandedOver)
--- a/process/cellnode/node.go
+++ b/process/cellnode/node.go
@@ -11,6 +11,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -73,7 +74,7 @@
 
 // Parts is what the callers' interface is built from.
 type Parts struct {
-	Jobs    *submit.Service
+	Jobs    submit.Parts
 	Catalog func() *work.Catalog
 	Closing func() bool
 	// Answered is to be told each answer.
@@ -85,15 +86,14 @@
 	o         Options
 	log       zerolog.Logger
 	patience  *store.Patience
-	elector   *lead.Elector
-	jobs      *submit.Service
 	catalogs  *catalogs
 	peers     *peer.Node
-	host      atomic.Pointer[dispatch.Host]
+	mux       *peer.Mux
+	built     atomic.Pointer[[]*part]
 	self      lead.Member
 	relay     *relay.Server
-	orders    atomic.Pointer[relay.Runner] // of this daemon's term
 	relayed   relay.Stats
+	submitted submit.Stats
 	stopping  atomic.Bool
 	metrics   *expvar.Map
 	latencies latencies
@@ -146,7 +146,7 @@
 		return err
 	}
 	n.callers = &http.Server{
-		Handler:           n.o.Handler(Parts{Jobs: n.jobs, Catalog: n.catalogs.Current, Closing: n.stopping.Load, Answered: n.Answered}),
+		Handler:           n.o.Handler(Parts{Jobs: submit.Parts{Of: n.partOf}, Catalog: n.catalogs.Current, Closing: n.stopping.Load, Answered: n.Answered}),
 		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
 	}
 	go n.serveHTTP(n.callers, n.listen.callers)
@@ -157,7 +157,8 @@
 		n.log.Error().Str("event", e.String()).Msg("service restarted")
 	}})
 	tree.Add(n.catalogs)
-	tree.Add(service{n.elector.Run})
+	tree.Add(service{n.parts()[0].elector.Run})
+	tree.Add(service{n.runParts})
 	tree.Add(service{n.peers.Serve})
 	tree.Add(service{n.serveOrders})
 	err := tree.Serve(ctx)
@@ -216,17 +217,12 @@
 )
 
 func (n *Node) build(self lead.Member, mux *peer.Mux) {
-	n.elector = lead.New(lead.Options{Self: self, Store: n.o.Store, Log: n.log, Patience: n.patience, Lead: n.lead,
-		Lease: n.memberLease(), Peers: n.peers})
-	n.peers.CountOn(n.o.Traffic)
-	n.elector.Register(mux)
-	n.self = self
+	n.self, n.mux = self, mux
 	n.relay = relay.NewServer(n.o.Runner, n.peers, n.log)
-	n.jobs = submit.New(submit.Options{Self: self.Name, Peer: self.Peer, Texts: texts{n}, Store: n.o.Store, Patience: n.patience, View: n.elector.View(),
-		Peers: n.peers, Leading: n.host.Load, Log: n.log})
-	n.jobs.Register(mux)
-	mux.Handle(methodAdvise, peer.Typed(n.serveAdvise))
 	n.relay.Register(mux)
+	n.peers.CountOn(n.o.Traffic)
+	mux.Handle(methodAdvise, peer.Typed(n.serveAdvise))
+	n.built.Store(&[]*part{n.newPart(0, nil)})
 }
 
 func (n *Node) memberLease() time.Duration {
@@ -236,23 +232,6 @@
 	return 0
 }
 
-// lead runs one term.
-func (n *Node) lead(t *lead.Term) {
-	orders := relay.New(t.Context(), relay.Options{Direct: n.o.Runner, Dial: n.dialOrders, Epoch: t.Epoch, Self: n.self,
-		Members: n.elector.View().Members, Text: n.text, Log: n.log}, &n.relayed)
-	n.orders.Store(orders)
-	defer n.orders.CompareAndSwap(orders, nil)
-	h := dispatch.NewHost(dispatch.HostOptions{
-		Store: n.o.Store, Patience: n.patience, Runner: orders, Directory: n.o.Directory, View: n.elector.View(),
-		Advise: n.advise, Bounds: n.bounds(), Policy: n.o.Settings.Policy, Log: n.log, Count: n.count, Took: n.took,
-		Violation: func(string) { n.metrics.Add("violations", 1) },
-	}, t)
-	n.host.Store(h)
-	go n.reportLoad(t.Context())
-	h.Run()
-	n.host.CompareAndSwap(h, nil)
-}
-
 func (n *Node) bounds() dispatch.Bounds {
 	b := n.o.Settings.Bounds
 	lease := b.WorkerLeaseMS.Std()
@@ -265,7 +244,11 @@
 
 // Ready reports whether the daemon can serve callers.
 func (n *Node) Ready() bool {
-	return !n.stopping.Load() && n.catalogs.Current() != nil
+	if n.stopping.Load() || n.catalogs.Current() == nil || n.built.Load() == nil {
+		return false
+	}
+	_, known := n.view().Layout()
+	return known
 }
 
 func (n *Node) serveReady(w http.ResponseWriter, _ *http.Request) {
@@ -282,8 +265,10 @@
 	bound := time.Duration(n.o.Settings.Bounds.StopS*float64(time.Second)) - stopReserve
 	ctx, cancel := context.WithTimeout(ctx, bound)
 	defer cancel()
-	if n.elector != nil {
-		n.elector.Resign(ctx)
+	if built := n.built.Load(); built != nil {
+		for _, p := range slices.Backward(*built) { // part 0 ends the lease of all
+			p.elector.Resign(ctx)
+		}
 	}
 	if n.callers == nil {
 		return
--- a/process/dispatch/host.go
+++ b/process/dispatch/host.go
@@ -47,7 +47,9 @@
 	Patience  *store.Patience
 	Runner    runner.Runner
 	Directory runner.Directory
-	View      *lead.View
+	View      *lead.View // of the cell's daemons
+	// Members returns the daemons through which advice is asked; nil: all of View.
+	Members func() []lead.Member
 	// Advise asks a member's adviser.
 	Advise func(ctx context.Context, member, step string, workers []runner.WorkerID) ([]runner.Ticket, error)
 	Bounds Bounds
@@ -150,6 +152,17 @@
 	return rev, saved, errors.Join(jobsErr, statesErr, bundlesErr, fleetErr)
 }
 
+// Fresh reports whether nothing has been handed in to a cell and no worker been used.
+func Fresh(ctx context.Context, s store.Transactor) (bool, error) {
+	for _, prefix := range []string{PrefixJobs, PrefixState, PrefixBundle, keyFleet} {
+		entries, _, err := s.List(ctx, prefix)
+		if err != nil || len(entries) > 0 {
+			return false, err
+		}
+	}
+	return true, nil
+}
+
 // loadTimeout bounds one reading of the whole state.
 const loadTimeout = 3 * time.Second
 
@@ -381,12 +394,19 @@
 	return next, err
 }
 
+func (h *Host) members() []lead.Member {
+	if h.o.Members != nil {
+		return h.o.Members()
+	}
+	return h.o.View.Members()
+}
+
 // watchMembers tells the engine which daemons there are.
 func (h *Host) watchMembers(ctx context.Context) {
 	for {
 		changed := h.o.View.Changed()
 		var names []string
-		for _, m := range h.o.View.Members() {
+		for _, m := range h.members() {
 			names = append(names, m.Name)
 		}
 		h.post(func(e *Engine, now time.Duration) { e.Members(now, names) })
--- a/process/lead/elector.go
+++ b/process/lead/elector.go
@@ -31,6 +31,9 @@
 	// deferDelay is how much longer a daemon leaves a vacancy when another
 	// member fits better: that one sees it in one round trip to the store.
 	deferDelay = 200 * time.Millisecond
+	// busyDelay is how much longer a daemon that leads a part leaves another one to
+	// those that lead none.
+	busyDelay = time.Second
 	// outageHold is how long after store trouble a vacancy is left to the
 	// leader before: leases may have lapsed in the outage while all lived.
 	outageHold = 1200 * time.Millisecond
@@ -49,6 +52,13 @@
 	Lead func(t *Term)
 	// Patience bounds the calls of the store; shared with other users of it.
 	Patience *store.Patience
+	// Main, if set, is this daemon's elector for part 0: it keeps the daemon registered
+	// and lists the members, and this one claims another part.
+	Main *Elector
+	// Busy reports whether the daemon leads another part; may be nil.
+	Busy func() bool
+	// Suffix tells the methods of a part from those of others.
+	Suffix string
 	// Peers calls other daemons; nil: a leader that is gone is replaced when its
 	// lease has run out.
 	Peers Caller
@@ -75,16 +85,46 @@
 	if o.Lease == 0 {
 		o.Lease = DefaultLease
 	}
-	return &Elector{o: o, view: newView(o.Log)}
+	e := &Elector{o: o, view: newView(o.Log)}
+	if o.Main != nil {
+		e.view.main = o.Main.view
+	}
+	return e
+}
+
+// leaseID returns the lease that the daemon's records are bound to, 0 for none.
+func (e *Elector) leaseID() store.LeaseID {
+	if e.o.Main != nil {
+		return e.o.Main.leaseID()
+	}
+	return store.LeaseID(e.lease.Load())
+}
+
+// giveUpLease lets the lease run out, with every record bound to it.
+func (e *Elector) giveUpLease() {
+	if e.o.Main != nil {
+		e.o.Main.giveUpLease()
+		return
+	}
+	e.lease.Store(0)
 }
 
+func (e *Elector) busy() bool { return e.o.Busy != nil && e.o.Busy() }
+
+// Leads reports whether this daemon leads, or is about to.
+func (e *Elector) Leads() bool { return e.current() != nil || e.claiming.Load() }
+
 // View returns the live view of the cell.
 func (e *Elector) View() *View { return e.view }
 
 // Run registers, watches and claims until ctx ends.
 func (e *Elector) Run(ctx context.Context) error {
 	var wg sync.WaitGroup
-	wg.Go(func() { e.keepRegistered(ctx) })
+	if e.o.Main == nil {
+		wg.Go(func() { e.keepRegistered(ctx) })
+	} else {
+		wg.Go(func() { e.keepRecord(ctx) })
+	}
 	wg.Go(func() { e.follow(ctx) })
 	wg.Go(func() { e.claimVacancies(ctx) })
 	if e.o.Peers != nil {
@@ -114,7 +154,7 @@
 			e.o.Log.Warn().Err(err).Msg("leadership not released, it lapses")
 		}
 	}
-	if id := store.LeaseID(e.lease.Load()); id != 0 {
+	if id := store.LeaseID(e.lease.Load()); id != 0 && e.o.Main == nil {
 		if err := e.o.Store.RevokeLease(ctx, id); err != nil {
 			e.o.Log.Warn().Err(err).Msg("membership not ended, it lapses")
 		}
@@ -172,6 +212,19 @@
 	return e.checkRecords(ctx, id)
 }
 
+// keepRecord puts the leader's record of a part back that was taken away with the
+// daemon's lease.
+func (e *Elector) keepRecord(ctx context.Context) {
+	for sleep.For(ctx, e.o.Lease/renewals) == nil {
+		_, _, led := e.view.holder()
+		if term, id := e.current(), e.leaseID(); term != nil && !led && id != 0 && !e.stopping.Load() {
+			if err := e.reassert(ctx, term, id); err != nil {
+				e.o.Log.Debug().Err(err).Msg("leader's record not put back")
+			}
+		}
+	}
+}
+
 // checkRecords puts records back that were taken away while the lease lives.
 func (e *Elector) checkRecords(ctx context.Context, id store.LeaseID) error {
 	e.view.mu.Lock()
@@ -275,7 +328,7 @@
 		if t := e.current(); t != nil && e.view.Epoch() > t.Epoch {
 			t.End(ErrDeposed)
 		}
-		if _, vacant := e.view.vacant(e.o.Self); vacant && !e.stopping.Load() && e.current() == nil && e.lease.Load() != 0 {
+		if _, vacant := e.view.vacant(e.o.Self); vacant && !e.stopping.Load() && e.current() == nil && e.leaseID() != 0 {
 			e.claimSoon(ctx)
 		}
 		select {
@@ -299,6 +352,9 @@
 	if e.view.betterFits(e.o.Self) && sleep.For(ctx, deferDelay) != nil {
 		return
 	}
+	if e.busy() && sleep.For(ctx, busyDelay) != nil {
+		return
+	}
 	held, vacant := e.view.vacant(e.o.Self)
 	if !vacant || e.stopping.Load() {
 		return
@@ -355,7 +411,7 @@
 		}
 	}
 	if errors.Is(err, store.ErrLeaseLost) {
-		e.lease.Store(0)
+		e.giveUpLease()
 	}
 	if err != nil {
 		return nil, fmt.Errorf("claim: %w", err)
@@ -393,7 +449,7 @@
 	claim := link{Epoch: t.Epoch, Term: t.id, Holder: t.holder.Name}
 	txn := store.Txn{
 		Checks: []store.Check{{Key: keyHolder, Revision: held}, {Key: keyClaim, Revision: revision}},
-		Writes: []store.Write{t.holderWrite(store.LeaseID(e.lease.Load())), {Key: keyClaim, Value: encode(claim)}, {Key: keyClaimSeen, Value: encode(claim)}},
+		Writes: []store.Write{t.holderWrite(e.leaseID()), {Key: keyClaim, Value: encode(claim)}, {Key: keyClaimSeen, Value: encode(claim)}},
 	}
 	for i := range t.chains {
 		txn.Writes = append(txn.Writes, store.Write{Key: t.chains[i].key, Value: encode(claim)})
@@ -416,7 +472,7 @@
 	return e.call(ctx, "read claim", func(ctx context.Context) error {
 		entry, err := e.o.Store.Get(ctx, keyClaim)
 		if err != nil {
-			e.lease.Store(0)
+			e.giveUpLease()
 			return err
 		}
 		now, err := decodeLink(entry)
@@ -424,7 +480,7 @@
 			t.begun(entry.Revision)
 			return nil
 		}
-		e.lease.Store(0)
+		e.giveUpLease()
 		return fmt.Errorf("%w: the claim did not take effect", store.ErrConflict)
 	})
 }
--- a/process/lead/view.go
+++ b/process/lead/view.go
@@ -25,6 +25,16 @@
 	claimAt store.Revision // its revision, 0 for not known
 	changed chan struct{}
 	log     zerolog.Logger
+	layout  Layout
+	read    bool  // the cell's records have been read once
+	main    *View // of a part other than 0: the view that lists the members
+}
+
+// Layout returns how the cell is divided; false while that is not known.
+func (v *View) Layout() (Layout, bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.layout, v.read
 }
 
 // unreadable notes a record of another writer that does not decode: it names no
@@ -34,7 +44,7 @@
 }
 
 func newView(log zerolog.Logger) *View {
-	return &View{log: log, members: map[string]Member{}, changed: make(chan struct{})}
+	return &View{log: log, layout: One, members: map[string]Member{}, changed: make(chan struct{})}
 }
 
 // Leader returns the leader, if one is known: the one with a record in the store,
@@ -107,9 +117,7 @@
 // upgrade a daemon that has not been restarted yet soon will be, and would hand
 // the leadership over once more.
 func (v *View) betterFits(self Member) bool {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	for _, m := range v.members {
+	for _, m := range v.all() {
 		if m.Cores > self.Cores || (m.Cores == self.Cores && m.Started > self.Started+freshMargin.Milliseconds()) {
 			return true
 		}
@@ -133,13 +141,21 @@
 
 // Members returns the members, sorted by name.
 func (v *View) Members() []Member {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	all := slices.Collect(maps.Values(v.members))
+	all := v.all()
 	slices.SortFunc(all, func(a, b Member) int { return strings.Compare(a.Name, b.Name) })
 	return all
 }
 
+// all returns the members in no order.
+func (v *View) all() []Member {
+	if v.main != nil {
+		return v.main.all()
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return slices.Collect(maps.Values(v.members))
+}
+
 // Changed returns a channel that is closed at the next change.
 func (v *View) Changed() <-chan struct{} {
 	v.mu.Lock()
@@ -158,6 +174,7 @@
 	defer v.mu.Unlock()
 	clear(v.members)
 	v.leader, v.held, v.claimAt = nil, 0, 0
+	v.read = true
 	for _, e := range entries {
 		v.set(e)
 	}
@@ -195,6 +212,15 @@
 		v.claim, v.claimAt = l, e.Revision
 		return
 	}
+	if e.Key == KeyLayout {
+		l, err := decodeLayout(e)
+		if err != nil {
+			v.unreadable(e.Key, err)
+			return
+		}
+		v.layout = l
+		return
+	}
 	if e.Key == keyHolder {
 		var l Leader
 		if err := peer.Unmarshal(e.Value, &l); err != nil {
--- a/process/lead/witness.go
+++ b/process/lead/witness.go
@@ -85,18 +85,21 @@
 
 // Register serves the methods for other daemons.
 func (e *Elector) Register(r peer.Registrar) {
-	r.Handle(methodAlive, peer.Typed(func(context.Context, aliveRequest) (any, error) { return e.alive(), nil }))
-	r.Handle(methodHeard, peer.Typed(func(ctx context.Context, r heardRequest) (any, error) {
+	r.Handle(e.method(methodAlive), peer.Typed(func(context.Context, aliveRequest) (any, error) { return e.alive(), nil }))
+	r.Handle(e.method(methodHeard), peer.Typed(func(ctx context.Context, r heardRequest) (any, error) {
 		reply, err := e.ping(ctx, r.Leader)
 		return heardReply{Serves: err == nil && reply.serves()}, nil // no answer is an answer here
 	}))
 }
 
+// method returns the part's own name of a method.
+func (e *Elector) method(m peer.Method) peer.Method { return m + peer.Method(e.o.Suffix) }
+
 func (r *aliveReply) serves() bool { return r.Leads && !r.TurnedAway }
 
 func (e *Elector) alive() aliveReply {
 	leader, known := e.view.Leader()
-	return aliveReply{Leads: e.current() != nil || e.claiming.Load(), TurnedAway: e.o.Patience.TurnedAway(turnedAwayFor),
+	return aliveReply{Leads: e.Leads(), TurnedAway: e.o.Patience.TurnedAway(turnedAwayFor),
 		Known: known, Leader: leader}
 }
 
@@ -112,7 +115,7 @@
 	ctx, cancel := context.WithTimeout(ctx, e.pingBound())
 	defer cancel()
 	reply, began := &aliveReply{}, time.Now()
-	_, err := e.o.Peers.CallAddr(ctx, m.Peer, methodAlive, aliveRequest{}, reply)
+	_, err := e.o.Peers.CallAddr(ctx, m.Peer, e.method(methodAlive), aliveRequest{}, reply)
 	if err == nil {
 		e.notePing(time.Since(began))
 	}
@@ -138,7 +141,7 @@
 	for sleep.For(ctx, pingPause) == nil {
 		leader, held, ok := e.view.holder()
 		rank, fits := e.rank(leader.Member)
-		if !ok || !fits || leader.Member.same(e.o.Self) || e.stopping.Load() || e.view.Epoch() > leader.Epoch {
+		if !ok || !fits || leader.Member.same(e.o.Self) || e.stopping.Load() || e.view.Epoch() > leader.Epoch || e.busy() {
 			j.missed = 0
 			continue
 		}
@@ -154,7 +157,7 @@
 			!e.othersMiss(ctx, leader.Member) || sleep.For(ctx, time.Duration(rank)*rankDelay) != nil {
 			continue
 		}
-		if _, now, _ := e.view.holder(); now == held && e.lease.Load() != 0 {
+		if _, now, _ := e.view.holder(); now == held && e.leaseID() != 0 {
 			e.o.Log.Info().Str("leader", leader.Member.Name).Uint64("epoch", leader.Epoch).Int("pings_missed", j.missed).
 				Int("taken_of_late", len(j.taken)).Msg("leader does not serve, claiming")
 			j.tried(time.Now())
@@ -197,7 +200,7 @@
 	for _, m := range members[:min(len(members), witnesses)] {
 		wg.Go(func() {
 			var r heardReply
-			_, err := e.o.Peers.CallAddr(ctx, m.Peer, methodHeard, heardRequest{Leader: leader}, &r)
+			_, err := e.o.Peers.CallAddr(ctx, m.Peer, e.method(methodHeard), heardRequest{Leader: leader}, &r)
 			mu.Lock()
 			defer mu.Unlock()
 			switch {
--- a/process/relay/bench_test.go
+++ b/process/relay/bench_test.go
@@ -36,7 +36,7 @@
 		ctx, cancel := context.WithCancel(b.Context())
 		defer cancel()
 		s := NewServer(&fakeWorkers{}, nil, zerolog.Nop())
-		s.current(4) // the orders are refused, so that nothing is carried out
+		s.current(0, 4) // the orders are refused, so that nothing is carried out
 		go func() { _ = s.Serve(ctx, tls.NewListener(l, config)) }()
 		line := &line{addr: l.Addr().String(), heard: func([]outcome) {}, dial: Dialer(time.Second, func(ctx context.Context, c net.Conn) (net.Conn, error) {
 			secured := tls.Client(c, config)
--- a/process/relay/message.go
+++ b/process/relay/message.go
@@ -63,7 +63,8 @@
 // orders is a frame from the leader to a relay.
 type orders struct {
 	Epoch  uint64  `cbor:"1,keyasint"`
-	Number uint64  `cbor:"2,keyasint"` // of the frame on its connection
+	Number uint64  `cbor:"2,keyasint"`           // of the frame on its connection
+	Part   int     `cbor:"5,keyasint,omitempty"` // of the cell, whose epoch it is
 	Texts  []text  `cbor:"3,keyasint,omitempty"`
 	Orders []order `cbor:"4,keyasint"`
 }
--- a/process/relay/relay_test.go
+++ b/process/relay/relay_test.go
@@ -363,7 +363,7 @@
 		c := newCell(t, 0.1, "a", "b", "c")
 		c.renewAll(t, 60)
 		for _, name := range []string{"a", "b", "c"} {
-			require.True(t, c.servers[name].current(5))
+			require.True(t, c.servers[name].current(0, 5))
 		}
 		errs := c.startAll(t, 60, runner.Start{Task: work.TaskID{Job: "j"}, Run: 1, Spec: "x", Epoch: 4})
 		for _, err := range errs {
--- a/process/relay/runner.go
+++ b/process/relay/runner.go
@@ -50,6 +50,7 @@
 	Direct runner.Runner
 	// Dial opens a connection to the address where a daemon takes orders.
 	Dial    func(ctx context.Context, addr string) (net.Conn, error)
+	Part    int // of the cell
 	Epoch   uint64
 	Self    lead.Member
 	Members func() []lead.Member
@@ -482,7 +483,7 @@
 
 // message puts orders together with the texts that the relay could not get.
 func (r *Runner) message(batch []*pending) *orders {
-	m := &orders{Epoch: r.o.Epoch, Orders: make([]order, len(batch))}
+	m := &orders{Part: r.o.Part, Epoch: r.o.Epoch, Orders: make([]order, len(batch))}
 	for i, p := range batch {
 		m.Orders[i] = p.order
 		if p.text != nil {
--- a/process/relay/server.go
+++ b/process/relay/server.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -50,14 +51,14 @@
 	stats  ServerStats
 	texts  *texts
 
-	mu    sync.Mutex
-	epoch uint64 // the highest seen
-	conns map[net.Conn]bool
+	mu     sync.Mutex
+	epochs map[int]uint64 // the highest seen of each part
+	conns  map[net.Conn]bool
 }
 
 // NewServer returns a relay that calls workers through direct.
 func NewServer(direct runner.Runner, peers Caller, log zerolog.Logger) *Server {
-	return &Server{direct: direct, log: log, texts: newTexts(peers), conns: map[net.Conn]bool{}}
+	return &Server{direct: direct, log: log, texts: newTexts(peers), conns: map[net.Conn]bool{}, epochs: map[int]uint64{}}
 }
 
 // Stats returns the live counters.
@@ -133,18 +134,18 @@
 	delete(s.conns, conn)
 }
 
-// current raises the epoch, and reports whether orders of that epoch stand.
-func (s *Server) current(epoch uint64) bool {
+// current raises a part's epoch, and reports whether orders of that epoch stand.
+func (s *Server) current(part int, epoch uint64) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.epoch = max(s.epoch, epoch)
-	return epoch == s.epoch
+	s.epochs[part] = max(s.epochs[part], epoch)
+	return epoch == s.epochs[part]
 }
 
-func (s *Server) highest() uint64 {
+func (s *Server) highest(part int) uint64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.epoch
+	return s.epochs[part]
 }
 
 // leaderConn is one connection of a leader.
@@ -152,6 +153,7 @@
 	s    *Server
 	conn net.Conn
 	out  *outbox[outcome]
+	part atomic.Int64 // of the leader
 
 	write sync.Mutex
 }
@@ -159,7 +161,8 @@
 // take answers a frame of orders at once, with the outcomes that wait, and carries
 // the orders out.
 func (c *leaderConn) take(m *orders) {
-	if !c.s.current(m.Epoch) {
+	c.part.Store(int64(m.Part))
+	if !c.s.current(m.Part, m.Epoch) {
 		c.s.stats.Refused.Add(int64(len(m.Orders)))
 		c.tell(told{Taken: m.Number})
 		return
@@ -176,7 +179,7 @@
 // tell writes a frame. A connection that can not be written is closed: the leader
 // gives the orders up by their time.
 func (c *leaderConn) tell(t told) {
-	t.Epoch = c.s.highest()
+	t.Epoch = c.s.highest(int(c.part.Load()))
 	frame, err := peer.EncodeFrame(t)
 	if err == nil {
 		c.write.Lock()
--- a/process/settings/cell.go
+++ b/process/settings/cell.go
@@ -47,10 +47,13 @@
 	CPUShare float64 `json:"cpu_share"`
 	Cores    float64 `json:"cores"`
 	// LinkMbps is what the VM's link carries, in Mbit/s; 0 for not known.
-	LinkMbps float64        `json:"link_mbps"`
-	Bounds   JobCellBounds  `json:"bounds"`
-	LogLevel string         `json:"log_level"`
-	Tuning   *JobCellTuning `json:"tuning,omitempty"`
+	LinkMbps float64       `json:"link_mbps"`
+	Bounds   JobCellBounds `json:"bounds"`
+	LogLevel string        `json:"log_level"`
+	// Bootstrap is true only while the whole cell starts for the first time: then its
+	// first leader waits for workers to register, and may divide the cell.
+	Bootstrap bool           `json:"bootstrap"`
+	Tuning    *JobCellTuning `json:"tuning,omitempty"`
 	// Policy switches mechanisms of scheduling off, or sets their figures.
 	Policy dispatch.Policy `json:"policy"`
 }
--- a/request/submit/cancel.go
+++ b/request/submit/cancel.go
@@ -91,7 +91,7 @@
 }
 
 func (s *Service) handOverCancel(ctx context.Context, id work.JobID) bool {
-	return s.askHelpers(ctx, MethodCancel, stateRequest{ID: id}, func(_ handedOver, err error) {
+	return s.askHelpers(ctx, s.method(MethodCancel), stateRequest{ID: id}, func(_ handedOver, err error) {
 		s.o.Log.Debug().Err(err).Str("job", string(id)).Msg("cancellation not taken over")
 	})
 }
--- a/request/submit/peer.go
+++ b/request/submit/peer.go
@@ -60,15 +60,18 @@
 }
 
 // Stats returns the live counters.
-func (s *Service) Stats() *Stats { return &s.stats }
+func (s *Service) Stats() *Stats { return s.stats }
+
+// method returns the part's own name of a method.
+func (s *Service) method(m peer.Method) peer.Method { return m + peer.Method(s.o.Suffix) }
 
 // Register serves the methods for other daemons.
 func (s *Service) Register(r peer.Registrar) {
-	r.Handle(MethodOffer, peer.Typed(s.serveOffer))
-	r.Handle(MethodHandOver, peer.Typed(s.serveHandOver))
-	r.Handle(MethodCancel, peer.Typed(s.serveCancel))
-	r.Handle(MethodState, peer.Typed(s.serveState))
-	r.Handle(MethodPending, peer.Typed(s.servePending))
+	r.Handle(s.method(MethodOffer), peer.Typed(s.serveOffer))
+	r.Handle(s.method(MethodHandOver), peer.Typed(s.serveHandOver))
+	r.Handle(s.method(MethodCancel), peer.Typed(s.serveCancel))
+	r.Handle(s.method(MethodState), peer.Typed(s.serveState))
+	r.Handle(s.method(MethodPending), peer.Typed(s.servePending))
 }
 
 func (s *Service) serveOffer(_ context.Context, o offer) (any, error) {
--- a/request/submit/submit.go
+++ b/request/submit/submit.go
@@ -86,12 +86,26 @@
 	Peers    Caller
 	// Leading returns the host of this daemon's term, nil when it does not lead.
 	Leading func() *dispatch.Host
+	// Guards are checked with each hand-in, beside the job's own keys: nil for none.
+	Guards func(id work.JobID) Guards
+	// Suffix tells the methods of a part of the cell from those of others.
+	Suffix string
+	// Stats are counted on; nil for counters of its own.
+	Stats *Stats
 	// Texts keeps the specs of accepted jobs for the daemons that start their tasks;
 	// may be nil.
 	Texts Texts
 	Log   zerolog.Logger
 }
 
+// Guards are what a hand-in demands beside its own keys.
+type Guards struct {
+	// Layout must not have changed since it was read.
+	Layout store.Check
+	// Elsewhere are keys under which the job may have been handed in to another part.
+	Elsewhere []string
+}
+
 // Texts keeps specs in memory.
 type Texts interface {
 	Keep(id work.JobID, spec string)
@@ -103,7 +117,7 @@
 // Service is one daemon's end of the jobs' interface.
 type Service struct {
 	o      Options
-	stats  Stats
+	stats  *Stats
 	probes singleflight.Group
 	// short: the leader wants to hear of jobs without their specs.
 	short atomic.Bool
@@ -118,7 +132,12 @@
 }
 
 // New returns a service.
-func New(o Options) *Service { return &Service{o: o, pending: map[string]count{}} }
+func New(o Options) *Service {
+	if o.Stats == nil {
+		o.Stats = &Stats{}
+	}
+	return &Service{o: o, stats: o.Stats, pending: map[string]count{}}
+}
 
 // unavailable is a refusal that is certain: nothing was accepted.
 func unavailable(code string, err error) error {
@@ -268,14 +287,33 @@
 // create makes one try to write the job. All tries are alike, and at most one
 // takes effect.
 func (s *Service) create(ctx context.Context, id work.JobID, value []byte) error {
-	_, err := s.o.Store.Commit(ctx, store.Txn{
+	txn := store.Txn{
 		Checks: []store.Check{{Key: dispatch.KeyIn(id)}, {Key: dispatch.KeyState(id)}},
 		Writes: []store.Write{{Key: dispatch.KeyIn(id), Value: value}},
-	})
+	}
+	var guards Guards
+	if s.o.Guards != nil {
+		guards = s.o.Guards(id)
+		txn.Checks = append(txn.Checks, guards.Layout)
+		for _, key := range guards.Elsewhere {
+			txn.Checks = append(txn.Checks, store.Check{Key: key})
+		}
+	}
+	_, err := s.o.Store.Commit(ctx, txn)
 	var conflict *store.ConflictError
 	if !errors.As(err, &conflict) {
 		return err
 	}
+	if guards.Layout.Key != "" {
+		if layout, _ := conflict.Find(guards.Layout.Key); layout.Revision != guards.Layout.Revision {
+			return errLayout
+		}
+	}
+	for _, key := range guards.Elsewhere {
+		if _, exists := conflict.Find(key); exists {
+			return nil // handed in before the cell was divided; that stands
+		}
+	}
 	if _, exists := conflict.Find(dispatch.KeyIn(id)); exists {
 		return nil // handed in before; the first stands
 	}
@@ -289,6 +327,9 @@
 	return fmt.Errorf("%w: neither key exists now", store.ErrUnknownOutcome)
 }
 
+// errLayout: the cell was divided since this daemon last heard; nothing was written.
+var errLayout = fmt.Errorf("%w: the cell's layout has changed", store.ErrUnavailable)
+
 // commit makes one bounded transaction.
 func (s *Service) commit(ctx context.Context, t store.Txn) error {
 	return s.o.Patience.Call(ctx, func(ctx context.Context) error {
@@ -334,7 +375,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), pushTimeout)
 		defer cancel()
 		var r offered
-		if _, err := s.o.Peers.CallAddr(ctx, leader.Peer, MethodOffer, offer{Key: entry.Key, Value: entry.Value}, &r); err != nil {
+		if _, err := s.o.Peers.CallAddr(ctx, leader.Peer, s.method(MethodOffer), offer{Key: entry.Key, Value: entry.Value}, &r); err != nil {
 			s.o.Log.Debug().Err(err).Str("key", entry.Key).Msg("leader not told, its watch will")
 			return
 		}
@@ -379,7 +420,7 @@
 // handOver lets other daemons write a job. maybe tells that one may have done
 // so without an answer.
 func (s *Service) handOver(ctx context.Context, id work.JobID, value []byte) (took, maybe bool) {
-	took = s.askHelpers(ctx, MethodHandOver, offer{Key: string(id), Value: value}, func(r handedOver, err error) {
+	took = s.askHelpers(ctx, s.method(MethodHandOver), offer{Key: string(id), Value: value}, func(r handedOver, err error) {
 		maybe = maybe || r.Maybe || (err != nil && !peer.NotRun(err))
 	})
 	if !took {
@@ -415,7 +456,7 @@
 	err := s.askLeader(ctx, func(ctx context.Context, h *dispatch.Host) (err error) {
 		r.State, r.Known, err = h.State(ctx, id)
 		return err
-	}, MethodState, stateRequest{ID: id}, &r)
+	}, s.method(MethodState), stateRequest{ID: id}, &r)
 	if err == nil && r.Known {
 		return r.State, nil
 	}
@@ -486,7 +527,7 @@
 	err := s.askLeader(ctx, func(ctx context.Context, h *dispatch.Host) (err error) {
 		r.N, err = h.Pending(ctx, queue)
 		return err
-	}, MethodPending, pendingRequest{Queue: queue}, &r)
+	}, s.method(MethodPending), pendingRequest{Queue: queue}, &r)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err == nil {
