--- a/cmd/fennelshuntd/main.go
+++ b/cmd/fennelshuntd/main.go
@@ -13,6 +13,7 @@
 	"github.com/rs/zerolog"
 
 	"fennelshunt.example/fennelshunt/command/startflags"
+	"fennelshunt.example/fennelshunt/internal/liblog"
 	"fennelshunt.example/fennelshunt/process/daemon"
 	"fennelshunt.example/fennelshunt/process/settings"
 )
@@ -51,7 +52,7 @@
 // serve runs the daemon until a signal asks for a planned stop; a second
 // signal ends it at once.
 func serve(o daemon.Options) error {
-	daemon.RedirectStandardLog(o.Log)
+	liblog.Redirect(o.Log)
 	d, err := daemon.New(o)
 	if err != nil {
 		return err
--- a/command/bench/experiment.go
+++ b/command/bench/experiment.go
@@ -8,6 +8,7 @@
 	"io"
 	"maps"
 	"math"
+	"os"
 	"path/filepath"
 	"runtime"
 	"slices"
@@ -77,6 +78,13 @@
 			return err
 		}
 	}
+	if o.Plots == "" {
+		return nil
+	}
+	// Made before the runs, which take a minute, rather than missed after them.
+	if err := os.MkdirAll(o.Plots, 0o755); err != nil {
+		return fmt.Errorf("flag -plots: %w", err)
+	}
 	return nil
 }
 
--- a/command/jobd/jobd.go
+++ b/command/jobd/jobd.go
@@ -19,6 +19,7 @@
 
 	"fennelshunt.example/fennelshunt/command/startflags"
 	"fennelshunt.example/fennelshunt/connection/traffic"
+	"fennelshunt.example/fennelshunt/internal/liblog"
 	"fennelshunt.example/fennelshunt/platform"
 	"fennelshunt.example/fennelshunt/process/cellnode"
 	"fennelshunt.example/fennelshunt/process/settings"
@@ -63,6 +64,7 @@
 	defer func() { _ = out.Close() }() // nothing is left to log it to
 	zerolog.TimeFieldFormat = logTime
 	log := zerolog.New(out).Level(level).With().Timestamp().Str("daemon", s.Name).Logger()
+	liblog.Redirect(log)
 	if s.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(float64(s.MemoryMB<<20) * memoryShare))
 	}
--- a/connection/traffic/traffic.go
+++ b/connection/traffic/traffic.go
@@ -114,7 +114,10 @@
 // Conn is a connection whose bytes are counted.
 type Conn struct {
 	net.Conn
-	meter          *Meter
+	meter *Meter
+	// kind, unless "", counts what goes over the connection as it goes; else the
+	// bytes of a call are read off by Bytes.
+	kind           Kind
 	sent, received atomic.Int64
 	closed         atomic.Bool
 }
@@ -129,10 +132,21 @@
 	return &Conn{Conn: c, meter: m}
 }
 
+// WrapAll is Wrap for a connection that serves one kind only: each write counts as a
+// call, with its bytes, as it is made.
+func (m *Meter) WrapAll(k Kind, c net.Conn) *Conn {
+	conn := m.Wrap(k, c)
+	conn.kind = k
+	return conn
+}
+
 // Read implements net.Conn.
 func (c *Conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	c.received.Add(int64(n))
+	if c.kind != "" {
+		c.meter.change(c.kind, func(k *Counts) { k.Received += uint64(max(n, 0)) })
+	}
 	return n, err
 }
 
@@ -140,6 +154,9 @@
 func (c *Conn) Write(b []byte) (int, error) {
 	n, err := c.Conn.Write(b)
 	c.sent.Add(int64(n))
+	if c.kind != "" {
+		c.meter.Add(c.kind, int64(n), 0)
+	}
 	return n, err
 }
 
--- a/process/cellnode/metrics.go
+++ b/process/cellnode/metrics.go
@@ -113,6 +113,8 @@
 	n.metrics.Set("cancelled", &s.Cancelled)
 	n.metrics.Set("latency", &n.latencies)
 	n.metrics.Set("traffic", n.o.Traffic)
+	n.relayed.Each(n.metrics.Set)
+	n.relay.Stats().Each(n.metrics.Set)
 	if n.o.Dropped != nil {
 		n.metrics.Set("log_lines_dropped", expvar.Func(func() any { return n.o.Dropped() }))
 	}
--- a/process/daemon/http.go
+++ b/process/daemon/http.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"fennelshunt.example/fennelshunt/internal/liblog"
 	"net"
 	"net/http"
 	"time"
@@ -36,7 +37,7 @@
 			<-ended // the process ends when every service has
 		}
 	}()
-	h.server.ErrorLog = errorLog(h.l.log)
+	h.server.ErrorLog = liblog.ForServer(h.l.log)
 	var l net.Listener = &keptListener{Listener: h.listener, ctx: ctx}
 	if h.tls != nil {
 		l = tls.NewListener(l, h.tls)
--- a/process/relay/runner.go
+++ b/process/relay/runner.go
@@ -68,6 +68,14 @@
 	Down    expvar.Int // relays taken out of use
 }
 
+// Each calls f with the name and value of every counter.
+func (s *Stats) Each(f func(name string, v expvar.Var)) {
+	f("orders_relayed", &s.Relayed)
+	f("orders_direct", &s.Direct)
+	f("orders_again", &s.Again)
+	f("relays_down", &s.Down)
+}
+
 // Runner gives a leader's orders to relays. It implements runner.Runner for one
 // term; ctx of New ends with it.
 type Runner struct {
--- a/process/relay/server.go
+++ b/process/relay/server.go
@@ -44,6 +44,13 @@
 	Dropped expvar.Int // outcomes that did not reach the leader
 }
 
+// Each calls f with the name and value of every counter.
+func (s *ServerStats) Each(f func(name string, v expvar.Var)) {
+	f("orders_carried", &s.Carried)
+	f("orders_refused", &s.Refused)
+	f("outcomes_dropped", &s.Dropped)
+}
+
 // Server carries out the orders of whoever leads. Safe for concurrent use.
 type Server struct {
 	direct runner.Runner
