A relay that stays lost is left alone longer each time

Cause, found by reading: an order that was lost with its relay counted as the relay's answer, which reset the doubling of its pause; a relay gone for good lost orders each second until it was out of the list of daemons.

TestRelayThatStaysLostIsLeftAloneLonger failed before; at most five pauses in 20 s now.

--- a/process/relay/relay_test.go
+++ b/process/relay/relay_test.go
@@ -475,6 +475,24 @@
 	})
 }
 
+func TestRelayThatStaysLostIsLeftAloneLonger(t *testing.T) {
+	// Symptom looked for: orders are lost each second on a relay that is gone for good.
+	synctest.Test(t, func(t *testing.T) {
+		c := newCell(t, 0.1, "a", "b", "c", "d")
+		c.servers["a"].Keep("j", "spec")
+		c.renewAll(t, 60)
+		c.silence("b")
+		for range 80 { // 20 s
+			for _, err := range c.startAll(t, 60, runner.Start{Task: work.TaskID{Job: "j"}, Run: 1, Home: "a"}) {
+				require.NoError(t, err)
+			}
+			time.Sleep(250 * time.Millisecond)
+		}
+		require.LessOrEqual(t, c.stats.Down.Value(), int64(5), "after 1, 2, 4 and 8 s")
+		c.end()
+	})
+}
+
 func TestSlowLeaderDoesNotTakeItsRelaysForLost(t *testing.T) {
 	// Symptom: 600 times in a minute a relay is taken out of use, and the leader, whose
 	//   processor is full, makes every call itself.
--- a/process/relay/runner.go
+++ b/process/relay/runner.go
@@ -298,6 +298,9 @@
 		r.missed(l, worker)
 		return nil, err
 	}
+	if errors.Is(err, errLost) {
+		return nil, err // the relay has told nothing
+	}
 	r.mu.Lock()
 	l.missed, l.downFor = 0, 0
 	r.mu.Unlock()
