Stop gangs that a successor takes over without all of their members

Ruled out: a relay that holds starts back (the member's start was sent by epoch 1, the next run by epoch 3).

TestGangOfWhichOnlySomeWereStartedIsStopped failed before; TestGangThatWorksIsNotStoppedForAMemberOutOfSight guards the other side.

--- a/process/dispatch/engine.go
+++ b/process/dispatch/engine.go
@@ -315,6 +315,7 @@
 	e.openTimed()
 	e.retryAdvice()
 	e.expireHolds()
+	e.breakPartial()
 	e.forget()
 	e.scheduled = false
 }
--- a/process/dispatch/gang_test.go
+++ b/process/dispatch/gang_test.go
@@ -248,3 +248,47 @@
 	}
 	require.False(t, s.heldSeats)
 }
+
+func TestGangOfWhichOnlySomeWereStartedIsStopped(t *testing.T) {
+	// Symptom: a member of a gang waits for the others until its worker ends it.
+	// Sequence: the leader is replaced between the starts of the members; its successor
+	//   finds one of them, and no trace of the other.
+	// Cause: the successor took the one over and started nothing beside it.
+	b := newBench(t, 2, "w-a", "w-b")
+	gang := oneTask()
+	gang.Count, gang.Gang = 2, true
+	require.NoError(t, b.e.Load(0, Saved{Accepted: []store.Entry{jobEntry(t, 1, 2, gang)}}))
+	b.step(50 * time.Millisecond)
+	member := runner.Live{Task: work.TaskID{Job: testJob}, Run: 1}
+	b.report("w-a", runner.Report{Clock: time.Second, Running: []runner.Live{member}})
+	b.report("w-b", runner.Report{Clock: time.Second})
+	b.step(300 * time.Millisecond)
+	require.Empty(t, b.stops(), "the other may come yet")
+	b.step(400 * time.Millisecond)
+	require.Equal(t, []SendStop{{To: runner.Ref{ID: "w-a"}, Task: member.Task, Run: 1}}, b.stops())
+}
+
+func TestGangThatWorksIsNotStoppedForAMemberOutOfSight(t *testing.T) {
+	// Symptom looked for: a gang at work is stopped since one of its workers does not
+	//   answer the new leader.
+	b := newBench(t, 2, "w-a")
+	gang := oneTask()
+	gang.Count, gang.Gang = 2, true
+	require.NoError(t, b.e.Load(0, Saved{Accepted: []store.Entry{jobEntry(t, 1, 2, gang)}}))
+	b.step(50 * time.Millisecond)
+	b.report("w-a", runner.Report{Clock: time.Second, Running: []runner.Live{{Task: work.TaskID{Job: testJob}, Run: 1, Percent: 3}}})
+	b.step(2 * time.Second)
+	require.Empty(t, b.stops())
+}
+
+// stops returns and forgets the stops that were sent.
+func (b *bench) stops() []SendStop {
+	var all []SendStop
+	for _, x := range b.out {
+		if s, ok := x.(SendStop); ok {
+			all = append(all, s)
+		}
+	}
+	b.out = nil
+	return all
+}
