Take back the longer patience, the early choice of relays, the longer reading and parts by link

Which of the four does it was not told apart; the most likely is that a leader that can not catch up is now left in place for up to 45 s. The findings stay open: the first calls of a new leader go directly, takeovers are counted only by daemons that watch, and a state that takes over 3 s to read is read again and again.

--- a/process/cellnode/layout.go
+++ b/process/cellnode/layout.go
@@ -21,9 +21,6 @@
 	// workersPerLeaderCore: a leader uses some 0.33 of a core for 1,000 workers under
 	// full load, and three times that in bursts, of which 0.8 of a core carry the most.
 	workersPerLeaderCore = 1400
-	// workersPerLeaderMbit: with relays a leader takes 0.8 to 1.3 KB/s for each worker
-	// under full load, three fifths of a link at that number.
-	workersPerLeaderMbit = 60
 	// tolerance of a part over its size that does not make another one.
 	tolerance = 0.2
 	// ableShare: daemons with that share of the leader's processor time can lead a part
@@ -133,10 +130,6 @@
 	if leader.Cores <= 0 {
 		return 1
 	}
-	most := leader.Cores * workersPerLeaderCore
-	if leader.LinkMbps > 0 {
-		most = min(most, leader.LinkMbps*workersPerLeaderMbit)
-	}
-	parts := int(math.Ceil(float64(workers)/most - tolerance))
+	parts := int(math.Ceil(float64(workers)/(leader.Cores*workersPerLeaderCore) - tolerance))
 	return max(1, min(parts, able))
 }
--- a/process/dispatch/host.go
+++ b/process/dispatch/host.go
@@ -115,8 +115,8 @@
 // worker is called: a run whose job is not known would be stopped.
 func (h *Host) load(ctx context.Context) (store.Revision, error) {
 	began := time.Now()
-	for try := 0; ; try++ {
-		rev, saved, err := h.readAll(ctx, loadBound(try))
+	for {
+		rev, saved, err := h.readAll(ctx)
 		if err == nil {
 			if bad := h.engine.Load(h.now(), saved); bad != nil {
 				h.o.Log.Error().Err(bad).Msg("entries of the store can not be read and are left alone")
@@ -131,8 +131,8 @@
 	}
 }
 
-func (h *Host) readAll(ctx context.Context, bound time.Duration) (rev store.Revision, saved Saved, err error) {
-	ctx, cancel := context.WithTimeout(ctx, bound)
+func (h *Host) readAll(ctx context.Context) (rev store.Revision, saved Saved, err error) {
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
 	var wg sync.WaitGroup
 	var jobsErr, statesErr, bundlesErr, fleetErr error
@@ -163,19 +163,8 @@
 	return true, nil
 }
 
-// loadTimeout bounds the first reading of the whole state; each further try may take
-// twice as long, up to loadDoublings times.
-const (
-	loadTimeout   = 3 * time.Second
-	loadDoublings = 3
-)
-
-// loadBound returns how long a try of reading the state may take, from 0 on.
-//
-// What goes wrong with a fixed bound: over a link of 2 Mbit/s the state of 400 jobs, 0.7 MB,
-// takes 3 s; it is given up just before its end and read from the beginning, again and
-// again, and fills the link for as long as the term lasts.
-func loadBound(try int) time.Duration { return loadTimeout << min(try, loadDoublings) }
+// loadTimeout bounds one reading of the whole state.
+const loadTimeout = 3 * time.Second
 
 // loop owns the engine.
 func (h *Host) loop(ctx context.Context) {
--- a/process/lead/witness.go
+++ b/process/lead/witness.go
@@ -140,14 +140,12 @@
 	var j judgement
 	for sleep.For(ctx, pingPause) == nil {
 		leader, held, ok := e.view.holder()
-		if ok {
-			j.follow(leader, time.Now()) // also while this daemon leads, or does not watch
-		}
 		rank, fits := e.rank(leader.Member)
 		if !ok || !fits || leader.Member.same(e.o.Self) || e.stopping.Load() || e.view.Epoch() > leader.Epoch || e.busy() {
 			j.missed = 0
 			continue
 		}
+		j.follow(leader, time.Now())
 		if reply, err := e.ping(ctx, leader.Member); err == nil && (reply.serves() || (reply.Leads && e.StoreTrouble(ownTroubleMemory))) {
 			j.missed = 0
 			continue
--- a/process/relay/lanes.go
+++ b/process/relay/lanes.go
@@ -11,11 +11,6 @@
 	"fennelshunt.example/fennelshunt/version/work"
 )
 
-// moreWorkers times as many workers as at the last choice make another one at once. What
-// goes wrong without it: a new leader calls all workers within a few milliseconds, directly,
-// since none was known when it chose, and fills a small link at the very start.
-const moreWorkers = 2
-
 // lane is the way over one relay.
 type lane struct {
 	member lead.Member
@@ -106,7 +101,7 @@
 		r.workers[id] = t
 	}
 	t.called = now
-	if now.Sub(r.choseAt) >= choosePeriod || len(r.workers) > moreWorkers*r.choseFor {
+	if now.Sub(r.choseAt) >= choosePeriod {
 		r.choose(now)
 	}
 	if now.Before(t.directUntil) {
@@ -120,7 +115,7 @@
 
 // choose picks the relays.
 func (r *Runner) choose(now time.Time) {
-	r.choseAt, r.choseFor = now, len(r.workers)
+	r.choseAt = now
 	for id, t := range r.workers {
 		if now.Sub(t.called) > keepWorker {
 			delete(r.workers, id)
--- a/process/relay/runner.go
+++ b/process/relay/runner.go
@@ -82,15 +82,14 @@
 	ctx   context.Context
 	stats *Stats
 
-	mu       sync.Mutex
-	workers  map[runner.WorkerID]*target
-	lanes    map[string]*lane // by the relay's name
-	chosen   []*lane
-	choseAt  time.Time
-	choseFor int           // workers
-	rtt      time.Duration // of messages that relays answered, decaying
-	seq      uint64
-	waiting  map[uint64]*pending
+	mu      sync.Mutex
+	workers map[runner.WorkerID]*target
+	lanes   map[string]*lane // by the relay's name
+	chosen  []*lane
+	choseAt time.Time
+	rtt     time.Duration // of messages that relays answered, decaying
+	seq     uint64
+	waiting map[uint64]*pending
 }
 
 var _ runner.Runner = (*Runner)(nil)
