--- a/process/relay/relay_test.go
+++ b/process/relay/relay_test.go
@@ -517,3 +517,20 @@
 		c.end()
 	})
 }
+func TestNewLeaderCallsItsWorkersOverRelaysAtOnce(t *testing.T) {
+	// Symptom: a leader with a small link misses pings as soon as it has begun, and is
+	//   replaced by one that does the same.
+	// Sequence: it calls each of its workers for the first time.
+	// Cause: it chose relays by the workers that it had called before.
+	synctest.Test(t, func(t *testing.T) {
+		c := newCell(t, 0.1, "a", "b", "c", "d")
+		var wg sync.WaitGroup
+		for i := range 120 {
+			wg.Go(func() { _, _ = c.orders.Renew(bound(t, time.Second), worker(i), runner.Renewal{Epoch: 4}) })
+		}
+		wg.Wait()
+		require.LessOrEqual(t, c.stats.Direct.Value(), int64(64), "what it can carry alone")
+		require.GreaterOrEqual(t, c.stats.Relayed.Value(), int64(56))
+		c.end()
+	})
+}
