One function decodes a layout, one branch names a part

Read once more: DecodeLayout only called its unexported twin, and newPart asked twice whether it builds part 0. Behaviour is the same; vet, staticcheck and the tests of process/lead, process/cellnode and the divided cell over the wire pass. Nothing else was run after this.

--- a/process/cellnode/part.go
+++ b/process/cellnode/part.go
@@ -32,13 +32,10 @@
 // newPart builds a part; main is nil for part 0.
 func (n *Node) newPart(index int, main *lead.Elector) *part {
 	p := &part{n: n, index: index, store: n.o.Store}
-	suffix := ""
+	suffix, log := "", n.log
 	if index > 0 {
 		p.store = store.Prefixed{Transactor: n.o.Store, Prefix: lead.PartPrefix(index)}
 		suffix = fmt.Sprintf(".%d", index)
-	}
-	log := n.log
-	if index > 0 {
 		log = n.log.With().Int("part", index).Logger()
 	}
 	p.elector = lead.New(lead.Options{Self: n.self, Store: p.store, Log: log, Patience: n.patience, Lead: p.lead,
--- a/process/lead/layout.go
+++ b/process/lead/layout.go
@@ -44,7 +44,8 @@
 // Encode returns the record of the layout.
 func (l Layout) Encode() []byte { return encode(l) }
 
-func decodeLayout(e store.Entry) (Layout, error) {
+// DecodeLayout reads the record of a layout.
+func DecodeLayout(e store.Entry) (Layout, error) {
 	var l Layout
 	if err := peer.Unmarshal(e.Value, &l); err != nil {
 		return One, fmt.Errorf("lead: layout: %w", err)
@@ -55,6 +56,3 @@
 	l.Revision = e.Revision
 	return l, nil
 }
-
-// DecodeLayout reads the record of a layout.
-func DecodeLayout(e store.Entry) (Layout, error) { return decodeLayout(e) }
--- a/process/lead/view.go
+++ b/process/lead/view.go
@@ -213,7 +213,7 @@
 		return
 	}
 	if e.Key == KeyLayout {
-		l, err := decodeLayout(e)
+		l, err := DecodeLayout(e)
 		if err != nil {
 			v.unreadable(e.Key, err)
 			return
