The bound of a reading grows until the reading is through

A listing that takes over 3 s, of the state at a takeover or of a tracker, was given up and begun anew with the same bound, for ever. Each try that runs out of time now doubles the bound, to eight times; a refusal does not.

--- /dev/null
+++ b/connection/store/readbound_test.go
@@ -0,0 +1,48 @@
+package store
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestReadBoundGrowsUntilTheReadingIsThrough(t *testing.T) {
+	// Symptom: a store's listing is read again and again and never known.
+	// Sequence: it takes 19 s over a small link; the bound of a try is 3 s.
+	// Cause: each try is given up and begun anew with the same bound.
+	synctest.Test(t, func(t *testing.T) {
+		b := ReadBound{First: 3 * time.Second}
+		read := func(takes time.Duration) error {
+			return b.Try(t.Context(), func(ctx context.Context) error {
+				select {
+				case <-ctx.Done():
+					return ctx.Err()
+				case <-time.After(takes):
+					return nil
+				}
+			})
+		}
+		began := time.Now()
+		for range 3 {
+			require.ErrorIs(t, read(19*time.Second), context.DeadlineExceeded)
+		}
+		require.Equal(t, 21*time.Second, time.Since(began), "3, 6 and 12 s")
+		require.NoError(t, read(19*time.Second))
+		began = time.Now()
+		require.Error(t, read(time.Minute), "after one that was through the first bound holds again")
+		require.Equal(t, 3*time.Second, time.Since(began))
+	})
+}
+
+func TestReadBoundStaysWhereTheStoreRefuses(t *testing.T) {
+	b := ReadBound{First: time.Second}
+	refused := errors.New("refused")
+	for range 5 {
+		require.ErrorIs(t, b.Try(t.Context(), func(context.Context) error { return refused }), refused)
+	}
+	require.Zero(t, b.doublings, "a refusal says nothing of how long the reading takes")
+}
--- a/connection/store/track.go
+++ b/connection/store/track.go
@@ -22,8 +22,9 @@
 	Watch func(ctx context.Context, after Revision, wait time.Duration) (Revision, error)
 	// From is the revision to watch from, 0 to read first.
 	From Revision
-	// ReadLimit bounds a read. Wait bounds a watch, and Grace how long after that
-	// it may be answered, so that a silent connection is noticed.
+	// ReadLimit bounds the first try of a read; see ReadBound. Wait bounds a watch, and
+	// Grace how long after that it may be answered, so that a silent connection is
+	// noticed.
 	ReadLimit, Wait, Grace time.Duration
 	// Pause is kept after each call, ErrorPause after one that failed.
 	Pause, ErrorPause time.Duration
@@ -39,8 +40,9 @@
 // Run follows until ctx ends.
 func (t *Tracker) Run(ctx context.Context) {
 	rev := t.From
+	read := ReadBound{First: t.ReadLimit}
 	for ctx.Err() == nil {
-		next, err := t.step(ctx, rev)
+		next, err := t.step(ctx, rev, &read)
 		rev = next
 		pause := t.Pause
 		if err != nil {
@@ -55,17 +57,17 @@
 }
 
 // step makes one call.
-func (t *Tracker) step(ctx context.Context, rev Revision) (Revision, error) {
-	limit := t.Wait + t.Grace
+func (t *Tracker) step(ctx context.Context, rev Revision, read *ReadBound) (next Revision, err error) {
 	if rev == 0 {
-		limit = t.ReadLimit
+		err = read.Try(ctx, func(ctx context.Context) error {
+			next, err = t.Read(ctx)
+			return err
+		})
+		return next, err
 	}
-	bounded, cancel := context.WithTimeout(ctx, limit)
+	bounded, cancel := context.WithTimeout(ctx, t.Wait+t.Grace)
 	defer cancel()
-	if rev == 0 {
-		return t.Read(bounded)
-	}
-	next, err := t.Watch(bounded, rev, t.Wait)
+	next, err = t.Watch(bounded, rev, t.Wait)
 	if errors.Is(err, ErrCompacted) {
 		t.Log.Warn().Str("what", t.What).Msg("its history is gone, reading it as a whole")
 		return 0, nil
--- a/process/dispatch/host.go
+++ b/process/dispatch/host.go
@@ -115,8 +115,14 @@
 // worker is called: a run whose job is not known would be stopped.
 func (h *Host) load(ctx context.Context) (store.Revision, error) {
 	began := time.Now()
+	bound := store.ReadBound{First: loadTimeout}
 	for {
-		rev, saved, err := h.readAll(ctx)
+		var rev store.Revision
+		var saved Saved
+		err := bound.Try(ctx, func(ctx context.Context) (err error) {
+			rev, saved, err = h.readAll(ctx)
+			return err
+		})
 		if err == nil {
 			if bad := h.engine.Load(h.now(), saved); bad != nil {
 				h.o.Log.Error().Err(bad).Msg("entries of the store can not be read and are left alone")
@@ -132,8 +138,6 @@
 }
 
 func (h *Host) readAll(ctx context.Context) (rev store.Revision, saved Saved, err error) {
-	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
-	defer cancel()
 	var wg sync.WaitGroup
 	var jobsErr, statesErr, bundlesErr, fleetErr error
 	wg.Go(func() { saved.Accepted, rev, jobsErr = h.o.Store.List(ctx, PrefixJobs) })
@@ -163,7 +167,7 @@
 	return true, nil
 }
 
-// loadTimeout bounds one reading of the whole state.
+// loadTimeout bounds the first reading of the whole state.
 const loadTimeout = 3 * time.Second
 
 // loop owns the engine.
