Relays are chosen anew while the workers that a new leader calls grow

Known fault: TestNewLeaderCallsItsWorkersOverRelaysAtOnce. Relays were chosen at most every 500 ms, for the workers called before: a new leader's first calls all went directly. Now they are chosen again at each doubling, and when there are more than the leader carries alone. The test passes; it stood unchanged.

--- a/process/relay/lanes.go
+++ b/process/relay/lanes.go
@@ -101,7 +101,7 @@
 		r.workers[id] = t
 	}
 	t.called = now
-	if now.Sub(r.choseAt) >= choosePeriod {
+	if now.Sub(r.choseAt) >= choosePeriod || r.outgrown() {
 		r.choose(now)
 	}
 	if now.Before(t.directUntil) {
@@ -113,9 +113,24 @@
 	return t.lane
 }
 
+// outgrown reports whether there are so many more workers than when the relays were
+// chosen that these are too few.
+//
+// Load pattern: a new leader calls all of its workers for the first time. What goes
+// wrong without it: the relays were chosen for the first of them, so it makes all
+// those calls itself, its link is full, and it looks dead as soon as it has begun.
+func (r *Runner) outgrown() bool {
+	now := len(r.workers)
+	return now >= growthChoice*r.choseFor || (len(r.chosen) == 0 && r.choseFor <= carries(r.o.Self) && now > carries(r.o.Self))
+}
+
+// growthChoice: relays are chosen anew when there are so many times the workers that
+// they were chosen for.
+const growthChoice = 2
+
 // choose picks the relays.
 func (r *Runner) choose(now time.Time) {
-	r.choseAt = now
+	r.choseAt, r.choseFor = now, max(len(r.workers), 1)
 	for id, t := range r.workers {
 		if now.Sub(t.called) > keepWorker {
 			delete(r.workers, id)
--- a/process/relay/runner.go
+++ b/process/relay/runner.go
@@ -87,9 +87,11 @@
 	lanes   map[string]*lane // by the relay's name
 	chosen  []*lane
 	choseAt time.Time
-	rtt     time.Duration // of messages that relays answered, decaying
-	seq     uint64
-	waiting map[uint64]*pending
+	// choseFor is the number of workers at the last choice.
+	choseFor int
+	rtt      time.Duration // of messages that relays answered, decaying
+	seq      uint64
+	waiting  map[uint64]*pending
 }
 
 var _ runner.Runner = (*Runner)(nil)
