Requests need a key in force of a client account, and jobs belong to theirs

Cause: fenneljobd knew no accounts.

A version of the configuration holds accounts (name, weight, cap, digests of keys). A job carries its account; callers of another one get 403, also for one that has ended (its progress tells whose it was).

Weighed: demanding keys wherever accounts are listed, or by the queue's own word; a configuration that has lost its last account may omit the list, so both count.

--- a/process/cellnode/catalog.go
+++ b/process/cellnode/catalog.go
@@ -48,7 +48,10 @@
 		if !c.now.CompareAndSwap(before, next) {
 			continue
 		}
-		c.log.Info().Int64("version", next.Version).Int("queues", len(next.Queues)).Msg("configuration in force")
+		c.log.Info().Int64("version", next.Version).Int("queues", len(next.Queues)).Int("accounts", len(next.Accounts.All())).Msg("configuration in force")
+		if next.Problems != nil {
+			c.log.Warn().Err(next.Problems).Int64("version", next.Version).Msg("part of the configuration can not be used as it stands")
+		}
 		if before == nil {
 			close(c.first)
 		}
--- a/process/dispatch/engine.go
+++ b/process/dispatch/engine.go
@@ -131,7 +131,7 @@
 	j := e.jobs[s.job]
 	if j == nil && s.progress.State.Final() {
 		// Its hand-in was removed when it ended.
-		j = &job{id: s.job, state: s.progress.State, visible: s.progress.State, endedAt: e.now, isShed: true}
+		j = &job{id: s.job, spec: &work.Job{Account: s.progress.Account}, state: s.progress.State, visible: s.progress.State, endedAt: e.now, isShed: true}
 		e.jobs[s.job] = j
 	}
 	if j == nil {
@@ -278,6 +278,14 @@
 	return j.visible, true
 }
 
+// Owner returns the account of a job that the engine knows, "" for none.
+func (e *Engine) Owner(id work.JobID) string {
+	if j := e.jobs[id]; j != nil {
+		return j.spec.Account
+	}
+	return ""
+}
+
 // Pending returns the number of a queue's jobs of which nothing has started.
 func (e *Engine) Pending(queue string) int {
 	n := 0
--- a/process/dispatch/host.go
+++ b/process/dispatch/host.go
@@ -249,10 +249,19 @@
 	}
 }
 
+// Shown is what a job's callers are shown, and whose they are.
+type Shown struct {
+	State   work.State
+	Account string
+}
+
 // State returns what callers may be shown of a job.
-func (h *Host) State(ctx context.Context, id work.JobID) (state work.State, known bool, err error) {
-	err = h.ask(ctx, func(e *Engine, _ time.Duration) { state, known = e.State(id) })
-	return state, known, err
+func (h *Host) State(ctx context.Context, id work.JobID) (shown Shown, known bool, err error) {
+	err = h.ask(ctx, func(e *Engine, _ time.Duration) {
+		shown.State, known = e.State(id)
+		shown.Account = e.Owner(id)
+	})
+	return shown, known, err
 }
 
 // Pending returns the number of a queue's jobs that have not begun.
--- a/process/dispatch/job.go
+++ b/process/dispatch/job.go
@@ -169,6 +169,7 @@
 		p.State = work.Running
 	}
 	if j.state.Final() {
+		p.Account = j.spec.Account
 		return p
 	}
 	p.Before = j.before
--- a/process/dispatch/occurrence.go
+++ b/process/dispatch/occurrence.go
@@ -124,7 +124,7 @@
 	}
 	j.isShed = true
 	j.occurrences = nil
-	j.spec = &work.Job{Queue: j.spec.Queue}
+	j.spec = &work.Job{Queue: j.spec.Queue, Account: j.spec.Account}
 }
 
 // mayOpen reports whether the job may hold one more occurrence. Each is held
--- a/process/dispatch/types.go
+++ b/process/dispatch/types.go
@@ -148,4 +148,7 @@
 // KeyState returns the key of a job's progress.
 func KeyState(id work.JobID) string { return PrefixState + string(id) }
 
+// IsState reports whether a key is one that KeyState returns, be it of another part.
+func IsState(key string) bool { return strings.Contains(key, PrefixState) }
+
 func jobOfState(key string) work.JobID { return work.JobID(strings.TrimPrefix(key, PrefixState)) }
--- a/request/submit/cancel.go
+++ b/request/submit/cancel.go
@@ -14,20 +14,20 @@
 // cancelPause is how long a cancellation leaves a store alone that fails calls.
 const cancelPause = 300 * time.Millisecond
 
-// Cancel ends a job. The error is ErrNoJob, when no such job exists and none
-// will, or a *verdict.Error.
-func (s *Service) Cancel(ctx context.Context, id work.JobID) error {
+// Cancel ends a job for callers of its account. The error is ErrNoJob, when no such job
+// exists and none will, or a *verdict.Error.
+func (s *Service) Cancel(ctx context.Context, id work.JobID, account string) error {
 	ctx, cancel := context.WithTimeout(ctx, submitBudget)
 	defer cancel()
 	var last error
 	for ctx.Err() == nil {
-		done, err := s.cancelOnce(ctx, id)
+		done, err := s.cancelOnce(ctx, id, account)
 		if done {
 			return err
 		}
 		last = err
 		if !errors.Is(err, store.ErrUnknownOutcome) && !errors.Is(err, store.ErrConflict) {
-			if s.handOverCancel(ctx, id) {
+			if s.handOverCancel(ctx, id, account) {
 				return nil
 			}
 		}
@@ -41,13 +41,20 @@
 var cancelMark = []byte{1}
 
 // cancelOnce makes one try; done tells that err is the outcome.
-func (s *Service) cancelOnce(ctx context.Context, id work.JobID) (done bool, err error) {
+func (s *Service) cancelOnce(ctx context.Context, id work.JobID, account string) (done bool, err error) {
 	accepted, found, err := s.get(ctx, dispatch.KeyIn(id))
 	if err != nil {
 		return false, err
 	}
 	if !found {
-		return s.cancelAbsent(ctx, id)
+		return s.cancelAbsent(ctx, id, account)
+	}
+	job, err := work.DecodeJob(accepted.Value)
+	switch {
+	case err != nil:
+		return true, unavailable(CodeStore, err)
+	case !work.Owns(job.Account, account):
+		return true, foreign()
 	}
 	key := dispatch.KeyCancel(id)
 	err = s.commit(ctx, store.Txn{
@@ -65,14 +72,20 @@
 // cancelAbsent answers for a job that has ended, or marks an id so that a
 // hand-in still on its way can not take effect after the caller was told that
 // no such job exists.
-func (s *Service) cancelAbsent(ctx context.Context, id work.JobID) (done bool, err error) {
+func (s *Service) cancelAbsent(ctx context.Context, id work.JobID, account string) (done bool, err error) {
 	entry, found, err := s.get(ctx, dispatch.KeyState(id))
 	if err != nil {
 		return false, err
 	}
 	if found {
-		if p, err := work.DecodeProgress(entry.Value); err == nil && p.State == work.Refused {
+		p, err := work.DecodeProgress(entry.Value)
+		switch {
+		case err != nil:
+			return true, unavailable(CodeStore, err)
+		case p.State == work.Refused:
 			return true, ErrNoJob
+		case !work.Owns(p.Account, account):
+			return true, foreign()
 		}
 		return true, nil
 	}
@@ -90,8 +103,8 @@
 	return true, ErrNoJob
 }
 
-func (s *Service) handOverCancel(ctx context.Context, id work.JobID) bool {
-	return s.askHelpers(ctx, s.method(MethodCancel), stateRequest{ID: id}, func(_ handedOver, err error) {
+func (s *Service) handOverCancel(ctx context.Context, id work.JobID, account string) bool {
+	return s.askHelpers(ctx, s.method(MethodCancel), cancelRequest{ID: id, Account: account}, func(_ handedOver, err error) {
 		s.o.Log.Debug().Err(err).Str("job", string(id)).Msg("cancellation not taken over")
 	})
 }
--- a/request/submit/parts.go
+++ b/request/submit/parts.go
@@ -26,21 +26,21 @@
 	return all[part].Submit(ctx, id, j)
 }
 
-// State returns what callers are shown of a job, as Service.State does.
-func (p Parts) State(ctx context.Context, id work.JobID) (work.State, error) {
+// State returns what callers of an account are shown of a job, as Service.State does.
+func (p Parts) State(ctx context.Context, id work.JobID, account string) (work.State, error) {
 	all, part, err := p.Of(id)
 	if err != nil {
 		return 0, unavailable(CodeStore, err)
 	}
-	state, err := all[part].State(ctx, id)
+	state, err := all[part].State(ctx, id, account)
 	if part != 0 && errors.Is(err, ErrNoJob) {
-		return all[0].State(ctx, id)
+		return all[0].State(ctx, id, account)
 	}
 	return state, err
 }
 
 // Cancel ends a job, as Service.Cancel does.
-func (p Parts) Cancel(ctx context.Context, id work.JobID) error {
+func (p Parts) Cancel(ctx context.Context, id work.JobID, account string) error {
 	all, part, err := p.Of(id)
 	if err != nil {
 		return unavailable(CodeStore, err)
@@ -56,7 +56,7 @@
 			part = 0
 		}
 	}
-	return all[part].Cancel(ctx, id)
+	return all[part].Cancel(ctx, id, account)
 }
 
 // Pending returns the number of a queue's jobs that have not begun, in all parts.
--- a/request/submit/parts_test.go
+++ b/request/submit/parts_test.go
@@ -59,10 +59,10 @@
 		require.NoError(t, after.Submit(t.Context(), id, aJob()))
 		require.True(t, stored(t, m, "job/in/"+string(id)))
 		require.False(t, stored(t, m, lead.PartPrefix(1)+"job/in/"+string(id)))
-		state, err := after.State(t.Context(), id)
+		state, err := after.State(t.Context(), id, "")
 		require.NoError(t, err)
 		require.Equal(t, work.Queued, state)
-		require.NoError(t, after.Cancel(t.Context(), id))
+		require.NoError(t, after.Cancel(t.Context(), id, ""))
 		require.True(t, stored(t, m, "job/cancel/"+string(id)))
 	})
 }
@@ -81,8 +81,8 @@
 		after := divided(m, now)
 		require.NoError(t, after.Submit(t.Context(), id, aJob()))
 		require.True(t, stored(t, m, lead.PartPrefix(1)+"job/in/"+string(id)))
-		require.NoError(t, after.Cancel(t.Context(), id))
-		_, err = after.State(t.Context(), "00000000000000bb")
+		require.NoError(t, after.Cancel(t.Context(), id, ""))
+		_, err = after.State(t.Context(), "00000000000000bb", "")
 		require.ErrorIs(t, err, ErrNoJob)
 	})
 }
@@ -91,8 +91,8 @@
 	// Symptom looked for: a daemon that has just started tells a caller that its job
 	//   does not exist.
 	p := Parts{Of: func(work.JobID) ([]*Service, int, error) { return nil, 0, errLayout }}
-	_, err := p.State(t.Context(), id)
+	_, err := p.State(t.Context(), id, "")
 	require.NotErrorIs(t, err, ErrNoJob)
 	require.Equal(t, verdict.NotRun, verdict.Of(p.Submit(t.Context(), id, aJob())))
-	require.NotErrorIs(t, p.Cancel(t.Context(), id), ErrNoJob)
+	require.NotErrorIs(t, p.Cancel(t.Context(), id, ""), ErrNoJob)
 }
--- a/request/submit/peer.go
+++ b/request/submit/peer.go
@@ -42,8 +42,15 @@
 }
 
 type stateReply struct {
-	State work.State `cbor:"1,keyasint"`
-	Known bool       `cbor:"2,keyasint"`
+	State   work.State `cbor:"1,keyasint"`
+	Known   bool       `cbor:"2,keyasint"`
+	Account string     `cbor:"3,keyasint,omitempty"` // of the job
+}
+
+type cancelRequest struct {
+	ID work.JobID `cbor:"1,keyasint"`
+	// Account is that of the caller.
+	Account string `cbor:"2,keyasint,omitempty"`
 }
 
 type pendingRequest struct {
@@ -95,8 +102,8 @@
 	return handedOver{Accepted: true}, nil
 }
 
-func (s *Service) serveCancel(ctx context.Context, r stateRequest) (any, error) {
-	done, err := s.cancelOnce(ctx, r.ID)
+func (s *Service) serveCancel(ctx context.Context, r cancelRequest) (any, error) {
+	done, err := s.cancelOnce(ctx, r.ID, r.Account)
 	return handedOver{Accepted: done && err == nil}, nil
 }
 
@@ -107,8 +114,8 @@
 	if h == nil {
 		return nil, errNoLeader
 	}
-	state, known, err := h.State(ctx, r.ID)
-	return stateReply{State: state, Known: known}, err
+	shown, known, err := h.State(ctx, r.ID)
+	return stateReply{State: shown.State, Known: known, Account: shown.Account}, err
 }
 
 func (s *Service) servePending(ctx context.Context, r pendingRequest) (any, error) {
--- a/request/submit/submit.go
+++ b/request/submit/submit.go
@@ -66,11 +66,20 @@
 	CodeUnknown = "outcome_unknown"
 	CodeGivenUp = "given_up"
 	CodeLeader  = "no_leader"
+	CodeForeign = "other_account"
 )
 
 // ErrNoJob is returned for an id under which no job exists.
 var ErrNoJob = errors.New("submit: no such job")
 
+// errForeign: the job under the id is another account's.
+var errForeign = errors.New("submit: the job under this id belongs to another client account; use a key of that one, or another id")
+
+// foreign refuses a request for a job of another account.
+func foreign() error {
+	return &verdict.Error{Verdict: verdict.NotRun, Status: http.StatusForbidden, Code: CodeForeign, Err: errForeign}
+}
+
 // Caller calls other daemons.
 type Caller interface {
 	CallAddr(ctx context.Context, addr string, method peer.Method, req, resp any) (peer.Ref, error)
@@ -195,6 +204,8 @@
 				return nil
 			case errors.Is(last, errGivenUp):
 				return unavailable(CodeGivenUp, last)
+			case errors.Is(last, errForeign):
+				return foreign()
 			case errors.Is(last, store.ErrUnknownOutcome):
 				open = true
 			}
@@ -268,7 +279,7 @@
 		case err := <-results:
 			answered++
 			switch {
-			case err == nil, errors.Is(err, errGivenUp):
+			case err == nil, errors.Is(err, errGivenUp), errors.Is(err, errForeign):
 				return err
 			case errors.Is(err, store.ErrUnknownOutcome):
 				open = err
@@ -309,22 +320,39 @@
 			return errLayout
 		}
 	}
-	for _, key := range guards.Elsewhere {
-		if _, exists := conflict.Find(key); exists {
-			return nil // handed in before the cell was divided; that stands
+	// Handed in before, be it before the cell was divided: the first stands.
+	for _, key := range slices.Concat(guards.Elsewhere, []string{dispatch.KeyIn(id), dispatch.KeyState(id)}) {
+		if entry, exists := conflict.Find(key); exists {
+			return before(entry, value)
 		}
 	}
-	if _, exists := conflict.Find(dispatch.KeyIn(id)); exists {
-		return nil // handed in before; the first stands
+	return fmt.Errorf("%w: neither key exists now", store.ErrUnknownOutcome)
+}
+
+// before returns what a hand-in is answered whose id has been used, by the entry found
+// under it: nil for the same account's job.
+func before(found store.Entry, value []byte) error {
+	job, err := work.DecodeJob(value)
+	if err != nil {
+		return err
 	}
-	if entry, ended := conflict.Find(dispatch.KeyState(id)); ended {
-		p, err := work.DecodeProgress(entry.Value)
-		if err == nil && p.State == work.Refused {
+	owner := ""
+	if dispatch.IsState(found.Key) {
+		p, err := work.DecodeProgress(found.Value)
+		switch {
+		case err != nil:
+			return nil // not readable here, but it stands
+		case p.State == work.Refused:
 			return errGivenUp
 		}
-		return nil // handed in before, and ended
+		owner = p.Account
+	} else if first, err := work.DecodeJob(found.Value); err == nil {
+		owner = first.Account
 	}
-	return fmt.Errorf("%w: neither key exists now", store.ErrUnknownOutcome)
+	if !work.Owns(owner, job.Account) {
+		return errForeign
+	}
+	return nil
 }
 
 // errLayout: the cell was divided since this daemon last heard; nothing was written.
@@ -449,18 +477,25 @@
 	return false
 }
 
-// State returns what callers are shown of a job. The error is ErrNoJob, when
-// the store has nothing under the id, or a *verdict.Error.
-func (s *Service) State(ctx context.Context, id work.JobID) (work.State, error) {
+// State returns what callers of an account are shown of a job. The error is ErrNoJob,
+// when the store has nothing under the id, or a *verdict.Error.
+func (s *Service) State(ctx context.Context, id work.JobID, account string) (work.State, error) {
 	var r stateReply
-	err := s.askLeader(ctx, func(ctx context.Context, h *dispatch.Host) (err error) {
-		r.State, r.Known, err = h.State(ctx, id)
+	err := s.askLeader(ctx, func(ctx context.Context, h *dispatch.Host) error {
+		shown, known, err := h.State(ctx, id)
+		r = stateReply{State: shown.State, Known: known, Account: shown.Account}
 		return err
 	}, s.method(MethodState), stateRequest{ID: id}, &r)
-	if err == nil && r.Known {
-		return r.State, nil
+	shown := dispatch.Shown{State: r.State, Account: r.Account}
+	if err != nil || !r.Known {
+		if shown, err = s.stored(ctx, id); err != nil {
+			return 0, err
+		}
 	}
-	return s.stored(ctx, id)
+	if !work.Owns(shown.Account, account) {
+		return 0, foreign()
+	}
+	return shown.State, nil
 }
 
 var errNoLeader = errors.New("submit: no leader is known")
@@ -468,27 +503,38 @@
 // stored reads a job's state from the store. The hand-in is read first: it is
 // removed in the same transaction that writes the final state under the job's
 // own key.
-func (s *Service) stored(ctx context.Context, id work.JobID) (work.State, error) {
-	_, accepted, err := s.get(ctx, dispatch.KeyIn(id))
+func (s *Service) stored(ctx context.Context, id work.JobID) (dispatch.Shown, error) {
+	in, accepted, err := s.get(ctx, dispatch.KeyIn(id))
 	if err != nil {
-		return 0, unavailable(CodeStore, err)
+		return dispatch.Shown{}, unavailable(CodeStore, err)
 	}
 	p, err := s.progress(ctx, id)
 	if err != nil {
-		return 0, unavailable(CodeStore, err)
+		return dispatch.Shown{}, unavailable(CodeStore, err)
 	}
 	if accepted && (p == nil || !p.State.Final()) {
 		if p, err = s.bundled(ctx, id, p); err != nil {
-			return 0, unavailable(CodeStore, err)
+			return dispatch.Shown{}, unavailable(CodeStore, err)
+		}
+	}
+	var shown dispatch.Shown
+	if accepted {
+		job, err := work.DecodeJob(in.Value)
+		if err != nil {
+			return dispatch.Shown{}, unavailable(CodeStore, err)
 		}
+		shown.Account = job.Account
 	}
 	switch {
 	case p == nil && accepted:
-		return work.Queued, nil
+		return shown, nil
 	case p == nil, p.State == work.Refused:
-		return 0, ErrNoJob
+		return dispatch.Shown{}, ErrNoJob
+	case !accepted:
+		shown.Account = p.Account
 	}
-	return p.State, nil
+	shown.State = p.State
+	return shown, nil
 }
 
 // progress reads what is under a job's own key, nil for nothing.
--- a/version/work/work.go
+++ b/version/work/work.go
@@ -116,13 +116,19 @@
 	// Allowance is added to the objective.
 	Allowance time.Duration `cbor:"8,keyasint"`
 	Advice    *Advice       `cbor:"9,keyasint,omitempty"`
+	// Open: callers need no key. It concerns requests, not jobs that were accepted.
+	Open bool `cbor:"-"`
 }
 
-// Catalog is one version of the queues. It is not changed once in use.
+// Catalog is one version of the queues and of the client accounts. It is not changed
+// once in use.
 type Catalog struct {
-	Version int64
-	Queues  []Queue
-	MaxBody int64
+	Version  int64
+	Queues   []Queue
+	MaxBody  int64
+	Accounts *Accounts // nil: the configuration knows none
+	// Problems tells what of the version can not be used as it stands.
+	Problems error
 }
 
 // Find returns the queue with the longest prefix of the path.
@@ -157,6 +163,8 @@
 	// Home is the address, for calls of other daemons, of the one that accepted the
 	// job and keeps its spec in memory.
 	Home string `cbor:"9,keyasint,omitempty"`
+	// Account is the client account that handed the job in, "" for none.
+	Account string `cbor:"10,keyasint,omitempty"`
 }
 
 // WithoutSpec returns the job as a scheduler needs it that does not carry the spec to
@@ -353,6 +361,8 @@
 	State State `cbor:"1,keyasint"`
 	// Before: every occurrence with a lower number is done.
 	Before int `cbor:"3,keyasint,omitempty"`
+	// Account is that of a job that has ended, whose hand-in is gone.
+	Account string `cbor:"4,keyasint,omitempty"`
 	// Ends has one entry for each step of each occurrence with any end.
 	Ends []StepEnds `cbor:"2,keyasint,omitempty"`
 }
