--- a/process/cellnode/catalog.go
+++ b/process/cellnode/catalog.go
@@ -39,6 +39,15 @@
 // Current returns the queues in force, nil while none are known.
 func (c *catalogs) Current() *work.Catalog { return c.now.Load() }
 
+// accounts is Accounts of dispatch.HostOptions.
+func (c *catalogs) accounts() (*work.Accounts, bool) {
+	now := c.now.Load()
+	if now == nil {
+		return nil, false
+	}
+	return now.Accounts, true
+}
+
 func (c *catalogs) take(next *work.Catalog) {
 	for {
 		before := c.now.Load()
--- a/process/cellnode/metrics.go
+++ b/process/cellnode/metrics.go
@@ -20,7 +20,7 @@
 	}{
 		{"starts", s.Starts}, {"resent", s.Resent}, {"stops", s.Stops}, {"done", s.Done}, {"failed", s.Failed},
 		{"back", s.Back}, {"lost", s.Lost}, {"adopted", s.Adopted}, {"orphans", s.Orphans}, {"commits", s.Commits}, {"bundles", s.Bundles},
-		{"advised", s.Advised}, {"holds", s.Holds}, {"aside", s.Aside}, {"moved", s.Moved}, {"engine_violations", s.Violations},
+		{"advised", s.Advised}, {"holds", s.Holds}, {"aside", s.Aside}, {"moved", s.Moved}, {"over_quota", s.OverQuota}, {"engine_violations", s.Violations},
 	} {
 		v := new(expvar.Int)
 		v.Set(int64(c.v))
--- /dev/null
+++ b/process/dispatch/accounts.go
@@ -0,0 +1,198 @@
+package dispatch
+
+import (
+	"time"
+
+	"fennelshunt.example/fennelshunt/process/quota"
+	"fennelshunt.example/fennelshunt/version/work"
+)
+
+// Client accounts, and what they may have running.
+//
+// A run is charged to its job's account from the decision to start it until it is known
+// to have ended, so a start without an answer, which may be carried out seconds later,
+// counts all the while. What this epoch has not seen counts as well: see countUnseen.
+
+// SetAccounts takes the accounts of the configuration in force; nil where it knows none.
+// An account that it lists no more keeps the cap that it had: its jobs go on.
+func (e *Engine) SetAccounts(now time.Duration, accounts *work.Accounts) {
+	e.now = now
+	e.accountsKnown = true
+	for _, a := range accounts.All() {
+		e.ledger.Account(a.Name).Set(a.Weight, sizeOf(a.Cap))
+	}
+	e.scheduled = false
+}
+
+func sizeOf(r work.Resources) quota.Size {
+	return quota.Size{MilliCPU: int64(r.CPU), MemoryMB: int64(r.Memory), Accelerators: int64(r.GPU)}
+}
+
+// charge is what a run of the step counts for its account: all that it asks for, also
+// where it fills.
+func (s *step) charge() quota.Size { return sizeOf(s.spec.Size) }
+
+// startsTogether is how many of a step's tasks start at least, if any does.
+func (s *step) startsTogether() int {
+	if s.spec.Gang {
+		return s.spec.Count
+	}
+	return 1
+}
+
+// withinQuota reports whether the step's account may have more of it running.
+func (e *Engine) withinQuota(s *step) bool {
+	return s.job.account.Fits(s.charge().Times(s.startsTogether()))
+}
+
+// awaitsQuota notes that a step waits for nothing but its account's quota.
+func (e *Engine) awaitsQuota(s *step) {
+	if s.overQuota {
+		return
+	}
+	s.overQuota = true
+	e.stats.OverQuota++
+	e.decide(Decision{What: "waits for its account's quota", Task: s.id(), Why: s.job.spec.Account})
+}
+
+// book counts a run on its worker and for its account.
+func (e *Engine) book(p *place) {
+	p.w.take(p)
+	p.s.job.account.Adopt(p.s.charge())
+}
+
+// unbook frees what a run takes, once it is known not to run any more.
+func (e *Engine) unbook(p *place) {
+	if !p.w.drop(p) {
+		return
+	}
+	a := p.s.job.account
+	a.Refund(p.s.charge())
+	if a.Held().Negative() {
+		e.violate("refund of more than an account holds: "+a.Name, p.id(), p.w.ID)
+	}
+}
+
+// stray is a run without a place that is being stopped.
+type stray struct {
+	account *quota.Account
+	size    quota.Size
+}
+
+// chargeStray counts a run that is being stopped for its account until the next report
+// of its worker. A job whose end was read from the store has no steps: what it still ran
+// is in ending.
+func (e *Engine) chargeStray(w *worker, j *job, step int) {
+	var size quota.Size
+	switch {
+	case j == nil || step < 0:
+		return
+	case step < len(j.spec.Steps):
+		size = sizeOf(j.spec.Steps[step].Size)
+	case step < len(j.sizes):
+		size = j.sizes[step]
+	default:
+		return
+	}
+	x := stray{e.ledger.Account(j.spec.Account), size}
+	x.account.Adopt(x.size)
+	w.strayRuns = append(w.strayRuns, x)
+}
+
+func (w *worker) refundStrays() {
+	for _, x := range w.strayRuns {
+		x.account.Refund(x.size)
+	}
+	w.strayRuns = w.strayRuns[:0]
+}
+
+// countUnseen counts for the accounts what an earlier epoch may have started, as long as
+// workers have not told: the waiting tasks of jobs that it may have begun, at most as
+// much as those workers hold; and what was being stopped of jobs that had ended.
+//
+// What goes wrong without it: a leader is lost while an account is at its cap. Its
+// successor sees the account's runs only as the workers answer, takes it to hold
+// nothing, and starts its waiting work beside them.
+func (e *Engine) countUnseen() {
+	if e.unresolved == 0 && len(e.ending) == 0 && !e.anyUnseen {
+		return
+	}
+	unseen := map[*quota.Account]quota.Size{}
+	if e.unresolved > 0 {
+		e.countInherited(unseen)
+		most := e.unresolvedCapacity()
+		for a, size := range unseen {
+			unseen[a] = size.Least(most)
+		}
+	}
+	if e.unresolved == 0 && !e.anyStrays() {
+		clear(e.ending)
+	}
+	for a, size := range e.ending {
+		unseen[a] = unseen[a].Add(size)
+	}
+	e.ledger.Each(func(a *quota.Account) { a.SetUnseen(unseen[a]) })
+	e.anyUnseen = len(unseen) > 0
+}
+
+// countInherited adds up, by account, the tasks that have no place and that an earlier
+// epoch may have started, also those of jobs that have been cancelled since.
+func (e *Engine) countInherited(unseen map[*quota.Account]quota.Size) {
+	for _, j := range e.jobs {
+		if !j.inherited {
+			continue
+		}
+		for s := range j.steps() {
+			if n := len(s.pending); n > 0 && s.ready() {
+				unseen[j.account] = unseen[j.account].Add(s.charge().Times(n))
+			}
+		}
+	}
+}
+
+// unresolvedCapacity is what the workers that have not answered this epoch may run. One
+// that the directory does not list any more counts as the largest.
+func (e *Engine) unresolvedCapacity() quota.Size {
+	var all, largest quota.Size
+	unlisted := 0
+	for _, w := range e.order {
+		size := sizeOf(w.Capacity)
+		largest = quota.Size{MilliCPU: max(largest.MilliCPU, size.MilliCPU), MemoryMB: max(largest.MemoryMB, size.MemoryMB),
+			Accelerators: max(largest.Accelerators, size.Accelerators)}
+		switch {
+		case !w.inherited:
+		case w.Capacity == (work.Resources{}):
+			unlisted++
+		default:
+			all = all.Add(size)
+		}
+	}
+	return all.Add(largest.Times(unlisted))
+}
+
+func (e *Engine) anyStrays() bool {
+	for _, w := range e.order {
+		if w.strays > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// noteEnding remembers what a job that had ended was still running when that was
+// written.
+func (e *Engine) noteEnding(p *work.Progress) {
+	if p.Held == (work.Resources{}) {
+		return
+	}
+	a := e.ledger.Account(p.Account)
+	e.ending[a] = e.ending[a].Add(sizeOf(p.Held))
+}
+
+// held is what the runs of a job take for its account.
+func (j *job) held() (sum work.Resources) {
+	for s := range j.steps() {
+		sum = sum.Add(s.spec.Size.Scale(s.live()))
+	}
+	return sum
+}
--- /dev/null
+++ b/process/dispatch/accounts_test.go
@@ -0,0 +1,288 @@
+package dispatch
+
+import (
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"fennelshunt.example/fennelshunt/connection/peer"
+	"fennelshunt.example/fennelshunt/connection/runner"
+	"fennelshunt.example/fennelshunt/connection/store"
+	"fennelshunt.example/fennelshunt/process/quota"
+	"fennelshunt.example/fennelshunt/version/work"
+)
+
+func accountsOf(t *testing.T, list ...work.Account) *work.Accounts {
+	a, err := work.NewAccounts(list)
+	require.NoError(t, err)
+	return a
+}
+
+// jobOf is a job of an account.
+func jobOf(t *testing.T, account string, id work.JobID, epoch uint64, steps ...work.Step) store.Entry {
+	e := changed(t, jobEntry(t, epoch, 4, steps...), func(j *work.Job) { j.Account = account })
+	e.Key = KeyIn(id)
+	return e
+}
+
+// readyBench is an engine with workers of 64 cores that have answered.
+func readyBench(t *testing.T, ids ...runner.WorkerID) *bench {
+	b := newBench(t, 1)
+	b.largeWorkers(ids...)
+	b.answer(ids...)
+	return b
+}
+
+func (b *bench) largeWorkers(ids ...runner.WorkerID) {
+	for _, id := range ids {
+		b.e.WorkerSeen(b.now, runner.Worker{Ref: runner.Ref{ID: id}, Service: "s", Capacity: work.Resources{CPU: 64000, Memory: 131072}})
+	}
+	b.step(50 * time.Millisecond)
+}
+
+func (b *bench) answer(ids ...runner.WorkerID) {
+	for _, id := range ids {
+		b.report(id, runner.Report{Clock: time.Second + b.now})
+	}
+}
+
+// successor is an engine of the second epoch over what the first one left, with two
+// workers of 64 cores that it used.
+func successor(t *testing.T, saved Saved, accounts ...work.Account) *bench {
+	b := newBench(t, 2)
+	fleet, err := peer.Marshal(fleetRecord{Workers: []runner.Ref{{ID: "w-1"}, {ID: "w-2"}}})
+	require.NoError(t, err)
+	saved.Fleet = &store.Entry{Key: keyFleet, Value: fleet, Revision: 5}
+	require.NoError(t, b.e.Load(b.now, saved))
+	b.e.SetAccounts(b.now, accountsOf(t, accounts...))
+	b.largeWorkers("w-1", "w-2")
+	return b
+}
+
+const (
+	firstJob  = work.JobID("00000000000000a1")
+	secondJob = work.JobID("00000000000000a2")
+)
+
+// tasksOf is a step of tasks of 1,000 thousandths and 100 MB.
+func tasksOf(n int, gang bool) work.Step {
+	return work.Step{Count: n, Size: work.Resources{CPU: 1000, Memory: 100}, Estimate: time.Second, Gang: gang}
+}
+
+func TestAccountStaysWithinItsCap(t *testing.T) {
+	// Symptom: an account runs a tenth and more above its cap.
+	// Sequence: it hands in more than the cap lets run, on a cell with room for all.
+	// Cause: nothing counted what an account holds.
+	b := readyBench(t, "w-1", "w-2")
+	b.e.SetAccounts(b.now, accountsOf(t, work.Account{Name: "north", Cap: work.Resources{CPU: 5000, Memory: 10000}}))
+	require.NoError(t, b.e.Accepted(b.now, jobOf(t, "north", firstJob, 1, tasksOf(8, false))))
+	require.NoError(t, b.e.Accepted(b.now, jobOf(t, "south", secondJob, 1, tasksOf(8, false))))
+	b.step(tickPeriod)
+	starts := b.starts()
+	count := func(id work.JobID) (n int) {
+		for _, s := range starts {
+			if s.Start.Task.Job == id {
+				n++
+			}
+		}
+		return n
+	}
+	require.Equal(t, 5, count(firstJob), "its cap is five tasks")
+	require.Equal(t, 8, count(secondJob), "an account that is not configured has no cap")
+
+	// A start without an answer may be carried out yet, and counts.
+	first := starts[0]
+	b.e.Started(b.now, first.To.ID, first.Start.Task, first.Start.Run, runner.ErrUnknown)
+	b.step(100 * time.Millisecond)
+	for _, s := range b.starts() {
+		require.Equal(t, first.Start.Run, s.Start.Run, "the same run again, nothing new")
+	}
+	// A known end makes room for one.
+	var other SendStart
+	for _, s := range starts[1:] {
+		if s.Start.Task.Job == firstJob {
+			other = s
+		}
+	}
+	b.report(other.To.ID, done(1, other))
+	b.step(tickPeriod)
+	require.Len(t, b.starts(), 1)
+}
+
+func TestGangStartsWholeOrNotWithinItsCap(t *testing.T) {
+	b := readyBench(t, "w-1", "w-2")
+	b.e.SetAccounts(b.now, accountsOf(t, work.Account{Name: "north", Cap: work.Resources{CPU: 5000}}))
+	require.NoError(t, b.e.Accepted(b.now, jobOf(t, "north", firstJob, 1, tasksOf(3, false))))
+	b.step(tickPeriod)
+	require.Len(t, b.starts(), 3)
+	require.NoError(t, b.e.Accepted(b.now, jobOf(t, "north", secondJob, 1, tasksOf(3, true))))
+	b.step(tickPeriod)
+	require.Empty(t, b.starts(), "two of its three members are within the cap")
+	require.Equal(t, uint64(1), b.e.Stats().OverQuota)
+	b.e.SetAccounts(b.now, accountsOf(t, work.Account{Name: "north", Cap: work.Resources{CPU: 6000}}))
+	b.step(tickPeriod)
+	require.Len(t, b.starts(), 3, "a cap that is raised holds at once")
+}
+
+func TestCapLoweredBelowWhatRunsStopsNothingAndStartsNothing(t *testing.T) {
+	b := readyBench(t, "w-1", "w-2")
+	b.e.SetAccounts(b.now, accountsOf(t, work.Account{Name: "north", Cap: work.Resources{CPU: 5000}}))
+	require.NoError(t, b.e.Accepted(b.now, jobOf(t, "north", firstJob, 1, tasksOf(8, false))))
+	b.step(tickPeriod)
+	starts := b.starts()
+	require.Len(t, starts, 5)
+	b.e.SetAccounts(b.now, accountsOf(t, work.Account{Name: "north", Cap: work.Resources{CPU: 2000}}))
+	for i, s := range starts[:3] {
+		b.report(s.To.ID, done(int64(i+1), s))
+		b.step(tickPeriod)
+		require.Empty(t, b.starts(), "%d still run", 4-i)
+		require.Empty(t, b.stops())
+	}
+	b.report(starts[3].To.ID, done(4, starts[3]))
+	b.step(tickPeriod)
+	require.Len(t, b.starts(), 1)
+
+	// An account that is no longer configured keeps its last cap.
+	b.e.SetAccounts(b.now, accountsOf(t))
+	b.step(tickPeriod)
+	require.Empty(t, b.starts())
+}
+
+func TestJobsOfAccountsWaitUntilCapsAreKnown(t *testing.T) {
+	// Symptom: a leader that has just begun runs an account over its cap.
+	// Sequence: it has read the jobs, and no configuration yet.
+	b := readyBench(t, "w-1")
+	require.NoError(t, b.e.Accepted(b.now, jobOf(t, "north", firstJob, 1, tasksOf(2, false))))
+	require.NoError(t, b.e.Accepted(b.now, jobOf(t, "", secondJob, 1, tasksOf(2, false))))
+	b.step(tickPeriod)
+	for _, s := range b.starts() {
+		require.Equal(t, secondJob, s.Start.Task.Job, "of no account")
+	}
+	b.e.SetAccounts(b.now, nil)
+	b.step(tickPeriod)
+	require.Len(t, b.starts(), 2)
+}
+
+func TestSuccessorCountsWhatMayRunUnseen(t *testing.T) {
+	// Symptom: an account runs twice its cap after a takeover.
+	// Sequence: a leader starts work up to the cap and is lost; one of the workers does
+	//   not answer its successor; new work of the account is handed in.
+	// Cause: the successor counted only the runs that it had been told of.
+	old := jobOf(t, "north", firstJob, 1, tasksOf(5, false))
+	b := successor(t, Saved{Accepted: []store.Entry{old}}, work.Account{Name: "north", Cap: work.Resources{CPU: 5000}})
+	b.answer("w-1")
+	require.NoError(t, b.e.Accepted(b.now, jobOf(t, "north", secondJob, 2, tasksOf(3, false))))
+	b.step(tickPeriod)
+	require.Empty(t, b.starts(), "all five tasks may run on the worker that has not answered")
+	run := b.e.nextRun(0)
+	b.report("w-2", runner.Report{Clock: time.Second + b.now, Running: []runner.Live{
+		{Task: work.TaskID{Job: firstJob, Index: 0}, Run: run}, {Task: work.TaskID{Job: firstJob, Index: 1}, Run: run}}})
+	require.Len(t, b.starts(), 3, "two run, and three more are within the cap")
+}
+
+func TestWhatMayRunUnseenIsBoundedByItsWorkers(t *testing.T) {
+	// Symptom: after a takeover an account starts nothing for as long as one worker out
+	//   of reach may hold a lease.
+	// Cause: all of its waiting work was taken to run there, more than it can hold.
+	b := successor(t, Saved{Accepted: []store.Entry{jobOf(t, "north", firstJob, 1, tasksOf(500, false))}}, work.Account{Name: "north", Cap: work.Resources{CPU: 66000}})
+	b.answer("w-1")
+	require.NoError(t, b.e.Accepted(b.now, jobOf(t, "north", secondJob, 2, tasksOf(3, false))))
+	b.step(tickPeriod)
+	require.Len(t, b.starts(), 2, "64 of its 66 cores may be in use there")
+}
+
+func TestRunsOfEndedJobsCountOverATakeover(t *testing.T) {
+	// Symptom: an account runs over its cap after a takeover.
+	// Sequence: its job is cancelled, the leader writes that and is lost before the stops
+	//   are carried out; the successor has the job's end, not its tasks.
+	// Cause: what an ended job still ran was not written with its end.
+	b := readyBench(t, "w-1")
+	b.e.SetAccounts(b.now, nil)
+	require.NoError(t, b.e.Accepted(b.now, jobOf(t, "north", firstJob, 1, tasksOf(4, false))))
+	b.step(tickPeriod)
+	starts := b.starts()
+	require.NoError(t, b.e.Accepted(b.now, store.Entry{Key: KeyCancel(firstJob)}))
+	state, err := work.EncodeProgress(b.e.jobs[firstJob].progress())
+	require.NoError(t, err)
+	p, err := work.DecodeProgress(state)
+	require.NoError(t, err)
+	require.Equal(t, work.Resources{CPU: 4000, Memory: 400}, p.Held)
+
+	next := successor(t, Saved{States: []store.Entry{{Key: KeyState(firstJob), Value: state, Revision: 3}}},
+		work.Account{Name: "north", Cap: work.Resources{CPU: 5000}})
+	require.NoError(t, next.e.Accepted(next.now, jobOf(t, "north", secondJob, 2, tasksOf(3, false))))
+	next.answer("w-2")
+	require.Len(t, next.starts(), 1, "four may run on the other worker")
+	strays := runner.Report{Clock: time.Second + next.now}
+	for _, s := range starts {
+		strays.Running = append(strays.Running, runner.Live{Task: s.Start.Task, Run: s.Start.Run})
+	}
+	next.report("w-1", strays)
+	require.Empty(t, next.starts(), "they run there, and are being stopped")
+	next.answer("w-1")
+	require.Len(t, next.starts(), 2)
+}
+
+// TestChargesEqualWhatIsPlaced compares the accounts with a recount after each step of
+// random cells; see also the workers' own count in the random tests.
+func TestChargesEqualWhatIsPlaced(t *testing.T) {
+	b := readyBench(t, "w-1", "w-2", "w-3")
+	rng := rand.New(rand.NewPCG(1, 2))
+	b.e.SetAccounts(b.now, accountsOf(t, work.Account{Name: "a", Cap: work.Resources{CPU: 9000}}, work.Account{Name: "b", Cap: work.Resources{CPU: 20000}}))
+	var running []SendStart
+	number := map[runner.WorkerID]int64{}
+	for i := range 300 {
+		if i%5 == 0 {
+			id := work.JobID([]byte("0000000000000000")[:13]) + work.JobID([]byte{'0' + byte(i/100), '0' + byte(i/10%10), '0' + byte(i%10)})
+			require.NoError(t, b.e.Accepted(b.now, jobOf(t, []string{"a", "b"}[rng.IntN(2)], id, 1, tasksOf(1+rng.IntN(6), rng.IntN(3) == 0))))
+		}
+		b.step(20 * time.Millisecond)
+		running = append(running, b.starts()...)
+		if len(running) > 0 && rng.IntN(2) == 0 {
+			k := rng.IntN(len(running))
+			s := running[k]
+			running = append(running[:k], running[k+1:]...)
+			number[s.To.ID]++
+			b.report(s.To.ID, done(number[s.To.ID], s))
+		}
+		want := map[string]quota.Size{}
+		for _, w := range b.e.order {
+			for _, p := range w.places {
+				name := p.s.job.spec.Account
+				want[name] = want[name].Add(p.s.charge())
+			}
+			for _, x := range w.strayRuns {
+				want[x.account.Name] = want[x.account.Name].Add(x.size)
+			}
+		}
+		b.e.ledger.Each(func(a *quota.Account) { require.Equal(t, want[a.Name], a.Held(), a.Name) })
+	}
+}
+
+// TestAccountsUnderRandomTroubles is TestRandomTroubles with accounts whose caps are
+// tight and change. The workers count what runs of each.
+func TestAccountsUnderRandomTroubles(t *testing.T) {
+	first, seeds := seedsOfRun(t, 6)
+	for seed := first; seed < first+seeds; seed++ {
+		t.Run(seedName(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newTestCell(t, seed, 16, 3, usual(0.05))
+				c.changeCaps()
+				names := []string{"north", "south", "east"}
+				randomTroublesOf(t, c, func(rng *rand.Rand) *work.Job {
+					j := drawJob(rng, rng.IntN(2) == 0)
+					j.Account = names[rng.IntN(len(names))]
+					return j
+				}, func(c *cell) {
+					if c.rng.IntN(3) == 0 {
+						c.changeCaps()
+					}
+					c.trouble()
+				})
+			})
+		})
+	}
+}
--- a/process/dispatch/advice.go
+++ b/process/dispatch/advice.go
@@ -249,6 +249,7 @@
 // last: what is slow is full.
 func (e *Engine) askFor(s *step, slots int) {
 	a := s.advice
+	slots = s.job.account.Times(s.charge(), slots)
 	if slots <= 0 || !e.mayAsk(s) {
 		return
 	}
--- a/process/dispatch/cell_test.go
+++ b/process/dispatch/cell_test.go
@@ -40,6 +40,9 @@
 	mu     sync.Mutex
 	rng    *rand.Rand
 	policy Policy
+	// accounts of the configuration; nil for none.
+	accounts             atomic.Pointer[work.Accounts]
+	capsDrawn, capsHeard int
 	// bundles is the number of bundles that one term wrote, at the most.
 	bundles atomic.Uint64
 }
@@ -115,8 +118,9 @@
 		Lead: func(t *lead.Term) {
 			h := NewHost(HostOptions{Store: c.kv, Patience: patience, Runner: c.fleet, Directory: c.fleet, View: n.elector.View(),
 				Advise: c.advice.ask, Log: log, Policy: c.policy,
-				Count:  func(s Stats) { c.bundles.Store(max(c.bundles.Load(), s.Bundles)) },
-				Bounds: Bounds{Lease: testLease, MaxLease: testLease, Gang: 3 * time.Second, Keep: 10 * time.Minute},
+				Accounts: func() (*work.Accounts, bool) { return c.accounts.Load(), true },
+				Count:    func(s Stats) { c.bundles.Store(max(c.bundles.Load(), s.Bundles)) },
+				Bounds:   Bounds{Lease: testLease, MaxLease: testLease, Gang: 3 * time.Second, Keep: 10 * time.Minute},
 				Violation: func(what string) {
 					c.mu.Lock()
 					defer c.mu.Unlock()
@@ -315,6 +319,34 @@
 	}
 }
 
+// capLag is how long the daemons of a test may take to hear of a cap.
+const capLag = time.Second
+
+// changeCaps draws new caps for accounts, of which the daemons hear late.
+func (c *cell) changeCaps() {
+	var list []work.Account
+	for _, name := range []string{"north", "south", "east"} {
+		limit := work.Resources{CPU: 100000 + c.rng.IntN(200000), Memory: 200000 + c.rng.IntN(200000)}
+		list = append(list, work.Account{Name: name, Weight: 1, Cap: limit})
+		c.fleet.SetCap(name, limit, capLag+tickPeriod)
+	}
+	accounts := accountsOf(c.t, list...)
+	if c.accounts.Load() == nil {
+		c.accounts.Store(accounts)
+		return
+	}
+	c.capsDrawn++
+	version := c.capsDrawn
+	time.AfterFunc(time.Duration(c.rng.Int64N(int64(capLag))), func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if version > c.capsHeard { // never back to an older version
+			c.capsHeard = version
+			c.accounts.Store(accounts)
+		}
+	})
+}
+
 // TestRandomTroubles hands jobs in while daemons are killed, the store fails
 // in every way, and workers are cut, crash and carry orders out late. The
 // workers count runs and check every start.
--- a/process/dispatch/directory.go
+++ b/process/dispatch/directory.go
@@ -89,6 +89,7 @@
 
 // clearPlaces frees every run on a worker on which nothing runs any more.
 func (e *Engine) clearPlaces(w *worker) {
+	w.refundStrays()
 	for _, p := range places(w) {
 		e.stats.Lost++
 		s := p.s
--- a/process/dispatch/engine.go
+++ b/process/dispatch/engine.go
@@ -11,6 +11,7 @@
 	"fennelshunt.example/fennelshunt/connection/runner"
 	"fennelshunt.example/fennelshunt/connection/store"
 	"fennelshunt.example/fennelshunt/process/lead"
+	"fennelshunt.example/fennelshunt/process/quota"
 	"fennelshunt.example/fennelshunt/version/work"
 )
 
@@ -42,6 +43,12 @@
 	ready []*step // steps with tasks to start
 	timed []*job  // with occurrences that have not come due
 
+	ledger        *quota.Ledger // of this part of the cell
+	accountsKnown bool
+	// ending is what jobs that had ended still ran when an earlier epoch wrote that.
+	ending    map[*quota.Account]quota.Size
+	anyUnseen bool // something counts for accounts that is not seen
+
 	members []string
 	lanes   map[string]*lane
 	shares  map[string]float64  // of workers that are good, by queue
@@ -73,13 +80,15 @@
 type Stats struct {
 	Starts, Resent, Stops, Done, Failed, Back, Lost, Adopted, Orphans uint64
 	Commits, Bundles, Violations, Advised, Aside, Moved, Holds        uint64
+	// OverQuota counts steps that waited for their account's quota.
+	OverQuota uint64
 }
 
 // NewEngine returns an engine without jobs.
 func NewEngine(o Options) *Engine {
 	o.Policy = o.Policy.complete()
 	return &Engine{o: o, jobs: map[work.JobID]*job{}, cancels: map[work.JobID]time.Duration{},
-		workers: map[runner.WorkerID]*worker{}, lanes: map[string]*lane{},
+		workers: map[runner.WorkerID]*worker{}, lanes: map[string]*lane{}, ledger: quota.NewLedger(), ending: map[*quota.Account]quota.Size{},
 		shares: map[string]float64{}, paces: map[string]*float64{}}
 }
 
@@ -133,6 +142,7 @@
 		// Its hand-in was removed when it ended.
 		j = &job{id: s.job, spec: &work.Job{Account: s.progress.Account}, state: s.progress.State, visible: s.progress.State, endedAt: e.now, isShed: true}
 		e.jobs[s.job] = j
+		e.noteEnding(s.progress)
 	}
 	if j == nil {
 		return // its hand-in could not be read: its progress is left alone
@@ -197,7 +207,7 @@
 
 func (e *Engine) add(id work.JobID, spec *work.Job, revision store.Revision) {
 	j := &job{id: id, spec: spec, handedIn: true, revision: revision, since: e.now, inherited: spec.Epoch < e.o.Epoch,
-		accepted: e.atTime(spec.Accepted), start: e.atTime(spec.StartAt), pace: e.paceOf(spec.Queue.Name)}
+		accepted: e.atTime(spec.Accepted), start: e.atTime(spec.StartAt), pace: e.paceOf(spec.Queue.Name), account: e.ledger.Account(spec.Account)}
 	e.jobs[id] = j
 	if _, ok := e.cancels[id]; ok {
 		delete(e.cancels, id)
@@ -363,7 +373,7 @@
 		if !j.visible.Final() {
 			continue
 		}
-		j.shed()
+		e.shed(j)
 		if !j.isShed || j.writing || j.dirty || j.bundle != nil || e.now-j.endedAt < e.o.Bounds.Keep {
 			continue
 		}
--- a/process/dispatch/host.go
+++ b/process/dispatch/host.go
@@ -52,9 +52,12 @@
 	Members func() []lead.Member
 	// Advise asks a member's adviser.
 	Advise func(ctx context.Context, member, step string, workers []runner.WorkerID) ([]runner.Ticket, error)
-	Bounds Bounds
-	Policy Policy
-	Log    zerolog.Logger
+	// Accounts returns the client accounts of the configuration in force, and whether
+	// they are known; nil: there are none.
+	Accounts func() (*work.Accounts, bool)
+	Bounds   Bounds
+	Policy   Policy
+	Log      zerolog.Logger
 	// Count is told the counters at the end of a term and now and then.
 	Count func(Stats)
 	// Violation is told each broken invariant.
@@ -76,6 +79,8 @@
 
 	published time.Duration
 	answers   answers
+	accounts  *work.Accounts // those that the engine has
+	given     bool           // it has any
 }
 
 // NewHost returns a host for a term.
@@ -174,6 +179,7 @@
 func (h *Host) loop(ctx context.Context) {
 	ticker := time.NewTicker(tickPeriod)
 	defer ticker.Stop()
+	h.giveAccounts()
 	for {
 		select {
 		case <-ctx.Done():
@@ -182,6 +188,7 @@
 			f(h.engine, h.now())
 			h.drain()
 		case <-ticker.C:
+			h.giveAccounts()
 			h.engine.Tick(h.now())
 			h.publish()
 		}
@@ -198,6 +205,22 @@
 	}
 }
 
+// giveAccounts tells the engine the accounts in force when they are new.
+func (h *Host) giveAccounts() {
+	if h.o.Accounts == nil {
+		if !h.given {
+			h.engine.SetAccounts(h.now(), nil)
+		}
+		h.given = true
+		return
+	}
+	accounts, known := h.o.Accounts()
+	if known && (!h.given || accounts != h.accounts) {
+		h.accounts, h.given = accounts, true
+		h.engine.SetAccounts(h.now(), accounts)
+	}
+}
+
 // publish hands out the counters now and then.
 func (h *Host) publish() {
 	if now := h.now(); h.o.Count != nil && now-h.published >= publishPeriod {
--- a/process/dispatch/job.go
+++ b/process/dispatch/job.go
@@ -6,6 +6,7 @@
 
 	"fennelshunt.example/fennelshunt/connection/runner"
 	"fennelshunt.example/fennelshunt/connection/store"
+	"fennelshunt.example/fennelshunt/process/quota"
 	"fennelshunt.example/fennelshunt/version/work"
 )
 
@@ -17,6 +18,8 @@
 	// is due, both in engine time.
 	accepted, start time.Duration
 	pace            *float64 // learnt, of its queue
+	account         *quota.Account
+	sizes           []quota.Size // of its tasks by step, once the rest is dropped
 	// state as decided; callers see it once it is in the store.
 	state   work.State
 	visible work.State
@@ -57,6 +60,7 @@
 	left       int   // tasks that are not done
 	opened     bool  // listed as ready
 	rank       int   // lateness, as of the round of placement
+	overQuota  bool  // it has waited for its account's quota
 	// reservedAt is when room was last reserved for the step.
 	reservedAt time.Duration
 
@@ -170,6 +174,9 @@
 	}
 	if j.state.Final() {
 		p.Account = j.spec.Account
+		if j.state != work.Completed {
+			p.Held = j.held()
+		}
 		return p
 	}
 	p.Before = j.before
--- a/process/dispatch/occurrence.go
+++ b/process/dispatch/occurrence.go
@@ -116,14 +116,18 @@
 }
 
 // shed drops all of a job whose end is in the store but what is needed to answer
-// for its state, once none of its runs holds a worker's resources: the text and
-// the tasks of a job are some kilobytes.
-func (j *job) shed() {
-	if j.isShed || slices.ContainsFunc(j.occurrences, func(o *occurrence) bool { return !o.idle() }) {
+// for its state and to count runs of it that turn up yet, once none of its runs holds a
+// worker's resources and none can be unseen: the text and the tasks of a job are some
+// kilobytes.
+func (e *Engine) shed(j *job) {
+	if j.isShed || (j.inherited && e.unresolved > 0) || slices.ContainsFunc(j.occurrences, func(o *occurrence) bool { return !o.idle() }) {
 		return
 	}
 	j.isShed = true
 	j.occurrences = nil
+	for i := range j.spec.Steps {
+		j.sizes = append(j.sizes, sizeOf(j.spec.Steps[i].Size))
+	}
 	j.spec = &work.Job{Queue: j.spec.Queue, Account: j.spec.Account}
 }
 
--- a/process/dispatch/persist.go
+++ b/process/dispatch/persist.go
@@ -258,7 +258,7 @@
 	}
 	if s.state.Final() {
 		j.visible = s.state
-		j.shed()
+		e.shed(j)
 	}
 	if j.version > j.saved {
 		e.queueWrite(j, j.state.Final())
--- a/process/dispatch/place.go
+++ b/process/dispatch/place.go
@@ -90,10 +90,13 @@
 		e.clearReservations()
 	}
 	e.countLanes()
+	e.countUnseen()
 	var r round
 	for _, s := range steps {
 		switch {
 		case !e.mayStart(s):
+		case !e.withinQuota(s):
+			e.awaitsQuota(s)
 		case s.spec.Gang:
 			e.tryGang(s, &r)
 		default:
@@ -252,6 +255,9 @@
 	if s.gang.breaking || (s.spec.Gang && s.live() > 0) {
 		return false
 	}
+	if s.job.spec.Account != "" && !e.accountsKnown {
+		return false // its cap is not known
+	}
 	return !s.job.inherited || e.accountedFor(s.job)
 }
 
@@ -299,6 +305,10 @@
 func (e *Engine) placeTasks(s *step) {
 	a := e.adviceOf(s)
 	for _, i := range slices.Clone(s.pending) {
+		if !e.withinQuota(s) {
+			e.awaitsQuota(s)
+			return
+		}
 		w, ticket := e.bestWorker(s, i, a)
 		if w == nil {
 			if a != nil {
--- a/process/dispatch/reports.go
+++ b/process/dispatch/reports.go
@@ -137,7 +137,7 @@
 	ours := p != nil && t.place == p
 	if p != nil {
 		e.begin(p)
-		w.drop(p)
+		e.unbook(p)
 		e.scheduled = false
 	}
 	if ours {
@@ -253,6 +253,7 @@
 // complete tells that the report left no end out.
 func (e *Engine) takeRunning(w *worker, rows []runner.Live, complete bool) {
 	w.strays = 0
+	w.refundStrays()
 	present := make(map[work.TaskID]uint64, len(rows))
 	for i := range rows {
 		r := &rows[i]
@@ -298,6 +299,7 @@
 	e.stats.Orphans++
 	e.decide(Decision{What: "stop unexpected run", Task: r.Task, Run: r.Run, Worker: w.ID})
 	w.strays++
+	e.chargeStray(w, j, r.Task.Step)
 	e.out = append(e.out, SendStop{To: w.Ref, Task: r.Task, Run: r.Run})
 }
 
@@ -317,7 +319,7 @@
 	p := &place{w: w, s: s, index: r.Task.Index, run: r.Run, need: s.spec.Need(), sent: e.now, tries: 1, state: running, begun: e.now, percentAt: e.now}
 	t.place = p
 	s.unqueue(p.index)
-	w.take(p)
+	e.book(p)
 	s.job.begun = true
 	e.takeRow(p, r)
 	e.decide(Decision{What: "adopted", Task: r.Task, Run: r.Run, Worker: w.ID})
--- a/process/dispatch/runs.go
+++ b/process/dispatch/runs.go
@@ -49,10 +49,14 @@
 		e.violate("start over the worker's capacity", p.id(), w.ID)
 		return nil
 	}
+	if !s.job.account.Fits(s.charge()) {
+		e.violate("start over the account's quota", p.id(), w.ID)
+		return nil
+	}
 	e.giveWay(w, s)
 	t.place = p
 	s.unqueue(i)
-	w.take(p)
+	e.book(p)
 	e.stats.Starts++
 	e.sendStart(p)
 	return p
@@ -110,6 +114,10 @@
 		e.stop(p, "refused after a try without an answer")
 		e.brokenStart(p, err)
 	case p.state == stopping:
+	case p.s.job.account.Over(p.s.charge()):
+		// Its cap was lowered since: it was within the quota then, and is not now.
+		e.stop(p, "no answer to the start, and its account is over its cap")
+		e.brokenStart(p, err)
 	case p.tries < maxStarts && w.misses == 0:
 		p.state = doubtful
 		e.stats.Resent++
@@ -178,7 +186,7 @@
 
 // release frees a run that is known not to run, and lets its task start again.
 func (e *Engine) release(p *place) {
-	p.w.drop(p)
+	e.unbook(p)
 	e.scheduled = false
 	t := p.task()
 	if t.place != p {
--- a/process/dispatch/worker.go
+++ b/process/dispatch/worker.go
@@ -87,6 +87,8 @@
 	// strays counts the runs of the last report that are being stopped without
 	// a place: the room they take is not booked, so nothing starts beside them.
 	strays int
+	// strayRuns are those of them whose job is known, as charged to its account.
+	strayRuns []stray
 
 	renewPause time.Duration // the last one while ends could not be acknowledged
 
@@ -160,12 +162,14 @@
 	w.places[p.id()] = p
 }
 
-// drop frees a run's resources.
-func (w *worker) drop(p *place) {
-	if w.places[p.id()] == p {
-		w.used = w.used.Sub(p.need)
-		delete(w.places, p.id())
+// drop frees a run's resources, unless they are free.
+func (w *worker) drop(p *place) bool {
+	if w.places[p.id()] != p {
+		return false
 	}
+	w.used = w.used.Sub(p.need)
+	delete(w.places, p.id())
+	return true
 }
 
 // weakPace is how much slower than usual a worker counts as weak: three times the
--- a/process/jobs/check.go
+++ b/process/jobs/check.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"time"
 
+	"fennelshunt.example/fennelshunt/process/quota"
 	"fennelshunt.example/fennelshunt/version/spec"
 )
 
@@ -42,9 +43,9 @@
 	for _, a := range st.strays {
 		held[a.job.spec.Team] = held[a.job.spec.Team].Add(a.size)
 	}
-	st.accounts.Each(func(team string, counted spec.Resources, _ int) {
-		if counted != held[team] {
-			errs = append(errs, fmt.Errorf("team %q: %+v counted, attempts hold %+v", team, counted, held[team]))
+	st.accounts.Each(func(a *quota.Account) {
+		if counted := spec.Resources(a.Held()); counted != held[a.Name] {
+			errs = append(errs, fmt.Errorf("team %q: %+v counted, attempts hold %+v", a.Name, counted, held[a.Name]))
 		}
 	})
 	if n := st.learner.Reported(); n > attempts {
--- a/process/jobs/events.go
+++ b/process/jobs/events.go
@@ -6,6 +6,7 @@
 	"fennelshunt.example/fennelshunt/connection/worker"
 	"fennelshunt.example/fennelshunt/process/jobs/progress"
 	"fennelshunt.example/fennelshunt/process/plan"
+	"fennelshunt.example/fennelshunt/process/quota"
 	"fennelshunt.example/fennelshunt/version/spec"
 )
 
@@ -116,7 +117,7 @@
 // adopt counts an attempt of a previous owner as live.
 func (st *state) adopt(p *partition, j *job, ev *plan.Event) {
 	a := st.attemptOf(p, j, ev)
-	st.accounts.Adopt(j.spec.Team, a.size)
+	st.account(j).Adopt(quota.Size(a.size))
 	st.makeLive(a)
 	if j.record.StartLimit <= a.index {
 		st.violated("task %s runs above the durable limit %d", a.task(), j.record.StartLimit)
@@ -170,7 +171,7 @@
 	}
 	a := st.attemptOf(p, j, ev)
 	a.stopping = true
-	st.accounts.Adopt(j.spec.Team, a.size)
+	st.account(j).Adopt(quota.Size(a.size))
 	st.strays[ref] = a
 	st.stopping[a] = struct{}{}
 	st.sendStop(a, plan.StopNow)
@@ -202,7 +203,7 @@
 	delete(st.strays, a.ref())
 	delete(st.stopping, a)
 	st.learner.Ended(a.ref(), 0, false) // it may have been reported while live
-	st.accounts.Refund(a.job.spec.Team, a.size)
+	st.account(a.job).Refund(quota.Size(a.size))
 	if st.round.planner != nil {
 		st.round.planner.Forget(a.ref())
 	}
@@ -231,7 +232,7 @@
 		st.makeStray(live)
 	}
 	a := st.attemptOf(p, j, ev)
-	st.accounts.Adopt(j.spec.Team, a.size)
+	st.account(j).Adopt(quota.Size(a.size))
 	st.makeLive(a)
 	st.endAttempt(a, ev)
 }
@@ -266,7 +267,7 @@
 func (st *state) removeLive(a *attempt) {
 	delete(a.job.live, a.index)
 	delete(st.stopping, a)
-	st.accounts.Refund(a.job.spec.Team, a.size)
+	st.account(a.job).Refund(quota.Size(a.size))
 	if st.round.planner != nil {
 		st.round.planner.Forget(a.ref())
 	}
--- a/process/jobs/explain.go
+++ b/process/jobs/explain.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"fennelshunt.example/fennelshunt/process/jobs/progress"
+	"fennelshunt.example/fennelshunt/process/quota"
 	"fennelshunt.example/fennelshunt/version/spec"
 )
 
@@ -128,9 +129,9 @@
 	for _, j := range st.jobs {
 		status.Jobs = append(status.Jobs, st.jobStatus(j))
 	}
-	st.accounts.Each(func(team string, held spec.Resources, _ int) {
+	st.accounts.Each(func(a *quota.Account) {
 		status.Teams = append(status.Teams, TeamStatus{
-			Team: team, Held: held, Quota: st.accounts.Quota(team), Share: st.accounts.Share(team),
+			Team: a.Name, Held: spec.Resources(a.Held()), Quota: spec.Resources(a.Cap()), Share: st.accounts.Share(a),
 		})
 	})
 	slices.SortFunc(status.Jobs, func(a, b JobStatus) int {
--- a/process/jobs/gangs.go
+++ b/process/jobs/gangs.go
@@ -7,6 +7,7 @@
 
 	"fennelshunt.example/fennelshunt/process/jobs/queue"
 	"fennelshunt.example/fennelshunt/process/plan"
+	"fennelshunt.example/fennelshunt/process/quota"
 	"fennelshunt.example/fennelshunt/process/sched"
 	"fennelshunt.example/fennelshunt/version/spec"
 )
@@ -78,7 +79,7 @@
 	}
 	for i, a := range try.attempts {
 		st.round.planner.Assume(asks[i], d.Decisions[i])
-		if err := st.accounts.Charge(j.spec.Team, a.size); err != nil {
+		if err := st.account(j).Charge(quota.Size(a.size)); err != nil {
 			st.violated("quota checked and then exceeded: %v", err)
 		}
 		st.makeLive(a)
--- a/process/jobs/idle_test.go
+++ b/process/jobs/idle_test.go
@@ -10,6 +10,7 @@
 
 	"fennelshunt.example/fennelshunt/connection/worker"
 	"fennelshunt.example/fennelshunt/process/plan"
+	"fennelshunt.example/fennelshunt/process/quota"
 	"fennelshunt.example/fennelshunt/version/spec"
 )
 
@@ -66,7 +67,7 @@
 		time.Sleep(10 * time.Second)
 		teams := 0
 		require.NoError(t, d.manager.shard(0).call(ctx, func(st *state) {
-			st.accounts.Each(func(string, spec.Resources, int) { teams++ })
+			st.accounts.Each(func(*quota.Account) { teams++ })
 			require.Zero(t, st.learner.Reported())
 		}))
 		require.Zero(t, teams)
--- a/process/jobs/reconcile.go
+++ b/process/jobs/reconcile.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"fennelshunt.example/fennelshunt/process/jobs/progress"
+	"fennelshunt.example/fennelshunt/process/quota"
 	"fennelshunt.example/fennelshunt/version/spec"
 )
 
@@ -44,17 +45,20 @@
 func (st *state) applyTeams() {
 	for name, team := range st.config.Teams {
 		if st.mine(name) {
-			st.accounts.SetTeam(name, team.Weight, team.Quota)
+			st.accounts.Account(name).Set(float64(team.Weight), quota.Size(team.Quota))
 		}
 	}
 }
 
+// account returns the account of a job's team.
+func (st *state) account(j *job) *quota.Account { return st.accounts.Account(j.spec.Team) }
+
 // forgetTeams drops the accounts of teams that are no longer declared and hold
 // nothing.
 func (st *state) forgetTeams() {
-	st.accounts.Each(func(name string, _ spec.Resources, _ int) {
-		if st.config.Teams[name] == nil {
-			st.accounts.Forget(name)
+	st.accounts.Each(func(a *quota.Account) {
+		if st.config.Teams[a.Name] == nil {
+			st.accounts.Forget(a.Name)
 		}
 	})
 }
--- a/process/jobs/round.go
+++ b/process/jobs/round.go
@@ -5,6 +5,7 @@
 
 	"fennelshunt.example/fennelshunt/connection/worker"
 	"fennelshunt.example/fennelshunt/process/jobs/queue"
+	"fennelshunt.example/fennelshunt/process/quota"
 	"fennelshunt.example/fennelshunt/process/sched"
 	"fennelshunt.example/fennelshunt/process/sched/snapshot"
 	"fennelshunt.example/fennelshunt/version/spec"
@@ -96,7 +97,7 @@
 	st.protectGang(now)
 	st.others.rank(now, st.accounts, st.round.used)
 	st.round.dirty = false
-	st.round.active = st.queue.NewRound(spec.Low, st.accounts.Share)
+	st.round.active = st.queue.NewRound(spec.Low, func(team string) float64 { return st.accounts.Share(st.accounts.Account(team)) })
 	return true
 }
 
@@ -132,7 +133,7 @@
 		}
 		return true
 	})
-	st.accounts.SetCapacity(total)
+	st.accounts.SetCapacity(quota.Size(total))
 	st.round.largest, st.round.used = largest, used
 }
 
@@ -214,11 +215,11 @@
 // quota can never start.
 func (st *state) fitsQuota(e *queue.Entry[*job], size spec.Resources) bool {
 	j := e.Value
-	if !st.accounts.CanEverFit(j.spec.Team, size) {
+	if !st.account(j).CanEverFit(quota.Size(size)) {
 		st.refuseJob(e, nil, "larger than the quota of the team")
 		return false
 	}
-	if !st.accounts.Fits(j.spec.Team, size) {
+	if !st.account(j).Fits(quota.Size(size)) {
 		j.wait = "quota of the team is used up"
 		j.rejections = nil
 		st.round.active.SkipLine(e)
@@ -284,7 +285,7 @@
 	}
 	st.limiter.AllowN(now, 1)
 	st.round.planner.Assume(*ask, *d)
-	if err := st.accounts.Charge(j.spec.Team, a.size); err != nil {
+	if err := st.account(j).Charge(quota.Size(a.size)); err != nil {
 		st.violated("quota checked and then exceeded: %v", err)
 	}
 	st.makeLive(a)
--- a/process/jobs/shares.go
+++ b/process/jobs/shares.go
@@ -3,9 +3,9 @@
 import (
 	"time"
 
-	"fennelshunt.example/fennelshunt/process/jobs/fairshare"
 	"fennelshunt.example/fennelshunt/process/jobs/queue"
 	"fennelshunt.example/fennelshunt/process/plan"
+	"fennelshunt.example/fennelshunt/process/quota"
 	"fennelshunt.example/fennelshunt/version/spec"
 )
 
@@ -63,11 +63,11 @@
 // divided among the waiting ones by weight. The level depends on weights more
 // than on what others hold, so it bears information of some seconds ago; teams
 // that compared their shares directly all held back on old news at once.
-func (o *otherShards) rank(now time.Time, accounts *fairshare.Accounts, used spec.Resources) {
+func (o *otherShards) rank(now time.Time, accounts *quota.Ledger, used spec.Resources) {
 	weights, held := 0, 0.0
 	count := func(team spec.Resources, weight int) {
 		weights += max(weight, 1)
-		held += accounts.ShareOf(team, 1)
+		held += accounts.ShareOf(quota.Size(team), 1)
 	}
 	for _, shard := range o.shards {
 		if now.Sub(shard.seen) <= totalsExpiry*o.interval {
@@ -79,11 +79,12 @@
 	o.waiting = weights > 0
 	for team, at := range o.unserved {
 		if now.Sub(at) <= o.interval {
-			count(accounts.Held(team), accounts.Weight(team))
+			a := accounts.Account(team)
+			count(spec.Resources(a.Held()), int(a.Weight()))
 		}
 	}
 	if o.waiting {
-		others := max(0, accounts.ShareOf(used, 1)-held)
+		others := max(0, accounts.ShareOf(quota.Size(used), 1)-held)
 		o.level = max(0, 1-others) / float64(weights)
 	}
 }
@@ -97,7 +98,8 @@
 			delete(st.others.unserved, team)
 			continue
 		}
-		t.Teams = append(t.Teams, TeamTotal{Team: team, Weight: st.accounts.Weight(team), Held: st.accounts.Held(team)})
+		a := st.accounts.Account(team)
+		t.Teams = append(t.Teams, TeamTotal{Team: team, Weight: int(a.Weight()), Held: spec.Resources(a.Held())})
 	}
 	if s := st.round.protected; s != nil && s.own != nil {
 		need := s.need
@@ -112,7 +114,7 @@
 // yield.
 func (st *state) yields(e *queue.Entry[*job], now time.Time) bool {
 	j, o := e.Value, &st.others
-	if !o.waiting || j.class.Rank() >= spec.High.Rank() || st.accounts.Share(j.spec.Team) <= o.level {
+	if !o.waiting || j.class.Rank() >= spec.High.Rank() || st.accounts.Share(st.account(j)) <= o.level {
 		delete(o.yielding, j.spec.Team)
 		return false
 	}
--- a/process/jobs/state.go
+++ b/process/jobs/state.go
@@ -7,10 +7,10 @@
 	"golang.org/x/time/rate"
 
 	"fennelshunt.example/fennelshunt/connection/worker"
-	"fennelshunt.example/fennelshunt/process/jobs/fairshare"
 	"fennelshunt.example/fennelshunt/process/jobs/progress"
 	"fennelshunt.example/fennelshunt/process/jobs/queue"
 	"fennelshunt.example/fennelshunt/process/plan"
+	"fennelshunt.example/fennelshunt/process/quota"
 	"fennelshunt.example/fennelshunt/process/sched/usage"
 	"fennelshunt.example/fennelshunt/version/spec"
 )
@@ -35,7 +35,7 @@
 	rolling map[string][]*job
 
 	queue    *queue.Queue[*job]
-	accounts *fairshare.Accounts
+	accounts *quota.Ledger
 	delayed  delayHeap
 	limiter  *rate.Limiter
 	learner  *usage.Learner
@@ -59,7 +59,7 @@
 	st := &state{
 		shard: s, o: s.o, life: s.lives.Load(),
 		config: &spec.Config{}, jobs: map[progress.Key]*job{}, current: map[string]*job{},
-		strays: map[worker.Ref]*attempt{}, rolling: map[string][]*job{}, queue: queue.New[*job](), accounts: fairshare.New(),
+		strays: map[worker.Ref]*attempt{}, rolling: map[string][]*job{}, queue: queue.New[*job](), accounts: quota.NewLedger(),
 		limiter:    rate.NewLimiter(rate.Limit(t.StartsPerSecond), t.StartBurst),
 		partitions: map[string]*partition{}, learner: usage.New(), stopping: map[*attempt]struct{}{},
 	}
--- a/process/jobs/takeover.go
+++ b/process/jobs/takeover.go
@@ -6,6 +6,7 @@
 	"fennelshunt.example/fennelshunt/connection/worker"
 	"fennelshunt.example/fennelshunt/process/jobs/progress"
 	"fennelshunt.example/fennelshunt/process/plan"
+	"fennelshunt.example/fennelshunt/process/quota"
 	"fennelshunt.example/fennelshunt/process/sched/snapshot"
 	"fennelshunt.example/fennelshunt/version/spec"
 )
@@ -167,7 +168,7 @@
 		if known && !size.IsZero() {
 			size = limit
 		}
-		st.accounts.SetPending(team, size)
+		st.accounts.Account(team).SetUnseen(quota.Size(size))
 	}
 }
 
--- /dev/null
+++ b/process/quota/quota.go
@@ -0,0 +1,201 @@
+// Package quota counts what each client account (a team, in the declared files) holds of
+// a cell's resources, keeps it within its cap, and tells its share by weight.
+//
+// Guarantee: what is charged never takes an account over its limit, which is its cap, or
+// the share of the cap that a part of the cell may use. What runs already is adopted
+// whatever the limit; a limit that is lowered below what is held stops further charges
+// until enough is refunded. What may run unseen counts as held.
+package quota
+
+import (
+	"errors"
+	"fmt"
+)
+
+// ErrOver means that a charge would take the account over its limit.
+var ErrOver = errors.New("quota: the account's quota is used up")
+
+// Size is an amount of each resource.
+type Size struct {
+	MilliCPU     int64
+	MemoryMB     int64
+	Accelerators int64
+}
+
+// Add returns s + t.
+func (s Size) Add(t Size) Size {
+	return Size{s.MilliCPU + t.MilliCPU, s.MemoryMB + t.MemoryMB, s.Accelerators + t.Accelerators}
+}
+
+// Sub returns s - t.
+func (s Size) Sub(t Size) Size {
+	return Size{s.MilliCPU - t.MilliCPU, s.MemoryMB - t.MemoryMB, s.Accelerators - t.Accelerators}
+}
+
+// Times returns n times s.
+func (s Size) Times(n int) Size {
+	return Size{s.MilliCPU * int64(n), s.MemoryMB * int64(n), s.Accelerators * int64(n)}
+}
+
+// Least returns the smaller amount of each resource.
+func (s Size) Least(t Size) Size {
+	return Size{min(s.MilliCPU, t.MilliCPU), min(s.MemoryMB, t.MemoryMB), min(s.Accelerators, t.Accelerators)}
+}
+
+// Negative reports whether an amount is below zero.
+func (s Size) Negative() bool { return s.MilliCPU < 0 || s.MemoryMB < 0 || s.Accelerators < 0 }
+
+// FullShare is the share of a cap that is all of it. Shares are counted in ten-thousandths.
+const FullShare = 10_000
+
+// Account is the state of one account. It belongs to the goroutine of its Ledger.
+type Account struct {
+	Name   string
+	weight float64
+	cap    Size // 0 in a dimension bounds nothing there
+	share  int64
+	held   Size
+	unseen Size // what may run without being known
+}
+
+// Ledger holds accounts. It belongs to one goroutine.
+type Ledger struct {
+	accounts map[string]*Account
+	capacity Size
+}
+
+// NewLedger returns a ledger without accounts.
+func NewLedger() *Ledger { return &Ledger{accounts: map[string]*Account{}} }
+
+// SetCapacity sets the usable capacity of the cell, of which shares are taken.
+func (l *Ledger) SetCapacity(total Size) { l.capacity = total }
+
+// Account returns an account, which is made without bounds if it is not known.
+func (l *Ledger) Account(name string) *Account {
+	a := l.accounts[name]
+	if a == nil {
+		a = &Account{Name: name, weight: 1, share: FullShare}
+		l.accounts[name] = a
+	}
+	return a
+}
+
+// Each calls f for every account.
+func (l *Ledger) Each(f func(a *Account)) {
+	for _, a := range l.accounts {
+		f(a)
+	}
+}
+
+// Forget drops an account that holds nothing.
+func (l *Ledger) Forget(name string) {
+	if a := l.accounts[name]; a != nil && a.held == (Size{}) && a.unseen == (Size{}) {
+		delete(l.accounts, name)
+	}
+}
+
+// Set sets weight and cap; a weight of 0 or less counts as 1.
+func (a *Account) Set(weight float64, limit Size) {
+	if weight <= 0 {
+		weight = 1
+	}
+	a.weight, a.cap = weight, limit
+}
+
+// SetShare sets which share of the cap may be used, in units of FullShare.
+func (a *Account) SetShare(share int64) { a.share = share }
+
+// Fits reports whether the account may hold size more.
+func (a *Account) Fits(size Size) bool {
+	return a.within(a.held.Add(a.unseen).Add(size), size, a.share)
+}
+
+// Over reports whether the account holds more than it may of what size asks for.
+func (a *Account) Over(size Size) bool { return !a.within(a.held.Add(a.unseen), size, a.share) }
+
+// CanEverFit reports whether size fits into the account's whole cap.
+func (a *Account) CanEverFit(size Size) bool { return a.within(size, size, FullShare) }
+
+// Times returns how many of n things of a size the account may hold more.
+func (a *Account) Times(size Size, n int) int {
+	total := a.held.Add(a.unseen)
+	for _, d := range [...][3]int64{{size.MilliCPU, total.MilliCPU, a.cap.MilliCPU}, {size.MemoryMB, total.MemoryMB, a.cap.MemoryMB},
+		{size.Accelerators, total.Accelerators, a.cap.Accelerators}} {
+		if d[0] > 0 && d[2] > 0 {
+			n = min(n, int(max(limitOf(d[2], a.share)-d[1], 0)/d[0]))
+		}
+	}
+	return n
+}
+
+// within reports whether total stays inside the share of the cap in every dimension that
+// size adds to.
+func (a *Account) within(total, size Size, share int64) bool {
+	return dimensionWithin(total.MilliCPU, size.MilliCPU, a.cap.MilliCPU, share) &&
+		dimensionWithin(total.MemoryMB, size.MemoryMB, a.cap.MemoryMB, share) &&
+		dimensionWithin(total.Accelerators, size.Accelerators, a.cap.Accelerators, share)
+}
+
+func dimensionWithin(total, size, limit, share int64) bool {
+	return limit == 0 || size == 0 || total <= limitOf(limit, share)
+}
+
+// limitOf rounds down, so that the shares of all parts together stay within the cap.
+func limitOf(limit, share int64) int64 {
+	if share == FullShare {
+		return limit
+	}
+	return limit/FullShare*share + limit%FullShare*share/FullShare
+}
+
+// Charge counts size as held, or fails with ErrOver and changes nothing.
+func (a *Account) Charge(size Size) error {
+	if !a.Fits(size) {
+		return fmt.Errorf("account %q: %w", a.Name, ErrOver)
+	}
+	a.held = a.held.Add(size)
+	return nil
+}
+
+// Adopt counts size as held without a look at the limit: it is there already.
+func (a *Account) Adopt(size Size) { a.held = a.held.Add(size) }
+
+// Refund gives back what was charged or adopted.
+func (a *Account) Refund(size Size) { a.held = a.held.Sub(size) }
+
+// SetUnseen replaces what may run for the account without being known.
+func (a *Account) SetUnseen(size Size) { a.unseen = size }
+
+// Held returns what the account holds.
+func (a *Account) Held() Size { return a.held }
+
+// Cap returns the account's cap.
+func (a *Account) Cap() Size { return a.cap }
+
+// Weight returns the account's weight.
+func (a *Account) Weight() float64 { return a.weight }
+
+// Share returns the account's dominant share of the cell divided by its weight.
+func (l *Ledger) Share(a *Account) float64 { return l.ShareOf(a.held, a.weight) }
+
+// ShareOf returns the dominant share of a size divided by a weight, of which 0 and less
+// count as 1.
+func (l *Ledger) ShareOf(held Size, weight float64) float64 {
+	if weight <= 0 {
+		weight = 1
+	}
+	return Dominant(held, l.capacity) / weight
+}
+
+// Dominant returns the largest fraction that held takes of one dimension of the whole; a
+// dimension of which there is none does not count.
+func Dominant(held, whole Size) float64 {
+	return max(fraction(held.MilliCPU, whole.MilliCPU), fraction(held.MemoryMB, whole.MemoryMB), fraction(held.Accelerators, whole.Accelerators))
+}
+
+func fraction(part, whole int64) float64 {
+	if whole <= 0 {
+		return 0
+	}
+	return float64(part) / float64(whole)
+}
--- a/standin/epochworker/calls.go
+++ b/standin/epochworker/calls.go
@@ -107,6 +107,7 @@
 		f.breaks("%s on %s goes over its capacity: %+v", s.Task, w.ID, w.used)
 	}
 	f.history(s.Task).live++
+	f.checkQuota(s.Task, j)
 	if !step.Gang {
 		f.toWork(w, r)
 		return
--- a/standin/epochworker/fleet.go
+++ b/standin/epochworker/fleet.go
@@ -69,6 +69,7 @@
 	starts    int
 	renews    int
 	epoch     time.Time
+	caps      map[string][]bound // by account
 	// awayEnds counts lasting tasks at work that an order ended while as many
 	// others of their step as may be were away.
 	awayEnds int
--- a/version/work/work.go
+++ b/version/work/work.go
@@ -361,8 +361,10 @@
 	State State `cbor:"1,keyasint"`
 	// Before: every occurrence with a lower number is done.
 	Before int `cbor:"3,keyasint,omitempty"`
-	// Account is that of a job that has ended, whose hand-in is gone.
-	Account string `cbor:"4,keyasint,omitempty"`
+	// Account is that of a job that has ended, whose hand-in is gone, and Held what it
+	// still ran then.
+	Account string    `cbor:"4,keyasint,omitempty"`
+	Held    Resources `cbor:"5,keyasint,omitempty"`
 	// Ends has one entry for each step of each occurrence with any end.
 	Ends []StepEnds `cbor:"2,keyasint,omitempty"`
 }
