The strongest daemon leads, and its size tells into how many parts a cell is divided

A leader that is much weaker than a daemon that leads no part, answers and reaches the store gives leadership up to it, at once (a takeover costs some 0.1 s), then after 2 s, doubling to a minute, if it has to lead again. partsFor goes by the strongest daemon. Weighed: a part of the claim (weak daemons wait longer for a vacancy: does not help when the strong ones have not registered yet), moving a part with its state in memory (no gap, but a second way to take over).

--- a/process/cellnode/layout.go
+++ b/process/cellnode/layout.go
@@ -23,8 +23,8 @@
 	workersPerLeaderCore = 1400
 	// tolerance of a part over its size that does not make another one.
 	tolerance = 0.2
-	// ableShare: daemons with that share of the leader's processor time can lead a part
-	// as well.
+	// ableShare: daemons with that share of the strongest one's processor time can lead a
+	// part as well.
 	ableShare = 0.75
 	// settlePause is between looks at how many workers there are, settled of which must
 	// be alike, most of them in all: workers register within seconds of each other.
@@ -87,7 +87,7 @@
 	if err != nil {
 		return lead.One, err
 	}
-	layout := lead.Layout{Parts: partsFor(workers, n.self, n.view().Members())}
+	layout := lead.Layout{Parts: partsFor(workers, n.view().Members())}
 	if layout.Parts == 1 {
 		return layout, nil
 	}
@@ -119,17 +119,26 @@
 	return last, nil
 }
 
-// partsFor returns into how many parts a cell is divided.
-func partsFor(workers int, leader lead.Member, members []lead.Member) int {
+// partsFor returns into how many parts a cell is divided: as many as the strongest daemons
+// make necessary, since they lead (see lead.Elector's yield).
+//
+// What goes wrong if the daemon that happens to lead first is the measure: a small one
+// divides a cell for ever that one of the strong ones carries, and each part has its
+// share of the room and of every quota only.
+func partsFor(workers int, members []lead.Member) int {
+	most := 0.0 // cores
+	for _, m := range members {
+		most = max(most, m.Cores)
+	}
+	if most <= 0 {
+		return 1
+	}
 	able := 0
 	for _, m := range members {
-		if m.Cores >= ableShare*leader.Cores {
+		if m.Cores >= ableShare*most {
 			able++
 		}
 	}
-	if leader.Cores <= 0 {
-		return 1
-	}
-	parts := int(math.Ceil(float64(workers)/(leader.Cores*workersPerLeaderCore) - tolerance))
+	parts := int(math.Ceil(float64(workers)/(most*workersPerLeaderCore) - tolerance))
 	return max(1, min(parts, able))
 }
--- a/process/cellnode/layout_test.go
+++ b/process/cellnode/layout_test.go
@@ -19,22 +19,21 @@
 	mixed := append(members(15, 0.8), members(280, 0.192)...)
 	for _, c := range []struct {
 		workers int
-		cores   float64
 		members []lead.Member
 		want    int
 	}{
-		{48, 0.4, members(8, 0.4), 1},
-		{350, 0.8, mixed, 1},
-		{540, 0.8, mixed, 1},
-		{540, 0.192, members(97, 0.192), 2},
-		{161, 0.12, members(20, 0.12), 1},
-		{1000, 0.8, mixed, 1},
-		{3000, 0.8, mixed, 3},
-		{25000, 0.8, append(members(15, 0.8), members(1000, 0.192)...), 15},
-		{3000, 0.8, members(2, 0.8), 2},
-		{3000, 0, members(2, 0), 1}, // nothing is known of the daemons
-		{0, 0.8, mixed, 1},
+		{48, members(8, 0.4), 1},
+		{350, mixed, 1},
+		{540, mixed, 1},
+		{540, members(97, 0.192), 2},
+		{161, members(20, 0.12), 1},
+		{1000, mixed, 1},
+		{3000, mixed, 3},
+		{25000, append(members(15, 0.8), members(1000, 0.192)...), 15},
+		{3000, members(2, 0.8), 2},
+		{3000, members(2, 0), 1}, // nothing is known of the daemons
+		{0, mixed, 1},
 	} {
-		require.Equal(t, c.want, partsFor(c.workers, lead.Member{Cores: c.cores}, c.members), "%d workers, %v cores", c.workers, c.cores)
+		require.Equal(t, c.want, partsFor(c.workers, c.members), "%d workers, %d daemons", c.workers, len(c.members))
 	}
 }
--- a/process/cellnode/part.go
+++ b/process/cellnode/part.go
@@ -39,7 +39,8 @@
 		log = n.log.With().Int("part", index).Logger()
 	}
 	p.elector = lead.New(lead.Options{Self: n.self, Store: p.store, Log: log, Patience: n.patience, Lead: p.lead,
-		Lease: n.memberLease(), Peers: n.peers, Main: main, Suffix: suffix, Busy: func() bool { return n.leadsOther(index) }})
+		Lease: n.memberLease(), Peers: n.peers, Main: main, Suffix: suffix, Busy: func() bool { return n.leadsOther(index) },
+		Leading: func(name string) bool { return n.partLedBy(name, index) }})
 	p.elector.Register(n.mux)
 	p.jobs = submit.New(submit.Options{Self: n.self.Name, Peer: n.self.Peer, Texts: texts{p}, Store: p.store, Patience: n.patience,
 		View: p.elector.View(), Peers: n.peers, Leading: p.host.Load, Log: log, Suffix: suffix, Stats: &n.submitted, Guards: p.guards})
@@ -149,6 +150,16 @@
 	return false
 }
 
+// partLedBy reports whether a daemon leads a part other than that one, as far as is known.
+func (n *Node) partLedBy(name string, index int) bool {
+	for _, p := range n.parts() {
+		if leader, known := p.elector.View().Leader(); known && p.index != index && leader.Member.Name == name {
+			return true
+		}
+	}
+	return false
+}
+
 var errNoLayout = errors.New("cellnode: the cell's layout is not known yet")
 
 // partOf is Of of submit.Parts.
--- a/process/lead/elector.go
+++ b/process/lead/elector.go
@@ -56,6 +56,8 @@
 	Main *Elector
 	// Busy reports whether the daemon leads another part; may be nil.
 	Busy func() bool
+	// Leading reports whether a daemon leads any other part; may be nil.
+	Leading func(name string) bool
 	// Suffix tells the methods of a part from those of others.
 	Suffix string
 	// Peers calls other daemons; nil: a leader that is gone is replaced when its
@@ -322,8 +324,10 @@
 
 // claimVacancies claims leadership whenever the view shows no leader.
 func (e *Elector) claimVacancies(ctx context.Context) {
+	var y yielder
 	for ctx.Err() == nil {
 		changed := e.view.Changed()
+		e.yield(ctx, &y)
 		if t := e.current(); t != nil && e.view.Epoch() > t.Epoch {
 			t.End(ErrDeposed)
 		}
--- /dev/null
+++ b/process/lead/yield_test.go
@@ -0,0 +1,79 @@
+package lead
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"fennelshunt.example/fennelshunt/connection/peer"
+)
+
+// join adds a daemon to a cell that is there.
+func (w *watched) join(name string, cores float64) {
+	w.gates[name] = &gated{Transactor: w.m}
+	mux := peer.NewMux()
+	d := startWith(Options{Self: Member{Name: name, Peer: name, Cores: cores}, Store: w.gates[name], Log: zerolog.Nop(), Peers: port{w.net, name}})
+	d.e.Register(mux)
+	w.net.join(name, mux)
+	w.daemons[name] = d
+	w.names = append(w.names, name)
+}
+
+func TestWeakLeaderYieldsToAStrongerDaemon(t *testing.T) {
+	// Symptom: a cell is led for ever by a daemon with a quarter of the processor time of
+	//   others, and falls behind under load.
+	// Sequence: it was the first to register.
+	// Cause: only a vacancy was left to the daemon that fits best.
+	synctest.Test(t, func(t *testing.T) {
+		w := newWatched("a", "b")
+		before, epoch := w.leader(t)
+		w.join("strong", 4)
+		took := w.untilReplaced(before)
+		t.Logf("the stronger one leads %v after it has begun", took)
+		require.Less(t, took, time.Second)
+		name, now := w.leader(t)
+		require.Equal(t, "strong", name)
+		require.Equal(t, epoch+1, now, "at one go")
+		time.Sleep(time.Minute)
+		name, now = w.leader(t)
+		require.Equal(t, "strong", name)
+		require.Equal(t, epoch+1, now, "it stays")
+
+		// When it is gone, a weak one leads again.
+		w.kill("strong")
+		w.untilReplaced("strong")
+		w.stop("strong")
+	})
+}
+
+func TestDaemonsOfLikeStrengthDoNotYield(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWatched("a", "b")
+		before, epoch := w.leader(t)
+		w.join("c", 1.2)
+		time.Sleep(time.Minute)
+		name, now := w.leader(t)
+		require.Equal(t, before, name)
+		require.Equal(t, epoch, now)
+		w.stop()
+	})
+}
+
+func TestLeaderDoesNotYieldToOneThatCanNotLead(t *testing.T) {
+	// Symptom looked for: leadership goes to and fro.
+	// Sequence: the strongest daemon is registered and answers, and claims nothing.
+	synctest.Test(t, func(t *testing.T) {
+		w := newWatched("a", "b")
+		_, epoch := w.leader(t)
+		w.join("strong", 4)
+		w.daemons["strong"].e.claiming.Store(true) // as if its claims never succeeded
+		time.Sleep(10 * time.Minute)
+		_, now := w.leader(t)
+		require.LessOrEqual(t, now-epoch, uint64(2*(10+5)), "at most once a minute a daemon, and some more at first")
+		w.daemons["strong"].e.claiming.Store(false)
+		w.stop()
+	})
+}
