A successor knows what workers that are silent or leaving may run

Its successor reads the state at 12.6 s and starts nothing of what was handed in before until 21.1 s: two of the workers never answer, and each waiting task may run there. 8.5 s in which 70 quick jobs are late, and every gang.

A worker is closed (the store knows that nothing is started there) as soon as it is leaving, or after two calls in a row that failed, not after 2 s of silence only; and the record lists what may run there, ends that are not written included. A successor waits for those tasks alone. Workers that die unseen between two leaders are waited for as before.

Ruled out: the lease of the earlier leader (the successor was its own next life), the load of the state (51 ms).

--- a/process/dispatch/accounts.go
+++ b/process/dispatch/accounts.go
@@ -103,6 +103,7 @@
 
 // stray is a run without a place that is being stopped.
 type stray struct {
+	task    work.TaskID
 	account *quota.Account
 	size    quota.Size
 }
@@ -110,23 +111,27 @@
 // chargeStray counts a run that is being stopped for its account until the next report
 // of its worker. A job whose end was read from the store has no steps: what it still ran
 // is in ending.
-func (e *Engine) chargeStray(w *worker, j *job, step int) {
-	var size quota.Size
-	switch {
-	case j == nil || step < 0:
-		return
-	case step < len(j.spec.Steps):
-		size = sizeOf(j.spec.Steps[step].Size)
-	case step < len(j.sizes):
-		size = j.sizes[step]
-	default:
-		return
+func (e *Engine) chargeStray(w *worker, task work.TaskID) {
+	x := stray{task: task, account: e.ledger.Account("")}
+	if j := e.jobs[task.Job]; j != nil {
+		x.account, x.size = e.ledger.Account(j.spec.Account), j.sizeOf(task.Step)
 	}
-	x := stray{e.ledger.Account(j.spec.Account), size}
 	x.account.Adopt(x.size)
 	w.strayRuns = append(w.strayRuns, x)
 }
 
+// sizeOf returns what a task of a step counts for the job's account; nothing for a step
+// that is not known.
+func (j *job) sizeOf(step int) quota.Size {
+	switch {
+	case step >= 0 && step < len(j.spec.Steps):
+		return sizeOf(j.spec.Steps[step].Size)
+	case step >= 0 && step < len(j.sizes):
+		return j.sizes[step]
+	}
+	return quota.Size{}
+}
+
 func (w *worker) refundStrays() {
 	for _, x := range w.strayRuns {
 		x.account.Refund(x.size)
@@ -136,7 +141,8 @@
 
 // countUnseen counts for the accounts what an earlier epoch may have started, as long as
 // workers have not told: the waiting tasks of jobs that it may have begun, at most as
-// much as those workers hold; and what was being stopped of jobs that had ended.
+// much as those workers hold, or, of closed ones, what they may run; and what was being
+// stopped of jobs that had ended.
 //
 // What goes wrong without it: a leader is lost while an account is at its cap. Its
 // successor sees the account's runs only as the workers answer, takes it to hold
@@ -148,9 +154,9 @@
 	unseen := map[*quota.Account]quota.Size{}
 	if e.unresolved > 0 {
 		e.countInherited(unseen)
-		most := e.unresolvedCapacity()
+		most, listed := e.unresolvedCapacity(), e.countListed()
 		for a, size := range unseen {
-			unseen[a] = size.Least(most)
+			unseen[a] = size.Least(most.Add(listed[a]))
 		}
 	}
 	if e.unresolved == 0 && !e.anyStrays() {
@@ -178,8 +184,21 @@
 	}
 }
 
-// unresolvedCapacity is what the workers that have not answered this epoch may run. One
-// that the directory does not list any more counts as the largest.
+// countListed adds up, by account, the tasks that closed workers may run.
+func (e *Engine) countListed() map[*quota.Account]quota.Size {
+	listed := map[*quota.Account]quota.Size{}
+	for task := range e.mayRun {
+		if j := e.jobs[task.Job]; j != nil {
+			a := e.ledger.Account(j.spec.Account)
+			listed[a] = listed[a].Add(j.sizeOf(task.Step))
+		}
+	}
+	return listed
+}
+
+// unresolvedCapacity is what the workers that have not answered this epoch, and of which
+// it is not listed what they may run, hold. One that the directory does not list any more
+// counts as the largest.
 func (e *Engine) unresolvedCapacity() quota.Size {
 	var all, largest quota.Size
 	unlisted := 0
@@ -187,7 +206,7 @@
 		size := sizeOf(w.Capacity)
 		largest = largest.Most(size)
 		switch {
-		case !w.inherited:
+		case !w.inherited, w.closed && !w.unlisted:
 		case w.Capacity == (work.Resources{}):
 			unlisted++
 		default:
--- a/process/dispatch/accounts_test.go
+++ b/process/dispatch/accounts_test.go
@@ -55,7 +55,7 @@
 	b := newBench(t, 2)
 	fleet, err := peer.Marshal(fleetRecord{Workers: []runner.Ref{{ID: "w-1"}, {ID: "w-2"}}})
 	require.NoError(t, err)
-	saved.Fleet = &store.Entry{Key: keyFleet, Value: fleet, Revision: 5}
+	saved.Fleet = []store.Entry{{Key: keyFleet, Value: fleet, Revision: 5}}
 	require.NoError(t, b.e.Load(b.now, saved))
 	b.e.SetAccounts(b.now, accountsOf(t, accounts...))
 	b.largeWorkers("w-1", "w-2")
--- a/process/dispatch/directory.go
+++ b/process/dispatch/directory.go
@@ -115,49 +115,6 @@
 	return all
 }
 
-// resolve notes that nothing of an earlier epoch can start or run unseen on a
-// worker.
-func (e *Engine) resolve(w *worker) {
-	if !w.inherited {
-		return
-	}
-	w.inherited = false
-	e.unresolved--
-	if !w.closed {
-		e.unresolvedOpen--
-	}
-	e.scheduled = false
-}
-
-// closeSilent closes a worker that has not answered for a while: nothing is
-// started there until the store knows that it is open again. A successor then
-// need not wait for it before it starts what was handed in since.
-//
-// What goes wrong without it: a worker lost its power long ago; the leader
-// changes; everything that waited stands for the eight seconds after which a
-// lease of the worker has certainly run out.
-func (e *Engine) closeSilent(w *worker) {
-	if w.closed || !w.fenced || !w.kept || w.misses == 0 || e.now-w.answered < closeAfter {
-		return
-	}
-	w.closed = true
-	e.fleetNew = true
-	e.decide(Decision{What: "worker closed", Worker: w.ID, Why: "it does not answer", Age: e.now - w.answered})
-}
-
-// reopen lets a closed worker that has answered be used once the store knows.
-func (e *Engine) reopen(w *worker) {
-	if !w.closed {
-		return
-	}
-	w.closed, w.kept = false, false
-	e.fleetNew = true
-}
-
-// closeAfter is how long a worker must have been silent to be closed: the longest
-// wait of a renewal and one more call, so that a lost answer closes none.
-const closeAfter = renewWait + 2*renewGrace
-
 // lapsed is called when everything on a worker must have ended with its lease.
 func (e *Engine) lapsed(w *worker) {
 	e.decide(Decision{What: "lease lapsed", Worker: w.ID, Why: "no answer until the lease had run out", Age: e.now - w.answered})
--- a/process/dispatch/engine.go
+++ b/process/dispatch/engine.go
@@ -7,7 +7,6 @@
 	"strings"
 	"time"
 
-	"fennelshunt.example/fennelshunt/connection/peer"
 	"fennelshunt.example/fennelshunt/connection/runner"
 	"fennelshunt.example/fennelshunt/connection/store"
 	"fennelshunt.example/fennelshunt/process/lead"
@@ -15,11 +14,6 @@
 	"fennelshunt.example/fennelshunt/version/work"
 )
 
-// noticeTime is how long after a takeover an earlier leader may still renew a
-// worker that the new one does not reach: it renews every worker at least this
-// often, and the first one that the new leader has called tells it to stop.
-const noticeTime = 2 * time.Second
-
 // Engine schedules for one epoch. It is not safe for concurrent use.
 type Engine struct {
 	o   Options
@@ -37,8 +31,12 @@
 	// neither answered this one nor certainly ended; unresolvedOpen those of them
 	// that were not closed.
 	unresolved, unresolvedOpen int
-	// closedAt: what was handed in later has never started on a closed worker.
-	closedAt store.Revision
+	// unlistedClosed counts closed ones of which it is not known what they may run;
+	// what was handed in after closedAt does not run there.
+	unlistedClosed int
+	closedAt       store.Revision
+	// mayRun counts, by task, the closed workers on which it may run yet.
+	mayRun map[work.TaskID]int
 
 	ready []*step // steps with tasks to start
 	timed []*job  // with occurrences that have not come due
@@ -64,6 +62,7 @@
 	unbundle  []*job              // whose newest progress is in a bundle
 	bundleSeq uint64
 	fleetNew  bool
+	closedNew bool // the list of closed workers is to be written
 	forgetAt  time.Duration
 	scheduled bool // nothing has changed since the last placement
 	// scheduledAt and planAt are when the last round was, and when room for
@@ -90,7 +89,7 @@
 	o.Policy = o.Policy.complete()
 	return &Engine{o: o, jobs: map[work.JobID]*job{}, cancels: map[work.JobID]time.Duration{},
 		workers: map[runner.WorkerID]*worker{}, lanes: map[string]*lane{}, ledger: quota.NewLedger(), ending: map[*quota.Account]quota.Size{},
-		shares: map[string]float64{}, paces: map[string]*float64{}}
+		mayRun: map[work.TaskID]int{}, shares: map[string]float64{}, paces: map[string]*float64{}}
 }
 
 // Deposed reports whether a worker was called with a higher epoch.
@@ -107,7 +106,7 @@
 	Accepted []store.Entry // under PrefixJobs
 	States   []store.Entry // under PrefixState
 	Bundles  []store.Entry // under PrefixBundle
-	Fleet    *store.Entry  // nil for none
+	Fleet    []store.Entry // under prefixFleet
 }
 
 // Load takes over what earlier epochs left in the store. Entries that can not
@@ -123,9 +122,7 @@
 	for _, s := range states {
 		e.loadState(s)
 	}
-	if saved.Fleet != nil {
-		errs = append(errs, e.loadFleet(*saved.Fleet))
-	}
+	errs = append(errs, e.loadFleet(saved.Fleet))
 	for _, j := range e.jobs {
 		e.openDue(j)
 		for s := range j.steps() {
@@ -155,33 +152,6 @@
 	j.restore(s.progress)
 }
 
-// fleetRecord lists the workers that the leader may have started tasks on.
-type fleetRecord struct {
-	Workers []runner.Ref `cbor:"1,keyasint"`
-	// Closed names those on which nothing is started until the list is written
-	// again without them.
-	Closed []runner.WorkerID `cbor:"2,keyasint,omitempty"`
-}
-
-func (e *Engine) loadFleet(entry store.Entry) error {
-	var f fleetRecord
-	if err := peer.Unmarshal(entry.Value, &f); err != nil {
-		return fmt.Errorf("%s: %w", keyFleet, err)
-	}
-	e.closedAt = entry.Revision
-	for _, ref := range f.Workers {
-		w := e.addWorker(runner.Worker{Ref: ref})
-		w.kept, w.inherited = true, true
-		w.lapse = e.now + noticeTime + scale(e.o.Bounds.MaxLease, clockDrift) + driftMargin
-		w.closed = slices.Contains(f.Closed, w.ID)
-		e.unresolved++
-		if !w.closed {
-			e.unresolvedOpen++
-		}
-	}
-	return nil
-}
-
 // Accepted takes what an accepting daemon wrote: a job or a cancellation.
 func (e *Engine) Accepted(now time.Duration, entry store.Entry) error {
 	e.now = now
@@ -355,6 +325,7 @@
 		return
 	}
 	e.closeSilent(w)
+	e.closeLeaving(w)
 	e.renew(w)
 }
 
--- a/process/dispatch/engine_test.go
+++ b/process/dispatch/engine_test.go
@@ -233,7 +233,7 @@
 	fleet, err := peer.Marshal(fleetRecord{Workers: []runner.Ref{ref}})
 	require.NoError(t, err)
 	b := newBench(t, 2, "w-near")
-	require.NoError(t, b.e.Load(0, Saved{Accepted: []store.Entry{jobEntry(t, 1, 2, oneTask())}, Fleet: &store.Entry{Value: fleet}}))
+	require.NoError(t, b.e.Load(0, Saved{Accepted: []store.Entry{jobEntry(t, 1, 2, oneTask())}, Fleet: []store.Entry{{Key: keyFleet, Value: fleet}}}))
 	b.step(50 * time.Millisecond)
 	b.report("w-near", runner.Report{Clock: time.Second})
 	for b.now < noticeTime+testLease {
@@ -374,83 +374,6 @@
 	require.EqualValues(t, 2, b.e.workers["w-a"].ack)
 }
 
-func TestSuccessorNeedNotWaitForAClosedWorker(t *testing.T) {
-	// Symptom: after a change of the leader everything that waits stands for eight
-	//   seconds.
-	// Sequence: a worker loses its power; jobs are handed in; a while later the
-	//   leader is lost before it has started them.
-	// Cause: its successor can not tell whether they run on the silent worker, and
-	//   waits until its lease has run out for certain.
-	b := newBench(t, 1, "w-a", "w-b")
-	s := newSlowStore(b, 0)
-	s.run(100 * time.Millisecond)
-	b.report("w-a", runner.Report{Clock: time.Second})
-	b.report("w-b", runner.Report{Clock: time.Second})
-	put := func(id work.JobID) {
-		entry := jobEntry(t, 1, 2, oneTask())
-		s.put(KeyIn(id), entry.Value)
-	}
-	put("00000000000000a1") // handed in before the silence
-	for range 100 {
-		b.e.Renewed(b.now, "w-a", runner.Report{Clock: time.Second + b.now}, nil)
-		b.e.Renewed(b.now, "w-b", runner.Report{}, runner.ErrUnknown)
-		s.step()
-	}
-	put("00000000000000a2")
-	next := newBench(t, 2)
-	fleet := s.entries[keyFleet]
-	require.NoError(t, next.e.Load(0, Saved{Accepted: s.under(PrefixJobs), Fleet: &fleet}))
-	for _, id := range []runner.WorkerID{"w-a", "w-b"} {
-		next.e.WorkerSeen(next.now, runner.Worker{Ref: runner.Ref{ID: id}, Service: "s", Capacity: work.Resources{CPU: 4000, Memory: 4000}, Labels: []string{"a", "r"}})
-	}
-	next.step(50 * time.Millisecond)
-	next.report("w-a", runner.Report{Clock: time.Second})
-	next.step(time.Second)
-	starts := next.starts()
-	require.Len(t, starts, 1)
-	require.Equal(t, work.JobID("00000000000000a2"), starts[0].Start.Task.Job)
-	first := starts[0].Start
-	next.e.Started(next.now, "w-a", first.Task, first.Run, nil)
-	for range 120 {
-		next.report("w-a", runner.Report{Clock: time.Second + next.now, Running: []runner.Live{{Task: first.Task, Run: first.Run, Percent: next.now.Seconds()}}})
-		next.step(100 * time.Millisecond)
-	}
-	starts = next.starts()
-	require.Len(t, starts, 1, "the other one when the lease has run out")
-	require.Equal(t, work.JobID("00000000000000a1"), starts[0].Start.Task.Job)
-}
-
-func TestClosedWorkerIsUsedAgainOnceTheStoreKnows(t *testing.T) {
-	// Symptom looked for: a task starts on a worker that the store still says is
-	//   closed, and a successor starts it a second time.
-	b := newBench(t, 1, "w-a")
-	s := newSlowStore(b, 300*time.Millisecond)
-	s.run(time.Second)
-	b.report("w-a", runner.Report{Clock: time.Second})
-	s.run(time.Second)
-	for range 100 {
-		b.e.Renewed(b.now, "w-a", runner.Report{}, runner.ErrUnknown)
-		s.step()
-	}
-	closed := func() []runner.WorkerID {
-		var f fleetRecord
-		require.NoError(t, peer.Unmarshal(s.entries[keyFleet].Value, &f))
-		return f.Closed
-	}
-	require.Len(t, closed(), 1)
-	require.NoError(t, b.e.Accepted(b.now, jobEntry(t, 1, 2, oneTask())))
-	b.out = nil
-	for range 40 {
-		b.e.Renewed(b.now, "w-a", runner.Report{Clock: time.Second + b.now}, nil)
-		s.step()
-		if len(b.starts()) > 0 {
-			require.Empty(t, closed())
-			return
-		}
-	}
-	t.Fatal("it is not used again")
-}
-
 func TestQuickStepsAreAskedForBesideSlowOnes(t *testing.T) {
 	// Symptom: a hundred quick jobs wait beside idle daemons and free workers.
 	// Sequence: many steps with slow calls for advice wait for one of the daemons
--- a/process/dispatch/host.go
+++ b/process/dispatch/host.go
@@ -151,22 +151,14 @@
 	wg.Go(func() { saved.Accepted, rev, jobsErr = h.o.Store.List(ctx, PrefixJobs) })
 	wg.Go(func() { saved.States, _, statesErr = h.o.Store.List(ctx, PrefixState) })
 	wg.Go(func() { saved.Bundles, _, bundlesErr = h.o.Store.List(ctx, PrefixBundle) })
-	wg.Go(func() {
-		entry, err := h.o.Store.Get(ctx, keyFleet)
-		switch {
-		case err == nil:
-			saved.Fleet = &entry
-		case !errors.Is(err, store.ErrNotFound):
-			fleetErr = err
-		}
-	})
+	wg.Go(func() { saved.Fleet, _, fleetErr = h.o.Store.List(ctx, prefixFleet) })
 	wg.Wait()
 	return rev, saved, errors.Join(jobsErr, statesErr, bundlesErr, fleetErr)
 }
 
 // Fresh reports whether nothing has been handed in to a cell and no worker been used.
 func Fresh(ctx context.Context, s store.Transactor) (bool, error) {
-	for _, prefix := range []string{PrefixJobs, PrefixState, PrefixBundle, keyFleet} {
+	for _, prefix := range []string{PrefixJobs, PrefixState, PrefixBundle, prefixFleet} {
 		entries, _, err := s.List(ctx, prefix)
 		if err != nil || len(entries) > 0 {
 			return false, err
--- a/process/dispatch/persist.go
+++ b/process/dispatch/persist.go
@@ -3,8 +3,6 @@
 import (
 	"time"
 
-	"fennelshunt.example/fennelshunt/connection/peer"
-	"fennelshunt.example/fennelshunt/connection/runner"
 	"fennelshunt.example/fennelshunt/connection/store"
 	"fennelshunt.example/fennelshunt/version/work"
 )
@@ -92,7 +90,7 @@
 
 func (e *Engine) writeDue(chain int) bool {
 	switch {
-	case e.fleetNew && chain == fleetChain:
+	case e.fleetDirty() && chain == fleetChain:
 		return true
 	case len(e.dirty) > 0 && e.urgent:
 		return e.now-e.dirtyAt >= urgentDelay
@@ -112,9 +110,8 @@
 	b := &batch{}
 	c := SendCommit{Chain: chain}
 	room := e.o.Policy.WriteKeys
-	if e.fleetNew && chain == fleetChain {
-		e.addFleet(b, &c)
-		room--
+	if e.fleetDirty() && chain == fleetChain {
+		room -= e.addFleet(b, &c)
 	}
 	bundled := !e.o.Policy.NoBundles && e.dirtySize() > room
 	if bundled {
@@ -200,30 +197,6 @@
 	b.saves = append(b.saves, save{job: j, version: j.version, state: j.state, bundled: bundled})
 }
 
-// addFleet writes the list of workers that may be used. A worker is used only
-// once it is in the store: a successor that can not reach it has to know that
-// something may run there.
-func (e *Engine) addFleet(b *batch, c *SendCommit) {
-	var f fleetRecord
-	for _, w := range e.order {
-		f.Workers = append(f.Workers, runner.Ref{ID: w.ID, Address: w.Address})
-		if w.closed {
-			f.Closed = append(f.Closed, w.ID)
-			continue
-		}
-		if !w.kept {
-			b.fleet = append(b.fleet, w)
-		}
-	}
-	data, err := peer.Marshal(f)
-	if err != nil {
-		e.violate("fleet does not encode: "+err.Error(), work.TaskID{}, "")
-		return
-	}
-	c.Writes = append(c.Writes, store.Write{Key: keyFleet, Value: data})
-	e.fleetNew = false
-}
-
 // Committed tells that the SendCommit on a chain is in the store.
 func (e *Engine) Committed(now time.Duration, chain int) {
 	e.now = now
--- a/process/dispatch/place.go
+++ b/process/dispatch/place.go
@@ -259,14 +259,7 @@
 	if s.job.spec.Account != "" && !e.capsKnown() {
 		return false
 	}
-	return !s.job.inherited || e.accountedFor(s.job)
-}
-
-// accountedFor reports whether nothing of an inherited job can run unseen: every
-// worker that an earlier epoch used has answered or has certainly ended, or was
-// closed before the job was handed in.
-func (e *Engine) accountedFor(j *job) bool {
-	return e.unresolved == 0 || (e.unresolvedOpen == 0 && j.revision > e.closedAt)
+	return !s.job.inherited || e.accountedFor(s)
 }
 
 // eligible reports whether a step may run on a worker, room and advice apart.
@@ -306,6 +299,9 @@
 func (e *Engine) placeTasks(s *step) {
 	a := e.adviceOf(s)
 	for _, i := range slices.Clone(s.pending) {
+		if e.unseen(s, i) {
+			continue
+		}
 		if !e.withinQuota(s) {
 			e.awaitsQuota(s)
 			return
--- a/process/dispatch/reports.go
+++ b/process/dispatch/reports.go
@@ -110,7 +110,7 @@
 		}
 		w.seen = ends[i].Number
 		j := e.takeEnd(w, &ends[i])
-		wait := ackWait{number: ends[i].Number, job: j}
+		wait := ackWait{number: ends[i].Number, task: ends[i].Task, job: j}
 		if j != nil {
 			wait.version = j.version
 		}
@@ -299,7 +299,7 @@
 	e.stats.Orphans++
 	e.decide(Decision{What: "stop unexpected run", Task: r.Task, Run: r.Run, Worker: w.ID})
 	w.strays++
-	e.chargeStray(w, j, r.Task.Step)
+	e.chargeStray(w, r.Task)
 	e.out = append(e.out, SendStop{To: w.Ref, Task: r.Task, Run: r.Run})
 }
 
--- a/process/dispatch/types.go
+++ b/process/dispatch/types.go
@@ -139,7 +139,11 @@
 	PrefixState = "state/"
 	// PrefixBundle holds values with the progress of many jobs.
 	PrefixBundle = "bundle/"
-	keyFleet     = "fleet"
+	// prefixFleet holds the workers that the leader uses, and those of them that are
+	// closed.
+	prefixFleet = "fleet"
+	keyFleet    = prefixFleet
+	keyClosed   = "fleet/closed"
 )
 
 // KeyIn returns the key of an accepted job.
--- a/process/dispatch/worker.go
+++ b/process/dispatch/worker.go
@@ -49,6 +49,7 @@
 // store.
 type ackWait struct {
 	number  int64
+	task    work.TaskID
 	job     *job // nil: nothing to wait for
 	version uint64
 }
@@ -64,6 +65,10 @@
 	// closed: the list of workers in the store says, or is about to say, that
 	// nothing is started here.
 	closed bool
+	// mayRun are the tasks that may run there, of a closed worker that an earlier epoch
+	// used and that has not answered this one; unlisted: they are not known.
+	mayRun   []work.TaskID
+	unlisted bool
 	// inherited: an earlier epoch used it, and it has not answered this one.
 	inherited bool
 	rack      string
--- a/standin/cellsim/sim.go
+++ b/standin/cellsim/sim.go
@@ -165,9 +165,7 @@
 			}
 		}})
 	saved := dispatch.Saved{Accepted: s.under(dispatch.PrefixJobs), States: s.under(dispatch.PrefixState), Bundles: s.under(dispatch.PrefixBundle)}
-	for _, e := range s.under("fleet") {
-		saved.Fleet = &e
-	}
+	saved.Fleet = s.under("fleet")
 	if err := s.engine.Load(s.now, saved); err != nil && s.o.Violation != nil {
 		s.o.Violation(err.Error())
 	}
