Logs tell how long a job's steps waited, for what, and when its gangs start

For those who explain a late job afterwards: the line of a job's end has the milliseconds that its steps waited for a takeover, for members of a gang to end, for the account's quota, for advice and for room; gangs have a line of their own when they start.

--- a/process/dispatch/engine.go
+++ b/process/dispatch/engine.go
@@ -201,7 +201,7 @@
 	if s.opened || !s.job.active() || !s.ready() || s.left == 0 || s.occurrence.opens > e.now {
 		return
 	}
-	s.opened = true
+	s.opened, s.openedAt = true, e.now
 	e.ready = append(e.ready, s)
 	e.scheduled = false
 }
@@ -219,7 +219,7 @@
 // end gives a job its final state and stops what runs of it.
 func (e *Engine) end(j *job, state work.State, why string) {
 	j.state, j.endedAt = state, e.now
-	e.decide(Decision{What: state.String(), Task: work.TaskID{Job: j.id}, Why: why, Age: e.now - j.since})
+	e.decide(Decision{What: state.String(), Task: work.TaskID{Job: j.id}, Why: why, Age: e.now - j.since, waits: &j.waits})
 	for s := range j.steps() {
 		s.advice = nil
 		e.unreserve(s)
--- a/process/dispatch/gang.go
+++ b/process/dispatch/gang.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"time"
 
@@ -44,6 +45,7 @@
 	}
 	s.gang.run = run
 	e.unreserve(s)
+	e.decide(Decision{What: "gang starts", Task: s.id(), Run: run, Why: fmt.Sprintf("%d tasks on %d workers", s.spec.Count, len(seats)), Age: e.now - s.openedAt})
 	i := 0
 	for _, seat := range seats {
 		for range seat.n {
--- a/process/dispatch/host.go
+++ b/process/dispatch/host.go
@@ -477,6 +477,9 @@
 	if d.Age > 0 {
 		l = l.Int64("age_ms", d.Age.Milliseconds())
 	}
+	if d.waits != nil {
+		l = l.Object("waited_ms", d.waits)
+	}
 	l.Uint64("epoch", h.term.Epoch).Msg(d.What)
 }
 
--- a/process/dispatch/job.go
+++ b/process/dispatch/job.go
@@ -45,6 +45,7 @@
 	bundle     *bundle // that holds its newest progress; nil: its own key does
 	unbundling bool    // queued to be moved out of its bundle
 	endedAt    time.Duration
+	waits      waits
 }
 
 // step is one step of a job.
@@ -59,8 +60,11 @@
 	pending    []int // indexes that wait for a start, in order
 	left       int   // tasks that are not done
 	opened     bool  // listed as ready
+	openedAt   time.Duration
 	rank       int   // lateness, as of the round of placement
 	overQuota  bool  // it has waited for its account's quota
+	waitsFor   waitCause
+	waitSince  time.Duration
 	// reservedAt is when room was last reserved for the step.
 	reservedAt time.Duration
 
--- a/process/dispatch/place.go
+++ b/process/dispatch/place.go
@@ -94,15 +94,17 @@
 	e.ledger.ClearWants()
 	var r round
 	for _, s := range steps {
+		cause := e.heldUpBy(s)
 		switch {
-		case !e.mayStart(s):
-		case !e.withinQuota(s):
-			e.awaitsQuota(s)
+		case cause != waitNothing:
 		case s.spec.Gang:
 			e.tryGang(s, &r)
+			cause = e.causeOf(s)
 		default:
 			e.tryTasks(s, &r)
+			cause = e.causeOf(s)
 		}
+		e.noteWait(s, cause)
 	}
 	e.askAll(steps)
 }
@@ -251,15 +253,18 @@
 	return need.Times(e.freeFor(s, w), limit)
 }
 
-// mayStart reports whether tasks of the step may start now at all.
-func (e *Engine) mayStart(s *step) bool {
-	if s.gang.breaking || (s.spec.Gang && s.live() > 0) {
-		return false
-	}
-	if s.job.spec.Account != "" && !e.capsKnown() {
-		return false
-	}
-	return !s.job.inherited || e.accountedFor(s)
+// heldUpBy returns why no task of the step may start now at all, if so.
+func (e *Engine) heldUpBy(s *step) waitCause {
+	switch {
+	case s.gang.breaking || (s.spec.Gang && s.live() > 0):
+		return waitMembers
+	case s.job.inherited && !e.accountedFor(s):
+		return waitTakeover
+	case (s.job.spec.Account != "" && !e.capsKnown()) || !e.withinQuota(s):
+		e.awaitsQuota(s)
+		return waitQuota
+	}
+	return waitNothing
 }
 
 // eligible reports whether a step may run on a worker, room and advice apart.
--- a/process/dispatch/types.go
+++ b/process/dispatch/types.go
@@ -81,6 +81,7 @@
 	Worker runner.WorkerID
 	Why    string
 	Age    time.Duration // of what was decided upon, where that matters
+	waits  *waits        // of a job that has ended
 }
 
 // Effect is something that the engine wants done. The outcome of each comes
