An account's own work has an order under its cap

An account's overlays (2.2 s each) fill its cap, its quick jobs (0.6 s, the first of its queues) wait for one of them to end, beside free workers; gangs that need a third of the cap wait for the small work to run out.

Within one account, work leaves headroom for queues that come before its own, as much as these used of late, and what comes after a step that the cap holds up leaves that step's room free. A switch (policy.no_quota_order) for each measurement.

TestQuickWorkFindsRoomUnderItsAccountsCap and TestGangOfMostOfACapIsNotStarved... fail without it.

--- a/process/dispatch/accounts.go
+++ b/process/dispatch/accounts.go
@@ -69,12 +69,13 @@
 
 // withinQuota reports whether the step's account may have more of it running.
 func (e *Engine) withinQuota(s *step) bool {
-	return s.job.account.Fits(s.charge().Times(s.startsTogether()))
+	return e.mayUse(s, s.charge().Times(s.startsTogether()))
 }
 
 // awaitsQuota notes that a step waits for nothing but its account's quota.
 func (e *Engine) awaitsQuota(s *step) {
 	s.job.account.Want(s.charge(), len(s.pending), s.startsTogether())
+	e.holdUp(s)
 	if s.overQuota {
 		return
 	}
@@ -87,6 +88,7 @@
 func (e *Engine) book(p *place) {
 	p.w.take(p)
 	p.s.job.account.Adopt(p.s.charge())
+	e.kindOf(p.s.job).note(e.now, p.s.charge())
 }
 
 // unbook frees what a run takes, once it is known not to run any more.
@@ -96,6 +98,7 @@
 	}
 	a := p.s.job.account
 	a.Refund(p.s.charge())
+	e.kindOf(p.s.job).note(e.now, quota.Size{}.Sub(p.s.charge()))
 	if a.Held().Negative() {
 		e.violate("refund of more than an account holds: "+a.Name, p.id(), p.w.ID)
 	}
--- a/process/dispatch/engine.go
+++ b/process/dispatch/engine.go
@@ -45,8 +45,12 @@
 	accountsKnown bool
 	capShares     uint64 // the version of the parts' shares that is obeyed; 0: none is known
 	// ending is what jobs that had ended still ran when an earlier epoch wrote that.
-	ending    map[*quota.Account]quota.Size
-	anyUnseen bool // something counts for accounts that is not seen
+	ending map[*quota.Account]quota.Size
+	kinds  map[kindKey]*kindUse
+	// priorities lists those for which an account has run anything, rising.
+	priorities map[*quota.Account][]int
+	heldUp     map[*quota.Account]quota.Size // kept free in this round
+	anyUnseen  bool                          // something counts for accounts that is not seen
 
 	members []string
 	lanes   map[string]*lane
@@ -89,6 +93,7 @@
 	o.Policy = o.Policy.complete()
 	return &Engine{o: o, jobs: map[work.JobID]*job{}, cancels: map[work.JobID]time.Duration{},
 		workers: map[runner.WorkerID]*worker{}, lanes: map[string]*lane{}, ledger: quota.NewLedger(), ending: map[*quota.Account]quota.Size{},
+		kinds: map[kindKey]*kindUse{}, priorities: map[*quota.Account][]int{}, heldUp: map[*quota.Account]quota.Size{},
 		mayRun: map[work.TaskID]int{}, shares: map[string]float64{}, paces: map[string]*float64{}}
 }
 
--- a/process/dispatch/job.go
+++ b/process/dispatch/job.go
@@ -61,8 +61,8 @@
 	left       int   // tasks that are not done
 	opened     bool  // listed as ready
 	openedAt   time.Duration
-	rank       int   // lateness, as of the round of placement
-	overQuota  bool  // it has waited for its account's quota
+	rank       int  // lateness, as of the round of placement
+	overQuota  bool // it has waited for its account's quota
 	waitsFor   waitCause
 	waitSince  time.Duration
 	// reservedAt is when room was last reserved for the step.
--- a/process/dispatch/place.go
+++ b/process/dispatch/place.go
@@ -92,6 +92,7 @@
 	e.countLanes()
 	e.countUnseen()
 	e.ledger.ClearWants()
+	clear(e.heldUp)
 	var r round
 	for _, s := range steps {
 		cause := e.heldUpBy(s)
--- a/process/dispatch/policy.go
+++ b/process/dispatch/policy.go
@@ -28,6 +28,9 @@
 	// NoParallelAdvice asks for a gang by one call after the other. Load pattern:
 	// gangs that need advice on more workers than one call may name.
 	NoParallelAdvice bool `json:"no_parallel_advice,omitempty"`
+	// NoQuotaOrder lets whatever comes first take what is free of its account's cap.
+	// Load pattern: accounts that hand in more than their caps let run.
+	NoQuotaOrder bool `json:"no_quota_order,omitempty"`
 	// FirstCome starts what was handed in first, and keeps no room: a baseline.
 	FirstCome bool `json:"first_come,omitempty"`
 	// ReservedShare: room is reserved for one waiting step in so many workers at a
--- /dev/null
+++ b/process/dispatch/quotaorder.go
@@ -0,0 +1,107 @@
+package dispatch
+
+import (
+	"math"
+	"time"
+
+	"fennelshunt.example/fennelshunt/process/quota"
+)
+
+// The order in which an account's own work uses its cap.
+//
+// Load pattern: an account hands in more than its cap lets run, of several kinds. What
+// goes wrong if whatever comes first takes what is free: long tasks of its least urgent
+// queue fill the cap, its quick jobs wait seconds for one of them to end, beside free
+// workers; and its gangs, which need a third of the cap at once, wait until the small work
+// runs out.
+//
+// Two rules, both within one account, so that no other one gains or loses by them:
+//   - headroom: work leaves room in the cap for the queues that come before its own, as
+//     much as these used of late;
+//   - turns: what comes after a step that the cap holds up leaves that step's room free.
+
+// headroomTime is how long it takes until a third of what a queue once used is left of its
+// headroom: the time between bursts of callers, and some times the length of quick jobs.
+const headroomTime = 5 * time.Second
+
+// kindKey names what one account runs for one priority.
+type kindKey struct {
+	account  *quota.Account
+	priority int
+}
+
+// kindUse is what an account runs for one priority.
+type kindUse struct {
+	held quota.Size
+	// peak is the most held of late, decaying since at.
+	peak quota.Size
+	at   time.Duration
+}
+
+// kindOf returns what the job's account runs for the job's priority.
+func (e *Engine) kindOf(j *job) *kindUse {
+	key := kindKey{j.account, j.spec.Queue.Priority}
+	k := e.kinds[key]
+	if k == nil {
+		k = &kindUse{}
+		e.kinds[key] = k
+		e.priorities[j.account] = insertSorted(e.priorities[j.account], key.priority)
+	}
+	return k
+}
+
+// insertSorted adds a number to a sorted list that lacks it.
+func insertSorted(list []int, n int) []int {
+	i := 0
+	for i < len(list) && list[i] < n {
+		i++
+	}
+	list = append(list, 0)
+	copy(list[i+1:], list[i:])
+	list[i] = n
+	return list
+}
+
+// note counts a change of what is held.
+func (k *kindUse) note(now time.Duration, change quota.Size) {
+	k.peak, k.at = k.peakAt(now), now
+	k.held = k.held.Add(change)
+	k.peak = k.peak.Most(k.held)
+}
+
+func (k *kindUse) peakAt(now time.Duration) quota.Size {
+	left := math.Exp(-float64(now-k.at) / float64(headroomTime))
+	return k.held.Most(quota.Size{MilliCPU: int64(float64(k.peak.MilliCPU) * left), MemoryMB: int64(float64(k.peak.MemoryMB) * left),
+		Accelerators: int64(float64(k.peak.Accelerators) * left)})
+}
+
+// headroom is what a job's account keeps free for queues that come before the job's.
+func (e *Engine) headroom(j *job) (sum quota.Size) {
+	for _, priority := range e.priorities[j.account] {
+		if priority >= j.spec.Queue.Priority {
+			break
+		}
+		k := e.kinds[kindKey{j.account, priority}]
+		sum = sum.Add(k.peakAt(e.now).Sub(k.held))
+	}
+	return sum
+}
+
+// mayUse reports whether the step's account may have so much more of it running, with the
+// room that it has to leave.
+func (e *Engine) mayUse(s *step, size quota.Size) bool {
+	a := s.job.account
+	if !a.Fits(size) {
+		return false
+	}
+	if e.o.Policy.NoQuotaOrder || a.Unbounded() {
+		return true
+	}
+	return a.FitsBeside(size, e.headroom(s.job).Add(e.heldUp[a]))
+}
+
+// holdUp keeps the room that a step waits for free of what comes after it in this round.
+func (e *Engine) holdUp(s *step) {
+	a := s.job.account
+	e.heldUp[a] = e.heldUp[a].Most(s.charge().Times(s.startsTogether()))
+}
--- /dev/null
+++ b/process/dispatch/quotaorder_test.go
@@ -0,0 +1,78 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"fennelshunt.example/fennelshunt/connection/store"
+	"fennelshunt.example/fennelshunt/version/work"
+)
+
+// ofPriority is an entry whose queue has a priority.
+func ofPriority(t *testing.T, e store.Entry, priority int) store.Entry {
+	return changed(t, e, func(j *work.Job) { j.Queue.Priority = priority })
+}
+
+func TestQuickWorkFindsRoomUnderItsAccountsCap(t *testing.T) {
+	// Symptom: an account's quick jobs wait for seconds beside free workers.
+	// Sequence: it hands in quick jobs all the time, and a wave of long tasks of a queue
+	//   that comes after; together they ask for more than its cap.
+	// Cause: the long tasks take whatever of the cap comes free, all of it.
+	for _, without := range []bool{false, true} {
+		b := readyBench(t, "w-1", "w-2")
+		b.e.o.Policy.NoQuotaOrder = without
+		b.e.SetAccounts(b.now, accountsOf(t, work.Account{Name: "north", Cap: work.Resources{CPU: 10000}}))
+		quick, long := work.JobID("00000000000000b1"), work.JobID("00000000000000b2")
+		require.NoError(t, b.e.Accepted(b.now, ofPriority(t, jobOf(t, "north", quick, 1, tasksOf(3, false)), 0)))
+		b.step(tickPeriod)
+		first := b.starts()
+		require.Len(t, first, 3)
+		for i, s := range first {
+			b.report(s.To.ID, done(int64(i+1), s))
+		}
+		require.NoError(t, b.e.Accepted(b.now, ofPriority(t, jobOf(t, "north", long, 1, tasksOf(40, false)), 2)))
+		b.step(tickPeriod)
+		left := 10 - len(b.starts())
+		require.NoError(t, b.e.Accepted(b.now, ofPriority(t, jobOf(t, "north", "00000000000000b3", 1, tasksOf(3, false)), 0)))
+		b.step(tickPeriod)
+		if without {
+			require.Zero(t, left)
+			require.Empty(t, b.starts(), "no quick job starts until a long task ends")
+			continue
+		}
+		require.Equal(t, 3, left, "as much as quick jobs used of late")
+		require.Len(t, b.starts(), 3)
+		b.step(4 * headroomTime) // none come any more
+		require.NotEmpty(t, b.starts(), "what nobody uses is given back")
+	}
+}
+
+func TestGangOfMostOfACapIsNotStarvedByItsAccountsSmallWork(t *testing.T) {
+	// Symptom: a gang that needs most of its account's cap starts only when the account
+	//   hands in nothing else.
+	// Sequence: small tasks of a later queue end one by one, and others take their place.
+	b := readyBench(t, "w-1", "w-2")
+	b.e.SetAccounts(b.now, accountsOf(t, work.Account{Name: "north", Cap: work.Resources{CPU: 10000}}))
+	require.NoError(t, b.e.Accepted(b.now, ofPriority(t, jobOf(t, "north", firstJob, 1, tasksOf(60, false)), 2)))
+	b.step(tickPeriod)
+	running := b.starts()
+	require.Len(t, running, 10)
+	require.NoError(t, b.e.Accepted(b.now, ofPriority(t, jobOf(t, "north", secondJob, 1, tasksOf(8, true)), 1)))
+	number := map[string]int64{}
+	for i, s := range running {
+		number[string(s.To.ID)]++
+		b.report(s.To.ID, done(number[string(s.To.ID)], s))
+		starts := b.starts()
+		for _, x := range starts {
+			require.Equal(t, secondJob, x.Start.Task.Job, "after %d ends", i+1)
+		}
+		if len(starts) > 0 {
+			require.Len(t, starts, 8)
+			require.Equal(t, 7, i, "as soon as eight of ten are free")
+			return
+		}
+	}
+	t.Fatal("the gang has not started")
+}
--- a/process/quota/quota.go
+++ b/process/quota/quota.go
@@ -175,6 +175,16 @@
 	return a.within(a.held.Add(a.unseen).Add(size), size, a.share)
 }
 
+// FitsBeside reports whether the account may hold size more and still have room for spare,
+// as far as its limit ever has.
+func (a *Account) FitsBeside(size, spare Size) bool {
+	total := a.held.Add(a.unseen).Add(size)
+	return a.within(total.Add(spare), size, a.share) || (a.within(total, size, a.share) && !a.within(size.Add(spare), size, a.share))
+}
+
+// Unbounded reports whether the account has no cap at all.
+func (a *Account) Unbounded() bool { return a.cap == (Size{}) }
+
 // Over reports whether the account holds more than it may of what size asks for.
 func (a *Account) Over(size Size) bool { return !a.within(a.held.Add(a.unseen), size, a.share) }
 
