--- a/process/dispatch/quotaorder_test.go
+++ b/process/dispatch/quotaorder_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"testing"
-	"time"
 
 	"github.com/stretchr/testify/require"
 
