Accounts take turns by what they would lose; what is beyond an entitlement comes last

Hypothesis: a tenth of the accounts is served worst since one late gang is half of what a small account hands in; and an account that hands in five times its usual takes the others' room, as jobs are ordered by the time at which they should be done alone.

Three ways behind one Book, by which a job's turn moves by half of its objective at most: due (as before), dominant (who uses least for its weight), risk (who would lose most of its work of late). A hand-in beyond weight a second over the window comes after everything that accounts are entitled to (bounds.entitled_window_s, entitled_slack).

Ruled out: an order by account alone (a small account's urgent work is then behind).

--- a/process/cellnode/node.go
+++ b/process/cellnode/node.go
@@ -24,6 +24,7 @@
 	"fennelshunt.example/fennelshunt/connection/traffic"
 	"fennelshunt.example/fennelshunt/internal/sleep"
 	"fennelshunt.example/fennelshunt/process/dispatch"
+	"fennelshunt.example/fennelshunt/process/fair"
 	"fennelshunt.example/fennelshunt/process/lead"
 	"fennelshunt.example/fennelshunt/process/relay"
 	"fennelshunt.example/fennelshunt/process/settings"
@@ -241,7 +242,8 @@
 		lease = t.TaskLeaseMS.Std()
 	}
 	return dispatch.Bounds{Lease: lease, MaxLease: b.WorkerLeaseMS.Std(), Gang: b.GangMS.Std(),
-		Keep: time.Duration(b.KeepS * float64(time.Second))}
+		Keep:     time.Duration(b.KeepS * float64(time.Second)),
+		Entitled: fair.Entitlement{Window: time.Duration(b.EntitledWindowS * float64(time.Second)), Slack: b.EntitledSlack}}
 }
 
 // Ready reports whether the daemon can serve callers.
--- a/process/dispatch/accounts.go
+++ b/process/dispatch/accounts.go
@@ -20,6 +20,7 @@
 	e.accountsKnown = true
 	for _, a := range accounts.All() {
 		e.ledger.Account(a.Name).Set(a.Weight, sizeOf(a.Cap))
+		e.fair.SetWeight(a.Name, a.Weight)
 	}
 	e.scheduled = false
 }
@@ -98,6 +99,7 @@
 	}
 	a := p.s.job.account
 	a.Refund(p.s.charge())
+	e.fair.Used(a.Name, e.now, (e.now-p.sent).Seconds()*float64(p.s.spec.Size.CPU)/1000)
 	e.kindOf(p.s.job).note(e.now, quota.Size{}.Sub(p.s.charge()))
 	if a.Held().Negative() {
 		e.violate("refund of more than an account holds: "+a.Name, p.id(), p.w.ID)
--- a/process/dispatch/accounts_test.go
+++ b/process/dispatch/accounts_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"testing/synctest"
@@ -11,6 +12,7 @@
 	"fennelshunt.example/fennelshunt/connection/peer"
 	"fennelshunt.example/fennelshunt/connection/runner"
 	"fennelshunt.example/fennelshunt/connection/store"
+	"fennelshunt.example/fennelshunt/process/fair"
 	"fennelshunt.example/fennelshunt/process/quota"
 	"fennelshunt.example/fennelshunt/version/work"
 )
@@ -286,3 +288,39 @@
 		})
 	}
 }
+
+func TestHotAccountDoesNotTakeTheRoomOfOthers(t *testing.T) {
+	// Symptom: while one account hands in several times its usual, the others' jobs wait
+	//   behind it and are late.
+	// Sequence: it hands in twice what it is entitled to; another hands in one job later.
+	// Cause: jobs were ordered by the time at which they should be done alone.
+	b := newBench(t, 1)
+	b.e = NewEngine(Options{Epoch: 1, Bounds: Bounds{Lease: testLease, MaxLease: testLease, Gang: 3 * time.Second, Keep: time.Minute,
+		Entitled: fair.Entitlement{Window: 2 * time.Second, Slack: 10}},
+		Violation: func(what string, _ work.TaskID, _ runner.WorkerID) { t.Errorf("invariant: %s", what) }})
+	b.largeWorkers("w-1")
+	b.answer("w-1")
+	b.e.SetAccounts(b.now, accountsOf(t, work.Account{Name: "hot", Weight: 10}, work.Account{Name: "calm", Weight: 10}))
+	full := tasksOf(1, false)
+	full.Size.CPU = 64000 // a worker's whole room
+	var all []store.Entry
+	for i := range 60 {
+		all = append(all, jobOf(t, "hot", work.JobID(fmt.Sprintf("%016x", i+1)), 1, full))
+	}
+	calm := work.JobID("00000000000000ff")
+	for _, x := range append(all, jobOf(t, "calm", calm, 1, full)) {
+		require.NoError(t, b.e.Accepted(b.now, x))
+	}
+	before := 0
+	for {
+		b.step(tickPeriod)
+		s := b.starts()
+		require.Len(t, s, 1)
+		if s[0].Start.Task.Job == calm {
+			break
+		}
+		before++
+		b.report(s[0].To.ID, done(int64(before), s[0]))
+	}
+	require.Less(t, before, 31, "what the hot account is entitled to: ten a second over two seconds, and ten")
+}
--- a/process/dispatch/engine.go
+++ b/process/dispatch/engine.go
@@ -9,6 +9,7 @@
 
 	"fennelshunt.example/fennelshunt/connection/runner"
 	"fennelshunt.example/fennelshunt/connection/store"
+	"fennelshunt.example/fennelshunt/process/fair"
 	"fennelshunt.example/fennelshunt/process/lead"
 	"fennelshunt.example/fennelshunt/process/quota"
 	"fennelshunt.example/fennelshunt/version/work"
@@ -46,6 +47,7 @@
 	capShares     uint64 // the version of the parts' shares that is obeyed; 0: none is known
 	// ending is what jobs that had ended still ran when an earlier epoch wrote that.
 	ending map[*quota.Account]quota.Size
+	fair   *fair.Book
 	kinds  map[kindKey]*kindUse
 	// priorities lists those for which an account has run anything, rising.
 	priorities map[*quota.Account][]int
@@ -91,7 +93,9 @@
 // NewEngine returns an engine without jobs.
 func NewEngine(o Options) *Engine {
 	o.Policy = o.Policy.complete()
-	return &Engine{o: o, jobs: map[work.JobID]*job{}, cancels: map[work.JobID]time.Duration{},
+	entitled := o.Bounds.Entitled
+	entitled.Share = 1 / float64(max(o.Parts, 1))
+	return &Engine{o: o, fair: fair.New(o.Policy.Shares, entitled), jobs: map[work.JobID]*job{}, cancels: map[work.JobID]time.Duration{},
 		workers: map[runner.WorkerID]*worker{}, lanes: map[string]*lane{}, ledger: quota.NewLedger(), ending: map[*quota.Account]quota.Size{},
 		kinds: map[kindKey]*kindUse{}, priorities: map[*quota.Account][]int{}, heldUp: map[*quota.Account]quota.Size{},
 		mayRun: map[work.TaskID]int{}, shares: map[string]float64{}, paces: map[string]*float64{}}
@@ -185,6 +189,8 @@
 	j := &job{id: id, spec: spec, handedIn: true, revision: revision, since: e.now, inherited: spec.Epoch < e.o.Epoch,
 		accepted: e.atTime(spec.Accepted), start: e.atTime(spec.StartAt), pace: e.paceOf(spec.Queue.Name), account: e.ledger.Account(spec.Account)}
 	e.jobs[id] = j
+	j.work = spec.Work()
+	j.beyond = !e.fair.HandedIn(spec.Account, j.accepted)
 	if _, ok := e.cancels[id]; ok {
 		delete(e.cancels, id)
 		e.end(j, work.Cancelled, "cancelled before the hand-in was seen")
@@ -248,6 +254,9 @@
 		return
 	}
 	e.took(SpanComplete, j)
+	if n := len(j.occurrences); j.spec.Account != "" && n > 0 {
+		e.fair.Ended(j.spec.Account, e.now, j.work, e.now <= j.occurrences[n-1].due)
+	}
 	e.end(j, work.Completed, "every task is done")
 }
 
--- a/process/dispatch/place.go
+++ b/process/dispatch/place.go
@@ -186,7 +186,7 @@
 	clear(e.ready[len(kept):])
 	e.ready = kept
 	for _, st := range kept {
-		st.rank = e.rankOf(st)
+		st.rank, st.turn = e.rankOf(st), e.turnOf(st)
 	}
 	slices.SortStableFunc(e.ready, compareSteps) // nearly sorted from the round before
 	return slices.Clone(e.ready)
@@ -195,7 +195,16 @@
 func compareSteps(a, b *step) int {
 	x, y := a.job, b.job
 	return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(x.spec.Queue.Priority, y.spec.Queue.Priority),
-		cmp.Compare(a.occurrence.due, b.occurrence.due), cmp.Compare(x.id, y.id))
+		cmp.Compare(a.turn, b.turn), cmp.Compare(x.id, y.id))
+}
+
+// turnOf returns when the step's turn is among those of its rank and priority.
+func (e *Engine) turnOf(s *step) time.Duration {
+	o, j := s.occurrence, s.job
+	if j.spec.Account == "" {
+		return o.due
+	}
+	return e.fair.Turn(j.spec.Account, e.now, o.due, o.due-o.from, j.work)
 }
 
 // rankOf returns the first thing by which steps are ordered.
@@ -219,15 +228,29 @@
 		return rankLasting
 	}
 	ends := e.now + e.estimate(s)
+	rank := rankHopeless
 	switch o := s.occurrence; {
 	case ends <= o.due:
-		return 0
+		rank = rankInTime
 	case ends <= o.from+lateFactor*(o.due-o.from):
-		return 1
+		rank = rankLate
 	}
-	return 2
+	if s.job.beyond {
+		rank += rankBeyond
+	}
+	return rank
 }
 
+// Ranks of steps. What an account hands in beyond its entitlement comes after all that
+// accounts are entitled to: else the one that hands in several times its usual takes the
+// others' room.
+const (
+	rankInTime   = 0
+	rankLate     = 1
+	rankHopeless = 2
+	rankBeyond   = 3 // added to these
+)
+
 // estimate returns how long a task of the step is likely to take.
 func (e *Engine) estimate(s *step) time.Duration {
 	return scale(s.spec.Estimate, *s.job.pace)
--- a/process/dispatch/policy.go
+++ b/process/dispatch/policy.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 
+	"fennelshunt.example/fennelshunt/process/fair"
 	"fennelshunt.example/fennelshunt/process/lead"
 )
 
@@ -28,6 +29,8 @@
 	// NoParallelAdvice asks for a gang by one call after the other. Load pattern:
 	// gangs that need advice on more workers than one call may name.
 	NoParallelAdvice bool `json:"no_parallel_advice,omitempty"`
+	// Shares is how accounts take turns; see package fair.
+	Shares fair.Way `json:"shares,omitempty"`
 	// NoQuotaOrder lets whatever comes first take what is free of its account's cap.
 	// Load pattern: accounts that hand in more than their caps let run.
 	NoQuotaOrder bool `json:"no_quota_order,omitempty"`
@@ -47,9 +50,18 @@
 		inBounds("policy.write_chains", p.WriteChains, 1, lead.Chains),
 		inBounds("policy.write_keys", p.WriteKeys, minWriteKeys, lead.MaxCommit),
 		inBounds("policy.reserved_share", p.ReservedShare, 1, 1_000_000),
+		named("policy.shares", p.Shares.Check()),
 	)
 }
 
+// named puts the field's name before an error.
+func named(field string, err error) error {
+	if err == nil {
+		return nil
+	}
+	return fmt.Errorf("%s: %w", field, err)
+}
+
 // inBounds checks a figure of which 0 stands for the default.
 func inBounds(field string, v, least, most int) error {
 	if v == 0 || (v >= least && v <= most) {
--- a/process/dispatch/types.go
+++ b/process/dispatch/types.go
@@ -21,6 +21,7 @@
 
 	"fennelshunt.example/fennelshunt/connection/runner"
 	"fennelshunt.example/fennelshunt/connection/store"
+	"fennelshunt.example/fennelshunt/process/fair"
 	"fennelshunt.example/fennelshunt/version/work"
 )
 
@@ -34,6 +35,8 @@
 	Gang time.Duration
 	// Keep is how long the state of an ended job stays known.
 	Keep time.Duration
+	// Entitled is what accounts may hand in.
+	Entitled fair.Entitlement
 }
 
 // startTimeout is how long a start may go without an answer: all its tries
--- /dev/null
+++ b/process/fair/fair_test.go
@@ -0,0 +1,124 @@
+package fair
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+func TestUnknownWayIsNamed(t *testing.T) {
+	for _, w := range []Way{"", Due, Dominant, Risk} {
+		require.NoError(t, w.Check())
+	}
+	require.EqualError(t, Way("newest").Check(), `is "newest"; use due, dominant, risk, or leave it out`)
+}
+
+func TestEntitlementIsUsedUpAndComesBack(t *testing.T) {
+	b := New(Due, Entitlement{Window: 5 * time.Second, Slack: 20})
+	b.SetWeight("north", 10)
+	for i := range 70 { // ten a second over five seconds, and twenty more
+		require.True(t, b.HandedIn("north", 0), "hand-in %d", i)
+	}
+	require.False(t, b.HandedIn("north", 0))
+	require.True(t, b.HandedIn("south", 0), "another account has its own")
+	for i := range 10 {
+		require.True(t, b.HandedIn("north", time.Second), "hand-in %d a second later", i)
+	}
+	require.False(t, b.HandedIn("north", time.Second))
+	require.False(t, b.HandedIn("north", 500*time.Millisecond), "one seen out of order brings nothing back")
+}
+
+func TestWithoutWindowEverythingIsWithin(t *testing.T) {
+	b := New(Due, Entitlement{})
+	for range 1000 {
+		require.True(t, b.HandedIn("north", 0))
+		require.True(t, b.HandedIn("", 0))
+	}
+}
+
+func TestEntitlementHoldsOverAnySpan(t *testing.T) {
+	// Over any span, no more hand-ins are within than the rate over the span and the window,
+	// and the slack; and an account that keeps to its rate is always within.
+	rapid.Check(t, func(t *rapid.T) {
+		e := Entitlement{Window: time.Duration(rapid.IntRange(1, 10).Draw(t, "window")) * time.Second,
+			Slack: float64(rapid.IntRange(1, 30).Draw(t, "slack")), Share: rapid.SampledFrom([]float64{1, 0.5, 0.1}).Draw(t, "share")}
+		b := New(Due, e)
+		weight := float64(rapid.IntRange(1, 40).Draw(t, "weight"))
+		b.SetWeight("hot", weight)
+		b.SetWeight("calm", weight)
+		rate := weight * e.Share
+		var within []time.Duration
+		var at, calm time.Duration
+		for range rapid.IntRange(1, 200).Draw(t, "hand-ins") {
+			at += time.Duration(rapid.IntRange(0, 300).Draw(t, "pause")) * time.Millisecond
+			if b.HandedIn("hot", at) {
+				within = append(within, at)
+			}
+			calm += time.Duration(float64(time.Second) / rate)
+			require.True(t, b.HandedIn("calm", calm))
+		}
+		for i := range within {
+			for j := i; j < len(within); j++ {
+				most := rate*(within[j]-within[i]+e.Window).Seconds() + e.Slack
+				require.LessOrEqual(t, float64(j-i+1), most+1e-6)
+			}
+		}
+	})
+}
+
+func TestAccountThatWouldLoseMostGoesFirst(t *testing.T) {
+	// Symptom: of an account with few jobs half of the work is late, of a large one a tenth.
+	// Sequence: a gang of either waits for the same room; both are due at the same time.
+	// Cause: by the time they are due they are equal.
+	const now, due, objective = 10 * time.Second, 20 * time.Second, 10 * time.Second
+	b := New(Risk, Entitlement{})
+	b.Ended("large", now, 900, true)
+	b.Ended("small", now, 100, true)
+	small, large := b.Turn("small", now, due, objective, 100), b.Turn("large", now, due, objective, 100)
+	require.InDelta(t, 17.5, small.Seconds(), 0.001, "half of its work: a quarter of the objective ahead")
+	require.InDelta(t, 19.5, large.Seconds(), 0.001, "a tenth of its work")
+	b.Ended("large", now, 900, false)
+	require.Less(t, b.Turn("large", now, due, objective, 100), small, "of which more than half would be late by now")
+}
+
+func TestAccountThatUsesLessThanItsShareGoesFirst(t *testing.T) {
+	const now, due, objective = 10 * time.Second, 20 * time.Second, 10 * time.Second
+	b := New(Dominant, Entitlement{})
+	b.SetWeight("north", 3)
+	b.SetWeight("south", 1)
+	b.Used("north", now, 100)
+	b.Used("south", now, 100)
+	require.Less(t, b.Turn("north", now, due, objective, 1), due, "a third of what its weight is worth")
+	require.Greater(t, b.Turn("south", now, due, objective, 1), due)
+	later := now + 20*useMemory
+	b.Used("north", later, 100)
+	require.Less(t, b.Turn("south", later, due, objective, 1), b.Turn("north", later, due, objective, 1), "what was used long ago is forgotten")
+}
+
+func TestTurnStaysNearTheTimeAJobIsDue(t *testing.T) {
+	// However accounts behave, a job waits at most reach of its objective longer than by
+	// its time alone: none waits for ever.
+	rapid.Check(t, func(t *rapid.T) {
+		b := New(rapid.SampledFrom([]Way{Due, Dominant, Risk}).Draw(t, "way"), Entitlement{})
+		names := []string{"a", "b", "c"}
+		var now time.Duration
+		for range rapid.IntRange(0, 60).Draw(t, "events") {
+			now += time.Duration(rapid.IntRange(0, 5000).Draw(t, "pause")) * time.Millisecond
+			name := rapid.SampledFrom(names).Draw(t, "account")
+			work := float64(rapid.IntRange(0, 5000).Draw(t, "work"))
+			switch rapid.IntRange(0, 2).Draw(t, "event") {
+			case 0:
+				b.Ended(name, now, work, rapid.Bool().Draw(t, "in time"))
+			case 1:
+				b.Used(name, now, work)
+			case 2:
+				b.SetWeight(name, float64(rapid.IntRange(-1, 50).Draw(t, "weight")))
+			}
+			const due, objective = time.Hour, 10 * time.Second
+			turn := b.Turn(name, now, due, objective, work)
+			require.LessOrEqual(t, (turn - due).Abs(), time.Duration(reach*float64(objective)))
+		}
+	})
+}
--- a/process/settings/cell.go
+++ b/process/settings/cell.go
@@ -68,6 +68,10 @@
 	KeepS float64 `json:"keep_s"`
 	// StopS is how long a planned stop may take, in seconds.
 	StopS float64 `json:"stop_s"`
+	// EntitledWindowS is the time, in seconds, over which an account may hand in as many
+	// jobs a second as its weight, and EntitledSlack jobs more; 0: without bound.
+	EntitledWindowS float64 `json:"entitled_window_s"`
+	EntitledSlack   float64 `json:"entitled_slack"`
 }
 
 // JobCellTuning overrides defaults.
@@ -127,6 +131,8 @@
 	c.want(net.ParseIP(s.IP) != nil, "ip", fmt.Sprintf("%q is no IP number", s.IP), "use for example 10.0.0.7")
 	c.want(s.PeerPort >= 0 && s.PeerPort < 1<<16, "peer_port", fmt.Sprintf("%d is no port", s.PeerPort), "use 1 to 65535, or 0 for any free one")
 	c.want(s.Bounds.WorkerLeaseMS > 0, "bounds.worker_lease_ms", "is negative", "use the longest lease that workers grant")
+	c.want(s.Bounds.EntitledWindowS >= 0, "bounds.entitled_window_s", "is negative", "use seconds, or 0 for no bound")
+	c.want(s.Bounds.EntitledSlack >= 0, "bounds.entitled_slack", "is negative", "use a number of jobs")
 	c.want(s.Bounds.StopS > 0, "bounds.stop_s", "is negative", "use the time that a planned stop may take")
 	_, err := zerolog.ParseLevel(s.LogLevel)
 	c.want(err == nil, "log_level", fmt.Sprintf("%q is no level", s.LogLevel), "use debug, info, warn or error")
--- a/version/work/work.go
+++ b/version/work/work.go
@@ -316,6 +316,16 @@
 	return nil
 }
 
+// Work returns the core-seconds that the job's tasks ask for, as declared.
+func (j *Job) Work() float64 {
+	sum := 0.0
+	for i := range j.Steps {
+		s := &j.Steps[i]
+		sum += float64(s.Count) * float64(s.Size.CPU) / 1000 * s.Estimate.Seconds()
+	}
+	return sum
+}
+
 // Chain returns the longest chain of estimated run times of steps that follow
 // each other, the advice for each included.
 func (j *Job) Chain() time.Duration {
