The model of a cell plays client accounts

Accounts of unlike size with caps and weights that fit their load, one that hands in several times its usual, jobs that fail everywhere, and a load whose gangs are rare and long with dear advice: fennelbench experiment -survey -accounts 20, with a column for the worst tenth of the accounts and the policies due, dominant, risk, no-quota-order.

--- a/command/bench/experiment.go
+++ b/command/bench/experiment.go
@@ -26,10 +26,14 @@
 
 // ExperimentOptions of one comparison of policies on the model of a cell.
 type ExperimentOptions struct {
-	Workers  int
-	Load     float64
-	Seconds  float64
-	Seeds    int
+	Workers int
+	Load    float64
+	Seconds float64
+	Seeds   int
+	// Accounts that hand the jobs in, each with a weight and a cap; 0: none.
+	Accounts int
+	// Survey plays the load of gangs that are rare and long, with dear advice.
+	Survey   bool
 	Patterns []string
 	Policies []string
 	// Plots is a folder for plots, "" for none.
@@ -50,6 +54,8 @@
 	fs.Float64Var(&o.Load, "load", 0.9, "work that arrives, as a share of the processors")
 	fs.Float64Var(&o.Seconds, "seconds", 30, "length of the load, in virtual time")
 	fs.IntVar(&o.Seeds, "seeds", 3, "seeds of each pattern")
+	fs.IntVar(&o.Accounts, "accounts", 0, "client accounts that hand the jobs in, each with a weight and a cap; 0: none")
+	fs.BoolVar(&o.Survey, "survey", false, "rarer and longer gangs with dear advice, in place of the usual load")
 	patterns := fs.String("patterns", "calm,burst-wide,slow-store,all", "load patterns, separated by commas")
 	policies := fs.String("policies", "now,without-all,first-come", "policies, separated by commas")
 	fs.StringVar(&o.Plots, "plots", "", "folder for PNG files: waiting by kind, processors at work and writes that wait, over time")
@@ -67,6 +73,9 @@
 	if o.Workers < 1 || o.Load <= 0 || o.Seconds <= 0 || o.Seeds < 1 {
 		return errors.New("flags -workers, -load, -seconds and -seeds must be above 0")
 	}
+	if o.Accounts < 0 {
+		return errors.New("flag -accounts must not be negative")
+	}
 	known := cellsim.Policies()
 	for _, p := range o.Policies {
 		if _, ok := known[p]; !ok {
@@ -92,6 +101,18 @@
 	return time.Duration(o.Seconds * float64(time.Second))
 }
 
+// load returns the kinds of jobs and who hands them in.
+func (o *ExperimentOptions) load() (classes []cellsim.Class, accounts []cellsim.Account) {
+	classes = cellsim.Classes(o.Workers, o.Load)
+	if o.Survey {
+		classes = cellsim.SurveyClasses(o.Workers, o.Load)
+	}
+	if o.Accounts > 0 {
+		accounts = cellsim.Accounts(o.Accounts, classes)
+	}
+	return classes, accounts
+}
+
 func (o *ExperimentOptions) pattern(name string) (cellsim.Pattern, error) {
 	all := cellsim.Patterns(o.length())
 	var names []string
@@ -149,8 +170,9 @@
 					if ctx.Err() != nil {
 						return
 					}
+					classes, accounts := o.load()
 					x.results[seed] = cellsim.Run(cellsim.Options{Seed: uint64(seed) + 1, Workers: o.Workers, Daemons: max(3, o.Workers/9),
-						Classes: cellsim.Classes(o.Workers, o.Load), Pattern: p, Policy: cellsim.Policies()[policy], Length: o.length(),
+						Classes: classes, Accounts: accounts, Pattern: p, Policy: cellsim.Policies()[policy], Length: o.length(),
 						Violation: func(what string) {
 							mu.Lock()
 							defer mu.Unlock()
@@ -180,7 +202,7 @@
 
 func printOutcomes(out io.Writer, outcomes []*outcome) error {
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(w, "pattern\tpolicy\tcredit\tsd\tworst windows\twide\tlargest wide\tmany\tquick\tbusy\twide start p50\tp90\twasted core-s\twrites\tadvice calls")
+	fmt.Fprintln(w, "pattern\tpolicy\tcredit\tsd\tworst windows\tworst accounts\twide\tlargest wide\tmany\tquick\tbusy\twide start p50\tp90\twasted core-s\twrites\tadvice calls")
 	for _, x := range outcomes {
 		credit, sd := x.over(func(r *cellsim.Result) float64 { return r.Credit })
 		of := func(figure func(r *cellsim.Result) float64) float64 {
@@ -191,8 +213,8 @@
 		start := func(q float64) float64 {
 			return of(func(r *cellsim.Result) float64 { return cellsim.Quantile(r.Classes[cellsim.Wide].Start, q).Seconds() })
 		}
-		fmt.Fprintf(w, "%s\t%s\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.2f\t%.2f s\t%.2f s\t%.0f\t%.0f\t%.0f\n", x.pattern, x.policy, credit, sd,
-			of(func(r *cellsim.Result) float64 { return r.WorstWindows }), class(cellsim.Wide),
+		fmt.Fprintf(w, "%s\t%s\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.2f\t%.2f s\t%.2f s\t%.0f\t%.0f\t%.0f\n", x.pattern, x.policy, credit, sd,
+			of(func(r *cellsim.Result) float64 { return r.WorstWindows }), of(func(r *cellsim.Result) float64 { return r.WorstAccounts }), class(cellsim.Wide),
 			of(func(r *cellsim.Result) float64 { return r.Classes[cellsim.Wide].Largest }), class(cellsim.Many), class(cellsim.Quick),
 			of(func(r *cellsim.Result) float64 { return r.Busy }), start(0.5), start(0.9),
 			of(func(r *cellsim.Result) float64 { return r.Wasted }), of(func(r *cellsim.Result) float64 { return float64(r.Stats.Commits) }),
--- a/command/bench/experiment_test.go
+++ b/command/bench/experiment_test.go
@@ -1,8 +1,11 @@
 package bench
 
 import (
+	"bytes"
+	"io"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -21,3 +24,17 @@
 	o.Plots = filepath.Join(file, "under")
 	require.ErrorContains(t, o.check(), "flag -plots")
 }
+
+func TestExperimentTellsWhatTheWorstAccountsGot(t *testing.T) {
+	var out bytes.Buffer
+	o := ExperimentOptions{Workers: 24, Load: 0.5, Seconds: 6, Seeds: 1, Accounts: 4, Survey: true,
+		Patterns: []string{"hot-account"}, Policies: []string{"due", "risk"}, Progress: io.Discard}
+	require.NoError(t, Experiment(t.Context(), o, &out))
+	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+	require.Len(t, lines, 3)
+	require.Contains(t, lines[0], "worst accounts")
+	o.Accounts = -1
+	require.ErrorContains(t, Experiment(t.Context(), o, &out), "flag -accounts")
+	o.Accounts, o.Policies = 4, []string{"newest"}
+	require.ErrorContains(t, Experiment(t.Context(), o, &out), `no policy is called "newest"`)
+}
--- /dev/null
+++ b/standin/cellsim/accounts.go
@@ -0,0 +1,176 @@
+package cellsim
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"fennelshunt.example/fennelshunt/version/work"
+)
+
+// Account is a client account of the model.
+type Account struct {
+	Name string
+	// Share of all hand-ins.
+	Share float64
+	// Weight and Cap are what the scheduler is told.
+	Weight float64
+	Cap    work.Resources
+}
+
+const (
+	// capFactor times what an account has running in the mean is its cap.
+	capFactor = 1.9
+	// weightFactor times what it hands in in the mean is its weight, in jobs a second.
+	weightFactor = 1.3
+	// accountRatio is an account's size against the next larger one's.
+	accountRatio = 0.82
+)
+
+// Accounts returns n accounts of unlike size for a load, each with the cap and weight that
+// fit what it hands in.
+func Accounts(n int, classes []Class) []Account {
+	var rate float64
+	var running work.Resources
+	for i := range classes {
+		c := &classes[i]
+		rate += c.PerSecond
+		tasks := c.PerSecond * c.Steps * c.Width.Mean * c.Work.Mean / 1000 // at a time
+		running.CPU += int(tasks * c.CPU.Mean)
+		running.Memory += int(tasks * c.Memory.Mean)
+	}
+	all := make([]Account, n)
+	sum, share := 0.0, 1.0
+	for i := range all {
+		all[i].Share = share + 0.15 // of the largest: no account is too small for a gang
+		sum += all[i].Share
+		share *= accountRatio
+	}
+	for i := range all {
+		a := &all[i]
+		a.Name = fmt.Sprintf("a%02d", i)
+		a.Share /= sum
+		a.Weight = max(1, weightFactor*a.Share*rate)
+		a.Cap = work.Resources{CPU: int(capFactor * a.Share * float64(running.CPU)), Memory: int(capFactor * a.Share * float64(running.Memory))}
+	}
+	return all
+}
+
+// gangShare is the most of an account's cap that a gang of its takes.
+const gangShare = 0.6
+
+// holds returns how many tasks of a size a gang of the account may have.
+func (a *Account) holds(size work.Resources) int {
+	return int(gangShare * float64(size.Times(a.Cap, math.MaxInt32)))
+}
+
+// drawAccount draws who hands a job in; nil without accounts.
+func drawAccount(o *Options, rng *rand.Rand) *Account {
+	if len(o.Accounts) == 0 {
+		return nil
+	}
+	x := rng.Float64()
+	for i := range o.Accounts {
+		if x -= o.Accounts[i].Share; x <= 0 {
+			return &o.Accounts[i]
+		}
+	}
+	return &o.Accounts[len(o.Accounts)-1]
+}
+
+// HotAccount multiplies what one account hands in for a while.
+type HotAccount struct {
+	Account int
+	Span    Span
+	Times   float64
+}
+
+// drawHot draws what hot accounts hand in beyond their usual.
+func drawHot(o *Options, t time.Duration, rng *rand.Rand, add func(c int, by *Account)) {
+	for _, h := range o.Pattern.Hot {
+		if !h.Span.has(t) || h.Account >= len(o.Accounts) {
+			continue
+		}
+		for c := range o.Classes {
+			extra := o.Classes[c].PerSecond * o.Accounts[h.Account].Share * (h.Times - 1)
+			for range poisson(rng, extra*loadStep.Seconds()) {
+				add(c, &o.Accounts[h.Account])
+			}
+		}
+	}
+}
+
+// accounts tells an engine the accounts, nil for none.
+func (o *Options) accounts() *work.Accounts {
+	if len(o.Accounts) == 0 {
+		return nil
+	}
+	var list []work.Account
+	for _, a := range o.Accounts {
+		list = append(list, work.Account{Name: a.Name, Weight: a.Weight, Cap: a.Cap})
+	}
+	accounts, err := work.NewAccounts(list)
+	if err != nil {
+		panic(fmt.Sprintf("cellsim: accounts of the model's own: %v", err))
+	}
+	return accounts
+}
+
+// worstAccounts returns what the tenth of the accounts earned that earned least of what it
+// was owed; 1 without accounts. Work beyond an account's entitlement is not owed, which the
+// model takes as: what a hot account hands in beyond its usual.
+func (s *sim) worstAccounts() float64 {
+	owed, earned := map[string]float64{}, map[string]float64{}
+	for _, j := range s.all {
+		if !j.hot {
+			owed[j.spec.Account] += j.worth
+			earned[j.spec.Account] += j.earned()
+		}
+	}
+	names := make([]string, 0, len(owed))
+	for name := range owed {
+		names = append(names, name)
+	}
+	slices.SortFunc(names, func(a, b string) int {
+		return cmp.Or(cmp.Compare(earned[a]/owed[a], earned[b]/owed[b]), cmp.Compare(a, b))
+	})
+	sum, n := 0.0, max(1, len(names)/10)
+	for _, name := range names[:n] {
+		sum += earned[name] / owed[name] / float64(n)
+	}
+	return sum
+}
+
+// SurveyClasses returns the load of a customer whose work has shifted: gangs are rarer and
+// longer, their advice dear, and quick jobs quicker.
+func SurveyClasses(workers int, load float64) []Class {
+	classes := Classes(workers, load)
+	wide, many, quick := &classes[Wide], &classes[Many], &classes[Quick]
+	wide.Queue.Advice = ticketed(559*time.Millisecond, 8060*time.Microsecond)
+	wide.PerSecond, wide.Worth, wide.Work.Mean, wide.Work.Max, wide.Good, wide.Poison = 3.58, 13.1, 5000, 12000, 0.3, 0.03
+	many.Queue.Advice = ticketed(104*time.Millisecond, 1430*time.Microsecond)
+	many.PerSecond, many.Worth, many.Work.Mean, many.Work.Max = 16.1, 3.17, 2200, 5400
+	many.Memory = Spread{10000, 0.55, 30000}
+	quick.Queue.Advice = ticketed(9360*time.Microsecond, 130*time.Microsecond)
+	quick.Queue.Allowance, quick.Queue.Attempts = 300*time.Millisecond, 4
+	quick.PerSecond, quick.Worth, quick.Work.Mean, quick.Work.Max, quick.Poison = 103, 0.398, 640, 1600, 0.03
+	quick.Memory = Spread{18000, 0.55, 55000}
+	asked := 0.0
+	for i := range classes {
+		c := &classes[i]
+		c.PerSecond *= float64(workers) / refWorkers
+		asked += c.PerSecond * c.Steps * c.Width.Mean * c.CPU.Mean / 1000 * c.Work.Mean / 1000
+	}
+	for i := range classes {
+		classes[i].PerSecond *= load * float64(workers*workerCores) / asked
+	}
+	return classes
+}
+
+// ticketed is advice whose tickets hold for two seconds.
+func ticketed(base, perWorker time.Duration) *work.Advice {
+	return &work.Advice{Base: base, PerWorker: perWorker, Valid: 2 * time.Second}
+}
--- a/standin/cellsim/load.go
+++ b/standin/cellsim/load.go
@@ -40,6 +40,8 @@
 	// Fails is the share of runs that fail by their own fault.
 	Fails float64
 	Saves float64 // share of steps that keep checkpoints
+	// Poison is the share of jobs of which every run fails.
+	Poison float64
 	// Estimate is the sigma of the estimate's error.
 	Estimate float64
 }
@@ -58,6 +60,8 @@
 	Name string
 	// Bursts multiply the rate of a class for a while.
 	Bursts []Burst
+	// Hot accounts hand in more than their usual.
+	Hot []HotAccount
 	// SlowStore answers in SlowAnswer; Outage answers nothing.
 	SlowStore, Outage Span
 	SlowAnswer        time.Duration
@@ -91,6 +95,9 @@
 	worth float64
 	due   time.Duration // objective
 	size  int           // tasks of the widest step
+	hot   bool          // handed in by an account beyond its usual
+	// poisoned: every run fails, and the job is done once it is shown as failed.
+	poisoned bool
 
 	sent     time.Duration // first hand-in
 	accepted time.Duration // 0: not yet
@@ -150,6 +157,12 @@
 func drawJobs(o *Options, rng *rand.Rand) []*job {
 	var all []*job
 	for t := time.Duration(0); t < o.Length; t += loadStep {
+		add := func(c int, by *Account) {
+			j := drawJob(&o.Classes[c], by, rng)
+			j.class, j.sent = c, t+time.Duration(rng.Int64N(int64(loadStep)))
+			j.id = work.JobID(fmt.Sprintf("%016x", len(all)+1))
+			all = append(all, j)
+		}
 		for c := range o.Classes {
 			rate := o.Classes[c].PerSecond
 			for _, b := range o.Pattern.Bursts {
@@ -158,12 +171,13 @@
 				}
 			}
 			for range poisson(rng, rate*loadStep.Seconds()) {
-				j := drawJob(&o.Classes[c], rng)
-				j.class, j.sent = c, t+time.Duration(rng.Int64N(int64(loadStep)))
-				j.id = work.JobID(fmt.Sprintf("%016x", len(all)+1))
-				all = append(all, j)
+				add(c, drawAccount(o, rng))
 			}
 		}
+		drawHot(o, t, rng, func(c int, by *Account) {
+			add(c, by)
+			all[len(all)-1].hot = true
+		})
 	}
 	return all
 }
@@ -180,8 +194,13 @@
 	return n
 }
 
-func drawJob(c *Class, rng *rand.Rand) *job {
+// drawJob draws a job of an account, nil for none.
+func drawJob(c *Class, by *Account, rng *rand.Rand) *job {
 	j := &job{spec: &work.Job{Queue: c.Queue, Spec: "x"}}
+	if by != nil {
+		j.spec.Account = by.Name
+	}
+	j.poisoned = c.Poison > 0 && rng.Float64() < c.Poison
 	steps := 1 + poisson(rng, c.Steps-1)
 	asked, chain := 0.0, time.Duration(0)
 	for i := range steps {
@@ -191,6 +210,9 @@
 		if i > 0 {
 			s.After = []int{i - 1}
 		}
+		if by != nil && s.Gang {
+			s.Count = max(1, min(s.Count, by.holds(s.Size)))
+		}
 		usual := time.Duration(c.Work.draw(rng)) * time.Millisecond
 		s.Estimate = time.Duration(float64(usual) * math.Exp(rng.NormFloat64()*c.Estimate))
 		takes := make([]time.Duration, s.Count)
@@ -207,6 +229,9 @@
 	}
 	mean := c.Steps * c.Width.Mean * c.CPU.Mean / 1000 * c.Work.Mean / 1000
 	j.worth = c.Worth * min(worthMax, worthFixed+(1-worthFixed)*asked/mean)
+	if j.poisoned {
+		chain *= time.Duration(c.Queue.Attempts) // each run fails, and is in time
+	}
 	j.due = time.Duration(float64(chain)*c.Queue.Slack) + c.Queue.Allowance
 	return j
 }
--- a/standin/cellsim/patterns.go
+++ b/standin/cellsim/patterns.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"fennelshunt.example/fennelshunt/process/dispatch"
+	"fennelshunt.example/fennelshunt/process/fair"
 )
 
 // Places of the kinds that Classes returns.
@@ -33,6 +34,7 @@
 		{Name: "outage", Outage: away},
 		{Name: "leader-lost", LeaderLost: lost, Takeover: takeover},
 		{Name: "workers", Crashed: 0.08, Failing: 0.06, Slow: 0.1, Troubled: at(0.3, 6*time.Second)},
+		{Name: "hot-account", Bursts: quick, Hot: []HotAccount{{Account: 2, Span: at(0.1, 8*time.Second), Times: 5}, {Account: 5, Span: at(0.35, 8*time.Second), Times: 4}}},
 		{Name: "all", Bursts: append(wide, quick...), SlowStore: slow, SlowAnswer: slowAnswer, Outage: away, LeaderLost: lost,
 			Takeover: takeover, Crashed: 0.08, Failing: 0.06, Slow: 0.1, Troubled: at(0.3, 6*time.Second)},
 	}
@@ -57,5 +59,10 @@
 		"no-parallel": {NoParallelAdvice: true},
 		"without-all": landed,
 		"first-come":  first,
+		// The ways in which accounts share a cell that is full.
+		"due":            {Shares: fair.Due},
+		"dominant":       {Shares: fair.Dominant},
+		"risk":           {Shares: fair.Risk},
+		"no-quota-order": {NoQuotaOrder: true},
 	}
 }
--- a/standin/cellsim/result.go
+++ b/standin/cellsim/result.go
@@ -17,7 +17,10 @@
 	// Credit is earned against owed worth, of all jobs and in the two worst
 	// windows by hand-in.
 	Credit, WorstWindows float64
-	Classes              []ClassResult
+	// WorstAccounts is that of the tenth of the accounts that earned least of what they
+	// were owed.
+	WorstAccounts float64
+	Classes       []ClassResult
 	// Busy is the share of the processors that worked while load came in, Spent and
 	// Wasted the core-seconds of all work and of work thrown away.
 	Busy          float64
@@ -98,7 +101,7 @@
 func (j *job) earned() float64 {
 	took := j.shown - settle - j.sent
 	switch {
-	case j.shown == 0 || j.ended != work.Completed:
+	case j.shown == 0 || (j.ended != work.Completed && !(j.poisoned && j.ended == work.Failed)):
 		return 0
 	case took <= j.due:
 		return j.worth
@@ -117,7 +120,11 @@
 	}
 	windows := map[time.Duration][2]float64{}
 	var owed, earned float64
+	r.WorstAccounts = s.worstAccounts()
 	for _, j := range s.all {
+		if j.hot {
+			continue
+		}
 		owed += j.worth
 		earned += j.earned()
 		w := windows[j.sent/windowLength]
--- a/standin/cellsim/sim.go
+++ b/standin/cellsim/sim.go
@@ -10,11 +10,18 @@
 	"fennelshunt.example/fennelshunt/connection/runner"
 	"fennelshunt.example/fennelshunt/connection/store"
 	"fennelshunt.example/fennelshunt/process/dispatch"
+	"fennelshunt.example/fennelshunt/process/fair"
 	"fennelshunt.example/fennelshunt/version/work"
 )
 
 const service = "s"
 
+// What accounts may hand in beside their weight a second.
+const (
+	entitledWindow = 5 * time.Second
+	entitledSlack  = 20
+)
+
 // Times of the model.
 const (
 	tick = 25 * time.Millisecond
@@ -41,8 +48,10 @@
 	// Daemons through which advice is asked.
 	Daemons int
 	Classes []Class
-	Pattern Pattern
-	Policy  dispatch.Policy
+	// Accounts that hand the jobs in; none if there are none.
+	Accounts []Account
+	Pattern  Pattern
+	Policy   dispatch.Policy
 	// Length of the load.
 	Length time.Duration
 	// Violation is told each broken invariant of the engine.
@@ -158,7 +167,8 @@
 	s.epoch++
 	s.life++
 	s.engine = dispatch.NewEngine(dispatch.Options{Epoch: s.epoch, Policy: s.o.Policy,
-		Bounds: dispatch.Bounds{Lease: lease, MaxLease: lease, Gang: gangWait, Keep: time.Hour},
+		Bounds: dispatch.Bounds{Lease: lease, MaxLease: lease, Gang: gangWait, Keep: time.Hour,
+			Entitled: fair.Entitlement{Window: entitledWindow, Slack: entitledSlack}},
 		Violation: func(what string, task work.TaskID, w runner.WorkerID) {
 			if s.o.Violation != nil {
 				s.o.Violation(fmt.Sprintf("%s: %s on %s", what, task, w))
@@ -169,6 +179,7 @@
 	if err := s.engine.Load(s.now, saved); err != nil && s.o.Violation != nil {
 		s.o.Violation(err.Error())
 	}
+	s.engine.SetAccounts(s.now, s.o.accounts())
 	for _, w := range s.order {
 		if !w.gone {
 			s.engine.WorkerSeen(s.now, w.seen)
--- a/standin/cellsim/sim_test.go
+++ b/standin/cellsim/sim_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"fennelshunt.example/fennelshunt/process/dispatch"
+	"fennelshunt.example/fennelshunt/version/work"
 )
 
 func options(t testing.TB, workers int, load float64, length time.Duration) Options {
@@ -153,3 +154,25 @@
 		}
 	}
 }
+
+func TestAccountsOfTheModelKeepTheirCaps(t *testing.T) {
+	// Each account's cap lets its widest gang run, and one that hands in five times its
+	// usual costs the others next to nothing.
+	classes := SurveyClasses(48, 0.7)
+	accounts := Accounts(6, classes)
+	for _, a := range accounts {
+		require.NotZero(t, a.holds(work.Resources{CPU: int(classes[Wide].CPU.Mean), Memory: int(classes[Wide].Memory.Mean)}), a.Name)
+	}
+	const length = 20 * time.Second
+	play := func(hot []HotAccount) *Result {
+		o := options(t, 48, 0.7, length)
+		o.Classes, o.Accounts, o.Pattern.Hot = classes, accounts, hot
+		return Run(o)
+	}
+	calm := play(nil)
+	require.Greater(t, calm.WorstAccounts, 0.5)
+	require.LessOrEqual(t, calm.WorstAccounts, calm.Credit+1e-9)
+	busy := play([]HotAccount{{Account: 2, Span: Span{From: 2 * time.Second, Until: 10 * time.Second}, Times: 5}})
+	t.Logf("calm: all %.3f worst %.3f; hot: all %.3f worst %.3f", calm.Credit, calm.WorstAccounts, busy.Credit, busy.WorstAccounts)
+	require.Greater(t, busy.Credit, calm.Credit-0.1)
+}
--- a/standin/cellsim/worker.go
+++ b/standin/cellsim/worker.go
@@ -207,7 +207,7 @@
 // begin sets when a run ends, and how.
 func (s *sim) begin(r *run, d time.Duration) {
 	r.began = s.now
-	fails := r.w.failing || s.rng.Float64() < s.o.Classes[r.job.class].Fails
+	fails := r.w.failing || r.job.poisoned || s.rng.Float64() < s.o.Classes[r.job.class].Fails
 	how := runner.Done
 	if fails {
 		how = runner.Failed
