Daemons learn keys from each other while the store turns them away, and know how old theirs are

Cause: a daemon learned versions of the configuration from the store alone. While the store turned it away it refused callers whose key was new (401, which ends their tries) and took keys that had been taken away, for as long as that lasted.

Two ways were weighed: the leader passes each version on to all (a message to each daemon a version, and none gets through where the leader itself is turned away or has just died); or a daemon that doubts asks another one drawn at random, four times a second, which costs nothing while the store answers and needs no leader. The second is built (catalog.newest); digests of keys travel, never keys.

The version's age is counted from the last time it was known to be the newest, never understated. From it follow: an unknown key at a daemon in doubt gets 503 and a Retry-After, not 401; and where strict_revoke is set, a daemon that has not heard for revoke_ms whether a key is in force refuses it (503, not run), and watches in steps of a quarter of that. Without strict_revoke it goes on with what it knows, as before.

Ruled out: asking with every request (a round trip more on each).

--- a/process/cellnode/catalog.go
+++ b/process/cellnode/catalog.go
@@ -25,6 +25,12 @@
 // catalogs keeps the newest queues. A version is never replaced by a lower one.
 type catalogs struct {
 	source work.Source
+	// wait bounds a watch: how long the store may say nothing while nothing changes.
+	wait time.Duration
+	// confirmed is the time, since started, up to which the store is known to have had no
+	// newer version; see confirm.
+	confirmed atomic.Int64
+	started   time.Time
 	// patience tells when a store that failed is back.
 	patience *store.Patience
 	log      zerolog.Logger
@@ -33,7 +39,7 @@
 }
 
 func newCatalogs(source work.Source, patience *store.Patience, log zerolog.Logger) *catalogs {
-	return &catalogs{source: source, patience: patience, log: log, first: make(chan struct{})}
+	return &catalogs{source: source, wait: catalogWait, started: time.Now(), patience: patience, log: log, first: make(chan struct{})}
 }
 
 // Current returns the queues in force, nil while none are known.
@@ -72,29 +78,55 @@
 func (c *catalogs) Serve(ctx context.Context) error {
 	go c.check(ctx)
 	t := store.Tracker{What: "the configuration", Read: c.read, Watch: c.watch, ReadLimit: catalogWait + catalogGrace,
-		Wait: catalogWait, Grace: catalogGrace, ErrorPause: catalogPause, Log: c.log, Patience: c.patience}
+		Wait: c.wait, Grace: catalogGrace, ErrorPause: catalogPause, Log: c.log, Patience: c.patience}
 	t.Run(ctx)
 	return ctx.Err()
 }
 
 func (c *catalogs) read(ctx context.Context) (store.Revision, error) {
+	asked := time.Now()
 	next, rev, err := c.source.Current(ctx)
 	if err != nil {
 		return 0, err
 	}
 	c.take(next)
+	c.confirm(asked)
 	return rev, nil
 }
 
 func (c *catalogs) watch(ctx context.Context, after store.Revision, wait time.Duration) (store.Revision, error) {
+	asked := time.Now()
 	next, rev, err := c.source.Watch(ctx, after, wait)
 	if err != nil {
 		return 0, err
 	}
 	c.take(next)
+	if next == nil {
+		asked = asked.Add(min(wait, time.Since(asked))) // it was answered after that at the earliest
+	}
+	c.confirm(asked)
 	return rev, nil
 }
 
+// confirm notes that no version was newer than the one held, at a time.
+//
+// What goes wrong without it: a daemon that the store does not answer any more serves
+// with keys that were taken away, and nobody can tell how old they are.
+func (c *catalogs) confirm(at time.Time) {
+	for {
+		before, now := c.confirmed.Load(), int64(at.Sub(c.started))
+		if now <= before || c.confirmed.CompareAndSwap(before, now) {
+			return
+		}
+	}
+}
+
+// age returns how long ago the version held was last known to be the newest one. A
+// daemon that was frozen sees it at once, since it is asked with each request.
+func (c *catalogs) age() time.Duration {
+	return time.Since(c.started) - time.Duration(c.confirmed.Load())
+}
+
 // check reads the configuration now and then.
 func (c *catalogs) check(ctx context.Context) {
 	for sleep.For(ctx, checkPeriod) == nil {
--- /dev/null
+++ b/process/cellnode/catalogpeer.go
@@ -0,0 +1,134 @@
+package cellnode
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"fennelshunt.example/fennelshunt/connection/peer"
+	"fennelshunt.example/fennelshunt/internal/sleep"
+	"fennelshunt.example/fennelshunt/process/lead"
+	"fennelshunt.example/fennelshunt/request/submit"
+	"fennelshunt.example/fennelshunt/version/work"
+)
+
+// methodCatalog asks a daemon for its version of the configuration.
+const methodCatalog peer.Method = "catalog.newest"
+
+type catalogRequest struct {
+	Version int64 `cbor:"1,keyasint"` // that the asking daemon holds
+}
+
+type catalogReply struct {
+	// Catalog is a newer version than the one asked with; empty if there is none.
+	Catalog []byte `cbor:"1,keyasint,omitempty"`
+	// Age is how long ago it was known to be the newest, in nanoseconds.
+	Age time.Duration `cbor:"2,keyasint"`
+}
+
+// Times of learning the configuration from other daemons.
+const (
+	// doubtAfter is the age from which a version is in doubt: a watch that hears nothing
+	// is answered after catalogWait.
+	doubtAfter = catalogWait + catalogGrace
+	// turnedAwayFor is how long the store must have refused every call before that.
+	turnedAwayFor = 300 * time.Millisecond
+	// askPeriod is between questions to one daemon drawn at random: with a third of the
+	// daemons turned away as well, the third question has found one that is not in 96 of
+	// 100 cases, long before a change must be in force.
+	askPeriod  = 250 * time.Millisecond
+	askTimeout = 200 * time.Millisecond
+	// revokeLooks is how often, in the time that a key taken away may still work, a
+	// daemon hears from the store that nothing has changed.
+	revokeLooks = 4
+)
+
+var (
+	errNoCatalog = errors.New("cellnode: no configuration is known here")
+	errOlder     = errors.New("cellnode: an older configuration is known here")
+)
+
+// standing tells how far this daemon's version of the configuration may be relied on.
+func (n *Node) standing() submit.Standing {
+	b, age := n.o.Settings.Bounds, n.catalogs.age()
+	return submit.Standing{Doubtful: age > doubtAfter, Expired: b.StrictRevoke && age > b.RevokeMS.Std()}
+}
+
+// followPeers learns the configuration from other daemons while the store says nothing.
+//
+// Load pattern: the store turns a third of the daemons away for some seconds, and keys are
+// replaced meanwhile. What goes wrong without it: these daemons go on with keys that were
+// taken away, and refuse callers whose keys are new, though their neighbours know better.
+func (n *Node) followPeers(ctx context.Context) error {
+	for sleep.For(ctx, askPeriod) == nil {
+		if n.catalogs.age() <= doubtAfter && !n.patience.TurnedAway(turnedAwayFor) {
+			continue
+		}
+		if m, ok := n.anyOther(); ok {
+			n.askCatalog(ctx, m)
+		}
+	}
+	return ctx.Err()
+}
+
+// anyOther draws a daemon that is not this one.
+func (n *Node) anyOther() (lead.Member, bool) {
+	var others []lead.Member
+	for _, m := range n.view().Members() {
+		if m.Name != n.o.Settings.Name {
+			others = append(others, m)
+		}
+	}
+	if len(others) == 0 {
+		return lead.Member{}, false
+	}
+	return others[rand.IntN(len(others))], true
+}
+
+// askCatalog takes what another daemon knows.
+func (n *Node) askCatalog(ctx context.Context, m lead.Member) {
+	var version int64
+	if now := n.catalogs.Current(); now != nil {
+		version = now.Version
+	}
+	bounded, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	asked := time.Now()
+	var r catalogReply
+	if _, err := n.peers.CallAddr(bounded, m.Peer, methodCatalog, catalogRequest{Version: version}, &r); err != nil {
+		n.log.Debug().Err(err).Str("daemon", m.Name).Msg("configuration not learned from a daemon")
+		return
+	}
+	if len(r.Catalog) > 0 {
+		next, err := work.DecodeCatalog(r.Catalog)
+		if err != nil {
+			n.log.Warn().Err(err).Str("daemon", m.Name).Msg("configuration not learned from a daemon")
+			return
+		}
+		n.metrics.Add("configurations_learned", 1)
+		n.catalogs.take(next)
+	}
+	// The age counts from when the question was sent: the answer is no fresher.
+	n.catalogs.confirm(asked.Add(-r.Age))
+}
+
+// serveCatalog answers another daemon's question.
+func (n *Node) serveCatalog(_ context.Context, r catalogRequest) (any, error) {
+	// Read first: a version that arrives in between is younger than the age tells.
+	age := n.catalogs.age()
+	now := n.catalogs.Current()
+	if now == nil {
+		return nil, errNoCatalog
+	}
+	reply := catalogReply{Age: age}
+	if now.Version < r.Version {
+		return nil, errOlder // what is held here says nothing of the version asked with
+	}
+	if now.Version == r.Version {
+		return reply, nil
+	}
+	var err error
+	reply.Catalog, err = work.EncodeCatalog(now)
+	return reply, err
+}
--- a/process/cellnode/node.go
+++ b/process/cellnode/node.go
@@ -77,7 +77,9 @@
 type Parts struct {
 	Jobs    submit.Parts
 	Catalog func() *work.Catalog
-	Closing func() bool
+	// Standing tells how far the catalog may be relied on.
+	Standing func() submit.Standing
+	Closing  func() bool
 	// Answered is to be told each answer.
 	Answered func(method string, status int, d time.Duration)
 }
@@ -109,6 +111,9 @@
 	n := &Node{o: o, log: o.Log,
 		patience: &store.Patience{Min: minPatience, Max: maxPatience}, metrics: new(expvar.Map).Init()}
 	n.catalogs = newCatalogs(o.Catalogs, n.patience, n.log)
+	if b := o.Settings.Bounds; b.StrictRevoke {
+		n.catalogs.wait = min(catalogWait, b.RevokeMS.Std()/revokeLooks)
+	}
 	s := o.Settings
 	for _, l := range []struct {
 		field, addr string
@@ -148,7 +153,7 @@
 		return err
 	}
 	n.callers = &http.Server{
-		Handler:           n.o.Handler(Parts{Jobs: submit.Parts{Of: n.partOf}, Catalog: n.catalogs.Current, Closing: n.stopping.Load, Answered: n.Answered}),
+		Handler:           n.o.Handler(Parts{Jobs: submit.Parts{Of: n.partOf}, Catalog: n.catalogs.Current, Standing: n.standing, Closing: n.stopping.Load, Answered: n.Answered}),
 		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
 	}
 	go n.serveHTTP(n.callers, n.listen.callers)
@@ -159,6 +164,7 @@
 		n.log.Error().Str("event", e.String()).Msg("service restarted")
 	}})
 	tree.Add(n.catalogs)
+	tree.Add(service{n.followPeers})
 	tree.Add(service{n.parts()[0].elector.Run})
 	tree.Add(service{n.runParts})
 	tree.Add(service{n.peers.Serve})
@@ -225,6 +231,7 @@
 	n.peers.CountOn(n.o.Traffic)
 	mux.Handle(methodAdvise, peer.Typed(n.serveAdvise))
 	mux.Handle(methodQuota, peer.Typed(n.serveQuota))
+	mux.Handle(methodCatalog, peer.Typed(n.serveCatalog))
 	n.built.Store(&[]*part{n.newPart(0, nil)})
 }
 
--- a/request/submit/admit_test.go
+++ b/request/submit/admit_test.go
@@ -29,7 +29,7 @@
 		{what: "an unknown key on an open queue", key: "n2", open: true},
 		{what: "its key on an open queue", key: "n1", open: true, account: "north"},
 	} {
-		account, err := Admit(c, &work.Queue{Open: x.open}, x.key)
+		account, err := Admit(c, &work.Queue{Open: x.open}, x.key, Standing{})
 		if !x.refused {
 			require.NoError(t, err, x.what)
 			require.Equal(t, x.account, account, x.what)
@@ -44,6 +44,39 @@
 	}
 }
 
+func TestKeysOfADaemonThatHearsNothing(t *testing.T) {
+	// Symptom: while the store turns a daemon away, callers whose key is new are told that
+	//   it is none, and give up; or a key that was taken away works there for as long.
+	// Cause: the daemon did not know how old its configuration is.
+	accounts, err := work.NewAccounts([]work.Account{{Name: "north", Keys: []work.KeyDigest{work.DigestKey("n1")}}})
+	require.NoError(t, err)
+	c := &work.Catalog{Accounts: accounts}
+	doubtful, expired := Standing{Doubtful: true}, Standing{Doubtful: true, Expired: true}
+	for _, x := range []struct {
+		what, key string
+		open      bool
+		standing  Standing
+		status    int // 0: admitted
+	}{
+		{"a known key, in doubt", "n1", false, doubtful, 0},
+		{"an unknown key, in doubt", "n2", false, doubtful, http.StatusServiceUnavailable},
+		{"no key, in doubt", "", false, doubtful, http.StatusUnauthorized},
+		{"a known key, too old", "n1", false, expired, http.StatusServiceUnavailable},
+		{"an unknown key, too old", "n2", false, expired, http.StatusServiceUnavailable},
+		{"an open queue, too old", "n2", true, expired, 0},
+	} {
+		_, err := Admit(c, &work.Queue{Open: x.open}, x.key, x.standing)
+		if x.status == 0 {
+			require.NoError(t, err, x.what)
+			continue
+		}
+		e := verdict.As(err)
+		require.Equal(t, verdict.NotRun, e.Verdict, x.what)
+		require.Equal(t, x.status, e.Status, x.what)
+		require.Equal(t, x.status == http.StatusServiceUnavailable, e.RetryAfterMillis > 0, x.what)
+	}
+}
+
 func forbidden(t *testing.T, err error) {
 	t.Helper()
 	e := verdict.As(err)
