--- a/process/cellnode/catalog_test.go
+++ b/process/cellnode/catalog_test.go
@@ -11,6 +11,7 @@
 
 	"fennelshunt.example/fennelshunt/connection/store"
 	"fennelshunt.example/fennelshunt/internal/sleep"
+	"fennelshunt.example/fennelshunt/process/quota"
 	"fennelshunt.example/fennelshunt/version/work"
 )
 
@@ -63,3 +64,13 @@
 		require.Equal(t, 5200*time.Millisecond, c.age())
 	})
 }
+
+func TestAccountsOfLedPartsAreShown(t *testing.T) {
+	led, followed := &part{}, &part{}
+	led.rows.Store(&[]quota.Row{{Account: "north"}, {Account: "south"}})
+	n := &Node{}
+	n.built.Store(&[]*part{followed, led})
+	require.Equal(t, []quota.Row{{Account: "north"}, {Account: "south"}}, n.accountRows())
+	led.rows.Store(nil)
+	require.Empty(t, n.accountRows(), "another daemon leads")
+}
--- a/process/cellnode/metrics.go
+++ b/process/cellnode/metrics.go
@@ -10,6 +10,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"fennelshunt.example/fennelshunt/process/dispatch"
+	"fennelshunt.example/fennelshunt/process/quota"
 )
 
 // count publishes an engine's counters.
@@ -104,6 +105,17 @@
 	n.metrics.Add("requests", 1)
 }
 
+// accountRows returns the client accounts of the parts that this daemon leads.
+func (n *Node) accountRows() []quota.Row {
+	all := []quota.Row{}
+	for _, p := range n.parts() {
+		if rows := p.rows.Load(); rows != nil {
+			all = append(all, *rows...)
+		}
+	}
+	return all
+}
+
 // metricsHandler serves the counters as JSON.
 func (n *Node) metricsHandler() http.Handler {
 	s := &n.submitted
@@ -113,6 +125,7 @@
 	n.metrics.Set("cancelled", &s.Cancelled)
 	n.metrics.Set("latency", &n.latencies)
 	n.metrics.Set("traffic", n.o.Traffic)
+	n.metrics.Set(quota.MetricAccounts, expvar.Func(func() any { return n.accountRows() }))
 	n.relayed.Each(n.metrics.Set)
 	n.relay.Stats().Each(n.metrics.Set)
 	if n.o.Dropped != nil {
--- a/process/cellnode/part.go
+++ b/process/cellnode/part.go
@@ -12,6 +12,7 @@
 	"fennelshunt.example/fennelshunt/connection/store"
 	"fennelshunt.example/fennelshunt/process/dispatch"
 	"fennelshunt.example/fennelshunt/process/lead"
+	"fennelshunt.example/fennelshunt/process/quota"
 	"fennelshunt.example/fennelshunt/process/relay"
 	"fennelshunt.example/fennelshunt/request/submit"
 	"fennelshunt.example/fennelshunt/version/work"
@@ -27,6 +28,7 @@
 	jobs    *submit.Service
 	host    atomic.Pointer[dispatch.Host]
 	orders  atomic.Pointer[relay.Runner] // of this daemon's term
+	rows    atomic.Pointer[[]quota.Row]  // how the accounts stand; nil while another daemon leads
 }
 
 // newPart builds a part; main is nil for part 0.
@@ -70,10 +72,12 @@
 		Members: members, Text: p.text, Log: n.log}, &n.relayed)
 	p.orders.Store(orders)
 	defer p.orders.CompareAndSwap(orders, nil)
+	defer p.rows.Store(nil)
 	h := dispatch.NewHost(dispatch.HostOptions{
 		Store: p.store, Patience: n.patience, Runner: orders, Directory: share{n.o.Directory, layout, p.index}, View: n.view(),
 		Members: members, Advise: n.advise, Accounts: n.catalogs.accounts, Part: p.index, Parts: layout.Parts, Bounds: n.bounds(), Policy: n.o.Settings.Policy, Log: n.log, Count: n.count, Took: n.took,
-		Violation: func(string) { n.metrics.Add("violations", 1) },
+		ShowAccounts: func(rows []quota.Row) { p.rows.Store(&rows) },
+		Violation:    func(string) { n.metrics.Add("violations", 1) },
 	}, t)
 	p.host.Store(h)
 	go n.reportLoad(t.Context())
--- a/process/dispatch/accounts.go
+++ b/process/dispatch/accounts.go
@@ -49,6 +49,15 @@
 	return r
 }
 
+// AccountRows returns the accounts as people are shown them.
+func (e *Engine) AccountRows() []quota.Row {
+	rows := e.ledger.Rows()
+	for i := range rows {
+		rows[i].Beyond = e.fair.Beyond(rows[i].Account)
+	}
+	return rows
+}
+
 // capsKnown reports whether it is known what accounts may have running here.
 func (e *Engine) capsKnown() bool { return e.accountsKnown && (e.o.Parts <= 1 || e.capShares > 0) }
 
--- a/process/dispatch/host.go
+++ b/process/dispatch/host.go
@@ -63,6 +63,8 @@
 	Log         zerolog.Logger
 	// Count is told the counters at the end of a term and now and then.
 	Count func(Stats)
+	// ShowAccounts is told, as often, how the client accounts stand; may be nil.
+	ShowAccounts func([]quota.Row)
 	// Violation is told each broken invariant.
 	Violation func(what string)
 	// Took is told how long parts of jobs' lives took; may be nil.
@@ -221,6 +223,9 @@
 	if now := h.now(); h.o.Count != nil && now-h.published >= publishPeriod {
 		h.published = now
 		h.o.Count(h.engine.Stats())
+		if h.o.ShowAccounts != nil {
+			h.o.ShowAccounts(h.engine.AccountRows())
+		}
 	}
 }
 
--- a/process/fair/fair.go
+++ b/process/fair/fair.go
@@ -83,6 +83,7 @@
 	tokens   float64
 	tokensAt time.Duration
 	handedIn bool
+	beyond   uint64 // hand-ins that were not within
 	// late and all are the work of jobs that have ended of late, decaying since workAt.
 	late, all float64
 	workAt    time.Duration
@@ -136,12 +137,21 @@
 	a.tokens = min(most, a.tokens+rate*max(at-a.tokensAt, 0).Seconds())
 	a.tokensAt = max(a.tokensAt, at)
 	if a.tokens < 1 {
+		a.beyond++
 		return false
 	}
 	a.tokens--
 	return true
 }
 
+// Beyond returns how many hand-ins of the account were beyond its entitlement.
+func (b *Book) Beyond(name string) uint64 {
+	if a := b.accounts[name]; a != nil {
+		return a.beyond
+	}
+	return 0
+}
+
 // Ended notes a job of so much work, in core-seconds, that is done: in time, or not.
 func (b *Book) Ended(name string, at time.Duration, work float64, inTime bool) {
 	a := b.account(name)
--- a/process/fair/fair_test.go
+++ b/process/fair/fair_test.go
@@ -22,7 +22,10 @@
 		require.True(t, b.HandedIn("north", 0), "hand-in %d", i)
 	}
 	require.False(t, b.HandedIn("north", 0))
+	require.Equal(t, uint64(1), b.Beyond("north"))
 	require.True(t, b.HandedIn("south", 0), "another account has its own")
+	require.Zero(t, b.Beyond("south"))
+	require.Zero(t, b.Beyond("nobody"))
 	for i := range 10 {
 		require.True(t, b.HandedIn("north", time.Second), "hand-in %d a second later", i)
 	}
