Settings of keys carry the product's own names

TestOnlyThisFolderKnowsThePlatformsNames failed: two new settings had the names of the platform's bounds. The binary is the same but for the names of the two fields.

Found by the test; ruled out others: the package's tests pass.

--- a/process/cellnode/catalogpeer.go
+++ b/process/cellnode/catalogpeer.go
@@ -39,9 +39,9 @@
 	// 100 cases, long before a change must be in force.
 	askPeriod  = 250 * time.Millisecond
 	askTimeout = 200 * time.Millisecond
-	// revokeLooks is how often, in the time that a key taken away may still work, a
+	// keysLooks is how often, in the time that a key taken away may still work, a
 	// daemon hears from the store that nothing has changed.
-	revokeLooks = 4
+	keysLooks = 4
 )
 
 var (
@@ -52,7 +52,7 @@
 // standing tells how far this daemon's version of the configuration may be relied on.
 func (n *Node) standing() submit.Standing {
 	b, age := n.o.Settings.Bounds, n.catalogs.age()
-	return submit.Standing{Doubtful: age > doubtAfter, Expired: b.StrictRevoke && age > b.RevokeMS.Std()}
+	return submit.Standing{Doubtful: age > doubtAfter, Expired: b.StrictKeys && age > b.KeysMS.Std()}
 }
 
 // followPeers learns the configuration from other daemons while the store says nothing.
--- a/process/cellnode/node.go
+++ b/process/cellnode/node.go
@@ -111,8 +111,8 @@
 	n := &Node{o: o, log: o.Log,
 		patience: &store.Patience{Min: minPatience, Max: maxPatience}, metrics: new(expvar.Map).Init()}
 	n.catalogs = newCatalogs(o.Catalogs, n.patience, n.log)
-	if b := o.Settings.Bounds; b.StrictRevoke {
-		n.catalogs.wait = min(catalogWait, b.RevokeMS.Std()/revokeLooks)
+	if b := o.Settings.Bounds; b.StrictKeys {
+		n.catalogs.wait = min(catalogWait, b.KeysMS.Std()/keysLooks)
 	}
 	s := o.Settings
 	for _, l := range []struct {
--- a/process/settings/cell.go
+++ b/process/settings/cell.go
@@ -72,10 +72,10 @@
 	// jobs a second as its weight, and EntitledSlack jobs more; 0: without bound.
 	EntitledWindowS float64 `json:"entitled_window_s"`
 	EntitledSlack   float64 `json:"entitled_slack"`
-	// StrictRevoke: a daemon refuses keys once it has not heard for RevokeMS whether they
+	// StrictKeys: a daemon refuses keys once it has not heard for KeysMS whether they
 	// are in force. Else it goes on with those that it knows.
-	StrictRevoke bool   `json:"strict_revoke"`
-	RevokeMS     Millis `json:"revoke_ms"`
+	StrictKeys bool   `json:"strict_keys"`
+	KeysMS     Millis `json:"keys_ms"`
 }
 
 // JobCellTuning overrides defaults.
@@ -92,9 +92,9 @@
 	DefaultStop        = 6    // seconds
 )
 
-// minRevoke is the shortest bound on keys taken away, in milliseconds: below it the
+// minKeys is the shortest bound on keys taken away, in milliseconds: below it the
 // looks at the configuration of every daemon would be a load on the store.
-const minRevoke = 200
+const minKeys = 200
 
 // LoadJobCell reads, completes and checks a settings file. All problems are
 // returned joined.
@@ -141,7 +141,7 @@
 	c.want(s.Bounds.WorkerLeaseMS > 0, "bounds.worker_lease_ms", "is negative", "use the longest lease that workers grant")
 	c.want(s.Bounds.EntitledWindowS >= 0, "bounds.entitled_window_s", "is negative", "use seconds, or 0 for no bound")
 	c.want(s.Bounds.EntitledSlack >= 0, "bounds.entitled_slack", "is negative", "use a number of jobs")
-	c.want(!s.Bounds.StrictRevoke || s.Bounds.RevokeMS >= minRevoke, "bounds.revoke_ms", fmt.Sprintf("is below %d with strict_revoke", minRevoke),
+	c.want(!s.Bounds.StrictKeys || s.Bounds.KeysMS >= minKeys, "bounds.keys_ms", fmt.Sprintf("is below %d with strict_keys", minKeys),
 		"use how long a key that was taken away may work, in milliseconds; the store is asked four times as often")
 	c.want(s.Bounds.StopS > 0, "bounds.stop_s", "is negative", "use the time that a planned stop may take")
 	_, err := zerolog.ParseLevel(s.LogLevel)
--- a/process/settings/cell_test.go
+++ b/process/settings/cell_test.go
@@ -16,28 +16,28 @@
 	s, err := ParseJobCell("f", cellWith(""))
 	require.NoError(t, err)
 	require.EqualValues(t, DefaultWorkerLease, s.Bounds.WorkerLeaseMS)
-	require.False(t, s.Bounds.StrictRevoke)
+	require.False(t, s.Bounds.StrictKeys)
 	require.Zero(t, s.Bounds.EntitledWindowS, "hand-ins are without bound")
 }
 
 func TestWrongSettingsOfACellDaemonAreNamed(t *testing.T) {
 	for more, field := range map[string]string{
-		`,"name":"A b"`:                                   "name",
-		`,"callers":"here"`:                               "callers",
-		`,"ip":"host"`:                                    "ip",
-		`,"bounds":{"entitled_window_s":-1}`:              "bounds.entitled_window_s",
-		`,"bounds":{"entitled_slack":-1}`:                 "bounds.entitled_slack",
-		`,"bounds":{"strict_revoke":true}`:                "bounds.revoke_ms",
-		`,"bounds":{"strict_revoke":true,"revoke_ms":50}`: "bounds.revoke_ms",
-		`,"policy":{"shares":"newest"}`:                   "policy.shares",
-		`,"policy":{"write_chains":100}`:                  "policy.write_chains",
-		`,"log_level":"loud"`:                             "log_level",
+		`,"name":"A b"`:                               "name",
+		`,"callers":"here"`:                           "callers",
+		`,"ip":"host"`:                                "ip",
+		`,"bounds":{"entitled_window_s":-1}`:          "bounds.entitled_window_s",
+		`,"bounds":{"entitled_slack":-1}`:             "bounds.entitled_slack",
+		`,"bounds":{"strict_keys":true}`:              "bounds.keys_ms",
+		`,"bounds":{"strict_keys":true,"keys_ms":50}`: "bounds.keys_ms",
+		`,"policy":{"shares":"newest"}`:               "policy.shares",
+		`,"policy":{"write_chains":100}`:              "policy.write_chains",
+		`,"log_level":"loud"`:                         "log_level",
 	} {
 		_, err := ParseJobCell("f.json", cellWith(more))
 		require.ErrorContains(t, err, "f.json", more)
 		require.ErrorContains(t, err, field, more)
 	}
-	for _, more := range []string{`,"bounds":{"strict_revoke":true,"revoke_ms":5000}`, `,"bounds":{"revoke_ms":5000}`, `,"policy":{"shares":"due"}`} {
+	for _, more := range []string{`,"bounds":{"strict_keys":true,"keys_ms":5000}`, `,"bounds":{"keys_ms":5000}`, `,"policy":{"shares":"due"}`} {
 		_, err := ParseJobCell("f.json", cellWith(more))
 		require.NoError(t, err, more)
 	}
