--- a/process/cellnode/catalogpeer.go
+++ b/process/cellnode/catalogpeer.go
@@ -39,6 +39,9 @@
 	// 100 cases, long before a change must be in force.
 	askPeriod  = 250 * time.Millisecond
 	askTimeout = 200 * time.Millisecond
+	// deafTime is how long a watch may say that nothing has changed though something has:
+	// stores that drop their history have been seen to.
+	deafTime = time.Second
 	// keysLooks is how often, in the time that a key taken away may still work, a
 	// daemon hears from the store that nothing has changed.
 	keysLooks = 4
@@ -52,7 +55,8 @@
 // standing tells how far this daemon's version of the configuration may be relied on.
 func (n *Node) standing() submit.Standing {
 	b, age := n.o.Settings.Bounds, n.catalogs.age()
-	return submit.Standing{Doubtful: age > doubtAfter, Expired: b.StrictKeys && age > b.KeysMS.Std()}
+	valid := b.KeysMS.Std()
+	return submit.Standing{Doubtful: age > doubtAfter, Expired: b.StrictKeys && age > valid-min(deafTime, valid/keysLooks)}
 }
 
 // followPeers learns the configuration from other daemons while the store says nothing.
@@ -88,47 +92,68 @@
 
 // askCatalog takes what another daemon knows.
 func (n *Node) askCatalog(ctx context.Context, m lead.Member) {
-	var version int64
-	if now := n.catalogs.Current(); now != nil {
-		version = now.Version
-	}
 	bounded, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	asked := time.Now()
 	var r catalogReply
-	if _, err := n.peers.CallAddr(bounded, m.Peer, methodCatalog, catalogRequest{Version: version}, &r); err != nil {
+	_, err := n.peers.CallAddr(bounded, m.Peer, methodCatalog, n.catalogs.question(), &r)
+	if err != nil {
 		n.log.Debug().Err(err).Str("daemon", m.Name).Msg("configuration not learned from a daemon")
 		return
 	}
-	if len(r.Catalog) > 0 {
-		next, err := work.DecodeCatalog(r.Catalog)
-		if err != nil {
-			n.log.Warn().Err(err).Str("daemon", m.Name).Msg("configuration not learned from a daemon")
-			return
-		}
+	news, err := n.catalogs.learn(asked, r)
+	if err != nil {
+		n.log.Warn().Err(err).Str("daemon", m.Name).Msg("configuration not learned from a daemon")
+		return
+	}
+	if news {
 		n.metrics.Add("configurations_learned", 1)
-		n.catalogs.take(next)
 	}
-	// The age counts from when the question was sent: the answer is no fresher.
-	n.catalogs.confirm(asked.Add(-r.Age))
 }
 
 // serveCatalog answers another daemon's question.
 func (n *Node) serveCatalog(_ context.Context, r catalogRequest) (any, error) {
-	// Read first: a version that arrives in between is younger than the age tells.
-	age := n.catalogs.age()
-	now := n.catalogs.Current()
-	if now == nil {
-		return nil, errNoCatalog
-	}
-	reply := catalogReply{Age: age}
-	if now.Version < r.Version {
-		return nil, errOlder // what is held here says nothing of the version asked with
+	return n.catalogs.answer(r)
+}
+
+// question is what another daemon is asked.
+func (c *catalogs) question() catalogRequest {
+	if now := c.now.Load(); now != nil {
+		return catalogRequest{Version: now.Version}
 	}
-	if now.Version == r.Version {
+	return catalogRequest{}
+}
+
+// answer tells another daemon what is known here.
+func (c *catalogs) answer(r catalogRequest) (catalogReply, error) {
+	// Read first: a version that arrives in between is younger than the age tells.
+	reply := catalogReply{Age: c.age()}
+	now := c.now.Load()
+	switch {
+	case now == nil:
+		return catalogReply{}, errNoCatalog
+	case now.Version < r.Version:
+		return catalogReply{}, errOlder // it says nothing of the version asked with
+	case now.Version == r.Version:
 		return reply, nil
 	}
 	var err error
 	reply.Catalog, err = work.EncodeCatalog(now)
 	return reply, err
 }
+
+// learn takes another daemon's answer to a question, and reports whether it brought a
+// newer version.
+func (c *catalogs) learn(asked time.Time, r catalogReply) (news bool, err error) {
+	if len(r.Catalog) > 0 {
+		next, err := work.DecodeCatalog(r.Catalog)
+		if err != nil {
+			return false, err
+		}
+		c.take(next)
+		news = true
+	}
+	// The age counts from when the question was sent: the answer is no fresher.
+	c.confirm(asked.Add(-r.Age))
+	return news, nil
+}
