A cell is divided by what a leader's link carries too; versions are asked of neighbours

Cause, by the same traces: with relays a leader of 135 workers, 47 jobs and 120 starts a second sends 50 to 170 KB/s and gets 80 to 180 KB/s, on a link of 250 KB/s; a burst or a takeover jams it. Cells were divided by processors alone. And each daemon read the whole configuration each second beside its watch: 14.9 KB with 20 accounts, 6 % of the link.

partsFor takes the lower of what a leader's processor and link carry (25 workers for each Mbit/s); with the strong daemons of the deployments (200 Mbit/s) nothing changes there. The configuration is read each 5 s, and one of four neighbours is asked for its version each second instead: some 100 bytes, and a watch that hears nothing is noticed as soon.

--- a/process/cellnode/catalog.go
+++ b/process/cellnode/catalog.go
@@ -17,9 +17,11 @@
 	catalogWait  = 1500 * time.Millisecond
 	catalogGrace = 500 * time.Millisecond
 	catalogPause = 100 * time.Millisecond
-	// checkPeriod is between cheap reads beside the watch: a watch may hear
-	// nothing for a while and not show it.
-	checkPeriod = time.Second
+	// checkPeriod is between reads beside the watch: a watch may hear nothing for a while
+	// and not show it. Other daemons are asked more often (followPeers), which costs a
+	// hundredth: with 20 accounts a version has 15 KB, and read each second by every
+	// daemon it took a sixteenth of a link of 2 Mbit/s.
+	checkPeriod = 5 * time.Second
 )
 
 // catalogs keeps the newest queues. A version is never replaced by a lower one.
--- a/process/cellnode/catalog_test.go
+++ b/process/cellnode/catalog_test.go
@@ -11,6 +11,7 @@
 
 	"fennelshunt.example/fennelshunt/connection/store"
 	"fennelshunt.example/fennelshunt/internal/sleep"
+	"fennelshunt.example/fennelshunt/process/lead"
 	"fennelshunt.example/fennelshunt/process/quota"
 	"fennelshunt.example/fennelshunt/version/work"
 )
@@ -74,3 +75,16 @@
 	led.rows.Store(nil)
 	require.Empty(t, n.accountRows(), "another daemon leads")
 }
+
+func TestNeighboursAreThoseThatFollowByName(t *testing.T) {
+	var members []lead.Member
+	for _, name := range []string{"a", "b", "c", "d"} {
+		members = append(members, lead.Member{Name: name})
+	}
+	var names []string
+	for _, m := range othersAfter(members, "c") {
+		names = append(names, m.Name)
+	}
+	require.Equal(t, []string{"d", "a", "b"}, names)
+	require.Empty(t, othersAfter(members[:1], "a"))
+}
--- a/process/cellnode/catalogpeer.go
+++ b/process/cellnode/catalogpeer.go
@@ -34,11 +34,18 @@
 	doubtAfter = catalogWait + catalogGrace
 	// turnedAwayFor is how long the store must have refused every call before that.
 	turnedAwayFor = 300 * time.Millisecond
-	// askPeriod is between questions to one daemon drawn at random: with a third of the
-	// daemons turned away as well, the third question has found one that is not in 96 of
-	// 100 cases, long before a change must be in force.
-	askPeriod  = 250 * time.Millisecond
-	askTimeout = 200 * time.Millisecond
+	// doubtPeriod is between questions to one daemon drawn at random while this one's
+	// version is in doubt: with a third of the daemons turned away as well, the third
+	// question has found one that is not in 96 of 100 cases, long before a change must be
+	// in force.
+	doubtPeriod = 250 * time.Millisecond
+	askTimeout  = 200 * time.Millisecond
+	// calmPeriods of these are between questions to a neighbour otherwise, so that a watch
+	// that hears nothing is noticed in a second.
+	calmPeriods = 4
+	// neighbours is to how many daemons these questions go by turns: enough that one of
+	// them hears the store, and few connections however large the cell is.
+	neighbours = 4
 	// deafTime is how long a watch may say that nothing has changed though something has:
 	// stores that drop their history have been seen to.
 	deafTime = time.Second
@@ -59,35 +66,41 @@
 	return submit.Standing{Doubtful: age > doubtAfter, Expired: b.StrictKeys && age > valid-min(deafTime, valid/keysLooks)}
 }
 
-// followPeers learns the configuration from other daemons while the store says nothing.
+// followPeers learns the configuration from other daemons: now and then from neighbours,
+// and from any while the store says nothing.
 //
 // Load pattern: the store turns a third of the daemons away for some seconds, and keys are
 // replaced meanwhile. What goes wrong without it: these daemons go on with keys that were
 // taken away, and refuse callers whose keys are new, though their neighbours know better.
 func (n *Node) followPeers(ctx context.Context) error {
-	for sleep.For(ctx, askPeriod) == nil {
-		if n.catalogs.age() <= doubtAfter && !n.patience.TurnedAway(turnedAwayFor) {
+	for i := 0; sleep.For(ctx, doubtPeriod) == nil; i++ {
+		inDoubt := n.catalogs.age() > doubtAfter || n.patience.TurnedAway(turnedAwayFor)
+		if !inDoubt && i%calmPeriods != 0 {
 			continue
 		}
-		if m, ok := n.anyOther(); ok {
-			n.askCatalog(ctx, m)
+		others := othersAfter(n.view().Members(), n.o.Settings.Name)
+		if !inDoubt {
+			others = others[:min(len(others), neighbours)]
+		}
+		if len(others) > 0 {
+			n.askCatalog(ctx, others[rand.IntN(len(others))])
 		}
 	}
 	return ctx.Err()
 }
 
-// anyOther draws a daemon that is not this one.
-func (n *Node) anyOther() (lead.Member, bool) {
-	var others []lead.Member
-	for _, m := range n.view().Members() {
-		if m.Name != n.o.Settings.Name {
-			others = append(others, m)
+// othersAfter returns the members but one, those that follow it by name first.
+func othersAfter(members []lead.Member, name string) []lead.Member {
+	var before, after []lead.Member
+	for _, m := range members {
+		switch {
+		case m.Name > name:
+			after = append(after, m)
+		case m.Name < name:
+			before = append(before, m)
 		}
 	}
-	if len(others) == 0 {
-		return lead.Member{}, false
-	}
-	return others[rand.IntN(len(others))], true
+	return append(after, before...)
 }
 
 // askCatalog takes what another daemon knows.
--- a/process/cellnode/layout.go
+++ b/process/cellnode/layout.go
@@ -126,19 +126,36 @@
 // divides a cell for ever that one of the strong ones carries, and each part has its
 // share of the room and of every quota only.
 func partsFor(workers int, members []lead.Member) int {
-	most := 0.0 // cores
+	most := 0.0
 	for _, m := range members {
-		most = max(most, m.Cores)
+		most = max(most, carries(m))
 	}
 	if most <= 0 {
 		return 1
 	}
 	able := 0
 	for _, m := range members {
-		if m.Cores >= ableShare*most {
+		if carries(m) >= ableShare*most {
 			able++
 		}
 	}
-	parts := int(math.Ceil(float64(workers)/(most*workersPerLeaderCore) - tolerance))
+	parts := int(math.Ceil(float64(workers)/most - tolerance))
 	return max(1, min(parts, able))
 }
+
+// carries returns how many workers a daemon carries as the leader, by its processor and,
+// where that is known, its link; 0 if nothing is known of it.
+func carries(m lead.Member) float64 {
+	workers := m.Cores * workersPerLeaderCore
+	if m.LinkMbps > 0 {
+		workers = min(workers, m.LinkMbps*workersPerLeaderMbit)
+	}
+	return workers
+}
+
+// workersPerLeaderMbit is how many workers a leader carries for each Mbit/s of its link.
+// Measured with relays at 135 workers, 47 jobs and 120 starts a second: 50 to 170 KB/s out
+// and 80 to 180 KB/s in, so that on 250 KB/s (2 Mbit/s) bursts jam it, pings go unanswered
+// and leaders follow each other; 50 workers leave room for bursts and for reading the state
+// at a takeover.
+const workersPerLeaderMbit = 25
--- a/process/cellnode/layout_test.go
+++ b/process/cellnode/layout_test.go
@@ -16,6 +16,12 @@
 		}
 		return all
 	}
+	linked := func(all []lead.Member, mbps float64) []lead.Member {
+		for i := range all {
+			all[i].LinkMbps = mbps
+		}
+		return all
+	}
 	mixed := append(members(15, 0.8), members(280, 0.192)...)
 	for _, c := range []struct {
 		workers int
@@ -33,6 +39,10 @@
 		{3000, members(2, 0.8), 2},
 		{3000, members(2, 0), 1}, // nothing is known of the daemons
 		{0, mixed, 1},
+		{135, linked(members(21, 0.12), 2), 3},   // links of 2 Mbit/s
+		{48, linked(members(9, 0.4), 10), 1},     // links that carry more than the processors
+		{540, linked(members(97, 0.192), 10), 2}, //
+		{540, append(linked(members(6, 0.8), 200), linked(members(90, 0.1), 2)...), 1}, // a few have wide links, and lead
 	} {
 		require.Equal(t, c.want, partsFor(c.workers, c.members), "%d workers, %d daemons", c.workers, len(c.members))
 	}
