A leader carries 30 workers for each Mbit/s of its link

Traced: the gangs that 25 leaves waiting have five good workers in a part of 31 and need every seat of them. What still fills the link: starts that go directly with their specs, 80 to 140 KB/s, once relays are taken for slow.

--- a/process/cellnode/layout.go
+++ b/process/cellnode/layout.go
@@ -156,6 +156,7 @@
 // workersPerLeaderMbit is how many workers a leader carries for each Mbit/s of its link.
 // Measured with relays at 135 workers, 47 jobs and 120 starts a second: 50 to 170 KB/s out
 // and 80 to 180 KB/s in, so that on 250 KB/s (2 Mbit/s) bursts jam it, pings go unanswered
-// and leaders follow each other; 50 workers leave room for bursts and for reading the state
-// at a takeover.
-const workersPerLeaderMbit = 25
+// and leaders follow each other. Half of that leaves room for bursts and for reading the
+// state at a takeover; in still smaller parts wide gangs find too few workers that are good
+// for them (of 31 workers 5, for a gang that needs them all).
+const workersPerLeaderMbit = 30
