--- a/docs/links_test.go
+++ b/docs/links_test.go
@@ -13,12 +13,24 @@
 
 var link = regexp.MustCompile(`\]\(([^)#\s]+)(#[^)]*)?\)`)
 
+// allPages lists the project's pages.
+func allPages(t *testing.T) []string {
+	t.Helper()
+	var pages []string
+	for _, pattern := range []string{"*.md", "design/*.md"} {
+		found, err := filepath.Glob(pattern)
+		require.NoError(t, err)
+		require.NotEmpty(t, found, pattern)
+		pages = append(pages, found...)
+	}
+	return pages
+}
+
 // Symptom: a reader follows a link of a page and finds nothing.
 // Sequence: a page or file is renamed, the pages that link to it are not.
 // Cause: nothing but a reader checks links.
 func TestLinksLeadToFiles(t *testing.T) {
-	pages, err := filepath.Glob("*.md")
-	require.NoError(t, err)
+	pages := allPages(t)
 	for _, page := range append(pages, "../README.md", "../CONTRIBUTING.md") {
 		data, err := os.ReadFile(page)
 		require.NoError(t, err)
@@ -53,8 +65,7 @@
 		return err
 	})
 	require.NoError(t, err)
-	pages, err := filepath.Glob("*.md")
-	require.NoError(t, err)
+	pages := allPages(t)
 	for _, page := range pages {
 		data, err := os.ReadFile(page)
 		require.NoError(t, err)
