A spec is read from the store once for all tasks that start at once

The tasks of a job share one read.

Shown by TestSpecIsReadOnceForAllTasksOfAJob (25 reads without). Ruled out: reading all specs at a takeover, which is what filled small links.

--- a/process/cellnode/part.go
+++ b/process/cellnode/part.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/sync/singleflight"
+
 	"fennelshunt.example/fennelshunt/connection/runner"
 	"fennelshunt.example/fennelshunt/connection/store"
 	"fennelshunt.example/fennelshunt/process/dispatch"
@@ -29,6 +31,7 @@
 	host    atomic.Pointer[dispatch.Host]
 	orders  atomic.Pointer[relay.Runner] // of this daemon's term
 	rows    atomic.Pointer[[]quota.Row]  // how the accounts stand; nil while another daemon leads
+	reads   singleflight.Group           // of specs from the store, by job
 }
 
 // newPart builds a part; main is nil for part 0.
--- a/process/cellnode/texts.go
+++ b/process/cellnode/texts.go
@@ -28,12 +28,30 @@
 	if spec, err := n.relay.Text(ctx, id, home); err == nil {
 		return spec, nil
 	}
-	spec, err := p.storedText(ctx, id)
-	if err != nil {
-		return "", err
+	return p.storedOnce(ctx, id)
+}
+
+// storedOnce reads a job's spec from the store, once for all tasks that wait for it.
+//
+// Load pattern: all daemons were lost, and with them the specs that they had in memory.
+// What goes wrong without it: each of a job's dozens of tasks reads the same spec as they
+// all start at once.
+func (p *part) storedOnce(ctx context.Context, id work.JobID) (string, error) {
+	found := p.reads.DoChan(string(id), func() (any, error) {
+		// The others still want it when the first one's time is over; patience bounds it.
+		spec, err := p.storedText(context.WithoutCancel(ctx), id)
+		if err == nil && p.n.relay != nil {
+			p.n.relay.Keep(id, spec)
+		}
+		return spec, err
+	})
+	select {
+	case <-ctx.Done():
+		return "", ctx.Err()
+	case x := <-found:
+		spec, _ := x.Val.(string)
+		return spec, x.Err
 	}
-	n.relay.Keep(id, spec)
-	return spec, nil
 }
 
 // storedText reads the spec of a job from the store: apart from the job, or with one that
--- a/process/cellnode/texts_test.go
+++ b/process/cellnode/texts_test.go
@@ -1,9 +1,12 @@
 package cellnode
 
 import (
+	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"fennelshunt.example/fennelshunt/connection/store"
@@ -36,3 +39,30 @@
 	_, err = p.storedText(t.Context(), "00000000000000cc")
 	require.ErrorIs(t, err, store.ErrNotFound)
 }
+
+func TestSpecIsReadOnceForAllTasksOfAJob(t *testing.T) {
+	// Symptom: after all daemons were lost, hundreds of reads of the store for a few jobs.
+	// Sequence: the tasks of a wide job start at the same moment; nobody has its spec in
+	//   memory.
+	// Cause: each start read it for itself.
+	synctest.Test(t, func(t *testing.T) {
+		m := kv.New()
+		const id = work.JobID("00000000000000aa")
+		_, err := m.Commit(t.Context(), store.Txn{Writes: []store.Write{{Key: dispatch.KeySpec(id), Value: []byte("x")}}})
+		require.NoError(t, err)
+		m.SetFaults(kv.Faults{Delay: 50 * time.Millisecond, DelayChance: 1})
+		p := &part{store: m, n: &Node{patience: &store.Patience{Min: 200 * time.Millisecond, Max: 1500 * time.Millisecond}}}
+		before := m.Counts().Get
+		var starts sync.WaitGroup
+		for range 25 {
+			starts.Go(func() {
+				spec, err := p.storedOnce(t.Context(), id)
+				assert.NoError(t, err)
+				assert.Equal(t, "x", spec)
+			})
+		}
+		synctest.Wait()
+		starts.Wait()
+		require.Equal(t, 1, int(m.Counts().Get-before))
+	})
+}
