A hand-in is encoded once for all its tries

Read in the change: each try to write a job decoded its value and encoded it again without the spec, and telling the leader encoded it a third time. handIn holds both forms from the start, so tries, hand-overs and offers use the same bytes; a job of another daemon is decoded once; the account needs no decoding in a conflict. work.SplitSpec goes.

A value handed over that does not decode is now logged; it is refused as before.

--- a/request/submit/hedge.go
+++ b/request/submit/hedge.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"fennelshunt.example/fennelshunt/connection/store"
-	"fennelshunt.example/fennelshunt/version/work"
 )
 
 // Hedging a hand-in: what is tried beside a write that the store does not answer.
@@ -53,15 +52,15 @@
 // What goes wrong without the second try: when a store becomes slow, the first writes of
 // each daemon are given up just before their answers, and their callers wait for two
 // more answers.
-func (s *Service) createHedged(ctx context.Context, id work.JobID, value []byte) (byOther bool, err error) {
+func (s *Service) createHedged(ctx context.Context, h *handIn) (byOther bool, err error) {
 	results := make(chan tried, hedgedTries)
 	own := func() {
 		// Not taken back when another try has succeeded: how it goes tells of the store.
 		free := context.WithoutCancel(ctx)
-		results <- tried{err: s.o.Patience.CallWithin(free, writeTimeout, func(ctx context.Context) error { return s.create(ctx, id, value) })}
+		results <- tried{err: s.o.Patience.CallWithin(free, writeTimeout, func(ctx context.Context) error { return s.create(ctx, h) })}
 	}
 	others := func() {
-		took, maybe := s.handOver(ctx, id, value)
+		took, maybe := s.handOver(ctx, h)
 		r := tried{byOther: true}
 		switch {
 		case took:
--- a/request/submit/peer.go
+++ b/request/submit/peer.go
@@ -94,7 +94,12 @@
 	if s.o.Patience.Suspect() {
 		return handedOver{}, nil // no better off than the daemon that asks
 	}
-	err := s.o.Patience.Call(ctx, func(ctx context.Context) error { return s.create(ctx, id, o.Value) })
+	h, err := decodeHandIn(id, o.Value)
+	if err != nil {
+		s.o.Log.Warn().Err(err).Str("job", o.Key).Msg("job handed over can not be read")
+		return handedOver{}, nil
+	}
+	err = s.o.Patience.Call(ctx, func(ctx context.Context) error { return s.create(ctx, h) })
 	if err != nil {
 		return handedOver{Maybe: errors.Is(err, store.ErrUnknownOutcome)}, nil
 	}
--- a/request/submit/submit.go
+++ b/request/submit/submit.go
@@ -163,7 +163,7 @@
 // Submit accepts a job. The error is a *verdict.Error.
 func (s *Service) Submit(ctx context.Context, id work.JobID, j *work.Job) error {
 	j.Epoch, j.Home, j.Apart = s.o.View.Epoch(), s.o.Peer, j.Spec != ""
-	value, err := work.EncodeJob(j)
+	h, err := newHandIn(id, j)
 	if err != nil {
 		return unavailable(CodeStore, err)
 	}
@@ -172,7 +172,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, submitBudget)
 	defer cancel()
-	err = s.put(ctx, id, value, func() { s.push(s.offered(id, j, value)) })
+	err = s.put(ctx, h, func() { s.push(s.offered(h)) })
 	if err == nil {
 		s.stats.Accepted.Add(1)
 		return nil
@@ -185,11 +185,11 @@
 // another daemon. After a failed call others are asked first: they answer in
 // milliseconds, while a read of a store that is silent takes probeTimeout.
 // written is called once this daemon has written it.
-func (s *Service) put(ctx context.Context, id work.JobID, value []byte, written func()) error {
+func (s *Service) put(ctx context.Context, h *handIn, written func()) error {
 	open := false // a write without an answer may still take effect
 	var last error
 	othersTook := func() bool {
-		took, maybe := s.handOver(ctx, id, value)
+		took, maybe := s.handOver(ctx, h)
 		open = open || maybe
 		return took
 	}
@@ -200,7 +200,7 @@
 		}
 		if last = s.reachable(ctx); last == nil {
 			var byOther bool
-			switch byOther, last = s.createHedged(ctx, id, value); {
+			switch byOther, last = s.createHedged(ctx, h); {
 			case last == nil && byOther:
 				return nil
 			case last == nil:
@@ -261,17 +261,11 @@
 
 // create makes one try to write the job. All tries are alike, and at most one
 // takes effect.
-func (s *Service) create(ctx context.Context, id work.JobID, value []byte) error {
-	stored, spec, err := work.SplitSpec(value)
-	if err != nil {
-		return fmt.Errorf("%w: %w", store.ErrUnavailable, err) // nothing is written
-	}
+func (s *Service) create(ctx context.Context, h *handIn) error {
+	id := h.id
 	txn := store.Txn{
 		Checks: []store.Check{{Key: dispatch.KeyIn(id)}, {Key: dispatch.KeyState(id)}},
-		Writes: []store.Write{{Key: dispatch.KeyIn(id), Value: stored}},
-	}
-	if spec != "" {
-		txn.Writes = append(txn.Writes, store.Write{Key: dispatch.KeySpec(id), Value: []byte(spec)})
+		Writes: h.writes(),
 	}
 	var guards Guards
 	if s.o.Guards != nil {
@@ -281,7 +275,7 @@
 			txn.Checks = append(txn.Checks, store.Check{Key: key})
 		}
 	}
-	_, err = s.o.Store.Commit(ctx, txn)
+	_, err := s.o.Store.Commit(ctx, txn)
 	var conflict *store.ConflictError
 	if !errors.As(err, &conflict) {
 		return err
@@ -294,19 +288,15 @@
 	// Handed in before, be it before the cell was divided: the first stands.
 	for _, key := range slices.Concat(guards.Elsewhere, []string{dispatch.KeyIn(id), dispatch.KeyState(id)}) {
 		if entry, exists := conflict.Find(key); exists {
-			return before(entry, value)
+			return before(entry, h.account)
 		}
 	}
 	return fmt.Errorf("%w: neither key exists now", store.ErrUnknownOutcome)
 }
 
-// before returns what a hand-in is answered whose id has been used, by the entry found
-// under it: nil for the same account's job.
-func before(found store.Entry, value []byte) error {
-	job, err := work.DecodeJob(value)
-	if err != nil {
-		return err
-	}
+// before returns what a hand-in of an account is answered whose id has been used, by the
+// entry found under it: nil for the same account's job.
+func before(found store.Entry, account string) error {
 	owner := ""
 	if dispatch.IsState(found.Key) {
 		p, err := work.DecodeProgress(found.Value)
@@ -320,7 +310,7 @@
 	} else if first, err := work.DecodeJob(found.Value); err == nil {
 		owner = first.Account
 	}
-	if !work.Owns(owner, job.Account) {
+	if !work.Owns(owner, account) {
 		return errForeign
 	}
 	return nil
@@ -351,13 +341,12 @@
 }
 
 // offered returns the entry of which the leader is told.
-func (s *Service) offered(id work.JobID, j *work.Job, value []byte) store.Entry {
+func (s *Service) offered(h *handIn) store.Entry {
+	value := h.whole
 	if s.short.Load() {
-		if short, err := work.EncodeJob(j.WithoutSpec()); err == nil {
-			value = short
-		}
+		value = h.stored
 	}
-	return store.Entry{Key: dispatch.KeyIn(id), Value: value}
+	return store.Entry{Key: dispatch.KeyIn(h.id), Value: value}
 }
 
 // push tells the leader of a new entry; a watch brings it otherwise.
@@ -418,8 +407,8 @@
 
 // handOver lets other daemons write a job. maybe tells that one may have done
 // so without an answer.
-func (s *Service) handOver(ctx context.Context, id work.JobID, value []byte) (took, maybe bool) {
-	took = s.askHelpers(ctx, s.method(MethodHandOver), offer{Key: string(id), Value: value}, func(r handedOver, err error) {
+func (s *Service) handOver(ctx context.Context, h *handIn) (took, maybe bool) {
+	took = s.askHelpers(ctx, s.method(MethodHandOver), offer{Key: string(h.id), Value: h.whole}, func(r handedOver, err error) {
 		maybe = maybe || r.Maybe || (err != nil && !peer.NotRun(err))
 	})
 	if !took {
--- a/version/work/work.go
+++ b/version/work/work.go
@@ -177,17 +177,6 @@
 	return &short
 }
 
-// SplitSpec returns the stored form of a job whose spec is kept apart, and the spec. The
-// form of any other job is returned as it is.
-func SplitSpec(value []byte) (stored []byte, spec string, err error) {
-	j, err := DecodeJob(value)
-	if err != nil || !j.Apart {
-		return value, "", err
-	}
-	stored, err = EncodeJob(j.WithoutSpec())
-	return stored, j.Spec, err
-}
-
 // State of a job as callers see it.
 type State uint8
 
