Nothing is counted for policies that are off; runs being stopped are counted by their list

Read in the change: every start and end of a run wrote what headroom under a cap and dominant turns would need, exponentials included, though neither is on by default. Both count only where the policy asks for them.

worker.strays was a number beside the list of the same runs. It stayed above 0 when all on a worker had lapsed, so what an earlier epoch's ended jobs held counted until the worker was gone from the directory; the list alone is right there. No other behaviour changes, and the tests keep their assertions.

--- a/process/dispatch/accounts.go
+++ b/process/dispatch/accounts.go
@@ -98,7 +98,7 @@
 func (e *Engine) book(p *place) {
 	p.w.take(p)
 	p.s.job.account.Adopt(p.s.charge())
-	e.kindOf(p.s.job).note(e.now, p.s.charge())
+	e.noteKind(p.s.job, p.s.charge())
 }
 
 // unbook frees what a run takes, once it is known not to run any more.
@@ -109,7 +109,7 @@
 	a := p.s.job.account
 	a.Refund(p.s.charge())
 	e.fair.Used(a.Name, e.now, (e.now-p.sent).Seconds()*float64(p.s.spec.Size.CPU)/1000)
-	e.kindOf(p.s.job).note(e.now, quota.Size{}.Sub(p.s.charge()))
+	e.noteKind(p.s.job, quota.Size{}.Sub(p.s.charge()))
 	if a.Held().Negative() {
 		e.violate("refund of more than an account holds: "+a.Name, p.id(), p.w.ID)
 	}
@@ -131,7 +131,7 @@
 		x.account, x.size = e.ledger.Account(j.spec.Account), j.sizeOf(task.Step)
 	}
 	x.account.Adopt(x.size)
-	w.strayRuns = append(w.strayRuns, x)
+	w.strays = append(w.strays, x)
 }
 
 // sizeOf returns what a task of a step counts for the job's account; nothing for a step
@@ -147,10 +147,10 @@
 }
 
 func (w *worker) refundStrays() {
-	for _, x := range w.strayRuns {
+	for _, x := range w.strays {
 		x.account.Refund(x.size)
 	}
-	w.strayRuns = w.strayRuns[:0]
+	w.strays = w.strays[:0]
 }
 
 // countUnseen counts for the accounts what an earlier epoch may have started, as long as
@@ -232,7 +232,7 @@
 
 func (e *Engine) anyStrays() bool {
 	for _, w := range e.order {
-		if w.strays > 0 {
+		if len(w.strays) > 0 {
 			return true
 		}
 	}
--- a/process/dispatch/accounts_test.go
+++ b/process/dispatch/accounts_test.go
@@ -256,7 +256,7 @@
 				name := p.s.job.spec.Account
 				want[name] = want[name].Add(p.s.charge())
 			}
-			for _, x := range w.strayRuns {
+			for _, x := range w.strays {
 				want[x.account.Name] = want[x.account.Name].Add(x.size)
 			}
 		}
--- a/process/dispatch/fleet.go
+++ b/process/dispatch/fleet.go
@@ -187,7 +187,7 @@
 	for _, a := range w.waiting {
 		all = append(all, a.task)
 	}
-	for _, x := range w.strayRuns {
+	for _, x := range w.strays {
 		all = append(all, x.task)
 	}
 	return all
--- a/process/dispatch/quotaorder.go
+++ b/process/dispatch/quotaorder.go
@@ -59,6 +59,13 @@
 	return k
 }
 
+// noteKind counts a change of what is held for the job's priority, where headroom is kept.
+func (e *Engine) noteKind(j *job, change quota.Size) {
+	if e.o.Policy.QuotaHeadroom {
+		e.kindOf(j).note(e.now, change)
+	}
+}
+
 // insertSorted adds a number to a sorted list that lacks it.
 func insertSorted(list []int, n int) []int {
 	i := 0
--- a/process/dispatch/reports.go
+++ b/process/dispatch/reports.go
@@ -15,7 +15,7 @@
 		return
 	}
 	r := runner.Renewal{Epoch: e.o.Epoch, Until: w.renewUntil(e.now, e.o.Bounds.Lease), Acknowledge: w.ack}
-	if w.fenced && w.misses == 0 && !w.unacknowledged() && !w.stopsAnswered() && w.strays == 0 {
+	if w.fenced && w.misses == 0 && !w.unacknowledged() && !w.stopsAnswered() && len(w.strays) == 0 {
 		r.Wait = renewWait
 	}
 	w.renewing, w.renewSent = true, e.now
@@ -64,7 +64,7 @@
 	e.takeRunning(w, report.Running, len(report.Ended) < runner.MaxEnds)
 	w.nextRenew = now
 	switch {
-	case w.strays > 0, ends == 0 && w.stopsAnswered():
+	case len(w.strays) > 0, ends == 0 && w.stopsAnswered():
 		w.nextRenew = now + strayPause // a stop takes a while; look again soon
 	case w.unacknowledged():
 		w.renewPause = nextPause(w.renewPause, ends > 0)
@@ -252,7 +252,6 @@
 // takeRunning compares what a worker says it runs with what it should run.
 // complete tells that the report left no end out.
 func (e *Engine) takeRunning(w *worker, rows []runner.Live, complete bool) {
-	w.strays = 0
 	w.refundStrays()
 	present := make(map[work.TaskID]uint64, len(rows))
 	for i := range rows {
@@ -298,7 +297,6 @@
 	}
 	e.stats.Orphans++
 	e.decide(Decision{What: "stop unexpected run", Task: r.Task, Run: r.Run, Worker: w.ID})
-	w.strays++
 	e.chargeStray(w, r.Task)
 	e.out = append(e.out, SendStop{To: w.Ref, Task: r.Task, Run: r.Run})
 }
--- a/process/dispatch/worker.go
+++ b/process/dispatch/worker.go
@@ -80,11 +80,9 @@
 	answered  time.Duration // when the last report came
 	misses    int           // renewals in a row without an answer
 
-	// strays counts the runs of the last report that are being stopped without
-	// a place: the room they take is not booked, so nothing starts beside them.
-	strays int
-	// strayRuns are those of them whose job is known, as charged to its account.
-	strayRuns []stray
+	// strays are the runs of the last report that are being stopped without a place:
+	// the room they take is not booked, so nothing starts beside them.
+	strays []stray
 
 	renewPause time.Duration // the last one while ends could not be acknowledged
 
@@ -109,7 +107,7 @@
 		return false
 	case w.misses > 0 || now < w.asideUntil:
 		return false
-	case w.strays > 0, w.trial && len(w.places) > 0:
+	case len(w.strays) > 0, w.trial && len(w.places) > 0:
 		return false
 	}
 	return true
--- a/process/fair/fair.go
+++ b/process/fair/fair.go
@@ -152,8 +152,12 @@
 	return 0
 }
 
-// Ended notes a job of so much work, in core-seconds, that is done: in time, or not.
+// Ended notes a job of so much work, in core-seconds, that is done: in time, or not. It
+// counts for Risk.
 func (b *Book) Ended(name string, at time.Duration, work float64, inTime bool) {
+	if b.way != Risk {
+		return
+	}
 	a := b.account(name)
 	left := decay(at-a.workAt, memory)
 	a.late, a.all, a.workAt = a.late*left, a.all*left+work, at
@@ -162,8 +166,11 @@
 	}
 }
 
-// Used notes so many core-seconds of an account's.
+// Used notes so many core-seconds of an account's. It counts for Dominant.
 func (b *Book) Used(name string, at time.Duration, coreSeconds float64) {
+	if b.way != Dominant {
+		return
+	}
 	a := b.account(name)
 	a.use, a.useAt = a.use*decay(at-a.useAt, useMemory)+coreSeconds, at
 	b.used, b.usedAt = b.used*decay(at-b.usedAt, useMemory)+coreSeconds, at
