--- a/docs/links_test.go
+++ b/docs/links_test.go
@@ -17,7 +17,7 @@
 func allPages(t *testing.T) []string {
 	t.Helper()
 	var pages []string
-	for _, pattern := range []string{"*.md", "design/*.md"} {
+	for _, pattern := range []string{"*.md", "design/*.md", "incidents/*.md"} {
 		found, err := filepath.Glob(pattern)
 		require.NoError(t, err)
 		require.NotEmpty(t, found, pattern)
