Runs that are lost with their worker are logged and counted

What could not be told from the logs: 'worker gone' names the worker, not what ran there, so that a task that loses worker after worker is not to be seen. Now each such run has a line with its task, how the loss is known and the run's age, and there are counters. No decision changes.

--- a/process/dispatch/directory.go
+++ b/process/dispatch/directory.go
@@ -80,7 +80,8 @@
 	e.decide(Decision{What: "worker gone", Worker: w.ID, Why: why, Age: e.now - w.answered})
 	e.resolve(w)
 	w.gone = true
-	e.clearPlaces(w)
+	e.stats.Gone++
+	e.clearPlaces(w, why)
 	delete(e.workers, w.ID)
 	e.order = slices.DeleteFunc(e.order, func(x *worker) bool { return x == w })
 	e.fleetNew = e.fleetNew || w.kept
@@ -88,10 +89,12 @@
 }
 
 // clearPlaces frees every run on a worker on which nothing runs any more.
-func (e *Engine) clearPlaces(w *worker) {
+func (e *Engine) clearPlaces(w *worker, why string) {
 	w.refundStrays()
 	for _, p := range places(w) {
 		e.stats.Lost++
+		e.stats.LostWithWorker++
+		e.decide(Decision{What: "run lost", Task: p.id(), Run: p.run, Worker: w.ID, Why: why, Age: e.now - p.sent})
 		s := p.s
 		e.release(p)
 		if s.spec.Gang && s.job.active() {
@@ -122,5 +125,5 @@
 		e.workerGone(w, "its lease has run out and it does not answer")
 		return
 	}
-	e.clearPlaces(w)
+	e.clearPlaces(w, "its lease has run out")
 }
--- a/process/dispatch/engine.go
+++ b/process/dispatch/engine.go
@@ -86,6 +86,9 @@
 type Stats struct {
 	Starts, Resent, Stops, Done, Failed, Back, Lost, Adopted, Orphans uint64
 	Commits, Bundles, Violations, Advised, Aside, Moved, Holds        uint64
+	// Gone counts workers whose life was over, and LostWithWorker the runs among Lost
+	// that a worker took with it.
+	Gone, LostWithWorker uint64
 	// OverQuota counts steps that waited for their account's quota.
 	OverQuota uint64
 }
