Failing tests: tasks that crash their workers are started without end

The stand-in of workers learns to crash by a run, to come back as another life at its address, and counts starts after three crashes, as the users' rule does.

--- a/process/dispatch/cell_test.go
+++ b/process/dispatch/cell_test.go
@@ -146,6 +146,16 @@
 	c.nodes[i] = c.startNode(c.nodes[i].name)
 }
 
+// killLeader ends the daemon that leads, if any does.
+func (c *cell) killLeader() {
+	for i, n := range c.nodes {
+		if n.host.Load() != nil {
+			c.kill(i)
+			return
+		}
+	}
+}
+
 func (c *cell) leader() *Host {
 	for _, n := range c.nodes {
 		if h := n.host.Load(); h != nil {
@@ -155,9 +165,12 @@
 	return nil
 }
 
+// nextID is the id of the next job that is submitted.
+func (c *cell) nextID() work.JobID { return work.JobID(fmt.Sprintf("%016x", len(c.order)+1)) }
+
 // submit writes a job as an accepting daemon does.
 func (c *cell) submit(j *work.Job) work.JobID {
-	id := work.JobID(fmt.Sprintf("%016x", len(c.order)+1))
+	id := c.nextID()
 	j.Accepted = time.Now().UnixMilli()
 	for _, n := range c.nodes {
 		j.Epoch = max(j.Epoch, n.elector.View().Epoch())
--- a/standin/epochworker/calls.go
+++ b/standin/epochworker/calls.go
@@ -33,7 +33,14 @@
 			}
 		})
 	}
+	gone, refused := w != nil && w.replaced, w != nil && w.dead && f.o.Restart > 0
 	f.mu.Unlock()
+	switch {
+	case gone:
+		return nil, false, runner.ErrGone
+	case refused:
+		return nil, false, runner.ErrNoConnection
+	}
 	if silent || isLate {
 		<-ctx.Done()
 		return nil, false, fmt.Errorf("%w: %w", runner.ErrUnknown, ctx.Err())
@@ -108,6 +115,13 @@
 	}
 	f.history(s.Task).live++
 	f.checkQuota(s.Task, j)
+	if b.Crashes > 0 {
+		time.AfterFunc(b.Crashes, func() {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			f.crashBy(w, r)
+		})
+	}
 	if !step.Gang {
 		f.toWork(w, r)
 		return
@@ -132,6 +146,11 @@
 	case s.Task.Occurrence >= max(1, j.Repeat):
 		f.breaks("%s starts, and the job has %d occurrences", s.Task, max(1, j.Repeat))
 	}
+	if h.crashes >= maxCrashes {
+		if h.startsSince++; h.startsSince > startsAfterCrashes {
+			f.breaks("%s run %d is start %d after %d workers had crashed under it", s.Task, s.Run, h.startsSince, maxCrashes)
+		}
+	}
 	if at, ok := f.cancelled[s.Task.Job]; ok && time.Since(at) > 3*time.Second+12*time.Second {
 		f.breaks("%s run %d starts %v after its cancellation", s.Task, s.Run, time.Since(at))
 	}
--- a/standin/epochworker/fleet.go
+++ b/standin/epochworker/fleet.go
@@ -26,6 +26,8 @@
 	Fails bool
 	// Still runs make no progress and never end.
 	Still bool
+	// Crashes: the worker dies that long after the run has begun; 0 for never.
+	Crashes time.Duration
 }
 
 // Faults are the misbehaviours in force. Probabilities are 0 to 1.
@@ -46,8 +48,18 @@
 	Work func(task work.TaskID, run uint64, on runner.WorkerID) Behaviour
 	// Attempts a task may fail.
 	Attempts int
+	// Restart is how long after a crash another life of the worker answers at its
+	// address, under a new name; 0 for never. Nobody listens there until then.
+	Restart time.Duration
 }
 
+// A task that crashes its workers may be started startsAfterCrashes times more once
+// maxCrashes workers have crashed under it.
+const (
+	maxCrashes         = 3
+	startsAfterCrashes = 2
+)
+
 // Fleet is a set of workers and what they have seen.
 type Fleet struct {
 	o Options
@@ -73,6 +85,8 @@
 	// awayEnds counts lasting tasks at work that an order ended while as many
 	// others of their step as may be were away.
 	awayEnds int
+	crashes  int // caused by runs
+	lives    int // that followed a crash
 }
 
 // history is what all workers have seen of a task.
@@ -81,22 +95,26 @@
 	done  bool
 	noted bool // a done end was acknowledged, or a job shown as completed
 	fails int
+	// crashes of workers that it caused, and starts since the maxCrashes-th.
+	crashes, startsSince int
 }
 
 type worker struct {
 	runner.Worker
-	cut     bool
-	dead    bool
-	epoch   uint64
-	started time.Time
-	until   time.Duration // of the lease, on its clock
-	running map[work.TaskID]*run
-	highest map[work.TaskID]uint64 // stopped or ended
-	ends    []runner.End
-	number  int64
-	wake    chan struct{}
-	lapse   *time.Timer
-	used    work.Resources
+	cut  bool
+	dead bool
+	// replaced: another life answers at its address.
+	replaced bool
+	epoch    uint64
+	started  time.Time
+	until    time.Duration // of the lease, on its clock
+	running  map[work.TaskID]*run
+	highest  map[work.TaskID]uint64 // stopped or ended
+	ends     []runner.End
+	number   int64
+	wake     chan struct{}
+	lapse    *time.Timer
+	used     work.Resources
 }
 
 type run struct {
@@ -205,7 +223,38 @@
 func (f *Fleet) Crash(id runner.WorkerID) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	w := f.workers[id]
+	f.crash(f.workers[id])
+}
+
+// Crashes returns how many workers crashed by what ran on them.
+func (f *Fleet) Crashes() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.crashes
+}
+
+// CrashesUnder returns how many workers a task has crashed.
+func (f *Fleet) CrashesUnder(t work.TaskID) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.history(t).crashes
+}
+
+// crashBy ends a worker's life by the fault of a run.
+func (f *Fleet) crashBy(w *worker, r *run) {
+	if w.dead || w.running[r.task] != r {
+		return
+	}
+	f.crashes++
+	f.history(r.task).crashes++
+	f.crash(w)
+}
+
+func (f *Fleet) crash(w *worker) {
+	if w.dead {
+		return
+	}
+	id := w.ID
 	w.dead = true
 	lost := w.running
 	w.running = nil
@@ -221,6 +270,20 @@
 		defer f.mu.Unlock()
 		f.record(runner.Change{Worker: runner.Worker{Ref: runner.Ref{ID: id}}, Gone: true})
 	})
+	if f.o.Restart > 0 {
+		time.AfterFunc(f.o.Restart, func() { f.restart(w) })
+	}
+}
+
+// restart begins another life at a dead worker's address.
+func (f *Fleet) restart(w *worker) {
+	f.mu.Lock()
+	w.replaced = true
+	f.lives++
+	next := w.Worker
+	next.ID = runner.WorkerID(fmt.Sprintf("life-%d", f.lives))
+	f.mu.Unlock()
+	f.Add(next)
 }
 
 // Cut cuts a worker off, or heals the cut.
