Tasks under which worker after worker dies are tried apart and given up

Cause: a run that was lost with its worker was released like one that had never started. Only ends that a worker lists as failed counted, and a dead worker lists none. Class: a belief about a task's runs that nobody keeps, since it is told by an absence instead of by a message.

Now package crash keeps a record of each death for each task that had begun there shortly before, and judges: a death speaks clearly only against a task beside which no other job had just begun. Tasks with two deaths, or a clear one, are on trial: on a worker on which nothing else begins meanwhile, the emptiest, and written down before the start is sent. Three deaths with a clear one, or four, give the job up. A worker that answers again has not crashed, one that leaves as planned neither; both clear what was recorded, and a run that lives on for ten seconds all of it.

Over takeovers: records are part of a job's progress; the list of closed workers names the runs that may have crashed them within some 100 ms; a trial that neither runs nor has ended, on a worker whose life is over, counts. What is left: a death within the last 100 ms of a leader (2 s for machines without power) is not known to its successor; it takes three such in a row to break the rule.

Found on the way and covered by the tests: two trials one after the other on the emptiest worker, of which the second took the first for guilty; gangs whose members were crowded by other work, so that no death spoke clearly; records for hundreds of old runs on a worker that was only cut off.

--- /dev/null
+++ b/process/crash/crash_test.go
@@ -0,0 +1,91 @@
+package crash
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// TestGivenUpOnlyOnClearDeaths guards against a sound task that is given up for workers
+// that died beside it.
+func TestGivenUpOnlyOnClearDeaths(t *testing.T) {
+	for _, c := range []struct {
+		clear, shared, open int
+		guilty              bool
+	}{
+		{clear: 1}, {clear: 2}, {shared: 3}, {clear: 2, open: 4}, {open: 6},
+		{clear: 1, shared: 2, guilty: true}, {clear: 2, shared: 1, guilty: true}, {clear: 3, guilty: true}, {shared: 4, guilty: true},
+	} {
+		var r Records
+		n := 0
+		lose := func(times int, sole, ended bool) {
+			for range times {
+				n++
+				r.Lose(uint64(n), fmt.Sprint("w-", n), sole, ended)
+			}
+		}
+		lose(c.clear, true, true)
+		lose(c.shared, false, true)
+		lose(c.open, false, false)
+		require.Equal(t, c.guilty, r.Guilty(), "%+v", c)
+	}
+}
+
+// TestWorkerThatLivesClearsItsRecords guards against cuts that are taken for crashes.
+func TestWorkerThatLivesClearsItsRecords(t *testing.T) {
+	var r Records
+	r.Lose(1, "w-1", true, false)
+	r.Lose(2, "w-1", true, true)
+	r.Begin(3, "w-1", true)
+	r.Lose(4, "w-2", true, true)
+	require.True(t, r.Settle("w-1", false, 3), "the run that is there stays on record")
+	require.Len(t, r, 2)
+	require.True(t, r.Drop(3))
+	require.False(t, r.Drop(4), "a death stays on record")
+	require.False(t, r.Settle("w-1", true, 0))
+}
+
+// TestRecordsUnderAnyOrder holds the records against a plain list of what happened: no
+// order of news makes a death count twice, or makes one of a worker that lives count.
+func TestRecordsUnderAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var r Records
+		dead := map[string]bool{}
+		lost := map[string]bool{}
+		run := uint64(0)
+		for range rapid.IntRange(1, 30).Draw(t, "steps") {
+			w := fmt.Sprint("w-", rapid.IntRange(0, 3).Draw(t, "worker"))
+			switch rapid.IntRange(0, 4).Draw(t, "what") {
+			case 0:
+				if !dead[w] {
+					run++
+					r.Begin(run, w, rapid.Bool().Draw(t, "sole"))
+				}
+			case 1, 2:
+				ended := rapid.Bool().Draw(t, "ended")
+				if !dead[w] {
+					run++
+					r.Lose(run, w, false, ended)
+					lost[w], dead[w] = lost[w] || ended, dead[w] || ended
+					if ended {
+						r.Settle(w, true, 0)
+					}
+				}
+			case 3:
+				if !dead[w] {
+					r.Settle(w, false, 0)
+				}
+			case 4:
+				r.Drop(run)
+			}
+		}
+		for _, c := range r {
+			require.Equal(t, dead[c.Worker], !c.Open, "%+v", c)
+		}
+		if len(lost) == 0 {
+			require.False(t, r.Guilty())
+		}
+	})
+}
--- a/process/dispatch/crash_test.go
+++ b/process/dispatch/crash_test.go
@@ -11,7 +11,9 @@
 	"github.com/stretchr/testify/require"
 
 	"fennelshunt.example/fennelshunt/connection/runner"
+	"fennelshunt.example/fennelshunt/connection/store"
 	"fennelshunt.example/fennelshunt/standin/epochworker"
+	"fennelshunt.example/fennelshunt/standin/kv"
 	"fennelshunt.example/fennelshunt/version/work"
 )
 
@@ -106,3 +108,155 @@
 	require.Empty(t, c.fleet.Broken())
 	require.Empty(t, c.broken)
 }
+
+// TestSoundJobsAreNotGivenUpUnderTroubles guards against sound jobs that pay for workers
+// that crash, are cut off or flap, beside tasks that do crash their workers.
+func TestSoundJobsAreNotGivenUpUnderTroubles(t *testing.T) {
+	first, seeds := seedsOfRun(t, 6)
+	for seed := first; seed < first+seeds; seed++ {
+		t.Run(seedName(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { crashesUnderTroubles(t, seed) })
+		})
+	}
+}
+
+func crashesUnderTroubles(t *testing.T, seed uint64) {
+	c := crashingCell(t, seed, func(task work.TaskID) time.Duration {
+		if crashes(task.Job) && task.Index == 0 {
+			return crashSoon
+		}
+		return 0
+	})
+	time.Sleep(2 * time.Second)
+	next := time.Now().Add(2 * time.Second)
+	for i := range 150 {
+		c.submit(crashStep(1+c.rng.IntN(4), c.rng.IntN(4) == 0))
+		time.Sleep(time.Duration(c.rng.IntN(250)) * time.Millisecond)
+		if i < 130 && time.Now().After(next) {
+			c.trouble()
+			next = time.Now().Add(time.Duration(500+c.rng.IntN(2500)) * time.Millisecond)
+		}
+	}
+	time.Sleep(5 * time.Second)
+	c.kv.SetFaults(kv.Faults{})
+	c.fleet.SetFaults(epochworker.Faults{})
+	time.Sleep(3 * time.Minute)
+	for _, id := range c.order {
+		want := work.Completed
+		if crashes(id) {
+			want = work.Failed
+		}
+		assert.Equal(t, want, c.state(id), "%s", id)
+	}
+	assert.Zero(t, c.fleet.Running())
+	c.stop()
+	assert.Empty(t, c.fleet.Broken())
+	assert.Empty(t, c.broken)
+}
+
+// suspectBench is an engine with a task under which workers have died, as the store has it.
+func suspectBench(t *testing.T, crashes []work.Crash, workers ...runner.WorkerID) *bench {
+	b := newBench(t, 2, workers...)
+	progress, err := work.EncodeProgress(&work.Progress{State: work.Running, Ends: []work.StepEnds{{Crashes: crashes}}})
+	require.NoError(t, err)
+	require.NoError(t, b.e.Load(0, Saved{Accepted: []store.Entry{jobEntry(t, 1, 4, oneTask())}, States: []store.Entry{{Key: KeyState(testJob), Value: progress}}}))
+	b.step(50 * time.Millisecond)
+	for _, id := range workers {
+		b.report(id, runner.Report{Clock: time.Second})
+	}
+	b.step(100 * time.Millisecond)
+	return b
+}
+
+// TestTrialIsRecordedBeforeItStarts guards against a trial that nobody knows of once its
+// leader and its worker have died together.
+func TestTrialIsRecordedBeforeItStarts(t *testing.T) {
+	b := newBench(t, 2, "w-a")
+	progress, err := work.EncodeProgress(&work.Progress{State: work.Running, Ends: []work.StepEnds{{Crashes: []work.Crash{{Run: 1, Worker: "x"}, {Run: 2, Worker: "y"}}}}})
+	require.NoError(t, err)
+	require.NoError(t, b.e.Load(0, Saved{Accepted: []store.Entry{jobEntry(t, 1, 4, oneTask())}, States: []store.Entry{{Key: KeyState(testJob), Value: progress}}}))
+	b.step(50 * time.Millisecond)
+	b.e.Renewed(b.now, "w-a", runner.Report{Clock: time.Second}, nil)
+	var recorded *work.Progress
+	for range 20 {
+		b.now += tickPeriod
+		b.e.Tick(b.now)
+		for _, x := range b.e.Flush(b.now) {
+			switch x := x.(type) {
+			case SendCommit:
+				for _, w := range x.Writes {
+					if w.Key == KeyState(testJob) {
+						recorded, err = work.DecodeProgress(w.Value)
+						require.NoError(t, err)
+					}
+				}
+				b.e.Committed(b.now, x.Chain)
+			case SendStart:
+				require.NotNil(t, recorded, "started before it was recorded")
+				require.Equal(t, work.Crash{Run: x.Start.Run, Worker: "w-a", Sole: true, Open: true}, recorded.Ends[0].Crashes[2])
+				return
+			}
+		}
+	}
+	t.Fatal("never started")
+}
+
+// TestTrialOfADeadLeaderCounts guards against a death of the trial's worker that falls
+// between two leaders.
+func TestTrialOfADeadLeaderCounts(t *testing.T) {
+	b := suspectBench(t, []work.Crash{{Run: 1, Worker: "x", Sole: true}, {Run: 2, Worker: "y"}, {Run: 3, Worker: "z", Sole: true, Open: true}}, "w-a")
+	state, known := b.e.State(testJob)
+	require.True(t, known)
+	require.Equal(t, work.Failed, state)
+	require.Empty(t, b.starts())
+}
+
+// TestWorkerThatAnswersAgainHasNotCrashed guards against a sound task that is given up for
+// workers that were cut off.
+func TestWorkerThatAnswersAgainHasNotCrashed(t *testing.T) {
+	b := suspectBench(t, []work.Crash{{Run: 1, Worker: "x", Sole: true}, {Run: 2, Worker: "y"}}, "w-a", "w-b")
+	first := b.starts()
+	require.Len(t, first, 1)
+	on := first[0].To.ID
+	b.now += tickPeriod
+	b.e.Started(b.now, on, first[0].Start.Task, first[0].Start.Run, nil)
+	other := map[runner.WorkerID]runner.WorkerID{"w-a": "w-b", "w-b": "w-a"}[on]
+	for range 16 { // until its lease has run out
+		b.e.Renewed(b.now, on, runner.Report{}, runner.ErrUnknown)
+		b.report(other, runner.Report{Clock: time.Second})
+		b.step(500 * time.Millisecond)
+	}
+	state, _ := b.e.State(testJob)
+	require.Equal(t, work.Running, state, "its death is not known")
+	require.Len(t, b.starts(), 1, "it starts elsewhere")
+	b.report(on, runner.Report{Clock: 20 * time.Second})
+	s := b.e.jobs[testJob].step(first[0].Start.Task)
+	require.Len(t, s.tasks[0].crashes, 3, "the two deaths, and the trial that runs")
+	require.NotContains(t, s.tasks[0].crashes, work.Crash{Run: first[0].Start.Run, Worker: string(on), Sole: true, Open: true})
+}
+
+// TestTaskThatHasLivedOnIsNoSuspect guards against deaths over days that add up against a
+// task that lasts.
+func TestTaskThatHasLivedOnIsNoSuspect(t *testing.T) {
+	b := suspectBench(t, []work.Crash{{Run: 1, Worker: "x", Sole: true}, {Run: 2, Worker: "y"}}, "w-a")
+	first := b.starts()
+	require.Len(t, first, 1)
+	live := []runner.Live{{Task: first[0].Start.Task, Run: first[0].Start.Run, Percent: 10}}
+	for i := range 26 {
+		live[0].Percent = 10 + float64(i)
+		b.report("w-a", runner.Report{Clock: time.Duration(i) * time.Second, Running: live})
+		b.step(400 * time.Millisecond)
+	}
+	require.Empty(t, b.e.jobs[testJob].step(first[0].Start.Task).tasks[0].crashes)
+}
+
+// TestRunsOnAWorkerThatLeavesAreNotSuspect guards against planned departures that are
+// taken for crashes.
+func TestRunsOnAWorkerThatLeavesAreNotSuspect(t *testing.T) {
+	b := suspectBench(t, nil, "w-a")
+	first := b.starts()
+	require.Len(t, first, 1)
+	b.e.WorkerSeen(b.now, runner.Worker{Ref: runner.Ref{ID: "w-a"}, Service: "s", Capacity: work.Resources{CPU: 4000, Memory: 4000}, Labels: []string{"a", "r"}, Draining: true})
+	b.e.Renewed(b.now, "w-a", runner.Report{}, runner.ErrGone)
+	require.Empty(t, b.e.jobs[testJob].step(first[0].Start.Task).tasks[0].crashes)
+}
--- a/process/dispatch/directory.go
+++ b/process/dispatch/directory.go
@@ -68,20 +68,22 @@
 	w.listed = false
 	w.nextRenew = now
 	if w.misses > 0 && len(w.places) == 0 && w.fenced {
-		e.workerGone(w, "not listed and not answering")
+		e.workerGone(w, "not listed and not answering", true)
 	}
 }
 
-// workerGone ends a worker's life: nothing of it runs any more.
-func (e *Engine) workerGone(w *worker, why string) {
+// workerGone gives a worker up: nothing of it runs any more. ended tells that its life is
+// over, as far as can be known.
+func (e *Engine) workerGone(w *worker, why string, ended bool) {
 	if w.gone {
 		return
 	}
 	e.decide(Decision{What: "worker gone", Worker: w.ID, Why: why, Age: e.now - w.answered})
-	e.resolve(w)
 	w.gone = true
 	e.stats.Gone++
-	e.clearPlaces(w, why)
+	e.clearPlaces(w, why, ended)
+	e.resolve(w)
+	e.settleCrashes(w, ended)
 	delete(e.workers, w.ID)
 	e.order = slices.DeleteFunc(e.order, func(x *worker) bool { return x == w })
 	e.fleetNew = e.fleetNew || w.kept
@@ -89,8 +91,9 @@
 }
 
 // clearPlaces frees every run on a worker on which nothing runs any more.
-func (e *Engine) clearPlaces(w *worker, why string) {
+func (e *Engine) clearPlaces(w *worker, why string, ended bool) {
 	w.refundStrays()
+	suspects := e.blame(w, ended)
 	for _, p := range places(w) {
 		e.stats.Lost++
 		e.stats.LostWithWorker++
@@ -101,6 +104,9 @@
 			e.breakGang(s, "a member was lost with its worker")
 		}
 	}
+	for _, x := range suspects {
+		e.judge(x.Task)
+	}
 }
 
 // places returns the runs on a worker in a fixed order.
@@ -122,8 +128,8 @@
 func (e *Engine) lapsed(w *worker) {
 	e.decide(Decision{What: "lease lapsed", Worker: w.ID, Why: "no answer until the lease had run out", Age: e.now - w.answered})
 	if !w.listed || !w.fenced {
-		e.workerGone(w, "its lease has run out and it does not answer")
+		e.workerGone(w, "its lease has run out and it does not answer", !w.listed)
 		return
 	}
-	e.clearPlaces(w, "its lease has run out")
+	e.clearPlaces(w, "its lease has run out", false)
 }
--- a/process/dispatch/engine.go
+++ b/process/dispatch/engine.go
@@ -54,6 +54,11 @@
 	heldUp     map[*quota.Account]quota.Size // kept free in this round
 	anyUnseen  bool                          // something counts for accounts that is not seen
 
+	// underCrashes are the tasks with records of crashes, by worker, and crashedAt the
+	// addresses of the workers whose lives ended of late.
+	underCrashes map[runner.WorkerID][]work.TaskID
+	crashedAt    map[string]time.Duration
+
 	members []string
 	lanes   map[string]*lane
 	shares  map[string]float64  // of workers that are good, by queue
@@ -89,6 +94,9 @@
 	// Gone counts workers whose life was over, and LostWithWorker the runs among Lost
 	// that a worker took with it.
 	Gone, LostWithWorker uint64
+	// Suspected counts runs that may have crashed their worker, Trials the starts of
+	// suspect tasks, and GivenUp the jobs that failed for crashing workers.
+	Suspected, Trials, GivenUp uint64
 	// OverQuota counts steps that waited for their account's quota.
 	OverQuota uint64
 }
@@ -101,6 +109,7 @@
 	return &Engine{o: o, fair: fair.New(o.Policy.Shares, entitled), jobs: map[work.JobID]*job{}, cancels: map[work.JobID]time.Duration{},
 		workers: map[runner.WorkerID]*worker{}, lanes: map[string]*lane{}, ledger: quota.NewLedger(), ending: map[*quota.Account]quota.Size{},
 		kinds: map[kindKey]*kindUse{}, priorities: map[*quota.Account][]int{}, heldUp: map[*quota.Account]quota.Size{},
+		underCrashes: map[runner.WorkerID][]work.TaskID{}, crashedAt: map[string]time.Duration{},
 		mayRun: map[work.TaskID]int{}, shares: map[string]float64{}, paces: map[string]*float64{}}
 }
 
@@ -136,6 +145,7 @@
 	}
 	errs = append(errs, e.loadFleet(saved.Fleet))
 	for _, j := range e.jobs {
+		e.loadCrashes(j)
 		e.openDue(j)
 		for s := range j.steps() {
 			e.open(s)
@@ -352,6 +362,7 @@
 		return
 	}
 	e.forgetAt = e.now + forgetPause
+	e.forgetCrashes()
 	for id, at := range e.cancels {
 		if e.now-at > e.o.Bounds.Keep {
 			delete(e.cancels, id)
--- a/process/dispatch/fleet.go
+++ b/process/dispatch/fleet.go
@@ -36,6 +36,15 @@
 type closedWorker struct {
 	ID    runner.WorkerID `cbor:"1,keyasint"`
 	Tasks []work.TaskID   `cbor:"2,keyasint,omitempty"`
+	// Suspects are the runs that may have crashed it, if it has crashed.
+	Suspects []suspectRun `cbor:"3,keyasint,omitempty"`
+}
+
+// suspectRun is a run that may have crashed its worker.
+type suspectRun struct {
+	Task work.TaskID `cbor:"1,keyasint"`
+	Run  uint64      `cbor:"2,keyasint"`
+	Sole bool        `cbor:"3,keyasint,omitempty"` // no run of another job may
 }
 
 // closeAfter is how long a worker must have been silent to be closed: the longest
@@ -82,7 +91,7 @@
 	}
 	for _, x := range c.Workers {
 		if w := e.workers[x.ID]; w != nil && !w.closed {
-			w.closed, w.mayRun = true, x.Tasks
+			w.closed, w.mayRun, w.inheritedSuspects = true, x.Tasks, x.Suspects
 			e.unresolvedOpen--
 			for _, task := range x.Tasks {
 				e.mayRun[task]++
@@ -112,7 +121,7 @@
 			delete(e.mayRun, task)
 		}
 	}
-	w.unlisted, w.mayRun = false, nil
+	w.unlisted, w.mayRun, w.inheritedSuspects = false, nil, nil
 }
 
 // accountedFor reports whether it is known of each inherited task of the step whether it
@@ -204,7 +213,7 @@
 		switch {
 		case w.closed && w.unlisted: // stays open for a successor, which waits
 		case w.closed:
-			closed.Workers = append(closed.Workers, closedWorker{ID: w.ID, Tasks: append(w.tasks(), w.mayRun...)})
+			closed.Workers = append(closed.Workers, closedWorker{ID: w.ID, Tasks: append(w.tasks(), w.mayRun...), Suspects: w.suspectRuns(false)})
 		case !w.kept:
 			b.fleet = append(b.fleet, w)
 		}
--- a/process/dispatch/gang.go
+++ b/process/dispatch/gang.go
@@ -39,6 +39,9 @@
 		}
 		return false
 	}
+	if e.calmDownAll(s, seats) {
+		return false
+	}
 	run, ok := e.newRun(&s.gang.runs, s.id(), "")
 	if !ok {
 		return false
--- a/process/dispatch/job.go
+++ b/process/dispatch/job.go
@@ -6,6 +6,7 @@
 
 	"fennelshunt.example/fennelshunt/connection/runner"
 	"fennelshunt.example/fennelshunt/connection/store"
+	"fennelshunt.example/fennelshunt/process/crash"
 	"fennelshunt.example/fennelshunt/process/quota"
 	"fennelshunt.example/fennelshunt/version/work"
 )
@@ -84,6 +85,10 @@
 	heldSeats bool
 	holdUntil time.Duration
 
+	keeps *worker // kept quiet for a suspect task of the step
+	// calmUntil is how long a gang with a suspect task waits for quiet workers.
+	calmUntil time.Duration
+
 	advice *advice
 	gang   gangState
 }
@@ -96,6 +101,7 @@
 	failed     []uint64 // runs that failed
 	runs       uint64   // started in this epoch
 	checkpoint string
+	crashes    crash.Records
 	avoid      []runner.WorkerID // where it failed
 	avoidUntil time.Duration     // no start there before
 }
@@ -136,6 +142,10 @@
 	stopSent time.Duration // the last stop
 	stopped  time.Duration // when a stop was answered, 0 if none was
 	missing  time.Duration // when a report first lacked it
+	// awaits is the version of its job that must be in the store before it is sent, of
+	// a trial; 0 for none.
+	awaits uint64
+	blamed bool // its loss is on record
 
 	percent   float64
 	percentAt time.Duration // when percent last rose
@@ -210,11 +220,15 @@
 		if len(t.failed) > 0 {
 			e.Failed = append(e.Failed, work.Fail{Index: i, Runs: t.failed})
 		}
+		for _, c := range t.crashes {
+			c.Index = i
+			e.Crashes = append(e.Crashes, c)
+		}
 	}
 	if len(s.gang.failed) > 0 {
 		e.Failed = append(e.Failed, work.Fail{Runs: s.gang.failed})
 	}
-	return e, len(e.Done)+len(e.Failed) > 0
+	return e, len(e.Done)+len(e.Failed)+len(e.Crashes) > 0
 }
 
 // restore applies what the store holds of the job's progress.
@@ -247,6 +261,11 @@
 		for _, f := range e.Failed {
 			s.restoreFail(f)
 		}
+		for _, c := range e.Crashes {
+			if c.Index >= 0 && c.Index < len(s.tasks) {
+				s.tasks[c.Index].crashes = append(s.tasks[c.Index].crashes, c)
+			}
+		}
 	}
 }
 
@@ -279,7 +298,7 @@
 	if t.done {
 		return
 	}
-	t.done = true
+	t.done, t.crashes = true, nil
 	s.left--
 	s.unqueue(i)
 }
--- a/process/dispatch/persist.go
+++ b/process/dispatch/persist.go
@@ -239,6 +239,7 @@
 		j.visible = s.state
 		e.shed(j)
 	}
+	e.sendTrials(j)
 	if j.version > j.saved {
 		e.queueWrite(j, j.state.Final())
 	}
--- a/process/dispatch/place.go
+++ b/process/dispatch/place.go
@@ -192,6 +192,9 @@
 	if s.spec.Fills && w.hostsTarget() {
 		return false
 	}
+	if w.quiet.from(s, e.now) {
+		return false
+	}
 	return w.usable(e.now) && w.Service == s.job.spec.Queue.Service && w.has(s.spec.Labels)
 }
 
@@ -247,6 +250,9 @@
 func (e *Engine) bestWorker(s *step, i int, a *advice) (best *worker, text string) {
 	need := s.spec.Need()
 	bestScore := 0.0
+	suspect := s.tasks[i].crashes.Suspect()
+	var noisy *worker // the best one on which something has just begun
+	noisyScore := 0.0
 	consider := func(w *worker, ticket string) {
 		if !need.Fits(w.free()) || !e.eligible(s, w) || !need.Fits(e.freeFor(s, w)) {
 			return
@@ -257,7 +263,13 @@
 		if t := &s.tasks[i]; e.now < t.avoidUntil && slices.Contains(t.avoid, w.ID) {
 			return
 		}
-		if score := e.score(s, i, w); best == nil || score > bestScore {
+		score := e.score(s, i, w)
+		switch {
+		case suspect && !e.calm(w, s):
+			if noisy == nil || score > noisyScore {
+				noisy, noisyScore = w, score
+			}
+		case best == nil || score > bestScore:
 			best, bestScore, text = w, score, ticket
 		}
 	}
@@ -267,10 +279,13 @@
 				consider(t.w, t.text)
 			}
 		}
-		return best, text
+	} else {
+		for _, w := range e.order {
+			consider(w, "")
+		}
 	}
-	for _, w := range e.order {
-		consider(w, "")
+	if best == nil && noisy != nil {
+		e.calmDown(s, noisy)
 	}
 	return best, text
 }
@@ -304,6 +319,11 @@
 	// scoreFull: workers that are nearly full first, so that large tasks find
 	// workers with much room.
 	scoreFull = 1.0
+	// scoreCrashed: a task under which workers crashed goes to others than those that
+	// crashed of late, whatever the cause.
+	scoreCrashed = -50
+	// scoreAtRisk: such a task goes where the least is lost if another worker crashes.
+	scoreAtRisk = -10
 )
 
 func (e *Engine) score(s *step, i int, w *worker) float64 {
@@ -314,7 +334,14 @@
 	if s.spec.DataRack != "" && s.spec.DataRack == w.rack {
 		score += scoreNear
 	}
-	return score + scoreFull*fullness(w, s.spec.Need())
+	full := fullness(w, s.spec.Need())
+	if len(s.tasks[i].crashes) > 0 {
+		if e.crashedLately(w) {
+			score += scoreCrashed
+		}
+		return score + scoreAtRisk*full
+	}
+	return score + scoreFull*full
 }
 
 // fullness is the share of the worker's scarcest resource that is taken once
--- a/process/dispatch/reports.go
+++ b/process/dispatch/reports.go
@@ -53,6 +53,7 @@
 		e.scheduled = false
 	}
 	w.misses, w.answered = 0, now
+	w.noteHeard(now)
 	w.clock, w.clockAt = report.Clock, now
 	if !w.fenced {
 		e.resolve(w)
@@ -62,6 +63,7 @@
 	e.reopen(w)
 	ends := e.takeEnds(w, report.Ended)
 	e.takeRunning(w, report.Running, len(report.Ended) < runner.MaxEnds)
+	e.settleCrashes(w, false)
 	w.nextRenew = now
 	switch {
 	case len(w.strays) > 0, ends == 0 && w.stopsAnswered():
@@ -87,7 +89,7 @@
 		e.deposed = true
 		return
 	case errors.Is(err, runner.ErrGone):
-		e.workerGone(w, "another life answers at its address")
+		e.workerGone(w, "another life answers at its address", true)
 		return
 	}
 	if w.misses == 0 {
@@ -96,7 +98,7 @@
 	w.misses++
 	w.nextRenew = e.now + probePause
 	if !w.listed && len(w.places) == 0 && w.fenced {
-		e.workerGone(w, "not listed and not answering")
+		e.workerGone(w, "not listed and not answering", true)
 	}
 }
 
@@ -135,6 +137,7 @@
 	}
 	t := &s.tasks[end.Task.Index]
 	ours := p != nil && t.place == p
+	e.endTrial(s, end.Task.Index, end.Run)
 	if p != nil {
 		e.begin(p)
 		e.unbook(p)
@@ -273,6 +276,7 @@
 
 func (e *Engine) takeRow(p *place, r *runner.Live) {
 	p.missing = 0
+	e.noteSound(p)
 	if r.Checkpoint != "" && p.s.spec.Checkpoints {
 		p.s.keepCheckpoint(p.index, r.Checkpoint)
 	}
--- a/process/dispatch/runs.go
+++ b/process/dispatch/runs.go
@@ -58,11 +58,18 @@
 	s.unqueue(i)
 	e.book(p)
 	e.stats.Starts++
+	if t.crashes.Suspect() {
+		e.beginTrial(p)
+		return p
+	}
 	e.sendStart(p)
 	return p
 }
 
 func (e *Engine) sendStart(p *place) {
+	if p.tries == 0 {
+		p.sent = e.now
+	}
 	p.tries++
 	j := p.s.job
 	e.out = append(e.out, SendStart{To: p.w.Ref, Start: runner.Start{
@@ -92,7 +99,7 @@
 	}
 	w := e.workers[id]
 	if w != nil && errors.Is(err, runner.ErrGone) {
-		e.workerGone(w, "another life answers at its address")
+		e.workerGone(w, "another life answers at its address", true)
 		return
 	}
 	p := e.placeOf(id, task, run)
@@ -101,6 +108,7 @@
 	}
 	switch {
 	case err == nil:
+		w.noteHeard(p.sent)
 		e.confirm(p)
 	case errors.Is(err, runner.ErrOld):
 		// It was stopped or has ended; a report will tell.
@@ -187,6 +195,9 @@
 // release frees a run that is known not to run, and lets its task start again.
 func (e *Engine) release(p *place) {
 	e.unbook(p)
+	if !p.blamed {
+		e.endTrial(p.s, p.index, p.run)
+	}
 	e.scheduled = false
 	t := p.task()
 	if t.place != p {
@@ -242,7 +253,7 @@
 		e.deposed = true
 		return
 	case w != nil && errors.Is(err, runner.ErrGone):
-		e.workerGone(w, "another life answers at its address")
+		e.workerGone(w, "another life answers at its address", true)
 		return
 	}
 	p := e.placeOf(id, task, run)
--- a/process/dispatch/worker.go
+++ b/process/dispatch/worker.go
@@ -60,6 +60,8 @@
 	// used and that has not answered this one; unlisted: they are not known.
 	mayRun   []work.TaskID
 	unlisted bool
+	// inheritedSuspects may have crashed it, as an earlier epoch wrote.
+	inheritedSuspects []suspectRun
 	// inherited: an earlier epoch used it, and it has not answered this one.
 	inherited bool
 	rack      string
@@ -78,6 +80,7 @@
 	renewSent time.Duration
 	nextRenew time.Duration
 	answered  time.Duration // when the last report came
+	heard     time.Duration // the latest time at which it is known to have lived
 	misses    int           // renewals in a row without an answer
 
 	// strays are the runs of the last report that are being stopped without a place:
@@ -95,6 +98,7 @@
 	pace     float64
 	reserved []reservation
 	holds    []hold
+	quiet    quiet
 }
 
 // free returns what is not taken.
--- a/standin/epochworker/fleet.go
+++ b/standin/epochworker/fleet.go
@@ -271,6 +271,7 @@
 		f.record(runner.Change{Worker: runner.Worker{Ref: runner.Ref{ID: id}}, Gone: true})
 	})
 	if f.o.Restart > 0 {
+		close(w.wake) // its connections end with it
 		time.AfterFunc(f.o.Restart, func() { f.restart(w) })
 	}
 }
--- a/version/work/work.go
+++ b/version/work/work.go
@@ -388,6 +388,20 @@
 	All        bool   `cbor:"3,keyasint,omitempty"` // every task is done
 	Done       []int  `cbor:"4,keyasint,omitempty"` // indexes, rising
 	Failed     []Fail `cbor:"5,keyasint,omitempty"`
+	// Crashes of workers under tasks that are not done.
+	Crashes []Crash `cbor:"6,keyasint,omitempty"`
+}
+
+// Crash is a worker's death while a run of a task was there, or what may be one.
+type Crash struct {
+	Index  int    `cbor:"1,keyasint,omitempty"`
+	Run    uint64 `cbor:"2,keyasint"`
+	Worker string `cbor:"3,keyasint"` // the life that ended
+	// Sole: no run of another job had begun there as recently.
+	Sole bool `cbor:"4,keyasint,omitempty"`
+	// Open: the run is about to begin or has begun, or was lost with a worker that may
+	// only be out of reach.
+	Open bool `cbor:"5,keyasint,omitempty"`
 }
 
 // Fail holds a task's failed runs. Each is kept by its number, since the ends of
@@ -399,10 +413,10 @@
 
 // Size estimates the stored form's size in bytes.
 func (p *Progress) Size() int {
-	const record, end, failure = 32, 8, 8
+	const record, end, failure, crash = 32, 8, 8, 40
 	n := record
 	for i := range p.Ends {
-		n += end + 3*len(p.Ends[i].Done)
+		n += end + 3*len(p.Ends[i].Done) + crash*len(p.Ends[i].Crashes)
 		for _, f := range p.Ends[i].Failed {
 			n += failure + 9*len(f.Runs)
 		}
