Declared tasks that crash their workers are given up, too

The same cause in the scheduler of declared work: a task lost with its worker was made ready again without being counted.

The owner of the workers tells, with a loss, which tasks had begun shortly before the worker was last heard of, and whether all are of one job; the shard counts these deaths in the job's durable progress, judges as package crash does, and waits longer before each further try. Services are not given up; they come back with growing pauses. Progress written before reads as without deaths.

Left: a loss that the shard's owner did not hear of before its own end is counted by none, and there are no trials apart from other work.

--- a/process/crash/crash.go
+++ b/process/crash/crash.go
@@ -54,6 +54,12 @@
 			clear++
 		}
 	}
+	return Guilty(losses, clear)
+}
+
+// Guilty reports whether a task is to be given up under which so many workers have died,
+// of them clear ones for which no other job's task can be blamed.
+func Guilty(losses, clear int) bool {
 	return losses >= maxLosses || (losses >= clearLosses && clear > 0)
 }
 
--- a/process/jobs/cell_test.go
+++ b/process/jobs/cell_test.go
@@ -43,6 +43,7 @@
 	partitions map[string]*fakePartition
 	daemons    []*daemon
 	runs       map[spec.TaskID]*runRecord
+	crashes    func(spec.TaskID) bool // tasks that crash their workers; nil: none
 	held       map[string]spec.Resources
 	quotas     map[string]spec.Resources
 	problems   []string
--- a/process/jobs/events.go
+++ b/process/jobs/events.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"fennelshunt.example/fennelshunt/connection/worker"
+	"fennelshunt.example/fennelshunt/process/crash"
 	"fennelshunt.example/fennelshunt/process/jobs/progress"
 	"fennelshunt.example/fennelshunt/process/plan"
 	"fennelshunt.example/fennelshunt/process/quota"
@@ -305,7 +306,7 @@
 		st.endNonIdempotent(a, ev)
 	case ev.Lost:
 		st.o.Metrics.Lost.Add(1)
-		st.requeueLost(a)
+		st.lost(a, ev)
 	case ev.State == worker.Failed:
 		st.failed(a)
 	default: // stopped: preempted, or its worker is leaving
@@ -359,6 +360,26 @@
 // of the job, lengthen the backoff of its tasks by one step.
 const failuresPerStep = 16
 
+// lost starts a task again that was lost with its worker, unless workers die under it
+// again and again.
+func (st *state) lost(a *attempt, ev *plan.Event) {
+	if !ev.Suspect {
+		st.requeueLost(a)
+		return
+	}
+	j := a.job
+	losses, clear := j.record.AddLoss(a.index, ev.Sole)
+	st.touch(j)
+	if crash.Guilty(losses, clear) {
+		st.o.Metrics.CrashedWorkers.Add(1)
+		st.o.Log.Warn().Stringer("task", a.task()).Int("workers", losses).Int("clear", clear).Msg("task given up: workers crashed under it")
+		st.finish(j, a, j.record.Failed.Add)
+		return
+	}
+	st.avoid(a)
+	st.delay(j, a.index, st.o.Tuning.retryDelay(losses))
+}
+
 // requeueLost starts a task again whose worker is gone. After the loss of a
 // rack the batch work comes back spread over a few seconds, so that services
 // and urgent work, which come back at once, find the workers' owners idle.
@@ -371,13 +392,13 @@
 }
 
 // instanceEnded starts an instance of a service again: at once after a loss or
-// preemption, with a growing pause when it fails.
+// preemption, with a growing pause when it fails or may have crashed its worker.
 func (st *state) instanceEnded(a *attempt, ev *plan.Event) {
 	j := a.job
 	if j.cancelled {
 		return
 	}
-	if ev.State != worker.Failed || ev.Lost || ev.NotStarted {
+	if (ev.State != worker.Failed || ev.Lost || ev.NotStarted) && !ev.Suspect {
 		st.makeReady(j, a.index, time.Now())
 		return
 	}
--- a/process/jobs/metrics.go
+++ b/process/jobs/metrics.go
@@ -19,13 +19,15 @@
 	Rebound                expvar.Int // started on another worker than decided
 	LostAnswers            expvar.Int
 	Finished, Failed, Lost expvar.Int // ends of tasks
-	Unknown                expvar.Int // tasks that may have run
-	Adopted                expvar.Int
-	Cancelled              expvar.Int // jobs
-	GangRetries            expvar.Int
-	Writes                 expvar.Int
-	Violations             expvar.Int
-	ShardsDiffer           expvar.Int // 1 while no shard is served: see layout
+	// CrashedWorkers counts tasks given up because workers crashed under them.
+	CrashedWorkers expvar.Int
+	Unknown        expvar.Int // tasks that may have run
+	Adopted        expvar.Int
+	Cancelled      expvar.Int // jobs
+	GangRetries    expvar.Int
+	Writes         expvar.Int
+	Violations     expvar.Int
+	ShardsDiffer   expvar.Int // 1 while no shard is served: see layout
 
 	mu    sync.Mutex // guards waits
 	waits [classCount]*hdrhistogram.Histogram
@@ -72,7 +74,7 @@
 func (m *Metrics) AddTo(vars *expvar.Map) {
 	counters := map[string]*expvar.Int{
 		"plans": &m.Plans, "steps": &m.Steps, "started": &m.Started, "refused": &m.Refused,
-		"rebound": &m.Rebound, "lost_answers": &m.LostAnswers, "finished": &m.Finished, "failed": &m.Failed, "lost": &m.Lost,
+		"rebound": &m.Rebound, "lost_answers": &m.LostAnswers, "finished": &m.Finished, "failed": &m.Failed, "lost": &m.Lost, "crashed_workers": &m.CrashedWorkers,
 		"unknown": &m.Unknown, "adopted": &m.Adopted, "cancelled_jobs": &m.Cancelled,
 		"gang_retries": &m.GangRetries, "progress_writes": &m.Writes, "violations": &m.Violations,
 		"shards_differ": &m.ShardsDiffer,
--- a/process/jobs/partition_test.go
+++ b/process/jobs/partition_test.go
@@ -164,6 +164,15 @@
 	t.event = plan.Event{Task: ref.Task, Attempt: ref.Attempt, Worker: w.id, State: worker.Running}
 	w.tasks[ref] = t
 	p.c.startedLocked(t)
+	if p.c.crashes != nil && p.c.crashes(s.Start.Task) {
+		time.AfterFunc(10*time.Millisecond, func() {
+			p.c.mu.Lock()
+			defer p.c.mu.Unlock()
+			p.c.crashLocked(t)
+		})
+		p.note()
+		return plan.Accepted
+	}
 	duration, state := p.c.runTime(s.Start)
 	if s.Start.Kind != spec.Service && duration > 0 {
 		t.timer = time.AfterFunc(duration, func() {
--- a/process/jobs/progress/record.go
+++ b/process/jobs/progress/record.go
@@ -36,8 +36,10 @@
 	Unknown *roaring.Bitmap
 	// StartLimit is the lowest index that certainly was never started.
 	StartLimit uint32
-	// failures counts failed attempts per task as bit slices, lowest first.
-	failures []*roaring.Bitmap
+	failures   counter // failed attempts
+	// losses counts the workers that died shortly after the task's start, and clearLosses
+	// those of them under no other job's task.
+	losses, clearLosses counter
 }
 
 // NewJob returns the empty progress of a job.
@@ -59,10 +61,12 @@
 	return int(j.Done.GetCardinality() + j.Failed.GetCardinality() + j.Unknown.GetCardinality())
 }
 
-// Failures returns how many attempts of the task failed, at most 255.
-func (j *Job) Failures(index uint32) int {
+// counter counts per task, as bit slices, lowest first.
+type counter []*roaring.Bitmap
+
+func (c counter) get(index uint32) int {
 	n := 0
-	for bit, slice := range j.failures {
+	for bit, slice := range c {
 		if slice.Contains(index) {
 			n |= 1 << bit
 		}
@@ -70,28 +74,46 @@
 	return n
 }
 
-// AddFailure counts one more failed attempt and returns the new count, which
-// stays at 255 once reached.
-func (j *Job) AddFailure(index uint32) int {
-	n := j.Failures(index)
+// add counts one more and returns the new count, which stays at 255 once reached.
+func (c *counter) add(index uint32) int {
+	n := c.get(index)
 	if n < 1<<maxFailureBits-1 {
 		n++
 	}
-	j.setFailures(index, n)
+	c.set(index, n)
 	return n
 }
 
-// ClearFailures forgets the failed attempts of a task whose fate is final.
-func (j *Job) ClearFailures(index uint32) { j.setFailures(index, 0) }
+// Failures returns how many attempts of the task failed, at most 255.
+func (j *Job) Failures(index uint32) int { return j.failures.get(index) }
+
+// AddFailure counts one more failed attempt and returns the new count.
+func (j *Job) AddFailure(index uint32) int { return j.failures.add(index) }
+
+// AddLoss counts a worker that died shortly after the task's start, and returns how many
+// there were and how many of them under no other job's task.
+func (j *Job) AddLoss(index uint32, sole bool) (losses, clear int) {
+	if sole {
+		j.clearLosses.add(index)
+	}
+	return j.losses.add(index), j.clearLosses.get(index)
+}
+
+// ClearFailures forgets the failed attempts and losses of a task whose fate is final.
+func (j *Job) ClearFailures(index uint32) {
+	for _, c := range []*counter{&j.failures, &j.losses, &j.clearLosses} {
+		c.set(index, 0)
+	}
+}
 
-func (j *Job) setFailures(index uint32, n int) {
+func (c *counter) set(index uint32, n int) {
 	for bit := 0; bit < maxFailureBits; bit++ {
 		set := n&(1<<bit) != 0
-		if bit < len(j.failures) {
+		if bit < len(*c) {
 			if set {
-				j.failures[bit].Add(index)
+				(*c)[bit].Add(index)
 			} else {
-				j.failures[bit].Remove(index)
+				(*c)[bit].Remove(index)
 			}
 			continue
 		}
@@ -102,7 +124,7 @@
 		if set {
 			slice.Add(index)
 		}
-		j.failures = append(j.failures, slice)
+		*c = append(*c, slice)
 	}
 }
 
@@ -116,6 +138,8 @@
 	Unknown    []byte   `cbor:"6,keyasint,omitempty"`
 	StartLimit uint32   `cbor:"7,keyasint,omitempty"`
 	Failures   [][]byte `cbor:"8,keyasint,omitempty"`
+	Losses     [][]byte `cbor:"9,keyasint,omitempty"`
+	Clear      [][]byte `cbor:"10,keyasint,omitempty"`
 }
 
 // Encode returns the stored form of the job.
@@ -132,12 +156,17 @@
 		}
 		*f.to = data
 	}
-	for _, slice := range j.failures {
-		data, err := encodeBitmap(slice)
-		if err != nil {
-			return nil, err
+	for _, c := range []struct {
+		from counter
+		to   *[][]byte
+	}{{j.failures, &w.Failures}, {j.losses, &w.Losses}, {j.clearLosses, &w.Clear}} {
+		for _, slice := range c.from {
+			data, err := encodeBitmap(slice)
+			if err != nil {
+				return nil, err
+			}
+			*c.to = append(*c.to, data)
 		}
-		w.Failures = append(w.Failures, data)
 	}
 	return cbor.Marshal(w)
 }
@@ -167,12 +196,17 @@
 			return nil, fmt.Errorf("progress of job %q: %w", w.Name, err)
 		}
 	}
-	for _, data := range w.Failures {
-		slice := roaring.New()
-		if err := decodeBitmap(data, slice); err != nil {
-			return nil, fmt.Errorf("progress of job %q: %w", w.Name, err)
+	for _, c := range []struct {
+		from [][]byte
+		to   *counter
+	}{{w.Failures, &j.failures}, {w.Losses, &j.losses}, {w.Clear, &j.clearLosses}} {
+		for _, data := range c.from {
+			slice := roaring.New()
+			if err := decodeBitmap(data, slice); err != nil {
+				return nil, fmt.Errorf("progress of job %q: %w", w.Name, err)
+			}
+			*c.to = append(*c.to, slice)
 		}
-		j.failures = append(j.failures, slice)
 	}
 	return j, nil
 }
--- a/process/partition/calls.go
+++ b/process/partition/calls.go
@@ -79,6 +79,7 @@
 		n.failures = 0
 		o.touch(n)
 	}
+	n.heard = now
 	n.nextSync = now.Add(o.syncInterval())
 	n.seq = reply.Seq
 	o.forget(n, req.Acks)
@@ -316,9 +317,10 @@
 	if !n.everKnown && !n.accounted {
 		return // an earlier owner may still renew tasks there
 	}
+	suspects := suspectsOn(n)
 	for _, t := range n.tasks {
 		if t.live() {
-			o.lost(n, t, "worker is gone and its task lease has run out")
+			o.lost(n, t, "worker is gone and its task lease has run out", suspects)
 		} else {
 			o.dropResult(n, t)
 		}
--- a/process/partition/fence.go
+++ b/process/partition/fence.go
@@ -262,6 +262,7 @@
 	n.unconfirmed = 0
 	n.leases = map[worker.LeaseID]bool{r.lease: true} // the others are revoked
 	o.takeInventory(n, r.inventory)
+	n.heard = now
 }
 
 // metStaleEpoch handles a worker that has seen a higher epoch: somebody took
--- a/process/partition/model.go
+++ b/process/partition/model.go
@@ -112,7 +112,8 @@
 	// renewed is the latest time at which a call of ours may have renewed
 	// tasks, whether or not its answer came.
 	renewed  time.Time
-	gone     bool // left the VM list
+	heard    time.Time // when it last answered
+	gone     bool      // left the VM list
 	draining bool
 
 	acks   []worker.Ref
--- a/process/partition/reports.go
+++ b/process/partition/reports.go
@@ -1,6 +1,7 @@
 package partition
 
 import (
+	"slices"
 	"time"
 
 	"fennelshunt.example/fennelshunt/connection/worker"
@@ -28,13 +29,17 @@
 		listed[worker.Ref{Task: report.Task, Attempt: report.Attempt}] = true
 		o.takeReport(n, report)
 	}
+	var dead suspects
+	if n.restarted(func(t *task) bool { return listed[t.ref] }) {
+		dead = suspectsOn(n)
+	}
 	for ref, t := range n.tasks {
 		switch {
 		case listed[ref]:
 		case t.mayRun():
 			// The worker restarted, or the start never arrived and can not
 			// any more. It may have run, so the result is unknown.
-			o.lost(n, t, "worker does not know the task after its lease was revoked")
+			o.lost(n, t, "worker does not know the task after its lease was revoked", dead)
 		case t.phase == ended:
 			o.dropResult(n, t)
 		}
@@ -166,9 +171,12 @@
 }
 
 // lost ends a task that certainly does not run and whose result is unknown.
-func (o *owner) lost(n *node, t *task, reason string) {
+func (o *owner) lost(n *node, t *task, reason string, dead suspects) {
 	o.h.o.Metrics.Lost.Add(1)
-	o.drop(n, t, plan.Event{Lost: true, Message: reason})
+	suspect := slices.Contains(dead.tasks, t)
+	o.log.Info().Stringer("task", t.ref.Task).Int("attempt", t.ref.Attempt).Str("worker", string(n.id)).Str("why", reason).
+		Bool("suspect", suspect).Bool("sole", dead.sole).Msg("task lost")
+	o.drop(n, t, plan.Event{Lost: true, Suspect: suspect, Sole: suspect && dead.sole, Message: reason})
 }
 
 // drop ends a task that has no result at its worker.
--- a/process/plan/plan.go
+++ b/process/plan/plan.go
@@ -198,6 +198,10 @@
 	Checkpointed bool `cbor:"11,keyasint,omitempty"`
 	// Preempted is set on Stopped when a higher class took the place.
 	Preempted bool `cbor:"12,keyasint,omitempty"`
+	// Suspect is set on Lost when the worker's life ended shortly after the task's start,
+	// and Sole when no task of another job had begun there as recently.
+	Suspect bool `cbor:"13,keyasint,omitempty"`
+	Sole    bool `cbor:"14,keyasint,omitempty"`
 }
 
 // Events carries changes from a partition to a shard. They are sent again
