A start is not sent to a worker that has become too small since it was decided

Two faults, each with a test that failed before: a start without an answer was sent again (TestUnansweredStartIsNotSentAgainToAWorkerThatHasBecomeTooSmall), and a trial that waited for its record was sent however long that took (TestTrialIsNotSentToAWorkerThatHasBecomeTooSmall). Now the one is stopped and the other released.

The stand-in of workers counts a room that has shrunk 4.5 s longer, as the users' rule.

Left: while the store is down nobody hears of capacities, and starts go on with what was known.

--- a/process/dispatch/crash.go
+++ b/process/dispatch/crash.go
@@ -250,7 +250,7 @@
 			if p == nil || p.awaits == 0 || p.awaits > j.saved || p.tries > 0 || p.state != starting {
 				continue
 			}
-			if w := p.w; w.Draining || w.closed || w.misses > 0 {
+			if w := p.w; w.Draining || w.closed || w.misses > 0 || w.over() {
 				e.release(p)
 				e.brokenStart(p, errNoLongerFit)
 				continue
--- a/process/dispatch/runs.go
+++ b/process/dispatch/runs.go
@@ -126,6 +126,9 @@
 		// Its cap was lowered since: it was within the quota then, and is not now.
 		e.stop(p, "no answer to the start, and its account is over its cap")
 		e.brokenStart(p, err)
+	case w.over():
+		e.stop(p, "no answer to the start, and its worker has become smaller")
+		e.brokenStart(p, err)
 	case p.tries < maxStarts && w.misses == 0:
 		p.state = doubtful
 		e.stats.Resent++
--- /dev/null
+++ b/process/dispatch/shrink_test.go
@@ -0,0 +1,131 @@
+package dispatch
+
+import (
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"fennelshunt.example/fennelshunt/connection/runner"
+	"fennelshunt.example/fennelshunt/connection/store"
+	"fennelshunt.example/fennelshunt/version/work"
+)
+
+// resize tells the engine that a worker has another capacity.
+func (b *bench) resize(id runner.WorkerID, capacity work.Resources) {
+	b.e.WorkerSeen(b.now, runner.Worker{Ref: runner.Ref{ID: id}, Service: "s", Capacity: capacity, Labels: []string{"a", "r"}})
+}
+
+// TestNothingStartsOnAWorkerThatHasBecomeTooSmall guards against starts over a room that
+// has shrunk.
+func TestNothingStartsOnAWorkerThatHasBecomeTooSmall(t *testing.T) {
+	b := newBench(t, 1, "w-a")
+	step := oneTask()
+	step.Count = 6
+	require.NoError(t, b.e.Load(0, Saved{Accepted: []store.Entry{jobEntry(t, 1, 4, step)}}))
+	b.step(50 * time.Millisecond)
+	b.report("w-a", runner.Report{Clock: time.Second})
+	first := b.starts()
+	require.Len(t, first, 4)
+	b.resize("w-a", work.Resources{CPU: 2000, Memory: 4000})
+	b.report("w-a", runner.Report{Clock: 2 * time.Second, Ended: []runner.End{{Number: 1, Task: first[0].Start.Task, Run: first[0].Start.Run}, {Number: 2, Task: first[1].Start.Task, Run: first[1].Start.Run}}})
+	require.Empty(t, b.starts(), "two run in room for two")
+	b.report("w-a", runner.Report{Clock: 3 * time.Second, Ended: []runner.End{{Number: 3, Task: first[2].Start.Task, Run: first[2].Start.Run}}})
+	require.Len(t, b.starts(), 1)
+	b.resize("w-a", work.Resources{CPU: 4000, Memory: 4000})
+	b.step(100 * time.Millisecond)
+	require.Len(t, b.starts(), 1, "it has grown again")
+}
+
+// TestUnansweredStartIsNotSentAgainToAWorkerThatHasBecomeTooSmall guards against a start
+// that fitted when it was decided and arrives when it does not.
+func TestUnansweredStartIsNotSentAgainToAWorkerThatHasBecomeTooSmall(t *testing.T) {
+	b := newBench(t, 1, "w-a")
+	require.NoError(t, b.e.Load(0, Saved{Accepted: []store.Entry{jobEntry(t, 1, 4, oneTask())}}))
+	b.step(50 * time.Millisecond)
+	b.report("w-a", runner.Report{Clock: time.Second})
+	first := b.starts()
+	require.Len(t, first, 1)
+	b.resize("w-a", work.Resources{CPU: 500, Memory: 4000})
+	b.now += tickPeriod
+	b.e.Started(b.now, "w-a", first[0].Start.Task, first[0].Start.Run, runner.ErrUnknown)
+	b.out = append(b.out, b.e.Flush(b.now)...)
+	stops := 0
+	for _, x := range b.out {
+		if _, ok := x.(SendStop); ok {
+			stops++
+		}
+	}
+	require.Empty(t, b.starts())
+	require.Equal(t, 1, stops, "should it have arrived")
+}
+
+// TestTrialIsNotSentToAWorkerThatHasBecomeTooSmall guards against a trial that waits for
+// its record longer than its room lasts.
+func TestTrialIsNotSentToAWorkerThatHasBecomeTooSmall(t *testing.T) {
+	b := newBench(t, 2, "w-a")
+	progress, err := work.EncodeProgress(&work.Progress{State: work.Running, Ends: []work.StepEnds{{Crashes: []work.Crash{{Run: 1, Worker: "x"}, {Run: 2, Worker: "y"}}}}})
+	require.NoError(t, err)
+	require.NoError(t, b.e.Load(0, Saved{Accepted: []store.Entry{jobEntry(t, 1, 4, oneTask())}, States: []store.Entry{{Key: KeyState(testJob), Value: progress}}}))
+	b.step(50 * time.Millisecond)
+	b.e.Renewed(b.now, "w-a", runner.Report{Clock: time.Second}, nil)
+	var chains []int
+	for range 10 { // the write of the trial's record takes long
+		b.now += tickPeriod
+		b.e.Tick(b.now)
+		for _, x := range b.e.Flush(b.now) {
+			switch x := x.(type) {
+			case SendCommit:
+				chains = append(chains, x.Chain)
+			case SendStart:
+				t.Fatal("started before it was recorded")
+			}
+		}
+	}
+	require.NotEmpty(t, chains)
+	b.resize("w-a", work.Resources{CPU: 500, Memory: 4000})
+	for _, chain := range chains {
+		b.e.Committed(b.now, chain)
+	}
+	b.step(100 * time.Millisecond)
+	require.Empty(t, b.starts())
+	b.resize("w-a", work.Resources{CPU: 4000, Memory: 4000})
+	b.step(time.Second)
+	require.Len(t, b.starts(), 1)
+}
+
+// TestSuccessorKnowsRoomsThatHaveShrunk guards against a leader that fills a worker to the
+// capacity that it had in its predecessor's time.
+func TestSuccessorKnowsRoomsThatHaveShrunk(t *testing.T) {
+	first, seeds := seedsOfRun(t, 6)
+	for seed := first; seed < first+seeds; seed++ {
+		t.Run(seedName(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newTestCell(t, seed, 16, 3, usual(0))
+				randomTroublesOf(t, c, func(rng *rand.Rand) *work.Job { return drawJob(rng, rng.IntN(2) == 0) }, func(c *cell) {
+					c.resizeSome()
+					c.troubleOf(0, 0, 1, 3, 4, 5, 9)
+				})
+			})
+		})
+	}
+}
+
+// roomLag is how long a worker's capacity may be out of date: the directory is watched
+// with pauses, over a store that may answer late.
+const roomLag = 4500 * time.Millisecond
+
+// resizeSome draws new capacities for workers, of which all get back what they had.
+func (c *cell) resizeSome() {
+	for _, id := range c.fleet.IDs() {
+		if c.rng.IntN(3) > 0 {
+			continue
+		}
+		c.fleet.Resize(id, work.Resources{CPU: 16000 + c.rng.IntN(40000), Memory: 40000 + c.rng.IntN(60000)}, roomLag)
+		time.AfterFunc(time.Duration(2000+c.rng.IntN(6000))*time.Millisecond, func() {
+			c.fleet.Resize(id, work.Resources{CPU: 64000, Memory: 131072}, roomLag)
+		})
+	}
+}
--- a/process/dispatch/worker.go
+++ b/process/dispatch/worker.go
@@ -104,6 +104,10 @@
 // free returns what is not taken.
 func (w *worker) free() work.Resources { return w.Capacity.Sub(w.used) }
 
+// over reports whether more is booked on the worker than it has room for: it has become
+// smaller since.
+func (w *worker) over() bool { return !work.Resources{}.Fits(w.free()) }
+
 // usable reports whether new runs may be started on the worker.
 func (w *worker) usable(now time.Duration) bool {
 	switch {
--- a/standin/epochworker/fleet.go
+++ b/standin/epochworker/fleet.go
@@ -113,6 +113,7 @@
 	ends     []runner.End
 	number   int64
 	wake     chan struct{}
+	rooms    []bound // capacities that it had before, while they count yet
 	lapse    *time.Timer
 	used     work.Resources
 }
@@ -287,6 +288,30 @@
 	f.Add(next)
 }
 
+// Resize changes a worker's capacity while it runs. What it had before counts for lag
+// longer.
+func (f *Fleet) Resize(id runner.WorkerID, capacity work.Resources, lag time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	w := f.workers[id]
+	if w.dead {
+		return
+	}
+	w.rooms = append(w.rooms, bound{cap: w.Capacity, until: time.Now().Add(lag)})
+	w.Capacity = capacity
+	f.record(runner.Change{Worker: w.Worker})
+}
+
+// room is the most of each resource that counts as the worker's now.
+func (w *worker) room() work.Resources {
+	w.rooms = slices.DeleteFunc(w.rooms, func(b bound) bool { return time.Now().After(b.until) })
+	most := w.Capacity
+	for _, b := range w.rooms {
+		most = work.Resources{CPU: max(most.CPU, b.cap.CPU), Memory: max(most.Memory, b.cap.Memory), GPU: max(most.GPU, b.cap.GPU)}
+	}
+	return most
+}
+
 // Cut cuts a worker off, or heals the cut.
 func (f *Fleet) Cut(id runner.WorkerID, cut bool) {
 	f.mu.Lock()
