Records of crashes are bounded

A task that is lost again and again with workers that are only cut off and stay so collected a record for each; sixteen stay, deaths before all others.

--- a/process/crash/crash.go
+++ b/process/crash/crash.go
@@ -9,8 +9,9 @@
 // workers die clearly under it again and again.
 //
 // Guarantees: a task is given up after maxLosses deaths at the latest, and after
-// clearLosses only if one of them speaks clearly against it. What is recorded is what a successor reads; a trial
-// is recorded before it begins, so that a death in a leader's last moments counts as well.
+// clearLosses only if one of them speaks clearly against it. What is recorded is what a
+// successor reads; a trial is recorded before it begins, so that a death in a leader's
+// last moments counts as well. A task has maxRecords at the most.
 package crash
 
 import (
@@ -32,6 +33,8 @@
 	suspectLosses = 2
 	clearLosses   = 3 // of which one is clear
 	maxLosses     = 4
+	// maxRecords bounds those of workers that stay out of reach.
+	maxRecords = 16
 )
 
 // Records are the deaths of workers under one task, and the trials under way.
@@ -66,7 +69,17 @@
 // Begin records a trial: a run of a suspect task that is about to start. sole tells that
 // nothing else has just begun there.
 func (r *Records) Begin(run uint64, worker string, sole bool) {
-	*r = append(*r, work.Crash{Run: run, Worker: worker, Sole: sole, Open: true})
+	r.add(work.Crash{Run: run, Worker: worker, Sole: sole, Open: true})
+}
+
+// add appends a record, in place of the oldest of a worker out of reach if there are many.
+func (r *Records) add(c work.Crash) {
+	if len(*r) >= maxRecords {
+		if i := slices.IndexFunc(*r, func(x work.Crash) bool { return x.Open }); i >= 0 {
+			*r = slices.Delete(*r, i, i+1)
+		}
+	}
+	*r = append(*r, c)
 }
 
 // Lose records that a run was lost with its worker. ended tells that the worker's life is
@@ -77,7 +90,7 @@
 		(*r)[i] = lost
 		return
 	}
-	*r = append(*r, lost)
+	r.add(lost)
 }
 
 // Settle tells what became of a worker: its life has ended, or it lives, so that nothing
--- a/process/crash/crash_test.go
+++ b/process/crash/crash_test.go
@@ -47,6 +47,17 @@
 	require.False(t, r.Settle("w-1", true, 0))
 }
 
+// TestRecordsAreBounded guards against records without end of workers that stay cut off.
+func TestRecordsAreBounded(t *testing.T) {
+	var r Records
+	r.Lose(1, "w-1", true, true)
+	for i := range 100 {
+		r.Lose(uint64(i+2), fmt.Sprint("w-", i+2), false, false)
+	}
+	require.Len(t, r, maxRecords)
+	require.False(t, r[0].Open, "a death stays")
+}
+
 // TestRecordsUnderAnyOrder holds the records against a plain list of what happened: no
 // order of news makes a death count twice, or makes one of a worker that lives count.
 func TestRecordsUnderAnyOrder(t *testing.T) {
