--- a/process/dispatch/crash_test.go
+++ b/process/dispatch/crash_test.go
@@ -316,3 +316,58 @@
 	state, _ := b.e.State(testJob)
 	require.Equal(t, work.Completed, state)
 }
+
+// TestCrashingTasksInAFullCellWithAdvice guards against suspect tasks that never find a
+// quiet worker where all are full and only some may run them.
+func TestCrashingTasksInAFullCellWithAdvice(t *testing.T) {
+	for seed := uint64(1); seed < 3; seed++ {
+		t.Run(seedName(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { fullCellWithCrashes(t, seed) })
+		})
+	}
+}
+
+func fullCellWithCrashes(t *testing.T, seed uint64) {
+	c := crashingCell(t, seed, seed == 2, func(task work.TaskID) time.Duration {
+		if crashes(task.Job) && task.Index == 0 {
+			return crashSoon
+		}
+		return 0
+	})
+	time.Sleep(3 * time.Second)
+	began := map[work.JobID]time.Time{}
+	var slowest time.Duration
+	look := func() {
+		for id, at := range began {
+			if state := c.state(id); state.Final() {
+				require.Equal(t, work.Failed, state)
+				slowest = max(slowest, time.Since(at))
+				delete(began, id)
+			}
+		}
+	}
+	for range 400 {
+		job := crashStep(2+c.rng.IntN(10), c.rng.IntN(5) == 0)
+		job.Queue.Advice = &work.Advice{Base: 20 * time.Millisecond, PerWorker: time.Millisecond, Valid: 2 * time.Second}
+		id := c.submit(job)
+		if crashes(id) {
+			began[id] = time.Now()
+		}
+		look()
+		time.Sleep(time.Duration(c.rng.IntN(40)) * time.Millisecond)
+	}
+	for range 90 {
+		time.Sleep(time.Second)
+		look()
+	}
+	require.Empty(t, began, "never given up")
+	for _, id := range c.order {
+		if !crashes(id) {
+			assert.Equal(t, work.Completed, c.state(id), "%s", id)
+		}
+	}
+	c.stop()
+	require.Empty(t, c.fleet.Broken())
+	require.Empty(t, c.broken)
+	t.Logf("%d workers crashed by %d jobs, the slowest given up after %v", c.fleet.Crashes(), len(c.order)/60, slowest)
+}
