Lives under one name stay in their part

Found on reading the change that tells lives apart: in a divided cell a worker's part was drawn from the id of its life. The end of an entry tells the name only, and went to another part; the next life went to another leader, which knows nothing of starts on their way to the one before. TestLivesUnderOneNameAreOfOnePart failed before. Nothing changes where names are not used again.

--- a/process/cellnode/part.go
+++ b/process/cellnode/part.go
@@ -115,7 +115,8 @@
 	index  int
 }
 
-func (s share) has(id runner.WorkerID) bool { return s.layout.Of(string(id)) == s.index }
+// has goes by the name: a life that follows stays with the leader that knows the one before.
+func (s share) has(id runner.WorkerID) bool { return s.layout.Of(id.Name()) == s.index }
 
 // List implements runner.Directory.
 func (s share) List(ctx context.Context) ([]runner.Worker, store.Revision, error) {
