Any daemon explains what holds a job up; completion times by account

Left of the issue on client accounts. fennelctl why JOB ADDRESS asks a daemon, which asks the leader: each step that is not done, with what holds it up (quota, a cap too small for it, room, advice, takeover, members, steps before it, its time), what the account holds of its cap, how long the steps waited by cause, and the deaths of workers on record. The counters hold quantiles of completion by account, 64 at the most, the rest together.

Not done, on purpose: refusing a job that is wider than its account's cap. Operators lower caps for a while; such a job is told of by 'why', and runs when the cap is raised.

--- /dev/null
+++ b/command/why/why.go
@@ -0,0 +1,141 @@
+// Package why shows what holds a job of a cell up, as its leader tells.
+package why
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"net/http"
+	"net/url"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"fennelshunt.example/fennelshunt/process/dispatch"
+	"fennelshunt.example/fennelshunt/request/submit"
+)
+
+const (
+	// timeout bounds the answer of one daemon, which asks the leader.
+	timeout = 3 * time.Second
+	// maxAnswer is more than an explanation of the most steps and suspects takes.
+	maxAnswer = 8 << 20
+)
+
+// errNotFound is the answer of a daemon whose leader does not know the job.
+var errNotFound = errors.New("the leader knows no such job: it was never accepted, or ended long ago")
+
+// Command returns the command 'why JOB ADDRESS...'.
+func Command(out, errOut io.Writer) *ffcli.Command {
+	return &ffcli.Command{
+		Name:       "why",
+		ShortUsage: "fennelctl why JOB ADDRESS...",
+		ShortHelp:  "show what holds a job up; addresses are daemons' metrics ports, such as 10.0.0.7:7003, of which one that answers is enough",
+		Exec: func(ctx context.Context, args []string) error {
+			if len(args) < 2 {
+				return errors.New("why: name a job's id and the metrics address of one daemon or more")
+			}
+			return Show(ctx, out, errOut, args[0], args[1:])
+		},
+	}
+}
+
+// Show asks the daemons in turn and prints the first explanation. A daemon that can not
+// tell is named on errOut.
+func Show(ctx context.Context, out, errOut io.Writer, job string, addresses []string) error {
+	var last error
+	for _, address := range addresses {
+		x, err := read(ctx, address, job)
+		if err == nil {
+			return write(out, x)
+		}
+		last = err
+		if !errors.Is(err, errNotFound) {
+			fmt.Fprintf(errOut, "why: %s can not tell: %v\n", address, err)
+		}
+	}
+	return fmt.Errorf("why: %s: %w", job, last)
+}
+
+func read(ctx context.Context, address, job string) (x dispatch.Explanation, err error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	target := "http://" + address + submit.PathExplain + "?" + url.Values{"job": {job}}.Encode()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
+	if err != nil {
+		return x, err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return x, err
+	}
+	defer func() { _ = resp.Body.Close() }() // read whole, or reported below
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+	switch {
+	case err != nil:
+		return x, err
+	case resp.StatusCode == http.StatusNotFound:
+		return x, errNotFound
+	case resp.StatusCode != http.StatusOK:
+		return x, fmt.Errorf("status %s: %.200q", resp.Status, strings.TrimSpace(string(body)))
+	}
+	return x, json.Unmarshal(body, &x)
+}
+
+// write prints an explanation; processors in cores, memory in MB, times in seconds.
+func write(out io.Writer, x dispatch.Explanation) error {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(w, "JOB\t%s\nSTATE\t%s\n", x.Job, x.State)
+	if x.Account != "" {
+		fmt.Fprintf(w, "ACCOUNT\t%s holds %.1f of %s cores, %d of %s MB here%s\n", x.Account, float64(x.Held.MilliCPU)/1000, bound(x.Cap.MilliCPU/1000),
+			x.Held.MemoryMB, bound(x.Cap.MemoryMB), map[bool]string{true: "; handed in beyond its entitlement"}[x.Beyond])
+	}
+	for _, cause := range slices.Sorted(maps.Keys(x.Waited)) {
+		fmt.Fprintf(w, "WAITED FOR\t%s %.1f s\n", cause, seconds(x.Waited[cause]))
+	}
+	if len(x.Steps) > 0 {
+		fmt.Fprintln(w, "\nOCCURRENCE\tSTEP\tTASKS\tDONE\tRUNNING\tHELD UP BY\tOPEN FOR")
+	}
+	for _, s := range x.Steps {
+		fmt.Fprintf(w, "%d\t%d\t%d\t%d\t%d\t%s\t%.1f s\n", s.Occurrence, s.Step, s.Tasks, s.Done, s.Running, orDash(s.Bound), seconds(s.OpenMS))
+	}
+	for _, s := range x.Steps {
+		for _, t := range s.Suspects {
+			fmt.Fprintf(w, "SUSPECT\t%s.%d.%d.%d\n", x.Job, s.Occurrence, s.Step, t.Index)
+			for _, c := range t.Crashes {
+				fmt.Fprintf(w, "\trun %d on %s%s%s\n", c.Run, c.Worker, note(c.Sole, ", no other job began there"), note(c.Open, ", under way or out of reach"))
+			}
+		}
+	}
+	return w.Flush()
+}
+
+func note(is bool, text string) string {
+	if is {
+		return text
+	}
+	return ""
+}
+
+func seconds(ms int64) float64 { return float64(ms) / 1000 }
+
+func orDash(s string) string {
+	if s == "" {
+		return "-"
+	}
+	return s
+}
+
+// bound shows a cap, of which 0 bounds nothing.
+func bound(limit int64) string {
+	if limit == 0 {
+		return "any number of"
+	}
+	return fmt.Sprint(limit)
+}
--- a/process/cellnode/metrics.go
+++ b/process/cellnode/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"expvar"
 	"net/http"
 	"sync"
@@ -11,6 +12,8 @@
 
 	"fennelshunt.example/fennelshunt/process/dispatch"
 	"fennelshunt.example/fennelshunt/process/quota"
+	"fennelshunt.example/fennelshunt/request/submit"
+	"fennelshunt.example/fennelshunt/version/work"
 )
 
 // count publishes an engine's counters.
@@ -36,8 +39,10 @@
 	histogramUnit   = 100 * time.Microsecond
 	histogramMax    = int64(10 * time.Minute / histogramUnit)
 	histogramDigits = 2
-	// maxHistograms bounds the names, which come from the configuration.
+	// maxHistograms bounds the names, which come from the configuration; what is beyond
+	// that counts under otherNames.
 	maxHistograms = 64
+	otherNames    = "others"
 )
 
 // latencies holds histograms by name.
@@ -51,14 +56,17 @@
 	defer l.mu.Unlock()
 	h := l.byName[name]
 	if h == nil {
-		if len(l.byName) == maxHistograms {
-			return
+		if len(l.byName) >= maxHistograms {
+			name = otherNames
+			h = l.byName[name]
 		}
 		if l.byName == nil {
 			l.byName = map[string]*hdrhistogram.Histogram{}
 		}
-		h = hdrhistogram.New(1, histogramMax, histogramDigits)
-		l.byName[name] = h
+		if h == nil {
+			h = hdrhistogram.New(1, histogramMax, histogramDigits)
+			l.byName[name] = h
+		}
 	}
 	// A value out of range is counted at the range's end.
 	_ = h.RecordValue(min(max(int64(d/histogramUnit), 1), histogramMax))
@@ -93,8 +101,11 @@
 }
 
 // took notes a part of a job's life.
-func (n *Node) took(what dispatch.Span, queue string, d time.Duration) {
+func (n *Node) took(what dispatch.Span, queue, account string, d time.Duration) {
 	n.latencies.note(string(what)+" "+queue, d)
+	if what == dispatch.SpanComplete && account != "" {
+		n.byAccount.note(account, d)
+	}
 }
 
 // Answered notes how long a caller's request took.
@@ -117,14 +128,15 @@
 	return all
 }
 
-// metricsHandler serves the counters as JSON.
-func (n *Node) metricsHandler() http.Handler {
+// MetricsHandler serves the counters as JSON, and explanations of jobs.
+func (n *Node) MetricsHandler() http.Handler {
 	s := &n.submitted
 	n.metrics.Set("accepted", &s.Accepted)
 	n.metrics.Set("not_accepted", &s.NotAccepted)
 	n.metrics.Set("handed_over", &s.HandedOver)
 	n.metrics.Set("cancelled", &s.Cancelled)
 	n.metrics.Set("latency", &n.latencies)
+	n.metrics.Set("completed_by_account", &n.byAccount)
 	n.metrics.Set("traffic", n.o.Traffic)
 	n.metrics.Set(quota.MetricAccounts, expvar.Func(func() any { return n.accountRows() }))
 	n.relayed.Each(n.metrics.Set)
@@ -132,10 +144,35 @@
 	if n.o.Dropped != nil {
 		n.metrics.Set("log_lines_dropped", expvar.Func(func() any { return n.o.Dropped() }))
 	}
-	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	mux := http.NewServeMux()
+	mux.HandleFunc("/", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "application/json")
 		if _, err := w.Write([]byte(n.metrics.String())); err != nil {
 			n.log.Debug().Err(err).Msg("metrics not written")
 		}
 	})
+	mux.HandleFunc("GET "+submit.PathExplain, n.serveExplain)
+	return mux
+}
+
+// serveExplain tells operators what holds a job up.
+func (n *Node) serveExplain(w http.ResponseWriter, r *http.Request) {
+	id := r.URL.Query().Get("job")
+	if id == "" {
+		http.Error(w, "query: field job is missing; name a job's id", http.StatusBadRequest)
+		return
+	}
+	x, err := submit.Parts{Of: n.partOf}.Explain(r.Context(), work.JobID(id))
+	switch {
+	case errors.Is(err, submit.ErrNoJob):
+		http.Error(w, "the leader knows no such job: it was never accepted, or ended long ago", http.StatusNotFound)
+		return
+	case err != nil:
+		http.Error(w, "the leader does not answer; ask again, or another daemon: "+err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(x); err != nil {
+		n.log.Debug().Err(err).Msg("explanation not written")
+	}
 }
--- a/process/cellnode/node.go
+++ b/process/cellnode/node.go
@@ -101,6 +101,7 @@
 	stopping  atomic.Bool
 	metrics   *expvar.Map
 	latencies latencies
+	byAccount latencies // of completed jobs
 	callers   *http.Server
 	listen    struct{ callers, ready, metrics, orders net.Listener }
 	tls       *tls.Config // between daemons
@@ -158,7 +159,7 @@
 	}
 	go n.serveHTTP(n.callers, n.listen.callers)
 	if n.listen.metrics != nil {
-		go n.serveHTTP(&http.Server{Handler: n.metricsHandler(), ReadHeaderTimeout: headerTimeout}, n.listen.metrics)
+		go n.serveHTTP(&http.Server{Handler: n.MetricsHandler(), ReadHeaderTimeout: headerTimeout}, n.listen.metrics)
 	}
 	tree := suture.New("fenneljobd", suture.Spec{EventHook: func(e suture.Event) {
 		n.log.Error().Str("event", e.String()).Msg("service restarted")
--- a/process/dispatch/engine.go
+++ b/process/dispatch/engine.go
@@ -393,7 +393,7 @@
 // took measures a span of a job that this engine has seen from its acceptance.
 func (e *Engine) took(what Span, j *job) {
 	if e.o.Took != nil && !j.inherited && j.spec.Repeat == 0 {
-		e.o.Took(what, j.spec.Queue.Name, max(e.now-j.accepted, 0))
+		e.o.Took(what, j.spec.Queue.Name, j.spec.Account, max(e.now-j.accepted, 0))
 	}
 }
 
--- /dev/null
+++ b/process/dispatch/explain.go
@@ -0,0 +1,102 @@
+package dispatch
+
+import (
+	"time"
+
+	"fennelshunt.example/fennelshunt/process/quota"
+	"fennelshunt.example/fennelshunt/version/work"
+)
+
+// Explanation tells how far a job has come and what its steps wait for.
+type Explanation struct {
+	Job     work.JobID `cbor:"1,keyasint" json:"job"`
+	State   string     `cbor:"2,keyasint" json:"state"`
+	Account string     `cbor:"3,keyasint,omitempty" json:"account,omitempty"`
+	// Beyond: handed in beyond what its account is entitled to.
+	Beyond bool `cbor:"4,keyasint,omitempty" json:"beyond,omitempty"`
+	// Held and Cap are those of the account, in this part of the cell.
+	Held quota.Size `cbor:"5,keyasint" json:"held"`
+	Cap  quota.Size `cbor:"6,keyasint" json:"cap"`
+	// Waited is how long its steps waited, by cause, in milliseconds.
+	Waited map[string]int64  `cbor:"7,keyasint,omitempty" json:"waited_ms,omitempty"`
+	Steps  []StepExplanation `cbor:"8,keyasint,omitempty" json:"steps,omitempty"`
+}
+
+// StepExplanation is one step of one occurrence that is not done.
+type StepExplanation struct {
+	Occurrence int `cbor:"1,keyasint,omitempty" json:"occurrence"`
+	Step       int `cbor:"2,keyasint" json:"step"`
+	Tasks      int `cbor:"3,keyasint" json:"tasks"`
+	Done       int `cbor:"4,keyasint" json:"done"`
+	Running    int `cbor:"5,keyasint" json:"running"`
+	// Bound is what holds the tasks up that do not run; "" for nothing.
+	Bound string `cbor:"6,keyasint,omitempty" json:"bound,omitempty"`
+	// OpenMS is for how long the step's tasks could have started, in milliseconds.
+	OpenMS int64 `cbor:"7,keyasint,omitempty" json:"open_ms,omitempty"`
+	// Suspects are tasks under which workers have died.
+	Suspects []SuspectTask `cbor:"8,keyasint,omitempty" json:"suspects,omitempty"`
+}
+
+// SuspectTask is a task with the deaths on record.
+type SuspectTask struct {
+	Index   int          `cbor:"1,keyasint" json:"index"`
+	Crashes []work.Crash `cbor:"2,keyasint" json:"crashes"`
+}
+
+// Bounds beside the causes of waiting.
+const (
+	boundBefore = "steps before it"
+	boundTime   = "its time"
+	boundNever  = "a cap too small for it"
+)
+
+// maxExplained bounds the steps that an explanation lists.
+const maxExplained = 100
+
+// Explain tells what holds a job up; false for a job that the engine does not know.
+func (e *Engine) Explain(now time.Duration, id work.JobID) (Explanation, bool) {
+	e.now = now
+	j := e.jobs[id]
+	state, known := e.State(id)
+	if j == nil || !known {
+		return Explanation{}, false
+	}
+	x := Explanation{Job: id, State: state.String(), Account: j.spec.Account, Beyond: j.beyond, Waited: map[string]int64{}}
+	if a := j.account; a != nil {
+		x.Held, x.Cap = a.Held(), a.Cap()
+	}
+	for cause, d := range j.waits {
+		if d > 0 {
+			x.Waited[waitCause(cause).String()] = d.Milliseconds()
+		}
+	}
+	for s := range j.steps() {
+		if s.left > 0 && j.active() && len(x.Steps) < maxExplained {
+			x.Steps = append(x.Steps, e.explainStep(s))
+		}
+	}
+	return x, true
+}
+
+func (e *Engine) explainStep(s *step) StepExplanation {
+	x := StepExplanation{Occurrence: s.occurrence.number, Step: s.number, Tasks: len(s.tasks), Done: len(s.tasks) - s.left, Running: s.live()}
+	switch {
+	case !s.ready():
+		x.Bound = boundBefore
+	case s.occurrence.opens > e.now:
+		x.Bound = boundTime
+	case s.job.account != nil && !s.job.account.CanEverFit(s.charge().Times(s.startsTogether())):
+		x.Bound = boundNever
+	case len(s.pending) > 0 && s.waitsFor != waitNothing:
+		x.Bound = s.waitsFor.String()
+	}
+	if s.opened {
+		x.OpenMS = (e.now - s.openedAt).Milliseconds()
+	}
+	for i := range s.tasks {
+		if c := s.tasks[i].crashes; len(c) > 0 {
+			x.Suspects = append(x.Suspects, SuspectTask{Index: i, Crashes: c})
+		}
+	}
+	return x
+}
--- a/process/dispatch/host.go
+++ b/process/dispatch/host.go
@@ -68,7 +68,7 @@
 	// Violation is told each broken invariant.
 	Violation func(what string)
 	// Took is told how long parts of jobs' lives took; may be nil.
-	Took func(what Span, queue string, d time.Duration)
+	Took func(what Span, queue, account string, d time.Duration)
 }
 
 // Host runs an engine for one term of leadership: one goroutine owns the
@@ -287,6 +287,12 @@
 	return shown, known, err
 }
 
+// Explain tells what holds a job up.
+func (h *Host) Explain(ctx context.Context, id work.JobID) (x Explanation, known bool, err error) {
+	err = h.ask(ctx, func(e *Engine, now time.Duration) { x, known = e.Explain(now, id) })
+	return x, known, err
+}
+
 // Pending returns the number of a queue's jobs that have not begun.
 func (h *Host) Pending(ctx context.Context, queue string) (n int, err error) {
 	err = h.ask(ctx, func(e *Engine, _ time.Duration) { n = e.Pending(queue) })
--- a/process/dispatch/types.go
+++ b/process/dispatch/types.go
@@ -64,7 +64,7 @@
 	// Violation is told each broken invariant.
 	Violation func(what string, task work.TaskID, worker runner.WorkerID)
 	// Took is told how long jobs of a queue took from their acceptance.
-	Took func(what Span, queue string, d time.Duration)
+	Took func(what Span, queue, account string, d time.Duration)
 }
 
 // Span is a part of a job's life that is measured.
--- a/request/submit/parts.go
+++ b/request/submit/parts.go
@@ -59,6 +59,19 @@
 	return all[part].Cancel(ctx, id, account)
 }
 
+// Explain tells what holds a job up, as Service.Explain does.
+func (p Parts) Explain(ctx context.Context, id work.JobID) (dispatch.Explanation, error) {
+	all, part, err := p.Of(id)
+	if err != nil {
+		return dispatch.Explanation{}, err
+	}
+	x, err := all[part].Explain(ctx, id)
+	if part != 0 && errors.Is(err, ErrNoJob) {
+		return all[0].Explain(ctx, id)
+	}
+	return x, err
+}
+
 // Pending returns the number of a queue's jobs that have not begun, in all parts.
 func (p Parts) Pending(ctx context.Context, queue string) (int, error) {
 	all, _, err := p.Of("")
--- a/request/submit/peer.go
+++ b/request/submit/peer.go
@@ -20,8 +20,13 @@
 	MethodCancel   peer.Method = "jobs.cancel"
 	MethodState    peer.Method = "jobs.state"
 	MethodPending  peer.Method = "jobs.pending"
+	MethodExplain  peer.Method = "jobs.explain"
 )
 
+// PathExplain is where a daemon explains the job of the query's field job, on its metrics
+// address.
+const PathExplain = "/explain"
+
 type offer struct {
 	Key   string `cbor:"1,keyasint"`
 	Value []byte `cbor:"2,keyasint"`
@@ -47,6 +52,11 @@
 	Account string     `cbor:"3,keyasint,omitempty"` // of the job
 }
 
+type explainReply struct {
+	Known       bool                 `cbor:"1,keyasint"`
+	Explanation dispatch.Explanation `cbor:"2,keyasint"`
+}
+
 type cancelRequest struct {
 	ID work.JobID `cbor:"1,keyasint"`
 	// Account is that of the caller.
@@ -79,6 +89,7 @@
 	r.Handle(s.method(MethodCancel), peer.Typed(s.serveCancel))
 	r.Handle(s.method(MethodState), peer.Typed(s.serveState))
 	r.Handle(s.method(MethodPending), peer.Typed(s.servePending))
+	r.Handle(s.method(MethodExplain), peer.Typed(s.serveExplain))
 }
 
 func (s *Service) serveOffer(_ context.Context, o offer) (any, error) {
@@ -123,6 +134,29 @@
 	return stateReply{State: shown.State, Known: known, Account: shown.Account}, err
 }
 
+func (s *Service) serveExplain(ctx context.Context, r stateRequest) (any, error) {
+	h := s.o.Leading()
+	if h == nil {
+		return nil, errNoLeader
+	}
+	x, known, err := h.Explain(ctx, r.ID)
+	return explainReply{Known: known, Explanation: x}, err
+}
+
+// Explain tells what holds a job up, as the leader knows. It is for operators: it shows
+// jobs of every account. The error is ErrNoJob for a job that the leader does not know.
+func (s *Service) Explain(ctx context.Context, id work.JobID) (dispatch.Explanation, error) {
+	var r explainReply
+	err := s.askLeader(ctx, func(ctx context.Context, h *dispatch.Host) (err error) {
+		r.Explanation, r.Known, err = h.Explain(ctx, id)
+		return err
+	}, s.method(MethodExplain), stateRequest{ID: id}, &r)
+	if err == nil && !r.Known {
+		err = ErrNoJob
+	}
+	return r.Explanation, err
+}
+
 func (s *Service) servePending(ctx context.Context, r pendingRequest) (any, error) {
 	h := s.o.Leading()
 	if h == nil {
