A death that is known late counts

A worker of an earlier leader that does not answer is given up when its lease has run out, though it is listed yet. What it may have lost was put on record and forgotten in the same step, as if the worker had answered, so that a crash behind an entry that lasts, as in an outage of the store, spoke against no task. Found on reading. TestDeathThatIsKnownLateCounts failed before.

--- a/process/dispatch/crash_test.go
+++ b/process/dispatch/crash_test.go
@@ -10,8 +10,10 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"fennelshunt.example/fennelshunt/connection/peer"
 	"fennelshunt.example/fennelshunt/connection/runner"
 	"fennelshunt.example/fennelshunt/connection/store"
+	"fennelshunt.example/fennelshunt/process/crash"
 	"fennelshunt.example/fennelshunt/standin/epochworker"
 	"fennelshunt.example/fennelshunt/version/work"
 )
@@ -345,3 +347,26 @@
 	require.Empty(t, c.broken)
 	t.Logf("%d workers crashed by %d jobs, the slowest given up after %v", c.fleet.Crashes(), len(c.order)/60, slowest)
 }
+
+// TestDeathThatIsKnownLateCounts guards against a crash that is forgotten because the
+// worker's entry outlasts its lease.
+func TestDeathThatIsKnownLateCounts(t *testing.T) {
+	b := newBench(t, 2)
+	task := work.TaskID{Job: testJob}
+	fleet, err := peer.Marshal(fleetRecord{Workers: []runner.Ref{{ID: "w-a"}}})
+	require.NoError(t, err)
+	closed, err := peer.Marshal(closedRecord{Workers: []closedWorker{{ID: "w-a", Tasks: []work.TaskID{task}, Suspects: []suspectRun{{Task: task, Run: 1, Sole: true}}}}})
+	require.NoError(t, err)
+	require.NoError(t, b.e.Load(0, Saved{Accepted: []store.Entry{jobEntry(t, 1, 4, oneTask())},
+		Fleet: []store.Entry{{Key: keyFleet, Value: fleet}, {Key: keyClosed, Value: closed}}}))
+	b.resize("w-a", work.Resources{CPU: 4000, Memory: 4000}) // listed
+	for range 24 {
+		b.e.Renewed(b.now, "w-a", runner.Report{}, runner.ErrUnknown)
+		b.step(500 * time.Millisecond)
+	}
+	crashes := func() crash.Records { return b.e.jobs[testJob].step(task).tasks[0].crashes }
+	require.Equal(t, crash.Records{{Run: 1, Worker: "w-a", Sole: true, Open: true}}, crashes(), "its lease has run out")
+	b.resize("w-a", work.Resources{CPU: 4000, Memory: 4000})
+	b.e.Renewed(b.now, "w-a", runner.Report{}, runner.ErrGone)
+	require.Equal(t, crash.Records{{Run: 1, Worker: "w-a", Sole: true}}, crashes())
+}
--- a/process/dispatch/directory.go
+++ b/process/dispatch/directory.go
@@ -88,7 +88,9 @@
 	e.stats.Gone++
 	e.clearPlaces(w, why, ended)
 	e.resolve(w)
-	e.settleCrashes(w, ended)
+	if ended {
+		e.settleCrashes(w, true)
+	}
 	delete(e.workers, w.ID)
 	e.order = slices.DeleteFunc(e.order, func(x *worker) bool { return x == w })
 	e.fleetNew = e.fleetNew || w.kept
