Placement of one task in short functions; names of what is kept quiet

No change of behaviour: bestWorker told in two parts, one reading of a change of an entry, and no names that hide the language's own (clear, any).

--- a/process/crash/crash.go
+++ b/process/crash/crash.go
@@ -9,7 +9,7 @@
 // workers die clearly under it again and again.
 //
 // Guarantees: a task is given up after maxLosses deaths at the latest, and after
-// clearLosses only if one of them speaks clearly against it. What is recorded is what a
+// soleLosses only if one of them speaks clearly against it. What is recorded is what a
 // successor reads; a trial is recorded before it begins, so that a death in a leader's
 // last moments counts as well. A task has maxRecords at the most.
 package crash
@@ -31,7 +31,7 @@
 	SoundAfter = 10 * time.Second
 
 	suspectLosses = 2
-	clearLosses   = 3 // of which one is clear
+	soleLosses    = 3 // of which one is of no other job
 	maxLosses     = 4
 	// maxRecords bounds those of workers that stay out of reach.
 	maxRecords = 16
@@ -47,23 +47,23 @@
 
 // Guilty reports whether the task is to be given up.
 func (r Records) Guilty() bool {
-	losses, clear := 0, 0
+	losses, sole := 0, 0
 	for i := range r {
 		if r[i].Open {
 			continue
 		}
 		losses++
 		if r[i].Sole {
-			clear++
+			sole++
 		}
 	}
-	return Guilty(losses, clear)
+	return Guilty(losses, sole)
 }
 
 // Guilty reports whether a task is to be given up under which so many workers have died,
-// of them clear ones for which no other job's task can be blamed.
-func Guilty(losses, clear int) bool {
-	return losses >= maxLosses || (losses >= clearLosses && clear > 0)
+// sole of them without another job's run that can be blamed.
+func Guilty(losses, sole int) bool {
+	return losses >= maxLosses || (losses >= soleLosses && sole > 0)
 }
 
 // Begin records a trial: a run of a suspect task that is about to start. sole tells that
--- a/process/crash/crash_test.go
+++ b/process/crash/crash_test.go
@@ -12,11 +12,11 @@
 // that died beside it.
 func TestGivenUpOnlyOnClearDeaths(t *testing.T) {
 	for _, c := range []struct {
-		clear, shared, open int
-		guilty              bool
+		sole, shared, open int
+		guilty             bool
 	}{
-		{clear: 1}, {clear: 2}, {shared: 3}, {clear: 2, open: 4}, {open: 6},
-		{clear: 1, shared: 2, guilty: true}, {clear: 2, shared: 1, guilty: true}, {clear: 3, guilty: true}, {shared: 4, guilty: true},
+		{sole: 1}, {sole: 2}, {shared: 3}, {sole: 2, open: 4}, {open: 6},
+		{sole: 1, shared: 2, guilty: true}, {sole: 2, shared: 1, guilty: true}, {sole: 3, guilty: true}, {shared: 4, guilty: true},
 	} {
 		var r Records
 		n := 0
@@ -26,7 +26,7 @@
 				r.Lose(uint64(n), fmt.Sprint("w-", n), sole, ended)
 			}
 		}
-		lose(c.clear, true, true)
+		lose(c.sole, true, true)
 		lose(c.shared, false, true)
 		lose(c.open, false, false)
 		require.Equal(t, c.guilty, r.Guilty(), "%+v", c)
--- a/process/dispatch/crash.go
+++ b/process/dispatch/crash.go
@@ -30,9 +30,9 @@
 // time, not to have crashed it.
 func (p *place) livedOn(at time.Duration) bool { return p.begun > 0 && at >= p.begun+crash.Window }
 
-// calm reports whether no run of another job has just begun on the worker, is about to, or
+// quietFor reports whether no run of another job has just begun on the worker, is about to, or
 // is on trial there.
-func (e *Engine) calm(w *worker, s *step) bool {
+func (e *Engine) quietFor(w *worker, s *step) bool {
 	for _, p := range w.places {
 		if p.s.job != s.job && (!p.livedOn(e.now) || p.task().crashes.OnTrial(p.run)) {
 			return false
@@ -41,9 +41,9 @@
 	return true
 }
 
-// calmDown keeps a worker for a step with a suspect task until what has just begun there
+// keepQuiet keeps a worker for a step with a suspect task until what has just begun there
 // has lived on, unless one is kept for the step.
-func (e *Engine) calmDown(s *step, w *worker) {
+func (e *Engine) keepQuiet(s *step, w *worker) {
 	if k := s.keeps; k != nil && k.quiet.s == s && e.now < k.quiet.until {
 		return
 	}
@@ -51,26 +51,26 @@
 	w.quiet = quiet{s, e.now + 2*crash.Window}
 }
 
-// calmDownAll does so for the workers of a gang with a suspect task, and reports whether
+// keepSeatsQuiet does so for the workers of a gang with a suspect task, and reports whether
 // the gang has to wait for that. It waits for a bounded time only.
-func (e *Engine) calmDownAll(s *step, seats []seat) (wait bool) {
+func (e *Engine) keepSeatsQuiet(s *step, seats []seat) (wait bool) {
 	if !slices.ContainsFunc(s.tasks, func(t task) bool { return t.crashes.Suspect() }) {
 		return false
 	}
 	for _, x := range seats {
-		if !e.calm(x.w, s) {
+		if !e.quietFor(x.w, s) {
 			x.w.quiet = quiet{s, e.now + 2*crash.Window}
 			wait = true
 		}
 	}
-	if s.calmUntil < e.now-crash.Window {
-		s.calmUntil = e.now + maxCalming
+	if s.quietWait < e.now-crash.Window {
+		s.quietWait = e.now + maxQuietWait
 	}
-	return wait && e.now < s.calmUntil
+	return wait && e.now < s.quietWait
 }
 
-// maxCalming bounds how long a gang waits for workers on which nothing has just begun.
-const maxCalming = 4 * crash.Window
+// maxQuietWait bounds how long a gang waits for workers on which nothing has just begun.
+const maxQuietWait = 4 * crash.Window
 
 // noteHeard notes that the worker lived at some time.
 func (w *worker) noteHeard(at time.Duration) { w.heard = max(w.heard, at) }
@@ -222,14 +222,14 @@
 }
 
 func (e *Engine) crashedLately(w *worker) bool {
-	at, any := e.crashedAt[w.Address]
-	return any && e.now-at <= crashedFor
+	at, known := e.crashedAt[w.Address]
+	return known && e.now-at <= crashedFor
 }
 
 // beginTrial records the start of a suspect task; it is sent once the store has that. A
 // successor that finds neither the run nor its end then knows of the worker's death.
 func (e *Engine) beginTrial(p *place) {
-	sole := e.calm(p.w, p.s)
+	sole := e.quietFor(p.w, p.s)
 	p.task().crashes.Begin(p.run, string(p.w.ID), sole)
 	e.noteUnder(p.w.ID, p.id())
 	e.mark(p.s.job, true)
--- a/process/dispatch/gang.go
+++ b/process/dispatch/gang.go
@@ -39,7 +39,7 @@
 		}
 		return false
 	}
-	if e.calmDownAll(s, seats) {
+	if e.keepSeatsQuiet(s, seats) {
 		return false
 	}
 	run, ok := e.newRun(&s.gang.runs, s.id(), "")
--- a/process/dispatch/job.go
+++ b/process/dispatch/job.go
@@ -86,8 +86,8 @@
 	holdUntil time.Duration
 
 	keeps *worker // kept quiet for a suspect task of the step
-	// calmUntil is how long a gang with a suspect task waits for quiet workers.
-	calmUntil time.Duration
+	// quietWait is how long a gang with a suspect task waits for quiet workers.
+	quietWait time.Duration
 
 	advice *advice
 	gang   gangState
--- a/process/dispatch/place.go
+++ b/process/dispatch/place.go
@@ -246,31 +246,32 @@
 	}
 }
 
-// bestWorker filters the workers and takes the one with the best score.
+// scored is a worker with its score for a task.
+type scored struct {
+	w     *worker
+	score float64
+	text  string // the ticket
+}
+
+// offer takes the worker if it is better than the one so far.
+func (b *scored) offer(w *worker, score float64, text string) {
+	if b.w == nil || score > b.score {
+		*b = scored{w, score, text}
+	}
+}
+
+// bestWorker filters the workers and takes the one with the best score. A suspect task
+// waits for one on which nothing has just begun.
 func (e *Engine) bestWorker(s *step, i int, a *advice) (best *worker, text string) {
-	need := s.spec.Need()
-	bestScore := 0.0
 	suspect := s.tasks[i].crashes.Suspect()
-	var noisy *worker // the best one on which something has just begun
-	noisyScore := 0.0
-	consider := func(w *worker, ticket string) {
-		if !need.Fits(w.free()) || !e.eligible(s, w) || !need.Fits(e.freeFor(s, w)) {
-			return
-		}
-		if s.spec.MaxPerWorker > 0 && s.liveOn(w) >= s.spec.MaxPerWorker {
-			return
-		}
-		if t := &s.tasks[i]; e.now < t.avoidUntil && slices.Contains(t.avoid, w.ID) {
-			return
-		}
-		score := e.score(s, i, w)
+	var now, later scored
+	consider := func(w *worker, text string) {
 		switch {
-		case suspect && !e.calm(w, s):
-			if noisy == nil || score > noisyScore {
-				noisy, noisyScore = w, score
-			}
-		case best == nil || score > bestScore:
-			best, bestScore, text = w, score, ticket
+		case !e.mayPlace(s, i, w):
+		case suspect && !e.quietFor(w, s):
+			later.offer(w, e.score(s, i, w), text)
+		default:
+			now.offer(w, e.score(s, i, w), text)
 		}
 	}
 	if a != nil {
@@ -284,10 +285,23 @@
 			consider(w, "")
 		}
 	}
-	if best == nil && noisy != nil {
-		e.calmDown(s, noisy)
+	if now.w == nil && later.w != nil {
+		e.keepQuiet(s, later.w)
+	}
+	return now.w, now.text
+}
+
+// mayPlace reports whether a task may start on a worker now, advice apart.
+func (e *Engine) mayPlace(s *step, i int, w *worker) bool {
+	need := s.spec.Need()
+	if !need.Fits(w.free()) || !e.eligible(s, w) || !need.Fits(e.freeFor(s, w)) {
+		return false
+	}
+	if s.spec.MaxPerWorker > 0 && s.liveOn(w) >= s.spec.MaxPerWorker {
+		return false
 	}
-	return best, text
+	t := &s.tasks[i]
+	return e.now >= t.avoidUntil || !slices.Contains(t.avoid, w.ID)
 }
 
 // avoidPatience is how long a task that failed on a worker waits for another
--- a/process/jobs/events.go
+++ b/process/jobs/events.go
@@ -368,11 +368,11 @@
 		return
 	}
 	j := a.job
-	losses, clear := j.record.AddLoss(a.index, ev.Sole)
+	losses, sole := j.record.AddLoss(a.index, ev.Sole)
 	st.touch(j)
-	if crash.Guilty(losses, clear) {
+	if crash.Guilty(losses, sole) {
 		st.o.Metrics.CrashedWorkers.Add(1)
-		st.o.Log.Warn().Stringer("task", a.task()).Int("workers", losses).Int("clear", clear).Msg("task given up: workers crashed under it")
+		st.o.Log.Warn().Stringer("task", a.task()).Int("workers", losses).Int("sole", sole).Msg("task given up: workers crashed under it")
 		st.finish(j, a, j.record.Failed.Add)
 		return
 	}
--- a/process/jobs/progress/record.go
+++ b/process/jobs/progress/record.go
@@ -37,9 +37,9 @@
 	// StartLimit is the lowest index that certainly was never started.
 	StartLimit uint32
 	failures   counter // failed attempts
-	// losses counts the workers that died shortly after the task's start, and clearLosses
+	// losses counts the workers that died shortly after the task's start, and soleLosses
 	// those of them under no other job's task.
-	losses, clearLosses counter
+	losses, soleLosses counter
 }
 
 // NewJob returns the empty progress of a job.
@@ -92,16 +92,16 @@
 
 // AddLoss counts a worker that died shortly after the task's start, and returns how many
 // there were and how many of them under no other job's task.
-func (j *Job) AddLoss(index uint32, sole bool) (losses, clear int) {
-	if sole {
-		j.clearLosses.add(index)
+func (j *Job) AddLoss(index uint32, only bool) (losses, sole int) {
+	if only {
+		j.soleLosses.add(index)
 	}
-	return j.losses.add(index), j.clearLosses.get(index)
+	return j.losses.add(index), j.soleLosses.get(index)
 }
 
 // ClearFailures forgets the failed attempts and losses of a task whose fate is final.
 func (j *Job) ClearFailures(index uint32) {
-	for _, c := range []*counter{&j.failures, &j.losses, &j.clearLosses} {
+	for _, c := range []*counter{&j.failures, &j.losses, &j.soleLosses} {
 		c.set(index, 0)
 	}
 }
@@ -139,7 +139,7 @@
 	StartLimit uint32   `cbor:"7,keyasint,omitempty"`
 	Failures   [][]byte `cbor:"8,keyasint,omitempty"`
 	Losses     [][]byte `cbor:"9,keyasint,omitempty"`
-	Clear      [][]byte `cbor:"10,keyasint,omitempty"`
+	SoleLosses [][]byte `cbor:"10,keyasint,omitempty"`
 }
 
 // Encode returns the stored form of the job.
@@ -159,7 +159,7 @@
 	for _, c := range []struct {
 		from counter
 		to   *[][]byte
-	}{{j.failures, &w.Failures}, {j.losses, &w.Losses}, {j.clearLosses, &w.Clear}} {
+	}{{j.failures, &w.Failures}, {j.losses, &w.Losses}, {j.soleLosses, &w.SoleLosses}} {
 		for _, slice := range c.from {
 			data, err := encodeBitmap(slice)
 			if err != nil {
@@ -199,7 +199,7 @@
 	for _, c := range []struct {
 		from [][]byte
 		to   *counter
-	}{{w.Failures, &j.failures}, {w.Losses, &j.losses}, {w.Clear, &j.clearLosses}} {
+	}{{w.Failures, &j.failures}, {w.Losses, &j.losses}, {w.SoleLosses, &j.soleLosses}} {
 		for _, data := range c.from {
 			slice := roaring.New()
 			if err := decodeBitmap(data, slice); err != nil {
