A suspect task that waits for a quiet worker does not hold up its siblings

A step's tasks are placed in turn, and the first without a worker ended the turn; a suspect task, which waits for a worker on which nothing has just begun, so kept sound tasks of its step waiting beside free ones. TestSuspectTaskDoesNotHoldUpItsSiblings failed before.

--- a/process/dispatch/crash_test.go
+++ b/process/dispatch/crash_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -370,3 +371,23 @@
 	b.e.Renewed(b.now, "w-a", runner.Report{}, runner.ErrGone)
 	require.Equal(t, crash.Records{{Run: 1, Worker: "w-a", Sole: true}}, crashes())
 }
+
+// TestSuspectTaskDoesNotHoldUpItsSiblings guards against sound tasks that wait behind one
+// for which no quiet worker is there.
+func TestSuspectTaskDoesNotHoldUpItsSiblings(t *testing.T) {
+	b := newBench(t, 2, "w-a")
+	first := jobEntry(t, 1, 4, oneTask())
+	first.Key = KeyIn("00000000000000bb")
+	require.NoError(t, b.e.Load(0, Saved{Accepted: []store.Entry{first}}))
+	b.step(50 * time.Millisecond)
+	b.report("w-a", runner.Report{Clock: time.Second})
+	require.Len(t, b.starts(), 1)
+	step := oneTask()
+	step.Count = 2
+	require.NoError(t, b.e.Accepted(b.now, jobEntry(t, 2, 4, step)))
+	b.e.jobs[testJob].step(work.TaskID{Job: testJob}).tasks[0].crashes = slices.Clone(twoDeaths)
+	b.step(2 * tickPeriod)
+	second := b.starts()
+	require.Len(t, second, 1)
+	require.Equal(t, 1, second[0].Start.Task.Index)
+}
--- a/process/dispatch/place.go
+++ b/process/dispatch/place.go
@@ -223,6 +223,7 @@
 // placeTasks places the tasks of a step one by one.
 func (e *Engine) placeTasks(s *step) {
 	a := e.adviceOf(s)
+	missing := false
 	for _, i := range slices.Clone(s.pending) {
 		if e.unseen(s, i) {
 			continue
@@ -233,10 +234,11 @@
 		}
 		w, ticket := e.bestWorker(s, i, a)
 		if w == nil {
-			if a != nil {
-				e.askFor(s, len(s.pending))
+			missing = true
+			if s.tasks[i].crashes.Suspect() {
+				continue // it waits for a quiet worker, the others need not
 			}
-			return
+			break
 		}
 		run, ok := e.newRun(&s.tasks[i].runs, s.id(), w.ID)
 		if !ok {
@@ -244,6 +246,9 @@
 		}
 		e.start(w, s, i, run, ticket)
 	}
+	if missing && a != nil {
+		e.askFor(s, len(s.pending))
+	}
 }
 
 // scored is a worker with its score for a task.
