Commands ask daemons at their metrics addresses in one way

fennelctl why and fennelctl accounts each had the same call: bound, request, status, limit, decoding. One piece serves both; 'why' so takes addresses with a scheme as 'accounts' does, and 'accounts' tells the body of a refusal as 'why' does.

--- a/command/accounts/accounts.go
+++ b/command/accounts/accounts.go
@@ -9,23 +9,18 @@
 	"errors"
 	"fmt"
 	"io"
-	"net/http"
 	"slices"
-	"strings"
 	"text/tabwriter"
 	"time"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
+	"fennelshunt.example/fennelshunt/command/metricsget"
 	"fennelshunt.example/fennelshunt/process/quota"
 )
 
-const (
-	// timeout bounds the answer of one daemon, which makes it from memory.
-	timeout = 2 * time.Second
-	// maxAnswer is more than the counters of a daemon with quota.MaxRows accounts take.
-	maxAnswer = 8 << 20
-)
+// timeout bounds the answer of one daemon, which makes it from memory.
+const timeout = 2 * time.Second
 
 var errNoLeader = errors.New("accounts: no daemon that answered leads; fix: name the metrics addresses of all daemons, or ask again after a takeover")
 
@@ -72,29 +67,11 @@
 	return write(out, all)
 }
 
-func read(ctx context.Context, address string) ([]quota.Row, error) {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	if !strings.Contains(address, "://") {
-		address = "http://" + address
-	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, address, nil)
-	if err != nil {
-		return nil, err
-	}
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return nil, err
-	}
-	defer func() { _ = resp.Body.Close() }() // read whole, or reported below
-	if resp.StatusCode != http.StatusOK {
-		return nil, fmt.Errorf("status %s", resp.Status)
-	}
+func read(ctx context.Context, address string) (rows []quota.Row, err error) {
 	var counters map[string]json.RawMessage
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxAnswer)).Decode(&counters); err != nil {
+	if err := metricsget.JSON(ctx, address, "", timeout, &counters); err != nil {
 		return nil, err
 	}
-	var rows []quota.Row
 	if data, listed := counters[quota.MetricAccounts]; listed {
 		err = json.Unmarshal(data, &rows)
 	}
--- a/command/why/why.go
+++ b/command/why/why.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -11,22 +10,18 @@
 	"net/http"
 	"net/url"
 	"slices"
-	"strings"
 	"text/tabwriter"
 	"time"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
+	"fennelshunt.example/fennelshunt/command/metricsget"
 	"fennelshunt.example/fennelshunt/process/dispatch"
 	"fennelshunt.example/fennelshunt/request/submit"
 )
 
-const (
-	// timeout bounds the answer of one daemon, which asks the leader.
-	timeout = 3 * time.Second
-	// maxAnswer is more than an explanation of the most steps and suspects takes.
-	maxAnswer = 8 << 20
-)
+// timeout bounds the answer of one daemon, which asks the leader.
+const timeout = 3 * time.Second
 
 // errNotFound is the answer of a daemon whose leader does not know the job.
 var errNotFound = errors.New("the leader knows no such job: it was never accepted, or ended long ago")
@@ -64,28 +59,12 @@
 }
 
 func read(ctx context.Context, address, job string) (x dispatch.Explanation, err error) {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	target := "http://" + address + submit.PathExplain + "?" + url.Values{"job": {job}}.Encode()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
-	if err != nil {
-		return x, err
-	}
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return x, err
-	}
-	defer func() { _ = resp.Body.Close() }() // read whole, or reported below
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
-	switch {
-	case err != nil:
-		return x, err
-	case resp.StatusCode == http.StatusNotFound:
-		return x, errNotFound
-	case resp.StatusCode != http.StatusOK:
-		return x, fmt.Errorf("status %s: %.200q", resp.Status, strings.TrimSpace(string(body)))
+	err = metricsget.JSON(ctx, address, submit.PathExplain+"?"+url.Values{"job": {job}}.Encode(), timeout, &x)
+	var refused *metricsget.StatusError
+	if errors.As(err, &refused) && refused.Code == http.StatusNotFound {
+		err = errNotFound
 	}
-	return x, json.Unmarshal(body, &x)
+	return x, err
 }
 
 // write prints an explanation; processors in cores, memory in MB, times in seconds.
