Trials wait in a list; a life's birth is read once

No change of behaviour. Each job that was saved had all of its tasks looked through for trials to send, on the way of every write; a job now lists those that wait, as a rule none. An entry of a worker had its id taken apart twice, to see whether a later life is known and to note it: one function does both. A step names its tasks in one place.

go test ./process/dispatch ./process/cellnode pass.

--- a/process/dispatch/crash.go
+++ b/process/dispatch/crash.go
@@ -194,8 +194,7 @@
 	for s := range j.steps() {
 		for i := range s.tasks {
 			for _, c := range slices.Clone(s.tasks[i].crashes) {
-				id := s.id()
-				id.Index = i
+				id := s.taskID(i)
 				e.noteUnder(runner.WorkerID(c.Worker), id)
 				if e.workers[runner.WorkerID(c.Worker)] == nil && s.tasks[i].crashes.Settle(c.Worker, true, 0) {
 					e.mark(j, false)
@@ -234,6 +233,7 @@
 	e.noteUnder(p.w.ID, p.id())
 	e.mark(p.s.job, true)
 	p.awaits = p.s.job.version
+	p.s.job.trials = append(p.s.job.trials, p)
 	p.w.quiet = quiet{p.s, e.now + 2*crash.Window}
 	e.stats.Trials++
 	e.decide(Decision{What: "trial of a suspect task", Task: p.id(), Run: p.run, Worker: p.w.ID, Why: fmt.Sprintf("sole=%v records=%d", sole, len(p.task().crashes))})
@@ -244,18 +244,19 @@
 
 // sendTrials sends the trials of a job that the store has on record.
 func (e *Engine) sendTrials(j *job) {
-	for s := range j.steps() {
-		for i := range s.tasks {
-			p := s.tasks[i].place
-			if p == nil || p.awaits == 0 || p.awaits > j.saved || p.tries > 0 || p.state != starting {
-				continue
-			}
-			if w := p.w; w.Draining || w.closed || w.misses > 0 || w.over() {
-				e.release(p)
-				e.brokenStart(p, errNoLongerFit)
-				continue
-			}
-			p.w.quiet = quiet{s, e.now + crash.Window}
+	waiting := j.trials
+	j.trials = nil
+	for _, p := range waiting {
+		w := p.w
+		switch {
+		case p.task().place != p || p.state != starting: // given up meanwhile
+		case p.awaits > j.saved:
+			j.trials = append(j.trials, p)
+		case w.Draining || w.closed || w.misses > 0 || w.over():
+			e.release(p)
+			e.brokenStart(p, errNoLongerFit)
+		default:
+			w.quiet = quiet{p.s, e.now + crash.Window}
 			e.sendStart(p)
 		}
 	}
--- a/process/dispatch/directory.go
+++ b/process/dispatch/directory.go
@@ -11,10 +11,9 @@
 // WorkerSeen takes a worker's entry in the directory.
 func (e *Engine) WorkerSeen(now time.Duration, seen runner.Worker) {
 	e.now = now
-	if e.bornBefore(seen.ID) {
+	if e.noteBirth(seen.ID) {
 		return // an entry of an earlier life, which came late
 	}
-	e.noteBirth(seen.ID)
 	w := e.workers[seen.ID]
 	if w == nil {
 		w = e.addWorker(seen)
--- a/process/dispatch/fleet.go
+++ b/process/dispatch/fleet.go
@@ -148,9 +148,7 @@
 	if len(e.mayRun) == 0 {
 		return false
 	}
-	id := s.id()
-	id.Index = i
-	return e.mayRun[id] > 0
+	return e.mayRun[s.taskID(i)] > 0
 }
 
 // closeSilent closes a worker that has not answered for a while: nothing is
--- a/process/dispatch/job.go
+++ b/process/dispatch/job.go
@@ -48,8 +48,9 @@
 	endedAt    time.Duration
 	failedOn   runner.WorkerID // the first worker on which a run failed
 	waits      waits
-	work       float64 // core-seconds, as declared
-	beyond     bool    // handed in beyond what its account is entitled to
+	trials     []*place // that wait to be on record
+	work       float64  // core-seconds, as declared
+	beyond     bool     // handed in beyond what its account is entitled to
 }
 
 // step is one step of a job.
@@ -142,8 +143,7 @@
 	stopSent time.Duration // the last stop
 	stopped  time.Duration // when a stop was answered, 0 if none was
 	missing  time.Duration // when a report first lacked it
-	// awaits is the version of its job that must be in the store before it is sent, of
-	// a trial; 0 for none.
+	// awaits is the version of its job that must be in the store before a trial is sent.
 	awaits uint64
 	blamed bool          // its loss is on record
 	lostAt time.Duration // when the life that it was sent to had ended
@@ -154,17 +154,20 @@
 	firstAt   time.Duration
 }
 
-func (p *place) id() work.TaskID {
-	id := p.s.id()
-	id.Index = p.index
-	return id
-}
+func (p *place) id() work.TaskID { return p.s.taskID(p.index) }
 
 // id names the step as its first task is named.
 func (s *step) id() work.TaskID {
 	return work.TaskID{Job: s.job.id, Occurrence: s.occurrence.number, Step: s.number}
 }
 
+// taskID names one of the step's tasks.
+func (s *step) taskID(i int) work.TaskID {
+	id := s.id()
+	id.Index = i
+	return id
+}
+
 func (p *place) task() *task { return &p.s.tasks[p.index] }
 
 // active reports whether tasks of the job may start.
--- a/process/dispatch/lives.go
+++ b/process/dispatch/lives.go
@@ -16,27 +16,22 @@
 // lateOrder is how long after it was sent an order without an answer may be carried out.
 const lateOrder = 12 * time.Second
 
-// bornBefore reports whether a worker of that name is known with a later birth.
-func (e *Engine) bornBefore(id runner.WorkerID) bool {
+// noteBirth takes the birth of a life that is seen, and gives its earlier life up. It
+// reports whether a later one of that name is known.
+func (e *Engine) noteBirth(id runner.WorkerID) (over bool) {
 	name, born := id.Life()
-	latest, known := e.births[name]
-	return born != 0 && known && born < latest
-}
-
-// noteBirth takes the birth of a life that is seen, and gives its earlier life up.
-func (e *Engine) noteBirth(id runner.WorkerID) {
-	name, born := id.Life()
-	if born == 0 || e.births[name] == born {
-		return
+	if born == 0 {
+		return false
 	}
 	before, known := e.births[name]
-	e.births[name] = born
-	if !known {
-		return
+	if known && born <= before {
+		return born < before
 	}
-	if w := e.workers[runner.LifeID(name, before)]; w != nil {
+	e.births[name] = born
+	if w := e.workers[runner.LifeID(name, before)]; known && w != nil {
 		e.workerGone(w, "it is listed with a later birth", true)
 	}
+	return false
 }
 
 // mayOutlive reports whether an order to start a run may be carried out by the next life
