Followers tell when they are lost and back; versions tell how they were heard of and how old they are

One line when calls of a follower fail twice in a row and one when it follows again, one when the version held comes into doubt and one when it is confirmed; the way by which a version was heard of; the version and its age beside each refused request; gauges of both.

No change of behaviour. go test ./process/cellnode ./platform ./connection/store ./request/submit ./command/jobd pass.

--- a/command/jobd/jobd.go
+++ b/command/jobd/jobd.go
@@ -108,7 +108,7 @@
 		if o.Method == http.MethodGet && o.Status == http.StatusOK {
 			return
 		}
-		log.Info().Str("job", string(o.ID)).Str("queue", o.Queue).Str("account", o.Account).Int64("version", o.Version).Str("method", o.Method).Int("status", o.Status).
+		log.Info().Str("job", string(o.ID)).Str("queue", o.Queue).Str("account", o.Account).Int64("version", o.Version).Int64("age_ms", o.Age.Milliseconds()).Str("method", o.Method).Int("status", o.Status).
 			Int64("took_ms", o.Took.Milliseconds()).AnErr("error", o.Err).Msg("request")
 	}
 }
--- a/connection/store/track.go
+++ b/connection/store/track.go
@@ -41,9 +41,14 @@
 func (t *Tracker) Run(ctx context.Context) {
 	rev := t.From
 	read := ReadBound{First: t.ReadLimit}
+	var gap gap
 	for ctx.Err() == nil {
+		begun := time.Now()
 		next, err := t.step(ctx, rev, &read)
 		rev = next
+		if ctx.Err() == nil {
+			gap.note(t, begun, err)
+		}
 		pause := t.Pause
 		if err != nil {
 			t.Log.Debug().Err(err).Str("what", t.What).Msg("not followed, trying again")
@@ -56,6 +61,38 @@
 	}
 }
 
+// gap is a time in which a tracker's calls fail.
+type gap struct {
+	since   time.Time // when the first call that failed was sent; zero: none
+	failed  int       // calls in a row
+	longest time.Duration
+}
+
+// gapShown is how many calls in a row fail until a line of the log tells: one that fails
+// alone is an answer that was lost.
+const gapShown = 2
+
+// note notes how a call went that was sent at begun.
+func (g *gap) note(t *Tracker, begun time.Time, err error) {
+	took := time.Since(begun)
+	if err != nil {
+		if g.failed == 0 {
+			g.since = begun
+		}
+		g.failed++
+		g.longest = max(g.longest, took)
+		if g.failed == gapShown {
+			t.Log.Info().Err(err).Str("what", t.What).Int64("since_ms", time.Since(g.since).Milliseconds()).Msg("not followed")
+		}
+		return
+	}
+	if g.failed >= gapShown {
+		t.Log.Info().Str("what", t.What).Int64("gap_ms", time.Since(g.since).Milliseconds()).Int("failed", g.failed).
+			Int64("longest_call_ms", g.longest.Milliseconds()).Int64("call_ms", took.Milliseconds()).Msg("followed again")
+	}
+	*g = gap{}
+}
+
 // step makes one call.
 func (t *Tracker) step(ctx context.Context, rev Revision, read *ReadBound) (next Revision, err error) {
 	if rev == 0 {
--- a/process/cellnode/catalog.go
+++ b/process/cellnode/catalog.go
@@ -56,16 +56,26 @@
 	return now.Accounts, true
 }
 
-func (c *catalogs) take(next *work.Catalog) {
+// Ways by which a version is heard of, for the log.
+const (
+	byWatch = "watch"
+	byRead  = "reading"
+	byCheck = "stale reading"
+)
+
+// take puts a version in force that is newer than the one held; from tells how it was
+// heard of.
+func (c *catalogs) take(next *work.Catalog, from string) {
 	for {
 		before := c.now.Load()
 		if next == nil || (before != nil && next.Version <= before.Version) {
 			return
 		}
+		age := c.age()
 		if !c.now.CompareAndSwap(before, next) {
 			continue
 		}
-		c.log.Info().Int64("version", next.Version).Int("queues", len(next.Queues)).Int("accounts", len(next.Accounts.All())).Msg("configuration in force")
+		c.log.Info().Int64("version", next.Version).Str("from", from).Int64("age_before_ms", age.Milliseconds()).Int("queues", len(next.Queues)).Int("accounts", len(next.Accounts.All())).Msg("configuration in force")
 		if next.Problems != nil {
 			c.log.Warn().Err(next.Problems).Int64("version", next.Version).Msg("part of the configuration can not be used as it stands")
 		}
@@ -91,7 +101,7 @@
 	if err != nil {
 		return 0, err
 	}
-	c.take(next)
+	c.take(next, byRead)
 	c.confirm(asked)
 	return rev, nil
 }
@@ -102,7 +112,7 @@
 	if err != nil {
 		return 0, err
 	}
-	c.take(next)
+	c.take(next, byWatch)
 	if next == nil {
 		asked = asked.Add(min(wait, time.Since(asked))) // it was answered after that at the earliest
 	}
@@ -139,6 +149,6 @@
 			c.log.Debug().Err(err).Msg("configuration not read")
 			continue
 		}
-		c.take(next)
+		c.take(next, byCheck)
 	}
 }
--- a/process/cellnode/catalogmodel_test.go
+++ b/process/cellnode/catalogmodel_test.go
@@ -168,6 +168,6 @@
 	if err != nil {
 		return // it knows less
 	}
-	_, err = asker.learn(at, reply)
+	_, err = asker.learn("asked", at, reply)
 	assert.NoError(t, err)
 }
--- a/process/cellnode/catalogpeer.go
+++ b/process/cellnode/catalogpeer.go
@@ -61,7 +61,7 @@
 func (n *Node) standing() submit.Standing {
 	b, age := n.o.Settings.Bounds, n.catalogs.age()
 	valid := b.KeysMS.Std()
-	return submit.Standing{Doubtful: age > doubtAfter, Expired: b.StrictKeys && age > valid-min(deafTime, valid/keysLooks)}
+	return submit.Standing{Age: age, Doubtful: age > doubtAfter, Expired: b.StrictKeys && age > valid-min(deafTime, valid/keysLooks)}
 }
 
 // followPeers learns the configuration from other daemons: now and then from neighbours,
@@ -71,7 +71,9 @@
 // replaced meanwhile. What goes wrong without it: these daemons go on with keys that were
 // taken away, and refuse callers whose keys are new, though their neighbours know better.
 func (n *Node) followPeers(ctx context.Context) error {
+	var shown bool
 	for i := 0; sleep.For(ctx, doubtPeriod) == nil; i++ {
+		shown = n.showDoubt(shown)
 		inDoubt := n.catalogs.age() > doubtAfter || n.patience.TurnedAway()
 		if !inDoubt && i%calmPeriods != 0 {
 			continue
@@ -87,6 +89,24 @@
 	return ctx.Err()
 }
 
+// showDoubt writes a line when the version held comes into doubt, or is confirmed again;
+// before tells which was shown last.
+func (n *Node) showDoubt(before bool) bool {
+	age := n.catalogs.age()
+	doubtful := age > doubtAfter
+	if doubtful == before {
+		return before
+	}
+	what := "configuration confirmed again"
+	if doubtful {
+		what = "configuration in doubt"
+		n.metrics.Add("configurations_doubted", 1)
+	}
+	n.log.Info().Int64("version", n.catalogs.question().Version).Int64("age_ms", age.Milliseconds()).
+		Bool("store_fails", n.patience.Suspect()).Msg(what)
+	return doubtful
+}
+
 // othersAfter returns the members but one, those that follow it by name first.
 func othersAfter(members []lead.Member, name string) []lead.Member {
 	var before, after []lead.Member
@@ -112,7 +132,7 @@
 		n.log.Debug().Err(err).Str("daemon", m.Name).Msg("configuration not learned from a daemon")
 		return
 	}
-	news, err := n.catalogs.learn(asked, r)
+	news, err := n.catalogs.learn(m.Name, asked, r)
 	if err != nil {
 		n.log.Warn().Err(err).Str("daemon", m.Name).Msg("configuration not learned from a daemon")
 		return
@@ -155,13 +175,13 @@
 
 // learn takes another daemon's answer to a question, and reports whether it brought a
 // newer version.
-func (c *catalogs) learn(asked time.Time, r catalogReply) (news bool, err error) {
+func (c *catalogs) learn(daemon string, asked time.Time, r catalogReply) (news bool, err error) {
 	if len(r.Catalog) > 0 {
 		next, err := work.DecodeCatalog(r.Catalog)
 		if err != nil {
 			return false, err
 		}
-		c.take(next)
+		c.take(next, daemon)
 		news = true
 	}
 	// The age counts from when the question was sent: the answer is no fresher.
--- a/process/cellnode/metrics.go
+++ b/process/cellnode/metrics.go
@@ -138,6 +138,8 @@
 	n.metrics.Set("latency", &n.latencies)
 	n.metrics.Set("completed_by_account", &n.byAccount)
 	n.metrics.Set("traffic", n.o.Traffic)
+	n.metrics.Set("configuration_version", expvar.Func(func() any { return n.catalogs.question().Version }))
+	n.metrics.Set("configuration_age_ms", expvar.Func(func() any { return n.catalogs.age().Milliseconds() }))
 	n.metrics.Set(quota.MetricAccounts, expvar.Func(func() any { return n.accountRows() }))
 	n.relayed.Each(n.metrics.Set)
 	n.relay.Stats().Each(n.metrics.Set)
--- a/request/submit/admit.go
+++ b/request/submit/admit.go
@@ -30,6 +30,8 @@
 // Standing tells how far a daemon's version of the configuration may be relied on. The
 // zero value is that of a daemon in touch.
 type Standing struct {
+	// Age is how long ago the version was last known to be the newest.
+	Age time.Duration
 	// Doubtful: the version has not been confirmed for longer than usual, so a key that
 	// is not known may have been given since.
 	Doubtful bool
