Failing tests: the configuration of before an outage is held for seconds after it

TestConfigurationIsInForceSoonAfterASilentOutage: calls that are sent while the store is silent are never answered. After an outage of 5.8 s a daemon holds the version of before 2 s after the store is back, known for 8.3 s only.

--- a/process/cellnode/catalog_test.go
+++ b/process/cellnode/catalog_test.go
@@ -2,11 +2,15 @@
 
 import (
 	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"fennelshunt.example/fennelshunt/connection/store"
@@ -88,3 +92,92 @@
 	require.Equal(t, []string{"d", "a", "b"}, names)
 	require.Empty(t, othersAfter(members[:1], "a"))
 }
+
+// silentSource leaves calls that are sent while it is away without an answer for good, also
+// once it is back.
+type silentSource struct {
+	store *catalogStore
+	away  atomic.Bool
+}
+
+func (s *silentSource) reach(ctx context.Context) error {
+	const way = 2 * time.Millisecond
+	if s.away.Load() {
+		<-ctx.Done()
+		return fmt.Errorf("%w: %w", store.ErrUnavailable, ctx.Err())
+	}
+	return sleep.For(ctx, way)
+}
+
+func (s *silentSource) Current(ctx context.Context) (*work.Catalog, store.Revision, error) {
+	if err := s.reach(ctx); err != nil {
+		return nil, 0, err
+	}
+	v := s.store.newest()
+	return &work.Catalog{Version: v}, store.Revision(v), nil
+}
+
+func (s *silentSource) Glance(ctx context.Context) (*work.Catalog, error) {
+	c, _, err := s.Current(ctx)
+	return c, err
+}
+
+func (s *silentSource) Watch(ctx context.Context, after store.Revision, wait time.Duration) (*work.Catalog, store.Revision, error) {
+	if err := s.reach(ctx); err != nil {
+		return nil, 0, err
+	}
+	const step = 10 * time.Millisecond
+	for until := time.Now().Add(wait); time.Now().Before(until); {
+		if err := sleep.For(ctx, step); err != nil {
+			return nil, 0, err
+		}
+		if s.away.Load() { // what it would have been answered is lost
+			<-ctx.Done()
+			return nil, 0, fmt.Errorf("%w: %w", store.ErrUnavailable, ctx.Err())
+		}
+		if v := s.store.newest(); store.Revision(v) > after {
+			return &work.Catalog{Version: v}, store.Revision(v), nil
+		}
+	}
+	return nil, after, nil
+}
+
+// Guards against a reading that was lost in an outage of the store and is waited for after
+// it: the version of before goes on being served.
+func TestConfigurationIsInForceSoonAfterASilentOutage(t *testing.T) {
+	const (
+		bound  = 2 * time.Second // in which a version is to be in force
+		lease  = 275 * time.Millisecond
+		calm   = 5 * time.Second
+		step   = 200 * time.Millisecond
+		most   = 20 * time.Second
+		phases = 3 // of the outage's begin in the time that a watch waits
+	)
+	for phase := range phases {
+		for away := step; away <= most; away += step {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				source := &silentSource{store: &catalogStore{}}
+				source.store.publish()
+				patience := &store.Patience{Min: minPatience, Max: maxPatience}
+				c := newCatalogs(source, patience, zerolog.Nop())
+				var running sync.WaitGroup
+				running.Go(func() { _ = c.Serve(ctx) }) // ends with ctx
+				running.Go(func() {                     // as a daemon's lease is renewed
+					for sleep.For(ctx, lease) == nil {
+						_ = patience.Call(ctx, source.reach) // its outcome is the patience's
+					}
+				})
+				time.Sleep(calm + time.Duration(phase)*catalogWait/phases)
+				source.away.Store(true)
+				time.Sleep(away)
+				source.store.publish()
+				source.away.Store(false)
+				time.Sleep(bound)
+				assert.Equal(t, int64(2), c.Current().Version, "after an outage of %v that began in phase %d, known for %v only", away, phase, c.age())
+				cancel()
+				running.Wait()
+			})
+		}
+	}
+}
