A reading that was lost in an outage is given up when the store answers later calls

What callers saw: 404 for a route 2.3 s after its version had been acknowledged, three seconds after the store had been silent for seven.

Cause: after a watch that failed, a daemon reads the configuration; a reading that runs out of time doubles the bound of the next (2, 4, 8, 16 s), which is meant for large answers over small links. Sent into an outage, it was never answered, and waited for after the outage. All daemons had the last version at the same moment, so all their readings ended at the same moment, and no neighbour knew better.

TestConfigurationIsInForceSoonAfterASilentOutage fails without the change (first at an outage of 5.8 s).

Why it works: a call that was sent well after the reading and is answered shows that the reading was lost, unless its answer has begun; adapters tell when a call is sent and when the first byte of its answer is there. Every daemon renews its lease four times in 1.1 s, so it learns that within some 0.3 s of the store's return (1.5 s at the most, if a renewal is lost as well). Large answers keep their bounds (TestReadingIsGivenUpOnlyWhenItWasLost, TestStoreTellsThatAnAnswerHasBegun). It rests on no clock but the daemon's own order of calls.

--- a/connection/store/patience.go
+++ b/connection/store/patience.go
@@ -26,8 +26,9 @@
 	// was answered.
 	refusals  int
 	last      time.Time
-	refusedAt time.Time     // when a call was last turned away
-	back      chan struct{} // closed by the next answer; nil if nobody waits
+	refusedAt time.Time              // when a call was last turned away
+	back      chan struct{}          // closed by the next answer; nil if nobody waits
+	reads     map[*exchange]struct{} // under way
 }
 
 // Weights of Patience: the timeout is patienceFactor times the decaying average
@@ -83,6 +84,7 @@
 	p.misses, p.refusals = 0, 0
 	p.failing = false
 	p.last = time.Now()
+	p.overtake(p.last.Add(-d))
 	if p.back != nil {
 		close(p.back)
 		p.back = nil
--- a/connection/store/track.go
+++ b/connection/store/track.go
@@ -29,7 +29,7 @@
 	// Pause is kept after each call, ErrorPause after one that failed.
 	Pause, ErrorPause time.Duration
 	Log               zerolog.Logger
-	// Patience, if set, tells when a store that failed is back.
+	// Patience, if set, tells when a store that failed is back, and when a reading was lost.
 	Patience *Patience
 }
 
@@ -61,6 +61,17 @@
 	}
 }
 
+func (t *Tracker) read(ctx context.Context, next *Revision) error {
+	f := func(ctx context.Context) (err error) {
+		*next, err = t.Read(ctx)
+		return err
+	}
+	if t.Patience == nil {
+		return f(ctx)
+	}
+	return t.Patience.Read(ctx, f)
+}
+
 // gap is a time in which a tracker's calls fail.
 type gap struct {
 	since   time.Time // when the first call that failed was sent; zero: none
@@ -96,10 +107,7 @@
 // step makes one call.
 func (t *Tracker) step(ctx context.Context, rev Revision, read *ReadBound) (next Revision, err error) {
 	if rev == 0 {
-		err = read.Try(ctx, func(ctx context.Context) error {
-			next, err = t.Read(ctx)
-			return err
-		})
+		err = read.Try(ctx, func(ctx context.Context) error { return t.read(ctx, &next) })
 		return next, err
 	}
 	bounded, cancel := context.WithTimeout(ctx, t.Wait+t.Grace)
