--- a/request/submit/admit.go
+++ b/request/submit/admit.go
@@ -32,8 +32,8 @@
 type Standing struct {
 	// Age is how long ago the version was last known to be the newest.
 	Age time.Duration
-	// Doubtful: the version has not been confirmed for longer than usual, so a key that
-	// is not known may have been given since.
+	// Doubtful: the version has not been confirmed for longer than usual, so a key or a
+	// queue that is not known may have been added since.
 	Doubtful bool
 	// Expired: it has not been confirmed for longer than a key that was taken away may
 	// work, and the deployment wants no key to work then.
