A new leader reads again at once what an outage has swallowed of its state

A listing that was sent while the store was silent was waited for after it, for up to 24 s, with nothing scheduled and each of the four begun anew.

Each listing is given up when the store has answered a later call and no byte of the answer is there, and only that one is read again. TestLargeStateIsReadInTheEnd keeps its four seconds over a small link; its stand-in now tells that the answer has begun, as the adapter does.

--- a/process/dispatch/host.go
+++ b/process/dispatch/host.go
@@ -150,14 +150,28 @@
 func (h *Host) readAll(ctx context.Context) (rev store.Revision, saved Saved, err error) {
 	var wg sync.WaitGroup
 	var jobsErr, statesErr, bundlesErr, fleetErr error
-	wg.Go(func() { saved.Accepted, rev, jobsErr = h.o.Store.List(ctx, PrefixJobs) })
-	wg.Go(func() { saved.States, _, statesErr = h.o.Store.List(ctx, PrefixState) })
-	wg.Go(func() { saved.Bundles, _, bundlesErr = h.o.Store.List(ctx, PrefixBundle) })
-	wg.Go(func() { saved.Fleet, _, fleetErr = h.o.Store.List(ctx, prefixFleet) })
+	wg.Go(func() { saved.Accepted, rev, jobsErr = h.list(ctx, PrefixJobs) })
+	wg.Go(func() { saved.States, _, statesErr = h.list(ctx, PrefixState) })
+	wg.Go(func() { saved.Bundles, _, bundlesErr = h.list(ctx, PrefixBundle) })
+	wg.Go(func() { saved.Fleet, _, fleetErr = h.list(ctx, prefixFleet) })
 	wg.Wait()
 	return rev, saved, errors.Join(jobsErr, statesErr, bundlesErr, fleetErr)
 }
 
+// list reads a prefix, again if the reading was lost.
+func (h *Host) list(ctx context.Context, prefix string) (entries []store.Entry, rev store.Revision, err error) {
+	for {
+		err = h.o.Patience.Read(ctx, func(ctx context.Context) (err error) {
+			entries, rev, err = h.o.Store.List(ctx, prefix)
+			return err
+		})
+		if !errors.Is(err, store.ErrOvertaken) {
+			return entries, rev, err
+		}
+		h.o.Log.Info().Str("prefix", prefix).Msg("reading was lost, reading again")
+	}
+}
+
 // Fresh reports whether nothing has been handed in to a cell and no worker been used.
 func Fresh(ctx context.Context, s store.Transactor) (bool, error) {
 	for _, prefix := range []string{PrefixJobs, PrefixState, PrefixBundle, prefixFleet} {
--- a/process/dispatch/load_test.go
+++ b/process/dispatch/load_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -24,6 +26,7 @@
 }
 
 func (s slowLists) List(ctx context.Context, prefix string) ([]store.Entry, store.Revision, error) {
+	store.Begun(ctx)
 	if err := sleep.For(ctx, s.takes); err != nil {
 		return nil, 0, err
 	}
@@ -39,6 +42,54 @@
 	return nil, after, sleep.For(ctx, wait)
 }
 
+// lostLists is a store that never answers the first listing of each prefix.
+type lostLists struct {
+	store.Transactor
+	seen sync.Map // prefixes
+}
+
+func (s *lostLists) List(ctx context.Context, prefix string) ([]store.Entry, store.Revision, error) {
+	if _, seen := s.seen.LoadOrStore(prefix, true); !seen {
+		<-ctx.Done()
+		return nil, 0, fmt.Errorf("%w: %w", store.ErrUnavailable, ctx.Err())
+	}
+	return s.Transactor.List(ctx, prefix)
+}
+
+// leadOnce runs a daemon that leads over a store, and returns how long after its start a
+// state could be asked of it.
+func leadOnce(t *testing.T, lists store.Transactor, m *kv.Memory, most time.Duration) (loaded time.Duration, ok bool) {
+	patience := &store.Patience{Min: 200 * time.Millisecond, Max: 1500 * time.Millisecond}
+	ctx, cancel := context.WithTimeout(t.Context(), most)
+	defer cancel()
+	start := time.Now()
+	var took atomic.Int64 // written by a goroutine of each term
+	var e *lead.Elector
+	e = lead.New(lead.Options{Self: lead.Member{Name: "a", Peer: "a"}, Store: m, Patience: patience, Log: zerolog.Nop(), Lead: func(term *lead.Term) {
+		h := NewHost(HostOptions{Store: lists, Patience: patience, Directory: noWorkers{}, View: e.View(), Log: zerolog.Nop(),
+			Bounds: Bounds{Lease: 6 * time.Second, MaxLease: 6 * time.Second, Gang: 3 * time.Second, Keep: time.Minute}}, term)
+		go func() {
+			if _, _, err := h.State(ctx, testJob); err == nil {
+				took.CompareAndSwap(0, int64(time.Since(start)))
+			}
+		}()
+		h.Run()
+	}})
+	_ = e.Run(ctx) // ends with its time
+	return time.Duration(took.Load()), took.Load() > 0
+}
+
+// Guards against a new leader that waits for a reading which an outage has swallowed, while
+// nothing is scheduled.
+func TestStateThatWasLostIsReadAgainSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := kv.New()
+		loaded, ok := leadOnce(t, &lostLists{Transactor: m}, m, 30*time.Second)
+		require.True(t, ok)
+		require.Less(t, loaded, time.Second, "its lease is renewed four times in that time")
+	})
+}
+
 func TestLargeStateIsReadInTheEnd(t *testing.T) {
 	// Symptom: a new leader reads the state for as long as its term lasts, and nothing is
 	//   served.
@@ -46,23 +97,7 @@
 	// Cause: each reading is given up after three, and begun anew.
 	synctest.Test(t, func(t *testing.T) {
 		m := kv.New()
-		patience := &store.Patience{Min: 200 * time.Millisecond, Max: 1500 * time.Millisecond}
-		var loaded atomic.Bool // written by a goroutine of each term
-		ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
-		defer cancel()
-		var e *lead.Elector
-		e = lead.New(lead.Options{Self: lead.Member{Name: "a", Peer: "a"}, Store: m, Patience: patience, Log: zerolog.Nop(), Lead: func(term *lead.Term) {
-			h := NewHost(HostOptions{Store: slowLists{m, 4 * time.Second}, Patience: patience, Directory: noWorkers{}, View: e.View(), Log: zerolog.Nop(),
-				Bounds: Bounds{Lease: 6 * time.Second, MaxLease: 6 * time.Second, Gang: 3 * time.Second, Keep: time.Minute}}, term)
-			go func() {
-				_, _, err := h.State(ctx, testJob)
-				if err == nil {
-					loaded.Store(true)
-				}
-			}()
-			h.Run()
-		}})
-		_ = e.Run(ctx) // ends with its time
-		require.True(t, loaded.Load())
+		_, ok := leadOnce(t, slowLists{m, 4 * time.Second}, m, 30*time.Second)
+		require.True(t, ok)
 	})
 }
