A watch that an outage has swallowed is sent again at its end

The first answer after a second without any ends the watches that were sent before it; they go on from where they were, so nothing is read anew. One lost answer ends none.

--- a/connection/store/overtaken.go
+++ b/connection/store/overtaken.go
@@ -15,6 +15,7 @@
 // exchange is a call that is under way.
 type exchange struct {
 	sent   atomic.Int64 // unix nanoseconds; 0 once its answer has begun
+	waits  bool         // the store answers when there is news
 	giveUp context.CancelCauseFunc
 }
 
@@ -35,6 +36,10 @@
 	}
 }
 
+// outageMin is for how long no call must have been answered before the next answer ends an
+// outage: a daemon renews its lease several times in it.
+const outageMin = time.Second
+
 // Read makes a reading that may take long once its answer has begun, and gives it up with
 // ErrOvertaken when it was lost: no answer has begun, and the store has answered a call
 // that was sent well after it.
@@ -43,21 +48,34 @@
 // bound that leaves time for a large answer over a small link then keeps a daemon for seconds
 // to what it knew before, while its other calls are answered again.
 func (p *Patience) Read(ctx context.Context, f func(ctx context.Context) error) error {
+	return p.guard(ctx, false, f)
+}
+
+// Watch makes a call that the store may answer late, and gives it up with ErrOvertaken when
+// an outage has ended since it was sent: what it waits for may have been lost in it.
+func (p *Patience) Watch(ctx context.Context, f func(ctx context.Context) error) error {
+	return p.guard(ctx, true, f)
+}
+
+func (p *Patience) guard(ctx context.Context, waits bool, f func(ctx context.Context) error) error {
+	if p == nil {
+		return f(ctx)
+	}
 	ctx, giveUp := context.WithCancelCause(ctx)
 	defer giveUp(nil)
-	x := &exchange{giveUp: giveUp}
+	x := &exchange{waits: waits, giveUp: giveUp}
 	ctx = context.WithValue(ctx, exchangeKey{}, x)
 	Sent(ctx)
 	p.mu.Lock()
-	if p.reads == nil {
-		p.reads = map[*exchange]struct{}{}
+	if p.open == nil {
+		p.open = map[*exchange]struct{}{}
 	}
-	p.reads[x] = struct{}{}
+	p.open[x] = struct{}{}
 	p.mu.Unlock()
 	defer func() {
 		p.mu.Lock()
 		defer p.mu.Unlock()
-		delete(p.reads, x)
+		delete(p.open, x)
 	}()
 	err := f(ctx)
 	if err != nil && errors.Is(context.Cause(ctx), ErrOvertaken) {
@@ -66,13 +84,19 @@
 	return err
 }
 
-// overtake gives up the readings that an answered call has overtaken, which was sent at a
-// time. The lead asked of it is what a lost call is given elsewhere: a listing may take
-// the store several times as long as another call.
-func (p *Patience) overtake(sent time.Time) {
+// overtake gives up what a call that was sent at a time, and has been answered, shows to be
+// lost; outage tells that it is the first to be answered for outageMin. The lead asked of it
+// before a reading is lost is what a lost call is given elsewhere: a listing may take the
+// store several times as long as another call.
+func (p *Patience) overtake(sent time.Time, outage bool) {
 	lead := max(p.average*patienceFactor, p.Min)
-	for x := range p.reads {
-		if at := x.sent.Load(); at != 0 && sent.Sub(time.Unix(0, at)) > lead {
+	for x := range p.open {
+		at := x.sent.Load()
+		if at == 0 {
+			continue
+		}
+		ahead := sent.Sub(time.Unix(0, at))
+		if (!x.waits && ahead > lead) || (x.waits && outage && ahead > 0) {
 			x.giveUp(ErrOvertaken)
 		}
 	}
--- a/connection/store/overtaken_test.go
+++ b/connection/store/overtaken_test.go
@@ -45,7 +45,7 @@
 			}
 			require.ErrorIs(t, err, ErrOvertaken, x.what)
 			require.Equal(t, x.later, time.Since(start), x.what)
-			require.Empty(t, p.reads)
+			require.Empty(t, p.open)
 		})
 	}
 }
--- a/connection/store/patience.go
+++ b/connection/store/patience.go
@@ -28,7 +28,7 @@
 	last      time.Time
 	refusedAt time.Time              // when a call was last turned away
 	back      chan struct{}          // closed by the next answer; nil if nobody waits
-	reads     map[*exchange]struct{} // under way
+	open      map[*exchange]struct{} // readings and watches under way
 }
 
 // Weights of Patience: the timeout is patienceFactor times the decaying average
@@ -81,10 +81,11 @@
 func (p *Patience) answered(d time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	now := time.Now()
+	p.overtake(now.Add(-d), p.failing && now.Sub(p.last) >= outageMin)
 	p.misses, p.refusals = 0, 0
 	p.failing = false
-	p.last = time.Now()
-	p.overtake(p.last.Add(-d))
+	p.last = now
 	if p.back != nil {
 		close(p.back)
 		p.back = nil
--- a/connection/store/track.go
+++ b/connection/store/track.go
@@ -29,7 +29,7 @@
 	// Pause is kept after each call, ErrorPause after one that failed.
 	Pause, ErrorPause time.Duration
 	Log               zerolog.Logger
-	// Patience, if set, tells when a store that failed is back, and when a reading was lost.
+	// Patience, if set, tells when a store that failed is back, and when a call was lost.
 	Patience *Patience
 }
 
@@ -66,9 +66,6 @@
 		*next, err = t.Read(ctx)
 		return err
 	}
-	if t.Patience == nil {
-		return f(ctx)
-	}
 	return t.Patience.Read(ctx, f)
 }
 
@@ -112,8 +109,15 @@
 	}
 	bounded, cancel := context.WithTimeout(ctx, t.Wait+t.Grace)
 	defer cancel()
-	next, err = t.Watch(bounded, rev, t.Wait)
-	if errors.Is(err, ErrCompacted) {
+	err = t.Patience.Watch(bounded, func(ctx context.Context) (err error) {
+		next, err = t.Watch(ctx, rev, t.Wait)
+		return err
+	})
+	switch {
+	case errors.Is(err, ErrOvertaken):
+		t.Log.Info().Str("what", t.What).Msg("watch may have been lost in an outage, watching again")
+		return max(rev, next), nil
+	case errors.Is(err, ErrCompacted):
 		t.Log.Warn().Str("what", t.What).Msg("its history is gone, reading it as a whole")
 		return 0, nil
 	}
--- a/connection/store/track_test.go
+++ b/connection/store/track_test.go
@@ -3,12 +3,16 @@
 import (
 	"context"
 	"errors"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
+
+	"fennelshunt.example/fennelshunt/internal/sleep"
 )
 
 func TestTrackerReadsThenWatchesAndReadsAgain(t *testing.T) {
@@ -45,3 +49,51 @@
 		require.Equal(t, 5*time.Second, time.Since(start), "one silent read and a pause after each of three errors")
 	})
 }
+
+// Guards against followers that wait for a watch which an outage has swallowed, though the
+// store is back; and against watches that are sent anew for each answer that is lost.
+func TestWatchThatAnOutageSwallowedIsSentAgain(t *testing.T) {
+	for _, x := range []struct {
+		what  string
+		away  time.Duration
+		again bool
+	}{{"one call without an answer", 150 * time.Millisecond, false}, {"an outage", 1500 * time.Millisecond, true}} {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			p := &Patience{Min: 200 * time.Millisecond, Max: 1500 * time.Millisecond}
+			var away atomic.Bool
+			watched := make(chan Revision, 8) // positions of watches
+			k := &Tracker{What: "test", Log: zerolog.Nop(), ReadLimit: time.Second, Wait: 5 * time.Second, Grace: time.Second, ErrorPause: 100 * time.Millisecond, Patience: p,
+				Read: func(context.Context) (Revision, error) { return 5, nil },
+				Watch: func(ctx context.Context, after Revision, _ time.Duration) (Revision, error) {
+					watched <- after
+					<-ctx.Done()
+					return 0, ctx.Err()
+				}}
+			var running sync.WaitGroup
+			running.Go(func() { k.Run(ctx) })
+			running.Go(func() {
+				for sleep.For(ctx, 100*time.Millisecond) == nil {
+					_ = p.Call(ctx, func(ctx context.Context) error { // its outcome is the patience's
+						if away.Load() {
+							return silent(ctx)
+						}
+						return nil
+					})
+				}
+			})
+			require.Equal(t, Revision(5), <-watched)
+			time.Sleep(time.Second)
+			away.Store(true)
+			time.Sleep(x.away)
+			away.Store(false)
+			time.Sleep(time.Second)
+			require.Equal(t, x.again, len(watched) == 1, x.what)
+			if x.again {
+				require.Equal(t, Revision(5), <-watched, "from where it was")
+			}
+			cancel()
+			running.Wait()
+		})
+	}
+}
