Doubt about the configuration begins within the deployment's bound on it

TestDoubtBeginsWithinTheBoundOnAVersion: at 0.3 s and 1 s the earlier code is not in doubt (it knew no such bound). bounds.config_ms is filled in from the platform's settings; watches that hear nothing are answered within three quarters of it. With 2 s and more nothing changes.

--- a/process/cellnode/catalog.go
+++ b/process/cellnode/catalog.go
@@ -9,6 +9,7 @@
 
 	"fennelshunt.example/fennelshunt/connection/store"
 	"fennelshunt.example/fennelshunt/internal/sleep"
+	"fennelshunt.example/fennelshunt/process/settings"
 	"fennelshunt.example/fennelshunt/version/work"
 )
 
@@ -29,6 +30,8 @@
 	source work.Source
 	// wait bounds a watch: how long the store may say nothing while nothing changes.
 	wait time.Duration
+	// doubt is the age from which the version held is in doubt.
+	doubt time.Duration
 	// confirmed is the time, since started, up to which the store is known to have had no
 	// newer version; see confirm.
 	confirmed atomic.Int64
@@ -41,7 +44,19 @@
 }
 
 func newCatalogs(source work.Source, patience *store.Patience, log zerolog.Logger) *catalogs {
-	return &catalogs{source: source, wait: catalogWait, started: time.Now(), patience: patience, log: log, first: make(chan struct{})}
+	return &catalogs{source: source, wait: catalogWait, doubt: doubtAfter, started: time.Now(), patience: patience, log: log, first: make(chan struct{})}
+}
+
+// follow adapts to the bounds of the deployment: a version that has not been confirmed for
+// as long as the next one may take to be in force may miss one, and a watch that hears
+// nothing is answered well before that.
+func (c *catalogs) follow(b settings.JobCellBounds) {
+	bound := b.ConfigMS.Std()
+	c.doubt = min(doubtAfter, bound)
+	c.wait = min(catalogWait, bound-bound/watchReserve)
+	if b.StrictKeys {
+		c.wait = min(c.wait, b.KeysMS.Std()/keysLooks)
+	}
 }
 
 // Current returns the queues in force, nil while none are known.
--- a/process/cellnode/catalog_test.go
+++ b/process/cellnode/catalog_test.go
@@ -17,6 +17,7 @@
 	"fennelshunt.example/fennelshunt/internal/sleep"
 	"fennelshunt.example/fennelshunt/process/lead"
 	"fennelshunt.example/fennelshunt/process/quota"
+	"fennelshunt.example/fennelshunt/process/settings"
 	"fennelshunt.example/fennelshunt/version/work"
 )
 
@@ -181,3 +182,18 @@
 		}
 	}
 }
+
+// Guards against a daemon that is sure of a version for longer than the next one may take to
+// be in force.
+func TestDoubtBeginsWithinTheBoundOnAVersion(t *testing.T) {
+	for _, bound := range []time.Duration{300 * time.Millisecond, time.Second, 2 * time.Second, 9 * time.Second} {
+		n := &Node{o: Options{Settings: &settings.JobCell{Bounds: settings.JobCellBounds{ConfigMS: settings.Millis(bound.Milliseconds())}}}}
+		n.catalogs = newCatalogs(nil, nil, zerolog.Nop())
+		n.catalogs.follow(n.o.Settings.Bounds)
+		n.catalogs.confirm(time.Now())
+		require.False(t, n.standing().Doubtful, bound)
+		n.catalogs.started = n.catalogs.started.Add(-min(bound, doubtAfter)) // as if that long ago
+		require.True(t, n.standing().Doubtful, bound)
+		require.Less(t, n.catalogs.wait, bound, "a watch that hears nothing is answered before that")
+	}
+}
--- a/process/cellnode/catalogpeer.go
+++ b/process/cellnode/catalogpeer.go
@@ -29,9 +29,12 @@
 
 // Times of learning the configuration from other daemons.
 const (
-	// doubtAfter is the age from which a version is in doubt: a watch that hears nothing
-	// is answered after catalogWait.
+	// doubtAfter is the age from which a version is in doubt at the latest: a watch that
+	// hears nothing is answered after catalogWait.
 	doubtAfter = catalogWait + catalogGrace
+	// watchReserve is the part of the bound on a version that is left for the answer of a
+	// watch that has heard nothing.
+	watchReserve = 4
 	// doubtPeriod is between questions to one daemon drawn at random while this one's
 	// version is in doubt: with a third of the daemons turned away as well, the third
 	// question has found one that is not in 96 of 100 cases, long before a change must be
@@ -61,7 +64,7 @@
 func (n *Node) standing() submit.Standing {
 	b, age := n.o.Settings.Bounds, n.catalogs.age()
 	valid := b.KeysMS.Std()
-	return submit.Standing{Age: age, Doubtful: age > doubtAfter, Expired: b.StrictKeys && age > valid-min(deafTime, valid/keysLooks)}
+	return submit.Standing{Age: age, Doubtful: age > n.catalogs.doubt, Expired: b.StrictKeys && age > valid-min(deafTime, valid/keysLooks)}
 }
 
 // followPeers learns the configuration from other daemons: now and then from neighbours,
@@ -74,7 +77,7 @@
 	var shown bool
 	for i := 0; sleep.For(ctx, doubtPeriod) == nil; i++ {
 		shown = n.showDoubt(shown)
-		inDoubt := n.catalogs.age() > doubtAfter || n.patience.TurnedAway()
+		inDoubt := n.catalogs.age() > n.catalogs.doubt || n.patience.TurnedAway()
 		if !inDoubt && i%calmPeriods != 0 {
 			continue
 		}
@@ -93,7 +96,7 @@
 // before tells which was shown last.
 func (n *Node) showDoubt(before bool) bool {
 	age := n.catalogs.age()
-	doubtful := age > doubtAfter
+	doubtful := age > n.catalogs.doubt
 	if doubtful == before {
 		return before
 	}
--- a/process/cellnode/node.go
+++ b/process/cellnode/node.go
@@ -112,9 +112,7 @@
 	n := &Node{o: o, log: o.Log,
 		patience: &store.Patience{Min: minPatience, Max: maxPatience}, metrics: new(expvar.Map).Init()}
 	n.catalogs = newCatalogs(o.Catalogs, n.patience, n.log)
-	if b := o.Settings.Bounds; b.StrictKeys {
-		n.catalogs.wait = min(catalogWait, b.KeysMS.Std()/keysLooks)
-	}
+	n.catalogs.follow(o.Settings.Bounds)
 	s := o.Settings
 	for _, l := range []struct {
 		field, addr string
--- a/process/settings/cell.go
+++ b/process/settings/cell.go
@@ -76,6 +76,8 @@
 	// are in force. Else it goes on with those that it knows.
 	StrictKeys bool   `json:"strict_keys"`
 	KeysMS     Millis `json:"keys_ms"`
+	// ConfigMS is how soon a version of the configuration is to be in force everywhere.
+	ConfigMS Millis `json:"config_ms"`
 }
 
 // JobCellTuning overrides defaults.
@@ -90,10 +92,12 @@
 	DefaultGang        = 3000 // milliseconds
 	DefaultKeep        = 120  // seconds
 	DefaultStop        = 6    // seconds
+	DefaultConfig      = 2000 // milliseconds
 )
 
-// minKeys is the shortest bound on keys taken away, in milliseconds: below it the
-// looks at the configuration of every daemon would be a load on the store.
+// minKeys is the shortest bound on keys taken away, and on a version of the configuration,
+// in milliseconds: below it the looks at the configuration of every daemon would be a load
+// on the store.
 const minKeys = 200
 
 // LoadJobCell reads, completes and checks a settings file. All problems are
@@ -122,6 +126,7 @@
 	b.GangMS = cmp.Or(b.GangMS, DefaultGang)
 	b.KeepS = cmp.Or(b.KeepS, DefaultKeep)
 	b.StopS = cmp.Or(b.StopS, DefaultStop)
+	b.ConfigMS = cmp.Or(b.ConfigMS, DefaultConfig)
 	s.LogLevel = cmp.Or(s.LogLevel, "info")
 }
 
@@ -143,6 +148,8 @@
 	c.want(s.Bounds.EntitledSlack >= 0, "bounds.entitled_slack", "is negative", "use a number of jobs")
 	c.want(!s.Bounds.StrictKeys || s.Bounds.KeysMS >= minKeys, "bounds.keys_ms", fmt.Sprintf("is below %d with strict_keys", minKeys),
 		"use how long a key that was taken away may work, in milliseconds; the store is asked four times as often")
+	c.want(s.Bounds.ConfigMS >= minKeys, "bounds.config_ms", fmt.Sprintf("is below %d", minKeys),
+		"use how soon a version of the configuration is to be in force, in milliseconds")
 	c.want(s.Bounds.StopS > 0, "bounds.stop_s", "is negative", "use the time that a planned stop may take")
 	_, err := zerolog.ParseLevel(s.LogLevel)
 	c.want(err == nil, "log_level", fmt.Sprintf("%q is no level", s.LogLevel), "use debug, info, warn or error")
--- a/process/settings/cell_test.go
+++ b/process/settings/cell_test.go
@@ -29,6 +29,7 @@
 		`,"bounds":{"entitled_slack":-1}`:             "bounds.entitled_slack",
 		`,"bounds":{"strict_keys":true}`:              "bounds.keys_ms",
 		`,"bounds":{"strict_keys":true,"keys_ms":50}`: "bounds.keys_ms",
+		`,"bounds":{"config_ms":50}`:                  "bounds.config_ms",
 		`,"policy":{"shares":"newest"}`:               "policy.shares",
 		`,"policy":{"write_chains":100}`:              "policy.write_chains",
 		`,"log_level":"loud"`:                         "log_level",
