--- a/process/dispatch/directory.go
+++ b/process/dispatch/directory.go
@@ -11,12 +11,14 @@
 // WorkerSeen takes a worker's entry in the directory.
 func (e *Engine) WorkerSeen(now time.Duration, seen runner.Worker) {
 	e.now = now
-	if e.noteBirth(seen.ID) {
+	over, next := e.noteBirth(seen.ID)
+	if over {
 		return // an entry of an earlier life, which came late
 	}
 	w := e.workers[seen.ID]
 	if w == nil {
 		w = e.addWorker(seen)
+		w.fresh = next
 	}
 	if w.gone {
 		return
--- a/process/dispatch/engine.go
+++ b/process/dispatch/engine.go
@@ -98,6 +98,8 @@
 	// Gone counts workers whose life was over, and LostWithWorker the runs among Lost
 	// that a worker took with it.
 	Gone, LostWithWorker uint64
+	// EndsMissed counts ends that workers had forgotten before they were heard of.
+	EndsMissed uint64
 	// Suspected counts runs that may have crashed their worker, Trials the starts of
 	// suspect tasks, and GivenUp the jobs that failed for crashing workers.
 	Suspected, Trials, GivenUp uint64
--- a/process/dispatch/lives.go
+++ b/process/dispatch/lives.go
@@ -17,21 +17,21 @@
 const lateOrder = 12 * time.Second
 
 // noteBirth takes the birth of a life that is seen, and gives its earlier life up. It
-// reports whether a later one of that name is known.
-func (e *Engine) noteBirth(id runner.WorkerID) (over bool) {
+// reports whether a later one of that name is known, or an earlier one.
+func (e *Engine) noteBirth(id runner.WorkerID) (over, next bool) {
 	name, born := id.Life()
 	if born == 0 {
-		return false
+		return false, false
 	}
 	before, known := e.births[name]
 	if known && born <= before {
-		return born < before
+		return born < before, false
 	}
 	e.births[name] = born
 	if w := e.workers[runner.LifeID(name, before)]; known && w != nil {
 		e.workerGone(w, "it is listed with a later birth", true)
 	}
-	return false
+	return false, known
 }
 
 // mayOutlive reports whether an order to start a run may be carried out by the next life
--- a/process/dispatch/reports.go
+++ b/process/dispatch/reports.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"slices"
 	"time"
 
@@ -90,6 +91,7 @@
 		e.deposed = true
 		return
 	case errors.Is(err, runner.ErrGone):
+		e.decide(Decision{What: "answer of another life", Worker: w.ID, Why: err.Error(), Age: e.now - w.answered})
 		e.workerGone(w, "another life answers at its address", true)
 		return
 	}
@@ -111,6 +113,7 @@
 		if ends[i].Number <= w.seen {
 			continue
 		}
+		e.noteMissedEnds(w, ends[i].Number)
 		w.seen = ends[i].Number
 		j := e.takeEnd(w, &ends[i])
 		wait := ackWait{number: ends[i].Number, task: ends[i].Task, job: j}
@@ -124,6 +127,16 @@
 	return n
 }
 
+// noteMissedEnds tells of ends that a worker has forgotten though nobody here has heard of
+// them: the numbers of a life follow each other, and ends are listed until they are
+// acknowledged. A life that an earlier epoch has called may have forgotten those it heard of.
+func (e *Engine) noteMissedEnds(w *worker, next int64) {
+	if missed := next - w.seen - 1; missed > 0 && (w.seen > 0 || w.fresh) {
+		e.stats.EndsMissed += uint64(missed)
+		e.decide(Decision{What: "ends were forgotten unheard", Worker: w.ID, Why: fmt.Sprintf("%d before number %d", missed, next)})
+	}
+}
+
 // takeEnd processes one end and returns the job whose progress has to be in
 // the store before the end is acknowledged, if any.
 func (e *Engine) takeEnd(w *worker, end *runner.End) *job {
--- a/process/dispatch/worker.go
+++ b/process/dispatch/worker.go
@@ -53,6 +53,7 @@
 	kept   bool // the store knows that it is used
 	fenced bool // it has answered this epoch
 	gone   bool // its life is over
+	fresh  bool // it began in this epoch, so that no other has called it
 	// closed: the list of workers in the store says, or is about to say, that
 	// nothing is started here.
 	closed bool
