Failing tests: workers whose next life answers for the one before

The stand-in of workers let a renewal that was meant for an earlier life end there; it now reaches the life that has the name, as a call to a real worker's address does, and entries of next lives may come late.

--- /dev/null
+++ b/process/dispatch/lives_test.go
@@ -0,0 +1,127 @@
+package dispatch
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"fennelshunt.example/fennelshunt/connection/runner"
+	"fennelshunt.example/fennelshunt/standin/epochworker"
+	"fennelshunt.example/fennelshunt/version/work"
+)
+
+// Guards against what is kept under a worker's name and held against its next life: tasks run
+// twice, or again after their end was acknowledged.
+func TestWorkersThatComeBackUnderTheirName(t *testing.T) {
+	first, seeds := seedsOfRun(t, 10)
+	for seed := first; seed < first+seeds; seed++ {
+		t.Run(seedName(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { livesUnderOneName(t, seed) })
+		})
+	}
+}
+
+// livesUnderOneName hands jobs in while workers crash and are back under their names soon,
+// long before their entries tell; orders are late, answers are lost and leaders are killed.
+func livesUnderOneName(t *testing.T, seed uint64) {
+	draw := rand.New(rand.NewPCG(seed, 5))
+	lag := time.Duration(draw.IntN(3)) * 2 * time.Second
+	c := newTestCell(t, seed, 0, 3, nil)
+	c.fleet = epochworker.New(epochworker.Options{Seed: seed, Lease: testLease, Gang: 3 * time.Second, Stop: 200 * time.Millisecond,
+		Delay: time.Millisecond, Attempts: 4, Restart: 500 * time.Millisecond, SameName: true, EntryLag: lag,
+		Work: func(work.TaskID, uint64, runner.WorkerID) epochworker.Behaviour {
+			return epochworker.Behaviour{Takes: time.Duration(100+draw.IntN(900)) * time.Millisecond}
+		}})
+	c.stop()
+	for i := range 24 {
+		c.fleet.Add(runner.Worker{Ref: runner.Ref{ID: runner.LifeID(fmt.Sprintf("w-%02d", i), 1), Address: fmt.Sprintf("10.0.0.%d", i)}, Service: "s",
+			Capacity: work.Resources{CPU: 64000, Memory: 131072}, Labels: []string{"a", fmt.Sprint("r", i/8)}})
+	}
+	for i := range c.nodes {
+		c.nodes[i] = c.startNode(c.nodes[i].name)
+	}
+	time.Sleep(3 * time.Second)
+	c.fleet.SetFaults(epochworker.Faults{LoseAnswers: 0.02, Late: 0.03})
+	killed := 0
+	for i := range 200 {
+		c.submit(drawJob(c.rng, false))
+		time.Sleep(time.Duration(c.rng.IntN(150)) * time.Millisecond)
+		if i%10 == 0 && i < 160 {
+			ids := c.fleet.IDs()
+			c.fleet.Crash(ids[c.rng.IntN(len(ids))])
+		}
+		if seed%2 == 1 && i%50 == 49 && killed < 3 {
+			c.killLeader()
+			killed++
+		}
+	}
+	c.fleet.SetFaults(epochworker.Faults{})
+	time.Sleep(2 * time.Minute)
+	c.stop()
+	require.Empty(t, c.fleet.Broken())
+	require.Empty(t, c.broken)
+	for _, id := range c.order {
+		require.Equal(t, work.Completed, c.state(id), "%s: %v", id, c.fleet.NotDone(id))
+	}
+}
+
+// behindACut runs jobs on two workers, one of which crashes behind a cut that the leader does
+// not notice, and hands another job in that may start at its next life, of which no entry
+// tells yet. Its tasks take as long as given.
+func behindACut(t *testing.T, takes time.Duration) {
+	c := newTestCell(t, 1, 0, 1, nil)
+	c.stop()
+	c.fleet = epochworker.New(epochworker.Options{Seed: 1, Lease: testLease, Gang: 3 * time.Second, Stop: 200 * time.Millisecond,
+		Delay: time.Millisecond, Attempts: 4, Restart: 500 * time.Millisecond, SameName: true, EntryLag: 4 * time.Second,
+		Work: func(work.TaskID, uint64, runner.WorkerID) epochworker.Behaviour {
+			return epochworker.Behaviour{Takes: takes}
+		}})
+	add := func(name string, cpu int) runner.WorkerID {
+		id := runner.LifeID(name, 1)
+		c.fleet.Add(runner.Worker{Ref: runner.Ref{ID: id, Address: name}, Service: "s",
+			Capacity: work.Resources{CPU: cpu, Memory: 131072}, Labels: []string{"a", "r"}})
+		return id
+	}
+	task := func(cpu int) *work.Job {
+		return &work.Job{Queue: work.Queue{Name: "q", Service: "s", Attempts: 4, Slack: 2, Allowance: time.Second}, Spec: "x",
+			Steps: []work.Step{{Count: 8, Size: work.Resources{CPU: cpu, Memory: 1000}, Estimate: takes}}}
+	}
+	crashes := add("w-a", 64000)
+	c.nodes[0] = c.startNode(c.nodes[0].name)
+	time.Sleep(3 * time.Second)
+	c.submit(task(1000)) // ends that are acknowledged
+	time.Sleep(10 * time.Second)
+	_, before := c.fleet.Counts()
+	for renews := before; renews == before; _, renews = c.fleet.Counts() {
+		time.Sleep(time.Millisecond)
+	}
+	c.fleet.Cut(crashes, true) // a renewal has just been sent, and waits for an end
+	c.fleet.Crash(crashes)
+	time.Sleep(700 * time.Millisecond)
+	c.submit(task(1000))
+	time.Sleep(300 * time.Millisecond)
+	add("w-b", 64000) // where they may start again
+	time.Sleep(time.Minute)
+	c.stop()
+	require.Empty(t, c.fleet.Broken())
+	require.Empty(t, c.broken)
+	for _, id := range c.order {
+		require.Equal(t, work.Completed, c.state(id), "%s: %v", id, c.fleet.NotDone(id))
+	}
+}
+
+// Guards against a start that was answered by a worker's next life, counts as lost with the
+// life before, and is made again beside the run that is there.
+func TestRunsAtTheNextLifeAreNotStartedBesideThem(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) { behindACut(t, 5*time.Second) })
+}
+
+// Guards against ends of a worker's next life that are acknowledged unheard, with the number
+// that the life before had reached, and whose tasks start again.
+func TestEndsOfTheNextLifeAreNotAcknowledgedUnheard(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) { behindACut(t, 200*time.Millisecond) })
+}
--- a/standin/epochworker/calls.go
+++ b/standin/epochworker/calls.go
@@ -20,7 +20,7 @@
 	}
 	f.mu.Lock()
 	w := f.workers[to.ID]
-	for f.o.SameName && late != nil && w != nil && w.next != nil {
+	for f.o.SameName && w != nil && w.next != nil {
 		w = w.next
 	}
 	silent := w == nil || w.cut || w.dead
@@ -382,9 +382,18 @@
 		return runner.Report{}, noAnswer(ctx)
 	}
 	f.mu.Lock()
+	silent := w.cut
+	f.mu.Unlock()
+	if silent {
+		return runner.Report{}, noAnswer(ctx)
+	}
+	f.mu.Lock()
 	defer f.mu.Unlock()
-	if w.cut || w.dead {
+	switch {
+	case w.dead:
 		return runner.Report{}, runner.ErrUnknown
+	case w.ID != to.ID:
+		return runner.Report{}, runner.ErrGone
 	}
 	return w.report(), nil
 }
--- a/standin/epochworker/fleet.go
+++ b/standin/epochworker/fleet.go
@@ -52,8 +52,10 @@
 	// address, under a new name; 0 for never. Nobody listens there until then.
 	Restart time.Duration
 	// SameName: that life has the worker's name and a later birth, and carries out
-	// starts and stops that were meant for an earlier one.
+	// orders and renewals that were meant for an earlier one.
 	SameName bool
+	// EntryLag is how long after its begin that life's entry is there.
+	EntryLag time.Duration
 }
 
 // A task that crashes its workers may be started startsAfterCrashes times more once
@@ -109,6 +111,7 @@
 	// replaced: another life answers at its address.
 	replaced bool
 	next     *worker
+	unlisted bool // its entry is not there yet
 	epoch    uint64
 	started  time.Time
 	until    time.Duration // of the lease, on its clock
@@ -198,10 +201,25 @@
 func (f *Fleet) Add(w runner.Worker) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.workers[w.ID] = &worker{Worker: w, started: time.Now().Add(-time.Duration(f.rng.IntN(1000)) * time.Second),
+	f.list(f.begins(w))
+}
+
+// begins begins a life that has no entry yet.
+func (f *Fleet) begins(w runner.Worker) *worker {
+	life := &worker{Worker: w, started: time.Now().Add(-time.Duration(f.rng.IntN(1000)) * time.Second), unlisted: true,
 		running: map[work.TaskID]*run{}, highest: map[work.TaskID]uint64{}, wake: make(chan struct{})}
+	f.workers[w.ID] = life
 	f.order = append(f.order, w.ID)
-	f.record(runner.Change{Worker: w})
+	return life
+}
+
+// list writes a life's entry.
+func (f *Fleet) list(w *worker) {
+	if w.dead {
+		return
+	}
+	w.unlisted = false
+	f.record(runner.Change{Worker: w.Worker})
 }
 
 func (f *Fleet) record(c runner.Change) {
@@ -284,6 +302,7 @@
 // restart begins another life at a dead worker's address.
 func (f *Fleet) restart(w *worker) {
 	f.mu.Lock()
+	defer f.mu.Unlock()
 	w.replaced = true
 	f.lives++
 	next := w.Worker
@@ -292,11 +311,19 @@
 		name, born := w.ID.Life()
 		next.ID = runner.LifeID(name, born+1)
 	}
-	f.mu.Unlock()
-	f.Add(next)
-	f.mu.Lock()
-	w.next = f.workers[next.ID]
-	f.mu.Unlock()
+	w.next = f.begins(next)
+	if f.o.SameName {
+		w.next.started = time.Now() // its counts start anew
+	}
+	if f.o.EntryLag == 0 {
+		f.list(w.next)
+		return
+	}
+	time.AfterFunc(f.o.EntryLag, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.list(w.next)
+	})
 }
 
 // Resize changes a worker's capacity while it runs. What it had before counts for lag
@@ -419,7 +446,7 @@
 	defer f.mu.Unlock()
 	var all []runner.Worker
 	for _, id := range f.order {
-		if w := f.workers[id]; !w.dead {
+		if w := f.workers[id]; !w.dead && !w.unlisted {
 			all = append(all, w.Worker)
 		}
 	}
