A worker's count of ends is told only to the life that has just answered

Cause (one of two): a renewal names the worker, not its life, and brings the number up to which ends are acknowledged. Sent to a worker that does not answer, or by a leader that stood still, it reaches the next life under the name, whose ends are numbered from 1 again: as many of them are forgotten, and count as acknowledged, though nobody has heard of one.

Why it works: a count is sent within half a second of an answer of that life, over any pause between renewals and under the time in which a crashed worker is back; in doubt none is sent, which costs nothing but a second listing. It rests on no clock but the leader's own.

--- a/process/dispatch/lives_test.go
+++ b/process/dispatch/lives_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"fennelshunt.example/fennelshunt/connection/runner"
+	"fennelshunt.example/fennelshunt/connection/store"
 	"fennelshunt.example/fennelshunt/standin/epochworker"
 	"fennelshunt.example/fennelshunt/version/work"
 )
@@ -125,3 +126,32 @@
 func TestEndsOfTheNextLifeAreNotAcknowledgedUnheard(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) { behindACut(t, 200*time.Millisecond) })
 }
+
+// Guards against the count of ends of one life that is told to the next, which forgets as many
+// ends that nobody has heard of.
+func TestOnlyALifeThatHasJustAnsweredIsToldItsCountOfEnds(t *testing.T) {
+	id := runner.LifeID("w-a", 1)
+	b := newBench(t, 1, id)
+	require.NoError(t, b.e.Load(0, Saved{Accepted: []store.Entry{jobEntry(t, 1, 4, oneTask())}}))
+	b.step(50 * time.Millisecond)
+	b.report(id, runner.Report{Clock: time.Second})
+	start := b.starts()[0].Start
+	b.report(id, runner.Report{Clock: time.Second, Ended: []runner.End{{Number: 1, Task: start.Task, Run: start.Run}}})
+	last := func() (r runner.Renewal) {
+		b.step(400 * time.Millisecond) // over the pauses between renewals
+		for _, x := range b.out {
+			if x, ok := x.(SendRenew); ok {
+				r = x.Renewal
+			}
+		}
+		return r
+	}
+	require.Equal(t, int64(1), last().Acknowledge)
+	b.e.Renewed(b.now, id, runner.Report{}, runner.ErrUnknown)
+	require.Zero(t, last().Acknowledge, "another life may answer")
+	b.report(id, runner.Report{Clock: 2 * time.Second})
+	require.Equal(t, int64(1), last().Acknowledge, "it has answered")
+	b.e.Renewed(b.now, id, runner.Report{Clock: 2 * time.Second}, nil)
+	b.now += 3 * time.Second // the leader stood still
+	require.Zero(t, last().Acknowledge, "another life may have begun meanwhile")
+}
--- a/process/dispatch/reports.go
+++ b/process/dispatch/reports.go
@@ -15,7 +15,10 @@
 	if w.renewing || e.now < w.nextRenew || !w.kept {
 		return
 	}
-	r := runner.Renewal{Epoch: e.o.Epoch, Until: w.renewUntil(e.now, e.o.Bounds.Lease), Acknowledge: w.ack}
+	r := runner.Renewal{Epoch: e.o.Epoch, Until: w.renewUntil(e.now, e.o.Bounds.Lease)}
+	if w.misses == 0 && e.now-w.answered <= sureOfLife {
+		r.Acknowledge = w.ack
+	}
 	if w.fenced && w.misses == 0 && !w.unacknowledged() && !w.stopsAnswered() && len(w.strays) == 0 {
 		r.Wait = renewWait
 	}
--- a/process/dispatch/worker.go
+++ b/process/dispatch/worker.go
@@ -25,6 +25,11 @@
 	// end on the worker was seen 150 ms late in the mean.
 	renewPauseMin = 80 * time.Millisecond
 	renewPauseMax = 320 * time.Millisecond
+	// sureOfLife is how long after its answer a worker is taken to live on, as far as its
+	// count of ends goes: longer than any pause between renewals, shorter than a crashed
+	// worker takes to be back under its name. What goes wrong without it: the next life
+	// forgets as many of its own ends, of which nobody has heard.
+	sureOfLife = 500 * time.Millisecond
 	// strayPause is between reports while runs are being stopped.
 	strayPause = 100 * time.Millisecond
 	// clockDrift is how much slower a worker's clock may be, with a reserve.
