The stand-in of workers notices ends that are noted after the task was started again

As the rule says: a start after a run has ended done breaks it also if that end is taken note of later.

--- a/standin/epochworker/calls.go
+++ b/standin/epochworker/calls.go
@@ -116,7 +116,9 @@
 	if !w.used.Fits(w.room()) {
 		f.breaks("%s on %s goes over its capacity: %+v", s.Task, w.ID, w.used)
 	}
-	f.history(s.Task).live++
+	h := f.history(s.Task)
+	h.live++
+	h.overtaken = slices.Clone(h.doneRuns)
 	f.checkQuota(s.Task, j)
 	if b.Crashes > 0 {
 		time.AfterFunc(b.Crashes, func() {
@@ -255,12 +257,14 @@
 	switch how {
 	case runner.Done:
 		h.done = true
+		h.doneRuns = append(h.doneRuns, r.number)
 		f.representGang(r)
 	case runner.Failed:
 		h.fails++
 	}
 	w.highest[r.task] = max(w.highest[r.task], r.number)
 	w.number++
+	w.endedAt[w.number] = time.Now()
 	w.ends = append(w.ends, runner.End{Number: w.number, Task: r.task, Run: r.number, How: how})
 	close(w.wake)
 	w.wake = make(chan struct{})
@@ -294,6 +298,7 @@
 		if w.clock() < w.until {
 			return
 		}
+		w.lapsedAt = time.Now()
 		for _, r := range w.running {
 			f.end(w, r, runner.Lapsed)
 			if f.jobs[r.task.Job].Steps[r.task.Step].Gang {
@@ -405,15 +410,27 @@
 	w.epoch = x.Epoch
 	f.extend(w, x.Until)
 	for len(w.ends) > 0 && w.ends[0].Number <= x.Acknowledge {
-		if e := w.ends[0]; e.How == runner.Done {
-			f.history(e.Task).noted = true
-		}
+		f.note(w, &w.ends[0])
 		w.ends = w.ends[1:]
 	}
 	f.renews++
 	return nil
 }
 
+// note takes an end's acknowledgement.
+func (f *Fleet) note(w *worker, e *runner.End) {
+	at := w.endedAt[e.Number]
+	delete(w.endedAt, e.Number)
+	if e.How != runner.Done {
+		return
+	}
+	h := f.history(e.Task)
+	h.noted = true
+	if slices.Contains(h.overtaken, e.Run) && at.After(w.lapsedAt) && !f.jobs[e.Task.Job].Steps[e.Task.Step].Lasting {
+		f.breaks("%s run %d on %s: its end is noted after the task was started again", e.Task, e.Run, w.ID)
+	}
+}
+
 func (w *worker) report() runner.Report {
 	r := runner.Report{Clock: w.clock(), Ended: slices.Clone(w.ends[:min(len(w.ends), runner.MaxEnds)])}
 	for _, x := range w.running {
--- a/standin/epochworker/fleet.go
+++ b/standin/epochworker/fleet.go
@@ -99,7 +99,9 @@
 	live  int
 	done  bool
 	noted bool // a done end was acknowledged, or a job shown as completed
-	fails int
+	// doneRuns have ended done; after those of overtaken it was started again.
+	doneRuns, overtaken []uint64
+	fails               int
 	// crashes of workers that it caused, and starts since the maxCrashes-th.
 	crashes, startsSince int
 }
@@ -118,6 +120,8 @@
 	running  map[work.TaskID]*run
 	highest  map[work.TaskID]uint64 // stopped or ended
 	ends     []runner.End
+	endedAt  map[int64]time.Time // of the ends that are listed, by number
+	lapsedAt time.Time           // when its lease last ran out
 	number   int64
 	wake     chan struct{}
 	rooms    []bound // capacities that it had before, while they count yet
@@ -207,7 +211,7 @@
 // begins begins a life that has no entry yet.
 func (f *Fleet) begins(w runner.Worker) *worker {
 	life := &worker{Worker: w, started: time.Now().Add(-time.Duration(f.rng.IntN(1000)) * time.Second), unlisted: true,
-		running: map[work.TaskID]*run{}, highest: map[work.TaskID]uint64{}, wake: make(chan struct{})}
+		running: map[work.TaskID]*run{}, highest: map[work.TaskID]uint64{}, endedAt: map[int64]time.Time{}, wake: make(chan struct{})}
 	f.workers[w.ID] = life
 	f.order = append(f.order, w.ID)
 	return life
