What another life of a worker answers is taken, not thrown away

Cause: a worker that crashes and is back under its id carries out starts that were meant for its earlier life, and answers them. The leader counted these as begun at the earlier life. When the birth in a list of runs showed another life, the list was dropped as an error: every run of the earlier life was lost, those that the next one had answered too, and started again, beside the run that was there or after it had ended.

In the log: 'run lost ... another life answers at its address', 95 ms after its start.

Why it works: the answer is that life's first report. Runs and ends in it that were ordered from the earlier life are booked on it; what is in neither report is in doubt, not lost, until that life has refused it; then the report is taken like any other, so ends are counted before they are acknowledged. It goes by what answered last, not by the higher birth, since clocks jump.

--- a/connection/runner/runner.go
+++ b/connection/runner/runner.go
@@ -11,6 +11,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"strconv"
 	"strings"
 	"time"
@@ -94,6 +95,21 @@
 	ErrBadOrder = notRun("the worker does not accept the order")
 )
 
+// OtherLife is the error of a renewal that another life under the worker's name has
+// answered: it has been renewed, and said what it holds. Matches ErrGone.
+type OtherLife struct {
+	ID     WorkerID // that answered
+	Report Report
+}
+
+// Error implements error.
+func (o *OtherLife) Error() string {
+	return fmt.Sprintf("runner: %s answers, with %d runs and %d ends", o.ID, len(o.Report.Running), len(o.Report.Ended))
+}
+
+// Is makes it match ErrGone, and what that matches.
+func (o *OtherLife) Is(target error) bool { return target == ErrGone || errors.Is(ErrGone, target) }
+
 type notRunError struct{ text string }
 
 func notRun(text string) error { return &notRunError{text} }
@@ -181,7 +197,8 @@
 	// Stop returns nil when the run is being stopped, has ended, or will be
 	// refused should it still arrive.
 	Stop(ctx context.Context, to Ref, task work.TaskID, run, epoch uint64) error
-	// Renew returns what the worker holds.
+	// Renew returns what the worker holds. The error is an *OtherLife if another life
+	// under its name has answered.
 	Renew(ctx context.Context, to Ref, r Renewal) (Report, error)
 }
 
--- a/process/dispatch/job.go
+++ b/process/dispatch/job.go
@@ -139,6 +139,7 @@
 	sent   time.Duration // the first start
 	tries  int           // starts sent
 	begun  time.Duration // confirmed
+	listed bool          // by a report of the worker's life
 
 	stopSent time.Duration // the last stop
 	stopped  time.Duration // when a stop was answered, 0 if none was
--- a/process/dispatch/lives.go
+++ b/process/dispatch/lives.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"fennelshunt.example/fennelshunt/connection/runner"
+	"fennelshunt.example/fennelshunt/version/work"
 )
 
 // Workers that begin another life under the name that they had.
@@ -29,16 +30,63 @@
 	}
 	e.births[name] = born
 	if w := e.workers[runner.LifeID(name, before)]; known && w != nil {
+		w.followed = true
 		e.workerGone(w, "it is listed with a later birth", true)
 	}
 	return false, known
 }
 
-// mayOutlive reports whether an order to start a run may be carried out by the next life
-// under the worker's name.
+// otherLife takes the answer of another life to a renewal that was meant for a worker. It
+// is what lives under the name now, whichever birth is the higher one: the answer is to a
+// call that was sent after the worker was last heard of.
+//
+// What goes wrong if only the end of the earlier life is taken from it: starts that were
+// meant for that one and that the other has carried out count as lost, and are made again
+// beside the runs that are there, or after they have ended.
+func (e *Engine) otherLife(w *worker, x *runner.OtherLife) {
+	e.decide(Decision{What: "answer of another life", Worker: w.ID, Why: x.Error(), Age: e.now - w.answered})
+	next := e.workers[x.ID]
+	if next == nil {
+		seen := w.Worker
+		seen.ID = x.ID
+		next = e.addWorker(seen)
+		next.fresh, next.rack = true, w.rack
+		e.fleetNew = true
+	}
+	name, born := x.ID.Life()
+	e.births[name] = born
+	// The lease of what runs there was given by orders to the other life, by whose clock
+	// it says nothing.
+	next.lapse = max(next.lapse, e.now+scale(e.o.Bounds.MaxLease, clockDrift)+driftMargin)
+	moveListed(next, w, &x.Report)
+	w.followed = true
+	e.workerGone(w, "another life answers at its address", true)
+	e.Renewed(e.now, next.ID, x.Report, nil)
+}
+
+// moveListed books on a life what it lists of the runs that were ordered from an earlier one.
+func moveListed(next, w *worker, r *runner.Report) {
+	move := func(task work.TaskID, run uint64) {
+		if p := w.places[task]; p != nil && p.run == run {
+			w.drop(p)
+			p.w, p.listed = next, true
+			next.take(p)
+		}
+	}
+	for i := range r.Running {
+		move(r.Running[i].Task, r.Running[i].Run)
+	}
+	for i := range r.Ended {
+		move(r.Ended[i].Task, r.Ended[i].Run)
+	}
+}
+
+// mayOutlive reports whether an order to start a run may be carried out, or have been, by
+// the next life under the worker's name. Where that life is known and can tell, an answer to
+// the start does not say which of them gave it.
 func (w *worker) mayOutlive(p *place) bool {
 	_, born := w.ID.Life()
-	return born != 0 && p.tries > 0 && p.begun == 0
+	return born != 0 && p.tries > 0 && (p.begun == 0 || (w.followed && !p.listed))
 }
 
 // outlive keeps a run in doubt that was on its way to a worker whose life has ended.
--- a/process/dispatch/reports.go
+++ b/process/dispatch/reports.go
@@ -89,12 +89,15 @@
 }
 
 func (e *Engine) notRenewed(w *worker, err error) {
+	var other *runner.OtherLife
 	switch {
 	case errors.Is(err, runner.ErrFenced):
 		e.deposed = true
 		return
+	case errors.As(err, &other):
+		e.otherLife(w, other)
+		return
 	case errors.Is(err, runner.ErrGone):
-		e.decide(Decision{What: "answer of another life", Worker: w.ID, Why: err.Error(), Age: e.now - w.answered})
 		e.workerGone(w, "another life answers at its address", true)
 		return
 	}
@@ -292,7 +295,7 @@
 }
 
 func (e *Engine) takeRow(p *place, r *runner.Live) {
-	p.missing = 0
+	p.missing, p.listed = 0, true
 	e.noteSound(p)
 	if r.Checkpoint != "" && p.s.spec.Checkpoints {
 		p.s.keepCheckpoint(p.index, r.Checkpoint)
--- a/process/dispatch/worker.go
+++ b/process/dispatch/worker.go
@@ -58,7 +58,9 @@
 	kept   bool // the store knows that it is used
 	fenced bool // it has answered this epoch
 	gone   bool // its life is over
-	fresh  bool // it began in this epoch, so that no other has called it
+	// followed: another life is known under its name.
+	followed bool
+	fresh    bool // it began in this epoch, so that no other has called it
 	// closed: the list of workers in the store says, or is about to say, that
 	// nothing is started here.
 	closed bool
--- a/process/relay/line.go
+++ b/process/relay/line.go
@@ -106,6 +106,7 @@
 		if err := peer.ReadFrame(r, &t); err != nil {
 			return // the exchange under way, or the next one, finds it closed
 		}
+		t.takeLives()
 		l.heard(t.Outcomes)
 		if t.Taken == 0 {
 			continue
--- a/process/relay/message.go
+++ b/process/relay/message.go
@@ -96,6 +96,10 @@
 	Clock   time.Duration // the worker's, at its answer
 	Running []live
 	Ended   []end
+
+	// life has answered in place of the worker's that was asked, which is gone; "" if
+	// none. In the frame it stands apart (told.Lives), where earlier versions do not look.
+	life runner.WorkerID
 }
 
 // told is a frame from a relay to the leader.
@@ -106,6 +110,27 @@
 	// refused.
 	Epoch    uint64    `cbor:"2,keyasint"`
 	Outcomes []outcome `cbor:"3,keyasint,omitempty"`
+	// Lives have answered in place of those that orders asked, by the order's number.
+	Lives map[uint64]runner.WorkerID `cbor:"4,keyasint,omitempty"`
+}
+
+// tellLives lists the lives that the outcomes tell of.
+func (t *told) tellLives() {
+	for i := range t.Outcomes {
+		if x := &t.Outcomes[i]; x.life != "" {
+			if t.Lives == nil {
+				t.Lives = map[uint64]runner.WorkerID{}
+			}
+			t.Lives[x.Seq] = x.life
+		}
+	}
+}
+
+// takeLives puts the lives that are listed into the outcomes.
+func (t *told) takeLives() {
+	for i := range t.Outcomes {
+		t.Outcomes[i].life = t.Lives[t.Outcomes[i].Seq]
+	}
 }
 
 // code names an error of a call.
@@ -174,8 +199,11 @@
 
 // err returns the outcome's error.
 func (o *outcome) err() error {
-	if o.Code == codeDone {
+	switch {
+	case o.Code == codeDone:
 		return nil
+	case o.Code == codeGone && o.life != "":
+		return &runner.OtherLife{ID: o.life, Report: o.report()}
 	}
 	kind, known := codeErrors[o.Code]
 	if !known { // of a later version
--- a/process/relay/relay_test.go
+++ b/process/relay/relay_test.go
@@ -399,6 +399,28 @@
 	})
 }
 
+// Guards against runs at a worker's next life that are lost on the way over a relay.
+func TestAnswerOfAnotherLifeComesWhole(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCell(t, 0.1, "l", "r-1", "r-2")
+		defer c.end()
+		c.renewAll(t, 300)
+		before := c.stats.Direct.Value()
+		want := &runner.OtherLife{ID: runner.LifeID("w", 7), Report: runner.Report{Clock: 9 * time.Second,
+			Running: []runner.Live{{Task: work.TaskID{Job: "j", Index: 2}, Run: 3, Percent: 41}},
+			Ended:   []runner.End{{Number: 1, Task: work.TaskID{Job: "j"}, Run: 1, How: runner.Failed, Checkpoint: "c"}}}}
+		for _, w := range c.workers {
+			w.set(func() { w.err = want })
+		}
+		_, err := c.orders.Renew(bound(t, time.Second), worker(1), runner.Renewal{Epoch: 1})
+		require.ErrorIs(t, err, runner.ErrGone)
+		var other *runner.OtherLife
+		require.ErrorAs(t, err, &other)
+		require.Equal(t, want, other)
+		require.Equal(t, before, c.stats.Direct.Value(), "over a relay")
+	})
+}
+
 func TestEndOfATermLeavesNobodyWaiting(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := newCell(t, 0.1, "a", "b", "c")
--- a/process/relay/server.go
+++ b/process/relay/server.go
@@ -187,6 +187,7 @@
 // gives the orders up by their time.
 func (c *leaderConn) tell(t told) {
 	t.Epoch = c.s.highest(int(c.part.Load()))
+	t.tellLives()
 	frame, err := peer.EncodeFrame(t)
 	if err == nil {
 		c.write.Lock()
@@ -233,6 +234,10 @@
 	case doRenew:
 		report, err := s.direct.Renew(ctx, to, runner.Renewal{Epoch: epoch, Until: until,
 			Acknowledge: o.Acknowledge, Wait: time.Duration(o.Wait) * time.Millisecond})
+		var other *runner.OtherLife
+		if errors.As(err, &other) {
+			result.life, report = other.ID, other.Report
+		}
 		result.setReport(report)
 		return err
 	}
--- a/standin/epochworker/calls.go
+++ b/standin/epochworker/calls.go
@@ -398,7 +398,7 @@
 	case w.dead:
 		return runner.Report{}, runner.ErrUnknown
 	case w.ID != to.ID:
-		return runner.Report{}, runner.ErrGone
+		return runner.Report{}, &runner.OtherLife{ID: w.ID, Report: w.report()}
 	}
 	return w.report(), nil
 }
