A worker that refuses a start as late is asked before the next one

Cause: a refusal that tells that the worker's clock is not where it was thought to be (another life under its name) changed nothing of what is believed of the clock.

Evidence: TestWorkerThatRefusesAsLateIsAskedFirst fails without the change. The worker is left alone for half a second at the most, and renewed at once, which brings its clock.

--- a/process/dispatch/lives_test.go
+++ b/process/dispatch/lives_test.go
@@ -159,3 +159,21 @@
 	b.now += 3 * time.Second // the leader stood still
 	require.Zero(t, last().Acknowledge, "another life may have begun meanwhile")
 }
+
+// Guards against starts by the hundred at a worker whose clock is not where it was thought to
+// be, and which refuses each.
+func TestWorkerThatRefusesAsLateIsAskedFirst(t *testing.T) {
+	b := newBench(t, 1, "w-a")
+	require.NoError(t, b.e.Load(0, Saved{Accepted: []store.Entry{jobEntry(t, 1, 4, oneTask())}}))
+	b.step(50 * time.Millisecond)
+	b.report("w-a", runner.Report{Clock: time.Second})
+	first := b.starts()[0].Start
+	b.e.Started(b.now, "w-a", first.Task, first.Run, runner.ErrLate)
+	b.step(100 * time.Millisecond)
+	require.Empty(t, b.starts())
+	b.report("w-a", runner.Report{Clock: time.Hour})
+	b.step(time.Second)
+	all := b.starts()
+	require.Len(t, all, 1)
+	require.Greater(t, all[0].Start.Until, time.Hour, "by its clock as it is")
+}
--- a/process/dispatch/runs.go
+++ b/process/dispatch/runs.go
@@ -180,6 +180,9 @@
 		}
 	case errors.Is(err, runner.ErrUnhealthy), errors.Is(err, runner.ErrNoRoom):
 		w.asideUntil = max(w.asideUntil, e.now+refusalAside)
+	case errors.Is(err, runner.ErrLate): // its clock is not where it was thought to be
+		w.asideUntil = max(w.asideUntil, e.now+refusalAside)
+		w.nextRenew = e.now
 	case errors.Is(err, runner.ErrNoConnection):
 		w.misses++
 		w.nextRenew = e.now
