A worker whose clock went back is another life

Where neither its entry nor its answers tell a birth, a worker that is back under its id was taken for the life before: its ends up to the earlier count were ignored, acknowledged unheard, and their tasks started again.

Evidence: TestClockThatGoesBackIsAnotherLifes fails without the change. A worker's clock is steady and begins anew with each life, and the answers of one life come one after the other, so a clock that is a second behind the last answer is another life's; it is taken up afresh with its next entry.

--- a/process/dispatch/lives_test.go
+++ b/process/dispatch/lives_test.go
@@ -177,3 +177,21 @@
 	require.Len(t, all, 1)
 	require.Greater(t, all[0].Start.Until, time.Hour, "by its clock as it is")
 }
+
+// Guards against a worker that is back under its name, without a word of its birth: its ends
+// are taken for those of before, acknowledged unheard, and their tasks start again.
+func TestClockThatGoesBackIsAnotherLifes(t *testing.T) {
+	b := newBench(t, 1, "w-a")
+	step := oneTask()
+	step.Count = 2
+	require.NoError(t, b.e.Load(0, Saved{Accepted: []store.Entry{jobEntry(t, 1, 4, step)}}))
+	b.step(50 * time.Millisecond)
+	b.report("w-a", runner.Report{Clock: time.Hour})
+	start := b.starts()[0].Start
+	b.report("w-a", runner.Report{Clock: time.Hour, Ended: []runner.End{{Number: 1, Task: start.Task, Run: start.Run}}})
+	b.report("w-a", runner.Report{Clock: time.Minute, Ended: []runner.End{{Number: 1, Task: start.Task, Run: start.Run}}})
+	require.Nil(t, b.e.workers["w-a"])
+	b.resize("w-a", work.Resources{CPU: 4000, Memory: 4000}) // its next heartbeat
+	b.step(50 * time.Millisecond)
+	require.Zero(t, b.e.workers["w-a"].seen, "its ends count from 1 again")
+}
--- a/process/dispatch/reports.go
+++ b/process/dispatch/reports.go
@@ -52,6 +52,11 @@
 		e.notRenewed(w, err)
 		return
 	}
+	if w.fenced && report.Clock < w.clock-clockBack {
+		e.decide(Decision{What: "answer of another life", Worker: w.ID, Why: fmt.Sprintf("its clock went from %v back to %v", w.clock, report.Clock)})
+		e.workerGone(w, "its clock went back", true)
+		return
+	}
 	if w.misses > 0 {
 		e.decide(Decision{What: "worker answers again", Worker: w.ID, Age: now - w.answered})
 		e.scheduled = false
--- a/process/dispatch/worker.go
+++ b/process/dispatch/worker.go
@@ -32,6 +32,9 @@
 	sureOfLife = 500 * time.Millisecond
 	// strayPause is between reports while runs are being stopped.
 	strayPause = 100 * time.Millisecond
+	// clockBack is how far a worker's clock must have gone back to be another life's: it is
+	// steady, and reports of a life come one after the other.
+	clockBack = time.Second
 	// clockDrift is how much slower a worker's clock may be, with a reserve.
 	clockDrift = 1.03
 	// driftMargin is added to bounds that were converted between clocks.
