--- a/process/dispatch/directory.go
+++ b/process/dispatch/directory.go
@@ -11,6 +11,7 @@
 // WorkerSeen takes a worker's entry in the directory.
 func (e *Engine) WorkerSeen(now time.Duration, seen runner.Worker) {
 	e.now = now
+	seen.ID = e.lifeOf(seen.ID)
 	over, next := e.noteBirth(seen.ID)
 	if over {
 		return // an entry of an earlier life, which came late
@@ -35,8 +36,8 @@
 func (e *Engine) WorkersListed(now time.Duration, workers []runner.Worker) {
 	listed := make(map[runner.WorkerID]bool, len(workers))
 	for i := range workers {
-		listed[workers[i].ID] = true
 		e.WorkerSeen(now, workers[i])
+		listed[e.lifeOf(workers[i].ID)] = true
 	}
 	for _, w := range slices.Clone(e.order) {
 		if w.listed && !listed[w.ID] {
--- a/process/dispatch/lives.go
+++ b/process/dispatch/lives.go
@@ -133,6 +133,16 @@
 	}
 }
 
+// lifeOf returns the id of the life that an entry names: where it tells no birth, the life
+// under its name that is known.
+func (e *Engine) lifeOf(id runner.WorkerID) runner.WorkerID {
+	name, born := id.Life()
+	if born != 0 {
+		return id
+	}
+	return runner.LifeID(name, e.births[name])
+}
+
 // unlistedName takes the end of the entry of whichever life has a name.
 func (e *Engine) unlistedName(now time.Duration, id runner.WorkerID) {
 	name, born := id.Life()
--- a/process/dispatch/lives_test.go
+++ b/process/dispatch/lives_test.go
@@ -195,3 +195,14 @@
 	b.step(50 * time.Millisecond)
 	require.Zero(t, b.e.workers["w-a"].seen, "its ends count from 1 again")
 }
+
+// Guards against a life whose entry tells no birth and that is taken for another worker.
+func TestEntryWithoutABirthNamesTheLifeThatIsKnown(t *testing.T) {
+	id := runner.LifeID("w-a", 7)
+	b := newBench(t, 1, id)
+	b.step(50 * time.Millisecond)
+	b.report(id, runner.Report{Clock: time.Second})
+	b.resize("w-a", work.Resources{CPU: 8000, Memory: 8000})
+	require.Nil(t, b.e.workers["w-a"])
+	require.Equal(t, 8000, b.e.workers[id].Capacity.CPU)
+}
