--- a/process/dispatch/reports.go
+++ b/process/dispatch/reports.go
@@ -52,7 +52,7 @@
 		e.notRenewed(w, err)
 		return
 	}
-	if w.fenced && report.Clock < w.clock-clockBack {
+	if w.fenced && report.Clock > 0 && report.Clock < w.clock-clockBack { // 0: not told
 		e.decide(Decision{What: "answer of another life", Worker: w.ID, Why: fmt.Sprintf("its clock went from %v back to %v", w.clock, report.Clock)})
 		e.workerGone(w, "its clock went back", true)
 		return
