Calls that overtake each other are told by the steady clock

Read once more: when a call was sent was kept as time of day, which jumps on some VMs; a jump forward by two seconds would have ended readings that were well. Kept as a time with its steady reading now.

--- a/connection/store/overtaken.go
+++ b/connection/store/overtaken.go
@@ -14,8 +14,8 @@
 
 // exchange is a call that is under way.
 type exchange struct {
-	sent   atomic.Int64 // unix nanoseconds; 0 once its answer has begun
-	waits  bool         // the store answers when there is news
+	sent   atomic.Pointer[time.Time] // nil once its answer has begun
+	waits  bool                      // the store answers when there is news
 	giveUp context.CancelCauseFunc
 }
 
@@ -25,14 +25,15 @@
 // of several pages sends several.
 func Sent(ctx context.Context) {
 	if x, ok := ctx.Value(exchangeKey{}).(*exchange); ok {
-		x.sent.Store(time.Now().UnixNano())
+		now := time.Now()
+		x.sent.Store(&now)
 	}
 }
 
 // Begun is to be told by adapters when the first byte of the answer is there.
 func Begun(ctx context.Context) {
 	if x, ok := ctx.Value(exchangeKey{}).(*exchange); ok {
-		x.sent.Store(0)
+		x.sent.Store(nil)
 	}
 }
 
@@ -92,10 +93,10 @@
 	lead := max(p.average*patienceFactor, p.Min)
 	for x := range p.open {
 		at := x.sent.Load()
-		if at == 0 {
+		if at == nil {
 			continue
 		}
-		ahead := sent.Sub(time.Unix(0, at))
+		ahead := sent.Sub(*at)
 		if (!x.waits && ahead > lead) || (x.waits && outage && ahead > 0) {
 			x.giveUp(ErrOvertaken)
 		}
--- a/standin/epochworker/fleet.go
+++ b/standin/epochworker/fleet.go
@@ -102,7 +102,8 @@
 	// doneRuns have ended done; after those of overtaken it was started again.
 	doneRuns, overtaken []uint64
 	fails               int
-	// deaths of workers on which it ran, whatever caused them.
+	// deaths of workers on which it ran, or had ended without that being acknowledged,
+	// whatever caused them.
 	deaths int
 	// crashes of workers that it caused, and starts since the maxCrashes-th.
 	crashes, startsSince int
@@ -269,8 +270,8 @@
 	return f.history(t).crashes
 }
 
-// MostDeaths returns under how many runs of one task of a job workers have died at the most,
-// whatever killed them.
+// MostDeaths returns how often a worker died under one task of a job, at the most, as far as
+// anybody else can know: also if it had ended there and that was not acknowledged.
 func (f *Fleet) MostDeaths(id work.JobID) (most int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -308,6 +309,9 @@
 			f.endGang(r, runner.Lapsed)
 		}
 	}
+	for i := range w.ends {
+		f.history(w.ends[i].Task).deaths++
+	}
 	time.AfterFunc(4500*time.Millisecond, func() {
 		f.mu.Lock()
 		defer f.mu.Unlock()
