The stand-in counts what a leader can know of a worker's death under a task

Counted are now deaths of workers with an order of which no end was acknowledged; the check on tasks that run twice or again is as it was.

--- a/standin/epochworker/calls.go
+++ b/standin/epochworker/calls.go
@@ -19,10 +19,7 @@
 	case <-time.After(f.o.Delay):
 	}
 	f.mu.Lock()
-	w := f.workers[to.ID]
-	for f.o.SameName && w != nil && w.next != nil {
-		w = w.next
-	}
+	w := f.living(to.ID)
 	silent := w == nil || w.cut || w.dead
 	isLate := !silent && late != nil && f.rng.Float64() < f.faults.Late
 	lost := !silent && f.rng.Float64() < f.faults.LoseAnswers
@@ -51,6 +48,15 @@
 	return w, !lost, nil
 }
 
+// living returns the life that calls to a worker reach: the last one under its name.
+func (f *Fleet) living(id runner.WorkerID) *worker {
+	w := f.workers[id]
+	for f.o.SameName && w != nil && w.next != nil {
+		w = w.next
+	}
+	return w
+}
+
 func noAnswer(ctx context.Context) error {
 	<-ctx.Done()
 	return fmt.Errorf("%w: %w", runner.ErrUnknown, ctx.Err())
@@ -61,6 +67,11 @@
 
 // Start implements runner.Runner.
 func (f *Fleet) Start(ctx context.Context, to runner.Ref, s runner.Start) (time.Duration, error) {
+	f.mu.Lock()
+	if w := f.living(to.ID); w != nil && !w.dead {
+		w.ordered[s.Task] = true
+	}
+	f.mu.Unlock()
 	w, answer, err := f.reach(ctx, to, func(w *worker) { _ = f.start(w, s) })
 	if err != nil {
 		return 0, err
@@ -421,6 +432,7 @@
 func (f *Fleet) note(w *worker, e *runner.End) {
 	at := w.endedAt[e.Number]
 	delete(w.endedAt, e.Number)
+	delete(w.ordered, e.Task)
 	if e.How != runner.Done {
 		return
 	}
