--- /dev/null
+++ b/process/dispatch/ends.go
@@ -0,0 +1,187 @@
+package dispatch
+
+import (
+	"fmt"
+	"slices"
+
+	"fennelshunt.example/fennelshunt/connection/runner"
+	"fennelshunt.example/fennelshunt/version/work"
+)
+
+// Ends of runs: what they mean for their tasks, and when a worker may forget them.
+
+// takeEnds processes the ends that are new and returns their number.
+func (e *Engine) takeEnds(w *worker, ends []runner.End) int {
+	n := 0
+	slices.SortFunc(ends, func(a, b runner.End) int { return int(a.Number - b.Number) })
+	for i := range ends {
+		if ends[i].Number <= w.seen {
+			continue
+		}
+		e.noteMissedEnds(w, ends[i].Number)
+		w.seen = ends[i].Number
+		j := e.takeEnd(w, &ends[i])
+		wait := ackWait{number: ends[i].Number, task: ends[i].Task, job: j}
+		if j != nil {
+			wait.version = j.version
+		}
+		w.waiting = append(w.waiting, wait)
+		n++
+	}
+	e.acknowledge(w)
+	return n
+}
+
+// noteMissedEnds tells of ends that a worker has forgotten though nobody here has heard of
+// them: the numbers of a life follow each other, and ends are listed until they are
+// acknowledged. A life that an earlier epoch has called may have forgotten those it heard of.
+func (e *Engine) noteMissedEnds(w *worker, next int64) {
+	if missed := next - w.seen - 1; missed > 0 && (w.seen > 0 || w.fresh) {
+		e.stats.EndsMissed += uint64(missed)
+		e.decide(Decision{What: "ends were forgotten unheard", Worker: w.ID, Why: fmt.Sprintf("%d before number %d", missed, next)})
+	}
+}
+
+// takeEnd processes one end and returns the job whose progress has to be in
+// the store before the end is acknowledged, if any.
+func (e *Engine) takeEnd(w *worker, end *runner.End) *job {
+	p := w.places[end.Task]
+	if p != nil && p.run != end.Run {
+		p = nil
+	}
+	j := e.jobs[end.Task.Job]
+	s := j.step(end.Task)
+	if s == nil {
+		return j // an occurrence that is done waits for the store as well
+	}
+	t := &s.tasks[end.Task.Index]
+	ours := p != nil && t.place == p
+	e.endTrial(s, end.Task.Index, end.Run)
+	if p != nil {
+		e.begin(p)
+		e.unbook(p)
+		e.scheduled = false
+	}
+	if ours {
+		t.place = nil // before the end is judged, which stops what the task still runs
+	}
+	if end.Checkpoint != "" && s.spec.Checkpoints {
+		s.keepCheckpoint(end.Task.Index, end.Checkpoint)
+	}
+	switch end.How {
+	case runner.Done:
+		e.taskDone(w, s, end, p)
+	case runner.Failed:
+		e.taskFailed(w, s, end, p)
+	default:
+		e.stats.Back++
+	}
+	if ours {
+		e.back(s, end.Task.Index)
+	}
+	return j
+}
+
+func (s *step) keepCheckpoint(i int, value string) {
+	if !s.spec.Gang {
+		s.tasks[i].checkpoint = value
+		return
+	}
+	for k := range s.tasks {
+		s.tasks[k].checkpoint = value // any member's is valid for all, and all carry the same
+	}
+}
+
+// back lets a task whose run ended start again, unless it is done.
+func (e *Engine) back(s *step, i int) {
+	if s.spec.Gang && s.live() == 0 {
+		s.gang.breaking = false
+	}
+	if s.tasks[i].done || !s.job.active() {
+		return
+	}
+	s.requeue(i)
+	e.open(s)
+}
+
+func (e *Engine) taskDone(w *worker, s *step, end *runner.End, p *place) {
+	j := s.job
+	if p != nil {
+		w.noteDone()
+		e.learnPace(w, s, p)
+	}
+	if s.tasks[end.Task.Index].done || !j.active() {
+		return
+	}
+	e.stats.Done++
+	if s.spec.Lasting {
+		return // it is to start again, however it ended
+	}
+	e.finish(s, end.Task.Index)
+	if s.spec.Gang {
+		for i := range s.tasks {
+			e.finish(s, i)
+		}
+	}
+	e.mark(j, false)
+	if s.left > 0 {
+		return
+	}
+	e.unreserve(s)
+	for _, n := range s.next {
+		e.open(n)
+	}
+	e.settle(j)
+}
+
+// finish marks a task done, and stops another run of it.
+func (e *Engine) finish(s *step, i int) {
+	s.finish(i)
+	if p := s.tasks[i].place; p != nil && !s.spec.Gang && p.state != running {
+		e.stop(p, "the task is done by another run")
+	}
+}
+
+func (e *Engine) taskFailed(w *worker, s *step, end *runner.End, p *place) {
+	j, t := s.job, &s.tasks[end.Task.Index]
+	e.decide(Decision{What: "failed", Task: end.Task, Run: end.Run, Worker: w.ID})
+	e.stats.Failed++
+	if p != nil && p.serves() {
+		return // a task that had come to work fails by its own doing
+	}
+	if p != nil && j.blames(w.ID) && w.noteFail(e.now, j.id) {
+		e.stats.Aside++
+		e.decide(Decision{What: "worker set aside", Worker: w.ID, Why: "runs of different jobs failed there", Age: w.asideFor})
+	}
+	t.shun(w.ID, e.now)
+	if t.done || !j.active() || s.spec.Lasting {
+		return
+	}
+	failed := &t.failed
+	if s.spec.Gang {
+		failed = &s.gang.failed
+	}
+	if slices.Contains(*failed, end.Run) {
+		return // counted before, by this epoch or an earlier one
+	}
+	*failed = append(*failed, end.Run)
+	e.mark(j, false)
+	if len(*failed) >= j.spec.Queue.Attempts {
+		e.end(j, work.Failed, "a task failed as often as its queue allows")
+	}
+}
+
+// acknowledge raises the number of ends that the worker may forget.
+func (e *Engine) acknowledge(w *worker) {
+	for len(w.waiting) > 0 {
+		a := w.waiting[0]
+		if a.job != nil && a.job.saved < a.version {
+			return
+		}
+		w.ack = a.number
+		w.waiting = w.waiting[1:]
+	}
+	if w.nextRenew > e.now && w.seen == w.ack {
+		w.nextRenew = e.now
+	}
+}
