A run moves between workers, and a lease runs out, in one piece each

No change of behaviour. Read once more: booking a run on another worker stood twice in the file on lives; how long a lease that was given may last stood four times; a flag on a worker said that another life is known under its name, which the list of births says; and a moved run was marked as listed just before the report that lists it is taken.

--- a/process/dispatch/directory.go
+++ b/process/dispatch/directory.go
@@ -108,7 +108,7 @@
 		e.stats.LostWithWorker++
 		e.decide(Decision{What: "run lost", Task: p.id(), Run: p.run, Worker: w.ID, Why: why, Age: e.now - p.sent})
 		s := p.s
-		if ended && w.mayOutlive(p) {
+		if ended && e.mayOutlive(p) {
 			e.outlive(w, p)
 		} else {
 			e.release(p)
--- a/process/dispatch/fleet.go
+++ b/process/dispatch/fleet.go
@@ -79,7 +79,7 @@
 		w := e.addWorker(runner.Worker{Ref: ref})
 		e.noteBirth(ref.ID)
 		w.kept, w.inherited = true, true
-		w.lapse = e.now + noticeTime + scale(e.o.Bounds.MaxLease, clockDrift) + driftMargin
+		w.lapse = e.now + noticeTime + ranOut(e.o.Bounds.MaxLease)
 		e.unresolved++
 		e.unresolvedOpen++
 	}
--- a/process/dispatch/lives.go
+++ b/process/dispatch/lives.go
@@ -30,7 +30,6 @@
 	}
 	e.births[name] = born
 	if w := e.workers[runner.LifeID(name, before)]; known && w != nil {
-		w.followed = true
 		e.workerGone(w, "it is listed with a later birth", true)
 	}
 	return false, known
@@ -57,9 +56,8 @@
 	e.births[name] = born
 	// The lease of what runs there was given by orders to the other life, by whose clock
 	// it says nothing.
-	next.lapse = max(next.lapse, e.now+scale(e.o.Bounds.MaxLease, clockDrift)+driftMargin)
+	next.lapse = max(next.lapse, e.now+ranOut(e.o.Bounds.MaxLease))
 	moveListed(next, w, &x.Report)
-	w.followed = true
 	e.workerGone(w, "another life answers at its address", true)
 	e.Renewed(e.now, next.ID, x.Report, nil)
 }
@@ -68,9 +66,7 @@
 func moveListed(next, w *worker, r *runner.Report) {
 	move := func(task work.TaskID, run uint64) {
 		if p := w.places[task]; p != nil && p.run == run {
-			w.drop(p)
-			p.w, p.listed = next, true
-			next.take(p)
+			p.moveTo(next)
 		}
 	}
 	for i := range r.Running {
@@ -81,12 +77,20 @@
 	}
 }
 
+// moveTo books a run on another worker.
+func (p *place) moveTo(w *worker) {
+	p.w.drop(p)
+	p.w = w
+	w.take(p)
+}
+
 // mayOutlive reports whether an order to start a run may be carried out, or have been, by
-// the next life under the worker's name. Where that life is known and can tell, an answer to
+// the next life under its worker's name. Where that life is known and can tell, an answer to
 // the start does not say which of them gave it.
-func (w *worker) mayOutlive(p *place) bool {
-	_, born := w.ID.Life()
-	return born != 0 && p.tries > 0 && (p.begun == 0 || (w.followed && !p.listed))
+func (e *Engine) mayOutlive(p *place) bool {
+	name, born := p.w.ID.Life()
+	followed := e.births[name] != born
+	return born != 0 && p.tries > 0 && (p.begun == 0 || (followed && !p.listed))
 }
 
 // outlive keeps a run in doubt that was on its way to a worker whose life has ended.
@@ -107,9 +111,7 @@
 		if p.task().place != p {
 			continue
 		}
-		p.w.drop(p)
-		p.w = w
-		w.take(p)
+		p.moveTo(w)
 		e.sendStop(p)
 	}
 	delete(e.outliving, name)
@@ -121,7 +123,7 @@
 	for name, all := range e.outliving {
 		kept := all[:0]
 		for _, p := range all {
-			if e.now-p.lostAt > lateOrder+scale(e.o.Bounds.MaxLease, clockDrift)+driftMargin {
+			if e.now-p.lostAt > lateOrder+ranOut(e.o.Bounds.MaxLease) {
 				e.release(p)
 				continue
 			}
--- a/process/dispatch/worker.go
+++ b/process/dispatch/worker.go
@@ -61,9 +61,7 @@
 	kept   bool // the store knows that it is used
 	fenced bool // it has answered this epoch
 	gone   bool // its life is over
-	// followed: another life is known under its name.
-	followed bool
-	fresh    bool // it began in this epoch, so that no other has called it
+	fresh  bool // it began in this epoch, so that no other has called it
 	// closed: the list of workers in the store says, or is about to say, that
 	// nothing is started here.
 	closed bool
@@ -159,11 +157,15 @@
 	until := w.clockNow(now) + lease
 	if until > w.until {
 		w.until = until
-		w.lapse = max(w.lapse, now+scale(lease, clockDrift)+driftMargin)
+		w.lapse = max(w.lapse, now+ranOut(lease))
 	}
 	return until
 }
 
+// ranOut returns after how long a lease that a worker has been given has run out for sure, by
+// whatever clock it has.
+func ranOut(lease time.Duration) time.Duration { return scale(lease, clockDrift) + driftMargin }
+
 func scale(d time.Duration, f float64) time.Duration { return time.Duration(float64(d) * f) }
 
 // take books a run's resources.
