Doubt about the configuration is judged in one place, and once a round

No change of behaviour. Whether a version is in doubt was worked out in three places, twice of them in one round of the loop that asks other daemons, and by two readings of its age.

--- a/process/cellnode/catalog.go
+++ b/process/cellnode/catalog.go
@@ -154,6 +154,9 @@
 	return time.Since(c.started) - time.Duration(c.confirmed.Load())
 }
 
+// doubtful reports whether a version of that age may miss one that is to be in force.
+func (c *catalogs) doubtful(age time.Duration) bool { return age > c.doubt }
+
 // check reads the configuration now and then.
 func (c *catalogs) check(ctx context.Context) {
 	for sleep.For(ctx, checkPeriod) == nil {
--- a/process/cellnode/catalogpeer.go
+++ b/process/cellnode/catalogpeer.go
@@ -64,7 +64,7 @@
 func (n *Node) standing() submit.Standing {
 	b, age := n.o.Settings.Bounds, n.catalogs.age()
 	valid := b.KeysMS.Std()
-	return submit.Standing{Age: age, Doubtful: age > n.catalogs.doubt, Expired: b.StrictKeys && age > valid-min(deafTime, valid/keysLooks)}
+	return submit.Standing{Age: age, Doubtful: n.catalogs.doubtful(age), Expired: b.StrictKeys && age > valid-min(deafTime, valid/keysLooks)}
 }
 
 // followPeers learns the configuration from other daemons: now and then from neighbours,
@@ -74,10 +74,15 @@
 // replaced meanwhile. What goes wrong without it: these daemons go on with keys that were
 // taken away, and refuse callers whose keys are new, though their neighbours know better.
 func (n *Node) followPeers(ctx context.Context) error {
-	var shown bool
+	var before bool
 	for i := 0; sleep.For(ctx, doubtPeriod) == nil; i++ {
-		shown = n.showDoubt(shown)
-		inDoubt := n.catalogs.age() > n.catalogs.doubt || n.patience.TurnedAway()
+		age := n.catalogs.age()
+		doubtful := n.catalogs.doubtful(age)
+		if doubtful != before {
+			n.showDoubt(doubtful, age)
+		}
+		before = doubtful
+		inDoubt := doubtful || n.patience.TurnedAway()
 		if !inDoubt && i%calmPeriods != 0 {
 			continue
 		}
@@ -92,14 +97,8 @@
 	return ctx.Err()
 }
 
-// showDoubt writes a line when the version held comes into doubt, or is confirmed again;
-// before tells which was shown last.
-func (n *Node) showDoubt(before bool) bool {
-	age := n.catalogs.age()
-	doubtful := age > n.catalogs.doubt
-	if doubtful == before {
-		return before
-	}
+// showDoubt writes a line: the version held has come into doubt, or was confirmed again.
+func (n *Node) showDoubt(doubtful bool, age time.Duration) {
 	what := "configuration confirmed again"
 	if doubtful {
 		what = "configuration in doubt"
@@ -107,7 +106,6 @@
 	}
 	n.log.Info().Int64("version", n.catalogs.question().Version).Int64("age_ms", age.Milliseconds()).
 		Bool("store_fails", n.patience.Suspect()).Msg(what)
-	return doubtful
 }
 
 // othersAfter returns the members but one, those that follow it by name first.
