Tests over seeds, and cells of workers that come back, are built in one way

Six tests had the same loop over seeds in virtual time; three built a cell of workers that come back after a crash by hand, two of these by starting daemons, stopping them and exchanging the workers. Assertions, seeds and bounds are as they were. With the answers of other lives thrown away again, both tests of next lives fail as before.

go test ./process/dispatch passes.

--- a/process/dispatch/accounts_test.go
+++ b/process/dispatch/accounts_test.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"math/rand/v2"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -267,26 +266,21 @@
 // TestAccountsUnderRandomTroubles is TestRandomTroubles with accounts whose caps are
 // tight and change. The workers count what runs of each.
 func TestAccountsUnderRandomTroubles(t *testing.T) {
-	first, seeds := seedsOfRun(t, 6)
-	for seed := first; seed < first+seeds; seed++ {
-		t.Run(seedName(seed), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				c := newTestCell(t, seed, 16, 3, usual(0.05))
+	overSeeds(t, 6, func(t *testing.T, seed uint64) {
+		c := newTestCell(t, seed, 16, 3, usual(0.05))
+		c.changeCaps()
+		names := []string{"north", "south", "east"}
+		randomTroublesOf(t, c, func(rng *rand.Rand) *work.Job {
+			j := drawJob(rng, rng.IntN(2) == 0)
+			j.Account = names[rng.IntN(len(names))]
+			return j
+		}, func(c *cell) {
+			if c.rng.IntN(3) == 0 {
 				c.changeCaps()
-				names := []string{"north", "south", "east"}
-				randomTroublesOf(t, c, func(rng *rand.Rand) *work.Job {
-					j := drawJob(rng, rng.IntN(2) == 0)
-					j.Account = names[rng.IntN(len(names))]
-					return j
-				}, func(c *cell) {
-					if c.rng.IntN(3) == 0 {
-						c.changeCaps()
-					}
-					c.trouble()
-				})
-			})
+			}
+			c.trouble()
 		})
-	}
+	})
 }
 
 func TestHotAccountDoesNotTakeTheRoomOfOthers(t *testing.T) {
--- a/process/dispatch/cell_test.go
+++ b/process/dispatch/cell_test.go
@@ -98,8 +98,7 @@
 		Work: func(task work.TaskID, _ uint64, _ runner.WorkerID) epochworker.Behaviour { return behave(draw, task) }})
 	for i := range workers {
 		id := runner.WorkerID(fmt.Sprintf("w-%02d", i))
-		c.fleet.Add(runner.Worker{Ref: runner.Ref{ID: id, Address: string(id)}, Service: "s",
-			Capacity: work.Resources{CPU: 64000, Memory: 131072}, Labels: []string{"a", fmt.Sprint("r", i/8)}})
+		c.addWorker(id, string(id), fmt.Sprint("r", i/8))
 	}
 	for i := range daemons {
 		c.nodes = append(c.nodes, c.startNode(fmt.Sprintf("d-%d", i)))
@@ -107,6 +106,29 @@
 	return c
 }
 
+// restartingCell is a cell of workers that come back after a crash, as the options say.
+func restartingCell(t *testing.T, workers, daemons int, o epochworker.Options) *cell {
+	c := newTestCell(t, o.Seed, 0, 0, usual(0))
+	o.Lease, o.Gang, o.Stop, o.Delay, o.Attempts = testLease, 3*time.Second, 200*time.Millisecond, time.Millisecond, 4
+	c.fleet = epochworker.New(o)
+	for i := range workers {
+		id := runner.WorkerID(fmt.Sprintf("w-%02d", i))
+		if o.SameName {
+			id = runner.LifeID(string(id), 1)
+		}
+		c.addWorker(id, fmt.Sprintf("10.0.0.%d", i), fmt.Sprint("r", i/8))
+	}
+	for i := range daemons {
+		c.nodes = append(c.nodes, c.startNode(fmt.Sprintf("d-%d", i)))
+	}
+	return c
+}
+
+func (c *cell) addWorker(id runner.WorkerID, address, rack string) {
+	c.fleet.Add(runner.Worker{Ref: runner.Ref{ID: id, Address: address}, Service: "s",
+		Capacity: work.Resources{CPU: 64000, Memory: 131072}, Labels: []string{"a", rack}})
+}
+
 func (c *cell) startNode(name string) *node {
 	n := &node{name: name, done: make(chan struct{})}
 	patience := &store.Patience{Min: 200 * time.Millisecond, Max: 1500 * time.Millisecond}
@@ -364,14 +386,9 @@
 // in every way, and workers are cut, crash and carry orders out late. The
 // workers count runs and check every start.
 func TestRandomTroubles(t *testing.T) {
-	first, seeds := seedsOfRun(t, 4)
-	for seed := first; seed < first+seeds; seed++ {
-		t.Run(seedName(seed), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				randomTroubles(t, seed, func(rng *rand.Rand) *work.Job { return drawJob(rng, rng.IntN(2) == 0) })
-			})
-		})
-	}
+	overSeeds(t, 4, func(t *testing.T, seed uint64) {
+		randomTroubles(t, seed, func(rng *rand.Rand) *work.Job { return drawJob(rng, rng.IntN(2) == 0) })
+	})
 }
 
 // seedsOfRun returns the seeds that a random test plays: the usual number,
@@ -388,6 +405,16 @@
 	return 0, usual
 }
 
+// overSeeds plays each seed of the run in virtual time.
+func overSeeds(t *testing.T, usual uint64, play func(t *testing.T, seed uint64)) {
+	first, seeds := seedsOfRun(t, usual)
+	for seed := first; seed < first+seeds; seed++ {
+		t.Run(seedName(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { play(t, seed) })
+		})
+	}
+}
+
 func seedName(seed uint64) string { return strconv.FormatUint(seed, 10) }
 
 func randomTroubles(t *testing.T, seed uint64, draw func(*rand.Rand) *work.Job) {
--- a/process/dispatch/crash_test.go
+++ b/process/dispatch/crash_test.go
@@ -25,10 +25,8 @@
 // crashingCell is a cell whose workers come back after a crash, and in which the first
 // task of some jobs crashes them.
 func crashingCell(t *testing.T, seed uint64, sameName bool) *cell {
-	c := newTestCell(t, seed, 0, 0, usual(0))
 	draw := rand.New(rand.NewPCG(seed, 5))
-	c.fleet = epochworker.New(epochworker.Options{Seed: seed, Lease: testLease, Gang: 3 * time.Second, Stop: 200 * time.Millisecond,
-		Delay: time.Millisecond, Attempts: 4, Restart: 3 * time.Second, SameName: sameName,
+	return restartingCell(t, 16, 3, epochworker.Options{Seed: seed, Restart: 3 * time.Second, SameName: sameName,
 		Work: func(task work.TaskID, _ uint64, _ runner.WorkerID) epochworker.Behaviour {
 			b := epochworker.Behaviour{Takes: time.Duration(300+draw.IntN(1500)) * time.Millisecond}
 			if crashes(task.Job) && task.Index == 0 {
@@ -36,18 +34,6 @@
 			}
 			return b
 		}})
-	for i := range 16 {
-		id := runner.WorkerID(fmt.Sprintf("w-%02d", i))
-		if sameName {
-			id = runner.LifeID(string(id), 1)
-		}
-		c.fleet.Add(runner.Worker{Ref: runner.Ref{ID: id, Address: fmt.Sprintf("10.0.0.%d", i)}, Service: "s",
-			Capacity: work.Resources{CPU: 64000, Memory: 131072}, Labels: []string{"a", fmt.Sprint("r", i/8)}})
-	}
-	for i := range 3 {
-		c.nodes = append(c.nodes, c.startNode(fmt.Sprintf("d-%d", i)))
-	}
-	return c
 }
 
 // crashStep is a step of count tasks.
@@ -123,12 +109,7 @@
 // TestSoundJobsAreNotGivenUpUnderTroubles guards against sound jobs that pay for workers
 // that crash, are cut off or flap, beside tasks that do crash their workers.
 func TestSoundJobsAreNotGivenUpUnderTroubles(t *testing.T) {
-	first, seeds := seedsOfRun(t, 6)
-	for seed := first; seed < first+seeds; seed++ {
-		t.Run(seedName(seed), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { crashesUnderTroubles(t, seed) })
-		})
-	}
+	overSeeds(t, 6, crashesUnderTroubles)
 }
 
 func crashesUnderTroubles(t *testing.T, seed uint64) {
--- a/process/dispatch/lasting_test.go
+++ b/process/dispatch/lasting_test.go
@@ -3,7 +3,6 @@
 import (
 	"math/rand/v2"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -173,12 +172,7 @@
 // killed and the store fails; nobody troubles the workers, so that the system
 // itself must not take a task away.
 func TestLastingJobsUnderRandomTroubles(t *testing.T) {
-	first, seeds := seedsOfRun(t, 3)
-	for seed := first; seed < first+seeds; seed++ {
-		t.Run(seedName(seed), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { lastingTroubles(t, seed) })
-		})
-	}
+	overSeeds(t, 3, lastingTroubles)
 }
 
 func lastingTroubles(t *testing.T, seed uint64) {
--- a/process/dispatch/lives_test.go
+++ b/process/dispatch/lives_test.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"fmt"
 	"math/rand/v2"
 	"testing"
 	"testing/synctest"
@@ -19,12 +18,7 @@
 // Guards against what is kept under a worker's name and held against its next life: tasks run
 // twice, or again after their end was acknowledged.
 func TestWorkersThatComeBackUnderTheirName(t *testing.T) {
-	first, seeds := seedsOfRun(t, 10)
-	for seed := first; seed < first+seeds; seed++ {
-		t.Run(seedName(seed), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { livesUnderOneName(t, seed) })
-		})
-	}
+	overSeeds(t, 10, livesUnderOneName)
 }
 
 // livesUnderOneName hands jobs in while workers crash and are back under their names soon,
@@ -32,20 +26,10 @@
 func livesUnderOneName(t *testing.T, seed uint64) {
 	draw := rand.New(rand.NewPCG(seed, 5))
 	lag := time.Duration(draw.IntN(3)) * 2 * time.Second
-	c := newTestCell(t, seed, 0, 3, nil)
-	c.fleet = epochworker.New(epochworker.Options{Seed: seed, Lease: testLease, Gang: 3 * time.Second, Stop: 200 * time.Millisecond,
-		Delay: time.Millisecond, Attempts: 4, Restart: 500 * time.Millisecond, SameName: true, EntryLag: lag,
+	c := restartingCell(t, 24, 3, epochworker.Options{Seed: seed, Restart: 500 * time.Millisecond, SameName: true, EntryLag: lag,
 		Work: func(work.TaskID, uint64, runner.WorkerID) epochworker.Behaviour {
 			return epochworker.Behaviour{Takes: time.Duration(100+draw.IntN(900)) * time.Millisecond}
 		}})
-	c.stop()
-	for i := range 24 {
-		c.fleet.Add(runner.Worker{Ref: runner.Ref{ID: runner.LifeID(fmt.Sprintf("w-%02d", i), 1), Address: fmt.Sprintf("10.0.0.%d", i)}, Service: "s",
-			Capacity: work.Resources{CPU: 64000, Memory: 131072}, Labels: []string{"a", fmt.Sprint("r", i/8)}})
-	}
-	for i := range c.nodes {
-		c.nodes[i] = c.startNode(c.nodes[i].name)
-	}
 	time.Sleep(3 * time.Second)
 	c.fleet.SetFaults(epochworker.Faults{LoseAnswers: 0.02, Late: 0.03})
 	killed := 0
@@ -78,27 +62,18 @@
 // not notice, and hands another job in that may start at its next life, of which no entry
 // tells yet. Its tasks take as long as given.
 func behindACut(t *testing.T, takes time.Duration) {
-	c := newTestCell(t, 1, 0, 1, nil)
-	c.stop()
-	c.fleet = epochworker.New(epochworker.Options{Seed: 1, Lease: testLease, Gang: 3 * time.Second, Stop: 200 * time.Millisecond,
-		Delay: time.Millisecond, Attempts: 4, Restart: 500 * time.Millisecond, SameName: true, EntryLag: 4 * time.Second,
+	c := restartingCell(t, 0, 1, epochworker.Options{Seed: 1, Restart: 500 * time.Millisecond, SameName: true, EntryLag: 4 * time.Second,
 		Work: func(work.TaskID, uint64, runner.WorkerID) epochworker.Behaviour {
 			return epochworker.Behaviour{Takes: takes}
 		}})
-	add := func(name string, cpu int) runner.WorkerID {
-		id := runner.LifeID(name, 1)
-		c.fleet.Add(runner.Worker{Ref: runner.Ref{ID: id, Address: name}, Service: "s",
-			Capacity: work.Resources{CPU: cpu, Memory: 131072}, Labels: []string{"a", "r"}})
-		return id
-	}
-	task := func(cpu int) *work.Job {
+	tasks := func() *work.Job {
 		return &work.Job{Queue: work.Queue{Name: "q", Service: "s", Attempts: 4, Slack: 2, Allowance: time.Second}, Spec: "x",
-			Steps: []work.Step{{Count: 8, Size: work.Resources{CPU: cpu, Memory: 1000}, Estimate: takes}}}
+			Steps: []work.Step{{Count: 8, Size: work.Resources{CPU: 1000, Memory: 1000}, Estimate: takes}}}
 	}
-	crashes := add("w-a", 64000)
-	c.nodes[0] = c.startNode(c.nodes[0].name)
+	crashes := runner.LifeID("w-a", 1)
+	c.addWorker(crashes, "w-a", "r")
 	time.Sleep(3 * time.Second)
-	c.submit(task(1000)) // ends that are acknowledged
+	c.submit(tasks()) // ends that are acknowledged
 	time.Sleep(10 * time.Second)
 	_, before := c.fleet.Counts()
 	for renews := before; renews == before; _, renews = c.fleet.Counts() {
@@ -107,9 +82,9 @@
 	c.fleet.Cut(crashes, true) // a renewal has just been sent, and waits for an end
 	c.fleet.Crash(crashes)
 	time.Sleep(700 * time.Millisecond)
-	c.submit(task(1000))
+	c.submit(tasks())
 	time.Sleep(300 * time.Millisecond)
-	add("w-b", 64000) // where they may start again
+	c.addWorker(runner.LifeID("w-b", 1), "w-b", "r") // where they may start again
 	time.Sleep(time.Minute)
 	c.stop()
 	require.Empty(t, c.fleet.Broken())
--- a/process/dispatch/occurrence_test.go
+++ b/process/dispatch/occurrence_test.go
@@ -3,7 +3,6 @@
 import (
 	"math/rand/v2"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -167,17 +166,12 @@
 // TestTimedJobsUnderRandomTroubles hands timed jobs in under the troubles of
 // TestRandomTroubles; the workers check that no start comes early.
 func TestTimedJobsUnderRandomTroubles(t *testing.T) {
-	first, seeds := seedsOfRun(t, 3)
-	for seed := first; seed < first+seeds; seed++ {
-		t.Run(seedName(seed), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				randomTroubles(t, seed, func(rng *rand.Rand) *work.Job {
-					if rng.IntN(3) > 0 {
-						return drawJob(rng, rng.IntN(2) == 0)
-					}
-					return drawTimed(rng)
-				})
-			})
+	overSeeds(t, 3, func(t *testing.T, seed uint64) {
+		randomTroubles(t, seed, func(rng *rand.Rand) *work.Job {
+			if rng.IntN(3) > 0 {
+				return drawJob(rng, rng.IntN(2) == 0)
+			}
+			return drawTimed(rng)
 		})
-	}
+	})
 }
--- a/process/dispatch/shrink_test.go
+++ b/process/dispatch/shrink_test.go
@@ -3,7 +3,6 @@
 import (
 	"math/rand/v2"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -95,18 +94,13 @@
 // TestSuccessorKnowsRoomsThatHaveShrunk guards against a leader that fills a worker to the
 // capacity that it had in its predecessor's time.
 func TestSuccessorKnowsRoomsThatHaveShrunk(t *testing.T) {
-	first, seeds := seedsOfRun(t, 6)
-	for seed := first; seed < first+seeds; seed++ {
-		t.Run(seedName(seed), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				c := newTestCell(t, seed, 16, 3, usual(0))
-				randomTroublesOf(t, c, func(rng *rand.Rand) *work.Job { return drawJob(rng, rng.IntN(2) == 0) }, func(c *cell) {
-					c.resizeSome()
-					c.troubleOf(0, 0, 1, 3, 4, 5, 9)
-				})
-			})
+	overSeeds(t, 6, func(t *testing.T, seed uint64) {
+		c := newTestCell(t, seed, 16, 3, usual(0))
+		randomTroublesOf(t, c, func(rng *rand.Rand) *work.Job { return drawJob(rng, rng.IntN(2) == 0) }, func(c *cell) {
+			c.resizeSome()
+			c.troubleOf(0, 0, 1, 3, 4, 5, 9)
 		})
-	}
+	})
 }
 
 // roomLag is how long a worker's capacity may be out of date: the directory is watched
