A daemon that has just begun is not ready, and calls no service unknown

Callers saw 404 unknown_service for a service that exists, in the second in which a daemon begins: 17 in one log of TestRollingUpgradeCutsNothing beside load. A caller that is told 404 does not come back.

Cause: the gateway served from the moment its listener was open. /readyz answered 200, and each service was looked up in the empty configuration that stands for 'not known yet'. The daemon's own Ready waited for members and configuration; the balancer's check and the requests did not.

Ruled out: a service that is missing in a version (one version only in that run); connections without a readiness check alone: the check itself said ready.

Now requests are refused as 'starting' (503, not run, Retry-After) and /readyz fails until members and configuration are known, in each life of a daemon. A keyed request that meets a home in that state looks for the home again.

--- a/process/daemon/life.go
+++ b/process/daemon/life.go
@@ -58,13 +58,14 @@
 	sup      *suture.Supervisor
 	over     atomic.Pointer[overError] // set when the life ends before its daemon
 	ending   sync.WaitGroup            // servers whose requests finish after the life
+	ready    chan struct{}             // closed when members and configuration are known
 	left     atomic.Bool
 	leftDone chan struct{}
 }
 
 // newLife claims an incarnation and builds the parts around it.
 func newLife(ctx context.Context, d *Daemon, floor uint64) (*life, error) {
-	l := &life{d: d, mux: peer.NewMux(), leftDone: make(chan struct{})}
+	l := &life{d: d, mux: peer.NewMux(), ready: make(chan struct{}), leftDone: make(chan struct{})}
 	l.store = store.NewClient(d.o.Store, store.Options{Log: d.log})
 	claimed := fleet.ClaimLife(ctx, l.store.Role(store.RoleMembers), peer.MemberID(d.o.Settings.Name), floor)
 	l.self = claimed.Ref
@@ -175,8 +176,8 @@
 	return err
 }
 
-// announceReady closes the daemon's Ready once the members, the configuration
-// and the workers' list are known.
+// announceReady lets the life serve once the members and the configuration are known,
+// and closes the daemon's Ready when its first life does.
 func (l *life) announceReady(ctx context.Context) {
 	select {
 	case <-l.fleet.Joined():
@@ -188,6 +189,7 @@
 	case <-ctx.Done():
 		return
 	}
+	close(l.ready)
 	select {
 	case <-l.d.ready:
 	default:
--- a/process/daemon/path.go
+++ b/process/daemon/path.go
@@ -41,7 +41,7 @@
 	p.forwarder = forward.New(forward.Options{Members: func() int { return len(l.fleet.Members()) }})
 	p.peers = forward.New(forward.Options{TLS: l.d.peers.PeerConfig()})
 	p.gateway = gateway.New(gateway.Options{
-		Self: l.self.ID, Config: l.versions, Slots: p.slots, Forwarder: p.forwarder, Keys: p.keys, Peers: p.peers,
+		Self: l.self.ID, Config: l.versions, Ready: l.ready, Slots: p.slots, Forwarder: p.forwarder, Keys: p.keys, Peers: p.peers,
 		Admission: admission.New(admission.Options{
 			CallerRate: s.Limits.CallerRequestsPerSecond, MaxQueue: s.Limits.MaxQueued,
 			Members: func() int { return len(l.fleet.Members()) },
--- /dev/null
+++ b/process/daemon/starting_test.go
@@ -0,0 +1,44 @@
+package daemon_test
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"fennelshunt.example/fennelshunt/standin/cell"
+	"fennelshunt.example/fennelshunt/standin/platform"
+)
+
+// TestDaemonThatBeginsNeverCallsAServiceUnknown guards against a daemon that listens, and is
+// found ready, before it knows the configuration.
+func TestDaemonThatBeginsNeverCallsAServiceUnknown(t *testing.T) {
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Minute)
+	defer cancel()
+	c, err := cell.Start(ctx, cell.Options{
+		Platform: platform.Options{Shape: platform.Authority(), Seed: 1}, Daemons: 2, Log: zerolog.Nop(), MemberLease: testLease,
+	})
+	require.NoError(t, err)
+	defer func() { require.NoError(t, c.Close()) }()
+	_, err = c.Apply(ctx, deskFile())
+	require.NoError(t, err)
+	require.NoError(t, c.WaitPlaced(ctx, 3, 0))
+	for range 4 {
+		e, err := c.Add()
+		require.NoError(t, err)
+		for status := 0; status != http.StatusOK; {
+			require.NoError(t, ctx.Err())
+			r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+e.CallerAddr()+"/", nil)
+			require.NoError(t, err)
+			r.Header.Set("Fennel-Service", "survey-desk")
+			resp, err := http.DefaultClient.Do(r)
+			require.NoError(t, err)
+			require.NoError(t, resp.Body.Close())
+			status = resp.StatusCode
+			require.NotEqual(t, http.StatusNotFound, status, "the service exists")
+		}
+	}
+}
--- a/request/gateway/call.go
+++ b/request/gateway/call.go
@@ -71,6 +71,9 @@
 func (g *Gateway) newCall(w http.ResponseWriter, r *http.Request, forwarded bool) (*call, *verdict.Error) {
 	c := &call{w: w, in: r, start: time.Now(), forwarded: forwarded, tried: verdict.NotRun}
 	c.id = g.requestID(r, forwarded)
+	if !g.ready() {
+		return c, refuse(http.StatusServiceUnavailable, CodeStarting, errStarting)
+	}
 	if err := g.parse(c); err != nil {
 		return c, err
 	}
--- a/request/gateway/gateway.go
+++ b/request/gateway/gateway.go
@@ -22,6 +22,7 @@
 
 var (
 	errDraining   = errors.New("this daemon is stopping")
+	errStarting   = errors.New("this daemon has begun and does not know the configuration yet")
 	errOverloaded = errors.New("this daemon has too many requests in progress")
 )
 
@@ -53,7 +54,7 @@
 	refusing
 )
 
-// New returns a gateway that serves at once.
+// New returns a gateway that serves as soon as Options.Ready says so.
 func New(o Options) *Gateway {
 	o.setDefaults()
 	g := &Gateway{
@@ -113,6 +114,17 @@
 	return c.body.preload(size)
 }
 
+// ready reports whether the configuration is known. Without this question a daemon that
+// has just begun answers 404 for services that exist, and their callers do not come back.
+func (g *Gateway) ready() bool {
+	select {
+	case <-g.opts.Ready:
+		return true
+	default:
+		return false
+	}
+}
+
 // gate refuses work that this daemon must not take on.
 func (g *Gateway) gate(c *call, inFlight int64) *verdict.Error {
 	if g.state.Load() == refusing {
--- a/request/gateway/keyed.go
+++ b/request/gateway/keyed.go
@@ -108,9 +108,9 @@
 }
 
 // elsewhere reports whether an error says that the home changes hands: the
-// claim of a home that is stopping is another daemon's soon.
+// claim of a home that is stopping, or has begun anew, is another daemon's soon.
 func elsewhere(code string) bool {
-	return code == idem.CodeNotHome || code == idem.CodeNoHome || code == CodeDraining
+	return code == idem.CodeNotHome || code == idem.CodeNoHome || code == CodeDraining || code == CodeStarting
 }
 
 // runKeyed runs the key's request. It goes on when this caller goes away,
--- a/request/gateway/options.go
+++ b/request/gateway/options.go
@@ -78,8 +78,11 @@
 // Options configure a Gateway. Config, Slots and Forwarder are required; zero
 // values of the numbers take the defaults.
 type Options struct {
-	Self      peer.MemberID
-	Config    spec.Source
+	Self   peer.MemberID
+	Config spec.Source
+	// Ready is closed once Config is known. Until then the balancer is told to go
+	// elsewhere and every request is refused as not run; nil means known from the start.
+	Ready     <-chan struct{}
 	Slots     slots.Acquirer
 	Forwarder *forward.Forwarder
 	// Admission may be shared with nobody; nil takes one with its defaults.
@@ -132,6 +135,11 @@
 	o.BodyTimeout = cmp.Or(o.BodyTimeout, DefaultBodyTimeout)
 	o.MaxConcurrent = cmp.Or(o.MaxConcurrent, DefaultMaxConcurrent)
 	o.HomeWait = cmp.Or(o.HomeWait, DefaultHomeWait)
+	if o.Ready == nil {
+		known := make(chan struct{})
+		close(known)
+		o.Ready = known
+	}
 	if o.Admission == nil {
 		o.Admission = admission.New(admission.Options{})
 	}
--- a/request/gateway/parse.go
+++ b/request/gateway/parse.go
@@ -30,6 +30,7 @@
 	CodeKeysOff        = "keys_not_served"
 	CodeUpgrade        = "upgrade_not_served"
 	CodeDraining       = "draining"
+	CodeStarting       = "starting" // this daemon does not know the configuration yet
 	CodeOverloaded     = "overloaded"
 	CodePeerNotAllowed = "peer_not_authenticated"
 )
--- a/request/gateway/server.go
+++ b/request/gateway/server.go
@@ -52,7 +52,7 @@
 
 // ServeReady answers 200 while this daemon wants requests from the balancer.
 func (g *Gateway) ServeReady(w http.ResponseWriter, _ *http.Request) {
-	if g.state.Load() != serving {
+	if g.state.Load() != serving || !g.ready() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
