A trial that a start's answer shows to have lived on is over for a successor too

Now the answer to a start settles the records of its worker like that of a renewal.

Declared work (process/jobs) has no trials, so nothing of the kind there.

--- a/process/dispatch/crash.go
+++ b/process/dispatch/crash.go
@@ -75,6 +75,14 @@
 // noteHeard notes that the worker lived at some time.
 func (w *worker) noteHeard(at time.Duration) { w.heard = max(w.heard, at) }
 
+// startHeard notes that the worker lived when a start was sent that it has answered. What
+// had lived on by then is cleared at once: no renewal may follow before the worker dies, and
+// a successor takes a trial that is open for what crashed it.
+func (e *Engine) startHeard(p *place) {
+	p.w.noteHeard(p.sent)
+	e.settleCrashes(p.w, false)
+}
+
 // suspects returns the runs that may have crashed the worker, and whether they are of one
 // job: those that had not lived on when it was last heard of. Where there are none and
 // the worker's life is over, it is all.
--- a/process/dispatch/crash_test.go
+++ b/process/dispatch/crash_test.go
@@ -205,6 +205,26 @@
 	require.NotContains(t, s.tasks[0].crashes, work.Crash{Run: first[0].Start.Run, Worker: string(on), Sole: true, Open: true})
 }
 
+// TestTrialThatAnyAnswerShowsToHaveLivedOnIsOver guards against a sound task that is given up
+// for the death of its trial's worker, though a later start was answered there meanwhile.
+func TestTrialThatAnyAnswerShowsToHaveLivedOnIsOver(t *testing.T) {
+	b := suspectBench(t, twoDeaths, "w-a")
+	trial := b.starts()
+	require.Len(t, trial, 1)
+	b.now += tickPeriod
+	b.e.Started(b.now, "w-a", trial[0].Start.Task, trial[0].Start.Run, nil)
+	b.step(2 * crash.Window) // no renewal is answered in that time
+	other := jobEntry(t, 2, 4, oneTask())
+	other.Key = KeyIn("00000000000000bb")
+	require.NoError(t, b.e.Accepted(b.now, other))
+	b.step(2 * tickPeriod)
+	later := b.starts()
+	require.Len(t, later, 1)
+	b.e.Started(b.now, "w-a", later[0].Start.Task, later[0].Start.Run, nil)
+	records := b.e.jobs[testJob].step(trial[0].Start.Task).tasks[0].crashes
+	require.False(t, records.OnTrial(trial[0].Start.Run), "a successor takes what is open for the trial's death: %+v", records)
+}
+
 // TestTaskThatHasLivedOnIsNoSuspect guards against deaths over days that add up against a
 // task that lasts.
 func TestTaskThatHasLivedOnIsNoSuspect(t *testing.T) {
--- a/process/dispatch/runs.go
+++ b/process/dispatch/runs.go
@@ -108,8 +108,8 @@
 	}
 	switch {
 	case err == nil:
-		w.noteHeard(p.sent)
 		e.confirm(p)
+		e.startHeard(p)
 	case errors.Is(err, runner.ErrOld):
 		// It was stopped or has ended; a report will tell.
 		p.state, p.stopped = stopping, now
