Admission holds nothing back while slots are free

Callers saw wait_too_long, 19,634 and 2,445 times in one run of TestRollingUpgradeCutsNothing beside load, and came back again and again.

Cause, from a trial with the state of each daemon printed each second: 'inside=4 waiting=22 window=4 interval=269ms' beside 'idle=9' credits, a pool with 29 of 48 slots granted and nobody who waited for a slot. How many may wait for a slot followed the pace of starts: 50 ms of it, four at least. On a daemon short of processor time a start takes long, so few may wait, so starts are slow: at four inside and 100 ms a grant, 40 starts a second whatever the slots carry. The estimate of the wait rests on that pace, and refuses the others.

Ruled out: slots that are taken by a stopped daemon (none blocked, none of unknown end in any sample), and an estimate that outlasts a stall (it begins anew; tried in a test).

Now the window follows the pace only while slots are short: the pool has said so and somebody waits for one here. Else it is the full one, and whoever is admitted gets a slot when the grant has come.

TestSlotsAreShortOnlyWhileAllAreTaken. By itself it does not end the test above.

--- a/process/daemon/path.go
+++ b/process/daemon/path.go
@@ -44,7 +44,7 @@
 		Self: l.self.ID, Config: l.versions, Ready: l.ready, Slots: p.slots, Forwarder: p.forwarder, Keys: p.keys, Peers: p.peers,
 		Admission: admission.New(admission.Options{
 			CallerRate: s.Limits.CallerRequestsPerSecond, MaxQueue: s.Limits.MaxQueued,
-			Members: func() int { return len(l.fleet.Members()) },
+			Members: func() int { return len(l.fleet.Members()) }, Short: p.slots.Short,
 		}),
 		Outliers: outliers, OnLeaving: p.slots.MarkLeaving,
 		Observe: l.d.metrics.burn.Observer(l.versions), Log: l.log, MaxBody: s.Limits.MaxBodyBytes,
--- a/request/admission/admission.go
+++ b/request/admission/admission.go
@@ -62,6 +62,10 @@
 	MaxCallers int
 	// Members returns how many daemons share a team's rate; nil means one.
 	Members func() int
+	// Short reports whether all slots of a service are taken. Where it does not, nothing is
+	// held back to keep the fair order: whoever is admitted gets a slot as soon as the
+	// grant has come. nil means that slots are always short.
+	Short func(service string) bool
 	// Window is how many requests of a service wait in the slots' own order.
 	Window int
 	// MaxQueue bounds the requests of a service that wait before the window.
@@ -152,7 +156,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if q = c.queues[service]; q == nil {
-		q = newQueue(&c.opts)
+		q = newQueue(&c.opts, service)
 		c.queues[service] = q
 	}
 	return q
--- a/request/admission/admission_test.go
+++ b/request/admission/admission_test.go
@@ -23,6 +23,8 @@
 	c     *Controller
 	slots chan struct{}
 	work  time.Duration
+	// grant is how long it takes to be given a slot that is free.
+	grant time.Duration
 
 	mu     sync.Mutex
 	served map[string]int
@@ -60,6 +62,7 @@
 	case <-ctx.Done():
 		return ctx.Err()
 	}
+	time.Sleep(s.grant)
 	pass.Started()
 	time.Sleep(s.work)
 	<-s.slots
@@ -151,6 +154,19 @@
 	})
 }
 
+// TestSlowGrantsHoldNothingBackWhileSlotsAreFree guards against callers that are refused while
+// slots stand idle: fewer wait for a slot where starts are slow, and starts are slow where few wait.
+func TestSlowGrantsHoldNothingBackWhileSlotsAreFree(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStation(48, 5*time.Millisecond, Options{Short: func(string) bool { return false }})
+		s.grant = 200 * time.Millisecond // 48 slots carry 234 requests/s so
+		var wg sync.WaitGroup
+		s.load(&wg, "a", 2000, 5*time.Millisecond, time.Second)
+		wg.Wait()
+		require.GreaterOrEqual(t, s.served["a"], 1990, "late %v, early %v", s.late, s.early)
+	})
+}
+
 func TestRefusalsTellWhenToComeBack(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := New(Options{CallerRate: 10, CallerBurst: 2, Members: func() int { return 4 }})
--- a/request/admission/queue.go
+++ b/request/admission/queue.go
@@ -13,7 +13,8 @@
 
 // queue holds the requests of one service that wait for admission.
 type queue struct {
-	opts *Options
+	opts    *Options
+	service string
 
 	mu      sync.Mutex
 	inside  int // admitted, slot not taken yet
@@ -53,8 +54,8 @@
 	return a.serial < b.serial
 }
 
-func newQueue(o *Options) *queue {
-	return &queue{opts: o, teams: map[string]*team{}, pace: pace{share: firstShare}}
+func newQueue(o *Options, service string) *queue {
+	return &queue{opts: o, service: service, teams: map[string]*team{}, pace: pace{share: firstShare}}
 }
 
 // enter admits the request at once (nil, nil), queues it, or refuses it.
@@ -105,10 +106,22 @@
 	return nil
 }
 
+// window returns how many requests may be inside.
+//
+// What goes wrong if it always follows the pace of starts: where the grant of a slot takes
+// long, as on a daemon short of processor time, few inside make slow starts, and slow
+// starts a small window. Callers are refused by the estimate while slots stand idle.
+func (q *queue) window(now time.Time) int {
+	if q.opts.Short != nil && !q.opts.Short(q.service) {
+		return q.opts.Window
+	}
+	return q.pace.window(q.opts.Window, now)
+}
+
 // roomInside reports whether a request is admitted at once. Requests inside
 // wait too, in the slots' own order.
 func (q *queue) roomInside(now time.Time) bool {
-	return q.waiting == 0 && q.inside < q.pace.window(q.opts.Window, now)
+	return q.waiting == 0 && q.inside < q.window(now)
 }
 
 // refusal returns why a request that has to queue would not start in time, or
@@ -203,7 +216,7 @@
 // next admits waiting requests while the window has room: of the team that is
 // furthest behind its share the one with the earliest deadline.
 func (q *queue) next(now time.Time) {
-	for q.inside < q.pace.window(q.opts.Window, now) && q.waiting > 0 {
+	for q.inside < q.window(now) && q.waiting > 0 {
 		var t *team
 		for _, other := range q.teams {
 			if t == nil || other.finish < t.finish || other.finish == t.finish && other.name < t.name {
--- a/request/slots/manager.go
+++ b/request/slots/manager.go
@@ -94,6 +94,18 @@
 	return h.acquire(ctx)
 }
 
+// Short reports whether requests wait here because all slots of the service are taken, over
+// all daemons. The pool's last word on that is old only where nobody waits.
+func (m *Manager) Short(service string) bool {
+	h := m.holder(service)
+	if h == nil {
+		return false
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.contended && h.waiters.Len() > 0
+}
+
 // Apply takes a partition's state; it is a sink of the cell's view.
 func (m *Manager) Apply(s plan.State) {
 	m.refresh(m.endpoints.apply(s))
--- a/request/slots/slots_test.go
+++ b/request/slots/slots_test.go
@@ -1,6 +1,7 @@
 package slots
 
 import (
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -37,3 +38,29 @@
 		require.Equal(t, before, d.counts.Reports.Value())
 	})
 }
+
+// TestSlotsAreShortOnlyWhileAllAreTaken guards against admission that holds requests back
+// beside free slots, or lets all of them in at once where there are none.
+func TestSlotsAreShortOnlyWhileAllAreTaken(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCell(t, 1, 2)
+		defer c.close()
+		c.setEndpoints(2, 2)
+		c.own(c.daemons["d0"])
+		time.Sleep(time.Second)
+		d := c.daemons["d1"]
+		var users sync.WaitGroup
+		for range 4 {
+			users.Go(func() { _, _ = c.request(d, 5*time.Second, 2*time.Second) })
+		}
+		time.Sleep(time.Second)
+		require.False(t, d.Short(testService), "nobody waits")
+		users.Go(func() { _, _ = c.request(d, 5*time.Second, time.Second) })
+		time.Sleep(500 * time.Millisecond)
+		require.True(t, d.Short(testService))
+		users.Wait()
+		_, err := c.request(d, time.Second, time.Millisecond)
+		require.NoError(t, err)
+		require.False(t, d.Short(testService))
+	})
+}
