An answer that is on its way at the deadline is delivered

Cause: at the deadline the daemon cut the attempt and the caller's connection when the answer had begun to be passed on. That guarded the slot against callers that do not read. A daemon short of processor time has the instance's whole answer at hand and comes to write it after the deadline: it cut an answer that was ready. So did an instance that sends the rest of its body late.

Ruled out: connections that a stop cuts (seen without a stop), the balancer's idle ones (these end before the daemon has read a request, so they do not run).

Now such an answer has as long as the attempt's slot counts as taken anyway, the same as an attempt whose caller was told at the deadline; then it is cut. A caller that does not read holds the slot that much longer, and no longer.

Evidence: TestAnswerOnItsWayAtTheDeadlineIsDelivered: EOF before. TestCallerThatDoesNotReadHoldsNoSlotForGood holds on, unchanged (5 s, as the service's limit is).

--- a/request/gateway/reply.go
+++ b/request/gateway/reply.go
@@ -81,7 +81,7 @@
 	alarm   alarm
 	expired sync.WaitGroup // done when the alarm's work is done
 
-	// lingering is set by expire, linger then ends the attempt.
+	// lingering is set after the deadline, linger then ends the attempt.
 	lingering bool
 	linger    alarm
 }
@@ -100,6 +100,7 @@
 	w.expired.Wait()
 	if w.lingering {
 		w.gateway.deadlines.stop(&w.linger)
+		_ = http.NewResponseController(w.call.w).SetWriteDeadline(time.Time{}) // the connection's next answer has its own
 	}
 }
 
@@ -110,10 +111,9 @@
 	defer w.expired.Done()
 	c := w.call
 	if !c.reply.claim() {
-		// The answer is on its way and not whole in time. A caller that does
-		// not read it would block the write, and with it the slot, for good.
-		w.cut()
-		_ = http.NewResponseController(c.w).SetWriteDeadline(time.Now())
+		// The answer is on its way. A caller that does not read it would block the
+		// write, and with it the slot, for good.
+		_ = http.NewResponseController(c.w).SetWriteDeadline(w.lingerOn())
 		return
 	}
 	v := verdict.NotRun
@@ -126,9 +126,17 @@
 		w.cut() // there is no end to be learnt
 		return
 	}
+	w.lingerOn()
+}
+
+// lingerOn lets the attempt go on for as long as its slot is counted as taken, and returns
+// until when.
+func (w *watch) lingerOn() time.Time {
 	w.lingering = true
-	more := slots.AttemptLimit(c.limit) - c.limit
-	w.gateway.deadlines.set(&w.linger, time.Now().Add(more), w.cut)
+	limit := w.call.limit
+	until := time.Now().Add(slots.AttemptLimit(limit) - limit)
+	w.gateway.deadlines.set(&w.linger, until, w.cut)
+	return until
 }
 
 // answer tells the caller that the deadline has passed. The connection is not
--- a/request/gateway/scenario_test.go
+++ b/request/gateway/scenario_test.go
@@ -6,6 +6,8 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -14,6 +16,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"fennelshunt.example/fennelshunt/process/plan"
 	"fennelshunt.example/fennelshunt/request/forward"
 	"fennelshunt.example/fennelshunt/request/idem"
 	"fennelshunt.example/fennelshunt/standin/endpoint"
@@ -69,6 +72,33 @@
 	require.Equal(t, 1, e.Report().PeakRunning)
 }
 
+// TestAnswerOnItsWayAtTheDeadlineIsDelivered guards against an answer that an instance gave in
+// time and that is cut since the daemon, or the caller, had not come to pass it on.
+func TestAnswerOnItsWayAtTheDeadlineIsDelivered(t *testing.T) {
+	p := newPool()
+	body := strings.Repeat("plot ", 2000)
+	instance := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+		_, _ = io.WriteString(w, body[:len(body)/2])
+		_ = http.NewResponseController(w).Flush()
+		if r.URL.Path == "/slow" {
+			time.Sleep(300 * time.Millisecond)
+		}
+		_, _ = io.WriteString(w, body[len(body)/2:])
+	}))
+	defer instance.Close()
+	p.add(plan.Endpoint{Service: testService, Address: instance.Listener.Addr().String(), Slots: 1, Conns: 8})
+	_, url := startGateway(t, Options{Slots: p, Config: testConfig(200 * time.Millisecond)})
+	for _, path := range []string{"/", "/slow", "/"} {
+		r := do(t, "POST", url+path, "k", "")
+		require.NoError(t, r.err)
+		require.Equal(t, http.StatusOK, r.status)
+		require.Equal(t, body, string(r.body))
+		time.Sleep(250 * time.Millisecond) // beyond any bound on the writing of that answer
+	}
+	require.Empty(t, p.unknown)
+}
+
 func TestRefusalBeforeWorkIsRetriedElsewhere(t *testing.T) {
 	p := newPool()
 	bad := startEndpoint(t, p, endpoint.Options{Slots: 1, Connections: 64})
