Stand-in callers send a keyed request again when it may have run, as their page says

docs/CALLERS.md: after may-have-run, a cut connection or no answer, a request with an idempotency key is sent again with the same key, and joins the first or gets the answer that is kept. The stand-in did so after a cut connection and after no answer, but gave the request up after the verdict may-have-run.

As strict as before: every check stays, and keyed requests are now sent again in the one case in which a second run would be most likely; Doubled counts it. A key whose home says that the outcome will never be known (outcome_unknown) is not sent again. TestCallersSendAgainAsTheirPageSays fails without the change.

--- a/standin/callers/callers.go
+++ b/standin/callers/callers.go
@@ -18,6 +18,7 @@
 
 	"fennelshunt.example/fennelshunt/internal/sleep"
 	"fennelshunt.example/fennelshunt/request/gateway"
+	"fennelshunt.example/fennelshunt/request/idem"
 	"fennelshunt.example/fennelshunt/request/verdict"
 	"fennelshunt.example/fennelshunt/standin/endpoint"
 )
@@ -27,7 +28,8 @@
 
 // Kinds. An Idempotent one may run again; a NonIdempotent one has no key and is
 // tried again only when it did not run; a Keyed one is non-idempotent and
-// carries an idempotency key, so that it is tried again on any daemon.
+// carries an idempotency key, so that it is tried again on any daemon, unless that says
+// that the outcome will never be known.
 const (
 	Idempotent Kind = iota
 	NonIdempotent
@@ -246,7 +248,7 @@
 			pause = min(d, maxPause)
 		}
 	}
-	again = out.Last == verdict.NotRun || (out.Last == verdict.MayHaveRun && c.kind == Idempotent)
+	again = out.Last == verdict.NotRun || out.Last == verdict.MayHaveRun && c.kind != NonIdempotent && out.Code != idem.CodeOutcomeUnknown
 	return pause, again
 }
 
--- a/standin/callers/callers_test.go
+++ b/standin/callers/callers_test.go
@@ -4,11 +4,16 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"fennelshunt.example/fennelshunt/request/gateway"
+	"fennelshunt.example/fennelshunt/request/idem"
+	"fennelshunt.example/fennelshunt/request/verdict"
 )
 
 // slowTransport answers each request after the given time.
@@ -20,6 +25,51 @@
 	return &http.Response{StatusCode: http.StatusBadGateway, Header: http.Header{}, Body: io.NopCloser(strings.NewReader("")), Request: r}, nil
 }
 
+// verdictTransport answers each request with a verdict, and counts them by key.
+type verdictTransport struct {
+	code string
+
+	mu   sync.Mutex
+	sent map[string]int
+}
+
+func (v *verdictTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	_ = r.Body.Close() // not read
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.sent[r.Header.Get(gateway.KeyHeader)]++
+	h := http.Header{}
+	h.Set(verdict.Header, verdict.MayHaveRun.String())
+	h.Set(verdict.CodeHeader, v.code)
+	return &http.Response{StatusCode: http.StatusGatewayTimeout, Header: h, Body: io.NopCloser(strings.NewReader("")), Request: r}, nil
+}
+
+// TestCallersSendAgainAsTheirPageSays guards against stand-ins that give up, or double, a request
+// of which it is not known whether it ran.
+func TestCallersSendAgainAsTheirPageSays(t *testing.T) {
+	for _, c := range []struct {
+		name                 string
+		nonIdempotent, keyed float64
+		code                 string
+		tries                int
+	}{
+		{"idempotent", 0, 0, "deadline_exceeded", 3},
+		{"keyed", 0, 1, "deadline_exceeded", 3},
+		{"keyed, never to be known", 0, 1, idem.CodeOutcomeUnknown, 1},
+		{"non-idempotent", 1, 0, "deadline_exceeded", 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				v := &verdictTransport{code: c.code, sent: map[string]int{}}
+				r := Run(t.Context(), Options{Client: &http.Client{Transport: v}, Service: "s", Rate: 100, Count: 1, Tries: 3, Seed: 1,
+					NonIdempotent: c.nonIdempotent, Keyed: c.keyed})
+				require.Equal(t, c.tries, r.Outcomes[0].Tries)
+				require.Len(t, v.sent, 1, "one key for all tries")
+			})
+		})
+	}
+}
+
 // Symptom: a report shows a median of 1 µs for a service that works for 5 ms.
 // Sequence: the next request becomes due before a goroutine has begun with its
 // own.
