Slots are used on while their pool has no owner

Callers saw wait_too_long for three to four seconds in each upgrade's step of the daemon that owns a service's slots; beside load the cell did not come back from it while the stops went on.

While slots are short a daemon gives each credit back after its use, for the one that has waited longest. Between two owners the report that gives it back is refused, and the credit is lost to all: the slot stands idle until the next owner has collected from everybody.

Ruled out: slots blocked by the takeover (blocked=0 in each sample), requests of unknown end (limbo=0).

Now a daemon takes credits back from a report that was refused since the owner is the owner no more: nobody has been told of them, and the next owner asks for what is held. It gives none back until a report is answered again. A report that may have been taken is no such refusal: the pool that stops in between says nothing, and what was in it stays given back.

--- a/request/slots/holder.go
+++ b/request/slots/holder.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -50,6 +51,8 @@
 	seen       uint64     // highest batch that arrived
 	fence      uint64     // no batch up to this is taken any more
 	returned   []creditID // to be told to the pool
+	// givenBack are the credits in returned, and in reports that the pool has not answered.
+	givenBack  map[creditID]*credit
 	target     int
 	contended  bool
 	oldest     time.Time // arrival of the first waiter over all daemons
@@ -96,6 +99,7 @@
 	return &holder{
 		m: m, service: service,
 		endpoints: map[instanceID]plan.Endpoint{}, load: map[instanceID]*instanceLoad{}, credits: map[creditID]*credit{},
+		givenBack: map[creditID]*credit{},
 	}
 }
 
@@ -328,6 +332,47 @@
 func (h *holder) giveBack(c *credit) {
 	delete(h.credits, c.id)
 	h.returned = append(h.returned, c.id)
+	h.givenBack[c.id] = c
+}
+
+// takeBack keeps credits that the pool's owner has refused to hear of, since it is the
+// owner no more: nobody else has been told of them, and the next one asks for what is held.
+//
+// What goes wrong otherwise: while slots are short each credit is given back after its
+// use, and between two owners there is nobody to grant it again. One would notice that a
+// service stands still for seconds in a planned stop, beside idle instances.
+func (h *holder) takeBack(ids []creditID, now time.Time) {
+	for _, id := range ids {
+		c, ok := h.givenBack[id]
+		if !ok || !now.Before(h.validUntil) || !h.keepable(c) {
+			h.returned = append(h.returned, id)
+			continue
+		}
+		delete(h.givenBack, id)
+		h.credits[id] = c
+		h.idle = append(h.idle, c)
+	}
+	h.ownerSilent()
+	h.serve(now)
+}
+
+// ownerSilent notes that the pool's owner did not take a report: what it last said of the
+// waiting elsewhere is no reason to give credits back to it.
+func (h *holder) ownerSilent() { h.contended, h.oldest = false, time.Time{} }
+
+// heardBack forgets the credits of a report that the pool has taken.
+func (h *holder) heardBack(r report) {
+	for _, id := range r.Returned {
+		delete(h.givenBack, id)
+	}
+	if !r.Full {
+		return
+	}
+	for id := range h.givenBack { // told by an answer to a push, if not waiting to be told
+		if !slices.Contains(h.returned, id) {
+			delete(h.givenBack, id)
+		}
+	}
 }
 
 // setEndpoints takes the service's instances; idle credits of those that left
--- a/request/slots/manager.go
+++ b/request/slots/manager.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"strings"
@@ -316,20 +317,23 @@
 	if err := peer.Unmarshal(payload, &r); err != nil {
 		return nil, fmt.Errorf("slots.report: %w", err)
 	}
-	return m.takeReport(ctx, from, r), nil
+	return m.takeReport(ctx, from, r)
 }
 
-func (m *Manager) takeReport(ctx context.Context, from peer.Ref, r report) reply {
+// errPoolStops means that the pool may have taken a report, and tells nobody any more.
+var errPoolStops = errors.New("slots: the pool has stopped")
+
+func (m *Manager) takeReport(ctx context.Context, from peer.Ref, r report) (reply, error) {
 	p := m.pool(r.Service)
 	claim, _ := m.opts.Directory.Owner(serviceResource(r.Service))
 	if p == nil || p.epoch != r.Epoch {
-		return reply{Status: statusNotOwner, Claim: claim}
+		return reply{Status: statusNotOwner, Claim: claim}, nil
 	}
 	var out reply
 	if !p.do(ctx, func() { out = p.report(from, r) }) {
-		return reply{Status: statusNotOwner, Claim: claim}
+		return reply{}, errPoolStops
 	}
-	return out
+	return out, nil
 }
 
 func (m *Manager) handlePush(_ context.Context, _ peer.Ref, payload []byte) (any, error) {
@@ -360,7 +364,7 @@
 // callReport sends a report; the pool on this daemon is reached directly.
 func (m *Manager) callReport(ctx context.Context, to peer.Ref, r report) (reply, error) {
 	if to == m.opts.Self {
-		return m.takeReport(ctx, to, r), nil
+		return m.takeReport(ctx, to, r)
 	}
 	var out reply
 	err := m.opts.Caller.Call(ctx, to, methodReport, r, &out)
--- a/request/slots/report.go
+++ b/request/slots/report.go
@@ -141,6 +141,7 @@
 	switch {
 	case err != nil:
 		h.returned = append(h.returned, r.Returned...)
+		h.ownerSilent()
 		h.m.counts.ReportsFailed.Add(1)
 		return // the ticker tries again
 	case answer.Status == statusNeedFull:
@@ -154,12 +155,13 @@
 		time.AfterFunc(notReadyPause, func() { h.retryRenewal(owner) })
 		return
 	case answer.Status != statusOK:
-		h.returned = append(h.returned, r.Returned...)
+		h.takeBack(r.Returned, time.Now())
 		if answer.Claim.Epoch > h.owner.Epoch {
 			h.m.opts.Directory.Observe(answer.Claim)
 		}
 		return
 	default:
+		h.heardBack(r)
 		h.accept(began, r, answer)
 	}
 	if h.again {
@@ -218,6 +220,7 @@
 	}
 	h.owner = c
 	h.seen, h.fence, h.returned = 0, 0, nil
+	clear(h.givenBack)
 	h.target, h.contended, h.calls, h.renewed = 0, false, 0, false
 	h.send(h.build(time.Now(), true))
 }
