--- a/process/daemon/life_test.go
+++ b/process/daemon/life_test.go
@@ -32,6 +32,20 @@
 	}
 }
 
+// startDesk starts a cell of two daemons with the desk in force and placed.
+func startDesk(ctx context.Context, t *testing.T) *cell.Cell {
+	t.Helper()
+	c, err := cell.Start(ctx, cell.Options{
+		Platform: platform.Options{Shape: platform.Authority(), Seed: 1}, Daemons: 2, Log: zerolog.Nop(), MemberLease: testLease,
+	})
+	require.NoError(t, err)
+	t.Cleanup(func() { require.NoError(t, c.Close()) })
+	_, err = c.Apply(ctx, deskFile())
+	require.NoError(t, err)
+	require.NoError(t, c.WaitPlaced(ctx, 3, 0))
+	return c
+}
+
 // answers reports whether a request by way of the daemon succeeds.
 func answers(ctx context.Context, d *daemon.Daemon) bool {
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+d.CallerAddr()+"/", nil)
@@ -54,14 +68,7 @@
 func TestPanicOfAPartBeginsANewLife(t *testing.T) {
 	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Minute)
 	defer cancel()
-	c, err := cell.Start(ctx, cell.Options{
-		Platform: platform.Options{Shape: platform.Authority(), Seed: 1}, Daemons: 2, Log: zerolog.Nop(), MemberLease: testLease,
-	})
-	require.NoError(t, err)
-	defer func() { require.NoError(t, c.Close()) }()
-	_, err = c.Apply(ctx, deskFile())
-	require.NoError(t, err)
-	require.NoError(t, c.WaitPlaced(ctx, 3, 0))
+	c := startDesk(ctx, t)
 	e := c.Entries()[0]
 	before := e.Incarnation()
 	e.FailPart()
--- a/process/daemon/starting_test.go
+++ b/process/daemon/starting_test.go
@@ -6,11 +6,7 @@
 	"testing"
 	"time"
 
-	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
-
-	"fennelshunt.example/fennelshunt/standin/cell"
-	"fennelshunt.example/fennelshunt/standin/platform"
 )
 
 // TestDaemonThatBeginsNeverCallsAServiceUnknown guards against a daemon that listens, and is
@@ -18,14 +14,7 @@
 func TestDaemonThatBeginsNeverCallsAServiceUnknown(t *testing.T) {
 	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Minute)
 	defer cancel()
-	c, err := cell.Start(ctx, cell.Options{
-		Platform: platform.Options{Shape: platform.Authority(), Seed: 1}, Daemons: 2, Log: zerolog.Nop(), MemberLease: testLease,
-	})
-	require.NoError(t, err)
-	defer func() { require.NoError(t, c.Close()) }()
-	_, err = c.Apply(ctx, deskFile())
-	require.NoError(t, err)
-	require.NoError(t, c.WaitPlaced(ctx, 3, 0))
+	c := startDesk(ctx, t)
 	for range 4 {
 		e, err := c.Add()
 		require.NoError(t, err)
