--- a/process/daemon/life_test.go
+++ b/process/daemon/life_test.go
@@ -46,19 +46,24 @@
 	return c
 }
 
-// answers reports whether a request by way of the daemon succeeds.
-func answers(ctx context.Context, d *daemon.Daemon) bool {
+// statusBy returns the status of a request by way of the daemon.
+func statusBy(ctx context.Context, d *daemon.Daemon) (int, error) {
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+d.CallerAddr()+"/", nil)
 	if err != nil {
-		return false
+		return 0, err
 	}
 	r.Header.Set("Fennel-Service", "survey-desk")
 	resp, err := http.DefaultClient.Do(r)
 	if err != nil {
-		return false
+		return 0, err
 	}
-	_ = resp.Body.Close()
-	return resp.StatusCode == http.StatusOK
+	return resp.StatusCode, resp.Body.Close()
+}
+
+// answers reports whether a request by way of the daemon succeeds.
+func answers(ctx context.Context, d *daemon.Daemon) bool {
+	status, err := statusBy(ctx, d)
+	return err == nil && status == http.StatusOK
 }
 
 // Symptom: a daemon with a broken part keeps its claims for ever, or its whole
--- a/process/daemon/starting_test.go
+++ b/process/daemon/starting_test.go
@@ -20,13 +20,8 @@
 		require.NoError(t, err)
 		for status := 0; status != http.StatusOK; {
 			require.NoError(t, ctx.Err())
-			r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+e.CallerAddr()+"/", nil)
+			status, err = statusBy(ctx, e.Daemon)
 			require.NoError(t, err)
-			r.Header.Set("Fennel-Service", "survey-desk")
-			resp, err := http.DefaultClient.Do(r)
-			require.NoError(t, err)
-			require.NoError(t, resp.Body.Close())
-			status = resp.StatusCode
 			require.NotEqual(t, http.StatusNotFound, status, "the service exists")
 		}
 	}
--- a/request/gateway/cell_test.go
+++ b/request/gateway/cell_test.go
@@ -11,7 +11,6 @@
 	"net/http/httptest"
 	"net/url"
 	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -139,26 +138,14 @@
 	c := newCell(t, 2, 16, Options{})
 	c.setFaults(endpoint.Faults{Delay: 20 * time.Millisecond})
 	const together, rounds = 60, 5
-	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: together}}
-	defer client.CloseIdleConnections()
 	for round := range rounds {
 		var wg sync.WaitGroup
 		for i := range together {
 			wg.Go(func() {
 				key := fmt.Sprintf("deed-%d-%d", round, i)
-				r, err := http.NewRequest(http.MethodPost, c.urls[0], strings.NewReader("deed"))
-				if !assert.NoError(t, err) {
-					return
-				}
-				r.Header.Set(ServiceHeader, testService)
-				r.Header.Set(endpoint.KeyHeader, key)
-				r.Header.Set(KeyHeader, key)
-				res, err := client.Do(r)
-				if assert.NoError(t, err) {
-					assert.Equal(t, http.StatusOK, res.StatusCode)
-					_, _ = io.Copy(io.Discard, res.Body)
-					_ = res.Body.Close()
-				}
+				r := do(t, "POST", c.urls[0], key, "deed", KeyHeader, key)
+				assert.NoError(t, r.err)
+				assert.Equal(t, http.StatusOK, r.status)
 			})
 		}
 		wg.Wait()
