An apply whose answer was lost is read back as soon as the store is there

What callers saw: an operator is told that it is not known whether a file was applied, though the store had been back for more than a second of the two in which the outcome is read back.

Cause: the pause between readings grew up to the length of the reading back, and the breaker refused readings between its probes, up to 3 s apart.

Ruled out: load (a virtual clock, idle machine).

Why this works: no wait is longer than 300 ms of the two seconds, and a reading back passes the breaker; one apply at a time runs on a daemon, so it is some ten calls.

--- a/connection/store/client.go
+++ b/connection/store/client.go
@@ -100,20 +100,20 @@
 	classCount int = iota
 )
 
-// call makes one call of the store in a role. The error is one of the
+// call makes one call of the store for a handle. The error is one of the
 // package's; ErrUnavailable and ErrOverBudget mean that nothing took effect.
-func (c *Client) call(ctx context.Context, role Role, class callClass, timeout time.Duration, f func(context.Context) error) error {
-	m := c.metrics.of(role)
-	if c.breaker.refuses() {
+func (c *Client) call(ctx context.Context, h *Handle, class callClass, timeout time.Duration, f func(context.Context) error) error {
+	m := c.metrics.of(h.role)
+	if !h.insistent && c.breaker.refuses() {
 		m.refused.Add(1)
 		return fmt.Errorf("outage: %w", ErrUnavailable)
 	}
-	if err := c.budget.wait(ctx, role, class); err != nil {
+	if err := c.budget.wait(ctx, h.role, class); err != nil {
 		m.overBudget.Add(1)
 		return err
 	}
 	ticket, ok := c.breaker.enter()
-	if !ok {
+	if !ok && !h.insistent {
 		m.refused.Add(1)
 		return fmt.Errorf("outage: %w", ErrUnavailable)
 	}
--- a/connection/store/follow.go
+++ b/connection/store/follow.go
@@ -81,7 +81,7 @@
 	}
 	var events []Event
 	var rev Revision
-	err := f.handle.client.call(ctx, f.handle.role, readCall, wait+o.CallTimeout, func(ctx context.Context) error {
+	err := f.handle.client.call(ctx, f.handle, readCall, wait+o.CallTimeout, func(ctx context.Context) error {
 		var err error
 		events, rev, err = f.handle.client.store.Watch(ctx, f.prefix, f.rev, wait)
 		return err
--- a/connection/store/handle.go
+++ b/connection/store/handle.go
@@ -21,6 +21,8 @@
 type Handle struct {
 	client *Client
 	role   Role
+	// insistent handles make their calls during a known outage too.
+	insistent bool
 }
 
 const (
@@ -34,6 +36,13 @@
 	return sleep.NewBackoff(firstRetry, lastRetry)
 }
 
+// Insistent returns a handle of the same role whose calls are made during a
+// known outage too. It is for a few calls that somebody waits for: between two
+// probes of the breaker the store may have been back for seconds.
+func (h *Handle) Insistent() *Handle {
+	return &Handle{client: h.client, role: h.role, insistent: true}
+}
+
 // Get returns the item of key. It fails with ErrNotFound, ErrUnavailable,
 // ErrOverBudget or ErrNotEnveloped.
 func (h *Handle) Get(ctx context.Context, key string) (Item, error) {
@@ -94,7 +103,7 @@
 func (h *Handle) retry(ctx context.Context, f func(context.Context) error) error {
 	pause := newRetryBackoff()
 	for attempt := 1; ; attempt++ {
-		err := h.client.call(ctx, h.role, readCall, h.client.options.CallTimeout, f)
+		err := h.client.call(ctx, h, readCall, h.client.options.CallTimeout, f)
 		if !transient(err) || attempt == quickAttempts || !h.client.Available() {
 			return err
 		}
@@ -141,5 +150,5 @@
 
 // write makes one call that writes.
 func (h *Handle) write(ctx context.Context, f func(context.Context) error) error {
-	return h.client.call(ctx, h.role, writeCall, h.client.options.CallTimeout, f)
+	return h.client.call(ctx, h, writeCall, h.client.options.CallTimeout, f)
 }
--- a/version/history/apply.go
+++ b/version/history/apply.go
@@ -27,9 +27,12 @@
 const (
 	// readBackTime is how long Apply goes on reading back a lost answer after
 	// the caller's context has ended: short, since somebody waits for the
-	// answer. firstReadBack is the pause after the first attempt.
+	// answer. firstReadBack and lastReadBack bound the pause between attempts;
+	// the last one is far below readBackTime, so that a store that is back
+	// before the end is asked.
 	readBackTime  = 2 * time.Second
 	firstReadBack = 50 * time.Millisecond
+	lastReadBack  = 200 * time.Millisecond
 	// firstRaceRetry and lastRaceRetry bound the pause after another apply was
 	// faster.
 	firstRaceRetry = 10 * time.Millisecond
@@ -183,9 +186,10 @@
 func (a *apply) readBack(ctx context.Context, version uint64, cause error) error {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), readBackTime)
 	defer cancel()
-	pause := sleep.NewBackoff(firstReadBack, readBackTime)
+	pause := sleep.NewBackoff(firstReadBack, lastReadBack)
+	handle := a.history.handle.Insistent()
 	for {
-		change, found, err := a.history.changeAt(ctx, version)
+		change, found, err := changeAt(ctx, handle, version)
 		if err == nil && found {
 			a.history.count(func(s *Stats) { s.Resolved++ })
 			if change.ID == a.id {
--- a/version/history/history.go
+++ b/version/history/history.go
@@ -125,7 +125,7 @@
 	// Taken before the head is read: a version learnt while the answer is on its
 	// way may be later than that answer without the store having been set back.
 	known := h.known.Load()
-	head, revision, err := h.readHead(ctx)
+	head, revision, err := readHead(ctx, h.handle)
 	if err != nil {
 		return nil, err
 	}
@@ -151,8 +151,8 @@
 }
 
 // readHead returns the head, the empty one if there was no apply yet.
-func (h *History) readHead(ctx context.Context) (*Head, store.Revision, error) {
-	item, err := h.handle.Get(ctx, KeyHead)
+func readHead(ctx context.Context, handle *store.Handle) (*Head, store.Revision, error) {
+	item, err := handle.Get(ctx, KeyHead)
 	if errors.Is(err, store.ErrNotFound) {
 		return new(Head), 0, nil
 	}
@@ -175,7 +175,7 @@
 // Version returns the number of the latest version, read from the store; 0 if
 // there was no apply yet.
 func (h *History) Version(ctx context.Context) (uint64, error) {
-	head, _, err := h.readHead(ctx)
+	head, _, err := readHead(ctx, h.handle)
 	if err != nil {
 		return 0, fmt.Errorf("read configuration: %w", err)
 	}
--- a/version/history/readback_test.go
+++ b/version/history/readback_test.go
@@ -90,6 +90,21 @@
 	}
 }
 
+// TestStoreThatIsBackInTimeIsAsked guards against telling an operator "not
+// known" while the store has answered for the last 300 ms of the reading back.
+func TestStoreThatIsBackInTimeIsAsked(t *testing.T) {
+	for range 300 { // each draws other pauses
+		synctest.Test(t, func(t *testing.T) {
+			h := newHistory(&cutStore{Store: kv.New(), effect: true, cut: 500*time.Millisecond + readBackTime - 300*time.Millisecond})
+			ctx, cancel := context.WithTimeout(t.Context(), 500*time.Millisecond)
+			defer cancel()
+			r, err := h.Apply(ctx, fileOf("a", 1), 0, "x")
+			require.NoError(t, err)
+			require.Equal(t, uint64(1), r.Version)
+		})
+	}
+}
+
 // slowReader delivers an answer after the version that came next was learnt.
 type slowReader struct {
 	store.Store
--- a/version/history/segment.go
+++ b/version/history/segment.go
@@ -58,8 +58,8 @@
 }
 
 // readSegment returns the changes of a segment; none if it is no longer kept.
-func (h *History) readSegment(ctx context.Context, number uint64) ([]Change, error) {
-	item, err := h.handle.Get(ctx, segmentKey(number))
+func readSegment(ctx context.Context, handle *store.Handle, number uint64) ([]Change, error) {
+	item, err := handle.Get(ctx, segmentKey(number))
 	if errors.Is(err, store.ErrNotFound) {
 		return nil, nil
 	}
@@ -85,8 +85,8 @@
 
 // changeAt returns the change of one version. found is false when the head has
 // not reached it.
-func (h *History) changeAt(ctx context.Context, version uint64) (change Change, found bool, err error) {
-	head, _, err := h.readHead(ctx)
+func changeAt(ctx context.Context, handle *store.Handle, version uint64) (change Change, found bool, err error) {
+	head, _, err := readHead(ctx, handle)
 	if err != nil {
 		return Change{}, false, err
 	}
@@ -96,7 +96,7 @@
 	if c, ok := head.change(version); ok {
 		return c, true, nil
 	}
-	changes, err := h.readSegment(ctx, segmentOf(version))
+	changes, err := readSegment(ctx, handle, segmentOf(version))
 	if err != nil {
 		return Change{}, false, err
 	}
@@ -109,7 +109,7 @@
 // List returns up to limit changes below version before (0: the latest), the
 // latest first. Changes that are no longer on record are left out.
 func (h *History) List(ctx context.Context, before uint64, limit int) ([]Change, error) {
-	head, _, err := h.readHead(ctx)
+	head, _, err := readHead(ctx, h.handle)
 	if err != nil {
 		return nil, fmt.Errorf("read history: %w", err)
 	}
@@ -138,7 +138,7 @@
 	if version >= head.oldest() {
 		return slices.Clone(head.Recent[:version-head.oldest()+1]), nil
 	}
-	run, err := h.readSegment(ctx, segmentOf(version))
+	run, err := readSegment(ctx, h.handle, segmentOf(version))
 	if err != nil || len(run) == 0 {
 		return nil, err
 	}
