The end of a planned stop cuts no request that has come

Cause: http.Server.Shutdown closes each connection whose next request's header has not been read whole, also when the request waits in the kernel or its goroutine does not come to run.

Ruled out: requests in progress, the drain waits for them.

Why this works: a connection is closed when the kernel holds no bytes of it and none were read since the last answer. The same in fenneljobd, which closed its callers' connections likewise.

--- /dev/null
+++ b/connection/graceful/graceful_test.go
@@ -0,0 +1,187 @@
+package graceful
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// slowReader hands a request on only when it is let go: the server's goroutine has read
+// the bytes and does not come to run.
+type slowReader struct {
+	*conn
+	hold chan struct{} // closed to let go
+	held *atomic.Bool
+}
+
+func (s slowReader) Read(b []byte) (int, error) {
+	n, err := s.conn.Read(b)
+	if n > 0 && s.held.Load() {
+		<-s.hold
+	}
+	return n, err
+}
+
+type slowListener struct {
+	net.Listener
+	hold chan struct{}
+	held atomic.Bool
+}
+
+func (l *slowListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return slowReader{c.(*conn), l.hold, &l.held}, nil
+}
+
+const testTimeout = 20 * time.Second
+
+type fixture struct {
+	conns  *Conns
+	listen *slowListener
+	done   chan error
+}
+
+func serve(t *testing.T) *fixture {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	f := &fixture{listen: &slowListener{Listener: Listener(l), hold: make(chan struct{})}, done: make(chan error, 1)}
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "whole") })}
+	f.conns = Follow(server)
+	go func() { _ = server.Serve(f.listen) }() // ends with the listener
+	t.Cleanup(func() { _ = server.Close() })
+	return f
+}
+
+func (f *fixture) shutdown(ctx context.Context) {
+	go func() { f.done <- f.conns.Shutdown(ctx, func() { _ = f.listen.Close() }) }()
+}
+
+// caller is a kept-alive connection.
+type caller struct {
+	t *testing.T
+	net.Conn
+	r *bufio.Reader
+}
+
+func call(t *testing.T, f *fixture) *caller {
+	c, err := net.Dial("tcp", f.listen.Addr().String())
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = c.Close() })
+	require.NoError(t, c.SetDeadline(time.Now().Add(testTimeout)))
+	return &caller{t, c, bufio.NewReader(c)}
+}
+
+func (c *caller) send() {
+	_, err := io.WriteString(c, "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\nhi")
+	require.NoError(c.t, err)
+}
+
+func (c *caller) answer() *http.Response {
+	res, err := http.ReadResponse(c.r, nil)
+	require.NoError(c.t, err)
+	body, err := io.ReadAll(res.Body)
+	require.NoError(c.t, err)
+	require.Equal(c.t, "whole", string(body))
+	return res
+}
+
+// TestRequestThatWasReadIsAnswered guards against a planned stop that cuts a request whose
+// bytes the server has, while its goroutine does not come to run.
+func TestRequestThatWasReadIsAnswered(t *testing.T) {
+	f := serve(t)
+	c := call(t, f)
+	c.send()
+	c.answer()
+	f.listen.held.Store(true)
+	c.send()
+	require.Eventually(t, f.anyAsked, testTimeout, time.Millisecond)
+	f.shutdown(t.Context())
+	require.Never(t, func() bool { return len(f.done) > 0 }, 10*poll, poll, "the request is not answered yet")
+	close(f.listen.hold)
+	require.True(t, c.answer().Close, "the connection is not used again")
+	require.NoError(t, <-f.done)
+}
+
+func (f *fixture) anyAsked() bool {
+	f.conns.mu.Lock()
+	defer f.conns.mu.Unlock()
+	for c := range f.conns.conns {
+		if asked(c) {
+			return true
+		}
+	}
+	return false
+}
+
+// TestRequestInTheKernelKeepsItsConnection guards against a planned stop that cuts a request
+// which nobody has read yet.
+func TestRequestInTheKernelKeepsItsConnection(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	out, err := net.Dial("tcp", l.Addr().String())
+	require.NoError(t, err)
+	defer out.Close()
+	in, err := Listener(l).Accept()
+	require.NoError(t, err)
+	defer in.Close()
+	conns := Follow(&http.Server{})
+	conns.note(in, http.StateIdle)
+	_, err = io.WriteString(out, "POST")
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return asked(in) }, testTimeout, time.Millisecond)
+	require.Equal(t, 1, conns.closeIdle(time.Now()))
+	_, err = io.ReadFull(in, make([]byte, 4))
+	require.NoError(t, err)
+	require.Equal(t, 1, conns.closeIdle(time.Now()), "read and not answered")
+	_, err = io.WriteString(in, "HTTP/1.1 200 OK\r\n\r\n")
+	require.NoError(t, err)
+	require.Zero(t, conns.closeIdle(time.Now()))
+}
+
+// TestConnectionsEndTogether guards against a stop that waits for callers who keep their
+// connections open and send nothing, or that cuts a request which is late on a new one.
+func TestConnectionsEndTogether(t *testing.T) {
+	f := serve(t)
+	idle, fresh := call(t, f), call(t, f)
+	idle.send()
+	idle.answer()
+	require.Eventually(t, func() bool { return f.count() == 2 }, testTimeout, time.Millisecond)
+	f.shutdown(t.Context())
+	_, err := idle.r.ReadByte()
+	require.ErrorIs(t, err, io.EOF)
+	fresh.send()
+	require.True(t, fresh.answer().Close)
+	require.NoError(t, <-f.done)
+}
+
+func (f *fixture) count() int {
+	f.conns.mu.Lock()
+	defer f.conns.mu.Unlock()
+	return len(f.conns.conns)
+}
+
+// TestShutdownIsBounded guards against a stop that waits for good for the rest of a request.
+func TestShutdownIsBounded(t *testing.T) {
+	f := serve(t)
+	c := call(t, f)
+	_, err := io.WriteString(c, "POST / HTTP/1.1\r\n")
+	require.NoError(t, err)
+	require.Eventually(t, f.anyAsked, testTimeout, time.Millisecond)
+	ctx, cancel := context.WithTimeout(t.Context(), 5*poll)
+	defer cancel()
+	f.shutdown(ctx)
+	require.ErrorIs(t, <-f.done, context.DeadlineExceeded)
+	_, err = c.r.ReadByte()
+	require.Error(t, err)
+}
--- a/request/forward/socket_linux.go
+++ b/internal/tcpsocket/socket_linux.go
@@ -1,4 +1,5 @@
-package forward
+// Package tcpsocket asks the kernel about TCP connections.
+package tcpsocket
 
 import (
 	"net"
@@ -7,20 +8,21 @@
 	"golang.org/x/sys/unix"
 )
 
-// socket asks the kernel about a TCP connection.
-type socket struct{ raw syscall.RawConn }
+// Socket is a TCP connection as the kernel sees it. The zero value knows nothing.
+type Socket struct{ raw syscall.RawConn }
 
-func newSocket(c net.Conn) socket {
+// Of returns the socket of c, one that knows nothing where c is no TCP connection.
+func Of(c net.Conn) Socket {
 	if t, ok := c.(*net.TCPConn); ok {
 		if raw, err := t.SyscallConn(); err == nil {
-			return socket{raw}
+			return Socket{raw}
 		}
 	}
-	return socket{}
+	return Socket{}
 }
 
-// readable reports whether bytes wait to be read.
-func (s socket) readable() bool {
+// Readable reports whether bytes wait to be read.
+func (s Socket) Readable() bool {
 	if s.raw == nil {
 		return false
 	}
@@ -29,9 +31,9 @@
 	return err == nil && waiting > 0
 }
 
-// unacknowledged returns how many written bytes the other side has not
+// Unacknowledged returns how many written bytes the other side has not
 // acknowledged yet; 0 when it is not known.
-func (s socket) unacknowledged() int64 {
+func (s Socket) Unacknowledged() int64 {
 	if s.raw == nil {
 		return 0
 	}
--- a/process/cellnode/node.go
+++ b/process/cellnode/node.go
@@ -18,6 +18,7 @@
 	"github.com/rs/zerolog"
 	"github.com/thejerf/suture/v4"
 
+	"fennelshunt.example/fennelshunt/connection/graceful"
 	"fennelshunt.example/fennelshunt/connection/peer"
 	"fennelshunt.example/fennelshunt/connection/runner"
 	"fennelshunt.example/fennelshunt/connection/store"
@@ -103,6 +104,7 @@
 	latencies latencies
 	byAccount latencies // of completed jobs
 	callers   *http.Server
+	conns     *graceful.Conns // of callers
 	listen    struct{ callers, ready, metrics, orders net.Listener }
 	tls       *tls.Config // between daemons
 }
@@ -155,7 +157,8 @@
 		Handler:           n.o.Handler(Parts{Jobs: submit.Parts{Of: n.partOf}, Catalog: n.catalogs.Current, Standing: n.standing, Closing: n.stopping.Load, Answered: n.Answered}),
 		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
 	}
-	go n.serveHTTP(n.callers, n.listen.callers)
+	n.conns = graceful.Follow(n.callers)
+	go n.serveHTTP(n.callers, graceful.Listener(n.listen.callers))
 	if n.listen.metrics != nil {
 		go n.serveHTTP(&http.Server{Handler: n.MetricsHandler(), ReadHeaderTimeout: headerTimeout}, n.listen.metrics)
 	}
@@ -182,7 +185,7 @@
 func (s service) Serve(ctx context.Context) error { return s.run(ctx) }
 
 func (n *Node) serveHTTP(s *http.Server, l net.Listener) {
-	if err := s.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
+	if err := s.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 		n.log.Error().Err(err).Str("address", l.Addr().String()).Msg("listener ended")
 	}
 }
@@ -280,11 +283,11 @@
 			p.elector.Resign(ctx)
 		}
 	}
-	if n.callers == nil {
+	if n.conns == nil {
 		return
 	}
 	_ = sleep.For(ctx, min(drainPause, bound/2)) // ends with the context, which Shutdown sees
-	if err := n.callers.Shutdown(ctx); err != nil {
+	if err := n.conns.Shutdown(ctx, func() { _ = n.listen.callers.Close() }); err != nil {
 		n.log.Warn().Err(err).Msg("requests were cut at the end of the stop")
 	}
 }
--- a/process/daemon/http.go
+++ b/process/daemon/http.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"crypto/tls"
-	"fennelshunt.example/fennelshunt/internal/liblog"
 	"net"
 	"net/http"
 	"time"
+
+	"fennelshunt.example/fennelshunt/connection/graceful"
+	"fennelshunt.example/fennelshunt/internal/liblog"
 )
 
 // flushTimeout bounds the writing of answers that a planned stop has drained;
@@ -28,9 +30,12 @@
 // Serve implements suture.Service.
 func (h *httpService) Serve(ctx context.Context) error {
 	ended := make(chan struct{})
+	accepting, stopAccepting := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopAccepting()
+	conns := graceful.Follow(h.server)
 	stop := context.AfterFunc(ctx, func() {
 		defer close(ended)
-		h.end()
+		h.end(conns, stopAccepting)
 	})
 	defer func() {
 		if !stop() {
@@ -38,7 +43,7 @@
 		}
 	}()
 	h.server.ErrorLog = liblog.ForServer(h.l.log)
-	var l net.Listener = &keptListener{Listener: h.listener, ctx: ctx}
+	l := graceful.Listener(&keptListener{Listener: h.listener, ctx: accepting})
 	if h.tls != nil {
 		l = tls.NewListener(l, h.tls)
 	}
@@ -53,7 +58,9 @@
 //
 // A planned stop has drained them before, but the last bytes of an answer may
 // not have left yet: the gateway's count of requests falls before net/http has
-// written them. One would notice a truncated answer at an upgrade.
+// written them. One would notice a truncated answer at an upgrade. And requests
+// may be on their way in, of callers whom the balancer has sent nowhere else;
+// they are refused as not run.
 //
 // When only this life is over, because the others took it for gone, the
 // requests at endpoints finish beside the next life. What goes wrong otherwise:
@@ -63,13 +70,15 @@
 // attempt has ended, so finishing them exceeds nothing.
 //
 // When the process ends unplanned nothing is left to report to.
-func (h *httpService) end() {
+func (h *httpService) end(conns *graceful.Conns, stopAccepting func()) {
 	switch {
 	case h.l.over.Load() != nil:
-		h.l.ending.Go(func() { h.shutdown(h.l.stopBound()) })
+		stopAccepting() // the next life accepts
+		h.l.ending.Go(func() { h.shutdown(conns, h.l.stopBound(), stopAccepting) })
 	case h.l.left.Load():
-		h.shutdown(flushTimeout)
+		h.shutdown(conns, flushTimeout, stopAccepting)
 	default:
+		stopAccepting()
 		_ = h.server.Close()
 	}
 }
@@ -89,9 +98,10 @@
 }
 
 // shutdown lets connections finish within the limit and cuts the others.
-func (h *httpService) shutdown(limit time.Duration) {
+func (h *httpService) shutdown(conns *graceful.Conns, limit time.Duration, stopAccepting func()) {
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
-	_ = h.server.Shutdown(ctx) // what has not ended by then is cut
-	_ = h.server.Close()
+	if err := conns.Shutdown(ctx, stopAccepting); err != nil {
+		h.l.log.Warn().Err(err).Str("server", h.name).Msg("requests were cut at the end of the stop")
+	}
 }
--- a/request/forward/conn.go
+++ b/request/forward/conn.go
@@ -7,6 +7,8 @@
 	"net/http/httptrace"
 	"sync"
 	"sync/atomic"
+
+	"fennelshunt.example/fennelshunt/internal/tcpsocket"
 )
 
 var (
@@ -118,7 +120,7 @@
 	// secure connections carry TLS records, which arrive at any time and whose
 	// order TLS itself guards; the handshake writes before any exchange.
 	secure bool
-	socket socket
+	socket tcpsocket.Socket
 	// echoes is set once an answer on this connection has carried its
 	// request's id; used by one exchange at a time.
 	echoes atomic.Bool
@@ -152,7 +154,7 @@
 	if !ok {
 		return 0, errSealed
 	}
-	if first && c.byOrder() && c.socket.readable() {
+	if first && c.byOrder() && c.socket.Readable() {
 		x.unwrote()
 		_ = c.Close()
 		return 0, errUnsolicited
@@ -184,7 +186,7 @@
 	if c.answered.Load() && !idle {
 		return n, err
 	}
-	if idle || !c.armed.Load() || c.byOrder() && c.socket.unacknowledged() >= c.written.Load() {
+	if idle || !c.armed.Load() || c.byOrder() && c.socket.Unacknowledged() >= c.written.Load() {
 		_ = c.Close()
 		return 0, errUnsolicited
 	}
--- a/request/forward/target.go
+++ b/request/forward/target.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"fennelshunt.example/fennelshunt/internal/tcpsocket"
 	"fennelshunt.example/fennelshunt/process/plan"
 	"fennelshunt.example/fennelshunt/version/spec"
 )
@@ -76,7 +77,7 @@
 		t.connClosed()
 		return nil, fmt.Errorf("forward: %w", err)
 	}
-	return &conn{Conn: c, target: t, secure: t.scheme == "https", socket: newSocket(c)}, nil
+	return &conn{Conn: c, target: t, secure: t.scheme == "https", socket: tcpsocket.Of(c)}, nil
 }
 
 func (t *target) reserve(ctx context.Context) error {
