A daemon claims one part at a time

Cause: a daemon's electors, one for each part, ask whether it leads another part and then claim; two of them ask before either claims. The watch on leaders that do not answer asks even before its pings.

Why this works: the electors claim in turn and ask once more when it is theirs.

--- a/process/lead/claim.go
+++ b/process/lead/claim.go
@@ -8,15 +8,25 @@
 	"fennelshunt.example/fennelshunt/connection/store"
 )
 
-// take claims and leads if the claim takes effect.
-func (e *Elector) take(ctx context.Context, held store.Revision) {
-	if !e.claiming.CompareAndSwap(false, true) {
+// take claims and leads if the claim takes effect. Where alone is set, it does not claim
+// if the daemon leads another part by now.
+//
+// A daemon's electors claim in turn. What goes wrong otherwise: two of them see a vacancy
+// at the same time, each before the other has claimed, and one daemon leads two parts
+// beside daemons that lead none.
+func (e *Elector) take(ctx context.Context, held store.Revision, alone bool) {
+	turn := e.claimTurn()
+	select {
+	case turn <- struct{}{}:
+		defer func() { <-turn }()
+	case <-ctx.Done():
 		return
 	}
-	defer e.claiming.Store(false)
-	if e.current() != nil {
+	if e.current() != nil || alone && e.busy() {
 		return
 	}
+	e.claiming.Store(true)
+	defer e.claiming.Store(false)
 	term, err := e.claim(ctx, held)
 	if err != nil {
 		e.o.Log.Debug().Err(err).Msg("leadership not claimed")
--- a/process/lead/elector.go
+++ b/process/lead/elector.go
@@ -73,9 +73,11 @@
 	lease    atomic.Uint64
 	trouble  atomic.Int64 // when the store last failed us, in unix nanoseconds
 	stopping atomic.Bool
-	claiming atomic.Bool  // one claim at a time
+	claiming atomic.Bool
 	pinged   atomic.Int64 // how long other daemons take to answer, decaying, in nanoseconds
 
+	turn chan struct{} // to claim; of the elector for part 0
+
 	mu   sync.Mutex
 	term *Term
 	done chan struct{} // of the term's Lead
@@ -86,7 +88,7 @@
 	if o.Lease == 0 {
 		o.Lease = DefaultLease
 	}
-	e := &Elector{o: o, view: newView(o.Log)}
+	e := &Elector{o: o, view: newView(o.Log), turn: make(chan struct{}, 1)}
 	if o.Main != nil {
 		e.view.main = o.Main.view
 	}
@@ -101,6 +103,14 @@
 	return store.LeaseID(e.lease.Load())
 }
 
+// claimTurn returns what the daemon's electors take in turn to claim.
+func (e *Elector) claimTurn() chan struct{} {
+	if e.o.Main != nil {
+		return e.o.Main.claimTurn()
+	}
+	return e.turn
+}
+
 // giveUpLease lets the lease run out, with every record bound to it.
 func (e *Elector) giveUpLease() {
 	if e.o.Main != nil {
@@ -355,12 +365,13 @@
 	if e.view.betterFits(e.o.Self) && sleep.For(ctx, deferDelay) != nil {
 		return
 	}
-	if e.busy() && sleep.For(ctx, busyDelay) != nil {
+	busy := e.busy()
+	if busy && sleep.For(ctx, busyDelay) != nil {
 		return
 	}
 	held, vacant := e.view.vacant(e.o.Self)
 	if !vacant || e.stopping.Load() {
 		return
 	}
-	e.take(ctx, held)
+	e.take(ctx, held, !busy)
 }
--- a/process/lead/witness.go
+++ b/process/lead/witness.go
@@ -158,7 +158,7 @@
 			e.o.Log.Info().Str("leader", leader.Member.Name).Uint64("epoch", leader.Epoch).Int("pings_missed", j.missed).
 				Int("taken_of_late", len(j.taken)).Msg("leader does not serve, claiming")
 			j.tried(time.Now())
-			e.take(ctx, held)
+			e.take(ctx, held, true)
 		}
 	}
 }
