A request without the time to end is not begun

What callers saw: 504 deadline_exceeded, may have run, for requests without a key that must not run twice, 28 and 36 of some 6,500 in runs of TestRollingUpgradeCutsNothing with -race beside a load of 20. They had run.

Cause: a request that had waited for 2.5 to 3.6 of its 5 s was sent, though requests took 1 to 2.3 s then; only the shortest service time was kept free.

Ruled out: forwarding to a key's home (endpoint named, no key), a lost answer (all had run and were answered late).

Why this works: mean and deviation of the service time tell what is needed; with less left, and less than half of its own time, the request is refused as not run, which any caller may send again. TestRequestWithLittleTimeLeftIsNotBegun got may-have-run before.

--- a/request/admission/admission.go
+++ b/request/admission/admission.go
@@ -211,13 +211,27 @@
 // End tells how a request ended.
 type End int
 
-// Ends. Late means that its deadline passed while it ran.
+// Ends. Late means that its deadline passed while it ran, Unbegun that it had a slot and was
+// not sent, because of InTime.
 const (
 	Other End = iota
 	Whole
 	Late
+	Unbegun
 )
 
+// InTime reports whether a request that came at came, and has its slot, is likely to be
+// answered by deadline if it is sent now.
+//
+// What goes wrong without the question: a request that has waited for most of its time is
+// sent all the same, runs, and is answered as "may have run", which a caller whose request
+// must not run twice can not mend.
+func (p *Pass) InTime(came, deadline time.Time) bool {
+	p.queue.mu.Lock()
+	defer p.queue.mu.Unlock()
+	return p.queue.pace.worthBeginning(came, time.Now(), deadline)
+}
+
 // Done tells that the request has ended.
 func (p *Pass) Done(end End) {
 	switch p.state {
--- a/request/admission/pace.go
+++ b/request/admission/pace.go
@@ -31,17 +31,27 @@
 	// forgetting moves the least service time up, so that an old one is
 	// forgotten.
 	forgetting = 1.001
+	// meanShare and spreadShare are the weights of the newest service time in its mean and
+	// in its mean deviation, and spreads how many deviations above the mean a request may
+	// well take: the measures of TCP's retransmission timer.
+	meanShare   = 0.125
+	spreadShare = 0.25
+	spreads     = 4
 )
 
 // pace estimates how fast a service's requests start while some wait, and how
-// long the shortest take.
+// long they take.
 type pace struct {
-	busy     float64   // seconds during which some waited, fading
-	starts   float64   // in busy, fading
-	last     time.Time // of the last start or the wait's beginning; zero: nobody waits
-	idle     time.Time // when the last wait ended
-	shortest float64   // seconds from slot to end
-	share    float64   // of the time to the deadline that may be waited
+	busy   float64   // seconds during which some waited, fading
+	starts float64   // in busy, fading
+	last   time.Time // of the last start or the wait's beginning; zero: nobody waits
+	idle   time.Time // when the last wait ended
+	share  float64   // of the time to the deadline that may be waited
+
+	shortest float64 // seconds from slot to end
+	// mean and spread of these seconds, as of measured.
+	mean, spread float64
+	measured     time.Time
 }
 
 // backlog notes that a request has begun to wait; waiting includes it.
@@ -69,13 +79,34 @@
 }
 
 // served notes the time from a slot to the end of the request.
-func (p *pace) served(d time.Duration) {
+func (p *pace) served(d time.Duration, now time.Time) {
 	s := d.Seconds()
-	if p.shortest == 0 || s < p.shortest {
+	p.shortest = min(s, p.shortest*forgetting)
+	if p.measured.IsZero() {
 		p.shortest = s
-		return
 	}
-	p.shortest = min(s, p.shortest*forgetting)
+	if now.Sub(p.measured) > staleAfter {
+		p.mean, p.spread = s, 0
+	}
+	p.spread += spreadShare * (math.Abs(s-p.mean) - p.spread)
+	p.mean += meanShare * (s - p.mean)
+	p.measured = now
+}
+
+// takes returns how long a request may well take from its slot to its end; 0 when no time
+// was measured of late.
+func (p *pace) takes(now time.Time) time.Duration {
+	if now.Sub(p.measured) > staleAfter {
+		return 0
+	}
+	return time.Duration((p.mean + spreads*p.spread) * float64(time.Second))
+}
+
+// worthBeginning reports whether a request that came at came, to be answered by deadline,
+// is likely to be if it begins now. One that has most of its time left always is: where
+// requests take longer than that, waiting for better times helps nobody.
+func (p *pace) worthBeginning(came, now, deadline time.Time) bool {
+	return deadline.Sub(now) >= min(p.takes(now), deadline.Sub(came)/2)
 }
 
 // met and missed tell how a request ended that had waited.
--- a/request/admission/queue.go
+++ b/request/admission/queue.go
@@ -253,13 +253,15 @@
 func (q *queue) served(p *Pass, end End) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	now := time.Now()
+	if end == Whole || end == Late {
+		q.pace.served(now.Sub(p.started), now)
+	}
 	switch {
+	case !p.waited:
 	case end == Whole:
-		q.pace.served(time.Since(p.started))
-		if p.waited {
-			q.pace.met()
-		}
-	case end == Late && p.waited:
+		q.pace.met()
+	case end == Late || end == Unbegun:
 		q.pace.missed()
 	}
 }
--- a/request/gateway/attempt.go
+++ b/request/gateway/attempt.go
@@ -40,6 +40,8 @@
 	switch {
 	case err == nil:
 		return admission.Whole
+	case errors.Is(err, errNoTime):
+		return admission.Unbegun
 	case errors.Is(err, errAnswered), verdict.As(err).Code == forward.CodeDeadline:
 		return admission.Late
 	default:
@@ -123,7 +125,7 @@
 		}
 		out.Body = reader
 		final, err = g.attempt(c, out, pass, deliver)
-		if err == nil || final || endedInBody(err) {
+		if err == nil || final || endedInBody(err) || errors.Is(err, errNoTime) {
 			return final, err
 		}
 		delay, ok := attempts.Next(verdict.Of(err), reached(err), c.remaining())
@@ -166,6 +168,10 @@
 	pass.Started()
 	end := slots.Unknown
 	defer func() { slot.Release(end) }()
+	if !pass.InTime(c.start, c.deadline) {
+		end = slots.Ended
+		return false, refuse(http.StatusServiceUnavailable, forward.CodeDeadline, errNoTime)
+	}
 	endpoint := slot.Endpoint()
 	c.endpoint = endpoint.Address
 	answer, err := g.opts.Forwarder.Send(context.Background(), endpoint, out)
--- a/request/gateway/gateway.go
+++ b/request/gateway/gateway.go
@@ -23,6 +23,7 @@
 var (
 	errDraining   = errors.New("this daemon is stopping")
 	errStarting   = errors.New("this daemon has begun and does not know the configuration yet")
+	errNoTime     = errors.New("the request waited so long that it would hardly be answered before its deadline")
 	errOverloaded = errors.New("this daemon has too many requests in progress")
 )
 
--- a/request/gateway/scenario_test.go
+++ b/request/gateway/scenario_test.go
@@ -17,6 +17,7 @@
 
 	"fennelshunt.example/fennelshunt/process/plan"
 	"fennelshunt.example/fennelshunt/request/forward"
+	"fennelshunt.example/fennelshunt/request/slots"
 	"fennelshunt.example/fennelshunt/standin/endpoint"
 )
 
@@ -70,6 +71,29 @@
 	require.Equal(t, 1, e.Report().PeakRunning)
 }
 
+// TestRequestWithLittleTimeLeftIsNotBegun guards against "may have run" of a request that waited
+// for most of its time and was sent when its service takes longer than the rest.
+func TestRequestWithLittleTimeLeftIsNotBegun(t *testing.T) {
+	p := newPool()
+	e := startEndpoint(t, p, endpoint.Options{Slots: 1, Connections: 64})
+	e.SetFaults(endpoint.Faults{Delay: 300 * time.Millisecond})
+	_, url := startGateway(t, Options{Slots: p})
+	for i := range 3 {
+		require.Equal(t, http.StatusOK, do(t, "POST", url, fmt.Sprint("before-", i), "").status)
+	}
+	slot, err := p.Acquire(t.Context(), testService)
+	require.NoError(t, err)
+	late := make(chan result, 1)
+	go func() { late <- do(t, "POST", url, "late", "", TimeoutHeader, "1s") }()
+	time.Sleep(850 * time.Millisecond)
+	slot.Release(slots.Ended)
+	r := <-late
+	require.Equal(t, "not-run", r.verdict())
+	require.Equal(t, http.StatusServiceUnavailable, r.status)
+	require.Zero(t, e.Runs("late"))
+	require.Equal(t, http.StatusOK, do(t, "POST", url, "after", "").status)
+}
+
 // TestAnswerOnItsWayAtTheDeadlineIsDelivered guards against an answer that an instance gave in
 // time and that is cut since the daemon, or the caller, had not come to pass it on.
 func TestAnswerOnItsWayAtTheDeadlineIsDelivered(t *testing.T) {
