A stopping daemon returns its idle credits while they are valid

What was seen: a planned stop ends with "idle credits not returned: context deadline exceeded" (TestRollingUpgradeCutsNothing, with -race beside a load of 24). Callers then wait beside idle instances: the credits count as taken until they have lapsed and requests begun under them would have ended.

Cause: the return was given up after 3 s; the credits are valid for 9 s, and on a machine short of processor time, or while their pool changes its owner, the answer takes longer than 3 s.

Why this works: the bound is the time for which the return is worth something. TestIdleCreditsGoBackToAnOwnerThatWasAway: the owner is away for 4.5 s.

--- a/process/daemon/life.go
+++ b/process/daemon/life.go
@@ -28,8 +28,6 @@
 	// confirmPart is the part of the member lease for which a suspected member
 	// may still answer before the store is asked whether its lease lapsed.
 	confirmPart = 2
-	// returnTimeout bounds the return of idle slot credits on a planned stop.
-	returnTimeout = 3 * time.Second
 	// leaveTimeout bounds the last messages of a planned stop.
 	leaveTimeout = 5 * time.Second
 	// drainGrace is how long the daemon serves on after its readiness check
@@ -211,7 +209,7 @@
 		l.awaitSuccessors(ctx, handed)
 		return err
 	})
-	err := errors.Join(g.Wait(), l.returnIdle(context.WithoutCancel(ctx)))
+	err := errors.Join(g.Wait(), l.path.slots.ReturnIdle(context.WithoutCancel(ctx)))
 	leaveCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), leaveTimeout)
 	defer cancel()
 	err = errors.Join(err, l.fleet.Leave(leaveCtx))
@@ -221,12 +219,6 @@
 	return err
 }
 
-func (l *life) returnIdle(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, returnTimeout)
-	defer cancel()
-	return l.path.slots.ReturnIdle(ctx)
-}
-
 // fleetService ends the whole life when the fleet says that it is over.
 //
 // What goes wrong otherwise: a supervisor that restarts the fleet alone would
--- a/request/slots/leave.go
+++ b/request/slots/leave.go
@@ -14,13 +14,16 @@
 // ReturnIdle gives every idle credit back to its pool and keeps none from then
 // on. Call it on a planned stop, when no request waits any more and before the
 // membership ends: afterwards the pools take no report from here. It returns
-// when each pool has answered; the error says that ctx ended before.
+// when each pool has answered; the error says that ctx, or the time for which the
+// credits are valid, ended before.
 //
 // What goes wrong otherwise: the credits that a leaving daemon keeps in reserve
 // count as taken until they have lapsed and requests begun under them would
 // have reached their limit. One would notice callers that wait beside idle
 // instances during each upgrade.
 func (m *Manager) ReturnIdle(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, m.opts.TTL)
+	defer cancel()
 	holders := m.allHolders()
 	for _, h := range holders {
 		h.leave()
--- a/request/slots/leave_test.go
+++ b/request/slots/leave_test.go
@@ -58,6 +58,29 @@
 	}
 }
 
+// TestIdleCreditsGoBackToAnOwnerThatWasAway guards against a planned stop that gives up the return of
+// its credits, so that they count as taken, though they are valid and their owner comes back.
+func TestIdleCreditsGoBackToAnOwnerThatWasAway(t *testing.T) {
+	for _, back := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			c := newCell(t, 1, 2)
+			defer c.close()
+			c.setEndpoints(4, 8)
+			c.own(c.daemons["d0"])
+			time.Sleep(time.Second)
+			c.reserveAt(c.daemons["d1"])
+			c.net.Cut("d0", "d1")
+			if back {
+				time.AfterFunc(DefaultTTL/2, func() { c.net.Heal("d0", "d1") })
+			}
+			began := time.Now()
+			err := c.daemons["d1"].ReturnIdle(t.Context())
+			require.Equal(t, back, err == nil, "%v", err)
+			require.LessOrEqual(t, time.Since(began), DefaultTTL+time.Second)
+		})
+	}
+}
+
 // Symptom: a planned stop does not end while the owner of a pool is away.
 // Sequence: a daemon leaves when the owner of its credits can not be reached.
 // Cause: it waits for an answer without a bound.
