A stopping daemon serves on while callers still come

What callers saw: refusals as draining by a daemon that could serve, and connections closed under a request at the end of the stop: 42 of 5,260 in a run of TestRollingUpgradeCutsNothing with -race beside a load of 24.

Cause: after a fixed grace of 2 s a stopping daemon refuses, whether or not the balancer has noticed; on a busy machine its checks are answered late.

Evidence: all 42 had run nowhere and met 'server closed idle connection', after connections with unread bytes are no longer closed: they were taken from the callers' pool, which the balancer had not emptied, in the moment of the closing.

Why this works: the daemon knows whether callers come, and waits for half a second without any, 8 s at most. TestStoppingDaemonServesWhileCallersStillCome failed before (refused after 0.5 s).

--- a/request/gateway/gateway.go
+++ b/request/gateway/gateway.go
@@ -15,6 +15,7 @@
 
 	"github.com/google/uuid"
 
+	"fennelshunt.example/fennelshunt/internal/sleep"
 	"fennelshunt.example/fennelshunt/request/admission"
 	"fennelshunt.example/fennelshunt/request/retry"
 	"fennelshunt.example/fennelshunt/request/verdict"
@@ -27,8 +28,14 @@
 	errOverloaded = errors.New("this daemon has too many requests in progress")
 )
 
-// drainPoll is how often Drain looks whether the last request has ended.
-const drainPoll = 10 * time.Millisecond
+const (
+	// drainPoll is how often Drain looks whether the last request has ended.
+	drainPoll = 10 * time.Millisecond
+	// quiet is for how long no caller has sent anything once the balancer has gone elsewhere.
+	quiet = 500 * time.Millisecond
+	// noticeLimit bounds the wait for the balancer beyond the grace.
+	noticeLimit = 8 * time.Second
+)
 
 // Gateway serves callers' requests. Its methods are safe for concurrent use.
 type Gateway struct {
@@ -37,6 +44,7 @@
 	idSeq    atomic.Uint64
 
 	inFlight atomic.Int64
+	lastCall atomic.Int64 // when a caller's request came last while unready, in Unix nanoseconds
 	shares   shares
 	bodies   bodyMemory
 	state    atomic.Int32
@@ -83,6 +91,7 @@
 		failure = g.gate(c, inFlight)
 	}
 	if !forwarded && g.state.Load() != serving {
+		g.lastCall.Store(c.start.UnixNano())
 		w.Header().Set("Connection", "close") // the balancer opens the next one elsewhere
 	}
 	if failure != nil {
@@ -188,15 +197,13 @@
 }
 
 // Drain stops the gateway as planned: for grace it serves on while its
-// readiness check fails, so that the balancer goes elsewhere; then it refuses
-// new requests as not run and waits until those in progress have ended or ctx
-// ends.
+// readiness check fails, so that the balancer goes elsewhere, and longer while
+// callers still come; then it refuses new requests as not run and waits until
+// those in progress have ended or ctx ends.
 func (g *Gateway) Drain(ctx context.Context, grace time.Duration) error {
 	g.state.CompareAndSwap(serving, unready)
-	select {
-	case <-time.After(grace):
-	case <-ctx.Done():
-	}
+	_ = sleep.For(ctx, grace) // ends with ctx, which the loops see
+	g.awaitQuiet(ctx)
 	g.state.Store(refusing)
 	tick := time.NewTicker(drainPoll)
 	defer tick.Stop()
@@ -210,5 +217,20 @@
 	return nil
 }
 
+// awaitQuiet waits until callers come no more.
+//
+// What goes wrong with a fixed time: a balancer whose check is answered late, or that checks
+// seldom, sends callers here for longer. They are refused by a daemon that could serve them,
+// and those that come at the very end meet closed connections.
+func (g *Gateway) awaitQuiet(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, noticeLimit)
+	defer cancel()
+	for time.Since(time.Unix(0, g.lastCall.Load())) < quiet {
+		if sleep.For(ctx, drainPoll) != nil {
+			return
+		}
+	}
+}
+
 // InFlight returns how many requests are in progress, waiting ones included.
 func (g *Gateway) InFlight() int64 { return g.inFlight.Load() }
--- a/request/gateway/scenario_test.go
+++ b/request/gateway/scenario_test.go
@@ -11,6 +11,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -197,6 +198,32 @@
 	require.Equal(t, http.StatusServiceUnavailable, ready.StatusCode)
 }
 
+// TestStoppingDaemonServesWhileCallersStillCome guards against refusals, and connections closed
+// under a request, where the balancer notices a stop later than the grace.
+func TestStoppingDaemonServesWhileCallersStillCome(t *testing.T) {
+	for _, c := range []struct{ coming, drained time.Duration }{
+		{0, quiet}, {3 * time.Second, 3*time.Second + quiet}, {time.Minute, quiet + noticeLimit},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			g := New(Options{Config: testConfig(time.Second)})
+			began := time.Now()
+			go func() {
+				for time.Since(began) < c.coming {
+					g.ServeHTTP(httptest.NewRecorder(), httptest.NewRequestWithContext(t.Context(), http.MethodGet, "http://unknown/", nil))
+					if refused := g.state.Load() == refusing; refused != (time.Since(began) > quiet+noticeLimit) {
+						t.Errorf("refused as stopping: %v after %v", refused, time.Since(began))
+					}
+					time.Sleep(90 * time.Millisecond)
+				}
+			}()
+			synctest.Wait()
+			require.NoError(t, g.Drain(t.Context(), quiet))
+			require.InDelta(t, c.drained.Seconds(), time.Since(began).Seconds(), 0.2)
+			time.Sleep(c.coming) // for the goroutine's end
+		})
+	}
+}
+
 func TestSlowCallerHoldsNoSlot(t *testing.T) {
 	// Symptom: a few stalled mobile callers blocked a service.
 	// Sequence: a caller sends a header and half of a body, then nothing.
