Refused callers come back at the pace of their service

What callers saw: after a burst, a stall or a planned stop a service on a busy machine stays down while the load goes on: 5,200 to 6,600 of some 7,000 requests sent several times in TestRollingUpgradeCutsNothing (-race, load of 20 and more).

Cause: each refused caller was told the length of the queue, not when there is room for it beside the others that were told the same; all were back before the queue had emptied, and refusing them took the processor. Refusals for want of slots or room named 0.1 or 1 s, whatever the load.

Why this works: returns are booked one by one at half the rate of starts. TestRefusedCallersDoNotKeepAServiceDown/burst failed before.

--- a/request/admission/admission.go
+++ b/request/admission/admission.go
@@ -13,7 +13,6 @@
 	"context"
 	"errors"
 	"math/rand/v2"
-	"net/http"
 	"sync"
 	"time"
 
@@ -146,6 +145,16 @@
 	return c.queue(r.Service).check(r, time.Now())
 }
 
+// ComeBack returns when a caller should be back whose request was refused, as not run, for
+// another reason than those of Enter: because no slot came, or the daemon is full.
+func (c *Controller) ComeBack(service string) time.Duration {
+	q := c.queue(service)
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := time.Now()
+	return q.pace.comeBack(q.pace.wait(q.inside+q.waiting, now), now)
+}
+
 func (c *Controller) queue(service string) *queue {
 	c.mu.RLock()
 	q := c.queues[service]
@@ -250,7 +259,3 @@
 	return &verdict.Error{Verdict: verdict.NotRun, Status: status, Code: code,
 		RetryAfterMillis: d.Milliseconds(), Err: err}
 }
-
-func overloaded(code string, err error, d time.Duration) *verdict.Error {
-	return refuse(http.StatusServiceUnavailable, code, err, d)
-}
--- a/request/admission/queue.go
+++ b/request/admission/queue.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"sync"
 	"time"
 
@@ -77,7 +78,7 @@
 	}
 	if q.waiting >= q.opts.MaxQueue && !q.pushOut(t, now) {
 		q.forget(t)
-		return nil, overloaded(CodeQueueFull, errFull, q.pace.wait(q.waiting, now))
+		return nil, q.overloaded(CodeQueueFull, errFull, q.pace.wait(q.waiting, now), now)
 	}
 	q.serial++
 	w := &waiter{team: t, deadline: r.Deadline, serial: q.serial, granted: make(chan error, 1)}
@@ -124,6 +125,12 @@
 	return q.waiting == 0 && q.inside < q.window(now)
 }
 
+// overloaded returns the refusal of a request that would wait that long, with the time at
+// which its caller should be back.
+func (q *queue) overloaded(code string, err error, wait time.Duration, now time.Time) *verdict.Error {
+	return refuse(http.StatusServiceUnavailable, code, err, q.pace.comeBack(wait, now))
+}
+
 // refusal returns why a request that has to queue would not start in time, or
 // nil.
 func (q *queue) refusal(t *team, r Request, now time.Time) *verdict.Error {
@@ -133,10 +140,10 @@
 // tooLate returns the refusal of a request that would wait that long, or nil.
 func (q *queue) tooLate(wait time.Duration, r Request, now time.Time) *verdict.Error {
 	if !now.Before(r.Deadline) {
-		return overloaded(CodeDeadline, errDeadline, 0)
+		return q.overloaded(CodeDeadline, errDeadline, 0, now)
 	}
 	if !q.pace.fits(wait, now, r.Deadline) {
-		return overloaded(CodeWait, errWait, wait)
+		return q.overloaded(CodeWait, errWait, wait, now)
 	}
 	return nil
 }
@@ -200,7 +207,7 @@
 		return false
 	}
 	w, _ := most.tree.Max()
-	q.give(w, overloaded(CodeQueueFull, errFull, q.pace.wait(q.waiting, now)))
+	q.give(w, q.overloaded(CodeQueueFull, errFull, q.pace.wait(q.waiting, now), now))
 	return true
 }
 
@@ -282,10 +289,10 @@
 		q.give(w, nil)
 	}
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		return nil, overloaded(CodeDeadline, errDeadline, q.pace.wait(q.waiting, time.Now()))
+		now := time.Now()
+		return nil, q.overloaded(CodeDeadline, errDeadline, q.pace.wait(q.waiting, now), now)
 	}
-	e := overloaded(CodeCallerGone, errGone, 0)
-	return nil, e
+	return nil, refuse(http.StatusServiceUnavailable, CodeCallerGone, errGone, 0)
 }
 
 // schedule arranges the next review while requests wait.
@@ -317,8 +324,7 @@
 		})
 	}
 	for _, w := range hopeless {
-		var refusal *verdict.Error = overloaded(CodeWait, errWait, q.pace.wait(q.waiting, now))
-		q.give(w, refusal)
+		q.give(w, q.overloaded(CodeWait, errWait, q.pace.wait(q.waiting, now), now))
 		q.pace.missed()
 	}
 	q.schedule()
--- /dev/null
+++ b/request/admission/return_test.go
@@ -0,0 +1,110 @@
+package admission
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"fennelshunt.example/fennelshunt/request/verdict"
+)
+
+// processor is one that everything takes in turn.
+type processor struct{ turn chan struct{} }
+
+func (p processor) use(d time.Duration) {
+	p.turn <- struct{}{}
+	time.Sleep(d)
+	<-p.turn
+}
+
+// TestRefusedCallersDoNotKeepAServiceDown guards against a service that stays down after a
+// short stall or burst since its processor time goes into refusing callers who come back too soon.
+func TestRefusedCallersDoNotKeepAServiceDown(t *testing.T) {
+	t.Run("stall", func(t *testing.T) { testReturn(t, true) })
+	t.Run("burst", func(t *testing.T) { testReturn(t, false) })
+}
+
+// testReturn plays a minute of a service whose processor also carries the refusals.
+func testReturn(t *testing.T, stalls bool) {
+	const (
+		arrivals = 160 // a second, of 200 that the processor carries
+		tryCost  = time.Millisecond
+		workCost = 4 * time.Millisecond
+		timeout  = 2 * time.Second
+		load     = 60 * time.Second
+		trouble  = 5 * time.Second // as long as it takes to get its load again
+	)
+	synctest.Test(t, func(t *testing.T) {
+		c := New(Options{})
+		cpu := processor{make(chan struct{}, 1)}
+		slots := make(chan struct{}, 16)
+		var mu sync.Mutex
+		tries, served, longest := 0, 0, time.Duration(0)
+		try := func() error {
+			cpu.use(tryCost)
+			deadline := time.Now().Add(timeout)
+			ctx, cancel := context.WithDeadline(context.Background(), deadline)
+			defer cancel()
+			pass, err := c.Enter(ctx, Request{Service: "s", Deadline: deadline})
+			if err != nil {
+				return err
+			}
+			end := Other
+			defer func() { pass.Done(end) }()
+			select {
+			case slots <- struct{}{}:
+			case <-ctx.Done():
+				return refuse(503, CodeDeadline, errDeadline, time.Second)
+			}
+			defer func() { <-slots }()
+			pass.Started()
+			cpu.use(workCost)
+			if end = Whole; ctx.Err() != nil {
+				end = Late
+			}
+			return ctx.Err()
+		}
+		call := func() {
+			came := time.Now()
+			for {
+				err := try()
+				mu.Lock()
+				tries++
+				if err == nil {
+					served++
+					longest = max(longest, time.Since(came))
+				}
+				mu.Unlock()
+				if err == nil {
+					return
+				}
+				time.Sleep(max(time.Duration(verdict.As(err).RetryAfterMillis)*time.Millisecond, minRetryAfter))
+			}
+		}
+		var wg sync.WaitGroup
+		time.AfterFunc(10*time.Second, func() {
+			if stalls {
+				cpu.use(trouble)
+				return
+			}
+			for range int(arrivals * trouble.Seconds()) {
+				wg.Go(call)
+				time.Sleep(time.Millisecond)
+			}
+		})
+		for range int(arrivals * load.Seconds()) {
+			wg.Go(call)
+			time.Sleep(time.Second / arrivals)
+		}
+		mu.Lock()
+		good := served
+		mu.Unlock()
+		wg.Wait()
+		t.Logf("at the end of the load %d of %d served; %.1f tries each, longest %v", good, served, float64(tries)/float64(served), longest)
+		require.GreaterOrEqual(t, good, int(arrivals*(load-trouble).Seconds()), "those who wait have not become more")
+	})
+}
--- a/request/gateway/attempt.go
+++ b/request/gateway/attempt.go
@@ -170,7 +170,7 @@
 	defer func() { slot.Release(end) }()
 	if !pass.InTime(c.start, c.deadline) {
 		end = slots.Ended
-		return false, refuse(http.StatusServiceUnavailable, forward.CodeDeadline, errNoTime)
+		return false, g.refuseForNow(c, forward.CodeDeadline, errNoTime)
 	}
 	endpoint := slot.Endpoint()
 	c.endpoint = endpoint.Address
--- a/request/gateway/gateway.go
+++ b/request/gateway/gateway.go
@@ -141,13 +141,13 @@
 		return refuse(http.StatusServiceUnavailable, CodeDraining, errDraining)
 	}
 	if inFlight > int64(g.opts.MaxConcurrent) {
-		return refuse(http.StatusServiceUnavailable, CodeOverloaded, errOverloaded)
+		return g.refuseForNow(c, CodeOverloaded, errOverloaded)
 	}
 	if c.forwarded {
 		return nil // counted where it arrived
 	}
 	if err := g.shares.enter(c.share()); err != nil {
-		return refuse(http.StatusServiceUnavailable, CodeOverloaded, err)
+		return g.refuseForNow(c, CodeOverloaded, err)
 	}
 	c.counted = true
 	teamRate := 0.0
--- a/request/gateway/parse.go
+++ b/request/gateway/parse.go
@@ -52,6 +52,14 @@
 	return e
 }
 
+// refuseForNow refuses what came of a lack of slots or room, and has the caller come back
+// when its service can be expected to have some.
+func (g *Gateway) refuseForNow(c *call, code string, err error) *verdict.Error {
+	e := refuse(http.StatusServiceUnavailable, code, err)
+	e.RetryAfterMillis = max(e.RetryAfterMillis, g.opts.Admission.ComeBack(c.service).Milliseconds())
+	return e
+}
+
 func badRequest(err error) *verdict.Error { return refuse(http.StatusBadRequest, CodeBadRequest, err) }
 
 // ServiceName returns the name of the service that a request is for: the
--- a/request/gateway/reply.go
+++ b/request/gateway/reply.go
@@ -154,7 +154,7 @@
 	c.w.Header().Set("Connection", "close")
 	e := &verdict.Error{Verdict: v, Status: http.StatusGatewayTimeout, Code: forward.CodeDeadline, Err: errDeadline}
 	if v == verdict.NotRun {
-		e.Status, e.RetryAfterMillis = http.StatusServiceUnavailable, retryAfterMillis
+		e = w.gateway.refuseForNow(c, forward.CodeDeadline, errDeadline)
 	}
 	c.reply.note(e.Status, v, e.Code)
 	e.WriteHTTP(c.w, c.id)
