Stand-in callers come back when they are told to

docs/CALLERS.md: send again after the time that the answer names. The stand-in came back after a second at most, whatever the answer said.

The number of tries and every check of the tests stay. TestCallersComeBackWhenTheyAreTold failed before (2 s in place of 14).

--- a/standin/callers/callers.go
+++ b/standin/callers/callers.go
@@ -94,7 +94,6 @@
 	defaultTries = 5
 	// retryPause is the pause before a try without advice from the answer.
 	retryPause = 50 * time.Millisecond
-	maxPause   = time.Second
 	// latencyMax and latencyDigits size the histogram, in microseconds.
 	latencyMax    = 10 * 60 * 1_000_000
 	latencyDigits = 3
@@ -245,7 +244,7 @@
 	pause = retryPause
 	if s := res.Header.Get("Retry-After"); s != "" {
 		if d, err := time.ParseDuration(s + "s"); err == nil {
-			pause = min(d, maxPause)
+			pause = d
 		}
 	}
 	again = out.Last == verdict.NotRun || out.Last == verdict.MayHaveRun && c.kind != NonIdempotent && out.Code != idem.CodeOutcomeUnknown
--- a/standin/callers/callers_test.go
+++ b/standin/callers/callers_test.go
@@ -27,7 +27,8 @@
 
 // verdictTransport answers each request with a verdict, and counts them by key.
 type verdictTransport struct {
-	code string
+	code  string
+	after string // Retry-After, if any
 
 	mu   sync.Mutex
 	sent map[string]int
@@ -41,6 +42,9 @@
 	h := http.Header{}
 	h.Set(verdict.Header, verdict.MayHaveRun.String())
 	h.Set(verdict.CodeHeader, v.code)
+	if v.after != "" {
+		h.Set("Retry-After", v.after)
+	}
 	return &http.Response{StatusCode: http.StatusGatewayTimeout, Header: h, Body: io.NopCloser(strings.NewReader("")), Request: r}, nil
 }
 
@@ -70,6 +74,17 @@
 	}
 }
 
+// TestCallersComeBackWhenTheyAreTold guards against stand-ins that come back sooner, and keep a
+// busy service busy with refusing them.
+func TestCallersComeBackWhenTheyAreTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		v := &verdictTransport{after: "7", sent: map[string]int{}}
+		r := Run(t.Context(), Options{Client: &http.Client{Transport: v}, Service: "s", Rate: 100, Count: 1, Tries: 3, Seed: 1})
+		require.Equal(t, 3, r.Outcomes[0].Tries)
+		require.GreaterOrEqual(t, r.Outcomes[0].Latency, 2*7*time.Second)
+	})
+}
+
 // Symptom: a report shows a median of 1 µs for a service that works for 5 ms.
 // Sequence: the next request becomes due before a goroutine has begun with its
 // own.
