--- a/request/admission/admission.go
+++ b/request/admission/admission.go
@@ -152,7 +152,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := time.Now()
-	return q.pace.comeBack(q.pace.wait(q.inside+q.waiting, now), now)
+	return q.returns.next(q.pace.wait(q.inside+q.waiting, now), now)
 }
 
 func (c *Controller) queue(service string) *queue {
@@ -238,7 +238,7 @@
 func (p *Pass) InTime(came, deadline time.Time) bool {
 	p.queue.mu.Lock()
 	defer p.queue.mu.Unlock()
-	return p.queue.pace.worthBeginning(came, time.Now(), deadline)
+	return p.queue.times.enough(came, time.Now(), deadline)
 }
 
 // Done tells that the request has ended.
--- a/request/admission/pace.go
+++ b/request/admission/pace.go
@@ -31,27 +31,10 @@
 	// forgetting moves the least service time up, so that an old one is
 	// forgotten.
 	forgetting = 1.001
-	// meanShare and spreadShare are the weights of the newest service time in its mean and
-	// in its mean deviation, and spreads how many deviations above the mean a request may
-	// well take: the measures of TCP's retransmission timer.
-	meanShare   = 0.125
-	spreadShare = 0.25
-	spreads     = 4
-	// fasterShare and slowerShare are the weights of a gap between two starts in their mean,
-	// and stallGaps how many means a gap counts for at most.
-	fasterShare = 0.1
-	slowerShare = 0.02
-	stallGaps   = 4
-	// returnGaps is how many such gaps there are for each caller who comes back: about one
-	// start, since the mean is a low one.
-	returnGaps = 2
-	// maxReturn is how late a caller is told to come back at most: a service that was down
-	// may be well long before.
-	maxReturn = 10 * time.Second
 )
 
 // pace estimates how fast a service's requests start while some wait, and how
-// long they take.
+// long the shortest take.
 type pace struct {
 	busy   float64   // seconds during which some waited, fading
 	starts float64   // in busy, fading
@@ -60,15 +43,6 @@
 	share  float64   // of the time to the deadline that may be waited
 
 	shortest float64 // seconds from slot to end
-
-	// usual is a low mean of the seconds between two starts, 0 when not known, as of began.
-	usual float64
-	began time.Time
-	// returns is until when callers who were told to come back are expected.
-	returns time.Time
-	// mean and spread of these seconds, as of measured.
-	mean, spread float64
-	measured     time.Time
 }
 
 // backlog notes that a request has begun to wait; waiting includes it.
@@ -84,7 +58,6 @@
 
 // start notes a start; waiting tells how many wait behind it.
 func (p *pace) start(waiting int, now time.Time) {
-	p.noteGap(now)
 	if waiting == 0 {
 		p.last, p.idle = time.Time{}, now
 		return
@@ -96,68 +69,14 @@
 	p.last = now
 }
 
-// noteGap takes the time since the start before into the mean. One learns quickly that a
-// service starts requests faster, and slowly that it has become slower: it may be idle, or
-// stand still for a moment.
-func (p *pace) noteGap(now time.Time) {
-	gap := now.Sub(p.began).Seconds()
-	switch {
-	case p.began.IsZero():
-	case p.usual == 0:
-		p.usual = gap
-	case gap < p.usual:
-		p.usual += fasterShare * (gap - p.usual)
-	default:
-		p.usual += slowerShare * (min(gap, stallGaps*p.usual) - p.usual)
-	}
-	p.began = now
-}
-
-// comeBack returns when a refused caller should be back that would have waited for wait.
-//
-// What goes wrong without a place for each: after a stall all are told the length of the
-// queue, and are all back before it has emptied. Refusing them takes the time in which
-// requests would be served, and the service stays down for as long as they come.
-func (p *pace) comeBack(wait time.Duration, now time.Time) time.Duration {
-	if first := now.Add(wait); p.returns.Before(first) {
-		p.returns = first
-	}
-	p.returns = p.returns.Add(time.Duration(returnGaps * p.usual * float64(time.Second)))
-	if last := now.Add(maxReturn); p.returns.After(last) {
-		p.returns = last
-	}
-	return p.returns.Sub(now)
-}
-
 // served notes the time from a slot to the end of the request.
-func (p *pace) served(d time.Duration, now time.Time) {
+func (p *pace) served(d time.Duration) {
 	s := d.Seconds()
-	p.shortest = min(s, p.shortest*forgetting)
-	if p.measured.IsZero() {
+	if p.shortest == 0 || s < p.shortest {
 		p.shortest = s
+		return
 	}
-	if now.Sub(p.measured) > staleAfter {
-		p.mean, p.spread = s, 0
-	}
-	p.spread += spreadShare * (math.Abs(s-p.mean) - p.spread)
-	p.mean += meanShare * (s - p.mean)
-	p.measured = now
-}
-
-// takes returns how long a request may well take from its slot to its end; 0 when no time
-// was measured of late.
-func (p *pace) takes(now time.Time) time.Duration {
-	if now.Sub(p.measured) > staleAfter {
-		return 0
-	}
-	return time.Duration((p.mean + spreads*p.spread) * float64(time.Second))
-}
-
-// worthBeginning reports whether a request that came at came, to be answered by deadline,
-// is likely to be if it begins now. One that has most of its time left always is: where
-// requests take longer than that, waiting for better times helps nobody.
-func (p *pace) worthBeginning(came, now, deadline time.Time) bool {
-	return deadline.Sub(now) >= min(p.takes(now), deadline.Sub(came)/2)
+	p.shortest = min(s, p.shortest*forgetting)
 }
 
 // met and missed tell how a request ended that had waited.
--- a/request/admission/queue.go
+++ b/request/admission/queue.go
@@ -25,6 +25,8 @@
 	clock   float64
 	serial  uint64
 	pace    pace
+	times   times
+	returns returns
 	pending bool // a review is scheduled
 }
 
@@ -128,7 +130,7 @@
 // overloaded returns the refusal of a request that would wait that long, with the time at
 // which its caller should be back.
 func (q *queue) overloaded(code string, err error, wait time.Duration, now time.Time) *verdict.Error {
-	return refuse(http.StatusServiceUnavailable, code, err, q.pace.comeBack(wait, now))
+	return refuse(http.StatusServiceUnavailable, code, err, q.returns.next(wait, now))
 }
 
 // refusal returns why a request that has to queue would not start in time, or
@@ -245,6 +247,7 @@
 	defer q.mu.Unlock()
 	q.inside--
 	q.pace.start(q.inside+q.waiting, now)
+	q.returns.started(now)
 	q.next(now)
 	return now
 }
@@ -262,7 +265,10 @@
 	defer q.mu.Unlock()
 	now := time.Now()
 	if end == Whole || end == Late {
-		q.pace.served(now.Sub(p.started), now)
+		q.times.note(now.Sub(p.started), now)
+	}
+	if end == Whole {
+		q.pace.served(now.Sub(p.started))
 	}
 	switch {
 	case !p.waited:
