--- a/request/admission/pace.go
+++ b/request/admission/pace.go
@@ -36,13 +36,12 @@
 // pace estimates how fast a service's requests start while some wait, and how
 // long the shortest take.
 type pace struct {
-	busy   float64   // seconds during which some waited, fading
-	starts float64   // in busy, fading
-	last   time.Time // of the last start or the wait's beginning; zero: nobody waits
-	idle   time.Time // when the last wait ended
-	share  float64   // of the time to the deadline that may be waited
-
-	shortest float64 // seconds from slot to end
+	busy     float64   // seconds during which some waited, fading
+	starts   float64   // in busy, fading
+	last     time.Time // of the last start or the wait's beginning; zero: nobody waits
+	idle     time.Time // when the last wait ended
+	shortest float64   // seconds from slot to end
+	share    float64   // of the time to the deadline that may be waited
 }
 
 // backlog notes that a request has begun to wait; waiting includes it.
