A vacant part is left to daemons that answer, for three seconds

What was seen: TestDividedCellServesEveryJob, 1 of 30 runs of the final code beside a load of 18: two of three parts with one leader, though two daemons lead none.

Cause: a daemon that leads a part claims another one that is vacant for a second, whether or not others that lead none live; on a busy machine their electors for that part come to run later than that.

Why this works: before it claims it asks some of the others that lead nothing, and leaves the vacancy to them while one answers, three seconds in all. TestVacancyIsLeftToDaemonsThatLive/slow failed before (busyRounds 1).

--- a/process/lead/elector.go
+++ b/process/lead/elector.go
@@ -30,9 +30,6 @@
 	// deferDelay is how much longer a daemon leaves a vacancy when another
 	// member fits better: that one sees it in one round trip to the store.
 	deferDelay = 200 * time.Millisecond
-	// busyDelay is how much longer a daemon that leads a part leaves another one to
-	// those that lead none.
-	busyDelay = time.Second
 	// outageHold is how long after store trouble a vacancy is left to the
 	// leader before: leases may have lapsed in the outage while all lived.
 	outageHold = 1200 * time.Millisecond
@@ -366,7 +363,7 @@
 		return
 	}
 	busy := e.busy()
-	if busy && sleep.For(ctx, busyDelay) != nil {
+	if busy && !e.leaveToOthers(ctx) {
 		return
 	}
 	held, vacant := e.view.vacant(e.o.Self)
--- a/process/lead/parts_test.go
+++ b/process/lead/parts_test.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
+	"fennelshunt.example/fennelshunt/connection/peer"
 	"fennelshunt.example/fennelshunt/connection/store"
 	"fennelshunt.example/fennelshunt/standin/kv"
 )
@@ -45,3 +46,53 @@
 		main.stop()
 	})
 }
+
+// TestVacancyIsLeftToDaemonsThatLive guards against a daemon that leads two parts for good since
+// the others, which lead none and answer, come to claim a second and more after it.
+func TestVacancyIsLeftToDaemonsThatLive(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		late    time.Duration // until the other daemon's elector for the part runs
+		answers bool
+		own     bool // the part ends with the daemon that leads already
+	}{
+		{"slow", 2500 * time.Millisecond, true, false}, {"does not answer", 2500 * time.Millisecond, false, true},
+		{"claims too late", 10 * time.Second, true, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				m, n := kv.New(), newNetwork()
+				elect := func(name string, main *Elector, busy func() bool) *daemon {
+					o := Options{Self: Member{Name: name, Peer: name, Cores: 1}, Store: m, Log: zerolog.Nop(), Main: main, Busy: busy, Peers: port{n, name}}
+					if main != nil {
+						o.Store, o.Suffix = store.Prefixed{Transactor: m, Prefix: PartPrefix(1)}, ".1"
+					}
+					return startWith(o)
+				}
+				a := elect("a", nil, nil)
+				muxA, muxB := peer.NewMux(), peer.NewMux()
+				a.e.Register(muxA)
+				n.join("a", muxA)
+				time.Sleep(2 * time.Second)
+				require.NotNil(t, a.term())
+				b := elect("b", nil, nil)
+				if c.answers {
+					b.e.Register(muxB)
+					n.join("b", muxB)
+				}
+				time.Sleep(time.Second)
+				aPart := elect("a", a.e, a.e.Leads)
+				aPart.e.Register(muxA)
+				time.Sleep(c.late)
+				bPart := elect("b", b.e, b.e.Leads)
+				bPart.e.Register(muxB)
+				time.Sleep((busyRounds + 1) * busyDelay)
+				require.Len(t, leading(aPart, bPart), 1)
+				require.Equal(t, c.own, aPart.term() != nil)
+				for _, d := range []*daemon{aPart, bPart, a, b} {
+					d.stop()
+				}
+			})
+		})
+	}
+}
--- a/process/lead/yield.go
+++ b/process/lead/yield.go
@@ -53,9 +53,7 @@
 
 // strongest returns the other daemon with most to lead with that leads no part.
 func (e *Elector) strongest() (Member, bool) {
-	others := slices.DeleteFunc(e.view.Members(), func(m Member) bool {
-		return m.same(e.o.Self) || (e.o.Leading != nil && e.o.Leading(m.Name))
-	})
+	others := e.free()
 	if len(others) == 0 {
 		return Member{}, false
 	}
