--- a/request/slots/leave_test.go
+++ b/request/slots/leave_test.go
@@ -20,6 +20,16 @@
 	return held[0]
 }
 
+// cellWithReserve returns a cell whose pool d0 owns, and of which d1 keeps a reserve.
+func cellWithReserve(t *testing.T, daemons int) *cell {
+	c := newCell(t, 1, daemons)
+	c.setEndpoints(4, 8)
+	c.own(c.daemons["d0"])
+	time.Sleep(time.Second)
+	c.reserveAt(c.daemons["d1"])
+	return c
+}
+
 // Symptom: during a rolling upgrade callers wait though slots stand idle.
 // Sequence: a daemon that keeps a reserve of idle credits leaves as planned;
 // perhaps a call is lost, or the pool has just got a new owner.
@@ -38,12 +48,8 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				c := newCell(t, 1, 3)
+				c := cellWithReserve(t, 3)
 				defer c.close()
-				c.setEndpoints(4, 8)
-				c.own(c.daemons["d0"])
-				time.Sleep(time.Second)
-				c.reserveAt(c.daemons["d1"])
 				disturb(c)
 				ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 				defer cancel()
@@ -63,12 +69,8 @@
 func TestIdleCreditsGoBackToAnOwnerThatWasAway(t *testing.T) {
 	for _, back := range []bool{true, false} {
 		synctest.Test(t, func(t *testing.T) {
-			c := newCell(t, 1, 2)
+			c := cellWithReserve(t, 2)
 			defer c.close()
-			c.setEndpoints(4, 8)
-			c.own(c.daemons["d0"])
-			time.Sleep(time.Second)
-			c.reserveAt(c.daemons["d1"])
 			c.net.Cut("d0", "d1")
 			if back {
 				time.AfterFunc(DefaultTTL/2, func() { c.net.Heal("d0", "d1") })
@@ -86,12 +88,8 @@
 // Cause: it waits for an answer without a bound.
 func TestReturnOfIdleCreditsIsBounded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		c := newCell(t, 1, 2)
+		c := cellWithReserve(t, 2)
 		defer c.close()
-		c.setEndpoints(4, 8)
-		c.own(c.daemons["d0"])
-		time.Sleep(time.Second)
-		c.reserveAt(c.daemons["d1"])
 		c.crash("d0")
 		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 		defer cancel()
