submit: a cancellation remembers its unanswered writes

What callers saw: DELETE of a job answered 503 store_unavailable with the verdict not-run, and the job was cancelled. Every time when the answer to the commit of the cancel key is lost and the store fails afterwards.

Cause: Cancel kept only the error of its last try, and the last one was a failed read. Submit's loop remembers an unanswered write over its tries.

Evidence: a stand-in store that loses the answer to the commit and is then down.

Why this works: 'not run' is now said only if no try of this daemon has left a write without an answer; else the caller is told outcome_unknown (504), like for a submission.

--- a/request/submit/cancel.go
+++ b/request/submit/cancel.go
@@ -8,6 +8,7 @@
 	"fennelshunt.example/fennelshunt/connection/store"
 	"fennelshunt.example/fennelshunt/internal/sleep"
 	"fennelshunt.example/fennelshunt/process/dispatch"
+	"fennelshunt.example/fennelshunt/request/verdict"
 	"fennelshunt.example/fennelshunt/version/work"
 )
 
@@ -19,14 +20,21 @@
 func (s *Service) Cancel(ctx context.Context, id work.JobID, account string) error {
 	ctx, cancel := context.WithTimeout(ctx, submitBudget)
 	defer cancel()
+	unconfirmed := false // whether an unanswered write may still take effect
 	var last error
 	for ctx.Err() == nil {
 		done, err := s.cancelOnce(ctx, id, account)
-		if done {
+		switch {
+		case done && unconfirmed && verdict.Of(err) == verdict.NotRun:
+			return unknown(err)
+		case done:
 			return err
 		}
 		last = err
-		if !errors.Is(err, store.ErrUnknownOutcome) && !errors.Is(err, store.ErrConflict) {
+		switch {
+		case errors.Is(err, store.ErrUnknownOutcome):
+			unconfirmed = true
+		case !errors.Is(err, store.ErrConflict):
 			if s.forwardCancel(ctx, id, account) {
 				return nil
 			}
@@ -34,6 +42,9 @@
 		_ = sleep.For(ctx, retryDelay) // the loop condition checks ctx
 		s.o.StoreTimeout.AwaitAnswer(ctx, cancelRetryDelay)
 	}
+	if unconfirmed {
+		return unknown(last)
+	}
 	return unavailable(CodeStore, last)
 }
 
