submit: a forwarded cancellation may have taken effect without saying so

What callers saw: 503 not-run for a cancellation that another daemon had written, when the answer between the daemons was lost, when the other daemon's write was not answered, or when it had marked the id of a job that does not exist (410 was owed).

Cause: the reply had one bit, Accepted, and forwardCancel dropped the error of the call. A forwarded submission counts both as uncertain.

Evidence: a second daemon in the tests. Before the change (each part switched off alone): without the uncertain calls TestForwardedCancellationWithoutAnAnswerIsNotCalledNotRun, TestOutcomeOfAForwardedCancellationReachesTheCaller and TestCancellationByAnOldDaemonIsNotCalledNotRun fail; without NoJob the second of them.

Why this works: the zero reply, which a daemon of an earlier version sends, means that the cancellation may have taken effect; 'not run' is said only when each daemon that was asked says so.

--- a/request/submit/cancel.go
+++ b/request/submit/cancel.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"fennelshunt.example/fennelshunt/connection/peer"
 	"fennelshunt.example/fennelshunt/connection/store"
 	"fennelshunt.example/fennelshunt/internal/sleep"
 	"fennelshunt.example/fennelshunt/process/dispatch"
@@ -35,9 +36,11 @@
 		case errors.Is(err, store.ErrUnknownOutcome):
 			unconfirmed = true
 		case !errors.Is(err, store.ErrConflict):
-			if s.forwardCancel(ctx, id, account) {
-				return nil
+			done, uncertain, err := s.forwardCancel(ctx, id, account)
+			if done {
+				return err
 			}
+			unconfirmed = unconfirmed || uncertain
 		}
 		_ = sleep.For(ctx, retryDelay) // the loop condition checks ctx
 		s.o.StoreTimeout.AwaitAnswer(ctx, cancelRetryDelay)
@@ -114,8 +117,23 @@
 	return true, ErrNoJob
 }
 
-func (s *Service) forwardCancel(ctx context.Context, id work.JobID, account string) bool {
-	return s.tryTargets(ctx, s.method(MethodCancel), cancelRequest{ID: id, Account: account}, func(_ forwardReply, err error) {
-		s.o.Log.Debug().Err(err).Str("job", string(id)).Msg("cancellation was not accepted by another daemon")
-	})
+// forwardCancel has another daemon cancel the job. done reports that err, nil or ErrNoJob, is the
+// final result; uncertain that a daemon may have written the cancellation although it did not say so.
+func (s *Service) forwardCancel(ctx context.Context, id work.JobID, account string) (done, uncertain bool, err error) {
+	for _, m := range s.forwardTargets() {
+		var r cancelReply
+		if err := s.callTarget(ctx, m, s.method(MethodCancel), cancelRequest{ID: id, Account: account}, &r); err != nil {
+			s.o.Log.Debug().Err(err).Str("job", string(id)).Msg("cancellation was not accepted by another daemon")
+			uncertain = uncertain || !peer.NotRun(err)
+			continue
+		}
+		switch {
+		case r.Accepted:
+			return true, false, nil
+		case r.NoJob:
+			return true, false, ErrNoJob
+		}
+		uncertain = uncertain || !r.NotRun
+	}
+	return false, uncertain, nil
 }
--- a/request/submit/cancel_test.go
+++ b/request/submit/cancel_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"fennelshunt.example/fennelshunt/connection/peer"
 	"fennelshunt.example/fennelshunt/connection/store"
 	"fennelshunt.example/fennelshunt/process/dispatch"
 	"fennelshunt.example/fennelshunt/request/verdict"
@@ -27,6 +28,33 @@
 	return rev, err
 }
 
+// cutStore is a store that a daemon cannot reach.
+type cutStore struct{ *kv.Memory }
+
+func (cutStore) Get(context.Context, string) (store.Entry, error) {
+	return store.Entry{}, store.ErrUnavailable
+}
+
+func (cutStore) Commit(context.Context, store.Txn) (store.Revision, error) {
+	return 0, store.ErrUnavailable
+}
+
+// cancelPeers is a cell in which another daemon serves the forwarded cancellations; lost answers
+// end with err.
+type cancelPeers struct {
+	other *Service
+	err   error
+}
+
+func (p cancelPeers) CallAddr(ctx context.Context, _ string, _ peer.Method, req, resp any) (peer.Ref, error) {
+	reply, err := p.other.serveCancel(ctx, req.(cancelRequest))
+	if p.err != nil || err != nil {
+		return peer.Ref{}, errors.Join(p.err, err)
+	}
+	*resp.(*cancelReply) = reply.(cancelReply)
+	return peer.Ref{}, nil
+}
+
 // TestCancellationInTheStoreIsNotCalledNotRun guards against a cancellation that took effect and is
 // answered "not run", because its answer was lost and the store failed afterwards.
 func TestCancellationInTheStoreIsNotCalledNotRun(t *testing.T) {
@@ -80,6 +108,70 @@
 	})
 }
 
+// TestForwardedCancellationWithoutAnAnswerIsNotCalledNotRun guards against a cancellation that
+// another daemon has written, whose answer to this daemon was lost, and that is answered "not run".
+func TestForwardedCancellationWithoutAnAnswerIsNotCalledNotRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := kv.New()
+		other := newService(m)
+		require.NoError(t, other.Submit(t.Context(), id, testJob()))
+		s := cellOf(t, m, cancelPeers{other, peer.ErrUnknown})
+		s.o.Store = cutStore{m}
+		err := s.Cancel(t.Context(), id, "")
+		require.Error(t, err)
+		require.True(t, stored(t, m, dispatch.KeyCancel(id)))
+		require.Equal(t, verdict.MayHaveRun, verdict.Of(err))
+	})
+}
+
+// TestOutcomeOfAForwardedCancellationReachesTheCaller guards against "not run" for a cancellation
+// whose outcome only the other daemon knows: the job does not exist, and the id has been marked; or
+// the store did not answer the other daemon.
+func TestOutcomeOfAForwardedCancellationReachesTheCaller(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := kv.New()
+		s := cellOf(t, m, cancelPeers{other: newService(m)})
+		s.o.Store = cutStore{m}
+		require.ErrorIs(t, s.Cancel(t.Context(), id, ""), ErrNoJob)
+		require.True(t, stored(t, m, dispatch.KeyState(id)))
+
+		s.o.Peers = cancelPeers{other: newService(lossyStore{m})}
+		require.Equal(t, verdict.MayHaveRun, verdict.Of(s.Cancel(t.Context(), "00000000000000bb", "")))
+		m.SetFaults(kv.Faults{})
+	})
+}
+
+// oldPeers answer as a daemon of a version whose replies say nothing beyond Accepted.
+type oldPeers struct{}
+
+func (oldPeers) CallAddr(context.Context, string, peer.Method, any, any) (peer.Ref, error) {
+	return peer.Ref{}, nil
+}
+
+// TestCancellationByAnOldDaemonIsNotCalledNotRun guards against "not run" during an upgrade: the
+// reply of an earlier version does not tell a cancellation that may have taken effect.
+func TestCancellationByAnOldDaemonIsNotCalledNotRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := kv.New()
+		s := cellOf(t, m, oldPeers{})
+		s.o.Store = cutStore{m}
+		require.Equal(t, verdict.MayHaveRun, verdict.Of(s.Cancel(t.Context(), id, "")))
+	})
+}
+
+// TestCancellationThatNobodyWroteIsNotRun guards against a caller who is told that its cancellation
+// may have taken effect, although neither this daemon nor another reached the store.
+func TestCancellationThatNobodyWroteIsNotRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := kv.New()
+		s := cellOf(t, m, cancelPeers{other: newService(cutStore{m})})
+		s.o.Store = cutStore{m}
+		err := s.Cancel(t.Context(), id, "")
+		require.Equal(t, verdict.NotRun, verdict.Of(err))
+		require.Positive(t, verdict.As(err).RetryAfterMillis)
+	})
+}
+
 // TestLostAnswersNeverMakeAFalseRefusalOfACancellation guards against each of these over seeds: the
 // store loses answers and requests, refuses calls and delays writes past their timeout.
 func TestLostAnswersNeverMakeAFalseRefusalOfACancellation(t *testing.T) {
--- a/request/submit/peer.go
+++ b/request/submit/peer.go
@@ -63,6 +63,14 @@
 	Account string `cbor:"2,keyasint,omitempty"`
 }
 
+// cancelReply says what a forwarded cancellation came to. If no field is set, as by a daemon of a
+// version without NotRun and NoJob, the cancellation may have taken effect.
+type cancelReply struct {
+	Accepted bool `cbor:"1,keyasint"`
+	NotRun   bool `cbor:"3,keyasint"` // nothing was written and no unanswered write can take effect
+	NoJob    bool `cbor:"4,keyasint"` // ErrNoJob
+}
+
 type pendingRequest struct {
 	Queue string `cbor:"1,keyasint"`
 }
@@ -120,7 +128,11 @@
 
 func (s *Service) serveCancel(ctx context.Context, r cancelRequest) (any, error) {
 	done, err := s.cancelOnce(ctx, r.ID, r.Account)
-	return forwardReply{Accepted: done && err == nil}, nil
+	return cancelReply{
+		Accepted: done && err == nil,
+		NoJob:    errors.Is(err, ErrNoJob),
+		NotRun:   err != nil && !errors.Is(err, ErrNoJob) && !errors.Is(err, store.ErrUnknownOutcome),
+	}, nil
 }
 
 // serveState answers only on the leader. Another daemon does not have the state of jobs and
--- a/request/submit/submit.go
+++ b/request/submit/submit.go
@@ -412,33 +412,27 @@
 // forward has another daemon write the job. uncertain reports that one may have written it
 // although no answer arrived.
 func (s *Service) forward(ctx context.Context, sub *submission) (accepted, uncertain bool) {
-	accepted = s.tryTargets(ctx, s.method(MethodForward), offer{Key: string(sub.id), Value: sub.full}, func(r forwardReply, err error) {
-		uncertain = uncertain || r.Uncertain || (err != nil && !peer.NotRun(err))
-	})
-	if !accepted {
-		return false, uncertain
-	}
-	s.stats.Forwarded.Add(1)
-	return true, false
-}
-
-// tryTargets calls other daemons one after the other until one has accepted; refused is called
-// for each that has not.
-func (s *Service) tryTargets(ctx context.Context, method peer.Method, req any, refused func(r forwardReply, err error)) bool {
 	for _, m := range s.forwardTargets() {
-		if ctx.Err() != nil {
-			break
-		}
-		bounded, cancel := context.WithTimeout(ctx, forwardTimeout)
 		var r forwardReply
-		_, err := s.o.Peers.CallAddr(bounded, m.Peer, method, req, &r)
-		cancel()
+		err := s.callTarget(ctx, m, s.method(MethodForward), offer{Key: string(sub.id), Value: sub.full}, &r)
 		if err == nil && r.Accepted {
-			return true
+			s.stats.Forwarded.Add(1)
+			return true, false
 		}
-		refused(r, err)
+		uncertain = uncertain || r.Uncertain || (err != nil && !peer.NotRun(err))
+	}
+	return false, uncertain
+}
+
+// callTarget calls one of the forwardTargets; it does not call after the end of ctx.
+func (s *Service) callTarget(ctx context.Context, m lead.Member, method peer.Method, req, resp any) error {
+	if err := ctx.Err(); err != nil {
+		return fmt.Errorf("%w: %w", peer.ErrNotSent, err)
 	}
-	return false
+	bounded, cancel := context.WithTimeout(ctx, forwardTimeout)
+	defer cancel()
+	_, err := s.o.Peers.CallAddr(bounded, m.Peer, method, req, resp)
+	return err
 }
 
 // State returns the state of a job as it is shown to callers of the account. The error is
