submit: a request whose time is over is refused, not dropped by a panic

What callers saw: no answer.

Cause: Submit and Cancel make no try if the context has ended at entry, and built their refusal with the error of the last try, nil; writing it out dereferences it.

Why this works: the refusal carries the cause of the context's end, and a verdict without a cause says so instead of panicking. 'Not run' is true: no try was made.

--- a/request/submit/cancel.go
+++ b/request/submit/cancel.go
@@ -45,10 +45,7 @@
 		_ = sleep.For(ctx, retryDelay) // the loop condition checks ctx
 		s.o.StoreTimeout.AwaitAnswer(ctx, cancelRetryDelay)
 	}
-	if unconfirmed {
-		return unknown(last)
-	}
-	return unavailable(CodeStore, last)
+	return refuseAtEnd(ctx, last, unconfirmed)
 }
 
 // cancelMark is the value stored for a cancellation; only its key matters.
--- a/request/submit/submit.go
+++ b/request/submit/submit.go
@@ -224,10 +224,19 @@
 		}
 		_ = sleep.For(ctx, retryDelay) // the loop condition checks ctx
 	}
-	if !unconfirmed {
-		return unavailable(CodeStore, last)
+	return refuseAtEnd(ctx, last, unconfirmed)
+}
+
+// refuseAtEnd returns the answer to a request whose time is over: last is the error of its last try,
+// nil if ctx had ended before the first one, as after a suspension of the daemon.
+func refuseAtEnd(ctx context.Context, last error, unconfirmed bool) error {
+	if last == nil {
+		last = context.Cause(ctx)
+	}
+	if unconfirmed {
+		return unknown(last)
 	}
-	return unknown(last)
+	return unavailable(CodeStore, last)
 }
 
 // reachable reads from the store before a write that would directly follow a failure. A failed
--- a/request/submit/submit_test.go
+++ b/request/submit/submit_test.go
@@ -303,3 +303,23 @@
 		require.LessOrEqual(t, m.Counts().Total()-before, 6)
 	})
 }
+
+// TestRequestWhoseTimeIsOverIsRefused guards against a request that panics, and whose caller gets no
+// answer, when its context has ended before the first try, as after a suspension of the daemon.
+func TestRequestWhoseTimeIsOverIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := kv.New()
+		s := newService(m)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		time.Sleep(time.Minute)
+		for name, err := range map[string]error{"submit": s.Submit(ctx, id, testJob()), "cancel": s.Cancel(ctx, id, "")} {
+			require.Equal(t, verdict.NotRun, verdict.Of(err), name)
+			require.Positive(t, verdict.As(err).RetryAfterMillis, name)
+			require.ErrorIs(t, err, context.DeadlineExceeded, name)
+			require.NotPanics(t, func() { _ = err.Error() }, name)
+		}
+		require.False(t, stored(t, m, dispatch.KeySubmission(id)))
+		require.False(t, stored(t, m, dispatch.KeyState(id)))
+	})
+}
--- a/request/verdict/body.go
+++ b/request/verdict/body.go
@@ -76,7 +76,7 @@
 // WriteHTTP sends the error to the caller: status, verdict header, JSON body and, if the error
 // has a delay for the retry, Retry-After in whole seconds, rounded up.
 func (e *Error) WriteHTTP(w http.ResponseWriter, requestID string) {
-	message := e.Err.Error()
+	message := e.cause().Error()
 	if len(message) > maxMessage {
 		message = message[:maxMessage]
 	}
--- a/request/verdict/verdict.go
+++ b/request/verdict/verdict.go
@@ -38,11 +38,22 @@
 	Code    string
 	// RetryAfterMillis is the delay after which the caller should retry; 0 means unknown.
 	RetryAfterMillis int64
-	Err              error
+	Err              error // the cause
+}
+
+// errNoCause stands for a missing cause: the verdict is owed to the caller all the same.
+var errNoCause = errors.New("no cause recorded")
+
+// cause returns Err, or errNoCause if it is nil.
+func (e *Error) cause() error {
+	if e.Err == nil {
+		return errNoCause
+	}
+	return e.Err
 }
 
 // Error implements error.
-func (e *Error) Error() string { return e.Code + " (" + e.Verdict.String() + "): " + e.Err.Error() }
+func (e *Error) Error() string { return e.Code + " (" + e.Verdict.String() + "): " + e.cause().Error() }
 
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Err }
