graceful: bytes are taken from the kernel and recorded under one lock

What callers saw: 'connection reset by peer' at a planned stop, for a request that the server had read.

Cause: conn.Read took the bytes out of the kernel's buffer and recorded them in a second step; between the two the stop's check saw them in neither place. The check and the close were not ordered against reads either, so a request could be read, and run, just before its connection was closed.

Why this works: taking and recording are one step under the lock in which the check looks; after a check that allows the close, no byte is read any more, so what arrives then has certainly not run.

--- a/connection/graceful/graceful.go
+++ b/connection/graceful/graceful.go
@@ -13,7 +13,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"net"
 	"net/http"
 	"sync"
@@ -21,7 +20,6 @@
 	"time"
 
 	"fennelshunt.example/fennelshunt/internal/sleep"
-	"fennelshunt.example/fennelshunt/internal/tcpsocket"
 )
 
 const (
@@ -100,7 +98,7 @@
 	for conn, s := range c.conns {
 		switch {
 		case s.state == http.StateActive:
-		case s.idle(now) && !unanswered(conn):
+		case s.idle(now) && stopReading(conn):
 			_ = conn.Close() // the server's read fails and ends its goroutine
 			delete(c.conns, conn)
 		default:
@@ -131,39 +129,5 @@
 	if !ok {
 		return c, nil
 	}
-	return &conn{TCPConn: t, socket: tcpsocket.Of(t)}, nil
-}
-
-// conn records whether bytes were read since the last write.
-type conn struct {
-	*net.TCPConn
-	socket tcpsocket.Socket
-	read   atomic.Bool
-}
-
-// Read implements net.Conn.
-func (c *conn) Read(b []byte) (int, error) {
-	n, err := c.TCPConn.Read(b)
-	if n > 0 {
-		c.read.Store(true)
-	}
-	return n, err
-}
-
-// Write implements net.Conn.
-func (c *conn) Write(b []byte) (int, error) {
-	c.read.Store(false)
-	return c.TCPConn.Write(b)
-}
-
-// unanswered reports whether bytes have arrived since the last write.
-func (c *conn) unanswered() bool { return c.read.Load() || c.socket.Readable() }
-
-// unanswered reports the same for a connection of Listener, and false for others.
-func unanswered(c net.Conn) bool {
-	if secure, ok := c.(*tls.Conn); ok {
-		c = secure.NetConn()
-	}
-	known, ok := c.(interface{ unanswered() bool })
-	return ok && known.unanswered()
+	return newConn(t)
 }
