graceful: no connection is left to http.Server.Shutdown

What callers saw: 'connection reset by peer' at a planned stop, of both daemons, for a request that follows an answer.

Cause: drain does not count a connection whose answer has been written while the server's goroutine has steps left (StateActive), and returns; that answer did not say that the connection ends. The caller sends its next request, the connection becomes idle, and http.Server.Shutdown, which does not look at what has arrived, closes it.

Evidence: TestRequestAfterAnAnswerOfBeforeTheStopIsAnswered holds the server's goroutine after the answer and before its next read: without the change 3 of 3 red.

Why this works: the package's own check, which sees what has arrived, closes every connection; http.Server.Shutdown finds none.

--- a/connection/graceful/graceful.go
+++ b/connection/graceful/graceful.go
@@ -77,7 +77,7 @@
 	c.closing.Store(true)
 	c.drain(ctx)
 	stop()
-	c.drain(ctx) // the connections accepted last
+	c.awaitAll(ctx)
 	err := c.server.Shutdown(ctx)
 	_ = c.server.Close()
 	return err
@@ -89,6 +89,21 @@
 	}
 }
 
+// awaitAll closes idle connections until none is left, or ctx ends. http.Server.Shutdown is left
+// with nothing to close: it does not look for requests that have arrived, not even for one that
+// follows an answer which was sent before the stop began.
+func (c *Conns) awaitAll(ctx context.Context) {
+	for c.closeIdle(time.Now()); c.open() > 0 && sleep.For(ctx, pollInterval) == nil; c.closeIdle(time.Now()) {
+	}
+}
+
+// open returns the number of open connections.
+func (c *Conns) open() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.conns)
+}
+
 // closeIdle closes the connections without a request and returns the number of connections
 // on which a request may be arriving but is not in progress yet.
 func (c *Conns) closeIdle(now time.Time) int {
--- a/connection/graceful/graceful_test.go
+++ b/connection/graceful/graceful_test.go
@@ -185,3 +185,60 @@
 	_, err = c.r.ReadByte()
 	require.Error(t, err)
 }
+
+// lateConn holds the server's goroutine after it has sent an answer, and again before its next read.
+type lateConn struct {
+	*conn
+	afterWrite, beforeRead chan struct{}
+	reads                  atomic.Int32
+}
+
+func (l *lateConn) Write(b []byte) (int, error) {
+	n, err := l.conn.Write(b)
+	<-l.afterWrite
+	return n, err
+}
+
+func (l *lateConn) Read(b []byte) (int, error) {
+	if l.reads.Add(1) > 1 {
+		<-l.beforeRead
+	}
+	return l.conn.Read(b)
+}
+
+type lateListener struct {
+	net.Listener
+	afterWrite, beforeRead chan struct{}
+}
+
+func (l lateListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &lateConn{conn: c.(*conn), afterWrite: l.afterWrite, beforeRead: l.beforeRead}, nil
+}
+
+// TestRequestAfterAnAnswerOfBeforeTheStopIsAnswered guards against a planned stop that closes the
+// connection under the request that follows an answer, when the answer was sent without a word of
+// the stop and the server had not finished with it when the stop began.
+func TestRequestAfterAnAnswerOfBeforeTheStopIsAnswered(t *testing.T) {
+	tcp, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	l := lateListener{Listener(tcp), make(chan struct{}), make(chan struct{})}
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "whole") })}
+	f := &fixture{conns: Track(server), listen: &slowListener{Listener: l}, done: make(chan error, 1)}
+	go func() { _ = server.Serve(l) }() // ends with the listener
+	t.Cleanup(func() { _ = server.Close() })
+	c := call(t, f)
+	c.send()
+	require.False(t, c.answer().Close, "sent before the stop")
+	f.shutdown(t.Context())
+	require.Never(t, func() bool { return len(f.done) > 0 }, 5*pollInterval, pollInterval)
+	c.send()
+	close(l.afterWrite)
+	require.Never(t, func() bool { return len(f.done) > 0 }, 20*pollInterval, pollInterval, "the request is not answered yet")
+	close(l.beforeRead)
+	require.True(t, c.answer().Close)
+	require.NoError(t, <-f.done)
+}
