graceful: a request that came with the one before keeps its connection

What callers saw: at a planned stop, a request that was sent before the answer to the one before it (pipelining) could lose its connection.

Cause: the write of an answer clears the record that bytes were read, also when the server's buffer holds the next request already. In the moment between the two the connection is idle, and the stop closed it.

Evidence: TestRequestReadWithTheOneBeforeIsAnswered holds the server's goroutine in that moment: red without the change, each time.

Why this works: once a request has ended, a connection may be closed only after the server has asked for more bytes, so that its own buffer holds none.

--- a/connection/graceful/conn.go
+++ b/connection/graceful/conn.go
@@ -19,6 +19,7 @@
 
 	mu      sync.Mutex
 	read    bool // bytes were read since the last write
+	asked   bool // the server has asked for bytes since the last request ended
 	stopped bool // no more bytes are read
 }
 
@@ -27,7 +28,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{TCPConn: t, raw: raw, socket: tcpsocket.Of(t)}, nil
+	return &conn{TCPConn: t, raw: raw, socket: tcpsocket.Of(t), asked: true}, nil
 }
 
 // Read implements net.Conn. A byte is either in the kernel's receive buffer or recorded as read:
@@ -37,6 +38,9 @@
 	if len(b) == 0 {
 		return 0, nil
 	}
+	c.mu.Lock()
+	c.asked = true
+	c.mu.Unlock()
 	var n int
 	var readErr error
 	err := c.raw.Read(func(fd uintptr) (done bool) {
@@ -84,6 +88,14 @@
 	return c.TCPConn.Write(b)
 }
 
+// requestEnded is called when the server has finished with a request. It may have read bytes of the
+// next one before the last write; with all of them it goes on without asking for more.
+func (c *conn) requestEnded() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.asked = false
+}
+
 // unanswered reports whether bytes have arrived since the last write.
 func (c *conn) unanswered() bool {
 	c.mu.Lock()
@@ -94,12 +106,13 @@
 // arrived is unanswered for a caller that holds mu.
 func (c *conn) arrived() bool { return c.read || c.socket.Readable() }
 
-// stopReading reports whether no byte has arrived since the last write. From then on none is read,
-// so that no request that arrives before the connection is closed can run.
+// stopReading reports whether no byte of another request has arrived. From then on none is read, so
+// that no request that arrives before the connection is closed can run. While the server has not
+// asked for bytes since the last request, it may still have some of the next one.
 func (c *conn) stopReading() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.arrived() {
+	if !c.asked || c.arrived() {
 		return false
 	}
 	c.stopped = true
@@ -120,6 +133,7 @@
 type tracked interface {
 	unanswered() bool
 	stopReading() bool
+	requestEnded()
 }
 
 // unanswered reports whether bytes have arrived on a connection of Listener since the last write,
@@ -129,8 +143,8 @@
 	return ok && known.unanswered()
 }
 
-// stopReading stops the reading of a connection of Listener if no byte has arrived since the last
-// write, and reports whether it may be closed, which others always may.
+// stopReading stops the reading of a connection of Listener if no byte of another request has
+// arrived, and reports whether it may be closed, which others always may.
 func stopReading(c net.Conn) bool {
 	known, ok := of(c)
 	return !ok || known.stopReading()
--- a/connection/graceful/graceful.go
+++ b/connection/graceful/graceful.go
@@ -64,9 +64,14 @@
 func (c *Conns) setState(conn net.Conn, state http.ConnState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if state == http.StateClosed || state == http.StateHijacked {
+	switch state {
+	case http.StateClosed, http.StateHijacked:
 		delete(c.conns, conn)
 		return
+	case http.StateIdle:
+		if known, ok := of(conn); ok {
+			known.requestEnded()
+		}
 	}
 	c.conns[conn] = status{state, time.Now()}
 }
--- a/connection/graceful/graceful_test.go
+++ b/connection/graceful/graceful_test.go
@@ -282,3 +282,48 @@
 	require.NoError(t, conns.Shutdown(t.Context(), func() { _ = l.Close() }))
 	require.EqualValues(t, 2, l.closes.Load())
 }
+
+// heldWhenIdle serves h and holds the server's goroutine each time that a request has ended, until
+// release; idle gets a value each time.
+func heldWhenIdle(t *testing.T, h http.HandlerFunc) (f *fixture, idle, release chan struct{}) {
+	tcp, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	server := &http.Server{Handler: h}
+	f = &fixture{conns: Track(server), listen: &slowListener{Listener: Listener(tcp)}, done: make(chan error, 1)}
+	idle, release = make(chan struct{}), make(chan struct{})
+	track := server.ConnState
+	server.ConnState = func(c net.Conn, s http.ConnState) {
+		track(c, s)
+		if s == http.StateIdle {
+			select {
+			case idle <- struct{}{}:
+				<-release
+			case <-release:
+			}
+		}
+	}
+	go func() { _ = server.Serve(f.listen) }() // ends with the listener
+	t.Cleanup(func() { _ = server.Close() })
+	return f, idle, release
+}
+
+// TestRequestReadWithTheOneBeforeIsAnswered guards against a planned stop that drops a request whose
+// bytes the server has read together with those of the one before.
+func TestRequestReadWithTheOneBeforeIsAnswered(t *testing.T) {
+	f, idle, release := heldWhenIdle(t, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		_, _ = io.WriteString(w, "whole")
+	})
+	c := call(t, f)
+	const request = "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\nhi"
+	_, err := io.WriteString(c, request+request)
+	require.NoError(t, err)
+	c.answer()
+	<-idle
+	require.Equal(t, 1, f.conns.closeIdle(time.Now()), "the next request has been read")
+	close(release)
+	c.answer()
+	require.Eventually(t, func() bool { return f.conns.closeIdle(time.Now()) == 0 }, testTimeout, time.Millisecond)
+	_, err = c.r.ReadByte()
+	require.ErrorIs(t, err, io.EOF)
+}
