dispatch: a query's result is handed over, not shared

Callers drop the result with the error; no wrong answer is known of it.

Cause: do returned at the end of its context while the posted function still wrote the variables of its caller; State, Explain, Pending and QuotaReport alike.

Evidence: TestQueryThatIsGivenUpSharesNoResult ends the context while the function runs; with the race detector red in all four calls before.

Why this works: the function writes a variable of its own and hands it over a channel, which a caller that has left does not read.

--- a/process/dispatch/host.go
+++ b/process/dispatch/host.go
@@ -265,27 +265,26 @@
 	}
 }
 
-// do runs f on the engine's goroutine and waits for it.
-func (h *Host) do(ctx context.Context, f func(*Engine, time.Duration)) error {
+// query runs f on the engine's goroutine and returns its result. f may run after query has returned
+// at the end of ctx or of the term, so its result must share nothing with the caller.
+func query[R any](ctx context.Context, h *Host, f func(*Engine, time.Duration) R) (R, error) {
+	var none R
 	select {
 	case <-h.loaded:
 	case <-ctx.Done():
-		return ctx.Err()
+		return none, ctx.Err()
 	case <-h.term.Context().Done():
-		return lead.ErrDeposed
+		return none, lead.ErrDeposed
 	}
-	done := make(chan struct{})
-	h.post(func(e *Engine, now time.Duration) {
-		f(e, now)
-		close(done)
-	})
+	result := make(chan R, 1)
+	h.post(func(e *Engine, now time.Duration) { result <- f(e, now) })
 	select {
-	case <-done:
-		return nil
+	case r := <-result:
+		return r, nil
 	case <-ctx.Done():
-		return ctx.Err()
+		return none, ctx.Err()
 	case <-h.term.Context().Done():
-		return lead.ErrDeposed
+		return none, lead.ErrDeposed
 	}
 }
 
@@ -295,28 +294,37 @@
 	Account string
 }
 
-// State returns what callers may be shown of a job; known is false if the engine does not have
+// known is the result of a query about a job; ok is false if the engine does not have the job.
+type known[V any] struct {
+	value V
+	ok    bool
+}
+
+// State returns what callers may be shown of a job; ok is false if the engine does not have
 // the job. It waits until the state has been loaded from the store. The error, as with Explain,
 // Pending and QuotaReport, is that of ctx, or lead.ErrDeposed if the term has ended.
-func (h *Host) State(ctx context.Context, id work.JobID) (view JobView, known bool, err error) {
-	err = h.do(ctx, func(e *Engine, _ time.Duration) {
-		view.State, known = e.State(id)
-		view.Account = e.AccountOf(id)
+func (h *Host) State(ctx context.Context, id work.JobID) (view JobView, ok bool, err error) {
+	r, err := query(ctx, h, func(e *Engine, _ time.Duration) (r known[JobView]) {
+		r.value.State, r.ok = e.State(id)
+		r.value.Account = e.AccountOf(id)
+		return r
 	})
-	return view, known, err
+	return r.value, r.ok, err
 }
 
-// Explain describes what a job is waiting for; known is false if the engine does not have the
+// Explain describes what a job is waiting for; ok is false if the engine does not have the
 // job.
-func (h *Host) Explain(ctx context.Context, id work.JobID) (x Explanation, known bool, err error) {
-	err = h.do(ctx, func(e *Engine, now time.Duration) { x, known = e.Explain(now, id) })
-	return x, known, err
+func (h *Host) Explain(ctx context.Context, id work.JobID) (x Explanation, ok bool, err error) {
+	r, err := query(ctx, h, func(e *Engine, now time.Duration) (r known[Explanation]) {
+		r.value, r.ok = e.Explain(now, id)
+		return r
+	})
+	return r.value, r.ok, err
 }
 
 // Pending returns the number of a queue's jobs that have not started.
-func (h *Host) Pending(ctx context.Context, queue string) (n int, err error) {
-	err = h.do(ctx, func(e *Engine, _ time.Duration) { n = e.Pending(queue) })
-	return n, err
+func (h *Host) Pending(ctx context.Context, queue string) (int, error) {
+	return query(ctx, h, func(e *Engine, _ time.Duration) int { return e.Pending(queue) })
 }
 
 // SetShares sets the shares of the accounts' caps that each shard may use.
@@ -325,9 +333,8 @@
 }
 
 // QuotaReport returns what this shard uses and wants of accounts.
-func (h *Host) QuotaReport(ctx context.Context, asked []string) (r quota.Report, err error) {
-	err = h.do(ctx, func(e *Engine, _ time.Duration) { r = e.QuotaReport(asked) })
-	return r, err
+func (h *Host) QuotaReport(ctx context.Context, asked []string) (quota.Report, error) {
+	return query(ctx, h, func(e *Engine, _ time.Duration) quota.Report { return e.QuotaReport(asked) })
 }
 
 // Offer passes on an entry that an accepting daemon has just written. An entry that is lost on
