dispatch: a query leaves a busy engine at the end of its context

What callers would see: a question for a job's state that is answered late or never while the leader does not keep up with its events, although the store is to be asked after 400 ms.

Cause: queries were posted like events that must not be lost, which wait for room in the engine's buffer until the term ends.

Evidence: TestQueryOfABusyEngineEndsWithItsContext, red in all four calls before (each waits for the 10 s that the test allows).

Why this works: waiting for room ends with the context, like waiting for the result.

--- a/process/dispatch/host.go
+++ b/process/dispatch/host.go
@@ -277,7 +277,13 @@
 		return none, lead.ErrDeposed
 	}
 	result := make(chan R, 1)
-	h.post(func(e *Engine, now time.Duration) { result <- f(e, now) })
+	select {
+	case h.events <- func(e *Engine, now time.Duration) { result <- f(e, now) }:
+	case <-ctx.Done():
+		return none, ctx.Err()
+	case <-h.term.Context().Done():
+		return none, lead.ErrDeposed
+	}
 	select {
 	case r := <-result:
 		return r, nil
--- a/process/dispatch/host_test.go
+++ b/process/dispatch/host_test.go
@@ -79,3 +79,26 @@
 		})
 	}
 }
+
+// TestQueryOfABusyEngineEndsWithItsContext guards against a query that waits beyond its time because
+// the engine's goroutine does not keep up with its events.
+func TestQueryOfABusyEngineEndsWithItsContext(t *testing.T) {
+	for name, query := range queries {
+		t.Run(name, func(t *testing.T) {
+			h := heldHost(t)
+			for range eventBuffer {
+				h.post(func(*Engine, time.Duration) {})
+			}
+			ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+			defer cancel()
+			ended := make(chan error, 1)
+			go func() { ended <- query(ctx, h) }()
+			select {
+			case err := <-ended:
+				require.ErrorIs(t, err, context.DeadlineExceeded)
+			case <-time.After(10 * time.Second):
+				require.Fail(t, "the query has not ended")
+			}
+		})
+	}
+}
