lead: each member is asked who leads before one is asked again

Ruled out: asking all at once (650 calls a second and daemon in a cell of 97), leaving out members that missed an answer (may end with one that answers and is cut off too).

Why this works: a failed member is met once a round, so that two timeouts in succession are the most between answers of those that know.

--- a/process/lead/witness.go
+++ b/process/lead/witness.go
@@ -239,6 +239,7 @@
 // Otherwise a daemon that is cut off from the store for ten seconds would send its
 // callers' queries about jobs to a former leader, and could answer none.
 func (e *Elector) learnLeader(ctx context.Context) {
+	var r rotation
 	for sleep.For(ctx, queryPause) == nil {
 		if !e.o.StoreTimeout.Failing() {
 			continue
@@ -247,8 +248,27 @@
 		if len(members) == 0 {
 			continue
 		}
-		if reply, err := e.ping(ctx, members[rand.IntN(len(members))]); err == nil && reply.Known {
+		if reply, err := e.ping(ctx, r.next(members)); err == nil && reply.Known {
 			e.view.learnLeader(reply.Leader)
 		}
 	}
 }
+
+// rotation returns members in random order, each once before one is returned again. A member that has
+// failed costs a timeout each time that it is asked, and one that is cut off from the store as well
+// knows nothing new, so that neither may be drawn again and again.
+type rotation struct{ returned map[string]bool } // by name
+
+// next returns the next of the members, which must not be empty.
+func (r *rotation) next(members []Member) Member {
+	left := slices.DeleteFunc(slices.Clone(members), func(m Member) bool { return r.returned[m.Name] })
+	if len(left) == 0 {
+		left, r.returned = members, nil
+	}
+	if r.returned == nil {
+		r.returned = map[string]bool{}
+	}
+	m := left[rand.IntN(len(left))]
+	r.returned[m.Name] = true
+	return m
+}
--- a/process/lead/witness_test.go
+++ b/process/lead/witness_test.go
@@ -326,6 +326,48 @@
 	})
 }
 
+// TestDaemonWithoutTheStoreAsksEveryMember guards against a daemon that keeps asking a failed member
+// who leads, and sends its callers' queries to it, while others could tell. Half of the members that
+// it can ask have failed.
+func TestDaemonWithoutTheStoreAsksEveryMember(t *testing.T) {
+	for range 50 { // the draws of the daemons are not seeded
+		synctest.Test(t, func(t *testing.T) {
+			w := newTestCell("a", "b", "c")
+			leader, _ := w.leader(t)
+			cutOffDaemon := w.others(leader)[0]
+			w.gates[cutOffDaemon].rejecting.Store(true)
+			time.Sleep(time.Second)
+			w.kill(leader)
+			w.untilReplaced(leader)
+			time.Sleep(2 * time.Second)
+			next, _ := w.leader(t)
+			known, ok := w.daemons[cutOffDaemon].e.View().Leader()
+			require.True(t, ok)
+			require.Equal(t, next, known.Member.Name)
+			w.stop(leader)
+		})
+	}
+}
+
+// TestRotationReturnsEachMemberOnce guards against the same at its cause, also when members come and
+// go.
+func TestRotationReturnsEachMemberOnce(t *testing.T) {
+	members := []Member{{Name: "a"}, {Name: "b"}, {Name: "c"}}
+	var r rotation
+	for range 100 {
+		var names []string
+		for range members {
+			names = append(names, r.next(members).Name)
+		}
+		slices.Sort(names)
+		require.Equal(t, []string{"a", "b", "c"}, names)
+	}
+	first := r.next(members).Name
+	rest := slices.DeleteFunc(slices.Clone(members), func(m Member) bool { return m.Name == first })
+	require.NotEqual(t, r.next(rest).Name, r.next(rest).Name)
+	require.NotEmpty(t, r.next(rest).Name, "all have been returned: it starts again")
+}
+
 func TestLeaderThatFallsBehindIsReplaced(t *testing.T) {
 	// Guards against tasks that run a second time after their completion was reported: a
 	// leader with little processor time took seconds for what others do at once, never
