peer: the test of broken frames uses the product's round trip

What was seen: TestBrokenFrames, 'close called for canceled stream 16', once beside load. The test was wrong, not the product.

The product passes that error over and reads the reset, which says that nothing ran.

TestFrameThatIsRejectedBeforeItsEndIsNotSent holds the same order against the product: 'not sent', as is true; red if awaitReply returns the error of Close.

As strict: every check of TestBrokenFrames stays; each frame must still end as ErrNotSent and be counted by the server. roundTrip is split where the frame has been written, so that a test can hold the order.

--- a/connection/peer/call.go
+++ b/connection/peer/call.go
@@ -173,6 +173,11 @@
 		}
 		return reply{}, unknown(err)
 	}
+	return awaitReply(stream)
+}
+
+// awaitReply ends a frame that was written, and reads the reply.
+func awaitReply(stream *quic.Stream) (reply, error) {
 	// Close fails if the receiver, which has the whole frame, stopped reading
 	// before it received the end of the stream. It replies nevertheless.
 	closeErr := stream.Close()
--- a/connection/peer/node_test.go
+++ b/connection/peer/node_test.go
@@ -312,13 +312,28 @@
 	if err != nil {
 		return reply{}, err
 	}
-	_, err = stream.Write([]byte(frame))
-	err = errors.Join(err, stream.Close())
-	if err != nil {
-		return reply{}, err
-	}
-	var answer reply
-	return answer, readError(readFrame(stream, &answer))
+	return roundTrip(stream, []byte(frame))
+}
+
+// TestFrameThatIsRejectedBeforeItsEndIsNotSent guards against a call that certainly did not run and is
+// reported as one that may have run, because the receiver rejects its frame before the caller has
+// ended the stream.
+func TestFrameThatIsRejectedBeforeItsEndIsNotSent(t *testing.T) {
+	mux := NewMux()
+	mux.Handle("echo", echo)
+	client, server := pairOf(t, mux)
+	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
+	defer cancel()
+	require.NoError(t, client.Call(ctx, server.Self(), "echo", message{}, nil))
+	link, err := client.current(server.Self())
+	require.NoError(t, err)
+	stream, err := link.conn.OpenStreamSync(ctx)
+	require.NoError(t, err)
+	_, err = stream.Write([]byte("\xff\xff\xff\xffab"))
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return server.Stats().BadFrames.Value() == 1 && stream.Context().Err() != nil }, testTimeout, time.Millisecond)
+	_, err = awaitReply(stream)
+	require.ErrorIs(t, err, ErrNotSent)
 }
 
 func TestUnusedLinksAreClosed(t *testing.T) {
