quota: a share is not left just below what waiting work needs

What callers saw: in a cell of several shards, all work of an account waits for its quota and none runs, for good (TestAccountsStayWithinTheirCapsOverParts, second of its two symptoms: job 1 not completed after 60 s; 2 of 21 runs with the race detector beside 18 busy loops here, on the code before).

Cause: the owner of the shares makes no version for changes below 1 % of the cap. The gang's shard was raised by what was free at that moment, and what became free later was too little for a new version: 7486, 1250, 1250 of 10,000 in the store, 14 assigned to nobody, while the gang needs 7500.

Evidence: the value in the store of a run that stood, its log (no version after the fourth) and a dump of its goroutines (none blocked). TestShareIsNotLeftJustBelowWhatAGangNeeds has those shares, TestWaitingWorkThatFitsTheCapStartsInTheEnd drawn ones; both red before.

Why this works: a change that lets waiting work start is made however small; others below 1 % are still left.

--- a/process/quota/shares.go
+++ b/process/quota/shares.go
@@ -69,7 +69,8 @@
 }
 
 const (
-	// minChange is the smallest change of a share that justifies a new version.
+	// minChange is the smallest change of a share that justifies a new version, unless a smaller
+	// one is what waiting work needs to start.
 	minChange = FullShare / 100
 	// maxOverrides limits the accounts in a version. With 23 shards each takes some 80 bytes.
 	maxOverrides = 2000
@@ -161,10 +162,11 @@
 		free -= max(current.Of(account, shard, b.Shards), u.Held)
 	}
 	shares := make([]int64, b.Shards)
-	change := int64(0)
+	change, needed := int64(0), false
 	for shard := range shares {
 		before := current.Of(account, shard, b.Shards)
 		share := target[shard]
+		needed = needed || usages[shard].startsBetween(before, share)
 		if share > before {
 			// A shard that already holds more than its share is raised to what it holds without
 			// taking from free, which does not include it.
@@ -176,12 +178,18 @@
 		shares[shard] = share
 		change = max(change, share-before, before-share)
 	}
-	if change < minChange {
+	if change == 0 || change < minChange && !needed {
 		return nil
 	}
 	return shares
 }
 
+// startsBetween reports whether the largest part of the waiting work does not start with the share
+// from and starts with the share to, at once or after what the shard holds has ended.
+func (u *Usage) startsBetween(from, to int64) bool {
+	return from < u.Largest && u.Largest <= to || from < u.Held+u.Largest && u.Held+u.Largest <= to
+}
+
 // targetShares divides a cap in proportion to what the shards hold and what waits in them.
 // The shard with the largest Usage.Largest gets at least enough for it: a proportional split
 // could leave too little for the gang.
--- a/process/quota/shares_test.go
+++ b/process/quota/shares_test.go
@@ -63,6 +63,49 @@
 	require.GreaterOrEqual(t, shares.Of("t", 2, 3), int64(8000))
 }
 
+// TestShareIsNotLeftJustBelowWhatAGangNeeds guards against a gang that never starts beside an account
+// that holds nothing, because its shard's share is less than one hundredth of the cap too small.
+func TestShareIsNotLeftJustBelowWhatAGangNeeds(t *testing.T) {
+	for name, overrides := range map[string][]int64{"the rest is free": {7486, 1250, 1250}, "others have the rest": {7460, 1270, 1270}} {
+		t.Run(name, func(t *testing.T) {
+			shares := Shares{Version: 4, Overrides: map[string][]int64{"t": overrides}}
+			settle(t, 3, &shares, func(shard int, _ int64) Usage {
+				if shard == 0 {
+					return Usage{Account: "t", Waiting: 20_000, Largest: 7500}
+				}
+				return Usage{Account: "t", Waiting: 10_000, Largest: 3000}
+			})
+			require.GreaterOrEqual(t, shares.Of("t", 0, 3), int64(7500))
+		})
+	}
+}
+
+// TestWaitingWorkThatFitsTheCapStartsInTheEnd guards against work that waits for ever for a share
+// although the cap has room for it, from any shares.
+func TestWaitingWorkThatFitsTheCapStartsInTheEnd(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		const shards = 3
+		left, overrides, usages := int64(FullShare), make([]int64, shards), make([]Usage, shards)
+		room := int64(FullShare)
+		for shard := range shards {
+			overrides[shard] = rapid.Int64Range(0, left).Draw(rt, "share")
+			left -= overrides[shard]
+			held := rapid.Int64Range(0, min(overrides[shard], room)).Draw(rt, "held")
+			room -= held
+			waiting := rapid.Int64Range(0, room).Draw(rt, "waiting")
+			room -= waiting
+			usages[shard] = Usage{Account: "t", Held: held, Waiting: waiting, Largest: rapid.Int64Range(0, waiting).Draw(rt, "largest")}
+		}
+		shares := Shares{Version: 4, Overrides: map[string][]int64{"t": overrides}}
+		settle(t, shards, &shares, func(shard int, _ int64) Usage { return usages[shard] })
+		for shard, u := range usages {
+			if u.Largest > 0 && shares.Of("t", shard, shards) < u.Held+u.Largest {
+				rt.Fatalf("shard %d has %d of the %d that it needs", shard, shares.Of("t", shard, shards), u.Held+u.Largest)
+			}
+		}
+	})
+}
+
 func TestSharesMoveOnlyAfterEveryShardHasReported(t *testing.T) {
 	b := Balancer{Shards: 2}
 	usages := []Usage{{Account: "t", Held: 5000, Waiting: 3000}}
