--- a/process/cellnode/node.go
+++ b/process/cellnode/node.go
@@ -150,7 +150,7 @@
 
 // Run serves until ctx ends; Stop performs a planned stop.
 func (n *Node) Run(ctx context.Context) error {
-	n.log.Info().Str("zone", n.o.Settings.Zone).Str("callers", n.o.Settings.Callers).Msg("daemon starts")
+	n.log.Info().Str("zone", n.o.Settings.Zone).Str("callers", n.CallersAddr()).Msg("daemon starts")
 	ready := &http.Server{Handler: http.HandlerFunc(n.serveReady), ReadHeaderTimeout: headerTimeout}
 	go n.serveHTTP(ready, n.listen.ready)
 	if err := n.join(ctx); err != nil {
