versions: an apply waits for the daemons that join meanwhile

Cause: Await took the members at its start, the result took them at its end; a daemon that became known in between was never asked and counted as lagging.

--- a/process/versions/await.go
+++ b/process/versions/await.go
@@ -46,8 +46,10 @@
 }
 
 // Members returns what is known of each member, sorted by ID.
-func (r *Replicator) Members() []MemberVersion {
-	members := r.options.Fleet.Members()
+func (r *Replicator) Members() []MemberVersion { return r.versionsOf(r.options.Fleet.Members()) }
+
+// versionsOf returns what is known of each of the current members.
+func (r *Replicator) versionsOf(members []fleet.Member) []MemberVersion {
 	r.observed.retain(members)
 	known := make([]MemberVersion, 0, len(members))
 	for _, m := range members {
@@ -68,14 +70,34 @@
 }
 
 // Await waits until every member has the version in force, or ctx ends, and
-// returns what is known of each then. Members below the version lag.
+// returns what is known of each then. Members below the version lag. Daemons that
+// join meanwhile, or that this daemon learns of late, are members as well.
 func (r *Replicator) Await(ctx context.Context, version uint64) []MemberVersion {
-	var waiting sync.WaitGroup
-	for _, m := range r.options.Fleet.Members() {
-		waiting.Go(func() { r.awaitMember(ctx, m, version) })
+	awaited, waiting := map[peer.Ref]bool{}, 0
+	done := make(chan struct{})
+	for {
+		changed := r.options.Fleet.Changed()
+		members := r.options.Fleet.Members()
+		for _, m := range members {
+			if awaited[m.Ref] {
+				continue
+			}
+			awaited[m.Ref] = true
+			waiting++
+			go func() {
+				r.awaitMember(ctx, m, version)
+				done <- struct{}{}
+			}()
+		}
+		if waiting == 0 {
+			return r.versionsOf(members)
+		}
+		select {
+		case <-done:
+			waiting--
+		case <-changed:
+		}
 	}
-	waiting.Wait()
-	return r.Members()
 }
 
 // Lagging returns those of members that do not have the version in force.
--- a/process/versions/cell_test.go
+++ b/process/versions/cell_test.go
@@ -184,6 +184,31 @@
 	})
 }
 
+// TestAwaitIncludesMembersThatJoin guards against an apply that names a daemon as lagging, without a
+// report, because it was not yet known to the daemon that applies when the wait began. Whether the
+// daemon reports by itself in time depends on whom it exchanges versions with: hence the repetition.
+func TestAwaitIncludesMembersThatJoin(t *testing.T) {
+	for range 20 {
+		inBubble(t, 2, func(c *cell) {
+			applier, held := c.daemons[0].applier, c.daemons[1].view.Self().Ref
+			c.net.Pause(held)
+			applied, err := applier.Apply(context.Background(), fileOf("a", 1), 0, history.By{Author: "x"})
+			require.NoError(t, err)
+			awaited := make(chan struct{})
+			go func() {
+				defer close(awaited)
+				applier.Await(context.Background(), &applied)
+			}()
+			time.Sleep(100 * time.Millisecond)
+			c.add()
+			c.net.Resume(held)
+			<-awaited
+			assert.Len(t, applied.Members, 3)
+			assert.Empty(t, applied.Lagging)
+		})
+	}
+}
+
 // TestAwaitNamesTheLaggard guards against an apply that reports success everywhere although a
 // daemon, cut off from the store and the peers, has the old file: the report would count members
 // without any answer.
