admission: a stall does not keep refused callers away for ten seconds

What callers saw: after planned stops that overlap, refusals wait_too_long with a Retry-After of 10 s from a service that was idle by then; 99th percentile 13 s, longest 14 s.

Cause: the delay of a refused caller began with the estimated wait, which includes the stall: 10 starts in 1.9 s without slots make 0.19 s a start, and 18 s for 97 requests that wait, at the moment at which the slots are back.

TestCallersOfAServiceThatRecoveredReturnSoon, virtual clock: longest 9.5 and 9.4 s before, 6.0 and 5.5 s now; its bound is the stall plus one time limit of the caller. Ruled out: slots blocked by a new owner (complete handovers within 25 ms); an estimate by the latest eight starts (breaks the fair order between teams).

Why this works: the wait counts for at most what the requests ahead take at the pace at which returning callers are planned, so that the service has work when it is back; places are still given one after the other.

--- a/request/admission/admission.go
+++ b/request/admission/admission.go
@@ -152,7 +152,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := time.Now()
-	return q.retrySchedule.delay(q.serviceRate.wait(q.admitted+q.waiting, now), now)
+	return q.retryDelay(q.serviceRate.wait(q.admitted+q.waiting, now), now)
 }
 
 func (c *Controller) queue(service string) *queue {
--- a/request/admission/queue.go
+++ b/request/admission/queue.go
@@ -130,7 +130,12 @@
 // overloaded returns the refusal of a request that would wait for the given time, with the delay
 // after which its caller should retry.
 func (q *queue) overloaded(code string, err error, wait time.Duration, now time.Time) *verdict.Error {
-	return refuse(http.StatusServiceUnavailable, code, err, q.retrySchedule.delay(wait, now))
+	return refuse(http.StatusServiceUnavailable, code, err, q.retryDelay(wait, now))
+}
+
+// retryDelay returns the retry delay for the caller of a request that would wait for the given time.
+func (q *queue) retryDelay(wait time.Duration, now time.Time) time.Duration {
+	return q.retrySchedule.delay(wait, q.admitted+q.waiting, now)
 }
 
 // refusal returns the refusal of a request that would have to queue and not start in time, or
--- a/request/admission/retryschedule.go
+++ b/request/admission/retryschedule.go
@@ -47,12 +47,20 @@
 }
 
 // delay returns the retry delay for the caller of a refused request; wait is how long the request
-// would have waited.
-func (r *retrySchedule) delay(wait time.Duration, now time.Time) time.Duration {
+// would have waited, with the given number of requests ahead of it.
+//
+// A wait that includes a stall is no reason to stay away for long: the service may start requests
+// again at this moment, and would then have nobody to serve while its callers wait for up to
+// maxRetryAfter. So the wait is limited to what the requests ahead take at the planned gaps.
+func (r *retrySchedule) delay(wait time.Duration, ahead int, now time.Time) time.Duration {
+	planned := time.Duration(gapsPerRetry * r.gap * float64(time.Second))
+	if planned > 0 {
+		wait = min(wait, time.Duration(ahead)*planned)
+	}
 	if earliest := now.Add(wait); r.until.Before(earliest) {
 		r.until = earliest
 	}
-	r.until = r.until.Add(time.Duration(gapsPerRetry * r.gap * float64(time.Second)))
+	r.until = r.until.Add(planned)
 	if last := now.Add(maxRetryAfter); r.until.After(last) {
 		r.until = last
 	}
