graceful: a failed read is named as a read

The log of a planned stop beside load showed 'raw-read tcp ...' for a deadline, since the connection reads through its raw form now. The error is the one of net.TCPConn again; TestReadFailsAsOfAnyConnection checks deadline, end and close, by which net/http tells them apart.

--- a/connection/graceful/conn.go
+++ b/connection/graceful/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/tls"
+	"errors"
 	"io"
 	"net"
 	"os"
@@ -47,7 +48,11 @@
 		n, readErr = c.readNow(int(fd), b)
 		return readErr != syscall.EAGAIN
 	})
+	var failed *net.OpError
 	switch {
+	case errors.As(err, &failed):
+		failed.Op = "read" // as net.TCPConn names it, not "raw-read"
+		return 0, failed
 	case err != nil:
 		return 0, err
 	case readErr != nil:
--- a/connection/graceful/conn_test.go
+++ b/connection/graceful/conn_test.go
@@ -3,7 +3,9 @@
 import (
 	"io"
 	"net"
+	"os"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -64,3 +66,24 @@
 	require.ErrorIs(t, err, net.ErrClosed)
 	require.Zero(t, n)
 }
+
+// TestReadFailsAsOfAnyConnection guards against a server that takes a deadline, or the end of a
+// connection, for another failure, and against logs that name an operation nobody asked for.
+func TestReadFailsAsOfAnyConnection(t *testing.T) {
+	out, in := pair(t)
+	require.NoError(t, in.SetReadDeadline(time.Now().Add(-time.Second)))
+	_, err := in.Read(make([]byte, 1))
+	require.ErrorIs(t, err, os.ErrDeadlineExceeded)
+	var failed net.Error
+	require.ErrorAs(t, err, &failed)
+	require.True(t, failed.Timeout())
+	require.Contains(t, err.Error(), "read tcp 127.0.0.1:")
+	require.NotContains(t, err.Error(), "raw-read")
+	require.NoError(t, in.SetReadDeadline(time.Time{}))
+	require.NoError(t, out.Close())
+	_, err = in.Read(make([]byte, 1))
+	require.Equal(t, io.EOF, err)
+	require.NoError(t, in.Close())
+	_, err = in.Read(make([]byte, 1))
+	require.ErrorIs(t, err, net.ErrClosed)
+}
