slots: a stopping daemon waits longer for an owner that answers slowly

Cause: each report had 1 s for its answer, again and again. With answers of 0.99 s the return takes 1 s, with 1.1 s it never ends, though the owner has the credits after half of that.

TestIdleCreditsAreReturnedToASlowOwner: red before at 1.1 s.

Why this works: the timeout doubles with each report that is not answered, to 4 s; three fit into the 9 s for which the credits are valid. A late answer says the same as one in time: the reports carry sequence numbers, the validity of credits counts from the report.

--- a/request/slots/holder.go
+++ b/request/slots/holder.go
@@ -58,6 +58,7 @@
 	contended          bool
 	oldest             time.Time // arrival of the first waiter over all daemons
 	reportsInFlight    int
+	unanswered         int  // consecutive reports without an answer
 	renewed            bool // whether this owner has answered a full report
 	reportDue          bool // whether a change has not been reported yet
 	leaving            bool // the daemon is stopping: no idle credit is kept
--- a/request/slots/leave_test.go
+++ b/request/slots/leave_test.go
@@ -84,6 +84,24 @@
 	}
 }
 
+// TestIdleCreditsAreReturnedToASlowOwner guards against a planned stop that says it has lost its
+// credits because each answer of their owner, which is short of processor time, takes longer than the
+// timeout of a call.
+func TestIdleCreditsAreReturnedToASlowOwner(t *testing.T) {
+	for _, answer := range []time.Duration{DefaultCallTimeout + 100*time.Millisecond, 3 * DefaultCallTimeout} {
+		synctest.Test(t, func(t *testing.T) {
+			c := cellWithReserve(t, 2)
+			defer c.close()
+			c.net.SetDelay(answer / 2)
+			require.NoError(t, c.daemons["d1"].ReturnIdle(t.Context()), "%v", answer)
+			c.net.SetDelay(time.Millisecond)
+			c.crash("d1")
+			time.Sleep(2 * time.Second)
+			require.Equal(t, 31, c.available(c.daemons["d0"]), "the request of the credit in use may still run")
+		})
+	}
+}
+
 // TestReturnOfIdleCreditsIsBounded guards against a planned stop that does not end while the
 // owner of its credits is unreachable, because it waits for a reply without a limit.
 func TestReturnOfIdleCreditsIsBounded(t *testing.T) {
--- a/request/slots/report.go
+++ b/request/slots/report.go
@@ -17,6 +17,9 @@
 	notReadyDelay = 20 * time.Millisecond
 	// retryInterval is how often a holder with waiters repeats a report.
 	retryInterval = 250 * time.Millisecond
+	// maxLeavingDoublings bounds how often a leaving holder doubles the timeout of its reports: with
+	// two, three reports fit into the time in which its credits are valid.
+	maxLeavingDoublings = 2
 )
 
 // requestReserveIfLow requests a reserve before it is needed. The caller holds mu.
@@ -118,14 +121,26 @@
 	h.reportsInFlight++
 	h.reportDue = false
 	h.m.counts.Reports.Add(1)
+	timeout := h.reportTimeout()
 	go func() {
-		ctx, cancel := context.WithTimeout(h.m.ctx, h.m.opts.CallTimeout)
+		ctx, cancel := context.WithTimeout(h.m.ctx, timeout)
 		defer cancel()
 		answer, err := h.m.callReport(ctx, owner.Owner, r)
 		h.handleReply(owner, began, r, answer, err)
 	}()
 }
 
+// reportTimeout returns the timeout of the next report. A leaving holder waits longer after each report
+// without an answer: an owner that is short of processor time has received the credits all the same,
+// and the stop would be said to have lost them. Other holders need to notice a lost report soon. The
+// caller holds mu.
+func (h *holder) reportTimeout() time.Duration {
+	if !h.leaving {
+		return h.m.opts.CallTimeout
+	}
+	return h.m.opts.CallTimeout << min(h.unanswered, maxLeavingDoublings)
+}
+
 // handleReply processes the pool's reply to r.
 func (h *holder) handleReply(owner ownership.Claim, began time.Time, r report, answer reply, err error) {
 	h.mu.Lock()
@@ -136,8 +151,12 @@
 		return
 	}
 	h.reportsInFlight--
+	if err == nil {
+		h.unanswered = 0
+	}
 	switch {
 	case err != nil:
+		h.unanswered++
 		h.returned = append(h.returned, r.Returned...)
 		h.clearContention()
 		h.m.counts.ReportsFailed.Add(1)
