lead: what ErrDeposed of a commit says when a try was not answered

Read while looking for writes whose unknown outcome is dropped: Commit promised that nothing was written, but a later claim overwrites the stream's record, by which an earlier unanswered try would be recognised. Its callers end their term and rely on nothing more; so the comment is corrected, not the code.

--- a/process/lead/term.go
+++ b/process/lead/term.go
@@ -85,8 +85,9 @@
 // Commit writes and deletes keys as the leader, on one of the term's write streams.
 // Writes of one stream take effect in the order of their calls, those of different
 // streams in any order. Commit retries until the outcome is known: nil means that the
-// whole write set is in the store. ErrDeposed means that nothing was written and the
-// term is over; after the context's error the write may still take effect.
+// whole write set is in the store. ErrDeposed means that the term is over and that
+// nothing was written, unless an earlier try was not answered: a later claim hides
+// whether that one took effect. After the context's error the write may still take effect.
 func (t *Term) Commit(ctx context.Context, stream int, writes []store.Write, deletes []string) error {
 	return t.commit(ctx, &t.streams[stream], store.Txn{Writes: writes, Deletes: deletes})
 }
