slots: a return that was not answered is not taken back

Cause: a daemon whose report is refused, because the receiver owns the pool no more, takes the credits back that the report returned. If an earlier report of the same credits was not answered, the owner may have received it and granted the slots to others.

Why this works: a return without an answer is given up for good, unless the call certainly did not run; the next owner collects what is held, and the credit is not among it.

--- a/request/slots/holder.go
+++ b/request/slots/holder.go
@@ -359,15 +359,22 @@
 	h.serve(now)
 }
 
+// giveUpReturned gives up credits whose return was not answered: the pool may have granted their slots
+// again, so that they are not reclaimed if a later report of them is refused. Otherwise an instance
+// would get more requests than it has slots.
+func (h *holder) giveUpReturned(ids []creditID) {
+	for _, id := range ids {
+		delete(h.pendingReturns, id)
+	}
+}
+
 // clearContention is called when the pool's owner did not accept a report: its last announcement
 // that requests wait at other daemons is no longer a reason to return credits to it.
 func (h *holder) clearContention() { h.contended, h.oldest = false, time.Time{} }
 
 // confirmReturns drops the records of returned credits after the pool has accepted the report.
 func (h *holder) confirmReturns(r report) {
-	for _, id := range r.Returned {
-		delete(h.pendingReturns, id)
-	}
+	h.giveUpReturned(r.Returned)
 	if !r.Full {
 		return
 	}
--- a/request/slots/report.go
+++ b/request/slots/report.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"fennelshunt.example/fennelshunt/connection/peer"
 	"fennelshunt.example/fennelshunt/process/ownership"
 )
 
@@ -158,6 +159,9 @@
 	case err != nil:
 		h.unanswered++
 		h.returned = append(h.returned, r.Returned...)
+		if !peer.NotRun(err) {
+			h.giveUpReturned(r.Returned)
+		}
 		h.clearContention()
 		h.m.counts.ReportsFailed.Add(1)
 		return // the ticker retries
