slots: late answers count when no earlier owner grants any more

What callers saw: after a planned stop beside load, slots that nobody uses count as taken until their credits have expired, and the stop fails with 'idle credits not returned' (TestRollingUpgradeCutsNothing, suspected so far).

Cause: a new owner discards each answer later than half the margin, 1 s, since an earlier owner that still grants may have granted a listed slot again. After a handover no earlier owner grants, and the rule only loses slots.

Why this works: whether an earlier owner may grant is known at the request (none unresolved, the last possible grant past), and a member's answer then holds whenever it comes: it refuses lower epochs from that answer on.

--- a/request/slots/churn_test.go
+++ b/request/slots/churn_test.go
@@ -48,11 +48,38 @@
 		if only := os.Getenv("FENNEL_SEED"); only != "" && only != strconv.Itoa(seed) {
 			continue
 		}
-		synctest.Test(t, func(t *testing.T) { runChurn(t, uint64(seed)) })
+		synctest.Test(t, func(t *testing.T) { runChurn(t, uint64(seed), func(*churn) {}) })
 	}
 }
 
-func runChurn(t *testing.T, seed uint64) {
+// TestChurnWithSlowAnswersNeverExceedsSlots guards against the same where calls between daemons take
+// up to twice their timeout for seconds, so that answers are accepted late.
+func TestChurnWithSlowAnswersNeverExceedsSlots(t *testing.T) {
+	seeds := 6
+	if os.Getenv("FENNEL_LONG") != "" {
+		seeds = 200
+	}
+	for seed := range seeds {
+		synctest.Test(t, func(t *testing.T) {
+			delays := rand.New(rand.NewPCG(uint64(seed), 12))
+			next := time.Now()
+			runChurn(t, uint64(seed), func(c *churn) {
+				if time.Now().Before(next) {
+					return
+				}
+				delay := time.Millisecond
+				if delays.IntN(2) == 0 {
+					delay = time.Duration(delays.Int64N(int64(DefaultCallTimeout)))
+				}
+				c.net.SetDelay(delay)
+				next = time.Now().Add(time.Duration(delays.IntN(8000)) * time.Millisecond)
+			})
+		})
+	}
+}
+
+// runChurn runs one sequence; disturb is called before each request.
+func runChurn(t *testing.T, seed uint64, disturb func(*churn)) {
 	c := &churn{
 		cell: newCell(t, seed, churnDaemons), r: rand.New(rand.NewPCG(seed, 11)), incarnations: 1,
 		attempts: map[int]int{}, done: make(chan error, 100000),
@@ -68,9 +95,11 @@
 			c.replaceLostOwner()
 			next = time.Now().Add(time.Duration(c.r.IntN(2500)) * time.Millisecond)
 		}
+		disturb(c)
 		c.load()
 		time.Sleep(time.Duration(c.r.ExpFloat64() * float64(40*time.Millisecond)))
 	}
+	c.net.SetDelay(time.Millisecond)
 	c.heal()
 	c.drain()
 	// Longer than twice the sum of TTL, request limit and margins.
--- a/request/slots/leave_test.go
+++ b/request/slots/leave_test.go
@@ -102,6 +102,42 @@
 	}
 }
 
+// TestCreditsAreCollectedFromASlowMember guards against slots that count as taken until their credits
+// have expired, and against callers that wait for them, because a new owner discards each answer that
+// takes longer than half the margin, although the earlier owner has handed the pool over.
+func TestCreditsAreCollectedFromASlowMember(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := cellWithReserve(t, 3)
+		defer c.close()
+		require.NoError(t, c.daemons["d0"].Releasing(t.Context(), serviceResource(testService)))
+		c.claims.Release(serviceResource(testService))
+		c.net.SetDelay((DefaultMargin/2 + 100*time.Millisecond) / 2)
+		c.own(c.daemons["d2"])
+		require.NoError(t, c.daemons["d1"].ReturnIdle(t.Context()))
+		c.net.SetDelay(time.Millisecond)
+		c.crash("d1")
+		time.Sleep(2 * time.Second)
+		require.Equal(t, 31, c.available(c.daemons["d2"]), "the request of the credit in use may still run")
+	})
+}
+
+// TestLateAnswersCountOnlyAfterTheEarlierOwners guards against an instance that gets more requests than
+// it has slots: while an earlier owner may still grant, a late answer may list a credit whose slot the
+// earlier owner has granted again since.
+func TestLateAnswersCountOnlyAfterTheEarlierOwners(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := cellWithReserve(t, 3)
+		defer c.close()
+		c.daemons["d0"].setDisconnected(time.Now()) // it does not learn of the new owner and grants on
+		c.net.Cut("d0", "d2")
+		c.net.SetDelay((DefaultMargin/2 + 100*time.Millisecond) / 2)
+		c.own(c.daemons["d2"])
+		ctx, cancel := context.WithTimeout(t.Context(), DefaultTTL/2)
+		defer cancel()
+		require.Error(t, c.daemons["d1"].ReturnIdle(ctx), "the answer has not been taken")
+	})
+}
+
 // TestReturnOfIdleCreditsIsBounded guards against a planned stop that does not end while the
 // owner of its credits is unreachable, because it waits for a reply without a limit.
 func TestReturnOfIdleCreditsIsBounded(t *testing.T) {
--- a/request/slots/takeover.go
+++ b/request/slots/takeover.go
@@ -12,8 +12,13 @@
 	"fennelshunt.example/fennelshunt/process/ownership"
 )
 
-// collectRetry is the pause between two attempts to collect from a member.
-const collectRetry = 500 * time.Millisecond
+const (
+	// collectRetry is the pause between two attempts to collect from a member.
+	collectRetry = 500 * time.Millisecond
+	// maxCollectDoublings bounds how often the timeout of an attempt is doubled: the attempts to the
+	// other members wait for the longest.
+	maxCollectDoublings = 1
+)
 
 // takeover is the state of a pool's owner while slots may be in use under an earlier owner by a
 // holder that is not accounted for.
@@ -131,14 +136,26 @@
 // collect requests the credits of every member until each has answered or the takeover has
 // ended. Each member that answers refuses lower epochs from then on.
 func (p *pool) collect() {
+	missed := map[peer.Ref]int{} // consecutive requests without an answer
 	for {
-		targets, open := p.collectTargets()
+		targets, earlierEnded, open := p.collectTargets()
 		if !open {
 			return
 		}
+		var mu sync.Mutex // guards missed
 		var wg sync.WaitGroup
 		for _, ref := range targets {
-			wg.Go(func() { p.collectFrom(ref) })
+			mu.Lock()
+			before := missed[ref]
+			mu.Unlock()
+			wg.Go(func() {
+				if p.collectFrom(ref, earlierEnded, before) {
+					return
+				}
+				mu.Lock()
+				defer mu.Unlock()
+				missed[ref]++
+			})
 		}
 		wg.Wait()
 		_ = sleep.For(p.ctx, collectRetry) // collectTargets reports the end of the takeover
@@ -158,15 +175,19 @@
 	return true
 }
 
-// collectTargets lists the members, holders and earlier owners that have not answered; it
-// returns false when the takeover has ended.
-func (p *pool) collectTargets() ([]peer.Ref, bool) {
-	result := make(chan []peer.Ref, 1)
+// collectTargets lists the members, holders and earlier owners that have not answered. earlierEnded
+// reports that no earlier owner grants any more; open is false when the takeover has ended.
+func (p *pool) collectTargets() (all []peer.Ref, earlierEnded, open bool) {
+	type answer struct {
+		all          []peer.Ref
+		earlierEnded bool
+	}
+	result := make(chan answer, 1)
 	done := p.do(p.ctx, func() {
 		targets := map[peer.Ref]bool{}
 		t := p.takeover
 		if t == nil {
-			result <- nil
+			result <- answer{}
 			return
 		}
 		for _, m := range p.m.opts.Members.Members() {
@@ -187,35 +208,46 @@
 		for ref := range t.answered {
 			delete(targets, ref)
 		}
-		result <- append([]peer.Ref{}, slices.Collect(maps.Keys(targets))...)
+		result <- answer{
+			all:          append([]peer.Ref{}, slices.Collect(maps.Keys(targets))...),
+			earlierEnded: len(t.unresolved) == 0 && !time.Now().Before(t.lastGrant),
+		}
 	})
 	if !done {
-		return nil, false
+		return nil, false, false
 	}
-	targets := <-result
-	return targets, targets != nil
+	a := <-result
+	return a.all, a.earlierEnded, a.all != nil
 }
 
-// collectFrom collects the credits of one member.
+// collectFrom collects the credits of one member. missed is how many times in succession the member
+// has not answered.
 //
-// Replies later than half the margin are discarded and requested again; an earlier owner waits
-// for a whole margin. A later reply could list a credit that the earlier owner has since freed
-// and whose slot it has granted again, so the slot would count as accounted for while another
-// holder uses it.
-func (p *pool) collectFrom(ref peer.Ref) {
+// While an earlier owner may still grant, replies later than half the margin are discarded and
+// requested again; an earlier owner waits for a whole margin. A later reply could list a credit that
+// the earlier owner has since freed and whose slot it has granted again, so the slot would count as
+// accounted for while another holder uses it. When all earlier owners had ended before the request, no
+// such slot is granted again, and a member that is short of processor time gets longer each time:
+// otherwise its slots would count as taken for as long as it answers late.
+func (p *pool) collectFrom(ref peer.Ref, earlierEnded bool, missed int) (answered bool) {
 	began := time.Now()
-	ctx, cancel := context.WithTimeout(p.ctx, min(p.m.opts.CallTimeout, p.m.opts.Margin/2))
+	limit := min(p.m.opts.CallTimeout, p.m.opts.Margin/2)
+	if earlierEnded {
+		limit = p.m.opts.CallTimeout << min(missed, maxCollectDoublings)
+	}
+	ctx, cancel := context.WithTimeout(p.ctx, limit)
 	defer cancel()
 	msg := push{Service: p.service, Terms: terms{Epoch: p.epoch}, Collect: true, Owner: p.m.opts.Self}
 	answer, err := p.m.callPush(ctx, ref, msg)
 	if err != nil || answer.Status != statusOK {
-		return
+		return false
 	}
 	p.do(p.ctx, func() {
-		if time.Since(began) <= p.m.opts.Margin/2 {
+		if earlierEnded || time.Since(began) <= p.m.opts.Margin/2 {
 			p.applyCollected(ref, answer)
 		}
 	})
+	return true
 }
 
 func (p *pool) applyCollected(ref peer.Ref, answer pushReply) {
