--- a/process/lead/witness.go
+++ b/process/lead/witness.go
@@ -239,7 +239,7 @@
 // Otherwise a daemon that is cut off from the store for ten seconds would send its
 // callers' queries about jobs to a former leader, and could answer none.
 func (e *Elector) learnLeader(ctx context.Context) {
-	var r rotation
+	var d draw
 	for sleep.For(ctx, queryPause) == nil {
 		if !e.o.StoreTimeout.Failing() {
 			continue
@@ -248,27 +248,38 @@
 		if len(members) == 0 {
 			continue
 		}
-		if reply, err := e.ping(ctx, r.next(members)); err == nil && reply.Known {
+		m := d.next(members)
+		reply, err := e.ping(ctx, m)
+		d.asked(m, err == nil)
+		if err == nil && reply.Known {
 			e.view.learnLeader(reply.Leader)
 		}
 	}
 }
 
-// rotation returns members in random order, each once before one is returned again. A member that has
-// failed costs a timeout each time that it is asked, and one that is cut off from the store as well
-// knows nothing new, so that neither may be drawn again and again.
-type rotation struct{ returned map[string]bool } // by name
+// draw draws members at random, without those that have not answered since one has. A member that has
+// failed costs a timeout each time that it is asked, so that it may not be drawn again and again while
+// others could tell.
+type draw struct{ missed map[string]bool } // by name
 
-// next returns the next of the members, which must not be empty.
-func (r *rotation) next(members []Member) Member {
-	left := slices.DeleteFunc(slices.Clone(members), func(m Member) bool { return r.returned[m.Name] })
+// next returns one of the members, which must not be empty.
+func (d *draw) next(members []Member) Member {
+	left := slices.DeleteFunc(slices.Clone(members), func(m Member) bool { return d.missed[m.Name] })
 	if len(left) == 0 {
-		left, r.returned = members, nil
+		left = members
+		clear(d.missed)
 	}
-	if r.returned == nil {
-		r.returned = map[string]bool{}
+	return left[rand.IntN(len(left))]
+}
+
+// asked records whether a member that next returned has answered.
+func (d *draw) asked(m Member, answered bool) {
+	switch {
+	case answered:
+		clear(d.missed)
+	case d.missed == nil:
+		d.missed = map[string]bool{m.Name: true}
+	default:
+		d.missed[m.Name] = true
 	}
-	m := left[rand.IntN(len(left))]
-	r.returned[m.Name] = true
-	return m
 }
