slots: the dropped records of returns have a name that fits both uses

giveUpReturned, added for returns that were not answered, is also called when the pool has accepted a report, where nothing is given up. It is dropPendingReturns now; the reason stands where an unanswered return is handled. No change of behaviour.

--- a/request/slots/holder.go
+++ b/request/slots/holder.go
@@ -359,10 +359,8 @@
 	h.serve(now)
 }
 
-// giveUpReturned gives up credits whose return was not answered: the pool may have granted their slots
-// again, so that they are not reclaimed if a later report of them is refused. Otherwise an instance
-// would get more requests than it has slots.
-func (h *holder) giveUpReturned(ids []creditID) {
+// dropPendingReturns drops the records of returned credits, after which they cannot be reclaimed.
+func (h *holder) dropPendingReturns(ids []creditID) {
 	for _, id := range ids {
 		delete(h.pendingReturns, id)
 	}
@@ -374,7 +372,7 @@
 
 // confirmReturns drops the records of returned credits after the pool has accepted the report.
 func (h *holder) confirmReturns(r report) {
-	h.giveUpReturned(r.Returned)
+	h.dropPendingReturns(r.Returned)
 	if !r.Full {
 		return
 	}
--- a/request/slots/report.go
+++ b/request/slots/report.go
@@ -160,7 +160,9 @@
 		h.unanswered++
 		h.returned = append(h.returned, r.Returned...)
 		if !peer.NotRun(err) {
-			h.giveUpReturned(r.Returned)
+			// The pool may have received them and granted their slots again: reclaimed, they would
+			// give an instance more requests than it has slots.
+			h.dropPendingReturns(r.Returned)
 		}
 		h.clearContention()
 		h.m.counts.ReportsFailed.Add(1)
