dispatch: waits for capacity and for an advice proxy are told from advice

What operators saw: the job's waited_ms and 'fennelctl why' name "advice" for each step without a usable ticket, also when every worker that may run it is full, so that nothing is asked. Waits for room and for idle advice proxies were hidden in it, and nothing could be decided from it.

Change: a step without a ticket waits for "room" while the workers without a bad verdict are not likely to have capacity for the tasks that must start together; for "advice_proxy" while a call would be sent but no daemon is free for it; else for "advice". The look at the workers is made ten times a second a step at most.

No decision changes.

--- a/process/dispatch/job.go
+++ b/process/dispatch/job.go
@@ -72,6 +72,9 @@
 	overQuota      bool          // it has waited for its account's quota
 	waitsFor       waitCause
 	waitSince      time.Duration
+	// room is the result of roomToAsk until roomUntil.
+	room      bool
+	roomUntil time.Duration
 	// reservedAt is when capacity was last reserved for the step.
 	reservedAt time.Duration
 
--- a/process/dispatch/wait.go
+++ b/process/dispatch/wait.go
@@ -15,11 +15,13 @@
 	waitMembers            // runs of its gang have not ended yet
 	waitQuota              // quota of its account
 	waitAdvice             // an answer of the advice service
+	waitProxy              // an idle proxy for a call to the advice service
 	waitCapacity           // capacity on workers that may run it
 	waitCauses
 )
 
-var waitNames = [waitCauses]string{waitTakeover: "takeover", waitMembers: "members", waitQuota: "quota", waitAdvice: "advice", waitCapacity: "room"}
+var waitNames = [waitCauses]string{waitTakeover: "takeover", waitMembers: "members", waitQuota: "quota",
+	waitAdvice: "advice", waitProxy: "advice_proxy", waitCapacity: "room"}
 
 // String returns the cause's name.
 func (c waitCause) String() string { return waitNames[c] }
@@ -49,11 +51,48 @@
 // causeOf returns what a step waits for after this round has tried to place it; waitNothing if
 // all of its tasks have been started.
 func (e *Engine) causeOf(s *step) waitCause {
-	switch a := e.adviceOf(s); {
+	a := e.adviceOf(s)
+	switch {
 	case len(s.pending) == 0:
 		return waitNothing
-	case a != nil && (a.inFlight > 0 || len(a.toAsk) > 0 || !a.usable(e.now)):
-		return waitAdvice
+	case a == nil || a.usable(e.now) || !e.roomToAsk(s):
+		return waitCapacity
+	case a.inFlight == 0 && len(a.toAsk) == 0 && e.now >= a.next && !e.mayAsk(s):
+		return waitProxy
 	}
-	return waitCapacity
+	return waitAdvice
+}
+
+// roomPeriod is how long the result of roomToAsk is kept: a look at every worker for each
+// waiting step in each round would take most of the round's time.
+const roomPeriod = 100 * time.Millisecond
+
+// roomToAsk reports whether a step could start if it had tickets: whether the workers without a
+// bad verdict are likely to have capacity for the tasks that must start together.
+//
+// Without it, a step that waits for capacity would be shown as one that waits for advice,
+// because nothing is asked about workers that are full.
+func (e *Engine) roomToAsk(s *step) bool {
+	if e.now < s.roomUntil {
+		return s.room
+	}
+	s.roomUntil = e.now + roomPeriod
+	need, together := s.spec.Need(), s.startsTogether()
+	share := e.goodShare(s.job.spec.Queue.Name)
+	expected := 0.0
+	for _, w := range e.workerList {
+		verdict := s.advice.verdictOf(w)
+		if verdict == bad || !e.eligible(s, w) {
+			continue
+		}
+		slots := float64(e.capacityFor(s, w, need, s.perWorker(together)))
+		if verdict == unknown && s.spec.Gang {
+			slots *= share
+		}
+		if expected += slots; expected >= float64(together) {
+			break
+		}
+	}
+	s.room = expected >= float64(together)
+	return s.room
 }
