cellnode: a successor divides a cell that is still empty

What users saw: a cell with more workers than one leader can serve has one leader for good (TestAccountsStayWithinTheirCapsOverParts beside a load of 45 on 7 cores, 2 of 72 runs on this code, with their logs kept: all jobs completed, no shares of caps written).

Cause: only a leader of epoch 1 divided a cell. In both runs it lost its leadership, because renewals were not answered in time, while it waited for the workers to register; epoch 2 began to schedule at once.

Change: every leader of shard 0 divides a cell that is bootstrapped and still empty. TestSuccessorDividesACellThatIsStillEmpty holds that order: 3 of 3 red before, 3 of 3 green now.

--- a/process/cellnode/layout.go
+++ b/process/cellnode/layout.go
@@ -37,14 +37,15 @@
 	maxReads         = 10
 )
 
-// ensureLayout returns how the cell is divided. The first leader of shard 0 divides a cell
-// that has just been bootstrapped: no job has been submitted and no worker called yet. A
-// cell in operation is not divided any more, since its workers would have to be taken from
-// a leader that has runs there.
+// ensureLayout returns how the cell is divided. A leader of shard 0 divides a cell that has
+// just been bootstrapped: no job has been submitted and no worker called yet. That is its
+// first leader, or a successor if that one failed before it had written the layout. A cell in
+// operation is not divided any more, since its workers would have to be taken from a leader
+// that has runs there.
 func (n *Node) ensureLayout(s *shard, t *lead.Term) (lead.Layout, error) {
 	ctx := t.Context()
 	layout, err := n.layout(ctx)
-	if err != nil || s.index > 0 || layout.Shards > 1 || t.Epoch > 1 || !n.o.Settings.Bootstrap {
+	if err != nil || s.index > 0 || layout.Shards > 1 || !n.o.Settings.Bootstrap {
 		return layout, err
 	}
 	for {
