cellnode: the layout counts each daemon seen while workers register

Cause, likely and not shown, since the numbers were not logged: the shards are bounded by the daemons that can lead, and only the members of one moment counted.

Change: each daemon that was a member during the count of the workers counts; the decision is logged with both numbers, also if the cell is not divided. TestDaemonsWhoseLeasesExpireForAMomentAreCounted is red if only the members of the last read count.

--- a/process/cellnode/layout.go
+++ b/process/cellnode/layout.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"math"
+	"slices"
 	"time"
 
+	"fennelshunt.example/fennelshunt/connection/runner"
 	"fennelshunt.example/fennelshunt/connection/store"
 	"fennelshunt.example/fennelshunt/internal/sleep"
 	"fennelshunt.example/fennelshunt/process/dispatch"
@@ -88,40 +91,50 @@
 	if err != nil || !fresh {
 		return lead.SingleShard, err
 	}
-	workers, err := n.countWorkers(ctx)
+	workers, daemons, err := countCell(ctx, n.o.Directory, n.view().Members)
 	if err != nil {
 		return lead.SingleShard, err
 	}
-	layout := lead.Layout{Shards: shardsFor(workers, n.view().Members())}
+	layout := lead.Layout{Shards: shardsFor(workers, daemons)}
 	if layout.Shards == 1 {
+		n.log.Info().Int("workers", workers).Int("daemons", len(daemons)).Msg("the cell is not divided into shards")
 		return layout, nil
 	}
-	n.log.Info().Int("workers", workers).Int("parts", layout.Shards).Msg("dividing the cell into shards")
+	n.log.Info().Int("workers", workers).Int("daemons", len(daemons)).Int("parts", layout.Shards).Msg("dividing the cell into shards")
 	if err := t.Commit(ctx, 0, []store.Write{{Key: lead.KeyLayout, Value: layout.Encode()}}, nil); err != nil {
 		return lead.SingleShard, err
 	}
 	return layout, nil
 }
 
-// countWorkers waits until the workers have registered and returns their number.
-func (n *Node) countWorkers(ctx context.Context) (int, error) {
+// countCell waits until the workers have registered, and returns their number and every daemon
+// that was a member meanwhile.
+//
+// The members of one moment do not count: while the store or the daemons are slow, the leases
+// of some expire and are renewed a moment later, and a cell that is divided in that moment gets
+// too few shards for good.
+func countCell(ctx context.Context, directory runner.Directory, members func() []lead.Member) (workers int, daemons []lead.Member, err error) {
+	seen := map[string]lead.Member{}
 	last, alike := -1, 0
 	for range maxReads {
-		workers, _, err := n.o.Directory.List(ctx)
-		if err != nil && len(workers) == 0 {
-			return 0, err
+		listed, _, err := directory.List(ctx)
+		if err != nil && len(listed) == 0 {
+			return 0, nil, err
+		}
+		for _, m := range members() {
+			seen[m.Name] = m
 		}
-		if len(workers) != last {
-			last, alike = len(workers), 0
+		if len(listed) != last {
+			last, alike = len(listed), 0
 		}
 		if alike++; alike >= stableReads && last > 0 {
 			break
 		}
 		if err := sleep.For(ctx, registrationPoll); err != nil {
-			return 0, err
+			return 0, nil, err
 		}
 	}
-	return last, nil
+	return last, slices.Collect(maps.Values(seen)), nil
 }
 
 // shardsFor returns the number of shards of a cell, computed from the capacity of the
--- a/process/cellnode/layout_test.go
+++ b/process/cellnode/layout_test.go
@@ -1,10 +1,15 @@
 package cellnode
 
 import (
+	"context"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"fennelshunt.example/fennelshunt/connection/runner"
+	"fennelshunt.example/fennelshunt/connection/store"
 	"fennelshunt.example/fennelshunt/process/lead"
 )
 
@@ -47,3 +52,32 @@
 		require.Equal(t, c.want, shardsFor(c.workers, c.members), "%d workers, %d daemons", c.workers, len(c.members))
 	}
 }
+
+// constantDirectory lists the same number of workers each time.
+type constantDirectory int
+
+func (d constantDirectory) List(context.Context) ([]runner.Worker, store.Revision, error) {
+	return make([]runner.Worker, d), 1, nil
+}
+
+func (constantDirectory) Watch(context.Context, store.Revision, time.Duration) ([]runner.Change, store.Revision, error) {
+	return nil, 1, nil
+}
+
+// TestDaemonsWhoseLeasesExpireForAMomentAreCounted guards against a cell that is divided into too
+// few shards because the leases of its daemons have just expired and are about to be renewed.
+func TestDaemonsWhoseLeasesExpireForAMomentAreCounted(t *testing.T) {
+	all := []lead.Member{{Name: "a", Cores: 0.006}, {Name: "b", Cores: 0.006}, {Name: "c", Cores: 0.006}}
+	reads := [][]lead.Member{all[:2], all, all[:1]}
+	synctest.Test(t, func(t *testing.T) {
+		next := 0
+		workers, daemons, err := countCell(t.Context(), constantDirectory(24), func() []lead.Member {
+			next++
+			return reads[next-1]
+		})
+		require.NoError(t, err)
+		require.Equal(t, 24, workers)
+		require.ElementsMatch(t, all, daemons)
+		require.Equal(t, 3, shardsFor(workers, daemons))
+	})
+}
