relay: the back-off in the log line of a lost relay is read under the lock

The line could name 0 ms.

Change: the value is taken under the lock. TestRelayIsTakenDownWhileAnOutcomeArrives fails under the race detector before.

--- a/process/relay/client.go
+++ b/process/relay/client.go
@@ -264,8 +264,8 @@
 		r.mu.Unlock()
 		return
 	}
-	c.downFor = min(max(2*c.downFor, downFirst), downMax)
-	c.downUntil = now.Add(c.downFor)
+	downFor := min(max(2*c.downFor, downFirst), downMax)
+	c.downFor, c.downUntil = downFor, now.Add(downFor)
 	c.missedCalls = 0
 	var lost []*pending
 	for _, p := range r.waiting {
@@ -276,7 +276,7 @@
 	r.choseAt = time.Time{}
 	r.mu.Unlock()
 	r.stats.Down.Add(1)
-	r.o.Log.Warn().Err(why).Str("relay", c.member.Name).Int("orders", len(lost)).Dur("for_ms", c.downFor).Msg("relay out of use")
+	r.o.Log.Warn().Err(why).Str("relay", c.member.Name).Int("orders", len(lost)).Dur("for_ms", downFor).Msg("relay out of use")
 	c.conn.close()
 	r.failLost(lost)
 }
--- a/process/relay/relay_test.go
+++ b/process/relay/relay_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"strings"
 	"sync"
@@ -514,6 +515,20 @@
 	})
 }
 
+// TestRelayIsTakenDownWhileAnOutcomeArrives guards against a data race, and a wrong time in the log,
+// when an outcome of a relay arrives at the moment in which the relay is taken out of use. It
+// fails under the race detector only.
+func TestRelayIsTakenDownWhileAnOutcomeArrives(t *testing.T) {
+	r := New(t.Context(), Options{Log: zerolog.New(io.Discard)}, &Stats{})
+	for range 200 {
+		c := &relayClient{conn: &orderConn{}}
+		var both sync.WaitGroup
+		both.Go(func() { r.takeDown(c, errLost) })
+		both.Go(func() { _, _ = r.recordOutcome(c, "w", &outcome{}) })
+		both.Wait()
+	}
+}
+
 func TestSlowLeaderDoesNotTakeItsRelaysForLost(t *testing.T) {
 	// Guards against taking relays out of use 600 times in a minute, after which the
 	// leader, whose processor is saturated, makes every call itself: the answers of all
