dispatch, preemption: runs with slack make way for gangs that would be late

Cause: in a full cell small tasks take each slot as it opens, and a gang's slots and its tickets, which are valid for two seconds, are not there together.

Change: package preemption decides, without input or output, whether stopping runs brings a gang in time and which runs lose the least. The engine reserves the capacity of the plan by name, free or not, requests the missing tickets, and stops what still occupies the capacity shortly before they arrive. The cap of the account is kept for the gang meanwhile. Policy switch no_preemption; counters preempted, preemptions, preemption_wasted, preempted_core_seconds.

--- a/process/dispatch/engine.go
+++ b/process/dispatch/engine.go
@@ -88,6 +88,7 @@
 	roundCost           time.Duration // moving average of the time a round takes
 	idleProxies         int           // left in this round
 	idleForSlow         int           // how many of them may take slow calls
+	preempting          preempting
 
 	deposed bool
 	stats   Stats
@@ -113,6 +114,11 @@
 	Suspected, Trials, GivenUp uint64
 	// OverQuota counts steps that waited for their account's quota.
 	OverQuota uint64
+	// Preempted counts runs that were stopped for other work, Preemptions the steps that
+	// started thanks to that, and PreemptionWasted those that did not start all the same.
+	// PreemptedCoreSeconds is the work that the stopped runs lost.
+	Preempted, Preemptions, PreemptionWasted uint64
+	PreemptedCoreSeconds                     float64
 }
 
 // NewEngine returns an engine without jobs.
--- a/process/dispatch/gang.go
+++ b/process/dispatch/gang.go
@@ -34,7 +34,7 @@
 	a := e.adviceOf(s)
 	slots, ok := e.chooseSlots(s, e.freeSlots(s, a))
 	if !ok {
-		if a != nil {
+		if !e.considerPreemption(s) && a != nil {
 			e.askForGang(s, a)
 		}
 		return false
--- a/process/dispatch/job.go
+++ b/process/dispatch/job.go
@@ -89,6 +89,15 @@
 	gangReserved      bool
 	gangReservedUntil time.Duration
 
+	// follows is the result of following, 0 if it has not been computed.
+	follows time.Duration
+	// startsAt is when the step can start by its reservation, 0 if that is not known.
+	startsAt time.Duration
+	// preemption is the step's own while runs are stopped for it; preemptAt is the earliest
+	// next one.
+	preemption *preemptionState
+	preemptAt  time.Duration
+
 	isolates *worker // isolated for a suspect task of the step
 	// isolationWait is until when a gang with a suspect task waits for workers without recent
 	// starts.
@@ -108,6 +117,7 @@
 	crashes    crash.Records
 	avoid      []runner.WorkerID // where it failed
 	avoidUntil time.Duration     // no start on these before
+	preempted  int               // how often a run of it was stopped for other work in this epoch
 }
 
 // gangState is the state that a gang's tasks share.
--- a/process/dispatch/placement.go
+++ b/process/dispatch/placement.go
@@ -80,6 +80,7 @@
 		e.clearReservations()
 	}
 	e.countProxies()
+	e.advancePreemptions()
 	e.countUnconfirmed()
 	e.ledger.ClearWaiting()
 	clear(e.keptFree)
@@ -95,6 +96,7 @@
 			e.tryTasks(s, &r)
 			cause = e.causeOf(s)
 		}
+		e.keepQuota(s)
 		e.noteWait(s, cause)
 	}
 	e.sendAdviceCalls(steps)
@@ -120,7 +122,7 @@
 // tried although there are idle workers.
 func (e *Engine) backOff(s *step) {
 	pause := gangPause
-	if !e.hasReserved(s) {
+	if !e.hasReserved(s) && s.preemption == nil {
 		pause <<= min(s.misses, maxBackoff)
 		s.misses++
 	}
--- a/process/dispatch/policy.go
+++ b/process/dispatch/policy.go
@@ -38,6 +38,9 @@
 	// QuotaHeadroom keeps some of an account's cap free for its queues of higher priority. It
 	// matters for accounts whose quick work is more important than their gangs.
 	QuotaHeadroom bool `json:"quota_headroom,omitempty"`
+	// NoPreemption stops no runs so that gangs and urgent work start in time. Preemption matters
+	// with gangs and slow advice in a cell full of work that has slack.
+	NoPreemption bool `json:"no_preemption,omitempty"`
 	// FirstCome starts jobs in the order of their submission and reserves nothing: a baseline.
 	FirstCome bool `json:"first_come,omitempty"`
 	// ReservedShare: capacity is reserved for one waiting step per so many workers at a time,
--- /dev/null
+++ b/process/dispatch/preemption.go
@@ -0,0 +1,428 @@
+package dispatch
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"fennelshunt.example/fennelshunt/connection/runner"
+	"fennelshunt.example/fennelshunt/process/preemption"
+	"fennelshunt.example/fennelshunt/version/work"
+)
+
+// Preemption: runs with slack are stopped so that a waiting gang starts in time. Package
+// preemption decides; this file collects what it needs and carries its plans out.
+//
+// A plan has two phases. First the capacity of its workers is reserved by name, free or not, and
+// the missing tickets are requested. Then, shortly before the tickets arrive, the runs that
+// still occupy reserved capacity are chosen anew and stopped: runs that have ended by themselves
+// meanwhile need no stop. The gang starts by the usual path. What a plan lacks because a worker
+// failed is made up for by further victims, within the same bounds.
+
+const (
+	// preemptPeriod is between two looks at all workers for a step, and between two of the
+	// stops of a plan.
+	preemptPeriod = 100 * time.Millisecond
+	// examinePause is between two looks at all workers, for whichever steps: a look over 350
+	// full workers takes a millisecond.
+	examinePause = 20 * time.Millisecond
+	// maxStopsShare: at most one stop per second for so many workers, and at least
+	// minStopsPerSecond: a gang of average width needs some 25 stops.
+	minStopsPerSecond = 25
+	maxStopsShare     = 5
+	// initialStopTime is how long a stop takes until the engine has observed some: workers stop
+	// a run within 200 ms, and the next report tells.
+	initialStopTime = 250 * time.Millisecond
+	maxStopTime     = time.Second
+	// stopTimeDecay is the weight of the newest stop in the learned time.
+	stopTimeDecay = 0.1
+	// startMargin is kept between the planned start of a gang and its latest one.
+	startMargin = 100 * time.Millisecond
+	// renewalNames is how many workers a call for the new tickets of a victim's step names.
+	renewalNames = 30
+	// renewalWait is how long a victim waits for a slot, in addition to the call for a ticket.
+	renewalWait = time.Second
+	// slipShare is by how much of the time that a gang has waited it is expected to start later
+	// than by its reservation. With none, a gang counted as in time until it was too late.
+	slipShare = 0.5
+	// preemptionPause is kept after a plan that failed before the next one for the same step.
+	preemptionPause = time.Second
+)
+
+// preempting is the engine's state of preemption.
+type preempting struct {
+	plans   []*preemptionState
+	victims []victim
+	budget  preemption.Budget
+	// examineAt is the earliest next look at all workers.
+	examineAt time.Duration
+	// stopTime and stopDeviation are moving averages of how long stops take, and of how much
+	// they deviate from that.
+	stopTime, stopDeviation time.Duration
+}
+
+// preemptionState is a plan that is being carried out.
+type preemptionState struct {
+	s     *step
+	slots []reservedSlots
+	runs  uint64 // of the gang, when the plan was made
+	// stopsAt is when the victims are to be stopped, nextStops the earliest time for more.
+	stopsAt, nextStops time.Duration
+	// stopsUntil is when it is too late for stops: the gang would not end in time.
+	stopsUntil time.Duration
+	stopped    int // runs
+	priority   int
+}
+
+// reservedSlots are slots of a plan on one worker.
+type reservedSlots struct {
+	w *worker
+	n int
+}
+
+// victim is a run that was stopped for other work and has not ended yet.
+type victim struct {
+	alloc      *allocation
+	stopped    time.Duration
+	checkpoint string // of its task, when it was stopped
+}
+
+// uses reports whether the plan has slots on a worker.
+func (p *preemptionState) uses(w *worker) bool {
+	return p != nil && slices.ContainsFunc(p.slots, func(x reservedSlots) bool { return x.w == w })
+}
+
+// stopLead is how long before the tickets arrive the victims are stopped.
+func (e *Engine) stopLead() time.Duration {
+	p := &e.preempting
+	if p.stopTime == 0 {
+		return initialStopTime
+	}
+	return min(p.stopTime+2*p.stopDeviation, maxStopTime)
+}
+
+// considerPreemption makes a plan for a gang that would be late by its reservation, if there is
+// one that is worthwhile. It reports whether the gang has a plan, so that it requests no other
+// advice.
+func (e *Engine) considerPreemption(s *step) bool {
+	policy := &e.o.Policy
+	switch {
+	case policy.NoPreemption || policy.FirstCome || policy.NoGangReservations:
+		return false
+	case s.preemption != nil:
+		return true
+	case s.gangReserved || e.now < s.preemptAt || e.now < e.preempting.examineAt:
+		return false
+	case len(s.pending) == 0 || s.rank != rankInTime || s.startsAt == 0 || !e.hasReserved(s):
+		return false
+	case s.spec.SameRack || slices.ContainsFunc(s.tasks, func(t task) bool { return len(t.crashes) > 0 }):
+		return false // the plan would have to keep to racks, or to isolated workers
+	}
+	c := preemption.Claim{Need: s.spec.Need(), Count: s.spec.Count, Priority: s.job.spec.Queue.Priority,
+		Now: e.now, Due: s.occurrence.due - e.following(s) - startMargin, Estimate: e.estimate(s), Without: e.startWithout(s), With: e.now + e.stopLead()}
+	if !c.Qualifies() {
+		return false
+	}
+	e.preempting.examineAt = e.now + examinePause
+	s.preemptAt = e.now + preemptPeriod
+	workers := e.preemptable(s)
+	plan, ok := preemption.Choose(c, workers)
+	if !ok || plan.Victims > e.preempting.budgetLeft(e) || !plan.Worthwhile(e.coreSeconds(s)) {
+		return false
+	}
+	return e.beginPreemption(s, c, plan)
+}
+
+// startWithout is when the step is expected to start if nothing is stopped for it: by its
+// reservation, but with a call for tickets, and later the longer it has waited, since a
+// reservation expects every run to end in time and nothing else to take the slots.
+func (e *Engine) startWithout(s *step) time.Duration {
+	at := s.startsAt + scale(e.now-s.openedAt, slipShare)
+	if q := s.job.spec.Queue.Advice; q != nil {
+		at += q.Cost(renewalNames)
+	}
+	return at
+}
+
+func (p *preempting) budgetLeft(e *Engine) int {
+	p.budget.Rate = e.scaledByWorkers(minStopsPerSecond, maxStopsShare)
+	return p.budget.Left(e.now)
+}
+
+// coreSeconds is the work of a step, as estimated.
+func (e *Engine) coreSeconds(s *step) float64 {
+	return float64(s.spec.Count*s.spec.Size.CPU) / 1000 * e.estimate(s).Seconds()
+}
+
+// following is how long the steps after s are likely to take. It is computed once: the learned
+// ratio of the queue's estimates changes little over the life of a job.
+func (e *Engine) following(s *step) time.Duration {
+	if len(s.next) == 0 || s.follows > 0 {
+		return s.follows
+	}
+	longest := time.Duration(0)
+	for _, n := range s.next {
+		d := e.estimate(n) + e.following(n)
+		if q := n.job.spec.Queue.Advice; q != nil {
+			d += q.Cost(renewalNames)
+		}
+		longest = max(longest, d)
+	}
+	s.follows = longest
+	return longest
+}
+
+// preemptable returns the workers that a plan for the step may use. If the step cannot ask for
+// tickets now, these are the ones whose tickets outlast the stops.
+func (e *Engine) preemptable(s *step) []preemption.Worker {
+	a := e.adviceOf(s)
+	mayAsk := a != nil && len(a.toAsk) == 0 && e.mayAsk(s)
+	lead := e.stopLead()
+	limit := s.perWorker(s.spec.Count)
+	var all []preemption.Worker
+	for i, w := range e.workerList {
+		if (a != nil && a.verdictOf(w) != good) || !e.eligible(s, w) {
+			continue
+		}
+		noTicket := false
+		if a != nil {
+			t := a.ticketFor(w)
+			// With a call the tickets have to last until its answer, without only for the stops.
+			noTicket = t == nil || !t.valid(e.now+2*lead)
+			if noTicket && !mayAsk {
+				continue
+			}
+		}
+		x := preemption.Worker{ID: i, Free: e.unclaimed(s, w), Limit: limit - s.liveOn(w), NoTicket: noTicket}
+		if !s.spec.Need().Fits(w.Capacity) || x.Limit <= 0 {
+			continue
+		}
+		x.Runs = e.stoppable(w)
+		all = append(all, x)
+	}
+	return all
+}
+
+// unclaimed returns the capacity of a worker that is free or being freed, and that is not
+// reserved for another gang or for a step that comes before s.
+func (e *Engine) unclaimed(s *step, w *worker) work.Resources {
+	free := w.free()
+	for _, alloc := range w.allocs {
+		if alloc.state == stopping {
+			free = free.Add(alloc.need)
+		}
+	}
+	for i := range w.gangReservations {
+		if w.gangReservations[i].s != s {
+			free = free.Sub(w.gangReservations[i].capacity)
+		}
+	}
+	if s.preemption.uses(w) {
+		return free
+	}
+	for _, r := range w.reserved {
+		if r.s != s && compareSteps(s, r.s) > 0 {
+			free = free.Sub(r.need)
+		}
+	}
+	return free
+}
+
+// stoppable returns the runs on a worker that are not being stopped.
+func (e *Engine) stoppable(w *worker) []preemption.Run {
+	var runs []preemption.Run
+	for k, alloc := range sortedAllocs(w) {
+		v := alloc.s
+		if alloc.state != running || !v.spec.Checkpoints || v.spec.Gang {
+			continue
+		}
+		x := preemption.Run{ID: k, Size: alloc.need, Priority: v.job.spec.Queue.Priority, Checkpoints: true,
+			Protected: v.spec.LongRunning || len(alloc.task().crashes) > 0 || !v.job.active(), Stopped: alloc.task().preempted,
+			Age: e.now - alloc.ackAt, Remaining: e.remaining(alloc), Renewal: renewalWait}
+		x.Slack = v.occurrence.due - e.now - x.Remaining - e.following(v)
+		if q := v.job.spec.Queue.Advice; q != nil {
+			x.Renewal += q.Cost(renewalNames)
+		}
+		runs = append(runs, x)
+	}
+	return runs
+}
+
+// beginPreemption requests the missing tickets of a plan and reserves its capacity.
+func (e *Engine) beginPreemption(s *step, c preemption.Claim, plan preemption.Plan) bool {
+	a := e.adviceOf(s)
+	var ids []runner.WorkerID
+	for _, x := range plan.Slots {
+		if x.Worker.NoTicket {
+			ids = append(ids, e.workerList[x.Worker.ID].ID)
+		}
+	}
+	if len(ids) > maxWorkersPerCall {
+		return false
+	}
+	lead, call := e.stopLead(), time.Duration(0)
+	if len(ids) > 0 {
+		call = s.callCost(len(ids))
+	}
+	c.With = e.now + max(lead, call)
+	if !c.Qualifies() {
+		return false
+	}
+	if len(ids) > 0 {
+		// The tickets at hand have to last until the others arrive.
+		for _, x := range plan.Slots {
+			if t := a.ticketFor(e.workerList[x.Worker.ID]); !x.Worker.NoTicket && !t.valid(c.With+lead) {
+				if len(ids) == maxWorkersPerCall {
+					return false
+				}
+				ids = append(ids, e.workerList[x.Worker.ID].ID)
+			}
+		}
+		if !e.requestAdvice(s, ids) {
+			return false
+		}
+	}
+	e.unreserve(s)
+	p := &preemptionState{s: s, runs: s.gang.runs, priority: c.Priority, stopsAt: c.With - lead, stopsUntil: c.Due - c.Estimate - lead}
+	for _, x := range plan.Slots {
+		w := e.workerList[x.Worker.ID]
+		p.slots = append(p.slots, reservedSlots{w, x.N})
+		w.gangReservations = append(w.gangReservations, gangReservation{s, c.Need.Scale(x.N)})
+	}
+	s.preemption = p
+	s.gangReserved, s.gangReservedUntil = true, c.With+gangReserveGrace+max(reserveAheadGrace, lead)
+	e.preempting.plans = append(e.preempting.plans, p)
+	e.decide(Decision{What: "preemption planned", Task: s.id(), Age: e.now - s.openedAt,
+		Why: fmt.Sprintf("%d runs on %d workers, %.0f core-seconds lost; start in %d ms, not %d; due in %d ms", plan.Victims, len(plan.Slots), plan.Loss,
+			(c.With - e.now).Milliseconds(), (c.Without - e.now).Milliseconds(), (c.Due - e.now).Milliseconds())})
+	e.stopVictims(p)
+	return true
+}
+
+// keepQuota keeps the part of its account's cap that a step with a plan needs free of the work
+// after it, in this round.
+func (e *Engine) keepQuota(s *step) {
+	if s.preemption != nil {
+		a := s.job.account
+		e.keptFree[a] = e.keptFree[a].Max(s.charge().Times(s.startsTogether()))
+	}
+}
+
+// advancePreemptions ends the plans whose step has started or that have failed, and stops the
+// victims of the others when it is time.
+func (e *Engine) advancePreemptions() {
+	e.settleVictims()
+	e.preempting.plans = slices.DeleteFunc(e.preempting.plans, func(p *preemptionState) bool {
+		s := p.s
+		switch {
+		case s.gang.runs > p.runs:
+			if p.stopped > 0 {
+				e.stats.Preemptions++
+			}
+		case !s.job.active(), !s.gangReserved, e.withoutTickets(p):
+			e.dropGangReservation(s)
+			if s.advice != nil && s.advice.inFlight == 0 {
+				s.advice.toAsk = nil
+			}
+			s.reservedAt = 0 // the capacity planned for it was given up for the plan
+			s.preemptAt = e.now + preemptionPause
+			if p.stopped > 0 {
+				e.stats.PreemptionWasted++
+				e.decide(Decision{What: "preemption wasted", Task: s.id(), Why: fmt.Sprintf("%d runs were stopped, and it did not start", p.stopped)})
+			}
+		default:
+			e.stopVictims(p)
+			return false
+		}
+		s.preemption = nil
+		return true
+	})
+}
+
+// stopVictims stops the runs that occupy the capacity reserved by a plan, if it is time.
+func (e *Engine) stopVictims(p *preemptionState) {
+	s := p.s
+	if e.now < max(p.stopsAt, p.nextStops) || e.now > p.stopsUntil {
+		return
+	}
+	p.nextStops = e.now + preemptPeriod
+	c := preemption.Claim{Need: s.spec.Need(), Count: s.spec.Count, Priority: p.priority}
+	var workers []preemption.Worker
+	for i, x := range p.slots {
+		if !e.eligible(s, x.w) || !e.willHaveTicket(s, x.w) {
+			continue
+		}
+		workers = append(workers, preemption.Worker{ID: i, Free: e.unclaimed(s, x.w), Limit: x.n, Runs: e.stoppable(x.w)})
+	}
+	plan, ok := preemption.Choose(c, workers)
+	if !ok || plan.Victims == 0 || plan.Victims > e.preempting.budgetLeft(e) {
+		return
+	}
+	e.preempting.budget.Spend(e.now, plan.Victims)
+	for _, x := range plan.Slots {
+		w := p.slots[x.Worker.ID].w
+		allocs := sortedAllocs(w)
+		for _, r := range x.Victims {
+			e.preemptRun(allocs[r.ID], s)
+		}
+	}
+	p.stopped += plan.Victims
+	e.decide(Decision{What: "preemption", Task: s.id(), Age: e.now - s.openedAt, Why: fmt.Sprintf("%d runs stopped on %d workers", plan.Victims, len(plan.Slots))})
+}
+
+// withoutTickets reports whether the call for the plan's tickets has failed: tickets for its
+// slots are missing, and none are requested.
+func (e *Engine) withoutTickets(p *preemptionState) bool {
+	a := e.adviceOf(p.s)
+	if a == nil || a.inFlight > 0 || len(a.toAsk) > 0 {
+		return false
+	}
+	n := 0
+	for _, x := range p.slots {
+		if a.hasTicket(x.w, e.now) {
+			n += x.n
+		}
+	}
+	return n < p.s.spec.Count
+}
+
+// willHaveTicket reports whether the step has a ticket for the worker, or a call for it is in
+// flight.
+func (e *Engine) willHaveTicket(s *step, w *worker) bool {
+	a := e.adviceOf(s)
+	return a == nil || a.hasTicket(w, e.now) || a.inFlight > 0
+}
+
+func (e *Engine) preemptRun(alloc *allocation, by *step) {
+	alloc.task().preempted++
+	e.stats.Preempted++
+	e.preempting.victims = append(e.preempting.victims, victim{alloc: alloc, stopped: e.now, checkpoint: alloc.task().checkpoint})
+	e.stop(alloc, "preempted for "+by.id().String())
+}
+
+// settleVictims counts what victims that have ended have lost, and learns how long stops take.
+func (e *Engine) settleVictims() {
+	p := &e.preempting
+	p.victims = slices.DeleteFunc(p.victims, func(v victim) bool {
+		if v.alloc.w.allocs[v.alloc.id()] == v.alloc {
+			return false
+		}
+		took := min(e.now-v.stopped, maxStopTime)
+		if p.stopTime == 0 {
+			p.stopTime, p.stopDeviation = initialStopTime, initialStopTime/4
+		}
+		deviation := max(took-p.stopTime, p.stopTime-took)
+		p.stopTime += scale(took-p.stopTime, stopTimeDecay)
+		p.stopDeviation += scale(deviation-p.stopDeviation, stopTimeDecay)
+		t := v.alloc.task()
+		lost := preemption.Restart
+		switch {
+		case t.done:
+			lost = 0
+		case t.checkpoint == v.checkpoint: // it has left none at its end
+			lost += e.now - v.alloc.sent
+		}
+		e.stats.PreemptedCoreSeconds += float64(v.alloc.need.CPU) / 1000 * lost.Seconds()
+		return true
+	})
+}
--- a/process/dispatch/quotaorder.go
+++ b/process/dispatch/quotaorder.go
@@ -118,6 +118,9 @@
 		return true
 	}
 	spare := e.keptFree[a]
+	if s.preemption != nil {
+		spare = quota.Size{} // it was counted on when runs were stopped for the step
+	}
 	if e.o.Policy.QuotaHeadroom {
 		spare = spare.Add(e.headroom(s.job))
 	}
--- a/process/dispatch/reserve.go
+++ b/process/dispatch/reserve.go
@@ -34,7 +34,7 @@
 // reserveCapacity reserves capacity for a step that found none, if the round may reserve for
 // another one and the workers could run it.
 func (e *Engine) reserveCapacity(s *step, r *round) {
-	if e.o.Policy.FirstCome {
+	if e.o.Policy.FirstCome || s.preemption != nil {
 		return
 	}
 	if r.reserved >= e.scaledByWorkers(maxReserved, e.o.Policy.ReservedShare) || (s.spec.Gang && !e.gangFeasible(s)) {
@@ -61,7 +61,7 @@
 // many gaps at once, or a large long-running task would wait until there is no more small
 // work.
 func (e *Engine) reserveFor(s *step) bool {
-	s.reservedAt = e.now
+	s.reservedAt, s.startsAt = e.now, 0
 	a := e.adviceOf(s)
 	need, needed := s.spec.Need(), s.tasksNeeded()
 	type opening struct {
@@ -98,6 +98,7 @@
 	})
 	openings = openings[:needed]
 	from := openings[len(openings)-1].at
+	s.startsAt = from
 	for _, o := range openings {
 		o.w.reserved = append(o.w.reserved, reservation{s, need, from})
 	}
@@ -121,7 +122,7 @@
 
 // freeFor returns the capacity of a worker that a step may use now: what is free, less gang
 // reservations of other steps, and less reservations of steps that come before it and are to
-// start before its task would end.
+// start before its task would end. The latter do not count where runs are stopped for the step.
 func (e *Engine) freeFor(s *step, w *worker) work.Resources {
 	free := w.free()
 	for i := range w.gangReservations {
@@ -129,7 +130,7 @@
 			free = free.Sub(w.gangReservations[i].capacity)
 		}
 	}
-	if len(w.reserved) == 0 {
+	if len(w.reserved) == 0 || s.preemption.uses(w) {
 		return free
 	}
 	ends := e.now + e.estimate(s)
--- /dev/null
+++ b/process/preemption/preemption.go
@@ -0,0 +1,326 @@
+// Package preemption decides whether to stop runs so that a waiting step can start in time, and
+// which runs.
+//
+// Load: gangs and urgent work wait while tasks with slack fill the cell. A gang needs many slots
+// at once, and its tickets are valid for two seconds at most, so that it starts only if free
+// slots and valid tickets are there at the same time. Small tasks fill each slot that opens on
+// the way. A stopped run loses little if its step writes checkpoints: the time to stop and to
+// start again, and a new ticket for its worker.
+//
+// Guarantees:
+//   - a plan gives every task of the step a slot: on what is free, and on what its victims free;
+//   - no victim of a plan is needless: without any one of them, the plan has too few slots;
+//   - victims are of a less urgent queue, write checkpoints, are no members of gangs and no
+//     long-running tasks, and still meet their objective after the loss, as far as estimates tell;
+//   - a task is stopped at most MaxPerTask times, and Budget bounds the stops per second;
+//   - a plan that would not bring the step in time, or a step that is in time without one, stops
+//     nothing.
+package preemption
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"fennelshunt.example/fennelshunt/version/work"
+)
+
+const (
+	// MaxPerTask is how often a task may be stopped for others: each stop costs the task a wait
+	// for a new ticket, and a third one would use up the slack that usual objectives leave.
+	MaxPerTask = 2
+	// MinAge is the least age of a victim. The start of a younger run, with its ticket and the
+	// transfer of its checkpoint, has cost more than the run has achieved.
+	MinAge = 300 * time.Millisecond
+	// Restart is what a victim loses of its own time: up to 200 ms until the stop takes effect,
+	// and 100 ms more for a start from a checkpoint than for any other start.
+	Restart = 300 * time.Millisecond
+	// AlmostDone is the least remaining time of a victim. A run that ends before the tickets
+	// arrive frees its capacity by itself.
+	AlmostDone = 150 * time.Millisecond
+	// stopCost is added for each victim, in core-seconds: a stop, a start, and a name in a call
+	// for a new ticket. It makes few large victims preferable to many small ones.
+	stopCost = 2.0
+	// nameCost is added for a worker that the call for tickets has to name, in core-seconds: a
+	// name costs the step some 8 ms of a slow call.
+	nameCost = 1.0
+	// slackScale is the slack at which the risk of a victim's lateness counts as much as its
+	// restart; it falls off with more slack.
+	slackScale = time.Second
+	// gainShare is the part of a step's work that it loses if it is late: a late job keeps a
+	// fifth of its value.
+	gainShare = 0.8
+)
+
+// Run is a run that could be stopped.
+type Run struct {
+	ID       int // for the caller
+	Size     work.Resources
+	Priority int // of its queue; a higher number is less urgent
+	// Checkpoints: its step writes checkpoints.
+	Checkpoints bool
+	// Protected: it is a member of a gang or a long-running task, or it must not be stopped for
+	// another reason.
+	Protected bool
+	Stopped   int // how often its task has been stopped for others
+	Age       time.Duration
+	// Remaining is the expected remaining time, Slack the time between its expected end without
+	// a stop and its objective.
+	Remaining, Slack time.Duration
+	// Renewal is the expected wait for a new ticket and a new slot.
+	Renewal time.Duration
+}
+
+// Worker is a worker that a waiting step may use.
+type Worker struct {
+	ID    int            // for the caller
+	Free  work.Resources // may be negative in a dimension
+	Limit int            // how many of the step's tasks may go there
+	// NoTicket: the step has no ticket for the worker that outlasts the call.
+	NoTicket bool
+	Runs     []Run
+}
+
+// Claim is a waiting step that may need the capacity of others.
+type Claim struct {
+	Need     work.Resources // of one task
+	Count    int            // of tasks that must start together
+	Priority int
+	// Now is the current time, Due the step's latest end, Estimate how long it runs, Without its
+	// expected start if nothing is stopped, and With the start that stops make possible.
+	Now, Due, Estimate, Without, With time.Duration
+}
+
+// Qualifies reports whether the step is in time with its plan and late without.
+func (c Claim) Qualifies() bool {
+	return c.With+c.Estimate <= c.Due && c.Without+c.Estimate > c.Due
+}
+
+// Slots are slots on one worker.
+type Slots struct {
+	Worker  Worker
+	N       int // slots for the step's tasks
+	Victims []Run
+}
+
+// Plan is what a step would use.
+type Plan struct {
+	Slots   []Slots
+	Victims int
+	// Loss is the expected loss, in core-seconds.
+	Loss float64
+}
+
+// Eligible reports whether a run may be stopped for a step of that priority.
+func (r *Run) Eligible(priority int) bool {
+	return r.Checkpoints && !r.Protected && r.Priority > priority && r.Stopped < MaxPerTask && r.Age >= MinAge &&
+		r.Remaining > AlmostDone && r.Slack > Restart+r.Renewal
+}
+
+// Loss is the expected loss of stopping a run, in core-seconds.
+func (r *Run) Loss() float64 {
+	cores := float64(r.Size.CPU) / 1000
+	rest := max(r.Slack-Restart-r.Renewal, 0)
+	risk := float64(slackScale) / float64(slackScale+rest)
+	return stopCost + cores*Restart.Seconds() + cores*r.Remaining.Seconds()*risk*risk
+}
+
+// Worthwhile reports whether a step of that many core-seconds gains more by a plan than others
+// lose by it.
+func (p *Plan) Worthwhile(coreSeconds float64) bool { return p.Loss < gainShare*coreSeconds }
+
+// option is the cheapest known way to get more slots on a worker.
+type option struct {
+	victims []Run
+	loss    float64
+	gain    int // slots in addition to those that the worker has
+}
+
+// state is a worker while a plan is made.
+type state struct {
+	w       Worker
+	free    work.Resources // with what the chosen victims free
+	n       int            // slots in use by the plan
+	victims []Run
+	left    []Run // that may still be chosen, the cheapest per core first
+	// best is the result of next, any whether there is one; stale: it has to be computed again.
+	best  option
+	any   bool
+	stale bool
+}
+
+// Choose returns a plan with a slot for each task of the claim, on the workers in the given
+// order where the cost is equal; false if there are not enough slots. It uses free slots first,
+// those of workers with a ticket before others, and then the victims with the least loss per
+// slot.
+func Choose(c Claim, workers []Worker) (Plan, bool) {
+	states := make([]state, 0, len(workers))
+	for i := range workers {
+		states = append(states, newState(c, workers[i]))
+	}
+	order := make([]*state, len(states))
+	for i := range states {
+		order[i] = &states[i]
+	}
+	missing := c.Count
+	slices.SortStableFunc(order, func(x, y *state) int {
+		if x.w.NoTicket != y.w.NoTicket {
+			if y.w.NoTicket {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Compare(c.Need.Times(y.free, y.w.Limit), c.Need.Times(x.free, x.w.Limit))
+	})
+	for _, x := range order {
+		x.n = min(missing, c.Need.Times(x.free, x.w.Limit))
+		missing -= x.n
+	}
+	for missing > 0 {
+		best, from := option{}, (*state)(nil)
+		for _, x := range order {
+			if o, ok := x.nextKept(c, missing); ok && (from == nil || o.loss/float64(o.gain) < best.loss/float64(best.gain)) {
+				best, from = o, x
+			}
+		}
+		if from == nil {
+			return Plan{}, false
+		}
+		missing -= best.gain
+		from.take(best)
+	}
+	return prune(c, order), true
+}
+
+func newState(c Claim, w Worker) state {
+	x := state{w: w, free: w.Free, stale: true}
+	if c.Need.Times(w.Free, w.Limit) >= w.Limit {
+		return x
+	}
+	for i := range w.Runs {
+		if w.Runs[i].Eligible(c.Priority) {
+			x.left = append(x.left, w.Runs[i])
+		}
+	}
+	slices.SortStableFunc(x.left, func(a, b Run) int {
+		return cmp.Compare(a.Loss()*float64(max(b.Size.CPU, 1)), b.Loss()*float64(max(a.Size.CPU, 1)))
+	})
+	return x
+}
+
+// nextKept returns what next returns, computed again only if it may have changed.
+func (x *state) nextKept(c Claim, missing int) (option, bool) {
+	if x.stale || (x.any && x.best.gain > missing) {
+		x.best, x.any = x.next(c, missing)
+		x.stale = false
+	}
+	return x.best, x.any
+}
+
+// next returns the way to get more slots on the worker with the least loss per slot among those
+// that add victims in their order, without needless ones.
+func (x *state) next(c Claim, missing int) (best option, ok bool) {
+	if x.n >= x.w.Limit {
+		return option{}, false
+	}
+	free := x.free
+	for i := range x.left {
+		free = free.Add(x.left[i].Size)
+		gain := min(c.Need.Times(free, x.w.Limit)-x.n, missing)
+		if gain <= best.gain {
+			continue
+		}
+		o := option{victims: x.left[:i+1], gain: gain}
+		o.dropNeedless(c.Need, x)
+		if !ok || o.loss/float64(o.gain) < best.loss/float64(best.gain) {
+			best, ok = o, true
+		}
+	}
+	return best, ok
+}
+
+// dropNeedless drops the victims, those with the greatest loss first, without which the option
+// has as many slots.
+func (o *option) dropNeedless(need work.Resources, x *state) {
+	free := x.free
+	for i := range o.victims {
+		free = free.Add(o.victims[i].Size)
+	}
+	o.victims = needed(need, free, x.n+o.gain, o.victims)
+	if x.n == 0 && x.w.NoTicket {
+		o.loss = nameCost
+	}
+	for i := range o.victims {
+		o.loss += o.victims[i].Loss()
+	}
+}
+
+// needed returns the victims, of which free includes the sizes, that n slots need.
+func needed(need work.Resources, free work.Resources, n int, victims []Run) []Run {
+	order := slices.Clone(victims)
+	slices.SortStableFunc(order, func(a, b Run) int { return cmp.Compare(b.Loss(), a.Loss()) })
+	kept := order[:0:0]
+	for _, r := range order {
+		if rest := free.Sub(r.Size); need.Times(rest, n) >= n {
+			free = rest
+			continue
+		}
+		kept = append(kept, r)
+	}
+	return kept
+}
+
+// take adds an option to the plan.
+func (x *state) take(o option) {
+	for _, r := range o.victims {
+		x.free = x.free.Add(r.Size)
+		x.left = slices.DeleteFunc(x.left, func(l Run) bool { return l.ID == r.ID })
+	}
+	x.victims = append(x.victims, o.victims...)
+	x.n += o.gain
+	x.stale = true
+}
+
+// prune returns the plan of the states without needless victims: options that were chosen one
+// after the other on a worker may together have one too many.
+func prune(c Claim, states []*state) Plan {
+	var p Plan
+	for _, x := range states {
+		if x.n == 0 {
+			continue
+		}
+		victims := needed(c.Need, x.free, x.n, x.victims)
+		for i := range victims {
+			p.Loss += victims[i].Loss()
+		}
+		p.Victims += len(victims)
+		p.Slots = append(p.Slots, Slots{Worker: x.w, N: x.n, Victims: victims})
+	}
+	return p
+}
+
+// Budget bounds the stops per second: it gains Rate stops per second, up to as many as one
+// second's.
+type Budget struct {
+	Rate int
+	left float64
+	at   time.Duration
+	used bool
+}
+
+// Left returns how many stops are allowed now.
+func (b *Budget) Left(now time.Duration) int {
+	if !b.used {
+		b.used, b.left = true, float64(b.Rate)
+	} else {
+		b.left = min(b.left+float64(b.Rate)*(now-b.at).Seconds(), float64(b.Rate))
+	}
+	b.at = now
+	return int(max(b.left, 0))
+}
+
+// Spend takes n stops from the budget.
+func (b *Budget) Spend(now time.Duration, n int) {
+	b.Left(now)
+	b.left -= float64(n)
+}
--- /dev/null
+++ b/process/preemption/preemption_test.go
@@ -0,0 +1,197 @@
+package preemption
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"fennelshunt.example/fennelshunt/version/work"
+)
+
+const ms = time.Millisecond
+
+// small returns a run that may be stopped for a step of priority 1.
+func small(id, cores int) Run {
+	return Run{ID: id, Size: work.Resources{CPU: cores * 1000}, Priority: 2, Checkpoints: true, Age: time.Second,
+		Remaining: 2 * time.Second, Slack: 10 * time.Second, Renewal: time.Second}
+}
+
+func gangOf(count, cores int) Claim {
+	return Claim{Need: work.Resources{CPU: cores * 1000}, Count: count, Priority: 1}
+}
+
+// TestOnlyRunsWithLittleToLoseAreEligible guards against victims that lose their work, miss
+// their objective, or are as urgent as the step.
+func TestOnlyRunsWithLittleToLoseAreEligible(t *testing.T) {
+	usual := small(1, 4)
+	require.True(t, usual.Eligible(1))
+	for name, change := range map[string]func(*Run){
+		"writes no checkpoints":  func(r *Run) { r.Checkpoints = false },
+		"member of a gang":       func(r *Run) { r.Protected = true },
+		"as urgent":              func(r *Run) { r.Priority = 1 },
+		"more urgent":            func(r *Run) { r.Priority = 0 },
+		"young":                  func(r *Run) { r.Age = MinAge - 1 },
+		"almost done":            func(r *Run) { r.Remaining = AlmostDone },
+		"stopped too often":      func(r *Run) { r.Stopped = MaxPerTask },
+		"no slack":               func(r *Run) { r.Slack = Restart + r.Renewal },
+		"late already":           func(r *Run) { r.Slack = -time.Second },
+		"long wait for a ticket": func(r *Run) { r.Renewal = r.Slack },
+	} {
+		r := usual
+		change(&r)
+		require.False(t, r.Eligible(1), name)
+	}
+}
+
+// TestFewLargeVictimsBeforeManySmallOnes guards against more stops, and more calls for new
+// tickets, than the same capacity needs.
+func TestFewLargeVictimsBeforeManySmallOnes(t *testing.T) {
+	w := Worker{ID: 7, Limit: 1, Runs: []Run{small(1, 2), small(2, 2), small(3, 2), small(4, 2), small(5, 8)}}
+	p, ok := Choose(gangOf(1, 8), []Worker{w})
+	require.True(t, ok)
+	require.Equal(t, 1, p.Victims)
+	require.Equal(t, 5, p.Slots[0].Victims[0].ID)
+}
+
+// TestVictimsWithMostSlackComeFirst guards against stops that make late what has little slack.
+func TestVictimsWithMostSlackComeFirst(t *testing.T) {
+	tight, loose := small(1, 8), small(2, 8)
+	tight.Slack = 1500 * ms
+	p, ok := Choose(gangOf(1, 8), []Worker{{Limit: 1, Runs: []Run{tight, loose}}})
+	require.True(t, ok)
+	require.Equal(t, 2, p.Slots[0].Victims[0].ID)
+}
+
+// TestFreeSlotsComeFirst guards against stops beside free capacity, and against names in the call
+// for workers of which tickets are at hand.
+func TestFreeSlotsComeFirst(t *testing.T) {
+	full := Worker{ID: 1, Limit: 2, Runs: []Run{small(1, 16)}}
+	free := Worker{ID: 2, Limit: 2, Free: work.Resources{CPU: 16000}, NoTicket: true}
+	known := Worker{ID: 3, Limit: 2, Free: work.Resources{CPU: 8000}}
+	p, ok := Choose(gangOf(2, 8), []Worker{full, free, known})
+	require.True(t, ok)
+	require.Zero(t, p.Victims)
+	require.Equal(t, 3, p.Slots[0].Worker.ID)
+	require.Equal(t, 2, p.Slots[1].Worker.ID)
+}
+
+// TestNoPlanWithoutAllSlots guards against stops for a gang that cannot start all the same.
+func TestNoPlanWithoutAllSlots(t *testing.T) {
+	w := Worker{Limit: 4, Runs: []Run{small(1, 8), small(2, 8)}}
+	_, ok := Choose(gangOf(3, 8), []Worker{w})
+	require.False(t, ok)
+}
+
+// TestOnlyAGangThatPreemptionBringsInTimeQualifies guards against stops that change nothing.
+func TestOnlyAGangThatPreemptionBringsInTimeQualifies(t *testing.T) {
+	c := Claim{Due: 10 * time.Second, Estimate: 4 * time.Second, With: 5 * time.Second, Without: 7 * time.Second}
+	require.True(t, c.Qualifies())
+	late := c
+	late.With = 6001 * ms
+	require.False(t, late.Qualifies(), "late with it as well")
+	early := c
+	early.Without = 6 * time.Second
+	require.False(t, early.Qualifies(), "in time without it")
+}
+
+func TestPlanIsWorthwhileOnlyIfItGainsMore(t *testing.T) {
+	p := Plan{Loss: 80}
+	require.True(t, p.Worthwhile(101))
+	require.False(t, p.Worthwhile(100))
+}
+
+// drawWorkers draws workers that are more or less full of runs of which some may be stopped.
+func drawWorkers(t *rapid.T, next *int) Worker {
+	w := Worker{Limit: rapid.IntRange(0, 4).Draw(t, "limit"), NoTicket: rapid.Bool().Draw(t, "no ticket"),
+		Free: work.Resources{CPU: 1000 * rapid.IntRange(-8, 20).Draw(t, "free"), Memory: 1000 * rapid.IntRange(0, 40).Draw(t, "memory")}}
+	for range rapid.IntRange(0, 6).Draw(t, "runs") {
+		*next++
+		w.Runs = append(w.Runs, Run{ID: *next, Size: work.Resources{CPU: 500 * rapid.IntRange(0, 20).Draw(t, "cpu"), Memory: 500 * rapid.IntRange(0, 20).Draw(t, "mem")},
+			Priority: rapid.IntRange(0, 3).Draw(t, "priority"), Checkpoints: rapid.Bool().Draw(t, "checkpoints"), Protected: rapid.IntRange(0, 4).Draw(t, "p") == 0,
+			Stopped: rapid.IntRange(0, 2).Draw(t, "stopped"), Age: time.Duration(rapid.IntRange(0, 3000).Draw(t, "age")) * ms,
+			Remaining: time.Duration(rapid.IntRange(0, 5000).Draw(t, "remaining")) * ms, Slack: time.Duration(rapid.IntRange(-2000, 12000).Draw(t, "slack")) * ms,
+			Renewal: time.Duration(rapid.IntRange(0, 2000).Draw(t, "renewal")) * ms})
+	}
+	return w
+}
+
+// TestPlansKeepTheGuarantees checks with random cells that a plan has exactly as many slots as
+// the step has tasks, that the capacity which is free and freed suffices for them, that no
+// victim is needless and none ineligible, and that limits per worker hold.
+func TestPlansKeepTheGuarantees(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := Claim{Need: work.Resources{CPU: 1000 * rapid.IntRange(1, 12).Draw(t, "need"), Memory: 1000 * rapid.IntRange(0, 12).Draw(t, "need memory")},
+			Count: rapid.IntRange(1, 12).Draw(t, "count"), Priority: rapid.IntRange(0, 2).Draw(t, "priority of the step")}
+		next := 0
+		var workers []Worker
+		for i := range rapid.IntRange(1, 8).Draw(t, "workers") {
+			w := drawWorkers(t, &next)
+			w.ID = i
+			workers = append(workers, w)
+		}
+		p, ok := Choose(c, workers)
+		if !ok {
+			most := 0
+			for _, w := range workers {
+				free := w.Free
+				for _, r := range w.Runs {
+					if r.Eligible(c.Priority) {
+						free = free.Add(r.Size)
+					}
+				}
+				most += c.Need.Times(free, w.Limit)
+			}
+			if most >= c.Count {
+				t.Fatalf("no plan although %d slots of %d could be freed", most, c.Count)
+			}
+			return
+		}
+		total, victims, loss := 0, 0, 0.0
+		seen := map[int]bool{}
+		for _, x := range p.Slots {
+			total += x.N
+			victims += len(x.Victims)
+			free := x.Worker.Free
+			for _, r := range x.Victims {
+				if !r.Eligible(c.Priority) || seen[r.ID] {
+					t.Fatalf("run %d must not be a victim, or is one twice", r.ID)
+				}
+				seen[r.ID] = true
+				free = free.Add(r.Size)
+				loss += r.Loss()
+			}
+			if x.N < 1 || x.N > x.Worker.Limit || c.Need.Times(free, x.N) < x.N {
+				t.Fatalf("%d slots on worker %d with %+v and a limit of %d", x.N, x.Worker.ID, free, x.Worker.Limit)
+			}
+			for _, r := range x.Victims {
+				if c.Need.Times(free.Sub(r.Size), x.N) >= x.N {
+					t.Fatalf("victim %d is needless", r.ID)
+				}
+			}
+		}
+		if total != c.Count || victims != p.Victims || loss-p.Loss > 1e-6 || p.Loss-loss > 1e-6 {
+			t.Fatalf("the plan has %d slots of %d, %d victims of %d, a loss of %f of %f", total, c.Count, victims, p.Victims, loss, p.Loss)
+		}
+	})
+}
+
+// TestBudgetBoundsStops checks that in no second more than twice the rate is stopped, which is
+// what was saved up and what is gained, and in the long run no more than the rate.
+func TestBudgetBoundsStops(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := Budget{Rate: rapid.IntRange(1, 50).Draw(t, "rate")}
+		now := time.Duration(rapid.IntRange(0, 100000).Draw(t, "begin")) * ms
+		begin, spent := now, 0
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 700).Draw(t, "pause")) * ms
+			n := min(rapid.IntRange(0, 60).Draw(t, "want"), b.Left(now))
+			b.Spend(now, n)
+			spent += n
+			if most := float64(b.Rate) * (1 + (now - begin).Seconds()); float64(spent) > most+1e-6 {
+				t.Fatalf("%d stops in %v at a rate of %d", spent, now-begin, b.Rate)
+			}
+		}
+	})
+}
--- a/standin/cellsim/patterns.go
+++ b/standin/cellsim/patterns.go
@@ -53,15 +53,16 @@
 	first := baseline
 	first.FirstCome = true
 	return map[string]dispatch.Policy{
-		"now":         {},
-		"one-chain":   {WriteStreams: 1},
-		"no-bundles":  {NoBatches: true},
-		"slow-writes": {WriteStreams: 1, NoBatches: true},
-		"no-holds":    {NoGangReservations: true},
-		"no-packing":  {NoPacking: true},
-		"no-parallel": {NoParallelAdvice: true},
-		"without-all": baseline,
-		"first-come":  first,
+		"now":           {},
+		"one-chain":     {WriteStreams: 1},
+		"no-bundles":    {NoBatches: true},
+		"slow-writes":   {WriteStreams: 1, NoBatches: true},
+		"no-holds":      {NoGangReservations: true},
+		"no-packing":    {NoPacking: true},
+		"no-parallel":   {NoParallelAdvice: true},
+		"no-preemption": {NoPreemption: true},
+		"without-all":   baseline,
+		"first-come":    first,
 		// Ordering policies and quota variants for accounts that share a full cell.
 		"due":            {Shares: fair.Due},
 		"dominant":       {Shares: fair.Dominant},
--- a/standin/cellsim/sim.go
+++ b/standin/cellsim/sim.go
@@ -220,6 +220,10 @@
 	s.stats.Lost += st.Lost
 	s.stats.Quarantined += st.Quarantined
 	s.stats.Violations += st.Violations
+	s.stats.Preempted += st.Preempted
+	s.stats.Preemptions += st.Preemptions
+	s.stats.PreemptionWasted += st.PreemptionWasted
+	s.stats.PreemptedCoreSeconds += st.PreemptedCoreSeconds
 }
 
 // entriesUnder returns the store's entries with a prefix, sorted by key. The engine uses
