--- a/process/dispatch/preemption_test.go
+++ b/process/dispatch/preemption_test.go
@@ -239,14 +239,14 @@
 	h.step(400 * time.Millisecond)
 	stops := h.stops()
 	require.Len(t, stops, 4)
-	h.reportStopped2(stops, 2)
+	h.reportStoppedAfter(stops, 2)
 	h.advise(calls[0])
 	require.Len(t, h.starts(), 2)
 }
 
-// reportStopped2 reports stopped runs of both workers as ended, after n earlier completions of
+// reportStoppedAfter reports stopped runs of both workers as ended, after n earlier completions of
 // each.
-func (h *harness) reportStopped2(stops []SendStop, n int64) {
+func (h *harness) reportStoppedAfter(stops []SendStop, n int64) {
 	for _, id := range []runner.WorkerID{"w-a", "w-b"} {
 		r := runner.Report{Clock: time.Second + h.now}
 		for _, x := range stops {
@@ -258,6 +258,36 @@
 	}
 }
 
+func TestPlanIsDroppedWhenItsCallFails(t *testing.T) {
+	// Without tickets the gang cannot start: nothing is stopped, and its reservation ends at
+	// once, not when the call would have been answered.
+	h, s, _ := fullCell(t, nil)
+	h.step(200 * time.Millisecond)
+	calls := sent[AskAdvice](h)
+	require.Len(t, calls, 1)
+	require.NotNil(t, s.preemption)
+	h.e.Advised(h.now, calls[0].Member, calls[0].Step, nil, runner.ErrUnknown)
+	h.step(50 * time.Millisecond)
+	require.Nil(t, s.preemption)
+	for _, w := range h.e.workerList {
+		require.Empty(t, w.gangReservations)
+	}
+	h.step(time.Second)
+	require.Zero(t, h.e.Stats().PreemptionWasted, "nothing was stopped for nothing")
+}
+
+func TestGangWithoutAdviceTakesItsSlotsAtOnce(t *testing.T) {
+	// A queue without advice has nothing to wait for but the ends of the victims.
+	h, _, _ := fullCell(t, func(_ *Engine, _, gang *work.Job) { gang.Queue.Advice, gang.Queue.Allowance = nil, 0 })
+	h.step(200 * time.Millisecond)
+	stops := h.stops()
+	require.Len(t, stops, 8)
+	h.reportStopped("w-a", stops)
+	h.reportStopped("w-b", stops)
+	h.step(50 * time.Millisecond)
+	require.Len(t, h.starts(), 2)
+}
+
 func TestVictimsStartAgainWhenTheGangIsCancelled(t *testing.T) {
 	h, s, _ := fullCell(t, nil)
 	call, stops := h.callAndStops()
