submit: submissions are refused or forwarded at once while the store fails

What callers saw: while the store does not answer, submissions wait for a read of 300 ms, for two forwards of up to 0.4 s each, and for two writes, up to the budget of 1.2 s. One that has sent a write is held for the whole budget, and each daemon goes on writing until its first call has timed out, so that dozens end with an unknown outcome. A read is given up after 300 ms, so a store that answers after 350 ms is taken for one that does not answer.

Change: package process/outage decides, from what a daemon's calls have shown, whether a submission or a cancellation is written, forwarded, tested by a read, held for a turn, or answered. An overdue write makes the next submissions read first; once a probe has failed one submission per 200 ms waits for the next probe and the others are refused at once; probes stay open for 1 s; two targets per submission, none after one that may have written the job, and none for 0.5 s after two submissions that nobody accepted; writes begin with 16 per daemon after an outage of a second. Retry-After is 1 s, or spread over 1 to 2 s in a longer outage. A daemon that gets nothing accepted reports itself not ready if another daemon has said that the store answers it. The policy no_outage_pacing has the behaviour as before; AdaptiveTimeout.Condition tells what its calls have shown.

--- a/connection/store/adaptivetimeout.go
+++ b/connection/store/adaptivetimeout.go
@@ -21,9 +21,12 @@
 	average  time.Duration // duration of answered calls, exponentially decaying
 	timeouts int           // consecutive calls without an answer
 	failing  bool          // the last call failed
+	// failingSince is when the first of the consecutive failed calls ended.
+	failingSince time.Time
 	// refusals counts consecutive refused calls.
 	refusals   int
 	answeredAt time.Time                 // of the last answered call
+	latest     time.Duration             // duration of the last answered call
 	refusedAt  time.Time                 // of the last refused call
 	recovered  chan struct{}             // closed by the next answer; nil if no goroutine waits
 	open       map[*pendingCall]struct{} // reads and watches in flight
@@ -81,7 +84,7 @@
 	a.overtake(now.Add(-d), a.failing && now.Sub(a.answeredAt) >= minOutage)
 	a.timeouts, a.refusals = 0, 0
 	a.failing = false
-	a.answeredAt = now
+	a.answeredAt, a.latest = now, d
 	if a.recovered != nil {
 		close(a.recovered)
 		a.recovered = nil
@@ -98,7 +101,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.timeouts++
-	a.failing = true
+	a.fail()
 }
 
 // refused records a call that the store refused or that did not reach it.
@@ -106,7 +109,32 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.refusals++
-	a.failing, a.refusedAt = true, time.Now()
+	a.fail()
+	a.refusedAt = time.Now()
+}
+
+// fail records that the last call failed; a.mu is held.
+func (a *AdaptiveTimeout) fail() {
+	if !a.failing {
+		a.failing, a.failingSince = true, time.Now()
+	}
+}
+
+// Condition is what recent calls have shown of the store.
+type Condition struct {
+	Failing      bool          // the last call failed
+	FailingSince time.Time     // end of the first of the consecutive failed calls, if Failing
+	RefusedAt    time.Time     // last refused call; zero for none
+	AnsweredAt   time.Time     // last answered call; zero for none
+	Average      time.Duration // as the method Average
+	Latest       time.Duration // duration of the last answered call
+}
+
+// Condition returns what recent calls have shown of the store.
+func (a *AdaptiveTimeout) Condition() Condition {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return Condition{Failing: a.failing, FailingSince: a.failingSince, RefusedAt: a.refusedAt, AnsweredAt: a.answeredAt, Average: a.average, Latest: a.latest}
 }
 
 // refusingCalls is the number of consecutive refusals that Refusing requires. A store that
--- a/process/cellnode/node.go
+++ b/process/cellnode/node.go
@@ -101,6 +101,7 @@
 	relay        *relay.Server
 	relayed      relay.Stats
 	submitted    submit.Stats
+	pacer        *submit.Pacer
 	quotaOwner   atomic.Pointer[quotaOwner] // while this daemon leads shard 0 of several
 	stopping     atomic.Bool
 	metrics      *expvar.Map
@@ -116,6 +117,7 @@
 func New(o Options) (*Node, error) {
 	n := &Node{o: o, log: o.Log,
 		storeTimeout: &store.AdaptiveTimeout{Min: minStoreTimeout, Max: maxStoreTimeout}, metrics: new(expvar.Map).Init()}
+	n.pacer = submit.NewPacer(n.storeTimeout, &n.submitted, o.Settings.Policy.NoOutagePacing, n.log)
 	n.catalogs = newCatalogs(o.Catalogs, n.storeTimeout, n.log)
 	n.catalogs.follow(o.Settings.Bounds)
 	s := o.Settings
@@ -264,7 +266,7 @@
 		return false
 	}
 	_, known := n.view().Layout()
-	return known
+	return known && n.pacer.Ready()
 }
 
 func (n *Node) serveReady(w http.ResponseWriter, _ *http.Request) {
--- a/process/dispatch/policy.go
+++ b/process/dispatch/policy.go
@@ -43,6 +43,9 @@
 	// ReservedShare: capacity is reserved for one waiting step per so many workers at a time,
 	// but for at least maxReserved. It matters when more gangs wait than fit.
 	ReservedShare int `json:"reserved_share,omitempty"`
+	// NoOutagePacing lets each submission try the store, or wait for it, while the store fails; see
+	// package outage. It matters where the store does not answer for seconds.
+	NoOutagePacing bool `json:"no_outage_pacing,omitempty"`
 }
 
 // minWriteKeys is the number of keys of a batch and of one cancelled job with a stored spec. In a
--- a/request/submit/cancel.go
+++ b/request/submit/cancel.go
@@ -9,6 +9,7 @@
 	"fennelshunt.example/fennelshunt/connection/store"
 	"fennelshunt.example/fennelshunt/internal/sleep"
 	"fennelshunt.example/fennelshunt/process/dispatch"
+	"fennelshunt.example/fennelshunt/process/outage"
 	"fennelshunt.example/fennelshunt/request/verdict"
 	"fennelshunt.example/fennelshunt/version/work"
 )
@@ -19,6 +20,31 @@
 // Cancel cancels a job for callers of its account. The error is ErrNoJob, when no such job
 // exists or can still come into existence, or a *verdict.Error.
 func (s *Service) Cancel(ctx context.Context, id work.JobID, account string) error {
+	if s.pacer.off {
+		return s.cancelUnpaced(ctx, id, account)
+	}
+	return s.paced(ctx, pacedRequest{
+		try: func(ctx context.Context, r *outage.Request) (done bool, err error) {
+			done, err = s.cancelOnce(ctx, id, account)
+			switch {
+			case done && r.Unconfirmed && verdict.Of(err) == verdict.NotRun:
+				return true, unknown(err)
+			case errors.Is(err, store.ErrUnknownOutcome):
+				r.Unconfirmed = true
+			}
+			return done, err
+		},
+		forward: func(ctx context.Context, r *outage.Request) (done bool, err error) {
+			done, uncertain, err := s.forwardCancel(ctx, id, account)
+			r.TargetUncertain = r.TargetUncertain || uncertain
+			r.Unconfirmed = r.Unconfirmed || uncertain
+			return done, err
+		},
+	})
+}
+
+// cancelUnpaced is Cancel with the policy no_outage_pacing.
+func (s *Service) cancelUnpaced(ctx context.Context, id work.JobID, account string) error {
 	ctx, cancel := context.WithTimeout(ctx, submitBudget)
 	defer cancel()
 	unconfirmed := false // whether an unanswered write may still take effect
@@ -117,7 +143,10 @@
 // forwardCancel has another daemon cancel the job. done reports that err, nil or ErrNoJob, is the
 // final result; uncertain that a daemon may have written the cancellation although it did not say so.
 func (s *Service) forwardCancel(ctx context.Context, id work.JobID, account string) (done, uncertain bool, err error) {
-	for _, m := range s.forwardTargets() {
+	for _, m := range s.pacer.targets(s) {
+		if uncertain && !s.pacer.off {
+			break
+		}
 		var r cancelReply
 		if err := s.callTarget(ctx, m, s.method(MethodCancel), cancelRequest{ID: id, Account: account}, &r); err != nil {
 			s.o.Log.Debug().Err(err).Str("job", string(id)).Msg("cancellation was not accepted by another daemon")
--- a/request/submit/hedge.go
+++ b/request/submit/hedge.go
@@ -27,6 +27,13 @@
 	maxAttempts = 3
 )
 
+// overdue returns how old a write without an answer is when other ways are tried as well.
+func (s *Service) overdue() time.Duration { return overdue(s.o.StoreTimeout) }
+
+func overdue(t *store.AdaptiveTimeout) time.Duration {
+	return min(max(minForwardDelay, forwardFactor*t.Average()), t.Timeout())
+}
+
 // forwardFirstFor is how long submissions are sent to other daemons first, after another daemon has
 // written a job for which the store had not answered this one. By then this daemon's own write of
 // the job has been answered or has timed out, which shows whether the store can be reached.
@@ -59,7 +66,10 @@
 		// Not cancelled when another attempt has succeeded: its result shows the state of the
 		// store.
 		free := context.WithoutCancel(ctx)
-		results <- attempt{err: s.o.StoreTimeout.CallWithMinTimeout(free, writeTimeout, func(ctx context.Context) error { return s.create(ctx, sub) })}
+		done := s.pacer.sentWrite()
+		err := s.o.StoreTimeout.CallWithMinTimeout(free, writeTimeout, func(ctx context.Context) error { return s.create(ctx, sub) })
+		done(err)
+		results <- attempt{err: err}
 	}
 	others := func() {
 		accepted, uncertain := s.forward(ctx, sub)
@@ -73,10 +83,10 @@
 		}
 		results <- r
 	}
-	sent, answered := 1, 0
+	sent, answered, othersOpen := 1, 0, false
 	go own()
 	timeout := s.o.StoreTimeout.Timeout()
-	forwardTimer := time.NewTimer(min(max(minForwardDelay, forwardFactor*s.o.StoreTimeout.Average()), timeout))
+	forwardTimer := time.NewTimer(s.overdue())
 	defer forwardTimer.Stop()
 	retryTimer := time.NewTimer(timeout)
 	defer retryTimer.Stop()
@@ -85,7 +95,9 @@
 		select {
 		case <-forwardTimer.C:
 			sent++
+			othersOpen = true
 			go others()
+			s.pacer.probeIfDue(s)
 		case <-retryTimer.C:
 			sent++
 			go own()
@@ -102,10 +114,12 @@
 			case errors.Is(r.err, store.ErrUnknownOutcome):
 				unconfirmed = r.err
 			}
-			if !r.byOther {
+			if r.byOther {
+				othersOpen = false
+			} else {
 				last = r.err
 			}
-			if answered < sent {
+			if answered < sent && !s.pacer.giveUp(unconfirmed != nil && !othersOpen) {
 				continue
 			}
 			if unconfirmed != nil {
--- /dev/null
+++ b/request/submit/pacing.go
@@ -0,0 +1,447 @@
+package submit
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"fennelshunt.example/fennelshunt/connection/peer"
+	"fennelshunt.example/fennelshunt/connection/store"
+	"fennelshunt.example/fennelshunt/internal/sleep"
+	"fennelshunt.example/fennelshunt/process/lead"
+	"fennelshunt.example/fennelshunt/process/outage"
+	"fennelshunt.example/fennelshunt/request/verdict"
+)
+
+// probeLife is how long a probe may wait for its answer, although it counts as failed after
+// outage.ProbeTimeout: a late answer shows that the store is back.
+const probeLife = time.Second
+
+// logInterval is the minimum time between the starts of two outages that are logged.
+const logInterval = 5 * time.Second
+
+// Pacer shares what one daemon knows about the store among its services.
+type Pacer struct {
+	timeout *store.AdaptiveTimeout
+	stats   *Stats
+	log     zerolog.Logger
+	off     bool
+
+	mu       sync.Mutex
+	t        *outage.Tracker
+	changed  chan struct{} // closed when a write or a probe has ended
+	waiting  int           // submissions that wait for a turn
+	probes   map[uint64]openProbe
+	loggedAt time.Time
+	logged   bool // the start of the present outage has been logged
+	unlogged int  // outages since the last one that was logged
+}
+
+// openProbe is a read in flight.
+type openProbe struct {
+	sent   time.Time
+	cancel context.CancelFunc
+}
+
+// NewPacer returns a Pacer; off is the policy no_outage_pacing.
+func NewPacer(t *store.AdaptiveTimeout, stats *Stats, off bool, log zerolog.Logger) *Pacer {
+	return &Pacer{timeout: t, stats: stats, log: log, off: off, t: outage.New(), changed: make(chan struct{}), probes: map[uint64]openProbe{}}
+}
+
+// observe passes on what the daemon's calls have shown; p.mu is held.
+func (p *Pacer) observe(now time.Time) {
+	c := p.timeout.Condition()
+	e := p.t.Observe(now, outage.Store{
+		Failing: c.Failing, Since: c.FailingSince, Refused: p.timeout.RefusedWithin(refusalAge),
+		AnsweredAt: c.AnsweredAt, Usual: c.Average, Latest: c.Latest, Overdue: overdue(p.timeout),
+	})
+	for _, probe := range p.probes {
+		if !c.Failing && probe.sent.Before(c.AnsweredAt) {
+			probe.cancel() // it shows nothing new
+		}
+	}
+	if e.Begun {
+		p.stats.Outages.Add(1)
+		if p.logged = now.Sub(p.loggedAt) >= logInterval; p.logged {
+			p.loggedAt = now
+			p.log.Warn().Dur("age", e.Length).Int("not_logged", p.unlogged).Msg("store does not answer; submissions are forwarded or refused")
+			p.unlogged = 0
+		} else {
+			p.unlogged++
+		}
+	}
+	if e.Ended && p.logged {
+		p.logged = false
+		p.log.Info().Dur("length", e.Length).Int("refused", e.Counts.Refused).Int("unknown", e.Counts.Unknown).
+			Int("forwarded", e.Counts.Forwarded).Int("probes", e.Counts.Probes).Msg("store answers again; submissions are written")
+	}
+}
+
+// notify wakes the waiting submissions; p.mu is held.
+func (p *Pacer) notify() {
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
+// decide returns what to do next with a submission, and a channel that is closed at the next
+// change.
+func (p *Pacer) decide(r outage.Request) (outage.Decision, <-chan struct{}) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	p.observe(now)
+	r.Waiting = p.waiting
+	return p.t.Decide(now, r), p.changed
+}
+
+// storeFails reports whether the store fails or seems to.
+func (p *Pacer) storeFails() bool {
+	if p.off {
+		return p.timeout.Failing()
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	p.observe(now)
+	return p.t.Fails(now)
+}
+
+// enter asks for permission to write one submission of another daemon; leave ends it.
+func (p *Pacer) enter() bool {
+	if p.off {
+		return true
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.observe(time.Now())
+	return p.t.Enter()
+}
+
+// leave ends the writing of one submission, which may be the turn of another.
+func (p *Pacer) leave() {
+	if p.off {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.t.Leave()
+	p.notify()
+}
+
+// sentWrite records a write; the result is to be called with its error.
+func (p *Pacer) sentWrite() (done func(error)) {
+	if p.off {
+		return func(error) {}
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	id := p.t.SentWrite(time.Now())
+	return func(err error) {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		now := time.Now()
+		p.observe(now)
+		p.t.EndedWrite(now, id, !failed(err))
+		p.notify()
+	}
+}
+
+// forwardedTimeout is the shortest timeout of a write for another daemon, which waits
+// forwardTimeout: a store that has just become slow answers within that time.
+func (p *Pacer) forwardedTimeout() time.Duration {
+	if p.off {
+		return 0
+	}
+	return forwardTimeout
+}
+
+// failed reports whether a call had no answer or was refused.
+func failed(err error) bool {
+	return errors.Is(err, store.ErrUnknownOutcome) || errors.Is(err, store.ErrUnavailable) || errors.Is(err, store.ErrOverBudget)
+}
+
+// probe reads from the store; its end wakes the waiting submissions. A failed read cannot change
+// the store, so it leaves no outcome unknown.
+func (p *Pacer) probe(s *Service) {
+	ctx, cancel := context.WithTimeout(context.Background(), probeLife)
+	p.mu.Lock()
+	id := p.t.SentProbe(time.Now())
+	p.probes[id] = openProbe{time.Now(), cancel}
+	p.mu.Unlock()
+	p.stats.Probes.Add(1)
+	go func() {
+		defer cancel()
+		err := s.o.StoreTimeout.CallWithMinTimeout(ctx, probeLife, func(ctx context.Context) error {
+			_, err := s.o.Store.Get(ctx, probeKey)
+			return err
+		})
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		delete(p.probes, id)
+		p.observe(time.Now())
+		p.t.EndedProbe(id, !failed(err))
+		p.notify()
+	}()
+}
+
+// probeIfDue sends a probe, unless one was sent just before.
+func (p *Pacer) probeIfDue(s *Service) {
+	if p.off {
+		return
+	}
+	p.mu.Lock()
+	due := p.t.ProbeDue(time.Now())
+	p.mu.Unlock()
+	if due {
+		p.probe(s)
+	}
+}
+
+// giveUp reports whether a submission of which a write had no answer need not wait for its other
+// write: the store fails, so that the other one is not answered either.
+func (p *Pacer) giveUp(unanswered bool) bool {
+	return !p.off && unanswered && p.timeout.Failing()
+}
+
+// targets returns the members to forward to.
+func (p *Pacer) targets(s *Service) []lead.Member {
+	if p.off {
+		return s.forwardTargets()
+	}
+	members := s.otherMembers()
+	names := make([]string, len(members))
+	for i, m := range members {
+		names[i] = m.Name
+	}
+	leader, _ := s.otherLeader()
+	p.mu.Lock()
+	chosen := p.t.Targets(time.Now(), names, leader.Name)
+	p.mu.Unlock()
+	targets := make([]lead.Member, len(chosen))
+	for i, name := range chosen {
+		targets[i] = members[slices.Index(names, name)]
+	}
+	return targets
+}
+
+// endedTarget records the result of one target. A call that ended with the time of its submission
+// says nothing about the target.
+func (p *Pacer) endedTarget(ctx context.Context, name string, r forwardReply, err error) {
+	if p.off || (err != nil && ctx.Err() != nil) {
+		return
+	}
+	result := outage.TargetFails
+	switch {
+	case err == nil && r.Accepted:
+		result = outage.TargetAccepted
+	case err != nil && peer.NotRun(err):
+		result = outage.TargetUnreached
+	case err != nil || r.Uncertain:
+		result = outage.TargetSilent
+	case r.StoreAnswers:
+		result = outage.TargetDeclined
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.t.EndedTarget(time.Now(), name, result)
+}
+
+// endedForward records whether any target of a submission accepted it.
+func (p *Pacer) endedForward(accepted bool) {
+	if p.off {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.t.EndedForward(time.Now(), accepted)
+}
+
+// accepted records that a job was accepted.
+func (p *Pacer) accepted() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.t.Accepted(time.Now())
+}
+
+// refused records a request that was not accepted, and returns the age of the outage.
+func (p *Pacer) refused(d outage.Decision) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	p.t.Refused(now, d.Verdict)
+	p.observe(now)
+	if d.AtOnce {
+		p.stats.RefusedAtOnce.Add(1)
+	}
+	return p.t.Age(now)
+}
+
+// Ready reports whether callers should use this daemon; see outage.Tracker.Ready.
+func (p *Pacer) Ready() bool {
+	if p.off {
+		return true
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	p.observe(now)
+	return p.t.Ready(now)
+}
+
+// wait waits for a change or for d; turn says that the submission waits for a turn to write.
+func (p *Pacer) wait(ctx context.Context, changed <-chan struct{}, d time.Duration, turn bool) {
+	if turn {
+		p.mu.Lock()
+		p.waiting++
+		p.mu.Unlock()
+		defer func() {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			p.waiting--
+		}()
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-changed:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// errRefusedAtOnce means that earlier calls have shown that the store does not answer.
+var errRefusedAtOnce = errors.New("submit: the store does not answer this daemon")
+
+// answerBy bounds ctx by the time in which a submission can still be answered. A caller with
+// little time keeps most of it.
+func answerBy(ctx context.Context) (bounded context.Context, cancel context.CancelFunc, left time.Duration) {
+	left = submitBudget
+	if deadline, ok := ctx.Deadline(); ok {
+		left = time.Until(deadline)
+	}
+	hold := min(submitBudget, left-min(outage.AnswerTime, left/4))
+	bounded, cancel = context.WithTimeout(ctx, hold)
+	return bounded, cancel, left
+}
+
+// pacedRequest is a submission or a cancellation.
+type pacedRequest struct {
+	// try makes one attempt of this daemon, and forward one through others. done reports that err is
+	// the final result. Both record in the Request what may still take effect.
+	try     func(context.Context, *outage.Request) (done bool, err error)
+	forward func(context.Context, *outage.Request) (done bool, err error)
+}
+
+// writePaced writes the job to the store or through another daemon, as package outage decides.
+// written is called once this daemon has written the job.
+func (s *Service) writePaced(ctx context.Context, sub *submission, written func()) error {
+	return s.paced(ctx, pacedRequest{
+		try: func(ctx context.Context, r *outage.Request) (done bool, err error) {
+			byOther, err := s.createHedged(ctx, sub)
+			r.TargetUncertain = sub.targetUncertain.Load()
+			switch {
+			case err == nil:
+				if !byOther {
+					written()
+				}
+				return true, nil
+			case errors.Is(err, errIDCancelled):
+				return true, unavailable(CodeIDCancelled, err)
+			case errors.Is(err, errOtherAccount):
+				return true, refuseOtherAccount()
+			case errors.Is(err, store.ErrUnknownOutcome):
+				// The job was forwarded as well when the write was overdue.
+				r.Unconfirmed, r.Forwarded = true, true
+			}
+			return false, err
+		},
+		forward: func(ctx context.Context, r *outage.Request) (done bool, err error) {
+			accepted, uncertain := s.forward(ctx, sub)
+			r.TargetUncertain = sub.targetUncertain.Load()
+			r.Unconfirmed = r.Unconfirmed || uncertain
+			return accepted, nil
+		},
+	})
+}
+
+// paced carries out one request as package outage decides.
+func (s *Service) paced(ctx context.Context, q pacedRequest) error {
+	ctx, cancel, patience := answerBy(ctx)
+	defer cancel()
+	end, _ := ctx.Deadline()
+	callerEnd := time.Now().Add(patience)
+	var r outage.Request
+	var last error
+	var probing, holding time.Time // when the wait for a probe, and that for a turn, began
+	for {
+		if r.Left = time.Until(end); ctx.Err() != nil {
+			r.Left = 0
+		}
+		if !probing.IsZero() {
+			r.Probed = time.Since(probing)
+		}
+		if !holding.IsZero() {
+			r.Held = time.Since(holding)
+		}
+		d, changed := s.pacer.decide(r)
+		var done bool
+		var err error
+		switch d.Action {
+		case outage.Write:
+			done, err = q.try(ctx, &r)
+			s.pacer.leave()
+			r.Writes++
+			if last = err; !done {
+				_ = sleep.For(ctx, min(retryDelay, time.Until(end)/4)) // the next decision checks ctx
+			}
+		case outage.Forward:
+			done, err = q.forward(ctx, &r)
+			r.Forwarded = true
+		case outage.Probe:
+			if probing.IsZero() {
+				probing = time.Now()
+			}
+			if d.Send {
+				r.SentProbe = true
+				s.pacer.probe(s)
+			}
+			s.pacer.wait(ctx, changed, d.Wait, false)
+		case outage.Wait:
+			if holding.IsZero() {
+				holding = time.Now()
+			}
+			s.pacer.wait(ctx, changed, d.Wait, true)
+		case outage.End:
+			age := s.pacer.refused(d)
+			if last == nil {
+				last = context.Cause(ctx)
+			}
+			if last == nil {
+				last = errRefusedAtOnce
+			}
+			if d.Verdict == outage.MayHaveRun {
+				return unknown(last)
+			}
+			return refusedFor(age, callerEnd, last)
+		}
+		if done {
+			if err == nil {
+				s.pacer.accepted()
+			}
+			return err
+		}
+	}
+}
+
+// refusedFor returns a refusal with the time after which the caller should return, whose own time
+// ends at callerEnd.
+func refusedFor(age time.Duration, callerEnd time.Time, err error) error {
+	after := outage.RetryAfter(age, time.Until(callerEnd), rand.Float64(), rand.Float64())
+	return &verdict.Error{Verdict: verdict.NotRun, Status: http.StatusServiceUnavailable, Code: CodeStore, RetryAfterMillis: after.Milliseconds(), Err: err}
+}
--- a/request/submit/peer.go
+++ b/request/submit/peer.go
@@ -4,6 +4,9 @@
 	"context"
 	"errors"
 	"expvar"
+	"strconv"
+	"sync/atomic"
+	"time"
 
 	"fennelshunt.example/fennelshunt/connection/peer"
 	"fennelshunt.example/fennelshunt/connection/store"
@@ -40,6 +43,12 @@
 type forwardReply struct {
 	Accepted  bool `cbor:"1,keyasint"`
 	Uncertain bool `cbor:"2,keyasint"` // an unanswered write may still take effect
+	// StoreFails means that the store does not answer this daemon either. A daemon of a version
+	// without it sets neither field then.
+	StoreFails bool `cbor:"3,keyasint,omitempty"`
+	// StoreAnswers means that the store answers this daemon, which did not write the job for
+	// another reason.
+	StoreAnswers bool `cbor:"4,keyasint,omitempty"`
 }
 
 type stateRequest struct {
@@ -82,8 +91,30 @@
 // Stats counts requests.
 type Stats struct {
 	Accepted, NotAccepted, Forwarded, Cancelled expvar.Int
+	// RefusedAtOnce counts submissions refused without a call because of what earlier calls have
+	// shown, Unknown those answered with an unknown outcome, Probes the reads that test whether the
+	// store answers, and Outages what this daemon took for one.
+	RefusedAtOnce, Unknown, Probes, Outages expvar.Int
+	// LongestHold is the longest time of one submission, in milliseconds.
+	LongestHold Longest
+}
+
+// Longest is the maximum of durations.
+type Longest struct{ ms atomic.Int64 }
+
+// Record takes in one duration.
+func (l *Longest) Record(d time.Duration) {
+	for ms := d.Milliseconds(); ; {
+		longest := l.ms.Load()
+		if ms <= longest || l.ms.CompareAndSwap(longest, ms) {
+			return
+		}
+	}
 }
 
+// String implements expvar.Var.
+func (l *Longest) String() string { return strconv.FormatInt(l.ms.Load(), 10) }
+
 // Stats returns the live counters.
 func (s *Service) Stats() *Stats { return s.stats }
 
@@ -110,17 +141,25 @@
 // serveForward makes a single attempt, since the calling daemon can try others.
 func (s *Service) serveForward(ctx context.Context, o offer) (any, error) {
 	id := work.JobID(o.Key)
-	if s.o.StoreTimeout.Failing() {
-		return forwardReply{}, nil // the store fails this daemon as well
+	if s.pacer.storeFails() {
+		return forwardReply{StoreFails: true}, nil
 	}
 	sub, err := decodeSubmission(id, o.Value)
 	if err != nil {
 		s.o.Log.Warn().Err(err).Str("job", o.Key).Msg("forwarded job cannot be decoded; not written")
 		return forwardReply{}, nil
 	}
-	err = s.o.StoreTimeout.Call(ctx, func(ctx context.Context) error { return s.create(ctx, sub) })
+	if !s.pacer.enter() {
+		return forwardReply{StoreAnswers: true}, nil // its own submissions wait for a turn
+	}
+	defer s.pacer.leave()
+	done := s.pacer.sentWrite()
+	err = s.o.StoreTimeout.CallWithMinTimeout(ctx, s.pacer.forwardedTimeout(), func(ctx context.Context) error { return s.create(ctx, sub) })
+	done(err)
 	if err != nil {
-		return forwardReply{Uncertain: errors.Is(err, store.ErrUnknownOutcome)}, nil
+		fails := errors.Is(err, store.ErrUnavailable) && !errors.Is(err, errLayoutChanged)
+		uncertain := errors.Is(err, store.ErrUnknownOutcome)
+		return forwardReply{Uncertain: uncertain, StoreFails: fails || uncertain, StoreAnswers: !fails && !uncertain}, nil
 	}
 	s.push(store.Entry{Key: dispatch.KeySubmission(id), Value: o.Value})
 	return forwardReply{Accepted: true}, nil
--- a/request/submit/submission.go
+++ b/request/submit/submission.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync/atomic"
 
 	"fennelshunt.example/fennelshunt/connection/store"
 	"fennelshunt.example/fennelshunt/process/dispatch"
@@ -16,6 +17,8 @@
 	// is written under the job's key: without the spec if that is stored separately.
 	full, value []byte
 	spec        string // stored separately; "" for none
+	// targetUncertain is set when a daemon to which the job was forwarded may have written it.
+	targetUncertain atomic.Bool
 }
 
 func newSubmission(id work.JobID, j *work.Job) (*submission, error) {
--- a/request/submit/submit.go
+++ b/request/submit/submit.go
@@ -100,6 +100,8 @@
 	Suffix string
 	// Stats are the counters to use; nil creates separate ones.
 	Stats *Stats
+	// Pacer is shared by the services of one daemon; nil creates a separate one.
+	Pacer *Pacer
 	// Specs caches the specs of accepted jobs for the daemons that start their tasks; may be
 	// nil.
 	Specs SpecCache
@@ -126,6 +128,7 @@
 type Service struct {
 	o      Options
 	stats  *Stats
+	pacer  *Pacer
 	probes singleflight.Group
 	// forwardUntil is the time, in Unix nanoseconds, until which submissions are forwarded
 	// first, since another daemon reached the store when this one had no answer.
@@ -147,7 +150,10 @@
 	if o.Stats == nil {
 		o.Stats = &Stats{}
 	}
-	return &Service{o: o, stats: o.Stats, pending: map[string]count{}}
+	if o.Pacer == nil {
+		o.Pacer = NewPacer(o.StoreTimeout, o.Stats, false, o.Log)
+	}
+	return &Service{o: o, stats: o.Stats, pacer: o.Pacer, pending: map[string]count{}}
 }
 
 // unavailable returns an error that guarantees that nothing was accepted.
@@ -172,22 +178,32 @@
 	if s.o.Specs != nil {
 		s.o.Specs.CacheSpec(id, j.Spec)
 	}
-	ctx, cancel := context.WithTimeout(ctx, submitBudget)
-	defer cancel()
-	err = s.write(ctx, sub, func() { s.push(s.offerEntry(sub)) })
+	write := s.writePaced
+	if s.pacer.off {
+		write = s.write
+	}
+	began := time.Now()
+	err = write(ctx, sub, func() { s.push(s.offerEntry(sub)) })
+	s.stats.LongestHold.Record(time.Since(began))
 	if err == nil {
 		s.stats.Accepted.Add(1)
 		return nil
 	}
 	s.stats.NotAccepted.Add(1)
+	if verdict.Of(err) == verdict.MayHaveRun {
+		s.stats.Unknown.Add(1)
+	}
 	return err
 }
 
 // write writes the job to the store or, when the store refuses calls of this daemon, through
 // another daemon. After a failed call the other daemons are tried first: they answer within
 // milliseconds, while a read of an unresponsive store takes probeTimeout. written is called once
-// this daemon has written the job.
+// this daemon has written the job. It is used instead of writePaced with the policy
+// no_outage_pacing.
 func (s *Service) write(ctx context.Context, sub *submission, written func()) error {
+	ctx, cancel := context.WithTimeout(ctx, submitBudget)
+	defer cancel()
 	unconfirmed := false // whether an unanswered write may still take effect
 	var last error
 	forwarded := func() bool {
@@ -390,11 +406,17 @@
 	return leader.Member, ok && leader.Member.Name != s.o.Self
 }
 
+// otherMembers returns the other members of the cell in random order.
+func (s *Service) otherMembers() []lead.Member {
+	members := slices.DeleteFunc(s.o.View.Members(), func(m lead.Member) bool { return m.Name == s.o.Self })
+	rand.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
+	return members
+}
+
 // forwardTargets returns the members to forward to: first the leader, which has reached the
 // store recently, then random ones.
 func (s *Service) forwardTargets() []lead.Member {
-	members := slices.DeleteFunc(s.o.View.Members(), func(m lead.Member) bool { return m.Name == s.o.Self })
-	rand.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
+	members := s.otherMembers()
 	if leader, ok := s.otherLeader(); ok {
 		if i := slices.IndexFunc(members, func(m lead.Member) bool { return m.Name == leader.Name }); i > 0 {
 			members[0], members[i] = members[i], members[0]
@@ -419,16 +441,29 @@
 }
 
 // forward has another daemon write the job. uncertain reports that one may have written it
-// although no answer arrived.
+// although no answer arrived; then no further one is tried, unless without pacing.
 func (s *Service) forward(ctx context.Context, sub *submission) (accepted, uncertain bool) {
-	for _, m := range s.forwardTargets() {
+	var targets []lead.Member
+	if s.pacer.off || !sub.targetUncertain.Load() {
+		targets = s.pacer.targets(s)
+	}
+	for _, m := range targets {
 		var r forwardReply
 		err := s.callTarget(ctx, m, s.method(MethodForward), offer{Key: string(sub.id), Value: sub.full}, &r)
+		s.pacer.endedTarget(ctx, m.Name, r, err)
 		if err == nil && r.Accepted {
 			s.stats.Forwarded.Add(1)
+			s.pacer.endedForward(true)
 			return true, false
 		}
 		uncertain = uncertain || r.Uncertain || (err != nil && !peer.NotRun(err))
+		if uncertain && !s.pacer.off {
+			sub.targetUncertain.Store(true)
+			break
+		}
+	}
+	if len(targets) > 0 && ctx.Err() == nil {
+		s.pacer.endedForward(false)
 	}
 	return false, uncertain
 }
