--- a/request/submit/hedge.go
+++ b/request/submit/hedge.go
@@ -83,7 +83,8 @@
 		}
 		results <- r
 	}
-	sent, answered, othersOpen := 1, 0, false
+	sent, answered := 1, 0
+	ownEnded, othersOpen := false, false
 	go own()
 	timeout := s.o.StoreTimeout.Timeout()
 	forwardTimer := time.NewTimer(s.overdue())
@@ -117,9 +118,9 @@
 			if r.byOther {
 				othersOpen = false
 			} else {
-				last = r.err
+				last, ownEnded = r.err, true
 			}
-			if answered < sent && !s.pacer.giveUp(unconfirmed != nil && !othersOpen) {
+			if answered < sent && !s.pacer.giveUp(unconfirmed != nil && ownEnded && !othersOpen) {
 				continue
 			}
 			if unconfirmed != nil {
--- a/request/submit/outage_test.go
+++ b/request/submit/outage_test.go
@@ -1,9 +1,11 @@
 package submit
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -441,3 +443,50 @@
 		require.Equal(t, int64(100), accepted.Load())
 	})
 }
+
+func TestOutagesAreLoggedWithinBounds(t *testing.T) {
+	// Each outage must be found in the log with its length and counts, but a store that fails and
+	// returns all the time must not fill the log.
+	synctest.Test(t, func(t *testing.T) {
+		m := kv.New()
+		s := newService(m)
+		var lines bytes.Buffer
+		s.pacer.log = zerolog.New(&lines)
+		for range 10 {
+			m.SetFaults(kv.Faults{Down: true})
+			for range 5 {
+				require.Error(t, s.Submit(t.Context(), id, testJob()))
+				time.Sleep(100 * time.Millisecond)
+			}
+			m.SetFaults(kv.Faults{})
+			time.Sleep(200 * time.Millisecond)
+			require.NoError(t, s.Submit(t.Context(), id, testJob()))
+		}
+		require.Equal(t, 2, strings.Count(lines.String(), "store does not answer"), "in 7 s: %s", &lines)
+		require.Equal(t, 2, strings.Count(lines.String(), "store answers again"))
+		require.Contains(t, lines.String(), `"refused":5`)
+		require.Contains(t, lines.String(), `"not_logged":6`)
+		require.Equal(t, int64(10), s.stats.Outages.Value())
+	})
+}
+
+func TestCancellationsAreNotHeldInAnOutage(t *testing.T) {
+	// Cancellations repeated their reads for 1.2 s each while the store did not answer.
+	synctest.Test(t, func(t *testing.T) {
+		m := kv.New()
+		s := newService(m)
+		require.NoError(t, s.Submit(t.Context(), id, testJob()))
+		m.SetFaults(kv.Faults{Hang: true})
+		require.Error(t, s.Cancel(t.Context(), id, ""))
+		for range 20 {
+			start := time.Now()
+			err := s.Cancel(t.Context(), id, "")
+			require.Equal(t, verdict.NotRun, verdict.Of(err))
+			require.LessOrEqual(t, time.Since(start), outage.ProbeTimeout)
+			time.Sleep(10 * time.Millisecond)
+		}
+		m.SetFaults(kv.Faults{})
+		time.Sleep(time.Second)
+		require.NoError(t, s.Cancel(t.Context(), id, ""))
+	})
+}
--- a/request/submit/pacing.go
+++ b/request/submit/pacing.go
@@ -161,6 +161,14 @@
 	return forwardTimeout
 }
 
+// readTimeout bounds a read for a caller while the store fails, when the adaptive timeout is 1.5 s.
+func (p *Pacer) readTimeout(ctx context.Context) (context.Context, context.CancelFunc) {
+	if p.off || !p.storeFails() {
+		return ctx, func() {}
+	}
+	return context.WithTimeout(ctx, outage.ProbeTimeout)
+}
+
 // failed reports whether a call had no answer or was refused.
 func failed(err error) bool {
 	return errors.Is(err, store.ErrUnknownOutcome) || errors.Is(err, store.ErrUnavailable) || errors.Is(err, store.ErrOverBudget)
--- a/request/submit/submit.go
+++ b/request/submit/submit.go
@@ -358,6 +358,8 @@
 
 // get makes one read with a timeout; a missing key is not an error.
 func (s *Service) get(ctx context.Context, key string) (store.Entry, bool, error) {
+	ctx, cancel := s.pacer.readTimeout(ctx)
+	defer cancel()
 	var entry store.Entry
 	err := s.o.StoreTimeout.Call(ctx, func(ctx context.Context) (err error) {
 		entry, err = s.o.Store.Get(ctx, key)
