loadshed: refuse submissions that cannot be completed while they are of value

Cause: every submission is accepted, whatever the load.

Change: process/loadshed decides. On the leader, a Forecast condenses the waiting steps, in the engine's order, and the recent rate of starts into a digest (dispatch/forecast.go, at most ten a second, none in the first second of a term). It travels in the reply to jobs.offer (key 2), or directly on the leader's daemon. On each daemon, a Gate refuses a job whose expected end is beyond 1.25 times three objectives: 429, code overloaded, not run, Retry-After of 1 to 3 s (request/submit/gate.go). Before a refusal the store is read; a job that is stored, was let through here before, or cannot be looked up is handled as without admission control. fair.Book tells accounts that exceed their entitlement. cellsim's callers pass a gate. Switch: no_load_shedding.

--- a/process/cellnode/metrics.go
+++ b/process/cellnode/metrics.go
@@ -26,6 +26,7 @@
 		{"back", s.Requeued}, {"lost", s.Lost}, {"workers_gone", s.WorkersGone}, {"lost_with_worker", s.LostWithWorker},
 		{"ends_missed", s.CompletionsMissed}, {"suspected", s.Suspected}, {"trials", s.Trials}, {"given_up", s.GivenUp}, {"adopted", s.Adopted}, {"orphans", s.UntrackedRuns}, {"commits", s.Commits}, {"bundles", s.Batches},
 		{"advised", s.Advised}, {"holds", s.GangReservations}, {"aside", s.Quarantined}, {"moved", s.Moved}, {"over_quota", s.OverQuota}, {"engine_violations", s.Violations},
+		{"load_digests", s.Digests}, {"load_digests_overloaded", s.DigestsOverloaded},
 	} {
 		v := new(expvar.Int)
 		v.Set(int64(c.v))
@@ -136,6 +137,10 @@
 	n.metrics.Set("not_accepted", &s.NotAccepted)
 	n.metrics.Set("handed_over", &s.Forwarded)
 	n.metrics.Set("cancelled", &s.Cancelled)
+	n.metrics.Set("refused_for_load", &s.RefusedForLoad)
+	n.metrics.Set("refusals_dropped", &s.RefusalsDropped)
+	n.metrics.Set("digests_sent", &s.DigestsSent)
+	n.metrics.Set("digests_outdated", &s.DigestsOutdated)
 	n.metrics.Set("latency", &n.latencies)
 	n.metrics.Set("completed_by_account", &n.byAccount)
 	n.metrics.Set("traffic", n.o.Traffic)
--- a/process/cellnode/shard.go
+++ b/process/cellnode/shard.go
@@ -48,7 +48,8 @@
 		LeadsElsewhere: func(name string) bool { return n.shardLedBy(name, index) }})
 	s.elector.Register(n.mux)
 	s.jobs = submit.New(submit.Options{Self: n.self.Name, Peer: n.self.Peer, Specs: specCache{s}, Store: s.store, StoreTimeout: n.storeTimeout,
-		View: s.elector.View(), Peers: n.peers, Leading: s.host.Load, Log: log, Suffix: suffix, Stats: &n.submitted, Preconditions: s.preconditions})
+		View: s.elector.View(), Peers: n.peers, Leading: s.host.Load, Log: log, Suffix: suffix, Stats: &n.submitted, Preconditions: s.preconditions,
+		NoLoadShedding: n.o.Settings.Policy.NoLoadShedding})
 	s.jobs.Register(n.mux)
 	return s
 }
--- a/process/dispatch/accounts.go
+++ b/process/dispatch/accounts.go
@@ -103,6 +103,7 @@
 	alloc.w.take(alloc)
 	alloc.s.job.account.Adopt(alloc.s.charge())
 	e.noteUsage(alloc.s.job, alloc.s.charge())
+	e.forecast.started(e, alloc.s)
 }
 
 // unbook releases what a run uses, once it is known not to run any more.
--- a/process/dispatch/engine.go
+++ b/process/dispatch/engine.go
@@ -89,6 +89,8 @@
 	idleProxies         int           // left in this round
 	idleForSlow         int           // how many of them may take slow calls
 
+	forecast forecast
+
 	deposed bool
 	stats   Stats
 }
@@ -113,6 +115,9 @@
 	Suspected, Trials, GivenUp uint64
 	// OverQuota counts steps that waited for their account's quota.
 	OverQuota uint64
+	// Digests counts the summaries of the load for admission control, DigestsOverloaded those by
+	// which a submission could be refused.
+	Digests, DigestsOverloaded uint64
 }
 
 // NewEngine returns an engine without jobs.
--- a/process/dispatch/host.go
+++ b/process/dispatch/host.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -89,6 +90,7 @@
 	responses   responseTimes
 	accounts    *work.Accounts // those that the engine has
 	accountsSet bool           // the engine has been given accounts
+	digest      atomic.Pointer[datedDigest]
 }
 
 // NewHost returns a host for a term.
@@ -205,6 +207,7 @@
 			h.updateAccounts()
 			h.engine.Tick(h.now())
 			h.publish()
+			h.updateDigest()
 		}
 		at := h.now()
 		effects := h.engine.Flush(at)
--- a/process/dispatch/policy.go
+++ b/process/dispatch/policy.go
@@ -40,6 +40,10 @@
 	QuotaHeadroom bool `json:"quota_headroom,omitempty"`
 	// FirstCome starts jobs in the order of their submission and reserves nothing: a baseline.
 	FirstCome bool `json:"first_come,omitempty"`
+	// NoLoadShedding accepts submissions whatever the load. On the leader, no digest of the load is
+	// made; on a daemon, none is used. It matters when more is submitted than the cell can complete
+	// in useful time.
+	NoLoadShedding bool `json:"no_load_shedding,omitempty"`
 	// ReservedShare: capacity is reserved for one waiting step per so many workers at a time,
 	// but for at least maxReserved. It matters when more gangs wait than fit.
 	ReservedShare int `json:"reserved_share,omitempty"`
--- a/process/fair/fair.go
+++ b/process/fair/fair.go
@@ -56,6 +56,18 @@
 	maxShift = 0.5
 	// useDecay is the time constant by which an account's recent usage decays.
 	useDecay = 10 * time.Second
+	// recentDecay is the time constant by which recent submissions decay, and exceedsFor how long after
+	// its last submission an account counts as exceeding its entitlement. Both are short relative to
+	// the objectives of long jobs, and span tens of submissions of an account that sends too many.
+	recentDecay = 2 * time.Second
+	exceedsFor  = 4 * time.Second
+	// exceedsLeast is the least number of recent submissions beyond the entitlement, so that a small
+	// burst of a small account is not taken for a lasting excess.
+	exceedsLeast = 4
+	// exceedsShare leaves one in five submissions of such an account within its entitlement. They cannot
+	// be told from the others before they are accepted; with a share of a half, three of ten refused
+	// jobs would have been served in time.
+	exceedsShare = 0.8
 )
 
 // Entitlement is the rate at which accounts may submit jobs: as many jobs per second as
@@ -90,6 +102,9 @@
 	tokensAt  time.Duration
 	submitted bool
 	over      uint64 // submissions that exceeded the entitlement
+	// recent counts submissions and recentOver those of them that exceeded the entitlement; both decay
+	// since tokensAt.
+	recent, recentOver float64
 	// all is the work in core-seconds of recently completed jobs, late that of the late
 	// ones among them; both decay since workAt.
 	late, all float64
@@ -141,16 +156,37 @@
 	if !a.submitted {
 		a.submitted, a.tokens, a.tokensAt = true, most, at
 	}
+	left := decay(at-a.tokensAt, recentDecay)
+	a.recent, a.recentOver = a.recent*left+1, a.recentOver*left
 	a.tokens = min(most, a.tokens+rate*max(at-a.tokensAt, 0).Seconds())
 	a.tokensAt = max(a.tokensAt, at)
 	if a.tokens < 1 {
 		a.over++
+		a.recentOver++
 		return false
 	}
 	a.tokens--
 	return true
 }
 
+// Exceeds reports whether the account submits far more than it is entitled to: whether at least
+// exceedsShare of its recent submissions were beyond its entitlement.
+func (b *Book) Exceeds(name string, now time.Duration) bool {
+	a := b.accounts[name]
+	if a == nil || now-a.tokensAt > exceedsFor {
+		return false
+	}
+	return a.recentOver >= exceedsLeast && a.recentOver >= exceedsShare*a.recent
+}
+
+// Weight returns the account's weight.
+func (b *Book) Weight(name string) float64 {
+	if a := b.accounts[name]; a != nil {
+		return a.weight
+	}
+	return 1
+}
+
 // OverEntitlement returns how many submissions of the account exceeded its entitlement.
 func (b *Book) OverEntitlement(name string) uint64 {
 	if a := b.accounts[name]; a != nil {
--- a/process/fair/fair_test.go
+++ b/process/fair/fair_test.go
@@ -33,6 +33,30 @@
 	require.False(t, b.Submitted("north", 500*time.Millisecond), "a submission with an earlier time adds no tokens")
 }
 
+func TestLastingExcessIsTold(t *testing.T) {
+	// Guards against judging an account by a single submission beyond its entitlement, and by an
+	// excess that is over.
+	b := New(Due, Entitlement{Window: 5 * time.Second, Slack: 20})
+	b.SetWeight("north", 10)
+	at := time.Duration(0)
+	submit := func(n int, pause time.Duration) {
+		for range n {
+			at += pause
+			b.Submitted("north", at)
+		}
+	}
+	submit(500, 100*time.Millisecond) // ten a second
+	require.False(t, b.Exceeds("north", at))
+	submit(400, 10*time.Millisecond) // ten times that, at first within the burst
+	require.True(t, b.Exceeds("north", at))
+	require.False(t, b.Exceeds("north", at+exceedsFor+time.Millisecond))
+	submit(100, 100*time.Millisecond)
+	require.False(t, b.Exceeds("north", at))
+	require.False(t, b.Exceeds("south", at))
+	require.Equal(t, 10.0, b.Weight("north"))
+	require.Equal(t, 1.0, b.Weight("south"))
+}
+
 func TestWithoutWindowEverythingIsWithin(t *testing.T) {
 	b := New(Due, Entitlement{})
 	for range 1000 {
--- /dev/null
+++ b/process/loadshed/forecast_test.go
@@ -0,0 +1,106 @@
+package loadshed
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+var gangs = Class{Priority: 1}
+
+func cellWith(steps ...Step) *Cell { return &Cell{Cores: 1000, Proxies: 10, Steps: steps} }
+
+// run makes a digest every Period in which work is started, and returns the last one.
+func run(f *Forecast, from, until time.Duration, perSecond float64, cell *Cell) (d *Digest) {
+	for now := from; now <= until; now += Period {
+		f.Started(gangs, "", perSecond*Period.Seconds())
+		d = f.Digest(now, 1, cell)
+	}
+	return d
+}
+
+func TestRateIsThatOfStartsWhileWorkWaits(t *testing.T) {
+	var f Forecast
+	waiting := cellWith(Step{Class: gangs, Work: 500, Left: 5 * time.Second, AwaitsAdvice: true}, Step{Class: gangs, Work: 1500, Rank: Late}, Step{Class: gangs, Work: 7000, Rank: TooLate})
+	d := run(&f, 0, 4*time.Second, 100, waiting)
+	require.Zero(t, d.Classes[0].Rate, "not known yet")
+	d = run(&f, 4100*time.Millisecond, 12*time.Second, 100, waiting)
+	require.InDelta(t, 100, d.Classes[0].Rate, 1)
+	require.Equal(t, Waiting{InTime: 500, Late: 1500}, d.Classes[0].Work, "work that is too late comes after a new job")
+	require.InDelta(t, 0.25, d.Classes[0].Advice, 1e-9)
+	require.Equal(t, []float64{0, 0, 0, 0, 500}, d.Classes[0].Due)
+}
+
+func TestFewSubmissionsAreNoLowRate(t *testing.T) {
+	// Guards against taking a rate of starts that is low because little is submitted for what the cell
+	// can do.
+	var f Forecast
+	for now := time.Duration(0); now < 30*time.Second; now += Period {
+		cell := cellWith()
+		if now%(5*time.Second) < time.Second { // a gang every 5 s waits for a second
+			cell = cellWith(Step{Class: gangs, Work: 1000})
+		}
+		if now%(5*time.Second) == time.Second {
+			f.Started(gangs, "", 1000)
+		}
+		if d := f.Digest(now, 1, cell); len(d.Classes) > 0 {
+			require.Zero(t, d.Classes[0].Rate, now)
+		}
+	}
+}
+
+func TestRateIsNotKnownWhileNothingStarts(t *testing.T) {
+	// Guards against refusals after an outage in which nothing could start.
+	var f Forecast
+	d := run(&f, 0, 20*time.Second, 0, cellWith(Step{Class: gangs, Work: 500}))
+	require.Zero(t, d.Classes[0].Rate)
+
+	// With starts of other classes the work is starved, and at most one more step starts in a window.
+	for now := 20 * time.Second; now < 40*time.Second; now += Period {
+		f.Started(Class{}, "", 10)
+		d = f.Digest(now, 1, cellWith(Step{Class: gangs, Work: 500}, Step{Class: gangs, Work: 500}))
+	}
+	require.InDelta(t, 500/window.Seconds(), d.Classes[0].Rate, 1)
+}
+
+func TestShortLapseIsNoLowRate(t *testing.T) {
+	// Guards against refusals because a burst of more urgent work delayed a class for some seconds.
+	var f Forecast
+	waiting := cellWith(Step{Class: gangs, Work: 500})
+	run(&f, 0, 30*time.Second, 100, waiting)
+	for now := 30100 * time.Millisecond; now < 40*time.Second; now += Period {
+		f.Started(Class{}, "", 10)
+		d := f.Digest(now, 1, waiting)
+		require.Greater(t, d.Classes[0].Rate, 60.0, now)
+	}
+}
+
+func TestAccountsAreListedOnlyUnderOverload(t *testing.T) {
+	// The digest is sent with every answer, also over slow links.
+	var f Forecast
+	cell := cellWith(Step{Class: gangs, Account: "a", Work: 10})
+	cell.Accounts = []Account{{Name: "a", Weight: 2}, {Name: "b", Weight: 1}}
+	d := f.Digest(0, 1, cell)
+	require.Empty(t, d.Accounts)
+	require.Equal(t, 3.0, d.Weights)
+	cell.Steps[0].Work = 10000
+	cell.Accounts[1].Over = true
+	d = f.Digest(Period, 1, cell)
+	require.True(t, d.Overloaded())
+	require.Len(t, d.Accounts, 2)
+	require.Equal(t, "a", d.Accounts[0].Name)
+}
+
+func TestDigestsOfManyAccountsStaySmall(t *testing.T) {
+	var f Forecast
+	cell := cellWith()
+	for i := range 1200 {
+		name := string(rune('a'+i%26)) + string(rune('a'+i/26%26)) + string(rune('a'+i/676))
+		cell.Accounts = append(cell.Accounts, Account{Name: name, Weight: 1})
+		cell.Steps = append(cell.Steps, Step{Class: gangs, Account: name, Work: float64(i)})
+	}
+	d := f.Digest(0, 1, cell)
+	require.Len(t, d.Accounts, maxAccounts)
+	require.Equal(t, 1199.0, d.Accounts[0].Classes[0].Work.InTime, "those with the most work")
+}
--- a/request/submit/peer.go
+++ b/request/submit/peer.go
@@ -8,6 +8,7 @@
 	"fennelshunt.example/fennelshunt/connection/peer"
 	"fennelshunt.example/fennelshunt/connection/store"
 	"fennelshunt.example/fennelshunt/process/dispatch"
+	"fennelshunt.example/fennelshunt/process/loadshed"
 	"fennelshunt.example/fennelshunt/version/work"
 )
 
@@ -35,6 +36,8 @@
 type offerReply struct {
 	// OmitSpecs is set when the leader has no use for the specs of jobs.
 	OmitSpecs bool `cbor:"1,keyasint"`
+	// Load is the leader's digest of the shard's load; nil if it has none.
+	Load *loadshed.Digest `cbor:"2,keyasint,omitempty"`
 }
 
 type forwardReply struct {
@@ -82,6 +85,13 @@
 // Stats counts requests.
 type Stats struct {
 	Accepted, NotAccepted, Forwarded, Cancelled expvar.Int
+	// RefusedForLoad counts refusals for load by queue and reason, and RefusalsDropped those that were
+	// not made because the job was stored or might be.
+	RefusedForLoad  expvar.Map
+	RefusalsDropped expvar.Int
+	// DigestsSent counts digests of the load sent to other daemons, and DigestsOutdated the
+	// submissions that were accepted without a recent digest.
+	DigestsSent, DigestsOutdated expvar.Int
 }
 
 // Stats returns the live counters.
@@ -101,10 +111,11 @@
 }
 
 func (s *Service) serveOffer(_ context.Context, o offer) (any, error) {
-	if h := s.o.Leading(); h != nil {
+	h := s.o.Leading()
+	if h != nil {
 		h.Offer(store.Entry{Key: o.Key, Value: o.Value})
 	}
-	return offerReply{OmitSpecs: s.o.Specs != nil && s.o.Specs.RelaysOrders()}, nil
+	return offerReply{OmitSpecs: s.o.Specs != nil && s.o.Specs.RelaysOrders(), Load: s.digestFor(h)}, nil
 }
 
 // serveForward makes a single attempt, since the calling daemon can try others.
@@ -118,6 +129,9 @@
 		s.o.Log.Warn().Err(err).Str("job", o.Key).Msg("forwarded job cannot be decoded; not written")
 		return forwardReply{}, nil
 	}
+	if s.gate != nil {
+		s.gate.admit(id)
+	}
 	err = s.o.StoreTimeout.Call(ctx, func(ctx context.Context) error { return s.create(ctx, sub) })
 	if err != nil {
 		return forwardReply{Uncertain: errors.Is(err, store.ErrUnknownOutcome)}, nil
--- a/request/submit/submit.go
+++ b/request/submit/submit.go
@@ -103,7 +103,9 @@
 	// Specs caches the specs of accepted jobs for the daemons that start their tasks; may be
 	// nil.
 	Specs SpecCache
-	Log   zerolog.Logger
+	// NoLoadShedding accepts submissions whatever the load.
+	NoLoadShedding bool
+	Log            zerolog.Logger
 }
 
 // Preconditions are the preconditions of a submission beyond the job's own keys.
@@ -132,6 +134,7 @@
 	forwardUntil atomic.Int64
 	// omitSpecs is set when the leader wants to be notified of jobs without their specs.
 	omitSpecs atomic.Bool
+	gate      *gate // nil without admission control
 
 	mu      sync.Mutex
 	pending map[string]count
@@ -147,7 +150,11 @@
 	if o.Stats == nil {
 		o.Stats = &Stats{}
 	}
-	return &Service{o: o, stats: o.Stats, pending: map[string]count{}}
+	s := &Service{o: o, stats: o.Stats, pending: map[string]count{}}
+	if !o.NoLoadShedding {
+		s.gate = newGate(o.Log)
+	}
+	return s
 }
 
 // unavailable returns an error that guarantees that nothing was accepted.
@@ -164,6 +171,9 @@
 // Submit accepts a job and sets its Epoch, AcceptedBy and SpecStored. The error is a
 // *verdict.Error.
 func (s *Service) Submit(ctx context.Context, id work.JobID, j *work.Job) error {
+	if err := s.refuseOverload(ctx, id, j); err != nil {
+		return err
+	}
 	j.Epoch, j.AcceptedBy, j.SpecStored = s.o.View.Epoch(), s.o.Peer, j.Spec != ""
 	sub, err := newSubmission(id, j)
 	if err != nil {
@@ -376,11 +386,13 @@
 		ctx, cancel := context.WithTimeout(context.Background(), pushTimeout)
 		defer cancel()
 		var r offerReply
+		asked := time.Now()
 		if _, err := s.o.Peers.CallAddr(ctx, leader.Peer, s.method(MethodOffer), offer{Key: entry.Key, Value: entry.Value}, &r); err != nil {
 			s.o.Log.Debug().Err(err).Str("key", entry.Key).Msg("leader not notified of a new entry; its watch will deliver it")
 			return
 		}
 		s.omitSpecs.Store(r.OmitSpecs)
+		s.takeDigest(r.Load, asked)
 	}()
 }
 
--- a/standin/cellsim/doc.go
+++ b/standin/cellsim/doc.go
@@ -8,6 +8,8 @@
 // the time drawn for it, end the tasks of a gang together, stop tasks with a checkpoint
 // when ordered to, and list completions until they are acknowledged. The advice
 // service handles one call of each daemon at a time. The store has a latency and may
-// be slow or down. Callers submit a job, retry when it is refused, and give up
-// after a while. CPU time, connections and lost responses are not simulated.
+// be slow or down. Callers submit a job through a daemon drawn for each attempt, retry
+// when it is refused, and give up after a while. Each daemon judges submissions by the
+// load, as package loadshed does, with digests that come with the answers to its
+// notifications. CPU time, connections and lost responses are not simulated.
 package cellsim
--- a/standin/cellsim/result.go
+++ b/standin/cellsim/result.go
@@ -24,7 +24,10 @@
 	// core-seconds of all work and of discarded work.
 	Busy          float64
 	Spent, Wasted float64
-	Stats         dispatch.Stats
+	// Refusals counts submissions refused for load, retries included, and Unjudged those for which
+	// the daemon had no recent digest.
+	Refusals, Unjudged int
+	Stats              dispatch.Stats
 	// Samples is the time series of the run.
 	Samples []Sample
 
@@ -46,7 +49,10 @@
 type ClassResult struct {
 	Name                        string
 	Jobs, InTime, Late, Refused int
-	Credit                      float64
+	// NeverEnded counts accepted jobs without a final state at the end of the run, Worthless the
+	// accepted ones that earned nothing, which includes them.
+	NeverEnded, Worthless int
+	Credit                float64
 	// Largest is the credit of the tenth of the jobs with the greatest worth.
 	Largest float64
 	// Start has the times from the first submission to the first start, Done those until
@@ -176,6 +182,12 @@
 		case j.earned() > 0:
 			r.Late++
 		}
+		if j.accepted > 0 && j.shown == 0 {
+			r.NeverEnded++
+		}
+		if j.accepted > 0 && j.earned() == 0 {
+			r.Worthless++
+		}
 		if j.started > 0 {
 			r.Start = append(r.Start, j.started-settle-j.submitted)
 		}
--- a/standin/cellsim/sim.go
+++ b/standin/cellsim/sim.go
@@ -11,6 +11,7 @@
 	"fennelshunt.example/fennelshunt/connection/store"
 	"fennelshunt.example/fennelshunt/process/dispatch"
 	"fennelshunt.example/fennelshunt/process/fair"
+	"fennelshunt.example/fennelshunt/process/loadshed"
 	"fennelshunt.example/fennelshunt/version/work"
 )
 
@@ -82,6 +83,9 @@
 	all     []*job
 	result  Result
 	stats   dispatch.Stats
+
+	gates   []loadshed.Gate // of the daemons
+	gateRNG *rand.Rand      // draws the daemons of submissions; its own, so that it changes no other draw
 }
 
 // event is a function to be executed at a virtual time.
@@ -114,7 +118,7 @@
 // Run simulates a cell and returns the results of its jobs.
 func Run(o Options) *Result {
 	s := &sim{o: &o, rng: rand.New(rand.NewPCG(o.Seed, 7)), workers: map[runner.WorkerID]*worker{}, gangs: map[gangKey]*gangRun{},
-		entries: map[string]store.Entry{}, jobs: map[work.JobID]*job{}}
+		entries: map[string]store.Entry{}, jobs: map[work.JobID]*job{}, gates: make([]loadshed.Gate, max(1, o.Daemons)), gateRNG: rand.New(rand.NewPCG(o.Seed, 11))}
 	s.all = drawJobs(&o, s.rng)
 	s.addWorkers()
 	s.lead()
@@ -249,9 +253,11 @@
 	return storeLatency
 }
 
-// submit submits a job, or schedules a retry during an outage of the store.
+// submit submits a job, or schedules a retry during an outage of the store or when the job is
+// refused for load.
 func (s *sim) submit(j *job, attempt int) {
-	if s.o.Pattern.Outage.has(s.loadTime()) {
+	daemon := s.gateRNG.IntN(len(s.gates))
+	if s.o.Pattern.Outage.has(s.loadTime()) || s.refuses(daemon, j) {
 		if attempt < len(retries) {
 			s.at(settle+j.submitted+retries[attempt], func() { s.submit(j, attempt+1) })
 		}
@@ -271,10 +277,32 @@
 		s.open = append(s.open, j)
 		if s.engine != nil {
 			s.accept(e)
+			s.takeDigest(daemon)
 		}
 	})
 }
 
+// refuses reports whether a daemon refuses a job for load.
+func (s *sim) refuses(daemon int, j *job) bool {
+	x := s.gates[daemon].Judge(loadshed.JobOf(j.spec), s.now, s.epoch, s.gateRNG.Float64())
+	switch {
+	case x.Refuse:
+		s.result.Refusals++
+	case x.Outdated:
+		s.result.Unjudged++
+	}
+	return x.Refuse
+}
+
+// takeDigest passes a digest to a daemon with the answer to its notification of a job.
+func (s *sim) takeDigest(daemon int) {
+	asked, d := s.now, s.engine.LoadDigest(s.now)
+	if d == nil {
+		return
+	}
+	s.after(2*hop, func() { s.gates[daemon].Take(d, asked) })
+}
+
 func (s *sim) accept(e store.Entry) {
 	if err := s.engine.Accepted(s.now, e); err != nil && s.o.Violation != nil {
 		s.o.Violation(err.Error())
