--- a/process/dispatch/engine.go
+++ b/process/dispatch/engine.go
@@ -90,6 +90,8 @@
 	idleForSlow         int           // how many of them may take slow calls
 	preempting          preempting
 
+	forecast forecast
+
 	deposed bool
 	stats   Stats
 }
@@ -119,6 +121,9 @@
 	// PreemptedCoreSeconds is the work that the stopped runs lost.
 	Preempted, Preemptions, PreemptionWasted uint64
 	PreemptedCoreSeconds                     float64
+	// Digests counts the summaries of the load for admission control, DigestsOverloaded those by
+	// which a submission could be refused.
+	Digests, DigestsOverloaded uint64
 }
 
 // NewEngine returns an engine without jobs.
--- a/process/dispatch/preemption.go
+++ b/process/dispatch/preemption.go
@@ -127,7 +127,7 @@
 	s.preemptAt = e.now + preemptPeriod
 	workers := e.preemptable(s)
 	plan, ok := preemption.Choose(c, workers)
-	if !ok || plan.Victims > e.preempting.budgetLeft(e) || !plan.Worthwhile(e.coreSeconds(s)) {
+	if !ok || plan.Victims > e.preempting.budgetLeft(e) || !plan.Worthwhile(e.coreSeconds(s, s.spec.Count)) {
 		return false
 	}
 	return e.beginPreemption(s, c, plan)
@@ -149,11 +149,6 @@
 	return p.budget.Left(e.now)
 }
 
-// coreSeconds is the work of a step, as estimated.
-func (e *Engine) coreSeconds(s *step) float64 {
-	return float64(s.spec.Count*s.spec.Size.CPU) / 1000 * e.estimate(s).Seconds()
-}
-
 // following is how long the steps after s are likely to take. It is computed once: the learned
 // ratio of the queue's estimates changes little over the life of a job.
 func (e *Engine) following(s *step) time.Duration {
--- a/request/submit/peer.go
+++ b/request/submit/peer.go
@@ -11,6 +11,7 @@
 	"fennelshunt.example/fennelshunt/connection/peer"
 	"fennelshunt.example/fennelshunt/connection/store"
 	"fennelshunt.example/fennelshunt/process/dispatch"
+	"fennelshunt.example/fennelshunt/process/loadshed"
 	"fennelshunt.example/fennelshunt/version/work"
 )
 
@@ -38,6 +39,8 @@
 type offerReply struct {
 	// OmitSpecs is set when the leader has no use for the specs of jobs.
 	OmitSpecs bool `cbor:"1,keyasint"`
+	// Load is the leader's digest of the shard's load; nil if it has none.
+	Load *loadshed.Digest `cbor:"2,keyasint,omitempty"`
 }
 
 type forwardReply struct {
@@ -97,6 +100,13 @@
 	RefusedAtOnce, Unknown, Probes, Outages expvar.Int
 	// LongestHold is the longest time of one submission, in milliseconds.
 	LongestHold Longest
+	// RefusedForLoad counts refusals for load by queue and reason, and RefusalsDropped those that were
+	// not made because the job was stored or might be.
+	RefusedForLoad  expvar.Map
+	RefusalsDropped expvar.Int
+	// DigestsSent counts digests of the load sent to other daemons, and DigestsOutdated the
+	// submissions that were accepted without a recent digest.
+	DigestsSent, DigestsOutdated expvar.Int
 }
 
 // Longest is the maximum of durations.
@@ -132,10 +142,11 @@
 }
 
 func (s *Service) serveOffer(_ context.Context, o offer) (any, error) {
-	if h := s.o.Leading(); h != nil {
+	h := s.o.Leading()
+	if h != nil {
 		h.Offer(store.Entry{Key: o.Key, Value: o.Value})
 	}
-	return offerReply{OmitSpecs: s.o.Specs != nil && s.o.Specs.RelaysOrders()}, nil
+	return offerReply{OmitSpecs: s.o.Specs != nil && s.o.Specs.RelaysOrders(), Load: s.digestFor(h)}, nil
 }
 
 // serveForward makes a single attempt, since the calling daemon can try others.
@@ -153,6 +164,9 @@
 		return forwardReply{StoreAnswers: true}, nil // its own submissions wait for a turn
 	}
 	defer s.pacer.leave()
+	if s.gate != nil {
+		s.gate.admit(id)
+	}
 	done := s.pacer.sentWrite()
 	err = s.o.StoreTimeout.CallWithMinTimeout(ctx, s.pacer.forwardedTimeout(), func(ctx context.Context) error { return s.create(ctx, sub) })
 	done(err)
