dispatch: a gang that could have a plan of preemption waits for its look at the workers

Cause: looks at all workers are 20 ms apart for all gangs.

Change: gangs that can request tickets are looked at first and wait for it with their own call; one that gains the possibility of a call is looked at at once.

--- a/process/dispatch/job.go
+++ b/process/dispatch/job.go
@@ -93,10 +93,12 @@
 	follows time.Duration
 	// startsAt is when the step can start by its reservation, 0 if that is not known.
 	startsAt time.Duration
-	// preemption is the step's own while runs are stopped for it; preemptAt is the earliest
-	// next one.
-	preemption *preemptionState
-	preemptAt  time.Duration
+	// preemption is the step's plan while runs are stopped for it. preemptAt is when a plan is
+	// looked for again, or earlier if a call is possible then and was not the last time, as
+	// preemptAsked tells.
+	preemption   *preemptionState
+	preemptAt    time.Duration
+	preemptAsked bool
 
 	isolates *worker // isolated for a suspect task of the step
 	// isolationWait is until when a gang with a suspect task waits for workers without recent
--- a/process/dispatch/preemption.go
+++ b/process/dispatch/preemption.go
@@ -111,7 +111,7 @@
 		return false
 	case s.preemption != nil:
 		return true
-	case s.gangReserved || e.now < s.preemptAt || e.now < e.preempting.examineAt:
+	case s.gangReserved || (e.now < s.preemptAt && (s.preemptAsked || !e.mayAskNow(s))):
 		return false
 	case len(s.pending) == 0 || s.rank != rankInTime || s.startsAt == 0 || !e.hasReserved(s):
 		return false
@@ -120,11 +120,17 @@
 	}
 	c := preemption.Claim{Need: s.spec.Need(), Count: s.spec.Count, Priority: s.job.spec.Queue.Priority,
 		Now: e.now, Due: s.occurrence.due - e.following(s) - startMargin, Estimate: e.estimate(s), Without: e.startWithout(s), With: e.now + e.stopLead()}
-	if !c.Qualifies() {
+	mayAsk := e.mayAskNow(s)
+	switch {
+	case !c.Qualifies():
 		return false
+	case mayAsk && e.now < e.preempting.examineAt:
+		return true // a call for other advice now would leave no time for a plan
+	case !mayAsk && e.now < e.preempting.examineAt+examinePause:
+		return false // gangs that can request tickets come first
 	}
 	e.preempting.examineAt = e.now + examinePause
-	s.preemptAt = e.now + preemptPeriod
+	s.preemptAt, s.preemptAsked = e.now+preemptPeriod, mayAsk
 	workers := e.preemptable(s)
 	plan, ok := preemption.Choose(c, workers)
 	if !ok || plan.Victims > e.preempting.budgetLeft(e) || !plan.Worthwhile(e.coreSeconds(s)) {
@@ -133,6 +139,12 @@
 	return e.beginPreemption(s, c, plan)
 }
 
+// mayAskNow reports whether a call for tickets could be requested for the step in this round.
+func (e *Engine) mayAskNow(s *step) bool {
+	a := e.adviceOf(s)
+	return a != nil && len(a.toAsk) == 0 && e.mayAsk(s)
+}
+
 // startWithout is when the step is expected to start if nothing is stopped for it: by its
 // reservation, but with a call for tickets, and later the longer it has waited, since a
 // reservation expects every run to end in time and nothing else to take the slots.
@@ -176,7 +188,7 @@
 // tickets now, these are the ones whose tickets outlast the stops.
 func (e *Engine) preemptable(s *step) []preemption.Worker {
 	a := e.adviceOf(s)
-	mayAsk := a != nil && len(a.toAsk) == 0 && e.mayAsk(s)
+	mayAsk := e.mayAskNow(s)
 	lead := e.stopLead()
 	limit := s.perWorker(s.spec.Count)
 	var all []preemption.Worker
