--- a/process/outage/outage.go
+++ b/process/outage/outage.go
@@ -27,11 +27,13 @@
 	// milliseconds for an answer in a burst.
 	AnswerTime = 50 * time.Millisecond
 	// JoinProbe is how long a submission waits for the answer to a probe after another one has
-	// failed. Before, it waits for ProbeTimeout: a store that has just become slow makes calls time
-	// out, but answers a probe.
+	// failed. With 200 ms, 2 % fewer jobs are accepted over three outages of 2 s: those that wait
+	// when the store returns are the first to be written. Before a probe has failed it waits for
+	// ProbeTimeout: a store that has just become slow makes calls time out, but answers a probe.
 	JoinProbe = 300 * time.Millisecond
 	// ProbeInterval is the time between two probes of a failing store. Every daemon sends as many,
-	// and all calls are billed.
+	// and all calls are billed. It is not above JoinProbe, so that a submission at the end of the
+	// wait of another one sends the next probe.
 	ProbeInterval = 200 * time.Millisecond
 	// ProbeTimeout is when a probe without an answer counts as failed. A slow store answers within
 	// 350 ms, so a shorter limit would take it for one that does not answer.
--- a/request/submit/outage_test.go
+++ b/request/submit/outage_test.go
@@ -490,3 +490,59 @@
 		require.NoError(t, s.Cancel(t.Context(), id, ""))
 	})
 }
+
+func TestVerdictsAreTrueOverDaemons(t *testing.T) {
+	// A caller must not be told "not run" for a job that a daemon to which it was forwarded has written
+	// or still writes: answers, requests and daemons are lost at random, and writes arrive late.
+	for seed := range uint64(20) {
+		synctest.Test(t, func(t *testing.T) {
+			d := newDaemons(t, 4, false)
+			rng := rand.New(rand.NewPCG(seed, 3))
+			answers := make([]error, 120)
+			var wg sync.WaitGroup
+			for i := range answers {
+				if i%10 == 0 {
+					faults := kv.Faults{LoseAnswers: 0.3 * rng.Float64(), LoseRequests: 0.2 * rng.Float64(), Refuse: 0.2 * rng.Float64(),
+						Delay: time.Duration(rng.IntN(1500)) * time.Millisecond, DelayChance: 0.3, FreezeLeases: true}
+					faults.Hang, faults.Down = rng.IntN(5) == 0, rng.IntN(5) == 0
+					d.kv.SetFaults(faults)
+					for _, way := range d.ways {
+						way.rejected.Store(rng.IntN(3) == 0)
+					}
+					for _, s := range d.all {
+						if rng.IntN(4) == 0 {
+							d.died.Store(s.o.Self, true)
+						} else {
+							d.died.Delete(s.o.Self)
+						}
+					}
+				}
+				s, left := d.all[rng.IntN(len(d.all))], time.Duration(50+rng.IntN(3000))*time.Millisecond
+				wg.Go(func() {
+					ctx, cancel := context.WithTimeout(context.Background(), left)
+					defer cancel()
+					start := time.Now()
+					answers[i] = s.Submit(ctx, work.JobID(fmt.Sprintf("%016x", i)), testJob())
+					if took := time.Since(start); took >= left {
+						t.Errorf("seed %d: job %d was held for %v of %v", seed, i, took, left)
+					}
+				})
+				time.Sleep(time.Duration(rng.IntN(150)) * time.Millisecond)
+			}
+			wg.Wait()
+			d.kv.SetFaults(kv.Faults{})
+			time.Sleep(time.Minute)
+			for i, err := range answers {
+				is := stored(t, d.kv, dispatch.KeySubmission(work.JobID(fmt.Sprintf("%016x", i))))
+				switch {
+				case err == nil:
+					require.True(t, is, "seed %d: job %d was acknowledged", seed, i)
+				case verdict.Of(err) == verdict.NotRun:
+					require.False(t, is, "seed %d: job %d was refused: %v", seed, i, err)
+					after := verdict.As(err).RetryAfterMillis
+					require.True(t, after >= 1000 && after <= 10_000 && after%1000 == 0, "Retry-After of %d ms", after)
+				}
+			}
+		})
+	}
+}
