submit: the test of a store that fails again compares several plays

What was seen: TestStoreThatFailsAgainRightAfterItsReturn, 1 of 104 runs beside a load of 40: 689 jobs accepted, 698.4 (0.97 of 720 without pacing) required.

Cause: one play of either way is compared, and the accepted jobs of a play vary by about 15 with the order of goroutines and the callers' return times, which are no part of what is tested.

--- a/request/submit/outage_test.go
+++ b/request/submit/outage_test.go
@@ -326,11 +326,19 @@
 func TestStoreThatFailsAgainRightAfterItsReturn(t *testing.T) {
 	// Refusals must resume at the first proof, and no submission may be held or left unknown for
 	// longer than in the first outage.
-	before, after := failsAgain(t, true), failsAgain(t, false)
-	require.Zero(t, after.late)
-	require.Less(t, after.longest, time.Second)
-	require.Less(t, after.unknown, before.unknown/2)
-	require.GreaterOrEqual(t, float64(after.accepted), 0.97*float64(before.accepted))
+	//
+	// Accepted jobs are compared over several plays: those of one play vary by about 15, by the order
+	// of the daemons' goroutines and the callers' return times.
+	const plays = 4
+	before, after := 0, 0 // accepted jobs
+	for range plays {
+		b, a := failsAgain(t, true), failsAgain(t, false)
+		require.Zero(t, a.late)
+		require.Less(t, a.longest, time.Second)
+		require.Less(t, a.unknown, b.unknown/2)
+		before, after = before+b.accepted, after+a.accepted
+	}
+	require.GreaterOrEqual(t, float64(after), 0.97*float64(before))
 }
 
 func TestTargetThatDiesAfterItHasWritten(t *testing.T) {
