dispatch: runs that take several times too long start again elsewhere

Cause: 3 runs in 100 take seven times as long as the others. Only runs that stood still were stopped; one long run made its job late, a gang with all members, and held capacity.

At most two moves per task or gang; a gang moves as a whole. Policy no_straggler_moves turns it off.

--- a/command/bench/experiment.go
+++ b/command/bench/experiment.go
@@ -203,7 +203,7 @@
 
 func printOutcomes(out io.Writer, outcomes []*outcome) error {
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(w, "pattern\tpolicy\tcredit\tsd\tworst windows\tworst accounts\twide\tlargest wide\tmany\tquick\tbusy\twide start p50\tp90\twasted core-s\twrites\tadvice calls\trun time off p50\tp90\tquick done p99\tmoved")
+	fmt.Fprintln(w, "pattern\tpolicy\tcredit\tsd\tworst windows\tworst accounts\twide\tlargest wide\tmany\tquick\tbusy\twide start p50\tp90\twasted core-s\twrites\tadvice calls\trun time off p50\tp90\tquick done p99\tstraggler moves")
 	for _, x := range outcomes {
 		credit, sd := x.over(func(r *cellsim.Result) float64 { return r.Credit })
 		of := func(value func(r *cellsim.Result) float64) float64 {
@@ -224,7 +224,7 @@
 			of(func(r *cellsim.Result) float64 {
 				return cellsim.Quantile(r.Classes[cellsim.Quick].Done, 0.99).Seconds()
 			}),
-			of(func(r *cellsim.Result) float64 { return float64(r.Stats.Moved) }))
+			of(func(r *cellsim.Result) float64 { return float64(r.Stats.StragglerMoves) }))
 	}
 	return w.Flush()
 }
--- a/process/dispatch/engine.go
+++ b/process/dispatch/engine.go
@@ -66,11 +66,12 @@
 	latestStarts map[string]int64
 	lateStarts   map[string][]*allocation
 
-	members    []string
-	proxies    map[string]*adviceProxy
-	goodShares map[string]float64 // share of workers that are good, by queue
-	speed      *speed.Model
-	speedAt    time.Duration // when its pools are computed again
+	members      []string
+	proxies      map[string]*adviceProxy
+	goodShares   map[string]float64 // share of workers that are good, by queue
+	speed        *speed.Model
+	speedAt      time.Duration // when its pools are computed again
+	stragglersAt time.Duration // when runs are compared with their predictions again
 
 	dirty          []*job
 	dirtyAt        time.Duration // since when a change waits for a commit
@@ -120,6 +121,10 @@
 	SpeedSamples, SpeedClipped, SpeedChanged uint64
 	// SlowWorkers counts how often a worker was found to be slow.
 	SlowWorkers uint64
+	// Stragglers counts runs that took much longer than expected, StragglerMoves those that
+	// were stopped to start elsewhere (a gang counts once), StragglersAgain new runs of these
+	// that took long as well.
+	Stragglers, StragglerMoves, StragglersAgain uint64
 }
 
 // NewEngine returns an engine without jobs.
@@ -356,6 +361,7 @@
 		e.tickWorker(w)
 	}
 	e.refreshSpeeds()
+	e.checkStragglers()
 	e.openTimed()
 	e.expireAdviceCalls()
 	e.expireGangReservations()
--- a/process/dispatch/job.go
+++ b/process/dispatch/job.go
@@ -112,6 +112,7 @@
 	crashes    crash.Records
 	avoid      []runner.WorkerID // where it failed
 	avoidUntil time.Duration     // no start on these before
+	moves      int               // how often it was moved as a straggler, in this epoch
 }
 
 // gangState is the state that a gang's tasks share.
@@ -120,6 +121,7 @@
 	runs     uint64 // started in this epoch
 	failed   []uint64
 	stopping bool // its members are being stopped
+	moves    int  // how often it was moved as it had a straggler, in this epoch
 	// ends is when it is expected to end, computed again after endsUntil.
 	ends, endsUntil time.Duration
 }
@@ -164,6 +166,7 @@
 	// resumed: it was started from a checkpoint.
 	resumed   bool
 	predicted time.Duration // its run time, when it was started
+	straggles bool          // it was found to take much longer than expected
 }
 
 func (alloc *allocation) id() work.TaskID { return alloc.s.taskID(alloc.index) }
--- a/process/dispatch/policy.go
+++ b/process/dispatch/policy.go
@@ -41,6 +41,10 @@
 	// NoSpeedModel predicts run times from moving averages over queues, without the speed of the
 	// worker. The model of speeds matters with workers of unlike speed and inaccurate estimates.
 	NoSpeedModel bool `json:"no_speed_model,omitempty"`
+	// NoStragglerMoves lets runs that take much longer than expected run to their end. Moves
+	// matter where some runs take several times as long as the others, or workers become slow.
+	// They need the model of speeds.
+	NoStragglerMoves bool `json:"no_straggler_moves,omitempty"`
 	// FirstCome starts jobs in the order of their submission and reserves nothing: a baseline.
 	FirstCome bool `json:"first_come,omitempty"`
 	// ReservedShare: capacity is reserved for one waiting step per so many workers at a time,
--- a/process/speed/run.go
+++ b/process/speed/run.go
@@ -60,8 +60,8 @@
 // progress to tell.
 func (r *Run) Pace() (time.Duration, bool) { return r.pace(r.lastAt, r.atLast, minPercent) }
 
-// Done returns the progress of the run in percent, as last reported.
-func (r *Run) Done() float64 { return r.atLast }
+// Done returns the progress of the run, as last reported, as a share of its work.
+func (r *Run) Done() float64 { return r.atLast / 100 }
 
 // LearnProgress takes the run's progress into account, once.
 func (m *Model) LearnProgress(w *Worker, s *Work, r *Run) {
--- a/process/speed/speed.go
+++ b/process/speed/speed.go
@@ -287,6 +287,11 @@
 	total := workVar + w.variance + noise
 	bound := clipAt * math.Sqrt(total)
 	far := math.Abs(off) > bound
+	isLong := 0.0
+	if far && off > math.Log(longRatio) {
+		isLong = 1
+	}
+	s.queue.long += (isLong - s.queue.long) / longRuns
 	if far {
 		m.stats.Clipped++
 		off = math.Copysign(bound, off)
--- a/process/speed/work.go
+++ b/process/speed/work.go
@@ -28,13 +28,26 @@
 	slope      float64
 	spread     float64 // variance of the run time around the line
 	generation uint64  // rises with each change
+	long       float64 // share of runs that take much longer than the others
 }
 
+const (
+	// longRatio is the ratio of run time to prediction from which a run counts as long.
+	longRatio = 2.5
+	// longRuns is the number of runs over which their share is averaged, longInitial the share
+	// that is assumed at first.
+	longRuns    = 200
+	longInitial = 0.01
+)
+
+// LongShare returns the share of runs that take much longer than predicted.
+func (q *Queue) LongShare() float64 { return q.long }
+
 // Queue returns the figures of a queue.
 func (m *Model) Queue(name string) *Queue {
 	q := m.queues[name]
 	if q == nil {
-		q = &Queue{ratio: 1, slope: 1, spread: estimateSpread, generation: 1}
+		q = &Queue{ratio: 1, slope: 1, spread: estimateSpread, generation: 1, long: longInitial}
 		m.queues[name] = q
 	}
 	return q
@@ -101,6 +114,13 @@
 	s.generation = 0
 }
 
+// Deviation returns the standard deviation of the logarithm of a run time on a known worker
+// around its prediction.
+func (s *Work) Deviation() float64 {
+	_, variance := s.belief()
+	return math.Sqrt(variance + endNoise)
+}
+
 // Factor returns by how much runs of the work take longer than their estimate on a worker of
 // factor 1.
 func (s *Work) Factor() float64 {
--- a/standin/cellsim/sim.go
+++ b/standin/cellsim/sim.go
@@ -222,6 +222,9 @@
 	s.stats.SpeedClipped += st.SpeedClipped
 	s.stats.SpeedChanged += st.SpeedChanged
 	s.stats.SlowWorkers += st.SlowWorkers
+	s.stats.Stragglers += st.Stragglers
+	s.stats.StragglerMoves += st.StragglerMoves
+	s.stats.StragglersAgain += st.StragglersAgain
 	s.stats.Lost += st.Lost
 	s.stats.Quarantined += st.Quarantined
 	s.stats.Violations += st.Violations
