--- a/standin/cellsim/sim_test.go
+++ b/standin/cellsim/sim_test.go
@@ -198,3 +198,25 @@
 	t.Logf("calm: all %.3f worst %.3f; hot: all %.3f worst %.3f", calm.Credit, calm.WorstAccounts, busy.Credit, busy.WorstAccounts)
 	require.Greater(t, busy.Credit, calm.Credit-0.1)
 }
+
+// TestLongRunsAreMoved guards against jobs that are late, and capacity that is held, by runs that
+// take seven times as long as the others.
+func TestLongRunsAreMoved(t *testing.T) {
+	const length, seeds = 12 * time.Second, 4
+	simulate := func(policy dispatch.Policy) (credit float64, moves, again uint64) {
+		for seed := range uint64(seeds) {
+			o := options(t, 48, 0.7, length)
+			o.Seed, o.Policy, o.Pattern = seed, policy, Pattern{Long: 0.03}
+			r := Run(o)
+			credit += r.Credit / seeds
+			moves, again = moves+r.Stats.StragglerMoves, again+r.Stats.StragglersAgain
+		}
+		return credit, moves, again
+	}
+	now, moves, again := simulate(dispatch.Policy{})
+	before, none, _ := simulate(dispatch.Policy{NoStragglerMoves: true})
+	t.Logf("credit %.3f, without moves %.3f; %d moves, %d of them long again", now, before, moves, again)
+	require.Zero(t, none)
+	require.Less(t, again, moves/2)
+	require.Greater(t, now, before+0.03)
+}
