--- a/process/cellnode/metrics.go
+++ b/process/cellnode/metrics.go
@@ -27,6 +27,7 @@
 		{"ends_missed", s.CompletionsMissed}, {"suspected", s.Suspected}, {"trials", s.Trials}, {"given_up", s.GivenUp}, {"adopted", s.Adopted}, {"orphans", s.UntrackedRuns}, {"commits", s.Commits}, {"bundles", s.Batches},
 		{"advised", s.Advised}, {"holds", s.GangReservations}, {"aside", s.Quarantined}, {"moved", s.Moved}, {"over_quota", s.OverQuota}, {"preempted", s.Preempted}, {"preemptions", s.Preemptions}, {"preemption_wasted", s.PreemptionWasted}, {"preempted_core_seconds", uint64(s.PreemptedCoreSeconds)}, {"engine_violations", s.Violations},
 		{"load_digests", s.Digests}, {"load_digests_overloaded", s.DigestsOverloaded},
+		{"speed_samples", s.SpeedSamples}, {"speed_clipped", s.SpeedClipped}, {"speed_changed", s.SpeedChanged}, {"slow_workers", s.SlowWorkers}, {"stragglers", s.Stragglers}, {"straggler_moves", s.StragglerMoves}, {"stragglers_again", s.StragglersAgain},
 	} {
 		v := new(expvar.Int)
 		v.Set(int64(c.v))
