--- a/standin/cellsim/patterns.go
+++ b/standin/cellsim/patterns.go
@@ -61,7 +61,7 @@
 // The keys are values of the flag -policies; in them a chain is a write stream, a bundle
 // a batch, and a hold a gang reservation.
 func Policies() map[string]dispatch.Policy {
-	baseline := dispatch.Policy{WriteStreams: 1, NoBatches: true, NoGangReservations: true, NoPacking: true, NoParallelAdvice: true, NoSpeedModel: true, NoStragglerMoves: true}
+	baseline := dispatch.Policy{WriteStreams: 1, NoBatches: true, NoGangReservations: true, NoPacking: true, NoParallelAdvice: true, NoSpeedModel: true, NoStragglerMoves: true, NoAdviceBudget: true}
 	first := baseline
 	first.FirstCome = true
 	return map[string]dispatch.Policy{
@@ -73,6 +73,7 @@
 		"no-packing":    {NoPacking: true},
 		"no-parallel":   {NoParallelAdvice: true},
 		"no-preemption": {NoPreemption: true},
+		"no-budget":     {NoAdviceBudget: true},
 		"without-all":   baseline,
 		"first-come":    first,
 		// Ordering policies and quota variants for accounts that share a full cell.
