dispatch: stragglers are moved only where the policy asks for it

Change: policy.straggler_moves, off unless set, in place of no_straggler_moves. The tests of moves set it; their checks are as before.

--- a/process/dispatch/policy.go
+++ b/process/dispatch/policy.go
@@ -48,10 +48,11 @@
 	// NoSpeedModel predicts run times from moving averages over queues, without the speed of the
 	// worker. The model of speeds matters with workers of unlike speed and inaccurate estimates.
 	NoSpeedModel bool `json:"no_speed_model,omitempty"`
-	// NoStragglerMoves lets runs that take much longer than expected run to their end. Moves
-	// matter where some runs take several times as long as the others, or workers become slow.
-	// They need the model of speeds.
-	NoStragglerMoves bool `json:"no_straggler_moves,omitempty"`
+	// StragglerMoves stops runs that take much longer than expected, so that they start again on
+	// another worker. Moves matter where some runs take several times as long as the others, or
+	// workers become slow, and the cell has capacity to spare; in a full cell they throw away
+	// work without a gain. They need the model of speeds.
+	StragglerMoves bool `json:"straggler_moves,omitempty"`
 	// FirstCome starts jobs in the order of their submission and reserves nothing: a baseline.
 	FirstCome bool `json:"first_come,omitempty"`
 	// NoLoadShedding accepts submissions whatever the load. On the leader, no digest of the load is
--- a/process/dispatch/straggler.go
+++ b/process/dispatch/straggler.go
@@ -29,7 +29,7 @@
 // if that is worthwhile.
 func (e *Engine) checkStragglers() {
 	p := &e.o.Policy
-	if p.NoStragglerMoves || p.NoSpeedModel || e.now < e.stragglersAt {
+	if !p.StragglerMoves || p.NoSpeedModel || e.now < e.stragglersAt {
 		return
 	}
 	e.stragglersAt = e.now + stragglerPeriod
--- a/process/dispatch/straggler_test.go
+++ b/process/dispatch/straggler_test.go
@@ -49,7 +49,7 @@
 // TestLongRunIsMovedOnce guards against jobs that are late because one run takes seven times as
 // long as the others, and against a second run of a task whose stop is not answered.
 func TestLongRunIsMovedOnce(t *testing.T) {
-	h, long := longRun(t, Policy{}, stepOf(5, false))
+	h, long := longRun(t, Policy{StragglerMoves: true}, stepOf(5, false))
 	require.EqualValues(t, 1, h.e.Stats().StragglerMoves)
 	require.EqualValues(t, 1, h.e.Stats().Stragglers)
 	require.Empty(t, h.starts(), "the stop is not answered")
@@ -85,20 +85,20 @@
 // TestStragglerStaysWithoutAPlace guards against a run that is stopped although no other worker
 // has capacity for it.
 func TestStragglerStaysWithoutAPlace(t *testing.T) {
-	for name, policy := range map[string]Policy{"off": {NoStragglerMoves: true}, "no model": {NoSpeedModel: true}} {
+	for name, policy := range map[string]Policy{"off": {}, "no model": {StragglerMoves: true, NoSpeedModel: true}} {
 		h, _ := longRun(t, policy, stepOf(5, false))
 		require.Zero(t, h.e.Stats().StragglerMoves, name)
 		require.Empty(t, sent[SendStop](h.harness), name)
 	}
 	s := stepOf(5, false)
 	s.Labels = []string{"f"}
-	h, long := longRun(t, Policy{NoStragglerMoves: true}, s)
+	h, long := longRun(t, Policy{}, s)
 	for _, w := range h.e.workerList {
 		if w.ID != long.To.ID {
 			w.quarantinedUntil = time.Hour
 		}
 	}
-	h.e.o.Policy.NoStragglerMoves = false
+	h.e.o.Policy.StragglerMoves = true
 	h.step(time.Second)
 	require.EqualValues(t, 1, h.e.Stats().Stragglers)
 	require.Zero(t, h.e.Stats().StragglerMoves)
@@ -107,9 +107,9 @@
 // TestStragglerIsMovedAtMostTwice guards against a task that is slow wherever it runs and is
 // stopped again and again.
 func TestStragglerIsMovedAtMostTwice(t *testing.T) {
-	h, long := longRun(t, Policy{NoStragglerMoves: true}, stepOf(5, false))
+	h, long := longRun(t, Policy{}, stepOf(5, false))
 	h.e.workers[long.To.ID].allocs[long.Start.Task].task().moves = 2
-	h.e.o.Policy.NoStragglerMoves = false
+	h.e.o.Policy.StragglerMoves = true
 	h.step(time.Second)
 	require.EqualValues(t, 1, h.e.Stats().StragglersAgain)
 	require.Zero(t, h.e.Stats().StragglerMoves)
@@ -118,7 +118,7 @@
 // TestGangMovesAsAWhole guards against a gang of which only the slow member is stopped: the
 // others would be broken by it, or wait for a member that runs alone.
 func TestGangMovesAsAWhole(t *testing.T) {
-	h, _ := longRun(t, Policy{}, stepOf(5, true))
+	h, _ := longRun(t, Policy{StragglerMoves: true}, stepOf(5, true))
 	require.EqualValues(t, 1, h.e.Stats().StragglerMoves)
 	require.True(t, h.e.jobs[testJob].occurrences[0].steps[0].gang.stopping)
 	stopped := map[work.TaskID]bool{}
--- a/standin/cellsim/patterns.go
+++ b/standin/cellsim/patterns.go
@@ -61,7 +61,7 @@
 // The keys are values of the flag -policies; in them a chain is a write stream, a bundle
 // a batch, and a hold a gang reservation.
 func Policies() map[string]dispatch.Policy {
-	baseline := dispatch.Policy{WriteStreams: 1, NoBatches: true, NoGangReservations: true, NoPacking: true, NoParallelAdvice: true, NoSpeedModel: true, NoStragglerMoves: true, NoAdviceBudget: true}
+	baseline := dispatch.Policy{WriteStreams: 1, NoBatches: true, NoGangReservations: true, NoPacking: true, NoParallelAdvice: true, NoSpeedModel: true, NoAdviceBudget: true}
 	first := baseline
 	first.FirstCome = true
 	return map[string]dispatch.Policy{
@@ -83,6 +83,6 @@
 		"no-quota-turns": {NoQuotaTurns: true},
 		"headroom":       {QuotaHeadroom: true},
 		"no-speed-model": {NoSpeedModel: true},
-		"no-moves":       {NoStragglerMoves: true},
+		"moves":          {StragglerMoves: true},
 	}
 }
--- a/standin/cellsim/sim_test.go
+++ b/standin/cellsim/sim_test.go
@@ -213,8 +213,8 @@
 		}
 		return credit, moves, again
 	}
-	now, moves, again := simulate(dispatch.Policy{})
-	before, none, _ := simulate(dispatch.Policy{NoStragglerMoves: true})
+	now, moves, again := simulate(dispatch.Policy{StragglerMoves: true})
+	before, none, _ := simulate(dispatch.Policy{})
 	t.Logf("credit %.3f, without moves %.3f; %d moves, %d of them long again", now, before, moves, again)
 	require.Zero(t, none)
 	require.Less(t, again, moves/2)
