--- a/connection/store/adaptivetimeout.go
+++ b/connection/store/adaptivetimeout.go
@@ -63,10 +63,12 @@
 	return a.CallWithMinTimeout(ctx, 0, f)
 }
 
-// CallWithMinTimeout is Call with a timeout of at least limit, for a caller that does other
+// CallWithMinTimeout is Call with a timeout of at least minTimeout, for a caller that does other
 // work meanwhile and can use a late answer.
-func (a *AdaptiveTimeout) CallWithMinTimeout(ctx context.Context, limit time.Duration, f func(ctx context.Context) error) error {
-	bounded, cancel := context.WithTimeout(ctx, max(a.Timeout(), limit))
+func (a *AdaptiveTimeout) CallWithMinTimeout(ctx context.Context, minTimeout time.Duration,
+	f func(ctx context.Context) error,
+) error {
+	bounded, cancel := context.WithTimeout(ctx, max(a.Timeout(), minTimeout))
 	defer cancel()
 	start := time.Now()
 	err := f(bounded)
@@ -126,7 +128,7 @@
 	FailingSince time.Time     // end of the first of the consecutive failed calls, if Failing
 	RefusedAt    time.Time     // last refused call; zero for none
 	AnsweredAt   time.Time     // last answered call; zero for none
-	Average      time.Duration // as the method Average
+	Average      time.Duration // decaying average duration of answered calls; 0 before the first
 	Latest       time.Duration // duration of the last answered call
 }
 
@@ -134,7 +136,8 @@
 func (a *AdaptiveTimeout) Condition() Condition {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return Condition{Failing: a.failing, FailingSince: a.failingSince, RefusedAt: a.refusedAt, AnsweredAt: a.answeredAt, Average: a.average, Latest: a.latest}
+	return Condition{Failing: a.failing, FailingSince: a.failingSince, RefusedAt: a.refusedAt,
+		AnsweredAt: a.answeredAt, Average: a.average, Latest: a.latest}
 }
 
 // refusingCalls is the number of consecutive refusals that Refusing requires. A store that
--- a/process/cellnode/layout.go
+++ b/process/cellnode/layout.go
@@ -40,11 +40,10 @@
 	maxReads         = 10
 )
 
-// ensureLayout returns how the cell is divided. A leader of shard 0 divides a cell that has
-// just been bootstrapped: no job has been submitted and no worker called yet. That is its
-// first leader, or a successor if that one failed before it had written the layout. A cell in
-// operation is not divided any more, since its workers would have to be taken from a leader
-// that has runs there.
+// ensureLayout returns how the cell is divided. The first leader of shard 0 divides a cell that
+// has just been bootstrapped: no job has been submitted and no worker called yet. If it fails
+// before it has written the layout, a successor does. A cell in operation is not divided, since
+// its workers would have to be taken from a leader that has runs there.
 func (n *Node) ensureLayout(s *shard, t *lead.Term) (lead.Layout, error) {
 	ctx := t.Context()
 	layout, err := n.layout(ctx)
@@ -100,7 +99,8 @@
 		n.log.Info().Int("workers", workers).Int("daemons", len(daemons)).Msg("the cell is not divided into shards")
 		return layout, nil
 	}
-	n.log.Info().Int("workers", workers).Int("daemons", len(daemons)).Int("parts", layout.Shards).Msg("dividing the cell into shards")
+	n.log.Info().Int("workers", workers).Int("daemons", len(daemons)).Int("parts", layout.Shards).
+		Msg("dividing the cell into shards")
 	if err := t.Commit(ctx, 0, []store.Write{{Key: lead.KeyLayout, Value: layout.Encode()}}, nil); err != nil {
 		return lead.SingleShard, err
 	}
@@ -108,14 +108,16 @@
 }
 
 // countCell waits until the workers have registered, and returns their number and every daemon
-// that was a member meanwhile.
+// that was a member at one of the reads.
 //
-// The members of one moment do not count: while the store or the daemons are slow, the leases
-// of some expire and are renewed a moment later, and a cell that is divided in that moment gets
-// too few shards for good.
-func countCell(ctx context.Context, directory runner.Directory, members func() []lead.Member) (workers int, daemons []lead.Member, err error) {
+// The members at a single read are not enough: while the store or the daemons are slow, the leases
+// of some daemons expire and are renewed a moment later. The layout is not changed later, so a cell
+// that is divided by such a read keeps too few shards.
+func countCell(ctx context.Context, directory runner.Directory, members func() []lead.Member) (
+	workers int, daemons []lead.Member, err error,
+) {
 	seen := map[string]lead.Member{}
-	last, alike := -1, 0
+	last, equalReads := -1, 0
 	for range maxReads {
 		listed, _, err := directory.List(ctx)
 		if err != nil && len(listed) == 0 {
@@ -125,9 +127,9 @@
 			seen[m.Name] = m
 		}
 		if len(listed) != last {
-			last, alike = len(listed), 0
+			last, equalReads = len(listed), 0
 		}
-		if alike++; alike >= stableReads && last > 0 {
+		if equalReads++; equalReads >= stableReads && last > 0 {
 			break
 		}
 		if err := sleep.For(ctx, registrationPoll); err != nil {
--- a/process/cellnode/node.go
+++ b/process/cellnode/node.go
@@ -101,7 +101,7 @@
 	relay        *relay.Server
 	relayed      relay.Stats
 	submitted    submit.Stats
-	pacer        *submit.Pacer
+	pacer        *submit.Pacer              // shared by the shards
 	quotaOwner   atomic.Pointer[quotaOwner] // while this daemon leads shard 0 of several
 	stopping     atomic.Bool
 	metrics      *expvar.Map
--- a/process/cellnode/shard.go
+++ b/process/cellnode/shard.go
@@ -47,8 +47,10 @@
 		Lease: n.memberLease(), Peers: n.peers, Primary: main, Suffix: suffix, LeadsAnother: func() bool { return n.leadsOther(index) },
 		LeadsElsewhere: func(name string) bool { return n.shardLedBy(name, index) }})
 	s.elector.Register(n.mux)
-	s.jobs = submit.New(submit.Options{Self: n.self.Name, Peer: n.self.Peer, Specs: specCache{s}, Store: s.store, StoreTimeout: n.storeTimeout,
-		View: s.elector.View(), Peers: n.peers, Leading: s.host.Load, Log: log, Suffix: suffix, Stats: &n.submitted, Pacer: n.pacer, Preconditions: s.preconditions,
+	s.jobs = submit.New(submit.Options{
+		Self: n.self.Name, Peer: n.self.Peer, Specs: specCache{s}, Store: s.store, StoreTimeout: n.storeTimeout,
+		View: s.elector.View(), Peers: n.peers, Leading: s.host.Load, Log: log, Suffix: suffix,
+		Stats: &n.submitted, Pacer: n.pacer, Preconditions: s.preconditions,
 		NoLoadShedding: n.o.Settings.Policy.NoLoadShedding})
 	s.jobs.Register(n.mux)
 	return s
--- a/process/outage/forward.go
+++ b/process/outage/forward.go
@@ -26,11 +26,12 @@
 
 // Targets returns at most MaxTargets of the candidates, in the order in which to forward to them:
 // the one that accepted last, then the leader, which has reached the store recently, then the
-// others in the given order. Those that could not write within targetPause are left out.
+// others in the given order. Those that failed to write a job within the last targetPause are left
+// out.
 func (t *Tracker) Targets(now time.Time, candidates []string, leader string) []string {
 	order := func(name string) int {
 		switch {
-		case name == t.accepter && now.Sub(t.accepterAt) < accepterMemory:
+		case name == t.preferred && now.Sub(t.preferredAt) < preferredFor:
 			return 0
 		case name == leader:
 			return 1
@@ -38,7 +39,7 @@
 		return 2
 	}
 	chosen := slices.DeleteFunc(slices.Clone(candidates), func(name string) bool {
-		failed, known := t.targets[name]
+		failed, known := t.failedTargets[name]
 		return known && now.Sub(failed) < targetPause
 	})
 	slices.SortStableFunc(chosen, func(a, b string) int { return cmp.Compare(order(a), order(b)) })
@@ -49,38 +50,38 @@
 func (t *Tracker) EndedTarget(now time.Time, name string, r TargetResult) {
 	switch r {
 	case TargetAccepted:
-		delete(t.targets, name)
-		t.accepter, t.accepterAt = name, now
-		t.betterAt = now
+		delete(t.failedTargets, name)
+		t.preferred, t.preferredAt = name, now
+		t.otherAnsweredAt = now
 		t.counts.Forwarded++
 		return
 	case TargetDeclined:
-		t.betterAt = now
+		t.otherAnsweredAt = now
 	case TargetFails, TargetUnreached, TargetSilent:
-		if t.accepter == name {
-			t.accepter = ""
+		if t.preferred == name {
+			t.preferred = ""
 		}
 	}
-	if len(t.targets) >= maxTargets {
-		for other, failed := range t.targets {
+	if len(t.failedTargets) >= maxFailedTargets {
+		for other, failed := range t.failedTargets {
 			if now.Sub(failed) >= targetPause {
-				delete(t.targets, other)
+				delete(t.failedTargets, other)
 			}
 		}
 	}
-	if len(t.targets) < maxTargets {
-		t.targets[name] = now
+	if len(t.failedTargets) < maxFailedTargets {
+		t.failedTargets[name] = now
 	}
 }
 
-// EndedForward records whether any target of a submission accepted it. After missesBeforePause
+// EndedForward records whether any target of a submission accepted it. After failuresBeforePause
 // submissions that none accepted, nothing is forwarded for forwardPause.
 func (t *Tracker) EndedForward(now time.Time, accepted bool) {
 	if accepted {
-		t.misses = 0
+		t.failedForwards = 0
 		return
 	}
-	if t.misses++; t.misses >= missesBeforePause {
+	if t.failedForwards++; t.failedForwards >= failuresBeforePause {
 		t.pausedUntil = now.Add(forwardPause)
 	}
 }
@@ -93,7 +94,7 @@
 	if t.since.IsZero() || now.Sub(t.since) < unreadyAfter {
 		return true
 	}
-	failed := t.missesFrom.After(t.acceptedAt) && now.Sub(t.missesFrom) >= unreadyAfter
-	better := !t.betterAt.IsZero() && now.Sub(t.betterAt) < unreadyAfter
-	return !failed || !better
+	refuses := t.refusedSince.After(t.acceptedAt) && now.Sub(t.refusedSince) >= unreadyAfter
+	othersDoBetter := !t.otherAnsweredAt.IsZero() && now.Sub(t.otherAnsweredAt) < unreadyAfter
+	return !refuses || !othersDoBetter
 }
--- a/process/outage/outage.go
+++ b/process/outage/outage.go
@@ -26,38 +26,42 @@
 	// platform's adapter: daemons of 0.144 of a core with links of 10 Mbit/s take tens of
 	// milliseconds for an answer in a burst.
 	AnswerTime = 50 * time.Millisecond
-	// JoinProbe is how long a submission waits for the answer to a probe after another one has
-	// failed. With 200 ms, 2 % fewer jobs are accepted over three outages of 2 s: those that wait
-	// when the store returns are the first to be written. Before a probe has failed it waits for
-	// ProbeTimeout: a store that has just become slow makes calls time out, but answers a probe.
+	// JoinProbe is how long a submission waits for the answer to a probe once an earlier probe has
+	// failed. The submissions that wait when the store returns are the first to be written: with
+	// 200 ms, 2 % fewer jobs are accepted over three outages of 2 s. Before a probe has failed, a
+	// submission waits for ProbeTimeout, since a store that has just become slow makes calls time
+	// out but answers a probe.
 	JoinProbe = 300 * time.Millisecond
-	// ProbeInterval is the time between two probes of a failing store. Every daemon sends as many,
-	// and all calls are billed. It is not above JoinProbe, so that a submission at the end of the
-	// wait of another one sends the next probe.
+	// ProbeInterval is the minimum time between two probes of a failing store by one daemon. All
+	// calls are billed, so it is not shorter. It is not longer than JoinProbe, so that the next
+	// probe is due before the submission that sent the last one stops waiting for it.
 	ProbeInterval = 200 * time.Millisecond
 	// ProbeTimeout is when a probe without an answer counts as failed. A slow store answers within
 	// 350 ms, so a shorter limit would take it for one that does not answer.
 	ProbeTimeout = 500 * time.Millisecond
 
-	// forwardPause is how long nothing is forwarded after missesBeforePause submissions in
-	// succession were accepted by none of their targets, and targetPause how long a target is left
-	// out after it could not write. If the store rejects a third of the daemons, both targets of
-	// one submission fail in one case of nine, those of two submissions in one of 81.
-	forwardPause      = 500 * time.Millisecond
-	missesBeforePause = 2
-	targetPause       = time.Second
-	// accepterMemory is how long the daemon that accepted last is tried first.
-	accepterMemory = 10 * time.Second
-	// maxTargets bounds the number of targets that are remembered.
-	maxTargets = 256
-
-	// pacedOutage is the shortest outage after which writes are paced. A single lost answer makes
-	// calls fail for less.
+	// forwardPause is how long nothing is forwarded after failuresBeforePause consecutive
+	// submissions were accepted by none of their targets. If the store rejects a third of the
+	// daemons, both targets of one submission fail in one case of nine, those of two submissions in
+	// one of 81.
+	forwardPause        = 500 * time.Millisecond
+	failuresBeforePause = 2
+	// targetPause is how long a target is left out after it could not write a job.
+	targetPause = time.Second
+	// preferredFor is how long the daemon that accepted last is tried first.
+	preferredFor = 10 * time.Second
+	// maxFailedTargets bounds the memory for targets that could not write. It is far above the
+	// number of daemons of a cell.
+	maxFailedTargets = 256
+
+	// pacedOutage is the shortest outage after which writes are paced. After a single lost answer,
+	// calls fail for less than that.
 	pacedOutage = time.Second
-	// recoveryTime bounds the pacing of a daemon with few submissions, and is the time within which
-	// another outage counts as a relapse.
+	// recoveryTime ends the pacing of a daemon that has too few submissions for its window to grow.
+	// An outage that begins within it halves the window with which the next recovery begins.
 	recoveryTime = 10 * time.Second
-	// maxHold bounds the wait for a turn to write.
+	// maxHold bounds the wait for a turn to write: a caller waits 3 s in all, and a refused one
+	// needs time for another attempt.
 	maxHold = time.Second
 	// unreadyAfter is how long a daemon must have got nothing accepted to report itself not ready.
 	// Readiness is read once a second or less often, and most outages end sooner.
@@ -70,12 +74,14 @@
 	MaxTargets = 2
 	// maxWrites bounds the writes of one submission, each of which may be hedged.
 	maxWrites = 3
-	// firstWindow is the number of open writes with which a daemon begins after an outage, and
-	// fullWindow the one from which on it is no longer paced.
+	// firstWindow is the number of submissions that a daemon may be writing at once when an outage
+	// ends, and fullWindow the number from which on it is no longer paced. With a first window of 4 or
+	// 8, more callers with little time left are refused while they wait for a turn
+	// (docs/design/store-outages.md).
 	firstWindow = 16
 	fullWindow  = 64
-	// slowerFactor times the shortest write since the return is the duration above which the
-	// window does not grow: the store is queueing writes.
+	// slowerFactor times the duration of the shortest write since the end of the outage is the
+	// duration above which a write does not enlarge the window: the store is queueing writes.
 	slowerFactor = 2
 	// maxHeld bounds the submissions that wait for a turn, each with its job in memory.
 	maxHeld = 256
@@ -87,7 +93,7 @@
 	// of that series ended.
 	Failing bool
 	Since   time.Time
-	// Refused means that a call was refused so recently that a probe would be as well.
+	// Refused means that a call was refused so recently that a probe would be refused as well.
 	Refused    bool
 	AnsweredAt time.Time     // last answer; zero for none
 	Usual      time.Duration // usual duration of a call
@@ -100,7 +106,7 @@
 
 // Actions.
 const (
-	// Write sends the job to the store, and then calls Leave.
+	// Write sends the job to the store. The caller calls Leave when that has ended.
 	Write Action = iota
 	// Forward has other daemons write the job.
 	Forward
@@ -126,19 +132,19 @@
 type Request struct {
 	// Left is the time in which it can still be answered.
 	Left time.Duration
-	// Writes counts the tries of this daemon.
+	// Writes counts the attempts of this daemon.
 	Writes int
 	// Forwarded means that it has been forwarded, and TargetUncertain that a target may have
 	// written it.
 	Forwarded, TargetUncertain bool
 	// Unconfirmed means that a write of this daemon or of another may still take effect.
 	Unconfirmed bool
-	// SentProbe means that it waits for the answer to a probe that it has sent itself, and Probed is
-	// the time for which it has waited for probes.
+	// SentProbe means that it has sent a probe itself. Probed is the time since its first wait for
+	// one began.
 	SentProbe bool
 	Probed    time.Duration
-	// Held is the time for which it has waited for a turn, and Waiting the number of other
-	// submissions that wait.
+	// Held is the time since its first wait for a turn to write began, and Waiting the number of
+	// other submissions that wait for one.
 	Held    time.Duration
 	Waiting int
 }
@@ -146,9 +152,9 @@
 // Decision is what to do with a submission next.
 type Decision struct {
 	Action  Action
-	Send    bool
-	Wait    time.Duration
-	Verdict Verdict
+	Send    bool          // for Probe: send one first
+	Wait    time.Duration // for Probe and Wait: the longest time to wait
+	Verdict Verdict       // for End
 	// AtOnce means that it is refused without having been tried, because of what earlier calls
 	// have shown.
 	AtOnce bool
@@ -158,32 +164,31 @@
 type Tracker struct {
 	store Store
 
-	since       time.Time // start of the outage; zero for none
-	probed      time.Time // when the last probe was sent
-	probes      map[uint64]time.Time
-	probeFailed bool // a probe has failed in this outage
-	reported    bool // the outage has been reported by Begun
+	since       time.Time            // start of the outage; zero for none
+	probed      time.Time            // when the last probe was sent
+	probes      map[uint64]time.Time // when each open probe was sent, by its number
+	probeFailed bool                 // a probe has failed in this outage
+	reported    bool                 // the outage has been reported by Begun
 	counts      Counts
 
-	writes   map[uint64]time.Time // open writes, by when they were sent
+	writes   map[uint64]time.Time // when each open write was sent, by its number
 	entered  int                  // submissions that are being written
 	lastCall uint64
 
 	endedAt    time.Time     // end of the last paced outage
-	window     int           // open writes allowed; 0 for no limit
-	lastWindow int           // with which the last recovery began
-	shortest   time.Duration // of the writes since then
-
-	targets     map[string]time.Time // when a target could last not write
-	accepter    string
-	accepterAt  time.Time
-	misses      int
-	pausedUntil time.Time
-
-	acceptedAt time.Time // last acceptance, by this daemon or through another
-	missedAt   time.Time // last submission that was not accepted
-	missesFrom time.Time // first one since acceptedAt
-	betterAt   time.Time // when another daemon last said that the store answers it
+	window     int           // submissions that may be written at once; 0 for no limit
+	lastWindow int           // window with which the last recovery began
+	shortest   time.Duration // duration of the shortest write since then
+
+	failedTargets  map[string]time.Time // when a target last failed to write a job
+	preferred      string               // daemon that accepted last
+	preferredAt    time.Time            // when it did
+	failedForwards int                  // consecutive submissions that no target accepted
+	pausedUntil    time.Time            // nothing is forwarded until then
+
+	acceptedAt      time.Time // last acceptance, by this daemon or through another
+	refusedSince    time.Time // first request since acceptedAt that was not accepted
+	otherAnsweredAt time.Time // when another daemon last said that the store answers it
 }
 
 // Counts are the submissions of one outage.
@@ -193,7 +198,7 @@
 
 // New returns a tracker that knows of no failure.
 func New() *Tracker {
-	return &Tracker{probes: map[uint64]time.Time{}, writes: map[uint64]time.Time{}, targets: map[string]time.Time{}}
+	return &Tracker{probes: map[uint64]time.Time{}, writes: map[uint64]time.Time{}, failedTargets: map[string]time.Time{}}
 }
 
 // Event reports the start or the end of an outage, for the log.
@@ -203,7 +208,7 @@
 	Counts       Counts
 }
 
-// Observe takes in what the daemon's calls have shown. An outage is reported as begun only once a
+// Observe records what the daemon's calls have shown. An outage is reported as begun only once a
 // probe has failed or a submission was refused, so that a lost answer is not reported.
 func (t *Tracker) Observe(now time.Time, s Store) Event {
 	t.store = s
@@ -232,7 +237,7 @@
 func (t *Tracker) end(now time.Time) (e Event) {
 	at := now
 	if t.store.AnsweredAt.After(t.since) && t.store.AnsweredAt.Before(now) {
-		at = t.store.AnsweredAt // a daemon without submissions notices the return late
+		at = t.store.AnsweredAt // a daemon without submissions observes the end late
 	}
 	length := at.Sub(t.since)
 	if t.reported {
@@ -241,13 +246,13 @@
 	if length >= pacedOutage {
 		t.window = firstWindow
 		if !t.endedAt.IsZero() && t.since.Sub(t.endedAt) < recoveryTime {
-			// It failed again soon after its return: the next return is tried with less.
+			// It failed again soon after the last outage: begin with fewer writes.
 			t.window = max(1, t.lastWindow/2)
 		}
 		t.lastWindow, t.shortest, t.endedAt = t.window, 0, at
 	}
 	t.since, t.reported, t.probeFailed = time.Time{}, false, false
-	t.misses, t.pausedUntil = 0, time.Time{}
+	t.failedForwards, t.pausedUntil = 0, time.Time{}
 	return e
 }
 
@@ -317,7 +322,7 @@
 }
 
 // expected returns how long a write is expected to take. After an outage the store may be much
-// slower than it has been on average.
+// slower than its average, so the last call counts as well.
 func (t *Tracker) expected() time.Duration {
 	if t.window == 0 {
 		return t.store.Usual
@@ -345,13 +350,14 @@
 		// This submission is the first to be written if the probe is answered.
 		return Decision{Action: Probe, Send: true, Wait: wait}
 	case !t.probeFailed:
-		// The proof may be wrong, as after one lost answer or a suspension of the daemon.
+		// The failed calls may be no sign of an outage, as after one lost answer or a suspension of
+		// the daemon.
 		return Decision{Action: Probe, Wait: wait}
 	}
 	return end
 }
 
-// decideWait decides on a submission that can not be written at once after the store's return.
+// decideWait decides on a submission that cannot be written at once because the window is full.
 func (t *Tracker) decideWait(r Request, end Decision) Decision {
 	answer := t.expected()
 	turn := answer * time.Duration(1+r.Waiting/t.window)
@@ -417,9 +423,8 @@
 
 // Refused counts a submission that is answered with the verdict, and not accepted.
 func (t *Tracker) Refused(now time.Time, v Verdict) {
-	t.missedAt = now
-	if !t.missesFrom.After(t.acceptedAt) {
-		t.missesFrom = now
+	if !t.refusedSince.After(t.acceptedAt) {
+		t.refusedSince = now
 	}
 	if v == MayHaveRun {
 		t.counts.Unknown++
--- a/process/outage/outage_test.go
+++ b/process/outage/outage_test.go
@@ -20,7 +20,8 @@
 }
 
 func silent(since time.Time) Store {
-	return Store{Failing: true, Since: since, AnsweredAt: since.Add(-200 * ms), Usual: 5 * ms, Latest: 5 * ms, Overdue: 40 * ms}
+	return Store{Failing: true, Since: since, AnsweredAt: since.Add(-200 * ms),
+		Usual: 5 * ms, Latest: 5 * ms, Overdue: 40 * ms}
 }
 
 func decide(t *Tracker, now time.Time, s Store, r Request) Decision {
@@ -38,15 +39,16 @@
 }
 
 func TestRefusedAtOnceWhileProbesFail(t *testing.T) {
-	// Once a probe has failed, only one submission per ProbeInterval may wait for a probe, and all
-	// others must be refused at once: each waited 300 ms for a read before.
+	// Guards against submissions that each wait for a probe while the store is known not to answer:
+	// once a probe has failed, only one per ProbeInterval may wait, and all others must be refused at
+	// once.
 	tr := New()
 	r := Request{Left: time.Second, Forwarded: true}
 	d := decide(tr, start, silent(start), r)
 	require.Equal(t, Decision{Action: Probe, Send: true, Wait: ProbeTimeout}, d)
 	tr.SentProbe(start)
 	d = decide(tr, start.Add(ms), silent(start), r)
-	require.Equal(t, Decision{Action: Probe, Wait: ProbeTimeout}, d, "the proof may be wrong until a probe has failed")
+	require.Equal(t, Decision{Action: Probe, Wait: ProbeTimeout}, d, "the store may answer until a probe has failed")
 	now := start.Add(ProbeTimeout)
 	sent := 0
 	for range 1000 {
@@ -86,8 +88,9 @@
 }
 
 func TestWritesRiseAfterTheReturn(t *testing.T) {
-	// All callers return with the store. Its writes must start with a few per daemon, and more only
-	// as it answers them no slower than before.
+	// Guards against overloading the store at the end of an outage, when all callers return: each
+	// daemon must begin with few writes, and send more only as the store answers them no slower than
+	// before.
 	tr := New()
 	now := returned(tr, start)
 	open := map[uint64]bool{}
@@ -117,9 +120,9 @@
 	require.Greater(t, send(), fullWindow, "it carries them again, and nothing more is paced")
 }
 
-func TestRelapseStartsLower(t *testing.T) {
-	// A store that fails again right after its return, under the callers that return, must not get
-	// as many writes at once the next time.
+func TestRepeatedOutageHalvesTheWindow(t *testing.T) {
+	// Guards against a store that fails again and again under the callers that return: after each
+	// outage that soon follows another it must get fewer writes at once.
 	tr := New()
 	now := returned(tr, start)
 	require.Equal(t, firstWindow, tr.window)
@@ -134,10 +137,10 @@
 }
 
 func TestForwardsPauseWhileNobodyAccepts(t *testing.T) {
-	// While the store fails everywhere, each submission would wait for two targets.
+	// Guards against submissions that each wait for two targets while the store answers no daemon.
 	tr := New()
 	r := Request{Left: time.Second}
-	for range missesBeforePause {
+	for range failuresBeforePause {
 		require.Equal(t, Forward, decide(tr, start, silent(start), r).Action)
 		tr.EndedForward(start, false)
 	}
@@ -146,8 +149,9 @@
 }
 
 func TestTargets(t *testing.T) {
-	// The daemon that accepted last, then the leader, are most likely to reach the store; one that
-	// could not is not asked again at once.
+	// Guards against forwards to daemons that cannot write the job: the daemon that accepted last,
+	// then the leader, are most likely to reach the store, and one that failed is not asked again at
+	// once.
 	tr := New()
 	all := []string{"a", "b", "c", "d"}
 	require.Equal(t, []string{"c", "a"}, tr.Targets(start, all, "c"))
@@ -161,8 +165,8 @@
 }
 
 func TestReadyUnlessOthersDoBetter(t *testing.T) {
-	// If every daemon reported itself not ready in an outage of the store, callers would reach none,
-	// and none would be ready when the store returns.
+	// Guards against a cell in which every daemon reports itself not ready in an outage of the store:
+	// callers would reach none of them, and none would be ready when the store answers again.
 	tr := New()
 	now := start
 	for range 60 {
@@ -180,7 +184,8 @@
 }
 
 func TestOutageIsReportedOnce(t *testing.T) {
-	// A lost answer is no outage, and one outage is one start and one end.
+	// Guards against log lines for a single lost answer, and against an outage that is logged with more
+	// than one start and one end.
 	tr := New()
 	require.Zero(t, tr.Observe(start, silent(start)))
 	require.Zero(t, tr.Observe(start.Add(5*ms), answering(start.Add(5*ms))))
@@ -199,7 +204,8 @@
 func TestRetryAfterIsUsefulAndSpread(t *testing.T) {
 	// Callers that wait 3 s must be able to return, and those that are refused together in a long
 	// outage must not all return in the same second.
-	require.Equal(t, time.Second, RetryAfter(time.Second, 3*time.Second, 0.99, 0.99), "short outages end within a second or two")
+	require.Equal(t, time.Second, RetryAfter(time.Second, 3*time.Second, 0.99, 0.99),
+		"short outages end within a second or two")
 	require.Equal(t, time.Second, RetryAfter(time.Minute, 2*time.Second, 0.99, 0.99), "the last try")
 	told := map[time.Duration]int{}
 	for i := range 10 {
@@ -212,7 +218,8 @@
 	rapid.Check(t, func(t *rapid.T) {
 		age := time.Duration(rapid.Int64Range(0, int64(time.Hour)).Draw(t, "age"))
 		left := time.Duration(rapid.Int64Range(-int64(time.Second), int64(time.Minute)).Draw(t, "left"))
-		after := RetryAfter(age, left, rapid.Float64Range(0, 0.999).Draw(t, "spread"), rapid.Float64Range(0, 0.999).Draw(t, "round"))
+		spread, round := rapid.Float64Range(0, 0.999), rapid.Float64Range(0, 0.999)
+		after := RetryAfter(age, left, spread.Draw(t, "spread"), round.Draw(t, "round"))
 		require.Zero(t, after%time.Second)
 		require.GreaterOrEqual(t, after, MinRetryAfter)
 		require.LessOrEqual(t, after, MaxRetryAfter)
@@ -247,9 +254,9 @@
 }
 
 func TestDecisionsKeepTheGuarantees(t *testing.T) {
-	// Nothing is held past its time, no submission is refused as not run while a write may still take
-	// effect, and nothing is forwarded after a target that may have written it, whatever the calls
-	// show and however the time passes.
+	// Guards, whatever the calls show and however the time passes, against submissions that are held
+	// past their time, that are refused as not run while a write may still take effect, or that are
+	// forwarded after a target that may have written them.
 	rapid.Check(t, func(t *rapid.T) {
 		m := &model{t: t, tr: New(), now: start, store: answering(start)}
 		for n := range rapid.IntRange(1, 20).Draw(t, "submissions") {
--- a/process/outage/retry.go
+++ b/process/outage/retry.go
@@ -4,7 +4,10 @@
 
 // Bounds of Retry-After.
 const (
+	// MinRetryAfter is the shortest pause that the header can name, other than none.
 	MinRetryAfter = time.Second
+	// MaxRetryAfter bounds the pause of callers with long deadlines, so that they notice within this
+	// time that the store answers again.
 	MaxRetryAfter = 10 * time.Second
 )
 
@@ -16,8 +19,8 @@
 	return max(0, now.Sub(t.since))
 }
 
-// lastTry is the time that a caller has left at least after its pause: a slow store takes 350 ms
-// for an answer.
+// lastTry is the least time that a caller must have left after a pause longer than MinRetryAfter: a
+// slow store takes 350 ms to answer.
 const lastTry = 500 * time.Millisecond
 
 // RetryAfter returns after how many whole seconds a refused caller should return, given the age of
@@ -33,7 +36,7 @@
 		return MinRetryAfter
 	}
 	pause := MinRetryAfter + time.Duration(spread*float64(longest-MinRetryAfter))
-	// The wire has whole seconds only: rounded up or down at random, with the mean kept.
+	// Retry-After is in whole seconds, so the pause is rounded up or down at random; its mean is kept.
 	whole := (pause + time.Duration(round*float64(time.Second))).Truncate(time.Second)
 	if whole > left-lastTry {
 		return MinRetryAfter
--- a/request/submit/cancel.go
+++ b/request/submit/cancel.go
@@ -14,7 +14,8 @@
 	"fennelshunt.example/fennelshunt/version/work"
 )
 
-// cancelRetryDelay is how long a cancellation waits before it calls a failing store again.
+// cancelRetryDelay is how long a cancellation waits at most before it calls a failing store again,
+// with the policy no_outage_pacing. An answer to any other call ends the wait.
 const cancelRetryDelay = 300 * time.Millisecond
 
 // Cancel cancels a job for callers of its account. The error is ErrNoJob, when no such job
--- a/request/submit/gate.go
+++ b/request/submit/gate.go
@@ -19,8 +19,8 @@
 )
 
 // Admission control: a submission is refused, before anything is written, if its job would end after
-// it has lost its value. Package loadshed decides; this file has the digests, the clock, the store and
-// the log.
+// it has lost its value. Package loadshed decides; this file passes it the digests and the time, reads
+// the store, and logs refusals.
 
 // CodeOverloaded is the code of a refusal for load.
 const CodeOverloaded = "overloaded"
@@ -30,18 +30,19 @@
 
 const (
 	// maxAdmitted bounds the ids in one generation of gate.admitted, and admittedFor is how long ids are
-	// remembered at least if there are fewer: longer than an unanswered write can take effect and than
-	// a caller repeats a submission.
+	// remembered at least if there are fewer. It is longer than an unanswered write is expected to take
+	// effect late, and than the 3 s within which a caller repeats a submission.
 	maxAdmitted = 4096
 	admittedFor = 10 * time.Second
-	// refusalLines and refusalPeriod bound the log lines about refusals.
+	// At most refusalLines refusals are logged in each refusalPeriod: a daemon may refuse hundreds per
+	// second, which refused_for_load counts.
 	refusalLines  = 10
 	refusalPeriod = time.Second
 )
 
 // gate is the admission control of a shard's submissions at this daemon.
 type gate struct {
-	start time.Time // of the clock for digests
+	start time.Time // when the clock for digests began
 	log   zerolog.Logger
 
 	mu     sync.Mutex
@@ -56,7 +57,7 @@
 // now is the time on the clock for digests.
 func (g *gate) now() time.Duration { return time.Since(g.start) }
 
-// take takes a digest that answers a request sent at the given time.
+// take records a digest from the answer to a request that was sent at the given time.
 func (g *gate) take(d *loadshed.Digest, asked time.Duration) {
 	if d == nil {
 		return
@@ -99,7 +100,7 @@
 // full or old enough.
 type recentIDs struct {
 	newer, older map[work.JobID]struct{}
-	since        time.Duration // of the newer generation
+	since        time.Duration // when the newer generation began
 }
 
 func (r *recentIDs) add(id work.JobID, now time.Duration) {
@@ -144,12 +145,16 @@
 	}
 	s.stats.NotAccepted.Add(1)
 	s.stats.RefusedForLoad.Add(j.Queue.Name+" "+x.Wait.Cause(), 1)
-	g.log.Info().Str("job", string(id)).Str("queue", j.Queue.Name).Str("account", j.Account).Bool("beyond", x.Over).Str("reason", x.Wait.Cause()).
-		Dict("wait_ms", zerolog.Dict().Int64("room", x.Wait.Room.Milliseconds()).Int64("advice", x.Wait.Advice.Milliseconds()).Int64("quota", x.Wait.Quota.Milliseconds())).
+	waits := zerolog.Dict().Int64("room", x.Wait.Room.Milliseconds()).
+		Int64("advice", x.Wait.Advice.Milliseconds()).Int64("quota", x.Wait.Quota.Milliseconds())
+	g.log.Info().Str("job", string(id)).Str("queue", j.Queue.Name).Str("account", j.Account).
+		Bool("beyond", x.Over).Str("reason", x.Wait.Cause()).Dict("wait_ms", waits).
 		Int64("objective_ms", j.Objective().Milliseconds()).Int64("digest_age_ms", x.Age.Milliseconds()).
 		Int64("retry_after_s", int64(x.RetryAfter/time.Second)).Msg("submission refused for load")
-	return &verdict.Error{Verdict: verdict.NotRun, Status: http.StatusTooManyRequests, Code: CodeOverloaded, RetryAfterMillis: x.RetryAfter.Milliseconds(),
-		Err: fmt.Errorf("%w: it would wait %s, mostly for %s", errOverloaded, x.Wait.Total().Round(time.Second), x.Wait.Cause())}
+	return &verdict.Error{Verdict: verdict.NotRun, Status: http.StatusTooManyRequests, Code: CodeOverloaded,
+		RetryAfterMillis: x.RetryAfter.Milliseconds(),
+		Err: fmt.Errorf("%w: it would wait %s, mostly for %s", errOverloaded,
+			x.Wait.Total().Round(time.Second), x.Wait.Cause())}
 }
 
 // storedBefore reports whether the store has the job, or has had it, by an earlier attempt. The
@@ -172,7 +177,7 @@
 	return false, nil
 }
 
-// takeDigest takes the digest in the answer to a request that was sent at a time; nil for none.
+// takeDigest records the digest in the answer to a request that was sent at asked; nil for none.
 func (s *Service) takeDigest(d *loadshed.Digest, asked time.Time) {
 	if s.gate != nil {
 		s.gate.take(d, asked.Sub(s.gate.start))
--- a/request/submit/gate_test.go
+++ b/request/submit/gate_test.go
@@ -59,7 +59,8 @@
 	var view *lead.View
 	for i, name := range []string{"b", "a"} {
 		e := lead.New(lead.Options{Self: lead.Member{Name: name, Peer: name}, Store: c.store, Log: zerolog.Nop(),
-			StoreTimeout: &store.AdaptiveTimeout{Min: 200 * time.Millisecond, Max: 1500 * time.Millisecond}, RunTerm: func(t *lead.Term) { <-t.Context().Done() }})
+			StoreTimeout: &store.AdaptiveTimeout{Min: 200 * time.Millisecond, Max: 1500 * time.Millisecond},
+			RunTerm:      func(t *lead.Term) { <-t.Context().Done() }})
 		go func() { _ = e.Run(ctx) }()
 		time.Sleep(3 * time.Second)
 		if i == 1 {
@@ -70,8 +71,9 @@
 	require.True(t, known)
 	require.Equal(t, "b", leader.Member.Name)
 	c.peers.digest = func() *loadshed.Digest { return overloaded(view.Epoch()) }
-	o := Options{Self: "a", Store: c.store, StoreTimeout: &store.AdaptiveTimeout{Min: 200 * time.Millisecond, Max: 1500 * time.Millisecond}, View: view, Peers: c.peers,
-		Log: zerolog.New(c.log), Leading: func() *dispatch.Host { return nil }}
+	o := Options{Self: "a", Store: c.store, View: view, Peers: c.peers, Log: zerolog.New(c.log),
+		StoreTimeout: &store.AdaptiveTimeout{Min: 200 * time.Millisecond, Max: 1500 * time.Millisecond},
+		Leading:      func() *dispatch.Host { return nil }}
 	if change != nil {
 		change(&o)
 	}
@@ -84,12 +86,14 @@
 func (c gateCell) refresh(t *testing.T) {
 	urgent := gangJob()
 	urgent.Queue.Priority = 0
-	require.NoError(t, c.Submit(t.Context(), work.JobID(fmt.Sprintf("%016x", time.Now().UnixNano())), urgent), "urgent work does not wait for gangs")
+	id := work.JobID(fmt.Sprintf("%016x", time.Now().UnixNano()))
+	require.NoError(t, c.Submit(t.Context(), id, urgent), "urgent work does not wait for gangs")
 	synctest.Wait()
 }
 
 func gangJob() *work.Job {
-	return &work.Job{Queue: work.Queue{Name: "wide", Priority: 1, Slack: 2}, Account: "", Spec: "x", Steps: []work.Step{{Count: 4, Gang: true, Estimate: 5 * time.Second, Size: work.Resources{CPU: 1000}}}}
+	return &work.Job{Queue: work.Queue{Name: "wide", Priority: 1, Slack: 2}, Account: "", Spec: "x",
+		Steps: []work.Step{{Count: 4, Gang: true, Estimate: 5 * time.Second, Size: work.Resources{CPU: 1000}}}}
 }
 
 func requireRefused(t *testing.T, err error) {
@@ -104,6 +108,8 @@
 }
 
 func TestHopelessJobIsRefusedBeforeItIsWritten(t *testing.T) {
+	// Guards against a refused job that is in the store all the same, against a caller that waits for
+	// its refusal, and against a refusal whose reason cannot be found in the counters and the log.
 	synctest.Test(t, func(t *testing.T) {
 		c := newGateCell(t, nil)
 		start := time.Now()
@@ -112,7 +118,8 @@
 		time.Sleep(time.Minute)
 		require.False(t, stored(t, c.store, dispatch.KeySubmission(id)))
 		require.Equal(t, `{"wide advice": 1}`, c.Stats().RefusedForLoad.String())
-		for _, part := range []string{`"queue":"wide"`, `"reason":"advice"`, `"wait_ms":{"room":30000,"advice":90000,"quota":0}`, `"digest_age_ms":0`, `"retry_after_s":`} {
+		for _, part := range []string{`"queue":"wide"`, `"reason":"advice"`,
+			`"wait_ms":{"room":30000,"advice":90000,"quota":0}`, `"digest_age_ms":0`, `"retry_after_s":`} {
 			require.Contains(t, c.log.String(), part)
 		}
 	})
@@ -153,6 +160,7 @@
 }
 
 func TestLeaderThatIsGoneRefusesNothing(t *testing.T) {
+	// Guards against refusing by a digest whose leader is no longer known to this daemon.
 	synctest.Test(t, func(t *testing.T) {
 		var unknown *lead.View
 		c := newGateCell(t, func(o *Options) {
@@ -202,7 +210,8 @@
 }
 
 func TestUnreadableStoreForbidsARefusal(t *testing.T) {
-	// The job is handled as without admission control: the store decides.
+	// Guards against a refusal for load of a job that may be in the store: if the read fails, the job
+	// must be handled as without admission control.
 	synctest.Test(t, func(t *testing.T) {
 		c := newGateCell(t, nil)
 		c.store.SetFaults(kv.Faults{Down: true})
@@ -215,6 +224,7 @@
 }
 
 func TestSwitchTurnsRefusalsOff(t *testing.T) {
+	// Guards against refusals for load with the policy no_load_shedding.
 	synctest.Test(t, func(t *testing.T) {
 		c := newGateCell(t, func(o *Options) { o.NoLoadShedding = true })
 		require.NoError(t, c.Submit(t.Context(), id, gangJob()))
@@ -222,6 +232,7 @@
 }
 
 func TestLogOfRefusalsIsBounded(t *testing.T) {
+	// Guards against a log line per refusal under overload, and against refusals that are not counted.
 	synctest.Test(t, func(t *testing.T) {
 		c := newGateCell(t, nil)
 		for i := range 1000 {
@@ -233,6 +244,8 @@
 }
 
 func TestRememberedIDsAreBounded(t *testing.T) {
+	// Guards against memory that grows with the submissions, and against an id that is forgotten while
+	// a write of it may still take effect.
 	var r recentIDs
 	for i := range 5 * maxAdmitted {
 		r.add(work.JobID(fmt.Sprint(i)), 0)
--- a/request/submit/hedge.go
+++ b/request/submit/hedge.go
@@ -27,7 +27,7 @@
 	maxAttempts = 3
 )
 
-// overdue returns how old a write without an answer is when other ways are tried as well.
+// overdue returns how long a write may stay unanswered before other ways are tried as well.
 func (s *Service) overdue() time.Duration { return overdue(s.o.StoreTimeout) }
 
 func overdue(t *store.AdaptiveTimeout) time.Duration {
@@ -67,7 +67,9 @@
 		// store.
 		free := context.WithoutCancel(ctx)
 		done := s.pacer.sentWrite()
-		err := s.o.StoreTimeout.CallWithMinTimeout(free, writeTimeout, func(ctx context.Context) error { return s.create(ctx, sub) })
+		err := s.o.StoreTimeout.CallWithMinTimeout(free, writeTimeout, func(ctx context.Context) error {
+			return s.create(ctx, sub)
+		})
 		done(err)
 		results <- attempt{err: err}
 	}
@@ -120,7 +122,7 @@
 			} else {
 				last, ownEnded = r.err, true
 			}
-			if answered < sent && !s.pacer.giveUp(unconfirmed != nil && ownEnded && !othersOpen) {
+			if answered < sent && !s.pacer.stopsWaiting(unconfirmed != nil && ownEnded && !othersOpen) {
 				continue
 			}
 			if unconfirmed != nil {
--- a/request/submit/outage_test.go
+++ b/request/submit/outage_test.go
@@ -25,34 +25,34 @@
 	"fennelshunt.example/fennelshunt/version/work"
 )
 
-// reach is one daemon's way to the store.
-type reach struct {
+// daemonStore is the store as one daemon reaches it.
+type daemonStore struct {
 	*kv.Memory
 	rejected atomic.Bool // the store refuses this daemon's calls
 }
 
-func (r *reach) refuse() error {
+func (r *daemonStore) refuse() error {
 	if r.rejected.Load() {
 		return fmt.Errorf("rejected: %w", store.ErrUnavailable)
 	}
 	return nil
 }
 
-func (r *reach) Get(ctx context.Context, key string) (store.Entry, error) {
+func (r *daemonStore) Get(ctx context.Context, key string) (store.Entry, error) {
 	if err := r.refuse(); err != nil {
 		return store.Entry{}, err
 	}
 	return r.Memory.Get(ctx, key)
 }
 
-func (r *reach) Commit(ctx context.Context, t store.Txn) (store.Revision, error) {
+func (r *daemonStore) Commit(ctx context.Context, t store.Txn) (store.Revision, error) {
 	if err := r.refuse(); err != nil {
 		return 0, err
 	}
 	return r.Memory.Commit(ctx, t)
 }
 
-func (r *reach) RenewLease(ctx context.Context, id store.LeaseID) error {
+func (r *daemonStore) RenewLease(ctx context.Context, id store.LeaseID) error {
 	if err := r.refuse(); err != nil {
 		return err
 	}
@@ -61,9 +61,9 @@
 
 // daemons is a cell whose daemons share a store and forward to each other.
 type daemons struct {
-	kv   *kv.Memory
-	all  []*Service
-	ways []*reach
+	kv     *kv.Memory
+	all    []*Service
+	stores []*daemonStore
 	// died lists the daemons that do not answer other daemons, although they do what they are asked.
 	died sync.Map
 	// forwards counts the calls between daemons.
@@ -110,15 +110,15 @@
 	t.Cleanup(cancel)
 	for i := range n {
 		name := fmt.Sprint("daemon-", i)
-		way := &reach{Memory: d.kv}
+		own := &daemonStore{Memory: d.kv}
 		timeout := &store.AdaptiveTimeout{Min: 200 * time.Millisecond, Max: 1500 * time.Millisecond}
-		e := lead.New(lead.Options{Self: lead.Member{Name: name, Peer: name}, Store: way, Log: zerolog.Nop(), StoreTimeout: timeout,
-			RunTerm: func(t *lead.Term) { <-t.Context().Done() }})
+		e := lead.New(lead.Options{Self: lead.Member{Name: name, Peer: name}, Store: own, Log: zerolog.Nop(),
+			StoreTimeout: timeout, RunTerm: func(t *lead.Term) { <-t.Context().Done() }})
 		go func() { _ = e.Run(ctx) }()
 		stats := &Stats{}
-		d.ways = append(d.ways, way)
-		d.all = append(d.all, New(Options{Self: name, Store: way, StoreTimeout: timeout, View: e.View(), Peers: d, Log: zerolog.Nop(), Stats: stats,
-			Pacer: NewPacer(timeout, stats, off, zerolog.Nop()), Leading: func() *dispatch.Host { return nil }}))
+		d.stores = append(d.stores, own)
+		d.all = append(d.all, New(Options{Self: name, Store: own, StoreTimeout: timeout, View: e.View(), Peers: d,
+			Log: zerolog.Nop(), Stats: stats, Pacer: NewPacer(timeout, stats, off, zerolog.Nop()), Leading: func() *dispatch.Host { return nil }}))
 	}
 	time.Sleep(3 * time.Second)
 	for _, s := range d.all {
@@ -127,18 +127,18 @@
 	return d
 }
 
-// Patience of callers: they wait 3 s for a submission and send it at most five times. Pauses named by
-// Retry-After are shortened to patienceShare of the time left.
+// Behavior of callers: they wait 3 s for a submission and send it at most five times. A pause named by
+// Retry-After is shortened to maxPauseShare of the time left.
 const (
 	callerTime    = 3 * time.Second
 	callerTries   = 5
-	patienceShare = 0.4
+	maxPauseShare = 0.4
 	// answerMargin is what the platform's adapter reserves for sending an answer.
 	answerMargin = 30 * time.Millisecond
 )
 
-// tally is what callers were told, by attempt, and what became of their jobs.
-type tally struct {
+// callerStats counts what callers were told, by attempt, and what became of their jobs.
+type callerStats struct {
 	mu sync.Mutex
 	// notRun, unknown and late are attempts that ended 503, 504, and after their caller's deadline.
 	accepted, notRun, unknown, late int
@@ -150,14 +150,16 @@
 	refused                         map[work.JobID]bool // every attempt was refused as not run
 }
 
-func (c *tally) String() string {
-	return fmt.Sprintf("jobs %d, accepted %d (mean wait %d ms), lost %d; attempts %d, not run %d, unknown %d, late %d; longest %d ms, mean of the others %d ms",
-		c.jobs, c.accepted, c.wait.Milliseconds()/int64(max(c.accepted, 1)), c.lost, c.attempts, c.notRun, c.unknown, c.late, c.longest.Milliseconds(),
+func (c *callerStats) String() string {
+	return fmt.Sprintf("jobs %d, accepted %d (mean wait %d ms), lost %d; attempts %d, not run %d, unknown %d, late %d; "+
+		"longest %d ms, mean of the others %d ms",
+		c.jobs, c.accepted, c.wait.Milliseconds()/int64(max(c.accepted, 1)), c.lost,
+		c.attempts, c.notRun, c.unknown, c.late, c.longest.Milliseconds(),
 		c.held.Milliseconds()/int64(max(c.notRun+c.unknown, 1)))
 }
 
 // call submits one job as a caller does.
-func (c *tally) call(d *daemons, rng *rand.Rand, id work.JobID) {
+func (c *callerStats) call(d *daemons, rng *rand.Rand, id work.JobID) {
 	end := time.Now().Add(callerTime)
 	began := time.Now()
 	allNotRun, accepted := true, false
@@ -194,7 +196,7 @@
 		if accepted {
 			break
 		}
-		time.Sleep(min(pause, time.Duration(patienceShare*float64(time.Until(end)))))
+		time.Sleep(min(pause, time.Duration(maxPauseShare*float64(time.Until(end)))))
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -212,7 +214,7 @@
 }
 
 // load has callers submit rate jobs per second for the given time, and returns once all have ended.
-func (c *tally) load(d *daemons, rate float64, period time.Duration) {
+func (c *callerStats) load(d *daemons, rate float64, period time.Duration) {
 	rng := rand.New(rand.NewPCG(7, 11))
 	c.refused = map[work.JobID]bool{}
 	var wg sync.WaitGroup
@@ -225,16 +227,16 @@
 }
 
 // checkTrue requires that no job is in the store whose attempts were all refused as not run.
-func (c *tally) checkTrue(t *testing.T, d *daemons) {
+func (c *callerStats) checkTrue(t *testing.T, d *daemons) {
 	time.Sleep(time.Minute)
 	for id := range c.refused {
 		require.False(t, stored(t, d.kv, dispatch.KeySubmission(id)), "%s was refused as not run", id)
 	}
 }
 
-// silentThenSlow plays a store that does not answer for 5.3 s, is slow for 4.3 s, and then quick.
-func silentThenSlow(t *testing.T, off bool) *tally {
-	c := &tally{}
+// silentThenSlow simulates a store that does not answer for 5.3 s, is slow for 4.3 s, and then quick.
+func silentThenSlow(t *testing.T, off bool) *callerStats {
+	c := &callerStats{}
 	synctest.Test(t, func(t *testing.T) {
 		d := newDaemons(t, 8, off)
 		go func() {
@@ -254,7 +256,8 @@
 			probes += s.stats.Probes.Value()
 			atOnce += s.stats.RefusedAtOnce.Value()
 		}
-		t.Logf("pacing off %v: %s; forwards %d, calls of the store %d, probes %d, refused at once %d", off, c, d.forwards.Load(), calls, probes, atOnce)
+		t.Logf("pacing off %v: %s; forwards %d, calls of the store %d, probes %d, refused at once %d",
+			off, c, d.forwards.Load(), calls, probes, atOnce)
 		c.checkTrue(t, d)
 	})
 	return c
@@ -277,8 +280,8 @@
 	// within milliseconds, for as long as it lasts, and those daemons stay ready.
 	synctest.Test(t, func(t *testing.T) {
 		d := newDaemons(t, 8, false)
-		for _, way := range d.ways[:3] {
-			way.rejected.Store(true)
+		for _, own := range d.stores[:3] {
+			own.rejected.Store(true)
 		}
 		for i := range 300 {
 			s := d.all[i%3]
@@ -292,8 +295,8 @@
 			time.Sleep(10 * time.Millisecond)
 		}
 		require.LessOrEqual(t, d.forwards.Load(), int64(330), "the daemon that accepted last is tried first")
-		for _, way := range d.ways {
-			way.rejected.Store(false)
+		for _, own := range d.stores {
+			own.rejected.Store(false)
 		}
 		time.Sleep(2 * time.Second)
 		before := d.forwards.Load()
@@ -302,9 +305,9 @@
 	})
 }
 
-// failsAgain plays a store that fails three times for 2 s, each time 0.5 s after its return.
-func failsAgain(t *testing.T, off bool) *tally {
-	c := &tally{}
+// failsAgain simulates a store that fails three times for 2 s, each time 0.5 s after its return.
+func failsAgain(t *testing.T, off bool) *callerStats {
+	c := &callerStats{}
 	synctest.Test(t, func(t *testing.T) {
 		d := newDaemons(t, 8, off)
 		d.kv.SetFaults(kv.Faults{Delay: 3 * time.Millisecond})
@@ -324,14 +327,14 @@
 }
 
 func TestStoreThatFailsAgainRightAfterItsReturn(t *testing.T) {
-	// Refusals must resume at the first proof, and no submission may be held or left unknown for
+	// Refusals must resume at the first failed call, and no submission may be held or left unknown for
 	// longer than in the first outage.
 	//
-	// Accepted jobs are compared over several plays: those of one play vary by about 15, by the order
+	// Accepted jobs are compared over several runs: those of one run vary by about 15, by the order
 	// of the daemons' goroutines and the callers' return times.
-	const plays = 4
+	const runs = 4
 	before, after := 0, 0 // accepted jobs
-	for range plays {
+	for range runs {
 		b, a := failsAgain(t, true), failsAgain(t, false)
 		require.Zero(t, a.late)
 		require.Less(t, a.longest, time.Second)
@@ -346,7 +349,7 @@
 	// not run, no other daemon may be asked as well, and the caller learns it before its time is over.
 	synctest.Test(t, func(t *testing.T) {
 		d := newDaemons(t, 4, false)
-		d.ways[0].rejected.Store(true)
+		d.stores[0].rejected.Store(true)
 		time.Sleep(2 * time.Second)
 		for _, s := range d.all[1:] {
 			d.died.Store(s.o.Self, true)
@@ -396,7 +399,7 @@
 	})
 }
 
-func TestWrongProofRefusesNobody(t *testing.T) {
+func TestFalseSuspicionOfTheStoreRefusesNobody(t *testing.T) {
 	// After a suspension of the daemon its calls have timed out although the store answers: none of
 	// the submissions that arrive then may be refused.
 	synctest.Test(t, func(t *testing.T) {
@@ -479,7 +482,8 @@
 }
 
 func TestCancellationsAreNotHeldInAnOutage(t *testing.T) {
-	// Cancellations repeated their reads for 1.2 s each while the store did not answer.
+	// While the store does not answer, a cancellation must be refused after one probe at most, not
+	// repeat its reads until its time of 1.2 s is over.
 	synctest.Test(t, func(t *testing.T) {
 		m := kv.New()
 		s := newService(m)
@@ -514,8 +518,8 @@
 						Delay: time.Duration(rng.IntN(1500)) * time.Millisecond, DelayChance: 0.3, FreezeLeases: true}
 					faults.Hang, faults.Down = rng.IntN(5) == 0, rng.IntN(5) == 0
 					d.kv.SetFaults(faults)
-					for _, way := range d.ways {
-						way.rejected.Store(rng.IntN(3) == 0)
+					for _, own := range d.stores {
+						own.rejected.Store(rng.IntN(3) == 0)
 					}
 					for _, s := range d.all {
 						if rng.IntN(4) == 0 {
--- a/request/submit/pacing.go
+++ b/request/submit/pacing.go
@@ -23,20 +23,22 @@
 // outage.ProbeTimeout: a late answer shows that the store is back.
 const probeLife = time.Second
 
-// logInterval is the minimum time between the starts of two outages that are logged.
+// logInterval is the minimum time between the starts of two outages that are logged, so that a store
+// that keeps failing and returning does not fill the log.
 const logInterval = 5 * time.Second
 
-// Pacer shares what one daemon knows about the store among its services.
+// Pacer applies the decisions of package outage to the requests of one daemon. Its services, one per
+// shard, share it, since they call the same store.
 type Pacer struct {
 	timeout *store.AdaptiveTimeout
 	stats   *Stats
 	log     zerolog.Logger
-	off     bool
+	off     bool // the policy no_outage_pacing
 
 	mu       sync.Mutex
-	t        *outage.Tracker
+	tracker  *outage.Tracker
 	changed  chan struct{} // closed when a write or a probe has ended
-	waiting  int           // submissions that wait for a turn
+	waiting  int           // submissions that wait for a turn to write
 	probes   map[uint64]openProbe
 	loggedAt time.Time
 	logged   bool // the start of the present outage has been logged
@@ -51,26 +53,28 @@
 
 // NewPacer returns a Pacer; off is the policy no_outage_pacing.
 func NewPacer(t *store.AdaptiveTimeout, stats *Stats, off bool, log zerolog.Logger) *Pacer {
-	return &Pacer{timeout: t, stats: stats, log: log, off: off, t: outage.New(), changed: make(chan struct{}), probes: map[uint64]openProbe{}}
+	return &Pacer{timeout: t, stats: stats, log: log, off: off, tracker: outage.New(),
+		changed: make(chan struct{}), probes: map[uint64]openProbe{}}
 }
 
 // observe passes on what the daemon's calls have shown; p.mu is held.
 func (p *Pacer) observe(now time.Time) {
 	c := p.timeout.Condition()
-	e := p.t.Observe(now, outage.Store{
+	e := p.tracker.Observe(now, outage.Store{
 		Failing: c.Failing, Since: c.FailingSince, Refused: p.timeout.RefusedWithin(refusalAge),
 		AnsweredAt: c.AnsweredAt, Usual: c.Average, Latest: c.Latest, Overdue: overdue(p.timeout),
 	})
 	for _, probe := range p.probes {
 		if !c.Failing && probe.sent.Before(c.AnsweredAt) {
-			probe.cancel() // it shows nothing new
+			probe.cancel() // a later call was answered, so its answer would show nothing new
 		}
 	}
 	if e.Begun {
 		p.stats.Outages.Add(1)
 		if p.logged = now.Sub(p.loggedAt) >= logInterval; p.logged {
 			p.loggedAt = now
-			p.log.Warn().Dur("age", e.Length).Int("not_logged", p.unlogged).Msg("store does not answer; submissions are forwarded or refused")
+			p.log.Warn().Dur("age", e.Length).Int("not_logged", p.unlogged).
+				Msg("store does not answer; submissions are forwarded or refused")
 			p.unlogged = 0
 		} else {
 			p.unlogged++
@@ -79,7 +83,8 @@
 	if e.Ended && p.logged {
 		p.logged = false
 		p.log.Info().Dur("length", e.Length).Int("refused", e.Counts.Refused).Int("unknown", e.Counts.Unknown).
-			Int("forwarded", e.Counts.Forwarded).Int("probes", e.Counts.Probes).Msg("store answers again; submissions are written")
+			Int("forwarded", e.Counts.Forwarded).Int("probes", e.Counts.Probes).
+			Msg("store answers again; submissions are written")
 	}
 }
 
@@ -97,7 +102,7 @@
 	now := time.Now()
 	p.observe(now)
 	r.Waiting = p.waiting
-	return p.t.Decide(now, r), p.changed
+	return p.tracker.Decide(now, r), p.changed
 }
 
 // storeFails reports whether the store fails or seems to.
@@ -109,7 +114,7 @@
 	defer p.mu.Unlock()
 	now := time.Now()
 	p.observe(now)
-	return p.t.Fails(now)
+	return p.tracker.Fails(now)
 }
 
 // enter asks for permission to write one submission of another daemon; leave ends it.
@@ -120,7 +125,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.observe(time.Now())
-	return p.t.Enter()
+	return p.tracker.Enter()
 }
 
 // leave ends the writing of one submission, which may be the turn of another.
@@ -130,7 +135,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.t.Leave()
+	p.tracker.Leave()
 	p.notify()
 }
 
@@ -141,13 +146,13 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	id := p.t.SentWrite(time.Now())
+	id := p.tracker.SentWrite(time.Now())
 	return func(err error) {
 		p.mu.Lock()
 		defer p.mu.Unlock()
 		now := time.Now()
 		p.observe(now)
-		p.t.EndedWrite(now, id, !failed(err))
+		p.tracker.EndedWrite(now, id, !failed(err))
 		p.notify()
 	}
 }
@@ -161,7 +166,8 @@
 	return forwardTimeout
 }
 
-// readTimeout bounds a read for a caller while the store fails, when the adaptive timeout is 1.5 s.
+// readTimeout bounds a read for a caller while the store fails. The adaptive timeout then rises to
+// its maximum of 1.5 s, half of the time that a caller waits.
 func (p *Pacer) readTimeout(ctx context.Context) (context.Context, context.CancelFunc) {
 	if p.off || !p.storeFails() {
 		return ctx, func() {}
@@ -171,15 +177,16 @@
 
 // failed reports whether a call had no answer or was refused.
 func failed(err error) bool {
-	return errors.Is(err, store.ErrUnknownOutcome) || errors.Is(err, store.ErrUnavailable) || errors.Is(err, store.ErrOverBudget)
+	return errors.Is(err, store.ErrUnknownOutcome) || errors.Is(err, store.ErrUnavailable) ||
+		errors.Is(err, store.ErrOverBudget)
 }
 
-// probe reads from the store; its end wakes the waiting submissions. A failed read cannot change
-// the store, so it leaves no outcome unknown.
+// probe reads from the store in the background; its end wakes the waiting submissions. A failed read
+// cannot change the store, so it leaves no outcome unknown.
 func (p *Pacer) probe(s *Service) {
 	ctx, cancel := context.WithTimeout(context.Background(), probeLife)
 	p.mu.Lock()
-	id := p.t.SentProbe(time.Now())
+	id := p.tracker.SentProbe(time.Now())
 	p.probes[id] = openProbe{time.Now(), cancel}
 	p.mu.Unlock()
 	p.stats.Probes.Add(1)
@@ -193,7 +200,7 @@
 		defer p.mu.Unlock()
 		delete(p.probes, id)
 		p.observe(time.Now())
-		p.t.EndedProbe(id, !failed(err))
+		p.tracker.EndedProbe(id, !failed(err))
 		p.notify()
 	}()
 }
@@ -204,16 +211,16 @@
 		return
 	}
 	p.mu.Lock()
-	due := p.t.ProbeDue(time.Now())
+	due := p.tracker.ProbeDue(time.Now())
 	p.mu.Unlock()
 	if due {
 		p.probe(s)
 	}
 }
 
-// giveUp reports whether a submission of which a write had no answer need not wait for its other
-// write: the store fails, so that the other one is not answered either.
-func (p *Pacer) giveUp(unanswered bool) bool {
+// stopsWaiting reports whether a submission that had no answer to a write stops waiting for its
+// hedged one: the store fails, so that one is not expected to be answered either.
+func (p *Pacer) stopsWaiting(unanswered bool) bool {
 	return !p.off && unanswered && p.timeout.Failing()
 }
 
@@ -229,7 +236,7 @@
 	}
 	leader, _ := s.otherLeader()
 	p.mu.Lock()
-	chosen := p.t.Targets(time.Now(), names, leader.Name)
+	chosen := p.tracker.Targets(time.Now(), names, leader.Name)
 	p.mu.Unlock()
 	targets := make([]lead.Member, len(chosen))
 	for i, name := range chosen {
@@ -238,8 +245,8 @@
 	return targets
 }
 
-// endedTarget records the result of one target. A call that ended with the time of its submission
-// says nothing about the target.
+// endedTarget records the result of one target. A call that was cut off because the time of its
+// submission was over says nothing about the target.
 func (p *Pacer) endedTarget(ctx context.Context, name string, r forwardReply, err error) {
 	if p.off || (err != nil && ctx.Err() != nil) {
 		return
@@ -257,7 +264,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.t.EndedTarget(time.Now(), name, result)
+	p.tracker.EndedTarget(time.Now(), name, result)
 }
 
 // endedForward records whether any target of a submission accepted it.
@@ -267,14 +274,14 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.t.EndedForward(time.Now(), accepted)
+	p.tracker.EndedForward(time.Now(), accepted)
 }
 
 // accepted records that a job was accepted.
 func (p *Pacer) accepted() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.t.Accepted(time.Now())
+	p.tracker.Accepted(time.Now())
 }
 
 // refused records a request that was not accepted, and returns the age of the outage.
@@ -282,12 +289,12 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
-	p.t.Refused(now, d.Verdict)
+	p.tracker.Refused(now, d.Verdict)
 	p.observe(now)
 	if d.AtOnce {
 		p.stats.RefusedAtOnce.Add(1)
 	}
-	return p.t.Age(now)
+	return p.tracker.Age(now)
 }
 
 // Ready reports whether callers should use this daemon; see outage.Tracker.Ready.
@@ -299,10 +306,11 @@
 	defer p.mu.Unlock()
 	now := time.Now()
 	p.observe(now)
-	return p.t.Ready(now)
+	return p.tracker.Ready(now)
 }
 
-// wait waits for a change or for d; turn says that the submission waits for a turn to write.
+// wait waits until changed is closed, d has passed or ctx ends. turn means that the submission waits
+// for a turn to write.
 func (p *Pacer) wait(ctx context.Context, changed <-chan struct{}, d time.Duration, turn bool) {
 	if turn {
 		p.mu.Lock()
@@ -326,8 +334,9 @@
 // errRefusedAtOnce means that earlier calls have shown that the store does not answer.
 var errRefusedAtOnce = errors.New("submit: the store does not answer this daemon")
 
-// answerBy bounds ctx by the time in which a submission can still be answered. A caller with
-// little time keeps most of it.
+// answerBy bounds ctx by the time in which a submission can still be answered, and returns the time
+// that its caller has left. At most a quarter of that is reserved for the answer, so that a caller
+// with little time keeps most of it.
 func answerBy(ctx context.Context) (bounded context.Context, cancel context.CancelFunc, left time.Duration) {
 	left = submitBudget
 	if deadline, ok := ctx.Deadline(); ok {
@@ -340,8 +349,8 @@
 
 // pacedRequest is a submission or a cancellation.
 type pacedRequest struct {
-	// try makes one attempt of this daemon, and forward one through others. done reports that err is
-	// the final result. Both record in the Request what may still take effect.
+	// try makes one attempt of this daemon, and forward one through other daemons. done reports that
+	// err is the final result. Both record in the Request whether a write may still take effect.
 	try     func(context.Context, *outage.Request) (done bool, err error)
 	forward func(context.Context, *outage.Request) (done bool, err error)
 }
@@ -364,7 +373,8 @@
 			case errors.Is(err, errOtherAccount):
 				return true, refuseOtherAccount()
 			case errors.Is(err, store.ErrUnknownOutcome):
-				// The job was forwarded as well when the write was overdue.
+				// A write without an answer has usually been overdue, and createHedged has then
+				// forwarded the job as well.
 				r.Unconfirmed, r.Forwarded = true, true
 			}
 			return false, err
@@ -380,22 +390,22 @@
 
 // paced carries out one request as package outage decides.
 func (s *Service) paced(ctx context.Context, q pacedRequest) error {
-	ctx, cancel, patience := answerBy(ctx)
+	ctx, cancel, callerLeft := answerBy(ctx)
 	defer cancel()
 	end, _ := ctx.Deadline()
-	callerEnd := time.Now().Add(patience)
+	callerEnd := time.Now().Add(callerLeft)
 	var r outage.Request
 	var last error
-	var probing, holding time.Time // when the wait for a probe, and that for a turn, began
+	var probeWaitFrom, turnWaitFrom time.Time // when the first wait for a probe or a turn began
 	for {
 		if r.Left = time.Until(end); ctx.Err() != nil {
 			r.Left = 0
 		}
-		if !probing.IsZero() {
-			r.Probed = time.Since(probing)
+		if !probeWaitFrom.IsZero() {
+			r.Probed = time.Since(probeWaitFrom)
 		}
-		if !holding.IsZero() {
-			r.Held = time.Since(holding)
+		if !turnWaitFrom.IsZero() {
+			r.Held = time.Since(turnWaitFrom)
 		}
 		d, changed := s.pacer.decide(r)
 		var done bool
@@ -412,8 +422,8 @@
 			done, err = q.forward(ctx, &r)
 			r.Forwarded = true
 		case outage.Probe:
-			if probing.IsZero() {
-				probing = time.Now()
+			if probeWaitFrom.IsZero() {
+				probeWaitFrom = time.Now()
 			}
 			if d.Send {
 				r.SentProbe = true
@@ -421,8 +431,8 @@
 			}
 			s.pacer.wait(ctx, changed, d.Wait, false)
 		case outage.Wait:
-			if holding.IsZero() {
-				holding = time.Now()
+			if turnWaitFrom.IsZero() {
+				turnWaitFrom = time.Now()
 			}
 			s.pacer.wait(ctx, changed, d.Wait, true)
 		case outage.End:
@@ -447,9 +457,10 @@
 	}
 }
 
-// refusedFor returns a refusal with the time after which the caller should return, whose own time
-// ends at callerEnd.
+// refusedFor returns a refusal in an outage of the given age, with a Retry-After for a caller that
+// waits until callerEnd.
 func refusedFor(age time.Duration, callerEnd time.Time, err error) error {
 	after := outage.RetryAfter(age, time.Until(callerEnd), rand.Float64(), rand.Float64())
-	return &verdict.Error{Verdict: verdict.NotRun, Status: http.StatusServiceUnavailable, Code: CodeStore, RetryAfterMillis: after.Milliseconds(), Err: err}
+	return &verdict.Error{Verdict: verdict.NotRun, Status: http.StatusServiceUnavailable, Code: CodeStore,
+		RetryAfterMillis: after.Milliseconds(), Err: err}
 }
--- a/request/submit/peer.go
+++ b/request/submit/peer.go
@@ -149,7 +149,8 @@
 	return offerReply{OmitSpecs: s.o.Specs != nil && s.o.Specs.RelaysOrders(), Load: s.digestFor(h)}, nil
 }
 
-// serveForward makes a single attempt, since the calling daemon can try others.
+// serveForward makes a single attempt and does not forward on, since the calling daemon can try
+// others.
 func (s *Service) serveForward(ctx context.Context, o offer) (any, error) {
 	id := work.JobID(o.Key)
 	if s.pacer.storeFails() {
@@ -161,14 +162,16 @@
 		return forwardReply{}, nil
 	}
 	if !s.pacer.enter() {
-		return forwardReply{StoreAnswers: true}, nil // its own submissions wait for a turn
+		return forwardReply{StoreAnswers: true}, nil // no turn to write is free
 	}
 	defer s.pacer.leave()
 	if s.gate != nil {
 		s.gate.admit(id)
 	}
 	done := s.pacer.sentWrite()
-	err = s.o.StoreTimeout.CallWithMinTimeout(ctx, s.pacer.forwardedTimeout(), func(ctx context.Context) error { return s.create(ctx, sub) })
+	err = s.o.StoreTimeout.CallWithMinTimeout(ctx, s.pacer.forwardedTimeout(), func(ctx context.Context) error {
+		return s.create(ctx, sub)
+	})
 	done(err)
 	if err != nil {
 		fails := errors.Is(err, store.ErrUnavailable) && !errors.Is(err, errLayoutChanged)
--- a/request/submit/submit.go
+++ b/request/submit/submit.go
@@ -37,7 +37,9 @@
 	submitBudget = 1200 * time.Millisecond
 	// forwardTimeout bounds one attempt to submit through another daemon.
 	forwardTimeout = 400 * time.Millisecond
-	maxForwards    = 2
+	// maxForwards is the number of daemons that one try to forward calls with the policy
+	// no_outage_pacing; otherwise it is outage.MaxTargets.
+	maxForwards = 2
 	// leaderTimeout bounds a call to the leader; after it the store is read instead.
 	leaderTimeout = 400 * time.Millisecond
 	// pushTimeout bounds the notification of the leader about a new entry.
@@ -53,9 +55,12 @@
 	// writeTimeout bounds one attempt of a write.
 	writeTimeout = 600 * time.Millisecond
 	// probeKey is a key that never exists.
-	probeKey   = "probe"
+	probeKey = "probe"
+	// retryDelay is the pause between two attempts of this daemon for one request, so that an error
+	// that is returned at once does not use up all attempts within a millisecond.
 	retryDelay = 25 * time.Millisecond
-	// retryAfter is the delay returned to callers whose job was not accepted.
+	// retryAfter is the delay returned to callers whose job was not accepted, unless package outage
+	// derives one from the age of the outage.
 	retryAfter = 400 * time.Millisecond
 )
 
@@ -72,11 +77,13 @@
 var ErrNoJob = errors.New("submit: no such job")
 
 // errOtherAccount means that the job under this id belongs to another account.
-var errOtherAccount = errors.New("submit: the job under this id belongs to another client account; use a key of that one, or another id")
+var errOtherAccount = errors.New("submit: the job under this id belongs to another client account; " +
+	"use a key of that one, or another id")
 
 // refuseOtherAccount refuses a request for a job of another account.
 func refuseOtherAccount() error {
-	return &verdict.Error{Verdict: verdict.NotRun, Status: http.StatusForbidden, Code: CodeOtherAccount, Err: errOtherAccount}
+	return &verdict.Error{Verdict: verdict.NotRun, Status: http.StatusForbidden, Code: CodeOtherAccount,
+		Err: errOtherAccount}
 }
 
 // PeerCaller calls other daemons.
@@ -133,7 +140,8 @@
 	pacer  *Pacer
 	probes singleflight.Group
 	// forwardUntil is the time, in Unix nanoseconds, until which submissions are forwarded
-	// first, since another daemon reached the store when this one had no answer.
+	// before this daemon writes them, since another daemon reached the store when this one had
+	// no answer. It is read only with the policy no_outage_pacing.
 	forwardUntil atomic.Int64
 	// omitSpecs is set when the leader wants to be notified of jobs without their specs.
 	omitSpecs atomic.Bool
@@ -253,8 +261,8 @@
 	return refuseAtEnd(ctx, last, unconfirmed)
 }
 
-// refuseAtEnd returns the answer to a request whose time is over: last is the error of its last try,
-// nil if ctx had ended before the first one, as after a suspension of the daemon.
+// refuseAtEnd returns the answer to a request whose time is over. last is the error of its last
+// attempt; it is nil if ctx ended before the first one, as after a suspension of the daemon.
 func refuseAtEnd(ctx context.Context, last error, unconfirmed bool) error {
 	if last == nil {
 		last = context.Cause(ctx)
@@ -324,7 +332,8 @@
 	}
 	// The job was submitted before, possibly before the cell was divided into shards: the first
 	// submission stands.
-	for _, key := range slices.Concat(preconditions.OtherShardKeys, []string{dispatch.KeySubmission(id), dispatch.KeyState(id)}) {
+	ownKeys := []string{dispatch.KeySubmission(id), dispatch.KeyState(id)}
+	for _, key := range slices.Concat(preconditions.OtherShardKeys, ownKeys) {
 		if entry, exists := conflict.Find(key); exists {
 			return checkExisting(entry, sub.account)
 		}
@@ -405,7 +414,8 @@
 		defer cancel()
 		var r offerReply
 		asked := time.Now()
-		if _, err := s.o.Peers.CallAddr(ctx, leader.Peer, s.method(MethodOffer), offer{Key: entry.Key, Value: entry.Value}, &r); err != nil {
+		request := offer{Key: entry.Key, Value: entry.Value}
+		if _, err := s.o.Peers.CallAddr(ctx, leader.Peer, s.method(MethodOffer), request, &r); err != nil {
 			s.o.Log.Debug().Err(err).Str("key", entry.Key).Msg("leader not notified of a new entry; its watch will deliver it")
 			return
 		}
@@ -440,7 +450,9 @@
 }
 
 // askLeader sends a request to the leader: to the host on this daemon, or to another daemon.
-func (s *Service) askLeader(ctx context.Context, own func(context.Context, *dispatch.Host) error, method peer.Method, req, resp any) error {
+func (s *Service) askLeader(ctx context.Context, own func(context.Context, *dispatch.Host) error,
+	method peer.Method, req, resp any,
+) error {
 	ctx, cancel := context.WithTimeout(ctx, leaderTimeout)
 	defer cancel()
 	if h := s.o.Leading(); h != nil {
@@ -454,8 +466,8 @@
 	return err
 }
 
-// forward has another daemon write the job. uncertain reports that one may have written it
-// although no answer arrived; then no further one is tried, unless without pacing.
+// forward has another daemon write the job. uncertain reports that a daemon may have written it
+// without confirming it. With pacing, no further daemon is tried after that, now or by a later call.
 func (s *Service) forward(ctx context.Context, sub *submission) (accepted, uncertain bool) {
 	var targets []lead.Member
 	if s.pacer.off || !sub.targetUncertain.Load() {
@@ -482,7 +494,7 @@
 	return false, uncertain
 }
 
-// callTarget calls one of the forwardTargets; it does not call after the end of ctx.
+// callTarget calls a daemon to which a request is forwarded. It does not call after the end of ctx.
 func (s *Service) callTarget(ctx context.Context, m lead.Member, method peer.Method, req, resp any) error {
 	if err := ctx.Err(); err != nil {
 		return fmt.Errorf("%w: %w", peer.ErrNotSent, err)
