--- a/process/advicebudget/advicebudget.go
+++ b/process/advicebudget/advicebudget.go
@@ -10,9 +10,9 @@
 //   - no more steps are guaranteed a proxy than are free for slow calls, and these are only a
 //     part of all proxies, so quick calls find a proxy;
 //   - while proxies are not scarce, the caller lets every step ask;
-//   - no starvation: a step that has waited for starvedAfter is guaranteed a proxy once it has
-//     waited longest of those that can no longer be in time or, before that, of those that are
-//     no gangs, and none of these has one;
+//   - no starvation: of the steps that can no longer be in time, the one that has waited longest is
+//     guaranteed a proxy if it has waited for starvedAfter and no proxy has a call for such a step.
+//     The same holds for the steps in time that are no gangs;
 //   - the result depends on the arguments alone.
 package advicebudget
 
@@ -25,19 +25,19 @@
 
 // Shares of the proxies.
 const (
-	// slowShare of all proxies may have slow calls. With 0.95 instead, quick jobs were late
-	// behind slow calls (credit 0.81 instead of 0.93).
+	// slowShare of all proxies may have slow calls. The rest keeps quick calls from waiting
+	// behind slow ones: with a share of 0.95, the credit of quick jobs is 0.81 instead of 0.93.
 	slowShare = 0.7
 	// othersShare of the slow proxies is for steps that are no gangs, while a gang that can be
 	// in time waits.
 	othersShare = 0.25
-	// offerShare of the slow proxies is offered to more steps than are free, since a step may
-	// find nothing to ask about. Without it, proxies idled until the next round (credit 0.869
-	// instead of 0.880 on the model).
+	// offerShare is the part of the slow proxies by which offers exceed the free proxies. A step
+	// may find nothing to ask about, and its proxy would be idle until the next round (credit
+	// 0.869 instead of 0.880 on the model).
 	offerShare = 0.25
 	// starvedAfter is how long a step waits before a proxy is kept for it: several times the
-	// duration of a slow call. Proxies that are kept for steps in every round stand idle when
-	// these find nothing to ask about (credit 0.852 instead of 0.880 on the model).
+	// duration of a slow call. It is not 0 because a proxy kept for a step that finds nothing to
+	// ask about is idle (credit 0.852 instead of 0.880 on the model if one is always kept).
 	starvedAfter = 5 * time.Second
 )
 
@@ -54,10 +54,11 @@
 // Step is a step that waits and needs slow calls.
 type Step struct {
 	Gang bool
-	// Ready: the step may ask now. One that may not still counts as a gang that waits.
+	// Ready: the step may ask now. A gang that may not ask yet still limits the proxies of steps
+	// that are no gangs.
 	Ready bool
-	// Value is lost if the step is late, in any unit, and Cost is the time of a proxy for its
-	// next calls.
+	// Value is what is lost if the step is late, in the same unit for all steps, and Cost is how
+	// long its next calls occupy a proxy.
 	Value float64
 	Cost  time.Duration
 	// Slack is the time until its latest start with tickets that are requested now; below 0 it
@@ -68,7 +69,7 @@
 	Waited time.Duration // since its last call or since it could start
 }
 
-// late reports whether the step uses only proxies that no other step needs.
+// late reports whether the step comes after all steps that can be in time.
 func (s *Step) late() bool { return s.Slack < 0 || s.Yields }
 
 // Proxies counts the proxies of a round.
@@ -76,8 +77,8 @@
 	All int
 	// Idle are those that can be sent a call.
 	Idle int
-	// Gangs, Others and Late are those with a slow call for a gang that can be in time, for
-	// another step that can, and for a step that cannot.
+	// Gangs, Others and Late are those that are busy with a slow call: for a gang that can be in
+	// time, for another step that can be in time, and for a step that cannot.
 	Gangs, Others, Late int
 }
 
@@ -183,8 +184,8 @@
 		grants[i] = Offered
 		offers--
 	}
-	// The caller serves steps that are late after the others. To keep proxies idle from them
-	// lowered the credit of gangs on the model from 0.803 to 0.759.
+	// The caller serves steps that are late after the others, so offers to them take no proxy
+	// from these. Without such offers the credit of gangs on the model is 0.759 instead of 0.803.
 	for _, i := range late {
 		if free > guaranteed && grants[i] == Postponed {
 			grants[i] = Offered
@@ -196,7 +197,7 @@
 // minHorizon is the least horizon of the discount: about the duration of a slow call.
 const minHorizon = time.Second
 
-// drain is how long the proxies take for a call of each of the steps.
+// drain returns how long the slow proxies take for a call of each of the steps.
 func drain(steps []Step, slow int) time.Duration {
 	sum := time.Duration(0)
 	for i := range steps {
@@ -205,8 +206,8 @@
 	return max(sum/time.Duration(slow), minHorizon)
 }
 
-// minRest is the least number of names in the last of several calls: a call for fewer costs more
-// for its base than for its names.
+// minRest is the least number of names in the last of several calls. The base cost of a call for
+// fewer names exceeds the cost of its names.
 const minRest = 30
 
 // Names returns how many of n workers to name in calls of at most perCall names each: all, or
--- a/process/advicebudget/advicebudget_test.go
+++ b/process/advicebudget/advicebudget_test.go
@@ -116,6 +116,7 @@
 }
 
 func TestScarceOnlyIfMoreStepsAskThanProxiesAreFree(t *testing.T) {
+	// Guards against a budget that postpones steps although there is a proxy for each.
 	steps := slices.Repeat([]Step{{Ready: true}}, 27)
 	require.False(t, Scarce(steps, Proxies{All: 39, Idle: 39}))
 	require.True(t, Scarce(append(steps, Step{Ready: true}), Proxies{All: 39, Idle: 39}))
@@ -123,6 +124,7 @@
 }
 
 func TestFewNamesGetNoCallOfTheirOwn(t *testing.T) {
+	// Guards against proxies that are occupied by the base cost of calls for few names.
 	require.Equal(t, 100, Names(107, 100))
 	require.Equal(t, 130, Names(130, 100))
 	require.Equal(t, 7, Names(7, 100))
--- a/process/dispatch/advicebudget.go
+++ b/process/dispatch/advicebudget.go
@@ -8,7 +8,8 @@
 	"fennelshunt.example/fennelshunt/version/work"
 )
 
-// Advice as a scheduled resource: the glue between the engine and package advicebudget.
+// This file connects the engine with package advicebudget, which decides which waiting steps may
+// use a proxy for slow calls.
 
 const (
 	// scarcePeriod is how long the budget stays in force after proxies were last scarce: the
@@ -21,7 +22,7 @@
 	budgetLogPeriod = 10 * time.Second
 )
 
-// proxyUse is what a proxy's slow call counts as.
+// proxyUse is the kind of step for which a proxy has a slow call; noUse for a quick call.
 type proxyUse uint8
 
 const (
@@ -35,16 +36,16 @@
 type stepBudget struct {
 	grant    advicebudget.Grant // in this round
 	examined bool               // in this round: it has looked for workers to ask about
-	late     bool
-	asked    time.Duration // when its last call was sent
+	late     bool               // it comes after the steps that can be in time
+	asked    time.Duration      // when its last call was sent
 }
 
 // countProxies counts the proxies that are idle, and how many of them may take slow calls, and
 // decides which steps may use these.
 //
-// These are two counts because steps whose slow calls cannot be sent now would otherwise use
-// up the single count in every round, and no advice would be requested for the quick steps
-// behind them although proxies are idle.
+// There are two counts because, with a single one, steps whose slow calls cannot be sent now would
+// use it up in every round, and the quick steps behind them would request no advice although
+// proxies are idle.
 func (e *Engine) countProxies() {
 	counts := e.proxyCounts()
 	e.idleProxies, e.idleForSlow = counts.Idle, counts.Slow()-e.busyWithSlow()
@@ -133,7 +134,7 @@
 // budgetStep describes a waiting step to the budget.
 func (e *Engine) budgetStep(s *step) advicebudget.Step {
 	a := s.advice
-	call := s.callCost(maxWorkersPerCall / 2)
+	call := s.callCost(maxWorkersPerCall / 2) // a typical call: it is not known yet how many it names
 	return advicebudget.Step{
 		Gang:   s.spec.Gang,
 		Ready:  e.now >= a.next && (!s.spec.Gang || e.now >= s.retryAt),
@@ -155,9 +156,9 @@
 	return a.inFlight == 0 && e.now >= a.next && e.idleProxies > 0
 }
 
-// freeProxies returns how many proxies are free for slow calls of the step. For a gang that is
-// postponed it counts those that are kept for no other step: mayAsk refuses its own calls, and a
-// request made for it by preemption is honoured.
+// freeProxies returns how many proxies are free for slow calls of the step. For a postponed gang
+// these are the proxies that are kept for no other step: mayAsk refuses the gang's usual calls, but
+// a call that a preemption plan needs is sent.
 func (e *Engine) freeProxies(s *step) int {
 	b := &s.advice.budget
 	switch {
@@ -171,8 +172,8 @@
 	return e.idleForSlow - e.guaranteed
 }
 
-// examine notes that a step that may ask looks for workers to ask about: nothing is kept for it
-// any longer.
+// examine records that a step that may ask looks for workers to ask about. The proxy that was
+// guaranteed to it is no longer counted as kept.
 func (e *Engine) examine(s *step) {
 	b := &s.advice.budget
 	if b.grant == advicebudget.Guaranteed && !b.examined {
@@ -212,15 +213,19 @@
 		return
 	}
 	for _, s := range steps {
-		if a := s.advice; a != nil && s.needsSlowCalls() && a.budget.asksNothing() && a.inFlight == 0 && len(a.toAsk) == 0 {
+		a := s.advice
+		if a == nil || !s.needsSlowCalls() || a.inFlight > 0 || len(a.toAsk) > 0 {
+			continue
+		}
+		if a.budget.couldAsk() {
 			a.next = max(a.next, e.now+unusedGrantPause)
 		}
 	}
 }
 
-// asksNothing reports whether the step could have asked in this round: it looked at the workers,
-// or a proxy was kept for it until the end of the round.
-func (b *stepBudget) asksNothing() bool { return b.examined || b.grant == advicebudget.Guaranteed }
+// couldAsk reports whether the step could have asked in this round: it looked for workers to ask
+// about, or a proxy was kept for it.
+func (b *stepBudget) couldAsk() bool { return b.examined || b.grant == advicebudget.Guaranteed }
 
 // noteCall counts a call that is sent through a proxy.
 func (e *Engine) noteCall(s *step, proxy *adviceProxy, cost time.Duration) {
@@ -242,7 +247,8 @@
 	}
 }
 
-// proxyFailed notes that a proxy's call for a step failed or was not answered in time.
+// proxyFailed records that a proxy's call for a step failed or was not answered in time. Without
+// the budget, each failure counts as the first one, so that all pauses are equally long.
 func (e *Engine) proxyFailed(proxy *adviceProxy, s *step) {
 	e.stats.AdviceFailed++
 	if e.o.Policy.NoAdviceBudget {
@@ -252,8 +258,8 @@
 	proxy.gaveUp = s.id()
 }
 
-// answeredLate handles an outcome of a call that was given up: its tickets are ignored, but a
-// proxy that answers is used again.
+// answeredLate handles the outcome of a call that was given up. Its tickets are ignored, but a proxy
+// that has answered may be used again at once.
 func (e *Engine) answeredLate(proxy *adviceProxy, id work.TaskID, err error) {
 	if proxy == nil || err != nil || proxy.gaveUp != id || e.o.Policy.NoAdviceBudget {
 		return
--- a/process/dispatch/advicebudget_test.go
+++ b/process/dispatch/advicebudget_test.go
@@ -63,8 +63,8 @@
 }
 
 func TestGangFindsAProxyBesideSmallTasksWithSlack(t *testing.T) {
-	// Guards against gangs that wait until they are late: small tasks with slack occupied
-	// every proxy for slow calls, so a gang found none when it had capacity.
+	// Guards against gangs that have capacity and find no proxy, because small tasks with slack
+	// occupy every proxy for slow calls.
 	for _, policy := range []Policy{{}, {NoAdviceBudget: true}} {
 		h, gang := crowdedCell(t, policy)
 		s := h.e.jobs[gang].occurrences[0].steps[0]
--- a/process/dispatch/engine.go
+++ b/process/dispatch/engine.go
@@ -94,7 +94,7 @@
 	preempting          preempting
 
 	forecast   forecast
-	guaranteed int // how many of these are kept for steps that have not asked yet
+	guaranteed int // how many of idleForSlow are kept for steps that have not asked yet
 	// proxiesScarceUntil is until when the budget allots the proxies for slow calls.
 	proxiesScarceUntil time.Duration
 	budgetLoggedAt     time.Duration
@@ -121,15 +121,16 @@
 	// Suspected counts runs that may have crashed their worker, Trials the starts of suspect
 	// tasks, GivenUp the jobs that failed because a task crashed its workers.
 	Suspected, Trials, GivenUp uint64
-	// AdviceCalls counts calls for advice, GangAdviceCalls those of them for gangs, AdviceNames
-	// the workers that they named, AdvicePostponed the times that a step did not get a proxy
-	// because others were worth more, TicketsUnused the tickets that were requested again for the same worker, and
-	// AdviceFailed the calls that failed or were not answered in time.
+	// AdviceCalls counts calls for advice, GangAdviceCalls those of them for gangs, and
+	// AdviceNames the workers that they named. AdvicePostponed counts, in each round, the steps
+	// that were ready to ask and got no proxy because others had more at stake. TicketsUnused
+	// counts tickets that were replaced by a new one for the same worker, AdviceFailed calls that
+	// failed or were not answered in time.
 	AdviceCalls, GangAdviceCalls, AdviceNames, AdvicePostponed, TicketsUnused, AdviceFailed uint64
 	// OverQuota counts steps that waited for their account's quota.
 	OverQuota uint64
-	// Preempted counts runs that were stopped for other work, Preemptions the steps that
-	// started thanks to that, and PreemptionWasted those that did not start all the same.
+	// Preempted counts runs that were stopped for other work, Preemptions the steps for which runs
+	// were stopped and that then started, PreemptionWasted those that did not start by their plan.
 	// PreemptedCoreSeconds is the work that the stopped runs lost.
 	Preempted, Preemptions, PreemptionWasted uint64
 	PreemptedCoreSeconds                     float64
--- a/process/dispatch/estimate.go
+++ b/process/dispatch/estimate.go
@@ -22,11 +22,11 @@
 	// endsPeriod is how long the expected end of a gang is kept, since it depends on all of its
 	// members and a round needs it for each of them.
 	endsPeriod = 50 * time.Millisecond
-	// slowFactor is by how much longer than on a typical worker runs take on a worker that
-	// counts as slow: three times the spread of healthy workers. A worker that was slow no
-	// longer is below fastAgain.
-	slowFactor = 1.35
-	fastAgain  = 1.25
+	// slowFactor is the factor relative to a typical worker above which a worker counts as slow:
+	// its excess is three times the spread of healthy workers. A slow worker counts as such until
+	// its factor is below recoveredFactor, so that a factor near the bound does not alternate.
+	slowFactor      = 1.35
+	recoveredFactor = 1.25
 )
 
 func newSpeedModel(p Policy) *speed.Model { return speed.New(p.NoSpeedModel) }
@@ -53,8 +53,9 @@
 		case !w.slow && relative > slowFactor:
 			w.slow = true
 			e.stats.SlowWorkers++
-			e.decide(Decision{What: "worker is slow", Worker: w.ID, Why: fmt.Sprintf("runs take %.2f times as long as on a typical worker", relative)})
-		case w.slow && relative < fastAgain:
+			e.decide(Decision{What: "worker is slow", Worker: w.ID,
+				Why: fmt.Sprintf("runs take %.2f times as long as on a typical worker", relative)})
+		case w.slow && relative < recoveredFactor:
 			w.slow = false
 			e.decide(Decision{What: "worker is no longer slow", Worker: w.ID})
 		}
@@ -81,10 +82,10 @@
 	}
 }
 
-// plannedOn returns how long a task of the step takes on a worker when it is compared with
-// reservations: at least as long as when these were planned. Otherwise work that turns out to be
-// quicker would start before a reservation whose time is that of the earlier estimate of the
-// same work.
+// plannedOn returns the run time of a task of the step on a worker that is compared with
+// reservations: no shorter than the one with which these were planned. The start of a reservation
+// depends on the earlier, longer estimates of the same work, so with the newer estimate this work
+// would seem to end before the reservation and take its capacity.
 func (e *Engine) plannedOn(s *step, w *worker) time.Duration {
 	if f := s.work.Factor(); f < s.planFactor {
 		return scale(e.estimateOn(s, w), s.planFactor/f)
@@ -100,7 +101,7 @@
 	e.speed.LearnProgress(alloc.w.speed, &alloc.s.work, &alloc.progress)
 }
 
-// learnRunTime takes into account how long a run took that was done.
+// learnRunTime takes into account how long a completed run took.
 func (e *Engine) learnRunTime(alloc *allocation) {
 	s := alloc.s
 	if s.spec.Estimate <= 0 || alloc.state != running || s.spec.LongRunning {
@@ -169,8 +170,8 @@
 // of one kind differ by as much.
 const alikeFactor = 1.1
 
-// gangPace returns the factor of the slowest worker of a gang that takes the fastest of the
-// slots, and has to include a slower one only if there are too few of the others.
+// gangPace returns the factor of the slowest worker of a gang of n tasks that takes the fastest of
+// the slots. It sorts the slots by the factor of their workers.
 func gangPace(all []gangSlots, n int) float64 {
 	slices.SortStableFunc(all, func(x, y gangSlots) int { return cmp.Compare(x.w.speed.Factor, y.w.speed.Factor) })
 	for _, x := range all {
@@ -181,8 +182,9 @@
 	return all[len(all)-1].w.speed.Factor
 }
 
-// speedScore rates a worker for a gang of a pace. A slower worker would delay the whole gang;
-// a faster one would wait for the others, and is of more use to other work.
+// speedScore rates a worker for a gang whose slowest worker has the factor pace. A slower worker
+// would delay the whole gang; a run on a faster one would wait for the others, and the worker is of
+// more use to other work.
 func (e *Engine) speedScore(w *worker, pace float64) float64 {
 	if e.o.Policy.NoSpeedModel {
 		return -w.speed.Factor
--- a/process/dispatch/forecast.go
+++ b/process/dispatch/forecast.go
@@ -7,9 +7,10 @@
 	"fennelshunt.example/fennelshunt/process/quota"
 )
 
-// The summary of the engine's load, by which daemons refuse submissions; see package loadshed.
+// This file summarizes the engine's load, by which daemons refuse submissions; see package loadshed.
 
-// forecast is the engine's part of admission control. It changes nothing else of the engine.
+// forecast is the engine's part of admission control. It does not affect the order or the start of
+// steps.
 type forecast struct {
 	loadshed.Forecast
 	// from is when digests begin, 0 before the first call of LoadDigest.
@@ -34,8 +35,8 @@
 	return float64(n) * float64(s.spec.Size.CPU) / 1000 * e.estimate(s).Seconds()
 }
 
-// LoadDigest returns the summary of the load, at most loadshed.Period old; nil for the first second of
-// an epoch and where admission control is off. Under Policy.FirstCome there is none, since the
+// LoadDigest returns the summary of the load, at most loadshed.Period old; nil for loadshed.Settling
+// after its first call and where admission control is off. Under Policy.FirstCome there is none, since the
 // forecast assumes the other order. The result must not be changed.
 func (e *Engine) LoadDigest(now time.Duration) *loadshed.Digest {
 	f := &e.forecast
@@ -77,14 +78,16 @@
 	}
 	e.ledger.Each(func(a *quota.Account) {
 		if a.Name != "" && (waiting[a.Name] || a.Held() != (quota.Size{})) {
-			cell.Accounts = append(cell.Accounts, loadshed.Account{Name: a.Name, Weight: e.fair.Weight(a.Name), Over: e.fair.Exceeds(a.Name, e.now)})
+			cell.Accounts = append(cell.Accounts, loadshed.Account{Name: a.Name,
+				Weight: e.fair.Weight(a.Name), Over: e.fair.Exceeds(a.Name, e.now)})
 		}
 	})
 	return cell
 }
 
-// waitingLoad returns the load of a waiting step; false for one that delays no other: that cannot run
-// on the workers or within its account's cap, that may be running already, or that serves for good.
+// waitingLoad returns the load of a waiting step. It returns false for a step that delays no other
+// because it cannot run on the workers or within its account's cap, or may be running already, and for
+// a long-running one, whose run time is not known.
 func (e *Engine) waitingLoad(s *step) (x loadshed.Step, ok bool) {
 	switch {
 	case !s.job.active() || len(s.pending) == 0 || s.spec.LongRunning || s.waitsFor == waitTakeover:
@@ -119,7 +122,8 @@
 func (e *Engine) quotaSeconds(s *step, n int) float64 {
 	size, limit := s.charge(), s.job.account.Cap()
 	share := 0.0
-	for _, d := range [...][2]int64{{size.MilliCPU, limit.MilliCPU}, {size.MemoryMB, limit.MemoryMB}, {size.Accelerators, limit.Accelerators}} {
+	for _, d := range [...][2]int64{
+		{size.MilliCPU, limit.MilliCPU}, {size.MemoryMB, limit.MemoryMB}, {size.Accelerators, limit.Accelerators}} {
 		if d[1] > 0 {
 			share = max(share, float64(d[0])/float64(d[1]))
 		}
--- a/process/dispatch/forecast_test.go
+++ b/process/dispatch/forecast_test.go
@@ -68,6 +68,7 @@
 }
 
 func TestSwitchMakesNoDigest(t *testing.T) {
+	// Guards against refusals although admission control is off.
 	for _, p := range []Policy{{NoLoadShedding: true}, {FirstCome: true}} {
 		h := loadedHarness(t, p)
 		for range 100 {
--- a/process/dispatch/policy.go
+++ b/process/dispatch/policy.go
@@ -42,8 +42,8 @@
 	// QuotaHeadroom keeps some of an account's cap free for its queues of higher priority. It
 	// matters for accounts whose quick work is more important than their gangs.
 	QuotaHeadroom bool `json:"quota_headroom,omitempty"`
-	// NoPreemption stops no runs so that gangs and urgent work start in time. Preemption matters
-	// with gangs and slow advice in a cell full of work that has slack.
+	// NoPreemption never stops runs so that a gang starts in time. Preemption matters with gangs
+	// and slow advice in a cell full of work that has slack.
 	NoPreemption bool `json:"no_preemption,omitempty"`
 	// NoSpeedModel predicts run times from moving averages over queues, without the speed of the
 	// worker. The model of speeds matters with workers of unlike speed and inaccurate estimates.
--- a/process/dispatch/preemption.go
+++ b/process/dispatch/preemption.go
@@ -10,30 +10,33 @@
 	"fennelshunt.example/fennelshunt/version/work"
 )
 
-// Preemption: runs with slack are stopped so that a waiting gang starts in time. Package
-// preemption decides; this file collects what it needs and carries its plans out.
+// This file stops runs with slack so that a waiting gang starts in time. Package preemption
+// decides which; this file collects what the package needs and carries its plans out.
 //
-// A plan has two phases. First the capacity of its workers is reserved by name, free or not, and
-// the missing tickets are requested. Then, shortly before the tickets arrive, the runs that
-// still occupy reserved capacity are chosen anew and stopped: runs that have ended by themselves
-// meanwhile need no stop. The gang starts by the usual path. What a plan lacks because a worker
-// failed is made up for by further victims, within the same bounds.
+// A plan has two phases. First, capacity is reserved for the gang on each worker of the plan,
+// including capacity that is still occupied, and the missing tickets are requested. Then, shortly
+// before the tickets arrive, the victims are chosen again among the runs that still occupy
+// reserved capacity, and stopped: runs that have ended by themselves meanwhile need no stop. The
+// gang then starts like any other. If a worker of the plan fails, further victims on the others
+// replace the capacity, within the same bounds.
 
 const (
-	// preemptPeriod is between two looks at all workers for a step, and between two of the
-	// stops of a plan.
+	// preemptPeriod is between two looks at all workers for the same step, and between two
+	// choices of victims for the same plan.
 	preemptPeriod = 100 * time.Millisecond
-	// examinePause is between two looks at all workers, for whichever steps: a choice among a
-	// hundred full workers takes half a millisecond (BenchmarkChoose).
+	// examinePause is between two looks at all workers, also for different steps: a choice among
+	// a hundred full workers takes half a millisecond (BenchmarkChoose).
 	examinePause = 20 * time.Millisecond
-	// maxStopsShare: at most one stop per second for so many workers, and at least
+	// The bound on stops per second is one for each workersPerStop workers, and at least
 	// minStopsPerSecond: a gang of average width needs some 25 stops.
 	minStopsPerSecond = 25
-	maxStopsShare     = 5
-	// initialStopTime is how long a stop takes until the engine has observed some: workers stop
-	// a run within 200 ms, and the next report tells.
+	workersPerStop    = 5
+	// initialStopTime is how long a stop is assumed to take until one has been observed: workers
+	// stop a run within 200 ms, and the end is known with the next report.
 	initialStopTime = 250 * time.Millisecond
-	maxStopTime     = time.Second
+	// maxStopTime bounds the observed times: a worker that does not answer for longer says
+	// nothing about stops.
+	maxStopTime = time.Second
 	// stopTimeDecay is the weight of the newest stop in the learned time.
 	stopTimeDecay = 0.1
 	// startMargin is kept between the planned start of a gang and its latest one.
@@ -42,10 +45,11 @@
 	renewalNames = 30
 	// renewalWait is how long a victim waits for a slot, in addition to the call for a ticket.
 	renewalWait = time.Second
-	// slipShare is by how much of the time that a gang has waited it is expected to start later
-	// than by its reservation. With none, a gang counted as in time until it was too late.
+	// slipShare is the part of the time a gang has waited that is added to the start expected by
+	// its reservation. Reservations are renewed with later starts as runs take longer than
+	// expected, so without it a gang looks in time until a plan can no longer help it.
 	slipShare = 0.5
-	// preemptionPause is kept after a plan that failed before the next one for the same step.
+	// preemptionPause is the least time from a failed plan to the next one for the same step.
 	preemptionPause = time.Second
 )
 
@@ -65,16 +69,16 @@
 type preemptionState struct {
 	s     *step
 	slots []reservedSlots
-	runs  uint64 // of the gang, when the plan was made
-	// stopsAt is when the victims are to be stopped, nextStops the earliest time for more.
+	runs  uint64 // how often the gang had started when the plan was made
+	// stopsAt is when the first victims are to be stopped, nextStops the earliest time for more.
 	stopsAt, nextStops time.Duration
-	// stopsUntil is when it is too late for stops: the gang would not end in time.
+	// stopsUntil is the latest time for stops after which the gang still ends in time.
 	stopsUntil time.Duration
-	stopped    int // runs
+	stopped    int // number of runs stopped so far
 	priority   int
 }
 
-// reservedSlots are slots of a plan on one worker.
+// reservedSlots are the slots of a plan on one worker.
 type reservedSlots struct {
 	w *worker
 	n int
@@ -101,9 +105,9 @@
 	return min(p.stopTime+2*p.stopDeviation, maxStopTime)
 }
 
-// considerPreemption makes a plan for a gang that would be late by its reservation, if there is
-// one that is worthwhile. It reports whether the gang has a plan, so that it requests no other
-// advice.
+// considerPreemption makes a plan for a gang that would be late by its reservation, if there is a
+// worthwhile one. It reports whether the gang is to request no other advice now, because it has a
+// plan or is about to be examined for one.
 func (e *Engine) considerPreemption(s *step) bool {
 	policy := &e.o.Policy
 	switch {
@@ -119,7 +123,8 @@
 		return false // the plan would have to keep to racks, or to isolated workers
 	}
 	c := preemption.Claim{Need: s.spec.Need(), Count: s.spec.Count, Priority: s.job.spec.Queue.Priority,
-		Now: e.now, Due: s.occurrence.due - e.following(s) - startMargin, Estimate: e.estimate(s), Without: e.startWithout(s), With: e.now + e.stopLead()}
+		Now: e.now, Due: s.occurrence.due - e.following(s) - startMargin, Estimate: e.estimate(s),
+		Without: e.startWithout(s), With: e.now + e.stopLead()}
 	mayAsk := e.mayAskNow(s)
 	switch {
 	case !c.Qualifies():
@@ -127,7 +132,7 @@
 	case mayAsk && e.now < e.preempting.examineAt:
 		return true // a call for other advice now would leave no time for a plan
 	case !mayAsk && e.now < e.preempting.examineAt+examinePause:
-		return false // gangs that can request tickets come first
+		return false // the longer pause leaves the next look to gangs that can request tickets
 	}
 	e.preempting.examineAt = e.now + examinePause
 	s.preemptAt, s.preemptAsked = e.now+preemptPeriod, mayAsk
@@ -145,9 +150,10 @@
 	return a != nil && len(a.toAsk) == 0 && e.mayAsk(s)
 }
 
-// startWithout is when the step is expected to start if nothing is stopped for it: by its
-// reservation, but with a call for tickets, and later the longer it has waited, since a
-// reservation expects every run to end in time and nothing else to take the slots.
+// startWithout returns when the step is expected to start if nothing is stopped for it: the start
+// by its reservation, and the time of a call for tickets. A part of the time it has waited is added
+// because a reservation assumes that every run ends when expected and that no other work takes the
+// slots.
 func (e *Engine) startWithout(s *step) time.Duration {
 	at := s.startsAt + scale(e.now-s.openedAt, slipShare)
 	if q := s.job.spec.Queue.Advice; q != nil {
@@ -156,13 +162,14 @@
 	return at
 }
 
+// budgetLeft returns how many runs may be stopped now.
 func (p *preempting) budgetLeft(e *Engine) int {
-	p.budget.Rate = e.scaledByWorkers(minStopsPerSecond, maxStopsShare)
+	p.budget.Rate = e.scaledByWorkers(minStopsPerSecond, workersPerStop)
 	return p.budget.Left(e.now)
 }
 
-// following is how long the steps after s are likely to take. It is computed once: the learned
-// ratio of the queue's estimates changes little over the life of a job.
+// following returns how long the steps after s are likely to take. It is computed once per step: the
+// learned factors of a queue change little over the life of a job.
 func (e *Engine) following(s *step) time.Duration {
 	if len(s.next) == 0 || s.follows > 0 {
 		return s.follows
@@ -179,8 +186,8 @@
 	return longest
 }
 
-// preemptable returns the workers that a plan for the step may use. If the step cannot ask for
-// tickets now, these are the ones whose tickets outlast the stops.
+// preemptable returns the workers that a plan for the step may use, with their runs. If the step
+// cannot ask for tickets now, these are the workers with a ticket that outlasts the stops.
 func (e *Engine) preemptable(s *step) []preemption.Worker {
 	a := e.adviceOf(s)
 	mayAsk := e.mayAskNow(s)
@@ -194,7 +201,8 @@
 		noTicket := false
 		if a != nil {
 			t := a.ticketFor(w)
-			// With a call the tickets have to last until its answer, without only for the stops.
+			// Without a call, a ticket has to outlast the stops. With one, beginPreemption renews
+			// those that expire before the answer.
 			noTicket = t == nil || !t.valid(e.now+2*lead)
 			if noTicket && !mayAsk {
 				continue
@@ -235,17 +243,19 @@
 	return free
 }
 
-// stoppable returns the runs on a worker that are not being stopped.
+// stoppable returns the runs on a worker that write checkpoints, are no members of gangs and are
+// not being stopped. Their ID is the index in sortedAllocs.
 func (e *Engine) stoppable(w *worker) []preemption.Run {
 	var runs []preemption.Run
-	for k, alloc := range sortedAllocs(w) {
+	for i, alloc := range sortedAllocs(w) {
 		v := alloc.s
 		if alloc.state != running || !v.spec.Checkpoints || v.spec.Gang {
 			continue
 		}
-		x := preemption.Run{ID: k, Size: alloc.need, Priority: v.job.spec.Queue.Priority, Checkpoints: true,
-			Protected: v.spec.LongRunning || len(alloc.task().crashes) > 0 || !v.job.active(), Stopped: alloc.task().preempted,
-			Age: e.now - alloc.ackAt, Remaining: e.remaining(alloc), Renewal: renewalWait}
+		x := preemption.Run{ID: i, Size: alloc.need, Priority: v.job.spec.Queue.Priority, Checkpoints: true,
+			Protected: v.spec.LongRunning || len(alloc.task().crashes) > 0 || !v.job.active(),
+			Stopped:   alloc.task().preempted,
+			Age:       e.now - alloc.ackAt, Remaining: e.remaining(alloc), Renewal: renewalWait}
 		x.Slack = v.occurrence.due - e.now - x.Remaining - e.following(v)
 		if q := v.job.spec.Queue.Advice; q != nil {
 			x.Renewal += q.Cost(renewalNames)
@@ -255,7 +265,8 @@
 	return runs
 }
 
-// beginPreemption requests the missing tickets of a plan and reserves its capacity.
+// beginPreemption requests the missing tickets of a plan and reserves its capacity. It reports whether
+// the plan is carried out.
 func (e *Engine) beginPreemption(s *step, c preemption.Claim, plan preemption.Plan) bool {
 	a := e.adviceOf(s)
 	var ids []runner.WorkerID
@@ -290,7 +301,8 @@
 		}
 	}
 	e.unreserve(s)
-	p := &preemptionState{s: s, runs: s.gang.runs, priority: c.Priority, stopsAt: c.With - lead, stopsUntil: c.Due - c.Estimate - lead}
+	p := &preemptionState{s: s, runs: s.gang.runs, priority: c.Priority,
+		stopsAt: c.With - lead, stopsUntil: c.Due - c.Estimate - lead}
 	for _, x := range plan.Slots {
 		w := e.workerList[x.Worker.ID]
 		p.slots = append(p.slots, reservedSlots{w, x.N})
@@ -300,14 +312,15 @@
 	s.gangReserved, s.gangReservedUntil = true, c.With+gangReserveGrace+max(reserveAheadGrace, lead)
 	e.preempting.plans = append(e.preempting.plans, p)
 	e.decide(Decision{What: "preemption planned", Task: s.id(), Age: e.now - s.openedAt,
-		Why: fmt.Sprintf("%d runs on %d workers, %.0f core-seconds lost; start in %d ms, not %d; due in %d ms", plan.Victims, len(plan.Slots), plan.Loss,
+		Why: fmt.Sprintf("%d runs on %d workers, %.0f core-seconds lost; start in %d ms, not %d; due in %d ms",
+			plan.Victims, len(plan.Slots), plan.Loss,
 			(c.With - e.now).Milliseconds(), (c.Without - e.now).Milliseconds(), (c.Due - e.now).Milliseconds())})
 	e.stopVictims(p)
 	return true
 }
 
-// keepQuota keeps the part of its account's cap that a step with a plan needs free of the work
-// after it, in this round.
+// keepQuota reserves, in this round, the part of the account's cap that a step with a plan needs, so
+// that the account's steps after it do not use it.
 func (e *Engine) keepQuota(s *step) {
 	if s.preemption != nil {
 		a := s.job.account
@@ -331,11 +344,12 @@
 			if s.advice != nil && s.advice.inFlight == 0 {
 				s.advice.toAsk = nil
 			}
-			s.reservedAt = 0 // the capacity planned for it was given up for the plan
+			s.reservedAt = 0 // beginPreemption has released its reservation; it may reserve again at once
 			s.preemptAt = e.now + preemptionPause
 			if p.stopped > 0 {
 				e.stats.PreemptionWasted++
-				e.decide(Decision{What: "preemption wasted", Task: s.id(), Why: fmt.Sprintf("%d runs were stopped, and it did not start", p.stopped)})
+				e.decide(Decision{What: "preemption wasted", Task: s.id(),
+					Why: fmt.Sprintf("%d runs were stopped, and it did not start", p.stopped)})
 			}
 		default:
 			e.stopVictims(p)
@@ -374,7 +388,8 @@
 		}
 	}
 	p.stopped += plan.Victims
-	e.decide(Decision{What: "preemption", Task: s.id(), Age: e.now - s.openedAt, Why: fmt.Sprintf("%d runs stopped on %d workers", plan.Victims, len(plan.Slots))})
+	e.decide(Decision{What: "preemption", Task: s.id(), Age: e.now - s.openedAt,
+		Why: fmt.Sprintf("%d runs stopped on %d workers", plan.Victims, len(plan.Slots))})
 }
 
 // withoutTickets reports whether the call for the plan's tickets has failed: tickets for its
@@ -393,13 +408,14 @@
 	return n < p.s.spec.Count
 }
 
-// willHaveTicket reports whether the step has a ticket for the worker, or a call for it is in
+// willHaveTicket reports whether the step has a ticket for the worker, or a call for tickets is in
 // flight.
 func (e *Engine) willHaveTicket(s *step, w *worker) bool {
 	a := e.adviceOf(s)
 	return a == nil || a.hasTicket(w, e.now) || a.inFlight > 0
 }
 
+// preemptRun stops a run for a step.
 func (e *Engine) preemptRun(alloc *allocation, by *step) {
 	alloc.task().preempted++
 	e.stats.Preempted++
@@ -407,7 +423,7 @@
 	e.stop(alloc, "preempted for "+by.id().String())
 }
 
-// settleVictims counts what victims that have ended have lost, and learns how long stops take.
+// settleVictims adds up the lost work of victims whose end is known, and learns how long stops take.
 func (e *Engine) settleVictims() {
 	p := &e.preempting
 	p.victims = slices.DeleteFunc(p.victims, func(v victim) bool {
@@ -426,7 +442,7 @@
 		switch {
 		case t.done:
 			lost = 0
-		case t.checkpoint == v.checkpoint: // it has left none at its end
+		case t.checkpoint == v.checkpoint: // it wrote none at its end: all of the run counts as lost
 			lost += e.now - v.alloc.sent
 		}
 		e.stats.PreemptedCoreSeconds += float64(v.alloc.need.CPU) / 1000 * lost.Seconds()
--- a/process/dispatch/preemption_test.go
+++ b/process/dispatch/preemption_test.go
@@ -102,8 +102,8 @@
 }
 
 func TestGangThatWouldBeLateStartsInsteadOfWorkWithSlack(t *testing.T) {
-	// Gangs were late while small tasks with slack filled the cell: a gang asked for tickets
-	// once its slots were free, and the tickets expired or the slots were taken meanwhile.
+	// Guards against gangs that are late while small tasks with slack fill the cell: if a gang asks
+	// for tickets only once its slots are free, other tasks take the slots before the answer.
 	h, s, _ := fullCell(t, nil)
 	h.step(200 * time.Millisecond)
 	require.Empty(t, sent[SendStop](h), "the tickets will arrive later than a stop takes")
@@ -144,7 +144,7 @@
 }
 
 func TestNoPreemptionForAGang(t *testing.T) {
-	// Nothing is stopped if the gang gains nothing by it, or others would lose too much.
+	// Guards against stops by which the gang gains nothing, or others lose too much.
 	for name, change := range map[string]func(e *Engine, many, gang *work.Job){
 		"switched off":                    func(e *Engine, _, _ *work.Job) { e.o.Policy.NoPreemption = true },
 		"in time without":                 func(_ *Engine, _, gang *work.Job) { gang.Queue.Allowance = time.Minute },
@@ -182,9 +182,8 @@
 }
 
 func TestCapacityOfAWorkerThatDoesNotAnswerIsNotCounted(t *testing.T) {
-	// The worker of a victim does not answer the stop: its run may go on, so that the gang must
-	// not start on it, and the victim must not start elsewhere. The gang gives up the rest, and
-	// that is counted.
+	// Guards against two runs in the same capacity, or of the same task, if the worker of a victim
+	// does not answer the stop: the run may go on. The gang gives up its plan, and that is counted.
 	h, s, _ := fullCell(t, nil)
 	call, stops := h.callAndStops()
 	for _, x := range stops {
@@ -216,8 +215,8 @@
 }
 
 func TestVictimsThatEndByThemselvesAreNotStopped(t *testing.T) {
-	// The stops are chosen shortly before the tickets arrive, so that what has ended by then is
-	// not stopped for nothing.
+	// Guards against stops that are not needed because other runs have ended since the plan was
+	// made: victims are chosen again shortly before the tickets arrive.
 	h, _, starts := fullCell(t, nil)
 	h.step(200 * time.Millisecond)
 	calls := sent[AskAdvice](h)
@@ -259,8 +258,8 @@
 }
 
 func TestPlanIsDroppedWhenItsCallFails(t *testing.T) {
-	// Without tickets the gang cannot start: nothing is stopped, and its reservation ends at
-	// once, not when the call would have been answered.
+	// Guards against stops for a gang that cannot start without tickets, and against a reservation
+	// that is kept until the failed call would have been answered.
 	h, s, _ := fullCell(t, nil)
 	h.step(200 * time.Millisecond)
 	calls := sent[AskAdvice](h)
@@ -277,7 +276,7 @@
 }
 
 func TestGangWithoutAdviceTakesItsSlotsAtOnce(t *testing.T) {
-	// A queue without advice has nothing to wait for but the ends of the victims.
+	// Guards against a gang without advice that waits for anything but the ends of its victims.
 	h, _, _ := fullCell(t, func(_ *Engine, _, gang *work.Job) { gang.Queue.Advice, gang.Queue.Allowance = nil, 0 })
 	h.step(200 * time.Millisecond)
 	stops := h.stops()
@@ -289,6 +288,7 @@
 }
 
 func TestVictimsStartAgainWhenTheGangIsCancelled(t *testing.T) {
+	// Guards against capacity that stays reserved for a cancelled gang.
 	h, s, _ := fullCell(t, nil)
 	call, stops := h.callAndStops()
 	h.reportStopped("w-a", stops)
@@ -313,9 +313,9 @@
 }
 
 func TestSuccessorContinuesAfterAPreemption(t *testing.T) {
-	// The leader dies between the stops of the victims and the start of the gang. Some victims
-	// have ended, others are still ending. The successor starts none of them beside its first
-	// run, and starts all again from their checkpoints once their ends are known.
+	// Guards against a second run of a victim, or one that is lost, if the leader dies between the
+	// stops and the start of the gang: some victims have ended, others are still ending. The
+	// successor starts each again from its checkpoint once its end is known.
 	h, _, _ := fullCell(t, nil)
 	_, stops := h.callAndStops()
 	var saved Saved
@@ -360,7 +360,8 @@
 }
 
 func TestCapCountsWhatIsBeingStopped(t *testing.T) {
-	// Both jobs are of one account, whose cap is enough for both together. Until the ends of the
+	// Guards against an account that exceeds its cap, or whose gang loses its part of the cap. Both
+	// jobs are of one account, whose cap is enough for both together. Until the ends of the
 	// victims are known they are charged to the account, and while the gang waits for them, the
 	// part of the cap that it needs is kept free of the account's other work.
 	h, s, _ := fullCell(t, func(e *Engine, many, gang *work.Job) {
@@ -390,6 +391,7 @@
 }
 
 func TestStopsPerTaskAndPerSecondAreBounded(t *testing.T) {
+	// Guards against tasks that are stopped again and again, and against many stops at once.
 	h, s, _ := fullCell(t, func(e *Engine, _, _ *work.Job) { e.preempting.budget.Spend(0, minStopsPerSecond*20) })
 	h.step(1500 * time.Millisecond)
 	require.Empty(t, sent[SendStop](h), "the stops of this second are used up")
@@ -406,7 +408,8 @@
 }
 
 func TestGangWithAPlanWaitsForRoom(t *testing.T) {
-	// While its victims end, a gang is shown as waiting for capacity, and so are the victims.
+	// Guards against a wrong wait cause: while its victims end, a gang is shown as waiting for
+	// capacity, and so are the victims.
 	h, s, _ := fullCell(t, nil)
 	_, stops := h.callAndStops()
 	require.Equal(t, waitCapacity, s.waitsFor)
@@ -415,9 +418,9 @@
 	require.Equal(t, waitCapacity, h.e.jobs[manyJob].occurrences[0].steps[0].waitsFor)
 }
 
-// TestPreemptionUnderRandomFaults submits small tasks that fill the cell and gangs that preempt
-// them, while daemons are killed, the store fails, and workers are cut off, crash and carry
-// orders out late.
+// TestPreemptionUnderRandomFaults guards against broken invariants of the engine. It submits small
+// tasks that fill the cell and gangs that preempt them, while daemons are killed, the store fails,
+// and workers are cut off, crash and carry orders out late.
 func TestPreemptionUnderRandomFaults(t *testing.T) {
 	var preempted atomic.Uint64
 	overSeeds(t, 4, func(t *testing.T, seed uint64) {
--- a/process/dispatch/straggler.go
+++ b/process/dispatch/straggler.go
@@ -8,16 +8,20 @@
 	"fennelshunt.example/fennelshunt/process/straggler"
 )
 
+// This file collects what package straggler needs to decide whether runs that take much longer than
+// expected start again elsewhere, and carries its decisions out.
+
 const (
 	// stragglerPeriod is between two comparisons of all runs with their predictions: a tenth of
 	// a long run of the quickest work.
 	stragglerPeriod = 200 * time.Millisecond
-	// maxStragglerMoves, or one in stragglerShare workers if that is more, bounds the moves of
-	// one comparison. A cell of 350 workers has some 20 long runs per second; a bound of 15 moves
-	// per second was reached.
-	maxStragglerMoves = 2
-	stragglerShare    = 20
-	// maxStragglerTries bounds for how many stragglers workers are searched, at 20 µs each.
+	// The bound on moves per comparison is one for each workersPerMove workers, and at least
+	// minStragglerMoves. In a cell of 350 workers it is some 85 moves per second, well above the
+	// 20 long runs per second that start there.
+	minStragglerMoves = 2
+	workersPerMove    = 20
+	// maxStragglerTries bounds the stragglers per comparison for which all workers are searched:
+	// a search takes 20 µs.
 	maxStragglerTries = 20
 	// stopTime is how long a stop takes until the end of the run is known.
 	stopTime = 250 * time.Millisecond
@@ -33,10 +37,10 @@
 		return
 	}
 	e.stragglersAt = e.now + stragglerPeriod
-	moves, tries := e.scaledByWorkers(maxStragglerMoves, stragglerShare), maxStragglerTries
+	moves, tries := e.scaledByWorkers(minStragglerMoves, workersPerMove), maxStragglerTries
 	for _, w := range e.workerList {
 		if w.misses > 0 || !e.anyStraggles(w) {
-			continue // without an answer, its runs may have progressed since
+			continue // if the worker does not answer, the progress of its runs is outdated
 		}
 		for _, alloc := range sortedAllocs(w) {
 			if moves == 0 || tries == 0 {
@@ -53,8 +57,8 @@
 	}
 }
 
-// anyStraggles reports whether any run on a worker takes much longer than it would elsewhere:
-// few workers have one.
+// anyStraggles reports whether any run on a worker takes much longer than it would elsewhere. Few
+// workers have one, so that the runs of the others need not be sorted.
 func (e *Engine) anyStraggles(w *worker) bool {
 	for _, alloc := range w.allocs {
 		if e.straggles(alloc) {
@@ -100,8 +104,10 @@
 		return false
 	}
 	pace, _ := alloc.progress.Pace()
-	c := straggler.Case{Moves: alloc.stragglerMoves(), Tasks: 1, Remaining: e.remaining(alloc), Elapsed: e.now - alloc.ackAt,
-		Done: alloc.progress.Done(), Checkpoints: s.spec.Checkpoints, Whole: e.estimate(s), Pace: pace, LongShare: s.job.speeds.LongShare(),
+	c := straggler.Case{Moves: alloc.stragglerMoves(), Tasks: 1,
+		Remaining: e.remaining(alloc), Elapsed: e.now - alloc.ackAt,
+		Done: alloc.progress.Done(), Checkpoints: s.spec.Checkpoints,
+		Whole: e.estimate(s), Pace: pace, LongShare: s.job.speeds.LongShare(),
 		Delay: delay, Resume: resumeTime}
 	if s.spec.Gang {
 		c.Tasks = s.spec.Count
@@ -111,7 +117,8 @@
 		return false
 	}
 	e.stats.StragglerMoves++
-	why := fmt.Sprintf("it takes %v instead of %v, a start elsewhere ends %v sooner", pace.Round(time.Millisecond), c.Whole.Round(time.Millisecond), gain.Round(time.Millisecond))
+	why := fmt.Sprintf("it takes %v instead of %v, a start elsewhere ends %v sooner",
+		pace.Round(time.Millisecond), c.Whole.Round(time.Millisecond), gain.Round(time.Millisecond))
 	e.decide(Decision{What: "straggler moved", Task: alloc.id(), Run: alloc.run, Worker: alloc.w.ID, Why: why, Age: c.Elapsed})
 	alloc.task().avoidWorker(alloc.w.ID, e.now)
 	if s.spec.Gang {
@@ -124,12 +131,14 @@
 	return true
 }
 
-// placeElsewhere reports whether another worker has capacity for a run, and how long after its
-// stop the new run can start there. The other members of a gang can start again where they are.
+// placeElsewhere reports whether another worker that is not slow has capacity for a run, and how long
+// after its stop the new run can start there. Without enough workers known to be good, it adds up the
+// probability that unknown ones are. For a gang one other worker is enough, since the other members
+// can start again on the capacity that their stop frees.
 func (e *Engine) placeElsewhere(alloc *allocation) (delay time.Duration, ok bool) {
 	s, need := alloc.s, alloc.need
 	a := e.adviceOf(s)
-	expected := 0.0
+	expected := 0.0 // number of workers with capacity that are good
 	for _, w := range e.workerList {
 		if w == alloc.w || !need.Fits(w.free()) || !e.eligible(s, w) || e.capacityFor(s, w, need, 1) == 0 {
 			continue
--- a/process/loadshed/expect.go
+++ b/process/loadshed/expect.go
@@ -46,9 +46,9 @@
 	return w
 }
 
-// cellWait returns how long a share of the cell takes for the work of classes that comes before a step.
-// It is the longest of three times: that by the processors and that by the proxies, if all of them
-// served that work, and that by the rate at which work of the same priority was started.
+// cellWait returns how long a share of the cell takes for the work of the classes that comes before a
+// step. It is the longest of three times: that which the processors need, that which the proxies need,
+// and that by the recent rate at which work of the same priority was started.
 func (d *Digest) cellWait(class Class, left time.Duration, late bool, classes []ClassLoad, share float64) Wait {
 	var work, proxy, observed, advice float64
 	for i := range classes {
@@ -75,8 +75,8 @@
 	return Wait{Room: seconds(room)}
 }
 
-// dueWithin returns the share of the work that can be in time that is due before a time, and so comes
-// before a job of the class that is due then. Work about which that is not certain does not count.
+// dueWithin returns which share of the work that can be in time is due within the time left, and so comes
+// before a job of the class that is due then. Work in an interval that ends later does not count.
 func (c *ClassLoad) dueWithin(left time.Duration) float64 {
 	if len(c.Due) == 0 {
 		return 1
@@ -91,7 +91,7 @@
 	return over(sum, all)
 }
 
-// ownClasses returns an account's part of the classes.
+// ownClasses returns an account's part of the classes, without the work that waits for its quota.
 func (d *Digest) ownClasses(own *AccountLoad) []ClassLoad {
 	part := slices.Clone(d.Classes)
 	for i := range part {
--- a/process/loadshed/forecast.go
+++ b/process/loadshed/forecast.go
@@ -14,21 +14,21 @@
 	// Settling is how long a new leader makes no digest. Until it has heard from its workers, it sees
 	// what they run as waiting.
 	Settling = time.Second
-	// window is the time over which starts are averaged: some tens of starts of gangs at the rates of
-	// a full cell, and less than the objective of a gang.
+	// window is the time over which starts are averaged. It is shorter than the objective of a gang,
+	// and in a full cell some tens of gangs start in it.
 	window = 10 * time.Second
-	// longWindow is the time over which they are averaged as well, if that gives a higher rate: a
-	// burst of more urgent work lowers the rate of a class for some seconds, which says little about
-	// the three objectives, half a minute and more, in which a job has to be completed.
+	// longWindow is a second time over which starts are averaged; the higher rate of the two counts.
+	// A burst of more urgent work lowers the rate of a class for some seconds, which says little
+	// about the half minute and more (three objectives) in which a job has to be completed.
 	longWindow = 3 * window
 	// minObserved is how long work of a class must have been waiting, with breaks of at most maxGap, for
 	// its rate of starts to tell what the cell can do, rather than what was submitted.
 	minObserved = 5 * time.Second
 	maxGap      = time.Second
-	// maxAccounts bounds the accounts in a digest, which is sent with some hundred answers per second.
+	// maxAccounts bounds the size of a digest, which is sent with some hundred answers per second.
 	maxAccounts = 32
-	// minListed: accounts are listed only while a class's work takes longer, in seconds; otherwise
-	// nothing is refused.
+	// minListed is the time, in seconds, that the work of a class has to take for accounts to be
+	// listed. With less work nothing is refused.
 	minListed = 2.0
 )
 
@@ -49,9 +49,9 @@
 	Rank    Rank
 	// Left is the time to the step's due time.
 	Left time.Duration
-	// Work is that of the tasks to start, in core-seconds; Proxy the time that the calls for advice
-	// still to be made occupy proxies; Quota the time that the account's cap takes to run the step, if
-	// it waits for the quota, all in seconds.
+	// Work is the work of the tasks to start, in core-seconds. Proxy is how long the calls for advice
+	// that are still to be sent occupy proxies, and Quota how long the account's cap takes to run the
+	// step if it waits for the quota, both in seconds.
 	Work, Proxy, Quota float64
 	// AwaitsAdvice and AwaitsQuota tell what the step waits for; neither: capacity.
 	AwaitsAdvice, AwaitsQuota bool
@@ -87,9 +87,9 @@
 type starts struct {
 	unsampled float64  // work started since the last sample
 	samples   []sample // of the last longWindow, by time
-	// waitingSince is since when work has been waiting without a break longer than maxGap, and waitedAt
-	// when some was last waiting; -1 for waitingSince: none is. Of an account, only work that waits for
-	// the quota or is beyond the entitlement counts.
+	// waitingSince is since when work has been waiting without a break longer than maxGap, -1 if none
+	// is; waitedAt is when some was last waiting. Of an account, only work that waits for the quota or
+	// is beyond the entitlement counts.
 	waitingSince, waitedAt time.Duration
 }
 
@@ -255,10 +255,10 @@
 	}
 }
 
-// rate returns the work started per second while work was waiting; 0 if that is not known. least counts
-// as started in any case: with less than one start in the window, the rate would be 0 and the wait
-// without bound. If nothing at all was started, the cause is a fault of the cell that ends at an
-// unknown time, rather than load.
+// rate returns the work started per second while work was waiting; 0 if that is not known. least, the
+// mean work of a step, counts as started in any case: without a start in the window the rate would be 0
+// and the wait unbounded. If nothing at all was started in the cell, the cause is a fault rather than
+// load, and its end is not known.
 func (f *Forecast) rate(now time.Duration, k key, least float64) float64 {
 	r := f.starts[k]
 	if r.waitingSince < 0 || now-r.waitingSince < minObserved {
--- a/process/loadshed/forecast_test.go
+++ b/process/loadshed/forecast_test.go
@@ -21,6 +21,7 @@
 }
 
 func TestRateIsThatOfStartsWhileWorkWaits(t *testing.T) {
+	// Guards against expected waits by a rate that is not that of the recent starts.
 	var f Forecast
 	waiting := cellWith(Step{Class: gangs, Work: 500, Left: 5 * time.Second, AwaitsAdvice: true}, Step{Class: gangs, Work: 1500, Rank: Late}, Step{Class: gangs, Work: 7000, Rank: TooLate})
 	d := run(&f, 0, 4*time.Second, 100, waiting)
@@ -33,8 +34,7 @@
 }
 
 func TestFewSubmissionsAreNoLowRate(t *testing.T) {
-	// Guards against taking a rate of starts that is low because little is submitted for what the cell
-	// can do.
+	// Guards against refusals because few submissions, and so few starts, are taken for a slow cell.
 	var f Forecast
 	for now := time.Duration(0); now < 30*time.Second; now += Period {
 		cell := cellWith()
@@ -77,7 +77,7 @@
 }
 
 func TestAccountsAreListedOnlyUnderOverload(t *testing.T) {
-	// The digest is sent with every answer, also over slow links.
+	// Guards against large digests: one is sent with every answer, also over slow links.
 	var f Forecast
 	cell := cellWith(Step{Class: gangs, Account: "a", Work: 10})
 	cell.Accounts = []Account{{Name: "a", Weight: 2}, {Name: "b", Weight: 1}}
@@ -93,6 +93,7 @@
 }
 
 func TestDigestsOfManyAccountsStaySmall(t *testing.T) {
+	// Guards against digests whose size grows with the number of accounts.
 	var f Forecast
 	cell := cellWith()
 	for i := range 1200 {
--- a/process/loadshed/gate.go
+++ b/process/loadshed/gate.go
@@ -5,7 +5,7 @@
 // Gate judges the submissions of one shard at one daemon. It is not safe for concurrent use.
 type Gate struct {
 	digest *Digest
-	asked  time.Duration // when the request was sent that digest answers, less the digest's own age
+	asked  time.Duration // when the request that digest answers was sent, less the digest's own age
 }
 
 // Take takes a digest that answers a request sent at the given time. An older one than that in use is
@@ -48,8 +48,8 @@
 }
 
 // retryAfter returns a delay of about the time that the queue takes to become short enough, in whole
-// seconds, since callers get it in these. Up to retrySpread of it and up to a second are added at random
-// before the fraction is dropped; if it were rounded up, callers would return together.
+// seconds, the unit of the header. Up to retrySpread of the delay and up to a second are added at random
+// before the fraction is dropped. Without the second, most delays would become the same number.
 func retryAfter(excess time.Duration, spread float64) time.Duration {
 	delay := min(max(excess, minRetry), maxRetry)
 	delay += time.Duration(min(max(spread, 0), 1) * (retrySpread*float64(delay) + float64(time.Second)))
--- a/process/loadshed/loadshed.go
+++ b/process/loadshed/loadshed.go
@@ -1,9 +1,9 @@
 // Package loadshed decides which submissions a cell refuses because it cannot complete them while
 // they are worth anything.
 //
-// It handles load that exceeds, for seconds to minutes, what the cell completes in useful time, and
-// accounts that submit many times their usual load. Without it every job is accepted, the ones that
-// never end as well, and their callers learn nothing until they give up.
+// Load: for seconds to minutes, more work than the cell completes in useful time, and accounts that
+// submit many times their usual load. If every job is accepted, some never end, and their callers
+// learn nothing until they give up.
 //
 // On the leader, a Forecast condenses the waiting steps and the recent rate of starts into a Digest.
 // On each daemon, a Gate judges a submission by the newest Digest. The package has no clock, makes no
@@ -37,12 +37,13 @@
 	// of run times are off by a third and more, and a job accepted by mistake costs less than one
 	// refused by mistake.
 	margin = 1.25
-	// minWait: a job that is expected to wait less is accepted, whatever its objective. Rates are
-	// averaged over window, so they do not tell a shorter wait from a fluctuation. With 1 s, four of ten
-	// refused quick jobs of accounts beyond their entitlement would have been served in time or late.
+	// minWait is the expected wait below which a job is accepted, whatever its objective. Rates are
+	// averaged over window, so they do not tell a shorter wait from a fluctuation: with a minWait of
+	// 1 s, four in ten refused quick jobs of accounts beyond their entitlement could have been
+	// completed while they were of value.
 	minWait = window
-	// Bounds of a Retry-After before it is spread. Callers have 3 s for all of their attempts, so a
-	// caller that is told to wait longer than 2 s has no attempt left.
+	// minRetry and maxRetry bound a Retry-After before it is spread. Callers have 3 s for all of their
+	// attempts, so a longer delay would leave a caller no further attempt.
 	minRetry = time.Second
 	maxRetry = 2 * time.Second
 	// retrySpread is the largest part of a Retry-After that is added at random, so that refused
@@ -81,10 +82,11 @@
 	Late   float64 `cbor:"2,keyasint,omitempty"`
 }
 
-// dueBounds are the bounds of the times left by which work is counted: less than a second to the
-// objectives of the longest gangs. Work with more time left comes after nearly every new job.
-var dueBounds = [...]time.Duration{time.Second, 2 * time.Second, 3 * time.Second, 4 * time.Second, 6 * time.Second, 8 * time.Second,
-	12 * time.Second, 16 * time.Second, 24 * time.Second, 32 * time.Second, 48 * time.Second, 64 * time.Second}
+// dueBounds are the upper bounds of the time left to the due time by which waiting work is counted, up
+// to the objectives of the longest gangs. Work with more time left comes after nearly every new job.
+var dueBounds = [...]time.Duration{time.Second, 2 * time.Second, 3 * time.Second, 4 * time.Second,
+	6 * time.Second, 8 * time.Second, 12 * time.Second, 16 * time.Second,
+	24 * time.Second, 32 * time.Second, 48 * time.Second, 64 * time.Second}
 
 // ClassLoad is the load of a class.
 type ClassLoad struct {
@@ -96,7 +98,7 @@
 	// Proxy is the time that the waiting steps will occupy proxies, in seconds.
 	Proxy Waiting `cbor:"3,keyasint,omitempty"`
 	// Rate is the work of the class that was started per second while work of the class was waiting;
-	// 0: not known.
+	// 0 if it is not known.
 	Rate float64 `cbor:"4,keyasint,omitempty"`
 	// Advice is the share of the waiting work that waits for advice, rather than for capacity.
 	Advice float64 `cbor:"5,keyasint,omitempty"`
@@ -127,6 +129,8 @@
 	Rate float64 `cbor:"6,keyasint,omitempty"`
 }
 
+// awaitsQuota reports whether the account's work in the class takes so long within its quota that the
+// account is to be listed.
 func (c AccountClass) awaitsQuota() bool {
 	return max(over(c.Work.InTime+c.Work.Late, c.Rate), c.Quota.InTime+c.Quota.Late) > minListed
 }
@@ -140,9 +144,11 @@
 	Objective, Path time.Duration
 }
 
-// JobOf returns what a submission is judged by. A job that cannot be judged has no Objective: one
-// that repeats or starts later, of which the load at that time is not known, one that serves until it is
-// stopped, one of best-effort work, which uses what others leave, and one without an estimate.
+// JobOf returns what a submission is judged by. The Objective is 0 for a job that cannot be judged:
+//   - one that repeats or starts later, because the load at that time is not known;
+//   - one with long-running tasks, which serve until they are stopped;
+//   - one with best-effort work, which uses the capacity that other work leaves;
+//   - one without estimates.
 func JobOf(j *work.Job) Job {
 	x := Job{Priority: j.Queue.Priority, Account: j.Account}
 	if j.Repeat > 0 || j.StartAt > 0 {
--- a/process/loadshed/loadshed_test.go
+++ b/process/loadshed/loadshed_test.go
@@ -28,6 +28,7 @@
 }
 
 func TestOverloadIsRefused(t *testing.T) {
+	// Guards against accepting jobs that are worth nothing when they are completed.
 	x := judge(overload(), gang)
 	require.True(t, x.Refuse)
 	require.Equal(t, Wait{Room: 90 * time.Second, Advice: 30 * time.Second}, x.Wait, "12,000 core-seconds at 100 per second, a quarter of it for advice")
@@ -44,6 +45,7 @@
 }
 
 func TestWorkThatComesAfterTheJobDoesNotCount(t *testing.T) {
+	// Guards against refusals because of less urgent work.
 	urgent := Job{Priority: 0, Account: "a", Objective: 2 * time.Second, Path: time.Second}
 	require.Equal(t, Decision{}, judge(overload(), urgent), "gangs wait, of a less urgent queue")
 
@@ -57,6 +59,7 @@
 }
 
 func TestAccountIsJudgedByItsShare(t *testing.T) {
+	// Guards against refusing an account's jobs because of the work of others.
 	d := overload()
 	require.True(t, judge(d, gang).Refuse)
 	small := gang
@@ -70,6 +73,7 @@
 }
 
 func TestQuotaOfTheAccountDelaysIt(t *testing.T) {
+	// Guards against accepting jobs that the account's quota delays until they are worth nothing.
 	d := &Digest{Epoch: 1, Cores: 1000, Proxies: 10, Weights: 1, Accounts: []AccountLoad{{Name: "a", Weight: 1,
 		Classes: []AccountClass{{Class: Class{Priority: 1}, Work: Waiting{Late: 600}, Blocked: Waiting{Late: 600}, Quota: Waiting{Late: 60}}}}}}
 	x := judge(d, gang)
@@ -83,6 +87,7 @@
 }
 
 func TestOnlyFreshDigestsOfTheLeaderAreUsed(t *testing.T) {
+	// Guards against refusals because of a load that is over, or by a deposed leader's digest.
 	var g Gate
 	require.True(t, g.Judge(gang, 0, 1, 0).Outdated, "no digest yet")
 	d := overload()
@@ -104,6 +109,7 @@
 }
 
 func TestJobsThatCannotBeJudgedAreAccepted(t *testing.T) {
+	// Guards against refusing jobs whose end cannot be estimated.
 	plain := work.Job{Queue: work.Queue{Priority: 1, Slack: 2}, Account: "a", Steps: []work.Step{{Count: 2, Estimate: 5 * time.Second}}}
 	require.True(t, judge(overload(), JobOf(&plain)).Refuse)
 	for what, change := range map[string]func(*work.Job){
@@ -151,6 +157,7 @@
 }
 
 func TestMoreLoadNeverShortensTheWait(t *testing.T) {
+	// Guards against accepting a job under more load than that under which it is refused.
 	rapid.Check(t, func(t *rapid.T) {
 		d, j := drawDigest(t), drawJob(t)
 		before := judge(d, j)
@@ -173,7 +180,7 @@
 }
 
 func TestOthersBeyondTheirEntitlementDoNotCount(t *testing.T) {
-	// Guards against accounts that lose by what others submit beyond their entitlement.
+	// Guards against refusing an account's jobs because of what others submit beyond their entitlement.
 	rapid.Check(t, func(t *rapid.T) {
 		d, j := drawDigest(t), drawJob(t)
 		if a := d.account(j.Account); a != nil {
@@ -195,8 +202,9 @@
 }
 
 func TestRefusalsKeepTheirBounds(t *testing.T) {
-	// A Retry-After is 1 to 3 whole seconds, a refused job would end after it has lost its value, and an
-	// account without waiting work is never refused.
+	// Guards against refusals that break the package's guarantees: a Retry-After is 1 to 3 whole
+	// seconds, a refused job would end after it has lost its value, and an account without waiting
+	// work is never refused.
 	rapid.Check(t, func(t *rapid.T) {
 		d, j := drawDigest(t), drawJob(t)
 		var g Gate
--- a/process/preemption/preemption.go
+++ b/process/preemption/preemption.go
@@ -2,13 +2,13 @@
 // which runs.
 //
 // Load: gangs and urgent work wait while tasks with slack fill the cell. A gang needs many slots
-// at once, and its tickets are valid for two seconds at most, so that it starts only if free
-// slots and valid tickets are there at the same time. Small tasks fill each slot that opens on
-// the way. A stopped run loses little if its step writes checkpoints: the time to stop and to
-// start again, and a new ticket for its worker.
+// at once, and its tickets are valid for two seconds at most, so it starts only if it has free
+// slots and valid tickets at the same time. Meanwhile, small tasks fill each slot that becomes
+// free. A stopped run loses little if its step writes checkpoints: the time to stop and to
+// start again, and the wait for a new ticket.
 //
 // Guarantees:
-//   - a plan gives every task of the step a slot: on what is free, and on what its victims free;
+//   - a plan gives every task of the step a slot, in free capacity or in that of its victims;
 //   - no victim of a plan is needless: without any one of them, the plan has too few slots;
 //   - victims are of a less urgent queue, write checkpoints, are no members of gangs and no
 //     long-running tasks, and still meet their objective after the loss, as far as estimates tell;
@@ -41,20 +41,20 @@
 	// stopCost is added for each victim, in core-seconds: a stop, a start, and a name in a call
 	// for a new ticket. It makes few large victims preferable to many small ones.
 	stopCost = 2.0
-	// nameCost is added for a worker that the call for tickets has to name, in core-seconds: a
-	// name costs the step some 8 ms of a slow call.
+	// nameCost is added for each worker that the call for tickets has to name, in core-seconds:
+	// a name makes a slow call some 8 ms longer.
 	nameCost = 1.0
-	// slackScale is the slack at which the risk of a victim's lateness counts as much as its
-	// restart; it falls off with more slack.
+	// slackScale is how fast the risk that a victim ends late falls with the slack that a stop
+	// leaves it: with none, all of its remaining work counts as lost, with slackScale a quarter.
 	slackScale = time.Second
-	// gainShare is the part of a step's work that it loses if it is late: a late job keeps a
-	// fifth of its value.
+	// gainShare is the part of its value that a step loses if it is late: a late job keeps a
+	// fifth. The value is measured as the step's work.
 	gainShare = 0.8
 )
 
 // Run is a run that could be stopped.
 type Run struct {
-	ID       int // for the caller
+	ID       int // set and read by the caller only
 	Size     work.Resources
 	Priority int // of its queue; a higher number is less urgent
 	// Checkpoints: its step writes checkpoints.
@@ -62,7 +62,7 @@
 	// Protected: it is a member of a gang or a long-running task, or it must not be stopped for
 	// another reason.
 	Protected bool
-	Stopped   int // how often its task has been stopped for others
+	Stopped   int // how often its task has been stopped for other steps
 	Age       time.Duration
 	// Remaining is the expected remaining time, Slack the time between its expected end without
 	// a stop and its objective.
@@ -73,7 +73,7 @@
 
 // Worker is a worker that a waiting step may use.
 type Worker struct {
-	ID    int            // for the caller
+	ID    int            // set and read by the caller only
 	Free  work.Resources // may be negative in a dimension
 	Limit int            // how many of the step's tasks may go there
 	// NoTicket: the step has no ticket for the worker that outlasts the call.
@@ -86,8 +86,8 @@
 	Need     work.Resources // of one task
 	Count    int            // of tasks that must start together
 	Priority int
-	// Now is the current time, Due the step's latest end, Estimate how long it runs, Without its
-	// expected start if nothing is stopped, and With the start that stops make possible.
+	// Now is the current time, Due the latest end at which the step is in time, and Estimate how
+	// long it runs. Without is its expected start if nothing is stopped, With that by the plan.
 	Now, Due, Estimate, Without, With time.Duration
 }
 
@@ -103,7 +103,7 @@
 	Victims []Run
 }
 
-// Plan is what a step would use.
+// Plan is the slots that a step would use, and the runs to stop for them.
 type Plan struct {
 	Slots   []Slots
 	Victims int
@@ -111,7 +111,7 @@
 	Loss float64
 }
 
-// Eligible reports whether a run may be stopped for a step of that priority.
+// Eligible reports whether the run may be stopped for a step of the given priority.
 func (r *Run) Eligible(priority int) bool {
 	return r.Checkpoints && !r.Protected && r.Priority > priority && r.Stopped < MaxPerTask && r.Age >= MinAge &&
 		r.Remaining > AlmostDone && r.Slack > Restart+r.Renewal
@@ -125,8 +125,8 @@
 	return stopCost + cores*Restart.Seconds() + cores*r.Remaining.Seconds()*risk*risk
 }
 
-// Worthwhile reports whether a step of that many core-seconds gains more by a plan than others
-// lose by it.
+// Worthwhile reports whether a step with the given work, in core-seconds, gains more by the plan
+// than its victims lose.
 func (p *Plan) Worthwhile(coreSeconds float64) bool { return p.Loss < gainShare*coreSeconds }
 
 // candidate is a run that may be stopped, with its loss.
@@ -147,15 +147,15 @@
 	return than.gain == 0 || o.loss*float64(than.gain) < than.loss*float64(o.gain)
 }
 
-// state is a worker while a plan is made.
+// state is the state of a worker while a plan is made.
 type state struct {
 	w       *Worker
-	free    work.Resources // with what the chosen victims free
-	fits    int            // slots in what is free at first
-	n       int            // slots in use by the plan
-	victims []candidate
-	left    []candidate // that may still be chosen, those with the least loss per core first
-	// best is the result of next, without slots if there is no way to more; stale: it has to be
+	free    work.Resources // with the capacity of the chosen victims
+	fits    int            // slots without any victims
+	n       int            // slots that the plan uses
+	victims []candidate    // chosen
+	left    []candidate    // that may still be chosen, those with the least loss per core first
+	// best is the result of next; its gain is 0 if no stops give more slots. stale: it has to be
 	// computed again.
 	best  option
 	stale bool
@@ -262,8 +262,8 @@
 	return best
 }
 
-// needed returns the victims, of which free includes the sizes, that n slots need. It drops
-// those with the greatest loss first.
+// needed returns those of the victims without which there would be fewer than n slots. free is the
+// free capacity with that of all victims. Victims with the greatest loss are dropped first.
 func needed(need, free work.Resources, n int, victims []candidate) []candidate {
 	kept := slices.Clone(victims)
 	slices.SortStableFunc(kept, func(a, b candidate) int { return cmp.Compare(b.loss, a.loss) })
@@ -288,8 +288,8 @@
 	x.stale = true
 }
 
-// planOf returns the plan of the states without needless victims: options that were chosen one
-// after the other on a worker may together have one too many.
+// planOf returns the plan for the chosen slots. It drops needless victims: options that are chosen
+// one after the other on a worker may together stop more runs than their slots need.
 func planOf(c Claim, states []*state) Plan {
 	var p Plan
 	for _, x := range states {
@@ -307,8 +307,8 @@
 	return p
 }
 
-// Budget bounds the stops per second: it gains Rate stops per second, up to as many as one
-// second's.
+// Budget is a token bucket that bounds the stops: it gains Rate stops per second and holds at most
+// Rate.
 type Budget struct {
 	Rate int
 	left float64
--- a/process/preemption/preemption_test.go
+++ b/process/preemption/preemption_test.go
@@ -55,7 +55,7 @@
 	require.Equal(t, 5, p.Slots[0].Victims[0].ID)
 }
 
-// TestVictimsWithMostSlackComeFirst guards against stops that make late what has little slack.
+// TestVictimsWithMostSlackComeFirst guards against stops by which runs with little slack end late.
 func TestVictimsWithMostSlackComeFirst(t *testing.T) {
 	tight, loose := small(1, 8), small(2, 8)
 	tight.Slack = 1500 * ms
@@ -64,8 +64,8 @@
 	require.Equal(t, 2, p.Slots[0].Victims[0].ID)
 }
 
-// TestFreeSlotsComeFirst guards against stops beside free capacity, and against names in the call
-// for workers of which tickets are at hand.
+// TestFreeSlotsComeFirst guards against stops although free capacity suffices, and against calls
+// that name workers for which the step has tickets.
 func TestFreeSlotsComeFirst(t *testing.T) {
 	full := Worker{ID: 1, Limit: 2, Runs: []Run{small(1, 16)}}
 	free := Worker{ID: 2, Limit: 2, Free: work.Resources{CPU: 16000}, NoTicket: true}
@@ -77,7 +77,7 @@
 	require.Equal(t, 2, p.Slots[1].Worker.ID)
 }
 
-// TestNoPlanWithoutAllSlots guards against stops for a gang that cannot start all the same.
+// TestNoPlanWithoutAllSlots guards against stops for a gang that cannot start in spite of them.
 func TestNoPlanWithoutAllSlots(t *testing.T) {
 	w := Worker{Limit: 4, Runs: []Run{small(1, 8), small(2, 8)}}
 	_, ok := Choose(gangOf(3, 8), []Worker{w})
@@ -96,6 +96,8 @@
 	require.False(t, early.Qualifies(), "in time without it")
 }
 
+// TestPlanIsWorthwhileOnlyIfItGainsMore guards against stops that cost the victims more than the
+// step gains.
 func TestPlanIsWorthwhileOnlyIfItGainsMore(t *testing.T) {
 	p := Plan{Loss: 80}
 	require.True(t, p.Worthwhile(101))
@@ -177,8 +179,9 @@
 	})
 }
 
-// TestBudgetBoundsStops checks that in no second more than twice the rate is stopped, which is
-// what was saved up and what is gained, and in the long run no more than the rate.
+// TestBudgetBoundsStops guards against more stops than the bound per second. Within a second up to
+// twice the rate may be stopped, the stored budget and what is gained, and in the long run no more
+// than the rate.
 func TestBudgetBoundsStops(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		b := Budget{Rate: rapid.IntRange(1, 50).Draw(t, "rate")}
--- a/process/speed/speed.go
+++ b/process/speed/speed.go
@@ -1,6 +1,6 @@
 // Package speed estimates how long runs of tasks take on given workers.
 //
-// The load: workers differ in speed by a factor of two, run time estimates are off by a factor
+// Load: workers differ in speed by a factor of two, run time estimates are off by a factor
 // of two, and a few runs in a hundred take seven times as long as the others. A run is
 // predicted as
 //
@@ -18,7 +18,7 @@
 //     long it takes.
 //   - Progress that stands still or goes back is not used.
 //   - A worker's history is removed with the worker.
-//   - Where workers are of like speed and estimates are right, every factor stays 1.
+//   - Where workers are of similar speed and estimates are right, every factor stays 1.
 //   - Reading a factor allocates nothing and costs a few nanoseconds.
 //
 // All state is in memory. A successor learns it again from the progress that workers report.
@@ -32,24 +32,25 @@
 
 // Variances are of the natural logarithm of run times.
 const (
-	// endNoise is the variance of the run times of one step's tasks on one worker: tasks of a
-	// step are alike but for some 15 %.
+	// endNoise is the variance of the run times of one step's tasks on one worker: they differ
+	// by some 15 %.
 	endNoise = 0.15 * 0.15
 	// progressNoise is the variance of run times derived from progress: a report is some tens
 	// of milliseconds old, of the several hundred that a run takes.
 	progressNoise = 0.2 * 0.2
-	// clipAt is how many standard deviations one run counts at most. Of normally distributed
-	// runs one in twenty is further off.
+	// clipAt bounds, in standard deviations, the deviation with which one run counts. Of normally
+	// distributed runs one in twenty is further off.
 	clipAt = 2
 	// maxWeight bounds the evidence on a worker, so that newer runs replace older ones: with
 	// endNoise, half of it is from the last dozen runs.
 	maxWeight = 12 / endNoise
-	// changeRuns runs in a row that are off in the same direction show that the speed has
-	// changed. One run gives at most two pieces of evidence.
+	// changeRuns is the number of samples in a row that are far off in the same direction from
+	// which the speed counts as changed. It exceeds the two samples, one by progress and one by
+	// its end, that a single run may give.
 	changeRuns = 3
 	// workerSpread is the assumed variance between workers on which nothing is known yet.
 	workerSpread = 0.3 * 0.3
-	// minSpread bounds the learned variances, as few values may be alike by chance.
+	// minSpread is the least learned variance: a few values may be nearly equal by chance.
 	minSpread = 0.1 * 0.1
 	// poolMin is the number of workers with runs of their own from which a pool is used.
 	poolMin = 3
@@ -102,14 +103,14 @@
 	Factor float64
 
 	kind, rack  *pool
-	sum, weight float64 // of the worker's own evidence, weighted by the inverse of its variance
+	sum, weight float64 // of the worker's own evidence, each sample weighted by its inverse variance
 	mean        float64 // logarithm of Factor
 	variance    float64
 	priorMean   float64
 	priorVar    float64
-	direction   float64 // of the last runs that were far off
-	far         int     // how many of them in a row
-	changed     bool    // it is not like the other workers of its pools
+	direction   float64 // of the last samples that were far off: 1 slower, -1 faster
+	far         int     // number of these in a row
+	changed     bool    // its speed has changed, so that it does not count in its pools
 }
 
 // pool is a set of workers that share labels.
@@ -117,7 +118,7 @@
 	key     string
 	members int
 
-	// over its members with runs of their own, by the weight of the evidence on them
+	// Sums over the members with runs of their own, weighted by the evidence on them.
 	n                    int
 	weight, sum, squares float64
 	mean, variance       float64 // variance is 0 if there are too few of them
@@ -196,6 +197,7 @@
 	m.typical = math.Exp(sum / float64(max(len(m.workers), 1)))
 }
 
+// close computes the mean and the variance from the sums.
 func (p *pool) close() {
 	if p.n < poolMin {
 		p.variance = 0
@@ -219,6 +221,7 @@
 	w.update()
 }
 
+// update computes the factor from the pool's mean and the worker's own evidence.
 func (w *Worker) update() {
 	before := w.mean
 	w.variance = 1 / (1/w.priorVar + w.weight)
@@ -240,10 +243,10 @@
 	w.update()
 }
 
-// noteDirection records whether a run was far off, and in which direction. It reports whether
-// that shows that the speed has changed. If so, the factor stays, but the evidence for it counts
-// no more than what is assumed of a new worker.
-func (w *Worker) noteDirection(off float64, far bool) bool {
+// detectChange records whether a sample was far off, and in which direction, and reports whether the
+// speed has changed. If so, the factor stays as it is, but the evidence for it counts no more than
+// what is assumed of a new worker, so that new samples move it quickly.
+func (w *Worker) detectChange(off float64, far bool) bool {
 	if !far {
 		w.far = 0
 		return false
@@ -263,7 +266,7 @@
 	return true
 }
 
-// Learn takes into account how long a whole run of work with this estimate takes on a worker.
+// Learn takes into account that a whole run of the work takes took on a worker.
 func (m *Model) Learn(w *Worker, s *Work, took time.Duration, from Evidence) {
 	if s.estimate <= 0 || took <= 0 {
 		return
@@ -296,7 +299,7 @@
 		m.stats.Clipped++
 		off = math.Copysign(bound, off)
 	}
-	if w.noteDirection(off, far) {
+	if w.detectChange(off, far) {
 		m.stats.Changed++
 	}
 	s.queue.learn(s, ofWork+off)
--- a/process/speed/speed_test.go
+++ b/process/speed/speed_test.go
@@ -138,8 +138,8 @@
 	}
 }
 
-// TestOneRunHasBoundedInfluence guards against a single run that takes a hundred times as long,
-// which moved a plain average by as much.
+// TestOneRunHasBoundedInfluence guards against predictions that follow a single run that takes a
+// hundred times as long as the others, as a plain average does.
 func TestOneRunHasBoundedInfluence(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := New(false)
@@ -207,8 +207,8 @@
 	require.InDelta(t, 2, slow.Factor/fast.Factor, 0.25)
 }
 
-// TestChangeOfSpeedIsFollowed guards against a worker whose disk fails, and that keeps its good
-// reputation of an hour for minutes.
+// TestChangeOfSpeedIsFollowed guards against a worker that becomes slow, for example because a disk
+// fails, and keeps its factor for minutes because of many earlier runs.
 func TestChangeOfSpeedIsFollowed(t *testing.T) {
 	m := New(false)
 	w, other := m.AddWorker("k", "r1"), m.AddWorker("k", "r2")
@@ -315,6 +315,8 @@
 	require.EqualValues(t, 1, m.Stats().Samples)
 }
 
+// TestReadingFactorsAllocatesNothing guards against rounds that allocate memory for each step and
+// worker.
 func TestReadingFactorsAllocatesNothing(t *testing.T) {
 	m := New(false)
 	w := m.AddWorker("k", "r")
--- a/process/speed/work.go
+++ b/process/speed/work.go
@@ -8,10 +8,10 @@
 const (
 	// queueSteps is the number of steps over which a queue's figures are averaged.
 	queueSteps = 60
-	// slopeSteps is the number of steps, whose estimates differ by a factor of 2.7, that weigh
-	// as much as the assumption that estimates are unbiased.
+	// slopeSteps is the weight of the assumption that run times are proportional to estimates,
+	// as a number of steps whose estimates are off their mean by a factor of e.
 	slopeSteps = 1
-	// estimateSpread is the assumed variance of the error of estimates of a new queue.
+	// estimateSpread is the variance that is assumed for the error of a new queue's estimates.
 	estimateSpread = 0.5 * 0.5
 )
 
@@ -19,9 +19,9 @@
 // work with a high one mostly takes less time, and work with a low one more. Logarithms of run
 // times are therefore fitted as a linear function of those of estimates.
 type Queue struct {
-	ratio float64 // moving average, see New
+	ratio float64 // moving average of run time divided by estimate, see New
 
-	n          float64 // steps, up to queueSteps
+	n          float64 // number of steps, up to queueSteps
 	meanX      float64 // of the logarithm of the estimate
 	meanY      float64 // of the logarithm of the run time on a worker of factor 1
 	varX, cov  float64
@@ -34,8 +34,8 @@
 const (
 	// longRatio is the ratio of run time to prediction from which a run counts as long.
 	longRatio = 2.5
-	// longRuns is the number of runs over which their share is averaged, longInitial the share
-	// that is assumed at first.
+	// longRuns is the number of samples over which their share is averaged, longInitial the share
+	// of a new queue.
 	longRuns    = 200
 	longInitial = 0.01
 )
@@ -61,8 +61,9 @@
 	return q.meanY - q.meanX + (q.slope-1)*(x-q.meanX)
 }
 
-// learn takes into account the logarithm of run time divided by estimate of one run, without
-// the worker's factor. The runs of a step weigh less each: one step has one estimate.
+// learn takes into account the logarithm of run time divided by estimate of one run, without the
+// worker's factor. The n-th run of a step has the weight 1/n, because all runs of a step share the
+// error of one estimate.
 func (q *Queue) learn(s *Work, value float64) {
 	s.runs++
 	weight := 1 / float64(s.runs)
@@ -88,7 +89,7 @@
 	queue       *Queue
 	estimate    time.Duration
 	x           float64 // logarithm of the estimate in seconds
-	runs        int     // that have counted
+	runs        int     // number of samples
 	sum, weight float64 // of the step's own evidence
 	factor      float64
 	generation  uint64 // of the queue's figures that factor was computed from
--- a/process/straggler/straggler.go
+++ b/process/straggler/straggler.go
@@ -1,19 +1,20 @@
 // Package straggler decides whether a run that takes much longer than expected is stopped, so
 // that its task starts again on another worker.
 //
-// The load: a few runs in a hundred take seven times as long as the others, for no reason that
-// lies in their task, and workers become slow during a run. One such run delays its job, and in
-// a gang all members.
+// Load: a few runs in a hundred take seven times as long as the others, for reasons other than
+// their task, and workers become slow during a run. One such run delays its job, and in a gang all
+// members.
 //
-// A run is compared with a new one: what is left of it at its own pace, with the time to stop it,
-// to find capacity, to be advised, and to do the work that is left, or all of it if the step
-// writes no checkpoints. The new run may be a long one as well.
+// The remaining time of a run at its present pace is compared with the time that a new run needs: to
+// stop the old one, to find capacity, to be advised, and to do the remaining work, or all of it if
+// the step writes no checkpoints. The new run may take several times too long as well.
 //
 // Guarantees:
 //   - A task, or a gang as a whole, is moved at most MaxMoves times.
-//   - It is moved only if the time gained exceeds the work that is thrown away. The capacity that
-//     this saves is of use to other work even if the job itself is late in any case.
-//   - A run that is as slow as its step, its queue and its worker let expect is not a straggler.
+//   - It is moved only if the time gained exceeds the work that is thrown away. Whether its job can
+//     still be in time does not matter, since the capacity saved is of use to other work.
+//   - A run is a straggler only if it is slower than the caller's prediction of a new run by several
+//     standard deviations.
 package straggler
 
 import (
@@ -22,21 +23,22 @@
 )
 
 const (
-	// MaxMoves is how often a task, or a gang, is moved. If 3 runs in 100 are long, a third
-	// move would be for one task in 30,000.
+	// MaxMoves is how often a task, or a gang, is moved. If 3 runs in 100 are long, one task in
+	// 37,000 has a third long run.
 	MaxMoves = 2
-	// deviations is by how many standard deviations of the prediction a run has to be slower
-	// than expected: one run in 700 is, if predictions are as good as they claim.
+	// deviations is the number of standard deviations of the prediction by which a run has to be
+	// slower than expected. With normally distributed errors one run in 700 is, by chance.
 	deviations = 3
-	// minRatio is the least ratio of pace to prediction: tasks of a step vary by some 15 % each
-	// way, and a stop and a start take as long as a tenth of a usual run.
+	// minRatio is the least ratio of the time at a run's pace to the prediction: tasks of a step
+	// vary by some 15 % each way, and a stop and a start take a tenth of a usual run.
 	minRatio = 1.6
-	// minGain is the least gain: a stop takes effect within 200 ms, which may be late.
+	// minGain is the least gain: more than the 200 ms that a stop may take.
 	minGain = 300 * time.Millisecond
 )
 
-// Slow reports whether a run is a straggler by its pace: the predicted time of a whole run
-// elsewhere, the standard deviation of its logarithm, and the time at the run's pace.
+// Slow reports whether a run is a straggler. predicted is the expected time of a whole run elsewhere,
+// deviation the standard deviation of its logarithm, and pace the time of a whole run at the run's
+// present pace.
 func Slow(predicted time.Duration, deviation float64, pace time.Duration) bool {
 	if predicted <= 0 || pace <= 0 {
 		return false
@@ -51,21 +53,20 @@
 	Tasks int // that would start again: 1, or all of the gang
 	// Remaining is the time until its end at its present pace, Elapsed the time since its start.
 	Remaining, Elapsed time.Duration
-	// Done is the share of the work that is done, from 0 to 1; Checkpoints tells whether it is
-	// kept.
+	// Done is the share of the work that is done, from 0 to 1. It is kept if Checkpoints is set.
 	Done        float64
 	Checkpoints bool
 	// Whole is the predicted time of a whole run elsewhere; Pace is that at its present pace.
 	Whole, Pace time.Duration
-	// LongShare is the share of runs that take long.
+	// LongShare is the share of runs of the queue that take several times too long.
 	LongShare float64
-	// Delay is the time from the stop to the new start, Resume what a start from a checkpoint
-	// takes longer.
+	// Delay is the time from the stop to the new start, Resume the additional time of a start from
+	// a checkpoint.
 	Delay, Resume time.Duration
 }
 
-// again returns the expected time of the new run.
-func (c *Case) again() time.Duration {
+// newRun returns the expected time of the new run.
+func (c *Case) newRun() time.Duration {
 	left, extra := 1.0, time.Duration(0)
 	if c.Checkpoints {
 		left, extra = 1-c.Done, c.Resume
@@ -75,12 +76,12 @@
 	return time.Duration(left*whole*float64(time.Second)) + extra
 }
 
-// Move reports whether to move it, and by how much sooner it is then expected to end.
+// Move reports whether to move the run or gang, and by how much sooner it is then expected to end.
 func (c *Case) Move() (gain time.Duration, move bool) {
 	if c.Moves >= MaxMoves {
 		return 0, false
 	}
-	gain = c.Remaining - c.Delay - c.again()
+	gain = c.Remaining - c.Delay - c.newRun()
 	lost := time.Duration(0)
 	if !c.Checkpoints {
 		lost = c.Elapsed
--- a/process/straggler/straggler_test.go
+++ b/process/straggler/straggler_test.go
@@ -14,7 +14,8 @@
 		LongShare: 0.03, Delay: 300 * time.Millisecond, Resume: 100 * time.Millisecond}
 }
 
-// TestLongRunIsMoved guards against a job that is late for one run in a hundred.
+// TestLongRunIsMoved guards against a job that is late because one of its runs takes several times
+// as long as the others.
 func TestLongRunIsMoved(t *testing.T) {
 	c := long()
 	gain, move := c.Move()
@@ -42,8 +43,8 @@
 	require.False(t, Slow(0, 0.1, time.Second))
 }
 
-// TestCheckpointKeepsWhatIsDone guards against long runs of which most is done, and that are not
-// moved although nothing is lost.
+// TestCheckpointKeepsWhatIsDone guards against long runs that are not moved because most of their
+// work is done, although a checkpoint keeps it.
 func TestCheckpointKeepsWhatIsDone(t *testing.T) {
 	c := long()
 	c.Elapsed, c.Remaining, c.Done = 4*time.Second, 3*time.Second, 4.0/7
