advicebudget, loadshed, preemption: long functions are split

Allot leaves the order of the steps to order, Digest its sums and rates to sums and addRates, beginPreemption its request for tickets to requestPlanTickets. The list of metrics is wrapped; names and order stay.

--- a/process/advicebudget/advicebudget.go
+++ b/process/advicebudget/advicebudget.go
@@ -72,6 +72,9 @@
 // late reports whether the step comes after all steps that can be in time.
 func (s *Step) late() bool { return s.Slack < 0 || s.Yields }
 
+// hasSlack reports whether the step yields to gangs that can be in time.
+func (s *Step) hasSlack(horizon time.Duration) bool { return !s.Gang && s.Slack > horizon }
+
 // Proxies counts the proxies of a round.
 type Proxies struct {
 	All int
@@ -118,33 +121,7 @@
 		return grants
 	}
 	horizon := drain(steps, slow)
-	var inTime, late []int
-	score := make([]float64, len(steps))
-	gangWaits := false
-	for i := range steps {
-		s := &steps[i]
-		gangWaits = gangWaits || (s.Gang && !s.late())
-		switch {
-		case !s.Ready:
-		case s.late():
-			late = append(late, i)
-		default:
-			score[i] = s.Value / max(s.Cost.Seconds(), 0.001) * math.Exp(-float64(s.Slack)/float64(horizon))
-			inTime = append(inTime, i)
-		}
-	}
-	hasSlack := func(i int) bool { return !steps[i].Gang && steps[i].Slack > horizon }
-	slices.SortStableFunc(inTime, func(x, y int) int {
-		if a, b := hasSlack(x), hasSlack(y); a != b {
-			if a {
-				return 1
-			}
-			return -1
-		}
-		return cmp.Compare(score[y], score[x])
-	})
-	slices.SortStableFunc(late, func(x, y int) int { return cmp.Compare(steps[y].Waited, steps[x].Waited) })
-
+	inTime, late := order(steps, horizon)
 	guaranteed, others := 0, p.Others
 	guarantee := func(all []int, kind func(i int) bool) bool {
 		longest := -1
@@ -167,7 +144,7 @@
 		others++
 	}
 	maxOthers := slow
-	if gangWaits {
+	if slices.ContainsFunc(steps, func(s Step) bool { return s.Gang && !s.late() }) {
 		maxOthers = max(1, int(othersShare*float64(slow)))
 	}
 	offers := free - guaranteed + int(offerShare*float64(slow))
@@ -175,7 +152,7 @@
 		if offers == 0 {
 			break
 		}
-		if grants[i] != Postponed || (hasSlack(i) && others >= maxOthers) {
+		if grants[i] != Postponed || (steps[i].hasSlack(horizon) && others >= maxOthers) {
 			continue
 		}
 		if !steps[i].Gang {
@@ -194,6 +171,34 @@
 	return grants
 }
 
+// order returns the indices of the steps that may ask now, those that can be in time and the others,
+// each in the order in which they are served.
+func order(steps []Step, horizon time.Duration) (inTime, late []int) {
+	score := make([]float64, len(steps))
+	for i := range steps {
+		s := &steps[i]
+		switch {
+		case !s.Ready:
+		case s.late():
+			late = append(late, i)
+		default:
+			score[i] = s.Value / max(s.Cost.Seconds(), 0.001) * math.Exp(-float64(s.Slack)/float64(horizon))
+			inTime = append(inTime, i)
+		}
+	}
+	slices.SortStableFunc(inTime, func(x, y int) int {
+		if a, b := steps[x].hasSlack(horizon), steps[y].hasSlack(horizon); a != b {
+			if a {
+				return 1
+			}
+			return -1
+		}
+		return cmp.Compare(score[y], score[x])
+	})
+	slices.SortStableFunc(late, func(x, y int) int { return cmp.Compare(steps[y].Waited, steps[x].Waited) })
+	return inTime, late
+}
+
 // minHorizon is the least horizon of the discount: about the duration of a slow call.
 const minHorizon = time.Second
 
--- a/process/cellnode/metrics.go
+++ b/process/cellnode/metrics.go
@@ -24,10 +24,15 @@
 	}{
 		{"starts", s.Starts}, {"resent", s.Resent}, {"stops", s.Stops}, {"done", s.Done}, {"failed", s.Failed},
 		{"back", s.Requeued}, {"lost", s.Lost}, {"workers_gone", s.WorkersGone}, {"lost_with_worker", s.LostWithWorker},
-		{"ends_missed", s.CompletionsMissed}, {"suspected", s.Suspected}, {"trials", s.Trials}, {"given_up", s.GivenUp}, {"adopted", s.Adopted}, {"orphans", s.UntrackedRuns}, {"commits", s.Commits}, {"bundles", s.Batches},
-		{"advised", s.Advised}, {"holds", s.GangReservations}, {"aside", s.Quarantined}, {"moved", s.Moved}, {"over_quota", s.OverQuota}, {"preempted", s.Preempted}, {"preemptions", s.Preemptions}, {"preemption_wasted", s.PreemptionWasted}, {"preempted_core_seconds", uint64(s.PreemptedCoreSeconds)}, {"engine_violations", s.Violations},
+		{"ends_missed", s.CompletionsMissed},
+		{"suspected", s.Suspected}, {"trials", s.Trials},
+		{"given_up", s.GivenUp}, {"adopted", s.Adopted}, {"orphans", s.UntrackedRuns}, {"commits", s.Commits}, {"bundles", s.Batches},
+		{"advised", s.Advised}, {"holds", s.GangReservations}, {"aside", s.Quarantined}, {"moved", s.Moved},
+		{"over_quota", s.OverQuota}, {"preempted", s.Preempted}, {"preemptions", s.Preemptions}, {"preemption_wasted", s.PreemptionWasted},
+		{"preempted_core_seconds", uint64(s.PreemptedCoreSeconds)}, {"engine_violations", s.Violations},
 		{"load_digests", s.Digests}, {"load_digests_overloaded", s.DigestsOverloaded},
-		{"speed_samples", s.SpeedSamples}, {"speed_clipped", s.SpeedClipped}, {"speed_changed", s.SpeedChanged}, {"slow_workers", s.SlowWorkers}, {"stragglers", s.Stragglers}, {"straggler_moves", s.StragglerMoves}, {"stragglers_again", s.StragglersAgain},
+		{"speed_samples", s.SpeedSamples}, {"speed_clipped", s.SpeedClipped}, {"speed_changed", s.SpeedChanged},
+		{"slow_workers", s.SlowWorkers}, {"stragglers", s.Stragglers}, {"straggler_moves", s.StragglerMoves}, {"stragglers_again", s.StragglersAgain},
 		{"advice_calls", s.AdviceCalls}, {"advice_calls_gangs", s.GangAdviceCalls}, {"advice_names", s.AdviceNames}, {"advice_postponed", s.AdvicePostponed},
 		{"advice_tickets_unused", s.TicketsUnused}, {"advice_failed", s.AdviceFailed},
 	} {
--- a/process/dispatch/preemption.go
+++ b/process/dispatch/preemption.go
@@ -268,13 +268,7 @@
 // beginPreemption requests the missing tickets of a plan and reserves its capacity. It reports whether
 // the plan is carried out.
 func (e *Engine) beginPreemption(s *step, c preemption.Claim, plan preemption.Plan) bool {
-	a := e.adviceOf(s)
-	var ids []runner.WorkerID
-	for _, x := range plan.Slots {
-		if x.Worker.NoTicket {
-			ids = append(ids, e.workerList[x.Worker.ID].ID)
-		}
-	}
+	ids := e.planWithoutTickets(plan)
 	if len(ids) > maxWorkersPerCall {
 		return false
 	}
@@ -286,19 +280,8 @@
 	if !c.Qualifies() {
 		return false
 	}
-	if len(ids) > 0 {
-		// The tickets at hand have to last until the others arrive.
-		for _, x := range plan.Slots {
-			if t := a.ticketFor(e.workerList[x.Worker.ID]); !x.Worker.NoTicket && !t.valid(c.With+lead) {
-				if len(ids) == maxWorkersPerCall {
-					return false
-				}
-				ids = append(ids, e.workerList[x.Worker.ID].ID)
-			}
-		}
-		if !e.requestAdvice(s, ids) {
-			return false
-		}
+	if len(ids) > 0 && !e.requestPlanTickets(s, plan, ids, c.With+lead) {
+		return false
 	}
 	e.unreserve(s)
 	p := &preemptionState{s: s, runs: s.gang.runs, priority: c.Priority,
@@ -319,6 +302,33 @@
 	return true
 }
 
+// planWithoutTickets returns the workers of a plan for which the step has no ticket.
+func (e *Engine) planWithoutTickets(plan preemption.Plan) []runner.WorkerID {
+	var ids []runner.WorkerID
+	for _, x := range plan.Slots {
+		if x.Worker.NoTicket {
+			ids = append(ids, e.workerList[x.Worker.ID].ID)
+		}
+	}
+	return ids
+}
+
+// requestPlanTickets requests tickets for the given workers of a plan, and for those of its workers
+// whose tickets expire before a time: the tickets that the step has must last until the others
+// arrive. It reports whether one call is enough for all and can be sent.
+func (e *Engine) requestPlanTickets(s *step, plan preemption.Plan, ids []runner.WorkerID, until time.Duration) bool {
+	a := e.adviceOf(s)
+	for _, x := range plan.Slots {
+		if t := a.ticketFor(e.workerList[x.Worker.ID]); !x.Worker.NoTicket && !t.valid(until) {
+			if len(ids) == maxWorkersPerCall {
+				return false
+			}
+			ids = append(ids, e.workerList[x.Worker.ID].ID)
+		}
+	}
+	return e.requestAdvice(s, ids)
+}
+
 // keepQuota reserves, in this round, the part of the account's cap that a step with a plan needs, so
 // that the account's steps after it do not use it.
 func (e *Engine) keepQuota(s *step) {
--- a/process/loadshed/forecast.go
+++ b/process/loadshed/forecast.go
@@ -122,65 +122,84 @@
 // Digest returns the digest of the shard's state at a time. Times must not decrease.
 func (f *Forecast) Digest(now time.Duration, epoch uint64, cell *Cell) *Digest {
 	d := &Digest{Epoch: epoch, Cores: cell.Cores, Proxies: cell.Proxies}
-	counts := map[key]int{} // of steps; for an account, of those that wait for the quota
-	advice := map[Class]float64{}
-	accounts := map[string]*AccountLoad{}
+	sum := sums{digest: d, counts: map[key]int{}, advice: map[Class]float64{}, accounts: map[string]*AccountLoad{}}
 	for i := range cell.Steps {
-		s := &cell.Steps[i]
-		if s.Rank == TooLate {
-			continue
-		}
-		if s.Account != "" {
-			a := accounts[s.Account]
-			if a == nil {
-				a = &AccountLoad{Name: s.Account}
-				accounts[s.Account] = a
-			}
-			own := a.class(s.Class)
-			own.Work.add(s.Rank, s.Work)
-			if s.AwaitsQuota {
-				own.Blocked.add(s.Rank, s.Work)
-				own.Quota.add(s.Rank, s.Quota)
-			} else {
-				own.Proxy.add(s.Rank, s.Proxy)
-			}
-			if s.AwaitsQuota || s.Class.Over {
-				counts[key{s.Account, s.Class}]++
-			}
-		}
-		if s.AwaitsQuota {
-			continue
-		}
-		c := d.class(s.Class)
-		c.Work.add(s.Rank, s.Work)
-		c.Proxy.add(s.Rank, s.Proxy)
-		if s.Rank == InTime {
-			c.addDue(s.Left, s.Work)
-		}
-		counts[key{"", s.Class}]++
-		if s.AwaitsAdvice {
-			advice[s.Class] += s.Work
+		if s := &cell.Steps[i]; s.Rank != TooLate {
+			sum.add(s)
 		}
 	}
-	f.sample(now, counts)
-	for i := range d.Classes {
-		c := &d.Classes[i]
+	f.sample(now, sum.counts)
+	f.addRates(now, &sum)
+	slices.SortFunc(d.Classes, func(a, b ClassLoad) int { return compareClasses(a.Class, b.Class) })
+	d.addAccounts(cell.Accounts, sum.accounts)
+	return d
+}
+
+// sums holds the sums over the waiting steps while a digest is made.
+type sums struct {
+	digest   *Digest
+	counts   map[key]int       // of steps; for an account, of those that wait for the quota or exceed the entitlement
+	advice   map[Class]float64 // work that waits for advice, in core-seconds
+	accounts map[string]*AccountLoad
+}
+
+// add adds a step to its class and to its account.
+func (x *sums) add(s *Step) {
+	if s.Account != "" {
+		x.addOwn(s)
+	}
+	if s.AwaitsQuota {
+		return
+	}
+	c := x.digest.class(s.Class)
+	c.Work.add(s.Rank, s.Work)
+	c.Proxy.add(s.Rank, s.Proxy)
+	if s.Rank == InTime {
+		c.addDue(s.Left, s.Work)
+	}
+	x.counts[key{"", s.Class}]++
+	if s.AwaitsAdvice {
+		x.advice[s.Class] += s.Work
+	}
+}
+
+// addOwn adds a step to its account.
+func (x *sums) addOwn(s *Step) {
+	a := x.accounts[s.Account]
+	if a == nil {
+		a = &AccountLoad{Name: s.Account}
+		x.accounts[s.Account] = a
+	}
+	own := a.class(s.Class)
+	own.Work.add(s.Rank, s.Work)
+	if s.AwaitsQuota {
+		own.Blocked.add(s.Rank, s.Work)
+		own.Quota.add(s.Rank, s.Quota)
+	} else {
+		own.Proxy.add(s.Rank, s.Proxy)
+	}
+	if s.AwaitsQuota || s.Class.Over {
+		x.counts[key{s.Account, s.Class}]++
+	}
+}
+
+// addRates adds the rates of starts, and the shares of work that waits for advice, to a digest.
+func (f *Forecast) addRates(now time.Duration, x *sums) {
+	for i := range x.digest.Classes {
+		c := &x.digest.Classes[i]
 		work := c.Work.InTime + c.Work.Late
 		k := key{"", c.Class}
-		c.Rate = f.rate(now, k, work/float64(counts[k]))
-		c.Advice = over(advice[c.Class], work)
+		c.Rate = f.rate(now, k, work/float64(x.counts[k]))
+		c.Advice = over(x.advice[c.Class], work)
 	}
-	for _, a := range accounts {
+	for _, a := range x.accounts {
 		for i := range a.Classes {
 			c, k := &a.Classes[i], key{a.Name, a.Classes[i].Class}
-			if n := counts[k]; n > 0 {
+			if n := x.counts[k]; n > 0 {
 				c.Rate = f.rate(now, k, (c.Work.InTime+c.Work.Late)/float64(n))
 			}
 		}
 	}
-	slices.SortFunc(d.Classes, func(a, b ClassLoad) int { return compareClasses(a.Class, b.Class) })
-	d.addAccounts(cell.Accounts, accounts)
-	return d
 }
 
 func compareClasses(a, b Class) int {
