submit: a repeated submission of a job that may be stored is not called not run

What callers saw: a submission gets no answer, or 504, or even 200; the store then fails; the repetition under the same id gets 503, not run, while the job is stored and runs.

Cause: each attempt knew only of its own writes.

TestResubmissionOfAStoredJobIsNotCalledNotRun fails before. What remains: an attempt at another daemon is not known here.

--- a/request/submit/outage_test.go
+++ b/request/submit/outage_test.go
@@ -29,6 +29,9 @@
 type daemonStore struct {
 	*kv.Memory
 	rejected atomic.Bool // the store refuses this daemon's calls
+	// rejectAfter is the time in nanoseconds after which the store refuses this daemon's writes; 0: it
+	// does not.
+	rejectAfter atomic.Int64
 }
 
 func (r *daemonStore) refuse() error {
@@ -49,6 +52,10 @@
 	if err := r.refuse(); err != nil {
 		return 0, err
 	}
+	if after := r.rejectAfter.Load(); after > 0 {
+		time.Sleep(time.Duration(after))
+		return 0, fmt.Errorf("rejected: %w", store.ErrUnavailable)
+	}
 	return r.Memory.Commit(ctx, t)
 }
 
@@ -363,6 +370,26 @@
 	})
 }
 
+func TestResubmissionOfAStoredJobIsNotCalledNotRun(t *testing.T) {
+	// Guards against telling a caller that repeats a submission in an outage that its job was not run,
+	// although the first attempt has stored it, or may have.
+	synctest.Test(t, func(t *testing.T) {
+		for _, off := range []bool{false, true} {
+			d := newDaemons(t, 1, off)
+			const accepted, unanswered, other = "00000000000000a1", "00000000000000a2", "00000000000000a3"
+			require.NoError(t, d.all[0].Submit(t.Context(), accepted, testJob()))
+			d.kv.SetFaults(kv.Faults{Hang: true})
+			require.Equal(t, verdict.MayHaveRun, verdict.Of(d.all[0].Submit(t.Context(), unanswered, testJob())))
+			for range 3 {
+				time.Sleep(time.Second)
+				require.Equal(t, verdict.MayHaveRun, verdict.Of(d.all[0].Submit(t.Context(), accepted, testJob())))
+				require.Equal(t, verdict.MayHaveRun, verdict.Of(d.all[0].Submit(t.Context(), unanswered, testJob())))
+				require.Equal(t, verdict.NotRun, verdict.Of(d.all[0].Submit(t.Context(), other, testJob())))
+			}
+		}
+	})
+}
+
 func TestCallerWhoseDeadlineIsNearlyOver(t *testing.T) {
 	// A caller must have its answer before its deadline, and a job whose write can not be answered in
 	// time must not be written: its caller could not know of it.
--- a/request/submit/submit.go
+++ b/request/submit/submit.go
@@ -147,8 +147,11 @@
 	omitSpecs atomic.Bool
 	gate      *gate // nil without admission control
 
+	began   time.Time
 	mu      sync.Mutex
 	pending map[string]count
+	// attempted are the ids that were accepted, or of which a write may still take effect.
+	attempted recentIDs
 }
 
 type count struct {
@@ -164,7 +167,7 @@
 	if o.Pacer == nil {
 		o.Pacer = NewPacer(o.StoreTimeout, o.Stats, false, o.Log)
 	}
-	s := &Service{o: o, stats: o.Stats, pacer: o.Pacer, pending: map[string]count{}}
+	s := &Service{o: o, stats: o.Stats, pacer: o.Pacer, began: time.Now(), pending: map[string]count{}}
 	if !o.NoLoadShedding {
 		s.gate = newGate(o.Log)
 	}
@@ -203,7 +206,7 @@
 	began := time.Now()
 	err = write(ctx, sub, func() { s.push(s.offerEntry(sub)) })
 	s.stats.LongestHold.Record(time.Since(began))
-	if err == nil {
+	if err = s.afterEarlierAttempts(id, err); err == nil {
 		s.stats.Accepted.Add(1)
 		return nil
 	}
@@ -214,6 +217,26 @@
 	return err
 }
 
+// afterEarlierAttempts returns the answer to an attempt to submit a job, given those that this daemon
+// made before under the same id.
+//
+// A caller repeats a submission that got no answer. If the store fails meanwhile, the repetition
+// writes nothing, but the job may be stored by the first attempt: to answer "not run" would be
+// untrue. Attempts at other daemons are not known here.
+func (s *Service) afterEarlierAttempts(id work.JobID, err error) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var e *verdict.Error
+	if errors.As(err, &e) && e.Verdict == verdict.NotRun {
+		if e.Code == CodeStore && s.attempted.has(id) {
+			return unknown(err)
+		}
+		return err
+	}
+	s.attempted.add(id, time.Since(s.began))
+	return err
+}
+
 // write writes the job to the store or, when the store refuses calls of this daemon, through
 // another daemon. After a failed call the other daemons are tried first: they answer within
 // milliseconds, while a read of an unresponsive store takes probeTimeout. written is called once
@@ -475,6 +498,7 @@
 	}
 	for _, m := range targets {
 		var r forwardReply
+		sub.forwarded.Store(true)
 		err := s.callTarget(ctx, m, s.method(MethodForward), offer{Key: string(sub.id), Value: sub.full}, &r)
 		s.pacer.endedTarget(ctx, m.Name, r, err)
 		if err == nil && r.Accepted {
