submit: a submission is forwarded to two daemons at most

What was seen: one submission was forwarded to four daemons, two while its own write was overdue and two after that write had been refused; package outage promises MaxTargets. Found by a review.

Change: the forwards beside an overdue write count. TestSubmissionIsForwardedToFewDaemons fails before (4 forwards).

--- a/request/submit/outage_test.go
+++ b/request/submit/outage_test.go
@@ -390,6 +390,23 @@
 	})
 }
 
+func TestSubmissionIsForwardedToFewDaemons(t *testing.T) {
+	// Guards against a submission that is forwarded to more than outage.MaxTargets daemons: while its
+	// own write is overdue, and again after that write has failed.
+	synctest.Test(t, func(t *testing.T) {
+		d := newDaemons(t, 8, false)
+		for _, s := range d.stores[1:] {
+			s.rejected.Store(true)
+		}
+		time.Sleep(500 * time.Millisecond)
+		d.stores[0].rejectAfter.Store(int64(120 * time.Millisecond))
+		before := d.forwards.Load()
+		require.Error(t, d.all[0].Submit(t.Context(), id, testJob()))
+		require.Positive(t, d.forwards.Load()-before)
+		require.LessOrEqual(t, d.forwards.Load()-before, int64(outage.MaxTargets))
+	})
+}
+
 func TestCallerWhoseDeadlineIsNearlyOver(t *testing.T) {
 	// A caller must have its answer before its deadline, and a job whose write can not be answered in
 	// time must not be written: its caller could not know of it.
--- a/request/submit/pacing.go
+++ b/request/submit/pacing.go
@@ -361,7 +361,7 @@
 	return s.paced(ctx, pacedRequest{
 		try: func(ctx context.Context, r *outage.Request) (done bool, err error) {
 			byOther, err := s.createHedged(ctx, sub)
-			r.TargetUncertain = sub.targetUncertain.Load()
+			r.TargetUncertain, r.Forwarded = sub.targetUncertain.Load(), r.Forwarded || sub.forwarded.Load()
 			switch {
 			case err == nil:
 				if !byOther {
--- a/request/submit/submission.go
+++ b/request/submit/submission.go
@@ -19,6 +19,8 @@
 	spec        string // stored separately; "" for none
 	// targetUncertain is set when a daemon to which the job was forwarded may have written it.
 	targetUncertain atomic.Bool
+	// forwarded is set once another daemon has been asked to write the job.
+	forwarded atomic.Bool
 }
 
 func newSubmission(id work.JobID, j *work.Job) (*submission, error) {
