submit: the reads before a refusal for load take 50 ms at most

What callers saw: with a store that answers in 400 ms, a refusal came after up to 300 ms, or at the end of the caller's time; 50 ms is what callers need. Found by a review.

Change: the reads are given up after 50 ms, and the job is then handled as without admission control. TestRefusalComesAtOnceOrNotAtAll fails before.

--- a/request/submit/gate.go
+++ b/request/submit/gate.go
@@ -38,6 +38,9 @@
 	// second, which refused_for_load counts.
 	refusalLines  = 10
 	refusalPeriod = time.Second
+	// storedTimeout bounds the reads before a refusal: a refusal is of use to its caller only if it
+	// comes at once, and without the reads the job is handled as without admission control.
+	storedTimeout = 50 * time.Millisecond
 )
 
 // gate is the admission control of a shard's submissions at this daemon.
@@ -163,7 +166,7 @@
 	if s.o.StoreTimeout.Failing() {
 		return false, store.ErrUnavailable
 	}
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	ctx, cancel := context.WithTimeout(ctx, storedTimeout)
 	defer cancel()
 	keys := []string{dispatch.KeySubmission(id), dispatch.KeyState(id)}
 	if s.o.Preconditions != nil {
--- a/request/submit/gate_test.go
+++ b/request/submit/gate_test.go
@@ -209,6 +209,21 @@
 	})
 }
 
+func TestRefusalComesAtOnceOrNotAtAll(t *testing.T) {
+	// Guards against a caller that waits, until the end of its time, for the reads that precede a
+	// refusal: while the store is slow, the job is handled as without admission control.
+	synctest.Test(t, func(t *testing.T) {
+		c := newGateCell(t, nil)
+		c.store.SetFaults(kv.Faults{Delay: 200 * time.Millisecond})
+		start := time.Now()
+		stored, err := c.storedBefore(t.Context(), id)
+		require.Error(t, err)
+		require.False(t, stored)
+		require.LessOrEqual(t, time.Since(start), 50*time.Millisecond)
+		require.NoError(t, c.Submit(t.Context(), id, gangJob()))
+	})
+}
+
 func TestUnreadableStoreForbidsARefusal(t *testing.T) {
 	// Guards against a refusal for load of a job that may be in the store: if the read fails, the job
 	// must be handled as without admission control.
