--- a/process/dispatch/cell_test.go
+++ b/process/dispatch/cell_test.go
@@ -45,8 +45,8 @@
 	capsDrawn, capsApplied int
 	// batches is the highest number of batches that one term wrote.
 	batches atomic.Uint64
-	// preempted, if set, is the highest number of runs that one term stopped for others.
-	preempted *atomic.Uint64
+	// preempted is the highest number of runs that one term stopped for others.
+	preempted atomic.Uint64
 }
 
 // node is a daemon that can lead.
@@ -145,9 +145,7 @@
 				Accounts: func() (*work.Accounts, bool) { return c.accounts.Load(), true },
 				Count: func(s Stats) {
 					c.batches.Store(max(c.batches.Load(), s.Batches))
-					if c.preempted != nil {
-						c.preempted.Store(max(c.preempted.Load(), s.Preempted))
-					}
+					c.preempted.Store(max(c.preempted.Load(), s.Preempted))
 				},
 				Bounds: Bounds{Lease: testLease, MaxLease: testLease, Gang: 3 * time.Second, Keep: 10 * time.Minute},
 				Violation: func(what string) {
--- a/process/dispatch/preemption_test.go
+++ b/process/dispatch/preemption_test.go
@@ -426,8 +426,8 @@
 	var preempted atomic.Uint64
 	overSeeds(t, 4, func(t *testing.T, seed uint64) {
 		c := newTestCell(t, seed, 16, 3, usualBehaviour(0.02))
-		c.preempted = &preempted
 		randomFaultsOf(t, c, drawPreempting, (*cell).injectFault)
+		preempted.Store(max(preempted.Load(), c.preempted.Load()))
 	})
 	t.Logf("at most %d runs were stopped for gangs in one term", preempted.Load())
 	if os.Getenv("FENNEL_SEED") == "" { // a single seed may have no such gang
