--- a/process/dispatch/forecast.go
+++ b/process/dispatch/forecast.go
@@ -77,7 +77,7 @@
 	}
 	e.ledger.Each(func(a *quota.Account) {
 		if a.Name != "" && (waiting[a.Name] || a.Held() != (quota.Size{})) {
-			cell.Accounts = append(cell.Accounts, loadshed.Account{Name: a.Name, Weight: e.fair.Weight(a.Name), Over: e.fair.Exceeds(a.Name, e.now)})
+			cell.Accounts = append(cell.Accounts, loadshed.Account{Name: a.Name, Weight: e.fair.Weight(a.Name), Beyond: e.fair.Exceeds(a.Name, e.now)})
 		}
 	})
 	return cell
--- a/process/fair/fair.go
+++ b/process/fair/fair.go
@@ -56,18 +56,17 @@
 	maxShift = 0.5
 	// useDecay is the time constant by which an account's recent usage decays.
 	useDecay = 10 * time.Second
-	// recentDecay is the time constant by which recent submissions decay, and exceedsFor how long after
-	// its last submission an account counts as exceeding its entitlement. Both are short relative to
-	// the objectives of long jobs, and span tens of submissions of an account that sends too many.
+	// recentDecay is the time constant by which recent submissions decay: short relative to the
+	// objectives of long jobs, and tens of submissions of an account that sends too many.
 	recentDecay = 2 * time.Second
-	exceedsFor  = 4 * time.Second
+	// exceedsRefill is the time in which the digest that tells of an excess is replaced everywhere but
+	// at daemons with few submissions.
+	exceedsRefill = 500 * time.Millisecond
+	// maxSkew bounds by how much the clocks of daemons are expected to be behind.
+	maxSkew = 2 * time.Second
 	// exceedsLeast is the least number of recent submissions beyond the entitlement, so that a small
 	// burst of a small account is not taken for a lasting excess.
 	exceedsLeast = 4
-	// exceedsShare leaves one in five submissions of such an account within its entitlement. They cannot
-	// be told from the others before they are accepted; with a share of a half, three of ten refused
-	// jobs would have been served in time.
-	exceedsShare = 0.8
 )
 
 // Entitlement is the rate at which accounts may submit jobs: as many jobs per second as
@@ -92,6 +91,7 @@
 	// weights.
 	used, weights float64
 	usedAt        time.Duration
+	latest        time.Duration // of the submissions
 }
 
 type account struct {
@@ -156,6 +156,7 @@
 	if !a.submitted {
 		a.submitted, a.tokens, a.tokensAt = true, most, at
 	}
+	b.latest = max(b.latest, at)
 	left := decay(at-a.tokensAt, recentDecay)
 	a.recent, a.recentOver = a.recent*left+1, a.recentOver*left
 	a.tokens = min(most, a.tokens+rate*max(at-a.tokensAt, 0).Seconds())
@@ -169,14 +170,22 @@
 	return true
 }
 
-// Exceeds reports whether the account submits far more than it is entitled to: whether at least
-// exceedsShare of its recent submissions were beyond its entitlement.
-func (b *Book) Exceeds(name string, now time.Duration) bool {
+// Exceeds returns the share of the account's recent submissions that were beyond its entitlement; 0 if
+// these are few, or if exceedsRefill of its entitlement has come back since. The latter matters while
+// its submissions are refused, of which the book learns nothing.
+//
+// Times of submissions are from the clocks of the daemons that accepted them, so the latest of these
+// counts, but at least now less maxSkew.
+func (b *Book) Exceeds(name string, now time.Duration) float64 {
 	a := b.accounts[name]
-	if a == nil || now-a.tokensAt > exceedsFor {
-		return false
+	if a == nil || a.recentOver < exceedsLeast {
+		return 0
+	}
+	since, rate := max(b.latest, now-maxSkew)-a.tokensAt, a.weight*b.entitled.Share
+	if a.tokens+rate*max(since, 0).Seconds() >= 1+rate*exceedsRefill.Seconds() {
+		return 0
 	}
-	return a.recentOver >= exceedsLeast && a.recentOver >= exceedsShare*a.recent
+	return a.recentOver / a.recent
 }
 
 // Weight returns the account's weight.
--- a/process/loadshed/expect.go
+++ b/process/loadshed/expect.go
@@ -10,7 +10,7 @@
 // well count; the others come after it.
 func (d *Digest) Expect(j Job) (w Wait, over bool) {
 	own := d.account(j.Account)
-	class := Class{Priority: j.Priority, Over: own != nil && own.Over}
+	class := Class{Priority: j.Priority, Over: own.beyond(j)}
 	w = d.wait(class, j.Account, own, j.Objective, false)
 	if w.Total()+j.Path > j.Objective {
 		w = d.wait(class, j.Account, own, j.Objective, true)
@@ -18,6 +18,11 @@
 	return w, class.Over
 }
 
+// beyond reports whether a job is judged as beyond its account's entitlement.
+func (a *AccountLoad) beyond(j Job) bool {
+	return a != nil && a.Beyond >= beyondShare && LateFactor*j.Objective >= window
+}
+
 func (d *Digest) account(name string) *AccountLoad {
 	if i := slices.IndexFunc(d.Accounts, func(a AccountLoad) bool { return a.Name == name }); i >= 0 {
 		return &d.Accounts[i]
--- a/process/loadshed/forecast.go
+++ b/process/loadshed/forecast.go
@@ -61,7 +61,7 @@
 type Account struct {
 	Name   string
 	Weight float64
-	Over   bool // it submits more than it is entitled to
+	Beyond float64 // share of its recent submissions that were beyond its entitlement
 }
 
 // Cell is the state of a shard for a digest.
@@ -297,12 +297,12 @@
 		d.Weights += a.Weight
 		load := loads[a.Name]
 		switch {
-		case load == nil && !a.Over:
+		case load == nil && a.Beyond < beyondShare:
 			continue
 		case load == nil:
 			load = &AccountLoad{Name: a.Name}
 		}
-		load.Weight, load.Over = a.Weight, a.Over
+		load.Weight, load.Beyond = a.Weight, a.Beyond
 		list = append(list, *load)
 	}
 	if !d.Overloaded() {
--- a/process/loadshed/loadshed.go
+++ b/process/loadshed/loadshed.go
@@ -41,6 +41,11 @@
 	// averaged over window, so they do not tell a shorter wait from a fluctuation. With 1 s, four of ten
 	// refused quick jobs of accounts beyond their entitlement would have been served in time or late.
 	minWait = window
+	// beyondShare is the share of an account's recent submissions beyond its entitlement from which a job
+	// is judged as beyond it, unless three objectives of it are shorter than window: it cannot be told
+	// whether a single submission will be, and the waits of short jobs are known less well. Of the quick
+	// jobs refused without that exception, three in ten would have been in time.
+	beyondShare = 0.5
 	// Bounds of a Retry-After before it is spread. Callers have 3 s for all of their attempts, so a
 	// caller that is told to wait longer than 2 s has no attempt left.
 	minRetry = time.Second
@@ -106,8 +111,8 @@
 type AccountLoad struct {
 	Name   string  `cbor:"1,keyasint"`
 	Weight float64 `cbor:"2,keyasint,omitempty"`
-	// Over: the account submits more than it is entitled to.
-	Over    bool           `cbor:"3,keyasint,omitempty"`
+	// Beyond is the share of the account's recent submissions that were beyond its entitlement.
+	Beyond  float64        `cbor:"3,keyasint,omitempty"`
 	Classes []AccountClass `cbor:"4,keyasint,omitempty"`
 }
 
