--- a/process/loadshed/loadshed.go
+++ b/process/loadshed/loadshed.go
@@ -37,13 +37,16 @@
 	// of run times are off by a third and more, and a job accepted by mistake costs less than one
 	// refused by mistake.
 	margin = 1.25
-	// minWait is the expected wait below which a job is accepted, whatever its objective. Rates are
-	// averaged over window, so they do not tell a shorter wait from a fluctuation: with a minWait of
-	// 1 s, four in ten refused quick jobs of accounts beyond their entitlement could have been
-	// completed while they were of value.
+	// minWait: a job that is expected to wait less is accepted, whatever its objective. Rates are
+	// averaged over window, so they do not tell a shorter wait from a fluctuation.
 	minWait = window
-	// minRetry and maxRetry bound a Retry-After before it is spread. Callers have 3 s for all of their
-	// attempts, so a longer delay would leave a caller no further attempt.
+	// beyondShare is the share of an account's recent submissions beyond its entitlement from which a job
+	// is judged as beyond it, unless three objectives of it are shorter than window: it cannot be told
+	// whether a single submission will be, and the waits of short jobs are known less well. Of the quick
+	// jobs refused without that exception, a quarter would have been in time.
+	beyondShare = 0.5
+	// Bounds of a Retry-After before it is spread. Callers have 3 s for all of their attempts, so a
+	// caller that is told to wait longer than 2 s has no attempt left.
 	minRetry = time.Second
 	maxRetry = 2 * time.Second
 	// retrySpread is the largest part of a Retry-After that is added at random, so that refused
@@ -108,8 +111,8 @@
 type AccountLoad struct {
 	Name   string  `cbor:"1,keyasint"`
 	Weight float64 `cbor:"2,keyasint,omitempty"`
-	// Over: the account submits more than it is entitled to.
-	Over    bool           `cbor:"3,keyasint,omitempty"`
+	// Beyond is the share of the account's recent submissions that were beyond its entitlement.
+	Beyond  float64        `cbor:"3,keyasint,omitempty"`
 	Classes []AccountClass `cbor:"4,keyasint,omitempty"`
 }
 
