dispatch: advice proxies are counted once where a round needs the counts

Cause: a round counted the proxies four times, each time over all daemons and all proxies, since busyWithSlow counted them again beside the counts at hand; and a ticket was looked up before add, which looks it up itself.

Change: the sum of the busy ones is a method of the counts; add reports whether it replaced a ticket.

--- a/process/advicebudget/advicebudget.go
+++ b/process/advicebudget/advicebudget.go
@@ -88,9 +88,12 @@
 // Slow is how many proxies may have a slow call at a time.
 func (p Proxies) Slow() int { return max(1, int(math.Floor(float64(p.All)*slowShare))) }
 
+// BusyWithSlow is how many proxies have a slow call.
+func (p Proxies) BusyWithSlow() int { return p.Gangs + p.Others + p.Late }
+
 // FreeForSlow is how many more slow calls may be sent.
 func (p Proxies) FreeForSlow() int {
-	return max(0, min(p.Idle, p.Slow()-p.Gangs-p.Others-p.Late))
+	return max(0, min(p.Idle, p.Slow()-p.BusyWithSlow()))
 }
 
 // Scarce reports whether more steps could ask than proxies are free for slow calls.
--- a/process/dispatch/advice.go
+++ b/process/dispatch/advice.go
@@ -137,14 +137,15 @@
 	return false
 }
 
-// add stores a ticket, replacing the worker's earlier one.
-func (a *advice) add(t ticket) {
+// add stores a ticket. It reports whether it has replaced an earlier one for the worker.
+func (a *advice) add(t ticket) (replaced bool) {
 	if old := a.ticketFor(t.w); old != nil {
-		*old = t // it expired unused, or is replaced before it does
-		return
+		*old = t
+		return true
 	}
 	a.tickets = append(a.tickets, t)
 	set(&a.ticketAt, t.w.index, int32(len(a.tickets)))
+	return false
 }
 
 // Members sets the daemons through which advice can be requested.
@@ -316,10 +317,9 @@
 		}
 		// The ticket is valid from when the service issued it, which is when it answered; the
 		// answer took some milliseconds to get here.
-		if a.ticketFor(w) != nil {
+		if replaced := a.add(ticket{w, t.Ticket, now + queue.Advice.Valid - ticketMargin}); replaced {
 			e.stats.TicketsUnused++
 		}
-		a.add(ticket{w, t.Ticket, now + queue.Advice.Valid - ticketMargin})
 	}
 	if fresh > 0 {
 		share := float64(freshGood) / float64(fresh)
@@ -332,7 +332,8 @@
 	if len(e.members) == 0 {
 		return
 	}
-	slow, maxSlow := e.busyWithSlow(), e.proxyCounts().Slow()
+	counts := e.proxyCounts()
+	slow, maxSlow := counts.BusyWithSlow(), counts.Slow()
 	for _, s := range steps {
 		a := s.advice
 		if a == nil || len(a.toAsk) == 0 || a.inFlight > 0 || !s.job.active() {
--- a/process/dispatch/advicebudget.go
+++ b/process/dispatch/advicebudget.go
@@ -48,7 +48,7 @@
 // proxies are idle.
 func (e *Engine) countProxies() {
 	counts := e.proxyCounts()
-	e.idleProxies, e.idleForSlow = counts.Idle, counts.Slow()-e.busyWithSlow()
+	e.idleProxies, e.idleForSlow = counts.Idle, counts.Slow()-counts.BusyWithSlow()
 	if !e.o.Policy.NoAdviceBudget {
 		e.allotProxies(counts)
 	}
@@ -78,12 +78,6 @@
 	return p
 }
 
-// busyWithSlow counts the proxies with a slow call.
-func (e *Engine) busyWithSlow() int {
-	p := e.proxyCounts()
-	return p.Gangs + p.Others + p.Late
-}
-
 // usableProxy reports whether a proxy is idle and none of its calls has failed recently.
 func (e *Engine) usableProxy(proxy *adviceProxy) bool {
 	return proxy.busy == nil && proxy.state.Usable(e.now)
