One definition each of the late factor, the share of progress and the time of a stop

Cause: the parts for hard load defined again what stood elsewhere: after how many objectives a job is worth nothing (process/dispatch and process/loadshed), from which progress a run's pace predicts its end (process/dispatch and process/speed), and how long a stop is assumed to take (twice in process/dispatch).

Change: work.LateFactor beside Objective, speed.MinPercent, initialStopTime. The test of loadshed names the constant at its new place.

--- a/process/dispatch/estimate.go
+++ b/process/dispatch/estimate.go
@@ -13,9 +13,6 @@
 
 // Estimates of run times; package speed learns the factors.
 const (
-	// minPercent: below this progress a run's own speed is a worse predictor of its remaining
-	// time than its estimate.
-	minPercent = 8
 	// speedPeriod is between two computations of what workers with the same labels have in
 	// common: several per run, as runs take half a second and more.
 	speedPeriod = 200 * time.Millisecond
@@ -137,7 +134,7 @@
 func (e *Engine) remainingOnAverage(alloc *allocation) time.Duration {
 	elapsed := e.now - alloc.sent
 	whole := e.estimate(alloc.s)
-	if alloc.percent >= minPercent && alloc.percentAt > alloc.ackAt {
+	if alloc.percent >= speed.MinPercent && alloc.percentAt > alloc.ackAt {
 		whole = scale(alloc.percentAt-alloc.ackAt, 100/alloc.percent) + alloc.ackAt - alloc.sent
 	}
 	return max(whole-elapsed, minRemaining)
--- a/process/dispatch/order.go
+++ b/process/dispatch/order.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"fennelshunt.example/fennelshunt/version/work"
 )
 
 // The order in which waiting steps are served: by rank, then by their queue's priority, then
@@ -60,12 +62,9 @@
 	return e.lateRank(s)
 }
 
-// lateFactor is how many objectives after its acceptance a job has lost all of its value.
-const lateFactor = 3
-
 // lateRank puts jobs that will miss their objective behind those that will not, and those that
 // are too late to be of any value behind both: a late job keeps a fifth of its value until
-// lateFactor objectives have passed; one in time would lose four fifths at once.
+// work.LateFactor objectives have passed; one in time would lose four fifths at once.
 func (e *Engine) lateRank(s *step) int {
 	if s.spec.LongRunning {
 		return rankLongRunning
@@ -75,7 +74,7 @@
 	switch o := s.occurrence; {
 	case ends <= o.due:
 		rank = rankInTime
-	case ends <= o.from+lateFactor*(o.due-o.from):
+	case ends <= o.from+work.LateFactor*(o.due-o.from):
 		rank = rankLate
 	}
 	if s.job.overEntitled {
--- a/process/dispatch/straggler.go
+++ b/process/dispatch/straggler.go
@@ -23,8 +23,6 @@
 	// maxStragglerTries bounds the stragglers per comparison for which all workers are searched:
 	// a search takes 20 µs.
 	maxStragglerTries = 20
-	// stopTime is how long a stop takes until the end of the run is known.
-	stopTime = 250 * time.Millisecond
 	// resumeTime is what a start from a checkpoint takes longer than any other start.
 	resumeTime = 100 * time.Millisecond
 )
@@ -146,7 +144,7 @@
 		switch {
 		case w.slow:
 		case a == nil:
-			return stopTime, true
+			return initialStopTime, true
 		case a.verdictOf(w) == good:
 			expected = 1
 		case a.verdictOf(w) == unknown:
@@ -161,5 +159,5 @@
 		names = float64(s.spec.Count)
 	}
 	names = math.Ceil(names * askFactor / e.goodShare(s.job.spec.Queue.Name))
-	return stopTime + s.callCost(int(names)), true
+	return initialStopTime + s.callCost(int(names)), true
 }
--- a/process/loadshed/expect.go
+++ b/process/loadshed/expect.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"fennelshunt.example/fennelshunt/version/work"
 )
 
 // Expect returns how long a job submitted now is expected to wait, and whether it is judged as beyond its
@@ -20,7 +22,7 @@
 
 // beyond reports whether a job is judged as beyond its account's entitlement.
 func (a *AccountLoad) beyond(j Job) bool {
-	return a != nil && a.Beyond >= beyondShare && LateFactor*j.Objective >= window
+	return a != nil && a.Beyond >= beyondShare && work.LateFactor*j.Objective >= window
 }
 
 func (d *Digest) account(name string) *AccountLoad {
--- a/process/loadshed/gate.go
+++ b/process/loadshed/gate.go
@@ -1,6 +1,10 @@
 package loadshed
 
-import "time"
+import (
+	"time"
+
+	"fennelshunt.example/fennelshunt/version/work"
+)
 
 // Gate judges the submissions of one shard at one daemon. It is not safe for concurrent use.
 type Gate struct {
@@ -39,7 +43,7 @@
 	x := Decision{Age: now - g.asked}
 	x.Wait, x.Over = g.digest.Expect(j)
 	wait := x.Wait.Total()
-	latest := time.Duration(margin*LateFactor*float64(j.Objective)) - j.Path // at which its wait may end
+	latest := time.Duration(margin*work.LateFactor*float64(j.Objective)) - j.Path // at which its wait may end
 	if j.Objective <= 0 || wait+j.Path <= j.Objective || wait < minWait || wait <= latest {
 		return x
 	}
--- a/process/loadshed/loadshed.go
+++ b/process/loadshed/loadshed.go
@@ -31,9 +31,8 @@
 	// MaxAge is the age up to which a Digest is used. Queues change within seconds, and a refusal
 	// must not be based on a load that is over.
 	MaxAge = time.Second
-	// LateFactor is how many objectives after its submission a job has lost all of its value.
-	LateFactor = 3
-	// margin is the factor by which the expected end of a refused job exceeds that time. Estimates
+	// margin is the factor by which the expected end of a refused job exceeds the time at which it has
+	// lost its value, work.LateFactor objectives after its submission. Estimates
 	// of run times are off by a third and more, and a job accepted by mistake costs less than one
 	// refused by mistake.
 	margin = 1.25
--- a/process/loadshed/loadshed_test.go
+++ b/process/loadshed/loadshed_test.go
@@ -77,9 +77,9 @@
 	// them are beyond its entitlement.
 	d := overload()
 	d.Accounts[1].Beyond = 1
-	short := Job{Priority: 1, Account: "b", Objective: window/LateFactor - time.Millisecond, Path: time.Second}
+	short := Job{Priority: 1, Account: "b", Objective: window/work.LateFactor - time.Millisecond, Path: time.Second}
 	require.False(t, judge(d, short).Refuse)
-	short.Objective = window/LateFactor + time.Millisecond
+	short.Objective = window/work.LateFactor + time.Millisecond
 	require.True(t, judge(d, short).Refuse)
 }
 
@@ -230,7 +230,7 @@
 		if x.RetryAfter < time.Second || x.RetryAfter > 3*time.Second || x.RetryAfter%time.Second != 0 {
 			t.Fatalf("Retry-After %v", x.RetryAfter)
 		}
-		if x.Age > MaxAge || x.Wait.Total()+j.Path < LateFactor*j.Objective || j.Account == "c" {
+		if x.Age > MaxAge || x.Wait.Total()+j.Path < work.LateFactor*j.Objective || j.Account == "c" {
 			t.Fatalf("refused: %+v", x)
 		}
 	})
--- a/process/speed/run.go
+++ b/process/speed/run.go
@@ -3,9 +3,9 @@
 import "time"
 
 const (
-	// minPercent is the progress from which a run's own pace predicts its end better than its
+	// MinPercent is the progress from which a run's own pace predicts its end better than its
 	// estimate does.
-	minPercent = 8
+	MinPercent = 8
 	// learnPercent and learnTime are the progress and the time from which a run's pace counts as
 	// evidence. Over less, the age of a report, some tens of milliseconds, outweighs the pace.
 	learnPercent = 15
@@ -52,7 +52,7 @@
 // Ends predicts when the run ends: by its own pace or, with too little progress to tell, by the time
 // predicted for a whole run on its worker.
 func (r *Run) Ends(predicted time.Duration) time.Duration {
-	if p, ok := r.pace(r.lastAt, r.lastPercent, minPercent); ok {
+	if p, ok := r.pace(r.lastAt, r.lastPercent, MinPercent); ok {
 		predicted = p
 	}
 	return r.lastAt + time.Duration(float64(predicted)*(100-r.lastPercent)/100)
@@ -60,7 +60,7 @@
 
 // Pace returns how long the whole work takes at the run's pace; false if it has made too little
 // progress to tell.
-func (r *Run) Pace() (time.Duration, bool) { return r.pace(r.lastAt, r.lastPercent, minPercent) }
+func (r *Run) Pace() (time.Duration, bool) { return r.pace(r.lastAt, r.lastPercent, MinPercent) }
 
 // Done returns the progress of the run, as last reported, as a share of its work.
 func (r *Run) Done() float64 { return r.lastPercent / 100 }
--- a/request/submit/gate.go
+++ b/request/submit/gate.go
@@ -29,7 +29,7 @@
 var errOverloaded = errors.New("submit: the job would end after it has lost its value")
 
 const (
-	// maxAdmitted bounds the ids in one generation of gate.admitted, and admittedFor is how long ids are
+	// maxAdmitted bounds the ids in one generation of recentIDs, and admittedFor is how long ids are
 	// remembered at least if there are fewer. It is longer than an unanswered write is expected to take
 	// effect late, and than the 3 s within which a caller repeats a submission.
 	maxAdmitted = 4096
--- a/version/work/work.go
+++ b/version/work/work.go
@@ -358,6 +358,9 @@
 // time of a call for advice.
 const advisedWorkers = 30
 
+// LateFactor is how many objectives after its acceptance a job has lost all of its value.
+const LateFactor = 3
+
 // Objective returns how long after its acceptance a job should be completed.
 func (j *Job) Objective() time.Duration {
 	return time.Duration(float64(j.CriticalPath())*j.Queue.Slack) + j.Queue.Allowance
