speed: labels that have not changed cost nothing

Cause: each heartbeat of a worker set its labels again: it left and joined its two pools and its factor was computed anew, 230 times a second for 350 workers.

--- a/process/speed/speed.go
+++ b/process/speed/speed.go
@@ -134,8 +134,12 @@
 
 // SetLabels changes the labels of a worker.
 func (m *Model) SetLabels(w *Worker, kind, rack string) {
+	kind, rack = "k "+kind, "r "+rack
+	if w.kind != nil && w.kind.key == kind && w.rack.key == rack {
+		return // workers report their labels with each heartbeat
+	}
 	m.leave(w)
-	w.kind, w.rack = m.join("k "+kind), m.join("r "+rack)
+	w.kind, w.rack = m.join(kind), m.join(rack)
 	if !m.averages {
 		w.usePool()
 	}
