straggler: a run is moved only if the new run is predicted to take time

Cause: with no predicted run time, or for a run whose checkpoint holds all of its work, the new run was taken to need no time at all, so that the move gained all of the remaining time and the run was stopped for nothing.

Change: such runs stay, and the predicted time is rounded up. The test is unchanged; the new TestRunIsNotMovedWithoutAGain fails without the change.

--- a/process/straggler/straggler.go
+++ b/process/straggler/straggler.go
@@ -13,6 +13,7 @@
 //   - A task, or a gang as a whole, is moved at most MaxMoves times.
 //   - It is moved only if the time gained exceeds the work that is thrown away. Whether its job can
 //     still be in time does not matter, since the capacity saved is of use to other work.
+//   - Without a predicted run time it is not moved, since the gain is not known.
 //   - A run is a straggler only if it is slower than the caller's prediction of a new run by several
 //     standard deviations.
 package straggler
@@ -73,14 +74,17 @@
 	}
 	anyLong := 1 - math.Pow(1-c.LongShare, float64(c.Tasks))
 	whole := c.Whole.Seconds() + anyLong*max(c.Pace-c.Whole, 0).Seconds()
-	return time.Duration(left*whole*float64(time.Second)) + extra
+	return time.Duration(math.Ceil(left*whole*float64(time.Second))) + extra
 }
 
 // Move reports whether to move the run or gang, and by how much sooner it is then expected to end.
 func (c *Case) Move() (gain time.Duration, move bool) {
-	if c.Moves >= MaxMoves {
+	if c.Moves >= MaxMoves || c.Whole <= 0 {
 		return 0, false
 	}
+	if c.Checkpoints && c.Done >= 1 {
+		return 0, false // it has no work left: it is about to report its end
+	}
 	gain = c.Remaining - c.Delay - c.newRun()
 	lost := time.Duration(0)
 	if !c.Checkpoints {
--- a/process/straggler/straggler_test.go
+++ b/process/straggler/straggler_test.go
@@ -55,6 +55,17 @@
 	require.True(t, move)
 }
 
+// TestRunIsNotMovedWithoutAGain guards against a stop of a run whose new run would be predicted to
+// take no time: nothing is known of the new run, or the old one has no work left.
+func TestRunIsNotMovedWithoutAGain(t *testing.T) {
+	unknown := Case{Tasks: 1, Remaining: minGain, LongShare: 1}
+	_, move := unknown.Move()
+	require.False(t, move, "no predicted run time")
+	atItsEnd := Case{Tasks: 1, Remaining: minGain, Done: 1, Checkpoints: true, Whole: time.Second, Pace: time.Second}
+	_, move = atItsEnd.Move()
+	require.False(t, move, "no work left")
+}
+
 // TestMovesAreWorthTheirLoss guards against any case in which a move costs more than it gains.
 func TestMovesAreWorthTheirLoss(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
