gateway: an answer that has arrived is not replaced by a 504 at the deadline

What callers saw: 504 "may have run" although the instance's answer had reached the daemon before the deadline; its rest was then read and discarded. With an idempotency key, 504 for each answer that was in transfer at the deadline.

Cause: the alarm at the deadline asked only whether the attempt had taken the right to answer, which it takes after the header has been processed, and for a keyed request after the whole body has been read. The time to write a kept answer ended a second after the deadline, also if the answer was complete later.

Change: if the answer has begun to arrive, in the process or in the kernel's buffer, the attempt goes on as one whose answer is being written, within the same limit. Interim (1xx) responses do not count, so that an instance without an answer still gets its 504 at the deadline.

TestAnswerOnItsWayAtTheDeadlineIsDelivered relied on the machine's clock and is replaced: its instance had to begin within 200 ms and to end at 300 ms, 100 ms before the attempt's limit. The new form calls the alarm itself, at four steps of the answer; all that the old one checked is checked, the write deadline left on the connection now directly.

--- a/request/forward/conn.go
+++ b/request/forward/conn.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http/httptrace"
+	"net/textproto"
 	"sync"
 	"sync/atomic"
 
@@ -30,6 +31,7 @@
 	conn   *conn
 	wrote  bool // a byte was, or is being, written to the kernel
 	sealed bool
+	began  bool // the first byte of the answer was read, and no interim (1xx) response since
 }
 
 // permitWrite must be called before bytes are written. ok reports whether they
@@ -95,6 +97,33 @@
 	}
 }
 
+// firstByte is called when the first byte of a response has been read.
+func (x *exchange) firstByte() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.began = true
+}
+
+// interim is called for a 1xx response. The work may take any time after it.
+func (x *exchange) interim(int, textproto.MIMEHeader) error {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.began = false
+	return nil
+}
+
+// answering reports whether bytes of the answer have arrived and the attempt is still in
+// progress. Bytes that wait in the kernel count too, except beneath TLS, where they may be
+// records of the protocol itself.
+func (x *exchange) answering() bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.conn == nil || !x.wrote || x.conn.exchange.Load() != x {
+		return false
+	}
+	return x.began || !x.conn.secure && x.conn.socket.Readable()
+}
+
 // use binds the exchange to the connection that the Transport chose.
 func (x *exchange) use(info httptrace.GotConnInfo) {
 	c := rawConn(info.Conn)
--- a/request/forward/send.go
+++ b/request/forward/send.go
@@ -60,6 +60,14 @@
 	return o.sent || o.current != nil && o.current.sealUnwritten()
 }
 
+// Answering reports whether bytes of the answer to the attempt in progress have arrived,
+// including bytes that were not read yet.
+func (o *Outgoing) Answering() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.current != nil && o.current.answering()
+}
+
 // Abort cancels the attempt in progress, including the reading of its answer,
 // with the given cause, and prevents new attempts.
 func (o *Outgoing) Abort(cause error) {
@@ -152,6 +160,8 @@
 	ctx, x.cancel = context.WithCancelCause(ctx)
 	s.trace.GetConn = x.mayConnect
 	s.trace.GotConn = x.use
+	s.trace.GotFirstResponseByte = x.firstByte
+	s.trace.Got1xxResponse = x.interim
 	ctx = httptrace.WithClientTrace(ctx, &s.trace)
 	if !o.begin(x) {
 		x.cancel(nil)
@@ -170,6 +180,7 @@
 		t.end()
 		return nil, o.end(failure)
 	}
+	x.firstByte() // is not called for a response that follows an interim one
 	o.leaving = resp.Header[LeavingHeader] != nil
 	a := &s.answer
 	*a = Answer{Status: resp.StatusCode, Header: resp.Header, HeaderTime: time.Since(start),
--- a/request/gateway/keyed.go
+++ b/request/gateway/keyed.go
@@ -26,8 +26,8 @@
 	maxOwnerPause = 250 * time.Millisecond
 )
 
-// writeGrace is the time after the deadline in which an answer in memory may
-// still be written.
+// writeGrace is the time after the deadline, or after a later arrival, in which an
+// answer in memory may still be written.
 const writeGrace = time.Second
 
 // serveKeyed serves a request with an idempotency key. Every such request is
@@ -206,11 +206,16 @@
 	}
 }
 
-// boundWrites sets a write deadline of writeGrace after the request's deadline,
-// for callers that do not read their answer; the returned function removes it.
+// boundWrites sets a write deadline of writeGrace after the request's deadline, or after now if
+// the answer was complete only after the deadline, for callers that do not read their answer;
+// the returned function removes it.
 func (c *call) boundWrites() func() {
 	ctl := http.NewResponseController(c.w)
-	_ = ctl.SetWriteDeadline(c.deadline.Add(writeGrace))
+	from := c.deadline
+	if now := time.Now(); now.After(from) {
+		from = now
+	}
+	_ = ctl.SetWriteDeadline(from.Add(writeGrace))
 	return func() { _ = ctl.SetWriteDeadline(time.Time{}) }
 }
 
--- a/request/gateway/reply.go
+++ b/request/gateway/reply.go
@@ -109,15 +109,18 @@
 
 func (w *deadlineWatch) abort() { w.out.Abort(context.DeadlineExceeded) }
 
-// expire answers the caller at its deadline.
+// expire answers the caller at its deadline, unless the answer has begun to arrive.
 func (w *deadlineWatch) expire() {
 	defer w.expired.Done()
 	c := w.call
-	if !c.reply.claim() {
-		// The answer is being written. A caller that does not read it would block
+	// An answer that arrived in time may not have been processed yet, because the process got no
+	// CPU time. Its caller gets it rather than "may have run".
+	arriving := c.body.complete() && w.out.Answering()
+	if arriving || !c.reply.claim() {
+		// The answer is arriving or being written. A caller that does not read it would block
 		// the write, and occupy the slot, forever.
 		until := time.Now()
-		if c.body.complete() {
+		if arriving || c.body.complete() {
 			until = w.startLinger()
 		} else {
 			w.abort() // the caller has not sent its whole request either
--- a/request/gateway/scenario_test.go
+++ b/request/gateway/scenario_test.go
@@ -94,31 +94,151 @@
 	require.Equal(t, http.StatusOK, do(t, "POST", url, "after", "").status)
 }
 
-// TestAnswerOnItsWayAtTheDeadlineIsDelivered guards against an aborted answer that the instance
-// began in time, but that the daemon or the caller had not yet finished transferring.
+// passDeadlines calls each alarm that is set, as if its time had come, and waits for the calls.
+func passDeadlines(g *Gateway) {
+	g.deadlines.mu.Lock()
+	due := g.deadlines.heap
+	g.deadlines.heap = nil
+	for _, a := range due {
+		a.index = -1
+	}
+	g.deadlines.mu.Unlock()
+	for _, a := range due {
+		a.call()
+	}
+}
+
+// hookedWriter calls onHeader when the answer's header is prepared, and records write deadlines.
+type hookedWriter struct {
+	http.ResponseWriter
+	onHeader      func()
+	writeDeadline time.Time
+}
+
+func (w *hookedWriter) Header() http.Header {
+	w.onHeader()
+	return w.ResponseWriter.Header()
+}
+
+func (w *hookedWriter) SetWriteDeadline(at time.Time) error {
+	w.writeDeadline = at
+	return http.NewResponseController(w.ResponseWriter).SetWriteDeadline(at)
+}
+
+func (w *hookedWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+// TestAnswerOnItsWayAtTheDeadlineIsDelivered guards against an aborted answer, or a 504 in place of
+// one, that the instance began in time, but that the daemon or the caller had not yet finished
+// transferring. The deadline passes at a given step of the answer, whatever the time that takes.
 func TestAnswerOnItsWayAtTheDeadlineIsDelivered(t *testing.T) {
-	p := newPool()
 	body := strings.Repeat("plot ", 2000)
-	instance := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
-		_, _ = io.WriteString(w, body[:len(body)/2])
-		_ = http.NewResponseController(w).Flush()
-		if r.URL.Path == "/slow" {
-			time.Sleep(300 * time.Millisecond)
-		}
-		_, _ = io.WriteString(w, body[len(body)/2:])
-	}))
-	defer instance.Close()
-	p.add(plan.Endpoint{Service: testService, Address: instance.Listener.Addr().String(), Slots: 1, Conns: 8})
-	_, url := startGateway(t, Options{Slots: p, Config: testConfig(200 * time.Millisecond)})
-	for _, path := range []string{"/", "/slow", "/"} {
-		r := do(t, "POST", url+path, "k", "")
-		require.NoError(t, r.err)
-		require.Equal(t, http.StatusOK, r.status)
-		require.Equal(t, body, string(r.body))
-		time.Sleep(250 * time.Millisecond) // past any write deadline of that answer
+	for _, c := range []struct {
+		name  string
+		keyed bool
+		step  string // at which the deadline passes
+	}{
+		{name: "the header has arrived and is not processed yet", step: "arrived"},
+		{name: "the answer has been taken and nothing is written yet", step: "taken"},
+		{name: "the caller has part of the answer", step: "passed on"},
+		{name: "the header of a keyed request's answer has arrived", keyed: true, step: "arrived"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var g *Gateway
+			var reached, rest chan struct{}
+			reach := func(step string) {
+				if step != c.step {
+					return
+				}
+				select {
+				case <-reached:
+				default:
+					close(reached)
+					passDeadlines(g)
+					close(rest)
+				}
+			}
+			instance := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if c.step != "passed on" {
+					w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+				}
+				w.Header().Set(forward.LeavingHeader, "1") // for OnLeaving
+				_, _ = io.WriteString(w, body[:len(body)/2])
+				_ = http.NewResponseController(w).Flush()
+				if r.URL.Path == "/slow" {
+					<-rest
+				}
+				_, _ = io.WriteString(w, body[len(body)/2:])
+			}))
+			defer instance.Close()
+
+			slow, arrived := false, false
+			o := Options{Config: testConfig(time.Minute), OnLeaving: func(string) {
+				if arrived = slow; slow {
+					reach("arrived")
+				}
+			}}
+			var p *pool
+			var server *httptest.Server
+			if c.keyed {
+				cell := newCell(t, 1, 0, o)
+				p, g, server = cell.pool, cell.gateways[0], cell.servers[0][0]
+			} else {
+				p = newPool()
+				o.Slots = p
+				g, server = startServer(t, o)
+			}
+			p.add(plan.Endpoint{Service: testService, Address: instance.Listener.Addr().String(), Slots: 1, Conns: 8})
+			next := server.Config.Handler
+			var writer *hookedWriter
+			server.Config.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				writer = &hookedWriter{ResponseWriter: w, onHeader: func() {
+					if arrived {
+						reach("taken")
+					}
+				}}
+				next.ServeHTTP(writer, r)
+			})
+
+			for i, path := range []string{"/", "/slow", "/"} {
+				reached, rest = make(chan struct{}), make(chan struct{})
+				slow, arrived = path == "/slow", false
+				req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, server.URL+path, nil)
+				require.NoError(t, err)
+				req.Header.Set(ServiceHeader, testService)
+				if c.keyed {
+					req.Header.Set(KeyHeader, strconv.Itoa(i))
+				}
+				res, err := http.DefaultClient.Do(req)
+				require.NoError(t, err)
+				if slow {
+					reach("passed on")
+				}
+				got, err := io.ReadAll(res.Body)
+				require.NoError(t, err)
+				require.NoError(t, res.Body.Close())
+				require.Equal(t, http.StatusOK, res.StatusCode, "%s: %s", path, got)
+				require.Equal(t, body, string(got))
+				if slow {
+					<-reached
+				}
+				require.Eventually(t, func() bool { return g.InFlight() == 0 }, 10*time.Second, time.Millisecond)
+				require.True(t, writer.writeDeadline.IsZero(), "the connection's next request has the write deadline of %s", path)
+			}
+			require.Empty(t, p.unknown)
+		})
 	}
-	require.Empty(t, p.unknown)
+}
+
+// TestAnswerThatIsCompleteAfterTheDeadlineCanBeWritten guards against a kept answer that is
+// aborted because the time to write it was over when it arrived.
+func TestAnswerThatIsCompleteAfterTheDeadlineCanBeWritten(t *testing.T) {
+	w := &hookedWriter{ResponseWriter: httptest.NewRecorder()}
+	c := &call{w: w, deadline: time.Now().Add(-time.Minute)}
+	begun := time.Now()
+	done := c.boundWrites()
+	require.False(t, w.writeDeadline.Before(begun.Add(writeGrace)))
+	done()
+	require.True(t, w.writeDeadline.IsZero())
 }
 
 func TestRefusalBeforeWorkIsRetriedElsewhere(t *testing.T) {
