dispatch: a run from a checkpoint keeps its whole rest without the speed model

With policy.no_speed_model, the rest of a run was estimated by its reported progress divided by the time of this run alone. A run that continued at 60 % seemed to have done these 60 % within its first 100 ms and to end at once: TestRunFromACheckpointHasItsWholeRestLeft saw 0.1 s left of 4 s. Reservations of gangs then planned with capacity that became free seconds later, and preemption with victims that were about to end.

With the speed model, which is the default, this was no fault: there a run from a checkpoint counts from its first report on. The test passes with it before and after.

The rest is now estimated by the pace since the run's first report, as in the model. For runs from the start the estimate is the same as before.

--- a/process/dispatch/estimate.go
+++ b/process/dispatch/estimate.go
@@ -132,12 +132,13 @@
 
 // remainingOnAverage estimates how much longer a run takes, without a model of speeds.
 func (e *Engine) remainingOnAverage(alloc *allocation) time.Duration {
-	elapsed := e.now - alloc.sent
 	whole := e.estimate(alloc.s)
-	if alloc.percent >= speed.MinPercent && alloc.percentAt > alloc.ackAt {
-		whole = scale(alloc.percentAt-alloc.ackAt, 100/alloc.percent) + alloc.ackAt - alloc.sent
+	ends := alloc.sent + whole
+	if _, ok := alloc.progress.Pace(); ok || (alloc.resumed && alloc.ackAt > 0) {
+		// The progress that a run begins with, from its checkpoint, says nothing about its pace.
+		ends = alloc.progress.Ends(whole)
 	}
-	return max(whole-elapsed, minRemaining)
+	return max(ends-e.now, minRemaining)
 }
 
 // runEnds returns when a run would end if it did not depend on others.
--- a/process/dispatch/estimate_test.go
+++ b/process/dispatch/estimate_test.go
@@ -214,3 +214,50 @@
 	require.Greater(t, next.e.workers["s-4"].speed.Factor, 1.2*next.e.workers["f-0"].speed.Factor)
 	require.Zero(t, next.e.Stats().Done)
 }
+
+// TestRunFromACheckpointHasItsWholeRestLeft guards against a run that continues at 60 % and is taken
+// to have done all of that in its own, short time: its end, and the start of a reservation on its
+// capacity, would be expected too early. In the model of speeds its worker would also count as fast.
+func TestRunFromACheckpointHasItsWholeRestLeft(t *testing.T) {
+	for _, policy := range []Policy{{}, {NoSpeedModel: true}} {
+		h := newSpeedHarness(t, policy, 1, 0)
+		spec := stepOf(1, false)
+		spec.Checkpoints, spec.Estimate = true, 10*time.Second
+		h.submit("00000000000000aa", spec)
+		var s SendStart
+		begin := func() {
+			h.step(50 * time.Millisecond)
+			s = h.starts()[0]
+			h.e.Started(h.now, s.To.ID, s.Start.Task, s.Start.Run, nil)
+		}
+		report := func(percent float64) {
+			h.e.Renewed(h.now, s.To.ID, runner.Report{Clock: h.now, Running: []runner.ActiveRun{{Task: s.Start.Task, Run: s.Start.Run, Percent: percent}}}, nil)
+		}
+		number := int64(0)
+		end := func(outcome runner.Outcome, checkpoint string) {
+			number++
+			c := runner.Completion{Number: number, Task: s.Start.Task, Run: s.Start.Run, Outcome: outcome, Checkpoint: checkpoint}
+			h.e.Renewed(h.now, s.To.ID, runner.Report{Clock: h.now, Ended: []runner.Completion{c}}, nil)
+		}
+		remaining := func() float64 { return h.e.remaining(h.e.workers[s.To.ID].allocs[s.Start.Task]).Seconds() }
+
+		begin()
+		h.step(6 * time.Second)
+		report(60)
+		require.InDelta(t, 4, remaining(), 0.1, "%+v", policy)
+		end(runner.Stopped, "a checkpoint at 60 %")
+		begin()
+		require.NotEmpty(t, s.Start.Checkpoint)
+		h.step(100 * time.Millisecond) // the checkpoint is being restored
+		report(60)
+		require.InDelta(t, 4, remaining(), 0.4, "%+v", policy)
+		h.step(time.Second)
+		report(70)
+		require.InDelta(t, 3, remaining(), 0.3, "%+v", policy)
+		h.step(3 * time.Second)
+		end(runner.Done, "")
+		if !policy.NoSpeedModel {
+			require.InDelta(t, 1, h.e.workers[s.To.ID].speed.Factor, 0.1)
+		}
+	}
+}
