evacuation: runs on workers that give notice are stopped in time and start elsewhere

Cause: everything on a worker that leaves ends with it, and the tasks start again only once the worker's lease has certainly expired, although the worker said before when it leaves.

Once a leaving worker is empty, the list of cordoned workers is written again, so that a successor that cannot reach it does not wait for its lease. Switch policy.no_evacuation; counters evacuated, evacuations_late, evacuation_kept, evacuated_core_seconds.

--- a/connection/runner/runner.go
+++ b/connection/runner/runner.go
@@ -69,6 +69,18 @@
 	Capacity work.Resources
 	Labels   []string
 	Draining bool
+	// Departure is when a draining worker leaves.
+	Departure Departure
+}
+
+// Departure is a draining worker's notice of when it leaves.
+type Departure struct {
+	Known bool
+	// Remaining is the least time that was left when the worker wrote its entry.
+	Remaining time.Duration
+	// Clock is the worker's clock, as in Report, when it wrote its entry; 0 if the entry has none. The
+	// worker leaves when its clock shows Clock + Remaining, or later.
+	Clock time.Duration
 }
 
 // Errors of calls. Test with errors.Is. A daemon that relays orders sends their texts to
--- a/process/cellnode/metrics.go
+++ b/process/cellnode/metrics.go
@@ -35,6 +35,8 @@
 		{"speed_samples", s.SpeedSamples}, {"speed_clipped", s.SpeedClipped}, {"speed_changed", s.SpeedChanged},
 		{"slow_workers", s.SlowWorkers}, {"stragglers", s.Stragglers}, {"straggler_moves", s.StragglerMoves},
 		{"stragglers_again", s.StragglersAgain},
+		{"evacuated", s.Evacuated}, {"evacuations_late", s.EvacuationsLate}, {"evacuation_kept", s.EvacuationKept},
+		{"evacuated_core_seconds", uint64(s.EvacuatedCoreSeconds)},
 		{"advice_calls", s.AdviceCalls}, {"advice_calls_gangs", s.GangAdviceCalls},
 		{"advice_names", s.AdviceNames}, {"advice_postponed", s.AdvicePostponed},
 		{"advice_tickets_unused", s.TicketsUnused}, {"advice_failed", s.AdviceFailed},
--- a/process/dispatch/completions.go
+++ b/process/dispatch/completions.go
@@ -71,11 +71,15 @@
 	}
 	switch completion.Outcome {
 	case runner.Done:
+		e.noteKeptEnd(alloc)
 		e.taskDone(w, s, completion, alloc)
 	case runner.Failed:
 		e.taskFailed(w, s, completion, alloc)
 	default:
 		e.stats.Requeued++
+		if alloc != nil && completion.Outcome == runner.Stopped {
+			e.noteStopped(alloc)
+		}
 	}
 	if ours {
 		e.requeueEnded(s, completion.Task.Index)
@@ -174,6 +178,9 @@
 
 // acknowledge raises the number up to which the worker may drop its completions.
 func (e *Engine) acknowledge(w *worker) {
+	if len(w.pendingAcks) > 0 {
+		defer e.noteEmptied(w)
+	}
 	for len(w.pendingAcks) > 0 {
 		a := w.pendingAcks[0]
 		if a.job != nil && a.job.saved < a.version {
--- a/process/dispatch/directory.go
+++ b/process/dispatch/directory.go
@@ -27,6 +27,7 @@
 	w.Worker, w.listed = seen, true
 	w.rack = rackOf(seen.Labels)
 	e.labelSpeed(w)
+	e.noteNotice(w)
 	if !w.recorded {
 		e.fleetChanged = true
 	}
@@ -108,6 +109,7 @@
 	for _, alloc := range sortedAllocs(w) {
 		e.stats.Lost++
 		e.stats.LostWithWorker++
+		e.noteEvacuatedLate(alloc)
 		e.decide(Decision{What: "run lost", Task: alloc.id(), Run: alloc.run, Worker: w.ID, Why: why, Age: e.now - alloc.sent})
 		s := alloc.s
 		if ended && e.mayStartLate(alloc) {
--- a/process/dispatch/engine.go
+++ b/process/dispatch/engine.go
@@ -92,6 +92,7 @@
 	idleProxies         int           // left in this round
 	idleForSlow         int           // how many of them may take slow calls
 	preempting          preempting
+	evacuating          evacuating
 
 	forecast   forecast
 	guaranteed int // how many of idleForSlow are kept for steps that have not asked yet
@@ -146,6 +147,12 @@
 	// were stopped to start elsewhere (a gang counts once), StragglersAgain new runs of these
 	// that took long as well.
 	Stragglers, StragglerMoves, StragglersAgain uint64
+	// Evacuated counts runs that were stopped because their worker, or that of another member of their
+	// gang, leaves; EvacuationsLate those of them that were lost with their worker nevertheless.
+	// EvacuationKept counts runs that were left alone and were done before their worker left.
+	// EvacuatedCoreSeconds is the work that the stopped runs lost.
+	Evacuated, EvacuationsLate, EvacuationKept uint64
+	EvacuatedCoreSeconds                       float64
 }
 
 // NewEngine returns an engine without jobs.
@@ -383,6 +390,7 @@
 	}
 	e.refreshSpeeds()
 	e.checkStragglers()
+	e.evacuate()
 	e.openTimed()
 	e.expireAdviceCalls()
 	e.expireGangReservations()
--- /dev/null
+++ b/process/dispatch/evacuation.go
@@ -0,0 +1,214 @@
+package dispatch
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"fennelshunt.example/fennelshunt/process/evacuation"
+	"fennelshunt.example/fennelshunt/process/preemption"
+)
+
+// This file stops runs on workers that have given notice that they leave, so that their tasks start
+// elsewhere at once and not once the worker's lease has expired. Package evacuation decides which and
+// when; this file collects what it needs and carries its decisions out.
+
+const (
+	// evacuationPeriod is between two looks at the runs on workers that leave.
+	evacuationPeriod = 100 * time.Millisecond
+	// paceDeviation is the standard deviation of the logarithm of a remaining time that is predicted
+	// from the run's own pace: tasks of a step vary by some 15 % each way.
+	paceDeviation = 0.15
+)
+
+// evacuating is the engine's state of evacuation.
+type evacuating struct {
+	at      time.Duration // when runs are looked at again
+	stops   evacuation.StopTimes
+	victims []victim
+}
+
+// noteNotice takes a worker's entry in the directory into account.
+func (e *Engine) noteNotice(w *worker) {
+	if !w.Draining || !w.Departure.Known {
+		w.departure.Clear()
+		return
+	}
+	before, known := e.timeLeft(w)
+	w.departure.Notice(e.now, w.Departure.Remaining, w.Departure.Clock)
+	if left, ok := e.timeLeft(w); ok && (!known || left != before) {
+		e.decide(Decision{What: "notice", Worker: w.ID, Why: fmt.Sprintf("%d runs; it leaves in %d ms at the earliest", len(w.allocs), left.Milliseconds())})
+	}
+}
+
+// timeLeft returns the time until a worker leaves at the earliest; false if it is not known.
+func (e *Engine) timeLeft(w *worker) (time.Duration, bool) {
+	clock := time.Duration(0)
+	if w.clock > 0 {
+		clock = w.clockNow(e.now)
+	}
+	return w.departure.Left(e.now, clock)
+}
+
+// evacuate looks at the runs on workers that leave soon, and stops those that must be.
+func (e *Engine) evacuate() {
+	e.settleEvacuated()
+	if e.o.Policy.NoEvacuation || e.now < e.evacuating.at {
+		return
+	}
+	e.evacuating.at = e.now + evacuationPeriod
+	for _, w := range e.workerList {
+		left, known := e.timeLeft(w)
+		if !known || left > evacuation.Horizon || (w.misses > 0 && left < 0) {
+			continue // in the last case it has left, and a stop does not reach it
+		}
+		for _, alloc := range sortedAllocs(w) {
+			if alloc.state != stopping && alloc.s.job.active() {
+				e.evacuateRun(alloc, left)
+			}
+		}
+	}
+}
+
+// evacuateRun decides about a run on a worker that leaves, or about its gang.
+func (e *Engine) evacuateRun(alloc *allocation, left time.Duration) {
+	s := alloc.s
+	c := evacuation.Case{Left: left, Lead: e.evacuating.stops.Lead() + evacuationPeriod, Usual: e.evacuating.stops.Usual(),
+		Endless: s.spec.LongRunning, Checkpoints: s.spec.Checkpoints}
+	if s.spec.Gang {
+		c.Left = e.gangLeft(s, left)
+	}
+	c.Remaining, c.Deviation = e.predictEnd(alloc)
+	action := c.Decide()
+	if action != evacuation.Stop {
+		e.keepRun(alloc, action == evacuation.Keep, c)
+		return
+	}
+	why := fmt.Sprintf("its worker leaves in %d ms at the earliest", c.Left.Milliseconds())
+	if !c.Endless {
+		why += fmt.Sprintf(", and it is expected to end in %d ms", c.Remaining.Milliseconds())
+	}
+	e.decide(Decision{What: "evacuation", Task: alloc.id(), Run: alloc.run, Worker: alloc.w.ID, Why: why, Age: e.now - alloc.sent})
+	if !s.spec.Gang {
+		e.noteEvacuated(alloc)
+		e.stop(alloc, "its worker leaves")
+		return
+	}
+	for i := range s.tasks {
+		if member := s.tasks[i].alloc; member != nil && member.state != stopping {
+			e.noteEvacuated(member)
+		}
+	}
+	e.stopGang(s, "a member's worker leaves")
+}
+
+// gangLeft returns the time until the first of a gang's workers leaves.
+func (e *Engine) gangLeft(s *step, left time.Duration) time.Duration {
+	for i := range s.tasks {
+		alloc := s.tasks[i].alloc
+		if alloc == nil || alloc.state == stopping {
+			continue
+		}
+		if l, known := e.timeLeft(alloc.w); known {
+			left = min(left, l)
+		}
+	}
+	return left
+}
+
+// predictEnd returns the predicted time to the end of a run, or of its gang, and the standard
+// deviation of its logarithm. A run that should have ended takes at least as long as it is overdue.
+func (e *Engine) predictEnd(alloc *allocation) (remaining time.Duration, deviation float64) {
+	s := alloc.s
+	remaining = e.remaining(alloc)
+	if e.o.Policy.NoSpeedModel || s.spec.LongRunning {
+		return remaining, s.work.Deviation()
+	}
+	ends, paced := e.runEnds(alloc), alloc.hasPace()
+	if s.spec.Gang {
+		ends = e.gangEnds(s)
+		paced = !slices.ContainsFunc(s.tasks, func(t task) bool { return t.alloc != nil && !t.alloc.hasPace() })
+	}
+	deviation = s.work.Deviation()
+	if paced {
+		deviation = min(deviation, paceDeviation)
+	}
+	return max(remaining, e.now-ends), deviation
+}
+
+// hasPace reports whether the run's own progress predicts its end.
+func (alloc *allocation) hasPace() bool {
+	_, ok := alloc.progress.Pace()
+	return ok
+}
+
+// keepRun records whether a run is left alone because it is expected to end in time.
+func (e *Engine) keepRun(alloc *allocation, keep bool, c evacuation.Case) {
+	if keep && !alloc.kept {
+		e.decide(Decision{What: "evacuation not needed", Task: alloc.id(), Run: alloc.run, Worker: alloc.w.ID, Age: e.now - alloc.sent,
+			Why: fmt.Sprintf("it is expected to end in %d ms, and its worker leaves in %d ms at the earliest", c.Remaining.Milliseconds(), c.Left.Milliseconds())})
+	}
+	alloc.kept = keep
+}
+
+// noteEvacuated counts a run that is about to be stopped.
+func (e *Engine) noteEvacuated(alloc *allocation) {
+	alloc.evacuated, alloc.kept = true, false
+	e.stats.Evacuated++
+	e.evacuating.victims = append(e.evacuating.victims, victim{alloc: alloc, stopped: e.now, checkpoint: alloc.task().checkpoint})
+}
+
+// settleEvacuated adds up the lost work of stopped runs whose end is known.
+func (e *Engine) settleEvacuated() {
+	v := &e.evacuating.victims
+	*v = slices.DeleteFunc(*v, func(v victim) bool {
+		if v.alloc.w.allocs[v.alloc.id()] == v.alloc {
+			return false
+		}
+		e.stats.EvacuatedCoreSeconds += e.lostBy(v)
+		return true
+	})
+}
+
+// lostBy returns the core-seconds that a stopped run whose end is known has lost.
+func (e *Engine) lostBy(v victim) float64 {
+	t, lost := v.alloc.task(), preemption.Restart
+	switch {
+	case t.done:
+		lost = 0
+	case t.checkpoint == v.checkpoint: // it wrote none at its end: all of the run counts as lost
+		lost += e.now - v.alloc.sent
+	}
+	return float64(v.alloc.need.CPU) / 1000 * lost.Seconds()
+}
+
+// noteStopped learns how long a stop took that has ended a run.
+func (e *Engine) noteStopped(alloc *allocation) {
+	if alloc.stopAt > 0 && alloc.w.misses == 0 {
+		e.evacuating.stops.Observe(e.now - alloc.stopAt)
+	}
+}
+
+// noteEmptied writes the list of cordoned workers again once nothing runs any more on one that leaves.
+// Otherwise a successor that cannot reach it would wait for its lease before it starts the tasks that
+// have ended there.
+func (e *Engine) noteEmptied(w *worker) {
+	if w.cordoned && w.Departure.Known && len(w.allocs) == 0 && len(w.pendingAcks) == 0 {
+		e.cordonsChanged = true
+	}
+}
+
+// noteKeptEnd counts a run on a worker that leaves which was left alone and is done.
+func (e *Engine) noteKeptEnd(alloc *allocation) {
+	if alloc != nil && alloc.kept && alloc.w.Draining {
+		e.stats.EvacuationKept++
+	}
+}
+
+// noteEvacuatedLate counts a run that was stopped because its worker leaves, and was lost with it.
+func (e *Engine) noteEvacuatedLate(alloc *allocation) {
+	if alloc.evacuated && alloc.w.Draining {
+		e.stats.EvacuationsLate++
+		e.decide(Decision{What: "evacuated too late", Task: alloc.id(), Run: alloc.run, Worker: alloc.w.ID, Age: e.now - alloc.stopAt})
+	}
+}
--- a/process/dispatch/job.go
+++ b/process/dispatch/job.go
@@ -164,6 +164,7 @@
 	ackAt    time.Duration // when the worker confirmed it
 	reported bool          // listed in a report of the worker's incarnation
 
+	stopAt       time.Duration // when its stop was decided
 	stopSent     time.Duration // when the last stop order was sent
 	stopAckedAt  time.Duration // when a stop order was answered, 0 if none was
 	missingSince time.Duration // since when reports have not listed it
@@ -179,6 +180,9 @@
 	resumed   bool
 	predicted time.Duration // its run time, when it was started
 	straggles bool          // it was found to take much longer than expected
+	// kept: its worker leaves, and it is expected to end before; evacuated: it was stopped because
+	// its worker, or that of another member of its gang, leaves.
+	kept, evacuated bool
 }
 
 func (alloc *allocation) id() work.TaskID { return alloc.s.taskID(alloc.index) }
--- a/process/dispatch/persist_test.go
+++ b/process/dispatch/persist_test.go
@@ -68,6 +68,8 @@
 		case SendStart:
 			h.e.Started(h.now, x.To.ID, x.Start.Task, x.Start.Run, nil)
 			h.effects = append(h.effects, x)
+		case SendStop:
+			h.effects = append(h.effects, x)
 		}
 	}
 }
--- a/process/dispatch/policy.go
+++ b/process/dispatch/policy.go
@@ -53,6 +53,9 @@
 	// workers become slow, and the cell has capacity to spare; in a full cell they throw away
 	// work without a gain. They need the model of speeds.
 	StragglerMoves bool `json:"straggler_moves,omitempty"`
+	// NoEvacuation leaves runs on workers that have given notice alone, so that they are lost when the
+	// worker leaves. Evacuation matters where workers are withdrawn at short notice.
+	NoEvacuation bool `json:"no_evacuation,omitempty"`
 	// FirstCome starts jobs in the order of their submission and reserves nothing: a baseline.
 	FirstCome bool `json:"first_come,omitempty"`
 	// NoLoadShedding accepts submissions whatever the load. On the leader, no digest of the load is
--- a/process/dispatch/preemption.go
+++ b/process/dispatch/preemption.go
@@ -447,15 +447,7 @@
 		deviation := max(took-p.stopTime, p.stopTime-took)
 		p.stopTime += scale(took-p.stopTime, stopTimeDecay)
 		p.stopDeviation += scale(deviation-p.stopDeviation, stopTimeDecay)
-		t := v.alloc.task()
-		lost := preemption.Restart
-		switch {
-		case t.done:
-			lost = 0
-		case t.checkpoint == v.checkpoint: // it wrote none at its end: all of the run counts as lost
-			lost += e.now - v.alloc.sent
-		}
-		e.stats.PreemptedCoreSeconds += float64(v.alloc.need.CPU) / 1000 * lost.Seconds()
+		e.stats.PreemptedCoreSeconds += e.lostBy(v)
 		return true
 	})
 }
--- a/process/dispatch/runs.go
+++ b/process/dispatch/runs.go
@@ -226,7 +226,7 @@
 	if alloc.state == stopping {
 		return
 	}
-	alloc.state = stopping
+	alloc.state, alloc.stopAt = stopping, e.now
 	e.decide(Decision{What: "stop", Task: alloc.id(), Run: alloc.run, Worker: alloc.w.ID, Why: why, Age: e.now - alloc.sent})
 	e.sendStop(alloc)
 }
--- a/process/dispatch/worker.go
+++ b/process/dispatch/worker.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"fennelshunt.example/fennelshunt/connection/runner"
+	"fennelshunt.example/fennelshunt/process/evacuation"
 	"fennelshunt.example/fennelshunt/process/speed"
 	"fennelshunt.example/fennelshunt/version/work"
 )
@@ -106,6 +107,7 @@
 	reserved         []reservation
 	gangReservations []gangReservation
 	isolated         isolation
+	departure        evacuation.Departure
 }
 
 // free returns the capacity that is not booked.
