--- a/standin/cellsim/load.go
+++ b/standin/cellsim/load.go
@@ -76,6 +76,11 @@
 	// that they start, and the share Slow runs them six times as long.
 	Crashed, Failing, Slow float64
 	WorkerFaults           Span
+	// At each of the times LeaveAt, the share Leaving of the workers gives a notice of length
+	// Notice and then leaves.
+	Leaving float64
+	LeaveAt []time.Duration
+	Notice  time.Duration
 	// Kinds are the kinds of workers, of different speed; empty means one kind of speed 1.
 	Kinds []Kind
 	// Long is the share of runs that take longFactor times as long as drawn.
--- a/standin/cellsim/patterns.go
+++ b/standin/cellsim/patterns.go
@@ -46,6 +46,7 @@
 		{Name: "faster", Kinds: faster, EstimateError: roughEstimates},
 		{Name: "slower", Kinds: slower, EstimateError: roughEstimates, Long: 0.03},
 		{Name: "long", Long: 0.03},
+		{Name: "leaving", Leaving: 0.07, LeaveAt: []time.Duration{at(0.2, 0).From, at(0.6, 0).From}, Notice: 1600 * time.Millisecond},
 	}
 }
 
@@ -84,5 +85,6 @@
 		"headroom":       {QuotaHeadroom: true},
 		"no-speed-model": {NoSpeedModel: true},
 		"moves":          {StragglerMoves: true},
+		"no-evacuation":  {NoEvacuation: true},
 	}
 }
--- a/standin/cellsim/sim.go
+++ b/standin/cellsim/sim.go
@@ -235,6 +235,11 @@
 	s.stats.StragglerMoves += st.StragglerMoves
 	s.stats.StragglersAgain += st.StragglersAgain
 	s.stats.Lost += st.Lost
+	s.stats.LostWithWorker += st.LostWithWorker
+	s.stats.Evacuated += st.Evacuated
+	s.stats.EvacuationsLate += st.EvacuationsLate
+	s.stats.EvacuationKept += st.EvacuationKept
+	s.stats.EvacuatedCoreSeconds += st.EvacuatedCoreSeconds
 	s.stats.Quarantined += st.Quarantined
 	s.stats.Violations += st.Violations
 	s.stats.Preempted += st.Preempted
--- a/standin/epochworker/fleet.go
+++ b/standin/epochworker/fleet.go
@@ -260,6 +260,41 @@
 	f.crash(f.workers[id])
 }
 
+// Notice makes a worker give notice that it leaves after a time at the earliest, with its clock in the
+// entry if withClock is set, and leave some time later. It does not leave if it takes the notice back
+// before.
+func (f *Fleet) Notice(id runner.WorkerID, remaining, extra time.Duration, withClock bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	w := f.workers[id]
+	if w.crashed {
+		return
+	}
+	w.Draining, w.Departure = true, runner.Departure{Known: true, Remaining: remaining}
+	if withClock {
+		w.Departure.Clock = w.clock()
+	}
+	notice := w.Departure
+	f.record(runner.Change{Worker: w.Worker})
+	time.AfterFunc(remaining+extra, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if w.Draining && w.Departure == notice {
+			f.crash(w)
+		}
+	})
+}
+
+// TakeBack makes a worker that has given notice ready again.
+func (f *Fleet) TakeBack(id runner.WorkerID) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if w := f.workers[id]; !w.crashed && w.Draining {
+		w.Draining, w.Departure = false, runner.Departure{}
+		f.record(runner.Change{Worker: w.Worker})
+	}
+}
+
 // Crashes returns how many workers were crashed by runs.
 func (f *Fleet) Crashes() int {
 	f.mu.Lock()
