--- a/standin/epochworker/fleet.go
+++ b/standin/epochworker/fleet.go
@@ -369,6 +369,7 @@
 	w.replaced = true
 	f.restarts++
 	next := w.Worker
+	next.Draining, next.Departure = false, runner.Departure{}
 	next.ID = runner.WorkerID(fmt.Sprintf("life-%d", f.restarts))
 	if f.o.SameName {
 		name, started := w.ID.Incarnation()
