speed: a worker that recovers counts in the pools of its labels again

A worker whose speed had changed (three runs in a row far off in the same direction) was left out of the pools of its labels until its incarnation ended, also if it was slow for a few seconds only. Over time fewer workers counted, below three the pool was not used at all, and a new worker of the labels was taken for one of average speed: TestWorkerThatRecoversPredictsItsLabelsAgain saw a factor of 1.04 instead of 2 for a new worker of a slow kind of three, of which one had been slow once. Gangs were then placed on it as on a fast worker.

It now returns once its own runs since the change agree with its pool within a standard deviation, or with its own speed before the change if the other workers make no pool. A worker that stays slow stays out (TestWorkerThatStaysSlowPredictsNoOther). The counter speed_recovered shows it.

--- a/process/cellnode/metrics.go
+++ b/process/cellnode/metrics.go
@@ -32,7 +32,7 @@
 		{"preempted_core_seconds", uint64(s.PreemptedCoreSeconds)},
 		{"engine_violations", s.Violations},
 		{"load_digests", s.Digests}, {"load_digests_overloaded", s.DigestsOverloaded},
-		{"speed_samples", s.SpeedSamples}, {"speed_clipped", s.SpeedClipped}, {"speed_changed", s.SpeedChanged},
+		{"speed_samples", s.SpeedSamples}, {"speed_clipped", s.SpeedClipped}, {"speed_changed", s.SpeedChanged}, {"speed_recovered", s.SpeedRecovered},
 		{"slow_workers", s.SlowWorkers}, {"stragglers", s.Stragglers}, {"straggler_moves", s.StragglerMoves},
 		{"stragglers_again", s.StragglersAgain},
 		{"advice_calls", s.AdviceCalls}, {"advice_calls_gangs", s.GangAdviceCalls},
--- a/process/dispatch/engine.go
+++ b/process/dispatch/engine.go
@@ -138,8 +138,9 @@
 	// which a submission could be refused.
 	Digests, DigestsOverloaded uint64
 	// SpeedSamples counts run times that the model of speeds took into account, SpeedClipped
-	// those that were far off, SpeedChanged changes of the speed of a worker.
-	SpeedSamples, SpeedClipped, SpeedChanged uint64
+	// those that were far off, SpeedChanged changes of the speed of a worker, and SpeedRecovered
+	// workers that count in the pools of their labels again after such a change.
+	SpeedSamples, SpeedClipped, SpeedChanged, SpeedRecovered uint64
 	// SlowWorkers counts how often a worker was found to be slow.
 	SlowWorkers uint64
 	// Stragglers counts runs that took much longer than expected, StragglerMoves those that
@@ -170,7 +171,7 @@
 // Stats returns the counters.
 func (e *Engine) Stats() Stats {
 	st, learned := e.stats, e.speed.Stats()
-	st.SpeedSamples, st.SpeedClipped, st.SpeedChanged = learned.Samples, learned.Clipped, learned.Changed
+	st.SpeedSamples, st.SpeedClipped, st.SpeedChanged, st.SpeedRecovered = learned.Samples, learned.Clipped, learned.Changed, learned.Recovered
 	return st
 }
 
--- a/process/speed/speed.go
+++ b/process/speed/speed.go
@@ -52,6 +52,10 @@
 	workerSpread = 0.3 * 0.3
 	// minSpread is the least learned variance: a few values may be nearly equal by chance.
 	minSpread = 0.1 * 0.1
+	// returnWeight is the evidence from which a worker whose speed had changed may count in its pools
+	// again: its mean is then known as precisely as a pool's least variance tells workers apart, and
+	// a tenth of it at most is from before the change.
+	returnWeight = 1 / minSpread
 	// poolMin is the number of workers with runs of their own from which a pool is used.
 	poolMin = 3
 	// maxRatio bounds the ratio of run time to prediction that is taken into account at all.
@@ -82,6 +86,9 @@
 	Samples uint64 // run times taken into account
 	Clipped uint64 // those that counted with a bounded deviation
 	Changed uint64 // changes of a worker's speed
+	// Recovered counts workers whose speed had changed and that count in the pools of their labels
+	// again.
+	Recovered uint64
 }
 
 // New returns a model without history. If averages is set, it keeps moving averages of run time
@@ -111,6 +118,7 @@
 	direction   float64 // of the last samples that were far off: 1 slower, -1 faster
 	far         int     // number of these in a row
 	changed     bool    // its speed has changed, so that it does not count in its pools
+	usual       float64 // mean before the change
 }
 
 // pool is a set of workers that share labels.
@@ -195,6 +203,10 @@
 	}
 	sum := 0.0
 	for _, w := range m.workers {
+		if w.changed && w.recovered() {
+			w.changed = false
+			m.stats.Recovered++
+		}
 		w.usePool()
 		sum += w.mean
 	}
@@ -211,14 +223,35 @@
 	p.variance = max(p.squares/p.weight-p.mean*p.mean, minSpread)
 }
 
-// usePool sets what is assumed of the worker's speed apart from its own evidence.
-func (w *Worker) usePool() {
-	w.priorMean, w.priorVar = 0, workerSpread
+// pooled returns mean and variance of the worker's pool with the least variance; false if no pool
+// tells more than what is assumed of workers on which nothing is known.
+func (w *Worker) pooled() (mean, variance float64, ok bool) {
+	variance = workerSpread
 	for _, p := range []*pool{w.kind, w.rack} {
-		if p.variance > 0 && p.variance < w.priorVar {
-			w.priorMean, w.priorVar = p.mean, p.variance
+		if p.variance > 0 && p.variance < variance {
+			mean, variance, ok = p.mean, p.variance, true
 		}
 	}
+	return mean, variance, ok
+}
+
+// recovered reports whether the runs of a worker whose speed had changed agree with its pool again, or
+// with its own speed before the change if the workers that are left make no pool.
+func (w *Worker) recovered() bool {
+	if w.weight < returnWeight {
+		return false
+	}
+	mean, variance, ok := w.pooled()
+	if !ok {
+		mean, variance = w.usual, minSpread
+	}
+	off := w.sum/w.weight - mean
+	return off*off <= variance+1/w.weight
+}
+
+// usePool sets what is assumed of the worker's speed apart from its own evidence.
+func (w *Worker) usePool() {
+	w.priorMean, w.priorVar, _ = w.pooled()
 	if w.changed {
 		w.priorVar = workerSpread
 	}
@@ -262,6 +295,9 @@
 	if w.far++; w.far < changeRuns {
 		return false
 	}
+	if !w.changed {
+		w.usual = w.mean
+	}
 	w.far, w.changed = 0, true
 	w.priorVar = workerSpread
 	w.weight = min(w.weight, 1/workerSpread)
--- a/process/speed/speed_test.go
+++ b/process/speed/speed_test.go
@@ -227,6 +227,84 @@
 	require.NotZero(t, m.Stats().Changed)
 }
 
+// TestWorkerThatRecoversPredictsItsLabelsAgain guards against a worker that was slow for some runs and
+// is left out of the pools of its labels for good: in a cell in which each worker has been slow once,
+// new workers would have no pooled factor any more.
+func TestWorkerThatRecoversPredictsItsLabelsAgain(t *testing.T) {
+	for _, c := range []struct {
+		name             string
+		others, slowOnes int // of the slow kind: workers that stay as they are, and those that are slow for a time
+	}{{"one of three", 2, 1}, {"all", 0, 4}, {"one of many", 9, 1}} {
+		m := New(false)
+		var fast, slow []*Worker
+		for range 4 {
+			fast = append(fast, m.AddWorker("fast", "r1"))
+		}
+		for range c.others + c.slowOnes {
+			slow = append(slow, m.AddWorker("slow", "r2"))
+		}
+		// play lets each worker end n runs; those that are slow for a time take the given time.
+		play := func(n int, took time.Duration) {
+			for range n {
+				s := m.newWork("q", time.Second)
+				for _, w := range fast {
+					m.Learn(w, s, time.Second, End)
+				}
+				for i, w := range slow {
+					if i < c.slowOnes {
+						m.Learn(w, s, took, End)
+					} else {
+						m.Learn(w, s, 2*time.Second, End)
+					}
+				}
+				m.Refresh()
+			}
+		}
+		play(20, 2*time.Second)
+		play(20, 8*time.Second)
+		require.NotZero(t, m.Stats().Changed, c.name)
+		for _, w := range slow[:c.slowOnes] {
+			require.True(t, w.changed, "%s: it is still slow", c.name)
+			require.Greater(t, w.Factor/fast[0].Factor, 6.0, c.name)
+		}
+		play(40, 2*time.Second)
+		for _, w := range slow[:c.slowOnes] {
+			require.InDelta(t, 2, w.Factor/fast[0].Factor, 0.3, c.name)
+		}
+		added := m.AddWorker("slow", "new")
+		m.Refresh()
+		require.InDelta(t, 2, added.Factor/fast[0].Factor, 0.3, c.name)
+		require.Equal(t, c.others+c.slowOnes, slow[0].kind.n, c.name)
+	}
+}
+
+// TestWorkerThatStaysSlowPredictsNoOther guards against healthy workers that are predicted by one of
+// their labels that has become slow for good.
+func TestWorkerThatStaysSlowPredictsNoOther(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := New(false)
+		var all []*Worker
+		for range 8 {
+			all = append(all, m.AddWorker("k", "r"))
+		}
+		slowed := rapid.Float64Range(3, 8).Draw(t, "slowed down by")
+		for i := range 80 {
+			s := m.newWork("q", time.Second)
+			for k, w := range all {
+				took := rapid.Float64Range(0.9, 1.1).Draw(t, "took")
+				if k == 0 && i >= 20 {
+					took *= slowed
+				}
+				m.Learn(w, s, time.Duration(took*1e9), End)
+			}
+			m.Refresh()
+			if i >= 30 {
+				require.True(t, all[0].changed, "after %d runs", i)
+			}
+		}
+	})
+}
+
 // TestInaccurateEstimatesAreCorrected guards against run times that are predicted by estimates
 // whose error is larger than the differences between run times.
 func TestInaccurateEstimatesAreCorrected(t *testing.T) {
--- a/standin/cellsim/sim.go
+++ b/standin/cellsim/sim.go
@@ -230,6 +230,7 @@
 	s.stats.SpeedSamples += st.SpeedSamples
 	s.stats.SpeedClipped += st.SpeedClipped
 	s.stats.SpeedChanged += st.SpeedChanged
+	s.stats.SpeedRecovered += st.SpeedRecovered
 	s.stats.SlowWorkers += st.SlowWorkers
 	s.stats.Stragglers += st.Stragglers
 	s.stats.StragglerMoves += st.StragglerMoves
