loadshed: the wait for quota counts all work that uses the quota

The expected wait of a job within its account's entitlement was too short where some of the account's steps wait for the quota and others, which fit into what it leaves, wait for advice or capacity. Their callers were told "accepted" and learned nothing until the job was worth nothing.

- The rate of starts is at least one mean step per window.
The mean was the work of all steps divided by the number of those that wait for the quota: with one of 50 steps waiting for it, a rate of 10 core-seconds per second counted as 50 (TestRateWithinTheQuotaIsThatOfStarts).
- The time by the cap counted only the steps that wait for the quota.
Those in front of the job that will use the quota as well did not count: a wait of 50 s counted as none (TestWorkThatFitsTheQuotaDelaysLaterWork).

The mean is now that of all of the account's steps in the class, and the time by the cap is that of all of its steps. It is 0 while none of them waits for the quota, so that an account with room in its cap is judged as before.

Not changed: in a cell with several shards the cap counts as a whole; admission.md says why.

--- a/process/dispatch/forecast.go
+++ b/process/dispatch/forecast.go
@@ -111,9 +111,7 @@
 	if a := s.job.spec.Queue.Advice; a != nil && (s.advice == nil || (!s.advice.usable(e.now) && s.advice.inFlight == 0)) {
 		x.Proxy = s.callCost(n).Seconds()
 	}
-	if x.AwaitsQuota {
-		x.Quota = e.quotaSeconds(s, n)
-	}
+	x.Quota = e.quotaSeconds(s, n)
 	return x, true
 }
 
--- a/process/loadshed/forecast.go
+++ b/process/loadshed/forecast.go
@@ -51,7 +51,7 @@
 	Left time.Duration
 	// Work is the work of the tasks to start, in core-seconds. Proxy is how long the calls for advice
 	// that are still to be sent occupy proxies, and Quota how long the account's cap takes to run the
-	// step if it waits for the quota, both in seconds.
+	// step, both in seconds.
 	Work, Proxy, Quota float64
 	// AwaitsAdvice and AwaitsQuota tell what the step waits for; neither: capacity.
 	AwaitsAdvice, AwaitsQuota bool
@@ -122,7 +122,7 @@
 // Digest returns the digest of the shard's state at a time. Times must not decrease.
 func (f *Forecast) Digest(now time.Duration, epoch uint64, cell *Cell) *Digest {
 	d := &Digest{Epoch: epoch, Cores: cell.Cores, Proxies: cell.Proxies}
-	sum := sums{digest: d, counts: map[key]int{}, advice: map[Class]float64{}, accounts: map[string]*AccountLoad{}}
+	sum := sums{digest: d, counts: map[key]int{}, steps: map[key]int{}, advice: map[Class]float64{}, accounts: map[string]*AccountLoad{}}
 	for i := range cell.Steps {
 		if s := &cell.Steps[i]; s.Rank != TooLate {
 			sum.add(s)
@@ -139,6 +139,7 @@
 type sums struct {
 	digest   *Digest
 	counts   map[key]int       // of steps; for an account, of those that wait for the quota or exceed the entitlement
+	steps    map[key]int       // of all steps of an account
 	advice   map[Class]float64 // work that waits for advice, in core-seconds
 	accounts map[string]*AccountLoad
 }
@@ -172,9 +173,10 @@
 	}
 	own := a.class(s.Class)
 	own.Work.add(s.Rank, s.Work)
+	own.Quota.add(s.Rank, s.Quota)
+	x.steps[key{s.Account, s.Class}]++
 	if s.AwaitsQuota {
 		own.Blocked.add(s.Rank, s.Work)
-		own.Quota.add(s.Rank, s.Quota)
 	} else {
 		own.Proxy.add(s.Rank, s.Proxy)
 	}
@@ -193,10 +195,14 @@
 		c.Advice = over(x.advice[c.Class], work)
 	}
 	for _, a := range x.accounts {
+		blocked := slices.ContainsFunc(a.Classes, func(c AccountClass) bool { return c.Blocked != (Waiting{}) })
 		for i := range a.Classes {
 			c, k := &a.Classes[i], key{a.Name, a.Classes[i].Class}
-			if n := x.counts[k]; n > 0 {
-				c.Rate = f.rate(now, k, (c.Work.InTime+c.Work.Late)/float64(n))
+			if x.counts[k] > 0 {
+				c.Rate = f.rate(now, k, (c.Work.InTime+c.Work.Late)/float64(x.steps[k]))
+			}
+			if !blocked {
+				c.Quota = Waiting{} // the cap has room, so it delays nothing yet
 			}
 		}
 	}
--- a/process/loadshed/forecast_test.go
+++ b/process/loadshed/forecast_test.go
@@ -115,3 +115,49 @@
 	t.Logf("%d bytes", len(data))
 	require.Less(t, len(data), 4<<10)
 }
+
+// quotaCell returns a cell in which a gang of an account waits for its quota, in front of n smaller steps
+// that fit into what the quota leaves and wait for advice. The account's cap takes a second for each.
+func quotaCell(n int) *Cell {
+	cell := cellWith(Step{Class: gangs, Account: "a", Work: 10, Quota: 1, Left: 5 * time.Second, AwaitsQuota: true})
+	for range n {
+		cell.Steps = append(cell.Steps, Step{Class: gangs, Account: "a", Work: 10, Quota: 1, Left: 5 * time.Second, AwaitsAdvice: true})
+	}
+	cell.Accounts = []Account{{Name: "a", Weight: 1}}
+	return cell
+}
+
+func TestRateWithinTheQuotaIsThatOfStarts(t *testing.T) {
+	// Guards against accepting jobs that the quota delays until they are worth nothing: the work of all
+	// steps, taken as that of the few that wait for the quota, made the rate of starts look higher.
+	var f Forecast
+	var d *Digest
+	for now := time.Duration(0); now <= 12*time.Second; now += Period {
+		f.Started(gangs, "a", 10*Period.Seconds())
+		d = f.Digest(now, 1, quotaCell(49))
+	}
+	own := d.account("a")
+	require.NotNil(t, own)
+	require.InDelta(t, 10, own.Classes[0].Rate, 0.5)
+	w, over := d.Expect(Job{Priority: 1, Account: "a", Objective: 6 * time.Second, Path: time.Second})
+	require.False(t, over)
+	require.InDelta(t, 50, w.Total().Seconds(), 3)
+}
+
+func TestWorkThatFitsTheQuotaDelaysLaterWork(t *testing.T) {
+	// Guards against accepting jobs that the quota delays until they are worth nothing: before the rate of
+	// starts is known, only the steps that wait for the quota counted, not those that are served before
+	// the job and will use the quota as well.
+	var f Forecast
+	d := f.Digest(0, 1, quotaCell(49))
+	w, _ := d.Expect(Job{Priority: 1, Account: "a", Objective: 6 * time.Second, Path: time.Second})
+	require.InDelta(t, 50, w.Total().Seconds(), 1)
+	require.Equal(t, "quota", w.Cause())
+
+	// While nothing waits for the quota, it delays nothing.
+	cell := quotaCell(49)
+	cell.Steps[0].AwaitsQuota = false
+	d = f.Digest(Period, 1, cell)
+	w, _ = d.Expect(Job{Priority: 1, Account: "a", Objective: 6 * time.Second, Path: time.Second})
+	require.Zero(t, w.Quota)
+}
--- a/process/loadshed/loadshed.go
+++ b/process/loadshed/loadshed.go
@@ -124,7 +124,8 @@
 	Blocked Waiting `cbor:"3,keyasint,omitempty"`
 	// Proxy is the part of ClassLoad.Proxy that is the account's.
 	Proxy Waiting `cbor:"4,keyasint,omitempty"`
-	// Quota is how long the account's cap takes, in seconds, to run the steps that wait for it.
+	// Quota is how long the account's cap takes, in seconds, to run the steps, including those that do not
+	// wait for it, since they will use it as well; 0 while none of the account's steps waits for it.
 	Quota Waiting `cbor:"5,keyasint,omitempty"`
 	// Rate is the account's work in the class that was started per second; 0: not known. Within the
 	// entitlement it is known only while work waits for the quota.
