advicebudget: daemons without membership stay proxies while they answer

Cause: the store rejects a third of the daemons for seconds. Their member records expire, and the leader stops calling the advice service through them although it still reaches them; in a burst of quick jobs these wait for the 26 proxies that are left.

Change: the view of the cell lists daemons whose records have expired (not those that stop as planned, which mark their record before they revoke its lease, and refuse calls for advice from then on). The engine keeps such a daemon as a proxy if it has answered within 10 s and no call has failed since, until a call fails or 30 s have passed. Switch: no_quick_proxies. Counters: advice_proxies_unregistered, advice_calls_unregistered.

--- a/process/advicebudget/advicebudget_test.go
+++ b/process/advicebudget/advicebudget_test.go
@@ -141,15 +141,49 @@
 		require.False(t, p.Usable(now+pause-1))
 		require.True(t, p.Usable(now+pause))
 	}
-	p.AnsweredLate()
+	p.AnsweredLate(now)
 	require.True(t, p.Usable(now))
 	for range 10 {
-		p.Answered(3*time.Second, time.Second)
+		p.Answered(now, 3*time.Second, time.Second)
 	}
 	require.True(t, p.Slow())
 	require.InDelta(t, 3, p.Factor(), 0.2)
 	for range 10 {
-		p.Answered(time.Second, time.Second)
+		p.Answered(now, time.Second, time.Second)
 	}
 	require.False(t, p.Slow())
 }
+
+func TestProxyWithoutMembershipIsUsedUntilACallFailsOrTimePasses(t *testing.T) {
+	// Guards against a dead daemon that is called again and again after its membership has expired, and
+	// against one that is dropped though it answers.
+	rapid.Check(t, func(t *rapid.T) {
+		var p Proxy
+		now, answeredAt, lostAt := time.Duration(0), time.Duration(-1), time.Duration(-1)
+		failed, kept := false, false
+		for range rapid.IntRange(1, 30).Draw(t, "events") {
+			now += time.Duration(rapid.IntRange(0, 8000).Draw(t, "ms")) * time.Millisecond
+			switch rapid.IntRange(0, 4).Draw(t, "event") {
+			case 0:
+				p.Answered(now, time.Second, time.Second)
+				answeredAt = now
+			case 1:
+				p.AnsweredLate(now)
+				answeredAt = now
+			case 2:
+				p.Failed(now)
+				answeredAt, failed = -1, true
+			case 3:
+				p.Registered()
+				lostAt = -1
+			case 4:
+				first := lostAt < 0
+				if first {
+					lostAt, failed, kept = now, false, answeredAt >= 0 && now-answeredAt <= answeredWithin
+				}
+				require.Equal(t, first && kept, p.Unregistered(now))
+			}
+			require.Equal(t, lostAt < 0 || kept && !failed && now-lostAt <= unregisteredMax, p.Available(now))
+		}
+	})
+}
--- a/process/advicebudget/proxy.go
+++ b/process/advicebudget/proxy.go
@@ -17,6 +17,12 @@
 	// a call of 0.8 s that takes half as long again outlasts the time that a gang reservation
 	// allows for it.
 	slowFactor = 0.5
+	// answeredWithin is how recently a daemon must have answered to stay a proxy when it loses its
+	// membership. Under load each proxy has a call every second or two.
+	answeredWithin = 10 * time.Second
+	// unregisteredMax is how long it stays one. The store rejects the calls of a daemon for up to some
+	// ten seconds at a time; one that is away for three times that is not expected back.
+	unregisteredMax = 30 * time.Second
 )
 
 // Proxy is what is known about a daemon through which the advice service is called. The zero
@@ -26,11 +32,55 @@
 	pausedUntil time.Duration
 	// excess is the moving average of the duration of its calls relative to their cost, less 1.
 	excess float64
+	// answered: the last outcome was an answer, at answeredAt.
+	answered   bool
+	answeredAt time.Duration
+
+	membership     membership
+	unregisteredAt time.Duration
+}
+
+// membership is whether a proxy's daemon is a member of the cell.
+type membership uint8
+
+const (
+	member       membership = iota
+	unregistered            // it has lost its membership, and answers
+	excluded                // it is not used until it is a member again
+)
+
+// Registered notes that the daemon is a member.
+func (p *Proxy) Registered() { p.membership = member }
+
+// Unregistered notes that the daemon has lost its membership other than by a planned stop. It
+// stays a proxy if it has answered recently and no call has failed since; kept is true if this is
+// decided now.
+func (p *Proxy) Unregistered(now time.Duration) (kept bool) {
+	if p.membership != member {
+		return false
+	}
+	p.membership, p.unregisteredAt = excluded, now
+	if p.answered && now-p.answeredAt <= answeredWithin {
+		p.membership = unregistered
+		return true
+	}
+	return false
+}
+
+// Available reports whether the daemon is a proxy: it is a member, or lost its membership a short
+// time ago and has answered all calls since.
+func (p *Proxy) Available(now time.Duration) bool {
+	return p.membership == member || p.membership == unregistered && now-p.unregisteredAt <= unregisteredMax
+}
+
+// Forget resets what is known about the daemon's calls, but not its membership.
+func (p *Proxy) Forget() {
+	p.failures, p.pausedUntil, p.excess = 0, 0, 0
 }
 
 // Answered notes a call that was answered, and how long it took and should have taken.
-func (p *Proxy) Answered(took, cost time.Duration) {
-	p.failures, p.pausedUntil = 0, 0
+func (p *Proxy) Answered(now, took, cost time.Duration) {
+	p.failures, p.pausedUntil, p.answered, p.answeredAt = 0, 0, true, now
 	if cost <= 0 {
 		return
 	}
@@ -39,10 +89,14 @@
 }
 
 // AnsweredLate notes an answer to a call that was given up: the proxy works again.
-func (p *Proxy) AnsweredLate() { p.failures, p.pausedUntil = 0, 0 }
+func (p *Proxy) AnsweredLate(now time.Duration) { p.Answered(now, 0, 0) }
 
 // Failed notes a call that failed or was not answered in time.
 func (p *Proxy) Failed(now time.Duration) {
+	p.answered = false
+	if p.membership == unregistered {
+		p.membership = excluded
+	}
 	p.pausedUntil = now + min(pauseMin<<min(p.failures, 8), pauseMax)
 	p.failures++
 }
--- a/process/cellnode/node.go
+++ b/process/cellnode/node.go
@@ -104,6 +104,7 @@
 	pacer        *submit.Pacer              // shared by the shards
 	quotaOwner   atomic.Pointer[quotaOwner] // while this daemon leads shard 0 of several
 	stopping     atomic.Bool
+	resigned     atomic.Bool // leadership and membership have been given up for a planned stop
 	metrics      *expvar.Map
 	latencies    latencies
 	byAccount    latencies // of completed jobs
@@ -288,6 +289,7 @@
 			p.elector.Resign(ctx)
 		}
 	}
+	n.resigned.Store(true)
 	if n.conns == nil {
 		return
 	}
--- a/process/cellnode/shard.go
+++ b/process/cellnode/shard.go
@@ -83,7 +83,7 @@
 	defer s.rows.Store(nil)
 	h := dispatch.NewHost(dispatch.HostOptions{
 		Store: s.store, StoreTimeout: n.storeTimeout, Runner: orders, Directory: shardDirectory{n.o.Directory, layout, s.index}, View: n.view(),
-		Members: members, Advise: n.advise, Accounts: n.catalogs.accounts, Shard: s.index, Shards: layout.Shards, Bounds: n.bounds(), Policy: n.o.Settings.Policy, Log: n.log, Count: n.count, Took: n.observeSpan,
+		Members: members, Lost: func() []lead.Member { return ownDaemons(n.view().Lost(), layout, s.index) }, Advise: n.advise, Accounts: n.catalogs.accounts, Shard: s.index, Shards: layout.Shards, Bounds: n.bounds(), Policy: n.o.Settings.Policy, Log: n.log, Count: n.count, Took: n.observeSpan,
 		ShowAccounts: func(rows []quota.Row) { s.rows.Store(&rows) },
 		Violation:    func(string) { n.metrics.Add("violations", 1) },
 	}, t)
@@ -101,15 +101,19 @@
 // used the same proxy would wait for each other. A shard without any daemon of its own
 // would never get advice, and so uses all.
 func shardMembers(members []lead.Member, layout lead.Layout, index int) []lead.Member {
-	var own []lead.Member
-	for _, m := range members {
+	if own := ownDaemons(members, layout, index); len(own) > 0 {
+		return own
+	}
+	return members
+}
+
+// ownDaemons returns those of the daemons that the layout assigns to a shard.
+func ownDaemons(all []lead.Member, layout lead.Layout, index int) (own []lead.Member) {
+	for _, m := range all {
 		if layout.ShardOf(m.Name) == index {
 			own = append(own, m)
 		}
 	}
-	if len(own) == 0 {
-		return members
-	}
 	return own
 }
 
--- a/process/cellnode/shard_test.go
+++ b/process/cellnode/shard_test.go
@@ -62,3 +62,42 @@
 	}
 	require.Equal(t, workers, sum)
 }
+
+// TestLostDaemonsOfOtherShardsAreNotProxies guards against two leaders that use the same daemon
+// without membership as a proxy and wait for each other.
+func TestLostDaemonsOfOtherShardsAreNotProxies(t *testing.T) {
+	var all []lead.Member
+	for i := range 20 {
+		all = append(all, lead.Member{Name: fmt.Sprint("d-", i)})
+	}
+	layout, seen := lead.Layout{Shards: 3}, map[string]int{}
+	for shard := range 3 {
+		for _, m := range ownDaemons(all, layout, shard) {
+			seen[m.Name]++
+		}
+	}
+	require.Len(t, seen, len(all))
+	for name, n := range seen {
+		require.Equal(t, 1, n, name)
+	}
+	require.Empty(t, ownDaemons(nil, layout, 0))
+	require.Len(t, shardMembers(all[:1], layout, (layout.ShardOf(all[0].Name)+1)%3), 1, "a shard without members of its own uses all")
+}
+
+// TestDaemonThatHasResignedRefusesCallsForAdvice guards against a leader that keeps a daemon as a
+// proxy, because it could not read the record of the planned stop, until the process ends.
+func TestDaemonThatHasResignedRefusesCallsForAdvice(t *testing.T) {
+	n := &Node{o: Options{Adviser: noAdviser{}}}
+	_, err := n.serveAdvise(t.Context(), adviseRequest{})
+	require.NoError(t, err)
+	n.resigned.Store(true)
+	_, err = n.serveAdvise(t.Context(), adviseRequest{})
+	require.ErrorIs(t, err, errStopping)
+}
+
+// noAdviser finds no worker good.
+type noAdviser struct{}
+
+func (noAdviser) Advise(context.Context, string, []runner.WorkerID) ([]runner.Ticket, error) {
+	return nil, nil
+}
--- a/process/dispatch/advice.go
+++ b/process/dispatch/advice.go
@@ -50,6 +50,7 @@
 	use     proxyUse // what the call counts as; noUse for a quick one
 	state   advicebudget.Proxy
 	gaveUp  work.TaskID // the step of the last call that was not answered in time
+	lost    bool        // the daemon has lost its membership
 }
 
 // advice is what a step has received about the workers that may run it.
@@ -148,22 +149,6 @@
 	return false
 }
 
-// Members sets the daemons through which advice can be requested.
-func (e *Engine) Members(now time.Duration, names []string) {
-	e.now = now
-	e.members = names
-	for _, name := range names {
-		if e.proxies[name] == nil {
-			e.proxies[name] = &adviceProxy{member: name}
-		}
-	}
-	for name, proxy := range e.proxies {
-		if !slices.Contains(names, name) && proxy.busy == nil {
-			delete(e.proxies, name)
-		}
-	}
-}
-
 // callCost returns how long a call that names n workers takes; at most maxWorkersPerCall of
 // them count.
 func (s *step) callCost(n int) time.Duration {
@@ -256,6 +241,7 @@
 
 // expireAdviceCalls gives up calls that were not answered in time.
 func (e *Engine) expireAdviceCalls() {
+	e.expireUnregistered()
 	for _, proxy := range e.proxies {
 		if proxy.busy != nil && e.now > proxy.until {
 			e.adviceFailed(proxy)
@@ -288,7 +274,7 @@
 		return
 	}
 	s := proxy.busy
-	proxy.state.Answered(now-proxy.sent, proxy.cost())
+	proxy.state.Answered(now, now-proxy.sent, proxy.cost())
 	proxy.busy = nil
 	e.stats.Advised++
 	e.scheduled = false
@@ -329,7 +315,7 @@
 
 // sendAdviceCalls assigns the requested calls to idle proxies, in the order of the steps.
 func (e *Engine) sendAdviceCalls(steps []*step) {
-	if len(e.members) == 0 {
+	if len(e.proxyNames) == 0 {
 		return
 	}
 	counts := e.proxyCounts()
@@ -380,7 +366,7 @@
 // ends of the list of members, so that slow ones rarely occupy every proxy.
 func (e *Engine) pickProxy(slow bool) *adviceProxy {
 	var found *adviceProxy
-	for _, name := range e.members {
+	for _, name := range e.proxyNames {
 		proxy := e.proxies[name]
 		if !e.usableProxy(proxy) {
 			continue
--- a/process/dispatch/advicebudget.go
+++ b/process/dispatch/advicebudget.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"fennelshunt.example/fennelshunt/connection/runner"
@@ -56,8 +57,8 @@
 
 // proxyCounts counts the proxies by what they do.
 func (e *Engine) proxyCounts() advicebudget.Proxies {
-	p := advicebudget.Proxies{All: len(e.members)}
-	for _, name := range e.members {
+	p := advicebudget.Proxies{All: len(e.proxyNames)}
+	for _, name := range e.proxyNames {
 		if e.usableProxy(e.proxies[name]) {
 			p.Idle++
 		}
@@ -228,6 +229,9 @@
 	if s.spec.Gang {
 		e.stats.GangAdviceCalls++
 	}
+	if proxy.lost {
+		e.stats.UnregisteredCalls++
+	}
 	s.advice.budget.asked = e.now
 	switch {
 	case cost < slowCall:
@@ -246,10 +250,14 @@
 func (e *Engine) proxyFailed(proxy *adviceProxy, s *step) {
 	e.stats.AdviceFailed++
 	if e.o.Policy.NoAdviceBudget {
-		proxy.state = advicebudget.Proxy{}
+		proxy.state.Forget()
 	}
 	proxy.state.Failed(e.now)
 	proxy.gaveUp = s.id()
+	if proxy.lost && slices.Contains(e.proxyNames, proxy.member) {
+		e.decide(Decision{What: "advice proxy without membership is not used any more", Why: proxy.member + " has failed a call"})
+		e.updateProxies()
+	}
 }
 
 // answeredLate handles the outcome of a call that was given up. Its tickets are ignored, but a proxy
@@ -258,6 +266,6 @@
 	if proxy == nil || err != nil || proxy.gaveUp != id || e.o.Policy.NoAdviceBudget {
 		return
 	}
-	proxy.state.AnsweredLate()
+	proxy.state.AnsweredLate(e.now)
 	e.scheduled = false
 }
--- a/process/dispatch/advicebudget_test.go
+++ b/process/dispatch/advicebudget_test.go
@@ -147,7 +147,7 @@
 	h := newHarness(t, 1, "w-a")
 	h.e.Members(0, []string{"d-1", "d-2"})
 	for range 5 {
-		h.e.proxies["d-2"].state.Answered(2*time.Second, time.Second)
+		h.e.proxies["d-2"].state.Answered(0, 2*time.Second, time.Second)
 	}
 	require.Equal(t, "d-1", h.e.pickProxy(true).member)
 	require.Equal(t, "d-1", h.e.pickProxy(false).member)
--- a/process/dispatch/cell_test.go
+++ b/process/dispatch/cell_test.go
@@ -62,6 +62,7 @@
 type adviser struct {
 	mu      sync.Mutex
 	members map[string]*sync.Mutex
+	asked   map[string]int // calls, by member
 	share   float64
 }
 
@@ -72,6 +73,7 @@
 		memberMu = &sync.Mutex{}
 		a.members[member] = memberMu
 	}
+	a.asked[member]++
 	a.mu.Unlock()
 	if err := sleep.For(ctx, 5*time.Millisecond+time.Duration(len(workers))*200*time.Microsecond); err != nil {
 		return nil, err
@@ -93,7 +95,7 @@
 
 func newCellOf(t *testing.T, seed uint64, workers, daemons int, policy Policy, behave func(*rand.Rand, work.TaskID) epochworker.Behaviour) *cell {
 	rng := rand.New(rand.NewPCG(seed, 3))
-	c := &cell{t: t, policy: policy, kv: kv.NewSeeded(seed), jobs: map[work.JobID]*work.Job{}, rng: rng, advice: &adviser{members: map[string]*sync.Mutex{}, share: 0.5}}
+	c := &cell{t: t, policy: policy, kv: kv.NewSeeded(seed), jobs: map[work.JobID]*work.Job{}, rng: rng, advice: &adviser{members: map[string]*sync.Mutex{}, asked: map[string]int{}, share: 0.5}}
 	draw := rand.New(rand.NewPCG(seed, 5))
 	c.fleet = epochworker.New(epochworker.Options{Seed: seed, Lease: testLease, GangTimeout: 3 * time.Second, StopDelay: 200 * time.Millisecond,
 		Delay: time.Millisecond, Attempts: 4,
--- a/process/dispatch/engine.go
+++ b/process/dispatch/engine.go
@@ -66,7 +66,8 @@
 	latestStarts map[string]int64
 	lateStarts   map[string][]*allocation
 
-	members      []string
+	members      []string // daemons of the cell
+	proxyNames   []string // daemons through which advice is requested, see proxies.go
 	proxies      map[string]*adviceProxy
 	goodShares   map[string]float64 // share of workers that are good, by queue
 	speed        *speed.Model
@@ -127,6 +128,9 @@
 	// counts tickets that were replaced by a new one for the same worker, AdviceFailed calls that
 	// failed or were not answered in time.
 	AdviceCalls, GangAdviceCalls, AdviceNames, AdvicePostponed, TicketsUnused, AdviceFailed uint64
+	// UnregisteredProxies is how many daemons without membership are used as proxies now, and
+	// UnregisteredCalls counts the calls that were sent through such daemons.
+	UnregisteredProxies, UnregisteredCalls uint64
 	// OverQuota counts steps that waited for their account's quota.
 	OverQuota uint64
 	// Preempted counts runs that were stopped for other work, Preemptions the steps for which runs
@@ -170,6 +174,7 @@
 // Stats returns the counters.
 func (e *Engine) Stats() Stats {
 	st, learned := e.stats, e.speed.Stats()
+	st.UnregisteredProxies = uint64(e.unregisteredProxies())
 	st.SpeedSamples, st.SpeedClipped, st.SpeedChanged = learned.Samples, learned.Clipped, learned.Changed
 	return st
 }
--- a/process/dispatch/forecast.go
+++ b/process/dispatch/forecast.go
@@ -62,7 +62,7 @@
 
 // cellLoad returns the state of the shard for a digest.
 func (e *Engine) cellLoad() *loadshed.Cell {
-	cell := &loadshed.Cell{Proxies: float64(len(e.members))}
+	cell := &loadshed.Cell{Proxies: float64(len(e.proxyNames))}
 	for _, w := range e.workerList {
 		// Workers that do not answer at the moment count: the leader's link may be the reason.
 		if !w.removed && w.listed && !w.Draining {
--- a/process/dispatch/host.go
+++ b/process/dispatch/host.go
@@ -53,6 +53,9 @@
 	View         *lead.View // of the cell's daemons
 	// Members returns the daemons through which advice is requested; nil: all of View.
 	Members func() []lead.Member
+	// Lost returns the daemons that have lost their membership without a planned stop; nil:
+	// those of View.
+	Lost func() []lead.Member
 	// Advise calls the advice service through a member.
 	Advise func(ctx context.Context, member, step string, workers []runner.WorkerID) ([]runner.Ticket, error)
 	// Accounts returns the client accounts of the configuration in force, and whether there is
@@ -490,6 +493,18 @@
 	return h.o.View.Members()
 }
 
+// lost returns the names of the daemons that have lost their membership.
+func (h *Host) lost() (names []string) {
+	from := h.o.View.Lost
+	if h.o.Lost != nil {
+		from = h.o.Lost
+	}
+	for _, m := range from() {
+		names = append(names, m.Name)
+	}
+	return names
+}
+
 // watchMembers passes the list of daemons to the engine.
 func (h *Host) watchMembers(ctx context.Context) {
 	for {
@@ -498,7 +513,8 @@
 		for _, m := range h.members() {
 			names = append(names, m.Name)
 		}
-		h.post(func(e *Engine, now time.Duration) { e.Members(now, names) })
+		lost := h.lost()
+		h.post(func(e *Engine, now time.Duration) { e.Members(now, names, lost...) })
 		select {
 		case <-ctx.Done():
 			return
--- a/process/dispatch/policy.go
+++ b/process/dispatch/policy.go
@@ -34,6 +34,10 @@
 	// worth and however soon they must start. The budget matters when more steps need slow calls
 	// than there are proxies.
 	NoAdviceBudget bool `json:"no_advice_budget,omitempty"`
+	// NoQuickProxies drops a proxy at once when its daemon loses its membership, and sends slow
+	// calls and quick ones without regard to how many quick steps wait for a proxy. The opposite
+	// matters with bursts of quick jobs while slow calls use most proxies.
+	NoQuickProxies bool `json:"no_quick_proxies,omitempty"`
 	// Shares is the policy by which the jobs of different accounts are ordered; see package fair.
 	Shares fair.Policy `json:"shares,omitempty"`
 	// NoQuotaTurns lets small work use the part of its account's cap that a gang waits for. It
--- a/process/lead/elector.go
+++ b/process/lead/elector.go
@@ -165,6 +165,9 @@
 		}
 	}
 	if id := store.LeaseID(e.lease.Load()); id != 0 && e.o.Primary == nil {
+		if err := e.writeMember(ctx, id); err != nil {
+			e.o.Log.Warn().Err(err).Msg("planned stop not recorded; the leader may take this daemon for one that has lost its membership")
+		}
 		if err := e.o.Store.RevokeLease(ctx, id); err != nil {
 			e.o.Log.Warn().Err(err).Msg("membership lease not revoked; it expires")
 		}
@@ -293,7 +296,9 @@
 }
 
 func (e *Elector) writeMember(ctx context.Context, id store.LeaseID) error {
-	txn := store.Txn{Writes: []store.Write{{Key: prefixMember + e.o.Self.Name, Value: encode(e.o.Self), Lease: id}}}
+	self := e.o.Self
+	self.Stopping = e.stopping.Load()
+	txn := store.Txn{Writes: []store.Write{{Key: prefixMember + self.Name, Value: encode(self), Lease: id}}}
 	return e.call(ctx, "register", func(ctx context.Context) error {
 		_, err := e.o.Store.Commit(ctx, txn)
 		return err
--- a/process/lead/record.go
+++ b/process/lead/record.go
@@ -57,6 +57,8 @@
 	// Orders is the TCP address where the daemon accepts a leader's orders for workers;
 	// "" if it accepts none.
 	Orders string `cbor:"7,keyasint,omitempty"`
+	// Stopping is set before a daemon that stops as planned ends its membership.
+	Stopping bool `cbor:"8,keyasint,omitempty"`
 }
 
 // same reports whether two records are of the same daemon, possibly of different
--- a/process/lead/view.go
+++ b/process/lead/view.go
@@ -18,6 +18,7 @@
 type View struct {
 	mu        sync.Mutex
 	members   map[string]Member
+	lost      map[string]lostMember
 	leader    *Leader
 	recordRev store.Revision // of the leader's record, 0 for none
 	latest    *Leader        // with the highest epoch seen, in the store or reported by a peer
@@ -46,7 +47,7 @@
 }
 
 func newView(log zerolog.Logger) *View {
-	return &View{log: log, layout: SingleShard, members: map[string]Member{}, changed: make(chan struct{})}
+	return &View{log: log, layout: SingleShard, members: map[string]Member{}, lost: map[string]lostMember{}, changed: make(chan struct{})}
 }
 
 // Leader returns the leader, if one is known: the one with a record in the store, or one
@@ -175,12 +176,18 @@
 func (v *View) replace(entries []store.Entry) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	before := maps.Clone(v.members)
 	clear(v.members)
 	v.leader, v.recordRev, v.claimRev = nil, 0, 0
 	v.read = true
 	for _, e := range entries {
 		v.set(e)
 	}
+	for name, m := range before {
+		if _, listed := v.members[name]; !listed {
+			v.noteLost(m)
+		}
+	}
 	v.notify()
 }
 
@@ -199,6 +206,9 @@
 			v.leader, v.recordRev = nil, 0
 		}
 		if name, ok := memberName(e.Key); ok {
+			if m, listed := v.members[name]; listed {
+				v.noteLost(m)
+			}
 			delete(v.members, name)
 		}
 	}
@@ -243,5 +253,42 @@
 			return
 		}
 		v.members[name] = m
+		delete(v.lost, name)
+	}
+}
+
+// lostMember is a member whose record has disappeared, and when.
+type lostMember struct {
+	Member
+	at time.Time
+}
+
+// keepLost is how long members that have lost their records are listed. A daemon that cannot
+// write its record for longer is replaced by the platform.
+const keepLost = time.Minute
+
+// noteLost keeps a member whose record has disappeared, unless it stops as planned.
+func (v *View) noteLost(m Member) {
+	maps.DeleteFunc(v.lost, func(_ string, l lostMember) bool { return time.Since(l.at) > keepLost })
+	if !m.Stopping {
+		v.lost[m.Name] = lostMember{m, time.Now()}
+	}
+}
+
+// Lost returns the daemons that are no members any more because their records have expired, not
+// because they stopped as planned, sorted by name. They may be dead, or reachable by all but the store.
+func (v *View) Lost() []Member {
+	if v.primary != nil {
+		return v.primary.Lost()
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	var lost []Member
+	for _, l := range v.lost {
+		if time.Since(l.at) <= keepLost {
+			lost = append(lost, l.Member)
+		}
 	}
+	slices.SortFunc(lost, func(a, b Member) int { return strings.Compare(a.Name, b.Name) })
+	return lost
 }
