cellsim: daemons that lose their membership, and the wait of quick jobs for a proxy

Change: pattern lost-proxies (a burst of quick jobs by a factor of 5, one hot account, a third of the daemons without membership for 9 s, 4 ms more on each way to a proxy), policy no-proxies, a column with the mean wait of quick jobs for a proxy in the worst second of submission.

--- a/command/bench/experiment.go
+++ b/command/bench/experiment.go
@@ -220,7 +220,7 @@
 
 func printOutcomes(out io.Writer, outcomes []*outcome) error {
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(w, "pattern\tpolicy\tcredit\tsd\tworst windows\tworst accounts\twide\tlargest wide\tmany\tquick\tbusy\twide start p50\tp90\twasted core-s\twrites\tadvice calls\tof gangs\tnames\trun time off p50\tp90\tquick done p99\tstraggler moves")
+	fmt.Fprintln(w, "pattern\tpolicy\tcredit\tsd\tworst windows\tworst accounts\twide\tlargest wide\tmany\tquick\tbusy\twide start p50\tp90\twasted core-s\twrites\tadvice calls\tof gangs\tnames\trun time off p50\tp90\tquick done p99\tquick proxy wait worst second\tstraggler moves")
 	for _, x := range outcomes {
 		credit, sd := x.over(func(r *cellsim.Result) float64 { return r.Credit })
 		of := func(value func(r *cellsim.Result) float64) float64 {
@@ -231,7 +231,7 @@
 		start := func(q float64) float64 {
 			return of(func(r *cellsim.Result) float64 { return cellsim.Quantile(r.Classes[cellsim.Wide].Start, q).Seconds() })
 		}
-		fmt.Fprintf(w, "%s\t%s\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.2f\t%.2f s\t%.2f s\t%.0f\t%.0f\t%.0f\t%.0f\t%.0f\t%.2f\t%.2f\t%.2f s\t%.0f\n", x.pattern, x.policy, credit, sd,
+		fmt.Fprintf(w, "%s\t%s\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.2f\t%.2f s\t%.2f s\t%.0f\t%.0f\t%.0f\t%.0f\t%.0f\t%.2f\t%.2f\t%.2f s\t%.2f s\t%.0f\n", x.pattern, x.policy, credit, sd,
 			of(func(r *cellsim.Result) float64 { return r.WorstWindows }), of(func(r *cellsim.Result) float64 { return r.WorstAccounts }), class(cellsim.Wide),
 			of(func(r *cellsim.Result) float64 { return r.Classes[cellsim.Wide].Largest }), class(cellsim.Many), class(cellsim.Quick),
 			of(func(r *cellsim.Result) float64 { return r.Busy }), start(0.5), start(0.9),
@@ -242,6 +242,7 @@
 			of(func(r *cellsim.Result) float64 {
 				return cellsim.Quantile(r.Classes[cellsim.Quick].Done, 0.99).Seconds()
 			}),
+			of(func(r *cellsim.Result) float64 { return r.Classes[cellsim.Quick].ProxyWait.Seconds() }),
 			of(func(r *cellsim.Result) float64 { return float64(r.Stats.StragglerMoves) }))
 	}
 	return w.Flush()
--- a/process/dispatch/wait.go
+++ b/process/dispatch/wait.go
@@ -39,6 +39,14 @@
 	}
 }
 
+// WaitedForProxy returns how long the steps of a job that has ended have waited for an idle proxy.
+func (d Decision) WaitedForProxy() time.Duration {
+	if d.waits == nil {
+		return 0
+	}
+	return d.waits[waitProxy]
+}
+
 // noteWait adds the time since the last round to the cause that the step waited for then, and
 // records the cause that it waits for now.
 func (e *Engine) noteWait(s *step, now waitCause) {
--- a/standin/cellsim/load.go
+++ b/standin/cellsim/load.go
@@ -76,6 +76,12 @@
 	// that they start, and the share Slow runs them six times as long.
 	Crashed, Failing, Slow float64
 	WorkerFaults           Span
+	// ProxiesLost is the share of the daemons that lose their membership during ProxyFault, and
+	// answer nevertheless.
+	ProxiesLost float64
+	ProxyFault  Span
+	// ProxyDelay is added to the way to a daemon that calls the advice service, and to the way back.
+	ProxyDelay time.Duration
 	// Kinds are the kinds of workers, of different speed; empty means one kind of speed 1.
 	Kinds []Kind
 	// Long is the share of runs that take longFactor times as long as drawn.
@@ -123,6 +129,8 @@
 	started   time.Duration // first start, 0 for none
 	shown     time.Duration // when the final state was shown, 0 for never
 	ended     work.State    // the final state
+	// awaitedProxy is how long its steps waited for a proxy, 0 if it has not ended.
+	awaitedProxy time.Duration
 }
 
 // Classes returns three classes of jobs for a number of workers of 32 cores: wide
--- a/standin/cellsim/patterns.go
+++ b/standin/cellsim/patterns.go
@@ -42,6 +42,8 @@
 		{Name: "hot-account", Bursts: quick, Hot: []HotAccount{{Account: 2, Span: at(0.1, 8*time.Second), Factor: 5}, {Account: 5, Span: at(0.35, 8*time.Second), Factor: 4}}},
 		{Name: "all", Bursts: append(wide, quick...), SlowStore: slow, SlowAnswer: slowAnswer, Outage: outage, LeaderLost: lost,
 			Takeover: takeover, Crashed: 0.08, Failing: 0.06, Slow: 0.1, WorkerFaults: at(0.3, 6*time.Second)},
+		{Name: "lost-proxies", Bursts: []Burst{{Class: Quick, Span: at(0.25, 4*time.Second), Factor: 5}},
+			Hot: []HotAccount{{Account: 2, Span: at(0.29, 6500*time.Millisecond), Factor: 5}}, ProxiesLost: 1.0 / 3, ProxyFault: at(0.2, 9*time.Second), ProxyDelay: 4 * time.Millisecond},
 		{Name: "rough", EstimateError: roughEstimates},
 		{Name: "faster", Kinds: faster, EstimateError: roughEstimates},
 		{Name: "slower", Kinds: slower, EstimateError: roughEstimates, Long: 0.03},
@@ -74,6 +76,7 @@
 		"no-parallel":   {NoParallelAdvice: true},
 		"no-preemption": {NoPreemption: true},
 		"no-budget":     {NoAdviceBudget: true},
+		"no-proxies":    {NoQuickProxies: true},
 		"without-all":   baseline,
 		"first-come":    first,
 		// Ordering policies and quota variants for accounts that share a full cell.
--- a/standin/cellsim/result.go
+++ b/standin/cellsim/result.go
@@ -62,6 +62,8 @@
 	// Start has the times from the first submission to the first start, Done those until
 	// the final state was shown. Both are sorted and omit jobs that never got that far.
 	Start, Done []time.Duration
+	// ProxyWait is the longest mean wait for a proxy, over the seconds of submission.
+	ProxyWait time.Duration
 }
 
 // Quantile returns a quantile of sorted values, 0 if there are none.
@@ -180,7 +182,12 @@
 	r.Jobs = len(jobs)
 	slices.SortStableFunc(jobs, func(a, b *job) int { return cmp.Compare(b.worth, a.worth) })
 	var owed, earned float64
+	waits, counts := map[time.Duration]time.Duration{}, map[time.Duration]time.Duration{}
 	for i, j := range jobs {
+		if j.accepted > 0 {
+			waits[j.submitted/time.Second] += j.awaitedProxy
+			counts[j.submitted/time.Second]++
+		}
 		owed += j.worth
 		earned += j.earned()
 		if i == len(jobs)/10 {
@@ -207,6 +214,9 @@
 			r.Done = append(r.Done, j.shown-settle-j.submitted)
 		}
 	}
+	for second, n := range counts {
+		r.ProxyWait = max(r.ProxyWait, waits[second]/n)
+	}
 	r.Credit = share(earned, owed)
 	slices.Sort(r.Start)
 	slices.Sort(r.Done)
--- a/standin/cellsim/sim.go
+++ b/standin/cellsim/sim.go
@@ -83,6 +83,7 @@
 	all     []*job
 	result  Result
 	stats   dispatch.Stats
+	adviser map[string]time.Duration // when the call of each daemon that comes last ends
 
 	gates   []loadshed.Gate // of the daemons
 	gateRNG *rand.Rand      // draws the daemons of submissions; its own, so that it changes no other draw
@@ -117,7 +118,7 @@
 
 // Run simulates a cell and returns the results of its jobs.
 func Run(o Options) *Result {
-	s := &sim{o: &o, rng: rand.New(rand.NewPCG(o.Seed, 7)), workers: map[runner.WorkerID]*worker{}, gangs: map[gangKey]*gangRun{},
+	s := &sim{o: &o, adviser: map[string]time.Duration{}, rng: rand.New(rand.NewPCG(o.Seed, 7)), workers: map[runner.WorkerID]*worker{}, gangs: map[gangKey]*gangRun{},
 		entries: map[string]store.Entry{}, jobs: map[work.JobID]*job{}, gates: make([]loadshed.Gate, max(1, o.Daemons)), gateRNG: rand.New(rand.NewPCG(o.Seed, 11))}
 	s.all = drawJobs(&o, s.rng)
 	s.addWorkers()
@@ -129,6 +130,10 @@
 	if o.Pattern.LeaderLost > 0 {
 		s.at(settle+o.Pattern.LeaderLost, s.loseLeader)
 	}
+	if o.Pattern.ProxiesLost > 0 {
+		s.at(settle+o.Pattern.ProxyFault.From, s.setMembers)
+		s.at(settle+o.Pattern.ProxyFault.Until, s.setMembers)
+	}
 	s.at(0, s.tick)
 	s.runEvents(settle + o.Length + drain)
 	return s.report()
@@ -177,6 +182,11 @@
 		Bounds: dispatch.Bounds{Lease: lease, MaxLease: lease, Gang: gangWait, Keep: time.Hour,
 			Entitled: fair.Entitlement{Window: entitledWindow, Slack: entitledSlack}},
 		Ran: s.ran,
+		Decide: func(d dispatch.Decision) {
+			if j := s.jobs[d.Task.Job]; j != nil && d.WaitedForProxy() > 0 {
+				j.awaitedProxy = d.WaitedForProxy()
+			}
+		},
 		Violation: func(what string, task work.TaskID, w runner.WorkerID) {
 			if s.o.Violation != nil {
 				s.o.Violation(fmt.Sprintf("%s: %s on %s", what, task, w))
@@ -193,11 +203,30 @@
 			s.engine.WorkerSeen(s.now, w.entry)
 		}
 	}
-	names := make([]string, s.o.Daemons)
-	for i := range names {
-		names[i] = fmt.Sprintf("d-%02d", i)
+	s.setMembers()
+}
+
+// setMembers passes the daemons to the engine. Those that lose their membership are spread over
+// the names, by which the engine chooses proxies.
+func (s *sim) setMembers() {
+	if s.engine == nil {
+		return
+	}
+	var names, lost []string
+	share, before := 0.0, 0.0
+	if s.o.Pattern.ProxyFault.has(s.loadTime()) {
+		share = s.o.Pattern.ProxiesLost
+	}
+	for i := range s.o.Daemons {
+		name := fmt.Sprintf("d-%02d", i)
+		if before += share; before >= 1-1e-9 {
+			before--
+			lost = append(lost, name)
+			continue
+		}
+		names = append(names, name)
 	}
-	s.engine.Members(s.now, names)
+	s.engine.Members(s.now, names, lost...)
 }
 
 // loseLeader drops the engine and the responses to its calls in flight, and starts
@@ -222,6 +251,7 @@
 	s.stats.GangAdviceCalls += st.GangAdviceCalls
 	s.stats.AdviceNames += st.AdviceNames
 	s.stats.AdvicePostponed += st.AdvicePostponed
+	s.stats.UnregisteredCalls += st.UnregisteredCalls
 	s.stats.TicketsUnused += st.TicketsUnused
 	s.stats.GangReservations += st.GangReservations
 	s.stats.Failed += st.Failed
@@ -390,12 +420,14 @@
 	})
 }
 
-// askAdvice models the advice service as called by one daemon; the engine has at most
-// one call in flight for each daemon.
+// askAdvice models the advice service, which answers the calls of one daemon in turn.
 func (s *sim) askAdvice(x dispatch.AskAdvice, reply func(time.Duration, func())) {
 	j := s.jobs[x.Step.Job]
 	c := &s.o.Classes[j.class]
-	reply(2*hop+c.Queue.Advice.Cost(len(x.Workers)), func() {
+	way := hop + s.o.Pattern.ProxyDelay
+	ends := max(s.now+way, s.adviser[x.Member]) + c.Queue.Advice.Cost(len(x.Workers))
+	s.adviser[x.Member] = ends
+	reply(ends+way-s.now, func() {
 		var tickets []runner.Ticket
 		for _, w := range x.Workers {
 			if chance(x.Step, w) < c.Allowed {
