advicebudget: the share of slow calls follows the demand of quick ones

Cause: slow calls use up to 70 % of the proxies whatever the quick ones need. In a burst, quick steps wait for the remaining proxies until they are late, and then come after slow calls of steps in time. A burst of quick steps in time takes each proxy that becomes idle, so that no slow call is sent at all.

Change: while quick steps wait for a proxy, and for 2 s after, the proxies that their rate and those that wait need (waiting ones within 100 ms) are subtracted from the share of slow calls, down to a quarter of the proxies, and quick calls leave that quarter to slow steps that wait. Otherwise the share is as before. Counter: advice_slow_postponed.

Test: with 20 daemons and 1,600 quick jobs in 2 s that are late at once, at least half as many calls again are sent for them in these 2 s as with the switch off.

--- a/process/advicebudget/advicebudget.go
+++ b/process/advicebudget/advicebudget.go
@@ -83,10 +83,27 @@
 	// Gangs, Others and Late are those that are busy with a slow call: for a gang that can be in
 	// time, for another step that can be in time, and for a step that cannot.
 	Gangs, Others, Late int
+	// Quick is how many of all proxies quick calls need, see QuickDemand.
+	Quick int
 }
 
-// Slow is how many proxies may have a slow call at a time.
-func (p Proxies) Slow() int { return max(1, int(math.Floor(float64(p.All)*slowShare))) }
+// Slow is how many proxies may have a slow call at a time: slowShare of all, less what quick
+// calls need beyond the rest, but no less than leastSlowShare.
+func (p Proxies) Slow() int {
+	return max(min(p.share(slowShare), p.All-p.Quick), p.share(leastSlowShare))
+}
+
+func (p Proxies) share(of float64) int { return max(1, int(math.Floor(float64(p.All)*of))) }
+
+// KeptFromQuick is how many idle proxies quick calls leave to the given number of steps that wait for a
+// proxy for a slow call, so that these have leastSlowShare of all: while quick steps wait, they would
+// take each proxy that becomes idle.
+func (p Proxies) KeptFromQuick(slowWaiting int) int {
+	if p.Quick == 0 {
+		return 0
+	}
+	return max(0, min(p.Idle, slowWaiting, p.share(leastSlowShare)-p.BusyWithSlow()))
+}
 
 // BusyWithSlow is how many proxies have a slow call.
 func (p Proxies) BusyWithSlow() int { return p.Gangs + p.Others + p.Late }
--- a/process/dispatch/advice.go
+++ b/process/dispatch/advice.go
@@ -274,6 +274,9 @@
 		return
 	}
 	s := proxy.busy
+	if proxy.use == noUse {
+		e.quick.Answered(now - proxy.sent)
+	}
 	proxy.state.Answered(now, now-proxy.sent, proxy.cost())
 	proxy.busy = nil
 	e.stats.Advised++
--- a/process/dispatch/advicebudget.go
+++ b/process/dispatch/advicebudget.go
@@ -48,7 +48,10 @@
 // use it up in every round, and the quick steps behind them would request no advice although
 // proxies are idle.
 func (e *Engine) countProxies() {
+	slowWaiting := e.noteQuickDemand()
 	counts := e.proxyCounts()
+	e.notePostponedForQuick(counts, slowWaiting)
+	e.keptFromQuick = counts.KeptFromQuick(slowWaiting)
 	e.idleProxies, e.idleForSlow = counts.Idle, counts.Slow()-counts.BusyWithSlow()
 	if !e.o.Policy.NoAdviceBudget {
 		e.allotProxies(counts)
@@ -57,7 +60,7 @@
 
 // proxyCounts counts the proxies by what they do.
 func (e *Engine) proxyCounts() advicebudget.Proxies {
-	p := advicebudget.Proxies{All: len(e.proxyNames)}
+	p := advicebudget.Proxies{All: len(e.proxyNames), Quick: e.quick.Proxies(e.now)}
 	for _, name := range e.proxyNames {
 		if e.usableProxy(e.proxies[name]) {
 			p.Idle++
@@ -79,6 +82,39 @@
 	return p
 }
 
+// noteQuickDemand counts the quick steps that waited for a proxy in the last round, and returns how
+// many steps waited for one for a slow call.
+func (e *Engine) noteQuickDemand() (slowWaiting int) {
+	if e.o.Policy.NoQuickProxies {
+		return 0
+	}
+	n := 0
+	for _, s := range e.ready {
+		switch {
+		case s.waitsFor != waitProxy:
+		case s.needsSlowCalls():
+			slowWaiting++
+		default:
+			n++
+		}
+	}
+	e.quick.Waiting(e.now, n)
+	return slowWaiting
+}
+
+// notePostponedForQuick counts the slow calls that could be sent in this round if quick calls
+// needed no more proxies than slow ones usually leave to them.
+func (e *Engine) notePostponedForQuick(counts advicebudget.Proxies, slowWaiting int) {
+	usual := counts
+	usual.Quick = 0
+	n := min(slowWaiting, usual.FreeForSlow()-counts.FreeForSlow())
+	e.stats.SlowPostponed += uint64(n)
+	if n > 0 && e.now-e.quickLoggedAt >= budgetLogPeriod {
+		e.quickLoggedAt = e.now
+		e.decide(Decision{What: "fewer slow calls for advice are sent", Why: "quick steps wait for a proxy"})
+	}
+}
+
 // usableProxy reports whether a proxy is idle and none of its calls has failed recently.
 func (e *Engine) usableProxy(proxy *adviceProxy) bool {
 	return proxy.busy == nil && proxy.state.Usable(e.now)
@@ -145,12 +181,15 @@
 func (e *Engine) mayAsk(s *step) bool {
 	a := s.advice
 	postponed := a.budget.grant == advicebudget.Postponed && !e.o.Policy.NoAdviceBudget
-	if s.needsSlowCalls() && (postponed || e.freeProxies(s) <= 0) {
+	if s.needsSlowCalls() && (postponed || e.freeProxies(s) <= 0 || e.idleProxies <= 0) {
 		return false
 	}
-	return a.inFlight == 0 && e.now >= a.next && e.idleProxies > 0
+	return a.inFlight == 0 && e.now >= a.next && (s.needsSlowCalls() || e.freeForQuick() > 0)
 }
 
+// freeForQuick returns how many proxies are free for quick calls.
+func (e *Engine) freeForQuick() int { return e.idleProxies - e.keptFromQuick }
+
 // freeProxies returns how many proxies are free for slow calls of the step. For a postponed gang
 // these are the proxies that are kept for no other step: mayAsk refuses the gang's usual calls, but
 // a call that a preemption plan needs is sent.
@@ -188,10 +227,12 @@
 		ids = ids[:advicebudget.Names(len(ids), maxWorkersPerCall)]
 	}
 	calls := (len(ids) + maxWorkersPerCall - 1) / maxWorkersPerCall
-	calls = min(calls, e.idleProxies)
 	if s.callCost(len(ids)) >= slowCall {
-		calls = min(calls, e.freeProxies(s))
-		e.idleForSlow -= max(calls, 0)
+		calls = max(0, min(calls, e.idleProxies, e.freeProxies(s)))
+		e.idleForSlow -= calls
+		e.keptFromQuick = max(0, e.keptFromQuick-calls)
+	} else {
+		calls = min(calls, e.freeForQuick())
 	}
 	if calls <= 0 {
 		return false
@@ -236,6 +277,7 @@
 	switch {
 	case cost < slowCall:
 		proxy.use = noUse
+		e.quick.Sent(e.now)
 	case s.advice.budget.late:
 		proxy.use = useLate
 	case s.spec.Gang:
--- a/process/dispatch/engine.go
+++ b/process/dispatch/engine.go
@@ -9,6 +9,7 @@
 
 	"fennelshunt.example/fennelshunt/connection/runner"
 	"fennelshunt.example/fennelshunt/connection/store"
+	"fennelshunt.example/fennelshunt/process/advicebudget"
 	"fennelshunt.example/fennelshunt/process/fair"
 	"fennelshunt.example/fennelshunt/process/lead"
 	"fennelshunt.example/fennelshunt/process/quota"
@@ -92,6 +93,7 @@
 	roundCost           time.Duration // moving average of the time a round takes
 	idleProxies         int           // left in this round
 	idleForSlow         int           // how many of them may take slow calls
+	keptFromQuick       int           // how many of them take no quick calls
 	preempting          preempting
 
 	forecast   forecast
@@ -99,6 +101,8 @@
 	// proxiesScarceUntil is until when the budget allots the proxies for slow calls.
 	proxiesScarceUntil time.Duration
 	budgetLoggedAt     time.Duration
+	quick              advicebudget.QuickDemand
+	quickLoggedAt      time.Duration
 
 	deposed bool
 	stats   Stats
@@ -131,6 +135,9 @@
 	// UnregisteredProxies is how many daemons without membership are used as proxies now, and
 	// UnregisteredCalls counts the calls that were sent through such daemons.
 	UnregisteredProxies, UnregisteredCalls uint64
+	// SlowPostponed counts, in each round, the steps that got no proxy for a slow call because quick
+	// steps waited for one.
+	SlowPostponed uint64
 	// OverQuota counts steps that waited for their account's quota.
 	OverQuota uint64
 	// Preempted counts runs that were stopped for other work, Preemptions the steps for which runs
--- /dev/null
+++ b/process/dispatch/quickproxies_test.go
@@ -0,0 +1,191 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"fennelshunt.example/fennelshunt/connection/runner"
+	"fennelshunt.example/fennelshunt/connection/store"
+	"fennelshunt.example/fennelshunt/version/work"
+)
+
+// proxyWay is the time on the way to a proxy and back.
+const proxyWay = 10 * time.Millisecond
+
+// adviceCalls plays the advice service, which answers the calls of a daemon in turn. Each
+// job is cancelled when its call has been answered.
+type adviceCalls struct {
+	h       *harness
+	dead    map[string]bool // daemons that do not answer
+	ends    map[string]time.Duration
+	pending []pendingCall
+	quick   []time.Duration // when quick calls were sent
+	slow    []time.Duration
+	most    map[string]int // calls in flight, by member
+}
+
+type pendingCall struct {
+	AskAdvice
+	slow bool
+	at   time.Duration
+}
+
+// Slack of quick jobs that are in time, and of those that are late at once.
+const (
+	inTime = 200
+	late   = 0.5
+)
+
+func quickJob(x work.JobID) bool { return x[0] == 'a' }
+
+// busyCell returns an engine with idle workers, n steps that need slow calls and as many daemons.
+func busyCell(t *testing.T, policy Policy, slow, daemons int) *adviceCalls {
+	c := &adviceCalls{h: newHarness(t, 1, "w-a", "w-b"), dead: map[string]bool{}, ends: map[string]time.Duration{}, most: map[string]int{}}
+	c.h.e.o.Policy = policy.complete()
+	require.NoError(t, c.h.e.Load(0, Saved{}))
+	c.h.step(50 * time.Millisecond)
+	for _, id := range []runner.WorkerID{"w-a", "w-b"} {
+		c.h.report(id, runner.Report{Clock: time.Second})
+	}
+	var names []string
+	for i := range daemons {
+		names = append(names, fmt.Sprintf("d-%02d", i))
+	}
+	c.h.e.Members(c.h.now, names)
+	for i := range slow {
+		require.NoError(t, c.h.e.Accepted(c.h.now, advised(t, work.JobID(fmt.Sprintf("b%015x", i)), "many", 2, 200, oneTask())))
+	}
+	return c
+}
+
+// submitQuick submits jobs with quick calls.
+func (c *adviceCalls) submitQuick(n int, slack float64) {
+	for range n {
+		id := work.JobID(fmt.Sprintf("a%015x", len(c.h.e.jobs)))
+		entry := changed(c.h.t, advised(c.h.t, id, "quick", 0, slack, oneTask()), func(j *work.Job) {
+			j.Queue.Advice.Base = 15 * time.Millisecond
+		})
+		entry.Key = KeySubmission(id)
+		require.NoError(c.h.t, c.h.e.Accepted(c.h.now, store.Entry{Key: entry.Key, Value: entry.Value}))
+	}
+}
+
+// run plays the engine and the advice service for a time.
+func (c *adviceCalls) run(d time.Duration) {
+	h := c.h
+	for until, tick := h.now+d, h.now; h.now < until; h.now += 5 * time.Millisecond {
+		kept := c.pending[:0]
+		for _, x := range c.pending {
+			if x.at > h.now || c.dead[x.Member] {
+				kept = append(kept, x)
+				continue
+			}
+			h.e.Advised(h.now, x.Member, x.Step, nil, nil)
+			require.NoError(h.t, h.e.Accepted(h.now, store.Entry{Key: KeyCancel(x.Step.Job)}))
+		}
+		c.pending = kept
+		if h.now >= tick {
+			h.e.Tick(h.now)
+			tick += tickPeriod
+		}
+		for _, x := range h.e.Flush(h.now) {
+			if ask, ok := x.(AskAdvice); ok {
+				c.send(ask)
+			} else if commit, ok := x.(SendCommit); ok {
+				h.e.Committed(h.now, commit.Stream)
+			}
+		}
+	}
+}
+
+func (c *adviceCalls) send(x AskAdvice) {
+	cost, now := 500*time.Millisecond, c.h.now
+	if quickJob(x.Step.Job) {
+		cost = 15 * time.Millisecond
+		c.quick = append(c.quick, now)
+	} else {
+		c.slow = append(c.slow, now)
+	}
+	c.ends[x.Member] = max(now+proxyWay/2, c.ends[x.Member]) + cost
+	c.pending = append(c.pending, pendingCall{x, !quickJob(x.Step.Job), c.ends[x.Member] + proxyWay/2})
+	n := 0
+	for _, y := range c.pending {
+		if y.Member == x.Member {
+			n++
+		}
+	}
+	c.most[x.Member] = max(c.most[x.Member], n)
+}
+
+// slowInFlight returns how many slow calls are in flight.
+func (c *adviceCalls) slowInFlight() (n int) {
+	for _, x := range c.pending {
+		if x.slow {
+			n++
+		}
+	}
+	return n
+}
+
+// burst submits 800 quick jobs per second for two seconds; six proxies make some 240 calls per
+// second. It returns how many slow calls were sent meanwhile.
+func (c *adviceCalls) burst(slack float64) int {
+	before := len(c.slow)
+	for range 80 {
+		c.submitQuick(20, slack)
+		c.run(25 * time.Millisecond)
+	}
+	return len(c.slow) - before
+}
+
+func TestSlowCallsLeaveProxiesToABurstOfQuickSteps(t *testing.T) {
+	// Guards against quick steps that wait for seconds, until they are late and come after the slow
+	// calls of steps in time, which use 70 % of the proxies.
+	sent := map[bool]int{}
+	for _, off := range []bool{false, true} {
+		c := busyCell(t, Policy{NoQuickProxies: off}, 400, 20)
+		c.run(time.Second)
+		require.Equal(t, 14, c.slowInFlight())
+		require.Zero(t, c.h.e.Stats().SlowPostponed)
+		slow := c.burst(late)
+		sent[off] = len(c.quick)
+		if off {
+			require.Greater(t, slow, 50, "14 calls each 0.5 s")
+			require.Zero(t, c.h.e.Stats().SlowPostponed)
+			continue
+		}
+		require.LessOrEqual(t, slow, 35)
+		require.GreaterOrEqual(t, slow, 15, "slow calls keep a quarter: 5 calls each 0.5 s")
+		require.Positive(t, c.h.e.Stats().SlowPostponed)
+		c.run(5 * time.Second)
+		require.Len(t, c.quick, 1600)
+		require.Equal(t, 14, c.slowInFlight(), "no quick step waits")
+	}
+	require.Greater(t, sent[false], 3*sent[true]/2)
+}
+
+func TestSlowCallsKeepAShareInABurstOfQuickSteps(t *testing.T) {
+	// Guards against quick steps in time that take each proxy as soon as it is idle.
+	c := busyCell(t, Policy{}, 400, 20)
+	c.run(time.Second)
+	require.GreaterOrEqual(t, c.burst(inTime), 15, "5 calls each 0.5 s")
+}
+
+func TestQuickStepsThatFindAProxyChangeNothing(t *testing.T) {
+	// Guards against slow calls that are held back though no quick step waits for a proxy.
+	var slow [2][]time.Duration
+	for i := range slow {
+		c := busyCell(t, Policy{NoQuickProxies: i == 1}, 400, 20)
+		for range 40 {
+			c.submitQuick(3, inTime)
+			c.run(50 * time.Millisecond)
+		}
+		require.Len(t, c.quick, 120)
+		require.Zero(t, c.h.e.Stats().SlowPostponed)
+		slow[i] = c.slow
+	}
+	require.Equal(t, slow[1], slow[0])
+}
--- a/standin/cellsim/sim.go
+++ b/standin/cellsim/sim.go
@@ -252,6 +252,7 @@
 	s.stats.AdviceNames += st.AdviceNames
 	s.stats.AdvicePostponed += st.AdvicePostponed
 	s.stats.UnregisteredCalls += st.UnregisteredCalls
+	s.stats.SlowPostponed += st.SlowPostponed
 	s.stats.TicketsUnused += st.TicketsUnused
 	s.stats.GangReservations += st.GangReservations
 	s.stats.Failed += st.Failed
