--- a/process/dispatch/engine.go
+++ b/process/dispatch/engine.go
@@ -9,6 +9,7 @@
 
 	"fennelshunt.example/fennelshunt/connection/runner"
 	"fennelshunt.example/fennelshunt/connection/store"
+	"fennelshunt.example/fennelshunt/process/advicebudget"
 	"fennelshunt.example/fennelshunt/process/fair"
 	"fennelshunt.example/fennelshunt/process/lead"
 	"fennelshunt.example/fennelshunt/process/quota"
@@ -66,7 +67,8 @@
 	latestStarts map[string]int64
 	lateStarts   map[string][]*allocation
 
-	members      []string
+	members      []string // daemons of the cell
+	proxyNames   []string // daemons through which advice is requested, see proxies.go
 	proxies      map[string]*adviceProxy
 	goodShares   map[string]float64 // share of workers that are good, by queue
 	speed        *speed.Model
@@ -91,6 +93,7 @@
 	roundCost           time.Duration // moving average of the time a round takes
 	idleProxies         int           // left in this round
 	idleForSlow         int           // how many of them may take slow calls
+	keptFromQuick       int           // how many of them take no quick calls
 	preempting          preempting
 	evacuating          evacuating
 
@@ -99,6 +102,8 @@
 	// proxiesScarceUntil is until when the budget allots the proxies for slow calls.
 	proxiesScarceUntil time.Duration
 	budgetLoggedAt     time.Duration
+	quick              advicebudget.QuickDemand
+	quickLoggedAt      time.Duration
 
 	deposed bool
 	stats   Stats
@@ -128,6 +133,12 @@
 	// counts tickets that were replaced by a new one for the same worker, AdviceFailed calls that
 	// failed or were not answered in time.
 	AdviceCalls, GangAdviceCalls, AdviceNames, AdvicePostponed, TicketsUnused, AdviceFailed uint64
+	// UnregisteredProxies is how many daemons without membership are used as proxies now, and
+	// UnregisteredCalls counts the calls that were sent through such daemons.
+	UnregisteredProxies, UnregisteredCalls uint64
+	// SlowPostponed counts, in each round, the steps that got no proxy for a slow call because quick
+	// steps waited for one.
+	SlowPostponed uint64
 	// OverQuota counts steps that waited for their account's quota.
 	OverQuota uint64
 	// Preempted counts runs that were stopped for other work, Preemptions the steps for which runs
@@ -178,6 +189,7 @@
 // Stats returns the counters.
 func (e *Engine) Stats() Stats {
 	st, learned := e.stats, e.speed.Stats()
+	st.UnregisteredProxies = uint64(e.unregisteredProxies())
 	st.SpeedSamples, st.SpeedClipped, st.SpeedChanged, st.SpeedRecovered = learned.Samples, learned.Clipped, learned.Changed, learned.Recovered
 	return st
 }
