submit: cancellations over several shards follow the pacing of outages

In a cell with several shards, a cancellation first looks for the job in shard 0. The refusals had a Retry-After that took no account of the outage.

The read is now part of each paced attempt until it is answered. A cancellation whose shard is not known yet is not forwarded, as before: the other daemon would mark the id in a shard that the job may not be in.

The services of the test's shards share one pacer and one adaptive timeout, as those of a daemon do.

--- a/request/submit/cancel.go
+++ b/request/submit/cancel.go
@@ -24,9 +24,22 @@
 	if s.pacer.off {
 		return s.cancelUnpaced(ctx, id, account)
 	}
+	return s.cancelPaced(ctx, id, account, s, nil)
+}
+
+// cancelPaced cancels a job in the shard of the service of. If that is nil, it is found by find, which
+// reads from the store.
+func (s *Service) cancelPaced(ctx context.Context, id work.JobID, account string, of *Service, find func(context.Context) (*Service, error)) error {
 	return s.paced(ctx, pacedRequest{
 		try: func(ctx context.Context, r *outage.Request) (done bool, err error) {
-			done, err = s.cancelOnce(ctx, id, account)
+			if of == nil {
+				found, err := find(ctx)
+				if err != nil {
+					return false, err
+				}
+				of = found
+			}
+			done, err = of.cancelOnce(ctx, id, account)
 			switch {
 			case done && r.Unconfirmed && verdict.Of(err) == verdict.NotRun:
 				return true, unknown(err)
@@ -36,7 +49,10 @@
 			return done, err
 		},
 		forward: func(ctx context.Context, r *outage.Request) (done bool, err error) {
-			done, uncertain, err := s.forwardCancel(ctx, id, account)
+			if of == nil {
+				return false, nil // another daemon would mark the id in a shard that the job may not be in
+			}
+			done, uncertain, err := of.forwardCancel(ctx, id, account)
 			r.TargetUncertain = r.TargetUncertain || uncertain
 			r.Unconfirmed = r.Unconfirmed || uncertain
 			return done, err
--- a/request/submit/shards.go
+++ b/request/submit/shards.go
@@ -46,18 +46,27 @@
 	if err != nil {
 		return unavailable(CodeStore, err)
 	}
-	if shard != 0 {
-		// Cancelling a job that is absent marks its id in its shard, so the job must first be
-		// looked for in shard 0.
-		_, inShard0, err := all[0].get(ctx, dispatch.KeySubmission(id))
-		if err != nil {
-			return unavailable(CodeStore, err)
-		}
+	own, shard0 := all[shard], all[0]
+	if shard == 0 {
+		return own.Cancel(ctx, id, account)
+	}
+	// Cancelling a job that is absent marks its id in its shard, so the job must first be looked for in
+	// shard 0.
+	find := func(ctx context.Context) (*Service, error) {
+		_, inShard0, err := shard0.get(ctx, dispatch.KeySubmission(id))
 		if inShard0 {
-			shard = 0
+			return shard0, nil
 		}
+		return own, err
+	}
+	if !own.pacer.off {
+		return own.cancelPaced(ctx, id, account, nil, find)
+	}
+	of, err := find(ctx)
+	if err != nil {
+		return unavailable(CodeStore, err)
 	}
-	return all[shard].Cancel(ctx, id, account)
+	return of.Cancel(ctx, id, account)
 }
 
 // Explain returns what delays a job, as Service.Explain does.
--- a/request/submit/shards_test.go
+++ b/request/submit/shards_test.go
@@ -1,16 +1,22 @@
 package submit
 
 import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"fennelshunt.example/fennelshunt/connection/store"
 	"fennelshunt.example/fennelshunt/process/dispatch"
 	"fennelshunt.example/fennelshunt/process/lead"
+	"fennelshunt.example/fennelshunt/process/outage"
 	"fennelshunt.example/fennelshunt/request/verdict"
 	"fennelshunt.example/fennelshunt/standin/kv"
 	"fennelshunt.example/fennelshunt/version/work"
@@ -19,16 +25,17 @@
 // shardedCell returns one daemon's job service for a cell of two shards. The daemon has read the
 // layout of the given revision, by which all jobs belong to the second shard, except those that
 // were submitted before the cell was divided.
-func shardedCell(m *kv.Memory, revision store.Revision) Shards {
+func shardedCell(m store.Transactor, revision store.Revision) Shards {
+	storeTimeout := &store.AdaptiveTimeout{Min: 200 * time.Millisecond, Max: 1500 * time.Millisecond}
+	stats := &Stats{}
+	pacer := NewPacer(storeTimeout, stats, false, zerolog.Nop())
 	service := func(shard int) *Service {
-		s := store.Transactor(m)
-		key := lead.KeyLayout
+		s, key := m, lead.KeyLayout
 		if shard > 0 {
 			s, key = store.Prefixed{Transactor: m, Prefix: lead.ShardPrefix(shard)}, store.Unprefixed(key)
 		}
-		storeTimeout := &store.AdaptiveTimeout{Min: 200 * time.Millisecond, Max: 1500 * time.Millisecond}
 		return New(Options{Self: "a", Store: s, StoreTimeout: storeTimeout, View: lead.New(lead.Options{Store: s, StoreTimeout: storeTimeout}).View(),
-			Peers: noPeers{}, Log: zerolog.Nop(), Leading: func() *dispatch.Host { return nil },
+			Stats: stats, Pacer: pacer, Peers: noPeers{}, Log: zerolog.Nop(), Leading: func() *dispatch.Host { return nil },
 			Preconditions: func(id work.JobID) Preconditions {
 				return Preconditions{Layout: store.Check{Key: key, Revision: revision}, OtherShardKeys: OtherShardKeysOf(shard, id)}
 			}})
@@ -87,6 +94,76 @@
 	})
 }
 
+func TestCancellationsOverShardsAreNotHeldInAnOutage(t *testing.T) {
+	// While the store fails, a cancellation must be refused at once, also for a job that is first looked
+	// for in shard 0.
+	synctest.Test(t, func(t *testing.T) {
+		m := kv.New()
+		revision := writeLayout(t, m)
+		sharded := shardedCell(m, revision)
+		require.NoError(t, sharded.Submit(t.Context(), id, testJob()))
+		m.SetFaults(kv.Faults{Hang: true})
+		require.Error(t, sharded.Cancel(t.Context(), id, "")) // notices the outage
+		time.Sleep(time.Second)
+		var held atomic.Int64
+		var wg sync.WaitGroup
+		for range 10 {
+			wg.Go(func() {
+				start := time.Now()
+				err := sharded.Cancel(t.Context(), id, "")
+				assert.Equal(t, verdict.NotRun, verdict.Of(err))
+				assert.Positive(t, verdict.As(err).RetryAfterMillis)
+				assert.Less(t, time.Since(start), outage.ProbeTimeout)
+				if time.Since(start) > 0 {
+					held.Add(1)
+				}
+			})
+		}
+		wg.Wait()
+		require.LessOrEqual(t, held.Load(), int64(1), "one may send a probe")
+		m.SetFaults(kv.Faults{})
+		time.Sleep(time.Second)
+		require.NoError(t, sharded.Cancel(t.Context(), id, ""))
+	})
+}
+
+func TestOneLostAnswerRefusesNoCancellationOverShards(t *testing.T) {
+	// A cancellation must not be refused because one answer was lost, also if it is that of the look into
+	// shard 0, and it must not be made in the wrong shard then.
+	for _, inShard0 := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			m := kv.New()
+			prefix := lead.ShardPrefix(1)
+			if inShard0 {
+				prefix = ""
+				require.NoError(t, shardedCell(m, 0).Submit(t.Context(), id, testJob()))
+			}
+			revision := writeLayout(t, m)
+			if !inShard0 {
+				require.NoError(t, shardedCell(m, revision).Submit(t.Context(), id, testJob()))
+			}
+			lossy := &losesFirstRead{Transactor: m}
+			require.NoError(t, shardedCell(lossy, revision).Cancel(t.Context(), id, ""))
+			require.Greater(t, lossy.reads, 1)
+			require.True(t, stored(t, m, prefix+"job/cancel/"+string(id)), "in shard 0: %v", inShard0)
+		})
+	}
+}
+
+// losesFirstRead is a store that loses the answer to the first read.
+type losesFirstRead struct {
+	store.Transactor
+	reads int
+}
+
+func (l *losesFirstRead) Get(ctx context.Context, key string) (store.Entry, error) {
+	if l.reads++; l.reads == 1 {
+		<-ctx.Done()
+		return store.Entry{}, fmt.Errorf("%w: %w", store.ErrUnavailable, ctx.Err())
+	}
+	return l.Transactor.Get(ctx, key)
+}
+
 func TestUnknownLayoutIsNoAnswer(t *testing.T) {
 	// A daemon that has just started must not tell a caller that its job does not exist.
 	p := Shards{Of: func(work.JobID) ([]*Service, int, error) { return nil, 0, errLayoutChanged }}
