submit: submissions of one moment send one probe

Whether a probe of the store was due and the sending of it were two steps, each under the pacer's lock. Two submissions that were decided on between them both sent a probe; in a burst there could be many more, and every call of the store is billed.

A probe that is due is now sent while the lock is held.

--- a/request/submit/outage_test.go
+++ b/request/submit/outage_test.go
@@ -469,6 +469,26 @@
 	})
 }
 
+func TestSubmissionsOfOneMomentSendOneProbe(t *testing.T) {
+	// Every call of the store is billed: two submissions that find a probe due at the same moment must not
+	// both send one.
+	synctest.Test(t, func(t *testing.T) {
+		m := kv.New()
+		s := newService(m)
+		m.SetFaults(kv.Faults{Hang: true})
+		require.Error(t, s.Submit(t.Context(), id, testJob()))
+		time.Sleep(2 * time.Second)
+		before := s.stats.Probes.Value()
+		r := outage.Request{Left: time.Second, Forwarded: true}
+		first, _ := s.pacer.decide(s, r)
+		second, _ := s.pacer.decide(s, r)
+		require.True(t, first.Send)
+		require.False(t, second.Send)
+		require.Equal(t, before+1, s.stats.Probes.Value())
+		time.Sleep(probeLife) // the probe ends
+	})
+}
+
 func TestReturningCallersAreWrittenInTurn(t *testing.T) {
 	// After an outage all callers return at once: their writes must not all be sent to the store at
 	// once, and those that wait for a turn must be accepted in time.
--- a/request/submit/pacing.go
+++ b/request/submit/pacing.go
@@ -94,15 +94,19 @@
 	p.changed = make(chan struct{})
 }
 
-// decide returns what to do next with a submission, and a channel that is closed at the next
-// change.
-func (p *Pacer) decide(r outage.Request) (outage.Decision, <-chan struct{}) {
+// decide returns what to do next with a submission to s, and a channel that is closed at the next
+// change. A probe that is due is sent at once, so that no other submission sends one as well.
+func (p *Pacer) decide(s *Service, r outage.Request) (outage.Decision, <-chan struct{}) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
 	p.observe(now)
 	r.Waiting = p.waiting
-	return p.tracker.Decide(now, r), p.changed
+	d := p.tracker.Decide(now, r)
+	if d.Send {
+		p.probe(s)
+	}
+	return d, p.changed
 }
 
 // storeFails reports whether the store fails or seems to.
@@ -182,13 +186,11 @@
 }
 
 // probe reads from the store in the background; its end wakes the waiting submissions. A failed read
-// cannot change the store, so it leaves no outcome unknown.
+// cannot change the store, so it leaves no outcome unknown. p.mu is held.
 func (p *Pacer) probe(s *Service) {
 	ctx, cancel := context.WithTimeout(context.Background(), probeLife)
-	p.mu.Lock()
 	id := p.tracker.SentProbe(time.Now())
 	p.probes[id] = openProbe{time.Now(), cancel}
-	p.mu.Unlock()
 	p.stats.Probes.Add(1)
 	go func() {
 		defer cancel()
@@ -211,9 +213,8 @@
 		return
 	}
 	p.mu.Lock()
-	due := p.tracker.ProbeDue(time.Now())
-	p.mu.Unlock()
-	if due {
+	defer p.mu.Unlock()
+	if p.tracker.ProbeDue(time.Now()) {
 		p.probe(s)
 	}
 }
@@ -407,7 +408,7 @@
 		if !turnWaitFrom.IsZero() {
 			r.Held = time.Since(turnWaitFrom)
 		}
-		d, changed := s.pacer.decide(r)
+		d, changed := s.pacer.decide(s, r)
 		var done bool
 		var err error
 		switch d.Action {
@@ -425,10 +426,7 @@
 			if probeWaitFrom.IsZero() {
 				probeWaitFrom = time.Now()
 			}
-			if d.Send {
-				r.SentProbe = true
-				s.pacer.probe(s)
-			}
+			r.SentProbe = r.SentProbe || d.Send
 			s.pacer.wait(ctx, changed, d.Wait, false)
 		case outage.Wait:
 			if turnWaitFrom.IsZero() {
