submit: a cancellation finds a job that ended before the cell was divided

In a cell with several shards, a cancellation looked in shard 0 only for the submission of a job. A job that had ended in shard 0 has no submission any more, so that its caller was told that no such job exists, and the id was marked in the shard that it maps to (TestCancellationOfAJobThatEndedBeforeShardingFindsIt). In an undivided cell the same cancellation succeeds.

The job's state in shard 0 is now looked for as well.

--- a/request/submit/shards.go
+++ b/request/submit/shards.go
@@ -53,11 +53,17 @@
 	// Cancelling a job that is absent marks its id in its shard, so the job must first be looked for in
 	// shard 0.
 	find := func(ctx context.Context) (*Service, error) {
-		_, inShard0, err := shard0.get(ctx, dispatch.KeySubmission(id))
-		if inShard0 {
-			return shard0, nil
+		// The submission is read first, since the write of a job's end removes it and writes its state.
+		for _, key := range []string{dispatch.KeySubmission(id), dispatch.KeyState(id)} {
+			_, found, err := shard0.get(ctx, key)
+			switch {
+			case err != nil:
+				return nil, err
+			case found:
+				return shard0, nil
+			}
 		}
-		return own, err
+		return own, nil
 	}
 	if !own.pacer.off {
 		return own.cancelPaced(ctx, id, account, nil, find)
--- a/request/submit/shards_test.go
+++ b/request/submit/shards_test.go
@@ -164,6 +164,24 @@
 	return l.Transactor.Get(ctx, key)
 }
 
+func TestCancellationOfAJobThatEndedBeforeShardingFindsIt(t *testing.T) {
+	// A caller must not be told that its job does not exist because the job ended, in shard 0, before the
+	// cell was divided. Its id must not be marked in another shard either.
+	synctest.Test(t, func(t *testing.T) {
+		m := kv.New()
+		ended, err := work.EncodeProgress(&work.Progress{State: work.Completed})
+		require.NoError(t, err)
+		_, err = m.Put(t.Context(), dispatch.KeyState(id), ended, 0, 0)
+		require.NoError(t, err)
+		sharded := shardedCell(m, writeLayout(t, m))
+		require.NoError(t, sharded.Cancel(t.Context(), id, ""))
+		require.False(t, stored(t, m, lead.ShardPrefix(1)+dispatch.KeyState(id)))
+		state, err := sharded.State(t.Context(), id, "")
+		require.NoError(t, err)
+		require.Equal(t, work.Completed, state)
+	})
+}
+
 func TestUnknownLayoutIsNoAnswer(t *testing.T) {
 	// A daemon that has just started must not tell a caller that its job does not exist.
 	p := Shards{Of: func(work.JobID) ([]*Service, int, error) { return nil, 0, errLayoutChanged }}
