dispatch: a run that a report confirms is not taken for a fast one

If the answer to a start is lost or late, a report of the worker confirms the run, which may be half done by then: a start has a timeout of 350 ms, and quick runs take 800 ms. The run was recorded as having begun with that report, so that its pace came out several times too high: in TestRunWhoseStartAnswerWasLostIsNoFastOne a run with 0.8 s left was expected to end in 0.13 s. Its worker and its step counted as faster than they are, and reservations were planned with capacity that became free too late.

A run that is confirmed by a report of 8 % or more now counts from that report on, as a run from a checkpoint does. Below 8 %, what a run does between its start and a usual report, it still counts from its beginning.

Not changed: with no_speed_model such a run still counts as a short one in the averages.

--- a/process/dispatch/estimate_test.go
+++ b/process/dispatch/estimate_test.go
@@ -261,3 +261,28 @@
 		}
 	}
 }
+
+// TestRunWhoseStartAnswerWasLostIsNoFastOne guards against a run that a report confirms when it is half
+// done, and that is taken to have done that half since the report: it would be expected to end at once,
+// and its worker would count as fast.
+func TestRunWhoseStartAnswerWasLostIsNoFastOne(t *testing.T) {
+	h := newSpeedHarness(t, Policy{}, 1, 0)
+	spec := stepOf(1, false)
+	spec.Estimate = 2 * time.Second
+	h.submit("00000000000000aa", spec)
+	h.step(50 * time.Millisecond)
+	s := h.starts()[0]
+	report := func(percent float64) {
+		h.e.Renewed(h.now, s.To.ID, runner.Report{Clock: h.now, Running: []runner.ActiveRun{{Task: s.Start.Task, Run: s.Start.Run, Percent: percent}}}, nil)
+	}
+	h.step(time.Second)
+	report(50)
+	h.step(200 * time.Millisecond)
+	report(60)
+	alloc := h.e.workers[s.To.ID].allocs[s.Start.Task]
+	require.InDelta(t, 0.8, h.e.remaining(alloc).Seconds(), 0.1)
+	h.step(200 * time.Millisecond)
+	report(70)
+	require.InDelta(t, 0.6, h.e.remaining(alloc).Seconds(), 0.1)
+	require.InDelta(t, 1, alloc.w.speed.Factor, 0.1)
+}
--- a/process/dispatch/job.go
+++ b/process/dispatch/job.go
@@ -177,7 +177,7 @@
 	progress  speed.Run
 	// resumed: it was started from a checkpoint.
 	resumed   bool
-	predicted time.Duration // its run time, when it was started
+	predicted time.Duration // its run time, when it was started; 0 if the actual one is not known
 	straggles bool          // it was found to take much longer than expected
 }
 
--- a/process/dispatch/reports.go
+++ b/process/dispatch/reports.go
@@ -125,7 +125,7 @@
 		r := &rows[i]
 		present[r.Task] = r.Run
 		if alloc := w.allocs[r.Task]; alloc != nil && alloc.run == r.Run {
-			e.confirm(alloc)
+			e.confirm(alloc, r.Percent)
 			e.updateAlloc(alloc, r)
 			continue
 		}
--- a/process/dispatch/runs.go
+++ b/process/dispatch/runs.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"fennelshunt.example/fennelshunt/connection/runner"
+	"fennelshunt.example/fennelshunt/process/speed"
 	"fennelshunt.example/fennelshunt/version/work"
 )
 
@@ -108,7 +109,7 @@
 	}
 	switch {
 	case err == nil:
-		e.confirm(alloc)
+		e.confirm(alloc, 0)
 		e.startAnswered(alloc)
 	case errors.Is(err, runner.ErrStaleRun):
 		// It was stopped or has completed; a report will tell which.
@@ -139,15 +140,19 @@
 	}
 }
 
-// confirm records that the worker has the run.
-func (e *Engine) confirm(alloc *allocation) {
+// confirm records that the worker has the run, of which it has reported the given progress.
+func (e *Engine) confirm(alloc *allocation, percent float64) {
 	if alloc.state == stopping {
 		return
 	}
 	if alloc.state != running {
 		alloc.state, alloc.ackAt = running, e.now
 		alloc.percentAt = e.now
-		alloc.progress.Begin(e.now, !alloc.resumed)
+		underWay := percent >= speed.MinPercent // the answer to its start was late or lost
+		alloc.progress.Begin(e.now, !alloc.resumed && !underWay)
+		if underWay {
+			alloc.predicted = 0 // there is no time of the whole run to compare it with
+		}
 	}
 	e.noteStarted(alloc)
 }
