--- a/request/submit/cancel.go
+++ b/request/submit/cancel.go
@@ -33,9 +33,11 @@
 	return s.paced(ctx, pacedRequest{
 		try: func(ctx context.Context, r *outage.Request) (done bool, err error) {
 			if of == nil {
-				if of, err = find(ctx); err != nil {
+				found, err := find(ctx)
+				if err != nil {
 					return false, err
 				}
+				of = found
 			}
 			done, err = of.cancelOnce(ctx, id, account)
 			switch {
--- a/request/submit/shards_test.go
+++ b/request/submit/shards_test.go
@@ -129,16 +129,25 @@
 
 func TestOneLostAnswerRefusesNoCancellationOverShards(t *testing.T) {
 	// A cancellation must not be refused because one answer was lost, also if it is that of the look into
-	// shard 0.
-	synctest.Test(t, func(t *testing.T) {
-		m := kv.New()
-		revision := writeLayout(t, m)
-		require.NoError(t, shardedCell(m, revision).Submit(t.Context(), id, testJob()))
-		lossy := &losesFirstRead{Transactor: m}
-		require.NoError(t, shardedCell(lossy, revision).Cancel(t.Context(), id, ""))
-		require.Greater(t, lossy.reads, 1)
-		require.True(t, stored(t, m, lead.ShardPrefix(1)+"job/cancel/"+string(id)))
-	})
+	// shard 0, and it must not be made in the wrong shard then.
+	for _, inShard0 := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			m := kv.New()
+			prefix := lead.ShardPrefix(1)
+			if inShard0 {
+				prefix = ""
+				require.NoError(t, shardedCell(m, 0).Submit(t.Context(), id, testJob()))
+			}
+			revision := writeLayout(t, m)
+			if !inShard0 {
+				require.NoError(t, shardedCell(m, revision).Submit(t.Context(), id, testJob()))
+			}
+			lossy := &losesFirstRead{Transactor: m}
+			require.NoError(t, shardedCell(lossy, revision).Cancel(t.Context(), id, ""))
+			require.Greater(t, lossy.reads, 1)
+			require.True(t, stored(t, m, prefix+"job/cancel/"+string(id)), "in shard 0: %v", inShard0)
+		})
+	}
 }
 
 // losesFirstRead is a store that loses the answer to the first read.
@@ -155,6 +164,24 @@
 	return l.Transactor.Get(ctx, key)
 }
 
+func TestCancellationOfAJobThatEndedBeforeShardingFindsIt(t *testing.T) {
+	// A caller must not be told that its job does not exist because the job ended, in shard 0, before the
+	// cell was divided. Its id must not be marked in another shard either.
+	synctest.Test(t, func(t *testing.T) {
+		m := kv.New()
+		ended, err := work.EncodeProgress(&work.Progress{State: work.Completed})
+		require.NoError(t, err)
+		_, err = m.Put(t.Context(), dispatch.KeyState(id), ended, 0, 0)
+		require.NoError(t, err)
+		sharded := shardedCell(m, writeLayout(t, m))
+		require.NoError(t, sharded.Cancel(t.Context(), id, ""))
+		require.False(t, stored(t, m, lead.ShardPrefix(1)+dispatch.KeyState(id)))
+		state, err := sharded.State(t.Context(), id, "")
+		require.NoError(t, err)
+		require.Equal(t, work.Completed, state)
+	})
+}
+
 func TestUnknownLayoutIsNoAnswer(t *testing.T) {
 	// A daemon that has just started must not tell a caller that its job does not exist.
 	p := Shards{Of: func(work.JobID) ([]*Service, int, error) { return nil, 0, errLayoutChanged }}
