--- a/process/dispatch/bench_test.go
+++ b/process/dispatch/bench_test.go
@@ -62,3 +62,39 @@
 		e.effects = nil
 	}
 }
+
+// BenchmarkEvacuate measures a look at the runs on workers that leave, in a cell of 350 workers with five
+// runs each, none of which has to be stopped yet. The baseline is the same cell without a notice.
+func BenchmarkEvacuate(b *testing.B) {
+	for _, leaving := range []int{0, 35} {
+		b.Run(fmt.Sprint(leaving), func(b *testing.B) {
+			e := NewEngine(Options{Epoch: 1, Bounds: Bounds{Lease: 6 * time.Second, MaxLease: 6 * time.Second, Keep: time.Minute}})
+			e.SetAccounts(0, nil)
+			e.add("00000000000000aa", &work.Job{Queue: work.Queue{Name: "q", Service: "s", Attempts: 3, Slack: 2}, Epoch: 1,
+				Steps: []work.Step{{Count: 350 * 5, Size: work.Resources{CPU: 2000, Memory: 20000}, Estimate: time.Minute, Checkpoints: true}}}, 0)
+			s := e.jobs["00000000000000aa"].occurrences[0].steps[0]
+			for i := range 350 {
+				id := runner.WorkerID(fmt.Sprintf("w-%d", i))
+				seen := runner.Worker{Ref: runner.Ref{ID: id, Address: string(id)}, Service: "s", Capacity: work.Resources{CPU: 10000, Memory: 131072}, Labels: []string{"a", "r"}}
+				e.WorkerSeen(0, seen)
+				w := e.workers[id]
+				w.recorded, w.fenced = true, true
+				for k := range 5 {
+					e.confirm(e.start(w, s, i*5+k, 1, ""))
+				}
+				if i < leaving {
+					seen.Draining, seen.Departure = true, runner.Departure{Known: true, Remaining: 4 * time.Second}
+					e.WorkerSeen(0, seen)
+				}
+			}
+			b.ResetTimer()
+			for range b.N {
+				e.evacuating.at = 0
+				e.evacuate()
+			}
+			if e.stats.Evacuated > 0 {
+				b.Fatal("runs were stopped")
+			}
+		})
+	}
+}
--- a/process/dispatch/engine.go
+++ b/process/dispatch/engine.go
@@ -164,7 +164,8 @@
 		workers: map[runner.WorkerID]*worker{}, proxies: map[string]*adviceProxy{}, ledger: quota.NewLedger(), endedHeld: map[*quota.Account]quota.Size{},
 		usages: map[usageKey]*usage{}, priorities: map[*quota.Account][]int{}, keptFree: map[*quota.Account]quota.Size{},
 		tasksByCrash: map[runner.WorkerID][]work.TaskID{}, crashedAt: map[string]time.Duration{}, latestStarts: map[string]int64{}, lateStarts: map[string][]*allocation{},
-		mayRun: map[work.TaskID]int{}, goodShares: map[string]float64{}, speed: newSpeedModel(o.Policy)}
+		mayRun: map[work.TaskID]int{}, goodShares: map[string]float64{}, speed: newSpeedModel(o.Policy),
+		evacuating: evacuating{claimed: map[*worker]time.Duration{}}}
 }
 
 // Deposed reports whether a worker has rejected a call because it has seen a higher epoch, or
--- a/process/dispatch/evacuation.go
+++ b/process/dispatch/evacuation.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -26,6 +27,9 @@
 	at      time.Duration // when runs are looked at again
 	stops   evacuation.StopTimes
 	victims []victim
+	// claimed holds the workers with a slot for which a run was stopped early, until when that start
+	// is expected.
+	claimed map[*worker]time.Duration
 }
 
 // noteNotice takes a worker's entry in the directory into account.
@@ -50,6 +54,18 @@
 	return w.departure.Left(e.now, clock)
 }
 
+// leavingWait is how long a renewal of a worker that leaves soon may wait for a completion: the progress
+// of its runs decides which are stopped.
+const leavingWait = 200 * time.Millisecond
+
+// renewalWait returns how long the next renewal of a worker may wait for a completion.
+func (e *Engine) renewalWait(w *worker) time.Duration {
+	if left, known := e.timeLeft(w); known && left <= evacuation.Horizon && len(w.allocs) > 0 && !e.o.Policy.NoEvacuation {
+		return leavingWait
+	}
+	return renewWait
+}
+
 // evacuate looks at the runs on workers that leave soon, and stops those that must be.
 func (e *Engine) evacuate() {
 	e.settleEvacuated()
@@ -57,6 +73,7 @@
 		return
 	}
 	e.evacuating.at = e.now + evacuationPeriod
+	maps.DeleteFunc(e.evacuating.claimed, func(_ *worker, until time.Duration) bool { return e.now >= until })
 	for _, w := range e.workerList {
 		left, known := e.timeLeft(w)
 		if !known || left > evacuation.Horizon || (w.misses > 0 && left < 0) {
@@ -79,6 +96,11 @@
 		c.Left = e.gangLeft(s, left)
 	}
 	c.Remaining, c.Deviation = e.predictEnd(alloc)
+	var place *worker
+	if c.Checkpoints && !c.Endless && !s.spec.Gang {
+		place = e.placeReady(alloc, c.Lead)
+		c.Ready = place != nil
+	}
 	action := c.Decide()
 	if action != evacuation.Stop {
 		e.keepRun(alloc, action == evacuation.Keep, c)
@@ -90,6 +112,9 @@
 	}
 	e.decide(Decision{What: "evacuation", Task: alloc.id(), Run: alloc.run, Worker: alloc.w.ID, Why: why, Age: e.now - alloc.sent})
 	if !s.spec.Gang {
+		if place != nil {
+			e.evacuating.claimed[place] = e.now + c.Lead
+		}
 		e.noteEvacuated(alloc)
 		e.stop(alloc, "its worker leaves")
 		return
@@ -102,6 +127,30 @@
 	e.stopGang(s, "a member's worker leaves")
 }
 
+// placeReady returns a worker on which the task of a run can start again as soon as the run has been
+// stopped: with capacity that no step that comes before is waiting for and, if the step needs tickets,
+// one that is valid until then. It returns nil if there is none.
+func (e *Engine) placeReady(alloc *allocation, lead time.Duration) *worker {
+	s, a := alloc.s, e.adviceOf(alloc.s)
+	if len(s.pending) > 0 || (a != nil && !a.usable(e.now+lead)) {
+		return nil
+	}
+	for _, w := range e.workerList {
+		if !alloc.need.Fits(w.free()) || e.now < e.evacuating.claimed[w] || !e.eligible(s, w) || e.capacityFor(s, w, alloc.need, 1) == 0 {
+			continue
+		}
+		if a != nil && !a.hasTicket(w, e.now+lead) {
+			continue
+		}
+		s.rank = e.rankOf(s)
+		if slices.ContainsFunc(e.ready, func(x *step) bool { return x.job.active() && compareSteps(x, s) < 0 }) {
+			return nil
+		}
+		return w
+	}
+	return nil
+}
+
 // gangLeft returns the time until the first of a gang's workers leaves.
 func (e *Engine) gangLeft(s *step, left time.Duration) time.Duration {
 	for i := range s.tasks {
--- a/process/dispatch/evacuation_test.go
+++ b/process/dispatch/evacuation_test.go
@@ -64,6 +64,11 @@
 	h.report("w-a", runner.Report{Clock: time.Second})
 	h.accept(testJob, j)
 	h.step(50 * time.Millisecond)
+	if j.Queue.Advice != nil {
+		h.e.Members(h.now, []string{"d-1"})
+		h.step(50 * time.Millisecond)
+		h.advise(sent[AskAdvice](h)[0])
+	}
 	require.Len(t, h.confirmAll(h.starts()), 1)
 	h.addWorker("w-b")
 	h.pass(2*time.Second, 10)
@@ -118,13 +123,16 @@
 	h := runningOn(t, nil)
 	s := h.e.jobs[testJob].occurrences[0].steps[0]
 	due, order := s.occurrence.due, s.orderTime
+	h.e.workers["w-b"].quarantinedUntil = h.now + time.Minute // there is no capacity elsewhere yet
 	h.notify("w-a", usualNotice)
 	stops, after := h.untilStop(usualNotice, 10)
 	require.Len(t, stops, 1)
 	left := usualNotice - after
 	require.GreaterOrEqual(t, left, h.e.evacuating.stops.Lead())
 	require.Less(t, left, h.e.evacuating.stops.Lead()+2*evacuationPeriod+2*tickPeriod, "it uses the time that it has")
+	h.e.workers["w-b"].quarantinedUntil = 0
 	h.step(200 * time.Millisecond)
+	require.Empty(t, h.starts(), "it has not ended")
 	h.endStopped("w-a", stops)
 	starts := h.starts()
 	require.Len(t, starts, 1)
@@ -146,24 +154,33 @@
 func TestRunsOnLeavingWorkers(t *testing.T) {
 	// Guards against stops of runs that would end in time, stops that are too early or too late, and
 	// stops although nothing is known of when the worker leaves.
+	longRunning := func(_ *Engine, j *work.Job) { j.Steps[0].LongRunning = true }
+	advised := func(_ *Engine, j *work.Job) {
+		j.Queue.Advice = &work.Advice{Base: 600 * time.Millisecond, Valid: 2 * time.Second}
+	}
 	whole := func(h *harness, d runner.Departure) { h.notifyOf("w-a", d) }
 	for name, x := range map[string]struct {
 		change  func(e *Engine, j *work.Job)
 		notice  func(h *harness)
 		percent float64 // per second, until the run is done
+		idle    bool    // there is capacity elsewhere
 		stopped bool
 		from    time.Duration // least and most time from the notice to the stop
 		until   time.Duration
 	}{
-		"checkpoints: as late as is safe":       {percent: 10, stopped: true, from: 300 * time.Millisecond, until: time.Second},
-		"no checkpoints: at once":               {change: func(_ *Engine, j *work.Job) { j.Steps[0].Checkpoints = false }, percent: 10, stopped: true, until: 200 * time.Millisecond},
-		"long-running: as late as is safe":      {change: func(_ *Engine, j *work.Job) { j.Steps[0].LongRunning, j.Steps[0].Checkpoints = true, false }, percent: 100, stopped: true, from: 300 * time.Millisecond, until: time.Second},
-		"expected to end in time":               {percent: 36},
-		"switched off":                          {change: func(e *Engine, _ *work.Job) { e.o.Policy.NoEvacuation = true }, percent: 10},
-		"no time given":                         {notice: func(h *harness) { whole(h, runner.Departure{}) }, percent: 10},
-		"a lot of time left":                    {notice: func(h *harness) { h.notify("w-a", time.Minute) }, percent: 10},
-		"an absurd time":                        {notice: func(h *harness) { h.notify("w-a", 1<<62) }, percent: 10},
-		"no clock: counts from when it is seen": {notice: func(h *harness) { whole(h, runner.Departure{Known: true, Remaining: usualNotice}) }, percent: 10, stopped: true, from: 300 * time.Millisecond, until: time.Second},
+		"checkpoints: as late as is safe":                         {percent: 10, stopped: true, from: 300 * time.Millisecond, until: time.Second},
+		"checkpoints, capacity elsewhere: at once":                {percent: 10, idle: true, stopped: true, until: 200 * time.Millisecond},
+		"checkpoints, capacity but no ticket: as late as is safe": {change: advised, percent: 10, idle: true, stopped: true, from: 300 * time.Millisecond, until: time.Second},
+		"checkpoints, ends in time, capacity elsewhere":           {percent: 36, idle: true},
+		"long-running, capacity elsewhere: as late as is safe":    {change: longRunning, percent: 100, idle: true, stopped: true, from: 300 * time.Millisecond, until: time.Second},
+		"no checkpoints: at once":                                 {change: func(_ *Engine, j *work.Job) { j.Steps[0].Checkpoints = false }, percent: 10, stopped: true, until: 200 * time.Millisecond},
+		"long-running: as late as is safe":                        {change: longRunning, percent: 100, stopped: true, from: 300 * time.Millisecond, until: time.Second},
+		"expected to end in time":                                 {percent: 36},
+		"switched off":                                            {change: func(e *Engine, _ *work.Job) { e.o.Policy.NoEvacuation = true }, percent: 10},
+		"no time given":                                           {notice: func(h *harness) { whole(h, runner.Departure{}) }, percent: 10},
+		"a lot of time left":                                      {notice: func(h *harness) { h.notify("w-a", time.Minute) }, percent: 10},
+		"an absurd time":                                          {notice: func(h *harness) { h.notify("w-a", 1<<62) }, percent: 10},
+		"no clock: counts from when it is seen":                   {notice: func(h *harness) { whole(h, runner.Departure{Known: true, Remaining: usualNotice}) }, percent: 10, stopped: true, from: 300 * time.Millisecond, until: time.Second},
 		"clock of another writer": {notice: func(h *harness) {
 			whole(h, runner.Departure{Known: true, Remaining: usualNotice, Clock: h.clockOf() + time.Hour})
 		}, percent: 10, stopped: true, from: 300 * time.Millisecond, until: time.Second},
@@ -187,6 +204,9 @@
 			if x.notice == nil {
 				x.notice = func(h *harness) { h.notify("w-a", usualNotice) }
 			}
+			if !x.idle {
+				h.e.workers["w-b"].quarantinedUntil = h.now + time.Minute
+			}
 			x.notice(h)
 			most := usualNotice
 			if x.percent == 36 {
@@ -403,3 +423,22 @@
 	h.endStopped("w-a", stops)
 	require.Less(t, h.e.evacuating.stops.Usual(), 250*time.Millisecond)
 }
+
+func TestProgressOnALeavingWorkerIsRecent(t *testing.T) {
+	// Guards against decisions by progress that is a second old, which is most of the time that is left.
+	wait := func(change func(e *Engine, j *work.Job), notice time.Duration) time.Duration {
+		h := runningOn(t, change)
+		h.e.workers["w-b"].quarantinedUntil = h.now + time.Minute
+		h.notify("w-a", notice)
+		h.pass(tickPeriod, 10)
+		for _, x := range sent[SendRenew](h) {
+			if x.To.ID == "w-a" {
+				return x.Renewal.Wait
+			}
+		}
+		return 0
+	}
+	require.Equal(t, leavingWait, wait(nil, usualNotice))
+	require.Equal(t, renewWait, wait(nil, time.Minute), "a lot of time left")
+	require.Equal(t, renewWait, wait(func(e *Engine, _ *work.Job) { e.o.Policy.NoEvacuation = true }, usualNotice))
+}
