evacuation: the work in the checkpoint of a stopped task counts for its rank

Cause: a step's rank is computed from the estimate of the whole task. A task that was stopped after most of its work, and that would be in time from its checkpoint, was ranked as late and waited behind all work that can be in time; it also got advice only from idle proxies and no plan of preemption.

Change: for a step with evacuated tasks, what the last report before the stop shows as done is taken from the estimate in these three places, if all of its waiting tasks have a checkpoint. Other steps are unaffected.

Result: TestStoppedTaskKeepsItsRank.

--- a/process/dispatch/advicebudget.go
+++ b/process/dispatch/advicebudget.go
@@ -134,7 +134,7 @@
 		Ready:  e.now >= a.next && (!s.spec.Gang || e.now >= s.retryAt),
 		Value:  s.job.coreSeconds,
 		Cost:   call,
-		Slack:  s.occurrence.due - e.estimate(s) - call - e.now,
+		Slack:  s.occurrence.due - e.leftToRun(s) - call - e.now,
 		Yields: s.rank >= rankOverEntitled,
 		Waited: e.now - max(s.openedAt, a.budget.asked),
 	}
--- a/process/dispatch/completions.go
+++ b/process/dispatch/completions.go
@@ -68,6 +68,9 @@
 	}
 	if completion.Checkpoint != "" && s.spec.Checkpoints {
 		s.keepCheckpoint(completion.Task.Index, completion.Checkpoint)
+		if alloc != nil {
+			alloc.noteSaved()
+		}
 	}
 	switch completion.Outcome {
 	case runner.Done:
--- a/process/dispatch/evacuation.go
+++ b/process/dispatch/evacuation.go
@@ -207,6 +207,33 @@
 	e.evacuating.victims = append(e.evacuating.victims, victim{alloc: alloc, stopped: e.now, checkpoint: alloc.task().checkpoint})
 }
 
+// noteSaved records how much of the work of an evacuated run is in its checkpoint: at least what the run
+// reported last.
+func (alloc *allocation) noteSaved() {
+	if alloc.evacuated {
+		alloc.s.evacuated = true
+		alloc.task().saved = min(alloc.percent/100, 1)
+	}
+}
+
+// leftToRun returns how long the waiting tasks of a step are likely to take. What evacuated tasks have in
+// their checkpoints counts: a job that would have been in time would otherwise wait behind all others
+// that still can be.
+func (e *Engine) leftToRun(s *step) time.Duration {
+	whole := e.estimate(s)
+	if !s.evacuated || len(s.pending) == 0 {
+		return whole
+	}
+	saved := 1.0
+	for _, i := range s.pending {
+		saved = min(saved, s.tasks[i].saved)
+	}
+	if saved == 0 {
+		return whole
+	}
+	return scale(whole, 1-saved) + resumeTime
+}
+
 // settleEvacuated adds up the lost work of stopped runs whose end is known.
 func (e *Engine) settleEvacuated() {
 	v := &e.evacuating.victims
--- a/process/dispatch/evacuation_test.go
+++ b/process/dispatch/evacuation_test.go
@@ -442,3 +442,26 @@
 	require.Equal(t, renewWait, wait(nil, time.Minute), "a lot of time left")
 	require.Equal(t, renewWait, wait(func(e *Engine, _ *work.Job) { e.o.Policy.NoEvacuation = true }, usualNotice))
 }
+
+func TestStoppedTaskKeepsItsRank(t *testing.T) {
+	// Guards against a stopped task that waits behind all work that can be in time, although it can be in
+	// time itself thanks to its checkpoint.
+	for name, x := range map[string]struct {
+		checkpoint bool
+		rank       int
+	}{"with its checkpoint": {true, rankInTime}, "without": {false, rankLate}} {
+		h := runningOn(t, func(_ *Engine, j *work.Job) { j.Queue.Slack = 1.3 })
+		h.pass(5*time.Second, 10)
+		h.e.workers["w-b"].quarantinedUntil = h.now + time.Minute
+		h.notify("w-a", usualNotice)
+		stops, _ := h.untilStop(usualNotice, 10)
+		require.Len(t, stops, 1)
+		if x.checkpoint {
+			h.endStopped("w-a", stops)
+		} else {
+			h.report("w-a", runner.Report{Clock: h.clockOf(), Ended: []runner.Completion{{Number: 1, Task: stops[0].Task, Run: stops[0].Run, Outcome: runner.Stopped}}})
+		}
+		h.step(tickPeriod)
+		require.Equal(t, x.rank, h.e.jobs[testJob].occurrences[0].steps[0].rank, name)
+	}
+}
--- a/process/dispatch/job.go
+++ b/process/dispatch/job.go
@@ -101,7 +101,8 @@
 	preemptAt    time.Duration
 	preemptAsked bool
 
-	isolates *worker // isolated for a suspect task of the step
+	evacuated bool    // a run of it was stopped because its worker leaves
+	isolates  *worker // isolated for a suspect task of the step
 	// isolationWait is until when a gang with a suspect task waits for workers without recent
 	// starts.
 	isolationWait time.Duration
@@ -123,6 +124,7 @@
 	crashes    crash.Records
 	avoid      []runner.WorkerID // where it failed
 	avoidUntil time.Duration     // no start on these before
+	saved      float64           // share of its work in the checkpoint of its last run that was evacuated
 	preempted  int               // how often a run of it was stopped for other work in this epoch
 	moves      int               // how often it was moved as a straggler, in this epoch
 }
--- a/process/dispatch/order.go
+++ b/process/dispatch/order.go
@@ -69,7 +69,7 @@
 	if s.spec.LongRunning {
 		return rankLongRunning
 	}
-	ends := e.now + e.estimate(s)
+	ends := e.now + e.leftToRun(s)
 	rank := rankHopeless
 	switch o := s.occurrence; {
 	case ends <= o.due:
--- a/process/dispatch/preemption.go
+++ b/process/dispatch/preemption.go
@@ -123,7 +123,7 @@
 		return false // the plan would have to keep to racks, or to isolated workers
 	}
 	c := preemption.Claim{Need: s.spec.Need(), Count: s.spec.Count, Priority: s.job.spec.Queue.Priority,
-		Now: e.now, Due: s.occurrence.due - e.following(s) - startMargin, Estimate: e.estimate(s),
+		Now: e.now, Due: s.occurrence.due - e.following(s) - startMargin, Estimate: e.leftToRun(s),
 		Without: e.startWithout(s), With: e.now + e.stopLead()}
 	mayAsk := e.mayAskNow(s)
 	switch {
