advicebudget: a second quick call in flight for each proxy

Cause: a proxy is idle between two quick calls, on the way back and until the leader's next round, which takes as long as the call itself.

Change: if no proxy is idle, a quick call may be sent behind another quick one of another step, never behind a slow call or the reverse. The second call times out by its own cost and that of the first; two calls that time out together pause their proxy once. Counter: advice_calls_second.

--- a/process/advicebudget/quick_test.go
+++ b/process/advicebudget/quick_test.go
@@ -70,3 +70,18 @@
 		require.Zero(t, p.KeptFromQuick(waiting))
 	})
 }
+
+func TestSecondCallsLeaveProxiesThatBecomeIdle(t *testing.T) {
+	// Guards against slow calls that are never sent because each proxy always has a quick one.
+	rapid.Check(t, func(t *rapid.T) {
+		p := Proxies{All: rapid.IntRange(1, 50).Draw(t, "all")}
+		p.OneQuick = rapid.IntRange(0, p.All).Draw(t, "one")
+		p.TwoQuick = rapid.IntRange(0, p.All-p.OneQuick).Draw(t, "two")
+		taken := rapid.IntRange(0, p.All-p.OneQuick-p.TwoQuick).Draw(t, "taken")
+		n := p.SecondCalls(taken)
+		require.LessOrEqual(t, n, p.OneQuick+taken, "one behind each")
+		if n > 0 {
+			require.LessOrEqual(t, n+p.TwoQuick, p.All-p.share(leastSlowShare))
+		}
+	})
+}
--- a/process/cellnode/metrics.go
+++ b/process/cellnode/metrics.go
@@ -39,7 +39,7 @@
 		{"advice_names", s.AdviceNames}, {"advice_postponed", s.AdvicePostponed},
 		{"advice_tickets_unused", s.TicketsUnused}, {"advice_failed", s.AdviceFailed},
 		{"advice_proxies_unregistered", s.UnregisteredProxies}, {"advice_calls_unregistered", s.UnregisteredCalls},
-		{"advice_slow_postponed", s.SlowPostponed},
+		{"advice_slow_postponed", s.SlowPostponed}, {"advice_calls_second", s.SecondCalls},
 	} {
 		v := new(expvar.Int)
 		v.Set(int64(c.v))
--- a/process/dispatch/advice.go
+++ b/process/dispatch/advice.go
@@ -39,18 +39,26 @@
 	advicePause = 100 * time.Millisecond
 )
 
-// adviceProxy is a daemon through which the advice service is called. It makes its calls one
-// after the other, so it is sent one at a time.
+// adviceProxy is a daemon through which the advice service is called. The service answers its
+// calls one after the other, so it is sent one at a time, or two quick ones.
 type adviceProxy struct {
-	member  string
-	busy    *step // nil: idle
+	member   string
+	calls    []adviceCall // in flight, in the order in which they were sent
+	state    advicebudget.Proxy
+	failedAt time.Duration // when a call failed last
+	gaveUp   work.TaskID   // the step of the last call that was not answered in time
+	lost     bool          // the daemon has lost its membership
+}
+
+// adviceCall is a call that is in flight.
+type adviceCall struct {
+	s       *step
 	workers []runner.WorkerID
+	cost    time.Duration
 	sent    time.Duration
 	until   time.Duration
 	use     proxyUse // what the call counts as; noUse for a quick one
-	state   advicebudget.Proxy
-	gaveUp  work.TaskID // the step of the last call that was not answered in time
-	lost    bool        // the daemon has lost its membership
+	second  bool     // it was sent behind another one
 }
 
 // advice is what a step has received about the workers that may run it.
@@ -64,6 +72,7 @@
 	ticketAt []int32
 	inFlight int               // calls
 	toAsk    []runner.WorkerID // to be named by the next calls, maxWorkersPerCall in each
+	second   int               // how many of these calls, the last ones, may be sent behind another one
 	reserve  gangReserveMode   // which gang reservation to make for the calls
 	next     time.Duration     // earliest next call
 	budget   stepBudget
@@ -243,16 +252,21 @@
 func (e *Engine) expireAdviceCalls() {
 	e.expireUnregistered()
 	for _, proxy := range e.proxies {
-		if proxy.busy != nil && e.now > proxy.until {
-			e.adviceFailed(proxy)
+		for i := 0; i < len(proxy.calls); {
+			if e.now > proxy.calls[i].until {
+				e.adviceFailed(proxy, i)
+				continue
+			}
+			i++
 		}
 	}
 }
 
-func (e *Engine) adviceFailed(proxy *adviceProxy) {
-	s := proxy.busy
-	proxy.busy = nil
-	e.proxyFailed(proxy, s)
+// adviceFailed gives up the call of an index.
+func (e *Engine) adviceFailed(proxy *adviceProxy, i int) {
+	call := proxy.take(i)
+	s := call.s
+	e.proxyFailed(proxy, call)
 	if s.advice != nil {
 		s.advice.inFlight--
 		s.advice.next = e.now + advicePause
@@ -264,21 +278,22 @@
 func (e *Engine) Advised(now time.Duration, member string, id work.TaskID, allowed []runner.Ticket, err error) {
 	e.now = now
 	proxy := e.proxies[member]
-	if proxy == nil || proxy.busy == nil || proxy.busy.id() != id {
+	i := -1
+	if proxy != nil {
+		i = slices.IndexFunc(proxy.calls, func(c adviceCall) bool { return c.s.id() == id })
+	}
+	if i < 0 {
 		e.answeredLate(proxy, id, err)
 		return // timed out before
 	}
 	if err != nil {
-		e.decide(Decision{What: "advice call failed", Task: id, Why: member + ": " + err.Error(), Age: now - proxy.sent})
-		e.adviceFailed(proxy)
+		e.decide(Decision{What: "advice call failed", Task: id, Why: member + ": " + err.Error(), Age: now - proxy.calls[i].sent})
+		e.adviceFailed(proxy, i)
 		return
 	}
-	s := proxy.busy
-	if proxy.use == noUse {
-		e.quick.Answered(now - proxy.sent)
-	}
-	proxy.state.Answered(now, now-proxy.sent, proxy.cost())
-	proxy.busy = nil
+	call := proxy.take(i)
+	s := call.s
+	e.proxyAnswered(proxy, call)
 	e.stats.Advised++
 	e.scheduled = false
 	a := s.advice
@@ -289,7 +304,7 @@
 	s.feasibleUntil, s.retryAt, s.misses = 0, 0, 0
 	queue := &s.job.spec.Queue
 	fresh, freshGood := 0, 0
-	for _, id := range proxy.workers {
+	for _, id := range call.workers {
 		if w := e.workers[id]; w != nil && a.verdictOf(w) == unknown {
 			fresh++
 			a.record(w, bad)
@@ -323,9 +338,10 @@
 	}
 	counts := e.proxyCounts()
 	slow, maxSlow := counts.BusyWithSlow(), counts.Slow()
+	noneIdle := false
 	for _, s := range steps {
 		a := s.advice
-		if a == nil || len(a.toAsk) == 0 || a.inFlight > 0 || !s.job.active() {
+		if a == nil || len(a.toAsk) == 0 || a.inFlight > 0 || !s.job.active() || (noneIdle && a.second == 0) {
 			continue
 		}
 		cost := s.callCost(len(a.toAsk))
@@ -338,9 +354,14 @@
 			if isSlow && slow >= maxSlow {
 				break
 			}
-			proxy := e.pickProxy(isSlow)
+			proxy, behind := e.pickProxyFor(s, isSlow)
 			if proxy == nil {
-				return
+				if behind {
+					a.toAsk = nil // the step asks again once its other calls are answered
+				} else {
+					noneIdle = true
+				}
+				break
 			}
 			if isSlow {
 				slow++
@@ -348,22 +369,34 @@
 			e.sendAdviceCall(s, proxy)
 		}
 	}
-	e.noteUnused(steps)
+	if !noneIdle {
+		e.noteUnused(steps)
+	}
 }
 
 // sendAdviceCall sends the next call for a step through a proxy.
 func (e *Engine) sendAdviceCall(s *step, proxy *adviceProxy) {
 	a := s.advice
 	n := min(len(a.toAsk), maxWorkersPerCall)
-	cost := s.callCost(n)
+	call := adviceCall{s: s, workers: a.toAsk[:n:n], cost: s.callCost(n), sent: e.now, second: len(proxy.calls) > 0}
+	timeout := call.cost + adviceGrace
+	for _, before := range proxy.calls {
+		timeout += before.cost
+	}
+	call.until = e.now + timeout
 	a.inFlight++
-	proxy.busy, proxy.workers, proxy.sent, proxy.until = s, a.toAsk[:n:n], e.now, e.now+cost+adviceGrace
 	a.toAsk = a.toAsk[n:]
-	e.noteCall(s, proxy, cost)
-	e.effects = append(e.effects, AskAdvice{Member: proxy.member, Step: s.id(), Workers: proxy.workers, Timeout: cost + adviceGrace})
+	e.noteCall(&call, proxy)
+	proxy.calls = append(proxy.calls, call)
+	e.effects = append(e.effects, AskAdvice{Member: proxy.member, Step: s.id(), Workers: call.workers, Timeout: timeout})
 }
 
-func (p *adviceProxy) cost() time.Duration { return p.busy.job.spec.Queue.Advice.Cost(len(p.workers)) }
+// take removes the call of an index.
+func (p *adviceProxy) take(i int) adviceCall {
+	call := p.calls[i]
+	p.calls = slices.Delete(p.calls, i, i+1)
+	return call
+}
 
 // pickProxy picks the proxy for a call. Quick and slow calls use idle proxies from opposite
 // ends of the list of members, so that slow ones rarely occupy every proxy.
--- a/process/dispatch/advicebudget.go
+++ b/process/dispatch/advicebudget.go
@@ -52,6 +52,7 @@
 	counts := e.proxyCounts()
 	e.notePostponedForQuick(counts, slowWaiting)
 	e.keptFromQuick = counts.KeptFromQuick(slowWaiting)
+	e.proxyCount, e.quickTaken, e.secondTaken = counts, 0, 0
 	e.idleProxies, e.idleForSlow = counts.Idle, counts.Slow()-counts.BusyWithSlow()
 	if !e.o.Policy.NoAdviceBudget {
 		e.allotProxies(counts)
@@ -62,26 +63,59 @@
 func (e *Engine) proxyCounts() advicebudget.Proxies {
 	p := advicebudget.Proxies{All: len(e.proxyNames), Quick: e.quick.Proxies(e.now)}
 	for _, name := range e.proxyNames {
-		if e.usableProxy(e.proxies[name]) {
+		proxy := e.proxies[name]
+		switch {
+		case e.usableProxy(proxy):
 			p.Idle++
+		case e.takesSecond(proxy):
+			p.OneQuick++
+		case len(proxy.calls) > 1:
+			p.TwoQuick++
 		}
 	}
 	for _, proxy := range e.proxies {
-		if proxy.busy == nil {
-			continue
-		}
-		switch proxy.use {
-		case useGang:
-			p.Gangs++
-		case useOthers:
-			p.Others++
-		case useLate:
-			p.Late++
+		for _, call := range proxy.calls {
+			switch call.use {
+			case useGang:
+				p.Gangs++
+			case useOthers:
+				p.Others++
+			case useLate:
+				p.Late++
+			}
 		}
 	}
 	return p
 }
 
+// takesSecond reports whether a quick call may be sent behind the call that a proxy has in flight.
+func (e *Engine) takesSecond(proxy *adviceProxy) bool {
+	return !e.o.Policy.NoQuickProxies && len(proxy.calls) == 1 && proxy.calls[0].use == noUse && proxy.state.Usable(e.now)
+}
+
+// pickProxyFor picks the proxy for the next call for a step, and reports whether the call is to be
+// sent behind another one.
+func (e *Engine) pickProxyFor(s *step, slow bool) (proxy *adviceProxy, behind bool) {
+	a := s.advice
+	if calls := (len(a.toAsk) + maxWorkersPerCall - 1) / maxWorkersPerCall; slow || calls > a.second {
+		return e.pickProxy(slow), false
+	}
+	a.second--
+	return e.pickBehind(s), true
+}
+
+// pickBehind picks the proxy whose only call, a quick one, is likely to be answered first. It must
+// be for another step, by which an answer is assigned to its call.
+func (e *Engine) pickBehind(s *step) (found *adviceProxy) {
+	for _, name := range e.proxyNames {
+		proxy := e.proxies[name]
+		if e.takesSecond(proxy) && proxy.calls[0].s != s && (found == nil || proxy.calls[0].until < found.calls[0].until) {
+			found = proxy
+		}
+	}
+	return found
+}
+
 // noteQuickDemand counts the quick steps that waited for a proxy in the last round, and returns how
 // many steps waited for one for a slow call.
 func (e *Engine) noteQuickDemand() (slowWaiting int) {
@@ -117,7 +151,7 @@
 
 // usableProxy reports whether a proxy is idle and none of its calls has failed recently.
 func (e *Engine) usableProxy(proxy *adviceProxy) bool {
-	return proxy.busy == nil && proxy.state.Usable(e.now)
+	return len(proxy.calls) == 0 && proxy.state.Usable(e.now)
 }
 
 // needsSlowCalls reports whether even the shortest call for the step is slow.
@@ -187,8 +221,17 @@
 	return a.inFlight == 0 && e.now >= a.next && (s.needsSlowCalls() || e.freeForQuick() > 0)
 }
 
-// freeForQuick returns how many proxies are free for quick calls.
-func (e *Engine) freeForQuick() int { return e.idleProxies - e.keptFromQuick }
+// idleForQuick returns how many idle proxies may take quick calls.
+func (e *Engine) idleForQuick() int { return max(0, e.idleProxies-e.keptFromQuick) }
+
+// freeForQuick returns how many more quick calls may be sent, those behind others included.
+func (e *Engine) freeForQuick() int {
+	idle := e.idleForQuick()
+	if e.o.Policy.NoQuickProxies {
+		return idle
+	}
+	return idle + max(0, e.proxyCount.SecondCalls(e.quickTaken+idle)-e.secondTaken)
+}
 
 // freeProxies returns how many proxies are free for slow calls of the step. For a postponed gang
 // these are the proxies that are kept for no other step: mayAsk refuses the gang's usual calls, but
@@ -226,19 +269,23 @@
 	if !e.o.Policy.NoAdviceBudget && s.needsSlowCalls() && e.now < e.proxiesScarceUntil {
 		ids = ids[:advicebudget.Names(len(ids), maxWorkersPerCall)]
 	}
-	calls := (len(ids) + maxWorkersPerCall - 1) / maxWorkersPerCall
+	calls, second := (len(ids)+maxWorkersPerCall-1)/maxWorkersPerCall, 0
 	if s.callCost(len(ids)) >= slowCall {
 		calls = max(0, min(calls, e.idleProxies, e.freeProxies(s)))
 		e.idleForSlow -= calls
 		e.keptFromQuick = max(0, e.keptFromQuick-calls)
 	} else {
 		calls = min(calls, e.freeForQuick())
+		second = max(0, calls-e.idleForQuick())
+		e.quickTaken += max(0, calls-second)
 	}
 	if calls <= 0 {
 		return false
 	}
 	a.toAsk, a.reserve = ids[:min(len(ids), calls*maxWorkersPerCall)], reserveNone
-	e.idleProxies -= calls
+	a.second = second
+	e.secondTaken += second
+	e.idleProxies -= calls - second
 	return true
 }
 
@@ -264,9 +311,13 @@
 func (b *stepBudget) couldAsk() bool { return b.examined || b.grant == advicebudget.Guaranteed }
 
 // noteCall counts a call that is sent through a proxy.
-func (e *Engine) noteCall(s *step, proxy *adviceProxy, cost time.Duration) {
+func (e *Engine) noteCall(call *adviceCall, proxy *adviceProxy) {
+	s := call.s
 	e.stats.AdviceCalls++
-	e.stats.AdviceNames += uint64(len(proxy.workers))
+	e.stats.AdviceNames += uint64(len(call.workers))
+	if call.second {
+		e.stats.SecondCalls++
+	}
 	if s.spec.Gang {
 		e.stats.GangAdviceCalls++
 	}
@@ -275,27 +326,44 @@
 	}
 	s.advice.budget.asked = e.now
 	switch {
-	case cost < slowCall:
-		proxy.use = noUse
+	case call.cost < slowCall:
+		call.use = noUse
 		e.quick.Sent(e.now)
 	case s.advice.budget.late:
-		proxy.use = useLate
+		call.use = useLate
 	case s.spec.Gang:
-		proxy.use = useGang
+		call.use = useGang
 	default:
-		proxy.use = useOthers
+		call.use = useOthers
 	}
 }
 
-// proxyFailed records that a proxy's call for a step failed or was not answered in time. Without
-// the budget, each failure counts as the first one, so that all pauses are equally long.
-func (e *Engine) proxyFailed(proxy *adviceProxy, s *step) {
+// proxyAnswered records that a proxy's call was answered. How long a second call took is not learned
+// from, since it waited for the first one.
+func (e *Engine) proxyAnswered(proxy *adviceProxy, call adviceCall) {
+	took := e.now - call.sent
+	if call.second {
+		proxy.state.Answered(e.now, 0, 0)
+		return
+	}
+	if call.use == noUse {
+		e.quick.Answered(took)
+	}
+	proxy.state.Answered(e.now, took, call.cost)
+}
+
+// proxyFailed records that a proxy's call failed or was not answered in time. Without
+// the budget, each failure counts as the first one, so that all pauses are equally long. Two calls
+// that were in flight at the same time count once.
+func (e *Engine) proxyFailed(proxy *adviceProxy, call adviceCall) {
 	e.stats.AdviceFailed++
 	if e.o.Policy.NoAdviceBudget {
 		proxy.state.Forget()
 	}
-	proxy.state.Failed(e.now)
-	proxy.gaveUp = s.id()
+	if call.sent >= proxy.failedAt {
+		proxy.state.Failed(e.now)
+	}
+	proxy.failedAt, proxy.gaveUp = e.now, call.s.id()
 	if proxy.lost && slices.Contains(e.proxyNames, proxy.member) {
 		e.decide(Decision{What: "advice proxy without membership is not used any more", Why: proxy.member + " has failed a call"})
 		e.updateProxies()
--- a/process/dispatch/engine.go
+++ b/process/dispatch/engine.go
@@ -90,11 +90,15 @@
 	// scheduledAt is when the last round was; planAt is when capacity for waiting gangs is
 	// planned again.
 	scheduledAt, planAt time.Duration
-	roundCost           time.Duration // moving average of the time a round takes
-	idleProxies         int           // left in this round
-	idleForSlow         int           // how many of them may take slow calls
-	keptFromQuick       int           // how many of them take no quick calls
-	preempting          preempting
+	roundCost           time.Duration        // moving average of the time a round takes
+	idleProxies         int                  // left in this round
+	idleForSlow         int                  // how many of them may take slow calls
+	keptFromQuick       int                  // how many of them take no quick calls
+	proxyCount          advicebudget.Proxies // at the start of the round
+	// quickTaken and secondTaken are how many quick calls have been requested in this round through
+	// idle proxies and behind other calls.
+	quickTaken, secondTaken int
+	preempting              preempting
 
 	forecast   forecast
 	guaranteed int // how many of idleForSlow are kept for steps that have not asked yet
@@ -138,6 +142,8 @@
 	// SlowPostponed counts, in each round, the steps that got no proxy for a slow call because quick
 	// steps waited for one.
 	SlowPostponed uint64
+	// SecondCalls counts the quick calls that were sent behind another one.
+	SecondCalls uint64
 	// OverQuota counts steps that waited for their account's quota.
 	OverQuota uint64
 	// Preempted counts runs that were stopped for other work, Preemptions the steps for which runs
--- a/process/dispatch/proxies.go
+++ b/process/dispatch/proxies.go
@@ -45,7 +45,7 @@
 		case slices.Contains(e.members, name):
 		case proxy.lost && proxy.state.Available(e.now):
 			e.proxyNames = append(e.proxyNames, name)
-		case proxy.busy == nil:
+		case len(proxy.calls) == 0:
 			delete(e.proxies, name)
 		}
 	}
--- a/standin/cellsim/sim.go
+++ b/standin/cellsim/sim.go
@@ -253,6 +253,7 @@
 	s.stats.AdvicePostponed += st.AdvicePostponed
 	s.stats.UnregisteredCalls += st.UnregisteredCalls
 	s.stats.SlowPostponed += st.SlowPostponed
+	s.stats.SecondCalls += st.SecondCalls
 	s.stats.TicketsUnused += st.TicketsUnused
 	s.stats.GangReservations += st.GangReservations
 	s.stats.Failed += st.Failed
