advicebudget: no earlier step takes the proxy that is guaranteed to one

Cause: proxies that are free for slow calls were counted without regard to how many are idle, so that while proxies are paused or busy with quick calls a step that comes earlier in a round took the only idle one, guaranteed to another. Quick calls did not regard guarantees at all.

Change: the proxies free for slow calls are at most the idle ones, and both kinds of calls leave those that are guaranteed to steps that have not asked yet. This holds with no_quick_proxies too, since it restores what package advicebudget states.

--- a/process/dispatch/advicebudget.go
+++ b/process/dispatch/advicebudget.go
@@ -215,14 +215,17 @@
 func (e *Engine) mayAsk(s *step) bool {
 	a := s.advice
 	postponed := a.budget.grant == advicebudget.Postponed && !e.o.Policy.NoAdviceBudget
-	if s.needsSlowCalls() && (postponed || e.freeProxies(s) <= 0 || e.idleProxies <= 0) {
+	if s.needsSlowCalls() && (postponed || e.freeProxies(s) <= 0) {
 		return false
 	}
 	return a.inFlight == 0 && e.now >= a.next && (s.needsSlowCalls() || e.freeForQuick() > 0)
 }
 
-// idleForQuick returns how many idle proxies may take quick calls.
-func (e *Engine) idleForQuick() int { return max(0, e.idleProxies-e.keptFromQuick) }
+// idleForQuick returns how many idle proxies may take quick calls: those that are neither kept for slow
+// calls in general nor guaranteed to a step.
+func (e *Engine) idleForQuick() int {
+	return max(0, e.idleProxies-max(e.keptFromQuick, e.guaranteed))
+}
 
 // freeForQuick returns how many more quick calls may be sent, those behind others included.
 func (e *Engine) freeForQuick() int {
@@ -238,15 +241,16 @@
 // a call that a preemption plan needs is sent.
 func (e *Engine) freeProxies(s *step) int {
 	b := &s.advice.budget
+	free := min(e.idleForSlow, e.idleProxies)
 	switch {
-	case e.o.Policy.NoAdviceBudget || !s.needsSlowCalls():
-		return e.idleForSlow
-	case b.grant == advicebudget.Postponed && !s.spec.Gang:
+	case e.o.Policy.NoAdviceBudget:
+		return free
+	case b.grant == advicebudget.Postponed && s.needsSlowCalls() && !s.spec.Gang:
 		return 0
 	case b.grant == advicebudget.Guaranteed && !b.examined:
-		return e.idleForSlow - e.guaranteed + 1
+		return free - e.guaranteed + 1
 	}
-	return e.idleForSlow - e.guaranteed
+	return free - e.guaranteed
 }
 
 // examine records that a step that may ask looks for workers to ask about. The proxy that was
@@ -271,7 +275,7 @@
 	}
 	calls, second := (len(ids)+maxWorkersPerCall-1)/maxWorkersPerCall, 0
 	if s.callCost(len(ids)) >= slowCall {
-		calls = max(0, min(calls, e.idleProxies, e.freeProxies(s)))
+		calls = max(0, min(calls, e.freeProxies(s)))
 		e.idleForSlow -= calls
 		e.keptFromQuick = max(0, e.keptFromQuick-calls)
 	} else {
--- a/process/dispatch/quickproxies_test.go
+++ b/process/dispatch/quickproxies_test.go
@@ -300,3 +300,32 @@
 		require.Equal(t, want, tickets)
 	}
 }
+
+func TestGuaranteedProxyIsNotTakenByAnEarlierStep(t *testing.T) {
+	// Guards against a step that has waited for long and whose proxy is taken in each round by a
+	// step that comes before it, while most proxies are paused or busy with quick calls.
+	for name, earlier := range map[string]func(c *adviceCalls){
+		"slow calls": func(c *adviceCalls) {
+			for i := range 3 {
+				require.NoError(t, c.h.e.Accepted(c.h.now, advised(t, work.JobID(fmt.Sprintf("c%015x", i)), "many", 2, inTime, oneTask())))
+			}
+		},
+		"quick calls": func(c *adviceCalls) { c.submitQuick(3, inTime) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := busyCell(t, Policy{}, 0, 0)
+			for i := range 2 {
+				require.NoError(t, c.h.e.Accepted(c.h.now, advised(t, work.JobID(fmt.Sprintf("b%015x", i)), "many", 2, late, oneTask())))
+			}
+			c.run(6 * time.Second)
+			earlier(c)
+			c.h.e.Members(c.h.now, []string{"d-1", "d-2", "d-3", "d-4", "d-5", "d-6", "d-7", "d-8"})
+			for _, name := range c.h.e.proxyNames[1:] {
+				c.h.e.proxies[name].state.Failed(c.h.now)
+			}
+			c.run(tickPeriod)
+			require.Len(t, c.pending, 1)
+			require.Equal(t, work.JobID("b000000000000000"), c.pending[0].Step.Job)
+		})
+	}
+}
