--- a/process/dispatch/bench_test.go
+++ b/process/dispatch/bench_test.go
@@ -80,7 +80,7 @@
 				w := e.workers[id]
 				w.recorded, w.fenced = true, true
 				for k := range 5 {
-					e.confirm(e.start(w, s, i*5+k, 1, ""))
+					e.confirm(e.start(w, s, i*5+k, 1, ""), 0)
 				}
 				if i < leaving {
 					seen.Draining, seen.Departure = true, runner.Departure{Known: true, Remaining: 4 * time.Second}
