submit: a repetition beside a write in flight is not called "not run"

A daemon remembers the ids of jobs that a write of it may have stored, so that it does not answer "not run" to a repetition of such a submission in an outage. An id was remembered only once its submission had been answered. A caller whose connection broke, or that sends the same submission twice, could be told "not run" (503) for the second one while the first was being written and then accepted: TestRepetitionBesideAWriteInFlightIsNotCalledNotRun.

The submissions that are being written are now counted by their id, and a refusal beside another attempt becomes "may have run". A refusal of the only attempt stays "not run".

--- a/request/submit/submit.go
+++ b/request/submit/submit.go
@@ -150,6 +150,8 @@
 	began   time.Time
 	mu      sync.Mutex
 	pending map[string]count
+	// writing counts the requests that are writing a job, by its id.
+	writing map[work.JobID]int
 	// attempted are the ids that were accepted, or of which a write may still take effect.
 	attempted recentIDs
 }
@@ -167,7 +169,7 @@
 	if o.Pacer == nil {
 		o.Pacer = NewPacer(o.StoreTimeout, o.Stats, false, o.Log)
 	}
-	s := &Service{o: o, stats: o.Stats, pacer: o.Pacer, began: time.Now(), pending: map[string]count{}}
+	s := &Service{o: o, stats: o.Stats, pacer: o.Pacer, began: time.Now(), pending: map[string]count{}, writing: map[work.JobID]int{}}
 	if !o.NoLoadShedding {
 		s.gate = newGate(o.Log)
 	}
@@ -204,9 +206,10 @@
 		write = s.write
 	}
 	began := time.Now()
+	s.beginAttempt(id)
 	err = write(ctx, sub, func() { s.push(s.offerEntry(sub)) })
 	s.stats.LongestHold.Record(time.Since(began))
-	if err = s.afterEarlierAttempts(id, err); err == nil {
+	if err = s.afterOtherAttempts(id, err); err == nil {
 		s.stats.Accepted.Add(1)
 		return nil
 	}
@@ -217,26 +220,43 @@
 	return err
 }
 
-// afterEarlierAttempts returns the answer to an attempt to submit a job, given those that this daemon
-// made before under the same id.
+// afterOtherAttempts ends an attempt to submit a job, and returns the answer to it, given the others that
+// this daemon has made under the same id or is making.
 //
 // A caller repeats a submission that got no answer. If the store fails meanwhile, the repetition
 // writes nothing, but the job may be stored by the first attempt: to answer "not run" would be
 // untrue. Attempts at other daemons are not known here.
-func (s *Service) afterEarlierAttempts(id work.JobID, err error) error {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+func (s *Service) afterOtherAttempts(id work.JobID, err error) error {
 	var e *verdict.Error
-	if errors.As(err, &e) && e.Verdict == verdict.NotRun {
-		if e.Code == CodeStore && s.attempted.has(id) {
-			return unknown(err)
-		}
-		return err
+	notRun := errors.As(err, &e) && e.Verdict == verdict.NotRun
+	if others := s.endAttempt(id, !notRun); others && notRun && e.Code == CodeStore {
+		return unknown(err)
 	}
-	s.attempted.add(id, time.Since(s.began))
 	return err
 }
 
+// beginAttempt records that a job is being written by this daemon; endAttempt must follow.
+func (s *Service) beginAttempt(id work.JobID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.writing[id]++
+}
+
+// endAttempt records the end of an attempt to write a job, and whether the job may be stored by it. It
+// reports whether it may be stored by another attempt of this daemon.
+func (s *Service) endAttempt(id work.JobID, mayBeStored bool) (byOther bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	byOther = s.writing[id] > 1 || s.attempted.has(id)
+	if s.writing[id]--; s.writing[id] == 0 {
+		delete(s.writing, id)
+	}
+	if mayBeStored {
+		s.attempted.add(id, time.Since(s.began))
+	}
+	return byOther
+}
+
 // write writes the job to the store or, when the store refuses calls of this daemon, through
 // another daemon. After a failed call the other daemons are tried first: they answer within
 // milliseconds, while a read of an unresponsive store takes probeTimeout. written is called once
--- a/request/submit/submit_test.go
+++ b/request/submit/submit_test.go
@@ -323,3 +323,25 @@
 		require.False(t, stored(t, m, dispatch.KeyState(id)))
 	})
 }
+
+func TestRepetitionBesideAWriteInFlightIsNotCalledNotRun(t *testing.T) {
+	// A caller whose connection broke repeats its submission while the first one is still being written.
+	// The repetition, refused because the store fails by then, must not be called "not run": the first
+	// write takes effect.
+	synctest.Test(t, func(t *testing.T) {
+		m := kv.New()
+		s := newService(m)
+		m.SetFaults(kv.Faults{Delay: 150 * time.Millisecond})
+		first := make(chan error, 1)
+		go func() { first <- s.Submit(t.Context(), id, testJob()) }()
+		time.Sleep(10 * time.Millisecond)
+		m.SetFaults(kv.Faults{Down: true})
+		err := s.Submit(t.Context(), id, testJob())
+		require.Equal(t, verdict.MayHaveRun, verdict.Of(err))
+		other := s.Submit(t.Context(), "00000000000000bb", testJob())
+		require.Equal(t, verdict.NotRun, verdict.Of(other), "no write of this one is in flight")
+		require.NoError(t, <-first)
+		m.SetFaults(kv.Faults{})
+		require.True(t, stored(t, m, dispatch.KeySubmission(id)))
+	})
+}
