submit: a write made for another daemon counts as an attempt of this one

A daemon that wrote a job for another one did not remember its id. If the store lost the answer and the caller then repeated its submission at this daemon while the store failed, it was told "not run" (503) although the job is in the store: TestRepetitionAfterAForwardedWriteIsNotCalledNotRun. Callers send their attempts to different daemons, and a daemon forwards to the one that accepted last, so the two meet.

Such writes are now remembered like those of this daemon's own submissions, while they are in flight and afterwards if they may have taken effect.

--- a/request/submit/peer.go
+++ b/request/submit/peer.go
@@ -168,11 +168,13 @@
 	if s.gate != nil {
 		s.gate.admit(id)
 	}
+	s.beginAttempt(id)
 	done := s.pacer.sentWrite()
 	err = s.o.StoreTimeout.CallWithMinTimeout(ctx, s.pacer.forwardedTimeout(), func(ctx context.Context) error {
 		return s.create(ctx, sub)
 	})
 	done(err)
+	s.endAttempt(id, err == nil || errors.Is(err, store.ErrUnknownOutcome))
 	if err != nil {
 		fails := errors.Is(err, store.ErrUnavailable) && !errors.Is(err, errLayoutChanged)
 		uncertain := errors.Is(err, store.ErrUnknownOutcome)
--- a/request/submit/submit_test.go
+++ b/request/submit/submit_test.go
@@ -345,3 +345,22 @@
 		require.True(t, stored(t, m, dispatch.KeySubmission(id)))
 	})
 }
+
+func TestRepetitionAfterAForwardedWriteIsNotCalledNotRun(t *testing.T) {
+	// A daemon that has written a job for another one, without an answer of the store, must not call a
+	// repetition of the same submission "not run".
+	synctest.Test(t, func(t *testing.T) {
+		m := kv.New()
+		s := newService(m)
+		sub, err := newSubmission(id, testJob())
+		require.NoError(t, err)
+		m.SetFaults(kv.Faults{LoseAnswers: 1})
+		r, err := s.serveForward(t.Context(), offer{Key: string(id), Value: sub.full})
+		require.NoError(t, err)
+		require.True(t, r.(forwardReply).Uncertain)
+		m.SetFaults(kv.Faults{Down: true})
+		require.Equal(t, verdict.MayHaveRun, verdict.Of(s.Submit(t.Context(), id, testJob())))
+		m.SetFaults(kv.Faults{})
+		require.True(t, stored(t, m, dispatch.KeySubmission(id)))
+	})
+}
