dispatch: a step that has used up its account's quota waits for the quota

A step of several tasks starts as many of them as its account's quota allows. In the round in which it started any, the others were shown as waiting for capacity or advice instead of the quota. With an account at its cap, a task starts whenever one ends, so that the step at the head was mostly shown so: callers who asked what delays their job were told "room", and admission control counted the work as delaying other accounts, and not as waiting for the quota of its own (TestStepThatHasUsedUpItsQuotaWaitsForIt).

The quota is now looked at again after the step has been tried.

--- a/process/dispatch/wait.go
+++ b/process/dispatch/wait.go
@@ -55,6 +55,8 @@
 	switch {
 	case len(s.pending) == 0:
 		return waitNothing
+	case !e.withinQuota(s):
+		return waitQuota // this round has started as many of its tasks as the quota allows
 	case a == nil || a.usable(e.now) || !e.roomToAsk(s):
 		return waitCapacity
 	case a.inFlight == 0 && len(a.toAsk) == 0 && e.now >= a.next && !e.mayAsk(s):
--- a/process/dispatch/wait_test.go
+++ b/process/dispatch/wait_test.go
@@ -46,3 +46,23 @@
 	h.e.Members(h.now, []string{"d"})
 	require.Equal(t, "advice", cause())
 }
+
+func TestStepThatHasUsedUpItsQuotaWaitsForIt(t *testing.T) {
+	// Guards against a step of which some tasks were started within the quota, and whose other tasks are
+	// shown as waiting for capacity: its account's callers would be told the wrong cause, and admission
+	// control would count work that waits for a quota as work that delays other accounts.
+	accounts, err := work.NewAccounts([]work.Account{{Name: "north", Weight: 1, Cap: work.Resources{CPU: 2000}}})
+	require.NoError(t, err)
+	h := newHarness(t, 1, "w-a")
+	step := oneTask()
+	step.Count, step.Estimate = 4, 10*time.Second
+	entry := changed(t, jobEntry(t, 1, 4, step), func(j *work.Job) { j.Account = "north" })
+	require.NoError(t, h.e.Load(0, Saved{Accepted: []store.Entry{entry}}))
+	h.e.SetAccounts(0, accounts)
+	h.step(50 * time.Millisecond)
+	h.report("w-a", runner.Report{Clock: time.Second})
+	require.Len(t, h.starts(), 2)
+	s := h.e.jobs[testJob].occurrences[0].steps[0]
+	require.Len(t, s.pending, 2)
+	require.Equal(t, waitQuota, s.waitsFor)
+}
