Process test: the daemons choose their ports themselves

Cause: the test listened on a free port, closed it and gave its number to the daemon. The port was taken when the daemon began, and it ended. Another process answered the readiness check at its other port, so that the test went on with three daemons and sent a quarter of its connections elsewhere.

Evidence: the daemon's only line of log, "listen.admin: ... bind: address already in use".

Change: the daemons listen on port 0 and the test reads their addresses from the line "listening", within the same 30 s and before the same check. No check or bound has changed.

--- a/cmd/fennelshuntd/process_test.go
+++ b/cmd/fennelshuntd/process_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -56,8 +57,9 @@
 	require.NoError(t, err, string(out))
 }
 
-// start starts a process with its standard error in a file, and returns its standard output.
-func (b *deployment) start(name string, args ...string) (*exec.Cmd, io.Reader) {
+// start starts a process with its standard error in a file, and returns its standard output and
+// the name of that file.
+func (b *deployment) start(name string, args ...string) (*exec.Cmd, io.Reader, string) {
 	cmd := exec.Command(filepath.Join(b.dir, name), args...)
 	out, err := cmd.StdoutPipe()
 	require.NoError(b.t, err)
@@ -73,7 +75,7 @@
 			b.t.Logf("%s:\n%s", name, tail(data))
 		}
 	})
-	return cmd, out
+	return cmd, out, log.Name()
 }
 
 func tail(data []byte) []byte {
@@ -82,7 +84,7 @@
 }
 
 func (b *deployment) startStandin() {
-	_, out := b.start("fennelstandin", "-store", "127.0.0.1:0", "-vm-list", "127.0.0.1:0", "-control", "127.0.0.1:0", "-work", "5ms", "-lag", "100ms")
+	_, out, _ := b.start("fennelstandin", "-store", "127.0.0.1:0", "-vm-list", "127.0.0.1:0", "-control", "127.0.0.1:0", "-work", "5ms", "-lag", "100ms")
 	r := bufio.NewReader(out)
 	for _, v := range []struct {
 		prefix string
@@ -101,32 +103,41 @@
 	caller, admin string
 }
 
-// freePort returns the address of a free TCP port. If another process takes the port
-// before the daemon listens on it, the test fails at the start, not in its assertions.
-func freePort(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer l.Close()
-	return l.Addr().String()
-}
-
 func (b *deployment) startDaemon(name string) *entry {
-	e := &entry{caller: freePort(b.t), admin: freePort(b.t)}
+	e := &entry{}
 	settings := fmt.Sprintf(`{"name": %q, "zone": "gulberg-hall",
-		"listen": {"caller": %q, "forward": "127.0.0.1:0", "peer": "127.0.0.1:0", "admin": %q},
+		"listen": {"caller": "127.0.0.1:0", "forward": "127.0.0.1:0", "peer": "127.0.0.1:0", "admin": "127.0.0.1:0"},
 		"platform": {"store": %q, "vm_list": %q},
 		"tls": {"peers": {"cert": %q, "key": %q, "ca": %q}}, "tokens": %q}`,
-		name, e.caller, e.admin, b.storeAt, b.vmsAt, filepath.Join(b.dir, keyset.FileCert), filepath.Join(b.dir, keyset.FileKey),
+		name, b.storeAt, b.vmsAt, filepath.Join(b.dir, keyset.FileCert), filepath.Join(b.dir, keyset.FileKey),
 		filepath.Join(b.dir, keyset.FileCA), filepath.Join(b.dir, "tokens.json"))
 	path := filepath.Join(b.dir, name+".json")
 	require.NoError(b.t, os.WriteFile(path, []byte(settings), 0o600))
 	out, err := exec.Command(filepath.Join(b.dir, "fennelshuntd"), "-settings", path, "-check").CombinedOutput()
 	require.NoError(b.t, err, string(out))
-	e.cmd, _ = b.start("fennelshuntd", "-settings", path)
-	require.Eventually(b.t, func() bool { return e.ready() }, 30*time.Second, 20*time.Millisecond)
+	var log string
+	e.cmd, _, log = b.start("fennelshuntd", "-settings", path)
+	require.Eventually(b.t, func() bool { return e.readAddresses(log) && e.ready() }, 30*time.Second, 20*time.Millisecond)
 	return e
 }
 
+// readAddresses reads from the daemon's log at which addresses it listens. It chooses its ports
+// itself: one that is chosen for it may be taken when it starts, and be answered by another process.
+func (e *entry) readAddresses(log string) bool {
+	data, err := os.ReadFile(log)
+	if err != nil {
+		return false
+	}
+	for line := range bytes.Lines(data) {
+		var l struct{ Message, Caller, Admin string }
+		if json.Unmarshal(line, &l) == nil && l.Message == "listening" {
+			e.caller, e.admin = l.Caller, l.Admin
+			return true
+		}
+	}
+	return false
+}
+
 var checkClient = &http.Client{Timeout: 500 * time.Millisecond}
 
 func (e *entry) ready() bool {
