preemption: reclaim lent capacity, and plans for steps that are no gangs

Cause: work beyond its account's entitlement is placed last, but kept its capacity to its end, and only gangs could have runs stopped for them.

Change: runs beyond their account's entitlement may be victims for a step of an account that is within its own, whatever their queue and objective, if they write checkpoints and are neither gang members nor long-running. Steps that are no gangs may have plans for the tasks that find no capacity in time by themselves; they request tickets first and stop nothing without them. New switches no_reclaim and no_urgent_preemption, counters reclaimed and reclaimed_core_seconds. The code that collects workers and runs moves to preemptionruns.go.

--- a/process/cellnode/metrics.go
+++ b/process/cellnode/metrics.go
@@ -30,6 +30,7 @@
 		{"aside", s.Quarantined}, {"moved", s.Moved}, {"over_quota", s.OverQuota},
 		{"preempted", s.Preempted}, {"preemptions", s.Preemptions}, {"preemption_wasted", s.PreemptionWasted},
 		{"preempted_core_seconds", uint64(s.PreemptedCoreSeconds)},
+		{"reclaimed", s.Reclaimed}, {"reclaimed_core_seconds", uint64(s.ReclaimedCoreSeconds)},
 		{"engine_violations", s.Violations},
 		{"load_digests", s.Digests}, {"load_digests_overloaded", s.DigestsOverloaded},
 		{"speed_samples", s.SpeedSamples}, {"speed_clipped", s.SpeedClipped}, {"speed_changed", s.SpeedChanged},
--- a/process/dispatch/cell_test.go
+++ b/process/dispatch/cell_test.go
@@ -21,6 +21,7 @@
 	"fennelshunt.example/fennelshunt/connection/runner"
 	"fennelshunt.example/fennelshunt/connection/store"
 	"fennelshunt.example/fennelshunt/internal/sleep"
+	"fennelshunt.example/fennelshunt/process/fair"
 	"fennelshunt.example/fennelshunt/process/lead"
 	"fennelshunt.example/fennelshunt/standin/epochworker"
 	"fennelshunt.example/fennelshunt/standin/kv"
@@ -47,6 +48,9 @@
 	batches atomic.Uint64
 	// preempted is the highest number of runs that one term stopped for others.
 	preempted atomic.Uint64
+	// reclaimed is the same for runs beyond the entitlement of their accounts, which entitled bounds.
+	reclaimed atomic.Uint64
+	entitled  fair.Entitlement
 }
 
 // node is a daemon that can lead.
@@ -146,8 +150,9 @@
 				Count: func(s Stats) {
 					c.batches.Store(max(c.batches.Load(), s.Batches))
 					c.preempted.Store(max(c.preempted.Load(), s.Preempted))
+					c.reclaimed.Store(max(c.reclaimed.Load(), s.Reclaimed))
 				},
-				Bounds: Bounds{Lease: testLease, MaxLease: testLease, Gang: 3 * time.Second, Keep: 10 * time.Minute},
+				Bounds: Bounds{Lease: testLease, MaxLease: testLease, Gang: 3 * time.Second, Keep: 10 * time.Minute, Entitled: c.entitled},
 				Violation: func(what string) {
 					c.mu.Lock()
 					defer c.mu.Unlock()
--- a/process/dispatch/engine.go
+++ b/process/dispatch/engine.go
@@ -134,6 +134,10 @@
 	// PreemptedCoreSeconds is the work that the stopped runs lost.
 	Preempted, Preemptions, PreemptionWasted uint64
 	PreemptedCoreSeconds                     float64
+	// Reclaimed counts the runs among Preempted that were beyond the entitlement of their accounts
+	// and were stopped for work within it, ReclaimedCoreSeconds the work that these lost.
+	Reclaimed            uint64
+	ReclaimedCoreSeconds float64
 	// Digests counts the summaries of the load for admission control, DigestsOverloaded those by
 	// which a submission could be refused.
 	Digests, DigestsOverloaded uint64
--- a/process/dispatch/placement.go
+++ b/process/dispatch/placement.go
@@ -63,6 +63,8 @@
 	full     []fullSize
 	tried    int // gangs
 	reserved int // gangs with reserved capacity
+	// lacking is what the tasks need that have found no capacity so far.
+	lacking work.Resources
 }
 
 // fullSize is a size for which no worker of a service had capacity.
@@ -95,9 +97,13 @@
 			cause = e.causeOf(s)
 		default:
 			e.tryTasks(s, &r)
+			e.considerTaskPlan(s, r.lacking)
 			cause = e.causeOf(s)
 		}
 		e.keepQuota(s)
+		if cause != waitQuota && cause != waitMembers && cause != waitTakeover {
+			r.lacking = r.lacking.Add(s.spec.Need().Scale(len(s.pending) - s.preemption.left()))
+		}
 		e.noteWait(s, cause)
 	}
 	e.sendAdviceCalls(steps)
@@ -137,7 +143,7 @@
 	}
 	need := s.spec.Need()
 	service := s.job.spec.Queue.Service
-	if slices.ContainsFunc(r.full, func(t fullSize) bool { return t.service == service && t.size.Fits(need) }) {
+	if s.preemption == nil && slices.ContainsFunc(r.full, func(t fullSize) bool { return t.service == service && t.size.Fits(need) }) {
 		return
 	}
 	if e.anyCapacity(s, need) {
@@ -249,8 +255,8 @@
 		}
 		e.start(w, s, i, run, ticket)
 	}
-	if missing && a != nil {
-		e.askFor(s, len(s.pending))
+	if n := len(s.pending) - s.preemption.left(); missing && a != nil && n > 0 {
+		e.askFor(s, n)
 	}
 }
 
--- a/process/dispatch/policy.go
+++ b/process/dispatch/policy.go
@@ -45,6 +45,13 @@
 	// NoPreemption never stops runs so that a gang starts in time. Preemption matters with gangs
 	// and slow advice in a cell full of work that has slack.
 	NoPreemption bool `json:"no_preemption,omitempty"`
+	// NoUrgentPreemption never stops less urgent runs for steps that are no gangs. It matters with
+	// urgent short work in a cell full of work that has slack.
+	NoUrgentPreemption bool `json:"no_urgent_preemption,omitempty"`
+	// NoReclaim never stops runs beyond the entitlement of their accounts for work within it, other
+	// than by the usual rules of preemption. It matters with accounts of which some submit more than
+	// their weight in a full cell.
+	NoReclaim bool `json:"no_reclaim,omitempty"`
 	// NoSpeedModel predicts run times from moving averages over queues, without the speed of the
 	// worker. The model of speeds matters with workers of unlike speed and inaccurate estimates.
 	NoSpeedModel bool `json:"no_speed_model,omitempty"`
--- a/process/dispatch/preemption.go
+++ b/process/dispatch/preemption.go
@@ -7,13 +7,14 @@
 
 	"fennelshunt.example/fennelshunt/connection/runner"
 	"fennelshunt.example/fennelshunt/process/preemption"
-	"fennelshunt.example/fennelshunt/version/work"
 )
 
-// This file stops runs with slack so that a waiting gang starts in time. Package preemption
-// decides which; this file collects what the package needs and carries its plans out.
+// This file stops runs with slack, or runs that have borrowed their capacity, so that a waiting step
+// starts in time. Package preemption decides which; this file makes the plans of gangs and carries all
+// plans out. Those of steps that are no gangs are made in preemptiontasks.go; preemptionruns.go collects
+// what the package needs.
 //
-// A plan has two phases. First, capacity is reserved for the gang on each worker of the plan,
+// The plan of a gang has two phases. First, capacity is reserved for the gang on each worker of the plan,
 // including capacity that is still occupied, and the missing tickets are requested. Then, shortly
 // before the tickets arrive, the victims are chosen again among the runs that still occupy
 // reserved capacity, and stopped: runs that have ended by themselves meanwhile need no stop. The
@@ -60,6 +61,10 @@
 	budget  preemption.Budget
 	// examineAt is the earliest next look at all workers.
 	examineAt time.Duration
+	// taskExamineAt is the earliest next look at all workers for steps that are no gangs, and
+	// ticketsExamineAt that at the workers of which such a step has tickets.
+	taskExamineAt, ticketsExamineAt time.Duration
+	freed                           map[string]*freedCapacity // by service
 	// stopTime and stopDeviation are moving averages of how long stops take, and of how much
 	// they deviate from that.
 	stopTime, stopDeviation time.Duration
@@ -70,12 +75,13 @@
 	s     *step
 	slots []reservedSlots
 	runs  uint64 // how often the gang had started when the plan was made
+	// claim is what the plan is for; its Count is the number of tasks that have not started by the plan.
+	claim preemption.Claim
 	// stopsAt is when the first victims are to be stopped, nextStops the earliest time for more.
 	stopsAt, nextStops time.Duration
 	// stopsUntil is the latest time for stops after which the gang still ends in time.
 	stopsUntil time.Duration
 	stopped    int // number of runs stopped so far
-	priority   int
 }
 
 // reservedSlots are the slots of a plan on one worker.
@@ -89,11 +95,28 @@
 	alloc      *allocation
 	stopped    time.Duration
 	checkpoint string // of its task, when it was stopped
+	reclaimed  bool   // it was beyond the entitlement of its account
 }
 
 // uses reports whether the plan has slots on a worker.
 func (p *preemptionState) uses(w *worker) bool {
-	return p != nil && slices.ContainsFunc(p.slots, func(x reservedSlots) bool { return x.w == w })
+	return p != nil && slices.ContainsFunc(p.slots, func(x reservedSlots) bool { return x.w == w && x.n > 0 })
+}
+
+// left returns how many tasks have not started by the plan.
+func (p *preemptionState) left() int {
+	if p == nil {
+		return 0
+	}
+	return p.claim.Count
+}
+
+// started reports whether the step has started by its plan.
+func (p *preemptionState) started() bool {
+	if p.s.spec.Gang {
+		return p.s.gang.runs > p.runs
+	}
+	return p.claim.Count == 0
 }
 
 // stopLead is how long before the tickets arrive the victims are stopped.
@@ -123,7 +146,7 @@
 		return false // the plan would have to keep to racks, or to isolated workers
 	}
 	c := preemption.Claim{Need: s.spec.Need(), Count: s.spec.Count, Priority: s.job.spec.Queue.Priority,
-		Now: e.now, Due: s.occurrence.due - e.following(s) - startMargin, Estimate: e.estimate(s),
+		Borrows: s.job.overEntitled, Reclaims: e.mayReclaim(s), Now: e.now, Due: s.occurrence.due - e.following(s) - startMargin, Estimate: e.estimate(s),
 		Without: e.startWithout(s), With: e.now + e.stopLead()}
 	mayAsk := e.mayAskNow(s)
 	switch {
@@ -136,7 +159,7 @@
 	}
 	e.preempting.examineAt = e.now + examinePause
 	s.preemptAt, s.preemptAsked = e.now+preemptPeriod, mayAsk
-	workers := e.preemptable(s)
+	workers := e.preemptable(s, mayAsk, false)
 	plan, ok := preemption.Choose(c, workers)
 	if !ok || plan.Victims > e.preempting.budgetLeft(e) || !plan.Worthwhile(e.coreSeconds(s, s.spec.Count)) {
 		return false
@@ -186,85 +209,6 @@
 	return longest
 }
 
-// preemptable returns the workers that a plan for the step may use, with their runs. If the step
-// cannot ask for tickets now, these are the workers with a ticket that outlasts the stops.
-func (e *Engine) preemptable(s *step) []preemption.Worker {
-	a := e.adviceOf(s)
-	mayAsk := e.mayAskNow(s)
-	lead := e.stopLead()
-	limit := s.perWorker(s.spec.Count)
-	var all []preemption.Worker
-	for i, w := range e.workerList {
-		if (a != nil && a.verdictOf(w) != good) || !e.eligible(s, w) {
-			continue
-		}
-		noTicket := false
-		if a != nil {
-			t := a.ticketFor(w)
-			// Without a call, a ticket has to outlast the stops. With one, beginPreemption renews
-			// those that expire before the answer.
-			noTicket = t == nil || !t.valid(e.now+2*lead)
-			if noTicket && !mayAsk {
-				continue
-			}
-		}
-		x := preemption.Worker{ID: i, Free: e.unclaimed(s, w), Limit: limit - s.liveOn(w), NoTicket: noTicket}
-		if !s.spec.Need().Fits(w.Capacity) || x.Limit <= 0 {
-			continue
-		}
-		x.Runs = e.stoppable(w)
-		all = append(all, x)
-	}
-	return all
-}
-
-// unclaimed returns the capacity of a worker that is free or being freed, and that is not
-// reserved for another gang or for a step that comes before s.
-func (e *Engine) unclaimed(s *step, w *worker) work.Resources {
-	free := w.free()
-	for _, alloc := range w.allocs {
-		if alloc.state == stopping {
-			free = free.Add(alloc.need)
-		}
-	}
-	for i := range w.gangReservations {
-		if w.gangReservations[i].s != s {
-			free = free.Sub(w.gangReservations[i].capacity)
-		}
-	}
-	if s.preemption.uses(w) {
-		return free
-	}
-	for _, r := range w.reserved {
-		if r.s != s && compareSteps(s, r.s) > 0 {
-			free = free.Sub(r.need)
-		}
-	}
-	return free
-}
-
-// stoppable returns the runs on a worker that write checkpoints, are no members of gangs and are
-// not being stopped. Their ID is the index in sortedAllocs.
-func (e *Engine) stoppable(w *worker) []preemption.Run {
-	var runs []preemption.Run
-	for i, alloc := range sortedAllocs(w) {
-		v := alloc.s
-		if alloc.state != running || !v.spec.Checkpoints || v.spec.Gang {
-			continue
-		}
-		x := preemption.Run{ID: i, Size: alloc.need, Priority: v.job.spec.Queue.Priority, Checkpoints: true,
-			Protected: v.spec.LongRunning || len(alloc.task().crashes) > 0 || !v.job.active(),
-			Stopped:   alloc.task().preempted,
-			Age:       e.now - alloc.ackAt, Remaining: e.remaining(alloc), Renewal: renewalWait}
-		x.Slack = v.occurrence.due - e.now - x.Remaining - e.following(v)
-		if q := v.job.spec.Queue.Advice; q != nil {
-			x.Renewal += q.Cost(renewalNames)
-		}
-		runs = append(runs, x)
-	}
-	return runs
-}
-
 // beginPreemption requests the missing tickets of a plan and reserves its capacity. It reports whether
 // the plan is carried out.
 func (e *Engine) beginPreemption(s *step, c preemption.Claim, plan preemption.Plan) bool {
@@ -283,23 +227,27 @@
 	if len(ids) > 0 && !e.requestPlanTickets(s, plan, ids, c.With+lead) {
 		return false
 	}
+	e.decide(Decision{What: "preemption planned", Task: s.id(), Age: e.now - s.openedAt,
+		Why: fmt.Sprintf("%d runs on %d workers, %.0f core-seconds lost; start in %d ms, not %d; due in %d ms",
+			plan.Victims, len(plan.Slots), plan.Loss,
+			(c.With - e.now).Milliseconds(), (c.Without - e.now).Milliseconds(), (c.Due - e.now).Milliseconds())})
+	e.carryOut(s, c, plan, c.With-lead, c.With+gangReserveGrace+max(reserveAheadGrace, lead))
+	return true
+}
+
+// carryOut reserves the capacity of a plan until a time and stops its victims from stopsAt on.
+func (e *Engine) carryOut(s *step, c preemption.Claim, plan preemption.Plan, stopsAt, until time.Duration) {
 	e.unreserve(s)
-	p := &preemptionState{s: s, runs: s.gang.runs, priority: c.Priority,
-		stopsAt: c.With - lead, stopsUntil: c.Due - c.Estimate - lead}
+	p := &preemptionState{s: s, runs: s.gang.runs, claim: c, stopsAt: stopsAt, stopsUntil: c.Due - c.Estimate - e.stopLead()}
 	for _, x := range plan.Slots {
 		w := e.workerList[x.Worker.ID]
 		p.slots = append(p.slots, reservedSlots{w, x.N})
 		w.gangReservations = append(w.gangReservations, gangReservation{s, c.Need.Scale(x.N)})
 	}
 	s.preemption = p
-	s.gangReserved, s.gangReservedUntil = true, c.With+gangReserveGrace+max(reserveAheadGrace, lead)
+	s.gangReserved, s.gangReservedUntil = true, until
 	e.preempting.plans = append(e.preempting.plans, p)
-	e.decide(Decision{What: "preemption planned", Task: s.id(), Age: e.now - s.openedAt,
-		Why: fmt.Sprintf("%d runs on %d workers, %.0f core-seconds lost; start in %d ms, not %d; due in %d ms",
-			plan.Victims, len(plan.Slots), plan.Loss,
-			(c.With - e.now).Milliseconds(), (c.Without - e.now).Milliseconds(), (c.Due - e.now).Milliseconds())})
 	e.stopVictims(p)
-	return true
 }
 
 // planWithoutTickets returns the workers of a plan for which the step has no ticket.
@@ -334,7 +282,7 @@
 func (e *Engine) keepQuota(s *step) {
 	if s.preemption != nil {
 		a := s.job.account
-		e.keptFree[a] = e.keptFree[a].Max(s.charge().Times(s.startsTogether()))
+		e.keptFree[a] = e.keptFree[a].Max(s.charge().Times(s.preemption.left()))
 	}
 }
 
@@ -345,7 +293,8 @@
 	e.preempting.plans = slices.DeleteFunc(e.preempting.plans, func(p *preemptionState) bool {
 		s := p.s
 		switch {
-		case s.gang.runs > p.runs:
+		case p.started():
+			e.dropGangReservation(s)
 			if p.stopped > 0 {
 				e.stats.Preemptions++
 			}
@@ -359,7 +308,7 @@
 			if p.stopped > 0 {
 				e.stats.PreemptionWasted++
 				e.decide(Decision{What: "preemption wasted", Task: s.id(),
-					Why: fmt.Sprintf("%d runs were stopped, and it did not start", p.stopped)})
+					Why: fmt.Sprintf("%d runs were stopped, and %d tasks did not start", p.stopped, p.left())})
 			}
 		default:
 			e.stopVictims(p)
@@ -377,29 +326,34 @@
 		return
 	}
 	p.nextStops = e.now + preemptPeriod
-	c := preemption.Claim{Need: s.spec.Need(), Count: s.spec.Count, Priority: p.priority}
 	var workers []preemption.Worker
 	for i, x := range p.slots {
-		if !e.eligible(s, x.w) || !e.willHaveTicket(s, x.w) {
+		if x.n == 0 || !e.eligible(s, x.w) || !e.willHaveTicket(s, x.w) {
 			continue
 		}
 		workers = append(workers, preemption.Worker{ID: i, Free: e.unclaimed(s, x.w), Limit: x.n, Runs: e.stoppable(x.w)})
 	}
-	plan, ok := preemption.Choose(c, workers)
+	plan, ok := preemption.Choose(p.claim, workers)
 	if !ok || plan.Victims == 0 || plan.Victims > e.preempting.budgetLeft(e) {
 		return
 	}
 	e.preempting.budget.Spend(e.now, plan.Victims)
+	reclaimed := 0
 	for _, x := range plan.Slots {
 		w := p.slots[x.Worker.ID].w
 		allocs := sortedAllocs(w)
 		for _, r := range x.Victims {
-			e.preemptRun(allocs[r.ID], s)
+			takes := p.claim.Takes(&r)
+			e.preemptRun(allocs[r.ID], s, takes)
+			if takes {
+				reclaimed++
+			}
 		}
 	}
 	p.stopped += plan.Victims
 	e.decide(Decision{What: "preemption", Task: s.id(), Age: e.now - s.openedAt,
-		Why: fmt.Sprintf("%d runs stopped on %d workers", plan.Victims, len(plan.Slots))})
+		Why: fmt.Sprintf("%d runs stopped on %d workers, of which %d were beyond the entitlement of their accounts",
+			plan.Victims, len(plan.Slots), reclaimed)})
 }
 
 // withoutTickets reports whether the call for the plan's tickets has failed: tickets for its
@@ -415,7 +369,7 @@
 			n += x.n
 		}
 	}
-	return n < p.s.spec.Count
+	return n < p.left()
 }
 
 // willHaveTicket reports whether the step has a ticket for the worker, or a call for tickets is in
@@ -425,12 +379,17 @@
 	return a == nil || a.hasTicket(w, e.now) || a.inFlight > 0
 }
 
-// preemptRun stops a run for a step.
-func (e *Engine) preemptRun(alloc *allocation, by *step) {
+// preemptRun stops a run for a step. reclaimed: it is beyond the entitlement of its account.
+func (e *Engine) preemptRun(alloc *allocation, by *step, reclaimed bool) {
 	alloc.task().preempted++
 	e.stats.Preempted++
-	e.preempting.victims = append(e.preempting.victims, victim{alloc: alloc, stopped: e.now, checkpoint: alloc.task().checkpoint})
-	e.stop(alloc, "preempted for "+by.id().String())
+	why := "preempted for "
+	if reclaimed {
+		e.stats.Reclaimed++
+		why = "capacity reclaimed for "
+	}
+	e.preempting.victims = append(e.preempting.victims, victim{alloc: alloc, stopped: e.now, checkpoint: alloc.task().checkpoint, reclaimed: reclaimed})
+	e.stop(alloc, why+by.id().String())
 }
 
 // settleVictims adds up the lost work of victims whose end is known, and learns how long stops take.
@@ -455,7 +414,11 @@
 		case t.checkpoint == v.checkpoint: // it wrote none at its end: all of the run counts as lost
 			lost += e.now - v.alloc.sent
 		}
-		e.stats.PreemptedCoreSeconds += float64(v.alloc.need.CPU) / 1000 * lost.Seconds()
+		coreSeconds := float64(v.alloc.need.CPU) / 1000 * lost.Seconds()
+		e.stats.PreemptedCoreSeconds += coreSeconds
+		if v.reclaimed {
+			e.stats.ReclaimedCoreSeconds += coreSeconds
+		}
 		return true
 	})
 }
--- a/process/dispatch/quotaorder.go
+++ b/process/dispatch/quotaorder.go
@@ -118,7 +118,7 @@
 		return true
 	}
 	spare := e.keptFree[a]
-	if s.preemption != nil {
+	if s.preemption.left() > 0 {
 		spare = quota.Size{} // it was counted on when runs were stopped for the step
 	}
 	if e.o.Policy.QuotaHeadroom {
--- a/process/dispatch/runs.go
+++ b/process/dispatch/runs.go
@@ -56,6 +56,9 @@
 	e.stopBestEffort(w, s)
 	t.alloc = alloc
 	s.unqueue(i)
+	if s.preemption != nil && !s.spec.Gang {
+		s.preemption.noteTaskStart(w)
+	}
 	e.book(alloc)
 	e.stats.Starts++
 	if t.crashes.Suspect() {
--- a/process/preemption/preemption.go
+++ b/process/preemption/preemption.go
@@ -10,8 +10,11 @@
 // Guarantees:
 //   - a plan gives every task of the step a slot, in free capacity or in that of its victims;
 //   - no victim of a plan is needless: without any one of them, the plan has too few slots;
-//   - victims are of a less urgent queue, write checkpoints, are no members of gangs and no
-//     long-running tasks, and still meet their objective after the loss, as far as estimates tell;
+//   - victims write checkpoints, are no members of gangs and no long-running tasks;
+//   - victims are of a less urgent queue and still meet their objective after the loss, as far as
+//     estimates tell, or they have borrowed their capacity, and the step is within its account's
+//     entitlement;
+//   - nothing is stopped for work beyond its account's entitlement;
 //   - a task is stopped at most MaxPerTask times, and Budget bounds the stops per second;
 //   - a plan that would not bring the step in time, or a step that is in time without one, stops
 //     nothing.
@@ -62,8 +65,10 @@
 	// Protected: it is a member of a gang or a long-running task, or it must not be stopped for
 	// another reason.
 	Protected bool
-	Stopped   int // how often its task has been stopped for other steps
-	Age       time.Duration
+	// Borrowed: its job is beyond the entitlement of its account.
+	Borrowed bool
+	Stopped  int // how often its task has been stopped for other steps
+	Age      time.Duration
 	// Remaining is the expected remaining time, Slack the time between its expected end without
 	// a stop and its objective.
 	Remaining, Slack time.Duration
@@ -84,8 +89,11 @@
 // Claim is a waiting step that may need the capacity of others.
 type Claim struct {
 	Need     work.Resources // of one task
-	Count    int            // of tasks that must start together
+	Count    int            // of tasks that must start
 	Priority int
+	// Borrows: the step is beyond the entitlement of its account. Reclaims: it is within it, and may
+	// take back what others have borrowed. OnlyReclaims: it may stop no other runs.
+	Borrows, Reclaims, OnlyReclaims bool
 	// Now is the current time, Due the latest end at which the step is in time, and Estimate how
 	// long it runs. Without is its expected start if nothing is stopped, With that by the plan.
 	Now, Due, Estimate, Without, With time.Duration
@@ -111,23 +119,37 @@
 	Loss float64
 }
 
-// Eligible reports whether the run may be stopped for a step of the given priority.
-func (r *Run) Eligible(priority int) bool {
-	return r.Checkpoints && !r.Protected && r.Priority > priority && r.Stopped < MaxPerTask && r.Age >= MinAge &&
-		r.Remaining > AlmostDone && r.Slack > Restart+r.Renewal
+// Takes reports whether the claim takes back the capacity of a run, whatever the run's priority and
+// objective.
+func (c *Claim) Takes(r *Run) bool { return c.Reclaims && !c.Borrows && r.Borrowed }
+
+// Eligible reports whether the run may be stopped for a claim.
+func (r *Run) Eligible(c *Claim) bool {
+	if c.Borrows || !r.Checkpoints || r.Protected || r.Stopped >= MaxPerTask || r.Age < MinAge || r.Remaining <= AlmostDone {
+		return false
+	}
+	return c.Takes(r) || (!c.OnlyReclaims && r.Priority > c.Priority && r.Slack > Restart+r.Renewal)
 }
 
-// Loss is the expected loss of stopping a run, in core-seconds.
+// Loss is the expected loss of stopping a run, in core-seconds. A run that is late in any case has
+// lost gainShare of its value already.
 func (r *Run) Loss() float64 {
 	cores := float64(r.Size.CPU) / 1000
 	rest := max(r.Slack-Restart-r.Renewal, 0)
 	risk := float64(slackScale) / float64(slackScale+rest)
-	return stopCost + cores*Restart.Seconds() + cores*r.Remaining.Seconds()*risk*risk
+	atRisk := cores * r.Remaining.Seconds() * risk * risk
+	if r.Slack < 0 {
+		atRisk *= 1 - gainShare
+	}
+	return stopCost + cores*Restart.Seconds() + atRisk
 }
 
 // Worthwhile reports whether a step with the given work, in core-seconds, gains more by the plan
 // than its victims lose.
-func (p *Plan) Worthwhile(coreSeconds float64) bool { return p.Loss < gainShare*coreSeconds }
+func (p *Plan) Worthwhile(coreSeconds float64) bool { return p.Loss < Gain(coreSeconds) }
+
+// Gain is the value, in core-seconds, that a step with the given work gains by being in time.
+func Gain(coreSeconds float64) float64 { return gainShare * coreSeconds }
 
 // candidate is a run that may be stopped, with its loss.
 type candidate struct {
@@ -214,7 +236,7 @@
 		return
 	}
 	for i := range x.w.Runs {
-		if r := &x.w.Runs[i]; r.Eligible(c.Priority) {
+		if r := &x.w.Runs[i]; r.Eligible(&c) {
 			x.left = append(x.left, candidate{r, r.Loss()})
 		}
 	}
--- a/process/preemption/preemption_test.go
+++ b/process/preemption/preemption_test.go
@@ -26,7 +26,7 @@
 // their objective, or are as urgent as the step.
 func TestOnlyRunsWithLittleToLoseAreEligible(t *testing.T) {
 	usual := small(1, 4)
-	require.True(t, usual.Eligible(1))
+	require.True(t, usual.Eligible(&Claim{Priority: 1}))
 	for name, change := range map[string]func(*Run){
 		"writes no checkpoints":  func(r *Run) { r.Checkpoints = false },
 		"member of a gang":       func(r *Run) { r.Protected = true },
@@ -41,10 +41,46 @@
 	} {
 		r := usual
 		change(&r)
-		require.False(t, r.Eligible(1), name)
+		require.False(t, r.Eligible(&Claim{Priority: 1}), name)
 	}
 }
 
+// TestBorrowedCapacityIsReclaimed guards against work within its account's entitlement that waits
+// for work beyond it, and against the reverse.
+func TestBorrowedCapacityIsReclaimed(t *testing.T) {
+	borrowed := small(1, 4)
+	borrowed.Borrowed, borrowed.Priority, borrowed.Slack = true, 0, -time.Second
+	reclaims := Claim{Priority: 2, Reclaims: true}
+	require.True(t, borrowed.Eligible(&reclaims), "its priority and its objective are no obstacle")
+	require.False(t, borrowed.Eligible(&Claim{Priority: 2}), "the step has no account, or reclaiming is off")
+	require.False(t, borrowed.Eligible(&Claim{Priority: 2, Reclaims: true, Borrows: true}), "the step has borrowed itself")
+	for name, change := range map[string]func(*Run){
+		"within its entitlement": func(r *Run) { r.Borrowed = false },
+		"writes no checkpoints":  func(r *Run) { r.Checkpoints = false },
+		"member of a gang":       func(r *Run) { r.Protected = true },
+		"young":                  func(r *Run) { r.Age = MinAge - 1 },
+		"almost done":            func(r *Run) { r.Remaining = AlmostDone },
+		"stopped too often":      func(r *Run) { r.Stopped = MaxPerTask },
+	} {
+		r := borrowed
+		change(&r)
+		require.False(t, r.Eligible(&reclaims), name)
+	}
+	less := small(2, 4)
+	require.False(t, less.Eligible(&Claim{Priority: 1, Borrows: true}), "nothing is stopped for work that has borrowed")
+	require.False(t, less.Eligible(&Claim{Priority: 1, Reclaims: true, OnlyReclaims: true}))
+	require.True(t, less.Eligible(&Claim{Priority: 1, Reclaims: true}))
+}
+
+// TestLossOfALateRunIsWhatItStillEarns guards against borrowed runs that are too costly to stop
+// although they are late in any case.
+func TestLossOfALateRunIsWhatItStillEarns(t *testing.T) {
+	tight, late := small(1, 4), small(2, 4)
+	tight.Slack, late.Slack = 0, -time.Second
+	require.InDelta(t, stopCost+4*0.3+4*2, tight.Loss(), 1e-9)
+	require.InDelta(t, stopCost+4*0.3+4*2*0.2, late.Loss(), 1e-9)
+}
+
 // TestFewLargeVictimsBeforeManySmallOnes guards against more stops, and more calls for new
 // tickets, than the same capacity needs.
 func TestFewLargeVictimsBeforeManySmallOnes(t *testing.T) {
@@ -112,7 +148,8 @@
 		*next++
 		w.Runs = append(w.Runs, Run{ID: *next, Size: work.Resources{CPU: 500 * rapid.IntRange(0, 20).Draw(t, "cpu"), Memory: 500 * rapid.IntRange(0, 20).Draw(t, "mem")},
 			Priority: rapid.IntRange(0, 3).Draw(t, "priority"), Checkpoints: rapid.Bool().Draw(t, "checkpoints"), Protected: rapid.IntRange(0, 4).Draw(t, "p") == 0,
-			Stopped: rapid.IntRange(0, 2).Draw(t, "stopped"), Age: time.Duration(rapid.IntRange(0, 3000).Draw(t, "age")) * ms,
+			Borrowed: rapid.IntRange(0, 2).Draw(t, "borrowed") == 0,
+			Stopped:  rapid.IntRange(0, 2).Draw(t, "stopped"), Age: time.Duration(rapid.IntRange(0, 3000).Draw(t, "age")) * ms,
 			Remaining: time.Duration(rapid.IntRange(0, 5000).Draw(t, "remaining")) * ms, Slack: time.Duration(rapid.IntRange(-2000, 12000).Draw(t, "slack")) * ms,
 			Renewal: time.Duration(rapid.IntRange(0, 2000).Draw(t, "renewal")) * ms})
 	}
@@ -125,7 +162,8 @@
 func TestPlansKeepTheGuarantees(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		c := Claim{Need: work.Resources{CPU: 1000 * rapid.IntRange(1, 12).Draw(t, "need"), Memory: 1000 * rapid.IntRange(0, 12).Draw(t, "need memory")},
-			Count: rapid.IntRange(1, 12).Draw(t, "count"), Priority: rapid.IntRange(0, 2).Draw(t, "priority of the step")}
+			Count: rapid.IntRange(1, 12).Draw(t, "count"), Priority: rapid.IntRange(0, 2).Draw(t, "priority of the step"),
+			Borrows: rapid.IntRange(0, 5).Draw(t, "borrows") == 0, Reclaims: rapid.Bool().Draw(t, "reclaims"), OnlyReclaims: rapid.Bool().Draw(t, "only reclaims")}
 		next := 0
 		var workers []Worker
 		for i := range rapid.IntRange(1, 8).Draw(t, "workers") {
@@ -139,7 +177,7 @@
 			for _, w := range workers {
 				free := w.Free
 				for _, r := range w.Runs {
-					if r.Eligible(c.Priority) {
+					if r.Eligible(&c) {
 						free = free.Add(r.Size)
 					}
 				}
@@ -157,9 +195,17 @@
 			victims += len(x.Victims)
 			free := x.Worker.Free
 			for _, r := range x.Victims {
-				if !r.Eligible(c.Priority) || seen[r.ID] {
+				if !r.Eligible(&c) || seen[r.ID] {
 					t.Fatalf("run %d must not be a victim, or is one twice", r.ID)
 				}
+				// Written out, so that a mistake in Eligible is not repeated here.
+				reclaimed := c.Reclaims && r.Borrowed
+				switch {
+				case c.Borrows, !r.Checkpoints, r.Protected, r.Stopped >= 2:
+					t.Fatalf("run %d is never to be stopped, or not for this claim", r.ID)
+				case !reclaimed && (c.OnlyReclaims || r.Priority <= c.Priority || r.Slack < Restart+r.Renewal):
+					t.Fatalf("run %d is as urgent, or late by the stop, and its capacity is not borrowed", r.ID)
+				}
 				seen[r.ID] = true
 				free = free.Add(r.Size)
 				loss += r.Loss()
--- a/standin/cellsim/sim.go
+++ b/standin/cellsim/sim.go
@@ -241,6 +241,8 @@
 	s.stats.Preemptions += st.Preemptions
 	s.stats.PreemptionWasted += st.PreemptionWasted
 	s.stats.PreemptedCoreSeconds += st.PreemptedCoreSeconds
+	s.stats.Reclaimed += st.Reclaimed
+	s.stats.ReclaimedCoreSeconds += st.ReclaimedCoreSeconds
 }
 
 // entriesUnder returns the store's entries with a prefix, sorted by key. The engine uses
