--- a/process/dispatch/preemption.go
+++ b/process/dispatch/preemption.go
@@ -116,7 +116,7 @@
 	if p.s.spec.Gang {
 		return p.s.gang.runs > p.runs
 	}
-	return p.claim.Count == 0
+	return p.claim.Count == 0 || len(p.s.pending) == 0 // tasks may also start elsewhere
 }
 
 // stopLead is how long before the tickets arrive the victims are stopped.
@@ -333,7 +333,9 @@
 		}
 		workers = append(workers, preemption.Worker{ID: i, Free: e.unclaimed(s, x.w), Limit: x.n, Runs: e.stoppable(x.w)})
 	}
-	plan, ok := preemption.Choose(p.claim, workers)
+	c := p.claim
+	c.Count = min(c.Count, len(s.pending))
+	plan, ok := preemption.Choose(c, workers)
 	if !ok || plan.Victims == 0 || plan.Victims > e.preempting.budgetLeft(e) {
 		return
 	}
@@ -343,7 +345,7 @@
 		w := p.slots[x.Worker.ID].w
 		allocs := sortedAllocs(w)
 		for _, r := range x.Victims {
-			takes := p.claim.Takes(&r)
+			takes := c.Takes(&r)
 			e.preemptRun(allocs[r.ID], s, takes)
 			if takes {
 				reclaimed++
--- a/process/dispatch/preemption_test.go
+++ b/process/dispatch/preemption_test.go
@@ -319,6 +319,12 @@
 	// successor starts each again from its checkpoint once its end is known.
 	h, _, _ := fullCell(t, nil)
 	_, stops := h.callAndStops()
+	continueAfterStops(t, h, stops, nil)
+}
+
+// continueAfterStops replaces the leader after the stops of eight runs on two workers, of which one
+// reports the ends, and checks that each victim starts again from its checkpoint once its end is known.
+func continueAfterStops(t *testing.T, h *harness, stops []SendStop, accounts *work.Accounts) {
 	var saved Saved
 	for id, j := range h.e.jobs {
 		value, err := work.EncodeJob(j.spec)
@@ -326,6 +332,9 @@
 		saved.Accepted = append(saved.Accepted, store.Entry{Key: KeySubmission(id), Value: value})
 	}
 	next := newHarness(t, 2, "w-a", "w-b")
+	if accounts != nil {
+		next.e.SetAccounts(0, accounts)
+	}
 	require.NoError(t, next.e.Load(0, saved))
 	next.step(50 * time.Millisecond)
 	ends := runner.Report{Clock: time.Second}
--- a/process/dispatch/preemptiontasks_test.go
+++ b/process/dispatch/preemptiontasks_test.go
@@ -167,6 +167,22 @@
 	require.Empty(t, h.starts())
 }
 
+func TestTasksThatStartElsewhereNeedNoFurtherStops(t *testing.T) {
+	// Guards against a reservation that is kept, and a plan that counts as wasted, once all tasks of
+	// the step have started on other workers.
+	h, s, _ := fullCell(t, noGang(func(_ *Engine, _, waiting *work.Job) { waiting.Queue.Advice = nil }))
+	stops := until[SendStop](h, 4*time.Second)
+	require.Len(t, stops, 8)
+	h.e.WorkerSeen(h.now, runner.Worker{Ref: runner.Ref{ID: "w-c"}, Service: "s", Capacity: work.Resources{CPU: 16000, Memory: 4000}, Labels: []string{"a", "r"}})
+	h.step(50 * time.Millisecond)
+	h.report("w-c", runner.Report{Clock: time.Second})
+	h.step(50 * time.Millisecond)
+	require.Len(t, h.starts(), 2)
+	require.Nil(t, s.preemption)
+	require.False(t, s.gangReserved)
+	require.Zero(t, h.e.Stats().PreemptionWasted)
+}
+
 func TestNothingIsStoppedIfTheCallOfAStepFails(t *testing.T) {
 	// Guards against stops for a step that has no tickets.
 	h, s, _ := fullCell(t, noGang(nil))
--- a/process/dispatch/reclaim_test.go
+++ b/process/dispatch/reclaim_test.go
@@ -147,6 +147,32 @@
 	require.Empty(t, sent[SendStop](h))
 }
 
+func TestSuccessorContinuesAfterReclaiming(t *testing.T) {
+	// Guards against a second run of a victim, or one that is lost, if the leader dies between the
+	// stops and the starts of the tasks for which capacity was reclaimed.
+	h, _, _ := fullCell(t, noGang(lending(nil)))
+	stops := adviseAndStops(t, h)
+	continueAfterStops(t, h, stops, accountsOf(t, work.Account{Name: "hot", Weight: 1}, work.Account{Name: "calm", Weight: 100}))
+}
+
+func TestCapCountsWhatIsBeingReclaimed(t *testing.T) {
+	// Guards against an account that exceeds its cap while its runs are being stopped.
+	h, _, _ := fullCell(t, noGang(lending(func(e *Engine, _, _ *work.Job) {
+		e.SetAccounts(0, accountsOf(t, work.Account{Name: "hot", Weight: 1, Cap: work.Resources{CPU: 8000, Memory: 10000}}, work.Account{Name: "calm", Weight: 100}))
+	})))
+	stops := adviseAndStops(t, h)
+	h.e.WorkerSeen(h.now, runner.Worker{Ref: runner.Ref{ID: "w-c"}, Service: "s", Capacity: work.Resources{CPU: 16000, Memory: 4000}, Labels: []string{"a", "r"}})
+	h.step(50 * time.Millisecond)
+	h.report("w-c", runner.Report{Clock: time.Second})
+	hot := h.e.jobs[manyJob].account
+	require.Equal(t, int64(8000), hot.Held().MilliCPU)
+	h.accept(otherJob, &work.Job{Account: "hot", Queue: work.Queue{Name: "q", Service: "s", Attempts: 2, Slack: 9}, Spec: "x", Steps: []work.Step{oneTask()}, Epoch: 1})
+	h.step(50 * time.Millisecond)
+	require.Empty(t, h.starts(), "the account is at its cap until the ends are known")
+	h.reportStopped("w-a", stops)
+	require.Equal(t, int64(8000), hot.Held().MilliCPU, "four runs that are being stopped, and four new ones on the third worker")
+}
+
 // TestReclaimingUnderRandomFaults guards against broken invariants of the engine while an account
 // beyond its entitlement fills the cell and others reclaim their share, and daemons are killed, the
 // store fails, and workers are cut off, crash and carry orders out late.
