preemption: reclaiming, and plans for steps that are no gangs, are off unless set

Change: the switches are policy.reclaim and policy.urgent_preemption, as with straggler_moves; without them preemption is as it was before.

--- a/process/dispatch/policy.go
+++ b/process/dispatch/policy.go
@@ -45,13 +45,14 @@
 	// NoPreemption never stops runs so that a gang starts in time. Preemption matters with gangs
 	// and slow advice in a cell full of work that has slack.
 	NoPreemption bool `json:"no_preemption,omitempty"`
-	// NoUrgentPreemption never stops less urgent runs for steps that are no gangs. It matters with
-	// urgent short work in a cell full of work that has slack.
-	NoUrgentPreemption bool `json:"no_urgent_preemption,omitempty"`
-	// NoReclaim never stops runs beyond the entitlement of their accounts for work within it, other
-	// than by the usual rules of preemption. It matters with accounts of which some submit more than
-	// their weight in a full cell.
-	NoReclaim bool `json:"no_reclaim,omitempty"`
+	// UrgentPreemption stops less urgent runs also for steps that are no gangs. It matters where
+	// urgent steps find no capacity in time among the runs that end by themselves, as with long runs
+	// or few workers; elsewhere it stops nothing.
+	UrgentPreemption bool `json:"urgent_preemption,omitempty"`
+	// Reclaim stops runs beyond the entitlement of their accounts for work within it, whatever their
+	// queue and objective. It matters where accounts fill much of a cell with long runs beyond their
+	// entitlement; runs of a few seconds end soon enough by themselves.
+	Reclaim bool `json:"reclaim,omitempty"`
 	// NoSpeedModel predicts run times from moving averages over queues, without the speed of the
 	// worker. The model of speeds matters with workers of unlike speed and inaccurate estimates.
 	NoSpeedModel bool `json:"no_speed_model,omitempty"`
--- a/process/dispatch/preemptionruns.go
+++ b/process/dispatch/preemptionruns.go
@@ -11,7 +11,7 @@
 // mayReclaim reports whether runs beyond the entitlement of their accounts may be stopped for the
 // step.
 func (e *Engine) mayReclaim(s *step) bool {
-	return !e.o.Policy.NoReclaim && s.job.spec.Account != "" && !s.job.overEntitled
+	return e.o.Policy.Reclaim && s.job.spec.Account != "" && !s.job.overEntitled
 }
 
 // preemptable returns the workers that a plan for the step may use, with their runs. If the step
--- a/process/dispatch/preemptiontasks.go
+++ b/process/dispatch/preemptiontasks.go
@@ -83,7 +83,7 @@
 	policy := &e.o.Policy
 	reclaims := e.mayReclaim(s)
 	switch {
-	case policy.NoPreemption || policy.FirstCome || policy.NoGangReservations || (policy.NoUrgentPreemption && !reclaims):
+	case policy.NoPreemption || policy.FirstCome || policy.NoGangReservations || (!policy.UrgentPreemption && !reclaims):
 		return c, false
 	case s.preemption != nil || s.gangReserved || e.now < s.preemptAt || len(s.pending) == 0:
 		return c, false
@@ -93,7 +93,7 @@
 		return c, false
 	}
 	return preemption.Claim{Need: s.spec.Need(), Priority: s.job.spec.Queue.Priority, Now: e.now,
-		Borrows: s.job.overEntitled, Reclaims: reclaims, OnlyReclaims: policy.NoUrgentPreemption,
+		Borrows: s.job.overEntitled, Reclaims: reclaims, OnlyReclaims: !policy.UrgentPreemption,
 		Due: s.occurrence.due - e.following(s) - startMargin, Estimate: e.estimate(s)}, true
 }
 
--- a/process/dispatch/preemptiontasks_test.go
+++ b/process/dispatch/preemptiontasks_test.go
@@ -15,6 +15,7 @@
 // and must start soon, and then makes another change.
 func noGang(change func(e *Engine, many, waiting *work.Job)) func(e *Engine, many, waiting *work.Job) {
 	return func(e *Engine, many, waiting *work.Job) {
+		e.o.Policy.UrgentPreemption = true
 		waiting.Steps[0].Gang = false
 		waiting.Queue.Slack, waiting.Queue.Allowance = 1.5, 0
 		if change != nil {
@@ -84,8 +85,8 @@
 func TestBorrowedCapacityIsReclaimedForTasks(t *testing.T) {
 	// Guards against a step within its account's entitlement that is late because work beyond the
 	// entitlement of another account keeps the cell full, also if plans for urgent steps are off.
-	for _, off := range []bool{false, true} {
-		h, _, _ := fullCell(t, noGang(lending(func(e *Engine, _, _ *work.Job) { e.o.Policy.NoUrgentPreemption = off })))
+	for _, on := range []bool{false, true} {
+		h, _, _ := fullCell(t, noGang(lending(func(e *Engine, _, _ *work.Job) { e.o.Policy.UrgentPreemption = on })))
 		stops := adviseAndStops(t, h)
 		h.reportStopped("w-a", stops)
 		h.reportStopped("w-b", stops)
@@ -99,7 +100,7 @@
 func TestNoPreemptionForTasks(t *testing.T) {
 	// Guards against stops by which a step that is no gang gains nothing, or others lose too much.
 	for name, change := range map[string]func(e *Engine, many, waiting *work.Job){
-		"switched off":                   func(e *Engine, _, _ *work.Job) { e.o.Policy.NoUrgentPreemption = true },
+		"not switched on":                func(e *Engine, _, _ *work.Job) { e.o.Policy.UrgentPreemption = false },
 		"preemption is switched off":     func(e *Engine, _, _ *work.Job) { e.o.Policy.NoPreemption = true },
 		"in time without":                func(_ *Engine, _, waiting *work.Job) { waiting.Queue.Allowance = time.Minute },
 		"late all the same":              func(_ *Engine, _, waiting *work.Job) { waiting.Queue.Slack = 1 },
--- a/process/dispatch/reclaim_test.go
+++ b/process/dispatch/reclaim_test.go
@@ -14,6 +14,7 @@
 	"fennelshunt.example/fennelshunt/connection/runner"
 	"fennelshunt.example/fennelshunt/connection/store"
 	"fennelshunt.example/fennelshunt/process/fair"
+	"fennelshunt.example/fennelshunt/standin/epochworker"
 	"fennelshunt.example/fennelshunt/version/work"
 )
 
@@ -21,6 +22,7 @@
 // it and the waiting work to "calm". The filling work is as urgent as the waiting work and will be
 // late.
 func lentTo(e *Engine, many, waiting *work.Job) {
+	e.o.Policy.Reclaim = true
 	e.fair = fair.New("", fair.Entitlement{Window: 100 * time.Millisecond})
 	accounts, err := work.NewAccounts([]work.Account{{Name: "hot", Weight: 1}, {Name: "calm", Weight: 100}})
 	if err != nil {
@@ -75,7 +77,7 @@
 		}
 	}
 	for name, change := range map[string]func(e *Engine, many, waiting *work.Job){
-		"switched off":                  func(e *Engine, _, _ *work.Job) { e.o.Policy.NoReclaim = true },
+		"not switched on":               func(e *Engine, _, _ *work.Job) { e.o.Policy.Reclaim = false },
 		"all within their entitlement":  entitled("hot", "calm"),
 		"the waiting work is beyond it": entitled(),
 		"both are, and victims have time": func(e *Engine, many, _ *work.Job) {
@@ -179,7 +181,10 @@
 func TestReclaimingUnderRandomFaults(t *testing.T) {
 	var reclaimed atomic.Uint64
 	overSeeds(t, 4, func(t *testing.T, seed uint64) {
-		c := newTestCell(t, seed, 0, 0, usualBehaviour(0.02))
+		c := newTestCell(t, seed, 0, 0, func(rng *rand.Rand, _ work.TaskID) epochworker.Behaviour {
+			return epochworker.Behaviour{Takes: time.Duration(2000+rng.IntN(4000)) * time.Millisecond, Fails: rng.IntN(50) == 0}
+		})
+		c.policy.UrgentPreemption, c.policy.Reclaim = true, true
 		c.entitled = fair.Entitlement{Window: 500 * time.Millisecond, Slack: 2}
 		c.accounts.Store(accountsOf(t, work.Account{Name: "hot", Weight: 1}, work.Account{Name: "calm", Weight: 5}))
 		for i := range 16 {
@@ -197,17 +202,16 @@
 	}
 }
 
-// drawReclaiming draws the jobs of drawPreempting, most of an account that is entitled to few. Some
-// steps of the others are urgent and no gangs.
+// drawReclaiming draws long jobs: two in three of an account that is entitled to few, which fill the
+// cell with small tasks, and the others, gangs and few tasks, with little time.
 func drawReclaiming(rng *rand.Rand) *work.Job {
 	j := drawPreempting(rng)
+	s := &j.Steps[0]
+	s.Estimate = time.Duration(3000+rng.IntN(2000)) * time.Millisecond
 	j.Account = "hot"
-	if j.Steps[0].Gang || rng.IntN(3) == 0 {
-		j.Account = "calm"
-	}
-	if j.Account == "calm" && !j.Steps[0].Gang {
-		j.Queue.Priority, j.Queue.Slack, j.Queue.Allowance = rng.IntN(3), 1.5, time.Second
-		j.Steps[0].Count = 2 + rng.IntN(8)
+	if s.Gang || rng.IntN(6) == 0 {
+		j.Account, j.Queue.Priority, j.Queue.Slack, j.Queue.Allowance = "calm", rng.IntN(3), 1.5, time.Second
+		s.Count = 2 + rng.IntN(5)
 	}
 	return j
 }
