preemption: claims of steps that are no gangs do not fix their following steps

Cause: the time of the steps after a step is kept once it has been computed. A claim computed it for a step that had just been submitted, so that the slack of its runs as victims was judged later by what was not learned yet.

Change: such claims compute it anew and keep nothing. With both switches off nothing changes.

--- a/process/dispatch/preemption.go
+++ b/process/dispatch/preemption.go
@@ -197,15 +197,23 @@
 	if len(s.next) == 0 || s.follows > 0 {
 		return s.follows
 	}
+	s.follows = e.longestAfter(s, e.following)
+	return s.follows
+}
+
+// followingNow returns the same by what is known now, and keeps no result.
+func (e *Engine) followingNow(s *step) time.Duration { return e.longestAfter(s, e.followingNow) }
+
+// longestAfter returns the longest time of a step after s, with that of the steps after it.
+func (e *Engine) longestAfter(s *step, following func(*step) time.Duration) time.Duration {
 	longest := time.Duration(0)
 	for _, n := range s.next {
-		d := e.estimate(n) + e.following(n)
+		d := e.estimate(n) + following(n)
 		if q := n.job.spec.Queue.Advice; q != nil {
 			d += q.Cost(renewalNames)
 		}
 		longest = max(longest, d)
 	}
-	s.follows = longest
 	return longest
 }
 
--- a/process/dispatch/preemptiontasks.go
+++ b/process/dispatch/preemptiontasks.go
@@ -92,9 +92,10 @@
 	case slices.ContainsFunc(s.tasks, func(t task) bool { return len(t.crashes) > 0 }):
 		return c, false
 	}
+	// following keeps its first result, which would be that of a step that has just been submitted.
 	return preemption.Claim{Need: s.spec.Need(), Priority: s.job.spec.Queue.Priority, Now: e.now,
 		Borrows: s.job.overEntitled, Reclaims: reclaims, OnlyReclaims: !policy.UrgentPreemption,
-		Due: s.occurrence.due - e.following(s) - startMargin, Estimate: e.estimate(s)}, true
+		Due: s.occurrence.due - e.followingNow(s) - startMargin, Estimate: e.estimate(s)}, true
 }
 
 // freedFor returns how many tasks of the step can start until a time in capacity that becomes free by
