--- a/process/dispatch/cell_test.go
+++ b/process/dispatch/cell_test.go
@@ -21,6 +21,7 @@
 	"fennelshunt.example/fennelshunt/connection/runner"
 	"fennelshunt.example/fennelshunt/connection/store"
 	"fennelshunt.example/fennelshunt/internal/sleep"
+	"fennelshunt.example/fennelshunt/process/fair"
 	"fennelshunt.example/fennelshunt/process/lead"
 	"fennelshunt.example/fennelshunt/standin/epochworker"
 	"fennelshunt.example/fennelshunt/standin/kv"
@@ -49,6 +50,9 @@
 	preempted atomic.Uint64
 	// evacuated is the highest number of runs that one term stopped because their worker leaves.
 	evacuated atomic.Uint64
+	// reclaimed is the same for runs beyond the entitlement of their accounts, which entitled bounds.
+	reclaimed atomic.Uint64
+	entitled  fair.Entitlement
 }
 
 // node is a daemon that can lead.
@@ -151,8 +155,9 @@
 					c.batches.Store(max(c.batches.Load(), s.Batches))
 					c.preempted.Store(max(c.preempted.Load(), s.Preempted))
 					c.evacuated.Store(max(c.evacuated.Load(), s.Evacuated))
+					c.reclaimed.Store(max(c.reclaimed.Load(), s.Reclaimed))
 				},
-				Bounds: Bounds{Lease: testLease, MaxLease: testLease, Gang: 3 * time.Second, Keep: 10 * time.Minute},
+				Bounds: Bounds{Lease: testLease, MaxLease: testLease, Gang: 3 * time.Second, Keep: 10 * time.Minute, Entitled: c.entitled},
 				Violation: func(what string) {
 					c.mu.Lock()
 					defer c.mu.Unlock()
