--- a/process/dispatch/evacuation.go
+++ b/process/dispatch/evacuation.go
@@ -20,6 +20,9 @@
 	// paceDeviation is the standard deviation of the logarithm of a remaining time that is predicted
 	// from the run's own pace: tasks of a step vary by some 15 % each way.
 	paceDeviation = 0.15
+	// leavingWait is how long a renewal of a worker that leaves soon may wait for a completion: the
+	// progress of its runs decides which are stopped.
+	leavingWait = 200 * time.Millisecond
 )
 
 // evacuating is the engine's state of evacuation.
@@ -54,10 +57,6 @@
 	return w.departure.Left(e.now, clock)
 }
 
-// leavingWait is how long a renewal of a worker that leaves soon may wait for a completion: the progress
-// of its runs decides which are stopped.
-const leavingWait = 200 * time.Millisecond
-
 // renewalWait returns how long the next renewal of a worker may wait for a completion.
 func (e *Engine) renewalWait(w *worker) time.Duration {
 	if left, known := e.timeLeft(w); known && left <= evacuation.Horizon && len(w.allocs) > 0 && !e.o.Policy.NoEvacuation {
