evacuation: a second stop does not lower the work that counts as saved

Cause: a run that was evacuated before it had reported any progress set the saved share of its task to 0, although its checkpoint holds at least the work of the run before. The step was then taken for late and waited behind all that can be in time.

Change: the saved share of a task only grows.

--- a/process/dispatch/evacuation.go
+++ b/process/dispatch/evacuation.go
@@ -207,11 +207,13 @@
 }
 
 // noteSaved records how much of the work of an evacuated run is in its checkpoint: at least what the run
-// reported last.
+// reported last, and at least what was in the checkpoint that it started from. A run that is stopped soon
+// after its start has reported no progress yet.
 func (alloc *allocation) noteSaved() {
 	if alloc.evacuated {
 		alloc.s.evacuated = true
-		alloc.task().saved = min(alloc.percent/100, 1)
+		t := alloc.task()
+		t.saved = max(t.saved, min(alloc.percent/100, 1))
 	}
 }
 
--- a/process/dispatch/evacuation_test.go
+++ b/process/dispatch/evacuation_test.go
@@ -465,3 +465,29 @@
 		require.Equal(t, x.rank, h.e.jobs[testJob].occurrences[0].steps[0].rank, name)
 	}
 }
+
+func TestSecondStopKeepsTheWorkThatWasSaved(t *testing.T) {
+	// Guards against a task that is taken for late because its second run was stopped before it reported
+	// any progress: its checkpoint still holds the work of the first run.
+	h := runningOn(t, func(_ *Engine, j *work.Job) { j.Queue.Slack = 1.3 })
+	h.pass(5*time.Second, 10)
+	h.notify("w-a", usualNotice)
+	stops, _ := h.untilStop(usualNotice, 10)
+	require.Len(t, stops, 1)
+	h.endStopped("w-a", stops)
+	starts := h.confirmAll(h.starts())
+	require.Len(t, starts, 1)
+	require.EqualValues(t, "w-b", starts[0].To.ID)
+	s := h.e.jobs[testJob].occurrences[0].steps[0]
+	saved := s.tasks[0].saved
+	require.Greater(t, saved, 0.6)
+
+	h.notify("w-b", 500*time.Millisecond)
+	h.step(evacuationPeriod + tickPeriod)
+	stops = h.stops()
+	require.Len(t, stops, 1)
+	h.endStopped("w-b", stops)
+	require.EqualValues(t, saved, s.tasks[0].saved)
+	h.step(tickPeriod)
+	require.Equal(t, rankInTime, s.rank)
+}
