evacuation: the stop of a worker that was silent teaches nothing about stops

Cause: noteStopped leaves out workers that do not answer, by w.misses, but the count is already 0 when the report with the ends is processed. One stop on a worker that was unreachable for a while raised the assumed longest time of a stop to 1.65 s for the next 64 stops, so that runs on all workers were stopped at once when a notice of 1.6 s came.

Change: a worker keeps when it last answered again after a missed renewal; a stop that was ordered before that is not observed.

Run: TestStopOfASilentWorkerTeachesNothing, which failed before; go test -run 'Stop|Leaving|Evac|Notice|Runs' ./process/dispatch

--- a/process/dispatch/evacuation.go
+++ b/process/dispatch/evacuation.go
@@ -259,9 +259,10 @@
 	return float64(v.alloc.need.CPU) / 1000 * lost.Seconds()
 }
 
-// noteStopped learns how long a stop took that has ended a run.
+// noteStopped learns how long a stop took that has ended a run. If the worker did not answer for a while
+// in between, the time says nothing about stops.
 func (e *Engine) noteStopped(alloc *allocation) {
-	if alloc.stopAt > 0 && alloc.w.misses == 0 {
+	if alloc.stopAt > 0 && alloc.w.recoveredAt < alloc.stopAt {
 		e.evacuating.stops.Observe(e.now - alloc.stopAt)
 	}
 }
--- a/process/dispatch/evacuation_test.go
+++ b/process/dispatch/evacuation_test.go
@@ -491,3 +491,20 @@
 	h.step(tickPeriod)
 	require.Equal(t, rankInTime, s.rank)
 }
+
+func TestStopOfASilentWorkerTeachesNothing(t *testing.T) {
+	// Guards against runs on all workers that are stopped long before it is necessary, because the worker
+	// of one run did not answer for a while after its stop was ordered.
+	h := runningOn(t, nil)
+	h.notify("w-a", usualNotice)
+	stops, _ := h.untilStop(usualNotice, 10)
+	require.Len(t, stops, 1)
+	before := h.e.evacuating.stops
+	for range 3 {
+		h.e.Renewed(h.now, "w-a", runner.Report{}, runner.ErrUnknown)
+		h.step(500 * time.Millisecond)
+	}
+	h.endStopped("w-a", stops)
+	require.Len(t, h.starts(), 1)
+	require.Equal(t, before, h.e.evacuating.stops)
+}
--- a/process/dispatch/reports.go
+++ b/process/dispatch/reports.go
@@ -59,6 +59,7 @@
 	}
 	if w.misses > 0 {
 		e.decide(Decision{What: "worker answers again", Worker: w.ID, Age: now - w.answered})
+		w.recoveredAt = now
 		e.scheduled = false
 	}
 	w.misses, w.answered = 0, now
--- a/process/dispatch/worker.go
+++ b/process/dispatch/worker.go
@@ -90,6 +90,8 @@
 	answered  time.Duration // when the last report came in
 	aliveAt   time.Duration // latest time at which it is known to have been running
 	misses    int           // renewals in a row without an answer
+	// recoveredAt is when it last answered again after a renewal without an answer, 0 for never.
+	recoveredAt time.Duration
 
 	// untracked are the runs of the last report that have no allocation and are being stopped:
 	// the capacity they use is not booked, so nothing is started beside them.
