evacuation: no early stop for a worker on which the task may not start

Cause: the search for a place on which a stopped task could start at once did not apply two of the usual rules: the workers that the task avoids for a while after a failure, and the step's most tasks per worker. A run was then stopped up to a second early for a start that could not follow.

Change: the search uses mayPlace, as the placement of tasks does.

Run: TestRunIsNotStoppedEarlyForAWorkerThatItsTaskMayNotUse, which failed before in both cases; go test -run 'TestRunIsNotStoppedEarly|Leaving|Evac' ./process/dispatch

--- a/process/dispatch/evacuation.go
+++ b/process/dispatch/evacuation.go
@@ -135,7 +135,7 @@
 		return nil
 	}
 	for _, w := range e.workerList {
-		if !alloc.need.Fits(w.free()) || e.now < e.evacuating.claimed[w] || !e.eligible(s, w) || e.capacityFor(s, w, alloc.need, 1) == 0 {
+		if !e.mayPlace(s, alloc.index, w) || e.now < e.evacuating.claimed[w] {
 			continue
 		}
 		if a != nil && !a.hasTicket(w, e.now+lead) {
--- a/process/dispatch/evacuation_test.go
+++ b/process/dispatch/evacuation_test.go
@@ -508,3 +508,30 @@
 	require.Len(t, h.starts(), 1)
 	require.Equal(t, before, h.e.evacuating.stops)
 }
+
+func TestRunIsNotStoppedEarlyForAWorkerThatItsTaskMayNotUse(t *testing.T) {
+	// Guards against a run that is stopped early for a new start that the usual rules do not allow: its
+	// task avoids the worker, or as many runs of its step as are allowed are there.
+	for name, refuse := range map[string]func(h *harness, s *step){
+		"allowed": nil,
+		"avoided": func(h *harness, s *step) { s.tasks[0].avoid, s.tasks[0].avoidUntil = []runner.WorkerID{"w-b"}, h.now+time.Minute },
+		"full for the step": func(h *harness, s *step) {
+			s.spec.MaxPerWorker = 1
+			w := h.e.workers["w-b"]
+			other := &allocation{w: w, s: s, index: 1, need: work.Resources{CPU: 1000, Memory: 100}, state: running}
+			w.allocs[other.id()] = other
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := runningOn(t, nil)
+			s := h.e.jobs[testJob].occurrences[0].steps[0]
+			h.notify("w-a", time.Minute)
+			if refuse == nil {
+				require.Equal(t, h.e.workers["w-b"], h.e.placeReady(s.tasks[0].alloc, time.Second))
+				return
+			}
+			refuse(h, s)
+			require.Nil(t, h.e.placeReady(s.tasks[0].alloc, time.Second))
+		})
+	}
+}
