evacuation: names of notices and stop times, decision split from its execution

Cause: a worker of the engine had both Departure (its notice) and departure (what is made of it); "Lead" was the longest time of a stop, beside package lead; the method renewalWait and the constant renewalWait of preemption meant different things, as did job.saved and task.saved; evacuateRun collected, decided and carried out in one function, and looked for a place for each run, also for those that are left alone.

Change: runner.Notice and Worker.Notice; LongestStop, UsualStop and StopTimes.Longest; renewWaitOf; leavingRenewWait; savedShare; evacuateRun calls evacuationCase and stopEvacuated, and looks for a place only if the run would go on otherwise. Names in entries, settings and counters are the same; tests have the same assertions.

Run: go vet of the packages changed; go test ./process/evacuation, and go test -run 'Stop|Leav|Evac|Notice|Runs|Successor|Progress|Gang' ./process/dispatch

--- a/connection/runner/runner.go
+++ b/connection/runner/runner.go
@@ -69,13 +69,13 @@
 	Capacity work.Resources
 	Labels   []string
 	Draining bool
-	// Departure is when a draining worker leaves.
-	Departure Departure
+	// Notice is a draining worker's notice of when it leaves.
+	Notice Notice
 }
 
-// Departure is a draining worker's notice of when it leaves.
-type Departure struct {
-	Known bool
+// Notice is a draining worker's notice of when it leaves.
+type Notice struct {
+	Known bool // the worker has given a time
 	// Remaining is the least time that was left when the worker wrote its entry.
 	Remaining time.Duration
 	// Clock is the worker's clock, as in Report, when it wrote its entry; 0 if the entry has none. The
--- a/process/dispatch/bench_test.go
+++ b/process/dispatch/bench_test.go
@@ -83,7 +83,7 @@
 					e.confirm(e.start(w, s, i*5+k, 1, ""), 0)
 				}
 				if i < leaving {
-					seen.Draining, seen.Departure = true, runner.Departure{Known: true, Remaining: 4 * time.Second}
+					seen.Draining, seen.Notice = true, runner.Notice{Known: true, Remaining: 4 * time.Second}
 					e.WorkerSeen(0, seen)
 				}
 			}
--- a/process/dispatch/evacuation.go
+++ b/process/dispatch/evacuation.go
@@ -20,9 +20,9 @@
 	// paceDeviation is the standard deviation of the logarithm of a remaining time that is predicted
 	// from the run's own pace: tasks of a step vary by some 15 % each way.
 	paceDeviation = 0.15
-	// leavingWait is how long a renewal of a worker that leaves soon may wait for a completion: the
+	// leavingRenewWait is how long a renewal of a worker that leaves soon may wait for a completion: the
 	// progress of its runs decides which are stopped.
-	leavingWait = 200 * time.Millisecond
+	leavingRenewWait = 200 * time.Millisecond
 )
 
 // evacuating is the engine's state of evacuation.
@@ -30,19 +30,19 @@
 	at      time.Duration // when runs are looked at again
 	stops   evacuation.StopTimes
 	victims []victim
-	// claimed holds the workers with a slot for which a run was stopped early, until when that start
-	// is expected.
+	// claimed has the workers on which the task of a run that was stopped early is expected to start, and
+	// until when. No other run is stopped early for the same worker until then.
 	claimed map[*worker]time.Duration
 }
 
 // noteNotice takes a worker's entry in the directory into account.
 func (e *Engine) noteNotice(w *worker) {
-	if !w.Draining || !w.Departure.Known {
+	if !w.Draining || !w.Notice.Known {
 		w.departure.Clear()
 		return
 	}
 	before, known := e.timeLeft(w)
-	w.departure.Notice(e.now, w.Departure.Remaining, w.Departure.Clock)
+	w.departure.Notice(e.now, w.Notice.Remaining, w.Notice.Clock)
 	if left, ok := e.timeLeft(w); ok && (!known || left != before) {
 		e.decide(Decision{What: "notice", Worker: w.ID, Why: fmt.Sprintf("%d runs; it leaves in %d ms at the earliest", len(w.allocs), left.Milliseconds())})
 	}
@@ -57,10 +57,10 @@
 	return w.departure.Left(e.now, clock)
 }
 
-// renewalWait returns how long the next renewal of a worker may wait for a completion.
-func (e *Engine) renewalWait(w *worker) time.Duration {
+// renewWaitOf returns how long the next renewal of a worker may wait for a completion.
+func (e *Engine) renewWaitOf(w *worker) time.Duration {
 	if left, known := e.timeLeft(w); known && left <= evacuation.Horizon && len(w.allocs) > 0 && !e.o.Policy.NoEvacuation {
-		return leavingWait
+		return leavingRenewWait
 	}
 	return renewWait
 }
@@ -86,34 +86,50 @@
 	}
 }
 
-// evacuateRun decides about a run on a worker that leaves, or about its gang.
+// evacuateRun decides about a run on a worker that leaves, or about its gang, and carries the decision
+// out.
 func (e *Engine) evacuateRun(alloc *allocation, left time.Duration) {
-	s := alloc.s
-	c := evacuation.Case{Left: left, Lead: e.evacuating.stops.Lead() + evacuationPeriod, Usual: e.evacuating.stops.Usual(),
-		Endless: s.spec.LongRunning, Checkpoints: s.spec.Checkpoints}
-	if s.spec.Gang {
-		c.Left = e.gangLeft(s, left)
-	}
-	c.Remaining, c.Deviation = e.predictEnd(alloc)
+	c := e.evacuationCase(alloc, left)
+	action := c.Decide()
 	var place *worker
-	if c.Checkpoints && !c.Endless && !s.spec.Gang {
-		place = e.placeReady(alloc, c.Lead)
+	if action == evacuation.Wait && c.Checkpoints && !c.Endless && !alloc.s.spec.Gang {
+		place = e.placeReady(alloc, c.LongestStop)
 		c.Ready = place != nil
+		action = c.Decide()
 	}
-	action := c.Decide()
-	if action != evacuation.Stop {
-		e.keepRun(alloc, action == evacuation.Keep, c)
+	switch {
+	case action != evacuation.Stop:
+		e.noteKept(alloc, action == evacuation.Keep, &c)
 		return
+	case place != nil:
+		e.evacuating.claimed[place] = e.now + c.LongestStop
+	}
+	e.stopEvacuated(alloc, &c)
+}
+
+// evacuationCase collects what decides about a run on a worker that leaves, or about its gang, apart from
+// whether its new start is ready.
+func (e *Engine) evacuationCase(alloc *allocation, left time.Duration) evacuation.Case {
+	s, stops := alloc.s, &e.evacuating.stops
+	// A run is looked at once per period, so that a stop may come that much later than it is due.
+	c := evacuation.Case{Left: left, LongestStop: stops.Longest() + evacuationPeriod, UsualStop: stops.Usual(),
+		Endless: s.spec.LongRunning, Checkpoints: s.spec.Checkpoints}
+	if s.spec.Gang {
+		c.Left = e.gangLeft(s, left)
 	}
+	c.Remaining, c.Deviation = e.predictEnd(alloc)
+	return c
+}
+
+// stopEvacuated stops a run on a worker that leaves, or its gang as a whole.
+func (e *Engine) stopEvacuated(alloc *allocation, c *evacuation.Case) {
 	why := fmt.Sprintf("its worker leaves in %d ms at the earliest", c.Left.Milliseconds())
 	if !c.Endless {
 		why += fmt.Sprintf(", and it is expected to end in %d ms", c.Remaining.Milliseconds())
 	}
 	e.decide(Decision{What: "evacuation", Task: alloc.id(), Run: alloc.run, Worker: alloc.w.ID, Why: why, Age: e.now - alloc.sent})
+	s := alloc.s
 	if !s.spec.Gang {
-		if place != nil {
-			e.evacuating.claimed[place] = e.now + c.Lead
-		}
 		e.noteEvacuated(alloc)
 		e.stop(alloc, "its worker leaves")
 		return
@@ -127,18 +143,18 @@
 }
 
 // placeReady returns a worker on which the task of a run can start again as soon as the run has been
-// stopped: with capacity that no step that comes before is waiting for and, if the step needs tickets,
-// one that is valid until then. It returns nil if there is none.
-func (e *Engine) placeReady(alloc *allocation, lead time.Duration) *worker {
+// stopped, which takes at most stopTime: with capacity that no step that comes before is waiting for and,
+// if the step needs tickets, one that is valid until then. It returns nil if there is none.
+func (e *Engine) placeReady(alloc *allocation, stopTime time.Duration) *worker {
 	s, a := alloc.s, e.adviceOf(alloc.s)
-	if len(s.pending) > 0 || (a != nil && !a.usable(e.now+lead)) {
+	if len(s.pending) > 0 || (a != nil && !a.usable(e.now+stopTime)) {
 		return nil
 	}
 	for _, w := range e.workerList {
 		if !e.mayPlace(s, alloc.index, w) || e.now < e.evacuating.claimed[w] {
 			continue
 		}
-		if a != nil && !a.hasTicket(w, e.now+lead) {
+		if a != nil && !a.hasTicket(w, e.now+stopTime) {
 			continue
 		}
 		s.rank = e.rankOf(s)
@@ -190,8 +206,8 @@
 	return ok
 }
 
-// keepRun records whether a run is left alone because it is expected to end in time.
-func (e *Engine) keepRun(alloc *allocation, keep bool, c evacuation.Case) {
+// noteKept records whether a run is left alone because it is expected to end in time.
+func (e *Engine) noteKept(alloc *allocation, keep bool, c *evacuation.Case) {
 	if keep && !alloc.kept {
 		e.decide(Decision{What: "evacuation not needed", Task: alloc.id(), Run: alloc.run, Worker: alloc.w.ID, Age: e.now - alloc.sent,
 			Why: fmt.Sprintf("it is expected to end in %d ms, and its worker leaves in %d ms at the earliest", c.Remaining.Milliseconds(), c.Left.Milliseconds())})
@@ -213,7 +229,7 @@
 	if alloc.evacuated {
 		alloc.s.evacuated = true
 		t := alloc.task()
-		t.saved = max(t.saved, min(alloc.percent/100, 1))
+		t.savedShare = max(t.savedShare, min(alloc.percent/100, 1))
 	}
 }
 
@@ -227,7 +243,7 @@
 	}
 	saved := 1.0
 	for _, i := range s.pending {
-		saved = min(saved, s.tasks[i].saved)
+		saved = min(saved, s.tasks[i].savedShare)
 	}
 	if saved == 0 {
 		return whole
@@ -271,7 +287,7 @@
 // Otherwise a successor that cannot reach it would wait for its lease before it starts the tasks that
 // have ended there.
 func (e *Engine) noteEmptied(w *worker) {
-	if w.cordoned && w.Departure.Known && len(w.allocs) == 0 && len(w.pendingAcks) == 0 {
+	if w.cordoned && w.Notice.Known && len(w.allocs) == 0 && len(w.pendingAcks) == 0 {
 		e.cordonsChanged = true
 	}
 }
--- a/process/dispatch/evacuation_test.go
+++ b/process/dispatch/evacuation_test.go
@@ -18,12 +18,12 @@
 
 // notify reports the directory entry of a worker that leaves, with its clock.
 func (h *harness) notify(id runner.WorkerID, remaining time.Duration) {
-	h.notifyOf(id, runner.Departure{Known: true, Remaining: remaining, Clock: h.clockOf()})
+	h.notifyOf(id, runner.Notice{Known: true, Remaining: remaining, Clock: h.clockOf()})
 }
 
-func (h *harness) notifyOf(id runner.WorkerID, d runner.Departure) {
+func (h *harness) notifyOf(id runner.WorkerID, d runner.Notice) {
 	w := h.e.workers[id].Worker
-	w.Draining, w.Departure = true, d
+	w.Draining, w.Notice = true, d
 	h.e.WorkerSeen(h.now, w)
 }
 
@@ -128,8 +128,8 @@
 	stops, after := h.untilStop(usualNotice, 10)
 	require.Len(t, stops, 1)
 	left := usualNotice - after
-	require.GreaterOrEqual(t, left, h.e.evacuating.stops.Lead())
-	require.Less(t, left, h.e.evacuating.stops.Lead()+2*evacuationPeriod+2*tickPeriod, "it uses the time that it has")
+	require.GreaterOrEqual(t, left, h.e.evacuating.stops.Longest())
+	require.Less(t, left, h.e.evacuating.stops.Longest()+2*evacuationPeriod+2*tickPeriod, "it uses the time that it has")
 	h.e.workers["w-b"].quarantinedUntil = 0
 	h.step(200 * time.Millisecond)
 	require.Empty(t, h.starts(), "it has not ended")
@@ -158,7 +158,7 @@
 	advised := func(_ *Engine, j *work.Job) {
 		j.Queue.Advice = &work.Advice{Base: 600 * time.Millisecond, Valid: 2 * time.Second}
 	}
-	whole := func(h *harness, d runner.Departure) { h.notifyOf("w-a", d) }
+	whole := func(h *harness, d runner.Notice) { h.notifyOf("w-a", d) }
 	for name, x := range map[string]struct {
 		change  func(e *Engine, j *work.Job)
 		notice  func(h *harness)
@@ -177,24 +177,24 @@
 		"long-running: as late as is safe":                        {change: longRunning, percent: 100, stopped: true, from: 300 * time.Millisecond, until: time.Second},
 		"expected to end in time":                                 {percent: 36},
 		"switched off":                                            {change: func(e *Engine, _ *work.Job) { e.o.Policy.NoEvacuation = true }, percent: 10},
-		"no time given":                                           {notice: func(h *harness) { whole(h, runner.Departure{}) }, percent: 10},
+		"no time given":                                           {notice: func(h *harness) { whole(h, runner.Notice{}) }, percent: 10},
 		"a lot of time left":                                      {notice: func(h *harness) { h.notify("w-a", time.Minute) }, percent: 10},
 		"an absurd time":                                          {notice: func(h *harness) { h.notify("w-a", 1<<62) }, percent: 10},
-		"no clock: counts from when it is seen":                   {notice: func(h *harness) { whole(h, runner.Departure{Known: true, Remaining: usualNotice}) }, percent: 10, stopped: true, from: 300 * time.Millisecond, until: time.Second},
+		"no clock: counts from when it is seen":                   {notice: func(h *harness) { whole(h, runner.Notice{Known: true, Remaining: usualNotice}) }, percent: 10, stopped: true, from: 300 * time.Millisecond, until: time.Second},
 		"clock of another writer": {notice: func(h *harness) {
-			whole(h, runner.Departure{Known: true, Remaining: usualNotice, Clock: h.clockOf() + time.Hour})
+			whole(h, runner.Notice{Known: true, Remaining: usualNotice, Clock: h.clockOf() + time.Hour})
 		}, percent: 10, stopped: true, from: 300 * time.Millisecond, until: time.Second},
 		"seen 1.2 s after it was written, while the store was slow": {notice: func(h *harness) {
-			whole(h, runner.Departure{Known: true, Remaining: usualNotice, Clock: h.clockOf() - 1200*time.Millisecond})
+			whole(h, runner.Notice{Known: true, Remaining: usualNotice, Clock: h.clockOf() - 1200*time.Millisecond})
 		}, percent: 10, stopped: true, until: 150 * time.Millisecond},
 		"an old notice of a worker that has stayed": {notice: func(h *harness) {
 			h.pass(10*time.Second, 10)
 			h.effects = nil
-			whole(h, runner.Departure{Known: true, Remaining: usualNotice, Clock: h.clockOf() - 10*time.Second})
+			whole(h, runner.Notice{Known: true, Remaining: usualNotice, Clock: h.clockOf() - 10*time.Second})
 		}, percent: 1},
 		"the notice is repeated without a clock": {notice: func(h *harness) {
 			for range 3 {
-				whole(h, runner.Departure{Known: true, Remaining: usualNotice})
+				whole(h, runner.Notice{Known: true, Remaining: usualNotice})
 				h.pass(100*time.Millisecond, 10)
 			}
 		}, percent: 10, stopped: true, until: 400 * time.Millisecond},
@@ -301,7 +301,7 @@
 	again := h.confirmAll(h.starts())
 	require.Len(t, again, 1)
 	w := h.e.workers["w-a"].Worker
-	w.Draining, w.Departure = false, runner.Departure{}
+	w.Draining, w.Notice = false, runner.Notice{}
 	h.e.WorkerSeen(h.now, w)
 	h.accept(otherJob, &work.Job{Queue: work.Queue{Name: "q", Service: "s", Attempts: 1, Slack: 2}, Spec: "x", Epoch: 1,
 		Steps: []work.Step{{Count: 2, Size: work.Resources{CPU: 2000, Memory: 100}, Estimate: 10 * time.Second}}})
@@ -351,7 +351,7 @@
 	starts := h.confirmAll(h.starts())
 	require.Len(t, starts, 2)
 	h.notify("w-a", usualNotice)
-	s.run(usualNotice - h.e.evacuating.stops.Lead())
+	s.run(usualNotice - h.e.evacuating.stops.Longest())
 	stops := h.stops()
 	require.Len(t, stops, 2)
 
@@ -387,7 +387,7 @@
 	s.run(50 * time.Millisecond)
 	require.Len(t, h.confirmAll(h.starts()), 1)
 	h.notify("w-a", usualNotice)
-	s.run(usualNotice - h.e.evacuating.stops.Lead())
+	s.run(usualNotice - h.e.evacuating.stops.Longest())
 	stops := h.stops()
 	require.Len(t, stops, 1)
 	h.e.Renewed(h.now, "w-a", runner.Report{Clock: h.clockOf(), Ended: []runner.Completion{ended(1, stops[0])}}, nil)
@@ -438,7 +438,7 @@
 		}
 		return 0
 	}
-	require.Equal(t, leavingWait, wait(nil, usualNotice))
+	require.Equal(t, leavingRenewWait, wait(nil, usualNotice))
 	require.Equal(t, renewWait, wait(nil, time.Minute), "a lot of time left")
 	require.Equal(t, renewWait, wait(func(e *Engine, _ *work.Job) { e.o.Policy.NoEvacuation = true }, usualNotice))
 }
@@ -479,7 +479,7 @@
 	require.Len(t, starts, 1)
 	require.EqualValues(t, "w-b", starts[0].To.ID)
 	s := h.e.jobs[testJob].occurrences[0].steps[0]
-	saved := s.tasks[0].saved
+	saved := s.tasks[0].savedShare
 	require.Greater(t, saved, 0.6)
 
 	h.notify("w-b", 500*time.Millisecond)
@@ -487,7 +487,7 @@
 	stops = h.stops()
 	require.Len(t, stops, 1)
 	h.endStopped("w-b", stops)
-	require.EqualValues(t, saved, s.tasks[0].saved)
+	require.EqualValues(t, saved, s.tasks[0].savedShare)
 	h.step(tickPeriod)
 	require.Equal(t, rankInTime, s.rank)
 }
@@ -514,7 +514,9 @@
 	// task avoids the worker, or as many runs of its step as are allowed are there.
 	for name, refuse := range map[string]func(h *harness, s *step){
 		"allowed": nil,
-		"avoided": func(h *harness, s *step) { s.tasks[0].avoid, s.tasks[0].avoidUntil = []runner.WorkerID{"w-b"}, h.now+time.Minute },
+		"avoided": func(h *harness, s *step) {
+			s.tasks[0].avoid, s.tasks[0].avoidUntil = []runner.WorkerID{"w-b"}, h.now+time.Minute
+		},
 		"full for the step": func(h *harness, s *step) {
 			s.spec.MaxPerWorker = 1
 			w := h.e.workers["w-b"]
--- a/process/dispatch/job.go
+++ b/process/dispatch/job.go
@@ -124,7 +124,7 @@
 	crashes    crash.Records
 	avoid      []runner.WorkerID // where it failed
 	avoidUntil time.Duration     // no start on these before
-	saved      float64           // share of its work in the checkpoint of its last run that was evacuated
+	savedShare float64           // share of its work that is at least in its checkpoint, known only from evacuated runs
 	preempted  int               // how often a run of it was stopped for other work in this epoch
 	moves      int               // how often it was moved as a straggler, in this epoch
 }
--- a/process/dispatch/reports.go
+++ b/process/dispatch/reports.go
@@ -19,7 +19,7 @@
 		r.Acknowledge = w.ackedCompletion
 	}
 	if w.fenced && w.misses == 0 && !w.unacknowledged() && !w.stopsAnswered() && len(w.untracked) == 0 {
-		r.Wait = e.renewalWait(w)
+		r.Wait = e.renewWaitOf(w)
 	}
 	w.renewing, w.renewSent = true, e.now
 	e.effects = append(e.effects, SendRenew{To: w.Ref, Renewal: r, Timeout: r.Wait + renewGrace})
--- a/process/evacuation/evacuation.go
+++ b/process/evacuation/evacuation.go
@@ -43,8 +43,9 @@
 	// Left is the time until the worker leaves at the earliest; for a gang, until the first of its
 	// workers does. It is negative if that time has passed and the worker is still there.
 	Left time.Duration
-	// Lead is the longest time that a stop may take until its end is known, Usual the usual one.
-	Lead, Usual time.Duration
+	// LongestStop is the longest time that a stop may take until the end of the run is known, UsualStop
+	// the usual one.
+	LongestStop, UsualStop time.Duration
 	// Endless: it runs until it is stopped, and Remaining has no meaning.
 	Endless bool
 	// Remaining is the predicted time to its end, Deviation the standard deviation of its logarithm.
@@ -72,12 +73,12 @@
 		return Keep
 	case c.Left > Horizon:
 		return Wait
-	case c.Left > c.Lead:
+	case c.Left > c.LongestStop:
 		if c.lost() || (c.Ready && c.Checkpoints && !c.Endless) {
 			return Stop
 		}
 		return Wait
-	case !c.Endless && max(c.Left, c.Remaining) < c.Usual:
+	case !c.Endless && max(c.Left, c.Remaining) < c.UsualStop:
 		return Keep // it ends before a stop does, and before a stop could be known to have ended
 	}
 	return Stop
--- a/process/evacuation/evacuation_test.go
+++ b/process/evacuation/evacuation_test.go
@@ -14,7 +14,7 @@
 // withCheckpoints returns a run with checkpoints that cannot end in time, on a worker with enough time
 // for a stop.
 func withCheckpoints() Case {
-	return Case{Left: 1600 * ms, Lead: 400 * ms, Usual: 200 * ms, Remaining: 5 * time.Second, Deviation: 0.2, Checkpoints: true}
+	return Case{Left: 1600 * ms, LongestStop: 400 * ms, UsualStop: 200 * ms, Remaining: 5 * time.Second, Deviation: 0.2, Checkpoints: true}
 }
 
 // TestDecisions guards against runs that are stopped although they end in time, or that go on until
@@ -50,9 +50,9 @@
 }
 
 func drawCase(t *rapid.T) Case {
-	c := Case{Left: drawTime(t, "left", -2000, 20000), Usual: drawTime(t, "usual", 10, 900), Endless: rapid.Bool().Draw(t, "endless"), Remaining: drawTime(t, "remaining", 0, 60000),
+	c := Case{Left: drawTime(t, "left", -2000, 20000), UsualStop: drawTime(t, "usual", 10, 900), Endless: rapid.Bool().Draw(t, "endless"), Remaining: drawTime(t, "remaining", 0, 60000),
 		Deviation: rapid.Float64Range(0, 2).Draw(t, "deviation"), Checkpoints: rapid.Bool().Draw(t, "checkpoints"), Ready: rapid.Bool().Draw(t, "ready")}
-	c.Lead = c.Usual + drawTime(t, "lead", 0, 500)
+	c.LongestStop = c.UsualStop + drawTime(t, "lead", 0, 500)
 	return c
 }
 
@@ -67,13 +67,13 @@
 			require.NotEqual(t, Stop, action)
 		case !c.Endless && latest+reportTime.Seconds() < c.Left.Seconds()-1e-6:
 			require.Equal(t, Keep, action)
-		case action == Stop && c.Left > c.Lead:
+		case action == Stop && c.Left > c.LongestStop:
 			require.False(t, c.Endless)
 			require.True(t, (c.Ready && c.Checkpoints) || (!c.Checkpoints && c.Remaining+reportTime > c.Left), "checkpoints keep its work")
-		case c.Left <= c.Lead && c.Left >= c.Usual:
+		case c.Left <= c.LongestStop && c.Left >= c.UsualStop:
 			require.Equal(t, Stop, action)
-		case c.Left <= c.Lead:
-			require.Equal(t, !c.Endless && c.Remaining < c.Usual, action == Keep)
+		case c.Left <= c.LongestStop:
+			require.Equal(t, !c.Endless && c.Remaining < c.UsualStop, action == Keep)
 		}
 	})
 }
@@ -84,8 +84,8 @@
 	rapid.Check(t, func(t *rapid.T) {
 		const period = 100 * ms // between two looks
 		c := drawCase(t)
-		c.Lead += period
-		c.Left = max(c.Left, c.Lead)
+		c.LongestStop += period
+		c.Left = max(c.Left, c.LongestStop)
 		kept := false
 		for ; c.Endless || c.Remaining > 0; c.Left, c.Remaining = c.Left-period, c.Remaining-period {
 			require.Positive(t, c.Left, "its worker has left")
@@ -94,7 +94,7 @@
 				kept = true
 			case Stop:
 				require.False(t, kept)
-				require.GreaterOrEqual(t, c.Left, c.Lead-period)
+				require.GreaterOrEqual(t, c.Left, c.LongestStop-period)
 				return
 			}
 		}
@@ -168,21 +168,21 @@
 // needlessly early where they do not.
 func TestStopTimesAreLearned(t *testing.T) {
 	var times StopTimes
-	require.Equal(t, initialLead, times.Lead(), "stops take up to 900 ms on some platforms")
+	require.Equal(t, initialLongest, times.Longest(), "stops take up to 900 ms on some platforms")
 	times.Observe(200 * ms)
-	require.Equal(t, initialLead, times.Lead(), "one stop says little")
+	require.Equal(t, initialLongest, times.Longest(), "one stop says little")
 	for range window {
 		times.Observe(200 * ms)
 	}
-	require.Equal(t, 220*ms, times.Lead())
+	require.Equal(t, 220*ms, times.Longest())
 	require.InDelta(t, 200, times.Usual().Milliseconds(), 1)
 	times.Observe(800 * ms)
-	require.Equal(t, 880*ms, times.Lead())
+	require.Equal(t, 880*ms, times.Longest())
 	times.Observe(time.Minute)
-	require.Equal(t, scale(maxTime, leadMargin), times.Lead())
+	require.Equal(t, scale(maxTime, longestMargin), times.Longest())
 	require.Less(t, times.Usual(), 450*ms)
 	for range window {
 		times.Observe(200 * ms)
 	}
-	require.Equal(t, 220*ms, times.Lead(), "it was slow for a while")
+	require.Equal(t, 220*ms, times.Longest(), "it was slow for a while")
 }
--- a/process/evacuation/stops.go
+++ b/process/evacuation/stops.go
@@ -6,18 +6,18 @@
 )
 
 const (
-	// initialLead is how long stops are assumed to take until one has been observed: workers stop a
-	// run within 900 ms, and the end is known with the next report.
-	initialLead = time.Second
+	// initialLongest is the longest time that stops are assumed to take at least until window of them have
+	// been observed: workers stop a run within 900 ms, and the end is known with the next report.
+	initialLongest = time.Second
 	// initialUsual is the usual time until one has been observed: on most platforms a stop takes at
 	// most 200 ms.
 	initialUsual = 250 * time.Millisecond
-	// maxTime bounds the observed times: a longer one says that the worker did not answer.
+	// maxTime bounds the observed times: a longer one says more about the worker than about stops.
 	maxTime = 1500 * time.Millisecond
 	// window is the number of stops that are remembered. A stop that takes longer than all of them is
-	// one in 65, and leadMargin covers most of these.
-	window     = 64
-	leadMargin = 1.1
+	// one in 65, and longestMargin covers most of these.
+	window        = 64
+	longestMargin = 1.1
 	// usualDecay is the weight of the newest stop in the usual time.
 	usualDecay = 0.1
 )
@@ -38,12 +38,12 @@
 	t.count++
 }
 
-// Lead returns the longest time that a stop is expected to take. Until the window is full, it is at
+// Longest returns the longest time that a stop is expected to take. Until the window is full, it is at
 // least what is assumed without any observation.
-func (t *StopTimes) Lead() time.Duration {
-	longest := scale(slices.Max(t.recent[:]), leadMargin)
+func (t *StopTimes) Longest() time.Duration {
+	longest := scale(slices.Max(t.recent[:]), longestMargin)
 	if t.count < window {
-		return max(longest, initialLead)
+		return max(longest, initialLongest)
 	}
 	return longest
 }
--- a/standin/cellsim/worker.go
+++ b/standin/cellsim/worker.go
@@ -100,7 +100,7 @@
 		if w.crashed || w.entry.Draining {
 			continue
 		}
-		w.entry.Draining, w.entry.Departure = true, runner.Departure{Known: true, Remaining: p.Notice, Clock: s.now}
+		w.entry.Draining, w.entry.Notice = true, runner.Notice{Known: true, Remaining: p.Notice, Clock: s.now}
 		s.after(noticeDelay, func() { s.seen(w) })
 		s.after(p.Notice+time.Duration(s.rng.Int64N(int64(maxExtra))), func() { s.endWorker(w, noticeDelay) })
 	}
--- a/standin/epochworker/fleet.go
+++ b/standin/epochworker/fleet.go
@@ -270,16 +270,16 @@
 	if w.crashed {
 		return
 	}
-	w.Draining, w.Departure = true, runner.Departure{Known: true, Remaining: remaining}
+	w.Draining, w.Notice = true, runner.Notice{Known: true, Remaining: remaining}
 	if withClock {
-		w.Departure.Clock = w.clock()
+		w.Notice.Clock = w.clock()
 	}
-	notice := w.Departure
+	notice := w.Notice
 	f.record(runner.Change{Worker: w.Worker})
 	time.AfterFunc(remaining+extra, func() {
 		f.mu.Lock()
 		defer f.mu.Unlock()
-		if w.Draining && w.Departure == notice {
+		if w.Draining && w.Notice == notice {
 			f.crash(w)
 		}
 	})
@@ -290,7 +290,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if w := f.workers[id]; !w.crashed && w.Draining {
-		w.Draining, w.Departure = false, runner.Departure{}
+		w.Draining, w.Notice = false, runner.Notice{}
 		f.record(runner.Change{Worker: w.Worker})
 	}
 }
@@ -369,7 +369,7 @@
 	w.replaced = true
 	f.restarts++
 	next := w.Worker
-	next.Draining, next.Departure = false, runner.Departure{}
+	next.Draining, next.Notice = false, runner.Notice{}
 	next.ID = runner.WorkerID(fmt.Sprintf("life-%d", f.restarts))
 	if f.o.SameName {
 		name, started := w.ID.Incarnation()
