advicebudget: the only proxy is not always kept for slow calls

Cause: while quick steps wait for a proxy, they leave a quarter of the proxies, rounded up to one, to slow steps that wait. In a cell with one proxy, or a shard with one daemon of its own, that is the only one: each time that it was idle it was kept for a slow step, and quick steps starved as long as slow ones waited.

Change: KeptFromQuick leaves at least one proxy out. Steps with slow calls do not starve there either: the budget still guarantees them a proxy after 5 s without a call.

--- a/process/advicebudget/advicebudget.go
+++ b/process/advicebudget/advicebudget.go
@@ -107,12 +107,13 @@
 
 // KeptFromQuick is how many idle proxies quick calls leave to the given number of steps that wait for a
 // proxy for a slow call, so that these have leastSlowShare of all: while quick steps wait, they would
-// take each proxy that becomes idle.
+// take each proxy that becomes idle. One proxy at least is never kept: quick steps would starve where
+// there is only one.
 func (p Proxies) KeptFromQuick(slowWaiting int) int {
 	if p.Quick == 0 {
 		return 0
 	}
-	return max(0, min(p.Idle, slowWaiting, p.share(leastSlowShare)-p.BusyWithSlow()))
+	return max(0, min(p.Idle, slowWaiting, min(p.share(leastSlowShare), p.All-1)-p.BusyWithSlow()))
 }
 
 // BusyWithSlow is how many proxies have a slow call.
--- a/process/dispatch/quickproxies_test.go
+++ b/process/dispatch/quickproxies_test.go
@@ -185,6 +185,20 @@
 	require.GreaterOrEqual(t, c.burst(inTime), 15, "5 calls each 0.5 s")
 }
 
+func TestQuickStepsUseTheOnlyProxyBesideSlowOnes(t *testing.T) {
+	// Guards against quick steps that starve in a cell or shard with a single daemon because each
+	// time that it is idle it is kept for one of the slow steps that wait.
+	for _, off := range []bool{true, false} {
+		c := busyCell(t, Policy{NoQuickProxies: off}, 40, 1)
+		c.run(time.Second)
+		c.submitQuick(3, inTime)
+		c.run(5 * time.Second)
+		require.Len(t, c.quick, 3)
+		c.run(5 * time.Second)
+		require.GreaterOrEqual(t, len(c.slow), 10, "slow calls go on")
+	}
+}
+
 func TestQuickStepsThatFindAProxyChangeNothing(t *testing.T) {
 	// Guards against slow calls that are held back though no quick step waits for a proxy.
 	var slow [2][]time.Duration
