dispatch: a call that fails after a late answer of its proxy counts as a failure

Cause: two calls of a proxy that fail together count once; this was decided by whether the second one was sent before the first one failed. If the first call was given up and its answer came late, the proxy counted as working again, and the failure of the second call, which came after that answer, was ignored: a proxy without membership was logged as "not used any more" and stayed one, and a member was not paused.

Change: a late answer resets the time of the last failure.

Run: the new test TestCallThatFailsAfterALateAnswerCounts fails before and passes now; go test ./process/dispatch -run 'AfterALateAnswer|Quick|Slow|Prox|Guarant|Second'.

--- a/process/dispatch/advice.go
+++ b/process/dispatch/advice.go
@@ -45,7 +45,7 @@
 	member   string
 	calls    []adviceCall // in flight, in the order in which they were sent
 	state    advicebudget.Proxy
-	failedAt time.Duration // when a call failed last
+	failedAt time.Duration // when a call failed last, 0 once it has been answered late
 	gaveUp   work.TaskID   // the step of the last call that was not answered in time
 	lost     bool          // the daemon has lost its membership
 }
--- a/process/dispatch/advicebudget.go
+++ b/process/dispatch/advicebudget.go
@@ -358,7 +358,7 @@
 
 // proxyFailed records that a proxy's call failed or was not answered in time. Without
 // the budget, each failure counts as the first one, so that all pauses are equally long. Two calls
-// that were in flight at the same time count once.
+// that were in flight at the same time count once, unless the proxy has answered late in between.
 func (e *Engine) proxyFailed(proxy *adviceProxy, call adviceCall) {
 	e.stats.AdviceFailed++
 	if e.o.Policy.NoAdviceBudget {
@@ -381,5 +381,6 @@
 		return
 	}
 	proxy.state.AnsweredLate(e.now)
+	proxy.failedAt = 0
 	e.scheduled = false
 }
--- a/process/dispatch/quickproxies_test.go
+++ b/process/dispatch/quickproxies_test.go
@@ -292,6 +292,25 @@
 	require.Empty(t, c.h.e.ready, "every step has its answer")
 }
 
+func TestCallThatFailsAfterALateAnswerCounts(t *testing.T) {
+	// Guards against a proxy without membership that stays one although a call has failed: two of its
+	// calls are in flight, the first one is given up, is answered late, and then the second one fails.
+	c, first, second := twoCalls(t)
+	h, other := c.h, "d-00"
+	if first.Member == other {
+		other = "d-01"
+	}
+	proxy := h.e.proxies[first.Member]
+	proxy.calls[0].until = h.now
+	h.step(tickPeriod)
+	require.Len(t, proxy.calls, 1, "the first call has been given up")
+	h.e.Advised(h.now, first.Member, first.Step, nil, nil)
+	h.e.Members(h.now, []string{other}, first.Member)
+	require.Contains(t, h.e.proxyNames, first.Member, "it has answered")
+	h.e.Advised(h.now, second.Member, second.Step, nil, context.DeadlineExceeded)
+	require.NotContains(t, h.e.proxyNames, first.Member)
+}
+
 func TestAnswersOfAProxyAreAssignedToTheirCalls(t *testing.T) {
 	// Guards against an answer that is taken for that of another call, if the first one comes
 	// last or fails.
