dispatch: each proxy without membership that expires is logged

Cause: after a common loss of membership several proxies expire in the same tick. Only the first one was logged, and all were dropped.

Change: one decision for each of them. What is dropped and when is unchanged.

Run: the new test TestEachProxyDroppedAfterABoundedTimeIsLogged fails before (one line of two) and passes now; go test ./process/dispatch -run 'EachProxyDropped|Membership'.

--- a/process/dispatch/proxies.go
+++ b/process/dispatch/proxies.go
@@ -62,11 +62,14 @@
 	if e.unregisteredProxies() == 0 {
 		return
 	}
+	expired := false
 	for _, name := range e.proxyNames {
 		if !e.proxies[name].state.Available(e.now) {
 			e.decide(Decision{What: "advice proxy without membership is not used any more", Why: name + " has been without it for too long"})
-			e.updateProxies()
-			return
+			expired = true
 		}
 	}
+	if expired {
+		e.updateProxies()
+	}
 }
--- a/process/dispatch/proxies_test.go
+++ b/process/dispatch/proxies_test.go
@@ -64,6 +64,22 @@
 	require.Empty(t, h.e.proxies)
 }
 
+func TestEachProxyDroppedAfterABoundedTimeIsLogged(t *testing.T) {
+	// Guards against proxies that disappear from the log's account when several expire at once.
+	h := oneProxy(t, Policy{})
+	h.e.Members(h.now, []string{"d-1", "d-2"})
+	h.e.proxies["d-2"].state.Answered(h.now, 0, 0)
+	var dropped []string
+	h.e.o.Decide = func(d Decision) {
+		if d.What == "advice proxy without membership is not used any more" {
+			dropped = append(dropped, d.Why)
+		}
+	}
+	h.e.Members(h.now, nil, "d-1", "d-2")
+	h.step(time.Minute)
+	require.Equal(t, []string{"d-1 has been without it for too long", "d-2 has been without it for too long"}, dropped)
+}
+
 func TestProxyWithoutMembershipThatDiesIsNotUsedAgain(t *testing.T) {
 	// Guards against calls that are sent again and again through a daemon whose membership has
 	// expired because it is dead: its call times out, and another proxy is used.
