dispatch, advicebudget: comments and names of proxies for quick calls

Cause: several comments described what was there before second calls and proxies without membership (calls "one at a time", idleForSlow as a part of the idle proxies), some named an index or a field without saying what it is, and the number of calls for some workers was computed in two places.

Change: comments; callCount for the number of calls; proxyUse's useQuick was noUse; quickWaiting was n; the parameter of SecondCalls is named first. A max(0, ...) whose argument cannot be negative is left out. Behavior is unchanged.

--- a/process/advicebudget/advicebudget.go
+++ b/process/advicebudget/advicebudget.go
@@ -83,18 +83,18 @@
 	// Gangs, Others and Late are those that are busy with a slow call: for a gang that can be in
 	// time, for another step that can be in time, and for a step that cannot.
 	Gangs, Others, Late int
-	// Quick is how many of all proxies quick calls need, see QuickDemand.
+	// Quick is how many of all proxies quick calls need, see QuickDemand; 0 if none has waited lately.
 	Quick int
 	// OneQuick and TwoQuick are those that have one quick call in flight and could take another one,
 	// and those that have two.
 	OneQuick, TwoQuick int
 }
 
-// SecondCalls is how many quick calls may be sent behind another one, if quick calls are sent through
-// the given number of idle proxies as well. leastSlowShare of the proxies takes no second call, so
-// that some become idle and slow calls can be sent.
-func (p Proxies) SecondCalls(taken int) int {
-	return max(0, min(p.OneQuick+taken, p.All-p.share(leastSlowShare)-p.TwoQuick))
+// SecondCalls is how many quick calls may be sent behind another one, if first quick calls are sent
+// through the given number of idle proxies in the same round. leastSlowShare of the proxies takes no
+// second call, so that some become idle and slow calls can be sent.
+func (p Proxies) SecondCalls(first int) int {
+	return max(0, min(p.OneQuick+first, p.All-p.share(leastSlowShare)-p.TwoQuick))
 }
 
 // Slow is how many proxies may have a slow call at a time: slowShare of all, less what quick
--- a/process/advicebudget/proxy.go
+++ b/process/advicebudget/proxy.go
@@ -32,12 +32,12 @@
 	pausedUntil time.Duration
 	// excess is the moving average of the duration of its calls relative to their cost, less 1.
 	excess float64
-	// answered: the last outcome was an answer, at answeredAt.
+	// answered reports whether the last call was answered, answeredAt when one was answered last.
 	answered   bool
 	answeredAt time.Duration
 
 	membership     membership
-	unregisteredAt time.Duration
+	unregisteredAt time.Duration // when the daemon lost its membership
 }
 
 // membership is whether a proxy's daemon is a member of the cell.
--- a/process/advicebudget/quick.go
+++ b/process/advicebudget/quick.go
@@ -27,10 +27,10 @@
 
 // QuickDemand estimates how many proxies quick calls need. The zero value is one without calls.
 type QuickDemand struct {
-	calls       float64 // that were sent, weighted by their age in units of quickWindow
-	at          time.Duration
-	hold        time.Duration // moving average, 0 before the first answer
-	waiting     int
+	calls       float64       // that were sent, each weighted by exp(-age/quickWindow), at the time at
+	at          time.Duration // when the last one was sent
+	hold        time.Duration // moving average of how long a call occupies its proxy, 0 before the first answer
+	waiting     int           // quick steps that wait for a proxy
 	waitedUntil time.Duration // when the demand is no longer taken into account
 }
 
@@ -67,6 +67,7 @@
 	return int(math.Ceil(quickHeadroom*rate*hold.Seconds() + float64(d.waiting)*hold.Seconds()/quickClears.Seconds()))
 }
 
+// callsAt returns the weighted number of calls at a later time.
 func (d *QuickDemand) callsAt(now time.Duration) float64 {
 	return d.calls * math.Exp(-float64(now-d.at)/float64(quickWindow))
 }
--- a/process/cellnode/shard.go
+++ b/process/cellnode/shard.go
@@ -107,7 +107,7 @@
 	return members
 }
 
-// ownDaemons returns those of the daemons that the layout assigns to a shard.
+// ownDaemons returns those of the daemons that the layout assigns to a shard, which may be none.
 func ownDaemons(all []lead.Member, layout lead.Layout, index int) (own []lead.Member) {
 	for _, m := range all {
 		if layout.ShardOf(m.Name) == index {
--- a/process/dispatch/advice.go
+++ b/process/dispatch/advice.go
@@ -30,7 +30,7 @@
 	// worker and a second attempt.
 	ticketMargin = 60 * time.Millisecond
 	// adviceGrace is added to a call's cost, which is its expected duration, to get its timeout.
-	// The calls of one daemon queue up, and the engine sends one at a time to each.
+	// The calls of one daemon queue up; the timeout of a second one includes the cost of the first.
 	adviceGrace = 700 * time.Millisecond
 	// slowCall is the cost from which a call counts as slow. Slow calls never use every proxy,
 	// so that a step of a quick queue does not wait behind one.
@@ -47,7 +47,7 @@
 	state    advicebudget.Proxy
 	failedAt time.Duration // when a call failed last, 0 once it has been answered late
 	gaveUp   work.TaskID   // the step of the last call that was not answered in time
-	lost     bool          // the daemon has lost its membership
+	lost     bool          // the daemon has lost its membership; state decides whether it is a proxy nevertheless
 }
 
 // adviceCall is a call that is in flight.
@@ -56,9 +56,9 @@
 	workers []runner.WorkerID
 	cost    time.Duration
 	sent    time.Duration
-	until   time.Duration
-	use     proxyUse // what the call counts as; noUse for a quick one
-	second  bool     // it was sent behind another one
+	until   time.Duration // when it is given up
+	use     proxyUse
+	second  bool // it was sent behind another one
 }
 
 // advice is what a step has received about the workers that may run it.
@@ -164,6 +164,9 @@
 	return s.job.spec.Queue.Advice.Cost(min(n, maxWorkersPerCall))
 }
 
+// callCount returns how many calls name n workers.
+func callCount(n int) int { return (n + maxWorkersPerCall - 1) / maxWorkersPerCall }
+
 // adviceOf returns the step's advice, nil if its queue needs none.
 func (e *Engine) adviceOf(s *step) *advice {
 	if s.job.spec.Queue.Advice == nil {
@@ -262,7 +265,7 @@
 	}
 }
 
-// adviceFailed gives up the call of an index.
+// adviceFailed removes the i-th call of a proxy, which has failed or was not answered in time.
 func (e *Engine) adviceFailed(proxy *adviceProxy, i int) {
 	call := proxy.take(i)
 	s := call.s
@@ -331,7 +334,8 @@
 	}
 }
 
-// sendAdviceCalls assigns the requested calls to idle proxies, in the order of the steps.
+// sendAdviceCalls sends the requested calls through idle proxies, or behind quick calls, in the order
+// of the steps.
 func (e *Engine) sendAdviceCalls(steps []*step) {
 	if len(e.proxyNames) == 0 {
 		return
@@ -391,7 +395,7 @@
 	e.effects = append(e.effects, AskAdvice{Member: proxy.member, Step: s.id(), Workers: call.workers, Timeout: timeout})
 }
 
-// take removes the call of an index.
+// take removes the i-th call and returns it.
 func (p *adviceProxy) take(i int) adviceCall {
 	call := p.calls[i]
 	p.calls = slices.Delete(p.calls, i, i+1)
--- a/process/dispatch/advicebudget.go
+++ b/process/dispatch/advicebudget.go
@@ -23,11 +23,11 @@
 	budgetLogPeriod = 10 * time.Second
 )
 
-// proxyUse is the kind of step for which a proxy has a slow call; noUse for a quick call.
+// proxyUse is what a call counts as: a quick one, or a slow one for a kind of step.
 type proxyUse uint8
 
 const (
-	noUse proxyUse = iota
+	useQuick proxyUse = iota
 	useGang
 	useOthers
 	useLate
@@ -41,8 +41,8 @@
 	asked    time.Duration      // when its last call was sent
 }
 
-// countProxies counts the proxies that are idle, and how many of them may take slow calls, and
-// decides which steps may use these.
+// countProxies counts the proxies that are idle, how many slow calls may be sent and how many
+// proxies quick calls leave to them, and decides which steps may send slow calls.
 //
 // There are two counts because, with a single one, steps whose slow calls cannot be sent now would
 // use it up in every round, and the quick steps behind them would request no advice although
@@ -90,22 +90,22 @@
 
 // takesSecond reports whether a quick call may be sent behind the call that a proxy has in flight.
 func (e *Engine) takesSecond(proxy *adviceProxy) bool {
-	return !e.o.Policy.NoQuickProxies && len(proxy.calls) == 1 && proxy.calls[0].use == noUse && proxy.state.Usable(e.now)
+	return !e.o.Policy.NoQuickProxies && len(proxy.calls) == 1 && proxy.calls[0].use == useQuick && proxy.state.Usable(e.now)
 }
 
 // pickProxyFor picks the proxy for the next call for a step, and reports whether the call is to be
 // sent behind another one.
 func (e *Engine) pickProxyFor(s *step, slow bool) (proxy *adviceProxy, behind bool) {
 	a := s.advice
-	if calls := (len(a.toAsk) + maxWorkersPerCall - 1) / maxWorkersPerCall; slow || calls > a.second {
+	if slow || callCount(len(a.toAsk)) > a.second {
 		return e.pickProxy(slow), false
 	}
 	a.second--
 	return e.pickBehind(s), true
 }
 
-// pickBehind picks the proxy whose only call, a quick one, is likely to be answered first. It must
-// be for another step, by which an answer is assigned to its call.
+// pickBehind picks the proxy whose only call, a quick one, is likely to be answered first. That call
+// must be for another step, because answers are assigned to the calls of a proxy by their step.
 func (e *Engine) pickBehind(s *step) (found *adviceProxy) {
 	for _, name := range e.proxyNames {
 		proxy := e.proxies[name]
@@ -122,22 +122,22 @@
 	if e.o.Policy.NoQuickProxies {
 		return 0
 	}
-	n := 0
+	quickWaiting := 0
 	for _, s := range e.ready {
 		switch {
 		case s.waitsFor != waitProxy:
 		case s.needsSlowCalls():
 			slowWaiting++
 		default:
-			n++
+			quickWaiting++
 		}
 	}
-	e.quick.Waiting(e.now, n)
+	e.quick.Waiting(e.now, quickWaiting)
 	return slowWaiting
 }
 
-// notePostponedForQuick counts the slow calls that could be sent in this round if quick calls
-// needed no more proxies than slow ones usually leave to them.
+// notePostponedForQuick counts the slow calls that are not sent in this round because quick calls
+// need more proxies than the usual share of slow calls leaves to them.
 func (e *Engine) notePostponedForQuick(counts advicebudget.Proxies, slowWaiting int) {
 	usual := counts
 	usual.Quick = 0
@@ -263,8 +263,8 @@
 	b.examined = true
 }
 
-// requestAdvice requests advice on workers for a step through the next idle proxies, and
-// reports whether there are any.
+// requestAdvice requests advice on workers for a step, as far as calls for it may be sent in this
+// round, and reports whether any may. sendAdviceCalls sends them at the end of the round.
 func (e *Engine) requestAdvice(s *step, ids []runner.WorkerID) bool {
 	a := s.advice
 	if len(ids) == 0 {
@@ -273,7 +273,7 @@
 	if !e.o.Policy.NoAdviceBudget && s.needsSlowCalls() && e.now < e.proxiesScarceUntil {
 		ids = ids[:advicebudget.Names(len(ids), maxWorkersPerCall)]
 	}
-	calls, second := (len(ids)+maxWorkersPerCall-1)/maxWorkersPerCall, 0
+	calls, second := callCount(len(ids)), 0
 	if s.callCost(len(ids)) >= slowCall {
 		calls = max(0, min(calls, e.freeProxies(s)))
 		e.idleForSlow -= calls
@@ -281,7 +281,7 @@
 	} else {
 		calls = min(calls, e.freeForQuick())
 		second = max(0, calls-e.idleForQuick())
-		e.quickTaken += max(0, calls-second)
+		e.quickTaken += calls - second
 	}
 	if calls <= 0 {
 		return false
@@ -331,7 +331,7 @@
 	s.advice.budget.asked = e.now
 	switch {
 	case call.cost < slowCall:
-		call.use = noUse
+		call.use = useQuick
 		e.quick.Sent(e.now)
 	case s.advice.budget.late:
 		call.use = useLate
@@ -350,7 +350,7 @@
 		proxy.state.Answered(e.now, 0, 0)
 		return
 	}
-	if call.use == noUse {
+	if call.use == useQuick {
 		e.quick.Answered(took)
 	}
 	proxy.state.Answered(e.now, took, call.cost)
--- a/process/dispatch/engine.go
+++ b/process/dispatch/engine.go
@@ -92,8 +92,8 @@
 	scheduledAt, planAt time.Duration
 	roundCost           time.Duration        // moving average of the time a round takes
 	idleProxies         int                  // left in this round
-	idleForSlow         int                  // how many of them may take slow calls
-	keptFromQuick       int                  // how many of them take no quick calls
+	idleForSlow         int                  // slow calls that may still be sent; may exceed idleProxies, and be below 0
+	keptFromQuick       int                  // how many of idleProxies quick calls leave to slow ones
 	proxyCount          advicebudget.Proxies // at the start of the round
 	// quickTaken and secondTaken are how many quick calls have been requested in this round through
 	// idle proxies and behind other calls.
@@ -102,12 +102,12 @@
 	evacuating              evacuating
 
 	forecast   forecast
-	guaranteed int // how many of idleForSlow are kept for steps that have not asked yet
+	guaranteed int // how many proxies are kept in this round for steps that have not asked yet
 	// proxiesScarceUntil is until when the budget allots the proxies for slow calls.
 	proxiesScarceUntil time.Duration
 	budgetLoggedAt     time.Duration
 	quick              advicebudget.QuickDemand
-	quickLoggedAt      time.Duration
+	quickLoggedAt      time.Duration // when it was last logged that slow calls are postponed for quick ones
 
 	deposed bool
 	stats   Stats
--- a/process/dispatch/proxies.go
+++ b/process/dispatch/proxies.go
@@ -36,8 +36,8 @@
 	e.updateProxies()
 }
 
-// updateProxies computes the list of the proxies anew, and drops idle ones that are not used any
-// more. With proxies that are no members the list is sorted by name, as that of the members is.
+// updateProxies recomputes the list of the proxies, and forgets daemons that are not on it and have no
+// call in flight. With proxies that are no members the list is sorted by name, as that of the members is.
 func (e *Engine) updateProxies() {
 	e.proxyNames = slices.Clone(e.members)
 	for name, proxy := range e.proxies {
@@ -57,7 +57,7 @@
 // unregisteredProxies returns how many proxies are no members.
 func (e *Engine) unregisteredProxies() int { return len(e.proxyNames) - len(e.members) }
 
-// expireUnregistered drops proxies that have been without membership for too long.
+// expireUnregistered drops proxies that have been without membership for longer than advicebudget allows.
 func (e *Engine) expireUnregistered() {
 	if e.unregisteredProxies() == 0 {
 		return
