advicebudget: quick steps do not starve where the only proxy is guaranteed to slow ones

Cause: quick calls leave the proxies that the budget guarantees to a step. Where there is only one proxy, each late step that has waited for 5 s is guaranteed it in turn, because no other late call is in flight whenever it is idle; with a backlog of such steps quick steps got no call at all.

Change: GuaranteedFromQuick. The only proxy is left to a guaranteed step only if no slow call has been sent for starvedAfter (5 s), so that neither kind starves. With two or more proxies nothing changes: at least one of them is never guaranteed to a slow step.

--- a/process/advicebudget/advicebudget.go
+++ b/process/advicebudget/advicebudget.go
@@ -116,6 +116,16 @@
 	return max(0, min(p.Idle, slowWaiting, min(p.share(leastSlowShare), p.All-1)-p.BusyWithSlow()))
 }
 
+// GuaranteedFromQuick is how many of the guaranteed proxies quick calls leave, if the last slow call was
+// sent the given time ago: all of them. The only proxy is left once in starvedAfter, since it would
+// otherwise be guaranteed to one slow step after the other, and quick steps would starve.
+func (p Proxies) GuaranteedFromQuick(guaranteed int, sinceSlow time.Duration) int {
+	if p.All == 1 && sinceSlow < starvedAfter {
+		return 0
+	}
+	return guaranteed
+}
+
 // BusyWithSlow is how many proxies have a slow call.
 func (p Proxies) BusyWithSlow() int { return p.Gangs + p.Others + p.Late }
 
--- a/process/dispatch/advicebudget.go
+++ b/process/dispatch/advicebudget.go
@@ -224,7 +224,8 @@
 // idleForQuick returns how many idle proxies may take quick calls: those that are neither kept for slow
 // calls in general nor guaranteed to a step.
 func (e *Engine) idleForQuick() int {
-	return max(0, e.idleProxies-max(e.keptFromQuick, e.guaranteed))
+	guaranteed := e.proxyCount.GuaranteedFromQuick(e.guaranteed, e.now-e.slowSentAt)
+	return max(0, e.idleProxies-max(e.keptFromQuick, guaranteed))
 }
 
 // freeForQuick returns how many more quick calls may be sent, those behind others included.
@@ -329,6 +330,9 @@
 		e.stats.UnregisteredCalls++
 	}
 	s.advice.budget.asked = e.now
+	if call.cost >= slowCall {
+		e.slowSentAt = e.now
+	}
 	switch {
 	case call.cost < slowCall:
 		call.use = useQuick
--- a/process/dispatch/engine.go
+++ b/process/dispatch/engine.go
@@ -107,6 +107,7 @@
 	proxiesScarceUntil time.Duration
 	budgetLoggedAt     time.Duration
 	quick              advicebudget.QuickDemand
+	slowSentAt         time.Duration // when the last slow call was sent
 	quickLoggedAt      time.Duration // when it was last logged that slow calls are postponed for quick ones
 
 	deposed bool
--- a/process/dispatch/quickproxies_test.go
+++ b/process/dispatch/quickproxies_test.go
@@ -199,6 +199,25 @@
 	}
 }
 
+func TestQuickStepsUseTheOnlyProxyBesideSlowOnesThatAreGuaranteedIt(t *testing.T) {
+	// Guards against quick steps that starve in a cell or shard with a single daemon because many slow
+	// steps have waited for long and are guaranteed the proxy in turn, and against slow steps that
+	// starve because quick ones take it each time.
+	for _, off := range []bool{true, false} {
+		c := busyCell(t, Policy{NoQuickProxies: off}, 60, 1)
+		c.run(8 * time.Second)
+		c.submitQuick(3, inTime)
+		c.run(2 * time.Second)
+		require.Len(t, c.quick, 3)
+		before := len(c.slow)
+		for range 1000 {
+			c.submitQuick(1, inTime)
+			c.run(20 * time.Millisecond)
+		}
+		require.GreaterOrEqual(t, len(c.slow)-before, 3, "one in each 5 s")
+	}
+}
+
 func TestQuickStepsThatFindAProxyChangeNothing(t *testing.T) {
 	// Guards against slow calls that are held back though no quick step waits for a proxy.
 	var slow [2][]time.Duration
