--- a/process/advicebudget/advicebudget.go
+++ b/process/advicebudget/advicebudget.go
@@ -83,18 +83,18 @@
 	// Gangs, Others and Late are those that are busy with a slow call: for a gang that can be in
 	// time, for another step that can be in time, and for a step that cannot.
 	Gangs, Others, Late int
-	// Quick is how many of all proxies quick calls need, see QuickDemand.
+	// Quick is how many of all proxies quick calls need, see QuickDemand; 0 if none has waited lately.
 	Quick int
 	// OneQuick and TwoQuick are those that have one quick call in flight and could take another one,
 	// and those that have two.
 	OneQuick, TwoQuick int
 }
 
-// SecondCalls is how many quick calls may be sent behind another one, if quick calls are sent through
-// the given number of idle proxies as well. leastSlowShare of the proxies takes no second call, so
-// that some become idle and slow calls can be sent.
-func (p Proxies) SecondCalls(taken int) int {
-	return max(0, min(p.OneQuick+taken, p.All-p.share(leastSlowShare)-p.TwoQuick))
+// SecondCalls is how many quick calls may be sent behind another one, if first quick calls are sent
+// through the given number of idle proxies in the same round. leastSlowShare of the proxies takes no
+// second call, so that some become idle and slow calls can be sent.
+func (p Proxies) SecondCalls(first int) int {
+	return max(0, min(p.OneQuick+first, p.All-p.share(leastSlowShare)-p.TwoQuick))
 }
 
 // Slow is how many proxies may have a slow call at a time: slowShare of all, less what quick
@@ -107,12 +107,23 @@
 
 // KeptFromQuick is how many idle proxies quick calls leave to the given number of steps that wait for a
 // proxy for a slow call, so that these have leastSlowShare of all: while quick steps wait, they would
-// take each proxy that becomes idle.
+// take each proxy that becomes idle. One proxy at least is never kept: quick steps would starve where
+// there is only one.
 func (p Proxies) KeptFromQuick(slowWaiting int) int {
 	if p.Quick == 0 {
 		return 0
 	}
-	return max(0, min(p.Idle, slowWaiting, p.share(leastSlowShare)-p.BusyWithSlow()))
+	return max(0, min(p.Idle, slowWaiting, min(p.share(leastSlowShare), p.All-1)-p.BusyWithSlow()))
+}
+
+// GuaranteedFromQuick is how many of the guaranteed proxies quick calls leave, if the last slow call was
+// sent the given time ago: all of them. The only proxy is left once in starvedAfter, since it would
+// otherwise be guaranteed to one slow step after the other, and quick steps would starve.
+func (p Proxies) GuaranteedFromQuick(guaranteed int, sinceSlow time.Duration) int {
+	if p.All == 1 && sinceSlow < starvedAfter {
+		return 0
+	}
+	return guaranteed
 }
 
 // BusyWithSlow is how many proxies have a slow call.
--- a/process/dispatch/advicebudget.go
+++ b/process/dispatch/advicebudget.go
@@ -23,11 +23,11 @@
 	budgetLogPeriod = 10 * time.Second
 )
 
-// proxyUse is the kind of step for which a proxy has a slow call; noUse for a quick call.
+// proxyUse is what a call counts as: a quick one, or a slow one for a kind of step.
 type proxyUse uint8
 
 const (
-	noUse proxyUse = iota
+	useQuick proxyUse = iota
 	useGang
 	useOthers
 	useLate
@@ -41,8 +41,8 @@
 	asked    time.Duration      // when its last call was sent
 }
 
-// countProxies counts the proxies that are idle, and how many of them may take slow calls, and
-// decides which steps may use these.
+// countProxies counts the proxies that are idle, how many slow calls may be sent and how many
+// proxies quick calls leave to them, and decides which steps may send slow calls.
 //
 // There are two counts because, with a single one, steps whose slow calls cannot be sent now would
 // use it up in every round, and the quick steps behind them would request no advice although
@@ -90,22 +90,22 @@
 
 // takesSecond reports whether a quick call may be sent behind the call that a proxy has in flight.
 func (e *Engine) takesSecond(proxy *adviceProxy) bool {
-	return !e.o.Policy.NoQuickProxies && len(proxy.calls) == 1 && proxy.calls[0].use == noUse && proxy.state.Usable(e.now)
+	return !e.o.Policy.NoQuickProxies && len(proxy.calls) == 1 && proxy.calls[0].use == useQuick && proxy.state.Usable(e.now)
 }
 
 // pickProxyFor picks the proxy for the next call for a step, and reports whether the call is to be
 // sent behind another one.
 func (e *Engine) pickProxyFor(s *step, slow bool) (proxy *adviceProxy, behind bool) {
 	a := s.advice
-	if calls := (len(a.toAsk) + maxWorkersPerCall - 1) / maxWorkersPerCall; slow || calls > a.second {
+	if slow || callCount(len(a.toAsk)) > a.second {
 		return e.pickProxy(slow), false
 	}
 	a.second--
 	return e.pickBehind(s), true
 }
 
-// pickBehind picks the proxy whose only call, a quick one, is likely to be answered first. It must
-// be for another step, by which an answer is assigned to its call.
+// pickBehind picks the proxy whose only call, a quick one, is likely to be answered first. That call
+// must be for another step, because answers are assigned to the calls of a proxy by their step.
 func (e *Engine) pickBehind(s *step) (found *adviceProxy) {
 	for _, name := range e.proxyNames {
 		proxy := e.proxies[name]
@@ -122,22 +122,22 @@
 	if e.o.Policy.NoQuickProxies {
 		return 0
 	}
-	n := 0
+	quickWaiting := 0
 	for _, s := range e.ready {
 		switch {
 		case s.waitsFor != waitProxy:
 		case s.needsSlowCalls():
 			slowWaiting++
 		default:
-			n++
+			quickWaiting++
 		}
 	}
-	e.quick.Waiting(e.now, n)
+	e.quick.Waiting(e.now, quickWaiting)
 	return slowWaiting
 }
 
-// notePostponedForQuick counts the slow calls that could be sent in this round if quick calls
-// needed no more proxies than slow ones usually leave to them.
+// notePostponedForQuick counts the slow calls that are not sent in this round because quick calls
+// need more proxies than the usual share of slow calls leaves to them.
 func (e *Engine) notePostponedForQuick(counts advicebudget.Proxies, slowWaiting int) {
 	usual := counts
 	usual.Quick = 0
@@ -224,7 +224,8 @@
 // idleForQuick returns how many idle proxies may take quick calls: those that are neither kept for slow
 // calls in general nor guaranteed to a step.
 func (e *Engine) idleForQuick() int {
-	return max(0, e.idleProxies-max(e.keptFromQuick, e.guaranteed))
+	guaranteed := e.proxyCount.GuaranteedFromQuick(e.guaranteed, e.now-e.slowSentAt)
+	return max(0, e.idleProxies-max(e.keptFromQuick, guaranteed))
 }
 
 // freeForQuick returns how many more quick calls may be sent, those behind others included.
@@ -263,8 +264,8 @@
 	b.examined = true
 }
 
-// requestAdvice requests advice on workers for a step through the next idle proxies, and
-// reports whether there are any.
+// requestAdvice requests advice on workers for a step, as far as calls for it may be sent in this
+// round, and reports whether any may. sendAdviceCalls sends them at the end of the round.
 func (e *Engine) requestAdvice(s *step, ids []runner.WorkerID) bool {
 	a := s.advice
 	if len(ids) == 0 {
@@ -273,7 +274,7 @@
 	if !e.o.Policy.NoAdviceBudget && s.needsSlowCalls() && e.now < e.proxiesScarceUntil {
 		ids = ids[:advicebudget.Names(len(ids), maxWorkersPerCall)]
 	}
-	calls, second := (len(ids)+maxWorkersPerCall-1)/maxWorkersPerCall, 0
+	calls, second := callCount(len(ids)), 0
 	if s.callCost(len(ids)) >= slowCall {
 		calls = max(0, min(calls, e.freeProxies(s)))
 		e.idleForSlow -= calls
@@ -281,7 +282,7 @@
 	} else {
 		calls = min(calls, e.freeForQuick())
 		second = max(0, calls-e.idleForQuick())
-		e.quickTaken += max(0, calls-second)
+		e.quickTaken += calls - second
 	}
 	if calls <= 0 {
 		return false
@@ -329,9 +330,12 @@
 		e.stats.UnregisteredCalls++
 	}
 	s.advice.budget.asked = e.now
+	if call.cost >= slowCall {
+		e.slowSentAt = e.now
+	}
 	switch {
 	case call.cost < slowCall:
-		call.use = noUse
+		call.use = useQuick
 		e.quick.Sent(e.now)
 	case s.advice.budget.late:
 		call.use = useLate
@@ -350,7 +354,7 @@
 		proxy.state.Answered(e.now, 0, 0)
 		return
 	}
-	if call.use == noUse {
+	if call.use == useQuick {
 		e.quick.Answered(took)
 	}
 	proxy.state.Answered(e.now, took, call.cost)
@@ -358,7 +362,7 @@
 
 // proxyFailed records that a proxy's call failed or was not answered in time. Without
 // the budget, each failure counts as the first one, so that all pauses are equally long. Two calls
-// that were in flight at the same time count once.
+// that were in flight at the same time count once, unless the proxy has answered late in between.
 func (e *Engine) proxyFailed(proxy *adviceProxy, call adviceCall) {
 	e.stats.AdviceFailed++
 	if e.o.Policy.NoAdviceBudget {
@@ -381,5 +385,6 @@
 		return
 	}
 	proxy.state.AnsweredLate(e.now)
+	proxy.failedAt = 0
 	e.scheduled = false
 }
--- a/process/dispatch/quickproxies_test.go
+++ b/process/dispatch/quickproxies_test.go
@@ -185,6 +185,39 @@
 	require.GreaterOrEqual(t, c.burst(inTime), 15, "5 calls each 0.5 s")
 }
 
+func TestQuickStepsUseTheOnlyProxyBesideSlowOnes(t *testing.T) {
+	// Guards against quick steps that starve in a cell or shard with a single daemon because each
+	// time that it is idle it is kept for one of the slow steps that wait.
+	for _, off := range []bool{true, false} {
+		c := busyCell(t, Policy{NoQuickProxies: off}, 40, 1)
+		c.run(time.Second)
+		c.submitQuick(3, inTime)
+		c.run(5 * time.Second)
+		require.Len(t, c.quick, 3)
+		c.run(5 * time.Second)
+		require.GreaterOrEqual(t, len(c.slow), 10, "slow calls go on")
+	}
+}
+
+func TestQuickStepsUseTheOnlyProxyBesideSlowOnesThatAreGuaranteedIt(t *testing.T) {
+	// Guards against quick steps that starve in a cell or shard with a single daemon because many slow
+	// steps have waited for long and are guaranteed the proxy in turn, and against slow steps that
+	// starve because quick ones take it each time.
+	for _, off := range []bool{true, false} {
+		c := busyCell(t, Policy{NoQuickProxies: off}, 60, 1)
+		c.run(8 * time.Second)
+		c.submitQuick(3, inTime)
+		c.run(2 * time.Second)
+		require.Len(t, c.quick, 3)
+		before := len(c.slow)
+		for range 1000 {
+			c.submitQuick(1, inTime)
+			c.run(20 * time.Millisecond)
+		}
+		require.GreaterOrEqual(t, len(c.slow)-before, 3, "one in each 5 s")
+	}
+}
+
 func TestQuickStepsThatFindAProxyChangeNothing(t *testing.T) {
 	// Guards against slow calls that are held back though no quick step waits for a proxy.
 	var slow [2][]time.Duration
@@ -278,6 +311,25 @@
 	require.Empty(t, c.h.e.ready, "every step has its answer")
 }
 
+func TestCallThatFailsAfterALateAnswerCounts(t *testing.T) {
+	// Guards against a proxy without membership that stays one although a call has failed: two of its
+	// calls are in flight, the first one is given up, is answered late, and then the second one fails.
+	c, first, second := twoCalls(t)
+	h, other := c.h, "d-00"
+	if first.Member == other {
+		other = "d-01"
+	}
+	proxy := h.e.proxies[first.Member]
+	proxy.calls[0].until = h.now
+	h.step(tickPeriod)
+	require.Len(t, proxy.calls, 1, "the first call has been given up")
+	h.e.Advised(h.now, first.Member, first.Step, nil, nil)
+	h.e.Members(h.now, []string{other}, first.Member)
+	require.Contains(t, h.e.proxyNames, first.Member, "it has answered")
+	h.e.Advised(h.now, second.Member, second.Step, nil, context.DeadlineExceeded)
+	require.NotContains(t, h.e.proxyNames, first.Member)
+}
+
 func TestAnswersOfAProxyAreAssignedToTheirCalls(t *testing.T) {
 	// Guards against an answer that is taken for that of another call, if the first one comes
 	// last or fails.
