dispatch: the steps after a step are visited once in a plan for tasks

followingNow followed each path through the steps of a job, in each round and for each waiting step that is no gang, while urgent_preemption or reclaim is set. A job with 60 layers of two steps has 2^60 paths, and nothing bounds the layers but the number of tasks, so one submission could stop the leader. Each step is now visited once per call; the result is the same.

--- a/process/dispatch/preemption.go
+++ b/process/dispatch/preemption.go
@@ -201,8 +201,24 @@
 	return s.follows
 }
 
-// followingNow returns the same by what is known now, and keeps no result.
-func (e *Engine) followingNow(s *step) time.Duration { return e.longestAfter(s, e.followingNow) }
+// followingNow returns the same by what is known now, and keeps no result in the steps. Within a call,
+// each step is visited once: the number of paths may be exponential in the number of steps.
+func (e *Engine) followingNow(s *step) time.Duration {
+	if len(s.next) == 0 {
+		return 0
+	}
+	known := map[*step]time.Duration{}
+	var following func(*step) time.Duration
+	following = func(n *step) time.Duration {
+		d, ok := known[n]
+		if !ok {
+			d = e.longestAfter(n, following)
+			known[n] = d
+		}
+		return d
+	}
+	return e.longestAfter(s, following)
+}
 
 // longestAfter returns the longest time of a step after s, with that of the steps after it.
 func (e *Engine) longestAfter(s *step, following func(*step) time.Duration) time.Duration {
--- a/process/dispatch/preemptiontasks_test.go
+++ b/process/dispatch/preemptiontasks_test.go
@@ -214,3 +214,21 @@
 		require.Empty(t, w.gangReservations)
 	}
 }
+
+func TestFollowingStepsAreVisitedOnce(t *testing.T) {
+	// Guards against a round that takes exponential time for a job in which many paths lead from a step
+	// to its last one: this job has 2 to the power of 60.
+	h := newHarness(t, 1, "w-a")
+	j := &work.Job{Queue: work.Queue{Name: "q", Service: "s", Attempts: 2, Slack: 2}, Spec: "x", Epoch: 1}
+	for i := range 122 {
+		step := oneTask()
+		step.Estimate = time.Second
+		if layer := i / 2; layer > 0 {
+			step.After = []int{2*layer - 2, 2*layer - 1}
+		}
+		j.Steps = append(j.Steps, step)
+	}
+	h.accept(testJob, j)
+	first := h.e.jobs[testJob].occurrences[0].steps[0]
+	require.Equal(t, 60*time.Second, h.e.followingNow(first))
+}
