dispatch: steps of other services take nothing of what becomes free

With urgent_preemption or reclaim set, the plan of a step that is no gang subtracted what all steps before it lacked from the capacity that becomes free on the workers of its own service. Steps of other services use other workers, so runs were stopped although enough would have become free in time. What steps lack is now added up by service, and only if one of the two switches is set.

--- a/process/dispatch/placement.go
+++ b/process/dispatch/placement.go
@@ -63,8 +63,9 @@
 	full     []fullSize
 	tried    int // gangs
 	reserved int // gangs with reserved capacity
-	// lacking is what the tasks need that have found no capacity so far.
-	lacking work.Resources
+	// lacking is what the tasks need that have found no capacity so far, by service. It is kept only if
+	// steps that are no gangs may have plans.
+	lacking map[string]work.Resources
 }
 
 // fullSize is a size for which no worker of a service had capacity.
@@ -88,6 +89,9 @@
 	e.ledger.ClearWaiting()
 	clear(e.keptFree)
 	var r round
+	if e.o.Policy.plansForTasks() {
+		r.lacking = map[string]work.Resources{}
+	}
 	for _, s := range steps {
 		cause := e.blockedBy(s)
 		switch {
@@ -97,12 +101,13 @@
 			cause = e.causeOf(s)
 		default:
 			e.tryTasks(s, &r)
-			e.considerTaskPlan(s, r.lacking)
+			e.considerTaskPlan(s, r.lacking[s.job.spec.Queue.Service])
 			cause = e.causeOf(s)
 		}
 		e.keepQuota(s)
-		if cause != waitQuota && cause != waitMembers && cause != waitTakeover {
-			r.lacking = r.lacking.Add(s.spec.Need().Scale(len(s.pending) - s.preemption.left()))
+		if r.lacking != nil && cause != waitQuota && cause != waitMembers && cause != waitTakeover {
+			service := s.job.spec.Queue.Service
+			r.lacking[service] = r.lacking[service].Add(s.spec.Need().Scale(len(s.pending) - s.preemption.left()))
 		}
 		e.noteWait(s, cause)
 	}
--- a/process/dispatch/preemptiontasks.go
+++ b/process/dispatch/preemptiontasks.go
@@ -38,8 +38,14 @@
 	by    [freedSlots]work.Resources // until the end of each unit of time
 }
 
+// plansForTasks reports whether steps that are no gangs may have plans of preemption.
+func (p *Policy) plansForTasks() bool {
+	return (p.UrgentPreemption || p.Reclaim) && !p.NoPreemption && !p.FirstCome && !p.NoGangReservations
+}
+
 // considerTaskPlan makes a plan for a step that is no gang if it can be in time only by stops, or
-// requests the advice that such a plan needs. ahead is what the steps before it in the round lack.
+// requests the advice that such a plan needs. ahead is what the steps of its service before it in the
+// round lack.
 func (e *Engine) considerTaskPlan(s *step, ahead work.Resources) {
 	c, ok := e.taskClaim(s)
 	if !ok {
@@ -83,7 +89,7 @@
 	policy := &e.o.Policy
 	reclaims := e.mayReclaim(s)
 	switch {
-	case policy.NoPreemption || policy.FirstCome || policy.NoGangReservations || (!policy.UrgentPreemption && !reclaims):
+	case !policy.plansForTasks() || (!policy.UrgentPreemption && !reclaims):
 		return c, false
 	case s.preemption != nil || s.gangReserved || e.now < s.preemptAt || len(s.pending) == 0:
 		return c, false
--- a/process/dispatch/preemptiontasks_test.go
+++ b/process/dispatch/preemptiontasks_test.go
@@ -232,3 +232,19 @@
 	first := h.e.jobs[testJob].occurrences[0].steps[0]
 	require.Equal(t, 60*time.Second, h.e.followingNow(first))
 }
+
+func TestWorkOfOtherServicesCausesNoStops(t *testing.T) {
+	// Guards against stops for tasks that find capacity in time by themselves because steps of another
+	// service, which use other workers, lack capacity as well.
+	h, _, _ := fullCell(t, noGang(func(_ *Engine, many, waiting *work.Job) {
+		waiting.Queue.Advice = nil
+		many.Steps[0].Estimate = 2500 * time.Millisecond
+	}))
+	step := oneTask()
+	step.Count, step.Size = 4, work.Resources{CPU: 4000, Memory: 100}
+	h.accept(otherJob, &work.Job{Queue: work.Queue{Name: "q", Service: "elsewhere", Attempts: 2, Slack: 2, Allowance: 10 * time.Second}, Spec: "x", Steps: []work.Step{step}, Epoch: 1})
+	for range 20 {
+		h.step(200 * time.Millisecond)
+		require.Empty(t, sent[SendStop](h))
+	}
+}
