dispatch: a plan counts no more tasks than wait

A task of a step that is no gang may start on a worker that its plan does not use. The plan still counted it: it kept the quota of the account for it, and the difference to the waiting tasks, then negative, hid a part of what the steps before the next ones lack. Gangs are counted as before.

TestTaskThatStartsElsewhereIsNotCountedInThePlan: 2 before, 1 now.

--- a/process/dispatch/preemption.go
+++ b/process/dispatch/preemption.go
@@ -103,12 +103,16 @@
 	return p != nil && slices.ContainsFunc(p.slots, func(x reservedSlots) bool { return x.w == w && x.n > 0 })
 }
 
-// left returns how many tasks have not started by the plan.
+// left returns for how many waiting tasks the plan still has slots to use. Tasks of a step that is no
+// gang may also start elsewhere, so that fewer tasks may wait than the plan has slots.
 func (p *preemptionState) left() int {
-	if p == nil {
+	switch {
+	case p == nil:
 		return 0
+	case p.s.spec.Gang:
+		return p.claim.Count
 	}
-	return p.claim.Count
+	return min(p.claim.Count, len(p.s.pending))
 }
 
 // started reports whether the step has started by its plan.
@@ -116,7 +120,7 @@
 	if p.s.spec.Gang {
 		return p.s.gang.runs > p.runs
 	}
-	return p.claim.Count == 0 || len(p.s.pending) == 0 // tasks may also start elsewhere
+	return p.left() == 0
 }
 
 // stopLead is how long before the tickets arrive the victims are stopped.
--- a/process/dispatch/preemptiontasks_test.go
+++ b/process/dispatch/preemptiontasks_test.go
@@ -248,3 +248,18 @@
 		require.Empty(t, sent[SendStop](h))
 	}
 }
+
+func TestTaskThatStartsElsewhereIsNotCountedInThePlan(t *testing.T) {
+	// Guards against a plan for more tasks than wait: it would keep quota from the account's other
+	// steps, and hide what the steps after it lack.
+	h, s, _ := fullCell(t, noGang(func(_ *Engine, _, waiting *work.Job) { waiting.Queue.Advice = nil }))
+	require.Len(t, until[SendStop](h, 4*time.Second), 8)
+	require.Equal(t, 2, s.preemption.left())
+	h.e.WorkerSeen(h.now, runner.Worker{Ref: runner.Ref{ID: "w-c"}, Service: "s", Capacity: work.Resources{CPU: 4000, Memory: 4000}, Labels: []string{"a", "r"}})
+	h.step(50 * time.Millisecond)
+	h.report("w-c", runner.Report{Clock: time.Second})
+	h.step(50 * time.Millisecond)
+	require.Len(t, h.starts(), 1)
+	require.Len(t, s.pending, 1)
+	require.Equal(t, 1, s.preemption.left())
+}
