submit: a forwarded repetition beside an earlier write is not called "not run"

A daemon that writes a job for another one records the attempt since, but used the record only for its own callers. Asked again to write the same job while its store fails, it answered that its store fails and no more; the daemon that forwarded told its caller "not run", although the job was stored. The answer now sets Uncertain if another attempt of this daemon may have stored the job, unless what is stored under the id shows that none has. A target that answers for its store stays a declined one for the choice of targets, also if it is uncertain. No field is new.

TestForwardedRepetitionIsNotCalledNotRun: Uncertain false before, true now.

--- a/request/submit/pacing.go
+++ b/request/submit/pacing.go
@@ -258,10 +258,10 @@
 		result = outage.TargetAccepted
 	case err != nil && peer.NotRun(err):
 		result = outage.TargetUnreached
+	case err == nil && r.StoreAnswers: // it may be uncertain for an earlier write
+		result = outage.TargetDeclined
 	case err != nil || r.Uncertain:
 		result = outage.TargetSilent
-	case r.StoreAnswers:
-		result = outage.TargetDeclined
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/request/submit/peer.go
+++ b/request/submit/peer.go
@@ -45,7 +45,7 @@
 
 type forwardReply struct {
 	Accepted  bool `cbor:"1,keyasint"`
-	Uncertain bool `cbor:"2,keyasint"` // an unanswered write may still take effect
+	Uncertain bool `cbor:"2,keyasint"` // this write, or an earlier one of this daemon, may have taken effect or still take it
 	// StoreFails means that the store does not answer this daemon either. A daemon of a version
 	// without it sets neither field then.
 	StoreFails bool `cbor:"3,keyasint,omitempty"`
@@ -154,7 +154,7 @@
 func (s *Service) serveForward(ctx context.Context, o offer) (any, error) {
 	id := work.JobID(o.Key)
 	if s.pacer.storeFails() {
-		return forwardReply{StoreFails: true}, nil
+		return forwardReply{StoreFails: true, Uncertain: s.mayBeStored(id)}, nil
 	}
 	sub, err := decodeSubmission(id, o.Value)
 	if err != nil {
@@ -162,7 +162,7 @@
 		return forwardReply{}, nil
 	}
 	if !s.pacer.enter() {
-		return forwardReply{StoreAnswers: true}, nil // no turn to write is free
+		return forwardReply{StoreAnswers: true, Uncertain: s.mayBeStored(id)}, nil // no turn to write is free
 	}
 	defer s.pacer.leave()
 	if s.gate != nil {
@@ -174,11 +174,12 @@
 		return s.create(ctx, sub)
 	})
 	done(err)
-	s.endAttempt(id, err == nil || errors.Is(err, store.ErrUnknownOutcome))
+	unanswered := errors.Is(err, store.ErrUnknownOutcome)
+	byOther := s.endAttempt(id, err == nil || unanswered)
 	if err != nil {
-		fails := errors.Is(err, store.ErrUnavailable) && !errors.Is(err, errLayoutChanged)
-		uncertain := errors.Is(err, store.ErrUnknownOutcome)
-		return forwardReply{Uncertain: uncertain, StoreFails: fails || uncertain, StoreAnswers: !fails && !uncertain}, nil
+		fails := unanswered || errors.Is(err, store.ErrUnavailable) && !errors.Is(err, errLayoutChanged)
+		refused := errors.Is(err, errIDCancelled) || errors.Is(err, errOtherAccount) // by what is stored under the id
+		return forwardReply{Uncertain: unanswered || byOther && !refused, StoreFails: fails, StoreAnswers: !fails}, nil
 	}
 	s.push(store.Entry{Key: dispatch.KeySubmission(id), Value: o.Value})
 	return forwardReply{Accepted: true}, nil
--- a/request/submit/submit.go
+++ b/request/submit/submit.go
@@ -225,7 +225,7 @@
 //
 // A caller repeats a submission that got no answer. If the store fails meanwhile, the repetition
 // writes nothing, but the job may be stored by the first attempt: to answer "not run" would be
-// untrue. Attempts at other daemons are not known here.
+// untrue. Attempts at other daemons are known here only if this attempt was forwarded to them.
 func (s *Service) afterOtherAttempts(id work.JobID, err error) error {
 	var e *verdict.Error
 	notRun := errors.As(err, &e) && e.Verdict == verdict.NotRun
@@ -257,6 +257,13 @@
 	return byOther
 }
 
+// mayBeStored reports whether a job may be stored by an attempt of this daemon.
+func (s *Service) mayBeStored(id work.JobID) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.writing[id] > 0 || s.attempted.has(id)
+}
+
 // write writes the job to the store or, when the store refuses calls of this daemon, through
 // another daemon. After a failed call the other daemons are tried first: they answer within
 // milliseconds, while a read of an unresponsive store takes probeTimeout. written is called once
--- a/request/submit/submit_test.go
+++ b/request/submit/submit_test.go
@@ -364,3 +364,27 @@
 		require.True(t, stored(t, m, dispatch.KeySubmission(id)))
 	})
 }
+
+func TestForwardedRepetitionIsNotCalledNotRun(t *testing.T) {
+	// A caller repeats its submission at a daemon that does not reach the store, and that forwards it to
+	// the daemon whose write of the first one had no answer. That one must say that the job may be stored;
+	// the caller would be told "not run" otherwise.
+	synctest.Test(t, func(t *testing.T) {
+		m := kv.New()
+		s := newService(m)
+		forwarded := func(id work.JobID) forwardReply {
+			sub, err := newSubmission(id, testJob())
+			require.NoError(t, err)
+			r, err := s.serveForward(t.Context(), offer{Key: string(id), Value: sub.full})
+			require.NoError(t, err)
+			return r.(forwardReply)
+		}
+		m.SetFaults(kv.Faults{LoseAnswers: 1})
+		require.True(t, forwarded(id).Uncertain)
+		m.SetFaults(kv.Faults{})
+		require.True(t, stored(t, m, dispatch.KeySubmission(id)))
+		m.SetFaults(kv.Faults{Down: true})
+		require.Equal(t, forwardReply{StoreFails: true, Uncertain: true}, forwarded(id))
+		require.Equal(t, forwardReply{StoreFails: true}, forwarded("00000000000000bb"), "no write of this one was sent")
+	})
+}
