preemption: names and comments of plans for steps that are no gangs

Comments named gangs where steps of all kinds are meant, and beginPreemption for what carryOut does; Takes and soon did not say what they are. Takes is now MayReclaim, soon planAhead. Behavior is unchanged.

--- a/process/dispatch/job.go
+++ b/process/dispatch/job.go
@@ -86,7 +86,8 @@
 	feasible      bool
 	feasibleUntil time.Duration
 
-	// gangReserved: the step has a gang reservation, until gangReservedUntil.
+	// gangReserved: the step has a gang reservation, until gangReservedUntil. A step that is no gang has
+	// one only while it has a plan of preemption.
 	gangReserved      bool
 	gangReservedUntil time.Duration
 
--- a/process/dispatch/preemption.go
+++ b/process/dispatch/preemption.go
@@ -40,7 +40,7 @@
 	maxStopTime = time.Second
 	// stopTimeDecay is the weight of the newest stop in the learned time.
 	stopTimeDecay = 0.1
-	// startMargin is kept between the planned start of a gang and its latest one.
+	// startMargin is kept between the planned start of a step and its latest one.
 	startMargin = 100 * time.Millisecond
 	// renewalNames is how many workers a call for the new tickets of a victim's step names.
 	renewalNames = 30
@@ -74,12 +74,12 @@
 type preemptionState struct {
 	s     *step
 	slots []reservedSlots
-	runs  uint64 // how often the gang had started when the plan was made
+	runs  uint64 // for a gang: how often it had started when the plan was made
 	// claim is what the plan is for; its Count is the number of tasks that have not started by the plan.
 	claim preemption.Claim
 	// stopsAt is when the first victims are to be stopped, nextStops the earliest time for more.
 	stopsAt, nextStops time.Duration
-	// stopsUntil is the latest time for stops after which the gang still ends in time.
+	// stopsUntil is the latest time for stops after which the step still ends in time.
 	stopsUntil time.Duration
 	stopped    int // number of runs stopped so far
 }
@@ -150,7 +150,8 @@
 		return false // the plan would have to keep to racks, or to isolated workers
 	}
 	c := preemption.Claim{Need: s.spec.Need(), Count: s.spec.Count, Priority: s.job.spec.Queue.Priority,
-		Borrows: s.job.overEntitled, Reclaims: e.mayReclaim(s), Now: e.now, Due: s.occurrence.due - e.following(s) - startMargin, Estimate: e.leftToRun(s),
+		Borrows: s.job.overEntitled, Reclaims: e.mayReclaim(s),
+		Now: e.now, Due: s.occurrence.due - e.following(s) - startMargin, Estimate: e.leftToRun(s),
 		Without: e.startWithout(s), With: e.now + e.stopLead()}
 	mayAsk := e.mayAskNow(s)
 	switch {
@@ -331,7 +332,7 @@
 			if s.advice != nil && s.advice.inFlight == 0 {
 				s.advice.toAsk = nil
 			}
-			s.reservedAt = 0 // beginPreemption has released its reservation; it may reserve again at once
+			s.reservedAt = 0 // carryOut has released its reservation; it may reserve again at once
 			s.preemptAt = e.now + preemptionPause
 			if p.stopped > 0 {
 				e.stats.PreemptionWasted++
@@ -373,9 +374,9 @@
 		w := p.slots[x.Worker.ID].w
 		allocs := sortedAllocs(w)
 		for _, r := range x.Victims {
-			takes := c.Takes(&r)
-			e.preemptRun(allocs[r.ID], s, takes)
-			if takes {
+			reclaims := c.MayReclaim(&r)
+			e.preemptRun(allocs[r.ID], s, reclaims)
+			if reclaims {
 				reclaimed++
 			}
 		}
--- a/process/dispatch/preemptiontasks.go
+++ b/process/dispatch/preemptiontasks.go
@@ -22,9 +22,9 @@
 const (
 	// taskExaminePause is between two looks at all workers for the workers to request advice on.
 	taskExaminePause = 100 * time.Millisecond
-	// soon is how long before the latest start of a step a plan is made at the earliest, in addition to
+	// planAhead is how long before the latest start of a step a plan is made at the earliest, in addition to
 	// the time that the plan takes. Earlier, runs that end by themselves usually suffice.
-	soon = time.Second
+	planAhead = time.Second
 	// freedPeriod is between two computations of the capacity that becomes free, and the unit of time
 	// in which it is kept, for freedSlots units ahead.
 	freedPeriod = 100 * time.Millisecond
@@ -57,13 +57,15 @@
 		call = s.callCost(renewalNames)
 	}
 	latest := c.Due - c.Estimate
-	if c.With = e.now + lead; latest < c.With || latest > e.now+call+lead+soon {
+	if c.With = e.now + lead; latest < c.With || latest > e.now+call+lead+planAhead {
 		return
 	}
 	n := len(s.pending) - e.freedFor(s, latest-call, ahead)
 	if c.Count = s.job.account.FitCount(s.charge(), n); n <= 0 || c.Count < n {
 		return
 	}
+	// With tickets, or if none are needed, the plan is made at once. A step without enough of them, or
+	// whose tickets are for workers that cannot be used, asks about workers with victims below.
 	if a == nil || a.usable(e.now+2*lead) {
 		if e.now < e.preempting.ticketsExamineAt {
 			return
@@ -98,7 +100,7 @@
 	case slices.ContainsFunc(s.tasks, func(t task) bool { return len(t.crashes) > 0 }):
 		return c, false
 	}
-	// following keeps its first result, which would be that of a step that has just been submitted.
+	// following would keep its first result, which is that of the time just after the submission.
 	return preemption.Claim{Need: s.spec.Need(), Priority: s.job.spec.Queue.Priority, Now: e.now,
 		Borrows: s.job.overEntitled, Reclaims: reclaims, OnlyReclaims: !policy.UrgentPreemption,
 		Due: s.occurrence.due - e.followingNow(s) - startMargin, Estimate: e.estimate(s)}, true
--- a/process/preemption/preemption.go
+++ b/process/preemption/preemption.go
@@ -119,16 +119,16 @@
 	Loss float64
 }
 
-// Takes reports whether the claim takes back the capacity of a run, whatever the run's priority and
-// objective.
-func (c *Claim) Takes(r *Run) bool { return c.Reclaims && !c.Borrows && r.Borrowed }
+// MayReclaim reports whether the run's capacity is borrowed and may be reclaimed for the claim, whatever
+// the run's priority and objective.
+func (c *Claim) MayReclaim(r *Run) bool { return c.Reclaims && !c.Borrows && r.Borrowed }
 
 // Eligible reports whether the run may be stopped for a claim.
 func (r *Run) Eligible(c *Claim) bool {
 	if c.Borrows || !r.Checkpoints || r.Protected || r.Stopped >= MaxPerTask || r.Age < MinAge || r.Remaining <= AlmostDone {
 		return false
 	}
-	return c.Takes(r) || (!c.OnlyReclaims && r.Priority > c.Priority && r.Slack > Restart+r.Renewal)
+	return c.MayReclaim(r) || (!c.OnlyReclaims && r.Priority > c.Priority && r.Slack > Restart+r.Renewal)
 }
 
 // Loss is the expected loss of stopping a run, in core-seconds. A run that is late in any case has
