--- a/process/dispatch/preemptiontasks_test.go
+++ b/process/dispatch/preemptiontasks_test.go
@@ -214,3 +214,52 @@
 		require.Empty(t, w.gangReservations)
 	}
 }
+
+func TestFollowingStepsAreVisitedOnce(t *testing.T) {
+	// Guards against a round that takes exponential time for a job in which many paths lead from a step
+	// to its last one: this job has 2 to the power of 60.
+	h := newHarness(t, 1, "w-a")
+	j := &work.Job{Queue: work.Queue{Name: "q", Service: "s", Attempts: 2, Slack: 2}, Spec: "x", Epoch: 1}
+	for i := range 122 {
+		step := oneTask()
+		step.Estimate = time.Second
+		if layer := i / 2; layer > 0 {
+			step.After = []int{2*layer - 2, 2*layer - 1}
+		}
+		j.Steps = append(j.Steps, step)
+	}
+	h.accept(testJob, j)
+	first := h.e.jobs[testJob].occurrences[0].steps[0]
+	require.Equal(t, 60*time.Second, h.e.followingNow(first))
+}
+
+func TestWorkOfOtherServicesCausesNoStops(t *testing.T) {
+	// Guards against stops for tasks that find capacity in time by themselves because steps of another
+	// service, which use other workers, lack capacity as well.
+	h, _, _ := fullCell(t, noGang(func(_ *Engine, many, waiting *work.Job) {
+		waiting.Queue.Advice = nil
+		many.Steps[0].Estimate = 2500 * time.Millisecond
+	}))
+	step := oneTask()
+	step.Count, step.Size = 4, work.Resources{CPU: 4000, Memory: 100}
+	h.accept(otherJob, &work.Job{Queue: work.Queue{Name: "q", Service: "elsewhere", Attempts: 2, Slack: 2, Allowance: 10 * time.Second}, Spec: "x", Steps: []work.Step{step}, Epoch: 1})
+	for range 20 {
+		h.step(200 * time.Millisecond)
+		require.Empty(t, sent[SendStop](h))
+	}
+}
+
+func TestTaskThatStartsElsewhereIsNotCountedInThePlan(t *testing.T) {
+	// Guards against a plan for more tasks than wait: it would keep quota from the account's other
+	// steps, and hide what the steps after it lack.
+	h, s, _ := fullCell(t, noGang(func(_ *Engine, _, waiting *work.Job) { waiting.Queue.Advice = nil }))
+	require.Len(t, until[SendStop](h, 4*time.Second), 8)
+	require.Equal(t, 2, s.preemption.left())
+	h.e.WorkerSeen(h.now, runner.Worker{Ref: runner.Ref{ID: "w-c"}, Service: "s", Capacity: work.Resources{CPU: 4000, Memory: 4000}, Labels: []string{"a", "r"}})
+	h.step(50 * time.Millisecond)
+	h.report("w-c", runner.Report{Clock: time.Second})
+	h.step(50 * time.Millisecond)
+	require.Len(t, h.starts(), 1)
+	require.Len(t, s.pending, 1)
+	require.Equal(t, 1, s.preemption.left())
+}
