dispatch: the steps after one without estimates are visited once

Cause: following kept its result only if it was above 0, so that for steps without estimates and without advice each path was followed again. It is called for gangs and for runs that could be stopped, with the usual settings: one submission of 60 layers of two steps could stop the leader.

Change: the result is kept in any case. TestFollowingStepsAreVisitedOnce timed out for estimates of 0 before and passes now.

--- a/process/dispatch/job.go
+++ b/process/dispatch/job.go
@@ -91,8 +91,10 @@
 	gangReserved      bool
 	gangReservedUntil time.Duration
 
-	// follows is the result of following, 0 if it has not been computed.
-	follows time.Duration
+	// follows is the result of following once followsKnown is set. It is 0 as well if the steps after this
+	// one have no estimates.
+	follows      time.Duration
+	followsKnown bool
 	// startsAt is when the step can start by its reservation, 0 if that is not known.
 	startsAt time.Duration
 	// preemption is the step's plan while runs are stopped for it. preemptAt is when a plan is
--- a/process/dispatch/preemption.go
+++ b/process/dispatch/preemption.go
@@ -199,10 +199,9 @@
 // following returns how long the steps after s are likely to take. It is computed once per step: the
 // learned factors of a queue change little over the life of a job.
 func (e *Engine) following(s *step) time.Duration {
-	if len(s.next) == 0 || s.follows > 0 {
-		return s.follows
+	if len(s.next) > 0 && !s.followsKnown {
+		s.follows, s.followsKnown = e.longestAfter(s, e.following), true
 	}
-	s.follows = e.longestAfter(s, e.following)
 	return s.follows
 }
 
--- a/process/dispatch/preemptiontasks_test.go
+++ b/process/dispatch/preemptiontasks_test.go
@@ -217,20 +217,23 @@
 
 func TestFollowingStepsAreVisitedOnce(t *testing.T) {
 	// Guards against a round that takes exponential time for a job in which many paths lead from a step
-	// to its last one: this job has 2 to the power of 60.
-	h := newHarness(t, 1, "w-a")
-	j := &work.Job{Queue: work.Queue{Name: "q", Service: "s", Attempts: 2, Slack: 2}, Spec: "x", Epoch: 1}
-	for i := range 122 {
-		step := oneTask()
-		step.Estimate = time.Second
-		if layer := i / 2; layer > 0 {
-			step.After = []int{2*layer - 2, 2*layer - 1}
+	// to its last one: this job has 2 to the power of 60. Without estimates, the time of what follows is 0.
+	for _, estimate := range []time.Duration{time.Second, 0} {
+		h := newHarness(t, 1, "w-a")
+		j := &work.Job{Queue: work.Queue{Name: "q", Service: "s", Attempts: 2, Slack: 2}, Spec: "x", Epoch: 1}
+		for i := range 122 {
+			step := oneTask()
+			step.Estimate = estimate
+			if layer := i / 2; layer > 0 {
+				step.After = []int{2*layer - 2, 2*layer - 1}
+			}
+			j.Steps = append(j.Steps, step)
 		}
-		j.Steps = append(j.Steps, step)
+		h.accept(testJob, j)
+		first := h.e.jobs[testJob].occurrences[0].steps[0]
+		require.Equal(t, 60*estimate, h.e.followingNow(first))
+		require.Equal(t, 60*estimate, h.e.following(first))
 	}
-	h.accept(testJob, j)
-	first := h.e.jobs[testJob].occurrences[0].steps[0]
-	require.Equal(t, 60*time.Second, h.e.followingNow(first))
 }
 
 func TestWorkOfOtherServicesCausesNoStops(t *testing.T) {
