--- a/request/submit/gate.go
+++ b/request/submit/gate.go
@@ -160,24 +160,18 @@
 			x.Wait.Total().Round(time.Second), x.Wait.Cause())}
 }
 
-// storedBefore reports whether the store has the job, or has had it, by an earlier attempt. The
-// submission is read first, since the write of a job's end removes it and writes its state.
+// storedBefore reports whether the store has the job, or has had it, by an earlier attempt.
 func (s *Service) storedBefore(ctx context.Context, id work.JobID) (bool, error) {
 	if s.o.StoreTimeout.Failing() {
 		return false, store.ErrUnavailable
 	}
 	ctx, cancel := context.WithTimeout(ctx, storedTimeout)
 	defer cancel()
-	keys := []string{dispatch.KeySubmission(id), dispatch.KeyState(id)}
+	keys := jobKeys(id)
 	if s.o.Preconditions != nil {
 		keys = append(keys, s.o.Preconditions(id).OtherShardKeys...)
 	}
-	for _, key := range keys {
-		if _, found, err := s.get(ctx, key); found || err != nil {
-			return found, err
-		}
-	}
-	return false, nil
+	return s.anyStored(ctx, keys...)
 }
 
 // takeDigest records the digest in the answer to a request that was sent at asked; nil for none.
--- a/request/submit/shards.go
+++ b/request/submit/shards.go
@@ -53,15 +53,12 @@
 	// Cancelling a job that is absent marks its id in its shard, so the job must first be looked for in
 	// shard 0.
 	find := func(ctx context.Context) (*Service, error) {
-		// The submission is read first, since the write of a job's end removes it and writes its state.
-		for _, key := range []string{dispatch.KeySubmission(id), dispatch.KeyState(id)} {
-			_, found, err := shard0.get(ctx, key)
-			switch {
-			case err != nil:
-				return nil, err
-			case found:
-				return shard0, nil
-			}
+		inShard0, err := shard0.anyStored(ctx, jobKeys(id)...)
+		switch {
+		case err != nil:
+			return nil, err
+		case inShard0:
+			return shard0, nil
 		}
 		return own, nil
 	}
