dispatch: one condition for preemption, and one for the end of a stopped run

Cause: whether the policy allows preemption stood in two places with the same three switches, and whether a stopped run has ended in the accounts of preemption and of evacuation.

Change: Policy.preempts and victim.ended, which both call.

Run: tests of process/dispatch, vet and staticcheck; no behaviour is meant to change.

--- a/process/dispatch/evacuation.go
+++ b/process/dispatch/evacuation.go
@@ -255,7 +255,7 @@
 func (e *Engine) settleEvacuated() {
 	v := &e.evacuating.victims
 	*v = slices.DeleteFunc(*v, func(v victim) bool {
-		if v.alloc.w.allocs[v.alloc.id()] == v.alloc {
+		if !v.ended() {
 			return false
 		}
 		e.stats.EvacuatedCoreSeconds += e.lostBy(v)
--- a/process/dispatch/preemption.go
+++ b/process/dispatch/preemption.go
@@ -98,6 +98,9 @@
 	reclaimed  bool   // it was beyond the entitlement of its account
 }
 
+// ended reports whether the run is known to have ended.
+func (v *victim) ended() bool { return v.alloc.w.allocs[v.alloc.id()] != v.alloc }
+
 // uses reports whether the plan has slots on a worker.
 func (p *preemptionState) uses(w *worker) bool {
 	return p != nil && slices.ContainsFunc(p.slots, func(x reservedSlots) bool { return x.w == w && x.n > 0 })
@@ -132,13 +135,16 @@
 	return min(p.stopTime+2*p.stopDeviation, maxStopTime)
 }
 
+// preempts reports whether runs may be stopped for waiting steps. Plans need gang reservations, and
+// without an order by due times there is nothing to be in time for.
+func (p *Policy) preempts() bool { return !p.NoPreemption && !p.FirstCome && !p.NoGangReservations }
+
 // considerPreemption makes a plan for a gang that would be late by its reservation, if there is a
 // worthwhile one. It reports whether the gang is to request no other advice now, because it has a
 // plan or is about to be examined for one.
 func (e *Engine) considerPreemption(s *step) bool {
-	policy := &e.o.Policy
 	switch {
-	case policy.NoPreemption || policy.FirstCome || policy.NoGangReservations:
+	case !e.o.Policy.preempts():
 		return false
 	case s.preemption != nil:
 		return true
@@ -426,7 +432,7 @@
 func (e *Engine) settleVictims() {
 	p := &e.preempting
 	p.victims = slices.DeleteFunc(p.victims, func(v victim) bool {
-		if v.alloc.w.allocs[v.alloc.id()] == v.alloc {
+		if !v.ended() {
 			return false
 		}
 		took := min(e.now-v.stopped, maxStopTime)
--- a/process/dispatch/preemptiontasks.go
+++ b/process/dispatch/preemptiontasks.go
@@ -40,7 +40,7 @@
 
 // plansForTasks reports whether steps that are no gangs may have plans of preemption.
 func (p *Policy) plansForTasks() bool {
-	return (p.UrgentPreemption || p.Reclaim) && !p.NoPreemption && !p.FirstCome && !p.NoGangReservations
+	return (p.UrgentPreemption || p.Reclaim) && p.preempts()
 }
 
 // considerTaskPlan makes a plan for a step that is no gang if it can be in time only by stops, or
