dispatch: waiting jobs, logs and metrics name the workers that get no work, and why

Callers of review/3 see accepted jobs that stay queued beside idle workers, and nothing that the daemons say tells why: 'fennelctl why' shows 'room', the log has the quarantine but not its end, and no metric counts workers on probation. So a worker that is full, one on probation and one that is isolated could not be told apart from outside.

What keeps a worker from a step is now a value (exclusion) that the decision itself uses, so that the explanation cannot differ from it. 'why' lists the workers that fit a waiting step and are excluded, by reason, since when, and when that ends by time; the log has a line for steps of which nothing runs and for which every worker that fits is excluded (five a second at the most, once in 5 s for a step), and one for the end of a probation; the metrics have workers_quarantined and workers_on_probation as of now.

No decision changes.

--- a/command/why/why.go
+++ b/command/why/why.go
@@ -85,6 +85,10 @@
 		fmt.Fprintf(w, "%d\t%d\t%d\t%d\t%d\t%s\t%.1f s\n", s.Occurrence, s.Step, s.Tasks, s.Done, s.Running, orDash(s.WaitsFor), seconds(s.OpenMS))
 	}
 	for _, s := range x.Steps {
+		for _, group := range s.Excluded {
+			fmt.Fprintf(w, "EXCLUDED\t%d of %d workers that fit step %d.%d: %s%s%s\n", group.Workers, s.Fit, s.Occurrence, s.Step, group.Why,
+				duration(" for %.1f s", group.SinceMS), duration(", the first ends in %.1f s", group.EndsMS))
+		}
 		for _, t := range s.Suspects {
 			fmt.Fprintf(w, "SUSPECT\t%s.%d.%d.%d\n", x.Job, s.Occurrence, s.Step, t.Index)
 			for _, c := range t.Crashes {
@@ -102,6 +106,14 @@
 	return ""
 }
 
+// duration formats milliseconds as seconds; "" for none.
+func duration(format string, ms int64) string {
+	if ms == 0 {
+		return ""
+	}
+	return fmt.Sprintf(format, seconds(ms))
+}
+
 func seconds(ms int64) float64 { return float64(ms) / 1000 }
 
 func orDash(s string) string {
--- a/process/cellnode/metrics.go
+++ b/process/cellnode/metrics.go
@@ -27,7 +27,7 @@
 		{"lost_with_worker", s.LostWithWorker}, {"ends_missed", s.CompletionsMissed}, {"suspected", s.Suspected},
 		{"trials", s.Trials}, {"given_up", s.GivenUp}, {"adopted", s.Adopted}, {"orphans", s.UntrackedRuns},
 		{"commits", s.Commits}, {"bundles", s.Batches}, {"advised", s.Advised}, {"holds", s.GangReservations},
-		{"aside", s.Quarantined}, {"moved", s.Moved}, {"over_quota", s.OverQuota},
+		{"aside", s.Quarantined}, {"workers_quarantined", s.WorkersQuarantined}, {"workers_on_probation", s.WorkersOnProbation}, {"moved", s.Moved}, {"over_quota", s.OverQuota},
 		{"preempted", s.Preempted}, {"preemptions", s.Preemptions}, {"preemption_wasted", s.PreemptionWasted},
 		{"preempted_core_seconds", uint64(s.PreemptedCoreSeconds)},
 		{"reclaimed", s.Reclaimed}, {"reclaimed_core_seconds", uint64(s.ReclaimedCoreSeconds)},
--- a/process/dispatch/completions.go
+++ b/process/dispatch/completions.go
@@ -115,7 +115,7 @@
 func (e *Engine) taskDone(w *worker, s *step, completion *runner.Completion, alloc *allocation) {
 	j := s.job
 	if alloc != nil {
-		w.noteSuccess()
+		e.runProves(alloc, "a run is done")
 		e.learnRunTime(alloc)
 	}
 	if s.tasks[completion.Task.Index].done || !j.active() {
--- a/process/dispatch/engine.go
+++ b/process/dispatch/engine.go
@@ -98,6 +98,7 @@
 	// quickTaken and secondTaken are how many quick calls have been requested in this round through
 	// idle proxies and behind other calls.
 	quickTaken, secondTaken int
+	exclusionsAt            time.Duration // when logExcluded looks again
 	preempting              preempting
 	evacuating              evacuating
 
@@ -164,6 +165,8 @@
 	// those that were far off, SpeedChanged changes of the speed of a worker, and SpeedRecovered
 	// workers that count in the pools of their labels again after such a change.
 	SpeedSamples, SpeedClipped, SpeedChanged, SpeedRecovered uint64
+	// WorkersQuarantined and WorkersOnProbation are how many workers are so now.
+	WorkersQuarantined, WorkersOnProbation uint64
 	// SlowWorkers counts how often a worker was found to be slow.
 	SlowWorkers uint64
 	// Stragglers counts runs that took much longer than expected, StragglerMoves those that
@@ -202,6 +205,7 @@
 func (e *Engine) Stats() Stats {
 	st, learned := e.stats, e.speed.Stats()
 	st.UnregisteredProxies = uint64(e.unregisteredProxies())
+	st.WorkersQuarantined, st.WorkersOnProbation = e.countExcluded()
 	st.SpeedSamples, st.SpeedClipped, st.SpeedChanged, st.SpeedRecovered = learned.Samples, learned.Clipped, learned.Changed, learned.Recovered
 	return st
 }
@@ -421,6 +425,7 @@
 	e.expireGangReservations()
 	e.stopPartialGangs()
 	e.expireLateStarts()
+	e.logExcluded()
 	e.pruneJobs()
 	e.scheduled = false
 }
--- a/process/dispatch/explain.go
+++ b/process/dispatch/explain.go
@@ -37,6 +37,10 @@
 	OpenMS int64 `cbor:"7,keyasint,omitempty" json:"open_ms,omitempty"`
 	// Suspects are tasks under which workers have crashed.
 	Suspects []SuspectTask `cbor:"8,keyasint,omitempty" json:"suspects,omitempty"`
+	// Excluded are the workers that fit the step and get none of its waiting tasks now, whatever
+	// capacity they have, by reason; Fit is how many fit it in all.
+	Excluded []ExcludedWorkers `cbor:"9,keyasint,omitempty" json:"excluded,omitempty"`
+	Fit      int               `cbor:"10,keyasint,omitempty" json:"fit,omitempty"`
 }
 
 // SuspectTask is a task with its crash records.
@@ -95,6 +99,12 @@
 	if s.opened {
 		x.OpenMS = (e.now - s.openedAt).Milliseconds()
 	}
+	if s.opened && len(s.pending) > 0 {
+		x.Excluded, x.Fit = e.excludedFrom(s)
+		for _, group := range x.Excluded {
+			x.Fit += group.Workers
+		}
+	}
 	for i := range s.tasks {
 		if c := s.tasks[i].crashes; len(c) > 0 {
 			x.Suspects = append(x.Suspects, SuspectTask{Index: i, Crashes: c})
--- a/process/dispatch/health.go
+++ b/process/dispatch/health.go
@@ -37,6 +37,7 @@
 	quarantinedUntil time.Duration
 	quarantine       time.Duration
 	probation        bool // was quarantined; gets one run at a time until one is done
+	probationSince   time.Duration
 }
 
 // noteFailure records a failed run, and reports whether the worker is quarantined.
@@ -50,7 +51,9 @@
 	}
 	h.quarantine = min(max(2*h.quarantine, quarantineMin), quarantineMax)
 	h.quarantinedUntil = now + h.quarantine
-	h.probation = true
+	if !h.probation {
+		h.probation, h.probationSince = true, now
+	}
 	h.failJobs = nil
 	return true
 }
@@ -65,6 +68,15 @@
 	}
 }
 
+// runProves counts a run as a success of its worker.
+func (e *Engine) runProves(alloc *allocation, why string) {
+	w := alloc.w
+	if w.probation {
+		e.decide(Decision{What: "worker's probation ends", Task: alloc.id(), Run: alloc.run, Worker: w.ID, Why: why, Age: e.now - w.probationSince})
+	}
+	w.noteSuccess()
+}
+
 // weak is 1 for a worker that is slow or under suspicion, else 0.
 func (w *worker) weak() int {
 	if w.slow || w.suspicion > suspicionDone {
--- a/process/dispatch/job.go
+++ b/process/dispatch/job.go
@@ -106,6 +106,8 @@
 
 	evacuated bool    // a run of it was stopped because its worker leaves
 	isolates  *worker // isolated for a suspect task of the step
+	// exclusionAt is when it was last logged that the step waits for excluded workers.
+	exclusionAt time.Duration
 	// isolationWait is until when a gang with a suspect task waits for workers without recent
 	// starts.
 	isolationWait time.Duration
--- a/process/dispatch/longrunning.go
+++ b/process/dispatch/longrunning.go
@@ -21,9 +21,9 @@
 
 // noteServing counts a long-running task that starts to serve as a success of its worker: such
 // tasks never end as done, which is what counts for other work.
-func (alloc *allocation) noteServing(before float64) {
+func (e *Engine) noteServing(alloc *allocation, before float64) {
 	if alloc.serves() && before < servingPercent {
-		alloc.w.noteSuccess()
+		e.runProves(alloc, "a long-running task serves")
 	}
 }
 
--- a/process/dispatch/placement.go
+++ b/process/dispatch/placement.go
@@ -199,16 +199,28 @@
 
 // eligible reports whether a step may run on a worker, apart from capacity and advice.
 func (e *Engine) eligible(s *step, w *worker) bool {
-	if s.spec.Gang && w.probation {
-		return false // one member that fails there stops the whole gang
-	}
-	if s.spec.BestEffort && w.hostsTarget() {
-		return false
-	}
-	if w.isolated.excludes(s, e.now) {
-		return false
+	return e.exclusionOf(s, w) == notExcluded && e.suits(s, w)
+}
+
+// suits reports whether a worker is of the step's service and has its labels.
+func (e *Engine) suits(s *step, w *worker) bool {
+	return w.Service == s.job.spec.Queue.Service && w.has(s.spec.Labels)
+}
+
+// exclusionOf returns why a worker gets no tasks of a step now.
+func (e *Engine) exclusionOf(s *step, w *worker) exclusion {
+	if x := w.exclusion(e.now); x != notExcluded {
+		return x
 	}
-	return w.usable(e.now) && w.Service == s.job.spec.Queue.Service && w.has(s.spec.Labels)
+	switch {
+	case s.spec.Gang && w.probation:
+		return excludedProbation // one member that fails there stops the whole gang
+	case s.spec.BestEffort && w.hostsTarget():
+		return excludedTarget
+	case w.isolated.excludes(s, e.now):
+		return excludedIsolated
+	}
+	return notExcluded
 }
 
 // perWorker bounds how many of n tasks may go to one worker.
--- a/process/dispatch/reports.go
+++ b/process/dispatch/reports.go
@@ -148,7 +148,7 @@
 	if r.Percent > alloc.percent {
 		before := alloc.percent
 		alloc.percent, alloc.percentAt = r.Percent, e.now
-		alloc.noteServing(before)
+		e.noteServing(alloc, before)
 		e.learnProgress(alloc)
 	}
 }
--- a/process/dispatch/worker.go
+++ b/process/dispatch/worker.go
@@ -120,16 +120,27 @@
 func (w *worker) overbooked() bool { return !work.Resources{}.Fits(w.free()) }
 
 // usable reports whether new runs may be started on the worker.
-func (w *worker) usable(now time.Duration) bool {
+func (w *worker) usable(now time.Duration) bool { return w.exclusion(now) == notExcluded }
+
+// exclusion returns why no new run may be started on the worker.
+func (w *worker) exclusion(now time.Duration) exclusion {
 	switch {
-	case w.removed || !w.listed || !w.recorded || !w.fenced || w.Draining || w.cordoned:
-		return false
-	case w.misses > 0 || now < w.quarantinedUntil:
-		return false
-	case len(w.untracked) > 0, w.probation && len(w.allocs) > 0:
-		return false
+	case w.removed || w.Draining:
+		return excludedLeaving
+	case w.cordoned:
+		return excludedCordoned
+	case w.misses > 0:
+		return excludedSilent
+	case !w.listed || !w.recorded || !w.fenced:
+		return excludedUnknown
+	case now < w.quarantinedUntil:
+		return excludedQuarantine
+	case len(w.untracked) > 0:
+		return excludedUntracked
+	case w.probation && len(w.allocs) > 0:
+		return excludedProbe
 	}
-	return true
+	return notExcluded
 }
 
 // has reports whether the worker has every label.
