dispatch: gangs may go to workers on probation that nothing else can prove

Cause: after a quarantine a worker is on probation until a run is done there, and gangs were kept from workers on probation. Where only gangs fit a worker, the way out of the state needed what the state forbids, until another daemon led.

Whichever run is done there first ends the probation. It works since both bounds are times, so that no kind of work is needed but the one that waits.

--- a/process/dispatch/exclusion.go
+++ b/process/dispatch/exclusion.go
@@ -20,7 +20,7 @@
 	excludedQuarantine           // runs failed there, or it has refused a start
 	excludedUntracked            // runs that are being stopped use capacity that is not booked
 	excludedProbe                // it is on probation, and a run that may end this has not ended
-	excludedProbation            // it is on probation, and the step is a gang
+	excludedProbation            // it is on probation, other work is to end that first, and the step is a gang
 	excludedTarget               // a task with a response time target runs there, and the step is best effort
 	excludedIsolated             // it is isolated for a suspect task of another step
 	exclusions
@@ -70,7 +70,7 @@
 			others++
 			continue
 		}
-		since, until := w.excludedBetween(x)
+		since, until := w.excludedBetween(x, s)
 		by[x].add(e.now, since, until)
 	}
 	for x, group := range by {
@@ -82,15 +82,17 @@
 	return all, others
 }
 
-// excludedBetween returns since when a worker has been excluded and until when; 0 for what is
+// excludedBetween returns since when a worker has been excluded from a step and until when; 0 for what is
 // not known, or has no end by time.
-func (w *worker) excludedBetween(x exclusion) (since, until time.Duration) {
+func (w *worker) excludedBetween(x exclusion, s *step) (since, until time.Duration) {
 	switch x {
 	case excludedSilent:
 		return w.answered, 0
 	case excludedQuarantine:
 		return w.probationSince, w.quarantinedUntil
-	case excludedProbe, excludedProbation:
+	case excludedProbation:
+		return w.probationSince, s.gangsFrom(w)
+	case excludedProbe:
 		return w.probationSince, 0
 	case excludedIsolated:
 		return 0, w.isolated.until
--- a/process/dispatch/gang.go
+++ b/process/dispatch/gang.go
@@ -285,13 +285,18 @@
 		return s.feasible
 	}
 	s.feasibleUntil = e.now + feasiblePeriod
-	slots := 0
+	slots, sound := 0, 0
 	for _, w := range e.workerList {
-		if !w.removed && w.listed && w.Service == s.job.spec.Queue.Service && w.has(s.spec.Labels) && w.goodFor(s) {
-			slots += s.spec.Need().Times(w.Capacity, s.perWorker(s.spec.Count))
+		if w.removed || !w.listed || !e.suits(s, w) || !w.goodFor(s) {
+			continue
+		}
+		n := s.spec.Need().Times(w.Capacity, s.perWorker(s.spec.Count))
+		slots += n
+		if !w.probation && !w.out(e.now) {
+			sound += n
 		}
 	}
-	s.feasible = slots >= s.spec.Count
+	s.feasible, s.feasibleSound = slots >= s.spec.Count, sound >= s.spec.Count
 	return s.feasible
 }
 
--- a/process/dispatch/health.go
+++ b/process/dispatch/health.go
@@ -20,6 +20,12 @@
 	quarantineFailures = 2
 	quarantineMin      = 2 * time.Second
 	quarantineMax      = 12 * time.Second
+	// gangProbation is for how long after a quarantine a gang leaves the worker to other work
+	// although it cannot run without such workers: longer than a call for advice, so that work
+	// that waits gets there first.
+	gangProbation = time.Second
+	// gangProbationMax is the same for a gang that the other workers could run.
+	gangProbationMax = quarantineMax
 	// suspicionFail is added for a failed run, suspicionDone is subtracted for one that is
 	// done, and at suspicionLimit the worker is quarantined. The first two are the logarithms
 	// of how much likelier a failed run, or one that is done, is on a worker that fails two
@@ -68,6 +74,18 @@
 	}
 }
 
+// gangsFrom returns when a gang may start on a worker on probation, unless other work ends the
+// probation before that.
+//
+// One member that fails stops a whole gang, so that gangs leave such workers to other work. But
+// where nothing else fits the worker, only a gang can end its probation.
+func (s *step) gangsFrom(w *worker) time.Duration {
+	if s.feasibleSound {
+		return w.quarantinedUntil + gangProbationMax
+	}
+	return w.quarantinedUntil + gangProbation
+}
+
 // runProves counts a run as a success of its worker.
 func (e *Engine) runProves(alloc *allocation, why string) {
 	w := alloc.w
--- a/process/dispatch/job.go
+++ b/process/dispatch/job.go
@@ -84,6 +84,7 @@
 	// feasible tells whether the workers, if they were empty, could run the gang; it is
 	// computed again after feasibleUntil.
 	feasible      bool
+	feasibleSound bool // the same without workers on probation and those that cannot be used
 	feasibleUntil time.Duration
 
 	// gangReserved: the step has a gang reservation, until gangReservedUntil. A step that is no gang has
--- a/process/dispatch/placement.go
+++ b/process/dispatch/placement.go
@@ -213,8 +213,8 @@
 		return x
 	}
 	switch {
-	case s.spec.Gang && w.probation:
-		return excludedProbation // one member that fails there stops the whole gang
+	case s.spec.Gang && w.probation && e.now < s.gangsFrom(w):
+		return excludedProbation
 	case s.spec.BestEffort && w.hostsTarget():
 		return excludedTarget
 	case w.isolated.excludes(s, e.now):
--- a/process/dispatch/worker.go
+++ b/process/dispatch/worker.go
@@ -143,6 +143,15 @@
 	return notExcluded
 }
 
+// out reports whether the worker gets no new runs for longer than a moment, whatever its health.
+func (w *worker) out(now time.Duration) bool {
+	switch w.exclusion(now) {
+	case excludedUnknown, excludedLeaving, excludedCordoned, excludedSilent:
+		return true
+	}
+	return false
+}
+
 // has reports whether the worker has every label.
 func (w *worker) has(labels []string) bool {
 	for _, l := range labels {
