dispatch: runs from before a quarantine do not keep a worker on probation

Cause: a worker on probation gets one run at a time, and any run there counted as that one, also a long-running task, or a batch task of an hour, from before the quarantine.

Change: only a run that was started after the quarantine began counts, as only its end tells whether the worker still fails what it starts. The limit on new work stays: one new run at a time.

--- a/process/dispatch/health.go
+++ b/process/dispatch/health.go
@@ -38,11 +38,12 @@
 
 // health is the state of a worker as judged by its runs.
 type health struct {
-	failJobs         []work.JobID // jobs whose runs failed here since the last run that was done
-	suspicion        float64      // rises with failed runs, falls with runs that are done
+	failJobs         []work.JobID  // jobs whose runs failed here since the last run that was done
+	suspicion        float64       // rises with failed runs, falls with runs that are done
+	quarantinedAt    time.Duration // when runs last had it quarantined
 	quarantinedUntil time.Duration
 	quarantine       time.Duration
-	probation        bool // was quarantined; gets one run at a time until one is done
+	probation        bool // was quarantined; gets one new run at a time until one is done
 	probationSince   time.Duration
 }
 
@@ -56,7 +57,7 @@
 		return false
 	}
 	h.quarantine = min(max(2*h.quarantine, quarantineMin), quarantineMax)
-	h.quarantinedUntil = now + h.quarantine
+	h.quarantinedAt, h.quarantinedUntil = now, now+h.quarantine
 	if !h.probation {
 		h.probation, h.probationSince = true, now
 	}
--- a/process/dispatch/probation_test.go
+++ b/process/dispatch/probation_test.go
@@ -54,23 +54,49 @@
 	} {
 		for _, advised := range []bool{false, true} {
 			t.Run(fmt.Sprint(name, ", advised ", advised), func(t *testing.T) {
-				synctest.Test(t, func(t *testing.T) { serveAgain(t, step, advised) })
+				synctest.Test(t, func(t *testing.T) { serveAgain(t, step, nil, advised) })
+			})
+		}
+	}
+}
+
+// TestWorkersThatFailedEverythingServeAgainBesideTasksThatLast guards against work that is never
+// started again on workers that have failed all runs for a while, because a task that has run
+// there since before that does not end.
+func TestWorkersThatFailedEverythingServeAgainBesideTasksThatLast(t *testing.T) {
+	lasts := work.Step{Count: 8, MaxPerWorker: 2, Size: work.Resources{CPU: 1000, Memory: 500}, Estimate: time.Hour}
+	serves := lasts
+	serves.LongRunning = true
+	task := work.Step{Count: 2, Size: work.Resources{CPU: 9000, Memory: 4600}, Estimate: 800 * time.Millisecond}
+	gang := task
+	gang.Gang = true
+	for name, beside := range map[string]work.Step{"long-running": serves, "batch task of an hour": lasts} {
+		for kind, step := range map[string]work.Step{"plain": task, "gang": gang} {
+			t.Run(kind+" beside "+name, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) { serveAgain(t, step, &beside, false) })
 			})
 		}
 	}
 }
 
 // serveAgain submits jobs of one step at a time, while the workers fail everything for 6.5 s and
-// after that.
-func serveAgain(t *testing.T, step work.Step, advised bool) {
+// after that, beside a job that has begun before.
+func serveAgain(t *testing.T, step work.Step, beside *work.Step, advised bool) {
 	begun := time.Now()
 	const failFrom, failUntil = 4 * time.Second, 10500 * time.Millisecond
 	c := failingCell(t, 4, func() bool { return time.Since(begun) >= failFrom && time.Since(begun) < failUntil })
 	c.advice.share = 1
 	time.Sleep(2 * time.Second)
+	queue := work.Queue{Name: "q", Service: "s", Attempts: 4, Slack: 2, Allowance: time.Second}
+	if beside != nil {
+		c.submit(&work.Job{Queue: queue, Spec: "x", Steps: []work.Step{*beside}})
+		time.Sleep(time.Second)
+		require.Equal(t, beside.Count, c.fleet.Running())
+	}
+	earlier := len(c.order)
 	var sound []work.JobID
 	for time.Since(begun) < 22*time.Second {
-		j := &work.Job{Queue: work.Queue{Name: "q", Service: "s", Attempts: 4, Slack: 2, Allowance: time.Second}, Spec: "x", Steps: []work.Step{step}}
+		j := &work.Job{Queue: queue, Spec: "x", Steps: []work.Step{step}}
 		if advised {
 			j.Queue.Advice = &work.Advice{Base: 5 * time.Millisecond, PerWorker: 200 * time.Microsecond, Valid: 2 * time.Second}
 		}
@@ -81,7 +107,7 @@
 	}
 	time.Sleep(14 * time.Second)
 	c.stop()
-	for _, id := range c.order {
+	for _, id := range c.order[earlier:] {
 		require.True(t, c.state(id).Final(), "%s is %s", id, c.state(id))
 	}
 	require.NotEmpty(t, sound)
--- a/process/dispatch/worker.go
+++ b/process/dispatch/worker.go
@@ -137,7 +137,7 @@
 		return excludedQuarantine
 	case len(w.untracked) > 0:
 		return excludedUntracked
-	case w.probation && len(w.allocs) > 0:
+	case w.probation && w.probes():
 		return excludedProbe
 	}
 	return notExcluded
@@ -152,6 +152,17 @@
 	return false
 }
 
+// probes reports whether a run is there that has been started since the last quarantine, so that
+// how it ends tells whether the worker still fails its runs.
+func (w *worker) probes() bool {
+	for _, alloc := range w.allocs {
+		if alloc.sent > w.quarantinedAt {
+			return true
+		}
+	}
+	return false
+}
+
 // has reports whether the worker has every label.
 func (w *worker) has(labels []string) bool {
 	for _, l := range labels {
