partition: the end of a quarantine is told to those who follow the state

What operators of fennelshuntd see: a worker that was quarantined and is idle is never used again.

Cause: planners follow a partition by its changes, and a quarantine that ends by time was no change. On an idle worker nothing else changes either.

Change: a tick marks a worker as changed if the reason against new tasks differs from that of the tick before, which holds for every reason that ends by time.

--- /dev/null
+++ b/process/partition/health_test.go
@@ -0,0 +1,50 @@
+package partition
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"fennelshunt.example/fennelshunt/process/plan"
+	"fennelshunt.example/fennelshunt/version/spec"
+)
+
+// quarantine has worker 0 fail tasks of as many jobs as it takes to be quarantined.
+func (c *cell) quarantine(d *daemon) {
+	c.t.Helper()
+	c.rack.SetFailAll(workerID(0), true)
+	for i := range quarantineAfterJobs {
+		s := step(100+i, workerID(0))
+		s.Start.Task.Job, s.Start.RunTime = fmt.Sprint("failing-", i), spec.Duration(time.Second)
+		require.Equal(c.t, plan.Accepted, c.author.commit(d, s)[0].Outcome)
+		time.Sleep(4 * time.Second)
+	}
+	require.Contains(c.t, c.workerState(d, workerID(0)).Unusable, "set aside")
+	c.rack.SetFailAll(workerID(0), false)
+}
+
+// TestEndOfAQuarantineIsTold guards against a worker that is never used again because those who
+// follow the state by its changes are not told that its quarantine is over.
+func TestEndOfAQuarantineIsTold(t *testing.T) {
+	inBubble(t, 1, 2, large, func(c *cell) {
+		d := c.ready()
+		c.quarantine(d)
+		time.Sleep(time.Second)
+		known := c.state(d)
+		require.Contains(t, known.Workers[0].Unusable, "set aside")
+		told := false
+		for began := time.Now(); !told && time.Since(began) < minQuarantine+5*time.Second; time.Sleep(time.Second) {
+			var s plan.State
+			if err := c.author.call(d, plan.MethodState, plan.StateRequest{Partition: testPartition, Epoch: known.Epoch, Since: known.Seq}, &s); err != nil {
+				continue // nothing changed while the call waited
+			}
+			for _, w := range s.Workers {
+				told = told || w.Unusable == ""
+			}
+			known.Seq = max(known.Seq, s.Seq)
+		}
+		require.True(t, told)
+	})
+}
--- a/process/partition/model.go
+++ b/process/partition/model.go
@@ -126,6 +126,7 @@
 	overshoot overshoot
 
 	changed uint64 // position of the last change, for State
+	told    string // reason against new tasks as of the last tick
 	added   uint64 // position at which the worker was added
 	ended   endedTasks
 }
--- a/process/partition/owner.go
+++ b/process/partition/owner.go
@@ -178,6 +178,10 @@
 		o.handleDeadlines(n, now)
 		o.accountUnfenced(n, now)
 		o.removeUnlisted(n, now)
+		if reason := n.unusable(); reason != n.told {
+			n.told = reason
+			o.markChanged(n) // a quarantine ends by time, without any other change
+		}
 		o.markDirty(n)
 	}
 	o.updateMemo(now)
