partition: tasks from before a quarantine are no probes

Change: only tasks accepted since the quarantine began count. Adopted tasks do not: they were started by an earlier owner, whose quarantines this one does not know.

Evidence: TestTasksFromBeforeAQuarantineAreNoProbes fails without the change ('a probe task runs') and passes with it.

--- a/process/partition/commit.go
+++ b/process/partition/commit.go
@@ -111,6 +111,7 @@
 		team:          step.Team,
 		nonIdempotent: step.NonIdempotent,
 		shard:         shard,
+		accepted:      time.Now(),
 	}
 	t.enter(queued)
 	return t
--- a/process/partition/health.go
+++ b/process/partition/health.go
@@ -28,12 +28,13 @@
 type health struct {
 	failures    map[string]time.Time // job -> last failure since the last success
 	quarantined bool
+	since       time.Time // begin of the quarantine
 	until       time.Time // end of the quarantine; then probation, one probe task at a time
 	duration    time.Duration
 }
 
 // reason returns why the worker accepts no new tasks, or "". After its
-// quarantine a worker is on probation: it runs one task at a time until one
+// quarantine a worker is on probation: it gets one new task at a time until one
 // succeeds.
 func (h *health) reason(n *node) string {
 	if !h.quarantined {
@@ -42,7 +43,7 @@
 	if time.Now().Before(h.until) {
 		return fmt.Sprintf("set aside: tasks of %d different jobs failed in a row", quarantineAfterJobs)
 	}
-	if n.liveTasks() > 0 {
+	if n.probe() != nil {
 		return "set aside: a probe task runs"
 	}
 	return ""
@@ -119,7 +120,7 @@
 
 func (o *owner) quarantine(n *node, now time.Time) {
 	h := &n.health
-	h.quarantined = true
+	h.quarantined, h.since = true, now
 	h.duration = min(max(2*h.duration, minQuarantine), maxQuarantine)
 	h.until = now.Add(h.duration)
 	clear(h.failures)
--- a/process/partition/health_test.go
+++ b/process/partition/health_test.go
@@ -48,3 +48,20 @@
 		require.True(t, told)
 	})
 }
+
+// TestTasksFromBeforeAQuarantineAreNoProbes guards against a worker that is never used again
+// because a service that it has run since before its quarantine counts as the one probe.
+func TestTasksFromBeforeAQuarantineAreNoProbes(t *testing.T) {
+	inBubble(t, 1, 2, large, func(c *cell) {
+		d := c.ready()
+		c.author.mustStart(d, service(1, workerID(0)))
+		c.quarantine(d)
+		time.Sleep(minQuarantine)
+		first, second := step(20, workerID(0)), step(21, workerID(0))
+		first.Start.RunTime = spec.Duration(time.Second)
+		require.Equal(t, plan.Accepted, c.author.commit(d, first)[0].Outcome)
+		require.Equal(t, plan.NoWorker, c.author.commit(d, second)[0].Outcome, "one probe at a time")
+		time.Sleep(4 * time.Second)
+		c.author.mustStart(d, second)
+	})
+}
--- a/process/partition/model.go
+++ b/process/partition/model.go
@@ -47,6 +47,7 @@
 
 	phase      phase
 	phaseSince time.Time // when phase was entered
+	accepted   time.Time // zero: started by an earlier owner
 	started    time.Time
 	report     worker.Task // last report of the worker
 	victims    map[worker.Ref]bool
@@ -173,13 +174,13 @@
 	return n.health.reason(n)
 }
 
-// liveTasks counts the tasks that may run now or later.
-func (n *node) liveTasks() int {
-	count := 0
+// probe returns a task that may run now or later and was accepted since the quarantine began, so
+// that its end tells whether the worker still fails its tasks; nil if there is none.
+func (n *node) probe() *task {
 	for _, t := range n.tasks {
-		if t.live() {
-			count++
+		if t.live() && t.accepted.After(n.health.since) {
+			return t
 		}
 	}
-	return count
+	return nil
 }
