partition: a probe that runs for 30 s counts as a success

Cause: only the end of a probe counted. A service does not succeed, and a long batch task only at its end, so that probation needed what these kinds of work do not have.

Change: each tick looks at the probes; one that has run for as long as the shortest quarantine counts as a success.

Evidence: TestTasksThatLastProveTheirWorker (service, batch task of an hour) fails without the change ('a probe task runs') and passes with it.

--- a/process/partition/health.go
+++ b/process/partition/health.go
@@ -18,7 +18,10 @@
 	// its failures no longer count as evidence against a worker.
 	jobFailsEverywhere = 3
 	minQuarantine      = 30 * time.Second
-	maxQuarantine      = 10 * time.Minute
+	// provenAfter is how long a probe runs until it counts as a success: services never
+	// succeed, and some batch tasks only after hours.
+	provenAfter   = minQuarantine
+	maxQuarantine = 10 * time.Minute
 	// maxQuarantinedShare bounds the share of a partition's workers that are
 	// quarantined: a misleading signal must not empty the partition.
 	maxQuarantinedShare = 0.5
@@ -35,7 +38,7 @@
 
 // reason returns why the worker accepts no new tasks, or "". After its
 // quarantine a worker is on probation: it gets one new task at a time until one
-// succeeds.
+// succeeds, or has run for provenAfter.
 func (h *health) reason(n *node) string {
 	if !h.quarantined {
 		return ""
@@ -129,6 +132,17 @@
 	o.markChanged(n)
 }
 
+// checkProbe ends the probation of a worker whose probe has run for long enough.
+func (o *owner) checkProbe(n *node, now time.Time) {
+	if !n.health.quarantined {
+		return
+	}
+	if t := n.probe(); t != nil && t.phase == running && now.Sub(t.started) >= provenAfter {
+		o.log.Info().Str("worker", string(n.id)).Stringer("task", t.ref.Task).Msg("probation ends: a task runs well")
+		o.recordSuccess(n)
+	}
+}
+
 func (o *owner) recordSuccess(n *node) {
 	clear(n.health.failures)
 	if n.health.quarantined {
--- a/process/partition/health_test.go
+++ b/process/partition/health_test.go
@@ -65,3 +65,21 @@
 		c.author.mustStart(d, second)
 	})
 }
+
+// TestTasksThatLastProveTheirWorker guards against a worker that runs one task for good because
+// it is a service, or a batch task of hours, which do not succeed soon enough to end a probation.
+func TestTasksThatLastProveTheirWorker(t *testing.T) {
+	for name, probe := range map[string]plan.Step{"service": service(20, workerID(0)), "long batch task": step(20, workerID(0))} {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, 1, 2, large, func(c *cell) {
+				d := c.ready()
+				c.quarantine(d)
+				time.Sleep(minQuarantine)
+				c.author.mustStart(d, probe)
+				require.Equal(t, plan.NoWorker, c.author.commit(d, step(21, workerID(0)))[0].Outcome, "one probe at a time")
+				time.Sleep(minQuarantine + time.Second)
+				c.author.mustStart(d, step(21, workerID(0)), step(22, workerID(0)))
+			})
+		})
+	}
+}
--- a/process/partition/owner.go
+++ b/process/partition/owner.go
@@ -178,6 +178,7 @@
 		o.handleDeadlines(n, now)
 		o.accountUnfenced(n, now)
 		o.removeUnlisted(n, now)
+		o.checkProbe(n, now)
 		if reason := n.unusable(); reason != n.told {
 			n.told = reason
 			o.markChanged(n) // a quarantine ends by time, without any other change
