partition: the tasks of a gang are one probe

What operators of fennelshuntd see: a gang with two tasks on a worker that was quarantined never runs, if it fits no other worker.

Cause: the start of each task of a reserved gang checks the worker again, and the gang's first task then counts as the one probe of a worker on probation, so that the second one is refused.

Change: while a gang holds a reservation for a task on the worker, its other tasks do not count as a probe for that task. Other work is refused as before.

Evidence: TestGangIsOneProbe fails without the change ('set aside: a probe task runs') and passes with it; go test ./process/partition ./process/jobs passed.

--- a/process/partition/commit.go
+++ b/process/partition/commit.go
@@ -23,6 +23,12 @@
 	maxReservationTTL     = time.Minute
 )
 
+// holds reports whether the reservation is for this step on this worker.
+func (r *reservation) holds(step *plan.Step) bool {
+	held, ok := r.steps[step.Start.Task]
+	return ok && held.Worker == step.Worker
+}
+
 // key returns the name under which the ledger records one reserved step.
 func (r *reservation) key(id string, task spec.TaskID) string {
 	return "reserved/" + id + "/" + task.String()
@@ -81,9 +87,14 @@
 	if o.isDuplicate(t.ref) {
 		return reject(plan.Duplicate, "the task runs, starts or has a result here")
 	}
-	n, refused := o.usableNode(step)
+	r := o.reservations[p.Reservation]
+	gang := ""
+	if r != nil && r.holds(step) {
+		gang = step.Start.Task.Job
+	}
+	n, refused := o.usableNode(step, gang)
 	if n != nil {
-		if r := o.reservations[p.Reservation]; r != nil && p.Reservation != "" {
+		if r != nil && p.Reservation != "" {
 			o.useReserved(p.Reservation, r, step)
 		}
 		refused = o.reserveCapacity(n, t, step)
@@ -126,27 +137,28 @@
 	return held != nil && held.ref.Attempt >= ref.Attempt
 }
 
-// usableNode returns the step's worker, or a refusal if it cannot take the step.
-func (o *owner) usableNode(step *plan.Step) (*node, plan.StepResult) {
+// usableNode returns the step's worker, or a refusal if it cannot take the step, which is of a
+// gang with a reservation or of none.
+func (o *owner) usableNode(step *plan.Step, gang string) (*node, plan.StepResult) {
 	n := o.nodes[step.Worker]
 	if n == nil {
 		return nil, reject(plan.NoWorker, "worker is not in this partition")
 	}
-	if refused := o.ineligible(n, step); refused.Outcome != "" {
+	if refused := o.ineligible(n, step, gang); refused.Outcome != "" {
 		return nil, refused
 	}
 	return n, plan.StepResult{}
 }
 
 // ineligible refuses a step at a worker for any reason but its free capacity.
-func (o *owner) ineligible(n *node, step *plan.Step) plan.StepResult {
+func (o *owner) ineligible(n *node, step *plan.Step, gang string) plan.StepResult {
 	if !n.everFenced {
 		return reject(plan.NotFenced, n.unusable())
 	}
 	if !o.inMemo[n.id] {
 		return reject(plan.NotFenced, notInMemo)
 	}
-	if reason := n.unusable(); reason != "" {
+	if reason := n.unusableFor(gang); reason != "" {
 		return reject(plan.NoWorker, reason)
 	}
 	if reason := o.violates(n, step); reason != "" {
@@ -251,7 +263,7 @@
 	if o.isDuplicate(worker.Ref{Task: step.Start.Task, Attempt: step.Start.Attempt}) {
 		return reject(plan.Duplicate, "the task runs, starts or has a result here")
 	}
-	n, refused := o.usableNode(step)
+	n, refused := o.usableNode(step, "")
 	if n != nil {
 		refused = o.reserveOn(n, req.Reservation, r, step)
 	}
--- a/process/partition/health.go
+++ b/process/partition/health.go
@@ -36,17 +36,17 @@
 	duration    time.Duration
 }
 
-// reason returns why the worker accepts no new tasks, or "". After its
+// reason returns why the worker accepts no new tasks, or none of a gang, or "". After its
 // quarantine a worker is on probation: it gets one new task at a time until one
 // succeeds, or has run for provenAfter.
-func (h *health) reason(n *node) string {
+func (h *health) reason(n *node, gang string) string {
 	if !h.quarantined {
 		return ""
 	}
 	if time.Now().Before(h.until) {
 		return fmt.Sprintf("set aside: tasks of %d different jobs failed in a row", quarantineAfterJobs)
 	}
-	if n.probe() != nil {
+	if n.probe(gang) != nil {
 		return "set aside: a probe task runs"
 	}
 	return ""
@@ -137,7 +137,7 @@
 	if !n.health.quarantined {
 		return
 	}
-	if t := n.probe(); t != nil && t.phase == running && now.Sub(t.started) >= provenAfter {
+	if t := n.probe(""); t != nil && t.phase == running && now.Sub(t.started) >= provenAfter {
 		o.log.Info().Str("worker", string(n.id)).Stringer("task", t.ref.Task).Msg("probation ends: a task runs well")
 		o.recordSuccess(n)
 	}
--- a/process/partition/health_test.go
+++ b/process/partition/health_test.go
@@ -83,3 +83,27 @@
 		})
 	}
 }
+
+// TestGangIsOneProbe guards against a gang that never starts on a worker on probation because its
+// second task there is refused while the first one runs as the probe.
+func TestGangIsOneProbe(t *testing.T) {
+	inBubble(t, 1, 2, large, func(c *cell) {
+		d := c.ready()
+		c.quarantine(d)
+		time.Sleep(minQuarantine)
+		gang := []plan.Step{step(1, workerID(0)), step(2, workerID(0))}
+		var r plan.Result
+		c.author.seq++
+		require.NoError(t, c.author.call(d, plan.MethodReserve, plan.Reserve{Partition: testPartition, Author: c.author.authorship(),
+			Seq: c.author.seq, Reservation: "a", Steps: gang, TTLMillis: 3000}, &r))
+		require.Equal(t, plan.Accepted, r.Steps[0].Outcome)
+		for i := range gang {
+			var r plan.Result
+			c.author.seq++
+			require.NoError(t, c.author.call(d, plan.MethodCommit, plan.Plan{Partition: testPartition, Author: c.author.authorship(),
+				Seq: c.author.seq, Reservation: "a", Steps: gang[i : i+1]}, &r))
+			require.Equal(t, plan.Accepted, r.Steps[0].Outcome, r.Steps[0].Reason)
+		}
+		require.Equal(t, plan.NoWorker, c.author.commit(d, step(3, workerID(0)))[0].Outcome, "one probe at a time")
+	})
+}
--- a/process/partition/model.go
+++ b/process/partition/model.go
@@ -158,7 +158,10 @@
 }
 
 // unusable returns why the worker accepts no new tasks now, or "".
-func (n *node) unusable() string {
+func (n *node) unusable() string { return n.unusableFor("") }
+
+// unusableFor returns why the worker accepts no new tasks of a gang, the name of its job.
+func (n *node) unusableFor(gang string) string {
 	switch {
 	case n.unlisted:
 		return "VM left the VM list"
@@ -171,14 +174,15 @@
 	case !n.fenced:
 		return "lease is being renewed"
 	}
-	return n.health.reason(n)
+	return n.health.reason(n, gang)
 }
 
 // probe returns a task that may run now or later and was accepted since the quarantine began, so
-// that its end tells whether the worker still fails its tasks; nil if there is none.
-func (n *node) probe() *task {
+// that its end tells whether the worker still fails its tasks; nil if there is none. Tasks of the
+// gang, a job, are passed over: all of them are one probe.
+func (n *node) probe(gang string) *task {
 	for _, t := range n.tasks {
-		if t.live() && t.accepted.After(n.health.since) {
+		if t.live() && t.accepted.After(n.health.since) && (gang == "" || t.ref.Task.Job != gang) {
 			return t
 		}
 	}
--- a/process/partition/rebind.go
+++ b/process/partition/rebind.go
@@ -79,7 +79,7 @@
 // ineligibleAlternative reports whether a usable worker must not take a step in
 // place of the named one.
 func (o *owner) ineligibleAlternative(n *node, step *plan.Step, ask *snapshot.Ask) bool {
-	return n.id == step.Worker || o.ineligible(n, step).Outcome != "" || n.overshoot.refuses(n, step.Start.Size) != "" ||
+	return n.id == step.Worker || o.ineligible(n, step, "").Outcome != "" || n.overshoot.refuses(n, step.Start.Size) != "" ||
 		!filter.ZoneAllowed(ask, n.vm.Zone) || !filter.RackAllowed(ask, n.vm.Rack)
 }
 
