dispatch: a run that makes progress for 12 s ends its worker's probation

What callers see: after a worker has failed runs for a while, a batch task of an hour runs alone there for an hour, and jobs that only such workers fit wait that long beside free room.

Cause: a worker on probation gets one new run at a time until one is done, however long that takes.

Change: a run that has made progress and has run for 12 s, the longest quarantine, ends the probation. It does not count as a success: the suspicion stays, so that a worker that fails its runs later than that is quarantined by the next failure, for twice as long.

Evidence: TestLongRunProvesItsWorker fails without the change (no second start in 13 s of progress) and passes with it; go test ./process/dispatch ./docs passed.

--- a/process/dispatch/health.go
+++ b/process/dispatch/health.go
@@ -26,6 +26,9 @@
 	gangProbation = time.Second
 	// gangProbationMax is the same for a gang that the other workers could run.
 	gangProbationMax = quarantineMax
+	// provenAfter is how long a run on a worker on probation makes progress until the worker
+	// gets more work beside it: some runs are not done for hours.
+	provenAfter = quarantineMax
 	// suspicionFail is added for a failed run, suspicionDone is subtracted for one that is
 	// done, and at suspicionLimit the worker is quarantined. The first two are the logarithms
 	// of how much likelier a failed run, or one that is done, is on a worker that fails two
@@ -43,7 +46,7 @@
 	quarantinedAt    time.Duration // when runs last had it quarantined
 	quarantinedUntil time.Duration
 	quarantine       time.Duration
-	probation        bool // was quarantined; gets one new run at a time until one is done
+	probation        bool // was quarantined; gets one new run at a time until one has gone well
 	probationSince   time.Duration
 }
 
@@ -96,6 +99,17 @@
 	w.noteSuccess()
 }
 
+// noteProgress ends the probation of a worker on which a run makes progress for long enough. Its
+// suspicion stays, so that the next failure has it quarantined again.
+func (e *Engine) noteProgress(alloc *allocation) {
+	w := alloc.w
+	if !w.probation || alloc.sent <= w.quarantinedAt || alloc.state != running || alloc.percentAt <= alloc.ackAt || e.now-alloc.ackAt < provenAfter {
+		return
+	}
+	e.decide(Decision{What: "worker's probation ends", Task: alloc.id(), Run: alloc.run, Worker: w.ID, Why: "a run makes progress", Age: e.now - w.probationSince})
+	w.probation = false
+}
+
 // weak is 1 for a worker that is slow or under suspicion, else 0.
 func (w *worker) weak() int {
 	if w.slow || w.suspicion > suspicionDone {
--- a/process/dispatch/probation_test.go
+++ b/process/dispatch/probation_test.go
@@ -223,3 +223,36 @@
 	report(2 * time.Second)
 	require.Len(t, h.starts(), 2)
 }
+
+// TestLongRunProvesItsWorker guards against a worker that runs one task for hours, while other
+// work that only it fits waits, because its only run since a quarantine is not done before that;
+// and against such a worker whose next failure counts like that of any other.
+func TestLongRunProvesItsWorker(t *testing.T) {
+	h := readyHarness(t, "w-1")
+	h.onProbation("w-1")
+	long := tasksOf(3, false)
+	long.Estimate = time.Hour
+	require.NoError(t, h.e.Accepted(h.now, jobOf(t, "", testJob, 1, long)))
+	h.stay(quarantineMin+time.Second, "w-1")
+	first := h.starts()
+	require.Len(t, first, 1, "one run at a time")
+	h.e.Started(h.now, "w-1", first[0].Start.Task, first[0].Start.Run, nil)
+	percent := 0.0
+	report := func(d time.Duration, starts ...SendStart) {
+		for until := h.now + d; h.now < until; h.step(100 * time.Millisecond) {
+			h.report("w-1", runner.Report{Clock: time.Second + h.now, Running: live(percent, starts...)})
+		}
+	}
+	report(provenAfter+time.Second, first...)
+	require.Empty(t, h.starts(), "without any progress it may as well hang")
+	percent = 1
+	report(time.Second, first...)
+	others := h.starts()
+	require.Len(t, others, 2)
+	for _, s := range others {
+		h.e.Started(h.now, "w-1", s.Start.Task, s.Start.Run, nil)
+	}
+	h.report("w-1", runner.Report{Clock: time.Second + h.now, Running: live(percent, first[0], others[0]), Ended: []runner.Completion{
+		{Number: 1, Task: others[1].Start.Task, Run: others[1].Start.Run, Outcome: runner.Failed}}})
+	require.Greater(t, h.e.workers["w-1"].quarantinedUntil, h.now+quarantineMin, "for longer than the first time, by one failure")
+}
--- a/process/dispatch/reports.go
+++ b/process/dispatch/reports.go
@@ -151,6 +151,7 @@
 		e.noteServing(alloc, before)
 		e.learnProgress(alloc)
 	}
+	e.noteProgress(alloc)
 }
 
 // handleUnexpected handles a run that this engine has not started or has released: one of an
