dispatch: gangs do not wait for a rack with workers out of use

What callers see: a gang that asks for one rack waits beside idle workers while a worker of the only rack that is large enough drains, or has not answered for minutes.

Cause: a gang goes to several racks only if no rack, when empty, could hold it, and that check counted workers that get no runs. Its way out needed that the worker answers or is no longer listed.

Change: workers that drain and those that have been silent for longer than a lease do not count.

Evidence: TestGangDoesNotWaitForARackOutOfUse fails in both cases without the change and passes with it; go test ./process/dispatch passed.

--- a/process/dispatch/gang.go
+++ b/process/dispatch/gang.go
@@ -161,11 +161,13 @@
 	return picked, true
 }
 
-// rackFeasible reports whether a rack, if it were empty, could run the whole gang.
+// rackFeasible reports whether a rack, if it were empty, could run the whole gang. Workers that
+// leave do not count, nor those that have been silent for longer than a lease.
 func (e *Engine) rackFeasible(s *step) bool {
 	slots := map[string]int{}
 	for _, w := range e.workerList {
-		if w.Service != s.job.spec.Queue.Service || !w.has(s.spec.Labels) || w.removed || !w.goodFor(s) {
+		gone := w.removed || w.Draining || (w.misses > 0 && e.now-w.answered > leaseBound(e.o.Bounds.Lease))
+		if gone || !e.suits(s, w) || !w.goodFor(s) {
 			continue
 		}
 		slots[w.rack] += s.spec.Need().Times(w.Capacity, s.perWorker(s.spec.Count))
--- a/process/dispatch/gang_test.go
+++ b/process/dispatch/gang_test.go
@@ -268,3 +268,33 @@
 
 // stops returns and removes the stop orders that were sent.
 func (h *harness) stops() []SendStop { return sent[SendStop](h) }
+
+func TestGangDoesNotWaitForARackOutOfUse(t *testing.T) {
+	// Guards against a gang that asks for one rack and waits beside idle workers for one whose
+	// workers get no runs, for as long as these are listed.
+	for name, c := range map[string]struct {
+		out  func(w *worker)
+		wait time.Duration
+	}{
+		"one drains":    {func(w *worker) { w.Draining = true }, 0},
+		"one is silent": {func(w *worker) { w.misses = cordonMisses }, testLease},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, 1)
+			for id, rack := range map[runner.WorkerID]string{"w-1": "r1", "w-2": "r1", "w-3": "r2", "w-4": "r3"} {
+				h.e.WorkerSeen(h.now, runner.Worker{Ref: runner.Ref{ID: id}, Service: "s", Capacity: work.Resources{CPU: 2000, Memory: 4000}, Labels: []string{"a", rack}})
+			}
+			h.step(50 * time.Millisecond)
+			h.answer("w-1", "w-2", "w-3", "w-4")
+			c.out(h.e.workers["w-1"])
+			gang := tasksOf(4, true)
+			gang.SameRack = true
+			require.NoError(t, h.e.Accepted(h.now, jobOf(t, "", testJob, 1, gang)))
+			if h.stay(time.Second, "w-2", "w-3", "w-4"); c.wait > 0 {
+				require.Empty(t, h.starts(), "it may answer again")
+				h.stay(c.wait, "w-2", "w-3", "w-4")
+			}
+			require.Len(t, h.starts(), 4, "on two racks")
+		})
+	}
+}
