submit: a cancellation that meets a job's first start is carried out

What callers see: a cancellation is answered 2xx, and the job runs on. Suspected by the reviewers (cancelAbsent), not shown by them.

Cause: the daemon reads the submission, then the progress. If it is suspended between the two while the job is submitted and begun, it finds no submission and a running job, and took that for a job that has ended. The submission is removed only together with a final state, so that this can only be a submission that came after the read.

Change: a state that is not final counts as a conflict; the next try finds the submission and writes the cancellation.

--- a/request/submit/cancel.go
+++ b/request/submit/cancel.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"fennelshunt.example/fennelshunt/connection/peer"
@@ -123,7 +124,7 @@
 	return true, nil
 }
 
-// cancelAbsent handles a job that is not queued: it has ended, or its id is marked, so that a
+// cancelAbsent handles a job without a submission: it has ended, or its id is marked, so that a
 // submission still in flight cannot take effect after the caller was told that no such job
 // exists.
 func (s *Service) cancelAbsent(ctx context.Context, id work.JobID, account string) (done bool, err error) {
@@ -140,6 +141,9 @@
 			return true, ErrNoJob
 		case !work.MayAccess(p.Account, account):
 			return true, refuseOtherAccount()
+		case !p.State.Final():
+			// The submission is removed only with a final state, so it was stored after it was read.
+			return false, fmt.Errorf("submission was stored meanwhile: %w", store.ErrConflict)
 		}
 		return true, nil
 	}
