--- a/process/dispatch/exclusion.go
+++ b/process/dispatch/exclusion.go
@@ -82,8 +82,8 @@
 	return all, others
 }
 
-// excludedBetween returns since when a worker has been excluded from a step and until when; 0 for what is
-// not known, or has no end by time.
+// excludedBetween returns since when a worker has been excluded from a step and until when; 0
+// for what is not known, or has no end by time.
 func (w *worker) excludedBetween(x exclusion, s *step) (since, until time.Duration) {
 	switch x {
 	case excludedSilent:
