--- a/process/dispatch/probation_test.go
+++ b/process/dispatch/probation_test.go
@@ -13,13 +13,13 @@
 	"fennelshunt.example/fennelshunt/version/work"
 )
 
-// failingCell returns a cell whose workers fail each run that ends while fails returns true.
-func failingCell(t *testing.T, workers int, fails func() bool) *cell {
+// failingCell returns a cell whose workers fail each run that begins while fails returns true.
+func failingCell(t *testing.T, workers int, takes func(work.JobID) time.Duration, fails func() bool) *cell {
 	c := newTestCell(t, 1, 0, 0, usualBehaviour(0))
 	c.fleet = epochworker.New(epochworker.Options{Seed: 1, Lease: testLease, GangTimeout: 3 * time.Second, StopDelay: 200 * time.Millisecond,
 		Delay: time.Millisecond, Attempts: 4,
 		Work: func(task work.TaskID, _ uint64, _ runner.WorkerID) epochworker.Behaviour {
-			return epochworker.Behaviour{Takes: c.jobs[task.Job].Steps[task.Step].Estimate, Fails: fails()}
+			return epochworker.Behaviour{Takes: takes(task.Job), Fails: fails()}
 		}})
 	for i := range workers {
 		c.addWorker(runner.WorkerID(fmt.Sprint("w-", i)), fmt.Sprint("w-", i), "r0")
@@ -79,17 +79,26 @@
 	}
 }
 
+// besideID is the id of the first job of a cell.
+const besideID = work.JobID("0000000000000001")
+
 // serveAgain submits jobs of one step at a time, while the workers fail everything for 6.5 s and
 // after that, beside a job that has begun before.
 func serveAgain(t *testing.T, step work.Step, beside *work.Step, advised bool) {
 	begun := time.Now()
 	const failFrom, failUntil = 4 * time.Second, 10500 * time.Millisecond
-	c := failingCell(t, 4, func() bool { return time.Since(begun) >= failFrom && time.Since(begun) < failUntil })
+	takes := func(id work.JobID) time.Duration {
+		if beside != nil && id == besideID {
+			return beside.Estimate
+		}
+		return step.Estimate
+	}
+	c := failingCell(t, 4, takes, func() bool { return time.Since(begun) >= failFrom && time.Since(begun) < failUntil })
 	c.advice.share = 1
 	time.Sleep(2 * time.Second)
 	queue := work.Queue{Name: "q", Service: "s", Attempts: 4, Slack: 2, Allowance: time.Second}
 	if beside != nil {
-		c.submit(&work.Job{Queue: queue, Spec: "x", Steps: []work.Step{*beside}})
+		require.Equal(t, besideID, c.submit(&work.Job{Queue: queue, Spec: "x", Steps: []work.Step{*beside}}))
 		time.Sleep(time.Second)
 		require.Equal(t, beside.Count, c.fleet.Running())
 	}
