--- a/review/.standin-2/cases.go
+++ b/review/.standin-2/cases.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"slices"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -16,6 +18,7 @@
 	cases["occupied"] = caseOccupied
 	cases["foreign"] = caseForeign
 	cases["fills"] = caseFills
+	cases["unanswered"] = caseUnanswered
 }
 
 func plain(name string) *queue { return &queue{name: name, priority: 1, attempts: 3} }
@@ -315,3 +318,82 @@
 	b.mu.Unlock()
 	b.finish("LOST")
 }
+
+// caseUnanswered: six minions are lost for good while jobs come, on a deployment on which minions keep their ids.
+func caseUnanswered(binary, record string, trouble bool) {
+	q := plain("wide")
+	b := newBed(binary, record, []*queue{q})
+	b.keepIDs = true
+	b.cell(3, kindA)
+	var jobs []*job
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	for n := range 80 { // 20 jobs a second, 4 s long
+		if n == 50 && trouble {
+			b.mu.Lock()
+			all := slices.Clone(b.minions)
+			// Those with the most work that have room for more: the next starts go there.
+			rank := func(m *minion) int {
+				if n := len(m.running); n < 10 {
+					return n
+				}
+				return -1
+			}
+			slices.SortStableFunc(all, func(x, y *minion) int { return rank(y) - rank(x) })
+			b.mu.Unlock()
+			for _, m := range all[:6] {
+				m.vanish()
+			}
+		}
+		j := &job{id: fmt.Sprintf("%016x", 0x200+n), queue: q, spec: "a survey", phases: []phase{{Count: 2, CPU: 6000, Mem: 2048, Est: 2000, takes: 2 * time.Second}}}
+		wg.Go(func() {
+			if b.submit(j) {
+				mu.Lock()
+				jobs = append(jobs, j)
+				mu.Unlock()
+			}
+		})
+		time.Sleep(50 * time.Millisecond)
+	}
+	wg.Wait()
+	end := time.Now()
+	b.note("end of the traffic, %d jobs are accepted", len(jobs))
+	time.Sleep(time.Until(end.Add(14 * time.Second))) // finish_s
+	idle := map[*job]time.Time{}
+	for time.Since(end) < 45*time.Second {
+		left := 0
+		b.mu.Lock()
+		for _, j := range jobs {
+			running := 0
+			for i := range 2 {
+				if h := b.history[fmt.Sprintf("%s.0.0.%d", j.id, i)]; h != nil {
+					running += h.up
+				}
+			}
+			switch {
+			case b.notDone(j) == "":
+				delete(idle, j)
+				continue
+			case running > 0:
+				idle[j] = time.Now()
+			case idle[j].IsZero():
+				idle[j] = time.Now()
+			case time.Since(idle[j]) > 3*time.Second:
+				used := 0
+				for _, m := range b.minions {
+					used += len(m.running)
+				}
+				b.breaks("LOST", "%s has nothing running for 3 s, %.1f s after the end of the traffic, with %d runs in the whole cell", j.id, time.Since(end).Seconds(), used)
+				idle[j] = time.Now().Add(time.Hour)
+			}
+			left++
+		}
+		b.mu.Unlock()
+		if left == 0 {
+			break
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	b.note("%.1f s after the end of the traffic %d jobs have been late or are open", time.Since(end).Seconds(), len(idle))
+	b.finish("LOST")
+}
