--- a/review/.standin-2/cases.go
+++ b/review/.standin-2/cases.go
@@ -319,7 +319,7 @@
 	b.finish("LOST")
 }
 
-// caseUnanswered: six minions are lost for good while jobs come, on a deployment on which minions keep their ids.
+// caseUnanswered: a minion is lost for good while jobs come, on a deployment on which minions keep their ids.
 func caseUnanswered(binary, record string, trouble bool) {
 	q := plain("wide")
 	b := newBed(binary, record, []*queue{q})
@@ -341,9 +341,7 @@
 			}
 			slices.SortStableFunc(all, func(x, y *minion) int { return rank(y) - rank(x) })
 			b.mu.Unlock()
-			for _, m := range all[:6] {
-				m.vanish()
-			}
+			all[0].vanish() // 0.021 of them; the site's "dark gone" has 0.041
 		}
 		j := &job{id: fmt.Sprintf("%016x", 0x200+n), queue: q, spec: "a survey", phases: []phase{{Count: 2, CPU: 6000, Mem: 2048, Est: 2000, takes: 2 * time.Second}}}
 		wg.Go(func() {
