dispatch: log completions of unknown jobs, why a run is unexpected, and stalls of the leader

Hypothesis 1 of the incident (a successor acknowledges the completion of a job that it has not heard of) left no line: such completions were acknowledged silently, and "stop unexpected run" did not say why. A leader that stood still, which hypotheses 2 and 4 need, is logged with for how long (stalls).

--- a/process/dispatch/completions.go
+++ b/process/dispatch/completions.go
@@ -53,6 +53,10 @@
 	j := e.jobs[completion.Task.Job]
 	s := j.step(completion.Task)
 	if s == nil {
+		if j == nil {
+			e.stats.CompletionsUnheard++
+			e.decide(Decision{What: "completion of a job not heard of", Task: completion.Task, Run: completion.Run, Worker: w.ID, Why: completion.Outcome.String()})
+		}
 		return j // the occurrence may be done and pruned before that is stored
 	}
 	t := &s.tasks[completion.Task.Index]
--- a/process/dispatch/engine.go
+++ b/process/dispatch/engine.go
@@ -130,6 +130,10 @@
 	// CompletionsMissed counts completions that workers had dropped before any leader received
 	// them.
 	CompletionsMissed uint64
+	// CompletionsUnheard counts completions of jobs that this leader had not heard of.
+	CompletionsUnheard uint64
+	// Stalls counts how often the engine's goroutine stood still for stallLogged or longer.
+	Stalls uint64
 	// Suspected counts runs that may have crashed their worker, Trials the starts of suspect
 	// tasks, GivenUp the jobs that failed because a task crashed its workers.
 	Suspected, Trials, GivenUp uint64
--- a/process/dispatch/host.go
+++ b/process/dispatch/host.go
@@ -42,6 +42,9 @@
 	// maxRenewGrace bounds renewGrace when answers are slow: four attempts fit into a worker's
 	// lease of 6 s.
 	maxRenewGrace = 1500 * time.Millisecond
+	// stallLogged is how long the engine's goroutine must have stood still to be logged: a process
+	// that was stopped, or has had no processor time.
+	stallLogged = 500 * time.Millisecond
 )
 
 // HostOptions are the options of a Host.
@@ -199,6 +202,7 @@
 	ticker := time.NewTicker(tickPeriod)
 	defer ticker.Stop()
 	h.updateAccounts()
+	awake := h.now()
 	for {
 		select {
 		case <-ctx.Done():
@@ -213,6 +217,8 @@
 			h.updateDigest()
 		}
 		at := h.now()
+		h.noteStall(at - awake)
+		awake = at
 		effects := h.engine.Flush(at)
 		h.engine.RoundTook(at, h.now()-at)
 		if h.engine.Deposed() {
@@ -225,6 +231,15 @@
 	}
 }
 
+// noteStall logs how long the loop stood still.
+func (h *Host) noteStall(d time.Duration) {
+	if d < stallLogged {
+		return
+	}
+	h.engine.stats.Stalls++
+	h.o.Log.Warn().Int64("age_ms", d.Milliseconds()).Uint64("epoch", h.term.Epoch).Msg("the leader stood still")
+}
+
 // updateAccounts passes the accounts in force to the engine when they have changed.
 func (h *Host) updateAccounts() {
 	if h.o.Accounts == nil {
--- a/process/dispatch/reports.go
+++ b/process/dispatch/reports.go
@@ -163,11 +163,28 @@
 		return
 	}
 	e.stats.UntrackedRuns++
-	e.decide(Decision{What: "stop unexpected run", Task: r.Task, Run: r.Run, Worker: w.ID})
+	e.decide(Decision{What: "stop unexpected run", Task: r.Task, Run: r.Run, Worker: w.ID, Why: whyUnexpected(j, s, r)})
 	e.chargeUntracked(w, r.Task)
 	e.effects = append(e.effects, SendStop{To: w.Ref, Task: r.Task, Run: r.Run})
 }
 
+// whyUnexpected names why a run is not taken over.
+func whyUnexpected(j *job, s *step, r *runner.ActiveRun) string {
+	switch {
+	case j == nil:
+		return "its job has not been heard of"
+	case !j.active():
+		return "its job has ended"
+	case s == nil:
+		return "its occurrence is done"
+	case s.tasks[r.Task.Index].done:
+		return "its task is done"
+	case s.tasks[r.Task.Index].alloc != nil:
+		return "its task has another run"
+	}
+	return "not a run of an earlier epoch that the task needs"
+}
+
 // adopt takes over a run of an earlier epoch.
 func (e *Engine) adopt(w *worker, s *step, r *runner.ActiveRun) bool {
 	t := &s.tasks[r.Task.Index]
