dispatch: failing tests of runs of jobs that a successor has not heard of yet

Both fail on the current code, each time: "Should be zero, but was 1 to w-a" (the completion is acknowledged before its job is known), and a start on w-b while the run on w-a is being stopped.

--- /dev/null
+++ b/process/dispatch/unheard_test.go
@@ -0,0 +1,52 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"fennelshunt.example/fennelshunt/connection/runner"
+	"fennelshunt.example/fennelshunt/version/work"
+)
+
+// unheardHarness returns a leader that has taken over a worker, and a job that the former leader has
+// started there since this one read the submissions.
+func unheardHarness(t *testing.T) (*harness, work.TaskID) {
+	h := newHarness(t, 2, "w-a", "w-b")
+	h.step(50 * time.Millisecond)
+	h.report("w-b", runner.Report{Clock: time.Second})
+	return h, work.TaskID{Job: testJob}
+}
+
+// hear delivers the submission of the job, and returns the start orders of the next second.
+func (h *harness) hear() []SendStart {
+	sent[SendRenew](h)
+	require.NoError(h.t, h.e.Accepted(h.now, jobEntry(h.t, 1, 2, oneTask())))
+	h.step(50 * time.Millisecond)
+	return h.starts()
+}
+
+// TestCompletionOfAJobNotHeardOfYetIsKept guards against a task that starts again after its completion
+// was acknowledged: its job is submitted after a successor has read the submissions, the former leader starts
+// it, and the successor hears of the completion before it hears of the job.
+func TestCompletionOfAJobNotHeardOfYetIsKept(t *testing.T) {
+	h, task := unheardHarness(t)
+	h.report("w-a", runner.Report{Clock: time.Second, Ended: []runner.Completion{{Number: 1, Task: task, Run: 1, Outcome: runner.Done}}})
+	h.step(time.Second)
+	for _, x := range sent[SendRenew](h) {
+		require.Zero(t, x.Renewal.Acknowledge, "to %s", x.To.ID)
+	}
+	require.Empty(t, h.hear())
+	state, known := h.e.State(testJob)
+	require.True(t, known)
+	require.Equal(t, work.Completed, state)
+}
+
+// TestRunOfAJobNotHeardOfYetIsTakenOver guards against a task that starts beside a run of it that is being
+// stopped, since its job is heard of only after the run.
+func TestRunOfAJobNotHeardOfYetIsTakenOver(t *testing.T) {
+	h, task := unheardHarness(t)
+	h.report("w-a", runner.Report{Clock: time.Second, Running: []runner.ActiveRun{{Task: task, Run: 1, Percent: 20}}})
+	require.Empty(t, h.hear())
+}
