dispatch: runs and completions of jobs not heard of yet are kept until their submission is read

Cause: a former leader goes on until a worker or the store rejects it, and starts what is submitted meanwhile. Its successor lists the submissions once, when it takes over, and follows them with a delay; in between it finds runs and completions of jobs that it does not know. It took "not known" for "nobody needs it": a completion was acknowledged at once, and a run was stopped while its task, known a moment later, could start elsewhere beside it. The gap is as long as the successor's reads take.

Why this fix works: a job is started only after its submission is stored, and the read of the submission is sent after the worker's report. So it finds the submission, and the completion is booked or the run adopted before any task of the job can start; or the job does not exist, and then nothing can start. Until the read is answered nothing is acknowledged, stopped, or started on that worker. One read a job, after takeovers only. The model of the cell (standin/cellsim) answers the new call as well.

--- a/process/dispatch/accounts.go
+++ b/process/dispatch/accounts.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"fennelshunt.example/fennelshunt/connection/runner"
 	"fennelshunt.example/fennelshunt/process/quota"
 	"fennelshunt.example/fennelshunt/version/work"
 )
@@ -120,20 +121,23 @@
 	}
 }
 
-// untrackedRun is a run that has no allocation and is being stopped.
+// untrackedRun is a run that has no allocation and is being stopped, or whose job is not known.
 type untrackedRun struct {
 	task    work.TaskID
 	account *quota.Account
 	size    quota.Size
+	unheard *runner.ActiveRun // as reported, if its job is not known
 }
 
 // chargeUntracked charges an untracked run to its account until the next report of its worker.
 // A job whose final state was read from the store has no steps; what it was still running is
 // in endedHeld.
-func (e *Engine) chargeUntracked(w *worker, task work.TaskID) {
-	x := untrackedRun{task: task, account: e.ledger.Account("")}
-	if j := e.jobs[task.Job]; j != nil {
-		x.account, x.size = e.ledger.Account(j.spec.Account), j.sizeOf(task.Step)
+func (e *Engine) chargeUntracked(w *worker, r *runner.ActiveRun) {
+	x := untrackedRun{task: r.Task, account: e.ledger.Account("")}
+	if j := e.jobs[r.Task.Job]; j != nil {
+		x.account, x.size = e.ledger.Account(j.spec.Account), j.sizeOf(r.Task.Step)
+	} else {
+		x.unheard = r
 	}
 	x.account.Adopt(x.size)
 	w.untracked = append(w.untracked, x)
--- a/process/dispatch/completions.go
+++ b/process/dispatch/completions.go
@@ -20,10 +20,12 @@
 		}
 		e.noteMissedCompletions(w, completions[i].Number)
 		w.lastCompletion = completions[i].Number
-		j := e.takeCompletion(w, &completions[i])
-		wait := pendingAck{number: completions[i].Number, task: completions[i].Task, job: j}
-		if j != nil {
-			wait.version = j.version
+		wait := pendingAck{number: completions[i].Number, task: completions[i].Task}
+		if j := e.jobs[wait.task.Job]; j != nil {
+			e.takeCompletion(w, &completions[i])
+			wait.job, wait.version = j, j.version
+		} else {
+			wait.unheard = e.keepCompletion(w, &completions[i])
 		}
 		w.pendingAcks = append(w.pendingAcks, wait)
 		n++
@@ -43,9 +45,8 @@
 	}
 }
 
-// takeCompletion processes one completion and returns the job whose progress has to be stored
-// before it is acknowledged, if any.
-func (e *Engine) takeCompletion(w *worker, completion *runner.Completion) *job {
+// takeCompletion processes one completion of a known job.
+func (e *Engine) takeCompletion(w *worker, completion *runner.Completion) {
 	alloc := w.allocs[completion.Task]
 	if alloc != nil && alloc.run != completion.Run {
 		alloc = nil
@@ -53,11 +54,7 @@
 	j := e.jobs[completion.Task.Job]
 	s := j.step(completion.Task)
 	if s == nil {
-		if j == nil {
-			e.stats.CompletionsUnheard++
-			e.decide(Decision{What: "completion of a job not heard of", Task: completion.Task, Run: completion.Run, Worker: w.ID, Why: completion.Outcome.String()})
-		}
-		return j // the occurrence may be done and pruned before that is stored
+		return // the occurrence may be done and pruned before that is stored
 	}
 	t := &s.tasks[completion.Task.Index]
 	ours := alloc != nil && t.alloc == alloc
@@ -91,7 +88,6 @@
 	if ours {
 		e.requeueEnded(s, completion.Task.Index)
 	}
-	return j
 }
 
 func (s *step) keepCheckpoint(i int, value string) {
@@ -190,7 +186,7 @@
 	}
 	for len(w.pendingAcks) > 0 {
 		a := w.pendingAcks[0]
-		if a.job != nil && a.job.saved < a.version {
+		if !a.stored() {
 			return
 		}
 		w.ackedCompletion = a.number
--- a/process/dispatch/engine.go
+++ b/process/dispatch/engine.go
@@ -27,7 +27,9 @@
 	jobs map[work.JobID]*job
 	// cancels are the cancellations that ended no job, because the submission has not been
 	// seen yet or the job had already ended, with the time at which they came in.
-	cancels     map[work.JobID]time.Duration
+	cancels map[work.JobID]time.Duration
+	// unheard are the jobs of which workers report runs or completions and that are not known.
+	unheard     map[work.JobID]*unheardJob
 	workers     map[runner.WorkerID]*worker
 	workerList  []*worker // in a fixed order
 	workerCount int       // that this epoch has had, removed ones included
@@ -190,7 +192,7 @@
 	o.Policy = o.Policy.complete()
 	entitled := o.Bounds.Entitled
 	entitled.Share = 1 / float64(max(o.Shards, 1))
-	return &Engine{o: o, fair: fair.New(o.Policy.Shares, entitled), jobs: map[work.JobID]*job{}, cancels: map[work.JobID]time.Duration{},
+	return &Engine{o: o, fair: fair.New(o.Policy.Shares, entitled), jobs: map[work.JobID]*job{}, cancels: map[work.JobID]time.Duration{}, unheard: map[work.JobID]*unheardJob{},
 		workers: map[runner.WorkerID]*worker{}, proxies: map[string]*adviceProxy{}, ledger: quota.NewLedger(), endedHeld: map[*quota.Account]quota.Size{},
 		usages: map[usageKey]*usage{}, priorities: map[*quota.Account][]int{}, keptFree: map[*quota.Account]quota.Size{},
 		tasksByCrash: map[runner.WorkerID][]work.TaskID{}, crashedAt: map[string]time.Duration{}, latestStarts: map[string]int64{}, lateStarts: map[string][]*allocation{},
@@ -300,12 +302,14 @@
 	if _, ok := e.cancels[id]; ok {
 		delete(e.cancels, id)
 		e.end(j, work.Cancelled, "cancelled before the submission was seen")
+		e.hear(j)
 		return
 	}
 	e.openDue(j)
 	if j.nextDue < j.repeat() {
 		e.timed = append(e.timed, j)
 	}
+	e.hear(j)
 }
 
 // engineTime converts a Unix time in milliseconds to the engine's time.
@@ -429,6 +433,7 @@
 	e.expireGangReservations()
 	e.stopPartialGangs()
 	e.expireLateStarts()
+	e.tickUnheard()
 	e.logExcluded()
 	e.pruneJobs()
 	e.scheduled = false
--- a/process/dispatch/host.go
+++ b/process/dispatch/host.go
@@ -389,6 +389,8 @@
 		h.calls.Go(func() { h.commit(ctx, x) })
 	case AskAdvice:
 		h.calls.Go(func() { h.askAdvice(ctx, x) })
+	case ReadJob:
+		h.calls.Go(func() { h.readJob(ctx, x) })
 	}
 }
 
@@ -436,6 +438,23 @@
 	h.post(func(e *Engine, now time.Duration) { e.Advised(now, x.Member, x.Step, good, err) })
 }
 
+func (h *Host) readJob(ctx context.Context, x ReadJob) {
+	var entry store.Entry
+	err := h.o.StoreTimeout.Call(ctx, func(ctx context.Context) (err error) {
+		entry, err = h.o.Store.Get(ctx, KeySubmission(x.Job))
+		return err
+	})
+	found := err == nil
+	if errors.Is(err, store.ErrNotFound) {
+		err = nil
+	}
+	h.post(func(e *Engine, now time.Duration) {
+		if err := e.JobRead(now, x.Job, entry, found, err); err != nil {
+			h.o.Log.Warn().Err(err).Str("job", string(x.Job)).Msg("submission of a job that a worker reports was not read")
+		}
+	})
+}
+
 // watchJobs follows what accepting daemons write.
 func (h *Host) watchJobs(ctx context.Context, rev store.Revision) {
 	t := store.Tracker{Name: "accepted jobs", Read: h.listJobs, Watch: h.watchJobsOnce, From: rev, ReadLimit: loadTimeout,
--- a/process/dispatch/persist.go
+++ b/process/dispatch/persist.go
@@ -218,10 +218,7 @@
 		w.recorded = true
 		w.nextRenew = now
 	}
-	for _, w := range e.workerList {
-		e.acknowledge(w)
-		e.renew(w)
-	}
+	e.acknowledgeAll()
 }
 
 // saved records that a job's progress is stored.
--- a/process/dispatch/reports.go
+++ b/process/dispatch/reports.go
@@ -155,16 +155,20 @@
 }
 
 // handleUnexpected handles a run that this engine has not started or has released: one of an
-// earlier epoch is adopted if its task needs it, any other is stopped.
+// earlier epoch is adopted if its task needs it, one of a job that is not known goes on until
+// the job's submission has been read, any other is stopped.
 func (e *Engine) handleUnexpected(w *worker, r *runner.ActiveRun) {
 	j := e.jobs[r.Task.Job]
 	s := j.step(r.Task)
 	if s != nil && j.active() && r.Run <= e.nextRun(0) && e.adopt(w, s, r) {
 		return
 	}
+	e.chargeUntracked(w, r)
+	if j == nil && e.unheardOf(r.Task.Job).absentAt == 0 {
+		return
+	}
 	e.stats.UntrackedRuns++
 	e.decide(Decision{What: "stop unexpected run", Task: r.Task, Run: r.Run, Worker: w.ID, Why: whyUnexpected(j, s, r)})
-	e.chargeUntracked(w, r.Task)
 	e.effects = append(e.effects, SendStop{To: w.Ref, Task: r.Task, Run: r.Run})
 }
 
@@ -172,7 +176,7 @@
 func whyUnexpected(j *job, s *step, r *runner.ActiveRun) string {
 	switch {
 	case j == nil:
-		return "its job has not been heard of"
+		return "its job does not exist"
 	case !j.active():
 		return "its job has ended"
 	case s == nil:
--- a/process/dispatch/unheard_test.go
+++ b/process/dispatch/unheard_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	"fennelshunt.example/fennelshunt/connection/runner"
+	"fennelshunt.example/fennelshunt/connection/store"
 	"fennelshunt.example/fennelshunt/version/work"
 )
 
@@ -50,3 +51,42 @@
 	h.report("w-a", runner.Report{Clock: time.Second, Running: []runner.ActiveRun{{Task: task, Run: 1, Percent: 20}}})
 	require.Empty(t, h.hear())
 }
+
+// TestCompletionOfAJobThatDoesNotExistIsAcknowledged guards against completions that a worker lists for
+// ever, with all that follow them, since their job has ended and been forgotten; and against a
+// failed read that is taken for a job that does not exist.
+func TestCompletionOfAJobThatDoesNotExistIsAcknowledged(t *testing.T) {
+	h, task := unheardHarness(t)
+	h.report("w-a", runner.Report{Clock: time.Second, Ended: []runner.Completion{{Number: 1, Task: task, Run: 1, Outcome: runner.Done}}})
+	require.Equal(t, []ReadJob{{Job: testJob}}, sent[ReadJob](h))
+	require.Error(t, h.e.JobRead(h.now, testJob, store.Entry{}, false, store.ErrUnavailable))
+	h.step(time.Second)
+	require.Zero(t, h.e.workers["w-a"].ackedCompletion)
+	require.Equal(t, []ReadJob{{Job: testJob}}, sent[ReadJob](h))
+	require.NoError(t, h.e.JobRead(h.now, testJob, store.Entry{}, false, nil))
+	require.EqualValues(t, 1, h.e.workers["w-a"].ackedCompletion)
+}
+
+// TestRunOfAJobThatDoesNotExistIsStopped guards against a run that goes on although nobody needs it.
+func TestRunOfAJobThatDoesNotExistIsStopped(t *testing.T) {
+	h, task := unheardHarness(t)
+	running := runner.Report{Clock: time.Second, Running: []runner.ActiveRun{{Task: task, Run: 1, Percent: 20}}}
+	h.report("w-a", running)
+	require.Empty(t, sent[SendStop](h))
+	require.NoError(t, h.e.JobRead(h.now, testJob, store.Entry{}, false, nil))
+	h.report("w-a", running)
+	require.Equal(t, []SendStop{{To: h.e.workers["w-a"].Ref, Task: task, Run: 1}}, sent[SendStop](h))
+}
+
+// TestSubmissionThatIsReadIsTakenOver guards against a job that waits for the watch of the submissions
+// although the read of a run's submission has found it.
+func TestSubmissionThatIsReadIsTakenOver(t *testing.T) {
+	h, task := unheardHarness(t)
+	h.report("w-a", runner.Report{Clock: time.Second, Ended: []runner.Completion{{Number: 1, Task: task, Run: 1, Outcome: runner.Done}}})
+	require.NoError(t, h.e.JobRead(h.now, testJob, jobEntry(t, 1, 2, oneTask()), true, nil))
+	h.step(50 * time.Millisecond)
+	require.Empty(t, h.starts())
+	require.EqualValues(t, 1, h.e.workers["w-a"].ackedCompletion)
+	state, _ := h.e.State(testJob)
+	require.Equal(t, work.Completed, state)
+}
--- a/process/dispatch/worker.go
+++ b/process/dispatch/worker.go
@@ -49,8 +49,17 @@
 type pendingAck struct {
 	number  int64
 	task    work.TaskID
-	job     *job // nil: nothing to wait for
+	job     *job // nil: it was not known
 	version uint64
+	unheard *unheardJob // instead of job
+}
+
+// stored reports whether the completion may be acknowledged.
+func (a *pendingAck) stored() bool {
+	if a.unheard != nil {
+		return a.unheard.stored()
+	}
+	return a.job.saved >= a.version
 }
 
 // worker is one incarnation of a worker.
--- a/standin/cellsim/sim.go
+++ b/standin/cellsim/sim.go
@@ -416,10 +416,21 @@
 			s.commit(x, reply)
 		case dispatch.AskAdvice:
 			s.askAdvice(x, reply)
+		case dispatch.ReadJob:
+			s.readJob(x, reply)
 		}
 	}
 }
 
+func (s *sim) readJob(x dispatch.ReadJob, reply func(time.Duration, func())) {
+	reply(s.storeDelay(), func() {
+		entry, found := s.entries[dispatch.KeySubmission(x.Job)]
+		if err := s.engine.JobRead(s.now, x.Job, entry, found, nil); err != nil {
+			panic(err)
+		}
+	})
+}
+
 // commit applies a write at the time of its response. A write in flight when its
 // leader is lost could take effect or not in a real store; here it never does.
 func (s *sim) commit(x dispatch.SendCommit, reply func(time.Duration, func())) {
