dispatch: a silent worker's runs count as ended only once it has had time to end them

What callers saw: tasks of a worker that was cut off run twice, all of them at once (rule TWICE, two runs at the same time).

Cause: the leader took a worker's runs for ended 6.38 s after it had given a lease of 6 s. The test's workers ended theirs at the lease exactly, and with exact clocks.

Why this fix works: the bound holds 500 ms more (killTime) wherever a lease counts as expired: silent workers, inherited ones, late starts. The price: tasks of a worker that is silent for more than six seconds start elsewhere after 6.9 s instead of 6.4 s. The stand-in of workers has the rate of clocks and the time of a kill now.

--- a/process/dispatch/worker.go
+++ b/process/dispatch/worker.go
@@ -40,6 +40,9 @@
 	clockDrift = 1.03
 	// driftMargin is added to times that were converted between clocks.
 	driftMargin = 200 * time.Millisecond
+	// killTime is how long a worker may take to end its runs once its lease has expired: ending them
+	// takes as long as a stop, and timers fire late on a loaded VM.
+	killTime = 500 * time.Millisecond
 )
 
 // refusalQuarantine is how long a worker is not used after it refused a start as unhealthy.
@@ -203,9 +206,11 @@
 	return until
 }
 
-// leaseBound returns after how long a lease that a worker was given has certainly expired,
-// whatever its clock.
-func leaseBound(lease time.Duration) time.Duration { return scale(lease, clockDrift) + driftMargin }
+// leaseBound returns after how long a lease that a worker was given has certainly expired and its
+// runs have ended, whatever its clock.
+func leaseBound(lease time.Duration) time.Duration {
+	return scale(lease, clockDrift) + driftMargin + killTime
+}
 
 func scale(d time.Duration, f float64) time.Duration { return time.Duration(float64(d) * f) }
 
--- a/standin/epochworker/calls.go
+++ b/standin/epochworker/calls.go
@@ -67,7 +67,14 @@
 }
 
 // clock returns the time of the worker's own monotonic clock.
-func (w *worker) clock() time.Duration { return time.Since(w.started) }
+func (w *worker) clock() time.Duration {
+	return time.Duration(float64(time.Since(w.started)) * w.clockRate)
+}
+
+// realTime returns how long a time on the worker's clock takes.
+func (w *worker) realTime(d time.Duration) time.Duration {
+	return time.Duration(float64(d) / w.clockRate)
+}
 
 // Start implements runner.Runner.
 func (f *Fleet) Start(ctx context.Context, to runner.Ref, s runner.Start) (time.Duration, error) {
@@ -308,7 +315,7 @@
 	if w.expiry != nil {
 		w.expiry.Stop()
 	}
-	w.expiry = time.AfterFunc(until-w.clock(), func() {
+	w.expiry = time.AfterFunc(w.realTime(until-w.clock())+f.o.KillDelay+time.Nanosecond, func() {
 		f.mu.Lock()
 		defer f.mu.Unlock()
 		if w.clock() < w.until {
--- a/standin/epochworker/fleet.go
+++ b/standin/epochworker/fleet.go
@@ -55,6 +55,10 @@
 	// SameName makes the new incarnation keep the worker's name, with a later start time,
 	// and carry out orders and renewals that were meant for an earlier incarnation.
 	SameName bool
+	// ClockRate is how fast the workers' clocks run; 0 means 1.
+	ClockRate float64
+	// KillDelay is how long after its lease has expired a worker ends its runs.
+	KillDelay time.Duration
 	// EntryLag is how long after its start a new incarnation is listed in the directory.
 	EntryLag time.Duration
 }
@@ -122,6 +126,7 @@
 	unlisted    bool // not in the directory yet
 	epoch       uint64
 	started     time.Time
+	clockRate   float64
 	until       time.Duration // end of the lease, on the worker's clock
 	running     map[work.TaskID]*run
 	highest     map[work.TaskID]uint64 // highest run that was stopped or ended
@@ -171,6 +176,9 @@
 
 // New returns a fleet without workers.
 func New(o Options) *Fleet {
+	if o.ClockRate == 0 {
+		o.ClockRate = 1
+	}
 	return &Fleet{o: o, rng: rand.New(rand.NewPCG(o.Seed, 11)), workers: map[runner.WorkerID]*worker{}, jobs: map[work.JobID]*work.Job{},
 		seen: map[work.TaskID]*history{}, started: map[work.JobID]bool{}, cancelled: map[work.JobID]time.Time{}, rev: 1, changed: make(chan struct{}), epoch: time.Now()}
 }
@@ -218,7 +226,7 @@
 // newWorker starts an incarnation that is not listed in the directory yet.
 func (f *Fleet) newWorker(w runner.Worker) *worker {
 	started := &worker{Worker: w, started: time.Now().Add(-time.Duration(f.rng.IntN(1000)) * time.Second), unlisted: true,
-		running: map[work.TaskID]*run{}, highest: map[work.TaskID]uint64{}, ordered: map[work.TaskID]bool{}, endedAt: map[int64]time.Time{}, wake: make(chan struct{})}
+		clockRate: f.o.ClockRate, running: map[work.TaskID]*run{}, highest: map[work.TaskID]uint64{}, ordered: map[work.TaskID]bool{}, endedAt: map[int64]time.Time{}, wake: make(chan struct{})}
 	f.workers[w.ID] = started
 	f.order = append(f.order, w.ID)
 	return started
