submit: the leader is offered the job that is stored, not the repetition of its submission

Cause: a submission that finds its job in the store is answered as accepted, and was then offered to the leader as if this daemon had just written it. The repetition names the epoch of its own arrival; a leader of that epoch believes that no earlier one has started the job and starts it without waiting for the workers that have not answered. It was offered also where the store had the job's final state; a leader that does not know the job (it was forgotten, or the leader is a former one) runs it again. The repetition may differ from the job as well.

Evidence: TestDuplicateOffersTheJobThatIsStored and TestDuplicateOfAnEndedJobIsNotOffered failed each time before (the repetition's bytes were offered; an ended job was offered). TestSubmissionOffersItsJob holds before and after.

Why this fix works: every attempt to write returns what the store has under the id; the leader is offered exactly that, as its watch would deliver it, and nothing for a job that has ended.

--- a/request/submit/hedge.go
+++ b/request/submit/hedge.go
@@ -47,7 +47,8 @@
 // attempt is the outcome of one attempt.
 type attempt struct {
 	err     error
-	byOther bool
+	byOther bool        // another daemon has written the job
+	stored  store.Entry // under the job's id, if byOther is not set
 }
 
 // errNotForwarded means that no other daemon has written the job or may still write it.
@@ -55,23 +56,24 @@
 
 // createHedged tries to write the job. It also tries through other daemons when the store has
 // not answered for a while, and makes a second attempt of its own after the usual timeout.
-// byOther reports that another daemon has written the job.
 //
 // The second attempt serves a store that becomes slow: otherwise the first writes of each daemon
 // would be abandoned just before their answers, and their callers would wait for two more
 // answers.
-func (s *Service) createHedged(ctx context.Context, sub *submission) (byOther bool, err error) {
+func (s *Service) createHedged(ctx context.Context, sub *submission) (attempt, error) {
 	results := make(chan attempt, maxAttempts)
 	own := func() {
 		// Not cancelled when another attempt has succeeded: its result shows the state of the
 		// store.
 		free := context.WithoutCancel(ctx)
 		done := s.pacer.sentWrite()
-		err := s.o.StoreTimeout.CallWithMinTimeout(free, writeTimeout, func(ctx context.Context) error {
-			return s.create(ctx, sub)
+		var r attempt
+		r.err = s.o.StoreTimeout.CallWithMinTimeout(free, writeTimeout, func(ctx context.Context) (err error) {
+			r.stored, err = s.create(ctx, sub)
+			return err
 		})
-		done(err)
-		results <- attempt{err: err}
+		done(r.err)
+		results <- r
 	}
 	others := func() {
 		accepted, uncertain := s.forward(ctx, sub)
@@ -105,7 +107,7 @@
 			sent++
 			go own()
 		case <-ctx.Done():
-			return false, fmt.Errorf("%w: %w", store.ErrUnknownOutcome, ctx.Err())
+			return attempt{}, fmt.Errorf("%w: %w", store.ErrUnknownOutcome, ctx.Err())
 		case r := <-results:
 			answered++
 			switch {
@@ -113,7 +115,7 @@
 				if r.byOther {
 					s.forwardUntil.Store(time.Now().Add(forwardFirstFor).UnixNano())
 				}
-				return r.byOther, r.err
+				return r, r.err
 			case errors.Is(r.err, store.ErrUnknownOutcome):
 				unconfirmed = r.err
 			}
@@ -126,9 +128,9 @@
 				continue
 			}
 			if unconfirmed != nil {
-				return false, unconfirmed
+				return attempt{}, unconfirmed
 			}
-			return false, last
+			return attempt{}, last
 		}
 	}
 }
--- a/request/submit/pacing.go
+++ b/request/submit/pacing.go
@@ -357,16 +357,17 @@
 }
 
 // writePaced writes the job to the store or through another daemon, as package outage decides.
-// written is called once this daemon has written the job.
-func (s *Service) writePaced(ctx context.Context, sub *submission, written func()) error {
+// written is called with what the store has under the job's id, once this daemon has written the job
+// or has found it there.
+func (s *Service) writePaced(ctx context.Context, sub *submission, written func(stored store.Entry)) error {
 	return s.paced(ctx, pacedRequest{
 		try: func(ctx context.Context, r *outage.Request) (done bool, err error) {
-			byOther, err := s.createHedged(ctx, sub)
+			created, err := s.createHedged(ctx, sub)
 			r.TargetUncertain, r.Forwarded = sub.targetUncertain.Load(), r.Forwarded || sub.forwarded.Load()
 			switch {
 			case err == nil:
-				if !byOther {
-					written()
+				if !created.byOther {
+					written(created.stored)
 				}
 				return true, nil
 			case errors.Is(err, errIDCancelled):
--- a/request/submit/peer.go
+++ b/request/submit/peer.go
@@ -170,8 +170,10 @@
 	}
 	s.beginAttempt(id)
 	done := s.pacer.sentWrite()
-	err = s.o.StoreTimeout.CallWithMinTimeout(ctx, s.pacer.forwardedTimeout(), func(ctx context.Context) error {
-		return s.create(ctx, sub)
+	var stored store.Entry
+	err = s.o.StoreTimeout.CallWithMinTimeout(ctx, s.pacer.forwardedTimeout(), func(ctx context.Context) (err error) {
+		stored, err = s.create(ctx, sub)
+		return err
 	})
 	done(err)
 	unanswered := errors.Is(err, store.ErrUnknownOutcome)
@@ -181,7 +183,7 @@
 		refused := errors.Is(err, errIDCancelled) || errors.Is(err, errOtherAccount) // by what is stored under the id
 		return forwardReply{Uncertain: unanswered || byOther && !refused, StoreFails: fails, StoreAnswers: !fails}, nil
 	}
-	s.push(store.Entry{Key: dispatch.KeySubmission(id), Value: o.Value})
+	s.offerStored(sub, stored)
 	return forwardReply{Accepted: true}, nil
 }
 
--- a/request/submit/submit.go
+++ b/request/submit/submit.go
@@ -8,6 +8,7 @@
 package submit
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -207,7 +208,7 @@
 	}
 	began := time.Now()
 	s.beginAttempt(id)
-	err = write(ctx, sub, func() { s.push(s.offerEntry(sub)) })
+	err = write(ctx, sub, func(stored store.Entry) { s.offerStored(sub, stored) })
 	s.stats.LongestHold.Record(time.Since(began))
 	if err = s.afterOtherAttempts(id, err); err == nil {
 		s.stats.Accepted.Add(1)
@@ -266,10 +267,9 @@
 
 // write writes the job to the store or, when the store refuses calls of this daemon, through
 // another daemon. After a failed call the other daemons are tried first: they answer within
-// milliseconds, while a read of an unresponsive store takes probeTimeout. written is called once
-// this daemon has written the job. It is used instead of writePaced with the policy
-// no_outage_pacing.
-func (s *Service) write(ctx context.Context, sub *submission, written func()) error {
+// milliseconds, while a read of an unresponsive store takes probeTimeout. written is called as with
+// writePaced, which is used instead of it without the policy no_outage_pacing.
+func (s *Service) write(ctx context.Context, sub *submission, written func(stored store.Entry)) error {
 	ctx, cancel := context.WithTimeout(ctx, submitBudget)
 	defer cancel()
 	unconfirmed := false // whether an unanswered write may still take effect
@@ -285,12 +285,12 @@
 			return nil
 		}
 		if last = s.reachable(ctx); last == nil {
-			var byOther bool
-			switch byOther, last = s.createHedged(ctx, sub); {
-			case last == nil && byOther:
+			var created attempt
+			switch created, last = s.createHedged(ctx, sub); {
+			case last == nil && created.byOther:
 				return nil
 			case last == nil:
-				written()
+				written(created.stored)
 				return nil
 			case errors.Is(last, errIDCancelled):
 				return unavailable(CodeIDCancelled, last)
@@ -355,8 +355,9 @@
 var errIDCancelled = errors.New("submit: the id was given up before it was handed in")
 
 // create makes one attempt to write the job. All attempts write the same, and at most one of
-// them takes effect.
-func (s *Service) create(ctx context.Context, sub *submission) error {
+// them takes effect. stored is what the store has under the job's id then: the submission, or that of
+// an earlier one, or the state of the job.
+func (s *Service) create(ctx context.Context, sub *submission) (stored store.Entry, err error) {
 	id := sub.id
 	txn := store.Txn{
 		Checks: []store.Check{{Key: dispatch.KeySubmission(id)}, {Key: dispatch.KeyState(id)}},
@@ -370,24 +371,24 @@
 			txn.Checks = append(txn.Checks, store.Check{Key: key})
 		}
 	}
-	_, err := s.o.Store.Commit(ctx, txn)
+	_, err = s.o.Store.Commit(ctx, txn)
 	var conflict *store.ConflictError
 	if !errors.As(err, &conflict) {
-		return err
+		return store.Entry{Key: dispatch.KeySubmission(id), Value: sub.value}, err
 	}
 	if preconditions.Layout.Key != "" {
 		if layout, _ := conflict.Find(preconditions.Layout.Key); layout.Revision != preconditions.Layout.Revision {
-			return errLayoutChanged
+			return store.Entry{}, errLayoutChanged
 		}
 	}
 	// The job was submitted before, possibly before the cell was divided into shards: the first
 	// submission stands.
 	for _, key := range slices.Concat(preconditions.OtherShardKeys, jobKeys(id)) {
 		if entry, exists := conflict.Find(key); exists {
-			return checkExisting(entry, sub.account)
+			return entry, checkExisting(entry, sub.account)
 		}
 	}
-	return fmt.Errorf("%w: neither key exists now", store.ErrUnknownOutcome)
+	return store.Entry{}, fmt.Errorf("%w: neither key exists now", store.ErrUnknownOutcome)
 }
 
 // checkExisting returns the result of a submission whose id is in use, given the entry found
@@ -439,13 +440,18 @@
 	return entry, err == nil, err
 }
 
-// offerEntry returns the entry that is sent to the leader.
-func (s *Service) offerEntry(sub *submission) store.Entry {
-	value := sub.full
-	if s.omitSpecs.Load() {
-		value = sub.value
+// offerStored notifies the leader of a job that is stored under the id of a submission.
+//
+// A repeated submission must not be offered as it is: it names the epoch of its own arrival, by which a
+// leader believes that no earlier one has started the job, and it may come after the job's end.
+func (s *Service) offerStored(sub *submission, stored store.Entry) {
+	switch {
+	case stored.Key != dispatch.KeySubmission(sub.id): // it has ended, or is in another shard
+		return
+	case bytes.Equal(stored.Value, sub.value) && !s.omitSpecs.Load():
+		stored.Value = sub.full
 	}
-	return store.Entry{Key: dispatch.KeySubmission(sub.id), Value: value}
+	s.push(stored)
 }
 
 // push notifies the leader of a new entry. If it fails, the leader's watch delivers the entry.
