submit: only the spec of a submission that is stored is handed out

Cause: the accepting daemon cached the spec before anything was known of the id, and replaced the one that was there; leaders ask the accepting daemon first and compare with nothing.

Why this fix works: a spec is cached only once the store is known to hold the very submission it came with, which the submission's bytes tell, with a digest of the spec in them; a forwarded submission says so in its answer. Where it is not cached, as after an answer that was lost, the spec is read from the store as before.

--- a/request/submit/peer.go
+++ b/request/submit/peer.go
@@ -52,6 +52,9 @@
 	// StoreAnswers means that the store answers this daemon, which did not write the job for
 	// another reason.
 	StoreAnswers bool `cbor:"4,keyasint,omitempty"`
+	// AsForwarded means that the forwarded submission is stored, and not an earlier one under its id. A
+	// daemon of a version without it does not set it.
+	AsForwarded bool `cbor:"5,keyasint,omitempty"`
 }
 
 type stateRequest struct {
@@ -184,7 +187,7 @@
 		return forwardReply{Uncertain: unanswered || byOther && !refused, StoreFails: fails, StoreAnswers: !fails}, nil
 	}
 	s.offerStored(sub, stored)
-	return forwardReply{Accepted: true}, nil
+	return forwardReply{Accepted: true, AsForwarded: sub.is(stored)}, nil
 }
 
 func (s *Service) serveCancel(ctx context.Context, r cancelRequest) (any, error) {
--- a/request/submit/submission.go
+++ b/request/submit/submission.go
@@ -1,6 +1,7 @@
 package submit
 
 import (
+	"bytes"
 	"fmt"
 	"sync/atomic"
 
@@ -53,6 +54,11 @@
 	return sub, nil
 }
 
+// is reports whether an entry of the store is this submission, and not another one under its id.
+func (sub *submission) is(stored store.Entry) bool {
+	return stored.Key == dispatch.KeySubmission(sub.id) && bytes.Equal(stored.Value, sub.value)
+}
+
 // writes returns the writes that store the job.
 func (sub *submission) writes() []store.Write {
 	all := []store.Write{{Key: dispatch.KeySubmission(sub.id), Value: sub.value}}
--- a/request/submit/submit.go
+++ b/request/submit/submit.go
@@ -8,7 +8,6 @@
 package submit
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -19,6 +18,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/singleflight"
 
@@ -188,27 +188,30 @@
 	return &verdict.Error{Verdict: verdict.MayHaveRun, Status: http.StatusGatewayTimeout, Code: CodeUnknown, Err: err}
 }
 
-// Submit accepts a job and sets its Epoch, AcceptedBy and SpecStored. The error is a
+// Submit accepts a job and sets its Epoch, AcceptedBy, SpecStored and SpecDigest. The error is a
 // *verdict.Error.
 func (s *Service) Submit(ctx context.Context, id work.JobID, j *work.Job) error {
 	if err := s.refuseOverload(ctx, id, j); err != nil {
 		return err
 	}
 	j.Epoch, j.AcceptedBy, j.SpecStored = s.o.View.Epoch(), s.o.Peer, j.Spec != ""
+	if j.SpecStored {
+		j.SpecDigest = xxhash.Sum64String(j.Spec)
+	}
 	sub, err := newSubmission(id, j)
 	if err != nil {
 		return unavailable(CodeStore, err)
 	}
-	if s.o.Specs != nil {
-		s.o.Specs.CacheSpec(id, j.Spec)
-	}
 	write := s.writePaced
 	if s.pacer.off {
 		write = s.write
 	}
 	began := time.Now()
 	s.beginAttempt(id)
-	err = write(ctx, sub, func(stored store.Entry) { s.offerStored(sub, stored) })
+	err = write(ctx, sub, func(stored store.Entry) {
+		s.cacheSpec(sub, sub.is(stored))
+		s.offerStored(sub, stored)
+	})
 	s.stats.LongestHold.Record(time.Since(began))
 	if err = s.afterOtherAttempts(id, err); err == nil {
 		s.stats.Accepted.Add(1)
@@ -448,12 +451,20 @@
 	switch {
 	case stored.Key != dispatch.KeySubmission(sub.id): // it has ended, or is in another shard
 		return
-	case bytes.Equal(stored.Value, sub.value) && !s.omitSpecs.Load():
+	case sub.is(stored) && !s.omitSpecs.Load():
 		stored.Value = sub.full
 	}
 	s.push(stored)
 }
 
+// cacheSpec caches the spec of a submission that is known to be stored. Another submission under the id may be
+// refused, or be a repetition with another spec; workers would be given its spec for the job's.
+func (s *Service) cacheSpec(sub *submission, stored bool) {
+	if stored && s.o.Specs != nil {
+		s.o.Specs.CacheSpec(sub.id, sub.spec)
+	}
+}
+
 // push notifies the leader of a new entry. If it fails, the leader's watch delivers the entry.
 func (s *Service) push(entry store.Entry) {
 	if h := s.o.Leading(); h != nil {
@@ -536,6 +547,7 @@
 		if err == nil && r.Accepted {
 			s.stats.Forwarded.Add(1)
 			s.pacer.endedForward(true)
+			s.cacheSpec(sub, r.AsForwarded)
 			return true, false
 		}
 		uncertain = uncertain || r.Uncertain || (err != nil && !peer.NotRun(err))
--- a/version/work/work.go
+++ b/version/work/work.go
@@ -173,6 +173,9 @@
 	Account string `cbor:"10,keyasint,omitempty"`
 	// SpecStored: the store holds the spec under a key of its own, and the job without it.
 	SpecStored bool `cbor:"11,keyasint,omitempty"`
+	// SpecDigest is the xxHash64 of the spec if SpecStored is set, so that two submissions under one id
+	// that differ in nothing else are told apart without their specs.
+	SpecDigest uint64 `cbor:"12,keyasint,omitempty"`
 }
 
 // WithoutSpec returns the job without its spec, for a scheduler that does not send the
