dispatch: the incarnation that follows an inherited worker inherits what it may run

The former leader has orders under way to a worker that crashes and comes back under its name; calls name the worker and not its incarnation, so the next one carries them out. The successor loads the earlier incarnation from the stored list, sees the entry of the next one, and removes the earlier one as ended. With it everything that it may run became free to start elsewhere, and the next incarnation was never asked, since it was not in the stored list. The same happens if the former leader had heard of the next incarnation by its answer and died before the stored list had it.

Cause: removeWorker resolves an inherited worker whatever the reason. The end of an incarnation says that its runs have ended, not that the orders to it are void.

Why this works: the incarnation that follows takes over the state that the stored list gives (in use, cordoned with its tasks, or cordoned without a list), so the counters and mayRun stay as they were until it answers, which also makes it reject the former leader. If it never answers: the former leader's orders are carried out at most maxOrderDelay after they were sent and their leases last at most MaxLease, so it waits maxOrderDelay longer than for the worker itself. The loss counts in the crash records when the earlier incarnation is removed, as before, and only once. A further successor finds the next incarnation in the stored list, cordoned with the same tasks or in use; a cordoned worker that is not in the list yet is now called once it is in there.

newInEpoch (only for the log line on dropped completions) is no longer set for an incarnation that the former leader may have called.

Not changed: an inherited worker that is not reached until its lease has expired, and of which no next incarnation has been seen by then, is resolved as before, after supersedeTime and the longest lease. An order that its unseen next incarnation carries out later than that is not waited for.

--- a/process/dispatch/directory.go
+++ b/process/dispatch/directory.go
@@ -12,14 +12,18 @@
 func (e *Engine) WorkerSeen(now time.Duration, seen runner.Worker) {
 	e.now = now
 	seen.ID = e.incarnationOf(seen.ID)
-	older, next := e.noteIncarnation(seen.ID)
+	_, known := e.latestStarts[seen.ID.Name()]
+	older, before := e.noteIncarnation(seen.ID)
 	if older {
 		return // a late entry of an earlier incarnation
 	}
 	w := e.workers[seen.ID]
 	if w == nil {
 		w = e.addWorker(seen)
-		w.newInEpoch = next
+		w.newInEpoch = known && (before == nil || before.fenced)
+	}
+	if before != nil {
+		e.follow(before, w)
 	}
 	if w.removed {
 		return
--- a/process/dispatch/fleet.go
+++ b/process/dispatch/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"fennelshunt.example/fennelshunt/connection/peer"
@@ -78,31 +79,64 @@
 	}
 	for _, ref := range f.Workers {
 		w := e.addWorker(runner.Worker{Ref: ref})
-		e.noteIncarnation(ref.ID)
-		w.recorded, w.inherited = true, true
+		w.recorded = true
 		w.expiry = e.now + supersedeTime + leaseBound(e.o.Bounds.MaxLease)
-		e.unresolved++
-		e.unresolvedUncordoned++
 	}
 	for _, id := range f.Cordoned {
 		if w := e.workers[id]; w != nil && !w.cordoned {
 			w.cordoned, w.unlisted = true, true
-			e.unresolvedUncordoned--
-			e.cordonedUnlisted++
 		}
 	}
 	for _, x := range cordons.Workers {
 		if w := e.workers[x.ID]; w != nil && !w.cordoned {
 			w.cordoned, w.mayRun, w.inheritedSuspects = true, x.Tasks, x.Suspects
-			e.unresolvedUncordoned--
-			for _, task := range x.Tasks {
-				e.mayRun[task]++
-			}
+		}
+	}
+	for _, ref := range f.Workers {
+		w := e.workers[ref.ID]
+		e.inherit(w)
+		if _, before := e.noteIncarnation(ref.ID); before != nil {
+			e.follow(before, w)
 		}
 	}
 	return errors.Join(errs...)
 }
 
+// inherit records that an earlier epoch used a worker that has not answered this one.
+func (e *Engine) inherit(w *worker) {
+	w.inherited = true
+	e.unresolved++
+	switch {
+	case !w.cordoned:
+		e.unresolvedUncordoned++
+	case w.unlisted:
+		e.cordonedUnlisted++
+	}
+	for _, task := range w.mayRun {
+		e.mayRun[task]++
+	}
+}
+
+// follow removes a worker whose next incarnation has been seen. Orders of an earlier epoch to the one may
+// have been carried out by the other, or may still be: what may run on a worker that has not answered this
+// epoch may run on its next incarnation until that one has answered, or the leases from these orders have
+// expired.
+func (e *Engine) follow(w, next *worker) {
+	inherits, cordoned, unlisted, mayRun := w.inherited && !next.fenced, w.cordoned, w.unlisted, w.mayRun
+	e.removeWorker(w, "it is listed with a later start time", true)
+	if !inherits {
+		return
+	}
+	if next.inherited {
+		cordoned, unlisted, mayRun = cordoned && next.cordoned, unlisted || next.unlisted, slices.Concat(mayRun, next.mayRun)
+		e.resolve(next)
+	}
+	next.cordoned, next.unlisted, next.mayRun = cordoned, unlisted, mayRun
+	next.expiry = max(next.expiry, w.expiry+maxOrderDelay)
+	e.inherit(next)
+	e.fleetChanged, e.cordonsChanged = true, e.cordonsChanged || cordoned
+}
+
 // resolve records that nothing of an earlier epoch can start or run unreported on a worker any
 // more.
 func (e *Engine) resolve(w *worker) {
@@ -210,11 +244,10 @@
 	var cordoned cordonRecord
 	for _, w := range e.workerList {
 		f.Workers = append(f.Workers, runner.Ref{ID: w.ID, Address: w.Address})
-		switch {
-		case w.cordoned && w.unlisted: // not listed as cordoned, so that a successor waits for it
-		case w.cordoned:
+		if w.cordoned && !w.unlisted { // without a list of tasks a successor has to wait for it
 			cordoned.Workers = append(cordoned.Workers, cordonedWorker{ID: w.ID, Tasks: append(w.tasks(), w.mayRun...), Suspects: w.suspectRuns(false)})
-		case !w.recorded:
+		}
+		if !w.recorded {
 			ws.fleet = append(ws.fleet, w)
 		}
 	}
--- /dev/null
+++ b/process/dispatch/followed_test.go
@@ -0,0 +1,176 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"fennelshunt.example/fennelshunt/connection/peer"
+	"fennelshunt.example/fennelshunt/connection/runner"
+	"fennelshunt.example/fennelshunt/connection/store"
+	"fennelshunt.example/fennelshunt/version/work"
+)
+
+// Incarnations of a worker that an earlier leader has called.
+var (
+	inheritedID = runner.IncarnationID("w-a", 1)
+	followingID = runner.IncarnationID("w-a", 2)
+)
+
+// followedHarness returns a leader that took over inheritedID and has seen the entry of
+// followingID before either has answered; w-b has answered. There is a job of one task, and
+// cordons, if it is not nil, is the stored list of cordoned workers.
+func followedHarness(t *testing.T, cordons *cordonRecord) *harness {
+	value, err := peer.Marshal(fleetRecord{Workers: []runner.Ref{{ID: inheritedID, Address: "1"}}})
+	require.NoError(t, err)
+	fleet := []store.Entry{{Key: keyFleet, Value: value}}
+	if cordons != nil {
+		value, err := peer.Marshal(cordons)
+		require.NoError(t, err)
+		fleet = append(fleet, store.Entry{Key: keyCordoned, Value: value})
+	}
+	h := newHarness(t, 2, "w-b")
+	require.NoError(t, h.e.Load(0, Saved{Accepted: []store.Entry{jobEntry(t, 1, 4, oneTask())}, Fleet: fleet}))
+	h.step(50 * time.Millisecond)
+	h.report("w-b", runner.Report{Clock: time.Second})
+	h.e.WorkerSeen(h.now, runner.Worker{Ref: runner.Ref{ID: followingID, Address: "1"}, Service: "s", Capacity: work.Resources{CPU: 4000, Memory: 4000}})
+	return h
+}
+
+// requireResolved checks that nothing of an earlier epoch is waited for any more.
+func (h *harness) requireResolved() {
+	require.Zero(h.t, h.e.unresolved)
+	require.Zero(h.t, h.e.unresolvedUncordoned)
+	require.Zero(h.t, h.e.cordonedUnlisted)
+	require.Empty(h.t, h.e.mayRun)
+}
+
+// followedCordons are the states in which an inherited worker can be.
+func followedCordons() map[string]*cordonRecord {
+	task := work.TaskID{Job: testJob}
+	return map[string]*cordonRecord{
+		"in use":   nil,
+		"cordoned": {Workers: []cordonedWorker{{ID: inheritedID, Tasks: []work.TaskID{task}}}},
+	}
+}
+
+// TestTaskWaitsForTheIncarnationThatFollowsAnInheritedWorker guards against a task that a worker's next
+// incarnation runs by a late order of the former leader, and that its successor starts elsewhere.
+func TestTaskWaitsForTheIncarnationThatFollowsAnInheritedWorker(t *testing.T) {
+	for name, cordons := range followedCordons() {
+		t.Run(name, func(t *testing.T) {
+			h := followedHarness(t, cordons)
+			h.step(300 * time.Millisecond)
+			require.Empty(t, h.starts())
+			h.report(followingID, runner.Report{Clock: time.Second, Running: []runner.ActiveRun{{Task: work.TaskID{Job: testJob}, Run: 1}}})
+			h.step(300 * time.Millisecond)
+			require.Empty(t, h.starts(), "it runs there")
+			h.requireResolved()
+		})
+	}
+}
+
+// TestTaskStartsOnceTheIncarnationThatFollowsHasAnswered guards against tasks that wait longer than needed
+// for the incarnation that follows an inherited worker.
+func TestTaskStartsOnceTheIncarnationThatFollowsHasAnswered(t *testing.T) {
+	for name, cordons := range followedCordons() {
+		t.Run(name, func(t *testing.T) {
+			h := followedHarness(t, cordons)
+			h.step(100 * time.Millisecond)
+			require.NotEmpty(t, h.renewals(followingID), "it is asked")
+			h.report(followingID, runner.Report{Clock: time.Second})
+			h.step(300 * time.Millisecond)
+			require.Len(t, h.starts(), 1)
+			require.True(t, h.e.workers[followingID].usable(h.now))
+			h.requireResolved()
+		})
+	}
+}
+
+// renewals returns the kept renewals to a worker.
+func (h *harness) renewals(to runner.WorkerID) (all []SendRenew) {
+	for _, x := range h.effects {
+		if r, ok := x.(SendRenew); ok && r.To.ID == to {
+			all = append(all, r)
+		}
+	}
+	return all
+}
+
+// TestTaskStartsOnceLateOrdersHaveEnded guards against a task that never starts, or too early, if the
+// incarnation that follows an inherited worker does not answer.
+func TestTaskStartsOnceLateOrdersHaveEnded(t *testing.T) {
+	for name, cordons := range followedCordons() {
+		t.Run(name, func(t *testing.T) {
+			h := followedHarness(t, cordons)
+			bound := supersedeTime + maxOrderDelay + leaseBound(testLease)
+			for h.now < bound+time.Second {
+				h.e.Renewed(h.now, followingID, runner.Report{}, runner.ErrUnknown)
+				h.report("w-b", runner.Report{Clock: time.Second + h.now})
+				if h.now < bound {
+					require.Empty(t, h.starts(), "after %v", h.now)
+				}
+				h.step(100 * time.Millisecond)
+			}
+			require.Len(t, h.starts(), 1)
+			h.requireResolved()
+		})
+	}
+}
+
+// TestCrashOfAnInheritedWorkerCountsBeforeTheNextAnswers guards against crashes of inherited workers that are
+// not counted, since what they may run is passed on to their next incarnation.
+func TestCrashOfAnInheritedWorkerCountsBeforeTheNextAnswers(t *testing.T) {
+	task := work.TaskID{Job: testJob}
+	h := followedHarness(t, &cordonRecord{Workers: []cordonedWorker{{ID: inheritedID, Tasks: []work.TaskID{task},
+		Suspects: []suspectRun{{Task: task, Run: 1, Sole: true}}}}})
+	crashes := func() (n int) {
+		for _, c := range h.e.jobs[testJob].step(task).tasks[0].crashes {
+			if !c.Undecided {
+				require.Equal(t, string(inheritedID), c.Worker)
+				n++
+			}
+		}
+		return n
+	}
+	require.Equal(t, 1, crashes())
+	h.report(followingID, runner.Report{Clock: time.Second})
+	require.Equal(t, 1, crashes(), "counted once")
+}
+
+// TestSuccessorAlsoWaitsForTheIncarnationThatFollows guards against a second successor that does not know of
+// what the incarnation that follows an inherited worker may run.
+func TestSuccessorAlsoWaitsForTheIncarnationThatFollows(t *testing.T) {
+	for name, cordons := range followedCordons() {
+		t.Run(name, func(t *testing.T) {
+			h := followedHarness(t, cordons)
+			var fleet []store.Entry
+			for _, x := range h.flushed() {
+				if c, ok := x.(SendCommit); ok {
+					for _, w := range c.Writes {
+						fleet = append(fleet, store.Entry{Key: w.Key, Value: w.Value})
+					}
+				}
+			}
+			next := newHarness(t, 3)
+			require.NoError(t, next.e.Load(0, Saved{Accepted: []store.Entry{jobEntry(t, 1, 4, oneTask())}, Fleet: fleet}))
+			next.resize("w-b", work.Resources{CPU: 4000, Memory: 4000})
+			next.step(50 * time.Millisecond)
+			next.report("w-b", runner.Report{Clock: time.Second})
+			next.step(300 * time.Millisecond)
+			require.Empty(t, next.starts())
+			next.report(followingID, runner.Report{Clock: time.Second})
+			next.step(300 * time.Millisecond)
+			require.Len(t, next.starts(), 1)
+			next.requireResolved()
+		})
+	}
+}
+
+// flushed returns the effects of the next tick.
+func (h *harness) flushed() []Effect {
+	h.now += tickPeriod
+	h.e.Tick(h.now)
+	return h.e.Flush(h.now)
+}
--- a/process/dispatch/incarnation.go
+++ b/process/dispatch/incarnation.go
@@ -16,23 +16,22 @@
 // maxOrderDelay is how long after it was sent an unanswered order may still be carried out.
 const maxOrderDelay = 12 * time.Second
 
-// noteIncarnation records that an incarnation has been seen, and removes an earlier one of the
-// same name. It reports whether the incarnation is older than the latest known one, or succeeds
-// an earlier one.
-func (e *Engine) noteIncarnation(id runner.WorkerID) (older, next bool) {
+// noteIncarnation records that an incarnation has been seen. It reports whether the incarnation is
+// older than the latest known one, and returns an earlier one that it follows.
+func (e *Engine) noteIncarnation(id runner.WorkerID) (older bool, before *worker) {
 	name, startTime := id.Incarnation()
 	if startTime == 0 {
-		return false, false
+		return false, nil
 	}
-	before, known := e.latestStarts[name]
-	if known && startTime <= before {
-		return startTime < before, false
+	latest, known := e.latestStarts[name]
+	if known && startTime <= latest {
+		return startTime < latest, nil
 	}
 	e.latestStarts[name] = startTime
-	if w := e.workers[runner.IncarnationID(name, before)]; known && w != nil {
-		e.removeWorker(w, "it is listed with a later start time", true)
+	if known {
+		before = e.workers[runner.IncarnationID(name, latest)]
 	}
-	return false, known
+	return false, before
 }
 
 // takeOtherIncarnation handles the answer of another incarnation to a renewal that was sent to
@@ -49,7 +48,7 @@
 		seen := w.Worker
 		seen.ID = x.ID
 		next = e.addWorker(seen)
-		next.newInEpoch, next.rack = true, w.rack
+		next.newInEpoch, next.rack = w.fenced, w.rack
 		e.labelSpeed(next)
 		e.fleetChanged = true
 	}
