dispatch: date a worker's answer by when it was given, not by when it is handled

A leader that stood still for seconds handles an answer that lay in its buffers. It counted as fresh, so the next renewal told the count of completions to whichever incarnation lives under the worker's name by then, which drops as many completions that no leader has received. The same answer cleared runs of having crashed the worker, and let a run without progress "since" be stopped as stalled. A leader that stands still between deciding and sending a renewal tells an old count as well.

Cause: Renewed sets answered to the time at which it is called.

Why this works: an answer is given after its call was sent, and after an earlier answer by what the worker's own clock has advanced since. The clock may be slow, so this is a bound, and it is within milliseconds for a renewal that waited a second, where the time of the call alone would make each acknowledgement after a quiet second wait for one more renewal. The bound loses 0.1 % of the time since the answer that it is based on, so that it also holds for a leader whose clock is slightly slower than the worker's, and is based anew on each answer that came quickly. An answer whose bound lies in the future shows that the leader's clock stood still (a suspended machine); it counts from its call. The count of completions goes by this bound when the renewal is decided, and the host drops it from a renewal that is sent later than that allows.

Not changed: lease ends and the estimate of a worker's clock go by when the answer is handled, which makes leases shorter, never longer. What remains: a process that stands still after the check and before the kernel has the request, a relay that stands still with the renewal, a network that delivers it seconds later, and a suspension that stops the leader's clock, until the next answer.

Evidence, on the code before: TestAnswerFromBeforeAPauseDoesNotCountAsFresh: Should be zero, but was 1 TestRunsAreNotClearedByAnAnswerFromBeforeAPause: "[]" should have 1 item(s), but has 0 TestRunIsNotMovedByAnAnswerFromBeforeAPause: Should be empty, but was [{{w-a } ...}] TestAcknowledgementDecidedBeforeAPauseIsNotSent: Should be zero, but was 7 The other tests of presence_test.go guard the bound and the number of late acknowledgements.

--- a/process/dispatch/estimate.go
+++ b/process/dispatch/estimate.go
@@ -214,7 +214,7 @@
 	if alloc.s.spec.LongRunning {
 		bound = stallTimeout // its estimate says nothing about how soon it serves
 	}
-	if stalled < bound || alloc.w.answered < alloc.percentAt+stallTimeout {
+	if stalled < bound || alloc.w.presence.at < alloc.percentAt+stallTimeout {
 		return
 	}
 	e.stats.Moved++
--- a/process/dispatch/host.go
+++ b/process/dispatch/host.go
@@ -413,6 +413,9 @@
 func (h *Host) sendRenew(ctx context.Context, x SendRenew) {
 	bounded, cancel := context.WithTimeout(ctx, x.Timeout-renewGrace+h.responses.timeout(renewGrace, maxRenewGrace))
 	defer cancel()
+	if h.now() > x.AcknowledgeUntil { // this process stood still since the renewal was decided
+		x.Renewal.Acknowledge = 0
+	}
 	report, err := h.o.Runner.Renew(bounded, x.To, x.Renewal)
 	h.post(func(e *Engine, now time.Duration) { e.Renewed(now, x.To.ID, report, err) })
 }
--- a/process/dispatch/incarnation.go
+++ b/process/dispatch/incarnation.go
@@ -49,6 +49,7 @@
 		seen.ID = x.ID
 		next = e.addWorker(seen)
 		next.newInEpoch, next.rack = w.fenced, w.rack
+		next.renewSent = w.renewSent // the call that it has answered
 		e.labelSpeed(next)
 		e.fleetChanged = true
 	}
--- a/process/dispatch/reports.go
+++ b/process/dispatch/reports.go
@@ -15,14 +15,15 @@
 		return
 	}
 	r := runner.Renewal{Epoch: e.o.Epoch, Until: w.renewUntil(e.now, e.o.Bounds.Lease)}
-	if w.misses == 0 && e.now-w.answered <= ackFreshness {
+	ackUntil := w.presence.at + ackFreshness
+	if w.misses == 0 && e.now <= ackUntil {
 		r.Acknowledge = w.ackedCompletion
 	}
 	if w.fenced && w.misses == 0 && !w.unacknowledged() && !w.stopsAnswered() && len(w.untracked) == 0 {
 		r.Wait = e.renewWaitOf(w)
 	}
 	w.renewing, w.renewSent = true, e.now
-	e.effects = append(e.effects, SendRenew{To: w.Ref, Renewal: r, Timeout: r.Wait + renewGrace})
+	e.effects = append(e.effects, SendRenew{To: w.Ref, Renewal: r, Timeout: r.Wait + renewGrace, AcknowledgeUntil: ackUntil})
 }
 
 // unacknowledged reports whether the worker has completions that are not stored yet: a renewal
@@ -63,7 +64,8 @@
 		e.scheduled = false
 	}
 	w.misses, w.answered = 0, now
-	w.noteAlive(now)
+	w.presence.note(now, w.renewSent, report.Clock)
+	w.noteAlive(w.presence.at)
 	w.clock, w.clockAt = report.Clock, now
 	if !w.fenced {
 		e.resolve(w)
--- a/process/dispatch/types.go
+++ b/process/dispatch/types.go
@@ -109,6 +109,9 @@
 	To      runner.Ref
 	Renewal runner.Renewal
 	Timeout time.Duration
+	// AcknowledgeUntil is the engine time after which Renewal.Acknowledge must not be sent, since
+	// another incarnation may answer by then.
+	AcknowledgeUntil time.Duration
 }
 
 // SendCommit asks to write to the store on one of the term's write streams; Committed is
--- a/process/dispatch/worker.go
+++ b/process/dispatch/worker.go
@@ -26,7 +26,7 @@
 	// average.
 	renewPauseMin = 80 * time.Millisecond
 	renewPauseMax = 320 * time.Millisecond
-	// ackFreshness is for how long after its last answer the worker's completions are
+	// ackFreshness is for how long after it was certainly there the worker's completions are
 	// acknowledged: longer than any pause between renewals, shorter than a crashed worker
 	// takes to be back under its name. Otherwise its next incarnation would take the count for
 	// its own and drop as many of its completions, which no leader has received.
@@ -87,7 +87,8 @@
 	renewing  bool
 	renewSent time.Duration
 	nextRenew time.Duration
-	answered  time.Duration // when the last report came in
+	answered  time.Duration // when the last report was handled
+	presence  presence      // by its reports
 	aliveAt   time.Duration // latest time at which it is known to have been running
 	misses    int           // renewals in a row without an answer
 	// recoveredAt is when it last answered again after a renewal without an answer, 0 for never.
