epochworker: judge starts of a task that must run once by the words of the rule

The stand-in took any expiry of the lease that it knew of last for the excuse, compared times that can be equal in virtual time, matched an end and its acknowledgement by the run's number alone, which two workers can share, and had no check of starts after callers were shown a job as completed.

Now each end as done is kept until its acknowledgement, with how often the worker's lease had expired. A start marks the ends before it, and their acknowledgement is a violation unless the lease expired in between; renewing the lease later does not change that. Completed records that a caller was shown a job as completed; a start over a second later is a violation unless the worker carried the order out late. It is stricter than the rule in two points: the caller of a start need not be in touch, and a start after an acknowledged end is a violation also if the lease had expired before the acknowledgement, as before.

--- a/standin/epochworker/calls.go
+++ b/standin/epochworker/calls.go
@@ -76,12 +76,12 @@
 		w.ordered[s.Task] = true
 	}
 	f.mu.Unlock()
-	w, responds, err := f.reach(ctx, to, func(w *worker) { _ = f.start(w, s) })
+	w, responds, err := f.reach(ctx, to, func(w *worker) { _ = f.start(w, s, true) })
 	if err != nil {
 		return 0, err
 	}
 	f.mu.Lock()
-	err = f.start(w, s)
+	err = f.start(w, s, false)
 	clock := w.clock()
 	f.mu.Unlock()
 	if !responds {
@@ -90,7 +90,7 @@
 	return clock, err
 }
 
-func (f *Fleet) start(w *worker, s runner.Start) error {
+func (f *Fleet) start(w *worker, s runner.Start, late bool) error {
 	if w.crashed {
 		return runner.ErrUnknown
 	}
@@ -109,11 +109,11 @@
 		return runner.ErrLeaseExpired
 	}
 	f.extend(w, s.Until)
-	f.begin(w, s)
+	f.begin(w, s, late)
 	return nil
 }
 
-func (f *Fleet) begin(w *worker, s runner.Start) {
+func (f *Fleet) begin(w *worker, s runner.Start, late bool) {
 	f.starts++
 	j := f.jobs[s.Task.Job]
 	if j == nil {
@@ -121,7 +121,7 @@
 		return
 	}
 	f.started[s.Task.Job] = true
-	f.checkStart(w, s, j)
+	f.checkStart(w, s, j, late)
 	step := &j.Steps[s.Task.Step]
 	b := f.o.Work(s.Task, s.Run, w.ID)
 	r := &run{task: s.Task, number: s.Run, need: step.Need(), takes: b.Takes, fails: b.Fails, stuck: b.Stuck, longRunning: step.LongRunning}
@@ -133,7 +133,9 @@
 	}
 	h := f.history(s.Task)
 	h.running++
-	h.superseded = slices.Clone(h.doneRuns)
+	for _, e := range h.unacked {
+		e.restarted = true
+	}
 	f.checkQuota(s.Task, j)
 	if b.Crashes > 0 {
 		time.AfterFunc(b.Crashes, func() {
@@ -153,9 +155,17 @@
 // of machines differ by less.
 const maxEarly = 250 * time.Millisecond
 
-// checkStart checks a start against the history of the task.
-func (f *Fleet) checkStart(w *worker, s runner.Start, j *work.Job) {
+// completedLag is how long after a job was shown as completed orders that are on their way may
+// still start its tasks.
+const completedLag = time.Second
+
+// checkStart checks a start against the history of the task. late says that the worker carried
+// out the order late.
+func (f *Fleet) checkStart(w *worker, s runner.Start, j *work.Job, late bool) {
 	h := f.history(s.Task)
+	if at, ok := f.completed[s.Task.Job]; ok && !late && time.Since(at) > completedLag {
+		f.violate("%s run %d on %s starts %v after its job was shown as completed", s.Task, s.Run, w.ID, time.Since(at))
+	}
 	switch {
 	case h.running > 0:
 		f.violate("%s run %d on %s runs twice", s.Task, s.Run, w.ID)
@@ -273,14 +283,13 @@
 	switch outcome {
 	case runner.Done:
 		h.done = true
-		h.doneRuns = append(h.doneRuns, r.number)
+		h.unacked = append(h.unacked, &doneEnd{on: w, number: w.number + 1, expiries: w.expiries})
 		f.markGangDone(r)
 	case runner.Failed:
 		h.failures++
 	}
 	w.highest[r.task] = max(w.highest[r.task], r.number)
 	w.number++
-	w.endedAt[w.number] = time.Now()
 	w.completions = append(w.completions, runner.Completion{Number: w.number, Task: r.task, Run: r.number, Outcome: outcome})
 	close(w.wake)
 	w.wake = make(chan struct{})
@@ -314,7 +323,7 @@
 		if w.clock() < w.until {
 			return
 		}
-		w.expiredAt = time.Now()
+		w.expiries++
 		for _, r := range w.running {
 			f.end(w, r, runner.Expired)
 			if f.jobs[r.task.Job].Steps[r.task.Step].Gang {
@@ -433,17 +442,20 @@
 	return nil
 }
 
-// acknowledge records the acknowledgement of a completion.
+// acknowledge records the acknowledgement of a completion. That the task was started again after the
+// end is no violation if the worker's lease expired between the end and the acknowledgement: the
+// leader cannot have known whether the run was done. Renewing the lease later does not change that.
 func (f *Fleet) acknowledge(w *worker, e *runner.Completion) {
-	at := w.endedAt[e.Number]
-	delete(w.endedAt, e.Number)
 	delete(w.ordered, e.Task)
 	if e.Outcome != runner.Done {
 		return
 	}
 	h := f.history(e.Task)
-	h.acked = true
-	if slices.Contains(h.superseded, e.Run) && at.After(w.expiredAt) && !f.jobs[e.Task.Job].Steps[e.Task.Step].LongRunning {
+	h.acked = true // also after an expiry: whoever acknowledges a completion has heard of it
+	i := slices.IndexFunc(h.unacked, func(x *doneEnd) bool { return x.on == w && x.number == e.Number })
+	end := h.unacked[i]
+	h.unacked = slices.Delete(h.unacked, i, i+1)
+	if end.restarted && end.expiries == w.expiries && !f.jobs[e.Task.Job].Steps[e.Task.Step].LongRunning {
 		f.violate("%s run %d on %s: its completion is acknowledged after the task was started again", e.Task, e.Run, w.ID)
 	}
 }
--- a/standin/epochworker/fleet.go
+++ b/standin/epochworker/fleet.go
@@ -78,8 +78,10 @@
 	jobs    map[work.JobID]*work.Job
 	seen    map[work.TaskID]*history
 	started map[work.JobID]bool // jobs of which a task has started
-	// cancelled has the times at which cancellations were acknowledged.
+	// cancelled has the times at which cancellations were acknowledged, completed those at which
+	// callers were first shown that jobs are completed.
 	cancelled  map[work.JobID]time.Time
+	completed  map[work.JobID]time.Time
 	rev        store.Revision
 	log        []runner.Change
 	changed    chan struct{}
@@ -97,13 +99,11 @@
 
 // history is what has happened to a task, over all workers.
 type history struct {
-	running int
-	done    bool
-	acked   bool // the completion of a done run was acknowledged
-	// doneRuns are the runs with the outcome runner.Done; superseded are those of them
-	// after which the task was started again.
-	doneRuns, superseded []uint64
-	failures             int
+	running  int
+	done     bool
+	acked    bool // the completion of a done run was acknowledged
+	unacked  []*doneEnd
+	failures int
 	// suspectCrashes counts the crashes, of any cause, of workers that had an order to
 	// start the task and no acknowledged completion of it.
 	suspectCrashes int
@@ -112,6 +112,14 @@
 	crashes, startsSince int
 }
 
+// doneEnd is the end of a run with the outcome runner.Done that is not acknowledged yet.
+type doneEnd struct {
+	on        *worker
+	number    int64 // of the completion
+	expiries  int   // of the worker's lease before the end
+	restarted bool  // the task was started again after the end
+}
+
 type worker struct {
 	runner.Worker
 	disconnected bool
@@ -127,8 +135,7 @@
 	highest     map[work.TaskID]uint64 // highest run that was stopped or ended
 	ordered     map[work.TaskID]bool   // tasks ordered to start, without an acknowledged completion
 	completions []runner.Completion    // completions that are not acknowledged
-	endedAt     map[int64]time.Time    // times of these completions, by number
-	expiredAt   time.Time              // when its lease last expired
+	expiries    int                    // how often its lease has expired
 	number      int64                  // of the last completion
 	wake        chan struct{}
 	capacities  []timedLimit // earlier capacities that still count
@@ -172,7 +179,8 @@
 // New returns a fleet without workers.
 func New(o Options) *Fleet {
 	return &Fleet{o: o, rng: rand.New(rand.NewPCG(o.Seed, 11)), workers: map[runner.WorkerID]*worker{}, jobs: map[work.JobID]*work.Job{},
-		seen: map[work.TaskID]*history{}, started: map[work.JobID]bool{}, cancelled: map[work.JobID]time.Time{}, rev: 1, changed: make(chan struct{}), epoch: time.Now()}
+		seen: map[work.TaskID]*history{}, started: map[work.JobID]bool{}, cancelled: map[work.JobID]time.Time{},
+		completed: map[work.JobID]time.Time{}, rev: 1, changed: make(chan struct{}), epoch: time.Now()}
 }
 
 // AddJob registers a submitted job. A start of a task of any other job is a violation.
@@ -189,6 +197,15 @@
 	f.cancelled[id] = time.Now()
 }
 
+// Completed records that a caller was shown that a job is completed.
+func (f *Fleet) Completed(id work.JobID) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if _, ok := f.completed[id]; !ok {
+		f.completed[id] = time.Now()
+	}
+}
+
 // NotDone returns the tasks of a job, over all its occurrences, of which no run had the
 // outcome runner.Done. Such a run of one member of a gang counts for the whole gang.
 func (f *Fleet) NotDone(id work.JobID) []work.TaskID {
@@ -218,7 +235,7 @@
 // newWorker starts an incarnation that is not listed in the directory yet.
 func (f *Fleet) newWorker(w runner.Worker) *worker {
 	started := &worker{Worker: w, started: time.Now().Add(-time.Duration(f.rng.IntN(1000)) * time.Second), unlisted: true,
-		running: map[work.TaskID]*run{}, highest: map[work.TaskID]uint64{}, ordered: map[work.TaskID]bool{}, endedAt: map[int64]time.Time{}, wake: make(chan struct{})}
+		running: map[work.TaskID]*run{}, highest: map[work.TaskID]uint64{}, ordered: map[work.TaskID]bool{}, wake: make(chan struct{})}
 	f.workers[w.ID] = started
 	f.order = append(f.order, w.ID)
 	return started
