dispatch: the next incarnation of a worker has to answer a stop itself

A start is not answered, its stop is answered, and the worker comes back under its name. The run is passed on to the next incarnation, which may still carry the start out, together with the time at which the earlier incarnation answered the stop. The next report without the run then counts as the refusal of the next incarnation, the task starts elsewhere, and the late order is carried out beside it.

Cause: moveTo changes the worker of a run and keeps stopAckedAt, which is evidence of the earlier incarnation only.

Why this works: the stop is sent to the next incarnation until that one has answered it, and only a report to a renewal sent after that releases the run. A run that the next incarnation lists, and whose stop only the earlier one has answered, is now stopped as well.

--- a/process/dispatch/incarnation.go
+++ b/process/dispatch/incarnation.go
@@ -79,10 +79,10 @@
 	}
 }
 
-// moveTo books a run on another worker.
+// moveTo books a run on the next incarnation of its worker, which has not answered a stop of it.
 func (alloc *allocation) moveTo(w *worker) {
 	alloc.w.drop(alloc)
-	alloc.w = w
+	alloc.w, alloc.stopAckedAt = w, 0
 	w.take(alloc)
 }
 
--- a/process/dispatch/incarnation_test.go
+++ b/process/dispatch/incarnation_test.go
@@ -188,3 +188,36 @@
 	require.Nil(t, h.e.workers["w-a"])
 	require.Equal(t, 8000, h.e.workers[id].Capacity.CPU)
 }
+
+// TestStopThatTheEarlierIncarnationAnsweredIsSentAgain guards against a start that the next incarnation of a
+// worker carries out late, beside another run: the answer of the earlier one to the stop counts as its own.
+func TestStopThatTheEarlierIncarnationAnsweredIsSentAgain(t *testing.T) {
+	h := newHarness(t, 1, inheritedID)
+	require.NoError(t, h.e.Load(0, Saved{Accepted: []store.Entry{jobEntry(t, 1, 4, oneTask())}}))
+	h.step(50 * time.Millisecond)
+	h.report(inheritedID, runner.Report{Clock: time.Second})
+	start := h.starts()[0].Start
+	h.resize("w-b", work.Resources{CPU: 4000, Memory: 4000})
+	for range maxStarts {
+		h.e.Started(h.now, inheritedID, start.Task, start.Run, runner.ErrUnknown)
+	}
+	h.e.StopAnswered(h.now, inheritedID, start.Task, start.Run, nil)
+	h.e.Renewed(h.now, inheritedID, runner.Report{}, runner.ErrUnknown)
+	h.step(probePause + 50*time.Millisecond) // another renewal is sent
+	h.report("w-b", runner.Report{Clock: time.Second})
+	h.effects = nil
+	h.e.Renewed(h.now, inheritedID, runner.Report{}, &runner.IncarnationError{ID: followingID, Report: runner.Report{Clock: time.Second}})
+	h.step(time.Second)
+	require.Empty(t, h.otherStarts(inheritedID, start.Run), "it has not refused the start yet")
+	require.NotEmpty(t, sent[SendStop](h))
+	h.report(followingID, runner.Report{Clock: 2 * time.Second})
+	h.step(50 * time.Millisecond)
+	require.Empty(t, h.starts(), "it has not refused the start yet")
+	h.e.StopAnswered(h.now, followingID, start.Task, start.Run, nil)
+	h.step(50 * time.Millisecond)
+	h.report(followingID, runner.Report{Clock: 2 * time.Second}) // to a renewal from before
+	h.step(2 * untrackedPause)
+	h.report(followingID, runner.Report{Clock: 3 * time.Second})
+	h.step(300 * time.Millisecond)
+	require.Len(t, h.starts(), 1)
+}
