dispatch: wait for all completions of an inherited worker before its tasks start again

A worker lists 500 completions at a time. If it holds more that are not acknowledged, as after a time without the store, the first report to a successor does not have them all: the tasks of the others were taken for waiting, and started again, twenty at once in the test, although their completions are acknowledged later.

Cause: the first answer resolves an inherited worker, whether or not it is complete; within one leader's life reports that are not complete release nothing (handleMissing).

Why this works: the worker counts as inherited until a report has room for more completions than it lists. Until then it is neither cordoned, uncordoned nor removed as idle, since the stored list still describes it. If it becomes silent before, its tasks start once its lease has expired.

TestTasksDoNotWaitForCompletionsBeyondALease guards the way back: it holds before and after.

--- a/process/dispatch/directory.go
+++ b/process/dispatch/directory.go
@@ -80,7 +80,7 @@
 	}
 	w.listed = false
 	w.nextRenew = now
-	if w.misses > 0 && len(w.allocs) == 0 && w.fenced {
+	if w.misses > 0 && w.idle() {
 		e.removeWorker(w, "not listed and not answering", true)
 	}
 }
@@ -154,4 +154,5 @@
 		return
 	}
 	e.clearAllocs(w, "its lease has expired", false)
+	e.resolve(w)
 }
--- a/process/dispatch/engine.go
+++ b/process/dispatch/engine.go
@@ -438,7 +438,7 @@
 	if w.removed {
 		return
 	}
-	if now := e.now; w.expiry > 0 && now > w.expiry && (len(w.allocs) > 0 || !w.fenced) {
+	if now := e.now; w.expiry > 0 && now > w.expiry && !w.idle() {
 		e.leaseExpired(w)
 	}
 	if w.misses == 0 {
--- a/process/dispatch/fleet.go
+++ b/process/dispatch/fleet.go
@@ -203,7 +203,7 @@
 }
 
 func (e *Engine) cordon(w *worker, why string) {
-	if w.cordoned || !w.fenced || !w.recorded {
+	if w.cordoned || !w.fenced || !w.recorded || w.inherited {
 		return
 	}
 	w.cordoned = true
@@ -213,7 +213,7 @@
 
 // uncordon makes a cordoned worker that has answered usable, once the list is stored.
 func (e *Engine) uncordon(w *worker) {
-	if !w.cordoned || w.Draining {
+	if !w.cordoned || w.Draining || w.inherited {
 		return
 	}
 	w.cordoned, w.recorded = false, false
--- a/process/dispatch/reports.go
+++ b/process/dispatch/reports.go
@@ -68,14 +68,17 @@
 	w.noteAlive(w.presence.at)
 	w.clock, w.clockAt = report.Clock, now
 	if !w.fenced {
-		e.resolve(w)
 		w.fenced = true
 		e.scheduled = false
 		e.takeLateStarts(w)
 	}
+	complete := len(report.Ended) < runner.MaxCompletions
+	if complete {
+		e.resolve(w)
+	}
 	e.uncordon(w)
 	completions := e.takeCompletions(w, report.Ended)
-	e.reconcileRunning(w, report.Running, len(report.Ended) < runner.MaxCompletions)
+	e.reconcileRunning(w, report.Running, complete)
 	e.settleCrashes(w, false)
 	w.nextRenew = now
 	switch {
@@ -114,7 +117,7 @@
 	}
 	w.misses++
 	w.nextRenew = e.now + probePause
-	if !w.listed && len(w.allocs) == 0 && w.fenced {
+	if !w.listed && w.idle() {
 		e.removeWorker(w, "not listed and not answering", true)
 	}
 }
--- a/process/dispatch/worker.go
+++ b/process/dispatch/worker.go
@@ -70,7 +70,7 @@
 	unlisted bool
 	// inheritedSuspects are the runs that may have crashed it, as written by an earlier epoch.
 	inheritedSuspects []suspectRun
-	// inherited: an earlier epoch used it, and it has not answered this one.
+	// inherited: an earlier epoch used it, and it has not answered this one with all its completions.
 	inherited bool
 	rack      string
 
@@ -116,6 +116,9 @@
 // free returns the capacity that is not booked.
 func (w *worker) free() work.Resources { return w.Capacity.Sub(w.used) }
 
+// idle reports whether it is known that nothing runs on the worker.
+func (w *worker) idle() bool { return w.fenced && !w.inherited && len(w.allocs) == 0 }
+
 // overbooked reports whether more is booked than the worker's capacity, which may have shrunk
 // since.
 func (w *worker) overbooked() bool { return !work.Resources{}.Fits(w.free()) }
