dispatch: store which tasks the next incarnation of a worker may start late

A leader removes a worker whose incarnation has ended, with starts on it that nobody has answered, and keeps these tasks back, since the next incarnation under its name may still carry the orders out. If it fails then, its successor knows neither of the worker, which the stored list no longer has, nor of the orders, and starts the tasks at once.

Cause: lateStarts is kept in memory only.

Why this works: the lists of workers name the ended incarnation, as cordoned with these tasks, until its next incarnation has answered or the orders are void. A successor calls the worker under its name, and holds back only these tasks: until the name answers, and at most maxOrderDelay longer than for a worker that the former leader still called. A start that is late costs two more writes of the lists of workers.

--- a/process/dispatch/fleet.go
+++ b/process/dispatch/fleet.go
@@ -39,6 +39,8 @@
 	Tasks []work.TaskID   `cbor:"2,keyasint,omitempty"`
 	// Suspects are the runs that may have crashed it, if it has crashed.
 	Suspects []suspectRun `cbor:"3,keyasint,omitempty"`
+	// Late: its next incarnation may carry out orders to it.
+	Late bool `cbor:"4,keyasint,omitempty"`
 }
 
 // suspectRun is a run that may have crashed its worker.
@@ -89,7 +91,10 @@
 	}
 	for _, x := range cordons.Workers {
 		if w := e.workers[x.ID]; w != nil && !w.cordoned {
-			w.cordoned, w.mayRun, w.inheritedSuspects = true, x.Tasks, x.Suspects
+			w.cordoned, w.mayRun, w.inheritedSuspects, w.lateOrders = true, x.Tasks, x.Suspects, x.Late
+			if x.Late {
+				w.expiry += maxOrderDelay
+			}
 		}
 	}
 	for _, ref := range f.Workers {
@@ -132,7 +137,10 @@
 		e.resolve(next)
 	}
 	next.cordoned, next.unlisted, next.mayRun = cordoned, unlisted, mayRun
-	next.expiry = max(next.expiry, w.expiry+maxOrderDelay)
+	next.expiry, next.lateOrders = max(next.expiry, w.expiry), true
+	if !w.lateOrders {
+		next.expiry = max(next.expiry, w.expiry+maxOrderDelay)
+	}
 	e.inherit(next)
 	e.fleetChanged, e.cordonsChanged = true, e.cordonsChanged || cordoned
 }
@@ -245,12 +253,16 @@
 	for _, w := range e.workerList {
 		f.Workers = append(f.Workers, runner.Ref{ID: w.ID, Address: w.Address})
 		if w.cordoned && !w.unlisted { // without a list of tasks a successor has to wait for it
-			cordoned.Workers = append(cordoned.Workers, cordonedWorker{ID: w.ID, Tasks: append(w.tasks(), w.mayRun...), Suspects: w.suspectRuns(false)})
+			cordoned.Workers = append(cordoned.Workers, cordonedWorker{ID: w.ID, Tasks: append(w.tasks(), w.mayRun...), Suspects: w.suspectRuns(false), Late: w.lateOrders})
 		}
 		if !w.recorded {
 			ws.fleet = append(ws.fleet, w)
 		}
 	}
+	for _, x := range e.lateTasks() {
+		f.Workers = append(f.Workers, x.ref)
+		cordoned.Workers = append(cordoned.Workers, cordonedWorker{ID: x.ref.ID, Tasks: x.tasks, Late: true})
+	}
 	put := func(key string, record any) {
 		data, err := peer.Marshal(record)
 		if err != nil {
--- a/process/dispatch/followed_test.go
+++ b/process/dispatch/followed_test.go
@@ -174,3 +174,114 @@
 	h.e.Tick(h.now)
 	return h.e.Flush(h.now)
 }
+
+// stepInto is step, and puts what is written under the prefix of the lists of workers into fleet.
+func (h *harness) stepInto(fleet map[string]store.Entry, d time.Duration) {
+	for until := h.now + d; h.now < until; {
+		for _, x := range h.flushed() {
+			c, ok := x.(SendCommit)
+			if !ok {
+				h.effects = append(h.effects, x)
+				continue
+			}
+			for _, w := range c.Writes {
+				if w.Key == keyFleet || w.Key == keyCordoned {
+					fleet[w.Key] = store.Entry{Key: w.Key, Value: w.Value}
+				}
+			}
+			h.e.Committed(h.now, c.Stream)
+		}
+	}
+}
+
+// lateStartFleet returns the stored lists of workers of a leader that has removed inheritedID with an
+// unanswered start on it, and has not heard of its next incarnation.
+func lateStartFleet(t *testing.T) map[string]store.Entry {
+	h := newHarness(t, 1, inheritedID)
+	fleet := map[string]store.Entry{}
+	require.NoError(t, h.e.Load(0, Saved{Accepted: []store.Entry{jobEntry(t, 1, 4, oneTask())}}))
+	h.stepInto(fleet, 50*time.Millisecond)
+	h.report(inheritedID, runner.Report{Clock: time.Second})
+	start := h.starts()[0].Start
+	for range maxStarts {
+		h.e.Started(h.now, inheritedID, start.Task, start.Run, runner.ErrUnknown)
+	}
+	h.e.WorkerUnlisted(h.now, inheritedID)
+	for h.e.workers[inheritedID] != nil {
+		h.e.Renewed(h.now, inheritedID, runner.Report{}, runner.ErrUnknown)
+		h.stepInto(fleet, 100*time.Millisecond)
+	}
+	require.Greater(t, h.now, testLease)
+	h.stepInto(fleet, 100*time.Millisecond)
+	return fleet
+}
+
+// lateStartSuccessor returns the successor of a leader that has left such lists. w-b has answered.
+func lateStartSuccessor(t *testing.T, fleet map[string]store.Entry) *harness {
+	h := newHarness(t, 2)
+	var entries []store.Entry
+	for _, x := range fleet {
+		entries = append(entries, x)
+	}
+	require.NoError(t, h.e.Load(0, Saved{Accepted: []store.Entry{jobEntry(t, 1, 4, oneTask())}, Fleet: entries}))
+	h.resize("w-b", work.Resources{CPU: 4000, Memory: 4000})
+	h.step(50 * time.Millisecond)
+	h.report("w-b", runner.Report{Clock: time.Second})
+	return h
+}
+
+// TestSuccessorKnowsOfLateStarts guards against a task that the next incarnation of a worker runs by a late order
+// of the former leader, and that the successor starts elsewhere, since the worker is not in the stored list.
+func TestSuccessorKnowsOfLateStarts(t *testing.T) {
+	h := lateStartSuccessor(t, lateStartFleet(t))
+	for h.now < supersedeTime+maxOrderDelay+testLease {
+		h.e.Renewed(h.now, inheritedID, runner.Report{}, runner.ErrUnknown)
+		h.report("w-b", runner.Report{Clock: time.Second + h.now})
+		h.step(100 * time.Millisecond)
+		require.Empty(t, h.starts(), "after %v", h.now)
+	}
+	for range 20 {
+		h.report("w-b", runner.Report{Clock: time.Second + h.now})
+		h.step(100 * time.Millisecond)
+	}
+	require.Len(t, h.starts(), 1)
+	h.requireResolved()
+}
+
+// TestSuccessorAsksForLateStarts guards against tasks that wait longer than needed for late orders of the former
+// leader, and against late starts that are kept in the stored list.
+func TestSuccessorAsksForLateStarts(t *testing.T) {
+	h := lateStartSuccessor(t, lateStartFleet(t))
+	h.e.Renewed(h.now, inheritedID, runner.Report{}, &runner.IncarnationError{ID: followingID, Report: runner.Report{Clock: time.Second}})
+	fleet := map[string]store.Entry{}
+	h.stepInto(fleet, 300*time.Millisecond)
+	require.Len(t, h.starts(), 1)
+	h.requireResolved()
+	next := newHarness(t, 3)
+	require.NoError(t, next.e.Load(0, Saved{Fleet: []store.Entry{fleet[keyFleet], fleet[keyCordoned]}}))
+	require.Nil(t, next.e.workers[inheritedID])
+}
+
+// TestLateStartsAreRemovedFromTheStore guards against late starts that stay in the stored list when they can no
+// longer be carried out.
+func TestLateStartsAreRemovedFromTheStore(t *testing.T) {
+	h := newHarness(t, 1, inheritedID)
+	require.NoError(t, h.e.Load(0, Saved{Accepted: []store.Entry{jobEntry(t, 1, 4, oneTask())}}))
+	h.step(50 * time.Millisecond)
+	h.report(inheritedID, runner.Report{Clock: time.Second})
+	require.Len(t, h.starts(), 1)
+	h.e.Renewed(h.now, inheritedID, runner.Report{}, runner.ErrRestarted)
+	fleet := map[string]store.Entry{}
+	listed := func() int {
+		var cordons cordonRecord
+		require.NoError(t, peer.Unmarshal(fleet[keyCordoned].Value, &cordons))
+		return len(cordons.Workers)
+	}
+	h.stepInto(fleet, 100*time.Millisecond)
+	require.Equal(t, 1, listed())
+	h.stepInto(fleet, maxOrderDelay+2*testLease)
+	require.Zero(t, listed())
+	var f fleetRecord
+	require.NoError(t, peer.Unmarshal(fleet[keyFleet].Value, &f))
+	require.Empty(t, f.Workers)
+}
--- a/process/dispatch/incarnation.go
+++ b/process/dispatch/incarnation.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"fennelshunt.example/fennelshunt/connection/runner"
@@ -102,16 +104,42 @@
 	alloc.state, alloc.orphanedAt = stopping, e.now
 	name := w.ID.Name()
 	e.lateStarts[name] = append(e.lateStarts[name], alloc)
+	e.fleetChanged, e.cordonsChanged = true, true
+}
+
+// lateWorker is a worker that has ended, with the tasks that its next incarnation may start late.
+type lateWorker struct {
+	ref   runner.Ref
+	tasks []work.TaskID
+}
+
+// lateTasks returns the tasks of the late starts, in a fixed order, but for workers that are in use
+// again and have not answered: a successor waits for everything there.
+func (e *Engine) lateTasks() (all []lateWorker) {
+	for _, name := range slices.Sorted(maps.Keys(e.lateStarts)) {
+		for _, alloc := range e.lateStarts[name] {
+			if e.workers[alloc.w.ID] != nil {
+				continue
+			}
+			i := slices.IndexFunc(all, func(x lateWorker) bool { return x.ref.ID == alloc.w.ID })
+			if i < 0 {
+				i = len(all)
+				all = append(all, lateWorker{ref: runner.Ref{ID: alloc.w.ID, Address: alloc.w.Address}})
+			}
+			all[i].tasks = append(all[i].tasks, alloc.id())
+		}
+	}
+	return all
 }
 
 // takeLateStarts is called when a worker has answered. It books on the worker the runs that it
 // may have started from orders to an earlier incarnation, and stops them: the answer to the
 // stop says whether the run can still start.
 func (e *Engine) takeLateStarts(w *worker) {
-	if len(e.lateStarts) == 0 {
+	name := w.ID.Name()
+	if len(e.lateStarts[name]) == 0 {
 		return
 	}
-	name := w.ID.Name()
 	for _, alloc := range e.lateStarts[name] {
 		if alloc.task().alloc != alloc {
 			continue
@@ -120,6 +148,7 @@
 		e.sendStop(alloc)
 	}
 	delete(e.lateStarts, name)
+	e.fleetChanged, e.cordonsChanged = true, true
 }
 
 // expireLateStarts releases late starts of workers that do not come back: a run that was
@@ -130,6 +159,7 @@
 		for _, alloc := range all {
 			if e.now-alloc.orphanedAt > maxOrderDelay+leaseBound(e.o.Bounds.MaxLease) {
 				e.release(alloc)
+				e.fleetChanged, e.cordonsChanged = true, true
 				continue
 			}
 			kept = append(kept, alloc)
--- a/process/dispatch/worker.go
+++ b/process/dispatch/worker.go
@@ -68,6 +68,9 @@
 	// that has not answered this one; unlisted: these tasks are not known.
 	mayRun   []work.TaskID
 	unlisted bool
+	// lateOrders: it has ended, or follows one that has, and orders of an earlier epoch to that one may
+	// still be carried out.
+	lateOrders bool
 	// inheritedSuspects are the runs that may have crashed it, as written by an earlier epoch.
 	inheritedSuspects []suspectRun
 	// inherited: an earlier epoch used it, and it has not answered this one with all its completions.
