dispatch, submit: an offer of a job that has ended and been forgotten starts nothing

What callers saw: nothing yet on the site, where jobs are kept 120 s; with a shorter time, or a daemon that stands still for longer, a job runs a second time after its completion was acknowledged (TWICE), and is shown as running after it was completed.

Cause: a daemon tells the leader of each submission that is in the store, also of one that it found there, and the leader took every job that it does not know for a new one. Two ways lead to that: (1) the leader drops an ended job and removes its state a moment later; a submission repeated in between finds the state, is answered as the same job, and is offered; (2) the offer, or an old entry of a listing, is on its way or in a suspended process while the leader learns of the job by its watch, runs it, and forgets it. A duplicate of a job that lies in another shard, since it was submitted before the cell was divided, was offered to the wrong leader the same way.

Why this fix works: an offer carries the revision of the submission in the store, and a job that has no submission there (any more, or in this shard) is not offered. The leader notes up to which revision its listing and its watch have brought every entry. An entry up to it whose job is not known can only be of a job that was forgotten; an entry above it is one that the watch has yet to bring, and its job is not forgotten before that. No clock is involved. Daemons of the version before offer without a revision and are handled as before.

--- a/process/dispatch/cell_test.go
+++ b/process/dispatch/cell_test.go
@@ -54,6 +54,7 @@
 	// reclaimed is the same for runs beyond the entitlement of their accounts, which entitled bounds.
 	reclaimed atomic.Uint64
 	entitled  fair.Entitlement
+	keep      time.Duration // Bounds.Keep
 }
 
 // node is a daemon that can lead.
@@ -101,8 +102,13 @@
 }
 
 func newCellOf(t *testing.T, seed uint64, workers, daemons int, policy Policy, behave func(*rand.Rand, work.TaskID) epochworker.Behaviour) *cell {
+	return newKeepCell(t, seed, workers, daemons, 10*time.Minute, policy, behave)
+}
+
+// newKeepCell returns a cell that forgets jobs some time after their end.
+func newKeepCell(t *testing.T, seed uint64, workers, daemons int, keep time.Duration, policy Policy, behave func(*rand.Rand, work.TaskID) epochworker.Behaviour) *cell {
 	rng := rand.New(rand.NewPCG(seed, 3))
-	c := &cell{t: t, policy: policy, kv: kv.NewSeeded(seed), jobs: map[work.JobID]*work.Job{}, rng: rng, advice: &adviser{members: map[string]*sync.Mutex{}, asked: map[string]int{}, share: 0.5}}
+	c := &cell{t: t, keep: keep, policy: policy, kv: kv.NewSeeded(seed), jobs: map[work.JobID]*work.Job{}, rng: rng, advice: &adviser{members: map[string]*sync.Mutex{}, asked: map[string]int{}, share: 0.5}}
 	draw := rand.New(rand.NewPCG(seed, 5))
 	c.fleet = epochworker.New(epochworker.Options{Seed: seed, Lease: testLease, GangTimeout: 3 * time.Second, StopDelay: 200 * time.Millisecond,
 		Delay: time.Millisecond, Attempts: 4,
@@ -158,7 +164,7 @@
 					c.evacuated.Store(max(c.evacuated.Load(), s.Evacuated))
 					c.reclaimed.Store(max(c.reclaimed.Load(), s.Reclaimed))
 				},
-				Bounds: Bounds{Lease: testLease, MaxLease: testLease, Gang: 3 * time.Second, Keep: 10 * time.Minute, Entitled: c.entitled},
+				Bounds: Bounds{Lease: testLease, MaxLease: testLease, Gang: 3 * time.Second, Keep: c.keep, Entitled: c.entitled},
 				Violation: func(what string) {
 					c.mu.Lock()
 					defer c.mu.Unlock()
@@ -216,24 +222,29 @@
 	c.fleet.AddJob(id, j)
 	value, err := work.EncodeJob(j)
 	require.NoError(c.t, err)
-	c.write(store.Txn{Checks: []store.Check{{Key: KeySubmission(id)}, {Key: KeyState(id)}}, Writes: []store.Write{{Key: KeySubmission(id), Value: value}}})
+	rev := c.write(store.Txn{Checks: []store.Check{{Key: KeySubmission(id)}, {Key: KeyState(id)}}, Writes: []store.Write{{Key: KeySubmission(id), Value: value}}})
 	c.jobs[id] = j
 	c.order = append(c.order, id)
-	if h := c.leader(); h != nil && c.rng.IntN(4) > 0 {
-		h.Offer(store.Entry{Key: KeySubmission(id), Value: value})
+	if h := c.leader(); h != nil && rev > 0 && c.rng.IntN(4) > 0 {
+		h.Offer(store.Entry{Key: KeySubmission(id), Value: value, Revision: rev})
 	}
 	return id
 }
 
-// write retries until the write is stored; a conflict means that it already is.
-func (c *cell) write(t store.Txn) {
+// write retries until the write is stored; a conflict means that it already is. It returns the
+// revision of the write, if that is known.
+func (c *cell) write(t store.Txn) store.Revision {
 	for {
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-		_, err := c.kv.Commit(ctx, t)
+		rev, err := c.kv.Commit(ctx, t)
 		cancel()
 		var conflict *store.ConflictError
-		if err == nil || asConflict(err, &conflict) {
-			return
+		if err == nil {
+			return rev
+		}
+		if asConflict(err, &conflict) {
+			found, _ := conflict.Find(t.Writes[0].Key)
+			return found.Revision
 		}
 		time.Sleep(20 * time.Millisecond)
 	}
--- a/process/dispatch/engine.go
+++ b/process/dispatch/engine.go
@@ -28,6 +28,9 @@
 	// cancels are the cancellations that ended no job, because the submission has not been
 	// seen yet or the job had already ended, with the time at which they came in.
 	cancels map[work.JobID]time.Duration
+	// heard is the revision of the store up to which every entry of accepting daemons has been
+	// handed to Accepted; 0: not known.
+	heard store.Revision
 	// unheard are the jobs of which workers report runs or completions and that are not known.
 	unheard     map[work.JobID]*unheardJob
 	workers     map[runner.WorkerID]*worker
@@ -277,7 +280,11 @@
 		return nil
 	}
 	id, ok := strings.CutPrefix(entry.Key, prefixIn)
-	if !ok || e.jobs[work.JobID(id)] != nil {
+	if !ok {
+		return nil
+	}
+	if j := e.jobs[work.JobID(id)]; j != nil {
+		j.revision = max(j.revision, entry.Revision)
 		return nil
 	}
 	spec, err := work.DecodeJob(entry.Value)
@@ -289,10 +296,19 @@
 		e.deposed = true
 		return nil
 	}
+	if entry.Revision > 0 && entry.Revision <= e.heard {
+		e.decide(Decision{What: "late submission ignored", Task: work.TaskID{Job: work.JobID(id)}, Why: "its job has ended and been forgotten"})
+		return nil
+	}
 	e.add(work.JobID(id), spec, entry.Revision)
 	return nil
 }
 
+// Heard records that every entry of accepting daemons up to a revision of the store has been
+// handed to Accepted. An entry up to it that comes again and whose job is not known is of a job that
+// has ended and been forgotten: a daemon may be suspended for long between its write and its offer.
+func (e *Engine) Heard(revision store.Revision) { e.heard = max(e.heard, revision) }
+
 func (e *Engine) add(id work.JobID, spec *work.Job, revision store.Revision) {
 	j := &job{id: id, spec: spec, submitted: true, revision: revision, loadedAt: e.now, inherited: spec.Epoch < e.o.Epoch,
 		accepted: e.engineTime(spec.Accepted), start: e.engineTime(spec.StartAt), speeds: e.speed.Queue(spec.Queue.Name), account: e.ledger.Account(spec.Account)}
@@ -478,6 +494,9 @@
 			continue
 		}
 		e.trim(j)
+		if e.heard > 0 && j.revision > e.heard {
+			continue // the watch has yet to bring its submission, and must find it known
+		}
 		if !j.trimmed || j.writing || j.dirty || j.batch != nil || e.now-j.endedAt < e.o.Bounds.Keep {
 			continue
 		}
--- a/process/dispatch/host.go
+++ b/process/dispatch/host.go
@@ -148,6 +148,7 @@
 			if bad := h.engine.Load(h.now(), saved); bad != nil {
 				h.o.Log.Error().Err(bad).Msg("entries of the store cannot be decoded and are left as they are")
 			}
+			h.engine.Heard(rev)
 			h.o.Log.Info().Int("accepted", len(saved.Accepted)).Int("states", len(saved.States)).Int("bundles", len(saved.Batches)).Dur("took_ms", time.Since(began)).Msg("state loaded")
 			return rev, nil
 		}
@@ -470,9 +471,15 @@
 	for _, entry := range entries {
 		h.Offer(entry)
 	}
+	h.heard(rev)
 	return rev, nil
 }
 
+// heard tells the engine, after the entries that were read, that these are all up to a revision.
+func (h *Host) heard(rev store.Revision) {
+	h.post(func(e *Engine, _ time.Duration) { e.Heard(rev) })
+}
+
 func (h *Host) watchJobsOnce(ctx context.Context, after store.Revision, wait time.Duration) (store.Revision, error) {
 	events, next, err := h.o.Store.Watch(ctx, PrefixJobs, after, wait)
 	if err != nil {
@@ -483,6 +490,7 @@
 			h.Offer(event.Entry)
 		}
 	}
+	h.heard(next)
 	return next, nil
 }
 
--- a/process/dispatch/job.go
+++ b/process/dispatch/job.go
@@ -40,7 +40,8 @@
 	saved   uint64 // the highest version in the store
 	dirty   bool   // queued for writing
 	writing bool   // a write of it is in flight
-	// revision of its submission; 0 if it was received directly from an accepting daemon.
+	// revision of its submission; 0 if a daemon of the version before has offered it, until the
+	// watch brings it.
 	revision store.Revision
 	// submitted: its submission is in the store; it is removed by the write of the job's end.
 	submitted     bool
--- a/request/submit/peer.go
+++ b/request/submit/peer.go
@@ -34,6 +34,8 @@
 type offer struct {
 	Key   string `cbor:"1,keyasint"`
 	Value []byte `cbor:"2,keyasint"`
+	// Revision is that of the entry in the store; 0 with daemons of the version before.
+	Revision uint64 `cbor:"3,keyasint,omitempty"`
 }
 
 type offerReply struct {
@@ -144,7 +146,7 @@
 func (s *Service) serveOffer(_ context.Context, o offer) (any, error) {
 	h := s.o.Leading()
 	if h != nil {
-		h.Offer(store.Entry{Key: o.Key, Value: o.Value})
+		h.Offer(store.Entry{Key: o.Key, Value: o.Value, Revision: store.Revision(o.Revision)})
 	}
 	return offerReply{OmitSpecs: s.o.Specs != nil && s.o.Specs.RelaysOrders(), Load: s.digestFor(h)}, nil
 }
@@ -181,7 +183,7 @@
 		refused := errors.Is(err, errIDCancelled) || errors.Is(err, errOtherAccount) // by what is stored under the id
 		return forwardReply{Uncertain: unanswered || byOther && !refused, StoreFails: fails, StoreAnswers: !fails}, nil
 	}
-	s.push(store.Entry{Key: dispatch.KeySubmission(id), Value: o.Value})
+	s.offerJob(sub)
 	return forwardReply{Accepted: true}, nil
 }
 
--- a/request/submit/submission.go
+++ b/request/submit/submission.go
@@ -17,6 +17,9 @@
 	// is written under the job's key: without the spec if that is stored separately.
 	full, value []byte
 	spec        string // stored separately; "" for none
+	// stored is the submission in the store of this shard, once an attempt has found or written it;
+	// nil for a job that has ended or lies in another shard.
+	stored atomic.Pointer[store.Entry]
 	// targetUncertain is set when a daemon to which the job was forwarded may have written it.
 	targetUncertain atomic.Bool
 	// forwarded is set once another daemon has been asked to write the job.
--- a/request/submit/submit.go
+++ b/request/submit/submit.go
@@ -207,7 +207,7 @@
 	}
 	began := time.Now()
 	s.beginAttempt(id)
-	err = write(ctx, sub, func() { s.push(s.offerEntry(sub)) })
+	err = write(ctx, sub, func() { s.offerJob(sub) })
 	s.stats.LongestHold.Record(time.Since(began))
 	if err = s.afterOtherAttempts(id, err); err == nil {
 		s.stats.Accepted.Add(1)
@@ -370,9 +370,12 @@
 			txn.Checks = append(txn.Checks, store.Check{Key: key})
 		}
 	}
-	_, err := s.o.Store.Commit(ctx, txn)
+	rev, err := s.o.Store.Commit(ctx, txn)
 	var conflict *store.ConflictError
 	if !errors.As(err, &conflict) {
+		if err == nil {
+			sub.stored.Store(&store.Entry{Key: dispatch.KeySubmission(id), Value: sub.full, Revision: rev})
+		}
 		return err
 	}
 	if preconditions.Layout.Key != "" {
@@ -384,6 +387,9 @@
 	// submission stands.
 	for _, key := range slices.Concat(preconditions.OtherShardKeys, jobKeys(id)) {
 		if entry, exists := conflict.Find(key); exists {
+			if key == dispatch.KeySubmission(id) {
+				sub.stored.Store(&store.Entry{Key: key, Value: sub.full, Revision: entry.Revision})
+			}
 			return checkExisting(entry, sub.account)
 		}
 	}
@@ -439,13 +445,18 @@
 	return entry, err == nil, err
 }
 
-// offerEntry returns the entry that is sent to the leader.
-func (s *Service) offerEntry(sub *submission) store.Entry {
-	value := sub.full
+// offerJob notifies the leader of a submission that is in the store. A job that had been submitted before
+// may have ended, or may lie in another shard: the leader would take it for a new one and run it again.
+func (s *Service) offerJob(sub *submission) {
+	found := sub.stored.Load()
+	if found == nil {
+		return
+	}
+	entry := *found
 	if s.omitSpecs.Load() {
-		value = sub.value
+		entry.Value = sub.value
 	}
-	return store.Entry{Key: dispatch.KeySubmission(sub.id), Value: value}
+	s.push(entry)
 }
 
 // push notifies the leader of a new entry. If it fails, the leader's watch delivers the entry.
@@ -463,7 +474,7 @@
 		defer cancel()
 		var r offerReply
 		asked := time.Now()
-		request := offer{Key: entry.Key, Value: entry.Value}
+		request := offer{Key: entry.Key, Value: entry.Value, Revision: uint64(entry.Revision)}
 		if _, err := s.o.Peers.CallAddr(ctx, leader.Peer, s.method(MethodOffer), request, &r); err != nil {
 			s.o.Log.Debug().Err(err).Str("key", entry.Key).Msg("leader not notified of a new entry; its watch will deliver it")
 			return
