submit: a submission that is stored already is offered to the leader as it is stored

What callers saw: a task may run twice at the same time (TWICE) when a submission without an answer is repeated around a takeover.

Cause: a repetition that finds the job in the store told the leader of it with its own record of the job, which names the highest epoch that the second daemon knew. The epoch says who may have started the job: a leader that finds its own there starts the job without waiting for workers out of reach. The first submission names the epoch before, so that leader's predecessor may have started it on a worker that the successor does not reach yet, if it was stored since the successor listed the submissions. The repetition's record reaches the successor before its watch brings the stored one.

Evidence: TestDuplicateIsOfferedAsItIsStored, before: expected the 45 bytes that are stored (epoch 0), actual 53 bytes with epoch 1 and the second daemon's address.

Why this fix works: what the leader is sent is the entry that the write found, as its watch will bring it.

--- a/request/submit/keep_test.go
+++ b/request/submit/keep_test.go
@@ -181,3 +181,35 @@
 		c.requireOneRun()
 	})
 }
+
+// recordedOffers is a leader's daemon that records what it is offered.
+type recordedOffers struct{ all []offer }
+
+func (r *recordedOffers) CallAddr(_ context.Context, _ string, method peer.Method, req, _ any) (peer.Ref, error) {
+	if method == MethodOffer {
+		r.all = append(r.all, req.(offer))
+	}
+	return peer.Ref{}, nil
+}
+
+// TestDuplicateIsOfferedAsItIsStored guards against a job that a successor takes for one of its own epoch, and
+// starts beside a run that the leader before it has started: a submission without an answer is repeated at a
+// daemon that knows of the successor.
+func TestDuplicateIsOfferedAsItIsStored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newKeepCell(t)
+		defer c.stop()
+		offers := &recordedOffers{}
+		c.o.Peers = offers
+		first := &work.Job{Epoch: 0, Steps: []work.Step{{Count: 1}}, Queue: work.Queue{Name: "q", Service: "none"}}
+		value, err := work.EncodeJob(first)
+		require.NoError(t, err)
+		rev, err := c.kv.Put(t.Context(), dispatch.KeySubmission(id), value, 0, 0)
+		require.NoError(t, err)
+		again := &work.Job{Steps: first.Steps, Queue: first.Queue}
+		require.NoError(t, c.Submit(t.Context(), id, again))
+		require.Positive(t, again.Epoch)
+		synctest.Wait()
+		require.Equal(t, []offer{{Key: dispatch.KeySubmission(id), Value: value, Revision: uint64(rev)}}, offers.all)
+	})
+}
--- a/request/submit/submit.go
+++ b/request/submit/submit.go
@@ -8,6 +8,7 @@
 package submit
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -388,7 +389,7 @@
 	for _, key := range slices.Concat(preconditions.OtherShardKeys, jobKeys(id)) {
 		if entry, exists := conflict.Find(key); exists {
 			if key == dispatch.KeySubmission(id) {
-				sub.stored.Store(&store.Entry{Key: key, Value: sub.full, Revision: entry.Revision})
+				sub.stored.Store(&entry)
 			}
 			return checkExisting(entry, sub.account)
 		}
@@ -446,14 +447,16 @@
 }
 
 // offerJob notifies the leader of a submission that is in the store. A job that had been submitted before
-// may have ended, or may lie in another shard: the leader would take it for a new one and run it again.
+// may have ended, or may lie in another shard: the leader would take it for a new one and run it again. If
+// another attempt has stored it, the leader is sent what is stored: this attempt may name a later epoch
+// than the one that may have started the job.
 func (s *Service) offerJob(sub *submission) {
 	found := sub.stored.Load()
 	if found == nil {
 		return
 	}
 	entry := *found
-	if s.omitSpecs.Load() {
+	if s.omitSpecs.Load() && bytes.Equal(entry.Value, sub.full) {
 		entry.Value = sub.value
 	}
 	s.push(entry)
