dispatch: an ended job is kept from when its end is shown

What callers saw: a job whose end was written after an outage of the store was forgotten right after it was shown as completed: a GET is answered 410 within two seconds instead of after status_s (LOST).

Cause: the time for which an ended job is kept ran from the leader's decision, not from when the end was stored, and for an end that a successor found in a batch from the start of its term, also if its reads took longer than that.

Why this fix works: the time runs from the answer of the write that makes the end visible, or from the loading by a successor. The store's stand-in gets a reading for checks that no fault disturbs.

--- a/process/dispatch/engine.go
+++ b/process/dispatch/engine.go
@@ -257,7 +257,7 @@
 	j := e.jobs[s.job]
 	if j == nil && s.progress.State.Final() {
 		// The submission was removed when the job ended.
-		j = &job{id: s.job, spec: &work.Job{Account: s.progress.Account}, state: s.progress.State, visible: s.progress.State, endedAt: e.now, trimmed: true}
+		j = &job{id: s.job, spec: &work.Job{Account: s.progress.Account}, state: s.progress.State, visible: s.progress.State, shownAt: e.now, trimmed: true}
 		e.jobs[s.job] = j
 		e.noteEndedHeld(s.progress)
 	}
@@ -269,6 +269,7 @@
 		return // a cancellation that is not stored as the final state yet takes precedence
 	}
 	j.restore(s.progress)
+	j.shownAt = e.now
 }
 
 // Accepted handles an entry that an accepting daemon wrote: a job or a cancellation. The error
@@ -355,7 +356,7 @@
 
 // end gives a job its final state and stops its runs.
 func (e *Engine) end(j *job, state work.State, why string) {
-	j.state, j.endedAt = state, e.now
+	j.state = state
 	e.decide(Decision{What: state.String(), Task: work.TaskID{Job: j.id}, Why: why, Age: e.now - j.loadedAt, waits: &j.waits})
 	for s := range j.steps() {
 		s.advice = nil
@@ -475,7 +476,7 @@
 	e.renew(w)
 }
 
-// pruneJobs drops jobs that ended more than Bounds.Keep ago, and removes their keys from the
+// pruneJobs drops jobs that have been shown as ended for Bounds.Keep, and removes their keys from the
 // store.
 func (e *Engine) pruneJobs() {
 	if e.now < e.pruneAt {
@@ -497,7 +498,7 @@
 		if e.heard > 0 && j.revision > e.heard {
 			continue // the watch has yet to bring its submission, and must find it known
 		}
-		if !j.trimmed || j.writing || j.dirty || j.batch != nil || e.now-j.endedAt < e.o.Bounds.Keep {
+		if !j.trimmed || j.writing || j.dirty || j.batch != nil || e.now-j.shownAt < e.o.Bounds.Keep {
 			continue
 		}
 		delete(e.jobs, id)
--- a/process/dispatch/job.go
+++ b/process/dispatch/job.go
@@ -45,9 +45,9 @@
 	revision store.Revision
 	// submitted: its submission is in the store; it is removed by the write of the job's end.
 	submitted     bool
-	batch         *batch // that holds its newest progress; nil: its own key does
-	unbatching    bool   // queued to be moved out of its batch
-	endedAt       time.Duration
+	batch         *batch          // that holds its newest progress; nil: its own key does
+	unbatching    bool            // queued to be moved out of its batch
+	shownAt       time.Duration   // since when callers can see its end, in this epoch
 	firstFailedOn runner.WorkerID // the first worker on which a run failed
 	waits         waits
 	trials        []*allocation // waiting until their record is stored
--- a/process/dispatch/persist.go
+++ b/process/dispatch/persist.go
@@ -233,7 +233,9 @@
 		j.submitted = j.submitted && !s.state.Final()
 	}
 	if s.state.Final() {
-		j.visible = s.state
+		if j.visible != s.state {
+			j.visible, j.shownAt = s.state, e.now
+		}
 		e.trim(j)
 	}
 	e.sendTrials(j)
--- a/process/dispatch/persist_test.go
+++ b/process/dispatch/persist_test.go
@@ -280,3 +280,42 @@
 	}
 	require.Positive(t, batches, "no batch was written")
 }
+
+// TestEndIsKeptFromWhenItIsShown guards against a job that is forgotten right after it was shown as completed,
+// because the store did not answer for as long as ended jobs are kept.
+func TestEndIsKeptFromWhenItIsShown(t *testing.T) {
+	h, s, starts := runningJobs(t, 1, Policy{}, 0)
+	id := starts[0].Start.Task.Job
+	s.answer = 2 * h.e.o.Bounds.Keep
+	h.e.Renewed(h.now, "w-a", completionsOf(0, runner.Done, starts...), nil)
+	s.run(s.answer + time.Second)
+	s.answer = 0
+	state, _ := h.e.State(id)
+	require.Equal(t, work.Completed, state)
+	s.run(h.e.o.Bounds.Keep - 2*time.Second)
+	state, known := h.e.State(id)
+	require.True(t, known)
+	require.Equal(t, work.Completed, state)
+	require.Len(t, s.withPrefix(PrefixState), 1)
+	s.run(2*time.Second + 2*prunePause)
+	_, known = h.e.State(id)
+	require.False(t, known)
+	require.Empty(t, s.withPrefix(PrefixState))
+}
+
+// TestEndFoundInABatchIsKeptFromTheLoading guards against the same with a successor that has read the end from a
+// batch, after its reads went without an answer for as long as ended jobs are kept.
+func TestEndFoundInABatchIsKeptFromTheLoading(t *testing.T) {
+	value, err := work.EncodeBatch([]work.JobProgress{{Job: testJob, Progress: work.Progress{State: work.Completed}}})
+	require.NoError(t, err)
+	h := newHarness(t, 2)
+	h.now = 2 * h.e.o.Bounds.Keep
+	s := newSlowStore(h, 0)
+	s.put(KeySubmission(testJob), jobEntry(t, 1, 2, oneTask()).Value)
+	s.put(PrefixBatches+"x", value)
+	require.NoError(t, h.e.Load(h.now, Saved{Accepted: s.withPrefix(PrefixJobs), Batches: s.withPrefix(PrefixBatches)}))
+	s.run(h.e.o.Bounds.Keep - 2*time.Second)
+	state, known := h.e.State(testJob)
+	require.True(t, known)
+	require.Equal(t, work.Completed, state)
+}
--- a/standin/kv/memory.go
+++ b/standin/kv/memory.go
@@ -80,14 +80,7 @@
 	var found []store.Entry
 	var rev store.Revision
 	err := m.call(ctx, callList, func() error {
-		m.entries.AscendGreaterOrEqual(store.Entry{Key: prefix}, func(e store.Entry) bool {
-			if !strings.HasPrefix(e.Key, prefix) {
-				return false
-			}
-			found = append(found, e)
-			return true
-		})
-		rev = m.rev
+		found, rev = m.under(prefix), m.rev
 		return nil
 	})
 	if err != nil {
@@ -96,6 +89,25 @@
 	return found, rev, nil
 }
 
+// under returns the entries under a prefix, by key.
+func (m *Memory) under(prefix string) (found []store.Entry) {
+	m.entries.AscendGreaterOrEqual(store.Entry{Key: prefix}, func(e store.Entry) bool {
+		if !strings.HasPrefix(e.Key, prefix) {
+			return false
+		}
+		found = append(found, e)
+		return true
+	})
+	return found
+}
+
+// Entries returns the entries under a prefix at once, whatever faults are set, for checks of tests.
+func (m *Memory) Entries(prefix string) []store.Entry {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.under(prefix)
+}
+
 // Put implements store.Store.
 func (m *Memory) Put(ctx context.Context, key string, value []byte, prev store.Revision, id store.LeaseID) (store.Revision, error) {
 	value = append([]byte(nil), value...)
