dispatch: the cancellation of a job that had ended in a batch is removed

What callers saw: nothing; a key of the store stayed for as long as the leader led.

Cause: a successor that finds a submission and its cancellation takes the cancellation as done, and then finds in a batch that the job had ended otherwise before. The write of that end leaves the key of the cancellation, and it was no longer among the cancellations that are removed later.

Why this fix works: it is again among those that are removed after Bounds.Keep.

--- a/process/dispatch/engine.go
+++ b/process/dispatch/engine.go
@@ -268,6 +268,9 @@
 	if j.trimmed || (j.state == work.Cancelled && !s.progress.State.Final()) {
 		return // a cancellation that is not stored as the final state yet takes precedence
 	}
+	if j.state == work.Cancelled {
+		e.cancels[s.job] = e.now // it had ended before it was cancelled
+	}
 	j.restore(s.progress)
 	j.shownAt = e.now
 }
--- a/process/dispatch/persist_test.go
+++ b/process/dispatch/persist_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -319,3 +320,23 @@
 	require.True(t, known)
 	require.Equal(t, work.Completed, state)
 }
+
+// TestCancellationOfAnEndInABatchIsRemoved guards against a key of a cancellation that stays: a successor finds the
+// submission, its cancellation, and in a batch that the job had ended otherwise before.
+func TestCancellationOfAnEndInABatchIsRemoved(t *testing.T) {
+	value, err := work.EncodeBatch([]work.JobProgress{{Job: testJob, Progress: work.Progress{State: work.Completed}}})
+	require.NoError(t, err)
+	h := newHarness(t, 2)
+	s := newSlowStore(h, 0)
+	s.put(KeySubmission(testJob), jobEntry(t, 1, 2, oneTask()).Value)
+	s.put(KeyCancel(testJob), nil)
+	s.put(PrefixBatches+"x", value)
+	accepted := s.withPrefix(PrefixJobs)
+	slices.SortFunc(accepted, func(a, b store.Entry) int { return strings.Compare(a.Key, b.Key) }) // as listed
+	require.NoError(t, h.e.Load(h.now, Saved{Accepted: accepted, Batches: s.withPrefix(PrefixBatches)}))
+	s.run(time.Second)
+	state, _ := h.e.State(testJob)
+	require.Equal(t, work.Completed, state)
+	s.run(h.e.o.Bounds.Keep + 3*prunePause)
+	require.Empty(t, s.entries)
+}
