--- a/process/dispatch/worker.go
+++ b/process/dispatch/worker.go
@@ -26,7 +26,7 @@
 	// average.
 	renewPauseMin = 80 * time.Millisecond
 	renewPauseMax = 320 * time.Millisecond
-	// ackFreshness is for how long after its last answer the worker's completions are
+	// ackFreshness is for how long after it was certainly there the worker's completions are
 	// acknowledged: longer than any pause between renewals, shorter than a crashed worker
 	// takes to be back under its name. Otherwise its next incarnation would take the count for
 	// its own and drop as many of its completions, which no leader has received.
@@ -40,6 +40,9 @@
 	clockDrift = 1.03
 	// driftMargin is added to times that were converted between clocks.
 	driftMargin = 200 * time.Millisecond
+	// killTime is how long a worker may take to end its runs once its lease has expired: ending them
+	// takes as long as a stop, and timers fire late on a loaded VM.
+	killTime = 500 * time.Millisecond
 )
 
 // refusalQuarantine is how long a worker is not used after it refused a start as unhealthy.
@@ -96,7 +99,8 @@
 	renewing  bool
 	renewSent time.Duration
 	nextRenew time.Duration
-	answered  time.Duration // when the last report came in
+	answered  time.Duration // when the last report was handled
+	presence  presence      // by its reports
 	aliveAt   time.Duration // latest time at which it is known to have been running
 	misses    int           // renewals in a row without an answer
 	// recoveredAt is when it last answered again after a renewal without an answer, 0 for never.
@@ -203,9 +207,11 @@
 	return until
 }
 
-// leaseBound returns after how long a lease that a worker was given has certainly expired,
-// whatever its clock.
-func leaseBound(lease time.Duration) time.Duration { return scale(lease, clockDrift) + driftMargin }
+// leaseBound returns after how long a lease that a worker was given has certainly expired and its
+// runs have ended, whatever its clock.
+func leaseBound(lease time.Duration) time.Duration {
+	return scale(lease, clockDrift) + driftMargin + killTime
+}
 
 func scale(d time.Duration, f float64) time.Duration { return time.Duration(float64(d) * f) }
 
--- a/request/submit/peer.go
+++ b/request/submit/peer.go
@@ -54,6 +54,9 @@
 	// StoreAnswers means that the store answers this daemon, which did not write the job for
 	// another reason.
 	StoreAnswers bool `cbor:"4,keyasint,omitempty"`
+	// AsForwarded means that the forwarded submission is stored, and not an earlier one under its id. A
+	// daemon of a version without it does not set it.
+	AsForwarded bool `cbor:"5,keyasint,omitempty"`
 }
 
 type stateRequest struct {
@@ -172,8 +175,10 @@
 	}
 	s.beginAttempt(id)
 	done := s.pacer.sentWrite()
-	err = s.o.StoreTimeout.CallWithMinTimeout(ctx, s.pacer.forwardedTimeout(), func(ctx context.Context) error {
-		return s.create(ctx, sub)
+	var stored store.Entry
+	err = s.o.StoreTimeout.CallWithMinTimeout(ctx, s.pacer.forwardedTimeout(), func(ctx context.Context) (err error) {
+		stored, err = s.create(ctx, sub)
+		return err
 	})
 	done(err)
 	unanswered := errors.Is(err, store.ErrUnknownOutcome)
@@ -183,8 +188,8 @@
 		refused := errors.Is(err, errIDCancelled) || errors.Is(err, errOtherAccount) // by what is stored under the id
 		return forwardReply{Uncertain: unanswered || byOther && !refused, StoreFails: fails, StoreAnswers: !fails}, nil
 	}
-	s.offerJob(sub)
-	return forwardReply{Accepted: true}, nil
+	s.offerStored(sub, stored)
+	return forwardReply{Accepted: true, AsForwarded: sub.is(stored)}, nil
 }
 
 func (s *Service) serveCancel(ctx context.Context, r cancelRequest) (any, error) {
--- a/request/submit/submission.go
+++ b/request/submit/submission.go
@@ -1,6 +1,7 @@
 package submit
 
 import (
+	"bytes"
 	"fmt"
 	"sync/atomic"
 
@@ -17,9 +18,6 @@
 	// is written under the job's key: without the spec if that is stored separately.
 	full, value []byte
 	spec        string // stored separately; "" for none
-	// stored is the submission in the store of this shard, once an attempt has found or written it;
-	// nil for a job that has ended or lies in another shard.
-	stored atomic.Pointer[store.Entry]
 	// targetUncertain is set when a daemon to which the job was forwarded may have written it.
 	targetUncertain atomic.Bool
 	// forwarded is set once another daemon has been asked to write the job.
@@ -56,6 +54,11 @@
 	return sub, nil
 }
 
+// is reports whether an entry of the store is this submission, and not another one under its id.
+func (sub *submission) is(stored store.Entry) bool {
+	return stored.Key == dispatch.KeySubmission(sub.id) && bytes.Equal(stored.Value, sub.value)
+}
+
 // writes returns the writes that store the job.
 func (sub *submission) writes() []store.Write {
 	all := []store.Write{{Key: dispatch.KeySubmission(sub.id), Value: sub.value}}
--- a/request/submit/submit.go
+++ b/request/submit/submit.go
@@ -8,7 +8,6 @@
 package submit
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -19,6 +18,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/singleflight"
 
@@ -188,27 +188,30 @@
 	return &verdict.Error{Verdict: verdict.MayHaveRun, Status: http.StatusGatewayTimeout, Code: CodeUnknown, Err: err}
 }
 
-// Submit accepts a job and sets its Epoch, AcceptedBy and SpecStored. The error is a
+// Submit accepts a job and sets its Epoch, AcceptedBy, SpecStored and SpecDigest. The error is a
 // *verdict.Error.
 func (s *Service) Submit(ctx context.Context, id work.JobID, j *work.Job) error {
 	if err := s.refuseOverload(ctx, id, j); err != nil {
 		return err
 	}
 	j.Epoch, j.AcceptedBy, j.SpecStored = s.o.View.Epoch(), s.o.Peer, j.Spec != ""
+	if j.SpecStored {
+		j.SpecDigest = xxhash.Sum64String(j.Spec)
+	}
 	sub, err := newSubmission(id, j)
 	if err != nil {
 		return unavailable(CodeStore, err)
 	}
-	if s.o.Specs != nil {
-		s.o.Specs.CacheSpec(id, j.Spec)
-	}
 	write := s.writePaced
 	if s.pacer.off {
 		write = s.write
 	}
 	began := time.Now()
 	s.beginAttempt(id)
-	err = write(ctx, sub, func() { s.offerJob(sub) })
+	err = write(ctx, sub, func(stored store.Entry) {
+		s.cacheSpec(sub, sub.is(stored))
+		s.offerStored(sub, stored)
+	})
 	s.stats.LongestHold.Record(time.Since(began))
 	if err = s.afterOtherAttempts(id, err); err == nil {
 		s.stats.Accepted.Add(1)
@@ -267,10 +270,9 @@
 
 // write writes the job to the store or, when the store refuses calls of this daemon, through
 // another daemon. After a failed call the other daemons are tried first: they answer within
-// milliseconds, while a read of an unresponsive store takes probeTimeout. written is called once
-// this daemon has written the job. It is used instead of writePaced with the policy
-// no_outage_pacing.
-func (s *Service) write(ctx context.Context, sub *submission, written func()) error {
+// milliseconds, while a read of an unresponsive store takes probeTimeout. written is called as with
+// writePaced, which is used instead of it without the policy no_outage_pacing.
+func (s *Service) write(ctx context.Context, sub *submission, written func(stored store.Entry)) error {
 	ctx, cancel := context.WithTimeout(ctx, submitBudget)
 	defer cancel()
 	unconfirmed := false // whether an unanswered write may still take effect
@@ -286,12 +288,12 @@
 			return nil
 		}
 		if last = s.reachable(ctx); last == nil {
-			var byOther bool
-			switch byOther, last = s.createHedged(ctx, sub); {
-			case last == nil && byOther:
+			var created attempt
+			switch created, last = s.createHedged(ctx, sub); {
+			case last == nil && created.byOther:
 				return nil
 			case last == nil:
-				written()
+				written(created.stored)
 				return nil
 			case errors.Is(last, errIDCancelled):
 				return unavailable(CodeIDCancelled, last)
@@ -356,8 +358,9 @@
 var errIDCancelled = errors.New("submit: the id was given up before it was handed in")
 
 // create makes one attempt to write the job. All attempts write the same, and at most one of
-// them takes effect.
-func (s *Service) create(ctx context.Context, sub *submission) error {
+// them takes effect. stored is what the store has under the job's id then: the submission, or that of
+// an earlier one, or the state of the job.
+func (s *Service) create(ctx context.Context, sub *submission) (stored store.Entry, err error) {
 	id := sub.id
 	txn := store.Txn{
 		Checks: []store.Check{{Key: dispatch.KeySubmission(id)}, {Key: dispatch.KeyState(id)}},
@@ -374,27 +377,21 @@
 	rev, err := s.o.Store.Commit(ctx, txn)
 	var conflict *store.ConflictError
 	if !errors.As(err, &conflict) {
-		if err == nil {
-			sub.stored.Store(&store.Entry{Key: dispatch.KeySubmission(id), Value: sub.full, Revision: rev})
-		}
-		return err
+		return store.Entry{Key: dispatch.KeySubmission(id), Value: sub.value, Revision: rev}, err
 	}
 	if preconditions.Layout.Key != "" {
 		if layout, _ := conflict.Find(preconditions.Layout.Key); layout.Revision != preconditions.Layout.Revision {
-			return errLayoutChanged
+			return store.Entry{}, errLayoutChanged
 		}
 	}
 	// The job was submitted before, possibly before the cell was divided into shards: the first
 	// submission stands.
 	for _, key := range slices.Concat(preconditions.OtherShardKeys, jobKeys(id)) {
 		if entry, exists := conflict.Find(key); exists {
-			if key == dispatch.KeySubmission(id) {
-				sub.stored.Store(&entry)
-			}
-			return checkExisting(entry, sub.account)
+			return entry, checkExisting(entry, sub.account)
 		}
 	}
-	return fmt.Errorf("%w: neither key exists now", store.ErrUnknownOutcome)
+	return store.Entry{}, fmt.Errorf("%w: neither key exists now", store.ErrUnknownOutcome)
 }
 
 // checkExisting returns the result of a submission whose id is in use, given the entry found
@@ -446,20 +443,26 @@
 	return entry, err == nil, err
 }
 
-// offerJob notifies the leader of a submission that is in the store. A job that had been submitted before
-// may have ended, or may lie in another shard: the leader would take it for a new one and run it again. If
-// another attempt has stored it, the leader is sent what is stored: this attempt may name a later epoch
-// than the one that may have started the job.
-func (s *Service) offerJob(sub *submission) {
-	found := sub.stored.Load()
-	if found == nil {
+// offerStored notifies the leader of a job that is stored under the id of a submission.
+//
+// A repeated submission must not be offered as it is: it names the epoch of its own arrival, by which a
+// leader believes that no earlier one has started the job, and it may come after the job's end.
+func (s *Service) offerStored(sub *submission, stored store.Entry) {
+	switch {
+	case stored.Key != dispatch.KeySubmission(sub.id): // it has ended, or is in another shard
 		return
+	case sub.is(stored) && !s.omitSpecs.Load():
+		stored.Value = sub.full
 	}
-	entry := *found
-	if s.omitSpecs.Load() && bytes.Equal(entry.Value, sub.full) {
-		entry.Value = sub.value
+	s.push(stored)
+}
+
+// cacheSpec caches the spec of a submission that is known to be stored. Another submission under the id may be
+// refused, or be a repetition with another spec; workers would be given its spec for the job's.
+func (s *Service) cacheSpec(sub *submission, stored bool) {
+	if stored && s.o.Specs != nil {
+		s.o.Specs.CacheSpec(sub.id, sub.spec)
 	}
-	s.push(entry)
 }
 
 // push notifies the leader of a new entry. If it fails, the leader's watch delivers the entry.
@@ -544,6 +547,7 @@
 		if err == nil && r.Accepted {
 			s.stats.Forwarded.Add(1)
 			s.pacer.endedForward(true)
+			s.cacheSpec(sub, r.AsForwarded)
 			return true, false
 		}
 		uncertain = uncertain || r.Uncertain || (err != nil && !peer.NotRun(err))
