dispatch, submit: the mark of a cancelled id without a job is removed by the leader in office

What callers saw: nothing; the store grew by a key with each cancellation of an id that had no job, for as long as one daemon led, and a takeover read them all.

Cause: such a cancellation writes work.Refused as the state of the id, so that a late submission starts nothing. A leader reads states only when it takes over; the leader in office never learned of the mark. Only a successor removed it.

Why this fix works: the same transaction writes the cancellation's key, which the leader watches, with a value that says so. The leader deletes both in one transaction after Bounds.Keep; each item of the removals is therefore now a group of keys. If they went one by one, a leader that dies in between would leave the cancellation, and its successor would delete the state that a new job under the id has stored since.

--- a/process/dispatch/batch.go
+++ b/process/dispatch/batch.go
@@ -96,7 +96,7 @@
 	}
 	from.jobs--
 	if from.jobs == 0 {
-		e.removals = append(e.removals, from.key)
+		e.remove(from.key)
 	}
 }
 
@@ -144,7 +144,7 @@
 	}
 	for _, b := range read {
 		if newest[b] == 0 {
-			e.removals = append(e.removals, b.key)
+			e.remove(b.key)
 		}
 	}
 	return found, errs
--- a/process/dispatch/engine.go
+++ b/process/dispatch/engine.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"slices"
@@ -28,6 +29,8 @@
 	// cancels are the cancellations that ended no job, because the submission has not been
 	// seen yet or the job had already ended, with the time at which they came in.
 	cancels map[work.JobID]time.Duration
+	// absents are the ids that were cancelled without a job, with the time at which that came in.
+	absents map[work.JobID]time.Duration
 	// heard is the revision of the store up to which every entry of accepting daemons has been
 	// handed to Accepted; 0: not known.
 	heard store.Revision
@@ -83,7 +86,7 @@
 	dirty          []*job
 	dirtyAt        time.Duration // since when a change waits for a commit
 	urgent         bool
-	removals       []string
+	removals       [][]string                   // keys to delete, those of an item in one write
 	writes         [lead.WriteStreams]*writeSet // in flight, by write stream
 	writtenAt      time.Duration                // when the last one was sent
 	unbatch        []*job                       // to be moved out of batches, see addUnbatched
@@ -195,7 +198,7 @@
 	o.Policy = o.Policy.complete()
 	entitled := o.Bounds.Entitled
 	entitled.Share = 1 / float64(max(o.Shards, 1))
-	return &Engine{o: o, fair: fair.New(o.Policy.Shares, entitled), jobs: map[work.JobID]*job{}, cancels: map[work.JobID]time.Duration{}, unheard: map[work.JobID]*unheardJob{},
+	return &Engine{o: o, fair: fair.New(o.Policy.Shares, entitled), jobs: map[work.JobID]*job{}, cancels: map[work.JobID]time.Duration{}, absents: map[work.JobID]time.Duration{}, unheard: map[work.JobID]*unheardJob{},
 		workers: map[runner.WorkerID]*worker{}, proxies: map[string]*adviceProxy{}, ledger: quota.NewLedger(), endedHeld: map[*quota.Account]quota.Size{},
 		usages: map[usageKey]*usage{}, priorities: map[*quota.Account][]int{}, keptFree: map[*quota.Account]quota.Size{},
 		tasksByCrash: map[runner.WorkerID][]work.TaskID{}, crashedAt: map[string]time.Duration{}, latestStarts: map[string]int64{}, lateStarts: map[string][]*allocation{},
@@ -255,6 +258,9 @@
 // loadState restores the newest progress of a job.
 func (e *Engine) loadState(s stored) {
 	j := e.jobs[s.job]
+	if _, absent := e.absents[s.job]; absent {
+		return
+	}
 	if j == nil && s.progress.State.Final() {
 		// The submission was removed when the job ended.
 		j = &job{id: s.job, spec: &work.Job{Account: s.progress.Account}, state: s.progress.State, visible: s.progress.State, shownAt: e.now, trimmed: true}
@@ -280,7 +286,7 @@
 func (e *Engine) Accepted(now time.Duration, entry store.Entry) error {
 	e.now = now
 	if id, ok := strings.CutPrefix(entry.Key, prefixCancel); ok {
-		e.cancel(work.JobID(id))
+		e.cancelled(work.JobID(id), entry)
 		return nil
 	}
 	id, ok := strings.CutPrefix(entry.Key, prefixIn)
@@ -347,6 +353,21 @@
 	e.scheduled = false
 }
 
+// cancelled handles the entry of a cancellation.
+func (e *Engine) cancelled(id work.JobID, entry store.Entry) {
+	if !bytes.Equal(entry.Value, CancelAbsent) {
+		e.cancel(id)
+		return
+	}
+	if entry.Revision > 0 && entry.Revision <= e.heard {
+		return // it may have been removed since
+	}
+	e.absents[id] = e.now
+	if j := e.jobs[id]; j != nil && j.state == work.Refused {
+		delete(e.jobs, id) // its state was read first
+	}
+}
+
 // cancel ends a job on its caller's request.
 func (e *Engine) cancel(id work.JobID) {
 	j := e.jobs[id]
@@ -490,7 +511,13 @@
 	for id, at := range e.cancels {
 		if e.now-at > e.o.Bounds.Keep {
 			delete(e.cancels, id)
-			e.removals = append(e.removals, KeyCancel(id))
+			e.remove(KeyCancel(id))
+		}
+	}
+	for id, at := range e.absents {
+		if e.now-at > e.o.Bounds.Keep {
+			delete(e.absents, id)
+			e.remove(KeyState(id), KeyCancel(id))
 		}
 	}
 	for id, j := range e.jobs {
@@ -505,10 +532,13 @@
 			continue
 		}
 		delete(e.jobs, id)
-		e.removals = append(e.removals, KeyState(id))
+		e.remove(KeyState(id))
 	}
 }
 
+// remove has keys deleted from the store, all in one write.
+func (e *Engine) remove(keys ...string) { e.removals = append(e.removals, keys) }
+
 // prunePause is the time between two runs of pruneJobs.
 const prunePause = 2 * time.Second
 
--- a/process/dispatch/keep_test.go
+++ b/process/dispatch/keep_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -85,6 +86,14 @@
 	}
 }
 
+// cancelAbsent marks an id that has no job, as an accepting daemon does for a caller that cancels it.
+func (c *cell) cancelAbsent(id work.JobID) {
+	mark, err := work.EncodeProgress(&work.Progress{State: work.Refused})
+	require.NoError(c.t, err)
+	c.write(store.Txn{Checks: []store.Check{{Key: KeyState(id)}, {Key: KeySubmission(id)}},
+		Writes: []store.Write{{Key: KeyState(id), Value: mark}, {Key: KeyCancel(id), Value: CancelAbsent}}})
+}
+
 // TestForgottenJobsUnderRandomFaults guards against jobs that run again, come back, are forgotten early or leave
 // keys behind: every job is submitted a second time within seconds, and is forgotten soon after its end, by this
 // leader or a later one.
@@ -115,6 +124,9 @@
 		if c.rng.IntN(10) == 0 {
 			time.AfterFunc(time.Duration(c.rng.IntN(3000))*time.Millisecond, func() { c.cancelJob(id) })
 		}
+		if c.rng.IntN(10) == 0 {
+			c.cancelAbsent(work.JobID(fmt.Sprintf("f%015x", i)))
+		}
 		time.Sleep(time.Duration(c.rng.IntN(300)) * time.Millisecond)
 		if i < 180 && time.Now().After(next) {
 			c.injectFaultOf(0, 1, 2, 3, 4, 5, 6, 7, 8, 9)
--- a/process/dispatch/persist.go
+++ b/process/dispatch/persist.go
@@ -123,9 +123,11 @@
 		e.addBatch(ws, &c)
 	}
 	space = e.addUnbatched(ws, &c, space)
-	n := min(space, len(e.removals))
-	c.Deletes = append(c.Deletes, e.removals[:n]...)
-	e.removals = e.removals[n:]
+	for len(e.removals) > 0 && len(e.removals[0]) <= space {
+		space -= len(e.removals[0])
+		c.Deletes = append(c.Deletes, e.removals[0]...)
+		e.removals = e.removals[1:]
+	}
 	e.writes[stream] = ws
 	e.stats.Commits++
 	e.urgent = false
--- a/process/dispatch/persist_test.go
+++ b/process/dispatch/persist_test.go
@@ -340,3 +340,40 @@
 	s.run(h.e.o.Bounds.Keep + 3*prunePause)
 	require.Empty(t, s.entries)
 }
+
+// TestMarkOfACancelledIDIsRemovedByASuccessor guards against the state of an id that was cancelled without a job
+// staying in the store, or going without its cancellation: a later leader would then remove what a new job under
+// the id has stored. The successor reads both, or the state only, as earlier versions wrote it or as it was listed
+// just before the other.
+func TestMarkOfACancelledIDIsRemovedByASuccessor(t *testing.T) {
+	mark, err := work.EncodeProgress(&work.Progress{State: work.Refused})
+	require.NoError(t, err)
+	for name, cancelled := range map[string]struct{ loaded, watched bool }{"both": {true, false}, "state": {false, false}, "state first": {false, true}} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, 2)
+			s := newSlowStore(h, 300*time.Millisecond)
+			s.put(KeyState(testJob), mark)
+			if cancelled.loaded || cancelled.watched {
+				s.put(KeyCancel(testJob), CancelAbsent)
+			}
+			saved := Saved{States: s.withPrefix(PrefixState)}
+			if cancelled.loaded {
+				saved.Accepted = s.withPrefix(PrefixJobs)
+			}
+			require.NoError(t, h.e.Load(h.now, saved))
+			if cancelled.watched {
+				h.e.Heard(1)
+				require.NoError(t, h.e.Accepted(h.now, s.entries[KeyCancel(testJob)]))
+			}
+			s.run(h.e.o.Bounds.Keep - time.Second)
+			_, known := h.e.State(testJob)
+			require.False(t, known)
+			all := len(s.entries)
+			for until := h.now + 3*prunePause + time.Second; h.now < until && len(s.entries) > 0; {
+				require.Len(t, s.entries, all, "one goes without the other")
+				s.step()
+			}
+			require.Empty(t, s.entries)
+		})
+	}
+}
--- a/process/dispatch/types.go
+++ b/process/dispatch/types.go
@@ -166,9 +166,17 @@
 // leader with a slow link; workers get specs from the daemons that accepted the jobs.
 func KeySpec(id work.JobID) string { return prefixSpec + string(id) }
 
-// KeyCancel returns the key of a job's cancellation.
+// KeyCancel returns the key of a job's cancellation. Its value is CancelJob or CancelAbsent.
 func KeyCancel(id work.JobID) string { return prefixCancel + string(id) }
 
+// Values of a cancellation: of a job whose submission was in the store, and of an id that had no
+// job. The latter is written together with work.Refused as the state, so that a leader learns of the
+// state and removes both.
+var (
+	CancelJob    = []byte{1}
+	CancelAbsent = []byte{2}
+)
+
 // KeyState returns the key of a job's progress.
 func KeyState(id work.JobID) string { return PrefixState + string(id) }
 
--- a/request/submit/cancel.go
+++ b/request/submit/cancel.go
@@ -92,9 +92,6 @@
 	return refuseAtEnd(ctx, last, unconfirmed)
 }
 
-// cancelMark is the value stored for a cancellation; only its key matters.
-var cancelMark = []byte{1}
-
 // cancelOnce makes one attempt; done reports that err is the final result.
 func (s *Service) cancelOnce(ctx context.Context, id work.JobID, account string) (done bool, err error) {
 	accepted, found, err := s.get(ctx, dispatch.KeySubmission(id))
@@ -114,13 +111,13 @@
 	key := dispatch.KeyCancel(id)
 	err = s.commit(ctx, store.Txn{
 		Checks: []store.Check{{Key: dispatch.KeySubmission(id), Revision: accepted.Revision}},
-		Writes: []store.Write{{Key: key, Value: cancelMark}},
+		Writes: []store.Write{{Key: key, Value: dispatch.CancelJob}},
 	})
 	if err != nil {
 		return false, err
 	}
 	s.stats.Cancelled.Add(1)
-	s.push(store.Entry{Key: key, Value: cancelMark})
+	s.push(store.Entry{Key: key, Value: dispatch.CancelJob})
 	return true, nil
 }
 
@@ -153,7 +150,7 @@
 	}
 	err = s.commit(ctx, store.Txn{
 		Checks: []store.Check{{Key: dispatch.KeySubmission(id)}, {Key: dispatch.KeyState(id)}},
-		Writes: []store.Write{{Key: dispatch.KeyState(id), Value: mark}},
+		Writes: []store.Write{{Key: dispatch.KeyState(id), Value: mark}, {Key: dispatch.KeyCancel(id), Value: dispatch.CancelAbsent}},
 	})
 	if err != nil {
 		return false, err
--- a/request/submit/keep_test.go
+++ b/request/submit/keep_test.go
@@ -16,6 +16,7 @@
 	"fennelshunt.example/fennelshunt/connection/store"
 	"fennelshunt.example/fennelshunt/process/dispatch"
 	"fennelshunt.example/fennelshunt/process/lead"
+	"fennelshunt.example/fennelshunt/request/verdict"
 	"fennelshunt.example/fennelshunt/standin/epochworker"
 	"fennelshunt.example/fennelshunt/standin/kv"
 	"fennelshunt.example/fennelshunt/version/work"
@@ -181,3 +182,22 @@
 		c.requireOneRun()
 	})
 }
+
+// TestMarkOfACancelledIDIsRemoved guards against keys that stay while one daemon leads: a cancellation of an id
+// that was never submitted marks the id, so that a late submission starts nothing.
+func TestMarkOfACancelledIDIsRemoved(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newKeepCell(t)
+		defer c.stop()
+		require.ErrorIs(t, c.Cancel(t.Context(), id, ""), ErrNoJob)
+		time.Sleep(soonForgotten - time.Second)
+		require.Equal(t, verdict.NotRun, verdict.Of(c.Submit(t.Context(), id, testJob())), "a late submission")
+		_, err := c.State(t.Context(), id, "")
+		require.ErrorIs(t, err, ErrNoJob)
+		time.Sleep(10 * time.Second)
+		for _, prefix := range []string{dispatch.PrefixJobs, dispatch.PrefixState} {
+			require.Empty(t, c.kv.Entries(prefix))
+		}
+		c.run()
+	})
+}
