--- a/process/dispatch/engine.go
+++ b/process/dispatch/engine.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"slices"
@@ -28,6 +29,11 @@
 	// cancels are the cancellations that ended no job, because the submission has not been
 	// seen yet or the job had already ended, with the time at which they came in.
 	cancels map[work.JobID]time.Duration
+	// absents are the ids that were cancelled without a job, with the time at which that came in.
+	absents map[work.JobID]time.Duration
+	// heard is the revision of the store up to which every entry of accepting daemons has been
+	// handed to Accepted; 0: not known.
+	heard store.Revision
 	// unheard are the jobs of which workers report runs or completions and that are not known.
 	unheard     map[work.JobID]*unheardJob
 	workers     map[runner.WorkerID]*worker
@@ -80,7 +86,7 @@
 	dirty          []*job
 	dirtyAt        time.Duration // since when a change waits for a commit
 	urgent         bool
-	removals       []string
+	removals       [][]string                   // keys to delete, those of an item in one write
 	writes         [lead.WriteStreams]*writeSet // in flight, by write stream
 	writtenAt      time.Duration                // when the last one was sent
 	unbatch        []*job                       // to be moved out of batches, see addUnbatched
@@ -192,7 +198,7 @@
 	o.Policy = o.Policy.complete()
 	entitled := o.Bounds.Entitled
 	entitled.Share = 1 / float64(max(o.Shards, 1))
-	return &Engine{o: o, fair: fair.New(o.Policy.Shares, entitled), jobs: map[work.JobID]*job{}, cancels: map[work.JobID]time.Duration{}, unheard: map[work.JobID]*unheardJob{},
+	return &Engine{o: o, fair: fair.New(o.Policy.Shares, entitled), jobs: map[work.JobID]*job{}, cancels: map[work.JobID]time.Duration{}, absents: map[work.JobID]time.Duration{}, unheard: map[work.JobID]*unheardJob{},
 		workers: map[runner.WorkerID]*worker{}, proxies: map[string]*adviceProxy{}, ledger: quota.NewLedger(), endedHeld: map[*quota.Account]quota.Size{},
 		usages: map[usageKey]*usage{}, priorities: map[*quota.Account][]int{}, keptFree: map[*quota.Account]quota.Size{},
 		tasksByCrash: map[runner.WorkerID][]work.TaskID{}, crashedAt: map[string]time.Duration{}, latestStarts: map[string]int64{}, lateStarts: map[string][]*allocation{},
@@ -252,9 +258,12 @@
 // loadState restores the newest progress of a job.
 func (e *Engine) loadState(s stored) {
 	j := e.jobs[s.job]
+	if _, absent := e.absents[s.job]; absent {
+		return
+	}
 	if j == nil && s.progress.State.Final() {
 		// The submission was removed when the job ended.
-		j = &job{id: s.job, spec: &work.Job{Account: s.progress.Account}, state: s.progress.State, visible: s.progress.State, endedAt: e.now, trimmed: true}
+		j = &job{id: s.job, spec: &work.Job{Account: s.progress.Account}, state: s.progress.State, visible: s.progress.State, shownAt: e.now, trimmed: true}
 		e.jobs[s.job] = j
 		e.noteEndedHeld(s.progress)
 	}
@@ -265,7 +274,11 @@
 	if j.trimmed || (j.state == work.Cancelled && !s.progress.State.Final()) {
 		return // a cancellation that is not stored as the final state yet takes precedence
 	}
+	if j.state == work.Cancelled {
+		e.cancels[s.job] = e.now // it had ended before it was cancelled
+	}
 	j.restore(s.progress)
+	j.shownAt = e.now
 }
 
 // Accepted handles an entry that an accepting daemon wrote: a job or a cancellation. The error
@@ -273,11 +286,15 @@
 func (e *Engine) Accepted(now time.Duration, entry store.Entry) error {
 	e.now = now
 	if id, ok := strings.CutPrefix(entry.Key, prefixCancel); ok {
-		e.cancel(work.JobID(id))
+		e.cancelled(work.JobID(id), entry)
 		return nil
 	}
 	id, ok := strings.CutPrefix(entry.Key, prefixIn)
-	if !ok || e.jobs[work.JobID(id)] != nil {
+	if !ok {
+		return nil
+	}
+	if j := e.jobs[work.JobID(id)]; j != nil {
+		j.revision = max(j.revision, entry.Revision)
 		return nil
 	}
 	spec, err := work.DecodeJob(entry.Value)
@@ -289,10 +306,19 @@
 		e.deposed = true
 		return nil
 	}
+	if entry.Revision > 0 && entry.Revision <= e.heard {
+		e.decide(Decision{What: "late submission ignored", Task: work.TaskID{Job: work.JobID(id)}, Why: "its job has ended and been forgotten"})
+		return nil
+	}
 	e.add(work.JobID(id), spec, entry.Revision)
 	return nil
 }
 
+// Heard records that every entry of accepting daemons up to a revision of the store has been
+// handed to Accepted. An entry up to it that comes again and whose job is not known is of a job that
+// has ended and been forgotten: a daemon may be suspended for long between its write and its offer.
+func (e *Engine) Heard(revision store.Revision) { e.heard = max(e.heard, revision) }
+
 func (e *Engine) add(id work.JobID, spec *work.Job, revision store.Revision) {
 	j := &job{id: id, spec: spec, submitted: true, revision: revision, loadedAt: e.now, inherited: spec.Epoch < e.o.Epoch,
 		accepted: e.engineTime(spec.Accepted), start: e.engineTime(spec.StartAt), speeds: e.speed.Queue(spec.Queue.Name), account: e.ledger.Account(spec.Account)}
@@ -327,6 +353,21 @@
 	e.scheduled = false
 }
 
+// cancelled handles the entry of a cancellation.
+func (e *Engine) cancelled(id work.JobID, entry store.Entry) {
+	if !bytes.Equal(entry.Value, CancelAbsent) {
+		e.cancel(id)
+		return
+	}
+	if entry.Revision > 0 && entry.Revision <= e.heard {
+		return // it may have been removed since
+	}
+	e.absents[id] = e.now
+	if j := e.jobs[id]; j != nil && j.state == work.Refused {
+		delete(e.jobs, id) // its state was read first
+	}
+}
+
 // cancel ends a job on its caller's request.
 func (e *Engine) cancel(id work.JobID) {
 	j := e.jobs[id]
@@ -339,7 +380,7 @@
 
 // end gives a job its final state and stops its runs.
 func (e *Engine) end(j *job, state work.State, why string) {
-	j.state, j.endedAt = state, e.now
+	j.state = state
 	e.decide(Decision{What: state.String(), Task: work.TaskID{Job: j.id}, Why: why, Age: e.now - j.loadedAt, waits: &j.waits})
 	for s := range j.steps() {
 		s.advice = nil
@@ -459,7 +500,7 @@
 	e.renew(w)
 }
 
-// pruneJobs drops jobs that ended more than Bounds.Keep ago, and removes their keys from the
+// pruneJobs drops jobs that have been shown as ended for Bounds.Keep, and removes their keys from the
 // store.
 func (e *Engine) pruneJobs() {
 	if e.now < e.pruneAt {
@@ -470,7 +511,13 @@
 	for id, at := range e.cancels {
 		if e.now-at > e.o.Bounds.Keep {
 			delete(e.cancels, id)
-			e.removals = append(e.removals, KeyCancel(id))
+			e.remove(KeyCancel(id))
+		}
+	}
+	for id, at := range e.absents {
+		if e.now-at > e.o.Bounds.Keep {
+			delete(e.absents, id)
+			e.remove(KeyState(id), KeyCancel(id))
 		}
 	}
 	for id, j := range e.jobs {
@@ -478,14 +525,20 @@
 			continue
 		}
 		e.trim(j)
-		if !j.trimmed || j.writing || j.dirty || j.batch != nil || e.now-j.endedAt < e.o.Bounds.Keep {
+		if e.heard > 0 && j.revision > e.heard {
+			continue // the watch has yet to bring its submission, and must find it known
+		}
+		if !j.trimmed || j.writing || j.dirty || j.batch != nil || e.now-j.shownAt < e.o.Bounds.Keep {
 			continue
 		}
 		delete(e.jobs, id)
-		e.removals = append(e.removals, KeyState(id))
+		e.remove(KeyState(id))
 	}
 }
 
+// remove has keys deleted from the store, all in one write.
+func (e *Engine) remove(keys ...string) { e.removals = append(e.removals, keys) }
+
 // prunePause is the time between two runs of pruneJobs.
 const prunePause = 2 * time.Second
 
--- a/process/dispatch/persist.go
+++ b/process/dispatch/persist.go
@@ -123,9 +123,11 @@
 		e.addBatch(ws, &c)
 	}
 	space = e.addUnbatched(ws, &c, space)
-	n := min(space, len(e.removals))
-	c.Deletes = append(c.Deletes, e.removals[:n]...)
-	e.removals = e.removals[n:]
+	for len(e.removals) > 0 && len(e.removals[0]) <= space {
+		space -= len(e.removals[0])
+		c.Deletes = append(c.Deletes, e.removals[0]...)
+		e.removals = e.removals[1:]
+	}
 	e.writes[stream] = ws
 	e.stats.Commits++
 	e.urgent = false
@@ -233,7 +235,9 @@
 		j.submitted = j.submitted && !s.state.Final()
 	}
 	if s.state.Final() {
-		j.visible = s.state
+		if j.visible != s.state {
+			j.visible, j.shownAt = s.state, e.now
+		}
 		e.trim(j)
 	}
 	e.sendTrials(j)
--- a/process/dispatch/persist_test.go
+++ b/process/dispatch/persist_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -280,3 +281,99 @@
 	}
 	require.Positive(t, batches, "no batch was written")
 }
+
+// TestEndIsKeptFromWhenItIsShown guards against a job that is forgotten right after it was shown as completed,
+// because the store did not answer for as long as ended jobs are kept.
+func TestEndIsKeptFromWhenItIsShown(t *testing.T) {
+	h, s, starts := runningJobs(t, 1, Policy{}, 0)
+	id := starts[0].Start.Task.Job
+	s.answer = 2 * h.e.o.Bounds.Keep
+	h.e.Renewed(h.now, "w-a", completionsOf(0, runner.Done, starts...), nil)
+	s.run(s.answer + time.Second)
+	s.answer = 0
+	state, _ := h.e.State(id)
+	require.Equal(t, work.Completed, state)
+	s.run(h.e.o.Bounds.Keep - 2*time.Second)
+	state, known := h.e.State(id)
+	require.True(t, known)
+	require.Equal(t, work.Completed, state)
+	require.Len(t, s.withPrefix(PrefixState), 1)
+	s.run(2*time.Second + 2*prunePause)
+	_, known = h.e.State(id)
+	require.False(t, known)
+	require.Empty(t, s.withPrefix(PrefixState))
+}
+
+// TestEndFoundInABatchIsKeptFromTheLoading guards against the same with a successor that has read the end from a
+// batch, after its reads went without an answer for as long as ended jobs are kept.
+func TestEndFoundInABatchIsKeptFromTheLoading(t *testing.T) {
+	value, err := work.EncodeBatch([]work.JobProgress{{Job: testJob, Progress: work.Progress{State: work.Completed}}})
+	require.NoError(t, err)
+	h := newHarness(t, 2)
+	h.now = 2 * h.e.o.Bounds.Keep
+	s := newSlowStore(h, 0)
+	s.put(KeySubmission(testJob), jobEntry(t, 1, 2, oneTask()).Value)
+	s.put(PrefixBatches+"x", value)
+	require.NoError(t, h.e.Load(h.now, Saved{Accepted: s.withPrefix(PrefixJobs), Batches: s.withPrefix(PrefixBatches)}))
+	s.run(h.e.o.Bounds.Keep - 2*time.Second)
+	state, known := h.e.State(testJob)
+	require.True(t, known)
+	require.Equal(t, work.Completed, state)
+}
+
+// TestCancellationOfAnEndInABatchIsRemoved guards against a key of a cancellation that stays: a successor finds the
+// submission, its cancellation, and in a batch that the job had ended otherwise before.
+func TestCancellationOfAnEndInABatchIsRemoved(t *testing.T) {
+	value, err := work.EncodeBatch([]work.JobProgress{{Job: testJob, Progress: work.Progress{State: work.Completed}}})
+	require.NoError(t, err)
+	h := newHarness(t, 2)
+	s := newSlowStore(h, 0)
+	s.put(KeySubmission(testJob), jobEntry(t, 1, 2, oneTask()).Value)
+	s.put(KeyCancel(testJob), nil)
+	s.put(PrefixBatches+"x", value)
+	accepted := s.withPrefix(PrefixJobs)
+	slices.SortFunc(accepted, func(a, b store.Entry) int { return strings.Compare(a.Key, b.Key) }) // as listed
+	require.NoError(t, h.e.Load(h.now, Saved{Accepted: accepted, Batches: s.withPrefix(PrefixBatches)}))
+	s.run(time.Second)
+	state, _ := h.e.State(testJob)
+	require.Equal(t, work.Completed, state)
+	s.run(h.e.o.Bounds.Keep + 3*prunePause)
+	require.Empty(t, s.entries)
+}
+
+// TestMarkOfACancelledIDIsRemovedByASuccessor guards against the state of an id that was cancelled without a job
+// staying in the store, or going without its cancellation: a later leader would then remove what a new job under
+// the id has stored. The successor reads both, or the state only, as earlier versions wrote it or as it was listed
+// just before the other.
+func TestMarkOfACancelledIDIsRemovedByASuccessor(t *testing.T) {
+	mark, err := work.EncodeProgress(&work.Progress{State: work.Refused})
+	require.NoError(t, err)
+	for name, cancelled := range map[string]struct{ loaded, watched bool }{"both": {true, false}, "state": {false, false}, "state first": {false, true}} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, 2)
+			s := newSlowStore(h, 300*time.Millisecond)
+			s.put(KeyState(testJob), mark)
+			if cancelled.loaded || cancelled.watched {
+				s.put(KeyCancel(testJob), CancelAbsent)
+			}
+			saved := Saved{States: s.withPrefix(PrefixState)}
+			if cancelled.loaded {
+				saved.Accepted = s.withPrefix(PrefixJobs)
+			}
+			require.NoError(t, h.e.Load(h.now, saved))
+			if cancelled.watched {
+				h.e.Heard(1)
+				require.NoError(t, h.e.Accepted(h.now, s.entries[KeyCancel(testJob)]))
+			}
+			s.run(h.e.o.Bounds.Keep - time.Second)
+			_, known := h.e.State(testJob)
+			require.False(t, known)
+			all := len(s.entries)
+			for until := h.now + 3*prunePause + time.Second; h.now < until && len(s.entries) > 0; {
+				require.Len(t, s.entries, all, "one goes without the other")
+				s.step()
+			}
+			require.Empty(t, s.entries)
+		})
+	}
+}
--- a/request/submit/duplicate_test.go
+++ b/request/submit/duplicate_test.go
@@ -53,7 +53,7 @@
 		require.NoError(t, err)
 		again := testJob()
 		again.Steps[0].Count = 2
-		require.Equal(t, []offer{{Key: first.Key, Value: first.Value}}, offersOf(t, m, again))
+		require.Equal(t, []offer{{Key: first.Key, Value: first.Value, Revision: uint64(first.Revision)}}, offersOf(t, m, again))
 	})
 }
 
@@ -80,5 +80,8 @@
 		job, err := work.DecodeJob(offers[0].Value)
 		require.NoError(t, err)
 		require.Equal(t, testJob().Spec, job.Spec)
+		stored, err := m.Get(t.Context(), dispatch.KeySubmission(id))
+		require.NoError(t, err)
+		require.EqualValues(t, stored.Revision, offers[0].Revision)
 	})
 }
--- a/request/submit/submit.go
+++ b/request/submit/submit.go
@@ -374,10 +374,10 @@
 			txn.Checks = append(txn.Checks, store.Check{Key: key})
 		}
 	}
-	_, err = s.o.Store.Commit(ctx, txn)
+	rev, err := s.o.Store.Commit(ctx, txn)
 	var conflict *store.ConflictError
 	if !errors.As(err, &conflict) {
-		return store.Entry{Key: dispatch.KeySubmission(id), Value: sub.value}, err
+		return store.Entry{Key: dispatch.KeySubmission(id), Value: sub.value, Revision: rev}, err
 	}
 	if preconditions.Layout.Key != "" {
 		if layout, _ := conflict.Find(preconditions.Layout.Key); layout.Revision != preconditions.Layout.Revision {
@@ -480,7 +480,7 @@
 		defer cancel()
 		var r offerReply
 		asked := time.Now()
-		request := offer{Key: entry.Key, Value: entry.Value}
+		request := offer{Key: entry.Key, Value: entry.Value, Revision: uint64(entry.Revision)}
 		if _, err := s.o.Peers.CallAddr(ctx, leader.Peer, s.method(MethodOffer), request, &r); err != nil {
 			s.o.Log.Debug().Err(err).Str("key", entry.Key).Msg("leader not notified of a new entry; its watch will deliver it")
 			return
