dispatch: a late submission whose job is not known is read before it is ignored

An offer up to the revision that the watch has reached, of a job that is not known, was taken for one of a job that was forgotten. Such a submission is now read from the store, by the call that reads jobs not heard of: if it is there its job is added, else it is ignored. TestSubmissionThatTheWatchLeftOutIsRead fails without this (no read). Also, a job that was read because a worker reported it must be added whatever the watch has reached.

--- a/process/dispatch/engine.go
+++ b/process/dispatch/engine.go
@@ -297,6 +297,16 @@
 		j.revision = max(j.revision, entry.Revision)
 		return nil
 	}
+	if entry.Revision > 0 && entry.Revision <= e.heard {
+		e.decide(Decision{What: "late submission is read again", Task: work.TaskID{Job: work.JobID(id)}, Why: "its job is not known"})
+		e.unheardOf(work.JobID(id))
+		return nil
+	}
+	return e.submitted(work.JobID(id), entry)
+}
+
+// submitted adds the job of a submission.
+func (e *Engine) submitted(id work.JobID, entry store.Entry) error {
 	spec, err := work.DecodeJob(entry.Value)
 	if err != nil {
 		return fmt.Errorf("%s: %w", entry.Key, err)
@@ -306,17 +316,14 @@
 		e.deposed = true
 		return nil
 	}
-	if entry.Revision > 0 && entry.Revision <= e.heard {
-		e.decide(Decision{What: "late submission ignored", Task: work.TaskID{Job: work.JobID(id)}, Why: "its job has ended and been forgotten"})
-		return nil
-	}
-	e.add(work.JobID(id), spec, entry.Revision)
+	e.add(id, spec, entry.Revision)
 	return nil
 }
 
 // Heard records that every entry of accepting daemons up to a revision of the store has been
-// handed to Accepted. An entry up to it that comes again and whose job is not known is of a job that
-// has ended and been forgotten: a daemon may be suspended for long between its write and its offer.
+// handed to Accepted. An entry up to it that comes again and whose job is not known is probably of a job
+// that has ended and been forgotten: a daemon may be suspended for long between its write and its offer.
+// The job is added only if the store still has its submission.
 func (e *Engine) Heard(revision store.Revision) { e.heard = max(e.heard, revision) }
 
 func (e *Engine) add(id work.JobID, spec *work.Job, revision store.Revision) {
--- a/process/dispatch/unheard.go
+++ b/process/dispatch/unheard.go
@@ -94,7 +94,7 @@
 	case err != nil:
 		return err
 	case found:
-		return e.Accepted(now, entry)
+		return e.submitted(id, entry)
 	}
 	u.absentAt, u.completions = now, nil
 	e.decide(Decision{What: "job does not exist", Task: work.TaskID{Job: id}, Why: "the store has no submission of it"})
