dispatch: unanswered orders to a worker may renew the lease of its next incarnation

A renewal or a start is not answered, the worker comes back under its name, its next incarnation carries the order out seconds later, and becomes silent. The order names a lease end on the clock of the earlier incarnation, so the lease is the longest that the worker grants, from the arrival on. The leader counts from its own last renewal, and starts the tasks elsewhere up to maxOrderDelay too early.

Cause: the bound on the lease of a next incarnation counts from its first answer, or not at all if it is known from its entry.

Why this works: an unanswered order that renews the lease is noted with the time until which it may be carried out, and the next incarnation's bound is at least the longest lease after that. Nothing changes for a worker that answers, nor for one whose orders were all answered.

newInEpoch, which is for a log line only, is not set again for an incarnation that was removed and is listed again.

--- a/process/dispatch/directory.go
+++ b/process/dispatch/directory.go
@@ -12,7 +12,8 @@
 func (e *Engine) WorkerSeen(now time.Duration, seen runner.Worker) {
 	e.now = now
 	seen.ID = e.incarnationOf(seen.ID)
-	_, known := e.latestStarts[seen.ID.Name()]
+	name, startTime := seen.ID.Incarnation()
+	latest, known := e.latestStarts[name]
 	older, before := e.noteIncarnation(seen.ID)
 	if older {
 		return // a late entry of an earlier incarnation
@@ -20,7 +21,7 @@
 	w := e.workers[seen.ID]
 	if w == nil {
 		w = e.addWorker(seen)
-		w.newInEpoch = known && (before == nil || before.fenced)
+		w.newInEpoch = known && startTime > latest && (before == nil || before.fenced)
 	}
 	if before != nil {
 		e.follow(before, w)
--- a/process/dispatch/fleet.go
+++ b/process/dispatch/fleet.go
@@ -127,6 +127,7 @@
 // epoch may run on its next incarnation until that one has answered, or the leases from these orders have
 // expired.
 func (e *Engine) follow(w, next *worker) {
+	e.inheritLateOrders(w, next)
 	inherits, cordoned, unlisted, mayRun := w.inherited && !next.fenced, w.cordoned, w.unlisted, w.mayRun
 	e.removeWorker(w, "it is listed with a later start time", true)
 	if !inherits {
--- a/process/dispatch/incarnation.go
+++ b/process/dispatch/incarnation.go
@@ -60,11 +60,26 @@
 	// The runs there got their leases from orders to w, whose clock says nothing about when
 	// those leases end.
 	next.expiry = max(next.expiry, e.now+leaseBound(e.o.Bounds.MaxLease))
+	e.inheritLateOrders(w, next)
 	moveReported(next, w, &x.Report)
 	e.removeWorker(w, "another incarnation answers at its address", true)
 	e.Renewed(e.now, next.ID, x.Report, nil)
 }
 
+// inheritLateOrders notes that unanswered orders of this epoch to w may still renew the lease of its next
+// incarnation. How long the lease then lasts is not known, since the order names a time of the clock of w.
+func (e *Engine) inheritLateOrders(w, next *worker) {
+	for _, alloc := range w.allocs {
+		if alloc.tries > 0 && alloc.ackAt == 0 {
+			w.lateUntil = e.now + maxOrderDelay
+		}
+	}
+	if w.lateUntil > e.now {
+		next.lateUntil = max(next.lateUntil, w.lateUntil)
+		next.expiry = max(next.expiry, w.lateUntil+leaseBound(e.o.Bounds.MaxLease))
+	}
+}
+
 // moveReported moves the runs that next reports, but whose start orders were sent to the
 // earlier incarnation w, from w to next.
 func moveReported(next, w *worker, r *runner.Report) {
--- a/process/dispatch/incarnation_test.go
+++ b/process/dispatch/incarnation_test.go
@@ -221,3 +221,44 @@
 	h.step(300 * time.Millisecond)
 	require.Len(t, h.starts(), 1)
 }
+
+// TestLateRenewalOfTheEarlierIncarnationProlongsTheLeaseOfTheNext guards against a task that starts elsewhere while
+// it runs on a silent worker: an unanswered renewal of the earlier incarnation, carried out late, has renewed its lease.
+func TestLateRenewalOfTheEarlierIncarnationProlongsTheLeaseOfTheNext(t *testing.T) {
+	for _, listed := range []bool{false, true} {
+		h := newHarness(t, 1, inheritedID)
+		require.NoError(t, h.e.Load(0, Saved{}))
+		h.step(50 * time.Millisecond)
+		h.report(inheritedID, runner.Report{Clock: time.Hour})
+		h.step(50 * time.Millisecond) // the next renewal is sent
+		sent := h.e.workers[inheritedID].renewSent
+		h.e.Renewed(h.now, inheritedID, runner.Report{}, runner.ErrUnknown)
+		h.step(probePause + 50*time.Millisecond)
+		if listed {
+			h.resize(followingID, work.Resources{CPU: 4000, Memory: 4000})
+		} else {
+			h.e.Renewed(h.now, inheritedID, runner.Report{}, &runner.IncarnationError{ID: followingID, Report: runner.Report{Clock: time.Second}})
+			h.resize(followingID, work.Resources{CPU: 4000, Memory: 4000})
+		}
+		h.step(50 * time.Millisecond)
+		h.report(followingID, runner.Report{Clock: time.Second})
+		require.NoError(t, h.e.Accepted(h.now, jobEntry(t, 1, 4, oneTask())))
+		h.step(50 * time.Millisecond)
+		starts := h.starts()
+		require.Len(t, starts, 1)
+		run := starts[0].Start
+		h.e.Started(h.now, followingID, run.Task, run.Run, nil)
+		h.report(followingID, runner.Report{Clock: time.Second, Running: []runner.ActiveRun{{Task: run.Task, Run: run.Run}}})
+		h.resize("w-b", work.Resources{CPU: 4000, Memory: 4000})
+		bound := sent + maxOrderDelay + leaseBound(testLease)
+		for h.now < bound+time.Second {
+			h.e.Renewed(h.now, followingID, runner.Report{}, runner.ErrUnknown)
+			h.report("w-b", runner.Report{Clock: time.Second + h.now})
+			h.step(100 * time.Millisecond)
+			if h.now < bound {
+				require.Empty(t, h.otherStarts(followingID, run.Run), "listed %v, after %v", listed, h.now)
+			}
+		}
+		require.Len(t, h.otherStarts(followingID, run.Run), 1)
+	}
+}
--- a/process/dispatch/reports.go
+++ b/process/dispatch/reports.go
@@ -114,6 +114,7 @@
 	}
 	if w.misses == 0 {
 		e.decide(Decision{What: "worker does not answer", Worker: w.ID, Why: err.Error(), Age: e.now - w.answered})
+		w.lateUntil = e.now + maxOrderDelay // further renewals do not renew the lease
 	}
 	w.misses++
 	w.nextRenew = e.now + probePause
--- a/process/dispatch/runs.go
+++ b/process/dispatch/runs.go
@@ -106,6 +106,9 @@
 		e.removeWorker(w, "another incarnation answers at its address", true)
 		return
 	}
+	if w != nil && errors.Is(err, runner.ErrUnknown) {
+		w.lateUntil = now + maxOrderDelay
+	}
 	alloc := e.allocOf(id, task, run)
 	if alloc == nil {
 		return
--- a/process/dispatch/worker.go
+++ b/process/dispatch/worker.go
@@ -87,6 +87,10 @@
 	// since, in engine time.
 	expiry time.Duration
 
+	// lateUntil is until when an unanswered order that renews the lease may be carried out, by the next
+	// incarnation if this one has ended.
+	lateUntil time.Duration
+
 	renewing  bool
 	renewSent time.Duration
 	nextRenew time.Duration
