dispatch: failing tests of a leader that gives leases after it stood still

What callers see: a task runs twice. A successor takes a worker that it does not reach for ended after the longest lease and two seconds, counted from its load. A former leader that stood still for 4 s, or reads answers 1.5 s late after 3 s, renews at that worker, and starts there, before it has read a rejection: the run goes on beyond the bound and starts elsewhere beside itself.

An answer that is handled late gives a shorter lease, since the worker's clock is dated by its handling.

--- a/process/dispatch/cell_test.go
+++ b/process/dispatch/cell_test.go
@@ -54,6 +54,8 @@
 	// reclaimed is the same for runs beyond the entitlement of their accounts, which entitled bounds.
 	reclaimed atomic.Uint64
 	entitled  fair.Entitlement
+	// pauses are what stands between a daemon and its calls, by name; none for most tests.
+	pauses map[string]*pause
 }
 
 // node is a daemon that can lead.
@@ -147,9 +149,14 @@
 	if os.Getenv("FENNEL_LOG") == "1" {
 		log = zerolog.New(os.Stdout).With().Str("daemon", name).Timestamp().Logger()
 	}
-	n.elector = lead.New(lead.Options{Self: lead.Member{Name: name, Peer: name}, Store: c.kv, StoreTimeout: storeTimeout, Log: log,
+	var kvOf store.Transactor = c.kv
+	var orders runner.Runner = c.fleet
+	if p := c.pauses[name]; p != nil {
+		kvOf, orders = pausedStore{c.kv, p}, pausedRunner{c.fleet, p}
+	}
+	n.elector = lead.New(lead.Options{Self: lead.Member{Name: name, Peer: name}, Store: kvOf, StoreTimeout: storeTimeout, Log: log,
 		RunTerm: func(t *lead.Term) {
-			h := NewHost(HostOptions{Store: c.kv, StoreTimeout: storeTimeout, Runner: c.fleet, Directory: c.fleet, View: n.elector.View(),
+			h := NewHost(HostOptions{Store: kvOf, StoreTimeout: storeTimeout, Runner: orders, Directory: c.fleet, View: n.elector.View(),
 				Advise: c.advice.ask, Log: log, Policy: c.policy,
 				Accounts: func() (*work.Accounts, bool) { return c.accounts.Load(), true },
 				Count: func(s Stats) {
--- /dev/null
+++ b/process/dispatch/standstill_test.go
@@ -0,0 +1,239 @@
+package dispatch
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"fennelshunt.example/fennelshunt/connection/runner"
+	"fennelshunt.example/fennelshunt/connection/store"
+	"fennelshunt.example/fennelshunt/standin/epochworker"
+	"fennelshunt.example/fennelshunt/version/work"
+)
+
+// pause makes a daemon stand still: its calls are not sent, nor are their answers handled.
+type pause struct {
+	mu       sync.Mutex
+	resumed  chan struct{}   // closed when the daemon runs again; nil: it has not stood still
+	caughtUp chan struct{}   // closed when it has read the answers that have come in meanwhile
+	first    runner.WorkerID // whose answers are read as soon as the daemon runs again
+	far      map[runner.WorkerID]bool
+	used     []runner.WorkerID // workers that it sent starts to
+}
+
+// wait returns once the daemon runs.
+func (p *pause) wait() {
+	p.mu.Lock()
+	resumed := p.resumed
+	p.mu.Unlock()
+	if resumed != nil {
+		<-resumed
+	}
+}
+
+// read returns once the daemon has read an answer of a worker, or of the store: "".
+func (p *pause) read(from runner.WorkerID) {
+	p.wait()
+	p.mu.Lock()
+	caughtUp := p.caughtUp
+	first := from != "" && from == p.first
+	p.mu.Unlock()
+	if caughtUp != nil && !first {
+		<-caughtUp
+	}
+}
+
+// stop makes the daemon stand still for d. It takes the time lag after that to read all answers but
+// those of one worker.
+func (p *pause) stop(d, lag time.Duration, first runner.WorkerID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	resumed, caughtUp := make(chan struct{}), make(chan struct{})
+	p.resumed, p.caughtUp, p.first = resumed, caughtUp, first
+	time.AfterFunc(d, func() { close(resumed) })
+	time.AfterFunc(d+lag, func() { close(caughtUp) })
+}
+
+// cutOff makes a worker unreachable for the daemon.
+func (p *pause) cutOff(id runner.WorkerID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.far[id] = true
+}
+
+// reach returns an error at the end of ctx if the daemon does not reach the worker.
+func (p *pause) reach(ctx context.Context, to runner.Ref) error {
+	p.wait()
+	p.mu.Lock()
+	far := p.far[to.ID]
+	p.mu.Unlock()
+	if !far {
+		return nil
+	}
+	<-ctx.Done()
+	return fmt.Errorf("%w: %w", runner.ErrUnknown, ctx.Err())
+}
+
+type pausedRunner struct {
+	runner.Runner
+	p *pause
+}
+
+func (r pausedRunner) Start(ctx context.Context, to runner.Ref, s runner.Start) (time.Duration, error) {
+	if err := r.p.reach(ctx, to); err != nil {
+		return 0, err
+	}
+	defer r.p.read(to.ID)
+	r.p.mu.Lock()
+	r.p.used = append(r.p.used, to.ID)
+	r.p.mu.Unlock()
+	return r.Runner.Start(ctx, to, s)
+}
+
+func (r pausedRunner) Stop(ctx context.Context, to runner.Ref, task work.TaskID, run, epoch uint64) error {
+	if err := r.p.reach(ctx, to); err != nil {
+		return err
+	}
+	defer r.p.read(to.ID)
+	return r.Runner.Stop(ctx, to, task, run, epoch)
+}
+
+func (r pausedRunner) Renew(ctx context.Context, to runner.Ref, n runner.Renewal) (runner.Report, error) {
+	if err := r.p.reach(ctx, to); err != nil {
+		return runner.Report{}, err
+	}
+	defer r.p.read(to.ID)
+	return r.Runner.Renew(ctx, to, n)
+}
+
+type pausedStore struct {
+	store.Transactor
+	p *pause
+}
+
+func (s pausedStore) Get(ctx context.Context, key string) (store.Entry, error) {
+	s.p.wait()
+	defer s.p.read("")
+	return s.Transactor.Get(ctx, key)
+}
+
+func (s pausedStore) List(ctx context.Context, prefix string) ([]store.Entry, store.Revision, error) {
+	s.p.wait()
+	defer s.p.read("")
+	return s.Transactor.List(ctx, prefix)
+}
+
+func (s pausedStore) Watch(ctx context.Context, prefix string, after store.Revision, wait time.Duration) ([]store.Event, store.Revision, error) {
+	s.p.wait()
+	defer s.p.read("")
+	return s.Transactor.Watch(ctx, prefix, after, wait)
+}
+
+func (s pausedStore) RenewLease(ctx context.Context, id store.LeaseID) error {
+	s.p.wait()
+	defer s.p.read("")
+	return s.Transactor.RenewLease(ctx, id)
+}
+
+func (s pausedStore) Commit(ctx context.Context, t store.Txn) (store.Revision, error) {
+	s.p.wait()
+	defer s.p.read("")
+	return s.Transactor.Commit(ctx, t)
+}
+
+// newPausedCell returns a cell of daemons that can stand still, each task of which takes a minute.
+func newPausedCell(t *testing.T, seed uint64, workers, daemons int) *cell {
+	c := newTestCell(t, seed, workers, 0, func(*rand.Rand, work.TaskID) epochworker.Behaviour {
+		return epochworker.Behaviour{Takes: time.Minute}
+	})
+	c.pauses = map[string]*pause{}
+	for i := range daemons {
+		name := fmt.Sprintf("d-%d", i)
+		c.pauses[name] = &pause{far: map[runner.WorkerID]bool{}}
+		c.nodes = append(c.nodes, c.startNode(name))
+	}
+	return c
+}
+
+// leaderPause returns the host that leads, and the pause of its daemon.
+func (c *cell) leaderPause() (*Host, *pause) {
+	for _, n := range c.nodes {
+		if h := n.host.Load(); h != nil {
+			return h, c.pauses[n.name]
+		}
+	}
+	require.Fail(c.t, "no daemon leads")
+	return nil, nil
+}
+
+func longTasks(n int) *work.Job {
+	return &work.Job{Queue: work.Queue{Name: "q", Service: "s", Attempts: 4, Slack: 2}, Spec: "x",
+		Steps: []work.Step{{Count: n, Size: work.Resources{CPU: 30000, Memory: 30000}, Estimate: time.Minute}}}
+}
+
+// playStandstill lets a leader stand still for a time, while its successor does not reach a worker
+// that has runs of it, and checks that no task has a second run beside its first. lag is how long
+// the leader takes to read the answers of all workers but that one. If idle is set, it stops while it
+// waits for no answer of that worker.
+func playStandstill(t *testing.T, stall, lag time.Duration, idle bool) {
+	c := newPausedCell(t, 1, 8, 3)
+	time.Sleep(2 * time.Second)
+	c.submit(longTasks(12))
+	time.Sleep(2 * time.Second)
+	h, former := c.leaderPause()
+	require.NotEmpty(t, former.used)
+	near := former.used[0]
+	for _, p := range c.pauses {
+		if p != former {
+			p.cutOff(near)
+		}
+	}
+	for stopped := make(chan bool, 1); ; {
+		h.post(func(e *Engine, _ time.Duration) {
+			if idle && e.workers[near].renewing {
+				stopped <- false
+				return
+			}
+			former.stop(stall, lag, near)
+			stopped <- true
+			former.wait()
+		})
+		if <-stopped {
+			break
+		}
+		time.Sleep(time.Millisecond)
+	}
+	c.submit(longTasks(2))
+	time.Sleep(stall + 18*time.Second)
+	require.Equal(t, 14, c.fleet.Running(), "every task runs, once")
+	c.stop()
+	require.Empty(t, c.fleet.Violations())
+	require.Empty(t, c.broken)
+}
+
+// TestLeaderThatStoodStillDoesNotProlongLeases guards against a task that starts elsewhere while its
+// run goes on at a worker that only the former leader reaches, which renews everything as soon as it
+// runs again.
+func TestLeaderThatStoodStillDoesNotProlongLeases(t *testing.T) {
+	for _, stall := range []time.Duration{3 * time.Second, 4 * time.Second, 5 * time.Second} {
+		t.Run(stall.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { playStandstill(t, stall, 100*time.Millisecond, true) })
+		})
+	}
+}
+
+// TestLeaderThatIsSlowToReadRejectionsDoesNotProlongLeases guards against the same by a leader that is
+// short of processor time after it stood still, and reads answers seconds late.
+func TestLeaderThatIsSlowToReadRejectionsDoesNotProlongLeases(t *testing.T) {
+	for _, lag := range []time.Duration{1500 * time.Millisecond, 3 * time.Second} {
+		t.Run(lag.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { playStandstill(t, 3*time.Second, lag, false) })
+		})
+	}
+}
