dispatch: a leader gives leases only while it has recent evidence that it has no successor

Cause: a successor takes such a worker for ended the longest lease and 2 s after it has loaded the state. It assumes that an earlier leader gives no leases after those 2 s; nothing enforced that. A leader that stood still, or is slow to read rejections, went on.

Fix: process/lead/evidence decides. A lease is given, and a start sent, within 2 s of evidence that no successor had begun, dated by when it was asked for: - the store has confirmed the claim, by a write of the term, or by a read of the claim, at most one a second and none while writes do; the claim itself is the first; - more than half of the workers of the stored lists have answered under this epoch, for outages of the store. The successor's bound counts from when more than half of them have answered it, if that is later than its load; where that never comes, the bound stays as it was. Without evidence, renewals go out without a lease and without a wait, so that leases follow one round trip later; placement waits, and starts that were decided are held, not refused or counted as tries. A worker's clock that went on for longer than the leader's shows that the latter stood still (a suspended VM), and drops all evidence.

Why it works: a confirmation asked for at A shows that the successor loads after A. A majority of answers asked for after A meets the successor's majority in a worker, which answers no earlier epoch once the successor has reached it, so that the successor's majority is later than A. Leases are on the worker's clock and fixed when they are decided, so a pause before the call or on the way does not lengthen them.

--- a/process/dispatch/directory.go
+++ b/process/dispatch/directory.go
@@ -98,7 +98,7 @@
 	}
 	delete(e.workers, w.ID)
 	e.workerList = slices.DeleteFunc(e.workerList, func(x *worker) bool { return x == w })
-	e.fleetChanged = e.fleetChanged || w.recorded
+	e.fleetChanged = e.fleetChanged || w.recorded || w.voter.Pending
 	w.pendingAcks = nil
 }
 
--- a/process/dispatch/engine.go
+++ b/process/dispatch/engine.go
@@ -12,6 +12,7 @@
 	"fennelshunt.example/fennelshunt/process/advicebudget"
 	"fennelshunt.example/fennelshunt/process/fair"
 	"fennelshunt.example/fennelshunt/process/lead"
+	"fennelshunt.example/fennelshunt/process/lead/evidence"
 	"fennelshunt.example/fennelshunt/process/quota"
 	"fennelshunt.example/fennelshunt/process/speed"
 	"fennelshunt.example/fennelshunt/version/work"
@@ -111,6 +112,11 @@
 	slowSentAt         time.Duration // when the last slow call was sent
 	quickLoggedAt      time.Duration // when it was last logged that slow calls are postponed for quick ones
 
+	evidence    *evidence.Leadership // that this leader has no successor
+	confirming  bool                 // the claim is being read from the store
+	confirmSent time.Duration
+	heldStarts  []*allocation // to be sent once there is recent evidence
+
 	deposed bool
 	stats   Stats
 }
@@ -132,6 +138,9 @@
 	CompletionsMissed uint64
 	// CompletionsUnheard counts completions of jobs that this leader had not heard of.
 	CompletionsUnheard uint64
+	// LeasesWithheld counts renewals of healthy workers that gave no lease for want of recent evidence
+	// that there is no successor, and StartsHeld the starts that waited for it after they were decided.
+	LeasesWithheld, StartsHeld uint64
 	// Stalls counts how often the engine's goroutine stood still for stallLogged or longer.
 	Stalls uint64
 	// Suspected counts runs that may have crashed their worker, Trials the starts of suspect
@@ -190,7 +199,7 @@
 	o.Policy = o.Policy.complete()
 	entitled := o.Bounds.Entitled
 	entitled.Share = 1 / float64(max(o.Shards, 1))
-	return &Engine{o: o, fair: fair.New(o.Policy.Shares, entitled), jobs: map[work.JobID]*job{}, cancels: map[work.JobID]time.Duration{},
+	return &Engine{o: o, evidence: evidence.New(o.Claimed), fair: fair.New(o.Policy.Shares, entitled), jobs: map[work.JobID]*job{}, cancels: map[work.JobID]time.Duration{},
 		workers: map[runner.WorkerID]*worker{}, proxies: map[string]*adviceProxy{}, ledger: quota.NewLedger(), endedHeld: map[*quota.Account]quota.Size{},
 		usages: map[usageKey]*usage{}, priorities: map[*quota.Account][]int{}, keptFree: map[*quota.Account]quota.Size{},
 		tasksByCrash: map[runner.WorkerID][]work.TaskID{}, crashedAt: map[string]time.Duration{}, latestStarts: map[string]int64{}, lateStarts: map[string][]*allocation{},
@@ -405,10 +414,11 @@
 	if e.deposed {
 		return nil
 	}
-	if !e.scheduled && e.now-e.scheduledAt >= e.roundPause() {
+	if !e.scheduled && e.now-e.scheduledAt >= e.roundPause() && e.mayLease() {
 		e.scheduled = true
 		e.schedule()
 	}
+	e.sendHeldStarts()
 	e.persist()
 	out := e.effects
 	e.effects = nil
@@ -418,6 +428,7 @@
 // Tick handles everything that is due by time.
 func (e *Engine) Tick(now time.Duration) {
 	e.now = now
+	e.confirmClaim()
 	for _, w := range slices.Clone(e.workerList) {
 		e.tickWorker(w)
 	}
--- a/process/dispatch/engine_test.go
+++ b/process/dispatch/engine_test.go
@@ -10,6 +10,7 @@
 	"fennelshunt.example/fennelshunt/connection/peer"
 	"fennelshunt.example/fennelshunt/connection/runner"
 	"fennelshunt.example/fennelshunt/connection/store"
+	"fennelshunt.example/fennelshunt/process/lead/evidence"
 	"fennelshunt.example/fennelshunt/version/work"
 )
 
@@ -32,17 +33,20 @@
 	return h
 }
 
-// step advances the time and executes commits at once; other effects are kept.
+// step advances the time, and executes commits and reads of the claim at once; other effects are kept.
 func (h *harness) step(d time.Duration) {
 	for until := h.now + d; h.now < until; {
 		h.now += tickPeriod
 		h.e.Tick(h.now)
 		for _, x := range h.e.Flush(h.now) {
-			if c, ok := x.(SendCommit); ok {
-				h.e.Committed(h.now, c.Stream)
-				continue
+			switch x := x.(type) {
+			case SendCommit:
+				h.e.Committed(h.now, x.Stream)
+			case SendConfirm:
+				h.e.Confirmed(h.now, nil)
+			default:
+				h.effects = append(h.effects, x)
 			}
-			h.effects = append(h.effects, x)
 		}
 	}
 }
@@ -228,7 +232,7 @@
 	require.NoError(t, h.e.Load(0, Saved{Accepted: []store.Entry{jobEntry(t, 1, 2, oneTask())}, Fleet: []store.Entry{{Key: keyFleet, Value: fleet}}}))
 	h.step(50 * time.Millisecond)
 	h.report("w-near", runner.Report{Clock: time.Second})
-	for h.now < supersedeTime+testLease {
+	for h.now < evidence.MaxAge+testLease {
 		h.e.Renewed(h.now, "w-far", runner.Report{}, runner.ErrUnknown)
 		h.step(100 * time.Millisecond)
 		require.Empty(t, h.starts(), "after %v", h.now)
--- a/process/dispatch/fleet.go
+++ b/process/dispatch/fleet.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"fmt"
-	"time"
 
 	"fennelshunt.example/fennelshunt/connection/peer"
 	"fennelshunt.example/fennelshunt/connection/runner"
@@ -80,7 +79,7 @@
 		w := e.addWorker(runner.Worker{Ref: ref})
 		e.noteIncarnation(ref.ID)
 		w.recorded, w.inherited = true, true
-		w.expiry = e.now + supersedeTime + leaseBound(e.o.Bounds.MaxLease)
+		w.expiry = e.now + e.inheritedLease()
 		e.unresolved++
 		e.unresolvedUncordoned++
 	}
@@ -100,6 +99,7 @@
 			}
 		}
 	}
+	e.loadVoters()
 	return errors.Join(errs...)
 }
 
@@ -208,6 +208,8 @@
 func (e *Engine) addFleet(ws *writeSet, c *SendCommit) (keys int) {
 	var f fleetRecord
 	var cordoned cordonRecord
+	ws.lists = true
+	e.sendVoters()
 	for _, w := range e.workerList {
 		f.Workers = append(f.Workers, runner.Ref{ID: w.ID, Address: w.Address})
 		switch {
@@ -236,8 +238,3 @@
 	e.fleetChanged, e.cordonsChanged = false, false
 	return keys
 }
-
-// supersedeTime is how long after a takeover an earlier leader may still renew a worker that
-// the new one does not reach. The earlier leader renews every worker at least this often, and
-// stops when a worker that the new leader has called rejects its epoch.
-const supersedeTime = 2 * time.Second
--- a/process/dispatch/fleet_test.go
+++ b/process/dispatch/fleet_test.go
@@ -9,6 +9,7 @@
 	"fennelshunt.example/fennelshunt/connection/peer"
 	"fennelshunt.example/fennelshunt/connection/runner"
 	"fennelshunt.example/fennelshunt/connection/store"
+	"fennelshunt.example/fennelshunt/process/lead/evidence"
 	"fennelshunt.example/fennelshunt/version/work"
 )
 
@@ -94,7 +95,7 @@
 		}
 		next.report("w-a", runner.Report{Clock: time.Second + next.now, Running: rows})
 	}
-	require.Greater(t, next.now, supersedeTime+testLease)
+	require.Greater(t, next.now, evidence.MaxAge+testLease)
 	next.step(time.Second)
 	require.Len(t, next.starts(), 2)
 }
--- a/process/dispatch/host.go
+++ b/process/dispatch/host.go
@@ -110,7 +110,8 @@
 func (h *Host) Run() {
 	ctx := h.term.Context()
 	h.engine = NewEngine(Options{
-		Epoch: h.term.Epoch, Shard: h.o.Shard, Shards: h.o.Shards, Bounds: h.o.Bounds, Policy: h.o.Policy, Today: h.start.UnixMilli(),
+		Epoch: h.term.Epoch, Shard: h.o.Shard, Shards: h.o.Shards, Bounds: h.o.Bounds, Policy: h.o.Policy,
+		Claimed: h.term.ClaimSent().Sub(h.start), Today: h.start.UnixMilli(),
 		Decide: h.logDecision, Violation: h.logViolation, Took: h.o.Took,
 	})
 	var tasks sync.WaitGroup
@@ -387,6 +388,8 @@
 		h.calls.Go(func() { h.sendRenew(ctx, x) })
 	case SendCommit:
 		h.calls.Go(func() { h.commit(ctx, x) })
+	case SendConfirm:
+		h.calls.Go(func() { h.confirmClaim(ctx) })
 	case AskAdvice:
 		h.calls.Go(func() { h.askAdvice(ctx, x) })
 	}
@@ -429,6 +432,11 @@
 	h.post(func(e *Engine, now time.Duration) { e.Committed(now, x.Stream) })
 }
 
+func (h *Host) confirmClaim(ctx context.Context) {
+	err := h.term.Confirm(ctx)
+	h.post(func(e *Engine, now time.Duration) { e.Confirmed(now, err) })
+}
+
 func (h *Host) askAdvice(ctx context.Context, x AskAdvice) {
 	bounded, cancel := context.WithTimeout(ctx, x.Timeout)
 	defer cancel()
--- a/process/dispatch/persist.go
+++ b/process/dispatch/persist.go
@@ -28,6 +28,8 @@
 	saves []save
 	batch *batch // nil: every job is under a key of its own
 	fleet []*worker
+	lists bool          // it has the lists of workers
+	sent  time.Duration // when it was sent
 }
 
 // save is the progress of one job in a write set.
@@ -107,7 +109,8 @@
 // write prepares one write. What does not fit under separate keys goes into a batch, so that
 // one write takes everything that waits, however slow the store is.
 func (e *Engine) write(stream int) {
-	ws := &writeSet{}
+	ws := &writeSet{sent: e.now}
+	e.evidence.Asked(e.now)
 	c := SendCommit{Stream: stream}
 	space := e.o.Policy.WriteKeys
 	if e.fleetDirty() && stream == fleetStream {
@@ -211,6 +214,10 @@
 		return
 	}
 	e.writes[stream] = nil
+	e.evidence.Confirmed(ws.sent)
+	if ws.lists {
+		e.evidence.ListStored(e.voters)
+	}
 	for i := range ws.saves {
 		e.saved(ws, &ws.saves[i])
 	}
--- a/process/dispatch/quickproxies_test.go
+++ b/process/dispatch/quickproxies_test.go
@@ -95,10 +95,13 @@
 			tick += tickPeriod
 		}
 		for _, x := range h.e.Flush(h.now) {
-			if ask, ok := x.(AskAdvice); ok {
-				c.send(ask)
-			} else if commit, ok := x.(SendCommit); ok {
-				h.e.Committed(h.now, commit.Stream)
+			switch x := x.(type) {
+			case AskAdvice:
+				c.send(x)
+			case SendCommit:
+				h.e.Committed(h.now, x.Stream)
+			case SendConfirm:
+				h.e.Confirmed(h.now, nil)
 			}
 		}
 	}
--- a/process/dispatch/reports.go
+++ b/process/dispatch/reports.go
@@ -14,11 +14,17 @@
 	if w.renewing || e.now < w.nextRenew || !w.recorded {
 		return
 	}
-	r := runner.Renewal{Epoch: e.o.Epoch, Until: w.renewUntil(e.now, e.o.Bounds.Lease)}
+	r := runner.Renewal{Epoch: e.o.Epoch}
+	leased := e.mayLease()
+	if leased {
+		r.Until = w.renewUntil(e.now, e.o.Bounds.Lease)
+	} else if w.fenced && w.misses == 0 {
+		e.stats.LeasesWithheld++
+	}
 	if w.misses == 0 && e.now-w.answered <= ackFreshness {
 		r.Acknowledge = w.ackedCompletion
 	}
-	if w.fenced && w.misses == 0 && !w.unacknowledged() && !w.stopsAnswered() && len(w.untracked) == 0 {
+	if leased && w.fenced && w.misses == 0 && !w.unacknowledged() && !w.stopsAnswered() && len(w.untracked) == 0 {
 		r.Wait = e.renewWaitOf(w)
 	}
 	w.renewing, w.renewSent = true, e.now
@@ -64,8 +70,10 @@
 	}
 	w.misses, w.answered = 0, now
 	w.noteAlive(now)
+	e.noteAnswer(w, report.Clock)
 	w.clock, w.clockAt = report.Clock, now
 	if !w.fenced {
+		e.noteReached(w)
 		e.resolve(w)
 		w.fenced = true
 		e.scheduled = false
@@ -83,6 +91,9 @@
 		w.renewPause = nextPause(w.renewPause, completions > 0)
 		w.nextRenew = now + w.renewPause
 	}
+	if !e.mayLease() {
+		w.nextRenew = max(w.nextRenew, now+probePause)
+	}
 }
 
 // nextPause returns the pause before the next renewal of a worker whose completions cannot be
@@ -101,9 +112,11 @@
 		e.deposed = true
 		return
 	case errors.As(err, &other):
+		e.noteReached(w)
 		e.takeOtherIncarnation(w, other)
 		return
 	case errors.Is(err, runner.ErrRestarted):
+		e.noteReached(w)
 		e.removeWorker(w, "another incarnation answers at its address", true)
 		return
 	}
--- a/process/dispatch/runs.go
+++ b/process/dispatch/runs.go
@@ -71,6 +71,11 @@
 }
 
 func (e *Engine) sendStart(alloc *allocation) {
+	if !e.mayLease() {
+		e.stats.StartsHeld++
+		e.heldStarts = append(e.heldStarts, alloc)
+		return
+	}
 	if alloc.tries == 0 {
 		alloc.sent, alloc.resumed, alloc.predicted = e.now, alloc.task().checkpoint != "", e.estimateOn(alloc.s, alloc.w)
 	}
--- a/process/dispatch/types.go
+++ b/process/dispatch/types.go
@@ -8,6 +8,7 @@
 // lower epochs:
 //   - the runs on a worker never exceed its capacity;
 //   - a task has no second run before the first is known to have ended;
+//   - a lease is given, and a task started, only with recent evidence that there is no successor;
 //   - a completion is acknowledged to its worker only once it is in the store;
 //   - a job is shown as ended only once that is in the store;
 //   - no task starts before the steps it follows are done, after its job was cancelled, or
@@ -55,6 +56,8 @@
 	// Shard is the shard that the engine schedules, out of Shards; 0 of 1 if Shards is 0. With
 	// several shards, the engine needs its shares of the accounts' caps (SetShares).
 	Shard, Shards int
+	// Claimed is when the claim of the epoch was sent to the store, in engine time: 0 or less.
+	Claimed time.Duration
 	// Today is the Unix time in milliseconds at the engine's time 0.
 	Today int64
 	// Decide is called with each decision that changes the engine's state; may be nil.
@@ -119,6 +122,9 @@
 	Deletes []string
 }
 
+// SendConfirm asks to read the term's claim from the store; the outcome goes to Confirmed.
+type SendConfirm struct{}
+
 // AskAdvice asks for the advice service to be called through a member; the outcome goes to
 // Advised.
 type AskAdvice struct {
@@ -128,11 +134,12 @@
 	Timeout time.Duration
 }
 
-func (SendStart) effect()  {}
-func (SendStop) effect()   {}
-func (SendRenew) effect()  {}
-func (SendCommit) effect() {}
-func (AskAdvice) effect()  {}
+func (SendStart) effect()   {}
+func (SendStop) effect()    {}
+func (SendRenew) effect()   {}
+func (SendCommit) effect()  {}
+func (SendConfirm) effect() {}
+func (AskAdvice) effect()   {}
 
 // Keys in the store.
 const (
--- a/process/dispatch/worker.go
+++ b/process/dispatch/worker.go
@@ -6,6 +6,7 @@
 
 	"fennelshunt.example/fennelshunt/connection/runner"
 	"fennelshunt.example/fennelshunt/process/evacuation"
+	"fennelshunt.example/fennelshunt/process/lead/evidence"
 	"fennelshunt.example/fennelshunt/process/speed"
 	"fennelshunt.example/fennelshunt/version/work"
 )
@@ -88,6 +89,7 @@
 	renewSent time.Duration
 	nextRenew time.Duration
 	answered  time.Duration // when the last report came in
+	voter     evidence.Voter
 	aliveAt   time.Duration // latest time at which it is known to have been running
 	misses    int           // renewals in a row without an answer
 	// recoveredAt is when it last answered again after a renewal without an answer, 0 for never.
--- a/process/lead/claim.go
+++ b/process/lead/claim.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"time"
 
 	"fennelshunt.example/fennelshunt/connection/store"
 )
@@ -111,6 +112,7 @@
 	for i := range t.streams {
 		txn.Writes = append(txn.Writes, store.Write{Key: t.streams[i].key, Value: encode(claim)})
 	}
+	t.claimSent = time.Now()
 	err := e.call(ctx, "claim", func(ctx context.Context) error {
 		rev, err := e.o.Store.Commit(ctx, txn)
 		t.setClaimed(rev)
--- a/process/lead/term.go
+++ b/process/lead/term.go
@@ -39,6 +39,7 @@
 	store   store.Transactor
 	timeout *store.AdaptiveTimeout
 
+	claimSent    time.Time      // when the claim was sent
 	claimRev     store.Revision // of the claim, on which every write of the term is conditional
 	streams      [WriteStreams]stream
 	nextSequence atomic.Uint64 // numbers the writes, including abandoned ones
@@ -82,6 +83,26 @@
 // End ends the term, for example when a worker has been called with a higher epoch.
 func (t *Term) End(cause error) { t.cancel(cause) }
 
+// ClaimSent returns when the claim was sent to the store: no other daemon had led since then.
+func (t *Term) ClaimSent() time.Time { return t.claimSent }
+
+// Confirm reads the claim from the store, once. nil means that no other daemon had claimed when
+// Confirm was called; with ErrDeposed the term is over.
+func (t *Term) Confirm(ctx context.Context) error {
+	var entry store.Entry
+	err := t.timeout.Call(ctx, func(ctx context.Context) (err error) {
+		entry, err = t.store.Get(ctx, keyClaim)
+		return err
+	})
+	if err != nil && !errors.Is(err, store.ErrNotFound) {
+		return fmt.Errorf("read claim: %w", err)
+	}
+	if err = t.stillClaimed(entry, err == nil); errors.Is(err, ErrDeposed) {
+		t.cancel(err)
+	}
+	return err
+}
+
 // Commit writes and deletes keys as the leader, on one of the term's write streams.
 // Writes of one stream take effect in the order of their calls, those of different
 // streams in any order. Commit retries until the outcome is known: nil means that the
@@ -176,7 +197,8 @@
 	if !errors.As(err, &conflict) {
 		return rev, err
 	}
-	if err := t.stillClaimed(conflict); err != nil {
+	claim, found := conflict.Find(keyClaim)
+	if err := t.stillClaimed(claim, found); err != nil {
 		return 0, err
 	}
 	entry, found := conflict.Find(s.key)
@@ -198,8 +220,7 @@
 // stillClaimed returns an error if another daemon has claimed since. Only claims write the
 // claim's record, so while it is this term's, no earlier term can write any more and no
 // later one has started.
-func (t *Term) stillClaimed(conflict *store.ConflictError) error {
-	entry, found := conflict.Find(keyClaim)
+func (t *Term) stillClaimed(entry store.Entry, found bool) error {
 	if !found {
 		return fmt.Errorf("%w: the claim is gone", ErrDeposed)
 	}
--- a/standin/cellsim/sim.go
+++ b/standin/cellsim/sim.go
@@ -414,6 +414,8 @@
 			s.sendRenew(x, reply)
 		case dispatch.SendCommit:
 			s.commit(x, reply)
+		case dispatch.SendConfirm:
+			reply(s.storeDelay(), func() { s.engine.Confirmed(s.now, nil) })
 		case dispatch.AskAdvice:
 			s.askAdvice(x, reply)
 		}
