--- a/process/dispatch/standstill_test.go
+++ b/process/dispatch/standstill_test.go
@@ -14,6 +14,7 @@
 	"fennelshunt.example/fennelshunt/connection/runner"
 	"fennelshunt.example/fennelshunt/connection/store"
 	"fennelshunt.example/fennelshunt/standin/epochworker"
+	"fennelshunt.example/fennelshunt/standin/kv"
 	"fennelshunt.example/fennelshunt/version/work"
 )
 
@@ -67,6 +68,14 @@
 	p.far[id] = true
 }
 
+// firstUsed returns the worker that the daemon sent its first start to.
+func (p *pause) firstUsed(t *testing.T) runner.WorkerID {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	require.NotEmpty(t, p.used)
+	return p.used[0]
+}
+
 // reach returns an error at the end of ctx if the daemon does not reach the worker.
 func (p *pause) reach(ctx context.Context, to runner.Ref) error {
 	p.wait()
@@ -187,8 +196,7 @@
 	c.submit(longTasks(12))
 	time.Sleep(2 * time.Second)
 	h, former := c.leaderPause()
-	require.NotEmpty(t, former.used)
-	near := former.used[0]
+	near := former.firstUsed(t)
 	for _, p := range c.pauses {
 		if p != former {
 			p.cutOff(near)
@@ -237,3 +245,43 @@
 		})
 	}
 }
+
+// TestCalmLeaderAlwaysHasEvidence guards against leases and starts that wait for evidence in calm
+// operation: right after a takeover, with and without work, and while the store answers slowly or is
+// down for minutes.
+func TestCalmLeaderAlwaysHasEvidence(t *testing.T) {
+	for name, f := range map[string]kv.Faults{
+		"fast store": {}, "slow store": {Delay: 300 * time.Millisecond}, "store down": {Down: true, FreezeLeases: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newTestCell(t, 1, 16, 3, usualBehaviour(0))
+				time.Sleep(2 * time.Second)
+				c.killLeader()
+				time.Sleep(5 * time.Second)
+				c.kv.SetFaults(f)
+				for range 3 {
+					time.Sleep(time.Minute) // without work
+					if f.Down {
+						continue
+					}
+					for range 50 {
+						c.submit(drawJob(c.rng, true))
+						time.Sleep(time.Duration(c.rng.IntN(200)) * time.Millisecond)
+					}
+				}
+				st, err := query(t.Context(), c.leader(), func(e *Engine, _ time.Duration) Stats { return e.Stats() })
+				require.NoError(t, err)
+				if !f.Down {
+					require.Positive(t, st.Starts)
+					require.Zero(t, st.LeasesWithheld)
+				}
+				require.Zero(t, st.StartsHeld)
+				t.Log("leases withheld:", st.LeasesWithheld)
+				c.stop()
+				require.Empty(t, c.fleet.Violations())
+				require.Empty(t, c.broken)
+			})
+		})
+	}
+}
--- a/process/lead/lead_test.go
+++ b/process/lead/lead_test.go
@@ -254,3 +254,32 @@
 		d.stop()
 	})
 }
+
+// TestTermWithASuccessorIsNotConfirmed guards against a leader that takes a read of another daemon's claim
+// as evidence that it has no successor.
+func TestTermWithASuccessorIsNotConfirmed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := kv.NewSeeded(1)
+		began := time.Now()
+		a := start(m, "a", 1)
+		time.Sleep(time.Second)
+		first := a.term()
+		require.NotNil(t, first)
+		require.False(t, first.ClaimSent().Before(began))
+		require.NoError(t, first.Confirm(t.Context()))
+		require.NoError(t, first.Context().Err())
+
+		m.SetFaults(kv.Faults{Down: true})
+		require.Error(t, first.Confirm(t.Context()))
+		require.NoError(t, first.Context().Err(), "no answer says nothing of a successor")
+		m.SetFaults(kv.Faults{})
+
+		require.NoError(t, first.release(t.Context()))
+		b := start(m, "b", 1)
+		defer b.stop()
+		a.stop()
+		time.Sleep(2 * time.Second)
+		require.NotNil(t, b.term())
+		require.ErrorIs(t, first.Confirm(t.Context()), ErrDeposed)
+	})
+}
