--- a/process/dispatch/standstill_test.go
+++ b/process/dispatch/standstill_test.go
@@ -61,11 +61,14 @@
 	time.AfterFunc(d+lag, func() { close(caughtUp) })
 }
 
-// cutOff makes a worker unreachable for the daemon.
-func (p *pause) cutOff(id runner.WorkerID) {
+// cutOff makes workers unreachable for the daemon, and all others reachable.
+func (p *pause) cutOff(ids ...runner.WorkerID) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.far[id] = true
+	p.far = map[runner.WorkerID]bool{}
+	for _, id := range ids {
+		p.far[id] = true
+	}
 }
 
 // firstUsed returns the worker that the daemon sent its first start to.
@@ -156,11 +159,9 @@
 	return s.Transactor.Commit(ctx, t)
 }
 
-// newPausedCell returns a cell of daemons that can stand still, each task of which takes a minute.
-func newPausedCell(t *testing.T, seed uint64, workers, daemons int) *cell {
-	c := newTestCell(t, seed, workers, 0, func(*rand.Rand, work.TaskID) epochworker.Behaviour {
-		return epochworker.Behaviour{Takes: time.Minute}
-	})
+// newPausedCell returns a cell of daemons that can stand still.
+func newPausedCell(t *testing.T, seed uint64, workers, daemons int, behave func(*rand.Rand, work.TaskID) epochworker.Behaviour) *cell {
+	c := newTestCell(t, seed, workers, 0, behave)
 	c.pauses = map[string]*pause{}
 	for i := range daemons {
 		name := fmt.Sprintf("d-%d", i)
@@ -191,7 +192,9 @@
 // the leader takes to read the answers of all workers but that one. If idle is set, it stops while it
 // waits for no answer of that worker.
 func playStandstill(t *testing.T, stall, lag time.Duration, idle bool) {
-	c := newPausedCell(t, 1, 8, 3)
+	c := newPausedCell(t, 1, 8, 3, func(*rand.Rand, work.TaskID) epochworker.Behaviour {
+		return epochworker.Behaviour{Takes: time.Minute}
+	})
 	time.Sleep(2 * time.Second)
 	c.submit(longTasks(12))
 	time.Sleep(2 * time.Second)
@@ -246,6 +249,52 @@
 	}
 }
 
+// injectStandstill makes a daemon stand still, cuts off daemons from workers, or injects another fault.
+func (c *cell) injectStandstill() {
+	workers := c.fleet.IDs()
+	switch n := c.nodes[c.rng.IntN(len(c.nodes))]; c.rng.IntN(4) {
+	case 0:
+		c.injectFaultOf(0, 2, 3, 5, 9)
+	case 1:
+		for _, n := range c.nodes {
+			var far []runner.WorkerID
+			for _, id := range workers {
+				if c.rng.IntN(4) == 0 {
+					far = append(far, id)
+				}
+			}
+			c.pauses[n.name].cutOff(far...)
+			time.AfterFunc(time.Duration(1000+c.rng.IntN(12000))*time.Millisecond, func() { c.pauses[n.name].cutOff() })
+		}
+	default:
+		p := c.pauses[n.name]
+		h := c.leader()
+		if h != nil {
+			for _, other := range c.nodes {
+				if other.host.Load() == h {
+					p = c.pauses[other.name]
+				}
+			}
+		}
+		p.stop(time.Duration(300+c.rng.IntN(6000))*time.Millisecond, time.Duration(c.rng.IntN(3000))*time.Millisecond, workers[c.rng.IntN(len(workers))])
+		if h != nil {
+			go h.post(func(*Engine, time.Duration) { p.wait() })
+		}
+	}
+}
+
+// TestLeadersThatStandStillUnderRandomFaults lets leaders stand still for seconds and read answers late,
+// while daemons reach different workers and other faults are injected. No task may run twice, or again after
+// its completion was acknowledged.
+func TestLeadersThatStandStillUnderRandomFaults(t *testing.T) {
+	overSeeds(t, 4, func(t *testing.T, seed uint64) {
+		c := newPausedCell(t, seed, 12, 3, func(rng *rand.Rand, _ work.TaskID) epochworker.Behaviour {
+			return epochworker.Behaviour{Takes: time.Duration(200+rng.IntN(12000)) * time.Millisecond, Fails: rng.Float64() < 0.05}
+		})
+		randomFaultsOf(t, c, func(rng *rand.Rand) *work.Job { return drawJob(rng, rng.IntN(2) == 0) }, (*cell).injectStandstill)
+	})
+}
+
 // TestCalmLeaderAlwaysHasEvidence guards against leases and starts that wait for evidence in calm
 // operation: right after a takeover, with and without work, and while the store answers slowly or is
 // down for minutes.
