--- a/process/dispatch/standstill_test.go
+++ b/process/dispatch/standstill_test.go
@@ -288,7 +288,7 @@
 // its completion was acknowledged.
 func TestLeadersThatStandStillUnderRandomFaults(t *testing.T) {
 	overSeeds(t, 4, func(t *testing.T, seed uint64) {
-		c := newPausedCell(t, seed, 12, 3, func(rng *rand.Rand, _ work.TaskID) epochworker.Behaviour {
+		c := newPausedCell(t, seed, 16, 3, func(rng *rand.Rand, _ work.TaskID) epochworker.Behaviour {
 			return epochworker.Behaviour{Takes: time.Duration(200+rng.IntN(12000)) * time.Millisecond, Fails: rng.Float64() < 0.05}
 		})
 		randomFaultsOf(t, c, func(rng *rand.Rand) *work.Job { return drawJob(rng, rng.IntN(2) == 0) }, (*cell).injectStandstill)
