--- a/process/dispatch/reports.go
+++ b/process/dispatch/reports.go
@@ -92,7 +92,7 @@
 		w.nextRenew = now + w.renewPause
 	}
 	if !e.mayLease() {
-		w.nextRenew = max(w.nextRenew, now+probePause)
+		w.nextRenew = max(w.nextRenew, now+evidencePause)
 	}
 }
 
--- a/process/dispatch/worker.go
+++ b/process/dispatch/worker.go
@@ -20,6 +20,9 @@
 	renewGrace = 500 * time.Millisecond
 	// probePause is between renewals to a worker that did not answer.
 	probePause = 150 * time.Millisecond
+	// evidencePause is between renewals that give no lease for want of evidence: short beside a lease,
+	// and no load on a leader that most workers do not answer.
+	evidencePause = 300 * time.Millisecond
 	// renewPauseMin and renewPauseMax bound the pause between a report with completions and
 	// the next renewal while these cannot be acknowledged yet, since the worker would answer
 	// at once. Each report without a new completion doubles the pause. If the store answers in
