--- a/process/dispatch/leadership.go
+++ b/process/dispatch/leadership.go
@@ -68,7 +68,7 @@
 
 // noteAnswer records the answer to a worker's renewal as evidence. If the worker's clock has gone on
 // for much longer than this leader's since the renewal that it answered last was sent, this leader's
-// clock has stood still, and so do the ages of all evidence.
+// clock has stood still, and all evidence is older than it shows.
 func (e *Engine) noteAnswer(w *worker, clock time.Duration) {
 	if w.voter.Answered && w.clock > 0 && clock-w.clock > scale(e.now-w.voter.Asked, clockDrift)+driftMargin {
 		e.decide(Decision{What: "the leader's clock stood still", Worker: w.ID, Age: clock - w.clock - (e.now - w.voter.Asked)})
@@ -107,13 +107,13 @@
 		w := alloc.w
 		switch {
 		case alloc.task().alloc != alloc || (alloc.state != starting && alloc.state != unconfirmed): // settled meanwhile
-		case !w.Draining && !w.cordoned && w.misses == 0 && !w.overbooked():
+		case !w.Draining && !w.cordoned && w.misses == 0 && !w.overbooked() && !alloc.s.job.account.Over(alloc.s.charge()):
 			e.sendStart(alloc)
 		case alloc.tries == 0:
 			e.release(alloc)
 			e.memberNotStarted(alloc, errUnusable)
 		default:
-			e.stop(alloc, "no answer to the start, and "+errUnusable.Error())
+			e.stop(alloc, "no answer to the start, and it must not be sent again")
 			e.memberNotStarted(alloc, errUnusable)
 		}
 	}
--- a/process/dispatch/leadership_test.go
+++ b/process/dispatch/leadership_test.go
@@ -260,3 +260,20 @@
 	require.Equal(t, run, starts[0].Start.Run)
 	require.Equal(t, 2, h.e.allocOf(to, task, run).tries)
 }
+
+// TestHeldStartIsNotSentToAWorkerThatIsSilentMeanwhile guards against a start that is sent later to a worker
+// that nothing may be started on any more.
+func TestHeldStartIsNotSentToAWorkerThatIsSilentMeanwhile(t *testing.T) {
+	h := leadingHarness(t)
+	_, starts := h.tick(tickPeriod)
+	require.Len(t, starts, 1)
+	to, task, run := starts[0].To.ID, starts[0].Start.Task, starts[0].Start.Run
+	h.now += 4 * time.Second
+	h.e.Started(h.now, to, task, run, runner.ErrUnknown)
+	h.e.Renewed(h.now, to, runner.Report{}, runner.ErrUnknown)
+	h.tick(tickPeriod)
+	h.e.Confirmed(h.now, nil)
+	_, starts = h.tick(tickPeriod)
+	require.Empty(t, starts)
+	require.Equal(t, stopping, h.e.allocOf(to, task, run).state)
+}
