--- a/process/dispatch/leadership_test.go
+++ b/process/dispatch/leadership_test.go
@@ -76,7 +76,7 @@
 	h.tick(tickPeriod) // renewals are on their way
 	h.now += 4 * time.Second
 	h.answerAll("w-a", "w-b", "w-c")
-	renewals, starts := h.tick(probePause)
+	renewals, starts := h.tick(evidencePause)
 	require.Len(t, renewals, 3)
 	for _, x := range renewals {
 		require.Zero(t, x.Renewal.Until, "the lease of %s", x.To.ID)
@@ -115,7 +115,7 @@
 	h.answerAll("w-a", "w-b", "w-c", "w-d")
 	h.tick(4 * time.Second)
 	h.answerAll("w-a", "w-b")
-	renewals, _ := h.tick(probePause)
+	renewals, _ := h.tick(evidencePause)
 	require.NotEmpty(t, renewals)
 	for _, x := range renewals {
 		require.Zero(t, x.Renewal.Until, "the lease of %s", x.To.ID)
@@ -129,7 +129,7 @@
 	h.tick(tickPeriod)
 	h.now += time.Millisecond
 	h.e.Renewed(h.now, "w-a", runner.Report{Clock: 6*time.Second + h.now}, nil)
-	renewals, starts := h.tick(probePause)
+	renewals, starts := h.tick(evidencePause)
 	require.NotEmpty(t, renewals)
 	for _, x := range renewals {
 		require.Zero(t, x.Renewal.Until, "the lease of %s", x.To.ID)
@@ -260,3 +260,20 @@
 	require.Equal(t, run, starts[0].Start.Run)
 	require.Equal(t, 2, h.e.allocOf(to, task, run).tries)
 }
+
+// TestHeldStartIsNotSentToAWorkerThatIsSilentMeanwhile guards against a start that is sent later to a worker
+// that nothing may be started on any more.
+func TestHeldStartIsNotSentToAWorkerThatIsSilentMeanwhile(t *testing.T) {
+	h := leadingHarness(t)
+	_, starts := h.tick(tickPeriod)
+	require.Len(t, starts, 1)
+	to, task, run := starts[0].To.ID, starts[0].Start.Task, starts[0].Start.Run
+	h.now += 4 * time.Second
+	h.e.Started(h.now, to, task, run, runner.ErrUnknown)
+	h.e.Renewed(h.now, to, runner.Report{}, runner.ErrUnknown)
+	h.tick(tickPeriod)
+	h.e.Confirmed(h.now, nil)
+	_, starts = h.tick(tickPeriod)
+	require.Empty(t, starts)
+	require.Equal(t, stopping, h.e.allocOf(to, task, run).state)
+}
