dispatch: hold back unanswered starts also when the lease of a listed worker expires

A start is not answered, the worker crashes, and the leader reaches neither it nor its next incarnation until the lease has expired. While the worker is listed, the task then starts elsewhere at once, though the next incarnation may carry the order out until maxOrderDelay after it was sent.

Cause: only the removal of a worker that is not listed any more, or whose end is known, keeps unanswered starts back. A lease that expires says that nothing runs on the incarnation that had it; it says nothing of the orders to the worker's name.

Why this works: unanswered starts are kept for the worker's name in both cases, no longer booked on the worker. Whichever incarnation answers next, the same one included, is ordered to stop them, and the task starts again once it has refused them or the orders are void. They are void at a fixed time after the first end, however often the run is passed on, since no order is sent in between. The stored list of a cordoned worker has these tasks as well.

Where worker names are not reused nothing changes. Otherwise a task whose start was never answered waits up to maxOrderDelay and one lease longer if the worker stays silent for good, as it already does if the worker's entry disappears.

--- a/process/dispatch/directory.go
+++ b/process/dispatch/directory.go
@@ -117,7 +117,7 @@
 		e.noteEvacuatedLate(alloc)
 		e.decide(Decision{What: "run lost", Task: alloc.id(), Run: alloc.run, Worker: w.ID, Why: why, Age: e.now - alloc.sent})
 		s := alloc.s
-		if ended && e.mayStartLate(alloc) {
+		if e.mayStartLate(alloc) {
 			e.addLateStart(w, alloc)
 		} else {
 			e.release(alloc)
@@ -147,7 +147,7 @@
 }
 
 // leaseExpired handles a worker whose lease has certainly expired, so that nothing runs there
-// any more.
+// any more. Its next incarnation may still carry out starts that were not answered.
 func (e *Engine) leaseExpired(w *worker) {
 	e.decide(Decision{What: "worker's lease expired", Worker: w.ID, Why: "no answer until the lease had expired", Age: e.now - w.answered})
 	if !w.listed || !w.fenced {
--- a/process/dispatch/fleet.go
+++ b/process/dispatch/fleet.go
@@ -251,16 +251,24 @@
 func (e *Engine) addFleet(ws *writeSet, c *SendCommit) (keys int) {
 	var f fleetRecord
 	var cordoned cordonRecord
+	late := e.lateTasks()
 	for _, w := range e.workerList {
 		f.Workers = append(f.Workers, runner.Ref{ID: w.ID, Address: w.Address})
 		if w.cordoned && !w.unlisted { // without a list of tasks a successor has to wait for it
-			cordoned.Workers = append(cordoned.Workers, cordonedWorker{ID: w.ID, Tasks: append(w.tasks(), w.mayRun...), Suspects: w.suspectRuns(false), Late: w.lateOrders})
+			x := cordonedWorker{ID: w.ID, Tasks: append(w.tasks(), w.mayRun...), Suspects: w.suspectRuns(false), Late: w.lateOrders}
+			if i := slices.IndexFunc(late, func(x lateWorker) bool { return x.ref.ID == w.ID }); i >= 0 {
+				x.Tasks, x.Late = append(x.Tasks, late[i].tasks...), true
+			}
+			cordoned.Workers = append(cordoned.Workers, x)
 		}
 		if !w.recorded {
 			ws.fleet = append(ws.fleet, w)
 		}
 	}
-	for _, x := range e.lateTasks() {
+	for _, x := range late {
+		if e.workers[x.ref.ID] != nil {
+			continue // listed above; a successor waits for all that may run on one that is not cordoned
+		}
 		f.Workers = append(f.Workers, x.ref)
 		cordoned.Workers = append(cordoned.Workers, cordonedWorker{ID: x.ref.ID, Tasks: x.tasks, Late: true})
 	}
--- a/process/dispatch/incarnation.go
+++ b/process/dispatch/incarnation.go
@@ -113,10 +113,16 @@
 	return startTime != 0 && alloc.tries > 0 && (alloc.ackAt == 0 || (followed && !alloc.reported))
 }
 
-// addLateStart keeps an unconfirmed run that was in flight to a worker whose incarnation has
-// ended.
+// addLateStart keeps an unconfirmed run that was in flight to a worker whose incarnation, or lease, has
+// ended. It is no longer booked there.
 func (e *Engine) addLateStart(w *worker, alloc *allocation) {
-	alloc.state, alloc.orphanedAt = stopping, e.now
+	alloc.state = stopping
+	if alloc.orphanedAt == 0 { // no order has been sent since
+		alloc.orphanedAt = e.now
+	}
+	ended := *w
+	ended.used, ended.allocs, ended.removed = work.Resources{}, map[work.TaskID]*allocation{}, true
+	alloc.moveTo(&ended)
 	name := w.ID.Name()
 	e.lateStarts[name] = append(e.lateStarts[name], alloc)
 	e.fleetChanged, e.cordonsChanged = true, true
@@ -128,14 +134,10 @@
 	tasks []work.TaskID
 }
 
-// lateTasks returns the tasks of the late starts, in a fixed order, but for workers that are in use
-// again and have not answered: a successor waits for everything there.
+// lateTasks returns the tasks of the late starts, in a fixed order.
 func (e *Engine) lateTasks() (all []lateWorker) {
 	for _, name := range slices.Sorted(maps.Keys(e.lateStarts)) {
 		for _, alloc := range e.lateStarts[name] {
-			if e.workers[alloc.w.ID] != nil {
-				continue
-			}
 			i := slices.IndexFunc(all, func(x lateWorker) bool { return x.ref.ID == alloc.w.ID })
 			if i < 0 {
 				i = len(all)
@@ -151,6 +153,9 @@
 // may have started from orders to an earlier incarnation, and stops them: the answer to the
 // stop says whether the run can still start.
 func (e *Engine) takeLateStarts(w *worker) {
+	if len(e.lateStarts) == 0 {
+		return
+	}
 	name := w.ID.Name()
 	if len(e.lateStarts[name]) == 0 {
 		return
@@ -161,6 +166,7 @@
 		}
 		alloc.moveTo(w)
 		e.sendStop(alloc)
+		w.expiry = max(w.expiry, e.now+leaseBound(e.o.Bounds.MaxLease)) // a start has a lease of its own
 	}
 	delete(e.lateStarts, name)
 	e.fleetChanged, e.cordonsChanged = true, true
--- a/process/dispatch/incarnation_test.go
+++ b/process/dispatch/incarnation_test.go
@@ -262,3 +262,64 @@
 		require.Len(t, h.otherStarts(followingID, run.Run), 1)
 	}
 }
+
+// silentStartHarness returns a leader with a start on inheritedID that nobody has answered, and w-b, on which the
+// task can start. inheritedID stays listed, and is silent until its lease has expired.
+func silentStartHarness(t *testing.T) (*harness, runner.Start) {
+	h := newHarness(t, 1, inheritedID)
+	require.NoError(t, h.e.Load(0, Saved{Accepted: []store.Entry{jobEntry(t, 1, 4, oneTask())}}))
+	h.step(50 * time.Millisecond)
+	h.report(inheritedID, runner.Report{Clock: time.Second})
+	start := h.starts()[0].Start
+	for range maxStarts {
+		h.e.Started(h.now, inheritedID, start.Task, start.Run, runner.ErrUnknown)
+	}
+	h.resize("w-b", work.Resources{CPU: 4000, Memory: 4000})
+	for h.now < testLease+2*time.Second {
+		h.silent(inheritedID)
+		require.Empty(t, h.otherStarts(inheritedID, start.Run), "after %v", h.now)
+	}
+	return h, start
+}
+
+// silent lets a worker leave its renewal without an answer, while w-b answers.
+func (h *harness) silent(id runner.WorkerID) {
+	h.e.Renewed(h.now, id, runner.Report{}, runner.ErrUnknown)
+	h.report("w-b", runner.Report{Clock: time.Second + h.now})
+	h.step(100 * time.Millisecond)
+}
+
+// TestUnansweredStartMayBeCarriedOutAfterItsWorkersLease guards against a task that starts elsewhere when the lease
+// of a silent worker has expired, while the next incarnation of that worker may still carry out its start.
+func TestUnansweredStartMayBeCarriedOutAfterItsWorkersLease(t *testing.T) {
+	h, start := silentStartHarness(t)
+	for h.now < maxOrderDelay+testLease {
+		h.silent(inheritedID)
+		require.Empty(t, h.otherStarts(inheritedID, start.Run), "after %v", h.now)
+	}
+	for range 100 {
+		h.silent(inheritedID)
+	}
+	require.Len(t, h.otherStarts(inheritedID, start.Run), 1)
+}
+
+// TestUnansweredStartIsSettledByTheSameIncarnation guards against a task that waits longer than needed when a worker
+// answers again after its lease has expired, and against a worker that is not used again.
+func TestUnansweredStartIsSettledByTheSameIncarnation(t *testing.T) {
+	h, start := silentStartHarness(t)
+	h.resize(inheritedID, work.Resources{CPU: 4000, Memory: 4000}) // its heartbeat
+	h.step(200 * time.Millisecond)
+	h.effects = nil
+	h.report(inheritedID, runner.Report{Clock: time.Second + h.now})
+	require.NotEmpty(t, sent[SendStop](h))
+	h.e.StopAnswered(h.now, inheritedID, start.Task, start.Run, nil)
+	h.step(2 * untrackedPause)
+	h.report(inheritedID, runner.Report{Clock: time.Second + h.now})
+	h.step(2 * untrackedPause)
+	h.report(inheritedID, runner.Report{Clock: time.Second + h.now})
+	h.report("w-b", runner.Report{Clock: time.Second + h.now})
+	h.step(300 * time.Millisecond)
+	require.Len(t, h.otherStarts(inheritedID, start.Run), 1)
+	require.True(t, h.e.workers[inheritedID].usable(h.now))
+	require.Empty(t, h.e.lateStarts)
+}
--- a/process/dispatch/job.go
+++ b/process/dispatch/job.go
@@ -179,7 +179,7 @@
 	// awaitsVersion is the version of its job that must be stored before a trial is sent.
 	awaitsVersion uint64
 	lossRecorded  bool          // its loss is in the task's crash records
-	orphanedAt    time.Duration // when the incarnation that it was sent to had ended
+	orphanedAt    time.Duration // when the incarnation that it was sent to, or its lease, had ended
 
 	percent   float64
 	percentAt time.Duration // when percent last rose
--- a/process/dispatch/reports.go
+++ b/process/dispatch/reports.go
@@ -70,8 +70,8 @@
 	if !w.fenced {
 		w.fenced = true
 		e.scheduled = false
-		e.takeLateStarts(w)
 	}
+	e.takeLateStarts(w)
 	complete := len(report.Ended) < runner.MaxCompletions
 	if complete {
 		e.resolve(w)
