--- a/process/dispatch/presence_test.go
+++ b/process/dispatch/presence_test.go
@@ -36,12 +36,12 @@
 }
 
 // nextRenewal returns the next renewal to w-a, which a leader without recent evidence of its leadership
-// sends after probePause.
+// sends after evidencePause.
 func (h *harness) nextRenewal() SendRenew {
 	h.effects = nil
 	h.step(100 * time.Millisecond)
 	if len(h.renewals("w-a")) == 0 {
-		h.step(probePause)
+		h.step(evidencePause)
 	}
 	all := h.renewals("w-a")
 	require.Len(h.t, all, 1)
