--- a/process/dispatch/directory.go
+++ b/process/dispatch/directory.go
@@ -12,7 +12,8 @@
 func (e *Engine) WorkerSeen(now time.Duration, seen runner.Worker) {
 	e.now = now
 	seen.ID = e.incarnationOf(seen.ID)
-	_, known := e.latestStarts[seen.ID.Name()]
+	name, startTime := seen.ID.Incarnation()
+	latest, known := e.latestStarts[name]
 	older, before := e.noteIncarnation(seen.ID)
 	if older {
 		return // a late entry of an earlier incarnation
@@ -20,7 +21,7 @@
 	w := e.workers[seen.ID]
 	if w == nil {
 		w = e.addWorker(seen)
-		w.newInEpoch = known && (before == nil || before.fenced)
+		w.newInEpoch = known && startTime > latest && (before == nil || before.fenced)
 	}
 	if before != nil {
 		e.follow(before, w)
@@ -102,7 +103,7 @@
 	}
 	delete(e.workers, w.ID)
 	e.workerList = slices.DeleteFunc(e.workerList, func(x *worker) bool { return x == w })
-	e.fleetChanged = e.fleetChanged || w.recorded
+	e.fleetChanged = e.fleetChanged || w.recorded || w.voter.Pending
 	w.pendingAcks = nil
 }
 
--- a/process/dispatch/fleet.go
+++ b/process/dispatch/fleet.go
@@ -4,7 +4,6 @@
 	"errors"
 	"fmt"
 	"slices"
-	"time"
 
 	"fennelshunt.example/fennelshunt/connection/peer"
 	"fennelshunt.example/fennelshunt/connection/runner"
@@ -82,7 +81,7 @@
 	for _, ref := range f.Workers {
 		w := e.addWorker(runner.Worker{Ref: ref})
 		w.recorded = true
-		w.expiry = e.now + supersedeTime + leaseBound(e.o.Bounds.MaxLease)
+		w.expiry = e.now + e.inheritedLease()
 	}
 	for _, id := range f.Cordoned {
 		if w := e.workers[id]; w != nil && !w.cordoned {
@@ -104,6 +103,7 @@
 			e.follow(before, w)
 		}
 	}
+	e.loadVoters()
 	return errors.Join(errs...)
 }
 
@@ -127,6 +127,7 @@
 // epoch may run on its next incarnation until that one has answered, or the leases from these orders have
 // expired.
 func (e *Engine) follow(w, next *worker) {
+	e.inheritLateOrders(w, next)
 	inherits, cordoned, unlisted, mayRun := w.inherited && !next.fenced, w.cordoned, w.unlisted, w.mayRun
 	e.removeWorker(w, "it is listed with a later start time", true)
 	if !inherits {
@@ -250,6 +251,8 @@
 func (e *Engine) addFleet(ws *writeSet, c *SendCommit) (keys int) {
 	var f fleetRecord
 	var cordoned cordonRecord
+	ws.lists = true
+	e.sendVoters()
 	for _, w := range e.workerList {
 		f.Workers = append(f.Workers, runner.Ref{ID: w.ID, Address: w.Address})
 		if w.cordoned && !w.unlisted { // without a list of tasks a successor has to wait for it
@@ -281,8 +284,3 @@
 	e.fleetChanged, e.cordonsChanged = false, false
 	return keys
 }
-
-// supersedeTime is how long after a takeover an earlier leader may still renew a worker that
-// the new one does not reach. The earlier leader renews every worker at least this often, and
-// stops when a worker that the new leader has called rejects its epoch.
-const supersedeTime = 2 * time.Second
--- a/process/dispatch/runs.go
+++ b/process/dispatch/runs.go
@@ -71,6 +71,11 @@
 }
 
 func (e *Engine) sendStart(alloc *allocation) {
+	if !e.mayLease() {
+		e.stats.StartsHeld++
+		e.heldStarts = append(e.heldStarts, alloc)
+		return
+	}
 	if alloc.tries == 0 {
 		alloc.sent, alloc.resumed, alloc.predicted = e.now, alloc.task().checkpoint != "", e.estimateOn(alloc.s, alloc.w)
 	}
@@ -106,6 +111,9 @@
 		e.removeWorker(w, "another incarnation answers at its address", true)
 		return
 	}
+	if w != nil && errors.Is(err, runner.ErrUnknown) {
+		w.lateUntil = now + maxOrderDelay
+	}
 	alloc := e.allocOf(id, task, run)
 	if alloc == nil {
 		return
