--- a/standin/epochworker/calls.go
+++ b/standin/epochworker/calls.go
@@ -132,6 +132,7 @@
 		f.violate("%s on %s exceeds the worker's capacity: %+v", s.Task, w.ID, w.used)
 	}
 	h := f.history(s.Task)
+	f.note(h, "started", s.Run, w.ID, s.Epoch)
 	h.running++
 	for _, e := range h.unacked {
 		e.restarted = true
@@ -164,17 +165,17 @@
 func (f *Fleet) checkStart(w *worker, s runner.Start, j *work.Job, late bool) {
 	h := f.history(s.Task)
 	if at, ok := f.completed[s.Task.Job]; ok && !late && time.Since(at) > completedLag {
-		f.violate("%s run %d on %s starts %v after its job was shown as completed", s.Task, s.Run, w.ID, time.Since(at))
+		f.violateTask(s.Task, "%s run %d on %s starts %v after its job was shown as completed", s.Task, s.Run, w.ID, time.Since(at))
 	}
 	switch {
 	case h.running > 0:
-		f.violate("%s run %d on %s runs twice", s.Task, s.Run, w.ID)
+		f.violateTask(s.Task, "%s run %d on %s runs twice (ordered by epoch %d)", s.Task, s.Run, w.ID, s.Epoch)
 	case h.acked && !j.Steps[s.Task.Step].LongRunning:
-		f.violate("%s run %d on %s starts after its completion was acknowledged", s.Task, s.Run, w.ID)
+		f.violateTask(s.Task, "%s run %d on %s starts after its completion was acknowledged (ordered by epoch %d)", s.Task, s.Run, w.ID, s.Epoch)
 	case f.o.Attempts > 0 && h.failures >= f.o.Attempts && !j.Steps[s.Task.Step].Gang && !j.Steps[s.Task.Step].LongRunning:
-		f.violate("%s run %d starts after %d failures", s.Task, s.Run, h.failures)
+		f.violateTask(s.Task, "%s run %d starts after %d failures", s.Task, s.Run, h.failures)
 	case s.Task.Occurrence >= max(1, j.Repeat):
-		f.violate("%s starts, but the job has %d occurrences", s.Task, max(1, j.Repeat))
+		f.violateTask(s.Task, "%s starts, but the job has %d occurrences", s.Task, max(1, j.Repeat))
 	}
 	if h.crashes >= maxCrashes {
 		if h.startsSince++; h.startsSince > startsAfterCrashes {
@@ -279,6 +280,7 @@
 	delete(w.running, r.task)
 	w.used = w.used.Sub(r.need)
 	h := f.history(r.task)
+	f.note(h, outcome.String(), r.number, w.ID, 0)
 	h.running--
 	switch outcome {
 	case runner.Done:
@@ -435,7 +437,7 @@
 	w.epoch = x.Epoch
 	f.extend(w, x.Until)
 	for len(w.completions) > 0 && w.completions[0].Number <= x.Acknowledge {
-		f.acknowledge(w, &w.completions[0])
+		f.acknowledge(w, &w.completions[0], x.Epoch)
 		w.completions = w.completions[1:]
 	}
 	f.renews++
@@ -445,18 +447,19 @@
 // acknowledge records the acknowledgement of a completion. That the task was started again after the
 // end is no violation if the worker's lease expired between the end and the acknowledgement: the
 // leader cannot have known whether the run was done. Renewing the lease later does not change that.
-func (f *Fleet) acknowledge(w *worker, e *runner.Completion) {
+func (f *Fleet) acknowledge(w *worker, e *runner.Completion, epoch uint64) {
 	delete(w.ordered, e.Task)
+	h := f.history(e.Task)
+	f.note(h, "acknowledged", e.Run, w.ID, epoch)
 	if e.Outcome != runner.Done {
 		return
 	}
-	h := f.history(e.Task)
 	h.acked = true // also after an expiry: whoever acknowledges a completion has heard of it
 	i := slices.IndexFunc(h.unacked, func(x *doneEnd) bool { return x.on == w && x.number == e.Number })
 	end := h.unacked[i]
 	h.unacked = slices.Delete(h.unacked, i, i+1)
 	if end.restarted && end.expiries == w.expiries && !f.jobs[e.Task.Job].Steps[e.Task.Step].LongRunning {
-		f.violate("%s run %d on %s: its completion is acknowledged after the task was started again", e.Task, e.Run, w.ID)
+		f.violateTask(e.Task, "%s run %d on %s: its completion is acknowledged after the task was started again", e.Task, e.Run, w.ID)
 	}
 }
 
--- a/standin/epochworker/fleet.go
+++ b/standin/epochworker/fleet.go
@@ -12,6 +12,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -110,6 +111,32 @@
 	// crashes counts the worker crashes that the task caused, startsSince its starts
 	// since crash number maxCrashes.
 	crashes, startsSince int
+	events               []event
+}
+
+// event is a start, an end, an acknowledgement or a crash that concerns a task.
+type event struct {
+	at    time.Duration // since the fleet was created
+	what  string
+	run   uint64
+	on    runner.WorkerID
+	epoch uint64 // of the order or the acknowledgement; 0 for an end
+}
+
+func (f *Fleet) note(h *history, what string, run uint64, on runner.WorkerID, epoch uint64) {
+	h.events = append(h.events, event{time.Since(f.epoch), what, run, on, epoch})
+}
+
+// violateTask records a violation together with the history of the task.
+func (f *Fleet) violateTask(t work.TaskID, format string, args ...any) {
+	var text strings.Builder
+	for _, e := range f.history(t).events {
+		fmt.Fprintf(&text, "; %v %s run %d on %s", e.at, e.what, e.run, e.on)
+		if e.epoch > 0 {
+			fmt.Fprintf(&text, " epoch %d", e.epoch)
+		}
+	}
+	f.violate("%s%s", fmt.Sprintf(format, args...), text.String())
 }
 
 // doneEnd is the end of a run with the outcome runner.Done that is not acknowledged yet.
@@ -326,6 +353,18 @@
 	return f.history(t).crashes
 }
 
+// MaxFailures returns the greatest number of failed runs of a single task of a job.
+func (f *Fleet) MaxFailures(id work.JobID) (most int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for t, h := range f.seen {
+		if t.Job == id {
+			most = max(most, h.failures)
+		}
+	}
+	return most
+}
+
 // MaxSuspectCrashes returns the greatest number of worker crashes of which a single task of a job
 // can be suspected. That includes crashes of workers at which the task had been ordered but
 // had not started, or had ended without an acknowledgement.
@@ -360,6 +399,7 @@
 	w.running = nil
 	for _, r := range lost {
 		f.history(r.task).running--
+		f.note(f.history(r.task), "crashed", r.number, id, 0)
 		r.timer.Stop()
 		if j := f.jobs[r.task.Job]; j.Steps[r.task.Step].Gang {
 			f.endGang(r, runner.Expired)
--- a/standin/kv/faults.go
+++ b/standin/kv/faults.go
@@ -31,6 +31,10 @@
 	Delay time.Duration
 	// DelayChance is the probability that a call is delayed; 0 means that all are.
 	DelayChance float64
+	// LongDelayChance is the probability that a call is delayed by a quarter to the whole of
+	// LongDelay instead.
+	LongDelayChance float64
+	LongDelay       time.Duration
 	// CallsPerSecond limits the rate of all calls together; excess calls are rejected
 	// with ErrOverBudget. 0 means no limit.
 	CallsPerSecond float64
@@ -127,6 +131,9 @@
 	if f.DelayChance == 0 || m.chance(f.DelayChance) {
 		decided.delay = f.Delay
 	}
+	if m.chance(f.LongDelayChance) {
+		decided.delay = f.LongDelay/4 + time.Duration(m.rng.Float64()*float64(f.LongDelay)*3/4)
+	}
 	return decided
 }
 
