--- a/standin/kv/faults.go
+++ b/standin/kv/faults.go
@@ -35,6 +35,8 @@
 	// LongDelay instead.
 	LongDelayChance float64
 	LongDelay       time.Duration
+	// DelayWatches also delays the answers of watches that have waited for events.
+	DelayWatches bool
 	// CallsPerSecond limits the rate of all calls together; excess calls are rejected
 	// with ErrOverBudget. 0 means no limit.
 	CallsPerSecond float64
@@ -128,13 +130,38 @@
 		loseRequest: m.chance(f.LoseRequests),
 		loseAnswer:  m.chance(f.LoseAnswers),
 	}
+	decided.delay = m.drawDelay()
+	return decided
+}
+
+func (m *Memory) drawDelay() (delay time.Duration) {
+	f := m.faults
 	if f.DelayChance == 0 || m.chance(f.DelayChance) {
-		decided.delay = f.Delay
+		delay = f.Delay
 	}
 	if m.chance(f.LongDelayChance) {
-		decided.delay = f.LongDelay/4 + time.Duration(m.rng.Float64()*float64(f.LongDelay)*3/4)
+		delay = f.LongDelay/4 + time.Duration(m.rng.Float64()*float64(f.LongDelay)*3/4)
+	}
+	return delay
+}
+
+// delayWatch delays the answer of a watch that has waited.
+func (m *Memory) delayWatch(ctx context.Context) {
+	m.mu.Lock()
+	var delay time.Duration
+	if m.faults.DelayWatches {
+		delay = m.drawDelay()
+	}
+	m.mu.Unlock()
+	if delay == 0 {
+		return
+	}
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
 	}
-	return decided
 }
 
 func (m *Memory) chance(p float64) bool { return p > 0 && m.rng.Float64() < p }
--- a/standin/kv/memory.go
+++ b/standin/kv/memory.go
@@ -210,7 +210,7 @@
 	}
 	// Only the first check counts as a call; later ones only end the watch in an outage.
 	check := func() error { return m.call(ctx, callWatch, func() error { return nil }) }
-	for {
+	for waited := false; ; waited = true {
 		if err := check(); err != nil {
 			return nil, 0, err
 		}
@@ -218,6 +218,9 @@
 		if err != nil {
 			return nil, 0, fmt.Errorf("watch %s after %d: %w", prefix, after, err)
 		}
+		if len(events) > 0 && waited {
+			m.delayWatch(ctx)
+		}
 		if len(events) > 0 || expired {
 			return events, rev, nil
 		}
--- a/standin/kv/memory_test.go
+++ b/standin/kv/memory_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http/httptest"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -77,3 +78,34 @@
 		})
 	}
 }
+
+// TestLongDelaysAndDelayedWatches guards against a slow store in which a watch that waits for an event
+// still answers at once.
+func TestLongDelaysAndDelayedWatches(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := kv.New()
+		put := func() {
+			_, err := m.Commit(t.Context(), store.Txn{Writes: []store.Write{{Key: "k", Value: []byte("v")}}})
+			require.NoError(t, err)
+		}
+		watch := func(after store.Revision) time.Duration { // from the event on
+			began := time.Now()
+			time.AfterFunc(time.Second, put)
+			events, _, err := m.Watch(t.Context(), "k", after, time.Minute)
+			require.NoError(t, err)
+			require.Len(t, events, 1)
+			return time.Since(began) - time.Second
+		}
+		m.SetFaults(kv.Faults{DelayWatches: true})
+		require.Zero(t, watch(m.Revision()))
+		m.SetFaults(kv.Faults{LongDelay: 400 * time.Millisecond, LongDelayChance: 1})
+		began := time.Now()
+		put()
+		require.GreaterOrEqual(t, time.Since(began), 100*time.Millisecond)
+		require.LessOrEqual(t, time.Since(began), 400*time.Millisecond)
+		m.SetFaults(kv.Faults{Delay: 30 * time.Millisecond})
+		require.Equal(t, 30*time.Millisecond, watch(m.Revision()), "only the write is delayed")
+		m.SetFaults(kv.Faults{Delay: 30 * time.Millisecond, DelayWatches: true})
+		require.Equal(t, 60*time.Millisecond, watch(m.Revision()), "the write and the answer are delayed")
+	})
+}
