--- a/standin/kv/faults.go
+++ b/standin/kv/faults.go
@@ -37,6 +37,8 @@
 	LongDelay       time.Duration
 	// DelayWatches also delays the answers of watches that have waited for events.
 	DelayWatches bool
+	// WatchDelay is how long these answers are delayed at least.
+	WatchDelay time.Duration
 	// CallsPerSecond limits the rate of all calls together; excess calls are rejected
 	// with ErrOverBudget. 0 means no limit.
 	CallsPerSecond float64
@@ -152,6 +154,7 @@
 	if m.faults.DelayWatches {
 		delay = m.drawDelay()
 	}
+	delay = max(delay, m.faults.WatchDelay)
 	m.mu.Unlock()
 	if delay == 0 {
 		return
--- a/standin/kv/memory_test.go
+++ b/standin/kv/memory_test.go
@@ -107,5 +107,7 @@
 		require.Equal(t, 30*time.Millisecond, watch(m.Revision()), "only the write is delayed")
 		m.SetFaults(kv.Faults{Delay: 30 * time.Millisecond, DelayWatches: true})
 		require.Equal(t, 60*time.Millisecond, watch(m.Revision()), "the write and the answer are delayed")
+		m.SetFaults(kv.Faults{WatchDelay: 50 * time.Millisecond})
+		require.Equal(t, 50*time.Millisecond, watch(m.Revision()))
 	})
 }
