--- a/standin/kv/memory.go
+++ b/standin/kv/memory.go
@@ -192,6 +192,13 @@
 	m.compactTo(m.rev)
 }
 
+// Entry returns the entry of a key. It is no call: faults do not concern it.
+func (m *Memory) Entry(key string) (store.Entry, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.entries.Get(store.Entry{Key: key})
+}
+
 // Revision returns the revision of the last write.
 func (m *Memory) Revision() store.Revision {
 	m.mu.Lock()
