--- a/standin/kv/memory.go
+++ b/standin/kv/memory.go
@@ -204,6 +204,13 @@
 	m.compactTo(m.rev)
 }
 
+// Entry returns the entry of a key. It is no call: faults do not concern it.
+func (m *Memory) Entry(key string) (store.Entry, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.entries.Get(store.Entry{Key: key})
+}
+
 // Revision returns the revision of the last write.
 func (m *Memory) Revision() store.Revision {
 	m.mu.Lock()
@@ -222,7 +229,7 @@
 	}
 	// Only the first check counts as a call; later ones only end the watch in an outage.
 	check := func() error { return m.call(ctx, callWatch, func() error { return nil }) }
-	for {
+	for waited := false; ; waited = true {
 		if err := check(); err != nil {
 			return nil, 0, err
 		}
@@ -230,6 +237,9 @@
 		if err != nil {
 			return nil, 0, fmt.Errorf("watch %s after %d: %w", prefix, after, err)
 		}
+		if len(events) > 0 && waited {
+			m.delayWatch(ctx)
+		}
 		if len(events) > 0 || expired {
 			return events, rev, nil
 		}
