--- /dev/null
+++ b/process/dispatch/pause_test.go
@@ -0,0 +1,422 @@
+package dispatch
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/assert"
+
+	"fennelshunt.example/fennelshunt/connection/runner"
+	"fennelshunt.example/fennelshunt/connection/store"
+	"fennelshunt.example/fennelshunt/process/lead"
+	"fennelshunt.example/fennelshunt/standin/epochworker"
+	"fennelshunt.example/fennelshunt/standin/kv"
+	"fennelshunt.example/fennelshunt/version/work"
+)
+
+// pauseCell is a cell whose daemons stand still now and then. Its random numbers depend on the seed and on what
+// they are for, not on the order of goroutines.
+type pauseCell struct {
+	*cell
+	kind    pauseKind
+	seed    uint64
+	peers   *peerNodes
+	gates   []*gate
+	mu      sync.Mutex // of what follows
+	accepts sync.WaitGroup
+	terms   int
+	counts  map[point]int
+	stats   Stats
+}
+
+// pauseKind is a kind of cell.
+type pauseKind struct {
+	workers, daemons int
+	restart          time.Duration // of workers after a crash; 0 for never
+	sameName         bool
+	keep             time.Duration // as in Bounds
+	storeDelay       time.Duration
+	pings            bool          // daemons notice that the leader fails before its lease has expired
+	pause            time.Duration // mean time between submissions
+}
+
+func drawPauseKind(rng *rand.Rand) pauseKind {
+	k := pauseKind{workers: 12 + rng.IntN(12), daemons: 3 + rng.IntN(3), keep: 10 * time.Minute, pings: rng.IntN(3) > 0,
+		pause: time.Duration(20+rng.IntN(60)) * time.Millisecond, storeDelay: []time.Duration{0, 4 * time.Millisecond, 100 * time.Millisecond, 400 * time.Millisecond}[rng.IntN(4)]}
+	if rng.IntN(3) > 0 {
+		k.restart, k.sameName = time.Duration(500+rng.IntN(4000))*time.Millisecond, rng.IntN(3) > 0
+	}
+	if rng.IntN(3) == 0 {
+		k.keep = 20 * time.Second
+	}
+	return k
+}
+
+// drawPause draws the length of a pause: any, or about as long as a member's lease, a watch, a worker's
+// lease, or the time after which a successor takes a worker that it does not reach for dead.
+func drawPause(rng *rand.Rand) time.Duration {
+	around := []time.Duration{1100 * time.Millisecond, 2 * time.Second, 6 * time.Second, 8400 * time.Millisecond}
+	switch i := rng.IntN(7); {
+	case i < len(around):
+		return time.Duration(float64(around[i]) * (0.85 + 0.3*rng.Float64()))
+	case i == len(around):
+		return time.Duration(10+rng.IntN(600)) * time.Millisecond
+	case i == len(around)+1:
+		return time.Duration(500+rng.IntN(4000)) * time.Millisecond
+	}
+	return time.Duration(10+rng.IntN(20_000)) * time.Millisecond
+}
+
+// points are those at which a pause begins.
+var points = []point{"start", "start answered", "renewal", "renewal answered", "stop", "stop answered", "commit", "commit answered", "load", "load answered",
+	"watch", "watch answered", "claimed", "ticked", "tick", "decision", "lease", "lease answered", "offer"}
+
+func newPauseCell(t *testing.T, seed uint64, kind pauseKind) *pauseCell {
+	c := &pauseCell{kind: kind, seed: seed, peers: &peerNodes{nodes: map[string]*peerNode{}}, counts: map[point]int{}}
+	c.cell = newTestCell(t, seed, 0, 0, usualBehaviour(0))
+	c.kv.SetFaults(kv.Faults{Delay: kind.storeDelay})
+	c.fleet = epochworker.New(epochworker.Options{Seed: seed, Lease: testLease, GangTimeout: 3 * time.Second, StopDelay: 200 * time.Millisecond, Delay: time.Millisecond,
+		Attempts: 4, Restart: kind.restart, SameName: kind.sameName, EntryLag: time.Second, Work: c.behave})
+	for i := range kind.workers {
+		id := runner.WorkerID(fmt.Sprintf("w-%02d", i))
+		if kind.sameName {
+			id = runner.IncarnationID(string(id), 1)
+		}
+		c.addWorker(id, fmt.Sprintf("10.0.0.%d", i), fmt.Sprint("r", i/8))
+	}
+	for i := range kind.daemons {
+		n, g := c.startGated(fmt.Sprintf("d-%d", i))
+		c.nodes, c.gates = append(c.nodes, n), append(c.gates, g)
+	}
+	return c
+}
+
+// behave draws how a run behaves. Tasks of jobs of one step are quick.
+func (c *pauseCell) behave(task work.TaskID, run uint64, _ runner.WorkerID) epochworker.Behaviour {
+	rng := rand.New(rand.NewPCG(c.seed^xxhash.Sum64String(task.String()), run))
+	b := epochworker.Behaviour{Takes: time.Duration(50_000+rng.IntN(650_000)) * time.Microsecond, Fails: rng.IntN(50) == 0}
+	if rng.IntN(6) == 0 {
+		b.Takes *= 5
+	}
+	return b
+}
+
+func (c *pauseCell) startGated(name string) (*node, *gate) {
+	c.mu.Lock()
+	c.terms++
+	g := newGate(name, c.seed+uint64(c.terms))
+	c.mu.Unlock()
+	n := &node{name: name, done: make(chan struct{})}
+	timeout := &store.AdaptiveTimeout{Min: 200 * time.Millisecond, Max: 1500 * time.Millisecond}
+	var out io.Writer = io.Discard
+	if os.Getenv("FENNEL_LOG") == "1" {
+		out = os.Stdout
+	}
+	logTo := func(w io.Writer) zerolog.Logger {
+		return zerolog.New(w).With().Str("daemon", name).Timestamp().Logger()
+	}
+	s := gatedStore{g, c.kv}
+	g.onPause = func() {
+		if h := n.host.Load(); h != nil {
+			go h.post(func(*Engine, time.Duration) { g.wait() })
+		}
+	}
+	o := lead.Options{Self: lead.Member{Name: name, Peer: name, Cores: 1}, Store: s, StoreTimeout: timeout, Log: logTo(out)}
+	if c.kind.pings {
+		o.Peers = gatedPeers{g, c.peers}
+	}
+	o.RunTerm = func(t *lead.Term) {
+		g.pass("claimed", g.draw("claimed"))
+		h := NewHost(HostOptions{Store: s, StoreTimeout: timeout, Runner: gatedRunner{g, c.fleet}, Directory: gatedDirectory{g, c.fleet}, View: n.elector.View(),
+			Advise: c.advice.ask, Log: logTo(gatedLog{g, out}), Policy: c.policy,
+			Accounts: func() (*work.Accounts, bool) {
+				g.strike("tick")
+				g.wait()
+				return nil, true
+			},
+			Count: func(s Stats) {
+				g.strike("ticked")
+				g.wait()
+				c.mu.Lock()
+				defer c.mu.Unlock()
+				c.stats.CompletionsUnheard = max(c.stats.CompletionsUnheard, s.CompletionsUnheard)
+				c.stats.UntrackedRuns = max(c.stats.UntrackedRuns, s.UntrackedRuns)
+			},
+			Bounds: Bounds{Lease: testLease, MaxLease: testLease, Gang: 3 * time.Second, Keep: c.kind.keep},
+			Violation: func(what string) {
+				c.cell.mu.Lock()
+				defer c.cell.mu.Unlock()
+				c.broken = append(c.broken, what)
+			}}, t)
+		n.host.Store(h)
+		h.Run()
+		n.host.CompareAndSwap(h, nil)
+	}
+	n.elector = lead.New(o)
+	n.elector.Register(c.peers.join(name, g))
+	ctx, cancel := context.WithCancel(context.Background())
+	n.cancel = cancel
+	go func() {
+		defer close(n.done)
+		_ = n.elector.Run(ctx)
+	}()
+	return n, g
+}
+
+// restart kills a daemon and starts another one under its name.
+func (c *pauseCell) restart(i int) {
+	c.end(i)
+	c.nodes[i], c.gates[i] = c.startGated(c.nodes[i].name)
+}
+
+func (c *pauseCell) end(i int) {
+	c.gates[i].kill()
+	c.nodes[i].cancel()
+	<-c.nodes[i].done
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for at, n := range c.gates[i].pauses {
+		c.counts[at] += n
+	}
+}
+
+func (c *pauseCell) stopAll() {
+	c.accepts.Wait()
+	for i := range c.nodes {
+		c.end(i)
+	}
+}
+
+// awake returns the daemon with the highest epoch of those that run a term and don't stand still, or any.
+func (c *pauseCell) awake() (found int) {
+	epoch := uint64(0)
+	for i, n := range c.nodes {
+		h := n.host.Load()
+		c.gates[i].mu.Lock()
+		if h != nil && h.term.Epoch > epoch && c.gates[i].running() {
+			found, epoch = i, h.term.Epoch
+		}
+		c.gates[i].mu.Unlock()
+	}
+	return found
+}
+
+// accept submits a job through a daemon: it writes the job with the epoch that it knows, and offers it to the
+// daemon that it believes to lead, or to each that runs a term. It may stand still between any of these.
+func (c *pauseCell) accept(j *work.Job, through int, toAll bool) work.JobID {
+	id := c.nextID()
+	c.jobs[id] = j
+	c.order = append(c.order, id)
+	c.fleet.AddJob(id, j)
+	n, g := c.nodes[through], c.gates[through]
+	nodes, gates := slices.Clone(c.nodes), slices.Clone(c.gates)
+	j.Accepted, j.Epoch = time.Now().UnixMilli(), n.elector.View().Epoch()
+	value, err := work.EncodeJob(j)
+	assert.NoError(c.t, err)
+	entry := store.Entry{Key: KeySubmission(id), Value: value}
+	c.accepts.Go(func() {
+		g.pass("accept", g.draw("accept"))
+		c.write(store.Txn{Checks: []store.Check{{Key: KeySubmission(id)}, {Key: KeyState(id)}}, Writes: []store.Write{{Key: KeySubmission(id), Value: value}}})
+		g.pass("accept", g.draw("accept"))
+		leader, _ := n.elector.View().Leader()
+		for i, to := range nodes {
+			if toAll || to.name == leader.Member.Name {
+				c.accepts.Go(func() {
+					gates[i].pass("offer", gates[i].draw("offer"))
+					if h := to.host.Load(); h != nil && !gates[i].isKilled() {
+						h.Offer(entry)
+					}
+				})
+			}
+		}
+	})
+	return id
+}
+
+// drawPauseJob draws a job: most have one step of quick tasks.
+func drawPauseJob(rng *rand.Rand) *work.Job {
+	switch rng.IntN(12) {
+	case 0, 1:
+		return drawJob(rng, rng.IntN(2) == 0)
+	case 2:
+		j := drawJob(rng, false)
+		j.Repeat, j.StartAt, j.Interval = 2+rng.IntN(3), time.Now().Add(time.Duration(rng.IntN(3000))*time.Millisecond).UnixMilli(), time.Duration(1000+rng.IntN(3000))*time.Millisecond
+		return j
+	}
+	return &work.Job{Queue: work.Queue{Name: "q", Service: "s", Priority: rng.IntN(3), Attempts: 4, Slack: 2, Allowance: time.Second}, Spec: "x",
+		Steps: []work.Step{{Count: 1 + rng.IntN(3), Size: work.Resources{CPU: 500 + rng.IntN(1500), Memory: 500 + rng.IntN(1000)}, Estimate: 400 * time.Millisecond}}}
+}
+
+// disturb injects one pause or fault.
+func (c *pauseCell) disturb() {
+	rng := c.rng
+	span := time.Duration(500+rng.IntN(6000)) * time.Millisecond
+	later := func(f func()) { time.AfterFunc(span, f) }
+	i := c.awake()
+	if rng.IntN(4) == 0 {
+		i = rng.IntN(len(c.nodes))
+	}
+	g := c.gates[i]
+	locked := func(g *gate, f func()) {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		f()
+	}
+	switch rng.IntN(16) {
+	case 0, 1, 2, 3, 4, 5:
+		g.arm(armedPause{at: points[rng.IntN(len(points))], skip: rng.IntN(3), length: drawPause(rng)})
+		if rng.IntN(2) == 0 { // its successor too, or it again
+			next := armedPause{at: points[rng.IntN(len(points))], skip: rng.IntN(3), length: drawPause(rng)}
+			time.AfterFunc(time.Duration(200+rng.IntN(4000))*time.Millisecond, func() {
+				c.gates[c.awake()].arm(next)
+			})
+		}
+	case 6:
+		c.restart(i)
+	case 7:
+		c.kv.SetFaults(kv.Faults{LoseAnswers: 0.2, Delay: c.kind.storeDelay})
+		later(func() { c.kv.SetFaults(kv.Faults{Delay: c.kind.storeDelay}) })
+	case 8:
+		f := kv.Faults{Delay: []time.Duration{4 * time.Millisecond, 100 * time.Millisecond, 400 * time.Millisecond}[rng.IntN(3)]}
+		if rng.IntN(4) == 0 {
+			f = kv.Faults{Down: true, FreezeLeases: rng.IntN(2) == 0}
+		}
+		c.kv.SetFaults(f)
+		later(func() { c.kv.SetFaults(kv.Faults{Delay: c.kind.storeDelay}) })
+	case 9:
+		mode, delay := cutMode(rng.IntN(3)), time.Duration(50+rng.IntN(500))*time.Millisecond
+		locked(g, func() { g.storeCut, g.storeDelay = mode, delay })
+		later(func() { locked(g, func() { g.storeCut, g.storeDelay = notCut, 0 }) })
+	case 10, 11: // some workers are not reached by this daemon, or by all but this one
+		others := rng.IntN(3) == 0
+		mode := cutMode(1 + rng.IntN(2))
+		share := 0.1 + 0.5*rng.Float64()
+		for k := range c.kind.workers {
+			if rng.Float64() >= share {
+				continue
+			}
+			address := fmt.Sprintf("10.0.0.%d", k)
+			for x, g := range c.gates {
+				if (x == i) != others {
+					locked(g, func() { g.cut[address] = mode })
+					later(func() { locked(g, func() { delete(g.cut, address) }) })
+				}
+			}
+		}
+	case 12:
+		c.fleet.SetFaults(epochworker.Faults{Late: 0.1, LoseAnswers: 0.05})
+		later(func() { c.fleet.SetFaults(epochworker.Faults{}) })
+	case 13:
+		if ids := c.fleet.IDs(); c.kind.restart > 0 || len(ids) > c.kind.workers/2 {
+			c.fleet.Crash(ids[rng.IntN(len(ids))])
+		}
+	case 14:
+		locked(g, func() { g.delayed = 0.02 + 0.1*rng.Float64() })
+		later(func() { locked(g, func() { g.delayed = 0 }) })
+	case 15:
+		ids := c.fleet.IDs()
+		id := ids[rng.IntN(len(ids))]
+		c.fleet.SetDisconnected(id, true)
+		later(func() { c.fleet.SetDisconnected(id, false) })
+	}
+}
+
+// calm ends every fault and lets every daemon run.
+func (c *pauseCell) calm() {
+	c.kv.SetFaults(kv.Faults{Delay: c.kind.storeDelay})
+	c.fleet.SetFaults(epochworker.Faults{})
+	for _, g := range c.gates {
+		g.mu.Lock()
+		g.armed, g.storeCut, g.storeDelay, g.delayed = nil, notCut, 0, 0
+		clear(g.cut)
+		g.mu.Unlock()
+	}
+}
+
+// run submits jobs for a time, under faults.
+func (c *pauseCell) run(length time.Duration) {
+	time.Sleep(3 * time.Second)
+	end, next := time.Now().Add(length), time.Now().Add(time.Second)
+	for time.Now().Before(end) {
+		id := c.accept(drawPauseJob(c.rng), c.rng.IntN(len(c.nodes)), c.rng.IntN(4) == 0)
+		if c.rng.IntN(15) == 0 {
+			time.AfterFunc(time.Duration(c.rng.IntN(3000))*time.Millisecond, func() { c.cancelJob(id) })
+		}
+		time.Sleep(time.Duration(c.rng.Int64N(int64(2 * c.kind.pause))))
+		if time.Now().After(next) {
+			c.disturb()
+			next = time.Now().Add(time.Duration(200+c.rng.IntN(2200)) * time.Millisecond)
+		}
+	}
+	time.Sleep(7 * time.Second) // the last fault ends
+	c.calm()
+	time.Sleep(40 * time.Second)
+}
+
+// check checks that every job has ended, and what the workers and the engines have seen.
+func (c *pauseCell) check() {
+	open := func() (all []work.JobID) {
+		for _, id := range c.order {
+			if !c.ended(id) {
+				all = append(all, id)
+			}
+		}
+		return all
+	}
+	for range 15 {
+		if len(open()) == 0 {
+			break
+		}
+		time.Sleep(10 * time.Second)
+	}
+	for _, id := range open() {
+		assert.Fail(c.t, "not ended", "%s is %s", id, c.state(id))
+	}
+	for _, id := range c.order {
+		if c.state(id) == work.Completed {
+			assert.Empty(c.t, c.fleet.NotDone(id), "%s is shown as completed", id)
+		}
+	}
+	assert.Zero(c.t, c.fleet.Running())
+	epoch := c.nodes[0].elector.View().Epoch()
+	c.stopAll()
+	starts, _ := c.fleet.Counts()
+	c.t.Logf("seed %d %+v: %d jobs, %d starts, epoch %d, completions unheard %d, pauses %v, %d violations", c.seed, c.kind, len(c.order), starts, epoch, c.stats.CompletionsUnheard, c.counts, len(c.fleet.Violations()))
+	assert.Empty(c.t, c.fleet.Violations())
+	assert.Empty(c.t, c.broken)
+}
+
+// ended reports whether a job is shown as ended, or has ended and been forgotten.
+func (c *pauseCell) ended(id work.JobID) bool {
+	if c.state(id).Final() {
+		return true
+	}
+	_, err := c.kv.Get(context.Background(), KeySubmission(id))
+	return err != nil && c.kind.keep < time.Minute
+}
+
+// TestPausesAtEveryStep guards against tasks that run twice, or again after their completion was acknowledged,
+// when daemons stand still at any step of a call or of the engine, answers that they have received
+// are handled late, and others take over meanwhile.
+func TestPausesAtEveryStep(t *testing.T) {
+	first, seeds := seedsOfRun(t, 3)
+	for seed := first; seed < first+seeds; seed++ {
+		t.Run(seedName(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newPauseCell(t, seed, drawPauseKind(rand.New(rand.NewPCG(seed, 17))))
+				c.run(40 * time.Second)
+				c.check()
+			})
+		})
+	}
+}
