--- a/process/dispatch/pause_test.go
+++ b/process/dispatch/pause_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"os"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -31,14 +32,22 @@
 	kind    pauseKind
 	seed    uint64
 	peers   *peerNodes
+	began   time.Time
 	gates   []*gate
 	mu      sync.Mutex // of what follows
 	accepts sync.WaitGroup
-	terms   int
+	started int // daemons
+	terms   []term
 	counts  map[point]int
 	stats   Stats
 }
 
+// term is the start of a term.
+type term struct {
+	epoch uint64
+	at    time.Time
+}
+
 // pauseKind is a kind of cell.
 type pauseKind struct {
 	workers, daemons int
@@ -85,6 +94,7 @@
 	c := &pauseCell{kind: kind, seed: seed, peers: &peerNodes{nodes: map[string]*peerNode{}}, counts: map[point]int{}}
 	c.cell = newTestCell(t, seed, 0, 0, usualBehaviour(0))
 	c.kv.SetFaults(kv.Faults{Delay: kind.storeDelay})
+	c.began = time.Now()
 	c.fleet = epochworker.New(epochworker.Options{Seed: seed, Lease: testLease, GangTimeout: 3 * time.Second, StopDelay: 200 * time.Millisecond, Delay: time.Millisecond,
 		Attempts: 4, Restart: kind.restart, SameName: kind.sameName, EntryLag: time.Second, Work: c.behave})
 	for i := range kind.workers {
@@ -113,8 +123,8 @@
 
 func (c *pauseCell) startGated(name string) (*node, *gate) {
 	c.mu.Lock()
-	c.terms++
-	g := newGate(name, c.seed+uint64(c.terms))
+	c.started++
+	g := newGate(name, c.seed+uint64(c.started))
 	c.mu.Unlock()
 	n := &node{name: name, done: make(chan struct{})}
 	timeout := &store.AdaptiveTimeout{Min: 200 * time.Millisecond, Max: 1500 * time.Millisecond}
@@ -136,6 +146,9 @@
 		o.Peers = gatedPeers{g, c.peers}
 	}
 	o.RunTerm = func(t *lead.Term) {
+		c.mu.Lock()
+		c.terms = append(c.terms, term{t.Epoch, time.Now()})
+		c.mu.Unlock()
 		g.pass("claimed", g.draw("claimed"))
 		h := NewHost(HostOptions{Store: s, StoreTimeout: timeout, Runner: gatedRunner{g, c.fleet}, Directory: gatedDirectory{g, c.fleet}, View: n.elector.View(),
 			Advise: c.advice.ask, Log: logTo(gatedLog{g, out}), Policy: c.policy,
@@ -272,7 +285,9 @@
 		defer g.mu.Unlock()
 		f()
 	}
-	switch rng.IntN(16) {
+	switch rng.IntN(19) {
+	case 16, 17, 18:
+		c.takeOver(i, span)
 	case 0, 1, 2, 3, 4, 5:
 		g.arm(armedPause{at: points[rng.IntN(len(points))], skip: rng.IntN(3), length: drawPause(rng)})
 		if rng.IntN(2) == 0 { // its successor too, or it again
@@ -331,6 +346,34 @@
 	}
 }
 
+// loadPoints are those of a takeover.
+var loadPoints = []point{"claimed", "load", "load", "load answered", "load answered", "lease", "workers listed"}
+
+// takeOver makes a daemon lose the leadership while it goes on, and its successor stand still before it calls
+// the workers.
+func (c *pauseCell) takeOver(i int, span time.Duration) {
+	g := c.gates[i]
+	switch mode := cutMode(c.rng.IntN(3)); {
+	case mode == notCut:
+		g.arm(armedPause{at: points[c.rng.IntN(len(points))], length: time.Duration(400+c.rng.IntN(1500)) * time.Millisecond})
+	default:
+		g.mu.Lock()
+		g.storeCut = mode
+		g.mu.Unlock()
+		time.AfterFunc(span, func() {
+			g.mu.Lock()
+			defer g.mu.Unlock()
+			g.storeCut = notCut
+		})
+	}
+	p := armedPause{at: loadPoints[c.rng.IntN(len(loadPoints))], skip: c.rng.IntN(2), length: time.Duration(10+c.rng.IntN(4000)) * time.Millisecond, only: true}
+	for k, g := range c.gates {
+		if k != i {
+			g.arm(p)
+		}
+	}
+}
+
 // calm ends every fault and lets every daemon run.
 func (c *pauseCell) calm() {
 	c.kv.SetFaults(kv.Faults{Delay: c.kind.storeDelay})
@@ -365,44 +408,85 @@
 
 // check checks that every job has ended, and what the workers and the engines have seen.
 func (c *pauseCell) check() {
-	open := func() (all []work.JobID) {
-		for _, id := range c.order {
-			if !c.ended(id) {
-				all = append(all, id)
-			}
-		}
-		return all
-	}
+	c.kv.SetFaults(kv.Faults{})
+	states, open := c.states()
 	for range 15 {
-		if len(open()) == 0 {
+		if len(open) == 0 {
 			break
 		}
 		time.Sleep(10 * time.Second)
+		states, open = c.states()
 	}
-	for _, id := range open() {
-		assert.Fail(c.t, "not ended", "%s is %s", id, c.state(id))
-	}
+	assert.Empty(c.t, open, "not ended")
 	for _, id := range c.order {
-		if c.state(id) == work.Completed {
+		if states[id] == work.Completed {
 			assert.Empty(c.t, c.fleet.NotDone(id), "%s is shown as completed", id)
 		}
 	}
 	assert.Zero(c.t, c.fleet.Running())
-	epoch := c.nodes[0].elector.View().Epoch()
 	c.stopAll()
 	starts, _ := c.fleet.Counts()
-	c.t.Logf("seed %d %+v: %d jobs, %d starts, epoch %d, completions unheard %d, pauses %v, %d violations", c.seed, c.kind, len(c.order), starts, epoch, c.stats.CompletionsUnheard, c.counts, len(c.fleet.Violations()))
+	c.t.Logf("seed %d %+v: %d jobs, %d starts, %d terms, %d completions unheard, pauses %v, violations %v", c.seed, c.kind, len(c.order), starts, len(c.terms), c.stats.CompletionsUnheard, c.counts, c.sort())
 	assert.Empty(c.t, c.fleet.Violations())
 	assert.Empty(c.t, c.broken)
 }
 
-// ended reports whether a job is shown as ended, or has ended and been forgotten.
-func (c *pauseCell) ended(id work.JobID) bool {
-	if c.state(id).Final() {
-		return true
+// sort counts the violations, by whether the newest leader started the run or a former one.
+func (c *pauseCell) sort() map[string]int {
+	counts := map[string]int{}
+	for _, text := range c.fleet.Violations() {
+		var at, by = time.Duration(0), uint64(0)
+		if text, rest, ok := strings.Cut(text, ": "); ok {
+			at, _ = time.ParseDuration(text)
+			if _, number, ok := strings.Cut(rest, " run "); ok {
+				_, _ = fmt.Sscan(number, &by)
+			}
+		}
+		newest := uint64(0)
+		for _, x := range c.terms {
+			if x.at.Sub(c.began) <= at {
+				newest = max(newest, x.epoch)
+			}
+		}
+		what := "other"
+		for _, w := range []string{"runs twice", "after its completion was acknowledged", "is acknowledged after", "failures", "capacity"} {
+			if strings.Contains(text, w) {
+				what = w
+			}
+		}
+		if by>>runBits+1 < newest {
+			what += ", by a former leader"
+		}
+		counts[what]++
+	}
+	return counts
+}
+
+// states returns the state of each job that is not forgotten, and those that have not ended.
+func (c *pauseCell) states() (all map[work.JobID]work.State, open []work.JobID) {
+	ctx := context.Background()
+	list := func(prefix string) []store.Entry {
+		entries, _, err := c.kv.List(ctx, prefix)
+		assert.NoError(c.t, err)
+		return entries
+	}
+	all = map[work.JobID]work.State{}
+	found, bad := (&Engine{}).newest(list(PrefixState), list(PrefixBatches))
+	assert.Empty(c.t, bad)
+	for id, s := range found {
+		all[id] = s.progress.State
+	}
+	submitted := map[string]bool{}
+	for _, entry := range list(prefixIn) {
+		submitted[entry.Key] = true
+	}
+	for _, id := range c.order {
+		state, known := all[id]
+		if forgotten := !known && !submitted[KeySubmission(id)] && c.kind.keep < time.Minute; !state.Final() && !forgotten {
+			open = append(open, id)
+		}
 	}
-	_, err := c.kv.Get(context.Background(), KeySubmission(id))
-	return err != nil && c.kind.keep < time.Minute
+	return all, open
 }
 
 // TestPausesAtEveryStep guards against tasks that run twice, or again after their completion was acknowledged,
--- a/process/dispatch/pausegate_test.go
+++ b/process/dispatch/pausegate_test.go
@@ -53,6 +53,7 @@
 	at     point
 	skip   int
 	length time.Duration
+	only   bool // never elsewhere
 }
 
 // cutMode is what is lost between a daemon and another system.
@@ -82,19 +83,20 @@
 	}
 }
 
-// arm sets the next pause; it begins within a second at the latest, if the point is not passed.
+// arm sets the next pause. If the point is not passed, it begins elsewhere after two seconds, or
+// never.
 func (g *gate) arm(p armedPause) {
 	g.mu.Lock()
 	g.armed = &p
 	g.mu.Unlock()
-	time.AfterFunc(time.Second, func() {
+	time.AfterFunc(2*time.Second, func() {
 		g.mu.Lock()
 		missed := g.armed == &p
 		if missed {
 			g.armed = nil
 		}
 		g.mu.Unlock()
-		if missed {
+		if missed && !p.only {
 			g.pause("elsewhere", p.length)
 		}
 	})
