--- a/standin/epochworker/fleet.go
+++ b/standin/epochworker/fleet.go
@@ -12,6 +12,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -78,8 +79,10 @@
 	jobs    map[work.JobID]*work.Job
 	seen    map[work.TaskID]*history
 	started map[work.JobID]bool // jobs of which a task has started
-	// cancelled has the times at which cancellations were acknowledged.
+	// cancelled has the times at which cancellations were acknowledged, completed those at which
+	// callers were first shown that jobs are completed.
 	cancelled  map[work.JobID]time.Time
+	completed  map[work.JobID]time.Time
 	rev        store.Revision
 	log        []runner.Change
 	changed    chan struct{}
@@ -97,19 +100,51 @@
 
 // history is what has happened to a task, over all workers.
 type history struct {
-	running int
-	done    bool
-	acked   bool // the completion of a done run was acknowledged
-	// doneRuns are the runs with the outcome runner.Done; superseded are those of them
-	// after which the task was started again.
-	doneRuns, superseded []uint64
-	failures             int
+	running  int
+	done     bool
+	acked    bool // the completion of a done run was acknowledged
+	unacked  []*doneEnd
+	failures int
 	// suspectCrashes counts the crashes, of any cause, of workers that had an order to
 	// start the task and no acknowledged completion of it.
 	suspectCrashes int
 	// crashes counts the worker crashes that the task caused, startsSince its starts
 	// since crash number maxCrashes.
 	crashes, startsSince int
+	events               []event
+}
+
+// event is a start, an end, an acknowledgement or a crash that concerns a task.
+type event struct {
+	at    time.Duration // since the fleet was created
+	what  string
+	run   uint64
+	on    runner.WorkerID
+	epoch uint64 // of the order or the acknowledgement; 0 for an end
+}
+
+func (f *Fleet) note(h *history, what string, run uint64, on runner.WorkerID, epoch uint64) {
+	h.events = append(h.events, event{time.Since(f.epoch), what, run, on, epoch})
+}
+
+// violateTask records a violation together with the history of the task.
+func (f *Fleet) violateTask(t work.TaskID, format string, args ...any) {
+	var text strings.Builder
+	for _, e := range f.history(t).events {
+		fmt.Fprintf(&text, "; %v %s run %d on %s", e.at, e.what, e.run, e.on)
+		if e.epoch > 0 {
+			fmt.Fprintf(&text, " epoch %d", e.epoch)
+		}
+	}
+	f.violate("%s%s", fmt.Sprintf(format, args...), text.String())
+}
+
+// doneEnd is the end of a run with the outcome runner.Done that is not acknowledged yet.
+type doneEnd struct {
+	on        *worker
+	number    int64 // of the completion
+	expiries  int   // of the worker's lease before the end
+	restarted bool  // the task was started again after the end
 }
 
 type worker struct {
@@ -127,8 +162,7 @@
 	highest     map[work.TaskID]uint64 // highest run that was stopped or ended
 	ordered     map[work.TaskID]bool   // tasks ordered to start, without an acknowledged completion
 	completions []runner.Completion    // completions that are not acknowledged
-	endedAt     map[int64]time.Time    // times of these completions, by number
-	expiredAt   time.Time              // when its lease last expired
+	expiries    int                    // how often its lease has expired
 	number      int64                  // of the last completion
 	wake        chan struct{}
 	capacities  []timedLimit // earlier capacities that still count
@@ -172,7 +206,8 @@
 // New returns a fleet without workers.
 func New(o Options) *Fleet {
 	return &Fleet{o: o, rng: rand.New(rand.NewPCG(o.Seed, 11)), workers: map[runner.WorkerID]*worker{}, jobs: map[work.JobID]*work.Job{},
-		seen: map[work.TaskID]*history{}, started: map[work.JobID]bool{}, cancelled: map[work.JobID]time.Time{}, rev: 1, changed: make(chan struct{}), epoch: time.Now()}
+		seen: map[work.TaskID]*history{}, started: map[work.JobID]bool{}, cancelled: map[work.JobID]time.Time{},
+		completed: map[work.JobID]time.Time{}, rev: 1, changed: make(chan struct{}), epoch: time.Now()}
 }
 
 // AddJob registers a submitted job. A start of a task of any other job is a violation.
@@ -189,6 +224,15 @@
 	f.cancelled[id] = time.Now()
 }
 
+// Completed records that a caller was shown that a job is completed.
+func (f *Fleet) Completed(id work.JobID) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if _, ok := f.completed[id]; !ok {
+		f.completed[id] = time.Now()
+	}
+}
+
 // NotDone returns the tasks of a job, over all its occurrences, of which no run had the
 // outcome runner.Done. Such a run of one member of a gang counts for the whole gang.
 func (f *Fleet) NotDone(id work.JobID) []work.TaskID {
@@ -218,7 +262,7 @@
 // newWorker starts an incarnation that is not listed in the directory yet.
 func (f *Fleet) newWorker(w runner.Worker) *worker {
 	started := &worker{Worker: w, started: time.Now().Add(-time.Duration(f.rng.IntN(1000)) * time.Second), unlisted: true,
-		running: map[work.TaskID]*run{}, highest: map[work.TaskID]uint64{}, ordered: map[work.TaskID]bool{}, endedAt: map[int64]time.Time{}, wake: make(chan struct{})}
+		running: map[work.TaskID]*run{}, highest: map[work.TaskID]uint64{}, ordered: map[work.TaskID]bool{}, wake: make(chan struct{})}
 	f.workers[w.ID] = started
 	f.order = append(f.order, w.ID)
 	return started
@@ -309,6 +353,18 @@
 	return f.history(t).crashes
 }
 
+// MaxFailures returns the greatest number of failed runs of a single task of a job.
+func (f *Fleet) MaxFailures(id work.JobID) (most int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for t, h := range f.seen {
+		if t.Job == id {
+			most = max(most, h.failures)
+		}
+	}
+	return most
+}
+
 // MaxSuspectCrashes returns the greatest number of worker crashes of which a single task of a job
 // can be suspected. That includes crashes of workers at which the task had been ordered but
 // had not started, or had ended without an acknowledgement.
@@ -343,6 +399,7 @@
 	w.running = nil
 	for _, r := range lost {
 		f.history(r.task).running--
+		f.note(f.history(r.task), "crashed", r.number, id, 0)
 		r.timer.Stop()
 		if j := f.jobs[r.task.Job]; j.Steps[r.task.Step].Gang {
 			f.endGang(r, runner.Expired)
