--- a/process/dispatch/reports.go
+++ b/process/dispatch/reports.go
@@ -15,14 +15,15 @@
 		return
 	}
 	r := runner.Renewal{Epoch: e.o.Epoch, Until: w.renewUntil(e.now, e.o.Bounds.Lease)}
-	if w.misses == 0 && e.now-w.answered <= ackFreshness {
+	ackUntil := w.presence.at + ackFreshness
+	if w.misses == 0 && e.now <= ackUntil {
 		r.Acknowledge = w.ackedCompletion
 	}
 	if w.fenced && w.misses == 0 && !w.unacknowledged() && !w.stopsAnswered() && len(w.untracked) == 0 {
 		r.Wait = e.renewWaitOf(w)
 	}
 	w.renewing, w.renewSent = true, e.now
-	e.effects = append(e.effects, SendRenew{To: w.Ref, Renewal: r, Timeout: r.Wait + renewGrace})
+	e.effects = append(e.effects, SendRenew{To: w.Ref, Renewal: r, Timeout: r.Wait + renewGrace, AcknowledgeUntil: ackUntil})
 }
 
 // unacknowledged reports whether the worker has completions that are not stored yet: a renewal
@@ -63,7 +64,8 @@
 		e.scheduled = false
 	}
 	w.misses, w.answered = 0, now
-	w.noteAlive(now)
+	w.presence.note(now, w.renewSent, report.Clock)
+	w.noteAlive(w.presence.at)
 	w.clock, w.clockAt = report.Clock, now
 	if !w.fenced {
 		e.resolve(w)
@@ -155,16 +157,20 @@
 }
 
 // handleUnexpected handles a run that this engine has not started or has released: one of an
-// earlier epoch is adopted if its task needs it, any other is stopped.
+// earlier epoch is adopted if its task needs it, one of a job that is not known goes on until
+// the job's submission has been read, any other is stopped.
 func (e *Engine) handleUnexpected(w *worker, r *runner.ActiveRun) {
 	j := e.jobs[r.Task.Job]
 	s := j.step(r.Task)
 	if s != nil && j.active() && r.Run <= e.nextRun(0) && e.adopt(w, s, r) {
 		return
 	}
+	e.chargeUntracked(w, r)
+	if j == nil && e.unheardOf(r.Task.Job).absentAt == 0 {
+		return
+	}
 	e.stats.UntrackedRuns++
 	e.decide(Decision{What: "stop unexpected run", Task: r.Task, Run: r.Run, Worker: w.ID, Why: whyUnexpected(j, s, r)})
-	e.chargeUntracked(w, r.Task)
 	e.effects = append(e.effects, SendStop{To: w.Ref, Task: r.Task, Run: r.Run})
 }
 
@@ -172,7 +178,7 @@
 func whyUnexpected(j *job, s *step, r *runner.ActiveRun) string {
 	switch {
 	case j == nil:
-		return "its job has not been heard of"
+		return "its job does not exist"
 	case !j.active():
 		return "its job has ended"
 	case s == nil:
