--- a/process/dispatch/pausegate_test.go
+++ b/process/dispatch/pausegate_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -415,6 +416,9 @@
 	if len(t.Writes) > 0 {
 		key = t.Writes[0].Key
 	}
+	if len(t.Checks) > 0 && slices.ContainsFunc(t.Checks, func(k store.Check) bool { return k.Key == leaderKey }) {
+		x.g.spaceClaim()
+	}
 	err := x.do(ctx, "commit", key, store.ErrUnknownOutcome, func(ctx context.Context) error {
 		rev, err := x.Transactor.Commit(ctx, t)
 		r.set(rev)
@@ -423,6 +427,21 @@
 	return r.get(), err
 }
 
+const (
+	// leaderKey is the key of the leader's record, as in package lead; claims are conditional on it.
+	leaderKey = "cell/lead"
+	// claimGrid is the time between the times at which claims are sent.
+	claimGrid = 200 * time.Millisecond
+)
+
+// spaceClaim holds a claim until the next of some times, which differ between the daemons, so that which of them
+// leads next follows from the seed and not from the random delay of a claim.
+func (g *gate) spaceClaim() {
+	offset := time.Duration(xxhash.Sum64String(fmt.Sprint(g.seed, g.name)) % uint64(claimGrid/4))
+	now := time.Now()
+	time.Sleep(now.Truncate(claimGrid).Add(claimGrid + offset).Sub(now))
+}
+
 func (x gatedStore) Put(ctx context.Context, key string, value []byte, prev store.Revision, lease store.LeaseID) (store.Revision, error) {
 	var r result[store.Revision]
 	err := x.do(ctx, "put", key, store.ErrUnknownOutcome, func(ctx context.Context) error {
