--- a/process/dispatch/pause_test.go
+++ b/process/dispatch/pause_test.go
@@ -57,6 +57,7 @@
 	storeDelay       time.Duration
 	pings            bool          // daemons notice that the leader fails before its lease has expired
 	pause            time.Duration // mean time between submissions
+	slow             int           // by what factor runs take longer than quick tasks do
 }
 
 func drawPauseKind(rng *rand.Rand) pauseKind {
@@ -68,6 +69,7 @@
 	if rng.IntN(3) == 0 {
 		k.keep = 20 * time.Second
 	}
+	k.slow = []int{1, 1, 4, 12}[rng.IntN(4)]
 	return k
 }
 
@@ -111,13 +113,14 @@
 	return c
 }
 
-// behave draws how a run behaves. Tasks of jobs of one step are quick.
+// behave draws how a run behaves.
 func (c *pauseCell) behave(task work.TaskID, run uint64, _ runner.WorkerID) epochworker.Behaviour {
 	rng := rand.New(rand.NewPCG(c.seed^xxhash.Sum64String(task.String()), run))
 	b := epochworker.Behaviour{Takes: time.Duration(50_000+rng.IntN(650_000)) * time.Microsecond, Fails: rng.IntN(50) == 0}
 	if rng.IntN(6) == 0 {
 		b.Takes *= 5
 	}
+	b.Takes *= time.Duration(c.kind.slow)
 	return b
 }
 
