--- a/process/dispatch/pause_test.go
+++ b/process/dispatch/pause_test.go
@@ -369,28 +369,38 @@
 var loadPoints = []point{"claimed", "load", "load", "load answered", "load answered", "lease", "workers listed"}
 
 // takeOver makes a daemon lose the leadership while it goes on, and its successor stand still before it calls
-// the workers.
+// the workers. The store may have been away for everyone: what was submitted meanwhile is then written as it comes back.
 func (c *pauseCell) takeOver(i int, span time.Duration) {
+	p := armedPause{at: loadPoints[c.rng.IntN(len(loadPoints))], skip: c.rng.IntN(2), length: time.Duration(10+c.rng.IntN(4000)) * time.Millisecond, only: true}
+	others := func() {
+		for k, g := range c.gates {
+			if k != i {
+				g.arm(p)
+			}
+		}
+	}
 	g := c.gates[i]
-	switch mode := cutMode(c.rng.IntN(3)); {
-	case mode == notCut:
+	switch mode := c.rng.IntN(5); mode {
+	case 0:
 		g.arm(armedPause{at: points[c.rng.IntN(len(points))], length: time.Duration(400+c.rng.IntN(1500)) * time.Millisecond})
-	default:
+	case 1, 2:
 		g.mu.Lock()
-		g.storeCut = mode
+		g.storeCut = cutMode(mode)
 		g.mu.Unlock()
 		time.AfterFunc(span, func() {
 			g.mu.Lock()
 			defer g.mu.Unlock()
 			g.storeCut = notCut
 		})
+	default:
+		c.kv.SetFaults(kv.Faults{Down: true})
+		time.AfterFunc(min(span, 3*time.Second), func() {
+			c.kv.SetFaults(kv.Faults{Delay: c.kind.storeDelay})
+			others()
+		})
+		return
 	}
-	p := armedPause{at: loadPoints[c.rng.IntN(len(loadPoints))], skip: c.rng.IntN(2), length: time.Duration(10+c.rng.IntN(4000)) * time.Millisecond, only: true}
-	for k, g := range c.gates {
-		if k != i {
-			g.arm(p)
-		}
-	}
+	others()
 }
 
 // calm ends every fault and lets every daemon run.
