--- a/process/dispatch/engine.go
+++ b/process/dispatch/engine.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"slices"
@@ -12,6 +13,7 @@
 	"fennelshunt.example/fennelshunt/process/advicebudget"
 	"fennelshunt.example/fennelshunt/process/fair"
 	"fennelshunt.example/fennelshunt/process/lead"
+	"fennelshunt.example/fennelshunt/process/lead/evidence"
 	"fennelshunt.example/fennelshunt/process/quota"
 	"fennelshunt.example/fennelshunt/process/speed"
 	"fennelshunt.example/fennelshunt/version/work"
@@ -28,6 +30,11 @@
 	// cancels are the cancellations that ended no job, because the submission has not been
 	// seen yet or the job had already ended, with the time at which they came in.
 	cancels map[work.JobID]time.Duration
+	// absents are the ids that were cancelled without a job, with the time at which that came in.
+	absents map[work.JobID]time.Duration
+	// heard is the revision of the store up to which every entry of accepting daemons has been
+	// handed to Accepted; 0: not known.
+	heard store.Revision
 	// unheard are the jobs of which workers report runs or completions and that are not known.
 	unheard     map[work.JobID]*unheardJob
 	workers     map[runner.WorkerID]*worker
@@ -80,7 +87,7 @@
 	dirty          []*job
 	dirtyAt        time.Duration // since when a change waits for a commit
 	urgent         bool
-	removals       []string
+	removals       [][]string                   // keys to delete, those of an item in one write
 	writes         [lead.WriteStreams]*writeSet // in flight, by write stream
 	writtenAt      time.Duration                // when the last one was sent
 	unbatch        []*job                       // to be moved out of batches, see addUnbatched
@@ -113,6 +120,11 @@
 	slowSentAt         time.Duration // when the last slow call was sent
 	quickLoggedAt      time.Duration // when it was last logged that slow calls are postponed for quick ones
 
+	evidence    *evidence.Leadership // that this leader has no successor
+	confirming  bool                 // the claim is being read from the store
+	confirmSent time.Duration
+	heldStarts  []*allocation // to be sent once there is recent evidence
+
 	deposed bool
 	stats   Stats
 }
@@ -134,6 +146,9 @@
 	CompletionsMissed uint64
 	// CompletionsUnheard counts completions of jobs that this leader had not heard of.
 	CompletionsUnheard uint64
+	// LeasesWithheld counts renewals of healthy workers that gave no lease for want of recent evidence
+	// that there is no successor, and StartsHeld the starts that waited for it after they were decided.
+	LeasesWithheld, StartsHeld uint64
 	// Stalls counts how often the engine's goroutine stood still for stallLogged or longer.
 	Stalls uint64
 	// Suspected counts runs that may have crashed their worker, Trials the starts of suspect
@@ -192,7 +207,7 @@
 	o.Policy = o.Policy.complete()
 	entitled := o.Bounds.Entitled
 	entitled.Share = 1 / float64(max(o.Shards, 1))
-	return &Engine{o: o, fair: fair.New(o.Policy.Shares, entitled), jobs: map[work.JobID]*job{}, cancels: map[work.JobID]time.Duration{}, unheard: map[work.JobID]*unheardJob{},
+	return &Engine{o: o, evidence: evidence.New(o.Claimed), fair: fair.New(o.Policy.Shares, entitled), jobs: map[work.JobID]*job{}, cancels: map[work.JobID]time.Duration{}, absents: map[work.JobID]time.Duration{}, unheard: map[work.JobID]*unheardJob{},
 		workers: map[runner.WorkerID]*worker{}, proxies: map[string]*adviceProxy{}, ledger: quota.NewLedger(), endedHeld: map[*quota.Account]quota.Size{},
 		usages: map[usageKey]*usage{}, priorities: map[*quota.Account][]int{}, keptFree: map[*quota.Account]quota.Size{},
 		tasksByCrash: map[runner.WorkerID][]work.TaskID{}, crashedAt: map[string]time.Duration{}, latestStarts: map[string]int64{}, lateStarts: map[string][]*allocation{},
@@ -252,9 +267,12 @@
 // loadState restores the newest progress of a job.
 func (e *Engine) loadState(s stored) {
 	j := e.jobs[s.job]
+	if _, absent := e.absents[s.job]; absent {
+		return
+	}
 	if j == nil && s.progress.State.Final() {
 		// The submission was removed when the job ended.
-		j = &job{id: s.job, spec: &work.Job{Account: s.progress.Account}, state: s.progress.State, visible: s.progress.State, endedAt: e.now, trimmed: true}
+		j = &job{id: s.job, spec: &work.Job{Account: s.progress.Account}, state: s.progress.State, visible: s.progress.State, shownAt: e.now, trimmed: true}
 		e.jobs[s.job] = j
 		e.noteEndedHeld(s.progress)
 	}
@@ -265,7 +283,11 @@
 	if j.trimmed || (j.state == work.Cancelled && !s.progress.State.Final()) {
 		return // a cancellation that is not stored as the final state yet takes precedence
 	}
+	if j.state == work.Cancelled {
+		e.cancels[s.job] = e.now // it had ended before it was cancelled
+	}
 	j.restore(s.progress)
+	j.shownAt = e.now
 }
 
 // Accepted handles an entry that an accepting daemon wrote: a job or a cancellation. The error
@@ -273,13 +295,27 @@
 func (e *Engine) Accepted(now time.Duration, entry store.Entry) error {
 	e.now = now
 	if id, ok := strings.CutPrefix(entry.Key, prefixCancel); ok {
-		e.cancel(work.JobID(id))
+		e.cancelled(work.JobID(id), entry)
 		return nil
 	}
 	id, ok := strings.CutPrefix(entry.Key, prefixIn)
-	if !ok || e.jobs[work.JobID(id)] != nil {
+	if !ok {
+		return nil
+	}
+	if j := e.jobs[work.JobID(id)]; j != nil {
+		j.revision = max(j.revision, entry.Revision)
 		return nil
 	}
+	if entry.Revision > 0 && entry.Revision <= e.heard {
+		e.decide(Decision{What: "late submission is read again", Task: work.TaskID{Job: work.JobID(id)}, Why: "its job is not known"})
+		e.unheardOf(work.JobID(id))
+		return nil
+	}
+	return e.submitted(work.JobID(id), entry)
+}
+
+// submitted adds the job of a submission.
+func (e *Engine) submitted(id work.JobID, entry store.Entry) error {
 	spec, err := work.DecodeJob(entry.Value)
 	if err != nil {
 		return fmt.Errorf("%s: %w", entry.Key, err)
@@ -289,10 +325,16 @@
 		e.deposed = true
 		return nil
 	}
-	e.add(work.JobID(id), spec, entry.Revision)
+	e.add(id, spec, entry.Revision)
 	return nil
 }
 
+// Heard records that every entry of accepting daemons up to a revision of the store has been
+// handed to Accepted. An entry up to it that comes again and whose job is not known is probably of a job
+// that has ended and been forgotten: a daemon may be suspended for long between its write and its offer.
+// The job is added only if the store still has its submission.
+func (e *Engine) Heard(revision store.Revision) { e.heard = max(e.heard, revision) }
+
 func (e *Engine) add(id work.JobID, spec *work.Job, revision store.Revision) {
 	j := &job{id: id, spec: spec, submitted: true, revision: revision, loadedAt: e.now, inherited: spec.Epoch < e.o.Epoch,
 		accepted: e.engineTime(spec.Accepted), start: e.engineTime(spec.StartAt), speeds: e.speed.Queue(spec.Queue.Name), account: e.ledger.Account(spec.Account)}
@@ -327,6 +369,21 @@
 	e.scheduled = false
 }
 
+// cancelled handles the entry of a cancellation.
+func (e *Engine) cancelled(id work.JobID, entry store.Entry) {
+	if !bytes.Equal(entry.Value, CancelAbsent) {
+		e.cancel(id)
+		return
+	}
+	if entry.Revision > 0 && entry.Revision <= e.heard {
+		return // it may have been removed since
+	}
+	e.absents[id] = e.now
+	if j := e.jobs[id]; j != nil && j.state == work.Refused {
+		delete(e.jobs, id) // its state was read first
+	}
+}
+
 // cancel ends a job on its caller's request.
 func (e *Engine) cancel(id work.JobID) {
 	j := e.jobs[id]
@@ -339,7 +396,7 @@
 
 // end gives a job its final state and stops its runs.
 func (e *Engine) end(j *job, state work.State, why string) {
-	j.state, j.endedAt = state, e.now
+	j.state = state
 	e.decide(Decision{What: state.String(), Task: work.TaskID{Job: j.id}, Why: why, Age: e.now - j.loadedAt, waits: &j.waits})
 	for s := range j.steps() {
 		s.advice = nil
@@ -409,10 +466,11 @@
 	if e.deposed {
 		return nil
 	}
-	if !e.scheduled && e.now-e.scheduledAt >= e.roundPause() {
+	if !e.scheduled && e.now-e.scheduledAt >= e.roundPause() && e.mayLease() {
 		e.scheduled = true
 		e.schedule()
 	}
+	e.sendHeldStarts()
 	e.persist()
 	out := e.effects
 	e.effects = nil
@@ -422,6 +480,7 @@
 // Tick handles everything that is due by time.
 func (e *Engine) Tick(now time.Duration) {
 	e.now = now
+	e.confirmClaim()
 	for _, w := range slices.Clone(e.workerList) {
 		e.tickWorker(w)
 	}
@@ -459,7 +518,7 @@
 	e.renew(w)
 }
 
-// pruneJobs drops jobs that ended more than Bounds.Keep ago, and removes their keys from the
+// pruneJobs drops jobs that have been shown as ended for Bounds.Keep, and removes their keys from the
 // store.
 func (e *Engine) pruneJobs() {
 	if e.now < e.pruneAt {
@@ -470,7 +529,13 @@
 	for id, at := range e.cancels {
 		if e.now-at > e.o.Bounds.Keep {
 			delete(e.cancels, id)
-			e.removals = append(e.removals, KeyCancel(id))
+			e.remove(KeyCancel(id))
+		}
+	}
+	for id, at := range e.absents {
+		if e.now-at > e.o.Bounds.Keep {
+			delete(e.absents, id)
+			e.remove(KeyState(id), KeyCancel(id))
 		}
 	}
 	for id, j := range e.jobs {
@@ -478,14 +543,20 @@
 			continue
 		}
 		e.trim(j)
-		if !j.trimmed || j.writing || j.dirty || j.batch != nil || e.now-j.endedAt < e.o.Bounds.Keep {
+		if e.heard > 0 && j.revision > e.heard {
+			continue // the watch has yet to bring its submission, and must find it known
+		}
+		if !j.trimmed || j.writing || j.dirty || j.batch != nil || e.now-j.shownAt < e.o.Bounds.Keep {
 			continue
 		}
 		delete(e.jobs, id)
-		e.removals = append(e.removals, KeyState(id))
+		e.remove(KeyState(id))
 	}
 }
 
+// remove has keys deleted from the store, all in one write.
+func (e *Engine) remove(keys ...string) { e.removals = append(e.removals, keys) }
+
 // prunePause is the time between two runs of pruneJobs.
 const prunePause = 2 * time.Second
 
--- a/process/dispatch/followed_test.go
+++ b/process/dispatch/followed_test.go
@@ -9,6 +9,7 @@
 	"fennelshunt.example/fennelshunt/connection/peer"
 	"fennelshunt.example/fennelshunt/connection/runner"
 	"fennelshunt.example/fennelshunt/connection/store"
+	"fennelshunt.example/fennelshunt/process/lead/evidence"
 	"fennelshunt.example/fennelshunt/version/work"
 )
 
@@ -104,7 +105,7 @@
 	for name, cordons := range followedCordons() {
 		t.Run(name, func(t *testing.T) {
 			h := followedHarness(t, cordons)
-			bound := supersedeTime + maxOrderDelay + leaseBound(testLease)
+			bound := evidence.MaxAge + maxOrderDelay + leaseBound(testLease)
 			for h.now < bound+time.Second {
 				h.e.Renewed(h.now, followingID, runner.Report{}, runner.ErrUnknown)
 				h.report("w-b", runner.Report{Clock: time.Second + h.now})
@@ -234,7 +235,7 @@
 // of the former leader, and that the successor starts elsewhere, since the worker is not in the stored list.
 func TestSuccessorKnowsOfLateStarts(t *testing.T) {
 	h := lateStartSuccessor(t, lateStartFleet(t))
-	for h.now < supersedeTime+maxOrderDelay+testLease {
+	for h.now < evidence.MaxAge+maxOrderDelay+testLease {
 		h.e.Renewed(h.now, inheritedID, runner.Report{}, runner.ErrUnknown)
 		h.report("w-b", runner.Report{Clock: time.Second + h.now})
 		h.step(100 * time.Millisecond)
--- a/process/dispatch/host.go
+++ b/process/dispatch/host.go
@@ -110,7 +110,8 @@
 func (h *Host) Run() {
 	ctx := h.term.Context()
 	h.engine = NewEngine(Options{
-		Epoch: h.term.Epoch, Shard: h.o.Shard, Shards: h.o.Shards, Bounds: h.o.Bounds, Policy: h.o.Policy, Today: h.start.UnixMilli(),
+		Epoch: h.term.Epoch, Shard: h.o.Shard, Shards: h.o.Shards, Bounds: h.o.Bounds, Policy: h.o.Policy,
+		Claimed: h.term.ClaimSent().Sub(h.start), Today: h.start.UnixMilli(),
 		Decide: h.logDecision, Violation: h.logViolation, Took: h.o.Took,
 	})
 	var tasks sync.WaitGroup
@@ -148,6 +149,7 @@
 			if bad := h.engine.Load(h.now(), saved); bad != nil {
 				h.o.Log.Error().Err(bad).Msg("entries of the store cannot be decoded and are left as they are")
 			}
+			h.engine.Heard(rev)
 			h.o.Log.Info().Int("accepted", len(saved.Accepted)).Int("states", len(saved.States)).Int("bundles", len(saved.Batches)).Dur("took_ms", time.Since(began)).Msg("state loaded")
 			return rev, nil
 		}
@@ -387,6 +389,8 @@
 		h.calls.Go(func() { h.sendRenew(ctx, x) })
 	case SendCommit:
 		h.calls.Go(func() { h.commit(ctx, x) })
+	case SendConfirm:
+		h.calls.Go(func() { h.confirmClaim(ctx) })
 	case AskAdvice:
 		h.calls.Go(func() { h.askAdvice(ctx, x) })
 	case ReadJob:
@@ -434,6 +438,11 @@
 	h.post(func(e *Engine, now time.Duration) { e.Committed(now, x.Stream) })
 }
 
+func (h *Host) confirmClaim(ctx context.Context) {
+	err := h.term.Confirm(ctx)
+	h.post(func(e *Engine, now time.Duration) { e.Confirmed(now, err) })
+}
+
 func (h *Host) askAdvice(ctx context.Context, x AskAdvice) {
 	bounded, cancel := context.WithTimeout(ctx, x.Timeout)
 	defer cancel()
@@ -473,9 +482,15 @@
 	for _, entry := range entries {
 		h.Offer(entry)
 	}
+	h.heard(rev)
 	return rev, nil
 }
 
+// heard tells the engine, after the entries that were read, that these are all up to a revision.
+func (h *Host) heard(rev store.Revision) {
+	h.post(func(e *Engine, _ time.Duration) { e.Heard(rev) })
+}
+
 func (h *Host) watchJobsOnce(ctx context.Context, after store.Revision, wait time.Duration) (store.Revision, error) {
 	events, next, err := h.o.Store.Watch(ctx, PrefixJobs, after, wait)
 	if err != nil {
@@ -486,6 +501,7 @@
 			h.Offer(event.Entry)
 		}
 	}
+	h.heard(next)
 	return next, nil
 }
 
--- a/process/dispatch/job.go
+++ b/process/dispatch/job.go
@@ -40,13 +40,14 @@
 	saved   uint64 // the highest version in the store
 	dirty   bool   // queued for writing
 	writing bool   // a write of it is in flight
-	// revision of its submission; 0 if it was received directly from an accepting daemon.
+	// revision of its submission; 0 if a daemon of the version before has offered it, until the
+	// watch brings it.
 	revision store.Revision
 	// submitted: its submission is in the store; it is removed by the write of the job's end.
 	submitted     bool
-	batch         *batch // that holds its newest progress; nil: its own key does
-	unbatching    bool   // queued to be moved out of its batch
-	endedAt       time.Duration
+	batch         *batch          // that holds its newest progress; nil: its own key does
+	unbatching    bool            // queued to be moved out of its batch
+	shownAt       time.Duration   // since when callers can see its end, in this epoch
 	firstFailedOn runner.WorkerID // the first worker on which a run failed
 	waits         waits
 	trials        []*allocation // waiting until their record is stored
--- a/process/dispatch/partialreport_test.go
+++ b/process/dispatch/partialreport_test.go
@@ -9,6 +9,7 @@
 	"fennelshunt.example/fennelshunt/connection/peer"
 	"fennelshunt.example/fennelshunt/connection/runner"
 	"fennelshunt.example/fennelshunt/connection/store"
+	"fennelshunt.example/fennelshunt/process/lead/evidence"
 	"fennelshunt.example/fennelshunt/version/work"
 )
 
@@ -76,7 +77,7 @@
 		t.Run(name, func(t *testing.T) {
 			h, all := partialReportHarness(t, cordons)
 			h.report("w-a", runner.Report{Clock: time.Second, Ended: all[:runner.MaxCompletions]})
-			for h.now < supersedeTime+2*testLease {
+			for h.now < evidence.MaxAge+2*testLease {
 				h.e.Renewed(h.now, "w-a", runner.Report{}, runner.ErrUnknown)
 				h.report("w-b", runner.Report{Clock: time.Second + h.now})
 				h.step(100 * time.Millisecond)
--- a/process/dispatch/reports.go
+++ b/process/dispatch/reports.go
@@ -14,12 +14,18 @@
 	if w.renewing || e.now < w.nextRenew || !w.recorded {
 		return
 	}
-	r := runner.Renewal{Epoch: e.o.Epoch, Until: w.renewUntil(e.now, e.o.Bounds.Lease)}
+	r := runner.Renewal{Epoch: e.o.Epoch}
+	leased := e.mayLease()
+	if leased {
+		r.Until = w.renewUntil(e.now, e.o.Bounds.Lease)
+	} else if w.fenced && w.misses == 0 {
+		e.stats.LeasesWithheld++
+	}
 	ackUntil := w.presence.at + ackFreshness
 	if w.misses == 0 && e.now <= ackUntil {
 		r.Acknowledge = w.ackedCompletion
 	}
-	if w.fenced && w.misses == 0 && !w.unacknowledged() && !w.stopsAnswered() && len(w.untracked) == 0 {
+	if leased && w.fenced && w.misses == 0 && !w.unacknowledged() && !w.stopsAnswered() && len(w.untracked) == 0 {
 		r.Wait = e.renewWaitOf(w)
 	}
 	w.renewing, w.renewSent = true, e.now
@@ -66,8 +72,10 @@
 	w.misses, w.answered = 0, now
 	w.presence.note(now, w.renewSent, report.Clock)
 	w.noteAlive(w.presence.at)
+	e.noteAnswer(w, report.Clock)
 	w.clock, w.clockAt = report.Clock, now
 	if !w.fenced {
+		e.noteReached(w)
 		w.fenced = true
 		e.scheduled = false
 		e.takeLateStarts(w)
@@ -88,6 +96,9 @@
 		w.renewPause = nextPause(w.renewPause, completions > 0)
 		w.nextRenew = now + w.renewPause
 	}
+	if !e.mayLease() {
+		w.nextRenew = max(w.nextRenew, now+evidencePause)
+	}
 }
 
 // nextPause returns the pause before the next renewal of a worker whose completions cannot be
@@ -106,14 +117,17 @@
 		e.deposed = true
 		return
 	case errors.As(err, &other):
+		e.noteReached(w)
 		e.takeOtherIncarnation(w, other)
 		return
 	case errors.Is(err, runner.ErrRestarted):
+		e.noteReached(w)
 		e.removeWorker(w, "another incarnation answers at its address", true)
 		return
 	}
 	if w.misses == 0 {
 		e.decide(Decision{What: "worker does not answer", Worker: w.ID, Why: err.Error(), Age: e.now - w.answered})
+		w.lateUntil = e.now + maxOrderDelay // further renewals do not renew the lease
 	}
 	w.misses++
 	w.nextRenew = e.now + probePause
--- a/process/dispatch/worker.go
+++ b/process/dispatch/worker.go
@@ -6,6 +6,7 @@
 
 	"fennelshunt.example/fennelshunt/connection/runner"
 	"fennelshunt.example/fennelshunt/process/evacuation"
+	"fennelshunt.example/fennelshunt/process/lead/evidence"
 	"fennelshunt.example/fennelshunt/process/speed"
 	"fennelshunt.example/fennelshunt/version/work"
 )
@@ -19,6 +20,9 @@
 	renewGrace = 500 * time.Millisecond
 	// probePause is between renewals to a worker that did not answer.
 	probePause = 150 * time.Millisecond
+	// evidencePause is between renewals that give no lease for want of evidence: short beside a lease,
+	// and no load on a leader that most workers do not answer.
+	evidencePause = 300 * time.Millisecond
 	// renewPauseMin and renewPauseMax bound the pause between a report with completions and
 	// the next renewal while these cannot be acknowledged yet, since the worker would answer
 	// at once. Each report without a new completion doubles the pause. If the store answers in
@@ -99,11 +103,16 @@
 	// since, in engine time.
 	expiry time.Duration
 
+	// lateUntil is until when an unanswered order that renews the lease may be carried out, by the next
+	// incarnation if this one has ended.
+	lateUntil time.Duration
+
 	renewing  bool
 	renewSent time.Duration
 	nextRenew time.Duration
 	answered  time.Duration // when the last report was handled
 	presence  presence      // by its reports
+	voter     evidence.Voter
 	aliveAt   time.Duration // latest time at which it is known to have been running
 	misses    int           // renewals in a row without an answer
 	// recoveredAt is when it last answered again after a renewal without an answer, 0 for never.
