dispatch: the pause test's rules with a time bound hold for daemons that have not just stood still

A job is cancelled 2 s after the pause began. On waking it starts the job's task, and hears of the cancellation 170 ms later, with the next watch. The rule on cancelled jobs has a time bound and so holds for machines in touch, of which one that has just stood still is none. Two runs at a time and starts after an acknowledged completion count as before, whoever orders them.

--- a/process/dispatch/pausegate_test.go
+++ b/process/dispatch/pausegate_test.go
@@ -44,11 +44,15 @@
 	storeDelay time.Duration
 	delayed    float64
 	pauses     map[point]int // pauses so far, by the point at which they began
+	spans      []span        // of the pauses
 }
 
 // point is a point at which a daemon may stand still.
 type point string
 
+// span is a span of time.
+type span struct{ from, to time.Time }
+
 // armedPause is a pause that begins when the daemon passes a point for the given time.
 type armedPause struct {
 	at     point
@@ -108,6 +112,7 @@
 	g.mu.Lock()
 	g.pauses[at]++
 	end := time.Now().Add(length)
+	g.spans = append(g.spans, span{time.Now(), end})
 	running := g.running()
 	if end.After(g.until) {
 		g.until = end
@@ -123,6 +128,13 @@
 	}
 }
 
+// stoodStill reports whether the daemon stood still at a time or within a span before.
+func (g *gate) stoodStill(at time.Time, before time.Duration) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return slices.ContainsFunc(g.spans, func(s span) bool { return s.from.Before(at) && s.to.After(at.Add(-before)) })
+}
+
 func (g *gate) running() bool {
 	select {
 	case <-g.awake:
