--- a/process/dispatch/pause_test.go
+++ b/process/dispatch/pause_test.go
@@ -532,7 +532,7 @@
 		return entries
 	}
 	all = map[work.JobID]work.State{}
-	found, bad := (&Engine{}).newest(list(PrefixState), list(PrefixBatches))
+	found, _, bad := newest(list(PrefixState), list(PrefixBatches))
 	assert.Empty(c.t, bad)
 	for id, s := range found {
 		all[id] = s.progress.State
