--- a/process/dispatch/host.go
+++ b/process/dispatch/host.go
@@ -402,8 +402,11 @@
 	bounded, cancel := context.WithTimeout(ctx, h.responses.timeout(h.o.Bounds.startTimeout(), h.o.Bounds.maxStartTimeout()))
 	defer cancel()
 	began := time.Now()
-	_, err := h.o.Runner.Start(bounded, x.To, x.Start)
-	if !errors.Is(err, runner.ErrUnknown) {
+	err := errStartDelayed
+	if h.now() <= x.Before {
+		_, err = h.o.Runner.Start(bounded, x.To, x.Start)
+	}
+	if !errors.Is(err, runner.ErrUnknown) && !errors.Is(err, errStartDelayed) {
 		h.responses.observe(time.Since(began))
 	}
 	h.post(func(e *Engine, now time.Duration) { e.Started(now, x.To.ID, x.Start.Task, x.Start.Run, err) })
--- a/process/dispatch/presence_test.go
+++ b/process/dispatch/presence_test.go
@@ -169,3 +169,31 @@
 		require.Equal(t, time.Minute, r.renewals[1].Until, "the lease is on the worker's clock")
 	})
 }
+
+// startingRunner counts starts.
+type startingRunner struct {
+	recordingRunner
+	starts int
+}
+
+func (r *startingRunner) Start(context.Context, runner.Ref, runner.Start) (time.Duration, error) {
+	r.starts++
+	return 0, nil
+}
+
+// TestStartDecidedBeforeAPauseIsNotSent guards against a task that runs again after it was done elsewhere, since the
+// leader stood still between deciding and sending its start.
+func TestStartDecidedBeforeAPauseIsNotSent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := &startingRunner{}
+		h := heldHost(t)
+		h.o.Runner, h.o.Bounds = r, Bounds{Gang: 3 * time.Second}
+		x := SendStart{To: runner.Ref{ID: "w-a"}, Before: h.now() + maxStartDelay}
+		h.sendStart(t.Context(), x)
+		require.Equal(t, 1, r.starts)
+		time.Sleep(maxStartDelay + time.Millisecond)
+		h.sendStart(t.Context(), x)
+		require.Equal(t, 1, r.starts)
+		require.ErrorIs(t, errStartDelayed, runner.ErrNotRun)
+	})
+}
--- a/process/dispatch/runs.go
+++ b/process/dispatch/runs.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"time"
 
 	"fennelshunt.example/fennelshunt/connection/runner"
@@ -15,6 +16,9 @@
 	// which is in a few milliseconds.
 	StartTimeout = 350 * time.Millisecond
 	maxStarts    = 3 // attempts of a start
+	// maxStartDelay is how long after it was decided a start may be sent: longer than a busy daemon
+	// takes, shorter than a successor takes to start the task elsewhere.
+	maxStartDelay = time.Second
 	// stopRetry is between stop orders that were not answered.
 	stopRetry = 300 * time.Millisecond
 	// runBits is the number of bits of a run number that count the runs of a task within one
@@ -84,9 +88,13 @@
 	e.effects = append(e.effects, SendStart{To: alloc.w.Ref, Start: runner.Start{
 		Task: alloc.id(), Run: alloc.run, Spec: j.spec.Spec, AcceptedBy: j.spec.AcceptedBy, Checkpoint: alloc.task().checkpoint, Ticket: alloc.ticket,
 		Epoch: e.o.Epoch, Until: alloc.w.renewUntil(e.now, e.o.Bounds.Lease),
-	}})
+	}, Before: e.now + maxStartDelay})
 }
 
+// errStartDelayed means that a start was not sent, since this process stood still since it was decided. It
+// matches runner.ErrNotRun.
+var errStartDelayed = fmt.Errorf("dispatch: the order was not sent in time: %w", runner.ErrNotRun)
+
 // allocOf finds a run on a worker.
 func (e *Engine) allocOf(id runner.WorkerID, task work.TaskID, run uint64) *allocation {
 	w := e.workers[id]
--- a/process/dispatch/types.go
+++ b/process/dispatch/types.go
@@ -98,6 +98,9 @@
 type SendStart struct {
 	To    runner.Ref
 	Start runner.Start
+	// Before is the engine time after which the order must not be sent: its task may have been done
+	// elsewhere by then, and the next incarnation of the worker may carry it out.
+	Before time.Duration
 }
 
 // SendStop asks for Runner.Stop; the outcome goes to StopAnswered.
