submit: the cell of the tests of forgotten jobs shares nothing between goroutines unguarded

go test -race -short ./request/submit reported a data race in the test itself (keep_test.go:164 with :51, the delay of the leader's store was set while the leader ran). The delay is given when the cell is made; with the race detector the package passes.

--- a/request/submit/keep_test.go
+++ b/request/submit/keep_test.go
@@ -33,28 +33,20 @@
 	kv    *kv.Memory
 	fleet *epochworker.Fleet
 	host  atomic.Pointer[dispatch.Host]
-	// leaderStore and ownStore are the store as the leader and the daemon reach it.
-	leaderStore, ownStore *delayedStore
 	// offerDelay is how long notifications of the leader are on their way.
 	offerDelay time.Duration
 	stop       func()
 }
 
-// delayedStore is a store whose writes are delayed before or after they take effect.
+// delayedStore is a store whose writes are delayed before they take effect.
 type delayedStore struct {
 	*kv.Memory
-	before, after func(store.Txn) time.Duration
+	delay func(store.Txn) time.Duration
 }
 
 func (d *delayedStore) Commit(ctx context.Context, t store.Txn) (store.Revision, error) {
-	if d.before != nil {
-		time.Sleep(d.before(t))
-	}
-	rev, err := d.Memory.Commit(ctx, t)
-	if d.after != nil {
-		time.Sleep(d.after(t))
-	}
-	return rev, err
+	time.Sleep(d.delay(t))
+	return d.Memory.Commit(ctx, t)
 }
 
 // CallAddr implements PeerCaller: the leader's daemon takes offers, and answers nothing else.
@@ -69,8 +61,12 @@
 }
 
 func newKeepCell(t *testing.T) *keepCell {
+	return newSlowKeepCell(t, func(store.Txn) time.Duration { return 0 })
+}
+
+// newSlowKeepCell returns a keepCell in which the leader's writes are delayed.
+func newSlowKeepCell(t *testing.T, delay func(store.Txn) time.Duration) *keepCell {
 	c := &keepCell{t: t, kv: kv.New()}
-	c.leaderStore, c.ownStore = &delayedStore{Memory: c.kv}, &delayedStore{Memory: c.kv}
 	c.fleet = epochworker.New(epochworker.Options{Lease: 6 * time.Second, GangTimeout: 3 * time.Second, StopDelay: 200 * time.Millisecond, Delay: time.Millisecond,
 		Work: func(work.TaskID, uint64, runner.WorkerID) epochworker.Behaviour {
 			return epochworker.Behaviour{Takes: 500 * time.Millisecond}
@@ -97,12 +93,12 @@
 		time.Sleep(3 * time.Second)
 		return e
 	}
-	elect("leader", c.leaderStore)
-	view := elect("daemon", c.ownStore).View()
+	elect("leader", &delayedStore{c.kv, delay})
+	view := elect("daemon", c.kv).View()
 	leader, known := view.Leader()
 	require.True(t, known)
 	require.Equal(t, "leader", leader.Member.Name)
-	c.Service = New(Options{Self: "daemon", Peer: "daemon", Store: c.ownStore, StoreTimeout: storeTimeout(), View: view, Peers: c, Log: zerolog.Nop(),
+	c.Service = New(Options{Self: "daemon", Peer: "daemon", Store: c.kv, StoreTimeout: storeTimeout(), View: view, Peers: c, Log: zerolog.Nop(),
 		Leading: func() *dispatch.Host { return nil }})
 	c.stop = func() {
 		cancel()
@@ -155,17 +151,16 @@
 // submission is repeated when the leader has dropped it and its state is still in the store.
 func TestDuplicateOfAJobThatIsBeingForgottenStartsNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		c := newKeepCell(t)
-		removing := false
-		c.leaderStore.before = func(x store.Txn) time.Duration {
+		var removing atomic.Bool
+		c := newSlowKeepCell(t, func(x store.Txn) time.Duration {
 			if !slices.Contains(x.Deletes, dispatch.KeyState(id)) {
 				return 0
 			}
-			removing = true
+			removing.Store(true)
 			return 100 * time.Millisecond
-		}
+		})
 		j := c.run()
-		c.await(func() bool { return removing })
+		c.await(removing.Load)
 		require.Equal(t, work.Completed, c.state())
 		require.NoError(t, c.Submit(t.Context(), id, j))
 		c.requireOneRun()
