dispatch: the daemons of a test cell are read under its lock

go test -race -short ./process/dispatch reported a data race in the test: submissions that come again look for the leader (cell_test.go:211) while a daemon is restarted (cell_test.go:197). With the race detector the tests of the cell with faults and of forgotten jobs pass.

--- a/process/dispatch/cell_test.go
+++ b/process/dispatch/cell_test.go
@@ -194,7 +194,10 @@
 func (c *cell) kill(i int) {
 	c.nodes[i].cancel()
 	<-c.nodes[i].done
-	c.nodes[i] = c.startNode(c.nodes[i].name)
+	next := c.startNode(c.nodes[i].name)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.nodes[i] = next
 }
 
 // killLeader kills the daemon that leads, if there is one.
@@ -208,6 +211,8 @@
 }
 
 func (c *cell) leader() *Host {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	for _, n := range c.nodes {
 		if h := n.host.Load(); h != nil {
 			return h
