dispatch: a worker with a run of a job not heard of is not idle

What callers would see: a task starts beside a run of it (TWICE).

Cause: an inherited worker without an entry reports a run whose job is not known yet; the run holds no allocation, so after one missed renewal the worker counted as one on which nothing runs and was removed; the job, heard of a moment later, started elsewhere.

Evidence: TestWorkerWithARunNotHeardOfIsNotIdle failed before (the worker is gone). Now such a worker stays until it answers or its lease has expired, as one with a known run does.

--- a/process/dispatch/unheard_test.go
+++ b/process/dispatch/unheard_test.go
@@ -90,3 +90,19 @@
 	state, _ := h.e.State(testJob)
 	require.Equal(t, work.Completed, state)
 }
+
+// TestWorkerWithARunNotHeardOfIsNotIdle guards against a task that starts beside a run whose job is not known yet, since its
+// worker, which has no entry, misses a renewal and is taken for one on which nothing runs.
+func TestWorkerWithARunNotHeardOfIsNotIdle(t *testing.T) {
+	h := newHarness(t, 2)
+	require.NoError(t, h.e.Load(0, Saved{Fleet: []store.Entry{fleetEntry(t, "w-a", "w-b")}}))
+	h.resize("w-b", work.Resources{CPU: 4000, Memory: 4000})
+	h.step(50 * time.Millisecond)
+	h.report("w-b", runner.Report{Clock: time.Second})
+	h.report("w-a", runner.Report{Clock: time.Second, Running: []runner.ActiveRun{{Task: work.TaskID{Job: testJob}, Run: 1, Percent: 20}}})
+	h.step(200 * time.Millisecond)
+	h.e.Renewed(h.now, "w-a", runner.Report{}, runner.ErrUnknown)
+	require.NotNil(t, h.e.workers["w-a"])
+	h.e.Renewed(h.now, "w-b", runner.Report{Clock: time.Second + h.now}, nil)
+	require.Empty(t, h.hear())
+}
--- a/process/dispatch/worker.go
+++ b/process/dispatch/worker.go
@@ -141,7 +141,9 @@
 func (w *worker) free() work.Resources { return w.Capacity.Sub(w.used) }
 
 // idle reports whether it is known that nothing runs on the worker.
-func (w *worker) idle() bool { return w.fenced && !w.inherited && len(w.allocs) == 0 }
+func (w *worker) idle() bool {
+	return w.fenced && !w.inherited && len(w.allocs) == 0 && !slices.ContainsFunc(w.untracked, func(x untrackedRun) bool { return x.unheard != nil })
+}
 
 // overbooked reports whether more is booked than the worker's capacity, which may have shrunk
 // since.
