--- a/process/dispatch/fleet.go
+++ b/process/dispatch/fleet.go
@@ -91,9 +91,6 @@
 	for _, x := range cordons.Workers {
 		if w := e.workers[x.ID]; w != nil && !w.cordoned {
 			w.cordoned, w.mayRun, w.inheritedSuspects, w.lateOrders = true, x.Tasks, x.Suspects, x.Late
-			if x.Late {
-				w.expiry += maxOrderDelay
-			}
 		}
 	}
 	for _, ref := range f.Workers {
@@ -138,10 +135,7 @@
 		e.resolve(next)
 	}
 	next.cordoned, next.unlisted, next.mayRun = cordoned, unlisted, mayRun
-	next.expiry, next.lateOrders = max(next.expiry, w.expiry), true
-	if !w.lateOrders {
-		next.expiry = max(next.expiry, w.expiry+maxOrderDelay)
-	}
+	next.expiry, next.lateOrders = max(next.expiry, w.expiry+maxOrderDelay), true
 	e.inherit(next)
 	e.fleetChanged, e.cordonsChanged = true, e.cordonsChanged || cordoned
 }
