dispatch: late starts on workers that were removed are not in the stored list

Since the unanswered starts of removed workers were in the stored list, each successor held their tasks for the longest lease, two seconds and the 12 s that an order may be late; no such worker answers any more. 39 s + 21 s is beyond the 51 s.

--- a/process/dispatch/fleet.go
+++ b/process/dispatch/fleet.go
@@ -261,13 +261,6 @@
 			ws.fleet = append(ws.fleet, w)
 		}
 	}
-	for _, x := range late {
-		if e.workers[x.ref.ID] != nil {
-			continue // listed above; a successor waits for all that may run on one that is not cordoned
-		}
-		f.Workers = append(f.Workers, x.ref)
-		cordoned.Workers = append(cordoned.Workers, cordonedWorker{ID: x.ref.ID, Tasks: x.tasks, Late: true})
-	}
 	put := func(key string, record any) {
 		data, err := peer.Marshal(record)
 		if err != nil {
