dispatch: a gang that asks for one rack asks about, counts and reserves on that rack

Cause: which workers the gang can start on was answered twice, with other workers. askForGang counted the slots with tickets over all racks, found enough, and renewed just these; chooseSlots wanted one rack, and waited as long as any rack with unknown workers could hold the gang. Neither ends the other.

Why this works: what is asked is what is chosen from, so that each answer either completes the rack or excludes it; a call takes at least one worker out of the unknown, and the time for seeking is bounded.

The stand-in of the advice service gets costs by step; its unused locks go.

--- a/command/why/why.go
+++ b/command/why/why.go
@@ -89,6 +89,12 @@
 			fmt.Fprintf(w, "EXCLUDED\t%d of %d workers that fit step %d.%d: %s%s%s\n", group.Workers, s.Fit, s.Occurrence, s.Step, group.Why,
 				duration(" for %.1f s", group.SinceMS), duration(", the first ends in %.1f s", group.EndsMS))
 		}
+		switch {
+		case s.AnyRacks:
+			fmt.Fprintf(w, "RACK\tstep %d.%d may start on several racks%s\n", s.Occurrence, s.Step, duration(" since %.1f s ago", s.RackMS))
+		case s.Rack != "":
+			fmt.Fprintf(w, "RACK\tstep %d.%d seeks %s%s\n", s.Occurrence, s.Step, s.Rack, duration(" since %.1f s ago", s.RackMS))
+		}
 		for _, t := range s.Suspects {
 			fmt.Fprintf(w, "SUSPECT\t%s.%d.%d.%d\n", x.Job, s.Occurrence, s.Step, t.Index)
 			for _, c := range t.Crashes {
--- a/process/dispatch/advice.go
+++ b/process/dispatch/advice.go
@@ -181,6 +181,8 @@
 // askFor names workers to ask about for a step that needs n more tasks placed: those known to
 // be good whose ticket is missing, and as many unknown ones as are likely to be enough.
 //
+// A gang that seeks a rack names those of as many racks as are likely to be enough for one of them to hold it.
+//
 // Gangs name the workers with the most free capacity first, other steps those with the least:
 // if small tasks went where most is free, a quarter of all processors could be free while no
 // worker could run a large task. Workers that are slow or failed their last runs come last,
@@ -195,23 +197,27 @@
 	need := s.spec.Need()
 	type candidate struct {
 		id    runner.WorkerID
+		rack  int // its order among the racks that the step seeks
 		fits  int
 		known bool
 		weak  int
 	}
 	var all []candidate
 	for _, w := range e.workerList {
-		known := a.verdictOf(w) == good
-		if a.verdictOf(w) == bad || !e.eligible(s, w) || a.hasTicket(w, e.now) {
+		known, rack := a.verdictOf(w) == good, s.rackOrder(w)
+		if rack < 0 || a.verdictOf(w) == bad || !e.eligible(s, w) || a.hasTicket(w, e.now) {
 			continue
 		}
 		fits := e.capacityFor(s, w, need, s.perWorker(n))
 		if fits == 0 && (known || !s.spec.Gang) {
 			continue
 		}
-		all = append(all, candidate{w.ID, fits, known, w.weak()})
+		all = append(all, candidate{w.ID, rack, fits, known, w.weak()})
 	}
 	slices.SortStableFunc(all, func(x, y candidate) int {
+		if x.rack != y.rack {
+			return cmp.Compare(x.rack, y.rack)
+		}
 		if x.known != y.known {
 			if x.known {
 				return -1
@@ -225,15 +231,22 @@
 	})
 	share := e.goodShare(s.job.spec.Queue.Name)
 	most := maxWorkersPerCall
-	if s.spec.Gang && !e.o.Policy.NoParallelAdvice {
+	if s.spec.Gang && !s.seeksOneRack() && !e.o.Policy.NoParallelAdvice {
 		most *= maxCalls
 	}
 	var ids []runner.WorkerID
-	expected := 0.0
+	wanted := float64(n) * askFactor
+	expected, before, rack := 0.0, 0.0, 0 // on this rack, and the sum of the shares of wanted on those before it
 	for _, c := range all {
-		if expected >= float64(n)*askFactor || len(ids) == most {
+		if c.rack != rack {
+			expected, before, rack = 0, before+min(expected/wanted, 1), c.rack
+		}
+		if before >= 1 || len(ids) == most {
 			break
 		}
+		if expected >= wanted {
+			continue
+		}
 		ids = append(ids, c.id)
 		if c.known {
 			expected += float64(c.fits)
@@ -304,7 +317,7 @@
 		return
 	}
 	a.inFlight--
-	s.feasibleUntil, s.retryAt, s.misses = 0, 0, 0
+	s.feasibleUntil, s.search.until, s.retryAt, s.misses = 0, 0, 0, 0
 	queue := &s.job.spec.Queue
 	fresh, freshGood := 0, 0
 	for _, id := range call.workers {
--- a/process/dispatch/cell_test.go
+++ b/process/dispatch/cell_test.go
@@ -70,22 +70,22 @@
 
 // adviser is a stand-in for the advice service.
 type adviser struct {
-	mu      sync.Mutex
-	members map[string]*sync.Mutex
-	asked   map[string]int // calls, by member
-	share   float64
+	mu    sync.Mutex
+	asked map[string]int // calls, by member
+	share float64
+	// costs are how long calls for a step take, by its name; those for others take a few milliseconds.
+	costs map[string]work.Advice
 }
 
 func (a *adviser) ask(ctx context.Context, member, step string, workers []runner.WorkerID) ([]runner.Ticket, error) {
 	a.mu.Lock()
-	memberMu := a.members[member]
-	if memberMu == nil {
-		memberMu = &sync.Mutex{}
-		a.members[member] = memberMu
-	}
 	a.asked[member]++
+	cost, ok := a.costs[step]
+	if !ok {
+		cost = work.Advice{Base: 5 * time.Millisecond, PerWorker: 200 * time.Microsecond}
+	}
 	a.mu.Unlock()
-	if err := sleep.For(ctx, 5*time.Millisecond+time.Duration(len(workers))*200*time.Microsecond); err != nil {
+	if err := sleep.For(ctx, cost.Cost(len(workers))); err != nil {
 		return nil, err
 	}
 	var good []runner.Ticket
@@ -97,8 +97,24 @@
 	return good, nil
 }
 
+// setShare sets the share of the workers that may run a step.
+func (a *adviser) setShare(share float64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.share = share
+}
+
+// setCost sets how long the calls for a step take.
+func (a *adviser) setCost(step string, cost work.Advice) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.costs[step] = cost
+}
+
 // isGood reports whether a worker may run a step.
 func (a *adviser) isGood(step string, w runner.WorkerID) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
 	return float64(xxhash.Sum64String(step+string(w))>>11)/(1<<53) < a.share
 }
 
@@ -115,7 +131,7 @@
 // newKeepCell returns a cell that forgets jobs some time after their end.
 func newKeepCell(t *testing.T, seed uint64, workers, daemons int, keep time.Duration, policy Policy, behave func(*rand.Rand, work.TaskID) epochworker.Behaviour) *cell {
 	rng := rand.New(rand.NewPCG(seed, 3))
-	c := &cell{t: t, keep: keep, policy: policy, kv: kv.NewSeeded(seed), jobs: map[work.JobID]*work.Job{}, rng: rng, advice: &adviser{members: map[string]*sync.Mutex{}, asked: map[string]int{}, share: 0.5}}
+	c := &cell{t: t, keep: keep, policy: policy, kv: kv.NewSeeded(seed), jobs: map[work.JobID]*work.Job{}, rng: rng, advice: &adviser{asked: map[string]int{}, costs: map[string]work.Advice{}, share: 0.5}}
 	draw := rand.New(rand.NewPCG(seed, 5))
 	c.fleet = epochworker.New(epochworker.Options{Seed: seed, Lease: testLease, GangTimeout: 3 * time.Second, StopDelay: 200 * time.Millisecond,
 		Delay: time.Millisecond, Attempts: 4,
@@ -149,8 +165,13 @@
 }
 
 func (c *cell) addWorker(id runner.WorkerID, address, rack string) {
+	c.addKind(id, address, "a", rack)
+}
+
+// addKind adds a worker with the label of its kind.
+func (c *cell) addKind(id runner.WorkerID, address, kind, rack string) {
 	c.fleet.Add(runner.Worker{Ref: runner.Ref{ID: id, Address: address}, Service: "s",
-		Capacity: work.Resources{CPU: 64000, Memory: 131072}, Labels: []string{"a", rack}})
+		Capacity: work.Resources{CPU: 64000, Memory: 131072}, Labels: []string{kind, rack}})
 }
 
 func (c *cell) startNode(name string) *node {
--- a/process/dispatch/engine.go
+++ b/process/dispatch/engine.go
@@ -138,6 +138,8 @@
 	// quarantines of workers, and Moved runs that were stopped because they made no progress.
 	Starts, Resent, Stops, Done, Failed, Requeued, Lost, Adopted, UntrackedRuns uint64
 	Commits, Batches, Violations, Advised, Quarantined, Moved, GangReservations uint64
+	// GangsSpread counts gangs that ask for one rack and were started on several.
+	GangsSpread uint64
 	// WorkersGone counts workers whose incarnation ended or that left; LostWithWorker counts
 	// the runs among Lost that ended with their worker.
 	WorkersGone, LostWithWorker uint64
--- a/process/dispatch/explain.go
+++ b/process/dispatch/explain.go
@@ -41,6 +41,11 @@
 	// capacity they have, by reason; Fit is how many fit it in all.
 	Excluded []ExcludedWorkers `cbor:"9,keyasint,omitempty" json:"excluded,omitempty"`
 	Fit      int               `cbor:"10,keyasint,omitempty" json:"fit,omitempty"`
+	// Rack is the rack that a waiting gang seeks which asks for one, since RackMS milliseconds; AnyRacks
+	// tells that it may start on several by now.
+	Rack     string `cbor:"11,keyasint,omitempty" json:"rack,omitempty"`
+	RackMS   int64  `cbor:"12,keyasint,omitempty" json:"rack_ms,omitempty"`
+	AnyRacks bool   `cbor:"13,keyasint,omitempty" json:"any_racks,omitempty"`
 }
 
 // SuspectTask is a task with its crash records.
@@ -104,6 +109,9 @@
 		for _, group := range x.Excluded {
 			x.Fit += group.Workers
 		}
+		if s.spec.SameRack && s.search.since > 0 {
+			x.Rack, x.AnyRacks, x.RackMS = s.search.rack, s.search.spread, (e.now - s.search.since).Milliseconds()
+		}
 	}
 	for i := range s.tasks {
 		if c := s.tasks[i].crashes; len(c) > 0 {
--- a/process/dispatch/gang.go
+++ b/process/dispatch/gang.go
@@ -85,8 +85,7 @@
 	return all
 }
 
-// chooseSlots picks a slot for every task of a gang, on one rack if it asks for that and any
-// rack could run it.
+// chooseSlots picks a slot for every task of a gang, on one rack if it asks for that and still seeks one.
 func (e *Engine) chooseSlots(s *step, all []gangSlots) ([]gangSlots, bool) {
 	total := 0
 	for _, x := range all {
@@ -99,9 +98,10 @@
 		if picked, ok := oneRack(all, s.spec.Count); ok {
 			return picked, true
 		}
-		if e.rackFeasible(s) {
+		if !s.search.spread {
 			return nil, false
 		}
+		e.stats.GangsSpread++
 	}
 	return e.pick(s, all, s.spec.Count), true
 }
@@ -161,25 +161,6 @@
 	return picked, true
 }
 
-// rackFeasible reports whether a rack, if it were empty, could run the whole gang. Workers that
-// leave do not count, nor those that have been silent for longer than a lease.
-func (e *Engine) rackFeasible(s *step) bool {
-	slots := map[string]int{}
-	for _, w := range e.workerList {
-		gone := w.removed || w.Draining || (w.misses > 0 && e.now-w.answered > leaseBound(e.o.Bounds.Lease))
-		if gone || !e.suits(s, w) || !w.goodFor(s) {
-			continue
-		}
-		slots[w.rack] += s.spec.Need().Times(w.Capacity, s.perWorker(s.spec.Count))
-	}
-	for _, n := range slots {
-		if n >= s.spec.Count {
-			return true
-		}
-	}
-	return false
-}
-
 // goodFor reports whether there is no bad verdict on the worker for the step.
 func (w *worker) goodFor(s *step) bool {
 	if s.advice == nil {
@@ -308,7 +289,7 @@
 	need, limit := s.spec.Need(), s.perWorker(s.spec.Count)
 	until := e.now + s.job.spec.Queue.Advice.Cost(0) + refreshAhead
 	for _, w := range e.workerList {
-		if a.verdictOf(w) != good || !e.eligible(s, w) {
+		if a.verdictOf(w) != good || !s.seeks(w) || !e.eligible(s, w) {
 			continue
 		}
 		fits := e.capacityFor(s, w, need, limit)
@@ -325,6 +306,6 @@
 // anyUnknown reports whether there is no verdict yet on a worker that could run the step.
 func (e *Engine) anyUnknown(s *step, a *advice) bool {
 	return slices.ContainsFunc(e.workerList, func(w *worker) bool {
-		return a.verdictOf(w) == unknown && e.eligible(s, w)
+		return a.verdictOf(w) == unknown && s.seeks(w) && e.eligible(s, w)
 	})
 }
--- a/process/dispatch/gangreserve.go
+++ b/process/dispatch/gangreserve.go
@@ -58,7 +58,7 @@
 		if t := a.ticketFor(w); !slices.Contains(a.toAsk, w.ID) && (t == nil || !t.valid(until)) {
 			continue
 		}
-		if !e.eligible(s, w) {
+		if !s.seeks(w) || !e.eligible(s, w) {
 			continue
 		}
 		if n := e.capacityFor(s, w, need, limit); n > 0 {
--- a/process/dispatch/job.go
+++ b/process/dispatch/job.go
@@ -114,6 +114,8 @@
 	// starts.
 	isolationWait time.Duration
 
+	search rackSearch // of a gang that asks for one rack
+
 	work speed.Work
 	// planFactor is that of work when capacity was last planned.
 	planFactor float64
--- a/process/dispatch/placement.go
+++ b/process/dispatch/placement.go
@@ -116,6 +116,7 @@
 
 // tryGang places a gang, or reserves capacity for it.
 func (e *Engine) tryGang(s *step, r *round) {
+	e.seekRack(s)
 	if e.now >= s.retryAt && r.tried < e.scaledByWorkers(maxTried, triedShare) && e.gangFeasible(s) {
 		r.tried++
 		if e.placeGang(s) {
--- a/process/dispatch/reserve.go
+++ b/process/dispatch/reserve.go
@@ -70,21 +70,11 @@
 	}
 	var openings []opening
 	for _, w := range e.workerList {
-		if !e.eligible(s, w) || (a != nil && a.verdictOf(w) != good) {
+		if !s.seeks(w) || !e.eligible(s, w) || (a != nil && a.verdictOf(w) != good) {
 			continue
 		}
-		free, had := e.freeFor(s, w), 0
-		limit := s.perWorker(needed) - s.liveOn(w)
-		for range need.Times(free, limit) {
-			openings = append(openings, opening{e.now, w})
-			had++
-		}
-		for _, alloc := range e.byEnd(w) {
-			free = free.Add(alloc.need)
-			at := e.now + e.remaining(alloc)
-			for n := need.Times(free, limit); had < n; had++ {
-				openings = append(openings, opening{at, w})
-			}
+		for _, at := range e.openingsOn(s, w, s.perWorker(needed)-s.liveOn(w)) {
+			openings = append(openings, opening{at, w})
 		}
 	}
 	if len(openings) < needed {
@@ -105,6 +95,26 @@
 	return true
 }
 
+// openingsOn returns when slots for tasks of a step, at most limit, are expected to be free on a worker. What tasks hold
+// that last is never free.
+func (e *Engine) openingsOn(s *step, w *worker, limit int) (all []time.Duration) {
+	need, free := s.spec.Need(), e.freeFor(s, w)
+	for range need.Times(free, limit) {
+		all = append(all, e.now)
+	}
+	for _, alloc := range e.byEnd(w) {
+		left := e.remaining(alloc)
+		if len(all) >= limit || left >= forever {
+			break
+		}
+		free = free.Add(alloc.need)
+		for n := need.Times(free, limit); len(all) < n; {
+			all = append(all, e.now+left)
+		}
+	}
+	return all
+}
+
 // ticketEnd returns when the step's ticket for a worker expires, 0 for none.
 func ticketEnd(a *advice, w *worker) time.Duration {
 	if t := a.ticketFor(w); t != nil {
--- a/process/dispatch/worker.go
+++ b/process/dispatch/worker.go
@@ -140,6 +140,16 @@
 // free returns the capacity that is not booked.
 func (w *worker) free() work.Resources { return w.Capacity.Sub(w.used) }
 
+// lasting is what tasks hold that last, and so never end by themselves.
+func (w *worker) lasting() (sum work.Resources) {
+	for _, alloc := range w.allocs {
+		if alloc.s.spec.LongRunning && alloc.state != stopping {
+			sum = sum.Add(alloc.need)
+		}
+	}
+	return sum
+}
+
 // idle reports whether it is known that nothing runs on the worker.
 func (w *worker) idle() bool {
 	return w.fenced && !w.inherited && len(w.allocs) == 0 && !slices.ContainsFunc(w.untracked, func(x untrackedRun) bool { return x.unheard != nil })
