dispatch: a gang for one rack does not wait for what tasks that last hold

Cause: whether a rack can hold a gang was asked of the empty rack, and what lasting tasks hold counted as room that comes; nothing ended the wait for a rack.

--- a/process/dispatch/idle_test.go
+++ b/process/dispatch/idle_test.go
@@ -32,8 +32,13 @@
 
 // idleCell is a cell of 48 workers in racks of eight, with two labels.
 func idleCell(t *testing.T, seed uint64) *cell {
-	c := newTestCell(t, seed, 0, 3, func(*rand.Rand, work.TaskID) epochworker.Behaviour {
-		return epochworker.Behaviour{Takes: idleTask}
+	return idleCellOf(t, seed, func(work.JobID) time.Duration { return idleTask })
+}
+
+// idleCellOf is idleCell with the run times of each job's tasks.
+func idleCellOf(t *testing.T, seed uint64, takes func(work.JobID) time.Duration) *cell {
+	c := newTestCell(t, seed, 0, 3, func(_ *rand.Rand, task work.TaskID) epochworker.Behaviour {
+		return epochworker.Behaviour{Takes: takes(task.Job)}
 	})
 	for i := range 48 {
 		id := fmt.Sprintf("w-%02d", i)
--- a/process/dispatch/rack_test.go
+++ b/process/dispatch/rack_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -116,6 +117,32 @@
 	require.True(t, x.Steps[0].AnyRacks)
 }
 
+// TestGangDoesNotWaitForARackThatLastingTasksHold guards against a gang that waits beside idle workers for a rack on which
+// tasks that last hold what it needs.
+func TestGangDoesNotWaitForARackThatLastingTasksHold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := idleCellOf(t, 1, func(id work.JobID) time.Duration {
+			if id <= "0000000000000006" {
+				return time.Hour
+			}
+			return idleTask
+		})
+		defer c.stop()
+		queue := work.Queue{Name: "q", Service: "s", Attempts: 4, Slack: 2, Allowance: time.Second}
+		for rack := range 6 {
+			lasts := work.Step{Count: 1, Size: work.Resources{CPU: 30000, Memory: 100}, Estimate: time.Hour, LongRunning: true, Labels: []string{fmt.Sprint("r", rack)}}
+			c.submit(&work.Job{Queue: queue, Spec: "x", Steps: []work.Step{lasts}})
+		}
+		time.Sleep(2 * time.Second)
+		require.Equal(t, 6, c.fleet.Running())
+		gang := work.Step{Count: 8, Size: work.Resources{CPU: 40000, Memory: 100}, Estimate: 3 * idleTask, Gang: true, SameRack: true}
+		id := c.submit(&work.Job{Queue: queue, Spec: "x", Steps: []work.Step{gang}})
+		since := time.Now()
+		c.requireSoonDone(since, id)
+		require.Less(t, time.Since(since), idleRackWait, "it does not wait until seeking a rack ends")
+	})
+}
+
 // TestRackIsChosenByWhenTheGangCanStart guards against a gang that seeks a rack which cannot hold it, or another one than
 // the soonest.
 func TestRackIsChosenByWhenTheGangCanStart(t *testing.T) {
