dispatch: a worker that has as many tasks of a step as it may have is not asked about

Cause: askFor took capacity by size; the choice of a worker leaves out those that run as many tasks of the step as they may. With slow advice, the first tickets have expired before the calls come to other workers.

Change: capacityFor, by which all asking, counting and reserving goes, takes the bound a worker into account.

Why this works: what is asked about is what a task may be placed on.

--- a/process/dispatch/idle_test.go
+++ b/process/dispatch/idle_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -156,3 +157,27 @@
 		require.Empty(t, c.broken)
 	})
 }
+
+// TestTaskOfASpreadStepIsStartedAgain guards against a task that is never started again after its worker is lost, since the
+// workers that are asked about have as many tasks of its step as a worker may have.
+func TestTaskOfASpreadStepIsStartedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := idleCellOf(t, 1, func(work.JobID) time.Duration { return time.Hour })
+		defer c.stop()
+		j := &work.Job{Queue: work.Queue{Name: "q", Service: "s", Attempts: 4, Slack: 2, Allowance: time.Second, Advice: idleQueues[3]}, Spec: "x",
+			Steps: []work.Step{{Count: 18, Size: work.Resources{CPU: 4000, Memory: 100}, Estimate: time.Hour, LongRunning: true, MaxPerWorker: 1}}}
+		c.advice.setShare(0.5)
+		c.advice.setCost(work.TaskID{Job: c.nextID()}.StepName(), *j.Queue.Advice)
+		require.GreaterOrEqual(t, c.slotsFor(c.nextID(), j), 22)
+		c.submit(j)
+		time.Sleep(10 * time.Second)
+		require.Equal(t, 18, c.fleet.Running())
+		for _, id := range c.fleet.IDs() {
+			if c.fleet.Running() == 18 {
+				c.fleet.Crash(id)
+			}
+		}
+		time.Sleep(testLease + 2*time.Second + idleStart)
+		require.Equal(t, 18, c.fleet.Running())
+	})
+}
--- a/process/dispatch/placement.go
+++ b/process/dispatch/placement.go
@@ -175,13 +175,16 @@
 	return false
 }
 
-// capacityFor returns how many of a step's tasks, at most limit, the step may place on a
+// capacityFor returns how many more of a step's tasks, at most limit, the step may place on a
 // worker now. Most workers of a busy cell are full, which the first check finds.
 func (e *Engine) capacityFor(s *step, w *worker, need work.Resources, limit int) int {
 	if !need.Fits(w.free()) {
 		return 0
 	}
-	return need.Times(e.freeFor(s, w), limit)
+	if s.spec.MaxPerWorker > 0 {
+		limit = min(limit, s.spec.MaxPerWorker-s.liveOn(w))
+	}
+	return max(need.Times(e.freeFor(s, w), limit), 0)
 }
 
 // blockedBy returns why no task of the step may start now on any worker; waitNothing if one may.
