dispatch: a start without an answer is held by the age of its order

Cause: an order is carried out up to 12 s after it was sent. The leader held the task for 12 s and the longest lease from when the worker's lease had ended, several seconds after the last order; the age of the order was kept nowhere.

Change: the age counts from the end of the last call. When the orders are too old, and after 2 s more in which a later incarnation would have an entry, the leader asks the directory for the name and calls the address; nobody there, the task is free. An entry, an answer, no answer of the store, or an incarnation seen meanwhile holds it, for the longest lease at most. `why`, late_starts and late_starts_gone show it. The stand-in's late calls can reach the next incarnation (LateToNext).

Why this works: after the bound no order can start the run, so it exists only on an incarnation that was there before, and that one has an entry or answers.

--- a/command/why/why.go
+++ b/command/why/why.go
@@ -2,6 +2,7 @@
 package why
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -95,6 +96,10 @@
 		case s.Rack != "":
 			fmt.Fprintf(w, "RACK\tstep %d.%d seeks %s%s\n", s.Occurrence, s.Step, s.Rack, duration(" since %.1f s ago", s.RackMS))
 		}
+		for _, l := range s.LateStarts {
+			fmt.Fprintf(w, "LATE START\t%s.%d.%d.%d on %s%s: %s\n", x.Job, s.Occurrence, s.Step, l.Index, l.Worker, duration(", sent %.1f s ago", l.AgeMS),
+				cmp.Or(duration("may still be carried out for %.1f s", l.EndsMS), "what it may have started has to end"))
+		}
 		for _, t := range s.Suspects {
 			fmt.Fprintf(w, "SUSPECT\t%s.%d.%d.%d\n", x.Job, s.Occurrence, s.Step, t.Index)
 			for _, c := range t.Crashes {
--- a/connection/runner/directory.go
+++ b/connection/runner/directory.go
@@ -23,6 +23,9 @@
 type Directory interface {
 	// List returns all entries and the revision to watch from.
 	List(ctx context.Context) ([]Worker, store.Revision, error)
+	// Has reports whether there is an entry under a worker's name now, of whichever incarnation and whether it can be
+	// read or not; an error means that this is not known.
+	Has(ctx context.Context, name string) (bool, error)
 	// Watch waits up to wait for changes later than after. It returns them, none after
 	// wait, with the revision to pass next.
 	Watch(ctx context.Context, after store.Revision, wait time.Duration) ([]Change, store.Revision, error)
--- a/process/cellnode/layout_test.go
+++ b/process/cellnode/layout_test.go
@@ -60,6 +60,8 @@
 	return make([]runner.Worker, d), 1, nil
 }
 
+func (constantDirectory) Has(context.Context, string) (bool, error) { return true, nil }
+
 func (constantDirectory) Watch(context.Context, store.Revision, time.Duration) ([]runner.Change, store.Revision, error) {
 	return nil, 1, nil
 }
--- a/process/cellnode/shard_test.go
+++ b/process/cellnode/shard_test.go
@@ -23,6 +23,8 @@
 	return all, 1, nil
 }
 
+func (l restartedWorkers) Has(context.Context, string) (bool, error) { return true, nil }
+
 func (l restartedWorkers) Watch(context.Context, store.Revision, time.Duration) (all []runner.Change, _ store.Revision, _ error) {
 	for i := range l.n {
 		all = append(all, runner.Change{Worker: runner.Worker{Ref: runner.Ref{ID: runner.WorkerID(fmt.Sprint("w-", i))}}, Removed: true},
--- a/process/dispatch/engine.go
+++ b/process/dispatch/engine.go
@@ -75,6 +75,7 @@
 	// the runs whose start order a later incarnation may still carry out.
 	latestStarts map[string]int64
 	lateStarts   map[string][]*allocation
+	lookups      map[string]*lookup // of workers that have ended, by name
 
 	members      []string // daemons of the cell
 	proxyNames   []string // daemons through which advice is requested, see proxies.go
@@ -140,6 +141,9 @@
 	Commits, Batches, Violations, Advised, Quarantined, Moved, GangReservations uint64
 	// GangsSpread counts gangs that ask for one rack and were started on several.
 	GangsSpread uint64
+	// LateStarts is how many tasks are held now because a start of an ended worker may still be carried out;
+	// LateStartsGone counts those that were released as nobody was there to carry it out.
+	LateStarts, LateStartsGone uint64
 	// WorkersGone counts workers whose incarnation ended or that left; LostWithWorker counts
 	// the runs among Lost that ended with their worker.
 	WorkersGone, LostWithWorker uint64
@@ -212,7 +216,7 @@
 	return &Engine{o: o, evidence: evidence.New(o.Claimed), fair: fair.New(o.Policy.Shares, entitled), jobs: map[work.JobID]*job{}, cancels: map[work.JobID]time.Duration{}, absents: map[work.JobID]time.Duration{}, unheard: map[work.JobID]*unheardJob{},
 		workers: map[runner.WorkerID]*worker{}, proxies: map[string]*adviceProxy{}, ledger: quota.NewLedger(), endedHeld: map[*quota.Account]quota.Size{},
 		usages: map[usageKey]*usage{}, priorities: map[*quota.Account][]int{}, keptFree: map[*quota.Account]quota.Size{},
-		tasksByCrash: map[runner.WorkerID][]work.TaskID{}, crashedAt: map[string]time.Duration{}, latestStarts: map[string]int64{}, lateStarts: map[string][]*allocation{},
+		tasksByCrash: map[runner.WorkerID][]work.TaskID{}, crashedAt: map[string]time.Duration{}, latestStarts: map[string]int64{}, lateStarts: map[string][]*allocation{}, lookups: map[string]*lookup{},
 		mayRun: map[work.TaskID]int{}, goodShares: map[string]float64{}, speed: newSpeedModel(o.Policy),
 		evacuating: evacuating{claimed: map[*worker]time.Duration{}}}
 }
@@ -229,6 +233,9 @@
 	st, learned := e.stats, e.speed.Stats()
 	st.UnregisteredProxies = uint64(e.unregisteredProxies())
 	st.WorkersQuarantined, st.WorkersOnProbation = e.countExcluded()
+	for _, all := range e.lateStarts {
+		st.LateStarts += uint64(len(all))
+	}
 	st.SpeedSamples, st.SpeedClipped, st.SpeedChanged, st.SpeedRecovered = learned.Samples, learned.Clipped, learned.Changed, learned.Recovered
 	return st
 }
@@ -513,6 +520,7 @@
 	e.expireGangReservations()
 	e.stopPartialGangs()
 	e.expireLateStarts()
+	e.lookUpEnded()
 	e.tickUnheard()
 	e.logExcluded()
 	e.pruneJobs()
--- a/process/dispatch/explain.go
+++ b/process/dispatch/explain.go
@@ -41,6 +41,9 @@
 	// capacity they have, by reason; Fit is how many fit it in all.
 	Excluded []ExcludedWorkers `cbor:"9,keyasint,omitempty" json:"excluded,omitempty"`
 	Fit      int               `cbor:"10,keyasint,omitempty" json:"fit,omitempty"`
+	// LateStarts are the starts that hold a task of the step since an ended worker, or one that is there under its
+	// name, may still carry them out.
+	LateStarts []LateStart `cbor:"14,keyasint,omitempty" json:"late_starts,omitempty"`
 	// Rack is the rack that a waiting gang seeks which asks for one, since RackMS milliseconds; AnyRacks
 	// tells that it may start on several by now.
 	Rack     string `cbor:"11,keyasint,omitempty" json:"rack,omitempty"`
@@ -48,6 +51,16 @@
 	AnyRacks bool   `cbor:"13,keyasint,omitempty" json:"any_racks,omitempty"`
 }
 
+// LateStart is a start of a task that nobody has answered. AgeMS is how long ago its last order had been sent, in
+// milliseconds, 0 if that is not known; EndsMS in how many it can no longer be carried out, 0 if that is past and only what
+// it may have started has to end.
+type LateStart struct {
+	Index  int    `cbor:"1,keyasint" json:"index"`
+	Worker string `cbor:"2,keyasint" json:"worker"`
+	AgeMS  int64  `cbor:"3,keyasint,omitempty" json:"age_ms,omitempty"`
+	EndsMS int64  `cbor:"4,keyasint,omitempty" json:"ends_ms,omitempty"`
+}
+
 // SuspectTask is a task with its crash records.
 type SuspectTask struct {
 	Index   int          `cbor:"1,keyasint" json:"index"`
@@ -113,6 +126,7 @@
 			x.Rack, x.AnyRacks, x.RackMS = s.search.rack, s.search.spread, (e.now - s.search.since).Milliseconds()
 		}
 	}
+	x.LateStarts = e.explainLate(s)
 	for i := range s.tasks {
 		if c := s.tasks[i].crashes; len(c) > 0 {
 			x.Suspects = append(x.Suspects, SuspectTask{Index: i, Crashes: c})
--- a/process/dispatch/host.go
+++ b/process/dispatch/host.go
@@ -391,6 +391,8 @@
 		h.calls.Go(func() { h.commit(ctx, x) })
 	case SendConfirm:
 		h.calls.Go(func() { h.confirmClaim(ctx) })
+	case LookUpWorker:
+		h.calls.Go(func() { h.lookUpWorker(ctx, x) })
 	case AskAdvice:
 		h.calls.Go(func() { h.askAdvice(ctx, x) })
 	case ReadJob:
@@ -446,6 +448,27 @@
 	h.post(func(e *Engine, now time.Duration) { e.Confirmed(now, err) })
 }
 
+// lookUpWorker asks the directory and the worker's address at the same time.
+func (h *Host) lookUpWorker(ctx context.Context, x LookUpWorker) {
+	var found Lookup
+	var calls sync.WaitGroup
+	calls.Go(func() {
+		found.Err = h.o.StoreTimeout.Call(ctx, func(ctx context.Context) (err error) {
+			found.Listed, err = h.o.Directory.Has(ctx, x.Ref.ID.Name())
+			return err
+		})
+	})
+	calls.Go(func() {
+		bounded, cancel := context.WithTimeout(ctx, h.responses.timeout(stopTimeout, maxStopTimeout))
+		defer cancel()
+		_, err := h.o.Runner.Renew(bounded, x.Ref, runner.Renewal{Epoch: h.term.Epoch})
+		var other *runner.IncarnationError
+		found.Answers = err == nil || errors.As(err, &other) || errors.Is(err, runner.ErrFenced)
+	})
+	calls.Wait()
+	h.post(func(e *Engine, now time.Duration) { e.LookedUp(now, x.Ref.ID, found) })
+}
+
 func (h *Host) askAdvice(ctx context.Context, x AskAdvice) {
 	bounded, cancel := context.WithTimeout(ctx, x.Timeout)
 	defer cancel()
--- a/process/dispatch/incarnation.go
+++ b/process/dispatch/incarnation.go
@@ -1,8 +1,6 @@
 package dispatch
 
 import (
-	"maps"
-	"slices"
 	"time"
 
 	"fennelshunt.example/fennelshunt/connection/runner"
@@ -113,84 +111,6 @@
 	return startTime != 0 && alloc.tries > 0 && (alloc.ackAt == 0 || (followed && !alloc.reported))
 }
 
-// addLateStart keeps an unconfirmed run that was in flight to a worker whose incarnation, or lease, has
-// ended. It is no longer booked there.
-func (e *Engine) addLateStart(w *worker, alloc *allocation) {
-	alloc.state = stopping
-	if alloc.orphanedAt == 0 { // no order has been sent since
-		alloc.orphanedAt = e.now
-	}
-	ended := *w
-	ended.used, ended.allocs, ended.removed = work.Resources{}, map[work.TaskID]*allocation{}, true
-	alloc.moveTo(&ended)
-	name := w.ID.Name()
-	e.lateStarts[name] = append(e.lateStarts[name], alloc)
-	e.fleetChanged, e.cordonsChanged = true, true
-}
-
-// lateWorker is a worker that has ended, with the tasks that its next incarnation may start late.
-type lateWorker struct {
-	ref   runner.Ref
-	tasks []work.TaskID
-}
-
-// lateTasks returns the tasks of the late starts, in a fixed order.
-func (e *Engine) lateTasks() (all []lateWorker) {
-	for _, name := range slices.Sorted(maps.Keys(e.lateStarts)) {
-		for _, alloc := range e.lateStarts[name] {
-			i := slices.IndexFunc(all, func(x lateWorker) bool { return x.ref.ID == alloc.w.ID })
-			if i < 0 {
-				i = len(all)
-				all = append(all, lateWorker{ref: runner.Ref{ID: alloc.w.ID, Address: alloc.w.Address}})
-			}
-			all[i].tasks = append(all[i].tasks, alloc.id())
-		}
-	}
-	return all
-}
-
-// takeLateStarts is called when a worker has answered. It books on the worker the runs that it
-// may have started from orders to an earlier incarnation, and stops them: the answer to the
-// stop says whether the run can still start.
-func (e *Engine) takeLateStarts(w *worker) {
-	if len(e.lateStarts) == 0 {
-		return
-	}
-	name := w.ID.Name()
-	if len(e.lateStarts[name]) == 0 {
-		return
-	}
-	for _, alloc := range e.lateStarts[name] {
-		if alloc.task().alloc != alloc {
-			continue
-		}
-		alloc.moveTo(w)
-		e.sendStop(alloc)
-		w.expiry = max(w.expiry, e.now+leaseBound(e.o.Bounds.MaxLease)) // a start has a lease of its own
-	}
-	delete(e.lateStarts, name)
-	e.fleetChanged, e.cordonsChanged = true, true
-}
-
-// expireLateStarts releases late starts of workers that do not come back: a run that was
-// started late has ended with its lease.
-func (e *Engine) expireLateStarts() {
-	for name, all := range e.lateStarts {
-		kept := all[:0]
-		for _, alloc := range all {
-			if e.now-alloc.orphanedAt > maxOrderDelay+leaseBound(e.o.Bounds.MaxLease) {
-				e.release(alloc)
-				e.fleetChanged, e.cordonsChanged = true, true
-				continue
-			}
-			kept = append(kept, alloc)
-		}
-		if e.lateStarts[name] = kept; len(kept) == 0 {
-			delete(e.lateStarts, name)
-		}
-	}
-}
-
 // incarnationOf returns the id of the incarnation that an entry names: without a start time,
 // the latest known one of that name.
 func (e *Engine) incarnationOf(id runner.WorkerID) runner.WorkerID {
--- /dev/null
+++ b/process/dispatch/latestart_test.go
@@ -0,0 +1,232 @@
+package dispatch
+
+import (
+	"errors"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"fennelshunt.example/fennelshunt/connection/runner"
+	"fennelshunt.example/fennelshunt/connection/store"
+	"fennelshunt.example/fennelshunt/process/crash"
+	"fennelshunt.example/fennelshunt/standin/epochworker"
+	"fennelshunt.example/fennelshunt/version/work"
+)
+
+// endedStart is a leader with a start that nobody has answered, on inheritedID, which is silent and not listed. Others can
+// run its task.
+type endedStart struct {
+	*harness
+	start   runner.Start
+	ordered time.Duration // when the call of the last order ended
+	lookups int
+}
+
+func newEndedStart(t *testing.T) *endedStart {
+	h := newHarness(t, 1, inheritedID)
+	require.NoError(t, h.e.Load(0, Saved{Accepted: []store.Entry{jobEntry(t, 1, 4, oneTask())}}))
+	h.step(50 * time.Millisecond)
+	h.report(inheritedID, runner.Report{Clock: time.Second})
+	x := &endedStart{harness: h, start: h.starts()[0].Start}
+	for range maxStarts {
+		h.e.Started(h.now, inheritedID, x.start.Task, x.start.Run, runner.ErrUnknown)
+	}
+	x.ordered = h.now
+	h.resize("w-b", work.Resources{CPU: 4000, Memory: 4000})
+	h.e.WorkerUnlisted(h.now, inheritedID)
+	return x
+}
+
+// until passes the time until one, with the same answer to each lookup, and returns when the task was started elsewhere; 0
+// if it was not.
+func (x *endedStart) until(end time.Duration, found Lookup) time.Duration {
+	for x.now < end {
+		x.silent(inheritedID)
+		effects := x.effects
+		x.effects = nil
+		for _, effect := range effects {
+			switch effect := effect.(type) {
+			case LookUpWorker:
+				require.Equal(x.t, inheritedID, effect.Ref.ID)
+				x.lookups++
+				x.e.LookedUp(x.now, effect.Ref.ID, found)
+			case SendStart:
+				if effect.To.ID != inheritedID {
+					return x.now
+				}
+			}
+		}
+	}
+	return 0
+}
+
+// free is when the task of an ended start can no longer be started by its orders, and expired when what these had started
+// has ended with its lease.
+func (x *endedStart) free() time.Duration {
+	return x.ordered + maxOrderDelay + x.e.o.Bounds.maxStartTimeout()
+}
+
+func (x *endedStart) expired() time.Duration { return x.free() + leaseBound(testLease) }
+
+// TestTaskIsFreeOnceItsOrdersAreTooOld guards against a task that waits for longer than an order may be late because
+// its worker was lost for good.
+func TestTaskIsFreeOnceItsOrdersAreTooOld(t *testing.T) {
+	x := newEndedStart(t)
+	at := x.until(time.Minute, Lookup{})
+	require.GreaterOrEqual(t, at, x.free()+entryDelay)
+	require.Less(t, at, x.free()+entryDelay+time.Second)
+	require.Equal(t, 1, x.lookups)
+	require.EqualValues(t, 1, x.e.Stats().LateStartsGone)
+	require.Zero(t, x.e.Stats().LateStarts)
+}
+
+// TestTaskIsHeldWhileItsRunMayExist guards against a second run of a task beside one that an incarnation has started at the
+// last moment, which has an entry that cannot be read, answers only at its address, or is not known since the store is away.
+func TestTaskIsHeldWhileItsRunMayExist(t *testing.T) {
+	for name, found := range map[string]Lookup{
+		"an entry that cannot be read": {Listed: true},
+		"answers at its address":       {Answers: true},
+		"the store is away":            {Err: errors.New("no answer")},
+	} {
+		t.Run(name, func(t *testing.T) {
+			x := newEndedStart(t)
+			at := x.until(time.Minute, found)
+			require.GreaterOrEqual(t, at, x.expired())
+			require.Less(t, at, x.expired()+time.Second)
+			require.Greater(t, x.lookups, 1, "it looks again")
+		})
+	}
+}
+
+// TestTaskIsFreeOnceTheStoreIsBack guards against a task that is held for the longer bound after an outage of the store that
+// has ended.
+func TestTaskIsFreeOnceTheStoreIsBack(t *testing.T) {
+	x := newEndedStart(t)
+	require.Zero(t, x.until(x.free()+entryDelay+time.Second, Lookup{Err: errors.New("no answer")}))
+	at := x.until(time.Minute, Lookup{})
+	require.Positive(t, at)
+	require.Less(t, at, x.free()+entryDelay+2*time.Second)
+}
+
+// TestTaskIsHeldForALaterIncarnation guards against a second run of a task beside one on a later incarnation that has been
+// seen and does not answer.
+func TestTaskIsHeldForALaterIncarnation(t *testing.T) {
+	x := newEndedStart(t)
+	require.Zero(t, x.until(x.free()-time.Second, Lookup{}))
+	x.resize(followingID, work.Resources{CPU: 4000, Memory: 4000})
+	x.e.WorkerUnlisted(x.now, followingID)
+	at := x.until(time.Minute, Lookup{})
+	require.GreaterOrEqual(t, at, x.expired())
+	require.Zero(t, x.lookups)
+}
+
+// TestIncarnationSeenDuringALookupCounts guards against a task that is released by a lookup that began before a later
+// incarnation was seen.
+func TestIncarnationSeenDuringALookupCounts(t *testing.T) {
+	x := newEndedStart(t)
+	require.Zero(t, x.until(x.free()+entryDelay-100*time.Millisecond, Lookup{}))
+	x.silent(inheritedID)
+	x.silent(inheritedID)
+	require.Len(t, sent[LookUpWorker](x.harness), 1)
+	x.resize(followingID, work.Resources{CPU: 4000, Memory: 4000})
+	x.e.LookedUp(x.now, inheritedID, Lookup{})
+	require.Empty(t, x.otherStarts(inheritedID, x.start.Run))
+	require.NotEmpty(t, x.e.lateStarts)
+}
+
+// TestAgeOfAnOrderCountsFromTheEndOfItsCall guards against an order that counts as sent when it was decided, while this
+// process stood still before it was.
+func TestAgeOfAnOrderCountsFromTheEndOfItsCall(t *testing.T) {
+	x := newEndedStart(t)
+	require.Zero(t, x.until(8*time.Second, Lookup{}))
+	require.NotEmpty(t, x.e.lateStarts)
+	alloc := x.e.lateStarts[inheritedID.Name()][0]
+	alloc.calls++ // one that has not ended yet
+	x.e.Started(x.now, inheritedID, x.start.Task, x.start.Run, runner.ErrUnknown)
+	x.ordered = x.now
+	at := x.until(time.Minute, Lookup{})
+	require.GreaterOrEqual(t, at, x.free()+entryDelay)
+}
+
+// TestOrderThatARelayMaySendCountsFromTheLease guards against a start that a relay sends after it was taken for too old.
+func TestOrderThatARelayMaySendCountsFromTheLease(t *testing.T) {
+	x := newEndedStart(t)
+	alloc := x.e.jobs[testJob].step(x.start.Task).tasks[0].alloc
+	alloc.calls++
+	x.e.Started(x.now, inheritedID, x.start.Task, x.start.Run, errors.Join(runner.ErrUnknown, runner.ErrMayBeSent))
+	require.Zero(t, x.until(7500*time.Millisecond, Lookup{}))
+	require.NotEmpty(t, x.e.lateStarts)
+	at := x.until(time.Minute, Lookup{})
+	require.GreaterOrEqual(t, at, alloc.orphanedAt+maxOrderDelay+entryDelay)
+	require.Greater(t, alloc.orphanedAt, testLease)
+}
+
+// TestLateStartIsExplained guards against a task of which an operator cannot tell that it waits for an order that may
+// still be carried out, and when that ends.
+func TestLateStartIsExplained(t *testing.T) {
+	x := newEndedStart(t)
+	require.Zero(t, x.until(9*time.Second, Lookup{}))
+	all, ok := x.e.Explain(x.now, testJob)
+	require.True(t, ok)
+	require.Len(t, all.Steps, 1)
+	late := all.Steps[0].LateStarts
+	require.Len(t, late, 1)
+	require.Equal(t, string(inheritedID), late[0].Worker)
+	require.Equal(t, (x.now - x.ordered).Milliseconds(), late[0].AgeMS)
+	require.Equal(t, (x.free() - x.now).Milliseconds(), late[0].EndsMS)
+}
+
+// TestWorkersThatComeBackLate guards against a second run of a task that a worker's next incarnation starts from an order to
+// the one before, whenever it comes back, and against a task that is held for long because none does.
+func TestWorkersThatComeBackLate(t *testing.T) {
+	overSeeds(t, 8, comeBackLate)
+}
+
+// comeBackLate crashes workers while a third of the orders is late. They come back under their names after up to the time for
+// which an order may be late, and are listed up to entryDelay later; in every fourth seed they are gone for good. Leaders are
+// killed in every second seed.
+func comeBackLate(t *testing.T, seed uint64) {
+	draw := rand.New(rand.NewPCG(seed, 7))
+	o := epochworker.Options{Seed: seed, SameName: true, LateToNext: true, EntryLag: time.Duration(draw.Int64N(int64(entryDelay))),
+		Work: func(work.TaskID, uint64, runner.WorkerID) epochworker.Behaviour {
+			return epochworker.Behaviour{Takes: time.Duration(100+draw.IntN(3000)) * time.Millisecond}
+		}}
+	if seed%4 != 3 {
+		o.Restart = 500*time.Millisecond + time.Duration(draw.Int64N(int64(maxOrderDelay)))
+	}
+	c := restartingCell(t, 24, 3, o)
+	time.Sleep(3 * time.Second)
+	for i := range 120 {
+		if i%6 == 0 { // orders are late around each crash
+			c.fleet.SetFaults(epochworker.Faults{LoseAnswers: 0.05, Late: 0.3})
+			ids := c.fleet.IDs()
+			if len(ids) > 10 {
+				time.AfterFunc(time.Duration(c.rng.IntN(400))*time.Millisecond, func() { c.fleet.Crash(ids[c.rng.IntN(len(ids))]) })
+			}
+			time.AfterFunc(600*time.Millisecond, func() { c.fleet.SetFaults(epochworker.Faults{}) })
+		}
+		c.submit(drawJob(c.rng, false))
+		time.Sleep(time.Duration(50+c.rng.IntN(250)) * time.Millisecond)
+		if seed%2 == 1 && i%30 == 29 {
+			c.killLeader()
+		}
+	}
+	began := time.Now()
+	for _, id := range c.order {
+		for c.state(id) != work.Completed && time.Since(began) < 40*time.Second {
+			time.Sleep(100 * time.Millisecond)
+		}
+	}
+	time.Sleep(30 * time.Second) // what else may be carried out
+	c.stop()
+	require.Empty(t, c.fleet.Violations())
+	require.Empty(t, c.broken)
+	for _, id := range c.order {
+		if crash.LimitReached(c.fleet.MaxSuspectCrashes(id), 1) {
+			continue // one of its tasks may have reached the limit of crashed workers
+		}
+		require.Equal(t, work.Completed, c.state(id), "%s: %v", id, c.fleet.NotDone(id))
+	}
+}
--- a/process/dispatch/load_test.go
+++ b/process/dispatch/load_test.go
@@ -38,6 +38,8 @@
 
 func (noWorkers) List(context.Context) ([]runner.Worker, store.Revision, error) { return nil, 1, nil }
 
+func (noWorkers) Has(context.Context, string) (bool, error) { return false, nil }
+
 func (noWorkers) Watch(ctx context.Context, after store.Revision, wait time.Duration) ([]runner.Change, store.Revision, error) {
 	return nil, after, sleep.For(ctx, wait)
 }
--- a/process/dispatch/runs.go
+++ b/process/dispatch/runs.go
@@ -84,6 +84,7 @@
 		alloc.sent, alloc.resumed, alloc.predicted = e.now, alloc.task().checkpoint != "", e.estimateOn(alloc.s, alloc.w)
 	}
 	alloc.tries++
+	alloc.calls++
 	j := alloc.s.job
 	e.effects = append(e.effects, SendStart{To: alloc.w.Ref, Start: runner.Start{
 		Task: alloc.id(), Run: alloc.run, Spec: j.spec.Spec, AcceptedBy: j.spec.AcceptedBy, Checkpoint: alloc.task().checkpoint, Ticket: alloc.ticket,
@@ -107,9 +108,23 @@
 	return nil
 }
 
+// noteOrdered records that the call of a start order has ended.
+func (e *Engine) noteOrdered(task work.TaskID, run uint64, err error) {
+	s := e.jobs[task.Job].step(task)
+	if s == nil {
+		return
+	}
+	if alloc := s.tasks[task.Index].alloc; alloc != nil && alloc.run == run && alloc.calls > 0 {
+		alloc.calls--
+		alloc.orderedAt = e.now
+		alloc.mayBeSent = alloc.mayBeSent || errors.Is(err, runner.ErrMayBeSent)
+	}
+}
+
 // Started handles the outcome of a SendStart.
 func (e *Engine) Started(now time.Duration, id runner.WorkerID, task work.TaskID, run uint64, err error) {
 	e.now = now
+	e.noteOrdered(task, run, err)
 	if errors.Is(err, runner.ErrFenced) {
 		e.deposed = true
 		return
--- a/process/dispatch/types.go
+++ b/process/dispatch/types.go
@@ -131,6 +131,10 @@
 // SendConfirm asks to read the term's claim from the store; the outcome goes to Confirmed.
 type SendConfirm struct{}
 
+// LookUpWorker asks whether a worker that has ended, or an incarnation after it, is there: whether the directory
+// has an entry under its name, and whether anyone answers for it at its address. The outcome goes to LookedUp.
+type LookUpWorker struct{ Ref runner.Ref }
+
 // AskAdvice asks for the advice service to be called through a member; the outcome goes to
 // Advised.
 type AskAdvice struct {
@@ -140,12 +144,13 @@
 	Timeout time.Duration
 }
 
-func (SendStart) effect()   {}
-func (SendStop) effect()    {}
-func (SendRenew) effect()   {}
-func (SendCommit) effect()  {}
-func (SendConfirm) effect() {}
-func (AskAdvice) effect()   {}
+func (SendStart) effect()    {}
+func (SendStop) effect()     {}
+func (SendRenew) effect()    {}
+func (SendCommit) effect()   {}
+func (SendConfirm) effect()  {}
+func (LookUpWorker) effect() {}
+func (AskAdvice) effect()    {}
 
 // Keys in the store.
 const (
--- a/standin/epochworker/calls.go
+++ b/standin/epochworker/calls.go
@@ -31,8 +31,12 @@
 		time.AfterFunc(delay, func() {
 			f.mu.Lock()
 			defer f.mu.Unlock()
-			if !w.crashed { // a crash loses the calls that it has received
-				effect(w)
+			next := w // a crash loses the calls that it has received
+			if f.o.LateToNext {
+				next = f.current(w.ID)
+			}
+			if !next.crashed {
+				effect(next)
 			}
 		})
 	}
@@ -115,6 +119,9 @@
 	if s.Until <= w.clock() {
 		return runner.ErrLeaseExpired
 	}
+	if late && f.o.LateToNext && (f.history(s.Task).started(s.Run) || w.refusedBefore(s.Task, s.Run)) {
+		return nil
+	}
 	f.extend(w, s.Until)
 	f.begin(w, s, late)
 	return nil
--- a/standin/epochworker/fleet.go
+++ b/standin/epochworker/fleet.go
@@ -60,6 +60,9 @@
 	ClockRate float64
 	// KillDelay is how long after its lease has expired a worker ends its runs.
 	KillDelay time.Duration
+	// LateToNext makes the incarnation that is there then carry out a late call to an earlier one, unless it is a
+	// start of a run that an earlier one has had, or refuses since it was told to stop it.
+	LateToNext bool
 	// EntryLag is how long after its start a new incarnation is listed in the directory.
 	EntryLag time.Duration
 }
@@ -118,6 +121,21 @@
 	events               []event
 }
 
+// started reports whether a run has started anywhere.
+func (h *history) started(run uint64) bool {
+	return slices.ContainsFunc(h.events, func(e event) bool { return e.what == "started" && e.run == run })
+}
+
+// refusedBefore reports whether an earlier incarnation of the worker refuses a run.
+func (w *worker) refusedBefore(task work.TaskID, run uint64) bool {
+	for p := w.previous; p != nil; p = p.previous {
+		if run <= p.highest[task] {
+			return true
+		}
+	}
+	return false
+}
+
 // event is a start, an end, an acknowledgement or a crash that concerns a task.
 type event struct {
 	at    time.Duration // since the fleet was created
@@ -158,6 +176,7 @@
 	// replaced is set when the next incarnation responds at its address.
 	replaced    bool
 	next        *worker
+	previous    *worker
 	unlisted    bool // not in the directory yet
 	epoch       uint64
 	started     time.Time
@@ -441,6 +460,7 @@
 		next.ID = runner.IncarnationID(name, started+1)
 	}
 	w.next = f.newWorker(next)
+	w.next.previous = w
 	if f.o.SameName {
 		w.next.started = time.Now() // its clock starts at 0, as its completion numbers do
 	}
@@ -583,6 +603,18 @@
 	return all, f.rev, nil
 }
 
+// Has implements runner.Directory.
+func (f *Fleet) Has(_ context.Context, name string) (bool, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for id, w := range f.workers {
+		if id.Name() == name && !w.crashed && !w.unlisted {
+			return true, nil
+		}
+	}
+	return false, nil
+}
+
 // Watch implements runner.Directory.
 func (f *Fleet) Watch(ctx context.Context, after store.Revision, wait time.Duration) ([]runner.Change, store.Revision, error) {
 	timer := time.NewTimer(wait)
