dispatch: a successor is told what is left of the time of unanswered starts

Cause: the list had no ages, so a successor either did not know of such starts or waited for all of their time anew.

Change: the list names removed workers with their unanswered starts, and silent ones with those of their tasks that had no answer, with the milliseconds that are left when it is written; the successor counts them from its own reading, writes what is left then, and looks for the worker at the end of that time as the leader that sent them does.

Why this works: spans, not times, go over the takeover, and the successor's reading is later than the writing, so what it waits is never too short.

--- a/process/dispatch/directory.go
+++ b/process/dispatch/directory.go
@@ -149,6 +149,9 @@
 // leaseExpired handles a worker whose lease has certainly expired, so that nothing runs there
 // any more. Its next incarnation may still carry out starts that were not answered.
 func (e *Engine) leaseExpired(w *worker) {
+	if e.holdUnanswered(w) {
+		return
+	}
 	e.decide(Decision{What: "worker's lease expired", Worker: w.ID, Why: "no answer until the lease had expired", Age: e.now - w.answered})
 	if !w.listed || !w.fenced {
 		e.removeWorker(w, "its lease has expired and it does not answer", !w.listed)
--- a/process/dispatch/fleet.go
+++ b/process/dispatch/fleet.go
@@ -40,6 +40,14 @@
 	Suspects []suspectRun `cbor:"3,keyasint,omitempty"`
 	// Late: its next incarnation may carry out orders to it.
 	Late bool `cbor:"4,keyasint,omitempty"`
+	// LateMS is for how many milliseconds from when the list was written the starts of Tasks, if it is Late, or of
+	// Unanswered may still be carried out; 0 if that is not known. It is a span, since no two daemons have a
+	// clock in common.
+	LateMS int64 `cbor:"5,keyasint,omitempty"`
+	// Ended: nothing ran on it any more.
+	Ended bool `cbor:"6,keyasint,omitempty"`
+	// Unanswered are those of Tasks of which a start had no answer.
+	Unanswered []work.TaskID `cbor:"7,keyasint,omitempty"`
 }
 
 // suspectRun is a run that may have crashed its worker.
@@ -91,6 +99,7 @@
 	for _, x := range cordons.Workers {
 		if w := e.workers[x.ID]; w != nil && !w.cordoned {
 			w.cordoned, w.mayRun, w.inheritedSuspects, w.lateOrders = true, x.Tasks, x.Suspects, x.Late
+			e.inheritLate(w, &x)
 		}
 	}
 	for _, ref := range f.Workers {
@@ -156,13 +165,18 @@
 		e.cordonedUnlisted--
 	}
 	for _, task := range w.mayRun {
-		if e.mayRun[task]--; e.mayRun[task] <= 0 {
-			delete(e.mayRun, task)
-		}
+		e.noLongerMayRun(task)
 	}
 	w.unlisted, w.mayRun, w.inheritedSuspects = false, nil, nil
 }
 
+// noLongerMayRun records that a task does not run unreported on one worker.
+func (e *Engine) noLongerMayRun(task work.TaskID) {
+	if e.mayRun[task]--; e.mayRun[task] <= 0 {
+		delete(e.mayRun, task)
+	}
+}
+
 // accountedFor reports whether it is known which inherited tasks of the step are running: every
 // worker that an earlier epoch used and that is not cordoned has answered or has certainly
 // ended. What the cordoned ones may run is in mayRun.
@@ -248,12 +262,30 @@
 	ws.lists = true
 	e.sendVoters()
 	late := e.lateTasks()
+	for _, x := range late { // before their later incarnations, which follow them when the list is read
+		if e.workers[x.ref.ID] != nil {
+			continue // listed below; a successor waits for all that may run on one that is not cordoned
+		}
+		f.Workers = append(f.Workers, x.ref)
+		cordoned.Workers = append(cordoned.Workers, cordonedWorker{ID: x.ref.ID, Tasks: x.tasks, Late: true, LateMS: e.millisUntil(x.until), Ended: true})
+	}
 	for _, w := range e.workerList {
 		f.Workers = append(f.Workers, runner.Ref{ID: w.ID, Address: w.Address})
 		if w.cordoned && !w.unlisted { // without a list of tasks a successor has to wait for it
 			x := cordonedWorker{ID: w.ID, Tasks: append(w.tasks(), w.mayRun...), Suspects: w.suspectRuns(false), Late: w.lateOrders}
+			end := w.expiry - leaseBound(e.o.Bounds.MaxLease)
 			if i := slices.IndexFunc(late, func(x lateWorker) bool { return x.ref.ID == w.ID }); i >= 0 {
 				x.Tasks, x.Late = append(x.Tasks, late[i].tasks...), true
+				end = max(end, late[i].until)
+			}
+			if w.ordersEnd > 0 {
+				x.Ended, end = true, w.ordersEnd
+			}
+			if !x.Late {
+				x.Unanswered, end = e.unanswered(w)
+			}
+			if x.Late || len(x.Unanswered) > 0 {
+				x.LateMS = e.millisUntil(end)
 			}
 			cordoned.Workers = append(cordoned.Workers, x)
 		}
--- a/process/dispatch/followed_test.go
+++ b/process/dispatch/followed_test.go
@@ -231,10 +231,24 @@
 	return h
 }
 
+// withoutAges returns stored lists that do not tell for how much longer orders may be carried out.
+func withoutAges(t *testing.T, fleet map[string]store.Entry) map[string]store.Entry {
+	var cordons cordonRecord
+	require.NoError(t, peer.Unmarshal(fleet[keyCordoned].Value, &cordons))
+	for i := range cordons.Workers {
+		require.Positive(t, cordons.Workers[i].LateMS)
+		cordons.Workers[i].LateMS = 0
+	}
+	value, err := peer.Marshal(cordons)
+	require.NoError(t, err)
+	fleet[keyCordoned] = store.Entry{Key: keyCordoned, Value: value}
+	return fleet
+}
+
 // TestSuccessorKnowsOfLateStarts guards against a task that the next incarnation of a worker runs by a late order
-// of the former leader, and that the successor starts elsewhere, since the worker is not in the stored list.
+// of the former leader, and that the successor starts elsewhere. The stored list has no ages, as an earlier version leaves it.
 func TestSuccessorKnowsOfLateStarts(t *testing.T) {
-	h := lateStartSuccessor(t, lateStartFleet(t))
+	h := lateStartSuccessor(t, withoutAges(t, lateStartFleet(t)))
 	for h.now < evidence.MaxAge+maxOrderDelay+testLease {
 		h.e.Renewed(h.now, inheritedID, runner.Report{}, runner.ErrUnknown)
 		h.report("w-b", runner.Report{Clock: time.Second + h.now})
--- a/process/dispatch/latestart.go
+++ b/process/dispatch/latestart.go
@@ -19,7 +19,7 @@
 //   - nobody was there entryDelay after the last moment: no entry, and no answer;
 //   - the longest lease from that moment has ended.
 //
-// What counts is the age of the order.
+// What counts is the age of the order. A successor is told what is left of its time, and does not begin anew.
 
 const (
 	// entryDelay is by when a worker that has started and reaches the store has an entry in the directory.
@@ -75,6 +75,66 @@
 	return all
 }
 
+// millisUntil returns the milliseconds until a time, at least 1.
+func (e *Engine) millisUntil(at time.Duration) int64 { return max((at - e.now).Milliseconds(), 1) }
+
+// inheritLate takes over what an earlier epoch knew about late orders to a worker. The list is written again, so that a
+// further successor does not wait for all of the time anew.
+func (e *Engine) inheritLate(w *worker, x *cordonedWorker) {
+	left := time.Duration(x.LateMS) * time.Millisecond
+	if !x.Late {
+		w.unanswered, w.unansweredEnd = x.Unanswered, e.now+left
+		return
+	}
+	if x.LateMS <= 0 {
+		left = maxOrderDelay
+	}
+	w.expiry = max(w.expiry, e.now+left+e.inheritedLease())
+	if x.LateMS > 0 && x.Ended {
+		w.ordersEnd = e.now + left
+		e.cordonsChanged = true
+	}
+}
+
+// unanswered returns the tasks that may run on a silent worker and of which a start has no answer, and when these starts
+// can no longer be carried out.
+func (e *Engine) unanswered(w *worker) (all []work.TaskID, until time.Duration) {
+	if w.inherited {
+		return w.unanswered, w.unansweredEnd
+	}
+	for _, alloc := range sortedAllocs(w) {
+		if !e.mayStartLate(alloc) {
+			continue
+		}
+		all = append(all, alloc.id())
+		if end := e.lateUntil(alloc); alloc.calls == 0 && !alloc.mayBeSent {
+			until = max(until, end)
+			continue
+		}
+		until = max(until, e.now+e.o.Bounds.maxStartTimeout()+maxOrderDelay)
+	}
+	return all, until
+}
+
+// holdUnanswered is called when an inherited worker's lease has certainly expired. It keeps holding the tasks of which a start
+// had no answer, as long as that may be carried out, and reports whether there are any.
+func (e *Engine) holdUnanswered(w *worker) bool {
+	if !w.inherited || len(w.unanswered) == 0 || e.now >= w.unansweredEnd {
+		return false
+	}
+	held, end := w.unanswered, w.unansweredEnd
+	for _, task := range w.mayRun {
+		if !slices.Contains(held, task) {
+			e.noLongerMayRun(task)
+		}
+	}
+	w.mayRun, w.unanswered = held, nil
+	w.ordersEnd, w.expiry = end, end+leaseBound(e.o.Bounds.MaxLease)
+	e.cordonsChanged, e.scheduled = true, false
+	e.decide(Decision{What: "starts may be carried out late", Worker: w.ID, Why: "its lease has expired, and they had no answer"})
+	return true
+}
+
 // takeLateStarts is called when a worker has answered. It books on the worker the runs that it
 // may have started from orders to an earlier incarnation, and stops them: the answer to the
 // stop says whether the run can still start.
@@ -127,7 +187,7 @@
 	return n
 }
 
-// explainLate returns the late starts of a step's tasks.
+// explainLate returns the late starts of a step's tasks, those of an earlier leader included.
 func (e *Engine) explainLate(s *step) (all []LateStart) {
 	ends := func(at time.Duration) int64 { return max((at - e.now).Milliseconds(), 0) }
 	for i := range s.tasks {
@@ -139,6 +199,16 @@
 			all = append(all, x)
 		}
 	}
+	for _, w := range e.workerList {
+		if !w.inherited || w.ordersEnd == 0 {
+			continue
+		}
+		for _, id := range w.mayRun {
+			if s.job.step(id) == s {
+				all = append(all, LateStart{Index: id.Index, Worker: string(w.ID), EndsMS: ends(w.ordersEnd)})
+			}
+		}
+	}
 	return all
 }
 
@@ -166,6 +236,11 @@
 	for _, x := range e.lateTasks() {
 		e.lookUp(x.ref, x.until)
 	}
+	for _, w := range e.workerList {
+		if w.inherited && w.ordersEnd > 0 && !w.listed {
+			e.lookUp(w.Ref, w.ordersEnd)
+		}
+	}
 }
 
 // lookUp looks for a worker that has ended, unless a later incarnation has been seen, which may have the run.
@@ -205,4 +280,8 @@
 		e.stats.LateStartsGone += uint64(n)
 		e.decide(Decision{What: "late starts can no longer be carried out", Worker: id, Why: "it has no entry and does not answer, nor does a later incarnation"})
 	}
+	if w := e.workers[id]; w != nil && w.inherited && w.ordersEnd > 0 && !w.listed && l.sent >= w.ordersEnd+entryDelay {
+		e.stats.LateStartsGone += uint64(len(w.mayRun))
+		e.removeWorker(w, "orders to it can no longer be carried out, and nobody is there", true)
+	}
 }
--- a/process/dispatch/latestart_test.go
+++ b/process/dispatch/latestart_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"fennelshunt.example/fennelshunt/connection/peer"
 	"fennelshunt.example/fennelshunt/connection/runner"
 	"fennelshunt.example/fennelshunt/connection/store"
 	"fennelshunt.example/fennelshunt/process/crash"
@@ -163,6 +164,92 @@
 	require.Greater(t, alloc.orphanedAt, testLease)
 }
 
+// lateSuccessor returns the successor of a leader that has removed inheritedID with an unanswered start, how long before
+// it took over the call of the last order had ended, and the list that it was told.
+func lateSuccessor(t *testing.T, wait time.Duration) (h *harness, age time.Duration) {
+	x := newEndedStart(t)
+	fleet := map[string]store.Entry{}
+	for x.now < x.ordered+wait || x.e.workers[inheritedID] != nil {
+		x.silentInto(fleet)
+	}
+	for range 5 {
+		x.silentInto(fleet)
+	}
+	require.NotEmpty(t, x.e.lateStarts)
+	return lateStartSuccessor(t, fleet), x.now - x.ordered
+}
+
+// silentInto is silent, and puts the lists of workers that are written into fleet.
+func (x *endedStart) silentInto(fleet map[string]store.Entry) {
+	x.e.Renewed(x.now, inheritedID, runner.Report{}, runner.ErrUnknown)
+	x.e.Renewed(x.now, "w-b", runner.Report{Clock: time.Second + x.now}, nil)
+	x.stepInto(fleet, 100*time.Millisecond)
+}
+
+// startedAt passes the time until a task starts on w-b, with the same answer to each lookup.
+func (h *harness) startedAt(found Lookup) time.Duration {
+	for h.now < time.Minute {
+		h.silent(inheritedID)
+		effects := h.effects
+		h.effects = nil
+		for _, effect := range effects {
+			switch effect := effect.(type) {
+			case LookUpWorker:
+				h.e.LookedUp(h.now, effect.Ref.ID, found)
+			case SendStart:
+				return h.now
+			}
+		}
+	}
+	return 0
+}
+
+// TestSuccessorWaitsForWhatIsLeftOfALateStart guards against a task that waits anew, at each takeover, for all of the time
+// for which an order may be late, and against one that starts before that has passed.
+func TestSuccessorWaitsForWhatIsLeftOfALateStart(t *testing.T) {
+	bounds := Bounds{Gang: 3 * time.Second}
+	free := maxOrderDelay + bounds.maxStartTimeout()
+	for name, c := range map[string]struct {
+		found         Lookup
+		least, atMost time.Duration // from the order
+	}{
+		"nobody is there": {Lookup{}, free + entryDelay, free + entryDelay + 1500*time.Millisecond},
+		"an entry":        {Lookup{Listed: true}, free + leaseBound(testLease), free + leaseBound(testLease) + 4*time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h, age := lateSuccessor(t, 0)
+			at := h.startedAt(c.found)
+			require.Positive(t, at)
+			require.GreaterOrEqual(t, age+at, c.least)
+			require.Less(t, age+at, c.atMost)
+			h.requireResolved()
+		})
+	}
+}
+
+// TestSecondSuccessorIsToldWhatIsLeft guards against a successor that passes on the time that it was told, and not what is
+// left of it.
+func TestSecondSuccessorIsToldWhatIsLeft(t *testing.T) {
+	h, _ := lateSuccessor(t, 0)
+	fleet := map[string]store.Entry{}
+	told := func() int64 {
+		var cordons cordonRecord
+		require.NoError(t, peer.Unmarshal(fleet[keyCordoned].Value, &cordons))
+		require.Len(t, cordons.Workers, 1)
+		require.True(t, cordons.Workers[0].Ended)
+		return cordons.Workers[0].LateMS
+	}
+	h.e.cordonsChanged = true
+	h.stepInto(fleet, 200*time.Millisecond)
+	before, at := told(), h.now
+	for h.now < at+2*time.Second {
+		h.silent(inheritedID)
+	}
+	h.e.cordonsChanged = true
+	h.stepInto(fleet, 200*time.Millisecond)
+	require.InDelta(t, before-(h.now-at).Milliseconds(), told(), 250)
+}
+
 // TestLateStartIsExplained guards against a task of which an operator cannot tell that it waits for an order that may
 // still be carried out, and when that ends.
 func TestLateStartIsExplained(t *testing.T) {
@@ -176,6 +263,10 @@
 	require.Equal(t, string(inheritedID), late[0].Worker)
 	require.Equal(t, (x.now - x.ordered).Milliseconds(), late[0].AgeMS)
 	require.Equal(t, (x.free() - x.now).Milliseconds(), late[0].EndsMS)
+	h, _ := lateSuccessor(t, 0)
+	all, _ = h.e.Explain(h.now, testJob)
+	require.Len(t, all.Steps[0].LateStarts, 1, "of an earlier leader")
+	require.Positive(t, all.Steps[0].LateStarts[0].EndsMS)
 }
 
 // TestWorkersThatComeBackLate guards against a second run of a task that a worker's next incarnation starts from an order to
@@ -230,3 +321,66 @@
 		require.Equal(t, work.Completed, c.state(id), "%s: %v", id, c.fleet.NotDone(id))
 	}
 }
+
+// TestSuccessorHoldsUnansweredStartsOfASilentWorker guards against a second run of a task that the next incarnation of a
+// worker starts from an order to one whose lease had not expired yet when the leader changed, and against other tasks of that
+// worker that wait as long.
+func TestSuccessorHoldsUnansweredStartsOfASilentWorker(t *testing.T) {
+	two := oneTask()
+	two.Count = 2
+	first := newHarness(t, 1, inheritedID)
+	require.NoError(t, first.e.Load(0, Saved{Accepted: []store.Entry{jobEntry(t, 1, 4, two)}}))
+	fleet := map[string]store.Entry{}
+	first.stepInto(fleet, 50*time.Millisecond)
+	first.e.Renewed(first.now, inheritedID, runner.Report{Clock: time.Second}, nil)
+	first.stepInto(fleet, 50*time.Millisecond)
+	starts := first.starts()
+	require.Len(t, starts, 2)
+	first.e.Started(first.now, inheritedID, starts[0].Start.Task, starts[0].Start.Run, nil)
+	for range maxStarts {
+		first.e.Started(first.now, inheritedID, starts[1].Start.Task, starts[1].Start.Run, runner.ErrUnknown)
+	}
+	for range cordonMisses + 1 {
+		first.e.Renewed(first.now, inheritedID, runner.Report{}, runner.ErrUnknown)
+		first.stepInto(fleet, probePause+50*time.Millisecond)
+	}
+	require.True(t, first.e.workers[inheritedID].cordoned)
+	at := first.now // the takeover
+
+	for name, found := range map[string]Lookup{"nobody is there": {}, "an entry": {Listed: true}} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, 2)
+			require.NoError(t, h.e.Load(0, Saved{Accepted: []store.Entry{jobEntry(t, 1, 4, two)}, Fleet: []store.Entry{fleet[keyFleet], fleet[keyCordoned]}}))
+			h.resize("w-b", work.Resources{CPU: 4000, Memory: 4000})
+			h.step(50 * time.Millisecond)
+			h.report("w-b", runner.Report{Clock: time.Second})
+			h.effects = nil
+			started := map[int]time.Duration{}
+			for h.now < time.Minute && len(started) < 2 {
+				h.silent(inheritedID)
+				for _, effect := range h.effects {
+					switch effect := effect.(type) {
+					case LookUpWorker:
+						h.e.LookedUp(h.now, effect.Ref.ID, found)
+					case SendStart:
+						started[effect.Start.Task.Index] = h.now
+					}
+				}
+				h.effects = nil
+			}
+			require.Len(t, started, 2)
+			answered, unanswered := started[starts[0].Start.Task.Index], started[starts[1].Start.Task.Index]
+			require.GreaterOrEqual(t, answered, h.e.inheritedLease())
+			require.Less(t, answered, h.e.inheritedLease()+time.Second)
+			free := maxOrderDelay + h.e.o.Bounds.maxStartTimeout()
+			if found.Listed {
+				free += leaseBound(testLease)
+			} else {
+				free += entryDelay
+			}
+			require.GreaterOrEqual(t, at+unanswered, free)
+			require.Less(t, unanswered, free+time.Second)
+			h.requireResolved()
+		})
+	}
+}
--- a/process/dispatch/worker.go
+++ b/process/dispatch/worker.go
@@ -87,6 +87,13 @@
 	// lateOrders: it has ended, or follows one that has, and orders of an earlier epoch to that one may
 	// still be carried out.
 	lateOrders bool
+	// ordersEnd is when the starts of mayRun by an earlier epoch can no longer be carried out, once nothing runs
+	// on it any more; 0 before.
+	ordersEnd time.Duration
+	// unanswered are those of mayRun of which a start had no answer, unansweredEnd is when these starts can no
+	// longer be carried out.
+	unanswered    []work.TaskID
+	unansweredEnd time.Duration
 	// inheritedSuspects are the runs that may have crashed it, as written by an earlier epoch.
 	inheritedSuspects []suspectRun
 	// inherited: an earlier epoch used it, and it has not answered this one with all its completions.
