relay: a spec that is kept under an id is compared with what the submission says

Cause: specs are kept by id alone and handed out to whoever asks for the id.

Change: a start carries the digest of the spec that its submission names, to relays in a field of the frame that earlier versions ignore; a spec from memory, from the accepting daemon or from the store is used only if it has that digest.

Why this works: the submission, which the store has decided, names the spec; nothing else is taken for it.

--- a/connection/runner/runner.go
+++ b/connection/runner/runner.go
@@ -144,6 +144,8 @@
 	Run        uint64
 	Spec       string // "" if it is to be fetched from AcceptedBy
 	AcceptedBy string // the daemon that accepted the job and has its spec; "" for none
+	// SpecDigest is work.DigestOf the spec; 0 if that is not known.
+	SpecDigest uint64
 	Checkpoint string // "" for none
 	Ticket     string // "" for none
 	Epoch      uint64
--- a/process/cellnode/specs.go
+++ b/process/cellnode/specs.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 
 	"fennelshunt.example/fennelshunt/connection/store"
 	"fennelshunt.example/fennelshunt/process/dispatch"
@@ -22,13 +23,17 @@
 }
 
 // spec returns the spec of a job: from memory, from the accepting daemon, or from the
-// store.
-func (s *shard) spec(ctx context.Context, id work.JobID, acceptedBy string) (string, error) {
+// store. digest is that of the spec, 0 if it is not known.
+func (s *shard) spec(ctx context.Context, id work.JobID, acceptedBy string, digest uint64) (string, error) {
 	n := s.n
-	if spec, err := n.relay.Spec(ctx, id, acceptedBy); err == nil {
+	if spec, err := n.relay.Spec(ctx, id, acceptedBy, digest); err == nil {
 		return spec, nil
 	}
-	return s.storedOnce(ctx, id)
+	spec, err := s.storedOnce(ctx, id)
+	if err == nil && digest != 0 && work.DigestOf(spec) != digest {
+		return "", fmt.Errorf("the job has ended, and its id is used again: %w", store.ErrNotFound)
+	}
+	return spec, err
 }
 
 // storedOnce reads a job's spec from the store, once for all tasks that wait for it.
--- a/process/cellnode/specs_test.go
+++ b/process/cellnode/specs_test.go
@@ -6,11 +6,13 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"fennelshunt.example/fennelshunt/connection/store"
 	"fennelshunt.example/fennelshunt/process/dispatch"
+	"fennelshunt.example/fennelshunt/process/relay"
 	"fennelshunt.example/fennelshunt/standin/kv"
 	"fennelshunt.example/fennelshunt/version/work"
 )
@@ -65,3 +67,19 @@
 		require.Equal(t, 1, int(m.Counts().Get-before))
 	})
 }
+
+// TestSpecOfALaterJobIsNotRead guards against a late start of a job that has ended, which would be given the spec of a later job
+// under its id.
+func TestSpecOfALaterJobIsNotRead(t *testing.T) {
+	m := kv.New()
+	const id = work.JobID("00000000000000aa")
+	_, err := m.Commit(t.Context(), store.Txn{Writes: []store.Write{{Key: dispatch.KeySpec(id), Value: []byte("later")}}})
+	require.NoError(t, err)
+	n := &Node{storeTimeout: &store.AdaptiveTimeout{Min: 200 * time.Millisecond, Max: 1500 * time.Millisecond}, relay: relay.NewServer(nil, nil, zerolog.Nop())}
+	s := &shard{store: m, n: n}
+	_, err = s.spec(t.Context(), id, "", work.DigestOf("earlier"))
+	require.ErrorIs(t, err, store.ErrNotFound)
+	spec, err := s.spec(t.Context(), id, "", work.DigestOf("later"))
+	require.NoError(t, err)
+	require.Equal(t, "later", spec)
+}
--- a/process/dispatch/runs.go
+++ b/process/dispatch/runs.go
@@ -87,7 +87,7 @@
 	alloc.calls++
 	j := alloc.s.job
 	e.effects = append(e.effects, SendStart{To: alloc.w.Ref, Start: runner.Start{
-		Task: alloc.id(), Run: alloc.run, Spec: j.spec.Spec, AcceptedBy: j.spec.AcceptedBy, Checkpoint: alloc.task().checkpoint, Ticket: alloc.ticket,
+		Task: alloc.id(), Run: alloc.run, Spec: j.spec.Spec, AcceptedBy: j.spec.AcceptedBy, SpecDigest: j.spec.SpecDigest, Checkpoint: alloc.task().checkpoint, Ticket: alloc.ticket,
 		Epoch: e.o.Epoch, Until: alloc.w.renewUntil(e.now, e.o.Bounds.Lease),
 	}, Before: e.now + maxStartDelay})
 }
--- a/process/relay/client.go
+++ b/process/relay/client.go
@@ -251,6 +251,12 @@
 	m := &orders{Shard: r.o.Shard, Epoch: r.o.Epoch, Orders: make([]order, len(batch))}
 	for i, p := range batch {
 		m.Orders[i] = p.order
+		if p.digest != 0 {
+			if m.Digests == nil {
+				m.Digests = map[work.JobID]uint64{}
+			}
+			m.Digests[p.order.Task.Job] = p.digest
+		}
 		if p.spec != nil {
 			m.Specs = append(m.Specs, *p.spec)
 		}
--- a/process/relay/message.go
+++ b/process/relay/message.go
@@ -45,6 +45,8 @@
 // specRequest is the body of MethodSpec.
 type specRequest struct {
 	Job work.JobID `cbor:"1,keyasint"`
+	// Digest is that of the spec, 0 if it is not known.
+	Digest uint64 `cbor:"2,keyasint,omitempty"`
 }
 
 // specReply is the response to MethodSpec.
@@ -67,6 +69,8 @@
 	Shard  int       `cbor:"5,keyasint,omitempty"` // shard of the cell that Epoch belongs to
 	Specs  []jobSpec `cbor:"3,keyasint,omitempty"`
 	Orders []order   `cbor:"4,keyasint"`
+	// Digests are those of the specs of the orders' jobs, as far as they are known.
+	Digests map[work.JobID]uint64 `cbor:"6,keyasint,omitempty"`
 }
 
 // runningRow and completionRow are the rows of a worker's report.
--- a/process/relay/relay_test.go
+++ b/process/relay/relay_test.go
@@ -171,8 +171,8 @@
 	}
 	c.orders = New(ctx, Options{Direct: c.workers["l"], Dial: c.dial, Epoch: 4, Self: c.members[0], Log: zerolog.Nop(),
 		Members: func() []lead.Member { return c.members },
-		Spec: func(ctx context.Context, id work.JobID, owner string) (string, error) {
-			if spec, err := c.servers["l"].Spec(ctx, id, owner); err == nil {
+		Spec: func(ctx context.Context, id work.JobID, owner string, digest uint64) (string, error) {
+			if spec, err := c.servers["l"].Spec(ctx, id, owner, digest); err == nil {
 				return spec, nil
 			}
 			return c.stored, nil
@@ -357,6 +357,44 @@
 	})
 }
 
+// TestSpecOfAForgottenJobIsNotHandedOut guards against tasks that are started with the spec of an earlier job under the same
+// id, which daemons still have in memory after that job was forgotten and the id was used again.
+func TestSpecOfAForgottenJobIsNotHandedOut(t *testing.T) {
+	for name, n := range map[string]int{"relayed": 60, "direct": 1} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCell(t, 0.1, "a", "b", "c", "home")
+				c.renewAll(t, n)
+				for _, name := range []string{"l", "a", "b", "c"} {
+					c.servers[name].CacheSpec("j", "earlier")
+				}
+				c.servers["home"].CacheSpec("j", "later")
+				for _, err := range c.startAll(t, n, runner.Start{Task: work.TaskID{Job: "j"}, Run: 1, AcceptedBy: "home", SpecDigest: work.DigestOf("later")}) {
+					require.NoError(t, err)
+				}
+				for _, w := range c.workers {
+					for _, s := range w.started() {
+						require.Equal(t, "later", s.Spec)
+					}
+				}
+				c.stored = "stored"
+				c.servers["home"].CacheSpec("j", "later still") // a third job, and an order for the second one
+				for _, err := range c.startAll(t, n, runner.Start{Task: work.TaskID{Job: "j"}, Run: 2, AcceptedBy: "home", SpecDigest: work.DigestOf("stored")}) {
+					require.NoError(t, err)
+				}
+				for _, w := range c.workers {
+					for _, s := range w.started() {
+						if s.Run == 2 {
+							require.Equal(t, "stored", s.Spec)
+						}
+					}
+				}
+				c.end()
+			})
+		})
+	}
+}
+
 // TestOrderThatARelayMaySendLaterIsTold guards against a start whose age counts from the end of its call, while a relay that
 // stands still has it and sends it later.
 func TestOrderThatARelayMaySendLaterIsTold(t *testing.T) {
--- a/process/relay/runner.go
+++ b/process/relay/runner.go
@@ -57,7 +57,7 @@
 	Members func() []lead.Member
 	// Spec returns the spec of a job: from acceptedBy, the daemon that accepted it, or from the
 	// store if acceptedBy is "".
-	Spec func(ctx context.Context, id work.JobID, acceptedBy string) (string, error)
+	Spec func(ctx context.Context, id work.JobID, acceptedBy string, digest uint64) (string, error)
 	Log  zerolog.Logger
 }
 
@@ -108,6 +108,7 @@
 // pending is an order in flight.
 type pending struct {
 	order  order
+	digest uint64   // of the spec of a start, 0 if it is not known
 	spec   *jobSpec // for a start whose relay could not get the spec itself
 	client *relayClient
 	done   chan outcome
@@ -126,7 +127,7 @@
 func (r *Runner) Start(ctx context.Context, to runner.Ref, s runner.Start) (time.Duration, error) {
 	o := order{Action: doStart, Until: s.Until.Milliseconds(), Task: s.Task, Run: s.Run, Checkpoint: s.Checkpoint, Ticket: s.Ticket, AcceptedBy: s.AcceptedBy}
 	var clock time.Duration
-	err := r.issue(ctx, to, o, func(x *outcome) { clock = x.Clock }, func() (err error) {
+	err := r.issue(ctx, to, o, s.SpecDigest, func(x *outcome) { clock = x.Clock }, func() (err error) {
 		if s.Spec, err = r.spec(ctx, s); err != nil {
 			return err
 		}
@@ -141,7 +142,7 @@
 	if s.Spec != "" || s.AcceptedBy == "" {
 		return s.Spec, nil
 	}
-	spec, err := r.o.Spec(ctx, s.Task.Job, s.AcceptedBy)
+	spec, err := r.o.Spec(ctx, s.Task.Job, s.AcceptedBy, s.SpecDigest)
 	if err != nil {
 		return "", fmt.Errorf("%w: get the job's spec: %w", runner.ErrUnknown, err) // does not count against the worker
 	}
@@ -150,14 +151,14 @@
 
 // Stop implements runner.Runner.
 func (r *Runner) Stop(ctx context.Context, to runner.Ref, task work.TaskID, run, epoch uint64) error {
-	return r.issue(ctx, to, order{Action: doStop, Task: task, Run: run}, func(*outcome) {},
+	return r.issue(ctx, to, order{Action: doStop, Task: task, Run: run}, 0, func(*outcome) {},
 		func() error { return r.o.Direct.Stop(ctx, to, task, run, epoch) })
 }
 
 // Renew implements runner.Runner.
 func (r *Runner) Renew(ctx context.Context, to runner.Ref, n runner.Renewal) (report runner.Report, err error) {
 	o := order{Action: doRenew, Until: n.Until.Milliseconds(), Acknowledge: n.Acknowledge, Wait: n.Wait.Milliseconds()}
-	err = r.issue(ctx, to, o, func(x *outcome) { report = x.report() }, func() (err error) {
+	err = r.issue(ctx, to, o, 0, func(x *outcome) { report = x.report() }, func() (err error) {
 		n.Wait = waitWithin(ctx, n.Wait)
 		report, err = r.o.Direct.Renew(ctx, to, n)
 		return err
@@ -185,7 +186,7 @@
 
 // issue sends an order to a relay, or carries it out directly if there is no relay for the
 // worker or the relays do not answer.
-func (r *Runner) issue(ctx context.Context, to runner.Ref, o order, take func(x *outcome), direct func() error) error {
+func (r *Runner) issue(ctx context.Context, to runner.Ref, o order, digest uint64, take func(x *outcome), direct func() error) error {
 	o.Worker, o.Address = to.ID, to.Address
 	lost, maybeSent := false, false
 	for range maxRelays {
@@ -193,7 +194,7 @@
 		if c == nil {
 			break
 		}
-		x, err := r.askWithSpec(ctx, c, o)
+		x, err := r.askWithSpec(ctx, c, o, digest)
 		maybeSent = maybeSent || errors.Is(err, runner.ErrMayBeSent)
 		switch {
 		case err == nil:
@@ -224,17 +225,17 @@
 const maxRelays = 2
 
 // askWithSpec is ask, and sends the job's spec if the relay cannot get it.
-func (r *Runner) askWithSpec(ctx context.Context, c *relayClient, o order) (*outcome, error) {
+func (r *Runner) askWithSpec(ctx context.Context, c *relayClient, o order, digest uint64) (*outcome, error) {
 	r.stats.Relayed.Add(1)
-	x, err := r.ask(ctx, c, o, nil)
+	x, err := r.ask(ctx, c, o, digest, nil)
 	if !errors.Is(err, errNoSpec) {
 		return x, err
 	}
-	spec, err := r.o.Spec(ctx, o.Task.Job, "") // the relay has already asked the accepting daemon
+	spec, err := r.o.Spec(ctx, o.Task.Job, "", digest) // the relay has already asked the accepting daemon
 	if err != nil {
 		return nil, fmt.Errorf("%w: get the job's spec: %w", runner.ErrUnknown, err)
 	}
-	return r.ask(ctx, c, o, r.specFor(c, o.Task.Job, spec))
+	return r.ask(ctx, c, o, digest, r.specFor(c, o.Task.Job, spec))
 }
 
 // uncertain returns the error of an order that was issued again while a relay may still
@@ -250,8 +251,8 @@
 }
 
 // ask sends an order to a relay and waits for its outcome.
-func (r *Runner) ask(ctx context.Context, c *relayClient, o order, spec *jobSpec) (*outcome, error) {
-	p := &pending{order: o, spec: spec, client: c, done: make(chan outcome, 1)}
+func (r *Runner) ask(ctx context.Context, c *relayClient, o order, digest uint64, spec *jobSpec) (*outcome, error) {
+	p := &pending{order: o, digest: digest, spec: spec, client: c, done: make(chan outcome, 1)}
 	if deadline, ok := ctx.Deadline(); ok {
 		p.order.Budget = max(time.Until(deadline).Milliseconds(), 1)
 	}
--- a/process/relay/server.go
+++ b/process/relay/server.go
@@ -80,9 +80,10 @@
 func (s *Server) CacheSpec(id work.JobID, spec string) { s.specs.cacheSpec(id, spec) }
 
 // Spec returns the spec of a job, from the cache or from acceptedBy, the daemon that
-// accepted the job. The error is that neither has it, or that ctx ended first.
-func (s *Server) Spec(ctx context.Context, id work.JobID, acceptedBy string) (string, error) {
-	return s.specs.get(ctx, id, acceptedBy)
+// accepted the job. digest is that of the spec, 0 if it is not known. The error is that neither has it, or that
+// ctx ended first.
+func (s *Server) Spec(ctx context.Context, id work.JobID, acceptedBy string, digest uint64) (string, error) {
+	return s.specs.get(ctx, id, acceptedBy, digest)
 }
 
 // Serve accepts connections of leaders until ctx ends.
@@ -181,7 +182,7 @@
 	}
 	c.send(relayFrame{Accepted: m.Number, Outcomes: c.out.take(false)})
 	for i := range m.Orders {
-		go func() { c.out.put(context.Background(), c.s.carryOut(m.Epoch, &m.Orders[i])) }()
+		go func() { c.out.put(context.Background(), c.s.carryOut(m, &m.Orders[i])) }()
 	}
 }
 
@@ -206,12 +207,12 @@
 
 // carryOut makes the call of an order. It continues even if the leader has abandoned the
 // order: orders are idempotent, and the worker refuses one that a later order supersedes.
-func (s *Server) carryOut(epoch uint64, o *order) outcome {
+func (s *Server) carryOut(m *orders, o *order) outcome {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(o.Budget)*time.Millisecond)
 	defer cancel()
 	s.stats.Carried.Add(1)
 	result := outcome{Seq: o.Seq}
-	err := s.call(ctx, epoch, o, &result)
+	err := s.call(ctx, m, o, &result)
 	if result.Code = codeOf(err); result.Code != codeDone && result.Code != codeNoSpec {
 		result.Problem = err.Error()
 		result.Problem = result.Problem[:min(len(result.Problem), maxProblem)]
@@ -220,11 +221,12 @@
 }
 
 // call calls the order's worker and stores its answer in the outcome.
-func (s *Server) call(ctx context.Context, epoch uint64, o *order, result *outcome) error {
+func (s *Server) call(ctx context.Context, m *orders, o *order, result *outcome) error {
+	epoch := m.Epoch
 	to, until := runner.Ref{ID: o.Worker, Address: o.Address}, time.Duration(o.Until)*time.Millisecond
 	switch o.Action {
 	case doStart:
-		spec, err := s.specInTime(ctx, o)
+		spec, err := s.specInTime(ctx, o, m.Digests[o.Task.Job])
 		if err != nil {
 			return err
 		}
@@ -247,11 +249,11 @@
 }
 
 // specInTime returns the spec of a start's job, or the error to report to the leader.
-func (s *Server) specInTime(ctx context.Context, o *order) (string, error) {
+func (s *Server) specInTime(ctx context.Context, o *order, digest uint64) (string, error) {
 	limit := time.Duration(specShare * float64(o.Budget) * float64(time.Millisecond))
 	bounded, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	spec, err := s.Spec(bounded, o.Task.Job, o.AcceptedBy)
+	spec, err := s.Spec(bounded, o.Task.Job, o.AcceptedBy, digest)
 	if err != nil && bounded.Err() != nil {
 		err = errSpecLate
 	}
--- a/process/relay/specs.go
+++ b/process/relay/specs.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
@@ -25,6 +26,9 @@
 )
 
 // specCache caches the latest specs of jobs. It is safe for concurrent use.
+//
+// An id may be used again once its job has been forgotten, so a spec that is asked for by its digest is
+// compared with it.
 type specCache struct {
 	peers Caller
 
@@ -49,34 +53,38 @@
 	c.recent[id] = spec
 }
 
-func (c *specCache) find(id work.JobID) (string, bool) {
+// find returns the cached spec of a job. digest is that of the spec, 0 if it is not known.
+func (c *specCache) find(id work.JobID, digest uint64) (string, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if spec, ok := c.recent[id]; ok {
-		return spec, true
+	spec, ok := c.recent[id]
+	if !ok {
+		spec, ok = c.old[id]
 	}
-	spec, ok := c.old[id]
-	return spec, ok
+	return spec, ok && hasDigest(spec, digest)
 }
 
+// hasDigest reports whether a spec may be the one with a digest, 0 if that is not known.
+func hasDigest(spec string, digest uint64) bool { return digest == 0 || work.DigestOf(spec) == digest }
+
 // get returns a job's spec, from the cache or from acceptedBy, the daemon that accepted the
-// job. The error is errNoSpec, or the context's if acceptedBy may still answer.
-func (c *specCache) get(ctx context.Context, id work.JobID, acceptedBy string) (string, error) {
-	if spec, ok := c.find(id); ok {
+// job. digest is as for find. The error is errNoSpec, or the context's if acceptedBy may still answer.
+func (c *specCache) get(ctx context.Context, id work.JobID, acceptedBy string, digest uint64) (string, error) {
+	if spec, ok := c.find(id, digest); ok {
 		return spec, nil
 	}
 	if acceptedBy == "" || c.isDown(acceptedBy) {
 		return "", errNoSpec
 	}
-	found := c.flights.DoChan(string(id), func() (any, error) {
+	found := c.flights.DoChan(fmt.Sprint(id, digest), func() (any, error) {
 		bounded, cancel := context.WithTimeout(context.WithoutCancel(ctx), specTimeout)
 		defer cancel()
 		var r specReply
-		if _, err := c.peers.CallAddr(bounded, acceptedBy, MethodSpec, specRequest{Job: id}, &r); err != nil {
+		if _, err := c.peers.CallAddr(bounded, acceptedBy, MethodSpec, specRequest{Job: id, Digest: digest}, &r); err != nil {
 			c.markDown(acceptedBy)
 			return nil, err
 		}
-		if r.Known {
+		if r.Known = r.Known && hasDigest(r.Spec, digest); r.Known {
 			c.cacheSpec(id, r.Spec)
 		}
 		return r, nil
@@ -114,7 +122,7 @@
 // register registers the method by which relays ask for specs.
 func (c *specCache) register(r peer.Registrar) {
 	r.Handle(MethodSpec, peer.Typed(func(_ context.Context, q specRequest) (any, error) {
-		spec, ok := c.find(q.Job)
+		spec, ok := c.find(q.Job, q.Digest)
 		return specReply{Spec: spec, Known: ok}, nil
 	}))
 }
--- a/request/submit/submit.go
+++ b/request/submit/submit.go
@@ -18,7 +18,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/singleflight"
 
@@ -196,7 +195,7 @@
 	}
 	j.Epoch, j.AcceptedBy, j.SpecStored = s.o.View.Epoch(), s.o.Peer, j.Spec != ""
 	if j.SpecStored {
-		j.SpecDigest = xxhash.Sum64String(j.Spec)
+		j.SpecDigest = work.DigestOf(j.Spec)
 	}
 	sub, err := newSubmission(id, j)
 	if err != nil {
--- a/version/work/work.go
+++ b/version/work/work.go
@@ -10,6 +10,8 @@
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"fennelshunt.example/fennelshunt/connection/peer"
 )
 
@@ -178,6 +180,9 @@
 	SpecDigest uint64 `cbor:"12,keyasint,omitempty"`
 }
 
+// DigestOf returns the digest of a spec.
+func DigestOf(spec string) uint64 { return xxhash.Sum64String(spec) }
+
 // WithoutSpec returns the job without its spec, for a scheduler that does not send the
 // spec to the workers itself.
 func (j *Job) WithoutSpec() *Job {
