dispatch: the choice of a rack in two functions; a gang without a run time seeks one as long as others

A reader's finding: seekRack decided three things in one body. A caller that gives no estimate got no time to seek a rack at all, since several racks seemed to cost it nothing; it now has idleRackWait.

Evidence: the tests of racks and of each form of job pass as before.

--- a/process/dispatch/rack.go
+++ b/process/dispatch/rack.go
@@ -101,33 +101,24 @@
 	if !s.spec.SameRack || e.now < s.search.until {
 		return
 	}
+	before := s.search
 	s.search.until = e.now + feasiblePeriod
 	racks, all, idle := e.rackStates(s)
-	before, n := s.search, s.spec.Count
 	switch {
-	case all.free < n:
+	case all.free < s.spec.Count:
 		s.search.roomSince = 0
 	case s.search.roomSince == 0:
 		s.search.roomSince = e.now
 	}
 	longer := (spreadFactor - 1) * e.estimate(s)
-	wait := longer
-	if idle {
-		wait = min(wait, idleRackWait)
+	if longer <= 0 {
+		longer = idleRackWait // the caller has given no run time
 	}
-	fit := chooseRack(racks, n, e.now, s.spec.DataRack, longer)
+	fit := chooseRack(racks, s.spec.Count, e.now, s.spec.DataRack, longer)
 	if i := slices.IndexFunc(fit, func(r rackState) bool { return r.name == before.rack }); i > 0 && s.advice != nil && s.advice.inFlight > 0 {
 		fit = slices.Insert(slices.Delete(slices.Clone(fit), i, i+1), 0, fit[i]) // its tickets are on their way
 	}
-	why := ""
-	switch {
-	case len(fit) == 0:
-		why = "no rack can hold it"
-	case s.search.roomSince > 0 && e.now-s.search.roomSince >= wait:
-		why = "it has waited for a rack for as long as that is worth"
-	case s.search.roomSince == 0 && fit[0].at < forever && fit[0].at-all.at > longer:
-		why = "no rack is expected to have room in time"
-	}
+	why := e.whySpread(s, fit, all.at, longer, idle)
 	s.search.rack, s.search.spread, s.search.next = "", why != "", nil
 	if why == "" {
 		s.search.rack = fit[0].name
@@ -136,18 +127,36 @@
 				s.search.next = append(s.search.next, r.name)
 			}
 		}
+		why = fmt.Sprintf("%s has %d slots for %d tasks, of which %d are free", fit[0].name, fit[0].whole, s.spec.Count, fit[0].free)
 	}
-	if before.since > 0 && before.rack == s.search.rack && before.spread == s.search.spread {
-		return
+	if before.since == 0 || before.rack != s.search.rack || before.spread != s.search.spread {
+		s.search.since = e.now
+		s.reservedAt = 0 // it was made for another rack
+		what := "gang seeks a rack"
+		if s.search.spread {
+			what = "gang may start on several racks"
+		}
+		e.decide(Decision{What: what, Task: s.id(), Why: why, Age: e.now - s.openedAt})
 	}
-	s.search.since = e.now
-	s.reservedAt = 0 // it was made for another rack
-	if s.search.spread {
-		e.decide(Decision{What: "gang may start on several racks", Task: s.id(), Why: why, Age: e.now - s.openedAt})
-	} else {
-		e.decide(Decision{What: "gang seeks a rack", Task: s.id(), Age: e.now - s.openedAt,
-			Why: fmt.Sprintf("%s has %d slots of %d, of which %d are free", s.search.rack, n, fit[0].whole, fit[0].free)})
+}
+
+// whySpread returns why a gang is to start on several racks, where there are slots for it from anywhere on; "" if it is to
+// seek the first of the racks that fit it. longer is how much longer it takes on several.
+func (e *Engine) whySpread(s *step, fit []rackState, anywhere, longer time.Duration, idle bool) string {
+	wait := longer
+	if idle {
+		wait = min(wait, idleRackWait)
+	}
+	room := s.search.roomSince > 0
+	switch {
+	case len(fit) == 0:
+		return "no rack can hold it"
+	case room && e.now-s.search.roomSince >= wait:
+		return "it has waited for a rack for as long as that is worth"
+	case !room && fit[0].at < forever && fit[0].at-anywhere > longer:
+		return "no rack is expected to have room in time"
 	}
+	return ""
 }
 
 // rackStates returns what each rack, and all of them together, offer a gang, and whether most of its service is idle,
