dispatch: test of a gang and an account that wait for one member's late start

Asked of the fix: gangs, where one such member holds all the others, and caps of accounts charged for a run that isn't there. Both end with the age of the order, as for single tasks: TestGangIsFreeOnceOneMembersOrdersAreTooOld.

--- a/process/dispatch/latestart_test.go
+++ b/process/dispatch/latestart_test.go
@@ -25,12 +25,20 @@
 	lookups int
 }
 
-func newEndedStart(t *testing.T) *endedStart {
+func newEndedStart(t *testing.T) *endedStart { return newEndedStartOf(t, oneTask()) }
+
+// newEndedStartOf is the same with a step, of which one task's start has no answer.
+func newEndedStartOf(t *testing.T, step work.Step) *endedStart {
 	h := newHarness(t, 1, inheritedID)
-	require.NoError(t, h.e.Load(0, Saved{Accepted: []store.Entry{jobEntry(t, 1, 4, oneTask())}}))
+	require.NoError(t, h.e.Load(0, Saved{Accepted: []store.Entry{changed(t, jobEntry(t, 1, 4, step), func(j *work.Job) { j.Account = "north" })}}))
+	h.e.SetAccounts(h.now, accountsOf(t, work.Account{Name: "north", Weight: 1, Cap: work.Resources{CPU: 8000, Memory: 8000}}))
 	h.step(50 * time.Millisecond)
 	h.report(inheritedID, runner.Report{Clock: time.Second})
-	x := &endedStart{harness: h, start: h.starts()[0].Start}
+	starts := h.starts()
+	x := &endedStart{harness: h, start: starts[0].Start}
+	for _, other := range starts[1:] {
+		h.e.Started(h.now, inheritedID, other.Start.Task, other.Start.Run, nil)
+	}
 	for range maxStarts {
 		h.e.Started(h.now, inheritedID, x.start.Task, x.start.Run, runner.ErrUnknown)
 	}
@@ -83,6 +91,20 @@
 	require.Zero(t, x.e.Stats().LateStarts)
 }
 
+// TestGangIsFreeOnceOneMembersOrdersAreTooOld guards against a gang that waits, and an account that is charged, for longer than the
+// order to one member may be late.
+func TestGangIsFreeOnceOneMembersOrdersAreTooOld(t *testing.T) {
+	gang := oneTask()
+	gang.Gang, gang.Count = true, 2
+	x := newEndedStartOf(t, gang)
+	require.Zero(t, x.until(x.free(), Lookup{}))
+	held := x.e.jobs[testJob].account.Held()
+	require.EqualValues(t, gang.Size.CPU, held.MilliCPU, "the other member has ended with its worker's lease")
+	at := x.until(time.Minute, Lookup{})
+	require.GreaterOrEqual(t, at, x.free()+entryDelay)
+	require.Less(t, at, x.free()+entryDelay+time.Second)
+}
+
 // TestTaskIsHeldWhileItsRunMayExist guards against a second run of a task beside one that an incarnation has started at the
 // last moment, which has an entry that cannot be read, answers only at its address, or is not known since the store is away.
 func TestTaskIsHeldWhileItsRunMayExist(t *testing.T) {
