--- a/process/dispatch/latestart_test.go
+++ b/process/dispatch/latestart_test.go
@@ -316,7 +316,8 @@
 			c.fleet.SetFaults(epochworker.Faults{LoseAnswers: 0.05, Late: 0.3})
 			ids := c.fleet.IDs()
 			if len(ids) > 10 {
-				time.AfterFunc(time.Duration(c.rng.IntN(400))*time.Millisecond, func() { c.fleet.Crash(ids[c.rng.IntN(len(ids))]) })
+				id := ids[c.rng.IntN(len(ids))]
+				time.AfterFunc(time.Duration(c.rng.IntN(400))*time.Millisecond, func() { c.fleet.Crash(id) })
 			}
 			time.AfterFunc(600*time.Millisecond, func() { c.fleet.SetFaults(epochworker.Faults{}) })
 		}
