dispatch: a start that is answered after the list was written is not held by successors

Found by reading: a worker that gives notice is listed at once, with the starts that are on their way at that moment as unanswered. They are answered milliseconds later, but a leader that takes over within seconds, with that worker gone, would hold their tasks for 14 s in place of 9.

Change: the list is written again once none of the starts that it names is without an answer.

Evidence: TestStartThatIsAnsweredLaterIsNotHeldBySuccessors fails without it.

--- a/process/dispatch/engine.go
+++ b/process/dispatch/engine.go
@@ -542,6 +542,7 @@
 	if w.removed {
 		return
 	}
+	e.noteAnswered(w)
 	e.cordonUnresponsive(w)
 	e.cordonDraining(w)
 	e.renew(w)
--- a/process/dispatch/fleet.go
+++ b/process/dispatch/fleet.go
@@ -284,6 +284,7 @@
 			if !x.Late {
 				x.Unanswered, end = e.unanswered(w)
 			}
+			w.toldUnanswered = len(x.Unanswered) > 0
 			if x.Late || len(x.Unanswered) > 0 {
 				x.LateMS = e.millisUntil(end)
 			}
--- a/process/dispatch/latestart.go
+++ b/process/dispatch/latestart.go
@@ -116,6 +116,17 @@
 	return all, until
 }
 
+// noteAnswered has the list written again when all starts have been answered that it names as unanswered, so that a successor
+// does not hold their tasks for as long as these could be late.
+func (e *Engine) noteAnswered(w *worker) {
+	if !w.toldUnanswered || !w.cordoned {
+		return
+	}
+	if all, _ := e.unanswered(w); len(all) == 0 {
+		w.toldUnanswered, e.cordonsChanged = false, true
+	}
+}
+
 // holdUnanswered is called when an inherited worker's lease has certainly expired. It keeps holding the tasks of which a start
 // had no answer, as long as that may be carried out, and reports whether there are any.
 func (e *Engine) holdUnanswered(w *worker) bool {
--- a/process/dispatch/latestart_test.go
+++ b/process/dispatch/latestart_test.go
@@ -407,3 +407,28 @@
 		})
 	}
 }
+
+// TestStartThatIsAnsweredLaterIsNotHeldBySuccessors guards against tasks that a successor holds for as long as an order may be
+// late, since their starts were on their way when their worker's notice to leave was stored.
+func TestStartThatIsAnsweredLaterIsNotHeldBySuccessors(t *testing.T) {
+	h := newHarness(t, 1, inheritedID)
+	require.NoError(t, h.e.Load(0, Saved{Accepted: []store.Entry{jobEntry(t, 1, 4, oneTask())}}))
+	fleet := map[string]store.Entry{}
+	h.stepInto(fleet, 50*time.Millisecond)
+	h.e.Renewed(h.now, inheritedID, runner.Report{Clock: time.Second}, nil)
+	h.stepInto(fleet, 50*time.Millisecond)
+	start := h.starts()[0].Start
+	h.e.workers[inheritedID].Draining = true
+	told := func() cordonedWorker {
+		var cordons cordonRecord
+		require.NoError(t, peer.Unmarshal(fleet[keyCordoned].Value, &cordons))
+		require.Len(t, cordons.Workers, 1)
+		return cordons.Workers[0]
+	}
+	h.stepInto(fleet, 100*time.Millisecond)
+	require.Len(t, told().Unanswered, 1)
+	h.e.Started(h.now, inheritedID, start.Task, start.Run, nil)
+	h.stepInto(fleet, 100*time.Millisecond)
+	require.Empty(t, told().Unanswered)
+	require.Len(t, told().Tasks, 1)
+}
--- a/process/dispatch/worker.go
+++ b/process/dispatch/worker.go
@@ -94,6 +94,8 @@
 	// longer be carried out.
 	unanswered    []work.TaskID
 	unansweredEnd time.Duration
+	// toldUnanswered: the stored list has starts on it that had no answer.
+	toldUnanswered bool
 	// inheritedSuspects are the runs that may have crashed it, as written by an earlier epoch.
 	inheritedSuspects []suspectRun
 	// inherited: an earlier epoch used it, and it has not answered this one with all its completions.
