--- a/process/dispatch/idle_test.go
+++ b/process/dispatch/idle_test.go
@@ -106,18 +106,23 @@
 	}
 }
 
+// serveOneByOne submits jobs of random forms, each once the one before is done.
+func (c *cell) serveOneByOne(jobs int) {
+	for range jobs {
+		id := c.submit(c.drawIdleJob(c.rng))
+		c.requireSoonDone(time.Now(), id)
+	}
+	require.Empty(c.t, c.fleet.Violations())
+	require.Empty(c.t, c.broken)
+}
+
 // TestEachFormOfJobStartsInAnIdleCell guards against a job that waits beside idle workers, because what is
 // asked, reserved and chosen for it are not the same workers.
 func TestEachFormOfJobStartsInAnIdleCell(t *testing.T) {
 	overSeeds(t, 6, func(t *testing.T, seed uint64) {
 		c := idleCell(t, seed)
 		defer c.stop()
-		for range 60 {
-			id := c.submit(c.drawIdleJob(c.rng))
-			c.requireSoonDone(time.Now(), id)
-		}
-		require.Empty(t, c.fleet.Violations())
-		require.Empty(t, c.broken)
+		c.serveOneByOne(60)
 	})
 }
 
@@ -149,12 +154,7 @@
 			c.fleet.Crash(runner.WorkerID(fmt.Sprintf("w-%02d", seed%6*8+uint64(i))))
 		}
 		time.Sleep(12 * time.Second)
-		for range 40 {
-			id := c.submit(c.drawIdleJob(c.rng))
-			c.requireSoonDone(time.Now(), id)
-		}
-		require.Empty(t, c.fleet.Violations())
-		require.Empty(t, c.broken)
+		c.serveOneByOne(40)
 	})
 }
 
