dispatch: a step that waits beside room for over 3 s is logged and counted

The rule's 3 s was asserted by a few tests of an idle cell only, not by the leader.

Change: the engine checks for each waiting step, four times a second, whether it has had room twice over for 3 s in a service of which less than half is in use, with nothing of its job running, whatever it waits for: takeover, advice, a rack, an excluded worker. It says so once in the log, with what it waits for and for how long by cause, and counts beside_room.

--- a/process/dispatch/engine.go
+++ b/process/dispatch/engine.go
@@ -109,6 +109,7 @@
 	// idle proxies and behind other calls.
 	quickTaken, secondTaken int
 	exclusionsAt            time.Duration // when logExcluded looks again
+	promiseAt               time.Duration // when checkPromise looks again
 	preempting              preempting
 	evacuating              evacuating
 
@@ -433,6 +434,7 @@
 	e.lookUpEnded()
 	e.tickUnheard()
 	e.logExcluded()
+	e.checkPromise()
 	e.pruneJobs()
 	e.scheduled = false
 }
--- a/process/dispatch/job.go
+++ b/process/dispatch/job.go
@@ -115,6 +115,10 @@
 	isolationWait time.Duration
 
 	search rackSearch // of a gang that asks for one rack
+	// roomSince is since when the step has had room as startPromise counts it, 0 if it has none; besideRoom tells that
+	// it has been logged to have waited for longer.
+	roomSince  time.Duration
+	besideRoom bool
 
 	work speed.Work
 	// planFactor is that of work when capacity was last planned.
--- a/process/dispatch/stats.go
+++ b/process/dispatch/stats.go
@@ -11,6 +11,9 @@
 	Commits, Batches, Violations, Advised, Quarantined, Moved, GangReservations uint64
 	// GangsSpread counts gangs that ask for one rack and were started on several.
 	GangsSpread uint64
+	// BesideRoom counts steps that had room twice over for longer than startPromise in a cell that was mostly idle, and
+	// of whose job nothing ran.
+	BesideRoom uint64
 	// LateStarts is how many tasks are held now because a start of an ended worker may still be carried out;
 	// LateStartsGone counts those that were released as nobody was there to carry it out.
 	LateStarts, LateStartsGone uint64
