dispatch: a gang asks about the racks that make its start the soonest, and gives up by what is still asked

A little slower, a lost call or a change of the leader, and the gang starts on two racks beside a whole one and takes three times as long.

Cause: a call named as many racks as were likely to be enough by the average share of good workers, although the base of a call costs as much as 70 more names, and the calls went one after the other. The wait ended by a constant, not by what was being asked.

Change: the number of racks is the one with the least expected time until one of them is known to hold the gang, reckoned with shares below and above the learned one, and the calls go through as many proxies at once as are free. The wait of a gang in an idle cell ends when the next answer is expected too late to start on several racks within 3 s. How much longer several racks take is a setting, bounds.several_racks_factor, from the deployment's sheet.

TestGangStartsOnTheOnlyRackThatCanHoldIt: before, a gang with one silent daemon ran on several racks, and with two it did not start within 3.2 s; now it holds.

--- a/process/cellnode/node.go
+++ b/process/cellnode/node.go
@@ -256,7 +256,7 @@
 	if t := n.o.Settings.Tuning; t != nil && t.TaskLeaseMS > 0 {
 		lease = t.TaskLeaseMS.Std()
 	}
-	return dispatch.Bounds{Lease: lease, MaxLease: b.WorkerLeaseMS.Std(), Gang: b.GangMS.Std(),
+	return dispatch.Bounds{Lease: lease, MaxLease: b.WorkerLeaseMS.Std(), Gang: b.GangMS.Std(), SeveralRacks: b.SeveralRacksFactor,
 		Keep:     time.Duration(b.KeepS * float64(time.Second)),
 		Entitled: fair.Entitlement{Window: time.Duration(b.EntitledWindowS * float64(time.Second)), Slack: b.EntitledSlack}}
 }
--- a/process/dispatch/advice.go
+++ b/process/dispatch/advice.go
@@ -71,10 +71,11 @@
 	// for none.
 	ticketAt []int32
 	inFlight int               // calls
-	toAsk    []runner.WorkerID // to be named by the next calls, maxWorkersPerCall in each
-	second   int               // how many of these calls, the last ones, may be sent behind another one
-	reserve  gangReserveMode   // which gang reservation to make for the calls
-	next     time.Duration     // earliest next call
+	toAsk    []runner.WorkerID // to be named by the next calls, perCall in each
+	perCall  int
+	second   int             // how many of these calls, the last ones, may be sent behind another one
+	reserve  gangReserveMode // which gang reservation to make for the calls
+	next     time.Duration   // earliest next call
 	budget   stepBudget
 }
 
@@ -165,7 +166,7 @@
 }
 
 // callCount returns how many calls name n workers.
-func callCount(n int) int { return (n + maxWorkersPerCall - 1) / maxWorkersPerCall }
+func callCount(n, perCall int) int { return (n + perCall - 1) / perCall }
 
 // adviceOf returns the step's advice, nil if its queue needs none.
 func (e *Engine) adviceOf(s *step) *advice {
@@ -181,7 +182,8 @@
 // askFor names workers to ask about for a step that needs n more tasks placed: those known to
 // be good whose ticket is missing, and as many unknown ones as are likely to be enough.
 //
-// A gang that seeks a rack names those of as many racks as are likely to be enough for one of them to hold it.
+// A gang that seeks a rack names those of as many racks as make the expected time until one of them is known to hold it
+// the shortest.
 //
 // Gangs name the workers with the most free capacity first, other steps those with the least:
 // if small tasks went where most is free, a quarter of all processors could be free while no
@@ -195,14 +197,7 @@
 	}
 	e.examine(s)
 	need := s.spec.Need()
-	type candidate struct {
-		id    runner.WorkerID
-		rack  int // its order among the racks that the step seeks
-		fits  int
-		known bool
-		weak  int
-	}
-	var all []candidate
+	var all []asked
 	for _, w := range e.workerList {
 		known, rack := a.verdictOf(w) == good, s.rackOrder(w)
 		if rack < 0 || a.verdictOf(w) == bad || !e.eligible(s, w) || a.hasTicket(w, e.now) {
@@ -212,9 +207,9 @@
 		if fits == 0 && (known || !s.spec.Gang) {
 			continue
 		}
-		all = append(all, candidate{w.ID, rack, fits, known, w.weak()})
+		all = append(all, asked{w.ID, rack, fits, known, w.weak()})
 	}
-	slices.SortStableFunc(all, func(x, y candidate) int {
+	slices.SortStableFunc(all, func(x, y asked) int {
 		if x.rack != y.rack {
 			return cmp.Compare(x.rack, y.rack)
 		}
@@ -230,33 +225,43 @@
 		return cmp.Compare(y.fits, x.fits)
 	})
 	share := e.goodShare(s.job.spec.Queue.Name)
+	if s.seeksOneRack() {
+		e.askAboutRacks(s, all, n, share)
+		return
+	}
 	most := maxWorkersPerCall
-	if s.spec.Gang && !s.seeksOneRack() && !e.o.Policy.NoParallelAdvice {
+	if s.spec.Gang && !e.o.Policy.NoParallelAdvice {
 		most *= maxCalls
 	}
 	var ids []runner.WorkerID
-	wanted := float64(n) * askFactor
-	expected, before, rack := 0.0, 0.0, 0 // on this rack, and the sum of the shares of wanted on those before it
+	wanted, expected := float64(n)*askFactor, 0.0
 	for _, c := range all {
-		if c.rack != rack {
-			expected, before, rack = 0, before+min(expected/wanted, 1), c.rack
-		}
-		if before >= 1 || len(ids) == most {
+		if expected >= wanted || len(ids) == most {
 			break
 		}
-		if expected >= wanted {
-			continue
-		}
 		ids = append(ids, c.id)
-		if c.known {
-			expected += float64(c.fits)
-		} else {
-			expected += float64(max(c.fits, 1)) * share
-		}
+		expected += c.expected(share)
 	}
 	e.requestAdvice(s, ids)
 }
 
+// asked is a worker that a call for advice may name.
+type asked struct {
+	id    runner.WorkerID
+	rack  int // its order among the racks that the step seeks
+	fits  int // tasks that fit there
+	known bool
+	weak  int
+}
+
+// expected is how many tasks the worker is expected to take, if a share of those without a verdict is good.
+func (c *asked) expected(share float64) float64 {
+	if c.known {
+		return float64(c.fits)
+	}
+	return float64(max(c.fits, 1)) * share
+}
+
 func (e *Engine) goodShare(queue string) float64 {
 	if v, ok := e.goodShares[queue]; ok {
 		return v
@@ -394,7 +399,7 @@
 // sendAdviceCall sends the next call for a step through a proxy.
 func (e *Engine) sendAdviceCall(s *step, proxy *adviceProxy) {
 	a := s.advice
-	n := min(len(a.toAsk), maxWorkersPerCall)
+	n := min(len(a.toAsk), a.perCall)
 	call := adviceCall{s: s, workers: a.toAsk[:n:n], cost: s.callCost(n), sent: e.now, second: len(proxy.calls) > 0}
 	timeout := call.cost + adviceGrace
 	for _, before := range proxy.calls {
--- a/process/dispatch/advicebudget.go
+++ b/process/dispatch/advicebudget.go
@@ -97,7 +97,7 @@
 // sent behind another one.
 func (e *Engine) pickProxyFor(s *step, slow bool) (proxy *adviceProxy, behind bool) {
 	a := s.advice
-	if slow || callCount(len(a.toAsk)) > a.second {
+	if slow || callCount(len(a.toAsk), a.perCall) > a.second {
 		return e.pickProxy(slow), false
 	}
 	a.second--
@@ -267,6 +267,11 @@
 // requestAdvice requests advice on workers for a step, as far as calls for it may be sent in this
 // round, and reports whether any may. sendAdviceCalls sends them at the end of the round.
 func (e *Engine) requestAdvice(s *step, ids []runner.WorkerID) bool {
+	return e.requestCalls(s, ids, maxWorkersPerCall)
+}
+
+// requestCalls is requestAdvice with the number of workers that each call names.
+func (e *Engine) requestCalls(s *step, ids []runner.WorkerID, perCall int) bool {
 	a := s.advice
 	if len(ids) == 0 {
 		return false
@@ -274,7 +279,7 @@
 	if !e.o.Policy.NoAdviceBudget && s.needsSlowCalls() && e.now < e.proxiesScarceUntil {
 		ids = ids[:advicebudget.Names(len(ids), maxWorkersPerCall)]
 	}
-	calls, second := callCount(len(ids)), 0
+	calls, second := callCount(len(ids), perCall), 0
 	if s.callCost(len(ids)) >= slowCall {
 		calls = max(0, min(calls, e.freeProxies(s)))
 		e.idleForSlow -= calls
@@ -287,7 +292,7 @@
 	if calls <= 0 {
 		return false
 	}
-	a.toAsk, a.reserve = ids[:min(len(ids), calls*maxWorkersPerCall)], reserveNone
+	a.toAsk, a.perCall, a.reserve = ids[:min(len(ids), calls*perCall)], perCall, reserveNone
 	a.second = second
 	e.secondTaken += second
 	e.idleProxies -= calls - second
--- a/process/dispatch/cell_test.go
+++ b/process/dispatch/cell_test.go
@@ -46,6 +46,9 @@
 	capsDrawn, capsApplied int
 	// batches is the highest number of batches that one term wrote.
 	batches atomic.Uint64
+	// besideRoom is the highest number of steps that waited for longer than startPromise beside room in one term, and
+	// spread that of gangs for one rack that were started on several.
+	besideRoom, spread atomic.Uint64
 	// preempted is the highest number of runs that one term stopped for others.
 	preempted atomic.Uint64
 	added     int // workers, for those that gave notice
@@ -75,6 +78,10 @@
 	share float64
 	// costs are how long calls for a step take, by its name; those for others take a few milliseconds.
 	costs map[string]work.Advice
+	// good tells which workers are good for all steps, instead of share; nil for none.
+	good func(w runner.WorkerID) bool
+	// silent are the members whose calls are never answered.
+	silent map[string]bool
 }
 
 func (a *adviser) ask(ctx context.Context, member, step string, workers []runner.WorkerID) ([]runner.Ticket, error) {
@@ -84,7 +91,11 @@
 	if !ok {
 		cost = work.Advice{Base: 5 * time.Millisecond, PerWorker: 200 * time.Microsecond}
 	}
+	silent := a.silent[member]
 	a.mu.Unlock()
+	if silent {
+		<-ctx.Done()
+	}
 	if err := sleep.For(ctx, cost.Cost(len(workers))); err != nil {
 		return nil, err
 	}
@@ -115,6 +126,9 @@
 func (a *adviser) isGood(step string, w runner.WorkerID) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if a.good != nil {
+		return a.good(w)
+	}
 	return float64(xxhash.Sum64String(step+string(w))>>11)/(1<<53) < a.share
 }
 
@@ -194,6 +208,8 @@
 				Count: func(s Stats) {
 					c.batches.Store(max(c.batches.Load(), s.Batches))
 					c.preempted.Store(max(c.preempted.Load(), s.Preempted))
+					c.besideRoom.Store(max(c.besideRoom.Load(), s.BesideRoom))
+					c.spread.Store(max(c.spread.Load(), s.GangsSpread))
 					c.evacuated.Store(max(c.evacuated.Load(), s.Evacuated))
 					c.reclaimed.Store(max(c.reclaimed.Load(), s.Reclaimed))
 				},
--- a/process/dispatch/idle_test.go
+++ b/process/dispatch/idle_test.go
@@ -19,7 +19,7 @@
 const (
 	// idleStart is within which time a job starts that the workers could run twice over: by the
 	// rule LOST nothing of it may wait for 3 s.
-	idleStart = 3 * time.Second
+	idleStart = startPromise
 	idleTask  = 100 * time.Millisecond // how long a task takes
 )
 
@@ -112,8 +112,15 @@
 		id := c.submit(c.drawIdleJob(c.rng))
 		c.requireSoonDone(time.Now(), id)
 	}
+	c.requireSound()
+}
+
+// requireSound checks what the workers and the leaders have seen since the cell began.
+func (c *cell) requireSound() {
+	time.Sleep(publishPeriod + tickPeriod)
 	require.Empty(c.t, c.fleet.Violations())
 	require.Empty(c.t, c.broken)
+	require.Zero(c.t, c.besideRoom.Load(), "steps waited beside room for longer than startPromise")
 }
 
 // TestEachFormOfJobStartsInAnIdleCell guards against a job that waits beside idle workers, because what is
@@ -139,8 +146,7 @@
 			c.advice.setShare(max(share, c.advice.share)) // what is good for less is good for more
 			c.requireSoonDone(time.Now(), first, second)
 		}
-		require.Empty(t, c.fleet.Violations())
-		require.Empty(t, c.broken)
+		c.requireSound()
 	})
 }
 
@@ -181,3 +187,70 @@
 		require.Equal(t, 18, c.fleet.Running())
 	})
 }
+
+// oneRackCell is an idle cell of which six workers of the first rack have been lost for a while. Few workers are good for
+// the gangs of the other racks, and all of the last one.
+func oneRackCell(t *testing.T) *cell {
+	c := idleCell(t, 1)
+	c.advice.good = func(id runner.WorkerID) bool {
+		var i int
+		_, err := fmt.Sscanf(string(id), "w-%d", &i)
+		require.NoError(t, err)
+		return i/8 == 0 || i/8 == 5 || (i/8 < 3 && i%8 < 2)
+	}
+	for i := range 6 {
+		c.fleet.Crash(runner.WorkerID(fmt.Sprintf("w-%02d", i)))
+	}
+	time.Sleep(12 * time.Second)
+	return c
+}
+
+// submitOneRackGang submits a gang that only the last rack can hold, on a queue with slow advice.
+func (c *cell) submitOneRackGang() work.JobID {
+	j := &work.Job{Queue: work.Queue{Name: "q", Service: "s", Attempts: 3, Slack: 2, Allowance: time.Second, Advice: idleQueues[3]}, Spec: "x",
+		Steps: []work.Step{{Count: 8, Size: work.Resources{CPU: 20000, Memory: 8192}, Estimate: 3 * time.Second, Gang: true, SameRack: true}}}
+	c.advice.setCost(work.TaskID{Job: c.nextID()}.StepName(), *j.Queue.Advice)
+	return c.submit(j)
+}
+
+// TestGangStartsOnTheOnlyRackThatCanHoldIt guards against a gang that starts on several racks, and takes three times as long, since
+// the one rack that can hold it is asked about last, or a call has no answer.
+func TestGangStartsOnTheOnlyRackThatCanHoldIt(t *testing.T) {
+	for name, silent := range map[string][]string{"all daemons answer": nil, "one daemon is silent": {"d-2"}, "two daemons are silent": {"d-1", "d-2"}} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := oneRackCell(t)
+				defer c.stop()
+				c.advice.silent = map[string]bool{}
+				for _, member := range silent {
+					c.advice.silent[member] = true
+				}
+				since := time.Now()
+				id := c.submitOneRackGang()
+				c.requireSoonDone(since, id)
+				c.requireSound()
+				if len(silent) < 2 { // else only one answer comes in time, and not about all racks
+					require.Zero(t, c.spread.Load(), "it ran on several racks")
+				}
+			})
+		})
+	}
+}
+
+// TestGangFindsItsRackAfterATakeover guards against a gang that a successor starts on several racks beside a whole one, since
+// the time in which nobody could ask counts as a wait for a rack.
+func TestGangFindsItsRackAfterATakeover(t *testing.T) {
+	overSeeds(t, 6, func(t *testing.T, seed uint64) {
+		c := oneRackCell(t)
+		defer c.stop()
+		id := c.submitOneRackGang()
+		time.Sleep(time.Duration(seed) * 100 * time.Millisecond)
+		c.killLeader()
+		for c.leader() == nil {
+			time.Sleep(10 * time.Millisecond)
+		}
+		c.requireSoonDone(time.Now(), id)
+		c.requireSound()
+		require.Zero(t, c.spread.Load(), "it ran on several racks")
+	})
+}
--- a/process/dispatch/rack.go
+++ b/process/dispatch/rack.go
@@ -14,14 +14,18 @@
 // enough, and nothing more is asked, while no rack has enough of them.
 //
 // A rack that cannot hold the gang, or not soon, gives way to the next one, and the wait for a rack ends: a
-// gang on several racks runs, if slowly.
+// gang on several racks runs, if slowly. While most of the cell is idle the wait ends early enough for the gang to start
+// within startPromise, whatever the calls for advice cost.
 
 const (
-	// spreadFactor is how many times as long a gang takes on several racks.
-	spreadFactor = 3
-	// idleRackWait is how long a gang seeks a rack at most while most of its service's workers are idle: long
-	// enough for two slow calls for advice, and short enough for another one after them.
+	// idleRackWait is how long a gang of which the caller has given no run time seeks a rack at most.
 	idleRackWait = 1500 * time.Millisecond
+	// answerGrace is added to the cost of a call for advice to get when its answer is here: for the way to the
+	// daemon that makes it and back, and a round of placement.
+	answerGrace = 100 * time.Millisecond
+	// startGrace is kept between the last moment at which a gang gives up seeking a rack and startPromise, beside
+	// the time of a call for tickets: for a round of placement and the starts.
+	startGrace = 250 * time.Millisecond
 )
 
 // rackSearch is the state of a gang that asks for one rack.
@@ -33,6 +37,8 @@
 	until  time.Duration
 	// roomSince is since when there has been room for the gang on several racks, 0 if there is none.
 	roomSince time.Duration
+	// gaveUp: there has been room for as long as seeking a rack is worth.
+	gaveUp bool
 }
 
 // seeks reports whether the step may use a worker, as far as racks are concerned.
@@ -58,9 +64,11 @@
 // rackState is what a rack offers a gang, on workers on which there is no bad verdict.
 type rackState struct {
 	name  string
-	whole int     // slots once all has ended that ends
-	free  int     // slots now
-	good  float64 // the same, less the slots on workers that a verdict is likely to exclude
+	whole int // slots once all has ended that ends
+	// unknown is on how many of its workers that could start tasks now there is no verdict.
+	unknown int
+	free    int     // slots now
+	good    float64 // the same, less the slots on workers that a verdict is likely to exclude
 	// at is when there are expected to be slots for all tasks; forever if that is not known.
 	at       time.Duration
 	openings []time.Duration
@@ -106,11 +114,11 @@
 	racks, all, idle := e.rackStates(s)
 	switch {
 	case all.free < s.spec.Count:
-		s.search.roomSince = 0
+		s.search.roomSince, s.search.gaveUp = 0, false
 	case s.search.roomSince == 0:
 		s.search.roomSince = e.now
 	}
-	longer := (spreadFactor - 1) * e.estimate(s)
+	longer := scale(e.estimate(s), e.o.Bounds.spreadFactor()-1)
 	if longer <= 0 {
 		longer = idleRackWait // the caller has given no run time
 	}
@@ -143,31 +151,59 @@
 // whySpread returns why a gang is to start on several racks, where there are slots for it from anywhere on; "" if it is to
 // seek the first of the racks that fit it. longer is how much longer it takes on several.
 func (e *Engine) whySpread(s *step, fit []rackState, anywhere, longer time.Duration, idle bool) string {
-	wait := longer
-	if idle {
-		wait = min(wait, idleRackWait)
-	}
 	room := s.search.roomSince > 0
 	switch {
 	case len(fit) == 0:
 		return "no rack can hold it"
-	case room && e.now-s.search.roomSince >= wait:
+	case room && (s.search.gaveUp || e.now-s.search.roomSince >= longer):
+		s.search.gaveUp = true
 		return "it has waited for a rack for as long as that is worth"
+	case room && idle && e.rackIsLate(s, &fit[0]):
+		s.search.gaveUp = true
+		return "the next answer about a rack would come too late"
 	case !room && fit[0].at < forever && fit[0].at-anywhere > longer:
 		return "no rack is expected to have room in time"
 	}
 	return ""
 }
 
+// rackIsLate reports whether a gang that could start on several racks of an idle cell has to, so that it starts within
+// startPromise: whether its rack has room, or the next answer about it is expected, only after the moment at which tickets
+// for several racks have to be requested.
+func (e *Engine) rackIsLate(s *step, r *rackState) bool {
+	last := s.search.roomSince + startPromise - startGrace
+	next := e.now
+	if r.at < forever {
+		next = max(next, r.at)
+	}
+	if s.job.spec.Queue.Advice != nil {
+		last -= s.callCost(s.spec.Count)
+		next = max(next, e.nextAnswer(s, r))
+	}
+	return next > last
+}
+
+// nextAnswer returns when the step's calls for advice are expected to be answered, or, if there are none, one that it could
+// send now about a rack.
+func (e *Engine) nextAnswer(s *step, r *rackState) (at time.Duration) {
+	if s.advice.inFlight == 0 {
+		return e.now + s.callCost(r.unknown) + answerGrace
+	}
+	for _, proxy := range e.proxies {
+		for _, call := range proxy.calls {
+			if call.s == s {
+				at = max(at, call.sent+call.cost+answerGrace)
+			}
+		}
+	}
+	return at
+}
+
 // rackStates returns what each rack, and all of them together, offer a gang, and whether most of its service is idle,
 // with room for the gang twice over.
 func (e *Engine) rackStates(s *step) (racks []rackState, all rackState, idle bool) {
 	need, limit, share := s.spec.Need(), s.perWorker(s.spec.Count), e.goodShare(s.job.spec.Queue.Name)
-	used, capacity := 0, 0
 	for _, w := range e.workerList {
-		if w.Service == s.job.spec.Queue.Service && !w.removed {
-			used, capacity = used+w.used.CPU, capacity+w.Capacity.CPU
-		}
 		if !e.suits(s, w) || !w.goodFor(s) || w.leftForLong(e.now, leaseBound(e.o.Bounds.Lease)) {
 			continue
 		}
@@ -185,6 +221,7 @@
 		good := float64(free)
 		if s.advice != nil && s.advice.verdictOf(w) == unknown {
 			good *= share
+			r.unknown++
 		}
 		openings := e.openingsOn(s, w, limit)
 		for _, x := range []*rackState{r, &all} {
@@ -197,7 +234,7 @@
 		racks[i].setAt(s.spec.Count)
 	}
 	all.setAt(s.spec.Count)
-	return racks, all, all.free >= 2*s.spec.Count && 2*used < capacity
+	return racks, all, all.free >= 2*s.spec.Count && e.mostlyIdle(s.job.spec.Queue.Service)
 }
 
 // leftForLong reports whether a worker gets no runs for long: it leaves, or has been silent for longer than a lease.
--- a/process/dispatch/rack_test.go
+++ b/process/dispatch/rack_test.go
@@ -162,3 +162,26 @@
 	require.Equal(t, []string{"likely", "unlikely", "later", "unknown"}, names(""))
 	require.Equal(t, []string{"later", "likely", "unlikely", "unknown"}, names("later"), "its data is there")
 }
+
+// TestAsMoreRacksAreNamedAsTheFirstAreUnlikely guards against calls one after the other for racks that could be asked about at once,
+// and against calls that name racks which are not needed.
+func TestAsMoreRacksAreNamedAsTheFirstAreUnlikely(t *testing.T) {
+	slow := func(workers int) time.Duration {
+		return 410*time.Millisecond + time.Duration(workers)*5900*time.Microsecond
+	}
+	rack := func(workers int, known bool) (all []asked) {
+		for range workers {
+			all = append(all, asked{fits: 3, known: known})
+		}
+		return all
+	}
+	whole := [][]asked{rack(8, false), rack(8, false), rack(8, false), rack(8, false), rack(8, false)}
+	require.Equal(t, 5, racksToName(whole, 8, 0.2, slow), "one rack in six holds it")
+	require.Equal(t, 1, racksToName(whole, 8, 0.95, slow), "the first one holds it")
+	require.Equal(t, 1, racksToName(append([][]asked{rack(3, true)}, whole...), 8, 0.2, slow), "the first one is known to hold it")
+	each := func(workers int) time.Duration { return time.Duration(workers) * 5900 * time.Microsecond }
+	require.Equal(t, 1, racksToName(whole, 8, 0.4, each), "a call for each costs no more")
+	require.Zero(t, racksToName(nil, 8, 0.4, slow))
+	require.InDelta(t, 0.203, holds(rack(8, false), 8, 0.2), 0.001)
+	require.InDelta(t, 0.36, holds(append(rack(1, true), rack(2, false)...), 7, 0.6), 0.001, "both others are good")
+}
--- a/process/dispatch/types.go
+++ b/process/dispatch/types.go
@@ -16,6 +16,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"strings"
 	"time"
 
@@ -37,8 +38,16 @@
 	Keep time.Duration
 	// Entitled is what accounts may submit.
 	Entitled fair.Entitlement
+	// SeveralRacks is how many times as long a gang that asks for one rack takes on several; 0 for
+	// defaultSeveralRacks.
+	SeveralRacks float64
 }
 
+const defaultSeveralRacks = 3
+
+// spreadFactor is SeveralRacks or its default.
+func (b Bounds) spreadFactor() float64 { return cmp.Or(b.SeveralRacks, defaultSeveralRacks) }
+
 // startTimeout is how long a start may go without an answer: all attempts together stay within
 // half of the time for which members of a gang wait.
 func (b Bounds) startTimeout() time.Duration {
--- a/process/settings/cell.go
+++ b/process/settings/cell.go
@@ -81,6 +81,8 @@
 	// ConfigMS is the time within which a version of the configuration is to be in force
 	// on all daemons.
 	ConfigMS Millis `json:"config_ms"`
+	// SeveralRacksFactor is how many times as long a gang that asks for one rack takes on several.
+	SeveralRacksFactor float64 `json:"several_racks_factor"`
 }
 
 // JobCellTuning overrides lease times; 0 keeps the default.
@@ -96,6 +98,8 @@
 	DefaultKeep        = 120  // seconds
 	DefaultStop        = 6    // seconds
 	DefaultConfig      = 2000 // milliseconds
+
+	DefaultSeveralRacksFactor = 3
 )
 
 // minKeys is the lower limit, in milliseconds, of the time for which a revoked key may be
@@ -131,6 +135,7 @@
 	b.KeepS = cmp.Or(b.KeepS, DefaultKeep)
 	b.StopS = cmp.Or(b.StopS, DefaultStop)
 	b.ConfigMS = cmp.Or(b.ConfigMS, DefaultConfig)
+	b.SeveralRacksFactor = cmp.Or(b.SeveralRacksFactor, DefaultSeveralRacksFactor)
 	s.LogLevel = cmp.Or(s.LogLevel, "info")
 }
 
@@ -154,6 +159,8 @@
 		"use how long a revoked key may still be accepted, in milliseconds; the store is queried four times as often")
 	c.want(s.Bounds.ConfigMS >= minKeys, "bounds.config_ms", fmt.Sprintf("is below %d", minKeys),
 		"use the time within which a version of the configuration is to be in force, in milliseconds")
+	c.want(s.Bounds.SeveralRacksFactor >= 1, "bounds.several_racks_factor", "is below 1",
+		"use how many times as long a gang that asks for one rack takes on several")
 	c.want(s.Bounds.StopS > 0, "bounds.stop_s", "is negative", "use the time that a planned stop may take")
 	_, err := zerolog.ParseLevel(s.LogLevel)
 	c.want(err == nil, "log_level", fmt.Sprintf("%q is not a log level", s.LogLevel), "use debug, info, warn or error")
--- a/process/settings/cell_test.go
+++ b/process/settings/cell_test.go
@@ -30,6 +30,7 @@
 		`,"bounds":{"strict_keys":true}`:              "bounds.keys_ms",
 		`,"bounds":{"strict_keys":true,"keys_ms":50}`: "bounds.keys_ms",
 		`,"bounds":{"config_ms":50}`:                  "bounds.config_ms",
+		`,"bounds":{"several_racks_factor":0.5}`:      "bounds.several_racks_factor",
 		`,"policy":{"shares":"newest"}`:               "policy.shares",
 		`,"policy":{"write_chains":100}`:              "policy.write_chains",
 		`,"log_level":"loud"`:                         "log_level",
