dispatch: a worker is called before it is listed, so that one that never answers holds no job

Cause: a worker was put on the stored list before its first call, and cordoning leaves out workers that have not answered. A successor waited until a lease had ended that the worker was never given.

Change: the first call, which gives no lease, goes out at once; a worker is listed when it has answered, and used when the list is stored. One call and one write before the first task, in the other order than before. A worker that has never answered is called every 1.2 s at most, and forgotten when its entry is gone; it was called for ever. Gangs that wait try again when a worker has been listed.

Why it is safe: before its first answer a worker is given neither a lease nor a start, and the workers of earlier epochs are on the list that was loaded, or inherit from them (follow). What votes is what is listed, as before.

Two set-ups of leadership_test.go let the list be stored after the first answers, and the claim be confirmed after that; what they check is unchanged.

--- a/process/dispatch/directory.go
+++ b/process/dispatch/directory.go
@@ -33,9 +33,6 @@
 	w.rack = rackOf(seen.Labels)
 	e.labelSpeed(w)
 	e.noteNotice(w)
-	if !w.recorded {
-		e.fleetChanged = true
-	}
 	e.scheduled = false
 }
 
--- a/process/dispatch/engine_test.go
+++ b/process/dispatch/engine_test.go
@@ -22,6 +22,7 @@
 	e       *Engine
 	now     time.Duration
 	effects []Effect
+	wrote   func(SendCommit) // is given each write that is answered at once; may be nil
 }
 
 func newHarness(t *testing.T, epoch uint64, workers ...runner.WorkerID) *harness {
@@ -38,17 +39,29 @@
 	for until := h.now + d; h.now < until; {
 		h.now += tickPeriod
 		h.e.Tick(h.now)
-		for _, x := range h.e.Flush(h.now) {
-			switch x := x.(type) {
-			case SendCommit:
-				h.e.Committed(h.now, x.Stream)
-			case SendConfirm:
-				h.e.Confirmed(h.now, nil)
-			default:
-				h.effects = append(h.effects, x)
+		for h.flush() {
+		}
+	}
+}
+
+// flush executes the effects of a flush, and reports whether it has answered any, after which a host flushes again.
+func (h *harness) flush() (answered bool) {
+	for _, x := range h.e.Flush(h.now) {
+		switch x := x.(type) {
+		case SendCommit:
+			if h.wrote != nil {
+				h.wrote(x)
 			}
+			h.e.Committed(h.now, x.Stream)
+			answered = true
+		case SendConfirm:
+			h.e.Confirmed(h.now, nil)
+			answered = true
+		default:
+			h.effects = append(h.effects, x)
 		}
 	}
+	return answered
 }
 
 // report answers a worker's renewal with a report.
--- a/process/dispatch/fleet.go
+++ b/process/dispatch/fleet.go
@@ -255,7 +255,8 @@
 
 // addFleet writes the lists of workers that have changed, and returns their number. A worker
 // is used only once the stored lists have it, and not as cordoned: a successor that cannot
-// reach it has to be aware that something may run there.
+// reach it has to be aware that something may run there. The lists have no worker that has never
+// answered: each successor would wait for a lease that it has never been given.
 func (e *Engine) addFleet(ws *writeSet, c *SendCommit) (keys int) {
 	var f fleetRecord
 	var cordoned cordonRecord
@@ -270,6 +271,9 @@
 		cordoned.Workers = append(cordoned.Workers, cordonedWorker{ID: x.ref.ID, Tasks: x.tasks, Late: true, LateMS: e.millisUntil(x.until), Ended: true})
 	}
 	for _, w := range e.workerList {
+		if !w.mayBeUsed() {
+			continue
+		}
 		f.Workers = append(f.Workers, runner.Ref{ID: w.ID, Address: w.Address})
 		if w.cordoned && !w.unlisted { // without a list of tasks a successor has to wait for it
 			x := cordonedWorker{ID: w.ID, Tasks: append(w.tasks(), w.mayRun...), Suspects: w.suspectRuns(false), Late: w.lateOrders}
--- a/process/dispatch/leadership.go
+++ b/process/dispatch/leadership.go
@@ -23,7 +23,7 @@
 }
 
 // votes reports whether the lists of workers have the worker, as one that may answer.
-func (w *worker) votes() bool { return !w.cordoned || w.unlisted }
+func (w *worker) votes() bool { return w.mayBeUsed() && (!w.cordoned || w.unlisted) }
 
 // loadVoters counts the workers of the stored lists.
 func (e *Engine) loadVoters() {
--- a/process/dispatch/leadership_test.go
+++ b/process/dispatch/leadership_test.go
@@ -9,6 +9,7 @@
 	"fennelshunt.example/fennelshunt/connection/peer"
 	"fennelshunt.example/fennelshunt/connection/runner"
 	"fennelshunt.example/fennelshunt/connection/store"
+	"fennelshunt.example/fennelshunt/process/lead/evidence"
 )
 
 // answerAll answers the renewals of workers, without a tick.
@@ -51,7 +52,7 @@
 	h := newHarness(t, 1, "w-a", "w-b", "w-c")
 	h.step(50 * time.Millisecond)
 	h.answerAll("w-a", "w-b", "w-c")
-	h.step(time.Second)
+	h.step(tickPeriod + evidence.ConfirmAfter) // the list is stored, and then the claim is confirmed
 	h.answerAll("w-a", "w-b", "w-c")
 	require.NoError(t, h.e.Accepted(h.now, jobEntry(t, 1, 2, oneTask())))
 	return h
@@ -113,6 +114,7 @@
 	h := newHarness(t, 1, "w-a", "w-b", "w-c", "w-d")
 	h.step(50 * time.Millisecond)
 	h.answerAll("w-a", "w-b", "w-c", "w-d")
+	h.step(tickPeriod) // the list is stored
 	h.tick(4 * time.Second)
 	h.answerAll("w-a", "w-b")
 	renewals, _ := h.tick(evidencePause)
--- a/process/dispatch/persist.go
+++ b/process/dispatch/persist.go
@@ -227,6 +227,9 @@
 		w.recorded = true
 		w.nextRenew = now
 	}
+	if len(ws.fleet) > 0 {
+		e.retryGangs()
+	}
 	e.acknowledgeAll()
 }
 
--- a/process/dispatch/persist_test.go
+++ b/process/dispatch/persist_test.go
@@ -32,7 +32,20 @@
 }
 
 func newSlowStore(h *harness, answer time.Duration) *slowStore {
-	return &slowStore{h: h, answer: answer, entries: map[string]store.Entry{}}
+	s := &slowStore{h: h, answer: answer, entries: map[string]store.Entry{}}
+	h.wrote = s.apply
+	return s
+}
+
+// apply carries out a write.
+func (s *slowStore) apply(c SendCommit) {
+	s.rev++
+	for _, x := range c.Writes {
+		s.entries[x.Key] = store.Entry{Key: x.Key, Value: x.Value, Revision: s.rev}
+	}
+	for _, key := range c.Deletes {
+		delete(s.entries, key)
+	}
 }
 
 func (s *slowStore) put(key string, value []byte) {
@@ -50,13 +63,7 @@
 			kept = append(kept, w)
 			continue
 		}
-		s.rev++
-		for _, x := range w.c.Writes {
-			s.entries[x.Key] = store.Entry{Key: x.Key, Value: x.Value, Revision: s.rev}
-		}
-		for _, key := range w.c.Deletes {
-			delete(s.entries, key)
-		}
+		s.apply(w.c)
 		h.e.Committed(h.now, w.c.Stream)
 	}
 	s.inFlight = kept
--- a/process/dispatch/placement.go
+++ b/process/dispatch/placement.go
@@ -142,6 +142,14 @@
 	s.retryAt = e.now + pause
 }
 
+// retryGangs makes the waiting gangs try at once: there are more workers.
+func (e *Engine) retryGangs() {
+	e.scheduled = false
+	for _, s := range e.ready {
+		s.retryAt, s.misses, s.search.until = 0, 0, 0
+	}
+}
+
 // tryTasks places tasks of a step one by one, unless there is certainly no capacity for them.
 func (e *Engine) tryTasks(s *step, r *round) {
 	if a := e.adviceOf(s); a != nil && !e.mayAsk(s) && !a.usable(e.now) {
--- a/process/dispatch/reports.go
+++ b/process/dispatch/reports.go
@@ -11,7 +11,7 @@
 
 // renew sends the next renewal when it is due.
 func (e *Engine) renew(w *worker) {
-	if w.renewing || e.now < w.nextRenew || !w.recorded {
+	if w.renewing || e.now < w.nextRenew || (w.fenced && !w.recorded) {
 		return
 	}
 	r := runner.Renewal{Epoch: e.o.Epoch}
@@ -77,6 +77,7 @@
 	if !w.fenced {
 		e.noteReached(w)
 		w.fenced = true
+		e.fleetChanged = e.fleetChanged || !w.recorded
 		e.scheduled = false
 	}
 	e.takeLateStarts(w)
@@ -130,12 +131,21 @@
 		w.lateUntil = e.now + maxOrderDelay // further renewals do not renew the lease
 	}
 	w.misses++
-	w.nextRenew = e.now + probePause
+	w.nextRenew = e.now + w.probePause()
 	if !w.listed && w.idle() {
 		e.removeWorker(w, "not listed and not answering", true)
 	}
 }
 
+// probePause is between calls to the worker while it does not answer. It grows for one that has never answered, of which there
+// may be any number, and nobody waits for what it runs.
+func (w *worker) probePause() time.Duration {
+	if w.mayBeUsed() {
+		return probePause
+	}
+	return probePause << min(w.misses-1, maxProbeDoublings)
+}
+
 // reconcileRunning compares the runs that a worker reports with the runs booked on it.
 // complete means that the report lists every completion.
 func (e *Engine) reconcileRunning(w *worker, rows []runner.ActiveRun, complete bool) {
--- a/process/dispatch/worker.go
+++ b/process/dispatch/worker.go
@@ -20,6 +20,8 @@
 	renewGrace = 500 * time.Millisecond
 	// probePause is between renewals to a worker that did not answer.
 	probePause = 150 * time.Millisecond
+	// maxProbeDoublings bounds that pause at 1.2 s for a worker that has never answered.
+	maxProbeDoublings = 3
 	// evidencePause is between renewals that give no lease for want of evidence: short beside a lease,
 	// and no load on a leader that most workers do not answer.
 	evidencePause = 300 * time.Millisecond
@@ -159,9 +161,13 @@
 	return sum
 }
 
+// mayBeUsed reports whether something may run on the worker that a leader has started, or is about to. Before its first
+// answer a worker is given neither a lease nor a start.
+func (w *worker) mayBeUsed() bool { return w.fenced || w.inherited }
+
 // idle reports whether it is known that nothing runs on the worker.
 func (w *worker) idle() bool {
-	return w.fenced && !w.inherited && len(w.allocs) == 0 && !slices.ContainsFunc(w.untracked, func(x untrackedRun) bool { return x.unheard != nil })
+	return !w.inherited && len(w.allocs) == 0 && !slices.ContainsFunc(w.untracked, func(x untrackedRun) bool { return x.unheard != nil })
 }
 
 // overbooked reports whether more is booked than the worker's capacity, which may have shrunk
