dispatch: an entry of another incarnation of a worker is a claim, which the worker's answer decides

Our test found more: the tasks that ran on it were started a second time elsewhere, and a successor counted a crash by them.

Cause: the start time in the entry alone decided which incarnation is there. The worker's own entries counted as late ones from then on, its answers were ignored.

Change: such an entry is a claim; the leader asks at the address that it names. Who answers there is the current incarnation, whichever start time is higher (a clock that was ahead). Until then the current worker is used as before and its runs are not taken for ended.

Why it is safe: an incarnation that answers at a worker's address shows that the one before has ended; at another address it waits until the current one is silent. Late orders, lookups and what a successor inherits treat a claim as an incarnation that was seen, as they did an entry.

--- a/process/dispatch/crash_test.go
+++ b/process/dispatch/crash_test.go
@@ -293,8 +293,11 @@
 	h.resize(next, work.Resources{CPU: 4000, Memory: 4000}) // listed with a later start time
 	h.step(50 * time.Millisecond)
 	h.resize(first, work.Resources{CPU: 4000, Memory: 4000}) // a late entry of the earlier incarnation
-	require.Nil(t, h.e.workers[first])
 	h.report(next, runner.Report{Clock: time.Second})
+	require.Nil(t, h.e.workers[first])
+	h.resize(first, work.Resources{CPU: 4000, Memory: 4000}) // one more
+	require.False(t, h.e.workers[first].usable(h.now))
+	h.resize(next, work.Resources{CPU: 4000, Memory: 4000})
 	h.step(30 * time.Second)
 	h.report(next, runner.Report{Clock: 30 * time.Second})
 	last := h.starts()
--- a/process/dispatch/directory.go
+++ b/process/dispatch/directory.go
@@ -12,22 +12,19 @@
 func (e *Engine) WorkerSeen(now time.Duration, seen runner.Worker) {
 	e.now = now
 	seen.ID = e.incarnationOf(seen.ID)
-	name, startTime := seen.ID.Incarnation()
-	latest, known := e.latestStarts[name]
-	older, before := e.noteIncarnation(seen.ID)
-	if older {
-		return // a late entry of an earlier incarnation
-	}
 	w := e.workers[seen.ID]
-	if w == nil {
-		w = e.addWorker(seen)
-		w.newInEpoch = known && startTime > latest && (before == nil || before.fenced)
-	}
-	if before != nil {
-		e.follow(before, w)
-	}
-	if w.removed {
-		return
+	switch {
+	case e.contested(seen.ID):
+		w = e.claim(seen)
+	default:
+		e.replaced(seen.ID.Name())
+		latest, known := e.latestStarts[seen.ID.Name()]
+		_, _ = e.noteIncarnation(seen.ID)
+		if w == nil {
+			w = e.addWorker(seen)
+			_, startTime := seen.ID.Incarnation()
+			w.newInEpoch = known && startTime > latest
+		}
 	}
 	w.Worker, w.listed = seen, true
 	w.rack = rackOf(seen.Labels)
@@ -44,7 +41,7 @@
 		listed[e.incarnationOf(workers[i].ID)] = true
 	}
 	for _, w := range slices.Clone(e.workerList) {
-		if w.listed && !listed[w.ID] {
+		if w.listed && !listed[w.ID] && !e.isContested(w) {
 			e.WorkerUnlisted(now, w.ID)
 		}
 	}
@@ -89,6 +86,7 @@
 	if w.removed {
 		return
 	}
+	e.forgetClaim(w)
 	e.decide(Decision{What: "worker removed", Worker: w.ID, Why: why, Age: e.now - w.answered})
 	w.removed = true
 	e.speed.RemoveWorker(w.speed)
@@ -146,7 +144,7 @@
 // leaseExpired handles a worker whose lease has certainly expired, so that nothing runs there
 // any more. Its next incarnation may still carry out starts that were not answered.
 func (e *Engine) leaseExpired(w *worker) {
-	if e.holdUnanswered(w) {
+	if e.holdUnanswered(w) || e.holdForClaim(w) {
 		return
 	}
 	e.decide(Decision{What: "worker's lease expired", Worker: w.ID, Why: "no answer until the lease had expired", Age: e.now - w.answered})
--- a/process/dispatch/engine.go
+++ b/process/dispatch/engine.go
@@ -71,9 +71,10 @@
 	// by address, when a worker's incarnation ended recently.
 	tasksByCrash map[runner.WorkerID][]work.TaskID
 	crashedAt    map[string]time.Duration
-	// latestStarts holds, by worker name, the start time of the latest incarnation; lateStarts
+	// latestStarts holds, by worker name, the start time of the current incarnation; lateStarts
 	// the runs whose start order a later incarnation may still carry out.
 	latestStarts map[string]int64
+	claims       map[string]*worker // by name, see claim.go
 	lateStarts   map[string][]*allocation
 	lookups      map[string]*lookup // of workers that have ended, by name
 
@@ -139,7 +140,7 @@
 	return &Engine{o: o, evidence: evidence.New(o.Claimed), fair: fair.New(o.Policy.Shares, entitled), jobs: map[work.JobID]*job{}, cancels: map[work.JobID]time.Duration{}, absents: map[work.JobID]time.Duration{}, unheard: map[work.JobID]*unheardJob{},
 		workers: map[runner.WorkerID]*worker{}, proxies: map[string]*adviceProxy{}, ledger: quota.NewLedger(), endedHeld: map[*quota.Account]quota.Size{},
 		usages: map[usageKey]*usage{}, priorities: map[*quota.Account][]int{}, keptFree: map[*quota.Account]quota.Size{},
-		tasksByCrash: map[runner.WorkerID][]work.TaskID{}, crashedAt: map[string]time.Duration{}, latestStarts: map[string]int64{}, lateStarts: map[string][]*allocation{}, lookups: map[string]*lookup{},
+		tasksByCrash: map[runner.WorkerID][]work.TaskID{}, crashedAt: map[string]time.Duration{}, latestStarts: map[string]int64{}, claims: map[string]*worker{}, lateStarts: map[string][]*allocation{}, lookups: map[string]*lookup{},
 		mayRun: map[work.TaskID]int{}, goodShares: map[string]float64{}, speed: newSpeedModel(o.Policy),
 		evacuating: evacuating{claimed: map[*worker]time.Duration{}}}
 }
--- a/process/dispatch/incarnation.go
+++ b/process/dispatch/incarnation.go
@@ -44,6 +44,7 @@
 func (e *Engine) takeOtherIncarnation(w *worker, x *runner.IncarnationError) {
 	e.decide(Decision{What: "answer of another incarnation", Worker: w.ID, Why: x.Error(), Age: e.now - w.answered})
 	next := e.workers[x.ID]
+	e.forgetClaim(next)
 	if next == nil {
 		seen := w.Worker
 		seen.ID = x.ID
@@ -107,7 +108,7 @@
 // earlier one that lists the run does.
 func (e *Engine) mayStartLate(alloc *allocation) bool {
 	name, startTime := alloc.w.ID.Incarnation()
-	followed := e.latestStarts[name] != startTime
+	followed := e.laterSeen(name, startTime)
 	return startTime != 0 && alloc.tries > 0 && (alloc.ackAt == 0 || (followed && !alloc.reported))
 }
 
@@ -124,7 +125,13 @@
 // unlistedByName handles the removal of a directory entry that names no incarnation.
 func (e *Engine) unlistedByName(now time.Duration, id runner.WorkerID) {
 	name, startTime := id.Incarnation()
-	if latest, known := e.latestStarts[name]; known && startTime == 0 {
+	if startTime != 0 {
+		return
+	}
+	if c := e.claims[name]; c != nil {
+		e.WorkerUnlisted(now, c.ID)
+	}
+	if latest, known := e.latestStarts[name]; known {
 		e.WorkerUnlisted(now, runner.IncarnationID(name, latest))
 	}
 }
--- a/process/dispatch/latestart.go
+++ b/process/dispatch/latestart.go
@@ -257,7 +257,7 @@
 // lookUp looks for a worker that has ended, unless a later incarnation has been seen, which may have the run.
 func (e *Engine) lookUp(ref runner.Ref, until time.Duration) {
 	name, startTime := ref.ID.Incarnation()
-	if e.latestStarts[name] != startTime || e.now < until+entryDelay {
+	if e.laterSeen(name, startTime) || e.now < until+entryDelay {
 		return
 	}
 	l := e.lookups[name]
@@ -281,7 +281,7 @@
 		return
 	}
 	l.inFlight = false
-	if found.Err != nil || found.Listed || found.Answers || e.latestStarts[name] != startTime {
+	if found.Err != nil || found.Listed || found.Answers || e.laterSeen(name, startTime) {
 		return
 	}
 	n := e.releaseLate(func(other string, alloc *allocation) bool {
--- a/process/dispatch/reports.go
+++ b/process/dispatch/reports.go
@@ -59,6 +59,9 @@
 		e.notRenewed(w, err)
 		return
 	}
+	if e.claims[w.ID.Name()] == w && !e.acceptClaim(w) {
+		return
+	}
 	if w.fenced && report.Clock > 0 && report.Clock < w.clock-clockBack { // 0: not reported
 		e.decide(Decision{What: "answer of another incarnation", Worker: w.ID, Why: fmt.Sprintf("its clock went from %v back to %v", w.clock, report.Clock)})
 		e.removeWorker(w, "its clock went back", true)
@@ -117,6 +120,9 @@
 	case errors.Is(err, runner.ErrFenced):
 		e.deposed = true
 		return
+	case errors.As(err, &other) && e.claims[w.ID.Name()] == w:
+		e.claimContradicted(w, other.ID)
+		return
 	case errors.As(err, &other):
 		e.noteReached(w)
 		e.takeOtherIncarnation(w, other)
--- a/standin/epochworker/calls.go
+++ b/standin/epochworker/calls.go
@@ -23,6 +23,9 @@
 	}
 	f.mu.Lock()
 	w := f.current(to.ID)
+	if w == nil {
+		w = f.at(to)
+	}
 	unreachable := w == nil || w.disconnected || w.crashed
 	isLate := !unreachable && effect != nil && f.rng.Float64() < f.faults.Late
 	lost := !unreachable && f.rng.Float64() < f.faults.LoseAnswers
@@ -64,6 +67,16 @@
 	return w
 }
 
+// at returns the worker under a name that answers at an address, whichever incarnation is called; nil for none.
+func (f *Fleet) at(to runner.Ref) *worker {
+	for _, id := range f.order {
+		if w := f.workers[id]; !w.crashed && w.Address == to.Address && id.Name() == to.ID.Name() {
+			return w
+		}
+	}
+	return nil
+}
+
 // noResponse waits for the end of ctx, as a caller does whose response is lost.
 func noResponse(ctx context.Context) error {
 	<-ctx.Done()
