dispatch: a worker that answers is called at its address, whatever its entry says

What callers would see: another writer's entry under a living worker's id with the address of another worker: that one refuses the calls as not meant for it, the leader takes the first one for ended, and its tasks start a second time beside the runs.

Cause: the address of the newest entry replaced the one at which the worker answers, and a refusal there counted as the end of the incarnation.

Change: an incarnation does not move. Its address stays as long as it answers or something may run there; an entry's is taken when it is silent and idle.

Test: TestLivingWorkerIsCalledWhereItAnswers, red before.

--- a/process/dispatch/claim_test.go
+++ b/process/dispatch/claim_test.go
@@ -77,6 +77,28 @@
 	}
 }
 
+// TestLivingWorkerIsCalledWhereItAnswers guards against runs that are taken for ended, and are started a second time, since another writer's entry
+// under their worker's id has the address of another worker, which refuses the calls.
+func TestLivingWorkerIsCalledWhereItAnswers(t *testing.T) {
+	h, _ := livingHarness(t)
+	h.effects = nil
+	h.see(livingID, "2")
+	h.stay(time.Second, livingID)
+	for _, x := range h.renewals(livingID) {
+		require.Equal(t, "1", x.To.Address)
+	}
+	h.e.Renewed(h.now, livingID, runner.Report{}, runner.ErrUnknown)
+	h.see(livingID, "2")
+	require.Equal(t, "1", h.e.workers[livingID].Address, "something may run there")
+	for h.e.workers[livingID].misses > 0 && !h.e.workers[livingID].idle() {
+		h.step(100 * time.Millisecond)
+		h.e.Renewed(h.now, livingID, runner.Report{}, runner.ErrUnknown)
+		h.see(livingID, "2")
+	}
+	h.see(livingID, "2")
+	require.Equal(t, "2", h.e.workers[livingID].Address, "nothing runs there any more")
+}
+
 // TestWorkerThatHasStartedBeforeItsEntrySaidIsUsed guards against a worker that is shut out for as long as its clock was ahead when its last
 // incarnation started.
 func TestWorkerThatHasStartedBeforeItsEntrySaidIsUsed(t *testing.T) {
--- a/process/dispatch/directory.go
+++ b/process/dispatch/directory.go
@@ -26,6 +26,9 @@
 			w.newInEpoch = known && startTime > latest
 		}
 	}
+	if w.keepsAddress() {
+		seen.Address = w.Address
+	}
 	w.Worker, w.listed = seen, true
 	w.rack = rackOf(seen.Labels)
 	e.labelSpeed(w)
@@ -33,6 +36,12 @@
 	e.scheduled = false
 }
 
+// keepsAddress reports whether the worker is called where it was, whatever its entry says: an incarnation does not move, and an
+// answer of somebody else at another address tells nothing about what runs there.
+func (w *worker) keepsAddress() bool {
+	return w.Address != "" && w.mayBeUsed() && (w.misses == 0 || !w.idle())
+}
+
 // WorkersListed handles a listing of the whole directory.
 func (e *Engine) WorkersListed(now time.Duration, workers []runner.Worker) {
 	listed := make(map[runner.WorkerID]bool, len(workers))
