--- a/connection/runner/directory.go
+++ b/connection/runner/directory.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"time"
 
 	"fennelshunt.example/fennelshunt/connection/store"
@@ -15,11 +17,45 @@
 	Removed bool
 }
 
+// EntryErrors are the entries of a directory that name no worker to use, the others having been read.
+type EntryErrors []EntryError
+
+// EntryError is such an entry, by the name of its worker, with the reason.
+type EntryError struct {
+	Name string
+	Err  error
+}
+
+// Error implements error. It names the first entry.
+func (e EntryErrors) Error() string {
+	if len(e) == 0 {
+		return "no entry is refused"
+	}
+	return fmt.Sprintf("%d entries refused, the first is %q: %v", len(e), e[0].Name, e[0].Err)
+}
+
+// OrNil returns the errors as an error, nil if there are none.
+func (e EntryErrors) OrNil() error {
+	if len(e) == 0 {
+		return nil
+	}
+	return e
+}
+
+// Refused returns the entries that an error of a Directory is about, and nil in place of an error that is about nothing else.
+func Refused(err error) (EntryErrors, error) {
+	var refused EntryErrors
+	if errors.As(err, &refused) {
+		return refused, nil
+	}
+	return nil, err
+}
+
 // Directory is the list in which workers register themselves. A removed entry
 // does not prove that the worker has exited.
 //
-// If some entries cannot be read, methods return an error together with the
-// entries that could be read; the revision is then not 0.
+// If some entries cannot be read, or cannot be true, methods return EntryErrors together with the
+// entries that could be read and with the revision. Watch returns such an entry as a removal as well.
 type Directory interface {
 	// List returns all entries and the revision to watch from.
 	List(ctx context.Context) ([]Worker, store.Revision, error)
--- a/process/cellnode/layout.go
+++ b/process/cellnode/layout.go
@@ -120,7 +120,7 @@
 	last, equalReads := -1, 0
 	for range maxReads {
 		listed, _, err := directory.List(ctx)
-		if err != nil && len(listed) == 0 {
+		if _, err = runner.Refused(err); err != nil {
 			return 0, nil, err
 		}
 		for _, m := range members() {
--- a/process/cellnode/metrics.go
+++ b/process/cellnode/metrics.go
@@ -26,7 +26,7 @@
 		{"back", s.Requeued}, {"lost", s.Lost}, {"workers_gone", s.WorkersGone},
 		{"lost_with_worker", s.LostWithWorker}, {"ends_missed", s.CompletionsMissed}, {"ends_unheard", s.CompletionsUnheard}, {"stalls", s.Stalls}, {"leases_withheld", s.LeasesWithheld}, {"starts_held", s.StartsHeld}, {"suspected", s.Suspected},
 		{"trials", s.Trials}, {"given_up", s.GivenUp}, {"adopted", s.Adopted}, {"orphans", s.UntrackedRuns},
-		{"commits", s.Commits}, {"bundles", s.Batches}, {"advised", s.Advised}, {"holds", s.GangReservations}, {"gangs_spread", s.GangsSpread}, {"beside_room", s.BesideRoom}, {"worker_claims", s.Claims},
+		{"commits", s.Commits}, {"bundles", s.Batches}, {"advised", s.Advised}, {"holds", s.GangReservations}, {"gangs_spread", s.GangsSpread}, {"beside_room", s.BesideRoom}, {"worker_claims", s.Claims}, {"worker_entries_refused", s.EntriesRefused}, {"worker_entries_refused_now", s.EntriesRefusedNow},
 		{"late_starts", s.LateStarts}, {"late_starts_gone", s.LateStartsGone},
 		{"aside", s.Quarantined}, {"workers_quarantined", s.WorkersQuarantined}, {"workers_on_probation", s.WorkersOnProbation},
 		{"moved", s.Moved}, {"over_quota", s.OverQuota},
--- a/process/dispatch/host.go
+++ b/process/dispatch/host.go
@@ -94,6 +94,7 @@
 
 	published   time.Duration
 	responses   responseTimes
+	refused     refusedEntries
 	accounts    *work.Accounts // those that the engine has
 	accountsSet bool           // the engine has been given accounts
 	digest      atomic.Pointer[datedDigest]
@@ -101,7 +102,8 @@
 
 // NewHost returns a host for a term.
 func NewHost(o HostOptions, term *lead.Term) *Host {
-	return &Host{o: o, term: term, start: time.Now(), events: make(chan func(*Engine, time.Duration), eventBuffer), loaded: make(chan struct{})}
+	return &Host{o: o, term: term, start: time.Now(), events: make(chan func(*Engine, time.Duration), eventBuffer), loaded: make(chan struct{}),
+		refused: refusedEntries{now: map[string]bool{}, logged: map[string]string{}}}
 }
 
 func (h *Host) now() time.Duration { return time.Since(h.start) }
--- a/process/dispatch/hostwatch.go
+++ b/process/dispatch/hostwatch.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"fennelshunt.example/fennelshunt/connection/runner"
 	"fennelshunt.example/fennelshunt/connection/store"
 	"fennelshunt.example/fennelshunt/process/lead"
 )
@@ -55,21 +56,56 @@
 	t.Run(ctx)
 }
 
-// listWorkers takes the entries that could be read, also if there is an error on others.
+// listWorkers takes the entries that could be read, also if others could not.
 func (h *Host) listWorkers(ctx context.Context) (store.Revision, error) {
 	workers, rev, err := h.o.Directory.List(ctx)
-	if rev == 0 {
+	refused, err := runner.Refused(err)
+	if err != nil {
 		return 0, err
 	}
+	clear(h.refused.now)
+	h.noteRefused(refused)
 	h.post(func(e *Engine, now time.Duration) { e.WorkersListed(now, workers) })
-	return rev, err
+	return rev, nil
+}
+
+// maxRefused bounds the refused entries that are remembered, and so logged once only; further ones are counted.
+const maxRefused = 1000
+
+// refusedEntries are the workers' entries that were refused. Only the goroutine that follows the directory uses them.
+type refusedEntries struct {
+	now    map[string]bool   // by name, those that stand
+	logged map[string]string // reasons by name
+	total  uint64
+}
+
+// noteRefused counts entries that name no worker to use, and logs each once with its reason.
+func (h *Host) noteRefused(refused runner.EntryErrors) {
+	r := &h.refused
+	for _, x := range refused {
+		r.total++
+		r.now[x.Name] = true
+		reason := x.Err.Error()
+		if before, known := r.logged[x.Name]; before == reason || (!known && len(r.logged) >= maxRefused) {
+			continue
+		}
+		r.logged[x.Name] = reason
+		h.o.Log.Warn().Str("worker", x.Name).Str("why", reason).Uint64("epoch", h.term.Epoch).Msg("worker's entry refused")
+	}
+	total, now := r.total, uint64(len(r.now))
+	h.post(func(e *Engine, _ time.Duration) { e.stats.EntriesRefused, e.stats.EntriesRefusedNow = total, now })
 }
 
 func (h *Host) watchWorkersOnce(ctx context.Context, after store.Revision, wait time.Duration) (store.Revision, error) {
 	changes, next, err := h.o.Directory.Watch(ctx, after, wait)
-	if err != nil && len(changes) == 0 {
+	refused, err := runner.Refused(err)
+	if err != nil {
 		return after, err
 	}
+	for _, c := range changes {
+		delete(h.refused.now, c.Worker.ID.Name())
+	}
+	h.noteRefused(refused)
 	h.post(func(e *Engine, now time.Duration) {
 		for _, c := range changes {
 			if c.Removed {
@@ -79,7 +115,7 @@
 			e.WorkerSeen(now, c.Worker)
 		}
 	})
-	return next, err
+	return next, nil
 }
 
 func (h *Host) members() []lead.Member {
--- a/process/dispatch/stats.go
+++ b/process/dispatch/stats.go
@@ -14,6 +14,8 @@
 	// BesideRoom counts steps that had room twice over for longer than startPromise in a cell that was mostly idle, and
 	// of whose job nothing ran.
 	BesideRoom uint64
+	// EntriesRefused counts the workers' entries that were refused, at each reading; EntriesRefusedNow is how many stand.
+	EntriesRefused, EntriesRefusedNow uint64
 	// Claims counts entries that named another incarnation than the current one of their worker.
 	Claims uint64
 	// LateStarts is how many tasks are held now because a start of an ended worker may still be carried out;
