dispatch: who answers is called, whatever the stored list says, and keeps its lease if the list has it

What callers lost: with the store down, runs on sound workers ended with their leases. (a) A worker that had missed two renewals and answered again was not called until a list was stored that has it as usable. (b) Workers that were new on a list on its way were not called, so that no majority of that list was evidence and nobody got leases.

Cause: one condition, "the stored list has it as usable", stood for three: may be called, may be given a lease, may be given a start.

Change: everybody is called; leases go to workers that the stored list has, perhaps as cordoned; starts only to those that it has as usable, as before.

Why it is safe: a successor waits for the lease of each worker on the list that it loads, for the tasks that a cordoned one lists; nothing new is started there. A call without a lease adds nothing to wait for.

--- a/process/dispatch/fleet.go
+++ b/process/dispatch/fleet.go
@@ -88,7 +88,7 @@
 	}
 	for _, ref := range f.Workers {
 		w := e.addWorker(runner.Worker{Ref: ref})
-		w.recorded = true
+		w.recorded, w.known = true, true
 		w.expiry = e.now + e.inheritedLease()
 	}
 	for _, id := range f.Cordoned {
--- a/process/dispatch/persist.go
+++ b/process/dispatch/persist.go
@@ -224,7 +224,7 @@
 		e.saved(ws, &ws.saves[i])
 	}
 	for _, w := range ws.fleet {
-		w.recorded = true
+		w.recorded, w.known = true, true
 		w.nextRenew = now
 	}
 	if len(ws.fleet) > 0 {
--- a/process/dispatch/reports.go
+++ b/process/dispatch/reports.go
@@ -11,14 +11,14 @@
 
 // renew sends the next renewal when it is due.
 func (e *Engine) renew(w *worker) {
-	if w.renewing || e.now < w.nextRenew || (w.fenced && !w.recorded) {
+	if w.renewing || e.now < w.nextRenew {
 		return
 	}
 	r := runner.Renewal{Epoch: e.o.Epoch}
-	leased := e.mayLease()
+	leased := e.mayLease() && w.known
 	if leased {
 		r.Until = w.renewUntil(e.now, e.o.Bounds.Lease)
-	} else if w.fenced && w.misses == 0 {
+	} else if w.fenced && w.known && w.misses == 0 {
 		e.stats.LeasesWithheld++
 	}
 	ackUntil := w.presence.at + ackFreshness
@@ -100,7 +100,7 @@
 		w.renewPause = nextPause(w.renewPause, completions > 0)
 		w.nextRenew = now + w.renewPause
 	}
-	if !e.mayLease() {
+	if !e.mayLease() || !w.known {
 		w.nextRenew = max(w.nextRenew, now+evidencePause)
 	}
 }
--- a/process/dispatch/worker.go
+++ b/process/dispatch/worker.go
@@ -76,7 +76,8 @@
 	runner.Worker
 	index      int  // in the advice of steps
 	listed     bool // its entry is in the directory
-	recorded   bool // the list of workers in the store has it
+	recorded   bool // the list of workers in the store has it, and not as cordoned
+	known      bool // the list has it, perhaps as cordoned: a successor knows of it, so that it may be given leases
 	fenced     bool // it has answered this epoch, and so rejects earlier ones
 	removed    bool // its incarnation has ended
 	newInEpoch bool // it started in this epoch, so no earlier one has called it
