--- a/process/dispatch/claim.go
+++ b/process/dispatch/claim.go
@@ -13,8 +13,8 @@
 // contested reports whether an entry names another incarnation than the current one of a worker that is known.
 func (e *Engine) contested(id runner.WorkerID) bool {
 	name, startTime := id.Incarnation()
-	latest, known := e.latestStarts[name]
-	if startTime == 0 || !known || startTime == latest {
+	latest := e.latestStarts[name] // 0 also for a worker whose name is never used again
+	if startTime == 0 || startTime == latest {
 		return false
 	}
 	return startTime < latest || e.workers[runner.IncarnationID(name, latest)] != nil
--- a/process/dispatch/claim_test.go
+++ b/process/dispatch/claim_test.go
@@ -77,6 +77,29 @@
 	}
 }
 
+// TestWorkerWithoutAStartTimeStaysOneWorker guards against a worker that is booked twice, since another writer's entry under its id names a
+// start time, and its own do not.
+func TestWorkerWithoutAStartTimeStaysOneWorker(t *testing.T) {
+	h := newHarness(t, 1)
+	h.see("w-b", "2")
+	h.step(50 * time.Millisecond)
+	h.report("w-b", runner.Report{Clock: time.Second})
+	foreign := runner.IncarnationID("w-b", 5)
+	h.see(foreign, "3")
+	h.step(50 * time.Millisecond)
+	h.see("w-b", "2")
+	h.e.Renewed(h.now, foreign, runner.Report{}, runner.ErrNoConnection)
+	h.step(50 * time.Millisecond)
+	require.Nil(t, h.e.workers[foreign])
+	require.Len(t, h.e.workers, 1)
+	require.True(t, h.e.workers["w-b"].usable(h.now))
+	h.see(foreign, "2")
+	h.step(50 * time.Millisecond)
+	h.e.Renewed(h.now, foreign, runner.Report{}, &runner.IncarnationError{ID: "w-b", Report: runner.Report{Clock: time.Second + h.now}})
+	require.Len(t, h.e.workers, 1, "it answers without a start time")
+	require.True(t, h.e.workers["w-b"].usable(h.now))
+}
+
 // TestLivingWorkerIsCalledWhereItAnswers guards against runs that are taken for ended, and are started a second time, since another writer's entry
 // under their worker's id has the address of another worker, which refuses the calls.
 func TestLivingWorkerIsCalledWhereItAnswers(t *testing.T) {
