dispatch: a second successor is told how long the starts are held that the first one holds

Cause: when the lease of an inherited, silent worker has ended, the leader holds its unanswered starts, but wrote the worker on the list as ended without the time that is left, since it was not marked as one with late orders.

Change: it is marked. Test: TestSecondSuccessorIsToldOfHeldStarts, red before (0 ms told in place of 3,275).

--- a/process/dispatch/latestart.go
+++ b/process/dispatch/latestart.go
@@ -139,7 +139,7 @@
 			e.noLongerMayRun(task)
 		}
 	}
-	w.mayRun, w.unanswered = held, nil
+	w.mayRun, w.unanswered, w.lateOrders = held, nil, true
 	w.ordersEnd, w.expiry = end, end+leaseBound(e.o.Bounds.MaxLease)
 	e.cordonsChanged, e.scheduled = true, false
 	e.decide(Decision{What: "starts may be carried out late", Worker: w.ID, Why: "its lease has expired, and they had no answer"})
--- a/process/dispatch/latestart_test.go
+++ b/process/dispatch/latestart_test.go
@@ -343,24 +343,7 @@
 func TestSuccessorHoldsUnansweredStartsOfASilentWorker(t *testing.T) {
 	two := oneTask()
 	two.Count = 2
-	first := newHarness(t, 1, inheritedID)
-	require.NoError(t, first.e.Load(0, Saved{Accepted: []store.Entry{jobEntry(t, 1, 4, two)}}))
-	fleet := map[string]store.Entry{}
-	first.stepInto(fleet, 50*time.Millisecond)
-	first.e.Renewed(first.now, inheritedID, runner.Report{Clock: time.Second}, nil)
-	first.stepInto(fleet, 50*time.Millisecond)
-	starts := first.starts()
-	require.Len(t, starts, 2)
-	first.e.Started(first.now, inheritedID, starts[0].Start.Task, starts[0].Start.Run, nil)
-	for range maxStarts {
-		first.e.Started(first.now, inheritedID, starts[1].Start.Task, starts[1].Start.Run, runner.ErrUnknown)
-	}
-	for range cordonMisses + 1 {
-		first.e.Renewed(first.now, inheritedID, runner.Report{}, runner.ErrUnknown)
-		first.stepInto(fleet, probePause+50*time.Millisecond)
-	}
-	require.True(t, first.e.workers[inheritedID].cordoned)
-	at := first.now // the takeover
+	fleet, starts, at := silentWorkerLists(t, two)
 
 	for name, found := range map[string]Lookup{"nobody is there": {}, "an entry": {Listed: true}} {
 		t.Run(name, func(t *testing.T) {
@@ -400,6 +383,29 @@
 	}
 }
 
+// silentWorkerLists returns the stored lists of a leader of two tasks on a worker that is silent and cordoned, with the starts, of which the
+// second one had no answer, and when that leader ended.
+func silentWorkerLists(t *testing.T, two work.Step) (map[string]store.Entry, []SendStart, time.Duration) {
+	first := newHarness(t, 1, inheritedID)
+	require.NoError(t, first.e.Load(0, Saved{Accepted: []store.Entry{jobEntry(t, 1, 4, two)}}))
+	fleet := map[string]store.Entry{}
+	first.stepInto(fleet, 50*time.Millisecond)
+	first.e.Renewed(first.now, inheritedID, runner.Report{Clock: time.Second}, nil)
+	first.stepInto(fleet, 50*time.Millisecond)
+	starts := first.starts()
+	require.Len(t, starts, 2)
+	first.e.Started(first.now, inheritedID, starts[0].Start.Task, starts[0].Start.Run, nil)
+	for range maxStarts {
+		first.e.Started(first.now, inheritedID, starts[1].Start.Task, starts[1].Start.Run, runner.ErrUnknown)
+	}
+	for range cordonMisses + 1 {
+		first.e.Renewed(first.now, inheritedID, runner.Report{}, runner.ErrUnknown)
+		first.stepInto(fleet, probePause+50*time.Millisecond)
+	}
+	require.True(t, first.e.workers[inheritedID].cordoned)
+	return fleet, starts, first.now
+}
+
 // TestStartThatIsAnsweredLaterIsNotHeldBySuccessors guards against tasks that a successor holds for as long as an order may be
 // late, since their starts were on their way when their worker's notice to leave was stored.
 func TestStartThatIsAnsweredLaterIsNotHeldBySuccessors(t *testing.T) {
@@ -424,3 +430,25 @@
 	require.Empty(t, told().Unanswered)
 	require.Len(t, told().Tasks, 1)
 }
+
+// TestSecondSuccessorIsToldOfHeldStarts guards against a second successor that waits anew, for all of the time, for starts that the one before
+// it holds since its worker's lease has ended.
+func TestSecondSuccessorIsToldOfHeldStarts(t *testing.T) {
+	two := oneTask()
+	two.Count = 2
+	lists, _, _ := silentWorkerLists(t, two)
+	h := newHarness(t, 2)
+	require.NoError(t, h.e.Load(0, Saved{Accepted: []store.Entry{jobEntry(t, 1, 4, two)}, Fleet: []store.Entry{lists[keyFleet], lists[keyCordoned]}}))
+	fleet := map[string]store.Entry{}
+	for h.e.workers[inheritedID].ordersEnd == 0 {
+		h.e.Renewed(h.now, inheritedID, runner.Report{}, runner.ErrUnknown)
+		h.stepInto(fleet, 100*time.Millisecond)
+		require.Less(t, h.now, time.Minute)
+	}
+	h.stepInto(fleet, 100*time.Millisecond)
+	var cordons cordonRecord
+	require.NoError(t, peer.Unmarshal(fleet[keyCordoned].Value, &cordons))
+	require.Len(t, cordons.Workers, 1)
+	require.True(t, cordons.Workers[0].Ended)
+	require.InDelta(t, (h.e.workers[inheritedID].ordersEnd - h.now).Milliseconds(), cordons.Workers[0].LateMS, 250)
+}
