dispatch: completions of a job that cannot be decoded are stored as they are, and hold no others

After 500 later completions the worker lists no new ones, and every job with a task there waits.

Cause: a worker is told one number up to which it may drop its completions, and a job that cannot be decoded has no progress in which one could be stored.

Change: such completions are stored as the worker reported them, under fleet/unread, and then acknowledged; a leader that can decode the submission processes them when it loads its state.

--- a/process/dispatch/completions.go
+++ b/process/dispatch/completions.go
@@ -25,7 +25,7 @@
 			e.takeCompletion(w, &completions[i])
 			wait.job, wait.version = j, j.version
 		} else {
-			wait.unheard = e.keepCompletion(w, &completions[i])
+			wait.unheard, wait.place = e.keepCompletion(w, &completions[i])
 		}
 		w.pendingAcks = append(w.pendingAcks, wait)
 		n++
--- a/process/dispatch/engine.go
+++ b/process/dispatch/engine.go
@@ -36,10 +36,13 @@
 	// handed to Accepted; 0: not known.
 	heard store.Revision
 	// unheard are the jobs of which workers report runs or completions and that are not known.
-	unheard     map[work.JobID]*unheardJob
-	workers     map[runner.WorkerID]*worker
-	workerList  []*worker // in a fixed order
-	workerCount int       // that this epoch has had, removed ones included
+	unheard map[work.JobID]*unheardJob
+	// unread are the completions of jobs that cannot be decoded; unreadChanged: the list of them has to be written.
+	unread        []*unread
+	unreadChanged bool
+	workers       map[runner.WorkerID]*worker
+	workerList    []*worker // in a fixed order
+	workerCount   int       // that this epoch has had, removed ones included
 	// unresolved counts the workers that an earlier epoch used and that have neither answered
 	// this one nor certainly stopped running its tasks; unresolvedUncordoned counts those of
 	// them that were not cordoned.
@@ -183,6 +186,11 @@
 		}
 	}
 	errs = append(errs, e.loadFleet(saved.Fleet))
+	for _, entry := range saved.Fleet {
+		if entry.Key == keyUnread {
+			errs = append(errs, e.loadUnread(entry))
+		}
+	}
 	for _, j := range e.jobs {
 		e.loadCrashes(j)
 		e.openDue(j)
--- a/process/dispatch/fleet.go
+++ b/process/dispatch/fleet.go
@@ -66,7 +66,7 @@
 	cordonMisses = 2
 )
 
-func (e *Engine) fleetDirty() bool { return e.fleetChanged || e.cordonsChanged }
+func (e *Engine) fleetDirty() bool { return e.fleetChanged || e.cordonsChanged || e.unreadChanged }
 
 // loadFleet restores the list of workers.
 func (e *Engine) loadFleet(entries []store.Entry) error {
@@ -313,6 +313,7 @@
 	if e.cordonsChanged {
 		put(keyCordoned, cordoned)
 	}
+	e.addUnread(ws, put)
 	e.fleetChanged, e.cordonsChanged = false, false
 	return keys
 }
--- a/process/dispatch/persist.go
+++ b/process/dispatch/persist.go
@@ -25,11 +25,12 @@
 
 // writeSet is one write that is in flight to the store.
 type writeSet struct {
-	saves []save
-	batch *batch // nil: every job is under a key of its own
-	fleet []*worker
-	lists bool          // it has the lists of workers
-	sent  time.Duration // when it was sent
+	saves  []save
+	batch  *batch // nil: every job is under a key of its own
+	fleet  []*worker
+	unread []*unread     // as the list that it has
+	lists  bool          // it has the lists of workers
+	sent   time.Duration // when it was sent
 }
 
 // save is the progress of one job in a write set.
@@ -223,6 +224,10 @@
 	for i := range ws.saves {
 		e.saved(ws, &ws.saves[i])
 	}
+	for _, x := range ws.unread {
+		x.stored = true
+	}
+	e.dropUnread((*unread).settled)
 	for _, w := range ws.fleet {
 		w.recorded, w.known = true, true
 		w.nextRenew = now
--- a/process/dispatch/types.go
+++ b/process/dispatch/types.go
@@ -178,6 +178,8 @@
 	prefixFleet = "fleet"
 	keyFleet    = prefixFleet
 	keyCordoned = "fleet/closed"
+	// keyUnread has the completions of jobs that the leader's version cannot decode.
+	keyUnread = "fleet/unread"
 )
 
 // KeySubmission returns the key of an accepted job.
--- a/process/dispatch/unheard.go
+++ b/process/dispatch/unheard.go
@@ -36,6 +36,8 @@
 	reading     bool
 	readAt      time.Duration // earliest time of the next read
 	absentAt    time.Duration // when a read has found no submission, 0 for never
+	undecoded   bool          // its submission cannot be decoded
+	unread      []*unread     // of completions, as they are in the store or on their way, in the same order
 	job         *job          // once it is known
 	version     uint64        // of job, with the completions
 }
@@ -45,9 +47,9 @@
 	completion runner.Completion
 }
 
-// stored reports whether the completions of the job may be acknowledged.
-func (u *unheardJob) stored() bool {
-	return u.absentAt > 0 || u.job != nil && u.job.saved >= u.version
+// stored reports whether the first n completions of the job may be acknowledged.
+func (u *unheardJob) stored(n int) bool {
+	return u.absentAt > 0 || u.job != nil && u.job.saved >= u.version || len(u.unread) >= n && u.unread[n-1].stored
 }
 
 // unheardOf returns the record of a job that is not known, and has its submission read.
@@ -70,19 +72,23 @@
 }
 
 // keepCompletion keeps a completion of a job that is not known until the job is, or is known not
-// to exist.
-func (e *Engine) keepCompletion(w *worker, c *runner.Completion) *unheardJob {
+// to exist. It returns the job, and the number of its completions with this one.
+func (e *Engine) keepCompletion(w *worker, c *runner.Completion) (*unheardJob, int) {
 	e.stats.CompletionsUnheard++
 	e.decide(Decision{What: "completion of a job not heard of", Task: c.Task, Run: c.Run, Worker: w.ID, Why: c.Outcome.String()})
 	u := e.unheardOf(c.Task.Job)
 	if u.absentAt == 0 {
 		u.completions = append(u.completions, unheardCompletion{w, *c})
 	}
-	return u
+	if u.undecoded {
+		e.keepUnread(u)
+	}
+	return u, len(u.completions)
 }
 
 // JobRead handles the outcome of a ReadJob. found is false if the store has no submission of the job.
-// The error is that of the read, or that the job cannot be decoded; the job is then read again.
+// The error is that of the read, or that the job cannot be decoded; the job is then read again, and in the second case its
+// completions are stored as they are.
 func (e *Engine) JobRead(now time.Duration, id work.JobID, entry store.Entry, found bool, err error) error {
 	e.now = now
 	u := e.unheard[id]
@@ -94,9 +100,15 @@
 	case err != nil:
 		return err
 	case found:
-		return e.submitted(id, entry)
+		err := e.submitted(id, entry)
+		if err != nil {
+			u.undecoded, u.readAt = true, now+readUndecodedPause
+			e.keepUnread(u)
+		}
+		return err
 	}
-	u.absentAt, u.completions = now, nil
+	u.absentAt, u.completions, u.unread = now, nil, nil
+	e.dropUnread(func(x *unread) bool { return x.Task.Job == id })
 	e.decide(Decision{What: "job does not exist", Task: work.TaskID{Job: id}, Why: "the store has no submission of it"})
 	e.acknowledgeAll()
 	return nil
@@ -123,7 +135,10 @@
 	for i := range u.completions {
 		e.takeCompletion(u.completions[i].w, &u.completions[i].completion)
 	}
-	u.job, u.version, u.completions = j, j.version, nil
+	for _, x := range u.unread {
+		x.job, x.version = j, j.version
+	}
+	u.job, u.version, u.completions, u.unread = j, j.version, nil, nil
 	e.acknowledgeAll()
 }
 
--- a/process/dispatch/worker.go
+++ b/process/dispatch/worker.go
@@ -61,12 +61,13 @@
 	job     *job // nil: it was not known
 	version uint64
 	unheard *unheardJob // instead of job
+	place   int         // the number of its completions up to this one
 }
 
 // stored reports whether the completion may be acknowledged.
 func (a *pendingAck) stored() bool {
 	if a.unheard != nil {
-		return a.unheard.stored()
+		return a.unheard.stored(a.place)
 	}
 	return a.job.saved >= a.version
 }
