dispatch: a stored list of workers that cannot be decoded is waited for

What callers would see: a leader that takes over with a list of workers that it cannot decode (another writer, another version) took it for empty, and started tasks at once beside the runs of workers that it did not know: TWICE. Found by going through the records that somebody else may write; not seen in a run.

Change: until the longest lease has certainly ended, nothing of an earlier leader's jobs is accounted for. Test: TestUnreadableListOfWorkersIsWaitedFor, red before.

--- a/process/dispatch/engine.go
+++ b/process/dispatch/engine.go
@@ -51,6 +51,8 @@
 	// run there. Jobs submitted after fleetRevision do not run on them.
 	cordonedUnlisted int
 	fleetRevision    store.Revision
+	// fleetUnknownUntil is when everything has certainly ended on workers of a list that could not be decoded.
+	fleetUnknownUntil time.Duration
 	// mayRun counts, by task, the cordoned workers on which the task may still be running.
 	mayRun map[work.TaskID]int
 
--- a/process/dispatch/fleet.go
+++ b/process/dispatch/fleet.go
@@ -77,8 +77,10 @@
 		var err error
 		switch entry.Key {
 		case keyFleet:
-			err = peer.Unmarshal(entry.Value, &f)
 			e.fleetRevision = entry.Revision
+			if err = peer.Unmarshal(entry.Value, &f); err != nil {
+				e.fleetUnknownUntil = e.now + e.inheritedLease()
+			}
 		case keyCordoned:
 			err = peer.Unmarshal(entry.Value, &cordons)
 		}
@@ -179,9 +181,10 @@
 
 // accountedFor reports whether it is known which inherited tasks of the step are running: every
 // worker that an earlier epoch used and that is not cordoned has answered or has certainly
-// ended. What the cordoned ones may run is in mayRun.
+// ended. What the cordoned ones may run is in mayRun. If the list of workers could not be decoded, any worker may run them until
+// the longest lease has ended.
 func (e *Engine) accountedFor(s *step) bool {
-	if e.unresolvedUncordoned > 0 || (e.cordonedUnlisted > 0 && s.job.revision <= e.fleetRevision) {
+	if e.now < e.fleetUnknownUntil || e.unresolvedUncordoned > 0 || (e.cordonedUnlisted > 0 && s.job.revision <= e.fleetRevision) {
 		return false
 	}
 	if !s.spec.Gang || len(e.mayRun) == 0 {
--- a/process/dispatch/fleet_test.go
+++ b/process/dispatch/fleet_test.go
@@ -194,3 +194,18 @@
 	}
 	t.Fatal("it is not used again")
 }
+
+// TestUnreadableListOfWorkersIsWaitedFor guards against a second run of a task on a worker that is on a stored list which cannot be decoded, and
+// against jobs that wait for such a list for ever.
+func TestUnreadableListOfWorkersIsWaitedFor(t *testing.T) {
+	h := newHarness(t, 2, "w-a")
+	require.Error(t, h.e.Load(0, Saved{Accepted: []store.Entry{jobEntry(t, 1, 2, oneTask())}, Fleet: []store.Entry{{Key: keyFleet, Value: []byte("of another writer")}}}))
+	h.step(50 * time.Millisecond)
+	for h.now < h.e.inheritedLease() {
+		require.Empty(t, h.starts())
+		h.report("w-a", runner.Report{Clock: time.Second + h.now})
+		h.step(100 * time.Millisecond)
+	}
+	h.step(200 * time.Millisecond)
+	require.Len(t, h.starts(), 1)
+}
