--- a/process/dispatch/rack.go
+++ b/process/dispatch/rack.go
@@ -186,7 +186,7 @@
 // nextAnswer returns when the step's calls for advice are expected to be answered, or, if there are none, one that it could
 // send now about a rack.
 func (e *Engine) nextAnswer(s *step, r *rackState) (at time.Duration) {
-	if s.advice.inFlight == 0 {
+	if s.advice == nil || s.advice.inFlight == 0 {
 		return e.now + s.callCost(r.unknown) + answerGrace
 	}
 	for _, proxy := range e.proxies {
--- a/process/dispatch/rack_test.go
+++ b/process/dispatch/rack_test.go
@@ -93,6 +93,15 @@
 	require.Greater(t, h.racksOf(starts), 1)
 }
 
+// TestGangOfACellWithoutTheAdviceBudgetSeeksARack guards against a leader that ends at its first look at the racks, since the gang has no advice yet.
+func TestGangOfACellWithoutTheAdviceBudgetSeeksARack(t *testing.T) {
+	h, s := rackHarness(t, slowAdvice)
+	h.e.o.Policy.NoAdviceBudget = true
+	h.step(50 * time.Millisecond)
+	require.NotEmpty(t, s.search.rack)
+	require.NotEmpty(t, sent[AskAdvice](h))
+}
+
 // TestGangStartsOnOneRackThatCanHoldIt guards against a gang that runs slowly on several racks although one is free.
 func TestGangStartsOnOneRackThatCanHoldIt(t *testing.T) {
 	h, _ := rackHarness(t, func(*work.Job) {})
