dispatch: the room of a worker that has never answered counts for nothing

What callers would see: one odd entry with a million cores made the cell look empty: submissions that cannot be served were accepted and waited, gangs too wide for the cell counted as feasible and held reservations, and a leader charged accounts for workers that it had not heard from as if each were as large as the odd one. Found by reading where a capacity is used.

Change: what a worker could hold counts once it has answered, or if an earlier leader used it; gangs are looked at again when a worker has been listed.

Test: TestRoomOfWorkersThatHaveNeverAnsweredCountsForNothing, red before (1,000,004 cores in place of 4, a gang feasible that is not, a charge of a million cores).

--- a/process/dispatch/accounts.go
+++ b/process/dispatch/accounts.go
@@ -226,6 +226,9 @@
 	var all, largest quota.Size
 	unlisted := 0
 	for _, w := range e.workerList {
+		if !w.mayBeUsed() {
+			continue
+		}
 		size := sizeOf(w.Capacity)
 		largest = largest.Max(size)
 		switch {
--- a/process/dispatch/forecast.go
+++ b/process/dispatch/forecast.go
@@ -64,8 +64,9 @@
 func (e *Engine) cellLoad() *loadshed.Cell {
 	cell := &loadshed.Cell{Proxies: float64(len(e.proxyNames))}
 	for _, w := range e.workerList {
-		// Workers that do not answer at the moment count: the leader's link may be the reason.
-		if !w.removed && w.listed && !w.Draining {
+		// Workers that do not answer at the moment count: the leader's link may be the reason. One that has never answered
+		// may be an entry only.
+		if !w.removed && w.mayBeUsed() && w.listed && !w.Draining {
 			cell.Cores += float64(w.Capacity.CPU) / 1000
 		}
 	}
--- a/process/dispatch/gang.go
+++ b/process/dispatch/gang.go
@@ -270,7 +270,7 @@
 	s.feasibleUntil = e.now + feasiblePeriod
 	slots, sound := 0, 0
 	for _, w := range e.workerList {
-		if w.removed || !w.listed || !e.suits(s, w) || !w.goodFor(s) {
+		if w.removed || !w.mayBeUsed() || !w.listed || !e.suits(s, w) || !w.goodFor(s) {
 			continue
 		}
 		n := s.spec.Need().Times(w.Capacity, s.perWorker(s.spec.Count))
--- a/process/dispatch/placement.go
+++ b/process/dispatch/placement.go
@@ -146,7 +146,7 @@
 func (e *Engine) retryGangs() {
 	e.scheduled = false
 	for _, s := range e.ready {
-		s.retryAt, s.misses, s.search.until = 0, 0, 0
+		s.retryAt, s.misses, s.search.until, s.feasibleUntil = 0, 0, 0, 0
 	}
 }
 
--- a/process/dispatch/promise.go
+++ b/process/dispatch/promise.go
@@ -50,7 +50,7 @@
 func (e *Engine) mostlyIdle(service string) bool {
 	used, capacity := 0, 0
 	for _, w := range e.workerList {
-		if w.Service == service && !w.removed {
+		if w.Service == service && !w.removed && w.mayBeUsed() {
 			used, capacity = used+w.used.CPU, capacity+w.Capacity.CPU
 		}
 	}
--- a/process/dispatch/rack.go
+++ b/process/dispatch/rack.go
@@ -204,7 +204,7 @@
 func (e *Engine) rackStates(s *step) (racks []rackState, all rackState, idle bool) {
 	need, limit, share := s.spec.Need(), s.perWorker(s.spec.Count), e.goodShare(s.job.spec.Queue.Name)
 	for _, w := range e.workerList {
-		if !e.suits(s, w) || !w.goodFor(s) || w.leftForLong(e.now, leaseBound(e.o.Bounds.Lease)) {
+		if !w.mayBeUsed() || !e.suits(s, w) || !w.goodFor(s) || w.leftForLong(e.now, leaseBound(e.o.Bounds.Lease)) {
 			continue
 		}
 		i := slices.IndexFunc(racks, func(r rackState) bool { return r.name == w.rack })
--- a/process/dispatch/unanswered_test.go
+++ b/process/dispatch/unanswered_test.go
@@ -119,3 +119,25 @@
 		c.requireSound()
 	})
 }
+
+// TestRoomOfWorkersThatHaveNeverAnsweredCountsForNothing guards against jobs that are accepted, gangs that reserve capacity, and accounts that are
+// charged, by the room that an entry names and nobody has.
+func TestRoomOfWorkersThatHaveNeverAnsweredCountsForNothing(t *testing.T) {
+	h := newHarness(t, 2)
+	require.NoError(t, h.e.Load(0, Saved{Accepted: []store.Entry{jobEntry(t, 2, 2, tasksOf(8, true))}, Fleet: []store.Entry{fleetEntry(t, "w-gone")}}))
+	h.resize("w-a", work.Resources{CPU: 4000, Memory: 4000})
+	h.step(50 * time.Millisecond)
+	h.report("w-a", runner.Report{Clock: time.Second})
+	s := h.e.jobs[testJob].occurrences[0].steps[0]
+	state := func() string {
+		s.feasibleUntil = 0
+		return fmt.Sprint(h.e.cellLoad().Cores, h.e.gangFeasible(s), h.e.unresolvedCapacity(), h.e.mostlyIdle("s"))
+	}
+	h.e.workers["w-a"].used.CPU = 3000
+	before := state()
+	h.resize("w-odd", work.Resources{CPU: 1_000_000_000, Memory: 1_000_000_000})
+	require.Equal(t, before, state())
+	h.e.workers["w-a"].used.CPU = 0
+	h.report("w-odd", runner.Report{Clock: time.Second})
+	require.NotEqual(t, before, state(), "it has answered")
+}
