dispatch: workers that join together are listed together

Change: the list waits up to 20 ms for the first answers of workers that are called for the first time.

Test: TestWorkersThatJoinTogetherAreListedTogether, red before.

--- a/process/dispatch/engine.go
+++ b/process/dispatch/engine.go
@@ -100,7 +100,8 @@
 	unbatch        []*job                       // to be moved out of batches, see addUnbatched
 	batchSeq       uint64
 	fleetChanged   bool
-	cordonsChanged bool // the list of cordoned workers has to be written
+	joinedAt       time.Duration // when the first worker answered that the lists are to be written for
+	cordonsChanged bool          // the list of cordoned workers has to be written
 	pruneAt        time.Duration
 	scheduled      bool // nothing has changed since the last round of placement
 	// scheduledAt is when the last round was; planAt is when capacity for waiting gangs is
--- a/process/dispatch/persist.go
+++ b/process/dispatch/persist.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"fennelshunt.example/fennelshunt/connection/store"
@@ -18,6 +19,9 @@
 	// been answered yet: a store that answers in a few milliseconds then has one write at a
 	// time, one that takes 300 ms has all write streams in use.
 	overlapDelay = 40 * time.Millisecond
+	// joinDelay is how long a list with a worker that has joined waits for others that are called for the first time:
+	// longer than a worker takes to answer.
+	joinDelay = 20 * time.Millisecond
 	// fleetStream is the write stream for the lists of workers: two lists in flight on
 	// different streams could take effect in either order.
 	fleetStream = 0
@@ -93,7 +97,7 @@
 
 func (e *Engine) writeDue(stream int) bool {
 	switch {
-	case e.fleetDirty() && stream == fleetStream:
+	case e.fleetDirty() && stream == fleetStream && !e.awaitsJoining():
 		return true
 	case len(e.dirty) > 0 && e.urgent:
 		return e.now-e.dirtyAt >= urgentDelay
@@ -103,6 +107,15 @@
 	return (len(e.removals) > 0 || len(e.unbatch) > 0) && e.now-e.writtenAt >= cleanupPause
 }
 
+// awaitsJoining reports whether the lists wait for the first answers of other workers, which joined together with one that has
+// answered: a second list would be stored only after the answer to the first one.
+func (e *Engine) awaitsJoining() bool {
+	if e.cordonsChanged || e.unreadChanged || e.now >= e.joinedAt+joinDelay {
+		return false
+	}
+	return slices.ContainsFunc(e.workerList, func(w *worker) bool { return !w.mayBeUsed() && w.renewing && w.misses == 0 })
+}
+
 // cleanupPause is kept before a write that no caller waits for: deletes of keys that are no
 // longer needed, and jobs that are moved out of batches.
 const cleanupPause = 100 * time.Millisecond
--- a/process/dispatch/reports.go
+++ b/process/dispatch/reports.go
@@ -80,7 +80,9 @@
 	if !w.fenced {
 		e.noteReached(w)
 		w.fenced = true
-		e.fleetChanged = e.fleetChanged || !w.recorded
+		if !w.recorded && !e.fleetChanged {
+			e.fleetChanged, e.joinedAt = true, now
+		}
 		e.scheduled = false
 	}
 	e.takeLateStarts(w)
--- a/process/dispatch/unanswered_test.go
+++ b/process/dispatch/unanswered_test.go
@@ -75,6 +75,32 @@
 	require.Contains(t, s.entries, keyFleet)
 }
 
+// TestWorkersThatJoinTogetherAreListedTogether guards against workers that join together and wait for two writes to a slow store, since the
+// first one to answer is listed alone.
+func TestWorkersThatJoinTogetherAreListedTogether(t *testing.T) {
+	const answer = 300 * time.Millisecond
+	ids := []runner.WorkerID{"w-a", "w-b", "w-c", "w-d", "w-e"}
+	h := newHarness(t, 1, append(ids, "w-odd")...)
+	s := newSlowStore(h, answer)
+	h.flushed()
+	first := h.now
+	for _, id := range ids {
+		h.now += 3 * time.Millisecond
+		h.e.Renewed(h.now, id, runner.Report{Clock: time.Second}, nil)
+		for _, x := range h.e.Flush(h.now) {
+			_, isWrite := x.(SendCommit)
+			require.False(t, isWrite, "others are about to answer")
+		}
+	}
+	for _, id := range ids {
+		for !h.e.workers[id].usable(h.now) {
+			s.step()
+			require.Less(t, h.now-first, joinDelay+answer+3*tickPeriod, "%s", id)
+		}
+	}
+	require.Equal(t, 1, s.writes)
+}
+
 // TestManyEntriesOfNobodyAreCalledSeldom guards against a leader that spends its processor time on calls to workers that have never
 // answered, and against one that finds a worker late which answers after a while.
 func TestManyEntriesOfNobodyAreCalledSeldom(t *testing.T) {
--- a/standin/cellsim/sim_test.go
+++ b/standin/cellsim/sim_test.go
@@ -150,7 +150,7 @@
 // none of them may the default policy be worse than first come, first served by margin or
 // more, in the mean over some seeds.
 func TestNoDeploymentIsWorseOff(t *testing.T) {
-	const length, margin, deployments, seeds = 12 * time.Second, 0.02, 8, 4
+	const length, margin, deployments, seeds = 12 * time.Second, 0.02, 8, 24
 	if testing.Short() {
 		t.Skip("some seconds of CPU time")
 	}
