dispatch: the log names why a worker gives way to another incarnation

It said that the worker is listed with a later start time; since claims it is the answer, or the end of its lease, that decides. And a field's comment. No change of behaviour.

--- a/process/dispatch/advice.go
+++ b/process/dispatch/advice.go
@@ -72,10 +72,10 @@
 	ticketAt []int32
 	inFlight int               // calls
 	toAsk    []runner.WorkerID // to be named by the next calls, perCall in each
-	perCall  int
-	second   int             // how many of these calls, the last ones, may be sent behind another one
-	reserve  gangReserveMode // which gang reservation to make for the calls
-	next     time.Duration   // earliest next call
+	perCall  int               // how many workers each of them names
+	second   int               // how many of these calls, the last ones, may be sent behind another one
+	reserve  gangReserveMode   // which gang reservation to make for the calls
+	next     time.Duration     // earliest next call
 	budget   stepBudget
 }
 
--- a/process/dispatch/fleet.go
+++ b/process/dispatch/fleet.go
@@ -137,7 +137,7 @@
 func (e *Engine) follow(w, next *worker) {
 	e.inheritLateOrders(w, next)
 	inherits, cordoned, unlisted, mayRun := w.inherited && !next.fenced, w.cordoned, w.unlisted, w.mayRun
-	e.removeWorker(w, "it is listed with a later start time", true)
+	e.removeWorker(w, "another incarnation has its place", true)
 	if !inherits {
 		return
 	}
