--- a/process/dispatch/cell_test.go
+++ b/process/dispatch/cell_test.go
@@ -252,6 +252,14 @@
 	}
 }
 
+// takeOver kills the leader, and returns when another daemon leads.
+func (c *cell) takeOver() {
+	c.killLeader()
+	for c.leader() == nil {
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
 func (c *cell) leader() *Host {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/process/dispatch/claim_test.go
+++ b/process/dispatch/claim_test.go
@@ -199,10 +199,7 @@
 			id := c.submit(j)
 			since := time.Now()
 			if i%3 == 2 {
-				c.killLeader()
-				for c.leader() == nil {
-					time.Sleep(10 * time.Millisecond)
-				}
+				c.takeOver()
 				since = time.Now()
 			}
 			c.requireSoonDone(since, id)
--- a/process/dispatch/idle_test.go
+++ b/process/dispatch/idle_test.go
@@ -245,10 +245,7 @@
 		defer c.stop()
 		id := c.submitOneRackGang()
 		time.Sleep(time.Duration(seed) * 100 * time.Millisecond)
-		c.killLeader()
-		for c.leader() == nil {
-			time.Sleep(10 * time.Millisecond)
-		}
+		c.takeOver()
 		c.requireSoonDone(time.Now(), id)
 		c.requireSound()
 		require.Zero(t, c.spread.Load(), "it ran on several racks")
--- a/process/dispatch/unanswered_test.go
+++ b/process/dispatch/unanswered_test.go
@@ -136,10 +136,7 @@
 		}
 		for range 4 {
 			id := c.submit(c.drawIdleJob(c.rng))
-			c.killLeader()
-			for c.leader() == nil {
-				time.Sleep(10 * time.Millisecond)
-			}
+			c.takeOver()
 			c.requireSoonDone(time.Now(), id)
 		}
 		c.requireSound()
