--- a/review/.standin-3/minion.go
+++ b/review/.standin-3/minion.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"slices"
@@ -51,6 +52,9 @@
 	n       int64
 	wake    chan struct{}
 	seq     int
+	life    int           // counts its lives
+	keepsID bool          // it starts again under the id that it had
+	leaves  time.Duration // while it drains: when it leaves, on its clock
 	// capacity
 	cpu, mem int
 }
@@ -76,7 +80,7 @@
 	w := m.w
 	addr := m.addr
 	if addr == "" {
-		addr = "127.0.0.1:0"
+		addr = fmt.Sprintf("127.0.0.1:%d", freePorts(1)[0])
 	}
 	var l net.Listener
 	var err error
@@ -90,40 +94,68 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.lives++
-	m.addr, m.id, m.born, m.up = l.Addr().String(), fmt.Sprintf("i-%04d", w.lives), time.Now().Add(-time.Duration(w.lives)*time.Second), true
-	m.token, m.until, m.n, m.ended, m.seq = 0, 0, 0, nil, 0
+	again := m.id != ""
+	m.addr, m.born, m.up, m.life = l.Addr().String(), time.Now(), true, m.life+1
+	if !m.keepsID || !again {
+		m.id, m.born = fmt.Sprintf("i-%04d", w.lives), time.Now().Add(-time.Duration(100+w.lives)*time.Second)
+	}
+	m.token, m.until, m.n, m.ended, m.seq, m.leaves = 0, 0, 0, nil, 0, 0
 	m.running, m.highest, m.wake = map[string]*run{}, map[string]uint64{}, make(chan struct{})
 	m.server = &http.Server{Handler: m}
-	server, id := m.server, m.id
+	server, life := m.server, m.life
 	go func() { _ = server.Serve(l) }()
-	go m.beat(id)
-	go m.lapse(id)
+	go m.beat(life)
+	go m.lapse(life)
 	w.note("minion %s of machine %s is up at %s", m.id, m.machine, m.addr)
 }
 
 // beat writes the minion's entry until its life has ended.
-func (m *minion) beat(id string) {
+func (m *minion) beat(life int) {
 	for {
 		m.w.mu.Lock()
-		if m.id != id || !m.up {
+		if m.life != life || !m.up {
 			m.w.mu.Unlock()
 			return
 		}
-		m.seq++
-		entry := map[string]any{"service": service, "address": m.addr, "zone": "a", "version": "v1", "slots": 8, "state": "ready", "cold_remaining_ms": 0,
-			"capacity": map[string]int{"cpu": m.cpu, "mem_mb": m.mem, "gpu": 0}, "labels": m.labels, "clock_ms": m.clock().Milliseconds(), "seq": m.seq}
+		id, entry := m.id, m.entry()
 		m.w.mu.Unlock()
 		m.w.put("servers/"+id, entry)
 		time.Sleep(heartbeat)
 	}
 }
 
+// entry returns the minion's entry; w.mu is held.
+func (m *minion) entry() map[string]any {
+	m.seq++
+	entry := map[string]any{"service": service, "address": m.addr, "zone": "a", "version": "v1", "slots": 8, "state": "ready", "cold_remaining_ms": 0,
+		"capacity": map[string]int{"cpu": m.cpu, "mem_mb": m.mem, "gpu": 0}, "labels": m.labels, "clock_ms": m.clock().Milliseconds(), "seq": m.seq}
+	if m.keepsID {
+		entry["born"] = m.born.UnixMilli()
+	}
+	if m.leaves > 0 {
+		entry["state"], entry["drain_remaining_ms"] = "draining", max(m.leaves-m.clock(), 0).Milliseconds()
+	}
+	return entry
+}
+
+// drain reports that the minion leaves, and lets it leave drain_ms and a little later.
+func (m *minion) drain() {
+	w := m.w
+	w.mu.Lock()
+	m.leaves = m.clock() + 2*time.Second
+	id, entry := m.id, m.entry()
+	w.mu.Unlock()
+	w.put("servers/"+id, entry)
+	w.disrupt("minion %s of machine %s drains", id, m.machine)
+	time.AfterFunc(2600*time.Millisecond, func() { m.crash(0); w.remove("servers/" + id) })
+}
+
 // crash ends the minion's life: all that runs there ends, and nothing is sent. Its entry goes after three
 // heartbeats. With after > 0 the machine starts a new minion then.
 func (m *minion) crash(after time.Duration) {
 	w := m.w
 	w.mu.Lock()
-	id := m.id
+	id, life := m.id, m.life
 	m.up = false
 	var lost []string
 	for _, r := range m.running {
@@ -135,18 +167,25 @@
 	w.mu.Unlock()
 	_ = server.Close()
 	w.disrupt("minion %s of machine %s crashes; it ran %v", id, m.machine, lost)
-	time.AfterFunc(3*heartbeat, func() { w.remove("servers/" + id) })
+	time.AfterFunc(3*heartbeat, func() {
+		w.mu.Lock()
+		back := m.keepsID && m.life != life
+		w.mu.Unlock()
+		if !back {
+			w.remove("servers/" + id)
+		}
+	})
 	if after > 0 {
 		time.AfterFunc(after, func() { m.start(); w.disrupt("machine %s is back", m.machine) })
 	}
 }
 
 // lapse kills everything when the lease has expired.
-func (m *minion) lapse(id string) {
+func (m *minion) lapse(life int) {
 	for {
 		time.Sleep(10 * time.Millisecond)
 		m.w.mu.Lock()
-		if m.id != id || !m.up {
+		if m.life != life || !m.up {
 			m.w.mu.Unlock()
 			return
 		}
@@ -200,11 +239,16 @@
 // ServeHTTP answers the calls of the scheduler.
 func (m *minion) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
 	var in order
-	if json.NewDecoder(r.Body).Decode(&in) != nil {
+	body, err := io.ReadAll(r.Body)
+	if err != nil || json.Unmarshal(body, &in) != nil {
 		rw.WriteHeader(400)
 		return
 	}
 	w := m.w
+	if lateHook(m, r, &in, body) {
+		<-r.Context().Done() // no answer
+		return
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if want := r.Header.Get("X-Expect-Instance"); !m.up || want != "" && want != m.id {
@@ -262,7 +306,7 @@
 
 // hold answers with both lists; w.mu is held.
 func (m *minion) hold(rw http.ResponseWriter, r *http.Request, in *order) {
-	w, id := m.w, m.id
+	w, life := m.w, m.life
 	if in.Until > 0 {
 		m.extend(in.Until)
 	}
@@ -276,7 +320,7 @@
 		case <-r.Context().Done():
 		}
 		w.mu.Lock()
-		if m.id != id || !m.up {
+		if m.life != life || !m.up {
 			panic(http.ErrAbortHandler) // it has crashed meanwhile
 		}
 	}
@@ -287,7 +331,11 @@
 	for _, e := range m.ended[:min(len(m.ended), 500)] {
 		ended = append(ended, []any{e.n, e.task, e.run, e.how, ""})
 	}
-	reply(rw, 200, map[string]any{"clock_ms": m.clock().Milliseconds(), "running": running, "ended": ended})
+	body := map[string]any{"clock_ms": m.clock().Milliseconds(), "running": running, "ended": ended}
+	if m.keepsID {
+		body["born"] = m.born.UnixMilli()
+	}
+	reply(rw, 200, body)
 }
 
 // takes returns how long a task runs, by its spec "takes DURATION"; 0 for one that lasts.
@@ -296,6 +344,9 @@
 	return d
 }
 
+// lateHook reports whether an order gets no answer, and is carried out later.
+var lateHook = func(*minion, *http.Request, *order, []byte) bool { return false }
+
 // stopHook is called when a minion is told to stop a run; w.mu is held.
 var stopHook = func(*world, *run) {}
 
--- a/review/.standin-3/world.go
+++ b/review/.standin-3/world.go
@@ -9,11 +9,13 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -110,13 +112,23 @@
 	return l.Addr().String()
 }
 
-// freePorts returns ports of 127.0.0.1 that nobody listens on.
+// freePorts returns ports of 127.0.0.1 that nobody listens on, below those that outgoing connections get, so that they
+// are still free when a process that was stopped starts again.
 func freePorts(n int) (ports []int) {
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		check(err)
-		defer l.Close()
-		ports = append(ports, l.Addr().(*net.TCPAddr).Port)
+	for len(ports) < n {
+		port := 12000 + rand.IntN(18000)
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		if err != nil {
+			continue
+		}
+		u, err := net.ListenPacket("udp", fmt.Sprintf("127.0.0.1:%d", port))
+		if err == nil && !slices.Contains(ports, port) {
+			ports = append(ports, port)
+		}
+		if u != nil {
+			_ = u.Close()
+		}
+		_ = l.Close()
 	}
 	return ports
 }
@@ -314,6 +326,7 @@
 		d.start()
 	}
 	for _, d := range w.daemons {
+		defer d.booted()
 		for end := time.Now().Add(15 * time.Second); ; time.Sleep(50 * time.Millisecond) {
 			if c, err := net.DialTimeout("tcp", d.callers, time.Second); err == nil {
 				_ = c.Close()
@@ -326,6 +339,14 @@
 	}
 }
 
+// booted fills the settings file in as for later starts: `bootstrap` is true only when the whole system starts for the
+// first time.
+func (d *daemon) booted() {
+	data, err := os.ReadFile(d.settings)
+	check(err)
+	check(os.WriteFile(d.settings, []byte(strings.Replace(string(data), `"bootstrap":true`, `"bootstrap":false`, 1)), 0o600))
+}
+
 func (d *daemon) start() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -368,8 +389,7 @@
 	time.AfterFunc(after, func() { d.start(); d.w.disrupt("%s is started again", d.name) })
 }
 
-// lastToOrder returns the daemon whose order or look was last seen by a minion: page DEPLOY's "leader". The
-// minions cannot tell daemons apart by address, so it is told by the log line of the daemon.
+// leader returns the daemon that leads, by the daemons' logs: minions can't tell daemons apart.
 func (w *world) leader() *daemon {
 	var best *daemon
 	var at string
