--- a/review/.standin-3/main.go
+++ b/review/.standin-3/main.go
@@ -7,7 +7,7 @@
 )
 
 var cases = map[string]func(w *world, trouble bool) (broken string){
-	"flap": flapCase, "long": longCase, "takeover": takeoverCase, "fills": fillsCase,
+	"again": againCase, "flap": flapCase, "long": longCase, "takeover": takeoverCase, "fills": fillsCase,
 }
 
 func main() {
--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -8,4 +8,4 @@
 	echo "could not run: build with the build line of deploy/system.toml and review/build-3.sh"
 	exit 2
 fi
-exec "$program" flap
+exec "$program" again
