--- a/standin/epochworker/fleet_test.go
+++ b/standin/epochworker/fleet_test.go
@@ -239,3 +239,36 @@
 		require.Empty(t, f.Violations())
 	})
 }
+
+// TestLateOrderReachesWhoeverIsThere guards against a stand-in that is kinder than workers are: an incarnation knows nothing of
+// the runs and the refusals of those before it.
+func TestLateOrderReachesWhoeverIsThere(t *testing.T) {
+	task := work.TaskID{Job: id}
+	first := runner.IncarnationID("w", 1)
+	for name, before := range map[string]func(t *testing.T, f *Fleet){
+		"had it": func(t *testing.T, f *Fleet) { require.NoError(t, order(t, f, first, task, 1)) },
+		"was told to stop it": func(t *testing.T, f *Fleet) {
+			require.NoError(t, f.Stop(t.Context(), runner.Ref{ID: first}, task, 1, 1))
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := New(Options{Seed: 1, Lease: 6 * time.Second, StopDelay: 100 * time.Millisecond, Delay: time.Millisecond, Restart: time.Second, SameName: true,
+					Work: func(work.TaskID, uint64, runner.WorkerID) Behaviour { return Behaviour{Takes: time.Hour} }})
+				f.AddJob(id, &work.Job{Steps: []work.Step{{Count: 1, Size: work.Resources{CPU: 600}}}})
+				f.Add(runner.Worker{Ref: runner.Ref{ID: first}, Capacity: work.Resources{CPU: 1000}})
+				f.SetFaults(Faults{Late: 1})
+				require.ErrorIs(t, order(t, f, first, task, 1), runner.ErrUnknown)
+				f.SetFaults(Faults{})
+				before(t, f)
+				f.Crash(first)
+				started, _ := f.Counts()
+				time.Sleep(12 * time.Second)
+				all, _ := f.Counts()
+				require.Equal(t, started+1, all)
+				require.Empty(t, f.Violations())
+				time.Sleep(time.Minute)
+			})
+		})
+	}
+}
