relay: the answer to a second copy of a start does not settle the first one

What callers would see: a task that runs twice (TWICE). If that copy is answered, Start returned nil, though the relay may still send the first one, and the worker's next incarnation carries it out: an earlier try without an answer, with a later one that has one, inside one call. A refusal as stale (the run has ended there) settled both copies as well; it holds for one incarnation only.

Change: Start returns runner.ErrCopyOpen with the answer, and the engine counts the order as open, for as long as one that a relay may still send.

--- a/connection/runner/runner.go
+++ b/connection/runner/runner.go
@@ -90,6 +90,10 @@
 	ErrUnknown = errors.New("runner: no answer, the worker may have acted")
 	// ErrMayBeSent comes with ErrUnknown: the order may not have been sent yet, and may be at any later time.
 	ErrMayBeSent = errors.New("runner: a relay may still send the order")
+	// ErrCopyOpen means that the worker has answered the order, while another copy of it may still be carried out, also
+	// by the worker's next incarnation. It comes alone if the answer was that the order is carried out, else with the
+	// refusal.
+	ErrCopyOpen = errors.New("runner: another copy of the order may still be carried out")
 	// ErrFenced means that the worker was called with a higher epoch. Matches ErrNotRun.
 	ErrFenced = notRun("a higher epoch has called the worker")
 	// ErrRestarted means that the address belongs to another incarnation of the worker;
@@ -212,7 +216,7 @@
 
 // Runner calls workers.
 type Runner interface {
-	// Start returns nil if the run is on the worker. A later incarnation under the same
+	// Start returns nil, or ErrCopyOpen alone, if the run is on the worker. A later incarnation under the same
 	// name may carry out the order. clock is the worker's clock at its answer.
 	Start(ctx context.Context, to Ref, s Start) (clock time.Duration, err error)
 	// Stop returns nil if the run is being stopped, has ended, or will be
--- a/process/dispatch/openorders.go
+++ b/process/dispatch/openorders.go
@@ -53,14 +53,14 @@
 	if startTime == 0 {
 		return
 	}
-	if !errors.Is(err, runner.ErrUnknown) {
+	if !errors.Is(err, runner.ErrUnknown) && !errors.Is(err, runner.ErrCopyOpen) {
 		e.orders.Answered(name, task, run)
 		return
 	}
 	// A relay that has accepted the order sends it within the time of a call. One that has not may send it at any time, but
 	// the incarnation that it was meant for refuses it once the lease in it has expired.
 	until := e.now + e.o.Bounds.maxStartTimeout() + maxOrderDelay
-	if errors.Is(err, runner.ErrMayBeSent) {
+	if errors.Is(err, runner.ErrMayBeSent) || errors.Is(err, runner.ErrCopyOpen) {
 		until = e.now + leaseBound(e.o.Bounds.MaxLease) + maxOrderDelay
 	}
 	o := e.orders.Unanswered(runner.Ref{ID: id}, task, run, e.now, until)
--- a/process/dispatch/openways_test.go
+++ b/process/dispatch/openways_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"errors"
 	"testing"
 	"time"
 
@@ -188,6 +189,29 @@
 	}
 }
 
+// TestCopyOfAnAnsweredOrderIsOpen guards against a second run of a task beside one that an incarnation starts from a copy of an order that
+// has been answered, which a relay still had.
+func TestCopyOfAnAnsweredOrderIsOpen(t *testing.T) {
+	for name, refusal := range map[string]error{"it runs": nil, "refused": runner.ErrStaleRun} {
+		t.Run(name, func(t *testing.T) {
+			x := newLives(t, oneTask(), true)
+			x.e.orders.Remove(x.e.orders.Of(x.start.Task)[0])
+			x.e.orders.Sent(runner.Ref{ID: inheritedID}, x.start.Task, x.start.Run)
+			x.e.Started(x.now, inheritedID, x.start.Task, x.start.Run, errors.Join(refusal, runner.ErrCopyOpen))
+			require.Equal(t, refusal == nil, x.e.jobs[testJob].step(x.start.Task).tasks[0].alloc.state == running)
+			if refusal != nil {
+				x.running = 0
+			}
+			x.pass(time.Second)
+			x.crash()
+			for x.now < x.free() {
+				x.pass(100 * time.Millisecond)
+			}
+			require.Empty(t, x.elsewhere)
+		})
+	}
+}
+
 // TestTaskOfAnOpenOrderStartsWhereItIsRefused guards against a task that waits for the age of an order though the worker that was
 // ordered is back and refuses it.
 func TestTaskOfAnOpenOrderStartsWhereItIsRefused(t *testing.T) {
--- a/process/dispatch/runs.go
+++ b/process/dispatch/runs.go
@@ -118,6 +118,9 @@
 func (e *Engine) Started(now time.Duration, id runner.WorkerID, task work.TaskID, run uint64, err error) {
 	e.now = now
 	e.noteOrdered(id, task, run, err)
+	if errors.Is(err, runner.ErrCopyOpen) && !errors.Is(err, runner.ErrNotRun) {
+		err = nil // carried out, apart from the copy
+	}
 	if errors.Is(err, runner.ErrFenced) {
 		e.deposed = true
 		return
