dispatch: a run with an open order is not stopped to start elsewhere, nor for other work

What callers would see: a task that waits for up to 12.5 s (the age of an order) because the leader stopped its run as a straggler, or for a gang, while a first try of its start may still be carried out. Cause: since open orders hold a task, a stop frees it for one worker only, the one that it was to leave.

Change: stragglers and their gangs aren't moved, and runs aren't stopped for other work, while an order of theirs is open. It is open for 12.5 s at most, and only after a call without an answer.

Evidence: TestRunWithAnOpenOrderIsNotMoved fails without each of the two.

--- a/process/dispatch/openorders.go
+++ b/process/dispatch/openorders.go
@@ -108,6 +108,27 @@
 	return !slices.ContainsFunc(s.pending, func(i int) bool { return !held(i) })
 }
 
+// heldIfStopped reports whether the task of a run could not start on other workers at once if the run were stopped, or that of another
+// member of its gang.
+func (e *Engine) heldIfStopped(alloc *allocation) bool {
+	s := alloc.s
+	if s.spec.Speculative || !e.orders.OnStep(s.id()) {
+		return false
+	}
+	open := func(i int) bool {
+		return slices.ContainsFunc(e.orders.Of(s.taskID(i)), func(o *openorder.Order) bool { return !o.TooOld(e.now) })
+	}
+	if !s.spec.Gang {
+		return open(alloc.index)
+	}
+	for i := range s.tasks {
+		if open(i) {
+			return true
+		}
+	}
+	return false
+}
+
 // mayBeOnNext reports whether a run that is lost with its worker may be on the next incarnation: if that one has been seen, an answer
 // to the start does not say which of the two gave it. Only a report of the earlier one that lists the run does.
 func (e *Engine) mayBeOnNext(alloc *allocation) bool {
--- a/process/dispatch/openways_test.go
+++ b/process/dispatch/openways_test.go
@@ -355,3 +355,42 @@
 	y.pass(3 * time.Second)
 	require.Len(t, y.elsewhere, 1)
 }
+
+// TestRunWithAnOpenOrderIsNotMoved guards against a run that is stopped to start elsewhere, or for other work, and whose task then waits
+// for the age of an order.
+func TestRunWithAnOpenOrderIsNotMoved(t *testing.T) {
+	for name, step := range map[string]work.Step{"a task": stepOf(5, false), "a gang": stepOf(5, true)} {
+		t.Run(name, func(t *testing.T) {
+			h, long := longRun(t, Policy{}, step)
+			task := long.Start.Task
+			if step.Gang {
+				task.Index = (task.Index + 1) % step.Count
+			}
+			alloc := h.e.allocOf(long.To.ID, long.Start.Task, long.Start.Run)
+			o := h.e.orders.Add(runner.Ref{ID: "w-x"}, task, 1, h.now+time.Minute)
+			require.True(t, h.e.heldIfStopped(alloc))
+			h.e.o.Policy.StragglerMoves = true
+			h.e.stragglersAt = 0
+			h.e.checkStragglers()
+			require.NotZero(t, h.e.Stats().Stragglers)
+			require.Zero(t, h.e.Stats().StragglerMoves)
+			h.e.orders.Remove(o)
+			h.e.stragglersAt = 0
+			h.e.checkStragglers()
+			require.EqualValues(t, 1, h.e.Stats().StragglerMoves)
+		})
+	}
+	h, _, _ := fullCell(t, nil)
+	w := h.e.workerList[0]
+	protected := func() (n int) {
+		for _, x := range h.e.stoppable(w) {
+			if x.Protected {
+				n++
+			}
+		}
+		return n
+	}
+	before, alloc := protected(), sortedAllocs(w)[0]
+	h.e.orders.Add(runner.Ref{ID: "w-x"}, alloc.id(), 1, h.now+time.Minute)
+	require.Equal(t, before+1, protected())
+}
--- a/process/dispatch/preemptionruns.go
+++ b/process/dispatch/preemptionruns.go
@@ -85,7 +85,7 @@
 		}
 		x := preemption.Run{ID: i, Size: alloc.need, Priority: v.job.spec.Queue.Priority, Checkpoints: true,
 			Borrowed:  v.job.overEntitled,
-			Protected: v.spec.LongRunning || len(alloc.task().crashes) > 0 || !v.job.active(),
+			Protected: v.spec.LongRunning || len(alloc.task().crashes) > 0 || !v.job.active() || e.heldIfStopped(alloc),
 			Stopped:   alloc.task().preempted,
 			Age:       e.now - alloc.ackAt, Remaining: e.remaining(alloc), Renewal: renewalWait}
 		x.Slack = v.occurrence.due - e.now - x.Remaining - e.following(v)
--- a/process/dispatch/straggler.go
+++ b/process/dispatch/straggler.go
@@ -97,6 +97,9 @@
 // moveStraggler stops a run, or its gang, if a start elsewhere is likely to end much sooner.
 func (e *Engine) moveStraggler(alloc *allocation) bool {
 	s := alloc.s
+	if e.heldIfStopped(alloc) {
+		return false
+	}
 	delay, ok := e.placeElsewhere(alloc)
 	if !ok {
 		return false
