dispatch: a task that was stopped for want of progress gets twice the time, and workers aren't blamed for what it does on each

All eight workers are quarantined for it, and jobs wait for 12 to 29 s beside idle workers.

Cause, two at the same place: the time without progress was fixed, whatever earlier stops of the same task had shown; and the stop counted as a failure of the worker without countsAgainst, which exempts jobs that fail wherever they run.

Change: each such stop doubles the task's next time (its gang's, for a member), up to 2.5 s x 64. It counts against the worker only where the job's first one was, and in the counter `quarantined`, which left these out.

--- a/process/dispatch/estimate.go
+++ b/process/dispatch/estimate.go
@@ -203,8 +203,17 @@
 // minRemaining is the estimate for a run that has exceeded its estimate and may end any time.
 const minRemaining = 100 * time.Millisecond
 
+// stalls returns how often the run's task, or its gang, was stopped for want of progress in this epoch.
+func (alloc *allocation) stalls() *int {
+	if alloc.s.spec.Gang {
+		return &alloc.s.gang.stalls
+	}
+	return &alloc.task().stalls
+}
+
 // checkStalled stops a run that makes no progress while its worker answers, so that it
-// continues elsewhere.
+// continues elsewhere. Each stop doubles the time that the task then has, as its progress may be shown in steps that take
+// longer than it was estimated to run.
 func (e *Engine) checkStalled(alloc *allocation) {
 	if alloc.state != running || alloc.percent >= nearlyDone {
 		return
@@ -214,13 +223,17 @@
 	if alloc.s.spec.LongRunning {
 		bound = stallTimeout // its estimate says nothing about how soon it serves
 	}
+	stalls := alloc.stalls()
+	bound <<= min(*stalls, maxStallDoublings)
 	if stalled < bound || alloc.w.presence.at < alloc.percentAt+stallTimeout {
 		return
 	}
 	e.stats.Moved++
+	*stalls++
 	w := alloc.w
 	alloc.task().avoidWorker(w.ID, e.now)
-	if w.noteFailure(e.now, alloc.s.job.id) {
+	if j := alloc.s.job; j.countsAgainst(w.ID) && w.noteFailure(e.now, j.id) {
+		e.stats.Quarantined++
 		e.decide(Decision{What: "worker quarantined", Worker: w.ID, Why: "runs of different jobs stalled there", Age: w.quarantine})
 	}
 	if alloc.s.spec.Gang {
@@ -234,6 +247,9 @@
 // and those on faster workers wait with all of their work done.
 const nearlyDone = 97
 
+// maxStallDoublings bounds that time at two minutes and a half for short tasks.
+const maxStallDoublings = 6
+
 // stallTimeout is how long a run's progress may stay the same: reports arrive at least every
 // renewWait, and a run of ten seconds gains ten percent a second.
 const stallTimeout = 2500 * time.Millisecond
--- a/process/dispatch/job.go
+++ b/process/dispatch/job.go
@@ -140,6 +140,7 @@
 	savedShare float64           // share of its work that is at least in its checkpoint, known only from evacuated runs
 	preempted  int               // how often a run of it was stopped for other work in this epoch
 	moves      int               // how often it was moved as a straggler, in this epoch
+	stalls     int               // how often it was stopped for want of progress, in this epoch
 }
 
 // gangState is the state that a gang's tasks share.
@@ -149,6 +150,7 @@
 	failed   []uint64
 	stopping bool // its members are being stopped
 	moves    int  // how often it was moved as it had a straggler, in this epoch
+	stalls   int  // how often it was stopped since a member made no progress, in this epoch
 	// ends is when it is expected to end, computed again after endsUntil.
 	ends, endsUntil time.Duration
 }
