dispatch: filling tasks make way for a serving one as far as they may be missed, and only where no other worker will do

Cause: a task with a response time target stopped all best-effort work on the worker that it starts on, without regard to how many of a step may be interrupted; and placement prefers the fullest worker, where work that books no processors counts for nothing.

Change: placement of such a task counts what would have to make way, and above all what may not be interrupted. What may not stays, and makes way as soon as its step allows. To wait for another worker instead was weighed: the serving task would then have no run (LOST), which is worse than a slow start.

--- a/process/dispatch/engine.go
+++ b/process/dispatch/engine.go
@@ -444,6 +444,7 @@
 	e.refreshSpeeds()
 	e.checkStragglers()
 	e.evacuate()
+	e.stopBestEffortBesideTargets()
 	e.openTimed()
 	e.expireAdviceCalls()
 	e.expireGangReservations()
--- a/process/dispatch/longrunning.go
+++ b/process/dispatch/longrunning.go
@@ -7,8 +7,8 @@
 )
 
 // Long-running tasks run until their job is cancelled, and start again however they end. The
-// engine never stops one that is serving: the interruptions that a step allows
-// (work.Step.MaxInterrupted) are left to failures that the engine does not cause.
+// engine stops one that is serving only if it is best-effort work beside a task with a response time
+// target, and then no more of its step than may be interrupted (work.Step.MaxInterrupted).
 
 // servingPercent is the progress of a long-running task that serves.
 const servingPercent = 100
@@ -41,19 +41,59 @@
 	return false
 }
 
-// stopBestEffort stops the best-effort work on a worker before a task with a response time
-// target starts there. Best-effort work uses the processors' shared resources and would make
-// that task answer too late, and nothing else limits it, since it books no processors.
-func (e *Engine) stopBestEffort(w *worker, s *step) {
-	if !hasTarget(s.spec) {
-		return
+// interruptible returns how many serving tasks of the step may be stopped now.
+func (s *step) interruptible() int {
+	if s.spec.MaxInterrupted == 0 {
+		return s.spec.Count
 	}
+	left := s.spec.MaxInterrupted - s.spec.Count
+	for i := range s.tasks {
+		if alloc := s.tasks[i].alloc; alloc != nil && alloc.state == running && alloc.serves() {
+			left++
+		}
+	}
+	return max(left, 0)
+}
+
+// bestEffortOn returns the number of best-effort tasks on a worker that would have to make way for a task with a response time
+// target, and how many of them may not be interrupted now.
+func bestEffortOn(w *worker) (all, kept int) {
+	serving := map[*step]int{}
+	for _, alloc := range w.allocs {
+		if !alloc.s.spec.BestEffort || alloc.state == stopping {
+			continue
+		}
+		all++
+		if alloc.state == running && alloc.serves() {
+			serving[alloc.s]++
+		}
+	}
+	for s, n := range serving {
+		kept += max(n-s.interruptible(), 0)
+	}
+	return all, kept
+}
+
+// stopBestEffort stops the best-effort work on a worker on which a task with a response time target
+// runs, or is about to start, as far as it may be interrupted now. Best-effort work uses the processors'
+// shared resources and would make that task answer too late, and nothing else limits it, since it books no processors.
+func (e *Engine) stopBestEffort(w *worker) {
 	for _, alloc := range sortedAllocs(w) {
-		if alloc.s.spec.BestEffort {
+		if alloc.s.spec.BestEffort && (!alloc.serves() || alloc.state != running || alloc.s.interruptible() > 0) {
 			e.stop(alloc, "best-effort work makes way for a task with a response time target")
 		}
 	}
 }
 
+// stopBestEffortBesideTargets stops the best-effort work that could not be interrupted when a task with a response time
+// target started beside it.
+func (e *Engine) stopBestEffortBesideTargets() {
+	for _, w := range e.workerList {
+		if w.hostsTarget() {
+			e.stopBestEffort(w)
+		}
+	}
+}
+
 // forever is how long a long-running task is assumed to go on.
 const forever = 365 * 24 * time.Hour
--- a/process/dispatch/longrunning_test.go
+++ b/process/dispatch/longrunning_test.go
@@ -206,3 +206,97 @@
 	require.Zero(t, c.fleet.ExcessStops())
 	require.Empty(t, c.broken)
 }
+
+// fillingHarness returns a leader with a step of filling tasks that serve on w-a, of which one may be interrupted, and a job with a
+// response time target that has just come. The other workers are empty.
+func fillingHarness(t *testing.T, others ...runner.WorkerID) (h *harness, fills []SendStart) {
+	fill := oneTask()
+	fill.BestEffort, fill.LongRunning, fill.Count, fill.MaxInterrupted = true, true, 4, 1
+	h = newHarness(t, 1, "w-a")
+	require.NoError(t, h.e.Load(0, Saved{Accepted: []store.Entry{jobEntry(t, 1, 1, fill)}}))
+	h.step(50 * time.Millisecond)
+	h.report("w-a", runner.Report{Clock: time.Second})
+	fills = h.starts()
+	require.Len(t, fills, 4)
+	for _, s := range fills {
+		h.e.Started(h.now, "w-a", s.Start.Task, s.Start.Run, nil)
+	}
+	h.report("w-a", runner.Report{Clock: 2 * time.Second, Running: live(100, fills...)})
+	for _, id := range others {
+		h.resize(id, work.Resources{CPU: 4000, Memory: 4000})
+		h.step(50 * time.Millisecond)
+		h.report(id, runner.Report{Clock: time.Second})
+	}
+	service := jobEntry(t, 1, 1, longRunningTask())
+	service.Key = KeySubmission("00000000000000bb")
+	require.NoError(t, h.e.Accepted(h.now, service))
+	h.step(50 * time.Millisecond)
+	return h, fills
+}
+
+// TestServingTaskLeavesFillingTasksAlone guards against filling tasks that are stopped for a task with a response time target though
+// other workers are empty.
+func TestServingTaskLeavesFillingTasksAlone(t *testing.T) {
+	h, _ := fillingHarness(t, "w-b")
+	require.Empty(t, sentKept[SendStop](h))
+	starts := h.starts()
+	require.Len(t, starts, 1)
+	require.EqualValues(t, "w-b", starts[0].To.ID)
+}
+
+// sentKept returns the kept effects of one type.
+func sentKept[T Effect](h *harness) (all []T) {
+	for _, x := range h.effects {
+		if s, ok := x.(T); ok {
+			all = append(all, s)
+		}
+	}
+	return all
+}
+
+// TestFillingTasksMakeWayAsFarAsTheyMayBeMissed guards against filling tasks that are all stopped at once, and against ones that stay beside
+// a task with a response time target for good.
+func TestFillingTasksMakeWayAsFarAsTheyMayBeMissed(t *testing.T) {
+	h, fills := fillingHarness(t)
+	stops := sentKept[SendStop](h)
+	require.Len(t, stops, 1)
+	service := h.starts()
+	require.Len(t, service, 1)
+	h.e.Started(h.now, "w-a", service[0].Start.Task, service[0].Start.Run, nil)
+	left := map[work.TaskID]SendStart{}
+	for _, s := range fills {
+		left[s.Start.Task] = s
+	}
+	var ended []runner.Completion
+	var elsewhere []SendStart
+	h.resize("w-b", work.Resources{CPU: 4000, Memory: 4000})
+	report := func() {
+		rows := live(100, service...)
+		for _, s := range left {
+			rows = append(rows, live(100, s)...)
+		}
+		h.report("w-a", runner.Report{Clock: time.Second + h.now, Running: rows, Ended: ended})
+		h.report("w-b", runner.Report{Clock: time.Second + h.now, Running: live(100, elsewhere...)})
+		h.step(100 * time.Millisecond)
+	}
+	for n := 1; n <= 4; n++ {
+		require.Len(t, stops, 1, "one at a time")
+		x := stops[0]
+		h.e.StopAnswered(h.now, "w-a", x.Task, x.Run, nil)
+		delete(left, x.Task)
+		ended = append(ended, runner.Completion{Number: int64(n), Task: x.Task, Run: x.Run, Outcome: runner.Stopped})
+		h.effects = nil
+		report()
+		require.Empty(t, sentKept[SendStop](h), "the one that was stopped does not serve yet")
+		again := sentKept[SendStart](h)
+		require.Len(t, again, 1)
+		require.EqualValues(t, "w-b", again[0].To.ID)
+		h.e.Started(h.now, "w-b", again[0].Start.Task, again[0].Start.Run, nil)
+		elsewhere = append(elsewhere, again...)
+		h.effects = nil
+		report()
+		stops = sentKept[SendStop](h)
+	}
+	require.Empty(t, stops)
+	require.Empty(t, left)
+}
--- a/process/dispatch/placement.go
+++ b/process/dispatch/placement.go
@@ -389,6 +389,10 @@
 	// scoreCrashed: a task under which workers crashed avoids workers that crashed recently,
 	// whatever the cause.
 	scoreCrashed = -50
+	// scoreMakeWay is for each best-effort task that would have to make way for a task with a response time target,
+	// scoreNoWay for each that may not be interrupted now, and so would stay beside it.
+	scoreMakeWay = -5
+	scoreNoWay   = -200
 	// scoreAtRisk: such a task goes where the least other work is lost if the worker crashes.
 	scoreAtRisk = -10
 )
@@ -401,6 +405,10 @@
 	if s.spec.DataRack != "" && s.spec.DataRack == w.rack {
 		score += scoreNear
 	}
+	if hasTarget(s.spec) {
+		all, kept := bestEffortOn(w)
+		score += scoreMakeWay*float64(all) + scoreNoWay*float64(kept)
+	}
 	full := fullness(w, s.spec.Need())
 	if len(s.tasks[i].crashes) > 0 {
 		if e.crashedRecently(w) {
--- a/process/dispatch/runs.go
+++ b/process/dispatch/runs.go
@@ -62,7 +62,9 @@
 		e.violate("start over the account's quota", alloc.id(), w.ID)
 		return nil
 	}
-	e.stopBestEffort(w, s)
+	if hasTarget(s.spec) {
+		e.stopBestEffort(w)
+	}
 	t.alloc = alloc
 	s.unqueue(i)
 	if s.preemption != nil && !s.spec.Gang {
