--- a/process/dispatch/engine.go
+++ b/process/dispatch/engine.go
@@ -102,6 +102,7 @@
 	fleetChanged   bool
 	joinedAt       time.Duration // when the first worker answered that the lists are to be written for
 	cordonsChanged bool          // the list of cordoned workers has to be written
+	cordonsAt      time.Duration // when it was last sent
 	// ordersChanged: the list of open orders has to be written; ordersAdded: it lacks some. It had ordersTold orders when it
 	// was written, or read, and was due at ordersToldAt.
 	ordersChanged, ordersAdded bool
--- a/process/dispatch/fleet.go
+++ b/process/dispatch/fleet.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"time"
 
 	"fennelshunt.example/fennelshunt/connection/peer"
 	"fennelshunt.example/fennelshunt/connection/runner"
@@ -48,6 +49,9 @@
 	Ended bool `cbor:"6,keyasint,omitempty"`
 	// Unanswered are those of Tasks of which a start had no answer.
 	Unanswered []work.TaskID `cbor:"7,keyasint,omitempty"`
+	// LeaseMS is for how many milliseconds from when the list was written its lease lasts at the latest; 0 if that is not
+	// known. It is given no lease until the list is written again without that.
+	LeaseMS int64 `cbor:"8,keyasint,omitempty"`
 }
 
 // suspectRun is a run that may have crashed its worker.
@@ -66,6 +70,9 @@
 	cordonMisses = 2
 )
 
+// retellPause is between two lists that tell what is left of a lease: a successor does not know how old the list is.
+const retellPause = time.Second
+
 func (e *Engine) fleetDirty() bool {
 	return e.fleetChanged || e.cordonsChanged || e.unreadChanged || e.ordersChanged
 }
@@ -105,6 +112,9 @@
 	for _, x := range cordons.Workers {
 		if w := e.workers[x.ID]; w != nil && !w.cordoned {
 			w.cordoned, w.mayRun, w.inheritedSuspects, w.lateOrders = true, x.Tasks, x.Suspects, x.Late
+			if w.leaseTold = x.LeaseMS > 0; w.leaseTold && !x.Late {
+				w.expiry = e.now + time.Duration(x.LeaseMS)*time.Millisecond
+			}
 			e.inheritLate(w, &x)
 		}
 	}
@@ -217,6 +227,20 @@
 		return
 	}
 	e.cordon(w, "it does not answer")
+	e.tellLease(w)
+}
+
+// tellLease has the list tell until when the lease of a cordoned worker lasts that does not answer for longer than a blip, so that a
+// successor does not wait for a whole lease anew. A worker that answers again before gets its lease also while no list can
+// be stored.
+func (e *Engine) tellLease(w *worker) {
+	if w.leaseTold && e.now < w.expiry && e.now >= e.cordonsAt+retellPause {
+		e.cordonsChanged = true
+	}
+	if !w.cordoned || w.leaseTold || w.unlisted || w.inherited || w.misses < cordonMisses || e.now-w.answered < cordonAfter {
+		return
+	}
+	w.leaseTold, e.cordonsChanged = true, true
 }
 
 // cordonDraining cordons a worker that is about to leave: nothing is started there anyway.
@@ -237,6 +261,7 @@
 
 // uncordon makes a cordoned worker that has answered usable, once the list is stored.
 func (e *Engine) uncordon(w *worker) {
+	e.cordonsChanged = e.cordonsChanged || w.leaseTold // the list has to be written without the end of its lease
 	if !w.cordoned || w.Draining || w.inherited {
 		return
 	}
@@ -297,11 +322,17 @@
 			if x.Late || len(x.Unanswered) > 0 {
 				x.LateMS = e.millisUntil(end)
 			}
+			if w.leaseTold && (w.misses > 0 || w.inherited) {
+				x.LeaseMS = e.millisUntil(w.expiry)
+			}
 			cordoned.Workers = append(cordoned.Workers, x)
 		}
 		if !w.recorded {
 			ws.fleet = append(ws.fleet, w)
 		}
+		if w.leaseTold && w.misses == 0 && !w.inherited {
+			ws.untold = append(ws.untold, w)
+		}
 	}
 	put := func(key string, record any) {
 		data, err := peer.Marshal(record)
@@ -316,6 +347,7 @@
 		put(keyFleet, f)
 	}
 	if e.cordonsChanged {
+		e.cordonsAt = e.now
 		put(keyCordoned, cordoned)
 	}
 	if e.ordersChanged {
--- a/process/dispatch/leadership.go
+++ b/process/dispatch/leadership.go
@@ -49,7 +49,7 @@
 }
 
 // inheritedLease is after how long what an earlier leader has started on a worker has certainly ended
-// if that leader does not reach a majority of the workers any more.
+// if that leader does not reach a majority of the workers any more, and the lists do not tell when its lease ends.
 func (e *Engine) inheritedLease() time.Duration {
 	return evidence.MaxAge + leaseBound(e.o.Bounds.MaxLease)
 }
@@ -60,7 +60,7 @@
 		return
 	}
 	for _, other := range e.workerList {
-		if other.inherited {
+		if other.inherited && !other.leaseTold {
 			other.expiry = max(other.expiry, e.now+e.inheritedLease())
 		}
 	}
--- a/process/dispatch/persist.go
+++ b/process/dispatch/persist.go
@@ -32,6 +32,7 @@
 	saves  []save
 	batch  *batch // nil: every job is under a key of its own
 	fleet  []*worker
+	untold []*worker     // whose lease the lists do not tell any more
 	unread []*unread     // as the list that it has
 	lists  bool          // it has the lists of workers
 	sent   time.Duration // when it was sent
@@ -245,6 +246,10 @@
 		w.recorded, w.known = true, true
 		w.nextRenew = now
 	}
+	for _, w := range ws.untold {
+		w.leaseTold = false
+		w.nextRenew = now
+	}
 	if len(ws.fleet) > 0 {
 		e.retryGangs()
 	}
--- a/process/dispatch/reports.go
+++ b/process/dispatch/reports.go
@@ -15,10 +15,10 @@
 		return
 	}
 	r := runner.Renewal{Epoch: e.o.Epoch}
-	leased := e.mayLease() && w.known
+	leased := e.mayLease() && w.known && !w.leaseTold
 	if leased {
 		r.Until = w.renewUntil(e.now, e.o.Bounds.Lease)
-	} else if w.fenced && w.known && w.misses == 0 {
+	} else if w.fenced && w.known && !w.leaseTold && w.misses == 0 {
 		e.stats.LeasesWithheld++
 	}
 	ackUntil := w.presence.at + ackFreshness
@@ -102,7 +102,7 @@
 		w.renewPause = nextPause(w.renewPause, completions > 0)
 		w.nextRenew = now + w.renewPause
 	}
-	if !e.mayLease() || !w.known {
+	if !e.mayLease() || !w.known || w.leaseTold {
 		w.nextRenew = max(w.nextRenew, now+evidencePause)
 	}
 }
--- a/process/dispatch/worker.go
+++ b/process/dispatch/worker.go
@@ -84,6 +84,9 @@
 	newInEpoch bool // it started in this epoch, so no earlier one has called it
 	// cordoned: the list in the store says, or is about to say, that nothing is started here.
 	cordoned bool
+	// leaseTold: the list in the store says, or is about to say, until when its lease lasts at the latest, so that it is given
+	// none.
+	leaseTold bool
 	// mayRun are the tasks that may run on a cordoned worker that an earlier epoch used and
 	// that has not answered this one; unlisted: these tasks are not known.
 	mayRun   []work.TaskID
