dispatch: a start is sent again once the list tells of its first try; an incarnation that a lookup finds is asked to refuse at once

Change: a second try, and a start on the worker that refuses an order, wait for the list that tells of the order, for 150 ms at most, so that a store that doesn't answer keeps no task from starting; the list is written each 100 ms where orders are added (250 ms before).

TestStartIsSentAgainOnceTheListTellsOfTheFirstTry and TestIncarnationFoundByALookupIsAskedToRefuse fail before.

--- a/process/dispatch/engine.go
+++ b/process/dispatch/engine.go
@@ -140,6 +140,7 @@
 	confirming  bool                 // the claim is being read from the store
 	confirmSent time.Duration
 	heldStarts  []*allocation // to be sent once there is recent evidence
+	resends     []*allocation // to be sent again once the list of open orders tells of their first tries
 
 	deposed bool
 	stats   Stats
@@ -429,6 +430,7 @@
 		e.schedule()
 	}
 	e.sendHeldStarts()
+	e.sendResends()
 	e.persist()
 	out := e.effects
 	e.effects = nil
--- a/process/dispatch/fleet.go
+++ b/process/dispatch/fleet.go
@@ -351,7 +351,9 @@
 		put(keyCordoned, cordoned)
 	}
 	if e.ordersChanged {
-		put(keyOpen, e.openList())
+		r, told := e.openList()
+		put(keyOpen, r)
+		ws.told = told
 	}
 	e.addUnread(ws, put)
 	e.fleetChanged, e.cordonsChanged, e.ordersChanged = false, false, false
--- a/process/dispatch/host.go
+++ b/process/dispatch/host.go
@@ -465,7 +465,10 @@
 		defer cancel()
 		_, err := h.o.Runner.Renew(bounded, x.Ref, runner.Renewal{Epoch: h.term.Epoch})
 		var other *runner.IncarnationError
-		found.Answers = err == nil || errors.As(err, &other) || errors.Is(err, runner.ErrFenced)
+		if errors.As(err, &other) {
+			found.Other = other.ID
+		}
+		found.Answers = err == nil || other != nil || errors.Is(err, runner.ErrFenced)
 	})
 	calls.Wait()
 	h.post(func(e *Engine, now time.Duration) { e.LookedUp(now, x.Ref.ID, found) })
--- a/process/dispatch/leadership.go
+++ b/process/dispatch/leadership.go
@@ -104,17 +104,22 @@
 	held := e.heldStarts
 	e.heldStarts = nil
 	for _, alloc := range held {
-		w := alloc.w
-		switch {
-		case alloc.task().alloc != alloc || (alloc.state != starting && alloc.state != unconfirmed): // settled meanwhile
-		case !w.Draining && !w.cordoned && w.misses == 0 && !w.overbooked() && !alloc.s.job.account.Over(alloc.s.charge()):
-			e.sendStart(alloc)
-		case alloc.tries == 0:
-			e.release(alloc)
-			e.memberNotStarted(alloc, errUnusable)
-		default:
-			e.stop(alloc, "no answer to the start, and it must not be sent again")
-			e.memberNotStarted(alloc, errUnusable)
-		}
+		e.sendHeld(alloc)
+	}
+}
+
+// sendHeld sends a start that has waited, unless it has become pointless.
+func (e *Engine) sendHeld(alloc *allocation) {
+	w := alloc.w
+	switch {
+	case alloc.task().alloc != alloc || (alloc.state != starting && alloc.state != unconfirmed): // settled meanwhile
+	case !w.Draining && !w.cordoned && w.misses == 0 && !w.overbooked() && !alloc.s.job.account.Over(alloc.s.charge()):
+		e.sendStart(alloc)
+	case alloc.tries == 0:
+		e.release(alloc)
+		e.memberNotStarted(alloc, errUnusable)
+	default:
+		e.stop(alloc, "no answer to the start, and it must not be sent again")
+		e.memberNotStarted(alloc, errUnusable)
 	}
 }
--- a/process/dispatch/openorders.go
+++ b/process/dispatch/openorders.go
@@ -37,8 +37,11 @@
 	lookupPause = 500 * time.Millisecond
 	// ordersPause is between two writes of the list of open orders that add some, and ordersCleanup between those that
 	// only have fewer.
-	ordersPause   = 250 * time.Millisecond
+	ordersPause   = 100 * time.Millisecond
 	ordersCleanup = 2 * time.Second
+	// toldTimeout is for how long a start waits for the list that tells of its earlier try. All tries together still stay
+	// within half of the time for which members of a gang wait.
+	toldTimeout = 150 * time.Millisecond
 )
 
 // fence is the stop, on one incarnation, of a run that an order may start there.
@@ -64,6 +67,7 @@
 		until = e.now + leaseBound(e.o.Bounds.MaxLease) + maxOrderDelay
 	}
 	o := e.orders.Unanswered(runner.Ref{ID: id}, task, run, e.now, until)
+	e.noteOpenOrders()
 	if next := e.currentOf(name); next != nil && next.ID != id {
 		e.prolong(next, until)
 		if next.fenced && o.RefusedBy != next.ID {
@@ -85,7 +89,7 @@
 	}
 	for _, o := range e.orders.Of(s.taskID(i)) {
 		w := e.workers[o.RefusedBy]
-		if w == nil || s.spec.Gang || (pin != nil && pin != w) {
+		if w == nil || s.spec.Gang || (pin != nil && pin != w) || e.awaitsTelling(o) {
 			return o, nil
 		}
 		held, pin = o, w
@@ -93,6 +97,36 @@
 	return held, pin
 }
 
+// awaitsTelling reports whether no run of an order's task is to be started yet, since a successor would not know of the order: it
+// would take the run for the only one that there can be.
+func (e *Engine) awaitsTelling(o *openorder.Order) bool {
+	return !o.Told && e.now < o.Ended+toldTimeout
+}
+
+// resend sends a start again that had no answer, once the list tells of the first try.
+func (e *Engine) resend(alloc *allocation) {
+	alloc.state = unconfirmed
+	e.stats.Resent++
+	if _, startTime := alloc.w.ID.Incarnation(); startTime == 0 {
+		e.sendStart(alloc)
+		return
+	}
+	alloc.tries++
+	e.resends = append(e.resends, alloc)
+}
+
+// sendResends sends the starts again of whose earlier try the list tells.
+func (e *Engine) sendResends() {
+	e.resends = slices.DeleteFunc(e.resends, func(alloc *allocation) bool {
+		if o := e.orders.Find(alloc.w.ID.Name(), alloc.id(), alloc.run); alloc.state == unconfirmed && o != nil && e.awaitsTelling(o) {
+			return false
+		}
+		alloc.tries-- // sendStart counts it
+		e.sendHeld(alloc)
+		return true
+	})
+}
+
 // heldAll reports whether orders keep a step from starting: one of a gang's tasks, else all that wait.
 func (e *Engine) heldAll(s *step) bool {
 	if s.spec.Speculative || len(s.pending) == 0 || !e.orders.OnStep(s.id()) {
@@ -350,19 +384,21 @@
 	e.ordersAdded, e.ordersChanged, e.ordersToldAt = false, true, e.now
 }
 
-// openList returns the list of open orders as it is stored.
-func (e *Engine) openList() (r openRecord) {
+// openList returns the list of open orders as it is stored, and until when it has each.
+func (e *Engine) openList() (r openRecord, told map[*openorder.Order]time.Duration) {
+	told = map[*openorder.Order]time.Duration{}
 	for _, name := range e.orders.Names() {
 		for _, o := range e.orders.ByName(name) {
 			s := e.jobs[o.Task.Job].step(o.Task)
 			if (o.Until == 0 && !e.holdsTask(o)) || o.TooOld(e.now) || s == nil || !s.job.active() || s.tasks[o.Task.Index].done {
 				continue
 			}
+			told[o] = o.Until
 			r.Orders = append(r.Orders, toldOrder{To: o.To, Task: o.Task, Run: o.Run, LateMS: e.millisUntil(e.orderEnd(o)), Refused: o.RefusedBy == o.To.ID})
 		}
 	}
 	e.ordersTold = len(r.Orders)
-	return r
+	return r, told
 }
 
 // loadOpen takes over the open orders of an earlier epoch.
@@ -481,14 +517,17 @@
 // lookup is the state of the lookups of a worker that has ended.
 type lookup struct {
 	inFlight bool
+	address  string
 	sent     time.Duration
 	next     time.Duration
 }
 
-// Lookup is what a LookUpWorker has found. Err is that the directory could not be read; Listed is then not known.
+// Lookup is what a LookUpWorker has found. Err is that the directory could not be read; Listed is then not known. Other is the
+// incarnation that answers, if it is another one.
 type Lookup struct {
 	Listed  bool
 	Answers bool
+	Other   runner.WorkerID
 	Err     error
 }
 
@@ -527,7 +566,7 @@
 	if l.inFlight || e.now < l.next {
 		return
 	}
-	l.inFlight, l.sent, l.next = true, e.now, e.now+lookupPause
+	l.inFlight, l.sent, l.next, l.address = true, e.now, e.now+lookupPause, ref.Address
 	e.effects = append(e.effects, LookUpWorker{Ref: ref})
 }
 
@@ -540,6 +579,11 @@
 		return
 	}
 	l.inFlight = false
+	if found.Other != "" && !e.contested(found.Other) && e.workers[found.Other] == nil {
+		// It has no entry yet, and is asked at once to refuse the orders under its name.
+		e.WorkerSeen(now, runner.Worker{Ref: runner.Ref{ID: found.Other, Address: l.address}})
+		e.workers[found.Other].listed = false
+	}
 	if found.Err != nil || found.Listed || found.Answers || e.laterSeen(name, startTime) {
 		return
 	}
--- a/process/dispatch/openways_test.go
+++ b/process/dispatch/openways_test.go
@@ -394,3 +394,52 @@
 	h.e.orders.Add(runner.Ref{ID: "w-x"}, alloc.id(), 1, h.now+time.Minute)
 	require.Equal(t, before+1, protected())
 }
+
+// TestStartIsSentAgainOnceTheListTellsOfTheFirstTry guards against a run that a successor takes for the only one that there can be, since
+// its leader ended between the second try of a start and the list that tells of the first one.
+func TestStartIsSentAgainOnceTheListTellsOfTheFirstTry(t *testing.T) {
+	for name, stored := range map[string]bool{"the list is stored": true, "the store does not answer": false} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, 1, inheritedID)
+			require.NoError(t, h.e.Load(0, Saved{Accepted: []store.Entry{jobEntry(t, 1, 4, oneTask())}}))
+			h.step(50 * time.Millisecond)
+			h.report(inheritedID, runner.Report{Clock: time.Second})
+			start := h.starts()[0].Start
+			h.e.Started(h.now, inheritedID, start.Task, start.Run, runner.ErrUnknown)
+			began := h.now
+			_, starts := h.tick(toldTimeout - tickPeriod)
+			require.Empty(t, starts)
+			if stored {
+				require.NotNil(t, h.e.writes[fleetStream])
+				h.e.Committed(h.now, fleetStream)
+			}
+			for len(starts) == 0 {
+				_, starts = h.tick(tickPeriod)
+			}
+			require.Len(t, starts, 1)
+			require.Equal(t, start.Run, starts[0].Start.Run)
+			if stored {
+				require.Less(t, h.now, began+toldTimeout+tickPeriod)
+			} else {
+				require.GreaterOrEqual(t, h.now, began+toldTimeout)
+				require.LessOrEqual(t, h.now, began+toldTimeout+2*tickPeriod)
+			}
+		})
+	}
+}
+
+// TestIncarnationFoundByALookupIsAskedToRefuse guards against a run that an incarnation starts late though it has answered a lookup before:
+// it had no entry yet, and was asked nothing more.
+func TestIncarnationFoundByALookupIsAskedToRefuse(t *testing.T) {
+	x := newEndedStart(t)
+	x.until(x.free()+entryDelay+time.Second, Lookup{Answers: true, Other: followingID})
+	require.Positive(t, x.lookups)
+	w := x.e.workers[followingID]
+	require.NotNil(t, w)
+	require.False(t, w.listed)
+	x.e.orders.Add(runner.Ref{ID: inheritedID}, work.TaskID{Job: testJob}, 1, x.now+time.Second) // one that is not too old yet
+	x.effects = nil
+	x.report(followingID, runner.Report{Clock: time.Second})
+	x.step(50 * time.Millisecond)
+	require.NotEmpty(t, sent[SendStop](x.harness))
+}
--- a/process/dispatch/persist.go
+++ b/process/dispatch/persist.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"fennelshunt.example/fennelshunt/connection/store"
+	"fennelshunt.example/fennelshunt/process/openorder"
 	"fennelshunt.example/fennelshunt/version/work"
 )
 
@@ -32,10 +33,11 @@
 	saves  []save
 	batch  *batch // nil: every job is under a key of its own
 	fleet  []*worker
-	untold []*worker     // whose lease the lists do not tell any more
-	unread []*unread     // as the list that it has
-	lists  bool          // it has the lists of workers
-	sent   time.Duration // when it was sent
+	told   map[*openorder.Order]time.Duration // until when the list has them
+	untold []*worker                          // whose lease the lists do not tell any more
+	unread []*unread                          // as the list that it has
+	lists  bool                               // it has the lists of workers
+	sent   time.Duration                      // when it was sent
 }
 
 // save is the progress of one job in a write set.
@@ -246,6 +248,9 @@
 		w.recorded, w.known = true, true
 		w.nextRenew = now
 	}
+	for o, until := range ws.told {
+		o.Told = o.Until <= until
+	}
 	for _, w := range ws.untold {
 		w.leaseTold = false
 		w.nextRenew = now
--- a/process/dispatch/runs.go
+++ b/process/dispatch/runs.go
@@ -163,9 +163,7 @@
 		e.stop(alloc, "no answer to the start, and its worker's capacity has shrunk")
 		e.memberNotStarted(alloc, err)
 	case alloc.tries < maxStarts && w.misses == 0:
-		alloc.state = unconfirmed
-		e.stats.Resent++
-		e.sendStart(alloc)
+		e.resend(alloc)
 	default:
 		e.stop(alloc, "no answer to the start")
 		e.memberNotStarted(alloc, err)
--- a/process/openorder/openorder.go
+++ b/process/openorder/openorder.go
@@ -33,6 +33,8 @@
 	Ended time.Duration
 	// RefusedBy is the incarnation that certainly does not start the run any more, "" for none.
 	RefusedBy runner.WorkerID
+	// Told: the list that is stored for a successor has it, with this Until or a later one.
+	Told bool
 
 	calls int // on their way
 }
@@ -127,7 +129,7 @@
 	if o.Until == 0 {
 		b.open++
 	}
-	o.Until = max(o.Until, until, 1)
+	o.Until, o.Told = max(o.Until, until, 1), false
 	b.added = true
 }
 
