--- a/process/dispatch/openways_test.go
+++ b/process/dispatch/openways_test.go
@@ -432,7 +432,9 @@
 // it had no entry yet, and was asked nothing more.
 func TestIncarnationFoundByALookupIsAskedToRefuse(t *testing.T) {
 	x := newEndedStart(t)
-	x.until(x.free()+entryDelay+time.Second, Lookup{Answers: true, Other: followingID})
+	x.until(x.free()+entryDelay+time.Second, Lookup{Answers: true, Other: "w-a"}) // one that doesn't say when it started
+	require.Positive(t, x.lookups)
+	x.until(x.now+time.Second, Lookup{Answers: true, Other: followingID})
 	require.Positive(t, x.lookups)
 	w := x.e.workers[followingID]
 	require.NotNil(t, w)
