dispatch: the list of cordoned workers is written again when one of them is removed

Cause: epoch 4 had told the end of w-06's lease; epoch 5 removed w-06 at that time and wrote the list of workers, but not the one of the cordoned, which still had it. w-06 came back under the same id, was used by epoch 6, and epoch 7 read the old entry. The stale entry is older than leases that are told: it named the tasks that may run there, so that a successor would have started others at once (not seen).

Change: the removal of a cordoned worker has the list written again. A worker that is back is given no lease before a later list is stored, which the same write stream puts after it.

TestWorkerThatIsBackIsNotToldAsLost fails before.

--- a/process/dispatch/directory.go
+++ b/process/dispatch/directory.go
@@ -109,6 +109,7 @@
 	e.orders.Gone(w.ID)
 	e.workerList = slices.DeleteFunc(e.workerList, func(x *worker) bool { return x == w })
 	e.fleetChanged = e.fleetChanged || w.recorded || w.voter.Pending
+	e.cordonsChanged = e.cordonsChanged || w.cordoned // it may come back under the same id
 	w.pendingAcks = nil
 }
 
--- a/process/dispatch/toldlease_test.go
+++ b/process/dispatch/toldlease_test.go
@@ -97,3 +97,25 @@
 		})
 	}
 }
+
+// TestWorkerThatIsBackIsNotToldAsLost guards against a list that still tells of the end of a lease, or of the tasks, of a worker that was
+// removed and is used again under the same id: the next successor would take its runs for ended.
+func TestWorkerThatIsBackIsNotToldAsLost(t *testing.T) {
+	_, fleet, _ := lostWorker(t)
+	next := toldSuccessor(t, 2, fleet)
+	for next.e.workers["w-a"] != nil {
+		next.lostFor(100*time.Millisecond, fleet)
+	}
+	next.resize("w-a", work.Resources{CPU: 4000, Memory: 4000})
+	for !next.e.workers["w-a"].usable(next.now) {
+		for _, id := range []runner.WorkerID{"w-a", "w-b", "w-c", "w-d"} {
+			next.e.Renewed(next.now, id, runner.Report{Clock: time.Second + next.now}, nil)
+		}
+		next.stepInto(fleet, 50*time.Millisecond)
+	}
+	third := toldSuccessor(t, 3, fleet)
+	w := third.e.workers["w-a"]
+	require.NotNil(t, w)
+	require.False(t, w.cordoned)
+	require.Equal(t, third.e.inheritedLease(), w.expiry)
+}
