--- a/process/dispatch/reports.go
+++ b/process/dispatch/reports.go
@@ -192,8 +192,8 @@
 }
 
 // handleUnexpected handles a run that this engine has not started or has released: one of an
-// earlier epoch, or of an order that was carried out late, is adopted if its task needs it, one of a job that is not known goes on until
-// the job's submission has been read, any other is stopped.
+// earlier epoch, or of an order that was carried out late, is adopted if its task needs it, one of a
+// job that is not known goes on until the job's submission has been read, any other is stopped.
 func (e *Engine) handleUnexpected(w *worker, r *runner.ActiveRun) {
 	j := e.jobs[r.Task.Job]
 	s := j.step(r.Task)
