openorder: all orders in one loop; the tasks on ended workers are found once for a list

Six places walked over names and then over each name's orders; Book.All gives the same orders in the same sequence, and Names is gone. The lists of workers looked for the tasks that wait twice, once for the ended ones alone. Behaviour is as before: process/dispatch with -short and process/openorder pass, the recount of the Book now covers All.

--- a/process/dispatch/fleet.go
+++ b/process/dispatch/fleet.go
@@ -294,7 +294,8 @@
 	var cordoned cordonRecord
 	ws.lists = true
 	e.sendVoters()
-	late, ended := e.lateTasks(), e.lateEnded()
+	late := e.lateTasks()
+	ended := e.lateEnded(late)
 	e.endedTold = len(ended)
 	for _, x := range ended { // before their later incarnations, which follow them when the list is read
 		f.Workers = append(f.Workers, x.ref)
--- a/process/dispatch/lookup.go
+++ b/process/dispatch/lookup.go
@@ -39,11 +39,9 @@
 			delete(e.lookups, name)
 		}
 	}
-	for _, name := range e.orders.Names() {
-		for _, o := range e.orders.ByName(name) {
-			if w := e.workers[o.To.ID]; o.TooOld(e.now) && (w == nil || w.misses > 0) {
-				e.lookUp(o.To, o.Until)
-			}
+	for _, o := range e.orders.All() {
+		if w := e.workers[o.To.ID]; o.TooOld(e.now) && (w == nil || w.misses > 0) {
+			e.lookUp(o.To, o.Until)
 		}
 	}
 	for _, w := range e.workerList {
--- a/process/dispatch/openlist.go
+++ b/process/dispatch/openlist.go
@@ -30,19 +30,17 @@
 
 // lateTasks returns the tasks that wait since no incarnation is known to refuse an order, in a fixed order.
 func (e *Engine) lateTasks() (all []lateWorker) {
-	for _, name := range e.orders.Names() {
-		for _, o := range e.orders.ByName(name) {
-			if e.workers[o.RefusedBy] != nil || !e.holdsTask(o) {
-				continue
-			}
-			i := slices.IndexFunc(all, func(x lateWorker) bool { return x.ref.ID == o.To.ID })
-			if i < 0 {
-				i = len(all)
-				all = append(all, lateWorker{ref: o.To})
-			}
-			all[i].tasks = append(all[i].tasks, o.Task)
-			all[i].until = max(all[i].until, e.orderEnd(o))
+	for _, o := range e.orders.All() {
+		if e.workers[o.RefusedBy] != nil || !e.holdsTask(o) {
+			continue
 		}
+		i := slices.IndexFunc(all, func(x lateWorker) bool { return x.ref.ID == o.To.ID })
+		if i < 0 {
+			i = len(all)
+			all = append(all, lateWorker{ref: o.To})
+		}
+		all[i].tasks = append(all[i].tasks, o.Task)
+		all[i].until = max(all[i].until, e.orderEnd(o))
 	}
 	return all
 }
@@ -72,14 +70,14 @@
 }
 
 // lateEnded returns those of lateTasks on workers that have ended.
-func (e *Engine) lateEnded() []lateWorker {
-	return slices.DeleteFunc(e.lateTasks(), func(x lateWorker) bool { return e.workers[x.ref.ID] != nil })
+func (e *Engine) lateEnded(late []lateWorker) []lateWorker {
+	return slices.DeleteFunc(slices.Clone(late), func(x lateWorker) bool { return e.workers[x.ref.ID] != nil })
 }
 
 // noteOpenOrders has the list of open orders written when it has changed, seldom enough for a store that takes few writes, and the lists
 // of workers once fewer that have ended hold a task.
 func (e *Engine) noteOpenOrders() {
-	if e.endedTold > 0 && len(e.lateEnded()) < e.endedTold {
+	if e.endedTold > 0 && len(e.lateEnded(e.lateTasks())) < e.endedTold {
 		e.fleetChanged, e.cordonsChanged = true, true
 	}
 	e.ordersAdded = e.orders.TakeAdded() || e.ordersAdded
@@ -96,15 +94,13 @@
 // openList returns the list of open orders as it is stored, and until when it has each.
 func (e *Engine) openList() (r openRecord, told map[*openorder.Order]time.Duration) {
 	told = map[*openorder.Order]time.Duration{}
-	for _, name := range e.orders.Names() {
-		for _, o := range e.orders.ByName(name) {
-			s := e.jobs[o.Task.Job].step(o.Task)
-			if (o.Until == 0 && !e.holdsTask(o)) || o.TooOld(e.now) || s == nil || !s.job.active() || s.tasks[o.Task.Index].done {
-				continue
-			}
-			told[o] = o.Until
-			r.Orders = append(r.Orders, toldOrder{To: o.To, Task: o.Task, Run: o.Run, LateMS: e.millisUntil(e.orderEnd(o)), Refused: o.RefusedBy == o.To.ID})
+	for _, o := range e.orders.All() {
+		s := e.jobs[o.Task.Job].step(o.Task)
+		if (o.Until == 0 && !e.holdsTask(o)) || o.TooOld(e.now) || s == nil || !s.job.active() || s.tasks[o.Task.Index].done {
+			continue
 		}
+		told[o] = o.Until
+		r.Orders = append(r.Orders, toldOrder{To: o.To, Task: o.Task, Run: o.Run, LateMS: e.millisUntil(e.orderEnd(o)), Refused: o.RefusedBy == o.To.ID})
 	}
 	e.ordersTold = len(r.Orders)
 	return r, told
--- a/process/dispatch/openorders.go
+++ b/process/dispatch/openorders.go
@@ -228,15 +228,13 @@
 
 // forgetOrders forgets the orders that are too old, once nothing that they may have started can be left.
 func (e *Engine) forgetOrders() {
-	for _, name := range e.orders.Names() {
-		for _, o := range e.orders.ByName(name) {
-			w := e.workers[o.RefusedBy]
-			switch {
-			case !o.TooOld(e.now):
-			case w != nil && w.aliveAt >= o.Until && !w.hasUntracked(o.Task),
-				w == nil && e.now > e.orders.LeaseCalls(o)+leaseBound(e.o.Bounds.MaxLease):
-				e.forgetOrder(o)
-			}
+	for _, o := range e.orders.All() {
+		w := e.workers[o.RefusedBy]
+		switch {
+		case !o.TooOld(e.now):
+		case w != nil && w.aliveAt >= o.Until && !w.hasUntracked(o.Task),
+			w == nil && e.now > e.orders.LeaseCalls(o)+leaseBound(e.o.Bounds.MaxLease):
+			e.forgetOrder(o)
 		}
 	}
 }
@@ -263,12 +261,10 @@
 // countHeld returns how many tasks wait for an order or may start on one worker only.
 func (e *Engine) countHeld() (n uint64) {
 	tasks := map[work.TaskID]bool{}
-	for _, name := range e.orders.Names() {
-		for _, o := range e.orders.ByName(name) {
-			if !tasks[o.Task] && e.holdsTask(o) {
-				tasks[o.Task] = true
-				n++
-			}
+	for _, o := range e.orders.All() {
+		if !tasks[o.Task] && e.holdsTask(o) {
+			tasks[o.Task] = true
+			n++
 		}
 	}
 	return n
@@ -277,19 +273,17 @@
 // countOpen adds up, by account, what orders may start beside the runs that are booked.
 func (e *Engine) countOpen(sums map[*quota.Account]quota.Size) {
 	tasks := map[work.TaskID]bool{}
-	for _, name := range e.orders.Names() {
-		for _, o := range e.orders.ByName(name) {
-			j := e.jobs[o.Task.Job]
-			if j == nil || tasks[o.Task] || e.workers[o.RefusedBy] != nil {
-				continue
-			}
-			if s := j.step(o.Task); s != nil && s.tasks[o.Task.Index].alloc != nil {
-				continue
-			}
-			tasks[o.Task] = true
-			a := e.ledger.Account(j.spec.Account)
-			sums[a] = sums[a].Add(j.sizeOf(o.Task.Step))
+	for _, o := range e.orders.All() {
+		j := e.jobs[o.Task.Job]
+		if j == nil || tasks[o.Task] || e.workers[o.RefusedBy] != nil {
+			continue
+		}
+		if s := j.step(o.Task); s != nil && s.tasks[o.Task.Index].alloc != nil {
+			continue
 		}
+		tasks[o.Task] = true
+		a := e.ledger.Account(j.spec.Account)
+		sums[a] = sums[a].Add(j.sizeOf(o.Task.Step))
 	}
 }
 
--- a/process/openorder/openorder.go
+++ b/process/openorder/openorder.go
@@ -81,8 +81,13 @@
 // ByName returns the orders to a worker's incarnations, in a slice of its own.
 func (b *Book) ByName(name string) []*Order { return slices.Clone(b.byName[name]) }
 
-// Names returns the names of the workers that have orders, sorted.
-func (b *Book) Names() []string { return slices.Sorted(maps.Keys(b.byName)) }
+// All returns all orders, sorted by worker name, in a slice of its own.
+func (b *Book) All() (all []*Order) {
+	for _, name := range slices.Sorted(maps.Keys(b.byName)) {
+		all = append(all, b.byName[name]...)
+	}
+	return all
+}
 
 // Find returns the order of a run to a worker, nil if there is none.
 func (b *Book) Find(name string, task work.TaskID, run uint64) *Order {
--- a/process/openorder/openorder_test.go
+++ b/process/openorder/openorder_test.go
@@ -43,7 +43,7 @@
 	b.Answered("w", task, 1)
 	require.Zero(t, b.Len())
 	require.False(t, b.OnStep(task))
-	require.Empty(t, b.Names())
+	require.Empty(t, b.All())
 }
 
 // TestRefusalHoldsForOneIncarnation guards against a refusal of one incarnation that counts for those after it.
@@ -129,6 +129,7 @@
 				}
 			}
 			require.Equal(t, want, b.Len())
+			require.Len(t, b.All(), want)
 			require.Equal(t, open > 0, b.AnyOpen())
 			for step := range 2 {
 				require.Equal(t, steps[step], b.OnStep(work.TaskID{Job: "j", Step: step, Index: 1}))
